RPC transport on libev and XDR messages

Cause: libtirpc's own client and server loops block. Ruled out: its client in a thread, because the design has one loop on one thread. Change: record marking over non-blocking sockets, headers coded by xdr_callmsg and xdr_replymsg, any number of outstanding calls, bounded records and output. Before: no transport. Conclusion: codec from the library, transport of our own.

--- /dev/null
+++ b/carawayctl/main.c
@@ -0,0 +1,4 @@
+int main(void)
+{
+	return 0;
+}
--- /dev/null
+++ b/io/rpc_client.c
@@ -0,0 +1,232 @@
+#include "io/rpc_client.h"
+
+#include <errno.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <stdlib.h>
+#include <unistd.h>
+
+#include "base/err.h"
+#include "io/rpc_wire.h"
+#include "io/stream.h"
+
+#define RECONNECT_MIN 0.05 /* seconds between connection attempts */
+#define RECONNECT_MAX 1.0
+#define SWEEP_PERIOD 0.05 /* seconds between checks for expired calls */
+#define WAITER_BUCKETS 256U
+
+struct rpc_client {
+	struct stream stream;
+	struct rpc_client_options opt;
+	struct ev_timer sweep;
+	struct rpc_waiter *waiters[WAITER_BUCKETS];
+	unsigned int outstanding;
+	uint32_t next_xid;
+	double backoff;
+	double not_before; /* loop time of the next connection attempt */
+};
+
+static void waiter_unlink(struct rpc_waiter *w)
+{
+	struct rpc_client *c = w->client;
+
+	*w->prev = w->next;
+	if (w->next)
+		w->next->prev = w->prev;
+	w->client = NULL;
+	if (--c->outstanding == 0)
+		ev_timer_stop(c->opt.loop, &c->sweep);
+}
+
+static void waiter_link(struct rpc_client *c, struct rpc_waiter *w)
+{
+	struct rpc_waiter **head = &c->waiters[w->xid % WAITER_BUCKETS];
+
+	w->client = c;
+	w->next = *head;
+	w->prev = head;
+	if (*head)
+		(*head)->prev = &w->next;
+	*head = w;
+	if (c->outstanding++ == 0)
+		ev_timer_again(c->opt.loop, &c->sweep);
+}
+
+/* Ends every call whose deadline is before the given loop time. */
+static void end_calls(struct rpc_client *c, double before, int err)
+{
+	for (unsigned int i = 0; i < WAITER_BUCKETS; i++) {
+		struct rpc_waiter *w = c->waiters[i];
+
+		while (w) {
+			if (w->deadline < before) {
+				waiter_unlink(w);
+				w->ops->done(w, err, (struct str){NULL, 0});
+				/* done() may have changed the list. */
+				w = c->waiters[i];
+			} else {
+				w = w->next;
+			}
+		}
+	}
+}
+
+static void on_sweep(struct ev_loop *loop, struct ev_timer *t, int events)
+{
+	end_calls(t->data, ev_now(loop), CF_ETIMEOUT);
+}
+
+static int on_record(struct stream *s, struct str record)
+{
+	struct rpc_client *c = (struct rpc_client *)s;
+	struct rpc_reply_head head;
+	struct rpc_waiter *w;
+	struct str results;
+	int err = rpc_wire_parse_reply(record, &head, &results);
+
+	if (err)
+		return err;
+	c->backoff = RECONNECT_MIN;
+	w = c->waiters[head.xid % WAITER_BUCKETS];
+	while (w && w->xid != head.xid)
+		w = w->next;
+	if (!w) /* answer to a call that timed out */
+		return 0;
+	waiter_unlink(w);
+	w->ops->done(w, head.err, results);
+	return 0;
+}
+
+static void on_closed(struct stream *s, int err)
+{
+	struct rpc_client *c = (struct rpc_client *)s;
+	double now = ev_now(c->opt.loop);
+
+	c->not_before = now + c->backoff;
+	c->backoff = c->backoff * 2 > RECONNECT_MAX ? RECONNECT_MAX : c->backoff * 2;
+	/* Calls made from done() wait for the next connection and are kept. */
+	for (unsigned int i = 0; i < WAITER_BUCKETS; i++)
+		for (struct rpc_waiter *w = c->waiters[i]; w; w = w->next)
+			w->deadline = -1;
+	end_calls(c, 0, CF_ECONN);
+}
+
+static const struct stream_ops client_stream_ops = {
+	.record = on_record,
+	.closed = on_closed,
+};
+
+/* Starts a connection attempt. CF_ECONN also while the backoff runs. */
+static int connect_peer(struct rpc_client *c)
+{
+	int one = 1;
+	int fd;
+
+	if (ev_now(c->opt.loop) < c->not_before)
+		return CF_ECONN;
+	fd = socket(c->opt.address.sa.ss_family,
+		    SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	if (fd < 0)
+		return CF_EIO;
+	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
+	if (connect(fd, (struct sockaddr *)&c->opt.address.sa, c->opt.address.len) &&
+	    errno != EINPROGRESS) {
+		close(fd);
+		c->not_before = ev_now(c->opt.loop) + c->backoff;
+		return CF_ECONN;
+	}
+	stream_open(&c->stream, c->opt.loop, fd, true);
+	return 0;
+}
+
+int rpc_client_new(const struct rpc_client_options *opt, struct rpc_client **out)
+{
+	struct rpc_client *c = calloc(1, sizeof(*c));
+
+	if (!c)
+		return CF_ENOMEM;
+	c->stream.ops = &client_stream_ops;
+	c->stream.fd = -1;
+	c->opt = *opt;
+	c->backoff = RECONNECT_MIN;
+	c->next_xid = (uint32_t)ev_now(opt->loop);
+	ev_timer_init(&c->sweep, on_sweep, SWEEP_PERIOD, SWEEP_PERIOD);
+	c->sweep.data = c;
+	*out = c;
+	return 0;
+}
+
+static int send_call(struct rpc_client *c, uint32_t proc, struct str args, uint32_t xid)
+{
+	struct rpc_call_head head = {
+		.xid = xid,
+		.proc = proc,
+		.member = c->opt.member,
+		.key = c->opt.key,
+	};
+	int err;
+
+	if (c->stream.fd < 0) {
+		err = connect_peer(c);
+		if (err)
+			return err;
+	}
+	if (stream_pending(&c->stream) + args.n > STREAM_MAX_OUTPUT)
+		return CF_EBUSY;
+	return rpc_wire_add_call(&c->stream.out, &head, args);
+}
+
+/* Writes; a broken connection is reported from the reader, never from here. */
+static void flush(struct rpc_client *c)
+{
+	if (stream_flush(&c->stream))
+		shutdown(c->stream.fd, SHUT_RDWR);
+}
+
+/*
+ * Starts a call whose end is reported through the waiter within timeout seconds.
+ * On an error nothing was sent and the waiter is not called.
+ */
+int rpc_client_call(struct rpc_client *c, uint32_t proc, struct str args, double timeout,
+		    struct rpc_waiter *w)
+{
+	int err = send_call(c, proc, args, ++c->next_xid);
+
+	if (err)
+		return err;
+	w->xid = c->next_xid;
+	w->deadline = ev_now(c->opt.loop) + timeout;
+	waiter_link(c, w);
+	flush(c);
+	return 0;
+}
+
+/* Sends a call that has no reply. It may be lost. */
+int rpc_client_post(struct rpc_client *c, uint32_t proc, struct str args)
+{
+	int err = send_call(c, proc, args, ++c->next_xid);
+
+	if (!err)
+		flush(c);
+	return err;
+}
+
+/* Forgets an outstanding call; done() will not be called. */
+void rpc_waiter_cancel(struct rpc_waiter *w)
+{
+	if (w->client)
+		waiter_unlink(w);
+}
+
+/* Ends outstanding calls without calling their waiters. */
+void rpc_client_free(struct rpc_client *c)
+{
+	if (!c)
+		return;
+	for (unsigned int i = 0; i < WAITER_BUCKETS; i++)
+		for (struct rpc_waiter *w = c->waiters[i]; w; w = w->next)
+			w->client = NULL;
+	ev_timer_stop(c->opt.loop, &c->sweep);
+	stream_close(&c->stream);
+	free(c);
+}
--- /dev/null
+++ b/io/rpc_client.h
@@ -0,0 +1,42 @@
+#ifndef IO_RPC_CLIENT_H
+#define IO_RPC_CLIENT_H
+
+#include <ev.h>
+
+#include "io/addr.h"
+
+struct rpc_client;
+struct rpc_waiter;
+
+struct rpc_waiter_ops {
+	/*
+	 * The call ended: 0 with results, CF_ECONN, CF_ETIMEOUT (both: the peer may
+	 * have run it), CF_EAUTH, CF_EINVAL or CF_EIO. The waiter is free again.
+	 */
+	void (*done)(struct rpc_waiter *w, int err, struct str results);
+};
+
+/* One outstanding call; embedded in its user. */
+struct rpc_waiter {
+	const struct rpc_waiter_ops *ops;
+	struct rpc_client *client; /* NULL when no call is outstanding */
+	struct rpc_waiter *next, **prev;
+	uint32_t xid;
+	double deadline;
+};
+
+struct rpc_client_options {
+	struct ev_loop *loop;
+	struct addr address;
+	struct str member; /* own name and key; the caller keeps the bytes */
+	struct str key;
+};
+
+int rpc_client_new(const struct rpc_client_options *opt, struct rpc_client **out);
+int rpc_client_call(struct rpc_client *c, uint32_t proc, struct str args, double timeout,
+		    struct rpc_waiter *w);
+int rpc_client_post(struct rpc_client *c, uint32_t proc, struct str args);
+void rpc_waiter_cancel(struct rpc_waiter *w);
+void rpc_client_free(struct rpc_client *c);
+
+#endif
--- /dev/null
+++ b/io/rpc_server.c
@@ -0,0 +1,195 @@
+#include "io/rpc_server.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <openssl/crypto.h>
+#include <stdlib.h>
+#include <unistd.h>
+
+#include "base/err.h"
+#include "io/listener.h"
+#include "io/rpc_wire.h"
+#include "io/stream.h"
+
+struct rpc_conn {
+	struct stream stream;
+	struct rpc_server *server;
+	struct rpc_conn *next, **prev;
+	struct rpc_call *calls;
+};
+
+struct rpc_server {
+	struct rpc_server_options opt;
+	struct ev_io acceptor;
+	int fd;
+	struct rpc_conn *conns;
+	struct rpc_server_stats stats;
+};
+
+static void conn_free(struct rpc_conn *c)
+{
+	for (struct rpc_call *call = c->calls; call; call = call->next)
+		call->conn = NULL;
+	*c->prev = c->next;
+	if (c->next)
+		c->next->prev = c->prev;
+	stream_close(&c->stream);
+	free(c);
+}
+
+static bool key_matches(struct str a, struct str b)
+{
+	return a.n == b.n && CRYPTO_memcmp(a.p, b.p, a.n) == 0;
+}
+
+static void write_reply(struct rpc_conn *c, uint32_t xid, int err, struct str results)
+{
+	struct rpc_reply_head head = {.xid = xid, .err = err};
+	size_t before = c->stream.out.n;
+
+	if (rpc_wire_add_reply(&c->stream.out, &head, results) ||
+	    stream_flush(&c->stream)) {
+		/* The reader sees the end of the connection and frees it. */
+		shutdown(c->stream.fd, SHUT_RDWR);
+		return;
+	}
+	c->server->stats.bytes_out +=
+		c->stream.out.n > before ? c->stream.out.n - before : results.n;
+}
+
+static int on_record(struct stream *s, struct str record)
+{
+	struct rpc_conn *c = (struct rpc_conn *)s;
+	struct rpc_server *srv = c->server;
+	struct rpc_cred_space space;
+	struct rpc_call_head head;
+	struct rpc_call *call;
+	struct str args;
+	int err = rpc_wire_parse_call(record, &space, &head, &args);
+
+	srv->stats.bytes_in += record.n;
+	if (err == CF_EMALFORMED) {
+		srv->stats.malformed++;
+		return err;
+	}
+	if (err == CF_EAUTH || !key_matches(head.key, srv->opt.key)) {
+		srv->stats.refused++;
+		write_reply(c, head.xid, CF_EAUTH, (struct str){NULL, 0});
+		return 0;
+	}
+	call = calloc(1, sizeof(*call));
+	if (!call)
+		return CF_ENOMEM;
+	srv->stats.calls++;
+	call->conn = c;
+	call->xid = head.xid;
+	call->proc = head.proc;
+	call->member = head.member;
+	call->args = args;
+	call->next = c->calls;
+	call->prev = &c->calls;
+	if (c->calls)
+		c->calls->prev = &call->next;
+	c->calls = call;
+	srv->opt.host->ops->call(srv->opt.host, call);
+	return 0;
+}
+
+static void on_closed(struct stream *s, int err)
+{
+	struct rpc_conn *c = (struct rpc_conn *)s;
+
+	if (err == CF_ETOOBIG)
+		c->server->stats.malformed++;
+	conn_free(c);
+}
+
+static const struct stream_ops server_stream_ops = {
+	.record = on_record,
+	.closed = on_closed,
+};
+
+static void on_accept(struct ev_loop *loop, struct ev_io *w, int events)
+{
+	struct rpc_server *s = w->data;
+	struct rpc_conn *c;
+	int one = 1;
+	int fd = accept4(s->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+
+	if (fd < 0)
+		return;
+	c = calloc(1, sizeof(*c));
+	if (!c) {
+		close(fd);
+		return;
+	}
+	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
+	c->server = s;
+	c->next = s->conns;
+	c->prev = &s->conns;
+	if (s->conns)
+		s->conns->prev = &c->next;
+	s->conns = c;
+	c->stream.ops = &server_stream_ops;
+	stream_open(&c->stream, loop, fd, false);
+}
+
+/* Listens at once. CF_EEXIST when the port is taken. */
+int rpc_server_new(const struct rpc_server_options *opt, struct rpc_server **out)
+{
+	struct rpc_server *s = calloc(1, sizeof(*s));
+	int err;
+
+	if (!s)
+		return CF_ENOMEM;
+	s->opt = *opt;
+	err = listener_open(&opt->address, &s->fd);
+	if (err) {
+		free(s);
+		return err;
+	}
+	ev_io_init(&s->acceptor, on_accept, s->fd, EV_READ);
+	s->acceptor.data = s;
+	ev_io_start(opt->loop, &s->acceptor);
+	*out = s;
+	return 0;
+}
+
+/* Ends a call without an answer, as one-way procedures do. */
+void rpc_call_drop(struct rpc_call *call)
+{
+	if (call->conn) {
+		*call->prev = call->next;
+		if (call->next)
+			call->next->prev = call->prev;
+	}
+	free(call);
+}
+
+/* Answers with an error number of rpc_reply_head, or with results, and frees. */
+void rpc_call_reply(struct rpc_call *call, int err, struct str results)
+{
+	if (call->conn)
+		write_reply(call->conn, call->xid, err, results);
+	rpc_call_drop(call);
+}
+
+const struct rpc_server_stats *rpc_server_stats(const struct rpc_server *s)
+{
+	return &s->stats;
+}
+
+void rpc_server_free(struct rpc_server *s)
+{
+	struct rpc_conn *next;
+
+	if (!s)
+		return;
+	for (struct rpc_conn *c = s->conns; c; c = next) {
+		next = c->next;
+		conn_free(c);
+	}
+	ev_io_stop(s->opt.loop, &s->acceptor);
+	close(s->fd);
+	free(s);
+}
--- /dev/null
+++ b/proto/peer.x
@@ -0,0 +1,105 @@
+/* Messages between processes of carawayfront; see docs/design.md 2.8. */
+
+const PEER_MAX_NAME = 64;
+const PEER_MAX_KEY = 64;
+const PEER_MAX_BYTES = 4194304;
+
+enum peer_proc {
+	PEER_NULL = 0,
+	PEER_PROPOSE = 1,
+	PEER_WATCH = 2,
+	PEER_REPLICA = 3,
+	PEER_ANNOUNCE = 4,
+	PEER_WORKER = 5,
+	PEER_READ = 6
+};
+
+/* Body of the call credential. */
+struct peer_cred {
+	opaque member<PEER_MAX_NAME>;
+	opaque key<PEER_MAX_KEY>;
+};
+
+struct peer_propose_args {
+	opaque command<PEER_MAX_BYTES>;
+};
+
+/* err CF_ENOTLEADER: leader names the member to ask, or is empty. */
+struct peer_propose_res {
+	int err;
+	opaque leader<PEER_MAX_NAME>;
+	unsigned hyper index;
+	opaque result<PEER_MAX_BYTES>;
+};
+
+struct peer_watch_args {
+	unsigned hyper after;
+	unsigned int wait_ms;
+};
+
+/*
+ * One changed document; deleted documents have an empty text. Changes arrive in
+ * the order of their revisions.
+ */
+struct peer_change {
+	opaque path<>;
+	unsigned hyper revision;
+	bool deleted;
+	opaque text<PEER_MAX_BYTES>;
+	opaque fields<PEER_MAX_BYTES>;
+};
+
+/*
+ * complete: changes is the whole configuration and replaces what the caller has.
+ * fresh: the sender confirmed, after it received the call, that no newer
+ * configuration was accepted than index.
+ */
+struct peer_watch_res {
+	int err;
+	unsigned hyper index;
+	bool complete;
+	bool fresh;
+	struct peer_change changes<>;
+};
+
+struct peer_upstream {
+	opaque team<PEER_MAX_NAME>;
+	opaque service<PEER_MAX_NAME>;
+	opaque name<PEER_MAX_NAME>;
+	opaque address<PEER_MAX_NAME>;
+	opaque zone<PEER_MAX_NAME>;
+	unsigned int slots;
+	unsigned int load;
+	bool leaving;
+	unsigned hyper incarnation;
+	unsigned hyper sequence;
+	unsigned int age_ms;
+};
+
+struct peer_announce_args {
+	struct peer_upstream upstreams<>;
+};
+
+/* JSON of the worker's poll, forwarded as it came. */
+struct peer_worker_args {
+	opaque name<PEER_MAX_NAME>;
+	opaque body<PEER_MAX_BYTES>;
+};
+
+struct peer_worker_res {
+	int err;
+	opaque leader<PEER_MAX_NAME>;
+	opaque body<PEER_MAX_BYTES>;
+};
+
+struct peer_read_args {
+	opaque team<PEER_MAX_NAME>;
+	opaque job<PEER_MAX_NAME>;
+};
+
+/* JSON description of the job. */
+struct peer_read_res {
+	int err;
+	opaque leader<PEER_MAX_NAME>;
+	opaque body<PEER_MAX_BYTES>;
+};
