--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,8 @@
 WARN = -Wall -Wextra -Werror -Wshadow -Wstrict-prototypes -Wmissing-prototypes \
        -Wpointer-arith -Wvla -Wno-unused-parameter
 OPT ?= -O2 -g
-CFLAGS = -std=gnu11 $(OPT) $(WARN) $(SAN) -D_GNU_SOURCE -MMD -MP
+# Hidden symbols cannot replace those of a library: libyaml has a yaml_free() too.
+CFLAGS = -std=gnu11 -fvisibility=hidden $(OPT) $(WARN) $(SAN) -D_GNU_SOURCE -MMD -MP
 CPPFLAGS = -I. $(shell pkg-config --cflags $(PKGS))
 LDLIBS = $(shell pkg-config --libs $(PKGS)) -lev -lm
 CHECK_LIBS = $(shell pkg-config --libs check)
--- /dev/null
+++ b/carawayfrontd/auth.h
@@ -0,0 +1,8 @@
+#ifndef CARAWAYFRONTD_AUTH_H
+#define CARAWAYFRONTD_AUTH_H
+
+#include "carawayfrontd/settings.h"
+
+int auth_check(const struct settings *s, struct str team, struct str authorization);
+
+#endif
--- /dev/null
+++ b/carawayfrontd/leader_client.c
@@ -0,0 +1,184 @@
+#include "carawayfrontd/leader_client.h"
+
+#include <stddef.h>
+
+#include "base/err.h"
+#include "proto/codec.h"
+#include "proto/peer.h"
+
+#define RETRY_DELAY 0.03    /* seconds before another process is asked */
+#define ATTEMPT_TIMEOUT 1.0 /* seconds for one process, unless the call is shorter */
+
+/* Connects lazily to every state process of the settings, which must stay valid. */
+int leader_client_init(struct leader_client *c, struct ev_loop *loop,
+		       const struct settings *settings)
+{
+	const struct settings_member *m = settings->state.items;
+
+	*c = (struct leader_client){.loop = loop};
+	for (size_t i = 0; i < settings->state.n && i < LEADER_MAX_MEMBERS; i++) {
+		struct rpc_client_options opt = {
+			.loop = loop,
+			.address = m[i].address,
+			.member = settings->name,
+			.key = settings->cluster_key,
+		};
+		int err = rpc_client_new(&opt, &c->clients[i]);
+
+		if (err)
+			return err;
+		c->names[i] = m[i].name;
+		c->n++;
+	}
+	return 0;
+}
+
+void leader_client_destroy(struct leader_client *c)
+{
+	for (size_t i = 0; i < c->n; i++)
+		rpc_client_free(c->clients[i]);
+	c->n = 0;
+}
+
+static void end_call(struct leader_call *call, int err, struct str results)
+{
+	struct buf args = call->args;
+
+	ev_timer_stop(call->client->loop, &call->retry);
+	call->client = NULL;
+	call->args = (struct buf){0};
+	call->ops->done(call, err, results);
+	buf_free(&args);
+}
+
+static void fail_call(struct leader_call *call)
+{
+	call->client->failures++;
+	end_call(call, call->maybe_run ? CF_EUNKNOWN : CF_EUNAVAIL,
+		 (struct str){NULL, 0});
+}
+
+static void retry_later(struct leader_call *call, size_t target, double delay)
+{
+	struct leader_client *c = call->client;
+
+	call->target = target % c->n;
+	if (ev_now(c->loop) + delay >= call->deadline) {
+		fail_call(call);
+		return;
+	}
+	ev_timer_set(&call->retry, delay, 0);
+	ev_timer_start(c->loop, &call->retry);
+}
+
+static void attempt(struct leader_call *call)
+{
+	struct leader_client *c = call->client;
+	double left = call->deadline - ev_now(c->loop);
+	double timeout = left < call->attempt_timeout ? left : call->attempt_timeout;
+
+	if (rpc_client_call(c->clients[call->target], call->proc, buf_str(&call->args),
+			    timeout, &call->waiter))
+		retry_later(call, call->target + 1, RETRY_DELAY);
+}
+
+static void on_retry(struct ev_loop *loop, struct ev_timer *t, int events)
+{
+	attempt(t->data);
+}
+
+/* Every result that goes through the leader begins with err and leader. */
+static int read_head(struct str results, int *err, struct str *leader)
+{
+	XDR xdrs;
+	char *p = NULL;
+	u_int n = 0;
+	int ret = 0;
+
+	xdrmem_create(&xdrs, (char *)(uintptr_t)results.p, (u_int)results.n, XDR_DECODE);
+	if (!xdr_int(&xdrs, err) || !xdr_bytes(&xdrs, &p, &n, PEER_MAX_NAME))
+		ret = CF_EMALFORMED;
+	else /* the bytes stand in the results, behind err and their length */
+		*leader = (struct str){results.p + 2 * BYTES_PER_XDR_UNIT, n};
+	mem_free(p, n);
+	xdr_destroy(&xdrs);
+	return ret;
+}
+
+static size_t index_of(const struct leader_client *c, struct str name, size_t otherwise)
+{
+	for (size_t i = 0; i < c->n; i++)
+		if (str_eq(c->names[i], name))
+			return i;
+	return otherwise;
+}
+
+static void on_reply(struct rpc_waiter *w, int err, struct str results)
+{
+	struct leader_call *call =
+		(struct leader_call *)((char *)w - offsetof(struct leader_call, waiter));
+	struct leader_client *c = call->client;
+	struct str leader;
+	int result_err;
+
+	if (!err)
+		err = read_head(results, &result_err, &leader);
+	if (err) {
+		call->maybe_run = true;
+		retry_later(call, call->target + 1, RETRY_DELAY);
+		return;
+	}
+	if (result_err == CF_ENOTLEADER) {
+		c->redirects++;
+		retry_later(call, index_of(c, leader, call->target + 1), RETRY_DELAY);
+		return;
+	}
+	if (result_err == CF_EUNKNOWN) {
+		call->maybe_run = true;
+		retry_later(call, call->target + 1, RETRY_DELAY);
+		return;
+	}
+	c->guess = call->target;
+	end_call(call, 0, results);
+}
+
+static const struct rpc_waiter_ops waiter_ops = {.done = on_reply};
+
+/*
+ * Starts a call that is repeated, at other processes too, until a leader answers or
+ * timeout seconds have passed. The command must therefore be idempotent. call->ops
+ * is set by the caller.
+ */
+int leader_call_start(struct leader_client *c, struct leader_call *call, uint32_t proc,
+		      struct str args, double timeout)
+{
+	int err;
+
+	call->args = (struct buf){0};
+	err = buf_set(&call->args, args);
+	if (err)
+		return err;
+	call->client = c;
+	call->waiter.ops = &waiter_ops;
+	call->waiter.client = NULL;
+	call->proc = proc;
+	call->maybe_run = false;
+	call->attempt_timeout = ATTEMPT_TIMEOUT;
+	call->deadline = ev_now(c->loop) + timeout;
+	call->target = c->guess;
+	ev_timer_init(&call->retry, on_retry, 0, 0);
+	call->retry.data = call;
+	attempt(call);
+	return 0;
+}
+
+/* Ends a call without done(). */
+void leader_call_cancel(struct leader_call *call)
+{
+	if (!call->client)
+		return;
+	rpc_waiter_cancel(&call->waiter);
+	ev_timer_stop(call->client->loop, &call->retry);
+	buf_free(&call->args);
+	call->client = NULL;
+}
--- /dev/null
+++ b/carawayfrontd/leader_client.h
@@ -0,0 +1,52 @@
+#ifndef CARAWAYFRONTD_LEADER_CLIENT_H
+#define CARAWAYFRONTD_LEADER_CLIENT_H
+
+#include "carawayfrontd/settings.h"
+#include "io/rpc_client.h"
+
+#define LEADER_MAX_MEMBERS 9U
+
+/* Calls to whichever state process leads. */
+struct leader_client {
+	struct ev_loop *loop;
+	size_t n;
+	struct str names[LEADER_MAX_MEMBERS];
+	struct rpc_client *clients[LEADER_MAX_MEMBERS];
+	size_t guess; /* index of the process that led last */
+	uint64_t redirects;
+	uint64_t failures;
+};
+
+struct leader_call;
+
+struct leader_call_ops {
+	/*
+	 * err 0: results hold the answer of a leader, whose own error is inside.
+	 * CF_EUNAVAIL: no leader ran it for certain. CF_EUNKNOWN: it may have run.
+	 * May free or reuse the call.
+	 */
+	void (*done)(struct leader_call *call, int err, struct str results);
+};
+
+/* One call; embedded in its user. */
+struct leader_call {
+	const struct leader_call_ops *ops;
+	struct leader_client *client; /* NULL when not outstanding */
+	struct rpc_waiter waiter;
+	struct ev_timer retry;
+	struct buf args;
+	uint32_t proc;
+	double deadline; /* loop time */
+	double attempt_timeout;
+	size_t target;
+	bool maybe_run;
+};
+
+int leader_client_init(struct leader_client *c, struct ev_loop *loop,
+		       const struct settings *settings);
+void leader_client_destroy(struct leader_client *c);
+int leader_call_start(struct leader_client *c, struct leader_call *call, uint32_t proc,
+		      struct str args, double timeout);
+void leader_call_cancel(struct leader_call *call);
+
+#endif
--- a/carawayfrontd/main.c
+++ b/carawayfrontd/main.c
@@ -1,4 +1,172 @@
-int main(void)
+#include <err.h>
+#include <getopt.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <curl/curl.h>
+#include <ev.h>
+
+#include "base/err.h"
+#include "carawayfrontd/entry.h"
+#include "carawayfrontd/settings.h"
+#include "carawayfrontd/state.h"
+#include "io/log.h"
+
+#define VERSION "0.1"
+#define DEFAULT_SETTINGS "/etc/carawayfront.yaml"
+
+/* The process: its settings and the object of its role. */
+struct daemon {
+	struct ev_loop *loop;
+	const char *path;
+	struct settings settings;
+	struct metric_set *metrics;
+	struct entry *entry;
+	struct state *state;
+};
+
+static void usage(void)
 {
-	return 0;
+	fprintf(stderr, "usage: carawayfrontd [-dnV] [-c file]\n");
+	exit(2);
+}
+
+/* Prints file, line, key and expectation of a refused setting. */
+static void print_refusal(const char *path, const struct schema_error *error)
+{
+	fprintf(stderr, "%s:%u: %s%s%s, expected %s\n", path, error->line, error->key,
+		*error->key ? ": " : "", cf_strerror(error->err), error->expected);
+}
+
+static void on_terminate(struct ev_loop *loop, struct ev_signal *w, int events)
+{
+	struct daemon *d = w->data;
+
+	log_info("shutdown-started", "signal=%d", w->signum);
+	if (d->entry)
+		entry_drain(d->entry);
+	else
+		state_drain(d->state);
+}
+
+/*
+ * Reads the settings again. Listening addresses, members and the role need a
+ * restart; the file is checked so that the restart will work.
+ */
+static void on_reload(struct ev_loop *loop, struct ev_signal *w, int events)
+{
+	struct daemon *d = w->data;
+	struct schema_error error;
+	struct settings fresh;
+
+	if (settings_load(d->path, &fresh, &error)) {
+		log_warn("reload-refused",
+			 "file=%s line=%u key=%s error=\"%s\" expected=\"%s\"", d->path,
+			 error.line, error.key, cf_strerror(error.err), error.expected);
+	} else if (!settings_same_process(&d->settings, &fresh)) {
+		log_warn("reload-refused",
+			 "file=%s reason=\"name, role, zone, addresses, members and data "
+			 "need a restart\"",
+			 d->path);
+	} else {
+		settings_swap_reloadable(&d->settings, &fresh);
+		log_info("reload-done", "file=%s", d->path);
+	}
+	settings_free(&fresh);
+}
+
+static int run(struct daemon *d)
+{
+	struct ev_signal term, intr, hup;
+	int err;
+
+	if (d->settings.role == ROLE_ENTRY)
+		err = entry_new(d->loop, &d->settings, d->metrics, &d->entry);
+	else
+		err = state_new(d->loop, &d->settings, d->metrics, &d->state);
+	if (err) {
+		log_error("start-failed", "error=\"%s\"", cf_strerror(err));
+		return err;
+	}
+	ev_signal_init(&term, on_terminate, SIGTERM);
+	ev_signal_init(&intr, on_terminate, SIGINT);
+	ev_signal_init(&hup, on_reload, SIGHUP);
+	term.data = d;
+	intr.data = d;
+	hup.data = d;
+	ev_signal_start(d->loop, &term);
+	ev_signal_start(d->loop, &intr);
+	ev_signal_start(d->loop, &hup);
+	log_info("started", "version=%s role=%s zone=%.*s", VERSION,
+		 d->entry ? "entry" : "state", STR_ARG(d->settings.zone));
+	ev_run(d->loop, 0);
+	err = d->state ? state_failure(d->state) : 0;
+	log_info("stopped", "error=\"%s\"", cf_strerror(err));
+	return err;
+}
+
+int main(int argc, char *argv[])
+{
+	static const struct option long_options[] = {
+		{"settings", required_argument, NULL, 'c'},
+		{"debug", no_argument, NULL, 'd'},
+		{"check", no_argument, NULL, 'n'},
+		{"version", no_argument, NULL, 'V'},
+		{0},
+	};
+	struct daemon d = {.path = DEFAULT_SETTINGS};
+	struct schema_error error;
+	bool check_only = false;
+	bool debug = false;
+	char *name = NULL;
+	int status = 1;
+	int c;
+
+	while ((c = getopt_long(argc, argv, "c:dnV", long_options, NULL)) != -1) {
+		switch (c) {
+		case 'c':
+			d.path = optarg;
+			break;
+		case 'd':
+			debug = true;
+			break;
+		case 'n':
+			check_only = true;
+			break;
+		case 'V':
+			printf("carawayfrontd %s\n", VERSION);
+			return 0;
+		default:
+			usage();
+		}
+	}
+	if (optind != argc)
+		usage();
+	if (settings_load(d.path, &d.settings, &error)) {
+		print_refusal(d.path, &error);
+		goto out;
+	}
+	if (check_only) {
+		printf("%s: settings are valid\n", d.path);
+		status = 0;
+		goto out;
+	}
+	name = str_dup(d.settings.name);
+	d.loop = ev_default_loop(0);
+	if (!name || !d.loop || log_open(name, debug) || metric_set_new(&d.metrics) ||
+	    curl_global_init(CURL_GLOBAL_DEFAULT))
+		errx(1, "initialisation failed");
+	signal(SIGPIPE, SIG_IGN);
+	status = run(&d) ? 1 : 0;
+	entry_free(d.entry);
+	state_free(d.state);
+	curl_global_cleanup();
+	log_close();
+out:
+	metric_set_free(d.metrics);
+	settings_free(&d.settings);
+	free(name);
+	return status;
 }
--- /dev/null
+++ b/carawayfrontd/settings.c
@@ -0,0 +1,237 @@
+#include "carawayfrontd/settings.h"
+
+#include <string.h>
+
+#include "base/err.h"
+#include "io/file.h"
+
+#define SETTINGS_MAX_BYTES (1U << 20)
+#define ROW(s, m) .key = #m, .offset = offsetof(s, m)
+
+static const char *const roles[] = {"entry", "state", NULL};
+
+static const struct schema_row member_rows[] = {
+	{ROW(struct settings_member, name), .type = SCHEMA_STR, .required = true},
+	{ROW(struct settings_member, address), .type = SCHEMA_ADDRESS, .required = true},
+	{0},
+};
+
+static const struct schema_row team_rows[] = {
+	{ROW(struct settings_team, name), .type = SCHEMA_STR, .required = true},
+	{.key = "token-sha256",
+	 .offset = offsetof(struct settings_team, token_sha256),
+	 .type = SCHEMA_STR,
+	 .required = true},
+	{0},
+};
+
+static const struct schema_row listen_rows[] = {
+	{ROW(struct settings_listen, rpc), .type = SCHEMA_ADDRESS, .required = true},
+	{ROW(struct settings_listen, callers), .type = SCHEMA_ADDRESS},
+	{ROW(struct settings_listen, control), .type = SCHEMA_ADDRESS, .required = true},
+	{0},
+};
+
+#define LIMIT(text, m, lo, hi)                                              \
+	{                                                                   \
+		.key = text, .offset = offsetof(struct settings_limits, m), \
+		.type = SCHEMA_U64, .min = (lo), .max = (hi)                \
+	}
+
+static const struct schema_row limit_rows[] = {
+	LIMIT("max-body", max_body, 1, 64U << 20),
+	LIMIT("max-answer", max_answer, 1, 64U << 20),
+	LIMIT("max-connections", max_connections, 1, 100000),
+	LIMIT("drain-s", drain_s, 1, 3600),
+	LIMIT("deadline-ms", deadline_ms, 1, 600000),
+	LIMIT("stale-ms", stale_ms, 500, 4000),
+	LIMIT("snapshot-entries", snapshot_entries, 16, 10000000),
+	{0},
+};
+
+static const struct schema_row settings_rows[] = {
+	{ROW(struct settings, name), .type = SCHEMA_STR, .required = true},
+	{ROW(struct settings, role), .type = SCHEMA_CHOICE, .required = true,
+	 .choices = roles},
+	{ROW(struct settings, zone), .type = SCHEMA_STR, .required = true},
+	{.key = "cluster-key",
+	 .offset = offsetof(struct settings, cluster_key),
+	 .type = SCHEMA_STR,
+	 .required = true},
+	{ROW(struct settings, state), .type = SCHEMA_LIST, .required = true,
+	 .rows = member_rows, .item_size = sizeof(struct settings_member)},
+	{ROW(struct settings, entries), .type = SCHEMA_LIST, .rows = member_rows,
+	 .item_size = sizeof(struct settings_member)},
+	{ROW(struct settings, listen), .type = SCHEMA_MAP, .required = true,
+	 .rows = listen_rows},
+	{ROW(struct settings, data), .type = SCHEMA_STR},
+	{ROW(struct settings, teams), .type = SCHEMA_LIST, .rows = team_rows,
+	 .item_size = sizeof(struct settings_team)},
+	{ROW(struct settings, limits), .type = SCHEMA_MAP, .rows = limit_rows},
+	{0},
+};
+
+static const struct settings_limits default_limits = {
+	.max_body = 1U << 20,
+	.max_answer = 8U << 20,
+	.max_connections = 4096,
+	.drain_s = 60,
+	.deadline_ms = 10000,
+	.stale_ms = 3000,
+	.snapshot_entries = 20000,
+};
+
+/* Returns the member with a name, NULL when the list has none. */
+const struct settings_member *settings_member(const struct schema_list *list,
+					      struct str name)
+{
+	const struct settings_member *m = list->items;
+
+	for (size_t i = 0; i < list->n; i++)
+		if (str_eq(m[i].name, name))
+			return &m[i];
+	return NULL;
+}
+
+static int refuse(struct schema_error *error, const char *key, const char *expected)
+{
+	error->err = CF_EINVAL;
+	error->line = 0;
+	error->expected = expected;
+	strcpy(error->key, key);
+	return CF_EINVAL;
+}
+
+static bool is_sha256(struct str s)
+{
+	if (s.n != 64)
+		return false;
+	for (size_t i = 0; i < s.n; i++)
+		if (!strchr("0123456789abcdef", s.p[i]) || !s.p[i])
+			return false;
+	return true;
+}
+
+static bool names_are_unique(const struct schema_list *list)
+{
+	const struct settings_member *m = list->items;
+
+	for (size_t i = 0; i < list->n; i++)
+		if (settings_member(list, m[i].name) != &m[i])
+			return false;
+	return true;
+}
+
+/* Checks what ties several keys together. */
+static int check(const struct settings *s, struct schema_error *error)
+{
+	const struct settings_team *team = s->teams.items;
+	const struct settings_member *self;
+
+	if (s->state.n == 0 || s->state.n > 9)
+		return refuse(error, "state", "1 to 9 state processes");
+	if (!names_are_unique(&s->state))
+		return refuse(error, "state", "a different name for each process");
+	if (!names_are_unique(&s->entries))
+		return refuse(error, "entries", "a different name for each process");
+	self = settings_member(s->role == ROLE_STATE ? &s->state : &s->entries, s->name);
+	if (!self)
+		return refuse(error, "name", "a name listed under the role's processes");
+	if (addr_port(&self->address) != addr_port(&s->listen.rpc))
+		return refuse(error, "listen.rpc", "the port listed for this name");
+	if (s->role == ROLE_STATE && s->data.n == 0)
+		return refuse(error, "data", "a data directory for the state role");
+	if (s->role == ROLE_ENTRY && s->listen.callers.len == 0)
+		return refuse(error, "listen.callers", "an address for the entry role");
+	for (size_t i = 0; i < s->teams.n; i++)
+		if (!is_sha256(team[i].token_sha256))
+			return refuse(error, "teams.token-sha256",
+				      "64 lower-case hexadecimal digits");
+	return 0;
+}
+
+/*
+ * Reads and checks a settings file. On an error *error tells line, key and what was
+ * expected; *out is released either way with settings_free().
+ */
+int settings_load(const char *path, struct settings *out, struct schema_error *error)
+{
+	struct doc_error doc_error = {0};
+	struct doc_node *root = NULL;
+	struct buf text = {0};
+	int err;
+
+	memset(out, 0, sizeof(*out));
+	memset(error, 0, sizeof(*error));
+	out->limits = default_limits;
+	err = file_read(path, SETTINGS_MAX_BYTES, &text);
+	if (err) {
+		error->err = err;
+		error->expected = "a readable settings file";
+		goto out;
+	}
+	err = doc_parse(buf_str(&text), &root, &doc_error);
+	if (err) {
+		error->err = err;
+		error->line = doc_error.line;
+		error->expected = doc_error.reason;
+		goto out;
+	}
+	err = schema_read(settings_rows, root, out, error);
+	if (!err)
+		err = check(out, error);
+out:
+	doc_free(root);
+	buf_free(&text);
+	return err;
+}
+
+void settings_free(struct settings *s)
+{
+	schema_free(settings_rows, s);
+}
+
+static bool same_address(const struct addr *a, const struct addr *b)
+{
+	return a->len == b->len && memcmp(&a->sa, &b->sa, a->len) == 0;
+}
+
+static bool same_members(const struct schema_list *a, const struct schema_list *b)
+{
+	const struct settings_member *x = a->items;
+	const struct settings_member *y = b->items;
+
+	if (a->n != b->n)
+		return false;
+	for (size_t i = 0; i < a->n; i++)
+		if (!str_eq(x[i].name, y[i].name) ||
+		    !same_address(&x[i].address, &y[i].address))
+			return false;
+	return true;
+}
+
+/* Tells whether everything that a running process cannot change is equal. */
+bool settings_same_process(const struct settings *a, const struct settings *b)
+{
+	return str_eq(a->name, b->name) && a->role == b->role &&
+	       str_eq(a->zone, b->zone) && str_eq(a->cluster_key, b->cluster_key) &&
+	       str_eq(a->data, b->data) && same_members(&a->state, &b->state) &&
+	       same_members(&a->entries, &b->entries) &&
+	       same_address(&a->listen.rpc, &b->listen.rpc) &&
+	       same_address(&a->listen.callers, &b->listen.callers) &&
+	       same_address(&a->listen.control, &b->listen.control) &&
+	       a->limits.max_body == b->limits.max_body &&
+	       a->limits.max_connections == b->limits.max_connections;
+}
+
+/* Exchanges teams and limits; the former values are then in fresh. */
+void settings_swap_reloadable(struct settings *active, struct settings *fresh)
+{
+	struct schema_list teams = active->teams;
+	struct settings_limits limits = active->limits;
+
+	active->teams = fresh->teams;
+	active->limits = fresh->limits;
+	fresh->teams = teams;
+	fresh->limits = limits;
+}
--- /dev/null
+++ b/carawayfrontd/settings.h
@@ -0,0 +1,57 @@
+#ifndef CARAWAYFRONTD_SETTINGS_H
+#define CARAWAYFRONTD_SETTINGS_H
+
+#include "io/addr.h"
+#include "io/schema.h"
+
+enum role { ROLE_ENTRY, ROLE_STATE };
+
+/* Another process of the site; an item of "state" and "entries". */
+struct settings_member {
+	struct str name;
+	struct addr address;
+};
+
+struct settings_team {
+	struct str name;
+	struct str token_sha256; /* 64 hexadecimal digits */
+};
+
+struct settings_listen {
+	struct addr rpc;
+	struct addr callers; /* entry role */
+	struct addr control; /* both roles: operators, health, metrics */
+};
+
+struct settings_limits {
+	uint64_t max_body;	  /* bytes of a caller's request */
+	uint64_t max_answer;	  /* bytes of an upstream's answer */
+	uint64_t max_connections; /* from callers */
+	uint64_t drain_s;	  /* longest graceful shutdown */
+	uint64_t deadline_ms;	  /* of a request that names none */
+	uint64_t stale_ms;	  /* configuration age at which an entry stops serving */
+	uint64_t snapshot_entries;
+};
+
+/* Content of the settings file. */
+struct settings {
+	struct str name;
+	int role; /* enum role */
+	struct str zone;
+	struct str cluster_key;
+	struct schema_list state;   /* struct settings_member */
+	struct schema_list entries; /* struct settings_member */
+	struct settings_listen listen;
+	struct str data;
+	struct schema_list teams; /* struct settings_team */
+	struct settings_limits limits;
+};
+
+int settings_load(const char *path, struct settings *out, struct schema_error *error);
+void settings_free(struct settings *s);
+bool settings_same_process(const struct settings *a, const struct settings *b);
+void settings_swap_reloadable(struct settings *active, struct settings *fresh);
+const struct settings_member *settings_member(const struct schema_list *list,
+					      struct str name);
+
+#endif
--- /dev/null
+++ b/io/clock.h
@@ -0,0 +1,9 @@
+#ifndef IO_CLOCK_H
+#define IO_CLOCK_H
+
+#include <stdint.h>
+
+int64_t clock_us(void);
+int64_t clock_wall_us(void);
+
+#endif
--- /dev/null
+++ b/io/doc.c
@@ -0,0 +1,236 @@
+#include "io/doc.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include <yaml.h>
+
+#include "base/err.h"
+
+struct reader {
+	yaml_parser_t parser;
+	unsigned int nodes;
+	struct doc_error *error;
+};
+
+static int refuse(struct reader *r, int err, size_t line, const char *reason)
+{
+	r->error->err = err;
+	r->error->line = (unsigned int)line + 1;
+	r->error->reason = reason;
+	return err;
+}
+
+static int next_event(struct reader *r, yaml_event_t *event)
+{
+	if (yaml_parser_parse(&r->parser, event))
+		return 0;
+	return refuse(r, CF_EMALFORMED, r->parser.problem_mark.line, "not valid YAML");
+}
+
+static int copy(struct str s, struct str *out)
+{
+	char *p = str_dup(s);
+
+	if (!p)
+		return CF_ENOMEM;
+	*out = (struct str){p, s.n};
+	return 0;
+}
+
+static int read_node(struct reader *r, yaml_event_t *event, unsigned int depth,
+		     struct doc_node **out);
+
+/* Reads the children of a map or list up to its end event. */
+static int read_children(struct reader *r, struct doc_node *parent, unsigned int depth)
+{
+	struct doc_node **tail = &parent->child;
+	struct str key = {NULL, 0};
+	yaml_event_t event;
+	int err;
+
+	for (;;) {
+		err = next_event(r, &event);
+		if (err)
+			return err;
+		if (event.type == YAML_MAPPING_END_EVENT ||
+		    event.type == YAML_SEQUENCE_END_EVENT)
+			break;
+		if (parent->kind == DOC_MAP) {
+			struct str name;
+
+			if (event.type != YAML_SCALAR_EVENT) {
+				err = refuse(r, CF_EMALFORMED, event.start_mark.line,
+					     "key is not a scalar");
+				goto out;
+			}
+			name = (struct str){(char *)event.data.scalar.value,
+					    event.data.scalar.length};
+			if (doc_get(parent, name)) {
+				err = refuse(r, CF_EEXIST, event.start_mark.line,
+					     "duplicate key");
+				goto out;
+			}
+			err = copy(name, &key);
+			yaml_event_delete(&event);
+			if (!err)
+				err = next_event(r, &event);
+			if (err) {
+				free((char *)(uintptr_t)key.p);
+				return err;
+			}
+		}
+		err = read_node(r, &event, depth + 1, tail);
+		if (*tail) {
+			(*tail)->key = key;
+			tail = &(*tail)->next;
+		} else {
+			free((char *)(uintptr_t)key.p);
+		}
+		key = (struct str){NULL, 0};
+		if (err)
+			goto out;
+		yaml_event_delete(&event);
+	}
+out:
+	yaml_event_delete(&event);
+	return err;
+}
+
+/* Builds the node that begins with an event. *out is set also on failure. */
+static int read_node(struct reader *r, yaml_event_t *event, unsigned int depth,
+		     struct doc_node **out)
+{
+	struct doc_node *n;
+
+	if (depth > DOC_MAX_DEPTH || ++r->nodes > DOC_MAX_NODES)
+		return refuse(r, CF_ETOOBIG, event->start_mark.line,
+			      "too deep or too many values");
+	n = calloc(1, sizeof(*n));
+	if (!n)
+		return CF_ENOMEM;
+	*out = n;
+	n->line = (unsigned int)event->start_mark.line + 1;
+	switch (event->type) {
+	case YAML_SCALAR_EVENT:
+		n->kind = DOC_SCALAR;
+		return copy((struct str){(char *)event->data.scalar.value,
+					 event->data.scalar.length},
+			    &n->scalar);
+	case YAML_MAPPING_START_EVENT:
+		n->kind = DOC_MAP;
+		return read_children(r, n, depth);
+	case YAML_SEQUENCE_START_EVENT:
+		n->kind = DOC_LIST;
+		return read_children(r, n, depth);
+	default:
+		/* An alias could expand a small text without bound. */
+		return refuse(r, CF_EINVAL, event->start_mark.line,
+			      "aliases are not supported");
+	}
+}
+
+/*
+ * Parses one document of at most DOC_MAX_BYTES. On an error, *error tells the line
+ * and *out is NULL.
+ */
+int doc_parse(struct str text, struct doc_node **out, struct doc_error *error)
+{
+	struct reader r = {.error = error};
+	yaml_event_t event = {0};
+	int err = 0;
+
+	*out = NULL;
+	*error = (struct doc_error){.err = CF_ENOMEM, .reason = "out of memory"};
+	if (text.n > DOC_MAX_BYTES)
+		return refuse(&r, CF_ETOOBIG, 0, "document too large");
+	if (!yaml_parser_initialize(&r.parser))
+		return CF_ENOMEM;
+	yaml_parser_set_input_string(&r.parser, (const unsigned char *)text.p, text.n);
+	for (;;) {
+		err = next_event(&r, &event);
+		if (err)
+			goto out;
+		if (event.type == YAML_STREAM_END_EVENT) {
+			if (!*out)
+				err = refuse(&r, CF_EMALFORMED, 0, "document is empty");
+			goto out;
+		}
+		if (event.type != YAML_STREAM_START_EVENT &&
+		    event.type != YAML_DOCUMENT_START_EVENT &&
+		    event.type != YAML_DOCUMENT_END_EVENT) {
+			if (*out)
+				err = refuse(&r, CF_EMALFORMED, event.start_mark.line,
+					     "more than one document");
+			else
+				err = read_node(&r, &event, 0, out);
+			if (err)
+				goto out;
+		}
+		yaml_event_delete(&event);
+	}
+out:
+	yaml_event_delete(&event);
+	yaml_parser_delete(&r.parser);
+	if (err) {
+		doc_free(*out);
+		*out = NULL;
+	}
+	return err;
+}
+
+void doc_free(struct doc_node *node)
+{
+	while (node) {
+		struct doc_node *next = node->next;
+
+		doc_free(node->child);
+		free((char *)(uintptr_t)node->key.p);
+		free((char *)(uintptr_t)node->scalar.p);
+		free(node);
+		node = next;
+	}
+}
+
+/* Returns the child with a key, NULL when there is none. */
+const struct doc_node *doc_get(const struct doc_node *map, struct str key)
+{
+	if (!map || map->kind != DOC_MAP)
+		return NULL;
+	for (const struct doc_node *n = map->child; n; n = n->next)
+		if (str_eq(n->key, key))
+			return n;
+	return NULL;
+}
+
+static int flatten(const struct doc_node *node, struct buf *name, struct doc_visitor *v)
+{
+	size_t prefix = name->n;
+	unsigned int i = 0;
+	int err = 0;
+
+	if (node->kind == DOC_SCALAR)
+		return v->scalar(v, buf_str(name), node);
+	for (const struct doc_node *n = node->child; n && !err; n = n->next) {
+		if (prefix)
+			err = buf_adds(name, ".");
+		if (!err && node->kind == DOC_MAP)
+			err = buf_add(name, n->key.p, n->key.n);
+		else if (!err)
+			err = buf_addf(name, "%u", i++);
+		if (!err)
+			err = flatten(n, name, v);
+		name->n = prefix;
+	}
+	return err;
+}
+
+/* Visits every scalar in order and stops at the first error of the visitor. */
+int doc_flatten(const struct doc_node *node, struct doc_visitor *v)
+{
+	struct buf name = {0};
+	int err = flatten(node, &name, v);
+
+	buf_free(&name);
+	return err;
+}
--- /dev/null
+++ b/io/http_server.c
@@ -0,0 +1,300 @@
+#include "io/http_server.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include <microhttpd.h>
+
+#include "base/err.h"
+#include "io/listener.h"
+
+#define CONNECTION_MEMORY 32768U /* bytes for headers and buffers of a connection */
+
+struct http_server {
+	struct http_server_options opt;
+	struct MHD_Daemon *daemon;
+	struct ev_io watcher;
+	struct ev_timer timer;
+	struct ev_prepare prepare;
+	int listen_fd;
+	int epoll_fd;
+	bool running; /* inside MHD_run() */
+	bool again;   /* a connection was resumed and needs MHD_run() */
+	struct http_server_stats stats;
+};
+
+static void run(struct http_server *s)
+{
+	MHD_UNSIGNED_LONG_LONG ms;
+
+	s->running = true;
+	do {
+		s->again = false;
+		MHD_run(s->daemon);
+	} while (s->again);
+	s->running = false;
+	ev_timer_stop(s->opt.loop, &s->timer);
+	if (MHD_get_timeout(s->daemon, &ms) == MHD_YES) {
+		ev_timer_set(&s->timer, (double)ms / 1000, 0);
+		ev_timer_start(s->opt.loop, &s->timer);
+	}
+}
+
+static void on_readable(struct ev_loop *loop, struct ev_io *w, int events)
+{
+	run(w->data);
+}
+
+static void on_timer(struct ev_loop *loop, struct ev_timer *w, int events)
+{
+	run(w->data);
+}
+
+/* Runs before the loop sleeps, so that answers given since then are sent. */
+static void on_prepare(struct ev_loop *loop, struct ev_prepare *w, int events)
+{
+	struct http_server *s = w->data;
+
+	if (s->again)
+		run(s);
+}
+
+static struct MHD_Response *make_response(const struct http_header *headers,
+					  size_t n_headers, struct str body)
+{
+	struct MHD_Response *r = MHD_create_response_from_buffer(
+		body.n, (void *)(uintptr_t)body.p, MHD_RESPMEM_MUST_COPY);
+
+	if (!r)
+		return NULL;
+	for (size_t i = 0; i < n_headers; i++) {
+		char *value = str_dup(headers[i].value);
+
+		if (value)
+			MHD_add_response_header(r, headers[i].name, value);
+		free(value);
+	}
+	return r;
+}
+
+static enum MHD_Result queue_response(struct http_request *req)
+{
+	struct MHD_Response *r = req->response;
+
+	if (!r)
+		return MHD_NO;
+	return MHD_queue_response(req->connection, req->status, r);
+}
+
+/* Called by libmicrohttpd first, with the request target as it came. */
+static void *on_target(void *cls, const char *target, struct MHD_Connection *connection)
+{
+	struct http_server *s = cls;
+	struct http_request *req = calloc(1, sizeof(*req));
+
+	if (!req)
+		return NULL;
+	req->target = strdup(target);
+	if (!req->target) {
+		free(req);
+		return NULL;
+	}
+	req->server = s;
+	req->connection = connection;
+	s->stats.requests++;
+	s->stats.in_flight++;
+	return req;
+}
+
+/*
+ * Called by libmicrohttpd: once for the headers, for each part of the body, and
+ * again at its end and after each resume.
+ */
+static enum MHD_Result on_access(void *cls, struct MHD_Connection *connection,
+				 const char *url, const char *method, const char *version,
+				 const char *data, size_t *data_size, void **con_cls)
+{
+	struct http_server *s = cls;
+	struct http_request *req = *con_cls;
+
+	if (!req)
+		return MHD_NO;
+	if (!req->started) {
+		req->started = true;
+		req->method = method;
+		req->path = url;
+		return MHD_YES;
+	}
+	if (*data_size) {
+		if (req->body.n + *data_size > s->opt.max_body)
+			req->too_big = true;
+		else if (buf_add(&req->body, data, *data_size))
+			return MHD_NO;
+		*data_size = 0;
+		return MHD_YES;
+	}
+	if (req->too_big && !req->response) {
+		s->stats.refused_body++;
+		req->handled = true;
+		req->response = make_response(NULL, 0, STR("body too large\n"));
+		req->status = MHD_HTTP_CONTENT_TOO_LARGE;
+	}
+	if (!req->handled) {
+		req->handled = true;
+		s->opt.host->ops->request(s->opt.host, req);
+		if (!req->response) {
+			req->suspended = true;
+			MHD_suspend_connection(connection);
+			return MHD_YES;
+		}
+	}
+	return queue_response(req);
+}
+
+static void on_completed(void *cls, struct MHD_Connection *connection, void **con_cls,
+			 enum MHD_RequestTerminationCode toe)
+{
+	struct http_server *s = cls;
+	struct http_request *req = *con_cls;
+
+	if (!req)
+		return;
+	*con_cls = NULL;
+	s->stats.in_flight--;
+	if (req->response)
+		MHD_destroy_response(req->response);
+	buf_free(&req->body);
+	free(req->target);
+	free(req);
+}
+
+/* Listens at once. CF_EEXIST when the port is taken, CF_EIO otherwise. */
+int http_server_new(const struct http_server_options *opt, struct http_server **out)
+{
+	struct http_server *s = calloc(1, sizeof(*s));
+	const union MHD_DaemonInfo *info;
+	int err;
+
+	if (!s)
+		return CF_ENOMEM;
+	s->opt = *opt;
+	s->listen_fd = -1;
+	err = listener_open(&opt->address, &s->listen_fd);
+	if (err)
+		goto fail;
+	s->daemon = MHD_start_daemon(
+		MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, NULL, NULL, on_access, s,
+		MHD_OPTION_LISTEN_SOCKET, s->listen_fd, MHD_OPTION_NOTIFY_COMPLETED,
+		on_completed, s, MHD_OPTION_URI_LOG_CALLBACK, on_target, s,
+		MHD_OPTION_CONNECTION_LIMIT, opt->max_connections,
+		MHD_OPTION_CONNECTION_TIMEOUT, opt->idle_timeout,
+		MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)CONNECTION_MEMORY,
+		MHD_OPTION_END);
+	err = CF_EIO;
+	if (!s->daemon)
+		goto fail;
+	info = MHD_get_daemon_info(s->daemon, MHD_DAEMON_INFO_EPOLL_FD);
+	if (!info)
+		goto fail;
+	s->epoll_fd = info->epoll_fd;
+	ev_io_init(&s->watcher, on_readable, s->epoll_fd, EV_READ);
+	ev_timer_init(&s->timer, on_timer, 0, 0);
+	ev_prepare_init(&s->prepare, on_prepare);
+	s->watcher.data = s;
+	s->timer.data = s;
+	s->prepare.data = s;
+	ev_io_start(opt->loop, &s->watcher);
+	ev_prepare_start(opt->loop, &s->prepare);
+	*out = s;
+	return 0;
+fail:
+	if (s->daemon)
+		MHD_stop_daemon(s->daemon);
+	else if (s->listen_fd >= 0)
+		close(s->listen_fd);
+	free(s);
+	return err;
+}
+
+/* Returns the value of a request header; empty when absent. */
+struct str http_request_header(const struct http_request *req, const char *name)
+{
+	return str_from(
+		MHD_lookup_connection_value(req->connection, MHD_HEADER_KIND, name));
+}
+
+static enum MHD_Result visit_header(void *cls, enum MHD_ValueKind kind, const char *key,
+				    const char *value)
+{
+	struct http_header_visitor *v = cls;
+	struct http_header h = {key, str_from(value)};
+
+	return v->header(v, &h) ? MHD_YES : MHD_NO;
+}
+
+/* Visits every request header; false when the visitor ended the walk. */
+bool http_request_each_header(const struct http_request *req,
+			      struct http_header_visitor *v)
+{
+	int all = MHD_get_connection_values(req->connection, MHD_HEADER_KIND, NULL, NULL);
+
+	return MHD_get_connection_values(req->connection, MHD_HEADER_KIND, visit_header,
+					 v) == all;
+}
+
+/* Returns the value of a query argument; empty when absent. */
+struct str http_request_query(const struct http_request *req, const char *name)
+{
+	return str_from(MHD_lookup_connection_value(req->connection,
+						    MHD_GET_ARGUMENT_KIND, name));
+}
+
+/*
+ * Answers a request; body and headers are copied. The request is released by the
+ * server afterwards. Without memory for the answer the connection is closed.
+ */
+void http_request_reply(struct http_request *req, unsigned int status,
+			const struct http_header *headers, size_t n_headers,
+			struct str body)
+{
+	struct http_server *s = req->server;
+
+	req->status = status;
+	req->response = make_response(headers, n_headers, body);
+	if (!req->suspended)
+		return;
+	req->suspended = false;
+	s->again = true;
+	MHD_resume_connection(req->connection);
+}
+
+const struct http_server_stats *http_server_stats(const struct http_server *s)
+{
+	return &s->stats;
+}
+
+/* Closes the listening socket; requests in flight go on. */
+void http_server_stop_accepting(struct http_server *s)
+{
+	MHD_socket fd;
+
+	if (s->listen_fd < 0)
+		return;
+	fd = MHD_quiesce_daemon(s->daemon);
+	if (fd != MHD_INVALID_SOCKET)
+		close(fd);
+	s->listen_fd = -1;
+}
+
+/* Every request must have been answered. */
+void http_server_free(struct http_server *s)
+{
+	if (!s)
+		return;
+	ev_io_stop(s->opt.loop, &s->watcher);
+	ev_timer_stop(s->opt.loop, &s->timer);
+	ev_prepare_stop(s->opt.loop, &s->prepare);
+	MHD_stop_daemon(s->daemon);
+	free(s);
+}
--- /dev/null
+++ b/io/http_server.h
@@ -0,0 +1,78 @@
+#ifndef IO_HTTP_SERVER_H
+#define IO_HTTP_SERVER_H
+
+#include <ev.h>
+
+#include "io/addr.h"
+
+struct http_server;
+struct http_server_host;
+
+struct http_header {
+	const char *name;
+	struct str value;
+};
+
+struct http_header_visitor {
+	/* Returns false to end the walk. */
+	bool (*header)(struct http_header_visitor *v, const struct http_header *h);
+};
+
+/*
+ * A request whose body has arrived completely. It stays valid until
+ * http_request_reply(), which may come at any later time.
+ */
+struct http_request {
+	struct http_server *server;
+	const char *method;
+	const char *path; /* decoded, without the query */
+	char *target;	  /* as it came: encoded, with the query */
+	struct buf body;
+	void *user; /* free for the handler */
+
+	/* Private to the server. */
+	struct MHD_Connection *connection;
+	struct MHD_Response *response;
+	unsigned int status;
+	bool started;
+	bool suspended;
+	bool handled;
+	bool too_big;
+};
+
+struct http_server_ops {
+	void (*request)(struct http_server_host *host, struct http_request *req);
+};
+
+struct http_server_host {
+	const struct http_server_ops *ops;
+};
+
+struct http_server_options {
+	struct ev_loop *loop;
+	struct http_server_host *host;
+	struct addr address;
+	size_t max_body;
+	unsigned int max_connections;
+	unsigned int idle_timeout; /* seconds */
+};
+
+struct http_server_stats {
+	uint64_t requests;
+	uint64_t refused_body; /* above max_body */
+	uint64_t in_flight;
+};
+
+int http_server_new(const struct http_server_options *opt, struct http_server **out);
+struct str http_request_header(const struct http_request *req, const char *name);
+bool http_request_each_header(const struct http_request *req,
+			      struct http_header_visitor *v);
+struct str http_request_query(const struct http_request *req, const char *name);
+void http_request_reply(struct http_request *req, unsigned int status,
+			const struct http_header *headers, size_t n_headers,
+			struct str body);
+const struct http_server_stats *http_server_stats(const struct http_server *s);
+void http_server_stop_accepting(struct http_server *s);
+void http_server_free(struct http_server *s);
+
+#endif
--- /dev/null
+++ b/io/log.c
@@ -0,0 +1,107 @@
+#include "io/log.h"
+
+#include <stdarg.h>
+#include <stdio.h>
+#include <time.h>
+
+#include <log4c.h>
+
+#include "base/err.h"
+
+#define LINE_MAX_BYTES 2048
+
+static log4c_category_t *category;
+static const char *process_name = "";
+
+/* One line: time, level, process, event and key=value pairs. */
+static const char *format_line(const log4c_layout_t *layout,
+			       const log4c_logging_event_t *event)
+{
+	static char line[LINE_MAX_BYTES];
+	struct tm tm;
+	time_t sec = event->evt_timestamp.tv_sec;
+
+	gmtime_r(&sec, &tm);
+	snprintf(line, sizeof(line),
+		 "time=%04d-%02d-%02dT%02d:%02d:%02d.%03ldZ level=%s process=%s %s\n",
+		 tm.tm_year + 1900, tm.tm_mon + 1, tm.tm_mday, tm.tm_hour, tm.tm_min,
+		 tm.tm_sec, (long)event->evt_timestamp.tv_usec / 1000,
+		 log4c_priority_to_string(event->evt_priority), process_name,
+		 event->evt_msg);
+	return line;
+}
+
+static const log4c_layout_type_t key_value_layout = {
+	.name = "key-value",
+	.format = format_line,
+};
+
+/* Logs to standard error. process must stay valid. CF_EIO when log4c fails. */
+int log_open(const char *process, bool debug)
+{
+	log4c_appender_t *appender;
+	log4c_layout_t *layout;
+
+	process_name = process;
+	if (log4c_init())
+		return CF_EIO;
+	category = log4c_category_get("carawayfront");
+	appender = log4c_appender_get("stderr");
+	log4c_layout_type_set(&key_value_layout);
+	layout = log4c_layout_get("carawayfront");
+	if (!category || !appender || !layout)
+		return CF_EIO;
+	log4c_layout_set_type(layout, &key_value_layout);
+	log4c_appender_set_layout(appender, layout);
+	log4c_category_set_appender(category, appender);
+	log4c_category_set_additivity(category, 0);
+	log4c_category_set_priority(category,
+				    debug ? LOG4C_PRIORITY_DEBUG : LOG4C_PRIORITY_INFO);
+	return 0;
+}
+
+static void write_line(int priority, const char *event, const char *fmt, va_list ap)
+{
+	char text[LINE_MAX_BYTES];
+
+	if (!category || !log4c_category_is_priority_enabled(category, priority))
+		return;
+	vsnprintf(text, sizeof(text), fmt, ap);
+	log4c_category_log(category, priority, "event=%s %s", event, text);
+}
+
+#define LOG_AT(priority)                              \
+	do {                                          \
+		va_list ap;                           \
+                                                      \
+		va_start(ap, fmt);                    \
+		write_line(priority, event, fmt, ap); \
+		va_end(ap);                           \
+	} while (0)
+
+void log_info(const char *event, const char *fmt, ...)
+{
+	LOG_AT(LOG4C_PRIORITY_INFO);
+}
+
+void log_warn(const char *event, const char *fmt, ...)
+{
+	LOG_AT(LOG4C_PRIORITY_WARN);
+}
+
+void log_error(const char *event, const char *fmt, ...)
+{
+	LOG_AT(LOG4C_PRIORITY_ERROR);
+}
+
+void log_debug(const char *event, const char *fmt, ...)
+{
+	LOG_AT(LOG4C_PRIORITY_DEBUG);
+}
+
+void log_close(void)
+{
+	if (category)
+		log4c_fini();
+	category = NULL;
+}
--- /dev/null
+++ b/regress/test_rpc.c
@@ -0,0 +1,249 @@
+#include <check.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include <arpa/inet.h>
+#include <ev.h>
+
+#include "base/err.h"
+#include "base/prng.h"
+#include "io/rpc_client.h"
+#include "io/rpc_server.h"
+#include "io/rpc_wire.h"
+
+#define ADDRESS "127.0.0.1:20101"
+
+enum proc { PROC_ECHO = 1, PROC_HOLD = 2 };
+
+struct server_host {
+	struct rpc_server_host host;
+	struct rpc_call *held;
+};
+
+static void serve(struct rpc_server_host *host, struct rpc_call *call)
+{
+	struct server_host *h = (struct server_host *)host;
+
+	if (call->proc == PROC_ECHO)
+		rpc_call_reply(call, 0, call->args);
+	else
+		h->held = call;
+}
+
+static const struct rpc_server_ops server_ops = {.call = serve};
+
+struct waiter {
+	struct rpc_waiter base;
+	int err;
+	bool ended;
+	struct buf results;
+};
+
+static void on_done(struct rpc_waiter *w, int err, struct str results)
+{
+	struct waiter *x = (struct waiter *)w;
+
+	x->err = err;
+	x->ended = true;
+	buf_set(&x->results, results);
+}
+
+static const struct rpc_waiter_ops waiter_ops = {.done = on_done};
+
+static struct ev_loop *loop;
+static struct server_host host;
+static struct rpc_server *server;
+static struct rpc_client *client;
+
+static struct rpc_client *connect_with(struct str key)
+{
+	struct rpc_client_options opt = {.loop = loop, .member = STR("t"), .key = key};
+	struct rpc_client *c = NULL;
+
+	ck_assert_int_eq(addr_parse(STR(ADDRESS), &opt.address), 0);
+	ck_assert_int_eq(rpc_client_new(&opt, &c), 0);
+	return c;
+}
+
+static void setup(void)
+{
+	struct rpc_server_options opt = {.key = STR("secret")};
+
+	loop = ev_loop_new(0);
+	host = (struct server_host){.host = {.ops = &server_ops}};
+	opt.loop = loop;
+	opt.host = &host.host;
+	ck_assert_int_eq(addr_parse(STR(ADDRESS), &opt.address), 0);
+	ck_assert_int_eq(rpc_server_new(&opt, &server), 0);
+	client = connect_with(STR("secret"));
+}
+
+static void teardown(void)
+{
+	rpc_client_free(client);
+	rpc_server_free(server);
+	ev_loop_destroy(loop);
+}
+
+/* Runs the loop until the waiter has ended; the bound only ends a broken test. */
+static void run_until(const struct waiter *w)
+{
+	for (int i = 0; i < 100000 && !w->ended; i++)
+		ev_run(loop, EVRUN_ONCE);
+	ck_assert(w->ended);
+}
+
+/* Guards against replies that reach another call than their own. */
+START_TEST(many_outstanding_calls)
+{
+	static struct waiter w[500];
+
+	for (uint32_t i = 0; i < 500; i++) {
+		w[i] = (struct waiter){.base = {.ops = &waiter_ops}};
+		ck_assert_int_eq(rpc_client_call(client, PROC_ECHO,
+						 (struct str){(char *)&i, sizeof(i)}, 30,
+						 &w[i].base),
+				 0);
+	}
+	for (uint32_t i = 0; i < 500; i++) {
+		run_until(&w[i]);
+		ck_assert_int_eq(w[i].err, 0);
+		ck_assert_uint_eq(w[i].results.n, sizeof(i));
+		ck_assert_int_eq(memcmp(w[i].results.p, &i, sizeof(i)), 0);
+		buf_free(&w[i].results);
+	}
+}
+END_TEST
+
+/* Guards against a peer without the cluster key being served. */
+START_TEST(wrong_key_is_refused)
+{
+	struct rpc_client *other = connect_with(STR("Secret"));
+	struct waiter w = {.base = {.ops = &waiter_ops}};
+
+	ck_assert_int_eq(rpc_client_call(other, PROC_ECHO, STR("x"), 30, &w.base), 0);
+	run_until(&w);
+	ck_assert_int_eq(w.err, CF_EAUTH);
+	ck_assert_uint_eq(rpc_server_stats(server)->calls, 0);
+	rpc_client_free(other);
+	buf_free(&w.results);
+}
+END_TEST
+
+/* Guards against a call that never ends when the peer does not answer. */
+START_TEST(call_times_out_and_late_reply_is_dropped)
+{
+	struct waiter w = {.base = {.ops = &waiter_ops}};
+	struct waiter w2 = {.base = {.ops = &waiter_ops}};
+
+	ck_assert_int_eq(rpc_client_call(client, PROC_HOLD, STR("x"), 0.1, &w.base), 0);
+	run_until(&w);
+	ck_assert_int_eq(w.err, CF_ETIMEOUT);
+	rpc_call_reply(host.held, 0, STR("late"));
+	ck_assert_int_eq(rpc_client_call(client, PROC_ECHO, STR("next"), 30, &w2.base),
+			 0);
+	run_until(&w2);
+	ck_assert_int_eq(w2.err, 0);
+	ck_assert_str_eq(w2.results.p, "next");
+	buf_free(&w.results);
+	buf_free(&w2.results);
+}
+END_TEST
+
+/* Guards against a call that is answered after its connection ended. */
+START_TEST(reply_after_disconnect)
+{
+	struct waiter w = {.base = {.ops = &waiter_ops}};
+
+	ck_assert_int_eq(rpc_client_call(client, PROC_HOLD, STR("x"), 30, &w.base), 0);
+	while (!host.held)
+		ev_run(loop, EVRUN_ONCE);
+	rpc_client_free(client);
+	ev_run(loop, EVRUN_ONCE);
+	rpc_call_reply(host.held, 0, STR("nobody"));
+	client = connect_with(STR("secret"));
+}
+END_TEST
+
+/* Guards against a bad record being skipped instead of ending the connection. */
+START_TEST(malformed_record_closes_connection)
+{
+	struct addr address;
+	char byte;
+	uint32_t bad[] = {htonl(0x80000000U | 8), 1, 2};
+	uint32_t huge[] = {htonl(0x80000000U | (RPC_MAX_RECORD + 1))};
+	const void *const inputs[] = {bad, huge};
+	const size_t sizes[] = {sizeof(bad), sizeof(huge)};
+
+	ck_assert_int_eq(addr_parse(STR(ADDRESS), &address), 0);
+	for (int i = 0; i < 2; i++) {
+		int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+		ck_assert_int_eq(connect(fd, (struct sockaddr *)&address.sa, address.len),
+				 0);
+		ck_assert_int_eq(write(fd, inputs[i], sizes[i]), (ssize_t)sizes[i]);
+		while (rpc_server_stats(server)->malformed == (uint64_t)i)
+			ev_run(loop, EVRUN_ONCE);
+		ck_assert_int_le(read(fd, &byte, 1), 0);
+		close(fd);
+	}
+}
+END_TEST
+
+/* Guards against reads outside a record for arbitrary bytes. */
+START_TEST(random_bytes_are_handled)
+{
+	struct prng r = {.state = 7};
+
+	for (int i = 0; i < 20000; i++) {
+		struct rpc_cred_space space;
+		struct rpc_call_head call;
+		struct rpc_reply_head reply;
+		struct buf valid = {0};
+		struct str body;
+		struct str record;
+		size_t used;
+
+		ck_assert_int_eq(
+			rpc_wire_add_call(&valid,
+					  &(struct rpc_call_head){.xid = 1,
+								  .proc = 1,
+								  .member = STR("m"),
+								  .key = STR("k")},
+					  STR("12345678")),
+			0);
+		ck_assert_int_eq(rpc_wire_next(buf_str(&valid), &record, &used), 0);
+		for (int k = 0; k < 3; k++)
+			valid.p[prng_below(&r, valid.n)] = (char)prng_next(&r);
+		record.n = prng_below(&r, record.n + 1);
+		rpc_wire_parse_call(record, &space, &call, &body);
+		rpc_wire_parse_reply(record, &reply, &body);
+		rpc_wire_next(buf_str(&valid), &record, &used);
+		buf_free(&valid);
+	}
+}
+END_TEST
+
+int main(void)
+{
+	Suite *s = suite_create("rpc");
+	TCase *tc = tcase_create("rpc");
+	SRunner *sr;
+	int failed;
+
+	tcase_add_checked_fixture(tc, setup, teardown);
+	tcase_set_timeout(tc, 120);
+	tcase_add_test(tc, many_outstanding_calls);
+	tcase_add_test(tc, wrong_key_is_refused);
+	tcase_add_test(tc, call_times_out_and_late_reply_is_dropped);
+	tcase_add_test(tc, reply_after_disconnect);
+	tcase_add_test(tc, malformed_record_closes_connection);
+	tcase_add_test(tc, random_bytes_are_handled);
+	suite_add_tcase(s, tc);
+	sr = srunner_create(s);
+	srunner_run_all(sr, CK_NORMAL);
+	failed = srunner_ntests_failed(sr);
+	srunner_free(sr);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
