Daemon: entry and state roles on the core interfaces

Cause: the thin path needs processes around the core libraries. Change: callers' requests through the router, control port, watch of the configuration, state role with log files, proposals, scheduler and workers' polls. Ruled out: an own thread for fdatasync; the state role has no callers, so it syncs on its loop once for each round of events.

--- a/carawayfrontd/main.c
+++ b/carawayfrontd/main.c
@@ -25,11 +25,12 @@
 	struct metric_set *metrics;
 	struct entry *entry;
 	struct state *state;
+	bool bootstrap;
 };
 
 static void usage(void)
 {
-	fprintf(stderr, "usage: carawayfrontd [-dnV] [-c file]\n");
+	fprintf(stderr, "usage: carawayfrontd [-bdnV] [-c file]\n");
 	exit(2);
 }
 
@@ -85,7 +86,8 @@
 	if (d->settings.role == ROLE_ENTRY)
 		err = entry_new(d->loop, &d->settings, d->metrics, &d->entry);
 	else
-		err = state_new(d->loop, &d->settings, d->metrics, &d->state);
+		err = state_new(d->loop, &d->settings, d->metrics, d->bootstrap,
+				&d->state);
 	if (err) {
 		log_error("start-failed", "error=\"%s\"", cf_strerror(err));
 		return err;
@@ -111,6 +113,7 @@
 {
 	static const struct option long_options[] = {
 		{"settings", required_argument, NULL, 'c'},
+		{"bootstrap", no_argument, NULL, 'b'},
 		{"debug", no_argument, NULL, 'd'},
 		{"check", no_argument, NULL, 'n'},
 		{"version", no_argument, NULL, 'V'},
@@ -124,8 +127,11 @@
 	int status = 1;
 	int c;
 
-	while ((c = getopt_long(argc, argv, "c:dnV", long_options, NULL)) != -1) {
+	while ((c = getopt_long(argc, argv, "bc:dnV", long_options, NULL)) != -1) {
 		switch (c) {
+		case 'b':
+			d.bootstrap = true;
+			break;
 		case 'c':
 			d.path = optarg;
 			break;
--- a/carawayfrontd/state.h
+++ b/carawayfrontd/state.h
@@ -9,7 +9,7 @@
 struct state;
 
 int state_new(struct ev_loop *loop, struct settings *settings, struct metric_set *metrics,
-	      struct state **out);
+	      bool bootstrap, struct state **out);
 void state_drain(struct state *s);
 int state_failure(const struct state *s);
 void state_free(struct state *s);
--- /dev/null
+++ b/carawayfrontd/state_feed.c
@@ -0,0 +1,176 @@
+#include "base/err.h"
+#include "carawayfrontd/state_leading.h"
+#include "core/vocab.h"
+#include "io/clock.h"
+
+/* Converts a time of commands to the scheduler's clock; 0 stays 0. */
+static int64_t to_sched_clock(const struct state_leading *l, uint64_t wall_us)
+{
+	if (wall_us == 0)
+		return 0;
+	return clock_us() + ((int64_t)wall_us - clock_wall_us());
+}
+
+static enum sched_class job_class(const struct job *job)
+{
+	if (job->service)
+		return SCHED_LATENCY;
+	return job->spec.class == CONF_CLASS_URGENT ? SCHED_URGENT : SCHED_BATCH;
+}
+
+static int add_job(struct state_leading *l, const struct job *job, struct str name)
+{
+	struct sched_job j = {
+		.team = job_team_name(job),
+		.name = name,
+		.kind = job->spec.batch_kind,
+		.class = job_class(job),
+		.tasks = job->ntasks,
+		.next_task = job->ntasks,
+		.size = {.cpu_milli = job->spec.cpus_milli,
+			 .memory_mb = (uint32_t)job->spec.memory_mb,
+			 .accelerators = job->spec.accelerators},
+		.deadline_us = to_sched_clock(l, job->spec.deadline_us),
+		.run_us = (int64_t)job->spec.duration_s * 1000000,
+		.checkpoint = true,
+		.cancelled = job->cancel,
+	};
+
+	return sched_job(l->sched, &j, clock_us());
+}
+
+static bool is_over(enum task_state state)
+{
+	return state == TASK_DONE || state == TASK_FAILED || state == TASK_CANCELLED;
+}
+
+static int add_task(struct state_leading *l, const struct job *job, struct str name,
+		    uint32_t number)
+{
+	const struct task *t = &job->tasks[number];
+	struct sched_record r = {
+		.team = job_team_name(job),
+		.job = name,
+		.task = number,
+		.attempt = t->attempt,
+		.state = t->state == TASK_EVICTED ? SCHED_WAITING
+						  : (enum sched_state)t->state,
+		.session = t->session,
+		.checkpoint = t->checkpoint,
+		.failures = t->failures,
+	};
+
+	if (is_over((enum task_state)t->state))
+		return 0;
+	if (r.state != SCHED_WAITING)
+		r.worker = job_worker_name(t->worker);
+	return sched_task(l->sched, &r, clock_us());
+}
+
+/* Gives a job or service and its unfinished tasks to the scheduler. */
+int leading_feed_job(struct state_leading *l, const struct job *job)
+{
+	struct buf name = {0};
+	int err = 0;
+
+	if (job->service)
+		err = buf_adds(&name, SERVICE_PREFIX);
+	if (!err)
+		err = buf_add(&name, job->name.p, job->name.n);
+	if (!err)
+		err = add_job(l, job, buf_str(&name));
+	for (uint32_t i = 0; i < job->ntasks && !err && !l->state->leading; i++)
+		err = add_task(l, job, buf_str(&name), i);
+	buf_free(&name);
+	return err;
+}
+
+static int feed_quota(struct state_leading *l, struct str team,
+		      const struct conf_item *item)
+{
+	struct sched_quota q = {.team = team, .weight = 1};
+
+	if (item) {
+		q.limit.cpu_milli = (uint32_t)conf_item_number(item, CONF_CPUS);
+		q.limit.memory_mb = (uint32_t)conf_item_number(item, CONF_MEMORY_MB);
+		q.limit.accelerators =
+			(uint32_t)conf_item_number(item, CONF_ACCELERATORS);
+		q.weight = (uint32_t)conf_item_number(item, CONF_WEIGHT);
+	}
+	return sched_quota(l->sched, &q, clock_us());
+}
+
+/* Feeds a document that is present, or the absence of a deleted one. */
+static int feed_doc(struct state_leading *l, const struct conf_path *path,
+		    const struct conf_doc *doc)
+{
+	const struct conf_view *view = conf_docs(store_conf(l->state->store));
+	enum conf_kind kind =
+		vocab_kind(conf_view_vocabulary(view, path->team), path->word);
+	struct conf_item item;
+	bool present = doc && conf_view_read(view, doc, &item) == 0;
+	const struct job *job;
+
+	switch (kind) {
+	case CONF_KIND_ZONE:
+		return sched_zone(l->sched, path->team, path->name,
+				  present && conf_item_number(&item, CONF_STATE) ==
+						     CONF_ZONE_OUT,
+				  clock_us());
+	case CONF_KIND_QUOTA:
+		return feed_quota(l, path->team, present ? &item : NULL);
+	case CONF_KIND_SERVICE:
+		/* At the start services come with the jobs. */
+		job = l->state->leading ? jobs_get(store_jobs(l->state->store),
+						   path->team, true, path->name)
+					: NULL;
+		return job ? leading_feed_job(l, job) : 0;
+	default:
+		return 0;
+	}
+}
+
+static int feed_team(struct state_leading *l, struct str team)
+{
+	const struct conf_view *view = conf_docs(store_conf(l->state->store));
+	size_t n;
+	const struct conf_doc *const *docs = conf_view_team(view, team, &n);
+	int err = 0;
+
+	for (size_t i = 0; i < n && !err; i++) {
+		struct conf_path path;
+
+		if (!conf_path_parse(conf_doc_path(docs[i]), &path) && path.name.n)
+			err = feed_doc(l, &path, docs[i]);
+	}
+	return err;
+}
+
+/* Start-up feed: quotas, zones, then jobs and services with their tasks. */
+int leading_feed_all(struct state_leading *l)
+{
+	const struct conf_view *view = conf_docs(store_conf(l->state->store));
+	const struct jobs *jobs = store_jobs(l->state->store);
+	int err = 0;
+
+	for (size_t i = 0; i < conf_view_teams(view) && !err; i++)
+		err = feed_team(l, conf_view_team_name(view, i));
+	for (const struct job *j = jobs_next(jobs, NULL); j && !err;
+	     j = jobs_next(jobs, j))
+		err = leading_feed_job(l, j);
+	return err;
+}
+
+/* Feeds what a changed path means; a new vocabulary may change all of a team. */
+void leading_feed_change(struct state_leading *l, struct str text)
+{
+	const struct conf_view *view = conf_docs(store_conf(l->state->store));
+	struct conf_path path;
+
+	if (conf_path_parse(text, &path))
+		return;
+	if (path.name.n)
+		feed_doc(l, &path, conf_view_get(view, text));
+	else
+		feed_team(l, path.team);
+}
--- /dev/null
+++ b/carawayfrontd/state_propose.c
@@ -0,0 +1,227 @@
+#include <arpa/inet.h>
+#include <endian.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/err.h"
+#include "carawayfrontd/state_impl.h"
+#include "io/clock.h"
+#include "proto/codec.h"
+
+static void reply_propose(struct rpc_call *call, int err, struct str leader,
+			  uint64_t index, struct str result)
+{
+	struct peer_propose_res res = {.err = err, .index = index};
+	struct buf bytes = {0};
+
+	XDR_SET(res, leader, leader);
+	XDR_SET(res, result, result);
+	if (codec_encode((xdrproc_t)xdr_peer_propose_res, &res, &bytes))
+		rpc_call_reply(call, CF_EIO, (struct str){NULL, 0});
+	else
+		rpc_call_reply(call, 0, buf_str(&bytes));
+	buf_free(&bytes);
+}
+
+/* Encodes a command with the leader's time and proposes it. */
+int state_propose(struct state *s, const struct command *command, uint64_t *index)
+{
+	struct command timed = *command;
+	struct buf bytes = {0};
+	int err;
+
+	timed.time_us = (uint64_t)clock_wall_us();
+	err = codec_encode((xdrproc_t)xdr_command, &timed, &bytes);
+	if (!err)
+		err = replica_propose(s->replica, buf_str(&bytes), clock_us(), index);
+	buf_free(&bytes);
+	return err;
+}
+
+/* Commands that only the leader itself makes. */
+static bool is_internal(enum command_kind kind)
+{
+	switch (kind) {
+	case CMD_TASK:
+	case CMD_JOB_REJECT:
+	case CMD_MEMBER_SEEN:
+	case CMD_MEMBER_GONE:
+	case CMD_MEMBER_STATE:
+		return true;
+	default:
+		return false;
+	}
+}
+
+/* Checks that the bytes are a command that a peer may propose, and its time. */
+static int check_command(struct str bytes)
+{
+	struct command command = {0};
+	int err = codec_decode((xdrproc_t)xdr_command, &command, bytes);
+
+	if (!err && is_internal(command.body.kind))
+		err = CF_EPERM;
+	codec_free((xdrproc_t)xdr_command, &command);
+	return err;
+}
+
+static int add_proposal(struct state *s, struct rpc_call *call, uint64_t index)
+{
+	struct state_proposal *p = calloc(1, sizeof(*p));
+
+	if (!p)
+		return CF_ENOMEM;
+	p->index = index;
+	p->epoch = replica_epoch(s->replica);
+	p->call = call;
+	HASH_ADD(hh, s->proposals, index, sizeof(p->index), p);
+	return 0;
+}
+
+static int propose_bytes(struct state *s, struct str bytes, uint64_t *index)
+{
+	uint64_t time_us = htobe64((uint64_t)clock_wall_us());
+	struct buf timed = {0};
+	int err = buf_set(&timed, bytes);
+
+	if (err)
+		return err;
+	/* time_us is the first member of struct command. */
+	memcpy(timed.p, &time_us, sizeof(time_us));
+	err = replica_propose(s->replica, buf_str(&timed), clock_us(), index);
+	buf_free(&timed);
+	return err;
+}
+
+static void on_propose(struct state *s, struct rpc_call *call)
+{
+	struct peer_propose_args args = {0};
+	struct str none = {NULL, 0};
+	uint64_t index = 0;
+	int err;
+
+	if (!s->leading) {
+		reply_propose(call, CF_ENOTLEADER, state_leader_name(s), 0, none);
+		return;
+	}
+	err = codec_decode((xdrproc_t)xdr_peer_propose_args, &args, call->args);
+	if (!err)
+		err = check_command(XDR_STR(args, command));
+	if (!err)
+		err = propose_bytes(s, XDR_STR(args, command), &index);
+	if (!err) {
+		err = add_proposal(s, call, index);
+		if (err)
+			err = CF_EUNKNOWN;
+	}
+	if (err)
+		reply_propose(call, err, none, 0, none);
+	codec_free((xdrproc_t)xdr_peer_propose_args, &args);
+}
+
+static void on_replica(struct state *s, struct rpc_call *call)
+{
+	struct replica_msg *m = NULL;
+
+	if (!replica_msg_decode(call->args, &m))
+		replica_receive(s->replica, state_member_id(call->member), m, clock_us());
+	replica_msg_free(m);
+	rpc_call_drop(call);
+}
+
+/* RPC server operation. */
+void state_on_rpc(struct rpc_server_host *host, struct rpc_call *call)
+{
+	struct state *s =
+		(struct state *)((char *)host - offsetof(struct state, rpc_host));
+
+	switch (call->proc) {
+	case PEER_REPLICA:
+		on_replica(s, call);
+		break;
+	case PEER_PROPOSE:
+		on_propose(s, call);
+		break;
+	case PEER_WATCH:
+		state_watch(s, call);
+		break;
+	case PEER_READ:
+		state_read(s, call);
+		break;
+	case PEER_WORKER:
+		state_worker(s, call);
+		break;
+	default:
+		rpc_call_reply(call, call->proc == PEER_NULL ? 0 : CF_EINVAL,
+			       (struct str){NULL, 0});
+	}
+}
+
+/* Answers every waiting proposal with an error; CF_EUNKNOWN: it may be accepted. */
+void state_end_proposals(struct state *s, int err)
+{
+	struct state_proposal *p = s->proposals;
+	struct state_proposal *next;
+
+	HASH_CLEAR(hh, s->proposals);
+	for (; p; p = next) {
+		next = p->hh.next;
+		reply_propose(p->call, err, (struct str){NULL, 0}, 0,
+			      (struct str){NULL, 0});
+		free(p);
+	}
+}
+
+static void answer_proposal(struct state *s, const struct replica_entry *entry,
+			    struct str result)
+{
+	struct state_proposal *p;
+
+	HASH_FIND(hh, s->proposals, &entry->index, sizeof(entry->index), p);
+	if (!p)
+		return;
+	HASH_DEL(s->proposals, p);
+	/* Another epoch: the proposal's entry was replaced and never accepted. */
+	if (p->epoch == entry->epoch)
+		reply_propose(p->call, 0, (struct str){NULL, 0}, entry->index, result);
+	else
+		reply_propose(p->call, CF_ENOTLEADER, state_leader_name(s), 0,
+			      (struct str){NULL, 0});
+	free(p);
+}
+
+static bool changes_conf(enum command_kind kind)
+{
+	return kind == CMD_CONF_PUT || kind == CMD_CONF_DELETE;
+}
+
+/* Replica operation: applies a committed entry to the store. */
+void state_apply(struct replica_host *host, const struct replica_entry *entry)
+{
+	struct state *s = (struct state *)host;
+	struct command command = {0};
+	struct command_result result = {0};
+	struct buf bytes = {0};
+	int err;
+
+	if (entry->kind != REPLICA_DATA)
+		return;
+	err = store_apply(s->store, entry->index, entry->data, &bytes);
+	if (err) {
+		/* The store refused bytes that a leader accepted; states would differ. */
+		s->failure = err;
+		goto out;
+	}
+	answer_proposal(s, entry, buf_str(&bytes));
+	if (codec_decode((xdrproc_t)xdr_command, &command, entry->data) ||
+	    codec_decode((xdrproc_t)xdr_command_result, &result, buf_str(&bytes)))
+		goto out;
+	if (changes_conf(command.body.kind) && !result.err)
+		s->conf_changed = true;
+	if (s->leading)
+		state_leading_applied(s, &command, &result);
+out:
+	codec_free((xdrproc_t)xdr_command, &command);
+	codec_free((xdrproc_t)xdr_command_result, &result);
+	buf_free(&bytes);
+}
--- a/proto/peer.h
+++ b/proto/peer.h
@@ -15,6 +15,7 @@
 
 #define PEER_MAX_NAME 64
 #define PEER_MAX_KEY 64
+#define PEER_MAX_PATH 256
 #define PEER_MAX_BYTES 4194304
 
 enum peer_proc {
@@ -65,6 +66,7 @@
 struct peer_watch_args {
 	u_quad_t after;
 	u_int wait_ms;
+	u_quad_t incarnation;
 };
 typedef struct peer_watch_args peer_watch_args;
 
@@ -88,6 +90,10 @@
 
 struct peer_watch_res {
 	int err;
+	struct {
+		u_int leader_len;
+		char *leader_val;
+	} leader;
 	u_quad_t index;
 	bool_t complete;
 	bool_t fresh;
@@ -120,7 +126,7 @@
 		char *zone_val;
 	} zone;
 	u_int slots;
-	u_int load;
+	int load;
 	bool_t leaving;
 	u_quad_t incarnation;
 	u_quad_t sequence;
@@ -161,15 +167,25 @@
 };
 typedef struct peer_worker_res peer_worker_res;
 
+enum peer_read_kind {
+	PEER_READ_JOB = 1,
+	PEER_READ_JOBS = 2,
+	PEER_READ_HISTORY = 3,
+	PEER_READ_MEMBERS = 4,
+	PEER_READ_WORKERS = 5,
+};
+typedef enum peer_read_kind peer_read_kind;
+
 struct peer_read_args {
+	enum peer_read_kind kind;
 	struct {
 		u_int team_len;
 		char *team_val;
 	} team;
 	struct {
-		u_int job_len;
-		char *job_val;
-	} job;
+		u_int name_len;
+		char *name_val;
+	} name;
 };
 typedef struct peer_read_args peer_read_args;
 
@@ -200,6 +216,7 @@
 extern  bool_t xdr_peer_announce_args (XDR *, peer_announce_args*);
 extern  bool_t xdr_peer_worker_args (XDR *, peer_worker_args*);
 extern  bool_t xdr_peer_worker_res (XDR *, peer_worker_res*);
+extern  bool_t xdr_peer_read_kind (XDR *, peer_read_kind*);
 extern  bool_t xdr_peer_read_args (XDR *, peer_read_args*);
 extern  bool_t xdr_peer_read_res (XDR *, peer_read_res*);
 
@@ -215,6 +232,7 @@
 extern bool_t xdr_peer_announce_args ();
 extern bool_t xdr_peer_worker_args ();
 extern bool_t xdr_peer_worker_res ();
+extern bool_t xdr_peer_read_kind ();
 extern bool_t xdr_peer_read_args ();
 extern bool_t xdr_peer_read_res ();
 
--- a/proto/peer.x
+++ b/proto/peer.x
@@ -2,6 +2,7 @@
 
 const PEER_MAX_NAME = 64;
 const PEER_MAX_KEY = 64;
+const PEER_MAX_PATH = 256;
 const PEER_MAX_BYTES = 4194304;
 
 enum peer_proc {
@@ -32,9 +33,14 @@
 	opaque result<PEER_MAX_BYTES>;
 };
 
+/*
+ * The caller is an entry process of this incarnation; the call also shows the leader
+ * that it is alive.
+ */
 struct peer_watch_args {
 	unsigned hyper after;
 	unsigned int wait_ms;
+	unsigned hyper incarnation;
 };
 
 /*
@@ -56,6 +62,7 @@
  */
 struct peer_watch_res {
 	int err;
+	opaque leader<PEER_MAX_NAME>;
 	unsigned hyper index;
 	bool complete;
 	bool fresh;
@@ -69,7 +76,7 @@
 	opaque address<PEER_MAX_NAME>;
 	opaque zone<PEER_MAX_NAME>;
 	unsigned int slots;
-	unsigned int load;
+	int load;
 	bool leaving;
 	unsigned hyper incarnation;
 	unsigned hyper sequence;
@@ -92,12 +99,22 @@
 	opaque body<PEER_MAX_BYTES>;
 };
 
+enum peer_read_kind {
+	PEER_READ_JOB = 1,
+	PEER_READ_JOBS = 2,
+	PEER_READ_HISTORY = 3,
+	PEER_READ_MEMBERS = 4,
+	PEER_READ_WORKERS = 5
+};
+
+/* name: of the job, or path of the document. */
 struct peer_read_args {
+	enum peer_read_kind kind;
 	opaque team<PEER_MAX_NAME>;
-	opaque job<PEER_MAX_NAME>;
+	opaque name<PEER_MAX_PATH>;
 };
 
-/* JSON description of the job. */
+/* JSON text. */
 struct peer_read_res {
 	int err;
 	opaque leader<PEER_MAX_NAME>;
--- a/proto/peer_xdr.c
+++ b/proto/peer_xdr.c
@@ -62,6 +62,8 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->wait_ms))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -90,6 +92,8 @@
 
 	 if (!xdr_int (xdrs, &objp->err))
 		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->leader.leader_val, (u_int *) &objp->leader.leader_len, PEER_MAX_NAME))
+		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->index))
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->complete))
@@ -123,14 +127,14 @@
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->slots))
 				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->load))
+			 if (!xdr_int (xdrs, &objp->load))
 				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->leaving))
 				 return FALSE;
 
 		} else {
 		IXDR_PUT_U_LONG(buf, objp->slots);
-		IXDR_PUT_U_LONG(buf, objp->load);
+		IXDR_PUT_LONG(buf, objp->load);
 		IXDR_PUT_BOOL(buf, objp->leaving);
 		}
 		 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
@@ -155,14 +159,14 @@
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->slots))
 				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->load))
+			 if (!xdr_int (xdrs, &objp->load))
 				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->leaving))
 				 return FALSE;
 
 		} else {
 		objp->slots = IXDR_GET_U_LONG(buf);
-		objp->load = IXDR_GET_U_LONG(buf);
+		objp->load = IXDR_GET_LONG(buf);
 		objp->leaving = IXDR_GET_BOOL(buf);
 		}
 		 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
@@ -186,7 +190,7 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->slots))
 		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->load))
+	 if (!xdr_int (xdrs, &objp->load))
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->leaving))
 		 return FALSE;
@@ -236,14 +240,26 @@
 	return TRUE;
 }
 
+bool_t
+xdr_peer_read_kind (XDR *xdrs, peer_read_kind *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_enum (xdrs, (enum_t *) objp))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_peer_read_args (XDR *xdrs, peer_read_args *objp)
 {
 	register int32_t *buf;
 
+	 if (!xdr_peer_read_kind (xdrs, &objp->kind))
+		 return FALSE;
 	 if (!xdr_bytes (xdrs, (char **)&objp->team.team_val, (u_int *) &objp->team.team_len, PEER_MAX_NAME))
 		 return FALSE;
-	 if (!xdr_bytes (xdrs, (char **)&objp->job.job_val, (u_int *) &objp->job.job_len, PEER_MAX_NAME))
+	 if (!xdr_bytes (xdrs, (char **)&objp->name.name_val, (u_int *) &objp->name.name_len, PEER_MAX_PATH))
 		 return FALSE;
 	return TRUE;
 }
