--- /dev/null
+++ b/core/replica.h
@@ -0,0 +1,226 @@
+#ifndef CORE_REPLICA_H
+#define CORE_REPLICA_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "base/str.h"
+
+#define REPLICA_MAX_MEMBERS 16
+/* Largest proposal; one append message holds at least one entry. */
+#define REPLICA_MAX_ENTRY (2U << 20)
+
+enum replica_role {
+	REPLICA_LEARNER,      /* not a voter of the membership it knows */
+	REPLICA_FOLLOWER,     /* voter that follows or waits */
+	REPLICA_PRECANDIDATE, /* asks whether an election could succeed */
+	REPLICA_CANDIDATE,    /* asks for promises */
+	REPLICA_LEADER,
+	REPLICA_EXCLUDED, /* its data directory is older than what it acknowledged */
+	REPLICA_FAILED,	  /* a host operation failed; the process must end */
+};
+
+enum replica_entry_kind {
+	REPLICA_DATA = 0,
+	REPLICA_BARRIER = 1, /* first entry of an epoch; no data */
+	REPLICA_MEMBERS = 2, /* data is an encoded membership */
+};
+
+struct replica_entry {
+	uint64_t index; /* from 1, without gaps */
+	uint64_t epoch;
+	enum replica_entry_kind kind;
+	struct str data;
+};
+
+/* Durable before any answer that depends on it is sent. vote 0: none. */
+struct replica_promise {
+	uint64_t epoch;
+	uint64_t vote;
+	uint64_t identity; /* random, of the data directory; never 0 */
+};
+
+struct replica_member {
+	uint64_t id; /* never 0 */
+	uint64_t identity;
+	bool voter;
+};
+
+/* An id may occur twice while it is replaced: as voter and as learner. */
+struct replica_members {
+	size_t n;
+	struct replica_member list[REPLICA_MAX_MEMBERS];
+};
+
+/* What a voter is known to have acknowledged to a leader of that epoch. */
+struct replica_witness {
+	uint64_t id;
+	uint64_t identity;
+	uint64_t epoch;
+	uint64_t index;
+};
+
+enum replica_msg_kind {
+	REPLICA_MSG_PREVOTE = 1,
+	REPLICA_MSG_PREVOTE_REPLY = 2,
+	REPLICA_MSG_VOTE = 3,
+	REPLICA_MSG_VOTE_REPLY = 4,
+	REPLICA_MSG_APPEND = 5,
+	REPLICA_MSG_APPEND_REPLY = 6,
+	REPLICA_MSG_SNAPSHOT = 7,
+	REPLICA_MSG_SNAPSHOT_REPLY = 8,
+	REPLICA_MSG_HELLO = 9,
+	REPLICA_MSG_HELLO_REPLY = 10,
+	REPLICA_MSG_JOIN = 11,
+};
+
+/* Which fields a kind uses is stated in proto/replica.x. Pointers are borrowed. */
+struct replica_msg {
+	enum replica_msg_kind kind;
+	bool ok;
+	uint64_t from_identity;
+	uint64_t to_identity; /* 0 in JOIN only */
+	uint64_t epoch;
+	uint64_t index;
+	uint64_t index_epoch;
+	uint64_t commit;
+	int64_t sent_us; /* sender's clock, echoed in replies */
+	uint64_t hint;
+	uint64_t offset;
+	uint64_t total;
+	struct str chunk;
+	const struct replica_entry *entries;
+	size_t n_entries;
+	const struct replica_witness *witness;
+	size_t n_witness;
+};
+
+struct replica_host {
+	const struct replica_ops *ops;
+};
+
+/*
+ * Operations return 0 or a cf_err; any failure ends the replica's part as a voter
+ * (REPLICA_FAILED) and is never retried. No operation may call back into the
+ * replica; replica_synced() is called later, from the event loop.
+ */
+struct replica_ops {
+	void (*send)(struct replica_host *h, uint64_t to, const struct replica_msg *m);
+	/* Writes entries behind the last one; they may stay unsynced. */
+	int (*append)(struct replica_host *h, const struct replica_entry *e, size_t n);
+	/* Removes all entries from from_index on; durable on return. */
+	int (*truncate)(struct replica_host *h, uint64_t from_index);
+	/* Durable on return. */
+	int (*save_promise)(struct replica_host *h, const struct replica_promise *p);
+	/*
+	 * Makes everything appended so far durable, then replica_synced(token). At
+	 * most one is outstanding.
+	 */
+	void (*sync)(struct replica_host *h, uint64_t token);
+	/* Called once for each committed entry of every kind, in order of index. */
+	void (*apply)(struct replica_host *h, const struct replica_entry *e);
+	/* Appends the state after the last applied entry to out. */
+	int (*take_snapshot)(struct replica_host *h, struct buf *out);
+	/* Replaces the state by that of a snapshot taken by take_snapshot(). */
+	int (*load_snapshot)(struct replica_host *h, uint64_t index, uint64_t epoch,
+			     struct str state);
+	/* May be NULL. */
+	void (*role_changed)(struct replica_host *h, enum replica_role role,
+			     uint64_t epoch, uint64_t leader);
+	/*
+	 * Stores the snapshot file, durable on return. The bytes hold the membership
+	 * and the state; they are given back in replica_options.snapshot.
+	 */
+	int (*save_snapshot)(struct replica_host *h, uint64_t index, uint64_t epoch,
+			     struct str bytes);
+	/*
+	 * Log entries up to index are no longer needed. If the log ends before index,
+	 * the next entry appended is index + 1.
+	 */
+	int (*compact)(struct replica_host *h, uint64_t index);
+	/*
+	 * The leader heard from a process that is not a member under this identity.
+	 * May be NULL. Not called when replica_options.auto_admit is set.
+	 */
+	void (*join_asked)(struct replica_host *h, uint64_t id, uint64_t identity);
+};
+
+/* Zero in a numeric field selects the default. All strings are copied. */
+struct replica_options {
+	struct replica_host *host;
+	uint64_t id;
+	uint64_t seed;
+	/* Ids that are asked for admission while this replica is not a member. */
+	const uint64_t *peers;
+	size_t n_peers;
+	/*
+	 * First membership. Used only when neither snapshot nor log hold one, and
+	 * only a process that starts a new cluster may set it.
+	 */
+	const struct replica_members *bootstrap;
+	/* Stored state. A fresh data directory has only promise.identity. */
+	struct replica_promise promise;
+	struct str snapshot;
+	uint64_t snapshot_index;
+	uint64_t snapshot_epoch;
+	const struct replica_entry *entries;
+	size_t n_entries;
+
+	int64_t heartbeat_us;	 /* default 100 ms */
+	int64_t election_us;	 /* shortest election timeout, default 600 ms */
+	size_t batch_bytes;	 /* of one append message, default 256 KiB */
+	size_t window_bytes;	 /* unacknowledged for each follower, default 1 MiB */
+	size_t chunk_bytes;	 /* of one snapshot message, default 256 KiB */
+	size_t pending_bytes;	 /* uncommitted proposals, default 8 MiB */
+	uint64_t snapshot_every; /* entries between snapshots, default 20,000 */
+	size_t snapshot_bytes;	 /* log bytes between snapshots, default 16 MiB */
+	uint64_t keep_entries;	 /* kept before a snapshot, default 2,000 */
+	size_t keep_bytes;	 /* the same in bytes, default 4 MiB */
+	size_t max_snapshot;	 /* largest snapshot accepted, default 256 MiB */
+	/* The leader admits, promotes and replaces the members that ask, if in peers. */
+	bool auto_admit;
+	/* For measurement only. */
+	bool no_group_commit;
+	bool propose_before_barrier;
+	bool no_snapshots;
+};
+
+struct replica;
+
+/*
+ * Allocation bound: the log since the last snapshot (snapshot_bytes + keep_bytes +
+ * pending_bytes), the last snapshot, one older snapshot for each follower that is
+ * receiving it, and one partly received snapshot.
+ */
+int replica_new(const struct replica_options *opt, struct replica **out, int64_t now_us);
+void replica_free(struct replica *r);
+void replica_tick(struct replica *r, int64_t now_us);
+int64_t replica_deadline(const struct replica *r);
+int replica_receive(struct replica *r, uint64_t from, const struct replica_msg *m,
+		    int64_t now_us);
+int replica_propose(struct replica *r, struct str data, int64_t now_us, uint64_t *index);
+void replica_synced(struct replica *r, uint64_t token, int64_t now_us);
+
+bool replica_lease_valid(const struct replica *r, int64_t now_us);
+bool replica_ready(const struct replica *r);
+enum replica_role replica_role(const struct replica *r);
+uint64_t replica_leader(const struct replica *r);
+uint64_t replica_epoch(const struct replica *r);
+uint64_t replica_committed(const struct replica *r);
+uint64_t replica_last_index(const struct replica *r);
+int replica_failure(const struct replica *r);
+const struct replica_members *replica_members(const struct replica *r);
+int64_t replica_leader_heard(const struct replica *r);
+size_t replica_memory(const struct replica *r);
+
+int replica_add_learner(struct replica *r, uint64_t id, uint64_t identity,
+			int64_t now_us);
+int replica_promote(struct replica *r, uint64_t id, uint64_t identity, int64_t now_us);
+int replica_remove(struct replica *r, uint64_t id, uint64_t identity, int64_t now_us);
+
+int replica_msg_encode(const struct replica_msg *m, struct buf *out);
+int replica_msg_decode(struct str bytes, struct replica_msg **out);
+void replica_msg_free(struct replica_msg *m);
+
+#endif
