--- a/core/replica.h
+++ b/core/replica.h
@@ -34,10 +34,10 @@
 	struct str data;
 };
 
-/* Durable before any answer that depends on it is sent. vote 0: none. */
+/* Durable before any answer that depends on it is sent. */
 struct replica_promise {
 	uint64_t epoch;
-	uint64_t vote;
+	uint64_t vote;	   /* identity of the candidate, 0: none */
 	uint64_t identity; /* random, of the data directory; never 0 */
 };
 
@@ -201,6 +201,7 @@
 		    int64_t now_us);
 int replica_propose(struct replica *r, struct str data, int64_t now_us, uint64_t *index);
 void replica_synced(struct replica *r, uint64_t token, int64_t now_us);
+void replica_sync_failed(struct replica *r, int err);
 
 bool replica_lease_valid(const struct replica *r, int64_t now_us);
 bool replica_ready(const struct replica *r);
--- /dev/null
+++ b/core/replica_disk.c
@@ -0,0 +1,93 @@
+#include "core/replica_priv.h"
+
+/* Number of entries for the next write: bounded bytes, at least one entry. */
+static size_t disk_batch(const struct replica *r)
+{
+	uint64_t start = replica_log_end(&r->log, r->written);
+	uint64_t last = replica_log_last(&r->log);
+	size_t n = 1;
+
+	if (r->opt.no_group_commit)
+		return 1;
+	while (r->written + n < last &&
+	       replica_log_end(&r->log, r->written + n + 1) - start <=
+		       r->opt.pending_bytes)
+		n++;
+	return n;
+}
+
+/*
+ * Writes what is waiting and starts one sync for all of it. Entries that arrive
+ * while the sync runs wait for the next one, which is what groups commits. A leader
+ * sends a batch before it starts its own sync.
+ */
+void replica_disk_pump(struct replica *r)
+{
+	size_t n;
+	int err;
+
+	if (replica_halted(r) || r->syncing || r->written >= replica_log_last(&r->log))
+		return;
+	n = disk_batch(r);
+	err = r->host->ops->append(r->host, replica_log_at(&r->log, r->written + 1), n);
+	if (err) {
+		replica_fail_with(r, err);
+		return;
+	}
+	r->written += n;
+	r->sync_index = r->written;
+	r->sync_token++;
+	r->syncing = true;
+	if (r->role == REPLICA_LEADER)
+		replica_lead_broadcast(r);
+	r->host->ops->sync(r->host, r->sync_token);
+}
+
+/* Removes entries from from_index on, in memory and in the log file. */
+void replica_disk_cut(struct replica *r, uint64_t from_index)
+{
+	int err;
+
+	replica_log_cut(&r->log, from_index);
+	if (r->written >= from_index) {
+		err = r->host->ops->truncate(r->host, from_index);
+		if (err) {
+			replica_fail_with(r, err);
+			return;
+		}
+		r->written = from_index - 1;
+	}
+	if (r->durable >= from_index)
+		r->durable = from_index - 1;
+	/* The outstanding sync says nothing about entries written after the cut. */
+	if (r->sync_index >= from_index)
+		r->sync_index = from_index - 1;
+	if (r->verified_index >= from_index)
+		r->verified_index = from_index - 1;
+}
+
+/* The sync of this token ended: the entries it covers are durable. */
+void replica_synced(struct replica *r, uint64_t token, int64_t now_us)
+{
+	if (replica_halted(r) || !r->syncing || token != r->sync_token)
+		return;
+	r->now_us = now_us;
+	r->syncing = false;
+	if (r->durable < r->sync_index)
+		r->durable = r->sync_index;
+	if (r->role == REPLICA_LEADER) {
+		if (replica_lease_check(r))
+			replica_lead_commit(r);
+	} else {
+		replica_follow_commit(r);
+		if (r->ack_owed)
+			replica_follow_ack(r);
+	}
+	replica_disk_pump(r);
+}
+
+/* The sync failed. What the disk holds is not known, so the voter ends here. */
+void replica_sync_failed(struct replica *r, int err)
+{
+	replica_fail_with(r, err);
+}
--- /dev/null
+++ b/core/replica_elect.c
@@ -0,0 +1,180 @@
+#include "core/replica_priv.h"
+
+/* Number of voters that form a quorum of the membership in force. */
+size_t replica_quorum(const struct replica *r)
+{
+	size_t voters = 0;
+
+	for (size_t i = 0; i < r->members.n; i++)
+		voters += r->members.list[i].voter;
+	return voters / 2 + 1;
+}
+
+/* Draws a new election timeout between one and two times election_us. */
+void replica_elect_reset(struct replica *r)
+{
+	r->election_at = r->now_us + r->opt.election_us +
+			 (int64_t)prng_below(&r->prng, (uint64_t)r->opt.election_us);
+}
+
+/* Ends leadership or candidacy. leader 0: not known. */
+void replica_step_down(struct replica *r, uint64_t leader)
+{
+	if (replica_halted(r))
+		return;
+	for (size_t i = 0; i < r->n_peer; i++) {
+		replica_snap_release(r->peer[i].snap);
+		r->peer[i].snap = NULL;
+	}
+	r->ready = false;
+	r->lease_until = REPLICA_NEVER;
+	r->n_joiner = 0;
+	replica_elect_reset(r);
+	replica_set_role(r, replica_is_voter(r) ? REPLICA_FOLLOWER : REPLICA_LEARNER,
+			 leader);
+}
+
+/* Promises a newer epoch without a vote. Returns false when that failed. */
+bool replica_adopt_epoch(struct replica *r, uint64_t epoch)
+{
+	if (epoch <= r->promise.epoch)
+		return true;
+	if (!replica_save_promise(r, epoch, 0))
+		return false;
+	replica_step_down(r, 0);
+	return true;
+}
+
+static size_t granted_count(const struct replica *r)
+{
+	size_t n = 1;
+
+	for (size_t i = 0; i < r->n_peer; i++)
+		n += r->peer[i].voter && r->peer[i].granted;
+	return n;
+}
+
+static void elect_send(struct replica *r, enum replica_msg_kind kind, uint64_t epoch)
+{
+	uint64_t last = replica_log_last(&r->log);
+
+	for (size_t i = 0; i < r->n_peer; i++) {
+		struct replica_msg m = {
+			.kind = kind,
+			.epoch = epoch,
+			.index = last,
+			.index_epoch = replica_log_epoch(&r->log, last),
+		};
+
+		r->peer[i].granted = false;
+		if (r->peer[i].voter)
+			replica_send(r, r->peer[i].id, r->peer[i].identity, &m);
+	}
+}
+
+/* Votes for itself in a new epoch, durably, and asks the others. */
+static void elect_candidate(struct replica *r)
+{
+	if (!replica_save_promise(r, r->promise.epoch + 1, r->identity))
+		return;
+	replica_elect_reset(r);
+	replica_set_role(r, REPLICA_CANDIDATE, 0);
+	elect_send(r, REPLICA_MSG_VOTE, r->promise.epoch);
+	if (granted_count(r) >= replica_quorum(r))
+		replica_lead_start(r);
+}
+
+/*
+ * The election timeout passed. Asks first whether an election could succeed, so
+ * that a voter that returns from a partition does not raise the epoch.
+ */
+void replica_elect_start(struct replica *r)
+{
+	if (!r->verified || !replica_is_voter(r))
+		return;
+	replica_elect_reset(r);
+	replica_set_role(r, REPLICA_PRECANDIDATE, 0);
+	elect_send(r, REPLICA_MSG_PREVOTE, r->promise.epoch + 1);
+	if (granted_count(r) >= replica_quorum(r))
+		elect_candidate(r);
+}
+
+/* Whether a leader may hold a lease that rests on this voter. */
+static bool elect_lease_holds(const struct replica *r)
+{
+	if (r->role == REPLICA_LEADER)
+		return r->now_us < replica_lease_stop(r);
+	return r->leader_heard_us != REPLICA_NEVER &&
+	       r->now_us < r->leader_heard_us + r->opt.election_us;
+}
+
+/* Compares the ends of two logs by (epoch, index). */
+static int elect_compare(const struct replica *r, const struct replica_msg *m)
+{
+	uint64_t last = replica_log_last(&r->log);
+	uint64_t epoch = replica_log_epoch(&r->log, last);
+
+	if (m->index_epoch != epoch)
+		return m->index_epoch > epoch ? 1 : -1;
+	return (m->index > last) - (m->index < last);
+}
+
+/* Answers PREVOTE and VOTE. */
+void replica_elect_ask(struct replica *r, uint64_t from, const struct replica_msg *m)
+{
+	bool prevote = m->kind == REPLICA_MSG_PREVOTE;
+	struct replica_msg reply = {
+		.kind = prevote ? REPLICA_MSG_PREVOTE_REPLY : REPLICA_MSG_VOTE_REPLY,
+	};
+	int order = elect_compare(r, m);
+	bool known = replica_member_find(&r->members, from, m->from_identity) != NULL;
+	bool grant;
+
+	if (!r->verified)
+		return;
+	/* A sender whose log is longer may be a member that this log does not have. */
+	if (!known && order <= 0)
+		return;
+	grant = order >= 0 && !elect_lease_holds(r);
+	if (prevote)
+		grant = grant && m->epoch > r->promise.epoch;
+	else if (m->epoch == r->promise.epoch)
+		grant = grant &&
+			(r->promise.vote == 0 || r->promise.vote == m->from_identity);
+	else
+		grant = grant && m->epoch > r->promise.epoch;
+	if (grant && !prevote) {
+		if (!replica_save_promise(r, m->epoch, m->from_identity))
+			return;
+		replica_step_down(r, 0);
+	}
+	reply.ok = grant;
+	reply.epoch = grant ? m->epoch : r->promise.epoch;
+	replica_send(r, from, m->from_identity, &reply);
+}
+
+/* Counts an answer from a member under its known identity. */
+void replica_elect_reply(struct replica *r, struct replica_peer *p,
+			 const struct replica_msg *m)
+{
+	if (!m->ok) {
+		replica_adopt_epoch(r, m->epoch);
+		return;
+	}
+	if (!p->voter)
+		return;
+	if (m->kind == REPLICA_MSG_PREVOTE_REPLY) {
+		if (r->role != REPLICA_PRECANDIDATE || m->epoch != r->promise.epoch + 1)
+			return;
+		p->granted = true;
+		if (granted_count(r) >= replica_quorum(r))
+			elect_candidate(r);
+		return;
+	}
+	replica_witness_note(r, p->id, p->identity, m->epoch, 0);
+	if (r->role != REPLICA_CANDIDATE || m->epoch != r->promise.epoch)
+		return;
+	p->granted = true;
+	if (granted_count(r) >= replica_quorum(r))
+		replica_lead_start(r);
+}
--- /dev/null
+++ b/core/replica_follow.c
@@ -0,0 +1,182 @@
+#include "base/err.h"
+#include "core/replica_priv.h"
+
+/* Applies committed entries in order. */
+void replica_apply(struct replica *r)
+{
+	while (r->applied < r->commit) {
+		const struct replica_entry *e = replica_log_at(&r->log, r->applied + 1);
+
+		if (!e) {
+			replica_fail_with(r, CF_ECORRUPT);
+			return;
+		}
+		if (e->kind == REPLICA_MEMBERS &&
+		    replica_members_decode(e->data, &r->applied_members)) {
+			replica_fail_with(r, CF_ECORRUPT);
+			return;
+		}
+		r->applied++;
+		r->host->ops->apply(r->host, e);
+	}
+}
+
+/* Commits what the leader committed, as far as it is equal and durable here. */
+void replica_follow_commit(struct replica *r)
+{
+	uint64_t index = r->leader_commit;
+
+	if (index > r->verified_index)
+		index = r->verified_index;
+	if (index > r->durable)
+		index = r->durable;
+	if (index <= r->commit)
+		return;
+	r->commit = index;
+	replica_apply(r);
+	replica_snap_take(r);
+}
+
+/* Tells the leader up to where this log is durable and equal to its own. */
+void replica_follow_ack(struct replica *r)
+{
+	struct replica_msg m = {
+		.kind = REPLICA_MSG_APPEND_REPLY,
+		.ok = true,
+		.epoch = r->promise.epoch,
+		.index = r->durable < r->verified_index ? r->durable : r->verified_index,
+		.sent_us = r->echo_us,
+	};
+
+	r->ack_owed = false;
+	if (r->leader && r->leader != r->id)
+		replica_send(r, r->leader, r->leader_identity, &m);
+}
+
+/*
+ * Common part of APPEND and SNAPSHOT: the sender leads an epoch. Returns false when
+ * the message must be ignored or was refused.
+ */
+bool replica_follow_leader(struct replica *r, uint64_t from, const struct replica_msg *m)
+{
+	for (size_t i = 0; i < m->n_witness; i++) {
+		const struct replica_witness *w = &m->witness[i];
+
+		replica_witness_note(r, w->id, w->identity, w->epoch, w->index);
+		if (w->id == r->id && w->identity == r->identity &&
+		    !replica_witness_check(r, w->epoch, w->index))
+			return false;
+	}
+	if (!r->verified)
+		return false;
+	if (m->epoch < r->promise.epoch) {
+		struct replica_msg reply = {
+			.kind = m->kind == REPLICA_MSG_APPEND
+					? REPLICA_MSG_APPEND_REPLY
+					: REPLICA_MSG_SNAPSHOT_REPLY,
+			.epoch = r->promise.epoch,
+			.index = m->index,
+		};
+
+		replica_send(r, from, m->from_identity, &reply);
+		return false;
+	}
+	if (!replica_adopt_epoch(r, m->epoch))
+		return false;
+	if (r->role == REPLICA_LEADER)
+		return false;
+	if (r->leader != from || r->role == REPLICA_CANDIDATE ||
+	    r->role == REPLICA_PRECANDIDATE)
+		replica_step_down(r, from);
+	r->leader_identity = m->from_identity;
+	r->leader_heard_us = r->now_us;
+	r->echo_us = m->sent_us;
+	replica_elect_reset(r);
+	return true;
+}
+
+/* Refuses an append and names the last entry that may be equal. */
+static void follow_refuse(struct replica *r, const struct replica_msg *m)
+{
+	uint64_t last = replica_log_last(&r->log);
+	struct replica_msg reply = {
+		.kind = REPLICA_MSG_APPEND_REPLY,
+		.epoch = r->promise.epoch,
+		.index = m->index,
+		.hint = last,
+		.sent_us = m->sent_us,
+	};
+
+	if (m->index <= last) {
+		uint64_t epoch = replica_log_epoch(&r->log, m->index);
+		uint64_t hint = m->index - 1;
+
+		/* All entries of an epoch that differs once are skipped together. */
+		while (hint > r->commit && replica_log_epoch(&r->log, hint) == epoch)
+			hint--;
+		reply.hint = hint;
+	}
+	replica_send(r, r->leader, r->leader_identity, &reply);
+}
+
+/* Adds one entry of the leader's log. Returns false after a failure. */
+static bool follow_add(struct replica *r, const struct replica_entry *e, bool *members)
+{
+	int err;
+
+	if (e->index <= r->commit)
+		return true;
+	if (e->index <= replica_log_last(&r->log)) {
+		if (replica_log_epoch(&r->log, e->index) == e->epoch)
+			return true;
+		replica_disk_cut(r, e->index);
+		if (replica_halted(r))
+			return false;
+		*members = true;
+	}
+	err = replica_log_add(&r->log, e);
+	if (err) {
+		replica_fail_with(r, err);
+		return false;
+	}
+	*members = *members || e->kind == REPLICA_MEMBERS;
+	return true;
+}
+
+/* Handles APPEND. */
+void replica_follow_append(struct replica *r, uint64_t from, const struct replica_msg *m)
+{
+	uint64_t end = m->index + m->n_entries;
+	bool members = false;
+	int err;
+
+	if (!replica_follow_leader(r, from, m))
+		return;
+	/* Every leader's log holds the committed part. */
+	if (m->index > r->commit &&
+	    (m->index > replica_log_last(&r->log) ||
+	     replica_log_epoch(&r->log, m->index) != m->index_epoch)) {
+		follow_refuse(r, m);
+		return;
+	}
+	for (size_t i = 0; i < m->n_entries; i++) {
+		if (!follow_add(r, &m->entries[i], &members))
+			return;
+	}
+	if (members && (err = replica_members_reload(r))) {
+		replica_fail_with(r, err);
+		return;
+	}
+	if (r->verified_index < end)
+		r->verified_index = end;
+	if (r->leader_commit < m->commit)
+		r->leader_commit = m->commit;
+	replica_follow_commit(r);
+	if (replica_halted(r))
+		return;
+	if (end > r->durable && m->n_entries)
+		r->ack_owed = true;
+	else
+		replica_follow_ack(r);
+	replica_disk_pump(r);
+}
--- /dev/null
+++ b/core/replica_lead.c
@@ -0,0 +1,302 @@
+#include "base/err.h"
+#include "core/replica_priv.h"
+
+/* A heartbeat in this many carries what the leader knows of acknowledgements. */
+#define WITNESS_EVERY 10
+
+/* Appends an entry of the present epoch to the log in memory. */
+int replica_lead_append(struct replica *r, enum replica_entry_kind kind, struct str data,
+			uint64_t *index)
+{
+	struct replica_entry e = {
+		.index = replica_log_last(&r->log) + 1,
+		.epoch = r->promise.epoch,
+		.kind = kind,
+		.data = data,
+	};
+	int err = replica_log_add(&r->log, &e);
+
+	if (err)
+		return err;
+	*index = e.index;
+	return 0;
+}
+
+/* An append without entries; it also finds where the follower's log is equal. */
+static void lead_heartbeat(struct replica *r, struct replica_peer *p, bool witness)
+{
+	uint64_t prev = p->mode == REPLICA_PEER_SNAPSHOT ? p->match : p->next - 1;
+	struct replica_msg m = {
+		.kind = REPLICA_MSG_APPEND,
+		.epoch = r->promise.epoch,
+		.commit = r->commit,
+		.sent_us = r->now_us,
+	};
+
+	/* An entry before the log cannot be named; 0 stands for the committed part. */
+	if (prev >= r->log.base) {
+		m.index = prev;
+		m.index_epoch = replica_log_epoch(&r->log, prev);
+	}
+	if (witness) {
+		m.witness = r->witness;
+		m.n_witness = r->n_witness;
+	}
+	replica_send(r, p->id, p->identity, &m);
+}
+
+/* Number of entries from p->next on that fit the batch and the window. */
+static size_t lead_batch(const struct replica *r, const struct replica_peer *p)
+{
+	const struct replica_log *l = &r->log;
+	uint64_t start = replica_log_end(l, p->next - 1);
+	uint64_t acked = replica_log_end(l, p->match);
+	size_t n = 0;
+
+	while (p->next + n <= r->written) {
+		uint64_t end = replica_log_end(l, p->next + n);
+
+		if (n > 0 && end - start > r->opt.batch_bytes)
+			break;
+		/* One entry may exceed the window when nothing is outstanding. */
+		if (end - acked > r->opt.window_bytes && (n > 0 || start > acked))
+			break;
+		n++;
+	}
+	return n;
+}
+
+/* Sends a follower the written entries that it lacks, within its window. */
+void replica_lead_send(struct replica *r, struct replica_peer *p)
+{
+	size_t n;
+
+	if (p->mode == REPLICA_PEER_SNAPSHOT)
+		return;
+	if (p->next <= r->log.base) {
+		replica_snap_send(r, p);
+		return;
+	}
+	if (p->mode == REPLICA_PEER_PROBE) {
+		if (!p->probe_sent)
+			lead_heartbeat(r, p, false);
+		p->probe_sent = true;
+		return;
+	}
+	while ((n = lead_batch(r, p)) > 0) {
+		struct replica_msg m = {
+			.kind = REPLICA_MSG_APPEND,
+			.epoch = r->promise.epoch,
+			.index = p->next - 1,
+			.index_epoch = replica_log_epoch(&r->log, p->next - 1),
+			.commit = r->commit,
+			.sent_us = r->now_us,
+			.entries = replica_log_at(&r->log, p->next),
+			.n_entries = n,
+		};
+
+		p->next += n;
+		replica_send(r, p->id, p->identity, &m);
+	}
+}
+
+void replica_lead_broadcast(struct replica *r)
+{
+	for (size_t i = 0; i < r->n_peer; i++)
+		replica_lead_send(r, &r->peer[i]);
+}
+
+static void lead_heartbeats(struct replica *r)
+{
+	bool witness = r->witness_changed || r->heartbeats % WITNESS_EVERY == 0;
+
+	r->heartbeats++;
+	r->witness_changed = false;
+	r->heartbeat_at = r->now_us + r->opt.heartbeat_us;
+	for (size_t i = 0; i < r->n_peer; i++) {
+		struct replica_peer *p = &r->peer[i];
+
+		p->probe_sent = true;
+		lead_heartbeat(r, p, witness);
+		if (p->mode == REPLICA_PEER_SNAPSHOT)
+			replica_snap_send(r, p);
+		else
+			replica_lead_send(r, p);
+	}
+}
+
+/*
+ * Takes the lead of the epoch. Proposals wait until the barrier entry committed:
+ * entries of earlier epochs commit only through it, and only then does the leader
+ * know every committed entry.
+ */
+void replica_lead_start(struct replica *r)
+{
+	int err;
+
+	r->ready = false;
+	r->elected_us = r->now_us;
+	r->lease_until = REPLICA_NEVER;
+	r->heartbeats = 0;
+	for (size_t i = 0; i < r->n_peer; i++) {
+		struct replica_peer *p = &r->peer[i];
+
+		p->mode = REPLICA_PEER_PROBE;
+		p->probe_sent = false;
+		p->next = replica_log_last(&r->log) + 1;
+		p->match = 0;
+		p->confirmed_us = REPLICA_NEVER;
+	}
+	replica_set_role(r, REPLICA_LEADER, r->id);
+	err = replica_lead_append(r, REPLICA_BARRIER, (struct str){0}, &r->barrier);
+	if (err) {
+		replica_fail_with(r, err);
+		return;
+	}
+	lead_heartbeats(r);
+	replica_disk_pump(r);
+	replica_lead_commit(r);
+}
+
+/* Highest index that a quorum of voters holds durably. */
+static uint64_t lead_quorum_index(const struct replica *r)
+{
+	uint64_t at[REPLICA_MAX_MEMBERS];
+	size_t n = 0;
+	size_t need = replica_quorum(r);
+
+	if (replica_is_voter(r))
+		at[n++] = r->durable;
+	for (size_t i = 0; i < r->n_peer; i++) {
+		size_t j;
+
+		if (!r->peer[i].voter)
+			continue;
+		for (j = n++; j > 0 && at[j - 1] < r->peer[i].match; j--)
+			at[j] = at[j - 1];
+		at[j] = r->peer[i].match;
+	}
+	return n < need ? 0 : at[need - 1];
+}
+
+/* Commits what a quorum holds. */
+void replica_lead_commit(struct replica *r)
+{
+	uint64_t index = lead_quorum_index(r);
+
+	if (index <= r->commit)
+		return;
+	/*
+	 * An entry of an earlier epoch may be held by a quorum and still be replaced
+	 * by a later leader; it commits only under an entry of this epoch.
+	 */
+	if (replica_log_epoch(&r->log, index) != r->promise.epoch)
+		return;
+	r->commit = index;
+	if (r->commit >= r->barrier)
+		r->ready = true;
+	replica_apply(r);
+	replica_snap_take(r);
+	if (replica_halted(r))
+		return;
+	if (!replica_is_voter(r) && r->members_index <= r->commit) {
+		/* Removed itself: the others must learn that it committed. */
+		lead_heartbeats(r);
+		replica_step_down(r, 0);
+	}
+}
+
+/* Moves p->next back after a refusal. */
+static void lead_refused(struct replica *r, struct replica_peer *p,
+			 const struct replica_msg *m)
+{
+	uint64_t next = m->hint + 1 < m->index ? m->hint + 1 : m->index;
+
+	if (p->mode == REPLICA_PEER_SNAPSHOT || m->index < p->match)
+		return;
+	if (next <= p->match)
+		next = p->match + 1;
+	if (next >= p->next)
+		return;
+	p->next = next;
+	p->mode = REPLICA_PEER_PROBE;
+	p->probe_sent = false;
+	replica_lead_send(r, p);
+}
+
+/* Handles APPEND_REPLY. */
+void replica_lead_reply(struct replica *r, struct replica_peer *p,
+			const struct replica_msg *m)
+{
+	if (m->epoch > r->promise.epoch) {
+		replica_adopt_epoch(r, m->epoch);
+		return;
+	}
+	if (r->role != REPLICA_LEADER || m->epoch != r->promise.epoch)
+		return;
+	if (m->sent_us > p->confirmed_us && m->sent_us <= r->now_us) {
+		p->confirmed_us = m->sent_us;
+		replica_lease_update(r);
+	}
+	if (!m->ok) {
+		lead_refused(r, p, m);
+		return;
+	}
+	if (m->index > replica_log_last(&r->log))
+		return;
+	if (m->index > p->match) {
+		p->match = m->index;
+		replica_witness_note(r, p->id, p->identity, m->epoch, m->index);
+		r->witness_changed = true;
+	}
+	if (p->mode == REPLICA_PEER_SNAPSHOT)
+		return;
+	if (p->next <= p->match)
+		p->next = p->match + 1;
+	if (p->mode == REPLICA_PEER_PROBE)
+		p->mode = REPLICA_PEER_STREAM;
+	replica_lead_commit(r);
+	if (r->role == REPLICA_LEADER)
+		replica_lead_send(r, p);
+}
+
+void replica_lead_tick(struct replica *r)
+{
+	if (!replica_lease_check(r))
+		return;
+	if (r->now_us >= r->heartbeat_at) {
+		lead_heartbeats(r);
+		replica_admit_tick(r);
+	}
+}
+
+/*
+ * Proposes a command. *index is where it will be applied if it commits; another
+ * entry committed at that index means it was lost. CF_ENOTLEADER, CF_ESTALE (the
+ * lease ended), CF_EUNAVAIL (the barrier has not committed), CF_ETOOBIG, CF_EBUSY
+ * (too many bytes uncommitted).
+ */
+int replica_propose(struct replica *r, struct str data, int64_t now_us, uint64_t *index)
+{
+	uint64_t pending;
+	int err;
+
+	if (r->role != REPLICA_LEADER)
+		return CF_ENOTLEADER;
+	r->now_us = now_us;
+	if (!replica_lease_check(r))
+		return CF_ESTALE;
+	if (!r->ready && !r->opt.propose_before_barrier)
+		return CF_EUNAVAIL;
+	if (data.n > REPLICA_MAX_ENTRY)
+		return CF_ETOOBIG;
+	pending = replica_log_end(&r->log, replica_log_last(&r->log)) -
+		  replica_log_end(&r->log, r->commit);
+	if (pending + data.n > r->opt.pending_bytes)
+		return CF_EBUSY;
+	err = replica_lead_append(r, REPLICA_DATA, data, index);
+	if (err)
+		return err;
+	replica_disk_pump(r);
+	return r->role == REPLICA_FAILED ? r->failure : 0;
+}
--- /dev/null
+++ b/core/replica_lease.c
@@ -0,0 +1,77 @@
+#include "core/replica_priv.h"
+
+/*
+ * Length of the lease on the leader's clock. A voter that answered a heartbeat
+ * stands still for election_us of its own clock from a moment after the send. The
+ * leader's clock may be slow and the voter's fast by one part in REPLICA_DRIFT_PARTS
+ * each; three parts cover both and the second-order term.
+ */
+int64_t replica_lease_length(const struct replica *r)
+{
+	return r->opt.election_us - r->opt.election_us * 3 / REPLICA_DRIFT_PARTS - 1;
+}
+
+/* Computes the lease from the newest sends that a quorum of voters answered. */
+void replica_lease_update(struct replica *r)
+{
+	int64_t at[REPLICA_MAX_MEMBERS];
+	size_t n = 0;
+	size_t need = replica_quorum(r);
+	int64_t until;
+
+	if (replica_is_voter(r))
+		at[n++] = r->now_us;
+	for (size_t i = 0; i < r->n_peer; i++) {
+		const struct replica_peer *p = &r->peer[i];
+		size_t j;
+
+		if (!p->voter || p->confirmed_us == REPLICA_NEVER)
+			continue;
+		for (j = n++; j > 0 && at[j - 1] < p->confirmed_us; j--)
+			at[j] = at[j - 1];
+		at[j] = p->confirmed_us;
+	}
+	if (need == 0 || n < need)
+		return;
+	until = at[need - 1] + replica_lease_length(r);
+	if (until > r->lease_until)
+		r->lease_until = until;
+}
+
+/* Time at which the leader steps down unless its lease is extended. */
+int64_t replica_lease_stop(const struct replica *r)
+{
+	int64_t grace = r->elected_us + replica_lease_length(r);
+
+	return r->lease_until > grace ? r->lease_until : grace;
+}
+
+/*
+ * First step of every event of a leader: after a freeze longer than the lease it
+ * must not act as leader. Returns whether it still leads.
+ */
+bool replica_lease_check(struct replica *r)
+{
+	if (r->role != REPLICA_LEADER)
+		return false;
+	/* A leader that is its own quorum renews its lease by itself. */
+	if (replica_quorum(r) == 1 && replica_is_voter(r))
+		replica_lease_update(r);
+	if (r->now_us < replica_lease_stop(r))
+		return true;
+	replica_step_down(r, 0);
+	return false;
+}
+
+/*
+ * Whether this replica leads, knows every committed entry, and no other voter can
+ * lead before the lease ends.
+ */
+bool replica_lease_valid(const struct replica *r, int64_t now_us)
+{
+	if (r->role != REPLICA_LEADER || !r->ready)
+		return false;
+	if (replica_quorum(r) == 1 && replica_is_voter(r))
+		return true;
+	return now_us < r->lease_until;
+}
--- /dev/null
+++ b/core/replica_member.c
@@ -0,0 +1,324 @@
+#include <string.h>
+
+#include "base/err.h"
+#include "core/replica_priv.h"
+
+/* A voter without a leader for this many election timeouts asks for admission. */
+#define JOIN_PATIENCE 10
+
+const struct replica_member *replica_member_find(const struct replica_members *m,
+						 uint64_t id, uint64_t identity)
+{
+	for (size_t i = 0; i < m->n; i++) {
+		if (m->list[i].id == id && m->list[i].identity == identity)
+			return &m->list[i];
+	}
+	return NULL;
+}
+
+/* Finds the member of that id with any other identity and that kind. */
+static const struct replica_member *
+member_other(const struct replica_members *m, uint64_t id, uint64_t identity, bool voter)
+{
+	for (size_t i = 0; i < m->n; i++) {
+		if (m->list[i].id == id && m->list[i].identity != identity &&
+		    m->list[i].voter == voter)
+			return &m->list[i];
+	}
+	return NULL;
+}
+
+struct replica_peer *replica_peer_find(struct replica *r, uint64_t id, uint64_t identity)
+{
+	for (size_t i = 0; i < r->n_peer; i++) {
+		if (r->peer[i].id == id && r->peer[i].identity == identity)
+			return &r->peer[i];
+	}
+	return NULL;
+}
+
+bool replica_is_voter(const struct replica *r)
+{
+	const struct replica_member *m =
+		replica_member_find(&r->members, r->id, r->identity);
+
+	return m && m->voter;
+}
+
+/* Puts a membership in force and keeps what is known of members that stay. */
+void replica_members_use(struct replica *r, const struct replica_members *m,
+			 uint64_t index)
+{
+	struct replica_peer peer[REPLICA_MAX_MEMBERS];
+	size_t n = 0;
+
+	for (size_t i = 0; i < m->n; i++) {
+		struct replica_peer *old =
+			replica_peer_find(r, m->list[i].id, m->list[i].identity);
+
+		if (m->list[i].id == r->id)
+			continue;
+		if (old) {
+			peer[n] = *old;
+			old->snap = NULL;
+		} else {
+			peer[n] = (struct replica_peer){
+				.id = m->list[i].id,
+				.identity = m->list[i].identity,
+				.next = replica_log_last(&r->log) + 1,
+				.confirmed_us = REPLICA_NEVER,
+			};
+		}
+		peer[n++].voter = m->list[i].voter;
+	}
+	for (size_t i = 0; i < r->n_peer; i++)
+		replica_snap_release(r->peer[i].snap);
+	memcpy(r->peer, peer, n * sizeof(*peer));
+	r->n_peer = n;
+	r->members = *m;
+	r->members_index = index;
+	if (r->role != REPLICA_LEADER && !replica_halted(r) &&
+	    (r->role == REPLICA_LEARNER) == replica_is_voter(r))
+		replica_set_role(r,
+				 replica_is_voter(r) ? REPLICA_FOLLOWER : REPLICA_LEARNER,
+				 r->leader);
+}
+
+/* Finds the membership in force again after the log changed. */
+int replica_members_reload(struct replica *r)
+{
+	struct replica_members m = r->applied_members;
+	uint64_t index = 0;
+
+	for (uint64_t i = r->applied + 1; i <= replica_log_last(&r->log); i++) {
+		const struct replica_entry *e = replica_log_at(&r->log, i);
+
+		if (e->kind != REPLICA_MEMBERS)
+			continue;
+		if (replica_members_decode(e->data, &m))
+			return CF_ECORRUPT;
+		index = i;
+	}
+	replica_members_use(r, &m, index);
+	return 0;
+}
+
+/*
+ * Whether a change may be proposed: quorums of two memberships that differ by one
+ * voter intersect, so the one before must have committed, and the barrier too.
+ */
+static int member_may_change(struct replica *r, int64_t now_us)
+{
+	if (r->role != REPLICA_LEADER)
+		return CF_ENOTLEADER;
+	r->now_us = now_us;
+	if (!replica_lease_check(r))
+		return CF_ESTALE;
+	if (!r->ready)
+		return CF_EUNAVAIL;
+	return r->members_index > r->commit ? CF_EBUSY : 0;
+}
+
+static int member_propose(struct replica *r, const struct replica_members *m)
+{
+	struct buf data = {0};
+	uint64_t index;
+	int err;
+
+	if ((err = replica_members_encode(m, &data)) ||
+	    (err = replica_lead_append(r, REPLICA_MEMBERS, buf_str(&data), &index)))
+		goto out;
+	replica_members_use(r, m, index);
+	replica_disk_pump(r);
+	if (r->role == REPLICA_LEADER)
+		replica_lead_commit(r);
+	err = r->role == REPLICA_FAILED ? r->failure : 0;
+out:
+	buf_free(&data);
+	return err;
+}
+
+/*
+ * Adds a learner. CF_EEXIST: that identity is a member, or another learner has the
+ * id. CF_EBUSY: the previous change has not committed.
+ */
+int replica_add_learner(struct replica *r, uint64_t id, uint64_t identity, int64_t now_us)
+{
+	struct replica_members m = r->members;
+	int err = member_may_change(r, now_us);
+
+	if (err)
+		return err;
+	if (id == 0 || identity == 0)
+		return CF_EINVAL;
+	if (replica_member_find(&m, id, identity) ||
+	    member_other(&m, id, identity, false))
+		return CF_EEXIST;
+	if (m.n == REPLICA_MAX_MEMBERS)
+		return CF_ENOSPACE;
+	m.list[m.n++] = (struct replica_member){.id = id, .identity = identity};
+	return member_propose(r, &m);
+}
+
+static bool member_caught_up(const struct replica *r, const struct replica_peer *p)
+{
+	return p->mode == REPLICA_PEER_STREAM && p->match >= r->commit &&
+	       p->confirmed_us != REPLICA_NEVER &&
+	       p->confirmed_us + r->opt.election_us > r->now_us;
+}
+
+/*
+ * Makes a learner a voter. CF_EEXIST: a voter with that id must be removed first.
+ * CF_EUNAVAIL: the learner has not synced everything that is committed.
+ */
+int replica_promote(struct replica *r, uint64_t id, uint64_t identity, int64_t now_us)
+{
+	struct replica_members m = r->members;
+	const struct replica_member *found = replica_member_find(&m, id, identity);
+	const struct replica_peer *p = replica_peer_find(r, id, identity);
+	int err = member_may_change(r, now_us);
+
+	if (err)
+		return err;
+	if (!found || !p)
+		return CF_ENOENT;
+	if (found->voter || member_other(&m, id, identity, true))
+		return CF_EEXIST;
+	if (!member_caught_up(r, p))
+		return CF_EUNAVAIL;
+	m.list[found - m.list].voter = true;
+	return member_propose(r, &m);
+}
+
+/* Whether a quorum of the voters but one was heard within an election timeout. */
+static bool member_quorum_without(const struct replica *r, uint64_t id, uint64_t identity)
+{
+	size_t voters = 0;
+	size_t heard = 0;
+
+	for (size_t i = 0; i < r->members.n; i++) {
+		const struct replica_member *m = &r->members.list[i];
+
+		voters += m->voter && !(m->id == id && m->identity == identity);
+	}
+	if (replica_is_voter(r) && !(id == r->id && identity == r->identity))
+		heard++;
+	for (size_t i = 0; i < r->n_peer; i++) {
+		const struct replica_peer *p = &r->peer[i];
+
+		if (p->voter && !(p->id == id && p->identity == identity) &&
+		    p->confirmed_us != REPLICA_NEVER &&
+		    p->confirmed_us + r->opt.election_us > r->now_us)
+			heard++;
+	}
+	return voters > 0 && heard > voters / 2;
+}
+
+/*
+ * Removes a voter or learner. CF_EUNAVAIL: the voters that stay would have no
+ * quorum now.
+ */
+int replica_remove(struct replica *r, uint64_t id, uint64_t identity, int64_t now_us)
+{
+	struct replica_members m = r->members;
+	const struct replica_member *found = replica_member_find(&m, id, identity);
+	int err = member_may_change(r, now_us);
+	size_t at;
+
+	if (err)
+		return err;
+	if (!found)
+		return CF_ENOENT;
+	if (found->voter && !member_quorum_without(r, id, identity))
+		return CF_EUNAVAIL;
+	at = (size_t)(found - m.list);
+	m.n--;
+	memmove(&m.list[at], &m.list[at + 1], (m.n - at) * sizeof(m.list[0]));
+	return member_propose(r, &m);
+}
+
+/* Asks for admission while no leader counts this directory as a member. */
+void replica_join_send(struct replica *r)
+{
+	struct replica_msg m = {.kind = REPLICA_MSG_JOIN};
+	bool member = replica_member_find(&r->members, r->id, r->identity) != NULL;
+
+	r->join_at = r->now_us + r->opt.election_us;
+	if (r->role == REPLICA_LEADER)
+		return;
+	if (member && r->leader_heard_us != REPLICA_NEVER &&
+	    r->now_us < r->leader_heard_us + JOIN_PATIENCE * r->opt.election_us)
+		return;
+	for (size_t i = 0; i < r->n_peers; i++) {
+		if (r->peers[i] != r->id)
+			replica_send(r, r->peers[i], 0, &m);
+	}
+}
+
+/* Handles JOIN; only a leader does. */
+void replica_join_receive(struct replica *r, uint64_t from, const struct replica_msg *m)
+{
+	bool listed = false;
+
+	if (r->role != REPLICA_LEADER || m->from_identity == 0 ||
+	    replica_member_find(&r->members, from, m->from_identity))
+		return;
+	if (!r->opt.auto_admit) {
+		if (r->host->ops->join_asked)
+			r->host->ops->join_asked(r->host, from, m->from_identity);
+		return;
+	}
+	for (size_t i = 0; i < r->n_peers; i++)
+		listed = listed || r->peers[i] == from;
+	if (!listed)
+		return;
+	for (size_t i = 0; i < r->n_joiner; i++) {
+		if (r->joiner[i].id == from) {
+			r->joiner[i].identity = m->from_identity;
+			return;
+		}
+	}
+	if (r->n_joiner < REPLICA_MAX_MEMBERS)
+		r->joiner[r->n_joiner++] = (struct replica_member){
+			.id = from,
+			.identity = m->from_identity,
+		};
+}
+
+/* Adds the process that asked last, after an older learner of its id is gone. */
+static void admit_joiner(struct replica *r)
+{
+	const struct replica_member *j = &r->joiner[r->n_joiner - 1];
+	const struct replica_member *old =
+		member_other(&r->members, j->id, j->identity, false);
+
+	if (old)
+		replica_remove(r, old->id, old->identity, r->now_us);
+	else if (replica_add_learner(r, j->id, j->identity, r->now_us) != CF_EBUSY)
+		r->n_joiner--;
+}
+
+/*
+ * Takes the next step of automatic admission. A voter that is replaced is removed
+ * only when its successor has caught up, so that the smaller quorum is short.
+ */
+void replica_admit_tick(struct replica *r)
+{
+	if (!r->opt.auto_admit || !r->ready || r->members_index > r->commit)
+		return;
+	for (size_t i = 0; i < r->n_peer; i++) {
+		const struct replica_peer *p = &r->peer[i];
+		const struct replica_member *old;
+
+		if (p->voter || !member_caught_up(r, p))
+			continue;
+		old = member_other(&r->members, p->id, p->identity, true);
+		if (old)
+			replica_remove(r, old->id, old->identity, r->now_us);
+		else
+			replica_promote(r, p->id, p->identity, r->now_us);
+		return;
+	}
+	if (r->n_joiner)
+		admit_joiner(r);
+}
--- /dev/null
+++ b/core/replica_priv.h
@@ -0,0 +1,215 @@
+#ifndef CORE_REPLICA_PRIV_H
+#define CORE_REPLICA_PRIV_H
+
+#include "base/prng.h"
+#include "core/replica.h"
+
+/* Each clock runs at a rate within one part in 1,000 of true time. */
+#define REPLICA_DRIFT_PARTS 1000
+/* Counted for each entry besides its data. */
+#define REPLICA_ENTRY_OVERHEAD 64
+#define REPLICA_NEVER INT64_MIN
+
+/* Entries after base, held in memory. */
+struct replica_log {
+	struct replica_entry *e; /* data owned */
+	uint64_t *end;		 /* running count of bytes after each entry */
+	size_t n;
+	size_t cap;
+	uint64_t base;
+	uint64_t base_epoch;
+	uint64_t base_end;
+};
+
+struct replica_snapshot {
+	unsigned int refs;
+	uint64_t index;
+	uint64_t epoch;
+	struct buf bytes;
+};
+
+enum replica_peer_mode {
+	REPLICA_PEER_PROBE,  /* the end of the equal part of its log is not known */
+	REPLICA_PEER_STREAM, /* entries are sent ahead of acknowledgements */
+	REPLICA_PEER_SNAPSHOT,
+};
+
+struct replica_peer {
+	uint64_t id;
+	uint64_t identity;
+	bool voter;
+	enum replica_peer_mode mode;
+	bool probe_sent;
+	bool granted;	      /* in the present election */
+	bool hello_ok;	      /* answered HELLO */
+	uint64_t next;	      /* next entry to send */
+	uint64_t match;	      /* durable there and equal */
+	int64_t confirmed_us; /* own clock at the newest send it answered */
+	struct replica_snapshot *snap;
+	uint64_t snap_offset;
+	int64_t snap_sent_us;
+};
+
+struct replica {
+	struct replica_host *host;
+	struct replica_options opt; /* pointers in it are not used after replica_new() */
+	uint64_t id;
+	uint64_t identity;
+	struct prng prng;
+	uint64_t peers[REPLICA_MAX_MEMBERS];
+	size_t n_peers;
+
+	enum replica_role role;
+	int failure;
+	int64_t now_us;
+	struct replica_promise promise;
+	uint64_t leader;
+	uint64_t leader_identity;
+	bool verified; /* the directory is not known to be older than what it promised */
+	int64_t leader_heard_us;
+	int64_t election_at;
+	int64_t hello_at;
+	int64_t join_at;
+
+	struct replica_log log;
+	uint64_t commit;
+	uint64_t applied;
+	struct replica_members members;		/* newest in the log, in force */
+	struct replica_members applied_members; /* at applied */
+	uint64_t members_index;			/* entry of members */
+
+	/* Disk: entries up to written were passed to append, up to durable synced. */
+	uint64_t written;
+	uint64_t durable;
+	uint64_t sync_token;
+	uint64_t sync_index; /* covered by the outstanding sync */
+	bool syncing;
+
+	/* Follower. */
+	uint64_t verified_index; /* equal to the leader's log up to it */
+	uint64_t leader_commit;
+	int64_t echo_us; /* sent_us of the leader's newest message */
+	bool ack_owed;
+
+	/* Leader. */
+	struct replica_peer peer[REPLICA_MAX_MEMBERS];
+	size_t n_peer;
+	uint64_t barrier;
+	bool ready;
+	int64_t elected_us;
+	int64_t lease_until;
+	int64_t heartbeat_at;
+	unsigned int heartbeats;
+	bool witness_changed;
+	struct replica_member joiner[REPLICA_MAX_MEMBERS];
+	size_t n_joiner;
+
+	struct replica_snapshot *snap; /* newest own snapshot */
+	uint64_t snap_end;	       /* byte count of the log at it */
+	/* Partly received snapshot. */
+	struct buf receiving;
+	uint64_t receiving_index;
+	uint64_t receiving_epoch;
+	uint64_t receiving_total;
+
+	struct replica_witness witness[REPLICA_MAX_MEMBERS];
+	size_t n_witness;
+};
+
+/* replica.c */
+void replica_fail_with(struct replica *r, int err);
+void replica_set_role(struct replica *r, enum replica_role role, uint64_t leader);
+void replica_send(struct replica *r, uint64_t to, uint64_t to_identity,
+		  struct replica_msg *m);
+bool replica_halted(const struct replica *r);
+bool replica_save_promise(struct replica *r, uint64_t epoch, uint64_t vote);
+
+/* replica_log.c */
+uint64_t replica_log_last(const struct replica_log *l);
+uint64_t replica_log_epoch(const struct replica_log *l, uint64_t index);
+uint64_t replica_log_end(const struct replica_log *l, uint64_t index);
+const struct replica_entry *replica_log_at(const struct replica_log *l, uint64_t index);
+int replica_log_add(struct replica_log *l, const struct replica_entry *e);
+void replica_log_cut(struct replica_log *l, uint64_t from_index);
+void replica_log_drop(struct replica_log *l, uint64_t index);
+void replica_log_reset(struct replica_log *l, uint64_t base, uint64_t base_epoch);
+void replica_log_free(struct replica_log *l);
+
+/* replica_disk.c */
+void replica_disk_pump(struct replica *r);
+void replica_disk_cut(struct replica *r, uint64_t from_index);
+
+/* replica_elect.c */
+void replica_elect_reset(struct replica *r);
+void replica_elect_start(struct replica *r);
+void replica_elect_ask(struct replica *r, uint64_t from, const struct replica_msg *m);
+void replica_elect_reply(struct replica *r, struct replica_peer *p,
+			 const struct replica_msg *m);
+void replica_step_down(struct replica *r, uint64_t leader);
+bool replica_adopt_epoch(struct replica *r, uint64_t epoch);
+size_t replica_quorum(const struct replica *r);
+
+/* replica_lead.c */
+void replica_lead_start(struct replica *r);
+void replica_lead_tick(struct replica *r);
+void replica_lead_broadcast(struct replica *r);
+void replica_lead_send(struct replica *r, struct replica_peer *p);
+void replica_lead_reply(struct replica *r, struct replica_peer *p,
+			const struct replica_msg *m);
+void replica_lead_commit(struct replica *r);
+int replica_lead_append(struct replica *r, enum replica_entry_kind kind, struct str data,
+			uint64_t *index);
+
+/* replica_lease.c */
+void replica_lease_update(struct replica *r);
+int64_t replica_lease_length(const struct replica *r);
+int64_t replica_lease_stop(const struct replica *r);
+bool replica_lease_check(struct replica *r);
+
+/* replica_follow.c */
+void replica_follow_append(struct replica *r, uint64_t from, const struct replica_msg *m);
+bool replica_follow_leader(struct replica *r, uint64_t from, const struct replica_msg *m);
+void replica_follow_ack(struct replica *r);
+void replica_follow_commit(struct replica *r);
+void replica_apply(struct replica *r);
+
+/* replica_snap.c */
+void replica_snap_take(struct replica *r);
+void replica_snap_send(struct replica *r, struct replica_peer *p);
+void replica_snap_receive(struct replica *r, uint64_t from, const struct replica_msg *m);
+void replica_snap_reply(struct replica *r, struct replica_peer *p,
+			const struct replica_msg *m);
+struct replica_snapshot *replica_snap_new(uint64_t index, uint64_t epoch,
+					  struct str bytes);
+void replica_snap_release(struct replica_snapshot *s);
+
+/* replica_member.c */
+const struct replica_member *replica_member_find(const struct replica_members *m,
+						 uint64_t id, uint64_t identity);
+struct replica_peer *replica_peer_find(struct replica *r, uint64_t id, uint64_t identity);
+void replica_members_use(struct replica *r, const struct replica_members *m,
+			 uint64_t index);
+int replica_members_reload(struct replica *r);
+bool replica_is_voter(const struct replica *r);
+void replica_join_receive(struct replica *r, uint64_t from, const struct replica_msg *m);
+void replica_join_send(struct replica *r);
+void replica_admit_tick(struct replica *r);
+
+/* replica_witness.c */
+void replica_witness_note(struct replica *r, uint64_t id, uint64_t identity,
+			  uint64_t epoch, uint64_t index);
+void replica_hello_start(struct replica *r, bool fresh);
+void replica_hello_send(struct replica *r);
+void replica_hello_receive(struct replica *r, uint64_t from, const struct replica_msg *m);
+void replica_hello_reply(struct replica *r, struct replica_peer *p,
+			 const struct replica_msg *m);
+bool replica_witness_check(struct replica *r, uint64_t epoch, uint64_t index);
+
+/* replica_codec.c */
+int replica_members_encode(const struct replica_members *m, struct buf *out);
+int replica_members_decode(struct str bytes, struct replica_members *m);
+int replica_image_encode(const struct replica_members *m, struct str state,
+			 struct buf *out);
+int replica_image_decode(struct str bytes, struct replica_members *m, struct buf *state);
+
+#endif
--- /dev/null
+++ b/core/replica_witness.c
@@ -0,0 +1,110 @@
+#include "core/replica_priv.h"
+
+/*
+ * Remembers the highest acknowledgement of a directory, in memory. It is what
+ * unmasks a directory that was put back from an older copy.
+ */
+void replica_witness_note(struct replica *r, uint64_t id, uint64_t identity,
+			  uint64_t epoch, uint64_t index)
+{
+	struct replica_witness *w = NULL;
+
+	for (size_t i = 0; i < r->n_witness; i++) {
+		if (r->witness[i].id == id && r->witness[i].identity == identity)
+			w = &r->witness[i];
+	}
+	if (!w) {
+		/* Identities that are no longer members make room. */
+		for (size_t i = 0; i < r->n_witness; i++) {
+			if (!replica_member_find(&r->members, r->witness[i].id,
+						 r->witness[i].identity))
+				w = &r->witness[i];
+		}
+		if (!w && r->n_witness < REPLICA_MAX_MEMBERS)
+			w = &r->witness[r->n_witness++];
+		if (!w)
+			return;
+		*w = (struct replica_witness){.id = id, .identity = identity};
+	}
+	if (epoch > w->epoch || (epoch == w->epoch && index > w->index)) {
+		w->epoch = epoch;
+		w->index = index;
+	}
+}
+
+/*
+ * Compares this directory with an acknowledgement that it gave. Within an epoch an
+ * acknowledged entry is never removed, so a shorter log or a lower promise means
+ * that the directory is an older copy. Returns false after excluding it.
+ */
+bool replica_witness_check(struct replica *r, uint64_t epoch, uint64_t index)
+{
+	if (r->promise.epoch > epoch ||
+	    (r->promise.epoch == epoch && r->durable >= index))
+		return true;
+	r->verified = false;
+	replica_set_role(r, REPLICA_EXCLUDED, 0);
+	return false;
+}
+
+static size_t hello_need(const struct replica *r)
+{
+	return replica_quorum(r) - (replica_is_voter(r) ? 1 : 0);
+}
+
+/*
+ * After a restart the voter takes no part until enough voters to complete a quorum
+ * have said that they know of no newer acknowledgement. fresh: nothing was ever
+ * promised under this identity.
+ */
+void replica_hello_start(struct replica *r, bool fresh)
+{
+	r->verified = fresh || r->members.n == 0 || hello_need(r) == 0;
+	r->hello_at = r->now_us;
+}
+
+void replica_hello_send(struct replica *r)
+{
+	r->hello_at = r->now_us + r->opt.heartbeat_us;
+	for (size_t i = 0; i < r->n_peer; i++) {
+		struct replica_msg m = {
+			.kind = REPLICA_MSG_HELLO,
+			.epoch = r->promise.epoch,
+			.index = r->durable,
+		};
+
+		if (r->peer[i].voter && !r->peer[i].hello_ok)
+			replica_send(r, r->peer[i].id, r->peer[i].identity, &m);
+	}
+}
+
+/* Tells a restarted member what is known of its acknowledgements. */
+void replica_hello_receive(struct replica *r, uint64_t from, const struct replica_msg *m)
+{
+	struct replica_msg reply = {.kind = REPLICA_MSG_HELLO_REPLY};
+
+	for (size_t i = 0; i < r->n_witness; i++) {
+		if (r->witness[i].id == from &&
+		    r->witness[i].identity == m->from_identity) {
+			reply.epoch = r->witness[i].epoch;
+			reply.index = r->witness[i].index;
+		}
+	}
+	replica_send(r, from, m->from_identity, &reply);
+}
+
+void replica_hello_reply(struct replica *r, struct replica_peer *p,
+			 const struct replica_msg *m)
+{
+	size_t n = 0;
+
+	if (!replica_witness_check(r, m->epoch, m->index) || r->verified)
+		return;
+	p->hello_ok = true;
+	for (size_t i = 0; i < r->n_peer; i++)
+		n += r->peer[i].voter && r->peer[i].hello_ok;
+	if (n < hello_need(r))
+		return;
+	r->verified = true;
+	replica_elect_reset(r);
+}
