--- a/core/replica_lead.c
+++ b/core/replica_lead.c
@@ -161,7 +161,7 @@
 /* Highest index that a quorum of voters holds durably. */
 static uint64_t lead_quorum_index(const struct replica *r)
 {
-	uint64_t at[REPLICA_MAX_MEMBERS];
+	uint64_t at[REPLICA_MAX_MEMBERS] = {0};
 	size_t n = 0;
 	size_t need = replica_quorum(r);
 
--- a/core/replica_lease.c
+++ b/core/replica_lease.c
@@ -14,7 +14,7 @@
 /* Computes the lease from the newest sends that a quorum of voters answered. */
 void replica_lease_update(struct replica *r)
 {
-	int64_t at[REPLICA_MAX_MEMBERS];
+	int64_t at[REPLICA_MAX_MEMBERS] = {0};
 	size_t n = 0;
 	size_t need = replica_quorum(r);
 	int64_t until;
--- a/core/replica_priv.h
+++ b/core/replica_priv.h
@@ -37,8 +37,8 @@
 struct replica_peer {
 	uint64_t id;
 	uint64_t identity;
-	bool voter;
 	enum replica_peer_mode mode;
+	bool voter;
 	bool probe_sent;
 	bool granted;	      /* in the present election */
 	bool hello_ok;	      /* answered HELLO */
--- /dev/null
+++ b/regress/test_replica.c
@@ -0,0 +1,697 @@
+#include <check.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/err.h"
+#include "regress/lib_cluster.h"
+
+#define SECOND 1000000LL
+#define CHECK_SEEDS 60
+#define FAULT_SPAN (40 * SECOND)
+
+#define ck_cluster(c) ck_assert_msg((c)->failure[0] == '\0', "%s", (c)->failure)
+
+/* --- random faults --- */
+
+static struct node *random_node(struct cluster *c)
+{
+	return &c->node[1 + prng_below(&c->prng, c->n)];
+}
+
+/* Whether every voter is up to date about the membership and has its disk. */
+static bool disks_intact(struct cluster *c)
+{
+	size_t voters = 0;
+
+	for (size_t i = 0; i < c->ref_members.n; i++) {
+		const struct replica_member *m = &c->ref_members.list[i];
+
+		if (!m->voter)
+			continue;
+		voters++;
+		if (c->node[m->id].disk.promise.identity != m->identity)
+			return false;
+	}
+	for (size_t i = 1; i <= c->n; i++) {
+		const struct replica *r = c->node[i].r;
+
+		if (!r || replica_members(r)->n != c->ref_members.n)
+			return false;
+	}
+	return voters >= 3;
+}
+
+static void random_fault(struct cluster *c)
+{
+	struct node *n = random_node(c);
+	struct node *leader = cluster_leader(c);
+
+	if (leader && prng_below(&c->prng, 2))
+		n = leader;
+	switch (prng_below(&c->prng, 12)) {
+	case 0:
+	case 1:
+		if (n->r)
+			node_crash(n);
+		break;
+	case 2:
+	case 3:
+		for (size_t i = 1; i <= c->n; i++) {
+			if (!c->node[i].r)
+				node_boot(&c->node[i]);
+		}
+		break;
+	case 4:
+		node_freeze(n, 1000 + (int64_t)prng_below(&c->prng, 3 * SECOND));
+		break;
+	case 5:
+		cluster_isolate(c, n->id, true);
+		break;
+	case 6: {
+		struct node *to = random_node(c);
+
+		c->cut[n->id][to->id] = true;
+		break;
+	}
+	case 7:
+	case 8:
+		memset(c->cut, 0, sizeof(c->cut));
+		break;
+	case 9:
+		if (disks_intact(c)) {
+			node_crash(n);
+			node_wipe(n);
+			node_boot(n);
+		}
+		break;
+	case 10:
+		if (leader && leader->r) {
+			uint64_t id = n->id;
+
+			replica_remove(leader->r, id, n->disk.promise.identity,
+				       cluster_clock(leader));
+			replica_promote(leader->r, id, n->disk.promise.identity,
+					cluster_clock(leader));
+		}
+		break;
+	default:
+		c->drop = (unsigned int)prng_below(&c->prng, 100);
+		c->duplicate = (unsigned int)prng_below(&c->prng, 100);
+		c->slow = (unsigned int)prng_below(&c->prng, 50);
+		break;
+	}
+}
+
+/* Proposes at every replica that believes it leads, valid lease or not. */
+static void propose_everywhere(struct cluster *c)
+{
+	uint64_t index;
+
+	for (size_t i = 1; i <= c->n; i++) {
+		struct node *n = &c->node[i];
+
+		if (!n->r || c->now < n->frozen_until)
+			continue;
+		for (uint64_t k = prng_below(&c->prng, 5); k > 0; k--)
+			cluster_propose(n, 8 + prng_below(&c->prng, 300), &index);
+	}
+}
+
+static void small_limits(struct replica_options *opt)
+{
+	opt->batch_bytes = 1024;
+	opt->window_bytes = 4096;
+	opt->chunk_bytes = 200;
+	opt->snapshot_every = 60;
+	opt->keep_entries = 20;
+	opt->auto_admit = true;
+}
+
+/* One random run. Returns whether all rules held; the failure stays in *c. */
+static bool random_run(struct cluster *c, uint64_t seed)
+{
+	int64_t end;
+	int64_t next_fault;
+
+	small_limits(&c->opt);
+	c->opt.no_group_commit = seed % 7 == 0;
+	c->opt.propose_before_barrier = seed % 5 == 0;
+	cluster_start(c, seed, seed % 2 ? 3 : 5, 1);
+	end = c->now + FAULT_SPAN;
+	next_fault = SECOND;
+	while (c->now < end && !c->failure[0]) {
+		cluster_run(c, 20000);
+		propose_everywhere(c);
+		if (c->now >= next_fault) {
+			random_fault(c);
+			next_fault = c->now + (int64_t)prng_below(&c->prng, 2 * SECOND);
+		}
+	}
+	cluster_heal(c);
+	if (!c->failure[0] && !cluster_settle(c, 60 * SECOND) && !c->failure[0])
+		cluster_fail(c, "does not settle after the faults ended");
+	return c->failure[0] == '\0';
+}
+
+/*
+ * Guards against any break of the rules in lib_cluster.c (one committed history, one
+ * leader for each epoch, one valid lease, acknowledged entries kept) under faults.
+ */
+START_TEST(random_faults)
+{
+	static struct cluster c;
+	uint64_t seed = (uint64_t)_i + 1;
+
+	if (!random_run(&c, seed))
+		ck_abort_msg("seed %d: %s", (int)seed, c.failure);
+	ck_assert_uint_gt(c.n_ref, 100);
+	cluster_stop(&c);
+}
+END_TEST
+
+/* --- named traps --- */
+
+/* Guards against an answer that leaves before the promise it rests on is durable. */
+START_TEST(promise_is_durable_before_answer)
+{
+	static struct cluster c;
+
+	cluster_start(&c, 11, 3, 0);
+	ck_assert(cluster_run_to_leader(&c, 10 * SECOND));
+	ck_assert(cluster_settle(&c, 10 * SECOND));
+	ck_cluster(&c);
+	cluster_stop(&c);
+}
+END_TEST
+
+/* Guards against a leader that proposes or reads on its lease after a long freeze. */
+START_TEST(frozen_leader_does_not_act)
+{
+	static struct cluster c;
+	struct node *old;
+	uint64_t index;
+	int err;
+
+	cluster_start(&c, 12, 3, 0);
+	ck_assert(cluster_run_to_leader(&c, 10 * SECOND));
+	old = cluster_leader(&c);
+	cluster_run(&c, SECOND);
+	node_freeze(old, 5 * SECOND);
+	cluster_run(&c, 4 * SECOND);
+	ck_cluster(&c);
+	ck_assert_ptr_ne(cluster_leader(&c), NULL);
+	ck_assert_ptr_ne(cluster_leader(&c), old);
+	old->frozen_until = 0;
+	ck_assert(!replica_lease_valid(old->r, cluster_clock(old)));
+	err = cluster_propose(old, 16, &index);
+	ck_assert_int_eq(err, CF_ESTALE);
+	ck_assert_int_ne(replica_role(old->r), REPLICA_LEADER);
+	ck_assert(cluster_settle(&c, 10 * SECOND));
+	ck_cluster(&c);
+	cluster_stop(&c);
+}
+END_TEST
+
+/* --- one replica driven by hand --- */
+
+struct lone {
+	struct replica_host host;
+	struct replica *r;
+	uint64_t token;
+	uint64_t epoch_asked;
+	int sent[16];
+	uint64_t applied;
+	bool fail_truncate;
+};
+
+static void lone_send(struct replica_host *h, uint64_t to, const struct replica_msg *m)
+{
+	struct lone *l = (struct lone *)h;
+
+	l->sent[m->kind]++;
+	if (m->kind == REPLICA_MSG_PREVOTE || m->kind == REPLICA_MSG_VOTE)
+		l->epoch_asked = m->epoch;
+}
+
+static int lone_append(struct replica_host *h, const struct replica_entry *e, size_t n)
+{
+	return 0;
+}
+
+static int lone_index(struct replica_host *h, uint64_t index)
+{
+	return 0;
+}
+
+static int lone_promise(struct replica_host *h, const struct replica_promise *p)
+{
+	return 0;
+}
+
+static void lone_sync(struct replica_host *h, uint64_t token)
+{
+	((struct lone *)h)->token = token;
+}
+
+static void lone_apply(struct replica_host *h, const struct replica_entry *e)
+{
+	((struct lone *)h)->applied = e->index;
+}
+
+static int lone_take(struct replica_host *h, struct buf *out)
+{
+	return buf_adds(out, "state");
+}
+
+static int lone_load(struct replica_host *h, uint64_t index, uint64_t epoch,
+		     struct str state)
+{
+	((struct lone *)h)->applied = index;
+	return 0;
+}
+
+static int lone_save(struct replica_host *h, uint64_t index, uint64_t epoch,
+		     struct str bytes)
+{
+	return 0;
+}
+
+static const struct replica_ops lone_ops = {
+	.send = lone_send,
+	.append = lone_append,
+	.truncate = lone_index,
+	.save_promise = lone_promise,
+	.sync = lone_sync,
+	.apply = lone_apply,
+	.take_snapshot = lone_take,
+	.load_snapshot = lone_load,
+	.save_snapshot = lone_save,
+	.compact = lone_index,
+};
+
+static const struct replica_members three = {
+	.n = 3,
+	.list = {{1, 101, true}, {2, 102, true}, {3, 103, true}},
+};
+
+/* Takes the lone replica, id 1, through a restart and an election to leader. */
+static void lone_elect(struct lone *l, int64_t *now)
+{
+	struct replica_msg m = {.from_identity = 102, .to_identity = 101, .ok = true};
+
+	m.kind = REPLICA_MSG_HELLO_REPLY;
+	ck_assert_int_eq(replica_receive(l->r, 2, &m, *now), 0);
+	*now += 5 * SECOND;
+	replica_tick(l->r, *now);
+	ck_assert_int_eq(replica_role(l->r), REPLICA_PRECANDIDATE);
+	m.kind = REPLICA_MSG_PREVOTE_REPLY;
+	m.epoch = l->epoch_asked;
+	replica_receive(l->r, 2, &m, *now);
+	ck_assert_int_eq(replica_role(l->r), REPLICA_CANDIDATE);
+	m.kind = REPLICA_MSG_VOTE_REPLY;
+	m.epoch = l->epoch_asked;
+	replica_receive(l->r, 2, &m, *now);
+	ck_assert_int_eq(replica_role(l->r), REPLICA_LEADER);
+}
+
+static void lone_ack(struct lone *l, uint64_t index, int64_t now)
+{
+	struct replica_msg m = {
+		.kind = REPLICA_MSG_APPEND_REPLY,
+		.from_identity = 102,
+		.to_identity = 101,
+		.ok = true,
+		.epoch = replica_epoch(l->r),
+		.index = index,
+		.sent_us = now,
+	};
+
+	ck_assert_int_eq(replica_receive(l->r, 2, &m, now), 0);
+}
+
+/* A replica with two entries of epoch 2 and the promise of epoch 3. */
+static void lone_start(struct lone *l, int64_t now)
+{
+	struct replica_entry e[2] = {
+		{.index = 1, .epoch = 2, .kind = REPLICA_BARRIER},
+		{.index = 2, .epoch = 2, .kind = REPLICA_DATA, .data = STR("x")},
+	};
+	struct replica_options opt = {
+		.host = &l->host,
+		.id = 1,
+		.seed = 1,
+		.promise = {.epoch = 3, .identity = 101},
+		.entries = e,
+		.n_entries = 2,
+	};
+	struct replica_options first = {
+		.host = &l->host,
+		.id = 1,
+		.bootstrap = &three,
+		.promise = {.identity = 101},
+	};
+	struct buf image = {0};
+
+	/* The membership as the bootstrap would have stored it. */
+	l->host.ops = &lone_ops;
+	ck_assert_int_eq(replica_new(&first, &l->r, now), 0);
+	replica_free(l->r);
+	{
+		static const unsigned char head[] = {0, 0, 0, 3};
+
+		buf_add(&image, head, 4);
+		for (unsigned char i = 1; i <= 3; i++) {
+			unsigned char b[20] = {0};
+
+			b[7] = i;
+			b[15] = (unsigned char)(100 + i);
+			b[19] = 1;
+			buf_add(&image, b, sizeof(b));
+		}
+		buf_add(&image, "\0\0\0\0", 4);
+	}
+	opt.snapshot = buf_str(&image);
+	ck_assert_int_eq(replica_new(&opt, &l->r, now), 0);
+	buf_free(&image);
+}
+
+/* Guards against an entry of an earlier epoch that commits by its replicas alone. */
+START_TEST(earlier_epoch_needs_barrier)
+{
+	struct lone l = {0};
+	int64_t now = SECOND;
+	uint64_t index;
+
+	lone_start(&l, now);
+	lone_elect(&l, &now);
+	/* Entry 2 of epoch 2 is now held by two of three. */
+	lone_ack(&l, 2, now);
+	ck_assert_uint_eq(replica_committed(l.r), 0);
+	ck_assert(!replica_lease_valid(l.r, now));
+	ck_assert_int_eq(replica_propose(l.r, STR("y"), now, &index), CF_EUNAVAIL);
+	replica_synced(l.r, l.token, now);
+	lone_ack(&l, 3, now);
+	ck_assert_uint_eq(replica_committed(l.r), 3);
+	ck_assert_uint_eq(l.applied, 3);
+	ck_assert(replica_lease_valid(l.r, now));
+	ck_assert_int_eq(replica_propose(l.r, STR("y"), now, &index), 0);
+	replica_free(l.r);
+}
+END_TEST
+
+/* Guards against two uncommitted membership changes, whose quorums may be disjoint. */
+START_TEST(membership_changes_do_not_overlap)
+{
+	struct lone l = {0};
+	int64_t now = SECOND;
+
+	lone_start(&l, now);
+	lone_elect(&l, &now);
+	lone_ack(&l, 2, now);
+	/* Before the barrier committed, an earlier leader's change may be open. */
+	ck_assert_int_eq(replica_add_learner(l.r, 4, 104, now), CF_EUNAVAIL);
+	replica_synced(l.r, l.token, now);
+	lone_ack(&l, 3, now);
+	ck_assert_int_eq(replica_add_learner(l.r, 4, 104, now), 0);
+	ck_assert_int_eq(replica_remove(l.r, 3, 103, now), CF_EBUSY);
+	ck_assert_int_eq(replica_add_learner(l.r, 5, 105, now), CF_EBUSY);
+	replica_synced(l.r, l.token, now);
+	lone_ack(&l, 4, now);
+	ck_assert_int_eq(replica_add_learner(l.r, 5, 105, now), 0);
+	/* A learner that has synced nothing must not become a voter. */
+	replica_synced(l.r, l.token, now);
+	lone_ack(&l, 5, now);
+	ck_assert_int_eq(replica_promote(l.r, 4, 104, now), CF_EUNAVAIL);
+	ck_assert_int_eq(replica_remove(l.r, 3, 103, now), 0);
+	replica_free(l.r);
+}
+END_TEST
+
+/* Guards against an answer that counts for a voter whose directory has changed. */
+START_TEST(other_identity_is_refused)
+{
+	struct lone l = {0};
+	int64_t now = SECOND;
+	struct replica_msg m = {
+		.kind = REPLICA_MSG_APPEND_REPLY,
+		.from_identity = 999,
+		.to_identity = 101,
+		.ok = true,
+		.index = 3,
+		.sent_us = 0,
+	};
+
+	lone_start(&l, now);
+	lone_elect(&l, &now);
+	replica_synced(l.r, l.token, now);
+	m.epoch = replica_epoch(l.r);
+	ck_assert_int_eq(replica_receive(l.r, 2, &m, now), CF_EFOREIGN);
+	ck_assert_uint_eq(replica_committed(l.r), 0);
+	m.from_identity = 102;
+	m.to_identity = 998;
+	ck_assert_int_eq(replica_receive(l.r, 2, &m, now), CF_EFOREIGN);
+	ck_assert_uint_eq(replica_committed(l.r), 0);
+	replica_free(l.r);
+}
+END_TEST
+
+/* --- disks --- */
+
+/* Proposes until that many entries committed. */
+static void commit_entries(struct cluster *c, size_t count)
+{
+	size_t target = c->n_ref + count;
+	int64_t limit = c->now + 60 * SECOND;
+	uint64_t index;
+
+	while (c->n_ref < target && !c->failure[0] && c->now < limit) {
+		struct node *leader = cluster_leader(c);
+
+		if (leader)
+			cluster_propose(leader, 64, &index);
+		cluster_run(c, 1000);
+	}
+	ck_cluster(c);
+	ck_assert_uint_ge(c->n_ref, target);
+}
+
+/*
+ * Guards against a hole when the snapshot is newer than the start of the log, at a
+ * restart and for a follower that needs entries from before it.
+ */
+START_TEST(snapshot_newer_than_log_start)
+{
+	static struct cluster c;
+	struct node *n;
+
+	small_limits(&c.opt);
+	cluster_start(&c, 13, 3, 0);
+	ck_assert(cluster_run_to_leader(&c, 10 * SECOND));
+	n = cluster_leader(&c) == &c.node[3] ? &c.node[2] : &c.node[3];
+	cluster_isolate(&c, n->id, true);
+	commit_entries(&c, 500);
+	for (size_t i = 1; i <= 3; i++) {
+		struct node *k = &c.node[i];
+
+		if (k == n)
+			continue;
+		ck_assert_uint_gt(k->disk.snapshot_index, k->disk.base);
+		ck_assert_uint_gt(k->disk.base, n->applied);
+		node_crash(k);
+		node_boot(k);
+		ck_assert_uint_ge(k->applied, k->disk.snapshot_index);
+	}
+	cluster_heal(&c);
+	ck_assert(cluster_settle(&c, 20 * SECOND));
+	ck_cluster(&c);
+	cluster_stop(&c);
+}
+END_TEST
+
+/* Guards against a voter that lost its disk and helps to elect a shorter history. */
+START_TEST(empty_directory_does_not_vote)
+{
+	static struct cluster c;
+	struct node *a;
+	struct node *b = NULL;
+	struct node *lagging = NULL;
+	size_t before;
+
+	c.opt.auto_admit = true;
+	cluster_start(&c, 14, 3, 0);
+	ck_assert(cluster_run_to_leader(&c, 10 * SECOND));
+	a = cluster_leader(&c);
+	for (size_t i = 1; i <= 3; i++) {
+		if (&c.node[i] == a)
+			continue;
+		lagging = b ? &c.node[i] : lagging;
+		b = b ? b : &c.node[i];
+	}
+	cluster_isolate(&c, lagging->id, true);
+	commit_entries(&c, 20);
+	before = c.n_ref;
+	node_crash(a);
+	node_crash(b);
+	node_wipe(b);
+	node_boot(b);
+	cluster_isolate(&c, lagging->id, false);
+	cluster_run(&c, 20 * SECOND);
+	ck_cluster(&c);
+	ck_assert_ptr_eq(cluster_leader(&c), NULL);
+	ck_assert_uint_eq(c.n_ref, before);
+	/* With the leader's disk back, it is admitted under its new identity. */
+	node_boot(a);
+	ck_assert(cluster_settle(&c, 30 * SECOND));
+	cluster_run(&c, 5 * SECOND);
+	ck_cluster(&c);
+	ck_assert_int_ne(replica_role(b->r), REPLICA_LEARNER);
+	cluster_stop(&c);
+}
+END_TEST
+
+/* Guards against a voter that restarts from an older copy of its directory. */
+START_TEST(older_directory_is_excluded)
+{
+	static struct cluster c;
+	struct disk copy;
+	struct node *b;
+	struct node *a;
+
+	cluster_start(&c, 15, 3, 0);
+	ck_assert(cluster_run_to_leader(&c, 10 * SECOND));
+	a = cluster_leader(&c);
+	b = a == &c.node[1] ? &c.node[2] : &c.node[1];
+	commit_entries(&c, 5);
+	cluster_run(&c, SECOND);
+	disk_copy(&copy, &b->disk);
+	commit_entries(&c, 50);
+	cluster_run(&c, 2 * SECOND);
+	node_crash(b);
+	disk_free(&b->disk);
+	b->disk = copy;
+	b->disk.durable = copy.base + copy.n;
+	/* The leader is lost too: what it heard must be known elsewhere. */
+	node_crash(a);
+	node_boot(b);
+	cluster_run(&c, 10 * SECOND);
+	ck_cluster(&c);
+	ck_assert_int_eq(replica_role(b->r), REPLICA_EXCLUDED);
+	node_boot(a);
+	ck_assert(cluster_run_to_leader(&c, 10 * SECOND));
+	ck_cluster(&c);
+	cluster_stop(&c);
+}
+END_TEST
+
+/* Guards against a voter that goes on after its disk failed to sync. */
+START_TEST(failed_sync_ends_the_voter)
+{
+	static struct cluster c;
+	struct node *a;
+
+	cluster_start(&c, 16, 3, 0);
+	ck_assert(cluster_run_to_leader(&c, 10 * SECOND));
+	a = cluster_leader(&c);
+	a->fail_sync = true;
+	commit_entries(&c, 5);
+	ck_assert_int_eq(replica_role(a->r), REPLICA_FAILED);
+	ck_assert_int_eq(replica_failure(a->r), CF_EIO);
+	ck_assert_int_eq((int)(replica_deadline(a->r) == INT64_MAX), 1);
+	cluster_run(&c, 2 * SECOND);
+	ck_cluster(&c);
+	ck_assert_ptr_ne(cluster_leader(&c), NULL);
+	cluster_stop(&c);
+}
+END_TEST
+
+/* Guards against a returning partitioned voter that ends a healthy leader's epoch. */
+START_TEST(returning_voter_does_not_disturb)
+{
+	static struct cluster c;
+	struct node *n;
+	uint64_t epoch;
+
+	cluster_start(&c, 17, 5, 0);
+	ck_assert(cluster_run_to_leader(&c, 10 * SECOND));
+	epoch = replica_epoch(cluster_leader(&c)->r);
+	n = cluster_leader(&c) == &c.node[5] ? &c.node[4] : &c.node[5];
+	cluster_isolate(&c, n->id, true);
+	cluster_run(&c, 30 * SECOND);
+	cluster_isolate(&c, n->id, false);
+	ck_assert(cluster_settle(&c, 10 * SECOND));
+	ck_cluster(&c);
+	ck_assert_uint_eq(replica_epoch(cluster_leader(&c)->r), epoch);
+	cluster_stop(&c);
+}
+END_TEST
+
+/* Guards against memory that grows with a follower that stays away. */
+START_TEST(memory_is_bounded)
+{
+	static struct cluster c;
+	size_t early;
+
+	small_limits(&c.opt);
+	cluster_start(&c, 18, 3, 0);
+	ck_assert(cluster_run_to_leader(&c, 10 * SECOND));
+	cluster_isolate(&c, cluster_leader(&c) == &c.node[1] ? 2 : 1, true);
+	commit_entries(&c, 300);
+	early = replica_memory(cluster_leader(&c)->r);
+	commit_entries(&c, 3000);
+	ck_assert_uint_le(replica_memory(cluster_leader(&c)->r), 2 * early);
+	cluster_stop(&c);
+}
+END_TEST
+
+/* Runs COUNT seeds from SEED on and prints those that fail. */
+static int run_seeds(uint64_t seed, uint64_t count, bool trace)
+{
+	static struct cluster c;
+	int failed = 0;
+
+	for (uint64_t i = 0; i < count; i++) {
+		c.trace = trace;
+		if (!random_run(&c, seed + i)) {
+			printf("seed %llu: %s (at %lld us)\n",
+			       (unsigned long long)(seed + i), c.failure,
+			       (long long)c.now);
+			fflush(stdout);
+			failed++;
+		}
+		cluster_stop(&c);
+	}
+	printf("%llu seeds, %d failed\n", (unsigned long long)count, failed);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
+
+int main(int argc, char **argv)
+{
+	Suite *s = suite_create("replica");
+	TCase *tc = tcase_create("replica");
+	SRunner *sr;
+	int failed;
+
+	if (argc >= 3)
+		return run_seeds(strtoull(argv[1], NULL, 10), strtoull(argv[2], NULL, 10),
+				 argc > 3);
+	tcase_set_timeout(tc, 300);
+	tcase_add_test(tc, promise_is_durable_before_answer);
+	tcase_add_test(tc, frozen_leader_does_not_act);
+	tcase_add_test(tc, earlier_epoch_needs_barrier);
+	tcase_add_test(tc, membership_changes_do_not_overlap);
+	tcase_add_test(tc, other_identity_is_refused);
+	tcase_add_test(tc, snapshot_newer_than_log_start);
+	tcase_add_test(tc, empty_directory_does_not_vote);
+	tcase_add_test(tc, older_directory_is_excluded);
+	tcase_add_test(tc, failed_sync_ends_the_voter);
+	tcase_add_test(tc, returning_voter_does_not_disturb);
+	tcase_add_test(tc, memory_is_bounded);
+	tcase_add_loop_test(tc, random_faults, 0, CHECK_SEEDS);
+	suite_add_tcase(s, tc);
+	sr = srunner_create(s);
+	srunner_run_all(sr, CK_NORMAL);
+	failed = srunner_ntests_failed(sr);
+	srunner_free(sr);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
