--- /dev/null
+++ b/core/router.c
@@ -0,0 +1,574 @@
+#include "core/router.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
+
+#include "base/err.h"
+#include "core/router_impl.h"
+
+/* Status from which an answer counts against the upstream. */
+#define STATUS_UPSTREAM_ERROR 500
+/* A timeout counts against the upstream from this multiple of the mean on. */
+#define TIMEOUT_FACTOR 3
+
+/* Sets the defaults; host, name and zone are the caller's. */
+void router_options_init(struct router_options *o)
+{
+	*o = (struct router_options){
+		.seed = 1,
+		.policy = ROUTER_POLICY_DEFAULT,
+		.choices = 2,
+		.max_requests = 20000,
+		.max_queue = 1000,
+		.max_inflight = 4096,
+		.max_connections = 64,
+		.max_teams = 1024,
+		.max_pools = 4096,
+		.max_upstreams = 20000,
+		.max_attempts = 3,
+		.retry_percent = 20,
+		.eject_floor_percent = 60,
+		.default_deadline_us = 30 * 1000000LL,
+		.expiry_us = 2 * 1000000LL,
+	};
+}
+
+/*
+ * Makes a router. Its memory is bounded by the maxima of the options. The
+ * configuration counts as stale until router_fresh(). CF_EINVAL, CF_ENOMEM.
+ */
+int router_new(const struct router_options *o, struct router **out)
+{
+	struct router *r;
+
+	if (!o->host || !o->host->ops || o->name.n > ROUTER_MAX_NAME ||
+	    o->zone.n > ROUTER_MAX_NAME || o->zone.n == 0 || o->choices == 0 ||
+	    o->max_attempts == 0 || o->eject_floor_percent > 100 || o->expiry_us <= 0 ||
+	    o->default_deadline_us <= 0)
+		return CF_EINVAL;
+	r = calloc(1, sizeof(*r));
+	if (!r)
+		return CF_ENOMEM;
+	r->host = o->host;
+	r->opt = *o;
+	r->prng.state = o->seed;
+	memcpy(r->zone, o->zone.p, o->zone.n);
+	if (o->name.n)
+		memcpy(r->name, o->name.p, o->name.n);
+	r->opt.zone.p = r->zone;
+	r->opt.name.p = r->name;
+	r->self = XXH3_64bits(r->name, o->name.n);
+	r->home_ranks = o->policy == ROUTER_POLICY_SUBSET ? 2 : 1;
+	TAILQ_INIT(&r->ring);
+	*out = r;
+	return 0;
+}
+
+/* Frees the router and every request without telling the host. */
+void router_free(struct router *r)
+{
+	struct request *q;
+	struct request *next;
+
+	if (!r)
+		return;
+	q = r->requests;
+	HASH_CLEAR(hh, r->requests);
+	for (; q; q = next) {
+		next = q->hh.next;
+		free(q);
+	}
+	upstream_free_all(r);
+	timers_free(&r->timers);
+	free(r);
+}
+
+static struct request *request_find(const struct router *r, uint64_t id)
+{
+	struct request *q;
+
+	HASH_FIND(hh, r->requests, &id, sizeof(id), q);
+	return q;
+}
+
+static void request_remove(struct router *r, struct request *q)
+{
+	timers_remove(&r->timers, &q->timer);
+	if (--q->pool->team->requests == 0)
+		r->busy_teams--;
+	HASH_DELETE(hh, r->requests, q);
+	free(q);
+}
+
+static void claim_end(struct router *r, struct request *q, enum router_run run)
+{
+	if (!q->claimed)
+		return;
+	q->claimed = false;
+	if (run == ROUTER_DONE)
+		r->host->ops->claim_done(r->host, q->id);
+	else if (run == ROUTER_UNKNOWN)
+		r->host->ops->claim_unknown(r->host, q->id);
+	else
+		r->host->ops->claim_abort(r->host, q->id);
+}
+
+static void report(struct router *r, uint64_t id, const struct router_outcome *o)
+{
+	r->stats.finished[o->reason]++;
+	r->host->ops->finish(r->host, id, o);
+}
+
+/*
+ * Tells the caller. ROUTER_NOT_RUN becomes ROUTER_UNKNOWN when an earlier send may
+ * have run. The record stays while an upstream or the claim store holds it.
+ */
+void request_finish(struct router *r, struct request *q, enum router_run run,
+		    enum router_reason reason, int err, int64_t now_us)
+{
+	struct router_outcome o = {
+		.run = run,
+		.reason = reason,
+		.err = err,
+		.upstream = q->last_up,
+		.sends = q->sends,
+		.total_us = now_us - q->submitted_us,
+	};
+
+	if (run == ROUTER_NOT_RUN && (q->tainted || q->state == REQUEST_SENT))
+		o.run = ROUTER_UNKNOWN;
+	timers_remove(&r->timers, &q->timer);
+	claim_end(r, q, o.run);
+	report(r, q->id, &o);
+	switch ((enum request_state)q->state) {
+	case REQUEST_QUEUED:
+		queue_remove(r, q);
+		request_remove(r, q);
+		return;
+	case REQUEST_CLAIMING:
+		queue_wait_end(q);
+		q->state = REQUEST_LATE_CLAIM;
+		return;
+	case REQUEST_SENT:
+		q->state = REQUEST_LATE;
+		return;
+	case REQUEST_LATE:
+	case REQUEST_LATE_CLAIM:
+		return;
+	}
+}
+
+/* Sends a request that is in no queue. */
+void request_send(struct router *r, struct request *q, struct upstream *u, int64_t now_us)
+{
+	q->state = REQUEST_SENT;
+	q->up = u;
+	q->last_up = u->id;
+	q->tried[q->sends % ROUTER_TRIED] = u->id;
+	q->sends++;
+	q->sent_us = now_us;
+	u->inflight++;
+	u->pool->inflight++;
+	u->pool->team->inflight++;
+	r->inflight++;
+	r->stats.sent++;
+	upstream_update(r, u, now_us);
+	r->host->ops->send(r->host, q->id, u->id);
+}
+
+/* The reason for which this process takes no request at all, or ANSWERED. */
+static enum router_reason closed(const struct router *r, int *err)
+{
+	if (r->draining) {
+		*err = CF_EDRAINING;
+		return ROUTER_R_DRAINING;
+	}
+	if (!r->fresh) {
+		*err = CF_ESTALE;
+		return ROUTER_R_STALE;
+	}
+	return ROUTER_R_ANSWERED;
+}
+
+/* Why a new request is refused, ROUTER_R_ANSWERED when it is not. */
+static enum router_reason admit(const struct router *r, const struct pool *p,
+				const struct router_request *a, int64_t deadline_us,
+				int64_t now_us, int *err)
+{
+	enum router_reason why = closed(r, err);
+
+	if (why)
+		return why;
+	if (!p || p->usable == 0) {
+		*err = CF_EUNAVAIL;
+		return ROUTER_R_NO_UPSTREAM;
+	}
+	*err = CF_EBUSY;
+	why = limit_admit(r, p->team);
+	if (!why && (p->queued || a->keyed))
+		why = limit_queue(r, p, a->class);
+	if (why)
+		return why;
+	if (limit_hopeless(p, limit_wait_us(p, a->class), deadline_us, now_us)) {
+		*err = CF_ETIMEOUT;
+		return ROUTER_R_HOPELESS;
+	}
+	return ROUTER_R_ANSWERED;
+}
+
+/* Sends at once where it can, else queues; refuses when the queue is full. */
+static void enqueue(struct router *r, struct request *q, int64_t now_us)
+{
+	struct pool *p = q->pool;
+	struct upstream *u;
+	enum router_reason why;
+
+	if (!p->queued && r->inflight < r->opt.max_inflight && TAILQ_EMPTY(&r->ring)) {
+		u = pick(r, p, q, now_us);
+		if (u) {
+			request_send(r, q, u, now_us);
+			return;
+		}
+	}
+	why = q->keyed ? ROUTER_R_ANSWERED : limit_queue(r, p, q->class);
+	queue_push(r, q, false);
+	if (why)
+		request_finish(r, q, ROUTER_NOT_RUN, why, CF_EBUSY, now_us);
+	else
+		queue_dispatch(r, p, now_us);
+}
+
+/*
+ * Takes a request. 0: the host gets exactly one finish() for it, which may come
+ * before this returns; refusals come that way too. CF_EINVAL, CF_EEXIST (id in
+ * use), CF_ENOMEM: not accepted, not run, no finish().
+ */
+int router_submit(struct router *r, const struct router_request *a, int64_t now_us)
+{
+	int64_t deadline =
+		a->deadline_us ? a->deadline_us : now_us + r->opt.default_deadline_us;
+	enum router_reason why;
+	struct request *q;
+	struct pool *p;
+	int err = 0;
+
+	if (a->class >= ROUTER_CLASSES)
+		return CF_EINVAL;
+	if (request_find(r, a->id))
+		return CF_EEXIST;
+	p = pool_find(r, a->team, a->service);
+	why = admit(r, p, a, deadline, now_us, &err);
+	if (why) {
+		const struct router_outcome o = {ROUTER_NOT_RUN, why, err, 0, 0, 0};
+
+		r->stats.submitted++;
+		report(r, a->id, &o);
+		return 0;
+	}
+	err = timers_reserve(&r->timers, HASH_COUNT(r->requests) + 1 +
+						 2 * (size_t)HASH_COUNT(r->upstreams));
+	if (err)
+		return err;
+	q = calloc(1, sizeof(*q));
+	if (!q)
+		return CF_ENOMEM;
+	r->stats.submitted++;
+	q->id = a->id;
+	q->pool = p;
+	q->submitted_us = now_us;
+	q->deadline_us = deadline;
+	q->class = (uint8_t)a->class;
+	q->idempotent = a->idempotent;
+	q->keyed = a->keyed;
+	q->timer.kind = TIMER_REQUEST;
+	HASH_ADD(hh, r->requests, id, sizeof(q->id), q);
+	if (p->team->requests++ == 0)
+		r->busy_teams++;
+	timers_set(&r->timers, &q->timer, deadline);
+	if (q->keyed) {
+		q->state = REQUEST_CLAIMING;
+		queue_wait_begin(q);
+		r->host->ops->claim(r->host, q->id);
+	} else {
+		enqueue(r, q, now_us);
+	}
+	return 0;
+}
+
+static void claim_refused(struct router *r, struct request *q, int err, int64_t now_us)
+{
+	switch (err) {
+	case CF_EEXIST:
+		request_finish(r, q, ROUTER_DONE, ROUTER_R_STORED, 0, now_us);
+		break;
+	case CF_EINPROGRESS:
+		request_finish(r, q, ROUTER_UNKNOWN, ROUTER_R_IN_PROGRESS, err, now_us);
+		break;
+	case CF_EUNKNOWN:
+		request_finish(r, q, ROUTER_UNKNOWN, ROUTER_R_KEY_UNKNOWN, err, now_us);
+		break;
+	case CF_EREUSED:
+		request_finish(r, q, ROUTER_NOT_RUN, ROUTER_R_KEY_REUSED, err, now_us);
+		break;
+	default:
+		/* The claim may have been granted all the same. */
+		q->claimed = true;
+		request_finish(r, q, ROUTER_NOT_RUN, ROUTER_R_CLAIM_FAILED, err, now_us);
+		break;
+	}
+	request_remove(r, q);
+}
+
+static bool claim_certain(int err)
+{
+	return err == CF_EEXIST || err == CF_EINPROGRESS || err == CF_EUNKNOWN ||
+	       err == CF_EREUSED;
+}
+
+/*
+ * Ends a claim. err: 0 granted, CF_EEXIST outcome stored, CF_EINPROGRESS,
+ * CF_EUNKNOWN, CF_EREUSED; anything else means that the claim store did not answer.
+ * Then, and when the caller has gone, the claim is aborted.
+ */
+void router_claimed(struct router *r, uint64_t request, int err, int64_t now_us)
+{
+	struct request *q = request_find(r, request);
+
+	if (!q)
+		return;
+	if (q->state == REQUEST_LATE_CLAIM) {
+		q->claimed = !claim_certain(err);
+		claim_end(r, q, ROUTER_NOT_RUN);
+		request_remove(r, q);
+		return;
+	}
+	if (q->state != REQUEST_CLAIMING)
+		return;
+	if (err) {
+		claim_refused(r, q, err, now_us);
+		return;
+	}
+	q->claimed = true;
+	queue_wait_end(q);
+	/* A request taken before a drain is still served; a stale one is not. */
+	if (!r->fresh) {
+		queue_push(r, q, false);
+		request_finish(r, q, ROUTER_NOT_RUN, ROUTER_R_STALE, CF_ESTALE, now_us);
+		return;
+	}
+	enqueue(r, q, now_us);
+}
+
+/* The send has ended without a complete response: send again or tell the caller. */
+static void again(struct router *r, struct request *q, int err, int64_t now_us)
+{
+	struct pool *p = q->pool;
+	enum router_reason why = q->tainted ? ROUTER_R_FAILED : ROUTER_R_REFUSED;
+	bool retry = (!q->tainted || q->idempotent) && r->fresh && retry_allowed(r, q);
+
+	queue_push(r, q, true);
+	if (!retry)
+		request_finish(r, q, ROUTER_NOT_RUN, why, err, now_us);
+	queue_dispatch(r, p, now_us);
+}
+
+/* Frees the slot of a send. False when the caller had been told before. */
+static bool send_ended(struct router *r, struct request *q, int64_t now_us)
+{
+	struct upstream *u = q->up;
+	struct pool *p = q->pool;
+
+	q->up = NULL;
+	upstream_release(r, u, now_us);
+	if (q->state == REQUEST_SENT)
+		return true;
+	r->stats.late++;
+	request_remove(r, q);
+	queue_dispatch(r, p, now_us);
+	return false;
+}
+
+/*
+ * The upstream answered completely. A late answer, after the caller was told, only
+ * frees the slot.
+ */
+void router_answered(struct router *r, uint64_t request, const struct router_answer *a,
+		     int64_t now_us)
+{
+	struct request *q = request_find(r, request);
+	struct upstream *u;
+	struct pool *p;
+	int64_t took;
+
+	if (!q || !q->up)
+		return;
+	u = q->up;
+	p = q->pool;
+	took = now_us - q->sent_us;
+	upstream_load(u, a->load, now_us);
+	if (a->not_run) {
+		r->stats.upstream_refused++;
+		limit_refused(r, u, now_us);
+		if (send_ended(r, q, now_us))
+			again(r, q, CF_EBUSY, now_us);
+		return;
+	}
+	limit_sample(r, u, took, now_us);
+	eject_result(r, u, a->status >= STATUS_UPSTREAM_ERROR, took, now_us);
+	if (!send_ended(r, q, now_us))
+		return;
+	retry_success(r, p->team);
+	request_finish(r, q, ROUTER_DONE, ROUTER_R_ANSWERED, 0, now_us);
+	request_remove(r, q);
+	queue_dispatch(r, p, now_us);
+}
+
+/*
+ * The send failed with a CF_ error and its connection is closed. maybe_run: some
+ * byte may have reached the upstream.
+ */
+void router_failed(struct router *r, uint64_t request, int err, bool maybe_run,
+		   int64_t now_us)
+{
+	struct request *q = request_find(r, request);
+
+	if (!q || !q->up)
+		return;
+	eject_result(r, q->up, true, now_us - q->sent_us, now_us);
+	if (!send_ended(r, q, now_us))
+		return;
+	q->tainted |= maybe_run;
+	again(r, q, err, now_us);
+}
+
+/* The caller went away. The slot stays taken until the upstream has ended. */
+void router_cancel(struct router *r, uint64_t request, int64_t now_us)
+{
+	struct request *q = request_find(r, request);
+
+	if (!q || q->state == REQUEST_LATE || q->state == REQUEST_LATE_CLAIM)
+		return;
+	request_finish(r, q, ROUTER_NOT_RUN, ROUTER_R_CANCELLED, CF_EUNKNOWN, now_us);
+}
+
+/* Deadline of a request: it gets its answer now, whatever its state. */
+static void request_expired(struct router *r, struct request *q, int64_t now_us)
+{
+	if (q->state == REQUEST_SENT) {
+		int64_t took = now_us - q->sent_us;
+		struct upstream *u = q->up;
+
+		/* A short deadline is the caller's; a long wait is the upstream's. */
+		if ((double)took > TIMEOUT_FACTOR * q->pool->mean_us) {
+			eject_result(r, u, true, took, now_us);
+			upstream_update(r, u, now_us);
+		}
+	}
+	request_finish(r, q, ROUTER_NOT_RUN, ROUTER_R_DEADLINE, CF_ETIMEOUT, now_us);
+}
+
+/*
+ * Says whether the configuration is known to be fresh. While it is not, nothing
+ * new is sent: an upstream or availability zone may be out of service without
+ * this process knowing.
+ */
+void router_fresh(struct router *r, bool fresh, int64_t now_us)
+{
+	struct request *q;
+	struct request *tmp;
+
+	r->fresh = fresh;
+	if (fresh)
+		return;
+	HASH_ITER (hh, r->requests, q, tmp) {
+		if (q->state == REQUEST_QUEUED)
+			request_finish(r, q, ROUTER_NOT_RUN, ROUTER_R_STALE, CF_ESTALE,
+				       now_us);
+	}
+}
+
+/* Takes no new requests from now on; those taken before are served. */
+void router_drain(struct router *r, int64_t now_us)
+{
+	r->draining = true;
+}
+
+/* Serves every timer that is due. */
+void router_tick(struct router *r, int64_t now_us)
+{
+	struct timer *x;
+
+	while ((x = timers_first(&r->timers)) && x->at_us <= now_us) {
+		timers_remove(&r->timers, x);
+		switch ((enum timer_kind)x->kind) {
+		case TIMER_REQUEST:
+			request_expired(r, CONTAINER(x, struct request, timer), now_us);
+			break;
+		case TIMER_EXPIRY:
+			upstream_expiry(r, CONTAINER(x, struct upstream, expiry), now_us);
+			break;
+		case TIMER_REOPEN:
+			upstream_reopen(r, CONTAINER(x, struct upstream, reopen), now_us);
+			break;
+		}
+	}
+}
+
+/* Time of the next router_tick(); INT64_MAX when there is nothing to wait for. */
+int64_t router_deadline(const struct router *r)
+{
+	const struct timer *x = timers_first(&r->timers);
+
+	return x ? x->at_us : INT64_MAX;
+}
+
+/* 0 while new requests are taken, else CF_EDRAINING or CF_ESTALE; for /healthz. */
+int router_status(const struct router *r)
+{
+	int err = 0;
+
+	closed(r, &err);
+	return err;
+}
+
+/* True when no request is known, also no late one: a drained process may exit. */
+bool router_idle(const struct router *r)
+{
+	return HASH_COUNT(r->requests) == 0;
+}
+
+void router_stats(const struct router *r, struct router_stats *out)
+{
+	*out = r->stats;
+	out->requests = HASH_COUNT(r->requests);
+	out->queued = r->queued;
+	out->inflight = r->inflight;
+	out->upstreams = HASH_COUNT(r->upstreams);
+}
+
+/* Returns a short word for headers, counters and log lines; never NULL. */
+const char *router_reason_str(enum router_reason reason)
+{
+	static const char *const text[ROUTER_REASONS] = {
+		[ROUTER_R_ANSWERED] = "answered",
+		[ROUTER_R_STORED] = "stored",
+		[ROUTER_R_IN_PROGRESS] = "in-progress",
+		[ROUTER_R_KEY_UNKNOWN] = "key-unknown",
+		[ROUTER_R_KEY_REUSED] = "key-reused",
+		[ROUTER_R_CLAIM_FAILED] = "claim-failed",
+		[ROUTER_R_QUEUE_FULL] = "queue-full",
+		[ROUTER_R_TEAM_SHARE] = "team-share",
+		[ROUTER_R_MEMORY] = "memory",
+		[ROUTER_R_HOPELESS] = "hopeless",
+		[ROUTER_R_DEADLINE] = "deadline",
+		[ROUTER_R_NO_UPSTREAM] = "no-upstream",
+		[ROUTER_R_DRAINING] = "draining",
+		[ROUTER_R_STALE] = "stale",
+		[ROUTER_R_CANCELLED] = "cancelled",
+		[ROUTER_R_FAILED] = "failed",
+		[ROUTER_R_REFUSED] = "refused",
+	};
+
+	return (unsigned int)reason < ROUTER_REASONS ? text[reason] : "unknown";
+}
--- /dev/null
+++ b/core/router_eject.c
@@ -0,0 +1,94 @@
+#include "core/router_impl.h"
+
+/* Weight of the newest result; five failures in a row pass FAIL_SHARE. */
+#define FAIL_WEIGHT 0.15F
+#define FAIL_SHARE 0.5F
+/* An upstream this much slower than its pool is ejected. */
+#define SLOW_FACTOR 5.0
+#define SLOW_SAMPLES 8
+/* First ejection; doubles with each further one up to the bound. */
+#define EJECT_US 1000000LL
+#define EJECT_MAX_SHIFT 5
+
+/* True while the upstream gets no requests because of its failures. */
+bool eject_active(const struct upstream *u, int64_t now_us)
+{
+	return now_us < u->ejected_until_us;
+}
+
+/*
+ * Whether the upstream fails much more than the others of its pool. Requests that
+ * fail everywhere raise the share of all upstreams alike and eject none.
+ */
+static bool failing(const struct upstream *u)
+{
+	const struct pool *p = u->pool;
+	double others;
+
+	if (u->fail < FAIL_SHARE || p->usable < 2)
+		return false;
+	others = (p->fail_sum - (double)u->fail) / (p->usable - 1);
+	return (double)u->fail > 2 * others;
+}
+
+static bool slow(const struct upstream *u)
+{
+	return u->samples >= SLOW_SAMPLES &&
+	       (double)u->latency_us > SLOW_FACTOR * u->pool->mean_us;
+}
+
+static void eject(struct router *r, struct upstream *u, int64_t now_us)
+{
+	const struct pool *p = u->pool;
+	unsigned int shift =
+		u->ejections < EJECT_MAX_SHIFT ? u->ejections : EJECT_MAX_SHIFT;
+	int64_t time = EJECT_US << shift;
+
+	/* The floor: a common cause must not take the whole pool out of use. */
+	if ((uint64_t)(p->usable - p->ejected - 1) * 100 <
+	    (uint64_t)p->usable * r->opt.eject_floor_percent)
+		return;
+	/* Entry processes must not bring it back all at the same moment. */
+	time += (int64_t)prng_below(&r->prng, (uint64_t)time / 4);
+	u->ejected_until_us = now_us + time;
+	u->ejections++;
+	u->probing = true;
+	u->samples = 0;
+	r->stats.ejected++;
+	timers_set(&r->timers, &u->reopen, u->ejected_until_us);
+}
+
+static void set_fail(struct upstream *u, float fail)
+{
+	if (u->counted)
+		u->pool->fail_sum += (double)fail - (double)u->fail;
+	u->fail = fail;
+}
+
+/*
+ * Takes the result of one send. After an ejection the upstream gets one request
+ * at a time until one succeeds.
+ */
+void eject_result(struct router *r, struct upstream *u, bool failed, int64_t took_us,
+		  int64_t now_us)
+{
+	if (eject_active(u, now_us))
+		return;
+	if (u->probing) {
+		r->stats.probes++;
+		if (failed) {
+			eject(r, u, now_us);
+			return;
+		}
+		u->probing = false;
+		set_fail(u, 0);
+		return;
+	}
+	set_fail(u, u->fail + FAIL_WEIGHT * ((failed ? 1.0F : 0.0F) - u->fail));
+	if (failed && failing(u))
+		eject(r, u, now_us);
+	else if (!failed && slow(u))
+		eject(r, u, now_us);
+	else if (!failed && u->ejections && u->fail < FAIL_WEIGHT)
+		u->ejections--;
+}
--- /dev/null
+++ b/core/router_impl.h
@@ -0,0 +1,227 @@
+#ifndef CORE_ROUTER_IMPL_H
+#define CORE_ROUTER_IMPL_H
+
+/* Structures shared by the files of core/router; nobody else includes this. */
+
+#include <sys/queue.h>
+#include <uthash.h>
+
+#include "base/prng.h"
+#include "core/router.h"
+#include "core/router_timer.h"
+
+/* Longest team, service, upstream or zone name and address, in bytes. */
+#define ROUTER_MAX_NAME 64
+/* Team, NUL and service. */
+#define ROUTER_MAX_KEY 129
+/* Availability zones of one team; the target is 10 in all. */
+#define ROUTER_MAX_ZONES 16
+/* Upstreams that a request remembers to have tried. */
+#define ROUTER_TRIED 3
+/* Bound of the slots that an upstream may announce. */
+#define ROUTER_MAX_SLOTS 65535U
+
+/* The struct that a member is embedded in. */
+#define CONTAINER(ptr, type, member) \
+	((type *)(void *)((char *)(ptr)-offsetof(type, member)))
+
+enum timer_kind {
+	TIMER_REQUEST = 0, /* deadline of a request */
+	TIMER_EXPIRY = 1,  /* announcement expires, later the record is removed */
+	TIMER_REOPEN = 2,  /* a refusal or an ejection ends */
+};
+
+enum request_state {
+	REQUEST_CLAIMING,
+	REQUEST_QUEUED,
+	REQUEST_SENT,
+	REQUEST_LATE,	    /* caller was told; the upstream has not ended */
+	REQUEST_LATE_CLAIM, /* caller was told; the claim has not ended */
+};
+
+struct request {
+	UT_hash_handle hh;
+	TAILQ_ENTRY(request) link; /* in the queue of its pool and class */
+	struct timer timer;
+	uint64_t id;
+	struct pool *pool;
+	struct upstream *up; /* of the send that has not ended */
+	uint64_t tried[ROUTER_TRIED];
+	uint64_t last_up;
+	int64_t submitted_us;
+	int64_t sent_us;
+	int64_t deadline_us;
+	unsigned int sends;
+	uint8_t state;
+	uint8_t class;
+	bool idempotent;
+	bool keyed;
+	bool claimed; /* a granted claim is still open */
+	bool tainted; /* an earlier send may have run */
+};
+
+TAILQ_HEAD(request_queue, request);
+
+/* Upstreams in use; those that may get a request now come first. */
+struct upset {
+	struct upstream **v;
+	unsigned int n;
+	unsigned int open;
+	unsigned int cap;
+};
+
+struct zone {
+	char name[ROUTER_MAX_NAME];
+	size_t len;
+	bool out;
+};
+
+struct upstream {
+	UT_hash_handle hh;	/* by id */
+	UT_hash_handle hh_name; /* by name_id, the newest incarnation only */
+	uint64_t id;
+	uint64_t name_id;
+	uint64_t incarnation;
+	uint64_t sequence;
+	struct pool *pool;
+	char *text; /* name, then address */
+	struct timer expiry;
+	struct timer reopen;
+	int64_t expires_us;
+	int64_t closed_until_us;  /* after a refusal at the slot limit */
+	int64_t ejected_until_us; /* INT64_MIN: not ejected */
+	int64_t seen_us;	  /* time of the load report */
+	int64_t cut_us;		  /* time of the last cut of the limit */
+	struct upset *set;	  /* NULL: not in use */
+	unsigned int set_pos;
+	unsigned int slots;
+	unsigned int inflight; /* of this process, late ones included */
+	unsigned int others;   /* in flight of others at seen_us */
+	unsigned int ejections;
+	unsigned int samples;
+	float limit;	  /* adaptive bound of own in flight */
+	float fail;	  /* moving share of failures */
+	float latency_us; /* moving mean of service times */
+	uint8_t name_len;
+	uint8_t addr_len;
+	uint8_t zone;
+	bool current; /* newest incarnation of its name */
+	bool leaving;
+	bool probing;	      /* back from ejection, not yet proved */
+	bool home;	      /* this process comes first for it, see set_home() */
+	bool counted;	      /* in usable of its pool */
+	bool counted_ejected; /* in ejected of its pool */
+};
+
+struct pool {
+	UT_hash_handle hh; /* by team and service */
+	TAILQ_ENTRY(pool) link;
+	struct team *team;
+	char *key; /* team, NUL, service */
+	size_t key_len;
+	struct upset set[ROUTER_MAX_ZONES][2]; /* [zone][home] */
+	struct request_queue queue[ROUTER_CLASSES];
+	unsigned int waiting[ROUTER_CLASSES]; /* queued or claiming */
+	unsigned int credit[ROUTER_CLASSES];
+	unsigned int queued;
+	unsigned int inflight;
+	unsigned int usable; /* upstreams in a set or ejected */
+	unsigned int ejected;
+	double mean_us;	 /* moving mean of service times, 0: none seen */
+	double fail_sum; /* of the upstreams that are usable */
+	bool ringed;
+};
+
+struct team {
+	UT_hash_handle hh;
+	TAILQ_ENTRY(team) link;
+	TAILQ_HEAD(, pool) ring; /* pools that wait for the process */
+	char name[ROUTER_MAX_NAME];
+	size_t len;
+	struct zone zone[ROUTER_MAX_ZONES]; /* [0] is the local one */
+	unsigned int zones;
+	unsigned int requests;
+	unsigned int inflight;
+	unsigned int waiting[ROUTER_CLASSES];
+	unsigned int busy_pools[ROUTER_CLASSES]; /* pools with waiting requests */
+	double retry_tokens;
+	bool ringed;
+};
+
+struct router {
+	struct router_host *host;
+	struct router_options opt;
+	struct prng prng;
+	struct timers timers;
+	char name[ROUTER_MAX_NAME];
+	char zone[ROUTER_MAX_NAME];
+	struct request *requests;
+	struct upstream *upstreams;
+	struct upstream *names;
+	struct pool *pools;
+	struct team *teams;
+	TAILQ_HEAD(, team) ring;
+	uint64_t *entries; /* hashes of the live entry processes */
+	size_t n_entries;
+	unsigned int home_ranks; /* entry processes for which an upstream is home */
+	uint64_t self;
+	unsigned int busy_teams; /* teams with requests */
+	unsigned int queued;
+	unsigned int inflight;
+	bool fresh;
+	bool draining;
+	struct router_stats stats;
+};
+
+/* router_upstream.c */
+struct team *team_get(struct router *r, struct str name, bool create);
+struct pool *pool_find(struct router *r, struct str team, struct str service);
+bool upstream_usable(const struct upstream *u, int64_t now_us);
+void upstream_update(struct router *r, struct upstream *u, int64_t now_us);
+void upstream_expiry(struct router *r, struct upstream *u, int64_t now_us);
+void upstream_reopen(struct router *r, struct upstream *u, int64_t now_us);
+void upstream_load(struct upstream *u, int load, int64_t at_us);
+void upstream_release(struct router *r, struct upstream *u, int64_t now_us);
+void upstream_free_all(struct router *r);
+
+/* router_pick.c */
+struct upstream *pick(struct router *r, struct pool *p, const struct request *q,
+		      int64_t now_us);
+
+/* router_queue.c */
+void queue_push(struct router *r, struct request *q, bool front);
+void queue_remove(struct router *r, struct request *q);
+void queue_dispatch(struct router *r, struct pool *p, int64_t now_us);
+void queue_wait_begin(struct request *q);
+void queue_wait_end(struct request *q);
+
+/* router_limit.c */
+enum router_reason limit_admit(const struct router *r, const struct team *t);
+enum router_reason limit_queue(const struct router *r, const struct pool *p,
+			       enum router_class class);
+int64_t limit_wait_us(const struct pool *p, enum router_class class);
+bool limit_hopeless(const struct pool *p, int64_t wait_us, int64_t deadline_us,
+		    int64_t now_us);
+unsigned int limit_own(const struct router *r, const struct upstream *u);
+unsigned int limit_connections(const struct router *r);
+void limit_sample(struct router *r, struct upstream *u, int64_t took_us, int64_t now_us);
+void limit_refused(struct router *r, struct upstream *u, int64_t now_us);
+
+/* router_retry.c */
+void retry_start(struct team *t);
+void retry_success(const struct router *r, struct team *t);
+bool retry_allowed(struct router *r, struct request *q);
+bool retry_tried(const struct request *q, uint64_t upstream);
+
+/* router_eject.c */
+void eject_result(struct router *r, struct upstream *u, bool failed, int64_t took_us,
+		  int64_t now_us);
+bool eject_active(const struct upstream *u, int64_t now_us);
+
+/* router.c */
+void request_send(struct router *r, struct request *q, struct upstream *u,
+		  int64_t now_us);
+void request_finish(struct router *r, struct request *q, enum router_run run,
+		    enum router_reason reason, int err, int64_t now_us);
+
+#endif
--- /dev/null
+++ b/core/router_limit.c
@@ -0,0 +1,147 @@
+#include "base/err.h"
+#include "core/router_impl.h"
+
+/*
+ * Above this share of max_requests, a team may hold no more than an equal part
+ * of the table; below it one busy team may use what the others leave.
+ */
+#define SHARE_FROM_PERCENT 75
+/* An upstream slower than its pool by this factor gets a lower limit. */
+#define SLOW_FACTOR 2.0
+/* Cut of the limit of a slow upstream; one cut for each mean service time. */
+#define SLOW_CUT 0.8F
+/* Weight of the newest sample in the moving means. */
+#define UPSTREAM_WEIGHT 0.1F
+#define POOL_WEIGHT 0.02
+/* Samples of an upstream before its mean counts. */
+#define MIN_SAMPLES 8
+/* Time without new requests after a refusal at the slot limit. */
+#define REFUSED_MIN_US 1000
+#define REFUSED_MAX_US 50000
+/* A request is not sent when less than this share of the mean service time is left. */
+#define HOPELESS_SHARE 0.5
+
+static unsigned int percent_of(unsigned int v, unsigned int percent)
+{
+	return (unsigned int)((uint64_t)v * percent / 100);
+}
+
+/* Whether the request table has room for one more request of the team. */
+enum router_reason limit_admit(const struct router *r, const struct team *t)
+{
+	unsigned int n = HASH_COUNT(r->requests);
+	unsigned int teams = r->busy_teams + (t->requests == 0);
+
+	if (n >= r->opt.max_requests)
+		return ROUTER_R_MEMORY;
+	if (n >= percent_of(r->opt.max_requests, SHARE_FROM_PERCENT) &&
+	    t->requests >= r->opt.max_requests / teams)
+		return ROUTER_R_TEAM_SHARE;
+	return ROUTER_R_ANSWERED;
+}
+
+/*
+ * Whether the queue of the team and class has room. From half of it on, each of
+ * the team's services that wait may hold an equal part only.
+ */
+enum router_reason limit_queue(const struct router *r, const struct pool *p,
+			       enum router_class class)
+{
+	const struct team *t = p->team;
+	unsigned int pools = t->busy_pools[class] + (p->waiting[class] == 0);
+
+	if (t->waiting[class] >= r->opt.max_queue)
+		return ROUTER_R_QUEUE_FULL;
+	if (t->waiting[class] >= percent_of(r->opt.max_queue, 50) &&
+	    p->waiting[class] >= r->opt.max_queue / pools)
+		return ROUTER_R_QUEUE_FULL;
+	return ROUTER_R_ANSWERED;
+}
+
+/*
+ * Estimated time in the queue of a new request: the requests before it, at the
+ * rate at which the requests in flight end. 0 while nothing is known.
+ */
+int64_t limit_wait_us(const struct pool *p, enum router_class class)
+{
+	unsigned int before = 0;
+
+	if (p->inflight == 0 || p->queued == 0)
+		return 0;
+	for (unsigned int c = 0; c <= (unsigned int)class; c++)
+		before += p->waiting[c];
+	return (int64_t)(p->mean_us * before / p->inflight);
+}
+
+/* True when a request that waits so long cannot be served before its deadline. */
+bool limit_hopeless(const struct pool *p, int64_t wait_us, int64_t deadline_us,
+		    int64_t now_us)
+{
+	return now_us + wait_us + (int64_t)(p->mean_us * HOPELESS_SHARE) > deadline_us;
+}
+
+/* Connections of this process to one upstream; all processes share the bound. */
+unsigned int limit_connections(const struct router *r)
+{
+	unsigned int n = r->n_entries ? (unsigned int)r->n_entries : 1;
+	unsigned int share = r->opt.max_connections / n;
+
+	return share ? share : 1;
+}
+
+/* Own requests that may be in flight at the upstream. */
+unsigned int limit_own(const struct router *r, const struct upstream *u)
+{
+	unsigned int n = limit_connections(r);
+
+	if (u->probing)
+		return 1;
+	if (n > u->slots)
+		n = u->slots;
+	if ((float)n > u->limit)
+		n = (unsigned int)u->limit;
+	return n ? n : 1;
+}
+
+/*
+ * Takes a service time. The limit of an upstream that is slower than its pool
+ * goes down by a factor and returns by one for each full set of good answers.
+ */
+void limit_sample(struct router *r, struct upstream *u, int64_t took_us, int64_t now_us)
+{
+	struct pool *p = u->pool;
+	float took = (float)took_us;
+
+	u->latency_us += (u->samples ? UPSTREAM_WEIGHT : 1.0F) * (took - u->latency_us);
+	p->mean_us += (p->mean_us > 0 ? POOL_WEIGHT : 1.0) * (took - p->mean_us);
+	if (u->samples < MIN_SAMPLES) {
+		u->samples++;
+	} else if (p->usable > 1 && (double)u->latency_us > SLOW_FACTOR * p->mean_us) {
+		if (now_us - u->cut_us > (int64_t)p->mean_us) {
+			u->cut_us = now_us;
+			u->limit *= SLOW_CUT;
+		}
+	} else {
+		u->limit += 1.0F / u->limit;
+	}
+	if (u->limit < 1.0F)
+		u->limit = 1.0F;
+	if (u->limit > (float)u->slots)
+		u->limit = (float)u->slots;
+}
+
+/*
+ * The upstream refused at its slot limit: leave it alone until one of its slots
+ * has probably become free.
+ */
+void limit_refused(struct router *r, struct upstream *u, int64_t now_us)
+{
+	int64_t wait = (int64_t)(u->pool->mean_us / u->slots);
+
+	if (wait < REFUSED_MIN_US)
+		wait = REFUSED_MIN_US;
+	if (wait > REFUSED_MAX_US)
+		wait = REFUSED_MAX_US;
+	u->closed_until_us = now_us + wait;
+	timers_set(&r->timers, &u->reopen, u->closed_until_us);
+}
--- /dev/null
+++ b/core/router_queue.c
@@ -0,0 +1,151 @@
+#include "base/err.h"
+#include "core/router_impl.h"
+
+/* Sends of each class in one round while all classes wait. */
+static const unsigned int class_weight[ROUTER_CLASSES] = {16, 4, 1};
+
+/* Counts a request that waits for a claim or a slot. */
+void queue_wait_begin(struct request *q)
+{
+	struct pool *p = q->pool;
+
+	if (p->waiting[q->class]++ == 0)
+		p->team->busy_pools[q->class]++;
+	p->team->waiting[q->class]++;
+}
+
+void queue_wait_end(struct request *q)
+{
+	struct pool *p = q->pool;
+
+	if (--p->waiting[q->class] == 0)
+		p->team->busy_pools[q->class]--;
+	p->team->waiting[q->class]--;
+}
+
+/* Queues a request; a retry goes to the front, because it has waited before. */
+void queue_push(struct router *r, struct request *q, bool front)
+{
+	struct pool *p = q->pool;
+
+	if (front)
+		TAILQ_INSERT_HEAD(&p->queue[q->class], q, link);
+	else
+		TAILQ_INSERT_TAIL(&p->queue[q->class], q, link);
+	q->state = REQUEST_QUEUED;
+	queue_wait_begin(q);
+	p->queued++;
+	r->queued++;
+}
+
+void queue_remove(struct router *r, struct request *q)
+{
+	struct pool *p = q->pool;
+
+	TAILQ_REMOVE(&p->queue[q->class], q, link);
+	queue_wait_end(q);
+	p->queued--;
+	r->queued--;
+}
+
+/* The next request by weighted turns of the classes. p->queued is not 0. */
+static struct request *queue_next(struct pool *p)
+{
+	for (;;) {
+		for (unsigned int c = 0; c < ROUTER_CLASSES; c++)
+			if (p->credit[c] && !TAILQ_EMPTY(&p->queue[c]))
+				return TAILQ_FIRST(&p->queue[c]);
+		for (unsigned int c = 0; c < ROUTER_CLASSES; c++)
+			p->credit[c] = class_weight[c];
+	}
+}
+
+static void ring_remove(struct router *r, struct pool *p)
+{
+	struct team *t = p->team;
+
+	if (!p->ringed)
+		return;
+	p->ringed = false;
+	TAILQ_REMOVE(&t->ring, p, link);
+	if (TAILQ_EMPTY(&t->ring)) {
+		t->ringed = false;
+		TAILQ_REMOVE(&r->ring, t, link);
+	}
+}
+
+static void ring_add(struct router *r, struct pool *p)
+{
+	struct team *t = p->team;
+
+	if (p->ringed)
+		return;
+	p->ringed = true;
+	TAILQ_INSERT_TAIL(&t->ring, p, link);
+	if (!t->ringed) {
+		t->ringed = true;
+		TAILQ_INSERT_TAIL(&r->ring, t, link);
+	}
+}
+
+/* Sends one request of the pool. False when it has none, or no upstream for it. */
+static bool serve(struct router *r, struct pool *p, int64_t now_us)
+{
+	while (p->queued) {
+		struct request *q = queue_next(p);
+		struct upstream *u;
+
+		if (limit_hopeless(p, 0, q->deadline_us, now_us)) {
+			request_finish(r, q, ROUTER_NOT_RUN, ROUTER_R_HOPELESS,
+				       CF_ETIMEOUT, now_us);
+			continue;
+		}
+		u = pick(r, p, q, now_us);
+		if (!u)
+			return false;
+		p->credit[q->class]--;
+		queue_remove(r, q);
+		request_send(r, q, u, now_us);
+		return true;
+	}
+	return false;
+}
+
+/*
+ * The team whose turn it is. While several teams wait for the process, one that
+ * holds more than an equal part of max_inflight is passed over, because turns
+ * alone would favour the team with the longest requests.
+ */
+static struct team *next_team(struct router *r)
+{
+	struct team *t;
+	struct team *least = NULL;
+
+	TAILQ_FOREACH (t, &r->ring, link) {
+		if ((uint64_t)t->inflight * r->busy_teams < r->opt.max_inflight)
+			return t;
+		if (!least || t->inflight < least->inflight)
+			least = t;
+	}
+	return least;
+}
+
+/*
+ * Sends what can be sent after a change in the pool. The pool joins the turns of
+ * its team, and the team those of the process, so that no one of them takes every
+ * slot of a full process.
+ */
+void queue_dispatch(struct router *r, struct pool *p, int64_t now_us)
+{
+	if (p->queued)
+		ring_add(r, p);
+	while (!TAILQ_EMPTY(&r->ring) && r->inflight < r->opt.max_inflight) {
+		struct team *t = next_team(r);
+		struct pool *next = TAILQ_FIRST(&t->ring);
+		bool sent = serve(r, next, now_us);
+
+		ring_remove(r, next);
+		if (sent && next->queued)
+			ring_add(r, next);
+	}
+}
--- /dev/null
+++ b/core/router_upstream.c
@@ -0,0 +1,603 @@
+#include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
+
+#include "base/err.h"
+#include "core/router_impl.h"
+
+/*
+ * A record stays this long after its announcement expired, so that an older
+ * incarnation or sequence that arrives late is still recognised as old.
+ */
+#define FORGET_US (60 * 1000000LL)
+/* Interval at which a record with requests in flight is looked at again. */
+#define FORGET_RETRY_US (1000000LL)
+
+/* Returns the index of a zone of the team, -1 when there is no room for it. */
+static int zone_index(struct team *t, struct str name)
+{
+	struct zone *z;
+
+	for (unsigned int i = 0; i < t->zones; i++)
+		if (t->zone[i].len == name.n &&
+		    memcmp(t->zone[i].name, name.p, name.n) == 0)
+			return (int)i;
+	if (t->zones == ROUTER_MAX_ZONES)
+		return -1;
+	z = &t->zone[t->zones];
+	memcpy(z->name, name.p, name.n);
+	z->len = name.n;
+	return (int)t->zones++;
+}
+
+/* Returns the team; NULL when it is unknown and not created, or out of bounds. */
+struct team *team_get(struct router *r, struct str name, bool create)
+{
+	struct team *t;
+
+	HASH_FIND(hh, r->teams, name.p, name.n, t);
+	if (t || !create || HASH_COUNT(r->teams) >= r->opt.max_teams ||
+	    name.n > ROUTER_MAX_NAME)
+		return t;
+	t = calloc(1, sizeof(*t));
+	if (!t)
+		return NULL;
+	memcpy(t->name, name.p, name.n);
+	t->len = name.n;
+	TAILQ_INIT(&t->ring);
+	retry_start(t);
+	zone_index(t, r->opt.zone);
+	HASH_ADD_KEYPTR(hh, r->teams, t->name, t->len, t);
+	return t;
+}
+
+static size_t pool_key(char key[ROUTER_MAX_KEY], struct str team, struct str service)
+{
+	memcpy(key, team.p, team.n);
+	key[team.n] = '\0';
+	memcpy(key + team.n + 1, service.p, service.n);
+	return team.n + 1 + service.n;
+}
+
+/* Returns the pool of a service, NULL when it has never been announced. */
+struct pool *pool_find(struct router *r, struct str team, struct str service)
+{
+	char key[ROUTER_MAX_KEY];
+	struct pool *p;
+	size_t n;
+
+	if (team.n > ROUTER_MAX_NAME || service.n > ROUTER_MAX_NAME)
+		return NULL;
+	n = pool_key(key, team, service);
+	HASH_FIND(hh, r->pools, key, n, p);
+	return p;
+}
+
+static int pool_get(struct router *r, struct team *t, struct str service,
+		    struct pool **out)
+{
+	char key[ROUTER_MAX_KEY];
+	struct pool *p = pool_find(r, (struct str){t->name, t->len}, service);
+
+	*out = p;
+	if (p)
+		return 0;
+	if (HASH_COUNT(r->pools) >= r->opt.max_pools)
+		return CF_ENOSPACE;
+	p = calloc(1, sizeof(*p));
+	if (!p)
+		return CF_ENOMEM;
+	p->key_len = pool_key(key, (struct str){t->name, t->len}, service);
+	p->key = malloc(p->key_len);
+	if (!p->key) {
+		free(p);
+		return CF_ENOMEM;
+	}
+	memcpy(p->key, key, p->key_len);
+	p->team = t;
+	for (unsigned int c = 0; c < ROUTER_CLASSES; c++)
+		TAILQ_INIT(&p->queue[c]);
+	HASH_ADD_KEYPTR(hh, r->pools, p->key, p->key_len, p);
+	*out = p;
+	return 0;
+}
+
+static uint64_t hash_name(const struct router_upstream *u, bool with_incarnation)
+{
+	char b[3 * (ROUTER_MAX_NAME + 1) + sizeof(u->incarnation)];
+	const struct str part[] = {u->team, u->service, u->name};
+	size_t n = 0;
+
+	for (size_t i = 0; i < 3; i++) {
+		size_t len = part[i].n < ROUTER_MAX_NAME ? part[i].n : ROUTER_MAX_NAME;
+
+		memcpy(b + n, part[i].p, len);
+		n += len;
+		b[n++] = '\0';
+	}
+	if (with_incarnation) {
+		memcpy(b + n, &u->incarnation, sizeof(u->incarnation));
+		n += sizeof(u->incarnation);
+	}
+	return XXH3_64bits(b, n);
+}
+
+/*
+ * The id of an upstream, equal at every entry process: a hash of team, service,
+ * name and incarnation. At 9,800 upstreams two ids are equal with a probability
+ * of 3e-12; router_upstream() then refuses the second one.
+ */
+uint64_t router_upstream_id(const struct router_upstream *u)
+{
+	return hash_name(u, true);
+}
+
+static bool valid_name(struct str s)
+{
+	return s.n > 0 && s.n <= ROUTER_MAX_NAME && !memchr(s.p, '\0', s.n);
+}
+
+/* True while the upstream may get new requests, apart from limits and ejection. */
+bool upstream_usable(const struct upstream *u, int64_t now_us)
+{
+	return u->current && !u->leaving && now_us < u->expires_us &&
+	       !u->pool->team->zone[u->zone].out;
+}
+
+static void set_put(struct upset *s, unsigned int i, struct upstream *u)
+{
+	s->v[i] = u;
+	u->set_pos = i;
+}
+
+static void set_swap(struct upset *s, unsigned int a, unsigned int b)
+{
+	struct upstream *x = s->v[a];
+
+	set_put(s, a, s->v[b]);
+	set_put(s, b, x);
+}
+
+static void set_open(struct upstream *u, bool open)
+{
+	struct upset *s = u->set;
+
+	if (open && u->set_pos >= s->open)
+		set_swap(s, u->set_pos, s->open++);
+	else if (!open && u->set_pos < s->open)
+		set_swap(s, u->set_pos, --s->open);
+}
+
+static void set_remove(struct upstream *u)
+{
+	struct upset *s = u->set;
+
+	if (!s)
+		return;
+	set_open(u, false);
+	set_swap(s, u->set_pos, s->n - 1);
+	s->n--;
+	u->set = NULL;
+}
+
+static int set_add(struct upset *s, struct upstream *u)
+{
+	if (s->n == s->cap) {
+		unsigned int cap = s->cap ? 2 * s->cap : 8;
+		struct upstream **v = (struct upstream **)realloc(
+			(void *)s->v, cap * sizeof(struct upstream *));
+
+		if (!v)
+			return CF_ENOMEM;
+		s->v = v;
+		s->cap = cap;
+	}
+	set_put(s, s->n++, u);
+	u->set = s;
+	return 0;
+}
+
+/*
+ * Puts the upstream into the set where it belongs now. Called after everything
+ * that changes whether it may get a request. When memory is short it stays
+ * unused until the next event.
+ */
+void upstream_update(struct router *r, struct upstream *u, int64_t now_us)
+{
+	struct pool *p = u->pool;
+	bool usable = upstream_usable(u, now_us);
+	bool ejected = usable && eject_active(u, now_us);
+	struct upset *want = NULL;
+
+	if (usable != u->counted) {
+		u->counted = usable;
+		p->usable += usable ? 1 : -1U;
+		p->fail_sum += usable ? (double)u->fail : -(double)u->fail;
+	}
+	if (ejected != u->counted_ejected) {
+		u->counted_ejected = ejected;
+		p->ejected += ejected ? 1 : -1U;
+	}
+	if (usable && !ejected)
+		want = &p->set[u->zone][u->home];
+	if (want != u->set) {
+		set_remove(u);
+		if (want && set_add(want, u) != 0)
+			return;
+	}
+	if (u->set)
+		set_open(u,
+			 u->inflight < limit_own(r, u) && now_us >= u->closed_until_us);
+}
+
+/*
+ * Records a load that the upstream reported. What it has beyond the requests of
+ * this process belongs to the other entry processes.
+ */
+void upstream_load(struct upstream *u, int load, int64_t at_us)
+{
+	if (load < 0 || at_us < u->seen_us)
+		return;
+	u->others =
+		(unsigned int)load > u->inflight ? (unsigned int)load - u->inflight : 0;
+	u->seen_us = at_us;
+}
+
+static void upstream_remove(struct router *r, struct upstream *u)
+{
+	set_remove(u);
+	timers_remove(&r->timers, &u->expiry);
+	timers_remove(&r->timers, &u->reopen);
+	if (u->current)
+		HASH_DELETE(hh_name, r->names, u);
+	HASH_DELETE(hh, r->upstreams, u);
+	free(u->text);
+	free(u);
+}
+
+/* Ends one request in flight at the upstream. */
+void upstream_release(struct router *r, struct upstream *u, int64_t now_us)
+{
+	u->inflight--;
+	u->pool->inflight--;
+	u->pool->team->inflight--;
+	r->inflight--;
+	if (!u->current && u->inflight == 0)
+		upstream_remove(r, u);
+	else
+		upstream_update(r, u, now_us);
+}
+
+/* Serves the expiry timer: unusable first, forgotten later. */
+void upstream_expiry(struct router *r, struct upstream *u, int64_t now_us)
+{
+	if (now_us < u->expires_us) {
+		timers_set(&r->timers, &u->expiry, u->expires_us);
+		return;
+	}
+	upstream_update(r, u, now_us);
+	if (now_us < u->expires_us + FORGET_US)
+		timers_set(&r->timers, &u->expiry, u->expires_us + FORGET_US);
+	else if (u->inflight)
+		timers_set(&r->timers, &u->expiry, now_us + FORGET_RETRY_US);
+	else
+		upstream_remove(r, u);
+}
+
+/* Serves the timer that ends a refusal or an ejection. */
+void upstream_reopen(struct router *r, struct upstream *u, int64_t now_us)
+{
+	/* A refusal during an ejection moves the timer; the later time still counts. */
+	if (now_us < u->closed_until_us)
+		timers_set(&r->timers, &u->reopen, u->closed_until_us);
+	else if (now_us < u->ejected_until_us)
+		timers_set(&r->timers, &u->reopen, u->ejected_until_us);
+	upstream_update(r, u, now_us);
+	queue_dispatch(r, u->pool, now_us);
+}
+
+static unsigned int rank_of(const struct router *r, uint64_t id)
+{
+	uint64_t own = XXH3_64bits_withSeed(&id, sizeof(id), r->self);
+	unsigned int rank = 0;
+
+	for (size_t i = 0; i < r->n_entries; i++)
+		if (r->entries[i] != r->self &&
+		    XXH3_64bits_withSeed(&id, sizeof(id), r->entries[i]) > own)
+			rank++;
+	return rank;
+}
+
+static void set_home(struct router *r, struct upstream *u)
+{
+	/* A subset must not depend on the incarnation, or each restart moves it. */
+	u->home = rank_of(r, u->name_id) < r->home_ranks;
+}
+
+/* Sets the live entry processes, by name. This one need not be among them. */
+int router_entries(struct router *r, const struct str *names, size_t n, int64_t now_us)
+{
+	uint64_t *v = NULL;
+	struct upstream *u;
+	struct upstream *tmp;
+
+	if (n) {
+		v = calloc(n, sizeof(*v));
+		if (!v)
+			return CF_ENOMEM;
+	}
+	for (size_t i = 0; i < n; i++)
+		v[i] = XXH3_64bits(names[i].p, names[i].n);
+	free(r->entries);
+	r->entries = v;
+	r->n_entries = n;
+	HASH_ITER (hh, r->upstreams, u, tmp) {
+		set_home(r, u);
+		upstream_update(r, u, now_us);
+	}
+	return 0;
+}
+
+static int set_text(struct upstream *u, const struct router_upstream *a)
+{
+	char *text;
+
+	if (u->text && a->address.n == u->addr_len &&
+	    memcmp(u->text + u->name_len, a->address.p, a->address.n) == 0)
+		return 0;
+	text = malloc(a->name.n + a->address.n);
+	if (!text)
+		return CF_ENOMEM;
+	memcpy(text, a->name.p, a->name.n);
+	memcpy(text + a->name.n, a->address.p, a->address.n);
+	free(u->text);
+	u->text = text;
+	u->name_len = (uint8_t)a->name.n;
+	u->addr_len = (uint8_t)a->address.n;
+	return 0;
+}
+
+static int upstream_add(struct router *r, struct pool *p, const struct router_upstream *a,
+			uint64_t name_id, struct upstream *old, int64_t now_us,
+			struct upstream **out)
+{
+	uint64_t id = router_upstream_id(a);
+	struct upstream *u;
+	int err;
+
+	HASH_FIND(hh, r->upstreams, &id, sizeof(id), u);
+	if (u)
+		return CF_ECONFLICT;
+	if (HASH_COUNT(r->upstreams) >= r->opt.max_upstreams)
+		return CF_ENOSPACE;
+	err = timers_reserve(&r->timers, HASH_COUNT(r->requests) +
+						 2 * (size_t)HASH_COUNT(r->upstreams) +
+						 2);
+	if (err)
+		return err;
+	u = calloc(1, sizeof(*u));
+	if (!u)
+		return CF_ENOMEM;
+	if (set_text(u, a) != 0) {
+		free(u);
+		return CF_ENOMEM;
+	}
+	u->id = id;
+	u->name_id = name_id;
+	u->incarnation = a->incarnation;
+	u->pool = p;
+	u->expiry.kind = TIMER_EXPIRY;
+	u->reopen.kind = TIMER_REOPEN;
+	u->ejected_until_us = INT64_MIN;
+	u->closed_until_us = INT64_MIN;
+	u->seen_us = INT64_MIN;
+	u->expires_us = INT64_MIN;
+	u->limit = (float)a->slots;
+	set_home(r, u);
+	if (old) {
+		/* The process behind it is gone; its requests end by broken connections.
+		 */
+		HASH_DELETE(hh_name, r->names, old);
+		old->current = false;
+		upstream_update(r, old, now_us);
+		if (!old->inflight)
+			upstream_remove(r, old);
+	}
+	u->current = true;
+	HASH_ADD(hh, r->upstreams, id, sizeof(u->id), u);
+	HASH_ADD(hh_name, r->names, name_id, sizeof(u->name_id), u);
+	*out = u;
+	return 0;
+}
+
+/* Takes over what renewals carry; sequence was found to be newer. */
+static void renew(struct router *r, struct upstream *u, uint64_t sequence, int load,
+		  int64_t age_us, int64_t now_us)
+{
+	int64_t at = now_us - age_us;
+
+	u->sequence = sequence;
+	if (at + r->opt.expiry_us > u->expires_us)
+		u->expires_us = at + r->opt.expiry_us;
+	upstream_load(u, load, at);
+	/* An earlier timer only finds that it is early, so most renewals move none. */
+	if (!u->expiry.slot || u->expiry.at_us > u->expires_us)
+		timers_set(&r->timers, &u->expiry, u->expires_us);
+}
+
+static int check_upstream(const struct router_upstream *a)
+{
+	if (!valid_name(a->team) || !valid_name(a->service) || !valid_name(a->name) ||
+	    !valid_name(a->address) || !valid_name(a->zone))
+		return CF_EINVAL;
+	if (a->slots == 0 || a->slots > ROUTER_MAX_SLOTS || a->age_us < 0)
+		return CF_EINVAL;
+	return 0;
+}
+
+/*
+ * Takes an announcement. CF_ESTALE for an older incarnation, or for a sequence
+ * that is not newer; CF_ENOSPACE when a bound is reached; CF_ECONFLICT when its
+ * hash belongs to another upstream.
+ */
+int router_upstream(struct router *r, const struct router_upstream *a, int64_t now_us)
+{
+	uint64_t name_id = hash_name(a, false);
+	struct upstream *u;
+	struct team *t;
+	struct pool *p;
+	int zone;
+	int err;
+
+	err = check_upstream(a);
+	if (err)
+		return err;
+	t = team_get(r, a->team, true);
+	if (!t)
+		return CF_ENOSPACE;
+	zone = zone_index(t, a->zone);
+	if (zone < 0)
+		return CF_ENOSPACE;
+	err = pool_get(r, t, a->service, &p);
+	if (err)
+		return err;
+	HASH_FIND(hh_name, r->names, &name_id, sizeof(name_id), u);
+	if (u && (u->pool != p || u->name_len != a->name.n ||
+		  memcmp(u->text, a->name.p, a->name.n) != 0))
+		return CF_ECONFLICT;
+	if (u && (a->incarnation < u->incarnation ||
+		  (a->incarnation == u->incarnation && a->sequence <= u->sequence))) {
+		r->stats.stale_announcements++;
+		return CF_ESTALE;
+	}
+	if (!u || a->incarnation > u->incarnation)
+		err = upstream_add(r, p, a, name_id, u, now_us, &u);
+	else
+		err = set_text(u, a);
+	if (err)
+		return err;
+	u->slots = a->slots;
+	u->leaving = a->leaving;
+	u->zone = (uint8_t)zone;
+	renew(r, u, a->sequence, a->load, a->age_us, now_us);
+	upstream_update(r, u, now_us);
+	queue_dispatch(r, p, now_us);
+	return 0;
+}
+
+/*
+ * Takes a renewal without changes. CF_ENOENT when the upstream is unknown: the
+ * sender must be asked for the full announcement.
+ */
+int router_renew(struct router *r, uint64_t id, uint64_t sequence, int load,
+		 int64_t age_us, int64_t now_us)
+{
+	struct upstream *u;
+
+	if (age_us < 0)
+		return CF_EINVAL;
+	HASH_FIND(hh, r->upstreams, &id, sizeof(id), u);
+	if (!u)
+		return CF_ENOENT;
+	if (!u->current || sequence <= u->sequence) {
+		r->stats.stale_announcements++;
+		return CF_ESTALE;
+	}
+	renew(r, u, sequence, load, age_us, now_us);
+	upstream_update(r, u, now_us);
+	queue_dispatch(r, u->pool, now_us);
+	return 0;
+}
+
+/* Takes an availability zone of a team out of service or back into it. */
+int router_zone(struct router *r, struct str team, struct str zone, bool out,
+		int64_t now_us)
+{
+	struct upstream *u;
+	struct upstream *tmp;
+	struct team *t;
+	int i;
+
+	if (!valid_name(team) || !valid_name(zone))
+		return CF_EINVAL;
+	t = team_get(r, team, true);
+	if (!t)
+		return CF_ENOSPACE;
+	i = zone_index(t, zone);
+	if (i < 0)
+		return CF_ENOSPACE;
+	if (t->zone[i].out == out)
+		return 0;
+	t->zone[i].out = out;
+	HASH_ITER (hh, r->upstreams, u, tmp) {
+		if (u->pool->team == t && u->zone == i) {
+			upstream_update(r, u, now_us);
+			if (!out)
+				queue_dispatch(r, u->pool, now_us);
+		}
+	}
+	return 0;
+}
+
+/* Describes an upstream for the host, also while only late requests hold it. */
+int router_upstream_info(const struct router *r, uint64_t id,
+			 struct router_upstream_info *out, int64_t now_us)
+{
+	struct upstream *u;
+	const struct team *t;
+	size_t own;
+
+	HASH_FIND(hh, r->upstreams, &id, sizeof(id), u);
+	if (!u)
+		return CF_ENOENT;
+	t = u->pool->team;
+	own = t->len + 1;
+	*out = (struct router_upstream_info){
+		.team = {t->name, t->len},
+		.service = {u->pool->key + own, u->pool->key_len - own},
+		.name = {u->text, u->name_len},
+		.address = {u->text + u->name_len, u->addr_len},
+		.zone = {t->zone[u->zone].name, t->zone[u->zone].len},
+		.slots = u->slots,
+		.connections = limit_connections(r),
+		.inflight = u->inflight,
+		.usable = upstream_usable(u, now_us),
+		.ejected = eject_active(u, now_us),
+	};
+	return 0;
+}
+
+/* Frees every upstream, pool and team. */
+void upstream_free_all(struct router *r)
+{
+	struct upstream *u = r->upstreams;
+	struct upstream *u_next;
+	struct pool *p = r->pools;
+	struct pool *p_next;
+	struct team *t = r->teams;
+	struct team *t_next;
+
+	HASH_CLEAR(hh_name, r->names);
+	HASH_CLEAR(hh, r->upstreams);
+	HASH_CLEAR(hh, r->pools);
+	HASH_CLEAR(hh, r->teams);
+	for (; u; u = u_next) {
+		u_next = u->hh.next;
+		free(u->text);
+		free(u);
+	}
+	for (; p; p = p_next) {
+		p_next = p->hh.next;
+		for (unsigned int i = 0; i < ROUTER_MAX_ZONES; i++) {
+			free((void *)p->set[i][0].v);
+			free((void *)p->set[i][1].v);
+		}
+		free(p->key);
+		free(p);
+	}
+	for (; t; t = t_next) {
+		t_next = t->hh.next;
+		free(t);
+	}
+	free(r->entries);
+}
