--- /dev/null
+++ b/core/sched.c
@@ -0,0 +1,310 @@
+#include "core/sched.h"
+
+#include <stdlib.h>
+
+#include "base/err.h"
+#include "core/sched_impl.h"
+
+/* Time in which every worker alive has polled the new leader, beside the lease. */
+#define FLEET_US 2000000
+
+/* Longest time on our clock in which the span has passed on any other clock. */
+int64_t sched_certain(int64_t span_us)
+{
+	return span_us + span_us / CLOCK_MARGIN_DIV + 1;
+}
+
+/* Creates an empty instance for one epoch. CF_EINVAL, CF_ENOMEM. */
+int sched_new(const struct sched_options *opt, struct sched **out)
+{
+	struct sched *s;
+
+	if (!opt->host || !opt->host->ops || !opt->host->ops->propose)
+		return CF_EINVAL;
+	s = calloc(1, sizeof(*s));
+	if (!s)
+		return CF_ENOMEM;
+	s->opt = *opt;
+	if (!s->opt.lease_us)
+		s->opt.lease_us = SCHED_LEASE_US;
+	if (s->opt.lease_max_us < s->opt.lease_us)
+		s->opt.lease_max_us = s->opt.lease_us;
+	if (!s->opt.expires_us)
+		s->opt.expires_us = SCHED_EXPIRES_US;
+	if (!s->opt.poll_us)
+		s->opt.poll_us = SCHED_POLL_US;
+	if (!s->opt.max_tasks)
+		s->opt.max_tasks = SCHED_MAX_TASKS;
+	TAILQ_INIT(&s->leases);
+	TAILQ_INIT(&s->inherited);
+	TAILQ_INIT(&s->dirty);
+	TAILQ_INIT(&s->ending);
+	TAILQ_INIT(&s->scaling);
+	TAILQ_INIT(&s->drains);
+	s->next_us = INT64_MAX;
+	s->stats.bytes = sizeof(*s);
+	*out = s;
+	return 0;
+}
+
+void sched_free(struct sched *s)
+{
+	struct task *t;
+	struct task *ttmp;
+	struct job *j;
+	struct job *jtmp;
+	struct worker *w;
+	struct worker *wtmp;
+	struct drain *d;
+
+	if (!s)
+		return;
+	ttmp = s->tasks;
+	HASH_CLEAR(hh, s->tasks);
+	while ((t = ttmp)) {
+		ttmp = t->hh.next;
+		free(t);
+	}
+	jtmp = s->jobs;
+	HASH_CLEAR(hh, s->jobs);
+	while ((j = jtmp)) {
+		jtmp = j->hh.next;
+		free(j->rack_count);
+		free(j->key);
+		free(j);
+	}
+	wtmp = s->workers;
+	HASH_CLEAR(hh, s->workers);
+	while ((w = wtmp)) {
+		wtmp = w->hh.next;
+		free(w->name);
+		free(w);
+	}
+	while ((d = TAILQ_FIRST(&s->drains))) {
+		TAILQ_REMOVE(&s->drains, d, entry);
+		free(d);
+	}
+	sched_heap_free(&s->delayed);
+	names_free(s);
+	free(s);
+}
+
+/* Sets the quota and weight of a team; they count for work placed from now on. */
+int sched_quota(struct sched *s, const struct sched_quota *q, int64_t now_us)
+{
+	struct team *t = team_get(s, q->team);
+
+	if (!t)
+		return CF_ENOMEM;
+	t->quota = q->limit;
+	t->weight = q->weight ? q->weight : 1;
+	s->generation++;
+	sched_wake(s, now_us);
+	return 0;
+}
+
+/*
+ * Feeds one unfinished task. CF_ENOENT: its job was not fed; CF_EEXIST: fed before;
+ * CF_EINVAL: the record is final; CF_ENOSPACE: too many tasks.
+ */
+int sched_task(struct sched *s, const struct sched_record *r, int64_t now_us)
+{
+	struct job *j = job_find(s, r->team, r->job);
+	struct worker *w;
+	struct task *t;
+
+	if (!j)
+		return CF_ENOENT;
+	if (s->ready || r->state > SCHED_RUNNING)
+		return CF_EINVAL;
+	if (task_find(s, j, r->task))
+		return CF_EEXIST;
+	t = task_new(s, j, r->task);
+	if (!t)
+		return CF_ENOSPACE;
+	t->attempt = r->attempt;
+	t->failures = r->failures;
+	t->checkpoint = r->checkpoint;
+	if (r->state == SCHED_WAITING) {
+		task_wait(s, t, now_us, now_us);
+		return 0;
+	}
+	w = worker_get(s, r->worker);
+	if (!w) {
+		task_free(s, t);
+		return CF_ENOMEM;
+	}
+	/* The newest session in the records is the one that the leader saw last. */
+	if (r->session > w->session)
+		w->session = r->session;
+	t->phase = P_PLACED;
+	t->inherited = true;
+	t->was_running = r->state == SCHED_RUNNING;
+	t->attempt_resumed = true; /* when it began is not known */
+	task_bind(s, t, w);
+	t->session = r->session;
+	task_set_live(t, true);
+	return 0;
+}
+
+/*
+ * Ends the start-up feed. Workers that hold attempts may have a lease that was
+ * granted just now by an earlier leader.
+ */
+void sched_ready(struct sched *s, int64_t now_us)
+{
+	struct worker *w;
+	struct worker *wtmp;
+	struct job *j;
+	struct job *jtmp;
+
+	s->ready = true;
+	s->ready_us = now_us;
+	HASH_ITER (hh, s->workers, w, wtmp) {
+		w->leased = true;
+		w->lease_end_us = now_us + sched_certain(s->opt.lease_max_us);
+		TAILQ_INSERT_TAIL(&s->inherited, w, lease_entry);
+	}
+	HASH_ITER (hh, s->jobs, j, jtmp) {
+		if (j->ending)
+			j->cursor = TAILQ_FIRST(&j->tasks);
+		else if (j->opt.class == SCHED_LATENCY)
+			job_scale_later(s, j);
+		else
+			job_maybe_free(s, j);
+	}
+	s->retry = true;
+	sched_wake(s, now_us);
+}
+
+/* Sets the time of the next step after a change. */
+void sched_wake(struct sched *s, int64_t now_us)
+{
+	int64_t at = now_us + STEP_US;
+
+	if (at < s->next_us)
+		s->next_us = at;
+}
+
+static void committed_end(struct sched *s, struct task *t, int64_t now_us)
+{
+	struct job *j = t->key.job;
+	enum sched_reason stop = t->stop;
+
+	if (t->end != SCHED_WAITING) {
+		task_free(s, t);
+		job_maybe_free(s, j);
+		return;
+	}
+	if (j->cancelled)
+		stop = SCHED_R_CANCELLED;
+	else if (j->reject)
+		stop = j->reject;
+	task_wait(s, t, t->retry_us, now_us);
+	t->retry_us = 0;
+	if (stop)
+		task_stop(s, t, stop, now_us);
+}
+
+/* A proposal of this instance is durable. */
+void sched_committed(struct sched *s, const struct sched_record *r, int64_t now_us)
+{
+	struct job *j = job_find(s, r->team, r->job);
+	struct task *t = j ? task_find(s, j, r->task) : NULL;
+
+	if (!t || !t->pending || r->attempt != t->attempt || r->state != t->proposed)
+		return;
+	t->pending = false;
+	if (t->phase == P_INTENT && r->state == SCHED_PLACED) {
+		t->phase = P_PLACED;
+		if (t->stop)
+			task_lost(s, t, now_us);
+	} else if (t->phase == P_ENDING && r->state == t->end) {
+		committed_end(s, t, now_us);
+	} else {
+		if (r->state == SCHED_RUNNING)
+			t->recorded_running = true;
+		task_dirty(s, t);
+	}
+	sched_wake(s, now_us);
+}
+
+/* A proposal of this instance will not become durable. It is made again if due. */
+void sched_refused(struct sched *s, const struct sched_record *r, int64_t now_us)
+{
+	struct job *j = job_find(s, r->team, r->job);
+	struct task *t = j ? task_find(s, j, r->task) : NULL;
+
+	if (!t || !t->pending || r->attempt != t->attempt || r->state != t->proposed)
+		return;
+	s->stats.refused++;
+	t->pending = false;
+	if (t->phase == P_INTENT) {
+		/* No worker knows of the attempt. */
+		t->stop = t->stop ? t->stop : SCHED_R_NOT_STARTED;
+		task_over(s, t, task_end_state(t->stop), t->stop, now_us);
+	} else {
+		task_dirty(s, t);
+	}
+	sched_wake(s, now_us);
+}
+
+static int64_t next_timer(const struct sched *s)
+{
+	int64_t at = INT64_MAX;
+	const struct worker *w;
+	const struct sched_node *n;
+	const struct drain *d;
+
+	w = TAILQ_FIRST(&s->leases);
+	if (w && w->lease_end_us < at)
+		at = w->lease_end_us;
+	w = TAILQ_FIRST(&s->inherited);
+	if (w && w->lease_end_us < at)
+		at = w->lease_end_us;
+	n = sched_heap_first(&s->delayed);
+	if (n && n->key < at)
+		at = n->key;
+	TAILQ_FOREACH (d, &s->drains, entry)
+		if (d->next_us < at)
+			at = d->next_us;
+	return at;
+}
+
+/* Does one bounded step of everything that is due. */
+void sched_tick(struct sched *s, int64_t now_us)
+{
+	if (!s->ready)
+		return;
+	s->retry = false;
+	if (!s->fleet_known && s->stats.workers &&
+	    now_us - s->ready_us >= sched_certain(s->opt.lease_max_us) + FLEET_US) {
+		s->fleet_known = true;
+		s->generation++;
+	}
+	workers_lost_step(s, now_us);
+	jobs_end_step(s, now_us);
+	jobs_scale_step(s, now_us);
+	zones_drain_step(s, now_us);
+	tasks_delayed(s, now_us);
+	place_step(s, now_us);
+	tasks_propose(s);
+	s->next_us = next_timer(s);
+	if (s->retry)
+		sched_wake(s, now_us);
+	else if (!s->fleet_known || s->stats.tasks_bound < s->ntasks)
+		s->next_us =
+			s->next_us < now_us + IDLE_US ? s->next_us : now_us + IDLE_US;
+}
+
+/* Time of the next sched_tick(), INT64_MAX for none. */
+int64_t sched_deadline(const struct sched *s)
+{
+	return s->ready ? s->next_us : INT64_MAX;
+}
+
+void sched_stats(const struct sched *s, struct sched_stats *out)
+{
+	*out = s->stats;
+	out->tasks_waiting = s->ntasks - s->stats.tasks_bound;
+}
--- a/core/sched.h
+++ b/core/sched.h
@@ -205,6 +205,7 @@
 #define SCHED_EXPIRES_US 1500000
 #define SCHED_POLL_US 400000
 #define SCHED_MAX_TASKS 200000U
+#define SCHED_MAX_NAME 256 /* bytes of a name */
 
 struct sched_stats {
 	uint64_t workers; /* with a lease that may run */
--- /dev/null
+++ b/core/sched_estimate.c
@@ -0,0 +1,54 @@
+#include "core/sched_impl.h"
+
+#define DEFAULT_RUN_US 60e6 /* run time of a job that declares none */
+#define GAIN_MIN 0.1	    /* weight of a new sample once many were seen */
+
+static double gain(uint32_t n)
+{
+	double g = 1.0 / (double)(n + 1);
+
+	return g > GAIN_MIN ? g : GAIN_MIN;
+}
+
+/*
+ * Estimated run time of one task: mean and deviation of its kind, and the declared
+ * time until the kind has ended attempts.
+ */
+double estimate_run_us(const struct job *j)
+{
+	if (j->kind->runs)
+		return j->kind->run_us + j->kind->run_dev_us;
+	return j->opt.run_us ? (double)j->opt.run_us : DEFAULT_RUN_US;
+}
+
+/* Takes the measured use of a running task. */
+void estimate_use(struct task *t, const struct sched_task_report *r)
+{
+	struct kind *k = t->key.job->kind;
+	double g = gain(k->samples);
+
+	t->used_cpu = r->cpu_milli;
+	t->used_memory = r->memory_mb;
+	if (!r->cpu_milli)
+		return;
+	k->cpu_milli += g * ((double)r->cpu_milli - k->cpu_milli);
+	k->memory_mb += g * ((double)r->memory_mb - k->memory_mb);
+	k->samples++;
+}
+
+/* Takes the run time of an attempt that ended well. */
+void estimate_run(struct task *t, int64_t now_us)
+{
+	struct kind *k = t->key.job->kind;
+	double run = (double)(now_us - t->started_us);
+	double g = gain(k->runs);
+	double off = run - k->run_us;
+
+	/* A resumed attempt ran only the rest of the work. */
+	if (!t->started_us || t->attempt_resumed)
+		return;
+	k->run_us += g * off;
+	if (k->runs)
+		k->run_dev_us += g * ((off < 0 ? -off : off) - k->run_dev_us);
+	k->runs++;
+}
--- /dev/null
+++ b/core/sched_fit.c
@@ -0,0 +1,174 @@
+#include "core/sched_impl.h"
+
+/* A worker that missed about five polls is probably cut off. */
+#define SILENT_POLLS 5
+
+#define COST_RACK 4.0	     /* for each executor of the service in the same rack */
+#define COST_FULL 1.0	     /* for a completely used worker */
+#define COST_ACCELERATOR 2.0 /* for work without accelerators on a worker with them */
+
+struct choice {
+	struct worker *worker;
+	double cost;
+	unsigned int seen;
+};
+
+static bool failed_here(const struct task *t, const struct worker *w)
+{
+	for (uint8_t i = 0; i < t->nfailed_on; i++)
+		if (t->failed_on[i] == w)
+			return true;
+	return false;
+}
+
+/* Whether the worker may take the task apart from its free capacity. */
+bool fit_allowed(const struct sched *s, const struct task *t, const struct worker *w,
+		 int64_t now_us)
+{
+	const struct team *team = t->key.job->team;
+
+	return w->leased && w->seen &&
+	       now_us - w->polled_us < s->opt.poll_us * SILENT_POLLS &&
+	       !zone_is_out(team, w->zone) && !zone_ramp_full(s, team, w->zone, now_us) &&
+	       quarantine_allows(s, w, now_us);
+}
+
+/* Whether the task fits beside everything that may run on the worker. */
+bool fit_room(const struct task *t, const struct worker *w)
+{
+	struct sched_size used = w->used;
+
+	size_add(&used, w->ghost);
+	return size_fits(t->key.job->opt.size, used, w->capacity);
+}
+
+/* Whether some worker seen so far could hold a task of the job when it is empty. */
+bool fit_any_capacity(const struct sched *s, const struct job *j)
+{
+	for (unsigned int i = 0; i < s->nshapes; i++)
+		if (size_covers(s->shapes[i], j->opt.size))
+			return true;
+	return s->nshapes == MAX_SHAPES;
+}
+
+/* Remembers a capacity, for what can never run. */
+void fit_add_shape(struct sched *s, struct sched_size capacity)
+{
+	unsigned int n = 0;
+
+	for (unsigned int i = 0; i < s->nshapes; i++)
+		if (size_covers(s->shapes[i], capacity))
+			return;
+	for (unsigned int i = 0; i < s->nshapes; i++)
+		if (!size_covers(capacity, s->shapes[i]))
+			s->shapes[n++] = s->shapes[i];
+	/* A full list proves nothing any more; see fit_any_capacity(). */
+	if (n < MAX_SHAPES)
+		s->shapes[n++] = capacity;
+	s->nshapes = n;
+}
+
+/* Smaller is better. */
+static double cost(const struct sched *s, const struct task *t, const struct worker *w)
+{
+	const struct job *j = t->key.job;
+	double c = COST_FULL * size_share(w->used, w->capacity);
+
+	if (j->opt.class == SCHED_LATENCY && w->rack->index < j->rack_cap)
+		c += COST_RACK * j->rack_count[w->rack->index];
+	if (!j->opt.size.accelerators && w->capacity.accelerators)
+		c += COST_ACCELERATOR;
+	return c + interfere_cost(s, t, w);
+}
+
+static void scan_zone(struct sched *s, struct task *t, struct zone *z, bool avoid,
+		      int64_t now_us, struct choice *best)
+{
+	uint32_t need = t->key.job->opt.size.cpu_milli / 1000;
+	struct worker *w;
+
+	/* From the emptiest workers down, so that load spreads. */
+	for (unsigned int b = FREE_BUCKETS; b-- > 0;) {
+		if (b < FREE_BUCKETS - 1 && b < need)
+			return;
+		TAILQ_FOREACH (w, &z->free[b], free_entry) {
+			double c;
+
+			s->stats.examined++;
+			if (!fit_room(t, w) || !fit_allowed(s, t, w, now_us) ||
+			    (avoid && failed_here(t, w)))
+				continue;
+			c = cost(s, t, w);
+			if (!best->worker || c < best->cost) {
+				best->worker = w;
+				best->cost = c;
+			}
+			if (++best->seen >= CANDIDATES)
+				return;
+		}
+	}
+}
+
+/* Visits the zones of a service by its executors there, fewest first. */
+static struct worker *find_spread(struct sched *s, struct task *t, bool avoid,
+				  int64_t now_us)
+{
+	const struct job *j = t->key.job;
+	uint64_t visited = 0;
+
+	for (unsigned int n = 0; n < s->nzones; n++) {
+		struct choice best = {0};
+		struct zone *z = NULL;
+
+		for (unsigned int i = 0; i < s->nzones; i++) {
+			struct zone *y = s->zone_by_index[i];
+
+			if ((visited >> i) & 1)
+				continue;
+			if (!z || j->zone_count[i] < j->zone_count[z->index])
+				z = y;
+		}
+		visited |= 1ULL << z->index;
+		if (zone_is_out(j->team, z))
+			continue;
+		scan_zone(s, t, z, avoid, now_us, &best);
+		if (best.worker)
+			return best.worker;
+	}
+	return NULL;
+}
+
+static struct worker *find_any(struct sched *s, struct task *t, bool avoid,
+			       int64_t now_us)
+{
+	const struct job *j = t->key.job;
+	struct choice best = {0};
+
+	for (unsigned int n = 0; n < s->nzones; n++) {
+		struct zone *z = s->zone_by_index[(s->turn + n) % s->nzones];
+
+		if (zone_is_out(j->team, z))
+			continue;
+		/* Each zone shows candidates, however many the first ones have. */
+		best.seen = 0;
+		scan_zone(s, t, z, avoid, now_us, &best);
+	}
+	s->turn++;
+	return best.worker;
+}
+
+/*
+ * Returns a worker that can hold the task now, NULL when there is none. Workers on
+ * which the task failed are taken only when no other fits.
+ */
+struct worker *fit_find(struct sched *s, struct task *t, int64_t now_us)
+{
+	bool spread = t->key.job->opt.class == SCHED_LATENCY;
+	struct worker *w;
+
+	w = spread ? find_spread(s, t, true, now_us) : find_any(s, t, true, now_us);
+	if (!w && t->nfailed_on)
+		w = spread ? find_spread(s, t, false, now_us)
+			   : find_any(s, t, false, now_us);
+	return w;
+}
--- /dev/null
+++ b/core/sched_impl.h
@@ -0,0 +1,398 @@
+#ifndef CORE_SCHED_IMPL_H
+#define CORE_SCHED_IMPL_H
+
+/* Shared by the core/sched*.c files only; the interface is core/sched.h. */
+
+#include <sys/queue.h>
+#include <uthash.h>
+
+#include "core/sched.h"
+#include "core/sched_heap.h"
+
+/*
+ * A lease counts on the worker's clock and is awaited on ours. Each clock may be off
+ * by 1 part in 1,000, so the longest wait is 1001/999 of the lease; 1/400 covers it.
+ */
+#define CLOCK_MARGIN_DIV 400
+
+#define MAX_ZONES 64	 /* bits of the mask of zones that are out */
+#define FREE_BUCKETS 129 /* by whole free processors; the last one takes the rest */
+#define MAX_FAILED_ON 4	 /* workers remembered on which one task failed */
+
+#define MAX_SHAPES 64  /* different capacities of workers */
+#define MAX_ORDERS 256 /* in one response */
+#define STEP_US 10000  /* pause between two bounded steps while work remains */
+#define STEP_LOST_WORKERS 64
+#define STEP_TASKS 512 /* tasks of cancelled jobs and drained zones in one step */
+#define STEP_PROPOSALS 512
+#define STEP_PLACEMENTS 64
+#define STEP_JOBS 128	    /* jobs tried in one step */
+#define CANDIDATES 48	    /* workers scored for one placement */
+#define IDLE_US 500000	    /* between steps while tasks wait */
+#define BUSY_POLL_US 100000 /* poll period of a worker with orders under way */
+
+struct worker;
+struct job;
+
+TAILQ_HEAD(task_queue, task);
+TAILQ_HEAD(job_queue, job);
+TAILQ_HEAD(worker_queue, worker);
+LIST_HEAD(task_list, task);
+
+struct zone {
+	char *name;
+	size_t len;
+	unsigned int index;
+	struct worker_queue workers;
+	struct worker_queue free[FREE_BUCKETS];
+	uint32_t nworkers;
+	struct zone *next;
+	UT_hash_handle hh;
+};
+
+struct rack {
+	char *name;
+	size_t len;
+	unsigned int index;
+	UT_hash_handle hh;
+};
+
+/* Jobs of one team that share estimates. */
+struct kind {
+	char *key; /* team id, then the name */
+	size_t len;
+	unsigned int index;
+	double run_us; /* mean run time of attempts that ended well */
+	double run_dev_us;
+	double cpu_milli; /* mean measured use */
+	double memory_mb;
+	uint32_t runs;
+	uint32_t samples;
+	UT_hash_handle hh;
+};
+
+struct team_zone {
+	bool ramp;
+	int64_t back_us;      /* time of the last return */
+	uint32_t back_starts; /* starts since the return */
+};
+
+struct drain {
+	struct zone *zone;
+	int64_t since_us;
+	int64_t next_us; /* time of the next pass */
+	TAILQ_ENTRY(drain) entry;
+	struct team *team;
+};
+TAILQ_HEAD(drain_queue, drain);
+
+struct nofit {
+	uint64_t generation;
+	struct sched_size size;
+	bool set;
+};
+
+struct team {
+	uint64_t id;
+	char *name;
+	size_t len;
+	struct sched_size quota;
+	uint32_t weight;
+	struct sched_size used; /* bound tasks */
+	uint64_t out;		/* mask of zones that are out */
+	struct team_zone zone[MAX_ZONES];
+	struct sched_heap waiting[SCHED_CLASSES]; /* jobs to try */
+	struct job_queue parked[SCHED_CLASSES];	  /* jobs that fitted nowhere */
+	struct nofit nofit[SCHED_CLASSES];
+	UT_hash_handle hh;
+};
+
+struct job {
+	char *key; /* team id, then the name */
+	size_t len;
+	struct team *team;
+	struct kind *kind;
+	struct sched_job opt; /* its strings are empty; see key and kind */
+	bool cancelled;
+	bool checked;		  /* compared with the largest worker */
+	enum sched_reason reject; /* every task fails with this reason */
+	uint32_t live;		  /* tasks that are not ending for good */
+	uint32_t bound;
+	uint32_t replacing; /* pairs of an executor and its replacement */
+	uint32_t next_task;
+	uint32_t successes; /* attempts that ended well or ran long */
+	uint32_t failures;
+	struct worker *failed_on[MAX_FAILED_ON]; /* different workers, by time */
+	uint8_t nfailed_on;
+	struct task_queue tasks;   /* all unfinished */
+	struct task_queue waiting; /* ready to be placed */
+	uint32_t nwaiting;
+	struct task *cursor; /* next task to be cancelled */
+	struct sched_node node;
+	uint64_t parked_generation;
+	bool parked;
+	bool ending;	      /* in the queue of jobs with tasks to end */
+	bool scaling;	      /* in the queue of services to scale */
+	uint16_t *rack_count; /* services: executors in each rack */
+	uint32_t rack_cap;
+	uint16_t zone_count[MAX_ZONES];
+	int64_t base_latency;
+	TAILQ_ENTRY(job) park_entry;
+	TAILQ_ENTRY(job) end_entry;
+	TAILQ_ENTRY(job) scale_entry;
+	UT_hash_handle hh;
+};
+
+enum phase {
+	P_WAITING, /* in its job's waiting queue, or delayed */
+	P_INTENT,  /* bound; intent not committed */
+	P_PLACED,  /* bound; the worker may be told */
+	P_RUNNING, /* bound; the worker reported it */
+	P_ENDING,  /* over, its record not committed */
+};
+
+struct task_key {
+	struct job *job;
+	uint64_t number;
+};
+
+struct task {
+	struct task_key key;
+	uint32_t attempt;
+	uint32_t failures;
+	enum phase phase;
+	enum sched_state end;	   /* P_ENDING: state to record */
+	enum sched_reason reason;  /* of the end */
+	enum sched_reason stop;	   /* wanted end of a bound attempt */
+	enum sched_state proposed; /* state of the proposal under way */
+	int32_t exit_code;
+	bool pending; /* a proposal is under way */
+	bool dirty;   /* in the queue of proposals to make */
+	bool recorded_running;
+	bool was_running; /* fed as running */
+	bool live;	  /* the worker may run it; counted in worker.live */
+	bool inherited;	  /* bound by an earlier leader and not yet reported */
+	bool final;	  /* its end is final: not placed again */
+	bool counted;	  /* in the spread counters of its service */
+	bool want_checkpoint;
+	bool proven;	      /* ended well or ran long */
+	bool attempt_resumed; /* this attempt began at a checkpoint */
+	bool queued;	      /* in job.waiting */
+	bool reclaim;	      /* counted in worker.reclaim */
+	uint8_t nfailed_on;
+	uint8_t percent;	/* throttle, 100: none */
+	uint8_t throttle_polls; /* responses that still repeat the throttle order */
+	uint64_t checkpoint;
+	uint64_t checkpoint_before; /* marker when one was asked for */
+	int64_t checkpoint_us;	    /* time of asking */
+	int64_t retry_us;	    /* not placed before */
+	uint64_t session;
+	uint64_t mark;	    /* poll that listed it */
+	int64_t issued_us;  /* first start order, 0: none */
+	int64_t started_us; /* first report, 0: none */
+	int64_t saved_us;   /* start or last checkpoint */
+	int64_t stop_us; /* time of the wish to stop; checkpoint grace counts from it */
+	uint64_t issued_seq; /* poll that the last start order answered */
+	uint32_t used_cpu;
+	uint32_t used_memory;
+	struct worker *worker;
+	struct worker *failed_on[MAX_FAILED_ON];
+	struct task *replaces; /* executor that this one will replace */
+	struct task *replaced_by;
+	struct sched_node delay; /* retry time */
+	LIST_ENTRY(task) worker_entry;
+	TAILQ_ENTRY(task) job_entry;
+	TAILQ_ENTRY(task) wait_entry;
+	TAILQ_ENTRY(task) dirty_entry;
+	UT_hash_handle hh;
+};
+
+enum health {
+	H_GOOD,
+	H_QUARANTINED,
+	H_PROBATION,
+};
+
+struct worker {
+	char *name;
+	size_t len;
+	struct zone *zone;
+	struct rack *rack;
+	uint64_t session;
+	uint64_t seq;
+	uint64_t id;
+	bool seen;	   /* polled in this epoch */
+	bool leased;	   /* its lease may run */
+	bool lost_pending; /* lease ended, tasks still to be released */
+	uint8_t bucket;
+	bool indexed;
+	struct sched_size capacity;
+	struct sched_size used;	   /* bound tasks */
+	struct sched_size live;	   /* attempts that may run */
+	struct sched_size ghost;   /* attempts that it reports and nobody knows */
+	struct sched_size reclaim; /* used by tasks that are being stopped for others */
+	int64_t lease_end_us;	   /* certain end of its lease on our clock */
+	int64_t polled_us;
+	int64_t changed_us; /* last start, end or throttle */
+	enum health health;
+	double blame;	    /* weighted failures since the last success */
+	uint32_t successes; /* in this session */
+	uint32_t quarantines;
+	int64_t health_us; /* end of quarantine */
+	struct task_list tasks;
+	uint32_t ntasks;
+	TAILQ_ENTRY(worker) lease_entry;
+	TAILQ_ENTRY(worker) zone_entry;
+	TAILQ_ENTRY(worker) free_entry;
+	UT_hash_handle hh;
+};
+
+struct sched {
+	struct sched_options opt;
+	bool ready;
+	int64_t ready_us;
+	uint64_t generation; /* counts releases of capacity */
+	uint64_t poll_mark;
+	uint64_t next_id;
+	uint64_t next_tie;
+	struct zone *zones; /* hash */
+	struct zone *zone_list;
+	struct zone *zone_by_index[MAX_ZONES];
+	unsigned int nzones;
+	struct rack *racks;
+	unsigned int nracks;
+	struct team *teams;
+	struct kind *kinds;
+	unsigned int nkinds;
+	struct job *jobs;
+	struct task *tasks;
+	struct worker *workers;
+	uint32_t ntasks;
+	struct worker_queue leases;    /* by certain end of the lease */
+	struct worker_queue inherited; /* not polled since the start */
+	struct task_queue dirty;
+	struct job_queue ending;
+	struct job_queue scaling;
+	struct drain_queue drains;
+	struct sched_heap delayed;
+	struct sched_size total;	      /* capacity of leased workers */
+	struct sched_size shapes[MAX_SHAPES]; /* capacities that no other one covers */
+	unsigned int nshapes;
+	unsigned int turn; /* rotates the zone to look at first */
+	bool fleet_known;  /* every worker alive has polled */
+	bool retry;	   /* the last step left work */
+	int64_t next_us;
+	struct sched_order orders[MAX_ORDERS];
+	size_t norders;
+	struct sched_stats stats;
+};
+
+/* sched.c */
+void sched_wake(struct sched *s, int64_t now_us);
+int64_t sched_certain(int64_t span_us);
+
+/* sched_name.c */
+struct zone *zone_get(struct sched *s, struct str name);
+struct rack *rack_get(struct sched *s, struct str name);
+struct team *team_get(struct sched *s, struct str name);
+struct kind *kind_get(struct sched *s, struct team *team, struct str name);
+int key_make(struct team *team, struct str name, char **key, size_t *len);
+struct job *job_find(struct sched *s, struct str team, struct str name);
+struct str team_name(const struct team *team);
+struct str job_name(const struct job *job);
+struct str worker_name(const struct worker *w);
+void names_free(struct sched *s);
+
+/* sched_size.c */
+void size_add(struct sched_size *a, struct sched_size b);
+void size_sub(struct sched_size *a, struct sched_size b);
+bool size_fits(struct sched_size need, struct sched_size used,
+	       struct sched_size capacity);
+bool size_covers(struct sched_size a, struct sched_size b);
+bool size_under_quota(struct sched_size need, struct sched_size used,
+		      struct sched_size quota);
+double size_share(struct sched_size used, struct sched_size total);
+
+/* sched_task.c */
+struct task *task_find(struct sched *s, struct job *j, uint32_t number);
+struct task *task_new(struct sched *s, struct job *j, uint32_t number);
+void task_free(struct sched *s, struct task *t);
+void task_bind(struct sched *s, struct task *t, struct worker *w);
+void task_set_live(struct task *t, bool live);
+void task_wait(struct sched *s, struct task *t, int64_t at_us, int64_t now_us);
+void task_over(struct sched *s, struct task *t, enum sched_state end,
+	       enum sched_reason reason, int64_t now_us);
+void task_stop(struct sched *s, struct task *t, enum sched_reason reason, int64_t now_us);
+void task_count(struct task *t);
+void task_uncount(struct task *t);
+void task_lost(struct sched *s, struct task *t, int64_t now_us);
+void task_set_reclaim(struct task *t, bool reclaim);
+void task_unpair(struct task *t);
+enum sched_state task_end_state(enum sched_reason reason);
+void task_dirty(struct sched *s, struct task *t);
+bool task_never_issued(const struct task *t);
+void tasks_propose(struct sched *s);
+void tasks_delayed(struct sched *s, int64_t now_us);
+
+/* sched_job.c */
+void job_queue_up(struct sched *s, struct job *j, int64_t now_us);
+void job_unqueue(struct sched *s, struct job *j);
+void job_park(struct sched *s, struct job *j);
+void job_end(struct sched *s, struct job *j, enum sched_reason reject);
+void job_scale_later(struct sched *s, struct job *j);
+void jobs_end_step(struct sched *s, int64_t now_us);
+void jobs_scale_step(struct sched *s, int64_t now_us);
+void job_maybe_free(struct sched *s, struct job *j);
+void job_free(struct sched *s, struct job *j);
+
+/* sched_worker.c */
+struct worker *worker_get(struct sched *s, struct str name);
+void worker_index(struct sched *s, struct worker *w);
+void worker_freed(struct sched *s, struct worker *w);
+void workers_lost_step(struct sched *s, int64_t now_us);
+void worker_renew(struct sched *s, struct worker *w, int64_t now_us);
+int worker_place(struct sched *s, struct worker *w, const struct sched_worker_report *r);
+
+/* sched_zone.c */
+bool zone_is_out(const struct team *team, const struct zone *z);
+void zone_started(struct team *team, const struct zone *z);
+bool zone_ramp_full(const struct sched *s, const struct team *team, const struct zone *z,
+		    int64_t now_us);
+void zones_drain_step(struct sched *s, int64_t now_us);
+
+/* sched_fit.c */
+bool fit_allowed(const struct sched *s, const struct task *t, const struct worker *w,
+		 int64_t now_us);
+bool fit_room(const struct task *t, const struct worker *w);
+bool fit_any_capacity(const struct sched *s, const struct job *j);
+void fit_add_shape(struct sched *s, struct sched_size capacity);
+struct worker *fit_find(struct sched *s, struct task *t, int64_t now_us);
+
+/* sched_estimate.c */
+double estimate_run_us(const struct job *j);
+void estimate_use(struct task *t, const struct sched_task_report *r);
+void estimate_run(struct task *t, int64_t now_us);
+
+/* sched_quarantine.c */
+bool quarantine_allows(const struct sched *s, const struct worker *w, int64_t now_us);
+bool quarantine_holds_job(const struct job *j);
+void quarantine_success(struct sched *s, struct task *t);
+void quarantine_failure(struct sched *s, struct task *t, int64_t now_us);
+void quarantine_session(struct worker *w);
+void quarantine_poll(struct sched *s, struct worker *w, int64_t now_us);
+
+void quarantine_running(struct sched *s, struct task *t, int64_t now_us);
+
+/* sched_interfere.c */
+double interfere_cost(const struct sched *s, const struct task *t,
+		      const struct worker *w);
+void interfere_report(struct sched *s, struct worker *w,
+		      const struct sched_worker_report *r, int64_t now_us);
+
+/* sched_evict.c */
+struct worker *evict_for(struct sched *s, struct task *t, int64_t now_us);
+
+/* sched_place.c */
+void place_step(struct sched *s, int64_t now_us);
+
+#endif
--- /dev/null
+++ b/core/sched_place.c
@@ -0,0 +1,150 @@
+#include "core/sched_impl.h"
+
+#define UNPARK 64 /* parked jobs of one team and class tried again in one step */
+#define START_GRACE_US 700000 /* an urgent task that waits longer is placed elsewhere */
+
+static double weighted_share(const struct sched *s, const struct team *team)
+{
+	return size_share(team->used, s->total) / (team->weight ? team->weight : 1);
+}
+
+/* Tries parked jobs again after capacity was released. */
+static void unpark(struct sched *s, struct team *team, unsigned int c, int64_t now_us)
+{
+	unsigned int n = 0;
+	struct job *j;
+
+	while ((j = TAILQ_FIRST(&team->parked[c])) && n++ < UNPARK) {
+		if (j->parked_generation == s->generation)
+			return;
+		TAILQ_REMOVE(&team->parked[c], j, park_entry);
+		j->parked = false;
+		job_queue_up(s, j, now_us);
+		if (j->parked) /* no memory for the heap */
+			return;
+	}
+}
+
+/* Whether the job can never run, as far as it is certain now. */
+static enum sched_reason impossible(const struct sched *s, const struct job *j)
+{
+	if (!size_under_quota(j->opt.size, (struct sched_size){0}, j->team->quota))
+		return SCHED_R_OVER_QUOTA;
+	if (s->fleet_known && !fit_any_capacity(s, j))
+		return SCHED_R_TOO_LARGE;
+	return SCHED_R_NONE;
+}
+
+static void start_intent(struct sched *s, struct task *t, struct worker *w)
+{
+	t->attempt++;
+	t->attempt_resumed = t->checkpoint != 0;
+	t->phase = P_INTENT;
+	t->stop = SCHED_R_NONE;
+	t->exit_code = 0;
+	task_bind(s, t, w);
+	zone_started(t->key.job->team, w->zone);
+	s->stats.starts++;
+	task_dirty(s, t);
+}
+
+/* A size that fitted nowhere since the last release need not be searched again. */
+static bool known_not_to_fit(const struct sched *s, const struct job *j)
+{
+	const struct nofit *f = &j->team->nofit[j->opt.class];
+
+	return f->set && f->generation == s->generation &&
+	       size_covers(j->opt.size, f->size);
+}
+
+static void note_no_fit(struct sched *s, struct job *j)
+{
+	struct nofit *f = &j->team->nofit[j->opt.class];
+
+	if (f->set && f->generation == s->generation &&
+	    !size_covers(f->size, j->opt.size))
+		return;
+	*f = (struct nofit){s->generation, j->opt.size, true};
+}
+
+/* Places waiting tasks of the job while they fit. Returns the number placed. */
+static unsigned int place_job(struct sched *s, struct job *j, unsigned int limit,
+			      int64_t now_us)
+{
+	struct task *t = TAILQ_FIRST(&j->waiting);
+	struct worker *w = NULL;
+	enum sched_reason reject;
+
+	if (!limit)
+		return 0;
+	reject = impossible(s, j);
+	if (reject) {
+		job_end(s, j, reject);
+		return 0;
+	}
+	if (quarantine_holds_job(j) ||
+	    !size_under_quota(j->opt.size, j->team->used, j->team->quota)) {
+		job_park(s, j);
+		return 0;
+	}
+	if (!known_not_to_fit(s, j)) {
+		w = fit_find(s, t, now_us);
+		if (!w && j->opt.class != SCHED_BATCH)
+			w = evict_for(s, t, now_us);
+		if (!w)
+			note_no_fit(s, j);
+	}
+	if (!w) {
+		job_park(s, j);
+		return 0;
+	}
+	start_intent(s, t, w);
+	return 1;
+}
+
+/* Returns the team with the smallest weighted share that has jobs to try. */
+static struct team *next_team(struct sched *s, unsigned int c)
+{
+	struct team *best = NULL;
+	double best_share = 0;
+	struct team *team;
+	struct team *tmp;
+
+	HASH_ITER (hh, s->teams, team, tmp) {
+		double share;
+
+		if (!sched_heap_first(&team->waiting[c]))
+			continue;
+		share = weighted_share(s, team);
+		if (!best || share < best_share) {
+			best = team;
+			best_share = share;
+		}
+	}
+	return best;
+}
+
+/* Places waiting work by class, then by the share of the team, then by the job. */
+void place_step(struct sched *s, int64_t now_us)
+{
+	unsigned int placed = 0;
+	unsigned int tried = 0;
+	struct team *team;
+	struct team *tmp;
+
+	for (unsigned int c = 0; c < SCHED_CLASSES; c++) {
+		HASH_ITER (hh, s->teams, team, tmp)
+			unpark(s, team, c, now_us);
+		while ((team = next_team(s, c))) {
+			struct sched_node *n = sched_heap_first(&team->waiting[c]);
+			struct job *j =
+				(struct job *)((char *)n - offsetof(struct job, node));
+
+			if (placed >= STEP_PLACEMENTS || tried++ >= STEP_JOBS) {
+				s->retry = true;
+				return;
+			}
+			placed += place_job(s, j, 1, now_us);
+		}
+	}
+}
--- /dev/null
+++ b/core/sched_poll.c
@@ -0,0 +1,318 @@
+#include "base/err.h"
+#include "core/sched_impl.h"
+
+#define THROTTLE_REPEATS 3 /* responses that carry the end of a throttle */
+#define MAX_REPORTED 65536
+
+static struct sched_order *add_order(struct sched *s, enum sched_op op, struct task *t)
+{
+	struct sched_order *o;
+
+	if (s->norders == MAX_ORDERS)
+		return NULL;
+	o = &s->orders[s->norders++];
+	*o = (struct sched_order){
+		.op = op,
+		.team = team_name(t->key.job->team),
+		.job = job_name(t->key.job),
+		.task = (uint32_t)t->key.number,
+		.attempt = t->attempt,
+		.epoch = s->opt.epoch,
+		.expires_us = s->opt.expires_us,
+		.size = t->key.job->opt.size,
+		.checkpoint = t->checkpoint,
+		.percent = t->percent,
+	};
+	return o;
+}
+
+/* Orders about an attempt that this instance does not hold; names are the report's. */
+static void add_foreign(struct sched *s, enum sched_op op,
+			const struct sched_task_report *r)
+{
+	if (s->norders == MAX_ORDERS)
+		return;
+	s->orders[s->norders++] = (struct sched_order){
+		.op = op,
+		.team = r->team,
+		.job = r->job,
+		.task = r->task,
+		.attempt = r->attempt,
+		.epoch = s->opt.epoch,
+		.expires_us = s->opt.expires_us,
+	};
+}
+
+static bool has_ended(enum sched_status status)
+{
+	return status == SCHED_T_DONE || status == SCHED_T_FAILED ||
+	       status == SCHED_T_STOPPED;
+}
+
+/* The worker runs the attempt: its start is confirmed. */
+static void confirm_running(struct sched *s, struct task *t, int64_t now_us)
+{
+	t->inherited = false;
+	if (t->issued_seq == 0)
+		t->issued_seq = t->worker->seq; /* an earlier leader issued it */
+	if (!t->started_us) {
+		t->started_us = now_us;
+		t->saved_us = now_us;
+		t->worker->changed_us = now_us;
+	}
+	if (t->phase != P_PLACED)
+		return;
+	t->phase = P_RUNNING;
+	task_dirty(s, t);
+	if (t->replaces)
+		task_stop(s, t->replaces, SCHED_R_REPLACED, now_us);
+}
+
+static void take_running(struct sched *s, struct task *t,
+			 const struct sched_task_report *r, int64_t now_us)
+{
+	confirm_running(s, t, now_us);
+	if (r->checkpoint && r->checkpoint != t->checkpoint) {
+		t->checkpoint = r->checkpoint;
+		t->saved_us = now_us;
+	}
+	estimate_use(t, r);
+	quarantine_running(s, t, now_us);
+}
+
+static void take_end(struct sched *s, struct task *t, const struct sched_task_report *r,
+		     int64_t now_us)
+{
+	struct worker *w = t->worker;
+
+	w->changed_us = now_us;
+	if (r->checkpoint)
+		t->checkpoint = r->checkpoint;
+	t->exit_code = r->exit_code;
+	if (r->status == SCHED_T_DONE && t->key.job->opt.class != SCHED_LATENCY) {
+		estimate_run(t, now_us);
+		quarantine_success(s, t);
+		task_over(s, t, SCHED_DONE, SCHED_R_NONE, now_us);
+	} else if (r->status == SCHED_T_STOPPED || t->stop) {
+		task_lost(s, t, now_us);
+	} else {
+		/* An executor has no end, so its exit counts as a failure. */
+		quarantine_failure(s, t, now_us);
+	}
+}
+
+/* Takes one line of a report. */
+static void take_task(struct sched *s, struct worker *w,
+		      const struct sched_task_report *r, int64_t now_us)
+{
+	struct job *j = job_find(s, r->team, r->job);
+	struct task *t = j ? task_find(s, j, r->task) : NULL;
+
+	if (!t || t->worker != w || t->attempt != r->attempt || t->phase == P_INTENT) {
+		if (!has_ended(r->status)) {
+			/* Nobody waits for this attempt; what it uses is not free. */
+			w->ghost.cpu_milli += r->cpu_milli;
+			w->ghost.memory_mb += r->memory_mb;
+			add_foreign(s, SCHED_STOP, r);
+		} else if (!t || t->attempt != r->attempt || t->phase == P_WAITING) {
+			add_foreign(s, SCHED_FORGET, r);
+		}
+		return;
+	}
+	t->mark = s->poll_mark;
+	if (has_ended(r->status)) {
+		/* Its end is known now, whatever a late report says. */
+		if (t->issued_seq == 0)
+			t->issued_seq = w->seq;
+		take_end(s, t, r, now_us);
+	} else {
+		take_running(s, t, r, now_us);
+	}
+}
+
+/*
+ * An attempt of this worker that the report does not list. The worker will not act
+ * on an order that answered an earlier poll, nor on one of an earlier epoch once it
+ * has seen this one; so the attempt does not run.
+ */
+static void take_absent(struct sched *s, struct task *t,
+			const struct sched_worker_report *r, int64_t now_us)
+{
+	if (t->inherited && r->epoch < s->opt.epoch)
+		return;
+	if (t->phase == P_INTENT || task_never_issued(t))
+		return;
+	if (t->phase == P_RUNNING || t->was_running || t->stop) {
+		t->worker->changed_us = now_us;
+		task_lost(s, t, now_us);
+		return;
+	}
+	/* Never started: the same attempt may be ordered again. */
+	t->inherited = false;
+	t->issued_seq = 0;
+	task_set_live(t, false);
+}
+
+static void take_absents(struct sched *s, struct worker *w,
+			 const struct sched_worker_report *r, int64_t now_us)
+{
+	struct task *t;
+	struct task *next;
+
+	for (t = LIST_FIRST(&w->tasks); t; t = next) {
+		next = LIST_NEXT(t, worker_entry);
+		if (t->mark != s->poll_mark)
+			take_absent(s, t, r, now_us);
+	}
+}
+
+/* The processes of the worker's last session have ended, except those it lists. */
+static void new_session(struct sched *s, struct worker *w,
+			const struct sched_worker_report *r, int64_t now_us)
+{
+	struct task *t;
+	struct task *next;
+
+	s->poll_mark++;
+	for (size_t i = 0; i < r->ntasks; i++) {
+		struct job *j = job_find(s, r->tasks[i].team, r->tasks[i].job);
+
+		t = j ? task_find(s, j, r->tasks[i].task) : NULL;
+		if (t && t->worker == w && t->attempt == r->tasks[i].attempt)
+			t->mark = s->poll_mark;
+	}
+	for (t = LIST_FIRST(&w->tasks); t; t = next) {
+		next = LIST_NEXT(t, worker_entry);
+		if (t->mark == s->poll_mark)
+			t->session = r->session;
+		else
+			task_lost(s, t, now_us);
+	}
+	w->session = r->session;
+	w->seq = 0;
+	quarantine_session(w);
+}
+
+/* Whether a poll is out of date: older session, or repeated or reordered poll. */
+static bool is_late(const struct worker *w, const struct sched_worker_report *r)
+{
+	if (r->session == w->session)
+		return r->seq <= w->seq;
+	/* Once its lease has ended a worker may come back with any session. */
+	return r->session < w->session && w->leased;
+}
+
+static bool start_allowed(const struct task *t)
+{
+	struct sched_size live = t->worker->live;
+
+	size_add(&live, t->worker->ghost);
+	return t->phase == P_PLACED && !t->stop && !t->key.job->cancelled &&
+	       !t->key.job->reject && !zone_is_out(t->key.job->team, t->worker->zone) &&
+	       t->worker->health != H_QUARANTINED &&
+	       (t->live || size_fits(t->key.job->opt.size, live, t->worker->capacity));
+}
+
+static void order_start(struct sched *s, struct worker *w, struct task *t, int64_t now_us)
+{
+	if (!start_allowed(t) || !add_order(s, SCHED_START, t))
+		return;
+	t->issued_seq = w->seq;
+	if (!t->issued_us)
+		t->issued_us = now_us;
+	task_set_live(t, true);
+}
+
+static void order_running(struct sched *s, struct task *t)
+{
+	struct sched_order *o;
+
+	if (t->want_checkpoint && t->checkpoint == t->checkpoint_before)
+		add_order(s, SCHED_CHECKPOINT, t);
+	if (t->percent == 100 && !t->throttle_polls)
+		return;
+	o = add_order(s, SCHED_THROTTLE, t);
+	if (o && t->throttle_polls)
+		t->throttle_polls--;
+}
+
+/* Fills the response. Stops come first: the worker needs their capacity for starts. */
+static bool give_orders(struct sched *s, struct worker *w, int64_t now_us)
+{
+	struct task *t;
+	bool busy = false;
+
+	LIST_FOREACH (t, &w->tasks, worker_entry) {
+		if (!t->stop || task_never_issued(t))
+			continue;
+		busy = true;
+		add_order(s, SCHED_STOP, t);
+	}
+	LIST_FOREACH (t, &w->tasks, worker_entry) {
+		if (t->stop)
+			continue;
+		if (t->phase == P_RUNNING) {
+			order_running(s, t);
+			busy = busy || t->want_checkpoint;
+		} else {
+			busy = true;
+			if (!t->inherited)
+				order_start(s, w, t, now_us);
+		}
+	}
+	return busy;
+}
+
+static bool is_valid(const struct sched_worker_report *r)
+{
+	return r->worker.n && r->worker.n <= SCHED_MAX_NAME && r->zone.n &&
+	       r->zone.n <= SCHED_MAX_NAME && r->rack.n <= SCHED_MAX_NAME && r->seq &&
+	       r->ntasks <= MAX_REPORTED && r->lag_us >= 0;
+}
+
+/*
+ * Takes a worker's poll and gives the response. CF_EINVAL: bad report; CF_ESTALE:
+ * the worker has seen a later epoch, so this instance no longer leads; CF_ENOMEM.
+ */
+int sched_poll(struct sched *s, const struct sched_worker_report *r, int64_t now_us,
+	       struct sched_reply *reply)
+{
+	struct worker *w;
+	int err;
+
+	*reply = (struct sched_reply){.epoch = s->opt.epoch, .poll_us = s->opt.poll_us};
+	if (!is_valid(r) || !s->ready)
+		return CF_EINVAL;
+	if (r->epoch > s->opt.epoch)
+		return CF_ESTALE;
+	w = worker_get(s, r->worker);
+	if (!w)
+		return CF_ENOMEM;
+	if (is_late(w, r)) {
+		s->stats.late_reports++;
+		return 0;
+	}
+	s->norders = 0;
+	if (r->session != w->session)
+		new_session(s, w, r, now_us);
+	err = worker_place(s, w, r);
+	if (err)
+		return err;
+	w->seq = r->seq;
+	worker_renew(s, w, now_us);
+	quarantine_poll(s, w, now_us);
+	w->ghost = (struct sched_size){0};
+	s->poll_mark++;
+	for (size_t i = 0; i < r->ntasks; i++)
+		take_task(s, w, &r->tasks[i], now_us);
+	take_absents(s, w, r, now_us);
+	interfere_report(s, w, r, now_us);
+	worker_index(s, w);
+	if (give_orders(s, w, now_us) && reply->poll_us > BUSY_POLL_US)
+		reply->poll_us = BUSY_POLL_US;
+	reply->lease_us = s->opt.lease_us;
+	reply->orders = s->orders;
+	reply->norders = s->norders;
+	sched_wake(s, now_us);
+	return 0;
+}
--- /dev/null
+++ b/core/sched_task.c
@@ -0,0 +1,411 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/err.h"
+#include "core/sched_impl.h"
+
+/* Returns the unfinished task of a number, NULL when there is none. */
+struct task *task_find(struct sched *s, struct job *j, uint32_t number)
+{
+	struct task_key key;
+	struct task *t;
+
+	memset(&key, 0, sizeof(key));
+	key.job = j;
+	key.number = number;
+	HASH_FIND(hh, s->tasks, &key, sizeof(key), t);
+	return t;
+}
+
+/* Makes a waiting task that is in no queue yet. NULL when out of memory or tasks. */
+struct task *task_new(struct sched *s, struct job *j, uint32_t number)
+{
+	struct task *t;
+
+	if (s->ntasks >= s->opt.max_tasks)
+		return NULL;
+	t = calloc(1, sizeof(*t));
+	if (!t)
+		return NULL;
+	t->key.job = j;
+	t->key.number = number;
+	t->phase = P_WAITING;
+	t->percent = 100;
+	HASH_ADD(hh, s->tasks, key, sizeof(t->key), t);
+	TAILQ_INSERT_TAIL(&j->tasks, t, job_entry);
+	j->live++;
+	s->ntasks++;
+	s->stats.bytes += sizeof(*t);
+	if (number >= j->next_task)
+		j->next_task = number + 1;
+	return t;
+}
+
+/* Ends the pairing of an executor with its replacement. */
+void task_unpair(struct task *t)
+{
+	if (t->replaces) {
+		t->replaces->replaced_by = NULL;
+		t->key.job->replacing--;
+	}
+	if (t->replaced_by) {
+		t->replaced_by->replaces = NULL;
+		t->key.job->replacing--;
+	}
+	t->replaces = NULL;
+	t->replaced_by = NULL;
+}
+
+static void set_final(struct task *t)
+{
+	if (t->final)
+		return;
+	t->final = true;
+	t->key.job->live--;
+	task_unpair(t);
+}
+
+static void leave_waiting(struct sched *s, struct task *t)
+{
+	struct job *j = t->key.job;
+
+	if (t->delay.pos) {
+		sched_heap_remove(&s->delayed, &t->delay);
+	} else if (t->queued) {
+		TAILQ_REMOVE(&j->waiting, t, wait_entry);
+		t->queued = false;
+		j->nwaiting--;
+		if (!j->nwaiting)
+			job_unqueue(s, j);
+	}
+}
+
+/* Counts an executor in the spread of its service over zones and racks. */
+void task_count(struct task *t)
+{
+	struct job *j = t->key.job;
+	struct worker *w = t->worker;
+	unsigned int r;
+
+	/* The place of a worker is unknown until its first poll. */
+	if (j->opt.class != SCHED_LATENCY || !w->zone || t->counted)
+		return;
+	r = w->rack->index;
+	if (r >= j->rack_cap) {
+		uint32_t cap = (r + 1) * 2;
+		uint16_t *p = realloc(j->rack_count, cap * sizeof(*p));
+
+		/* The spread is a preference; without memory it is not counted. */
+		if (!p)
+			return;
+		memset(p + j->rack_cap, 0, (cap - j->rack_cap) * sizeof(*p));
+		j->rack_count = p;
+		j->rack_cap = cap;
+	}
+	j->rack_count[r]++;
+	j->zone_count[w->zone->index]++;
+	t->counted = true;
+}
+
+void task_uncount(struct task *t)
+{
+	struct job *j = t->key.job;
+
+	if (!t->counted)
+		return;
+	j->rack_count[t->worker->rack->index]--;
+	j->zone_count[t->worker->zone->index]--;
+	t->counted = false;
+}
+
+/* Counts the task on the worker from now until task_over(). */
+void task_bind(struct sched *s, struct task *t, struct worker *w)
+{
+	struct job *j = t->key.job;
+
+	leave_waiting(s, t);
+	t->worker = w;
+	t->session = w->session;
+	size_add(&w->used, j->opt.size);
+	size_add(&j->team->used, j->opt.size);
+	LIST_INSERT_HEAD(&w->tasks, t, worker_entry);
+	w->ntasks++;
+	j->bound++;
+	s->stats.tasks_bound++;
+	task_count(t);
+	if (w->zone)
+		worker_index(s, w);
+}
+
+/* Counts whether the worker may run the attempt. */
+void task_set_live(struct task *t, bool live)
+{
+	if (t->live == live)
+		return;
+	t->live = live;
+	if (live)
+		size_add(&t->worker->live, t->key.job->opt.size);
+	else
+		size_sub(&t->worker->live, t->key.job->opt.size);
+}
+
+static void unbind(struct sched *s, struct task *t)
+{
+	struct worker *w = t->worker;
+	struct job *j = t->key.job;
+
+	if (!w)
+		return;
+	task_set_live(t, false);
+	task_set_reclaim(t, false);
+	size_sub(&w->used, j->opt.size);
+	size_sub(&j->team->used, j->opt.size);
+	LIST_REMOVE(t, worker_entry);
+	w->ntasks--;
+	j->bound--;
+	s->stats.tasks_bound--;
+	task_uncount(t);
+	t->worker = NULL;
+	worker_freed(s, w);
+}
+
+/* Counts the size of an attempt that is stopped to make room for another one. */
+void task_set_reclaim(struct task *t, bool reclaim)
+{
+	if (t->reclaim == reclaim)
+		return;
+	t->reclaim = reclaim;
+	if (reclaim)
+		size_add(&t->worker->reclaim, t->key.job->opt.size);
+	else
+		size_sub(&t->worker->reclaim, t->key.job->opt.size);
+}
+
+/* Makes the task ready to be placed at the given time. */
+void task_wait(struct sched *s, struct task *t, int64_t at_us, int64_t now_us)
+{
+	struct job *j = t->key.job;
+
+	t->phase = P_WAITING;
+	t->stop = SCHED_R_NONE;
+	t->live = false;
+	t->inherited = false;
+	t->want_checkpoint = false;
+	t->recorded_running = false;
+	t->percent = 100;
+	t->throttle_polls = 0;
+	t->issued_us = 0;
+	t->issued_seq = 0;
+	t->started_us = 0;
+	t->proven = false;
+	if (at_us > now_us) {
+		t->delay.key = at_us;
+		t->delay.tie = s->next_tie++;
+		if (sched_heap_push(&s->delayed, &t->delay) == 0)
+			return;
+	}
+	TAILQ_INSERT_TAIL(&j->waiting, t, wait_entry);
+	t->queued = true;
+	j->nwaiting++;
+	job_queue_up(s, j, now_us);
+}
+
+/* Puts tasks whose retry time has come into the waiting queues. */
+void tasks_delayed(struct sched *s, int64_t now_us)
+{
+	struct sched_node *n;
+
+	while ((n = sched_heap_first(&s->delayed)) && n->key <= now_us) {
+		struct task *t =
+			(struct task *)((char *)n - offsetof(struct task, delay));
+
+		sched_heap_remove(&s->delayed, n);
+		task_wait(s, t, now_us, now_us);
+	}
+}
+
+/* Marks that the store does not have the present state of the task. */
+void task_dirty(struct sched *s, struct task *t)
+{
+	if (t->dirty)
+		return;
+	t->dirty = true;
+	TAILQ_INSERT_TAIL(&s->dirty, t, dirty_entry);
+}
+
+/* The attempt is certainly over. Releases its capacity and records the end. */
+void task_over(struct sched *s, struct task *t, enum sched_state end,
+	       enum sched_reason reason, int64_t now_us)
+{
+	leave_waiting(s, t);
+	unbind(s, t);
+	t->phase = P_ENDING;
+	t->stop = SCHED_R_NONE;
+	t->inherited = false;
+	t->end = end;
+	t->reason = reason;
+	if (end != SCHED_WAITING) {
+		set_final(t);
+		if (t->key.job->opt.class == SCHED_LATENCY)
+			job_scale_later(s, t->key.job);
+	}
+	task_dirty(s, t);
+}
+
+static bool is_final(enum sched_reason reason)
+{
+	return reason == SCHED_R_CANCELLED || reason == SCHED_R_SCALED_DOWN ||
+	       reason == SCHED_R_REPLACED || reason >= SCHED_R_TOO_LARGE;
+}
+
+/* Returns the state to record when an attempt stopped for this reason is over. */
+enum sched_state task_end_state(enum sched_reason reason)
+{
+	if (reason >= SCHED_R_TOO_LARGE)
+		return SCHED_FAILED;
+	return is_final(reason) ? SCHED_CANCELLED : SCHED_WAITING;
+}
+
+/* Whether no worker can know of the present attempt. */
+bool task_never_issued(const struct task *t)
+{
+	return !t->inherited && t->issued_seq == 0;
+}
+
+/*
+ * Wishes the end of the present attempt. It ends at once when no worker can know of
+ * it; else when the worker confirms or its lease has certainly ended.
+ */
+void task_stop(struct sched *s, struct task *t, enum sched_reason reason, int64_t now_us)
+{
+	bool final = is_final(reason);
+
+	if (final)
+		set_final(t);
+	switch (t->phase) {
+	case P_WAITING:
+		if (final)
+			task_over(s, t, task_end_state(reason), reason, now_us);
+		return;
+	case P_ENDING:
+		if (!final || t->end != SCHED_WAITING)
+			return;
+		if (t->pending)
+			t->stop = reason; /* taken up when the record is committed */
+		else
+			task_over(s, t, task_end_state(reason), reason, now_us);
+		return;
+	case P_INTENT:
+	case P_PLACED:
+	case P_RUNNING:
+		break;
+	}
+	if (t->stop && (is_final(t->stop) || !final))
+		return;
+	t->stop = reason;
+	t->stop_us = now_us;
+	if (t->phase != P_RUNNING && !t->pending && task_never_issued(t))
+		task_over(s, t, task_end_state(reason), reason, now_us);
+}
+
+/* The attempt is certainly over without having ended by itself. */
+void task_lost(struct sched *s, struct task *t, int64_t now_us)
+{
+	enum sched_reason reason = t->stop ? t->stop : SCHED_R_WORKER_LOST;
+
+	if (t->phase == P_INTENT || (t->phase == P_PLACED && task_never_issued(t))) {
+		task_stop(s, t, SCHED_R_NOT_STARTED, now_us);
+		return;
+	}
+	if (!t->stop)
+		s->stats.lost++;
+	if (t->replaced_by)
+		reason = SCHED_R_REPLACED;
+	else if (t->key.job->cancelled)
+		reason = SCHED_R_CANCELLED;
+	task_over(s, t, task_end_state(reason), reason, now_us);
+}
+
+static enum sched_state state_to_record(const struct task *t)
+{
+	switch (t->phase) {
+	case P_INTENT:
+		return SCHED_PLACED;
+	case P_RUNNING:
+		return SCHED_RUNNING;
+	case P_ENDING:
+		return t->end;
+	case P_WAITING:
+	case P_PLACED:
+		break;
+	}
+	return SCHED_WAITING;
+}
+
+static int propose(struct sched *s, struct task *t)
+{
+	struct job *j = t->key.job;
+	struct sched_record r = {
+		.team = team_name(j->team),
+		.job = job_name(j),
+		.task = (uint32_t)t->key.number,
+		.attempt = t->attempt,
+		.state = state_to_record(t),
+		.session = t->session,
+		.exit_code = t->exit_code,
+		.checkpoint = t->checkpoint,
+		.failures = t->failures,
+		.reason = t->phase == P_ENDING ? t->reason : SCHED_R_NONE,
+	};
+	int err;
+
+	if (t->worker)
+		r.worker = worker_name(t->worker);
+	err = s->opt.host->ops->propose(s->opt.host, &r);
+	if (err)
+		return err;
+	t->pending = true;
+	t->proposed = r.state;
+	s->stats.proposals++;
+	return 0;
+}
+
+/* Proposes the records of one step. What the host does not accept stays queued. */
+void tasks_propose(struct sched *s)
+{
+	unsigned int n = 0;
+	struct task *t;
+
+	while ((t = TAILQ_FIRST(&s->dirty)) && n++ < STEP_PROPOSALS) {
+		/* One proposal of a task at a time; sched_committed() queues it again. */
+		bool due = t->phase == P_INTENT || t->phase == P_ENDING ||
+			   (t->phase == P_RUNNING && !t->recorded_running);
+
+		if (!t->pending && due && propose(s, t)) {
+			s->retry = true;
+			return;
+		}
+		t->dirty = false;
+		TAILQ_REMOVE(&s->dirty, t, dirty_entry);
+	}
+	if (t)
+		s->retry = true;
+}
+
+/* Frees a task that is bound to no worker. */
+void task_free(struct sched *s, struct task *t)
+{
+	struct job *j = t->key.job;
+
+	leave_waiting(s, t);
+	set_final(t);
+	if (t->dirty)
+		TAILQ_REMOVE(&s->dirty, t, dirty_entry);
+	if (j->cursor == t)
+		j->cursor = TAILQ_NEXT(t, job_entry);
+	TAILQ_REMOVE(&j->tasks, t, job_entry);
+	HASH_DEL(s->tasks, t);
+	s->ntasks--;
+	s->stats.bytes -= sizeof(*t);
+	free(t);
+}
--- /dev/null
+++ b/core/sched_worker.c
@@ -0,0 +1,170 @@
+#include <stdlib.h>
+
+#include "base/err.h"
+#include "core/sched_impl.h"
+
+/* Returns the worker of a name, made without zone when it is new; NULL: no memory. */
+struct worker *worker_get(struct sched *s, struct str name)
+{
+	struct worker *w;
+
+	HASH_FIND(hh, s->workers, name.p, name.n, w);
+	if (w)
+		return w;
+	w = calloc(1, sizeof(*w));
+	if (!w)
+		return NULL;
+	w->name = str_dup(name);
+	if (!w->name) {
+		free(w);
+		return NULL;
+	}
+	w->len = name.n;
+	w->id = ++s->next_id;
+	LIST_INIT(&w->tasks);
+	HASH_ADD_KEYPTR(hh, s->workers, w->name, w->len, w);
+	s->stats.bytes += sizeof(*w) + name.n + 1;
+	return w;
+}
+
+static unsigned int bucket_of(const struct worker *w)
+{
+	uint64_t used = (uint64_t)w->used.cpu_milli + w->ghost.cpu_milli;
+	uint64_t n = 0;
+
+	if (used < w->capacity.cpu_milli)
+		n = (w->capacity.cpu_milli - used) / 1000;
+	return n < FREE_BUCKETS ? (unsigned int)n : FREE_BUCKETS - 1;
+}
+
+/* Files the worker under its free processors; only workers that can take work. */
+void worker_index(struct sched *s, struct worker *w)
+{
+	bool usable = w->leased && w->seen && w->health != H_QUARANTINED;
+	unsigned int b = bucket_of(w);
+
+	if (w->indexed && usable && w->bucket == b)
+		return;
+	if (w->indexed)
+		TAILQ_REMOVE(&w->zone->free[w->bucket], w, free_entry);
+	w->indexed = usable;
+	w->bucket = (uint8_t)b;
+	if (usable)
+		TAILQ_INSERT_TAIL(&w->zone->free[b], w, free_entry);
+}
+
+/* Capacity of the worker was released: jobs that fitted nowhere may fit now. */
+void worker_freed(struct sched *s, struct worker *w)
+{
+	if (w->zone)
+		worker_index(s, w);
+	s->generation++;
+	s->retry = true;
+}
+
+/* The lease has certainly ended, so nothing that the worker held runs any more. */
+static void release_tasks(struct sched *s, struct worker *w, int64_t now_us)
+{
+	struct task *t;
+	struct task *next;
+
+	for (t = LIST_FIRST(&w->tasks); t; t = next) {
+		next = LIST_NEXT(t, worker_entry);
+		task_lost(s, t, now_us);
+	}
+	w->ghost = (struct sched_size){0};
+}
+
+static void worker_lost(struct sched *s, struct worker *w, int64_t now_us)
+{
+	w->leased = false;
+	if (w->seen) {
+		size_sub(&s->total, w->capacity);
+		s->stats.workers--;
+	}
+	if (w->zone)
+		worker_index(s, w);
+	release_tasks(s, w, now_us);
+}
+
+/* Releases the tasks of workers whose lease has certainly ended, some in each step. */
+void workers_lost_step(struct sched *s, int64_t now_us)
+{
+	unsigned int n = 0;
+	struct worker *w;
+
+	while ((w = TAILQ_FIRST(&s->inherited)) && w->lease_end_us <= now_us) {
+		if (n++ == STEP_LOST_WORKERS) {
+			s->retry = true;
+			return;
+		}
+		TAILQ_REMOVE(&s->inherited, w, lease_entry);
+		worker_lost(s, w, now_us);
+	}
+	while ((w = TAILQ_FIRST(&s->leases)) && w->lease_end_us <= now_us) {
+		if (n++ == STEP_LOST_WORKERS) {
+			s->retry = true;
+			return;
+		}
+		TAILQ_REMOVE(&s->leases, w, lease_entry);
+		worker_lost(s, w, now_us);
+	}
+}
+
+/* Renews the lease; the worker counts it from when it sent the poll, so ends before. */
+void worker_renew(struct sched *s, struct worker *w, int64_t now_us)
+{
+	if (w->leased)
+		TAILQ_REMOVE(w->seen ? &s->leases : &s->inherited, w, lease_entry);
+	if (!w->leased || !w->seen) {
+		size_add(&s->total, w->capacity);
+		s->stats.workers++;
+		s->generation++;
+		s->retry = true;
+	}
+	w->leased = true;
+	w->seen = true;
+	w->lease_end_us = now_us + sched_certain(s->opt.lease_us);
+	w->polled_us = now_us;
+	TAILQ_INSERT_TAIL(&s->leases, w, lease_entry);
+}
+
+/* Takes over the place and the capacity that the worker reports. CF_OK or no memory. */
+int worker_place(struct sched *s, struct worker *w, const struct sched_worker_report *r)
+{
+	struct zone *z = zone_get(s, r->zone);
+	struct rack *rack = rack_get(s, r->rack);
+
+	if (!z || !rack)
+		return CF_ENOMEM;
+	if (w->zone != z || w->rack != rack) {
+		struct task *t;
+
+		LIST_FOREACH (t, &w->tasks, worker_entry)
+			task_uncount(t);
+		if (w->indexed)
+			TAILQ_REMOVE(&w->zone->free[w->bucket], w, free_entry);
+		w->indexed = false;
+		if (w->zone) {
+			TAILQ_REMOVE(&w->zone->workers, w, zone_entry);
+			w->zone->nworkers--;
+		}
+		w->zone = z;
+		w->rack = rack;
+		TAILQ_INSERT_TAIL(&z->workers, w, zone_entry);
+		z->nworkers++;
+		LIST_FOREACH (t, &w->tasks, worker_entry)
+			task_count(t);
+	}
+	if (!size_covers(w->capacity, r->capacity) ||
+	    !size_covers(r->capacity, w->capacity)) {
+		if (w->leased && w->seen) {
+			size_sub(&s->total, w->capacity);
+			size_add(&s->total, r->capacity);
+		}
+		w->capacity = r->capacity;
+		s->generation++;
+	}
+	fit_add_shape(s, r->capacity);
+	return 0;
+}
--- /dev/null
+++ b/core/sched_zone.c
@@ -0,0 +1,173 @@
+#include <stdlib.h>
+
+#include "base/err.h"
+#include "core/sched_impl.h"
+
+#define DRAIN_PASS_US 200000	    /* between two passes over a zone that is drained */
+#define CHECKPOINT_GRACE_US 5000000 /* for a checkpoint before the stop */
+#define REPLACE_GRACE_US 20000000   /* for the replacement of an executor to run */
+#define LATER_US 1000000 /* work without a deadline is stopped this much later */
+#define RAMP_US 60000000 /* a zone that returned takes work without limit after it */
+#define RAMP_FIRST 4	 /* starts allowed at once */
+
+bool zone_is_out(const struct team *team, const struct zone *z)
+{
+	return (team->out >> z->index) & 1;
+}
+
+/* Whether the zone returned lately and has had its starts for now. */
+bool zone_ramp_full(const struct sched *s, const struct team *team, const struct zone *z,
+		    int64_t now_us)
+{
+	const struct team_zone *tz = &team->zone[z->index];
+	double part;
+	double allowed;
+
+	if (!tz->ramp || now_us - tz->back_us >= RAMP_US)
+		return false;
+	/* Quadratic: the first tasks show whether the zone really works. */
+	part = (double)(now_us - tz->back_us) / RAMP_US;
+	allowed = RAMP_FIRST + part * part * 24 * (double)z->nworkers;
+	return tz->back_starts >= allowed;
+}
+
+void zone_started(struct team *team, const struct zone *z)
+{
+	team->zone[z->index].back_starts++;
+}
+
+static struct drain *drain_find(struct sched *s, const struct team *team,
+				const struct zone *z)
+{
+	struct drain *d;
+
+	TAILQ_FOREACH (d, &s->drains, entry)
+		if (d->team == team && d->zone == z)
+			return d;
+	return NULL;
+}
+
+/*
+ * Takes a zone out for one team, or returns it. From the call on no start order of
+ * the team is issued there; orders issued before expire within the order life.
+ */
+int sched_zone(struct sched *s, struct str team, struct str zone, bool out,
+	       int64_t now_us)
+{
+	struct team *t = team_get(s, team);
+	struct zone *z = zone_get(s, zone);
+	struct drain *d;
+
+	if (!t || !z)
+		return CF_ENOMEM;
+	if (zone_is_out(t, z) == out)
+		return 0;
+	if (out) {
+		d = calloc(1, sizeof(*d));
+		if (!d)
+			return CF_ENOMEM;
+		d->team = t;
+		d->zone = z;
+		d->since_us = now_us;
+		d->next_us = now_us;
+		TAILQ_INSERT_TAIL(&s->drains, d, entry);
+		t->out |= 1ULL << z->index;
+	} else {
+		t->out &= ~(1ULL << z->index);
+		d = drain_find(s, t, z);
+		if (d) {
+			TAILQ_REMOVE(&s->drains, d, entry);
+			free(d);
+		}
+		t->zone[z->index] = (struct team_zone){true, now_us, 0};
+		s->generation++;
+	}
+	sched_wake(s, now_us);
+	return 0;
+}
+
+/* Starts a replacement for an executor; false when it must wait. */
+static bool replace(struct sched *s, struct task *t, int64_t now_us)
+{
+	struct job *j = t->key.job;
+	struct task *n = task_new(s, j, j->next_task);
+
+	if (!n)
+		return false;
+	n->replaces = t;
+	t->replaced_by = n;
+	j->replacing++;
+	task_wait(s, n, now_us, now_us);
+	return true;
+}
+
+static void drain_executor(struct sched *s, struct drain *d, struct task *t,
+			   int64_t now_us)
+{
+	if (!t->replaced_by && !t->replaces && !replace(s, t, now_us))
+		return;
+	if (now_us - d->since_us >= REPLACE_GRACE_US)
+		task_stop(s, t, t->replaced_by ? SCHED_R_REPLACED : SCHED_R_ZONE_OUT,
+			  now_us);
+}
+
+static void drain_batch(struct sched *s, struct drain *d, struct task *t, int64_t now_us)
+{
+	struct job *j = t->key.job;
+
+	/* Work with a deadline gets the free capacity elsewhere first. */
+	if (!j->opt.deadline_us && now_us - d->since_us < LATER_US)
+		return;
+	if (j->opt.checkpoint && !t->want_checkpoint) {
+		t->want_checkpoint = true;
+		t->checkpoint_before = t->checkpoint;
+		t->checkpoint_us = now_us;
+		return;
+	}
+	if (!j->opt.checkpoint || t->checkpoint != t->checkpoint_before ||
+	    now_us - t->checkpoint_us >= CHECKPOINT_GRACE_US)
+		task_stop(s, t, SCHED_R_ZONE_OUT, now_us);
+}
+
+static void drain_task(struct sched *s, struct drain *d, struct task *t, int64_t now_us)
+{
+	if (t->stop || t->key.job->team != d->team)
+		return;
+	if (t->phase != P_RUNNING)
+		task_stop(s, t, SCHED_R_ZONE_OUT, now_us);
+	else if (t->key.job->opt.class == SCHED_LATENCY)
+		drain_executor(s, d, t, now_us);
+	else
+		drain_batch(s, d, t, now_us);
+}
+
+static void drain_pass(struct sched *s, struct drain *d, int64_t now_us)
+{
+	struct worker *w;
+	struct task *t;
+	struct task *next;
+
+	TAILQ_FOREACH (w, &d->zone->workers, zone_entry) {
+		for (t = LIST_FIRST(&w->tasks); t; t = next) {
+			next = LIST_NEXT(t, worker_entry);
+			drain_task(s, d, t, now_us);
+		}
+	}
+}
+
+/*
+ * Moves the work of teams out of zones that they took out: tasks that no worker
+ * runs at once, work with deadlines after a checkpoint, other work after that, and
+ * executors when their replacement runs.
+ */
+void zones_drain_step(struct sched *s, int64_t now_us)
+{
+	struct drain *d;
+
+	TAILQ_FOREACH (d, &s->drains, entry) {
+		if (d->next_us > now_us)
+			continue;
+		drain_pass(s, d, now_us);
+		d->next_us = now_us + DRAIN_PASS_US;
+	}
+}
