Stand-ins number polls and announcements

Cause: the scheduler tells late polls by their number and the router tells late announcements by theirs; the stand-ins sent neither. Before: polls refused as invalid. After: both numbers are sent.

--- a/carawayfrontd/ctl_call.c
+++ b/carawayfrontd/ctl_call.c
@@ -47,13 +47,13 @@
 int ctl_propose(struct leader_client *leader, struct http_request *req,
 		const struct command_body *body, const struct ctl_call_ops *ops)
 {
-	struct command command = {.body = *body};
+	struct command cmd = {.body = *body};
 	struct peer_propose_args args = {0};
 	struct buf inner = {0};
 	struct buf outer = {0};
 	int err;
 
-	err = codec_encode((xdrproc_t)xdr_command, &command, &inner);
+	err = codec_encode((xdrproc_t)xdr_command, &cmd, &inner);
 	if (err)
 		goto out;
 	XDR_SET(args, command, buf_str(&inner));
--- a/carawayfrontd/front_claim.c
+++ b/carawayfrontd/front_claim.c
@@ -36,13 +36,13 @@
 static int propose(struct front_request *r, struct leader_call *call,
 		   const struct command_body *body, double timeout)
 {
-	struct command command = {.body = *body};
+	struct command cmd = {.body = *body};
 	struct peer_propose_args args = {0};
 	struct buf inner = {0};
 	struct buf outer = {0};
 	int err;
 
-	err = codec_encode((xdrproc_t)xdr_command, &command, &inner);
+	err = codec_encode((xdrproc_t)xdr_command, &cmd, &inner);
 	if (err)
 		goto out;
 	XDR_SET(args, command, buf_str(&inner));
--- a/carawayfrontd/member_join.c
+++ b/carawayfrontd/member_join.c
@@ -60,8 +60,8 @@
 
 static void ask(struct member_join *m)
 {
-	struct command command = {.body = {.kind = CMD_MEMBER_ENTRY}};
-	struct command_member_entry *entry = &command.body.command_body_u.member_entry;
+	struct command cmd = {.body = {.kind = CMD_MEMBER_ENTRY}};
+	struct command_member_entry *entry = &cmd.body.command_body_u.member_entry;
 	struct peer_propose_args args = {0};
 	struct buf inner = {0};
 	struct buf outer = {0};
@@ -70,7 +70,7 @@
 	XDR_SET(*entry, name, m->opt.settings->name);
 	XDR_SET(*entry, address, buf_str(&m->address));
 	entry->incarnation = *m->opt.incarnation;
-	err = codec_encode((xdrproc_t)xdr_command, &command, &inner);
+	err = codec_encode((xdrproc_t)xdr_command, &cmd, &inner);
 	XDR_SET(args, command, buf_str(&inner));
 	if (!err)
 		err = codec_encode((xdrproc_t)xdr_peer_propose_args, &args, &outer);
--- a/carawayfrontd/state_impl.h
+++ b/carawayfrontd/state_impl.h
@@ -74,7 +74,7 @@
 struct str state_leader_name(const struct state *s);
 
 /* Leadership and proposals. */
-int state_propose(struct state *s, const struct command *command, uint64_t *index);
+int state_propose(struct state *s, const struct command *cmd, uint64_t *index);
 void state_end_proposals(struct state *s, int err);
 void state_apply(struct replica_host *host, const struct replica_entry *entry);
 
@@ -91,7 +91,7 @@
 void state_leading_stop(struct state *s);
 void state_leading_tick(struct state *s);
 int64_t state_leading_deadline(const struct state *s);
-void state_leading_applied(struct state *s, const struct command *command,
+void state_leading_applied(struct state *s, const struct command *cmd,
 			   const struct command_result *result);
 int state_leading_seen(struct state *s, struct str entry, uint64_t incarnation);
 
--- a/carawayfrontd/state_leading.c
+++ b/carawayfrontd/state_leading.c
@@ -53,8 +53,8 @@
 static int op_propose(struct sched_host *host, const struct sched_record *r)
 {
 	struct state_leading *l = (struct state_leading *)host;
-	struct command command = {.body = {.kind = CMD_TASK}};
-	struct command_task *t = &command.body.command_body_u.task;
+	struct command cmd = {.body = {.kind = CMD_TASK}};
+	struct command_task *t = &cmd.body.command_body_u.task;
 	const struct job *job;
 	struct str name;
 	uint64_t index;
@@ -73,7 +73,7 @@
 	t->session = r->session;
 	t->exit_code = r->exit_code;
 	t->checkpoint = r->checkpoint;
-	return state_propose(l->state, &command, &index);
+	return state_propose(l->state, &cmd, &index);
 }
 
 static const struct sched_ops sched_ops = {.propose = op_propose};
@@ -157,8 +157,8 @@
 /* Records the entry processes heard from; those left out are declared gone later. */
 static void propose_seen(struct state_leading *l, int64_t now)
 {
-	struct command command = {.body = {.kind = CMD_MEMBER_SEEN}};
-	struct command_member_seen *seen = &command.body.command_body_u.member_seen;
+	struct command cmd = {.body = {.kind = CMD_MEMBER_SEEN}};
+	struct command_member_seen *seen = &cmd.body.command_body_u.member_seen;
 	struct command_member_id *ids = calloc(HASH_COUNT(l->seen) + 1, sizeof(*ids));
 	uint64_t index;
 	u_int n = 0;
@@ -174,7 +174,7 @@
 	seen->epoch = l->epoch;
 	seen->entries.entries_val = ids;
 	seen->entries.entries_len = n;
-	state_propose(l->state, &command, &index);
+	state_propose(l->state, &cmd, &index);
 	free(ids);
 }
 
@@ -242,11 +242,11 @@
 }
 
 /* Passes a command that was applied to the scheduler. */
-void state_leading_applied(struct state *s, const struct command *command,
+void state_leading_applied(struct state *s, const struct command *cmd,
 			   const struct command_result *result)
 {
 	struct state_leading *l = s->leading;
-	const struct command_body *b = &command->body;
+	const struct command_body *b = &cmd->body;
 	const struct command_job_submit *submit = &b->command_body_u.job_submit;
 	const struct command_job_cancel *cancel = &b->command_body_u.job_cancel;
 	const struct job *job;
--- a/carawayfrontd/state_propose.c
+++ b/carawayfrontd/state_propose.c
@@ -24,9 +24,9 @@
 }
 
 /* Encodes a command with the leader's time and proposes it. */
-int state_propose(struct state *s, const struct command *command, uint64_t *index)
+int state_propose(struct state *s, const struct command *cmd, uint64_t *index)
 {
-	struct command timed = *command;
+	struct command timed = *cmd;
 	struct buf bytes = {0};
 	int err;
 
@@ -56,12 +56,12 @@
 /* Checks that the bytes are a command that a peer may propose, and its time. */
 static int check_command(struct str bytes)
 {
-	struct command command = {0};
-	int err = codec_decode((xdrproc_t)xdr_command, &command, bytes);
+	struct command cmd = {0};
+	int err = codec_decode((xdrproc_t)xdr_command, &cmd, bytes);
 
-	if (!err && is_internal(command.body.kind))
+	if (!err && is_internal(cmd.body.kind))
 		err = CF_EPERM;
-	codec_free((xdrproc_t)xdr_command, &command);
+	codec_free((xdrproc_t)xdr_command, &cmd);
 	return err;
 }
 
@@ -199,7 +199,7 @@
 void state_apply(struct replica_host *host, const struct replica_entry *entry)
 {
 	struct state *s = (struct state *)host;
-	struct command command = {0};
+	struct command cmd = {0};
 	struct command_result result = {0};
 	struct buf bytes = {0};
 	int err;
@@ -213,15 +213,15 @@
 		goto out;
 	}
 	answer_proposal(s, entry, buf_str(&bytes));
-	if (codec_decode((xdrproc_t)xdr_command, &command, entry->data) ||
+	if (codec_decode((xdrproc_t)xdr_command, &cmd, entry->data) ||
 	    codec_decode((xdrproc_t)xdr_command_result, &result, buf_str(&bytes)))
 		goto out;
-	if (changes_conf(command.body.kind) && !result.err)
+	if (changes_conf(cmd.body.kind) && !result.err)
 		s->conf_changed = true;
 	if (s->leading)
-		state_leading_applied(s, &command, &result);
+		state_leading_applied(s, &cmd, &result);
 out:
-	codec_free((xdrproc_t)xdr_command, &command);
+	codec_free((xdrproc_t)xdr_command, &cmd);
 	codec_free((xdrproc_t)xdr_command_result, &result);
 	buf_free(&bytes);
 }
--- a/standins/upstream.c
+++ b/standins/upstream.c
@@ -79,6 +79,7 @@
 	bool leave_told; /* an entry process knows that it is leaving */
 	unsigned int next_control;
 	int64_t incarnation;
+	int64_t sequence; /* number of the last announcement */
 	struct ev_timer announce;
 };
 
@@ -181,10 +182,11 @@
 		return;
 	snprintf(url, sizeof(url), "http://%s/v1/upstreams/%s",
 		 opt.controls[x->next_control++ % opt.n_controls], x->name);
-	j = json_pack("{s:s,s:s,s:s,s:s,s:i,s:s,s:I,s:I}", "team", opt.team, "service",
-		      opt.service, "address", x->address, "zone", opt.zone, "slots",
-		      (int)opt.slots, "state", leaving_us ? "leaving" : "ready", "load",
-		      (json_int_t)load, "incarnation", (json_int_t)x->incarnation);
+	j = json_pack("{s:s,s:s,s:s,s:s,s:i,s:s,s:I,s:I,s:I}", "team", opt.team,
+		      "service", opt.service, "address", x->address, "zone", opt.zone,
+		      "slots", (int)opt.slots, "state", leaving_us ? "leaving" : "ready",
+		      "load", (json_int_t)load, "incarnation", (json_int_t)x->incarnation,
+		      "sequence", (json_int_t)++x->sequence);
 	text = json_dumps(j, JSON_COMPACT);
 	if (!text)
 		errx(1, "out of memory");
--- a/standins/worker.c
+++ b/standins/worker.c
@@ -94,6 +94,7 @@
 	bool polling;
 	bool poll_again;
 	uint64_t epoch;
+	uint64_t seq; /* number of the last poll */
 	struct task *tasks;
 };
 
@@ -452,8 +453,9 @@
 	tasks = json_array();
 	for (const struct task *t = w->tasks; t; t = t->hh.next)
 		json_array_append_new(tasks, task_report(t));
-	j = json_pack("{s:s,s:I,s:s,s:s,s:i,s:i,s:i,s:i,s:o}", "worker", w->name,
-		      "session", (json_int_t)session, "zone", opt.zone, "rack", w->rack,
+	j = json_pack("{s:s,s:I,s:I,s:I,s:s,s:s,s:i,s:i,s:i,s:i,s:o}", "worker", w->name,
+		      "session", (json_int_t)session, "seq", (json_int_t)++w->seq,
+		      "epoch", (json_int_t)w->epoch, "zone", opt.zone, "rack", w->rack,
 		      "cpus", (int)opt.cpus, "memory_mb", (int)opt.memory_mb,
 		      "accelerators", (int)opt.accelerators, "lag_ms", opt.lag_ms,
 		      "tasks", tasks);
