--- /dev/null
+++ b/core/conf.c
@@ -0,0 +1,357 @@
+#include "core/conf.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/err.h"
+#include "core/fields.h"
+
+#define DEFAULT_TEXT_BYTES (128 << 10)
+#define DEFAULT_VERSIONS 16
+/* Observers that missed up to a day of changes (2,500) need no full copy. */
+#define DEFAULT_CHANGES 4096
+#define DEFAULT_HISTORY_BYTES (2 << 20)
+
+struct conf {
+	struct conf_options options;
+	struct conf_view *view;
+	struct conf_doc **log; /* kept changes in the order of their revisions */
+	size_t first;	       /* position of the oldest in log */
+	size_t end;
+	size_t cap;
+	size_t history_bytes;
+	uint64_t cut; /* the log is complete after this revision */
+};
+
+void conf_defaults(struct conf_options *o)
+{
+	conf_view_defaults(&o->view);
+	o->text_bytes = DEFAULT_TEXT_BYTES;
+	o->versions = DEFAULT_VERSIONS;
+	o->changes = DEFAULT_CHANGES;
+	o->history_bytes = DEFAULT_HISTORY_BYTES;
+}
+
+int conf_new(const struct conf_options *o, struct conf **out)
+{
+	struct conf *c = calloc(1, sizeof(*c));
+	int err;
+
+	if (!c)
+		return CF_ENOMEM;
+	c->options = *o;
+	err = conf_view_new(&o->view, &c->view);
+	if (err) {
+		free(c);
+		return err;
+	}
+	*out = c;
+	return 0;
+}
+
+void conf_free(struct conf *c)
+{
+	if (!c)
+		return;
+	for (size_t i = c->first; i < c->end; i++)
+		conf_doc_unref(c->log[i]);
+	free(c->log);
+	conf_view_free(c->view);
+	free(c);
+}
+
+static bool is_present(const struct conf *c, const struct conf_doc *doc)
+{
+	return conf_view_get(c->view, conf_doc_path(doc)) == doc;
+}
+
+/* Drops the change at a position of the log. */
+static void drop(struct conf *c, size_t i)
+{
+	struct conf_doc *doc = c->log[i];
+
+	if (!is_present(c, doc))
+		c->history_bytes -= conf_doc_bytes(doc);
+	if (i == c->first) {
+		c->cut = doc->revision;
+		c->first++;
+	} else {
+		memmove(c->log + i, c->log + i + 1, (c->end - i - 1) * sizeof(void *));
+		c->end--;
+	}
+	conf_doc_unref(doc);
+}
+
+static int append(struct conf *c, struct conf_doc *doc)
+{
+	if (c->end == c->cap && c->first) {
+		memmove(c->log, c->log + c->first, (c->end - c->first) * sizeof(void *));
+		c->end -= c->first;
+		c->first = 0;
+	}
+	if (c->end == c->cap) {
+		size_t cap = c->cap ? c->cap * 2 : 16;
+		struct conf_doc **log = realloc(c->log, cap * sizeof(void *));
+
+		if (!log)
+			return CF_ENOMEM;
+		c->log = log;
+		c->cap = cap;
+	}
+	c->log[c->end++] = conf_doc_ref(doc);
+	return 0;
+}
+
+/*
+ * Drops old versions of one path above the bound. A later change of the path stays,
+ * so observers miss nothing and the log stays complete.
+ */
+static void bound_path(struct conf *c, struct str path)
+{
+	size_t n = 0;
+
+	for (size_t i = c->end; i > c->first; i--) {
+		if (!str_eq(conf_doc_path(c->log[i - 1]), path))
+			continue;
+		if (++n > c->options.versions) {
+			uint64_t cut = c->cut;
+
+			drop(c, i - 1);
+			c->cut = cut;
+			return;
+		}
+	}
+}
+
+/* Adds a change to the log and keeps the bounds. old: the version before, or NULL. */
+static int record(struct conf *c, struct conf_doc *doc, const struct conf_doc *old)
+{
+	int err = append(c, doc);
+
+	if (err)
+		return err;
+	if (doc->deleted)
+		c->history_bytes += conf_doc_bytes(doc);
+	if (old)
+		c->history_bytes += conf_doc_bytes(old);
+	bound_path(c, conf_doc_path(doc));
+	while (c->end - c->first > c->options.changes ||
+	       (c->history_bytes > c->options.history_bytes && c->first < c->end))
+		drop(c, c->first);
+	return 0;
+}
+
+/* Tells whether the log holds a version. */
+static bool in_log(const struct conf *c, const struct conf_doc *doc)
+{
+	return conf_change_after(c, doc->revision - 1) == doc;
+}
+
+static int conflict(const struct conf_doc *winner, struct reply *reply)
+{
+	int err = 0;
+
+	if (winner) {
+		reply->revision = winner->revision;
+		err = buf_set(&reply->detail, conf_doc_text(winner));
+	}
+	return err ? err : CF_ECONFLICT;
+}
+
+/* Checks a new version against bounds and schema. */
+static int check(const struct conf *c, const struct conf_doc *doc, struct reply *reply)
+{
+	struct vocab_error e;
+	int err = conf_view_check(c->view, doc, &e);
+
+	if (err) {
+		int failed = vocab_error_format(&e, &reply->detail);
+
+		return failed ? failed : err;
+	}
+	return conf_view_fits(c->view, doc);
+}
+
+/*
+ * Checks a change of a document whose present revision must be the expected one (0:
+ * none), and makes the new version. CF_ECONFLICT with revision and text of the present
+ * version (revision 0 when there is none), CF_EINVAL with a description, CF_ETOOBIG,
+ * CF_ENOSPACE, CF_ENOENT for the deletion of a document that does not exist.
+ */
+int conf_prepare(const struct conf *c, const struct conf_change *change,
+		 uint64_t expected, struct reply *reply, struct conf_doc **out)
+{
+	const struct conf_doc *present = conf_view_get(c->view, change->path);
+	struct conf_doc *doc;
+	int err;
+
+	if (change->text.n > c->options.text_bytes ||
+	    change->fields.n > c->options.text_bytes)
+		return CF_ETOOBIG;
+	err = conf_doc_new(change, &doc);
+	if (err)
+		return err;
+	if (change->deleted && !present && !expected)
+		err = CF_ENOENT;
+	else if (expected != (present ? present->revision : 0))
+		err = conflict(present, reply);
+	else
+		err = check(c, doc, reply);
+	if (err)
+		conf_doc_unref(doc);
+	else
+		*out = doc;
+	return err;
+}
+
+/* Makes a prepared version the present one. CF_ENOMEM is fatal for the store. */
+int conf_commit(struct conf *c, struct conf_doc *doc, struct reply *reply)
+{
+	const struct conf_doc *present = conf_view_get(c->view, conf_doc_path(doc));
+	struct conf_doc *old = NULL;
+	int err;
+
+	/* The view drops its reference, the log may still need the old version. */
+	if (present && in_log(c, present))
+		old = conf_doc_ref((struct conf_doc *)(uintptr_t)present);
+	err = conf_view_set(c->view, doc);
+	if (!err)
+		err = record(c, doc, old);
+	if (!err)
+		reply->revision = doc->revision;
+	conf_doc_unref(old);
+	return err;
+}
+
+/* Returns the present documents. */
+const struct conf_view *conf_docs(const struct conf *c)
+{
+	return c->view;
+}
+
+/* Tells whether the kept changes after the revision lead to the present documents. */
+bool conf_complete_after(const struct conf *c, uint64_t revision)
+{
+	return revision >= c->cut;
+}
+
+/*
+ * Returns the oldest kept change after the revision, NULL when there is none. When
+ * conf_complete_after() is false, an observer needs all documents instead.
+ */
+const struct conf_doc *conf_change_after(const struct conf *c, uint64_t revision)
+{
+	size_t lo = c->first;
+	size_t hi = c->end;
+
+	while (lo < hi) {
+		size_t mid = lo + (hi - lo) / 2;
+
+		if (c->log[mid]->revision <= revision)
+			lo = mid + 1;
+		else
+			hi = mid;
+	}
+	return lo < c->end ? c->log[lo] : NULL;
+}
+
+/* Returns the newest kept version of a path before the revision, NULL without one. */
+const struct conf_doc *conf_version_before(const struct conf *c, struct str path,
+					   uint64_t revision)
+{
+	for (size_t i = c->end; i > c->first; i--) {
+		const struct conf_doc *doc = c->log[i - 1];
+
+		if (doc->revision < revision && str_eq(conf_doc_path(doc), path))
+			return doc;
+	}
+	return NULL;
+}
+
+/* Memory of kept versions that are not present. */
+size_t conf_history_bytes(const struct conf *c)
+{
+	return c->history_bytes;
+}
+
+/* Revision up to which changes may have been dropped. */
+uint64_t conf_cut(const struct conf *c)
+{
+	return c->cut;
+}
+
+/* Adds a present document from a snapshot. */
+int conf_load_doc(struct conf *c, const struct conf_change *change)
+{
+	struct conf_doc *doc;
+	int err = fields_check(change->fields);
+
+	if (!err && (change->text.n > c->options.text_bytes || change->deleted ||
+		     conf_view_get(c->view, change->path)))
+		err = CF_ECORRUPT;
+	if (!err)
+		err = conf_doc_new(change, &doc);
+	if (err)
+		return err;
+	err = conf_view_fits(c->view, doc);
+	if (!err)
+		err = conf_view_set(c->view, doc);
+	conf_doc_unref(doc);
+	return err;
+}
+
+/* Adds the next change of the log from a snapshot; its document may be present. */
+int conf_load_change(struct conf *c, const struct conf_change *change, bool present)
+{
+	struct conf_doc *doc;
+	int err;
+
+	uint64_t last = c->end > c->first ? c->log[c->end - 1]->revision : c->cut;
+
+	if (change->revision <= last)
+		return CF_ECORRUPT;
+	if (present) {
+		const struct conf_doc *stored = conf_view_get(c->view, change->path);
+
+		if (!stored || stored->revision != change->revision)
+			return CF_ECORRUPT;
+		return append(c, (struct conf_doc *)(uintptr_t)stored);
+	}
+	err = fields_check(change->fields);
+	if (!err)
+		err = conf_doc_new(change, &doc);
+	if (err)
+		return err;
+	err = append(c, doc);
+	if (!err)
+		c->history_bytes += conf_doc_bytes(doc);
+	conf_doc_unref(doc);
+	return err;
+}
+
+/* Sets the cut of the log, before its changes. */
+int conf_load_cut(struct conf *c, uint64_t cut)
+{
+	if (c->end > c->first)
+		return CF_ECORRUPT;
+	c->cut = cut;
+	return 0;
+}
+
+/* Ends loading: checks every document by its schema. CF_ECORRUPT. */
+int conf_load_end(struct conf *c)
+{
+	struct vocab_error e;
+
+	for (size_t i = 0; i < conf_view_teams(c->view); i++) {
+		const struct conf_doc *const *docs;
+		size_t n;
+
+		docs = conf_view_team(c->view, conf_view_team_name(c->view, i), &n);
+		for (size_t k = 0; k < n; k++) {
+			if (conf_view_check(c->view, docs[k], &e))
+				return CF_ECORRUPT;
+		}
+	}
+	return 0;
+}
--- /dev/null
+++ b/core/fields.c
@@ -0,0 +1,116 @@
+#include "core/fields.h"
+
+#include <stdlib.h>
+
+#include "base/err.h"
+#include "proto/codec.h"
+
+#define XDR_UNIT 4
+
+static int compare(const void *a, const void *b)
+{
+	const struct command_field *x = a;
+	const struct command_field *y = b;
+
+	return str_cmp(XDR_STR(*x, name), XDR_STR(*y, name));
+}
+
+/*
+ * Sorts the fields in place and appends their packed form. CF_EINVAL for an empty or
+ * repeated name.
+ */
+int fields_pack(struct command_fields *fields, struct buf *out)
+{
+	struct command_field *list = fields->list.list_val;
+	u_int n = fields->list.list_len;
+
+	if (n)
+		qsort(list, n, sizeof(*list), compare);
+	for (u_int i = 0; i < n; i++) {
+		if (list[i].name.name_len == 0)
+			return CF_EINVAL;
+		if (i && compare(&list[i - 1], &list[i]) == 0)
+			return CF_EINVAL;
+	}
+	return codec_encode((xdrproc_t)xdr_command_fields, fields, out);
+}
+
+static bool take_u32(struct str *rest, uint32_t *out)
+{
+	const unsigned char *p = (const unsigned char *)rest->p;
+
+	if (rest->n < XDR_UNIT)
+		return false;
+	*out = (uint32_t)p[0] << 24 | (uint32_t)p[1] << 16 | (uint32_t)p[2] << 8 | p[3];
+	rest->p += XDR_UNIT;
+	rest->n -= XDR_UNIT;
+	return true;
+}
+
+static bool take_bytes(struct str *rest, struct str *out)
+{
+	uint32_t n;
+	size_t padded;
+
+	if (!take_u32(rest, &n))
+		return false;
+	padded = ((size_t)n + XDR_UNIT - 1) / XDR_UNIT * XDR_UNIT;
+	if (padded > rest->n)
+		return false;
+	*out = (struct str){rest->p, n};
+	rest->p += padded;
+	rest->n -= padded;
+	return true;
+}
+
+/* Checks bytes that came from another process. CF_EMALFORMED. */
+int fields_check(struct str packed)
+{
+	struct fields_iter it;
+	struct str last = {NULL, 0};
+	struct str name, value;
+
+	if (packed.n == 0)
+		return 0;
+	fields_first(packed, &it);
+	if (packed.n < XDR_UNIT || it.left > CMD_MAX_FIELDS)
+		return CF_EMALFORMED;
+	while (fields_next(&it, &name, &value)) {
+		if (name.n == 0 || name.n > CMD_MAX_PATH || value.n > CMD_MAX_VALUE ||
+		    str_cmp(last, name) >= 0)
+			return CF_EMALFORMED;
+		last = name;
+	}
+	return it.left || it.rest.n ? CF_EMALFORMED : 0;
+}
+
+/* Starts a walk over the fields in the order of their names. */
+void fields_first(struct str packed, struct fields_iter *it)
+{
+	it->rest = packed;
+	if (!take_u32(&it->rest, &it->left))
+		it->left = 0;
+}
+
+/* Returns false at the end. */
+bool fields_next(struct fields_iter *it, struct str *name, struct str *value)
+{
+	if (!it->left || !take_bytes(&it->rest, name) || !take_bytes(&it->rest, value))
+		return false;
+	it->left--;
+	return true;
+}
+
+/* Finds the value of one name. */
+bool fields_find(struct str packed, struct str name, struct str *value)
+{
+	struct fields_iter it;
+	struct str found;
+
+	fields_first(packed, &it);
+	while (fields_next(&it, &found, value)) {
+		if (str_eq(found, name))
+			return true;
+	}
+	return false;
+}
--- /dev/null
+++ b/core/job.c
@@ -0,0 +1,412 @@
+#include "core/job.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
+
+#include "base/err.h"
+#include "core/job_impl.h"
+
+#define DEFAULT_TEAMS 1024
+#define DEFAULT_JOBS             \
+	{                        \
+		16, 30000, 20000 \
+	}
+/* 9,800 latency-critical and 11,000 batch tasks run at the target size. */
+#define DEFAULT_TASKS            \
+	{                        \
+		64, 60000, 40000 \
+	}
+#define DEFAULT_KEPT             \
+	{                        \
+		64, 30000, 15000 \
+	}
+#define DEFAULT_TASKS_PER_JOB 10000
+#define DEFAULT_KEEP_US (24ULL * 3600 * 1000000)
+
+struct key {
+	struct str team;
+	struct str name;
+	bool service;
+};
+
+static uint64_t hash_key(struct str team, bool service, struct str name)
+{
+	return XXH3_64bits_withSeed(name.p, name.n,
+				    XXH3_64bits(team.p, team.n) + service);
+}
+
+static uint64_t job_hash(const void *entry)
+{
+	const struct job *job = entry;
+
+	return hash_key(job_team_name(job), job->service, job->name);
+}
+
+static bool job_equal(const void *entry, const void *key)
+{
+	const struct job *job = entry;
+	const struct key *k = key;
+
+	return job->service == k->service && str_eq(job->name, k->name) &&
+	       str_eq(job_team_name(job), k->team);
+}
+
+static const struct table_ops job_ops = {job_hash, job_equal};
+
+void job_defaults(struct job_options *o)
+{
+	*o = (struct job_options){
+		.teams = DEFAULT_TEAMS,
+		.jobs = DEFAULT_JOBS,
+		.tasks = DEFAULT_TASKS,
+		.kept = DEFAULT_KEPT,
+		.tasks_per_job = DEFAULT_TASKS_PER_JOB,
+		.keep_us = DEFAULT_KEEP_US,
+	};
+}
+
+int jobs_new(const struct job_options *o, struct jobs **out)
+{
+	struct jobs *j = calloc(1, sizeof(*j));
+
+	if (!j)
+		return CF_ENOMEM;
+	j->options = *o;
+	j->teams.max = o->teams;
+	j->teams.size = sizeof(struct job_team);
+	j->table.ops = &job_ops;
+	j->workers.ops = &job_worker_ops;
+	TAILQ_INIT(&j->unfinished);
+	j->jobs.options = o->jobs;
+	j->tasks.options = o->tasks;
+	j->kept.options = o->kept;
+	*out = j;
+	return 0;
+}
+
+static struct job_team *team_at(const struct jobs *j, size_t i)
+{
+	return (struct job_team *)j->teams.list[i];
+}
+
+void jobs_free(struct jobs *j)
+{
+	struct job *job;
+
+	if (!j)
+		return;
+	while ((job = TAILQ_FIRST(&j->unfinished)))
+		job_drop(j, job);
+	while (j->teams.count) {
+		struct job_team *t = team_at(j, j->teams.count - 1);
+
+		job = TAILQ_FIRST(&t->finished);
+		if (job)
+			job_drop(j, job);
+		else /* left by an allocation failure */
+			teams_remove(&j->teams, &t->team);
+	}
+	table_free(&j->table);
+	table_free(&j->workers);
+	teams_free(&j->teams);
+	free(j);
+}
+
+struct str job_team_name(const struct job *job)
+{
+	return team_name(&job->team->team);
+}
+
+/* Finds a job for a change; NULL when there is none. */
+struct job *job_find(const struct jobs *j, struct str team, bool service, struct str name)
+{
+	struct key key = {team, name, service};
+
+	return table_find(&j->table, hash_key(team, service, name), &key);
+}
+
+/* Returns an unfinished or kept job or service, or NULL. */
+const struct job *jobs_get(const struct jobs *j, struct str team, bool service,
+			   struct str name)
+{
+	return job_find(j, team, service, name);
+}
+
+static struct str copy_into(char **at, struct str s)
+{
+	struct str out = {*at, s.n};
+
+	if (s.n)
+		memcpy(*at, s.p, s.n);
+	*at += s.n;
+	return out;
+}
+
+/* Gives a job its name and what it asks for, as copies. */
+int job_set_spec(struct job *job, struct str name, const struct job_spec *spec)
+{
+	char *strings = malloc(name.n + spec->command.n + spec->batch_kind.n + 1);
+	char *at = strings;
+
+	if (!strings)
+		return CF_ENOMEM;
+	name = copy_into(&at, name);
+	job->spec = *spec;
+	job->spec.command = copy_into(&at, spec->command);
+	job->spec.batch_kind = copy_into(&at, spec->batch_kind);
+	job->name = name;
+	free(job->strings);
+	job->strings = strings;
+	return 0;
+}
+
+/* Adds an unfinished job whose tasks are zeroed and in no state yet. */
+int job_add(struct jobs *j, struct str team_name_, bool service, struct str name,
+	    const struct job_spec *spec, uint32_t ntasks, struct job **out)
+{
+	struct job *job = calloc(1, sizeof(*job));
+	struct team *team;
+	int err = CF_ENOMEM;
+
+	if (!job)
+		return err;
+	job->tasks = calloc(ntasks, sizeof(*job->tasks));
+	if (!job->tasks)
+		goto fail;
+	err = job_set_spec(job, name, spec);
+	if (err)
+		goto fail;
+	err = teams_add(&j->teams, team_name_, &team);
+	if (err)
+		goto fail;
+	job->team = (struct job_team *)team;
+	if (!job->team->finished.tqh_last)
+		TAILQ_INIT(&job->team->finished);
+	job->ntasks = ntasks;
+	job->service = service;
+	err = table_add(&j->table, job);
+	if (err)
+		goto fail;
+	TAILQ_INSERT_TAIL(&j->unfinished, job, link);
+	share_take(&j->jobs, &job->team->used_jobs, 1);
+	share_take(&j->tasks, &job->team->used_tasks, ntasks);
+	*out = job;
+	return 0;
+fail:
+	free(job->strings);
+	free(job->tasks);
+	free(job);
+	return err;
+}
+
+/* Removes a job from everything and frees it. */
+void job_drop(struct jobs *j, struct job *job)
+{
+	struct job_team *t = job->team;
+
+	table_remove(&j->table, job);
+	if (job->finished_us) {
+		TAILQ_REMOVE(&t->finished, job, link);
+		share_give(&j->kept, &t->used_kept, job->ntasks);
+		j->nkept--;
+	} else {
+		TAILQ_REMOVE(&j->unfinished, job, link);
+		share_give(&j->jobs, &t->used_jobs, 1);
+		share_give(&j->tasks, &t->used_tasks, job->ntasks);
+	}
+	for (uint32_t i = 0; i < job->ntasks; i++)
+		job_worker_put(j, job->tasks[i].worker);
+	free(job->tasks);
+	free(job->strings);
+	free(job->reason);
+	free(job);
+	if (!t->used_jobs && !TAILQ_FIRST(&t->finished))
+		teams_remove(&j->teams, &t->team);
+}
+
+/*
+ * Moves a job to the finished ones of its team and drops the oldest of them above the
+ * bound. A service, which nobody reads after its end, or a job above the bound by
+ * itself is dropped at once.
+ */
+void job_finish(struct jobs *j, struct job *job, uint64_t time_us)
+{
+	struct job_team *t = job->team;
+	struct job *old;
+
+	if (job->service) {
+		job_drop(j, job);
+		return;
+	}
+	/* 0 stands for an unfinished job. */
+	job->finished_us = time_us ? time_us : 1;
+	TAILQ_REMOVE(&j->unfinished, job, link);
+	share_give(&j->jobs, &t->used_jobs, 1);
+	share_give(&j->tasks, &t->used_tasks, job->ntasks);
+	TAILQ_INSERT_TAIL(&t->finished, job, link);
+	share_take(&j->kept, &t->used_kept, job->ntasks);
+	j->nkept++;
+	while (!share_fits(&j->kept, t->used_kept, 0) &&
+	       (old = TAILQ_FIRST(&t->finished)))
+		job_drop(j, old);
+}
+
+/* Appends what a submission answers. */
+static int answer(struct reply *reply, const struct job *job)
+{
+	reply->revision = job->revision;
+	return buf_set(&reply->detail, job->name);
+}
+
+/*
+ * Submits a job. CF_EEXIST with the revision of the job that has the name, CF_ETOOBIG,
+ * CF_ENOSPACE, CF_EINVAL.
+ */
+int jobs_submit(struct jobs *j, struct str team, struct str name,
+		const struct job_spec *spec, uint64_t index, uint64_t time_us,
+		struct reply *reply)
+{
+	const struct job_team *t = (struct job_team *)teams_find(&j->teams, team);
+	struct job *job;
+	int err;
+
+	if (!name_valid(team) || !name_valid(name) || spec->tasks == 0)
+		return CF_EINVAL;
+	if (spec->tasks > j->options.tasks_per_job)
+		return CF_ETOOBIG;
+	job = job_find(j, team, false, name);
+	if (job) {
+		err = answer(reply, job);
+		return err ? err : CF_EEXIST;
+	}
+	if (!share_fits(&j->jobs, t ? t->used_jobs : 0, 1) ||
+	    !share_fits(&j->tasks, t ? t->used_tasks : 0, spec->tasks))
+		return CF_ENOSPACE;
+	err = job_add(j, team, false, name, spec, spec->tasks, &job);
+	if (err)
+		return err;
+	job->revision = index;
+	job->spec_revision = index;
+	job->submitted_us = time_us;
+	job->counts[TASK_WAITING] = spec->tasks;
+	for (uint32_t i = 0; i < job->ntasks; i++)
+		job->tasks[i].waiting_us = time_us;
+	return answer(reply, job);
+}
+
+/*
+ * Cancels a job: waiting tasks at once, others when the worker confirmed it. CF_ENOENT.
+ * A finished job stays as it is, which is no error.
+ */
+int jobs_cancel(struct jobs *j, struct str team, struct str name, uint64_t time_us,
+		struct reply *reply)
+{
+	struct job *job = job_find(j, team, false, name);
+	int err;
+
+	if (!job)
+		return CF_ENOENT;
+	err = answer(reply, job);
+	if (err || job->finished_us)
+		return err;
+	job->cancel = true;
+	job_request_cancel(job, 0, time_us);
+	job_settle(j, job, time_us);
+	return 0;
+}
+
+/*
+ * Records that a job can never run. CF_ENOENT; CF_ESTALE when an attempt of it was
+ * placed or it is finished.
+ */
+int jobs_reject(struct jobs *j, struct str team, struct str name, struct str reason,
+		uint64_t time_us)
+{
+	struct job *job = job_find(j, team, false, name);
+
+	if (!job)
+		return CF_ENOENT;
+	if (job->finished_us)
+		return CF_ESTALE;
+	for (uint32_t i = 0; i < job->ntasks; i++) {
+		if (job->tasks[i].attempt)
+			return CF_ESTALE;
+	}
+	job->reason = str_dup(reason);
+	if (!job->reason)
+		return CF_ENOMEM;
+	job->state = JOB_REJECTED;
+	job_request_cancel(job, 0, time_us);
+	job_settle(j, job, time_us);
+	return 0;
+}
+
+/* Drops finished jobs older than the retention time. */
+void jobs_sweep(struct jobs *j, uint64_t time_us)
+{
+	for (size_t i = j->teams.count; i > 0; i--) {
+		struct job_team *t = team_at(j, i - 1);
+		struct job *job = TAILQ_FIRST(&t->finished);
+
+		while (job && time_us - job->finished_us >= j->options.keep_us) {
+			struct job *next = TAILQ_NEXT(job, link);
+
+			/* Dropping the last one may free the team. */
+			job_drop(j, job);
+			job = next;
+		}
+	}
+}
+
+/* Walks the unfinished jobs and services, NULL first and last. */
+const struct job *jobs_next(const struct jobs *j, const struct job *prev)
+{
+	return prev ? TAILQ_NEXT(prev, link) : TAILQ_FIRST(&j->unfinished);
+}
+
+/* Walks the finished jobs of a team, oldest first. */
+const struct job *jobs_next_kept(const struct jobs *j, struct str team,
+				 const struct job *prev)
+{
+	const struct job_team *t;
+
+	if (prev)
+		return TAILQ_NEXT(prev, link);
+	t = (struct job_team *)teams_find(&j->teams, team);
+	return t ? TAILQ_FIRST(&t->finished) : NULL;
+}
+
+/* Unfinished jobs and services. */
+size_t jobs_count(const struct jobs *j)
+{
+	return j->jobs.total;
+}
+
+/* Finished jobs that are kept. */
+size_t jobs_kept(const struct jobs *j)
+{
+	return j->nkept;
+}
+
+/* Tasks of unfinished jobs and services. */
+size_t jobs_tasks(const struct jobs *j)
+{
+	return j->tasks.total;
+}
+
+/* Memory of the jobs, tasks and tables. */
+size_t jobs_bytes(const struct jobs *j)
+{
+	size_t bytes = table_bytes(&j->table) + table_bytes(&j->workers);
+
+	for (size_t i = 0; i < j->table.cap; i++) {
+		const struct job *job = j->table.slot[i];
+
+		if (job)
+			bytes += sizeof(*job) + job->ntasks * sizeof(*job->tasks) +
+				 job->name.n + job->spec.command.n +
+				 job->spec.batch_kind.n;
+	}
+	return bytes;
+}
--- /dev/null
+++ b/core/job_impl.h
@@ -0,0 +1,55 @@
+#ifndef CORE_JOB_IMPL_H
+#define CORE_JOB_IMPL_H
+
+/* Parts of core/job.h that are shared by core/job*.c only. */
+
+#include "core/job.h"
+#include "core/table.h"
+#include "core/team.h"
+
+TAILQ_HEAD(job_list, job);
+
+struct job_team {
+	struct team team;
+	struct job_list finished; /* in the order in which they finished */
+	uint64_t used_jobs;
+	uint64_t used_tasks;
+	uint64_t used_kept;
+};
+
+struct job_worker {
+	size_t refs;
+	size_t n;
+	char name[];
+};
+
+struct jobs {
+	struct job_options options;
+	struct teams teams;
+	struct table table;
+	struct table workers;
+	struct job_list unfinished; /* in the order of submission */
+	struct share jobs;
+	struct share tasks;
+	struct share kept;
+	size_t nkept;
+};
+
+extern const struct table_ops job_worker_ops;
+
+int job_worker_get(struct jobs *j, struct str name, const struct job_worker **out);
+void job_worker_put(struct jobs *j, const struct job_worker *w);
+
+int job_add(struct jobs *j, struct str team, bool service, struct str name,
+	    const struct job_spec *spec, uint32_t ntasks, struct job **out);
+int job_set_spec(struct job *job, struct str name, const struct job_spec *spec);
+struct job *job_find(const struct jobs *j, struct str team, bool service,
+		     struct str name);
+void job_set_task(struct job *job, struct task *task, enum task_state state);
+void job_request_cancel(struct job *job, uint32_t first, uint64_t time_us);
+bool job_ended(const struct job *job);
+void job_settle(struct jobs *j, struct job *job, uint64_t time_us);
+void job_finish(struct jobs *j, struct job *job, uint64_t time_us);
+void job_drop(struct jobs *j, struct job *job);
+
+#endif
--- /dev/null
+++ b/core/job_service.c
@@ -0,0 +1,107 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/err.h"
+#include "core/job_impl.h"
+
+/* Tells whether a team may have more services and tasks. */
+bool jobs_service_fits(const struct jobs *j, struct str team, uint64_t services,
+		       uint64_t tasks)
+{
+	const struct job_team *t = (struct job_team *)teams_find(&j->teams, team);
+
+	if (!t && services && j->teams.count >= j->teams.max)
+		return false;
+	return share_fits(&j->jobs, t ? t->used_jobs : 0, services) &&
+	       share_fits(&j->tasks, t ? t->used_tasks : 0, tasks);
+}
+
+static bool same_spec(const struct job_spec *a, const struct job_spec *b)
+{
+	return a->tasks == b->tasks && a->cpus_milli == b->cpus_milli &&
+	       a->accelerators == b->accelerators && a->memory_mb == b->memory_mb &&
+	       a->spread == b->spread && str_eq(a->command, b->command);
+}
+
+/* Adds waiting tasks until there are n. */
+static int grow(struct jobs *j, struct job *job, uint32_t n, uint64_t time_us)
+{
+	struct task *tasks;
+
+	if (n <= job->ntasks)
+		return 0;
+	tasks = realloc(job->tasks, n * sizeof(*tasks));
+	if (!tasks)
+		return CF_ENOMEM;
+	memset(tasks + job->ntasks, 0, (n - job->ntasks) * sizeof(*tasks));
+	for (uint32_t i = job->ntasks; i < n; i++)
+		tasks[i].waiting_us = time_us;
+	job->tasks = tasks;
+	job->counts[TASK_WAITING] += n - job->ntasks;
+	share_take(&j->tasks, &job->team->used_tasks, n - job->ntasks);
+	job->ntasks = n;
+	return 0;
+}
+
+/*
+ * Makes the tasks of a service follow its document: spec->tasks of them are wanted,
+ * the others are cancelled. Tasks keep their attempt numbers, so that no record of an
+ * earlier attempt fits a later one. CF_ENOMEM is fatal for the store.
+ */
+int jobs_service_set(struct jobs *j, struct str team, struct str name,
+		     const struct job_spec *spec, uint64_t index, uint64_t time_us)
+{
+	struct job *job = job_find(j, team, true, name);
+	uint32_t n = spec->tasks;
+	int err;
+
+	if (n == 0) {
+		jobs_service_remove(j, team, name, time_us);
+		return 0;
+	}
+	if (!job) {
+		err = job_add(j, team, true, name, spec, n, &job);
+		if (err)
+			return err;
+		job->revision = index;
+		job->submitted_us = time_us;
+		job->counts[TASK_WAITING] = n;
+		job->spec_revision = index;
+		for (uint32_t i = 0; i < n; i++)
+			job->tasks[i].waiting_us = time_us;
+	} else {
+		if (!same_spec(&job->spec, spec))
+			job->spec_revision = index;
+		err = job_set_spec(job, name, spec);
+		if (!err)
+			err = grow(j, job, n, time_us);
+		if (err)
+			return err;
+	}
+	job->cancel = false;
+	for (uint32_t i = 0; i < n; i++) {
+		struct task *task = &job->tasks[i];
+
+		task->cancel = false;
+		if (task->state == TASK_CANCELLED) {
+			task->waiting_us = time_us;
+			job_set_task(job, task, TASK_WAITING);
+		}
+	}
+	job_request_cancel(job, n, time_us);
+	job_settle(j, job, time_us);
+	return 0;
+}
+
+/* Cancels the tasks of a service whose document is gone. */
+void jobs_service_remove(struct jobs *j, struct str team, struct str name,
+			 uint64_t time_us)
+{
+	struct job *job = job_find(j, team, true, name);
+
+	if (!job)
+		return;
+	job->cancel = true;
+	job_request_cancel(job, 0, time_us);
+	job_settle(j, job, time_us);
+}
--- /dev/null
+++ b/core/store.h
@@ -0,0 +1,46 @@
+#ifndef CORE_STORE_H
+#define CORE_STORE_H
+
+#include "base/str.h"
+#include "core/claim.h"
+#include "core/conf.h"
+#include "core/dedup.h"
+#include "core/job.h"
+#include "core/member.h"
+
+/*
+ * The replicated state machine. Replicas that apply the same commands have the same
+ * snapshots, byte for byte, also when some of them were restored in between. All
+ * replicas must have the same options.
+ */
+struct store_options {
+	struct conf_options conf;
+	struct claim_options claim;
+	struct job_options job;
+	struct member_options member;
+	struct dedup_options dedup;
+};
+
+struct store;
+
+void store_defaults(struct store_options *o);
+int store_new(const struct store_options *o, struct store **out);
+void store_free(struct store *s);
+
+int store_apply(struct store *s, uint64_t index, struct str bytes, struct buf *result);
+int store_snapshot(const struct store *s, struct buf *out);
+int store_restore(struct store *s, struct str snapshot);
+
+/* Sets the time in an encoded command; for the leader, before it is proposed. */
+int store_stamp(struct buf *bytes, uint64_t time_us);
+
+/* Reading; valid until the next change. */
+uint64_t store_index(const struct store *s);
+uint64_t store_time_us(const struct store *s);
+const struct conf *store_conf(const struct store *s);
+const struct claims *store_claims(const struct store *s);
+const struct jobs *store_jobs(const struct store *s);
+const struct members *store_members(const struct store *s);
+const struct dedup *store_dedup(const struct store *s);
+
+#endif
--- /dev/null
+++ b/core/store_conf.c
@@ -0,0 +1,161 @@
+#include "base/err.h"
+#include "core/fields.h"
+#include "core/store_impl.h"
+#include "proto/codec.h"
+
+/* What a change of the configuration asks of the jobs. */
+struct growth {
+	uint64_t services;
+	uint64_t tasks;
+};
+
+static struct str no_fields(void)
+{
+	return (struct str){NULL, 0};
+}
+
+/* Adds the tasks that a service needs in addition. CF_ETOOBIG. */
+static int add_growth(const struct store *s, struct str vocabulary,
+		      const struct conf_doc *doc, struct growth *g)
+{
+	const struct job *job =
+		jobs_get(s->jobs, conf_doc_team(doc), true, conf_doc_name(doc));
+	struct conf_item item;
+	struct vocab_error e;
+	uint64_t n;
+
+	if (vocab_kind(vocabulary, conf_doc_word(doc)) != CONF_KIND_SERVICE ||
+	    vocab_read(vocabulary, CONF_KIND_SERVICE, conf_doc_fields(doc), &item, &e))
+		return 0;
+	n = conf_item_number(&item, CONF_EXECUTORS);
+	if (n > s->options.job.tasks_per_job)
+		return CF_ETOOBIG;
+	if (!job && n)
+		g->services++;
+	if (!job)
+		g->tasks += n;
+	else if (n > job->ntasks)
+		g->tasks += n - job->ntasks;
+	return 0;
+}
+
+/* Checks that the tasks of the changed services fit. CF_ETOOBIG, CF_ENOSPACE. */
+static int check_services(const struct store *s, const struct conf_doc *doc)
+{
+	const struct conf_view *view = conf_docs(s->conf);
+	struct str team = conf_doc_team(doc);
+	struct growth g = {0};
+	int err = 0;
+
+	if (conf_doc_is_vocabulary(doc)) {
+		const struct conf_doc *const *docs;
+		size_t n;
+
+		docs = conf_view_team(view, team, &n);
+		for (size_t i = 0; i < n && !err; i++) {
+			if (!conf_doc_is_vocabulary(docs[i]))
+				err = add_growth(s, conf_doc_fields(doc), docs[i], &g);
+		}
+	} else if (!doc->deleted) {
+		err = add_growth(s, conf_view_vocabulary(view, team), doc, &g);
+	}
+	if (err)
+		return err;
+	return jobs_service_fits(s->jobs, team, g.services, g.tasks) ? 0 : CF_ENOSPACE;
+}
+
+/* Makes the tasks of one service follow its present document. */
+static int follow(struct store *s, const struct conf_doc *doc)
+{
+	struct conf_item item;
+	struct job_spec spec;
+	int err;
+
+	if (conf_view_kind(conf_docs(s->conf), doc) != CONF_KIND_SERVICE)
+		return 0;
+	if (doc->deleted) {
+		jobs_service_remove(s->jobs, conf_doc_team(doc), conf_doc_name(doc),
+				    s->time_us);
+		return 0;
+	}
+	err = conf_view_read(conf_docs(s->conf), doc, &item);
+	if (!err)
+		err = job_spec_read(&item, s->time_us, &spec);
+	if (err)
+		return err;
+	return jobs_service_set(s->jobs, conf_doc_team(doc), conf_doc_name(doc), &spec,
+				s->index, s->time_us);
+}
+
+/* Makes the tasks follow the services that a change reached. */
+static int follow_services(struct store *s, const struct conf_doc *doc)
+{
+	const struct conf_doc *const *docs;
+	size_t n;
+	int err = 0;
+
+	if (!conf_doc_is_vocabulary(doc))
+		return follow(s, doc);
+	docs = conf_view_team(conf_docs(s->conf), conf_doc_team(doc), &n);
+	for (size_t i = 0; i < n && !err; i++)
+		err = follow(s, docs[i]);
+	return err;
+}
+
+static int change(struct store *s, const struct conf_change *in, uint64_t expected,
+		  struct reply *reply)
+{
+	struct conf_doc *doc;
+	int err = conf_prepare(s->conf, in, expected, reply, &doc);
+
+	if (err)
+		return err;
+	err = check_services(s, doc);
+	if (!err)
+		err = conf_commit(s->conf, doc, reply);
+	if (!err)
+		err = follow_services(s, doc);
+	conf_doc_unref(doc);
+	return err;
+}
+
+/* Errors as conf_prepare(). */
+int store_conf_put(struct store *s, const struct command_conf_put *in,
+		   struct reply *reply)
+{
+	struct command_fields fields = in->fields;
+	struct buf packed = {0};
+	struct conf_change put = {
+		.path = XDR_STR(*in, path),
+		.revision = s->index,
+		.text = XDR_STR(*in, text),
+	};
+	int err = fields_pack(&fields, &packed);
+
+	if (err == CF_EINVAL) {
+		int failed =
+			buf_adds(&reply->detail, "a field name is empty or repeated");
+
+		err = failed ? failed : err;
+	}
+	put.fields = buf_str(&packed);
+	if (!err)
+		err = change(s, &put, in->expected_revision, reply);
+	buf_free(&packed);
+	return err;
+}
+
+/* Errors as conf_prepare(). */
+int store_conf_delete(struct store *s, const struct command_conf_delete *in,
+		      struct reply *reply)
+{
+	struct conf_change delete = {
+		.path = XDR_STR(*in, path),
+		.revision = s->index,
+		.deleted = true,
+		.text = no_fields(),
+		.fields = no_fields(),
+	};
+
+	return change(s, &delete, in->expected_revision, reply);
+}
--- /dev/null
+++ b/core/store_snap.c
@@ -0,0 +1,318 @@
+#include <string.h>
+#include <zlib.h>
+
+#include "base/err.h"
+#include "core/store_impl.h"
+#include "proto/codec.h"
+
+#define LENGTH_BYTES 4
+/* Length, kind, number of records and crc of the last record. */
+#define END_BYTES (LENGTH_BYTES + 16)
+
+struct writer {
+	struct buf *out;
+	size_t start; /* of the snapshot in out */
+	uint64_t records;
+};
+
+static uint32_t crc_of(struct str bytes)
+{
+	return (uint32_t)crc32_z(0, (const Bytef *)bytes.p, bytes.n);
+}
+
+static void put_u32(char *p, uint32_t v)
+{
+	for (int i = 0; i < LENGTH_BYTES; i++)
+		p[i] = (char)(v >> (LENGTH_BYTES - 1 - i) * 8);
+}
+
+static uint32_t get_u32(const char *p)
+{
+	uint32_t v = 0;
+
+	for (int i = 0; i < LENGTH_BYTES; i++)
+		v = v << 8 | (unsigned char)p[i];
+	return v;
+}
+
+static int write_record(void *arg, struct snap_record *record)
+{
+	struct writer *w = arg;
+	size_t at = w->out->n;
+	int err = buf_add(w->out, "\0\0\0\0", LENGTH_BYTES);
+
+	if (!err)
+		err = codec_encode((xdrproc_t)xdr_snap_record, record, w->out);
+	if (err)
+		return err;
+	put_u32(w->out->p + at, (uint32_t)(w->out->n - at - LENGTH_BYTES));
+	w->records++;
+	return 0;
+}
+
+static int write_head(struct writer *w, const struct store *s)
+{
+	struct snap_record record = {.kind = SNAP_HEAD};
+
+	record.snap_record_u.head = (struct snap_head){
+		.magic = SNAP_MAGIC,
+		.format = SNAP_FORMAT,
+		.index = s->index,
+		.time_us = s->time_us,
+	};
+	return write_record(w, &record);
+}
+
+static int write_docs(struct writer *w, const struct conf_view *view)
+{
+	for (size_t i = 0; i < conf_view_teams(view); i++) {
+		const struct conf_doc *const *docs;
+		size_t n;
+
+		docs = conf_view_team(view, conf_view_team_name(view, i), &n);
+		for (size_t k = 0; k < n; k++) {
+			struct snap_record record = {.kind = SNAP_DOC};
+			struct snap_doc *out = &record.snap_record_u.doc;
+			int err;
+
+			XDR_SET(*out, path, conf_doc_path(docs[k]));
+			XDR_SET(*out, text, conf_doc_text(docs[k]));
+			XDR_SET(*out, fields, conf_doc_fields(docs[k]));
+			out->revision = docs[k]->revision;
+			err = write_record(w, &record);
+			if (err)
+				return err;
+		}
+	}
+	return 0;
+}
+
+static int write_changes(struct writer *w, const struct conf *conf)
+{
+	struct snap_record cut = {.kind = SNAP_CONF};
+	const struct conf_doc *doc = conf_change_after(conf, 0);
+	int err;
+
+	cut.snap_record_u.conf.cut = conf_cut(conf);
+	err = write_record(w, &cut);
+	for (; doc && !err; doc = conf_change_after(conf, doc->revision)) {
+		struct snap_record record = {.kind = SNAP_CHANGE};
+		struct snap_change *out = &record.snap_record_u.change;
+
+		XDR_SET(*out, path, conf_doc_path(doc));
+		out->revision = doc->revision;
+		out->deleted = doc->deleted;
+		out->present = conf_view_get(conf_docs(conf), conf_doc_path(doc)) == doc;
+		if (!out->present) {
+			XDR_SET(*out, text, conf_doc_text(doc));
+			XDR_SET(*out, fields, conf_doc_fields(doc));
+		}
+		err = write_record(w, &record);
+	}
+	return err;
+}
+
+static int write_end(struct writer *w)
+{
+	struct snap_record record = {.kind = SNAP_END};
+
+	record.snap_record_u.end = (struct snap_end){
+		.records = w->records,
+		.crc = crc_of((struct str){w->out->p + w->start, w->out->n - w->start}),
+	};
+	return write_record(w, &record);
+}
+
+/* Appends the whole state. After CF_ENOMEM *out has its former content. */
+int store_snapshot(const struct store *s, struct buf *out)
+{
+	struct writer w = {.out = out, .start = out->n};
+	int err;
+
+	if (s->failed)
+		return CF_ENOMEM;
+	err = write_head(&w, s);
+	if (!err)
+		err = write_docs(&w, conf_docs(s->conf));
+	if (!err)
+		err = write_changes(&w, s->conf);
+	if (!err)
+		err = dedup_walk(s->dedup, write_record, &w);
+	if (!err)
+		err = claims_walk(s->claims, write_record, &w);
+	if (!err)
+		err = jobs_walk(s->jobs, write_record, &w);
+	if (!err)
+		err = members_walk(s->members, write_record, &w);
+	if (!err)
+		err = write_end(&w);
+	if (err)
+		out->n = w.start;
+	return err;
+}
+
+static int load_change(struct store *s, const struct snap_change *in)
+{
+	struct conf_change change = {
+		.path = XDR_STR(*in, path),
+		.revision = in->revision,
+		.deleted = in->deleted,
+		.text = XDR_STR(*in, text),
+		.fields = XDR_STR(*in, fields),
+	};
+
+	return conf_load_change(s->conf, &change, in->present);
+}
+
+static int load_doc(struct store *s, const struct snap_doc *in)
+{
+	struct conf_change change = {
+		.path = XDR_STR(*in, path),
+		.revision = in->revision,
+		.text = XDR_STR(*in, text),
+		.fields = XDR_STR(*in, fields),
+	};
+
+	return conf_load_doc(s->conf, &change);
+}
+
+static int load_record(struct store *s, const struct snap_record *record)
+{
+	switch (record->kind) {
+	case SNAP_DOC:
+		return load_doc(s, &record->snap_record_u.doc);
+	case SNAP_CONF:
+		return conf_load_cut(s->conf, record->snap_record_u.conf.cut);
+	case SNAP_CHANGE:
+		return load_change(s, &record->snap_record_u.change);
+	case SNAP_RESULT:
+		return dedup_load(s->dedup, &record->snap_record_u.result);
+	case SNAP_CLAIM:
+		return claims_load(s->claims, &record->snap_record_u.claim);
+	case SNAP_EXPIRED:
+		return claims_load_expired(s->claims, &record->snap_record_u.expired);
+	case SNAP_JOB:
+		return jobs_load(s->jobs, &record->snap_record_u.job);
+	case SNAP_MEMBER:
+		return members_load(s->members, &record->snap_record_u.member);
+	case SNAP_EPOCH:
+		return members_load_epoch(s->members, &record->snap_record_u.epoch);
+	case SNAP_HEAD:
+	case SNAP_END:
+		break;
+	}
+	return CF_ECORRUPT; /* head or end in the middle */
+}
+
+/* Takes the next record off the bytes. Call codec_free() also after a failure. */
+static int read_record(struct str *rest, struct snap_record *record)
+{
+	uint32_t n;
+	struct str bytes;
+
+	memset(record, 0, sizeof(*record));
+	if (rest->n < LENGTH_BYTES)
+		return CF_EMALFORMED;
+	n = get_u32(rest->p);
+	if (n > rest->n - LENGTH_BYTES)
+		return CF_EMALFORMED;
+	bytes = (struct str){rest->p + LENGTH_BYTES, n};
+	rest->p += LENGTH_BYTES + n;
+	rest->n -= LENGTH_BYTES + n;
+	return codec_decode((xdrproc_t)xdr_snap_record, record, bytes);
+}
+
+static void free_record(struct snap_record *record)
+{
+	codec_free((xdrproc_t)xdr_snap_record, record);
+}
+
+/* Checks the last record against the bytes before it. */
+static int check_end(struct str snapshot, uint64_t *records)
+{
+	struct snap_record record;
+	struct str body, rest;
+	int err;
+
+	if (snapshot.n < END_BYTES)
+		return CF_EMALFORMED;
+	body = (struct str){snapshot.p, snapshot.n - END_BYTES};
+	rest = (struct str){snapshot.p + body.n, END_BYTES};
+	err = read_record(&rest, &record);
+	if (!err && (record.kind != SNAP_END || rest.n))
+		err = CF_EMALFORMED;
+	if (!err && record.snap_record_u.end.crc != crc_of(body))
+		err = CF_ECORRUPT;
+	*records = record.snap_record_u.end.records;
+	free_record(&record);
+	return err;
+}
+
+static int read_head(struct store *s, struct str *rest)
+{
+	struct snap_record record;
+	int err = read_record(rest, &record);
+
+	if (!err &&
+	    (record.kind != SNAP_HEAD || record.snap_record_u.head.magic != SNAP_MAGIC ||
+	     record.snap_record_u.head.format != SNAP_FORMAT))
+		err = CF_EMALFORMED;
+	if (!err) {
+		s->index = record.snap_record_u.head.index;
+		s->time_us = record.snap_record_u.head.time_us;
+	}
+	free_record(&record);
+	return err;
+}
+
+/* Fills an empty store. */
+static int load(struct store *s, struct str snapshot)
+{
+	struct str rest = snapshot;
+	uint64_t records;
+	uint64_t n = 1;
+	int err = check_end(snapshot, &records);
+
+	if (err)
+		return err;
+	rest.n -= END_BYTES;
+	err = read_head(s, &rest);
+	for (; !err && rest.n; n++) {
+		struct snap_record record;
+
+		err = read_record(&rest, &record);
+		if (!err)
+			err = load_record(s, &record);
+		free_record(&record);
+	}
+	if (err)
+		return err;
+	if (n != records)
+		return CF_ECORRUPT;
+	return conf_load_end(s->conf);
+}
+
+/*
+ * Replaces the state by a snapshot. CF_EMALFORMED when the bytes have another form,
+ * CF_ECORRUPT when their checksum or content is wrong. After an error the store is
+ * unchanged.
+ */
+int store_restore(struct store *s, struct str snapshot)
+{
+	struct store *fresh;
+	struct store old;
+	int err = store_new(&s->options, &fresh);
+
+	if (err)
+		return err;
+	err = load(fresh, snapshot);
+	if (!err) {
+		old = *s;
+		*s = *fresh;
+		*fresh = old;
+	} else if (err != CF_ENOMEM && err != CF_EMALFORMED) {
+		err = CF_ECORRUPT;
+	}
+	store_free(fresh);
+	return err;
+}
--- /dev/null
+++ b/core/team.h
@@ -0,0 +1,32 @@
+#ifndef CORE_TEAM_H
+#define CORE_TEAM_H
+
+#include "base/str.h"
+
+/*
+ * Teams of one part of the store, ordered by name. The part's own struct has
+ * struct team as its first member.
+ */
+struct team {
+	char *name;
+	size_t n;
+};
+
+struct teams {
+	struct team **list;
+	size_t count;
+	size_t cap;
+	size_t max;  /* bound */
+	size_t size; /* of the part's own struct, which starts zeroed */
+};
+
+struct team *teams_find(const struct teams *t, struct str name);
+int teams_add(struct teams *t, struct str name, struct team **out);
+void teams_remove(struct teams *t, struct team *team);
+void teams_free(struct teams *t);
+struct str team_name(const struct team *team);
+
+/* Names of teams, words, documents, jobs and members. */
+bool name_valid(struct str name);
+
+#endif
--- a/proto/command.h
+++ b/proto/command.h
@@ -18,6 +18,13 @@
 #define CMD_MAX_TEXT 1048576
 #define CMD_MAX_FIELDS 1024
 #define CMD_MAX_VALUE 4096
+#define CMD_MAX_KEY 256
+#define CMD_MAX_OUTCOME 1048576
+#define CMD_MAX_MEMBERS 1024
+#define CMD_HASH 16
+#define CMD_MAX_PACKED 4194304
+#define CMD_MAX_TASKS 65536
+#define CMD_MAX_RESULT 2097152
 
 enum command_kind {
 	CMD_NOP = 0,
@@ -26,6 +33,15 @@
 	CMD_JOB_SUBMIT = 3,
 	CMD_JOB_CANCEL = 4,
 	CMD_TASK = 5,
+	CMD_JOB_REJECT = 6,
+	CMD_CLAIM = 7,
+	CMD_CLAIM_DONE = 8,
+	CMD_CLAIM_ABORT = 9,
+	CMD_CLAIM_UNKNOWN = 10,
+	CMD_MEMBER_STATE = 11,
+	CMD_MEMBER_ENTRY = 12,
+	CMD_MEMBER_SEEN = 13,
+	CMD_MEMBER_GONE = 14,
 };
 typedef enum command_kind command_kind;
 
@@ -85,6 +101,10 @@
 		u_int team_len;
 		char *team_val;
 	} team;
+	struct {
+		u_int name_len;
+		char *name_val;
+	} name;
 	struct {
 		u_int request_id_len;
 		char *request_id_val;
@@ -109,6 +129,22 @@
 };
 typedef struct command_job_cancel command_job_cancel;
 
+struct command_job_reject {
+	struct {
+		u_int team_len;
+		char *team_val;
+	} team;
+	struct {
+		u_int job_len;
+		char *job_val;
+	} job;
+	struct {
+		u_int reason_len;
+		char *reason_val;
+	} reason;
+};
+typedef struct command_job_reject command_job_reject;
+
 enum task_state {
 	TASK_WAITING = 0,
 	TASK_PLACED = 1,
@@ -116,6 +152,7 @@
 	TASK_DONE = 3,
 	TASK_FAILED = 4,
 	TASK_CANCELLED = 5,
+	TASK_EVICTED = 6,
 };
 typedef enum task_state task_state;
 
@@ -128,6 +165,8 @@
 		u_int job_len;
 		char *job_val;
 	} job;
+	bool_t service;
+	u_quad_t job_revision;
 	u_int task;
 	u_int attempt;
 	enum task_state state;
@@ -135,10 +174,122 @@
 		u_int worker_len;
 		char *worker_val;
 	} worker;
+	u_quad_t session;
 	int exit_code;
+	u_quad_t checkpoint;
 };
 typedef struct command_task command_task;
 
+struct command_owner {
+	struct {
+		u_int entry_len;
+		char *entry_val;
+	} entry;
+	u_quad_t incarnation;
+	u_quad_t sequence;
+};
+typedef struct command_owner command_owner;
+
+struct command_key {
+	struct {
+		u_int team_len;
+		char *team_val;
+	} team;
+	struct {
+		u_int service_len;
+		char *service_val;
+	} service;
+	struct {
+		u_int key_len;
+		char *key_val;
+	} key;
+};
+typedef struct command_key command_key;
+
+struct command_claim {
+	struct command_key key;
+	char hash[CMD_HASH];
+	struct command_owner owner;
+};
+typedef struct command_claim command_claim;
+
+struct command_outcome {
+	u_int status;
+	struct {
+		u_int content_type_len;
+		char *content_type_val;
+	} content_type;
+	struct {
+		u_int body_len;
+		char *body_val;
+	} body;
+};
+typedef struct command_outcome command_outcome;
+
+struct command_claim_done {
+	struct command_key key;
+	struct command_owner owner;
+	struct command_outcome outcome;
+};
+typedef struct command_claim_done command_claim_done;
+
+struct command_claim_end {
+	struct command_key key;
+	struct command_owner owner;
+};
+typedef struct command_claim_end command_claim_end;
+
+struct command_member_state {
+	struct {
+		u_int name_len;
+		char *name_val;
+	} name;
+	char identity[CMD_HASH];
+	struct {
+		u_int address_len;
+		char *address_val;
+	} address;
+	bool_t voter;
+};
+typedef struct command_member_state command_member_state;
+
+struct command_member_entry {
+	struct {
+		u_int name_len;
+		char *name_val;
+	} name;
+	u_quad_t incarnation;
+	struct {
+		u_int address_len;
+		char *address_val;
+	} address;
+};
+typedef struct command_member_entry command_member_entry;
+
+struct command_member_id {
+	struct {
+		u_int name_len;
+		char *name_val;
+	} name;
+	u_quad_t incarnation;
+};
+typedef struct command_member_id command_member_id;
+
+struct command_member_seen {
+	u_quad_t epoch;
+	struct {
+		u_int entries_len;
+		struct command_member_id *entries_val;
+	} entries;
+};
+typedef struct command_member_seen command_member_seen;
+
+struct command_member_gone {
+	struct command_member_id id;
+	bool_t state;
+};
+typedef struct command_member_gone command_member_gone;
+
 struct command_body {
 	command_kind kind;
 	union {
@@ -147,6 +298,15 @@
 		struct command_job_submit job_submit;
 		struct command_job_cancel job_cancel;
 		struct command_task task;
+		struct command_job_reject job_reject;
+		struct command_claim claim;
+		struct command_claim_done claim_done;
+		struct command_claim_end claim_abort;
+		struct command_claim_end claim_unknown;
+		struct command_member_state member_state;
+		struct command_member_entry member_entry;
+		struct command_member_seen member_seen;
+		struct command_member_gone member_gone;
 	} command_body_u;
 };
 typedef struct command_body command_body;
@@ -164,8 +324,240 @@
 		u_int detail_len;
 		char *detail_val;
 	} detail;
+	struct command_outcome *outcome;
 };
 typedef struct command_result command_result;
+#define SNAP_MAGIC 1128879955
+#define SNAP_FORMAT 1
+
+enum snap_kind {
+	SNAP_HEAD = 0,
+	SNAP_END = 1,
+	SNAP_DOC = 2,
+	SNAP_CHANGE = 3,
+	SNAP_RESULT = 4,
+	SNAP_CLAIM = 5,
+	SNAP_JOB = 6,
+	SNAP_MEMBER = 7,
+	SNAP_CONF = 8,
+	SNAP_EXPIRED = 9,
+	SNAP_EPOCH = 10,
+};
+typedef enum snap_kind snap_kind;
+
+struct snap_head {
+	u_int magic;
+	u_int format;
+	u_quad_t index;
+	u_quad_t time_us;
+};
+typedef struct snap_head snap_head;
+
+struct snap_end {
+	u_quad_t records;
+	u_int crc;
+};
+typedef struct snap_end snap_end;
+
+struct snap_doc {
+	struct {
+		u_int path_len;
+		char *path_val;
+	} path;
+	u_quad_t revision;
+	struct {
+		u_int text_len;
+		char *text_val;
+	} text;
+	struct {
+		u_int fields_len;
+		char *fields_val;
+	} fields;
+};
+typedef struct snap_doc snap_doc;
+
+struct snap_conf {
+	u_quad_t cut;
+};
+typedef struct snap_conf snap_conf;
+
+struct snap_change {
+	struct {
+		u_int path_len;
+		char *path_val;
+	} path;
+	u_quad_t revision;
+	bool_t deleted;
+	bool_t present;
+	struct {
+		u_int text_len;
+		char *text_val;
+	} text;
+	struct {
+		u_int fields_len;
+		char *fields_val;
+	} fields;
+};
+typedef struct snap_change snap_change;
+
+struct snap_result {
+	struct {
+		u_int team_len;
+		char *team_val;
+	} team;
+	struct {
+		u_int request_id_len;
+		char *request_id_val;
+	} request_id;
+	u_quad_t index;
+	u_quad_t time_us;
+	char hash[CMD_HASH];
+	struct {
+		u_int result_len;
+		char *result_val;
+	} result;
+};
+typedef struct snap_result snap_result;
+
+struct snap_claim {
+	struct {
+		u_int team_len;
+		char *team_val;
+	} team;
+	char id[CMD_HASH];
+	char hash[CMD_HASH];
+	u_int state;
+	struct command_owner owner;
+	u_quad_t time_us;
+	struct command_outcome *outcome;
+};
+typedef struct snap_claim snap_claim;
+#define SNAP_MAX_KEYS 65536
+
+struct snap_expired {
+	struct {
+		u_int team_len;
+		char *team_val;
+	} team;
+	u_quad_t period;
+	struct {
+		u_int keys_len;
+		u_quad_t *keys_val;
+	} keys;
+};
+typedef struct snap_expired snap_expired;
+
+struct snap_task {
+	enum task_state state;
+	bool_t cancel;
+	u_int attempt;
+	u_int failures;
+	u_int evictions;
+	struct {
+		u_int worker_len;
+		char *worker_val;
+	} worker;
+	u_quad_t session;
+	int exit_code;
+	u_quad_t checkpoint;
+	u_quad_t waiting_us;
+	u_quad_t placed_us;
+	u_quad_t running_us;
+	u_quad_t ended_us;
+};
+typedef struct snap_task snap_task;
+
+struct snap_spec {
+	u_int tasks;
+	u_int cpus_milli;
+	u_int accelerators;
+	u_int duration_s;
+	u_int max_attempts;
+	u_int spread;
+	u_int priority;
+	u_quad_t memory_mb;
+	u_quad_t deadline_us;
+	struct {
+		u_int command_len;
+		char *command_val;
+	} command;
+	struct {
+		u_int batch_kind_len;
+		char *batch_kind_val;
+	} batch_kind;
+};
+typedef struct snap_spec snap_spec;
+
+struct snap_job {
+	struct {
+		u_int team_len;
+		char *team_val;
+	} team;
+	struct {
+		u_int name_len;
+		char *name_val;
+	} name;
+	bool_t service;
+	u_quad_t revision;
+	u_quad_t spec_revision;
+	u_quad_t submitted_us;
+	u_quad_t finished_us;
+	bool_t cancel;
+	u_int state;
+	struct {
+		u_int reason_len;
+		char *reason_val;
+	} reason;
+	struct snap_spec spec;
+	struct {
+		u_int tasks_len;
+		struct snap_task *tasks_val;
+	} tasks;
+};
+typedef struct snap_job snap_job;
+
+struct snap_member {
+	struct {
+		u_int name_len;
+		char *name_val;
+	} name;
+	bool_t entry;
+	char identity[CMD_HASH];
+	bool_t voter;
+	u_quad_t incarnation;
+	bool_t gone;
+	u_quad_t seen_epoch;
+	u_quad_t seen_us;
+	struct {
+		u_int address_len;
+		char *address_val;
+	} address;
+};
+typedef struct snap_member snap_member;
+
+struct snap_epoch {
+	u_quad_t epoch;
+	u_quad_t epoch_us;
+};
+typedef struct snap_epoch snap_epoch;
+
+struct snap_record {
+	snap_kind kind;
+	union {
+		struct snap_head head;
+		struct snap_end end;
+		struct snap_doc doc;
+		struct snap_change change;
+		struct snap_result result;
+		struct snap_claim claim;
+		struct snap_job job;
+		struct snap_member member;
+		struct snap_conf conf;
+		struct snap_expired expired;
+		struct snap_epoch epoch;
+	} snap_record_u;
+};
+typedef struct snap_record snap_record;
 
 /* the xdr functions */
 
@@ -177,11 +569,38 @@
 extern  bool_t xdr_command_conf_delete (XDR *, command_conf_delete*);
 extern  bool_t xdr_command_job_submit (XDR *, command_job_submit*);
 extern  bool_t xdr_command_job_cancel (XDR *, command_job_cancel*);
+extern  bool_t xdr_command_job_reject (XDR *, command_job_reject*);
 extern  bool_t xdr_task_state (XDR *, task_state*);
 extern  bool_t xdr_command_task (XDR *, command_task*);
+extern  bool_t xdr_command_owner (XDR *, command_owner*);
+extern  bool_t xdr_command_key (XDR *, command_key*);
+extern  bool_t xdr_command_claim (XDR *, command_claim*);
+extern  bool_t xdr_command_outcome (XDR *, command_outcome*);
+extern  bool_t xdr_command_claim_done (XDR *, command_claim_done*);
+extern  bool_t xdr_command_claim_end (XDR *, command_claim_end*);
+extern  bool_t xdr_command_member_state (XDR *, command_member_state*);
+extern  bool_t xdr_command_member_entry (XDR *, command_member_entry*);
+extern  bool_t xdr_command_member_id (XDR *, command_member_id*);
+extern  bool_t xdr_command_member_seen (XDR *, command_member_seen*);
+extern  bool_t xdr_command_member_gone (XDR *, command_member_gone*);
 extern  bool_t xdr_command_body (XDR *, command_body*);
 extern  bool_t xdr_command (XDR *, command*);
 extern  bool_t xdr_command_result (XDR *, command_result*);
+extern  bool_t xdr_snap_kind (XDR *, snap_kind*);
+extern  bool_t xdr_snap_head (XDR *, snap_head*);
+extern  bool_t xdr_snap_end (XDR *, snap_end*);
+extern  bool_t xdr_snap_doc (XDR *, snap_doc*);
+extern  bool_t xdr_snap_conf (XDR *, snap_conf*);
+extern  bool_t xdr_snap_change (XDR *, snap_change*);
+extern  bool_t xdr_snap_result (XDR *, snap_result*);
+extern  bool_t xdr_snap_claim (XDR *, snap_claim*);
+extern  bool_t xdr_snap_expired (XDR *, snap_expired*);
+extern  bool_t xdr_snap_task (XDR *, snap_task*);
+extern  bool_t xdr_snap_spec (XDR *, snap_spec*);
+extern  bool_t xdr_snap_job (XDR *, snap_job*);
+extern  bool_t xdr_snap_member (XDR *, snap_member*);
+extern  bool_t xdr_snap_epoch (XDR *, snap_epoch*);
+extern  bool_t xdr_snap_record (XDR *, snap_record*);
 
 #else /* K&R C */
 extern bool_t xdr_command_kind ();
@@ -191,11 +610,38 @@
 extern bool_t xdr_command_conf_delete ();
 extern bool_t xdr_command_job_submit ();
 extern bool_t xdr_command_job_cancel ();
+extern bool_t xdr_command_job_reject ();
 extern bool_t xdr_task_state ();
 extern bool_t xdr_command_task ();
+extern bool_t xdr_command_owner ();
+extern bool_t xdr_command_key ();
+extern bool_t xdr_command_claim ();
+extern bool_t xdr_command_outcome ();
+extern bool_t xdr_command_claim_done ();
+extern bool_t xdr_command_claim_end ();
+extern bool_t xdr_command_member_state ();
+extern bool_t xdr_command_member_entry ();
+extern bool_t xdr_command_member_id ();
+extern bool_t xdr_command_member_seen ();
+extern bool_t xdr_command_member_gone ();
 extern bool_t xdr_command_body ();
 extern bool_t xdr_command ();
 extern bool_t xdr_command_result ();
+extern bool_t xdr_snap_kind ();
+extern bool_t xdr_snap_head ();
+extern bool_t xdr_snap_end ();
+extern bool_t xdr_snap_doc ();
+extern bool_t xdr_snap_conf ();
+extern bool_t xdr_snap_change ();
+extern bool_t xdr_snap_result ();
+extern bool_t xdr_snap_claim ();
+extern bool_t xdr_snap_expired ();
+extern bool_t xdr_snap_task ();
+extern bool_t xdr_snap_spec ();
+extern bool_t xdr_snap_job ();
+extern bool_t xdr_snap_member ();
+extern bool_t xdr_snap_epoch ();
+extern bool_t xdr_snap_record ();
 
 #endif /* K&R C */
 
--- a/proto/command_xdr.c
+++ b/proto/command_xdr.c
@@ -77,6 +77,8 @@
 
 	 if (!xdr_bytes (xdrs, (char **)&objp->team.team_val, (u_int *) &objp->team.team_len, CMD_MAX_NAME))
 		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->name.name_val, (u_int *) &objp->name.name_len, CMD_MAX_NAME))
+		 return FALSE;
 	 if (!xdr_bytes (xdrs, (char **)&objp->request_id.request_id_val, (u_int *) &objp->request_id.request_id_len, CMD_MAX_NAME))
 		 return FALSE;
 	 if (!xdr_command_fields (xdrs, &objp->fields))
@@ -98,6 +100,20 @@
 	return TRUE;
 }
 
+bool_t
+xdr_command_job_reject (XDR *xdrs, command_job_reject *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_bytes (xdrs, (char **)&objp->team.team_val, (u_int *) &objp->team.team_len, CMD_MAX_NAME))
+		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->job.job_val, (u_int *) &objp->job.job_len, CMD_MAX_NAME))
+		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->reason.reason_val, (u_int *) &objp->reason.reason_len, CMD_MAX_PATH))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_task_state (XDR *xdrs, task_state *objp)
 {
@@ -117,6 +133,10 @@
 		 return FALSE;
 	 if (!xdr_bytes (xdrs, (char **)&objp->job.job_val, (u_int *) &objp->job.job_len, CMD_MAX_NAME))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->service))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->job_revision))
+		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->task))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->attempt))
@@ -125,8 +145,163 @@
 		 return FALSE;
 	 if (!xdr_bytes (xdrs, (char **)&objp->worker.worker_val, (u_int *) &objp->worker.worker_len, CMD_MAX_NAME))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->session))
+		 return FALSE;
 	 if (!xdr_int (xdrs, &objp->exit_code))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->checkpoint))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_command_owner (XDR *xdrs, command_owner *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_bytes (xdrs, (char **)&objp->entry.entry_val, (u_int *) &objp->entry.entry_len, CMD_MAX_NAME))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->sequence))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_command_key (XDR *xdrs, command_key *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_bytes (xdrs, (char **)&objp->team.team_val, (u_int *) &objp->team.team_len, CMD_MAX_NAME))
+		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->service.service_val, (u_int *) &objp->service.service_len, CMD_MAX_NAME))
+		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->key.key_val, (u_int *) &objp->key.key_len, CMD_MAX_KEY))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_command_claim (XDR *xdrs, command_claim *objp)
+{
+	register int32_t *buf;
+
+	int i;
+	 if (!xdr_command_key (xdrs, &objp->key))
+		 return FALSE;
+	 if (!xdr_opaque (xdrs, objp->hash, CMD_HASH))
+		 return FALSE;
+	 if (!xdr_command_owner (xdrs, &objp->owner))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_command_outcome (XDR *xdrs, command_outcome *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->status))
+		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->content_type.content_type_val, (u_int *) &objp->content_type.content_type_len, CMD_MAX_PATH))
+		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->body.body_val, (u_int *) &objp->body.body_len, CMD_MAX_OUTCOME))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_command_claim_done (XDR *xdrs, command_claim_done *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_command_key (xdrs, &objp->key))
+		 return FALSE;
+	 if (!xdr_command_owner (xdrs, &objp->owner))
+		 return FALSE;
+	 if (!xdr_command_outcome (xdrs, &objp->outcome))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_command_claim_end (XDR *xdrs, command_claim_end *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_command_key (xdrs, &objp->key))
+		 return FALSE;
+	 if (!xdr_command_owner (xdrs, &objp->owner))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_command_member_state (XDR *xdrs, command_member_state *objp)
+{
+	register int32_t *buf;
+
+	int i;
+	 if (!xdr_bytes (xdrs, (char **)&objp->name.name_val, (u_int *) &objp->name.name_len, CMD_MAX_NAME))
+		 return FALSE;
+	 if (!xdr_opaque (xdrs, objp->identity, CMD_HASH))
+		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->address.address_val, (u_int *) &objp->address.address_len, CMD_MAX_NAME))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->voter))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_command_member_entry (XDR *xdrs, command_member_entry *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_bytes (xdrs, (char **)&objp->name.name_val, (u_int *) &objp->name.name_len, CMD_MAX_NAME))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
+		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->address.address_val, (u_int *) &objp->address.address_len, CMD_MAX_NAME))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_command_member_id (XDR *xdrs, command_member_id *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_bytes (xdrs, (char **)&objp->name.name_val, (u_int *) &objp->name.name_len, CMD_MAX_NAME))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_command_member_seen (XDR *xdrs, command_member_seen *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->epoch))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->entries.entries_val, (u_int *) &objp->entries.entries_len, CMD_MAX_MEMBERS,
+		sizeof (command_member_id), (xdrproc_t) xdr_command_member_id))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_command_member_gone (XDR *xdrs, command_member_gone *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_command_member_id (xdrs, &objp->id))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->state))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -160,6 +335,42 @@
 		 if (!xdr_command_task (xdrs, &objp->command_body_u.task))
 			 return FALSE;
 		break;
+	case CMD_JOB_REJECT:
+		 if (!xdr_command_job_reject (xdrs, &objp->command_body_u.job_reject))
+			 return FALSE;
+		break;
+	case CMD_CLAIM:
+		 if (!xdr_command_claim (xdrs, &objp->command_body_u.claim))
+			 return FALSE;
+		break;
+	case CMD_CLAIM_DONE:
+		 if (!xdr_command_claim_done (xdrs, &objp->command_body_u.claim_done))
+			 return FALSE;
+		break;
+	case CMD_CLAIM_ABORT:
+		 if (!xdr_command_claim_end (xdrs, &objp->command_body_u.claim_abort))
+			 return FALSE;
+		break;
+	case CMD_CLAIM_UNKNOWN:
+		 if (!xdr_command_claim_end (xdrs, &objp->command_body_u.claim_unknown))
+			 return FALSE;
+		break;
+	case CMD_MEMBER_STATE:
+		 if (!xdr_command_member_state (xdrs, &objp->command_body_u.member_state))
+			 return FALSE;
+		break;
+	case CMD_MEMBER_ENTRY:
+		 if (!xdr_command_member_entry (xdrs, &objp->command_body_u.member_entry))
+			 return FALSE;
+		break;
+	case CMD_MEMBER_SEEN:
+		 if (!xdr_command_member_seen (xdrs, &objp->command_body_u.member_seen))
+			 return FALSE;
+		break;
+	case CMD_MEMBER_GONE:
+		 if (!xdr_command_member_gone (xdrs, &objp->command_body_u.member_gone))
+			 return FALSE;
+		break;
 	default:
 		return FALSE;
 	}
@@ -189,5 +400,496 @@
 		 return FALSE;
 	 if (!xdr_bytes (xdrs, (char **)&objp->detail.detail_val, (u_int *) &objp->detail.detail_len, CMD_MAX_TEXT))
 		 return FALSE;
+	 if (!xdr_pointer (xdrs, (char **)&objp->outcome, sizeof (command_outcome), (xdrproc_t) xdr_command_outcome))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_snap_kind (XDR *xdrs, snap_kind *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_enum (xdrs, (enum_t *) objp))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_snap_head (XDR *xdrs, snap_head *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->magic))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->format))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->index))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->time_us))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_snap_end (XDR *xdrs, snap_end *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->records))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->crc))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_snap_doc (XDR *xdrs, snap_doc *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_bytes (xdrs, (char **)&objp->path.path_val, (u_int *) &objp->path.path_len, CMD_MAX_PATH))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->revision))
+		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->text.text_val, (u_int *) &objp->text.text_len, CMD_MAX_TEXT))
+		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->fields.fields_val, (u_int *) &objp->fields.fields_len, CMD_MAX_PACKED))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_snap_conf (XDR *xdrs, snap_conf *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->cut))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_snap_change (XDR *xdrs, snap_change *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_bytes (xdrs, (char **)&objp->path.path_val, (u_int *) &objp->path.path_len, CMD_MAX_PATH))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->revision))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->deleted))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->present))
+		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->text.text_val, (u_int *) &objp->text.text_len, CMD_MAX_TEXT))
+		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->fields.fields_val, (u_int *) &objp->fields.fields_len, CMD_MAX_PACKED))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_snap_result (XDR *xdrs, snap_result *objp)
+{
+	register int32_t *buf;
+
+	int i;
+	 if (!xdr_bytes (xdrs, (char **)&objp->team.team_val, (u_int *) &objp->team.team_len, CMD_MAX_NAME))
+		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->request_id.request_id_val, (u_int *) &objp->request_id.request_id_len, CMD_MAX_NAME))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->index))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->time_us))
+		 return FALSE;
+	 if (!xdr_opaque (xdrs, objp->hash, CMD_HASH))
+		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->result.result_val, (u_int *) &objp->result.result_len, CMD_MAX_RESULT))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_snap_claim (XDR *xdrs, snap_claim *objp)
+{
+	register int32_t *buf;
+
+	int i;
+	 if (!xdr_bytes (xdrs, (char **)&objp->team.team_val, (u_int *) &objp->team.team_len, CMD_MAX_NAME))
+		 return FALSE;
+	 if (!xdr_opaque (xdrs, objp->id, CMD_HASH))
+		 return FALSE;
+	 if (!xdr_opaque (xdrs, objp->hash, CMD_HASH))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->state))
+		 return FALSE;
+	 if (!xdr_command_owner (xdrs, &objp->owner))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->time_us))
+		 return FALSE;
+	 if (!xdr_pointer (xdrs, (char **)&objp->outcome, sizeof (command_outcome), (xdrproc_t) xdr_command_outcome))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_snap_expired (XDR *xdrs, snap_expired *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_bytes (xdrs, (char **)&objp->team.team_val, (u_int *) &objp->team.team_len, CMD_MAX_NAME))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->period))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->keys.keys_val, (u_int *) &objp->keys.keys_len, SNAP_MAX_KEYS,
+		sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_snap_task (XDR *xdrs, snap_task *objp)
+{
+	register int32_t *buf;
+
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_task_state (xdrs, &objp->state))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_bool (xdrs, &objp->cancel))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->attempt))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->failures))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->evictions))
+				 return FALSE;
+
+		} else {
+		IXDR_PUT_BOOL(buf, objp->cancel);
+		IXDR_PUT_U_LONG(buf, objp->attempt);
+		IXDR_PUT_U_LONG(buf, objp->failures);
+		IXDR_PUT_U_LONG(buf, objp->evictions);
+		}
+		 if (!xdr_bytes (xdrs, (char **)&objp->worker.worker_val, (u_int *) &objp->worker.worker_len, CMD_MAX_NAME))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->session))
+			 return FALSE;
+		 if (!xdr_int (xdrs, &objp->exit_code))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->checkpoint))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->waiting_us))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->placed_us))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->running_us))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->ended_us))
+			 return FALSE;
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_task_state (xdrs, &objp->state))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_bool (xdrs, &objp->cancel))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->attempt))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->failures))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->evictions))
+				 return FALSE;
+
+		} else {
+		objp->cancel = IXDR_GET_BOOL(buf);
+		objp->attempt = IXDR_GET_U_LONG(buf);
+		objp->failures = IXDR_GET_U_LONG(buf);
+		objp->evictions = IXDR_GET_U_LONG(buf);
+		}
+		 if (!xdr_bytes (xdrs, (char **)&objp->worker.worker_val, (u_int *) &objp->worker.worker_len, CMD_MAX_NAME))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->session))
+			 return FALSE;
+		 if (!xdr_int (xdrs, &objp->exit_code))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->checkpoint))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->waiting_us))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->placed_us))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->running_us))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->ended_us))
+			 return FALSE;
+	 return TRUE;
+	}
+
+	 if (!xdr_task_state (xdrs, &objp->state))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->cancel))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->attempt))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->failures))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->evictions))
+		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->worker.worker_val, (u_int *) &objp->worker.worker_len, CMD_MAX_NAME))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->session))
+		 return FALSE;
+	 if (!xdr_int (xdrs, &objp->exit_code))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->checkpoint))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->waiting_us))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->placed_us))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->running_us))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->ended_us))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_snap_spec (XDR *xdrs, snap_spec *objp)
+{
+	register int32_t *buf;
+
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		buf = XDR_INLINE (xdrs, 7 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->tasks))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->cpus_milli))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->accelerators))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->duration_s))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->max_attempts))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->spread))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->priority))
+				 return FALSE;
+
+		} else {
+		IXDR_PUT_U_LONG(buf, objp->tasks);
+		IXDR_PUT_U_LONG(buf, objp->cpus_milli);
+		IXDR_PUT_U_LONG(buf, objp->accelerators);
+		IXDR_PUT_U_LONG(buf, objp->duration_s);
+		IXDR_PUT_U_LONG(buf, objp->max_attempts);
+		IXDR_PUT_U_LONG(buf, objp->spread);
+		IXDR_PUT_U_LONG(buf, objp->priority);
+		}
+		 if (!xdr_u_quad_t (xdrs, &objp->memory_mb))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->deadline_us))
+			 return FALSE;
+		 if (!xdr_bytes (xdrs, (char **)&objp->command.command_val, (u_int *) &objp->command.command_len, CMD_MAX_VALUE))
+			 return FALSE;
+		 if (!xdr_bytes (xdrs, (char **)&objp->batch_kind.batch_kind_val, (u_int *) &objp->batch_kind.batch_kind_len, CMD_MAX_NAME))
+			 return FALSE;
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		buf = XDR_INLINE (xdrs, 7 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->tasks))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->cpus_milli))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->accelerators))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->duration_s))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->max_attempts))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->spread))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->priority))
+				 return FALSE;
+
+		} else {
+		objp->tasks = IXDR_GET_U_LONG(buf);
+		objp->cpus_milli = IXDR_GET_U_LONG(buf);
+		objp->accelerators = IXDR_GET_U_LONG(buf);
+		objp->duration_s = IXDR_GET_U_LONG(buf);
+		objp->max_attempts = IXDR_GET_U_LONG(buf);
+		objp->spread = IXDR_GET_U_LONG(buf);
+		objp->priority = IXDR_GET_U_LONG(buf);
+		}
+		 if (!xdr_u_quad_t (xdrs, &objp->memory_mb))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->deadline_us))
+			 return FALSE;
+		 if (!xdr_bytes (xdrs, (char **)&objp->command.command_val, (u_int *) &objp->command.command_len, CMD_MAX_VALUE))
+			 return FALSE;
+		 if (!xdr_bytes (xdrs, (char **)&objp->batch_kind.batch_kind_val, (u_int *) &objp->batch_kind.batch_kind_len, CMD_MAX_NAME))
+			 return FALSE;
+	 return TRUE;
+	}
+
+	 if (!xdr_u_int (xdrs, &objp->tasks))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->cpus_milli))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->accelerators))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->duration_s))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->max_attempts))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->spread))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->priority))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->memory_mb))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->deadline_us))
+		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->command.command_val, (u_int *) &objp->command.command_len, CMD_MAX_VALUE))
+		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->batch_kind.batch_kind_val, (u_int *) &objp->batch_kind.batch_kind_len, CMD_MAX_NAME))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_snap_job (XDR *xdrs, snap_job *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_bytes (xdrs, (char **)&objp->team.team_val, (u_int *) &objp->team.team_len, CMD_MAX_NAME))
+		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->name.name_val, (u_int *) &objp->name.name_len, CMD_MAX_NAME))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->service))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->revision))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->spec_revision))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->submitted_us))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->finished_us))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->cancel))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->state))
+		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->reason.reason_val, (u_int *) &objp->reason.reason_len, CMD_MAX_PATH))
+		 return FALSE;
+	 if (!xdr_snap_spec (xdrs, &objp->spec))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->tasks.tasks_val, (u_int *) &objp->tasks.tasks_len, CMD_MAX_TASKS,
+		sizeof (snap_task), (xdrproc_t) xdr_snap_task))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_snap_member (XDR *xdrs, snap_member *objp)
+{
+	register int32_t *buf;
+
+	int i;
+	 if (!xdr_bytes (xdrs, (char **)&objp->name.name_val, (u_int *) &objp->name.name_len, CMD_MAX_NAME))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->entry))
+		 return FALSE;
+	 if (!xdr_opaque (xdrs, objp->identity, CMD_HASH))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->voter))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->gone))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->seen_epoch))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->seen_us))
+		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->address.address_val, (u_int *) &objp->address.address_len, CMD_MAX_NAME))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_snap_epoch (XDR *xdrs, snap_epoch *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->epoch))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->epoch_us))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_snap_record (XDR *xdrs, snap_record *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_snap_kind (xdrs, &objp->kind))
+		 return FALSE;
+	switch (objp->kind) {
+	case SNAP_HEAD:
+		 if (!xdr_snap_head (xdrs, &objp->snap_record_u.head))
+			 return FALSE;
+		break;
+	case SNAP_END:
+		 if (!xdr_snap_end (xdrs, &objp->snap_record_u.end))
+			 return FALSE;
+		break;
+	case SNAP_DOC:
+		 if (!xdr_snap_doc (xdrs, &objp->snap_record_u.doc))
+			 return FALSE;
+		break;
+	case SNAP_CHANGE:
+		 if (!xdr_snap_change (xdrs, &objp->snap_record_u.change))
+			 return FALSE;
+		break;
+	case SNAP_RESULT:
+		 if (!xdr_snap_result (xdrs, &objp->snap_record_u.result))
+			 return FALSE;
+		break;
+	case SNAP_CLAIM:
+		 if (!xdr_snap_claim (xdrs, &objp->snap_record_u.claim))
+			 return FALSE;
+		break;
+	case SNAP_JOB:
+		 if (!xdr_snap_job (xdrs, &objp->snap_record_u.job))
+			 return FALSE;
+		break;
+	case SNAP_MEMBER:
+		 if (!xdr_snap_member (xdrs, &objp->snap_record_u.member))
+			 return FALSE;
+		break;
+	case SNAP_CONF:
+		 if (!xdr_snap_conf (xdrs, &objp->snap_record_u.conf))
+			 return FALSE;
+		break;
+	case SNAP_EXPIRED:
+		 if (!xdr_snap_expired (xdrs, &objp->snap_record_u.expired))
+			 return FALSE;
+		break;
+	case SNAP_EPOCH:
+		 if (!xdr_snap_epoch (xdrs, &objp->snap_record_u.epoch))
+			 return FALSE;
+		break;
+	default:
+		return FALSE;
+	}
 	return TRUE;
 }
