--- a/core/vocab_schema.c
+++ b/core/vocab_schema.c
@@ -41,129 +41,60 @@
 /* A team's quota reaches over all workers: 1,900 of them at the target size. */
 #define MAX_WORKERS 10000
 
-#define SPREAD_WORDS                   \
-	{                              \
-		"none", "rack", "zone" \
+#define RULE(kind, field, type, min, max, fallback)                                      \
+	{                                                                                \
+		CONF_KIND_##kind, CONF_##field, VOCAB_##type, false, min, max, fallback, \
+		{                                                                        \
+			0                                                                \
+		}                                                                        \
+	}
+#define REQUIRED(kind, field, type, min, max)                                    \
+	{                                                                        \
+		CONF_KIND_##kind, CONF_##field, VOCAB_##type, true, min, max, 0, \
+		{                                                                \
+			0                                                        \
+		}                                                                \
+	}
+#define CHOICE(kind, field, required, fallback, ...)                                    \
+	{                                                                               \
+		CONF_KIND_##kind, CONF_##field, VOCAB_CHOICE, required, 0, 0, fallback, \
+		{                                                                       \
+			__VA_ARGS__                                                     \
+		}                                                                       \
 	}
 
 static const struct vocab_rule rules[] = {
-	{CONF_KIND_SERVICE, CONF_SLOTS, VOCAB_INTEGER, true, 1, MAX_SLOTS, 0, {0}},
-	{CONF_KIND_SERVICE,
-	 CONF_EXECUTORS,
-	 VOCAB_INTEGER,
-	 false,
-	 0,
-	 MAX_TASK_COUNT,
-	 0,
-	 {0}},
-	{CONF_KIND_SERVICE, CONF_CPUS, VOCAB_MILLI, false, 1, MAX_CPUS_MILLI, 1000, {0}},
-	{CONF_KIND_SERVICE,
-	 CONF_MEMORY_MB,
-	 VOCAB_INTEGER,
-	 false,
-	 1,
-	 MAX_MEMORY_MB,
-	 1024,
-	 {0}},
-	{CONF_KIND_SERVICE,
-	 CONF_ACCELERATORS,
-	 VOCAB_INTEGER,
-	 false,
-	 0,
-	 MAX_ACCELERATORS,
-	 0,
-	 {0}},
-	{CONF_KIND_SERVICE,
-	 CONF_DEADLINE_MS,
-	 VOCAB_INTEGER,
-	 false,
-	 1,
-	 MAX_DEADLINE_MS,
-	 10000,
-	 {0}},
-	{CONF_KIND_SERVICE, CONF_MAX_QUEUE, VOCAB_INTEGER, false, 0, MAX_QUEUE, 256, {0}},
-	{CONF_KIND_SERVICE, CONF_IDEMPOTENT, VOCAB_LIST, false, 1, CMD_MAX_PATH, 0, {0}},
-	{CONF_KIND_SERVICE, CONF_RETRY_PERCENT, VOCAB_INTEGER, false, 0, 100, 10, {0}},
-	{CONF_KIND_SERVICE, CONF_COMMAND, VOCAB_TEXT, false, 1, CMD_MAX_VALUE, 0, {0}},
-	{CONF_KIND_SERVICE, CONF_SPREAD, VOCAB_CHOICE, false, 0, 0, CONF_SPREAD_ZONE,
-	 SPREAD_WORDS},
+	REQUIRED(SERVICE, SLOTS, INTEGER, 1, MAX_SLOTS),
+	RULE(SERVICE, EXECUTORS, INTEGER, 0, MAX_TASK_COUNT, 0),
+	RULE(SERVICE, CPUS, MILLI, 1, MAX_CPUS_MILLI, 1000),
+	RULE(SERVICE, MEMORY_MB, INTEGER, 1, MAX_MEMORY_MB, 1024),
+	RULE(SERVICE, ACCELERATORS, INTEGER, 0, MAX_ACCELERATORS, 0),
+	RULE(SERVICE, DEADLINE_MS, INTEGER, 1, MAX_DEADLINE_MS, 10000),
+	RULE(SERVICE, MAX_QUEUE, INTEGER, 0, MAX_QUEUE, 256),
+	RULE(SERVICE, IDEMPOTENT, LIST, 1, CMD_MAX_PATH, 0),
+	RULE(SERVICE, RETRY_PERCENT, INTEGER, 0, 100, 10),
+	RULE(SERVICE, COMMAND, TEXT, 1, CMD_MAX_VALUE, 0),
+	CHOICE(SERVICE, SPREAD, false, CONF_SPREAD_ZONE, "none", "rack", "zone"),
 
-	{CONF_KIND_JOB, CONF_TASKS, VOCAB_INTEGER, false, 1, MAX_TASK_COUNT, 1, {0}},
-	{CONF_KIND_JOB, CONF_CPUS, VOCAB_MILLI, false, 1, MAX_CPUS_MILLI, 1000, {0}},
-	{CONF_KIND_JOB,
-	 CONF_MEMORY_MB,
-	 VOCAB_INTEGER,
-	 false,
-	 1,
-	 MAX_MEMORY_MB,
-	 1024,
-	 {0}},
-	{CONF_KIND_JOB,
-	 CONF_ACCELERATORS,
-	 VOCAB_INTEGER,
-	 false,
-	 0,
-	 MAX_ACCELERATORS,
-	 0,
-	 {0}},
-	{CONF_KIND_JOB, CONF_DURATION_S, VOCAB_INTEGER, false, 1, MAX_DURATION_S, 0, {0}},
-	{CONF_KIND_JOB, CONF_DEADLINE, VOCAB_DEADLINE, false, 1, MAX_DEADLINE_S, 0, {0}},
-	{CONF_KIND_JOB,
-	 CONF_CLASS,
-	 VOCAB_CHOICE,
-	 false,
-	 0,
-	 0,
-	 CONF_CLASS_BATCH,
-	 {"batch", "urgent"}},
-	{CONF_KIND_JOB, CONF_COMMAND, VOCAB_TEXT, false, 1, CMD_MAX_VALUE, 0, {0}},
-	{CONF_KIND_JOB, CONF_BATCH_KIND, VOCAB_NAME, false, 1, CMD_MAX_NAME, 0, {0}},
-	{CONF_KIND_JOB, CONF_MAX_ATTEMPTS, VOCAB_INTEGER, false, 1, MAX_ATTEMPTS, 3, {0}},
-	{CONF_KIND_JOB, CONF_SPREAD, VOCAB_CHOICE, false, 0, 0, CONF_SPREAD_NONE,
-	 SPREAD_WORDS},
+	RULE(JOB, TASKS, INTEGER, 1, MAX_TASK_COUNT, 1),
+	RULE(JOB, CPUS, MILLI, 1, MAX_CPUS_MILLI, 1000),
+	RULE(JOB, MEMORY_MB, INTEGER, 1, MAX_MEMORY_MB, 1024),
+	RULE(JOB, ACCELERATORS, INTEGER, 0, MAX_ACCELERATORS, 0),
+	RULE(JOB, DURATION_S, INTEGER, 1, MAX_DURATION_S, 0),
+	RULE(JOB, DEADLINE, DEADLINE, 1, MAX_DEADLINE_S, 0),
+	CHOICE(JOB, CLASS, false, CONF_CLASS_BATCH, "batch", "urgent"),
+	RULE(JOB, COMMAND, TEXT, 1, CMD_MAX_VALUE, 0),
+	RULE(JOB, BATCH_KIND, NAME, 1, CMD_MAX_NAME, 0),
+	RULE(JOB, MAX_ATTEMPTS, INTEGER, 1, MAX_ATTEMPTS, 3),
+	CHOICE(JOB, SPREAD, false, CONF_SPREAD_NONE, "none", "rack", "zone"),
 
-	{CONF_KIND_ZONE,
-	 CONF_STATE,
-	 VOCAB_CHOICE,
-	 true,
-	 0,
-	 0,
-	 CONF_ZONE_IN,
-	 {"in", "out"}},
+	CHOICE(ZONE, STATE, true, CONF_ZONE_IN, "in", "out"),
 
-	{CONF_KIND_QUOTA,
-	 CONF_CPUS,
-	 VOCAB_MILLI,
-	 false,
-	 0,
-	 MAX_CPUS_MILLI *MAX_WORKERS,
-	 UINT64_MAX,
-	 {0}},
-	{CONF_KIND_QUOTA,
-	 CONF_MEMORY_MB,
-	 VOCAB_INTEGER,
-	 false,
-	 0,
-	 MAX_MEMORY_MB *MAX_WORKERS,
-	 UINT64_MAX,
-	 {0}},
-	{CONF_KIND_QUOTA,
-	 CONF_ACCELERATORS,
-	 VOCAB_INTEGER,
-	 false,
-	 0,
-	 MAX_ACCELERATORS *MAX_WORKERS,
-	 UINT64_MAX,
-	 {0}},
-	{CONF_KIND_QUOTA,
-	 CONF_TASKS,
-	 VOCAB_INTEGER,
-	 false,
-	 0,
-	 MAX_TASK_COUNT *MAX_WORKERS,
-	 UINT64_MAX,
-	 {0}},
-	{CONF_KIND_QUOTA, CONF_WEIGHT, VOCAB_INTEGER, false, 1, MAX_WEIGHT, 1, {0}},
+	RULE(QUOTA, CPUS, MILLI, 0, MAX_CPUS_MILLI *MAX_WORKERS, UINT64_MAX),
+	RULE(QUOTA, MEMORY_MB, INTEGER, 0, MAX_MEMORY_MB *MAX_WORKERS, UINT64_MAX),
+	RULE(QUOTA, ACCELERATORS, INTEGER, 0, MAX_ACCELERATORS *MAX_WORKERS, UINT64_MAX),
+	RULE(QUOTA, TASKS, INTEGER, 0, MAX_TASK_COUNT *MAX_WORKERS, UINT64_MAX),
+	RULE(QUOTA, WEIGHT, INTEGER, 1, MAX_WEIGHT, 1),
 };
 
 /* Returns the rule, NULL when the kind does not have the field. */
