--- a/core/sched.c
+++ b/core/sched.c
@@ -290,6 +290,8 @@
 	place_step(s, now_us);
 	tasks_propose(s);
 	s->next_us = next_timer(s);
+	if (s->next_us < now_us + STEP_US)
+		s->next_us = now_us + STEP_US;
 	if (s->retry)
 		sched_wake(s, now_us);
 	else if (!s->fleet_known || s->stats.tasks_bound < s->ntasks)
--- a/core/sched_job.c
+++ b/core/sched_job.c
@@ -126,6 +126,8 @@
 {
 	if (!t->worker)
 		return 0;
+	if (!t->worker->zone)
+		return UINT32_MAX;
 	if (zone_is_out(j->team, t->worker->zone))
 		return 1;
 	return 2 + UINT16_MAX - j->zone_count[t->worker->zone->index];
@@ -167,6 +169,11 @@
 
 		if (!t)
 			return;
+		/* Where executors of the last leader run is known after their polls. */
+		if (!s->fleet_known && t->worker) {
+			s->retry = true;
+			return;
+		}
 		if (stopped++ == STEP_SCALE_DOWN) {
 			s->retry = true;
 			return;
