carawayctl, and tests of it and of the worker stand-in

Cause: operators need a tool for the control port; scripts need exit statuses that tell a refusal, a conflict and an unknown outcome apart.

Ruled out: sending the present version with every write without reading it (a lost update); a new Request-Id for each resend (a second change).

Change: one file for each group of commands, libcurl easy interface, YAML checked locally against the vocabulary with -n -V. The tests use a fake control port with canned answers.

--- /dev/null
+++ b/carawayctl/conf.c
@@ -0,0 +1,364 @@
+#include "carawayctl/conf.h"
+
+#include <err.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "base/err.h"
+#include "carawayctl/document.h"
+#include "carawayctl/table.h"
+#include "carawayctl/vocab.h"
+
+#define WATCH_WAIT_MS 20000
+#define YAML_TYPE "application/yaml"
+
+/* Makes the URL path of a document; name NULL: /TEAM/WORD. Returns an enum ctl_status. */
+int conf_path(const struct ctl *ctl, const char *word, const char *name, struct buf *out)
+{
+	int e = ctl_need_team(ctl);
+
+	if (e)
+		return e;
+	if (!ctl_name_valid(word) || (name && !ctl_name_valid(name)))
+		return ctl_bad_usage(
+			"a word or name has other characters than A-Za-z0-9-_.");
+	e = buf_addf(out, "/v1/conf/%s/%s", ctl->team, word);
+	if (!e && name)
+		e = buf_addf(out, "/%s", name);
+	return e ? CTL_REFUSED : CTL_DONE;
+}
+
+/* Returns the document's text in an answer, NULL without one. */
+const char *conf_text(const json_t *reply)
+{
+	return json_string_value(json_object_get(reply, "text"));
+}
+
+/*
+ * Reads a document. A document that does not exist is no failure: version 0 and an
+ * answer with status 404. Returns an enum ctl_status.
+ */
+int conf_read(const struct ctl *ctl, const char *path, struct http_reply *reply,
+	      uint64_t *version)
+{
+	struct http_request req = {.method = "GET", .path = path};
+	int status = http_call(ctl, &req, reply);
+
+	*version = 0;
+	if (status == CTL_REFUSED && reply->status == 404)
+		return CTL_DONE;
+	if (status == CTL_DONE)
+		*version = (uint64_t)json_integer_value(
+			json_object_get(reply->json, "version"));
+	return status;
+}
+
+/*
+ * Writes a document against the version of -m; without -m against the version that
+ * is stored now. Returns an enum ctl_status.
+ */
+int conf_write(const struct ctl *ctl, const char *path, struct str text)
+{
+	struct http_request req = {.method = "PUT",
+				   .path = path,
+				   .type = YAML_TYPE,
+				   .body = text,
+				   .write = true,
+				   .has_match = true,
+				   .match = ctl->match};
+	struct http_reply reply = {0};
+	int status = CTL_DONE;
+
+	if (!ctl->has_match) {
+		status = conf_read(ctl, path, &reply, &req.match);
+		http_reply_free(&reply);
+	}
+	if (status == CTL_DONE) {
+		status = http_call(ctl, &req, &reply);
+		if (status == CTL_DONE || status == CTL_CONFLICT)
+			table_print_reply(reply.json, "", ctl->json);
+		http_reply_free(&reply);
+	}
+	return status;
+}
+
+/* Reads and parses a YAML file; the caller frees both. Returns an enum ctl_status. */
+int conf_load(const char *file, struct buf *text, json_t **document)
+{
+	struct document_error error;
+	int e = document_read(file, text);
+
+	*document = NULL;
+	if (e) {
+		warnx("%s: %s", file, cf_strerror(e));
+		return CTL_REFUSED;
+	}
+	e = document_parse(buf_str(text), document, &error);
+	if (!e)
+		return CTL_DONE;
+	if (error.line)
+		warnx("%s:%u: %s", file, error.line, error.text);
+	else
+		warnx("%s: %s", file, error.text);
+	return CTL_REFUSED;
+}
+
+/* Reads the team's vocabulary from the server. Returns an enum ctl_status. */
+int conf_vocabulary(const struct ctl *ctl, json_t **out)
+{
+	struct document_error error;
+	struct http_reply reply = {0};
+	struct buf path = {0};
+	const char *text;
+	uint64_t version;
+	int status = conf_path(ctl, "vocabulary", NULL, &path);
+
+	*out = NULL;
+	if (status)
+		goto out;
+	status = conf_read(ctl, path.p, &reply, &version);
+	if (status)
+		goto out;
+	text = conf_text(reply.json);
+	if (!text || document_parse(str_from(text), out, &error)) {
+		warnx("the team %s has no vocabulary", ctl->team);
+		status = CTL_REFUSED;
+	}
+out:
+	http_reply_free(&reply);
+	buf_free(&path);
+	return status;
+}
+
+/* Checks a document of a word against the local vocabulary file, when there is one. */
+static int check_locally(const struct ctl *ctl, const char *word, const json_t *document,
+			 const char *file)
+{
+	struct document_error error = {0};
+	struct buf text = {0};
+	json_t *vocabulary = NULL;
+	int status = CTL_DONE;
+
+	if (!ctl->vocabulary)
+		return CTL_DONE;
+	status = conf_load(ctl->vocabulary, &text, &vocabulary);
+	if (status == CTL_DONE && vocab_check(vocabulary, &error)) {
+		warnx("%s: %s", ctl->vocabulary, error.text);
+		status = CTL_REFUSED;
+	}
+	if (status == CTL_DONE &&
+	    vocab_check_document(vocabulary, word, document, &error)) {
+		warnx("%s: %s", file, error.text);
+		status = CTL_REFUSED;
+	}
+	json_decref(vocabulary);
+	buf_free(&text);
+	return status;
+}
+
+static int conf_get(const struct ctl *ctl, const char *path, bool history)
+{
+	struct http_reply reply = {0};
+	struct buf full = {0};
+	struct http_request req = {.method = "GET"};
+	const char *text;
+	int status = CTL_REFUSED;
+
+	if (buf_addf(&full, "%s%s", path, history ? "?history=1" : "") == 0) {
+		req.path = full.p;
+		status = http_call(ctl, &req, &reply);
+	}
+	text = conf_text(reply.json);
+	if (status == CTL_DONE && !history && text && !ctl->json) {
+		json_t *v = json_object_get(reply.json, "version");
+
+		/* The version is a comment, so that the output can be put again. */
+		printf("# version %lld\n%s", (long long)json_integer_value(v), text);
+		if (*text && text[strlen(text) - 1] != '\n')
+			putchar('\n');
+	} else if (status == CTL_DONE) {
+		table_print_reply(reply.json, "history", ctl->json);
+	}
+	http_reply_free(&reply);
+	buf_free(&full);
+	return status;
+}
+
+static int conf_put(const struct ctl *ctl, const char *path, const char *word,
+		    const char *file)
+{
+	struct buf text = {0};
+	json_t *document = NULL;
+	int status = conf_load(file, &text, &document);
+
+	if (status == CTL_DONE)
+		status = check_locally(ctl, word, document, file);
+	if (status == CTL_DONE && !ctl->check_only)
+		status = conf_write(ctl, path, buf_str(&text));
+	json_decref(document);
+	buf_free(&text);
+	return status;
+}
+
+static int conf_delete(const struct ctl *ctl, const char *path)
+{
+	struct http_request req = {.method = "DELETE",
+				   .path = path,
+				   .write = true,
+				   .has_match = true,
+				   .match = ctl->match};
+	struct http_reply reply = {0};
+	int status = CTL_DONE;
+
+	if (!ctl->has_match) {
+		status = conf_read(ctl, path, &reply, &req.match);
+		if (status == CTL_DONE && req.match == 0) {
+			warnx("no such document");
+			status = CTL_REFUSED;
+		}
+		http_reply_free(&reply);
+	}
+	if (status == CTL_DONE) {
+		status = http_call(ctl, &req, &reply);
+		if (status == CTL_DONE || status == CTL_CONFLICT)
+			table_print_reply(reply.json, "", ctl->json);
+		http_reply_free(&reply);
+	}
+	return status;
+}
+
+static void print_change(const struct ctl *ctl, const json_t *change)
+{
+	const char *path = json_string_value(json_object_get(change, "path"));
+	json_int_t version = json_integer_value(json_object_get(change, "version"));
+	bool deleted = json_is_true(json_object_get(change, "deleted"));
+
+	if (ctl->json)
+		json_dumpf(change, stdout, JSON_COMPACT);
+	else
+		printf("%lld %s %s", (long long)version, deleted ? "deleted" : "set",
+		       path ? path : "-");
+	putchar('\n');
+	fflush(stdout);
+}
+
+/* Prints changes as they are accepted; long poll after long poll. */
+static int conf_watch(const struct ctl *ctl)
+{
+	uint64_t after = ctl->after;
+	uint64_t printed = 0;
+	int status = CTL_DONE;
+
+	while (status == CTL_DONE && (ctl->count == 0 || printed < ctl->count)) {
+		struct http_reply reply = {0};
+		struct buf path = {0};
+		struct http_request req = {.method = "GET", .wait_ms = WATCH_WAIT_MS};
+		const json_t *change;
+		size_t i;
+
+		if (buf_addf(&path, "/v1/watch/%s?after=%llu&wait_ms=%d", ctl->team,
+			     (unsigned long long)after, WATCH_WAIT_MS))
+			return CTL_REFUSED;
+		req.path = path.p;
+		status = http_call(ctl, &req, &reply);
+		buf_free(&path);
+		if (status == CTL_DONE) {
+			const json_t *index = json_object_get(reply.json, "index");
+
+			json_array_foreach(json_object_get(reply.json, "changes"), i,
+					   change)
+			{
+				if (ctl->count && printed == ctl->count)
+					break;
+				print_change(ctl, change);
+				printed++;
+			}
+			if (json_is_integer(index))
+				after = (uint64_t)json_integer_value(index);
+			else {
+				warnx("the answer has no index");
+				status = CTL_REFUSED;
+			}
+		}
+		http_reply_free(&reply);
+	}
+	return status;
+}
+
+static int conf_list(const struct ctl *ctl)
+{
+	struct http_reply reply = {0};
+	struct buf path = {0};
+	struct http_request req = {.method = "GET"};
+	int status;
+
+	if (buf_addf(&path, "/v1/conf/%s", ctl->team))
+		return CTL_REFUSED;
+	req.path = path.p;
+	status = http_call(ctl, &req, &reply);
+	if (status == CTL_DONE)
+		table_print_reply(reply.json, "documents", ctl->json);
+	http_reply_free(&reply);
+	buf_free(&path);
+	return status;
+}
+
+/* conf get|put|delete|list|history|watch */
+int ctl_conf(struct ctl *ctl, int argc, char **argv)
+{
+	struct buf path = {0};
+	const char *verb = argc ? argv[0] : "";
+	int status;
+
+	if (argc == 1 && (strcmp(verb, "list") == 0 || strcmp(verb, "watch") == 0)) {
+		status = ctl_need_team(ctl);
+		if (status)
+			return status;
+		return verb[0] == 'l' ? conf_list(ctl) : conf_watch(ctl);
+	}
+	if (!(argc == 3 && (strcmp(verb, "get") == 0 || strcmp(verb, "delete") == 0 ||
+			    strcmp(verb, "history") == 0)) &&
+	    !(argc == 4 && strcmp(verb, "put") == 0))
+		return ctl_bad_usage("conf: not a command, or too few or many arguments");
+	status = conf_path(ctl, argv[1], argv[2], &path);
+	if (status == CTL_DONE) {
+		if (strcmp(verb, "put") == 0)
+			status = conf_put(ctl, path.p, argv[1], argv[3]);
+		else if (strcmp(verb, "delete") == 0)
+			status = conf_delete(ctl, path.p);
+		else
+			status = conf_get(ctl, path.p, verb[0] == 'h');
+	}
+	buf_free(&path);
+	return status;
+}
+
+/* vocabulary get|put */
+int ctl_vocabulary(struct ctl *ctl, int argc, char **argv)
+{
+	struct document_error error = {0};
+	struct buf path = {0};
+	struct buf text = {0};
+	json_t *document = NULL;
+	bool put = argc == 2 && strcmp(argv[0], "put") == 0;
+	int status;
+
+	if (!put && !(argc == 1 && strcmp(argv[0], "get") == 0))
+		return ctl_bad_usage("vocabulary: get, or put with a file");
+	status = conf_path(ctl, "vocabulary", NULL, &path);
+	if (status == CTL_DONE && !put)
+		status = conf_get(ctl, path.p, false);
+	if (status == CTL_DONE && put) {
+		status = conf_load(argv[1], &text, &document);
+		if (status == CTL_DONE && vocab_check(document, &error)) {
+			warnx("%s: %s", argv[1], error.text);
+			status = CTL_REFUSED;
+		}
+		if (status == CTL_DONE && !ctl->check_only)
+			status = conf_write(ctl, path.p, buf_str(&text));
+	}
+	json_decref(document);
+	buf_free(&text);
+	buf_free(&path);
+	return status;
+}
--- /dev/null
+++ b/carawayctl/ctl.h
@@ -0,0 +1,60 @@
+#ifndef CARAWAYCTL_CTL_H
+#define CARAWAYCTL_CTL_H
+
+#include <jansson.h>
+
+#include "base/str.h"
+
+#define CTL_VERSION "0.1"
+#define CTL_MAX_ADDRESSES 32
+#define CTL_MAX_REQUEST_ID 64
+
+/* Exit statuses, documented in carawayctl(1). */
+enum ctl_status {
+	CTL_DONE = 0,
+	CTL_REFUSED = 1,
+	CTL_USAGE = 2,
+	CTL_CONFLICT = 3,
+	CTL_UNKNOWN = 4,
+	CTL_UNREACHABLE = 5,
+};
+
+/* Options of one run. */
+struct ctl {
+	const char *addresses[CTL_MAX_ADDRESSES];
+	size_t n_addresses;
+	char *token;
+	const char *team;
+	const char *word;	/* the team's word for a kind, when it has several */
+	const char *vocabulary; /* local vocabulary file for -n */
+	char request_id[CTL_MAX_REQUEST_ID + 1];
+	bool json;
+	bool check_only;
+	bool has_match;
+	uint64_t match; /* expected version of a document */
+	uint64_t after; /* revision that a watch starts behind */
+	uint64_t count; /* changes that a watch prints, 0: no end */
+	long timeout_ms;
+};
+
+/* One group of commands; argv starts with the word behind the group's name. */
+struct ctl_command {
+	const char *name;
+	int (*run)(struct ctl *ctl, int argc, char **argv);
+};
+
+int ctl_conf(struct ctl *ctl, int argc, char **argv);
+int ctl_vocabulary(struct ctl *ctl, int argc, char **argv);
+int ctl_job(struct ctl *ctl, int argc, char **argv);
+int ctl_zone(struct ctl *ctl, int argc, char **argv);
+int ctl_upstreams(struct ctl *ctl, int argc, char **argv);
+int ctl_workers(struct ctl *ctl, int argc, char **argv);
+int ctl_stats(struct ctl *ctl, int argc, char **argv);
+int ctl_health(struct ctl *ctl, int argc, char **argv);
+int ctl_member(struct ctl *ctl, int argc, char **argv);
+
+int ctl_need_team(const struct ctl *ctl);
+int ctl_bad_usage(const char *what);
+bool ctl_name_valid(const char *name);
+
+#endif
--- /dev/null
+++ b/carawayctl/http.c
@@ -0,0 +1,209 @@
+#include "carawayctl/http.h"
+
+#include <curl/curl.h>
+#include <err.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "base/err.h"
+
+#define PASSES 3	/* over the list of addresses */
+#define PAUSE_US 400000 /* between two passes; a leader change takes about as long */
+#define MAX_REPLY (64U << 20) /* bytes */
+#define CONNECT_TIMEOUT_MS 2000
+
+static size_t write_cb(char *p, size_t size, size_t n, void *arg)
+{
+	struct buf *b = arg;
+
+	if (b->n + size * n > MAX_REPLY || buf_add(b, p, size * n))
+		return 0;
+	return size * n;
+}
+
+static int header_add(struct curl_slist **list, const char *name, const char *value)
+{
+	struct buf line = {0};
+	struct curl_slist *l = NULL;
+
+	if (buf_addf(&line, "%s: %s", name, value) == 0)
+		l = curl_slist_append(*list, line.p);
+	buf_free(&line);
+	if (!l)
+		return CF_ENOMEM;
+	*list = l;
+	return 0;
+}
+
+static int headers_make(const struct ctl *ctl, const struct http_request *req,
+			struct curl_slist **list)
+{
+	char number[32];
+	int e = header_add(list, "Expect", "");
+
+	if (!e && req->type)
+		e = header_add(list, "Content-Type", req->type);
+	if (!e && req->write)
+		e = header_add(list, "Request-Id", ctl->request_id);
+	if (!e && req->has_match) {
+		snprintf(number, sizeof(number), "%llu", (unsigned long long)req->match);
+		e = header_add(list, "If-Match", number);
+	}
+	if (!e && ctl->token) {
+		struct buf bearer = {0};
+
+		e = buf_addf(&bearer, "Bearer %s", ctl->token);
+		if (!e)
+			e = header_add(list, "Authorization", bearer.p);
+		buf_free(&bearer);
+	}
+	return e;
+}
+
+/*
+ * Sends one request to one address. CF_ECONN without a complete answer; then
+ * *maybe_sent tells whether the request may have arrived.
+ */
+int http_once(const struct ctl *ctl, const char *address, const struct http_request *req,
+	      struct http_reply *reply, bool *maybe_sent)
+{
+	struct curl_slist *headers = NULL;
+	struct curl_header *h;
+	struct buf url = {0};
+	CURL *easy = curl_easy_init();
+	CURLcode code;
+	int e = CF_ENOMEM;
+
+	*reply = (struct http_reply){0};
+	*maybe_sent = false;
+	if (!easy || headers_make(ctl, req, &headers) ||
+	    buf_addf(&url, "http://%s%s", address, req->path))
+		goto out;
+	curl_easy_setopt(easy, CURLOPT_URL, url.p);
+	curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, req->method);
+	curl_easy_setopt(easy, CURLOPT_HTTPHEADER, headers);
+	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, write_cb);
+	curl_easy_setopt(easy, CURLOPT_WRITEDATA, &reply->body);
+	curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, ctl->timeout_ms + req->wait_ms);
+	curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, (long)CONNECT_TIMEOUT_MS);
+	curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(easy, CURLOPT_PROXY, "");
+	curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http");
+	if (req->type) {
+		curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE, (long)req->body.n);
+		curl_easy_setopt(easy, CURLOPT_POSTFIELDS,
+				 req->body.n ? req->body.p : "");
+	}
+	code = curl_easy_perform(easy);
+	if (code != CURLE_OK) {
+		long sent = 0;
+
+		curl_easy_getinfo(easy, CURLINFO_REQUEST_SIZE, &sent);
+		*maybe_sent = sent > 0;
+		warnx("%s: %s", address, curl_easy_strerror(code));
+		e = CF_ECONN;
+		goto out;
+	}
+	curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &reply->status);
+	if (curl_easy_header(easy, "Carawayfront-Run", 0, CURLH_HEADER, -1, &h) ==
+	    CURLHE_OK)
+		snprintf(reply->run, sizeof(reply->run), "%s", h->value);
+	if (reply->body.n)
+		reply->json =
+			json_loadb(reply->body.p, reply->body.n, JSON_DECODE_ANY, NULL);
+	e = 0;
+out:
+	if (e)
+		http_reply_free(reply);
+	buf_free(&url);
+	curl_slist_free_all(headers);
+	curl_easy_cleanup(easy);
+	return e;
+}
+
+/* Prints the server's reason of a refusal. */
+static void print_refusal(const struct http_reply *r)
+{
+	const char *text = json_string_value(json_object_get(r->json, "error"));
+
+	if (!r->status)
+		warnx("no address could serve the request");
+	else if (text)
+		warnx("refused with status %ld: %s", r->status, text);
+	else if (r->body.n)
+		warnx("refused with status %ld: %.*s", r->status, (int)r->body.n,
+		      r->body.p);
+	else
+		warnx("refused with status %ld", r->status);
+}
+
+/* Exit status that stands for a final answer. */
+static int status_of(const struct http_request *req, const struct http_reply *r)
+{
+	if (r->status / 100 == 2)
+		return CTL_DONE;
+	if (r->status == 409 || r->status == 412)
+		return CTL_CONFLICT;
+	if (req->write && r->status >= 500 && strcmp(r->run, "not-run") != 0 &&
+	    r->status != 503)
+		return CTL_UNKNOWN;
+	return CTL_REFUSED;
+}
+
+/*
+ * Sends a request to the addresses in turn until one gives a final answer. A resend
+ * carries the same Request-Id, so that a write takes effect once. Returns an
+ * enum ctl_status; the reply is filled for every answer.
+ */
+int http_call(const struct ctl *ctl, const struct http_request *req,
+	      struct http_reply *reply)
+{
+	bool unknown = false;
+	bool answered = false;
+	int status = CTL_UNREACHABLE;
+
+	*reply = (struct http_reply){0};
+	if (ctl->n_addresses == 0)
+		return ctl_bad_usage("an address is needed (-a)");
+	for (size_t i = 0; i < PASSES * ctl->n_addresses; i++) {
+		bool maybe = false;
+
+		if (i && i % ctl->n_addresses == 0)
+			usleep(PAUSE_US);
+		http_reply_free(reply);
+		if (http_once(ctl, ctl->addresses[i % ctl->n_addresses], req, reply,
+			      &maybe)) {
+			unknown = unknown || (req->write && maybe);
+			continue;
+		}
+		answered = true;
+		status = status_of(req, reply);
+		if (status == CTL_UNKNOWN)
+			unknown = true;
+		/* Another entry process may be able to serve what this one cannot. */
+		if (reply->status >= 500)
+			continue;
+		break;
+	}
+	if (!answered)
+		status = CTL_UNREACHABLE;
+	/* A refusal by one process says nothing about an earlier send to another. */
+	if (unknown &&
+	    (status == CTL_UNREACHABLE || reply->status >= 500 || !reply->status))
+		status = CTL_UNKNOWN;
+	if (status == CTL_UNKNOWN)
+		warnx("the outcome is unknown; repeat with --request-id %s",
+		      ctl->request_id);
+	else if (status != CTL_DONE && status != CTL_UNREACHABLE)
+		print_refusal(reply);
+	return status;
+}
+
+void http_reply_free(struct http_reply *reply)
+{
+	json_decref(reply->json);
+	buf_free(&reply->body);
+	*reply = (struct http_reply){0};
+}
--- /dev/null
+++ b/carawayctl/http.h
@@ -0,0 +1,31 @@
+#ifndef CARAWAYCTL_HTTP_H
+#define CARAWAYCTL_HTTP_H
+
+#include "carawayctl/ctl.h"
+
+/* One HTTP request to the control port. */
+struct http_request {
+	const char *method;
+	const char *path;
+	const char *type; /* Content-Type, NULL without a body */
+	struct str body;
+	bool write;	/* sends Request-Id; a lost answer leaves the outcome unknown */
+	bool has_match; /* sends If-Match */
+	uint64_t match;
+	long wait_ms; /* added to the time limit, for long polls */
+};
+
+struct http_reply {
+	long status;
+	char run[16]; /* Carawayfront-Run, empty without one */
+	struct buf body;
+	json_t *json; /* NULL when the body is not JSON */
+};
+
+int http_once(const struct ctl *ctl, const char *address, const struct http_request *req,
+	      struct http_reply *reply, bool *maybe_sent);
+int http_call(const struct ctl *ctl, const struct http_request *req,
+	      struct http_reply *reply);
+void http_reply_free(struct http_reply *reply);
+
+#endif
--- /dev/null
+++ b/carawayctl/job.c
@@ -0,0 +1,140 @@
+#include <err.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "carawayctl/conf.h"
+#include "carawayctl/table.h"
+#include "carawayctl/vocab.h"
+
+/* Checks a job against the local vocabulary file; the word is -w or the only job word. */
+static int job_check(const struct ctl *ctl, const json_t *job, const char *file)
+{
+	struct document_error error = {0};
+	struct buf text = {0};
+	json_t *vocabulary = NULL;
+	const char *word;
+	size_t n = 1;
+	int status;
+
+	if (!ctl->vocabulary)
+		return CTL_DONE;
+	status = conf_load(ctl->vocabulary, &text, &vocabulary);
+	if (status)
+		goto out;
+	word = ctl->word ? ctl->word : vocab_word_of_kind(vocabulary, "job", &n);
+	if (vocab_check(vocabulary, &error) || !word) {
+		warnx("%s: %s", ctl->vocabulary, word ? error.text : "no word for jobs");
+		status = CTL_REFUSED;
+	} else if (vocab_check_document(vocabulary, word, job, &error)) {
+		warnx("%s: %s", file, error.text);
+		status = CTL_REFUSED;
+	}
+out:
+	json_decref(vocabulary);
+	buf_free(&text);
+	return status;
+}
+
+static int job_submit(const struct ctl *ctl, const char *file)
+{
+	struct http_request req = {
+		.method = "POST", .type = "application/yaml", .write = true};
+	struct http_reply reply = {0};
+	struct buf path = {0};
+	struct buf text = {0};
+	json_t *job = NULL;
+	const char *id;
+	int status = conf_load(file, &text, &job);
+
+	if (status == CTL_DONE)
+		status = job_check(ctl, job, file);
+	if (status || ctl->check_only)
+		goto out;
+	status = CTL_REFUSED;
+	if (buf_addf(&path, "/v1/jobs/%s", ctl->team))
+		goto out;
+	req.path = path.p;
+	req.body = buf_str(&text);
+	status = http_call(ctl, &req, &reply);
+	if (status)
+		goto out;
+	id = json_string_value(json_object_get(reply.json, "id"));
+	if (id && !ctl->json)
+		printf("%s\n", id);
+	else
+		table_print_reply(reply.json, "", ctl->json);
+out:
+	json_decref(job);
+	buf_free(&text);
+	buf_free(&path);
+	http_reply_free(&reply);
+	return status;
+}
+
+/* Prints a job: its own values, then its tasks as a table. */
+static void job_print(const struct ctl *ctl, json_t *job)
+{
+	json_t *tasks = json_object_get(job, "tasks");
+	const char *key;
+	json_t *v;
+
+	if (ctl->json || !json_is_object(job)) {
+		table_print_reply(job, "jobs", ctl->json);
+		return;
+	}
+	json_object_foreach(job, key, v)
+	{
+		if (json_is_array(v))
+			continue;
+		printf("%s: ", key);
+		if (json_is_string(v))
+			printf("%s", json_string_value(v));
+		else
+			json_dumpf(v, stdout, JSON_ENCODE_ANY | JSON_COMPACT);
+		putchar('\n');
+	}
+	if (json_is_array(tasks))
+		table_print(tasks);
+}
+
+static int job_call(const struct ctl *ctl, const char *verb, const char *id)
+{
+	bool cancel = strcmp(verb, "cancel") == 0;
+	struct http_request req = {.method = cancel ? "DELETE" : "GET", .write = cancel};
+	struct http_reply reply = {0};
+	struct buf path = {0};
+	int status;
+
+	if (id && !ctl_name_valid(id))
+		return ctl_bad_usage("not a job's id");
+	if (buf_addf(&path, "/v1/jobs/%s%s%s", ctl->team, id ? "/" : "", id ? id : ""))
+		return CTL_REFUSED;
+	req.path = path.p;
+	status = http_call(ctl, &req, &reply);
+	if (status == CTL_DONE) {
+		if (strcmp(verb, "show") == 0)
+			job_print(ctl, reply.json);
+		else
+			table_print_reply(reply.json, "jobs", ctl->json);
+	}
+	http_reply_free(&reply);
+	buf_free(&path);
+	return status;
+}
+
+/* job submit|show|list|cancel */
+int ctl_job(struct ctl *ctl, int argc, char **argv)
+{
+	const char *verb = argc ? argv[0] : "";
+	int status = ctl_need_team(ctl);
+
+	if (status)
+		return status;
+	if (argc == 2 && strcmp(verb, "submit") == 0)
+		return job_submit(ctl, argv[1]);
+	if (argc == 2 && (strcmp(verb, "show") == 0 || strcmp(verb, "cancel") == 0))
+		return job_call(ctl, verb, argv[1]);
+	if (argc == 1 && strcmp(verb, "list") == 0)
+		return job_call(ctl, verb, NULL);
+	return ctl_bad_usage("job: not a command, or too few or many arguments");
+}
--- a/carawayctl/main.c
+++ b/carawayctl/main.c
@@ -1,4 +1,235 @@
-int main(void)
+#include <curl/curl.h>
+#include <err.h>
+#include <getopt.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/random.h>
+
+#include "base/err.h"
+#include "carawayctl/ctl.h"
+#include "carawayctl/document.h"
+#include "proto/command.h"
+
+#define TIMEOUT_MS 5000
+#define MAX_TIMEOUT_S 3600
+
+static const struct ctl_command commands[] = {
+	{"conf", ctl_conf},   {"vocabulary", ctl_vocabulary}, {"job", ctl_job},
+	{"zone", ctl_zone},   {"upstreams", ctl_upstreams},   {"workers", ctl_workers},
+	{"stats", ctl_stats}, {"health", ctl_health},	      {"member", ctl_member},
+};
+
+static void usage(FILE *f)
 {
+	fprintf(f, "usage: carawayctl [-jn] [-a address[,address...]] [-t token|@file]\n"
+		   "                  [-T team] [-m version] [-r request-id] [-V file] "
+		   "[-w word]\n"
+		   "                  [--after revision] [--count n] [--timeout s] "
+		   "command ...\n"
+		   "commands:\n"
+		   "  conf get word name | put word name file | delete word name\n"
+		   "  conf list | history word name | watch\n"
+		   "  vocabulary get | put file\n"
+		   "  job submit file | show id | list | cancel id\n"
+		   "  zone out name | in name\n"
+		   "  upstreams | workers | stats | health\n"
+		   "  member list | add name address | replace old name address | remove "
+		   "name\n");
+}
+
+/* Reports a misuse and returns the exit status for it. */
+int ctl_bad_usage(const char *what)
+{
+	warnx("%s", what);
+	usage(stderr);
+	return CTL_USAGE;
+}
+
+int ctl_need_team(const struct ctl *ctl)
+{
+	if (!ctl->team)
+		return ctl_bad_usage("a team is needed (-T)");
+	return CTL_DONE;
+}
+
+/* A name of a path: letters, digits and "-_.", not only dots. */
+bool ctl_name_valid(const char *name)
+{
+	size_t n = strlen(name);
+
+	return n > 0 && n <= CMD_MAX_NAME &&
+	       strspn(name, "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ"
+			    "0123456789-_.") == n &&
+	       strspn(name, ".") != n;
+}
+
+static bool addresses_add(struct ctl *ctl, char *list)
+{
+	char *save;
+
+	for (char *p = strtok_r(list, ",", &save); p; p = strtok_r(NULL, ",", &save)) {
+		if (ctl->n_addresses == CTL_MAX_ADDRESSES)
+			return false;
+		ctl->addresses[ctl->n_addresses++] = p;
+	}
+	return true;
+}
+
+/* Takes a token from the argument, or from the first line of the file behind "@". */
+static int token_set(struct ctl *ctl, const char *arg)
+{
+	struct buf b = {0};
+	int e = 0;
+
+	free(ctl->token);
+	ctl->token = NULL;
+	if (arg[0] == '@') {
+		e = document_read(arg + 1, &b);
+		if (!e)
+			ctl->token = str_dup((struct str){b.p, b.n});
+		buf_free(&b);
+	} else {
+		ctl->token = str_dup(str_from(arg));
+	}
+	if (e) {
+		warnx("%s: %s", arg + 1, cf_strerror(e));
+		return CTL_USAGE;
+	}
+	if (!ctl->token)
+		return CTL_REFUSED;
+	ctl->token[strcspn(ctl->token, "\r\n")] = '\0';
+	return CTL_DONE;
+}
+
+static int request_id_make(struct ctl *ctl)
+{
+	unsigned char random[16];
+
+	if (getrandom(random, sizeof(random), 0) != sizeof(random))
+		return CF_EIO;
+	for (size_t i = 0; i < sizeof(random); i++)
+		snprintf(ctl->request_id + 2 * i, 3, "%02x", random[i]);
 	return 0;
 }
+
+static int number_set(const char *arg, uint64_t *out, const char *what)
+{
+	if (str_to_u64(str_from(arg), out) == 0)
+		return CTL_DONE;
+	return ctl_bad_usage(what);
+}
+
+/* Reads one option. Returns an enum ctl_status, or -1 when the run is over. */
+static int option_set(struct ctl *ctl, int ch)
+{
+	uint64_t n;
+
+	switch (ch) {
+	case 'a':
+		return addresses_add(ctl, optarg) ? CTL_DONE
+						  : ctl_bad_usage("too many addresses");
+	case 'j':
+		ctl->json = true;
+		return CTL_DONE;
+	case 'm':
+		ctl->has_match = true;
+		return number_set(optarg, &ctl->match, "-m: not a version");
+	case 'n':
+		ctl->check_only = true;
+		return CTL_DONE;
+	case 'r':
+		if (!ctl_name_valid(optarg))
+			return ctl_bad_usage("-r: not a request id");
+		snprintf(ctl->request_id, sizeof(ctl->request_id), "%s", optarg);
+		return CTL_DONE;
+	case 't':
+		return token_set(ctl, optarg);
+	case 'T':
+		ctl->team = optarg;
+		return ctl_name_valid(optarg) ? CTL_DONE
+					      : ctl_bad_usage("-T: not a team's name");
+	case 'V':
+		ctl->vocabulary = optarg;
+		return CTL_DONE;
+	case 'w':
+		ctl->word = optarg;
+		return ctl_name_valid(optarg) ? CTL_DONE
+					      : ctl_bad_usage("-w: not a word");
+	case 'A':
+		return number_set(optarg, &ctl->after, "--after: not a revision");
+	case 'C':
+		return number_set(optarg, &ctl->count, "--count: not a number");
+	case 'O':
+		if (number_set(optarg, &n, "--timeout: not a number"))
+			return CTL_USAGE;
+		if (n == 0 || n > MAX_TIMEOUT_S)
+			return ctl_bad_usage("--timeout: out of range");
+		ctl->timeout_ms = (long)n * 1000;
+		return CTL_DONE;
+	case 'v':
+		printf("carawayctl %s\n", CTL_VERSION);
+		return -1;
+	case 'h':
+		usage(stdout);
+		return -1;
+	default:
+		usage(stderr);
+		return CTL_USAGE;
+	}
+}
+
+int main(int argc, char **argv)
+{
+	static const struct option longs[] = {
+		{"address", required_argument, NULL, 'a'},
+		{"json", no_argument, NULL, 'j'},
+		{"match", required_argument, NULL, 'm'},
+		{"check", no_argument, NULL, 'n'},
+		{"request-id", required_argument, NULL, 'r'},
+		{"token", required_argument, NULL, 't'},
+		{"team", required_argument, NULL, 'T'},
+		{"vocabulary", required_argument, NULL, 'V'},
+		{"word", required_argument, NULL, 'w'},
+		{"after", required_argument, NULL, 'A'},
+		{"count", required_argument, NULL, 'C'},
+		{"timeout", required_argument, NULL, 'O'},
+		{"version", no_argument, NULL, 'v'},
+		{"help", no_argument, NULL, 'h'},
+		{0},
+	};
+	struct ctl ctl = {.timeout_ms = TIMEOUT_MS};
+	const struct ctl_command *group = NULL;
+	int status = CTL_DONE;
+	int ch;
+
+	while ((ch = getopt_long(argc, argv, "a:jm:nr:t:T:V:w:h", longs, NULL)) != -1) {
+		status = option_set(&ctl, ch);
+		if (status)
+			goto out;
+	}
+	argc -= optind;
+	argv += optind;
+	if (argc == 0) {
+		status = ctl_bad_usage("a command is needed");
+		goto out;
+	}
+	for (size_t i = 0; i < sizeof(commands) / sizeof(commands[0]); i++)
+		if (strcmp(commands[i].name, argv[0]) == 0)
+			group = &commands[i];
+	if (!group) {
+		status = ctl_bad_usage("no such command");
+		goto out;
+	}
+	if (!ctl.request_id[0] && request_id_make(&ctl))
+		errx(CTL_REFUSED, "no random numbers");
+	if (curl_global_init(CURL_GLOBAL_DEFAULT))
+		errx(CTL_REFUSED, "cannot initialise libcurl");
+	status = group->run(&ctl, argc - 1, argv + 1);
+	curl_global_cleanup();
+out:
+	free(ctl.token);
+	if (fflush(stdout) && status == CTL_DONE)
+		status = CTL_REFUSED;
+	return status < 0 ? CTL_DONE : status;
+}
