--- a/carawayfrontd/ctl_call.c
+++ b/carawayfrontd/ctl_call.c
@@ -37,7 +37,7 @@
 	c->base.ops = &leader_ops;
 	c->req = req;
 	c->ops = ops;
-	err = leader_call_start(leader, &c->base, proc, args, timeout);
+	err = leader_call_start(leader, &c->base, proc, args, timeout, LEADER_ATTEMPT);
 	if (err)
 		free(c);
 	return err;
--- a/carawayfrontd/entry_watch.c
+++ b/carawayfrontd/entry_watch.c
@@ -14,6 +14,7 @@
 
 #define WATCH_WAIT_MS 500U
 #define WATCH_TIMEOUT 2.0 /* seconds */
+#define WATCH_ATTEMPT 0.8 /* seconds; WATCH_WAIT_MS and a round trip */
 #define RETRY_DELAY 0.1
 #define CHECK_PERIOD 0.05 /* between checks of freshness and of waiting requests */
 #define MAX_WAIT_MS 60000U
@@ -276,7 +277,7 @@
 	w->call.ops = &watch_ops;
 	if (codec_encode((xdrproc_t)xdr_peer_watch_args, &args, &bytes) ||
 	    leader_call_start(w->opt.leader, &w->call, PEER_WATCH, buf_str(&bytes),
-			      WATCH_TIMEOUT)) {
+			      WATCH_TIMEOUT, WATCH_ATTEMPT)) {
 		ev_timer_set(&w->retry, RETRY_DELAY, 0);
 		ev_timer_start(w->opt.loop, &w->retry);
 	}
--- a/carawayfrontd/front_claim.c
+++ b/carawayfrontd/front_claim.c
@@ -50,7 +50,7 @@
 	if (err)
 		goto out;
 	err = leader_call_start(r->front->opt.leader, call, PEER_PROPOSE, buf_str(&outer),
-				timeout);
+				timeout, LEADER_ATTEMPT);
 out:
 	buf_free(&inner);
 	buf_free(&outer);
--- a/carawayfrontd/leader_client.c
+++ b/carawayfrontd/leader_client.c
@@ -6,8 +6,8 @@
 #include "proto/codec.h"
 #include "proto/peer.h"
 
-#define RETRY_DELAY 0.03    /* seconds before another process is asked */
-#define ATTEMPT_TIMEOUT 1.0 /* seconds for one process, unless the call is shorter */
+#define RETRY_DELAY 0.03 /* seconds before another process is asked */
+#define AVOID_TIME 1.0	 /* seconds without calls to a process that did not answer */
 
 /* Connects lazily to every state process of the settings, which must stay valid. */
 int leader_client_init(struct leader_client *c, struct ev_loop *loop,
@@ -62,7 +62,11 @@
 {
 	struct leader_client *c = call->client;
 
-	call->target = target % c->n;
+	for (size_t i = 0; i < c->n; i++) {
+		call->target = (target + i) % c->n;
+		if (c->avoid_until[call->target] <= ev_now(c->loop))
+			break;
+	}
 	if (ev_now(c->loop) + delay >= call->deadline) {
 		fail_call(call);
 		return;
@@ -78,8 +82,10 @@
 	double timeout = left < call->attempt_timeout ? left : call->attempt_timeout;
 
 	if (rpc_client_call(c->clients[call->target], call->proc, buf_str(&call->args),
-			    timeout, &call->waiter))
+			    timeout, &call->waiter)) {
+		c->avoid_until[call->target] = ev_now(c->loop) + AVOID_TIME;
 		retry_later(call, call->target + 1, RETRY_DELAY);
+	}
 }
 
 static void on_retry(struct ev_loop *loop, struct ev_timer *t, int events)
@@ -124,6 +130,7 @@
 	if (!err)
 		err = read_head(results, &result_err, &leader);
 	if (err) {
+		c->avoid_until[call->target] = ev_now(c->loop) + AVOID_TIME;
 		call->maybe_run = true;
 		retry_later(call, call->target + 1, RETRY_DELAY);
 		return;
@@ -139,6 +146,7 @@
 		return;
 	}
 	c->guess = call->target;
+	c->avoid_until[call->target] = 0;
 	end_call(call, 0, results);
 }
 
@@ -146,11 +154,11 @@
 
 /*
  * Starts a call that is repeated, at other processes too, until a leader answers or
- * timeout seconds have passed. The command must therefore be idempotent. call->ops
- * is set by the caller.
+ * timeout seconds have passed; one process gets attempt_timeout. The command must
+ * therefore be idempotent. call->ops is set by the caller.
  */
 int leader_call_start(struct leader_client *c, struct leader_call *call, uint32_t proc,
-		      struct str args, double timeout)
+		      struct str args, double timeout, double attempt_timeout)
 {
 	int err;
 
@@ -163,7 +171,7 @@
 	call->waiter.client = NULL;
 	call->proc = proc;
 	call->maybe_run = false;
-	call->attempt_timeout = ATTEMPT_TIMEOUT;
+	call->attempt_timeout = attempt_timeout;
 	call->deadline = ev_now(c->loop) + timeout;
 	call->target = c->guess;
 	ev_timer_init(&call->retry, on_retry, 0, 0);
--- a/carawayfrontd/leader_client.h
+++ b/carawayfrontd/leader_client.h
@@ -12,11 +12,18 @@
 	size_t n;
 	struct str names[LEADER_MAX_MEMBERS];
 	struct rpc_client *clients[LEADER_MAX_MEMBERS];
+	/*
+	 * Loop time until which a process that did not answer is avoided: others may
+	 * still name it as the leader before they notice its loss.
+	 */
+	double avoid_until[LEADER_MAX_MEMBERS];
 	size_t guess; /* index of the process that led last */
 	uint64_t redirects;
 	uint64_t failures;
 };
 
+#define LEADER_ATTEMPT 1.0 /* seconds that one process gets, unless a call needs less */
+
 struct leader_call;
 
 struct leader_call_ops {
@@ -46,7 +53,7 @@
 		       const struct settings *settings);
 void leader_client_destroy(struct leader_client *c);
 int leader_call_start(struct leader_client *c, struct leader_call *call, uint32_t proc,
-		      struct str args, double timeout);
+		      struct str args, double timeout, double attempt_timeout);
 void leader_call_cancel(struct leader_call *call);
 
 #endif
--- a/carawayfrontd/member_join.c
+++ b/carawayfrontd/member_join.c
@@ -77,7 +77,7 @@
 	m->call.ops = &join_ops;
 	if (!err)
 		err = leader_call_start(m->opt.leader, &m->call, PEER_PROPOSE,
-					buf_str(&outer), JOIN_TIMEOUT);
+					buf_str(&outer), JOIN_TIMEOUT, LEADER_ATTEMPT);
 	if (err)
 		retry_later(m);
 	buf_free(&inner);
--- a/standins/loadgen.c
+++ b/standins/loadgen.c
@@ -114,8 +114,10 @@
 static bool answer_matches(const struct caller *k, const struct client_call *c)
 {
 	char want[320];
+	/* Entry processes send the path behind /TEAM/SERVICE to the upstream. */
+	const char *path = k->path + strlen(opt.team) + strlen(opt.service) + 2;
 	int n = snprintf(want, sizeof(want), "%s %s %zu %08x\n", k->post ? "POST" : "GET",
-			 k->path, k->body_n, k->crc);
+			 path, k->body_n, k->crc);
 
 	if (c->answer.n != (size_t)n + k->filler_n ||
 	    memcmp(c->answer.p, want, (size_t)n) != 0)
