core/replica: a voter whose removal is uncommitted still stands for election

A leader that had proposed its own removal lost its lease; it held the longest log, refused the shorter ones its vote and did not stand itself. Change: take part in elections until the removal has committed.

--- a/core/replica_elect.c
+++ b/core/replica_elect.c
@@ -30,7 +30,7 @@
 	r->lease_until = REPLICA_NEVER;
 	r->n_joiner = 0;
 	replica_elect_reset(r);
-	replica_set_role(r, replica_is_voter(r) ? REPLICA_FOLLOWER : REPLICA_LEARNER,
+	replica_set_role(r, replica_may_stand(r) ? REPLICA_FOLLOWER : REPLICA_LEARNER,
 			 leader);
 }
 
@@ -47,7 +47,7 @@
 
 static size_t granted_count(const struct replica *r)
 {
-	size_t n = 1;
+	size_t n = replica_is_voter(r) ? 1 : 0;
 
 	for (size_t i = 0; i < r->n_peer; i++)
 		n += r->peer[i].voter && r->peer[i].granted;
@@ -90,7 +90,7 @@
  */
 void replica_elect_start(struct replica *r)
 {
-	if (!r->verified || !replica_is_voter(r))
+	if (!r->verified || !replica_may_stand(r))
 		return;
 	replica_elect_reset(r);
 	replica_set_role(r, REPLICA_PRECANDIDATE, 0);
--- a/core/replica_follow.c
+++ b/core/replica_follow.c
@@ -18,6 +18,8 @@
 		}
 		r->applied++;
 		r->host->ops->apply(r->host, e);
+		if (e->kind == REPLICA_MEMBERS)
+			replica_role_refresh(r);
 	}
 }
 
--- a/core/replica_member.c
+++ b/core/replica_member.c
@@ -45,6 +45,28 @@
 	return m && m->voter;
 }
 
+/*
+ * Whether this replica takes part in elections. A voter whose removal has not
+ * committed must: it may hold the longest log, without which nobody can be elected.
+ */
+bool replica_may_stand(const struct replica *r)
+{
+	const struct replica_member *m =
+		replica_member_find(&r->applied_members, r->id, r->identity);
+
+	return replica_is_voter(r) || (m && m->voter);
+}
+
+/* Sets learner or follower after a membership changed or committed. */
+void replica_role_refresh(struct replica *r)
+{
+	bool may = replica_may_stand(r);
+
+	if (r->role != REPLICA_LEADER && !replica_halted(r) &&
+	    (r->role == REPLICA_LEARNER) == may)
+		replica_set_role(r, may ? REPLICA_FOLLOWER : REPLICA_LEARNER, r->leader);
+}
+
 /* Puts a membership in force and keeps what is known of members that stay. */
 void replica_members_use(struct replica *r, const struct replica_members *m,
 			 uint64_t index)
@@ -77,11 +99,7 @@
 	r->n_peer = n;
 	r->members = *m;
 	r->members_index = index;
-	if (r->role != REPLICA_LEADER && !replica_halted(r) &&
-	    (r->role == REPLICA_LEARNER) == replica_is_voter(r))
-		replica_set_role(r,
-				 replica_is_voter(r) ? REPLICA_FOLLOWER : REPLICA_LEARNER,
-				 r->leader);
+	replica_role_refresh(r);
 }
 
 /* Finds the membership in force again after the log changed. */
--- a/core/replica_priv.h
+++ b/core/replica_priv.h
@@ -191,6 +191,8 @@
 			 uint64_t index);
 int replica_members_reload(struct replica *r);
 bool replica_is_voter(const struct replica *r);
+bool replica_may_stand(const struct replica *r);
+void replica_role_refresh(struct replica *r);
 void replica_join_receive(struct replica *r, uint64_t from, const struct replica_msg *m);
 void replica_join_send(struct replica *r);
 void replica_admit_tick(struct replica *r);
--- a/regress/test_replica.c
+++ b/regress/test_replica.c
@@ -644,6 +644,29 @@
 }
 END_TEST
 
+static void print_nodes(const struct cluster *c)
+{
+	for (size_t i = 1; i <= c->n; i++) {
+		const struct node *n = &c->node[i];
+		const struct replica_members *m;
+
+		if (!n->r)
+			continue;
+		m = replica_members(n->r);
+		printf("node %d %llx role %d epoch %d leader %d last %d commit %d "
+		       "members",
+		       (int)i, (unsigned long long)n->disk.promise.identity & 0xffff,
+		       (int)replica_role(n->r), (int)replica_epoch(n->r),
+		       (int)replica_leader(n->r), (int)replica_last_index(n->r),
+		       (int)replica_committed(n->r));
+		for (size_t k = 0; k < m->n; k++)
+			printf(" %d/%llx%s", (int)m->list[k].id,
+			       (unsigned long long)m->list[k].identity & 0xffff,
+			       m->list[k].voter ? "v" : "l");
+		printf("\n");
+	}
+}
+
 /* Runs COUNT seeds from SEED on and prints those that fail. */
 static int run_seeds(uint64_t seed, uint64_t count, bool trace)
 {
@@ -656,6 +679,8 @@
 			printf("seed %llu: %s (at %lld us)\n",
 			       (unsigned long long)(seed + i), c.failure,
 			       (long long)c.now);
+			if (trace)
+				print_nodes(&c);
 			fflush(stdout);
 			failed++;
 		}
