core/replica: a leader's answer verifies a restarted voter; no delay in a replacement

Ruled out: counting answers of any identity (a foreign directory could verify another). Change: the leader that counts the directory as a member may answer HELLO alone; a voter whose id has a learner does not count as alive for a removal; a promotion follows the removal at once.

--- a/core/replica.c
+++ b/core/replica.c
@@ -279,7 +279,6 @@
 		replica_snap_reply(r, p, m);
 		break;
 	default:
-		replica_hello_reply(r, p, m);
 		break;
 	}
 }
@@ -322,12 +321,14 @@
 	case REPLICA_MSG_VOTE_REPLY:
 	case REPLICA_MSG_APPEND_REPLY:
 	case REPLICA_MSG_SNAPSHOT_REPLY:
-	case REPLICA_MSG_HELLO_REPLY:
 		p = replica_peer_find(r, from, m->from_identity);
 		if (!p)
 			return CF_EFOREIGN;
 		replica_receive_reply(r, p, m);
 		return 0;
+	case REPLICA_MSG_HELLO_REPLY:
+		replica_hello_reply(r, from, m);
+		return 0;
 	default:
 		return CF_EINVAL;
 	}
--- a/core/replica_follow.c
+++ b/core/replica_follow.c
@@ -69,8 +69,10 @@
 		    !replica_witness_check(r, w->epoch, w->index))
 			return false;
 	}
-	if (!r->verified)
+	if (!r->verified) {
+		replica_hello_ask_leader(r, from, m);
 		return false;
+	}
 	if (m->epoch < r->promise.epoch) {
 		struct replica_msg reply = {
 			.kind = m->kind == REPLICA_MSG_APPEND
--- a/core/replica_lead.c
+++ b/core/replica_lead.c
@@ -183,6 +183,7 @@
 void replica_lead_commit(struct replica *r)
 {
 	uint64_t index = lead_quorum_index(r);
+	uint64_t before;
 
 	if (index <= r->commit)
 		return;
@@ -192,6 +193,7 @@
 	 */
 	if (replica_log_epoch(&r->log, index) != r->promise.epoch)
 		return;
+	before = r->commit;
 	r->commit = index;
 	if (r->commit >= r->barrier)
 		r->ready = true;
@@ -199,6 +201,10 @@
 	replica_snap_take(r);
 	if (replica_halted(r))
 		return;
+	/* The second step of a replacement follows the first without delay. */
+	if (r->members_index && r->members_index <= r->commit &&
+	    r->members_index > before)
+		replica_admit_tick(r);
 	if (!replica_is_voter(r) && r->members_index <= r->commit) {
 		/* Removed itself: the others must learn that it committed. */
 		lead_heartbeats(r);
--- a/core/replica_member.c
+++ b/core/replica_member.c
@@ -224,7 +224,9 @@
 	for (size_t i = 0; i < r->n_peer; i++) {
 		const struct replica_peer *p = &r->peer[i];
 
+		/* A learner with its id means that its directory is gone. */
 		if (p->voter && !(p->id == id && p->identity == identity) &&
+		    !member_other(&r->members, p->id, p->identity, false) &&
 		    p->confirmed_us != REPLICA_NEVER &&
 		    p->confirmed_us + r->opt.election_us > r->now_us)
 			heard++;
--- a/core/replica_priv.h
+++ b/core/replica_priv.h
@@ -66,6 +66,7 @@
 	uint64_t leader;
 	uint64_t leader_identity;
 	bool verified; /* the directory is not known to be older than what it promised */
+	struct replica_member hello_leader; /* leader that was asked, id 0: none */
 	int64_t leader_heard_us;
 	int64_t election_at;
 	int64_t hello_at;
@@ -202,9 +203,10 @@
 			  uint64_t epoch, uint64_t index);
 void replica_hello_start(struct replica *r, bool fresh);
 void replica_hello_send(struct replica *r);
+void replica_hello_ask_leader(struct replica *r, uint64_t from,
+			      const struct replica_msg *m);
 void replica_hello_receive(struct replica *r, uint64_t from, const struct replica_msg *m);
-void replica_hello_reply(struct replica *r, struct replica_peer *p,
-			 const struct replica_msg *m);
+void replica_hello_reply(struct replica *r, uint64_t from, const struct replica_msg *m);
 bool replica_witness_check(struct replica *r, uint64_t epoch, uint64_t index);
 
 /* replica_codec.c */
--- a/core/replica_witness.c
+++ b/core/replica_witness.c
@@ -78,6 +78,28 @@
 	}
 }
 
+/*
+ * Asks a leader that counts this directory as a member. The voters that the stored
+ * log names may all have been replaced since.
+ */
+void replica_hello_ask_leader(struct replica *r, uint64_t from,
+			      const struct replica_msg *m)
+{
+	struct replica_msg hello = {
+		.kind = REPLICA_MSG_HELLO,
+		.epoch = r->promise.epoch,
+		.index = r->durable,
+	};
+
+	if (m->epoch < r->promise.epoch)
+		return;
+	r->hello_leader = (struct replica_member){
+		.id = from,
+		.identity = m->from_identity,
+	};
+	replica_send(r, from, m->from_identity, &hello);
+}
+
 /* Tells a restarted member what is known of its acknowledgements. */
 void replica_hello_receive(struct replica *r, uint64_t from, const struct replica_msg *m)
 {
@@ -93,17 +115,25 @@
 	replica_send(r, from, m->from_identity, &reply);
 }
 
-void replica_hello_reply(struct replica *r, struct replica_peer *p,
-			 const struct replica_msg *m)
+/*
+ * Handles HELLO_REPLY. A leader's answer is enough: it knows what was acknowledged in
+ * its epoch, and its log holds what was acknowledged before.
+ */
+void replica_hello_reply(struct replica *r, uint64_t from, const struct replica_msg *m)
 {
+	struct replica_peer *p = replica_peer_find(r, from, m->from_identity);
+	bool leader = r->hello_leader.id == from &&
+		      r->hello_leader.identity == m->from_identity;
 	size_t n = 0;
 
-	if (!replica_witness_check(r, m->epoch, m->index) || r->verified)
+	if ((!p && !leader) || !replica_witness_check(r, m->epoch, m->index) ||
+	    r->verified)
 		return;
-	p->hello_ok = true;
+	if (p)
+		p->hello_ok = true;
 	for (size_t i = 0; i < r->n_peer; i++)
 		n += r->peer[i].voter && r->peer[i].hello_ok;
-	if (n < hello_need(r))
+	if (n < hello_need(r) && !leader)
 		return;
 	r->verified = true;
 	replica_elect_reset(r);
