--- a/core/replica_priv.h
+++ b/core/replica_priv.h
@@ -66,6 +66,7 @@
 	uint64_t leader;
 	uint64_t leader_identity;
 	bool verified; /* the directory is not known to be older than what it promised */
+	struct replica_member hello_leader; /* leader that was asked, id 0: none */
 	int64_t leader_heard_us;
 	int64_t election_at;
 	int64_t hello_at;
@@ -191,6 +192,8 @@
 			 uint64_t index);
 int replica_members_reload(struct replica *r);
 bool replica_is_voter(const struct replica *r);
+bool replica_may_stand(const struct replica *r);
+void replica_role_refresh(struct replica *r);
 void replica_join_receive(struct replica *r, uint64_t from, const struct replica_msg *m);
 void replica_join_send(struct replica *r);
 void replica_admit_tick(struct replica *r);
@@ -200,9 +203,10 @@
 			  uint64_t epoch, uint64_t index);
 void replica_hello_start(struct replica *r, bool fresh);
 void replica_hello_send(struct replica *r);
+void replica_hello_ask_leader(struct replica *r, uint64_t from,
+			      const struct replica_msg *m);
 void replica_hello_receive(struct replica *r, uint64_t from, const struct replica_msg *m);
-void replica_hello_reply(struct replica *r, struct replica_peer *p,
-			 const struct replica_msg *m);
+void replica_hello_reply(struct replica *r, uint64_t from, const struct replica_msg *m);
 bool replica_witness_check(struct replica *r, uint64_t epoch, uint64_t index);
 
 /* replica_codec.c */
