Differential test of the router

Cause: the router had not been run. Ruled out: example tests for each rule, because the faults are in the order of events. Change: random histories against a naive router that checks each send and each outcome. It found that router_zone() sent requests while only a part of the returning zone was in use, so a retry went to the upstream that had just failed; all upstreams are now updated before anything is sent. The timer that ends refusals and ejections could be moved past the end of an ejection; it now keeps the earlier end.

--- a/core/router_impl.h
+++ b/core/router_impl.h
@@ -11,7 +11,7 @@
 #include "core/router_timer.h"
 
 /* Longest team, service, upstream or zone name and address, in bytes. */
-#define ROUTER_MAX_NAME 64
+#define ROUTER_MAX_NAME ((size_t)64)
 /* Team, NUL and service. */
 #define ROUTER_MAX_KEY 129
 /* Availability zones of one team; the target is 10 in all. */
--- a/core/router_limit.c
+++ b/core/router_limit.c
@@ -143,5 +143,7 @@
 	if (wait > REFUSED_MAX_US)
 		wait = REFUSED_MAX_US;
 	u->closed_until_us = now_us + wait;
-	timers_set(&r->timers, &u->reopen, u->closed_until_us);
+	/* An earlier timer ends an ejection and then sets this time itself. */
+	if (!u->reopen.slot || u->reopen.at_us > u->closed_until_us)
+		timers_set(&r->timers, &u->reopen, u->closed_until_us);
 }
--- a/core/router_upstream.c
+++ b/core/router_upstream.c
@@ -287,11 +287,15 @@
 /* Serves the timer that ends a refusal or an ejection. */
 void upstream_reopen(struct router *r, struct upstream *u, int64_t now_us)
 {
-	/* A refusal during an ejection moves the timer; the later time still counts. */
+	int64_t next = INT64_MAX;
+
+	/* A refusal and an ejection share the timer: the earlier end comes first. */
 	if (now_us < u->closed_until_us)
-		timers_set(&r->timers, &u->reopen, u->closed_until_us);
-	else if (now_us < u->ejected_until_us)
-		timers_set(&r->timers, &u->reopen, u->ejected_until_us);
+		next = u->closed_until_us;
+	if (now_us < u->ejected_until_us && u->ejected_until_us < next)
+		next = u->ejected_until_us;
+	if (next != INT64_MAX)
+		timers_set(&r->timers, &u->reopen, next);
 	upstream_update(r, u, now_us);
 	queue_dispatch(r, u->pool, now_us);
 }
@@ -314,6 +318,16 @@
 	u->home = rank_of(r, u->name_id) < r->home_ranks;
 }
 
+static void dispatch_all(struct router *r, int64_t now_us)
+{
+	struct pool *p;
+	struct pool *tmp;
+
+	HASH_ITER (hh, r->pools, p, tmp) {
+		queue_dispatch(r, p, now_us);
+	}
+}
+
 /* Sets the live entry processes, by name. This one need not be among them. */
 int router_entries(struct router *r, const struct str *names, size_t n, int64_t now_us)
 {
@@ -335,6 +349,7 @@
 		set_home(r, u);
 		upstream_update(r, u, now_us);
 	}
+	dispatch_all(r, now_us);
 	return 0;
 }
 
@@ -530,12 +545,11 @@
 		return 0;
 	t->zone[i].out = out;
 	HASH_ITER (hh, r->upstreams, u, tmp) {
-		if (u->pool->team == t && u->zone == i) {
+		if (u->pool->team == t && u->zone == i)
 			upstream_update(r, u, now_us);
-			if (!out)
-				queue_dispatch(r, u->pool, now_us);
-		}
 	}
+	/* Only now, so that no request is sent with a part of the zone in use. */
+	dispatch_all(r, now_us);
 	return 0;
 }
 
--- /dev/null
+++ b/regress/test_router.c
@@ -0,0 +1,528 @@
+#include <check.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/err.h"
+#include "base/prng.h"
+#include "core/router.h"
+
+/*
+ * Random histories in virtual time against a naive router: one list of upstreams
+ * with everything that was announced, and one record for each request with every
+ * send and how it ended. test_router SEED COUNT runs COUNT histories from SEED on.
+ */
+#define TEAMS 2
+#define SERVICES 2
+#define ZONES 3
+#define NAMES 24
+#define MAX_UP 4096
+#define MAX_REQ 6000
+#define MS 1000LL
+#define SEC 1000000LL
+#define EXPIRY (2 * SEC)
+#define MAX_QUEUE 20
+#define MAX_INFLIGHT 60
+#define MAX_REQUESTS(s) ((s)->harsh ? 70U : 400U)
+#define RETRY_START 10
+#define RETRY_PERCENT 20
+
+enum fate { F_OPEN, F_NOT_RUN, F_MAYBE, F_DONE };
+
+struct naive_up {
+	struct router_upstream a;
+	uint64_t id;
+	int64_t expires;
+	unsigned int inflight;
+	bool newest;
+	char text[32];
+};
+
+struct naive_req {
+	bool accepted, finished, idempotent, keyed, granted, claiming, claim_ended;
+	bool maybe_run, all_not_run;
+	unsigned int team, sends, finishes, claim_ends;
+	int64_t deadline;
+	struct naive_up *open; /* of the send that has not ended */
+	struct naive_up *last; /* it failed there last */
+	enum fate fate;
+	int64_t ends;
+	struct router_outcome out;
+};
+
+struct sim {
+	struct router_host host;
+	struct router *r;
+	struct prng rng;
+	int64_t now;
+	struct naive_up up[MAX_UP];
+	unsigned int n_up;
+	struct naive_req req[MAX_REQ];
+	unsigned int n_req, done;
+	bool zone_out[TEAMS][ZONES];
+	bool fresh, draining;
+	bool harsh; /* most sends fail, deadlines are long, the process is full */
+	unsigned int entries;
+	uint64_t sequence;
+	unsigned int inflight;
+	unsigned int successes[TEAMS], resends[TEAMS];
+	unsigned int refused, late;
+};
+
+static uint64_t seed_from = 1;
+static uint64_t seed_count = 60;
+
+static const char *const team_name[TEAMS] = {"guild", "pinecrest"};
+static const char *const service_name[SERVICES] = {"desk", "quotes"};
+static const char *const zone_name[ZONES] = {"a", "b", "c"};
+static const char *const entry_name[] = {"e1", "e2", "e3", "e4", "e5", "e6", "e7", "e8"};
+
+static struct sim *sim_of(struct router_host *h)
+{
+	return (struct sim *)(void *)h;
+}
+
+static unsigned int team_of(const struct naive_up *u)
+{
+	return str_eq(u->a.team, str_from(team_name[0])) ? 0 : 1;
+}
+
+static bool naive_usable(const struct sim *s, const struct naive_up *u)
+{
+	unsigned int z = (unsigned int)(u->a.zone.p[0] - 'a');
+
+	return u->newest && !u->a.leaving && s->now < u->expires &&
+	       !s->zone_out[team_of(u)][z];
+}
+
+static struct naive_up *naive_find(struct sim *s, uint64_t id)
+{
+	for (unsigned int i = 0; i < s->n_up; i++)
+		if (s->up[i].id == id)
+			return &s->up[i];
+	return NULL;
+}
+
+/* Whether the pool of u has another upstream that is in use. */
+static bool another(struct sim *s, const struct naive_up *u)
+{
+	struct router_upstream_info info;
+
+	for (unsigned int i = 0; i < s->n_up; i++) {
+		const struct naive_up *o = &s->up[i];
+
+		if (o == u || !naive_usable(s, o) || !str_eq(o->a.team, u->a.team) ||
+		    !str_eq(o->a.service, u->a.service))
+			continue;
+		ck_assert_int_eq(router_upstream_info(s->r, o->id, &info, s->now), 0);
+		if (!info.ejected)
+			return true;
+	}
+	return false;
+}
+
+/* Every rule that a send has to keep. */
+static void on_send(struct router_host *h, uint64_t request, uint64_t upstream)
+{
+	struct sim *s = sim_of(h);
+	struct naive_req *q = &s->req[request];
+	struct naive_up *u = naive_find(s, upstream);
+	unsigned int share = 64 / s->entries;
+
+	ck_assert_ptr_nonnull(u);
+	ck_assert_msg(naive_usable(s, u), "sent to an upstream that is not usable");
+	ck_assert_msg(s->fresh, "sent while the configuration was stale");
+	ck_assert_msg(!q->finished, "sent after the caller was told");
+	ck_assert_msg(!q->open, "sent while an earlier send had not ended");
+	ck_assert_msg(q->idempotent || !q->maybe_run, "non-idempotent sent twice");
+	ck_assert_msg(!q->keyed || (q->granted && !q->claim_ended), "sent unclaimed");
+	ck_assert_msg(s->now < q->deadline, "sent after the deadline");
+	ck_assert_msg(q->last != u || !another(s, u), "sent where it just failed");
+	ck_assert_uint_lt(q->sends, 3);
+	u->inflight++;
+	s->inflight++;
+	ck_assert_msg(u->inflight <= u->a.slots, "slots overshot by own sends");
+	ck_assert_msg(u->inflight <= (share ? share : 1), "connections overshot");
+	ck_assert_uint_le(s->inflight, MAX_INFLIGHT);
+	if (q->sends++)
+		s->resends[q->team]++;
+	ck_assert_msg(s->resends[q->team] <=
+			      RETRY_START + s->successes[q->team] * RETRY_PERCENT / 100.0,
+		      "retry budget overspent");
+	q->open = u;
+	q->ends = s->now + MS + (int64_t)prng_below(&s->rng, 60 * MS);
+	if (prng_below(&s->rng, 50) == 0)
+		q->ends += SEC;
+	switch (prng_below(&s->rng, s->harsh ? 5 : 20)) {
+	case 0:
+	case 1:
+		q->fate = F_NOT_RUN;
+		break;
+	case 2:
+		q->fate = F_MAYBE;
+		break;
+	default:
+		q->fate = F_DONE;
+		break;
+	}
+}
+
+/* Every rule that an outcome has to keep. */
+static void on_finish(struct router_host *h, uint64_t request,
+		      const struct router_outcome *o)
+{
+	struct sim *s = sim_of(h);
+	struct naive_req *q = &s->req[request];
+
+	ck_assert_msg(!q->finished, "finished twice");
+	q->finished = true;
+	q->out = *o;
+	s->done++;
+	ck_assert_uint_eq(o->sends, q->sends);
+	if (o->run == ROUTER_NOT_RUN) {
+		ck_assert_msg(!q->maybe_run && !q->open, "refused as not run, but sent");
+		ck_assert_msg(!q->granted || q->claim_ended, "claim left open");
+	}
+	if (o->run == ROUTER_UNKNOWN && o->reason != ROUTER_R_IN_PROGRESS &&
+	    o->reason != ROUTER_R_KEY_UNKNOWN)
+		ck_assert_msg(q->maybe_run || q->open, "unknown, but never run");
+	if (o->reason == ROUTER_R_NO_UPSTREAM || o->reason == ROUTER_R_QUEUE_FULL)
+		ck_assert_uint_eq(q->sends, 0);
+	ck_assert_msg(o->reason != ROUTER_R_DRAINING || !q->accepted,
+		      "drain cut an accepted request");
+	ck_assert_msg(o->reason != ROUTER_R_DEADLINE || s->now >= q->deadline,
+		      "deadline before its time");
+}
+
+static void on_claim(struct router_host *h, uint64_t request)
+{
+	struct naive_req *q = &sim_of(h)->req[request];
+
+	ck_assert(q->keyed && !q->claiming && !q->sends);
+	q->claiming = true;
+	q->ends = sim_of(h)->now + (int64_t)prng_below(&sim_of(h)->rng, 20 * MS);
+}
+
+static void claim_end(struct router_host *h, uint64_t request, bool may_have_run)
+{
+	struct naive_req *q = &sim_of(h)->req[request];
+
+	ck_assert_msg(q->granted && !q->claim_ended, "claim ended twice or not granted");
+	ck_assert_msg(may_have_run == (q->maybe_run || q->open || q->fate == F_DONE),
+		      "claim ended with the wrong state");
+	q->claim_ended = true;
+}
+
+static void on_claim_done(struct router_host *h, uint64_t request)
+{
+	claim_end(h, request, true);
+	ck_assert_int_eq(sim_of(h)->req[request].fate, F_DONE);
+}
+
+static void on_claim_unknown(struct router_host *h, uint64_t request)
+{
+	claim_end(h, request, true);
+}
+
+static void on_claim_abort(struct router_host *h, uint64_t request)
+{
+	claim_end(h, request, false);
+}
+
+static const struct router_ops ops = {
+	.send = on_send,
+	.finish = on_finish,
+	.claim = on_claim,
+	.claim_done = on_claim_done,
+	.claim_unknown = on_claim_unknown,
+	.claim_abort = on_claim_abort,
+};
+
+static void sim_start(struct sim *s, uint64_t seed, enum router_policy policy)
+{
+	struct router_options o;
+	struct str names[8];
+
+	memset(s, 0, sizeof(*s));
+	s->host.ops = &ops;
+	s->rng.state = seed;
+	s->now = SEC;
+	s->harsh = seed % 3 == 0;
+	s->entries = 1 + (unsigned int)prng_below(&s->rng, 8);
+	router_options_init(&o);
+	o.host = &s->host;
+	o.seed = seed;
+	o.name = STR("e1");
+	o.zone = STR("a");
+	o.policy = policy;
+	o.max_queue = MAX_QUEUE;
+	o.max_inflight = MAX_INFLIGHT;
+	o.max_requests = MAX_REQUESTS(s);
+	o.retry_percent = RETRY_PERCENT;
+	ck_assert_int_eq(router_new(&o, &s->r), 0);
+	for (unsigned int i = 0; i < s->entries; i++)
+		names[i] = str_from(entry_name[i]);
+	ck_assert_int_eq(router_entries(s->r, names, s->entries, s->now), 0);
+	ck_assert_int_eq(router_status(s->r), CF_ESTALE);
+	router_fresh(s->r, true, s->now);
+	s->fresh = true;
+}
+
+/* Announces name i, as it is, restarted, changed, or late with old content. */
+static void announce(struct sim *s, unsigned int i)
+{
+	struct router_upstream a = {0};
+	struct naive_up *old = NULL;
+	struct naive_up *u;
+	int err;
+
+	for (unsigned int k = 0; k < s->n_up; k++)
+		if (s->up[k].newest && s->up[k].a.load == (int)i)
+			old = &s->up[k];
+	if (old && prng_below(&s->rng, 4)) {
+		uint64_t seq = ++s->sequence;
+		int64_t age = (int64_t)prng_below(&s->rng, 300 * MS);
+
+		if (prng_below(&s->rng, 20) == 0) {
+			/* A late one must change nothing. */
+			a = old->a;
+			a.leaving = !a.leaving;
+			if (prng_below(&s->rng, 2)) {
+				a.incarnation--;
+				a.sequence = s->sequence;
+			}
+			ck_assert_int_eq(router_upstream(s->r, &a, s->now), CF_ESTALE);
+			return;
+		}
+		old->a.sequence = seq;
+		if (s->now - age + EXPIRY > old->expires)
+			old->expires = s->now - age + EXPIRY;
+		ck_assert_int_eq(router_renew(s->r, old->id, seq, -1, age, s->now), 0);
+		return;
+	}
+	if (s->n_up == MAX_UP)
+		return;
+	if (old && prng_below(&s->rng, 3)) {
+		u = old;
+		u->a.leaving = prng_below(&s->rng, 3) == 0;
+	} else {
+		u = &s->up[s->n_up++];
+		if (old) {
+			u->a = old->a;
+			old->newest = false;
+		}
+		u->a.team = str_from(team_name[i % TEAMS]);
+		u->a.service = str_from(service_name[i / TEAMS % SERVICES]);
+		u->text[0] = (char)('a' + i);
+		u->a.name = (struct str){u->text, 1};
+		u->a.address = STR("127.0.0.1:80");
+		u->a.zone = str_from(zone_name[i % ZONES]);
+		u->a.slots = 1 + (unsigned int)prng_below(&s->rng, 4);
+		u->a.incarnation++;
+		u->a.leaving = false;
+		u->newest = true;
+	}
+	u->a.sequence = ++s->sequence;
+	u->a.load = -1;
+	u->expires = s->now + EXPIRY;
+	u->id = router_upstream_id(&u->a);
+	err = router_upstream(s->r, &u->a, s->now);
+	u->a.load = (int)i; /* from here on the index of the name */
+	ck_assert_int_eq(err, 0);
+}
+
+static void submit(struct sim *s)
+{
+	uint64_t id = s->n_req;
+	struct naive_req *q = &s->req[id];
+	struct router_request a = {.id = id};
+	bool usable = false;
+
+	if (s->n_req == MAX_REQ)
+		return;
+	s->n_req++;
+	q->team = (unsigned int)prng_below(&s->rng, TEAMS);
+	a.team = str_from(team_name[q->team]);
+	a.service = str_from(service_name[prng_below(&s->rng, SERVICES)]);
+	a.class = (enum router_class)prng_below(&s->rng, ROUTER_CLASSES);
+	a.idempotent = q->idempotent = prng_below(&s->rng, 2);
+	a.keyed = q->keyed = !q->idempotent && prng_below(&s->rng, 2);
+	q->deadline = s->now + 5 * MS +
+		      (int64_t)prng_below(&s->rng, (s->harsh ? 4000 : 400) * MS);
+	a.deadline_us = q->deadline;
+	for (unsigned int i = 0; i < s->n_up; i++)
+		usable |= naive_usable(s, &s->up[i]) && str_eq(s->up[i].a.team, a.team) &&
+			  str_eq(s->up[i].a.service, a.service);
+	ck_assert_int_eq(router_submit(s->r, &a, s->now), 0);
+	ck_assert_msg(!usable || !q->finished || q->out.reason != ROUTER_R_NO_UPSTREAM,
+		      "refused for want of an upstream that is there");
+	ck_assert_msg(!s->draining || q->finished, "taken while draining");
+	ck_assert_msg(s->fresh || q->finished, "taken while stale");
+	q->accepted = !q->finished;
+	if (!q->finished)
+		ck_assert_int_eq(router_submit(s->r, &a, s->now), CF_EEXIST);
+}
+
+static void end_claim(struct sim *s, uint64_t id)
+{
+	static const int errs[] = {CF_EEXIST, CF_EINPROGRESS, CF_EUNKNOWN, CF_EREUSED,
+				   CF_EUNAVAIL};
+	struct naive_req *q = &s->req[id];
+	int err = prng_below(&s->rng, 3) ? 0 : errs[prng_below(&s->rng, 5)];
+
+	q->claiming = false;
+	/* A claim store that did not answer may have granted it. */
+	q->granted = err == 0 || err == CF_EUNAVAIL;
+	router_claimed(s->r, id, err, s->now);
+	if (err)
+		ck_assert(q->finished && q->sends == 0);
+	ck_assert(!q->granted || !q->finished || q->claim_ended);
+}
+
+static void end_send(struct sim *s, uint64_t id)
+{
+	struct naive_req *q = &s->req[id];
+	struct router_answer a = {.status = 200, .load = -1};
+	struct naive_up *u = q->open;
+	bool was_finished = q->finished;
+	enum fate fate = q->fate;
+	struct router_stats st;
+
+	u->inflight--;
+	s->inflight--;
+	q->open = NULL;
+	q->maybe_run |= fate == F_MAYBE;
+	q->last = u;
+	s->late += was_finished;
+	if (fate == F_DONE) {
+		a.status = prng_below(&s->rng, 10) ? 200 : 500;
+		if (!was_finished)
+			s->successes[q->team]++;
+		router_answered(s->r, id, &a, s->now);
+		if (!was_finished)
+			ck_assert(q->finished && q->out.run == ROUTER_DONE);
+	} else if (fate == F_NOT_RUN && prng_below(&s->rng, 2)) {
+		a.not_run = true;
+		router_answered(s->r, id, &a, s->now);
+	} else {
+		router_failed(s->r, id, CF_ECONN, fate == F_MAYBE, s->now);
+	}
+	router_stats(s->r, &st);
+	ck_assert_uint_eq(st.late, s->late);
+	ck_assert_uint_eq(st.inflight, s->inflight);
+}
+
+/* Serves what ends now, in the order of its time. */
+static void advance(struct sim *s, int64_t to)
+{
+	for (;;) {
+		int64_t next = router_deadline(s->r);
+		struct naive_req *first = NULL;
+
+		for (unsigned int i = 0; i < s->n_req; i++)
+			if ((s->req[i].open || s->req[i].claiming) &&
+			    (!first || s->req[i].ends < first->ends))
+				first = &s->req[i];
+		if (first && first->ends <= next && first->ends <= to) {
+			s->now = first->ends > s->now ? first->ends : s->now;
+			if (first->claiming)
+				end_claim(s, (uint64_t)(first - s->req));
+			else
+				end_send(s, (uint64_t)(first - s->req));
+			continue;
+		}
+		if (next > to)
+			break;
+		s->now = next > s->now ? next : s->now;
+		router_tick(s->r, s->now);
+		ck_assert_int_gt(router_deadline(s->r), s->now);
+	}
+	s->now = to;
+}
+
+static void step(struct sim *s)
+{
+	unsigned int x = (unsigned int)prng_below(&s->rng, 1000);
+	struct router_stats st;
+
+	if (x < 300) {
+		announce(s, (unsigned int)prng_below(&s->rng, NAMES));
+	} else if (x < 320) {
+		unsigned int t = (unsigned int)prng_below(&s->rng, TEAMS);
+		unsigned int z = (unsigned int)prng_below(&s->rng, ZONES);
+
+		s->zone_out[t][z] = prng_below(&s->rng, 3) == 0;
+		ck_assert_int_eq(router_zone(s->r, str_from(team_name[t]),
+					     str_from(zone_name[z]), s->zone_out[t][z],
+					     s->now),
+				 0);
+	} else if (x < 324) {
+		s->fresh = !s->fresh;
+		router_fresh(s->r, s->fresh, s->now);
+	} else if (x < 380 && s->n_req) {
+		uint64_t id =
+			s->n_req - 1 - prng_below(&s->rng, s->n_req) % 50 % s->n_req;
+
+		router_cancel(s->r, id, s->now);
+		ck_assert_msg(s->req[id].finished, "cancelled, but not finished");
+	} else {
+		submit(s);
+	}
+	if (!s->fresh && prng_below(&s->rng, 20) == 0) {
+		s->fresh = true;
+		router_fresh(s->r, true, s->now);
+	}
+	router_stats(s->r, &st);
+	ck_assert_uint_le(st.queued, (unsigned int)(MAX_QUEUE * TEAMS * ROUTER_CLASSES));
+	ck_assert_uint_le(st.requests, MAX_REQUESTS(s));
+	advance(s, s->now + (int64_t)prng_below(&s->rng, (s->harsh ? 1 : 3) * MS));
+}
+
+static void run_history(uint64_t seed)
+{
+	static struct sim s;
+
+	sim_start(&s, seed, (enum router_policy)(seed % 6));
+	for (unsigned int i = 0; i < 5000; i++)
+		step(&s);
+	s.draining = true;
+	router_drain(s.r, s.now);
+	for (unsigned int i = 0; i < 50; i++)
+		step(&s);
+	advance(&s, s.now + 20 * SEC);
+	ck_assert_msg(router_idle(s.r), "seed %lu: not idle after the drain", seed);
+	ck_assert_uint_eq(s.inflight, 0);
+	for (unsigned int i = 0; i < s.n_req; i++) {
+		ck_assert_msg(s.req[i].finished, "seed %lu: request %u lost", seed, i);
+		ck_assert(!s.req[i].granted || s.req[i].claim_ended);
+	}
+	router_free(s.r);
+}
+
+/* Guards against a broken rule in on_send(), on_finish() or claim_end(). */
+START_TEST(random_histories)
+{
+	for (uint64_t i = 0; i < seed_count; i++)
+		run_history(seed_from + i);
+}
+END_TEST
+
+int main(int argc, char **argv)
+{
+	Suite *suite = suite_create("router");
+	TCase *tc = tcase_create("router");
+	SRunner *sr;
+	int failed;
+
+	if (argc > 1)
+		seed_from = strtoull(argv[1], NULL, 10);
+	if (argc > 2)
+		seed_count = strtoull(argv[2], NULL, 10);
+	tcase_set_timeout(tc, 0);
+	tcase_add_test(tc, random_histories);
+	suite_add_tcase(suite, tc);
+	sr = srunner_create(suite);
+	srunner_run_all(sr, CK_NORMAL);
+	failed = srunner_ntests_failed(sr);
+	srunner_free(sr);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
