Interference estimate, delayed control, quarantine rules and their tests

Cause: placement ignored neighbours and bad workers were told apart badly. Ruled out: blaming a worker for every failure; one job that fails everywhere quarantined two good workers. Change: pairwise slope estimates from late reports, a controller that waits for measurements made after its last change, blame once for each job that never worked, first placements after two polls so that spread sees all zones.

--- a/core/sched.c
+++ b/core/sched.c
@@ -69,6 +69,7 @@
 	HASH_CLEAR(hh, s->jobs);
 	while ((j = jtmp)) {
 		jtmp = j->hh.next;
+		pairs_free(s, j);
 		free(j->rack_count);
 		free(j->key);
 		free(j);
--- /dev/null
+++ b/core/sched_control.c
@@ -0,0 +1,168 @@
+#include "core/sched_impl.h"
+
+/*
+ * Reaction to a service whose tail suffers on one worker. Every step changes one
+ * batch kind on that worker and then waits for measurements made after the change;
+ * acting on older ones would throttle too much and then give back too much.
+ */
+#define LEVEL_HIGH 1.0	 /* part of the target above which the controller acts */
+#define LEVEL_LOW 0.8	 /* and below which it gives back */
+#define LEVEL_GAIN 0.3	 /* weight of a new measurement in the level of a worker */
+#define SETTLE_US 500000 /* for an order to reach the worker and to have an effect */
+#define HIGH_SAMPLES 3
+#define LOW_SAMPLES 6
+#define HOLD_MIN_US 10000000LL /* after a reaction, before anything is given back */
+#define HOLD_MAX_US 320000000LL
+/* A reaction this soon after giving back shows that it was given back too early. */
+#define REGRET_US 30000000LL
+/* Batch work that explains less of the latency than this is left alone. */
+#define MIN_EFFECT 0.05
+#define PERCENT_MIN 25
+#define CHECKPOINT_WAIT_US 3000000LL
+
+static bool is_target(const struct task *t)
+{
+	return t->key.job->opt.class == SCHED_BATCH && t->phase == P_RUNNING && !t->stop;
+}
+
+/* Latency that one task causes to all executors beside it, as parts of targets. */
+static double effect(const struct worker *w, const struct task *t)
+{
+	const struct task *o;
+	double sum = 0;
+
+	TAILQ_FOREACH (o, &w->tasks, worker_entry) {
+		if (o->key.job->opt.class != SCHED_LATENCY)
+			break;
+		if (o->key.job->opt.latency_us)
+			sum += interfere_slope(o->key.job, t->key.job->kind);
+	}
+	return sum * interfere_use(t);
+}
+
+/* The kind with the largest effect, and its task with the largest one. */
+static struct task *likeliest_cause(const struct worker *w)
+{
+	struct task *best = NULL;
+	double best_kind = 0;
+	struct task *t;
+
+	TAILQ_FOREACH (t, &w->tasks, worker_entry) {
+		double sum = 0;
+		const struct task *o;
+
+		if (!is_target(t))
+			continue;
+		TAILQ_FOREACH (o, &w->tasks, worker_entry)
+			if (is_target(o) && o->key.job->kind == t->key.job->kind)
+				sum += effect(w, o);
+		if (sum < MIN_EFFECT)
+			continue;
+		if (!best || sum > best_kind ||
+		    (best->key.job->kind == t->key.job->kind &&
+		     effect(w, t) > effect(w, best))) {
+			best = t;
+			best_kind = sum;
+		}
+	}
+	return best;
+}
+
+static void set_percent(struct sched *s, struct task *t, uint8_t percent)
+{
+	if (t->percent == percent)
+		return;
+	t->percent = percent;
+	t->throttle_polls = THROTTLE_REPEATS;
+	s->stats.throttles++;
+}
+
+static void react(struct sched *s, struct worker *w, int64_t now_us)
+{
+	struct task *cause = likeliest_cause(w);
+	struct task *t;
+
+	if (!cause)
+		return;
+	w->reacted_us = now_us;
+	w->changed_us = now_us;
+	if (w->gave_back_us && now_us - w->gave_back_us < REGRET_US)
+		w->hold_us *= 2;
+	if (w->hold_us < HOLD_MIN_US)
+		w->hold_us = HOLD_MIN_US;
+	if (w->hold_us > HOLD_MAX_US)
+		w->hold_us = HOLD_MAX_US;
+	if (cause->percent > PERCENT_MIN) {
+		uint8_t percent = cause->percent / 2;
+
+		TAILQ_FOREACH (t, &w->tasks, worker_entry)
+			if (is_target(t) && t->key.job->kind == cause->key.job->kind)
+				set_percent(s, t, percent);
+		return;
+	}
+	if (cause->key.job->opt.checkpoint && !cause->want_checkpoint) {
+		cause->want_checkpoint = true;
+		cause->checkpoint_before = cause->checkpoint;
+		cause->checkpoint_us = now_us;
+		return;
+	}
+	if (cause->want_checkpoint && cause->checkpoint == cause->checkpoint_before &&
+	    now_us - cause->checkpoint_us < CHECKPOINT_WAIT_US)
+		return;
+	s->stats.evictions++;
+	task_stop(s, cause, SCHED_R_INTERFERENCE, now_us);
+}
+
+/* Gives back to the throttled kind with the smallest effect. */
+static void give_back(struct sched *s, struct worker *w, int64_t now_us)
+{
+	struct task *best = NULL;
+	struct task *t;
+	uint8_t percent;
+
+	TAILQ_FOREACH (t, &w->tasks, worker_entry)
+		if (is_target(t) && t->percent < 100 &&
+		    (!best || effect(w, t) < effect(w, best)))
+			best = t;
+	if (!best)
+		return;
+	/* Doubling one kind adds at most its present effect. */
+	if (w->level + effect(w, best) > LEVEL_HIGH)
+		return;
+	percent = best->percent * 2 < 100 ? best->percent * 2 : 100;
+	TAILQ_FOREACH (t, &w->tasks, worker_entry)
+		if (is_target(t) && t->key.job->kind == best->key.job->kind)
+			set_percent(s, t, percent);
+	w->gave_back_us = now_us;
+	w->changed_us = now_us;
+}
+
+/* Takes the worst latency of one report, a part of the target; 0: none. */
+void control_report(struct sched *s, struct worker *w, double worst, int64_t lag_us,
+		    int64_t now_us)
+{
+	double mean;
+
+	if (worst <= 0)
+		return;
+	w->level += LEVEL_GAIN * (worst - w->level);
+	if (now_us - lag_us < w->changed_us + SETTLE_US) {
+		w->nlevels = 0;
+		w->level_sum = 0;
+		return;
+	}
+	w->level_sum += worst;
+	w->nlevels++;
+	if (w->nlevels < HIGH_SAMPLES)
+		return;
+	mean = w->level_sum / w->nlevels;
+	if (mean > LEVEL_HIGH) {
+		react(s, w, now_us);
+	} else if (w->nlevels < LOW_SAMPLES) {
+		return;
+	} else if (mean < LEVEL_LOW && now_us - w->reacted_us >= w->hold_us) {
+		give_back(s, w, now_us);
+	}
+	w->nlevels = 0;
+	w->level_sum = 0;
+}
--- a/core/sched_evict.c
+++ b/core/sched_evict.c
@@ -57,7 +57,7 @@
 
 		if (out->n == MAX_VICTIMS)
 			return false;
-		LIST_FOREACH (v, &w->tasks, worker_entry) {
+		TAILQ_FOREACH (v, &w->tasks, worker_entry) {
 			double c;
 
 			if (!is_victim(v) || chosen(out, v))
--- a/core/sched_impl.h
+++ b/core/sched_impl.h
@@ -19,9 +19,12 @@
 #define FREE_BUCKETS 129 /* by whole free processors; the last one takes the rest */
 #define MAX_FAILED_ON 4	 /* workers remembered on which one task failed */
 
-#define MAX_SHAPES 64  /* different capacities of workers */
-#define MAX_ORDERS 256 /* in one response */
-#define STEP_US 10000  /* pause between two bounded steps while work remains */
+#define ENDED_TASKS 16	   /* remembered on each worker, for late measurements */
+#define MAX_FEATURES 16	   /* batch kinds of one worker in one measurement */
+#define THROTTLE_REPEATS 3 /* responses that carry a changed throttle, against loss */
+#define MAX_SHAPES 64	   /* different capacities of workers */
+#define MAX_ORDERS 256	   /* in one response */
+#define STEP_US 10000	   /* pause between two bounded steps while work remains */
 #define STEP_LOST_WORKERS 64
 #define STEP_TASKS 512 /* tasks of cancelled jobs and drained zones in one step */
 #define STEP_PROPOSALS 512
@@ -37,7 +40,6 @@
 TAILQ_HEAD(task_queue, task);
 TAILQ_HEAD(job_queue, job);
 TAILQ_HEAD(worker_queue, worker);
-LIST_HEAD(task_list, task);
 
 struct zone {
 	char *name;
@@ -67,6 +69,7 @@
 	double cpu_milli; /* mean measured use */
 	double memory_mb;
 	uint32_t runs;
+	bool proven; /* an attempt of the kind ended well or ran long */
 	uint32_t samples;
 	UT_hash_handle hh;
 };
@@ -108,6 +111,7 @@
 };
 
 struct job {
+	uint64_t id;
 	char *key; /* team id, then the name */
 	size_t len;
 	struct team *team;
@@ -136,7 +140,12 @@
 	uint16_t *rack_count; /* services: executors in each rack */
 	uint32_t rack_cap;
 	uint16_t zone_count[MAX_ZONES];
-	int64_t base_latency;
+	/* Model of the tail latency; see sched_interfere.c. */
+	double base;
+	double base_variance;
+	double noise;
+	double mean_latency;
+	struct pair *pairs; /* hash by kind */
 	TAILQ_ENTRY(job) park_entry;
 	TAILQ_ENTRY(job) end_entry;
 	TAILQ_ENTRY(job) scale_entry;
@@ -193,6 +202,7 @@
 	int64_t saved_us;   /* start or last checkpoint */
 	int64_t stop_us; /* time of the wish to stop; checkpoint grace counts from it */
 	uint64_t issued_seq; /* poll that the last start order answered */
+	int64_t latency_us;  /* newest measurement of an executor */
 	uint32_t used_cpu;
 	uint32_t used_memory;
 	struct worker *worker;
@@ -200,13 +210,29 @@
 	struct task *replaces; /* executor that this one will replace */
 	struct task *replaced_by;
 	struct sched_node delay; /* retry time */
-	LIST_ENTRY(task) worker_entry;
+	TAILQ_ENTRY(task) worker_entry;
 	TAILQ_ENTRY(task) job_entry;
 	TAILQ_ENTRY(task) wait_entry;
 	TAILQ_ENTRY(task) dirty_entry;
 	UT_hash_handle hh;
 };
 
+/* A batch task that ended lately on a worker. */
+struct ended {
+	struct kind *kind;
+	uint32_t cpu_milli;
+	int64_t at_us;
+};
+
+/* Effect of one batch kind on the tail latency of one service. */
+struct pair {
+	struct kind *kind;
+	double mean;
+	double variance;
+	int64_t updated_us;
+	UT_hash_handle hh;
+};
+
 enum health {
 	H_GOOD,
 	H_QUARANTINED,
@@ -235,11 +261,20 @@
 	int64_t polled_us;
 	int64_t changed_us; /* last start, end or throttle */
 	enum health health;
-	double blame;	    /* weighted failures since the last success */
-	uint32_t successes; /* in this session */
+	double blame;	     /* weighted failures since the last success */
+	uint32_t successes;  /* in this session */
+	uint64_t blamed_for; /* id of the job of the last failure */
 	uint32_t quarantines;
-	int64_t health_us; /* end of quarantine */
-	struct task_list tasks;
+	int64_t health_us;	 /* end of quarantine */
+	struct task_queue tasks; /* executors first */
+	struct ended ended[ENDED_TASKS];
+	unsigned int nended;
+	double level;	  /* smoothed worst latency, as a part of the target */
+	double level_sum; /* of measurements since the last change */
+	unsigned int nlevels;
+	int64_t reacted_us;
+	int64_t gave_back_us;
+	int64_t hold_us; /* from a reaction to giving back */
 	uint32_t ntasks;
 	TAILQ_ENTRY(worker) lease_entry;
 	TAILQ_ENTRY(worker) zone_entry;
@@ -386,8 +421,16 @@
 /* sched_interfere.c */
 double interfere_cost(const struct sched *s, const struct task *t,
 		      const struct worker *w);
-void interfere_report(struct sched *s, struct worker *w,
-		      const struct sched_worker_report *r, int64_t now_us);
+double interfere_report(struct sched *s, struct worker *w,
+			const struct sched_worker_report *r, int64_t now_us);
+double interfere_slope(const struct job *service, const struct kind *kind);
+double interfere_use(const struct task *t);
+void interfere_ended(const struct task *t, int64_t now_us);
+void pairs_free(struct sched *s, struct job *service);
+
+/* sched_control.c */
+void control_report(struct sched *s, struct worker *w, double worst, int64_t lag_us,
+		    int64_t now_us);
 
 /* sched_evict.c */
 struct worker *evict_for(struct sched *s, struct task *t, int64_t now_us);
--- a/core/sched_interfere.c
+++ b/core/sched_interfere.c
@@ -1,11 +1,263 @@
+#include <math.h>
+#include <stdlib.h>
+
 #include "core/sched_impl.h"
 
+/*
+ * Tail latency of an executor, as a part of its target, is modelled as
+ *   base(service) + sum over batch kinds of slope(service, kind) * use(kind),
+ * where use is the part of the worker's processors that tasks of the kind use. Each
+ * coefficient is a mean and a variance, corrected by every report (a Kalman filter
+ * with a diagonal covariance). Reports are late, but their latencies and uses have
+ * the same age; tasks that ended since are remembered for a while.
+ */
+#define PRIOR_SLOPE 0.3
+#define PRIOR_VARIANCE 1.0
+#define PRIOR_BASE 0.5
+#define NOISE_MIN 0.0025 /* variance of a single measurement */
+#define NOISE_GAIN 0.05
+/* Unused estimates return to the prior with this time constant. */
+#define FORGET_US 3600e6
+#define VARIANCE_GROWTH 0.02 /* in each minute */
+#define MEAN_SAMPLES 64.0    /* for the scale of services without a target */
+/* What is not known counts as this many deviations above the mean. */
+#define CAUTION 0.5
+#define COST_INTERFERENCE 4.0
+/* Cost grows once the predicted latency passes this part of the target. */
+#define COMFORT 0.6
+#define PRESSURE 6.0
+
+static struct pair *pair_find(const struct job *service, const struct kind *kind)
+{
+	struct pair *p;
+
+	HASH_FIND_PTR(service->pairs, &kind, p);
+	return p;
+}
+
+static struct pair *pair_get(struct sched *s, struct job *service, struct kind *kind,
+			     int64_t now_us)
+{
+	struct pair *p = pair_find(service, kind);
+
+	if (p)
+		return p;
+	p = calloc(1, sizeof(*p));
+	if (!p)
+		return NULL;
+	p->kind = kind;
+	p->mean = PRIOR_SLOPE;
+	p->variance = PRIOR_VARIANCE;
+	p->updated_us = now_us;
+	HASH_ADD_PTR(service->pairs, kind, p);
+	s->stats.bytes += sizeof(*p);
+	return p;
+}
+
+void pairs_free(struct sched *s, struct job *service)
+{
+	struct pair *p;
+	struct pair *next = service->pairs;
+
+	HASH_CLEAR(hh, service->pairs);
+	while ((p = next)) {
+		next = p->hh.next;
+		s->stats.bytes -= sizeof(*p);
+		free(p);
+	}
+}
+
+/* Expected slope, with what is not known counted against the pair. */
+double interfere_slope(const struct job *service, const struct kind *kind)
+{
+	const struct pair *p = pair_find(service, kind);
+	double m = p ? p->mean : PRIOR_SLOPE;
+	double v = p ? p->variance : PRIOR_VARIANCE;
+
+	m += CAUTION * sqrt(v);
+	return m > 0 ? m : 0;
+}
+
+/* Part of the worker's processors that the task will use without a throttle. */
+static double expected_use(const struct task *t, const struct worker *w)
+{
+	const struct job *j = t->key.job;
+	double cpu = j->opt.size.cpu_milli;
+
+	if (t->used_cpu && t->percent == 100)
+		cpu = t->used_cpu;
+	else if (j->kind->samples)
+		cpu = j->kind->cpu_milli;
+	return w->capacity.cpu_milli ? cpu / w->capacity.cpu_milli : 0;
+}
+
+/* Expected use under the present throttle. */
+double interfere_use(const struct task *t)
+{
+	return expected_use(t, t->worker) * t->percent / 100;
+}
+
+static double pair_cost(const struct job *service, const struct task *t,
+			const struct worker *w)
+{
+	double level = w->level - COMFORT;
+	double pressure = 1 + (level > 0 ? PRESSURE * level : 0);
+
+	return interfere_slope(service, t->key.job->kind) * expected_use(t, w) * pressure;
+}
+
+/* Cost of the interference that the task would bring to the worker, or meet there. */
 double interfere_cost(const struct sched *s, const struct task *t, const struct worker *w)
 {
-	return 0;
+	const struct task *o;
+	double sum = 0;
+
+	if (t->key.job->opt.class == SCHED_LATENCY) {
+		TAILQ_FOREACH (o, &w->tasks, worker_entry)
+			if (o->key.job->opt.class != SCHED_LATENCY)
+				sum += pair_cost(t->key.job, o, w);
+		return COST_INTERFERENCE * sum;
+	}
+	/* Executors are first in the list. */
+	TAILQ_FOREACH (o, &w->tasks, worker_entry) {
+		if (o->key.job->opt.class != SCHED_LATENCY)
+			break;
+		sum += pair_cost(o->key.job, t, w);
+	}
+	return COST_INTERFERENCE * sum;
+}
+
+/* Remembers what an ended task used, for measurements that are older than its end. */
+void interfere_ended(const struct task *t, int64_t now_us)
+{
+	struct worker *w = t->worker;
+	struct ended *e = &w->ended[w->nended++ % ENDED_TASKS];
+
+	*e = (struct ended){t->key.job->kind, t->used_cpu, now_us};
+	if (t->key.job->opt.class == SCHED_LATENCY)
+		e->kind = NULL;
+}
+
+struct feature {
+	struct kind *kind;
+	double use;
+};
+
+static void add_feature(struct feature *f, unsigned int *n, struct kind *kind, double use)
+{
+	unsigned int i;
+
+	if (!kind || use <= 0)
+		return;
+	for (i = 0; i < *n && f[i].kind != kind; i++)
+		;
+	if (i == MAX_FEATURES)
+		return;
+	if (i == *n)
+		f[(*n)++] = (struct feature){kind, 0};
+	f[i].use += use;
 }
 
-void interfere_report(struct sched *s, struct worker *w,
-		      const struct sched_worker_report *r, int64_t now_us)
+/* Use by kind at the time of the measurement. */
+static unsigned int features(struct worker *w, struct feature *f, int64_t at_us)
 {
+	double cap = w->capacity.cpu_milli;
+	const struct task *t;
+	unsigned int n = 0;
+
+	TAILQ_FOREACH (t, &w->tasks, worker_entry)
+		if (t->key.job->opt.class != SCHED_LATENCY && t->phase == P_RUNNING)
+			add_feature(f, &n, t->key.job->kind, t->used_cpu / cap);
+	for (unsigned int i = 0; i < ENDED_TASKS && i < w->nended; i++)
+		if (w->ended[i].at_us > at_us)
+			add_feature(f, &n, w->ended[i].kind, w->ended[i].cpu_milli / cap);
+	return n;
+}
+
+/* Time since the last sample makes an estimate less certain. */
+static void age(struct pair *p, int64_t now_us)
+{
+	double dt = (double)(now_us - p->updated_us);
+
+	p->updated_us = now_us;
+	p->mean += (PRIOR_SLOPE - p->mean) * (1 - exp(-dt / FORGET_US));
+	p->variance += VARIANCE_GROWTH * dt / 60e6;
+	if (p->variance > PRIOR_VARIANCE)
+		p->variance = PRIOR_VARIANCE;
+}
+
+static void learn(struct sched *s, struct job *service, double y, const struct feature *f,
+		  unsigned int n, int64_t now_us)
+{
+	struct pair *pair[MAX_FEATURES];
+	double predicted;
+	double variance;
+	double off;
+
+	if (!service->base_variance) {
+		service->base = PRIOR_BASE;
+		service->base_variance = PRIOR_VARIANCE;
+		service->noise = 0.05;
+	}
+	predicted = service->base;
+	variance = service->base_variance + service->noise;
+	for (unsigned int i = 0; i < n; i++) {
+		pair[i] = pair_get(s, service, f[i].kind, now_us);
+		if (!pair[i])
+			return;
+		age(pair[i], now_us);
+		predicted += pair[i]->mean * f[i].use;
+		variance += pair[i]->variance * f[i].use * f[i].use;
+	}
+	off = y - predicted;
+	service->base += off * service->base_variance / variance;
+	service->base_variance *= 1 - service->base_variance / variance;
+	/* Load changes, so the base is never certain. */
+	service->base_variance += 1e-5;
+	for (unsigned int i = 0; i < n; i++) {
+		double g = pair[i]->variance * f[i].use / variance;
+
+		pair[i]->mean += g * off;
+		pair[i]->variance *= 1 - g * f[i].use;
+	}
+	service->noise += NOISE_GAIN * (off * off - service->noise);
+	if (service->noise < NOISE_MIN)
+		service->noise = NOISE_MIN;
+}
+
+/*
+ * Takes the latencies of one report, learns from them and returns the worst one as
+ * a part of its target; 0 when there is none.
+ */
+double interfere_report(struct sched *s, struct worker *w,
+			const struct sched_worker_report *r, int64_t now_us)
+{
+	struct feature f[MAX_FEATURES];
+	unsigned int n = 0;
+	bool have = false;
+	double worst = 0;
+	struct task *t;
+
+	TAILQ_FOREACH (t, &w->tasks, worker_entry) {
+		struct job *j = t->key.job;
+		double y;
+
+		if (j->opt.class != SCHED_LATENCY)
+			break;
+		if (t->latency_us <= 0 || t->mark != s->poll_mark)
+			continue;
+		if (!have)
+			n = features(w, f, now_us - r->lag_us);
+		have = true;
+		if (j->mean_latency <= 0)
+			j->mean_latency = (double)t->latency_us;
+		j->mean_latency +=
+			((double)t->latency_us - j->mean_latency) / MEAN_SAMPLES;
+		y = (double)t->latency_us /
+		    (j->opt.latency_us ? (double)j->opt.latency_us : j->mean_latency * 2);
+		learn(s, j, y, f, n, now_us);
+		if (j->opt.latency_us && y > worst)
+			worst = y;
+	}
+	return worst;
 }
--- a/core/sched_job.c
+++ b/core/sched_job.c
@@ -226,6 +226,7 @@
 		TAILQ_REMOVE(&s->scaling, j, scale_entry);
 	HASH_DEL(s->jobs, j);
 	s->stats.bytes -= sizeof(*j) + j->len;
+	pairs_free(s, j);
 	free(j->rack_count);
 	free(j->key);
 	free(j);
@@ -305,6 +306,7 @@
 	j->kind = kind_get(s, team, opt->kind);
 	if (!j->kind)
 		goto fail;
+	j->id = ++s->next_id;
 	j->team = team;
 	j->opt = *opt;
 	j->opt.team = (struct str){NULL, 0};
--- a/core/sched_place.c
+++ b/core/sched_place.c
@@ -1,7 +1,7 @@
 #include "core/sched_impl.h"
 
-#define UNPARK 64 /* parked jobs of one team and class tried again in one step */
-#define START_GRACE_US 700000 /* an urgent task that waits longer is placed elsewhere */
+#define UNPARK 64     /* parked jobs of one team and class tried again in one step */
+#define FIRST_POLLS 2 /* polls of all workers before the first placements */
 
 static double weighted_share(const struct sched *s, const struct team *team)
 {
@@ -133,6 +133,12 @@
 	struct team *tmp;
 
 	for (unsigned int c = 0; c < SCHED_CLASSES; c++) {
+		/* Where to place well is known once the workers have polled. */
+		if (c != SCHED_URGENT &&
+		    now_us - s->ready_us < s->opt.poll_us * FIRST_POLLS) {
+			s->retry = true;
+			continue;
+		}
 		HASH_ITER (hh, s->teams, team, tmp)
 			unpark(s, team, c, now_us);
 		while ((team = next_team(s, c))) {
--- a/core/sched_poll.c
+++ b/core/sched_poll.c
@@ -1,7 +1,6 @@
 #include "base/err.h"
 #include "core/sched_impl.h"
 
-#define THROTTLE_REPEATS 3 /* responses that carry the end of a throttle */
 #define MAX_REPORTED 65536
 
 static struct sched_order *add_order(struct sched *s, enum sched_op op, struct task *t)
@@ -76,6 +75,7 @@
 		t->checkpoint = r->checkpoint;
 		t->saved_us = now_us;
 	}
+	t->latency_us = r->latency_us;
 	estimate_use(t, r);
 	quarantine_running(s, t, now_us);
 }
@@ -159,8 +159,8 @@
 	struct task *t;
 	struct task *next;
 
-	for (t = LIST_FIRST(&w->tasks); t; t = next) {
-		next = LIST_NEXT(t, worker_entry);
+	for (t = TAILQ_FIRST(&w->tasks); t; t = next) {
+		next = TAILQ_NEXT(t, worker_entry);
 		if (t->mark != s->poll_mark)
 			take_absent(s, t, r, now_us);
 	}
@@ -181,8 +181,8 @@
 		if (t && t->worker == w && t->attempt == r->tasks[i].attempt)
 			t->mark = s->poll_mark;
 	}
-	for (t = LIST_FIRST(&w->tasks); t; t = next) {
-		next = LIST_NEXT(t, worker_entry);
+	for (t = TAILQ_FIRST(&w->tasks); t; t = next) {
+		next = TAILQ_NEXT(t, worker_entry);
 		if (t->mark == s->poll_mark)
 			t->session = r->session;
 		else
@@ -242,13 +242,13 @@
 	struct task *t;
 	bool busy = false;
 
-	LIST_FOREACH (t, &w->tasks, worker_entry) {
+	TAILQ_FOREACH (t, &w->tasks, worker_entry) {
 		if (!t->stop || task_never_issued(t))
 			continue;
 		busy = true;
 		add_order(s, SCHED_STOP, t);
 	}
-	LIST_FOREACH (t, &w->tasks, worker_entry) {
+	TAILQ_FOREACH (t, &w->tasks, worker_entry) {
 		if (t->stop)
 			continue;
 		if (t->phase == P_RUNNING) {
@@ -306,7 +306,7 @@
 	for (size_t i = 0; i < r->ntasks; i++)
 		take_task(s, w, &r->tasks[i], now_us);
 	take_absents(s, w, r, now_us);
-	interfere_report(s, w, r, now_us);
+	control_report(s, w, interfere_report(s, w, r, now_us), r->lag_us, now_us);
 	worker_index(s, w);
 	if (give_orders(s, w, now_us) && reply->poll_us > BUSY_POLL_US)
 		reply->poll_us = BUSY_POLL_US;
--- a/core/sched_quarantine.c
+++ b/core/sched_quarantine.c
@@ -13,6 +13,7 @@
 #define JOB_FAILURES 4
 #define RETRY_US 1000000 /* pause before the next attempt, doubled for each failure */
 #define RETRY_MAX_DOUBLINGS 5
+#define JOB_FIRST 32 /* tasks at once of a job of a kind that has not worked yet */
 #define JOB_PROBES 2 /* tasks at once of a job that has only failed so far */
 
 static unsigned int unproven(const struct worker *w, int64_t now_us)
@@ -20,7 +21,7 @@
 	unsigned int n = 0;
 	const struct task *t;
 
-	LIST_FOREACH (t, &w->tasks, worker_entry)
+	TAILQ_FOREACH (t, &w->tasks, worker_entry)
 		if (!t->started_us || now_us - t->started_us < PROVEN_US)
 			n++;
 	return n;
@@ -41,7 +42,11 @@
 /* Whether a job that has only failed so far must wait for its running probes. */
 bool quarantine_holds_job(const struct job *j)
 {
-	return j->failures && !j->successes && j->bound >= JOB_PROBES;
+	if (j->successes)
+		return false;
+	if (j->failures)
+		return j->bound >= JOB_PROBES;
+	return !j->kind->proven && j->bound >= JOB_FIRST;
 }
 
 /* An attempt ended well or ran long: its worker and its job can work. */
@@ -52,7 +57,11 @@
 	if (t->proven)
 		return;
 	t->proven = true;
-	t->key.job->successes++;
+	if (t->key.job->successes++ == 0) {
+		t->key.job->kind->proven = true;
+		s->generation++;
+		s->retry = true;
+	}
 	w->successes++;
 	w->blame = 0;
 	if (w->health == H_PROBATION) {
@@ -145,8 +154,11 @@
 	for (uint8_t i = 0; i < j->nfailed_on; i++)
 		if (j->failed_on[i] != w && j->failed_on[i]->health == H_GOOD)
 			elsewhere++;
-	w->blame += 1 - ((double)elsewhere + 0.5) /
-				((double)elsewhere + (double)j->successes + 1);
+	/* Many tasks of one job that never worked say no more than one of them. */
+	if (j->successes || w->blamed_for != j->id)
+		w->blame += 1 - ((double)elsewhere + 0.5) /
+					((double)elsewhere + (double)j->successes + 1);
+	w->blamed_for = j->id;
 	j->failures++;
 	remember(j->failed_on, &j->nfailed_on, w);
 	remember(t->failed_on, &t->nfailed_on, w);
--- a/core/sched_task.c
+++ b/core/sched_task.c
@@ -128,7 +128,10 @@
 	t->session = w->session;
 	size_add(&w->used, j->opt.size);
 	size_add(&j->team->used, j->opt.size);
-	LIST_INSERT_HEAD(&w->tasks, t, worker_entry);
+	if (j->opt.class == SCHED_LATENCY)
+		TAILQ_INSERT_HEAD(&w->tasks, t, worker_entry);
+	else
+		TAILQ_INSERT_TAIL(&w->tasks, t, worker_entry);
 	w->ntasks++;
 	j->bound++;
 	s->stats.tasks_bound++;
@@ -149,18 +152,20 @@
 		size_sub(&t->worker->live, t->key.job->opt.size);
 }
 
-static void unbind(struct sched *s, struct task *t)
+static void unbind(struct sched *s, struct task *t, int64_t now_us)
 {
 	struct worker *w = t->worker;
 	struct job *j = t->key.job;
 
 	if (!w)
 		return;
+	if (t->phase == P_RUNNING)
+		interfere_ended(t, now_us);
 	task_set_live(t, false);
 	task_set_reclaim(t, false);
 	size_sub(&w->used, j->opt.size);
 	size_sub(&j->team->used, j->opt.size);
-	LIST_REMOVE(t, worker_entry);
+	TAILQ_REMOVE(&w->tasks, t, worker_entry);
 	w->ntasks--;
 	j->bound--;
 	s->stats.tasks_bound--;
@@ -198,6 +203,8 @@
 	t->issued_seq = 0;
 	t->started_us = 0;
 	t->proven = false;
+	t->used_cpu = 0;
+	t->latency_us = 0;
 	if (at_us > now_us) {
 		t->delay.key = at_us;
 		t->delay.tie = s->next_tie++;
@@ -238,7 +245,7 @@
 	       enum sched_reason reason, int64_t now_us)
 {
 	leave_waiting(s, t);
-	unbind(s, t);
+	unbind(s, t, now_us);
 	t->phase = P_ENDING;
 	t->stop = SCHED_R_NONE;
 	t->inherited = false;
--- a/core/sched_worker.c
+++ b/core/sched_worker.c
@@ -21,7 +21,7 @@
 	}
 	w->len = name.n;
 	w->id = ++s->next_id;
-	LIST_INIT(&w->tasks);
+	TAILQ_INIT(&w->tasks);
 	HASH_ADD_KEYPTR(hh, s->workers, w->name, w->len, w);
 	s->stats.bytes += sizeof(*w) + name.n + 1;
 	return w;
@@ -68,8 +68,8 @@
 	struct task *t;
 	struct task *next;
 
-	for (t = LIST_FIRST(&w->tasks); t; t = next) {
-		next = LIST_NEXT(t, worker_entry);
+	for (t = TAILQ_FIRST(&w->tasks); t; t = next) {
+		next = TAILQ_NEXT(t, worker_entry);
 		task_lost(s, t, now_us);
 	}
 	w->ghost = (struct sched_size){0};
@@ -140,7 +140,7 @@
 	if (w->zone != z || w->rack != rack) {
 		struct task *t;
 
-		LIST_FOREACH (t, &w->tasks, worker_entry)
+		TAILQ_FOREACH (t, &w->tasks, worker_entry)
 			task_uncount(t);
 		if (w->indexed)
 			TAILQ_REMOVE(&w->zone->free[w->bucket], w, free_entry);
@@ -153,7 +153,7 @@
 		w->rack = rack;
 		TAILQ_INSERT_TAIL(&z->workers, w, zone_entry);
 		z->nworkers++;
-		LIST_FOREACH (t, &w->tasks, worker_entry)
+		TAILQ_FOREACH (t, &w->tasks, worker_entry)
 			task_count(t);
 	}
 	if (!size_covers(w->capacity, r->capacity) ||
--- a/core/sched_zone.c
+++ b/core/sched_zone.c
@@ -148,8 +148,8 @@
 	struct task *next;
 
 	TAILQ_FOREACH (w, &d->zone->workers, zone_entry) {
-		for (t = LIST_FIRST(&w->tasks); t; t = next) {
-			next = LIST_NEXT(t, worker_entry);
+		for (t = TAILQ_FIRST(&w->tasks); t; t = next) {
+			next = TAILQ_NEXT(t, worker_entry);
 			drain_task(s, d, t, now_us);
 		}
 	}
--- a/regress/lib_sched_world.c
+++ b/regress/lib_sched_world.c
@@ -12,6 +12,7 @@
 #define ZONE_BOUND_US 2000000
 #define FAIL_AFTER_US 200000
 #define COMMIT_US 8000
+#define SAMPLE_US 350000 /* between two measurements of a task */
 
 enum sim_event_kind { EV_POLL, EV_REPORT, EV_REPLY, EV_LEASE, EV_COMMIT, EV_LEADER };
 
@@ -171,8 +172,12 @@
 
 static void measure(struct sim *w, struct sim_worker *k, struct sim_run *r)
 {
-	struct sim_sample *x = &r->sample[r->nsamples++ % SIM_HISTORY];
+	const struct sim_sample *last = &r->sample[(r->nsamples - 1) % SIM_HISTORY];
+	struct sim_sample *x;
 
+	if (r->nsamples && w->now_us - last->at_us < SAMPLE_US)
+		return;
+	x = &r->sample[r->nsamples++ % SIM_HISTORY];
 	x->at_us = w->now_us;
 	x->cpu_milli = r->job->cpu_milli * r->percent / 100;
 	x->latency_us = 0;
@@ -299,7 +304,7 @@
 		e->session = k->session;
 		fill_report(w, k, e);
 	}
-	next_poll(w, k, w->now_us + POLL_RETRY_US);
+	next_poll(w, k, w->now_us + (w->opt.retry_us ? w->opt.retry_us : POLL_RETRY_US));
 }
 
 static struct sim_run *find_run(struct sim_worker *k, const struct sched_order *o,
--- a/regress/lib_sched_world.h
+++ b/regress/lib_sched_world.h
@@ -125,6 +125,7 @@
 	int64_t delay_us;  /* largest message delay; mostly far below */
 	int64_t lag_us;	   /* age of measurements */
 	double noise;	   /* of measured latencies */
+	int64_t retry_us;  /* a worker without response polls again after it; 0: 0.5 s */
 };
 
 struct sim {
--- a/regress/test_sched.c
+++ b/regress/test_sched.c
@@ -45,7 +45,7 @@
 	return j;
 }
 
-__attribute__((unused)) static struct sched_job urgent(uint32_t tasks, uint32_t cpu_milli)
+static struct sched_job urgent(uint32_t tasks, uint32_t cpu_milli)
 {
 	struct sched_job j = batch(tasks, cpu_milli, 4000);
 
@@ -155,6 +155,7 @@
 	o.drift = true;
 	o.loss = 30;
 	o.delay_us = 3 * SECOND;
+	o.retry_us = seed % 3 ? 0 : 3 * SECOND;
 	w = sim_new(&o, p);
 	w->busy_store = true;
 	sim_submit(w, 0, 0, service(12, 4000), 0);
@@ -168,6 +169,15 @@
 		sim_run(w, w->now_us + 10 * SECOND);
 	if (sim_unfinished(w, true))
 		sim_fail(w, "work left at the end", NULL, sim_unfinished(w, true));
+	if (getenv("SCHED_TEST_STATS"))
+		fprintf(stderr,
+			"seed %llu: %.0f s, jobs %u, starts %llu, done %llu, evictions "
+			"%llu, refused as late %llu, epochs %llu, left %u\n",
+			(unsigned long long)seed, (double)w->now_us / 1e6, w->njobs,
+			(unsigned long long)w->starts, (unsigned long long)w->done,
+			(unsigned long long)w->evictions,
+			(unsigned long long)w->late_starts, (unsigned long long)w->epoch,
+			sim_unfinished(w, true));
 	finish(w, p);
 }
 
@@ -181,6 +191,408 @@
 }
 END_TEST
 
+/* Runs until the fleet is known and started, with one executor service per team. */
+static struct sim *settled(const struct sim_options *o, struct sim_policy *p)
+{
+	struct sim *w = sim_new(o, p);
+
+	sim_submit(w, 0, 0, batch(o->workers * 4, 2000, 1000), 4 * SECOND);
+	sim_run(w, 30 * SECOND);
+	return w;
+}
+
+/* Guards against work that moves while the old worker's slower clock keeps it alive. */
+START_TEST(lease_wait_covers_clock_drift)
+{
+	for (uint64_t seed = 1; seed <= 6; seed++) {
+		struct sim_options o = options(seed, 24);
+		struct sim_policy *p = sim_scheduler();
+		struct sim *w;
+
+		o.drift = true;
+		w = sim_new(&o, p);
+		sim_submit(w, 0, 0, batch(120, 3000, 2000), 100 * SECOND);
+		sim_run(w, 20 * SECOND);
+		for (unsigned int i = 0; i < 12; i++)
+			sim_cut(w, i, true);
+		sim_run(w, 40 * SECOND);
+		finish(w, p);
+	}
+}
+END_TEST
+
+/* Guards against a new leader that does not wait for leases of the one before. */
+START_TEST(new_leader_waits_for_old_leases)
+{
+	for (uint64_t seed = 1; seed <= 6; seed++) {
+		struct sim_options o = options(seed, 12);
+		struct sim_policy *p = sim_scheduler();
+		struct sim *w;
+
+		o.drift = true;
+		w = sim_new(&o, p);
+		sim_submit(w, 0, 0, batch(60, 3000, 2000), 60 * SECOND);
+		sim_run(w, 20 * SECOND);
+		sim_crash_leader(w, 10000);
+		for (unsigned int i = 0; i < 6; i++)
+			sim_cut(w, i, true);
+		sim_run(w, 40 * SECOND);
+		for (unsigned int i = 0; i < 6; i++)
+			sim_cut(w, i, false);
+		sim_run(w, 200 * SECOND);
+		ck_assert_uint_eq(sim_unfinished(w, false), 0);
+		finish(w, p);
+	}
+}
+END_TEST
+
+/* Guards against a start order that is obeyed long after its zone was taken out. */
+START_TEST(late_orders_expire)
+{
+	for (uint64_t seed = 1; seed <= 8; seed++) {
+		struct sim_options o = options(seed, 12);
+		struct sim_policy *p = sim_scheduler();
+		uint64_t late = 0;
+		struct sim *w;
+
+		o.drift = true;
+		o.delay_us = 6 * SECOND;
+		o.retry_us = 5 * SECOND;
+		w = sim_new(&o, p);
+		sim_submit(w, 0, 0, batch(4000, 6000, 2000), SECOND);
+		for (unsigned int i = 0; i < 20; i++) {
+			sim_run(w, w->now_us + 5 * SECOND);
+			sim_zone(w, 0, i % 3, true);
+			sim_run(w, w->now_us + 4 * SECOND);
+			sim_zone(w, 0, i % 3, false);
+		}
+		late += w->late_starts;
+		finish(w, p);
+		ck_assert_uint_gt(late, 0);
+	}
+}
+END_TEST
+
+/* Guards against urgent work that waits for batch work to end. */
+START_TEST(urgent_work_starts_in_time)
+{
+	for (uint64_t seed = 1; seed <= 4; seed++) {
+		struct sim_options o = options(seed, 20);
+		struct sim_policy *p = sim_scheduler();
+		struct sim *w = settled(&o, p);
+		int64_t worst = 0;
+
+		sim_submit(w, 0, 0, batch(400, 4000, 4000), 1000 * SECOND);
+		sim_run(w, 60 * SECOND);
+		for (unsigned int i = 0; i < 10; i++) {
+			struct sim_job *j =
+				sim_submit(w, i % 2, 1, urgent(3, 8000), 3 * SECOND);
+
+			sim_run(w, w->now_us + 5 * SECOND);
+			for (unsigned int k = 0; k < 3; k++) {
+				int64_t d = j->task[k].started_us - j->submitted_us;
+
+				ck_assert_int_gt(j->task[k].started_us, 0);
+				worst = d > worst ? d : worst;
+			}
+		}
+		ck_assert_int_le(worst, 1400000);
+		ck_assert_uint_gt(w->evictions, 0);
+		finish(w, p);
+	}
+}
+END_TEST
+
+/* Guards against a worker that fails everything and eats the queue. */
+START_TEST(bad_worker_is_quarantined)
+{
+	for (uint64_t seed = 1; seed <= 4; seed++) {
+		struct sim_options o = options(seed, 20);
+		struct sim_policy *p = sim_scheduler();
+		struct sim *w = settled(&o, p);
+		struct sched_stats st;
+
+		w->worker[3].bad = true;
+		for (unsigned int i = 0; i < 20; i++) {
+			sim_submit(w, i % 2, i % SIM_KINDS, batch(30, 2000, 1000),
+				   5 * SECOND);
+			sim_run(w, w->now_us + 2 * SECOND);
+		}
+		sched_stats(w->sched, &st);
+		ck_assert_uint_eq(st.workers_quarantined, 1);
+		ck_assert_uint_le(w->worker[3].failures, 24);
+		sim_run(w, w->now_us + 200 * SECOND);
+		/* Probation tries single tasks only. */
+		ck_assert_uint_le(w->worker[3].failures, 32);
+		ck_assert_uint_eq(sim_unfinished(w, false), 0);
+		finish(w, p);
+	}
+}
+END_TEST
+
+/* Guards against blaming workers for a job that fails everywhere. */
+START_TEST(poison_job_fails_alone)
+{
+	for (uint64_t seed = 1; seed <= 4; seed++) {
+		struct sim_options o = options(seed, 20);
+		struct sim_policy *p = sim_scheduler();
+		struct sim *w = settled(&o, p);
+		struct sim_job *bad = sim_submit(w, 0, 1, batch(200, 1000, 500), SECOND);
+		struct sched_stats st;
+
+		bad->poison = true;
+		for (unsigned int i = 0; i < 10; i++) {
+			sim_submit(w, i % 2, 2, batch(20, 2000, 1000), 3 * SECOND);
+			sim_run(w, w->now_us + 4 * SECOND);
+		}
+		sched_stats(w->sched, &st);
+		ck_assert_uint_eq(st.workers_quarantined, 0);
+		ck_assert_int_eq(bad->task[7].state, SCHED_FAILED);
+		ck_assert_int_eq(bad->task[7].reason, SCHED_R_JOB_FAILS);
+		ck_assert_uint_le(bad->task[0].starts + bad->task[1].starts, 8);
+		ck_assert_uint_eq(sim_unfinished(w, false), 0);
+		finish(w, p);
+	}
+}
+END_TEST
+
+/* Guards against jobs that wait for ever, and against rejecting possible ones. */
+START_TEST(impossible_jobs_are_rejected)
+{
+	struct sim_options o = options(1, 6);
+	struct sim_policy *p = sim_scheduler();
+	struct sim *w = settled(&o, p);
+	struct sched_quota q = {.team = sim_team(1), .limit = {.cpu_milli = 8000}};
+	struct sim_job *large;
+	struct sim_job *quota;
+	struct sim_job *whole;
+
+	sched_quota(w->sched, &q, w->now_us);
+	large = sim_submit(w, 0, 0, batch(3, 32001, 100), SECOND);
+	whole = sim_submit(w, 0, 0, batch(1, 32000, 125000), SECOND);
+	quota = sim_submit(w, 1, 0, batch(1, 8001, 100), SECOND);
+	sim_run(w, w->now_us + 200000);
+	ck_assert_int_eq(large->task[2].state, SCHED_FAILED);
+	ck_assert_int_eq(large->task[2].reason, SCHED_R_TOO_LARGE);
+	ck_assert_int_eq(quota->task[0].state, SCHED_FAILED);
+	ck_assert_int_eq(quota->task[0].reason, SCHED_R_OVER_QUOTA);
+	sim_run(w, w->now_us + 60 * SECOND);
+	ck_assert_int_eq(whole->task[0].state, SCHED_DONE);
+	finish(w, p);
+}
+END_TEST
+
+/* Guards against a controller that swings because its measurements are late. */
+START_TEST(late_measurements_cause_no_oscillation)
+{
+	for (uint64_t seed = 1; seed <= 4; seed++) {
+		struct sim_options o = options(seed, 6);
+		struct sim_policy *p = sim_scheduler();
+		struct sched_job gig = service(6, 8000);
+		struct sched_stats before;
+		struct sched_stats after;
+		struct sim *w;
+
+		gig.latency_us = 15000; /* 10 ms alone */
+		o.lag_us = 4 * SECOND;
+		w = sim_new(&o, p);
+		w->coef[0][1] = 1.5;
+		sim_submit(w, 0, 0, gig, 0);
+		sim_run(w, 20 * SECOND);
+		sim_submit(w, 1, 1, batch(18, 8000, 1000), 4000 * SECOND);
+		sim_run(w, 140 * SECOND);
+		sched_stats(w->sched, &before);
+		ck_assert_uint_gt(before.throttles, 0);
+		sim_run(w, 740 * SECOND);
+		sched_stats(w->sched, &after);
+		/* Ten minutes of constant load: few changes on six workers. */
+		ck_assert_uint_le(after.throttles + after.evictions - before.throttles -
+					  before.evictions,
+				  36);
+		ck_assert_uint_le(before.throttles, 60);
+		finish(w, p);
+	}
+}
+END_TEST
+
+static unsigned int running_executors(const struct sim_job *j)
+{
+	unsigned int n = 0;
+
+	for (uint32_t i = 0; i < j->ntasks; i++)
+		n += j->task[i].running;
+	return n;
+}
+
+static unsigned int running_in_zone(const struct sim *w, unsigned int zone)
+{
+	unsigned int n = 0;
+
+	for (unsigned int i = 0; i < w->opt.workers; i++)
+		for (const struct sim_run *r = w->worker[i].runs; r; r = r->next)
+			n += w->worker[i].zone_index == zone &&
+			     r->status == SCHED_T_RUNNING;
+	return n;
+}
+
+/* Guards against a drain that stops executors first, and a return that rushes. */
+START_TEST(zone_drains_gently_and_returns_slowly)
+{
+	for (uint64_t seed = 1; seed <= 4; seed++) {
+		struct sim_options o = options(seed, 24);
+		struct sim_policy *p = sim_scheduler();
+		struct sim_job *gig;
+		unsigned int most = 0;
+		struct sim *w;
+
+		w = sim_new(&o, p);
+		gig = sim_submit(w, 0, 0, service(21, 4000), 0);
+		sim_submit(w, 0, 1, batch(4000, 4000, 3000), 20 * SECOND);
+		sim_run(w, 60 * SECOND);
+		sim_zone(w, 0, 1, true);
+		for (unsigned int i = 0; i < 300; i++) {
+			sim_run(w, w->now_us + 100000);
+			ck_assert_uint_ge(running_executors(gig), 21);
+		}
+		ck_assert_uint_eq(running_in_zone(w, 1), 0);
+		ck_assert_uint_eq(running_executors(gig), 21);
+		sim_zone(w, 0, 1, false);
+		sim_run(w, w->now_us + 6 * SECOND);
+		most = running_in_zone(w, 1);
+		/* 8 workers hold 64 of these tasks. */
+		ck_assert_uint_le(most, 16);
+		sim_run(w, w->now_us + 60 * SECOND);
+		ck_assert_uint_ge(running_in_zone(w, 1), 40);
+		finish(w, p);
+	}
+}
+END_TEST
+
+/* Guards against executors of one service crowding into one rack or zone. */
+START_TEST(executors_are_spread)
+{
+	struct sim_options o = options(1, 48);
+	struct sim_policy *p = sim_scheduler();
+	struct sim *w = sim_new(&o, p);
+	struct sim_job *j = sim_submit(w, 0, 0, service(12, 2000), 0);
+	unsigned int zone[3] = {0};
+	unsigned int rack[6] = {0};
+
+	sim_run(w, 20 * SECOND);
+	for (uint32_t i = 0; i < 12; i++) {
+		unsigned int k = j->task[i].worker->index;
+
+		zone[k % 3]++;
+		rack[k % 3 * 2 + k / 24]++;
+	}
+	for (unsigned int i = 0; i < 3; i++)
+		ck_assert_uint_eq(zone[i], 4);
+	for (unsigned int i = 0; i < 6; i++)
+		ck_assert_uint_eq(rack[i], 2);
+	finish(w, p);
+}
+END_TEST
+
+/* Guards against one team taking all contended capacity. */
+START_TEST(contended_capacity_is_shared_by_weight)
+{
+	struct sim_options o = options(1, 12);
+	struct sim_policy *p = sim_scheduler();
+	struct sim *w = settled(&o, p);
+	struct sched_quota q = {.team = sim_team(1), .weight = 3};
+	unsigned int n[2] = {0};
+
+	sched_quota(w->sched, &q, w->now_us);
+	sim_submit(w, 0, 0, batch(2000, 4000, 1000), 5 * SECOND);
+	sim_submit(w, 1, 0, batch(2000, 2000, 1000), 5 * SECOND);
+	sim_run(w, w->now_us + 40 * SECOND);
+	for (unsigned int i = 0; i < o.workers; i++)
+		for (const struct sim_run *r = w->worker[i].runs; r; r = r->next)
+			if (r->status == SCHED_T_RUNNING)
+				n[r->job->team] += r->job->opt.size.cpu_milli;
+	ck_assert_uint_ge(n[1], n[0] * 2);
+	ck_assert_uint_le(n[1], n[0] * 4);
+	finish(w, p);
+}
+END_TEST
+
+/* Guards against a wave of cancellations that still starts work or stays unfinished. */
+START_TEST(cancelled_waves_end)
+{
+	struct sim_options o = options(3, 20);
+	struct sim_policy *p = sim_scheduler();
+	struct sim *w = settled(&o, p);
+	uint64_t starts;
+
+	for (unsigned int i = 0; i < 300; i++)
+		sim_submit(w, i % 2, 1, batch(50, 1000, 200), 30 * SECOND);
+	sim_run(w, w->now_us + 5 * SECOND);
+	for (unsigned int i = 1; i < w->njobs; i++)
+		sim_cancel(w, w->job[i]);
+	sim_run(w, w->now_us + 2 * SECOND);
+	starts = w->starts;
+	sim_run(w, w->now_us + 5 * SECOND);
+	ck_assert_uint_eq(w->starts, starts);
+	ck_assert_uint_eq(sim_unfinished(w, false), 0);
+	finish(w, p);
+}
+END_TEST
+
+/* The naive placer: a full scan by the declared sizes of what runs. */
+static bool naive_fits(const struct sim *w, unsigned int team, struct sched_size need)
+{
+	for (unsigned int i = 0; i < w->opt.workers; i++) {
+		const struct sim_worker *k = &w->worker[i];
+
+		if (!w->out_us[team][k->zone_index] && !k->cut &&
+		    k->used.cpu_milli + need.cpu_milli <= k->capacity.cpu_milli &&
+		    k->used.memory_mb + need.memory_mb <= k->capacity.memory_mb)
+			return true;
+	}
+	return false;
+}
+
+static void run_differential(uint64_t seed)
+{
+	struct sim_options o = options(seed, 6 + (unsigned int)(seed % 20));
+	struct sim_policy *p = sim_scheduler();
+	struct sim *w = settled(&o, p);
+
+	sim_run(w, 60 * SECOND);
+	for (unsigned int i = 0; i < 40; i++) {
+		unsigned int team = (unsigned int)prng_below(&w->rng, 2);
+		struct sched_job b = batch(1, 100 + (uint32_t)prng_below(&w->rng, 34000),
+					   100 + (uint32_t)prng_below(&w->rng, 60000));
+		bool large = b.size.cpu_milli > vm.cpu_milli;
+		struct sim_job *j;
+		bool fits;
+
+		if (prng_below(&w->rng, 8) == 0) {
+			sim_zone(w, team, i % 3, !w->out_us[team][i % 3]);
+			sim_run(w, w->now_us + 70 * SECOND);
+		}
+		fits = naive_fits(w, team, b.size);
+		j = sim_submit(w, team, i % SIM_KINDS, b, 1000000 * SECOND);
+		sim_run(w, w->now_us + 5 * SECOND);
+		if (fits)
+			ck_assert_msg(j->task[0].running == 1, "not placed (seed %llu)",
+				      (unsigned long long)seed);
+		else if (!large)
+			ck_assert_int_lt(j->task[0].state, SCHED_DONE);
+		if (!j->task[0].running)
+			sim_cancel(w, j);
+		sim_run(w, w->now_us + 3 * SECOND);
+	}
+	finish(w, p);
+}
+
+/* Guards against calling impossible what a plain full scan can place. */
+START_TEST(places_what_a_full_scan_places)
+{
+	run_differential(FIXED_SEED + (uint64_t)_i);
+}
+END_TEST
+
 int main(int argc, char **argv)
 {
 	Suite *s = suite_create("sched");
@@ -196,6 +608,19 @@
 	}
 	tcase_set_timeout(tc, 800);
 	tcase_add_loop_test(tc, faults_break_no_invariant, first, first + count);
+	tcase_add_loop_test(tc, places_what_a_full_scan_places, first, first + count);
+	tcase_add_test(tc, lease_wait_covers_clock_drift);
+	tcase_add_test(tc, new_leader_waits_for_old_leases);
+	tcase_add_test(tc, late_orders_expire);
+	tcase_add_test(tc, urgent_work_starts_in_time);
+	tcase_add_test(tc, bad_worker_is_quarantined);
+	tcase_add_test(tc, poison_job_fails_alone);
+	tcase_add_test(tc, impossible_jobs_are_rejected);
+	tcase_add_test(tc, late_measurements_cause_no_oscillation);
+	tcase_add_test(tc, zone_drains_gently_and_returns_slowly);
+	tcase_add_test(tc, executors_are_spread);
+	tcase_add_test(tc, contended_capacity_is_shared_by_weight);
+	tcase_add_test(tc, cancelled_waves_end);
 	suite_add_tcase(s, tc);
 	sr = srunner_create(s);
 	srunner_run_all(sr, CK_NORMAL);
