--- a/core/sched.c
+++ b/core/sched.c
@@ -283,6 +283,11 @@
 		s->fleet_known = true;
 		s->generation++;
 	}
+	/* Some reasons not to place end by time: ramps, silence, probation. */
+	if (now_us - s->again_us >= IDLE_US) {
+		s->again_us = now_us;
+		s->generation++;
+	}
 	workers_lost_step(s, now_us);
 	jobs_end_step(s, now_us);
 	jobs_scale_step(s, now_us);
--- a/core/sched_fit.c
+++ b/core/sched_fit.c
@@ -1,8 +1,5 @@
 #include "core/sched_impl.h"
 
-/* A worker that missed about five polls is probably cut off. */
-#define SILENT_POLLS 5
-
 #define COST_RACK 4.0	     /* for each executor of the service in the same rack */
 #define COST_FULL 1.0	     /* for a completely used worker */
 #define COST_ACCELERATOR 2.0 /* for work without accelerators on a worker with them */
--- a/core/sched_impl.h
+++ b/core/sched_impl.h
@@ -22,9 +22,11 @@
 #define ENDED_TASKS 16	   /* remembered on each worker, for late measurements */
 #define MAX_FEATURES 16	   /* batch kinds of one worker in one measurement */
 #define THROTTLE_REPEATS 3 /* responses that carry a changed throttle, against loss */
-#define MAX_SHAPES 64	   /* different capacities of workers */
-#define MAX_ORDERS 256	   /* in one response */
-#define STEP_US 10000	   /* pause between two bounded steps while work remains */
+/* A worker that missed about five polls is probably cut off. */
+#define SILENT_POLLS 5
+#define MAX_SHAPES 64  /* different capacities of workers */
+#define MAX_ORDERS 256 /* in one response */
+#define STEP_US 10000  /* pause between two bounded steps while work remains */
 #define STEP_LOST_WORKERS 64
 #define STEP_TASKS 512 /* tasks of cancelled jobs and drained zones in one step */
 #define STEP_PROPOSALS 512
@@ -315,6 +317,7 @@
 	unsigned int nshapes;
 	unsigned int turn; /* rotates the zone to look at first */
 	bool fleet_known;  /* every worker alive has polled */
+	int64_t again_us;  /* last time that every parked job became due */
 	bool retry;	   /* the last step left work */
 	int64_t next_us;
 	struct sched_order orders[MAX_ORDERS];
--- a/core/sched_worker.c
+++ b/core/sched_worker.c
@@ -116,6 +116,10 @@
 {
 	if (w->leased)
 		TAILQ_REMOVE(w->seen ? &s->leases : &s->inherited, w, lease_entry);
+	if (now_us - w->polled_us >= s->opt.poll_us * SILENT_POLLS) {
+		s->generation++;
+		s->retry = true;
+	}
 	if (!w->leased || !w->seen) {
 		size_add(&s->total, w->capacity);
 		s->stats.workers++;
