Placement benchmark against first fit; withdraw unissued work from silent workers

Ruled out: a second scheduler as baseline; first_fit switches off learning and control in the same code, so leases and records are the same.

--- a/Makefile
+++ b/Makefile
@@ -27,7 +27,7 @@
 TESTS = $(patsubst regress/%.c,$(BUILD)/bin/%,$(sort $(wildcard regress/test_*.c)))
 BENCHES = $(patsubst bench/%.c,$(BUILD)/bin/%,$(sort $(wildcard bench/bench_*.c)))
 TEST_LIB = $(patsubst %.c,$(BUILD)/%.o,$(sort $(wildcard regress/lib_*.c)))
-BENCH_LIB = $(patsubst %.c,$(BUILD)/%.o,$(sort $(wildcard bench/lib_*.c)))
+BENCH_LIB = $(patsubst %.c,$(BUILD)/%.o,$(sort $(wildcard bench/lib_*.c regress/lib_sched_*.c)))
 LIB = $(BUILD)/libcaraway.a
 
 .PHONY: all tests check demo bench format format-check lint xdr man-lint clean install
--- a/core/sched.c
+++ b/core/sched.c
@@ -289,6 +289,7 @@
 		s->generation++;
 	}
 	workers_lost_step(s, now_us);
+	workers_silent_step(s, now_us);
 	jobs_end_step(s, now_us);
 	jobs_scale_step(s, now_us);
 	zones_drain_step(s, now_us);
--- a/core/sched.h
+++ b/core/sched.h
@@ -198,6 +198,8 @@
 	int64_t expires_us;   /* life of an order; 0: SCHED_EXPIRES_US */
 	int64_t poll_us;      /* 0: SCHED_POLL_US */
 	uint32_t max_tasks;   /* unfinished tasks; 0: SCHED_MAX_TASKS */
+	bool first_fit;	      /* no learning, no throttling: first worker that fits; for
+				 comparison */
 };
 
 #define SCHED_LEASE_US 6000000
--- a/core/sched_control.c
+++ b/core/sched_control.c
@@ -143,7 +143,7 @@
 {
 	double mean;
 
-	if (worst <= 0)
+	if (worst <= 0 || s->opt.first_fit)
 		return;
 	w->level += LEVEL_GAIN * (worst - w->level);
 	if (now_us - lag_us < w->changed_us + SETTLE_US) {
--- a/core/sched_fit.c
+++ b/core/sched_fit.c
@@ -81,13 +81,12 @@
 static void scan_zone(struct sched *s, struct task *t, struct zone *z, bool avoid,
 		      int64_t now_us, struct choice *best)
 {
-	uint32_t need = t->key.job->opt.size.cpu_milli / 1000;
+	uint32_t cores = t->key.job->opt.size.cpu_milli / 1000;
+	uint32_t need = cores < FREE_BUCKETS ? cores : FREE_BUCKETS - 1;
 	struct worker *w;
 
 	/* From the emptiest workers down, so that load spreads. */
-	for (unsigned int b = FREE_BUCKETS; b-- > 0;) {
-		if (b < FREE_BUCKETS - 1 && b < need)
-			return;
+	for (unsigned int b = FREE_BUCKETS; b-- > need;) {
 		TAILQ_FOREACH (w, &z->free[b], free_entry) {
 			double c;
 
@@ -95,6 +94,10 @@
 			if (!fit_room(t, w) || !fit_allowed(s, t, w, now_us) ||
 			    (avoid && failed_here(t, w)))
 				continue;
+			if (s->opt.first_fit) {
+				best->worker = w;
+				return;
+			}
 			c = cost(s, t, w);
 			if (!best->worker || c < best->cost) {
 				best->worker = w;
@@ -149,8 +152,11 @@
 		/* Each zone shows candidates, however many the first ones have. */
 		best.seen = 0;
 		scan_zone(s, t, z, avoid, now_us, &best);
+		if (s->opt.first_fit && best.worker)
+			break;
 	}
-	s->turn++;
+	if (!s->opt.first_fit)
+		s->turn++;
 	return best.worker;
 }
 
@@ -160,7 +166,7 @@
  */
 struct worker *fit_find(struct sched *s, struct task *t, int64_t now_us)
 {
-	bool spread = t->key.job->opt.class == SCHED_LATENCY;
+	bool spread = t->key.job->opt.class == SCHED_LATENCY && !s->opt.first_fit;
 	struct worker *w;
 
 	w = spread ? find_spread(s, t, true, now_us) : find_any(s, t, true, now_us);
--- a/core/sched_impl.h
+++ b/core/sched_impl.h
@@ -249,9 +249,9 @@
 	uint64_t session;
 	uint64_t seq;
 	uint64_t id;
-	bool seen;	   /* polled in this epoch */
-	bool leased;	   /* its lease may run */
-	bool lost_pending; /* lease ended, tasks still to be released */
+	bool seen;   /* polled in this epoch */
+	bool leased; /* its lease may run */
+	bool silent; /* its unissued work was withdrawn */
 	uint8_t bucket;
 	bool indexed;
 	struct sched_size capacity;
@@ -388,6 +388,7 @@
 void worker_index(struct sched *s, struct worker *w);
 void worker_freed(struct sched *s, struct worker *w);
 void workers_lost_step(struct sched *s, int64_t now_us);
+void workers_silent_step(struct sched *s, int64_t now_us);
 void worker_renew(struct sched *s, struct worker *w, int64_t now_us);
 int worker_place(struct sched *s, struct worker *w, const struct sched_worker_report *r);
 
--- a/core/sched_worker.c
+++ b/core/sched_worker.c
@@ -111,6 +111,31 @@
 	}
 }
 
+/*
+ * Withdraws attempts that no worker knows of from workers that stay silent, so that
+ * they start elsewhere before the lease has ended.
+ */
+void workers_silent_step(struct sched *s, int64_t now_us)
+{
+	struct worker *w;
+
+	TAILQ_FOREACH (w, &s->leases, lease_entry) {
+		struct task *t;
+		struct task *next;
+
+		if (now_us - w->polled_us < s->opt.poll_us * SILENT_POLLS)
+			return;
+		if (w->silent)
+			continue;
+		w->silent = true;
+		for (t = TAILQ_FIRST(&w->tasks); t; t = next) {
+			next = TAILQ_NEXT(t, worker_entry);
+			if (task_never_issued(t))
+				task_stop(s, t, SCHED_R_NOT_STARTED, now_us);
+		}
+	}
+}
+
 /* Renews the lease; the worker counts it from when it sent the poll, so ends before. */
 void worker_renew(struct sched *s, struct worker *w, int64_t now_us)
 {
@@ -130,6 +155,7 @@
 	w->seen = true;
 	w->lease_end_us = now_us + sched_certain(s->opt.lease_us);
 	w->polled_us = now_us;
+	w->silent = false;
 	TAILQ_INSERT_TAIL(&s->leases, w, lease_entry);
 }
 
