--- a/core/sched.c
+++ b/core/sched.c
@@ -69,6 +69,7 @@
 	HASH_CLEAR(hh, s->jobs);
 	while ((j = jtmp)) {
 		jtmp = j->hh.next;
+		pairs_free(s, j);
 		free(j->rack_count);
 		free(j->key);
 		free(j);
@@ -282,7 +283,13 @@
 		s->fleet_known = true;
 		s->generation++;
 	}
+	/* Some reasons not to place end by time: ramps, silence, probation. */
+	if (now_us - s->again_us >= IDLE_US) {
+		s->again_us = now_us;
+		s->generation++;
+	}
 	workers_lost_step(s, now_us);
+	workers_silent_step(s, now_us);
 	jobs_end_step(s, now_us);
 	jobs_scale_step(s, now_us);
 	zones_drain_step(s, now_us);
--- a/core/sched_worker.c
+++ b/core/sched_worker.c
@@ -21,7 +21,7 @@
 	}
 	w->len = name.n;
 	w->id = ++s->next_id;
-	LIST_INIT(&w->tasks);
+	TAILQ_INIT(&w->tasks);
 	HASH_ADD_KEYPTR(hh, s->workers, w->name, w->len, w);
 	s->stats.bytes += sizeof(*w) + name.n + 1;
 	return w;
@@ -68,8 +68,8 @@
 	struct task *t;
 	struct task *next;
 
-	for (t = LIST_FIRST(&w->tasks); t; t = next) {
-		next = LIST_NEXT(t, worker_entry);
+	for (t = TAILQ_FIRST(&w->tasks); t; t = next) {
+		next = TAILQ_NEXT(t, worker_entry);
 		task_lost(s, t, now_us);
 	}
 	w->ghost = (struct sched_size){0};
@@ -111,11 +111,40 @@
 	}
 }
 
+/*
+ * Withdraws attempts that no worker knows of from workers that stay silent, so that
+ * they start elsewhere before the lease has ended.
+ */
+void workers_silent_step(struct sched *s, int64_t now_us)
+{
+	struct worker *w;
+
+	TAILQ_FOREACH (w, &s->leases, lease_entry) {
+		struct task *t;
+		struct task *next;
+
+		if (now_us - w->polled_us < s->opt.poll_us * SILENT_POLLS)
+			return;
+		if (w->silent)
+			continue;
+		w->silent = true;
+		for (t = TAILQ_FIRST(&w->tasks); t; t = next) {
+			next = TAILQ_NEXT(t, worker_entry);
+			if (task_never_issued(t))
+				task_stop(s, t, SCHED_R_NOT_STARTED, now_us);
+		}
+	}
+}
+
 /* Renews the lease; the worker counts it from when it sent the poll, so ends before. */
 void worker_renew(struct sched *s, struct worker *w, int64_t now_us)
 {
 	if (w->leased)
 		TAILQ_REMOVE(w->seen ? &s->leases : &s->inherited, w, lease_entry);
+	if (now_us - w->polled_us >= s->opt.poll_us * SILENT_POLLS) {
+		s->generation++;
+		s->retry = true;
+	}
 	if (!w->leased || !w->seen) {
 		size_add(&s->total, w->capacity);
 		s->stats.workers++;
@@ -126,6 +155,7 @@
 	w->seen = true;
 	w->lease_end_us = now_us + sched_certain(s->opt.lease_us);
 	w->polled_us = now_us;
+	w->silent = false;
 	TAILQ_INSERT_TAIL(&s->leases, w, lease_entry);
 }
 
@@ -140,7 +170,7 @@
 	if (w->zone != z || w->rack != rack) {
 		struct task *t;
 
-		LIST_FOREACH (t, &w->tasks, worker_entry)
+		TAILQ_FOREACH (t, &w->tasks, worker_entry)
 			task_uncount(t);
 		if (w->indexed)
 			TAILQ_REMOVE(&w->zone->free[w->bucket], w, free_entry);
@@ -153,7 +183,7 @@
 		w->rack = rack;
 		TAILQ_INSERT_TAIL(&z->workers, w, zone_entry);
 		z->nworkers++;
-		LIST_FOREACH (t, &w->tasks, worker_entry)
+		TAILQ_FOREACH (t, &w->tasks, worker_entry)
 			task_count(t);
 	}
 	if (!size_covers(w->capacity, r->capacity) ||
