--- a/regress/lib_store.c
+++ b/regress/lib_store.c
@@ -2,6 +2,7 @@
 
 #include <check.h>
 #include <string.h>
+#include <zlib.h>
 
 #include "base/err.h"
 
@@ -277,3 +278,14 @@
 	SET(c, worker, t->worker);
 	return rig_run(r, CMD_TASK, &c);
 }
+
+void lib_put_u32(char *p, uint32_t v)
+{
+	for (int i = 0; i < 4; i++)
+		p[i] = (char)(v >> (3 - i) * 8);
+}
+
+uint32_t lib_crc(struct str bytes)
+{
+	return (uint32_t)crc32_z(0, (const Bytef *)bytes.p, bytes.n);
+}
--- a/regress/lib_store.h
+++ b/regress/lib_store.h
@@ -66,4 +66,8 @@
 
 int rig_task(struct rig *r, const struct lib_task *t, enum task_state state);
 
+/* Big-endian number and checksum as in a snapshot. */
+void lib_put_u32(char *p, uint32_t v);
+uint32_t lib_crc(struct str bytes);
+
 #endif
--- a/regress/test_claim.c
+++ b/regress/test_claim.c
@@ -236,7 +236,7 @@
 START_TEST(outcome_bytes_are_bounded)
 {
 	struct claim_options *o = &rig.options.claim;
-	static const char body[100];
+	static const char body[101];
 	struct lib_claim a = claim("a", 1);
 	struct lib_claim b = claim("b", 2);
 	struct lib_claim big = claim("big", 3);
--- a/regress/test_job.c
+++ b/regress/test_job.c
@@ -249,8 +249,8 @@
 	ck_assert_int_eq(rig_submit(&rig, "u", "d", "d", "command=x tasks=10"), 0);
 	/* Of 5 finished jobs with one task each, 3 are kept. */
 	for (int i = 0; i < 5; i++) {
-		char name[8];
-		char cancel[8];
+		char name[16];
+		char cancel[16];
 
 		snprintf(name, sizeof(name), "k%d", i);
 		snprintf(cancel, sizeof(cancel), "x%d", i);
