Load generator: a repeated send that cannot connect is not 'not run'

Trace: the upstream ledger shows the request twice, the caller saw status 0 when e3 was killed. libcurl had sent it on a reused connection, which ended, and reported the failed connect of its second try. Ruled out: the entry process (it counts bytes of all tries). Change: not run only when no byte was sent.

--- a/examples/site.sh
+++ b/examples/site.sh
@@ -165,3 +165,9 @@
 	curl -s -m 3 "http://127.0.0.1:$(site_port control "${1:-e1}")/v1/members" |
 		sed -n 's/.*"leader":"\([^"]*\)".*/\1/p'
 }
+
+# site_end: stops everything; the files stay when SITE_KEEP is set.
+site_end() {
+	site_stop
+	[ -n "${SITE_KEEP:-}" ] && echo "files: $SITE_DIR" || rm -rf "$SITE_DIR"
+}
--- a/regress/test_site_requests.sh
+++ b/regress/test_site_requests.sh
@@ -10,7 +10,7 @@
 SITE_ENTRIES="e1 e2 e3"
 . examples/site.sh
 . regress/site_checks.sh
-trap 'site_stop; rm -rf "$SITE_DIR"' EXIT
+trap site_end EXIT
 site_arguments
 site_start || site_fail "site does not start"
 start_upstream() { # NUMBER
--- a/standins/client.h
+++ b/standins/client.h
@@ -24,6 +24,7 @@
 	CURLcode result;   /* transport result */
 	int64_t sent_us;   /* monotonic */
 	int64_t answer_us; /* monotonic */
+	long sent_bytes;   /* of all tries that libcurl made */
 	void (*done)(struct client_call *); /* the call is freed after it returns */
 	void *arg;
 };
@@ -59,6 +60,7 @@
 		c->answer_us = mono_us();
 		curl_multi_remove_handle(cl->multi, easy);
 		curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &c->status);
+		curl_easy_getinfo(easy, CURLINFO_REQUEST_SIZE, &c->sent_bytes);
 		if (curl_easy_header(easy, "Carawayfront-Run", 0, CURLH_HEADER, -1, &h) ==
 		    CURLHE_OK)
 			snprintf(c->run, sizeof(c->run), "%s", h->value);
--- a/standins/loadgen.c
+++ b/standins/loadgen.c
@@ -131,7 +131,11 @@
 /* Judges an answer by its outcome header and its content. */
 static enum outcome classify(const struct caller *k, const struct client_call *c)
 {
-	if (c->result == CURLE_COULDNT_CONNECT) {
+	/*
+	 * libcurl sends an idempotent request again when a reused connection ends early;
+	 * then only the last try failed to connect.
+	 */
+	if (c->result == CURLE_COULDNT_CONNECT && c->sent_bytes == 0) {
 		connect_failed++;
 		return OUT_NOT_RUN;
 	}
