--- a/examples/site.sh
+++ b/examples/site.sh
@@ -8,8 +8,7 @@
 SITE_TOKEN2=pinecrest-operator-token
 SITE_PIDS=
 
-# site_port KIND NAME: RPC, callers or control port of a process. A process of
-# another address can be put before it (SITE_RPC_PORT_NAME, for a proxy).
+# site_port KIND NAME: RPC, callers or control port of a process.
 site_port() {
 	n=${2#?}
 	case $1-$2 in
@@ -18,8 +17,18 @@
 	control-s*) echo $((SITE_PORT + 20 + n)) ;;
 	control-e*) echo $((SITE_PORT + 30 + n)) ;;
 	callers-e*) echo $((SITE_PORT + 40 + n)) ;;
-	proxy-s*) echo $((SITE_PORT + 50 + n)) ;;
-	proxy-e*) echo $((SITE_PORT + 60 + n)) ;;
+	esac
+}
+
+# site_proxy_port SOURCE TARGET: port at which SOURCE reaches TARGET through the proxy.
+site_proxy_port() {
+	echo $((SITE_PORT + 100 + 10 * $(site_number "$1") + $(site_number "$2")))
+}
+
+site_number() {
+	case $1 in
+	s*) echo "${1#s}" ;;
+	e*) echo $((5 + ${1#e})) ;;
 	esac
 }
 
@@ -27,11 +36,16 @@
 	printf '%s' "$1" | sha256sum | cut -d' ' -f1
 }
 
-# site_settings NAME ROLE ZONE [PROXIED]: writes the settings file of a process. With
-# PROXIED its peers are reached through their proxy ports.
+# site_settings NAME ROLE ZONE: writes the settings file of a process. With SITE_PROXIED
+# its peers are reached through the fault-injecting proxy.
 site_settings() {
-	via=rpc
-	[ "${4:-}" = proxied ] && via=proxy
+	peer_port() {
+		if [ "${SITE_PROXIED:-}" ] && [ "$1" != "$2" ]; then
+			site_proxy_port "$1" "$2"
+		else
+			site_port rpc "$2"
+		fi
+	}
 	{
 		echo "name: $1"
 		echo "role: $2"
@@ -39,15 +53,11 @@
 		echo "cluster-key: demo-cluster-key"
 		echo "state:"
 		for s in $SITE_STATE; do
-			kind=$via
-			[ "$s" = "$1" ] && kind=rpc
-			echo "  - {name: $s, address: 127.0.0.1:$(site_port $kind "$s")}"
+			echo "  - {name: $s, address: 127.0.0.1:$(peer_port "$1" "$s")}"
 		done
 		echo "entries:"
 		for e in $SITE_ENTRIES; do
-			kind=$via
-			[ "$e" = "$1" ] && kind=rpc
-			echo "  - {name: $e, address: 127.0.0.1:$(site_port $kind "$e")}"
+			echo "  - {name: $e, address: 127.0.0.1:$(peer_port "$1" "$e")}"
 		done
 		echo "listen:"
 		echo "  rpc: 127.0.0.1:$(site_port rpc "$1")"
@@ -102,19 +112,46 @@
 	curl -sf -m 2 "http://127.0.0.1:$(site_port control "$1")/healthz"
 }
 
-# site_start [PROXIED]: starts the state processes, then the entry processes. The first
+# site_proxy: starts the fault-injecting proxy with one pair for each direction.
+site_proxy() {
+	pairs=
+	for a in $SITE_STATE $SITE_ENTRIES; do
+		for b in $SITE_STATE $SITE_ENTRIES; do
+			[ "$a" = "$b" ] && continue
+			pairs="$pairs --pair $a-$b=127.0.0.1:$(site_proxy_port "$a" "$b")=127.0.0.1:$(site_port rpc "$b")"
+		done
+	done
+	site_spawn proxy "$BUILD/bin/faultproxy" --control 127.0.0.1:$((SITE_PORT + 99)) $pairs
+}
+
+# site_fault COMMAND ARGUMENTS...: a command of the proxy, such as "cut s1-s2".
+site_fault() {
+	curl -s -m 5 "http://127.0.0.1:$((SITE_PORT + 99))/$(echo "$*" | tr ' ' '/')" >/dev/null
+}
+
+# site_isolate COMMAND NAME: applies cut or heal to every link of a process.
+site_isolate() {
+	for b in $SITE_STATE $SITE_ENTRIES; do
+		[ "$b" = "$2" ] && continue
+		site_fault "$1" "$2-$b"
+		site_fault "$1" "$b-$2"
+	done
+}
+
+# site_start: starts the state processes, then the entry processes. The first
 # state process founds the cluster when its data directory is new.
 site_start() {
 	mkdir -p "$SITE_DIR"
+	[ "${SITE_PROXIED:-}" ] && site_proxy
 	zones="joburg-a midrand-b pretoria-c"
 	for p in $SITE_STATE; do
-		site_settings "$p" state "$(echo "$zones" | cut -d' ' -f1)" "${1:-}"
+		site_settings "$p" state "$(echo "$zones" | cut -d' ' -f1)"
 		opt=
 		[ "$p" = s1 ] && [ ! -d "$SITE_DIR/s1.data" ] && opt=-b
 		site_run "$p" $opt
 	done
 	for p in $SITE_ENTRIES; do
-		site_settings "$p" entry joburg-a "${1:-}"
+		site_settings "$p" entry joburg-a
 		site_run "$p"
 	done
 	for p in $SITE_ENTRIES; do
