--- a/Makefile
+++ b/Makefile
@@ -31,10 +31,6 @@
 BENCH_LIB = $(patsubst %.c,$(BUILD)/%.o,$(sort $(wildcard bench/lib_*.c regress/lib_sched_*.c)))
 LIB = $(BUILD)/libcaraway.a
 
-# Each guarded mechanism is taken out in a copy; its test must fail.
-mutants: all tests
-	sh regress/mutants.sh
-
 .PHONY: all mutants tests check demo bench format format-check lint xdr man-lint clean install
 .SECONDARY:
 
@@ -71,6 +67,10 @@
 check: all tests
 	BUILD=$(BUILD) sh regress/run.sh
 
+# Each guarded mechanism is taken out in a copy; its test must fail.
+mutants: all tests
+	sh regress/mutants.sh
+
 demo:
 	sh examples/packages.sh
 	$(MAKE) all
