--- a/regress/lib_cluster.c
+++ b/regress/lib_cluster.c
@@ -672,8 +672,14 @@
 		c->now = until;
 		return false;
 	}
-	if (at > c->now)
+	if (at > c->now) {
 		c->now = at;
+		c->still = 0;
+	} else if (++c->still > 100000) {
+		cluster_fail(c, "time stands still, node %d is due",
+			     due ? (int)due->id : 0);
+		return false;
+	}
 	check_leases(c);
 	if (due) {
 		replica_tick(due->r, cluster_clock(due));
--- a/regress/lib_cluster.h
+++ b/regress/lib_cluster.h
@@ -80,7 +80,8 @@
 		uint64_t node;
 	} leader_of[4096];
 	size_t n_leaders;
-	char failure[256]; /* first violated rule */
+	char failure[256];  /* first violated rule */
+	unsigned int still; /* events since time moved */
 	bool trace;
 };
 
--- a/regress/test_replica.c
+++ b/regress/test_replica.c
@@ -11,6 +11,13 @@
 #define FAULT_SPAN (40 * SECOND)
 
 #define ck_cluster(c) ck_assert_msg((c)->failure[0] == '\0', "%s", (c)->failure)
+/* A violated rule is reported before the condition that fails because of it. */
+#define ck_run(c, condition)             \
+	do {                             \
+		bool held = (condition); \
+		ck_cluster(c);           \
+		ck_assert(held);         \
+	} while (0)
 
 /* --- random faults --- */
 
@@ -134,6 +141,7 @@
 {
 	int64_t end;
 	int64_t next_fault;
+	int64_t quiet_until = 0;
 
 	small_limits(&c->opt);
 	c->opt.no_group_commit = seed % 7 == 0;
@@ -143,10 +151,14 @@
 	next_fault = SECOND;
 	while (c->now < end && !c->failure[0]) {
 		cluster_run(c, 20000);
-		propose_everywhere(c);
+		/* Without proposals all logs are equal and any voter can be elected. */
+		if (c->now >= quiet_until)
+			propose_everywhere(c);
 		if (c->now >= next_fault) {
 			random_fault(c);
 			next_fault = c->now + (int64_t)prng_below(&c->prng, 2 * SECOND);
+			if (prng_below(&c->prng, 10) == 0)
+				quiet_until = c->now + 5 * SECOND;
 		}
 	}
 	cluster_heal(c);
@@ -171,6 +183,26 @@
 }
 END_TEST
 
+/*
+ * Seeds that did not settle once: 10639 a leader that had proposed its own removal
+ * held the longest log and did not stand; 200933, 301125, 401466 a restarted voter
+ * whose stored log named only voters that had been replaced.
+ */
+static const uint64_t regression_seeds[] = {10639, 200933, 301125, 401466};
+#define REGRESSION_SEEDS (int)(sizeof(regression_seeds) / sizeof(regression_seeds[0]))
+
+/* Guards against the return of faults that random runs have found. */
+START_TEST(regressions)
+{
+	static struct cluster c;
+	uint64_t seed = regression_seeds[_i];
+
+	if (!random_run(&c, seed))
+		ck_abort_msg("seed %d: %s", (int)seed, c.failure);
+	cluster_stop(&c);
+}
+END_TEST
+
 /* --- named traps --- */
 
 /* Guards against an answer that leaves before the promise it rests on is durable. */
@@ -179,8 +211,8 @@
 	static struct cluster c;
 
 	cluster_start(&c, 11, 3, 0);
-	ck_assert(cluster_run_to_leader(&c, 10 * SECOND));
-	ck_assert(cluster_settle(&c, 10 * SECOND));
+	ck_run(&c, cluster_run_to_leader(&c, 10 * SECOND));
+	ck_run(&c, cluster_settle(&c, 10 * SECOND));
 	ck_cluster(&c);
 	cluster_stop(&c);
 }
@@ -195,7 +227,7 @@
 	int err;
 
 	cluster_start(&c, 12, 3, 0);
-	ck_assert(cluster_run_to_leader(&c, 10 * SECOND));
+	ck_run(&c, cluster_run_to_leader(&c, 10 * SECOND));
 	old = cluster_leader(&c);
 	cluster_run(&c, SECOND);
 	node_freeze(old, 5 * SECOND);
@@ -208,7 +240,7 @@
 	err = cluster_propose(old, 16, &index);
 	ck_assert_int_eq(err, CF_ESTALE);
 	ck_assert_int_ne(replica_role(old->r), REPLICA_LEADER);
-	ck_assert(cluster_settle(&c, 10 * SECOND));
+	ck_run(&c, cluster_settle(&c, 10 * SECOND));
 	ck_cluster(&c);
 	cluster_stop(&c);
 }
@@ -221,16 +253,26 @@
 	struct replica *r;
 	uint64_t token;
 	uint64_t epoch_asked;
-	int sent[16];
+	struct replica_msg last; /* newest message sent; its pointers are stale */
 	uint64_t applied;
-	bool fail_truncate;
+	char order[16]; /* initials of disk operations */
+	size_t n_order;
 };
 
+static int lone_note(struct replica_host *h, char op)
+{
+	struct lone *l = (struct lone *)h;
+
+	if (l->n_order + 1 < sizeof(l->order))
+		l->order[l->n_order++] = op;
+	return 0;
+}
+
 static void lone_send(struct replica_host *h, uint64_t to, const struct replica_msg *m)
 {
 	struct lone *l = (struct lone *)h;
 
-	l->sent[m->kind]++;
+	l->last = *m;
 	if (m->kind == REPLICA_MSG_PREVOTE || m->kind == REPLICA_MSG_VOTE)
 		l->epoch_asked = m->epoch;
 }
@@ -240,9 +282,14 @@
 	return 0;
 }
 
-static int lone_index(struct replica_host *h, uint64_t index)
+static int lone_truncate(struct replica_host *h, uint64_t index)
 {
-	return 0;
+	return lone_note(h, 'T');
+}
+
+static int lone_compact(struct replica_host *h, uint64_t index)
+{
+	return lone_note(h, 'C');
 }
 
 static int lone_promise(struct replica_host *h, const struct replica_promise *p)
@@ -269,31 +316,26 @@
 		     struct str state)
 {
 	((struct lone *)h)->applied = index;
-	return 0;
+	return lone_note(h, 'L');
 }
 
 static int lone_save(struct replica_host *h, uint64_t index, uint64_t epoch,
 		     struct str bytes)
 {
-	return 0;
+	return lone_note(h, 'S');
 }
 
 static const struct replica_ops lone_ops = {
 	.send = lone_send,
 	.append = lone_append,
-	.truncate = lone_index,
+	.truncate = lone_truncate,
 	.save_promise = lone_promise,
 	.sync = lone_sync,
 	.apply = lone_apply,
 	.take_snapshot = lone_take,
 	.load_snapshot = lone_load,
 	.save_snapshot = lone_save,
-	.compact = lone_index,
-};
-
-static const struct replica_members three = {
-	.n = 3,
-	.list = {{1, 101, true}, {2, 102, true}, {3, 103, true}},
+	.compact = lone_compact,
 };
 
 /* Takes the lone replica, id 1, through a restart and an election to leader. */
@@ -331,6 +373,23 @@
 	ck_assert_int_eq(replica_receive(l->r, 2, &m, now), 0);
 }
 
+/* A stored snapshot with the membership of three and an empty state. */
+static void lone_image(struct buf *image)
+{
+	static const unsigned char head[] = {0, 0, 0, 3};
+
+	buf_add(image, head, 4);
+	for (unsigned char i = 1; i <= 3; i++) {
+		unsigned char b[20] = {0};
+
+		b[7] = i;
+		b[15] = (unsigned char)(100 + i);
+		b[19] = 1;
+		buf_add(image, b, sizeof(b));
+	}
+	buf_add(image, "\0\0\0\0", 4);
+}
+
 /* A replica with two entries of epoch 2 and the promise of epoch 3. */
 static void lone_start(struct lone *l, int64_t now)
 {
@@ -346,32 +405,10 @@
 		.entries = e,
 		.n_entries = 2,
 	};
-	struct replica_options first = {
-		.host = &l->host,
-		.id = 1,
-		.bootstrap = &three,
-		.promise = {.identity = 101},
-	};
 	struct buf image = {0};
 
-	/* The membership as the bootstrap would have stored it. */
 	l->host.ops = &lone_ops;
-	ck_assert_int_eq(replica_new(&first, &l->r, now), 0);
-	replica_free(l->r);
-	{
-		static const unsigned char head[] = {0, 0, 0, 3};
-
-		buf_add(&image, head, 4);
-		for (unsigned char i = 1; i <= 3; i++) {
-			unsigned char b[20] = {0};
-
-			b[7] = i;
-			b[15] = (unsigned char)(100 + i);
-			b[19] = 1;
-			buf_add(&image, b, sizeof(b));
-		}
-		buf_add(&image, "\0\0\0\0", 4);
-	}
+	lone_image(&image);
 	opt.snapshot = buf_str(&image);
 	ck_assert_int_eq(replica_new(&opt, &l->r, now), 0);
 	buf_free(&image);
@@ -457,6 +494,129 @@
 }
 END_TEST
 
+/* Asks the lone replica for its vote and returns whether it grants it. */
+static bool lone_grants(struct lone *l, enum replica_msg_kind kind, int64_t now)
+{
+	struct replica_msg m = {
+		.kind = kind,
+		.from_identity = 103,
+		.to_identity = 101,
+		.epoch = replica_epoch(l->r) + 1,
+		.index = 10,
+		.index_epoch = 3,
+	};
+
+	l->last.kind = 0;
+	ck_assert_int_eq(replica_receive(l->r, 3, &m, now), 0);
+	return l->last.kind == kind + 1 && l->last.ok;
+}
+
+static void lone_hello(struct lone *l, int64_t now)
+{
+	struct replica_msg m = {.kind = REPLICA_MSG_HELLO_REPLY,
+				.from_identity = 102,
+				.to_identity = 101};
+
+	ck_assert_int_eq(replica_receive(l->r, 2, &m, now), 0);
+}
+
+static const int64_t election_us = 600000;
+
+/*
+ * Guards against a lease that outlasts the silence that it rests on: the leader's
+ * clock may run 1/1000 slow and a voter's 1/1000 fast.
+ */
+START_TEST(lease_allows_for_drift)
+{
+	struct lone l = {0};
+	int64_t now = SECOND;
+	int64_t sent;
+
+	lone_start(&l, now);
+	lone_elect(&l, &now);
+	replica_synced(l.r, l.token, now);
+	sent = now;
+	lone_ack(&l, 3, now);
+	ck_assert(replica_lease_valid(l.r, sent + election_us * 99 / 100));
+	ck_assert(!replica_lease_valid(l.r, sent + election_us * 999 / 1001));
+	replica_tick(l.r, sent + election_us * 999 / 1001);
+	ck_assert_int_ne(replica_role(l.r), REPLICA_LEADER);
+	replica_free(l.r);
+}
+END_TEST
+
+/* Guards against a voter that helps another candidate while a lease rests on it. */
+START_TEST(no_vote_during_lease)
+{
+	struct lone l = {0};
+	int64_t now = SECOND;
+	struct replica_msg m = {
+		.kind = REPLICA_MSG_APPEND,
+		.from_identity = 102,
+		.to_identity = 101,
+		.epoch = 3,
+		.index = 2,
+		.index_epoch = 2,
+		.sent_us = 77,
+	};
+
+	lone_start(&l, now);
+	/* Not before it knows that its directory is not older than its answers. */
+	ck_assert(!lone_grants(&l, REPLICA_MSG_VOTE, now + 5 * SECOND));
+	replica_receive(l.r, 2, &m, now + 5 * SECOND);
+	ck_assert_int_ne(l.last.kind, REPLICA_MSG_APPEND_REPLY);
+	lone_hello(&l, now);
+	/* An answer given before the restart may carry a lease. */
+	ck_assert(!lone_grants(&l, REPLICA_MSG_PREVOTE, now + election_us - 1));
+	ck_assert(!lone_grants(&l, REPLICA_MSG_VOTE, now + election_us - 1));
+	ck_assert(lone_grants(&l, REPLICA_MSG_PREVOTE, now + election_us));
+	now += election_us;
+	ck_assert_int_eq(replica_receive(l.r, 2, &m, now), 0);
+	ck_assert_int_eq(l.last.kind, REPLICA_MSG_APPEND_REPLY);
+	ck_assert_int_eq(l.last.sent_us, 77);
+	ck_assert(!lone_grants(&l, REPLICA_MSG_PREVOTE, now + election_us - 1));
+	ck_assert(!lone_grants(&l, REPLICA_MSG_VOTE, now + election_us - 1));
+	ck_assert(lone_grants(&l, REPLICA_MSG_VOTE, now + election_us));
+	replica_free(l.r);
+}
+END_TEST
+
+/*
+ * Guards against conflicting entries that look like the tail of an installed snapshot
+ * after a crash: they are removed before the snapshot is saved.
+ */
+START_TEST(snapshot_install_order)
+{
+	/* Three members as in lone_start(), then the state "s". */
+	struct lone l = {0};
+	int64_t now = SECOND;
+	struct buf image = {0};
+	struct replica_msg m = {
+		.kind = REPLICA_MSG_SNAPSHOT,
+		.from_identity = 102,
+		.to_identity = 101,
+		.epoch = 4,
+		.index = 2,
+		.index_epoch = 3,
+	};
+
+	lone_start(&l, now);
+	lone_hello(&l, now);
+	lone_image(&image);
+	m.total = image.n;
+	m.chunk = buf_str(&image);
+	l.n_order = 0;
+	memset(l.order, 0, sizeof(l.order));
+	ck_assert_int_eq(replica_receive(l.r, 2, &m, now), 0);
+	ck_assert_str_eq(l.order, "TSLC");
+	ck_assert_uint_eq(replica_committed(l.r), 2);
+	ck_assert_int_eq(l.last.kind, REPLICA_MSG_SNAPSHOT_REPLY);
+	ck_assert_uint_eq(l.last.offset, image.n);
+	buf_free(&image);
+	replica_free(l.r);
+}
+END_TEST
+
 /* --- disks --- */
 
 /* Proposes until that many entries committed. */
@@ -488,7 +648,7 @@
 
 	small_limits(&c.opt);
 	cluster_start(&c, 13, 3, 0);
-	ck_assert(cluster_run_to_leader(&c, 10 * SECOND));
+	ck_run(&c, cluster_run_to_leader(&c, 10 * SECOND));
 	n = cluster_leader(&c) == &c.node[3] ? &c.node[2] : &c.node[3];
 	cluster_isolate(&c, n->id, true);
 	commit_entries(&c, 500);
@@ -504,7 +664,7 @@
 		ck_assert_uint_ge(k->applied, k->disk.snapshot_index);
 	}
 	cluster_heal(&c);
-	ck_assert(cluster_settle(&c, 20 * SECOND));
+	ck_run(&c, cluster_settle(&c, 20 * SECOND));
 	ck_cluster(&c);
 	cluster_stop(&c);
 }
@@ -521,7 +681,7 @@
 
 	c.opt.auto_admit = true;
 	cluster_start(&c, 14, 3, 0);
-	ck_assert(cluster_run_to_leader(&c, 10 * SECOND));
+	ck_run(&c, cluster_run_to_leader(&c, 10 * SECOND));
 	a = cluster_leader(&c);
 	for (size_t i = 1; i <= 3; i++) {
 		if (&c.node[i] == a)
@@ -543,7 +703,7 @@
 	ck_assert_uint_eq(c.n_ref, before);
 	/* With the leader's disk back, it is admitted under its new identity. */
 	node_boot(a);
-	ck_assert(cluster_settle(&c, 30 * SECOND));
+	ck_run(&c, cluster_settle(&c, 30 * SECOND));
 	cluster_run(&c, 5 * SECOND);
 	ck_cluster(&c);
 	ck_assert_int_ne(replica_role(b->r), REPLICA_LEARNER);
@@ -560,7 +720,7 @@
 	struct node *a;
 
 	cluster_start(&c, 15, 3, 0);
-	ck_assert(cluster_run_to_leader(&c, 10 * SECOND));
+	ck_run(&c, cluster_run_to_leader(&c, 10 * SECOND));
 	a = cluster_leader(&c);
 	b = a == &c.node[1] ? &c.node[2] : &c.node[1];
 	commit_entries(&c, 5);
@@ -579,7 +739,7 @@
 	ck_cluster(&c);
 	ck_assert_int_eq(replica_role(b->r), REPLICA_EXCLUDED);
 	node_boot(a);
-	ck_assert(cluster_run_to_leader(&c, 10 * SECOND));
+	ck_run(&c, cluster_run_to_leader(&c, 10 * SECOND));
 	ck_cluster(&c);
 	cluster_stop(&c);
 }
@@ -592,7 +752,7 @@
 	struct node *a;
 
 	cluster_start(&c, 16, 3, 0);
-	ck_assert(cluster_run_to_leader(&c, 10 * SECOND));
+	ck_run(&c, cluster_run_to_leader(&c, 10 * SECOND));
 	a = cluster_leader(&c);
 	a->fail_sync = true;
 	commit_entries(&c, 5);
@@ -614,13 +774,13 @@
 	uint64_t epoch;
 
 	cluster_start(&c, 17, 5, 0);
-	ck_assert(cluster_run_to_leader(&c, 10 * SECOND));
+	ck_run(&c, cluster_run_to_leader(&c, 10 * SECOND));
 	epoch = replica_epoch(cluster_leader(&c)->r);
 	n = cluster_leader(&c) == &c.node[5] ? &c.node[4] : &c.node[5];
 	cluster_isolate(&c, n->id, true);
 	cluster_run(&c, 30 * SECOND);
 	cluster_isolate(&c, n->id, false);
-	ck_assert(cluster_settle(&c, 10 * SECOND));
+	ck_run(&c, cluster_settle(&c, 10 * SECOND));
 	ck_cluster(&c);
 	ck_assert_uint_eq(replica_epoch(cluster_leader(&c)->r), epoch);
 	cluster_stop(&c);
@@ -635,7 +795,7 @@
 
 	small_limits(&c.opt);
 	cluster_start(&c, 18, 3, 0);
-	ck_assert(cluster_run_to_leader(&c, 10 * SECOND));
+	ck_run(&c, cluster_run_to_leader(&c, 10 * SECOND));
 	cluster_isolate(&c, cluster_leader(&c) == &c.node[1] ? 2 : 1, true);
 	commit_entries(&c, 300);
 	early = replica_memory(cluster_leader(&c)->r);
@@ -713,6 +873,10 @@
 	tcase_add_test(tc, failed_sync_ends_the_voter);
 	tcase_add_test(tc, returning_voter_does_not_disturb);
 	tcase_add_test(tc, memory_is_bounded);
+	tcase_add_test(tc, lease_allows_for_drift);
+	tcase_add_test(tc, no_vote_during_lease);
+	tcase_add_test(tc, snapshot_install_order);
+	tcase_add_loop_test(tc, regressions, 0, REGRESSION_SEEDS);
 	tcase_add_loop_test(tc, random_faults, 0, CHECK_SEEDS);
 	suite_add_tcase(s, tc);
 	sr = srunner_create(s);
