Router: owners, reported load and waiting as the default policy

Cause: entry processes that compare own requests in flight overshoot the 8 slots of an executor together. Change: upstreams are divided among the live entry processes by rendezvous hashing with bounded shares; own ones come first; reported load counts, with a half life; when everything drawn looks 90 % full the request waits in the entry. A refused send costs a fifth of a retry and has its own bound. Conclusion: kept as the default.

--- a/core/router.c
+++ b/core/router.c
@@ -18,7 +18,8 @@
 	*o = (struct router_options){
 		.seed = 1,
 		.policy = ROUTER_POLICY_DEFAULT,
-		.choices = 2,
+		.choices = 4,
+		.full_percent = 90,
 		.max_requests = 20000,
 		.max_queue = 1000,
 		.max_inflight = 4096,
@@ -27,6 +28,7 @@
 		.max_pools = 4096,
 		.max_upstreams = 20000,
 		.max_attempts = 3,
+		.max_refusals = 12,
 		.retry_percent = 20,
 		.eject_floor_percent = 60,
 		.default_deadline_us = 30 * 1000000LL,
@@ -59,7 +61,6 @@
 	r->opt.zone.p = r->zone;
 	r->opt.name.p = r->name;
 	r->self = XXH3_64bits(r->name, o->name.n);
-	r->home_ranks = o->policy == ROUTER_POLICY_SUBSET ? 2 : 1;
 	TAILQ_INIT(&r->ring);
 	*out = r;
 	return 0;
@@ -162,6 +163,8 @@
 /* Sends a request that is in no queue. */
 void request_send(struct router *r, struct request *q, struct upstream *u, int64_t now_us)
 {
+	struct pool *p = q->pool;
+
 	q->state = REQUEST_SENT;
 	q->up = u;
 	q->last_up = u->id;
@@ -169,10 +172,14 @@
 	q->sends++;
 	q->sent_us = now_us;
 	u->inflight++;
-	u->pool->inflight++;
-	u->pool->team->inflight++;
+	p->inflight++;
+	p->team->inflight++;
 	r->inflight++;
 	r->stats.sent++;
+	if (q->sends > 1) {
+		r->stats.retried++;
+		retry_spend(p->team, q->refused);
+	}
 	upstream_update(r, u, now_us);
 	r->host->ops->send(r->host, q->id, u->id);
 }
@@ -232,7 +239,7 @@
 		}
 	}
 	why = q->keyed ? ROUTER_R_ANSWERED : limit_queue(r, p, q->class);
-	queue_push(r, q, false);
+	queue_push(r, q);
 	if (why)
 		request_finish(r, q, ROUTER_NOT_RUN, why, CF_EBUSY, now_us);
 	else
@@ -353,21 +360,36 @@
 	queue_wait_end(q);
 	/* A request taken before a drain is still served; a stale one is not. */
 	if (!r->fresh) {
-		queue_push(r, q, false);
+		queue_push(r, q);
 		request_finish(r, q, ROUTER_NOT_RUN, ROUTER_R_STALE, CF_ESTALE, now_us);
 		return;
 	}
 	enqueue(r, q, now_us);
 }
 
-/* The send has ended without a complete response: send again or tell the caller. */
-static void again(struct router *r, struct request *q, int err, int64_t now_us)
+/* Whether the bounds of failed and refused sends leave one more. */
+static bool sends_left(const struct router *r, const struct request *q)
+{
+	return q->refusals <= r->opt.max_refusals &&
+	       q->sends - q->refusals < r->opt.max_attempts;
+}
+
+/*
+ * The send has ended without a complete response: send again or tell the caller.
+ * A request that the upstream refused waits for the retry budget, because it has
+ * cost the upstream nothing; a failed one does not.
+ */
+static void again(struct router *r, struct request *q, bool refused, int err,
+		  int64_t now_us)
 {
 	struct pool *p = q->pool;
 	enum router_reason why = q->tainted ? ROUTER_R_FAILED : ROUTER_R_REFUSED;
-	bool retry = (!q->tainted || q->idempotent) && r->fresh && retry_allowed(r, q);
+	bool retry = (!q->tainted || q->idempotent) && r->fresh;
 
-	queue_push(r, q, true);
+	q->refused = refused;
+	q->refusals += refused;
+	retry = retry && sends_left(r, q) && (refused || retry_allowed(r, p->team));
+	queue_push(r, q);
 	if (!retry)
 		request_finish(r, q, ROUTER_NOT_RUN, why, err, now_us);
 	queue_dispatch(r, p, now_us);
@@ -406,12 +428,13 @@
 	u = q->up;
 	p = q->pool;
 	took = now_us - q->sent_us;
-	upstream_load(u, a->load, now_us);
+	/* The report no longer counts this request. */
+	upstream_load(u, a->load, u->inflight - 1, now_us);
 	if (a->not_run) {
 		r->stats.upstream_refused++;
 		limit_refused(r, u, now_us);
 		if (send_ended(r, q, now_us))
-			again(r, q, CF_EBUSY, now_us);
+			again(r, q, true, CF_EBUSY, now_us);
 		return;
 	}
 	limit_sample(r, u, took, now_us);
@@ -439,7 +462,7 @@
 	if (!send_ended(r, q, now_us))
 		return;
 	q->tainted |= maybe_run;
-	again(r, q, err, now_us);
+	again(r, q, false, err, now_us);
 }
 
 /* The caller went away. The slot stays taken until the upstream has ended. */
--- a/core/router.h
+++ b/core/router.h
@@ -70,13 +70,17 @@
 	const struct router_ops *ops;
 };
 
+/*
+ * Ways to pick an upstream. The default divides the upstreams among the live entry
+ * processes, prefers the own ones, adds the load that upstreams report, and waits
+ * when that says full. The others serve as baselines in bench/bench_router.c.
+ */
 enum router_policy {
 	ROUTER_POLICY_DEFAULT = 0,
 	ROUTER_POLICY_RANDOM = 1,   /* uniform */
-	ROUTER_POLICY_P2C = 2,	    /* fewest own in flight of two */
-	ROUTER_POLICY_REPORTED = 3, /* own in flight plus reported load of the others */
-	ROUTER_POLICY_HOME = 4,	    /* own rendezvous share first, then reported load */
-	ROUTER_POLICY_SUBSET = 5,   /* only a deterministic subset, by own in flight */
+	ROUTER_POLICY_P2C = 2,	    /* fewest own in flight of those drawn */
+	ROUTER_POLICY_REPORTED = 3, /* as the default, without owners */
+	ROUTER_POLICY_SUBSET = 4,   /* own upstreams only */
 };
 
 struct router_options {
@@ -85,7 +89,13 @@
 	struct str name; /* this entry process, as in router_entries() */
 	struct str zone; /* local availability zone */
 	enum router_policy policy;
-	unsigned int choices;		  /* upstreams compared for one decision */
+	unsigned int choices; /* upstreams compared for one decision */
+	/*
+	 * Used share of its slots, own and reported, from which an upstream counts as
+	 * full. Below 100, because requests of other entry processes are on their way;
+	 * above 100, upstreams get a queue of their own.
+	 */
+	unsigned int full_percent;
 	unsigned int max_requests;	  /* known at once, of all teams */
 	unsigned int max_queue;		  /* waiting, for each team and class */
 	unsigned int max_inflight;	  /* sent and not ended, of all teams */
@@ -93,7 +103,8 @@
 	unsigned int max_teams;		  /* teams with upstreams or zone events */
 	unsigned int max_pools;		  /* services of all teams */
 	unsigned int max_upstreams;	  /* records, older incarnations included */
-	unsigned int max_attempts;	  /* sends of one request */
+	unsigned int max_attempts;	  /* sends of one request that are not refused */
+	unsigned int max_refusals;	  /* refused sends of one request */
 	unsigned int retry_percent;	  /* retries for 100 successes of a team */
 	unsigned int eject_floor_percent; /* share of a pool that is never ejected */
 	int64_t default_deadline_us;	  /* for requests without a deadline */
--- a/core/router_impl.h
+++ b/core/router_impl.h
@@ -52,11 +52,13 @@
 	int64_t sent_us;
 	int64_t deadline_us;
 	unsigned int sends;
+	unsigned int refusals; /* sends that the upstream refused */
 	uint8_t state;
 	uint8_t class;
 	bool idempotent;
 	bool keyed;
 	bool claimed; /* a granted claim is still open */
+	bool refused; /* the last send was refused by the upstream */
 	bool tainted; /* an earlier send may have run */
 };
 
@@ -77,8 +79,9 @@
 };
 
 struct upstream {
-	UT_hash_handle hh;	/* by id */
-	UT_hash_handle hh_name; /* by name_id, the newest incarnation only */
+	TAILQ_ENTRY(upstream) member; /* of its pool */
+	UT_hash_handle hh;	      /* by id */
+	UT_hash_handle hh_name;	      /* by name_id, the newest incarnation only */
 	uint64_t id;
 	uint64_t name_id;
 	uint64_t incarnation;
@@ -108,7 +111,7 @@
 	bool current; /* newest incarnation of its name */
 	bool leaving;
 	bool probing;	      /* back from ejection, not yet proved */
-	bool home;	      /* this process comes first for it, see set_home() */
+	bool home;	      /* this process owns it, see home_assign() */
 	bool counted;	      /* in usable of its pool */
 	bool counted_ejected; /* in ejected of its pool */
 };
@@ -117,10 +120,12 @@
 	UT_hash_handle hh; /* by team and service */
 	TAILQ_ENTRY(pool) link;
 	struct team *team;
+	TAILQ_HEAD(, upstream) members;
 	char *key; /* team, NUL, service */
 	size_t key_len;
 	struct upset set[ROUTER_MAX_ZONES][2]; /* [zone][home] */
 	struct request_queue queue[ROUTER_CLASSES];
+	struct request_queue again; /* sent before; waits for the retry budget too */
 	unsigned int waiting[ROUTER_CLASSES]; /* queued or claiming */
 	unsigned int credit[ROUTER_CLASSES];
 	unsigned int queued;
@@ -128,6 +133,8 @@
 	unsigned int usable; /* upstreams in a set or ejected */
 	unsigned int ejected;
 	double mean_us;	 /* moving mean of service times, 0: none seen */
+	int64_t home_us; /* time of the last home_assign() */
+	bool home_dirty;
 	double fail_sum; /* of the upstreams that are usable */
 	bool ringed;
 };
@@ -163,7 +170,6 @@
 	TAILQ_HEAD(, team) ring;
 	uint64_t *entries; /* hashes of the live entry processes */
 	size_t n_entries;
-	unsigned int home_ranks; /* entry processes for which an upstream is home */
 	uint64_t self;
 	unsigned int busy_teams; /* teams with requests */
 	unsigned int queued;
@@ -180,16 +186,19 @@
 void upstream_update(struct router *r, struct upstream *u, int64_t now_us);
 void upstream_expiry(struct router *r, struct upstream *u, int64_t now_us);
 void upstream_reopen(struct router *r, struct upstream *u, int64_t now_us);
-void upstream_load(struct upstream *u, int load, int64_t at_us);
+void upstream_load(struct upstream *u, int load, unsigned int own, int64_t at_us);
 void upstream_release(struct router *r, struct upstream *u, int64_t now_us);
 void upstream_free_all(struct router *r);
 
+/* router_home.c */
+void home_assign(struct router *r, struct pool *p, int64_t now_us);
+
 /* router_pick.c */
 struct upstream *pick(struct router *r, struct pool *p, const struct request *q,
 		      int64_t now_us);
 
 /* router_queue.c */
-void queue_push(struct router *r, struct request *q, bool front);
+void queue_push(struct router *r, struct request *q);
 void queue_remove(struct router *r, struct request *q);
 void queue_dispatch(struct router *r, struct pool *p, int64_t now_us);
 void queue_wait_begin(struct request *q);
@@ -210,7 +219,8 @@
 /* router_retry.c */
 void retry_start(struct team *t);
 void retry_success(const struct router *r, struct team *t);
-bool retry_allowed(struct router *r, struct request *q);
+bool retry_allowed(struct router *r, const struct team *t);
+void retry_spend(struct team *t, bool refused);
 bool retry_tried(const struct request *q, uint64_t upstream);
 
 /* router_eject.c */
--- a/core/router_limit.c
+++ b/core/router_limit.c
@@ -20,6 +20,12 @@
 #define REFUSED_MAX_US 50000
 /* A request is not sent when less than this share of the mean service time is left. */
 #define HOPELESS_SHARE 0.5
+/*
+ * A request that would have to wait is refused unless its deadline leaves room for
+ * a wait that is longer than estimated and for a long service time.
+ */
+#define WAIT_FACTOR 1.5
+#define WAIT_MARGIN 2.0
 
 static unsigned int percent_of(unsigned int v, unsigned int percent)
 {
@@ -77,7 +83,11 @@
 bool limit_hopeless(const struct pool *p, int64_t wait_us, int64_t deadline_us,
 		    int64_t now_us)
 {
-	return now_us + wait_us + (int64_t)(p->mean_us * HOPELESS_SHARE) > deadline_us;
+	double need = p->mean_us * HOPELESS_SHARE;
+
+	if (wait_us > 0)
+		need = (double)wait_us * WAIT_FACTOR + p->mean_us * WAIT_MARGIN;
+	return now_us + (int64_t)need > deadline_us;
 }
 
 /* Connections of this process to one upstream; all processes share the bound. */
--- a/core/router_pick.c
+++ b/core/router_pick.c
@@ -1,11 +1,15 @@
 #include "core/router_impl.h"
 
+#include <math.h>
+
 /*
- * Score, in slots used of slots present, from which other availability zones are
- * compared too; and what their upstreams must be better by.
+ * What an upstream of another availability zone, and one of another owner, must be
+ * better by, in slots used of slots present.
  */
-#define SPILL_FROM 0.75
-#define SPILL_PENALTY 0.25
+#define ZONE_PENALTY 0.1
+#define OWNER_PENALTY 0.5
+/* Time in which a report of other processes' load halves, in mean service times. */
+#define REPORT_HALF_LIFE 32.0
 /* Draws for one upstream when those drawn were tried before. */
 #define DRAWS 4
 
@@ -19,6 +23,7 @@
 	unsigned int zone_from;
 	unsigned int zone_to;
 	unsigned int home_from;
+	unsigned int home_to;
 };
 
 static unsigned int group_open(const struct pool *p, const struct group *g)
@@ -26,7 +31,7 @@
 	unsigned int n = 0;
 
 	for (unsigned int z = g->zone_from; z < g->zone_to; z++)
-		for (unsigned int h = g->home_from; h < 2; h++)
+		for (unsigned int h = g->home_from; h < g->home_to; h++)
 			n += p->set[z][h].open;
 	return n;
 }
@@ -35,7 +40,7 @@
 				 unsigned int i)
 {
 	for (unsigned int z = g->zone_from; z < g->zone_to; z++) {
-		for (unsigned int h = g->home_from; h < 2; h++) {
+		for (unsigned int h = g->home_from; h < g->home_to; h++) {
 			const struct upset *s = &p->set[z][h];
 
 			if (i < s->open)
@@ -46,23 +51,23 @@
 	return NULL;
 }
 
+/* Whether the policy uses reported load, and waits when that says full. */
+static bool by_report(const struct router *r)
+{
+	return r->opt.policy == ROUTER_POLICY_DEFAULT ||
+	       r->opt.policy == ROUTER_POLICY_REPORTED;
+}
+
 /* Requests at the upstream for each of its slots, as this process sees it. */
-static double score(const struct router *r, const struct upstream *u)
+static double score(const struct router *r, const struct upstream *u, int64_t now_us)
 {
+	double half = REPORT_HALF_LIFE * u->pool->mean_us;
 	double n = u->inflight;
 
-	switch (r->opt.policy) {
-	case ROUTER_POLICY_RANDOM:
+	if (r->opt.policy == ROUTER_POLICY_RANDOM)
 		return 0;
-	case ROUTER_POLICY_REPORTED:
-	case ROUTER_POLICY_HOME:
-		n += u->others;
-		break;
-	case ROUTER_POLICY_DEFAULT:
-	case ROUTER_POLICY_P2C:
-	case ROUTER_POLICY_SUBSET:
-		break;
-	}
+	if (by_report(r) && u->others && half > 0)
+		n += u->others * exp2((double)(u->seen_us - now_us) / half);
 	return n / u->slots;
 }
 
@@ -83,7 +88,7 @@
 /* Draws upstreams of the group and keeps the best in *best. */
 static void draw(struct router *r, const struct pool *p, const struct request *q,
 		 const struct group *g, unsigned int choices, double penalty,
-		 struct choice *best)
+		 int64_t now_us, struct choice *best)
 {
 	unsigned int n = group_open(p, g);
 
@@ -99,7 +104,10 @@
 		}
 		if (!u)
 			continue;
-		s = score(r, u) + penalty;
+		s = score(r, u, now_us);
+		if (by_report(r) && p->inflight && s * 100 >= r->opt.full_percent)
+			continue;
+		s += penalty;
 		if (!best->u || s < best->score)
 			*best = (struct choice){u, s};
 	}
@@ -124,24 +132,39 @@
 }
 
 /*
- * Picks the upstream for a request, NULL when it has to wait. The local
- * availability zone comes first; the others are compared before it is full.
+ * Picks the upstream for a request, NULL when it has to wait. Own upstreams come
+ * first, then those of other owners; within both the local availability zone
+ * first. A better score elsewhere outweighs the penalties before the first is full.
  */
 struct upstream *pick(struct router *r, struct pool *p, const struct request *q,
 		      int64_t now_us)
 {
+	enum router_policy policy = r->opt.policy;
 	unsigned int zones = p->team->zones;
-	unsigned int home = r->opt.policy == ROUTER_POLICY_SUBSET;
-	unsigned int choices = r->opt.policy == ROUTER_POLICY_RANDOM ? 1 : r->opt.choices;
-	const struct group local = {0, 1, home};
-	const struct group remote = {1, zones, home};
-	const struct group all = {0, zones, home};
+	bool subset = policy == ROUTER_POLICY_SUBSET;
+	unsigned int choices = r->opt.choices;
+	const struct group own_local = {0, 1, 1, 2};
+	const struct group own_remote = {1, zones, 1, 2};
+	const struct group local = {0, 1, 0, 1};
+	const struct group remote = {1, zones, 0, 1};
+	const struct group all = {0, zones, subset, 2};
 	struct choice best = {NULL, 0};
 
-	draw(r, p, q, &local, choices, 0, &best);
-	if (!best.u || best.score >= SPILL_FROM)
-		draw(r, p, q, &remote, choices, SPILL_PENALTY, &best);
-	if (!best.u)
+	if (policy == ROUTER_POLICY_RANDOM) {
+		draw(r, p, q, &all, 1, 0, now_us, &best);
+		return best.u ? best.u : any(p, q, &all);
+	}
+	if (policy == ROUTER_POLICY_DEFAULT || subset)
+		home_assign(r, p, now_us);
+	draw(r, p, q, &own_local, choices, 0, now_us, &best);
+	draw(r, p, q, &own_remote, choices, ZONE_PENALTY, now_us, &best);
+	if (!subset && (!best.u || best.score > OWNER_PENALTY)) {
+		draw(r, p, q, &local, choices, OWNER_PENALTY, now_us, &best);
+		draw(r, p, q, &remote, choices, OWNER_PENALTY + ZONE_PENALTY, now_us,
+		     &best);
+	}
+	/* With nothing in flight no answer would come that could show a free slot. */
+	if (!best.u && (!by_report(r) || !p->inflight))
 		best.u = any(p, q, &all);
 	if (best.u && best.u->zone != 0 && p->set[0][0].n + p->set[0][1].n > 0)
 		r->stats.spilled++;
--- a/core/router_queue.c
+++ b/core/router_queue.c
@@ -23,15 +23,17 @@
 	p->team->waiting[q->class]--;
 }
 
-/* Queues a request; a retry goes to the front, because it has waited before. */
-void queue_push(struct router *r, struct request *q, bool front)
+static struct request_queue *queue_of(struct request *q)
+{
+	return q->sends ? &q->pool->again : &q->pool->queue[q->class];
+}
+
+/* Queues a request; one that was sent before goes before all others. */
+void queue_push(struct router *r, struct request *q)
 {
 	struct pool *p = q->pool;
 
-	if (front)
-		TAILQ_INSERT_HEAD(&p->queue[q->class], q, link);
-	else
-		TAILQ_INSERT_TAIL(&p->queue[q->class], q, link);
+	TAILQ_INSERT_TAIL(queue_of(q), q, link);
 	q->state = REQUEST_QUEUED;
 	queue_wait_begin(q);
 	p->queued++;
@@ -42,22 +44,30 @@
 {
 	struct pool *p = q->pool;
 
-	TAILQ_REMOVE(&p->queue[q->class], q, link);
+	TAILQ_REMOVE(queue_of(q), q, link);
 	queue_wait_end(q);
 	p->queued--;
 	r->queued--;
 }
 
-/* The next request by weighted turns of the classes. p->queued is not 0. */
+/*
+ * The next request: one that was sent before while the retry budget lasts, then
+ * by weighted turns of the classes. NULL when there is none.
+ */
 static struct request *queue_next(struct pool *p)
 {
-	for (;;) {
-		for (unsigned int c = 0; c < ROUTER_CLASSES; c++)
+	unsigned int c;
+
+	if (!TAILQ_EMPTY(&p->again) && p->team->retry_tokens >= 1.0)
+		return TAILQ_FIRST(&p->again);
+	for (unsigned int turn = 0; turn < 2; turn++) {
+		for (c = 0; c < ROUTER_CLASSES; c++)
 			if (p->credit[c] && !TAILQ_EMPTY(&p->queue[c]))
 				return TAILQ_FIRST(&p->queue[c]);
-		for (unsigned int c = 0; c < ROUTER_CLASSES; c++)
+		for (c = 0; c < ROUTER_CLASSES; c++)
 			p->credit[c] = class_weight[c];
 	}
+	return NULL;
 }
 
 static void ring_remove(struct router *r, struct pool *p)
@@ -91,8 +101,9 @@
 /* Sends one request of the pool. False when it has none, or no upstream for it. */
 static bool serve(struct router *r, struct pool *p, int64_t now_us)
 {
-	while (p->queued) {
-		struct request *q = queue_next(p);
+	struct request *q;
+
+	while ((q = queue_next(p))) {
 		struct upstream *u;
 
 		if (limit_hopeless(p, 0, q->deadline_us, now_us)) {
@@ -103,8 +114,9 @@
 		u = pick(r, p, q, now_us);
 		if (!u)
 			return false;
-		p->credit[q->class]--;
 		queue_remove(r, q);
+		if (!q->sends)
+			p->credit[q->class]--;
 		request_send(r, q, u, now_us);
 		return true;
 	}
--- a/core/router_retry.c
+++ b/core/router_retry.c
@@ -3,6 +3,8 @@
 /* Retries that a team may make before it has had any success, and that it saves. */
 #define RETRY_START 10.0
 #define RETRY_MAX 100.0
+/* Cost of a retry after a refusal: the upstream has done no work for it. */
+#define REFUSED_COST 0.2
 
 void retry_start(struct team *t)
 {
@@ -17,23 +19,19 @@
 		t->retry_tokens = RETRY_MAX;
 }
 
-/*
- * Whether the request may be sent once more; takes it from the team's budget.
- * The caller has checked that it did not run or is idempotent.
- */
-bool retry_allowed(struct router *r, struct request *q)
+/* Whether the team may make one more retry now. */
+bool retry_allowed(struct router *r, const struct team *t)
 {
-	struct team *t = q->pool->team;
+	if (t->retry_tokens >= 1.0)
+		return true;
+	r->stats.retry_denied++;
+	return false;
+}
 
-	if (q->sends >= r->opt.max_attempts)
-		return false;
-	if (t->retry_tokens < 1.0) {
-		r->stats.retry_denied++;
-		return false;
-	}
-	t->retry_tokens -= 1.0;
-	r->stats.retried++;
-	return true;
+/* Takes one retry from the budget. */
+void retry_spend(struct team *t, bool refused)
+{
+	t->retry_tokens -= refused ? REFUSED_COST : 1.0;
 }
 
 /* True when the request was sent to the upstream lately. */
--- a/core/router_upstream.c
+++ b/core/router_upstream.c
@@ -97,6 +97,9 @@
 	p->team = t;
 	for (unsigned int c = 0; c < ROUTER_CLASSES; c++)
 		TAILQ_INIT(&p->queue[c]);
+	TAILQ_INIT(&p->again);
+	TAILQ_INIT(&p->members);
+	p->home_us = INT64_MIN / 2;
 	HASH_ADD_KEYPTR(hh, r->pools, p->key, p->key_len, p);
 	*out = p;
 	return 0;
@@ -211,6 +214,7 @@
 
 	if (usable != u->counted) {
 		u->counted = usable;
+		p->home_dirty = true;
 		p->usable += usable ? 1 : -1U;
 		p->fail_sum += usable ? (double)u->fail : -(double)u->fail;
 	}
@@ -234,12 +238,11 @@
  * Records a load that the upstream reported. What it has beyond the requests of
  * this process belongs to the other entry processes.
  */
-void upstream_load(struct upstream *u, int load, int64_t at_us)
+void upstream_load(struct upstream *u, int load, unsigned int own, int64_t at_us)
 {
 	if (load < 0 || at_us < u->seen_us)
 		return;
-	u->others =
-		(unsigned int)load > u->inflight ? (unsigned int)load - u->inflight : 0;
+	u->others = (unsigned int)load > own ? (unsigned int)load - own : 0;
 	u->seen_us = at_us;
 }
 
@@ -251,6 +254,7 @@
 	if (u->current)
 		HASH_DELETE(hh_name, r->names, u);
 	HASH_DELETE(hh, r->upstreams, u);
+	TAILQ_REMOVE(&u->pool->members, u, member);
 	free(u->text);
 	free(u);
 }
@@ -300,24 +304,6 @@
 	queue_dispatch(r, u->pool, now_us);
 }
 
-static unsigned int rank_of(const struct router *r, uint64_t id)
-{
-	uint64_t own = XXH3_64bits_withSeed(&id, sizeof(id), r->self);
-	unsigned int rank = 0;
-
-	for (size_t i = 0; i < r->n_entries; i++)
-		if (r->entries[i] != r->self &&
-		    XXH3_64bits_withSeed(&id, sizeof(id), r->entries[i]) > own)
-			rank++;
-	return rank;
-}
-
-static void set_home(struct router *r, struct upstream *u)
-{
-	/* A subset must not depend on the incarnation, or each restart moves it. */
-	u->home = rank_of(r, u->name_id) < r->home_ranks;
-}
-
 static void dispatch_all(struct router *r, int64_t now_us)
 {
 	struct pool *p;
@@ -332,6 +318,8 @@
 int router_entries(struct router *r, const struct str *names, size_t n, int64_t now_us)
 {
 	uint64_t *v = NULL;
+	struct pool *p;
+	struct pool *p_tmp;
 	struct upstream *u;
 	struct upstream *tmp;
 
@@ -345,8 +333,11 @@
 	free(r->entries);
 	r->entries = v;
 	r->n_entries = n;
+	HASH_ITER (hh, r->pools, p, p_tmp) {
+		p->home_dirty = true;
+	}
+	/* The bound of connections has changed. */
 	HASH_ITER (hh, r->upstreams, u, tmp) {
-		set_home(r, u);
 		upstream_update(r, u, now_us);
 	}
 	dispatch_all(r, now_us);
@@ -408,7 +399,6 @@
 	u->seen_us = INT64_MIN;
 	u->expires_us = INT64_MIN;
 	u->limit = (float)a->slots;
-	set_home(r, u);
 	if (old) {
 		/* The process behind it is gone; its requests end by broken connections.
 		 */
@@ -419,6 +409,7 @@
 			upstream_remove(r, old);
 	}
 	u->current = true;
+	TAILQ_INSERT_TAIL(&p->members, u, member);
 	HASH_ADD(hh, r->upstreams, id, sizeof(u->id), u);
 	HASH_ADD(hh_name, r->names, name_id, sizeof(u->name_id), u);
 	*out = u;
@@ -434,7 +425,7 @@
 	u->sequence = sequence;
 	if (at + r->opt.expiry_us > u->expires_us)
 		u->expires_us = at + r->opt.expiry_us;
-	upstream_load(u, load, at);
+	upstream_load(u, load, u->inflight, at);
 	/* An earlier timer only finds that it is early, so most renewals move none. */
 	if (!u->expiry.slot || u->expiry.at_us > u->expires_us)
 		timers_set(&r->timers, &u->expiry, u->expires_us);
