Cheaper polls and placements; expected interference before it is measured

Cause: at 1,900 workers the scheduler took 0.0604 of a core; the hash look-up of each reported task was 22 % of it, and 480 workers were scored for each start. Ruled out: longer polls, which delay urgent work. Change: reported tasks are searched among the worker's own; candidates are shared by the zones; effects of started tasks count until they are measured.

--- a/core/sched_control.c
+++ b/core/sched_control.c
@@ -5,10 +5,11 @@
  * batch kind on that worker and then waits for measurements made after the change;
  * acting on older ones would throttle too much and then give back too much.
  */
-#define LEVEL_HIGH 1.0	 /* part of the target above which the controller acts */
-#define LEVEL_LOW 0.8	 /* and below which it gives back */
-#define LEVEL_GAIN 0.3	 /* weight of a new measurement in the level of a worker */
-#define SETTLE_US 500000 /* for an order to reach the worker and to have an effect */
+#define LEVEL_HIGH 1.0	  /* part of the target above which the controller acts */
+#define LEVEL_LOW 0.8	  /* and below which it gives back */
+#define LEVEL_GAIN 0.3	  /* weight of a new measurement in the level of a worker */
+#define EXPECTED_FADE 0.1 /* of the expected change, with each measurement */
+#define SETTLE_US 500000  /* for an order to reach the worker and to have an effect */
 #define HIGH_SAMPLES 3
 #define LOW_SAMPLES 6
 #define HOLD_MIN_US 10000000LL /* after a reaction, before anything is given back */
@@ -25,21 +26,6 @@
 	return t->key.job->opt.class == SCHED_BATCH && t->phase == P_RUNNING && !t->stop;
 }
 
-/* Latency that one task causes to all executors beside it, as parts of targets. */
-static double effect(const struct worker *w, const struct task *t)
-{
-	const struct task *o;
-	double sum = 0;
-
-	TAILQ_FOREACH (o, &w->tasks, worker_entry) {
-		if (o->key.job->opt.class != SCHED_LATENCY)
-			break;
-		if (o->key.job->opt.latency_us)
-			sum += interfere_slope(o->key.job, t->key.job->kind);
-	}
-	return sum * interfere_use(t);
-}
-
 /* The kind with the largest effect, and its task with the largest one. */
 static struct task *likeliest_cause(const struct worker *w)
 {
@@ -55,12 +41,12 @@
 			continue;
 		TAILQ_FOREACH (o, &w->tasks, worker_entry)
 			if (is_target(o) && o->key.job->kind == t->key.job->kind)
-				sum += effect(w, o);
+				sum += interfere_effect(w, o);
 		if (sum < MIN_EFFECT)
 			continue;
 		if (!best || sum > best_kind ||
 		    (best->key.job->kind == t->key.job->kind &&
-		     effect(w, t) > effect(w, best))) {
+		     interfere_effect(w, t) > interfere_effect(w, best))) {
 			best = t;
 			best_kind = sum;
 		}
@@ -122,12 +108,12 @@
 
 	TAILQ_FOREACH (t, &w->tasks, worker_entry)
 		if (is_target(t) && t->percent < 100 &&
-		    (!best || effect(w, t) < effect(w, best)))
+		    (!best || interfere_effect(w, t) < interfere_effect(w, best)))
 			best = t;
 	if (!best)
 		return;
 	/* Doubling one kind adds at most its present effect. */
-	if (w->level + effect(w, best) > LEVEL_HIGH)
+	if (w->level + interfere_effect(w, best) > LEVEL_HIGH)
 		return;
 	percent = best->percent * 2 < 100 ? best->percent * 2 : 100;
 	TAILQ_FOREACH (t, &w->tasks, worker_entry)
@@ -146,6 +132,8 @@
 	if (worst <= 0 || s->opt.first_fit)
 		return;
 	w->level += LEVEL_GAIN * (worst - w->level);
+	/* What was expected is measured by and by. */
+	w->expected *= 1 - EXPECTED_FADE;
 	if (now_us - lag_us < w->changed_us + SETTLE_US) {
 		w->nlevels = 0;
 		w->level_sum = 0;
--- a/core/sched_fit.c
+++ b/core/sched_fit.c
@@ -8,6 +8,7 @@
 	struct worker *worker;
 	double cost;
 	unsigned int seen;
+	unsigned int limit;
 };
 
 static bool failed_here(const struct task *t, const struct worker *w)
@@ -103,7 +104,7 @@
 				best->worker = w;
 				best->cost = c;
 			}
-			if (++best->seen >= CANDIDATES)
+			if (++best->seen >= best->limit)
 				return;
 		}
 	}
@@ -117,7 +118,7 @@
 	uint64_t visited = 0;
 
 	for (unsigned int n = 0; n < s->nzones; n++) {
-		struct choice best = {0};
+		struct choice best = {.limit = CANDIDATES};
 		struct zone *z = NULL;
 
 		for (unsigned int i = 0; i < s->nzones; i++) {
@@ -144,6 +145,10 @@
 	const struct job *j = t->key.job;
 	struct choice best = {0};
 
+	if (s->nzones)
+		best.limit = CANDIDATES / s->nzones;
+	if (best.limit < ZONE_CANDIDATES)
+		best.limit = ZONE_CANDIDATES;
 	for (unsigned int n = 0; n < s->nzones; n++) {
 		struct zone *z = s->zone_by_index[(s->turn + n) % s->nzones];
 
--- a/core/sched_impl.h
+++ b/core/sched_impl.h
@@ -32,7 +32,8 @@
 #define STEP_PROPOSALS 512
 #define STEP_PLACEMENTS 64
 #define STEP_JOBS 128	    /* jobs tried in one step */
-#define CANDIDATES 48	    /* workers scored for one placement */
+#define CANDIDATES 96	    /* workers scored for one placement, shared by the zones */
+#define ZONE_CANDIDATES 8   /* of each zone at least */
 #define IDLE_US 500000	    /* between steps while tasks wait */
 #define BUSY_POLL_US 100000 /* poll period of a worker with orders under way */
 
@@ -271,8 +272,10 @@
 	struct task_queue tasks; /* executors first */
 	struct ended ended[ENDED_TASKS];
 	unsigned int nended;
-	double level;	  /* smoothed worst latency, as a part of the target */
-	double level_sum; /* of measurements since the last change */
+	struct task *found; /* where the search for the next reported task begins */
+	double level;	    /* smoothed worst latency, as a part of the target */
+	double expected;    /* change of the level that is not measured yet */
+	double level_sum;   /* of measurements since the last change */
 	unsigned int nlevels;
 	int64_t reacted_us;
 	int64_t gave_back_us;
@@ -428,6 +431,7 @@
 double interfere_report(struct sched *s, struct worker *w,
 			const struct sched_worker_report *r, int64_t now_us);
 double interfere_slope(const struct job *service, const struct kind *kind);
+double interfere_effect(const struct worker *w, const struct task *t);
 double interfere_use(const struct task *t);
 void interfere_ended(const struct task *t, int64_t now_us);
 void pairs_free(struct sched *s, struct job *service);
--- a/core/sched_interfere.c
+++ b/core/sched_interfere.c
@@ -97,10 +97,34 @@
 	return expected_use(t, t->worker) * t->percent / 100;
 }
 
+/*
+ * Latency that a batch task causes to the executors beside it, as the mean part of
+ * their targets.
+ */
+double interfere_effect(const struct worker *w, const struct task *t)
+{
+	const struct task *o;
+	unsigned int n = 0;
+	double sum = 0;
+
+	if (t->key.job->opt.class == SCHED_LATENCY)
+		return 0;
+	/* Executors are first in the list. */
+	TAILQ_FOREACH (o, &w->tasks, worker_entry) {
+		if (o->key.job->opt.class != SCHED_LATENCY)
+			break;
+		if (!o->key.job->opt.latency_us)
+			continue;
+		sum += interfere_slope(o->key.job, t->key.job->kind);
+		n++;
+	}
+	return n ? sum * interfere_use(t) / n : 0;
+}
+
 static double pair_cost(const struct job *service, const struct task *t,
 			const struct worker *w)
 {
-	double level = w->level - COMFORT;
+	double level = w->level + w->expected - COMFORT;
 	double pressure = 1 + (level > 0 ? PRESSURE * level : 0);
 
 	return interfere_slope(service, t->key.job->kind) * expected_use(t, w) * pressure;
--- a/core/sched_poll.c
+++ b/core/sched_poll.c
@@ -101,12 +101,44 @@
 	}
 }
 
+static bool is_named(const struct task *t, const struct sched_task_report *r)
+{
+	return t->key.number == r->task && t->attempt == r->attempt &&
+	       str_eq(job_name(t->key.job), r->job) &&
+	       str_eq(team_name(t->key.job->team), r->team);
+}
+
+/*
+ * Finds the task of a line. Nearly always it is one of the worker's few tasks, which
+ * are near in memory; the search goes on where the last line was found.
+ */
+static struct task *find_line(struct sched *s, struct worker *w,
+			      const struct sched_task_report *r)
+{
+	struct task *from = w->found ? w->found : TAILQ_FIRST(&w->tasks);
+	struct task *t = from;
+	struct job *j;
+
+	while (t) {
+		if (is_named(t, r)) {
+			w->found = TAILQ_NEXT(t, worker_entry);
+			return t;
+		}
+		t = TAILQ_NEXT(t, worker_entry);
+		if (!t)
+			t = TAILQ_FIRST(&w->tasks);
+		if (t == from)
+			break;
+	}
+	j = job_find(s, r->team, r->job);
+	return j ? task_find(s, j, r->task) : NULL;
+}
+
 /* Takes one line of a report. */
 static void take_task(struct sched *s, struct worker *w,
 		      const struct sched_task_report *r, int64_t now_us)
 {
-	struct job *j = job_find(s, r->team, r->job);
-	struct task *t = j ? task_find(s, j, r->task) : NULL;
+	struct task *t = find_line(s, w, r);
 
 	if (!t || t->worker != w || t->attempt != r->attempt || t->phase == P_INTENT) {
 		if (!has_ended(r->status)) {
@@ -303,6 +335,7 @@
 	quarantine_poll(s, w, now_us);
 	w->ghost = (struct sched_size){0};
 	s->poll_mark++;
+	w->found = NULL;
 	for (size_t i = 0; i < r->ntasks; i++)
 		take_task(s, w, &r->tasks[i], now_us);
 	take_absents(s, w, r, now_us);
--- a/core/sched_task.c
+++ b/core/sched_task.c
@@ -133,6 +133,7 @@
 	else
 		TAILQ_INSERT_TAIL(&w->tasks, t, worker_entry);
 	w->ntasks++;
+	w->expected += interfere_effect(w, t);
 	j->bound++;
 	s->stats.tasks_bound++;
 	task_count(t);
@@ -159,12 +160,15 @@
 
 	if (!w)
 		return;
+	w->expected -= interfere_effect(w, t);
 	if (t->phase == P_RUNNING)
 		interfere_ended(t, now_us);
 	task_set_live(t, false);
 	task_set_reclaim(t, false);
 	size_sub(&w->used, j->opt.size);
 	size_sub(&j->team->used, j->opt.size);
+	if (w->found == t)
+		w->found = TAILQ_NEXT(t, worker_entry);
 	TAILQ_REMOVE(&w->tasks, t, worker_entry);
 	w->ntasks--;
 	j->bound--;
