--- a/regress/lib_model.c
+++ b/regress/lib_model.c
@@ -407,8 +407,8 @@
 	for (size_t i = 0; i < m->nclaims; i++) {
 		struct model_claim *c = &m->claims[i];
 
-		if (c->forgotten || c->state != CLAIM_OPEN || strcmp(c->entry, name) ||
-		    c->incarnation >= incarnation)
+		if (c->forgotten || c->state != CLAIM_OPEN ||
+		    strcmp(c->entry, name) != 0 || c->incarnation >= incarnation)
 			continue;
 		c->state = CLAIM_UNKNOWN;
 		c->time_us = m->time_us;
--- a/regress/test_claim.c
+++ b/regress/test_claim.c
@@ -108,6 +108,8 @@
 	ck_assert_int_eq(rig_entry(&rig, "e1", 2), 0); /* restarted */
 	ck_assert_int_eq(rig_claim(&rig, &retry), CF_EUNKNOWN);
 	ck_assert_int_eq(rig_claim(&rig, &b), CF_ENOENT); /* of the ended incarnation */
+	a.incarnation = 2; /* numbers its requests from the start again */
+	ck_assert_int_eq(rig_claim_done(&rig, &a, 200, STR("of another")), CF_ESTALE);
 	b.incarnation = 2;
 	ck_assert_int_eq(rig_claim(&rig, &b), 0);
 	XDR_SET(gone.id, name, STR("e1"));
@@ -232,6 +234,27 @@
 }
 END_TEST
 
+/*
+ * Guards against a team that counts against the bound on teams at one replica only,
+ * because it has nothing that a snapshot carries.
+ */
+START_TEST(team_without_claims_is_forgotten)
+{
+	struct lib_claim a = claim("a", 1);
+	struct lib_claim b = claim("b", 2);
+
+	rig.options.claim.teams = 1;
+	rig_reopen(&rig);
+	rig.index = 0;
+	ck_assert_int_eq(rig_entry(&rig, "e1", 1), 0);
+	ck_assert_int_eq(rig_claim(&rig, &a), 0);
+	b.team = "pinecrest";
+	ck_assert_int_eq(rig_claim(&rig, &b), CF_ENOSPACE);
+	ck_assert_int_eq(rig_claim_end(&rig, &a, CMD_CLAIM_ABORT), 0);
+	ck_assert_int_eq(rig_claim(&rig, &b), 0);
+}
+END_TEST
+
 /* Guards against outcomes above the bound, and against dropping the present claim. */
 START_TEST(outcome_bytes_are_bounded)
 {
@@ -275,6 +298,7 @@
 	tcase_add_test(tc, open_claim_becomes_unknown);
 	tcase_add_test(tc, expired_key_is_refused_until_forgotten);
 	tcase_add_test(tc, bounds_are_per_team);
+	tcase_add_test(tc, team_without_claims_is_forgotten);
 	tcase_add_test(tc, outcome_bytes_are_bounded);
 	suite_add_tcase(s, tc);
 	srunner_run_all(sr, CK_NORMAL);
--- a/regress/test_conf.c
+++ b/regress/test_conf.c
@@ -153,6 +153,34 @@
 }
 END_TEST
 
+/* Guards against fields from another process that are cut, unsorted or repeated. */
+START_TEST(read_copy_checks_fields)
+{
+	/* One field "b" with the value "x". */
+	static const char good[] = "\0\0\0\1\0\0\0\1b\0\0\0\0\0\0\1x\0\0\0";
+	char two[2 * sizeof(good)];
+	struct conf_change c = zone_change(1, "text", false);
+	struct conf_view *v;
+	size_t n = sizeof(good) - 1;
+
+	ck_assert_int_eq(conf_view_new(&rig.options.conf.view, &v), 0);
+	for (size_t i = 1; i < n; i++) {
+		c.fields = (struct str){good, i};
+		ck_assert_int_eq(conf_view_advance(v, 0, 1, &c, 1), CF_EMALFORMED);
+	}
+	memcpy(two, good, n);
+	memcpy(two + n, good + 4, n - 4);
+	two[3] = 2;
+	c.fields = (struct str){two, 2 * n - 4};
+	ck_assert_int_eq(conf_view_advance(v, 0, 1, &c, 1), CF_EMALFORMED);
+	two[n + 4] = 'a';
+	ck_assert_int_eq(conf_view_advance(v, 0, 1, &c, 1), CF_EMALFORMED);
+	two[n + 4] = 'c';
+	ck_assert_int_eq(conf_view_advance(v, 0, 1, &c, 1), 0);
+	conf_view_free(v);
+}
+END_TEST
+
 /* Guards against an observer that is not told about cut history or a deletion. */
 START_TEST(changes_after_a_revision)
 {
@@ -270,6 +298,7 @@
 	tcase_add_test(tc, resend_after_lost_answer);
 	tcase_add_test(tc, resend_after_restore);
 	tcase_add_test(tc, read_copy_never_goes_back);
+	tcase_add_test(tc, read_copy_checks_fields);
 	tcase_add_test(tc, changes_after_a_revision);
 	tcase_add_test(tc, bounds_are_per_team);
 	tcase_add_test(tc, results_are_bounded_per_team);
--- a/regress/test_store.c
+++ b/regress/test_store.c
@@ -38,7 +38,6 @@
 	struct conf_view *copy;
 	struct reply_copy replies[REPLIES];
 	uint64_t next_id;
-	uint64_t sequence;
 };
 
 static uint64_t pick(struct history *h, uint64_t n)
@@ -222,7 +221,8 @@
 	static const char *const workers[] = {"w0", "w1"};
 	const char *team = model_teams[pick(h, MODEL_TEAMS)];
 	bool service = pick(h, 3) == 0;
-	enum task_state to = (enum task_state)pick(h, TASK_EVICTED + 1);
+	enum task_state to =
+		(enum task_state)(pick(h, 3) ? pick(h, TASK_EVICTED + 1) : TASK_FAILED);
 	struct lib_task t = {.team = team, .service = service};
 	struct model_job *job;
 	char name[8];
@@ -271,7 +271,7 @@
 	snprintf(in.entry, sizeof(in.entry), "e%d", entry);
 	snprintf(in.body, sizeof(in.body), "body %lu", pick(h, 1000));
 	in.incarnation = h->model->entries[entry].incarnation - (pick(h, 10) == 0);
-	in.sequence = ++h->sequence;
+	in.sequence = pick(h, 20); /* also the number of another request */
 	known = model_claim(h->model, in.key);
 	if (known && pick(h, 3)) {
 		memcpy(in.entry, known->entry, sizeof(in.entry));
@@ -399,9 +399,15 @@
 {
 	struct reply_copy *r = &h->replies[pick(h, REPLIES)];
 	struct conf_change *changes = calloc(r->n + 1, sizeof(*changes));
-	uint64_t before = conf_view_index(h->copy);
+	uint64_t before;
 	int err;
 
+	/* The entry process restarts now and then. */
+	if (pick(h, 25) == 0) {
+		conf_view_free(h->copy);
+		ck_assert_int_eq(conf_view_new(&h->main.options.conf.view, &h->copy), 0);
+	}
+	before = conf_view_index(h->copy);
 	for (size_t i = 0; i < r->n; i++)
 		changes[i] = (struct conf_change){
 			conf_doc_path(r->docs[i]), r->docs[i]->revision,
@@ -411,7 +417,10 @@
 		err = conf_view_replace(h->copy, r->index, changes, r->n);
 	else
 		err = conf_view_advance(h->copy, r->after, r->index, changes, r->n);
-	ck_assert_int_eq(err, r->index < before ? CF_ESTALE : 0);
+	/* CF_EINVAL: the reply starts from what the copy knew before the restart. */
+	ck_assert_int_eq(err, r->index < before			  ? CF_ESTALE
+			      : !r->complete && r->after > before ? CF_EINVAL
+								  : 0);
 	free(changes);
 	if (!err)
 		check_copy(h, before);
@@ -564,7 +573,7 @@
 	ck_assert_int_eq(rig_entry(r, "e1", 1), 0);
 	ck_assert_int_eq(rig_claim(r, &c), 0);
 	ck_assert_int_eq(rig_claim_done(r, &c, 200, STR("ok")), 0);
-	r->now_us += 2 * 3600 * 1000000ULL;
+	r->now_us += 2ULL * 3600 * 1000000;
 	c.key = "k2";
 	ck_assert_int_eq(rig_claim(r, &c), 0);
 	XDR_SET(m, name, STR("s1"));
