--- a/Makefile
+++ b/Makefile
@@ -55,7 +55,10 @@
 
 $(BUILD)/bin/bench_%: $(BUILD)/bench/bench_%.o $(BENCH_LIB) $(LIB)
 	@mkdir -p $(@D)
-	@echo '  LINK $@'; $(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
+	@echo '  LINK $@'; $(CC) $(LDFLAGS) -o $@ $(filter %.o,$^) $(LIB) $(LDLIBS)
+
+# It measures in the virtual time of the tests.
+$(BUILD)/bin/bench_replica: $(BUILD)/regress/lib_cluster.o
 
 $(BUILD)/bin/%: $(BUILD)/standins/%.o $(LIB)
 	@mkdir -p $(@D)
--- a/regress/lib_cluster.c
+++ b/regress/lib_cluster.c
@@ -229,11 +229,18 @@
 		c->messages++;
 		c->bytes += e.bytes.n;
 		c->bytes_to[to] += e.bytes.n;
+		c->bytes_from[n->id] += e.bytes.n;
 		if (c->cut[n->id][to] || chance(c, c->drop)) {
 			buf_free(&e.bytes);
 			continue;
 		}
 		e.at = c->now + between(c, c->latency_min, c->latency_max);
+		if (c->bytes_per_ms) {
+			if (c->link_free[to] < c->now)
+				c->link_free[to] = c->now;
+			c->link_free[to] += (int64_t)(e.bytes.n * 1000 / c->bytes_per_ms);
+			e.at += c->link_free[to] - c->now;
+		}
 		if (chance(c, c->slow))
 			e.at += between(c, 0, 900000);
 		event_push(c, e);
@@ -402,7 +409,8 @@
 	int err = buf_add(out, &n->chain, sizeof(n->chain));
 
 	/* Filler, so that a snapshot takes several chunks. */
-	for (int i = 0; !err && i < 40; i++)
+	for (size_t i = 0; !err && i < (n->c->state_bytes ? n->c->state_bytes : 640) / 16;
+	     i++)
 		err = buf_add(out, "0123456789abcdef", 16);
 	return err;
 }
--- a/regress/lib_cluster.h
+++ b/regress/lib_cluster.h
@@ -69,7 +69,10 @@
 	int64_t latency_min, latency_max, sync_min, sync_max;
 	bool cut[CLUSTER_MAX + 1][CLUSTER_MAX + 1];
 	uint64_t bytes, messages;
-	uint64_t bytes_to[CLUSTER_MAX + 1];
+	uint64_t bytes_to[CLUSTER_MAX + 1], bytes_from[CLUSTER_MAX + 1];
+	uint64_t bytes_per_ms; /* of the link into a node, 0: no limit */
+	int64_t link_free[CLUSTER_MAX + 1];
+	size_t state_bytes; /* size of a snapshot's state, default 640 */
 
 	/* Reference. */
 	struct ref_entry *ref;
--- a/regress/test_replica.c
+++ b/regress/test_replica.c
@@ -1,4 +1,5 @@
 #include <check.h>
+#include <inttypes.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -689,6 +690,7 @@
 		lagging = b ? &c.node[i] : lagging;
 		b = b ? b : &c.node[i];
 	}
+	ck_assert_ptr_ne(lagging, NULL);
 	cluster_isolate(&c, lagging->id, true);
 	commit_entries(&c, 20);
 	before = c.n_ref;
@@ -837,9 +839,8 @@
 	for (uint64_t i = 0; i < count; i++) {
 		c.trace = trace;
 		if (!random_run(&c, seed + i)) {
-			printf("seed %llu: %s (at %lld us)\n",
-			       (unsigned long long)(seed + i), c.failure,
-			       (long long)c.now);
+			printf("seed %" PRIu64 ": %s (at %" PRId64 " us)\n", seed + i,
+			       c.failure, c.now);
 			if (trace)
 				print_nodes(&c);
 			fflush(stdout);
@@ -847,7 +848,7 @@
 		}
 		cluster_stop(&c);
 	}
-	printf("%llu seeds, %d failed\n", (unsigned long long)count, failed);
+	printf("%" PRIu64 " seeds, %d failed\n", count, failed);
 	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
 }
 
