regress: window bound, growth from one voter, log operations under any failure

Cause: the window of a follower, a first start with one voter and the failure of any single system call of the log were untested. Change: three tests.

--- a/regress/test_replica.c
+++ b/regress/test_replica.c
@@ -256,8 +256,10 @@
 	uint64_t epoch_asked;
 	struct replica_msg last; /* newest message sent; its pointers are stale */
 	uint64_t applied;
-	char order[16]; /* initials of disk operations */
+	size_t appended; /* bytes of entries sent to replica 2 */
+	char order[16];	 /* initials of disk operations */
 	size_t n_order;
+	size_t window_bytes;
 };
 
 static int lone_note(struct replica_host *h, char op)
@@ -274,6 +276,8 @@
 	struct lone *l = (struct lone *)h;
 
 	l->last = *m;
+	for (size_t i = 0; to == 2 && i < m->n_entries; i++)
+		l->appended += m->entries[i].data.n;
 	if (m->kind == REPLICA_MSG_PREVOTE || m->kind == REPLICA_MSG_VOTE)
 		l->epoch_asked = m->epoch;
 }
@@ -403,6 +407,7 @@
 		.id = 1,
 		.seed = 1,
 		.promise = {.epoch = 3, .identity = 101},
+		.window_bytes = l->window_bytes,
 		.entries = e,
 		.n_entries = 2,
 	};
@@ -582,6 +587,33 @@
 }
 END_TEST
 
+/* Guards against a slow follower that is sent more than its window. */
+START_TEST(window_is_bounded)
+{
+	static const char value[1000];
+	struct lone l = {.window_bytes = 4096};
+	int64_t now = SECOND;
+	uint64_t index;
+
+	lone_start(&l, now);
+	lone_elect(&l, &now);
+	replica_synced(l.r, l.token, now);
+	lone_ack(&l, 3, now);
+	for (int i = 0; i < 20; i++)
+		ck_assert_int_eq(replica_propose(l.r, (struct str){value, sizeof(value)},
+						 now, &index),
+				 0);
+	for (int i = 0; i < 5; i++)
+		replica_synced(l.r, l.token, now);
+	ck_assert_uint_gt(l.appended, 2000);
+	ck_assert_uint_le(l.appended, 4096);
+	lone_ack(&l, 5, now);
+	ck_assert_uint_gt(l.appended, 4096);
+	ck_assert_uint_le(l.appended, 4096 + 2000);
+	replica_free(l.r);
+}
+END_TEST
+
 /*
  * Guards against conflicting entries that look like the tail of an installed snapshot
  * after a crash: they are removed before the snapshot is saved.
@@ -807,6 +839,24 @@
 }
 END_TEST
 
+/* Guards against a first start that needs identities known in advance. */
+START_TEST(cluster_grows_from_one)
+{
+	static struct cluster c;
+	size_t voters = 0;
+
+	c.opt.auto_admit = true;
+	cluster_start(&c, 19, 1, 2);
+	ck_run(&c, cluster_run_to_leader(&c, 10 * SECOND));
+	cluster_run(&c, 5 * SECOND);
+	ck_run(&c, cluster_settle(&c, 10 * SECOND));
+	for (size_t i = 0; i < c.ref_members.n; i++)
+		voters += c.ref_members.list[i].voter;
+	ck_assert_uint_eq(voters, 3);
+	cluster_stop(&c);
+}
+END_TEST
+
 static void print_nodes(const struct cluster *c)
 {
 	for (size_t i = 1; i <= c->n; i++) {
@@ -877,6 +927,8 @@
 	tcase_add_test(tc, lease_allows_for_drift);
 	tcase_add_test(tc, no_vote_during_lease);
 	tcase_add_test(tc, snapshot_install_order);
+	tcase_add_test(tc, window_is_bounded);
+	tcase_add_test(tc, cluster_grows_from_one);
 	tcase_add_loop_test(tc, regressions, 0, REGRESSION_SEEDS);
 	tcase_add_loop_test(tc, random_faults, 0, CHECK_SEEDS);
 	suite_add_tcase(s, tc);
--- a/regress/test_wal.c
+++ b/regress/test_wal.c
@@ -62,7 +62,7 @@
 
 static int faulty_ftruncate(struct fileops *f, int fd, off_t size)
 {
-	return faulty_hits(f, FAULT_NONE) ? -1 : ftruncate(fd, size);
+	return faulty_hits(f, FAULT_ANY) ? -1 : ftruncate(fd, size);
 }
 
 static int faulty_rename(struct fileops *f, const char *from, const char *to)
@@ -72,7 +72,7 @@
 
 static int faulty_unlink(struct fileops *f, const char *path)
 {
-	return unlink(path);
+	return faulty_hits(f, FAULT_ANY) ? -1 : unlink(path);
 }
 
 static int faulty_close(struct fileops *f, int fd)
@@ -396,6 +396,72 @@
 }
 END_TEST
 
+/*
+ * Guards against loss or return of records when any system call of any operation
+ * fails: after reopening, the log holds everything that was synced and not removed.
+ */
+START_TEST(any_operation_may_fail)
+{
+	for (int step = 0; step < 60; step++) {
+		struct prng r = {.state = (uint64_t)_i * 1000 + (uint64_t)step};
+		struct faulty f = faulty_files();
+		uint64_t synced = 0, next = 1, base = 0;
+		struct seen s;
+		struct wal *w;
+		int err = 0;
+
+		setup();
+		ck_assert_int_eq(reopen(&w, 0, 200, &s, &f.ops), 0);
+		f.kind = FAULT_ANY;
+		f.countdown = step;
+		for (int op = 0; op < 200 && !err; op++) {
+			uint64_t at = synced > base
+					      ? base + 1 + prng_below(&r, synced - base)
+					      : 0;
+			char data[64];
+			struct wal_record rec = record(next, 1, data);
+
+			switch (prng_below(&r, 12)) {
+			case 0:
+				if (!at)
+					break;
+				err = wal_truncate(w, at);
+				synced = at - 1;
+				if (!err)
+					next = at;
+				break;
+			case 1:
+				/* The snapshot is saved before the log is compacted. */
+				if (at) {
+					base = at;
+					err = wal_compact(w, at);
+				}
+				break;
+			case 2:
+			case 3:
+			case 4:
+				if (!(err = wal_sync(w)))
+					synced = next - 1;
+				break;
+			default:
+				if (!(err = wal_append(w, &rec, 1)))
+					next++;
+				break;
+			}
+		}
+		wal_close(w);
+		ck_assert_int_eq(reopen(&w, base, 200, &s, NULL), 0);
+		ck_assert_uint_ge(wal_last(w), synced > base ? synced : base);
+		ck_assert_uint_le(wal_last(w), next);
+		if (s.first)
+			ck_assert_uint_eq(s.first, base + 1);
+		wal_close(w);
+		teardown();
+	}
+	setup();
+}
+END_TEST
+
 /* Guards against a mix or loss of snapshots when saving is cut short at any step. */
 START_TEST(snapshot_is_old_or_new)
 {
@@ -487,6 +553,7 @@
 	tcase_add_test(tc, truncate_is_kept);
 	tcase_add_test(tc, compact_keeps_the_tail);
 	tcase_add_loop_test(tc, failure_is_final, 0, 3);
+	tcase_add_loop_test(tc, any_operation_may_fail, 0, 20);
 	tcase_add_test(tc, snapshot_is_old_or_new);
 	tcase_add_test(tc, damaged_whole_files_are_refused);
 	suite_add_tcase(s, tc);
