Learn interference from throttle steps; more fault tests; bounded failures

Cause: a second oscillation case (half a throttle too little, a whole one too much) gave 126 throttle changes in two minutes: base and slope cannot be told apart at a constant use, and throttled uses were taken for needs. Ruled out: a longer hold only; it hides the wrong slope. Change: the result of each throttle step corrects the slope, repeated measurements count less, only unthrottled uses are learned; failures are bounded in total. New tests: crashes, quota, silent workers, returned zone, slack with learned run times; stops take time in the test world.

--- a/core/sched.h
+++ b/core/sched.h
@@ -81,7 +81,7 @@
 	uint64_t session;  /* session of the worker */
 	int32_t exit_code;
 	uint64_t checkpoint; /* marker of the last checkpoint, 0: none */
-	uint32_t failures;   /* attempts that failed on workers not found bad */
+	uint32_t failures;   /* attempts that failed by themselves */
 	enum sched_reason reason;
 };
 
--- a/core/sched_control.c
+++ b/core/sched_control.c
@@ -18,6 +18,7 @@
 #define REGRET_US 30000000LL
 /* Batch work that explains less of the latency than this is left alone. */
 #define MIN_EFFECT 0.05
+#define MIN_PROBE 0.02 /* change of use that is worth learning from */
 #define PERCENT_MIN 25
 #define CHECKPOINT_WAIT_US 3000000LL
 
@@ -26,6 +27,62 @@
 	return t->key.job->opt.class == SCHED_BATCH && t->phase == P_RUNNING && !t->stop;
 }
 
+static double kind_effect(const struct worker *w, const struct kind *kind)
+{
+	const struct task *t;
+	double sum = 0;
+
+	TAILQ_FOREACH (t, &w->tasks, worker_entry)
+		if (is_target(t) && t->key.job->kind == kind)
+			sum += interfere_effect(w, t);
+	return sum;
+}
+
+static double kind_use(const struct worker *w, const struct kind *kind)
+{
+	const struct task *t;
+	double sum = 0;
+
+	TAILQ_FOREACH (t, &w->tasks, worker_entry)
+		if (is_target(t) && t->key.job->kind == kind)
+			sum += interfere_use(t);
+	return sum;
+}
+
+/* Throttles a kind on the worker, and remembers what was measured before. */
+static void set_percent(struct sched *s, struct worker *w, struct kind *kind,
+			uint8_t percent, double mean, int64_t now_us)
+{
+	struct task *t;
+
+	w->probe = kind;
+	w->probe_use = kind_use(w, kind);
+	w->probe_mean = mean;
+	w->probe_us = now_us;
+	w->changed_us = now_us;
+	TAILQ_FOREACH (t, &w->tasks, worker_entry) {
+		if (!is_target(t) || t->key.job->kind != kind || t->percent == percent)
+			continue;
+		t->percent = percent;
+		t->throttled_us = now_us;
+		t->throttle_polls = THROTTLE_REPEATS;
+		s->stats.throttles++;
+	}
+}
+
+/* Learns from the last throttle when nothing else changed since. */
+static void take_probe(struct sched *s, struct worker *w, double mean, int64_t now_us)
+{
+	double du;
+
+	if (!w->probe)
+		return;
+	du = kind_use(w, w->probe) - w->probe_use;
+	if (w->changed_us == w->probe_us && (du > MIN_PROBE || du < -MIN_PROBE))
+		interfere_probe(s, w, w->probe, du, mean - w->probe_mean, now_us);
+	w->probe = NULL;
+}
+
 /* The kind with the largest effect, and its task with the largest one. */
 static struct task *likeliest_cause(const struct worker *w)
 {
@@ -34,14 +91,11 @@
 	struct task *t;
 
 	TAILQ_FOREACH (t, &w->tasks, worker_entry) {
-		double sum = 0;
-		const struct task *o;
+		double sum;
 
 		if (!is_target(t))
 			continue;
-		TAILQ_FOREACH (o, &w->tasks, worker_entry)
-			if (is_target(o) && o->key.job->kind == t->key.job->kind)
-				sum += interfere_effect(w, o);
+		sum = kind_effect(w, t->key.job->kind);
 		if (sum < MIN_EFFECT)
 			continue;
 		if (!best || sum > best_kind ||
@@ -54,19 +108,9 @@
 	return best;
 }
 
-static void set_percent(struct sched *s, struct task *t, uint8_t percent)
-{
-	if (t->percent == percent)
-		return;
-	t->percent = percent;
-	t->throttle_polls = THROTTLE_REPEATS;
-	s->stats.throttles++;
-}
-
-static void react(struct sched *s, struct worker *w, int64_t now_us)
+static void react(struct sched *s, struct worker *w, double mean, int64_t now_us)
 {
 	struct task *cause = likeliest_cause(w);
-	struct task *t;
 
 	if (!cause)
 		return;
@@ -79,11 +123,7 @@
 	if (w->hold_us > HOLD_MAX_US)
 		w->hold_us = HOLD_MAX_US;
 	if (cause->percent > PERCENT_MIN) {
-		uint8_t percent = cause->percent / 2;
-
-		TAILQ_FOREACH (t, &w->tasks, worker_entry)
-			if (is_target(t) && t->key.job->kind == cause->key.job->kind)
-				set_percent(s, t, percent);
+		set_percent(s, w, cause->key.job->kind, cause->percent / 2, mean, now_us);
 		return;
 	}
 	if (cause->key.job->opt.checkpoint && !cause->want_checkpoint) {
@@ -100,7 +140,7 @@
 }
 
 /* Gives back to the throttled kind with the smallest effect. */
-static void give_back(struct sched *s, struct worker *w, int64_t now_us)
+static void give_back(struct sched *s, struct worker *w, double mean, int64_t now_us)
 {
 	struct task *best = NULL;
 	struct task *t;
@@ -113,14 +153,11 @@
 	if (!best)
 		return;
 	/* Doubling one kind adds at most its present effect. */
-	if (w->level + interfere_effect(w, best) > LEVEL_HIGH)
+	if (mean + kind_effect(w, best->key.job->kind) > LEVEL_HIGH)
 		return;
 	percent = best->percent * 2 < 100 ? best->percent * 2 : 100;
-	TAILQ_FOREACH (t, &w->tasks, worker_entry)
-		if (is_target(t) && t->key.job->kind == best->key.job->kind)
-			set_percent(s, t, percent);
+	set_percent(s, w, best->key.job->kind, percent, mean, now_us);
 	w->gave_back_us = now_us;
-	w->changed_us = now_us;
 }
 
 /* Takes the worst latency of one report, a part of the target; 0: none. */
@@ -144,12 +181,13 @@
 	if (w->nlevels < HIGH_SAMPLES)
 		return;
 	mean = w->level_sum / w->nlevels;
+	take_probe(s, w, mean, now_us);
 	if (mean > LEVEL_HIGH) {
-		react(s, w, now_us);
+		react(s, w, mean, now_us);
 	} else if (w->nlevels < LOW_SAMPLES) {
 		return;
 	} else if (mean < LEVEL_LOW && now_us - w->reacted_us >= w->hold_us) {
-		give_back(s, w, now_us);
+		give_back(s, w, mean, now_us);
 	}
 	w->nlevels = 0;
 	w->level_sum = 0;
--- a/core/sched_estimate.c
+++ b/core/sched_estimate.c
@@ -1,7 +1,8 @@
 #include "core/sched_impl.h"
 
-#define DEFAULT_RUN_US 60e6 /* run time of a job that declares none */
-#define GAIN_MIN 0.1	    /* weight of a new sample once many were seen */
+#define DEFAULT_RUN_US 60e6    /* run time of a job that declares none */
+#define THROTTLE_LAG_US 500000 /* for a throttle order to be carried out */
+#define GAIN_MIN 0.1	       /* weight of a new sample once many were seen */
 
 static double gain(uint32_t n)
 {
@@ -21,18 +22,21 @@
 	return j->opt.run_us ? (double)j->opt.run_us : DEFAULT_RUN_US;
 }
 
-/* Takes the measured use of a running task. */
-void estimate_use(struct task *t, const struct sched_task_report *r)
+/*
+ * Takes the measured use of a running task. at_us is the time of the measurement;
+ * only what it used without a throttle tells what it needs.
+ */
+void estimate_use(struct task *t, const struct sched_task_report *r, int64_t at_us)
 {
 	struct kind *k = t->key.job->kind;
 	double g = gain(k->samples);
 
 	t->used_cpu = r->cpu_milli;
-	t->used_memory = r->memory_mb;
-	if (!r->cpu_milli)
+	if (!r->cpu_milli || t->percent < 100 ||
+	    at_us < t->throttled_us + THROTTLE_LAG_US)
 		return;
+	t->full_cpu = r->cpu_milli;
 	k->cpu_milli += g * ((double)r->cpu_milli - k->cpu_milli);
-	k->memory_mb += g * ((double)r->memory_mb - k->memory_mb);
 	k->samples++;
 }
 
--- a/core/sched_impl.h
+++ b/core/sched_impl.h
@@ -51,7 +51,6 @@
 	struct worker_queue workers;
 	struct worker_queue free[FREE_BUCKETS];
 	uint32_t nworkers;
-	struct zone *next;
 	UT_hash_handle hh;
 };
 
@@ -66,11 +65,9 @@
 struct kind {
 	char *key; /* team id, then the name */
 	size_t len;
-	unsigned int index;
 	double run_us; /* mean run time of attempts that ended well */
 	double run_dev_us;
 	double cpu_milli; /* mean measured use */
-	double memory_mb;
 	uint32_t runs;
 	bool proven; /* an attempt of the kind ended well or ran long */
 	uint32_t samples;
@@ -171,7 +168,7 @@
 struct task {
 	struct task_key key;
 	uint32_t attempt;
-	uint32_t failures;
+	uint32_t failures; /* attempts that failed by themselves */
 	enum phase phase;
 	enum sched_state end;	   /* P_ENDING: state to record */
 	enum sched_reason reason;  /* of the end */
@@ -204,10 +201,11 @@
 	int64_t started_us; /* first report, 0: none */
 	int64_t saved_us;   /* start or last checkpoint */
 	int64_t stop_us; /* time of the wish to stop; checkpoint grace counts from it */
-	uint64_t issued_seq; /* poll that the last start order answered */
-	int64_t latency_us;  /* newest measurement of an executor */
-	uint32_t used_cpu;
-	uint32_t used_memory;
+	uint64_t issued_seq;  /* poll that the last start order answered */
+	int64_t latency_us;   /* newest measurement of an executor */
+	int64_t throttled_us; /* last change of percent */
+	uint32_t used_cpu;    /* newest measurement */
+	uint32_t full_cpu;    /* newest one without a throttle, 0: none */
 	struct worker *worker;
 	struct worker *failed_on[MAX_FAILED_ON];
 	struct task *replaces; /* executor that this one will replace */
@@ -277,6 +275,10 @@
 	double expected;    /* change of the level that is not measured yet */
 	double level_sum;   /* of measurements since the last change */
 	unsigned int nlevels;
+	struct kind *probe; /* kind that was throttled last, until its effect is known */
+	double probe_use;
+	double probe_mean;
+	int64_t probe_us;
 	int64_t reacted_us;
 	int64_t gave_back_us;
 	int64_t hold_us; /* from a reaction to giving back */
@@ -289,21 +291,18 @@
 
 struct sched {
 	struct sched_options opt;
-	bool ready;
 	int64_t ready_us;
 	uint64_t generation; /* counts releases of capacity */
 	uint64_t poll_mark;
 	uint64_t next_id;
 	uint64_t next_tie;
 	struct zone *zones; /* hash */
-	struct zone *zone_list;
 	struct zone *zone_by_index[MAX_ZONES];
 	unsigned int nzones;
 	struct rack *racks;
 	unsigned int nracks;
 	struct team *teams;
 	struct kind *kinds;
-	unsigned int nkinds;
 	struct job *jobs;
 	struct task *tasks;
 	struct worker *workers;
@@ -318,10 +317,11 @@
 	struct sched_size total;	      /* capacity of leased workers */
 	struct sched_size shapes[MAX_SHAPES]; /* capacities that no other one covers */
 	unsigned int nshapes;
-	unsigned int turn; /* rotates the zone to look at first */
+	bool ready;
 	bool fleet_known;  /* every worker alive has polled */
-	int64_t again_us;  /* last time that every parked job became due */
 	bool retry;	   /* the last step left work */
+	unsigned int turn; /* rotates the zone to look at first */
+	int64_t again_us;  /* last time that every parked job became due */
 	int64_t next_us;
 	struct sched_order orders[MAX_ORDERS];
 	size_t norders;
@@ -412,7 +412,7 @@
 
 /* sched_estimate.c */
 double estimate_run_us(const struct job *j);
-void estimate_use(struct task *t, const struct sched_task_report *r);
+void estimate_use(struct task *t, const struct sched_task_report *r, int64_t at_us);
 void estimate_run(struct task *t, int64_t now_us);
 
 /* sched_quarantine.c */
@@ -431,6 +431,8 @@
 double interfere_report(struct sched *s, struct worker *w,
 			const struct sched_worker_report *r, int64_t now_us);
 double interfere_slope(const struct job *service, const struct kind *kind);
+void interfere_probe(struct sched *s, struct worker *w, struct kind *kind, double du,
+		     double dy, int64_t now_us);
 double interfere_effect(const struct worker *w, const struct task *t);
 double interfere_use(const struct task *t);
 void interfere_ended(const struct task *t, int64_t now_us);
--- a/core/sched_interfere.c
+++ b/core/sched_interfere.c
@@ -14,8 +14,13 @@
 #define PRIOR_SLOPE 0.3
 #define PRIOR_VARIANCE 1.0
 #define PRIOR_BASE 0.5
+/* Small: neighbours that are always there must not be taken for the base. */
+#define PRIOR_BASE_VARIANCE 0.05
 #define NOISE_MIN 0.0025 /* variance of a single measurement */
 #define NOISE_GAIN 0.05
+/* Many measurements of one unchanged worker say little more than a few of them. */
+#define REPEATED 25.0
+#define PROBE_VARIANCE 0.1 /* an estimate is at least this uncertain before a probe */
 /* Unused estimates return to the prior with this time constant. */
 #define FORGET_US 3600e6
 #define VARIANCE_GROWTH 0.02 /* in each minute */
@@ -84,8 +89,8 @@
 	const struct job *j = t->key.job;
 	double cpu = j->opt.size.cpu_milli;
 
-	if (t->used_cpu && t->percent == 100)
-		cpu = t->used_cpu;
+	if (t->full_cpu)
+		cpu = t->full_cpu;
 	else if (j->kind->samples)
 		cpu = j->kind->cpu_milli;
 	return w->capacity.cpu_milli ? cpu / w->capacity.cpu_milli : 0;
@@ -220,11 +225,11 @@
 
 	if (!service->base_variance) {
 		service->base = PRIOR_BASE;
-		service->base_variance = PRIOR_VARIANCE;
+		service->base_variance = PRIOR_BASE_VARIANCE;
 		service->noise = 0.05;
 	}
 	predicted = service->base;
-	variance = service->base_variance + service->noise;
+	variance = service->base_variance + service->noise * REPEATED;
 	for (unsigned int i = 0; i < n; i++) {
 		pair[i] = pair_get(s, service, f[i].kind, now_us);
 		if (!pair[i])
@@ -285,3 +290,32 @@
 	}
 	return worst;
 }
+
+/*
+ * Takes the result of a change of one kind's use alone: the latency changed by dy.
+ * That tells more about the slope than latencies at a constant use, in which the
+ * slope and the base cannot be told apart.
+ */
+void interfere_probe(struct sched *s, struct worker *w, struct kind *kind, double du,
+		     double dy, int64_t now_us)
+{
+	const struct task *t;
+
+	TAILQ_FOREACH (t, &w->tasks, worker_entry) {
+		struct job *j = t->key.job;
+		struct pair *p;
+		double gain;
+
+		if (j->opt.class != SCHED_LATENCY)
+			break;
+		p = j->opt.latency_us ? pair_get(s, j, kind, now_us) : NULL;
+		if (!p)
+			continue;
+		age(p, now_us);
+		if (p->variance < PROBE_VARIANCE)
+			p->variance = PROBE_VARIANCE;
+		gain = p->variance * du / (p->variance * du * du + j->noise + NOISE_MIN);
+		p->mean += gain * (dy - p->mean * du);
+		p->variance *= 1 - gain * du;
+	}
+}
--- a/core/sched_name.c
+++ b/core/sched_name.c
@@ -118,7 +118,6 @@
 	}
 	k->key = key;
 	k->len = len;
-	k->index = s->nkinds++;
 	HASH_ADD_KEYPTR(hh, s->kinds, k->key, k->len, k);
 	s->stats.bytes += sizeof(*k) + len;
 	return k;
--- a/core/sched_poll.c
+++ b/core/sched_poll.c
@@ -68,7 +68,8 @@
 }
 
 static void take_running(struct sched *s, struct task *t,
-			 const struct sched_task_report *r, int64_t now_us)
+			 const struct sched_task_report *r, int64_t lag_us,
+			 int64_t now_us)
 {
 	confirm_running(s, t, now_us);
 	if (r->checkpoint && r->checkpoint != t->checkpoint) {
@@ -76,7 +77,7 @@
 		t->saved_us = now_us;
 	}
 	t->latency_us = r->latency_us;
-	estimate_use(t, r);
+	estimate_use(t, r, now_us - lag_us);
 	quarantine_running(s, t, now_us);
 }
 
@@ -136,7 +137,7 @@
 
 /* Takes one line of a report. */
 static void take_task(struct sched *s, struct worker *w,
-		      const struct sched_task_report *r, int64_t now_us)
+		      const struct sched_task_report *r, int64_t lag_us, int64_t now_us)
 {
 	struct task *t = find_line(s, w, r);
 
@@ -158,7 +159,7 @@
 			t->issued_seq = w->seq;
 		take_end(s, t, r, now_us);
 	} else {
-		take_running(s, t, r, now_us);
+		take_running(s, t, r, lag_us, now_us);
 	}
 }
 
@@ -337,7 +338,7 @@
 	s->poll_mark++;
 	w->found = NULL;
 	for (size_t i = 0; i < r->ntasks; i++)
-		take_task(s, w, &r->tasks[i], now_us);
+		take_task(s, w, &r->tasks[i], r->lag_us, now_us);
 	take_absents(s, w, r, now_us);
 	control_report(s, w, interfere_report(s, w, r, now_us), r->lag_us, now_us);
 	worker_index(s, w);
--- a/core/sched_quarantine.c
+++ b/core/sched_quarantine.c
@@ -9,7 +9,9 @@
 #define QUARANTINE_MAX_DOUBLINGS 5
 #define QUARANTINE_SHARE 10 /* at most one worker of ten */
 #define TASK_WORKERS 3	    /* good workers that must fail a task before it fails */
-#define JOB_WORKERS 3	    /* good workers that must fail a job before it fails */
+/* Bound over leader changes, which forget the workers that failed a task. */
+#define TASK_FAILURES 12
+#define JOB_WORKERS 3 /* good workers that must fail a job before it fails */
 #define JOB_FAILURES 4
 #define RETRY_US 1000000 /* pause before the next attempt, doubled for each failure */
 #define RETRY_MAX_DOUBLINGS 5
@@ -165,9 +167,9 @@
 	if (w->blame >= BLAME_LIMIT)
 		quarantine(s, w, now_us);
 	good = good_workers(t->failed_on, t->nfailed_on);
-	t->failures = good;
+	t->failures++;
 	if (j->opt.class != SCHED_LATENCY) {
-		if (good >= TASK_WORKERS) {
+		if (good >= TASK_WORKERS || t->failures >= TASK_FAILURES) {
 			task_over(s, t, SCHED_FAILED, SCHED_R_FAILED_TOO_OFTEN, now_us);
 			return;
 		}
--- a/core/sched_task.c
+++ b/core/sched_task.c
@@ -208,6 +208,8 @@
 	t->started_us = 0;
 	t->proven = false;
 	t->used_cpu = 0;
+	t->full_cpu = 0;
+	t->throttled_us = 0;
 	t->latency_us = 0;
 	if (at_us > now_us) {
 		t->delay.key = at_us;
--- a/core/sched_worker.c
+++ b/core/sched_worker.c
@@ -82,6 +82,11 @@
 		size_sub(&s->total, w->capacity);
 		s->stats.workers--;
 	}
+	/* It takes no share of the quarantine; if it comes back it is on probation. */
+	if (w->health == H_QUARANTINED) {
+		w->health = H_PROBATION;
+		s->stats.workers_quarantined--;
+	}
 	if (w->zone)
 		worker_index(s, w);
 	release_tasks(s, w, now_us);
--- a/regress/lib_sched_world.c
+++ b/regress/lib_sched_world.c
@@ -12,6 +12,7 @@
 #define ZONE_BOUND_US 2000000
 #define FAIL_AFTER_US 200000
 #define COMMIT_US 8000
+#define STOP_US 200000	 /* longest time that a task takes to stop */
 #define SAMPLE_US 350000 /* between two measurements of a task */
 
 enum sim_event_kind { EV_POLL, EV_REPORT, EV_REPLY, EV_LEASE, EV_COMMIT, EV_LEADER };
@@ -201,6 +202,10 @@
 		if (!is_running(r))
 			continue;
 		r->done_us += dt * r->percent / 100;
+		if (r->stop_us && w->now_us >= r->stop_us) {
+			end_run(w, k, r, SCHED_T_STOPPED, 0);
+			continue;
+		}
 		if ((r->job->poison || k->bad) && r->done_us >= FAIL_AFTER_US) {
 			k->failures++;
 			end_run(w, k, r, SCHED_T_FAILED, 1);
@@ -344,8 +349,8 @@
 		sim_fail(w, "attempt started again or out of order", j, o->task);
 	if (t->state == SCHED_DONE)
 		sim_fail(w, "start after the end was recorded", j, o->task);
-	if (o->checkpoint > t->written)
-		sim_fail(w, "resumed from a checkpoint never written", j, o->task);
+	if (o->checkpoint != t->checkpoint || o->checkpoint > t->written)
+		sim_fail(w, "not resumed from the recorded checkpoint", j, o->task);
 	t->started = o->attempt;
 	t->running++;
 	t->starts++;
@@ -389,6 +394,15 @@
 		t->written = r->checkpoint;
 }
 
+static void check_forget(struct sim *w, const struct sim_run *r)
+{
+	const struct sim_task *t = task_of(r->job, r->task);
+
+	if (t->attempt == r->attempt && t->state != SCHED_WAITING &&
+	    t->state < SCHED_DONE)
+		sim_fail(w, "forget for an end that is not recorded", r->job, r->task);
+}
+
 static void obey(struct sim *w, struct sim_worker *k, const struct sched_order *o)
 {
 	struct sim_job *j = job_by_name(w, o->job);
@@ -402,7 +416,8 @@
 		return;
 	switch (o->op) {
 	case SCHED_STOP:
-		end_run(w, k, r, SCHED_T_STOPPED, 0);
+		if (!r->stop_us)
+			r->stop_us = w->now_us + (int64_t)prng_below(&w->rng, STOP_US);
 		break;
 	case SCHED_CHECKPOINT:
 		if (is_running(r))
@@ -415,6 +430,8 @@
 		if (is_running(r))
 			sim_fail(w, "forget for a running task", j, o->task);
 		else
+			check_forget(w, r);
+		if (!is_running(r))
 			forget_run(k, r);
 		break;
 	case SCHED_START:
--- a/regress/lib_sched_world.h
+++ b/regress/lib_sched_world.h
@@ -30,7 +30,8 @@
 	int32_t exit_code;
 	uint32_t percent;
 	uint64_t checkpoint;
-	double done_us; /* work done, with that of earlier attempts */
+	double done_us;	 /* work done, with that of earlier attempts */
+	int64_t stop_us; /* a stop takes a while; 0: none */
 	struct sim_sample sample[SIM_HISTORY];
 	unsigned int nsamples;
 	struct sim_run *next;
--- a/regress/test_sched.c
+++ b/regress/test_sched.c
@@ -149,6 +149,7 @@
 {
 	struct sim_options o = options(seed, 16);
 	struct sim_policy *p = sim_scheduler();
+	struct sched_job gig = service(12, 4000);
 	unsigned int bad = 0;
 	struct sim *w;
 
@@ -158,7 +159,10 @@
 	o.retry_us = seed % 3 ? 0 : 3 * SECOND;
 	w = sim_new(&o, p);
 	w->busy_store = true;
-	sim_submit(w, 0, 0, service(12, 4000), 0);
+	for (unsigned int i = 0; i < SIM_KINDS; i++)
+		w->coef[0][i] = prng_unit(&w->rng) * 4;
+	gig.latency_us = 15000;
+	sim_submit(w, 0, 0, gig, 0);
 	sim_submit(w, 1, 1, service(8, 3000), 0);
 	for (unsigned int i = 0; i < 120 && !w->errors; i++) {
 		random_event(w, &bad);
@@ -382,35 +386,45 @@
 }
 END_TEST
 
-/* Guards against a controller that swings because its measurements are late. */
+static void run_control(uint64_t seed, int64_t target_us, double slope, unsigned int most)
+{
+	struct sim_options o = options(seed, 6);
+	struct sim_policy *p = sim_scheduler();
+	struct sched_job gig = service(6, 8000);
+	struct sched_stats before;
+	struct sched_stats after;
+	struct sim *w;
+
+	gig.latency_us = target_us; /* 10 ms alone */
+	o.lag_us = 4 * SECOND;
+	w = sim_new(&o, p);
+	w->coef[0][1] = slope;
+	sim_submit(w, 0, 0, gig, 0);
+	sim_run(w, 20 * SECOND);
+	/* Three tasks on each worker use three quarters of it. */
+	sim_submit(w, 1, 1, batch(18, 8000, 1000), 4000 * SECOND);
+	sim_run(w, 140 * SECOND);
+	sched_stats(w->sched, &before);
+	ck_assert_uint_gt(before.throttles, 0);
+	ck_assert_uint_le(before.throttles, 60);
+	sim_run(w, 740 * SECOND);
+	sched_stats(w->sched, &after);
+	ck_assert_uint_le(after.throttles + after.evictions - before.throttles -
+				  before.evictions,
+			  most);
+	finish(w, p);
+}
+
+/*
+ * Guards against a controller that swings because its measurements are late: ten
+ * minutes of constant load bring few changes to six workers. In the second case half
+ * a throttle is too little and a whole one is more than needed.
+ */
 START_TEST(late_measurements_cause_no_oscillation)
 {
 	for (uint64_t seed = 1; seed <= 4; seed++) {
-		struct sim_options o = options(seed, 6);
-		struct sim_policy *p = sim_scheduler();
-		struct sched_job gig = service(6, 8000);
-		struct sched_stats before;
-		struct sched_stats after;
-		struct sim *w;
-
-		gig.latency_us = 15000; /* 10 ms alone */
-		o.lag_us = 4 * SECOND;
-		w = sim_new(&o, p);
-		w->coef[0][1] = 1.5;
-		sim_submit(w, 0, 0, gig, 0);
-		sim_run(w, 20 * SECOND);
-		sim_submit(w, 1, 1, batch(18, 8000, 1000), 4000 * SECOND);
-		sim_run(w, 140 * SECOND);
-		sched_stats(w->sched, &before);
-		ck_assert_uint_gt(before.throttles, 0);
-		sim_run(w, 740 * SECOND);
-		sched_stats(w->sched, &after);
-		/* Ten minutes of constant load: few changes on six workers. */
-		ck_assert_uint_le(after.throttles + after.evictions - before.throttles -
-					  before.evictions,
-				  36);
-		ck_assert_uint_le(before.throttles, 60);
-		finish(w, p);
+		run_control(seed, 15000, 1.5, 36);
+		run_control(seed, 22000, 1.8, 36);
 	}
 }
 END_TEST
@@ -510,8 +524,8 @@
 		for (const struct sim_run *r = w->worker[i].runs; r; r = r->next)
 			if (r->status == SCHED_T_RUNNING)
 				n[r->job->team] += r->job->opt.size.cpu_milli;
-	ck_assert_uint_ge(n[1], n[0] * 2);
-	ck_assert_uint_le(n[1], n[0] * 4);
+	ck_assert_uint_ge(n[1] / 2, n[0]);
+	ck_assert_uint_le(n[1] / 4, n[0]);
 	finish(w, p);
 }
 END_TEST
@@ -529,15 +543,135 @@
 	sim_run(w, w->now_us + 5 * SECOND);
 	for (unsigned int i = 1; i < w->njobs; i++)
 		sim_cancel(w, w->job[i]);
-	sim_run(w, w->now_us + 2 * SECOND);
+	/* What was ordered before has arrived by then. */
+	sim_run(w, w->now_us + 10000);
 	starts = w->starts;
-	sim_run(w, w->now_us + 5 * SECOND);
+	sim_run(w, w->now_us + 7 * SECOND);
 	ck_assert_uint_eq(w->starts, starts);
 	ck_assert_uint_eq(sim_unfinished(w, false), 0);
 	finish(w, p);
 }
 END_TEST
 
+/* Guards against an attempt that a crashed worker began and is begun again. */
+START_TEST(crashed_workers_double_no_attempt)
+{
+	for (uint64_t seed = 1; seed <= 6; seed++) {
+		struct sim_options o = options(seed, 12);
+		struct sim_policy *p = sim_scheduler();
+		struct sim *w = settled(&o, p);
+
+		sim_submit(w, 0, 0, batch(1500, 4000, 1000), SECOND);
+		for (unsigned int i = 0; i < 200; i++) {
+			sim_crash_worker(w, (unsigned int)prng_below(&w->rng, 12), 50000,
+					 false);
+			sim_run(w, w->now_us + 150000);
+		}
+		sim_run(w, w->now_us + 400 * SECOND);
+		ck_assert_uint_eq(sim_unfinished(w, false), 0);
+		finish(w, p);
+	}
+}
+END_TEST
+
+/* Guards against a team above its quota. */
+START_TEST(quota_holds)
+{
+	struct sim_options o = options(1, 6);
+	struct sim_policy *p = sim_scheduler();
+	struct sim *w = settled(&o, p);
+	struct sched_quota q = {.team = sim_team(0), .limit = {.memory_mb = 10000}};
+
+	sched_quota(w->sched, &q, w->now_us);
+	sim_submit(w, 0, 0, batch(40, 100, 3000), 2 * SECOND);
+	for (unsigned int i = 0; i < 200; i++) {
+		unsigned int n = 0;
+
+		sim_run(w, w->now_us + 200000);
+		for (unsigned int k = 0; k < o.workers; k++)
+			n += w->worker[k].used.memory_mb;
+		ck_assert_uint_le(n, 10000);
+	}
+	sim_run(w, w->now_us + 60 * SECOND);
+	ck_assert_uint_eq(sim_unfinished(w, false), 0);
+	finish(w, p);
+}
+END_TEST
+
+/* Guards against urgent work that waits for the lease of a worker that was cut off. */
+START_TEST(urgent_work_leaves_silent_workers)
+{
+	for (uint64_t seed = 1; seed <= 6; seed++) {
+		struct sim_options o = options(seed, 6);
+		struct sim_policy *p = sim_scheduler();
+		struct sim *w = settled(&o, p);
+		struct sim_job *j;
+
+		for (unsigned int i = 0; i < 4; i++)
+			sim_cut(w, i, true);
+		j = sim_submit(w, 0, 1, urgent(8, 4000), SECOND);
+		sim_run(w, w->now_us + 4 * SECOND);
+		for (unsigned int k = 0; k < 8; k++)
+			ck_assert_int_gt(j->task[k].started_us, 0);
+		finish(w, p);
+	}
+}
+END_TEST
+
+/* Guards against work that waits for ever when nothing ends on full workers. */
+START_TEST(returned_zone_fills_though_nothing_ends)
+{
+	struct sim_options o = options(1, 12);
+	struct sim_policy *p = sim_scheduler();
+	struct sim *w = settled(&o, p);
+
+	sim_submit(w, 0, 0, batch(96, 4000, 1000), 4000 * SECOND);
+	sim_run(w, w->now_us + 20 * SECOND);
+	sim_zone(w, 0, 1, true);
+	sim_run(w, w->now_us + 30 * SECOND);
+	ck_assert_uint_eq(running_in_zone(w, 1), 0);
+	sim_zone(w, 0, 1, false);
+	sim_run(w, w->now_us + 80 * SECOND);
+	ck_assert_uint_eq(running_in_zone(w, 1), 32);
+	finish(w, p);
+}
+END_TEST
+
+/* Guards against deadlines planned with declared run times that are far too short. */
+START_TEST(slack_uses_learned_run_times)
+{
+	struct sim_options o = options(1, 2);
+	struct sim_policy *p = sim_scheduler();
+	struct sched_job slow = batch(4, 16000, 1000);
+	struct sched_job fast = batch(4, 16000, 1000);
+	struct sim *w = settled(&o, p);
+	struct sim_job *a;
+	struct sim_job *b;
+
+	slow.kind = str_from("slow");
+	slow.run_us = SECOND; /* truly 20 s */
+	fast.kind = str_from("fast");
+	fast.run_us = SECOND;
+	sim_submit(w, 0, 0, slow, 20 * SECOND);
+	sim_submit(w, 0, 0, fast, SECOND);
+	sim_run(w, w->now_us + 60 * SECOND);
+	sim_submit(w, 0, 0, batch(4, 16000, 1000), 5 * SECOND);
+	sim_run(w, w->now_us + SECOND);
+	/* Both wait; the one due first can begin later. */
+	fast.deadline_us = w->now_us + 40 * SECOND;
+	slow.deadline_us = w->now_us + 45 * SECOND;
+	a = sim_submit(w, 0, 0, fast, SECOND);
+	b = sim_submit(w, 0, 0, slow, 20 * SECOND);
+	sim_run(w, w->now_us + 60 * SECOND);
+	for (unsigned int i = 0; i < 4; i++) {
+		ck_assert_int_le(a->task[i].done_us, fast.deadline_us);
+		ck_assert_int_le(b->task[i].done_us, slow.deadline_us);
+	}
+	ck_assert_int_lt(b->task[0].started_us, a->task[0].started_us);
+	finish(w, p);
+}
+END_TEST
+
 /* The naive placer: a full scan by the declared sizes of what runs. */
 static bool naive_fits(const struct sim *w, unsigned int team, struct sched_size need)
 {
@@ -593,10 +727,20 @@
 }
 END_TEST
 
+/* One case for each test, so that CK_RUN_CASE selects it. */
+static TCase *add_case(Suite *s, const char *name)
+{
+	TCase *tc = tcase_create(name);
+
+	tcase_set_timeout(tc, 800);
+	suite_add_tcase(s, tc);
+	return tc;
+}
+
 int main(int argc, char **argv)
 {
 	Suite *s = suite_create("sched");
-	TCase *tc = tcase_create("sched");
+	TCase *tc;
 	SRunner *sr;
 	int first = 0;
 	int count = FIXED_COUNT;
@@ -606,22 +750,39 @@
 		first = atoi(argv[1]) - FIXED_SEED;
 		count = atoi(argv[2]);
 	}
-	tcase_set_timeout(tc, 800);
+	tc = add_case(s, "faults");
 	tcase_add_loop_test(tc, faults_break_no_invariant, first, first + count);
+	tc = add_case(s, "differential");
 	tcase_add_loop_test(tc, places_what_a_full_scan_places, first, first + count);
-	tcase_add_test(tc, lease_wait_covers_clock_drift);
-	tcase_add_test(tc, new_leader_waits_for_old_leases);
-	tcase_add_test(tc, late_orders_expire);
-	tcase_add_test(tc, urgent_work_starts_in_time);
-	tcase_add_test(tc, bad_worker_is_quarantined);
-	tcase_add_test(tc, poison_job_fails_alone);
-	tcase_add_test(tc, impossible_jobs_are_rejected);
-	tcase_add_test(tc, late_measurements_cause_no_oscillation);
-	tcase_add_test(tc, zone_drains_gently_and_returns_slowly);
-	tcase_add_test(tc, executors_are_spread);
-	tcase_add_test(tc, contended_capacity_is_shared_by_weight);
-	tcase_add_test(tc, cancelled_waves_end);
-	suite_add_tcase(s, tc);
+	tcase_add_test(add_case(s, "lease_wait_covers_clock_drift"),
+		       lease_wait_covers_clock_drift);
+	tcase_add_test(add_case(s, "new_leader_waits_for_old_leases"),
+		       new_leader_waits_for_old_leases);
+	tcase_add_test(add_case(s, "late_orders_expire"), late_orders_expire);
+	tcase_add_test(add_case(s, "urgent_work_starts_in_time"),
+		       urgent_work_starts_in_time);
+	tcase_add_test(add_case(s, "bad_worker_is_quarantined"),
+		       bad_worker_is_quarantined);
+	tcase_add_test(add_case(s, "poison_job_fails_alone"), poison_job_fails_alone);
+	tcase_add_test(add_case(s, "impossible_jobs_are_rejected"),
+		       impossible_jobs_are_rejected);
+	tcase_add_test(add_case(s, "late_measurements_cause_no_oscillation"),
+		       late_measurements_cause_no_oscillation);
+	tcase_add_test(add_case(s, "zone_drains_gently_and_returns_slowly"),
+		       zone_drains_gently_and_returns_slowly);
+	tcase_add_test(add_case(s, "executors_are_spread"), executors_are_spread);
+	tcase_add_test(add_case(s, "contended_capacity_is_shared_by_weight"),
+		       contended_capacity_is_shared_by_weight);
+	tcase_add_test(add_case(s, "cancelled_waves_end"), cancelled_waves_end);
+	tcase_add_test(add_case(s, "crashed_workers_double_no_attempt"),
+		       crashed_workers_double_no_attempt);
+	tcase_add_test(add_case(s, "quota_holds"), quota_holds);
+	tcase_add_test(add_case(s, "urgent_work_leaves_silent_workers"),
+		       urgent_work_leaves_silent_workers);
+	tcase_add_test(add_case(s, "returned_zone_fills_though_nothing_ends"),
+		       returned_zone_fills_though_nothing_ends);
+	tcase_add_test(add_case(s, "slack_uses_learned_run_times"),
+		       slack_uses_learned_run_times);
 	sr = srunner_create(s);
 	srunner_run_all(sr, CK_NORMAL);
 	failed = srunner_ntests_failed(sr);
