Stop for interference only with more reason than for a throttle

Ruled out: never stopping; the tail then has no last resort. Change: a stop needs a level of 1.1 and an effect of 0.15 of the target.

--- a/bench/bench_sched.c
+++ b/bench/bench_sched.c
@@ -326,18 +326,21 @@
 	line("memory", "at_1900", last.bytes, "bytes", first.bytes);
 }
 
-/* With an argument, only the costs ("cost") or only the sites ("site"). */
+/* With an argument, only the costs ("cost"), the sites ("site") or full sites ("full").
+ */
 int main(int argc, char **argv)
 {
 	const char *only = argc > 1 ? argv[1] : "";
 
-	if (strcmp(only, "site") != 0)
+	if (strcmp(only, "site") != 0 && strcmp(only, "full") != 0)
 		bench_cost();
 	if (strcmp(only, "cost") == 0)
 		return 0;
-	bench_site(&guild, "normal", 0.55);
+	if (strcmp(only, "full") != 0) {
+		bench_site(&guild, "normal", 0.55);
+		bench_site(&pinecrest, "normal", 0.42);
+	}
 	bench_site(&guild, "full", 1.7);
-	bench_site(&pinecrest, "normal", 0.42);
 	bench_site(&pinecrest, "full", 1.3);
 	return 0;
 }
--- a/core/sched_control.c
+++ b/core/sched_control.c
@@ -19,6 +19,8 @@
 /* Batch work that explains less of the latency than this is left alone. */
 #define MIN_EFFECT 0.05
 #define MIN_PROBE 0.02 /* change of use that is worth learning from */
+#define LEVEL_STOP 1.1 /* a stop costs more than a throttle, so it needs more reason */
+#define MIN_STOP_EFFECT 0.15
 #define PERCENT_MIN 25
 #define CHECKPOINT_WAIT_US 3000000LL
 
@@ -126,6 +128,8 @@
 		set_percent(s, w, cause->key.job->kind, cause->percent / 2, mean, now_us);
 		return;
 	}
+	if (mean < LEVEL_STOP || kind_effect(w, cause->key.job->kind) < MIN_STOP_EFFECT)
+		return;
 	if (cause->key.job->opt.checkpoint && !cause->want_checkpoint) {
 		cause->want_checkpoint = true;
 		cause->checkpoint_before = cause->checkpoint;
