Expired keys: remember a fingerprint in each of its periods

Cause: two keys with the same 64-bit fingerprint shared one record, so the later key would have been forgotten with the earlier one, before its time. Ruled out: longer fingerprints, which only make it rarer. Before: probability n / 2^64 of a key granted early. After: the new test of keyset fails without the change and passes with it (checked by hand: skipping keys known from other periods makes it fail). Conclusion: a shared fingerprint can only refuse a new key.

--- a/core/claim.c
+++ b/core/claim.c
@@ -12,7 +12,7 @@
 /* 117 bytes a claim, 10 bytes an expired key; see bench/bench_store.c. */
 static const struct share_options default_claims = {16, 24000, 16000};
 static const struct share_options default_outcomes = {2 << 10, 2 << 20, 1 << 20};
-static const struct share_options default_expired = {64, 300000, 250000};
+static const struct share_options default_expired = {64, 600000, 500000};
 #define DEFAULT_BODY_BYTES (64 << 10)
 /* Longer than any deadline of a request (10 minutes), see core/vocab_schema.c. */
 #define DEFAULT_OPEN_US (15ULL * 60 * 1000000)
--- a/core/claim_rule.c
+++ b/core/claim_rule.c
@@ -25,17 +25,16 @@
 int claim_expire(struct claims *c, struct claim *claim)
 {
 	struct claim_team *t = claim->team;
-	uint64_t key;
+	uint64_t period = claim->time_us / (c->options.forget_us / PERIODS);
+	bool added;
 	int err;
 
 	if (!share_fits(&c->expired, t->used_expired, 1))
 		return CF_ENOSPACE;
-	key = claim_fingerprint(claim->id);
-	if (!keyset_has(&t->expired, key)) {
-		err = keyset_add(&t->expired,
-				 claim->time_us / (c->options.forget_us / PERIODS), key);
-		if (err)
-			return err;
+	err = keyset_add(&t->expired, period, claim_fingerprint(claim->id), &added);
+	if (err)
+		return err;
+	if (added) {
 		share_take(&c->expired, &t->used_expired, 1);
 		c->count[CLAIM_EXPIRED]++;
 	}
--- a/core/claim_snap.c
+++ b/core/claim_snap.c
@@ -134,11 +134,13 @@
 	if (t->expired.n && t->expired.list[t->expired.n - 1].number > in->period)
 		return CF_ECORRUPT;
 	for (u_int i = 0; i < in->keys.keys_len; i++) {
-		if (keyset_has(&t->expired, in->keys.keys_val[i]))
-			return CF_ECORRUPT;
-		err = keyset_add(&t->expired, in->period, in->keys.keys_val[i]);
+		bool added;
+
+		err = keyset_add(&t->expired, in->period, in->keys.keys_val[i], &added);
 		if (err)
 			return err;
+		if (!added)
+			return CF_ECORRUPT;
 		share_take(&c->expired, &t->used_expired, 1);
 		c->count[CLAIM_EXPIRED]++;
 	}
--- a/core/keyset.c
+++ b/core/keyset.c
@@ -61,10 +61,10 @@
 }
 
 /*
- * Adds a key that keyset_has() does not report. A period below the newest one counts
- * as the newest, so the key is remembered for longer.
+ * Adds a key to a period; *added tells whether it was not there yet. A period below
+ * the newest one counts as the newest, so the key is remembered for longer.
  */
-int keyset_add(struct keyset *s, uint64_t period, uint64_t key)
+int keyset_add(struct keyset *s, uint64_t period, uint64_t key, bool *added)
 {
 	struct keyset_period *p;
 	size_t i;
@@ -72,6 +72,10 @@
 
 	if (err)
 		return err;
+	i = lower_bound(p, key);
+	*added = i == p->n || p->keys[i] != key;
+	if (!*added)
+		return 0;
 	if (p->n == p->cap) {
 		/* Growth by a quarter keeps the unused part small. */
 		size_t cap = p->cap < MIN_KEYS ? MIN_KEYS : p->cap + p->cap / 4;
@@ -82,7 +86,6 @@
 		p->keys = keys;
 		p->cap = cap;
 	}
-	i = lower_bound(p, key);
 	memmove(p->keys + i + 1, p->keys + i, (p->n - i) * sizeof(*p->keys));
 	p->keys[i] = key;
 	p->n++;
--- a/core/keyset.h
+++ b/core/keyset.h
@@ -8,7 +8,8 @@
 /*
  * Set of 64-bit fingerprints of keys, in periods of time that are forgotten as a
  * whole. Costs 8 to 10 bytes a key. Two keys may share a fingerprint (probability
- * n / 2^64), so a key that was never added can be reported, but never the reverse.
+ * n / 2^64), so a key that was never added can be reported, but never the reverse:
+ * a fingerprint is in every period in which it was added.
  */
 struct keyset_period {
 	uint64_t number;
@@ -24,7 +25,7 @@
 };
 
 bool keyset_has(const struct keyset *s, uint64_t key);
-int keyset_add(struct keyset *s, uint64_t period, uint64_t key);
+int keyset_add(struct keyset *s, uint64_t period, uint64_t key, bool *added);
 size_t keyset_forget(struct keyset *s, uint64_t before);
 size_t keyset_bytes(const struct keyset *s);
 void keyset_free(struct keyset *s);
--- a/regress/test_claim.c
+++ b/regress/test_claim.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 
 #include "base/err.h"
+#include "core/keyset.h"
 #include "regress/lib_store.h"
 
 #define MINUTE_US (60 * 1000000ULL)
@@ -283,6 +284,30 @@
 }
 END_TEST
 
+/* Guards against a key that is forgotten with an older one of the same fingerprint. */
+START_TEST(equal_fingerprints_are_kept_apart)
+{
+	struct keyset s = {0};
+	bool added;
+
+	ck_assert_int_eq(keyset_add(&s, 1, 7, &added), 0);
+	ck_assert(added);
+	ck_assert_int_eq(keyset_add(&s, 2, 7, &added), 0);
+	ck_assert(added);
+	ck_assert_int_eq(keyset_add(&s, 2, 7, &added), 0);
+	ck_assert(!added);
+	for (uint64_t key = 100; key > 50; key--)
+		ck_assert_int_eq(keyset_add(&s, 2, key, &added), 0);
+	ck_assert_uint_eq(keyset_forget(&s, 2), 1);
+	ck_assert(keyset_has(&s, 7));
+	ck_assert(keyset_has(&s, 51));
+	ck_assert(!keyset_has(&s, 50));
+	ck_assert_uint_eq(keyset_forget(&s, 3), 51);
+	ck_assert(!keyset_has(&s, 7));
+	keyset_free(&s);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("claim");
@@ -297,6 +322,7 @@
 	tcase_add_test(tc, unseen_owner_is_gone_in_one_epoch);
 	tcase_add_test(tc, open_claim_becomes_unknown);
 	tcase_add_test(tc, expired_key_is_refused_until_forgotten);
+	tcase_add_test(tc, equal_fingerprints_are_kept_apart);
 	tcase_add_test(tc, bounds_are_per_team);
 	tcase_add_test(tc, team_without_claims_is_forgotten);
 	tcase_add_test(tc, outcome_bytes_are_bounded);
