Padding and truncation found by the sanitizer build and clang-tidy

Cause: the -O1 build could not prove the size of a status key in loadgen, and clang-tidy reported padding in a table of test_carawayctl.

Ruled out: suppressing either warning.

Change: a larger buffer; fields in the order of their alignment.

Conclusion: no change of behaviour.

--- a/regress/test_carawayctl.c
+++ b/regress/test_carawayctl.c
@@ -104,14 +104,14 @@
 START_TEST(exit_statuses)
 {
 	static const struct {
-		unsigned int status;
 		const char *run;
+		unsigned int status;
 		int exit;
 	} rows[] = {
-		{200, NULL, 0}, {201, NULL, 0}, {400, NULL, 1},	     {401, NULL, 1},
-		{403, NULL, 1}, {404, NULL, 1}, {422, NULL, 1},	     {409, NULL, 3},
-		{412, NULL, 3}, {503, NULL, 1}, {500, NULL, 4},	     {502, NULL, 4},
-		{504, NULL, 4}, {0, NULL, 4},	{502, "not-run", 1}, {504, "unknown", 4},
+		{NULL, 200, 0}, {NULL, 201, 0}, {NULL, 400, 1},	     {NULL, 401, 1},
+		{NULL, 403, 1}, {NULL, 404, 1}, {NULL, 422, 1},	     {NULL, 409, 3},
+		{NULL, 412, 3}, {NULL, 503, 1}, {NULL, 500, 4},	     {NULL, 502, 4},
+		{NULL, 504, 4}, {NULL, 0, 4},	{"not-run", 502, 1}, {"unknown", 504, 4},
 	};
 
 	for (size_t i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
--- a/standins/loadgen.c
+++ b/standins/loadgen.c
@@ -350,7 +350,7 @@
 				  (double)h->max / 1000.0));
 	}
 	for (int i = 0; i < 600; i++) {
-		char key[8];
+		char key[16];
 
 		snprintf(key, sizeof(key), "%d", i);
 		if (statuses[i])
