Service documents set deadlines and repeatable paths; control port optional

Cause: the deadline and the idempotent paths of a service document had no effect, and the example settings of state processes have no control port. Change: requests take both from the document; listen.control may be absent in the state role; test_examples checks every settings file with the daemon.

--- a/carawayfrontd/entry.c
+++ b/carawayfrontd/entry.c
@@ -135,7 +135,11 @@
 	spread.router = front_router(e->front);
 	watch.router = front_router(e->front);
 	err = spread_new(&spread, &e->spread);
-	return err ? err : entry_watch_new(&watch, &e->watch);
+	if (!err)
+		err = entry_watch_new(&watch, &e->watch);
+	if (!err)
+		front_set_view(e->front, entry_watch_view(e->watch));
+	return err;
 }
 
 /* Tells the router which entry processes share the upstreams. */
--- a/carawayfrontd/front.c
+++ b/carawayfrontd/front.c
@@ -122,6 +122,12 @@
 	return err;
 }
 
+/* The documents of services, which the caller keeps; without it none are known. */
+void front_set_view(struct front *f, const struct conf_view *view)
+{
+	f->view = view;
+}
+
 struct router *front_router(struct front *f)
 {
 	return f->router;
--- a/carawayfrontd/front.h
+++ b/carawayfrontd/front.h
@@ -6,6 +6,7 @@
 #include "base/metric.h"
 #include "carawayfrontd/leader_client.h"
 #include "carawayfrontd/settings.h"
+#include "core/conf_view.h"
 #include "core/router.h"
 
 /* Callers' requests of one entry process: HTTP in, router, HTTP to upstreams. */
@@ -20,6 +21,7 @@
 };
 
 int front_new(const struct front_options *opt, struct front **out);
+void front_set_view(struct front *f, const struct conf_view *view);
 struct router *front_router(struct front *f);
 void front_poll(struct front *f);
 void front_drain(struct front *f);
--- a/carawayfrontd/front_request.h
+++ b/carawayfrontd/front_request.h
@@ -56,6 +56,7 @@
 	struct http_server *server;
 	struct http_client *client;
 	struct router *router;
+	const struct conf_view *view;
 	struct ev_timer timer;
 	struct ev_prepare prepare;
 	struct front_request *requests; /* by id */
--- a/carawayfrontd/front_send.c
+++ b/carawayfrontd/front_send.c
@@ -73,14 +73,37 @@
 	return 0;
 }
 
+/*
+ * Tells whether the service's document lists the path among those that may be
+ * repeated, whatever the method.
+ */
+static bool is_listed(const struct front_request *r, const struct conf_item *service)
+{
+	struct str path = str_from(r->path);
+	struct str prefix;
+
+	path.n -= (size_t)(r->service.p + r->service.n - path.p);
+	path.p = r->service.p + r->service.n;
+	for (size_t i = 0; conf_item_list(service, CONF_IDEMPOTENT, i, &prefix); i++)
+		if (prefix.n && str_starts(path, prefix))
+			return true;
+	return false;
+}
+
 /* Reads deadline, class and key headers. */
 static int read_headers(struct front_request *r)
 {
 	struct str deadline = http_request_header(r->http, "Carawayfront-Deadline-Ms");
 	struct str key = http_request_header(r->http, "Idempotency-Key");
 	uint64_t ms = r->front->opt.settings->limits.deadline_ms;
+	const struct conf_view *view = r->front->view;
+	struct conf_item service;
+	bool known = view && !conf_view_find(view, r->team, CONF_KIND_SERVICE, r->service,
+					     &service);
 	int err;
 
+	if (known && conf_item_has(&service, CONF_DEADLINE_MS))
+		ms = conf_item_number(&service, CONF_DEADLINE_MS);
 	if (deadline.n && (str_to_u64(deadline, &ms) || ms == 0 || ms > 3600000))
 		return CF_EINVAL;
 	r->deadline_us = r->started_us + (int64_t)ms * 1000;
@@ -89,7 +112,7 @@
 		return err;
 	if (key.n > MAX_KEY_BYTES)
 		return CF_ETOOBIG;
-	r->idempotent = is_idempotent(r->method);
+	r->idempotent = is_idempotent(r->method) || (known && is_listed(r, &service));
 	/* A repeated idempotent request is harmless, so it needs no claim. */
 	return r->idempotent ? 0 : buf_set(&r->key, key);
 }
--- a/carawayfrontd/settings.c
+++ b/carawayfrontd/settings.c
@@ -28,7 +28,7 @@
 static const struct schema_row listen_rows[] = {
 	{ROW(struct settings_listen, rpc), .type = SCHEMA_ADDRESS, .required = true},
 	{ROW(struct settings_listen, callers), .type = SCHEMA_ADDRESS},
-	{ROW(struct settings_listen, control), .type = SCHEMA_ADDRESS, .required = true},
+	{ROW(struct settings_listen, control), .type = SCHEMA_ADDRESS},
 	{0},
 };
 
@@ -143,6 +143,8 @@
 		return refuse(error, "data", "a data directory for the state role");
 	if (s->role == ROLE_ENTRY && s->listen.callers.len == 0)
 		return refuse(error, "listen.callers", "an address for the entry role");
+	if (s->role == ROLE_ENTRY && s->listen.control.len == 0)
+		return refuse(error, "listen.control", "an address for the entry role");
 	for (size_t i = 0; i < s->teams.n; i++)
 		if (!is_sha256(team[i].token_sha256))
 			return refuse(error, "teams.token-sha256",
--- a/carawayfrontd/settings.h
+++ b/carawayfrontd/settings.h
@@ -20,7 +20,7 @@
 struct settings_listen {
 	struct addr rpc;
 	struct addr callers; /* entry role */
-	struct addr control; /* both roles: operators, health, metrics */
+	struct addr control; /* operators, health, metrics; state role: may be absent */
 };
 
 struct settings_limits {
--- a/carawayfrontd/state.c
+++ b/carawayfrontd/state.c
@@ -347,7 +347,9 @@
 	s->rpc_host.ops = &rpc_ops;
 	s->control_host.ops = &control_ops;
 	err = rpc_server_new(&rpc, &s->rpc);
-	return err ? err : http_server_new(&control, &s->control);
+	if (err || control.address.len == 0)
+		return err;
+	return http_server_new(&control, &s->control);
 }
 
 /*
--- a/regress/test_examples.sh
+++ b/regress/test_examples.sh
@@ -22,4 +22,7 @@
 	"$C" -n -T pinecrest -V examples/pinecrest/vocabulary.yaml conf put "${base%%-*}" x "$f" \
 		2>/dev/null && { echo "$f is valid in the wrong team"; bad=1; }
 done
+for f in examples/*/settings/*.yaml examples/local/*.yaml; do
+	"${BUILD:-build}/bin/carawayfrontd" -n -c "$f" >/dev/null || bad=1
+done
 exit $bad
