Site configuration test sees a resend that is taken for a new change

Cause: the mutant without duplicate suppression was not seen, because the conflict shows the revision of the first change. Change: the whole answer must be equal.

--- a/regress/test_site_conf.sh
+++ b/regress/test_site_conf.sh
@@ -59,8 +59,8 @@
 	done
 	new=$(echo "$r" | revision_of)
 	case $r in *error*) site_fail "change $1 is not accepted: $r" ;; esac
-	again=$(put e1 "$last" "$1" "{state: out} # $1" | revision_of)
-	[ "$new" = "$again" ] || site_fail "resend of $1 gave revision $again after $new"
+	again=$(put e1 "$last" "$1" "{state: out} # $1")
+	[ "$again" = "{\"revision\":$new}" ] || site_fail "resend of $1 gave $again after $new"
 	last=$new
 }
 in_force() { # every healthy entry process shows the last change within 4 s
