announce: tell a content that the peers have in an older state

It changed and changed back within the time on the way; the process that heard the second announcement had not got the first, saw no change and told nobody. Ruled out: a later exchange, because none comes while connections hold. Change: an older announcement with other content, or an older digest, makes the newer one go out again.

--- a/core/announce.c
+++ b/core/announce.c
@@ -531,8 +531,15 @@
 	p->map[number] = router_upstream_id(&u);
 	unwant(a, p->map[number]);
 	err = take(a, &u, now_us, &r, &changed);
-	if ((err == 0 || err == CF_ESTALE) && r && r->id == p->map[number])
-		shared(r, now_us - u.age_us);
+	if ((err && err != CF_ESTALE) || !r || r->id != p->map[number])
+		return;
+	shared(r, now_us - u.age_us);
+	/*
+	 * The upstream changed and changed back, and the second announcement looked
+	 * like no change here, because the first one had not arrived yet.
+	 */
+	if (err && u.sequence < r->u.sequence && !same(&u, &r->u))
+		set_changed(a, r, true);
 }
 
 /*
@@ -562,8 +569,12 @@
 			want(a, p, id, now_us);
 		return;
 	}
-	if (sequence > r->u.sequence && content != digest(&r->u))
-		want(a, p, id, now_us);
+	if (content != digest(&r->u)) {
+		if (sequence > r->u.sequence)
+			want(a, p, id, now_us);
+		else if (sequence < r->u.sequence)
+			set_changed(a, r, true);
+	}
 	if (now_us - age > r->heard_us) {
 		r->heard_us = now_us - age;
 		a->host->ops->renew(a->host, id, 0, -1, age);
