Tests for hold, suspects and cancellation seen to fail without their mechanism

Cause: 5 of 40 mutations were not seen by any test. Ruled out: dropping the mechanisms; each holds a bound that is wanted. Not seen: the zone check at placement alone, because the check at the order and the choice of zones repeat it.

--- a/regress/test_sched.c
+++ b/regress/test_sched.c
@@ -317,12 +317,15 @@
 		struct sched_stats st;
 
 		w->worker[3].bad = true;
-		for (unsigned int i = 0; i < 20; i++) {
-			sim_submit(w, i % 2, i % SIM_KINDS, batch(30, 2000, 1000),
+		for (unsigned int i = 0; i < 10; i++) {
+			sim_submit(w, i % 2, i % SIM_KINDS, batch(300, 2000, 1000),
 				   5 * SECOND);
-			sim_run(w, w->now_us + 2 * SECOND);
+			sim_run(w, w->now_us + 6 * SECOND);
 		}
 		sched_stats(w->sched, &st);
+		if (getenv("SCHED_TEST_STATS"))
+			fprintf(stderr, "bad worker: %u failures\n",
+				w->worker[3].failures);
 		ck_assert_uint_eq(st.workers_quarantined, 1);
 		ck_assert_uint_le(w->worker[3].failures, 24);
 		sim_run(w, w->now_us + 200 * SECOND);
@@ -429,6 +432,37 @@
 }
 END_TEST
 
+/* Guards against a controller that follows every swing of a load. */
+START_TEST(swinging_load_is_not_followed)
+{
+	for (uint64_t seed = 1; seed <= 4; seed++) {
+		struct sim_options o = options(seed, 6);
+		struct sim_policy *p = sim_scheduler();
+		struct sched_job gig = service(6, 8000);
+		struct sched_stats st;
+		struct sim *w;
+
+		gig.latency_us = 20000;
+		w = sim_new(&o, p);
+		w->coef[0][1] = 2;
+		sim_submit(w, 0, 0, gig, 0);
+		sim_run(w, 20 * SECOND);
+		sim_submit(w, 1, 1, batch(18, 8000, 1000), 4000 * SECOND);
+		for (unsigned int i = 0; i < 40; i++) {
+			w->load = i % 2 ? 0.3 : 1;
+			sim_run(w, w->now_us + 15 * SECOND);
+		}
+		sched_stats(w->sched, &st);
+		if (getenv("SCHED_TEST_STATS"))
+			fprintf(stderr, "swings: %llu changes\n",
+				(unsigned long long)st.throttles);
+		/* Following each of 40 swings would be 720 changes or more. */
+		ck_assert_uint_le(st.throttles, 360);
+		finish(w, p);
+	}
+}
+END_TEST
+
 static unsigned int running_executors(const struct sim_job *j)
 {
 	unsigned int n = 0;
@@ -540,8 +574,9 @@
 
 	for (unsigned int i = 0; i < 300; i++)
 		sim_submit(w, i % 2, 1, batch(50, 1000, 200), 30 * SECOND);
-	sim_run(w, w->now_us + 5 * SECOND);
-	for (unsigned int i = 1; i < w->njobs; i++)
+	sim_run(w, w->now_us + 100000);
+	/* Those with placed tasks last, so that some are placed while it goes on. */
+	for (unsigned int i = w->njobs - 1; i > 0; i--)
 		sim_cancel(w, w->job[i]);
 	/* What was ordered before has arrived by then. */
 	sim_run(w, w->now_us + 10000);
@@ -768,6 +803,8 @@
 		       impossible_jobs_are_rejected);
 	tcase_add_test(add_case(s, "late_measurements_cause_no_oscillation"),
 		       late_measurements_cause_no_oscillation);
+	tcase_add_test(add_case(s, "swinging_load_is_not_followed"),
+		       swinging_load_is_not_followed);
 	tcase_add_test(add_case(s, "zone_drains_gently_and_returns_slowly"),
 		       zone_drains_gently_and_returns_slowly);
 	tcase_add_test(add_case(s, "executors_are_spread"), executors_are_spread);
