Even out services over zones after a return

Cause: a service stayed out of a zone that had returned. Ruled out: moving all executors at once; a rush. Change: one executor of each service moves every 3 s when two zones differ by two or more and the emptier one has room; replacements not yet placed are withdrawn when a zone returns. Before: no executor in the returned zone.

--- a/core/sched.c
+++ b/core/sched.c
@@ -40,6 +40,7 @@
 	TAILQ_INIT(&s->dirty);
 	TAILQ_INIT(&s->ending);
 	TAILQ_INIT(&s->scaling);
+	TAILQ_INIT(&s->services);
 	TAILQ_INIT(&s->drains);
 	s->next_us = INT64_MAX;
 	s->stats.bytes = sizeof(*s);
@@ -266,6 +267,8 @@
 	n = sched_heap_first(&s->delayed);
 	if (n && n->key < at)
 		at = n->key;
+	if (s->rebalance_us < at)
+		at = s->rebalance_us;
 	TAILQ_FOREACH (d, &s->drains, entry)
 		if (d->next_us < at)
 			at = d->next_us;
@@ -293,6 +296,7 @@
 	jobs_end_step(s, now_us);
 	jobs_scale_step(s, now_us);
 	zones_drain_step(s, now_us);
+	zones_rebalance_step(s, now_us);
 	tasks_delayed(s, now_us);
 	place_step(s, now_us);
 	tasks_propose(s);
--- a/core/sched_fit.c
+++ b/core/sched_fit.c
@@ -139,6 +139,15 @@
 	return NULL;
 }
 
+/* Whether a worker of the zone can hold the task now. */
+bool fit_in_zone(struct sched *s, struct task *t, struct zone *z, int64_t now_us)
+{
+	struct choice best = {.limit = 1};
+
+	scan_zone(s, t, z, false, now_us, &best);
+	return best.worker;
+}
+
 static struct worker *find_any(struct sched *s, struct task *t, bool avoid,
 			       int64_t now_us)
 {
--- a/core/sched_impl.h
+++ b/core/sched_impl.h
@@ -149,6 +149,7 @@
 	TAILQ_ENTRY(job) park_entry;
 	TAILQ_ENTRY(job) end_entry;
 	TAILQ_ENTRY(job) scale_entry;
+	TAILQ_ENTRY(job) service_entry;
 	UT_hash_handle hh;
 };
 
@@ -312,16 +313,18 @@
 	struct task_queue dirty;
 	struct job_queue ending;
 	struct job_queue scaling;
+	struct job_queue services;
 	struct drain_queue drains;
 	struct sched_heap delayed;
 	struct sched_size total;	      /* capacity of leased workers */
 	struct sched_size shapes[MAX_SHAPES]; /* capacities that no other one covers */
 	unsigned int nshapes;
 	bool ready;
-	bool fleet_known;  /* every worker alive has polled */
-	bool retry;	   /* the last step left work */
-	unsigned int turn; /* rotates the zone to look at first */
-	int64_t again_us;  /* last time that every parked job became due */
+	bool fleet_known;     /* every worker alive has polled */
+	bool retry;	      /* the last step left work */
+	unsigned int turn;    /* rotates the zone to look at first */
+	int64_t rebalance_us; /* next time to even out services */
+	int64_t again_us;     /* last time that every parked job became due */
 	int64_t next_us;
 	struct sched_order orders[MAX_ORDERS];
 	size_t norders;
@@ -400,12 +403,14 @@
 void zone_started(struct team *team, const struct zone *z);
 bool zone_ramp_full(const struct sched *s, const struct team *team, const struct zone *z,
 		    int64_t now_us);
+void zones_rebalance_step(struct sched *s, int64_t now_us);
 void zones_drain_step(struct sched *s, int64_t now_us);
 
 /* sched_fit.c */
 bool fit_allowed(const struct sched *s, const struct task *t, const struct worker *w,
 		 int64_t now_us);
 bool fit_room(const struct task *t, const struct worker *w);
+bool fit_in_zone(struct sched *s, struct task *t, struct zone *z, int64_t now_us);
 bool fit_any_capacity(const struct sched *s, const struct job *j);
 void fit_add_shape(struct sched *s, struct sched_size capacity);
 struct worker *fit_find(struct sched *s, struct task *t, int64_t now_us);
--- a/core/sched_job.c
+++ b/core/sched_job.c
@@ -224,6 +224,8 @@
 		TAILQ_REMOVE(&s->ending, j, end_entry);
 	if (j->scaling)
 		TAILQ_REMOVE(&s->scaling, j, scale_entry);
+	if (j->opt.class == SCHED_LATENCY)
+		TAILQ_REMOVE(&s->services, j, service_entry);
 	HASH_DEL(s->jobs, j);
 	s->stats.bytes -= sizeof(*j) + j->len;
 	pairs_free(s, j);
@@ -316,6 +318,8 @@
 	TAILQ_INIT(&j->tasks);
 	TAILQ_INIT(&j->waiting);
 	HASH_ADD_KEYPTR(hh, s->jobs, j->key, j->len, j);
+	if (opt->class == SCHED_LATENCY)
+		TAILQ_INSERT_TAIL(&s->services, j, service_entry);
 	s->stats.bytes += sizeof(*j) + j->len;
 	if (!s->ready) {
 		if (opt->cancelled)
--- a/core/sched_zone.c
+++ b/core/sched_zone.c
@@ -6,9 +6,10 @@
 #define DRAIN_PASS_US 200000	    /* between two passes over a zone that is drained */
 #define CHECKPOINT_GRACE_US 5000000 /* for a checkpoint before the stop */
 #define REPLACE_GRACE_US 20000000   /* for the replacement of an executor to run */
-#define LATER_US 1000000 /* work without a deadline is stopped this much later */
-#define RAMP_US 60000000 /* a zone that returned takes work without limit after it */
-#define RAMP_FIRST 4	 /* starts allowed at once */
+#define LATER_US 1000000     /* work without a deadline is stopped this much later */
+#define REBALANCE_US 3000000 /* between two moves of executors of one service */
+#define RAMP_US 60000000     /* a zone that returned takes work without limit after it */
+#define RAMP_FIRST 4	     /* starts allowed at once */
 
 bool zone_is_out(const struct team *team, const struct zone *z)
 {
@@ -47,6 +48,25 @@
 	return NULL;
 }
 
+/* Withdraws replacements that are not placed yet, when a zone returned in time. */
+static void keep_executors(struct sched *s, struct team *team, struct zone *z,
+			   int64_t now_us)
+{
+	struct worker *w;
+	struct task *t;
+
+	TAILQ_FOREACH (w, &z->workers, zone_entry) {
+		TAILQ_FOREACH (t, &w->tasks, worker_entry) {
+			struct task *n = t->replaced_by;
+
+			if (t->key.job->team != team || !n || t->stop)
+				continue;
+			if (n->phase == P_WAITING)
+				task_stop(s, n, SCHED_R_SCALED_DOWN, now_us);
+		}
+	}
+}
+
 /*
  * Takes a zone out for one team, or returns it. From the call on no start order of
  * the team is issued there; orders issued before expire within the order life.
@@ -80,6 +100,7 @@
 			free(d);
 		}
 		t->zone[z->index] = (struct team_zone){true, now_us, 0};
+		keep_executors(s, t, z, now_us);
 		s->generation++;
 	}
 	sched_wake(s, now_us);
@@ -101,6 +122,68 @@
 	return true;
 }
 
+/* Whether the zone may hold executors of the team without limit now. */
+static bool is_settled(const struct sched *s, const struct team *team,
+		       const struct zone *z, int64_t now_us)
+{
+	const struct team_zone *tz = &team->zone[z->index];
+
+	return z->nworkers && !zone_is_out(team, z) &&
+	       (!tz->ramp || now_us - tz->back_us >= RAMP_US);
+}
+
+static struct task *executor_in(const struct job *j, const struct zone *z)
+{
+	struct task *t;
+
+	TAILQ_FOREACH (t, &j->tasks, job_entry)
+		if (t->phase == P_RUNNING && !t->stop && t->counted &&
+		    t->worker->zone == z)
+			return t;
+	return NULL;
+}
+
+/*
+ * Moves one executor of the service to the zone with the fewest when that evens out
+ * the spread, which a zone that left and returned has upset.
+ */
+static void rebalance(struct sched *s, struct job *j, int64_t now_us)
+{
+	struct zone *most = NULL;
+	struct zone *least = NULL;
+	struct task *t;
+
+	for (unsigned int i = 0; i < s->nzones; i++) {
+		struct zone *z = s->zone_by_index[i];
+
+		if (!is_settled(s, j->team, z, now_us))
+			continue;
+		if (!most || j->zone_count[i] > j->zone_count[most->index])
+			most = z;
+		if (!least || j->zone_count[i] < j->zone_count[least->index])
+			least = z;
+	}
+	if (!most || j->zone_count[most->index] < j->zone_count[least->index] + 2)
+		return;
+	t = executor_in(j, most);
+	/* Without room there the replacement would only change places. */
+	if (t && fit_in_zone(s, t, least, now_us))
+		replace(s, t, now_us);
+}
+
+/* Evens out services, one executor of each at a time. */
+void zones_rebalance_step(struct sched *s, int64_t now_us)
+{
+	struct job *j;
+
+	if (now_us < s->rebalance_us || !s->fleet_known)
+		return;
+	s->rebalance_us = now_us + REBALANCE_US;
+	TAILQ_FOREACH (j, &s->services, service_entry)
+		if (!j->replacing && !j->cancelled && !j->reject && !j->nwaiting)
+			rebalance(s, j, now_us);
+}
+
 static void drain_executor(struct sched *s, struct drain *d, struct task *t,
 			   int64_t now_us)
 {
