Store tests: teams that hold nothing no longer count

At a replica that was not restored such a team would count against the bound on teams. Ruled out: a fault in the store, which removes them. Change: both cases are tested. Conclusion: the two tests fail with the removal taken out.

--- a/regress/test_claim.c
+++ b/regress/test_claim.c
@@ -253,6 +253,22 @@
 	ck_assert_int_eq(rig_claim(&rig, &b), CF_ENOSPACE);
 	ck_assert_int_eq(rig_claim_end(&rig, &a, CMD_CLAIM_ABORT), 0);
 	ck_assert_int_eq(rig_claim(&rig, &b), 0);
+
+	/* A team whose only claim was refused. */
+	rig.options.claim.teams = 2;
+	rig.options.claim.claims = (struct share_options){0, 1, 1};
+	rig_reopen(&rig);
+	rig.index = 0;
+	ck_assert_int_eq(rig_entry(&rig, "e1", 1), 0);
+	for (int i = 0; i < 4; i++) {
+		char team[16];
+
+		ck_assert_int_eq(rig_claim(&rig, &a), 0);
+		snprintf(team, sizeof(team), "team%d", i);
+		b.team = team;
+		ck_assert_int_eq(rig_claim(&rig, &b), CF_ENOSPACE);
+		ck_assert_int_eq(rig_claim_end(&rig, &a, CMD_CLAIM_ABORT), 0);
+	}
 }
 END_TEST
 
--- a/regress/test_conf.c
+++ b/regress/test_conf.c
@@ -267,6 +267,7 @@
 	char id[16];
 
 	rig.options.dedup.bytes = (struct share_options){1000, 0, 1000};
+	rig.options.dedup.teams = 2;
 	restart();
 	ck_assert_int_eq(rig_put(&rig, "/u/zone/a", 0, "u1", "u", "state=in"), 0);
 	buf_set(&first, buf_str(&rig.command));
@@ -282,6 +283,10 @@
 	rig_run(&rig, CMD_NOP, NULL);
 	ck_assert_uint_eq(dedup_count(store_dedup(rig.s)), 0);
 	ck_assert_int_eq(rig_apply(&rig, buf_str(&first)), CF_ECONFLICT);
+	/* Teams without results no longer count. */
+	ck_assert_int_eq(rig_put(&rig, "/v/zone/a", 0, "v1", "v", "state=in"), 0);
+	ck_assert_int_eq(rig_put(&rig, "/w/zone/a", 0, "w1", "w", "state=in"),
+			 CF_ENOSPACE);
 	buf_free(&first);
 }
 END_TEST
