--- a/carawayfrontd/entry_control.c
+++ b/carawayfrontd/entry_control.c
@@ -86,6 +86,7 @@
 	set_counter(e, "carawayfront_stale_announcements_total", "",
 		    r.stale_announcements);
 	set_counter(e, "carawayfront_spilled_sends_total", "", r.spilled);
+	spread_export_metrics(e->spread);
 	set_counter(e, "carawayfront_rpc_calls_total", "", rpc->calls);
 	set_counter(e, "carawayfront_rpc_refused_total", "", rpc->refused);
 	set_counter(e, "carawayfront_rpc_malformed_total", "", rpc->malformed);
--- a/carawayfrontd/spread.h
+++ b/carawayfrontd/spread.h
@@ -19,7 +19,8 @@
 
 int spread_new(const struct spread_options *opt, struct spread **out);
 int spread_announced(struct spread *s, const struct router_upstream *u);
-int spread_receive(struct spread *s, struct str member, struct str args);
+int spread_receive(struct spread *s, struct str member, struct str batch);
+void spread_export_metrics(struct spread *s);
 void spread_free(struct spread *s);
 
 #endif
--- a/carawayfrontd/state.c
+++ b/carawayfrontd/state.c
@@ -2,8 +2,6 @@
 
 #include <stdlib.h>
 
-#include <xxhash.h>
-
 #include "base/err.h"
 #include "carawayfrontd/ctl_reply.h"
 #include "carawayfrontd/state_impl.h"
@@ -14,14 +12,6 @@
 #define CONTROL_MAX_CONNECTIONS 256U
 #define CONTROL_IDLE_S 60U
 
-/* Members are numbered by their names, so that the order of the settings is free. */
-uint64_t state_member_id(struct str name)
-{
-	uint64_t id = XXH3_64bits(name.p, name.n);
-
-	return id ? id : 1;
-}
-
 static struct state_peer *find_peer(struct state *s, uint64_t id)
 {
 	for (size_t i = 0; i < s->n_peers; i++)
@@ -268,7 +258,7 @@
 
 		if (str_eq(m[i].name, s->settings->name))
 			continue;
-		p->id = state_member_id(m[i].name);
+		p->id = member_id(m[i].name);
 		p->name = m[i].name;
 		err = rpc_client_new(&opt, &p->client);
 		if (err)
@@ -368,7 +358,7 @@
 	s->loop = loop;
 	s->settings = settings;
 	s->metrics = metrics;
-	s->id = state_member_id(settings->name);
+	s->id = member_id(settings->name);
 	ev_timer_init(&s->timer, on_timer, 0, 0);
 	ev_prepare_init(&s->prepare, on_prepare);
 	s->timer.data = s;
--- a/carawayfrontd/state_impl.h
+++ b/carawayfrontd/state_impl.h
@@ -3,6 +3,7 @@
 
 #include <uthash.h>
 
+#include "carawayfrontd/member_id.h"
 #include "carawayfrontd/settings.h"
 #include "carawayfrontd/state.h"
 #include "carawayfrontd/state_disk.h"
@@ -69,7 +70,6 @@
 	int failure;
 };
 
-uint64_t state_member_id(struct str name);
 int state_make_store(struct state *s);
 struct str state_leader_name(const struct state *s);
 
--- a/carawayfrontd/state_propose.c
+++ b/carawayfrontd/state_propose.c
@@ -119,7 +119,7 @@
 	struct replica_msg *m = NULL;
 
 	if (!replica_msg_decode(call->args, &m))
-		replica_receive(s->replica, state_member_id(call->member), m, clock_us());
+		replica_receive(s->replica, member_id(call->member), m, clock_us());
 	replica_msg_free(m);
 	rpc_call_drop(call);
 }
--- a/io/rpc_client.c
+++ b/io/rpc_client.c
@@ -21,6 +21,7 @@
 	struct ev_timer sweep;
 	struct rpc_waiter *waiters[WAITER_BUCKETS];
 	unsigned int outstanding;
+	bool up;
 	uint32_t next_xid;
 	double backoff;
 	double not_before; /* loop time of the next connection attempt */
@@ -97,11 +98,22 @@
 	return 0;
 }
 
+static void on_opened(struct stream *s)
+{
+	struct rpc_client *c = (struct rpc_client *)s;
+
+	c->up = true;
+	if (c->opt.host)
+		c->opt.host->ops->up(c->opt.host);
+}
+
 static void on_closed(struct stream *s, int err)
 {
 	struct rpc_client *c = (struct rpc_client *)s;
 	double now = ev_now(c->opt.loop);
+	bool was_up = c->up;
 
+	c->up = false;
 	c->not_before = now + c->backoff;
 	c->backoff = c->backoff * 2 > RECONNECT_MAX ? RECONNECT_MAX : c->backoff * 2;
 	/* Calls made from done() wait for the next connection and are kept. */
@@ -109,10 +121,13 @@
 		for (struct rpc_waiter *w = c->waiters[i]; w; w = w->next)
 			w->deadline = -1;
 	end_calls(c, 0, CF_ECONN);
+	if (was_up && c->opt.host)
+		c->opt.host->ops->down(c->opt.host);
 }
 
 static const struct stream_ops client_stream_ops = {
 	.record = on_record,
+	.opened = on_opened,
 	.closed = on_closed,
 };
 
@@ -211,6 +226,13 @@
 	return err;
 }
 
+/* Ends the connection, which is reported from the loop. */
+void rpc_client_disconnect(struct rpc_client *c)
+{
+	if (c->stream.fd >= 0)
+		shutdown(c->stream.fd, SHUT_RDWR);
+}
+
 /* Forgets an outstanding call; done() will not be called. */
 void rpc_waiter_cancel(struct rpc_waiter *w)
 {
--- a/io/rpc_client.h
+++ b/io/rpc_client.h
@@ -25,17 +25,29 @@
 	double deadline;
 };
 
+/* Told about the connection; embedded in its user. */
+struct rpc_client_host {
+	const struct rpc_client_ops *ops;
+};
+
+struct rpc_client_ops {
+	void (*up)(struct rpc_client_host *host);
+	void (*down)(struct rpc_client_host *host);
+};
+
 struct rpc_client_options {
 	struct ev_loop *loop;
 	struct addr address;
 	struct str member; /* own name and key; the caller keeps the bytes */
 	struct str key;
+	struct rpc_client_host *host; /* may be NULL */
 };
 
 int rpc_client_new(const struct rpc_client_options *opt, struct rpc_client **out);
 int rpc_client_call(struct rpc_client *c, uint32_t proc, struct str args, double timeout,
 		    struct rpc_waiter *w);
 int rpc_client_post(struct rpc_client *c, uint32_t proc, struct str args);
+void rpc_client_disconnect(struct rpc_client *c);
 void rpc_waiter_cancel(struct rpc_waiter *w);
 void rpc_client_free(struct rpc_client *c);
 
--- a/io/stream.c
+++ b/io/stream.c
@@ -83,6 +83,10 @@
 			return;
 		}
 		s->connecting = false;
+		if (s->ops->opened)
+			s->ops->opened(s);
+		if (s->fd < 0)
+			return;
 	}
 	err = stream_flush(s);
 	if (err)
--- a/io/stream.h
+++ b/io/stream.h
@@ -12,6 +12,8 @@
 struct stream_ops {
 	/* One whole record has arrived. A negative result closes the stream. */
 	int (*record)(struct stream *s, struct str record);
+	/* The connection attempt succeeded; may be NULL. */
+	void (*opened)(struct stream *s);
 	/* The connection ended; called once, from the loop. */
 	void (*closed)(struct stream *s, int err);
 };
--- a/proto/peer.h
+++ b/proto/peer.h
@@ -104,44 +104,6 @@
 };
 typedef struct peer_watch_res peer_watch_res;
 
-struct peer_upstream {
-	struct {
-		u_int team_len;
-		char *team_val;
-	} team;
-	struct {
-		u_int service_len;
-		char *service_val;
-	} service;
-	struct {
-		u_int name_len;
-		char *name_val;
-	} name;
-	struct {
-		u_int address_len;
-		char *address_val;
-	} address;
-	struct {
-		u_int zone_len;
-		char *zone_val;
-	} zone;
-	u_int slots;
-	int load;
-	bool_t leaving;
-	u_quad_t incarnation;
-	u_quad_t sequence;
-	u_int age_ms;
-};
-typedef struct peer_upstream peer_upstream;
-
-struct peer_announce_args {
-	struct {
-		u_int upstreams_len;
-		struct peer_upstream *upstreams_val;
-	} upstreams;
-};
-typedef struct peer_announce_args peer_announce_args;
-
 struct peer_worker_args {
 	struct {
 		u_int name_len;
@@ -212,8 +174,6 @@
 extern  bool_t xdr_peer_watch_args (XDR *, peer_watch_args*);
 extern  bool_t xdr_peer_change (XDR *, peer_change*);
 extern  bool_t xdr_peer_watch_res (XDR *, peer_watch_res*);
-extern  bool_t xdr_peer_upstream (XDR *, peer_upstream*);
-extern  bool_t xdr_peer_announce_args (XDR *, peer_announce_args*);
 extern  bool_t xdr_peer_worker_args (XDR *, peer_worker_args*);
 extern  bool_t xdr_peer_worker_res (XDR *, peer_worker_res*);
 extern  bool_t xdr_peer_read_kind (XDR *, peer_read_kind*);
@@ -228,8 +188,6 @@
 extern bool_t xdr_peer_watch_args ();
 extern bool_t xdr_peer_change ();
 extern bool_t xdr_peer_watch_res ();
-extern bool_t xdr_peer_upstream ();
-extern bool_t xdr_peer_announce_args ();
 extern bool_t xdr_peer_worker_args ();
 extern bool_t xdr_peer_worker_res ();
 extern bool_t xdr_peer_read_kind ();
--- a/proto/peer.x
+++ b/proto/peer.x
@@ -69,24 +69,6 @@
 	struct peer_change changes<>;
 };
 
-struct peer_upstream {
-	opaque team<PEER_MAX_NAME>;
-	opaque service<PEER_MAX_NAME>;
-	opaque name<PEER_MAX_NAME>;
-	opaque address<PEER_MAX_NAME>;
-	opaque zone<PEER_MAX_NAME>;
-	unsigned int slots;
-	int load;
-	bool leaving;
-	unsigned hyper incarnation;
-	unsigned hyper sequence;
-	unsigned int age_ms;
-};
-
-struct peer_announce_args {
-	struct peer_upstream upstreams<>;
-};
-
 /* JSON of the worker's poll, forwarded as it came. */
 struct peer_worker_args {
 	opaque name<PEER_MAX_NAME>;
--- a/regress/test_site_tasks.sh
+++ b/regress/test_site_tasks.sh
@@ -59,7 +59,9 @@
 site_signal "$leader" STOP
 sleep 4
 site_signal "$leader" CONT
-sleep 1
+# Long tasks, so that those on the workers that are cut off run when their lease ends.
+submit long 40 8
+sleep 1.5
 curl -s "http://127.0.0.1:$((SITE_PORT + 89))/cut/all" >/dev/null
 sleep 10
 curl -s "http://127.0.0.1:$((SITE_PORT + 89))/heal/all" >/dev/null
@@ -67,12 +69,12 @@
 out_us=$(date +%s%6N)
 case $r in *error* | "") site_fail "zone is not taken out: $r" ;; esac
 zone_revision=$(echo "$r" | sed -n 's/.*"revision":\([0-9]*\).*/\1/p')
-submit three 40 0.5
+submit three 300 0.5
 sleep 5
 r=$(zone in "$zone_revision")
 in_us=$(date +%s%6N)
 case $r in *error* | "") site_fail "zone is not taken in: $r" ;; esac
-for j in one two three; do
+for j in one two long three; do
 	site_until 60 job_is_done $j || site_fail "job $j is not done: $(job $j | cut -c1-400)"
 done
 check_tasks "$ledger" || site_fail "task ledger"
