--- a/standins/worker.c
+++ b/standins/worker.c
@@ -81,6 +81,7 @@
 	int64_t start_us;
 	int result; /* exit status when the work is over */
 	bool checkpointing;
+	int64_t checkpoint; /* marker of this attempt's last checkpoint, 0: none */
 	struct ev_timer timer;
 };
 
@@ -162,8 +163,6 @@
 		return;
 	ev_timer_stop(loop, &t->timer);
 	task_progress(t);
-	if (state == T_CHECKPOINTED)
-		checkpoint_store(t);
 	t->state = state;
 	t->exit_code = exit_code;
 	task_line(t, "end", state_names[state]);
@@ -183,12 +182,24 @@
 	ev_timer_start(loop, &t->timer);
 }
 
+/* The task keeps running; the report carries the marker of the checkpoint. */
+static void task_checkpointed(struct task *t)
+{
+	t->checkpointing = false;
+	t->checkpoint = wall_us();
+	task_progress(t);
+	checkpoint_store(t);
+	task_line(t, "checkpoint", "written");
+	task_arm(t);
+	worker_poll(t->worker);
+}
+
 static void task_timer_cb(struct ev_loop *l, struct ev_timer *w, int revents)
 {
 	struct task *t = w->data;
 
 	if (t->checkpointing)
-		task_end(t, T_CHECKPOINTED, 0);
+		task_checkpointed(t);
 	else
 		task_end(t, t->result ? T_FAILED : T_DONE, t->result);
 }
@@ -286,6 +297,7 @@
 	t->exit_code = 0;
 	t->result = 0;
 	t->checkpointing = false;
+	t->checkpoint = 0;
 	t->cpus = order_number(order, "cpus");
 	t->memory_mb = order_number(order, "memory_mb");
 	t->accelerators = order_number(order, "accelerators");
@@ -296,6 +308,8 @@
 	t->start_us = t->since_us = t->percent_us = mono_us();
 	task_command(t, command ? command : "");
 	HASH_FIND_STR(checkpoints, t->name, c);
+	if (order_number(order, "checkpoint") == 0)
+		c = NULL;
 	if (c && c->left_s < t->left_s)
 		t->left_s = c->left_s;
 	if (t->worker->fails) {
@@ -423,12 +437,17 @@
 	int64_t then = mono_us() - opt.lag_ms * US_PER_MS;
 	unsigned int percent = t->percent_us <= then ? t->percent : t->old_percent;
 	bool used = t->state == T_RUNNING && t->start_us <= then;
-	json_t *j = json_pack("{s:I,s:s,s:i,s:I,s:I}", "attempt", (json_int_t)t->attempt,
-			      "state", state_names[t->state], "exit", t->exit_code,
-			      "cpu_milli",
-			      (json_int_t)(used ? t->cpu_milli * percent / 100 : 0),
-			      "memory_mb", (json_int_t)(used ? t->real_mb : 0));
-
+	json_t *j = json_pack(
+		"{s:I,s:s,s:i,s:I,s:I}", "attempt", (json_int_t)t->attempt, "state",
+		state_names[t->state == T_RUNNING && t->checkpoint ? T_CHECKPOINTED
+								   : t->state],
+		"exit", t->exit_code, "cpu_milli",
+		(json_int_t)(used ? t->cpu_milli * percent / 100 : 0), "memory_mb",
+		(json_int_t)(used ? t->real_mb : 0));
+
+	if (t->checkpoint)
+		json_object_set_new(j, "checkpoint",
+				    json_integer((json_int_t)t->checkpoint));
 	json_object_set_new(j, "task",
 			    t->numeric ? json_integer(strtoll(t->name, NULL, 10))
 				       : json_string(t->name));
