core/replica: learners answer HELLO and stand when a candidate needs them

Ruled out: a vote for the shorter log (breaks the vote rule). Change: answers of learners count for the check at a restart; a replica that refuses a candidate that counts it as a voter, because its own log is longer, may stand itself and needs a quorum of the voters that its own log names.

--- a/core/replica_elect.c
+++ b/core/replica_elect.c
@@ -135,6 +135,12 @@
 	/* A sender whose log is longer may be a member that this log does not have. */
 	if (!known && order <= 0)
 		return;
+	/*
+	 * A candidate whose log holds an uncommitted promotion of this replica cannot
+	 * win without it, and not with it while this log is longer.
+	 */
+	if (order < 0 && !elect_lease_holds(r))
+		r->asked = true;
 	grant = order >= 0 && !elect_lease_holds(r);
 	if (prevote)
 		grant = grant && m->epoch > r->promise.epoch;
--- a/core/replica_follow.c
+++ b/core/replica_follow.c
@@ -89,6 +89,10 @@
 		return false;
 	if (r->role == REPLICA_LEADER)
 		return false;
+	if (r->asked) {
+		r->asked = false;
+		replica_role_refresh(r);
+	}
 	if (r->leader != from || r->role == REPLICA_CANDIDATE ||
 	    r->role == REPLICA_PRECANDIDATE)
 		replica_step_down(r, from);
--- a/core/replica_member.c
+++ b/core/replica_member.c
@@ -46,15 +46,17 @@
 }
 
 /*
- * Whether this replica takes part in elections. A voter whose removal has not
- * committed must: it may hold the longest log, without which nobody can be elected.
+ * Whether this replica takes part in elections. A voter whose removal, or a learner
+ * whose promotion, has not committed must: it may hold the longest log, without which
+ * nobody can be elected. It needs a quorum of the voters that its own log names, and
+ * steps down once its barrier has committed.
  */
 bool replica_may_stand(const struct replica *r)
 {
 	const struct replica_member *m =
 		replica_member_find(&r->applied_members, r->id, r->identity);
 
-	return replica_is_voter(r) || (m && m->voter);
+	return replica_is_voter(r) || (m && m->voter) || r->asked;
 }
 
 /* Sets learner or follower after a membership changed or committed. */
--- a/core/replica_priv.h
+++ b/core/replica_priv.h
@@ -66,6 +66,7 @@
 	uint64_t leader;
 	uint64_t leader_identity;
 	bool verified; /* the directory is not known to be older than what it promised */
+	bool asked;    /* a candidate with a shorter log counts this replica as a voter */
 	struct replica_member hello_leader; /* leader that was asked, id 0: none */
 	int64_t leader_heard_us;
 	int64_t election_at;
--- a/core/replica_witness.c
+++ b/core/replica_witness.c
@@ -53,9 +53,9 @@
 }
 
 /*
- * After a restart the voter takes no part until enough voters to complete a quorum
- * have said that they know of no newer acknowledgement. fresh: nothing was ever
- * promised under this identity.
+ * After a restart the voter takes no part until as many members as complete a quorum
+ * have said that they know of no newer acknowledgement. Learners count: the leader
+ * tells them the same. fresh: nothing was ever promised under this identity.
  */
 void replica_hello_start(struct replica *r, bool fresh)
 {
@@ -73,7 +73,7 @@
 			.index = r->durable,
 		};
 
-		if (r->peer[i].voter && !r->peer[i].hello_ok)
+		if (!r->peer[i].hello_ok)
 			replica_send(r, r->peer[i].id, r->peer[i].identity, &m);
 	}
 }
@@ -132,7 +132,7 @@
 	if (p)
 		p->hello_ok = true;
 	for (size_t i = 0; i < r->n_peer; i++)
-		n += r->peer[i].voter && r->peer[i].hello_ok;
+		n += r->peer[i].hello_ok;
 	if (n < hello_need(r) && !leader)
 		return;
 	r->verified = true;
--- a/regress/lib_cluster.c
+++ b/regress/lib_cluster.c
@@ -7,6 +7,8 @@
 #include <xxhash.h>
 
 #include "base/err.h"
+#include "proto/codec.h"
+#include "proto/replica.h"
 
 struct event {
 	int64_t at;
@@ -268,6 +270,7 @@
 	if (from_index <= n->applied)
 		cluster_fail(n->c, "node %d truncates applied entry %d", (int)n->id,
 			     (int)from_index);
+	n->c->truncations++;
 	disk_cut(&n->disk, from_index);
 	if (from_index < n->truncated)
 		n->truncated = from_index;
@@ -315,16 +318,21 @@
 static void check_members(struct cluster *c, const struct replica_entry *e)
 {
 	const struct replica_members *old = &c->ref_members;
+	struct replica_wire_members w = {0};
 	struct replica_members m = {0};
 	size_t changed = 0;
 
-	for (size_t i = 1; i <= c->n; i++) {
-		if (c->node[i].r && replica_committed(c->node[i].r) >= e->index &&
-		    replica_last_index(c->node[i].r) >= e->index) {
-			m = *replica_members(c->node[i].r);
-			break;
-		}
+	if (codec_decode((xdrproc_t)xdr_replica_wire_members, &w, e->data))
+		cluster_fail(c, "membership entry %d does not decode", (int)e->index);
+	for (m.n = 0; m.n < w.list.list_len; m.n++) {
+		m.list[m.n] = (struct replica_member){
+			.id = w.list.list_val[m.n].id,
+			.identity = w.list.list_val[m.n].identity,
+			.voter = w.list.list_val[m.n].voter,
+		};
 	}
+	codec_free((xdrproc_t)xdr_replica_wire_members, &w);
+	c->changes++;
 	for (size_t i = 0; i < old->n; i++) {
 		bool found = false;
 
@@ -428,6 +436,7 @@
 		cluster_fail(n->c, "node %d loads a wrong snapshot at %d", (int)n->id,
 			     (int)index);
 	n->applied = index;
+	n->c->installs += n->r != NULL;
 	return 0;
 }
 
@@ -441,8 +450,12 @@
 	      (int)epoch, (int)leader);
 	if (role == REPLICA_FAILED && !n->fail_sync)
 		cluster_fail(c, "node %d failed", (int)n->id);
+	if (role == REPLICA_EXCLUDED && !c->expect_excluded)
+		cluster_fail(c, "node %d is excluded with an intact directory",
+			     (int)n->id);
 	if (role != REPLICA_LEADER)
 		return;
+	c->elections++;
 	for (size_t i = 0; i < c->n_leaders; i++) {
 		if (c->leader_of[i].epoch == epoch)
 			cluster_fail(c, "nodes %d and %d lead epoch %d",
@@ -493,6 +506,7 @@
 	uint64_t written = d->base + d->n;
 
 	TRACE(n->c, "node %d crashes\n", (int)n->id);
+	n->c->crashes++;
 	replica_free(n->r);
 	n->r = NULL;
 	n->generation++;
@@ -539,6 +553,7 @@
 /* Replaces the disk of a stopped node by an empty one. */
 void node_wipe(struct node *n)
 {
+	n->c->wipes++;
 	disk_free(&n->disk);
 	n->disk.promise.identity = prng_next(&n->c->prng) | 1;
 }
--- a/regress/lib_cluster.h
+++ b/regress/lib_cluster.h
@@ -86,6 +86,9 @@
 	char failure[256];  /* first violated rule */
 	unsigned int still; /* events since time moved */
 	bool trace;
+	bool expect_excluded; /* a directory is put back from an older copy */
+	/* How often it happened. */
+	uint64_t elections, crashes, wipes, truncations, installs, changes;
 };
 
 void cluster_start(struct cluster *c, uint64_t seed, size_t voters, size_t learners);
