core/replica: one rule for replicas that stand though their log does not name them

Cause: the rule for an uncommitted removal is covered by the rule for a replica that a candidate counts as a voter; with the first removed, no test failed. Change: the first rule is gone. other_identity_is_refused also asks for a vote.

--- a/core/replica_member.c
+++ b/core/replica_member.c
@@ -53,10 +53,7 @@
  */
 bool replica_may_stand(const struct replica *r)
 {
-	const struct replica_member *m =
-		replica_member_find(&r->applied_members, r->id, r->identity);
-
-	return replica_is_voter(r) || (m && m->voter) || r->asked;
+	return replica_is_voter(r) || r->asked;
 }
 
 /* Sets learner or follower after a membership changed or committed. */
--- a/regress/test_replica.c
+++ b/regress/test_replica.c
@@ -495,6 +495,18 @@
 	m.epoch = replica_epoch(l.r);
 	ck_assert_int_eq(replica_receive(l.r, 2, &m, now), CF_EFOREIGN);
 	ck_assert_uint_eq(replica_committed(l.r), 0);
+	/* A candidate that is not a member, with an equal log. */
+	now += 5 * SECOND;
+	replica_tick(l.r, now);
+	m.kind = REPLICA_MSG_VOTE;
+	m.epoch += 1;
+	m.index = 3;
+	m.index_epoch = replica_epoch(l.r);
+	l.last.kind = 0;
+	replica_receive(l.r, 3, &m, now);
+	ck_assert_int_ne(l.last.kind, REPLICA_MSG_VOTE_REPLY);
+	m.kind = REPLICA_MSG_APPEND_REPLY;
+	m.epoch -= 1;
 	m.from_identity = 102;
 	m.to_identity = 998;
 	ck_assert_int_eq(replica_receive(l.r, 2, &m, now), CF_EFOREIGN);
