Eject only upstreams that fail alone; test of ejection

Cause: the new test saw 4 of 10 upstreams ejected for an error that all of them returned: the first five failures of one were compared with the few of the others. Ruled out: the moving share of the pool, because a fast failing upstream attracts requests and raises it. Change: ejection needs five successes elsewhere since the upstream's own last one. Conclusion: errors of the callers' requests eject none.

--- a/core/router_eject.c
+++ b/core/router_eject.c
@@ -3,6 +3,8 @@
 /* Weight of the newest result; five failures in a row pass FAIL_SHARE. */
 #define FAIL_WEIGHT 0.15F
 #define FAIL_SHARE 0.5F
+/* Successes elsewhere since its own last one that show that it fails alone. */
+#define SUCCESSES_ELSEWHERE 5
 /* An upstream this much slower than its pool is ejected. */
 #define SLOW_FACTOR 5.0
 #define SLOW_SAMPLES 8
@@ -25,7 +27,8 @@
 	const struct pool *p = u->pool;
 	double others;
 
-	if (u->fail < FAIL_SHARE || p->usable < 2)
+	if (u->fail < FAIL_SHARE || p->usable < 2 ||
+	    p->successes - u->success_mark < SUCCESSES_ELSEWHERE)
 		return false;
 	others = (p->fail_sum - (double)u->fail) / (p->usable - 1);
 	return (double)u->fail > 2 * others;
@@ -72,6 +75,8 @@
 void eject_result(struct router *r, struct upstream *u, bool failed, int64_t took_us,
 		  int64_t now_us)
 {
+	if (!failed)
+		u->success_mark = ++u->pool->successes;
 	if (eject_active(u, now_us))
 		return;
 	if (u->probing) {
--- a/core/router_impl.h
+++ b/core/router_impl.h
@@ -101,6 +101,7 @@
 	unsigned int inflight; /* of this process, late ones included */
 	unsigned int others;   /* in flight of others at seen_us */
 	unsigned int ejections;
+	uint64_t success_mark; /* successes of the pool at its own last one */
 	unsigned int samples;
 	float limit;	  /* adaptive bound of own in flight */
 	float fail;	  /* moving share of failures */
@@ -135,6 +136,7 @@
 	double mean_us;	 /* moving mean of service times, 0: none seen */
 	int64_t home_us; /* time of the last home_assign() */
 	bool home_dirty;
+	uint64_t successes;
 	double fail_sum; /* of the upstreams that are usable */
 	bool ringed;
 };
--- a/core/router_upstream.c
+++ b/core/router_upstream.c
@@ -401,6 +401,7 @@
 	u->expiry.kind = TIMER_EXPIRY;
 	u->reopen.kind = TIMER_REOPEN;
 	u->ejected_until_us = INT64_MIN;
+	u->success_mark = p->successes;
 	u->closed_until_us = INT64_MIN;
 	u->seen_us = INT64_MIN;
 	u->expires_us = INT64_MIN;
--- a/regress/test_router.c
+++ b/regress/test_router.c
@@ -700,6 +700,124 @@
 }
 END_TEST
 
+/* Ten upstreams of one pool; some answer badly. */
+#define EJECT_UPSTREAMS 10
+
+struct eject {
+	struct router_host host;
+	uint64_t last[8192];
+	uint64_t id[EJECT_UPSTREAMS];
+	unsigned int sent[EJECT_UPSTREAMS];
+};
+
+static void eject_send(struct router_host *h, uint64_t request, uint64_t upstream)
+{
+	struct eject *e = (struct eject *)(void *)h;
+
+	e->last[request] = upstream;
+	for (unsigned int i = 0; i < EJECT_UPSTREAMS; i++)
+		e->sent[i] += e->id[i] == upstream;
+}
+
+static void eject_finish(struct router_host *h, uint64_t request,
+			 const struct router_outcome *o)
+{
+}
+
+static const struct router_ops eject_ops = {eject_send, eject_finish, fair_claim,
+					    fair_claim, fair_claim,   fair_claim};
+
+/* Sends n requests one after the other; the first `bad` upstreams answer `status`. */
+static void eject_round(struct eject *e, struct router *r, uint64_t *request,
+			int64_t *now, unsigned int n, unsigned int bad, int status)
+{
+	memset(e->sent, 0, sizeof(e->sent));
+	for (unsigned int k = 0; k < n; k++, ++*request) {
+		struct router_request q = {.id = *request,
+					   .team = STR("guild"),
+					   .service = STR("desk"),
+					   .deadline_us = *now + 60 * SEC};
+		struct router_answer a = {.status = 200, .load = 0};
+
+		*now += MS;
+		for (unsigned int i = 0; i < EJECT_UPSTREAMS; i++)
+			router_renew(r, e->id[i], 0, 0, 0, *now);
+		router_tick(r, *now);
+		ck_assert_int_eq(router_submit(r, &q, *now), 0);
+		*now += MS;
+		for (unsigned int i = 0; i < bad; i++)
+			if (e->last[*request] == e->id[i])
+				a.status = status;
+		router_answered(r, *request, &a, *now);
+	}
+}
+
+/*
+ * Guards against a failing upstream that stays in use, one that does not come back,
+ * ejection below the floor, and ejection for errors that every upstream returns.
+ */
+START_TEST(ejection)
+{
+	static struct eject e;
+	struct router_upstream_info info;
+	struct router_options o;
+	struct router_stats st;
+	struct router *r;
+	uint64_t request = 0;
+	uint64_t before;
+	int64_t now = SEC;
+	unsigned int ejected = 0;
+
+	memset(&e, 0, sizeof(e));
+	e.host.ops = &eject_ops;
+	router_options_init(&o);
+	o.host = &e.host;
+	o.name = STR("e1");
+	o.zone = STR("a");
+	ck_assert_int_eq(router_new(&o, &r), 0);
+	router_fresh(r, true, now);
+	for (unsigned int i = 0; i < EJECT_UPSTREAMS; i++) {
+		char name = (char)('a' + i);
+		struct router_upstream u = {.team = STR("guild"),
+					    .service = STR("desk"),
+					    .name = {&name, 1},
+					    .address = STR("127.0.0.1:80"),
+					    .zone = STR("a"),
+					    .slots = 8,
+					    .incarnation = 1,
+					    .sequence = 1};
+
+		ck_assert_int_eq(router_upstream(r, &u, now), 0);
+		e.id[i] = router_upstream_id(&u);
+	}
+	/* The same error everywhere: it belongs to the requests. */
+	eject_round(&e, r, &request, &now, 1000, EJECT_UPSTREAMS, 500);
+	router_stats(r, &st);
+	ck_assert_uint_eq(st.ejected, 0);
+	eject_round(&e, r, &request, &now, 400, 0, 200);
+	/* One fails: it gets few of 1,000 requests, a tenth would be 100. */
+	eject_round(&e, r, &request, &now, 1000, 1, 500);
+	router_stats(r, &st);
+	ck_assert_uint_gt(st.ejected, 0);
+	ck_assert_uint_lt(e.sent[0], 30);
+	/* It works again: it comes back, by a probe. */
+	before = st.probes;
+	eject_round(&e, r, &request, &now, 3000, 0, 200);
+	eject_round(&e, r, &request, &now, 200, 0, 200);
+	router_stats(r, &st);
+	ck_assert_uint_gt(st.probes, before);
+	ck_assert_uint_gt(e.sent[0], 5);
+	/* Nearly all fail: the floor of 60 % stays in use. */
+	eject_round(&e, r, &request, &now, 2000, 9, 500);
+	for (unsigned int i = 0; i < EJECT_UPSTREAMS; i++) {
+		ck_assert_int_eq(router_upstream_info(r, e.id[i], &info, now), 0);
+		ejected += info.ejected;
+	}
+	ck_assert_uint_le(ejected, 4);
+	router_free(r);
+}
+END_TEST
+
 int main(int argc, char **argv)
 {
 	Suite *suite = suite_create("router");
@@ -715,6 +833,7 @@
 	tcase_add_test(tc, random_histories);
 	tcase_add_test(tc, teams_share_the_process);
 	tcase_add_test(tc, tables_are_bounded);
+	tcase_add_test(tc, ejection);
 	suite_add_tcase(suite, tc);
 	sr = srunner_create(suite);
 	srunner_run_all(sr, CK_NORMAL);
