End an attempt whose stop was wished for while its intent was under way

Ruled out: a timer over stuck tasks. Change: task_stop() ends what no worker can know of also when a stop was wished for before.

--- a/core/sched_task.c
+++ b/core/sched_task.c
@@ -313,12 +313,12 @@
 	case P_RUNNING:
 		break;
 	}
-	if (t->stop && (is_final(t->stop) || !final))
-		return;
-	t->stop = reason;
-	t->stop_us = now_us;
+	if (!t->stop || (final && !is_final(t->stop))) {
+		t->stop = reason;
+		t->stop_us = now_us;
+	}
 	if (t->phase != P_RUNNING && !t->pending && task_never_issued(t))
-		task_over(s, t, task_end_state(reason), reason, now_us);
+		task_over(s, t, task_end_state(t->stop), t->stop, now_us);
 }
 
 /* The attempt is certainly over without having ended by itself. */
