--- a/core/sched_control.c
+++ b/core/sched_control.c
@@ -21,7 +21,7 @@
 #define MIN_PROBE 0.02 /* change of use that is worth learning from */
 #define LEVEL_STOP 1.1 /* a stop costs more than a throttle, so it needs more reason */
 #define MIN_STOP_EFFECT 0.15
-#define PERCENT_MIN 25
+#define PERCENT_MIN 12
 #define CHECKPOINT_WAIT_US 3000000LL
 
 static bool is_target(const struct task *t)
--- a/core/sched_impl.h
+++ b/core/sched_impl.h
@@ -166,53 +166,52 @@
 	uint64_t number;
 };
 
+/* What each report touches comes first, so that it shares two cache lines. */
 struct task {
 	struct task_key key;
 	uint32_t attempt;
-	uint32_t failures; /* attempts that failed by themselves */
-	enum phase phase;
-	enum sched_state end;	   /* P_ENDING: state to record */
-	enum sched_reason reason;  /* of the end */
-	enum sched_reason stop;	   /* wanted end of a bound attempt */
-	enum sched_state proposed; /* state of the proposal under way */
-	int32_t exit_code;
-	bool pending; /* a proposal is under way */
-	bool dirty;   /* in the queue of proposals to make */
-	bool recorded_running;
-	bool was_running; /* fed as running */
-	bool live;	  /* the worker may run it; counted in worker.live */
-	bool inherited;	  /* bound by an earlier leader and not yet reported */
-	bool final;	  /* its end is final: not placed again */
-	bool counted;	  /* in the spread counters of its service */
+	enum phase phase : 8;
+	enum sched_reason stop : 8; /* wanted end of a bound attempt */
+	bool pending;		    /* a proposal is under way */
+	bool inherited;		    /* bound by an earlier leader and not yet reported */
+	bool live;		    /* the worker may run it; counted in worker.live */
 	bool want_checkpoint;
-	bool proven;	      /* ended well or ran long */
-	bool attempt_resumed; /* this attempt began at a checkpoint */
-	bool queued;	      /* in job.waiting */
-	bool reclaim;	      /* counted in worker.reclaim */
-	uint8_t nfailed_on;
+	bool proven;		/* ended well or ran long */
+	bool dirty;		/* in the queue of proposals to make */
 	uint8_t percent;	/* throttle, 100: none */
 	uint8_t throttle_polls; /* responses that still repeat the throttle order */
-	uint64_t checkpoint;
-	uint64_t checkpoint_before; /* marker when one was asked for */
-	int64_t checkpoint_us;	    /* time of asking */
-	int64_t retry_us;	    /* not placed before */
-	uint64_t session;
-	uint64_t mark;	    /* poll that listed it */
-	int64_t issued_us;  /* first start order, 0: none */
-	int64_t started_us; /* first report, 0: none */
-	int64_t saved_us;   /* start or last checkpoint */
-	int64_t stop_us; /* time of the wish to stop; checkpoint grace counts from it */
-	uint64_t issued_seq;  /* poll that the last start order answered */
+	bool recorded_running;
+	bool was_running;     /* fed as running */
+	uint64_t mark;	      /* poll that listed it */
+	uint64_t issued_seq;  /* poll that the last start order answered, 0: none */
+	uint64_t checkpoint;  /* newest marker */
+	int64_t started_us;   /* first report, 0: none */
 	int64_t latency_us;   /* newest measurement of an executor */
 	int64_t throttled_us; /* last change of percent */
 	uint32_t used_cpu;    /* newest measurement */
 	uint32_t full_cpu;    /* newest one without a throttle, 0: none */
 	struct worker *worker;
-	struct worker *failed_on[MAX_FAILED_ON];
 	struct task *replaces; /* executor that this one will replace */
+	TAILQ_ENTRY(task) worker_entry;
+	uint32_t failures;	       /* attempts that failed by themselves */
+	enum sched_state end : 8;      /* P_ENDING: state to record */
+	enum sched_reason reason : 8;  /* of the end */
+	enum sched_state proposed : 8; /* state of the proposal under way */
+	bool final;		       /* its end is final: not placed again */
+	bool counted;		       /* in the spread counters of its service */
+	bool attempt_resumed;	       /* this attempt began at a checkpoint */
+	bool queued;		       /* in job.waiting */
+	bool reclaim;		       /* counted in worker.reclaim */
+	uint8_t nfailed_on;
+	int32_t exit_code;
+	uint64_t checkpoint_before; /* marker when one was asked for */
+	int64_t checkpoint_us;	    /* time of asking */
+	int64_t retry_us;	    /* not placed before */
+	int64_t saved_us;	    /* start or last checkpoint */
+	uint64_t session;
+	struct worker *failed_on[MAX_FAILED_ON];
 	struct task *replaced_by;
 	struct sched_node delay; /* retry time */
-	TAILQ_ENTRY(task) worker_entry;
 	TAILQ_ENTRY(task) job_entry;
 	TAILQ_ENTRY(task) wait_entry;
 	TAILQ_ENTRY(task) dirty_entry;
--- a/core/sched_poll.c
+++ b/core/sched_poll.c
@@ -251,8 +251,6 @@
 	if (!start_allowed(t) || !add_order(s, SCHED_START, t))
 		return;
 	t->issued_seq = w->seq;
-	if (!t->issued_us)
-		t->issued_us = now_us;
 	task_set_live(t, true);
 }
 
--- a/core/sched_task.c
+++ b/core/sched_task.c
@@ -203,7 +203,6 @@
 	t->recorded_running = false;
 	t->percent = 100;
 	t->throttle_polls = 0;
-	t->issued_us = 0;
 	t->issued_seq = 0;
 	t->started_us = 0;
 	t->proven = false;
@@ -315,7 +314,6 @@
 	}
 	if (!t->stop || (final && !is_final(t->stop))) {
 		t->stop = reason;
-		t->stop_us = now_us;
 	}
 	if (t->phase != P_RUNNING && !t->pending && task_never_issued(t))
 		task_over(s, t, task_end_state(t->stop), t->stop, now_us);
--- a/core/sched_zone.c
+++ b/core/sched_zone.c
@@ -176,7 +176,7 @@
 {
 	struct job *j;
 
-	if (now_us < s->rebalance_us || !s->fleet_known)
+	if (now_us < s->rebalance_us || !s->fleet_known || s->opt.first_fit)
 		return;
 	s->rebalance_us = now_us + REBALANCE_US;
 	TAILQ_FOREACH (j, &s->services, service_entry)
