--- a/core/sched_task.c
+++ b/core/sched_task.c
@@ -203,7 +203,6 @@
 	t->recorded_running = false;
 	t->percent = 100;
 	t->throttle_polls = 0;
-	t->issued_us = 0;
 	t->issued_seq = 0;
 	t->started_us = 0;
 	t->proven = false;
@@ -313,12 +312,11 @@
 	case P_RUNNING:
 		break;
 	}
-	if (t->stop && (is_final(t->stop) || !final))
-		return;
-	t->stop = reason;
-	t->stop_us = now_us;
+	if (!t->stop || (final && !is_final(t->stop))) {
+		t->stop = reason;
+	}
 	if (t->phase != P_RUNNING && !t->pending && task_never_issued(t))
-		task_over(s, t, task_end_state(reason), reason, now_us);
+		task_over(s, t, task_end_state(t->stop), t->stop, now_us);
 }
 
 /* The attempt is certainly over without having ended by itself. */
