Store test: a refused claim leaves no team behind

A refused team fills the bound on teams only when another team then needs its place. Ruled out: the bound of one claim in all, which hides the refused team behind the bound on claims. Change: two claims in all, one given back, and a third team.

--- a/regress/test_claim.c
+++ b/regress/test_claim.c
@@ -243,6 +243,7 @@
 {
 	struct lib_claim a = claim("a", 1);
 	struct lib_claim b = claim("b", 2);
+	struct lib_claim c;
 
 	rig.options.claim.teams = 1;
 	rig_reopen(&rig);
@@ -256,19 +257,17 @@
 
 	/* A team whose only claim was refused. */
 	rig.options.claim.teams = 2;
-	rig.options.claim.claims = (struct share_options){0, 1, 1};
+	rig.options.claim.claims = (struct share_options){0, 2, 2};
 	rig_reopen(&rig);
 	rig.index = 0;
 	ck_assert_int_eq(rig_entry(&rig, "e1", 1), 0);
-	for (int i = 0; i < 4; i++) {
-		char team[16];
-
-		ck_assert_int_eq(rig_claim(&rig, &a), 0);
-		snprintf(team, sizeof(team), "team%d", i);
-		b.team = team;
-		ck_assert_int_eq(rig_claim(&rig, &b), CF_ENOSPACE);
-		ck_assert_int_eq(rig_claim_end(&rig, &a, CMD_CLAIM_ABORT), 0);
-	}
+	c = claim("c", 3);
+	ck_assert_int_eq(rig_claim(&rig, &a), 0);
+	ck_assert_int_eq(rig_claim(&rig, &c), 0);
+	ck_assert_int_eq(rig_claim(&rig, &b), CF_ENOSPACE);
+	ck_assert_int_eq(rig_claim_end(&rig, &a, CMD_CLAIM_ABORT), 0);
+	b.team = "third";
+	ck_assert_int_eq(rig_claim(&rig, &b), 0);
 }
 END_TEST
 
