Jobs: do not touch a team after its last finished job was dropped

Cause: a finished job that alone exceeds the bound on kept tasks is dropped at once, and with it a team that has nothing else; the loop then read the freed team. Change: the loop ends before it reads the team again.

--- a/core/job.c
+++ b/core/job.c
@@ -226,6 +226,7 @@
 {
 	struct job_team *t = job->team;
 	struct job *old;
+	struct job *next;
 
 	if (job->service) {
 		job_drop(j, job);
@@ -239,9 +240,12 @@
 	TAILQ_INSERT_TAIL(&t->finished, job, link);
 	share_take(&j->kept, &t->used_kept, job->ntasks);
 	j->nkept++;
-	while (!share_fits(&j->kept, t->used_kept, 0) &&
-	       (old = TAILQ_FIRST(&t->finished)))
+	/* The team is gone when its last job is dropped. */
+	for (old = TAILQ_FIRST(&t->finished);
+	     old && !share_fits(&j->kept, t->used_kept, 0); old = next) {
+		next = TAILQ_NEXT(old, link);
 		job_drop(j, old);
+	}
 }
 
 /* Appends what a submission answers. */
