Router: table of the ways weighed, test of the ejection floor

Ruled out: nearly all upstreams failing at once, because none of them then fails alone. Change: a comment table; upstreams fail one after the other in the test. Before: the removed floor passed. After: 8 ejected against 4 allowed without the floor; with it the test passes. Not seen to fail: one request at a time while probing.

--- a/core/router_pick.c
+++ b/core/router_pick.c
@@ -2,6 +2,22 @@
 
 #include <math.h>
 
+/*
+ * Ways weighed by bench/bench_router.c: 8 entry processes, 65 executors of 8 slots
+ * that refuse when full, bursts, 95 % load, 4 s, one seed. Sends that found the
+ * slots taken in %, requests refused in %, p99 in ms:
+ *
+ *                        base              slow              noisy
+ *   random          51.3   2.3  901   51.7  12.3  934   51.3  14.1  901
+ *   two choices     50.7   0.7  737   51.1   9.8  934   50.6  10.0  803
+ *   reported load   23.0   0.4  385   20.9   9.2  868   21.1   9.1  672
+ *   own ones only    0.0   8.6  737    0.0  15.7  770    0.0  20.3  836
+ *   default         22.5   0.0  352   19.3   3.7  672   18.6   4.7  705
+ *
+ * With executors that queue by themselves two choices serve up to 7 % more at 95 %
+ * with slow or noisy executors, at 80 to 100 % of the sends above the slots.
+ */
+
 /*
  * What an upstream of another availability zone, and one of another owner, must be
  * better by, in slots used of slots present.
--- a/regress/test_router.c
+++ b/regress/test_router.c
@@ -807,8 +807,9 @@
 	router_stats(r, &st);
 	ck_assert_uint_gt(st.probes, before);
 	ck_assert_uint_gt(e.sent[0], 5);
-	/* Nearly all fail: the floor of 60 % stays in use. */
-	eject_round(&e, r, &request, &now, 2000, 9, 500);
+	/* One after the other fails: the floor of 60 % stays in use. */
+	for (unsigned int bad = 1; bad < EJECT_UPSTREAMS; bad++)
+		eject_round(&e, r, &request, &now, 150, bad, 500);
 	for (unsigned int i = 0; i < EJECT_UPSTREAMS; i++) {
 		ck_assert_int_eq(router_upstream_info(r, e.id[i], &info, now), 0);
 		ejected += info.ejected;
