--- a/carawayfrontd/state.c
+++ b/carawayfrontd/state.c
@@ -180,9 +180,8 @@
 /* A voter that cannot write its log must not go on. */
 static void check_failure(struct state *s)
 {
-	if (s->failure)
-		return;
-	s->failure = replica_failure(s->replica);
+	if (!s->failure)
+		s->failure = replica_failure(s->replica);
 	if (!s->failure)
 		return;
 	log_error("replica-failed", "error=\"%s\"", cf_strerror(s->failure));
