carawayctl and the control port agree; checks use core/vocab

Cause: the tool was written before the control port.

Ruled out: renaming the fields of the daemon, since the site tests and the design use `revision`; deletions read from the leader's history, since watch is served from the read copy of an entry process.

Change: * The tool uses revision, versions, name and detail. A conflict prints the document that is in force. * Watch reports deletions. An entry process keeps the last 1024, and says with deletions_after from which revision on they are complete. * GET /v1/upstreams with router_upstream_next(). * 401 and 403 say whether the token is missing, belongs to no team, or belongs to another team. * Status 507 is a refusal of the store and no unknown outcome. * stats added cumulative counts for each bound although empty buckets are left out, so that quantiles over several processes were wrong. It adds the counts of the buckets now, and shows the largest value beside the sum, because a sum of revisions or ages means nothing. * member add, replace and remove had no call in the daemon and are gone: members are admitted by themselves. Removing a dead voter by an operator needs a new procedure between entry and leader and is not done. * -n uses core/vocab and core/fields.

Tests: the row "fields: {a: slots}" of vocabulary_is_checked is replaced, because a vocabulary without kinds is valid for the daemon; a vocabulary with a part that is neither kinds nor fields takes its place.

--- a/carawayctl/conf.c
+++ b/carawayctl/conf.c
@@ -7,7 +7,7 @@
 #include "base/err.h"
 #include "carawayctl/document.h"
 #include "carawayctl/table.h"
-#include "carawayctl/vocab.h"
+#include "carawayctl/words.h"
 
 #define WATCH_WAIT_MS 20000
 #define YAML_TYPE "application/yaml"
@@ -35,26 +35,48 @@
 }
 
 /*
- * Reads a document. A document that does not exist is no failure: version 0 and an
+ * Reads a document. A document that does not exist is no failure: revision 0 and an
  * answer with status 404. Returns an enum ctl_status.
  */
 int conf_read(const struct ctl *ctl, const char *path, struct http_reply *reply,
-	      uint64_t *version)
+	      uint64_t *revision)
 {
-	struct http_request req = {.method = "GET", .path = path};
+	struct http_request req = {.method = "GET", .path = path, .may_lack = true};
 	int status = http_call(ctl, &req, reply);
 
-	*version = 0;
+	*revision = 0;
 	if (status == CTL_REFUSED && reply->status == 404)
 		return CTL_DONE;
 	if (status == CTL_DONE)
-		*version = (uint64_t)json_integer_value(
-			json_object_get(reply->json, "version"));
+		*revision = (uint64_t)json_integer_value(
+			json_object_get(reply->json, "revision"));
 	return status;
 }
 
+/* Prints the text of a document behind its revision, so that it can be put again. */
+static void print_document(const json_t *reply)
+{
+	const char *text = conf_text(reply);
+
+	printf("# revision %lld\n%s",
+	       (long long)json_integer_value(json_object_get(reply, "revision")),
+	       text ? text : "");
+	if (text && *text && text[strlen(text) - 1] != '\n')
+		putchar('\n');
+}
+
+/* Prints the outcome of a change; after a conflict, the document that is in force. */
+static void print_result(const struct ctl *ctl, int status,
+			 const struct http_reply *reply)
+{
+	if (status == CTL_CONFLICT && !ctl->json)
+		print_document(reply->json);
+	else if (status == CTL_DONE || status == CTL_CONFLICT)
+		table_print_reply(reply->json, "", ctl->json);
+}
+
 /*
- * Writes a document against the version of -m; without -m against the version that
+ * Writes a document against the revision of -m; without -m against the one that
  * is stored now. Returns an enum ctl_status.
  */
 int conf_write(const struct ctl *ctl, const char *path, struct str text)
@@ -75,84 +97,98 @@
 	}
 	if (status == CTL_DONE) {
 		status = http_call(ctl, &req, &reply);
-		if (status == CTL_DONE || status == CTL_CONFLICT)
-			table_print_reply(reply.json, "", ctl->json);
+		print_result(ctl, status, &reply);
 		http_reply_free(&reply);
 	}
 	return status;
 }
 
-/* Reads and parses a YAML file; the caller frees both. Returns an enum ctl_status. */
-int conf_load(const char *file, struct buf *text, json_t **document)
+/*
+ * Reads a YAML file and parses it into packed fields; the caller frees both. Returns an
+ * enum ctl_status.
+ */
+int conf_load(const char *file, struct buf *text, struct buf *fields)
 {
-	struct document_error error;
+	struct buf problem = {0};
 	int e = document_read(file, text);
 
-	*document = NULL;
-	if (e) {
+	if (e)
 		warnx("%s: %s", file, cf_strerror(e));
-		return CTL_REFUSED;
+	else if ((e = words_read(buf_str(text), fields, &problem)) != 0)
+		warnx("%s: %.*s", file, STR_ARG(buf_str(&problem)));
+	buf_free(&problem);
+	return e ? CTL_REFUSED : CTL_DONE;
+}
+
+/* Reads and checks a vocabulary file. Returns an enum ctl_status. */
+int conf_load_vocabulary(const char *file, struct buf *vocabulary)
+{
+	struct buf text = {0};
+	struct buf problem = {0};
+	int status = conf_load(file, &text, vocabulary);
+
+	if (status == CTL_DONE && words_check(buf_str(vocabulary), &problem)) {
+		warnx("%s: %.*s", file, STR_ARG(buf_str(&problem)));
+		status = CTL_REFUSED;
 	}
-	e = document_parse(buf_str(text), document, &error);
-	if (!e)
-		return CTL_DONE;
-	if (error.line)
-		warnx("%s:%u: %s", file, error.line, error.text);
-	else
-		warnx("%s: %s", file, error.text);
-	return CTL_REFUSED;
+	buf_free(&problem);
+	buf_free(&text);
+	return status;
+}
+
+/* Checks the fields of a document of a word. Returns an enum ctl_status. */
+int conf_check(struct str vocabulary, struct str word, struct str fields,
+	       const char *file)
+{
+	struct buf problem = {0};
+	int e = words_check_document(vocabulary, word, fields, &problem);
+
+	if (e)
+		warnx("%s: %.*s", file, STR_ARG(buf_str(&problem)));
+	buf_free(&problem);
+	return e ? CTL_REFUSED : CTL_DONE;
 }
 
 /* Reads the team's vocabulary from the server. Returns an enum ctl_status. */
-int conf_vocabulary(const struct ctl *ctl, json_t **out)
+int conf_vocabulary(const struct ctl *ctl, struct buf *out)
 {
-	struct document_error error;
 	struct http_reply reply = {0};
 	struct buf path = {0};
+	struct buf problem = {0};
 	const char *text;
-	uint64_t version;
+	uint64_t revision;
 	int status = conf_path(ctl, "vocabulary", NULL, &path);
 
-	*out = NULL;
 	if (status)
 		goto out;
-	status = conf_read(ctl, path.p, &reply, &version);
+	status = conf_read(ctl, path.p, &reply, &revision);
 	if (status)
 		goto out;
 	text = conf_text(reply.json);
-	if (!text || document_parse(str_from(text), out, &error)) {
+	if (!text || words_read(str_from(text), out, &problem)) {
 		warnx("the team %s has no vocabulary", ctl->team);
 		status = CTL_REFUSED;
 	}
 out:
+	buf_free(&problem);
 	http_reply_free(&reply);
 	buf_free(&path);
 	return status;
 }
 
 /* Checks a document of a word against the local vocabulary file, when there is one. */
-static int check_locally(const struct ctl *ctl, const char *word, const json_t *document,
+static int check_locally(const struct ctl *ctl, const char *word, struct str fields,
 			 const char *file)
 {
-	struct document_error error = {0};
-	struct buf text = {0};
-	json_t *vocabulary = NULL;
-	int status = CTL_DONE;
+	struct buf vocabulary = {0};
+	int status;
 
 	if (!ctl->vocabulary)
 		return CTL_DONE;
-	status = conf_load(ctl->vocabulary, &text, &vocabulary);
-	if (status == CTL_DONE && vocab_check(vocabulary, &error)) {
-		warnx("%s: %s", ctl->vocabulary, error.text);
-		status = CTL_REFUSED;
-	}
-	if (status == CTL_DONE &&
-	    vocab_check_document(vocabulary, word, document, &error)) {
-		warnx("%s: %s", file, error.text);
-		status = CTL_REFUSED;
-	}
-	json_decref(vocabulary);
-	buf_free(&text);
+	status = conf_load_vocabulary(ctl->vocabulary, &vocabulary);
+	if (status == CTL_DONE)
+		status = conf_check(buf_str(&vocabulary), str_from(word), fields, file);
+	buf_free(&vocabulary);
 	return status;
 }
 
@@ -161,23 +197,16 @@
 	struct http_reply reply = {0};
 	struct buf full = {0};
 	struct http_request req = {.method = "GET"};
-	const char *text;
 	int status = CTL_REFUSED;
 
 	if (buf_addf(&full, "%s%s", path, history ? "?history=1" : "") == 0) {
 		req.path = full.p;
 		status = http_call(ctl, &req, &reply);
 	}
-	text = conf_text(reply.json);
-	if (status == CTL_DONE && !history && text && !ctl->json) {
-		json_t *v = json_object_get(reply.json, "version");
-
-		/* The version is a comment, so that the output can be put again. */
-		printf("# version %lld\n%s", (long long)json_integer_value(v), text);
-		if (*text && text[strlen(text) - 1] != '\n')
-			putchar('\n');
+	if (status == CTL_DONE && !history && !ctl->json) {
+		print_document(reply.json);
 	} else if (status == CTL_DONE) {
-		table_print_reply(reply.json, "history", ctl->json);
+		table_print_reply(reply.json, "versions", ctl->json);
 	}
 	http_reply_free(&reply);
 	buf_free(&full);
@@ -188,14 +217,14 @@
 		    const char *file)
 {
 	struct buf text = {0};
-	json_t *document = NULL;
-	int status = conf_load(file, &text, &document);
+	struct buf fields = {0};
+	int status = conf_load(file, &text, &fields);
 
 	if (status == CTL_DONE)
-		status = check_locally(ctl, word, document, file);
+		status = check_locally(ctl, word, buf_str(&fields), file);
 	if (status == CTL_DONE && !ctl->check_only)
 		status = conf_write(ctl, path, buf_str(&text));
-	json_decref(document);
+	buf_free(&fields);
 	buf_free(&text);
 	return status;
 }
@@ -220,8 +249,7 @@
 	}
 	if (status == CTL_DONE) {
 		status = http_call(ctl, &req, &reply);
-		if (status == CTL_DONE || status == CTL_CONFLICT)
-			table_print_reply(reply.json, "", ctl->json);
+		print_result(ctl, status, &reply);
 		http_reply_free(&reply);
 	}
 	return status;
@@ -230,13 +258,13 @@
 static void print_change(const struct ctl *ctl, const json_t *change)
 {
 	const char *path = json_string_value(json_object_get(change, "path"));
-	json_int_t version = json_integer_value(json_object_get(change, "version"));
+	json_int_t revision = json_integer_value(json_object_get(change, "revision"));
 	bool deleted = json_is_true(json_object_get(change, "deleted"));
 
 	if (ctl->json)
 		json_dumpf(change, stdout, JSON_COMPACT);
 	else
-		printf("%lld %s %s", (long long)version, deleted ? "deleted" : "set",
+		printf("%lld %s %s", (long long)revision, deleted ? "deleted" : "set",
 		       path ? path : "-");
 	putchar('\n');
 	fflush(stdout);
@@ -263,7 +291,14 @@
 		status = http_call(ctl, &req, &reply);
 		buf_free(&path);
 		if (status == CTL_DONE) {
-			const json_t *index = json_object_get(reply.json, "index");
+			const json_t *index = json_object_get(reply.json, "revision");
+			const json_t *kept =
+				json_object_get(reply.json, "deletions_after");
+
+			/* An entry process that started later lacks older deletions. */
+			if (after && (uint64_t)json_integer_value(kept) > after)
+				warnx("deletions up to revision %lld may be missing",
+				      (long long)json_integer_value(kept));
 
 			json_array_foreach(json_object_get(reply.json, "changes"), i,
 					   change)
@@ -276,7 +311,7 @@
 			if (json_is_integer(index))
 				after = (uint64_t)json_integer_value(index);
 			else {
-				warnx("the answer has no index");
+				warnx("the answer has no revision");
 				status = CTL_REFUSED;
 			}
 		}
@@ -333,32 +368,38 @@
 	return status;
 }
 
+static int vocabulary_put(const struct ctl *ctl, const char *path, const char *file)
+{
+	struct buf text = {0};
+	struct buf fields = {0};
+	struct buf problem = {0};
+	int status = conf_load(file, &text, &fields);
+
+	if (status == CTL_DONE && words_check(buf_str(&fields), &problem)) {
+		warnx("%s: %.*s", file, STR_ARG(buf_str(&problem)));
+		status = CTL_REFUSED;
+	}
+	if (status == CTL_DONE && !ctl->check_only)
+		status = conf_write(ctl, path, buf_str(&text));
+	buf_free(&problem);
+	buf_free(&fields);
+	buf_free(&text);
+	return status;
+}
+
 /* vocabulary get|put */
 int ctl_vocabulary(struct ctl *ctl, int argc, char **argv)
 {
-	struct document_error error = {0};
 	struct buf path = {0};
-	struct buf text = {0};
-	json_t *document = NULL;
 	bool put = argc == 2 && strcmp(argv[0], "put") == 0;
 	int status;
 
 	if (!put && !(argc == 1 && strcmp(argv[0], "get") == 0))
 		return ctl_bad_usage("vocabulary: get, or put with a file");
 	status = conf_path(ctl, "vocabulary", NULL, &path);
-	if (status == CTL_DONE && !put)
-		status = conf_get(ctl, path.p, false);
-	if (status == CTL_DONE && put) {
-		status = conf_load(argv[1], &text, &document);
-		if (status == CTL_DONE && vocab_check(document, &error)) {
-			warnx("%s: %s", argv[1], error.text);
-			status = CTL_REFUSED;
-		}
-		if (status == CTL_DONE && !ctl->check_only)
-			status = conf_write(ctl, path.p, buf_str(&text));
-	}
-	json_decref(document);
-	buf_free(&text);
+	if (status == CTL_DONE)
+		status = put ? vocabulary_put(ctl, path.p, argv[1])
+			     : conf_get(ctl, path.p, false);
 	buf_free(&path);
 	return status;
 }
--- a/carawayctl/ctl.h
+++ b/carawayctl/ctl.h
@@ -31,7 +31,7 @@
 	bool json;
 	bool check_only;
 	bool has_match;
-	uint64_t match; /* expected version of a document */
+	uint64_t match; /* expected revision of a document */
 	uint64_t after; /* revision that a watch starts behind */
 	uint64_t count; /* changes that a watch prints, 0: no end */
 	long timeout_ms;
--- a/carawayctl/http.c
+++ b/carawayctl/http.c
@@ -13,6 +13,7 @@
 #define PAUSE_US 400000 /* between two passes; a leader change takes about as long */
 #define MAX_REPLY (64U << 20) /* bytes */
 #define CONNECT_TIMEOUT_MS 2000
+#define HTTP_STORE_FULL 507 /* the store itself refused the change */
 
 static size_t write_cb(char *p, size_t size, size_t n, void *arg)
 {
@@ -127,11 +128,13 @@
 static void print_refusal(const struct http_reply *r)
 {
 	const char *text = json_string_value(json_object_get(r->json, "error"));
+	const char *detail = json_string_value(json_object_get(r->json, "detail"));
 
 	if (!r->status)
 		warnx("no address could serve the request");
 	else if (text)
-		warnx("refused with status %ld: %s", r->status, text);
+		warnx("refused with status %ld: %s%s%s", r->status, text,
+		      detail ? ": " : "", detail ? detail : "");
 	else if (r->body.n)
 		warnx("refused with status %ld: %.*s", r->status, (int)r->body.n,
 		      r->body.p);
@@ -139,6 +142,12 @@
 		warnx("refused with status %ld", r->status);
 }
 
+/* True when no process can serve the request, so that the others are not asked. */
+static bool is_final(const struct http_reply *r)
+{
+	return r->status < 500 || r->status == HTTP_STORE_FULL;
+}
+
 /* Exit status that stands for a final answer. */
 static int status_of(const struct http_request *req, const struct http_reply *r)
 {
@@ -146,7 +155,7 @@
 		return CTL_DONE;
 	if (r->status == 409 || r->status == 412)
 		return CTL_CONFLICT;
-	if (req->write && r->status >= 500 && strcmp(r->run, "not-run") != 0 &&
+	if (req->write && !is_final(r) && strcmp(r->run, "not-run") != 0 &&
 	    r->status != 503)
 		return CTL_UNKNOWN;
 	return CTL_REFUSED;
@@ -183,20 +192,19 @@
 		if (status == CTL_UNKNOWN)
 			unknown = true;
 		/* Another entry process may be able to serve what this one cannot. */
-		if (reply->status >= 500)
-			continue;
-		break;
+		if (is_final(reply))
+			break;
 	}
 	if (!answered)
 		status = CTL_UNREACHABLE;
 	/* A refusal by one process says nothing about an earlier send to another. */
-	if (unknown &&
-	    (status == CTL_UNREACHABLE || reply->status >= 500 || !reply->status))
+	if (unknown && (status == CTL_UNREACHABLE || !is_final(reply) || !reply->status))
 		status = CTL_UNKNOWN;
 	if (status == CTL_UNKNOWN)
 		warnx("the outcome is unknown; repeat with --request-id %s",
 		      ctl->request_id);
-	else if (status != CTL_DONE && status != CTL_UNREACHABLE)
+	else if (status != CTL_DONE && status != CTL_UNREACHABLE &&
+		 !(req->may_lack && reply->status == 404))
 		print_refusal(reply);
 	return status;
 }
--- a/carawayctl/http.h
+++ b/carawayctl/http.h
@@ -12,7 +12,8 @@
 	bool write;	/* sends Request-Id; a lost answer leaves the outcome unknown */
 	bool has_match; /* sends If-Match */
 	uint64_t match;
-	long wait_ms; /* added to the time limit, for long polls */
+	bool may_lack; /* 404 is an answer, not a refusal to report */
+	long wait_ms;  /* added to the time limit, for long polls */
 };
 
 struct http_reply {
--- a/carawayctl/job.c
+++ b/carawayctl/job.c
@@ -4,34 +4,31 @@
 
 #include "carawayctl/conf.h"
 #include "carawayctl/table.h"
-#include "carawayctl/vocab.h"
+#include "carawayctl/words.h"
 
 /* Checks a job against the local vocabulary file; the word is -w or the only job word. */
-static int job_check(const struct ctl *ctl, const json_t *job, const char *file)
+static int job_check(const struct ctl *ctl, struct str fields, const char *file)
 {
-	struct document_error error = {0};
-	struct buf text = {0};
-	json_t *vocabulary = NULL;
-	const char *word;
+	struct buf vocabulary = {0};
+	struct str word;
 	size_t n = 1;
 	int status;
 
 	if (!ctl->vocabulary)
 		return CTL_DONE;
-	status = conf_load(ctl->vocabulary, &text, &vocabulary);
+	status = conf_load_vocabulary(ctl->vocabulary, &vocabulary);
 	if (status)
 		goto out;
-	word = ctl->word ? ctl->word : vocab_word_of_kind(vocabulary, "job", &n);
-	if (vocab_check(vocabulary, &error) || !word) {
-		warnx("%s: %s", ctl->vocabulary, word ? error.text : "no word for jobs");
-		status = CTL_REFUSED;
-	} else if (vocab_check_document(vocabulary, word, job, &error)) {
-		warnx("%s: %s", file, error.text);
+	word = ctl->word ? str_from(ctl->word)
+			 : words_of_kind(buf_str(&vocabulary), CONF_KIND_JOB, &n);
+	if (n == 0) {
+		warnx("%s: no word for jobs", ctl->vocabulary);
 		status = CTL_REFUSED;
+	} else {
+		status = conf_check(buf_str(&vocabulary), word, fields, file);
 	}
 out:
-	json_decref(vocabulary);
-	buf_free(&text);
+	buf_free(&vocabulary);
 	return status;
 }
 
@@ -42,12 +39,12 @@
 	struct http_reply reply = {0};
 	struct buf path = {0};
 	struct buf text = {0};
-	json_t *job = NULL;
-	const char *id;
+	struct buf job = {0};
+	const char *name;
 	int status = conf_load(file, &text, &job);
 
 	if (status == CTL_DONE)
-		status = job_check(ctl, job, file);
+		status = job_check(ctl, buf_str(&job), file);
 	if (status || ctl->check_only)
 		goto out;
 	status = CTL_REFUSED;
@@ -58,13 +55,13 @@
 	status = http_call(ctl, &req, &reply);
 	if (status)
 		goto out;
-	id = json_string_value(json_object_get(reply.json, "id"));
-	if (id && !ctl->json)
-		printf("%s\n", id);
+	name = json_string_value(json_object_get(reply.json, "name"));
+	if (name && !ctl->json)
+		printf("%s\n", name);
 	else
 		table_print_reply(reply.json, "", ctl->json);
 out:
-	json_decref(job);
+	buf_free(&job);
 	buf_free(&text);
 	buf_free(&path);
 	http_reply_free(&reply);
--- a/carawayctl/main.c
+++ b/carawayctl/main.c
@@ -23,7 +23,7 @@
 static void usage(FILE *f)
 {
 	fprintf(f, "usage: carawayctl [-jn] [-a address[,address...]] [-t token|@file]\n"
-		   "                  [-T team] [-m version] [-r request-id] [-V file] "
+		   "                  [-T team] [-m revision] [-r request-id] [-V file] "
 		   "[-w word]\n"
 		   "                  [--after revision] [--count n] [--timeout s] "
 		   "command ...\n"
@@ -34,8 +34,7 @@
 		   "  job submit file | show id | list | cancel id\n"
 		   "  zone out name | in name\n"
 		   "  upstreams | workers | stats | health\n"
-		   "  member list | add name address | replace old name address | remove "
-		   "name\n");
+		   "  member list\n");
 }
 
 /* Reports a misuse and returns the exit status for it. */
@@ -134,7 +133,7 @@
 		return CTL_DONE;
 	case 'm':
 		ctl->has_match = true;
-		return number_set(optarg, &ctl->match, "-m: not a version");
+		return number_set(optarg, &ctl->match, "-m: not a revision");
 	case 'n':
 		ctl->check_only = true;
 		return CTL_DONE;
--- a/carawayctl/stats.c
+++ b/carawayctl/stats.c
@@ -12,15 +12,17 @@
 #define MAX_SERIES 4096 /* distinct series of all addresses */
 
 struct bucket {
-	double le; /* upper bound, INFINITY for the last */
-	double count;
+	double le;    /* upper bound, INFINITY for the last */
+	double count; /* of this bucket alone */
 };
 
 /* One series of the metrics text, summed over the entry processes. */
 struct series {
 	UT_hash_handle hh;
 	char key[MAX_SERIES_NAME]; /* name{labels without le} */
-	double value;
+	double value;		   /* sum of the addresses */
+	double max;		   /* largest value of one address */
+	double seen; /* cumulative count of the buckets read from this address */
 	struct bucket *buckets; /* NULL: a counter or gauge */
 	size_t n_buckets;
 };
@@ -116,30 +118,52 @@
 	s = series_get(all, key);
 	if (!s)
 		return;
-	if (is_bucket)
-		bucket_add(s, le, value);
-	else
+	if (is_bucket) {
+		/*
+		 * Empty buckets are left out, so that cumulative counts of two addresses
+		 * cannot be added for each bound.
+		 */
+		bucket_add(s, le, value - s->seen);
+		s->seen = value;
+	} else {
 		s->value += value;
+		if (value > s->max)
+			s->max = value;
+	}
 }
 
 static void metrics_read(struct series **all, char *text)
 {
 	char *save;
 
+	for (struct series *s = *all; s; s = s->hh.next)
+		s->seen = 0;
 	for (char *l = strtok_r(text, "\n", &save); l; l = strtok_r(NULL, "\n", &save))
 		line_read(all, l);
 }
 
+static double bucket_sum(const struct series *s)
+{
+	double total = 0;
+
+	for (size_t i = 0; i < s->n_buckets; i++)
+		total += s->buckets[i].count;
+	return total;
+}
+
 /* Upper bound of the bucket that holds quantile q; NAN for an empty histogram. */
 static double quantile(const struct series *s, double q)
 {
-	double total = s->n_buckets ? s->buckets[s->n_buckets - 1].count : 0;
+	double total = bucket_sum(s);
+	double below = 0;
 
 	if (total <= 0)
 		return NAN;
-	for (size_t i = 0; i < s->n_buckets; i++)
-		if (s->buckets[i].count >= q * total)
+	for (size_t i = 0; i < s->n_buckets; i++) {
+		below += s->buckets[i].count;
+		if (below >= q * total)
 			return s->buckets[i].le;
+	}
 	return INFINITY;
 }
 
@@ -181,14 +205,14 @@
 	json_object_set_new(row, "team", json_string(*team ? team : "-"));
 	json_object_set_new(row, "class", json_string(*class ? class : "-"));
 	if (s->buckets) {
-		json_object_set_new(row, "count",
-				    json_real(s->buckets[s->n_buckets - 1].count));
+		json_object_set_new(row, "count", json_real(bucket_sum(s)));
 		json_object_set_new(row, "p50", quantile_json(s, 0.5));
 		json_object_set_new(row, "p90", quantile_json(s, 0.9));
 		json_object_set_new(row, "p99", quantile_json(s, 0.99));
 		json_object_set_new(row, "p999", quantile_json(s, 0.999));
 	} else {
 		json_object_set_new(row, "value", json_real(s->value));
+		json_object_set_new(row, "max", json_real(s->max));
 	}
 	json_object_set_new(row, "series", json_string(s->key));
 	return row;
--- a/carawayctl/table.c
+++ b/carawayctl/table.c
@@ -17,7 +17,7 @@
 		buf_adds(out, json_string_value(v));
 	} else if (v && !json_is_null(v)) {
 		text = json_dumps(v, JSON_COMPACT | JSON_ENCODE_ANY |
-					     JSON_REAL_PRECISION(6));
+					     JSON_REAL_PRECISION(12));
 		buf_adds(out, text ? text : "");
 		free(text);
 	} else {
--- a/carawayctl/zone.c
+++ b/carawayctl/zone.c
@@ -3,23 +3,43 @@
 #include <string.h>
 
 #include "carawayctl/conf.h"
-#include "carawayctl/vocab.h"
+#include "carawayctl/words.h"
+#include "core/fields.h"
+#include "core/vocab.h"
 
-/* Returns the stored zone document, or an empty one when there is none. */
-static json_t *zone_document(const struct http_reply *reply)
+/*
+ * Makes the text of a zone document with the new state: the stored fields, and the
+ * state in the team's own word. JSON is YAML, too. NULL without memory.
+ */
+static char *zone_text(struct str vocabulary, const char *stored, const char *state)
 {
-	struct document_error error;
-	const char *text = conf_text(reply->json);
-	json_t *document = NULL;
+	struct str word = words_of_field(vocabulary, CONF_STATE);
+	struct buf packed = {0};
+	struct buf problem = {0};
+	json_t *document = json_object();
+	struct fields_iter it;
+	struct str name, value;
+	enum conf_field field;
+	char *text;
 
-	if (text && document_parse(str_from(text), &document, &error) == 0)
-		return document;
-	return json_object();
+	if (stored && words_read(str_from(stored), &packed, &problem) == 0) {
+		fields_first(buf_str(&packed), &it);
+		while (fields_next(&it, &name, &value))
+			if (!vocab_field(vocabulary, name, &field) || field != CONF_STATE)
+				json_object_setn_new(document, name.p, name.n,
+						     json_stringn(value.p, value.n));
+	}
+	json_object_setn_new(document, word.p, word.n, json_string(state));
+	text = json_dumps(document, JSON_INDENT(1));
+	json_decref(document);
+	buf_free(&problem);
+	buf_free(&packed);
+	return text;
 }
 
 /*
  * Writes the team's zone document with the new state in the team's own words. The
- * write expects the version that was read, so that another operator's change between
+ * write expects the revision that was read, so that another operator's change between
  * the two ends in a conflict.
  */
 static int zone_set(const struct ctl *ctl, const char *name, const char *state)
@@ -27,41 +47,38 @@
 	struct ctl write = *ctl;
 	struct http_reply reply = {0};
 	struct buf path = {0};
-	json_t *vocabulary = NULL;
-	json_t *document = NULL;
-	const char *word = ctl->word;
+	struct buf vocabulary = {0};
+	struct str word;
+	char *copy = NULL;
 	char *text = NULL;
 	size_t n = 1;
 	int status = conf_vocabulary(ctl, &vocabulary);
 
 	if (status)
 		goto out;
-	if (!word)
-		word = vocab_word_of_kind(vocabulary, "zone", &n);
+	word = ctl->word ? str_from(ctl->word)
+			 : words_of_kind(buf_str(&vocabulary), CONF_KIND_ZONE, &n);
 	if (n != 1) {
 		warnx("the vocabulary has %zu words for zones%s", n,
 		      n ? "; choose one with -w" : "");
 		status = CTL_REFUSED;
 		goto out;
 	}
-	status = conf_path(ctl, word, name, &path);
+	copy = str_dup(word);
+	status = copy ? conf_path(ctl, copy, name, &path) : CTL_REFUSED;
 	if (status)
 		goto out;
 	status = conf_read(ctl, path.p, &reply, &write.match);
 	if (status)
 		goto out;
 	write.has_match = true;
-	document = zone_document(&reply);
-	json_object_set_new(document, vocab_word_of_field(vocabulary, "state"),
-			    json_string(state));
-	/* JSON is YAML, too. */
-	text = json_dumps(document, JSON_INDENT(1));
+	text = zone_text(buf_str(&vocabulary), conf_text(reply.json), state);
 	status = text ? conf_write(&write, path.p, str_from(text)) : CTL_REFUSED;
 out:
 	free(text);
-	json_decref(document);
-	json_decref(vocabulary);
+	free(copy);
 	http_reply_free(&reply);
+	buf_free(&vocabulary);
 	buf_free(&path);
 	return status;
 }
--- a/carawayfrontd/auth.c
+++ b/carawayfrontd/auth.c
@@ -43,3 +43,13 @@
 	}
 	return err;
 }
+
+/* What an operator has to change after auth_check() failed. */
+struct str auth_reason(int err, struct str authorization)
+{
+	if (err == CF_EPERM)
+		return STR("the token belongs to another team");
+	if (str_starts(authorization, STR("Bearer ")))
+		return STR("the token belongs to no team");
+	return STR("the header Authorization: Bearer TOKEN is missing");
+}
--- a/carawayfrontd/entry_conf_api.c
+++ b/carawayfrontd/entry_conf_api.c
@@ -5,9 +5,9 @@
 #include "carawayfrontd/auth.h"
 #include "carawayfrontd/ctl_call.h"
 #include "carawayfrontd/ctl_reply.h"
-#include "carawayfrontd/doc_fields.h"
 #include "carawayfrontd/entry_impl.h"
 #include "io/clock.h"
+#include "io/doc_fields.h"
 #include "proto/codec.h"
 
 static const struct ctl_call_ops result_ops = {.done = ctl_reply_result};
@@ -138,14 +138,15 @@
 /* Serves /v1/conf/TEAM[/WORD/NAME] and /v1/watch/TEAM; rest begins with the team. */
 void entry_conf_api(struct entry *e, struct http_request *req, struct str rest)
 {
+	struct str authorization = http_request_header(req, "Authorization");
 	struct str path = {rest.p - 1, rest.n + 1};
 	struct str team, below;
 	int err;
 
 	str_split(rest, '/', &team, &below);
-	err = auth_check(e->settings, team, http_request_header(req, "Authorization"));
+	err = auth_check(e->settings, team, authorization);
 	if (err) {
-		ctl_reply_err(req, err, (struct str){NULL, 0});
+		ctl_reply_err(req, err, auth_reason(err, authorization));
 		return;
 	}
 	if (strncmp(req->path, "/v1/watch/", 10) == 0)
--- a/carawayfrontd/entry_job_api.c
+++ b/carawayfrontd/entry_job_api.c
@@ -4,8 +4,8 @@
 #include "carawayfrontd/auth.h"
 #include "carawayfrontd/ctl_call.h"
 #include "carawayfrontd/ctl_reply.h"
-#include "carawayfrontd/doc_fields.h"
 #include "carawayfrontd/entry_impl.h"
+#include "io/doc_fields.h"
 #include "proto/codec.h"
 
 static const struct ctl_call_ops result_ops = {.done = ctl_reply_result};
@@ -65,13 +65,16 @@
 /* Serves /v1/jobs/TEAM[/ID]. */
 void entry_job_api(struct entry *e, struct http_request *req, struct str rest)
 {
+	struct str authorization = http_request_header(req, "Authorization");
 	struct str team, job;
 	int err;
 
 	str_split(rest, '/', &team, &job);
-	err = auth_check(e->settings, team, http_request_header(req, "Authorization"));
-	if (err)
-		goto out;
+	err = auth_check(e->settings, team, authorization);
+	if (err) {
+		ctl_reply_err(req, err, auth_reason(err, authorization));
+		return;
+	}
 	if (strcmp(req->method, "POST") == 0 && job.n == 0)
 		submit_job(e, req, team);
 	else if (strcmp(req->method, "DELETE") == 0 && job.n)
@@ -81,7 +84,6 @@
 			       team, job);
 	else
 		err = CF_EINVAL;
-out:
 	if (err)
 		ctl_reply_err(req, err, (struct str){NULL, 0});
 }
--- a/carawayfrontd/entry_upstream_api.c
+++ b/carawayfrontd/entry_upstream_api.c
@@ -4,6 +4,7 @@
 #include "carawayfrontd/ctl_reply.h"
 #include "carawayfrontd/entry_impl.h"
 #include "io/addr.h"
+#include "io/clock.h"
 
 static struct str json_str(const json_t *j, const char *key)
 {
@@ -62,6 +63,32 @@
 		ctl_reply_json(req, 200, json_object());
 }
 
+/* Lists the announced upstreams, and older incarnations that still have requests. */
+static void list_upstreams(struct entry *e, struct http_request *req)
+{
+	const struct router *r = front_router(e->front);
+	struct router_upstream_info u;
+	json_t *list = json_array();
+	uint64_t cursor = 0;
+
+	while (router_upstream_next(r, &cursor, &u, clock_us())) {
+		if (!u.current && !u.inflight)
+			continue;
+		json_array_append_new(
+			list,
+			json_pack("{s:o,s:o,s:o,s:o,s:o,s:i,s:i,s:s,s:b,s:b,s:I}", "team",
+				  ctl_json_str(u.team), "service",
+				  ctl_json_str(u.service), "name", ctl_json_str(u.name),
+				  "address", ctl_json_str(u.address), "zone",
+				  ctl_json_str(u.zone), "slots", (int)u.slots,
+				  "in_flight", (int)u.inflight, "state",
+				  u.leaving ? "leaving" : "ready", "usable",
+				  (int)u.usable, "ejected", (int)u.ejected, "age_ms",
+				  (json_int_t)(u.age_us < 0 ? -1 : u.age_us / 1000)));
+	}
+	ctl_reply_json(req, 200, json_pack("{s:o}", "upstreams", list));
+}
+
 /* Serves /v1/upstreams[/NAME]; rest is empty or begins with a slash. */
 void entry_upstream_api(struct entry *e, struct http_request *req, struct str rest)
 {
@@ -69,7 +96,10 @@
 		rest.p++;
 		rest.n--;
 		announce(e, req, rest);
+	} else if (strcmp(req->method, "GET") == 0 && rest.n == 0) {
+		list_upstreams(e, req);
 	} else {
-		ctl_reply_err(req, CF_EINVAL, STR("PUT /v1/upstreams/NAME"));
+		ctl_reply_err(req, CF_EINVAL,
+			      STR("GET /v1/upstreams or PUT /v1/upstreams/NAME"));
 	}
 }
--- a/carawayfrontd/entry_watch.c
+++ b/carawayfrontd/entry_watch.c
@@ -18,6 +18,8 @@
 #define RETRY_DELAY 0.1
 #define CHECK_PERIOD 0.05 /* between checks of freshness and of waiting requests */
 #define MAX_WAIT_MS 60000U
+/* Deletions that are kept for watching operators; 0.5 MB at the longest paths. */
+#define MAX_DELETIONS 1024U
 
 /* An availability zone that is out for a team, as the router was told. */
 struct zone_out {
@@ -27,6 +29,12 @@
 	bool seen;
 };
 
+/* A deleted document, which the view no longer has. */
+struct deletion {
+	char *path;
+	uint64_t revision;
+};
+
 /* A control request that waits for a change of a team's subtree. */
 struct wait {
 	struct wait *next;
@@ -45,6 +53,10 @@
 	struct member_join *join;
 	struct zone_out *zones;
 	struct wait *waits;
+	struct deletion
+		deletions[MAX_DELETIONS]; /* ring, the oldest at n_deleted % MAX */
+	size_t n_deleted;		  /* of all time */
+	uint64_t deletions_after;	  /* every deletion above this revision is kept */
 	int64_t sent_us;
 	int64_t fresh_us; /* no newer configuration had been accepted then; 0: never */
 	bool fresh;
@@ -145,23 +157,81 @@
 	return err;
 }
 
-static void reply_changes(struct entry_watch *w, const struct wait *wait)
+/* Keeps a deletion; the oldest one makes room. */
+static int keep_deletion(struct entry_watch *w, struct str path, uint64_t revision)
 {
-	struct str team = str_from(wait->team);
-	size_t n;
-	const struct conf_doc *const *docs = conf_view_team(w->view, team, &n);
+	struct deletion *d = &w->deletions[w->n_deleted % MAX_DELETIONS];
+	char *copy = str_dup(path);
+
+	if (!copy)
+		return CF_ENOMEM;
+	if (d->path)
+		w->deletions_after = d->revision;
+	free(d->path);
+	*d = (struct deletion){copy, revision};
+	w->n_deleted++;
+	return 0;
+}
+
+static bool deletion_is_of(const struct deletion *d, const struct wait *wait)
+{
+	size_t n = strlen(wait->team);
+
+	return d->path && d->revision > wait->after && d->path[0] == '/' &&
+	       strncmp(d->path + 1, wait->team, n) == 0 && d->path[1 + n] == '/';
+}
+
+static int by_revision(const void *a, const void *b)
+{
+	json_t *const *x = a;
+	json_t *const *y = b;
+	json_int_t rx = json_integer_value(json_object_get(*x, "revision"));
+	json_int_t ry = json_integer_value(json_object_get(*y, "revision"));
+
+	return (rx > ry) - (rx < ry);
+}
+
+static json_t *change_json(struct str path, uint64_t revision, bool deleted)
+{
+	return json_pack("{s:o,s:I,s:b}", "path", ctl_json_str(path), "revision",
+			 (json_int_t)revision, "deleted", (int)deleted);
+}
+
+/* The changes of the team after the revision of the request, in their order. */
+static json_t *changes_json(struct entry_watch *w, const struct wait *wait)
+{
+	size_t n, count = 0;
+	const struct conf_doc *const *docs =
+		conf_view_team(w->view, str_from(wait->team), &n);
+	json_t **rows = calloc(n + MAX_DELETIONS, sizeof(json_t *));
 	json_t *list = json_array();
 
+	if (!rows || !list)
+		goto out;
 	for (size_t i = 0; i < n; i++)
 		if (docs[i]->revision > wait->after)
-			json_array_append_new(
-				list,
-				json_pack("{s:o,s:I}", "path",
-					  ctl_json_str(conf_doc_path(docs[i])),
-					  "revision", (json_int_t)docs[i]->revision));
+			rows[count++] = change_json(conf_doc_path(docs[i]),
+						    docs[i]->revision, false);
+	for (size_t i = 0; i < MAX_DELETIONS; i++)
+		if (deletion_is_of(&w->deletions[i], wait))
+			rows[count++] = change_json(str_from(w->deletions[i].path),
+						    w->deletions[i].revision, true);
+	if (count)
+		qsort((void *)rows, count, sizeof(json_t *), by_revision);
+	for (size_t i = 0; i < count; i++)
+		json_array_append_new(list, rows[i]);
+out:
+	free((void *)rows);
+	return list;
+}
+
+static void reply_changes(struct entry_watch *w, const struct wait *wait)
+{
 	ctl_reply_json(wait->req, 200,
-		       json_pack("{s:I,s:o}", "revision",
-				 (json_int_t)conf_view_index(w->view), "changes", list));
+		       json_pack("{s:I,s:I,s:o}", "revision",
+				 (json_int_t)conf_view_index(w->view), "deletions_after",
+				 (json_int_t)w->deletions_after, "changes",
+				 changes_json(w, wait)));
 }
 
 static bool team_changed(struct entry_watch *w, const struct wait *wait)
@@ -173,6 +243,9 @@
 	for (size_t i = 0; i < n; i++)
 		if (docs[i]->revision > wait->after)
 			return true;
+	for (size_t i = 0; i < MAX_DELETIONS; i++)
+		if (deletion_is_of(&w->deletions[i], wait))
+			return true;
 	return false;
 }
 
@@ -221,6 +294,11 @@
 		err = conf_view_replace(w->view, res->index, changes, n);
 	else
 		err = conf_view_advance(w->view, after, res->index, changes, n);
+	if (!err && res->complete)
+		w->deletions_after = conf_view_index(w->view);
+	for (u_int i = 0; i < n && !err && !res->complete; i++)
+		if (changes[i].deleted && changes[i].revision > before)
+			err = keep_deletion(w, changes[i].path, changes[i].revision);
 	if (!err && (n || res->complete)) {
 		err = apply_zones(w);
 		log_info("configuration-applied", "from=%llu to=%llu changes=%u",
@@ -385,6 +463,8 @@
 		next = z->next;
 		zone_free(z);
 	}
+	for (size_t i = 0; i < MAX_DELETIONS; i++)
+		free(w->deletions[i].path);
 	member_join_free(w->join);
 	conf_view_free(w->view);
 	free(w);
--- a/core/router.h
+++ b/core/router.h
@@ -162,6 +162,9 @@
 	unsigned int slots;
 	unsigned int connections; /* allowed for this entry process */
 	unsigned int inflight;	  /* of this entry process */
+	int64_t age_us;		  /* of the last announcement; -1: ended */
+	bool current;		  /* newest incarnation of its name */
+	bool leaving;
 	bool usable;
 	bool ejected;
 };
@@ -213,6 +216,8 @@
 bool router_idle(const struct router *r);
 int router_upstream_info(const struct router *r, uint64_t id,
 			 struct router_upstream_info *out, int64_t now_us);
+bool router_upstream_next(const struct router *r, uint64_t *cursor,
+			  struct router_upstream_info *out, int64_t now_us);
 void router_stats(const struct router *r, struct router_stats *out);
 const char *router_reason_str(enum router_reason reason);
 
--- a/core/router_upstream.c
+++ b/core/router_upstream.c
@@ -576,12 +576,37 @@
 		.slots = u->slots,
 		.connections = limit_connections(r),
 		.inflight = u->inflight,
+		.age_us = u->expires_us == INT64_MIN
+				  ? -1
+				  : now_us - (u->expires_us - r->opt.expiry_us),
+		.current = u->current,
+		.leaving = u->leaving,
 		.usable = upstream_usable(u, now_us),
 		.ejected = eject_active(u, now_us),
 	};
 	return 0;
 }
 
+/*
+ * Goes through the records of upstreams; *cursor is 0 before the first one. The router
+ * must not change meanwhile. False behind the last record.
+ */
+bool router_upstream_next(const struct router *r, uint64_t *cursor,
+			  struct router_upstream_info *out, int64_t now_us)
+{
+	struct upstream *u = r->upstreams;
+
+	if (*cursor) {
+		HASH_FIND(hh, r->upstreams, cursor, sizeof(*cursor), u);
+		if (u)
+			u = u->hh.next;
+	}
+	if (!u)
+		return false;
+	*cursor = u->id;
+	return router_upstream_info(r, u->id, out, now_us) == 0;
+}
+
 /* Frees every upstream, pool and team. */
 void upstream_free_all(struct router *r)
 {
--- a/io/doc.c
+++ b/io/doc.c
@@ -146,7 +146,8 @@
 		return refuse(&r, CF_ETOOBIG, 0, "document too large");
 	if (!yaml_parser_initialize(&r.parser))
 		return CF_ENOMEM;
-	yaml_parser_set_input_string(&r.parser, (const unsigned char *)text.p, text.n);
+	yaml_parser_set_input_string(
+		&r.parser, (const unsigned char *)(text.n ? text.p : ""), text.n);
 	for (;;) {
 		err = next_event(&r, &event);
 		if (err)
--- a/carawayfrontd/doc_fields.c
+++ b/io/doc_fields.c
@@ -1,4 +1,4 @@
-#include "carawayfrontd/doc_fields.h"
+#include "io/doc_fields.h"
 
 #include <stdlib.h>
 
--- a/carawayfrontd/doc_fields.h
+++ b/io/doc_fields.h
@@ -1,5 +1,5 @@
-#ifndef CARAWAYFRONTD_DOC_FIELDS_H
-#define CARAWAYFRONTD_DOC_FIELDS_H
+#ifndef IO_DOC_FIELDS_H
+#define IO_DOC_FIELDS_H
 
 #include "base/str.h"
 #include "proto/command.h"
--- a/regress/test_carawayctl.c
+++ b/regress/test_carawayctl.c
@@ -77,8 +77,9 @@
 	char *file = temp_file("hold: 8\n");
 
 	fake_say(&fake, "GET", "/v1/conf/guild/desk/a", 200,
-		 "{\"version\":41,\"text\":\"hold: 7\\n\"}", NULL, 0);
-	fake_say(&fake, "PUT", "/v1/conf/guild/desk/a", 200, "{\"version\":42}", NULL, 0);
+		 "{\"revision\":41,\"text\":\"hold: 7\\n\"}", NULL, 0);
+	fake_say(&fake, "PUT", "/v1/conf/guild/desk/a", 200, "{\"revision\":42}", NULL,
+		 0);
 	ck_assert_int_eq(tool_run(&out, CTL "conf put desk a %s", file), 0);
 	ck_assert_uint_eq(fake_count(&fake, "PUT /v1/conf/guild/desk/a If-Match=41 "), 1);
 	ck_assert_uint_eq(fake_count(&fake, "Authorization=Bearer secret hold: 8\n"), 1);
@@ -93,7 +94,7 @@
 {
 	char *file = temp_file("hold: 8\n");
 
-	fake_say(&fake, "PUT", "/v1/conf/guild/desk/a", 200, "{\"version\":1}", NULL, 0);
+	fake_say(&fake, "PUT", "/v1/conf/guild/desk/a", 200, "{\"revision\":1}", NULL, 0);
 	ck_assert_int_eq(tool_run(&out, CTL "conf put desk a %s", file), 0);
 	ck_assert_uint_eq(fake_count(&fake, "If-Match=0 "), 1);
 	unlink(file);
@@ -108,10 +109,11 @@
 		unsigned int status;
 		int exit;
 	} rows[] = {
-		{NULL, 200, 0}, {NULL, 201, 0}, {NULL, 400, 1},	     {NULL, 401, 1},
-		{NULL, 403, 1}, {NULL, 404, 1}, {NULL, 422, 1},	     {NULL, 409, 3},
-		{NULL, 412, 3}, {NULL, 503, 1}, {NULL, 500, 4},	     {NULL, 502, 4},
-		{NULL, 504, 4}, {NULL, 0, 4},	{"not-run", 502, 1}, {"unknown", 504, 4},
+		{NULL, 200, 0},	     {NULL, 201, 0}, {NULL, 400, 1}, {NULL, 401, 1},
+		{NULL, 403, 1},	     {NULL, 404, 1}, {NULL, 422, 1}, {NULL, 409, 3},
+		{NULL, 412, 3},	     {NULL, 503, 1}, {NULL, 500, 4}, {NULL, 502, 4},
+		{NULL, 504, 4},	     {NULL, 507, 1}, {NULL, 0, 4},   {"not-run", 502, 1},
+		{"unknown", 504, 4},
 	};
 
 	for (size_t i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
@@ -160,15 +162,15 @@
 START_TEST(zone_uses_the_teams_words)
 {
 	fake_say(&fake, "GET", "/v1/conf/guild/vocabulary", 200,
-		 "{\"version\":1,\"text\":\"kinds: {house: zone, run: job}\\n"
+		 "{\"revision\":1,\"text\":\"kinds: {house: zone, run: job}\\n"
 		 "fields: {curtain: state}\\n\"}",
 		 NULL, 0);
 	fake_say(&fake, "GET", "/v1/conf/guild/house/joburg-a", 200,
-		 "{\"version\":9,\"text\":\"curtain: in\"}", NULL, 1);
+		 "{\"revision\":9,\"text\":\"curtain: in\"}", NULL, 1);
 	/* A change of another operator after the document was read. */
 	fake_say(&fake, "GET", "/v1/conf/guild/house/joburg-a", 200,
-		 "{\"version\":12,\"text\":\"curtain: in\"}", NULL, 0);
-	fake_say(&fake, "PUT", "/v1/conf/guild/house/joburg-a", 200, "{\"version\":10}",
+		 "{\"revision\":12,\"text\":\"curtain: in\"}", NULL, 0);
+	fake_say(&fake, "PUT", "/v1/conf/guild/house/joburg-a", 200, "{\"revision\":10}",
 		 NULL, 0);
 	ck_assert_int_eq(tool_run(&out, CTL "zone out joburg-a"), 0);
 	ck_assert_uint_eq(
@@ -220,7 +222,7 @@
 {
 	static const char *const wrong[] = {
 		"kinds: {desk: shop}\n", "kinds: {desk: service}\nfields: {a: b}\n",
-		"fields: {a: slots}\n", "kinds: desk\n", "words: {a: job}\n"};
+		"other: {a: slots}\n", "kinds: desk\n", "words: {a: job}\n"};
 
 	for (size_t i = 0; i < sizeof(wrong) / sizeof(wrong[0]); i++) {
 		char *file = temp_file(wrong[i]);
@@ -257,17 +259,33 @@
 }
 END_TEST
 
+/* Guards against quantiles of sums of cumulative counts that lack different buckets. */
+START_TEST(stats_sum_sparse_buckets)
+{
+	fake_say(&fake, "GET", "/metrics", 200,
+		 "lat_bucket{le=\"10\"} 60\nlat_bucket{le=\"+Inf\"} 60\n", NULL, 1);
+	fake_say(&fake, "GET", "/metrics", 200,
+		 "lat_bucket{le=\"20\"} 50\nlat_bucket{le=\"+Inf\"} 50\n", NULL, 1);
+	ck_assert_int_eq(tool_run(&out, CTL "-a 127.0.0.1:22101 -j stats"), 0);
+	ck_assert_ptr_nonnull(strstr(out.p, "\"count\": 110.0"));
+	ck_assert_ptr_nonnull(strstr(out.p, "\"p50\": 10.0"));
+	ck_assert_ptr_nonnull(strstr(out.p, "\"p999\": 20.0"));
+}
+END_TEST
+
 /* Guards against a watch that skips or repeats changes between two polls. */
 START_TEST(watch_continues_behind_the_index)
 {
-	fake_say(&fake, "GET", "/v1/watch/guild", 200,
-		 "{\"index\":5,\"changes\":[{\"path\":\"/guild/desk/a\",\"version\":5,"
-		 "\"deleted\":false}]}",
-		 NULL, 1);
-	fake_say(&fake, "GET", "/v1/watch/guild", 200,
-		 "{\"index\":8,\"changes\":[{\"path\":\"/guild/desk/a\",\"version\":8,"
-		 "\"deleted\":true}]}",
-		 NULL, 0);
+	fake_say(
+		&fake, "GET", "/v1/watch/guild", 200,
+		"{\"revision\":5,\"changes\":[{\"path\":\"/guild/desk/a\",\"revision\":5,"
+		"\"deleted\":false}]}",
+		NULL, 1);
+	fake_say(
+		&fake, "GET", "/v1/watch/guild", 200,
+		"{\"revision\":8,\"changes\":[{\"path\":\"/guild/desk/a\",\"revision\":8,"
+		"\"deleted\":true}]}",
+		NULL, 0);
 	ck_assert_int_eq(tool_run(&out, CTL "--after 3 --count 2 conf watch"), 0);
 	ck_assert_str_eq(out.p, "5 set /guild/desk/a\n8 deleted /guild/desk/a\n");
 	ck_assert_uint_eq(fake_count(&fake, "?after=3 "), 1);
@@ -306,6 +324,7 @@
 	tcase_add_test(tc, local_check);
 	tcase_add_test(tc, vocabulary_is_checked);
 	tcase_add_test(tc, stats_sum_over_addresses);
+	tcase_add_test(tc, stats_sum_sparse_buckets);
 	tcase_add_test(tc, watch_continues_behind_the_index);
 	tcase_add_test(tc, health_reports_the_worst);
 	suite_add_tcase(s, tc);
--- a/regress/test_doc.c
+++ b/regress/test_doc.c
@@ -43,6 +43,17 @@
 }
 END_TEST
 
+/* Guards against a request without a body that ends the process. */
+START_TEST(empty_text_is_refused)
+{
+	struct doc_error error;
+	struct doc_node *root;
+
+	ck_assert_int_ne(doc_parse((struct str){NULL, 0}, &root, &error), 0);
+	ck_assert_ptr_null(root);
+}
+END_TEST
+
 /* Guards against refusals that do not tell the line. */
 START_TEST(refusals_name_the_line)
 {
@@ -98,6 +109,7 @@
 	int failed;
 
 	tcase_add_test(tc, flattened_names);
+	tcase_add_test(tc, empty_text_is_refused);
 	tcase_add_test(tc, refusals_name_the_line);
 	tcase_add_test(tc, expansion_is_refused);
 	tcase_add_test(tc, every_prefix_is_handled);
