Cancelling a waiting job no longer floods the log

Cause: JOB_CANCEL ends the idle tasks of a job in the store at once. The scheduler then proposes the end of each of them, the store refuses each record as stale, and sched_refused() makes the scheduler propose it again, without end.

Ruled out: work on the site; the site had no worker, and the log grew by 1 entry a second before the cancellation.

Change: a refused record of a cancellation that the store already holds counts as committed.

--- a/carawayfrontd/state_leading.c
+++ b/carawayfrontd/state_leading.c
@@ -218,6 +218,22 @@
 	return deadline < l->next_seen_us ? deadline : l->next_seen_us;
 }
 
+/*
+ * True when the store holds the end that a refused record tells. A cancellation ends idle
+ * tasks in the store at once, before the scheduler proposes the end of each.
+ */
+static bool is_recorded(const struct state_leading *l, const struct command_task *t)
+{
+	const struct job *job = jobs_get(store_jobs(l->state->store), XDR_STR(*t, team),
+					 t->service, XDR_STR(*t, job));
+	const struct task *task;
+
+	if (!job || t->task >= job->ntasks || t->state != TASK_CANCELLED)
+		return false;
+	task = &job->tasks[t->task];
+	return task->state == TASK_CANCELLED && task->attempt == t->attempt;
+}
+
 static void task_applied(struct state_leading *l, const struct command_task *t, int err)
 {
 	struct str name = XDR_STR(*t, job);
@@ -238,7 +254,7 @@
 		buf_adds(&job, SERVICE_PREFIX);
 	buf_add(&job, name.p, name.n);
 	r.job = buf_str(&job);
-	if (err)
+	if (err && !is_recorded(l, t))
 		sched_refused(l->sched, &r, clock_us());
 	else
 		sched_committed(l->sched, &r, clock_us());
