--- a/core/router.c
+++ b/core/router.c
@@ -264,7 +264,7 @@
 		return CF_EINVAL;
 	if (request_find(r, a->id))
 		return CF_EEXIST;
-	p = pool_find(r, a->team, a->service);
+	p = router_pool_find(r, a->team, a->service);
 	why = admit(r, p, a, deadline, now_us, &err);
 	if (why) {
 		const struct router_outcome o = {ROUTER_NOT_RUN, why, err, 0, 0, 0};
--- a/core/router_impl.h
+++ b/core/router_impl.h
@@ -182,8 +182,11 @@
 };
 
 /* router_upstream.c */
-struct team *team_get(struct router *r, struct str name, bool create);
-struct pool *pool_find(struct router *r, struct str team, struct str service);
+struct team *router_team_get(struct router *r, struct str name, bool create);
+struct pool *router_pool_find(struct router *r, struct str team, struct str service);
+int router_pool_get(struct router *r, struct team *t, struct str service,
+		    struct pool **out);
+int router_zone_index(struct team *t, struct str name);
 bool upstream_usable(const struct upstream *u, int64_t now_us);
 void upstream_update(struct router *r, struct upstream *u, int64_t now_us);
 void upstream_expiry(struct router *r, struct upstream *u, int64_t now_us);
--- a/core/router_upstream.c
+++ b/core/router_upstream.c
@@ -13,98 +13,6 @@
 /* Interval at which a record with requests in flight is looked at again. */
 #define FORGET_RETRY_US (1000000LL)
 
-/* Returns the index of a zone of the team, -1 when there is no room for it. */
-static int zone_index(struct team *t, struct str name)
-{
-	struct zone *z;
-
-	for (unsigned int i = 0; i < t->zones; i++)
-		if (t->zone[i].len == name.n &&
-		    memcmp(t->zone[i].name, name.p, name.n) == 0)
-			return (int)i;
-	if (t->zones == ROUTER_MAX_ZONES)
-		return -1;
-	z = &t->zone[t->zones];
-	memcpy(z->name, name.p, name.n);
-	z->len = name.n;
-	return (int)t->zones++;
-}
-
-/* Returns the team; NULL when it is unknown and not created, or out of bounds. */
-struct team *team_get(struct router *r, struct str name, bool create)
-{
-	struct team *t;
-
-	HASH_FIND(hh, r->teams, name.p, name.n, t);
-	if (t || !create || HASH_COUNT(r->teams) >= r->opt.max_teams ||
-	    name.n > ROUTER_MAX_NAME)
-		return t;
-	t = calloc(1, sizeof(*t));
-	if (!t)
-		return NULL;
-	memcpy(t->name, name.p, name.n);
-	t->len = name.n;
-	TAILQ_INIT(&t->ring);
-	retry_start(t);
-	zone_index(t, r->opt.zone);
-	HASH_ADD_KEYPTR(hh, r->teams, t->name, t->len, t);
-	return t;
-}
-
-static size_t pool_key(char key[ROUTER_MAX_KEY], struct str team, struct str service)
-{
-	memcpy(key, team.p, team.n);
-	key[team.n] = '\0';
-	memcpy(key + team.n + 1, service.p, service.n);
-	return team.n + 1 + service.n;
-}
-
-/* Returns the pool of a service, NULL when it has never been announced. */
-struct pool *pool_find(struct router *r, struct str team, struct str service)
-{
-	char key[ROUTER_MAX_KEY];
-	struct pool *p;
-	size_t n;
-
-	if (team.n > ROUTER_MAX_NAME || service.n > ROUTER_MAX_NAME)
-		return NULL;
-	n = pool_key(key, team, service);
-	HASH_FIND(hh, r->pools, key, n, p);
-	return p;
-}
-
-static int pool_get(struct router *r, struct team *t, struct str service,
-		    struct pool **out)
-{
-	char key[ROUTER_MAX_KEY];
-	struct pool *p = pool_find(r, (struct str){t->name, t->len}, service);
-
-	*out = p;
-	if (p)
-		return 0;
-	if (HASH_COUNT(r->pools) >= r->opt.max_pools)
-		return CF_ENOSPACE;
-	p = calloc(1, sizeof(*p));
-	if (!p)
-		return CF_ENOMEM;
-	p->key_len = pool_key(key, (struct str){t->name, t->len}, service);
-	p->key = malloc(p->key_len);
-	if (!p->key) {
-		free(p);
-		return CF_ENOMEM;
-	}
-	memcpy(p->key, key, p->key_len);
-	p->team = t;
-	for (unsigned int c = 0; c < ROUTER_CLASSES; c++)
-		TAILQ_INIT(&p->queue[c]);
-	TAILQ_INIT(&p->again);
-	TAILQ_INIT(&p->members);
-	p->home_us = INT64_MIN / 2;
-	HASH_ADD_KEYPTR(hh, r->pools, p->key, p->key_len, p);
-	*out = p;
-	return 0;
-}
-
 static uint64_t hash_name(const struct router_upstream *u, bool with_incarnation)
 {
 	char b[3 * (ROUTER_MAX_NAME + 1) + sizeof(u->incarnation)];
@@ -466,13 +374,13 @@
 	err = check_upstream(a);
 	if (err)
 		return err;
-	t = team_get(r, a->team, true);
+	t = router_team_get(r, a->team, true);
 	if (!t)
 		return CF_ENOSPACE;
-	zone = zone_index(t, a->zone);
+	zone = router_zone_index(t, a->zone);
 	if (zone < 0)
 		return CF_ENOSPACE;
-	err = pool_get(r, t, a->service, &p);
+	err = router_pool_get(r, t, a->service, &p);
 	if (err)
 		return err;
 	name_id = hash_name(a, false);
@@ -536,10 +444,10 @@
 
 	if (!valid_name(team) || !valid_name(zone))
 		return CF_EINVAL;
-	t = team_get(r, team, true);
+	t = router_team_get(r, team, true);
 	if (!t)
 		return CF_ENOSPACE;
-	i = zone_index(t, zone);
+	i = router_zone_index(t, zone);
 	if (i < 0)
 		return CF_ENOSPACE;
 	if (t->zone[i].out == out)
