Executors take free numbers; the scheduler alone decides failures

Cause: the scheduler gave a replaced executor a number that the store does not have, and recorded ends that the store refuses. Refused records were proposed again at once and for ever: an end of a task whose job the store had ended, RUNNING of a task that a new leader was fed as running, a placement with an attempt number that a refusal had used up. A job that was gone from the store blocked the queue of proposals (CF_ENOENT at its head). The store counted failures by itself, so it and the scheduler could disagree on whether a task had failed for good. A deleted service was not told to the scheduler.

Ruled out: numbers that always rise (sparse list in the store, and no fence once an ended number is dropped); the store choosing the executors to stop (it does not know zones or racks).

Change: an executor takes the lowest free number and its next attempt; the store grows a service up to twice its wanted executors within the team's share, takes cancelled and failed records of idle tasks, and keeps the reason of a failure. The task command carries failures and reason; max_attempts is an upper bound that the scheduler respects. A refusal carries the attempt of the store. Ends that the store already has count as recorded. Jobs that the scheduler had no room for are fed again.

--- a/carawayfrontd/state_feed.c
+++ b/carawayfrontd/state_feed.c
@@ -3,6 +3,9 @@
 #include "core/vocab.h"
 #include "io/clock.h"
 
+/* Pause before jobs are fed again that the scheduler had no room for. */
+#define FEED_AGAIN_US 1000000
+
 /* Converts a time of commands to the scheduler's clock; 0 stays 0. */
 static int64_t to_sched_clock(const struct state_leading *l, uint64_t wall_us)
 {
@@ -25,13 +28,14 @@
 		.name = name,
 		.kind = job->spec.batch_kind,
 		.class = job_class(job),
-		.tasks = job->ntasks,
+		.tasks = job->spec.tasks,
 		.next_task = job->ntasks,
 		.size = {.cpu_milli = job->spec.cpus_milli,
 			 .memory_mb = (uint32_t)job->spec.memory_mb,
 			 .accelerators = job->spec.accelerators},
 		.deadline_us = to_sched_clock(l, job->spec.deadline_us),
 		.run_us = (int64_t)job->spec.duration_s * 1000000,
+		.max_attempts = job->spec.max_attempts,
 		.checkpoint = true,
 		.cancelled = job->cancel,
 	};
@@ -60,9 +64,10 @@
 		.failures = t->failures,
 	};
 
-	if (is_over((enum task_state)t->state))
+	/* A free number of a service keeps its attempt. */
+	if (is_over((enum task_state)t->state) && !job->service)
 		return 0;
-	if (r.state != SCHED_WAITING)
+	if (r.state != SCHED_WAITING && !is_over((enum task_state)t->state))
 		r.worker = job_worker_name(t->worker);
 	return sched_task(l->sched, &r, clock_us());
 }
@@ -100,6 +105,20 @@
 	return sched_quota(l->sched, &q, clock_us());
 }
 
+/* The document of a service is gone. */
+static int cancel_service(struct state_leading *l, const struct conf_path *path)
+{
+	struct buf name = {0};
+	int err = buf_adds(&name, SERVICE_PREFIX);
+
+	if (!err)
+		err = buf_add(&name, path->name.p, path->name.n);
+	if (!err)
+		err = sched_cancel(l->sched, path->team, buf_str(&name), clock_us());
+	buf_free(&name);
+	return err == CF_ENOENT ? 0 : err;
+}
+
 /* Feeds a document that is present, or the absence of a deleted one. */
 static int feed_doc(struct state_leading *l, const struct conf_path *path,
 		    const struct conf_doc *doc)
@@ -124,7 +143,9 @@
 		job = l->state->leading ? jobs_get(store_jobs(l->state->store),
 						   path->team, true, path->name)
 					: NULL;
-		return job ? leading_feed_job(l, job) : 0;
+		if (job && !job->cancel)
+			return leading_feed_job(l, job);
+		return l->state->leading ? cancel_service(l, path) : 0;
 	default:
 		return 0;
 	}
@@ -161,6 +182,29 @@
 	return err;
 }
 
+/*
+ * Notes that a job or service was not taken over. Without room or memory it is fed
+ * again later, so that no task waits until the next leader.
+ */
+void leading_feed_failed(struct state_leading *l, int err)
+{
+	if (err != CF_ENOSPACE && err != CF_ENOMEM)
+		return;
+	l->feed_again = true;
+	l->feed_us = clock_us() + FEED_AGAIN_US;
+}
+
+/* Feeds what the scheduler may lack; it knows the others, which changes nothing. */
+void leading_feed_rest(struct state_leading *l)
+{
+	const struct jobs *jobs = store_jobs(l->state->store);
+
+	l->feed_again = false;
+	for (const struct job *j = jobs_next(jobs, NULL); j; j = jobs_next(jobs, j))
+		if (!j->cancel)
+			leading_feed_failed(l, leading_feed_job(l, j));
+}
+
 /* Feeds what a changed path means; a new vocabulary may change all of a team. */
 void leading_feed_change(struct state_leading *l, struct str text)
 {
@@ -170,7 +214,7 @@
 	if (conf_path_parse(text, &path))
 		return;
 	if (path.name.n)
-		feed_doc(l, &path, conf_view_get(view, text));
+		leading_feed_failed(l, feed_doc(l, &path, conf_view_get(view, text)));
 	else
-		feed_team(l, path.team);
+		leading_feed_failed(l, feed_team(l, path.team));
 }
--- a/carawayfrontd/state_leading.c
+++ b/carawayfrontd/state_leading.c
@@ -49,7 +49,26 @@
 	}
 }
 
-/* Scheduler operation: makes a record durable. */
+static enum task_reason stored_reason(enum sched_reason reason)
+{
+	switch (reason) {
+	case SCHED_R_TOO_LARGE:
+		return TASK_R_TOO_LARGE;
+	case SCHED_R_OVER_QUOTA:
+		return TASK_R_OVER_QUOTA;
+	case SCHED_R_FAILED_TOO_OFTEN:
+		return TASK_R_TOO_OFTEN;
+	case SCHED_R_JOB_FAILS:
+		return TASK_R_JOB_FAILS;
+	default:
+		return TASK_R_NONE;
+	}
+}
+
+/*
+ * Scheduler operation: makes a record durable. CF_ENOENT: the job is gone or finished,
+ * so that no record of it can be accepted any more.
+ */
 static int op_propose(struct sched_host *host, const struct sched_record *r)
 {
 	struct state_leading *l = (struct state_leading *)host;
@@ -61,7 +80,7 @@
 
 	t->service = leading_is_service(r->job, &name);
 	job = jobs_get(store_jobs(l->state->store), r->team, t->service, name);
-	if (!job)
+	if (!job || job->finished_us)
 		return CF_ENOENT;
 	XDR_SET(*t, team, r->team);
 	XDR_SET(*t, job, name);
@@ -77,6 +96,8 @@
 	t->session = r->session;
 	t->exit_code = r->exit_code;
 	t->checkpoint = r->checkpoint;
+	t->failures = r->failures;
+	t->reason = stored_reason(r->reason);
 	return state_propose(l->state, &cmd, &index);
 }
 
@@ -200,6 +221,8 @@
 	if (!l)
 		return;
 	sched_tick(l->sched, now);
+	if (l->feed_again && now >= l->feed_us)
+		leading_feed_rest(l);
 	if (now < l->next_seen_us)
 		return;
 	l->next_seen_us = now + SEEN_PERIOD_US;
@@ -218,9 +241,31 @@
 	return deadline < l->next_seen_us ? deadline : l->next_seen_us;
 }
 
+/* The task that a record is about, NULL when the store has none. */
+static const struct task *record_task(const struct job *job, const struct command_task *t)
+{
+	return job && job->revision == t->job_revision && t->task < job->ntasks
+		       ? &job->tasks[t->task]
+		       : NULL;
+}
+
+/*
+ * Tells whether the store already has what a refused record says: the attempt is over.
+ * The store ends tasks itself when their job is cancelled or fails.
+ */
+static bool is_known_end(const struct command_task *t, const struct task *task)
+{
+	return task && t->state != TASK_PLACED && t->state != TASK_RUNNING &&
+	       (!job_task_active(task) || task->attempt > t->attempt);
+}
+
+/* Every record that was proposed is answered here once; see core/sched.h. */
 static void task_applied(struct state_leading *l, const struct command_task *t, int err)
 {
 	struct str name = XDR_STR(*t, job);
+	const struct job *stored = jobs_get(store_jobs(l->state->store),
+					    XDR_STR(*t, team), t->service, name);
+	const struct task *task = record_task(stored, t);
 	struct buf job = {0};
 	struct sched_record r = {
 		.team = XDR_STR(*t, team),
@@ -238,10 +283,14 @@
 		buf_adds(&job, SERVICE_PREFIX);
 	buf_add(&job, name.p, name.n);
 	r.job = buf_str(&job);
-	if (err)
-		sched_refused(l->sched, &r, clock_us());
+	if (err && !is_known_end(t, task))
+		sched_refused(l->sched, &r, task ? (int64_t)task->attempt : -1,
+			      clock_us());
 	else
 		sched_committed(l->sched, &r, clock_us());
+	/* A task that failed for good ends the other tasks of its job. */
+	if (!err && r.state == SCHED_FAILED && !t->service && (!stored || stored->cancel))
+		sched_cancel(l->sched, r.team, r.job, clock_us());
 	buf_free(&job);
 }
 
@@ -274,7 +323,7 @@
 					     false, XDR_STR(*result, detail));
 		/* A resend finds the job known already, which changes nothing. */
 		if (job && job->state == JOB_WAITING)
-			leading_feed_job(l, job);
+			leading_feed_failed(l, leading_feed_job(l, job));
 		break;
 	case CMD_JOB_CANCEL:
 		if (!result->err)
--- a/carawayfrontd/state_leading.h
+++ b/carawayfrontd/state_leading.h
@@ -19,11 +19,15 @@
 	uint64_t epoch;
 	struct seen_entry *seen; /* by name */
 	int64_t next_seen_us;
+	bool feed_again; /* the scheduler had no room for a job */
+	int64_t feed_us;
 };
 
 /* Names of jobs and services share one space in the scheduler. */
 #define SERVICE_PREFIX "service:"
 
+void leading_feed_failed(struct state_leading *l, int err);
+void leading_feed_rest(struct state_leading *l);
 int leading_feed_all(struct state_leading *l);
 int leading_feed_job(struct state_leading *l, const struct job *job);
 void leading_feed_change(struct state_leading *l, struct str path);
--- a/carawayfrontd/state_propose.c
+++ b/carawayfrontd/state_propose.c
@@ -208,9 +208,15 @@
 		goto out;
 	}
 	answer_proposal(s, entry, buf_str(&bytes));
-	if (codec_decode((xdrproc_t)xdr_command, &cmd, entry->data) ||
-	    codec_decode((xdrproc_t)xdr_command_result, &result, buf_str(&bytes)))
+	err = codec_decode((xdrproc_t)xdr_command, &cmd, entry->data);
+	if (!err)
+		err = codec_decode((xdrproc_t)xdr_command_result, &result,
+				   buf_str(&bytes));
+	if (err) {
+		/* The scheduler would wait for ever for the outcome of its proposal. */
+		s->failure = err;
 		goto out;
+	}
 	if (changes_conf(cmd.body.kind) && !result.err)
 		s->conf_changed = true;
 	if (s->leading)
--- a/core/job.h
+++ b/core/job.h
@@ -19,11 +19,20 @@
  *   placed           -> running
  *   placed, running  -> done, failed, evicted, cancelled
  *   placed, running  -> waiting    the attempt certainly ended without a result
- * All but the first need the attempt, worker and session that were placed; cancelled
- * needs a requested cancellation. Anything else changes nothing (CF_ESTALE). A task
- * that failed waits again until max_attempts failures; a failed task fails the job. A
+ *   waiting, evicted -> failed     the task can never run
+ * Steps from placed and running need the attempt, worker and session that were placed;
+ * failed of an idle task needs its last attempt; cancelled needs a requested
+ * cancellation. Anything else changes nothing (CF_ESTALE). The scheduler alone decides
+ * whether a task is tried again (waiting) or fails for good (failed), which fails the
+ * job.
+ *
+ * The scheduler also chooses which executors of a service run and stop:
+ *   cancelled        -> placed     the next attempt of a number that is free
+ *   any but final    -> cancelled  replaced or not wanted any more
+ * and a placement may add numbers below JOB_SERVICE_SPAN times the wanted executors. A
  * task of a service that is done or failed waits again.
  */
+#define JOB_SERVICE_SPAN 2
 struct job_options {
 	size_t teams;
 	struct share_options jobs;  /* unfinished jobs and services of a team */
--- a/core/job_impl.h
+++ b/core/job_impl.h
@@ -47,6 +47,8 @@
 		     struct str name);
 void job_set_task(struct job *job, struct task *task, enum task_state state);
 void job_request_cancel(struct job *job, uint32_t first, uint64_t time_us);
+int job_add_executors(struct jobs *j, struct job *job, const struct command_task *in,
+		      uint64_t time_us);
 bool job_ended(const struct job *job);
 void job_settle(struct jobs *j, struct job *job, uint64_t time_us);
 void job_finish(struct jobs *j, struct job *job, uint64_t time_us);
--- a/core/job_service.c
+++ b/core/job_service.c
@@ -3,6 +3,7 @@
 
 #include "base/err.h"
 #include "core/job_impl.h"
+#include "proto/codec.h"
 
 /* Tells whether a team may have more services and tasks. */
 bool jobs_service_fits(const struct jobs *j, struct str team, uint64_t services,
@@ -44,9 +45,35 @@
 }
 
 /*
- * Makes the tasks of a service follow its document: spec->tasks of them are wanted,
- * the others are cancelled. Tasks keep their attempt numbers, so that no record of an
- * earlier attempt fits a later one. CF_ENOMEM is fatal for the store.
+ * Adds the numbers up to that of a first placement. A replacement needs one beside the
+ * executor it replaces, so the span of numbers is bounded by the wanted executors. The
+ * new ones are free until they are placed.
+ */
+int job_add_executors(struct jobs *j, struct job *job, const struct command_task *in,
+		      uint64_t time_us)
+{
+	uint32_t first = job->ntasks;
+	int err;
+
+	if (!job->service || job->cancel || in->attempt != 1 ||
+	    in->task >= (uint64_t)job->spec.tasks * JOB_SERVICE_SPAN ||
+	    in->task >= j->options.tasks_per_job || !name_valid(XDR_STR(*in, worker)))
+		return CF_ENOENT;
+	if (!share_fits(&j->tasks, job->team->used_tasks, in->task + 1 - first))
+		return CF_ENOSPACE;
+	err = grow(j, job, in->task + 1, time_us);
+	if (err)
+		return err;
+	for (uint32_t i = first; i < job->ntasks; i++)
+		job_set_task(job, &job->tasks[i], TASK_CANCELLED);
+	return 0;
+}
+
+/*
+ * Makes a service follow its document: spec->tasks executors are wanted. The scheduler
+ * chooses which ones stop; numbers that were never used wait. Tasks keep their attempt
+ * numbers, so that no record of an earlier attempt fits a later one. CF_ENOMEM is fatal
+ * for the store.
  */
 int jobs_service_set(struct jobs *j, struct str team, struct str name,
 		     const struct job_spec *spec, uint64_t index, uint64_t time_us)
@@ -79,16 +106,8 @@
 			return err;
 	}
 	job->cancel = false;
-	for (uint32_t i = 0; i < n; i++) {
-		struct task *task = &job->tasks[i];
-
-		task->cancel = false;
-		if (task->state == TASK_CANCELLED) {
-			task->waiting_us = time_us;
-			job_set_task(job, task, TASK_WAITING);
-		}
-	}
-	job_request_cancel(job, n, time_us);
+	for (uint32_t i = 0; i < job->ntasks; i++)
+		job->tasks[i].cancel = false;
 	job_settle(j, job, time_us);
 	return 0;
 }
--- a/core/sched.c
+++ b/core/sched.c
@@ -5,6 +5,8 @@
 #include "base/err.h"
 #include "core/sched_impl.h"
 
+/* Pause before the store is asked again for a placement that it refused. */
+#define REFUSED_US 1000000
 /* Time in which every worker alive has polled the new leader, beside the lease. */
 #define FLEET_US 2000000
 
@@ -72,6 +74,7 @@
 		jtmp = j->hh.next;
 		pairs_free(s, j);
 		free(j->rack_count);
+		free(j->past);
 		free(j->key);
 		free(j);
 	}
@@ -107,7 +110,7 @@
 
 /*
  * Feeds one unfinished task. CF_ENOENT: its job was not fed; CF_EEXIST: fed before;
- * CF_EINVAL: the record is final; CF_ENOSPACE: too many tasks.
+ * CF_EINVAL: the record is final and of no service; CF_ENOSPACE: too many tasks.
  */
 int sched_task(struct sched *s, const struct sched_record *r, int64_t now_us)
 {
@@ -117,8 +120,11 @@
 
 	if (!j)
 		return CF_ENOENT;
-	if (s->ready || r->state > SCHED_RUNNING)
+	if (s->ready)
 		return CF_EINVAL;
+	if (r->state > SCHED_RUNNING)
+		return j->opt.class == SCHED_LATENCY ? task_past(j, r->task, r->attempt)
+						     : CF_EINVAL;
 	if (task_find(s, j, r->task))
 		return CF_EEXIST;
 	t = task_new(s, j, r->task);
@@ -142,6 +148,7 @@
 	t->phase = P_PLACED;
 	t->inherited = true;
 	t->was_running = r->state == SCHED_RUNNING;
+	t->recorded_running = t->was_running;
 	t->attempt_resumed = true; /* when it began is not known */
 	task_bind(s, t, w);
 	t->session = r->session;
@@ -217,6 +224,11 @@
 	if (!t || !t->pending || r->attempt != t->attempt || r->state != t->proposed)
 		return;
 	t->pending = false;
+	if (j->opt.class == SCHED_LATENCY && r->task >= j->next_task &&
+	    r->state == SCHED_PLACED)
+		j->next_task = r->task + 1;
+	if (r->state == SCHED_PLACED)
+		t->unrecorded = false;
 	if (t->phase == P_INTENT && r->state == SCHED_PLACED) {
 		t->phase = P_PLACED;
 		if (t->stop)
@@ -231,8 +243,28 @@
 	sched_wake(s, now_us);
 }
 
+/* No worker knows of the attempt, and the store does not have it. */
+static void refused_intent(struct sched *s, struct task *t, int64_t attempt,
+			   int64_t now_us)
+{
+	struct job *j = t->key.job;
+	enum sched_reason stop = t->stop;
+
+	/* The number may be used by the next attempt that the store accepts. */
+	t->attempt = (uint32_t)attempt;
+	task_withdraw(s, t, now_us);
+	if (j->cancelled)
+		stop = SCHED_R_CANCELLED;
+	else if (j->reject)
+		stop = j->reject;
+	task_wait(s, t, now_us + REFUSED_US, now_us);
+	if (stop)
+		task_stop(s, t, stop, now_us);
+}
+
 /* A proposal of this instance will not become durable. It is made again if due. */
-void sched_refused(struct sched *s, const struct sched_record *r, int64_t now_us)
+void sched_refused(struct sched *s, const struct sched_record *r, int64_t attempt,
+		   int64_t now_us)
 {
 	struct job *j = job_find(s, r->team, r->job);
 	struct task *t = j ? task_find(s, j, r->task) : NULL;
@@ -241,11 +273,14 @@
 		return;
 	s->stats.refused++;
 	t->pending = false;
-	if (t->phase == P_INTENT) {
-		/* No worker knows of the attempt. */
-		t->stop = t->stop ? t->stop : SCHED_R_NOT_STARTED;
-		task_over(s, t, task_end_state(t->stop), t->stop, now_us);
+	if (attempt < 0) {
+		task_gone(s, t, now_us);
+	} else if (t->phase == P_INTENT) {
+		refused_intent(s, t, attempt, now_us);
 	} else {
+		/* Only the end of an attempt must reach the store. */
+		if (r->state == SCHED_RUNNING)
+			t->recorded_running = true;
 		task_dirty(s, t);
 	}
 	sched_wake(s, now_us);
@@ -299,7 +334,7 @@
 	zones_rebalance_step(s, now_us);
 	tasks_delayed(s, now_us);
 	place_step(s, now_us);
-	tasks_propose(s);
+	tasks_propose(s, now_us);
 	s->next_us = next_timer(s);
 	if (s->next_us < now_us + STEP_US)
 		s->next_us = now_us + STEP_US;
--- a/core/sched.h
+++ b/core/sched.h
@@ -93,14 +93,17 @@
 	uint32_t priority; /* larger first, within team and class */
 	uint32_t tasks;	   /* number of tasks; a service's number of executors */
 	/*
-	 * Services only: one more than the largest task number ever used. A replaced
-	 * executor is a task with a new number. At most `tasks` keep running.
+	 * Services only: one more than the largest task number that the store has. A
+	 * new executor takes the lowest number without an unfinished task, and the next
+	 * attempt of that number. Numbers stay below the larger of next_task and
+	 * SCHED_SERVICE_SPAN * tasks. At most `tasks` keep running.
 	 */
 	uint32_t next_task;
 	struct sched_size size; /* declared, promised to the task */
 	int64_t deadline_us;	/* on the clock of now_us; 0: none */
 	int64_t run_us;		/* declared run time; 0: unknown */
 	int64_t latency_us;	/* services: target of the tail latency; 0: none */
+	uint32_t max_attempts;	/* failures after which a task fails; 0: no bound */
 	bool checkpoint;	/* tasks can checkpoint */
 	bool cancelled;		/* start-up feed: cancelled, tasks not yet over */
 };
@@ -182,8 +185,9 @@
 struct sched_ops {
 	/*
 	 * Starts to make the record durable. 0, or an error when it was certainly not
-	 * accepted; the proposal is then made again later. Exactly one call of
-	 * sched_committed() or sched_refused() must follow a 0 while this instance
+	 * accepted; the proposal is then made again later. CF_ENOENT: the store has no
+	 * such job any more, so that its task ends without a record. Exactly one call
+	 * of sched_committed() or sched_refused() must follow a 0 while this instance
 	 * lives. Must not call back into the instance.
 	 */
 	int (*propose)(struct sched_host *, const struct sched_record *);
@@ -207,6 +211,8 @@
 #define SCHED_EXPIRES_US 1500000
 #define SCHED_POLL_US 400000
 #define SCHED_MAX_TASKS 200000U
+/* An executor and its replacement hold two numbers. */
+#define SCHED_SERVICE_SPAN 2
 #define SCHED_MAX_NAME 256 /* bytes of a name */
 
 struct sched_stats {
@@ -240,7 +246,10 @@
 	       int64_t now_us);
 /* New job or changed service. During the start-up feed it brings no tasks. */
 int sched_job(struct sched *s, const struct sched_job *job, int64_t now_us);
-/* Start-up feed: one unfinished task of a job fed before. */
+/*
+ * Start-up feed: one unfinished task of a job fed before. Of a service every number
+ * below next_task is fed; a final record keeps the attempt of a number that is free.
+ */
 int sched_task(struct sched *s, const struct sched_record *record, int64_t now_us);
 /* Ends the start-up feed. Leases of earlier leaders are counted from here. */
 void sched_ready(struct sched *s, int64_t now_us);
@@ -251,8 +260,12 @@
 	       struct sched_reply *reply);
 
 void sched_committed(struct sched *s, const struct sched_record *record, int64_t now_us);
-/* The store decided against the record, or it can no longer be committed. */
-void sched_refused(struct sched *s, const struct sched_record *record, int64_t now_us);
+/*
+ * The store decided against the record, or it can no longer be committed. attempt is
+ * the newest attempt that the store has of the task, negative when it has no such task.
+ */
+void sched_refused(struct sched *s, const struct sched_record *record, int64_t attempt,
+		   int64_t now_us);
 
 void sched_tick(struct sched *s, int64_t now_us);
 int64_t sched_deadline(const struct sched *s);
--- a/core/sched_impl.h
+++ b/core/sched_impl.h
@@ -128,6 +128,9 @@
 	uint32_t bound;
 	uint32_t replacing; /* pairs of an executor and its replacement */
 	uint32_t next_task;
+	uint32_t *past; /* services: last attempt of each number without a task */
+	uint32_t npast;
+	uint32_t lowest;    /* services: numbers below it have tasks */
 	uint32_t successes; /* attempts that ended well or ran long */
 	uint32_t failures;
 	struct worker *failed_on[MAX_FAILED_ON]; /* different workers, by time */
@@ -186,6 +189,7 @@
 	uint8_t throttle_polls; /* responses that still repeat the throttle order */
 	bool recorded_running;
 	bool was_running;     /* fed as running */
+	bool unrecorded;      /* the store has no record of this executor */
 	uint64_t mark;	      /* poll that listed it */
 	uint64_t issued_seq;  /* poll that the last start order answered, 0: none */
 	uint64_t checkpoint;  /* newest marker */
@@ -363,6 +367,9 @@
 /* sched_task.c */
 struct task *task_find(struct sched *s, struct job *j, uint32_t number);
 struct task *task_new(struct sched *s, struct job *j, uint32_t number);
+struct task *task_executor(struct sched *s, struct job *j);
+int task_past(struct job *j, uint32_t number, uint32_t attempt);
+void task_gone(struct sched *s, struct task *t, int64_t now_us);
 void task_free(struct sched *s, struct task *t);
 void task_bind(struct sched *s, struct task *t, struct worker *w);
 void task_set_live(struct task *t, bool live);
@@ -370,6 +377,7 @@
 void task_over(struct sched *s, struct task *t, enum sched_state end,
 	       enum sched_reason reason, int64_t now_us);
 void task_stop(struct sched *s, struct task *t, enum sched_reason reason, int64_t now_us);
+void task_withdraw(struct sched *s, struct task *t, int64_t now_us);
 void task_count(struct task *t);
 void task_uncount(struct task *t);
 void task_lost(struct sched *s, struct task *t, int64_t now_us);
@@ -378,7 +386,7 @@
 enum sched_state task_end_state(enum sched_reason reason);
 void task_dirty(struct sched *s, struct task *t);
 bool task_never_issued(const struct task *t);
-void tasks_propose(struct sched *s);
+void tasks_propose(struct sched *s, int64_t now_us);
 void tasks_delayed(struct sched *s, int64_t now_us);
 
 /* sched_job.c */
--- a/core/sched_job.c
+++ b/core/sched_job.c
@@ -156,7 +156,7 @@
 		struct task *t = NULL;
 
 		if (*budget)
-			t = task_new(s, j, j->next_task);
+			t = task_executor(s, j);
 		if (!t) {
 			s->retry = true;
 			return;
@@ -230,6 +230,7 @@
 	s->stats.bytes -= sizeof(*j) + j->len;
 	pairs_free(s, j);
 	free(j->rack_count);
+	free(j->past);
 	free(j->key);
 	free(j);
 }
@@ -239,7 +240,8 @@
 	return size_covers(a, b) && size_covers(b, a);
 }
 
-static int update(struct sched *s, struct job *j, const struct sched_job *opt)
+static int update(struct sched *s, struct job *j, const struct sched_job *opt,
+		  int64_t now_us)
 {
 	if (j->opt.class != SCHED_LATENCY || opt->class != SCHED_LATENCY)
 		return CF_EEXIST;
@@ -251,7 +253,17 @@
 	j->opt.latency_us = opt->latency_us;
 	if (opt->next_task > j->next_task)
 		j->next_task = opt->next_task;
+	/* The document is back: executors that were not stopped yet stay. */
+	if (j->cancelled) {
+		j->cancelled = false;
+		if (j->ending)
+			TAILQ_REMOVE(&s->ending, j, end_entry);
+		j->ending = false;
+		j->cursor = NULL;
+		job_queue_up(s, j, now_us);
+	}
 	job_scale_later(s, j);
+	sched_wake(s, now_us);
 	return 0;
 }
 
@@ -293,7 +305,7 @@
 		return CF_EINVAL;
 	j = job_find(s, opt->team, opt->name);
 	if (j)
-		return update(s, j, opt);
+		return update(s, j, opt, now_us);
 	if (s->ready && opt->class != SCHED_LATENCY &&
 	    opt->tasks > s->opt.max_tasks - s->ntasks)
 		return CF_ENOSPACE;
--- a/core/sched_quarantine.c
+++ b/core/sched_quarantine.c
@@ -169,7 +169,8 @@
 	good = good_workers(t->failed_on, t->nfailed_on);
 	t->failures++;
 	if (j->opt.class != SCHED_LATENCY) {
-		if (good >= TASK_WORKERS || t->failures >= TASK_FAILURES) {
+		if (good >= TASK_WORKERS || t->failures >= TASK_FAILURES ||
+		    (j->opt.max_attempts && t->failures >= j->opt.max_attempts)) {
 			task_over(s, t, SCHED_FAILED, SCHED_R_FAILED_TOO_OFTEN, now_us);
 			return;
 		}
--- a/core/sched_task.c
+++ b/core/sched_task.c
@@ -29,6 +29,8 @@
 		return NULL;
 	t->key.job = j;
 	t->key.number = number;
+	if (number < j->npast)
+		t->attempt = j->past[number];
 	t->phase = P_WAITING;
 	t->percent = 100;
 	HASH_ADD(hh, s->tasks, key, sizeof(t->key), t);
@@ -36,11 +38,48 @@
 	j->live++;
 	s->ntasks++;
 	s->stats.bytes += sizeof(*t);
-	if (number >= j->next_task)
-		j->next_task = number + 1;
 	return t;
 }
 
+/*
+ * Makes the task of a new executor. It takes the lowest free number, which bounds the
+ * records of the store. NULL when out of memory, tasks or numbers.
+ */
+struct task *task_executor(struct sched *s, struct job *j)
+{
+	uint64_t limit = (uint64_t)j->opt.tasks * SCHED_SERVICE_SPAN;
+	struct task *t;
+
+	if (limit < j->next_task)
+		limit = j->next_task;
+	while (j->lowest < limit && task_find(s, j, j->lowest))
+		j->lowest++;
+	t = j->lowest < limit ? task_new(s, j, j->lowest) : NULL;
+	if (t)
+		t->unrecorded = true;
+	return t;
+}
+
+/*
+ * Keeps the last attempt of a number that has no task, so that no attempt of it is
+ * used twice.
+ */
+int task_past(struct job *j, uint32_t number, uint32_t attempt)
+{
+	if (number >= j->npast) {
+		uint32_t n = number + 1 + number / 2;
+		uint32_t *p = realloc(j->past, n * sizeof(*p));
+
+		if (!p)
+			return CF_ENOMEM;
+		memset(p + j->npast, 0, (n - j->npast) * sizeof(*p));
+		j->past = p;
+		j->npast = n;
+	}
+	j->past[number] = attempt;
+	return 0;
+}
+
 /* Ends the pairing of an executor with its replacement. */
 void task_unpair(struct task *t)
 {
@@ -178,6 +217,13 @@
 	worker_freed(s, w);
 }
 
+/* Releases the worker of an attempt that nobody knows of. */
+void task_withdraw(struct sched *s, struct task *t, int64_t now_us)
+{
+	unbind(s, t, now_us);
+	t->phase = P_WAITING;
+}
+
 /* Counts the size of an attempt that is stopped to make room for another one. */
 void task_set_reclaim(struct task *t, bool reclaim)
 {
@@ -382,7 +428,7 @@
 }
 
 /* Proposes the records of one step. What the host does not accept stays queued. */
-void tasks_propose(struct sched *s)
+void tasks_propose(struct sched *s, int64_t now_us)
 {
 	unsigned int n = 0;
 	struct task *t;
@@ -392,17 +438,50 @@
 		bool due = t->phase == P_INTENT || t->phase == P_ENDING ||
 			   (t->phase == P_RUNNING && !t->recorded_running);
 
-		if (!t->pending && due && propose(s, t)) {
+		int err = 0;
+
+		if (t->phase == P_ENDING && t->unrecorded && t->end != SCHED_WAITING)
+			err = CF_ENOENT;
+		else if (!t->pending && due)
+			err = propose(s, t);
+
+		TAILQ_REMOVE(&s->dirty, t, dirty_entry);
+		if (err == CF_ENOENT) {
+			t->dirty = false;
+			task_gone(s, t, now_us);
+			continue;
+		}
+		if (err) {
+			/* Behind the others, in case only this one is not accepted. */
+			TAILQ_INSERT_TAIL(&s->dirty, t, dirty_entry);
 			s->retry = true;
 			return;
 		}
 		t->dirty = false;
-		TAILQ_REMOVE(&s->dirty, t, dirty_entry);
 	}
 	if (t)
 		s->retry = true;
 }
 
+/*
+ * The store has no such task. What a worker may run is stopped first, and its capacity
+ * stays counted until then.
+ */
+void task_gone(struct sched *s, struct task *t, int64_t now_us)
+{
+	struct job *j = t->key.job;
+
+	if (t->phase == P_RUNNING || t->phase == P_PLACED) {
+		t->recorded_running = true;
+		task_stop(s, t, SCHED_R_CANCELLED, now_us);
+		return;
+	}
+	unbind(s, t, now_us);
+	task_free(s, t);
+	job_scale_later(s, j);
+	job_maybe_free(s, j);
+}
+
 /* Frees a task that is bound to no worker. */
 void task_free(struct sched *s, struct task *t)
 {
@@ -414,6 +493,12 @@
 		TAILQ_REMOVE(&s->dirty, t, dirty_entry);
 	if (j->cursor == t)
 		j->cursor = TAILQ_NEXT(t, job_entry);
+	if (j->opt.class == SCHED_LATENCY) {
+		/* Without memory the store's refusal tells the attempt. */
+		(void)task_past(j, (uint32_t)t->key.number, t->attempt);
+		if (t->key.number < j->lowest)
+			j->lowest = (uint32_t)t->key.number;
+	}
 	TAILQ_REMOVE(&j->tasks, t, job_entry);
 	HASH_DEL(s->tasks, t);
 	s->ntasks--;
--- a/core/sched_zone.c
+++ b/core/sched_zone.c
@@ -111,7 +111,7 @@
 static bool replace(struct sched *s, struct task *t, int64_t now_us)
 {
 	struct job *j = t->key.job;
-	struct task *n = task_new(s, j, j->next_task);
+	struct task *n = task_executor(s, j);
 
 	if (!n)
 		return false;
--- a/proto/command.h
+++ b/proto/command.h
@@ -156,6 +156,15 @@
 };
 typedef enum task_state task_state;
 
+enum task_reason {
+	TASK_R_NONE = 0,
+	TASK_R_TOO_LARGE = 1,
+	TASK_R_OVER_QUOTA = 2,
+	TASK_R_TOO_OFTEN = 3,
+	TASK_R_JOB_FAILS = 4,
+};
+typedef enum task_reason task_reason;
+
 struct command_task {
 	struct {
 		u_int team_len;
@@ -177,6 +186,8 @@
 	u_quad_t session;
 	int exit_code;
 	u_quad_t checkpoint;
+	u_int failures;
+	enum task_reason reason;
 };
 typedef struct command_task command_task;
 
@@ -571,6 +582,7 @@
 extern  bool_t xdr_command_job_cancel (XDR *, command_job_cancel*);
 extern  bool_t xdr_command_job_reject (XDR *, command_job_reject*);
 extern  bool_t xdr_task_state (XDR *, task_state*);
+extern  bool_t xdr_task_reason (XDR *, task_reason*);
 extern  bool_t xdr_command_task (XDR *, command_task*);
 extern  bool_t xdr_command_owner (XDR *, command_owner*);
 extern  bool_t xdr_command_key (XDR *, command_key*);
@@ -612,6 +624,7 @@
 extern bool_t xdr_command_job_cancel ();
 extern bool_t xdr_command_job_reject ();
 extern bool_t xdr_task_state ();
+extern bool_t xdr_task_reason ();
 extern bool_t xdr_command_task ();
 extern bool_t xdr_command_owner ();
 extern bool_t xdr_command_key ();
--- a/proto/command.x
+++ b/proto/command.x
@@ -86,11 +86,21 @@
 	TASK_EVICTED = 6
 };
 
+/* Why a task failed for good. Other reasons of the scheduler are not stored. */
+enum task_reason {
+	TASK_R_NONE = 0,
+	TASK_R_TOO_LARGE = 1,
+	TASK_R_OVER_QUOTA = 2,
+	TASK_R_TOO_OFTEN = 3,
+	TASK_R_JOB_FAILS = 4
+};
+
 /*
  * New state of one task of a job, or of a service when service is set. attempt is
  * the new attempt for TASK_PLACED, else the present one. session identifies the
  * worker's process. job_revision tells apart two jobs that had the same name at
- * different times. checkpoint is 0 when the attempt left none.
+ * different times. checkpoint is 0 when the attempt left none. failures counts the
+ * attempts that failed by themselves; reason says why the attempt or the job ended.
  */
 struct command_task {
 	opaque team<CMD_MAX_NAME>;
@@ -104,6 +114,8 @@
 	unsigned hyper session;
 	int exit_code;
 	unsigned hyper checkpoint;
+	unsigned int failures;
+	enum task_reason reason;
 };
 
 /*
--- a/proto/command_xdr.c
+++ b/proto/command_xdr.c
@@ -124,6 +124,16 @@
 	return TRUE;
 }
 
+bool_t
+xdr_task_reason (XDR *xdrs, task_reason *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_enum (xdrs, (enum_t *) objp))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_command_task (XDR *xdrs, command_task *objp)
 {
@@ -151,6 +161,10 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->checkpoint))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->failures))
+		 return FALSE;
+	 if (!xdr_task_reason (xdrs, &objp->reason))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/regress/lib_model.h
+++ b/regress/lib_model.h
@@ -42,7 +42,6 @@
 struct model_task {
 	enum task_state state;
 	uint32_t attempt;
-	uint32_t failures;
 	uint64_t session;
 	char worker[4];
 	bool cancel;
@@ -53,7 +52,7 @@
 	bool service;
 	uint64_t revision;
 	uint32_t n;
-	uint32_t max_attempts;
+	uint32_t wanted; /* executors */
 	struct model_task tasks[MODEL_TASKS];
 	bool cancel;
 	bool failed;
--- a/regress/lib_store.c
+++ b/regress/lib_store.c
@@ -271,6 +271,8 @@
 		.session = t->session,
 		.exit_code = t->exit_code,
 		.checkpoint = t->checkpoint,
+		.failures = t->failures,
+		.reason = t->reason,
 	};
 
 	SET(c, team, t->team);
--- a/regress/lib_store.h
+++ b/regress/lib_store.h
@@ -62,6 +62,8 @@
 	int exit_code;
 	uint64_t checkpoint;
 	uint64_t revision; /* 0: of the present job */
+	uint32_t failures;
+	enum task_reason reason;
 };
 
 int rig_task(struct rig *r, const struct lib_task *t, enum task_state state);
