Tests of refused proposals, of executor numbers and of failure reasons

Cause: the virtual world never refused a record, so a scheduler that waits for ever after a refusal passed.

Change: the store of the virtual world refuses 1 of 30 records under faults and checks that service numbers stay in their span; new tests for refused intents, max_attempts, reused numbers and reasons.

--- a/carawayfrontd/state_leading.c
+++ b/carawayfrontd/state_leading.c
@@ -250,12 +250,14 @@
 }
 
 /*
- * Tells whether the store already has what a refused record says: the attempt is over.
- * The store ends tasks itself when their job is cancelled or fails.
+ * Tells whether the store already has what a refused record says: the attempt runs, or
+ * is over. The store ends tasks itself when their job is cancelled or fails.
  */
-static bool is_known_end(const struct command_task *t, const struct task *task)
+static bool is_known(const struct command_task *t, const struct task *task)
 {
-	return task && t->state != TASK_PLACED && t->state != TASK_RUNNING &&
+	if (task && t->state == TASK_RUNNING)
+		return task->state == TASK_RUNNING && task->attempt == t->attempt;
+	return task && t->state != TASK_PLACED &&
 	       (!job_task_active(task) || task->attempt > t->attempt);
 }
 
@@ -283,7 +285,7 @@
 		buf_adds(&job, SERVICE_PREFIX);
 	buf_add(&job, name.p, name.n);
 	r.job = buf_str(&job);
-	if (err && !is_known_end(t, task))
+	if (err && !is_known(t, task))
 		sched_refused(l->sched, &r, task ? (int64_t)task->attempt : -1,
 			      clock_us());
 	else
--- a/core/sched.c
+++ b/core/sched.c
@@ -278,9 +278,6 @@
 	} else if (t->phase == P_INTENT) {
 		refused_intent(s, t, attempt, now_us);
 	} else {
-		/* Only the end of an attempt must reach the store. */
-		if (r->state == SCHED_RUNNING)
-			t->recorded_running = true;
 		task_dirty(s, t);
 	}
 	sched_wake(s, now_us);
--- a/regress/lib_sched_world.c
+++ b/regress/lib_sched_world.c
@@ -502,6 +502,9 @@
 	if (r->attempt < t->attempt ||
 	    (r->attempt == t->attempt && t->exists && t->state >= SCHED_DONE))
 		sim_fail(w, "record goes back", j, r->task);
+	/* The store's records of a service are bounded by it. */
+	if (j->opt.class == SCHED_LATENCY && r->task >= SCHED_SERVICE_SPAN * j->opt.tasks)
+		sim_fail(w, "number above the span of its service", j, r->task);
 	if (r->state == SCHED_PLACED) {
 		bool idle = t->state == SCHED_WAITING || (j->opt.class == SCHED_LATENCY &&
 							  t->state == SCHED_CANCELLED);
@@ -544,6 +547,14 @@
 {
 	double from;
 
+	if (w->busy_store && w->leading && e->stamp == w->epoch && w->sched &&
+	    prng_below(&w->rng, 30) == 0) {
+		e->record.team = sim_team(e->job->team);
+		e->record.job = str_from(e->job->name);
+		sched_refused(w->sched, &e->record,
+			      task_of(e->job, e->record.task)->attempt, leader_clock(w));
+		return;
+	}
 	apply(w, e);
 	if (!w->leading || e->stamp != w->epoch)
 		return;
--- a/regress/lib_sched_world.h
+++ b/regress/lib_sched_world.h
@@ -159,7 +159,7 @@
 	double lost_us;	      /* batch work done and lost */
 	double wall_ns;	      /* time spent in the policy */
 	uint64_t calls;
-	bool busy_store; /* the store refuses some proposals at first */
+	bool busy_store; /* some proposals cannot be made, some are refused */
 	void (*latency)(struct sim *, const struct sim_job *, int64_t latency_us);
 };
 
--- a/regress/test_job.c
+++ b/regress/test_job.c
@@ -259,6 +259,75 @@
 }
 END_TEST
 
+/*
+ * Guards against executors that are lost or doubled: a free number is placed again only
+ * with its next attempt, a replacement gets a number of its own within the bound, and a
+ * late record of an earlier attempt changes nothing, also after a snapshot.
+ */
+START_TEST(service_numbers_are_reused_and_bounded)
+{
+	struct lib_task t = {.team = "t",
+			     .job = "s",
+			     .service = true,
+			     .attempt = 1,
+			     .worker = "w1",
+			     .session = 5};
+	struct lib_task late = t;
+
+	ck_assert_int_eq(rig_put(&rig, "/t/service/s", 0, "a", "",
+				 "slots=8 executors=2 command=x"),
+			 0);
+	ck_assert_int_eq(rig_task(&rig, &t, TASK_PLACED), 0);
+	ck_assert_int_eq(rig_task(&rig, &t, TASK_RUNNING), 0);
+	t.task = 4;
+	ck_assert_int_eq(rig_task(&rig, &t, TASK_PLACED), CF_ENOENT);
+	t.task = 3;
+	t.attempt = 2;
+	ck_assert_int_eq(rig_task(&rig, &t, TASK_PLACED), CF_ENOENT);
+	t.attempt = 1;
+	ck_assert_int_eq(rig_task(&rig, &t, TASK_PLACED), 0);
+	ck_assert_uint_eq(job_of("t", true, "s")->ntasks, 4);
+	ck_assert_uint_eq(job_of("t", true, "s")->tasks[2].state, TASK_CANCELLED);
+	/* The executor with number 0 is replaced. */
+	late.checkpoint = 7;
+	ck_assert_int_eq(rig_task(&rig, &late, TASK_CANCELLED), 0);
+	rig_restore(&rig);
+	ck_assert_int_eq(rig_task(&rig, &late, TASK_PLACED), CF_ESTALE);
+	late.attempt = 2;
+	ck_assert_int_eq(rig_task(&rig, &late, TASK_PLACED), 0);
+	ck_assert_uint_eq(job_of("t", true, "s")->tasks[0].checkpoint, 0);
+	late.attempt = 1;
+	ck_assert_int_eq(rig_task(&rig, &late, TASK_CANCELLED), CF_ESTALE);
+	ck_assert_uint_eq(job_of("t", true, "s")->tasks[0].state, TASK_PLACED);
+}
+END_TEST
+
+/* Guards against a job that ends without saying why it can never run. */
+START_TEST(impossible_jobs_keep_their_reason)
+{
+	struct lib_task t = first(0);
+
+	t.reason = TASK_R_TOO_LARGE;
+	ck_assert_int_eq(rig_submit(&rig, "t", "j", "s", "command=x tasks=2"), 0);
+	ck_assert_int_eq(rig_task(&rig, &t, TASK_FAILED), 0);
+	ck_assert_int_eq(rig_task(&rig, &t, TASK_FAILED), CF_ESTALE);
+	rig_restore(&rig);
+	ck_assert_uint_eq(job_of("t", false, "j")->state, JOB_REJECTED);
+	ck_assert_str_eq(job_of("t", false, "j")->reason,
+			 "task 0 is larger than every worker");
+	/* A job that ran is not rejected. */
+	ck_assert_int_eq(rig_submit(&rig, "t", "k", "s2", "command=x"), 0);
+	t.job = "k";
+	t.attempt = 1;
+	t.reason = TASK_R_OVER_QUOTA;
+	ck_assert_int_eq(rig_task(&rig, &t, TASK_PLACED), 0);
+	ck_assert_int_eq(rig_task(&rig, &t, TASK_FAILED), 0);
+	ck_assert_uint_eq(job_of("t", false, "k")->state, JOB_FAILED);
+	ck_assert_str_eq(job_of("t", false, "k")->reason,
+			 "task 0 exceeds the quota of its team");
+}
+END_TEST
+
 /* Guards against a team that takes the tasks of another, and unbounded records. */
 START_TEST(bounds_are_per_team)
 {
@@ -327,6 +396,8 @@
 	tcase_add_test(tc, record_of_an_earlier_job_is_stale);
 	tcase_add_test(tc, job_state_follows_tasks);
 	tcase_add_test(tc, service_tasks_follow_the_document);
+	tcase_add_test(tc, service_numbers_are_reused_and_bounded);
+	tcase_add_test(tc, impossible_jobs_keep_their_reason);
 	tcase_add_test(tc, bounds_are_per_team);
 	tcase_add_test(tc, kind_supplies_defaults);
 	suite_add_tcase(s, tc);
--- a/regress/test_sched.c
+++ b/regress/test_sched.c
@@ -363,6 +363,110 @@
 }
 END_TEST
 
+/* Guards against a bound on failures that the scheduler ignores or applies early. */
+START_TEST(max_attempts_bounds_failures)
+{
+	struct sim_options o = options(1, 20);
+	struct sim_policy *p = sim_scheduler();
+	struct sim *w = settled(&o, p);
+	struct sched_job spec = batch(1, 1000, 500);
+	struct sim_job *bad;
+
+	spec.max_attempts = 2;
+	bad = sim_submit(w, 0, 1, spec, SECOND);
+	bad->poison = true;
+	sim_run(w, w->now_us + 60 * SECOND);
+	ck_assert_int_eq(bad->task[0].state, SCHED_FAILED);
+	ck_assert_int_eq(bad->task[0].reason, SCHED_R_FAILED_TOO_OFTEN);
+	ck_assert_uint_eq(bad->task[0].failures, 2);
+	ck_assert_uint_eq(bad->task[0].starts, 2);
+	finish(w, p);
+}
+END_TEST
+
+struct refusing_host {
+	struct sched_host host;
+	struct sched_record last;
+	char job[2];
+	unsigned int proposals;
+	int err;
+};
+
+static int refusing_propose(struct sched_host *host, const struct sched_record *r)
+{
+	struct refusing_host *h = (struct refusing_host *)host;
+
+	h->proposals++;
+	h->last = *r;
+	h->last.team = STR("t");
+	h->job[0] = r->job.p[0];
+	h->last.job = (struct str){h->job, 1};
+	return h->err && r->job.p[0] == 'g' ? h->err : 0;
+}
+
+static const struct sched_ops refusing_ops = {refusing_propose};
+
+static void refusing_step(struct sched *s, uint64_t seq, int64_t now_us)
+{
+	struct sched_worker_report r = {
+		.worker = STR("w"),
+		.zone = STR("z"),
+		.rack = STR("r"),
+		.session = 1,
+		.seq = seq,
+		.capacity = vm,
+	};
+	struct sched_reply reply;
+
+	ck_assert_int_eq(sched_poll(s, &r, now_us, &reply), 0);
+	sched_tick(s, now_us + SECOND / 10);
+}
+
+/*
+ * Guards against a task that waits for ever after a refusal: the next intent continues
+ * from the store's attempt, is not made at once again, and a job that the store has
+ * dropped neither repeats nor holds up the proposals behind it.
+ */
+START_TEST(refused_intents_are_made_again)
+{
+	struct refusing_host h = {.host = {&refusing_ops}};
+	struct sched_options opt = {.host = &h.host, .epoch = 1};
+	struct sched_job gone = urgent(1, 1000);
+	struct sched_job kept = urgent(1, 1000);
+	struct sched_stats st;
+	struct sched *s;
+
+	gone.team = kept.team = STR("t");
+	gone.name = STR("g");
+	kept.name = STR("k");
+	h.err = CF_ENOENT;
+	ck_assert_int_eq(sched_new(&opt, &s), 0);
+	sched_ready(s, 0);
+	ck_assert_int_eq(sched_job(s, &gone, 0), 0);
+	ck_assert_int_eq(sched_job(s, &kept, 0), 0);
+	refusing_step(s, 1, SECOND);
+	ck_assert_uint_eq(h.proposals, 2);
+	ck_assert_int_eq(h.last.job.p[0], 'k');
+	ck_assert_uint_eq(h.last.attempt, 1);
+	sched_stats(s, &st);
+	ck_assert_uint_eq(st.tasks_bound, 1);
+	/* The store already has three attempts of the task. */
+	sched_refused(s, &h.last, 3, 2 * SECOND);
+	refusing_step(s, 2, 2 * SECOND);
+	ck_assert_uint_eq(h.proposals, 2);
+	refusing_step(s, 3, 4 * SECOND);
+	ck_assert_uint_eq(h.proposals, 3);
+	ck_assert_uint_eq(h.last.attempt, 4);
+	/* The store has no such task any more. */
+	sched_refused(s, &h.last, -1, 5 * SECOND);
+	refusing_step(s, 4, 7 * SECOND);
+	ck_assert_uint_eq(h.proposals, 3);
+	sched_stats(s, &st);
+	ck_assert_uint_eq(st.tasks_bound + st.tasks_waiting, 0);
+	sched_free(s);
+}
+END_TEST
+
 /* Guards against jobs that wait for ever, and against rejecting possible ones. */
 START_TEST(impossible_jobs_are_rejected)
 {
@@ -818,6 +922,10 @@
 	tcase_add_test(add_case(s, "bad_worker_is_quarantined"),
 		       bad_worker_is_quarantined);
 	tcase_add_test(add_case(s, "poison_job_fails_alone"), poison_job_fails_alone);
+	tcase_add_test(add_case(s, "max_attempts_bounds_failures"),
+		       max_attempts_bounds_failures);
+	tcase_add_test(add_case(s, "refused_intents_are_made_again"),
+		       refused_intents_are_made_again);
 	tcase_add_test(add_case(s, "impossible_jobs_are_rejected"),
 		       impossible_jobs_are_rejected);
 	tcase_add_test(add_case(s, "late_measurements_cause_no_oscillation"),
--- a/regress/test_site_services.sh
+++ b/regress/test_site_services.sh
@@ -90,10 +90,16 @@
 	END { exit bad }' "$ledger" || site_fail "executor of the killed worker"
 
 out_us=$(date +%s%6N)
-zone out 0
-sleep 0.4
 leader=$(site_leader)
+before=$(running a-)
+zone out 0
+# The middle of the replacement: the first executors have left.
+moving() {
+	[ "$(running a-)" -lt "$before" ]
+}
+site_until 10 moving || site_fail "no executor leaves the zone"
 site_signal "$leader" KILL
+moved=$((before - $(running a-)))
 sleep 1
 site_run "$leader"
 site_until 60 runs 0 a- || site_fail "$(running a-) executors run in the zone that is out"
@@ -126,4 +132,5 @@
 	site_fail "job over the quota: $(job quota | cut -c1-400)"
 settled 14 || site_fail "$(running) of 14 executors run at the end"
 check_tasks "$ledger" || site_fail "task ledger"
-echo "site services: ok, $lost executors lost with a worker, least $min of 12"
+echo "site services: ok, $lost executors lost with a worker, least $min of 12,"
+echo "leader killed when $moved of $before executors had left the zone"
