--- a/regress/test_site_services.sh
+++ b/regress/test_site_services.sh
@@ -8,7 +8,7 @@
 BUILD=${BUILD:-build}
 SITE_DIR=$(mktemp -d)
 SITE_PORT=${SITE_PORT:-25200}
-SERVICES_MIN=${SERVICES_MIN:-11}
+SERVICES_MIN=${SERVICES_MIN:-12}
 . examples/site.sh
 . regress/site_checks.sh
 trap site_end EXIT
@@ -51,6 +51,11 @@
 settled() { # NUMBER: it stays for two seconds
 	runs "$1" && sleep 2 && runs "$1"
 }
+# An end that the store never takes would stay among the waiting tasks.
+nothing_waits() {
+	curl -s -m 5 "http://127.0.0.1:$(site_port control e1)/v1/workers" |
+		grep -q '"tasks_waiting":0'
+}
 revision=0
 service() { # EXECUTORS
 	r=$(site_put e1 guild $SITE_TOKEN service/desk "$revision" \
@@ -131,6 +136,7 @@
 site_until 3 job_ended quota rejected "exceeds the quota" ||
 	site_fail "job over the quota: $(job quota | cut -c1-400)"
 settled 14 || site_fail "$(running) of 14 executors run at the end"
+site_until 5 nothing_waits || site_fail "tasks wait at the end"
 check_tasks "$ledger" || site_fail "task ledger"
 echo "site services: ok, $lost executors lost with a worker, least $min of 12,"
 echo "leader killed when $moved of $before executors had left the zone"
