Scheduler: internal names carry the module's prefix

Cause: team_get(), team_name() and job_find() stood in two modules and were kept apart by macros. Change: renamed. Conclusion: the macros are gone.

--- a/core/sched.c
+++ b/core/sched.c
@@ -97,7 +97,7 @@
 /* Sets the quota and weight of a team; they count for work placed from now on. */
 int sched_quota(struct sched *s, const struct sched_quota *q, int64_t now_us)
 {
-	struct team *t = team_get(s, q->team);
+	struct team *t = sched_team_get(s, q->team);
 
 	if (!t)
 		return CF_ENOMEM;
@@ -114,7 +114,7 @@
  */
 int sched_task(struct sched *s, const struct sched_record *r, int64_t now_us)
 {
-	struct job *j = job_find(s, r->team, r->job);
+	struct job *j = sched_job_find(s, r->team, r->job);
 	struct worker *w;
 	struct task *t;
 
@@ -218,7 +218,7 @@
 /* A proposal of this instance is durable. */
 void sched_committed(struct sched *s, const struct sched_record *r, int64_t now_us)
 {
-	struct job *j = job_find(s, r->team, r->job);
+	struct job *j = sched_job_find(s, r->team, r->job);
 	struct task *t = j ? task_find(s, j, r->task) : NULL;
 
 	if (!t || !t->pending || r->attempt != t->attempt || r->state != t->proposed)
@@ -266,7 +266,7 @@
 void sched_refused(struct sched *s, const struct sched_record *r, int64_t attempt,
 		   int64_t now_us)
 {
-	struct job *j = job_find(s, r->team, r->job);
+	struct job *j = sched_job_find(s, r->team, r->job);
 	struct task *t = j ? task_find(s, j, r->task) : NULL;
 
 	if (!t || !t->pending || r->attempt != t->attempt || r->state != t->proposed)
--- a/core/sched_impl.h
+++ b/core/sched_impl.h
@@ -1,10 +1,6 @@
 #ifndef CORE_SCHED_IMPL_H
 #define CORE_SCHED_IMPL_H
 
-#define team_get sched_team_get
-#define team_name sched_team_name
-#define job_find sched_job_find
-
 /* Shared by the core/sched*.c files only; the interface is core/sched.h. */
 
 #include <sys/queue.h>
@@ -345,11 +341,11 @@
 /* sched_name.c */
 struct zone *zone_get(struct sched *s, struct str name);
 struct rack *rack_get(struct sched *s, struct str name);
-struct team *team_get(struct sched *s, struct str name);
+struct team *sched_team_get(struct sched *s, struct str name);
 struct kind *kind_get(struct sched *s, struct team *team, struct str name);
 int key_make(struct team *team, struct str name, char **key, size_t *len);
-struct job *job_find(struct sched *s, struct str team, struct str name);
-struct str team_name(const struct team *team);
+struct job *sched_job_find(struct sched *s, struct str team, struct str name);
+struct str sched_team_name(const struct team *team);
 struct str job_name(const struct job *job);
 struct str worker_name(const struct worker *w);
 void names_free(struct sched *s);
--- a/core/sched_job.c
+++ b/core/sched_job.c
@@ -303,13 +303,13 @@
 
 	if (!is_valid(opt))
 		return CF_EINVAL;
-	j = job_find(s, opt->team, opt->name);
+	j = sched_job_find(s, opt->team, opt->name);
 	if (j)
 		return update(s, j, opt, now_us);
 	if (s->ready && opt->class != SCHED_LATENCY &&
 	    opt->tasks > s->opt.max_tasks - s->ntasks)
 		return CF_ENOSPACE;
-	team = team_get(s, opt->team);
+	team = sched_team_get(s, opt->team);
 	j = team ? calloc(1, sizeof(*j)) : NULL;
 	if (!j)
 		return CF_ENOMEM;
@@ -351,7 +351,7 @@
 /* Cancels a job or service. No start order for it is issued from now on. */
 int sched_cancel(struct sched *s, struct str team, struct str name, int64_t now_us)
 {
-	struct job *j = job_find(s, team, name);
+	struct job *j = sched_job_find(s, team, name);
 
 	if (!j)
 		return CF_ENOENT;
--- a/core/sched_name.c
+++ b/core/sched_name.c
@@ -57,7 +57,7 @@
 }
 
 /* Returns the team of a name, made when it is new; NULL when out of memory. */
-struct team *team_get(struct sched *s, struct str name)
+struct team *sched_team_get(struct sched *s, struct str name)
 {
 	struct team *t;
 
@@ -124,7 +124,7 @@
 }
 
 /* Returns the job of a name, NULL when there is none. */
-struct job *job_find(struct sched *s, struct str team, struct str name)
+struct job *sched_job_find(struct sched *s, struct str team, struct str name)
 {
 	struct team *t;
 	char key[sizeof(t->id) + SCHED_MAX_NAME];
@@ -142,7 +142,7 @@
 	return j;
 }
 
-struct str team_name(const struct team *team)
+struct str sched_team_name(const struct team *team)
 {
 	return (struct str){team->name, team->len};
 }
--- a/core/sched_poll.c
+++ b/core/sched_poll.c
@@ -12,7 +12,7 @@
 	o = &s->orders[s->norders++];
 	*o = (struct sched_order){
 		.op = op,
-		.team = team_name(t->key.job->team),
+		.team = sched_team_name(t->key.job->team),
 		.job = job_name(t->key.job),
 		.task = (uint32_t)t->key.number,
 		.attempt = t->attempt,
@@ -106,7 +106,7 @@
 {
 	return t->key.number == r->task && t->attempt == r->attempt &&
 	       str_eq(job_name(t->key.job), r->job) &&
-	       str_eq(team_name(t->key.job->team), r->team);
+	       str_eq(sched_team_name(t->key.job->team), r->team);
 }
 
 /*
@@ -131,7 +131,7 @@
 		if (t == from)
 			break;
 	}
-	j = job_find(s, r->team, r->job);
+	j = sched_job_find(s, r->team, r->job);
 	return j ? task_find(s, j, r->task) : NULL;
 }
 
@@ -208,7 +208,7 @@
 
 	s->poll_mark++;
 	for (size_t i = 0; i < r->ntasks; i++) {
-		struct job *j = job_find(s, r->tasks[i].team, r->tasks[i].job);
+		struct job *j = sched_job_find(s, r->tasks[i].team, r->tasks[i].job);
 
 		t = j ? task_find(s, j, r->tasks[i].task) : NULL;
 		if (t && t->worker == w && t->attempt == r->tasks[i].attempt)
--- a/core/sched_task.c
+++ b/core/sched_task.c
@@ -403,7 +403,7 @@
 {
 	struct job *j = t->key.job;
 	struct sched_record r = {
-		.team = team_name(j->team),
+		.team = sched_team_name(j->team),
 		.job = job_name(j),
 		.task = (uint32_t)t->key.number,
 		.attempt = t->attempt,
--- a/core/sched_zone.c
+++ b/core/sched_zone.c
@@ -74,7 +74,7 @@
 int sched_zone(struct sched *s, struct str team, struct str zone, bool out,
 	       int64_t now_us)
 {
-	struct team *t = team_get(s, team);
+	struct team *t = sched_team_get(s, team);
 	struct zone *z = zone_get(s, zone);
 	struct drain *d;
 
