Generated XDR code without typedefs

Cause: rpcgen gives every struct and enum a typedef, which the house style excludes and which made variables of those names shadow types. Change: the generator script removes them. Before: 67 typedefs in three headers. After: none; test_store, test_replica, test_rpc and the demonstration pass. Conclusion: tags only.

--- a/core/replica_codec.c
+++ b/core/replica_codec.c
@@ -63,7 +63,7 @@
 	struct replica_wire w = {
 		.from_identity = m->from_identity,
 		.to_identity = m->to_identity,
-		.body.kind = (replica_wire_kind)m->kind,
+		.body.kind = (enum replica_wire_kind)m->kind,
 	};
 	int err = 0;
 
--- a/core/replica_lead.c
+++ b/core/replica_lead.c
@@ -126,7 +126,7 @@
 }
 
 /*
- * Takes the lead of the epoch. Proposals wait until the barrier entry committed:
+ * Becomes the leader of the epoch. Proposals wait until the barrier entry committed:
  * entries of earlier epochs commit only through it, and only then does the leader
  * know every committed entry.
  */
--- a/proto/command.h
+++ b/proto/command.h
@@ -43,7 +43,6 @@
 	CMD_MEMBER_SEEN = 13,
 	CMD_MEMBER_GONE = 14,
 };
-typedef enum command_kind command_kind;
 
 struct command_field {
 	struct {
@@ -55,7 +54,6 @@
 		char *value_val;
 	} value;
 };
-typedef struct command_field command_field;
 
 struct command_fields {
 	struct {
@@ -63,7 +61,6 @@
 		struct command_field *list_val;
 	} list;
 };
-typedef struct command_fields command_fields;
 
 struct command_conf_put {
 	struct {
@@ -81,7 +78,6 @@
 	} text;
 	struct command_fields fields;
 };
-typedef struct command_conf_put command_conf_put;
 
 struct command_conf_delete {
 	struct {
@@ -94,7 +90,6 @@
 		char *request_id_val;
 	} request_id;
 };
-typedef struct command_conf_delete command_conf_delete;
 
 struct command_job_submit {
 	struct {
@@ -111,7 +106,6 @@
 	} request_id;
 	struct command_fields fields;
 };
-typedef struct command_job_submit command_job_submit;
 
 struct command_job_cancel {
 	struct {
@@ -127,7 +121,6 @@
 		char *request_id_val;
 	} request_id;
 };
-typedef struct command_job_cancel command_job_cancel;
 
 struct command_job_reject {
 	struct {
@@ -143,7 +136,6 @@
 		char *reason_val;
 	} reason;
 };
-typedef struct command_job_reject command_job_reject;
 
 enum task_state {
 	TASK_WAITING = 0,
@@ -154,7 +146,6 @@
 	TASK_CANCELLED = 5,
 	TASK_EVICTED = 6,
 };
-typedef enum task_state task_state;
 
 enum task_reason {
 	TASK_R_NONE = 0,
@@ -163,7 +154,6 @@
 	TASK_R_TOO_OFTEN = 3,
 	TASK_R_JOB_FAILS = 4,
 };
-typedef enum task_reason task_reason;
 
 struct command_task {
 	struct {
@@ -189,7 +179,6 @@
 	u_int failures;
 	enum task_reason reason;
 };
-typedef struct command_task command_task;
 
 struct command_owner {
 	struct {
@@ -199,7 +188,6 @@
 	u_quad_t incarnation;
 	u_quad_t sequence;
 };
-typedef struct command_owner command_owner;
 
 struct command_key {
 	struct {
@@ -215,14 +203,12 @@
 		char *key_val;
 	} key;
 };
-typedef struct command_key command_key;
 
 struct command_claim {
 	struct command_key key;
 	char hash[CMD_HASH];
 	struct command_owner owner;
 };
-typedef struct command_claim command_claim;
 
 struct command_outcome {
 	u_int status;
@@ -235,20 +221,17 @@
 		char *body_val;
 	} body;
 };
-typedef struct command_outcome command_outcome;
 
 struct command_claim_done {
 	struct command_key key;
 	struct command_owner owner;
 	struct command_outcome outcome;
 };
-typedef struct command_claim_done command_claim_done;
 
 struct command_claim_end {
 	struct command_key key;
 	struct command_owner owner;
 };
-typedef struct command_claim_end command_claim_end;
 
 struct command_member_state {
 	struct {
@@ -262,7 +245,6 @@
 	} address;
 	bool_t voter;
 };
-typedef struct command_member_state command_member_state;
 
 struct command_member_entry {
 	struct {
@@ -275,7 +257,6 @@
 		char *address_val;
 	} address;
 };
-typedef struct command_member_entry command_member_entry;
 
 struct command_member_id {
 	struct {
@@ -284,7 +265,6 @@
 	} name;
 	u_quad_t incarnation;
 };
-typedef struct command_member_id command_member_id;
 
 struct command_member_seen {
 	u_quad_t epoch;
@@ -293,16 +273,14 @@
 		struct command_member_id *entries_val;
 	} entries;
 };
-typedef struct command_member_seen command_member_seen;
 
 struct command_member_gone {
 	struct command_member_id id;
 	bool_t state;
 };
-typedef struct command_member_gone command_member_gone;
 
 struct command_body {
-	command_kind kind;
+	enum command_kind kind;
 	union {
 		struct command_conf_put conf_put;
 		struct command_conf_delete conf_delete;
@@ -320,13 +298,11 @@
 		struct command_member_gone member_gone;
 	} command_body_u;
 };
-typedef struct command_body command_body;
 
 struct command {
 	u_quad_t time_us;
 	struct command_body body;
 };
-typedef struct command command;
 
 struct command_result {
 	int err;
@@ -337,7 +313,6 @@
 	} detail;
 	struct command_outcome *outcome;
 };
-typedef struct command_result command_result;
 #define SNAP_MAGIC 1128879955
 #define SNAP_FORMAT 1
 
@@ -354,7 +329,6 @@
 	SNAP_EXPIRED = 9,
 	SNAP_EPOCH = 10,
 };
-typedef enum snap_kind snap_kind;
 
 struct snap_head {
 	u_int magic;
@@ -362,13 +336,11 @@
 	u_quad_t index;
 	u_quad_t time_us;
 };
-typedef struct snap_head snap_head;
 
 struct snap_end {
 	u_quad_t records;
 	u_int crc;
 };
-typedef struct snap_end snap_end;
 
 struct snap_doc {
 	struct {
@@ -385,12 +357,10 @@
 		char *fields_val;
 	} fields;
 };
-typedef struct snap_doc snap_doc;
 
 struct snap_conf {
 	u_quad_t cut;
 };
-typedef struct snap_conf snap_conf;
 
 struct snap_change {
 	struct {
@@ -409,7 +379,6 @@
 		char *fields_val;
 	} fields;
 };
-typedef struct snap_change snap_change;
 
 struct snap_result {
 	struct {
@@ -428,7 +397,6 @@
 		char *result_val;
 	} result;
 };
-typedef struct snap_result snap_result;
 
 struct snap_claim {
 	struct {
@@ -442,7 +410,6 @@
 	u_quad_t time_us;
 	struct command_outcome *outcome;
 };
-typedef struct snap_claim snap_claim;
 #define SNAP_MAX_KEYS 65536
 
 struct snap_expired {
@@ -456,7 +423,6 @@
 		u_quad_t *keys_val;
 	} keys;
 };
-typedef struct snap_expired snap_expired;
 
 struct snap_task {
 	enum task_state state;
@@ -476,7 +442,6 @@
 	u_quad_t running_us;
 	u_quad_t ended_us;
 };
-typedef struct snap_task snap_task;
 
 struct snap_spec {
 	u_int tasks;
@@ -497,7 +462,6 @@
 		char *batch_kind_val;
 	} batch_kind;
 };
-typedef struct snap_spec snap_spec;
 
 struct snap_job {
 	struct {
@@ -525,7 +489,6 @@
 		struct snap_task *tasks_val;
 	} tasks;
 };
-typedef struct snap_job snap_job;
 
 struct snap_member {
 	struct {
@@ -544,16 +507,14 @@
 		char *address_val;
 	} address;
 };
-typedef struct snap_member snap_member;
 
 struct snap_epoch {
 	u_quad_t epoch;
 	u_quad_t epoch_us;
 };
-typedef struct snap_epoch snap_epoch;
 
 struct snap_record {
-	snap_kind kind;
+	enum snap_kind kind;
 	union {
 		struct snap_head head;
 		struct snap_end end;
@@ -568,51 +529,50 @@
 		struct snap_epoch epoch;
 	} snap_record_u;
 };
-typedef struct snap_record snap_record;
 
 /* the xdr functions */
 
 #if defined(__STDC__) || defined(__cplusplus)
-extern  bool_t xdr_command_kind (XDR *, command_kind*);
-extern  bool_t xdr_command_field (XDR *, command_field*);
-extern  bool_t xdr_command_fields (XDR *, command_fields*);
-extern  bool_t xdr_command_conf_put (XDR *, command_conf_put*);
-extern  bool_t xdr_command_conf_delete (XDR *, command_conf_delete*);
-extern  bool_t xdr_command_job_submit (XDR *, command_job_submit*);
-extern  bool_t xdr_command_job_cancel (XDR *, command_job_cancel*);
-extern  bool_t xdr_command_job_reject (XDR *, command_job_reject*);
-extern  bool_t xdr_task_state (XDR *, task_state*);
-extern  bool_t xdr_task_reason (XDR *, task_reason*);
-extern  bool_t xdr_command_task (XDR *, command_task*);
-extern  bool_t xdr_command_owner (XDR *, command_owner*);
-extern  bool_t xdr_command_key (XDR *, command_key*);
-extern  bool_t xdr_command_claim (XDR *, command_claim*);
-extern  bool_t xdr_command_outcome (XDR *, command_outcome*);
-extern  bool_t xdr_command_claim_done (XDR *, command_claim_done*);
-extern  bool_t xdr_command_claim_end (XDR *, command_claim_end*);
-extern  bool_t xdr_command_member_state (XDR *, command_member_state*);
-extern  bool_t xdr_command_member_entry (XDR *, command_member_entry*);
-extern  bool_t xdr_command_member_id (XDR *, command_member_id*);
-extern  bool_t xdr_command_member_seen (XDR *, command_member_seen*);
-extern  bool_t xdr_command_member_gone (XDR *, command_member_gone*);
-extern  bool_t xdr_command_body (XDR *, command_body*);
-extern  bool_t xdr_command (XDR *, command*);
-extern  bool_t xdr_command_result (XDR *, command_result*);
-extern  bool_t xdr_snap_kind (XDR *, snap_kind*);
-extern  bool_t xdr_snap_head (XDR *, snap_head*);
-extern  bool_t xdr_snap_end (XDR *, snap_end*);
-extern  bool_t xdr_snap_doc (XDR *, snap_doc*);
-extern  bool_t xdr_snap_conf (XDR *, snap_conf*);
-extern  bool_t xdr_snap_change (XDR *, snap_change*);
-extern  bool_t xdr_snap_result (XDR *, snap_result*);
-extern  bool_t xdr_snap_claim (XDR *, snap_claim*);
-extern  bool_t xdr_snap_expired (XDR *, snap_expired*);
-extern  bool_t xdr_snap_task (XDR *, snap_task*);
-extern  bool_t xdr_snap_spec (XDR *, snap_spec*);
-extern  bool_t xdr_snap_job (XDR *, snap_job*);
-extern  bool_t xdr_snap_member (XDR *, snap_member*);
-extern  bool_t xdr_snap_epoch (XDR *, snap_epoch*);
-extern  bool_t xdr_snap_record (XDR *, snap_record*);
+extern  bool_t xdr_command_kind (XDR *, enum command_kind *);
+extern  bool_t xdr_command_field (XDR *, struct command_field *);
+extern  bool_t xdr_command_fields (XDR *, struct command_fields *);
+extern  bool_t xdr_command_conf_put (XDR *, struct command_conf_put *);
+extern  bool_t xdr_command_conf_delete (XDR *, struct command_conf_delete *);
+extern  bool_t xdr_command_job_submit (XDR *, struct command_job_submit *);
+extern  bool_t xdr_command_job_cancel (XDR *, struct command_job_cancel *);
+extern  bool_t xdr_command_job_reject (XDR *, struct command_job_reject *);
+extern  bool_t xdr_task_state (XDR *, enum task_state *);
+extern  bool_t xdr_task_reason (XDR *, enum task_reason *);
+extern  bool_t xdr_command_task (XDR *, struct command_task *);
+extern  bool_t xdr_command_owner (XDR *, struct command_owner *);
+extern  bool_t xdr_command_key (XDR *, struct command_key *);
+extern  bool_t xdr_command_claim (XDR *, struct command_claim *);
+extern  bool_t xdr_command_outcome (XDR *, struct command_outcome *);
+extern  bool_t xdr_command_claim_done (XDR *, struct command_claim_done *);
+extern  bool_t xdr_command_claim_end (XDR *, struct command_claim_end *);
+extern  bool_t xdr_command_member_state (XDR *, struct command_member_state *);
+extern  bool_t xdr_command_member_entry (XDR *, struct command_member_entry *);
+extern  bool_t xdr_command_member_id (XDR *, struct command_member_id *);
+extern  bool_t xdr_command_member_seen (XDR *, struct command_member_seen *);
+extern  bool_t xdr_command_member_gone (XDR *, struct command_member_gone *);
+extern  bool_t xdr_command_body (XDR *, struct command_body *);
+extern  bool_t xdr_command (XDR *, struct command *);
+extern  bool_t xdr_command_result (XDR *, struct command_result *);
+extern  bool_t xdr_snap_kind (XDR *, enum snap_kind *);
+extern  bool_t xdr_snap_head (XDR *, struct snap_head *);
+extern  bool_t xdr_snap_end (XDR *, struct snap_end *);
+extern  bool_t xdr_snap_doc (XDR *, struct snap_doc *);
+extern  bool_t xdr_snap_conf (XDR *, struct snap_conf *);
+extern  bool_t xdr_snap_change (XDR *, struct snap_change *);
+extern  bool_t xdr_snap_result (XDR *, struct snap_result *);
+extern  bool_t xdr_snap_claim (XDR *, struct snap_claim *);
+extern  bool_t xdr_snap_expired (XDR *, struct snap_expired *);
+extern  bool_t xdr_snap_task (XDR *, struct snap_task *);
+extern  bool_t xdr_snap_spec (XDR *, struct snap_spec *);
+extern  bool_t xdr_snap_job (XDR *, struct snap_job *);
+extern  bool_t xdr_snap_member (XDR *, struct snap_member *);
+extern  bool_t xdr_snap_epoch (XDR *, struct snap_epoch *);
+extern  bool_t xdr_snap_record (XDR *, struct snap_record *);
 
 #else /* K&R C */
 extern bool_t xdr_command_kind ();
--- a/proto/command_xdr.c
+++ b/proto/command_xdr.c
@@ -6,7 +6,7 @@
 #include "proto/command.h"
 
 bool_t
-xdr_command_kind (XDR *xdrs, command_kind *objp)
+xdr_command_kind (XDR *xdrs, enum command_kind *objp)
 {
 	register int32_t *buf;
 
@@ -16,7 +16,7 @@
 }
 
 bool_t
-xdr_command_field (XDR *xdrs, command_field *objp)
+xdr_command_field (XDR *xdrs, struct command_field *objp)
 {
 	register int32_t *buf;
 
@@ -28,18 +28,18 @@
 }
 
 bool_t
-xdr_command_fields (XDR *xdrs, command_fields *objp)
+xdr_command_fields (XDR *xdrs, struct command_fields *objp)
 {
 	register int32_t *buf;
 
 	 if (!xdr_array (xdrs, (char **)&objp->list.list_val, (u_int *) &objp->list.list_len, CMD_MAX_FIELDS,
-		sizeof (command_field), (xdrproc_t) xdr_command_field))
+		sizeof (struct command_field), (xdrproc_t) xdr_command_field))
 		 return FALSE;
 	return TRUE;
 }
 
 bool_t
-xdr_command_conf_put (XDR *xdrs, command_conf_put *objp)
+xdr_command_conf_put (XDR *xdrs, struct command_conf_put *objp)
 {
 	register int32_t *buf;
 
@@ -57,7 +57,7 @@
 }
 
 bool_t
-xdr_command_conf_delete (XDR *xdrs, command_conf_delete *objp)
+xdr_command_conf_delete (XDR *xdrs, struct command_conf_delete *objp)
 {
 	register int32_t *buf;
 
@@ -71,7 +71,7 @@
 }
 
 bool_t
-xdr_command_job_submit (XDR *xdrs, command_job_submit *objp)
+xdr_command_job_submit (XDR *xdrs, struct command_job_submit *objp)
 {
 	register int32_t *buf;
 
@@ -87,7 +87,7 @@
 }
 
 bool_t
-xdr_command_job_cancel (XDR *xdrs, command_job_cancel *objp)
+xdr_command_job_cancel (XDR *xdrs, struct command_job_cancel *objp)
 {
 	register int32_t *buf;
 
@@ -101,7 +101,7 @@
 }
 
 bool_t
-xdr_command_job_reject (XDR *xdrs, command_job_reject *objp)
+xdr_command_job_reject (XDR *xdrs, struct command_job_reject *objp)
 {
 	register int32_t *buf;
 
@@ -115,7 +115,7 @@
 }
 
 bool_t
-xdr_task_state (XDR *xdrs, task_state *objp)
+xdr_task_state (XDR *xdrs, enum task_state *objp)
 {
 	register int32_t *buf;
 
@@ -125,7 +125,7 @@
 }
 
 bool_t
-xdr_task_reason (XDR *xdrs, task_reason *objp)
+xdr_task_reason (XDR *xdrs, enum task_reason *objp)
 {
 	register int32_t *buf;
 
@@ -135,7 +135,7 @@
 }
 
 bool_t
-xdr_command_task (XDR *xdrs, command_task *objp)
+xdr_command_task (XDR *xdrs, struct command_task *objp)
 {
 	register int32_t *buf;
 
@@ -169,7 +169,7 @@
 }
 
 bool_t
-xdr_command_owner (XDR *xdrs, command_owner *objp)
+xdr_command_owner (XDR *xdrs, struct command_owner *objp)
 {
 	register int32_t *buf;
 
@@ -183,7 +183,7 @@
 }
 
 bool_t
-xdr_command_key (XDR *xdrs, command_key *objp)
+xdr_command_key (XDR *xdrs, struct command_key *objp)
 {
 	register int32_t *buf;
 
@@ -197,7 +197,7 @@
 }
 
 bool_t
-xdr_command_claim (XDR *xdrs, command_claim *objp)
+xdr_command_claim (XDR *xdrs, struct command_claim *objp)
 {
 	register int32_t *buf;
 
@@ -212,7 +212,7 @@
 }
 
 bool_t
-xdr_command_outcome (XDR *xdrs, command_outcome *objp)
+xdr_command_outcome (XDR *xdrs, struct command_outcome *objp)
 {
 	register int32_t *buf;
 
@@ -226,7 +226,7 @@
 }
 
 bool_t
-xdr_command_claim_done (XDR *xdrs, command_claim_done *objp)
+xdr_command_claim_done (XDR *xdrs, struct command_claim_done *objp)
 {
 	register int32_t *buf;
 
@@ -240,7 +240,7 @@
 }
 
 bool_t
-xdr_command_claim_end (XDR *xdrs, command_claim_end *objp)
+xdr_command_claim_end (XDR *xdrs, struct command_claim_end *objp)
 {
 	register int32_t *buf;
 
@@ -252,7 +252,7 @@
 }
 
 bool_t
-xdr_command_member_state (XDR *xdrs, command_member_state *objp)
+xdr_command_member_state (XDR *xdrs, struct command_member_state *objp)
 {
 	register int32_t *buf;
 
@@ -269,7 +269,7 @@
 }
 
 bool_t
-xdr_command_member_entry (XDR *xdrs, command_member_entry *objp)
+xdr_command_member_entry (XDR *xdrs, struct command_member_entry *objp)
 {
 	register int32_t *buf;
 
@@ -283,7 +283,7 @@
 }
 
 bool_t
-xdr_command_member_id (XDR *xdrs, command_member_id *objp)
+xdr_command_member_id (XDR *xdrs, struct command_member_id *objp)
 {
 	register int32_t *buf;
 
@@ -295,20 +295,20 @@
 }
 
 bool_t
-xdr_command_member_seen (XDR *xdrs, command_member_seen *objp)
+xdr_command_member_seen (XDR *xdrs, struct command_member_seen *objp)
 {
 	register int32_t *buf;
 
 	 if (!xdr_u_quad_t (xdrs, &objp->epoch))
 		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->entries.entries_val, (u_int *) &objp->entries.entries_len, CMD_MAX_MEMBERS,
-		sizeof (command_member_id), (xdrproc_t) xdr_command_member_id))
+		sizeof (struct command_member_id), (xdrproc_t) xdr_command_member_id))
 		 return FALSE;
 	return TRUE;
 }
 
 bool_t
-xdr_command_member_gone (XDR *xdrs, command_member_gone *objp)
+xdr_command_member_gone (XDR *xdrs, struct command_member_gone *objp)
 {
 	register int32_t *buf;
 
@@ -320,7 +320,7 @@
 }
 
 bool_t
-xdr_command_body (XDR *xdrs, command_body *objp)
+xdr_command_body (XDR *xdrs, struct command_body *objp)
 {
 	register int32_t *buf;
 
@@ -392,7 +392,7 @@
 }
 
 bool_t
-xdr_command (XDR *xdrs, command *objp)
+xdr_command (XDR *xdrs, struct command *objp)
 {
 	register int32_t *buf;
 
@@ -404,7 +404,7 @@
 }
 
 bool_t
-xdr_command_result (XDR *xdrs, command_result *objp)
+xdr_command_result (XDR *xdrs, struct command_result *objp)
 {
 	register int32_t *buf;
 
@@ -414,13 +414,13 @@
 		 return FALSE;
 	 if (!xdr_bytes (xdrs, (char **)&objp->detail.detail_val, (u_int *) &objp->detail.detail_len, CMD_MAX_TEXT))
 		 return FALSE;
-	 if (!xdr_pointer (xdrs, (char **)&objp->outcome, sizeof (command_outcome), (xdrproc_t) xdr_command_outcome))
+	 if (!xdr_pointer (xdrs, (char **)&objp->outcome, sizeof (struct command_outcome), (xdrproc_t) xdr_command_outcome))
 		 return FALSE;
 	return TRUE;
 }
 
 bool_t
-xdr_snap_kind (XDR *xdrs, snap_kind *objp)
+xdr_snap_kind (XDR *xdrs, enum snap_kind *objp)
 {
 	register int32_t *buf;
 
@@ -430,7 +430,7 @@
 }
 
 bool_t
-xdr_snap_head (XDR *xdrs, snap_head *objp)
+xdr_snap_head (XDR *xdrs, struct snap_head *objp)
 {
 	register int32_t *buf;
 
@@ -446,7 +446,7 @@
 }
 
 bool_t
-xdr_snap_end (XDR *xdrs, snap_end *objp)
+xdr_snap_end (XDR *xdrs, struct snap_end *objp)
 {
 	register int32_t *buf;
 
@@ -458,7 +458,7 @@
 }
 
 bool_t
-xdr_snap_doc (XDR *xdrs, snap_doc *objp)
+xdr_snap_doc (XDR *xdrs, struct snap_doc *objp)
 {
 	register int32_t *buf;
 
@@ -474,7 +474,7 @@
 }
 
 bool_t
-xdr_snap_conf (XDR *xdrs, snap_conf *objp)
+xdr_snap_conf (XDR *xdrs, struct snap_conf *objp)
 {
 	register int32_t *buf;
 
@@ -484,7 +484,7 @@
 }
 
 bool_t
-xdr_snap_change (XDR *xdrs, snap_change *objp)
+xdr_snap_change (XDR *xdrs, struct snap_change *objp)
 {
 	register int32_t *buf;
 
@@ -504,7 +504,7 @@
 }
 
 bool_t
-xdr_snap_result (XDR *xdrs, snap_result *objp)
+xdr_snap_result (XDR *xdrs, struct snap_result *objp)
 {
 	register int32_t *buf;
 
@@ -525,7 +525,7 @@
 }
 
 bool_t
-xdr_snap_claim (XDR *xdrs, snap_claim *objp)
+xdr_snap_claim (XDR *xdrs, struct snap_claim *objp)
 {
 	register int32_t *buf;
 
@@ -542,13 +542,13 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->time_us))
 		 return FALSE;
-	 if (!xdr_pointer (xdrs, (char **)&objp->outcome, sizeof (command_outcome), (xdrproc_t) xdr_command_outcome))
+	 if (!xdr_pointer (xdrs, (char **)&objp->outcome, sizeof (struct command_outcome), (xdrproc_t) xdr_command_outcome))
 		 return FALSE;
 	return TRUE;
 }
 
 bool_t
-xdr_snap_expired (XDR *xdrs, snap_expired *objp)
+xdr_snap_expired (XDR *xdrs, struct snap_expired *objp)
 {
 	register int32_t *buf;
 
@@ -563,7 +563,7 @@
 }
 
 bool_t
-xdr_snap_task (XDR *xdrs, snap_task *objp)
+xdr_snap_task (XDR *xdrs, struct snap_task *objp)
 {
 	register int32_t *buf;
 
@@ -674,7 +674,7 @@
 }
 
 bool_t
-xdr_snap_spec (XDR *xdrs, snap_spec *objp)
+xdr_snap_spec (XDR *xdrs, struct snap_spec *objp)
 {
 	register int32_t *buf;
 
@@ -779,7 +779,7 @@
 }
 
 bool_t
-xdr_snap_job (XDR *xdrs, snap_job *objp)
+xdr_snap_job (XDR *xdrs, struct snap_job *objp)
 {
 	register int32_t *buf;
 
@@ -806,13 +806,13 @@
 	 if (!xdr_snap_spec (xdrs, &objp->spec))
 		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->tasks.tasks_val, (u_int *) &objp->tasks.tasks_len, CMD_MAX_TASKS,
-		sizeof (snap_task), (xdrproc_t) xdr_snap_task))
+		sizeof (struct snap_task), (xdrproc_t) xdr_snap_task))
 		 return FALSE;
 	return TRUE;
 }
 
 bool_t
-xdr_snap_member (XDR *xdrs, snap_member *objp)
+xdr_snap_member (XDR *xdrs, struct snap_member *objp)
 {
 	register int32_t *buf;
 
@@ -839,7 +839,7 @@
 }
 
 bool_t
-xdr_snap_epoch (XDR *xdrs, snap_epoch *objp)
+xdr_snap_epoch (XDR *xdrs, struct snap_epoch *objp)
 {
 	register int32_t *buf;
 
@@ -851,7 +851,7 @@
 }
 
 bool_t
-xdr_snap_record (XDR *xdrs, snap_record *objp)
+xdr_snap_record (XDR *xdrs, struct snap_record *objp)
 {
 	register int32_t *buf;
 
--- a/proto/generate.sh
+++ b/proto/generate.sh
@@ -1,7 +1,17 @@
 #!/bin/sh
-# Generates the XDR code, which is committed. Needs rpcgen (package rpcsvc-proto).
+# Generates the XDR code, which is committed. Needs rpcgen (package rpcsvc-proto) and
+# perl.
 set -eu
 cd "$(dirname "$0")"
+
+# rpcgen gives every type a typedef of the same name; the project uses tags only.
+remove_typedefs() { # KIND HEADER SOURCE
+	for t in $(sed -n "s/^typedef $1 \([a-z_]*\) \1;\$/\1/p" "$2"); do
+		perl -ni -e "print unless /^typedef $1 $t $t;\$/" "$2"
+		perl -pi -e "s/(?<!$1 )\b$t ?(?=\*)/$1 $t /g; s/^\t$t (?=\w+;)/\t$1 $t /; s/sizeof \($t\)/sizeof ($1 $t)/g" "$2" "$3"
+	done
+}
+
 for x in *.x; do
 	b=${x%.x}
 	rm -f "$b.h" "${b}_xdr.c"
@@ -9,4 +19,6 @@
 	rpcgen -C -c -o "${b}_xdr.c" "$x"
 	# rpcgen writes the include relative to its own folder.
 	sed -i "s|#include \"$b.h\"|#include \"proto/$b.h\"|" "${b}_xdr.c"
+	remove_typedefs struct "$b.h" "${b}_xdr.c"
+	remove_typedefs enum "$b.h" "${b}_xdr.c"
 done
--- a/proto/peer.h
+++ b/proto/peer.h
@@ -27,7 +27,6 @@
 	PEER_WORKER = 5,
 	PEER_READ = 6,
 };
-typedef enum peer_proc peer_proc;
 
 struct peer_cred {
 	struct {
@@ -39,7 +38,6 @@
 		char *key_val;
 	} key;
 };
-typedef struct peer_cred peer_cred;
 
 struct peer_propose_args {
 	struct {
@@ -47,7 +45,6 @@
 		char *command_val;
 	} command;
 };
-typedef struct peer_propose_args peer_propose_args;
 
 struct peer_propose_res {
 	int err;
@@ -61,14 +58,12 @@
 		char *result_val;
 	} result;
 };
-typedef struct peer_propose_res peer_propose_res;
 
 struct peer_watch_args {
 	u_quad_t after;
 	u_int wait_ms;
 	u_quad_t incarnation;
 };
-typedef struct peer_watch_args peer_watch_args;
 
 struct peer_change {
 	struct {
@@ -86,7 +81,6 @@
 		char *fields_val;
 	} fields;
 };
-typedef struct peer_change peer_change;
 
 struct peer_watch_res {
 	int err;
@@ -102,7 +96,6 @@
 		struct peer_change *changes_val;
 	} changes;
 };
-typedef struct peer_watch_res peer_watch_res;
 
 struct peer_worker_args {
 	struct {
@@ -118,7 +111,6 @@
 		char *body_val;
 	} body;
 };
-typedef struct peer_worker_args peer_worker_args;
 
 struct peer_worker_res {
 	int err;
@@ -131,7 +123,6 @@
 		char *body_val;
 	} body;
 };
-typedef struct peer_worker_res peer_worker_res;
 
 enum peer_read_kind {
 	PEER_READ_JOB = 1,
@@ -140,7 +131,6 @@
 	PEER_READ_MEMBERS = 4,
 	PEER_READ_WORKERS = 5,
 };
-typedef enum peer_read_kind peer_read_kind;
 
 struct peer_read_args {
 	enum peer_read_kind kind;
@@ -153,7 +143,6 @@
 		char *name_val;
 	} name;
 };
-typedef struct peer_read_args peer_read_args;
 
 struct peer_read_res {
 	int err;
@@ -166,23 +155,22 @@
 		char *body_val;
 	} body;
 };
-typedef struct peer_read_res peer_read_res;
 
 /* the xdr functions */
 
 #if defined(__STDC__) || defined(__cplusplus)
-extern  bool_t xdr_peer_proc (XDR *, peer_proc*);
-extern  bool_t xdr_peer_cred (XDR *, peer_cred*);
-extern  bool_t xdr_peer_propose_args (XDR *, peer_propose_args*);
-extern  bool_t xdr_peer_propose_res (XDR *, peer_propose_res*);
-extern  bool_t xdr_peer_watch_args (XDR *, peer_watch_args*);
-extern  bool_t xdr_peer_change (XDR *, peer_change*);
-extern  bool_t xdr_peer_watch_res (XDR *, peer_watch_res*);
-extern  bool_t xdr_peer_worker_args (XDR *, peer_worker_args*);
-extern  bool_t xdr_peer_worker_res (XDR *, peer_worker_res*);
-extern  bool_t xdr_peer_read_kind (XDR *, peer_read_kind*);
-extern  bool_t xdr_peer_read_args (XDR *, peer_read_args*);
-extern  bool_t xdr_peer_read_res (XDR *, peer_read_res*);
+extern  bool_t xdr_peer_proc (XDR *, enum peer_proc *);
+extern  bool_t xdr_peer_cred (XDR *, struct peer_cred *);
+extern  bool_t xdr_peer_propose_args (XDR *, struct peer_propose_args *);
+extern  bool_t xdr_peer_propose_res (XDR *, struct peer_propose_res *);
+extern  bool_t xdr_peer_watch_args (XDR *, struct peer_watch_args *);
+extern  bool_t xdr_peer_change (XDR *, struct peer_change *);
+extern  bool_t xdr_peer_watch_res (XDR *, struct peer_watch_res *);
+extern  bool_t xdr_peer_worker_args (XDR *, struct peer_worker_args *);
+extern  bool_t xdr_peer_worker_res (XDR *, struct peer_worker_res *);
+extern  bool_t xdr_peer_read_kind (XDR *, enum peer_read_kind *);
+extern  bool_t xdr_peer_read_args (XDR *, struct peer_read_args *);
+extern  bool_t xdr_peer_read_res (XDR *, struct peer_read_res *);
 
 #else /* K&R C */
 extern bool_t xdr_peer_proc ();
--- a/proto/peer_xdr.c
+++ b/proto/peer_xdr.c
@@ -6,7 +6,7 @@
 #include "proto/peer.h"
 
 bool_t
-xdr_peer_proc (XDR *xdrs, peer_proc *objp)
+xdr_peer_proc (XDR *xdrs, enum peer_proc *objp)
 {
 	register int32_t *buf;
 
@@ -16,7 +16,7 @@
 }
 
 bool_t
-xdr_peer_cred (XDR *xdrs, peer_cred *objp)
+xdr_peer_cred (XDR *xdrs, struct peer_cred *objp)
 {
 	register int32_t *buf;
 
@@ -28,7 +28,7 @@
 }
 
 bool_t
-xdr_peer_propose_args (XDR *xdrs, peer_propose_args *objp)
+xdr_peer_propose_args (XDR *xdrs, struct peer_propose_args *objp)
 {
 	register int32_t *buf;
 
@@ -38,7 +38,7 @@
 }
 
 bool_t
-xdr_peer_propose_res (XDR *xdrs, peer_propose_res *objp)
+xdr_peer_propose_res (XDR *xdrs, struct peer_propose_res *objp)
 {
 	register int32_t *buf;
 
@@ -54,7 +54,7 @@
 }
 
 bool_t
-xdr_peer_watch_args (XDR *xdrs, peer_watch_args *objp)
+xdr_peer_watch_args (XDR *xdrs, struct peer_watch_args *objp)
 {
 	register int32_t *buf;
 
@@ -68,7 +68,7 @@
 }
 
 bool_t
-xdr_peer_change (XDR *xdrs, peer_change *objp)
+xdr_peer_change (XDR *xdrs, struct peer_change *objp)
 {
 	register int32_t *buf;
 
@@ -86,7 +86,7 @@
 }
 
 bool_t
-xdr_peer_watch_res (XDR *xdrs, peer_watch_res *objp)
+xdr_peer_watch_res (XDR *xdrs, struct peer_watch_res *objp)
 {
 	register int32_t *buf;
 
@@ -101,13 +101,13 @@
 	 if (!xdr_bool (xdrs, &objp->fresh))
 		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->changes.changes_val, (u_int *) &objp->changes.changes_len, ~0,
-		sizeof (peer_change), (xdrproc_t) xdr_peer_change))
+		sizeof (struct peer_change), (xdrproc_t) xdr_peer_change))
 		 return FALSE;
 	return TRUE;
 }
 
 bool_t
-xdr_peer_worker_args (XDR *xdrs, peer_worker_args *objp)
+xdr_peer_worker_args (XDR *xdrs, struct peer_worker_args *objp)
 {
 	register int32_t *buf;
 
@@ -127,7 +127,7 @@
 }
 
 bool_t
-xdr_peer_worker_res (XDR *xdrs, peer_worker_res *objp)
+xdr_peer_worker_res (XDR *xdrs, struct peer_worker_res *objp)
 {
 	register int32_t *buf;
 
@@ -141,7 +141,7 @@
 }
 
 bool_t
-xdr_peer_read_kind (XDR *xdrs, peer_read_kind *objp)
+xdr_peer_read_kind (XDR *xdrs, enum peer_read_kind *objp)
 {
 	register int32_t *buf;
 
@@ -151,7 +151,7 @@
 }
 
 bool_t
-xdr_peer_read_args (XDR *xdrs, peer_read_args *objp)
+xdr_peer_read_args (XDR *xdrs, struct peer_read_args *objp)
 {
 	register int32_t *buf;
 
@@ -165,7 +165,7 @@
 }
 
 bool_t
-xdr_peer_read_res (XDR *xdrs, peer_read_res *objp)
+xdr_peer_read_res (XDR *xdrs, struct peer_read_res *objp)
 {
 	register int32_t *buf;
 
--- a/proto/replica.h
+++ b/proto/replica.h
@@ -26,7 +26,6 @@
 		char *data_val;
 	} data;
 };
-typedef struct replica_wire_entry replica_wire_entry;
 
 struct replica_wire_witness {
 	u_quad_t id;
@@ -34,7 +33,6 @@
 	u_quad_t epoch;
 	u_quad_t index;
 };
-typedef struct replica_wire_witness replica_wire_witness;
 
 enum replica_wire_kind {
 	REPLICA_WIRE_PREVOTE = 1,
@@ -49,20 +47,17 @@
 	REPLICA_WIRE_HELLO_REPLY = 10,
 	REPLICA_WIRE_JOIN = 11,
 };
-typedef enum replica_wire_kind replica_wire_kind;
 
 struct replica_wire_ask {
 	u_quad_t epoch;
 	u_quad_t index;
 	u_quad_t index_epoch;
 };
-typedef struct replica_wire_ask replica_wire_ask;
 
 struct replica_wire_grant {
 	bool_t ok;
 	u_quad_t epoch;
 };
-typedef struct replica_wire_grant replica_wire_grant;
 
 struct replica_wire_append {
 	u_quad_t epoch;
@@ -79,7 +74,6 @@
 		struct replica_wire_witness *witness_val;
 	} witness;
 };
-typedef struct replica_wire_append replica_wire_append;
 
 struct replica_wire_append_reply {
 	bool_t ok;
@@ -88,7 +82,6 @@
 	u_quad_t hint;
 	quad_t sent_us;
 };
-typedef struct replica_wire_append_reply replica_wire_append_reply;
 
 struct replica_wire_snapshot {
 	u_quad_t epoch;
@@ -102,7 +95,6 @@
 		char *chunk_val;
 	} chunk;
 };
-typedef struct replica_wire_snapshot replica_wire_snapshot;
 
 struct replica_wire_snapshot_reply {
 	bool_t ok;
@@ -112,16 +104,14 @@
 	u_quad_t total;
 	quad_t sent_us;
 };
-typedef struct replica_wire_snapshot_reply replica_wire_snapshot_reply;
 
 struct replica_wire_hello {
 	u_quad_t epoch;
 	u_quad_t index;
 };
-typedef struct replica_wire_hello replica_wire_hello;
 
 struct replica_wire_body {
-	replica_wire_kind kind;
+	enum replica_wire_kind kind;
 	union {
 		struct replica_wire_ask ask;
 		struct replica_wire_grant grant;
@@ -132,21 +122,18 @@
 		struct replica_wire_hello hello;
 	} replica_wire_body_u;
 };
-typedef struct replica_wire_body replica_wire_body;
 
 struct replica_wire {
 	u_quad_t from_identity;
 	u_quad_t to_identity;
 	struct replica_wire_body body;
 };
-typedef struct replica_wire replica_wire;
 
 struct replica_wire_member {
 	u_quad_t id;
 	u_quad_t identity;
 	bool_t voter;
 };
-typedef struct replica_wire_member replica_wire_member;
 
 struct replica_wire_members {
 	struct {
@@ -154,7 +141,6 @@
 		struct replica_wire_member *list_val;
 	} list;
 };
-typedef struct replica_wire_members replica_wire_members;
 
 struct replica_wire_image {
 	struct replica_wire_members members;
@@ -163,26 +149,25 @@
 		char *state_val;
 	} state;
 };
-typedef struct replica_wire_image replica_wire_image;
 
 /* the xdr functions */
 
 #if defined(__STDC__) || defined(__cplusplus)
-extern  bool_t xdr_replica_wire_entry (XDR *, replica_wire_entry*);
-extern  bool_t xdr_replica_wire_witness (XDR *, replica_wire_witness*);
-extern  bool_t xdr_replica_wire_kind (XDR *, replica_wire_kind*);
-extern  bool_t xdr_replica_wire_ask (XDR *, replica_wire_ask*);
-extern  bool_t xdr_replica_wire_grant (XDR *, replica_wire_grant*);
-extern  bool_t xdr_replica_wire_append (XDR *, replica_wire_append*);
-extern  bool_t xdr_replica_wire_append_reply (XDR *, replica_wire_append_reply*);
-extern  bool_t xdr_replica_wire_snapshot (XDR *, replica_wire_snapshot*);
-extern  bool_t xdr_replica_wire_snapshot_reply (XDR *, replica_wire_snapshot_reply*);
-extern  bool_t xdr_replica_wire_hello (XDR *, replica_wire_hello*);
-extern  bool_t xdr_replica_wire_body (XDR *, replica_wire_body*);
-extern  bool_t xdr_replica_wire (XDR *, replica_wire*);
-extern  bool_t xdr_replica_wire_member (XDR *, replica_wire_member*);
-extern  bool_t xdr_replica_wire_members (XDR *, replica_wire_members*);
-extern  bool_t xdr_replica_wire_image (XDR *, replica_wire_image*);
+extern  bool_t xdr_replica_wire_entry (XDR *, struct replica_wire_entry *);
+extern  bool_t xdr_replica_wire_witness (XDR *, struct replica_wire_witness *);
+extern  bool_t xdr_replica_wire_kind (XDR *, enum replica_wire_kind *);
+extern  bool_t xdr_replica_wire_ask (XDR *, struct replica_wire_ask *);
+extern  bool_t xdr_replica_wire_grant (XDR *, struct replica_wire_grant *);
+extern  bool_t xdr_replica_wire_append (XDR *, struct replica_wire_append *);
+extern  bool_t xdr_replica_wire_append_reply (XDR *, struct replica_wire_append_reply *);
+extern  bool_t xdr_replica_wire_snapshot (XDR *, struct replica_wire_snapshot *);
+extern  bool_t xdr_replica_wire_snapshot_reply (XDR *, struct replica_wire_snapshot_reply *);
+extern  bool_t xdr_replica_wire_hello (XDR *, struct replica_wire_hello *);
+extern  bool_t xdr_replica_wire_body (XDR *, struct replica_wire_body *);
+extern  bool_t xdr_replica_wire (XDR *, struct replica_wire *);
+extern  bool_t xdr_replica_wire_member (XDR *, struct replica_wire_member *);
+extern  bool_t xdr_replica_wire_members (XDR *, struct replica_wire_members *);
+extern  bool_t xdr_replica_wire_image (XDR *, struct replica_wire_image *);
 
 #else /* K&R C */
 extern bool_t xdr_replica_wire_entry ();
--- a/proto/replica_xdr.c
+++ b/proto/replica_xdr.c
@@ -6,7 +6,7 @@
 #include "proto/replica.h"
 
 bool_t
-xdr_replica_wire_entry (XDR *xdrs, replica_wire_entry *objp)
+xdr_replica_wire_entry (XDR *xdrs, struct replica_wire_entry *objp)
 {
 	register int32_t *buf;
 
@@ -22,7 +22,7 @@
 }
 
 bool_t
-xdr_replica_wire_witness (XDR *xdrs, replica_wire_witness *objp)
+xdr_replica_wire_witness (XDR *xdrs, struct replica_wire_witness *objp)
 {
 	register int32_t *buf;
 
@@ -38,7 +38,7 @@
 }
 
 bool_t
-xdr_replica_wire_kind (XDR *xdrs, replica_wire_kind *objp)
+xdr_replica_wire_kind (XDR *xdrs, enum replica_wire_kind *objp)
 {
 	register int32_t *buf;
 
@@ -48,7 +48,7 @@
 }
 
 bool_t
-xdr_replica_wire_ask (XDR *xdrs, replica_wire_ask *objp)
+xdr_replica_wire_ask (XDR *xdrs, struct replica_wire_ask *objp)
 {
 	register int32_t *buf;
 
@@ -62,7 +62,7 @@
 }
 
 bool_t
-xdr_replica_wire_grant (XDR *xdrs, replica_wire_grant *objp)
+xdr_replica_wire_grant (XDR *xdrs, struct replica_wire_grant *objp)
 {
 	register int32_t *buf;
 
@@ -74,7 +74,7 @@
 }
 
 bool_t
-xdr_replica_wire_append (XDR *xdrs, replica_wire_append *objp)
+xdr_replica_wire_append (XDR *xdrs, struct replica_wire_append *objp)
 {
 	register int32_t *buf;
 
@@ -89,16 +89,16 @@
 	 if (!xdr_quad_t (xdrs, &objp->sent_us))
 		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->entries.entries_val, (u_int *) &objp->entries.entries_len, REPLICA_WIRE_MAX_ENTRIES,
-		sizeof (replica_wire_entry), (xdrproc_t) xdr_replica_wire_entry))
+		sizeof (struct replica_wire_entry), (xdrproc_t) xdr_replica_wire_entry))
 		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->witness.witness_val, (u_int *) &objp->witness.witness_len, REPLICA_WIRE_MAX_MEMBERS,
-		sizeof (replica_wire_witness), (xdrproc_t) xdr_replica_wire_witness))
+		sizeof (struct replica_wire_witness), (xdrproc_t) xdr_replica_wire_witness))
 		 return FALSE;
 	return TRUE;
 }
 
 bool_t
-xdr_replica_wire_append_reply (XDR *xdrs, replica_wire_append_reply *objp)
+xdr_replica_wire_append_reply (XDR *xdrs, struct replica_wire_append_reply *objp)
 {
 	register int32_t *buf;
 
@@ -116,7 +116,7 @@
 }
 
 bool_t
-xdr_replica_wire_snapshot (XDR *xdrs, replica_wire_snapshot *objp)
+xdr_replica_wire_snapshot (XDR *xdrs, struct replica_wire_snapshot *objp)
 {
 	register int32_t *buf;
 
@@ -138,7 +138,7 @@
 }
 
 bool_t
-xdr_replica_wire_snapshot_reply (XDR *xdrs, replica_wire_snapshot_reply *objp)
+xdr_replica_wire_snapshot_reply (XDR *xdrs, struct replica_wire_snapshot_reply *objp)
 {
 	register int32_t *buf;
 
@@ -158,7 +158,7 @@
 }
 
 bool_t
-xdr_replica_wire_hello (XDR *xdrs, replica_wire_hello *objp)
+xdr_replica_wire_hello (XDR *xdrs, struct replica_wire_hello *objp)
 {
 	register int32_t *buf;
 
@@ -170,7 +170,7 @@
 }
 
 bool_t
-xdr_replica_wire_body (XDR *xdrs, replica_wire_body *objp)
+xdr_replica_wire_body (XDR *xdrs, struct replica_wire_body *objp)
 {
 	register int32_t *buf;
 
@@ -217,7 +217,7 @@
 }
 
 bool_t
-xdr_replica_wire (XDR *xdrs, replica_wire *objp)
+xdr_replica_wire (XDR *xdrs, struct replica_wire *objp)
 {
 	register int32_t *buf;
 
@@ -231,7 +231,7 @@
 }
 
 bool_t
-xdr_replica_wire_member (XDR *xdrs, replica_wire_member *objp)
+xdr_replica_wire_member (XDR *xdrs, struct replica_wire_member *objp)
 {
 	register int32_t *buf;
 
@@ -245,18 +245,18 @@
 }
 
 bool_t
-xdr_replica_wire_members (XDR *xdrs, replica_wire_members *objp)
+xdr_replica_wire_members (XDR *xdrs, struct replica_wire_members *objp)
 {
 	register int32_t *buf;
 
 	 if (!xdr_array (xdrs, (char **)&objp->list.list_val, (u_int *) &objp->list.list_len, REPLICA_WIRE_MAX_MEMBERS,
-		sizeof (replica_wire_member), (xdrproc_t) xdr_replica_wire_member))
+		sizeof (struct replica_wire_member), (xdrproc_t) xdr_replica_wire_member))
 		 return FALSE;
 	return TRUE;
 }
 
 bool_t
-xdr_replica_wire_image (XDR *xdrs, replica_wire_image *objp)
+xdr_replica_wire_image (XDR *xdrs, struct replica_wire_image *objp)
 {
 	register int32_t *buf;
 
