Site tests wait until every state process votes

Trace: the leader s1 was killed 90 ms after s2 had become a learner; the voters were s1 and s3, so no quorum was left and the change was answered 'outcome unknown', which is right. Ruled out: a lost vote (s3 asked for a pre-vote and had nobody to answer) and a wrong answer of the entry process. Change: site_start waits for all voters, as docs/operating.md asks of operators. Conclusion: a cluster that is still growing may stop at the loss of one VM.

--- a/examples/site.sh
+++ b/examples/site.sh
@@ -138,8 +138,20 @@
 	done
 }
 
-# site_start: starts the state processes, then the entry processes. The first
-# state process founds the cluster when its data directory is new.
+# site_voters: succeeds when every state process is a voter.
+site_voters() {
+	members=$(curl -s -m 2 "http://127.0.0.1:$(site_port control e1)/v1/members")
+	for s in $SITE_STATE; do
+		case $members in
+		*"\"name\":\"$s\",\"voter\":true"*) ;;
+		*) return 1 ;;
+		esac
+	done
+}
+
+# site_start: starts the state processes, then the entry processes, and waits until all
+# serve and vote. The first state process founds the cluster when its data directory is
+# new; until all are voters the loss of one may stop the others.
 site_start() {
 	mkdir -p "$SITE_DIR"
 	[ "${SITE_PROXIED:-}" ] && site_proxy
@@ -157,6 +169,7 @@
 	for p in $SITE_ENTRIES; do
 		site_until 20 site_healthy "$p" || return 1
 	done
+	site_until 20 site_voters
 }
 
 # site_put ENTRY TEAM TOKEN PATH REVISION BODY
