One function proposes a command to the leader

Cause: read-through: encoding a command and calling the leader stood three times (control port, claims, joining). Change: leader_propose(). No change of behaviour. Conclusion: one place to change how commands are sent.

--- a/carawayfrontd/ctl_call.c
+++ b/carawayfrontd/ctl_call.c
@@ -4,6 +4,7 @@
 
 #include "base/err.h"
 #include "carawayfrontd/ctl_reply.h"
+#include "carawayfrontd/leader_propose.h"
 #include "proto/codec.h"
 
 #define PROPOSE_TIMEOUT 8.0 /* seconds; covers an election */
@@ -47,23 +48,17 @@
 int ctl_propose(struct leader_client *leader, struct http_request *req,
 		const struct command_body *body, const struct ctl_call_ops *ops)
 {
-	struct command cmd = {.body = *body};
-	struct peer_propose_args args = {0};
-	struct buf inner = {0};
-	struct buf outer = {0};
+	struct ctl_call *c = calloc(1, sizeof(*c));
 	int err;
 
-	err = codec_encode((xdrproc_t)xdr_command, &cmd, &inner);
+	if (!c)
+		return CF_ENOMEM;
+	c->base.ops = &leader_ops;
+	c->req = req;
+	c->ops = ops;
+	err = leader_propose(leader, &c->base, body, PROPOSE_TIMEOUT);
 	if (err)
-		goto out;
-	XDR_SET(args, command, buf_str(&inner));
-	err = codec_encode((xdrproc_t)xdr_peer_propose_args, &args, &outer);
-	if (!err)
-		err = ctl_call_start(leader, req, PEER_PROPOSE, buf_str(&outer),
-				     PROPOSE_TIMEOUT, ops);
-out:
-	buf_free(&inner);
-	buf_free(&outer);
+		free(c);
 	return err;
 }
 
--- a/carawayfrontd/front_claim.c
+++ b/carawayfrontd/front_claim.c
@@ -3,6 +3,7 @@
 
 #include "base/err.h"
 #include "carawayfrontd/front_request.h"
+#include "carawayfrontd/leader_propose.h"
 #include "io/clock.h"
 #include "proto/codec.h"
 #include "proto/peer.h"
@@ -36,25 +37,7 @@
 static int propose(struct front_request *r, struct leader_call *call,
 		   const struct command_body *body, double timeout)
 {
-	struct command cmd = {.body = *body};
-	struct peer_propose_args args = {0};
-	struct buf inner = {0};
-	struct buf outer = {0};
-	int err;
-
-	err = codec_encode((xdrproc_t)xdr_command, &cmd, &inner);
-	if (err)
-		goto out;
-	XDR_SET(args, command, buf_str(&inner));
-	err = codec_encode((xdrproc_t)xdr_peer_propose_args, &args, &outer);
-	if (err)
-		goto out;
-	err = leader_call_start(r->front->opt.leader, call, PEER_PROPOSE, buf_str(&outer),
-				timeout, LEADER_ATTEMPT);
-out:
-	buf_free(&inner);
-	buf_free(&outer);
-	return err;
+	return leader_propose(r->front->opt.leader, call, body, timeout);
 }
 
 static void keep_outcome(struct front_request *r, const struct command_outcome *o)
--- a/carawayfrontd/member_join.c
+++ b/carawayfrontd/member_join.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 
 #include "base/err.h"
+#include "carawayfrontd/leader_propose.h"
 #include "io/clock.h"
 #include "io/log.h"
 #include "proto/codec.h"
@@ -60,28 +61,15 @@
 
 static void ask(struct member_join *m)
 {
-	struct command cmd = {.body = {.kind = CMD_MEMBER_ENTRY}};
-	struct command_member_entry *entry = &cmd.body.command_body_u.member_entry;
-	struct peer_propose_args args = {0};
-	struct buf inner = {0};
-	struct buf outer = {0};
-	int err;
+	struct command_body body = {.kind = CMD_MEMBER_ENTRY};
+	struct command_member_entry *entry = &body.command_body_u.member_entry;
 
 	XDR_SET(*entry, name, m->opt.settings->name);
 	XDR_SET(*entry, address, buf_str(&m->address));
 	entry->incarnation = *m->opt.incarnation;
-	err = codec_encode((xdrproc_t)xdr_command, &cmd, &inner);
-	XDR_SET(args, command, buf_str(&inner));
-	if (!err)
-		err = codec_encode((xdrproc_t)xdr_peer_propose_args, &args, &outer);
 	m->call.ops = &join_ops;
-	if (!err)
-		err = leader_call_start(m->opt.leader, &m->call, PEER_PROPOSE,
-					buf_str(&outer), JOIN_TIMEOUT, LEADER_ATTEMPT);
-	if (err)
+	if (leader_propose(m->opt.leader, &m->call, &body, JOIN_TIMEOUT))
 		retry_later(m);
-	buf_free(&inner);
-	buf_free(&outer);
 }
 
 static void on_retry(struct ev_loop *loop, struct ev_timer *t, int events)
