Relay: a pace handed to a gateway is not waited for

Cause: the gateway sends no answer to a pace, yet the leader entered it among the calls that wait for one. Each pace timed out after 2.5 s, its gateway was avoided for 2 s and the path to the worker moved on, so that in time every gateway was connected to every executor.

Ruled out: the loss of power (workers were lost from 9 s on, the power at 34 s); slow gateways (each had reported less than 0.6 s before).

Found by the event gateway-avoided, which is new: all 38 gateways within a second.

test_relay is new; pace_is_not_waited_for fails without the change.

--- a/Makefile
+++ b/Makefile
@@ -52,7 +52,10 @@
 
 $(BUILD)/bin/test_%: $(BUILD)/regress/test_%.o $(TEST_LIB) $(LIB)
 	@mkdir -p $(@D)
-	@echo '  LINK $@'; $(CC) $(LDFLAGS) -o $@ $^ $(CHECK_LIBS) $(LDLIBS)
+	@echo '  LINK $@'; $(CC) $(LDFLAGS) -o $@ $(filter %.o,$^) $(LIB) $(CHECK_LIBS) $(LDLIBS)
+
+# It calls a gateway, so it needs a part of the daemon.
+$(BUILD)/bin/test_relay: $(BUILD)/carawayfrontd/relay.o $(BUILD)/carawayfrontd/node_id.o
 
 $(BUILD)/bin/bench_%: $(BUILD)/bench/bench_%.o $(BENCH_LIB) $(LIB)
 	@mkdir -p $(@D)
--- a/carawayfrontd/relay.c
+++ b/carawayfrontd/relay.c
@@ -122,6 +122,18 @@
 	return a->id && now - a->heard < ALIVE_S && now >= a->avoid_until;
 }
 
+/* Sends no calls through a gateway for a while. */
+static void avoid(struct relay *r, struct relay_agent *a, const char *reason)
+{
+	double now = ev_now(r->opt.loop);
+
+	if (now >= a->avoid_until)
+		log_info("gateway-avoided", "gateway=%llx reason=\"%s\" heard_ms=%d",
+			 (unsigned long long)a->id, reason,
+			 (int)((now - a->heard) * 1000));
+	a->avoid_until = now + AVOID_S;
+}
+
 static uint32_t path_turns(struct relay *r, uint32_t worker)
 {
 	struct relay_path *p;
@@ -184,17 +196,24 @@
 	return best;
 }
 
+/*
+ * Adds a call to the batch of a gateway; its end is reported later, but for a pace, which
+ * has no answer.
+ */
 static bool add_call(struct relay *r, struct relay_agent *a, struct dag_call *c,
 		     double timeout)
 {
-	struct relay_call *call = calloc(1, sizeof(*call));
+	struct relay_call *call;
 
 	c->id = ++r->next_id;
-	if (!call || codec_encode((xdrproc_t)xdr_dag_call, c, &a->batch)) {
-		free(call);
+	if (codec_encode((xdrproc_t)xdr_dag_call, c, &a->batch))
 		return false;
-	}
 	a->n_batch++;
+	if (c->kind == DAG_CALL_PACE)
+		return true;
+	call = calloc(1, sizeof(*call));
+	if (!call)
+		return false;
 	call->id = c->id;
 	call->kind = c->kind;
 	call->worker = c->worker;
@@ -292,7 +311,7 @@
 	if (buf_add(&bytes, head, sizeof(head)) ||
 	    buf_add(&bytes, a->batch.p, a->batch.n) ||
 	    rpc_client_post(a->client, RELAY_PROC_CALLS, buf_str(&bytes)))
-		a->avoid_until = ev_now(r->opt.loop) + AVOID_S;
+		avoid(r, a, "calls not sent");
 	buf_free(&bytes);
 	a->batch.n = 0;
 	a->n_batch = 0;
@@ -335,7 +354,7 @@
 		if (call->deadline > ev_now(loop))
 			continue;
 		if (a)
-			a->avoid_until = ev_now(loop) + AVOID_S;
+			avoid(r, a, "no answer to a call");
 		end_call(r, call, DAG_ANSWER_NONE, NULL);
 	}
 }
--- /dev/null
+++ b/regress/test_relay.c
@@ -0,0 +1,258 @@
+#include <check.h>
+#include <stdlib.h>
+
+#include <arpa/inet.h>
+#include <ev.h>
+
+#include "base/err.h"
+#include "carawayfrontd/node_id.h"
+#include "carawayfrontd/relay.h"
+#include "io/rpc_server.h"
+#include "proto/codec.h"
+
+/* A gateway that takes calls and answers only when the test says so. */
+#define ADDRESS "127.0.0.1:20461"
+#define KEY "secret"
+#define MAX_CALLS 64U
+/* Longer than a call may stay without an answer and its gateway be avoided. */
+#define PATIENCE_S 4.0
+
+struct gateway {
+	struct rpc_server_host host;
+	struct rpc_server *server;
+	uint64_t call[MAX_CALLS];
+	enum dag_call_kind kind[MAX_CALLS];
+	size_t n;
+};
+
+/* Counts what reaches the direct transport, which stands for a fallback. */
+struct direct {
+	struct dag_transport transport;
+	unsigned int calls;
+};
+
+struct user {
+	struct dag_transport_user base;
+	unsigned int looked;
+	unsigned int unanswered;
+};
+
+static struct ev_loop *loop;
+static struct gateway gateway;
+static struct direct direct;
+static struct user user;
+static struct dag_state *state;
+static struct settings settings;
+static struct relay *relay;
+static uint64_t gateway_id;
+
+static void on_call(struct rpc_server_host *host, struct rpc_call *call)
+{
+	struct gateway *g = (struct gateway *)host;
+	struct dag_calls list = {0};
+
+	ck_assert_int_eq(codec_decode((xdrproc_t)xdr_dag_calls, &list, call->args), 0);
+	for (u_int i = 0; i < list.calls.calls_len && g->n < MAX_CALLS; i++) {
+		g->call[g->n] = list.calls.calls_val[i].id;
+		g->kind[g->n++] = list.calls.calls_val[i].kind;
+	}
+	codec_free((xdrproc_t)xdr_dag_calls, &list);
+	rpc_call_drop(call);
+}
+
+static const struct rpc_server_ops gateway_ops = {.call = on_call};
+
+static void direct_order(struct dag_transport *t, const struct dag_order *o)
+{
+	((struct direct *)t)->calls++;
+}
+
+static void direct_look(struct dag_transport *t, const struct dag_look_order *o)
+{
+	((struct direct *)t)->calls++;
+}
+
+static const struct dag_transport_ops direct_ops = {
+	.start = direct_order,
+	.stop = direct_order,
+	.pace = direct_order,
+	.look = direct_look,
+};
+
+static void on_order(struct dag_transport_user *u, uint32_t worker,
+		     const struct dag_task_ref *t, uint32_t run, enum dag_answer answer)
+{
+	if (answer == DAG_ANSWER_NONE)
+		((struct user *)u)->unanswered++;
+}
+
+static void on_looked(struct dag_transport_user *u, uint32_t worker,
+		      enum dag_answer answer, const struct dag_look *look)
+{
+	if (answer == DAG_ANSWER_NONE)
+		((struct user *)u)->unanswered++;
+	else
+		((struct user *)u)->looked++;
+}
+
+static const struct dag_transport_user_ops user_ops = {
+	.started = on_order,
+	.stopped = on_order,
+	.looked = on_looked,
+};
+
+static void setup(void)
+{
+	struct rpc_server_options rpc = {.key = STR(KEY), .host = &gateway.host};
+	struct dag_worker w = {.cpu_milli = 1000};
+	struct dag_worker_rec *rec;
+	struct relay_options opt = {
+		.settings = &settings,
+		.direct = &direct.transport,
+		.user = &user.base,
+		.self = 1,
+	};
+
+	loop = ev_loop_new(0);
+	gateway = (struct gateway){.host = {.ops = &gateway_ops}};
+	direct = (struct direct){.transport = {.ops = &direct_ops}};
+	user = (struct user){.base = {.ops = &user_ops}};
+	settings = (struct settings){.name = STR("leader"), .cluster_key = STR(KEY)};
+	rpc.loop = loop;
+	opt.loop = loop;
+	ck_assert_int_eq(addr_parse(STR(ADDRESS), &rpc.address), 0);
+	ck_assert_int_eq(rpc_server_new(&rpc, &gateway.server), 0);
+	gateway_id = node_id(&rpc.address);
+	ck_assert_int_eq(dag_state_new(&state), 0);
+	XDR_SET(w, id, STR("i-1"));
+	XDR_SET(w, address, STR("10.0.0.1:80"));
+	XDR_SET(w, zone, STR("a"));
+	ck_assert_int_eq(dag_state_put_worker(state, 1, &w, &rec), 0);
+	opt.state = state;
+	ck_assert_int_eq(relay_new(&opt, &relay), 0);
+}
+
+static void teardown(void)
+{
+	relay_free(relay);
+	dag_state_free(state);
+	rpc_server_free(gateway.server);
+	ev_loop_destroy(loop);
+}
+
+static void report(void)
+{
+	struct dag_agent a = {.id = gateway_id};
+
+	XDR_SET(a, zone, STR("a"));
+	relay_agent(relay, &a);
+}
+
+static struct dag_transport *transport(void)
+{
+	return relay_transport(relay);
+}
+
+/* Plays for some seconds; the gateway goes on to report. */
+static void play(double seconds)
+{
+	double end = ev_time() + seconds;
+
+	while (ev_time() < end) {
+		report();
+		relay_flush(relay);
+		ev_run(loop, EVRUN_ONCE);
+	}
+}
+
+static void order_pace(void)
+{
+	struct dag_order o = {.call = {.worker = 1}, .run = 1, .percent = 50};
+
+	transport()->ops->pace(transport(), &o);
+}
+
+static void order_look(void)
+{
+	struct dag_look_order o = {.call = {.worker = 1}};
+
+	transport()->ops->look(transport(), &o);
+}
+
+static void answer_looks(void)
+{
+	for (size_t i = 0; i < gateway.n; i++) {
+		struct dag_call_answer one = {.id = gateway.call[i],
+					      .answer = DAG_ANSWER_OK};
+		struct dag_call_answers list = {0};
+		struct buf bytes = {0};
+
+		if (gateway.kind[i] != DAG_CALL_LOOK)
+			continue;
+		list.answers.answers_len = 1;
+		list.answers.answers_val = &one;
+		ck_assert_int_eq(
+			codec_encode((xdrproc_t)xdr_dag_call_answers, &list, &bytes), 0);
+		relay_answers(relay, buf_str(&bytes));
+		buf_free(&bytes);
+	}
+	gateway.n = 0;
+}
+
+/*
+ * Guards against pace orders that count as calls without an answer: their gateway was
+ * avoided, the path to the worker changed, and every gateway ended up connected to it.
+ */
+START_TEST(pace_is_not_waited_for)
+{
+	report();
+	for (int i = 0; i < 5; i++)
+		order_pace();
+	play(PATIENCE_S);
+	ck_assert_uint_eq(gateway.n, 5);
+	gateway.n = 0;
+	order_look();
+	play(0.3);
+	ck_assert_uint_eq(gateway.n, 1);
+	ck_assert_uint_eq(direct.calls, 0);
+	answer_looks();
+	ck_assert_uint_eq(user.looked, 1);
+	ck_assert_uint_eq(user.unanswered, 0);
+}
+END_TEST
+
+/* Guards against a look that never ends, and a silent gateway that stays in use. */
+START_TEST(silent_gateway_is_avoided)
+{
+	report();
+	order_look();
+	play(PATIENCE_S - 1);
+	ck_assert_uint_eq(user.unanswered, 1);
+	order_look();
+	ck_assert_uint_eq(direct.calls, 1);
+	answer_looks(); /* too late to count */
+	ck_assert_uint_eq(user.looked, 0);
+	play(PATIENCE_S - 1);
+	order_look();
+	ck_assert_uint_eq(direct.calls, 1);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *s = suite_create("relay");
+	TCase *t = tcase_create("calls");
+	SRunner *r;
+	int failed;
+
+	tcase_add_checked_fixture(t, setup, teardown);
+	tcase_set_timeout(t, 60);
+	tcase_add_test(t, pace_is_not_waited_for);
+	tcase_add_test(t, silent_gateway_is_avoided);
+	suite_add_tcase(s, t);
+	r = srunner_create(s);
+	srunner_run_all(r, CK_ENV);
+	failed = srunner_ntests_failed(r);
+	srunner_free(r);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
