--- a/carawayfrontd/agent.c
+++ b/carawayfrontd/agent.c
@@ -13,6 +13,12 @@
 #include "platform/executors.h"
 #include "proto/codec.h"
 
+/*
+ * Executors admit few connections, and which gateway calls one changes. A gateway has
+ * about 15 executors; those of the others must not stay connected to it.
+ */
+#define MAX_IDLE 128U
+
 /*
  * A call under way. The transport is given its own number in place of the worker's, so
  * that an answer belongs to exactly one call: a worker may owe answers to several looks.
@@ -255,7 +261,7 @@
 		.address = opt->settings->listen.rpc,
 		.key = opt->settings->cluster_key,
 	};
-	struct executors_options executors = {.loop = opt->loop};
+	struct executors_options executors = {.loop = opt->loop, .max_idle = MAX_IDLE};
 	int err;
 
 	if (!a)
--- a/carawayfrontd/controller.c
+++ b/carawayfrontd/controller.c
@@ -17,6 +17,8 @@
 #define DRAIN_US (SECOND_US * 3 / 10)
 /* A restart finds the same disk, so a process that cannot write stays for a while. */
 #define FAILURE_US (3 * SECOND_US)
+/* Connections to executors without a call; below relay-from each has four at most. */
+#define MAX_IDLE 640U
 
 static void port_request(struct dag_service_port *p, const struct dag_request *req,
 			 double timeout, struct dag_ticket *t)
@@ -232,7 +234,8 @@
 		.max_body = c->settings->limits.max_body,
 		.max_connections = (unsigned int)c->settings->limits.max_connections,
 	};
-	struct executors_options executors = {.loop = c->loop, .user = &c->user};
+	struct executors_options executors = {
+		.loop = c->loop, .user = &c->user, .max_idle = MAX_IDLE};
 	struct relay_options relay = {
 		.loop = c->loop,
 		.settings = c->settings,
