Scheduler: an end that came after its run was given up is held back

Cause: a run can be done on a worker that the leader cannot reach. Its lease ends for the leader, the task runs again, the worker answers again and lists the first run as done. To acknowledge that end makes it stand, and the second start a second run of a task that was done (TWICE). So far no end was held.

Such an end is told by the state alone: done, of a run that is not live, while the task is not done by that run.

Ruled out: to record the late end as done (if the worker's lease ended too, the end does not count and the task would be shown as completed).

--- a/core/dag_sched.c
+++ b/core/dag_sched.c
@@ -135,7 +135,7 @@
 	if (r)
 		ds_run_free(s, r);
 	if (dw && listed && --dw->ends_pending == 0) {
-		dw->seen = dw->listed_to;
+		ds_worker_note_ends(dw);
 		dw->look_at_us = s->now_us;
 	}
 	if (!j)
--- a/core/dag_sched_impl.h
+++ b/core/dag_sched_impl.h
@@ -120,7 +120,9 @@
 	uint64_t seen;	    /* recorded ends */
 	uint64_t listed_to; /* highest end in its newest list */
 	uint32_t ends_pending;
-	int64_t left_us; /* it said that it ends, 0: it did not */
+	uint64_t held_end; /* end of which the worker is not told, 0: none */
+	bool news;	   /* the newest list had an end that the one before had not */
+	int64_t left_us;   /* it said that it ends, 0: it did not */
 	/* Serving tasks; made again after bearing_known was cleared. */
 	struct ds_bearing bearing[DS_MAX_BEARING];
 	size_t n_bearing;
@@ -205,6 +207,7 @@
 int64_t ds_worker_lease(struct dag_sched *s, struct ds_worker *w);
 void ds_worker_call(const struct dag_sched *s, const struct ds_worker *w,
 		    struct dag_worker_call *call);
+void ds_worker_note_ends(struct ds_worker *w);
 bool ds_worker_has_label(const struct ds_worker *w, struct str label);
 
 /* dag_pace.c */
--- a/core/dag_worker.c
+++ b/core/dag_worker.c
@@ -22,6 +22,11 @@
 /* Failures in a row that put a worker aside, and for how long. */
 #define FAIL_STREAK_MAX 2U
 #define FAIL_PAUSE_US (5 * SEC)
+/*
+ * A worker lists 500 ends at most, so that many held ones would hide later ones. It
+ * renews none of them, but it must not be cut off by them either.
+ */
+#define HELD_ENDS_MAX 300U
 /* A batch task without progress for this long is moved. */
 #define STALL_US (2 * SEC)
 
@@ -320,18 +325,59 @@
 		ds_run_stop(s, r, "job ended");
 }
 
+/* The worker may forget the ends that are recorded. */
+void ds_worker_note_ends(struct ds_worker *w)
+{
+	uint64_t to = w->listed_to;
+
+	if (w->held_end && to - w->held_end < HELD_ENDS_MAX)
+		to = w->held_end - 1;
+	if (to > w->seen)
+		w->seen = to;
+}
+
+/*
+ * Whether a run that is listed as done was given up before: its lease had ended for the
+ * leader, and the task may run again. Such an end is never acknowledged, for then the
+ * task would have run on after it was done.
+ */
+static bool is_given_up(const struct dag_sched *s, const struct dag_listed_end *l,
+			const struct ds_run *r)
+{
+	const struct dag_job_rec *j = dag_state_job(s->state, l->task.job);
+	const struct dag_task *t;
+
+	if (l->how != DAG_END_DONE || !j)
+		return false;
+	t = dag_job_task(j, l->task.occurrence, l->task.step, l->task.index);
+	if (!t || j->spec.steps.steps_val[l->task.step].speculative)
+		return false;
+	return r || !t->done || t->last_run != l->run;
+}
+
 static void take_end(struct dag_sched *s, struct ds_worker *w,
 		     const struct dag_listed_end *l)
 {
 	struct ds_run *r = ds_run_find(s, &l->task, l->run);
 
-	if (l->number > w->listed_to)
+	if (r && r->worker != w)
+		r = NULL;
+	if (l->number > w->listed_to) {
 		w->listed_to = l->number;
-	if (!r || r->worker != w)
-		return;
-	r->listed = true;
-	if (r->ending)
+		w->news = true;
+	}
+	if (r)
+		r->listed = true;
+	if (!r || r->ending) {
+		if ((!r || !r->listed_end) && is_given_up(s, l, r) &&
+		    (!w->held_end || l->number < w->held_end)) {
+			w->held_end = l->number;
+			s->host->ops->note(s->host, "end-held", &l->task, l->run,
+					   XDR_STR(w->rec->w, id), "given up before",
+					   (int64_t)l->number);
+		}
 		return;
+	}
 	r->listed_end = true;
 	w->ends_pending++;
 	if (!r->step->long_running)
@@ -379,16 +425,18 @@
 	if (look->born_ms > w->rec->w.born_ms) {
 		w->seen = 0;
 		w->listed_to = 0;
+		w->held_end = 0;
 		take_life(s, w, look->born_ms);
 	}
 	unlist_all(w);
+	w->news = false;
 	for (size_t i = 0; i < look->n_running; i++)
 		take_running(s, w, &look->running[i]);
 	for (size_t i = 0; i < look->n_ended; i++)
 		take_end(s, w, &look->ended[i]);
 	check_missing(s, w);
 	if (!w->ends_pending)
-		w->seen = w->listed_to;
+		ds_worker_note_ends(w);
 	ds_pace(s, w);
 }
 
@@ -443,6 +491,9 @@
 		s->place_again = true;
 	w->look_failures = 0;
 	hear(w, look->clock_ms, now_us);
-	w->look_at_us = now_us + (look->n_ended ? 0 : LOOK_GAP_US);
 	take_look(s, w, look);
+	/* A list with held ends is answered at once, so it is not asked for at once. */
+	w->look_at_us = now_us + (w->news	? 0
+				  : w->held_end ? LOOK_RETRY_US
+						: LOOK_GAP_US);
 }
--- a/regress/lib_dag_world.c
+++ b/regress/lib_dag_world.c
@@ -283,9 +283,12 @@
 		t->done_us = w->now_us;
 	}
 	t->failed += how == DAG_END_FAILED;
+	if (how == DAG_END_LAPSED)
+		dw->lapsed_us = w->now_us;
 	add_stopped(dw, &r->task, r->run);
 	ck_assert(dw->n_ends < DW_ENDS);
-	dw->ends[dw->n_ends++] = (struct dw_end){dw->next_end++, r->task, r->run, how};
+	dw->ends[dw->n_ends++] =
+		(struct dw_end){dw->next_end++, r->task, r->run, how, w->now_us};
 	if (dw->look_at_us)
 		dw->look_at_us = w->now_us;
 }
@@ -388,6 +391,7 @@
 		}
 	}
 	k->starts++;
+	k->start_us = w->now_us;
 	w->starts++;
 }
 
@@ -486,6 +490,21 @@
 		answer(w, &e, a);
 }
 
+/* An end that is acknowledged stands: its task may not have started again after it. */
+static void check_seen(struct dag_world *w, const struct dw_worker *dw,
+		       const struct dw_end *end)
+{
+	const struct dag_job_rec *j = dag_state_job(w->state, end->task.job);
+	const struct dw_task *k = task_of(w, &end->task);
+
+	if (end->how == DAG_END_DONE && j && k->start_us > end->at_us &&
+	    dw->lapsed_us <= end->at_us &&
+	    !j->spec.steps.steps_val[end->task.step].speculative)
+		violate(w, "job %llx step %u task %u started again after a known end",
+			(unsigned long long)end->task.job, end->task.step,
+			end->task.index);
+}
+
 /* A look takes the lease and the seen ends at once; its answer may wait for an end. */
 static void begin_look(struct dag_world *w, struct dw_event e)
 {
@@ -504,10 +523,14 @@
 	dw->fence = e.epoch;
 	if (e.lease_ms > dw->lease_ms)
 		dw->lease_ms = e.lease_ms;
-	for (size_t i = 0; i < dw->n_ends; i++)
+	for (size_t i = 0; i < dw->n_ends; i++) {
 		if (dw->ends[i].number > e.seen)
 			dw->ends[n++] = dw->ends[i];
+		else
+			check_seen(w, dw, &dw->ends[i]);
+	}
 	dw->n_ends = n;
+	dw->looks++;
 	dw->look.call.worker = e.worker;
 	dw->look.call.epoch = e.leader;
 	dw->look_at_us = w->now_us + (n ? 0 : (int64_t)e.wait_ms * MS);
--- a/regress/lib_dag_world.h
+++ b/regress/lib_dag_world.h
@@ -33,6 +33,7 @@
 	struct dag_task_ref task;
 	uint32_t run;
 	enum dag_end_how how;
+	int64_t at_us;
 };
 
 struct dw_worker {
@@ -53,6 +54,8 @@
 	size_t n_stopped;
 	int64_t look_at_us; /* a look that waits: answered then, 0: none */
 	struct dag_look_order look;
+	int64_t lapsed_us; /* newest run that ended with the lease */
+	uint32_t looks;
 	int32_t tail_ms; /* of serving tasks */
 };
 
@@ -86,6 +89,7 @@
 	uint32_t done;
 	uint32_t failed;
 	int64_t done_us;
+	int64_t start_us; /* newest */
 };
 
 struct dag_world {
--- a/regress/test_dag.c
+++ b/regress/test_dag.c
@@ -82,6 +82,43 @@
 }
 END_TEST
 
+/*
+ * Guards against the acknowledgement of an end that came too late: the run was done
+ * behind a cut, its lease ended for the leader and the task ran again elsewhere. Found on
+ * a day on which executors reset their connections.
+ */
+START_TEST(end_of_a_run_given_up_is_held)
+{
+	uint32_t cut = dw_add_worker(&w, 8000, 8000);
+	uint32_t looks;
+
+	w.work_us = 5 * SECOND;
+	dw_submit_chain(&w, 1, 1, 4);
+	dw_run_for(&w, 2 * SECOND);
+	w.workers[cut].cut = true;
+	dw_run_for(&w, 6 * SECOND);
+	add_workers(1);
+	dw_run_for(&w, 8 * SECOND);
+	ck_assert_uint_eq(w.starts, 8);
+	w.workers[cut].cut = false;
+	dw_run_for(&w, 2 * SECOND);
+	assert_sound();
+	/* Other ends of the worker are still taken, at a bounded number of looks. */
+	w.work_us = SECOND;
+	looks = w.workers[cut].looks;
+	dw_submit_chain(&w, 2, 2, 12);
+	dw_run_for(&w, 6 * SECOND);
+	assert_sound();
+	ck_assert_int_eq(dw_state(&w, 1), DAG_JOB_COMPLETED);
+	ck_assert_int_eq(dw_state(&w, 2), DAG_JOB_COMPLETED);
+	ck_assert_uint_le(w.workers[cut].looks - looks, 6 * 50);
+	/* A new leader has only the state and the lists, and holds it too. */
+	dw_change_leader(&w);
+	dw_run_for(&w, 3 * SECOND);
+	assert_sound();
+}
+END_TEST
+
 /* Guards against tasks that wait for a lost worker although they may have a copy. */
 START_TEST(speculative_tasks_get_a_copy)
 {
@@ -477,6 +514,7 @@
 	tcase_add_test(tc, chain_completes);
 	tcase_add_test(tc, runs_of_a_dead_worker_move_after_the_lease);
 	tcase_add_test(tc, runs_behind_a_cut_do_not_run_twice);
+	tcase_add_test(tc, end_of_a_run_given_up_is_held);
 	tcase_add_test(tc, speculative_tasks_get_a_copy);
 	tcase_add_test(tc, serving_tasks_stay_with_their_like);
 	tcase_add_test(tc, gang_starts_together);
