Replica: a leader that stops on purpose hands over

Cause: a controller that was told to stop ended its scheduler at once and its process 300 ms later; the others noticed the silence and waited for an election timeout.

Change: replica_handover(). The leader commits what it has proposed, ends its lease and sends HANDOVER to the voter with the longest history, which stands at once; its HANDOVER_VOTE need not wait for a lease, since the only one that could hold has been ended by its holder. The controller answers what it had proposed before it hands over, where it answered "unknown".

Ruled out: a shorter election timeout (it would end leases in ordinary pauses).

--- a/carawayfrontd/controller.c
+++ b/carawayfrontd/controller.c
@@ -145,14 +145,34 @@
 	if (leads && !c->sched) {
 		controller_sched_start(c);
 	} else if (!leads && c->sched) {
-		controller_end_waits(c, DAG_UNKNOWN);
-		controller_sched_stop(c);
+		/* While it drains, what was proposed is committed and answered first. */
+		if (c->drain_us)
+			controller_flush(c);
+		else
+			controller_end_waits(c, DAG_UNKNOWN);
+		if (c->sched)
+			controller_sched_stop(c);
 	}
 	leader = controller_members(c, ids, &n);
 	if (leader != dag_client_leader(c->client) && leader != c->id)
 		dag_client_learn(c->client, leader, ids, n);
 }
 
+/* A leader that drains hands over once everything that it proposed is committed. */
+static void hand_over(struct controller *c)
+{
+	int err;
+
+	if (!c->drain_us || c->handed_over ||
+	    replica_role(c->replica) != REPLICA_LEADER ||
+	    replica_committed(c->replica) < replica_last_index(c->replica))
+		return;
+	c->handed_over = true;
+	err = replica_handover(c->replica, clock_us());
+	log_info("handed-over", "epoch=%llu error=\"%s\"",
+		 (unsigned long long)replica_epoch(c->replica), cf_strerror(err));
+}
+
 static void sync_log(struct controller *c)
 {
 	int64_t start = clock_us();
@@ -208,6 +228,7 @@
 			sync_log(c);
 	} while ((c->n_batch || c->sync_asked) && !c->failure);
 	follow_leadership(c);
+	hand_over(c);
 	relay_flush(c->relay);
 	check_failure(c);
 	deadline = next_deadline(c);
--- a/carawayfrontd/controller_impl.h
+++ b/carawayfrontd/controller_impl.h
@@ -66,6 +66,7 @@
 	char report_text[64];
 	size_t next_reporter;
 	int64_t drain_us; /* 0: not draining */
+	bool handed_over;
 	int failure;
 };
 
--- a/core/replica.c
+++ b/core/replica.c
@@ -308,8 +308,12 @@
 	switch (m->kind) {
 	case REPLICA_MSG_PREVOTE:
 	case REPLICA_MSG_VOTE:
+	case REPLICA_MSG_HANDOVER_VOTE:
 		replica_elect_ask(r, from, m);
 		return 0;
+	case REPLICA_MSG_HANDOVER:
+		replica_elect_handed(r, from, m);
+		return 0;
 	case REPLICA_MSG_APPEND:
 		replica_follow_append(r, from, m);
 		return 0;
--- a/core/replica.h
+++ b/core/replica.h
@@ -73,6 +73,8 @@
 	REPLICA_MSG_HELLO = 9,
 	REPLICA_MSG_HELLO_REPLY = 10,
 	REPLICA_MSG_JOIN = 11,
+	REPLICA_MSG_HANDOVER = 12,
+	REPLICA_MSG_HANDOVER_VOTE = 13,
 };
 
 /* Which fields a kind uses is stated in proto/replica.x. Pointers are borrowed. */
@@ -211,6 +213,7 @@
 int replica_propose(struct replica *r, struct str data, int64_t now_us, uint64_t *index);
 void replica_synced(struct replica *r, uint64_t token, int64_t now_us);
 void replica_sync_failed(struct replica *r, int err);
+int replica_handover(struct replica *r, int64_t now_us);
 
 bool replica_lease_valid(const struct replica *r, int64_t now_us);
 bool replica_ready(const struct replica *r);
--- a/core/replica_codec.c
+++ b/core/replica_codec.c
@@ -70,6 +70,8 @@
 	switch (m->kind) {
 	case REPLICA_MSG_PREVOTE:
 	case REPLICA_MSG_VOTE:
+	case REPLICA_MSG_HANDOVER:
+	case REPLICA_MSG_HANDOVER_VOTE:
 		w.body.replica_wire_body_u.ask = (struct replica_wire_ask){
 			.epoch = m->epoch,
 			.index = m->index,
@@ -188,6 +190,8 @@
 	switch (m->kind) {
 	case REPLICA_MSG_PREVOTE:
 	case REPLICA_MSG_VOTE:
+	case REPLICA_MSG_HANDOVER:
+	case REPLICA_MSG_HANDOVER_VOTE:
 		m->epoch = w->replica_wire_body_u.ask.epoch;
 		m->index = w->replica_wire_body_u.ask.index;
 		m->index_epoch = w->replica_wire_body_u.ask.index_epoch;
--- a/core/replica_elect.c
+++ b/core/replica_elect.c
@@ -1,3 +1,4 @@
+#include "base/err.h"
 #include "core/replica_priv.h"
 
 /* Number of voters that form a quorum of the membership in force. */
@@ -72,14 +73,17 @@
 	}
 }
 
-/* Votes for itself in a new epoch, durably, and asks the others. */
-static void elect_candidate(struct replica *r)
+/*
+ * Votes for itself in a new epoch, durably, and asks the others with a VOTE or a
+ * HANDOVER_VOTE.
+ */
+static void elect_candidate(struct replica *r, enum replica_msg_kind kind)
 {
 	if (!replica_save_promise(r, r->promise.epoch + 1, r->identity))
 		return;
 	replica_elect_reset(r);
 	replica_set_role(r, REPLICA_CANDIDATE, 0);
-	elect_send(r, REPLICA_MSG_VOTE, r->promise.epoch);
+	elect_send(r, kind, r->promise.epoch);
 	if (granted_count(r) >= replica_quorum(r))
 		replica_lead_start(r);
 }
@@ -96,7 +100,62 @@
 	replica_set_role(r, REPLICA_PRECANDIDATE, 0);
 	elect_send(r, REPLICA_MSG_PREVOTE, r->promise.epoch + 1);
 	if (granted_count(r) >= replica_quorum(r))
-		elect_candidate(r);
+		elect_candidate(r, REPLICA_MSG_VOTE);
+}
+
+/* The voter whose log is longest, of several the one that answered last; or NULL. */
+static const struct replica_peer *elect_heir(const struct replica *r)
+{
+	const struct replica_peer *best = NULL;
+
+	for (size_t i = 0; i < r->n_peer; i++) {
+		const struct replica_peer *p = &r->peer[i];
+
+		if (!p->voter || p->confirmed_us == REPLICA_NEVER)
+			continue;
+		if (!best || p->match > best->match ||
+		    (p->match == best->match && p->confirmed_us > best->confirmed_us))
+			best = p;
+	}
+	return best;
+}
+
+/*
+ * Ends leadership and lets another voter stand at once, without the election timeout
+ * and without the voters' wait for the lease: a leader that hands over has ended its
+ * lease before, and never leads in this epoch again. CF_ENOTLEADER: it does not lead;
+ * CF_EUNAVAIL: no other voter answers.
+ */
+int replica_handover(struct replica *r, int64_t now_us)
+{
+	struct replica_msg m = {.kind = REPLICA_MSG_HANDOVER};
+	const struct replica_peer *heir;
+	uint64_t identity;
+	uint64_t id;
+
+	if (replica_halted(r))
+		return CF_EUNAVAIL;
+	r->now_us = now_us;
+	if (!replica_lease_check(r))
+		return CF_ENOTLEADER;
+	heir = elect_heir(r);
+	if (!heir)
+		return CF_EUNAVAIL;
+	id = heir->id;
+	identity = heir->identity;
+	m.epoch = r->promise.epoch;
+	replica_step_down(r, 0);
+	replica_send(r, id, identity, &m);
+	return 0;
+}
+
+/* The leader that this replica follows handed over to it. */
+void replica_elect_handed(struct replica *r, uint64_t from, const struct replica_msg *m)
+{
+	if (!r->verified || !replica_may_stand(r) || m->epoch != r->promise.epoch ||
+	    from != r->leader || m->from_identity != r->leader_identity)
+		return;
+	elect_candidate(r, REPLICA_MSG_HANDOVER_VOTE);
 }
 
 /* Whether a leader may hold a lease that rests on this voter. */
@@ -119,10 +178,14 @@
 	return (m->index > last) - (m->index < last);
 }
 
-/* Answers PREVOTE and VOTE. */
+/*
+ * Answers PREVOTE, VOTE and HANDOVER_VOTE. The last does not wait for a lease: the leader
+ * of the epoch before has ended its own, and those of earlier epochs ended before it led.
+ */
 void replica_elect_ask(struct replica *r, uint64_t from, const struct replica_msg *m)
 {
 	bool prevote = m->kind == REPLICA_MSG_PREVOTE;
+	bool bound = m->kind != REPLICA_MSG_HANDOVER_VOTE && elect_lease_holds(r);
 	struct replica_msg reply = {
 		.kind = prevote ? REPLICA_MSG_PREVOTE_REPLY : REPLICA_MSG_VOTE_REPLY,
 	};
@@ -139,9 +202,9 @@
 	 * A candidate whose log holds an uncommitted promotion of this replica cannot
 	 * win without it, and not with it while this log is longer.
 	 */
-	if (order < 0 && !elect_lease_holds(r))
+	if (order < 0 && !bound)
 		r->asked = true;
-	grant = order >= 0 && !elect_lease_holds(r);
+	grant = order >= 0 && !bound;
 	if (prevote)
 		grant = grant && m->epoch > r->promise.epoch;
 	else if (m->epoch == r->promise.epoch)
@@ -174,7 +237,7 @@
 			return;
 		p->granted = true;
 		if (granted_count(r) >= replica_quorum(r))
-			elect_candidate(r);
+			elect_candidate(r, REPLICA_MSG_VOTE);
 		return;
 	}
 	replica_witness_note(r, p->id, p->identity, m->epoch, 0);
--- a/core/replica_priv.h
+++ b/core/replica_priv.h
@@ -148,6 +148,7 @@
 void replica_elect_reply(struct replica *r, struct replica_peer *p,
 			 const struct replica_msg *m);
 void replica_step_down(struct replica *r, uint64_t leader);
+void replica_elect_handed(struct replica *r, uint64_t from, const struct replica_msg *m);
 bool replica_adopt_epoch(struct replica *r, uint64_t epoch);
 size_t replica_quorum(const struct replica *r);
 
--- a/proto/replica.h
+++ b/proto/replica.h
@@ -46,6 +46,8 @@
 	REPLICA_WIRE_HELLO = 9,
 	REPLICA_WIRE_HELLO_REPLY = 10,
 	REPLICA_WIRE_JOIN = 11,
+	REPLICA_WIRE_HANDOVER = 12,
+	REPLICA_WIRE_HANDOVER_VOTE = 13,
 };
 
 struct replica_wire_ask {
--- a/proto/replica.x
+++ b/proto/replica.x
@@ -30,10 +30,15 @@
 	REPLICA_WIRE_SNAPSHOT_REPLY = 8,
 	REPLICA_WIRE_HELLO = 9,
 	REPLICA_WIRE_HELLO_REPLY = 10,
-	REPLICA_WIRE_JOIN = 11
+	REPLICA_WIRE_JOIN = 11,
+	REPLICA_WIRE_HANDOVER = 12,
+	REPLICA_WIRE_HANDOVER_VOTE = 13
 };
 
-/* PREVOTE, VOTE: epoch of the election, end of the candidate's log. */
+/*
+ * PREVOTE, VOTE, HANDOVER_VOTE: epoch of the election, end of the candidate's log.
+ * HANDOVER: the leader of that epoch has ended its lease; the receiver may stand.
+ */
 struct replica_wire_ask {
 	unsigned hyper epoch;
 	unsigned hyper index;
@@ -106,6 +111,8 @@
 union replica_wire_body switch (replica_wire_kind kind) {
 case REPLICA_WIRE_PREVOTE:
 case REPLICA_WIRE_VOTE:
+case REPLICA_WIRE_HANDOVER:
+case REPLICA_WIRE_HANDOVER_VOTE:
 	struct replica_wire_ask ask;
 case REPLICA_WIRE_PREVOTE_REPLY:
 case REPLICA_WIRE_VOTE_REPLY:
--- a/proto/replica_xdr.c
+++ b/proto/replica_xdr.c
@@ -179,6 +179,8 @@
 	switch (objp->kind) {
 	case REPLICA_WIRE_PREVOTE:
 	case REPLICA_WIRE_VOTE:
+	case REPLICA_WIRE_HANDOVER:
+	case REPLICA_WIRE_HANDOVER_VOTE:
 		 if (!xdr_replica_wire_ask (xdrs, &objp->replica_wire_body_u.ask))
 			 return FALSE;
 		break;
--- a/regress/mutants.sh
+++ b/regress/mutants.sh
@@ -13,7 +13,8 @@
 grep -v '^#' regress/mutants.txt >"$work/list"
 # One copy at the start, so that work on the tree goes on meanwhile.
 mkdir "$work/base"
-cp -a Makefile base core io proto carawayfrontd carawayctl standins regress examples docs \
+cp -a Makefile base core io proto platform carawayfrontd carawayctl standins regress examples \
+	docs deploy \
 	build "$work/base"
 while IFS= read -r line; do
 	name=$(trim "$(echo "$line" | cut -d'|' -f1)")
--- a/regress/test_replica.c
+++ b/regress/test_replica.c
@@ -9,6 +9,7 @@
 
 #define SECOND 1000000LL
 #define CHECK_SEEDS 60
+#define HANDOVER_SEEDS 40
 #define FAULT_SPAN (40 * SECOND)
 
 #define ck_cluster(c) ck_assert_msg((c)->failure[0] == '\0', "%s", (c)->failure)
@@ -137,8 +138,20 @@
 	opt->auto_admit = true;
 }
 
-/* One random run. Returns whether all rules held; the failure stays in *c. */
-static bool random_run(struct cluster *c, uint64_t seed)
+/* A replica that believes it leads hands over, to whom it knows. */
+static void random_handover(struct cluster *c)
+{
+	struct node *n = random_node(c);
+
+	if (n->r && c->now >= n->frozen_until)
+		replica_handover(n->r, cluster_clock(n));
+}
+
+/*
+ * One random run. Returns whether all rules held; the failure stays in *c. handovers:
+ * chance in thousandths of each 20 ms.
+ */
+static bool random_run(struct cluster *c, uint64_t seed, unsigned int handovers)
 {
 	int64_t end;
 	int64_t next_fault;
@@ -157,6 +170,8 @@
 		/* Without proposals all logs are equal and any voter can be elected. */
 		if (c->now >= quiet_until)
 			propose_everywhere(c);
+		if (handovers && prng_below(&c->prng, 1000) < handovers)
+			random_handover(c);
 		if (c->now >= next_fault) {
 			random_fault(c);
 			next_fault =
@@ -180,13 +195,25 @@
 	static struct cluster c;
 	uint64_t seed = (uint64_t)_i + 1;
 
-	if (!random_run(&c, seed))
+	if (!random_run(&c, seed, 0))
 		ck_abort_msg("seed %d: %s", (int)seed, c.failure);
 	ck_assert_uint_gt(c.n_ref, seed % 11 == 7 ? 10 : 100);
 	cluster_stop(&c);
 }
 END_TEST
 
+/* Guards against the same while leaders hand over, with messages lost and repeated. */
+START_TEST(random_handovers)
+{
+	static struct cluster c;
+	uint64_t seed = (uint64_t)_i + 1;
+
+	if (!random_run(&c, seed, 40))
+		ck_abort_msg("seed %d: %s", (int)seed, c.failure);
+	cluster_stop(&c);
+}
+END_TEST
+
 /*
  * These did not settle once. 2000580, 2001953: a restarted voter waited for answers of
  * voters that had been replaced. 40001617: the same with a lost voter, a learner was
@@ -201,7 +228,7 @@
 	static struct cluster c;
 	uint64_t seed = regression_seeds[_i];
 
-	if (!random_run(&c, seed))
+	if (!random_run(&c, seed, 0))
 		ck_abort_msg("seed %d: %s", (int)seed, c.failure);
 	cluster_stop(&c);
 }
@@ -816,6 +843,84 @@
 }
 END_TEST
 
+/* Guards against a planned stop that leaves the cluster without a leader for seconds. */
+START_TEST(handover_is_quick)
+{
+	static struct cluster c;
+	struct node *old;
+	int64_t start;
+
+	cluster_start(&c, (uint64_t)_i + 1, 5, 0);
+	ck_run(&c, cluster_run_to_leader(&c, 10 * SECOND));
+	cluster_run(&c, SECOND);
+	old = cluster_leader(&c);
+	ck_assert_int_eq(replica_handover(old->r, cluster_clock(old)), 0);
+	ck_assert_int_ne(replica_role(old->r), REPLICA_LEADER);
+	ck_assert(!replica_lease_valid(old->r, cluster_clock(old)));
+	ck_assert_int_eq(replica_handover(old->r, cluster_clock(old)), CF_ENOTLEADER);
+	start = c.now;
+	ck_run(&c, cluster_run_to_leader(&c, SECOND));
+	ck_assert_ptr_ne(cluster_leader(&c), old);
+	ck_assert_int_le(c.now - start, election_us / 4);
+	cluster_stop(&c);
+}
+END_TEST
+
+static size_t count_voters(const struct cluster *c)
+{
+	size_t voters = 0;
+
+	for (size_t i = 0; i < c->ref_members.n; i++)
+		voters += c->ref_members.list[i].voter;
+	return voters;
+}
+
+static bool is_voter(const struct cluster *c, uint64_t id)
+{
+	for (size_t i = 0; i < c->ref_members.n; i++)
+		if (c->ref_members.list[i].id == id && c->ref_members.list[i].voter)
+			return true;
+	return false;
+}
+
+/*
+ * Guards against a dead voter that keeps its place while a learner could have it, and
+ * against more voters than the bound once it is back, with its disk or without.
+ */
+START_TEST(learner_takes_the_place_of_a_dead_voter)
+{
+	static struct cluster c;
+	struct node *dead;
+
+	c.opt.auto_admit = true;
+	c.opt.admit_any = true;
+	c.opt.max_voters = 3;
+	cluster_start(&c, (uint64_t)_i + 30, 3, 1);
+	ck_run(&c, cluster_run_to_leader(&c, 10 * SECOND));
+	cluster_run(&c, 2 * SECOND);
+	ck_assert_uint_eq(count_voters(&c), 3);
+	ck_assert(!is_voter(&c, 4));
+	dead = cluster_leader(&c) == &c.node[1] ? &c.node[2] : &c.node[1];
+	node_crash(dead);
+	cluster_run(&c, 2 * SECOND);
+	ck_assert(!is_voter(&c, 4)); /* it may be back at any moment */
+	cluster_run(&c, 8 * SECOND);
+	ck_cluster(&c);
+	ck_assert(is_voter(&c, 4));
+	ck_assert(!is_voter(&c, dead->id));
+	ck_assert_uint_eq(count_voters(&c), 3);
+	if (_i % 2)
+		node_wipe(dead);
+	node_boot(dead);
+	ck_run(&c, cluster_settle(&c, 10 * SECOND));
+	cluster_run(&c, 5 * SECOND);
+	ck_cluster(&c);
+	ck_assert_uint_eq(count_voters(&c), 3);
+	ck_assert(!is_voter(&c, dead->id));
+	cluster_stop(&c);
+}
+END_TEST
+
 /* Guards against a returning partitioned voter that ends a healthy leader's epoch. */
 START_TEST(returning_voter_does_not_disturb)
 {
@@ -930,7 +1035,7 @@
 
 	for (uint64_t i = 0; i < count; i++) {
 		c.trace = trace;
-		if (!random_run(&c, seed + i)) {
+		if (!random_run(&c, seed + i, 0)) {
 			printf("seed %" PRIu64 ": %s (at %" PRId64 " us)\n", seed + i,
 			       c.failure, c.now);
 			if (trace)
@@ -976,6 +1081,8 @@
 	tcase_add_test(tc, older_directory_is_excluded);
 	tcase_add_test(tc, failed_sync_ends_the_voter);
 	tcase_add_test(tc, returning_voter_does_not_disturb);
+	tcase_add_loop_test(tc, handover_is_quick, 0, HANDOVER_SEEDS);
+	tcase_add_loop_test(tc, learner_takes_the_place_of_a_dead_voter, 0, 10);
 	tcase_add_test(tc, memory_is_bounded);
 	tcase_add_test(tc, lease_allows_for_drift);
 	tcase_add_test(tc, no_vote_during_lease);
@@ -985,6 +1092,7 @@
 	tcase_add_test(tc, removed_leader_still_stands);
 	tcase_add_loop_test(tc, regressions, 0, REGRESSION_SEEDS);
 	tcase_add_loop_test(tc, random_faults, 0, CHECK_SEEDS);
+	tcase_add_loop_test(tc, random_handovers, 0, CHECK_SEEDS);
 	suite_add_tcase(s, tc);
 	sr = srunner_create(s);
 	srunner_run_all(sr, CK_NORMAL);
