--- a/carawayfrontd/agent.c
+++ b/carawayfrontd/agent.c
@@ -147,12 +147,6 @@
 	.looked = user_looked,
 };
 
-static void put_u32(unsigned char *p, uint32_t v)
-{
-	for (int i = 0; i < 4; i++)
-		p[i] = (unsigned char)(v >> (24 - 8 * i));
-}
-
 /* Sends the answers of this round; lost ones time out at the leader. */
 static void on_prepare(struct ev_loop *loop, struct ev_prepare *w, int events)
 {
@@ -162,7 +156,7 @@
 
 	if (!a->n_batch)
 		return;
-	put_u32(count, a->n_batch);
+	codec_put_u32(count, a->n_batch);
 	if (a->client && !buf_add(&bytes, count, sizeof(count)) &&
 	    !buf_add(&bytes, a->batch.p, a->batch.n))
 		rpc_client_post(a->client, RELAY_PROC_ANSWERS, buf_str(&bytes));
--- a/carawayfrontd/controller_request.c
+++ b/carawayfrontd/controller_request.c
@@ -40,12 +40,6 @@
 	return err;
 }
 
-static void put_u32(unsigned char *p, uint32_t v)
-{
-	for (int i = 0; i < 4; i++)
-		p[i] = (unsigned char)(v >> (24 - 8 * i));
-}
-
 /* Proposes the commands of this round as one log entry. */
 void controller_flush(struct controller *c)
 {
@@ -60,9 +54,9 @@
 	/* An encoded dag_batch: the time, the number of commands, the commands. */
 	if (time_ms < c->state->time_ms)
 		time_ms = c->state->time_ms;
-	put_u32(head, (uint32_t)((uint64_t)time_ms >> 32));
-	put_u32(head + 4, (uint32_t)time_ms);
-	put_u32(head + 8, c->n_batch);
+	codec_put_u32(head, (uint32_t)((uint64_t)time_ms >> 32));
+	codec_put_u32(head + 4, (uint32_t)time_ms);
+	codec_put_u32(head + 8, c->n_batch);
 	err = buf_add(&entry, head, sizeof(head));
 	if (!err)
 		err = buf_add(&entry, c->batch.p, c->batch.n);
@@ -296,7 +290,7 @@
 		return;
 	}
 	if (rec)
-		dag_sched_reported(c->sched, rec->number, r->clock_ms, clock_us());
+		dag_sched_reported(c->sched, rec->number, clock_us());
 	if (rec && same_worker(&rec->w, &r->worker)) {
 		reply_outcome(t, DAG_OK);
 		return;
--- a/carawayfrontd/controller_sched.c
+++ b/carawayfrontd/controller_sched.c
@@ -154,7 +154,6 @@
 		.lease_us = (int64_t)c->settings->workers.lease_ms * MS_US,
 		.report_us = (int64_t)c->settings->workers.report_ms * MS_US,
 		.status_us = (int64_t)c->settings->workers.status_s * 2 * SECOND_US,
-		.far_percent = (uint32_t)c->settings->workers.far_percent,
 	};
 	int err = dag_sched_new(&opt, clock_us(), clock_wall_us() / MS_US, &c->sched);
 
--- a/carawayfrontd/gateway.c
+++ b/carawayfrontd/gateway.c
@@ -89,7 +89,9 @@
 		 "kind=%s path=%s outcome=%s ms=%.0f leader=%llx leader_age_ms=%.0f",
 		 kind_name(r->kind), r->path, outcome_name(reply->outcome), ms,
 		 (unsigned long long)dag_client_leader(g->client),
-		 (ev_now(g->loop) - dag_client_heard(g->client)) * 1000);
+		 dag_client_heard(g->client) > 0
+			 ? (ev_now(g->loop) - dag_client_heard(g->client)) * 1000
+			 : -1.0);
 }
 
 static void request_done(struct dag_ticket *t, const struct dag_reply *reply)
--- a/carawayfrontd/relay.c
+++ b/carawayfrontd/relay.c
@@ -293,21 +293,15 @@
 	.look = look,
 };
 
-static void put_u32(unsigned char *p, uint32_t v)
-{
-	for (int i = 0; i < 4; i++)
-		p[i] = (unsigned char)(v >> (24 - 8 * i));
-}
-
 /* An encoded dag_calls: the leader, the number of calls, the calls. */
 static void send_batch(struct relay *r, struct relay_agent *a)
 {
 	unsigned char head[12];
 	struct buf bytes = {0};
 
-	put_u32(head, (uint32_t)(r->opt.self >> 32));
-	put_u32(head + 4, (uint32_t)r->opt.self);
-	put_u32(head + 8, a->n_batch);
+	codec_put_u32(head, (uint32_t)(r->opt.self >> 32));
+	codec_put_u32(head + 4, (uint32_t)r->opt.self);
+	codec_put_u32(head + 8, a->n_batch);
 	if (buf_add(&bytes, head, sizeof(head)) ||
 	    buf_add(&bytes, a->batch.p, a->batch.n) ||
 	    rpc_client_post(a->client, RELAY_PROC_CALLS, buf_str(&bytes)))
--- a/carawayfrontd/settings.c
+++ b/carawayfrontd/settings.c
@@ -66,7 +66,6 @@
 	WORKERS("lease-ms", lease_ms, 500, 600000),
 	WORKERS("report-ms", report_ms, 100, 60000),
 	WORKERS("status-s", status_s, 1, 86400),
-	WORKERS("far-percent", far_percent, 100, 10000),
 	WORKERS("relay-from", relay_from, 0, 1000000),
 	{0},
 };
@@ -111,7 +110,6 @@
 	.lease_ms = 10000,
 	.report_ms = 1000,
 	.status_s = 120,
-	.far_percent = 100,
 	.relay_from = 150,
 };
 
--- a/carawayfrontd/settings.h
+++ b/carawayfrontd/settings.h
@@ -42,11 +42,10 @@
 
 /* Controller role. */
 struct settings_workers {
-	uint64_t lease_ms;    /* longest lease that executors grant */
-	uint64_t report_ms;   /* period of their reports */
-	uint64_t status_s;    /* ended jobs are kept this long */
-	uint64_t far_percent; /* run time away from the data */
-	uint64_t relay_from;  /* workers from which on gateways make the calls */
+	uint64_t lease_ms;   /* longest lease that executors grant */
+	uint64_t report_ms;  /* period of their reports */
+	uint64_t status_s;   /* ended jobs are kept this long */
+	uint64_t relay_from; /* workers from which on gateways make the calls */
 };
 
 /* Content of the settings file. */
--- a/core/dag_sched.c
+++ b/core/dag_sched.c
@@ -389,8 +389,3 @@
 {
 	return s->err;
 }
-
-size_t dag_sched_ready_tasks(const struct dag_sched *s)
-{
-	return s->n_waiting;
-}
--- a/core/dag_sched.h
+++ b/core/dag_sched.h
@@ -95,10 +95,9 @@
 	struct dag_host *host;
 	struct dag_state *state;
 	uint64_t epoch;
-	int64_t lease_us;     /* longest lease that a worker grants */
-	int64_t report_us;    /* period of the workers' reports */
-	int64_t status_us;    /* ended jobs are kept this long */
-	uint32_t far_percent; /* run time away from the data, 100: as near it */
+	int64_t lease_us;  /* longest lease that a worker grants */
+	int64_t report_us; /* period of the workers' reports */
+	int64_t status_us; /* ended jobs are kept this long */
 };
 
 struct dag_sched;
@@ -113,8 +112,7 @@
 /* 0, or why the scheduler cannot go on: memory, or a proposal that failed. */
 int dag_sched_failure(const struct dag_sched *s);
 
-void dag_sched_reported(struct dag_sched *s, uint32_t worker, int64_t clock_ms,
-			int64_t now_us);
+void dag_sched_reported(struct dag_sched *s, uint32_t worker, int64_t now_us);
 void dag_sched_leaving(struct dag_sched *s, uint32_t worker, int64_t now_us);
 void dag_sched_started(struct dag_sched *s, uint32_t worker, const struct dag_task_ref *t,
 		       uint32_t run, enum dag_answer answer, int64_t now_us);
@@ -125,7 +123,5 @@
 		      const struct dag_look *look, int64_t now_us);
 /* Whether a worker named a newer epoch: another process leads. */
 bool dag_sched_fenced(const struct dag_sched *s);
-/* Jobs whose tasks are all waiting, and when room is likely; for refusals. */
-size_t dag_sched_ready_tasks(const struct dag_sched *s);
 
 #endif
--- a/core/dag_worker.c
+++ b/core/dag_worker.c
@@ -145,8 +145,7 @@
 }
 
 /* A report came, directly or through another controller. */
-void dag_sched_reported(struct dag_sched *s, uint32_t worker, int64_t clock_ms,
-			int64_t now_us)
+void dag_sched_reported(struct dag_sched *s, uint32_t worker, int64_t now_us)
 {
 	struct dag_worker_rec *rec = dag_state_worker(s->state, worker);
 	struct ds_worker *w = rec ? rec->sched : NULL;
@@ -157,7 +156,6 @@
 	if (now_us - w->heard_us >= s->opt.report_us * SILENT_REPORTS_HALF / 2)
 		s->place_again = true;
 	w->heard_us = now_us;
-	(void)clock_ms;
 }
 
 /* The worker said that it ends; it gets nothing new. */
--- a/core/store_snap.c
+++ b/core/store_snap.c
@@ -23,12 +23,6 @@
 	return (uint32_t)crc32_z(0, (const Bytef *)bytes.p, bytes.n);
 }
 
-static void put_u32(char *p, uint32_t v)
-{
-	for (int i = 0; i < LENGTH_BYTES; i++)
-		p[i] = (char)(v >> (LENGTH_BYTES - 1 - i) * 8);
-}
-
 static uint32_t get_u32(const char *p)
 {
 	uint32_t v = 0;
@@ -58,7 +52,7 @@
 		err = codec_encode((xdrproc_t)xdr_snap_record, record, &w->chunk);
 	if (err)
 		return err;
-	put_u32(w->chunk.p + at, (uint32_t)(w->chunk.n - at - LENGTH_BYTES));
+	codec_put_u32(w->chunk.p + at, (uint32_t)(w->chunk.n - at - LENGTH_BYTES));
 	w->records++;
 	return w->chunk.n >= CHUNK_BYTES ? flush(w) : 0;
 }
--- a/proto/codec.c
+++ b/proto/codec.c
@@ -49,3 +49,11 @@
 {
 	xdr_free(proc, object);
 }
+
+void codec_put_u32(void *p, uint32_t v)
+{
+	unsigned char *to = p;
+
+	for (int i = 0; i < 4; i++)
+		to[i] = (unsigned char)(v >> (24 - 8 * i));
+}
--- a/proto/codec.h
+++ b/proto/codec.h
@@ -9,6 +9,8 @@
 int codec_encode(xdrproc_t proc, const void *object, struct buf *out);
 int codec_decode(xdrproc_t proc, void *object, struct str bytes);
 void codec_free(xdrproc_t proc, void *object);
+/* Writes an XDR unsigned int, for heads of lists whose items are encoded already. */
+void codec_put_u32(void *p, uint32_t v);
 
 /* The counted-string view of an XDR opaque<> member, and the other way. */
 #define XDR_STR(object, member) \
--- a/proto/dag.h
+++ b/proto/dag.h
@@ -431,8 +431,6 @@
 };
 
 struct dag_report {
-	u_quad_t seq;
-	quad_t clock_ms;
 	struct dag_worker worker;
 };
 
--- a/proto/dag.x
+++ b/proto/dag.x
@@ -309,10 +309,7 @@
 	dag_job job;
 };
 
-/* seq rises with each report of one life of an executor; clock_ms is its own clock. */
 struct dag_report {
-	unsigned hyper seq;
-	hyper clock_ms;
 	dag_worker worker;
 };
 
--- a/proto/dag_xdr.c
+++ b/proto/dag_xdr.c
@@ -968,10 +968,6 @@
 {
 	register int32_t *buf;
 
-	 if (!xdr_u_quad_t (xdrs, &objp->seq))
-		 return FALSE;
-	 if (!xdr_quad_t (xdrs, &objp->clock_ms))
-		 return FALSE;
 	 if (!xdr_dag_worker (xdrs, &objp->worker))
 		 return FALSE;
 	return TRUE;
--- a/regress/lib_dag_world.c
+++ b/regress/lib_dag_world.c
@@ -680,8 +680,7 @@
 			dag_state_worker_by_id(w->state, str_from(w->workers[i].id));
 
 		if (rec && w->workers[i].up && !w->workers[i].cut)
-			dag_sched_reported(w->sched, rec->number,
-					   clock_ms(w, &w->workers[i]), w->now_us);
+			dag_sched_reported(w->sched, rec->number, w->now_us);
 	}
 }
 
--- /dev/null
+++ b/regress/test_platform.c
@@ -0,0 +1,206 @@
+#include <check.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/err.h"
+#include "base/prng.h"
+#include "core/dag_state.h"
+#include "platform/conf_json.h"
+#include "platform/job_json.h"
+
+/* Bodies whose bytes are changed at random. */
+#define N_MUTATIONS 20000
+
+static const char job_text[] =
+	"{\"spec\":\"(text)\",\"steps\":[{\"count\":4,\"cpu\":500,\"mem_mb\":256,"
+	"\"estimate_ms\":900,\"data_rack\":\"r1-3\"},{\"count\":20,\"cpu\":2000,"
+	"\"mem_mb\":1024,\"estimate_ms\":7000,\"depends_on\":[0],\"checkpointable\":true,"
+	"\"gang\":true,\"max_per_server\":2,\"image\":\"i\"}],\"repeat_count\":2,"
+	"\"start_at_ms\":1700000000000,\"interval_ms\":500}";
+
+static const char conf_text[] =
+	"{\"version\":7,\"routes\":[{\"name\":\"r\",\"host\":\"h.example\","
+	"\"path_prefix\":\"/p/\",\"timeout_ms\":3000,\"slo_ms\":2500,\"priority\":1,"
+	"\"service\":\"s\",\"attempts\":3,\"stretch\":2.2},{\"name\":\"r2\","
+	"\"host\":\"h.example\",\"path_prefix\":\"/p/q/\",\"timeout_ms\":1,"
+	"\"service\":\"s\"}],\"services\":[{\"name\":\"s\",\"admission_control\":true}],"
+	"\"limits\":{}}";
+
+static int read_job(const char *text, size_t n, struct dag_job *job)
+{
+	json_t *root = json_parse((struct str){text, n});
+	int err = root ? job_json_read(root, job) : CF_EMALFORMED;
+
+	/* The texts of the job are borrowed, and only its numbers are looked at. */
+	json_decref(root);
+	return err;
+}
+
+static int read_conf(const char *text, size_t n)
+{
+	json_t *root = json_parse((struct str){text, n});
+	struct dag_conf conf = {0};
+	int err =
+		root ? conf_json_read(root, (struct str){text, n}, &conf) : CF_EMALFORMED;
+
+	conf_json_free(&conf);
+	json_decref(root);
+	return err;
+}
+
+/* Copies a text with one part replaced. */
+static const char *with(const char *text, const char *part, const char *by)
+{
+	static char out[2048];
+	const char *at = strstr(text, part);
+
+	ck_assert_ptr_nonnull(at);
+	snprintf(out, sizeof(out), "%.*s%s%s", (int)(at - text), text, by,
+		 at + strlen(part));
+	return out;
+}
+
+/* Guards the reading of each field of a submission. */
+START_TEST(job_is_read)
+{
+	struct dag_job job = {0};
+	const struct dag_step *st;
+
+	ck_assert_int_eq(read_job(job_text, strlen(job_text), &job), 0);
+	ck_assert_uint_eq(job.steps.steps_len, 2);
+	ck_assert_uint_eq(job.occurrences, 2);
+	ck_assert_int_eq(job.start_ms, 1700000000000);
+	ck_assert_uint_eq(job.interval_ms, 500);
+	st = &job.steps.steps_val[1];
+	ck_assert_uint_eq(st->count, 20);
+	ck_assert_uint_eq(st->cpu_milli, 2000);
+	ck_assert_uint_eq(st->mem_mb, 1024);
+	ck_assert_uint_eq(st->estimate_ms, 7000);
+	ck_assert_uint_eq(st->max_per_worker, 2);
+	ck_assert(st->gang);
+	ck_assert(st->checkpointable);
+	ck_assert(!st->speculative);
+	ck_assert_uint_eq(st->depends_on.depends_on_len, 1);
+	ck_assert_uint_eq(st->depends_on.depends_on_val[0], 0);
+	job_json_free(&job);
+}
+END_TEST
+
+static const struct {
+	const char *part, *by;
+} bad_jobs[] = {
+	{"\"steps\":[", "\"stages\":["},
+	{"\"count\":4", "\"count\":-4"},
+	{"\"count\":4", "\"count\":\"4\""},
+	{"\"count\":4", "\"count\":4.5"},
+	{"\"count\":4", "\"count\":4294967296"},
+	{"\"depends_on\":[0]", "\"depends_on\":[-1]"},
+	{"\"depends_on\":[0]", "\"depends_on\":[\"0\"]"},
+	{"\"depends_on\":[0]", "\"depends_on\":0"},
+	{"\"gang\":true", "\"gang\":1"},
+	{"\"image\":\"i\"", "\"image\":5"},
+	{"\"spec\":\"(text)\"", "\"spec\":[]"},
+	{"\"repeat_count\":2", "\"repeat_count\":true"},
+	{"{\"spec\"", "[{\"spec\""},
+	{"{\"count\":4", "7,{\"count\":4"},
+};
+
+/* Guards against a submission of another writer that is taken for a job. */
+START_TEST(bad_job_is_refused)
+{
+	const char *text = with(job_text, bad_jobs[_i].part, bad_jobs[_i].by);
+	struct dag_job job = {0};
+
+	ck_assert_msg(read_job(text, strlen(text), &job) < 0, "%s", bad_jobs[_i].by);
+	job_json_free(&job);
+}
+END_TEST
+
+static const struct {
+	const char *part, *by;
+	int err;
+} confs[] = {
+	{"\"version\":7", "\"version\":8", 0},
+	{"\"limits\":{}", "\"later\":[1]", 0},
+	{"\"version\":7", "\"version\":0", CF_EINVAL},
+	{"\"version\":7", "\"version\":\"7\"", CF_EMALFORMED},
+	{"\"timeout_ms\":3000", "\"timeout_ms\":0", CF_EINVAL},
+	{"\"timeout_ms\":3000", "\"other_ms\":3000", CF_EINVAL},
+	{"\"service\":\"s\",\"attempts\"", "\"service\":\"t\",\"attempts\"", CF_EINVAL},
+	{"\"path_prefix\":\"/p/q/\"", "\"path_prefix\":\"/p/\"", CF_EINVAL},
+	{"\"stretch\":2.2", "\"stretch\":-1", CF_EMALFORMED},
+	{"\"routes\":[", "\"routes\":[5,", CF_EMALFORMED},
+	{"\"services\":[", "\"services\":{}, \"x\":[", CF_EMALFORMED},
+};
+
+/* Guards against an invalid configuration in force, and a valid one that is refused. */
+START_TEST(conf_is_checked)
+{
+	const char *text = with(conf_text, confs[_i].part, confs[_i].by);
+
+	ck_assert_int_eq(read_conf(conf_text, strlen(conf_text)), 0);
+	ck_assert_msg(read_conf(text, strlen(text)) == confs[_i].err, "%s", confs[_i].by);
+}
+END_TEST
+
+/* Guards against a body that is cut off and taken for whole. */
+START_TEST(cut_bodies_are_refused)
+{
+	for (size_t n = 0; n < strlen(job_text); n++) {
+		struct dag_job job = {0};
+
+		ck_assert_int_lt(read_job(job_text, n, &job), 0);
+		job_json_free(&job);
+	}
+	for (size_t n = 0; n < strlen(conf_text); n++)
+		ck_assert_int_lt(read_conf(conf_text, n), 0);
+}
+END_TEST
+
+/* Guards against bytes that damage the process; the sanitizers see what they do. */
+START_TEST(random_bytes_do_no_harm)
+{
+	struct prng prng = {.state = 1};
+	char text[sizeof(job_text) + sizeof(conf_text)];
+
+	for (int i = 0; i < N_MUTATIONS; i++) {
+		const char *from = i % 2 ? job_text : conf_text;
+		size_t n = strlen(from);
+		struct dag_job job = {0};
+
+		memcpy(text, from, n);
+		for (uint64_t k = 1 + prng_below(&prng, 3); k > 0; k--)
+			text[prng_below(&prng, n)] =
+				prng_below(&prng, 2) ? (char)prng_below(&prng, 256)
+						     : from[prng_below(&prng, n)];
+		if (i % 2 && !read_job(text, n, &job))
+			ck_assert_uint_gt(job.steps.steps_len, 0);
+		else if (i % 2 == 0)
+			read_conf(text, n);
+		job_json_free(&job);
+	}
+}
+END_TEST
+
+#define N_OF(list) ((int)(sizeof(list) / sizeof((list)[0])))
+
+int main(void)
+{
+	Suite *s = suite_create("platform");
+	TCase *t = tcase_create("bodies");
+	SRunner *r;
+	int failed;
+
+	tcase_set_timeout(t, 120);
+	tcase_add_test(t, job_is_read);
+	tcase_add_loop_test(t, bad_job_is_refused, 0, N_OF(bad_jobs));
+	tcase_add_loop_test(t, conf_is_checked, 0, N_OF(confs));
+	tcase_add_test(t, cut_bodies_are_refused);
+	tcase_add_test(t, random_bytes_do_no_harm);
+	suite_add_tcase(s, t);
+	r = srunner_create(s);
+	srunner_run_all(r, CK_ENV);
+	failed = srunner_ntests_failed(r);
+	srunner_free(r);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
