Scheduler: a new leader of a large fleet spreads its first looks over 0.6 s

A new leader looks at all workers at once and has heard of one gateway then, which has to make all the calls; gateways report every half a second.

Tried first and reverted: at most 128 open calls for each gateway, the rest by the leader itself.

Now the first looks are spread by place in the list, from 200 workers on.

first_looks_are_spread fails without the change (400 looks at once).

--- a/core/dag_sched.c
+++ b/core/dag_sched.c
@@ -259,6 +259,7 @@
 	dag_interfere_load_saved(s->interfere, &s->state->model);
 	for (w = s->state->workers; w; w = w->hh.next)
 		ds_worker_new(s, w);
+	ds_workers_spread(s);
 	for (rec = s->state->jobs; rec && !s->err; rec = rec->hh.next) {
 		struct ds_job *j;
 
--- a/core/dag_sched_impl.h
+++ b/core/dag_sched_impl.h
@@ -199,6 +199,7 @@
 /* dag_worker.c */
 struct ds_worker *ds_worker_new(struct dag_sched *s, struct dag_worker_rec *rec);
 void ds_worker_free(struct dag_sched *s, struct ds_worker *w);
+void ds_workers_spread(struct dag_sched *s);
 void ds_worker_replaced(struct dag_sched *s, const struct dag_worker_rec *rec);
 void ds_worker_refresh(struct dag_sched *s, struct ds_worker *w);
 bool ds_worker_usable(const struct dag_sched *s, const struct ds_worker *w);
--- a/core/dag_worker.c
+++ b/core/dag_worker.c
@@ -10,6 +10,8 @@
 #define LOOK_WAIT_PACED_MS 400U
 /* From so many workers on, lists are read less often. */
 #define LARGE_FLEET 200U
+/* A new leader of a large fleet reads the first lists in the course of this time. */
+#define FIRST_LOOKS_US (600 * MS)
 #define LOOK_RETRY_US (400 * MS)
 /* A worker that said that it ends and then does not answer has ended. */
 #define LEFT_US (1 * SEC)
@@ -66,6 +68,19 @@
 	return w;
 }
 
+/*
+ * Spreads a new leader's first looks. It hears of the gateways that make its calls one
+ * after the other, and the first would have to make them all.
+ */
+void ds_workers_spread(struct dag_sched *s)
+{
+	if (s->n_workers < LARGE_FLEET)
+		return;
+	for (size_t i = 0; i < s->n_workers; i++)
+		s->workers[i]->look_at_us =
+			s->now_us + FIRST_LOOKS_US * (int64_t)i / (int64_t)s->n_workers;
+}
+
 void ds_worker_free(struct dag_sched *s, struct ds_worker *w)
 {
 	struct ds_run *r;
--- a/regress/test_dag.c
+++ b/regress/test_dag.c
@@ -502,6 +502,73 @@
 }
 END_TEST
 
+/* A host that only counts the looks; nothing answers. */
+static unsigned int n_looks;
+
+static int no_propose(struct dag_host *h, const struct dag_command *c)
+{
+	return 0;
+}
+
+static void no_order(struct dag_host *h, const struct dag_order *o)
+{
+}
+
+static void count_look(struct dag_host *h, const struct dag_look_order *o)
+{
+	n_looks++;
+}
+
+static void no_note(struct dag_host *h, const char *event, const struct dag_task_ref *t,
+		    uint32_t run, struct str worker, const char *reason, int64_t value)
+{
+}
+
+static const struct dag_host_ops count_ops = {
+	.propose = no_propose,
+	.start = no_order,
+	.stop = no_order,
+	.pace = no_order,
+	.look = count_look,
+	.note = no_note,
+};
+
+/*
+ * Guards against a new leader that looks at a whole large fleet at once, before it has
+ * heard of more than one gateway; on a day with 3,000 executors that one made all calls.
+ */
+START_TEST(first_looks_are_spread)
+{
+	struct dag_host host = {.ops = &count_ops};
+	struct dag_sched_options opt = {
+		.host = &host, .epoch = 1, .lease_us = 10 * SECOND, .report_us = SECOND};
+	struct dag_sched *s;
+
+	ck_assert_int_eq(dag_state_new(&opt.state), 0);
+	for (uint32_t i = 1; i <= 400; i++) {
+		struct dag_worker worker = {.cpu_milli = 1000};
+		struct dag_worker_rec *rec;
+		char id[16];
+
+		snprintf(id, sizeof(id), "i-%u", i);
+		XDR_SET(worker, id, str_from(id));
+		XDR_SET(worker, address, str_from(id));
+		ck_assert_int_eq(dag_state_put_worker(opt.state, i, &worker, &rec), 0);
+	}
+	ck_assert_int_eq(dag_sched_new(&opt, SECOND, 0, &s), 0);
+	n_looks = 0;
+	for (int ms = 0; ms <= 60; ms += 10)
+		dag_sched_tick(s, SECOND + ms * 1000, 0);
+	ck_assert_uint_ge(n_looks, 20);
+	ck_assert_uint_le(n_looks, 60);
+	for (int ms = 70; ms <= 700; ms += 10)
+		dag_sched_tick(s, SECOND + ms * 1000, 0);
+	ck_assert_uint_eq(n_looks, 400);
+	dag_sched_free(s);
+	dag_state_free(opt.state);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("dag");
@@ -528,6 +595,7 @@
 	tcase_add_test(tc, stalled_runs_move);
 	tcase_add_test(tc, attempts_are_bounded);
 	tcase_add_test(tc, leader_change_keeps_runs);
+	tcase_add_test(tc, first_looks_are_spread);
 	tcase_add_loop_test(tc, random_faults, 0, N_SEEDS);
 	tcase_add_test(tc, snapshot_restores_the_state);
 	suite_add_tcase(s, tc);
