--- a/carawayctl/ctl.h
+++ b/carawayctl/ctl.h
@@ -52,6 +52,7 @@
 int ctl_stats(struct ctl *ctl, int argc, char **argv);
 int ctl_health(struct ctl *ctl, int argc, char **argv);
 int ctl_member(struct ctl *ctl, int argc, char **argv);
+int ctl_explain(struct ctl *ctl, int argc, char **argv);
 
 int ctl_need_team(const struct ctl *ctl);
 int ctl_bad_usage(const char *what);
--- /dev/null
+++ b/carawayctl/explain.c
@@ -0,0 +1,242 @@
+/* The history of one id, from log files of any processes. */
+#include <err.h>
+#include <errno.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "carawayctl/ctl.h"
+#include "carawayctl/table.h"
+
+#define MAX_EVENTS 100000U /* kept in memory; later ones are counted only */
+#define MAX_WORKERS 256U
+
+/* One log line: borrowed parts of text. */
+struct explain_line {
+	char *text;
+	size_t order; /* of reading, for lines of one time */
+	struct str time;
+	struct str process;
+	struct str event;
+	struct str worker;
+	struct str rest; /* behind the event */
+	bool about;	 /* names the id */
+};
+
+struct explain {
+	const char *id;
+	struct explain_line *lines;
+	size_t n, cap;
+	size_t dropped;
+	struct str workers[MAX_WORKERS]; /* that the lines about the id name */
+	size_t n_workers;
+};
+
+static bool is_id_char(char c)
+{
+	return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'z') ||
+	       (c >= 'A' && c <= 'Z') || c == '-' || c == '_';
+}
+
+/* Whether a line names the id, not as a part of a longer word. */
+static bool names_id(const char *line, const char *id)
+{
+	size_t n = strlen(id);
+
+	for (const char *p = line; (p = strstr(p, id)); p += n)
+		if ((p == line || !is_id_char(p[-1])) && !is_id_char(p[n]))
+			return true;
+	return false;
+}
+
+/* Value of a field that is no quoted text; empty when the line has none. */
+static struct str field(const char *line, const char *name)
+{
+	size_t n = strlen(name);
+
+	for (const char *p = line; (p = strstr(p, name)); p += n)
+		if ((p == line || p[-1] == ' ') && p[n] == '=')
+			return (struct str){p + n + 1, strcspn(p + n + 1, " \r\n")};
+	return (struct str){NULL, 0};
+}
+
+/* Events that may explain what happened to others. */
+static bool is_context(struct str event)
+{
+	static const char *const names[] = {
+		"worker-lost",	   "worker-back",   "worker-avoided",
+		"worker-leave",	   "worker-report", "leading-ended",
+		"leading-started", "handed-over",   "gateway-avoided",
+		"conf-put",	   "zone",
+	};
+
+	for (size_t i = 0; i < sizeof(names) / sizeof(names[0]); i++)
+		if (str_eq(event, str_from(names[i])))
+			return true;
+	return false;
+}
+
+static int reserve(struct explain *x)
+{
+	size_t cap = x->cap ? 2 * x->cap : 256;
+	struct explain_line *list;
+
+	if (x->n < x->cap)
+		return 0;
+	list = realloc(x->lines, cap * sizeof(*list));
+	if (!list)
+		return -1;
+	x->lines = list;
+	x->cap = cap;
+	return 0;
+}
+
+static void note_worker(struct explain *x, struct str worker)
+{
+	for (size_t i = 0; i < x->n_workers; i++)
+		if (str_eq(x->workers[i], worker))
+			return;
+	if (worker.n && x->n_workers < MAX_WORKERS)
+		x->workers[x->n_workers++] = worker;
+}
+
+/* Keeps a line that is about the id or may explain it. Lines without a time are skipped.
+ */
+static int add_line(struct explain *x, const char *text)
+{
+	struct explain_line l = {.about = names_id(text, x->id)};
+
+	if ((!l.about && !is_context(field(text, "event"))) || !field(text, "time").n)
+		return 0;
+	if (x->n == MAX_EVENTS) {
+		x->dropped++;
+		return 0;
+	}
+	l.text = str_dup(str_from(text));
+	if (!l.text || reserve(x)) {
+		free(l.text);
+		return -1;
+	}
+	l.text[strcspn(l.text, "\r\n")] = '\0';
+	l.order = x->n;
+	l.time = field(l.text, "time");
+	l.process = field(l.text, "process");
+	l.event = field(l.text, "event");
+	l.worker = field(l.text, "worker");
+	if (l.event.p)
+		l.rest = str_from(l.event.p + l.event.n + (l.event.p[l.event.n] == ' '));
+	if (l.about)
+		note_worker(x, l.worker);
+	x->lines[x->n++] = l;
+	return 0;
+}
+
+static int read_file(struct explain *x, const char *name)
+{
+	FILE *f = strcmp(name, "-") == 0 ? stdin : fopen(name, "r");
+	char *text = NULL;
+	size_t cap = 0;
+	int status = CTL_DONE;
+
+	if (!f) {
+		warn("%s", name);
+		return CTL_USAGE;
+	}
+	while (status == CTL_DONE && getline(&text, &cap, f) >= 0)
+		if (add_line(x, text))
+			status = CTL_REFUSED;
+	if (status == CTL_DONE && ferror(f)) {
+		warn("%s", name);
+		status = CTL_REFUSED;
+	}
+	free(text);
+	if (f != stdin)
+		fclose(f);
+	return status;
+}
+
+/* Times are UTC in one form, so that their texts sort like them. */
+static int compare_times(struct str a, struct str b)
+{
+	size_t n = a.n < b.n ? a.n : b.n;
+	int order = memcmp(a.p, b.p, n);
+
+	return order ? order : (a.n > b.n) - (a.n < b.n);
+}
+
+static int compare_lines(const void *a, const void *b)
+{
+	const struct explain_line *x = a;
+	const struct explain_line *y = b;
+	int order = compare_times(x->time, y->time);
+
+	return order ? order : (x->order > y->order) - (x->order < y->order);
+}
+
+/* Whether a line without the id belongs to the history: its worker, or no worker. */
+static bool concerns(const struct explain *x, const struct explain_line *l)
+{
+	if (l->about || !l->worker.n)
+		return true;
+	for (size_t i = 0; i < x->n_workers; i++)
+		if (str_eq(x->workers[i], l->worker))
+			return true;
+	return false;
+}
+
+static json_t *row_of(const struct explain_line *l)
+{
+	return json_pack("{s:s%,s:s%,s:s%,s:s%}", "time", l->time.p, l->time.n, "process",
+			 l->process.p ? l->process.p : "", l->process.n, "event",
+			 l->event.p ? l->event.p : "", l->event.n, "details",
+			 l->rest.p ? l->rest.p : "", l->rest.n);
+}
+
+static int print(struct explain *x, bool as_json)
+{
+	json_t *rows = json_array();
+	json_t *reply = json_pack("{s:o}", "events", rows);
+	size_t first = 0;
+	size_t last = x->n;
+
+	qsort(x->lines, x->n, sizeof(*x->lines), compare_lines);
+	while (first < x->n && !x->lines[first].about)
+		first++;
+	while (last > first && !x->lines[last - 1].about)
+		last--;
+	for (size_t i = first; i < last; i++)
+		if (concerns(x, &x->lines[i]))
+			json_array_append_new(rows, row_of(&x->lines[i]));
+	if (x->dropped)
+		warnx("%zu later lines were not read", x->dropped);
+	if (first < last)
+		table_print_reply(reply, "events", as_json);
+	else
+		warnx("no line names %s", x->id);
+	json_decref(reply);
+	return first < last ? CTL_DONE : CTL_REFUSED;
+}
+
+/*
+ * explain id file...: what log files of any processes say of a request, job, worker or
+ * gateway, in order of time, with what happened to its workers and leaders meanwhile.
+ */
+int ctl_explain(struct ctl *ctl, int argc, char **argv)
+{
+	struct explain x = {0};
+	int status = CTL_DONE;
+
+	if (argc < 2)
+		return ctl_bad_usage("explain: an id and log files are needed");
+	if (!ctl_name_valid(argv[0]))
+		return ctl_bad_usage("explain: not an id");
+	x.id = argv[0];
+	for (int i = 1; i < argc && status == CTL_DONE; i++)
+		status = read_file(&x, argv[i]);
+	if (status == CTL_DONE)
+		status = print(&x, ctl->json);
+	for (size_t i = 0; i < x.n; i++)
+		free(x.lines[i].text);
+	free(x.lines);
+	return status;
+}
--- a/carawayctl/main.c
+++ b/carawayctl/main.c
@@ -15,9 +15,16 @@
 #define MAX_TIMEOUT_S 3600
 
 static const struct ctl_command commands[] = {
-	{"conf", ctl_conf},   {"vocabulary", ctl_vocabulary}, {"job", ctl_job},
-	{"zone", ctl_zone},   {"upstreams", ctl_upstreams},   {"workers", ctl_workers},
-	{"stats", ctl_stats}, {"health", ctl_health},	      {"member", ctl_member},
+	{"conf", ctl_conf},
+	{"vocabulary", ctl_vocabulary},
+	{"job", ctl_job},
+	{"zone", ctl_zone},
+	{"upstreams", ctl_upstreams},
+	{"workers", ctl_workers},
+	{"stats", ctl_stats},
+	{"health", ctl_health},
+	{"member", ctl_member},
+	{"explain", ctl_explain},
 };
 
 static void usage(FILE *f)
@@ -34,7 +41,8 @@
 		   "  job submit file | show id | list | cancel id\n"
 		   "  zone out name | in name\n"
 		   "  upstreams | workers | stats | health\n"
-		   "  member list\n");
+		   "  member list\n"
+		   "  explain id logfile ...\n");
 }
 
 /* Reports a misuse and returns the exit status for it. */
--- a/regress/test_carawayctl.c
+++ b/regress/test_carawayctl.c
@@ -305,6 +305,73 @@
 }
 END_TEST
 
+static char *log_file(const char *text)
+{
+	static char names[4][64];
+	static int n;
+	char *name = names[n++ % 4];
+
+	snprintf(name, sizeof(names[0]), "%s", temp_file(text));
+	return name;
+}
+
+/*
+ * Guards against a history with lines of another id or in the order of the files, and one
+ * that leaves out what happened to the workers and leaders meanwhile.
+ */
+START_TEST(explain_orders_the_lines_of_one_id)
+{
+	char *gateway = log_file(
+		"time=2026-01-01T00:00:01.500Z level=INFO process=front-1 event=request "
+		"kind=submit path=/q/0a1b outcome=ok ms=9\n"
+		"time=2026-01-01T00:00:01.600Z level=INFO process=front-1 event=request "
+		"kind=submit path=/q/0a1b2 outcome=ok ms=9\n"
+		"level=WARN event=log-dropped lines=3 path=/q/0a1b\n");
+	char *leader = log_file(
+		"time=2026-01-01T00:00:01.000Z level=INFO process=core-1 "
+		"event=worker-lost worker=w1 reason=\"no answer\" value=8\n"
+		"time=2026-01-01T00:00:01.400Z level=INFO process=core-1 "
+		"event=job-accepted job=0a1b queue=q\n"
+		"  12.5 core-1 time=2026-01-01T00:00:02.000Z level=INFO process=core-1 "
+		"event=worker-lost worker=w1 reason=\"no answer\" value=8\n"
+		"time=2026-01-01T00:00:02.100Z level=INFO process=core-1 "
+		"event=worker-lost worker=w2 reason=\"no answer\" value=8\n"
+		"time=2026-01-01T00:00:02.200Z level=INFO process=core-1 "
+		"event=leading-ended epoch=3\n"
+		"time=2026-01-01T00:00:09.000Z level=INFO process=core-1 "
+		"event=run-ended job=0a1b task=0.0.0 run=1 worker=w1 "
+		"reason=\"lease ended\" value=3\n"
+		"time=2026-01-01T00:00:09.500Z level=INFO process=core-1 "
+		"event=worker-back worker=w1 value=2\n");
+	static const char *const events[] = {"job-accepted", "request", "worker-lost",
+					     "leading-ended", "lease ended"};
+	char command[256];
+	const char *at;
+
+	snprintf(command, sizeof(command), "carawayctl explain 0a1b %s %s", gateway,
+		 leader);
+	ck_assert_int_eq(tool_run(&out, command), 0);
+	at = out.p;
+	for (size_t i = 0; i < sizeof(events) / sizeof(events[0]); i++) {
+		at = strstr(at, events[i]);
+		ck_assert_msg(at != NULL, "%s in %s", events[i], out.p);
+	}
+	ck_assert_ptr_null(strstr(out.p, "0a1b2"));
+	ck_assert_ptr_null(strstr(out.p, "w2"));
+	ck_assert_ptr_null(strstr(out.p, "worker-back"));
+	ck_assert_ptr_null(strstr(out.p, "00:00:01.000Z"));
+	snprintf(command, sizeof(command), "carawayctl -j explain 0a1b %s", leader);
+	ck_assert_int_eq(tool_run(&out, command), 0);
+	ck_assert_ptr_nonnull(strstr(out.p, "\"process\""));
+	snprintf(command, sizeof(command), "carawayctl explain ffff %s", leader);
+	ck_assert_int_eq(tool_run(&out, command), 1);
+	ck_assert_int_eq(tool_run(&out, "carawayctl explain 0a1b"), 2);
+	ck_assert_int_eq(tool_run(&out, "carawayctl explain 0a1b /nonexistent"), 2);
+	unlink(gateway);
+	unlink(leader);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("carawayctl");
@@ -327,6 +394,7 @@
 	tcase_add_test(tc, stats_sum_sparse_buckets);
 	tcase_add_test(tc, watch_continues_behind_the_index);
 	tcase_add_test(tc, health_reports_the_worst);
+	tcase_add_test(tc, explain_orders_the_lines_of_one_id);
 	suite_add_tcase(s, tc);
 	sr = srunner_create(s);
 	srunner_run_all(sr, CK_NORMAL);
