--- a/carawayctl/explain.c
+++ b/carawayctl/explain.c
@@ -199,7 +199,8 @@
 	size_t first = 0;
 	size_t last = x->n;
 
-	qsort(x->lines, x->n, sizeof(*x->lines), compare_lines);
+	if (x->n)
+		qsort(x->lines, x->n, sizeof(*x->lines), compare_lines);
 	while (first < x->n && !x->lines[first].about)
 		first++;
 	while (last > first && !x->lines[last - 1].about)
