--- a/regress/test_platform.c
+++ b/regress/test_platform.c
@@ -168,7 +168,7 @@
 		size_t n = strlen(from);
 		struct dag_job job = {0};
 
-		memcpy(text, from, n);
+		memcpy(text, from, n + 1);
 		for (uint64_t k = 1 + prng_below(&prng, 3); k > 0; k--)
 			text[prng_below(&prng, n)] =
 				prng_below(&prng, 2) ? (char)prng_below(&prng, 256)
