--- a/core/dag_worker.c
+++ b/core/dag_worker.c
@@ -492,7 +492,7 @@
 		want_copies(s, w);
 		if (w->left_us && now_us - w->left_us > LEFT_US && w->look_failures > 1)
 			worker_died(s, w, "left");
-		w->look_at_us = now_us + LOOK_RETRY_US;
+		w->look_at_us = now_us + (w->look_failures > 1 ? LOOK_RETRY_US : 0);
 		return;
 	}
 	if (w->look_failures) {
--- a/regress/test_dag.c
+++ b/regress/test_dag.c
@@ -533,6 +533,41 @@
 	.note = no_note,
 };
 
+/*
+ * Guards against a worker that is not heard for as long as a lost look and a pause take:
+ * most looks without an answer are lost alone, and the ends on the worker wait.
+ */
+START_TEST(lost_look_is_repeated_at_once)
+{
+	struct dag_host host = {.ops = &count_ops};
+	struct dag_sched_options opt = {
+		.host = &host, .epoch = 1, .lease_us = 10 * SECOND, .report_us = SECOND};
+	struct dag_worker worker = {.cpu_milli = 1000};
+	struct dag_worker_rec *rec;
+	struct dag_sched *s;
+
+	ck_assert_int_eq(dag_state_new(&opt.state), 0);
+	XDR_SET(worker, id, STR("i-1"));
+	XDR_SET(worker, address, STR("i-1"));
+	ck_assert_int_eq(dag_state_put_worker(opt.state, 1, &worker, &rec), 0);
+	ck_assert_int_eq(dag_sched_new(&opt, SECOND, 0, &s), 0);
+	n_looks = 0;
+	dag_sched_tick(s, SECOND, 0);
+	ck_assert_uint_eq(n_looks, 1);
+	dag_sched_looked(s, 1, DAG_ANSWER_NONE, NULL, 2 * SECOND);
+	dag_sched_tick(s, 2 * SECOND, 0);
+	ck_assert_uint_eq(n_looks, 2);
+	/* One that does not answer again is not asked without a pause. */
+	dag_sched_looked(s, 1, DAG_ANSWER_NONE, NULL, 3 * SECOND);
+	dag_sched_tick(s, 3 * SECOND + SECOND / 5, 0);
+	ck_assert_uint_eq(n_looks, 2);
+	dag_sched_tick(s, 3 * SECOND + SECOND / 2, 0);
+	ck_assert_uint_eq(n_looks, 3);
+	dag_sched_free(s);
+	dag_state_free(opt.state);
+}
+END_TEST
+
 /*
  * Guards against a new leader that looks at a whole large fleet at once, before it has
  * heard of more than one gateway; on a day with 3,000 executors that one made all calls.
@@ -596,6 +631,7 @@
 	tcase_add_test(tc, attempts_are_bounded);
 	tcase_add_test(tc, leader_change_keeps_runs);
 	tcase_add_test(tc, first_looks_are_spread);
+	tcase_add_test(tc, lost_look_is_repeated_at_once);
 	tcase_add_loop_test(tc, random_faults, 0, N_SEEDS);
 	tcase_add_test(tc, snapshot_restores_the_state);
 	suite_add_tcase(s, tc);
