Clean-up after reading the change: one host of the data directory, one lookup, small files

What was written twice: the roles state and controller each had the six operations that keep a replica's entries in its data directory and the sync before the loop sleeps; both embed struct disk_host now. Tests of jobs with one step built them by hand (dw_submit_step()); the leader's view of a worker was looked up in three places. No behaviour changes.

Left as they are: generated XDR code, main() of the test programs, the fields that start orders and the replica's options share by shape only.

--- a/carawayfrontd/controller.c
+++ b/carawayfrontd/controller.c
@@ -173,22 +173,6 @@
 		 (unsigned long long)replica_epoch(c->replica), cf_strerror(err));
 }
 
-static void sync_log(struct controller *c)
-{
-	int64_t start = clock_us();
-	int err = state_disk_sync(c->disk);
-
-	c->sync_asked = false;
-	hist_add(metric_hist(c->metrics, "carawayfront_sync_duration_us", ""),
-		 (uint64_t)(clock_us() - start));
-	if (err) {
-		log_error("sync-failed", "error=\"%s\"", cf_strerror(err));
-		c->failure = err;
-		return;
-	}
-	replica_synced(c->replica, c->sync_token, clock_us());
-}
-
 static void check_failure(struct controller *c)
 {
 	if (!c->failure)
@@ -224,9 +208,9 @@
 		if (c->sched)
 			dag_sched_place(c->sched, clock_us());
 		controller_flush(c);
-		if (c->sync_asked && !c->failure)
-			sync_log(c);
-	} while ((c->n_batch || c->sync_asked) && !c->failure);
+		if (c->disk.sync_asked && !c->failure)
+			c->failure = disk_host_flush(&c->disk, c->replica, c->metrics);
+	} while ((c->n_batch || c->disk.sync_asked) && !c->failure);
 	follow_leadership(c);
 	hand_over(c);
 	relay_flush(c->relay);
--- a/carawayfrontd/controller_impl.h
+++ b/carawayfrontd/controller_impl.h
@@ -5,9 +5,9 @@
 
 #include "carawayfrontd/controller.h"
 #include "carawayfrontd/dag_client.h"
+#include "carawayfrontd/disk_host.h"
 #include "carawayfrontd/metrics_port.h"
 #include "carawayfrontd/relay.h"
-#include "carawayfrontd/state_disk.h"
 #include "core/dag_port.h"
 #include "core/replica.h"
 #include "io/http_server.h"
@@ -30,7 +30,7 @@
 struct operators; /* platform/operators.h */
 
 struct controller {
-	struct replica_host host;	/* first member: the replica calls back */
+	struct disk_host disk;		/* first member: the replica calls back */
 	struct dag_host sched_host;	/* of the scheduler */
 	struct dag_transport_user user; /* of the transport */
 	struct dag_service_port port;	/* requests of executors and operators */
@@ -41,7 +41,6 @@
 	uint64_t id;
 	struct controller_peer peers[CONTROLLER_MAX_PEERS];
 	size_t n_peers;
-	struct state_disk *disk;
 	struct replica *replica;
 	struct dag_state *state;
 	struct dag_sched *sched;	 /* NULL unless this process leads */
@@ -53,8 +52,6 @@
 	struct metrics_port *metrics_port;
 	struct ev_timer timer;
 	struct ev_prepare prepare;
-	uint64_t sync_token;
-	bool sync_asked;
 	struct buf batch; /* encoded commands of this round */
 	uint32_t n_batch;
 	struct controller_wait *waits;
@@ -62,7 +59,6 @@
 	struct dag_ticket members_ticket;
 	bool members_asked;
 	int64_t members_at_us;
-	int64_t not_member_us;
 	char report_text[64];
 	size_t next_reporter;
 	int64_t drain_us; /* 0: not draining */
--- a/carawayfrontd/controller_replica.c
+++ b/carawayfrontd/controller_replica.c
@@ -83,30 +83,6 @@
 	replica_msg_free(m);
 }
 
-static int op_append(struct replica_host *host, const struct replica_entry *e, size_t n)
-{
-	return state_disk_append(((struct controller *)host)->disk, e, n);
-}
-
-static int op_truncate(struct replica_host *host, uint64_t from_index)
-{
-	return state_disk_truncate(((struct controller *)host)->disk, from_index);
-}
-
-static int op_save_promise(struct replica_host *host, const struct replica_promise *p)
-{
-	return state_disk_save_promise(((struct controller *)host)->disk, p);
-}
-
-/* The sync itself runs before the loop sleeps, so that it covers what else arrives. */
-static void op_sync(struct replica_host *host, uint64_t token)
-{
-	struct controller *c = (struct controller *)host;
-
-	c->sync_token = token;
-	c->sync_asked = true;
-}
-
 static void op_apply(struct replica_host *host, const struct replica_entry *e)
 {
 	struct controller *c = (struct controller *)host;
@@ -142,18 +118,6 @@
 	return err;
 }
 
-static int op_save_snapshot(struct replica_host *host, uint64_t index, uint64_t epoch,
-			    struct str bytes)
-{
-	return state_disk_save_snapshot(((struct controller *)host)->disk, index, epoch,
-					bytes);
-}
-
-static int op_compact(struct replica_host *host, uint64_t index)
-{
-	return state_disk_compact(((struct controller *)host)->disk, index);
-}
-
 static void op_role_changed(struct replica_host *host, enum replica_role role,
 			    uint64_t epoch, uint64_t leader)
 {
@@ -166,16 +130,16 @@
 
 static const struct replica_ops replica_ops = {
 	.send = op_send,
-	.append = op_append,
-	.truncate = op_truncate,
-	.save_promise = op_save_promise,
-	.sync = op_sync,
+	.append = disk_host_append,
+	.truncate = disk_host_truncate,
+	.save_promise = disk_host_save_promise,
+	.sync = disk_host_sync,
 	.apply = op_apply,
 	.take_snapshot = op_take_snapshot,
 	.load_snapshot = op_load_snapshot,
 	.role_changed = op_role_changed,
-	.save_snapshot = op_save_snapshot,
-	.compact = op_compact,
+	.save_snapshot = disk_host_save_snapshot,
+	.compact = disk_host_compact,
 };
 
 /*
@@ -223,7 +187,7 @@
 	struct state_disk_loaded loaded;
 	uint64_t peers[REPLICA_MAX_MEMBERS];
 	struct replica_options opt = {
-		.host = &c->host,
+		.host = &c->disk.host,
 		.id = c->id,
 		.peers = peers,
 		.auto_admit = true,
@@ -232,8 +196,8 @@
 	};
 	int err;
 
-	c->host.ops = &replica_ops;
-	err = state_disk_open(&disk, &c->disk, &loaded);
+	c->disk.host.ops = &replica_ops;
+	err = state_disk_open(&disk, &c->disk.disk, &loaded);
 	if (err) {
 		log_error("data-refused", "dir=%.*s error=\"%s\"",
 			  STR_ARG(c->settings->data), cf_strerror(err));
@@ -263,7 +227,7 @@
 		rpc_client_free(c->peers[i].client);
 	c->n_peers = 0;
 	replica_free(c->replica);
-	state_disk_close(c->disk);
+	state_disk_close(c->disk.disk);
 }
 
 /* Writes the members' ids, at most DAG_MAX_MEMBERS, and returns the leader's, or 0. */
--- a/carawayfrontd/state.c
+++ b/carawayfrontd/state.c
@@ -45,30 +45,6 @@
 	buf_free(&bytes);
 }
 
-static int op_append(struct replica_host *host, const struct replica_entry *e, size_t n)
-{
-	return state_disk_append(((struct state *)host)->disk, e, n);
-}
-
-static int op_truncate(struct replica_host *host, uint64_t from_index)
-{
-	return state_disk_truncate(((struct state *)host)->disk, from_index);
-}
-
-static int op_save_promise(struct replica_host *host, const struct replica_promise *p)
-{
-	return state_disk_save_promise(((struct state *)host)->disk, p);
-}
-
-/* The sync itself runs before the loop sleeps, so that it covers what else arrives. */
-static void op_sync(struct replica_host *host, uint64_t token)
-{
-	struct state *s = (struct state *)host;
-
-	s->sync_token = token;
-	s->sync_asked = true;
-}
-
 static int op_take_snapshot(struct replica_host *host, struct buf *out)
 {
 	return store_snapshot(((struct state *)host)->store, out);
@@ -86,18 +62,6 @@
 	return err;
 }
 
-static int op_save_snapshot(struct replica_host *host, uint64_t index, uint64_t epoch,
-			    struct str bytes)
-{
-	return state_disk_save_snapshot(((struct state *)host)->disk, index, epoch,
-					bytes);
-}
-
-static int op_compact(struct replica_host *host, uint64_t index)
-{
-	return state_disk_compact(((struct state *)host)->disk, index);
-}
-
 static const char *role_name(enum replica_role role)
 {
 	switch (role) {
@@ -135,16 +99,16 @@
 
 static const struct replica_ops replica_ops = {
 	.send = op_send,
-	.append = op_append,
-	.truncate = op_truncate,
-	.save_promise = op_save_promise,
-	.sync = op_sync,
+	.append = disk_host_append,
+	.truncate = disk_host_truncate,
+	.save_promise = disk_host_save_promise,
+	.sync = disk_host_sync,
 	.apply = state_apply,
 	.take_snapshot = op_take_snapshot,
 	.load_snapshot = op_load_snapshot,
 	.role_changed = op_role_changed,
-	.save_snapshot = op_save_snapshot,
-	.compact = op_compact,
+	.save_snapshot = disk_host_save_snapshot,
+	.compact = disk_host_compact,
 };
 
 static const struct rpc_server_ops rpc_ops = {.call = state_on_rpc};
@@ -211,20 +175,12 @@
 	int64_t deadline;
 	int64_t now;
 
-	while (s->sync_asked && !s->failure) {
-		int64_t start = clock_us();
-		int err = state_disk_sync(s->disk);
-
-		s->sync_asked = false;
-		hist_add(metric_hist(s->metrics, "carawayfront_sync_duration_us", ""),
-			 (uint64_t)(clock_us() - start));
-		if (err) {
-			s->failure = err;
-			log_error("sync-failed", "error=\"%s\"", cf_strerror(err));
+	while (s->disk.sync_asked && !s->failure) {
+		s->failure = disk_host_flush(&s->disk, s->replica, s->metrics);
+		if (s->failure) {
 			ev_break(loop, EVBREAK_ALL);
 			return;
 		}
-		replica_synced(s->replica, s->sync_token, clock_us());
 	}
 	follow_leadership(s);
 	if (s->conf_changed) {
@@ -274,14 +230,14 @@
 	struct replica_members first = {0};
 	uint64_t peers[STATE_MAX_PEERS];
 	struct replica_options opt = {
-		.host = &s->host,
+		.host = &s->disk.host,
 		.id = s->id,
 		.peers = peers,
 		.n_peers = s->n_peers,
 		.auto_admit = true,
 		.snapshot_every = s->settings->limits.snapshot_entries,
 	};
-	int err = state_disk_open(&disk, &s->disk, &loaded);
+	int err = state_disk_open(&disk, &s->disk.disk, &loaded);
 
 	if (err) {
 		log_error("data-refused", "dir=%.*s error=\"%s\"",
@@ -353,7 +309,7 @@
 
 	if (!s)
 		return CF_ENOMEM;
-	s->host.ops = &replica_ops;
+	s->disk.host.ops = &replica_ops;
 	s->loop = loop;
 	s->settings = settings;
 	s->metrics = metrics;
@@ -410,7 +366,7 @@
 	for (size_t i = 0; i < s->n_peers; i++)
 		rpc_client_free(s->peers[i].client);
 	replica_free(s->replica);
-	state_disk_close(s->disk);
+	state_disk_close(s->disk.disk);
 	store_free(s->store);
 	free(s);
 }
--- a/carawayfrontd/state_impl.h
+++ b/carawayfrontd/state_impl.h
@@ -3,10 +3,10 @@
 
 #include <uthash.h>
 
+#include "carawayfrontd/disk_host.h"
 #include "carawayfrontd/member_id.h"
 #include "carawayfrontd/settings.h"
 #include "carawayfrontd/state.h"
-#include "carawayfrontd/state_disk.h"
 #include "core/replica.h"
 #include "core/sched.h"
 #include "core/store.h"
@@ -44,14 +44,13 @@
 struct state_leading; /* what exists only while this process leads */
 
 struct state {
-	struct replica_host host; /* first member: the replica calls back */
+	struct disk_host disk; /* first member: the replica calls back */
 	struct ev_loop *loop;
 	struct settings *settings;
 	struct metric_set *metrics;
 	uint64_t id;
 	struct state_peer peers[STATE_MAX_PEERS];
 	size_t n_peers;
-	struct state_disk *disk;
 	struct replica *replica;
 	struct store *store;
 	struct rpc_server_host rpc_host;
@@ -60,8 +59,6 @@
 	struct http_server *control;
 	struct ev_timer timer;
 	struct ev_prepare prepare;
-	uint64_t sync_token;
-	bool sync_asked;
 	struct state_proposal *proposals; /* by index */
 	struct state_watcher *watchers;
 	struct state_leading *leading; /* NULL unless this process may decide */
--- /dev/null
+++ b/core/dag_lookup.c
@@ -0,0 +1,65 @@
+#include "core/dag_state.h"
+#include "proto/codec.h"
+
+bool dag_state_zone_closed(const struct dag_state *s, struct str zone)
+{
+	struct dag_zone_rec *z;
+
+	HASH_FIND(hh, s->closed, zone.p, zone.n, z);
+	return z != NULL;
+}
+
+struct dag_job_rec *dag_state_job(const struct dag_state *s, uint64_t id)
+{
+	struct dag_job_rec *j;
+
+	HASH_FIND(hh, s->jobs, &id, sizeof(id), j);
+	return j;
+}
+
+struct dag_worker_rec *dag_state_worker(const struct dag_state *s, uint32_t number)
+{
+	struct dag_worker_rec *w;
+
+	HASH_FIND(hh, s->workers, &number, sizeof(number), w);
+	return w;
+}
+
+struct dag_worker_rec *dag_state_worker_by_id(const struct dag_state *s, struct str id)
+{
+	struct dag_worker_rec *w;
+
+	HASH_FIND(hh_id, s->by_id, id.p, id.n, w);
+	return w;
+}
+
+const struct dag_queue *dag_state_queue(const struct dag_state *s, struct str name)
+{
+	for (u_int i = 0; i < s->conf.queues.queues_len; i++)
+		if (str_eq(XDR_STR(s->conf.queues.queues_val[i], name), name))
+			return &s->conf.queues.queues_val[i];
+	return NULL;
+}
+
+/* Finds the queue with the longest prefix of path; rest is what follows the prefix. */
+const struct dag_queue *dag_state_route(const struct dag_state *s, struct str host,
+					struct str path, struct str *rest)
+{
+	const struct dag_queue *best = NULL;
+	size_t longest = 0;
+
+	for (u_int i = 0; i < s->conf.queues.queues_len; i++) {
+		const struct dag_queue *q = &s->conf.queues.queues_val[i];
+		struct str prefix = XDR_STR(*q, prefix);
+
+		if (!str_eq(XDR_STR(*q, host), host) || !str_starts(path, prefix))
+			continue;
+		if (best && prefix.n <= longest)
+			continue;
+		best = q;
+		longest = prefix.n;
+	}
+	if (best)
+		*rest = (struct str){path.p + longest, path.n - longest};
+	return best;
+}
--- a/core/dag_state.h
+++ b/core/dag_state.h
@@ -115,7 +115,6 @@
 const struct dag_queue *dag_state_queue(const struct dag_state *s, struct str name);
 const struct dag_queue *dag_state_route(const struct dag_state *s, struct str host,
 					struct str path, struct str *rest);
-const struct dag_service *dag_state_service(const struct dag_state *s, struct str name);
 uint32_t dag_state_waiting(const struct dag_state *s, struct str queue);
 
 struct dag_task *dag_job_task(const struct dag_job_rec *j, uint32_t occurrence,
--- a/core/dag_worker.c
+++ b/core/dag_worker.c
@@ -147,6 +147,14 @@
 	return end_ms;
 }
 
+/* The leader's view of a worker of the state; NULL: there is none. */
+static struct ds_worker *find(const struct dag_sched *s, uint32_t number)
+{
+	const struct dag_worker_rec *rec = dag_state_worker(s->state, number);
+
+	return rec ? rec->sched : NULL;
+}
+
 static void hear(struct ds_worker *w, int64_t clock_ms, int64_t now_us)
 {
 	w->heard_us = now_us;
@@ -160,8 +168,7 @@
 /* A report came, directly or through another controller. */
 void dag_sched_reported(struct dag_sched *s, uint32_t worker, int64_t now_us)
 {
-	struct dag_worker_rec *rec = dag_state_worker(s->state, worker);
-	struct ds_worker *w = rec ? rec->sched : NULL;
+	struct ds_worker *w = find(s, worker);
 
 	s->now_us = now_us;
 	if (!w)
@@ -174,8 +181,7 @@
 /* The worker said that it ends; it gets nothing new. */
 void dag_sched_leaving(struct dag_sched *s, uint32_t worker, int64_t now_us)
 {
-	struct dag_worker_rec *rec = dag_state_worker(s->state, worker);
-	struct ds_worker *w = rec ? rec->sched : NULL;
+	struct ds_worker *w = find(s, worker);
 
 	s->now_us = now_us;
 	if (w && !w->left_us)
@@ -475,8 +481,7 @@
 void dag_sched_looked(struct dag_sched *s, uint32_t worker, enum dag_answer answer,
 		      const struct dag_look *look, int64_t now_us)
 {
-	struct dag_worker_rec *rec = dag_state_worker(s->state, worker);
-	struct ds_worker *w = rec ? rec->sched : NULL;
+	struct ds_worker *w = find(s, worker);
 
 	s->now_us = now_us;
 	if (answer == DAG_ANSWER_FENCED)
@@ -492,7 +497,7 @@
 	if (!look) {
 		if (!w->look_failures++)
 			s->host->ops->note(s->host, "worker-lost", NULL, 0,
-					   XDR_STR(rec->w, id), "no answer to a look",
+					   XDR_STR(w->rec->w, id), "no answer to a look",
 					   answer);
 		want_copies(s, w);
 		if (w->left_us && now_us - w->left_us > LEFT_US && w->look_failures > 1)
@@ -501,8 +506,9 @@
 		return;
 	}
 	if (w->look_failures) {
-		s->host->ops->note(s->host, "worker-back", NULL, 0, XDR_STR(rec->w, id),
-				   "answers again", w->look_failures);
+		s->host->ops->note(s->host, "worker-back", NULL, 0,
+				   XDR_STR(w->rec->w, id), "answers again",
+				   w->look_failures);
 		s->place_again = true;
 	}
 	if (!w->clock_known)
--- a/regress/lib_dag_world.c
+++ b/regress/lib_dag_world.c
@@ -752,6 +752,16 @@
 	dw_submit(w, &job);
 }
 
+void dw_submit_step(struct dag_world *w, uint64_t id, const struct dag_step *step)
+{
+	struct dag_step copy = *step;
+	struct dag_job job = {.id = id};
+
+	job.steps.steps_len = 1;
+	job.steps.steps_val = &copy;
+	dw_submit(w, &job);
+}
+
 void dw_submit_lasting(struct dag_world *w, uint64_t id, uint32_t count)
 {
 	struct dag_step st = {.count = count,
@@ -759,11 +769,8 @@
 			      .mem_mb = 100,
 			      .long_running = true,
 			      .target_ms = 50};
-	struct dag_job job = {.id = id};
 
-	job.steps.steps_len = 1;
-	job.steps.steps_val = &st;
-	dw_submit(w, &job);
+	dw_submit_step(w, id, &st);
 }
 
 void dw_cancel(struct dag_world *w, uint64_t id)
--- a/regress/lib_dag_world.h
+++ b/regress/lib_dag_world.h
@@ -123,6 +123,8 @@
 uint32_t dw_add_worker(struct dag_world *w, uint32_t cpu, uint32_t mem);
 void dw_run_for(struct dag_world *w, int64_t us);
 void dw_submit(struct dag_world *w, const struct dag_job *job);
+/* A job of one step. */
+void dw_submit_step(struct dag_world *w, uint64_t id, const struct dag_step *step);
 /* A job of steps that depend on the one before; count tasks each. */
 void dw_submit_chain(struct dag_world *w, uint64_t id, uint32_t steps, uint32_t count);
 void dw_submit_lasting(struct dag_world *w, uint64_t id, uint32_t count);
--- a/regress/test_dag.c
+++ b/regress/test_dag.c
@@ -150,13 +150,10 @@
 			      .mem_mb = 100,
 			      .estimate_ms = 500,
 			      .speculative = true};
-	struct dag_job job = {.id = 1};
 	uint32_t cut = dw_add_worker(&w, 8000, 8000);
 
-	job.steps.steps_len = 1;
-	job.steps.steps_val = &st;
 	w.work_us = 2 * SECOND;
-	dw_submit(&w, &job);
+	dw_submit_step(&w, 1, &st);
 	dw_run_for(&w, 1 * SECOND);
 	add_workers(1);
 	w.workers[cut].cut = true;
@@ -174,12 +171,9 @@
 			      .mem_mb = 100,
 			      .long_running = true,
 			      .target_ms = 50};
-	struct dag_job job = {.id = id};
 
 	XDR_SET(st, image, str_from(image));
-	job.steps.steps_len = 1;
-	job.steps.steps_val = &st;
-	dw_submit(&w, &job);
+	dw_submit_step(&w, id, &st);
 }
 
 static uint64_t job_on(uint32_t worker, bool *mixed)
@@ -230,12 +224,9 @@
 			      .mem_mb = 100,
 			      .estimate_ms = 500,
 			      .gang = true};
-	struct dag_job job = {.id = 1};
 
-	job.steps.steps_len = 1;
-	job.steps.steps_val = &st;
 	add_workers(1);
-	dw_submit(&w, &job);
+	dw_submit_step(&w, 1, &st);
 	dw_run_for(&w, 2 * SECOND);
 	ck_assert_uint_eq(w.starts, 0);
 	add_workers(1);
@@ -281,16 +272,13 @@
 			      .mem_mb = 100,
 			      .estimate_ms = 500,
 			      .filler = true};
-	struct dag_job job = {.id = 2};
 
 	add_workers(1);
 	dw_submit_lasting(&w, 1, 2);
 	w.work_us = 60 * SECOND;
 	dw_run_for(&w, 1 * SECOND);
 	w.workers[0].tail_ms = 20;
-	job.steps.steps_len = 1;
-	job.steps.steps_val = &st;
-	dw_submit(&w, &job);
+	dw_submit_step(&w, 2, &st);
 	/* With the slope of a new pair the load is too high at first, not for ever. */
 	dw_run_for(&w, 8 * SECOND);
 	ck_assert_uint_eq(dw_alive(&w, 2), 2);
@@ -317,15 +305,12 @@
 			      .mem_mb = 100,
 			      .estimate_ms = 500,
 			      .filler = true};
-	struct dag_job job = {.id = 2};
 
 	add_workers(1);
 	dw_submit_lasting(&w, 1, 2);
 	w.workers[0].tail_ms = 200;
 	dw_run_for(&w, 2 * SECOND);
-	job.steps.steps_len = 1;
-	job.steps.steps_val = &st;
-	dw_submit(&w, &job);
+	dw_submit_step(&w, 2, &st);
 	dw_run_for(&w, 2 * SECOND);
 	ck_assert_uint_eq(w.starts, 2); /* the serving tasks */
 	w.workers[0].tail_ms = 10;
