replica, wal: a full disk ends leadership, not the process

Ruled out: a log that outgrows its disk; it is compacted at 16 MiB and the deployments that failed had hundreds of MB.

Change: CF_ENOSPACE means that nothing was stored. The log cuts what a refused write left before it appends again. A leader drops the entries that it has neither written nor sent, so that a refused proposal cannot commit later, hands over, and does not campaign until a write succeeds; a follower keeps a window of entries in memory and answers for what is durable. A process that starts on a full disk waits. Entries of one batch are appended together, since a part of them could not be taken back.

The case {FAULT_WRITE, ENOSPC} of failure_is_final asserted that a full disk is final. It is replaced by full_disk_is_not_final, which checks the content after refused writes, opens and truncations; {FAULT_SYNC, ENOSPC} stays final.

--- a/carawayfrontd/controller.c
+++ b/carawayfrontd/controller.c
@@ -175,6 +175,7 @@
 
 static void check_failure(struct controller *c)
 {
+	disk_host_log_full(&c->disk, c->replica);
 	if (!c->failure)
 		c->failure = replica_failure(c->replica);
 	if (!c->failure || c->drain_us)
--- a/carawayfrontd/disk_host.c
+++ b/carawayfrontd/disk_host.c
@@ -44,6 +44,22 @@
 	return state_disk_compact(disk_of(h), index);
 }
 
+/* Logs when the disk becomes full and when it takes writes again. */
+void disk_host_log_full(struct disk_host *d, const struct replica *r)
+{
+	bool full = replica_disk_is_full(r);
+
+	if (full == d->full)
+		return;
+	d->full = full;
+	if (full)
+		log_warn("disk-full", "last=%llu",
+			 (unsigned long long)replica_last_index(r));
+	else
+		log_info("disk-writable", "last=%llu",
+			 (unsigned long long)replica_last_index(r));
+}
+
 /* Syncs and tells the replica. An error means that the process must end. */
 int disk_host_flush(struct disk_host *d, struct replica *r, struct metric_set *metrics)
 {
--- a/carawayfrontd/disk_host.h
+++ b/carawayfrontd/disk_host.h
@@ -10,6 +10,7 @@
 	struct state_disk *disk;
 	uint64_t sync_token;
 	bool sync_asked;
+	bool full; /* as logged last */
 };
 
 /* The operations of struct replica_ops on the directory. */
@@ -21,6 +22,7 @@
 			    struct str bytes);
 int disk_host_compact(struct replica_host *h, uint64_t index);
 
+void disk_host_log_full(struct disk_host *d, const struct replica *r);
 int disk_host_flush(struct disk_host *d, struct replica *r, struct metric_set *metrics);
 
 #endif
--- a/carawayfrontd/main.c
+++ b/carawayfrontd/main.c
@@ -18,6 +18,7 @@
 
 #define VERSION "0.1"
 #define DEFAULT_SETTINGS "/etc/carawayfront.yaml"
+#define START_RETRY_S 0.5
 
 /* The process: its settings and the object of its role. */
 struct daemon {
@@ -107,6 +108,21 @@
 	}
 }
 
+/*
+ * Starts the role; while the disk of its data directory is full, tries again. No signal
+ * handler is set yet, so that a planned stop ends the wait.
+ */
+static int start_with_space(struct daemon *d)
+{
+	int err;
+
+	while ((err = start_role(d)) == CF_ENOSPACE) {
+		log_warn("start-waits", "error=\"%s\"", cf_strerror(err));
+		ev_sleep(START_RETRY_S);
+	}
+	return err;
+}
+
 static int role_failure(const struct daemon *d)
 {
 	if (d->state)
@@ -118,7 +134,7 @@
 {
 	static const char *const names[] = {"entry", "state", "gateway", "controller"};
 	struct ev_signal term, intr, hup;
-	int err = start_role(d);
+	int err = start_with_space(d);
 
 	if (err) {
 		log_error("start-failed", "error=\"%s\"", cf_strerror(err));
--- a/carawayfrontd/state.c
+++ b/carawayfrontd/state.c
@@ -144,6 +144,7 @@
 /* A voter that cannot write its log must not go on. */
 static void check_failure(struct state *s)
 {
+	disk_host_log_full(&s->disk, s->replica);
 	if (!s->failure)
 		s->failure = replica_failure(s->replica);
 	if (!s->failure)
--- a/carawayfrontd/state_disk.c
+++ b/carawayfrontd/state_disk.c
@@ -128,21 +128,25 @@
 	loaded->n_entries = 0;
 }
 
+/* Appends all entries or, with CF_ENOSPACE, none. */
 int state_disk_append(struct state_disk *d, const struct replica_entry *e, size_t n)
 {
+	struct wal_record *rec = calloc(n + 1, sizeof(*rec));
+	int err;
+
+	if (!rec)
+		return CF_ENOMEM;
 	for (size_t i = 0; i < n; i++) {
-		struct wal_record rec = {
+		rec[i] = (struct wal_record){
 			.index = e[i].index,
 			.epoch = e[i].epoch,
 			.kind = e[i].kind,
 			.data = e[i].data,
 		};
-		int err = wal_append(d->wal, &rec, 1);
-
-		if (err)
-			return err;
 	}
-	return 0;
+	err = wal_append(d->wal, rec, n);
+	free(rec);
+	return err;
 }
 
 int state_disk_truncate(struct state_disk *d, uint64_t from_index)
--- a/core/replica.c
+++ b/core/replica.c
@@ -63,6 +63,10 @@
 		.epoch = epoch, .vote = vote, .identity = r->identity};
 	int err = r->host->ops->save_promise(r->host, &p);
 
+	if (err == CF_ENOSPACE) {
+		replica_disk_set_full(r);
+		return false;
+	}
 	if (err) {
 		replica_fail(r, err);
 		return false;
@@ -231,6 +235,10 @@
 	if (replica_is_halted(r))
 		return;
 	r->now_us = now_us;
+	if (r->disk_full && now_us >= r->disk_retry_at_us)
+		replica_disk_retry(r);
+	if (replica_is_halted(r))
+		return;
 	if (r->role == REPLICA_LEADER) {
 		replica_lead_tick(r);
 		return;
@@ -259,6 +267,8 @@
 		return INT64_MAX;
 	if (r->role == REPLICA_LEADER)
 		return min_i64(r->heartbeat_at_us, replica_lease_deadline(r));
+	if (r->disk_full)
+		at = min_i64(at, r->disk_retry_at_us);
 	if (!r->verified)
 		at = min_i64(at, r->hello_at_us);
 	if (r->n_peers)
@@ -379,6 +389,12 @@
 	return r->failure;
 }
 
+/* Whether the disk refused the newest write. */
+bool replica_disk_is_full(const struct replica *r)
+{
+	return r->disk_full;
+}
+
 /* Returns the membership in force, which may be uncommitted. */
 const struct replica_members *replica_members(const struct replica *r)
 {
--- a/core/replica.h
+++ b/core/replica.h
@@ -103,8 +103,10 @@
 };
 
 /*
- * Operations return 0 or a cf_err. An error is never retried: the replica enters
- * REPLICA_FAILED and stops voting. Operations must not call back into the replica;
+ * Operations return 0 or a cf_err. CF_ENOSPACE from append, save_promise or save_snapshot
+ * means that the disk is full and nothing was stored: the replica gives up leading and
+ * tries again later. Any other error is final: the replica enters REPLICA_FAILED and
+ * stops voting. Operations must not call back into the replica;
  * replica_synced() is called later, from the event loop.
  */
 struct replica_ops {
@@ -223,6 +225,7 @@
 uint64_t replica_committed(const struct replica *r);
 uint64_t replica_last_index(const struct replica *r);
 int replica_failure(const struct replica *r);
+bool replica_disk_is_full(const struct replica *r);
 const struct replica_members *replica_members(const struct replica *r);
 int64_t replica_leader_last_heard_us(const struct replica *r);
 size_t replica_memory(const struct replica *r);
--- a/core/replica_disk.c
+++ b/core/replica_disk.c
@@ -1,5 +1,8 @@
+#include "base/err.h"
 #include "core/replica_priv.h"
 
+#define DISK_RETRY_US 200000
+
 /* Number of entries for the next write: at most pending_bytes, at least one entry. */
 static size_t disk_batch(const struct replica *r)
 {
@@ -26,10 +29,15 @@
 	size_t n;
 	int err;
 
-	if (replica_is_halted(r) || r->syncing || r->written >= replica_log_last(&r->log))
+	if (replica_is_halted(r) || r->syncing || r->disk_full ||
+	    r->written >= replica_log_last(&r->log))
 		return;
 	n = disk_batch(r);
 	err = r->host->ops->append(r->host, replica_log_at(&r->log, r->written + 1), n);
+	if (err == CF_ENOSPACE) {
+		replica_disk_set_full(r);
+		return;
+	}
 	if (err) {
 		replica_fail(r, err);
 		return;
@@ -43,6 +51,45 @@
 	r->host->ops->sync(r->host, r->sync_token);
 }
 
+/*
+ * Stops writing until a retry succeeds. A leader drops the entries that it has neither
+ * written nor sent, so that a refused proposal cannot commit later, and lets another
+ * voter lead. A follower keeps such entries in memory, at most a window of its leader.
+ */
+void replica_disk_set_full(struct replica *r)
+{
+	int err;
+
+	r->disk_full = true;
+	r->disk_retry_at_us = r->now_us + DISK_RETRY_US;
+	if (r->role != REPLICA_LEADER)
+		return;
+	replica_log_truncate(&r->log, r->written + 1);
+	err = replica_members_reload(r);
+	if (err) {
+		replica_fail(r, err);
+		return;
+	}
+	if (replica_transfer_leadership(r, r->now_us))
+		replica_step_down(r, 0);
+}
+
+/* Writes the promise once more, as a test whether the disk takes writes again. */
+void replica_disk_retry(struct replica *r)
+{
+	int err = r->host->ops->save_promise(r->host, &r->promise);
+
+	r->disk_retry_at_us = r->now_us + DISK_RETRY_US;
+	if (err == CF_ENOSPACE)
+		return;
+	if (err) {
+		replica_fail(r, err);
+		return;
+	}
+	r->disk_full = false;
+	replica_disk_flush(r);
+}
+
 /* Removes entries at or after from_index from memory and from the log file. */
 void replica_disk_truncate(struct replica *r, uint64_t from_index)
 {
--- a/core/replica_lead.c
+++ b/core/replica_lead.c
@@ -159,7 +159,8 @@
 	}
 	lead_send_heartbeats(r);
 	replica_disk_flush(r);
-	replica_lead_commit(r);
+	if (r->role == REPLICA_LEADER)
+		replica_lead_commit(r);
 }
 
 /* Highest index that a quorum of voters holds durably. */
@@ -282,9 +283,10 @@
 
 /*
  * Proposes a log entry. If it commits, it is applied at *index; a different entry
- * committed at that index means that the proposal was lost. CF_ENOTLEADER, CF_ESTALE (the
- * lease ended), CF_EUNAVAIL (the barrier has not committed), CF_ETOOBIG, CF_EBUSY
- * (too many bytes uncommitted).
+ * committed at that index means that the proposal was lost. After an error it was not
+ * made: CF_ENOTLEADER, CF_ESTALE (the lease ended), CF_EUNAVAIL (the barrier has not
+ * committed), CF_ETOOBIG, CF_EBUSY (too many bytes uncommitted), CF_ENOSPACE (the disk is
+ * full; this replica no longer leads).
  */
 int replica_propose(struct replica *r, struct str data, int64_t now_us, uint64_t *index)
 {
@@ -308,5 +310,7 @@
 	if (err)
 		return err;
 	replica_disk_flush(r);
-	return r->role == REPLICA_FAILED ? r->failure : 0;
+	if (r->role == REPLICA_FAILED)
+		return r->failure;
+	return r->role == REPLICA_LEADER ? 0 : CF_ENOSPACE;
 }
--- a/core/replica_member.c
+++ b/core/replica_member.c
@@ -150,7 +150,10 @@
 	replica_disk_flush(r);
 	if (r->role == REPLICA_LEADER)
 		replica_lead_commit(r);
-	err = r->role == REPLICA_FAILED ? r->failure : 0;
+	if (r->role == REPLICA_FAILED)
+		err = r->failure;
+	else if (r->disk_full)
+		err = CF_ENOSPACE;
 out:
 	buf_free(&data);
 	return err;
@@ -323,7 +326,8 @@
 
 	if (old)
 		replica_remove(r, old->id, old->identity, r->now_us);
-	else if (replica_add_learner(r, j->id, j->identity, r->now_us) != CF_EBUSY)
+	else if (replica_add_learner(r, j->id, j->identity, r->now_us) != CF_EBUSY &&
+		 r->n_join_requests)
 		r->n_join_requests--;
 }
 
--- a/core/replica_priv.h
+++ b/core/replica_priv.h
@@ -86,6 +86,9 @@
 	uint64_t sync_token;
 	uint64_t sync_index; /* covered by the outstanding sync */
 	bool syncing;
+	bool disk_full; /* a write was refused; only retries write until one succeeds */
+	int64_t disk_retry_at_us;
+	int64_t snap_retry_at_us; /* a snapshot did not fit before */
 
 	/* Follower. */
 	uint64_t verified_index; /* matches the leader's log up to here */
@@ -139,6 +142,8 @@
 
 /* replica_disk.c */
 void replica_disk_flush(struct replica *r);
+void replica_disk_set_full(struct replica *r);
+void replica_disk_retry(struct replica *r);
 void replica_disk_truncate(struct replica *r, uint64_t from_index);
 
 /* replica_elect.c */
--- a/core/replica_snap.c
+++ b/core/replica_snap.c
@@ -3,6 +3,9 @@
 #include "base/err.h"
 #include "core/replica_priv.h"
 
+/* Between attempts to store a snapshot on a full disk: each encodes the whole state. */
+#define SNAP_RETRY_US 2000000
+
 /* Returns a snapshot with one reference and a copy of the bytes, or NULL. */
 struct replica_snapshot *replica_snap_new(uint64_t index, uint64_t epoch,
 					  struct str bytes)
@@ -56,7 +59,8 @@
 	int err;
 
 	/* Entries that are not durable yet must not be replaced by a snapshot. */
-	if (replica_is_halted(r) || r->opt.no_snapshots || index > r->durable)
+	if (replica_is_halted(r) || r->opt.no_snapshots || index > r->durable ||
+	    r->now_us < r->snap_retry_at_us)
 		return;
 	if (index - from < r->opt.snapshot_every &&
 	    replica_log_end_offset(&r->log, index) - r->snap_end_offset <
@@ -72,6 +76,10 @@
 	err = r->host->ops->save_snapshot(r->host, s->index, s->epoch, buf_str(&image));
 	if (err) {
 		replica_snap_release(s);
+		if (err == CF_ENOSPACE) {
+			r->snap_retry_at_us = r->now_us + SNAP_RETRY_US;
+			err = 0;
+		}
 		goto out;
 	}
 	replica_snap_release(r->snap);
@@ -253,6 +261,9 @@
 	reply.offset = r->receiving.n;
 	if (r->receiving.n == m->total) {
 		err = snap_install(r);
+		/* Not answered: the leader repeats the last chunk, which tries again. */
+		if (err == CF_ENOSPACE)
+			return;
 		buf_free(&r->receiving);
 		if (err == CF_EMALFORMED) {
 			reply.offset = 0;
--- a/io/promise.c
+++ b/io/promise.c
@@ -8,7 +8,7 @@
 #define PROMISE_NAME "promise"
 #define PROMISE_BYTES 32
 
-/* Replaces the promise file; durable on return. Any failure is fatal for the voter. */
+/* Replaces the promise file; durable on return. Errors as for wholefile_save(). */
 int promise_save(const char *dir, struct fileops *files, const struct promise *p)
 {
 	unsigned char b[PROMISE_BYTES];
--- a/io/snapfile.c
+++ b/io/snapfile.c
@@ -8,7 +8,7 @@
 
 /*
  * Replaces the snapshot file; durable on return. After a crash at any step the old
- * or the new snapshot is read. Any failure is fatal for the voter.
+ * or the new snapshot is read. Errors as for wholefile_save().
  */
 int snapfile_save(const char *dir, struct fileops *files, uint64_t index, uint64_t epoch,
 		  struct str bytes)
--- a/io/wal.c
+++ b/io/wal.c
@@ -12,11 +12,12 @@
 
 /*
  * Records the first failure. After a failed write or sync the kernel may have
- * dropped dirty pages, so a later success proves nothing and is never tried.
+ * dropped dirty pages, so a later success proves nothing and is never tried. A write
+ * that a full disk refuses drops nothing, so it is no such failure.
  */
 static int wal_fail(struct wal *w, int err)
 {
-	if (err && !w->failed)
+	if (err && err != CF_ENOSPACE && !w->failed)
 		w->failed = err;
 	return err;
 }
@@ -55,18 +56,20 @@
 	return err;
 }
 
-/* Starts a new segment at the next index; the previous one is synced first. */
+/*
+ * Starts a new segment at the next index; the previous one is synced first. CF_ENOSPACE:
+ * the previous segment stays the last one.
+ */
 static int wal_roll(struct wal *w)
 {
 	struct wal_segment *s;
+	int previous = w->fd;
 	int err;
 
-	if (w->fd >= 0) {
+	if (previous >= 0) {
 		err = wal_sync(w);
 		if (err)
 			return err;
-		w->files->close(w->files, w->fd);
-		w->fd = -1;
 	}
 	s = realloc(w->segments, (w->n_segments + 1) * sizeof(*s));
 	if (!s)
@@ -74,14 +77,36 @@
 	w->segments = s;
 	s[w->n_segments++] = (struct wal_segment){.first = w->next};
 	err = wal_segment_open_last(w);
-	if (err)
+	if (err) {
+		w->n_segments--;
+		w->fd = previous;
 		return err;
+	}
+	if (previous >= 0)
+		w->files->close(w->files, previous);
 	return file_sync_dir(w->files, w->dir);
 }
 
 /*
- * Appends records, unsynced. CF_EINVAL when the index does not follow. Any other
- * failure is final.
+ * Cuts what a failed append left behind the last record. The cut is synced, so that no
+ * later record can be read together with bytes of that append.
+ */
+static int wal_cut_torn(struct wal *w)
+{
+	off_t size = (off_t)w->segments[w->n_segments - 1].size;
+
+	if (w->files->ftruncate(w->files, w->fd, size))
+		return file_error();
+	if (w->files->fdatasync(w->files, w->fd))
+		return CF_EIO;
+	w->torn = false;
+	return 0;
+}
+
+/*
+ * Appends records, unsynced. CF_EINVAL when the index does not follow. CF_ENOSPACE: the
+ * disk is full, none of the records is in the log, and a later call may succeed. Any
+ * other failure is final.
  */
 int wal_append(struct wal *w, const struct wal_record *rec, size_t n)
 {
@@ -98,6 +123,8 @@
 			return CF_EINVAL;
 		epoch = rec[i].epoch;
 	}
+	if (w->torn && (err = wal_cut_torn(w)))
+		return wal_fail(w, err);
 	if (w->fd < 0 || w->segments[w->n_segments - 1].size >= w->segment_bytes) {
 		err = wal_roll(w);
 		if (err)
@@ -110,8 +137,10 @@
 			return wal_fail(w, err);
 	}
 	err = file_write_all(w->files, w->fd, w->scratch.p, w->scratch.n);
-	if (err)
+	if (err) {
+		w->torn = true;
 		return wal_fail(w, err);
+	}
 	w->segments[w->n_segments - 1].size += w->scratch.n;
 	w->next += n;
 	w->last_epoch = epoch;
@@ -171,6 +200,7 @@
 	if (w->fd >= 0)
 		w->files->close(w->files, w->fd);
 	w->fd = -1;
+	w->torn = false;
 	w->n_segments--;
 	return wal_segment_remove(w, w->n_segments);
 }
@@ -205,6 +235,7 @@
 		return wal_fail(w, err);
 	if (w->files->ftruncate(w->files, w->fd, (off_t)offset))
 		return wal_fail(w, CF_EIO);
+	w->torn = false;
 	w->segments[w->n_segments - 1].size = offset;
 	w->next = from_index;
 	return wal_sync(w);
@@ -233,6 +264,7 @@
 	if (drop == w->n_segments) {
 		w->files->close(w->files, w->fd);
 		w->fd = -1;
+		w->torn = false;
 	}
 	for (size_t i = 0; i < drop; i++) {
 		err = wal_segment_remove(w, i);
--- a/io/wal_priv.h
+++ b/io/wal_priv.h
@@ -19,6 +19,7 @@
 	uint64_t last_epoch;
 	uint64_t synced;
 	uint64_t cut_bytes;
+	bool torn; /* the last segment may hold bytes of a failed append */
 	int failed;
 	struct buf scratch;
 };
--- a/io/wal_scan.c
+++ b/io/wal_scan.c
@@ -83,7 +83,7 @@
 		w->fd = w->files->open(w->files, path.p, O_WRONLY | O_CREAT | O_APPEND,
 				       0600);
 		if (w->fd < 0)
-			err = CF_EIO;
+			err = file_error();
 	}
 	buf_free(&path);
 	return err;
@@ -93,10 +93,9 @@
 static int wal_cut(struct wal *w, size_t size, size_t cut)
 {
 	w->cut_bytes = cut;
-	if (w->files->ftruncate(w->files, w->fd, (off_t)size) ||
-	    w->files->fdatasync(w->files, w->fd))
-		return CF_EIO;
-	return 0;
+	if (w->files->ftruncate(w->files, w->fd, (off_t)size))
+		return file_error();
+	return w->files->fdatasync(w->files, w->fd) ? CF_EIO : 0;
 }
 
 /* Reads one segment; cuts a torn tail of the last one. */
--- a/io/wholefile.c
+++ b/io/wholefile.c
@@ -19,10 +19,17 @@
 	return (uint32_t)crc32_z(crc, (const Bytef *)bytes.p, bytes.n);
 }
 
+/* Error of the failed system call that errno tells of. */
+int file_error(void)
+{
+	return errno == ENOSPC || errno == EDQUOT ? CF_ENOSPACE : CF_EIO;
+}
+
 /*
  * Replaces the file: written under a temporary name, synced, renamed, directory
- * synced. After a crash at any step the old or the new content is there. CF_EIO or
- * CF_ENOSPACE: which of the two a crash leaves is open, the caller must not go on.
+ * synced. After a crash at any step the old or the new content is there. CF_ENOSPACE:
+ * the disk is full and the old content stays, so the caller may try again later. CF_EIO:
+ * which of the two a crash leaves is open, the caller must not go on.
  */
 int wholefile_save(const char *dir, const char *name, struct fileops *files,
 		   struct str bytes)
@@ -41,12 +48,15 @@
 	le_put32(header + 4, wholefile_crc(header, bytes));
 	fd = files->open(files, tmp.p, O_WRONLY | O_CREAT | O_TRUNC, 0600);
 	if (fd < 0) {
-		err = CF_EIO;
+		err = file_error();
 		goto out;
 	}
 	if ((err = file_write_all(files, fd, header, HEADER)) ||
-	    (err = file_write_all(files, fd, bytes.p, bytes.n)))
+	    (err = file_write_all(files, fd, bytes.p, bytes.n))) {
+		/* A part of the content must not take up space on a full disk. */
+		files->unlink(files, tmp.p);
 		goto out;
+	}
 	if (files->fdatasync(files, fd)) {
 		err = CF_EIO;
 		goto out;
@@ -56,7 +66,7 @@
 	if (err)
 		goto out;
 	if (files->rename(files, tmp.p, path.p)) {
-		err = CF_EIO;
+		err = file_error();
 		goto out;
 	}
 	err = file_sync_dir(files, dir);
@@ -110,7 +120,7 @@
 		if (w < 0 && errno == EINTR)
 			continue;
 		if (w <= 0)
-			return w < 0 && errno == ENOSPC ? CF_ENOSPACE : CF_EIO;
+			return w < 0 ? file_error() : CF_EIO;
 		q += w;
 		n -= (size_t)w;
 	}
--- a/io/wholefile.h
+++ b/io/wholefile.h
@@ -10,6 +10,7 @@
 int wholefile_load(const char *dir, const char *name, struct fileops *files,
 		   struct buf *bytes);
 
+int file_error(void);
 int file_write_all(struct fileops *files, int fd, const void *p, size_t n);
 int file_read_all(struct fileops *files, const char *path, struct buf *out);
 int file_sync_dir(struct fileops *files, const char *dir);
--- a/regress/lib_cluster.c
+++ b/regress/lib_cluster.c
@@ -253,6 +253,8 @@
 {
 	struct node *n = node_of(h);
 
+	if (n->disk_full)
+		return CF_ENOSPACE;
 	for (size_t i = 0; i < k; i++) {
 		if (e[i].index != n->disk.base + n->disk.n + 1)
 			cluster_fail(n->c, "node %d appends entry %d behind %d",
@@ -281,6 +283,8 @@
 {
 	struct node *n = node_of(h);
 
+	if (n->disk_full)
+		return CF_ENOSPACE;
 	if (p->epoch < n->disk.promise.epoch)
 		cluster_fail(n->c, "node %d lowers its promise", (int)n->id);
 	if (p->epoch == n->disk.promise.epoch && n->disk.promise.vote &&
@@ -472,6 +476,8 @@
 {
 	struct node *n = node_of(h);
 
+	if (n->disk_full)
+		return CF_ENOSPACE;
 	n->disk.snapshot_index = index;
 	n->disk.snapshot_epoch = epoch;
 	return buf_set(&n->disk.snapshot, bytes);
@@ -777,6 +783,7 @@
 	c->drop = c->duplicate = c->slow = 0;
 	for (size_t i = 1; i <= c->n; i++) {
 		c->node[i].frozen_until = 0;
+		c->node[i].disk_full = false;
 		if (!c->node[i].r)
 			node_boot(&c->node[i]);
 	}
--- a/regress/lib_cluster.h
+++ b/regress/lib_cluster.h
@@ -42,6 +42,7 @@
 	uint64_t rng;
 	uint64_t truncated; /* lowest truncation during the outstanding sync */
 	bool fail_sync;
+	bool disk_full; /* its disk refuses all writes */
 };
 
 struct ref_entry {
--- a/regress/test_replica.c
+++ b/regress/test_replica.c
@@ -147,11 +147,25 @@
 		replica_transfer_leadership(n->r, cluster_clock(n));
 }
 
-/*
- * One random run. Returns whether all rules held; the failure stays in *c. handovers:
- * chance in thousandths of each 20 ms.
- */
-static bool random_run(struct cluster *c, uint64_t seed, unsigned int handovers)
+/* A disk becomes full, or all of them have space again. */
+static void random_full_disk(struct cluster *c)
+{
+	if (prng_below(&c->prng, 3)) {
+		random_node(c)->disk_full = true;
+		return;
+	}
+	for (size_t i = 1; i <= c->n; i++)
+		c->node[i].disk_full = false;
+}
+
+/* Faults beside the usual ones; chances in thousandths of each 20 ms. */
+struct more_faults {
+	unsigned int handovers;
+	unsigned int full_disks;
+};
+
+/* One random run. Returns whether all rules held; the failure stays in *c. */
+static bool random_run(struct cluster *c, uint64_t seed, struct more_faults more)
 {
 	int64_t end;
 	int64_t next_fault;
@@ -170,8 +184,10 @@
 		/* Without proposals all logs are equal and any voter can be elected. */
 		if (c->now >= quiet_until)
 			propose_everywhere(c);
-		if (handovers && prng_below(&c->prng, 1000) < handovers)
+		if (more.handovers && prng_below(&c->prng, 1000) < more.handovers)
 			random_handover(c);
+		if (more.full_disks && prng_below(&c->prng, 1000) < more.full_disks)
+			random_full_disk(c);
 		if (c->now >= next_fault) {
 			random_fault(c);
 			next_fault =
@@ -195,7 +211,7 @@
 	static struct cluster c;
 	uint64_t seed = (uint64_t)_i + 1;
 
-	if (!random_run(&c, seed, 0))
+	if (!random_run(&c, seed, (struct more_faults){0}))
 		ck_abort_msg("seed %d: %s", (int)seed, c.failure);
 	ck_assert_uint_gt(c.n_ref, seed % 11 == 7 ? 10 : 100);
 	cluster_stop(&c);
@@ -208,7 +224,19 @@
 	static struct cluster c;
 	uint64_t seed = (uint64_t)_i + 1;
 
-	if (!random_run(&c, seed, 40))
+	if (!random_run(&c, seed, (struct more_faults){.handovers = 40}))
+		ck_abort_msg("seed %d: %s", (int)seed, c.failure);
+	cluster_stop(&c);
+}
+END_TEST
+
+/* Guards against a break of the rules, or a voter that fails, when disks are full. */
+START_TEST(random_full_disks)
+{
+	static struct cluster c;
+	uint64_t seed = (uint64_t)_i + 1;
+
+	if (!random_run(&c, seed, (struct more_faults){.full_disks = 20}))
 		ck_abort_msg("seed %d: %s", (int)seed, c.failure);
 	cluster_stop(&c);
 }
@@ -228,7 +256,7 @@
 	static struct cluster c;
 	uint64_t seed = regression_seeds[_i];
 
-	if (!random_run(&c, seed, 0))
+	if (!random_run(&c, seed, (struct more_faults){0}))
 		ck_abort_msg("seed %d: %s", (int)seed, c.failure);
 	cluster_stop(&c);
 }
@@ -843,6 +871,77 @@
 }
 END_TEST
 
+/*
+ * Guards against a leader with a full disk that ends, keeps leading or accepts what it
+ * cannot store: it refuses the proposal, another voter leads at once, and it catches up
+ * when there is space again.
+ */
+START_TEST(full_disk_ends_leadership_only)
+{
+	static struct cluster c;
+	struct node *a;
+	struct node *b;
+	uint64_t index;
+
+	small_limits(&c.opt);
+	cluster_start(&c, 17, 5, 0);
+	ck_run(&c, cluster_run_to_leader(&c, 10 * SECOND));
+	a = cluster_leader(&c);
+	a->disk_full = true;
+	ck_assert_int_eq(cluster_propose(a, 32, &index), CF_ENOSPACE);
+	ck_assert_int_eq(replica_failure(a->r), 0);
+	cluster_run(&c, SECOND / 5);
+	ck_cluster(&c);
+	b = cluster_leader(&c);
+	ck_assert_ptr_ne(b, NULL);
+	ck_assert_ptr_ne(b, a);
+	commit_entries(&c, 200);
+	ck_assert_uint_lt(a->disk.durable, c.n_ref);
+	/* Without its leader, it must not win an election that it cannot record. */
+	cluster_isolate(&c, b->id, true);
+	cluster_run(&c, 5 * SECOND);
+	ck_cluster(&c);
+	ck_assert_ptr_ne(cluster_leader(&c), NULL);
+	ck_assert_ptr_ne(cluster_leader(&c), a);
+	a->disk_full = false;
+	cluster_heal(&c);
+	ck_run(&c, cluster_settle(&c, 10 * SECOND));
+	ck_assert_uint_eq(a->applied, c.n_ref);
+	cluster_stop(&c);
+}
+END_TEST
+
+/* Guards against commits without disk space, and a cluster that stays down after it. */
+START_TEST(full_disks_come_back)
+{
+	static struct cluster c;
+	uint64_t committed;
+	uint64_t index;
+
+	small_limits(&c.opt);
+	cluster_start(&c, 18, 5, 0);
+	ck_run(&c, cluster_run_to_leader(&c, 10 * SECOND));
+	commit_entries(&c, 70);
+	for (size_t i = 1; i <= c.n; i++)
+		c.node[i].disk_full = true;
+	cluster_run(&c, SECOND);
+	committed = c.n_ref;
+	for (int i = 0; i < 10; i++) {
+		struct node *leader = cluster_leader(&c);
+
+		if (leader)
+			cluster_propose(leader, 32, &index);
+		cluster_run(&c, SECOND);
+	}
+	ck_cluster(&c);
+	ck_assert_uint_eq(c.n_ref, committed);
+	for (size_t i = 1; i <= c.n; i++)
+		c.node[i].disk_full = false;
+	ck_run(&c, cluster_settle(&c, 10 * SECOND));
+	cluster_stop(&c);
+}
+END_TEST
+
 /* Guards against a planned stop that leaves the cluster without a leader for seconds. */
 START_TEST(handover_is_quick)
 {
@@ -1036,7 +1135,7 @@
 
 	for (uint64_t i = 0; i < count; i++) {
 		c.trace = trace;
-		if (!random_run(&c, seed + i, 0)) {
+		if (!random_run(&c, seed + i, (struct more_faults){0})) {
 			printf("seed %" PRIu64 ": %s (at %" PRId64 " us)\n", seed + i,
 			       c.failure, c.now);
 			if (trace)
@@ -1081,6 +1180,8 @@
 	tcase_add_test(tc, empty_directory_does_not_vote);
 	tcase_add_test(tc, older_directory_is_excluded);
 	tcase_add_test(tc, failed_sync_ends_the_voter);
+	tcase_add_test(tc, full_disk_ends_leadership_only);
+	tcase_add_test(tc, full_disks_come_back);
 	tcase_add_test(tc, returning_voter_does_not_disturb);
 	tcase_add_loop_test(tc, handover_is_quick, 0, HANDOVER_SEEDS);
 	tcase_add_loop_test(tc, learner_takes_the_place_of_a_dead_voter, 0, 10);
@@ -1094,6 +1195,7 @@
 	tcase_add_loop_test(tc, regressions, 0, REGRESSION_SEEDS);
 	tcase_add_loop_test(tc, random_faults, 0, CHECK_SEEDS);
 	tcase_add_loop_test(tc, random_handovers, 0, CHECK_SEEDS);
+	tcase_add_loop_test(tc, random_full_disks, 0, CHECK_SEEDS);
 	suite_add_tcase(s, tc);
 	sr = srunner_create(s);
 	srunner_run_all(sr, CK_NORMAL);
--- a/regress/test_wal.c
+++ b/regress/test_wal.c
@@ -14,7 +14,15 @@
 #include "io/wal.h"
 
 /* System calls that fail at the countdown-th call of the chosen kind. */
-enum fault { FAULT_NONE, FAULT_WRITE, FAULT_SYNC, FAULT_RENAME, FAULT_ANY };
+enum fault {
+	FAULT_NONE,
+	FAULT_OPEN, /* for writing */
+	FAULT_WRITE,
+	FAULT_SYNC,
+	FAULT_TRUNCATE,
+	FAULT_RENAME,
+	FAULT_ANY,
+};
 
 struct faulty {
 	struct fileops ops; /* first */
@@ -38,6 +46,10 @@
 
 static int faulty_open(struct fileops *f, const char *path, int flags, int mode)
 {
+	struct faulty *x = (struct faulty *)f;
+
+	if (x->kind == FAULT_OPEN && flags & O_WRONLY && faulty_hits(f, FAULT_OPEN))
+		return -1;
 	return open(path, flags | O_CLOEXEC, mode);
 }
 
@@ -62,7 +74,7 @@
 
 static int faulty_ftruncate(struct fileops *f, int fd, off_t size)
 {
-	return faulty_hits(f, FAULT_ANY) ? -1 : ftruncate(fd, size);
+	return faulty_hits(f, FAULT_TRUNCATE) ? -1 : ftruncate(fd, size);
 }
 
 static int faulty_rename(struct fileops *f, const char *from, const char *to)
@@ -358,7 +370,7 @@
 		enum fault kind;
 		int error, want;
 	} cases[] = {{FAULT_SYNC, EIO, CF_EIO},
-		     {FAULT_WRITE, ENOSPC, CF_ENOSPACE},
+		     {FAULT_SYNC, ENOSPC, CF_EIO},
 		     {FAULT_WRITE, EIO, CF_EIO}};
 	const size_t i = (size_t)_i;
 	struct faulty f = faulty_files();
@@ -396,6 +408,71 @@
 }
 END_TEST
 
+/*
+ * Guards against a log that a full disk ends, or that keeps a part of a refused write:
+ * what follows the refusal is appended where the last record ends.
+ */
+START_TEST(full_disk_is_not_final)
+{
+	static const enum fault kinds[] = {FAULT_WRITE, FAULT_OPEN, FAULT_TRUNCATE};
+	struct faulty f = faulty_files();
+	struct wal_record rec;
+	char data[64];
+	struct seen s;
+	struct wal *w;
+
+	ck_assert_int_eq(reopen(&w, 0, 100, &s, &f.ops), 0);
+	append(w, 1, 2, 1);
+	ck_assert_int_eq(wal_sync(w), 0);
+	for (uint64_t next = 3; next < 60; next++) {
+		f.error = ENOSPC;
+		f.kind = kinds[next % 3];
+		f.countdown = 0;
+		rec = record(next, 1, data);
+		if (f.kind == FAULT_TRUNCATE) {
+			/* Neither the write nor the cut of its part is possible. */
+			f.kind = FAULT_WRITE;
+			ck_assert_int_eq(wal_append(w, &rec, 1), CF_ENOSPACE);
+			f.kind = FAULT_TRUNCATE;
+			f.countdown = 0;
+		}
+		if (wal_append(w, &rec, 1))
+			ck_assert_int_eq(wal_append(w, &rec, 1), 0);
+		f.kind = FAULT_NONE;
+		ck_assert_int_eq(wal_failure(w), 0);
+		ck_assert_int_eq(wal_sync(w), 0);
+	}
+	ck_assert_uint_eq(wal_last(w), 59);
+	wal_close(w);
+	ck_assert_int_eq(reopen(&w, 0, 100, &s, NULL), 0);
+	ck_assert_uint_eq(s.first, 1);
+	ck_assert_uint_eq(s.last, 59);
+	wal_close(w);
+}
+END_TEST
+
+/* Guards against a promise that is lost or damaged when its disk is full. */
+START_TEST(promise_survives_a_full_disk)
+{
+	static const enum fault kinds[] = {FAULT_WRITE, FAULT_OPEN, FAULT_RENAME};
+	struct promise p = {.member = 7, .identity = 9, .epoch = 1};
+	struct faulty f = faulty_files();
+	struct promise got;
+
+	ck_assert_int_eq(promise_save(dir, &f.ops, &p), 0);
+	for (size_t i = 0; i < 3; i++) {
+		p.epoch = i + 2;
+		f.error = ENOSPC;
+		f.kind = kinds[i];
+		f.countdown = 0;
+		ck_assert_int_eq(promise_save(dir, &f.ops, &p), CF_ENOSPACE);
+		ck_assert_int_eq(promise_load(dir, NULL, 7, &got), 0);
+		ck_assert_uint_eq(got.epoch, i + 1);
+		ck_assert_int_eq(promise_save(dir, &f.ops, &p), 0);
+	}
+}
+END_TEST
+
 /*
  * Guards against loss or return of records when any system call of any operation
  * fails: after reopening, the log holds everything that was synced and not removed.
@@ -553,6 +630,8 @@
 	tcase_add_test(tc, truncate_is_kept);
 	tcase_add_test(tc, compact_keeps_the_tail);
 	tcase_add_loop_test(tc, failure_is_final, 0, 3);
+	tcase_add_test(tc, full_disk_is_not_final);
+	tcase_add_test(tc, promise_survives_a_full_disk);
 	tcase_add_loop_test(tc, any_operation_may_fail, 0, 20);
 	tcase_add_test(tc, snapshot_is_old_or_new);
 	tcase_add_test(tc, damaged_whole_files_are_refused);
