dag: a worker that is slow to report keeps its runs

Cause: a run was taken for stalled when no list had shown progress for 2 s by the leader's clock, also while no list came at all: a poll through a gateway may take 3.5 s before it counts as failed. The runs were stopped, what was not saved was lost, and the worker was quarantined. Besides, progress is listed in whole percent, so a task of more than 200 s was moved for ever.

Change: progress is judged by the worker's own clock, between two lists that name the run; the limit is also a quarter of the declared run time and doubles with each move of the task.

--- a/core/dag_run.c
+++ b/core/dag_run.c
@@ -206,7 +206,7 @@
 	} else if (result == DAG_RESULT_OK || result == DAG_RESULT_RUN_ENDED) {
 		r->phase = DS_ACCEPTED;
 		r->accepted_us = now_us;
-		r->progress_us = now_us;
+		r->progress_clock_ms = 0;
 		if (r->worker->next_poll_us > now_us)
 			r->worker->next_poll_us = now_us;
 	} else if (is_refusal(result)) {
--- a/core/dag_sched_impl.h
+++ b/core/dag_sched_impl.h
@@ -45,10 +45,12 @@
 	bool end_listed; /* the proposed end came from the worker's list */
 	bool listed;	 /* in the poll reply that is being processed */
 	int32_t progress_percent;
-	int64_t progress_us;	/* progress_percent last changed */
-	int32_t level;		/* see struct dag_listed_run */
-	uint32_t speed_percent; /* newest throttle request, 100: full speed */
-	int64_t slow_since_us;	/* 0: not slow */
+	/* On the worker's clock, 0: not listed since it was accepted or throttled. */
+	int64_t progress_clock_ms; /* progress_percent last changed */
+	int64_t listed_clock_ms;   /* newest list with the run */
+	int32_t level;		   /* see struct dag_listed_run */
+	uint32_t speed_percent;	   /* newest throttle request, 100: full speed */
+	int64_t slow_since_us;	   /* 0: not slow */
 	/* Serving tasks. */
 	int32_t model_level;	      /* level of the newest model update */
 	int64_t model_updated_us;     /* 0: never */
@@ -76,6 +78,7 @@
 struct ds_task {
 	uint8_t n_runs;
 	bool needs_copy; /* its only run is on a worker that does not answer polls */
+	uint8_t stalls;	 /* runs that were stopped for lack of progress */
 	uint32_t avoid_worker; /* number of a worker where it failed or ran slowly */
 };
 
--- a/core/dag_throttle.c
+++ b/core/dag_throttle.c
@@ -234,7 +234,7 @@
 	else if (!r->slow_since_us)
 		r->slow_since_us = s->now_us;
 	r->speed_percent = percent;
-	r->progress_us = s->now_us;
+	r->progress_clock_ms = 0;
 	r->worker->last_throttle_us = s->now_us;
 	ds_worker_fill_call(s, r->worker, &o.call);
 	s->host->ops->throttle(s->host, &o);
--- a/core/dag_worker.c
+++ b/core/dag_worker.c
@@ -30,8 +30,14 @@
  * ones. It is acknowledged once this many ends follow it.
  */
 #define HELD_ENDS_MAX 300U
-/* A batch task at full speed without progress for this long is stopped and moved. */
-#define STALL_US (2 * USEC_PER_SEC)
+/*
+ * A batch task at full speed without progress for this long, and for this part of its
+ * declared run time, is stopped and moved. The time doubles with each such stop, since
+ * the declared run time may be far too short and progress is listed in whole percent.
+ */
+#define STALL_MS 2000
+#define STALL_ESTIMATE_DIVISOR 4
+#define STALL_DOUBLINGS_MAX 10U
 
 static bool reserve_worker_slot(struct dag_sched *s)
 {
@@ -280,11 +286,32 @@
 	}
 }
 
-/* Whether a batch run at full speed made no progress for STALL_US. */
-static bool is_stalled(const struct dag_sched *s, const struct ds_run *r)
+/*
+ * Whether a batch run at full speed makes no progress, by the worker's own clock: a
+ * worker that is silent or slow to report says nothing about its runs.
+ */
+static bool is_stalled(const struct ds_run *r)
+{
+	int64_t limit_ms = r->step->estimate_ms / STALL_ESTIMATE_DIVISOR;
+
+	if (r->phase != DS_ACCEPTED || r->stop_requested || r->step->long_running ||
+	    r->speed_percent != 100 || !r->progress_clock_ms)
+		return false;
+	if (limit_ms < STALL_MS)
+		limit_ms = STALL_MS;
+	limit_ms <<= ds_job_find_task(r->job, &r->task)->stalls;
+	return r->listed_clock_ms - r->progress_clock_ms > limit_ms;
+}
+
+/* Stops a run without progress, which is to be restarted on another worker. */
+static void move_stalled_run(struct dag_sched *s, struct ds_run *r)
 {
-	return r->phase == DS_ACCEPTED && !r->stop_requested && !r->step->long_running &&
-	       r->speed_percent == 100 && s->now_us - r->progress_us > STALL_US;
+	struct ds_task *t = ds_job_find_task(r->job, &r->task);
+
+	if (t->stalls < STALL_DOUBLINGS_MAX)
+		t->stalls++;
+	r->worker->quarantined_until_us = s->now_us + QUARANTINE_US;
+	ds_run_request_stop(s, r, "no progress; to be restarted elsewhere");
 }
 
 static void check_runs(struct dag_sched *s, struct ds_worker *w)
@@ -293,11 +320,8 @@
 
 	TAILQ_FOREACH (r, &w->runs, worker_entry) {
 		ds_run_tick(s, r);
-		if (!w->poll_failures && is_stalled(s, r)) {
-			w->quarantined_until_us = s->now_us + QUARANTINE_US;
-			ds_run_request_stop(s, r,
-					    "no progress; to be restarted elsewhere");
-		}
+		if (!w->poll_failures && is_stalled(r))
+			move_stalled_run(s, r);
 	}
 }
 
@@ -348,12 +372,11 @@
 	if (r->phase != DS_PROPOSED && r->phase != DS_ACCEPTED) {
 		r->phase = DS_ACCEPTED;
 		r->accepted_us = s->now_us;
-		r->progress_us = s->now_us;
-	}
-	if (r->progress_percent != l->percent) {
-		r->progress_percent = l->percent;
-		r->progress_us = s->now_us;
 	}
+	if (r->progress_percent != l->percent || l->percent < 0 || !r->progress_clock_ms)
+		r->progress_clock_ms = w->clock_ms;
+	r->progress_percent = l->percent;
+	r->listed_clock_ms = w->clock_ms;
 	r->level = l->level;
 	if (l->checkpoint.n)
 		buf_set(&r->checkpoint, l->checkpoint);
--- a/regress/lib_dag_world.c
+++ b/regress/lib_dag_world.c
@@ -671,7 +671,8 @@
 		if (r->left_us <= 0)
 			end_run(w, dw, r, DAG_END_DONE);
 	}
-	if (dw->look_at_us && w->now_us >= dw->look_at_us)
+	if (dw->look_at_us && w->now_us >= dw->look_at_us &&
+	    w->now_us >= dw->quiet_until_us)
 		finish_look(w, dw);
 }
 
--- a/regress/lib_dag_world.h
+++ b/regress/lib_dag_world.h
@@ -39,9 +39,10 @@
 struct dw_worker {
 	char id[16];
 	bool up;
-	bool cut;    /* no call reaches it and no answer comes back */
-	bool fails;  /* every run fails */
-	bool stands; /* runs make no progress */
+	bool cut;		/* no call reaches it and no answer comes back */
+	bool fails;		/* every run fails */
+	bool stands;		/* runs make no progress */
+	int64_t quiet_until_us; /* polls are taken and answered only then */
 	int64_t born_ms;
 	int64_t lease_ms; /* on its clock */
 	uint64_t fence;
--- a/regress/test_dag.c
+++ b/regress/test_dag.c
@@ -400,6 +400,53 @@
 }
 END_TEST
 
+/*
+ * Guards against running work that is stopped because its worker is slow to report: a
+ * poll through a gateway may take seconds, and no list came in that time.
+ */
+START_TEST(silence_is_no_stall)
+{
+	uint32_t quiet = dw_add_worker(&w, 8000, 8000);
+
+	w.work_us = 9 * SECOND;
+	dw_submit_chain(&w, 1, 1, 4);
+	dw_run_for(&w, 2 * SECOND);
+	add_workers(1);
+	w.workers[quiet].quiet_until_us = w.now_us + 4 * SECOND;
+	dw_run_for(&w, 10 * SECOND);
+	assert_sound();
+	ck_assert_uint_eq(w.starts, 4);
+	ck_assert_int_eq(dw_state(&w, 1), DAG_JOB_COMPLETED);
+}
+END_TEST
+
+/*
+ * Guards against long tasks that are moved for ever: one percent of their work takes
+ * longer than the time without progress that is allowed to a short task.
+ */
+START_TEST(long_tasks_are_no_stalls)
+{
+	struct dag_step st = {.count = 4, .cpu_milli = 1000, .mem_mb = 100};
+
+	add_workers(2);
+	w.work_us = 400 * SECOND;
+	st.estimate_ms = 300000;
+	dw_submit_step(&w, 1, &st);
+	dw_run_for(&w, 60 * SECOND);
+	ck_assert_uint_eq(w.starts, 4);
+	/* Declared far too short: after a few moves they are left to run. */
+	dw_cancel(&w, 1);
+	st.estimate_ms = 500;
+	dw_submit_step(&w, 2, &st);
+	dw_run_for(&w, 30 * SECOND);
+	ck_assert_uint_le(w.starts, 4 + 4 * 4);
+	w.starts = 0;
+	dw_run_for(&w, 60 * SECOND);
+	assert_sound();
+	ck_assert_uint_eq(w.starts, 0);
+}
+END_TEST
+
 /* Guards a job that fails for good against further starts. */
 START_TEST(attempts_are_bounded)
 {
@@ -641,6 +688,8 @@
 	tcase_add_test(tc, closed_zone_gets_nothing_new);
 	tcase_add_test(tc, failing_worker_is_avoided);
 	tcase_add_test(tc, stalled_runs_move);
+	tcase_add_test(tc, silence_is_no_stall);
+	tcase_add_test(tc, long_tasks_are_no_stalls);
 	tcase_add_test(tc, attempts_are_bounded);
 	tcase_add_test(tc, leader_change_keeps_runs);
 	tcase_add_test(tc, first_looks_are_spread);
