controller: nothing is sent on a lease that has ended

Cause: the scheduler was only stopped before the loop slept. A leader that had been paused beyond its lease, or that lost its place during a round, still handed replies to its scheduler and ran its timers in that round, so that polls with leases went out on the old epoch; a worker that the new leader cannot reach would take such a lease, and run on after the new leader counts it as ended. As a follower it also applied entries with the scheduler observing, and sent start requests for runs that the new leader sends too.

Change: replies and timers reach the scheduler only while the lease is valid, and the scheduler ends with the role of the leader.

Result: test_site_dag pauses a leader while tasks end, and its executors record calls on an ended epoch.

--- a/carawayfrontd/controller.c
+++ b/carawayfrontd/controller.c
@@ -120,7 +120,7 @@
 	int64_t now = clock_us();
 
 	replica_tick(c->replica, now);
-	if (c->sched)
+	if (controller_leads(c))
 		dag_sched_tick(c->sched, now, clock_wall_us() / 1000);
 	ask_members(c, now);
 	if (c->drain_us && now >= c->drain_us)
@@ -206,7 +206,7 @@
 
 	follow_leadership(c);
 	do {
-		if (c->sched)
+		if (controller_leads(c))
 			dag_sched_place(c->sched, clock_us());
 		controller_flush(c);
 		if (c->disk.sync_asked && !c->failure)
--- a/carawayfrontd/controller_replica.c
+++ b/carawayfrontd/controller_replica.c
@@ -126,6 +126,14 @@
 	log_info("role-changed", "role=%d epoch=%llu leader=%llx", (int)role,
 		 (unsigned long long)epoch, (unsigned long long)leader);
 	++*metric_counter(c->metrics, "carawayfront_role_changes_total", "");
+	/*
+	 * The scheduler observes the state. As a follower this process may apply what it
+	 * proposed, which the next leader sends to the workers.
+	 */
+	if (role != REPLICA_LEADER && c->sched) {
+		controller_end_waits(c, DAG_UNKNOWN);
+		controller_sched_stop(c);
+	}
 }
 
 static const struct replica_ops replica_ops = {
--- a/carawayfrontd/controller_request.c
+++ b/carawayfrontd/controller_request.c
@@ -69,7 +69,8 @@
 		/* The scheduler counts on its commands, so it starts again. */
 		log_warn("proposal-failed", "error=\"%s\"", cf_strerror(err));
 		controller_end_waits(c, DAG_UNKNOWN);
-		controller_sched_stop(c);
+		if (c->sched)
+			controller_sched_stop(c);
 		return;
 	}
 	for (struct controller_wait *w = c->waits; w; w = w->next)
--- a/carawayfrontd/controller_sched.c
+++ b/carawayfrontd/controller_sched.c
@@ -109,7 +109,7 @@
 {
 	struct controller *c = CONTROLLER_OF(u, user);
 
-	if (c->sched)
+	if (controller_leads(c))
 		dag_sched_start_replied(c->sched, worker, t, run, answer, clock_us());
 }
 
@@ -119,7 +119,7 @@
 {
 	struct controller *c = CONTROLLER_OF(u, user);
 
-	if (c->sched)
+	if (controller_leads(c))
 		dag_sched_stop_replied(c->sched, worker, t, run, answer, clock_us());
 }
 
@@ -128,7 +128,7 @@
 {
 	struct controller *c = CONTROLLER_OF(u, user);
 
-	if (c->sched)
+	if (controller_leads(c))
 		dag_sched_poll_replied(c->sched, worker, answer, look, clock_us());
 }
 
--- a/regress/test_site_dag.sh
+++ b/regress/test_site_dag.sh
@@ -131,6 +131,31 @@
 [ "$(control POST /api/evacuate/z1/finish)" = 200 ] || fail "zone not opened"
 until_ok 10 state_is 20 completed || fail "job 20: $(cat "$D/body")"
 
+# A leader that is paused beyond its lease sends nothing on its old epoch when it wakes.
+for i in 21 22 23 24 25 26 27 28; do submit $i "$job" || fail "job $i refused"; done
+leads() { # NAME: its newest role is that of the leader
+	grep 'event=role-changed' "$D/$1.log" | tail -n 1 | grep -q 'role=4'
+}
+for i in 1 2 3; do leads c$i && frozen=c$i; done
+sleep 0.28 # tasks end, so that polls are due
+kill -STOP "$(cat "$D/$frozen.pid")"
+elected() {
+	for i in 1 2 3; do
+		[ "c$i" != "$frozen" ] && leads c$i && return 0
+	done
+	return 1
+}
+until_ok 10 elected || fail "no leader beside a paused one"
+for i in 31 32; do submit $i "$job" || fail "job $i refused beside a paused leader"; done
+sleep 2
+kill -CONT "$(cat "$D/$frozen.pid")"
+for i in 21 22 23 24 25 26 27 28 31 32; do
+	until_ok 20 state_is $i completed || fail "job $i: $(cat "$D/body")"
+done
+leads "$frozen" && fail "the paused leader still leads"
+[ "$(grep -c '^fenced' "$D/ledger")" = 0 ] ||
+	fail "commands on an ended epoch: $(grep '^fenced' "$D/ledger" | head -n 3)"
+
 # Cancelling ends the lasting tasks.
 [ "$(caller DELETE "/q/$(job_id 900)")" = 200 ] || fail "not cancelled"
 ended() { [ "$(grep -c "^end $(job_id 900)" "$D/ledger")" -ge 3 ]; }
@@ -151,7 +176,7 @@
 # The ledger: no task runs twice at a time, none again after it was done.
 awk '$1 == "start" { if (run[$2]++) print "twice:", $0; if (($2 in done) && $5 != "lasts") print "again:", $0 }
      $1 == "end" { run[$2]--; if ($5 == "done") done[$2]++ }
-     END { for (t in done) n++; if (n != 8 * 10) print "tasks done:", n }' "$D/ledger" \
+     END { for (t in done) n++; if (n != 8 * 20) print "tasks done:", n }' "$D/ledger" \
 	>"$D/checks"
 [ -s "$D/checks" ] && fail "ledger: $(head -n 5 "$D/checks")"
 [ "$bad" -eq 0 ] && echo "site dag: ok"
--- a/standins/executor.c
+++ b/standins/executor.c
@@ -6,7 +6,8 @@
  *            --work-ms MS --ledger FILE
  *
  * The ledger has a line "start|end TASK RUN EXECUTOR HOW MILLISECONDS" for each start and
- * end, for checks after the run.
+ * end, and "fenced PATH EPOCH EXECUTOR MILLISECONDS" for each call with an epoch that has
+ * ended, for checks after the run.
  */
 #include <getopt.h>
 #include <signal.h>
@@ -243,6 +244,7 @@
 	if (expected.n && !str_eq(expected, str_from(e->id))) {
 		reply(req, 421, json_object());
 	} else if (fence < e->fence) {
+		record("fenced", req->path, fence, e, "");
 		refuse(req, "fence");
 	} else {
 		e->fence = fence;
