dag: a worker that has left stays known for a minute

Cause: the record of a worker was removed as soon as it had left and had no runs. A report that a partition had held up then registered it again, as ready, also after all controllers had restarted; it was polled for ever. On the other hand a message of leaving names no life: if that of an earlier life comes late, the new life under the same id was recorded as gone and its reports were ignored for good.

A worker that is gone and without runs is not polled, but once when a report of the same life says that it is ready; if it answers, it is back.

Result: late_report_does_not_bring_a_worker_back, departed_workers_are_forgotten and live_worker_recorded_as_gone_returns fail with the removal put back, and pass.

--- a/carawayfrontd/controller_request.c
+++ b/carawayfrontd/controller_request.c
@@ -263,22 +263,6 @@
 	       str_eq(XDR_STR(*a, zone), XDR_STR(*b, zone)) && same_labels(a, b);
 }
 
-/* Whether a report tells of a life that has ended since, or undoes a leaving. */
-static bool is_old_report(const struct dag_state *s, const struct dag_worker_rec *rec,
-			  const struct dag_worker *w)
-{
-	const struct dag_worker_rec *other;
-
-	if (rec)
-		return w->born_ms < rec->w.born_ms ||
-		       (w->born_ms == rec->w.born_ms && w->state < rec->w.state);
-	for (other = s->workers; other; other = other->hh.next)
-		if (other->w.born_ms > w->born_ms &&
-		    str_eq(XDR_STR(other->w, address), XDR_STR(*w, address)))
-			return true;
-	return false;
-}
-
 static void serve_report(struct controller *c, const struct dag_report *r,
 			 struct dag_pending_request *t)
 {
@@ -286,7 +270,8 @@
 	struct dag_worker_rec *rec =
 		dag_state_find_worker_by_id(c->state, XDR_STR(r->worker, id));
 
-	if (is_old_report(c->state, rec, &r->worker)) {
+	if (dag_state_is_old_report(c->state, &r->worker)) {
+		dag_sched_worker_contradicted(c->sched, &r->worker);
 		reply_outcome(t, DAG_OK);
 		return;
 	}
--- a/core/dag_sched_impl.h
+++ b/core/dag_sched_impl.h
@@ -132,6 +132,9 @@
 	uint64_t held_end;	   /* lowest end that is not acknowledged, 0: none */
 	bool has_new_ends; /* the newest list has ends that are new to the leader */
 	int64_t leaving_since_us; /* it announced its exit, 0: it did not */
+	int64_t gone_since_us;	  /* recorded as gone and without runs, 0: not */
+	bool contradicted; /* recorded as gone, but a report of the same life came */
+	bool forget_proposed;
 	/* Serving tasks; recomputed when serving_known is false. */
 	struct ds_serving_task serving[DS_MAX_SERVING];
 	size_t n_serving;
--- a/core/dag_state.c
+++ b/core/dag_state.c
@@ -337,12 +337,19 @@
 	return err;
 }
 
-/* Adds or updates a worker; removes one in state DAG_WORKER_GONE without live runs. */
+/*
+ * Adds or updates a worker. One that is gone is kept, so that a late report of it is
+ * known as such; it is removed when it is reported gone once more, or by a new life.
+ */
 static int apply_worker(struct dag_state *s, const struct dag_worker *w)
 {
 	struct dag_worker_rec *rec = dag_state_find_worker_by_id(s, XDR_STR(*w, id));
 	int err = 0;
 
+	if (rec && rec->w.state == DAG_WORKER_GONE && rec->n_runs == 0) {
+		remove_worker(s, rec);
+		rec = NULL;
+	}
 	if (!rec && w->state == DAG_WORKER_GONE)
 		return 0;
 	err = dag_state_put_worker(s, 0, w, &rec);
@@ -350,8 +357,6 @@
 		return err;
 	if (s->observer)
 		s->observer->ops->worker_changed(s->observer, rec);
-	if (rec->w.state == DAG_WORKER_GONE && rec->n_runs == 0)
-		remove_worker(s, rec);
 	return 0;
 }
 
@@ -509,8 +514,6 @@
 		w->n_runs--;
 	if (s->observer)
 		s->observer->ops->run_ended(s->observer, j, e, worker);
-	if (w && w->w.state == DAG_WORKER_GONE && w->n_runs == 0)
-		remove_worker(s, w);
 }
 
 static void apply_forget(struct dag_state *s, uint64_t id)
--- a/core/dag_state_lookup.c
+++ b/core/dag_state_lookup.c
@@ -34,6 +34,27 @@
 	return w;
 }
 
+/*
+ * Whether a report tells of a life of a worker that has ended, or undoes a leaving:
+ * reports may arrive after their sender has gone and another process has its id or its
+ * address.
+ */
+bool dag_state_is_old_report(const struct dag_state *s, const struct dag_worker *w)
+{
+	const struct dag_worker_rec *rec =
+		dag_state_find_worker_by_id(s, XDR_STR(*w, id));
+	const struct dag_worker_rec *other;
+
+	if (rec)
+		return w->born_ms < rec->w.born_ms ||
+		       (w->born_ms == rec->w.born_ms && w->state < rec->w.state);
+	for (other = s->workers; other; other = other->hh.next)
+		if (other->w.born_ms > w->born_ms &&
+		    str_eq(XDR_STR(other->w, address), XDR_STR(*w, address)))
+			return true;
+	return false;
+}
+
 const struct dag_queue *dag_state_find_queue(const struct dag_state *s, struct str name)
 {
 	for (u_int i = 0; i < s->conf.queues.queues_len; i++)
--- a/core/dag_worker.c
+++ b/core/dag_worker.c
@@ -17,6 +17,8 @@
 #define LEAVE_TIMEOUT_US (1 * USEC_PER_SEC)
 /* Pause between polls, so that one poll reads ends that arrive together. */
 #define POLL_INTERVAL_US (20 * USEC_PER_MS)
+/* How long a worker that has left is remembered, for reports that arrive late. */
+#define GONE_RETENTION_US (60LL * USEC_PER_SEC)
 /* A worker without a report for this many report intervals gets no new runs. */
 #define SILENT_HALF_REPORTS 5 /* in half intervals */
 /* A worker's clock may be 2 % slow; 103 % of a lease on it has certainly expired. */
@@ -194,6 +196,24 @@
 	w->last_heard_us = now_us;
 }
 
+/*
+ * A report came that is older than what is recorded. If a worker that is recorded as gone
+ * reports itself ready in the same life, its leaving may have been meant for an earlier
+ * life under the same id, so it is polled.
+ */
+void dag_sched_worker_contradicted(struct dag_sched *s, const struct dag_worker *report)
+{
+	struct dag_worker_rec *rec =
+		dag_state_find_worker_by_id(s->state, XDR_STR(*report, id));
+	struct ds_worker *w = rec ? rec->sched : NULL;
+
+	if (!w || w->n_runs || w->poll_in_flight || rec->w.state != DAG_WORKER_GONE ||
+	    report->state != DAG_WORKER_READY || report->born_ms != rec->w.born_ms)
+		return;
+	w->contradicted = true;
+	w->next_poll_us = s->now_us;
+}
+
 /* The worker announced its exit; it gets no new runs. */
 void dag_sched_worker_leaving(struct dag_sched *s, uint32_t worker, int64_t now_us)
 {
@@ -259,20 +279,25 @@
 			ds_run_propose_lost(s, r, reason);
 }
 
-/* The worker's process has exited: its runs are lost, and it is marked as gone. */
-static void handle_worker_exit(struct dag_sched *s, struct ds_worker *w,
-			       const char *reason)
+static void propose_state(struct dag_sched *s, const struct ds_worker *w,
+			  enum dag_worker_state state)
 {
 	struct dag_command c = {.kind = DAG_CMD_WORKER};
 
-	propose_all_lost(s, w, reason);
-	if (w->rec->w.state == DAG_WORKER_GONE)
-		return;
 	c.dag_command_u.worker = w->rec->w;
-	c.dag_command_u.worker.state = DAG_WORKER_GONE;
+	c.dag_command_u.worker.state = state;
 	ds_propose(s, &c);
 }
 
+/* The worker's process has exited: its runs are lost, and it is marked as gone. */
+static void handle_worker_exit(struct dag_sched *s, struct ds_worker *w,
+			       const char *reason)
+{
+	propose_all_lost(s, w, reason);
+	if (w->rec->w.state != DAG_WORKER_GONE)
+		propose_state(s, w, DAG_WORKER_GONE);
+}
+
 /* Two workers cannot share an address: the one that started earlier has exited. */
 void ds_handle_replaced_workers(struct dag_sched *s, const struct dag_worker_rec *rec)
 {
@@ -325,11 +350,27 @@
 	}
 }
 
+/* Removes the record of a worker that left long ago. */
+static void forget_worker(struct dag_sched *s, struct ds_worker *w)
+{
+	if (!w->gone_since_us)
+		w->gone_since_us = s->now_us;
+	if (w->forget_proposed || s->now_us - w->gone_since_us < GONE_RETENTION_US)
+		return;
+	w->forget_proposed = true;
+	propose_state(s, w, DAG_WORKER_GONE);
+}
+
 /* Runs timers: lease expiry, the next poll and, with check_all, those of the runs. */
 void ds_worker_tick(struct dag_sched *s, struct ds_worker *w, bool check_all)
 {
 	if (s->fenced)
 		return;
+	if (w->rec->w.state == DAG_WORKER_GONE && !w->n_runs) {
+		forget_worker(s, w);
+		if (!w->contradicted)
+			return;
+	}
 	if (w->n_runs && s->now_us >= w->lease_expires_us)
 		propose_all_lost(s, w, "lease ended");
 	if (check_all)
@@ -530,6 +571,17 @@
 	}
 }
 
+/* A worker that was recorded as gone answers. */
+static void return_worker(struct dag_sched *s, struct ds_worker *w)
+{
+	w->leaving_since_us = 0;
+	w->gone_since_us = 0;
+	w->poll_failures = 0;
+	s->host->ops->log_event(s->host, "worker-back", NULL, 0, XDR_STR(w->rec->w, id),
+				"was recorded as gone and answers", 0);
+	propose_state(s, w, DAG_WORKER_READY);
+}
+
 /* Handles the result of a poll. poll NULL: no usable reply came. */
 void dag_sched_poll_replied(struct dag_sched *s, uint32_t worker,
 			    enum dag_call_result result,
@@ -543,6 +595,13 @@
 	if (!w || !w->poll_in_flight)
 		return;
 	w->poll_in_flight = false;
+	if (w->contradicted) {
+		w->contradicted = false;
+		if (poll && poll->born_ms == w->rec->w.born_ms &&
+		    w->rec->w.state == DAG_WORKER_GONE)
+			return_worker(s, w);
+		return;
+	}
 	if (result == DAG_RESULT_RESTARTED) {
 		handle_worker_exit(s, w, "another process answers at the address");
 		w->next_poll_us = now_us + POLL_RETRY_US;
--- a/regress/test_dag.c
+++ b/regress/test_dag.c
@@ -548,6 +548,130 @@
 }
 END_TEST
 
+static void apply_worker_state(struct dag_state *s, int64_t born_ms,
+			       enum dag_worker_state state)
+{
+	struct dag_command c = {.kind = DAG_CMD_WORKER};
+	struct dag_batch batch = {.commands = {1, &c}};
+	struct dag_worker *x = &c.dag_command_u.worker;
+	struct buf bytes = {0};
+
+	XDR_SET(*x, id, STR("i-1"));
+	XDR_SET(*x, address, STR("a-1"));
+	x->born_ms = born_ms;
+	x->state = state;
+	ck_assert_int_eq(codec_encode((xdrproc_t)xdr_dag_batch, &batch, &bytes), 0);
+	ck_assert_int_eq(dag_state_apply(s, buf_str(&bytes)), 0);
+	buf_free(&bytes);
+}
+
+static bool is_old_report(const struct dag_state *s, int64_t born_ms,
+			  enum dag_worker_state state)
+{
+	struct dag_worker x = {.born_ms = born_ms, .state = state};
+
+	XDR_SET(x, id, STR("i-1"));
+	XDR_SET(x, address, STR("a-1"));
+	return dag_state_is_old_report(s, &x);
+}
+
+/*
+ * Guards against a worker that has left and is used again when a report arrives that was
+ * held up by a partition, also after all controllers have restarted from a snapshot.
+ */
+START_TEST(late_report_does_not_bring_a_worker_back)
+{
+	struct dag_state *s, *restarted;
+	struct buf image = {0};
+
+	ck_assert_int_eq(dag_state_new(&s), 0);
+	ck_assert_int_eq(dag_state_new(&restarted), 0);
+	apply_worker_state(s, 50, DAG_WORKER_READY);
+	apply_worker_state(s, 50, DAG_WORKER_DRAINING);
+	ck_assert(is_old_report(s, 50, DAG_WORKER_READY));
+	apply_worker_state(s, 50, DAG_WORKER_GONE);
+	ck_assert_int_eq(dag_state_snapshot(s, &image), 0);
+	ck_assert_int_eq(dag_state_restore(restarted, buf_str(&image)), 0);
+	ck_assert(is_old_report(restarted, 50, DAG_WORKER_READY));
+	ck_assert(is_old_report(restarted, 50, DAG_WORKER_DRAINING));
+	ck_assert(is_old_report(restarted, 49, DAG_WORKER_READY));
+	ck_assert(!is_old_report(restarted, 51, DAG_WORKER_READY));
+	/* A new life has a new number, and its reports are taken. */
+	apply_worker_state(restarted, 51, DAG_WORKER_READY);
+	ck_assert_ptr_null(dag_state_find_worker(restarted, 1));
+	ck_assert_ptr_nonnull(dag_state_find_worker(restarted, 2));
+	buf_free(&image);
+	dag_state_free(s);
+	dag_state_free(restarted);
+}
+END_TEST
+
+static void record_worker_state(uint32_t number, enum dag_worker_state state)
+{
+	struct dag_command c = {.kind = DAG_CMD_WORKER};
+
+	c.dag_command_u.worker =
+		dag_state_find_worker_by_id(w.state, str_from(w.workers[number].id))->w;
+	c.dag_command_u.worker.state = state;
+	w.host.ops->propose(&w.host, &c);
+}
+
+/* Guards against records of workers that pile up, and polls of those that have left. */
+START_TEST(departed_workers_are_forgotten)
+{
+	uint32_t number = dw_add_worker(&w, 8000, 8000);
+	uint32_t looks;
+
+	dw_run_for(&w, SECOND);
+	record_worker_state(number, DAG_WORKER_GONE);
+	dw_run_for(&w, 2 * SECOND);
+	looks = w.workers[number].looks;
+	dw_run_for(&w, 20 * SECOND);
+	dw_change_leader(&w);
+	dw_run_for(&w, 20 * SECOND);
+	ck_assert_uint_eq(w.workers[number].looks, looks);
+	ck_assert_ptr_nonnull(
+		dag_state_find_worker_by_id(w.state, str_from(w.workers[number].id)));
+	dw_run_for(&w, 50 * SECOND);
+	ck_assert_ptr_null(
+		dag_state_find_worker_by_id(w.state, str_from(w.workers[number].id)));
+}
+END_TEST
+
+/*
+ * Guards against a worker that is lost for good because a message of leaving came late:
+ * it was sent by an earlier life under the same id, and names no life.
+ */
+START_TEST(live_worker_recorded_as_gone_returns)
+{
+	uint32_t number = dw_add_worker(&w, 8000, 8000);
+	uint32_t dead = dw_add_worker(&w, 8000, 8000);
+	const struct dag_worker_rec *rec;
+	struct dag_worker report;
+
+	dw_run_for(&w, SECOND);
+	record_worker_state(number, DAG_WORKER_GONE);
+	record_worker_state(dead, DAG_WORKER_GONE);
+	w.workers[dead].up = false;
+	dw_run_for(&w, 2 * SECOND);
+	for (uint32_t i = number; i <= dead; i++) {
+		report = dag_state_find_worker_by_id(w.state, str_from(w.workers[i].id))
+				 ->w;
+		report.state = DAG_WORKER_READY;
+		dag_sched_worker_contradicted(w.sched, &report);
+	}
+	dw_run_for(&w, 3 * SECOND);
+	rec = dag_state_find_worker_by_id(w.state, str_from(w.workers[number].id));
+	ck_assert_int_eq(rec->w.state, DAG_WORKER_READY);
+	rec = dag_state_find_worker_by_id(w.state, str_from(w.workers[dead].id));
+	ck_assert_int_eq(rec->w.state, DAG_WORKER_GONE);
+	dw_submit_chain(&w, 1, 1, 4);
+	dw_run_for(&w, 3 * SECOND);
+	assert_sound();
+	ck_assert_int_eq(dw_state(&w, 1), DAG_JOB_COMPLETED);
+}
+END_TEST
+
 /* Guards a job that fails for good against further starts. */
 START_TEST(attempts_are_bounded)
 {
@@ -792,6 +916,9 @@
 	tcase_add_test(tc, failing_worker_is_avoided);
 	tcase_add_test(tc, stalled_runs_move);
 	tcase_add_test(tc, silence_is_no_stall);
+	tcase_add_test(tc, late_report_does_not_bring_a_worker_back);
+	tcase_add_test(tc, departed_workers_are_forgotten);
+	tcase_add_test(tc, live_worker_recorded_as_gone_returns);
 	tcase_add_test(tc, long_tasks_are_no_stalls);
 	tcase_add_test(tc, attempts_are_bounded);
 	tcase_add_test(tc, leader_change_keeps_runs);
