controller: a large request does not end the round of all others

Cause: all commands of a round of the loop became one log entry. Above 2 MiB, such as with two large configurations at once, the entry was refused, the scheduler started again, all other requests of the round were answered as unknown, and the operators sent the same again.

Change: command_batch splits a round into entries that the log takes and refuses a command that no entry can hold, alone and as invalid.

Result: test_command_batch; the old code had no such unit, and 12 commands of 0.9 MB and less in one round are one entry of 3.6 MB there, which replica_propose() refuses.

--- a/Makefile
+++ b/Makefile
@@ -57,6 +57,8 @@
 # It calls a gateway, so it needs a part of the daemon.
 $(BUILD)/bin/test_relay: $(BUILD)/carawayfrontd/relay.o $(BUILD)/carawayfrontd/node_id.o
 
+$(BUILD)/bin/test_command_batch: $(BUILD)/carawayfrontd/command_batch.o
+
 $(BUILD)/bin/bench_%: $(BUILD)/bench/bench_%.o $(BENCH_LIB) $(LIB)
 	@mkdir -p $(@D)
 	@echo '  LINK $@'; $(CC) $(LDFLAGS) -o $@ $(filter %.o,$^) $(LIB) $(LDLIBS)
--- a/carawayfrontd/controller.c
+++ b/carawayfrontd/controller.c
@@ -211,7 +211,7 @@
 		controller_flush(c);
 		if (c->disk.sync_asked && !c->failure)
 			c->failure = disk_host_flush(&c->disk, c->replica, c->metrics);
-	} while ((c->n_batch || c->disk.sync_asked) && !c->failure);
+	} while ((c->batch.n_parts || c->disk.sync_asked) && !c->failure);
 	follow_leadership(c);
 	hand_over(c);
 	relay_flush(c->relay);
@@ -332,6 +332,6 @@
 		c->transport->ops->free(c->transport);
 	controller_close_replica(c);
 	dag_state_free(c->state);
-	buf_free(&c->batch);
+	command_batch_free(&c->batch);
 	free(c);
 }
--- a/carawayfrontd/controller_impl.h
+++ b/carawayfrontd/controller_impl.h
@@ -3,6 +3,7 @@
 
 #include <stddef.h>
 
+#include "carawayfrontd/command_batch.h"
 #include "carawayfrontd/controller.h"
 #include "carawayfrontd/dag_client.h"
 #include "carawayfrontd/disk_host.h"
@@ -52,8 +53,7 @@
 	struct metrics_port *metrics_port;
 	struct ev_timer timer;
 	struct ev_prepare prepare;
-	struct buf batch; /* encoded commands of this round */
-	uint32_t n_batch;
+	struct command_batch batch; /* of this round */
 	struct controller_wait *waits;
 	struct controller_wait **waits_end;
 	struct dag_pending_request members_ticket;
--- a/carawayfrontd/controller_request.c
+++ b/carawayfrontd/controller_request.c
@@ -30,41 +30,44 @@
 	t->ops->done(t, &reply);
 }
 
-/* Adds a command to the batch that is proposed at the end of this round. */
+/*
+ * Adds a command to the batch that is proposed at the end of this round. Errors as for
+ * command_batch_add().
+ */
 int controller_propose(struct controller *c, const struct dag_command *cmd)
 {
-	int err = codec_encode((xdrproc_t)xdr_dag_command, cmd, &c->batch);
+	return command_batch_add(&c->batch, cmd);
+}
 
-	if (!err)
-		c->n_batch++;
+/* Proposes the entries of the batch. *index: the last one's place in the log. */
+static int propose_entries(struct controller *c, uint64_t *index)
+{
+	int64_t time_ms = clock_wall_us() / 1000;
+	struct buf entry = {0};
+	int err = 0;
+
+	if (time_ms < c->state->time_ms)
+		time_ms = c->state->time_ms;
+	for (size_t i = 0; !err && i < c->batch.n_parts; i++) {
+		err = command_batch_entry(&c->batch, i, time_ms, &entry);
+		if (!err)
+			err = replica_propose(c->replica, buf_str(&entry), clock_us(),
+					      index);
+	}
+	buf_free(&entry);
 	return err;
 }
 
-/* Proposes the commands of this round as one log entry. */
+/* Proposes the commands of this round. */
 void controller_flush(struct controller *c)
 {
-	int64_t time_ms = clock_wall_us() / 1000;
-	unsigned char head[12];
-	struct buf entry = {0};
 	uint64_t index = 0;
 	int err;
 
-	if (!c->n_batch)
+	if (!c->batch.n_parts)
 		return;
-	/* An encoded dag_batch: the time, the number of commands, the commands. */
-	if (time_ms < c->state->time_ms)
-		time_ms = c->state->time_ms;
-	codec_put_u32(head, (uint32_t)((uint64_t)time_ms >> 32));
-	codec_put_u32(head + 4, (uint32_t)time_ms);
-	codec_put_u32(head + 8, c->n_batch);
-	err = buf_add(&entry, head, sizeof(head));
-	if (!err)
-		err = buf_add(&entry, c->batch.p, c->batch.n);
-	c->batch.n = 0;
-	c->n_batch = 0;
-	if (!err)
-		err = replica_propose(c->replica, buf_str(&entry), clock_us(), &index);
-	buf_free(&entry);
+	err = propose_entries(c, &index);
+	command_batch_clear(&c->batch);
 	if (err) {
 		/* The scheduler counts on its commands, so it starts again. */
 		log_warn("proposal-failed", "error=\"%s\"", cf_strerror(err));
@@ -110,10 +113,11 @@
 			     struct dag_pending_request *t)
 {
 	struct controller_wait *w = calloc(1, sizeof(*w));
+	int err = w ? controller_propose(c, cmd) : CF_ENOMEM;
 
-	if (!w || controller_propose(c, cmd)) {
+	if (err) {
 		free(w);
-		reply_outcome(t, DAG_REJECTED);
+		reply_outcome(t, err == CF_ETOOBIG ? DAG_INVALID : DAG_REJECTED);
 		return;
 	}
 	w->ticket = t;
