rpc, dag_client: a request that was never sent is refused, not left open

Cause: a call that waited for its connection ended as maybe run, also when the host had no power, and stayed queued: if the connection came about later, it was sent after all. Reads ended as unknown, too.

Change: such calls end with CF_EUNAVAIL and with the attempt to connect, so that they cannot go out later.

Result: call_without_a_connection_is_not_sent fails with the old client (CF_ETIMEOUT) and passes.

--- a/carawayfrontd/dag_client.c
+++ b/carawayfrontd/dag_client.c
@@ -37,6 +37,7 @@
 	struct buf args;
 	struct dag_node *node;
 	double deadline;
+	bool has_effect; /* it is not just a read */
 	bool maybe_run;
 };
 
@@ -180,7 +181,8 @@
 	if (!err) {
 		take_reply(call, &reply);
 	} else {
-		call->maybe_run = true;
+		call->maybe_run =
+			call->maybe_run || (call->has_effect && err != CF_EUNAVAIL);
 		call->node->avoid_until = ev_now(c->opt.loop) + AVOID_S;
 		if (c->leader == call->node->id)
 			c->leader = 0;
@@ -217,7 +219,16 @@
 	}
 }
 
-/* Sends a request; timeout in seconds. */
+static bool has_effect(enum dag_request_kind kind)
+{
+	return kind != DAG_REQ_READ && kind != DAG_REQ_CONF_GET &&
+	       kind != DAG_REQ_MEMBERS;
+}
+
+/*
+ * Sends a request; timeout in seconds. Without an answer it ends as rejected if it cannot
+ * have changed anything, else as unknown.
+ */
 void dag_client_request(struct dag_client *c, const struct dag_request *req,
 			double timeout, struct dag_pending_request *t)
 {
@@ -233,6 +244,7 @@
 	call->waiter.ops = &waiter_ops;
 	call->client = c;
 	call->ticket = t;
+	call->has_effect = has_effect(req->kind);
 	call->deadline = ev_now(c->opt.loop) + timeout;
 	ev_timer_init(&call->retry, on_retry, 0, 0);
 	call->retry.data = call;
@@ -264,7 +276,7 @@
 	return n;
 }
 
-/* Ends outstanding requests as unknown. */
+/* Ends outstanding requests; those that may have changed something as unknown. */
 void dag_client_free(struct dag_client *c)
 {
 	struct client_call *next;
@@ -274,7 +286,7 @@
 	for (struct client_call *call = c->calls; call; call = next) {
 		next = call->next;
 		rpc_waiter_cancel(&call->waiter);
-		call->maybe_run = true;
+		call->maybe_run = call->has_effect;
 		fail_call(call);
 	}
 	for (size_t i = 0; i < c->n; i++)
--- a/io/rpc_client.c
+++ b/io/rpc_client.c
@@ -73,11 +73,6 @@
 	}
 }
 
-static void on_sweep(struct ev_loop *loop, struct ev_timer *t, int events)
-{
-	end_calls(t->data, ev_now(loop), CF_ETIMEOUT);
-}
-
 static int on_record(struct stream *s, struct str record)
 {
 	struct rpc_client *c = (struct rpc_client *)s;
@@ -121,7 +116,8 @@
 	for (unsigned int i = 0; i < WAITER_BUCKETS; i++)
 		for (struct rpc_waiter *w = c->waiters[i]; w; w = w->next)
 			w->deadline = -1;
-	end_calls(c, 0, CF_ECONN);
+	/* Nothing is written before the connection is up. */
+	end_calls(c, 0, was_up ? CF_ECONN : CF_EUNAVAIL);
 	if (was_up && c->opt.host)
 		c->opt.host->ops->down(c->opt.host);
 }
@@ -132,6 +128,33 @@
 	.closed = on_closed,
 };
 
+static bool has_expired_call(const struct rpc_client *c)
+{
+	double now = ev_now(c->opt.loop);
+
+	for (unsigned int i = 0; i < WAITER_BUCKETS; i++)
+		for (const struct rpc_waiter *w = c->waiters[i]; w; w = w->next)
+			if (w->deadline < now)
+				return true;
+	return false;
+}
+
+/*
+ * Ends expired calls. A call that waits for its connection ends with the attempt to
+ * connect, so that it is not sent after it was reported as not sent.
+ */
+static void on_sweep(struct ev_loop *loop, struct ev_timer *t, int events)
+{
+	struct rpc_client *c = t->data;
+
+	if (!c->up && c->stream.fd >= 0 && has_expired_call(c)) {
+		stream_close(&c->stream);
+		on_closed(&c->stream, CF_ETIMEOUT);
+		return;
+	}
+	end_calls(c, ev_now(loop), CF_ETIMEOUT);
+}
+
 /* Starts a connection attempt. CF_ECONN also while the backoff runs. */
 static int connect_peer(struct rpc_client *c)
 {
--- a/io/rpc_client.h
+++ b/io/rpc_client.h
@@ -10,8 +10,9 @@
 
 struct rpc_waiter_ops {
 	/*
-	 * The call ended: 0 with results, CF_ECONN, CF_ETIMEOUT (both: the peer may
-	 * have run it), CF_EAUTH, CF_EINVAL or CF_EIO. The waiter is free again.
+	 * The call ended: 0 with results, CF_EUNAVAIL (no connection came about; nothing
+	 * was sent), CF_ECONN, CF_ETIMEOUT (both: the peer may have run it), CF_EAUTH,
+	 * CF_EINVAL or CF_EIO. The waiter is free again.
 	 */
 	void (*done)(struct rpc_waiter *w, int err, struct str results);
 };
--- a/regress/test_rpc.c
+++ b/regress/test_rpc.c
@@ -116,6 +116,58 @@
 }
 END_TEST
 
+/*
+ * Guards against a call that is reported as not sent and is sent later, and against one
+ * that is reported as maybe run though it was never sent. The listener's queue is full,
+ * so that the connection does not come about, as with a host without power.
+ */
+START_TEST(call_without_a_connection_is_not_sent)
+{
+	struct rpc_client_options opt = {
+		.loop = loop, .member = STR("t"), .key = STR("secret")};
+	struct waiter w = {.base = {.ops = &waiter_ops}};
+	struct rpc_client *c = NULL;
+	int fill[4];
+	char bytes[64];
+	int listener;
+	int accepted = 0;
+
+	ck_assert_int_eq(addr_parse(STR("127.0.0.1:20102"), &opt.address), 0);
+	listener = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+	setsockopt(listener, SOL_SOCKET, SO_REUSEADDR, &(int){1}, sizeof(int));
+	ck_assert_int_eq(
+		bind(listener, (struct sockaddr *)&opt.address.sa, opt.address.len), 0);
+	ck_assert_int_eq(listen(listener, 0), 0);
+	for (size_t i = 0; i < 4; i++) {
+		fill[i] = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+		(void)connect(fill[i], (struct sockaddr *)&opt.address.sa,
+			      opt.address.len);
+	}
+	ck_assert_int_eq(rpc_client_new(&opt, &c), 0);
+	ck_assert_int_eq(rpc_client_call(c, PROC_ECHO, STR("order"), 0.2, &w.base), 0);
+	run_until(&w);
+	ck_assert_int_eq(w.err, CF_EUNAVAIL);
+	for (size_t i = 0; i < 4; i++)
+		close(fill[i]);
+	/* The kernel repeats the opening packet after one and three seconds. */
+	for (int i = 0; i < 40; i++) {
+		int fd = accept(listener, NULL, NULL);
+
+		ev_run(loop, EVRUN_NOWAIT);
+		usleep(100000);
+		if (fd < 0)
+			continue;
+		accepted++;
+		ck_assert_int_le(recv(fd, bytes, sizeof(bytes), MSG_DONTWAIT), 0);
+		close(fd);
+	}
+	ck_assert_int_gt(accepted, 0);
+	rpc_client_free(c);
+	close(listener);
+	buf_free(&w.results);
+}
+END_TEST
+
 /* Guards against a peer without the cluster key being served. */
 START_TEST(wrong_key_is_refused)
 {
@@ -267,6 +319,7 @@
 	tcase_add_checked_fixture(tc, setup, teardown);
 	tcase_set_timeout(tc, 120);
 	tcase_add_test(tc, many_outstanding_calls);
+	tcase_add_test(tc, call_without_a_connection_is_not_sent);
 	tcase_add_test(tc, wrong_key_is_refused);
 	tcase_add_test(tc, first_call_needs_a_credential);
 	tcase_add_test(tc, call_times_out_and_late_reply_is_dropped);
