dag: a lost start is not repeated on a worker that leaves

The start request of 9.83 s was lost with a gateway that lost power at 9.5 s; it counted as unanswered after 2.5 s and was sent again 0.25 s later.

Change: a worker that leaves or whose availability zone has been closed gets no start request. Since an earlier one may still take effect there, the run is stopped, which keeps it from starting, and the task goes elsewhere.

Result: lost_start_is_not_repeated_on_a_leaving_worker fails without the change for both cases and passes with it.

--- a/core/dag_run.c
+++ b/core/dag_run.c
@@ -95,13 +95,23 @@
 	o->checkpoint = buf_str(&t->checkpoint);
 }
 
-/* Sends the start request. It is idempotent: a worker starts a run number only once. */
+/*
+ * Sends the start request. It is idempotent: a worker starts a run number only once. A
+ * worker that leaves or whose availability zone has been closed gets none; an earlier
+ * request without a reply may still take effect there, so the run is stopped.
+ */
 void ds_run_send_start(struct dag_sched *s, struct ds_run *r)
 {
 	struct dag_worker_command o;
 
 	if (s->fenced || !r->worker->clock_known)
 		return;
+	if (!r->worker->in_service || r->worker->leaving_since_us) {
+		if (r->phase == DS_PROPOSED)
+			r->phase = DS_UNCONFIRMED;
+		ds_run_request_stop(s, r, "not started; the worker leaves");
+		return;
+	}
 	fill_command(s, r, &o);
 	o.call.lease_ms = ds_worker_extend_lease(s, r->worker);
 	r->phase = DS_STARTING;
--- a/regress/test_dag.c
+++ b/regress/test_dag.c
@@ -696,6 +696,38 @@
 }
 END_TEST
 
+/*
+ * Guards against a start that is sent again to a worker that leaves, or whose zone has
+ * been closed: the first request was lost with the gateway that had it.
+ */
+START_TEST(lost_start_is_not_repeated_on_a_leaving_worker)
+{
+	bool zone = _i;
+	uint32_t leaving = dw_add_worker(&w, 8000, 8000);
+
+	dw_run_for(&w, SECOND);
+	w.lost_permille = 1000;
+	dw_submit_chain(&w, 1, 1, 2);
+	dw_run_for(&w, SECOND / 10);
+	if (zone)
+		dw_close_zone(&w, true);
+	else
+		record_worker_state(leaving, DAG_WORKER_DRAINING);
+	dw_run_for(&w, SECOND / 10);
+	w.lost_permille = 0;
+	if (!zone)
+		add_workers(1);
+	dw_run_for(&w, 5 * SECOND);
+	ck_assert_uint_eq(w.starts, zone ? 0 : 2);
+	ck_assert_uint_eq(w.workers[leaving].next_end, 1);
+	if (zone)
+		dw_close_zone(&w, false);
+	dw_run_for(&w, 5 * SECOND);
+	assert_sound();
+	ck_assert_int_eq(dw_state(&w, 1), DAG_JOB_COMPLETED);
+}
+END_TEST
+
 /* Guards a job that fails for good against further starts. */
 START_TEST(attempts_are_bounded)
 {
@@ -944,6 +976,7 @@
 	tcase_add_test(tc, late_report_does_not_bring_a_worker_back);
 	tcase_add_test(tc, departed_workers_are_forgotten);
 	tcase_add_test(tc, live_worker_recorded_as_gone_returns);
+	tcase_add_loop_test(tc, lost_start_is_not_repeated_on_a_leaving_worker, 0, 2);
 	tcase_add_test(tc, long_tasks_are_no_stalls);
 	tcase_add_test(tc, attempts_are_bounded);
 	tcase_add_test(tc, leader_change_keeps_runs);
