dag: one submission cannot take the controllers' memory

Cause: a job may have 100,000 tasks and 4,096 occurrences, and all of their tasks are allocated when the submission is applied. Without memory the entry cannot be applied, the process ends, and so does every other controller at the same entry; a small one has 256 MB.

Change: a job has at most 131,072 tasks over all occurrences (400 beyond), and a state with a million tasks takes no further job (503 with Retry-After).

Result: job_with_too_many_tasks_is_refused; 4,096 occurrences of 100 tasks were valid before. Tried and not kept: bounds on the counts of arrays in dag.x.

--- a/carawayfrontd/command_batch.c
+++ b/carawayfrontd/command_batch.c
@@ -31,9 +31,15 @@
 	return 0;
 }
 
+/* Whether the last part can hold the command that was just encoded. */
+static bool has_room(const struct command_batch *b)
+{
+	return b->n_parts && b->bytes.n - part_start(b, b->n_parts - 1) <= PART_BYTES;
+}
+
 /*
- * Adds a command. CF_ETOOBIG: no entry can hold it; CF_EMALFORMED or CF_ENOMEM: it cannot
- * be encoded. After an error the batch is as before.
+ * Adds a command. CF_ETOOBIG: no entry can hold it; CF_EINVAL: it exceeds a
+ * bound of the protocol; CF_ENOMEM. After an error the batch is as before.
  */
 int command_batch_add(struct command_batch *b, const struct dag_command *cmd)
 {
@@ -44,8 +50,7 @@
 	err = codec_encode((xdrproc_t)xdr_dag_command, cmd, &b->bytes);
 	if (!err && b->bytes.n - before > PART_BYTES)
 		err = CF_ETOOBIG;
-	if (!err &&
-	    (!b->n_parts || b->bytes.n - part_start(b, b->n_parts - 1) > PART_BYTES))
+	if (!err && !has_room(b))
 		err = begin_part(b, before);
 	if (err) {
 		b->bytes.n = before;
--- a/carawayfrontd/controller_request.c
+++ b/carawayfrontd/controller_request.c
@@ -117,7 +117,8 @@
 
 	if (err) {
 		free(w);
-		reply_outcome(t, err == CF_ETOOBIG ? DAG_INVALID : DAG_REJECTED);
+		reply_outcome(t, err == CF_ETOOBIG || err == CF_EINVAL ? DAG_INVALID
+								       : DAG_REJECTED);
 		return;
 	}
 	w->ticket = t;
@@ -186,6 +187,12 @@
 		reply_outcome(t, outcome);
 		return;
 	}
+	if (c->state->n_tasks + dag_job_count_tasks(&s->job) > DAG_MAX_TASKS_TOTAL) {
+		log_warn("submit-refused", "job=%016llx tasks=%llu",
+			 (unsigned long long)id, (unsigned long long)c->state->n_tasks);
+		reply_outcome(t, DAG_REJECTED);
+		return;
+	}
 	*job = s->job;
 	job->id = id;
 	job->queue.queue_val = q->name.name_val;
--- a/core/dag_state.c
+++ b/core/dag_state.c
@@ -62,6 +62,7 @@
 static void remove_job(struct dag_state *s, struct dag_job_rec *j)
 {
 	HASH_DEL(s->jobs, j);
+	s->n_tasks -= (uint64_t)j->n_occ * j->n_tasks;
 	free_job(j);
 }
 
@@ -79,6 +80,7 @@
 	struct dag_job_rec *j = s->jobs;
 	void *next;
 
+	s->n_tasks = 0;
 	HASH_CLEAR(hh, s->jobs);
 	HASH_CLEAR(hh_id, s->workers_by_id);
 	HASH_CLEAR(hh, s->workers);
@@ -146,6 +148,16 @@
 	return true;
 }
 
+/* Number of tasks of a job with all its occurrences. */
+uint64_t dag_job_count_tasks(const struct dag_job *j)
+{
+	uint64_t tasks = 0;
+
+	for (u_int i = 0; i < j->steps.steps_len; i++)
+		tasks += j->steps.steps_val[i].count;
+	return tasks * (j->occurrences ? j->occurrences : 1);
+}
+
 /* Whether a job is within the limits and its steps depend on earlier steps only. */
 bool dag_job_valid(const struct dag_job *j)
 {
@@ -163,7 +175,7 @@
 			if (st->depends_on.depends_on_val[d] >= i)
 				return false;
 	}
-	return true;
+	return dag_job_count_tasks(j) <= DAG_MAX_JOB_TASKS;
 }
 
 /* Allocates the tasks of a job and sets its counters. */
@@ -225,6 +237,7 @@
 		return err;
 	}
 	HASH_ADD(hh, s->jobs, id, sizeof(j->id), j);
+	s->n_tasks += (uint64_t)j->n_occ * j->n_tasks;
 	*out = j;
 	return 0;
 }
--- a/core/dag_state.h
+++ b/core/dag_state.h
@@ -17,6 +17,9 @@
 #define DAG_MAX_COPIES 2U	  /* runs of one task at a time */
 #define DAG_MAX_TASKS 100000U	  /* of one occurrence of a job */
 #define DAG_MAX_OCCURRENCES 4096U /* of one job */
+#define DAG_MAX_JOB_TASKS 131072U /* of all occurrences of a job */
+/* Of all jobs together. A task takes about 100 bytes here and in the scheduler. */
+#define DAG_MAX_TASKS_TOTAL 1000000U
 
 /* A live run: its start is recorded and its end is not. */
 struct dag_run {
@@ -91,6 +94,7 @@
 };
 
 struct dag_state {
+	uint64_t n_tasks;     /* of all jobs and occurrences */
 	struct dag_conf conf; /* revision 0: none yet */
 	struct dag_zone_rec *closed_zones;
 	struct dag_worker_rec *workers; /* by number */
@@ -123,6 +127,7 @@
 				   uint32_t step, uint32_t index);
 bool dag_job_ended(const struct dag_job_rec *j);
 bool dag_job_step_ready(const struct dag_job_rec *j, uint32_t occurrence, uint32_t step);
+uint64_t dag_job_count_tasks(const struct dag_job *j);
 bool dag_job_valid(const struct dag_job *j);
 
 /* Private to core/dag_state*.c. */
--- a/regress/test_dag.c
+++ b/regress/test_dag.c
@@ -728,6 +728,26 @@
 }
 END_TEST
 
+/*
+ * Guards the controllers against one submission that takes all their memory when it is
+ * applied, each of them at the same entry: many tasks, many times.
+ */
+START_TEST(job_with_too_many_tasks_is_refused)
+{
+	struct dag_step st = {.count = 100};
+	struct dag_job job = {.id = 1, .occurrences = 1000};
+
+	job.steps.steps_len = 1;
+	job.steps.steps_val = &st;
+	ck_assert(dag_job_valid(&job));
+	job.occurrences = DAG_MAX_OCCURRENCES;
+	ck_assert(!dag_job_valid(&job));
+	st.count = 20;
+	ck_assert(dag_job_valid(&job));
+	ck_assert_uint_eq(dag_job_count_tasks(&job), 20 * DAG_MAX_OCCURRENCES);
+}
+END_TEST
+
 /* Guards a job that fails for good against further starts. */
 START_TEST(attempts_are_bounded)
 {
@@ -978,6 +998,7 @@
 	tcase_add_test(tc, live_worker_recorded_as_gone_returns);
 	tcase_add_loop_test(tc, lost_start_is_not_repeated_on_a_leaving_worker, 0, 2);
 	tcase_add_test(tc, long_tasks_are_no_stalls);
+	tcase_add_test(tc, job_with_too_many_tasks_is_refused);
 	tcase_add_test(tc, attempts_are_bounded);
 	tcase_add_test(tc, leader_change_keeps_runs);
 	tcase_add_test(tc, first_looks_are_spread);
