--- a/regress/lib_dag_world.c
+++ b/regress/lib_dag_world.c
@@ -416,6 +416,20 @@
 	return NULL;
 }
 
+static void count_filler_start(struct dag_world *w, const struct dw_worker *dw,
+			       const struct dw_run *filler)
+{
+	bool disturbs = false;
+
+	if (!filler->filler || !filler->image)
+		return;
+	for (size_t i = 0; i < DW_RUNS; i++)
+		disturbs = disturbs || (dw->runs[i].used && dw->runs[i].lasting &&
+					dw->runs[i].image == filler->image);
+	w->filler_starts++;
+	w->disturbing_starts += disturbs;
+}
+
 static enum dag_call_result do_start(struct dag_world *w, struct dw_worker *dw,
 				     const struct dw_event *e)
 {
@@ -450,6 +464,7 @@
 	};
 	if (st->image.image_len)
 		r->image = st->image.image_val[st->image.image_len - 1];
+	count_filler_start(w, dw, r);
 	task_of(w, &e->task)->alive++;
 	return DAG_RESULT_OK;
 }
--- a/regress/lib_dag_world.h
+++ b/regress/lib_dag_world.h
@@ -126,8 +126,10 @@
 	 * Serving tasks with an image have a load of their own that swings, and fillers
 	 * whose image ends with the same character add to it; others hardly do.
 	 */
-	int64_t served_us;	/* time of these tasks */
-	int64_t over_target_us; /* part of it above their target */
+	uint32_t filler_starts;	    /* fillers with an image */
+	uint32_t disturbing_starts; /* part of them beside a task that they disturb */
+	int64_t served_us;	    /* time of these tasks */
+	int64_t over_target_us;	    /* part of it above their target */
 };
 
 void dw_open(struct dag_world *w, uint64_t seed);
--- a/regress/test_dag.c
+++ b/regress/test_dag.c
@@ -368,6 +368,8 @@
 	uint32_t completed = 0;
 
 	play_two_kinds(10, 3);
+	w.filler_starts = 0;
+	w.disturbing_starts = 0;
 	w.served_us = 0;
 	w.over_target_us = 0;
 	for (uint64_t id = 1000; id < 1090; id++) {
@@ -388,6 +390,10 @@
 		completed += dw_state(&w, id) == DAG_JOB_COMPLETED;
 	ck_assert_uint_ge(completed, 88);
 	ck_assert_int_gt(w.served_us, 0);
+	/* Each kind has four workers that it does not disturb, with room for all of it.
+	 */
+	ck_assert_uint_gt(w.filler_starts, 300);
+	ck_assert_uint_le(w.disturbing_starts * 20, w.filler_starts);
 	/* Callers of the serving tasks: one second in a hundred, at most. */
 	ck_assert_int_le(w.over_target_us * 100, w.served_us);
 }
--- a/regress/test_replica.c
+++ b/regress/test_replica.c
@@ -911,6 +911,35 @@
 }
 END_TEST
 
+/*
+ * Guards against a proposal that was refused for lack of space and commits later: the
+ * first entry after it is of the next epoch.
+ */
+START_TEST(refused_proposal_does_not_commit)
+{
+	static struct cluster c;
+	struct node *a;
+	uint64_t epoch;
+	uint64_t before;
+	uint64_t index;
+
+	cluster_start(&c, 19, 1, 0);
+	ck_run(&c, cluster_run_to_leader(&c, 10 * SECOND));
+	a = cluster_leader(&c);
+	commit_entries(&c, 5);
+	cluster_run(&c, SECOND);
+	before = c.n_ref;
+	epoch = replica_epoch(a->r);
+	a->disk_full = true;
+	ck_assert_int_eq(cluster_propose(a, 32, &index), CF_ENOSPACE);
+	cluster_run(&c, SECOND);
+	a->disk_full = false;
+	ck_run(&c, cluster_settle(&c, 10 * SECOND));
+	ck_assert_uint_gt(c.ref[before].epoch, epoch);
+	cluster_stop(&c);
+}
+END_TEST
+
 /* Guards against commits without disk space, and a cluster that stays down after it. */
 START_TEST(full_disks_come_back)
 {
@@ -1181,6 +1210,7 @@
 	tcase_add_test(tc, older_directory_is_excluded);
 	tcase_add_test(tc, failed_sync_ends_the_voter);
 	tcase_add_test(tc, full_disk_ends_leadership_only);
+	tcase_add_test(tc, refused_proposal_does_not_commit);
 	tcase_add_test(tc, full_disks_come_back);
 	tcase_add_test(tc, returning_voter_does_not_disturb);
 	tcase_add_loop_test(tc, handover_is_quick, 0, HANDOVER_SEEDS);
