carawayfrontd: usual names in the relay, its agents and the scheduler's host

host_pace, host_look, relay_order, turn_path and the like are what the files of the scheduler call throttle, poll and command by now.

--- a/carawayfrontd/agent.c
+++ b/carawayfrontd/agent.c
@@ -21,7 +21,7 @@
 
 /*
  * A call under way. The transport is given its own number in place of the worker's, so
- * that an answer belongs to exactly one call: a worker may owe answers to several looks.
+ * that an answer belongs to exactly one call: a worker may owe answers to several polls.
  */
 struct agent_call {
 	UT_hash_handle hh;
@@ -65,7 +65,7 @@
 		a->n_batch++;
 }
 
-static void answer_order(struct agent *a, uint32_t number, enum dag_call_result result)
+static void answer_command(struct agent *a, uint32_t number, enum dag_call_result result)
 {
 	struct dag_call_answer answer = {.id = take_call(a, number), .answer = result};
 
@@ -78,29 +78,29 @@
 	return (struct agent *)(void *)((char *)u - offsetof(struct agent, user));
 }
 
-static void user_started(struct dag_transport_user *u, uint32_t worker,
-			 const struct dag_task_ref *t, uint32_t run,
-			 enum dag_call_result result)
+static void user_start_replied(struct dag_transport_user *u, uint32_t worker,
+			       const struct dag_task_ref *t, uint32_t run,
+			       enum dag_call_result result)
 {
-	answer_order(of_user(u), worker, result);
+	answer_command(of_user(u), worker, result);
 }
 
-static void user_stopped(struct dag_transport_user *u, uint32_t worker,
-			 const struct dag_task_ref *t, uint32_t run,
-			 enum dag_call_result result)
+static void user_stop_replied(struct dag_transport_user *u, uint32_t worker,
+			      const struct dag_task_ref *t, uint32_t run,
+			      enum dag_call_result result)
 {
-	answer_order(of_user(u), worker, result);
+	answer_command(of_user(u), worker, result);
 }
 
-static int fill_lists(const struct dag_poll_reply *look, struct dag_call_answer *answer)
+static int fill_lists(const struct dag_poll_reply *poll, struct dag_call_answer *answer)
 {
 	answer->running.running_val =
-		calloc(look->n_running + 1, sizeof(struct dag_call_run));
-	answer->ended.ended_val = calloc(look->n_ended + 1, sizeof(struct dag_call_end));
+		calloc(poll->n_running + 1, sizeof(struct dag_call_run));
+	answer->ended.ended_val = calloc(poll->n_ended + 1, sizeof(struct dag_call_end));
 	if (!answer->running.running_val || !answer->ended.ended_val)
 		return CF_ENOMEM;
-	for (size_t i = 0; i < look->n_running; i++) {
-		const struct dag_listed_run *from = &look->running[i];
+	for (size_t i = 0; i < poll->n_running; i++) {
+		const struct dag_listed_run *from = &poll->running[i];
 		struct dag_call_run *to = &answer->running.running_val[i];
 
 		to->task = from->task;
@@ -109,8 +109,8 @@
 		to->level = from->level;
 		XDR_SET(*to, checkpoint, from->checkpoint);
 	}
-	for (size_t i = 0; i < look->n_ended; i++) {
-		const struct dag_listed_end *from = &look->ended[i];
+	for (size_t i = 0; i < poll->n_ended; i++) {
+		const struct dag_listed_end *from = &poll->ended[i];
 		struct dag_call_end *to = &answer->ended.ended_val[i];
 
 		to->number = from->number;
@@ -119,32 +119,33 @@
 		to->end.how = from->how;
 		XDR_SET(to->end, checkpoint, from->checkpoint);
 	}
-	answer->running.running_len = (u_int)look->n_running;
-	answer->ended.ended_len = (u_int)look->n_ended;
-	answer->born_ms = look->born_ms;
-	answer->clock_ms = look->clock_ms;
+	answer->running.running_len = (u_int)poll->n_running;
+	answer->ended.ended_len = (u_int)poll->n_ended;
+	answer->born_ms = poll->born_ms;
+	answer->clock_ms = poll->clock_ms;
 	answer->has_look = true;
 	return 0;
 }
 
-static void user_looked(struct dag_transport_user *u, uint32_t worker,
-			enum dag_call_result result, const struct dag_poll_reply *look)
+static void user_poll_replied(struct dag_transport_user *u, uint32_t worker,
+			      enum dag_call_result result,
+			      const struct dag_poll_reply *poll)
 {
 	struct agent *a = of_user(u);
 	struct dag_call_answer answer = {.id = take_call(a, worker), .answer = result};
 
 	if (!answer.id)
 		return;
-	if (!look || !fill_lists(look, &answer))
+	if (!poll || !fill_lists(poll, &answer))
 		add_answer(a, &answer);
 	free(answer.running.running_val);
 	free(answer.ended.ended_val);
 }
 
 static const struct dag_transport_user_ops user_ops = {
-	.start_replied = user_started,
-	.stop_replied = user_stopped,
-	.poll_replied = user_looked,
+	.start_replied = user_start_replied,
+	.stop_replied = user_stop_replied,
+	.poll_replied = user_poll_replied,
 };
 
 /* Sends the answers of this round; lost ones time out at the leader. */
@@ -175,7 +176,7 @@
 		.epoch = c->epoch,
 		.lease_ms = c->lease_ms,
 	};
-	struct dag_worker_command order = {
+	struct dag_worker_command command = {
 		.call = to,
 		.task = c->task,
 		.run = c->run,
@@ -183,7 +184,7 @@
 		.checkpoint = XDR_STR(*c, checkpoint),
 		.speed_percent = c->percent,
 	};
-	struct dag_poll_command look = {
+	struct dag_poll_command poll = {
 		.call = to, .acked_end = c->seen, .wait_ms = c->wait_ms};
 	const struct dag_transport_ops *ops = a->transport->ops;
 
@@ -194,22 +195,22 @@
 	HASH_ADD(hh, a->calls, number, sizeof(call->number), call);
 	switch (c->kind) {
 	case DAG_CALL_START:
-		ops->start(a->transport, &order);
+		ops->start(a->transport, &command);
 		return;
 	case DAG_CALL_STOP:
-		ops->stop(a->transport, &order);
+		ops->stop(a->transport, &command);
 		return;
 	case DAG_CALL_PACE:
 		take_call(a, to.worker); /* nobody waits for it */
-		ops->throttle(a->transport, &order);
+		ops->throttle(a->transport, &command);
 		return;
 	case DAG_CALL_LOOK:
-		ops->poll(a->transport, &look);
+		ops->poll(a->transport, &poll);
 		return;
 	}
 }
 
-static void follow_leader(struct agent *a, uint64_t leader)
+static void connect_to_leader(struct agent *a, uint64_t leader)
 {
 	struct rpc_client_options opt = {
 		.loop = a->opt.loop,
@@ -238,7 +239,7 @@
 		return;
 	}
 	if (!codec_decode((xdrproc_t)xdr_dag_calls, &list, call->args)) {
-		follow_leader(a, list.leader);
+		connect_to_leader(a, list.leader);
 		for (u_int i = 0; i < list.calls.calls_len; i++)
 			serve_call(a, &list.calls.calls_val[i]);
 	}
--- a/carawayfrontd/controller_request.c
+++ b/carawayfrontd/controller_request.c
@@ -397,7 +397,7 @@
 
 /*
  * Whether a report says what this replica already holds. The leader hears from workers
- * by its own looks, so only news is sent to it.
+ * by its own polls, so only news is sent to it.
  */
 static bool is_known_report(struct controller *c, const struct dag_request *req)
 {
--- a/carawayfrontd/controller_sched.c
+++ b/carawayfrontd/controller_sched.c
@@ -42,7 +42,7 @@
 	t->ops->stop(t, o);
 }
 
-static void host_pace(struct dag_host *h, const struct dag_worker_command *o)
+static void host_throttle(struct dag_host *h, const struct dag_worker_command *o)
 {
 	struct controller *c = CONTROLLER_OF(h, sched_host);
 	struct dag_transport *t;
@@ -52,7 +52,7 @@
 	t->ops->throttle(t, o);
 }
 
-static void host_look(struct dag_host *h, const struct dag_poll_command *o)
+static void host_poll(struct dag_host *h, const struct dag_poll_command *o)
 {
 	struct controller *c = CONTROLLER_OF(h, sched_host);
 	struct dag_transport *t;
@@ -63,8 +63,8 @@
 }
 
 /* From acceptance to the end, for each queue and final state. */
-static void note_latency(struct controller *c, struct str queue, const char *state,
-			 int64_t ms)
+static void record_job_latency(struct controller *c, struct str queue, const char *state,
+			       int64_t ms)
 {
 	char labels[128];
 
@@ -74,11 +74,12 @@
 		 ms > 0 ? (uint64_t)ms * 1000 : 0);
 }
 
-static void host_note(struct dag_host *h, const char *event, const struct dag_task_ref *t,
-		      uint32_t run, struct str worker, const char *reason, int64_t value)
+static void host_log_event(struct dag_host *h, const char *event,
+			   const struct dag_task_ref *t, uint32_t run, struct str worker,
+			   const char *reason, int64_t value)
 {
 	if (t && str_eq(str_from(event), STR("job-ended")))
-		note_latency(CONTROLLER_OF(h, sched_host), worker, reason, value);
+		record_job_latency(CONTROLLER_OF(h, sched_host), worker, reason, value);
 	if (!t)
 		log_info(event, "worker=%.*s reason=\"%s\" value=%lld", STR_ARG(worker),
 			 reason, (long long)value);
@@ -98,44 +99,45 @@
 	.propose = host_propose,
 	.start = host_start,
 	.stop = host_stop,
-	.throttle = host_pace,
-	.poll = host_look,
-	.log_event = host_note,
+	.throttle = host_throttle,
+	.poll = host_poll,
+	.log_event = host_log_event,
 };
 
-static void user_started(struct dag_transport_user *u, uint32_t worker,
-			 const struct dag_task_ref *t, uint32_t run,
-			 enum dag_call_result answer)
+static void user_start_replied(struct dag_transport_user *u, uint32_t worker,
+			       const struct dag_task_ref *t, uint32_t run,
+			       enum dag_call_result result)
 {
 	struct controller *c = CONTROLLER_OF(u, user);
 
 	if (controller_leads(c))
-		dag_sched_start_replied(c->sched, worker, t, run, answer, clock_us());
+		dag_sched_start_replied(c->sched, worker, t, run, result, clock_us());
 }
 
-static void user_stopped(struct dag_transport_user *u, uint32_t worker,
-			 const struct dag_task_ref *t, uint32_t run,
-			 enum dag_call_result answer)
+static void user_stop_replied(struct dag_transport_user *u, uint32_t worker,
+			      const struct dag_task_ref *t, uint32_t run,
+			      enum dag_call_result result)
 {
 	struct controller *c = CONTROLLER_OF(u, user);
 
 	if (controller_leads(c))
-		dag_sched_stop_replied(c->sched, worker, t, run, answer, clock_us());
+		dag_sched_stop_replied(c->sched, worker, t, run, result, clock_us());
 }
 
-static void user_looked(struct dag_transport_user *u, uint32_t worker,
-			enum dag_call_result answer, const struct dag_poll_reply *look)
+static void user_poll_replied(struct dag_transport_user *u, uint32_t worker,
+			      enum dag_call_result result,
+			      const struct dag_poll_reply *poll)
 {
 	struct controller *c = CONTROLLER_OF(u, user);
 
 	if (controller_leads(c))
-		dag_sched_poll_replied(c->sched, worker, answer, look, clock_us());
+		dag_sched_poll_replied(c->sched, worker, result, poll, clock_us());
 }
 
 static const struct dag_transport_user_ops user_ops = {
-	.start_replied = user_started,
-	.stop_replied = user_stopped,
-	.poll_replied = user_looked,
+	.start_replied = user_start_replied,
+	.stop_replied = user_stop_replied,
+	.poll_replied = user_poll_replied,
 };
 
 void controller_sched_init(struct controller *c)
--- a/carawayfrontd/relay.c
+++ b/carawayfrontd/relay.c
@@ -14,7 +14,7 @@
 #define MAX_AGENTS 128U
 #define ALIVE_S 1.6  /* a gateway reports every 0.5 s */
 #define AVOID_S 2.0  /* after a gateway did not answer a call */
-#define ANSWER_S 2.5 /* beyond the wait that a look asks for */
+#define ANSWER_S 2.5 /* beyond the wait that a poll asks for */
 #define SWEEP_S 0.1
 /* Failed calls before another gateway calls a worker: connections are few. */
 #define FAILURES_A_TURN 3U
@@ -123,7 +123,7 @@
 }
 
 /* Sends no calls through a gateway for a while. */
-static void avoid(struct relay *r, struct relay_agent *a, const char *reason)
+static void avoid_agent(struct relay *r, struct relay_agent *a, const char *reason)
 {
 	double now = ev_now(r->opt.loop);
 
@@ -134,7 +134,7 @@
 	a->avoid_until = now + AVOID_S;
 }
 
-static uint32_t path_turns(struct relay *r, uint32_t worker)
+static uint32_t path_changes(struct relay *r, uint32_t worker)
 {
 	struct relay_path *p;
 
@@ -143,7 +143,7 @@
 }
 
 /* The next call to a worker goes through another gateway. */
-static void turn_path(struct relay *r, uint32_t worker)
+static void change_path(struct relay *r, uint32_t worker)
 {
 	struct relay_path *p;
 
@@ -159,7 +159,7 @@
 }
 
 /* Splits the workers of a zone evenly and stably over its gateways. */
-static uint64_t weight(uint32_t worker, uint32_t turns, uint64_t agent)
+static uint64_t rendezvous_weight(uint32_t worker, uint32_t turns, uint64_t agent)
 {
 	uint64_t x = agent ^ ((uint64_t)worker << 32 | turns) * 0x9e3779b97f4a7c15ULL;
 
@@ -169,17 +169,17 @@
 }
 
 /* A gateway of the worker's zone, else any; NULL: none is there. */
-static struct relay_agent *choose(struct relay *r, uint32_t worker)
+static struct relay_agent *choose_agent(struct relay *r, uint32_t worker)
 {
 	const struct dag_worker_rec *rec = dag_state_find_worker(r->opt.state, worker);
-	uint32_t turns = path_turns(r, worker) / FAILURES_A_TURN;
+	uint32_t turns = path_changes(r, worker) / FAILURES_A_TURN;
 	struct relay_agent *best = NULL;
 	uint64_t best_weight = 0;
 	bool best_near = false;
 
 	for (size_t i = 0; rec && i < r->n_agents; i++) {
 		struct relay_agent *a = &r->agents[i];
-		uint64_t points = weight(worker, turns, a->id);
+		uint64_t points = rendezvous_weight(worker, turns, a->id);
 		bool near = str_eq(str_from(a->zone), XDR_STR(rec->w, zone));
 
 		/* Every other path leads through any zone: a zone may be cut off. */
@@ -197,8 +197,8 @@
 }
 
 /*
- * Adds a call to the batch of a gateway; its end is reported later, but for a pace, which
- * has no answer.
+ * Adds a call to the batch of a gateway; its end is reported later, but for a throttle,
+ * which has no answer.
  */
 static bool add_call(struct relay *r, struct relay_agent *a, struct dag_call *c,
 		     double timeout)
@@ -234,12 +234,12 @@
 	c->lease_ms = to->lease_ms;
 }
 
-/* Hands an order to a gateway; false when there is none. */
-static bool relay_order(struct dag_transport *t, enum dag_call_kind kind,
-			const struct dag_worker_command *o)
+/* Hands a worker command to a gateway; false when there is none. */
+static bool relay_command(struct dag_transport *t, enum dag_call_kind kind,
+			  const struct dag_worker_command *o)
 {
 	struct relay *r = (struct relay *)t;
-	struct relay_agent *a = choose(r, o->call.worker);
+	struct relay_agent *a = choose_agent(r, o->call.worker);
 	struct dag_call c = {.kind = kind, .task = o->task, .run = o->run};
 
 	if (!a)
@@ -251,46 +251,46 @@
 	return add_call(r, a, &c, ANSWER_S);
 }
 
-static struct dag_transport *direct(struct dag_transport *t)
+static struct dag_transport *direct_transport(struct dag_transport *t)
 {
 	return ((struct relay *)t)->opt.direct;
 }
 
-static void start(struct dag_transport *t, const struct dag_worker_command *o)
+static void send_start(struct dag_transport *t, const struct dag_worker_command *o)
 {
-	if (!relay_order(t, DAG_CALL_START, o))
-		direct(t)->ops->start(direct(t), o);
+	if (!relay_command(t, DAG_CALL_START, o))
+		direct_transport(t)->ops->start(direct_transport(t), o);
 }
 
-static void stop(struct dag_transport *t, const struct dag_worker_command *o)
+static void send_stop(struct dag_transport *t, const struct dag_worker_command *o)
 {
-	if (!relay_order(t, DAG_CALL_STOP, o))
-		direct(t)->ops->stop(direct(t), o);
+	if (!relay_command(t, DAG_CALL_STOP, o))
+		direct_transport(t)->ops->stop(direct_transport(t), o);
 }
 
-static void pace(struct dag_transport *t, const struct dag_worker_command *o)
+static void send_throttle(struct dag_transport *t, const struct dag_worker_command *o)
 {
-	if (!relay_order(t, DAG_CALL_PACE, o))
-		direct(t)->ops->throttle(direct(t), o);
+	if (!relay_command(t, DAG_CALL_PACE, o))
+		direct_transport(t)->ops->throttle(direct_transport(t), o);
 }
 
-static void look(struct dag_transport *t, const struct dag_poll_command *o)
+static void send_poll(struct dag_transport *t, const struct dag_poll_command *o)
 {
 	struct relay *r = (struct relay *)t;
-	struct relay_agent *a = choose(r, o->call.worker);
+	struct relay_agent *a = choose_agent(r, o->call.worker);
 	struct dag_call c = {
 		.kind = DAG_CALL_LOOK, .seen = o->acked_end, .wait_ms = o->wait_ms};
 
 	fill_call(&c, &o->call);
 	if (!a || !add_call(r, a, &c, o->wait_ms / 1000.0 + ANSWER_S))
-		direct(t)->ops->poll(direct(t), o);
+		direct_transport(t)->ops->poll(direct_transport(t), o);
 }
 
 static const struct dag_transport_ops transport_ops = {
-	.start = start,
-	.stop = stop,
-	.throttle = pace,
-	.poll = look,
+	.start = send_start,
+	.stop = send_stop,
+	.throttle = send_throttle,
+	.poll = send_poll,
 };
 
 /* An encoded dag_calls: the leader, the number of calls, the calls. */
@@ -305,7 +305,7 @@
 	if (buf_add(&bytes, head, sizeof(head)) ||
 	    buf_add(&bytes, a->batch.p, a->batch.n) ||
 	    rpc_client_post(a->client, RELAY_PROC_CALLS, buf_str(&bytes)))
-		avoid(r, a, "calls not sent");
+		avoid_agent(r, a, "calls not sent");
 	buf_free(&bytes);
 	a->batch.n = 0;
 	a->n_batch = 0;
@@ -320,15 +320,15 @@
 
 /* Ends a call; the call is freed. */
 static void end_call(struct relay *r, struct relay_call *call,
-		     enum dag_call_result answer, const struct dag_poll_reply *look)
+		     enum dag_call_result answer, const struct dag_poll_reply *poll)
 {
 	struct dag_transport_user *u = r->opt.user;
 
 	HASH_DEL(r->calls, call);
 	if (answer == DAG_RESULT_UNKNOWN)
-		turn_path(r, call->worker);
+		change_path(r, call->worker);
 	if (call->kind == DAG_CALL_LOOK)
-		u->ops->poll_replied(u, call->worker, answer, look);
+		u->ops->poll_replied(u, call->worker, answer, poll);
 	else if (call->kind == DAG_CALL_START)
 		u->ops->start_replied(u, call->worker, &call->task, call->run, answer);
 	else if (call->kind == DAG_CALL_STOP)
@@ -348,14 +348,14 @@
 		if (call->deadline > ev_now(loop))
 			continue;
 		if (a)
-			avoid(r, a, "no answer to a call");
+			avoid_agent(r, a, "no answer to a call");
 		end_call(r, call, DAG_RESULT_UNKNOWN, NULL);
 	}
 }
 
 /* The lists borrow their texts from the answer. */
 static int read_lists(const struct dag_call_answer *a, struct dag_listed_run **runs,
-		      struct dag_listed_end **ends, struct dag_poll_reply *look)
+		      struct dag_listed_end **ends, struct dag_poll_reply *poll)
 {
 	*runs = calloc(a->running.running_len + 1, sizeof(**runs));
 	*ends = calloc(a->ended.ended_len + 1, sizeof(**ends));
@@ -375,7 +375,7 @@
 						     from->end.run, from->end.how,
 						     XDR_STR(from->end, checkpoint)};
 	}
-	*look = (struct dag_poll_reply){
+	*poll = (struct dag_poll_reply){
 		.born_ms = a->born_ms,
 		.clock_ms = a->clock_ms,
 		.running = *runs,
@@ -391,15 +391,15 @@
 	struct dag_listed_run *runs = NULL;
 	struct dag_listed_end *ends = NULL;
 	struct relay_call *call;
-	struct dag_poll_reply look;
+	struct dag_poll_reply poll;
 	u_quad_t id = a->id;
 	bool usable;
 
 	HASH_FIND(hh, r->calls, &id, sizeof(id), call);
 	if (!call) /* it has timed out */
 		return;
-	usable = a->has_look && !read_lists(a, &runs, &ends, &look);
-	end_call(r, call, (enum dag_call_result)a->answer, usable ? &look : NULL);
+	usable = a->has_look && !read_lists(a, &runs, &ends, &poll);
+	end_call(r, call, (enum dag_call_result)a->answer, usable ? &poll : NULL);
 	free(runs);
 	free(ends);
 }
