rpc_server: a round accepts all connections that wait

Cause: the server accepted one connection in each round of its loop. On the large deployment a round of a new leader takes tens of milliseconds, and 147 gateways connect at once. The connection of one that waits stands already, so it sends its call, gives up after 0.6 s and connects again, behind the others and behind its own dead connections.

Change: up to 256 connections are accepted in a round.

--- a/io/rpc_server.c
+++ b/io/rpc_server.c
@@ -11,6 +11,8 @@
 #include "io/rpc_wire.h"
 #include "io/stream.h"
 
+#define ACCEPTS_A_ROUND 256U
+
 struct rpc_conn {
 	struct stream stream;
 	struct rpc_server *server;
@@ -120,16 +122,11 @@
 	.closed = on_closed,
 };
 
-static void on_accept(struct ev_loop *loop, struct ev_io *w, int events)
+static void add_conn(struct rpc_server *s, int fd)
 {
-	struct rpc_server *s = w->data;
-	struct rpc_conn *c;
+	struct rpc_conn *c = calloc(1, sizeof(*c));
 	int one = 1;
-	int fd = accept4(s->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
 
-	if (fd < 0)
-		return;
-	c = calloc(1, sizeof(*c));
 	if (!c) {
 		close(fd);
 		return;
@@ -142,7 +139,24 @@
 		s->conns->prev = &c->next;
 	s->conns = c;
 	c->stream.ops = &server_stream_ops;
-	stream_open(&c->stream, loop, fd, false);
+	stream_open(&c->stream, s->opt.loop, fd, false);
+}
+
+/*
+ * Accepts what waits. One connection a round would not do while rounds are long: peers
+ * that time out connect again, and the queue never ends.
+ */
+static void on_accept(struct ev_loop *loop, struct ev_io *w, int events)
+{
+	struct rpc_server *s = w->data;
+
+	for (unsigned int i = 0; i < ACCEPTS_A_ROUND; i++) {
+		int fd = accept4(s->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+
+		if (fd < 0)
+			return;
+		add_conn(s, fd);
+	}
 }
 
 /* Listens at once. CF_EEXIST when the port is taken. */
--- a/regress/test_rpc.c
+++ b/regress/test_rpc.c
@@ -250,6 +250,35 @@
 }
 END_TEST
 
+/*
+ * Guards against a server that accepts one connection in each round of its loop. On a day
+ * with 147 gateways all machines restarted at once; a round of the new leader took tens
+ * of milliseconds, gateways timed out and connected again, and half of them were not
+ * served any more.
+ */
+START_TEST(waiting_connections_are_accepted_together)
+{
+	uint32_t bad[] = {htonl(0x80000000U | 8), 1, 2};
+	struct addr address;
+	int fds[150];
+
+	ck_assert_int_eq(addr_parse(STR(ADDRESS), &address), 0);
+	for (size_t i = 0; i < 150; i++) {
+		fds[i] = socket(AF_INET, SOCK_STREAM, 0);
+		ck_assert_int_eq(
+			connect(fds[i], (struct sockaddr *)&address.sa, address.len), 0);
+		ck_assert_int_eq(write(fds[i], bad, sizeof(bad)), (ssize_t)sizeof(bad));
+	}
+	/* One round accepts, the next ones read; epoll reports 64 events at a time first.
+	 */
+	for (int round = 0; round < 6; round++)
+		ev_run(loop, EVRUN_NOWAIT);
+	ck_assert_uint_eq(rpc_server_stats(server)->malformed, 150);
+	for (size_t i = 0; i < 150; i++)
+		close(fds[i]);
+}
+END_TEST
+
 /* Guards against a bad record being skipped instead of ending the connection. */
 START_TEST(malformed_record_closes_connection)
 {
@@ -324,6 +353,7 @@
 	tcase_add_test(tc, first_call_needs_a_credential);
 	tcase_add_test(tc, call_times_out_and_late_reply_is_dropped);
 	tcase_add_test(tc, reply_after_disconnect);
+	tcase_add_test(tc, waiting_connections_are_accepted_together);
 	tcase_add_test(tc, malformed_record_closes_connection);
 	tcase_add_test(tc, random_bytes_are_handled);
 	suite_add_tcase(s, tc);
