--- a/core/dag_load.h
+++ b/core/dag_load.h
@@ -5,8 +5,9 @@
 
 /*
  * Estimate of a load that changes steadily, such as that of a service over the day: a
- * Kalman filter of the load and its rate of change. Zeroed memory is a valid estimate
- * without measurements.
+ * Kalman filter of the load and its rate of change (R. E. Kalman, A New Approach to
+ * Linear Filtering and Prediction Problems, 1960). Loads are shares of a VM's capacity.
+ * Zeroed memory is a valid estimate without measurements.
  */
 struct dag_load {
 	double load;
