--- a/regress/test_dag.c
+++ b/regress/test_dag.c
@@ -323,6 +323,16 @@
 }
 END_TEST
 
+static struct dag_step filler_step(void)
+{
+	return (struct dag_step){.count = 4,
+				 .cpu_milli = 3500,
+				 .mem_mb = 100,
+				 .estimate_ms = 2200,
+				 .filler = true,
+				 .checkpointable = true};
+}
+
 /* Serving tasks and a stream of fillers of two images, each disturbed by its own kind. */
 static void play_two_kinds(int seconds, uint64_t fillers_a_second)
 {
@@ -333,12 +343,7 @@
 				.mem_mb = 100,
 				.long_running = true,
 				.target_ms = DW_TARGET_MS};
-	struct dag_step fill = {.count = 4,
-				.cpu_milli = 3500,
-				.mem_mb = 100,
-				.estimate_ms = 2200,
-				.filler = true,
-				.checkpointable = true};
+	struct dag_step fill = filler_step();
 	uint64_t id = 100;
 
 	for (int i = 0; i < 8; i++)
@@ -373,12 +378,7 @@
 	w.served_us = 0;
 	w.over_target_us = 0;
 	for (uint64_t id = 1000; id < 1090; id++) {
-		struct dag_step fill = {.count = 4,
-					.cpu_milli = 3500,
-					.mem_mb = 100,
-					.estimate_ms = 2200,
-					.filler = true,
-					.checkpointable = true};
+		struct dag_step fill = filler_step();
 
 		XDR_SET(fill, image, id % 2 ? STR("fill-a") : STR("fill-b"));
 		dw_submit_step(&w, id, &fill);
