dag: overdue batch work does not wait for ever beside idle CPU

Change: from three objectives on, when a job has no value left to lose, it accepts 0.1 times the square of its age in objectives. A failed request is remembered with the limit that it had, so that it does not keep an older job of the same image waiting.

--- a/core/dag_place.c
+++ b/core/dag_place.c
@@ -8,6 +8,9 @@
 #define ADDED_LOAD_COST 120000.0
 #define INTERFERENCE_COST 200000.0
 #define INTERFERENCE_MAX 0.02
+/* From this many objectives on, a job accepts this much times the square of them. */
+#define OVERDUE_OBJECTIVES 3.0
+#define INTERFERENCE_OVERDUE 0.1
 /* For a worker outside the rack that holds the step's data. */
 #define REMOTE_DATA_PENALTY 1000000
 /* For batch tasks that are no fillers, on a worker without serving tasks. */
@@ -22,6 +25,7 @@
 	bool set;
 	bool filler;
 	int image; /* fillers only: interference depends on it */
+	double interference_limit;
 	uint32_t cpu;
 	uint32_t mem;
 	uint32_t gpus;
@@ -81,6 +85,18 @@
 	       str_eq(XDR_STR(w->rec->w, service), XDR_STR(*j->queue, service));
 }
 
+/*
+ * Excess that a job accepts. An overdue job accepts ever more, so that it does not wait
+ * for ever beside idle CPU; throttling limits the actual interference.
+ */
+static double interference_limit(const struct ds_job *j)
+{
+	double age = j->objective_fraction;
+
+	return age > OVERDUE_OBJECTIVES ? INTERFERENCE_OVERDUE * age * age
+					: INTERFERENCE_MAX;
+}
+
 /*
  * Thousandths of a core of serving tasks of other images. A worker whose serving tasks
  * have one image can take most kinds of fillers.
@@ -112,7 +128,7 @@
 		struct ds_interference in =
 			ds_predict_interference(s, w, st->image, step->cpu_milli);
 
-		if (in.excess > INTERFERENCE_MAX)
+		if (in.excess > interference_limit(st->job))
 			return SCORE_UNACCEPTABLE;
 		points = idle_cpu(w) - (int64_t)(INTERFERENCE_COST * in.excess +
 						 ADDED_LOAD_COST * in.added);
@@ -352,7 +368,9 @@
 
 	for (unsigned int i = 0; i < MAX_PLACEMENT_FAILURES; i++)
 		if (failures[i].set && failures[i].filler == (bool)step->filler &&
-		    (!step->filler || failures[i].image == st->image) &&
+		    (!step->filler ||
+		     (failures[i].image == st->image &&
+		      failures[i].interference_limit >= interference_limit(st->job))) &&
 		    failures[i].cpu <= step->cpu_milli &&
 		    failures[i].mem <= step->mem_mb && failures[i].gpus <= step->gpus &&
 		    str_eq(failures[i].service, service))
@@ -374,6 +392,7 @@
 			.set = true,
 			.filler = step->filler,
 			.image = st->image,
+			.interference_limit = interference_limit(st->job),
 			.cpu = step->cpu_milli,
 			.mem = step->mem_mb,
 			.gpus = step->gpus,
--- a/regress/test_dag.c
+++ b/regress/test_dag.c
@@ -399,6 +399,39 @@
 }
 END_TEST
 
+/*
+ * Guards against batch work that waits for ever beside idle CPU because it disturbs the
+ * serving tasks of every worker. Found on deploy/days/cuts.toml, where 800 fillers waited
+ * at the end of the day.
+ */
+START_TEST(overdue_fillers_do_not_wait_for_ever)
+{
+	struct dag_step last = {.count = 8,
+				.cpu_milli = 6000,
+				.mem_mb = 100,
+				.long_running = true,
+				.target_ms = DW_TARGET_MS};
+	struct dag_step fill = filler_step();
+
+	for (int i = 0; i < 2; i++)
+		dw_add_worker(&w, 32000, 100000);
+	XDR_SET(last, image, STR("serve-a"));
+	XDR_SET(fill, image, STR("fill-a"));
+	fill.cpu_milli = 16000;
+	w.work_us = 2200000;
+	dw_submit_step(&w, 1, &last);
+	dw_run_for(&w, 2 * SECOND);
+	for (uint64_t id = 100; id < 104; id++) {
+		dw_submit_step(&w, id, &fill);
+		dw_run_for(&w, 5 * SECOND);
+	}
+	dw_run_for(&w, 150 * SECOND);
+	assert_sound();
+	for (uint64_t id = 100; id < 104; id++)
+		ck_assert_int_ne(dw_state(&w, id), DAG_JOB_QUEUED);
+}
+END_TEST
+
 /* Guards the scores that are kept within a step against placing other than a full scan.
  */
 START_TEST(places_what_a_full_scan_places)
@@ -991,6 +1024,7 @@
 	tcase_add_test(tc, fillers_are_paced);
 	tcase_add_test(tc, no_filler_beside_a_task_above_its_target);
 	tcase_add_test(tc, fillers_go_where_they_do_not_disturb);
+	tcase_add_test(tc, overdue_fillers_do_not_wait_for_ever);
 	tcase_add_test(tc, places_what_a_full_scan_places);
 	tcase_add_test(tc, swinging_load_is_foreseen);
 	tcase_add_test(tc, restarted_worker_has_lost_its_runs);
