dag: log serving tasks that should run and do not

Between worker-lost and run-ended the leader's log said nothing of a serving task that is away, so that four hypotheses could not be told apart: a lease that is extended, a start without a reply, no room, a new leader.

Change: run-away names the phase of a run that is not known to run for 3 s and the rest of its worker's lease, task-waiting a step that waits; both every 3 s. The member not_before_us, which nothing set, is gone. docs/incidents/2026-12-04-lost.md has the timeline so far.

--- a/core/dag_place.c
+++ b/core/dag_place.c
@@ -415,7 +415,7 @@
 		bool all;
 
 		next = TAILQ_NEXT(st, entry);
-		if (st->not_before_us > s->now_us || is_known_unplaceable(failures, st))
+		if (is_known_unplaceable(failures, st))
 			continue;
 		all = st->step->gang ? place_gang(s, st) : place_tasks(s, st);
 		if (!all)
--- a/core/dag_ready.c
+++ b/core/dag_ready.c
@@ -131,6 +131,8 @@
 		waiting += ds_task_is_waiting(st, i);
 	s->n_waiting += waiting;
 	s->n_waiting -= st->n_waiting;
+	if (waiting && !st->n_waiting)
+		st->waiting_since_us = s->now_us;
 	st->n_waiting = waiting;
 	if (waiting)
 		s->placement_needed = true;
--- a/core/dag_sched.c
+++ b/core/dag_sched.c
@@ -359,6 +359,8 @@
 		s->last_check_us = now_us;
 	for (size_t i = 0; i < s->n_workers; i++)
 		ds_worker_tick(s, s->workers[i], check);
+	if (check)
+		ds_watch_serving(s);
 	if (now_us >= s->next_sort_us) {
 		s->next_sort_us = now_us + SORT_PERIOD_US;
 		ds_sort_ready(s);
--- a/core/dag_sched_impl.h
+++ b/core/dag_sched_impl.h
@@ -34,6 +34,7 @@
 	int image; /* index in the interference model */
 	uint32_t run;
 	enum ds_phase phase;
+	int64_t created_us;
 	uint32_t start_requests; /* number sent */
 	int64_t start_sent_us;	 /* newest start request */
 	int64_t start_retry_us;	 /* when an unconfirmed start is sent again */
@@ -70,8 +71,8 @@
 	uint32_t number;
 	int image;
 	uint32_t n_waiting;
-	bool queued; /* in the ready list */
-	int64_t not_before_us;
+	int64_t waiting_since_us;
+	bool queued;		  /* in the ready list */
 	struct dag_load own_load; /* of a serving task without fillers, all tasks alike */
 };
 
@@ -124,6 +125,7 @@
 	int64_t lease_expires_us; /* by then all of its runs have certainly ended */
 	bool poll_in_flight;
 	int64_t poll_sent_us;
+	int64_t polled_us; /* newest reply to a poll */
 	int64_t next_poll_us;
 	unsigned int poll_failures;
 	uint64_t acked_end;	   /* ends up to this number are acknowledged */
@@ -172,6 +174,7 @@
 	int64_t next_forget_us;
 	int64_t next_model_save_us;
 	int64_t next_sort_us;
+	int64_t next_watch_us;
 };
 
 /* dag_sched.c */
@@ -227,6 +230,9 @@
 void ds_worker_ack_ends(struct ds_worker *w);
 bool ds_worker_has_label(const struct ds_worker *w, struct str label);
 
+/* dag_watch.c */
+void ds_watch_serving(struct dag_sched *s);
+
 /* dag_throttle.c */
 int64_t ds_filler_cpu(const struct ds_run *r);
 void ds_throttle_fillers(struct dag_sched *s, struct ds_worker *w);
--- a/core/dag_worker.c
+++ b/core/dag_worker.c
@@ -72,6 +72,7 @@
 	w->lease_expires_us = s->now_us + s->opt.lease_us * SLOW_CLOCK_PERCENT / 100 +
 			      LEASE_EXPIRY_MARGIN_US;
 	w->next_poll_us = s->now_us;
+	w->polled_us = s->now_us;
 	s->workers[s->n_workers++] = w;
 	ds_worker_refresh(s, w);
 	return w;
@@ -175,6 +176,7 @@
 static void record_poll_contact(struct ds_worker *w, int64_t clock_ms, int64_t now_us)
 {
 	w->last_heard_us = now_us;
+	w->polled_us = now_us;
 	if (clock_ms <= 0)
 		return;
 	w->clock_known = true;
