dag: a new leader does not count the lease of a lost worker anew

What callers saw: LOST, a serving task does not run, with room for it. Its executor was lost for good, then the leader.

Cause: a new leader knows only that its predecessor may have renewed a lease until its own start, so it counted a whole lease for each worker, also for those that had not answered for long.

Change: after two polls in a row without a reply the leader records that contact is lost and grants no lease, not with a start either, until it has recorded the return. Each replica notes on its own monotonic clock when it applied the record, which is later than the last grant; as a leader it counts the lease from there.

--- a/carawayfrontd/controller_replica.c
+++ b/carawayfrontd/controller_replica.c
@@ -86,7 +86,10 @@
 static void op_apply(struct replica_host *host, const struct replica_entry *e)
 {
 	struct controller *c = (struct controller *)host;
-	int err = e->kind == REPLICA_DATA ? dag_state_apply(c->state, e->data) : 0;
+	int err;
+
+	c->state->clock_us = clock_us();
+	err = e->kind == REPLICA_DATA ? dag_state_apply(c->state, e->data) : 0;
 
 	if (err) {
 		log_error("apply-failed", "index=%llu error=\"%s\"",
@@ -111,6 +114,7 @@
 	/* The scheduler's view refers to the state that is replaced. */
 	if (c->sched)
 		controller_sched_stop(c);
+	c->state->clock_us = clock_us();
 	err = dag_state_restore(c->state, bytes);
 	log_info("snapshot-loaded", "index=%llu epoch=%llu bytes=%zu error=\"%s\"",
 		 (unsigned long long)index, (unsigned long long)epoch, bytes.n,
--- a/core/dag_run.c
+++ b/core/dag_run.c
@@ -113,6 +113,11 @@
 		ds_run_request_stop(s, r, "not started; the worker leaves");
 		return;
 	}
+	if (r->worker->contact_lost) {
+		/* Sent when the contact is regained; see ds_run_tick(). */
+		r->phase = DS_UNCONFIRMED;
+		return;
+	}
 	fill_command(s, r, &o);
 	o.call.lease_ms = ds_worker_extend_lease(s, r->worker);
 	r->phase = DS_STARTING;
@@ -168,7 +173,8 @@
 /* Retries unconfirmed start and stop requests that are due. */
 void ds_run_tick(struct dag_sched *s, struct ds_run *r)
 {
-	if (r->end_proposed || r->phase == DS_PROPOSED || r->worker->poll_failures)
+	if (r->end_proposed || r->phase == DS_PROPOSED || r->worker->poll_failures ||
+	    r->worker->contact_lost)
 		return;
 	if (r->stop_requested) {
 		if (!r->stop_in_flight && s->now_us >= r->stop_retry_us)
--- a/core/dag_sched.c
+++ b/core/dag_sched.c
@@ -166,6 +166,12 @@
 	w->next_poll_us = s->now_us;
 }
 
+static void on_contact_changed(struct dag_observer *o, struct dag_worker_rec *rec)
+{
+	if (rec->sched)
+		ds_worker_contact_changed((struct dag_sched *)o, rec->sched);
+}
+
 static void on_worker_removed(struct dag_observer *o, struct dag_worker_rec *rec)
 {
 	if (rec->sched)
@@ -198,6 +204,7 @@
 	.run_ended = on_run_ended,
 	.worker_changed = on_worker_changed,
 	.worker_removed = on_worker_removed,
+	.contact_changed = on_contact_changed,
 	.conf_changed = on_conf_changed,
 	.zones_changed = on_zones_changed,
 };
--- a/core/dag_sched_impl.h
+++ b/core/dag_sched_impl.h
@@ -125,7 +125,9 @@
 	int64_t lease_expires_us; /* by then all of its runs have certainly ended */
 	bool poll_in_flight;
 	int64_t poll_sent_us;
-	int64_t polled_us; /* newest reply to a poll */
+	int64_t polled_us;     /* newest reply to a poll */
+	bool contact_lost;     /* recorded or proposed; no lease is granted */
+	bool contact_proposed; /* that it is regained */
 	int64_t next_poll_us;
 	unsigned int poll_failures;
 	uint64_t acked_end;	   /* ends up to this number are acknowledged */
@@ -220,6 +222,7 @@
 void ds_spread_first_polls(struct dag_sched *s);
 void ds_handle_replaced_workers(struct dag_sched *s, const struct dag_worker_rec *rec);
 void ds_worker_refresh(struct dag_sched *s, struct ds_worker *w);
+void ds_worker_contact_changed(struct dag_sched *s, struct ds_worker *w);
 bool ds_worker_usable(const struct dag_sched *s, const struct ds_worker *w);
 void ds_worker_tick(struct dag_sched *s, struct ds_worker *w, bool check_all);
 void ds_worker_count_result(struct dag_sched *s, struct ds_worker *w,
--- a/core/dag_state.c
+++ b/core/dag_state.c
@@ -373,6 +373,19 @@
 	return 0;
 }
 
+static void apply_contact(struct dag_state *s, const struct dag_contact *c)
+{
+	struct dag_worker_rec *w = dag_state_find_worker(s, c->worker);
+
+	if (!w)
+		return;
+	if (c->lost && !w->lost)
+		w->lost_us = s->clock_us;
+	w->lost = c->lost;
+	if (s->observer)
+		s->observer->ops->contact_changed(s->observer, w);
+}
+
 /* Adds a job. Ignores one with a known id, so that submissions can be retried. */
 static int apply_submit(struct dag_state *s, const struct dag_job *spec)
 {
@@ -565,6 +578,9 @@
 		return 0;
 	case DAG_CMD_MODEL:
 		return dag_state_set_model(s, &c->dag_command_u.model);
+	case DAG_CMD_CONTACT:
+		apply_contact(s, &c->dag_command_u.contact);
+		return 0;
 	}
 	return CF_EINVAL;
 }
--- a/core/dag_state.h
+++ b/core/dag_state.h
@@ -64,6 +64,8 @@
 	UT_hash_handle hh_id; /* by id */
 	uint32_t number;
 	uint32_t n_runs;
+	bool lost;	 /* no lease was granted since that was recorded */
+	int64_t lost_us; /* not replicated: time of dag_state.clock_us by then */
 	struct dag_worker w;
 	void *sched; /* struct ds_worker of the leader, NULL elsewhere */
 };
@@ -84,6 +86,7 @@
 			  const struct dag_end *e, uint32_t worker);
 	void (*worker_changed)(struct dag_observer *o, struct dag_worker_rec *w);
 	void (*worker_removed)(struct dag_observer *o, struct dag_worker_rec *w);
+	void (*contact_changed)(struct dag_observer *o, struct dag_worker_rec *w);
 	void (*conf_changed)(struct dag_observer *o);
 	void (*zones_changed)(struct dag_observer *o);
 };
@@ -101,7 +104,8 @@
 	struct dag_worker_rec *workers_by_id;
 	struct dag_job_rec *jobs;
 	uint32_t next_worker_number;
-	int64_t time_ms; /* of the newest batch */
+	int64_t time_ms;  /* of the newest batch */
+	int64_t clock_us; /* monotonic time of this process, set by its owner */
 	struct dag_model model;
 	struct dag_observer *observer;
 };
--- a/core/dag_state_snapshot.c
+++ b/core/dag_state_snapshot.c
@@ -6,6 +6,9 @@
 #include "core/dag_state.h"
 #include "proto/codec.h"
 
+/* Flag in dag_image_worker.number; numbers stay far below it. */
+#define WORKER_LOST 0x80000000U
+
 /* The snapshot borrows strings from the state and owns only its arrays. */
 static void fill_task(const struct dag_task *t, struct dag_image_task *it)
 {
@@ -66,7 +69,8 @@
 	}
 	for (w = s->workers; w; w = w->hh.next)
 		im->workers.workers_val[im->workers.workers_len++] =
-			(struct dag_image_worker){w->number, w->w};
+			(struct dag_image_worker){w->number | (w->lost ? WORKER_LOST : 0),
+						  w->w};
 	for (j = s->jobs; j && !err; j = j->hh.next)
 		err = fill_job(j, &im->jobs.jobs_val[im->jobs.jobs_len++]);
 	return err;
@@ -88,6 +92,18 @@
 	return err;
 }
 
+static int restore_worker(struct dag_state *s, const struct dag_image_worker *iw)
+{
+	struct dag_worker_rec *w;
+	int err = dag_state_put_worker(s, iw->number & ~WORKER_LOST, &iw->worker, &w);
+
+	if (err)
+		return err;
+	w->lost = (iw->number & WORKER_LOST) != 0;
+	w->lost_us = s->clock_us;
+	return 0;
+}
+
 static int restore_task(struct dag_state *s, struct dag_task *t,
 			const struct dag_image_task *it)
 {
@@ -152,7 +168,6 @@
 {
 	struct dag_image im = {0};
 	int err = codec_decode((xdrproc_t)xdr_dag_image, &im, snapshot);
-	struct dag_worker_rec *w;
 
 	if (err)
 		goto out;
@@ -165,8 +180,7 @@
 		err = dag_state_close_zone(
 			s, XDR_STR(im.closed_zones.closed_zones_val[i], text));
 	for (u_int i = 0; !err && i < im.workers.workers_len; i++)
-		err = dag_state_put_worker(s, im.workers.workers_val[i].number,
-					   &im.workers.workers_val[i].worker, &w);
+		err = restore_worker(s, &im.workers.workers_val[i]);
 	s->next_worker_number = im.next_worker;
 	for (u_int i = 0; !err && i < im.jobs.jobs_len; i++)
 		err = restore_job(s, &im.jobs.jobs_val[i]);
--- a/core/dag_worker.c
+++ b/core/dag_worker.c
@@ -24,6 +24,8 @@
 /* A worker's clock may be 2 % slow; 103 % of a lease on it has certainly expired. */
 #define SLOW_CLOCK_PERCENT 103
 #define LEASE_EXPIRY_MARGIN_US (150 * USEC_PER_MS)
+/* Polls in a row without a reply after which the loss of contact is recorded. */
+#define LOST_POLL_FAILURES 2U
 /* Consecutive failures that quarantine a worker, and for how long. */
 #define FAIL_STREAK_MAX 2U
 #define QUARANTINE_US (5 * USEC_PER_SEC)
@@ -68,8 +70,13 @@
 	TAILQ_INIT(&w->runs);
 	w->rec = rec;
 	rec->sched = w;
-	/* An earlier leader may have granted a full lease just now. */
-	w->lease_expires_us = s->now_us + s->opt.lease_us * SLOW_CLOCK_PERCENT / 100 +
+	w->contact_lost = rec->lost;
+	/*
+	 * An earlier leader may have granted a full lease just now, but none since it
+	 * recorded the loss of contact.
+	 */
+	w->lease_expires_us = (rec->lost ? rec->lost_us : s->now_us) +
+			      s->opt.lease_us * SLOW_CLOCK_PERCENT / 100 +
 			      LEASE_EXPIRY_MARGIN_US;
 	w->next_poll_us = s->now_us;
 	w->polled_us = s->now_us;
@@ -129,7 +136,8 @@
 bool ds_worker_usable(const struct dag_sched *s, const struct ds_worker *w)
 {
 	return w->in_service && w->clock_known && !w->leaving_since_us &&
-	       !w->poll_failures && s->now_us >= w->quarantined_until_us &&
+	       !w->poll_failures && !w->contact_lost &&
+	       s->now_us >= w->quarantined_until_us &&
 	       s->now_us - w->last_heard_us <
 		       s->opt.report_interval_us * SILENT_HALF_REPORTS / 2;
 }
@@ -260,7 +268,7 @@
 
 	ds_worker_fill_call(s, w, &o.call);
 	/* A worker that fails polls gets no new lease, so that its runs end. */
-	if (w->n_runs && !w->poll_failures)
+	if (w->n_runs && !w->poll_failures && !w->contact_lost)
 		o.call.lease_ms = ds_worker_extend_lease(s, w);
 	if (!w->poll_failures && w->clock_known)
 		o.wait_ms = has_serving_and_fillers(w) && s->n_workers < LARGE_FLEET
@@ -518,6 +526,46 @@
 	}
 }
 
+static void propose_contact(struct dag_sched *s, const struct ds_worker *w, bool lost)
+{
+	struct dag_command c = {.kind = DAG_CMD_CONTACT};
+
+	c.dag_command_u.contact = (struct dag_contact){w->rec->number, lost};
+	ds_propose(s, &c);
+}
+
+/*
+ * Records that a worker has not replied for a while, so that the next leader need not
+ * wait for a lease from its own start on. Until the contrary is recorded as well, the
+ * worker gets no lease, also when it replies again.
+ */
+static void record_lost_contact(struct dag_sched *s, struct ds_worker *w)
+{
+	if (w->contact_lost || !w->n_runs || w->poll_failures < LOST_POLL_FAILURES)
+		return;
+	w->contact_lost = true;
+	propose_contact(s, w, true);
+}
+
+static void record_regained_contact(struct dag_sched *s, struct ds_worker *w)
+{
+	if (!w->contact_lost || w->contact_proposed)
+		return;
+	w->contact_proposed = true;
+	propose_contact(s, w, false);
+}
+
+/* The loss or return of contact is recorded. */
+void ds_worker_contact_changed(struct dag_sched *s, struct ds_worker *w)
+{
+	if (w->rec->lost)
+		return;
+	w->contact_lost = false;
+	w->contact_proposed = false;
+	w->next_poll_us = s->now_us;
+	s->placement_needed = true;
+}
+
 /* Records that a newer process answers under the worker's id. */
 static void propose_new_start_time(struct dag_sched *s, struct ds_worker *w,
 				   int64_t born_ms)
@@ -614,6 +662,7 @@
 			s->host->ops->log_event(s->host, "worker-lost", NULL, 0,
 						XDR_STR(w->rec->w, id),
 						"no reply to the poll", result);
+		record_lost_contact(s, w);
 		request_copies(s, w);
 		if (w->leaving_since_us &&
 		    now_us - w->leaving_since_us > LEAVE_TIMEOUT_US &&
@@ -631,6 +680,7 @@
 	if (!w->clock_known)
 		s->placement_needed = true;
 	w->poll_failures = 0;
+	record_regained_contact(s, w);
 	record_poll_contact(w, poll->clock_ms, now_us);
 	process_poll_reply(s, w, poll);
 	/*
--- a/proto/dag.h
+++ b/proto/dag.h
@@ -220,6 +220,11 @@
 	} slope_milli;
 };
 
+struct dag_contact {
+	u_int worker;
+	bool_t lost;
+};
+
 enum dag_command_kind {
 	DAG_CMD_CONF = 1,
 	DAG_CMD_ZONE = 2,
@@ -230,6 +235,7 @@
 	DAG_CMD_END = 7,
 	DAG_CMD_FORGET = 8,
 	DAG_CMD_MODEL = 9,
+	DAG_CMD_CONTACT = 10,
 };
 
 struct dag_command {
@@ -244,6 +250,7 @@
 		struct dag_end end;
 		u_quad_t forget;
 		struct dag_model model;
+		struct dag_contact contact;
 	} dag_command_u;
 };
 
@@ -501,6 +508,7 @@
 extern  bool_t xdr_dag_end (XDR *, struct dag_end *);
 extern  bool_t xdr_dag_model_image (XDR *, struct dag_model_image *);
 extern  bool_t xdr_dag_model (XDR *, struct dag_model *);
+extern  bool_t xdr_dag_contact (XDR *, struct dag_contact *);
 extern  bool_t xdr_dag_command_kind (XDR *, enum dag_command_kind *);
 extern  bool_t xdr_dag_command (XDR *, struct dag_command *);
 extern  bool_t xdr_dag_batch (XDR *, struct dag_batch *);
@@ -542,6 +550,7 @@
 extern bool_t xdr_dag_end ();
 extern bool_t xdr_dag_model_image ();
 extern bool_t xdr_dag_model ();
+extern bool_t xdr_dag_contact ();
 extern bool_t xdr_dag_command_kind ();
 extern bool_t xdr_dag_command ();
 extern bool_t xdr_dag_batch ();
--- a/proto/dag.x
+++ b/proto/dag.x
@@ -142,6 +142,12 @@
 	unsigned int slope_milli<4096>;
 };
 
+/* lost: until a record says otherwise, the leader grants the worker no lease. */
+struct dag_contact {
+	unsigned int worker;
+	bool lost;
+};
+
 enum dag_command_kind {
 	DAG_CMD_CONF = 1,
 	DAG_CMD_ZONE = 2,
@@ -151,7 +157,8 @@
 	DAG_CMD_START = 6,
 	DAG_CMD_END = 7,
 	DAG_CMD_FORGET = 8,
-	DAG_CMD_MODEL = 9
+	DAG_CMD_MODEL = 9,
+	DAG_CMD_CONTACT = 10
 };
 
 union dag_command switch (dag_command_kind kind) {
@@ -173,6 +180,8 @@
 	unsigned hyper forget;
 case DAG_CMD_MODEL:
 	dag_model model;
+case DAG_CMD_CONTACT:
+	dag_contact contact;
 };
 
 /* One log entry. time_ms: clock of the leader when it proposed the entry. */
@@ -204,6 +213,7 @@
 	dag_image_task tasks<>;
 };
 
+/* number: bit 31 is set when contact with the worker is lost. */
 struct dag_image_worker {
 	unsigned int number;
 	dag_worker worker;
--- a/proto/dag_xdr.c
+++ b/proto/dag_xdr.c
@@ -537,6 +537,18 @@
 	return TRUE;
 }
 
+bool_t
+xdr_dag_contact (XDR *xdrs, struct dag_contact *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->worker))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->lost))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_dag_command_kind (XDR *xdrs, enum dag_command_kind *objp)
 {
@@ -591,6 +603,10 @@
 		 if (!xdr_dag_model (xdrs, &objp->dag_command_u.model))
 			 return FALSE;
 		break;
+	case DAG_CMD_CONTACT:
+		 if (!xdr_dag_contact (xdrs, &objp->dag_command_u.contact))
+			 return FALSE;
+		break;
 	default:
 		return FALSE;
 	}
--- a/regress/lib_dag_world.c
+++ b/regress/lib_dag_world.c
@@ -632,6 +632,7 @@
 
 static void commit(struct dag_world *w, struct str bytes)
 {
+	w->state->clock_us = w->now_us;
 	ck_assert_int_eq(dag_state_apply(w->state, bytes), 0);
 }
 
--- a/regress/test_dag.c
+++ b/regress/test_dag.c
@@ -66,6 +66,35 @@
 }
 END_TEST
 
+/* Guards against a new leader that waits for a lease which an earlier one let end. */
+START_TEST(lease_of_a_lost_worker_ends_on_time_with_a_new_leader)
+{
+	uint32_t lost = dw_add_worker(&w, 8000, 8000);
+
+	dw_submit_lasting(&w, 1, 4);
+	dw_run_for(&w, 2 * SECOND);
+	add_workers(1);
+	if (_i % 2)
+		dw_crash_worker(&w, lost, false);
+	else
+		w.workers[lost].cut = true;
+	dw_run_for(&w, 5 * SECOND);
+	if (_i / 2) {
+		/* It is back for a moment, which gives it a new lease. */
+		w.workers[lost].cut = false;
+		dw_run_for(&w, SECOND);
+		w.workers[lost].cut = true;
+	}
+	dw_change_leader(&w);
+	dw_run_for(&w, 7 * SECOND);
+	assert_sound();
+	ck_assert_uint_eq(w.starts, _i / 2 ? 4 : 8);
+	dw_run_for(&w, 4 * SECOND);
+	assert_sound();
+	ck_assert_uint_eq(w.starts, 8);
+}
+END_TEST
+
 /* Guards against a second run while the first one may still run behind a cut. */
 START_TEST(runs_behind_a_cut_do_not_run_twice)
 {
@@ -1014,6 +1043,8 @@
 	tcase_add_checked_fixture(tc, open_world, close_world);
 	tcase_add_test(tc, chain_completes);
 	tcase_add_test(tc, runs_of_a_dead_worker_move_after_the_lease);
+	tcase_add_loop_test(tc, lease_of_a_lost_worker_ends_on_time_with_a_new_leader, 0,
+			    3);
 	tcase_add_test(tc, runs_behind_a_cut_do_not_run_twice);
 	tcase_add_test(tc, end_of_a_run_given_up_is_held);
 	tcase_add_loop_test(tc, ends_of_a_cancelled_job_are_not_held, 0, 64);
