dag: a serving task has the room of a worker that is avoided

Cause: a worker on which two batch runs in a row had failed got nothing for 5 s. Jobs fail 2 to 5 % of their runs by themselves, so that happens to sound workers a few times a second. Such a worker runs empty, and two or three of them held 9 cores and more each for seconds, while the tasks that waited were refused them. Its class: a limit that is meant as a preference and holds a task back when nothing else is left.

Change: the worker is only avoided: a serving task, which has no limit of attempts, is placed there if no other worker has room, once a second for each worker. A request that failed for batch tasks no longer stands for serving tasks of the same pass.

--- a/core/dag_place.c
+++ b/core/dag_place.c
@@ -18,13 +18,17 @@
 #define FREE_CPU_DIVISOR 16
 /* For the worker on which the task failed or was slowed before. */
 #define AVOID_PENALTY 4000000
+/* For a serving task on a worker that is avoided, and how often one is tried there. */
+#define AVOIDED_PENALTY 8000000
+#define AVOIDED_RETRY_US (1 * USEC_PER_SEC)
 #define SCORE_UNACCEPTABLE INT64_MIN
 
 /* A request that fits no worker in this pass; equal or larger ones are not tried. */
 struct placement_failure {
 	bool set;
 	bool filler;
-	int image; /* fillers only: interference depends on it */
+	bool serving; /* serving tasks may take workers that others may not */
+	int image;    /* fillers only: interference depends on it */
 	double interference_limit;
 	uint32_t cpu;
 	uint32_t mem;
@@ -145,15 +149,26 @@
 		points -= REMOTE_DATA_PENALTY;
 	if (avoid == w->rec->number)
 		points -= AVOID_PENALTY;
+	if (ds_worker_avoided(s, w))
+		points -= AVOIDED_PENALTY;
 	points -= (int64_t)w->fail_streak * 20000;
 	return points;
 }
 
+static bool worker_takes_step(const struct dag_sched *s, const struct ds_worker *w,
+			      const struct ds_step *st)
+{
+	if (!ds_worker_usable(s, w))
+		return false;
+	return !ds_worker_avoided(s, w) ||
+	       (st->step->long_running && s->now_us >= w->next_serving_us);
+}
+
 /* Score of a worker for a task of a step; SCORE_UNACCEPTABLE if it cannot take it. */
 static int64_t score_if_fits(const struct dag_sched *s, struct ds_worker *w,
 			     const struct ds_step *st, uint32_t avoid)
 {
-	if (!ds_worker_usable(s, w) || !worker_serves_queue(w, st->job) ||
+	if (!worker_takes_step(s, w, st) || !worker_serves_queue(w, st->job) ||
 	    !worker_fits_step(w, st))
 		return SCORE_UNACCEPTABLE;
 	return score_worker(s, w, st, avoid);
@@ -221,7 +236,7 @@
 	for (size_t i = 0; i < s->n_workers; i++) {
 		struct ds_worker *w = s->workers[i];
 
-		if (w != r->worker && ds_worker_usable(s, w) &&
+		if (w != r->worker && worker_takes_step(s, w, st) &&
 		    worker_serves_queue(w, r->job) && worker_fits_step(w, st) &&
 		    ds_predict_interference(s, w, r->image, r->step->cpu_milli).excess <=
 			    max_interference)
@@ -239,6 +254,8 @@
 
 	if (!r)
 		return NULL;
+	if (ds_worker_avoided(s, w))
+		w->next_serving_us = s->now_us + AVOIDED_RETRY_US;
 	ds_job_find_task(st->job, &ref)->needs_copy = false;
 	r->phase = DS_PROPOSED;
 	c.dag_command_u.start = (struct dag_start){ref, run, w->rec->number};
@@ -371,6 +388,7 @@
 		    (!step->filler ||
 		     (failures[i].image == st->image &&
 		      failures[i].interference_limit >= interference_limit(st->job))) &&
+		    (failures[i].serving || !step->long_running) &&
 		    failures[i].cpu <= step->cpu_milli &&
 		    failures[i].mem <= step->mem_mb && failures[i].gpus <= step->gpus &&
 		    str_eq(failures[i].service, service))
@@ -391,6 +409,7 @@
 		failures[i] = (struct placement_failure){
 			.set = true,
 			.filler = step->filler,
+			.serving = step->long_running,
 			.image = st->image,
 			.interference_limit = interference_limit(st->job),
 			.cpu = step->cpu_milli,
--- a/core/dag_sched_impl.h
+++ b/core/dag_sched_impl.h
@@ -147,6 +147,8 @@
 	/* Health. */
 	unsigned int fail_streak;
 	int64_t quarantined_until_us;
+	int64_t avoided_until_us; /* after consecutive failures */
+	int64_t next_serving_us;  /* then it may be tried with a serving task */
 	int64_t last_throttle_us; /* newest throttle request */
 };
 
@@ -224,6 +226,7 @@
 void ds_worker_refresh(struct dag_sched *s, struct ds_worker *w);
 void ds_worker_contact_changed(struct dag_sched *s, struct ds_worker *w);
 bool ds_worker_usable(const struct dag_sched *s, const struct ds_worker *w);
+bool ds_worker_avoided(const struct dag_sched *s, const struct ds_worker *w);
 void ds_worker_tick(struct dag_sched *s, struct ds_worker *w, bool check_all);
 void ds_worker_count_result(struct dag_sched *s, struct ds_worker *w,
 			    enum dag_end_how how);
--- a/core/dag_worker.c
+++ b/core/dag_worker.c
@@ -132,6 +132,15 @@
 	return false;
 }
 
+/*
+ * Whether a worker is avoided after consecutive failures. They may have been the tasks'
+ * own, so it still takes serving tasks that have no other place.
+ */
+bool ds_worker_avoided(const struct dag_sched *s, const struct ds_worker *w)
+{
+	return s->now_us < w->avoided_until_us;
+}
+
 /* Whether a worker may get new runs: in service, in contact and not quarantined. */
 bool ds_worker_usable(const struct dag_sched *s, const struct ds_worker *w)
 {
@@ -241,7 +250,7 @@
 	if (how == DAG_END_DONE) {
 		w->fail_streak = 0;
 	} else if (how == DAG_END_FAILED && ++w->fail_streak >= FAIL_STREAK_MAX) {
-		w->quarantined_until_us = s->now_us + QUARANTINE_US;
+		w->avoided_until_us = s->now_us + QUARANTINE_US;
 		s->host->ops->log_event(
 			s->host, "worker-avoided", NULL, 0, XDR_STR(w->rec->w, id),
 			"consecutive failures; quarantined", w->fail_streak);
--- a/regress/test_dag.c
+++ b/regress/test_dag.c
@@ -578,6 +578,34 @@
 }
 END_TEST
 
+/* Guards against a serving task that waits while the only room is on an avoided worker.
+ */
+START_TEST(serving_task_has_the_room_of_an_avoided_worker)
+{
+	struct dag_step st = {.count = 1,
+			      .cpu_milli = 6000,
+			      .mem_mb = 100,
+			      .long_running = true,
+			      .target_ms = 50};
+	uint32_t worker = dw_add_worker(&w, 8000, 8000);
+
+	w.workers[worker].fails = true;
+	dw_submit_chain(&w, 1, 1, 2);
+	dw_run_for(&w, SECOND / 2);
+	ck_assert_uint_eq(w.starts, 2);
+	dw_cancel(&w, 1);
+	w.workers[worker].fails = _i;
+	w.starts = 0;
+	dw_submit_step(&w, 2, &st);
+	dw_run_for(&w, 3 * SECOND);
+	assert_sound();
+	/* One that goes on failing is not tried without a pause. */
+	ck_assert_uint_eq(dw_alive(&w, 2), _i ? 0 : 1);
+	ck_assert_uint_ge(w.starts, _i ? 3 : 1);
+	ck_assert_uint_le(w.starts, _i ? 4 : 1);
+}
+END_TEST
+
 /* Guards against tasks that wait for ever on a worker that does not work. */
 START_TEST(stalled_runs_move)
 {
@@ -1062,6 +1090,7 @@
 	tcase_add_test(tc, cancelled_job_stops);
 	tcase_add_test(tc, closed_zone_gets_nothing_new);
 	tcase_add_test(tc, failing_worker_is_avoided);
+	tcase_add_loop_test(tc, serving_task_has_the_room_of_an_avoided_worker, 0, 2);
 	tcase_add_test(tc, stalled_runs_move);
 	tcase_add_test(tc, silence_is_no_stall);
 	tcase_add_test(tc, late_report_does_not_bring_a_worker_back);
