dag: the room of an ended run is free before its record is committed

Rooms of 5 to 10 cores that cancelled jobs left stood empty while 200 to 300 tasks waited for them.

Cause: the resources of a run were freed when the record of its end was committed; the start that takes them was proposed after that, and sent after a second commit.

Change: they are free as soon as the end is proposed, which happens only when the run has certainly ended on its worker. The start follows the end in the log, mostly in the same entry.

--- a/core/dag_run.c
+++ b/core/dag_run.c
@@ -45,13 +45,14 @@
 	return r;
 }
 
-void ds_run_free(struct dag_sched *s, struct ds_run *r)
+/* The run has ended on its worker, so that other tasks can have its resources. */
+static void release_resources(struct dag_sched *s, struct ds_run *r)
 {
 	struct ds_worker *w = r->worker;
 
-	TAILQ_REMOVE(&r->job->runs, r, job_entry);
-	TAILQ_REMOVE(&w->runs, r, worker_entry);
-	w->n_runs--;
+	if (r->released)
+		return;
+	r->released = true;
 	w->serving_known = false;
 	if (r->step->filler)
 		w->cpu_fillers -= ds_filler_cpu(r);
@@ -61,8 +62,18 @@
 		w->cpu_serving -= r->step->cpu_milli;
 	w->mem_reserved -= r->step->mem_mb;
 	w->gpus_reserved -= r->step->gpus;
-	ds_job_find_task(r->job, &r->task)->n_runs--;
 	s->placement_needed = true;
+}
+
+void ds_run_free(struct dag_sched *s, struct ds_run *r)
+{
+	struct ds_worker *w = r->worker;
+
+	release_resources(s, r);
+	TAILQ_REMOVE(&r->job->runs, r, job_entry);
+	TAILQ_REMOVE(&w->runs, r, worker_entry);
+	w->n_runs--;
+	ds_job_find_task(r->job, &r->task)->n_runs--;
 	buf_free(&r->checkpoint);
 	free(r);
 }
@@ -143,7 +154,10 @@
 	s->host->ops->stop(s->host, &o);
 }
 
-/* Proposes the end of a run, once. An empty checkpoint stands for the newest listed. */
+/*
+ * Proposes the end of a run, once. An empty checkpoint stands for the newest listed. Its
+ * resources are free at once: the start of a run that takes them follows in the log.
+ */
 void ds_run_propose_end(struct dag_sched *s, struct ds_run *r, enum dag_end_how how,
 			struct str checkpoint, const char *reason)
 {
@@ -162,6 +176,7 @@
 	if (how != DAG_END_DONE)
 		ds_log_run_event(s, "run-ended", r, reason, how);
 	ds_propose(s, &c);
+	release_resources(s, r);
 }
 
 /* The run is certainly not on its worker and will not start there later. */
--- a/core/dag_sched_impl.h
+++ b/core/dag_sched_impl.h
@@ -44,6 +44,7 @@
 	int64_t stop_acked_us; /* 0: not acknowledged */
 	int64_t stop_retry_us;
 	bool end_proposed;
+	bool released;	 /* its resources are free for other runs */
 	bool end_listed; /* the proposed end came from the worker's list */
 	bool listed;	 /* in the poll reply that is being processed */
 	int32_t progress_percent;
--- a/regress/test_dag.c
+++ b/regress/test_dag.c
@@ -606,6 +606,31 @@
 }
 END_TEST
 
+/* Guards against room that stands empty while the end of its last run is recorded. */
+START_TEST(room_of_an_ended_run_is_taken_in_the_same_log_entry)
+{
+	struct dag_step st = {.count = 1,
+			      .cpu_milli = 8000,
+			      .mem_mb = 100,
+			      .long_running = true,
+			      .target_ms = 50};
+	uint32_t worker = dw_add_worker(&w, 8000, 8000);
+
+	dw_submit_step(&w, 1, &st);
+	dw_run_for(&w, SECOND);
+	dw_submit_step(&w, 2, &st);
+	dw_run_for(&w, SECOND);
+	dw_cancel(&w, 1);
+	while (w.workers[worker].n_ends == 0)
+		dw_run_for(&w, 5000);
+	/* One commit of 8 ms, two hops of 2 ms and the steps of the world; not two
+	 * commits. */
+	dw_run_for(&w, 25000);
+	assert_sound();
+	ck_assert_uint_eq(dw_alive(&w, 2), 1);
+}
+END_TEST
+
 /* Guards against tasks that wait for ever on a worker that does not work. */
 START_TEST(stalled_runs_move)
 {
@@ -1091,6 +1116,7 @@
 	tcase_add_test(tc, closed_zone_gets_nothing_new);
 	tcase_add_test(tc, failing_worker_is_avoided);
 	tcase_add_loop_test(tc, serving_task_has_the_room_of_an_avoided_worker, 0, 2);
+	tcase_add_test(tc, room_of_an_ended_run_is_taken_in_the_same_log_entry);
 	tcase_add_test(tc, stalled_runs_move);
 	tcase_add_test(tc, silence_is_no_stall);
 	tcase_add_test(tc, late_report_does_not_bring_a_worker_back);
