dag: a task that crashes its workers is given up

Cause: the loss of a run with its worker was recorded like the end of a lease: as nobody's fault. Attempts count only what the worker itself lists as failed, which a worker that has crashed cannot do, so a deadly task had no limit at all. Its class: an effect on the executor that is not charged to the work that has it.

Change: a worker that comes back under a new life, or whose address another process answers, has crashed, unless it had said that it leaves. A lease that ends counts as a crash for runs that began in the last 3 s before contact was lost; a cut that lasts less ends no run. Serving tasks older than 3 s have survived their start and are not counted. Since innocent neighbours are counted too, their next runs keep apart; from the second crash on a task is tried on a worker that takes nothing else for 1.5 s. The job fails when three workers have crashed under a task, one of them with no other run that can be the cause, or when four have. A run that an earlier leader started in an earlier life of its worker is not started there again. What stays open: the third cause of a crash of which nothing is known but a cut of over 10 s, right after the start, three or four times in a row.

--- /dev/null
+++ b/core/dag_crash.c
@@ -0,0 +1,160 @@
+/*
+ * Tasks that crash the workers that start them. Each run on a worker when it crashes is
+ * counted, since any may be the cause. A task that was counted before is placed apart
+ * from others of the kind, then tried alone, so that only one of them is the cause of
+ * the next crash. dag_state.c has the limits; planned exits do not count.
+ */
+#include "core/dag_sched_impl.h"
+#include "proto/codec.h"
+
+/* A worker crashes soon after it has started a deadly task. */
+#define CRASH_DELAY_MAX_US (3 * USEC_PER_SEC)
+/* A worker that survives a suspect for this long takes other tasks again. */
+#define TRIAL_US (1500 * USEC_PER_MS)
+/* A worker that joined so recently may be one that crashes by itself. */
+#define NEW_WORKER_US (15 * USEC_PER_SEC)
+/* Scores in thousandths of a core. */
+#define SUSPECT_BESIDE_PENALTY 4000000
+#define NEW_WORKER_PENALTY 2000000
+#define NEIGHBOUR_PENALTY 50000
+
+static const struct dag_task *task_of(const struct ds_run *r)
+{
+	return dag_job_find_task(r->job->rec, r->task.occurrence, r->task.step,
+				 r->task.index);
+}
+
+/* When the worker was last known to work. */
+static int64_t contact_us(const struct dag_sched *s, const struct ds_worker *w)
+{
+	return w->unanswered_us ? w->unanswered_us : s->now_us;
+}
+
+/* Whether a run may have been on a life of its worker before the one of born_ms. */
+static bool was_there(const struct ds_run *r, int64_t born_ms)
+{
+	return r->phase != DS_PROPOSED && !r->end_proposed && !r->listed &&
+	       r->born_ms < born_ms;
+}
+
+/* A serving task that has run for a while is not the cause of a crash. */
+static bool is_proven(const struct dag_sched *s, const struct ds_run *r)
+{
+	return r->step->long_running &&
+	       contact_us(s, r->worker) - r->start_sent_us > CRASH_DELAY_MAX_US;
+}
+
+/* The one run that explains a crash: a suspect on trial that started last. NULL: none. */
+static const struct ds_run *sole_suspect(const struct ds_worker *w, int64_t born_ms)
+{
+	const struct ds_run *sole = NULL;
+	const struct ds_run *r;
+
+	TAILQ_FOREACH (r, &w->runs, worker_entry) {
+		if (!was_there(r, born_ms) || task_of(r)->crashes < DS_TRIAL_CRASHES)
+			continue;
+		if (sole)
+			return NULL;
+		sole = r;
+	}
+	TAILQ_FOREACH (r, &w->runs, worker_entry)
+		if (sole && r != sole && was_there(r, born_ms) &&
+		    r->start_sent_us >= sole->start_sent_us)
+			return NULL;
+	return sole;
+}
+
+/*
+ * Ends the runs of a worker that crashed, or whose life before born_ms has ended, and
+ * counts the crash for each. INT64_MAX: all of its runs.
+ */
+void ds_crash_runs(struct dag_sched *s, struct ds_worker *w, int64_t born_ms,
+		   const char *reason)
+{
+	const struct ds_run *sole = sole_suspect(w, born_ms);
+	struct str none = {NULL, 0};
+	struct ds_run *r;
+
+	TAILQ_FOREACH (r, &w->runs, worker_entry) {
+		if (!was_there(r, born_ms))
+			continue;
+		if (is_proven(s, r))
+			ds_run_propose_lost(s, r, reason);
+		else
+			ds_run_propose_end(
+				s, r, r == sole ? DAG_END_CRASHED_ALONE : DAG_END_CRASHED,
+				none, reason);
+	}
+}
+
+/*
+ * Whether contact with its worker was lost just after the run began. A run that an
+ * earlier leader started has no known age; a serving task among these has most likely run
+ * for long.
+ */
+static bool began_before_loss(const struct ds_run *r)
+{
+	const struct ds_worker *w = r->worker;
+
+	if (!w->unanswered_us && !w->contact_lost)
+		return false;
+	if (!r->start_sent_us)
+		return !r->step->long_running;
+	return w->unanswered_us - r->start_sent_us < CRASH_DELAY_MAX_US;
+}
+
+/*
+ * Ends the runs of a worker whose lease has ended. It may be cut off or may have crashed;
+ * runs that began just before the contact was lost are counted as if it had crashed.
+ */
+void ds_lapse_runs(struct dag_sched *s, struct ds_worker *w)
+{
+	struct str none = {NULL, 0};
+	struct ds_run *r;
+
+	TAILQ_FOREACH (r, &w->runs, worker_entry) {
+		if (r->phase == DS_PROPOSED)
+			continue;
+		if (began_before_loss(r))
+			ds_run_propose_end(s, r, DAG_END_CRASHED, none, "lease ended");
+		else
+			ds_run_propose_lost(s, r, "lease ended");
+	}
+}
+
+/* A task under which workers have crashed starts; others keep off its worker. */
+void ds_begin_trial(struct dag_sched *s, struct ds_run *r)
+{
+	r->suspect = task_of(r)->crashes > 0;
+	r->worker->n_suspects += r->suspect;
+	if (task_of(r)->crashes >= DS_TRIAL_CRASHES)
+		r->worker->trial_until_us = s->now_us + TRIAL_US;
+}
+
+void ds_end_trial(struct ds_run *r)
+{
+	r->worker->n_suspects -= r->suspect;
+	if (r->suspect && !r->worker->n_suspects)
+		r->worker->trial_until_us = 0;
+}
+
+/*
+ * What it costs to place a task on a worker under which so many workers have crashed,
+ * in thousandths of a core: suspects keep apart, off workers that have just joined, and
+ * at last off others.
+ */
+int64_t ds_suspect_penalty(const struct dag_sched *s, const struct ds_worker *w,
+			   uint32_t crashes)
+{
+	int64_t penalty = 0;
+
+	if (!crashes)
+		return 0;
+	if (w->n_suspects)
+		penalty += SUSPECT_BESIDE_PENALTY;
+	if (w->joined_us && s->now_us - w->joined_us < NEW_WORKER_US)
+		penalty += NEW_WORKER_PENALTY;
+	if (crashes >= DS_TRIAL_CRASHES)
+		penalty += (int64_t)w->n_runs * NEIGHBOUR_PENALTY;
+	return penalty;
+}
--- a/core/dag_place.c
+++ b/core/dag_place.c
@@ -175,7 +175,7 @@
 }
 
 static struct ds_worker *choose_worker(struct dag_sched *s, const struct ds_step *st,
-				       uint32_t avoid, struct str rack)
+				       uint32_t avoid, uint32_t crashes, struct str rack)
 {
 	struct ds_worker *best = NULL;
 	int64_t best_score = SCORE_UNACCEPTABLE;
@@ -187,6 +187,8 @@
 		if (rack.n && !ds_worker_has_label(w, rack))
 			continue;
 		score = score_if_fits(s, w, st, avoid);
+		if (score != SCORE_UNACCEPTABLE)
+			score -= ds_suspect_penalty(s, w, crashes);
 		if (score > best_score) {
 			best_score = score;
 			best = w;
@@ -281,10 +283,10 @@
 	uint32_t avoid = ds_job_find_task(st->job, &ref)->avoid_worker;
 	struct ds_worker *w;
 
-	if (scored && !avoid)
+	if (scored && !avoid && !t->crashes)
 		w = best_scored_worker(s);
 	else
-		w = choose_worker(s, st, avoid, (struct str){NULL, 0});
+		w = choose_worker(s, st, avoid, t->crashes, (struct str){NULL, 0});
 	if (!w || !propose_start(s, st, w, index, t->last_run + 1))
 		return false;
 	if (scored)
@@ -329,7 +331,9 @@
 	while (placed < st->step->count) {
 		struct dag_task_ref ref = {st->job->rec->id, st->occurrence, st->number,
 					   placed};
-		struct ds_worker *w = choose_worker(s, st, 0, rack);
+		const struct dag_task *t = dag_job_find_task(st->job->rec, st->occurrence,
+							     st->number, placed);
+		struct ds_worker *w = choose_worker(s, st, 0, t->crashes, rack);
 
 		if (!w || !ds_run_new(s, st->job, w, &ref, run))
 			break;
--- a/core/dag_run.c
+++ b/core/dag_run.c
@@ -42,6 +42,7 @@
 	w->mem_reserved += step->mem_mb;
 	w->gpus_reserved += step->gpus;
 	ds_job_find_task(j, t)->n_runs++;
+	ds_begin_trial(s, r);
 	return r;
 }
 
@@ -70,6 +71,7 @@
 	struct ds_worker *w = r->worker;
 
 	release_resources(s, r);
+	ds_end_trial(r);
 	TAILQ_REMOVE(&r->job->runs, r, job_entry);
 	TAILQ_REMOVE(&w->runs, r, worker_entry);
 	w->n_runs--;
@@ -133,6 +135,7 @@
 	o.call.lease_ms = ds_worker_extend_lease(s, r->worker);
 	r->phase = DS_STARTING;
 	r->start_sent_us = s->now_us;
+	r->born_ms = r->worker->rec->w.born_ms;
 	r->start_requests++;
 	s->host->ops->start(s->host, &o);
 }
--- a/core/dag_sched.c
+++ b/core/dag_sched.c
@@ -133,7 +133,11 @@
 	struct dag_worker_rec *w = dag_state_find_worker(s->state, worker);
 	struct ds_worker *dw = w ? w->sched : NULL;
 	bool listed = r && r->end_listed;
+	bool crashed = e->how == DAG_END_CRASHED || e->how == DAG_END_CRASHED_ALONE;
 
+	if (r && crashed && dag_task_is_deadly(t))
+		ds_log_run_event(s, "task-given-up", r, "workers crashed under it",
+				 t->crashes);
 	if (r)
 		ds_run_free(s, r);
 	if (dw && listed && --dw->ends_uncommitted == 0) {
@@ -158,8 +162,10 @@
 	if (!w) {
 		ds_handle_replaced_workers(s, rec);
 		w = ds_worker_new(s, rec);
-		if (w)
+		if (w) {
 			w->last_heard_us = s->now_us;
+			w->joined_us = s->now_us;
+		}
 		return;
 	}
 	ds_worker_refresh(s, w);
@@ -233,8 +239,11 @@
 					? ds_run_new(s, j, w->sched, &ref, t->live[c].run)
 					: NULL;
 
-			if (r)
-				r->phase = DS_RECOVERED;
+			if (!r)
+				continue;
+			r->phase = DS_RECOVERED;
+			if (t->life[c] == w->lives)
+				r->born_ms = w->w.born_ms;
 		}
 	}
 }
--- a/core/dag_sched_impl.h
+++ b/core/dag_sched_impl.h
@@ -39,6 +39,8 @@
 	int64_t start_sent_us;	 /* newest start request */
 	int64_t start_retry_us;	 /* when an unconfirmed start is sent again */
 	int64_t accepted_us;	 /* when the worker confirmed it */
+	int64_t born_ms;	 /* life of the worker that was told of it, 0: none yet */
+	bool suspect; /* a worker has crashed under an earlier run of the task */
 	bool stop_requested;
 	bool stop_in_flight;
 	int64_t stop_acked_us; /* 0: not acknowledged */
@@ -129,6 +131,7 @@
 	int64_t polled_us;     /* newest reply to a poll */
 	bool contact_lost;     /* recorded or proposed; no lease is granted */
 	bool contact_proposed; /* that it is regained */
+	int64_t unanswered_us; /* first poll without a reply since then, 0: none */
 	int64_t next_poll_us;
 	unsigned int poll_failures;
 	uint64_t acked_end;	   /* ends up to this number are acknowledged */
@@ -150,6 +153,9 @@
 	int64_t quarantined_until_us;
 	int64_t avoided_until_us; /* after consecutive failures */
 	int64_t next_serving_us;  /* then it may be tried with a serving task */
+	int64_t joined_us;	  /* it became known to this leader, 0: before its time */
+	uint32_t n_suspects;	  /* runs whose task is suspect */
+	int64_t trial_until_us;	  /* a task is tried alone until then */
 	int64_t last_throttle_us; /* newest throttle request */
 };
 
@@ -237,6 +243,17 @@
 void ds_worker_ack_ends(struct ds_worker *w);
 bool ds_worker_has_label(const struct ds_worker *w, struct str label);
 
+/* dag_crash.c */
+/* Crashes of workers from which on a task is tried alone on a worker. */
+#define DS_TRIAL_CRASHES 2U
+void ds_crash_runs(struct dag_sched *s, struct ds_worker *w, int64_t born_ms,
+		   const char *reason);
+void ds_lapse_runs(struct dag_sched *s, struct ds_worker *w);
+void ds_begin_trial(struct dag_sched *s, struct ds_run *r);
+void ds_end_trial(struct ds_run *r);
+int64_t ds_suspect_penalty(const struct dag_sched *s, const struct ds_worker *w,
+			   uint32_t crashes);
+
 /* dag_watch.c */
 void ds_watch_serving(struct dag_sched *s);
 
--- a/core/dag_state.c
+++ b/core/dag_state.c
@@ -357,6 +357,7 @@
 static int apply_worker(struct dag_state *s, const struct dag_worker *w)
 {
 	struct dag_worker_rec *rec = dag_state_find_worker_by_id(s, XDR_STR(*w, id));
+	bool restarted;
 	int err = 0;
 
 	if (rec && rec->w.state == DAG_WORKER_GONE && rec->n_runs == 0) {
@@ -365,9 +366,11 @@
 	}
 	if (!rec && w->state == DAG_WORKER_GONE)
 		return 0;
+	restarted = rec && w->born_ms > rec->w.born_ms;
 	err = dag_state_put_worker(s, 0, w, &rec);
 	if (err)
 		return err;
+	rec->lives += restarted;
 	if (s->observer)
 		s->observer->ops->worker_changed(s->observer, rec);
 	return 0;
@@ -441,6 +444,7 @@
 	if (!t || !w || dag_job_ended(j) || t->done || st->run <= t->last_run ||
 	    t->n_live == DAG_MAX_COPIES)
 		return;
+	t->life[t->n_live] = w->lives;
 	t->live[t->n_live++] = (struct dag_run){st->run, st->worker};
 	t->last_run = st->run;
 	w->n_runs++;
@@ -484,11 +488,28 @@
 	return n;
 }
 
+/* Whether so many workers have crashed under a task that it is given up. */
+bool dag_task_is_deadly(const struct dag_task *t)
+{
+	return t->crashes >= DAG_CRASHES_MAX ||
+	       (t->crashes >= DAG_CRASHES_PROVEN && t->crashes_alone);
+}
+
+static void count_crash(struct dag_state *s, struct dag_job_rec *j, struct dag_task *t,
+			bool alone)
+{
+	t->crashes++;
+	t->crashes_alone += alone;
+	if (dag_task_is_deadly(t))
+		end_job(s, j, DAG_JOB_FAILED);
+}
+
 /*
  * Records the outcome of a run that has ended: stores its checkpoint, then marks the task
- * as done or counts a failure. Completes the job when its last task is done; fails the
- * job when the number of failures reaches j->attempts. For a long-running step, a done
- * task or an ended job, only the checkpoint is stored.
+ * as done or counts a failure or a crash. Completes the job when its last task is done;
+ * fails the job when the number of failures reaches j->attempts or a task is deadly. The
+ * tasks of a long-running step have no limit of failures. For a done task or an ended
+ * job, only the checkpoint is stored.
  */
 static void record_end(struct dag_state *s, struct dag_job_rec *j,
 		       const struct dag_end *e, struct dag_task *t)
@@ -498,8 +519,18 @@
 
 	if (e->checkpoint.checkpoint_len)
 		buf_set(&t->checkpoint, XDR_STR(*e, checkpoint));
-	if (dag_job_ended(j) || t->done || st->long_running)
+	if (dag_job_ended(j) || t->done)
+		return;
+	if (e->how == DAG_END_CRASHED || e->how == DAG_END_CRASHED_ALONE) {
+		count_crash(s, j, t, e->how == DAG_END_CRASHED_ALONE);
 		return;
+	}
+	if (st->long_running) {
+		/* Its worker has survived the start. */
+		t->crashes = 0;
+		t->crashes_alone = 0;
+		return;
+	}
 	if (e->how == DAG_END_DONE) {
 		if (st->gang)
 			complete_gang(j, &e->task);
@@ -534,6 +565,7 @@
 		return;
 	worker = t->live[i].worker;
 	t->live[i] = t->live[--t->n_live];
+	t->life[i] = t->life[t->n_live];
 	record_end(s, j, e, t);
 	w = dag_state_find_worker(s, worker);
 	if (w)
--- a/core/dag_state.h
+++ b/core/dag_state.h
@@ -14,7 +14,13 @@
  * that apply the same batches hold the same state.
  */
 
-#define DAG_MAX_COPIES 2U	  /* runs of one task at a time */
+#define DAG_MAX_COPIES 2U /* runs of one task at a time */
+/*
+ * A task is given up when this many workers have crashed under it, at least one of them
+ * under it alone; with more crashes also if others were always beside it.
+ */
+#define DAG_CRASHES_PROVEN 3U
+#define DAG_CRASHES_MAX 4U
 #define DAG_MAX_TASKS 100000U	  /* of one occurrence of a job */
 #define DAG_MAX_OCCURRENCES 4096U /* of one job */
 #define DAG_MAX_JOB_TASKS 131072U /* of all occurrences of a job */
@@ -30,10 +36,13 @@
 struct dag_task {
 	uint32_t last_run;
 	uint16_t failures;
+	uint8_t crashes;       /* workers that crashed under it */
+	uint8_t crashes_alone; /* part of them in which no other task was suspect */
 	bool done;
 	uint8_t n_live;
 	struct dag_run live[DAG_MAX_COPIES];
-	struct buf checkpoint; /* of the newest end that had one */
+	uint32_t life[DAG_MAX_COPIES]; /* dag_worker_rec.lives at their start */
+	struct buf checkpoint;	       /* of the newest end that had one */
 };
 
 struct dag_occurrence {
@@ -64,6 +73,7 @@
 	UT_hash_handle hh_id; /* by id */
 	uint32_t number;
 	uint32_t n_runs;
+	uint32_t lives;	 /* restarts seen by this process; not in snapshots */
 	bool lost;	 /* no lease was granted since that was recorded */
 	int64_t lost_us; /* not replicated: time of dag_state.clock_us by then */
 	struct dag_worker w;
@@ -130,6 +140,7 @@
 struct dag_task *dag_job_find_task(const struct dag_job_rec *j, uint32_t occurrence,
 				   uint32_t step, uint32_t index);
 bool dag_job_ended(const struct dag_job_rec *j);
+bool dag_task_is_deadly(const struct dag_task *t);
 bool dag_job_step_ready(const struct dag_job_rec *j, uint32_t occurrence, uint32_t step);
 uint64_t dag_job_count_tasks(const struct dag_job *j);
 bool dag_job_valid(const struct dag_job *j);
--- a/core/dag_state_snapshot.c
+++ b/core/dag_state_snapshot.c
@@ -8,12 +8,18 @@
 
 /* Flag in dag_image_worker.number; numbers stay far below it. */
 #define WORKER_LOST 0x80000000U
+/* Fields of dag_image_task.failures. */
+#define FAILURES_MASK 0xffffU
+#define CRASHES_SHIFT 16
+#define CRASHES_ALONE_SHIFT 24
+#define CRASHES_MASK 0xffU
 
 /* The snapshot borrows strings from the state and owns only its arrays. */
 static void fill_task(const struct dag_task *t, struct dag_image_task *it)
 {
 	it->last_run = t->last_run;
-	it->failures = t->failures;
+	it->failures = t->failures | (u_int)t->crashes << CRASHES_SHIFT |
+		       (u_int)t->crashes_alone << CRASHES_ALONE_SHIFT;
 	it->done = t->done;
 	it->live.live_len = t->n_live;
 	/* The cast is valid because both structs hold the same two numbers. */
@@ -108,7 +114,9 @@
 			const struct dag_image_task *it)
 {
 	t->last_run = it->last_run;
-	t->failures = (uint16_t)it->failures;
+	t->failures = it->failures & FAILURES_MASK;
+	t->crashes = it->failures >> CRASHES_SHIFT & CRASHES_MASK;
+	t->crashes_alone = it->failures >> CRASHES_ALONE_SHIFT & CRASHES_MASK;
 	t->done = it->done;
 	if (it->live.live_len > DAG_MAX_COPIES)
 		return CF_EMALFORMED;
--- a/core/dag_worker.c
+++ b/core/dag_worker.c
@@ -146,7 +146,7 @@
 {
 	return w->in_service && w->clock_known && !w->leaving_since_us &&
 	       !w->poll_failures && !w->contact_lost &&
-	       s->now_us >= w->quarantined_until_us &&
+	       s->now_us >= w->quarantined_until_us && s->now_us >= w->trial_until_us &&
 	       s->now_us - w->last_heard_us <
 		       s->opt.report_interval_us * SILENT_HALF_REPORTS / 2;
 }
@@ -194,6 +194,7 @@
 {
 	w->last_heard_us = now_us;
 	w->polled_us = now_us;
+	w->unanswered_us = 0;
 	if (clock_ms <= 0)
 		return;
 	w->clock_known = true;
@@ -288,7 +289,7 @@
 	s->host->ops->poll(s->host, &o);
 }
 
-/* All runs on the worker have certainly ended; records them as lost. */
+/* All runs on a worker that left as announced have ended; records them as lost. */
 static void propose_all_lost(struct dag_sched *s, struct ds_worker *w, const char *reason)
 {
 	struct ds_run *r;
@@ -298,6 +299,14 @@
 			ds_run_propose_lost(s, r, reason);
 }
 
+static void clear_listed(struct ds_worker *w)
+{
+	struct ds_run *r;
+
+	TAILQ_FOREACH (r, &w->runs, worker_entry)
+		r->listed = false;
+}
+
 static void propose_state(struct dag_sched *s, const struct ds_worker *w,
 			  enum dag_worker_state state)
 {
@@ -312,7 +321,11 @@
 static void handle_worker_exit(struct dag_sched *s, struct ds_worker *w,
 			       const char *reason)
 {
-	propose_all_lost(s, w, reason);
+	clear_listed(w);
+	if (w->rec->w.state == DAG_WORKER_READY && !w->leaving_since_us)
+		ds_crash_runs(s, w, INT64_MAX, reason);
+	else
+		propose_all_lost(s, w, reason);
 	if (w->rec->w.state != DAG_WORKER_GONE)
 		propose_state(s, w, DAG_WORKER_GONE);
 }
@@ -391,21 +404,13 @@
 			return;
 	}
 	if (w->n_runs && s->now_us >= w->lease_expires_us)
-		propose_all_lost(s, w, "lease ended");
+		ds_lapse_runs(s, w);
 	if (check_all)
 		check_runs(s, w);
 	if (!w->poll_in_flight && !w->ends_uncommitted && s->now_us >= w->next_poll_us)
 		poll_worker(s, w);
 }
 
-static void clear_listed(struct ds_worker *w)
-{
-	struct ds_run *r;
-
-	TAILQ_FOREACH (r, &w->runs, worker_entry)
-		r->listed = false;
-}
-
 static void stop_unknown_run(struct dag_sched *s, struct ds_worker *w,
 			     const struct dag_listed_run *l)
 {
@@ -429,6 +434,7 @@
 		return;
 	}
 	r->listed = true;
+	r->born_ms = w->rec->w.born_ms;
 	if (r->phase != DS_PROPOSED && r->phase != DS_ACCEPTED) {
 		r->phase = DS_ACCEPTED;
 		r->accepted_us = s->now_us;
@@ -609,6 +615,7 @@
 		process_listed_run(s, w, &poll->running[i]);
 	for (size_t i = 0; i < poll->n_ended; i++)
 		process_listed_end(s, w, &poll->ended[i]);
+	ds_crash_runs(s, w, poll->born_ms, "the worker has started again");
 	check_unlisted_runs(s, w);
 	if (!w->ends_uncommitted)
 		ds_worker_ack_ends(w);
@@ -622,7 +629,7 @@
 
 	TAILQ_FOREACH (r, &w->runs, worker_entry) {
 		if (!r->step->speculative || r->step->gang || r->end_proposed ||
-		    r->stop_requested)
+		    r->stop_requested || r->suspect)
 			continue;
 		ds_job_find_task(r->job, &r->task)->needs_copy = true;
 		ds_step_refresh(
@@ -667,6 +674,8 @@
 		return;
 	}
 	if (!poll) {
+		if (!w->poll_failures)
+			w->unanswered_us = now_us;
 		if (!w->poll_failures++)
 			s->host->ops->log_event(s->host, "worker-lost", NULL, 0,
 						XDR_STR(w->rec->w, id),
--- a/proto/dag.h
+++ b/proto/dag.h
@@ -189,6 +189,8 @@
 	DAG_END_LAPSED = 3,
 	DAG_END_BROKEN = 4,
 	DAG_END_ALONE = 5,
+	DAG_END_CRASHED = 6,
+	DAG_END_CRASHED_ALONE = 7,
 };
 
 struct dag_end {
--- a/proto/dag.x
+++ b/proto/dag.x
@@ -111,13 +111,19 @@
 	unsigned int worker;
 };
 
+/*
+ * CRASHED and CRASHED_ALONE are found by the leader, not listed by a worker: the worker
+ * crashed under the run; ALONE: only this run can have caused it.
+ */
 enum dag_end_how {
 	DAG_END_DONE = 0,
 	DAG_END_FAILED = 1,
 	DAG_END_STOPPED = 2,
 	DAG_END_LAPSED = 3,
 	DAG_END_BROKEN = 4,
-	DAG_END_ALONE = 5
+	DAG_END_ALONE = 5,
+	DAG_END_CRASHED = 6,
+	DAG_END_CRASHED_ALONE = 7
 };
 
 struct dag_end {
@@ -196,6 +202,10 @@
 	unsigned int worker;
 };
 
+/*
+ * failures: failed runs in the low 16 bits, then workers that crashed under the task in
+ * 8 bits and those that crashed under it alone in 8; zero in older snapshots.
+ */
 struct dag_image_task {
 	unsigned int last_run;
 	unsigned int failures;
--- a/regress/lib_dag_world.c
+++ b/regress/lib_dag_world.c
@@ -84,6 +84,18 @@
 	return NULL;
 }
 
+/* Whether another process answers at the address of a worker that has gone. */
+static bool is_replaced(struct dag_world *w, uint32_t number)
+{
+	struct dag_worker_rec *rec = dag_state_find_worker(w->state, number);
+
+	for (size_t i = 0; rec && i < w->n_workers; i++)
+		if (w->workers[i].up && !w->workers[i].cut &&
+		    str_eq(str_from(w->workers[i].address), XDR_STR(rec->w, address)))
+			return !str_eq(str_from(w->workers[i].id), XDR_STR(rec->w, id));
+	return false;
+}
+
 static int host_propose(struct dag_host *h, const struct dag_command *c)
 {
 	struct dag_world *w = (struct dag_world *)h;
@@ -249,7 +261,7 @@
 	struct dag_worker *x = &c.dag_command_u.worker;
 
 	XDR_SET(*x, id, str_from(dw->id));
-	XDR_SET(*x, address, str_from(dw->id));
+	XDR_SET(*x, address, str_from(dw->address));
 	XDR_SET(*x, service, STR("svc"));
 	XDR_SET(*x, zone, STR("z"));
 	x->born_ms = dw->born_ms;
@@ -267,6 +279,7 @@
 	*dw = (struct dw_worker){.up = true, .cpu = cpu, .mem = mem, .next_end = 1};
 	dw->born_ms = dw_wall_ms(w);
 	snprintf(dw->id, sizeof(dw->id), "w%zu", w->n_workers);
+	snprintf(dw->address, sizeof(dw->address), "w%zu", w->n_workers);
 	report(w, dw);
 	return (uint32_t)w->n_workers++;
 }
@@ -305,14 +318,41 @@
 		dw->look_at_us = w->now_us;
 }
 
+static bool is_deadly(const struct dag_world *w, const struct dag_task_ref *t)
+{
+	return t->job >= w->deadly_job && t->job < w->deadly_job + w->deadly_jobs &&
+	       t->index == w->deadly_index;
+}
+
+/* The other members of a gang end with one. */
+static void break_gang(struct dag_world *w, const struct dw_run *lost)
+{
+	for (size_t i = 0; i < w->n_workers; i++)
+		for (size_t k = 0; k < DW_RUNS; k++) {
+			struct dw_run *r = &w->workers[i].runs[k];
+
+			if (r->used && r != lost && r->run == lost->run &&
+			    r->task.job == lost->task.job &&
+			    r->task.step == lost->task.step)
+				end_run(w, &w->workers[i], r, DAG_END_BROKEN);
+		}
+}
+
 /* Everything on a worker is gone without a trace. */
 static void kill_runs(struct dag_world *w, struct dw_worker *dw)
 {
 	for (size_t i = 0; i < DW_RUNS; i++) {
+		struct dw_task *t;
+
 		if (!dw->runs[i].used)
 			continue;
-		task_of(w, &dw->runs[i].task)->alive--;
+		t = task_of(w, &dw->runs[i].task);
+		t->alive--;
+		if (++t->crashes == 3)
+			t->starts_at_third = t->starts;
 		dw->runs[i].used = false;
+		if (dw->runs[i].gang)
+			break_gang(w, &dw->runs[i]);
 	}
 }
 
@@ -342,6 +382,40 @@
 		report(w, dw);
 }
 
+void dw_crash_for(struct dag_world *w, uint32_t number, int64_t us, bool new_id)
+{
+	dw_crash_worker(w, number, false);
+	w->workers[number].return_us = w->now_us + us;
+	w->workers[number].new_id = new_id;
+}
+
+static void crash_and_return(struct dag_world *w)
+{
+	for (size_t i = 0; i < w->n_workers; i++) {
+		struct dw_worker *dw = &w->workers[i];
+
+		for (size_t k = 0; k < DW_RUNS && dw->up; k++)
+			dw->crashing =
+				dw->crashing ||
+				(dw->runs[k].used && is_deadly(w, &dw->runs[k].task) &&
+				 w->now_us - dw->runs[k].start_us >= w->crash_delay_us);
+		if (dw->crashing) {
+			dw->crashing = false;
+			w->crashes++;
+			dw_crash_for(w, (uint32_t)i, w->crash_return_us, w->crash_new_id);
+		}
+		if (dw->up || !dw->return_us || w->now_us < dw->return_us)
+			continue;
+		dw->return_us = 0;
+		dw->up = true;
+		dw->born_ms = dw_wall_ms(w);
+		if (dw->new_id)
+			snprintf(dw->id, sizeof(dw->id), "%s-%u", dw->address,
+				 ++dw->lives);
+		report(w, dw);
+	}
+}
+
 static struct dw_run *find_run(struct dw_worker *dw, const struct dag_task_ref *t,
 			       uint32_t run)
 {
@@ -403,6 +477,13 @@
 		}
 	}
 	k->starts++;
+	if (is_deadly(w, t) && k->crashes >= 3 && k->starts >= k->starts_at_third + 3)
+		violate(w,
+			"%.3f: job %llx step %u task %u starts three times more after it "
+			"has "
+			"crashed three workers",
+			(double)w->now_us / 1e6, (unsigned long long)t->job, t->step,
+			t->index);
 	k->start_us = w->now_us;
 	w->starts++;
 }
@@ -459,6 +540,8 @@
 		.mem = st->mem_mb,
 		.filler = st->filler,
 		.lasting = st->long_running,
+		.gang = st->gang,
+		.start_us = w->now_us,
 		.left_us = w->work_us,
 		.pace = 100,
 	};
@@ -500,6 +583,10 @@
 	bool lost = !dw || !dw->up || dw->cut ||
 		    (e.answer == DAG_RESULT_UNKNOWN && !e.silent);
 
+	if (!dw && is_replaced(w, e.worker)) {
+		answer(w, &e, DAG_RESULT_RESTARTED);
+		return;
+	}
 	if (lost) {
 		add_timeout(w, &e);
 		w->events[w->n_events - 1].leader = e.leader;
@@ -542,6 +629,10 @@
 	struct dw_worker *dw = worker_of(w, e.worker);
 	size_t n = 0;
 
+	if (!dw && is_replaced(w, e.worker)) {
+		answer(w, &e, DAG_RESULT_RESTARTED);
+		return;
+	}
 	if (!dw || !dw->up || dw->cut) {
 		add_timeout(w, &e);
 		w->events[w->n_events - 1].leader = e.leader;
@@ -787,6 +878,7 @@
 	while (w->now_us < end && !w->violation[0]) {
 		w->now_us += STEP_US;
 		due_events(w);
+		crash_and_return(w);
 		for (size_t i = 0; i < w->n_workers; i++)
 			work(w, &w->workers[i]);
 		reports(w);
--- a/regress/lib_dag_world.h
+++ b/regress/lib_dag_world.h
@@ -24,6 +24,8 @@
 	uint32_t mem;
 	bool filler;
 	bool lasting;
+	bool gang;
+	int64_t start_us;
 	int64_t left_us; /* work */
 	int64_t stop_us; /* 0: not stopping */
 	uint32_t pace;
@@ -40,8 +42,13 @@
 };
 
 struct dw_worker {
-	char id[16];
+	char id[24];
+	char address[16];
 	bool up;
+	int64_t return_us; /* it starts again then, 0: it does not */
+	bool new_id;	   /* under another id */
+	bool crashing;	   /* at the end of this step of time */
+	uint32_t lives;
 	bool cut;		/* no call reaches it and no answer comes back */
 	bool fails;		/* every run fails */
 	bool stands;		/* runs make no progress */
@@ -92,6 +99,8 @@
 	uint32_t starts;
 	uint32_t done;
 	uint32_t failed;
+	uint32_t crashes;	  /* of workers, under a run of the task */
+	uint32_t starts_at_third; /* starts when the third of them crashed */
 	int64_t done_us;
 	int64_t start_us; /* newest */
 };
@@ -117,6 +126,14 @@
 	uint32_t lost_permille;
 	uint32_t late_permille;
 	int64_t work_us; /* of a batch task */
+	/* Tasks with this index in these jobs crash each worker that starts them. */
+	uint64_t deadly_job; /* first of them, 0: none */
+	uint32_t deadly_jobs;
+	uint32_t deadly_index;
+	int64_t crash_delay_us; /* from start to crash */
+	int64_t crash_return_us;
+	bool crash_new_id;
+	uint32_t crashes; /* of workers, under deadly tasks */
 	char violation[256];
 	uint32_t starts;
 	uint64_t starts_hash; /* of all starts, in their order */
@@ -145,6 +162,8 @@
 void dw_cancel(struct dag_world *w, uint64_t id);
 void dw_close_zone(struct dag_world *w, bool closed);
 void dw_crash_worker(struct dag_world *w, uint32_t number, bool restart);
+/* Crashes; starts again after a time, under its old or another id. */
+void dw_crash_for(struct dag_world *w, uint32_t number, int64_t us, bool new_id);
 void dw_change_leader(struct dag_world *w);
 enum dag_job_state dw_state(struct dag_world *w, uint64_t id);
 int64_t dw_wall_ms(const struct dag_world *w);
