relay, agent: a gateway does not make calls that reach it late

Hypotheses, before the change: 1. A start from before the lease ended is carried out after the worker got a new lease. No: the job was accepted at 40.86 s, less than a lease before. 2. A start that was sent twice, of which one was refused. The start waited on its way to the gateway. Nothing reached the zone from 30.9 s to 37.89 s. The leader's connections to its gateways stayed, TCP retransmitted ever more seldom, and all that the leader had sent since 30.9 s arrived at 43.62 s. Meanwhile the gateways' reports arrived, so that the leader went on to use them (2 s after each call without an answer).

The third is right. The gateways carried out all of them.

Gateways now report their clock. From it the leader sets for each call when it expires: a start or throttle request 1 s after it was sent, others when the leader stops to wait for the answer. A report takes time to arrive, so the leader's idea of a gateway's clock is behind, never ahead, and a call expires early rather than late. A gateway answers an expired call as one with unknown outcome, and the leader sends it again.

The new test failed before the change (1 start request at the worker, 0 expected).

--- a/carawayfrontd/agent.c
+++ b/carawayfrontd/agent.c
@@ -8,6 +8,7 @@
 #include "base/err.h"
 #include "carawayfrontd/node_id.h"
 #include "carawayfrontd/relay.h"
+#include "io/clock.h"
 #include "io/log.h"
 #include "io/rpc_client.h"
 #include "platform/executors.h"
@@ -210,6 +211,38 @@
 	}
 }
 
+/*
+ * Refuses a call that arrived too late: a partition or a busy process held it up, and the
+ * leader may have decided otherwise since then.
+ */
+static void refuse_expired(struct agent *a, const struct dag_call *c)
+{
+	struct dag_call_answer answer = {.id = c->id, .answer = DAG_RESULT_UNKNOWN};
+
+	if (c->kind != DAG_CALL_PACE)
+		add_answer(a, &answer);
+}
+
+static void serve_calls(struct agent *a, const struct dag_calls *list)
+{
+	int64_t now_us = clock_us();
+	unsigned int expired = 0;
+
+	for (u_int i = 0; i < list->calls.calls_len; i++) {
+		const struct dag_call *c = &list->calls.calls_val[i];
+
+		if (now_us <= c->expires_us) {
+			serve_call(a, c);
+			continue;
+		}
+		refuse_expired(a, c);
+		expired++;
+	}
+	if (expired)
+		log_info("calls-expired", "calls=%u leader=%llx", expired,
+			 (unsigned long long)list->leader);
+}
+
 static void connect_to_leader(struct agent *a, uint64_t leader)
 {
 	struct rpc_client_options opt = {
@@ -240,8 +273,7 @@
 	}
 	if (!codec_decode((xdrproc_t)xdr_dag_calls, &list, call->args)) {
 		connect_to_leader(a, list.leader);
-		for (u_int i = 0; i < list.calls.calls_len; i++)
-			serve_call(a, &list.calls.calls_val[i]);
+		serve_calls(a, &list);
 	}
 	codec_free((xdrproc_t)xdr_dag_calls, &list);
 	rpc_call_drop(call);
--- a/carawayfrontd/gateway.c
+++ b/carawayfrontd/gateway.c
@@ -9,6 +9,7 @@
 #include "carawayfrontd/dag_client.h"
 #include "carawayfrontd/metrics_port.h"
 #include "carawayfrontd/node_id.h"
+#include "io/clock.h"
 #include "io/log.h"
 #include "platform/callers.h"
 #include "proto/codec.h"
@@ -179,6 +180,7 @@
 	g->checked = ev_now(g->loop);
 	req.dag_request_u.agent.id = node_id(&g->settings->listen.rpc);
 	XDR_SET(req.dag_request_u.agent, zone, g->settings->zone);
+	req.dag_request_u.agent.clock_us = clock_us();
 	dag_client_request(g->client, &req, CHECK_TIMEOUT_S, &g->check);
 }
 
--- a/carawayfrontd/relay.c
+++ b/carawayfrontd/relay.c
@@ -7,6 +7,7 @@
 
 #include "base/err.h"
 #include "carawayfrontd/node_id.h"
+#include "io/clock.h"
 #include "io/log.h"
 #include "io/rpc_client.h"
 #include "proto/codec.h"
@@ -15,6 +16,11 @@
 #define ALIVE_S 1.6  /* a gateway reports every 0.5 s */
 #define AVOID_S 2.0  /* after a gateway did not answer a call */
 #define ANSWER_S 2.5 /* beyond the wait that a poll asks for */
+/*
+ * A start or throttle request that reaches a gateway later may be out of date: the run
+ * may have been replaced meanwhile.
+ */
+#define COMMAND_VALID_S 1.0
 #define SWEEP_S 0.1
 /* Failed calls before another gateway calls a worker: connections are few. */
 #define FAILURES_A_TURN 3U
@@ -25,6 +31,7 @@
 	uint64_t id;
 	char zone[ZONE_MAX];
 	struct rpc_client *client;
+	int64_t clock_offset_us; /* its clock is ahead of ours by this or more */
 	double heard;
 	double avoid_until;
 	struct buf batch; /* encoded calls of this round */
@@ -113,6 +120,7 @@
 	memcpy(a->zone, zone.p, zone.n);
 	a->zone[zone.n] = '\0';
 	a->heard = ev_now(r->opt.loop);
+	a->clock_offset_us = agent->clock_us - clock_us();
 }
 
 static bool is_usable(const struct relay *r, const struct relay_agent *a)
@@ -196,6 +204,19 @@
 	return best;
 }
 
+/*
+ * When a gateway no longer makes a call, on its clock. Its report took some time to
+ * arrive, so that the call may expire earlier, never later.
+ */
+static int64_t expiry_us(const struct relay_agent *a, enum dag_call_kind kind,
+			 double timeout)
+{
+	bool command = kind == DAG_CALL_START || kind == DAG_CALL_PACE;
+	double valid = command ? COMMAND_VALID_S : timeout;
+
+	return clock_us() + a->clock_offset_us + (int64_t)(valid * 1e6);
+}
+
 /*
  * Adds a call to the batch of a gateway; its end is reported later, but for a throttle,
  * which has no answer.
@@ -206,6 +227,7 @@
 	struct relay_call *call;
 
 	c->id = ++r->next_id;
+	c->expires_us = expiry_us(a, c->kind, timeout);
 	if (codec_encode((xdrproc_t)xdr_dag_call, c, &a->batch))
 		return false;
 	a->n_batch++;
--- a/proto/dag.h
+++ b/proto/dag.h
@@ -344,6 +344,7 @@
 	u_int percent;
 	u_quad_t seen;
 	u_int wait_ms;
+	quad_t expires_us;
 };
 
 struct dag_calls {
@@ -399,6 +400,7 @@
 		u_int zone_len;
 		char *zone_val;
 	} zone;
+	quad_t clock_us;
 };
 
 enum dag_request_kind {
--- a/proto/dag.x
+++ b/proto/dag.x
@@ -242,6 +242,7 @@
 	unsigned int percent;
 	unsigned hyper seen;
 	unsigned int wait_ms;
+	hyper expires_us; /* on the gateway's clock; it is not made after that */
 };
 
 /* leader: where the answers go. */
@@ -282,6 +283,7 @@
 struct dag_agent {
 	unsigned hyper id;
 	opaque zone<DAG_MAX_NAME>;
+	hyper clock_us; /* its clock when it reported */
 };
 
 /* Calls of gateways, executors and operators to the leading controller. */
--- a/proto/dag_xdr.c
+++ b/proto/dag_xdr.c
@@ -836,6 +836,8 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->wait_ms))
 		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->expires_us))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -926,6 +928,8 @@
 		 return FALSE;
 	 if (!xdr_bytes (xdrs, (char **)&objp->zone.zone_val, (u_int *) &objp->zone.zone_len, DAG_MAX_NAME))
 		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->clock_us))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/regress/test_relay.c
+++ b/regress/test_relay.c
@@ -5,13 +5,19 @@
 #include <ev.h>
 
 #include "base/err.h"
+#include "carawayfrontd/agent.h"
 #include "carawayfrontd/node_id.h"
 #include "carawayfrontd/relay.h"
+#include "io/clock.h"
 #include "io/rpc_server.h"
 #include "proto/codec.h"
+#include "regress/lib_fakehttp.h"
 
 /* A gateway that takes calls and answers only when the test says so. */
 #define ADDRESS "127.0.0.1:20461"
+#define AGENT_ADDRESS "127.0.0.1:20462"
+#define WORKER_PORT 20463
+#define WORKER_ADDRESS "127.0.0.1:20463"
 #define KEY "secret"
 #define MAX_CALLS 64U
 /* Longer than a call may stay without an answer and its gateway be avoided. */
@@ -143,7 +149,7 @@
 
 static void report(void)
 {
-	struct dag_agent a = {.id = gateway_id};
+	struct dag_agent a = {.id = gateway_id, .clock_us = clock_us()};
 
 	XDR_SET(a, zone, STR("a"));
 	relay_agent(relay, &a);
@@ -240,6 +246,73 @@
 }
 END_TEST
 
+/* Plays the leader's loop for some seconds; reports of a real gateway arrive. */
+static void play_leader(const struct dag_agent *report, double seconds)
+{
+	double end = ev_time() + seconds;
+	struct dag_agent a = *report;
+
+	while (ev_time() < end) {
+		a.clock_us = clock_us();
+		relay_agent(relay, &a);
+		relay_flush(relay);
+		ev_run(loop, EVRUN_ONCE);
+	}
+}
+
+static void play_gateway(struct ev_loop *l, double seconds)
+{
+	double end = ev_time() + seconds;
+
+	while (ev_time() < end) {
+		ev_run(l, EVRUN_NOWAIT);
+		ev_sleep(0.002);
+	}
+}
+
+static void order_start(uint32_t run)
+{
+	struct dag_worker_command o = {.run = run};
+
+	o.call = (struct dag_worker_call){.worker = 1,
+					  .id = STR("i-1"),
+					  .address = STR(WORKER_ADDRESS),
+					  .lease_ms = 1000};
+	transport()->ops->start(transport(), &o);
+}
+
+/* Guards against start requests that reach a gateway late and still start a run. */
+START_TEST(old_start_is_not_carried_out)
+{
+	struct ev_loop *far = ev_loop_new(0);
+	struct settings own = {.name = STR("gateway"), .cluster_key = STR(KEY)};
+	struct agent_options opt = {.loop = far, .settings = &own};
+	struct dag_agent a = {0};
+	struct fake worker;
+	struct agent *agent;
+
+	XDR_SET(a, zone, STR("a"));
+	ck_assert_int_eq(addr_parse(STR(AGENT_ADDRESS), &own.listen.rpc), 0);
+	a.id = node_id(&own.listen.rpc);
+	fake_open(&worker, WORKER_PORT);
+	fake_say(&worker, "POST", "/api/run-start", 200, "{\"clock_ms\":1}", NULL, 0);
+	ck_assert_int_eq(agent_new(&opt, &agent), 0);
+	play_leader(&a, 0.2);
+	order_start(1);
+	play_leader(&a, 1.5);
+	play_gateway(far, 0.5);
+	ck_assert_uint_eq(fake_count(&worker, "run-start"), 0);
+	order_start(2);
+	play_leader(&a, 0.2);
+	play_gateway(far, 0.5);
+	ck_assert_uint_eq(fake_count(&worker, "run-start"), 1);
+	ck_assert_uint_eq(direct.calls, 0);
+	agent_free(agent);
+	fake_close(&worker);
+	ev_loop_destroy(far);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("relay");
@@ -251,6 +324,7 @@
 	tcase_set_timeout(t, 60);
 	tcase_add_test(t, pace_is_not_waited_for);
 	tcase_add_test(t, silent_gateway_is_avoided);
+	tcase_add_test(t, old_start_is_not_carried_out);
 	suite_add_tcase(s, t);
 	r = srunner_create(s);
 	srunner_run_all(r, CK_ENV);
