relay, rpc_client: reset a gateway's connection when a call gets no answer

When a call gets no answer, the connection is now reset, which drops what it still holds. The gateway is avoided for 2 s after the last such call, as before, and then gets a new connection.

The new test failed before the change (the connection was still open).

--- a/carawayfrontd/relay.c
+++ b/carawayfrontd/relay.c
@@ -369,8 +369,11 @@
 		next = call->hh.next;
 		if (call->deadline > ev_now(loop))
 			continue;
-		if (a)
+		if (a) {
 			avoid_agent(r, a, "no answer to a call");
+			/* After a partition a new connection works at once. */
+			rpc_client_reset(a->client);
+		}
 		end_call(r, call, DAG_RESULT_UNKNOWN, NULL);
 	}
 }
--- a/io/rpc_client.c
+++ b/io/rpc_client.c
@@ -264,6 +264,21 @@
 		shutdown(c->stream.fd, SHUT_RDWR);
 }
 
+/*
+ * Ends the connection at once and drops what it still holds, so that no call arrives
+ * later. Outstanding calls end with CF_ECONN before this returns.
+ */
+void rpc_client_reset(struct rpc_client *c)
+{
+	struct linger drop = {.l_onoff = 1, .l_linger = 0};
+
+	if (c->stream.fd < 0)
+		return;
+	setsockopt(c->stream.fd, SOL_SOCKET, SO_LINGER, &drop, sizeof(drop));
+	stream_close(&c->stream);
+	on_closed(&c->stream, CF_ECONN);
+}
+
 /* Forgets an outstanding call; done() will not be called. */
 void rpc_waiter_cancel(struct rpc_waiter *w)
 {
--- a/io/rpc_client.h
+++ b/io/rpc_client.h
@@ -49,6 +49,7 @@
 		    struct rpc_waiter *w);
 int rpc_client_post(struct rpc_client *c, uint32_t proc, struct str args);
 void rpc_client_disconnect(struct rpc_client *c);
+void rpc_client_reset(struct rpc_client *c);
 void rpc_waiter_cancel(struct rpc_waiter *w);
 void rpc_client_free(struct rpc_client *c);
 
--- a/regress/test_relay.c
+++ b/regress/test_relay.c
@@ -1,5 +1,7 @@
 #include <check.h>
+#include <errno.h>
 #include <stdlib.h>
+#include <unistd.h>
 
 #include <arpa/inet.h>
 #include <ev.h>
@@ -313,6 +315,54 @@
 }
 END_TEST
 
+/* Accepts the connection of the relay on the address of a gateway. */
+static int accept_relay(int listener)
+{
+	int fd = accept4(listener, NULL, NULL, SOCK_NONBLOCK);
+
+	ck_assert_int_ge(fd, 0);
+	return fd;
+}
+
+/* Guards against a gateway that stays out of reach for seconds after a partition. */
+START_TEST(connection_without_answers_is_reset)
+{
+	struct dag_agent a = {0};
+	struct addr address;
+	char bytes[4096];
+	int listener = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+	int one = 1;
+	ssize_t n;
+	int fd;
+
+	XDR_SET(a, zone, STR("a"));
+	ck_assert_int_eq(addr_parse(STR(AGENT_ADDRESS), &address), 0);
+	a.id = node_id(&address);
+	setsockopt(listener, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
+	ck_assert_int_eq(bind(listener, (struct sockaddr *)&address.sa, address.len), 0);
+	ck_assert_int_eq(listen(listener, 8), 0);
+	play_leader(&a, 0.2);
+	order_start(1);
+	play_leader(&a, 0.2);
+	fd = accept_relay(listener);
+	play_leader(&a, PATIENCE_S - 1);
+	do
+		n = recv(fd, bytes, sizeof(bytes), 0);
+	while (n > 0);
+	ck_assert_int_eq(n, -1);
+	ck_assert_int_eq(errno, ECONNRESET);
+	close(fd);
+	play_leader(&a, PATIENCE_S / 2);
+	order_start(2);
+	play_leader(&a, 0.2);
+	fd = accept_relay(listener);
+	ck_assert_int_gt(recv(fd, bytes, sizeof(bytes), 0), 0);
+	ck_assert_uint_eq(direct.calls, 0);
+	close(fd);
+	close(listener);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("relay");
@@ -325,6 +375,7 @@
 	tcase_add_test(t, pace_is_not_waited_for);
 	tcase_add_test(t, silent_gateway_is_avoided);
 	tcase_add_test(t, old_start_is_not_carried_out);
+	tcase_add_test(t, connection_without_answers_is_reset);
 	suite_add_tcase(s, t);
 	r = srunner_create(s);
 	srunner_run_all(r, CK_ENV);
