http_server: a planned stop sends the last answers and frees what is open

Cause: controller_free() and dag_client_free() answer what still waits for the leader. The answers were only handed to the event loop, which had ended: http_server_free() saw requests in flight and left libmicrohttpd as it was.

Change: http_server_free() sends the answers that are left, for 100 ms at most, refuses what arrives meanwhile with 503, and closes all connections. A request that was not answered belongs to its handler until http_request_reply(), as with RPC calls.

--- a/io/http_server.c
+++ b/io/http_server.c
@@ -7,9 +7,12 @@
 #include <microhttpd.h>
 
 #include "base/err.h"
+#include "io/clock.h"
 #include "io/listener.h"
 
 #define CONNECTION_MEMORY 16384U /* bytes for headers and buffers of a connection */
+#define LAST_ANSWERS_US 100000	 /* for the answers that are not sent when it ends */
+#define LAST_ANSWERS_POLL_MS 10
 
 struct http_server {
 	struct http_server_options opt;
@@ -18,8 +21,11 @@
 	struct ev_timer timer;
 	int listen_fd;
 	int epoll_fd;
-	bool running; /* inside MHD_run() */
-	bool again;   /* a connection was resumed and needs MHD_run() */
+	bool running;  /* inside MHD_run() */
+	bool again;    /* a connection was resumed and needs MHD_run() */
+	bool closing;  /* inside http_server_free(); the host may be gone */
+	size_t unsent; /* answers that are not sent completely */
+	LIST_HEAD(, http_request) waiting;
 	struct http_server_stats stats;
 };
 
@@ -68,6 +74,17 @@
 	return r;
 }
 
+/* Without memory for the response the connection is closed. */
+static void set_response(struct http_request *req, unsigned int status,
+			 const struct http_header *headers, size_t n_headers,
+			 struct str body)
+{
+	req->status = status;
+	req->response = make_response(headers, n_headers, body);
+	if (req->response)
+		req->server->unsent++;
+}
+
 static enum MHD_Result queue_response(struct http_request *req)
 {
 	struct MHD_Response *r = req->response;
@@ -127,14 +144,20 @@
 	if (req->too_big && !req->response) {
 		s->stats.refused_body++;
 		req->handled = true;
-		req->response = make_response(NULL, 0, STR("body too large\n"));
-		req->status = MHD_HTTP_CONTENT_TOO_LARGE;
+		set_response(req, MHD_HTTP_CONTENT_TOO_LARGE, NULL, 0,
+			     STR("body too large\n"));
+	}
+	if (s->closing && !req->handled) {
+		req->handled = true;
+		set_response(req, MHD_HTTP_SERVICE_UNAVAILABLE, NULL, 0,
+			     STR("shutting down\n"));
 	}
 	if (!req->handled) {
 		req->handled = true;
 		s->opt.host->ops->request(s->opt.host, req);
 		if (!req->response) {
 			req->suspended = true;
+			LIST_INSERT_HEAD(&s->waiting, req, waiting);
 			MHD_suspend_connection(connection);
 			return MHD_YES;
 		}
@@ -142,6 +165,23 @@
 	return queue_response(req);
 }
 
+static void request_free(struct http_request *req)
+{
+	buf_free(&req->body);
+	free(req->target);
+	free(req);
+}
+
+/* A request that its handler has not answered belongs to the handler from now on. */
+static void detach(struct http_request *req)
+{
+	LIST_REMOVE(req, waiting);
+	req->server = NULL;
+	req->connection = NULL;
+	req->method = "";
+	req->path = "";
+}
+
 static void on_completed(void *cls, struct MHD_Connection *connection, void **con_cls,
 			 enum MHD_RequestTerminationCode toe)
 {
@@ -152,11 +192,15 @@
 		return;
 	*con_cls = NULL;
 	s->stats.in_flight--;
-	if (req->response)
+	if (req->suspended) {
+		detach(req);
+		return;
+	}
+	if (req->response) {
+		s->unsent--;
 		MHD_destroy_response(req->response);
-	buf_free(&req->body);
-	free(req->target);
-	free(req);
+	}
+	request_free(req);
 }
 
 /* Listens at once. CF_EEXIST when the port is taken, CF_EIO otherwise. */
@@ -247,11 +291,15 @@
 {
 	struct http_server *s = req->server;
 
-	req->status = status;
-	req->response = make_response(headers, n_headers, body);
+	if (!s) {
+		request_free(req);
+		return;
+	}
+	set_response(req, status, headers, n_headers, body);
 	if (!req->suspended)
 		return;
 	req->suspended = false;
+	LIST_REMOVE(req, waiting);
 	/* The loop calls on_timer() before it sleeps again. */
 	if (!s->running && !s->again)
 		ev_feed_event(s->opt.loop, &s->timer, EV_TIMER);
@@ -277,18 +325,36 @@
 	s->listen_fd = -1;
 }
 
+/* Sends the answers that were given since the loop ran last. */
+static void send_last_answers(struct http_server *s)
+{
+	int64_t end_us = clock_us() + LAST_ANSWERS_US;
+
+	s->running = true;
+	while (s->unsent && clock_us() < end_us)
+		MHD_run_wait(s->daemon, LAST_ANSWERS_POLL_MS);
+}
+
 /*
- * Every request should have been answered: libmicrohttpd aborts the process when it is
- * stopped with suspended connections, so it is left as it is then.
+ * Sends the answers that are left, for 100 ms at most, and closes all connections. A
+ * request that was not answered yet is released by a later http_request_reply(). The
+ * host is not called any more.
  */
 void http_server_free(struct http_server *s)
 {
+	struct http_request *req;
+
 	if (!s)
 		return;
+	s->closing = true;
 	ev_io_stop(s->opt.loop, &s->watcher);
 	ev_timer_stop(s->opt.loop, &s->timer);
-	if (s->stats.in_flight)
-		return;
+	http_server_stop_accepting(s);
+	send_last_answers(s);
+	/* libmicrohttpd aborts the process when it is stopped with suspended connections.
+	 */
+	LIST_FOREACH (req, &s->waiting, waiting)
+		MHD_resume_connection(req->connection);
 	MHD_stop_daemon(s->daemon);
 	free(s);
 }
--- a/io/http_server.h
+++ b/io/http_server.h
@@ -2,6 +2,7 @@
 #define IO_HTTP_SERVER_H
 
 #include <ev.h>
+#include <sys/queue.h>
 
 #include "io/addr.h"
 
@@ -20,10 +21,11 @@
 
 /*
  * A request whose body has arrived completely. It stays valid until
- * http_request_reply(), which may come at any later time.
+ * http_request_reply(), which may come at any later time, also after the server was
+ * freed; nobody gets the answer then.
  */
 struct http_request {
-	struct http_server *server;
+	struct http_server *server; /* NULL: it was freed */
 	const char *method;
 	const char *path; /* decoded, without the query */
 	char *target;	  /* as it came: encoded, with the query */
@@ -31,6 +33,7 @@
 	void *user; /* free for the handler */
 
 	/* Private to the server. */
+	LIST_ENTRY(http_request) waiting; /* while suspended */
 	struct MHD_Connection *connection;
 	struct MHD_Response *response;
 	unsigned int status;
--- /dev/null
+++ b/regress/test_http_server.c
@@ -0,0 +1,220 @@
+#include <arpa/inet.h>
+#include <check.h>
+#include <dirent.h>
+#include <errno.h>
+#include <poll.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <ev.h>
+
+#include "io/http_server.h"
+
+#define ADDRESS "127.0.0.1:20103"
+#define WAIT_MS 2000 /* only ends a broken test */
+#define GET "GET /x HTTP/1.1\r\nHost: h\r\n\r\n"
+
+struct test_host {
+	struct http_server_host host; /* first member */
+	struct http_request *held[8];
+	size_t n_held;
+	size_t n_calls;
+	bool answers_at_once;
+};
+
+static void on_request(struct http_server_host *host, struct http_request *req)
+{
+	struct test_host *h = (struct test_host *)host;
+
+	h->n_calls++;
+	if (h->answers_at_once)
+		http_request_reply(req, 200, NULL, 0, STR("ok"));
+	else
+		h->held[h->n_held++] = req;
+}
+
+static const struct http_server_ops server_ops = {.request = on_request};
+
+static struct ev_loop *loop;
+static struct test_host host;
+static struct http_server *server;
+
+static size_t count_descriptors(void)
+{
+	DIR *dir = opendir("/proc/self/fd");
+	size_t n = 0;
+
+	ck_assert_ptr_nonnull(dir);
+	while (readdir(dir))
+		n++;
+	closedir(dir);
+	return n;
+}
+
+static void open_server(void)
+{
+	struct http_server_options opt = {.loop = loop,
+					  .max_body = 65536,
+					  .max_connections = 64,
+					  .idle_timeout = 60};
+
+	opt.host = &host.host;
+	ck_assert_int_eq(addr_parse(STR(ADDRESS), &opt.address), 0);
+	ck_assert_int_eq(http_server_new(&opt, &server), 0);
+}
+
+static void setup(void)
+{
+	loop = ev_loop_new(0);
+	host = (struct test_host){.host = {.ops = &server_ops}};
+}
+
+static void teardown(void)
+{
+	ev_loop_destroy(loop);
+}
+
+static int open_client(const char *text)
+{
+	struct addr a;
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	ck_assert_int_eq(addr_parse(STR(ADDRESS), &a), 0);
+	ck_assert_int_eq(connect(fd, (struct sockaddr *)&a.sa, a.len), 0);
+	ck_assert_int_eq(write(fd, text, strlen(text)), (ssize_t)strlen(text));
+	return fd;
+}
+
+static void run_until_calls(size_t n)
+{
+	for (int i = 0; i < 100000 && host.n_calls < n; i++)
+		ev_run(loop, EVRUN_ONCE);
+	ck_assert_uint_eq(host.n_calls, n);
+}
+
+/* Reads until the server closes; -1 if it does not. */
+static ssize_t read_to_end(int fd, char *text, size_t size)
+{
+	struct pollfd p = {.fd = fd, .events = POLLIN};
+	size_t n = 0;
+
+	while (n + 1 < size && poll(&p, 1, WAIT_MS) == 1) {
+		ssize_t r = read(fd, text + n, size - 1 - n);
+
+		if (r > 0) {
+			n += (size_t)r;
+			continue;
+		}
+		text[n] = '\0';
+		return r == 0 || errno == ECONNRESET ? (ssize_t)n : -1;
+	}
+	return -1;
+}
+
+/* Guards against a stop that keeps sockets and memory while a request is unanswered. */
+START_TEST(stop_with_unanswered_request)
+{
+	size_t before = count_descriptors();
+	char text[1024];
+	int fd;
+
+	open_server();
+	fd = open_client(GET);
+	run_until_calls(1);
+	http_server_free(server);
+	ck_assert_int_eq(read_to_end(fd, text, sizeof(text)), 0);
+	close(fd);
+	ck_assert_uint_eq(count_descriptors(), before);
+	http_request_reply(host.held[0], 200, NULL, 0, STR("late"));
+}
+END_TEST
+
+/* Guards against an answer that is lost because the loop ends before it is sent. */
+START_TEST(stop_right_after_answer)
+{
+	size_t before = count_descriptors();
+	char text[1024];
+	int fd;
+
+	open_server();
+	fd = open_client(GET);
+	run_until_calls(1);
+	http_request_reply(host.held[0], 200, NULL, 0, STR("in time"));
+	http_server_free(server);
+	ck_assert_int_gt(read_to_end(fd, text, sizeof(text)), 0);
+	ck_assert_ptr_nonnull(strstr(text, "200 OK"));
+	ck_assert_ptr_nonnull(strstr(text, "in time"));
+	close(fd);
+	ck_assert_uint_eq(count_descriptors(), before);
+}
+END_TEST
+
+/* Guards against a stop that keeps connections without a request, or with half of one. */
+START_TEST(stop_with_open_connections)
+{
+	size_t before = count_descriptors();
+	char text[1024];
+	int kept, half;
+
+	open_server();
+	host.answers_at_once = true;
+	kept = open_client(GET);
+	run_until_calls(1);
+	half = open_client(
+		"POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\nhalf");
+	for (int i = 0; i < 5; i++)
+		ev_run(loop, EVRUN_NOWAIT);
+	http_server_free(server);
+	ck_assert_int_gt(read_to_end(kept, text, sizeof(text)), 0);
+	ck_assert_int_eq(read_to_end(half, text, sizeof(text)), 0);
+	close(kept);
+	close(half);
+	ck_assert_uint_eq(count_descriptors(), before);
+}
+END_TEST
+
+/* Guards against a request that reaches a host which is being freed. */
+START_TEST(request_during_stop_is_refused)
+{
+	char text[1024];
+	int first, second;
+
+	open_server();
+	first = open_client(GET);
+	run_until_calls(1);
+	second = open_client("POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\n");
+	for (int i = 0; i < 5; i++)
+		ev_run(loop, EVRUN_NOWAIT);
+	ck_assert_int_eq(write(second, "body", 4), 4);
+	http_request_reply(host.held[0], 200, NULL, 0, STR("in time"));
+	http_server_free(server);
+	ck_assert_uint_eq(host.n_calls, 1);
+	ck_assert_int_gt(read_to_end(first, text, sizeof(text)), 0);
+	ck_assert_int_gt(read_to_end(second, text, sizeof(text)), 0);
+	ck_assert_ptr_nonnull(strstr(text, " 503 "));
+	close(first);
+	close(second);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *s = suite_create("http-server");
+	TCase *tc = tcase_create("http-server");
+	SRunner *sr;
+	int failed;
+
+	tcase_add_checked_fixture(tc, setup, teardown);
+	tcase_add_test(tc, stop_with_unanswered_request);
+	tcase_add_test(tc, stop_right_after_answer);
+	tcase_add_test(tc, stop_with_open_connections);
+	tcase_add_test(tc, request_during_stop_is_refused);
+	suite_add_tcase(s, tc);
+	sr = srunner_create(s);
+	srunner_run_all(sr, CK_NORMAL);
+	failed = srunner_ntests_failed(sr);
+	srunner_free(sr);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
--- /dev/null
+++ b/regress/test_site_stop.sh
@@ -0,0 +1,64 @@
+#!/bin/sh
+# Guards against a planned stop that cuts off the requests which still wait for the
+# leader: each gets a whole answer, and the process ends without an error or a leak.
+set -u
+cd "$(dirname "$0")/.."
+BUILD=${BUILD:-build}
+D=$(mktemp -d)
+PORT=${SITE_PORT:-25900}
+RPC=$PORT CONTROL=$((PORT + 1)) CALLERS=$((PORT + 2))
+bad=0
+fail() {
+	echo "FAILED: $*"
+	bad=1
+}
+end() {
+	for p in "$D"/*.pid; do kill -9 "$(cat "$p")" 2>/dev/null; done
+	[ "$bad" -ne 0 ] && tail -n 40 "$D"/*.log
+	rm -rf "$D"
+	exit $bad
+}
+trap end EXIT
+settings() { # NAME ROLE: of a process that finds no other
+	printf 'name: %s\nrole: %s\nzone: z1\ncluster-key: k\nfound: false\nseeds:\n' "$1" "$2"
+	printf '  - {address: "127.0.1.9:%s"}\nlisten:\n' $CONTROL
+	if [ "$2" = controller ]; then
+		printf '  rpc: "127.0.1.1:%s"\n  control: "127.0.1.1:%s"\ndata: "%s"\n' \
+			$RPC $CONTROL "$D/data"
+	else
+		printf '  rpc: "127.0.2.1:%s"\n  callers: "127.0.2.1:%s"\n' $RPC $CALLERS
+	fi
+}
+answered() { # SECONDS ADDRESS: waits until the port answers
+	for _ in $(seq $(($1 * 20))); do
+		curl -s -m 3 -o "$D/body" "http://$2/" && return 0
+		sleep 0.05
+	done
+	return 1
+}
+check_stop() { # NAME ADDRESS PATH DELAY: requests are sent before and after the signal
+	answered 10 "$2" || fail "$1 does not listen"
+	for n in 1 2 3; do
+		curl -s -m 9 -o "$D/body.$n" -w '%{http_code}\n' "http://$2$3" >"$D/code.$n" &
+		eval "curl$n=$!"
+	done
+	sleep 0.1
+	kill -TERM "$(cat "$D/$1.pid")"
+	sleep "$4"
+	curl -s -m 9 -o "$D/body.4" -w '%{http_code}\n' "http://$2$3" >"$D/code.4" &
+	curl4=$!
+	wait "$(cat "$D/$1.pid")" || fail "$1 ended with an error"
+	for n in 1 2 3 4; do
+		eval "wait \$curl$n" || fail "$1 cut off request $n"
+		grep -q 503 "$D/code.$n" || fail "$1 answered request $n with $(cat "$D/code.$n")"
+	done
+}
+mkdir "$D/data"
+for n in controller gateway; do
+	settings $n $n >"$D/$n.yaml"
+	"$BUILD/bin/carawayfrontd" -c "$D/$n.yaml" >"$D/$n.log" 2>&1 &
+	echo $! >"$D/$n.pid"
+done
+check_stop controller 127.0.1.1:$CONTROL /api/config/get 0.15
+check_stop gateway 127.0.2.1:$CALLERS /q/0000000000000001 2.7
+[ "$bad" -eq 0 ] && echo "site stop: ok"
