dag: a restarted worker's ends are counted from its start

Cause: a worker that comes back under its id numbers its ends from 1. The leader forgot the old count when a list showed the new start time, but not when the worker's report had recorded it before. The next polls then acknowledged ends up to the old number: an end that fell between two polls was dropped unseen, its run counted as missing from the list, and the task ran again after it was done.

Change: the scheduler keeps the start time of the process whose ends it counts, and follows both lists and records.

--- a/core/dag_sched.c
+++ b/core/dag_sched.c
@@ -162,6 +162,7 @@
 			w->last_heard_us = s->now_us;
 		return;
 	}
+	ds_worker_follow_start(w, rec->w.born_ms);
 	ds_worker_refresh(s, w);
 	w->next_poll_us = s->now_us;
 }
--- a/core/dag_sched_impl.h
+++ b/core/dag_sched_impl.h
@@ -126,6 +126,7 @@
 	int64_t poll_sent_us;
 	int64_t next_poll_us;
 	unsigned int poll_failures;
+	int64_t ends_born_ms;	   /* start of the process that numbers the ends below */
 	uint64_t acked_end;	   /* ends up to this number are acknowledged */
 	uint64_t last_listed_end;  /* highest number in its newest list */
 	uint32_t ends_uncommitted; /* listed ends whose records are not committed */
@@ -225,6 +226,7 @@
 void ds_worker_fill_call(const struct dag_sched *s, const struct ds_worker *w,
 			 struct dag_worker_call *call);
 void ds_worker_ack_ends(struct ds_worker *w);
+void ds_worker_follow_start(struct ds_worker *w, int64_t born_ms);
 bool ds_worker_has_label(const struct ds_worker *w, struct str label);
 
 /* dag_throttle.c */
--- a/core/dag_worker.c
+++ b/core/dag_worker.c
@@ -67,6 +67,7 @@
 	}
 	TAILQ_INIT(&w->runs);
 	w->rec = rec;
+	w->ends_born_ms = rec->w.born_ms;
 	rec->sched = w;
 	/* An earlier leader may have granted a full lease just now. */
 	w->lease_expires_us = s->now_us + s->opt.lease_us * SLOW_CLOCK_PERCENT / 100 +
@@ -516,6 +517,20 @@
 	}
 }
 
+/*
+ * A newer process of a worker numbers its ends from the start again. Its start is learned
+ * from its reports or from its lists, whichever come first.
+ */
+void ds_worker_follow_start(struct ds_worker *w, int64_t born_ms)
+{
+	if (born_ms <= w->ends_born_ms)
+		return;
+	w->ends_born_ms = born_ms;
+	w->acked_end = 0;
+	w->last_listed_end = 0;
+	w->held_end = 0;
+}
+
 /* Records that a newer process answers under the worker's id. */
 static void propose_new_start_time(struct dag_sched *s, struct ds_worker *w,
 				   int64_t born_ms)
@@ -529,21 +544,14 @@
 	ds_propose(s, &c);
 }
 
-/*
- * Compares a worker's lists with the recorded runs. Ignores lists of an older process; a
- * newer process numbers its ends from the start again.
- */
+/* Compares a worker's lists with the recorded runs. Ignores lists of an older process. */
 static void process_poll_reply(struct dag_sched *s, struct ds_worker *w,
 			       const struct dag_poll_reply *poll)
 {
 	if (poll->born_ms && poll->born_ms < w->rec->w.born_ms)
 		return;
-	if (poll->born_ms > w->rec->w.born_ms) {
-		w->acked_end = 0;
-		w->last_listed_end = 0;
-		w->held_end = 0;
-		propose_new_start_time(s, w, poll->born_ms);
-	}
+	ds_worker_follow_start(w, poll->born_ms);
+	propose_new_start_time(s, w, poll->born_ms);
 	clear_listed(w);
 	w->has_new_ends = false;
 	for (size_t i = 0; i < poll->n_running; i++)
--- a/regress/test_dag.c
+++ b/regress/test_dag.c
@@ -735,6 +735,36 @@
 }
 END_TEST
 
+/*
+ * Guards against ends that are lost because a restarted worker is sent the number of ends
+ * of its earlier process, whose report of the new one came before a poll.
+ */
+START_TEST(restarted_worker_numbers_its_ends_anew)
+{
+	uint32_t number = dw_add_worker(&w, 32000, 32000);
+	uint32_t starts;
+
+	dw_run_for(&w, SECOND);
+	dw_submit_chain(&w, 1, 4, 12);
+	dw_run_for(&w, 10 * SECOND);
+	ck_assert_int_eq(dw_state(&w, 1), DAG_JOB_COMPLETED);
+	dw_crash_worker(&w, number, true);
+	w.workers[number].quiet_until_us = w.now_us + SECOND / 2;
+	dw_run_for(&w, SECOND);
+	starts = w.starts;
+	/* Some of these end between two polls. */
+	for (uint64_t id = 2; id < 22; id++) {
+		dw_submit_chain(&w, id, 1, 1);
+		dw_run_for(&w, SECOND / 500);
+	}
+	dw_run_for(&w, 10 * SECOND);
+	assert_sound();
+	for (uint64_t id = 2; id < 22; id++)
+		ck_assert_int_eq(dw_state(&w, id), DAG_JOB_COMPLETED);
+	ck_assert_uint_eq(w.starts - starts, 20);
+}
+END_TEST
+
 /*
  * Guards against a start that is sent again to a worker that leaves, or whose zone has
  * been closed: the first request was lost with the gateway that had it.
@@ -1036,6 +1066,7 @@
 	tcase_add_test(tc, late_report_does_not_bring_a_worker_back);
 	tcase_add_test(tc, departed_workers_are_forgotten);
 	tcase_add_test(tc, live_worker_recorded_as_gone_returns);
+	tcase_add_test(tc, restarted_worker_numbers_its_ends_anew);
 	tcase_add_loop_test(tc, lost_start_is_not_repeated_on_a_leaving_worker, 0, 2);
 	tcase_add_test(tc, long_tasks_are_no_stalls);
 	tcase_add_test(tc, job_with_too_many_tasks_is_refused);
