carawayfrontd: a planned stop during the start ends with status 0

Cause: the signal handlers were set after the role had started, which takes several syncs of the data directory. SIGTERM in that time killed the process (status 143), and SIGHUP did as well.

Change: the handlers are set first. A stop that was asked for meanwhile drains the role once it has started, and ends the wait for space on a full disk.

--- a/carawayfrontd/main.c
+++ b/carawayfrontd/main.c
@@ -31,6 +31,8 @@
 	struct gateway *gateway;
 	struct controller *controller;
 	bool bootstrap;
+	bool started;  /* the object of the role exists */
+	bool stopping; /* a planned stop was asked for */
 };
 
 static void usage(void)
@@ -46,11 +48,8 @@
 		*error->key ? ": " : "", cf_strerror(error->err), error->expected);
 }
 
-static void on_terminate(struct ev_loop *loop, struct ev_signal *w, int events)
+static void drain_role(struct daemon *d)
 {
-	struct daemon *d = w->data;
-
-	log_info("shutdown-started", "signal=%d", w->signum);
 	switch (d->settings.role) {
 	case ROLE_ENTRY:
 		entry_drain(d->entry);
@@ -67,6 +66,16 @@
 	}
 }
 
+static void on_terminate(struct ev_loop *loop, struct ev_signal *w, int events)
+{
+	struct daemon *d = w->data;
+
+	log_info("shutdown-started", "signal=%d", w->signum);
+	d->stopping = true;
+	if (d->started)
+		drain_role(d);
+}
+
 /*
  * Reads the settings again. Listening addresses, members and the role need a
  * restart; the file is checked so that the restart will work.
@@ -109,17 +118,19 @@
 }
 
 /*
- * Starts the role; while the disk of its data directory is full, tries again. No signal
- * handler is set yet, so that a planned stop ends the wait.
+ * Starts the role; while the disk of its data directory is full, tries again until a
+ * planned stop.
  */
 static int start_with_space(struct daemon *d)
 {
 	int err;
 
-	while ((err = start_role(d)) == CF_ENOSPACE) {
+	while ((err = start_role(d)) == CF_ENOSPACE && !d->stopping) {
 		log_warn("start-waits", "error=\"%s\"", cf_strerror(err));
 		ev_sleep(START_RETRY_S);
+		ev_run(d->loop, EVRUN_NOWAIT);
 	}
+	d->started = !err;
 	return err;
 }
 
@@ -134,12 +145,8 @@
 {
 	static const char *const names[] = {"entry", "state", "gateway", "controller"};
 	struct ev_signal term, intr, hup;
-	int err = start_with_space(d);
+	int err;
 
-	if (err) {
-		log_error("start-failed", "error=\"%s\"", cf_strerror(err));
-		return err;
-	}
 	ev_signal_init(&term, on_terminate, SIGTERM);
 	ev_signal_init(&intr, on_terminate, SIGINT);
 	ev_signal_init(&hup, on_reload, SIGHUP);
@@ -149,6 +156,15 @@
 	ev_signal_start(d->loop, &term);
 	ev_signal_start(d->loop, &intr);
 	ev_signal_start(d->loop, &hup);
+	err = start_with_space(d);
+	if (err && d->stopping) {
+		log_info("stopped", "error=\"%s\"", cf_strerror(err));
+		return 0;
+	}
+	if (err) {
+		log_error("start-failed", "error=\"%s\"", cf_strerror(err));
+		return err;
+	}
 	log_info("started", "version=%s role=%s zone=%.*s", VERSION,
 		 names[d->settings.role], STR_ARG(d->settings.zone));
 	ev_run(d->loop, 0);
--- a/regress/test_site_stop.sh
+++ b/regress/test_site_stop.sh
@@ -1,6 +1,7 @@
 #!/bin/sh
 # Guards against a planned stop that cuts off the requests which still wait for the
-# leader: each gets a whole answer, and the process ends without an error or a leak.
+# leader (each gets a whole answer, and the process ends without an error or a leak), and
+# against one that finds a starting process without its signal handlers.
 set -u
 cd "$(dirname "$0")/.."
 BUILD=${BUILD:-build}
@@ -53,12 +54,22 @@
 		grep -q 503 "$D/code.$n" || fail "$1 answered request $n with $(cat "$D/code.$n")"
 	done
 }
+check_stop_at_start() { # stops a controller as soon as it has made its first file
+	mkdir "$D/early$1"
+	settings controller controller | sed "s|^data:.*|data: \"$D/early$1\"|" >"$D/early$1.yaml"
+	"$BUILD/bin/carawayfrontd" -c "$D/early$1.yaml" >"$D/early$1.log" 2>&1 &
+	echo $! >"$D/early$1.pid"
+	for _ in $(seq 5000); do set -- "$1" "$D/early$1"/*; [ -e "$2" ] && break; done
+	kill -TERM "$(cat "$D/early$1.pid")"
+	wait "$(cat "$D/early$1.pid")" || fail "stopped at its start with status $?"
+}
+for n in 1 2 3 4 5; do check_stop_at_start $n; done
 mkdir "$D/data"
 for n in controller gateway; do
 	settings $n $n >"$D/$n.yaml"
 	"$BUILD/bin/carawayfrontd" -c "$D/$n.yaml" >"$D/$n.log" 2>&1 &
 	echo $! >"$D/$n.pid"
 done
-check_stop controller 127.0.1.1:$CONTROL /api/config/get 0.15
-check_stop gateway 127.0.2.1:$CALLERS /q/0000000000000001 2.7
+check_stop controller 127.0.1.1:$CONTROL /api/config/get 0
+check_stop gateway 127.0.2.1:$CALLERS /q/0000000000000001 1
 [ "$bad" -eq 0 ] && echo "site stop: ok"
