dag: a restarted worker's lease is counted on its own clock

Cause: a worker that comes back under its id has a clock that starts anew. When its report came before the poll to the earlier process had failed, the leader sent starts with times of the earlier clock. The lease of the new process then lasted longer than the leader believed, and work that it gave up as "lease ended" ran on beside its successor. A late reply of the earlier process could bring the old clock back as well.

Change: the clock counts as unknown from the moment at which a newer process is learned, so nothing is started until it replies; replies of an older process set no clock.

--- a/core/dag_sched_impl.h
+++ b/core/dag_sched_impl.h
@@ -117,6 +117,7 @@
 	int64_t gpus_reserved;
 	bool in_service; /* the worker is ready and its availability zone is open */
 	/* Contact. */
+	int64_t process_born_ms; /* start of the process whose clock and ends these are */
 	int64_t last_heard_us;
 	bool clock_known;
 	int64_t clock_ms; /* the worker's clock at clock_us */
@@ -126,7 +127,6 @@
 	int64_t poll_sent_us;
 	int64_t next_poll_us;
 	unsigned int poll_failures;
-	int64_t ends_born_ms;	   /* start of the process that numbers the ends below */
 	uint64_t acked_end;	   /* ends up to this number are acknowledged */
 	uint64_t last_listed_end;  /* highest number in its newest list */
 	uint32_t ends_uncommitted; /* listed ends whose records are not committed */
--- a/core/dag_worker.c
+++ b/core/dag_worker.c
@@ -67,7 +67,7 @@
 	}
 	TAILQ_INIT(&w->runs);
 	w->rec = rec;
-	w->ends_born_ms = rec->w.born_ms;
+	w->process_born_ms = rec->w.born_ms;
 	rec->sched = w;
 	/* An earlier leader may have granted a full lease just now. */
 	w->lease_expires_us = s->now_us + s->opt.lease_us * SLOW_CLOCK_PERCENT / 100 +
@@ -518,19 +518,26 @@
 }
 
 /*
- * A newer process of a worker numbers its ends from the start again. Its start is learned
- * from its reports or from its lists, whichever come first.
+ * A newer process of a worker has a clock of its own and numbers its ends from the start
+ * again. Its start is learned from its reports or its lists, whichever come first.
  */
 void ds_worker_follow_start(struct ds_worker *w, int64_t born_ms)
 {
-	if (born_ms <= w->ends_born_ms)
+	if (born_ms <= w->process_born_ms)
 		return;
-	w->ends_born_ms = born_ms;
+	w->process_born_ms = born_ms;
+	w->clock_known = false;
 	w->acked_end = 0;
 	w->last_listed_end = 0;
 	w->held_end = 0;
 }
 
+static bool is_from_older_process(const struct ds_worker *w,
+				  const struct dag_poll_reply *poll)
+{
+	return poll->born_ms && poll->born_ms < w->process_born_ms;
+}
+
 /* Records that a newer process answers under the worker's id. */
 static void propose_new_start_time(struct dag_sched *s, struct ds_worker *w,
 				   int64_t born_ms)
@@ -548,9 +555,8 @@
 static void process_poll_reply(struct dag_sched *s, struct ds_worker *w,
 			       const struct dag_poll_reply *poll)
 {
-	if (poll->born_ms && poll->born_ms < w->rec->w.born_ms)
+	if (is_from_older_process(w, poll))
 		return;
-	ds_worker_follow_start(w, poll->born_ms);
 	propose_new_start_time(s, w, poll->born_ms);
 	clear_listed(w);
 	w->has_new_ends = false;
@@ -634,10 +640,12 @@
 					w->poll_failures);
 		s->placement_needed = true;
 	}
+	ds_worker_follow_start(w, poll->born_ms);
 	if (!w->clock_known)
 		s->placement_needed = true;
 	w->poll_failures = 0;
-	record_poll_contact(w, poll->clock_ms, now_us);
+	if (!is_from_older_process(w, poll))
+		record_poll_contact(w, poll->clock_ms, now_us);
 	process_poll_reply(s, w, poll);
 	/*
 	 * The worker replies at once while an end is unacknowledged; wait, so that polls
--- a/regress/test_dag.c
+++ b/regress/test_dag.c
@@ -765,6 +765,29 @@
 }
 END_TEST
 
+/*
+ * Guards against a lease that lasts too long because the clock of a worker's earlier
+ * process was taken for that of the new one: a task then runs at two places.
+ */
+START_TEST(restarted_worker_has_a_clock_of_its_own)
+{
+	uint32_t number = dw_add_worker(&w, 8000, 8000);
+
+	dw_run_for(&w, 8 * SECOND);
+	w.workers[number].look_at_us = 0; /* the poll that waits gets no answer */
+	dw_crash_worker(&w, number, true);
+	w.workers[number].quiet_until_us = w.now_us + SECOND / 2;
+	dw_run_for(&w, SECOND / 10);
+	dw_submit_lasting(&w, 1, 1);
+	dw_run_for(&w, SECOND);
+	w.workers[number].cut = true;
+	dw_add_worker(&w, 8000, 8000);
+	dw_run_for(&w, 20 * SECOND);
+	assert_sound();
+	ck_assert_uint_eq(dw_alive(&w, 1), 1);
+}
+END_TEST
+
 /*
  * Guards against a start that is sent again to a worker that leaves, or whose zone has
  * been closed: the first request was lost with the gateway that had it.
@@ -1067,6 +1090,7 @@
 	tcase_add_test(tc, departed_workers_are_forgotten);
 	tcase_add_test(tc, live_worker_recorded_as_gone_returns);
 	tcase_add_test(tc, restarted_worker_numbers_its_ends_anew);
+	tcase_add_test(tc, restarted_worker_has_a_clock_of_its_own);
 	tcase_add_loop_test(tc, lost_start_is_not_repeated_on_a_leaving_worker, 0, 2);
 	tcase_add_test(tc, long_tasks_are_no_stalls);
 	tcase_add_test(tc, job_with_too_many_tasks_is_refused);
