test_site_soak: a soak of the platform roles, drawn from a seed

Five controllers, two gateways, six executors, two callers that keep their connections and two operators run while TERM, HUP, KILL, STOP/CONT, lost data directories (two at most until their processes vote again) and cuts before the gateways, the control ports and the executors come in series that overlap. Checked: ledgers of the executors and answers, configuration, closed zones, exit status and grace of planned stops, processes that end by themselves, memory and descriptors. Controllers and gateways are not cut off from each other: their ids are their addresses, so no proxy fits between them.

--- /dev/null
+++ b/regress/soak_site.sh
@@ -0,0 +1,334 @@
+# Shell functions of test_site_soak.sh: the site, its operators and the disturbances.
+# Processes are watched by a subshell each, which leaves their exit status in a file, as
+# several disturbances run at a time.
+
+MAX_RSS_KB=${MAX_RSS_KB:-131072}
+MAX_DESCRIPTORS=160
+
+soak_fail() {
+	echo "FAILED: $*"
+	echo "$*" >>"$D/failed"
+}
+soak_end() {
+	status=$?
+	touch "$D/calm" "$D/over"
+	for p in "$D"/*.pid; do
+		kill -CONT "$(cat "$p")" 2>/dev/null
+		kill -9 "$(cat "$p")" 2>/dev/null
+	done
+	wait
+	if [ -e "$D/failed" ] || [ "$status" -ne 0 ]; then
+		status=1
+		echo "FAILED with SEED=$SEED SECONDS=$SECONDS"
+		cat "$D/events"
+		tail -n 15 "$D"/*.log
+		[ -n "${SOAK_KEEP:-}" ] && cp -r "$D" "$SOAK_KEEP"
+	fi
+	rm -rf "$D"
+	exit $status
+}
+soak_ms() { date +%s%3N; }
+soak_until() { # SECONDS COMMAND...: repeats the command until it succeeds
+	tries=$(($1 * 20))
+	shift
+	while [ $tries -gt 0 ]; do
+		"$@" && return 0
+		sleep 0.05
+		tries=$((tries - 1))
+	done
+	return 1
+}
+soak_spawn() { # NAME COMMAND...
+	spawned=$1
+	shift
+	rm -f "$D/$spawned.status" "$D/$spawned.pid"
+	(
+		"$@" >>"$D/$spawned.log" 2>&1 &
+		echo $! >"$D/$spawned.pid"
+		wait $! 2>/dev/null
+		echo $? >"$D/$spawned.status"
+	) 2>/dev/null &
+	soak_until 5 [ -s "$D/$spawned.pid" ]
+}
+soak_pid() { cat "$D/$1.pid"; }
+soak_settings() { # NAME FOUND
+	digit=${1#?}
+	case $1 in
+	c*) host=127.0.1.$digit ;;
+	g*) host=127.0.2.$digit ;;
+	esac
+	{
+		printf 'name: %s\nzone: z%s\ncluster-key: k\nseeds:\n' "$1" $(((digit - 1) % 3 + 1))
+		for i in 1 2 3; do printf '  - {address: "127.0.1.%s:%s"}\n' $i $CONTROL; done
+		case $1 in
+		c*)
+			printf 'role: controller\nfound: %s\ndata: "%s"\n' "$2" "$D/$1.data"
+			printf 'listen:\n  rpc: "%s:%s"\n  control: "%s:%s"\n' \
+				"$host" $RPC "$host" $CONTROL
+			;;
+		g*)
+			printf 'role: gateway\n'
+			printf 'listen:\n  rpc: "%s:%s"\n  callers: "%s:%s"\n  health: "%s:%s"\n' \
+				"$host" $RPC "$host" $CALLERS "$host" $HEALTH
+			;;
+		esac
+		printf 'workers:\n  lease-ms: 3000\n  report-ms: 500\n  status-s: 600\n'
+		# Half of the seeds have gateways make the calls.
+		printf '  relay-from: %s\n' $((SEED % 2 * 150))
+	} >"$D/$1.yaml"
+}
+soak_run() { # NAME
+	case $1 in
+	x*)
+		soak_spawn "$1" "$BUILD/bin/executor" \
+			--listen 127.0.3.1:$((PORT + 10 * ${1#x})) --count 2 --zone z"${1#x}" \
+			--announce 127.0.4.1 --service svc --control 127.0.6.1:$CONTROL \
+			--control 127.0.6.2:$CONTROL --control 127.0.6.3:$CONTROL \
+			--control 127.0.6.4:$CONTROL --control 127.0.6.5:$CONTROL \
+			--work-ms 300 --ledger "$D/ledger"
+		;;
+	*)
+		mkdir -p "$D/$1.data"
+		soak_spawn "$1" "$BUILD/bin/carawayfrontd" -c "$D/$1.yaml"
+		;;
+	esac
+}
+soak_start() {
+	: >"$D/ledger" && : >"$D/callers" && : >"$D/zones" && : >"$D/conf" && : >"$D/events"
+	pairs=
+	for i in 1 2 3 4 5; do
+		pairs="$pairs --pair c$i=127.0.6.$i:$CONTROL=127.0.1.$i:$CONTROL"
+	done
+	for i in 1 2; do
+		pairs="$pairs --pair g$i=127.0.5.$i:$CALLERS=127.0.2.$i:$CALLERS"
+	done
+	for i in 1 2 3; do
+		for n in 0 1; do
+			p=$((PORT + 10 * i + n))
+			pairs="$pairs --pair x$i-$n=127.0.4.1:$p=127.0.3.1:$p"
+		done
+	done
+	soak_spawn proxy "$BUILD/bin/faultproxy" --control $PROXY $pairs
+	for n in $DAEMONS; do
+		soak_settings "$n" true
+		soak_run "$n"
+	done
+	for n in $EXECUTORS; do soak_run "$n"; done
+	soak_until 15 curl -sf -m 1 -o /dev/null "http://127.0.2.1:$HEALTH/api/ready" ||
+		{ soak_fail "the site does not start" && return 1; }
+	for n in $DAEMONS; do soak_settings "$n" false; done
+	soak_until 10 soak_put 1 "$(soak_conf 1)" || { soak_fail "no configuration" && return 1; }
+	echo "acked 1 $(soak_ms)" >>"$D/conf"
+}
+
+# Operators. Lines of the file conf: "sent VERSION", "acked VERSION", "read VERSION STATUS",
+# "refused VERSION", each with the milliseconds; of zones: "closed ZONE" after the answer and
+# "opening ZONE" before the request.
+soak_conf() { # VERSION: the later ones have queues of their own
+	printf '{"version":%s,"routes":[' "$1"
+	printf '{"name":"q","host":"h.example","path_prefix":"/q/","type":"unsafe","timeout_ms":%s,"slo_ms":1000,"priority":0,"service":"svc","attempts":2,"stretch":2.0}' \
+		$((3000 + $1 % 7))
+	[ $(($1 % 2)) = 1 ] && printf ',{"name":"e%s","host":"e.example","path_prefix":"/e%s/","type":"unsafe","timeout_ms":3000,"slo_ms":1000,"priority":1,"service":"svc","attempts":2,"stretch":2.0}' "$1" "$1"
+	printf '],"services":[{"name":"svc","admission_control":true}],"limits":{}}'
+}
+soak_control() { # CONTROLLER METHOD PATH FILE [BODY]: prints the status
+	curl -s -m 1.2 -o "$4" -w '%{http_code}' -X "$2" ${5:+-d "$5"} \
+		"http://127.0.6.$1:$CONTROL$3"
+}
+soak_put() { # CONTROLLER CONF
+	[ "$(soak_control "$1" POST /api/config/replace "$D/put" "$2")" = 200 ]
+}
+soak_order() { # OPERATOR PATH [BODY]: sends an order until it is clear; prints the status
+	for try in 1 2 3 4 5 6 7 8 9 10; do
+		code=$(soak_control $((($1 + try) % 5 + 1)) POST "$2" "$D/op$1" ${3:+"$3"})
+		case $code in 200 | 4??) break ;; esac
+		sleep 0.2
+	done
+	echo "$code"
+}
+soak_operator() { # NUMBER
+	version=$1
+	draws=$(awk -v s="$SEED$1" 'BEGIN { srand(s); for (i = 0; i < 400; i++) printf "%d ", rand() * 1000 }')
+	for draw in $draws; do
+		[ -e "$D/calm" ] && break
+		if [ $((draw % 10)) -lt 6 ]; then
+			version=$((version + 2 * (1 + draw % 4)))
+			echo "sent $version $(soak_ms)" >>"$D/conf"
+			case $(soak_order "$1" /api/config/replace "$(soak_conf $version)") in
+			200) echo "acked $version $(soak_ms)" >>"$D/conf" ;;
+			4*) echo "refused $version $(soak_ms)" >>"$D/conf" ;;
+			esac
+			at=$(soak_ms)
+			: >"$D/get$1"
+			code=$(soak_control $((draw % 5 + 1)) GET /api/config/get "$D/get$1")
+			echo "read $(sed -n 's/^{"version":\([0-9]*\),.*/\1/p' "$D/get$1") $code $at" >>"$D/conf"
+		else
+			[ "$(soak_order "$1" /api/evacuate/z"$1"/start)" = 200 ] &&
+				echo "closed z$1 $(soak_ms)" >>"$D/zones"
+			sleep $((draw % 7))
+			soak_open "$1"
+		fi
+		sleep 0.$((draw % 9 + 1))
+	done
+	soak_open "$1"
+}
+soak_open() { # OPERATOR: opens its zone
+	echo "opening z$1 $(soak_ms)" >>"$D/zones"
+	for _ in 1 2 3; do
+		[ "$(soak_order "$1" /api/evacuate/z"$1"/finish)" = 200 ] && return
+	done
+	soak_fail "zone z$1 cannot be opened"
+}
+
+# Disturbances. Each holds the lock of its process, so that one is done at a time to it.
+soak_is_alive() { # NAME: fails the run when a process has ended by itself
+	[ -e "$D/$1.status" ] || return 0
+	soak_fail "$1 ended by itself with status $(cat "$D/$1.status")"
+	return 1
+}
+soak_term() { # NAME
+	kill -TERM "$(soak_pid "$1")"
+	soak_until $GRACE_S [ -e "$D/$1.status" ] || {
+		soak_fail "$1 did not stop within $GRACE_S s"
+		kill -9 "$(soak_pid "$1")"
+		soak_until 5 [ -e "$D/$1.status" ]
+		return
+	}
+	[ "$(cat "$D/$1.status")" = 0 ] || soak_fail "$1 stopped with status $(cat "$D/$1.status")"
+	soak_note_killed "$1"
+}
+soak_note_killed() { # NAME: an executor that ends ends its tasks without a line
+	case $1 in
+	x*) echo "killed - 0 x-$((PORT + 10 * ${1#x})) - $(soak_ms)" >>"$D/ledger" ;;
+	esac
+}
+soak_kill() { # NAME
+	kill -KILL "$(soak_pid "$1")"
+	soak_until 5 [ -e "$D/$1.status" ]
+	soak_note_killed "$1"
+}
+# At most two data directories are lost at a time; a lost one counts until its process is
+# a voter again.
+soak_lose_data() { # NAME
+	lost=0
+	for c in 1 2 3 4 5; do
+		[ -e "$D/lost.c$c" ] || continue
+		if tail -n +"$(cat "$D/lost.c$c")" "$D/c$c.log" |
+			grep -q 'event=role-changed role=[1-4]'; then
+			rm "$D/lost.c$c"
+		else
+			lost=$((lost + 1))
+		fi
+	done
+	[ $lost -lt 2 ] || return
+	echo $(($(wc -l <"$D/$1.log") + 1)) >"$D/lost.$1"
+	rm -rf "$D/$1.data"
+	echo "$(soak_ms) $1 lost its data directory" >>"$D/events"
+}
+soak_cut() { # COMMAND NAME
+	case $2 in
+	x*) pairs="$2-0 $2-1" ;;
+	*) pairs=$2 ;;
+	esac
+	for pair in $pairs; do curl -s -m 2 -o /dev/null "http://$PROXY/$1/$pair"; done
+}
+soak_event() { # KIND NAME PAUSE
+	mkdir "$D/lock.$2" 2>/dev/null || return
+	echo "$(soak_ms) $1 $2 $3" >>"$D/events"
+	if soak_is_alive "$2"; then
+		case $1 in
+		term) soak_term "$2" && sleep "$3" && soak_run "$2" ;;
+		kill) soak_kill "$2" && sleep "$3" && soak_run "$2" ;;
+		lose) soak_kill "$2" && soak_lose_data "$2" && sleep "$3" && soak_run "$2" ;;
+		stop)
+			kill -STOP "$(soak_pid "$2")"
+			sleep "$3"
+			kill -CONT "$(soak_pid "$2")"
+			;;
+		hup) kill -HUP "$(soak_pid "$2")" ;;
+		cut)
+			soak_cut cut "$2"
+			sleep "$3"
+			soak_cut heal "$2"
+			;;
+		esac
+	fi
+	[ -e "$D/$2.status" ] && ! [ -e "$D/over" ] && soak_run "$2"
+	rmdir "$D/lock.$2"
+}
+# The plan has lines "WAIT KIND NAME PAUSE": series of events that follow each other within
+# a second and last for up to 5 s, with 1 to 4 s between the series.
+soak_plan() {
+	awk -v seed="$SEED" -v seconds="$SECONDS" '
+	function draw(n) { return int(rand() * n) }
+	BEGIN {
+		srand(seed)
+		n_kinds = split("term term kill kill lose stop stop hup cut", kinds, " ")
+		n_names = split("c1 c2 c3 c4 c5 c1 c2 c3 c4 c5 g1 g2 x1 x2 x3", names, " ")
+		for (t = 0; t < seconds;) {
+			wait = 1 + rand() * 3
+			for (n = 1 + draw(5); n > 0; n--) {
+				name = names[1 + draw(n_names)]
+				kind = kinds[1 + draw(n_kinds)]
+				if (kind == "lose" && name !~ /^c/) kind = "kill"
+				if (kind == "hup" && name ~ /^x/) kind = "stop"
+				pause = rand() * (kind == "stop" || kind == "cut" ? 5 : 1.5)
+				printf "%.2f %s %s %.2f\n", wait, kind, name, pause
+				t += wait
+				wait = rand()
+			}
+		}
+	}'
+}
+soak_disturb() {
+	events=
+	soak_plan >"$D/plan"
+	while read -r wait kind name pause; do
+		sleep "$wait"
+		soak_event "$kind" "$name" "$pause" &
+		events="$events $!"
+		soak_measure
+	done <"$D/plan"
+	for e in $events; do wait "$e"; done
+}
+
+# After the disturbances.
+soak_read_back() {
+	newest=$(awk '$1 == "acked" && $2 > v { v = $2 } END { print v }' "$D/conf")
+	soak_until 10 soak_read_once || soak_fail "the configuration cannot be read"
+	version=$(sed -n 's/^{"version":\([0-9]*\),.*/\1/p' "$D/back")
+	[ "$version" -ge "$newest" ] || soak_fail "read back $version, acknowledged $newest"
+	[ "$(cat "$D/back")" = "$(soak_conf "$version")" ] ||
+		soak_fail "read back other content: $(cat "$D/back")"
+	grep -q "^[as][a-z]* $version " "$D/conf" || soak_fail "version $version was not sent"
+}
+soak_read_once() {
+	[ "$(soak_control $((tries % 5 + 1)) GET /api/config/get "$D/back")" = 200 ]
+}
+soak_stop_all() {
+	soak_measure
+	for n in $DAEMONS; do soak_is_alive "$n"; done
+	touch "$D/over"
+	stops=
+	for n in $DAEMONS; do
+		soak_term "$n" &
+		stops="$stops $!"
+	done
+	for s in $stops; do wait "$s"; done
+	for n in $EXECUTORS; do soak_is_alive "$n" && soak_term "$n"; done
+}
+# Memory and descriptors of each daemon: "NAME PID KB DESCRIPTORS".
+soak_measure() {
+	for n in $DAEMONS; do
+		pid=$(soak_pid "$n" 2>/dev/null)
+		rss=$(sed -n 's/^VmRSS:[^0-9]*\([0-9]*\).*/\1/p' "/proc/$pid/status" 2>/dev/null)
+		[ -n "$rss" ] && echo "$n $pid $rss $(ls "/proc/$pid/fd" 2>/dev/null | wc -l)"
+	done >>"$D/sizes"
+}
+soak_check_sizes() {
+	awk -v kb="$MAX_RSS_KB" -v fds=$MAX_DESCRIPTORS '
+	{ if ($3 > rss) rss = $3; if ($4 > n) n = $4 }
+	$3 > kb || $4 > fds { print "too large:", $0; bad = 1 }
+	END { printf "largest process %d kB, %d descriptors\n", rss, n; exit bad }
+	' "$D/sizes" || soak_fail "memory or descriptors"
+}
--- /dev/null
+++ b/regress/test_site_soak.sh
@@ -0,0 +1,46 @@
+#!/bin/sh
+# Guards against faults that need several disturbances at once: 5 controllers, 2 gateways,
+# executors, callers and operators, while processes are stopped, killed and paused, data
+# directories are lost and connections are cut, in series drawn from SEED for SECONDS.
+# SEED and SECONDS come from the environment; a failed run is repeated with its seed.
+set -u
+cd "$(dirname "$0")/.."
+BUILD=${BUILD:-build}
+SEED=${SEED:-1}
+SECONDS=${SECONDS:-20}
+PORT=${SITE_PORT:-26000}
+GRACE_S=6 # a planned stop may take so long
+D=$(mktemp -d)
+RPC=$PORT CONTROL=$((PORT + 1)) CALLERS=$((PORT + 2)) HEALTH=$((PORT + 3))
+PROXY=127.0.9.1:$((PORT + 4))
+DAEMONS="c1 c2 c3 c4 c5 g1 g2"
+EXECUTORS="x1 x2 x3"
+. regress/site_checks.sh
+. regress/soak_site.sh
+trap soak_end EXIT
+echo "site soak: SEED=$SEED SECONDS=$SECONDS"
+
+soak_start || exit 1
+soak_operator 1 &
+operators=$!
+soak_operator 2 &
+operators="$operators $!"
+for k in 1 2; do
+	soak_spawn r$k "$BUILD/bin/jobcaller" --gateway 127.0.5.1:$CALLERS \
+		--gateway 127.0.5.2:$CALLERS --number $k --seed "$SEED" \
+		--seconds "$SECONDS" --settle 25 --ledger "$D/callers"
+done
+soak_disturb
+touch "$D/calm"
+for k in 1 2; do
+	soak_until 40 [ -e "$D/r$k.status" ] || soak_fail "caller r$k did not end"
+done
+for o in $operators; do wait "$o"; done
+soak_read_back
+soak_stop_all
+check_graph_jobs "$D/ledger" "$D/callers" || soak_fail "ledgers of jobs"
+check_closed_zones "$D/ledger" "$D/zones" || soak_fail "starts in a closed zone"
+check_conf "$D/conf" || soak_fail "configuration"
+soak_check_sizes
+[ -e "$D/failed" ] || echo "site soak: ok, SEED=$SEED"
+[ ! -e "$D/failed" ]
--- a/standins/executor.c
+++ b/standins/executor.c
@@ -3,17 +3,20 @@
  * for their estimate under a lease, and reports to the controllers.
  *
  *   executor --listen IP:PORT --count N --control IP:PORT... --service NAME --zone NAME
- *            --work-ms MS --ledger FILE
+ *            --work-ms MS --ledger FILE [--announce IP]
  *
- * The ledger has a line "start|end TASK RUN EXECUTOR HOW MILLISECONDS" for each start and
- * end, and "fenced PATH EPOCH EXECUTOR MILLISECONDS" for each call with an epoch that has
- * ended, for checks after the run.
+ * --announce names the address that the reports give, such as that of a proxy. The ledger
+ * has a line "start|end TASK RUN EXECUTOR HOW MILLISECONDS" for each start and end,
+ * "seen TASK RUN EXECUTOR done|lapsed MILLISECONDS" when an end "done" was taken note of
+ * ("lapsed": the lease had ended in between), and "fenced PATH EPOCH EXECUTOR
+ * MILLISECONDS" for each call with an epoch that has ended, for checks after the run.
  */
 #include <getopt.h>
 #include <signal.h>
 
 #include <ev.h>
 #include <jansson.h>
+#include <uthash.h>
 
 #include "io/http_client.h"
 #include "io/http_server.h"
@@ -40,6 +43,14 @@
 	char task[64];
 	int64_t run;
 	const char *how;
+	bool lapsed; /* the lease ended before the end was seen */
+};
+
+/* The highest run of a task that has ended or was stopped here; it starts no more. */
+struct last_run {
+	UT_hash_handle hh;
+	char task[64];
+	int64_t run;
 };
 
 struct executor {
@@ -47,10 +58,11 @@
 	struct http_call report;
 	struct http_server *server;
 	char id[32];
-	char address[64];
+	char announced[64];
 	struct run runs[MAX_RUNS];
 	struct end ends[MAX_RUNS];
 	size_t n_ends;
+	struct last_run *last_runs;
 	int64_t next_end;
 	int64_t fence;
 	int64_t lease_ms;
@@ -65,22 +77,29 @@
 static size_t n_controls;
 static const char *service = "svc";
 static const char *zone = "z1";
+static const char *announce; /* IP; NULL: as it listens */
 static int64_t work_ms = 300;
 static int ledger_fd = -1;
 static struct http_client *client;
 static int64_t born_us;
 
-static void record(const char *what, const char *task, int64_t run,
-		   const struct executor *e, const char *how)
+static void record_at(int64_t ms, const char *what, const char *task, int64_t run,
+		      const struct executor *e, const char *how)
 {
 	char line[256];
 	int n = snprintf(line, sizeof(line), "%s %s %lld %s %s %lld\n", what, task,
-			 (long long)run, e->id, how, (long long)(wall_us() / US_PER_MS));
+			 (long long)run, e->id, how, (long long)ms);
 
 	if (ledger_fd >= 0 && write(ledger_fd, line, (size_t)n) != n)
 		err(1, "ledger");
 }
 
+static void record(const char *what, const char *task, int64_t run,
+		   const struct executor *e, const char *how)
+{
+	record_at(wall_us() / US_PER_MS, what, task, run, e, how);
+}
+
 static int64_t clock_ms(void)
 {
 	return 1 + (mono_us() - born_us) / US_PER_MS;
@@ -111,15 +130,31 @@
 	return NULL;
 }
 
-static bool has_ended(const struct executor *e, const char *task, int64_t run)
+static bool may_not_start(const struct executor *e, const char *task, int64_t run)
 {
-	for (size_t i = 0; i < e->n_ends; i++)
-		if (strcmp(e->ends[i].task, task) == 0 && e->ends[i].run >= run)
-			return true;
-	return false;
+	const struct last_run *last;
+
+	HASH_FIND_STR(e->last_runs, task, last);
+	return last && run <= last->run;
 }
 
-static void end_run(struct executor *e, struct run *r, const char *how)
+static void note_last_run(struct executor *e, const char *task, int64_t run)
+{
+	struct last_run *last;
+
+	HASH_FIND_STR(e->last_runs, task, last);
+	if (!last) {
+		last = calloc(1, sizeof(*last));
+		if (!last)
+			err(1, "calloc");
+		snprintf(last->task, sizeof(last->task), "%s", task);
+		HASH_ADD_STR(e->last_runs, task, last);
+	}
+	if (run > last->run)
+		last->run = run;
+}
+
+static void end_run(struct executor *e, struct run *r, const char *how, int64_t ended_ms)
 {
 	struct end *x;
 
@@ -130,8 +165,10 @@
 	memcpy(x->task, r->task, sizeof(x->task));
 	x->run = r->run;
 	x->how = how;
+	x->lapsed = false;
 	r->used = false;
-	record("end", r->task, r->run, e, how);
+	note_last_run(e, r->task, r->run);
+	record_at(ended_ms, "end", r->task, r->run, e, how);
 }
 
 static json_t *lists(const struct executor *e)
@@ -172,6 +209,9 @@
 	for (size_t i = 0; i < e->n_ends; i++)
 		if (e->ends[i].number > seen)
 			e->ends[n++] = e->ends[i];
+		else if (strcmp(e->ends[i].how, "done") == 0)
+			record("seen", e->ends[i].task, e->ends[i].run, e,
+			       e->ends[i].lapsed ? "lapsed" : "done");
 	e->n_ends = n;
 }
 
@@ -193,10 +233,14 @@
 	}
 	if (number(body, "deadline_ms") > e->lease_ms)
 		e->lease_ms = number(body, "deadline_ms");
-	if (has_ended(e, task, run)) {
+	if (may_not_start(e, task, run)) {
 		refuse(req, "old");
 		return;
 	}
+	if (e->lease_ms <= clock_ms()) {
+		refuse(req, "late");
+		return;
+	}
 	for (int i = 0; !find_run(e, task, run) && i < MAX_RUNS; i++)
 		if (!e->runs[i].used) {
 			r = &e->runs[i];
@@ -219,6 +263,8 @@
 
 	if (r)
 		r->stopped = true;
+	else if (task && strlen(task) < sizeof(r->task))
+		note_last_run(e, task, number(body, "run"));
 	reply(req, 200, json_pack("{sI}", "clock_ms", (json_int_t)clock_ms()));
 }
 
@@ -234,6 +280,33 @@
 		answer_hold(e);
 }
 
+/*
+ * Ends what is over. A process that was paused ends its runs at the time at which the
+ * lease ended, not when it goes on.
+ */
+static void tick(struct executor *e, int64_t now_us)
+{
+	int64_t lapsed_ms = clock_ms() - e->lease_ms;
+	int64_t wall_ms = wall_us() / US_PER_MS;
+
+	for (size_t i = 0; lapsed_ms >= 0 && i < e->n_ends; i++)
+		e->ends[i].lapsed = true;
+	for (int i = 0; i < MAX_RUNS; i++) {
+		struct run *r = &e->runs[i];
+
+		if (!r->used)
+			continue;
+		if (lapsed_ms >= 0)
+			end_run(e, r, "lapsed", wall_ms - lapsed_ms);
+		else if (r->stopped)
+			end_run(e, r, "stopped", wall_ms);
+		else if (r->end_us <= now_us)
+			end_run(e, r, "done", wall_ms);
+	}
+	if (e->waiting && (e->n_ends || now_us >= e->wait_until_us))
+		answer_hold(e);
+}
+
 static void on_request(struct http_server_host *host, struct http_request *req)
 {
 	struct executor *e = (struct executor *)host;
@@ -241,6 +314,7 @@
 	int64_t fence = number(body, "fencing_token");
 	struct str expected = http_request_header(req, "X-Carawayfront-Expect-Instance");
 
+	tick(e, mono_us()); /* after a pause requests may come before the timer */
 	if (expected.n && !str_eq(expected, str_from(e->id))) {
 		reply(req, 421, json_object());
 	} else if (fence < e->fence) {
@@ -281,9 +355,9 @@
 {
 	struct http_header h = {"Content-Type", STR("application/json")};
 	json_t *body = json_pack("{sssssssisssIsIsIs{sisisi}s[ss]}", "service", service,
-				 "address", e->address, "zone", zone, "slots", 8, "state",
-				 "ready", "clock_ms", (json_int_t)clock_ms(), "born",
-				 (json_int_t)(born_us / US_PER_MS), "seq",
+				 "address", e->announced, "zone", zone, "slots", 8,
+				 "state", "ready", "clock_ms", (json_int_t)clock_ms(),
+				 "born", (json_int_t)(born_us / US_PER_MS), "seq",
 				 (json_int_t)clock_ms(), "room", "cpu", CPU_MILLI,
 				 "mem_mb", MEM_MB, "gpu", 0, "labels", "a", "r1");
 	char *text = json_dumps(body, JSON_COMPACT);
@@ -313,24 +387,6 @@
 		report(&executors[i]);
 }
 
-static void tick(struct executor *e, int64_t now_us)
-{
-	for (int i = 0; i < MAX_RUNS; i++) {
-		struct run *r = &e->runs[i];
-
-		if (!r->used)
-			continue;
-		if (e->lease_ms <= clock_ms())
-			end_run(e, r, "lapsed");
-		else if (r->stopped)
-			end_run(e, r, "stopped");
-		else if (r->end_us <= now_us)
-			end_run(e, r, "done");
-	}
-	if (e->waiting && (e->n_ends || now_us >= e->wait_until_us))
-		answer_hold(e);
-}
-
 static void on_tick(struct ev_loop *loop, struct ev_timer *t, int events)
 {
 	for (int i = 0; i < n_executors; i++)
@@ -352,16 +408,19 @@
 		.max_connections = 64,
 		.idle_timeout = 60,
 	};
+	char address[64];
 
 	snprintf(e->id, sizeof(e->id), "x-%d-%d", port, n);
-	snprintf(e->address, sizeof(e->address), "%s:%d", host, port + n);
+	snprintf(address, sizeof(address), "%s:%d", host, port + n);
+	snprintf(e->announced, sizeof(e->announced), "%s:%d", announce ? announce : host,
+		 port + n);
 	e->host.ops = &server_ops;
 	e->report.ops = &report_ops;
 	e->next_end = 1;
 	e->control = (size_t)n;
-	if (addr_parse(str_from(e->address), &opt.address) ||
+	if (addr_parse(str_from(address), &opt.address) ||
 	    http_server_new(&opt, &e->server))
-		errx(1, "%s: cannot listen", e->address);
+		errx(1, "%s: cannot listen", address);
 }
 
 int main(int argc, char *argv[])
@@ -374,6 +433,7 @@
 		{"zone", required_argument, NULL, 'z'},
 		{"work-ms", required_argument, NULL, 'w'},
 		{"ledger", required_argument, NULL, 'g'},
+		{"announce", required_argument, NULL, 'a'},
 		{0},
 	};
 	struct http_client_options http = {
@@ -407,6 +467,9 @@
 		case 'w':
 			work_ms = (int64_t)number_arg(optarg, 1, 3600000, "work-ms");
 			break;
+		case 'a':
+			announce = optarg;
+			break;
 		case 'g':
 			ledger_fd = open(optarg, O_WRONLY | O_CREAT | O_APPEND, 0600);
 			break;
