--- a/core/dag_crash.c
+++ b/core/dag_crash.c
@@ -33,8 +33,10 @@
 /* Whether a run may have been on a life of its worker before the one of born_ms. */
 static bool was_there(const struct ds_run *r, int64_t born_ms)
 {
-	return r->phase != DS_PROPOSED && !r->end_proposed && !r->listed &&
-	       r->born_ms < born_ms;
+	bool sent =
+		r->start_requests || r->phase == DS_RECOVERED || r->phase == DS_ACCEPTED;
+
+	return sent && !r->end_proposed && !r->listed && r->born_ms < born_ms;
 }
 
 /* A serving task that has run for a while is not the cause of a crash. */
--- a/core/dag_run.c
+++ b/core/dag_run.c
@@ -118,7 +118,7 @@
 {
 	struct dag_worker_command o;
 
-	if (s->fenced || !r->worker->clock_known)
+	if (s->fenced)
 		return;
 	if (!r->worker->in_service || r->worker->leaving_since_us) {
 		if (r->phase == DS_PROPOSED)
@@ -126,8 +126,8 @@
 		ds_run_request_stop(s, r, "not started; the worker leaves");
 		return;
 	}
-	if (r->worker->contact_lost) {
-		/* Sent when the contact is regained; see ds_run_tick(). */
+	if (r->worker->contact_lost || !r->worker->clock_known) {
+		/* Sent when the worker replies again; see ds_run_tick(). */
 		r->phase = DS_UNCONFIRMED;
 		return;
 	}
--- a/core/dag_sched_impl.h
+++ b/core/dag_sched_impl.h
@@ -121,6 +121,7 @@
 	int64_t gpus_reserved;
 	bool in_service; /* the worker is ready and its availability zone is open */
 	/* Contact. */
+	int64_t process_born_ms; /* start of the process whose clock and ends these are */
 	int64_t last_heard_us;
 	bool clock_known;
 	int64_t clock_ms; /* the worker's clock at clock_us */
@@ -241,6 +242,7 @@
 void ds_worker_fill_call(const struct dag_sched *s, const struct ds_worker *w,
 			 struct dag_worker_call *call);
 void ds_worker_ack_ends(struct ds_worker *w);
+void ds_worker_follow_start(struct ds_worker *w, int64_t born_ms);
 bool ds_worker_has_label(const struct ds_worker *w, struct str label);
 
 /* dag_crash.c */
--- a/core/dag_worker.c
+++ b/core/dag_worker.c
@@ -69,6 +69,7 @@
 	}
 	TAILQ_INIT(&w->runs);
 	w->rec = rec;
+	w->process_born_ms = rec->w.born_ms;
 	rec->sched = w;
 	w->contact_lost = rec->lost;
 	/*
@@ -289,7 +290,7 @@
 	s->host->ops->poll(s->host, &o);
 }
 
-/* All runs on a worker that left as announced have ended; records them as lost. */
+/* All runs on a worker have ended; records those as lost that have no end yet. */
 static void propose_all_lost(struct dag_sched *s, struct ds_worker *w, const char *reason)
 {
 	struct ds_run *r;
@@ -324,8 +325,7 @@
 	clear_listed(w);
 	if (w->rec->w.state == DAG_WORKER_READY && !w->leaving_since_us)
 		ds_crash_runs(s, w, INT64_MAX, reason);
-	else
-		propose_all_lost(s, w, reason);
+	propose_all_lost(s, w, reason);
 	if (w->rec->w.state != DAG_WORKER_GONE)
 		propose_state(s, w, DAG_WORKER_GONE);
 }
@@ -581,6 +581,27 @@
 	s->placement_needed = true;
 }
 
+/*
+ * A newer process of a worker has a clock of its own and numbers its ends from the start
+ * again. Its start is learned from its reports or its lists, whichever come first.
+ */
+void ds_worker_follow_start(struct ds_worker *w, int64_t born_ms)
+{
+	if (born_ms <= w->process_born_ms)
+		return;
+	w->process_born_ms = born_ms;
+	w->clock_known = false;
+	w->acked_end = 0;
+	w->last_listed_end = 0;
+	w->held_end = 0;
+}
+
+static bool is_from_older_process(const struct ds_worker *w,
+				  const struct dag_poll_reply *poll)
+{
+	return poll->born_ms && poll->born_ms < w->process_born_ms;
+}
+
 /* Records that a newer process answers under the worker's id. */
 static void propose_new_start_time(struct dag_sched *s, struct ds_worker *w,
 				   int64_t born_ms)
@@ -594,21 +615,13 @@
 	ds_propose(s, &c);
 }
 
-/*
- * Compares a worker's lists with the recorded runs. Ignores lists of an older process; a
- * newer process numbers its ends from the start again.
- */
+/* Compares a worker's lists with the recorded runs. Ignores lists of an older process. */
 static void process_poll_reply(struct dag_sched *s, struct ds_worker *w,
 			       const struct dag_poll_reply *poll)
 {
-	if (poll->born_ms && poll->born_ms < w->rec->w.born_ms)
+	if (is_from_older_process(w, poll))
 		return;
-	if (poll->born_ms > w->rec->w.born_ms) {
-		w->acked_end = 0;
-		w->last_listed_end = 0;
-		w->held_end = 0;
-		propose_new_start_time(s, w, poll->born_ms);
-	}
+	propose_new_start_time(s, w, poll->born_ms);
 	clear_listed(w);
 	w->has_new_ends = false;
 	for (size_t i = 0; i < poll->n_running; i++)
@@ -695,11 +708,13 @@
 					w->poll_failures);
 		s->placement_needed = true;
 	}
+	ds_worker_follow_start(w, poll->born_ms);
 	if (!w->clock_known)
 		s->placement_needed = true;
 	w->poll_failures = 0;
 	record_regained_contact(s, w);
-	record_poll_contact(w, poll->clock_ms, now_us);
+	if (!is_from_older_process(w, poll))
+		record_poll_contact(w, poll->clock_ms, now_us);
 	process_poll_reply(s, w, poll);
 	/*
 	 * The worker replies at once while an end is unacknowledged; wait, so that polls
