dag: a start is not repeated in a room that has shrunk

A start without an answer was sent again, and a recorded run was sent by a new leader, without a look at the capacity that the worker had reported since. A worker that does not guard its room was brought over it. Such a run is now stopped, as on a worker that leaves, and its task is placed again.

The virtual-time world has workers that start what does not fit, rooms that change, and a check of each start against the room, which may be old by contact_ms and one report.

--- a/core/dag_run.c
+++ b/core/dag_run.c
@@ -95,21 +95,34 @@
 	o->checkpoint = buf_str(&t->checkpoint);
 }
 
+/* Why a run may not start on its worker any more; NULL: it may. */
+static const char *start_obstacle(const struct ds_run *r)
+{
+	if (!r->worker->in_service || r->worker->leaving_since_us)
+		return "not started; the worker leaves";
+	if (ds_worker_over_capacity(r->worker))
+		return "not started; the worker's capacity has shrunk";
+	return NULL;
+}
+
 /*
  * Sends the start request. It is idempotent: a worker starts a run number only once. A
- * worker that leaves or whose availability zone has been closed gets none; an earlier
- * request without a reply may still take effect there, so the run is stopped.
+ * worker that leaves, whose availability zone has been closed or whose capacity has
+ * shrunk below its runs gets none; an earlier request without a reply may still take
+ * effect there, so the run is stopped.
  */
 void ds_run_send_start(struct dag_sched *s, struct ds_run *r)
 {
 	struct dag_worker_command o;
+	const char *obstacle;
 
 	if (s->fenced || !r->worker->clock_known)
 		return;
-	if (!r->worker->in_service || r->worker->leaving_since_us) {
+	obstacle = start_obstacle(r);
+	if (obstacle) {
 		if (r->phase == DS_PROPOSED)
 			r->phase = DS_UNCONFIRMED;
-		ds_run_request_stop(s, r, "not started; the worker leaves");
+		ds_run_request_stop(s, r, obstacle);
 		return;
 	}
 	fill_command(s, r, &o);
--- a/core/dag_sched_impl.h
+++ b/core/dag_sched_impl.h
@@ -227,6 +227,9 @@
 void ds_worker_ack_ends(struct ds_worker *w);
 bool ds_worker_has_label(const struct ds_worker *w, struct str label);
 
+/* dag_capacity.c */
+bool ds_worker_over_capacity(const struct ds_worker *w);
+
 /* dag_throttle.c */
 int64_t ds_filler_cpu(const struct ds_run *r);
 void ds_throttle_fillers(struct dag_sched *s, struct ds_worker *w);
--- a/regress/lib_dag_world.c
+++ b/regress/lib_dag_world.c
@@ -16,6 +16,8 @@
 #define STOP_US (200 * MS)
 #define LEASE_US (10000 * MS)
 #define REPORT_US (1000 * MS)
+/* A room that has shrunk counts this much later: contact_ms and one report. */
+#define SHRINK_US (3000 * MS + REPORT_US)
 #define LATE_MIN_US (2000 * MS)
 #define LATE_SPAN_US (10000 * MS)
 #define CALL_TIMEOUT_US (700 * MS)
@@ -53,7 +55,12 @@
 	ck_assert(w->n_events < DW_EVENTS);
 	e = &w->events[w->n_events++];
 	*e = (struct dw_event){
-		.kind = kind, .at_us = at_us, .seq = w->next_seq++, .leader = w->life};
+		.kind = kind,
+		.at_us = at_us,
+		.sent_us = w->now_us,
+		.seq = w->next_seq++,
+		.leader = w->life,
+	};
 	return e;
 }
 
@@ -253,8 +260,9 @@
 	XDR_SET(*x, service, STR("svc"));
 	XDR_SET(*x, zone, STR("z"));
 	x->born_ms = dw->born_ms;
-	x->cpu_milli = dw->cpu;
-	x->mem_mb = dw->mem;
+	x->cpu_milli = dw->room.cpu;
+	x->mem_mb = dw->room.mem;
+	x->gpus = dw->room.gpus;
 	propose(w, &c);
 }
 
@@ -264,13 +272,22 @@
 	struct dw_worker *dw = &w->workers[w->n_workers];
 
 	ck_assert(w->n_workers < DW_WORKERS);
-	*dw = (struct dw_worker){.up = true, .cpu = cpu, .mem = mem, .next_end = 1};
+	*dw = (struct dw_worker){
+		.up = true, .room = {.cpu = cpu, .mem = mem}, .next_end = 1};
 	dw->born_ms = dw_wall_ms(w);
 	snprintf(dw->id, sizeof(dw->id), "w%zu", w->n_workers);
 	report(w, dw);
 	return (uint32_t)w->n_workers++;
 }
 
+void dw_set_room(struct dag_world *w, uint32_t number, const struct dw_room *room)
+{
+	struct dw_worker *dw = &w->workers[number];
+
+	dw->past[dw->n_past++ % DW_ROOMS] = (struct dw_past_room){dw->room, w->now_us};
+	dw->room = *room;
+}
+
 static int64_t clock_ms(const struct dag_world *w, const struct dw_worker *dw)
 {
 	return 1 + dw_wall_ms(w) - dw->born_ms;
@@ -360,24 +377,65 @@
 	return false;
 }
 
-static bool has_room(const struct dw_worker *dw, const struct dag_step *st)
+static struct dw_room room_used(const struct dw_worker *dw)
 {
-	uint32_t cpu = 0;
-	uint32_t mem = 0;
+	struct dw_room used = {0};
 
 	for (size_t i = 0; i < DW_RUNS; i++) {
-		if (!dw->runs[i].used)
+		const struct dw_run *r = &dw->runs[i];
+
+		if (!r->used)
 			continue;
-		cpu += dw->runs[i].filler ? 0 : dw->runs[i].cpu;
-		mem += dw->runs[i].mem;
+		used.cpu += r->filler ? 0 : r->uses.cpu;
+		used.mem += r->uses.mem;
+		used.gpus += r->uses.gpus;
 	}
-	return mem + st->mem_mb <= dw->mem &&
-	       (st->filler || cpu + st->cpu_milli <= dw->cpu);
+	return used;
+}
+
+static bool fits(const struct dw_worker *dw, const struct dw_room *room,
+		 const struct dag_step *st)
+{
+	struct dw_room used = room_used(dw);
+
+	return used.cpu + (st->filler ? 0 : st->cpu_milli) <= room->cpu &&
+	       used.mem + st->mem_mb <= room->mem && used.gpus + st->gpus <= room->gpus;
+}
+
+static void take_larger(struct dw_room *room, const struct dw_room *other)
+{
+	room->cpu = other->cpu > room->cpu ? other->cpu : room->cpu;
+	room->mem = other->mem > room->mem ? other->mem : room->mem;
+	room->gpus = other->gpus > room->gpus ? other->gpus : room->gpus;
+}
+
+/* The largest room that a start that was sent at a time may still count on. */
+static struct dw_room room_at(const struct dw_worker *dw, int64_t sent_us)
+{
+	struct dw_room room = dw->room;
+
+	for (size_t i = 0; i < DW_ROOMS && i < dw->n_past; i++)
+		if (dw->past[i].until_us > sent_us - SHRINK_US)
+			take_larger(&room, &dw->past[i].room);
+	return room;
+}
+
+/* A start that is carried out late is judged by the room at its sending. */
+static void check_room(struct dag_world *w, const struct dw_worker *dw,
+		       const struct dw_event *e, const struct dag_step *st)
+{
+	struct dw_room room = room_at(dw, e->silent ? e->sent_us : w->now_us);
+
+	if (!fits(dw, &room, st))
+		violate(w, "job %llx step %u task %u brings %s over its room",
+			(unsigned long long)e->task.job, e->task.step, e->task.index,
+			dw->id);
 }
 
 static void check_start(struct dag_world *w, const struct dag_job_rec *j,
-			const struct dag_task_ref *t)
+			const struct dw_worker *dw, const struct dw_event *e)
 {
+	const struct dag_task_ref *t = &e->task;
 	struct dw_task *k = task_of(w, t);
 	const struct dag_step *st = &j->spec.steps.steps_val[t->step];
 
@@ -402,6 +460,7 @@
 					(unsigned long long)t->job, t->step, before);
 		}
 	}
+	check_room(w, dw, e, st);
 	k->starts++;
 	k->start_us = w->now_us;
 	w->starts++;
@@ -443,11 +502,11 @@
 		return DAG_RESULT_RUN_ENDED;
 	if (e->lease_ms <= clock_ms(w, dw))
 		return DAG_RESULT_LEASE_EXPIRED;
-	if (!has_room(dw, st))
+	if (!dw->unguarded && !fits(dw, &dw->room, st))
 		return DAG_RESULT_NO_CAPACITY;
 	if (e->lease_ms > dw->lease_ms)
 		dw->lease_ms = e->lease_ms;
-	check_start(w, j, &e->task);
+	check_start(w, j, dw, e);
 	w->starts_hash = w->starts_hash * 1099511628211ULL ^ e->task.job ^
 			 (uint64_t)e->task.index << 20 ^ (uint64_t)e->worker << 40;
 	r = free_run(dw);
@@ -455,8 +514,7 @@
 		.used = true,
 		.task = e->task,
 		.run = e->run,
-		.cpu = st->cpu_milli,
-		.mem = st->mem_mb,
+		.uses = {st->cpu_milli, st->mem_mb, st->gpus},
 		.filler = st->filler,
 		.lasting = st->long_running,
 		.left_us = w->work_us,
@@ -599,7 +657,7 @@
 							  r->left_us * 100 / w->work_us),
 			.level = r->image && r->lasting ? (int32_t)r->tail_ms
 				 : r->lasting		? dw->tail_ms
-					      : (int32_t)(r->cpu * r->pace / 100),
+					      : (int32_t)(r->uses.cpu * r->pace / 100),
 		};
 	}
 	for (size_t i = 0; i < dw->n_ends; i++)
@@ -686,7 +744,7 @@
 
 	for (size_t i = 0; i < DW_RUNS; i++) {
 		const struct dw_run *r = &dw->runs[i];
-		double share = (double)r->cpu * r->pace / 100 / dw->cpu;
+		double share = (double)r->uses.cpu * r->pace / 100 / dw->room.cpu;
 
 		if (r->used && r->filler)
 			load += share *
@@ -747,16 +805,26 @@
 		finish_look(w, dw);
 }
 
+static bool is_recorded(const struct dag_worker *x, const struct dw_worker *dw)
+{
+	return x->cpu_milli == dw->room.cpu && x->mem_mb == dw->room.mem &&
+	       x->gpus == dw->room.gpus;
+}
+
 static void reports(struct dag_world *w)
 {
 	if (w->now_us % REPORT_US >= STEP_US)
 		return;
 	for (size_t i = 0; i < w->n_workers; i++) {
+		struct dw_worker *dw = &w->workers[i];
 		struct dag_worker_rec *rec =
-			dag_state_find_worker_by_id(w->state, str_from(w->workers[i].id));
+			dag_state_find_worker_by_id(w->state, str_from(dw->id));
 
-		if (rec && w->workers[i].up && !w->workers[i].cut)
-			dag_sched_worker_reported(w->sched, rec->number, w->now_us);
+		if (!rec || !dw->up || dw->cut)
+			continue;
+		dag_sched_worker_reported(w->sched, rec->number, w->now_us);
+		if (rec->w.state == DAG_WORKER_READY && !is_recorded(&rec->w, dw))
+			report(w, dw);
 	}
 }
 
--- a/regress/lib_dag_world.h
+++ b/regress/lib_dag_world.h
@@ -15,13 +15,26 @@
 #define DW_EVENTS 4096
 #define DW_TASKS 4096
 #define DW_TARGET_MS 150 /* of serving tasks with an image */
+#define DW_ROOMS 16
+
+/* What the tasks of a worker may use at most. */
+struct dw_room {
+	uint32_t cpu;
+	uint32_t mem;
+	uint32_t gpus;
+};
+
+/* A room that a worker had before. */
+struct dw_past_room {
+	struct dw_room room;
+	int64_t until_us;
+};
 
 struct dw_run {
 	bool used;
 	struct dag_task_ref task;
 	uint32_t run;
-	uint32_t cpu;
-	uint32_t mem;
+	struct dw_room uses;
 	bool filler;
 	bool lasting;
 	int64_t left_us; /* work */
@@ -49,7 +62,10 @@
 	int64_t born_ms;
 	int64_t lease_ms; /* on its clock */
 	uint64_t fence;
-	uint32_t cpu, mem;
+	bool unguarded; /* starts what does not fit */
+	struct dw_room room;
+	struct dw_past_room past[DW_ROOMS]; /* a ring */
+	size_t n_past;
 	struct dw_run runs[DW_RUNS];
 	struct dw_end ends[DW_ENDS];
 	size_t n_ends;
@@ -67,6 +83,7 @@
 
 struct dw_event {
 	int64_t at_us;
+	int64_t sent_us;
 	uint64_t seq;
 	enum dw_kind kind;
 	uint32_t worker;
@@ -135,6 +152,8 @@
 void dw_open(struct dag_world *w, uint64_t seed);
 void dw_close(struct dag_world *w);
 uint32_t dw_add_worker(struct dag_world *w, uint32_t cpu, uint32_t mem);
+/* A worker tells of its new room with its next report. */
+void dw_set_room(struct dag_world *w, uint32_t number, const struct dw_room *room);
 void dw_run_for(struct dag_world *w, int64_t us);
 void dw_submit(struct dag_world *w, const struct dag_job *job);
 /* A job of one step. */
