dag: stray runs count until they have stopped

Runs that are recorded as lost and still run, after a late message of leaving and a cut for example, were stopped when their worker answered again, but nothing counted them: other tasks were placed beside them at once and brought a worker without a guard over its room. A worker whose newest list has runs that are not recorded there now gets no start.

stray_runs_count_until_they_have_stopped: violation before, none after.

--- a/core/dag_run.c
+++ b/core/dag_run.c
@@ -100,6 +100,8 @@
 {
 	if (!r->worker->in_service || r->worker->leaving_since_us)
 		return "not started; the worker leaves";
+	if (r->worker->has_strays)
+		return "not started; the worker has stray runs";
 	if (ds_worker_over_capacity(r->worker))
 		return "not started; the worker's capacity has shrunk";
 	return NULL;
--- a/core/dag_sched_impl.h
+++ b/core/dag_sched_impl.h
@@ -131,6 +131,7 @@
 	uint32_t ends_uncommitted; /* listed ends whose records are not committed */
 	uint64_t held_end;	   /* lowest end that is not acknowledged, 0: none */
 	bool has_new_ends; /* the newest list has ends that are new to the leader */
+	bool has_strays;   /* the newest list has runs that are not recorded here */
 	int64_t leaving_since_us; /* it announced its exit, 0: it did not */
 	int64_t gone_since_us;	  /* recorded as gone and without runs, 0: not */
 	bool contradicted; /* recorded as gone, but a report of the same life came */
--- a/core/dag_worker.c
+++ b/core/dag_worker.c
@@ -124,11 +124,15 @@
 	return false;
 }
 
-/* Whether a worker may get new runs: in service, in contact and not quarantined. */
+/*
+ * Whether a worker may get new runs: in service, in contact, not quarantined, and without
+ * stray runs, which use capacity until they have stopped.
+ */
 bool ds_worker_usable(const struct dag_sched *s, const struct ds_worker *w)
 {
 	return w->in_service && w->clock_known && !w->leaving_since_us &&
-	       !w->poll_failures && s->now_us >= w->quarantined_until_us &&
+	       !w->has_strays && !w->poll_failures &&
+	       s->now_us >= w->quarantined_until_us &&
 	       s->now_us - w->last_heard_us <
 		       s->opt.report_interval_us * SILENT_HALF_REPORTS / 2;
 }
@@ -392,6 +396,7 @@
 {
 	struct dag_worker_command o = {.task = l->task, .run = l->run};
 
+	w->has_strays = true;
 	ds_worker_fill_call(s, w, &o.call);
 	s->host->ops->log_event(s->host, "stray-run", &l->task, l->run,
 				XDR_STR(w->rec->w, id),
@@ -536,6 +541,8 @@
 static void process_poll_reply(struct dag_sched *s, struct ds_worker *w,
 			       const struct dag_poll_reply *poll)
 {
+	bool had_strays;
+
 	if (poll->born_ms && poll->born_ms < w->rec->w.born_ms)
 		return;
 	if (poll->born_ms > w->rec->w.born_ms) {
@@ -546,8 +553,12 @@
 	}
 	clear_listed(w);
 	w->has_new_ends = false;
+	had_strays = w->has_strays;
+	w->has_strays = false;
 	for (size_t i = 0; i < poll->n_running; i++)
 		process_listed_run(s, w, &poll->running[i]);
+	if (had_strays && !w->has_strays)
+		s->placement_needed = true;
 	for (size_t i = 0; i < poll->n_ended; i++)
 		process_listed_end(s, w, &poll->ended[i]);
 	check_unlisted_runs(s, w);
--- a/regress/test_dag_room.c
+++ b/regress/test_dag_room.c
@@ -81,6 +81,58 @@
 }
 END_TEST
 
+static void submit_batch(uint64_t id, uint32_t count, uint32_t cpu, uint32_t mem)
+{
+	struct dag_step st = {
+		.count = count, .cpu_milli = cpu, .mem_mb = mem, .estimate_ms = 500};
+
+	dw_submit_step(&w, id, &st);
+}
+
+static struct dag_worker recorded(uint32_t number)
+{
+	return dag_state_find_worker_by_id(w.state, str_from(w.workers[number].id))->w;
+}
+
+/* A message of leaving that was meant for an earlier life, while the worker is cut off.
+ */
+static void lose_worker(uint32_t number)
+{
+	struct dag_command c = {.kind = DAG_CMD_WORKER};
+
+	w.workers[number].cut = true;
+	dag_sched_worker_leaving(w.sched, number + 1, w.now_us);
+	c.dag_command_u.worker = recorded(number);
+	c.dag_command_u.worker.state = DAG_WORKER_GONE;
+	ck_assert_int_eq(w.host.ops->propose(&w.host, &c), 0);
+	dw_run_for(&w, 3 * SECOND);
+	ck_assert_int_eq(recorded(number).state, DAG_WORKER_GONE);
+}
+
+/* Guards against starts beside runs that are recorded as lost and still being stopped. */
+START_TEST(stray_runs_count_until_they_have_stopped)
+{
+	uint32_t number = add_unguarded();
+	struct dag_worker back;
+
+	w.work_us = 60 * SECOND;
+	submit_batch(1, 4, 2000, 100);
+	dw_run_for(&w, SECOND);
+	ck_assert_uint_eq(dw_alive(&w, 1), 4);
+	lose_worker(number);
+	dw_cancel(&w, 1);
+	w.work_us = SECOND;
+	submit_batch(2, 4, 2000, 100);
+	back = recorded(number);
+	back.state = DAG_WORKER_READY;
+	w.workers[number].cut = false;
+	dag_sched_worker_contradicted(w.sched, &back);
+	dw_run_for(&w, 3 * SECOND);
+	assert_completed(2);
+	ck_assert_uint_eq(dw_alive(&w, 1), 0);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("dag_room");
@@ -92,6 +144,7 @@
 	tcase_add_checked_fixture(tc, open_world, close_world);
 	tcase_add_loop_test(tc, lost_start_is_not_repeated_in_a_smaller_room, 0, 2);
 	tcase_add_test(tc, recovered_run_is_not_sent_in_a_smaller_room);
+	tcase_add_test(tc, stray_runs_count_until_they_have_stopped);
 	suite_add_tcase(s, tc);
 	srunner_run_all(sr, CK_NORMAL);
 	failed = srunner_ntests_failed(sr);
