dag: a late report does not bring back a room that has shrunk

A report that was held up for seconds arrived after the one that told of less room, and was recorded as news: until the next report the scheduler counted on the old room. Reports now carry the worker's clock. One that is more than a second old by that clock, whose sender has turned to another controller by then, can lower the capacity but not raise it; while the clock is not known the same holds for every report.

What a report says that is new moves from the controller to core/dag_report.c, so that the world in virtual time uses the same code; its reports are messages that may be late. late_report_does_not_restore_a_room: violation without the check of the age, none with it.

--- a/carawayfrontd/controller_request.c
+++ b/carawayfrontd/controller_request.c
@@ -254,41 +254,12 @@
 	propose_and_wait(c, &cmd, t);
 }
 
-static bool same_labels(const struct dag_worker *a, const struct dag_worker *b)
-{
-	if (a->labels.labels_len != b->labels.labels_len)
-		return false;
-	for (u_int i = 0; i < a->labels.labels_len; i++)
-		if (!str_eq(XDR_STR(a->labels.labels_val[i], text),
-			    XDR_STR(b->labels.labels_val[i], text)))
-			return false;
-	return true;
-}
-
-static bool same_worker(const struct dag_worker *a, const struct dag_worker *b)
-{
-	return a->born_ms == b->born_ms && a->state == b->state &&
-	       a->cpu_milli == b->cpu_milli && a->mem_mb == b->mem_mb &&
-	       a->gpus == b->gpus && str_eq(XDR_STR(*a, address), XDR_STR(*b, address)) &&
-	       str_eq(XDR_STR(*a, service), XDR_STR(*b, service)) &&
-	       str_eq(XDR_STR(*a, zone), XDR_STR(*b, zone)) && same_labels(a, b);
-}
-
 static void serve_report(struct controller *c, const struct dag_report *r,
 			 struct dag_pending_request *t)
 {
 	struct dag_command cmd = {.kind = DAG_CMD_WORKER};
-	struct dag_worker_rec *rec =
-		dag_state_find_worker_by_id(c->state, XDR_STR(r->worker, id));
 
-	if (dag_state_is_old_report(c->state, &r->worker)) {
-		dag_sched_worker_contradicted(c->sched, &r->worker);
-		reply_outcome(t, DAG_OK);
-		return;
-	}
-	if (rec)
-		dag_sched_worker_reported(c->sched, rec->number, clock_us());
-	if (rec && same_worker(&rec->w, &r->worker)) {
+	if (!dag_sched_report(c->sched, r, clock_us(), &cmd.dag_command_u.worker)) {
 		reply_outcome(t, DAG_OK);
 		return;
 	}
@@ -296,7 +267,6 @@
 		 STR_ARG(XDR_STR(r->worker, id)), STR_ARG(XDR_STR(r->worker, address)),
 		 STR_ARG(XDR_STR(r->worker, zone)), r->worker.state,
 		 (long long)r->worker.born_ms);
-	cmd.dag_command_u.worker = r->worker;
 	propose_and_wait(c, &cmd, t);
 }
 
@@ -408,7 +378,7 @@
 	    replica_leader_last_heard_us(c->replica) < clock_us() - KNOWN_REPORT_US)
 		return false;
 	rec = dag_state_find_worker_by_id(c->state, XDR_STR(*w, id));
-	return rec && same_worker(&rec->w, w);
+	return rec && dag_worker_equal(&rec->w, w);
 }
 
 /* Serves a request of this process's own ports, here or at the leader. */
--- a/core/dag_capacity.c
+++ b/core/dag_capacity.c
@@ -5,7 +5,7 @@
  */
 bool ds_worker_over_capacity(const struct ds_worker *w)
 {
-	return w->cpu_reserved > (int64_t)w->rec->w.cpu_milli ||
-	       w->mem_reserved > (int64_t)w->rec->w.mem_mb ||
-	       w->gpus_reserved > (int64_t)w->rec->w.gpus;
+	return w->cpu_reserved > (int64_t)w->capacity.cpu_milli ||
+	       w->mem_reserved > (int64_t)w->capacity.mem_mb ||
+	       w->gpus_reserved > (int64_t)w->capacity.gpus;
 }
--- a/core/dag_place.c
+++ b/core/dag_place.c
@@ -48,13 +48,13 @@
 /* Thousandths of a core that are not reserved; fillers do not count. */
 static int64_t free_cpu(const struct ds_worker *w)
 {
-	return (int64_t)w->rec->w.cpu_milli - w->cpu_reserved;
+	return (int64_t)w->capacity.cpu_milli - w->cpu_reserved;
 }
 
 /* Thousandths of a core that are expected to be idle. */
 static int64_t idle_cpu(const struct ds_worker *w)
 {
-	return (int64_t)w->rec->w.cpu_milli - w->cpu_fillers -
+	return (int64_t)w->capacity.cpu_milli - w->cpu_fillers -
 	       (w->cpu_reserved - w->cpu_serving) -
 	       w->cpu_serving * SERVING_CPU_PERCENT / 100;
 }
@@ -70,8 +70,8 @@
 {
 	const struct dag_step *step = st->step;
 
-	if ((int64_t)w->rec->w.mem_mb - w->mem_reserved < step->mem_mb ||
-	    (int64_t)w->rec->w.gpus - w->gpus_reserved < step->gpus ||
+	if ((int64_t)w->capacity.mem_mb - w->mem_reserved < step->mem_mb ||
+	    (int64_t)w->capacity.gpus - w->gpus_reserved < step->gpus ||
 	    !worker_fits_cpu(w, step))
 		return false;
 	if (step->label.label_len && !ds_worker_has_label(w, XDR_STR(*step, label)))
--- /dev/null
+++ b/core/dag_report.c
@@ -0,0 +1,121 @@
+/* Reports of workers: what of them is news, and which capacity they leave. */
+#include <string.h>
+
+#include "core/dag_sched_impl.h"
+#include "proto/codec.h"
+
+/* The sender of a report without an answer for this long reports to another controller.
+ */
+#define REPORT_LATE_MS 1000
+/* A worker's clock may be 2 % slow. */
+#define SLOW_CLOCK_PERCENT 98
+
+static bool same_labels(const struct dag_worker *a, const struct dag_worker *b)
+{
+	if (a->labels.labels_len != b->labels.labels_len)
+		return false;
+	for (u_int i = 0; i < a->labels.labels_len; i++)
+		if (!str_eq(XDR_STR(a->labels.labels_val[i], text),
+			    XDR_STR(b->labels.labels_val[i], text)))
+			return false;
+	return true;
+}
+
+/* Whether two descriptions of one worker say the same. */
+bool dag_worker_equal(const struct dag_worker *a, const struct dag_worker *b)
+{
+	return a->born_ms == b->born_ms && a->state == b->state &&
+	       a->cpu_milli == b->cpu_milli && a->mem_mb == b->mem_mb &&
+	       a->gpus == b->gpus && str_eq(XDR_STR(*a, address), XDR_STR(*b, address)) &&
+	       str_eq(XDR_STR(*a, service), XDR_STR(*b, service)) &&
+	       str_eq(XDR_STR(*a, zone), XDR_STR(*b, zone)) && same_labels(a, b);
+}
+
+struct ds_capacity ds_capacity_of(const struct dag_worker *w)
+{
+	return (struct ds_capacity){w->cpu_milli, w->mem_mb, w->gpus};
+}
+
+struct ds_capacity ds_capacity_min(const struct ds_capacity *a,
+				   const struct ds_capacity *b)
+{
+	return (struct ds_capacity){
+		a->cpu_milli < b->cpu_milli ? a->cpu_milli : b->cpu_milli,
+		a->mem_mb < b->mem_mb ? a->mem_mb : b->mem_mb,
+		a->gpus < b->gpus ? a->gpus : b->gpus,
+	};
+}
+
+/* Whether a newer report of the worker may have come before, by the worker's clock. */
+static bool is_late(const struct dag_sched *s, const struct ds_worker *w,
+		    const struct dag_report *r)
+{
+	int64_t passed_ms =
+		(s->now_us - w->clock_us) * SLOW_CLOCK_PERCENT / 100 / USEC_PER_MS;
+
+	return !w->clock_known || w->clock_ms + passed_ms - r->clock_ms > REPORT_LATE_MS;
+}
+
+/*
+ * Takes the capacity of a report. A late one may tell of a capacity that has shrunk
+ * since, so it can only lower what is known; the next report corrects that.
+ */
+static void take_capacity(struct dag_sched *s, struct ds_worker *w,
+			  const struct dag_report *r)
+{
+	struct ds_capacity reported = ds_capacity_of(&r->worker);
+
+	if (r->worker.born_ms == w->rec->w.born_ms && is_late(s, w, r))
+		reported = ds_capacity_min(&reported, &w->reported);
+	if (memcmp(&reported, &w->reported, sizeof(reported)) == 0)
+		return;
+	w->reported = reported;
+	ds_worker_refresh(s, w);
+}
+
+/*
+ * Takes a report that came to any controller. Returns whether it says something that is
+ * to be recorded; news then describes the worker, with strings of the report.
+ */
+bool dag_sched_report(struct dag_sched *s, const struct dag_report *r, int64_t now_us,
+		      struct dag_worker *news)
+{
+	const struct dag_worker_rec *rec =
+		dag_state_find_worker_by_id(s->state, XDR_STR(r->worker, id));
+	struct ds_worker *w = rec ? rec->sched : NULL;
+
+	s->now_us = now_us;
+	*news = r->worker;
+	if (dag_state_is_old_report(s->state, &r->worker)) {
+		dag_sched_worker_contradicted(s, r);
+		return false;
+	}
+	if (!w)
+		return true;
+	dag_sched_worker_reported(s, rec->number, now_us);
+	take_capacity(s, w, r);
+	news->cpu_milli = w->reported.cpu_milli;
+	news->mem_mb = w->reported.mem_mb;
+	news->gpus = w->reported.gpus;
+	return !dag_worker_equal(&rec->w, news);
+}
+
+/*
+ * A report came that is older than what is recorded. If a worker that is recorded as gone
+ * reports itself ready in the same life, its leaving may have been meant for an earlier
+ * life under the same id, so it is polled.
+ */
+void dag_sched_worker_contradicted(struct dag_sched *s, const struct dag_report *r)
+{
+	const struct dag_worker_rec *rec =
+		dag_state_find_worker_by_id(s->state, XDR_STR(r->worker, id));
+	struct ds_worker *w = rec ? rec->sched : NULL;
+
+	if (!w || w->n_runs || rec->w.state != DAG_WORKER_GONE ||
+	    r->worker.state != DAG_WORKER_READY || r->worker.born_ms != rec->w.born_ms)
+		return;
+	if (w->poll_in_flight)
+		return;
+	w->contradicted = true;
+	w->next_poll_us = s->now_us;
+}
--- a/core/dag_sched.h
+++ b/core/dag_sched.h
@@ -118,7 +118,10 @@
 int dag_sched_error(const struct dag_sched *s);
 
 void dag_sched_worker_reported(struct dag_sched *s, uint32_t worker, int64_t now_us);
-void dag_sched_worker_contradicted(struct dag_sched *s, const struct dag_worker *report);
+void dag_sched_worker_contradicted(struct dag_sched *s, const struct dag_report *r);
+bool dag_sched_report(struct dag_sched *s, const struct dag_report *r, int64_t now_us,
+		      struct dag_worker *news);
+bool dag_worker_equal(const struct dag_worker *a, const struct dag_worker *b);
 void dag_sched_worker_leaving(struct dag_sched *s, uint32_t worker, int64_t now_us);
 void dag_sched_start_replied(struct dag_sched *s, uint32_t worker,
 			     const struct dag_task_ref *t, uint32_t run,
--- a/core/dag_sched_impl.h
+++ b/core/dag_sched_impl.h
@@ -102,6 +102,13 @@
 	double headroom;
 };
 
+/* What the runs of a worker may use together. */
+struct ds_capacity {
+	uint32_t cpu_milli;
+	uint32_t mem_mb;
+	uint32_t gpus;
+};
+
 #define DS_MAX_SERVING 32U
 /* Predicted interference of any filler while a serving task is above its target. */
 #define DS_INTERFERENCE_OVER_TARGET 1e9
@@ -115,6 +122,8 @@
 	int64_t cpu_fillers; /* thousandths of a core, as far as they are not throttled */
 	int64_t mem_reserved;
 	int64_t gpus_reserved;
+	struct ds_capacity reported; /* of the newest report */
+	struct ds_capacity capacity; /* as recorded */
 	bool in_service; /* the worker is ready and its availability zone is open */
 	/* Contact. */
 	int64_t last_heard_us;
@@ -231,6 +240,11 @@
 /* dag_capacity.c */
 bool ds_worker_over_capacity(const struct ds_worker *w);
 
+/* dag_report.c */
+struct ds_capacity ds_capacity_of(const struct dag_worker *w);
+struct ds_capacity ds_capacity_min(const struct ds_capacity *a,
+				   const struct ds_capacity *b);
+
 /* dag_throttle.c */
 int64_t ds_filler_cpu(const struct ds_run *r);
 void ds_throttle_fillers(struct dag_sched *s, struct ds_worker *w);
--- a/core/dag_worker.c
+++ b/core/dag_worker.c
@@ -68,6 +68,7 @@
 	TAILQ_INIT(&w->runs);
 	w->rec = rec;
 	rec->sched = w;
+	w->reported = ds_capacity_of(&rec->w);
 	/* An earlier leader may have granted a full lease just now. */
 	w->lease_expires_us = s->now_us + s->opt.lease_us * SLOW_CLOCK_PERCENT / 100 +
 			      LEASE_EXPIRY_MARGIN_US;
@@ -108,9 +109,11 @@
 	free(w);
 }
 
-/* Updates in_service from the replicated state of the worker and its zone. */
+/* Updates in_service and capacity from the replicated state of the worker and its zone.
+ */
 void ds_worker_refresh(struct dag_sched *s, struct ds_worker *w)
 {
+	w->capacity = ds_capacity_of(&w->rec->w);
 	w->in_service = w->rec->w.state == DAG_WORKER_READY &&
 			!dag_state_zone_closed(s->state, XDR_STR(w->rec->w, zone));
 	s->placement_needed = true;
@@ -200,24 +203,6 @@
 	w->last_heard_us = now_us;
 }
 
-/*
- * A report came that is older than what is recorded. If a worker that is recorded as gone
- * reports itself ready in the same life, its leaving may have been meant for an earlier
- * life under the same id, so it is polled.
- */
-void dag_sched_worker_contradicted(struct dag_sched *s, const struct dag_worker *report)
-{
-	struct dag_worker_rec *rec =
-		dag_state_find_worker_by_id(s->state, XDR_STR(*report, id));
-	struct ds_worker *w = rec ? rec->sched : NULL;
-
-	if (!w || w->n_runs || w->poll_in_flight || rec->w.state != DAG_WORKER_GONE ||
-	    report->state != DAG_WORKER_READY || report->born_ms != rec->w.born_ms)
-		return;
-	w->contradicted = true;
-	w->next_poll_us = s->now_us;
-}
-
 /* The worker announced its exit; it gets no new runs. */
 void dag_sched_worker_leaving(struct dag_sched *s, uint32_t worker, int64_t now_us)
 {
--- a/proto/dag.h
+++ b/proto/dag.h
@@ -432,6 +432,7 @@
 
 struct dag_report {
 	struct dag_worker worker;
+	quad_t clock_ms;
 };
 
 struct dag_request {
--- a/proto/dag.x
+++ b/proto/dag.x
@@ -309,8 +309,10 @@
 	dag_job job;
 };
 
+/* clock_ms: the worker's clock when it sent the report. */
 struct dag_report {
 	dag_worker worker;
+	hyper clock_ms;
 };
 
 union dag_request switch (dag_request_kind kind) {
--- a/proto/dag_xdr.c
+++ b/proto/dag_xdr.c
@@ -970,6 +970,8 @@
 
 	 if (!xdr_dag_worker (xdrs, &objp->worker))
 		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->clock_ms))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/regress/lib_dag_world.c
+++ b/regress/lib_dag_world.c
@@ -225,6 +225,7 @@
 	w->host.ops = &host_ops;
 	w->now_us = 1000 * MS;
 	w->work_us = 500 * MS;
+	w->commit_us = COMMIT_US;
 	w->prng.state = seed;
 	ck_assert_int_eq(dag_state_new(&w->state), 0);
 	new_leader(w);
@@ -250,22 +251,45 @@
 		buf_free(&w->events[i].bytes);
 }
 
+/* The strings are those of dw. */
+static struct dag_worker describe(const struct dw_worker *dw, int64_t born_ms,
+				  const struct dw_room *room)
+{
+	struct dag_worker x = {
+		.born_ms = born_ms,
+		.cpu_milli = room->cpu,
+		.mem_mb = room->mem,
+		.gpus = room->gpus,
+	};
+
+	XDR_SET(x, id, str_from(dw->id));
+	XDR_SET(x, address, str_from(dw->id));
+	XDR_SET(x, service, STR("svc"));
+	XDR_SET(x, zone, STR("z"));
+	return x;
+}
+
+/* The first report of a worker's life. */
 static void report(struct dag_world *w, const struct dw_worker *dw)
 {
 	struct dag_command c = {.kind = DAG_CMD_WORKER};
-	struct dag_worker *x = &c.dag_command_u.worker;
-
-	XDR_SET(*x, id, str_from(dw->id));
-	XDR_SET(*x, address, str_from(dw->id));
-	XDR_SET(*x, service, STR("svc"));
-	XDR_SET(*x, zone, STR("z"));
-	x->born_ms = dw->born_ms;
-	x->cpu_milli = dw->room.cpu;
-	x->mem_mb = dw->room.mem;
-	x->gpus = dw->room.gpus;
+
+	c.dag_command_u.worker = describe(dw, dw->born_ms, &dw->room);
 	propose(w, &c);
 }
 
+static void take_report(struct dag_world *w, const struct dw_event *e)
+{
+	struct dag_command c = {.kind = DAG_CMD_WORKER};
+	struct dag_report r = {
+		.worker = describe(&w->workers[e->worker], e->born_ms, &e->room),
+		.clock_ms = e->clock_ms,
+	};
+
+	if (dag_sched_report(w->sched, &r, w->now_us, &c.dag_command_u.worker))
+		propose(w, &c);
+}
+
 /* Returns the worker's place in the world's list. */
 uint32_t dw_add_worker(struct dag_world *w, uint32_t cpu, uint32_t mem)
 {
@@ -705,6 +729,9 @@
 	case DW_ANSWER:
 		take_answer(w, &e);
 		break;
+	case DW_REPORT:
+		take_report(w, &e);
+		break;
 	default:
 		do_order(w, e);
 		break;
@@ -805,26 +832,32 @@
 		finish_look(w, dw);
 }
 
-static bool is_recorded(const struct dag_worker *x, const struct dw_worker *dw)
+/* Sends a worker's report on its way, or delays it in the network. */
+static void send_report(struct dag_world *w, uint32_t number)
 {
-	return x->cpu_milli == dw->room.cpu && x->mem_mb == dw->room.mem &&
-	       x->gpus == dw->room.gpus;
+	const struct dw_worker *dw = &w->workers[number];
+	struct dw_event *e = add_event(w, DW_REPORT, w->now_us + HOP_US);
+
+	e->worker = number;
+	e->born_ms = dw->born_ms;
+	e->clock_ms = clock_ms(w, dw);
+	e->room = dw->room;
+	if (w->late_report_permille &&
+	    prng_below(&w->prng, 1000) < w->late_report_permille)
+		e->at_us += LATE_MIN_US + (int64_t)prng_below(&w->prng, LATE_SPAN_US);
 }
 
 static void reports(struct dag_world *w)
 {
 	if (w->now_us % REPORT_US >= STEP_US)
 		return;
-	for (size_t i = 0; i < w->n_workers; i++) {
-		struct dw_worker *dw = &w->workers[i];
-		struct dag_worker_rec *rec =
+	for (uint32_t i = 0; i < w->n_workers; i++) {
+		const struct dw_worker *dw = &w->workers[i];
+		const struct dag_worker_rec *rec =
 			dag_state_find_worker_by_id(w->state, str_from(dw->id));
 
-		if (!rec || !dw->up || dw->cut)
-			continue;
-		dag_sched_worker_reported(w->sched, rec->number, w->now_us);
-		if (rec->w.state == DAG_WORKER_READY && !is_recorded(&rec->w, dw))
-			report(w, dw);
+		if (rec && rec->w.state != DAG_WORKER_GONE && dw->up && !dw->cut)
+			send_report(w, i);
 	}
 }
 
@@ -836,7 +869,7 @@
 
 	if (!w->n_batch)
 		return;
-	e = add_event(w, DW_COMMIT, w->now_us + COMMIT_US);
+	e = add_event(w, DW_COMMIT, w->now_us + w->commit_us);
 	for (int i = 0; i < 8; i++)
 		head[i] = (unsigned char)((uint64_t)dw_wall_ms(w) >> (56 - 8 * i));
 	for (int i = 0; i < 4; i++)
--- a/regress/lib_dag_world.h
+++ b/regress/lib_dag_world.h
@@ -79,7 +79,7 @@
 	int32_t tail_ms; /* of serving tasks */
 };
 
-enum dw_kind { DW_START, DW_STOP, DW_LOOK, DW_PACE, DW_COMMIT, DW_ANSWER };
+enum dw_kind { DW_START, DW_STOP, DW_LOOK, DW_PACE, DW_COMMIT, DW_ANSWER, DW_REPORT };
 
 struct dw_event {
 	int64_t at_us;
@@ -96,8 +96,10 @@
 	uint32_t wait_ms;
 	enum dag_call_result answer;
 	enum dw_kind answers;
-	bool silent;	 /* carried out, but no answer is sent */
-	int64_t born_ms; /* silent: life of the worker that has the order */
+	bool silent;	     /* carried out, but no answer is sent */
+	int64_t born_ms;     /* silent: life of the worker that has the order */
+	struct dw_room room; /* of a report */
+	int64_t clock_ms;
 	uint64_t leader; /* life of the scheduler that waits for the answer */
 	struct buf bytes;
 };
@@ -133,6 +135,8 @@
 	/* Faults, in thousandths of the orders. */
 	uint32_t lost_permille;
 	uint32_t late_permille;
+	uint32_t late_report_permille; /* of the reports */
+	int64_t commit_us;
 	int64_t work_us; /* of a batch task */
 	char violation[256];
 	uint32_t starts;
--- a/regress/test_dag.c
+++ b/regress/test_dag.c
@@ -710,7 +710,7 @@
 	uint32_t number = dw_add_worker(&w, 8000, 8000);
 	uint32_t dead = dw_add_worker(&w, 8000, 8000);
 	const struct dag_worker_rec *rec;
-	struct dag_worker report;
+	struct dag_report report = {0};
 
 	dw_run_for(&w, SECOND);
 	record_worker_state(number, DAG_WORKER_GONE);
@@ -718,9 +718,9 @@
 	w.workers[dead].up = false;
 	dw_run_for(&w, 2 * SECOND);
 	for (uint32_t i = number; i <= dead; i++) {
-		report = dag_state_find_worker_by_id(w.state, str_from(w.workers[i].id))
-				 ->w;
-		report.state = DAG_WORKER_READY;
+		rec = dag_state_find_worker_by_id(w.state, str_from(w.workers[i].id));
+		report.worker = rec->w;
+		report.worker.state = DAG_WORKER_READY;
 		dag_sched_worker_contradicted(w.sched, &report);
 	}
 	dw_run_for(&w, 3 * SECOND);
--- a/regress/test_dag_room.c
+++ b/regress/test_dag_room.c
@@ -113,7 +113,7 @@
 START_TEST(stray_runs_count_until_they_have_stopped)
 {
 	uint32_t number = add_unguarded();
-	struct dag_worker back;
+	struct dag_report back = {0};
 
 	w.work_us = 60 * SECOND;
 	submit_batch(1, 4, 2000, 100);
@@ -123,8 +123,8 @@
 	dw_cancel(&w, 1);
 	w.work_us = SECOND;
 	submit_batch(2, 4, 2000, 100);
-	back = recorded(number);
-	back.state = DAG_WORKER_READY;
+	back.worker = recorded(number);
+	back.worker.state = DAG_WORKER_READY;
 	w.workers[number].cut = false;
 	dag_sched_worker_contradicted(w.sched, &back);
 	dw_run_for(&w, 3 * SECOND);
@@ -133,6 +133,29 @@
 }
 END_TEST
 
+/* Guards against a late report, sent before the room shrank, that brings it back. */
+START_TEST(late_report_does_not_restore_a_room)
+{
+	uint32_t small = add_unguarded();
+
+	w.work_us = 60 * SECOND;
+	dw_run_for(&w, SECOND);
+	w.late_report_permille = 1000;
+	dw_run_for(&w, 3 * SECOND);
+	w.late_report_permille = 0;
+	set_room(small, 2000, 8000);
+	dw_run_for(&w, SECOND + SECOND / 10);
+	submit_batch(1, 8, 1000, 100);
+	dw_run_for(&w, 14 * SECOND);
+	assert_sound();
+	ck_assert_uint_le(dw_alive(&w, 1), 2);
+	set_room(small, 4000, 8000);
+	dw_run_for(&w, SECOND + SECOND / 10);
+	assert_sound();
+	ck_assert_uint_eq(dw_alive(&w, 1), 4);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("dag_room");
@@ -145,6 +168,7 @@
 	tcase_add_loop_test(tc, lost_start_is_not_repeated_in_a_smaller_room, 0, 2);
 	tcase_add_test(tc, recovered_run_is_not_sent_in_a_smaller_room);
 	tcase_add_test(tc, stray_runs_count_until_they_have_stopped);
+	tcase_add_test(tc, late_report_does_not_restore_a_room);
 	suite_add_tcase(s, tc);
 	srunner_run_all(sr, CK_NORMAL);
 	failed = srunner_ntests_failed(sr);
