dag: a room that has shrunk counts as soon as it is reported

A start was checked against the recorded capacity only. While the log is slow, a start that was proposed first commits before the record of the smaller room and was sent although the leader had the report. The capacity of a worker is now the lower of the recorded and the newest reported one.

start_recorded_late_looks_at_the_room: with commits that take 6 s, violation before, none after.

--- a/core/dag_sched_impl.h
+++ b/core/dag_sched_impl.h
@@ -123,7 +123,7 @@
 	int64_t mem_reserved;
 	int64_t gpus_reserved;
 	struct ds_capacity reported; /* of the newest report */
-	struct ds_capacity capacity; /* as recorded */
+	struct ds_capacity capacity; /* the lower of the reported and the recorded */
 	bool in_service; /* the worker is ready and its availability zone is open */
 	/* Contact. */
 	int64_t last_heard_us;
--- a/core/dag_worker.c
+++ b/core/dag_worker.c
@@ -109,11 +109,16 @@
 	free(w);
 }
 
-/* Updates in_service and capacity from the replicated state of the worker and its zone.
+/*
+ * Updates in_service from the replicated state of the worker and its zone, and the
+ * capacity: one that has shrunk counts as soon as it is reported, one that has grown when
+ * it is recorded.
  */
 void ds_worker_refresh(struct dag_sched *s, struct ds_worker *w)
 {
-	w->capacity = ds_capacity_of(&w->rec->w);
+	struct ds_capacity recorded = ds_capacity_of(&w->rec->w);
+
+	w->capacity = ds_capacity_min(&recorded, &w->reported);
 	w->in_service = w->rec->w.state == DAG_WORKER_READY &&
 			!dag_state_zone_closed(s->state, XDR_STR(w->rec->w, zone));
 	s->placement_needed = true;
--- a/regress/test_dag_room.c
+++ b/regress/test_dag_room.c
@@ -156,6 +156,25 @@
 }
 END_TEST
 
+/* Guards against a start whose record takes so long that the room has shrunk by then. */
+START_TEST(start_recorded_late_looks_at_the_room)
+{
+	uint32_t small = add_unguarded();
+
+	dw_run_for(&w, SECOND);
+	dw_submit_chain(&w, 1, 1, 8);
+	dw_run_for(&w, SECOND / 100);
+	w.commit_us = 6 * SECOND;
+	dw_run_for(&w, SECOND / 100);
+	set_room(small, 3000, 8000);
+	dw_run_for(&w, 7 * SECOND);
+	assert_sound();
+	w.commit_us = SECOND / 100;
+	dw_run_for(&w, 12 * SECOND);
+	assert_completed(1);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("dag_room");
@@ -169,6 +188,7 @@
 	tcase_add_test(tc, recovered_run_is_not_sent_in_a_smaller_room);
 	tcase_add_test(tc, stray_runs_count_until_they_have_stopped);
 	tcase_add_test(tc, late_report_does_not_restore_a_room);
+	tcase_add_test(tc, start_recorded_late_looks_at_the_room);
 	suite_add_tcase(s, tc);
 	srunner_run_all(sr, CK_NORMAL);
 	failed = srunner_ntests_failed(sr);
