dag: a worker that returns has the room that it reports

Reports of a worker that is recorded as gone are not recorded. When it turned out to be there, it was recorded with the room of before, and got starts for it until its next report.

returned_worker_has_its_new_room: violation before, none after.

--- a/core/dag_report.c
+++ b/core/dag_report.c
@@ -114,6 +114,7 @@
 	if (!w || w->n_runs || rec->w.state != DAG_WORKER_GONE ||
 	    r->worker.state != DAG_WORKER_READY || r->worker.born_ms != rec->w.born_ms)
 		return;
+	take_capacity(s, w, r);
 	if (w->poll_in_flight)
 		return;
 	w->contradicted = true;
--- a/core/dag_worker.c
+++ b/core/dag_worker.c
@@ -280,6 +280,9 @@
 
 	c.dag_command_u.worker = w->rec->w;
 	c.dag_command_u.worker.state = state;
+	c.dag_command_u.worker.cpu_milli = w->reported.cpu_milli;
+	c.dag_command_u.worker.mem_mb = w->reported.mem_mb;
+	c.dag_command_u.worker.gpus = w->reported.gpus;
 	ds_propose(s, &c);
 }
 
--- a/regress/test_dag_room.c
+++ b/regress/test_dag_room.c
@@ -175,6 +175,27 @@
 }
 END_TEST
 
+/* Guards against the old room of a worker that was recorded as gone for a while. */
+START_TEST(returned_worker_has_its_new_room)
+{
+	uint32_t number = add_unguarded();
+	struct dag_report back = {0};
+
+	dw_run_for(&w, SECOND);
+	lose_worker(number);
+	set_room(number, 2000, 8000);
+	dw_run_for(&w, 5 * SECOND + SECOND / 20);
+	w.workers[number].cut = false;
+	submit_batch(1, 8, 1000, 100);
+	back.worker = recorded(number);
+	back.worker.state = DAG_WORKER_READY;
+	back.worker.cpu_milli = 2000;
+	dag_sched_worker_contradicted(w.sched, &back);
+	dw_run_for(&w, 12 * SECOND);
+	assert_completed(1);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("dag_room");
@@ -189,6 +210,7 @@
 	tcase_add_test(tc, stray_runs_count_until_they_have_stopped);
 	tcase_add_test(tc, late_report_does_not_restore_a_room);
 	tcase_add_test(tc, start_recorded_late_looks_at_the_room);
+	tcase_add_test(tc, returned_worker_has_its_new_room);
 	suite_add_tcase(s, tc);
 	srunner_run_all(sr, CK_NORMAL);
 	failed = srunner_ntests_failed(sr);
