dag: no filler is placed on a worker over its room

A filler needs idle CPU, and serving tasks count half there. When the room shrank below the tasks, a filler was placed all the same, was not sent for want of capacity, was stopped and placed again, without end. Nothing is placed now on a worker that is over its capacity.

no_filler_starts_on_a_worker_over_its_room: failed before, passes. Two more tests hold what was sound: a guarded worker whose room shrank refuses a few starts until its next report and takes work again within 1.5 s of growing, and runs behind a cut count until a clock that is 2 % slow has ended their lease (80 moments of healing).

--- a/core/dag_place.c
+++ b/core/dag_place.c
@@ -63,7 +63,8 @@
 {
 	if (!step->filler)
 		return free_cpu(w) >= step->cpu_milli;
-	return idle_cpu(w) >= step->cpu_milli;
+	/* Nothing starts on a worker whose capacity has shrunk below its runs. */
+	return free_cpu(w) >= 0 && idle_cpu(w) >= step->cpu_milli;
 }
 
 static bool worker_fits_step(const struct ds_worker *w, const struct ds_step *st)
--- a/regress/lib_dag_world.c
+++ b/regress/lib_dag_world.c
@@ -314,7 +314,9 @@
 
 static int64_t clock_ms(const struct dag_world *w, const struct dw_worker *dw)
 {
-	return 1 + dw_wall_ms(w) - dw->born_ms;
+	int64_t ms = dw_wall_ms(w) - dw->born_ms;
+
+	return 1 + (dw->slow_clock ? ms * 98 / 100 : ms);
 }
 
 static void add_stopped(struct dw_worker *dw, const struct dag_task_ref *t, uint32_t run)
@@ -526,8 +528,10 @@
 		return DAG_RESULT_RUN_ENDED;
 	if (e->lease_ms <= clock_ms(w, dw))
 		return DAG_RESULT_LEASE_EXPIRED;
-	if (!dw->unguarded && !fits(dw, &dw->room, st))
+	if (!dw->unguarded && !fits(dw, &dw->room, st)) {
+		w->refusals++;
 		return DAG_RESULT_NO_CAPACITY;
+	}
 	if (e->lease_ms > dw->lease_ms)
 		dw->lease_ms = e->lease_ms;
 	check_start(w, j, dw, e);
@@ -771,7 +775,8 @@
 
 	for (size_t i = 0; i < DW_RUNS; i++) {
 		const struct dw_run *r = &dw->runs[i];
-		double share = (double)r->uses.cpu * r->pace / 100 / dw->room.cpu;
+		uint32_t cpu = r->uses.cpu > dw->room.cpu ? r->uses.cpu : dw->room.cpu;
+		double share = (double)r->uses.cpu * r->pace / 100 / cpu;
 
 		if (r->used && r->filler)
 			load += share *
--- a/regress/lib_dag_world.h
+++ b/regress/lib_dag_world.h
@@ -62,7 +62,8 @@
 	int64_t born_ms;
 	int64_t lease_ms; /* on its clock */
 	uint64_t fence;
-	bool unguarded; /* starts what does not fit */
+	bool unguarded;	 /* starts what does not fit */
+	bool slow_clock; /* by 2 % */
 	struct dw_room room;
 	struct dw_past_room past[DW_ROOMS]; /* a ring */
 	size_t n_past;
@@ -142,7 +143,8 @@
 	uint32_t starts;
 	uint64_t starts_hash; /* of all starts, in their order */
 	uint32_t paces;
-	bool full_scan; /* option of the next leaders */
+	uint32_t refusals; /* starts that did not fit */
+	bool full_scan;	   /* option of the next leaders */
 	/*
 	 * Serving tasks with an image have a load of their own that swings, and fillers
 	 * whose image ends with the same character add to it; others hardly do.
--- a/regress/test_dag_room.c
+++ b/regress/test_dag_room.c
@@ -196,6 +196,90 @@
 }
 END_TEST
 
+static void submit_filler(uint64_t id, const char *image)
+{
+	struct dag_step st = {.count = 1,
+			      .cpu_milli = 1000,
+			      .mem_mb = 100,
+			      .estimate_ms = 500,
+			      .filler = true};
+
+	XDR_SET(st, image, str_from(image));
+	dw_submit_step(&w, id, &st);
+}
+
+/* Guards against fillers that start beside tasks that no longer fit into the room. */
+START_TEST(no_filler_starts_on_a_worker_over_its_room)
+{
+	struct dag_step lasting = {
+		.count = 4, .cpu_milli = 2000, .mem_mb = 100, .long_running = true};
+	uint32_t small = add_unguarded();
+
+	dw_run_for(&w, SECOND);
+	dw_submit_step(&w, 1, &lasting);
+	dw_run_for(&w, SECOND);
+	ck_assert_uint_eq(dw_alive(&w, 1), 4);
+	set_room(small, 6000, 8000);
+	dw_run_for(&w, 6 * SECOND);
+	submit_filler(2, "fill-b");
+	dw_run_for(&w, 3 * SECOND);
+	assert_sound();
+	ck_assert_int_eq(dw_state(&w, 2), DAG_JOB_QUEUED);
+	ck_assert_uint_eq(dw_alive(&w, 1), 4);
+	set_room(small, 8000, 8000);
+	dw_run_for(&w, 6 * SECOND);
+	assert_completed(2);
+}
+END_TEST
+
+/* Guards against work that waits on after a guarded worker refused it for want of room.
+ */
+START_TEST(refusals_in_a_smaller_room_are_few_and_short)
+{
+	uint32_t small = dw_add_worker(&w, 8000, 8000);
+
+	w.work_us = SECOND / 5;
+	dw_run_for(&w, SECOND + SECOND / 100);
+	set_room(small, 2000, 8000);
+	dw_submit_chain(&w, 1, 1, 8);
+	dw_run_for(&w, 3 * SECOND);
+	assert_completed(1);
+	ck_assert_uint_le(w.refusals, 24);
+	w.refusals = 0;
+	dw_submit_chain(&w, 2, 1, 8);
+	dw_run_for(&w, 2 * SECOND);
+	set_room(small, 8000, 8000);
+	w.work_us = 60 * SECOND;
+	dw_submit_chain(&w, 3, 1, 8);
+	dw_run_for(&w, SECOND + SECOND / 2);
+	assert_completed(2);
+	ck_assert_uint_eq(dw_alive(&w, 3), 8);
+	ck_assert_uint_eq(w.refusals, 0);
+}
+END_TEST
+
+/* Guards against starts beside runs whose lease has ended here and not on the worker. */
+START_TEST(runs_count_until_a_slow_clock_ends_their_lease)
+{
+	uint32_t slow = add_unguarded();
+
+	w.workers[slow].slow_clock = true;
+	w.work_us = 60 * SECOND;
+	dw_run_for(&w, SECOND);
+	submit_batch(1, 4, 2000, 100);
+	dw_run_for(&w, SECOND);
+	w.workers[slow].cut = true;
+	dw_run_for(&w, SECOND);
+	dw_cancel(&w, 1);
+	submit_batch(2, 4, 2000, 100);
+	dw_run_for(&w, 7 * SECOND + _i * SECOND / 20);
+	w.workers[slow].cut = false;
+	dw_run_for(&w, 6 * SECOND);
+	assert_sound();
+	ck_assert_uint_eq(dw_alive(&w, 2), 4);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("dag_room");
@@ -211,6 +295,9 @@
 	tcase_add_test(tc, late_report_does_not_restore_a_room);
 	tcase_add_test(tc, start_recorded_late_looks_at_the_room);
 	tcase_add_test(tc, returned_worker_has_its_new_room);
+	tcase_add_test(tc, no_filler_starts_on_a_worker_over_its_room);
+	tcase_add_test(tc, refusals_in_a_smaller_room_are_few_and_short);
+	tcase_add_loop_test(tc, runs_count_until_a_slow_clock_ends_their_lease, 0, 80);
 	suite_add_tcase(s, tc);
 	srunner_run_all(sr, CK_NORMAL);
 	failed = srunner_ntests_failed(sr);
