dag: a room without CPU leaves the interference model alone

The share of a filler was its CPU divided by that of the worker. With a room of 0 that is no number: the score overflowed (undefined behaviour, by the sanitizer), and speeds and slopes were computed from it. A share is at most 1 now.

fillers_outlast_a_room_without_cpu: with sanitizers, signed overflow in score_worker() before, nothing after.

--- a/core/dag_throttle.c
+++ b/core/dag_throttle.c
@@ -48,9 +48,12 @@
 	return r->step->filler && r->phase == DS_ACCEPTED && !r->end_proposed;
 }
 
+/* At most 1, also for a worker whose CPU has shrunk below that of a task, even to 0. */
 static double cpu_share(const struct ds_worker *w, uint32_t cpu_milli)
 {
-	return (double)cpu_milli / w->rec->w.cpu_milli;
+	uint32_t capacity = w->capacity.cpu_milli;
+
+	return cpu_milli < capacity ? (double)cpu_milli / capacity : 1;
 }
 
 static struct dag_load *own_load(const struct ds_run *r)
--- a/regress/test_dag_room.c
+++ b/regress/test_dag_room.c
@@ -196,6 +196,18 @@
 }
 END_TEST
 
+static void submit_serving(uint64_t id, uint32_t count, const char *image)
+{
+	struct dag_step st = {.count = count,
+			      .cpu_milli = 2000,
+			      .mem_mb = 100,
+			      .long_running = true,
+			      .target_ms = DW_TARGET_MS};
+
+	XDR_SET(st, image, str_from(image));
+	dw_submit_step(&w, id, &st);
+}
+
 static void submit_filler(uint64_t id, const char *image)
 {
 	struct dag_step st = {.count = 1,
@@ -232,6 +244,32 @@
 }
 END_TEST
 
+/* Guards the model of interference against a room without CPU: a share of it is no
+ * number.
+ */
+START_TEST(fillers_outlast_a_room_without_cpu)
+{
+	uint32_t small = add_unguarded();
+
+	w.work_us = 10 * SECOND;
+	dw_run_for(&w, SECOND);
+	submit_serving(1, 2, "serve-a");
+	dw_run_for(&w, SECOND);
+	submit_filler(2, "fill-b");
+	dw_run_for(&w, 2 * SECOND);
+	ck_assert_uint_eq(dw_alive(&w, 2), 1);
+	set_room(small, 0, 8000);
+	dw_run_for(&w, 4 * SECOND);
+	set_room(small, 8000, 8000);
+	submit_filler(3, "fill-b");
+	dw_run_for(&w, 30 * SECOND);
+	assert_completed(2);
+	assert_completed(3);
+	ck_assert_uint_eq(dw_alive(&w, 1), 2);
+	ck_assert_uint_eq(w.starts, 4);
+}
+END_TEST
+
 /* Guards against work that waits on after a guarded worker refused it for want of room.
  */
 START_TEST(refusals_in_a_smaller_room_are_few_and_short)
@@ -296,6 +334,7 @@
 	tcase_add_test(tc, start_recorded_late_looks_at_the_room);
 	tcase_add_test(tc, returned_worker_has_its_new_room);
 	tcase_add_test(tc, no_filler_starts_on_a_worker_over_its_room);
+	tcase_add_test(tc, fillers_outlast_a_room_without_cpu);
 	tcase_add_test(tc, refusals_in_a_smaller_room_are_few_and_short);
 	tcase_add_loop_test(tc, runs_count_until_a_slow_clock_ends_their_lease, 0, 80);
 	suite_add_tcase(s, tc);
