--- a/regress/test_site_dag.sh
+++ b/regress/test_site_dag.sh
@@ -65,8 +65,8 @@
 	echo "$code"
 }
 conf() { # VERSION [PREFIX]
-	printf '{"version":%s,"routes":[{"name":"q","host":"h.example","path_prefix":"%s","type":"unsafe","timeout_ms":3000,"slo_ms":1000,"priority":0,"service":"%s","attempts":2,"stretch":2.0}],"services":[{"name":"svc","admission_control":true}],"limits":{}}' \
-		"$1" "${2:-/q/}" "${3:-svc}"
+	printf '{"version":%s,"routes":[{"name":"q","host":"h.example","path_prefix":"%s","type":"unsafe","timeout_ms":3000,"slo_ms":1000,"priority":0,"service":"%s","attempts":2,"stretch":2.0}],"services":[{"name":"svc","admission_control":%s}],"limits":{}}' \
+		"$1" "${2:-/q/}" "${3:-svc}" "${GUARDED:-true}"
 }
 is() { [ "$("$@")" = 200 ]; }
 job_id() { printf '%016x' "$1"; }
@@ -90,7 +90,8 @@
 for n in c1 c2 c3 g1; do run $n; done
 "$BUILD/bin/executor" --listen 127.0.3.1:$((PORT + 4)) --count 4 --zone z1 --service svc \
 	--control 127.0.1.1:$CONTROL --control 127.0.1.2:$CONTROL --control 127.0.1.3:$CONTROL \
-	--work-ms 300 --ledger "$D/ledger" >"$D/executor.log" 2>&1 &
+	--work-ms 300 --ledger "$D/ledger" ${ROOM_MS:+--room-ms $ROOM_MS} \
+	>"$D/executor.log" 2>&1 &
 echo $! >"$D/executor.pid"
 
 # Configuration: taken, read back as sent, an older one changes nothing, a bad one is refused.
@@ -179,4 +180,20 @@
      END { for (t in done) n++; if (n != 8 * 20) print "tasks done:", n }' "$D/ledger" \
 	>"$D/checks"
 [ -s "$D/checks" ] && fail "ledger: $(head -n 5 "$D/checks")"
+
+# No start brings an executor over its room; one that has shrunk counts 3 s and one report
+# later. Each task needs 500 of it.
+awk '$1 == "room" { past[$4] = past[$4] " " $6 ":" (($4 in room) ? room[$4] : 8000); room[$4] = $2 }
+     $1 == "end" { used[$4] -= 500 }
+     $1 == "start" {
+         used[$4] += 500
+         most = ($4 in room) ? room[$4] : 8000
+         n = split(past[$4], p, " ")
+         for (i = 1; i <= n; i++) {
+             split(p[i], x, ":")
+             if (x[1] > $6 - 3500 && x[2] > most) most = x[2]
+         }
+         if (used[$4] > most) print "room:", $0, "used", used[$4], "of", most
+     }' "$D/ledger" >"$D/rooms"
+[ -s "$D/rooms" ] && fail "ledger: $(head -n 5 "$D/rooms")"
 [ "$bad" -eq 0 ] && echo "site dag: ok"
--- a/standins/executor.c
+++ b/standins/executor.c
@@ -3,11 +3,15 @@
  * for their estimate under a lease, and reports to the controllers.
  *
  *   executor --listen IP:PORT --count N --control IP:PORT... --service NAME --zone NAME
- *            --work-ms MS --ledger FILE
+ *            --work-ms MS --ledger FILE [--room-ms MS]
+ *
+ * They start whatever they are told to start. With --room-ms each one reports another
+ * room after each such time.
  *
  * The ledger has a line "start|end TASK RUN EXECUTOR HOW MILLISECONDS" for each start and
- * end, and "fenced PATH EPOCH EXECUTOR MILLISECONDS" for each call with an epoch that has
- * ended, for checks after the run.
+ * end, "room CPU MEM EXECUTOR - MILLISECONDS" for each new room, and "fenced PATH EPOCH
+ * EXECUTOR MILLISECONDS" for each call with an epoch that has ended, for checks after the
+ * run.
  */
 #include <getopt.h>
 #include <signal.h>
@@ -57,6 +61,7 @@
 	struct http_request *waiting; /* a hold that waits for an end */
 	int64_t wait_until_us;
 	size_t control; /* asked last */
+	size_t room;	/* index in rooms_cpu */
 };
 
 static struct executor executors[MAX_EXECUTORS];
@@ -66,6 +71,9 @@
 static const char *service = "svc";
 static const char *zone = "z1";
 static int64_t work_ms = 300;
+static int64_t room_ms; /* 0: the room stays the same */
+static int64_t next_room_us;
+static const int rooms_cpu[] = {CPU_MILLI, 1500, 4000, 500}; /* thousandths of a core */
 static int ledger_fd = -1;
 static struct http_client *client;
 static int64_t born_us;
@@ -280,12 +288,12 @@
 static void report(struct executor *e)
 {
 	struct http_header h = {"Content-Type", STR("application/json")};
-	json_t *body = json_pack("{sssssssisssIsIsIs{sisisi}s[ss]}", "service", service,
-				 "address", e->address, "zone", zone, "slots", 8, "state",
-				 "ready", "clock_ms", (json_int_t)clock_ms(), "born",
-				 (json_int_t)(born_us / US_PER_MS), "seq",
-				 (json_int_t)clock_ms(), "room", "cpu", CPU_MILLI,
-				 "mem_mb", MEM_MB, "gpu", 0, "labels", "a", "r1");
+	json_t *body = json_pack(
+		"{sssssssisssIsIsIs{sisisi}s[ss]}", "service", service, "address",
+		e->address, "zone", zone, "slots", 8, "state", "ready", "clock_ms",
+		(json_int_t)clock_ms(), "born", (json_int_t)(born_us / US_PER_MS), "seq",
+		(json_int_t)clock_ms(), "room", "cpu", rooms_cpu[e->room], "mem_mb",
+		MEM_MB, "gpu", 0, "labels", "a", "r1");
 	char *text = json_dumps(body, JSON_COMPACT);
 	char url[256];
 	struct http_call_options opt = {
@@ -307,6 +315,22 @@
 	json_decref(body);
 }
 
+/* Changes the rooms; the executors' next reports tell of it. */
+static void change_rooms(int64_t now_us)
+{
+	if (!room_ms || now_us < next_room_us)
+		return;
+	next_room_us = now_us + room_ms * US_PER_MS;
+	for (int i = 0; i < n_executors; i++) {
+		struct executor *e = &executors[i];
+		char cpu[16];
+
+		e->room = (e->room + 1) % (sizeof(rooms_cpu) / sizeof(rooms_cpu[0]));
+		snprintf(cpu, sizeof(cpu), "%d", rooms_cpu[e->room]);
+		record("room", cpu, MEM_MB, e, "-");
+	}
+}
+
 static void on_report_timer(struct ev_loop *loop, struct ev_timer *t, int events)
 {
 	for (int i = 0; i < n_executors; i++)
@@ -333,6 +357,7 @@
 
 static void on_tick(struct ev_loop *loop, struct ev_timer *t, int events)
 {
+	change_rooms(mono_us());
 	for (int i = 0; i < n_executors; i++)
 		tick(&executors[i], mono_us());
 }
@@ -359,6 +384,8 @@
 	e->report.ops = &report_ops;
 	e->next_end = 1;
 	e->control = (size_t)n;
+	if (room_ms)
+		e->room = (size_t)n % (sizeof(rooms_cpu) / sizeof(rooms_cpu[0]));
 	if (addr_parse(str_from(e->address), &opt.address) ||
 	    http_server_new(&opt, &e->server))
 		errx(1, "%s: cannot listen", e->address);
@@ -374,6 +401,7 @@
 		{"zone", required_argument, NULL, 'z'},
 		{"work-ms", required_argument, NULL, 'w'},
 		{"ledger", required_argument, NULL, 'g'},
+		{"room-ms", required_argument, NULL, 'r'},
 		{0},
 	};
 	struct http_client_options http = {
@@ -410,6 +438,9 @@
 		case 'g':
 			ledger_fd = open(optarg, O_WRONLY | O_CREAT | O_APPEND, 0600);
 			break;
+		case 'r':
+			room_ms = (int64_t)number_arg(optarg, 100, 3600000, "room-ms");
+			break;
 		default:
 			return 2;
 		}
