--- a/core/dag_crash.c
+++ b/core/dag_crash.c
@@ -66,29 +66,60 @@
 	return sole;
 }
 
+static void count_crash(struct dag_sched *s, struct ds_run *r, bool alone,
+			const char *reason)
+{
+	struct str none = {NULL, 0};
+
+	if (is_proven(s, r))
+		ds_run_propose_lost(s, r, reason);
+	else
+		ds_run_propose_end(s, r, alone ? DAG_END_CRASHED_ALONE : DAG_END_CRASHED,
+				   none, reason);
+}
+
+/* Ends the runs of a worker whose process has crashed and is replaced by another. */
+void ds_crash_runs(struct dag_sched *s, struct ds_worker *w, const char *reason)
+{
+	const struct ds_run *sole = sole_suspect(w, INT64_MAX);
+	struct ds_run *r;
+
+	TAILQ_FOREACH (r, &w->runs, worker_entry)
+		if (was_there(r, INT64_MAX))
+			count_crash(s, r, r == sole, reason);
+}
+
 /*
- * Ends the runs of a worker that crashed, or whose life before born_ms has ended, and
- * counts the crash for each. INT64_MAX: all of its runs.
+ * A poll reply came from a life of the worker that began at born_ms. Runs that an earlier
+ * one had confirmed have ended. A start request that it did not answer may still arrive,
+ * so its run is stopped first.
  */
-void ds_crash_runs(struct dag_sched *s, struct ds_worker *w, int64_t born_ms,
-		   const char *reason)
+void ds_crash_earlier_life(struct dag_sched *s, struct ds_worker *w, int64_t born_ms)
 {
 	const struct ds_run *sole = sole_suspect(w, born_ms);
-	struct str none = {NULL, 0};
 	struct ds_run *r;
 
 	TAILQ_FOREACH (r, &w->runs, worker_entry) {
 		if (!was_there(r, born_ms))
 			continue;
-		if (is_proven(s, r))
-			ds_run_propose_lost(s, r, reason);
-		else
-			ds_run_propose_end(
-				s, r, r == sole ? DAG_END_CRASHED_ALONE : DAG_END_CRASHED,
-				none, reason);
+		if (r->phase == DS_ACCEPTED && r->accepted_us < w->poll_sent_us) {
+			count_crash(s, r, r == sole, "the worker has started again");
+		} else if (r->phase != DS_ACCEPTED && !r->stop_requested) {
+			r->crashed = true;
+			ds_run_request_stop(s, r, "the worker has started again");
+		}
 	}
 }
 
+/* The run is certainly not on its worker; it was stopped after a crash, or as asked. */
+void ds_end_stopped_run(struct dag_sched *s, struct ds_run *r)
+{
+	if (r->crashed)
+		count_crash(s, r, false, "the worker has started again");
+	else
+		ds_run_propose_lost(s, r, "stopped");
+}
+
 /*
  * Whether contact with its worker was lost just after the run began. A run that an
  * earlier leader started has no known age; a serving task among these has most likely run
--- a/core/dag_sched_impl.h
+++ b/core/dag_sched_impl.h
@@ -41,6 +41,7 @@
 	int64_t accepted_us;	 /* when the worker confirmed it */
 	int64_t born_ms;	 /* life of the worker that was told of it, 0: none yet */
 	bool suspect; /* a worker has crashed under an earlier run of the task */
+	bool crashed; /* stopped since its worker started again */
 	bool stop_requested;
 	bool stop_in_flight;
 	int64_t stop_acked_us; /* 0: not acknowledged */
@@ -106,6 +107,13 @@
 	double headroom;
 };
 
+/* What the runs of a worker may use together. */
+struct ds_capacity {
+	uint32_t cpu_milli;
+	uint32_t mem_mb;
+	uint32_t gpus;
+};
+
 #define DS_MAX_SERVING 32U
 /* Predicted interference of any filler while a serving task is above its target. */
 #define DS_INTERFERENCE_OVER_TARGET 1e9
@@ -119,12 +127,18 @@
 	int64_t cpu_fillers; /* thousandths of a core, as far as they are not throttled */
 	int64_t mem_reserved;
 	int64_t gpus_reserved;
+	bool guarded;		     /* it refuses what does not fit */
+	int64_t report_born_ms;	     /* life that sent the newest report, 0: none came */
+	int64_t report_clock_ms;     /* when that life sent it, on its clock */
+	struct ds_capacity reported; /* of the newest report */
+	struct ds_capacity capacity; /* the lower of the reported and the recorded */
 	bool in_service; /* the worker is ready and its availability zone is open */
 	/* Contact. */
 	int64_t process_born_ms; /* start of the process whose clock and ends these are */
 	int64_t last_heard_us;
 	bool clock_known;
-	int64_t clock_ms; /* the worker's clock at clock_us */
+	int64_t clock_born_ms; /* life whose clock it is */
+	int64_t clock_ms;      /* the worker's clock at clock_us */
 	int64_t clock_us;
 	int64_t lease_expires_us; /* by then all of its runs have certainly ended */
 	bool poll_in_flight;
@@ -140,6 +154,7 @@
 	uint32_t ends_uncommitted; /* listed ends whose records are not committed */
 	uint64_t held_end;	   /* lowest end that is not acknowledged, 0: none */
 	bool has_new_ends; /* the newest list has ends that are new to the leader */
+	bool has_strays;   /* the newest list has runs that are not recorded here */
 	int64_t leaving_since_us; /* it announced its exit, 0: it did not */
 	int64_t gone_since_us;	  /* recorded as gone and without runs, 0: not */
 	bool contradicted; /* recorded as gone, but a report of the same life came */
@@ -248,8 +263,9 @@
 /* dag_crash.c */
 /* Crashes of workers from which on a task is tried alone on a worker. */
 #define DS_TRIAL_CRASHES 2U
-void ds_crash_runs(struct dag_sched *s, struct ds_worker *w, int64_t born_ms,
-		   const char *reason);
+void ds_crash_runs(struct dag_sched *s, struct ds_worker *w, const char *reason);
+void ds_crash_earlier_life(struct dag_sched *s, struct ds_worker *w, int64_t born_ms);
+void ds_end_stopped_run(struct dag_sched *s, struct ds_run *r);
 void ds_lapse_runs(struct dag_sched *s, struct ds_worker *w);
 void ds_begin_trial(struct dag_sched *s, struct ds_run *r);
 void ds_end_trial(struct ds_run *r);
@@ -259,6 +275,15 @@
 /* dag_watch.c */
 void ds_watch_serving(struct dag_sched *s);
 
+/* dag_capacity.c */
+bool ds_worker_over_capacity(const struct ds_worker *w);
+
+/* dag_report.c */
+bool ds_worker_capacity_known(const struct dag_sched *s, const struct ds_worker *w);
+struct ds_capacity ds_capacity_of(const struct dag_worker *w);
+struct ds_capacity ds_capacity_min(const struct ds_capacity *a,
+				   const struct ds_capacity *b);
+
 /* dag_throttle.c */
 int64_t ds_filler_cpu(const struct ds_run *r);
 void ds_throttle_fillers(struct dag_sched *s, struct ds_worker *w);
--- a/core/dag_worker.c
+++ b/core/dag_worker.c
@@ -71,6 +71,7 @@
 	w->rec = rec;
 	w->process_born_ms = rec->w.born_ms;
 	rec->sched = w;
+	w->reported = ds_capacity_of(&rec->w);
 	w->contact_lost = rec->lost;
 	/*
 	 * An earlier leader may have granted a full lease just now, but none since it
@@ -117,9 +118,17 @@
 	free(w);
 }
 
-/* Updates in_service from the replicated state of the worker and its zone. */
+/*
+ * Updates in_service from the replicated state of the worker and its zone, and the
+ * capacity: one that has shrunk counts as soon as it is reported, one that has grown when
+ * it is recorded.
+ */
 void ds_worker_refresh(struct dag_sched *s, struct ds_worker *w)
 {
+	struct ds_capacity recorded = ds_capacity_of(&w->rec->w);
+
+	w->guarded = dag_state_service_guarded(s->state, XDR_STR(w->rec->w, service));
+	w->capacity = ds_capacity_min(&recorded, &w->reported);
 	w->in_service = w->rec->w.state == DAG_WORKER_READY &&
 			!dag_state_zone_closed(s->state, XDR_STR(w->rec->w, zone));
 	s->placement_needed = true;
@@ -142,12 +151,16 @@
 	return s->now_us < w->avoided_until_us;
 }
 
-/* Whether a worker may get new runs: in service, in contact and not quarantined. */
+/*
+ * Whether a worker may get new runs: in service, in contact, not quarantined, with a
+ * known capacity, and without stray runs, which use capacity until they have stopped.
+ */
 bool ds_worker_usable(const struct dag_sched *s, const struct ds_worker *w)
 {
 	return w->in_service && w->clock_known && !w->leaving_since_us &&
-	       !w->poll_failures && !w->contact_lost &&
-	       s->now_us >= w->quarantined_until_us && s->now_us >= w->trial_until_us &&
+	       !w->has_strays && !w->poll_failures && !w->contact_lost &&
+	       ds_worker_capacity_known(s, w) && s->now_us >= w->quarantined_until_us &&
+	       s->now_us >= w->trial_until_us &&
 	       s->now_us - w->last_heard_us <
 		       s->opt.report_interval_us * SILENT_HALF_REPORTS / 2;
 }
@@ -191,15 +204,17 @@
 	return rec ? rec->sched : NULL;
 }
 
-static void record_poll_contact(struct ds_worker *w, int64_t clock_ms, int64_t now_us)
+static void record_poll_contact(struct ds_worker *w, const struct dag_poll_reply *poll,
+				int64_t now_us)
 {
 	w->last_heard_us = now_us;
 	w->polled_us = now_us;
 	w->unanswered_us = 0;
-	if (clock_ms <= 0)
+	if (poll->clock_ms <= 0)
 		return;
 	w->clock_known = true;
-	w->clock_ms = clock_ms;
+	w->clock_born_ms = poll->born_ms;
+	w->clock_ms = poll->clock_ms;
 	w->clock_us = now_us;
 }
 
@@ -217,24 +232,6 @@
 	w->last_heard_us = now_us;
 }
 
-/*
- * A report came that is older than what is recorded. If a worker that is recorded as gone
- * reports itself ready in the same life, its leaving may have been meant for an earlier
- * life under the same id, so it is polled.
- */
-void dag_sched_worker_contradicted(struct dag_sched *s, const struct dag_worker *report)
-{
-	struct dag_worker_rec *rec =
-		dag_state_find_worker_by_id(s->state, XDR_STR(*report, id));
-	struct ds_worker *w = rec ? rec->sched : NULL;
-
-	if (!w || w->n_runs || w->poll_in_flight || rec->w.state != DAG_WORKER_GONE ||
-	    report->state != DAG_WORKER_READY || report->born_ms != rec->w.born_ms)
-		return;
-	w->contradicted = true;
-	w->next_poll_us = s->now_us;
-}
-
 /* The worker announced its exit; it gets no new runs. */
 void dag_sched_worker_leaving(struct dag_sched *s, uint32_t worker, int64_t now_us)
 {
@@ -315,6 +312,9 @@
 
 	c.dag_command_u.worker = w->rec->w;
 	c.dag_command_u.worker.state = state;
+	c.dag_command_u.worker.cpu_milli = w->reported.cpu_milli;
+	c.dag_command_u.worker.mem_mb = w->reported.mem_mb;
+	c.dag_command_u.worker.gpus = w->reported.gpus;
 	ds_propose(s, &c);
 }
 
@@ -324,7 +324,7 @@
 {
 	clear_listed(w);
 	if (w->rec->w.state == DAG_WORKER_READY && !w->leaving_since_us)
-		ds_crash_runs(s, w, INT64_MAX, reason);
+		ds_crash_runs(s, w, reason);
 	propose_all_lost(s, w, reason);
 	if (w->rec->w.state != DAG_WORKER_GONE)
 		propose_state(s, w, DAG_WORKER_GONE);
@@ -416,6 +416,7 @@
 {
 	struct dag_worker_command o = {.task = l->task, .run = l->run};
 
+	w->has_strays = true;
 	ds_worker_fill_call(s, w, &o.call);
 	s->host->ops->log_event(s->host, "stray-run", &l->task, l->run,
 				XDR_STR(w->rec->w, id),
@@ -531,7 +532,7 @@
 		if (r->listed || r->end_proposed || r->phase == DS_PROPOSED)
 			continue;
 		if (r->stop_acked_us && r->stop_acked_us < w->poll_sent_us)
-			ds_run_propose_lost(s, r, "stopped");
+			ds_end_stopped_run(s, r);
 		else if (r->phase == DS_ACCEPTED && r->accepted_us < w->poll_sent_us)
 			ds_run_propose_lost(s, r, "missing from the worker's list");
 		else if (r->phase == DS_RECOVERED && dag_job_ended(r->job->rec))
@@ -619,16 +620,22 @@
 static void process_poll_reply(struct dag_sched *s, struct ds_worker *w,
 			       const struct dag_poll_reply *poll)
 {
+	bool had_strays;
+
 	if (is_from_older_process(w, poll))
 		return;
 	propose_new_start_time(s, w, poll->born_ms);
 	clear_listed(w);
 	w->has_new_ends = false;
+	had_strays = w->has_strays;
+	w->has_strays = false;
 	for (size_t i = 0; i < poll->n_running; i++)
 		process_listed_run(s, w, &poll->running[i]);
+	if (had_strays && !w->has_strays)
+		s->placement_needed = true;
 	for (size_t i = 0; i < poll->n_ended; i++)
 		process_listed_end(s, w, &poll->ended[i]);
-	ds_crash_runs(s, w, poll->born_ms, "the worker has started again");
+	ds_crash_earlier_life(s, w, poll->born_ms);
 	check_unlisted_runs(s, w);
 	if (!w->ends_uncommitted)
 		ds_worker_ack_ends(w);
@@ -714,7 +721,7 @@
 	w->poll_failures = 0;
 	record_regained_contact(s, w);
 	if (!is_from_older_process(w, poll))
-		record_poll_contact(w, poll->clock_ms, now_us);
+		record_poll_contact(w, poll, now_us);
 	process_poll_reply(s, w, poll);
 	/*
 	 * The worker replies at once while an end is unacknowledged; wait, so that polls
--- a/proto/dag.h
+++ b/proto/dag.h
@@ -443,6 +443,7 @@
 
 struct dag_report {
 	struct dag_worker worker;
+	quad_t clock_ms;
 };
 
 struct dag_request {
--- a/regress/lib_dag_world.c
+++ b/regress/lib_dag_world.c
@@ -16,6 +16,8 @@
 #define STOP_US (200 * MS)
 #define LEASE_US (10000 * MS)
 #define REPORT_US (1000 * MS)
+/* A room that has shrunk counts this much later: contact_ms and one report. */
+#define SHRINK_US (3000 * MS + REPORT_US)
 #define LATE_MIN_US (2000 * MS)
 #define LATE_SPAN_US (10000 * MS)
 #define CALL_TIMEOUT_US (700 * MS)
@@ -53,7 +55,12 @@
 	ck_assert(w->n_events < DW_EVENTS);
 	e = &w->events[w->n_events++];
 	*e = (struct dw_event){
-		.kind = kind, .at_us = at_us, .seq = w->next_seq++, .leader = w->life};
+		.kind = kind,
+		.at_us = at_us,
+		.sent_us = w->now_us,
+		.seq = w->next_seq++,
+		.leader = w->life,
+	};
 	return e;
 }
 
@@ -219,26 +226,19 @@
 	ck_assert_int_eq(host_propose(&w->host, c), 0);
 }
 
-void dw_open(struct dag_world *w, uint64_t seed)
+void dw_set_guarded(struct dag_world *w, bool guarded)
 {
 	struct dag_command c = {.kind = DAG_CMD_CONF};
 	struct dag_queue q = {
 		.timeout_ms = 1000, .slo_ms = 1000, .attempts = 2, .stretch_milli = 2000};
-	struct dag_service s = {.guarded = true};
+	struct dag_service s = {.guarded = guarded};
 
-	memset(w, 0, sizeof(*w));
-	w->host.ops = &host_ops;
-	w->now_us = 1000 * MS;
-	w->work_us = 500 * MS;
-	w->prng.state = seed;
-	ck_assert_int_eq(dag_state_new(&w->state), 0);
-	new_leader(w);
 	XDR_SET(q, name, STR("q"));
 	XDR_SET(q, host, STR("h"));
 	XDR_SET(q, prefix, STR("/q/"));
 	XDR_SET(q, service, STR("svc"));
 	XDR_SET(s, name, STR("svc"));
-	c.dag_command_u.conf = (struct dag_conf){.revision = 1};
+	c.dag_command_u.conf = (struct dag_conf){.revision = ++w->conf_revision};
 	c.dag_command_u.conf.queues.queues_len = 1;
 	c.dag_command_u.conf.queues.queues_val = &q;
 	c.dag_command_u.conf.services.services_len = 1;
@@ -246,6 +246,19 @@
 	propose(w, &c);
 }
 
+void dw_open(struct dag_world *w, uint64_t seed)
+{
+	memset(w, 0, sizeof(*w));
+	w->host.ops = &host_ops;
+	w->now_us = 1000 * MS;
+	w->work_us = 500 * MS;
+	w->commit_us = COMMIT_US;
+	w->prng.state = seed;
+	ck_assert_int_eq(dag_state_new(&w->state), 0);
+	new_leader(w);
+	dw_set_guarded(w, true);
+}
+
 void dw_close(struct dag_world *w)
 {
 	dag_sched_free(w->sched);
@@ -255,28 +268,53 @@
 		buf_free(&w->events[i].bytes);
 }
 
+/* The strings are those of dw. */
+static struct dag_worker describe(const struct dw_worker *dw, int64_t born_ms,
+				  const struct dw_room *room)
+{
+	struct dag_worker x = {
+		.born_ms = born_ms,
+		.cpu_milli = room->cpu,
+		.mem_mb = room->mem,
+		.gpus = room->gpus,
+	};
+
+	XDR_SET(x, id, str_from(dw->id));
+	XDR_SET(x, address, str_from(dw->address));
+	XDR_SET(x, service, STR("svc"));
+	XDR_SET(x, zone, STR("z"));
+	return x;
+}
+
+/* The first report of a worker's life. */
 static void report(struct dag_world *w, const struct dw_worker *dw)
 {
 	struct dag_command c = {.kind = DAG_CMD_WORKER};
-	struct dag_worker *x = &c.dag_command_u.worker;
-
-	XDR_SET(*x, id, str_from(dw->id));
-	XDR_SET(*x, address, str_from(dw->address));
-	XDR_SET(*x, service, STR("svc"));
-	XDR_SET(*x, zone, STR("z"));
-	x->born_ms = dw->born_ms;
-	x->cpu_milli = dw->cpu;
-	x->mem_mb = dw->mem;
+
+	c.dag_command_u.worker = describe(dw, dw->born_ms, &dw->room);
 	propose(w, &c);
 }
 
+static void take_report(struct dag_world *w, const struct dw_event *e)
+{
+	struct dag_command c = {.kind = DAG_CMD_WORKER};
+	struct dag_report r = {
+		.worker = describe(&w->workers[e->worker], e->born_ms, &e->room),
+		.clock_ms = e->clock_ms,
+	};
+
+	if (dag_sched_report(w->sched, &r, w->now_us, &c.dag_command_u.worker))
+		propose(w, &c);
+}
+
 /* Returns the worker's place in the world's list. */
 uint32_t dw_add_worker(struct dag_world *w, uint32_t cpu, uint32_t mem)
 {
 	struct dw_worker *dw = &w->workers[w->n_workers];
 
 	ck_assert(w->n_workers < DW_WORKERS);
-	*dw = (struct dw_worker){.up = true, .cpu = cpu, .mem = mem, .next_end = 1};
+	*dw = (struct dw_worker){
+		.up = true, .room = {.cpu = cpu, .mem = mem}, .next_end = 1};
 	dw->born_ms = dw_wall_ms(w);
 	snprintf(dw->id, sizeof(dw->id), "w%zu", w->n_workers);
 	snprintf(dw->address, sizeof(dw->address), "w%zu", w->n_workers);
@@ -284,9 +322,19 @@
 	return (uint32_t)w->n_workers++;
 }
 
+void dw_set_room(struct dag_world *w, uint32_t number, const struct dw_room *room)
+{
+	struct dw_worker *dw = &w->workers[number];
+
+	dw->past[dw->n_past++ % DW_ROOMS] = (struct dw_past_room){dw->room, w->now_us};
+	dw->room = *room;
+}
+
 static int64_t clock_ms(const struct dag_world *w, const struct dw_worker *dw)
 {
-	return 1 + dw_wall_ms(w) - dw->born_ms;
+	int64_t ms = dw_wall_ms(w) - dw->born_ms;
+
+	return 1 + (dw->slow_clock ? ms * 98 / 100 : ms);
 }
 
 static void add_stopped(struct dw_worker *dw, const struct dag_task_ref *t, uint32_t run)
@@ -434,24 +482,65 @@
 	return false;
 }
 
-static bool has_room(const struct dw_worker *dw, const struct dag_step *st)
+static struct dw_room room_used(const struct dw_worker *dw)
 {
-	uint32_t cpu = 0;
-	uint32_t mem = 0;
+	struct dw_room used = {0};
 
 	for (size_t i = 0; i < DW_RUNS; i++) {
-		if (!dw->runs[i].used)
+		const struct dw_run *r = &dw->runs[i];
+
+		if (!r->used)
 			continue;
-		cpu += dw->runs[i].filler ? 0 : dw->runs[i].cpu;
-		mem += dw->runs[i].mem;
+		used.cpu += r->filler ? 0 : r->uses.cpu;
+		used.mem += r->uses.mem;
+		used.gpus += r->uses.gpus;
 	}
-	return mem + st->mem_mb <= dw->mem &&
-	       (st->filler || cpu + st->cpu_milli <= dw->cpu);
+	return used;
+}
+
+static bool fits(const struct dw_worker *dw, const struct dw_room *room,
+		 const struct dag_step *st)
+{
+	struct dw_room used = room_used(dw);
+
+	return used.cpu + (st->filler ? 0 : st->cpu_milli) <= room->cpu &&
+	       used.mem + st->mem_mb <= room->mem && used.gpus + st->gpus <= room->gpus;
+}
+
+static void take_larger(struct dw_room *room, const struct dw_room *other)
+{
+	room->cpu = other->cpu > room->cpu ? other->cpu : room->cpu;
+	room->mem = other->mem > room->mem ? other->mem : room->mem;
+	room->gpus = other->gpus > room->gpus ? other->gpus : room->gpus;
+}
+
+/* The largest room that a start that was sent at a time may still count on. */
+static struct dw_room room_at(const struct dw_worker *dw, int64_t sent_us)
+{
+	struct dw_room room = dw->room;
+
+	for (size_t i = 0; i < DW_ROOMS && i < dw->n_past; i++)
+		if (dw->past[i].until_us > sent_us - SHRINK_US)
+			take_larger(&room, &dw->past[i].room);
+	return room;
+}
+
+/* A start that is carried out late is judged by the room at its sending. */
+static void check_room(struct dag_world *w, const struct dw_worker *dw,
+		       const struct dw_event *e, const struct dag_step *st)
+{
+	struct dw_room room = room_at(dw, e->silent ? e->sent_us : w->now_us);
+
+	if (!fits(dw, &room, st))
+		violate(w, "job %llx step %u task %u brings %s over its room",
+			(unsigned long long)e->task.job, e->task.step, e->task.index,
+			dw->id);
 }
 
 static void check_start(struct dag_world *w, const struct dag_job_rec *j,
-			const struct dag_task_ref *t)
+			const struct dw_worker *dw, const struct dw_event *e)
 {
+	const struct dag_task_ref *t = &e->task;
 	struct dw_task *k = task_of(w, t);
 	const struct dag_step *st = &j->spec.steps.steps_val[t->step];
 
@@ -476,6 +565,7 @@
 					(unsigned long long)t->job, t->step, before);
 		}
 	}
+	check_room(w, dw, e, st);
 	k->starts++;
 	if (is_deadly(w, t) && k->crashes >= 3 && k->starts >= k->starts_at_third + 3)
 		violate(w,
@@ -524,11 +614,13 @@
 		return DAG_RESULT_RUN_ENDED;
 	if (e->lease_ms <= clock_ms(w, dw))
 		return DAG_RESULT_LEASE_EXPIRED;
-	if (!has_room(dw, st))
+	if (!dw->unguarded && !fits(dw, &dw->room, st)) {
+		w->refusals++;
 		return DAG_RESULT_NO_CAPACITY;
+	}
 	if (e->lease_ms > dw->lease_ms)
 		dw->lease_ms = e->lease_ms;
-	check_start(w, j, &e->task);
+	check_start(w, j, dw, e);
 	w->starts_hash = w->starts_hash * 1099511628211ULL ^ e->task.job ^
 			 (uint64_t)e->task.index << 20 ^ (uint64_t)e->worker << 40;
 	r = free_run(dw);
@@ -536,12 +628,12 @@
 		.used = true,
 		.task = e->task,
 		.run = e->run,
-		.cpu = st->cpu_milli,
-		.mem = st->mem_mb,
+		.uses = {st->cpu_milli, st->mem_mb, st->gpus},
 		.filler = st->filler,
 		.lasting = st->long_running,
 		.gang = st->gang,
 		.start_us = w->now_us,
+		.work_us = w->work_us,
 		.left_us = w->work_us,
 		.pace = 100,
 	};
@@ -687,10 +779,10 @@
 			.run = r->run,
 			.percent = r->lasting ? 100
 					      : (int32_t)(100 -
-							  r->left_us * 100 / w->work_us),
+							  r->left_us * 100 / r->work_us),
 			.level = r->image && r->lasting ? (int32_t)r->tail_ms
 				 : r->lasting		? dw->tail_ms
-					      : (int32_t)(r->cpu * r->pace / 100),
+					      : (int32_t)(r->uses.cpu * r->pace / 100),
 		};
 	}
 	for (size_t i = 0; i < dw->n_ends; i++)
@@ -739,6 +831,9 @@
 	case DW_ANSWER:
 		take_answer(w, &e);
 		break;
+	case DW_REPORT:
+		take_report(w, &e);
+		break;
 	default:
 		do_order(w, e);
 		break;
@@ -778,7 +873,8 @@
 
 	for (size_t i = 0; i < DW_RUNS; i++) {
 		const struct dw_run *r = &dw->runs[i];
-		double share = (double)r->cpu * r->pace / 100 / dw->cpu;
+		uint32_t cpu = r->uses.cpu > dw->room.cpu ? r->uses.cpu : dw->room.cpu;
+		double share = (double)r->uses.cpu * r->pace / 100 / cpu;
 
 		if (r->used && r->filler)
 			load += share *
@@ -839,16 +935,33 @@
 		finish_look(w, dw);
 }
 
+/* Sends a worker's report on its way, or delays it in the network. */
+static void send_report(struct dag_world *w, uint32_t number)
+{
+	const struct dw_worker *dw = &w->workers[number];
+	struct dw_event *e = add_event(w, DW_REPORT, w->now_us + HOP_US);
+
+	e->worker = number;
+	e->born_ms = dw->born_ms;
+	e->clock_ms = clock_ms(w, dw);
+	e->room = dw->room;
+	if (w->late_report_permille &&
+	    prng_below(&w->prng, 1000) < w->late_report_permille)
+		e->at_us += LATE_MIN_US + (int64_t)prng_below(&w->prng, LATE_SPAN_US);
+}
+
 static void reports(struct dag_world *w)
 {
 	if (w->now_us % REPORT_US >= STEP_US)
 		return;
-	for (size_t i = 0; i < w->n_workers; i++) {
-		struct dag_worker_rec *rec =
-			dag_state_find_worker_by_id(w->state, str_from(w->workers[i].id));
-
-		if (rec && w->workers[i].up && !w->workers[i].cut)
-			dag_sched_worker_reported(w->sched, rec->number, w->now_us);
+	for (uint32_t i = 0; i < w->n_workers; i++) {
+		const struct dw_worker *dw = &w->workers[i];
+		const struct dag_worker_rec *rec =
+			dag_state_find_worker_by_id(w->state, str_from(dw->id));
+
+		if (rec && rec->w.state != DAG_WORKER_GONE && dw->up && !dw->cut &&
+		    !dw->mute)
+			send_report(w, i);
 	}
 }
 
@@ -860,7 +973,7 @@
 
 	if (!w->n_batch)
 		return;
-	e = add_event(w, DW_COMMIT, w->now_us + COMMIT_US);
+	e = add_event(w, DW_COMMIT, w->now_us + w->commit_us);
 	for (int i = 0; i < 8; i++)
 		head[i] = (unsigned char)((uint64_t)dw_wall_ms(w) >> (56 - 8 * i));
 	for (int i = 0; i < 4; i++)
--- a/regress/lib_dag_world.h
+++ b/regress/lib_dag_world.h
@@ -15,18 +15,32 @@
 #define DW_EVENTS 4096
 #define DW_TASKS 4096
 #define DW_TARGET_MS 150 /* of serving tasks with an image */
+#define DW_ROOMS 16
+
+/* What the tasks of a worker may use at most. */
+struct dw_room {
+	uint32_t cpu;
+	uint32_t mem;
+	uint32_t gpus;
+};
+
+/* A room that a worker had before. */
+struct dw_past_room {
+	struct dw_room room;
+	int64_t until_us;
+};
 
 struct dw_run {
 	bool used;
 	struct dag_task_ref task;
 	uint32_t run;
-	uint32_t cpu;
-	uint32_t mem;
+	struct dw_room uses;
 	bool filler;
 	bool lasting;
 	bool gang;
 	int64_t start_us;
-	int64_t left_us; /* work */
+	int64_t work_us; /* of the whole task */
+	int64_t left_us; /* part of it that is left */
 	int64_t stop_us; /* 0: not stopping */
 	uint32_t pace;
 	char image;	/* last character of its step's image, 0: none */
@@ -56,7 +70,12 @@
 	int64_t born_ms;
 	int64_t lease_ms; /* on its clock */
 	uint64_t fence;
-	uint32_t cpu, mem;
+	bool unguarded;	 /* starts what does not fit */
+	bool slow_clock; /* by 2 % */
+	bool mute;	 /* its reports are lost */
+	struct dw_room room;
+	struct dw_past_room past[DW_ROOMS]; /* a ring */
+	size_t n_past;
 	struct dw_run runs[DW_RUNS];
 	struct dw_end ends[DW_ENDS];
 	size_t n_ends;
@@ -70,10 +89,11 @@
 	int32_t tail_ms; /* of serving tasks */
 };
 
-enum dw_kind { DW_START, DW_STOP, DW_LOOK, DW_PACE, DW_COMMIT, DW_ANSWER };
+enum dw_kind { DW_START, DW_STOP, DW_LOOK, DW_PACE, DW_COMMIT, DW_ANSWER, DW_REPORT };
 
 struct dw_event {
 	int64_t at_us;
+	int64_t sent_us;
 	uint64_t seq;
 	enum dw_kind kind;
 	uint32_t worker;
@@ -86,8 +106,10 @@
 	uint32_t wait_ms;
 	enum dag_call_result answer;
 	enum dw_kind answers;
-	bool silent;	 /* carried out, but no answer is sent */
-	int64_t born_ms; /* silent: life of the worker that has the order */
+	bool silent;	     /* carried out, but no answer is sent */
+	int64_t born_ms;     /* silent: life of the worker that has the order */
+	struct dw_room room; /* of a report */
+	int64_t clock_ms;
 	uint64_t leader; /* life of the scheduler that waits for the answer */
 	struct buf bytes;
 };
@@ -113,6 +135,7 @@
 	int64_t now_us;
 	uint64_t epoch;
 	uint64_t life;
+	uint64_t conf_revision;
 	struct dw_worker workers[DW_WORKERS];
 	size_t n_workers;
 	struct dw_event events[DW_EVENTS];
@@ -125,6 +148,8 @@
 	/* Faults, in thousandths of the orders. */
 	uint32_t lost_permille;
 	uint32_t late_permille;
+	uint32_t late_report_permille; /* of the reports */
+	int64_t commit_us;
 	int64_t work_us; /* of a batch task */
 	/* Tasks with this index in these jobs crash each worker that starts them. */
 	uint64_t deadly_job; /* first of them, 0: none */
@@ -138,7 +163,8 @@
 	uint32_t starts;
 	uint64_t starts_hash; /* of all starts, in their order */
 	uint32_t paces;
-	bool full_scan; /* option of the next leaders */
+	uint32_t refusals; /* starts that did not fit */
+	bool full_scan;	   /* option of the next leaders */
 	/*
 	 * Serving tasks with an image have a load of their own that swings, and fillers
 	 * whose image ends with the same character add to it; others hardly do.
@@ -152,6 +178,10 @@
 void dw_open(struct dag_world *w, uint64_t seed);
 void dw_close(struct dag_world *w);
 uint32_t dw_add_worker(struct dag_world *w, uint32_t cpu, uint32_t mem);
+/* Whether the workers' service is recorded as one whose workers guard their room. */
+void dw_set_guarded(struct dag_world *w, bool guarded);
+/* A worker tells of its new room with its next report. */
+void dw_set_room(struct dag_world *w, uint32_t number, const struct dw_room *room);
 void dw_run_for(struct dag_world *w, int64_t us);
 void dw_submit(struct dag_world *w, const struct dag_job *job);
 /* A job of one step. */
