--- a/carawayfrontd/state_control.c
+++ b/carawayfrontd/state_control.c
@@ -47,6 +47,8 @@
 	*metric_counter(s->metrics, "carawayfront_evictions_total", "") = st.evictions;
 	*metric_counter(s->metrics, "carawayfront_throttles_total", "") = st.throttles;
 	*metric_counter(s->metrics, "carawayfront_attempts_lost_total", "") = st.lost;
+	*metric_counter(s->metrics, "carawayfront_tasks_given_up_total", "") =
+		st.given_up;
 }
 
 /* HTTP server operation: health and metrics of a state process. */
--- a/carawayfrontd/state_feed.c
+++ b/carawayfrontd/state_feed.c
@@ -62,12 +62,17 @@
 		.session = t->session,
 		.checkpoint = t->checkpoint,
 		.failures = t->failures,
+		.losses = t->losses,
+		.pardons = t->pardons,
+		.placed_us = to_sched_clock(l, t->placed_us),
 	};
 
 	/* A free number of a service keeps its attempt. */
 	if (is_over((enum task_state)t->state) && !job->service)
 		return 0;
-	if (r.state != SCHED_WAITING && !is_over((enum task_state)t->state))
+	/* Where a waiting task is loaded, its last worker matters only after a loss. */
+	if ((r.state != SCHED_WAITING || t->losses) &&
+	    !is_over((enum task_state)t->state))
 		r.worker = job_worker_name(t->worker);
 	return sched_load_task(l->sched, &r, clock_us());
 }
--- a/carawayfrontd/state_leading.c
+++ b/carawayfrontd/state_leading.c
@@ -60,11 +60,24 @@
 		return TASK_R_TOO_OFTEN;
 	case SCHED_R_JOB_FAILS:
 		return TASK_R_JOB_FAILS;
+	case SCHED_R_LOSES_WORKERS:
+		return TASK_R_LOSES_WORKERS;
 	default:
 		return TASK_R_NONE;
 	}
 }
 
+/* Whether the store has the lost workers of the record. */
+static bool has_losses(const struct job *job, const struct sched_record *r)
+{
+	const struct task *task;
+
+	if (r->task >= job->ntasks)
+		return r->losses == 0;
+	task = &job->tasks[r->task];
+	return r->losses == task->losses && r->pardons == task->pardons;
+}
+
 /*
  * Scheduler operation: makes a record durable. CF_ENOENT: the job is gone or finished,
  * so that no record of it can be accepted any more.
@@ -98,6 +111,12 @@
 	t->checkpoint = r->checkpoint;
 	t->failures = r->failures;
 	t->reason = stored_reason(r->reason);
+	if (!has_losses(job, r)) {
+		struct command_task_losses losses = {*t, r->losses, r->pardons};
+
+		cmd.body.kind = CMD_TASK_LOSSES;
+		cmd.body.command_body_u.task_losses = losses;
+	}
 	return state_propose(l->state, &cmd, &index);
 }
 
@@ -301,6 +320,25 @@
 	buf_free(&job);
 }
 
+/* Logs that a worker was lost soon after the start of a task. */
+static void log_loss(const struct command_task_losses *in)
+{
+	const struct command_task *t = &in->task;
+
+	if (t->state == TASK_WAITING && in->losses)
+		log_warn("worker-lost-under-task",
+			 "team=%.*s job=%.*s task=%u worker=%.*s losses=%u",
+			 STR_ARG(XDR_STR(*t, team)), STR_ARG(XDR_STR(*t, job)), t->task,
+			 STR_ARG(XDR_STR(*t, worker)), in->losses);
+}
+
+static void log_given_up(const struct command_task *t)
+{
+	if (t->state == TASK_FAILED && t->reason == TASK_R_LOSES_WORKERS)
+		log_warn("task-given-up", "team=%.*s job=%.*s task=%u",
+			 STR_ARG(XDR_STR(*t, team)), STR_ARG(XDR_STR(*t, job)), t->task);
+}
+
 /* Passes a command that was applied to the scheduler. */
 void state_leading_applied(struct state *s, const struct command *cmd,
 			   const struct command_result *result)
@@ -313,8 +351,15 @@
 
 	switch (b->kind) {
 	case CMD_TASK:
+		if (!result->err)
+			log_given_up(&b->command_body_u.task);
 		task_applied(l, &b->command_body_u.task, result->err);
 		break;
+	case CMD_TASK_LOSSES:
+		if (!result->err)
+			log_loss(&b->command_body_u.task_losses);
+		task_applied(l, &b->command_body_u.task_losses.task, result->err);
+		break;
 	case CMD_CONF_PUT:
 		if (!result->err)
 			leading_feed_change(l, XDR_STR(b->command_body_u.conf_put, path));
--- a/carawayfrontd/state_read.c
+++ b/carawayfrontd/state_read.c
@@ -15,12 +15,13 @@
 {
 	const struct task *t = &job->tasks[i];
 
-	return json_pack("{s:I,s:s,s:I,s:o,s:i,s:I,s:I}", "task", (json_int_t)i, "state",
-			 job_task_state_name((enum task_state)t->state), "attempt",
-			 (json_int_t)t->attempt, "worker",
+	return json_pack("{s:I,s:s,s:I,s:o,s:i,s:I,s:I,s:I}", "task", (json_int_t)i,
+			 "state", job_task_state_name((enum task_state)t->state),
+			 "attempt", (json_int_t)t->attempt, "worker",
 			 ctl_json_str(job_worker_name(t->worker)), "exit",
 			 (int)t->exit_code, "failures", (json_int_t)t->failures,
-			 "evictions", (json_int_t)t->evictions);
+			 "evictions", (json_int_t)t->evictions, "losses",
+			 (json_int_t)t->losses);
 }
 
 static json_t *job_json(const struct job *job, bool with_tasks)
--- a/core/job.h
+++ b/core/job.h
@@ -85,8 +85,10 @@
 	int32_t exit_code;
 	uint16_t failures;
 	uint16_t evictions;
-	uint8_t state; /* enum task_state */
-	bool cancel;   /* cancellation requested */
+	uint8_t losses;	 /* workers lost soon after it started */
+	uint8_t pardons; /* losses that do not count */
+	uint8_t state;	 /* enum task_state */
+	bool cancel;	 /* cancellation requested */
 };
 
 struct job_team;
@@ -126,6 +128,8 @@
 int jobs_reject(struct jobs *j, struct str team, struct str name, struct str reason,
 		uint64_t time_us);
 int jobs_apply_task(struct jobs *j, const struct command_task *in, uint64_t time_us);
+int jobs_apply_task_losses(struct jobs *j, const struct command_task_losses *in,
+			   uint64_t time_us);
 
 /* Services are set from their documents; the caller checks the limits first. */
 bool jobs_services_fit(const struct jobs *j, struct str team, uint64_t services,
@@ -156,5 +160,6 @@
 int jobs_walk(const struct jobs *j, int (*visit)(void *, struct snap_record *),
 	      void *arg);
 int jobs_load(struct jobs *j, const struct snap_job *in);
+int jobs_load_losses(struct jobs *j, const struct snap_losses *in);
 
 #endif
--- a/core/job_snap.c
+++ b/core/job_snap.c
@@ -39,7 +39,37 @@
 	XDR_SET(*out, batch_kind, spec->batch_kind);
 }
 
-/* Encodes a job as a snapshot record and passes it to visit(). */
+/* Passes the lost workers of a job's tasks to visit(), if there were any. */
+static int visit_losses(const struct job *job, int (*visit)(void *, struct snap_record *),
+			void *arg)
+{
+	struct snap_record record = {.kind = SNAP_LOSSES};
+	struct snap_losses *out = &record.snap_record_u.losses;
+	struct snap_task_losses *tasks;
+	u_int n = 0;
+	int err;
+
+	for (uint32_t i = 0; i < job->ntasks; i++)
+		n += job->tasks[i].losses > 0;
+	if (!n)
+		return 0;
+	tasks = calloc(n, sizeof(*tasks));
+	if (!tasks)
+		return CF_ENOMEM;
+	for (uint32_t i = 0; i < job->ntasks; i++)
+		if (job->tasks[i].losses)
+			tasks[out->tasks.tasks_len++] = (struct snap_task_losses){
+				i, job->tasks[i].losses, job->tasks[i].pardons};
+	out->tasks.tasks_val = tasks;
+	XDR_SET(*out, team, job_team_name(job));
+	XDR_SET(*out, job, job->name);
+	out->service = job->service;
+	err = visit(arg, &record);
+	free(tasks);
+	return err;
+}
+
+/* Encodes a job as snapshot records and passes them to visit(). */
 static int visit_job(const struct job *job, int (*visit)(void *, struct snap_record *),
 		     void *arg)
 {
@@ -67,7 +97,7 @@
 	out->tasks.tasks_len = job->ntasks;
 	err = visit(arg, &record);
 	free(tasks);
-	return err;
+	return err ? err : visit_losses(job, visit, arg);
 }
 
 /*
@@ -199,3 +229,26 @@
 		job_remove(j, job);
 	return err;
 }
+
+/*
+ * Sets the lost workers of the tasks of a job that was loaded before. Returns CF_ECORRUPT
+ * if they are invalid.
+ */
+int jobs_load_losses(struct jobs *j, const struct snap_losses *in)
+{
+	struct job *job = job_find(j, XDR_STR(*in, team), in->service, XDR_STR(*in, job));
+
+	/* A finished job may have been removed at once to keep within the limits. */
+	if (!job)
+		return 0;
+	for (u_int i = 0; i < in->tasks.tasks_len; i++) {
+		const struct snap_task_losses *t = &in->tasks.tasks_val[i];
+
+		if (t->task >= job->ntasks || t->losses == 0 || t->losses > UINT8_MAX ||
+		    t->pardons > t->losses)
+			return CF_ECORRUPT;
+		job->tasks[t->task].losses = (uint8_t)t->losses;
+		job->tasks[t->task].pardons = (uint8_t)t->pardons;
+	}
+	return 0;
+}
--- a/core/job_task.c
+++ b/core/job_task.c
@@ -91,6 +91,8 @@
 	/* A new executor must not resume from the checkpoint of the previous one. */
 	if (task->state == TASK_CANCELLED) {
 		task->checkpoint = 0;
+		task->losses = 0;
+		task->pardons = 0;
 		task->cancel = false;
 	}
 	task->worker = worker;
@@ -131,6 +133,11 @@
 				"every task failed on every worker; task %u failed %u "
 				"times, last with exit code %d",
 				number, task->failures, task->exit_code);
+	case TASK_R_LOSES_WORKERS:
+		return buf_addf(out,
+				"%u workers were lost soon after task %u had started on "
+				"them",
+				task->losses - task->pardons, number);
 	default:
 		return buf_addf(out, "task %u failed %u times, last with exit code %d",
 				number, task->failures, task->exit_code);
@@ -227,19 +234,24 @@
 	return 0;
 }
 
-/*
- * Applies a task command if it is a legal transition (see core/job.h). Returns CF_ENOENT
- * for an unknown job or task, CF_ESTALE for an illegal transition, CF_ENOSPACE when a new
- * executor exceeds the team's limit, CF_EINVAL for an invalid value.
- */
-int jobs_apply_task(struct jobs *j, const struct command_task *in, uint64_t time_us)
+static uint8_t to_count(uint32_t n)
+{
+	return n < UINT8_MAX ? (uint8_t)n : UINT8_MAX;
+}
+
+/* Applies a task command; losses is NULL to leave the lost workers as they are. */
+static int apply_task(struct jobs *j, const struct command_task *in,
+		      const struct command_task_losses *losses, uint64_t time_us)
 {
 	struct job *job = job_find(j, XDR_STR(*in, team), in->service, XDR_STR(*in, job));
 	struct task *task;
+	uint8_t losses_before;
+	uint8_t pardons_before;
 	int err = 0;
 
 	/* XDR does not check the range of enum values. */
-	if (in->state > TASK_EVICTED || in->reason > TASK_R_JOB_FAILS)
+	if (in->state > TASK_EVICTED || in->reason > TASK_R_LOSES_WORKERS ||
+	    (losses && losses->pardons > losses->losses))
 		return CF_EINVAL;
 	if (!job)
 		return CF_ENOENT;
@@ -253,6 +265,13 @@
 	if (in->task >= job->ntasks)
 		return CF_ENOENT;
 	task = &job->tasks[in->task];
+	losses_before = task->losses;
+	pardons_before = task->pardons;
+	/* The reason of a failure names the count. */
+	if (losses) {
+		task->losses = to_count(losses->losses);
+		task->pardons = to_count(losses->pardons);
+	}
 	if (in->state == TASK_PLACED) {
 		err = place_attempt(j, job, task, in, time_us);
 		goto out;
@@ -262,22 +281,46 @@
 		goto out;
 	}
 	if (in->attempt != task->attempt || in->session != task->session ||
-	    !str_eq(XDR_STR(*in, worker), job_worker_name(task->worker)))
-		return CF_ESTALE;
-	if (in->state == TASK_RUNNING) {
-		if (task->state != TASK_PLACED)
-			return CF_ESTALE;
+	    !str_eq(XDR_STR(*in, worker), job_worker_name(task->worker))) {
+		err = CF_ESTALE;
+	} else if (in->state != TASK_RUNNING) {
+		err = end_attempt(job, task, in, time_us);
+	} else if (task->state != TASK_PLACED) {
+		err = CF_ESTALE;
+	} else {
 		task->running_us = time_us;
 		job_set_task_state(job, task, TASK_RUNNING);
-	} else {
-		err = end_attempt(job, task, in, time_us);
 	}
 out:
-	if (!err)
+	if (!err) {
 		job_update_state(j, job, time_us);
+		return 0;
+	}
+	task->losses = losses_before;
+	task->pardons = pardons_before;
 	return err;
 }
 
+/*
+ * Applies a task command if it is a legal transition (see core/job.h). Returns CF_ENOENT
+ * for an unknown job or task, CF_ESTALE for an illegal transition, CF_ENOSPACE when a new
+ * executor exceeds the team's limit, CF_EINVAL for an invalid value.
+ */
+int jobs_apply_task(struct jobs *j, const struct command_task *in, uint64_t time_us)
+{
+	return apply_task(j, in, NULL, time_us);
+}
+
+/*
+ * As jobs_apply_task(), and sets how many workers were lost under the task. A command
+ * that is not applied does not change the count, so each loss is counted once.
+ */
+int jobs_apply_task_losses(struct jobs *j, const struct command_task_losses *in,
+			   uint64_t time_us)
+{
+	return apply_task(j, &in->task, in, time_us);
+}
+
 const char *job_state_name(enum job_state state)
 {
 	static const char *const names[JOB_STATES] = {
--- a/core/sched.c
+++ b/core/sched.c
@@ -43,6 +43,7 @@
 	TAILQ_INIT(&s->leases);
 	TAILQ_INIT(&s->inherited);
 	TAILQ_INIT(&s->dirty);
+	TAILQ_INIT(&s->suspects);
 	TAILQ_INIT(&s->ending);
 	TAILQ_INIT(&s->scaling);
 	TAILQ_INIT(&s->services);
@@ -111,15 +112,23 @@
 	return 0;
 }
 
+/* The largest session in the records is the last one that a leader saw. */
+static void note_session(struct worker *w, uint64_t session)
+{
+	if (w && session > w->session)
+		w->session = session;
+}
+
 /*
  * Loads one unfinished task. CF_ENOENT: its job is not loaded; CF_EEXIST: loaded before;
- * CF_EINVAL: the record is final and of no service, or the load has ended; CF_ENOSPACE:
+ * CF_EINVAL: the record is final and of no service, lacks the worker, or the load has
+ * ended; CF_ENOSPACE:
  * too many tasks.
  */
 int sched_load_task(struct sched *s, const struct sched_record *r, int64_t now_us)
 {
 	struct job *j = sched_job_find(s, r->team, r->job);
-	struct worker *w;
+	struct worker *w = NULL;
 	struct task *t;
 
 	if (!j)
@@ -137,24 +146,32 @@
 		return CF_ENOSPACE;
 	t->attempt = r->attempt;
 	t->failures = r->failures;
+	t->losses = (uint8_t)r->losses;
+	t->pardons = (uint8_t)r->pardons;
 	t->checkpoint = r->checkpoint;
+	if (r->worker.n) {
+		w = worker_get(s, r->worker);
+		if (!w) {
+			task_free(s, t);
+			return CF_ENOMEM;
+		}
+	}
 	if (r->state == SCHED_WAITING) {
-		task_set_waiting(s, t, now_us, now_us);
+		note_session(w, r->session);
+		task_set_waiting(s, t, suspect_load(s, t, w, r->session, now_us), now_us);
 		return 0;
 	}
-	w = worker_get(s, r->worker);
 	if (!w) {
 		task_free(s, t);
-		return CF_ENOMEM;
+		return CF_EINVAL;
 	}
-	/* The largest session in the records is the last one that a leader saw. */
-	if (r->session > w->session)
-		w->session = r->session;
+	note_session(w, r->session);
 	t->phase = P_PLACED;
 	t->inherited = true;
 	t->was_running = r->state == SCHED_RUNNING;
 	t->recorded_running = t->was_running;
 	t->attempt_resumed = true; /* its start is not known */
+	t->issued_us = r->placed_us;
 	task_bind(s, t, w);
 	t->session = r->session;
 	task_set_live(t, true);
@@ -175,6 +192,8 @@
 	s->ready = true;
 	s->ready_us = now_us;
 	HASH_ITER (hh, s->workers, w, wtmp) {
+		if (!w->ntasks)
+			continue;
 		w->leased = true;
 		w->lease_end_us = now_us + sched_max_wait_us(s->opt.lease_max_us);
 		TAILQ_INSERT_TAIL(&s->inherited, w, lease_entry);
--- a/core/sched.h
+++ b/core/sched.h
@@ -63,6 +63,7 @@
 	SCHED_R_OVER_QUOTA,	  /* one task exceeds the quota of its team */
 	SCHED_R_FAILED_TOO_OFTEN, /* failed on several workers that run other work */
 	SCHED_R_JOB_FAILS,	  /* every task of its job failed on every worker tried */
+	SCHED_R_LOSES_WORKERS,	  /* several workers were lost soon after it started */
 };
 
 struct sched_size {
@@ -78,11 +79,14 @@
 	uint32_t task;
 	uint32_t attempt;
 	enum sched_state state;
-	struct str worker; /* empty while waiting */
+	struct str worker; /* of the last attempt; need not be known while waiting */
 	uint64_t session;  /* session of the worker */
 	int32_t exit_code;
 	uint64_t checkpoint; /* marker of the last checkpoint, 0: none */
 	uint32_t failures;   /* attempts that failed by themselves */
+	uint32_t losses;     /* workers lost soon after the task started */
+	uint32_t pardons;    /* losses that do not count */
+	int64_t placed_us;   /* initial load: time of the placement, 0: unknown */
 	enum sched_reason reason;
 };
 
@@ -224,7 +228,8 @@
 	uint64_t starts;      /* placements proposed */
 	uint64_t evictions;   /* attempts stopped for other work */
 	uint64_t throttles;
-	uint64_t lost; /* attempts lost with their worker */
+	uint64_t lost;	   /* attempts lost with their worker */
+	uint64_t given_up; /* tasks failed because they lost their workers */
 	uint64_t late_reports;
 	uint64_t proposals;
 	uint64_t refused;
--- a/core/sched_fit.c
+++ b/core/sched_fit.c
@@ -16,7 +16,7 @@
 	for (uint8_t i = 0; i < t->nfailed_on; i++)
 		if (t->failed_on[i] == w)
 			return true;
-	return false;
+	return suspect_lost_on(t, w);
 }
 
 /* Whether the worker may take the task, capacity aside. */
@@ -29,7 +29,7 @@
 	       now_us - w->polled_us < s->opt.poll_us * SILENT_POLLS &&
 	       !zone_is_out(team, w->zone) &&
 	       !zone_ramp_exhausted(s, team, w->zone, now_us) &&
-	       quarantine_allows(s, w, now_us);
+	       quarantine_allows(s, w, now_us) && suspect_allows(t, w, now_us);
 }
 
 /* Whether the task fits in addition to everything that may be running. */
@@ -178,7 +178,7 @@
 
 /*
  * Returns a worker that can hold the task now, NULL when there is none. Workers on
- * which the task failed are taken only when no other fits.
+ * which the task failed, or which were lost under it, are taken only when no other fits.
  */
 struct worker *fit_find_worker(struct sched *s, struct task *t, int64_t now_us)
 {
@@ -186,7 +186,7 @@
 	struct worker *w;
 
 	w = spread ? find_spread(s, t, true, now_us) : find_any(s, t, true, now_us);
-	if (!w && t->nfailed_on)
+	if (!w && (t->nfailed_on || t->nlost_on))
 		w = spread ? find_spread(s, t, false, now_us)
 			   : find_any(s, t, false, now_us);
 	return w;
--- a/core/sched_impl.h
+++ b/core/sched_impl.h
@@ -18,7 +18,8 @@
 
 #define MAX_ZONES 64	 /* bits of the mask of zones that are out */
 #define FREE_BUCKETS 129 /* by whole free CPUs; the last bucket takes the rest */
-#define MAX_FAILED_ON 4	 /* latest workers that failed a task */
+#define MAX_FAILED_ON 4	 /* latest workers that failed a task or were lost under it */
+#define BURST_WORKERS 3	 /* workers lost at once that have a common cause */
 
 #define ENDED_TASKS 16	   /* kept per worker, for late measurements */
 #define MAX_FEATURES 16	   /* batch kinds considered in one measurement of a worker */
@@ -215,11 +216,21 @@
 	int64_t saved_us;	    /* time of the start or the last checkpoint */
 	uint64_t session;
 	struct worker *failed_on[MAX_FAILED_ON];
+	struct worker *lost_on[MAX_FAILED_ON]; /* ring of nlost_on entries */
+	uint32_t nlost_on;
+	uint64_t lost_session; /* of the last one */
+	uint8_t losses;	       /* workers lost soon after it started */
+	uint8_t pardons;       /* losses that do not count */
+	bool trial;	       /* bound as a suspect; counted in worker.trials */
+	int64_t issued_us;     /* last start command; 0: none */
+	int64_t waiting_us;    /* since when it is in job.waiting */
+	int64_t loss_us;       /* last loss counted, 0: none; queued in sched.suspects */
 	struct task *replaced_by;
 	struct sched_node delay; /* retry time */
 	TAILQ_ENTRY(task) job_entry;
 	TAILQ_ENTRY(task) wait_entry;
 	TAILQ_ENTRY(task) dirty_entry;
+	TAILQ_ENTRY(task) suspect_entry;
 	UT_hash_handle hh;
 };
 
@@ -288,6 +299,7 @@
 	int64_t restored_us;
 	int64_t hold_us; /* minimum time from a throttle to its release */
 	uint32_t ntasks;
+	uint32_t trials; /* suspects that may be ending its process */
 	TAILQ_ENTRY(worker) lease_entry;
 	TAILQ_ENTRY(worker) zone_entry;
 	TAILQ_ENTRY(worker) free_entry;
@@ -315,6 +327,9 @@
 	struct worker_queue leases;    /* by lease_end_us */
 	struct worker_queue inherited; /* no poll since the leader started */
 	struct task_queue dirty;
+	struct task_queue suspects;	/* by loss_us */
+	int64_t lost_us[BURST_WORKERS]; /* ring of the latest lost workers */
+	unsigned int nlost;
 	struct job_queue ending;
 	struct job_queue scaling;
 	struct job_queue services;
@@ -440,6 +455,21 @@
 
 void quarantine_running(struct sched *s, struct task *t, int64_t now_us);
 
+/* sched_suspect.c */
+bool suspect_is(const struct task *t);
+bool suspect_lost_on(const struct task *t, const struct worker *w);
+bool suspect_allows(const struct task *t, const struct worker *w, int64_t now_us);
+void suspect_bind(struct task *t);
+void suspect_unbind(struct task *t);
+void suspect_forget(struct sched *s, struct task *t);
+void suspect_running(struct sched *s, struct task *t, int64_t now_us);
+void suspect_count_loss(struct sched *s, struct task *t, bool restarted, int64_t now_us);
+void suspects_worker_lost(struct sched *s, int64_t now_us);
+void suspects_worker_back(struct sched *s, const struct worker *w);
+int64_t suspect_load(struct sched *s, struct task *t, struct worker *w, uint64_t session,
+		     int64_t now_us);
+bool suspect_given_up(const struct task *t);
+
 /* sched_interfere.c */
 double interfere_cost(const struct sched *s, const struct task *t,
 		      const struct worker *w);
--- a/core/sched_place.c
+++ b/core/sched_place.c
@@ -91,7 +91,8 @@
 		w = fit_find_worker(s, t, now_us);
 		if (!w && j->opt.class != SCHED_BATCH)
 			w = evict_for_task(s, t, now_us);
-		if (!w)
+		/* A suspect needs more than free capacity. */
+		if (!w && !suspect_is(t))
 			record_failed_fit(s, j);
 	}
 	if (!w) {
--- a/core/sched_poll.c
+++ b/core/sched_poll.c
@@ -83,6 +83,7 @@
 	t->latency_us = r->latency_us;
 	estimate_use(t, r, now_us - lag_us);
 	quarantine_running(s, t, now_us);
+	suspect_running(s, t, now_us);
 }
 
 static void handle_end(struct sched *s, struct task *t, const struct sched_task_report *r,
@@ -208,6 +209,7 @@
 static void start_session(struct sched *s, struct worker *w,
 			  const struct sched_worker_report *r, int64_t now_us)
 {
+	bool lost = false;
 	struct task *t;
 	struct task *next;
 
@@ -221,11 +223,16 @@
 	}
 	for (t = TAILQ_FIRST(&w->tasks); t; t = next) {
 		next = TAILQ_NEXT(t, worker_entry);
-		if (t->listed_in == s->report_id)
+		if (t->listed_in == s->report_id) {
 			t->session = r->session;
-		else
-			task_lost(s, t, now_us);
+			continue;
+		}
+		suspect_count_loss(s, t, true, now_us);
+		task_lost(s, t, now_us);
+		lost = true;
 	}
+	if (lost)
+		suspects_worker_lost(s, now_us);
 	w->session = r->session;
 	w->seq = 0;
 	quarantine_reset_session(w);
@@ -257,6 +264,7 @@
 	if (!start_allowed(t) || !add_worker_command(s, SCHED_START, t))
 		return;
 	t->issued_seq = w->seq;
+	t->issued_us = now_us;
 	task_set_live(t, true);
 }
 
@@ -332,6 +340,8 @@
 	s->ncommands = 0;
 	if (r->session != w->session)
 		start_session(s, w, r, now_us);
+	else if (!w->leased)
+		suspects_worker_back(s, w);
 	err = worker_update_location(s, w, r);
 	if (err)
 		return err;
--- a/core/sched_task.c
+++ b/core/sched_task.c
@@ -174,6 +174,7 @@
 	else
 		TAILQ_INSERT_TAIL(&w->tasks, t, worker_entry);
 	w->ntasks++;
+	suspect_bind(t);
 	w->expected += interfere_effect(w, t);
 	j->bound++;
 	s->stats.tasks_bound++;
@@ -206,6 +207,7 @@
 		interfere_record_ended(t, now_us);
 	task_set_live(t, false);
 	task_set_reclaim(t, false);
+	suspect_unbind(t);
 	size_sub(&w->used, j->opt.size);
 	size_sub(&j->team->used, j->opt.size);
 	if (w->next_listed == t)
@@ -238,7 +240,20 @@
 		size_sub(&t->worker->reclaim, t->key.job->opt.size);
 }
 
-/* Makes the task eligible for placement at at_us. */
+/* Suspects wait behind the others, which need not wait for an empty worker. */
+static void insert_waiting(struct job *j, struct task *t)
+{
+	struct task *after = TAILQ_LAST(&j->waiting, task_queue);
+
+	while (!suspect_is(t) && after && suspect_is(after))
+		after = TAILQ_PREV(after, task_queue, wait_entry);
+	if (after)
+		TAILQ_INSERT_AFTER(&j->waiting, after, t, wait_entry);
+	else
+		TAILQ_INSERT_HEAD(&j->waiting, t, wait_entry);
+}
+
+/* Makes the task eligible for placement at at_us, or gives it up then. */
 void task_set_waiting(struct sched *s, struct task *t, int64_t at_us, int64_t now_us)
 {
 	struct job *j = t->key.job;
@@ -252,6 +267,7 @@
 	t->percent = 100;
 	t->throttle_polls = 0;
 	t->issued_seq = 0;
+	t->issued_us = 0;
 	t->started_us = 0;
 	t->proven = false;
 	t->used_cpu = 0;
@@ -264,7 +280,13 @@
 		if (sched_heap_push(&s->delayed, &t->delay) == 0)
 			return;
 	}
-	TAILQ_INSERT_TAIL(&j->waiting, t, wait_entry);
+	if (suspect_given_up(t)) {
+		s->stats.given_up++;
+		task_end_attempt(s, t, SCHED_FAILED, SCHED_R_LOSES_WORKERS, now_us);
+		return;
+	}
+	t->waiting_us = now_us;
+	insert_waiting(j, t);
 	t->queued = true;
 	j->nwaiting++;
 	job_enqueue(s, j, now_us);
@@ -416,6 +438,8 @@
 		.exit_code = t->exit_code,
 		.checkpoint = t->checkpoint,
 		.failures = t->failures,
+		.losses = t->losses,
+		.pardons = t->pardons,
 		.reason = t->phase == P_ENDING ? t->reason : SCHED_R_NONE,
 	};
 	int err;
@@ -492,6 +516,7 @@
 	struct job *j = t->key.job;
 
 	leave_waiting(s, t);
+	suspect_forget(s, t);
 	set_final(t);
 	if (t->dirty)
 		TAILQ_REMOVE(&s->dirty, t, dirty_entry);
--- a/core/sched_worker.c
+++ b/core/sched_worker.c
@@ -76,8 +76,10 @@
 
 	for (t = TAILQ_FIRST(&w->tasks); t; t = next) {
 		next = TAILQ_NEXT(t, worker_entry);
+		suspect_count_loss(s, t, false, now_us);
 		task_lost(s, t, now_us);
 	}
+	suspects_worker_lost(s, now_us);
 	w->unowned = (struct sched_size){0};
 }
 
--- a/core/store.c
+++ b/core/store.c
@@ -147,6 +147,9 @@
 			XDR_STR(body->command_body_u.job_cancel, job), s->time_us, reply);
 	case CMD_TASK:
 		return jobs_apply_task(s->jobs, &body->command_body_u.task, s->time_us);
+	case CMD_TASK_LOSSES:
+		return jobs_apply_task_losses(s->jobs, &body->command_body_u.task_losses,
+					      s->time_us);
 	case CMD_JOB_REJECT:
 		return jobs_reject(
 			s->jobs, XDR_STR(body->command_body_u.job_reject, team),
--- a/core/store_snap.c
+++ b/core/store_snap.c
@@ -224,6 +224,8 @@
 		return claims_load_expired(s->claims, &record->snap_record_u.expired);
 	case SNAP_JOB:
 		return jobs_load(s->jobs, &record->snap_record_u.job);
+	case SNAP_LOSSES:
+		return jobs_load_losses(s->jobs, &record->snap_record_u.losses);
 	case SNAP_MEMBER:
 		return members_load(s->members, &record->snap_record_u.member);
 	case SNAP_EPOCH:
--- a/proto/command.h
+++ b/proto/command.h
@@ -42,6 +42,7 @@
 	CMD_MEMBER_ENTRY = 12,
 	CMD_MEMBER_SEEN = 13,
 	CMD_MEMBER_GONE = 14,
+	CMD_TASK_LOSSES = 15,
 };
 
 struct command_field {
@@ -153,6 +154,7 @@
 	TASK_R_OVER_QUOTA = 2,
 	TASK_R_TOO_OFTEN = 3,
 	TASK_R_JOB_FAILS = 4,
+	TASK_R_LOSES_WORKERS = 5,
 };
 
 struct command_task {
@@ -180,6 +182,12 @@
 	enum task_reason reason;
 };
 
+struct command_task_losses {
+	struct command_task task;
+	u_int losses;
+	u_int pardons;
+};
+
 struct command_owner {
 	struct {
 		u_int entry_len;
@@ -296,6 +304,7 @@
 		struct command_member_entry member_entry;
 		struct command_member_seen member_seen;
 		struct command_member_gone member_gone;
+		struct command_task_losses task_losses;
 	} command_body_u;
 };
 
@@ -328,6 +337,7 @@
 	SNAP_CONF = 8,
 	SNAP_EXPIRED = 9,
 	SNAP_EPOCH = 10,
+	SNAP_LOSSES = 11,
 };
 
 struct snap_head {
@@ -490,6 +500,28 @@
 	} tasks;
 };
 
+struct snap_task_losses {
+	u_int task;
+	u_int losses;
+	u_int pardons;
+};
+
+struct snap_losses {
+	struct {
+		u_int team_len;
+		char *team_val;
+	} team;
+	struct {
+		u_int job_len;
+		char *job_val;
+	} job;
+	bool_t service;
+	struct {
+		u_int tasks_len;
+		struct snap_task_losses *tasks_val;
+	} tasks;
+};
+
 struct snap_member {
 	struct {
 		u_int name_len;
@@ -527,6 +559,7 @@
 		struct snap_conf conf;
 		struct snap_expired expired;
 		struct snap_epoch epoch;
+		struct snap_losses losses;
 	} snap_record_u;
 };
 
@@ -544,6 +577,7 @@
 extern  bool_t xdr_task_state (XDR *, enum task_state *);
 extern  bool_t xdr_task_reason (XDR *, enum task_reason *);
 extern  bool_t xdr_command_task (XDR *, struct command_task *);
+extern  bool_t xdr_command_task_losses (XDR *, struct command_task_losses *);
 extern  bool_t xdr_command_owner (XDR *, struct command_owner *);
 extern  bool_t xdr_command_key (XDR *, struct command_key *);
 extern  bool_t xdr_command_claim (XDR *, struct command_claim *);
@@ -570,6 +604,8 @@
 extern  bool_t xdr_snap_task (XDR *, struct snap_task *);
 extern  bool_t xdr_snap_spec (XDR *, struct snap_spec *);
 extern  bool_t xdr_snap_job (XDR *, struct snap_job *);
+extern  bool_t xdr_snap_task_losses (XDR *, struct snap_task_losses *);
+extern  bool_t xdr_snap_losses (XDR *, struct snap_losses *);
 extern  bool_t xdr_snap_member (XDR *, struct snap_member *);
 extern  bool_t xdr_snap_epoch (XDR *, struct snap_epoch *);
 extern  bool_t xdr_snap_record (XDR *, struct snap_record *);
@@ -586,6 +622,7 @@
 extern bool_t xdr_task_state ();
 extern bool_t xdr_task_reason ();
 extern bool_t xdr_command_task ();
+extern bool_t xdr_command_task_losses ();
 extern bool_t xdr_command_owner ();
 extern bool_t xdr_command_key ();
 extern bool_t xdr_command_claim ();
@@ -612,6 +649,8 @@
 extern bool_t xdr_snap_task ();
 extern bool_t xdr_snap_spec ();
 extern bool_t xdr_snap_job ();
+extern bool_t xdr_snap_task_losses ();
+extern bool_t xdr_snap_losses ();
 extern bool_t xdr_snap_member ();
 extern bool_t xdr_snap_epoch ();
 extern bool_t xdr_snap_record ();
--- a/proto/command.x
+++ b/proto/command.x
@@ -28,7 +28,8 @@
 	CMD_MEMBER_STATE = 11,
 	CMD_MEMBER_ENTRY = 12,
 	CMD_MEMBER_SEEN = 13,
-	CMD_MEMBER_GONE = 14
+	CMD_MEMBER_GONE = 14,
+	CMD_TASK_LOSSES = 15
 };
 
 /* One scalar of a document; nested keys are joined with dots. */
@@ -92,7 +93,8 @@
 	TASK_R_TOO_LARGE = 1,
 	TASK_R_OVER_QUOTA = 2,
 	TASK_R_TOO_OFTEN = 3,
-	TASK_R_JOB_FAILS = 4
+	TASK_R_JOB_FAILS = 4,
+	TASK_R_LOSES_WORKERS = 5
 };
 
 /*
@@ -118,6 +120,16 @@
 	enum task_reason reason;
 };
 
+/*
+ * A task command that also sets how many workers were lost under the task, and how many
+ * of these losses do not count because many workers were lost at once.
+ */
+struct command_task_losses {
+	struct command_task task;
+	unsigned int losses;
+	unsigned int pardons;
+};
+
 /*
  * The entry process that owns a claim. sequence is unique for each request of one
  * incarnation, so that a delayed copy of a command never reaches a later claim.
@@ -220,6 +232,8 @@
 	struct command_member_seen member_seen;
 case CMD_MEMBER_GONE:
 	struct command_member_gone member_gone;
+case CMD_TASK_LOSSES:
+	struct command_task_losses task_losses;
 };
 
 /* The leader sets time_us, which comes first so that it can be set in place. */
@@ -258,7 +272,8 @@
 	SNAP_MEMBER = 7,
 	SNAP_CONF = 8,
 	SNAP_EXPIRED = 9,
-	SNAP_EPOCH = 10
+	SNAP_EPOCH = 10,
+	SNAP_LOSSES = 11
 };
 
 struct snap_head {
@@ -369,6 +384,20 @@
 	struct snap_task tasks<CMD_MAX_TASKS>;
 };
 
+struct snap_task_losses {
+	unsigned int task;
+	unsigned int losses;
+	unsigned int pardons;
+};
+
+/* Workers lost under the tasks of the job in the record before; absent if none was. */
+struct snap_losses {
+	opaque team<CMD_MAX_NAME>;
+	opaque job<CMD_MAX_NAME>;
+	bool service;
+	struct snap_task_losses tasks<CMD_MAX_TASKS>;
+};
+
 struct snap_member {
 	opaque name<CMD_MAX_NAME>;
 	bool entry;
@@ -410,4 +439,6 @@
 	struct snap_expired expired;
 case SNAP_EPOCH:
 	struct snap_epoch epoch;
+case SNAP_LOSSES:
+	struct snap_losses losses;
 };
--- a/proto/command_xdr.c
+++ b/proto/command_xdr.c
@@ -168,6 +168,20 @@
 	return TRUE;
 }
 
+bool_t
+xdr_command_task_losses (XDR *xdrs, struct command_task_losses *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_command_task (xdrs, &objp->task))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->losses))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->pardons))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_command_owner (XDR *xdrs, struct command_owner *objp)
 {
@@ -385,6 +399,10 @@
 		 if (!xdr_command_member_gone (xdrs, &objp->command_body_u.member_gone))
 			 return FALSE;
 		break;
+	case CMD_TASK_LOSSES:
+		 if (!xdr_command_task_losses (xdrs, &objp->command_body_u.task_losses))
+			 return FALSE;
+		break;
 	default:
 		return FALSE;
 	}
@@ -811,6 +829,37 @@
 	return TRUE;
 }
 
+bool_t
+xdr_snap_task_losses (XDR *xdrs, struct snap_task_losses *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->task))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->losses))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->pardons))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_snap_losses (XDR *xdrs, struct snap_losses *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_bytes (xdrs, (char **)&objp->team.team_val, (u_int *) &objp->team.team_len, CMD_MAX_NAME))
+		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->job.job_val, (u_int *) &objp->job.job_len, CMD_MAX_NAME))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->service))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->tasks.tasks_val, (u_int *) &objp->tasks.tasks_len, CMD_MAX_TASKS,
+		sizeof (struct snap_task_losses), (xdrproc_t) xdr_snap_task_losses))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_snap_member (XDR *xdrs, struct snap_member *objp)
 {
@@ -902,6 +951,10 @@
 		 if (!xdr_snap_epoch (xdrs, &objp->snap_record_u.epoch))
 			 return FALSE;
 		break;
+	case SNAP_LOSSES:
+		 if (!xdr_snap_losses (xdrs, &objp->snap_record_u.losses))
+			 return FALSE;
+		break;
 	default:
 		return FALSE;
 	}
--- a/regress/lib_sched_world.c
+++ b/regress/lib_sched_world.c
@@ -527,11 +527,17 @@
 	t->exists = true;
 	t->attempt = r->attempt;
 	t->state = r->state;
-	t->worker = e->target;
+	/* The record of an end may come without the worker. */
+	if (e->target)
+		t->worker = e->target;
 	t->session = r->session;
 	t->exit_code = r->exit_code;
 	t->checkpoint = r->checkpoint;
 	t->failures = r->failures;
+	t->losses = r->losses;
+	t->pardons = r->pardons;
+	if (r->state == SCHED_PLACED)
+		t->placed_us = w->now_us;
 	t->reason = r->reason;
 }
 
@@ -593,6 +599,9 @@
 			.exit_code = t->exit_code,
 			.checkpoint = t->checkpoint,
 			.failures = t->failures,
+			.losses = t->losses,
+			.pardons = t->pardons,
+			.placed_us = t->placed_us + leader_clock(w) - w->now_us,
 		};
 
 		if ((t->state >= SCHED_DONE && j->opt.class != SCHED_LATENCY) ||
@@ -709,11 +718,29 @@
 	}
 }
 
+/* Ends the worker's process if one of its tasks does that. */
+static bool end_by_task(struct sim *w, struct sim_worker *k)
+{
+	const struct sim_run *r;
+
+	check_lease(w, k);
+	advance(w, k);
+	for (r = k->runs; r; r = r->next)
+		if (is_running(r) && r->job->deadly && r->done_us >= FAIL_AFTER_US)
+			break;
+	if (!r)
+		return false;
+	task_of(r->job, r->task)->kills++;
+	sim_crash_worker(w, k->index, w->deadly_gap_us, false);
+	return true;
+}
+
 static void take_event(struct sim *w, struct sim_event *e)
 {
 	switch (e->kind) {
 	case EV_POLL:
-		if (e->worker->up && e->stamp == e->worker->timer)
+		if (e->worker->up && e->stamp == e->worker->timer &&
+		    !end_by_task(w, e->worker))
 			send_poll(w, e->worker);
 		break;
 	case EV_REPORT:
@@ -857,8 +884,9 @@
 			running += t->running && t->state == SCHED_RUNNING;
 			if (service || k >= j->opt.tasks)
 				continue;
-			if (j->cancelled || j->poison ? t->state < SCHED_DONE
-						      : t->state != SCHED_DONE)
+			if (j->cancelled || j->poison || j->deadly
+				    ? t->state < SCHED_DONE
+				    : t->state != SCHED_DONE)
 				n++;
 		}
 		if (service && services && running != (j->cancelled ? 0 : j->opt.tasks))
--- a/regress/lib_sched_world.h
+++ b/regress/lib_sched_world.h
@@ -46,6 +46,9 @@
 	int32_t exit_code;
 	uint64_t checkpoint;
 	uint32_t failures;
+	uint32_t losses;
+	uint32_t pardons;
+	int64_t placed_us;
 	enum sched_reason reason;
 	uint32_t started;     /* newest attempt that a worker began */
 	uint32_t finished;    /* attempt that ran to its end, 0: none */
@@ -54,6 +57,7 @@
 	int64_t started_us;
 	int64_t done_us;
 	uint32_t starts;
+	uint32_t kills; /* worker processes that it ended */
 	bool exists;
 };
 
@@ -65,6 +69,7 @@
 	int64_t run_us;	    /* true run time */
 	uint32_t cpu_milli; /* true use */
 	bool poison;
+	bool deadly; /* its tasks end the process of their worker */
 	bool cancelled;
 	bool fed;
 	int64_t submitted_us;
@@ -159,7 +164,8 @@
 	double lost_us;	      /* batch work done and lost */
 	double wall_ns;	      /* time spent in the policy */
 	uint64_t calls;
-	bool busy_store; /* some proposals cannot be made, some are refused */
+	int64_t deadly_gap_us; /* until a worker that a task ended is back */
+	bool busy_store;       /* some proposals cannot be made, some are refused */
 	void (*latency)(struct sim *, const struct sim_job *, int64_t latency_us);
 };
 
--- a/regress/lib_store.c
+++ b/regress/lib_store.c
@@ -70,6 +70,9 @@
 	case CMD_TASK:
 		size = sizeof(struct command_task);
 		break;
+	case CMD_TASK_LOSSES:
+		size = sizeof(struct command_task_losses);
+		break;
 	case CMD_CLAIM:
 		size = sizeof(struct command_claim);
 		break;
@@ -278,6 +281,11 @@
 	SET(c, team, t->team);
 	SET(c, job, t->job);
 	SET(c, worker, t->worker);
+	if (t->losses) {
+		struct command_task_losses l = {c, t->losses, t->pardons};
+
+		return rig_run(r, CMD_TASK_LOSSES, &l);
+	}
 	return rig_run(r, CMD_TASK, &c);
 }
 
--- a/regress/lib_store.h
+++ b/regress/lib_store.h
@@ -64,6 +64,8 @@
 	uint64_t revision; /* 0: of the present job */
 	uint32_t failures;
 	enum task_reason reason;
+	uint32_t losses; /* 0: a command without them */
+	uint32_t pardons;
 };
 
 int rig_task(struct rig *r, const struct lib_task *t, enum task_state state);
--- a/regress/test_job.c
+++ b/regress/test_job.c
@@ -1,6 +1,8 @@
+#include <arpa/inet.h>
 #include <check.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 
 #include "base/err.h"
 #include "regress/lib_store.h"
@@ -125,6 +127,73 @@
 }
 END_TEST
 
+static const struct task *first_task(void)
+{
+	return &job_of("t", false, "j")->tasks[0];
+}
+
+/* Guards against a lost worker that is counted twice, or forgotten in a snapshot. */
+START_TEST(losses_are_counted_once)
+{
+	struct lib_task t = first(1);
+
+	reach(TASK_RUNNING);
+	t.losses = 1;
+	ck_assert_int_eq(rig_task(&rig, &t, TASK_WAITING), 0);
+	ck_assert_uint_eq(first_task()->losses, 1);
+	t.losses = 2;
+	ck_assert_int_eq(rig_task(&rig, &t, TASK_WAITING), CF_ESTALE);
+	ck_assert_uint_eq(first_task()->losses, 1);
+	t = first(2);
+	ck_assert_int_eq(rig_task(&rig, &t, TASK_PLACED), 0);
+	t.losses = 3;
+	t.pardons = 4;
+	ck_assert_int_eq(rig_task(&rig, &t, TASK_WAITING), CF_EINVAL);
+	t.pardons = 1;
+	ck_assert_int_eq(rig_task(&rig, &t, TASK_WAITING), 0);
+	rig_restore(&rig);
+	ck_assert_uint_eq(first_task()->losses, 3);
+	ck_assert_uint_eq(first_task()->pardons, 1);
+	t.losses = 0;
+	t.reason = TASK_R_LOSES_WORKERS;
+	ck_assert_int_eq(rig_task(&rig, &t, TASK_FAILED), 0);
+	ck_assert_str_eq(job_of("t", false, "j")->reason,
+			 "2 workers were lost soon after task 0 had started on them");
+}
+END_TEST
+
+/* Returns how many records of the kind the snapshot of the store has. */
+static unsigned int count_records(enum snap_kind kind)
+{
+	struct buf bytes = {0};
+	unsigned int n = 0;
+
+	ck_assert_int_eq(store_snapshot(rig.s, &bytes), 0);
+	for (size_t at = 0; at < bytes.n;) {
+		uint32_t head[2]; /* length of the record, kind */
+
+		memcpy(head, bytes.p + at, sizeof(head));
+		n += ntohl(head[1]) == (uint32_t)kind;
+		at += sizeof(head[0]) + ntohl(head[0]);
+	}
+	buf_free(&bytes);
+	return n;
+}
+
+/* Guards against a format that older versions and their snapshots lack without need. */
+START_TEST(snapshot_without_losses_is_as_before)
+{
+	struct lib_task t = first(1);
+
+	reach(TASK_RUNNING);
+	ck_assert_uint_eq(count_records(SNAP_JOB), 1);
+	ck_assert_uint_eq(count_records(SNAP_LOSSES), 0);
+	t.losses = 1;
+	ck_assert_int_eq(rig_task(&rig, &t, TASK_WAITING), 0);
+	ck_assert_uint_eq(count_records(SNAP_LOSSES), 1);
+}
+END_TEST
+
 /* Guards against a record for an earlier job that had the same name. */
 START_TEST(record_of_an_earlier_job_is_stale)
 {
@@ -393,6 +462,8 @@
 	tcase_add_test(tc, only_legal_steps);
 	tcase_add_test(tc, unknown_state_is_refused);
 	tcase_add_test(tc, evicted_work_resumes_once);
+	tcase_add_test(tc, losses_are_counted_once);
+	tcase_add_test(tc, snapshot_without_losses_is_as_before);
 	tcase_add_test(tc, record_of_an_earlier_job_is_stale);
 	tcase_add_test(tc, job_state_follows_tasks);
 	tcase_add_test(tc, service_tasks_follow_the_document);
--- a/regress/test_sched.c
+++ b/regress/test_sched.c
@@ -363,6 +363,253 @@
 }
 END_TEST
 
+#define DEADLY_BOUND 3 /* workers lost before their task is given up */
+/* Where others are lost at the same time, two losses may not count. */
+#define DEADLY_BOUND_BURSTS 5
+/* Nor do losses while a task is being stopped, or behind a change of the leader. */
+#define DEADLY_BOUND_FAULTS 8
+
+static void run_deadly(uint64_t seed, int64_t gap_us)
+{
+	struct sim_options o = options(seed, 20);
+	struct sim_policy *p = sim_scheduler();
+	struct sim *w = settled(&o, p);
+	struct sim_job *deadly;
+
+	w->deadly_gap_us = gap_us;
+	for (unsigned int i = 0; i < 10; i++)
+		sim_submit(w, i % 2, i % SIM_KINDS, batch(20, 2000, 1000), 6 * SECOND);
+	deadly = sim_submit(w, 0, 1, batch(1, 1000, 500), 20 * SECOND);
+	deadly->deadly = true;
+	for (unsigned int i = 0; i < 30; i++) {
+		sim_submit(w, i % 2, i % SIM_KINDS, batch(20, 2000, 1000), 6 * SECOND);
+		sim_run(w, w->now_us + 4 * SECOND);
+	}
+	sim_run(w, w->now_us + 120 * SECOND);
+	if (getenv("SCHED_TEST_STATS"))
+		fprintf(stderr, "deadly: seed %llu, %u workers lost, %.0f s of work\n",
+			(unsigned long long)seed, deadly->task[0].kills,
+			w->lost_us / 1e6);
+	ck_assert_uint_ge(deadly->task[0].kills, 1);
+	ck_assert_uint_le(deadly->task[0].kills, DEADLY_BOUND);
+	ck_assert_int_eq(deadly->task[0].state, SCHED_FAILED);
+	ck_assert_uint_eq(sim_unfinished(w, false), 0);
+	finish(w, p);
+}
+
+/* Guards against one task that ends the process of worker after worker. */
+START_TEST(deadly_task_is_given_up)
+{
+	for (uint64_t seed = 1; seed <= 4; seed++) {
+		run_deadly(seed, SECOND);
+		run_deadly(seed, 20 * SECOND);
+	}
+}
+END_TEST
+
+static void submit_innocents(struct sim *w, unsigned int jobs)
+{
+	for (unsigned int i = 0; i < jobs; i++)
+		sim_submit(w, i % 2, i % SIM_KINDS, batch(20, 2000, 1000), 6 * SECOND);
+}
+
+/* Fails the test if a task that ends no process was given up for lost workers. */
+static void check_innocents(struct sim *w)
+{
+	for (unsigned int i = 0; i < w->njobs; i++)
+		for (uint32_t k = 0; k < w->job[i]->ntasks; k++)
+			if (!w->job[i]->deadly &&
+			    w->job[i]->task[k].reason == SCHED_R_LOSES_WORKERS)
+				sim_fail(w, "innocent given up", w->job[i], k);
+}
+
+/* Guards against deadly tasks whose losses excuse one another, and a count of a leader.
+ */
+START_TEST(deadly_job_is_given_up_under_new_leaders)
+{
+	for (uint64_t seed = 1; seed <= 4; seed++) {
+		struct sim_options o = options(seed, 20);
+		struct sim_policy *p = sim_scheduler();
+		struct sim *w = settled(&o, p);
+		struct sim_job *deadly = sim_submit(w, 0, 1, batch(6, 1000, 500), SECOND);
+
+		deadly->deadly = true;
+		w->deadly_gap_us = SECOND;
+		for (unsigned int i = 0; i < 20; i++) {
+			submit_innocents(w, 2);
+			sim_run(w, w->now_us + 3 * SECOND);
+			if (i % 4 == 3)
+				sim_crash_leader(w, SECOND);
+		}
+		sim_run(w, w->now_us + 120 * SECOND);
+		for (uint32_t k = 0; k < 6; k++) {
+			if (getenv("SCHED_TEST_STATS"))
+				fprintf(stderr, "deadly job: seed %llu task %u: %u\n",
+					(unsigned long long)seed, k,
+					deadly->task[k].kills);
+			ck_assert_int_eq(deadly->task[k].state, SCHED_FAILED);
+			ck_assert_uint_le(deadly->task[k].kills, DEADLY_BOUND_BURSTS);
+		}
+		check_innocents(w);
+		ck_assert_uint_eq(sim_unfinished(w, false), 0);
+		finish(w, p);
+	}
+}
+END_TEST
+
+/* Guards against innocent work that is given up since its zone or its cables fail. */
+START_TEST(innocents_survive_lost_workers)
+{
+	for (uint64_t seed = 1; seed <= 4; seed++) {
+		struct sim_options o = options(seed, 18);
+		struct sim_policy *p = sim_scheduler();
+		struct sim *w = settled(&o, p);
+
+		for (unsigned int round = 0; round < 12; round++) {
+			submit_innocents(w, 4);
+			sim_run(w, w->now_us + 2 * SECOND);
+			for (unsigned int i = round % 3; i < 18; i += 3) {
+				if (seed % 2)
+					sim_crash_worker(w, i, (int64_t)i * SECOND / 10,
+							 false);
+				else
+					sim_cut(w, i, true);
+			}
+			sim_run(w, w->now_us + 9 * SECOND);
+			for (unsigned int i = 0; i < 18; i++)
+				sim_cut(w, i, false);
+			sim_run(w, w->now_us + 2 * SECOND);
+			if (round % 4 == 3) {
+				sim_zone(w, 0, 1, true);
+				sim_run(w, w->now_us + 5 * SECOND);
+				sim_zone(w, 0, 1, false);
+			}
+		}
+		sim_run(w, w->now_us + 300 * SECOND);
+		check_innocents(w);
+		ck_assert_uint_eq(sim_unfinished(w, false), 0);
+		finish(w, p);
+	}
+}
+END_TEST
+
+/* Cuts off the worker that runs the task of the job; returns whether there was one. */
+static bool cut_worker_of(struct sim *w, const struct sim_job *j)
+{
+	for (unsigned int i = 0; i < w->opt.workers; i++)
+		for (struct sim_run *r = w->worker[i].runs; r; r = r->next)
+			if (r->job == j && r->status == SCHED_T_RUNNING &&
+			    !w->worker[i].cut) {
+				sim_cut(w, i, true);
+				return true;
+			}
+	return false;
+}
+
+/* Guards against work that is given up since its workers were cut off one by one. */
+START_TEST(cuts_are_no_losses)
+{
+	for (uint64_t seed = 1; seed <= 4; seed++) {
+		struct sim_options o = options(seed, 12);
+		struct sim_policy *p = sim_scheduler();
+		struct sim *w = settled(&o, p);
+		struct sim_job *j = sim_submit(w, 0, 0, batch(1, 1000, 500), 20 * SECOND);
+
+		for (unsigned int round = 0; round < 8; round++) {
+			while (!cut_worker_of(w, j) && w->now_us < 300 * SECOND)
+				sim_run(w, w->now_us + SECOND / 5);
+			sim_run(w, w->now_us + 8 * SECOND);
+			for (unsigned int i = 0; i < o.workers; i++)
+				sim_cut(w, i, false);
+			if (seed % 2)
+				sim_crash_leader(w, SECOND);
+			sim_run(w, w->now_us + SECOND);
+		}
+		sim_run(w, w->now_us + 100 * SECOND);
+		if (getenv("SCHED_TEST_STATS"))
+			fprintf(stderr, "cuts: seed %llu, %u starts\n",
+				(unsigned long long)seed, j->task[0].starts);
+		ck_assert_uint_gt(j->task[0].starts, 4);
+		ck_assert_int_eq(j->task[0].state, SCHED_DONE);
+		finish(w, p);
+	}
+}
+END_TEST
+
+static void run_deadly_chaos(uint64_t seed)
+{
+	struct sim_options o = options(seed, 48);
+	struct sim_policy *p = sim_scheduler();
+	struct sim *w;
+	uint32_t worst = 0;
+
+	o.drift = true;
+	o.loss = 20;
+	o.delay_us = SECOND;
+	w = sim_new(&o, p);
+	w->busy_store = true;
+	w->deadly_gap_us = (int64_t)(seed % 4) * 4 * SECOND + SECOND / 2;
+	sim_submit(w, 1, 1, service(8, 3000), 0);
+	for (unsigned int i = 0; i < 100 && !w->errors; i++) {
+		unsigned int k = (unsigned int)prng_below(&w->rng, o.workers);
+		unsigned int zone = (unsigned int)prng_below(&w->rng, 3);
+
+		switch (prng_below(&w->rng, 9)) {
+		case 0:
+			sim_crash_worker(w, k, (int64_t)prng_below(&w->rng, 9 * SECOND),
+					 false);
+			break;
+		case 1:
+			sim_cut(w, k, true);
+			break;
+		case 2:
+			for (k = 0; k < o.workers; k++)
+				sim_cut(w, k, false);
+			break;
+		case 3:
+			sim_crash_leader(w, (int64_t)prng_below(&w->rng, SECOND));
+			break;
+		case 4:
+			sim_zone(w, 0, zone, !w->out_us[0][zone]);
+			break;
+		case 5:
+			if (i % 8 == 0)
+				for (k = zone; k < o.workers; k += 3)
+					sim_crash_worker(w, k, 2 * SECOND, false);
+			break;
+		case 6:
+			sim_submit(w, 0, 3, batch(1, 1000, 500), SECOND)->deadly = true;
+			break;
+		default:
+			submit_innocents(w, 1);
+			break;
+		}
+		sim_run(w, w->now_us + (int64_t)prng_below(&w->rng, 3 * SECOND));
+	}
+	heal(w);
+	for (unsigned int i = 0; i < 60 && sim_unfinished(w, true) && !w->errors; i++)
+		sim_run(w, w->now_us + 10 * SECOND);
+	if (sim_unfinished(w, true))
+		sim_fail(w, "work left at the end", NULL, sim_unfinished(w, true));
+	check_innocents(w);
+	for (unsigned int i = 0; i < w->njobs; i++)
+		if (w->job[i]->deadly && w->job[i]->task[0].kills > worst)
+			worst = w->job[i]->task[0].kills;
+	if (getenv("SCHED_TEST_STATS"))
+		fprintf(stderr, "deadly chaos: seed %llu, at most %u workers\n",
+			(unsigned long long)seed, worst);
+	if (worst > DEADLY_BOUND_FAULTS)
+		sim_fail(w, "too many workers lost", NULL, worst);
+	finish(w, p);
+}
+
+/* Guards against unbounded losses and innocents given up under every fault at once. */
+START_TEST(deadly_tasks_are_bounded_under_faults)
+{
+	run_deadly_chaos(FIXED_SEED + (uint64_t)_i);
+}
+END_TEST
+
 /* Guards against a bound on failures that the scheduler ignores or applies early. */
 START_TEST(max_attempts_bounds_failures)
 {
@@ -922,6 +1169,15 @@
 	tcase_add_test(add_case(s, "bad_worker_is_quarantined"),
 		       bad_worker_is_quarantined);
 	tcase_add_test(add_case(s, "poison_job_fails_alone"), poison_job_fails_alone);
+	tcase_add_test(add_case(s, "deadly_task_is_given_up"), deadly_task_is_given_up);
+	tcase_add_test(add_case(s, "deadly_job_is_given_up_under_new_leaders"),
+		       deadly_job_is_given_up_under_new_leaders);
+	tcase_add_test(add_case(s, "innocents_survive_lost_workers"),
+		       innocents_survive_lost_workers);
+	tcase_add_test(add_case(s, "cuts_are_no_losses"), cuts_are_no_losses);
+	tc = add_case(s, "deadly");
+	tcase_add_loop_test(tc, deadly_tasks_are_bounded_under_faults, first,
+			    first + count);
 	tcase_add_test(add_case(s, "max_attempts_bounds_failures"),
 		       max_attempts_bounds_failures);
 	tcase_add_test(add_case(s, "refused_intents_are_made_again"),
--- a/regress/test_store.c
+++ b/regress/test_store.c
@@ -631,6 +631,8 @@
 			 0);
 	ck_assert_int_eq(rig_submit(r, "t", "j", "e", "command=x"), 0);
 	ck_assert_int_eq(rig_task(r, &t, TASK_PLACED), 0);
+	t.losses = 1;
+	ck_assert_int_eq(rig_task(r, &t, TASK_RUNNING), 0);
 	ck_assert_int_eq(rig_entry(r, "e1", 1), 0);
 	ck_assert_int_eq(rig_claim(r, &c), 0);
 	ck_assert_int_eq(rig_claim_done(r, &c, 200, STR("ok")), 0);
