router: a request that ended two upstreams is not sent to a third

Other requests are sent once when they may have run, and their key is refused as unknown afterwards.

Change: a send whose connection was closed after some of it was sent counts against the request, and after two the caller is told unknown, with the reason upstreams-lost (502). An innocent request that loses two upstreams is treated alike.

--- a/carawayfrontd/front_answer.c
+++ b/carawayfrontd/front_answer.c
@@ -57,6 +57,7 @@
 		return 429;
 	case ROUTER_R_KEY_UNKNOWN:
 	case ROUTER_R_FAILED:
+	case ROUTER_R_LOST:
 		return 502;
 	case ROUTER_R_DEADLINE:
 		return 504;
--- a/core/router.c
+++ b/core/router.c
@@ -11,6 +11,11 @@
 #define STATUS_UPSTREAM_ERROR 500
 /* A timeout counts as a failure from this multiple of the mean service time. */
 #define TIMEOUT_FACTOR 3
+/*
+ * A request whose upstream closes the connection may have ended its process. After this
+ * many such sends it is not sent again.
+ */
+#define MAX_LOSSES 2
 
 /* Sets the defaults; the caller sets host, name and zone. */
 void router_options_init(struct router_options *o)
@@ -370,13 +375,20 @@
 	enqueue(r, q, now_us);
 }
 
-/* Whether max_attempts and max_refusals allow one more send. */
+/* Whether the limits of one request allow one more send. */
 static bool sends_left(const struct router *r, const struct request *q)
 {
-	return q->refusals <= r->opt.max_refusals &&
+	return q->refusals <= r->opt.max_refusals && q->losses < MAX_LOSSES &&
 	       q->sends - q->refusals < r->opt.max_attempts;
 }
 
+static enum router_reason failure_reason(const struct request *q)
+{
+	if (q->losses >= MAX_LOSSES)
+		return ROUTER_R_LOST;
+	return q->may_have_run ? ROUTER_R_FAILED : ROUTER_R_REFUSED;
+}
+
 /*
  * Retries a send that ended without a complete response, or answers the caller. When
  * the retry budget is used up, a refused request waits for it, because it has cost
@@ -386,7 +398,7 @@
 			    int64_t now_us)
 {
 	struct pool *p = q->pool;
-	enum router_reason why = q->may_have_run ? ROUTER_R_FAILED : ROUTER_R_REFUSED;
+	enum router_reason why = failure_reason(q);
 	bool retry = (!q->may_have_run || q->idempotent) && r->fresh;
 
 	q->refused = refused;
@@ -465,6 +477,7 @@
 	if (!send_ended(r, q, now_us))
 		return;
 	q->may_have_run |= maybe_run;
+	q->losses += maybe_run && err == CF_ECONN;
 	retry_or_finish(r, q, false, err, now_us);
 }
 
@@ -594,6 +607,7 @@
 		[ROUTER_R_CANCELLED] = "cancelled",
 		[ROUTER_R_FAILED] = "failed",
 		[ROUTER_R_REFUSED] = "refused",
+		[ROUTER_R_LOST] = "upstreams-lost",
 	};
 
 	return (unsigned int)reason < ROUTER_REASONS ? text[reason] : "unknown";
--- a/core/router.h
+++ b/core/router.h
@@ -49,7 +49,8 @@
 	ROUTER_R_CANCELLED = 14,   /* caller disconnected */
 	ROUTER_R_FAILED = 15,	   /* upstream connection failed, may have run */
 	ROUTER_R_REFUSED = 16,	   /* not run; attempts or retry budget used up */
-	ROUTER_REASONS = 17,
+	ROUTER_R_LOST = 17,	   /* two upstreams ended under it, may have run */
+	ROUTER_REASONS = 18,
 };
 
 struct router_ops {
--- a/core/router_impl.h
+++ b/core/router_impl.h
@@ -53,6 +53,7 @@
 	int64_t deadline_us;
 	unsigned int sends;
 	unsigned int refusals; /* sends that the upstream refused */
+	unsigned int losses;   /* sends whose upstream closed the connection */
 	uint8_t state;
 	uint8_t class;
 	bool idempotent;
--- a/regress/test_router.c
+++ b/regress/test_router.c
@@ -1,4 +1,5 @@
 #include <check.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -28,6 +29,7 @@
 #define RETRY_PERCENT 20
 #define MAX_ATTEMPTS 3
 #define MAX_REFUSALS 5
+#define MAX_LOSSES 2
 
 /* As ck_assert_msg(), which would write to a pipe each time that it holds. */
 #define must(expr, ...)                            \
@@ -51,7 +53,7 @@
 	bool accepted, finished, idempotent, keyed, granted, claiming, claim_ended;
 	bool maybe_run, all_not_run;
 	bool refused; /* the last send ended by a refusal */
-	unsigned int team, class, sends, refusals;
+	unsigned int team, class, sends, refusals, losses;
 	int64_t deadline;
 	struct naive_up *open; /* of the send that has not ended */
 	struct naive_up *last; /* it failed there last */
@@ -144,6 +146,7 @@
 
 	must(u, "unknown upstream");
 	must(naive_usable(s, u), "sent to an upstream that is not usable");
+	must(q->losses < MAX_LOSSES, "sent after it lost two upstreams");
 	must(s->fresh, "sent while the configuration was stale");
 	must(!q->finished, "sent after the caller was told");
 	must(!q->open, "sent while an earlier send had not ended");
@@ -437,6 +440,7 @@
 		q->refusals++;
 		router_answered(s->r, id, &a, s->now);
 	} else {
+		q->losses += fate == F_MAYBE;
 		router_failed(s->r, id, CF_ECONN, fate == F_MAYBE, s->now);
 	}
 	router_stats(s->r, &st);
@@ -819,6 +823,177 @@
 }
 END_TEST
 
+/* Upstreams that restart, with a new incarnation, when a deadly request reaches them. */
+#define DEADLY_UPSTREAMS 10
+#define DEADLY_REQUESTS 2000U
+#define FEW_DEADLY 50U /* one request of this many */
+#define SERVE_STEPS 8  /* longest service time of the others */
+
+struct deadly {
+	struct router_host host;
+	struct router *r;
+	unsigned int every; /* one request of this many is deadly */
+	int64_t now;
+	char address[DEADLY_UPSTREAMS][2];
+	uint64_t id[DEADLY_UPSTREAMS];
+	uint64_t incarnation[DEADLY_UPSTREAMS];
+	uint64_t at[DEADLY_REQUESTS]; /* upstream of the open send, 0: none */
+	struct router_outcome out[DEADLY_REQUESTS];
+	unsigned int lost[DEADLY_REQUESTS]; /* upstreams that it ended */
+	unsigned int finished[DEADLY_REQUESTS];
+};
+
+static bool is_deadly(const struct deadly *d, uint64_t request)
+{
+	return request % d->every == 0;
+}
+
+static void deadly_send(struct router_host *h, uint64_t request, uint64_t upstream)
+{
+	struct deadly *d = (struct deadly *)(void *)h;
+
+	d->at[request] = upstream;
+}
+
+static void deadly_finish(struct router_host *h, uint64_t request,
+			  const struct router_outcome *o)
+{
+	struct deadly *d = (struct deadly *)(void *)h;
+
+	d->out[request] = *o;
+	d->finished[request]++;
+}
+
+static const struct router_ops deadly_ops = {deadly_send, deadly_finish, fair_claim,
+					     fair_claim,  fair_claim,	 fair_claim};
+
+static void deadly_announce(struct deadly *d, unsigned int i)
+{
+	struct router_upstream u = {.team = STR("guild"),
+				    .service = STR("desk"),
+				    .name = {d->address[i], 1},
+				    .address = {d->address[i], 1},
+				    .zone = STR("a"),
+				    .slots = 8,
+				    .incarnation = d->incarnation[i],
+				    .sequence = (uint64_t)d->now};
+
+	d->address[i][0] = (char)('a' + i);
+	ck_assert_int_eq(router_upstream(d->r, &u, d->now), 0);
+	d->id[i] = router_upstream_id(&u);
+}
+
+/* Ends the process of an upstream under a deadly request, with all that it has. */
+static void deadly_crash(struct deadly *d, uint64_t request, bool restarts)
+{
+	uint64_t upstream = d->at[request];
+
+	d->lost[request]++;
+	for (uint64_t k = 0; k < DEADLY_REQUESTS; k++) {
+		if (d->at[k] != upstream)
+			continue;
+		d->at[k] = 0;
+		router_failed(d->r, k, CF_ECONN, true, d->now);
+	}
+	for (unsigned int i = 0; restarts && i < DEADLY_UPSTREAMS; i++)
+		if (d->id[i] == upstream) {
+			d->incarnation[i]++;
+			deadly_announce(d, i);
+		}
+}
+
+/* Lets some sends end: deadly ones crash, the others are answered. */
+static void deadly_step(struct deadly *d, uint64_t step, bool restarts)
+{
+	struct router_answer ok = {.status = 200, .load = -1};
+
+	for (uint64_t k = 0; k < DEADLY_REQUESTS; k++) {
+		if (!d->at[k] || (k + step) % (is_deadly(d, k) ? 2 : SERVE_STEPS))
+			continue;
+		if (is_deadly(d, k)) {
+			deadly_crash(d, k, restarts);
+			continue;
+		}
+		d->at[k] = 0;
+		router_answered(d->r, k, &ok, d->now);
+	}
+}
+
+static void run_deadly(unsigned int every, bool restarts)
+{
+	static struct deadly d;
+	struct router_options o;
+	struct router_stats st;
+	unsigned int innocents_failed = 0;
+	unsigned int worst = 0;
+	uint64_t next = 0;
+
+	memset(&d, 0, sizeof(d));
+	d.host.ops = &deadly_ops;
+	d.every = every;
+	router_options_init(&o);
+	o.host = &d.host;
+	o.name = STR("e1");
+	o.zone = STR("a");
+	o.retry_percent = 100;
+	ck_assert_int_eq(router_new(&o, &d.r), 0);
+	d.now = SEC;
+	router_fresh(d.r, true, d.now);
+	for (unsigned int i = 0; i < DEADLY_UPSTREAMS; i++) {
+		d.incarnation[i] = 1;
+		deadly_announce(&d, i);
+	}
+	for (uint64_t step = 0; step < DEADLY_REQUESTS; step++) {
+		d.now += MS;
+		for (unsigned int i = 0; i < DEADLY_UPSTREAMS; i++)
+			deadly_announce(&d, i);
+		router_tick(d.r, d.now);
+		for (unsigned int i = 0; i < 2 && next < DEADLY_REQUESTS; i++, next++) {
+			struct router_request q = {.id = next,
+						   .team = STR("guild"),
+						   .service = STR("desk"),
+						   .idempotent = true,
+						   .deadline_us = d.now + 60 * SEC};
+
+			ck_assert_int_eq(router_submit(d.r, &q, d.now), 0);
+		}
+		deadly_step(&d, step, restarts);
+	}
+	for (uint64_t k = 0; k < DEADLY_REQUESTS; k++) {
+		ck_assert_uint_eq(d.finished[k], 1);
+		if (d.lost[k] > worst)
+			worst = d.lost[k];
+		if (is_deadly(&d, k))
+			ck_assert_int_eq(d.out[k].run, ROUTER_UNKNOWN);
+		else
+			innocents_failed += d.out[k].run != ROUTER_DONE;
+	}
+	router_stats(d.r, &st);
+	if (getenv("ROUTER_TEST_STATS"))
+		fprintf(stderr,
+			"one of %u, restarts %d: at most %u lost, %llu ejections, %u "
+			"others failed\n",
+			every, restarts, worst, (unsigned long long)st.ejected,
+			innocents_failed);
+	ck_assert_uint_le(worst, MAX_LOSSES);
+	/* So few of them neither stop an upstream nor fail others. */
+	if (every == FEW_DEADLY) {
+		ck_assert_uint_eq(st.ejected, 0);
+		ck_assert_uint_eq(innocents_failed, 0);
+	}
+	router_free(d.r);
+}
+
+/* Guards against one request that crashes more than two upstreams by its retries. */
+START_TEST(deadly_request_takes_two_upstreams)
+{
+	run_deadly(FEW_DEADLY, true);
+	run_deadly(FEW_DEADLY, false);
+	run_deadly(5, true);
+	run_deadly(5, false);
+}
+END_TEST
+
 int main(int argc, char **argv)
 {
 	Suite *suite = suite_create("router");
@@ -835,6 +1010,7 @@
 	tcase_add_test(tc, teams_share_the_process);
 	tcase_add_test(tc, tables_are_bounded);
 	tcase_add_test(tc, ejection);
+	tcase_add_test(tc, deadly_request_takes_two_upstreams);
 	suite_add_tcase(suite, tc);
 	sr = srunner_create(suite);
 	srunner_run_all(sr, CK_NORMAL);
