router: resends of a request that ended two upstreams are refused

The key of an idempotent request was not used, so each resend could end two more upstreams.

A resend above the bound is told unknown (upstreams-lost) and is not sent. Requests without a key are told apart by nothing, so their resends are new requests.

--- a/carawayfrontd/front_request.h
+++ b/carawayfrontd/front_request.h
@@ -36,6 +36,7 @@
 	struct buf key;
 	char method[16];
 	unsigned char hash[CMD_HASH];
+	uint64_t identity;    /* of an idempotent request with a key, else 0 */
 	uint64_t incarnation; /* of this process when the key was claimed */
 	bool idempotent;
 	enum router_class class;
--- a/carawayfrontd/front_send.c
+++ b/carawayfrontd/front_send.c
@@ -90,6 +90,30 @@
 	return false;
 }
 
+/* Hash of what must be equal when a key is used again. */
+static void hash_request(struct front_request *r)
+{
+	XXH3_state_t *state = XXH3_createState();
+	XXH128_canonical_t canonical;
+
+	if (!state)
+		return;
+	XXH3_128bits_reset(state);
+	XXH3_128bits_update(state, r->method, strlen(r->method) + 1);
+	XXH3_128bits_update(state, r->http->target, strlen(r->http->target) + 1);
+	XXH3_128bits_update(state, r->http->body.p, r->http->body.n);
+	XXH128_canonicalFromHash(&canonical, XXH3_128bits_digest(state));
+	XXH3_freeState(state);
+	memcpy(r->hash, canonical.digest, sizeof(r->hash));
+}
+
+/* Hash that tells resends of an idempotent request by its key and content. */
+static uint64_t hash_identity(struct front_request *r, struct str key)
+{
+	hash_request(r);
+	return XXH3_64bits_withSeed(key.p, key.n, XXH3_64bits(r->hash, sizeof(r->hash)));
+}
+
 /* Reads deadline, class and key headers. */
 static int read_headers(struct front_request *r)
 {
@@ -114,24 +138,11 @@
 		return CF_ETOOBIG;
 	r->idempotent = is_idempotent(r->method) || (known && is_listed(r, &service));
 	/* A repeated idempotent request is harmless, so it needs no claim. */
-	return r->idempotent ? 0 : buf_set(&r->key, key);
-}
-
-/* Hash of what must be equal when a key is used again. */
-static void hash_request(struct front_request *r)
-{
-	XXH3_state_t *state = XXH3_createState();
-	XXH128_canonical_t canonical;
-
-	if (!state)
-		return;
-	XXH3_128bits_reset(state);
-	XXH3_128bits_update(state, r->method, strlen(r->method) + 1);
-	XXH3_128bits_update(state, r->http->target, strlen(r->http->target) + 1);
-	XXH3_128bits_update(state, r->http->body.p, r->http->body.n);
-	XXH128_canonicalFromHash(&canonical, XXH3_128bits_digest(state));
-	XXH3_freeState(state);
-	memcpy(r->hash, canonical.digest, sizeof(r->hash));
+	if (!r->idempotent)
+		return buf_set(&r->key, key);
+	if (key.n)
+		r->identity = hash_identity(r, key);
+	return 0;
 }
 
 static struct front_request *request_new(struct front *f, struct http_request *http)
@@ -184,6 +195,7 @@
 		.idempotent = r->idempotent,
 		.keyed = r->key.n > 0,
 		.deadline_us = r->deadline_us,
+		.identity = r->identity,
 	};
 	err = router_submit(f->router, &q, r->started_us);
 	if (err) {
--- a/core/router.c
+++ b/core/router.c
@@ -263,6 +263,7 @@
 	enum router_reason why;
 	struct request *q;
 	struct pool *p;
+	unsigned int losses = suspect_losses(r, a->identity, now_us);
 	int err = 0;
 
 	if (a->class >= ROUTER_CLASSES)
@@ -278,6 +279,14 @@
 		report(r, a->id, &o);
 		return 0;
 	}
+	if (losses >= MAX_LOSSES) {
+		const struct router_outcome o = {
+			ROUTER_UNKNOWN, ROUTER_R_LOST, CF_ECONN, 0, 0, 0};
+
+		r->stats.submitted++;
+		report(r, a->id, &o);
+		return 0;
+	}
 	err = timers_reserve(&r->timers, HASH_COUNT(r->requests) + 1 +
 						 2 * (size_t)HASH_COUNT(r->upstreams));
 	if (err)
@@ -292,6 +301,8 @@
 	q->deadline_us = deadline;
 	q->class = (uint8_t)a->class;
 	q->idempotent = a->idempotent;
+	q->identity = a->identity;
+	q->losses = losses;
 	q->keyed = a->keyed;
 	q->timer.kind = TIMER_REQUEST;
 	HASH_ADD(hh, r->requests, id, sizeof(q->id), q);
@@ -474,10 +485,13 @@
 	if (!q || !q->up)
 		return;
 	eject_result(r, q->up, true, now_us - q->sent_us, now_us);
+	if (maybe_run && err == CF_ECONN) {
+		q->losses++;
+		suspect_add(r, q->identity, now_us);
+	}
 	if (!send_ended(r, q, now_us))
 		return;
 	q->may_have_run |= maybe_run;
-	q->losses += maybe_run && err == CF_ECONN;
 	retry_or_finish(r, q, false, err, now_us);
 }
 
--- a/core/router.h
+++ b/core/router.h
@@ -120,6 +120,7 @@
 	bool idempotent;
 	bool keyed;	     /* claim the key before the first send */
 	int64_t deadline_us; /* absolute; 0: now + default_deadline_us */
+	uint64_t identity;   /* equal for resends of one request; 0: none known */
 };
 
 struct router_outcome {
--- a/core/router_impl.h
+++ b/core/router_impl.h
@@ -18,6 +18,8 @@
 #define ROUTER_MAX_ZONES 16
 /* Most recent upstreams stored per request, to avoid them in retries. */
 #define ROUTER_TRIED 3
+/* Requests remembered because upstreams were lost under them. */
+#define ROUTER_SUSPECTS 256
 /* Maximum slots of an upstream. */
 #define ROUTER_MAX_SLOTS 65535U
 
@@ -48,6 +50,7 @@
 	struct upstream *up; /* of the send that has not ended */
 	uint64_t tried[ROUTER_TRIED];
 	uint64_t last_up;
+	uint64_t identity; /* of resends; 0: none known */
 	int64_t submitted_us;
 	int64_t sent_us;
 	int64_t deadline_us;
@@ -158,6 +161,12 @@
 	bool in_ring;
 };
 
+struct suspect {
+	uint64_t identity;
+	int64_t until_us;
+	unsigned int losses;
+};
+
 struct router {
 	struct router_host *host;
 	struct router_options opt;
@@ -179,6 +188,8 @@
 	unsigned int inflight;
 	bool fresh;
 	bool draining;
+	struct suspect suspects[ROUTER_SUSPECTS];
+	unsigned int next_suspect;
 	struct router_stats stats;
 };
 
@@ -229,6 +240,10 @@
 void retry_spend(struct team *t, bool refused);
 bool retry_tried(const struct request *q, uint64_t upstream);
 
+/* router_suspect.c */
+unsigned int suspect_losses(struct router *r, uint64_t identity, int64_t now_us);
+void suspect_add(struct router *r, uint64_t identity, int64_t now_us);
+
 /* router_eject.c */
 void eject_result(struct router *r, struct upstream *u, bool failed, int64_t took_us,
 		  int64_t now_us);
--- a/regress/test_router.c
+++ b/regress/test_router.c
@@ -994,6 +994,51 @@
 }
 END_TEST
 
+/* Guards against resends of one request that crash upstream after upstream. */
+START_TEST(resends_of_a_deadly_request_are_refused)
+{
+	static struct deadly d;
+	struct router_options o;
+	unsigned int lost = 0;
+
+	memset(&d, 0, sizeof(d));
+	d.host.ops = &deadly_ops;
+	router_options_init(&o);
+	o.host = &d.host;
+	o.zone = STR("a");
+	ck_assert_int_eq(router_new(&o, &d.r), 0);
+	d.now = SEC;
+	router_fresh(d.r, true, d.now);
+	for (uint64_t k = 0; k < 8; k++) {
+		struct router_request q = {.id = k,
+					   .team = STR("guild"),
+					   .service = STR("desk"),
+					   .idempotent = true,
+					   .deadline_us = d.now + SEC,
+					   .identity = k < 7 ? 5 : 6};
+
+		for (unsigned int i = 0; i < DEADLY_UPSTREAMS; i++) {
+			d.incarnation[i]++;
+			deadly_announce(&d, i);
+		}
+		ck_assert_int_eq(router_submit(d.r, &q, d.now), 0);
+		/* The last one is another request. */
+		ck_assert(k < 7 || d.at[k]);
+		while (k < 7 && d.at[k])
+			deadly_crash(&d, k, true);
+		lost += d.lost[k];
+		ck_assert_uint_eq(d.finished[k], k < 7);
+		if (k < 7) {
+			ck_assert_int_eq(d.out[k].run, ROUTER_UNKNOWN);
+			ck_assert_int_eq(d.out[k].reason, ROUTER_R_LOST);
+		}
+		d.now += 2 * SEC;
+	}
+	ck_assert_uint_eq(lost, MAX_LOSSES);
+	router_free(d.r);
+}
+END_TEST
+
 int main(int argc, char **argv)
 {
 	Suite *suite = suite_create("router");
@@ -1011,6 +1056,7 @@
 	tcase_add_test(tc, tables_are_bounded);
 	tcase_add_test(tc, ejection);
 	tcase_add_test(tc, deadly_request_takes_two_upstreams);
+	tcase_add_test(tc, resends_of_a_deadly_request_are_refused);
 	suite_add_tcase(suite, tc);
 	sr = srunner_create(suite);
 	srunner_run_all(sr, CK_NORMAL);
