--- a/core/sched_impl.h
+++ b/core/sched_impl.h
@@ -185,6 +185,9 @@
 	bool dirty;		/* queued for a proposal */
 	uint8_t percent;	/* throttle, 100: none */
 	uint8_t throttle_polls; /* responses left that repeat it */
+	uint8_t losses;		/* workers lost soon after it started */
+	uint8_t pardons;	/* losses that do not count */
+	bool trial;		/* bound as a suspect; counted in worker.trials */
 	bool recorded_running;
 	bool was_running;     /* loaded as running */
 	bool unrecorded;      /* the store has no record of this executor */
@@ -219,9 +222,6 @@
 	struct worker *lost_on[MAX_FAILED_ON]; /* ring of nlost_on entries */
 	uint32_t nlost_on;
 	uint64_t lost_session; /* of the last one */
-	uint8_t losses;	       /* workers lost soon after it started */
-	uint8_t pardons;       /* losses that do not count */
-	bool trial;	       /* bound as a suspect; counted in worker.trials */
 	int64_t issued_us;     /* last start command; 0: none */
 	int64_t waiting_us;    /* since when it is in job.waiting */
 	int64_t loss_us;       /* last loss counted, 0: none; queued in sched.suspects */
--- a/regress/test_sched.c
+++ b/regress/test_sched.c
@@ -493,6 +493,27 @@
 }
 END_TEST
 
+/* Guards against work that is given up since its workers are restarted in turn. */
+START_TEST(restarts_in_turn_give_up_nothing)
+{
+	for (uint64_t seed = 1; seed <= 4; seed++) {
+		struct sim_options o = options(seed, 20);
+		struct sim_policy *p = sim_scheduler();
+		struct sim *w = settled(&o, p);
+
+		for (unsigned int i = 0; i < 60; i++) {
+			sim_crash_worker(w, i % 20, SECOND, false);
+			submit_innocents(w, 1);
+			sim_run(w, w->now_us + 2 * SECOND);
+		}
+		sim_run(w, w->now_us + 120 * SECOND);
+		check_innocents(w);
+		ck_assert_uint_eq(sim_unfinished(w, false), 0);
+		finish(w, p);
+	}
+}
+END_TEST
+
 /* Cuts off the worker that runs the task of the job; returns whether there was one. */
 static bool cut_worker_of(struct sim *w, const struct sim_job *j)
 {
@@ -1174,6 +1195,8 @@
 		       deadly_job_is_given_up_under_new_leaders);
 	tcase_add_test(add_case(s, "innocents_survive_lost_workers"),
 		       innocents_survive_lost_workers);
+	tcase_add_test(add_case(s, "restarts_in_turn_give_up_nothing"),
+		       restarts_in_turn_give_up_nothing);
 	tcase_add_test(add_case(s, "cuts_are_no_losses"), cuts_are_no_losses);
 	tc = add_case(s, "deadly");
 	tcase_add_loop_test(tc, deadly_tasks_are_bounded_under_faults, first,
