--- a/core/router.h
+++ b/core/router.h
@@ -49,7 +49,8 @@
 	ROUTER_R_CANCELLED = 14,   /* caller disconnected */
 	ROUTER_R_FAILED = 15,	   /* upstream connection failed, may have run */
 	ROUTER_R_REFUSED = 16,	   /* not run; attempts or retry budget used up */
-	ROUTER_REASONS = 17,
+	ROUTER_R_LOST = 17,	   /* two upstreams ended under it, may have run */
+	ROUTER_REASONS = 18,
 };
 
 struct router_ops {
@@ -119,6 +120,7 @@
 	bool idempotent;
 	bool keyed;	     /* claim the key before the first send */
 	int64_t deadline_us; /* absolute; 0: now + default_deadline_us */
+	uint64_t identity;   /* equal for resends of one request; 0: none known */
 };
 
 struct router_outcome {
