regress: the task ledger lets a result be lost only with its worker

Cause: test_site_tasks said "done twice" of a task that ran again because the worker that had finished it was killed before a leader had recorded its result. The result exists only on the worker until then, so no scheduler can know of it, and the task has to run again. The site test kills the workers b about 4 s after the job "one" starts; with slow syncs or sanitizers its tasks end shortly before that.

Change: the stand-in worker writes "forget" (the end is recorded) and "lease" (its lease has ended) to the ledger. check_tasks refuses each start of a task that is done, unless the worker with the result was killed or its lease ended before the record was confirmed. It also sees now a second start that does not end, and a start after a confirmed record.

--- a/regress/lib_sched_world.h
+++ b/regress/lib_sched_world.h
@@ -49,6 +49,7 @@
 	enum sched_reason reason;
 	uint32_t started;     /* newest attempt that a worker began */
 	uint32_t finished;    /* attempt that ran to its end, 0: none */
+	bool finish_lost;     /* the worker lost that result, or its lease ended */
 	uint64_t written;     /* largest checkpoint marker written */
 	unsigned int running; /* workers that run it now */
 	int64_t started_us;
@@ -125,6 +126,7 @@
 	unsigned int loss; /* lost and doubled messages of 1,000 */
 	int64_t delay_us;  /* largest message delay; mostly far below */
 	int64_t lag_us;	   /* age of measurements */
+	int64_t sync_us;   /* added to the time of every commit */
 	double noise;	   /* of measured latencies */
 	int64_t retry_us;  /* a worker without response polls again after it; 0: 0.5 s */
 };
--- a/regress/site_checks.sh
+++ b/regress/site_checks.sh
@@ -45,8 +45,10 @@
 }
 
 # check_tasks WORKER-LEDGER [STATES]: a task runs at one place at a time, each attempt
-# starts once, a task is done once, no worker holds more than it has. A worker process
-# that is killed ends its tasks without a line; ledger_killed adds one.
+# starts once, no worker holds more than it has, and a task that is done does not start
+# again. Only a result that its worker still had to report ("forget" confirms the record)
+# when it was killed or its lease ended may be lost, so that the task runs once more. A
+# worker process that is killed ends its tasks without a line; ledger_killed adds one.
 check_tasks() {
 	sort -n "$1" | awk '
 	$5 == "start" {
@@ -55,21 +57,37 @@
 			bad++
 		}
 		if (seen[$3, $4]++) { print "attempt started twice: " $3 " " $4; bad++ }
+		if (at[$3] != "" && !lost[$3]) {
+			print "started after it was done: " $3 " on " $2 ", done on " at[$3]
+			bad++
+		}
 		on[$3] = $2
 		starts++
 		next
 	}
 	$5 == "killed" {
 		for (t in on) if (index(on[t], $2) == 1) on[t] = ""
+		for (t in at) if (!recorded[t] && index(at[t], $2) == 1) lost[t] = 1
 		next
 	}
+	$5 == "lease" {
+		for (t in at) if (!recorded[t] && at[t] == $2) lost[t] = 1
+		next
+	}
+	$5 == "forget" { if (at[$3] == $2 && run[$3] == $4 && !lost[$3]) recorded[$3] = 1 }
 	$5 == "violation" { print "overcommit: " $0; bad++ }
-	$5 == "end" { if (on[$3] == $2) on[$3] = ""; if ($6 == "done") done[$3]++ }
+	$5 == "end" { if (on[$3] == $2) on[$3] = "" }
+	$5 == "end" && $6 == "done" {
+		if (at[$3] != "" && !lost[$3]) { print "done twice: " $3; bad++ }
+		again += at[$3] != ""
+		at[$3] = $2
+		run[$3] = $4
+		lost[$3] = 0
+	}
 	END {
-		for (t in done) if (done[t] > 1) { print "done twice: " t; bad++ }
 		n = 0
-		for (t in done) n++
-		printf "starts=%d tasks_done=%d\n", starts, n
+		for (t in at) if (at[t] != "") n++
+		printf "starts=%d tasks_done=%d done_again=%d\n", starts, n, again
 		exit bad > 0
 	}'
 }
--- a/regress/test_sched.c
+++ b/regress/test_sched.c
@@ -732,6 +732,31 @@
 }
 END_TEST
 
+/* Guards against a finished task that a new leader starts again while syncs are slow. */
+START_TEST(slow_syncs_repeat_no_finished_task)
+{
+	for (uint64_t seed = 1; seed <= 8; seed++) {
+		struct sim_options o = options(seed, 12);
+		struct sim_policy *p = sim_scheduler();
+		struct sim *w;
+
+		o.sync_us = (int64_t)seed * 21000;
+		w = settled(&o, p);
+		sim_submit(w, 0, 0, batch(1500, 4000, 1000), SECOND);
+		for (unsigned int i = 0; i < 40; i++) {
+			sim_crash_leader(w, (int64_t)prng_below(&w->rng, 2 * SECOND));
+			if (i % 4 == 0)
+				sim_crash_worker(w, (unsigned int)prng_below(&w->rng, 12),
+						 SECOND, false);
+			sim_run(w, w->now_us + (int64_t)prng_below(&w->rng, 3 * SECOND));
+		}
+		sim_run(w, w->now_us + 400 * SECOND);
+		ck_assert_uint_eq(sim_unfinished(w, false), 0);
+		finish(w, p);
+	}
+}
+END_TEST
+
 /* Guards against a team above its quota. */
 START_TEST(quota_holds)
 {
@@ -940,6 +965,8 @@
 	tcase_add_test(add_case(s, "cancelled_waves_end"), cancelled_waves_end);
 	tcase_add_test(add_case(s, "crashed_workers_double_no_attempt"),
 		       crashed_workers_double_no_attempt);
+	tcase_add_test(add_case(s, "slow_syncs_repeat_no_finished_task"),
+		       slow_syncs_repeat_no_finished_task);
 	tcase_add_test(add_case(s, "quota_holds"), quota_holds);
 	tcase_add_test(add_case(s, "urgent_work_leaves_silent_workers"),
 		       urgent_work_leaves_silent_workers);
--- a/standins/worker.c
+++ b/standins/worker.c
@@ -385,6 +385,7 @@
 	if (!t || t->attempt != attempt)
 		return;
 	if (strcmp(op, "forget") == 0 && t->state != T_RUNNING) {
+		task_line(t, "forget", state_names[t->state]);
 		task_remove(t);
 	} else if (strcmp(op, "throttle") == 0 && t->state == T_RUNNING) {
 		task_throttle(t, order_number(order, "percent"));
@@ -507,6 +508,7 @@
 
 	for (struct task *t = w->tasks; t; t = t->hh.next)
 		task_end(t, T_STOPPED, 0);
+	ledger_line(ledger, "%lld %s - 0 lease ended\n", (long long)wall_us(), w->name);
 }
 
 static void term_cb(struct ev_loop *l, struct ev_signal *w, int revents)
