regress: test_site_claims kills the entry process on what it has seen

Cause: the test killed e1 150 ms after a booking and took it for "between send and answer". With syncs of 40 ms (a preloaded fdatasync that sleeps, trial) the claim had not committed by then: no byte reached the upstream, the run count was 0, and the resend was answered 502 unknown, as a claim of a lost owner must be. The product is right, the fixed time is wrong.

Change: the kill waits for the start line in the upstream's ledger; the kill before the upstream received a byte waits until the upstream's proxy has accepted the connection of e1; the resend of a running booking waits for its start. The upstream takes 1 s for a request in place of 0.3 s, so that a kill after its start is before its answer. All patterns and counts stay as they were.

--- a/regress/test_site_claims.sh
+++ b/regress/test_site_claims.sh
@@ -19,7 +19,7 @@
 up=$((SITE_PORT + 70))
 via=$((SITE_PORT + 72))
 site_spawn upstream "$BUILD/bin/upstream" --listen 127.0.0.1:$up --team guild \
-	--service gigdesk --name gig --zone joburg-a --slots 8 --service-ms 300 \
+	--service gigdesk --name gig --zone joburg-a --slots 8 --service-ms 1000 \
 	--ledger "$ledger" --ledger-starts
 site_spawn uproxy "$BUILD/bin/faultproxy" --control 127.0.0.1:$((SITE_PORT + 79)) \
 	--pair up=127.0.0.1:$via=127.0.0.1:$up
@@ -56,6 +56,17 @@
 runs() {
 	grep -c "/book/$1 .* start$" "$ledger"
 }
+has_started() { # KEY
+	[ "$(runs "$1")" -ge 1 ]
+}
+# accepted: connections that the upstream's proxy has accepted.
+accepted() {
+	curl -s "http://127.0.0.1:$((SITE_PORT + 79))/stats/all" |
+		sed -n 's/^up .* accepted \([0-9]*\) .*/\1/p'
+}
+has_connected() { # COUNT BEFORE
+	[ "$(accepted)" -gt "$1" ]
+}
 expect() { # WHAT GOT PATTERN
 	echo "$2" | grep -qE "$3" || site_fail "$1: got '$2', expected '$3'"
 	echo "$1: $2"
@@ -70,7 +81,7 @@
 
 book e1 slow >"$SITE_DIR/slow" &
 slow=$!
-sleep 0.1
+site_until 5 has_started slow || site_fail "booking slow does not start"
 expect "resend while it runs" "$(book e2 slow)" '^409 unknown|^409 not-run'
 wait $slow
 expect "the first one ends" "$(cat "$SITE_DIR/slow")" '^200 done'
@@ -78,7 +89,7 @@
 
 # Killed between send and answer.
 book e1 killed >/dev/null &
-sleep 0.15
+site_until 5 has_started killed || site_fail "booking killed does not start"
 site_signal e1 KILL
 wait $!
 expect "resend after the kill" "$(book e2 killed)" '^(409|502) unknown'
@@ -93,8 +104,9 @@
 
 # Killed after the claim and before the upstream received a byte.
 fault hold/all
+connections=$(accepted)
 book e1 held >/dev/null &
-sleep 0.15
+site_until 5 has_connected "$connections" || site_fail "booking held is not sent"
 site_signal e1 KILL
 wait $!
 fault reset/all
