carawayfrontd: a slow leader is not taken for lost by the entry processes

Cause: traced in test_site_drain with syncs of 100 ms (a preloaded fdatasync that sleeps, trial): one process led from the start to its own stop, yet every entry process logged configuration-stale after 3.0 s and refused 30 of 1,200 requests with 503 not-run. A WATCH waits 500 ms at the leader and got 0.8 s in all, so two rounds of a state process that syncs for 150 ms use it up. The entry process then avoided the leader for 1 s for every call, went round the followers, which all named the avoided leader, asked it again with the 0.2 s that were left, avoided it again for that, and was stale before the next try.

Change: a WATCH has its wait and the usual time of an attempt (1 s), and renews a confirmation older than 1 s without waiting. A process is avoided after a timeout only if it had the whole time of an attempt and has answered no other call since. A call starts at a process that is not avoided, so that a lost leader costs one attempt, not one a call.

--- a/Makefile
+++ b/Makefile
@@ -59,6 +59,8 @@
 
 $(BUILD)/bin/test_command_batch: $(BUILD)/carawayfrontd/command_batch.o
 
+$(BUILD)/bin/test_leader_client: $(BUILD)/carawayfrontd/leader_client.o
+
 $(BUILD)/bin/bench_%: $(BUILD)/bench/bench_%.o $(BENCH_LIB) $(LIB)
 	@mkdir -p $(@D)
 	@echo '  LINK $@'; $(CC) $(LDFLAGS) -o $@ $(filter %.o,$^) $(LIB) $(LDLIBS)
--- a/carawayfrontd/entry_watch.c
+++ b/carawayfrontd/entry_watch.c
@@ -13,8 +13,8 @@
 #include "proto/peer.h"
 
 #define WATCH_WAIT_MS 500U
-#define WATCH_TIMEOUT 2.0 /* seconds */
-#define WATCH_ATTEMPT 0.8 /* seconds; WATCH_WAIT_MS and a round trip */
+/* A confirmation as old as this is renewed without waiting for a change. */
+#define RENEW_AGE_US 1000000
 #define RETRY_DELAY 0.1
 #define CHECK_PERIOD 0.05 /* between checks of freshness and of waiting requests */
 #define MAX_WAIT_MS 60000U
@@ -344,18 +344,21 @@
  */
 static void ask(struct entry_watch *w)
 {
+	int64_t now = clock_us();
+	bool wait = w->fresh && now - w->fresh_us < RENEW_AGE_US;
 	struct peer_watch_args args = {
 		.after = conf_view_index(w->view),
-		.wait_ms = w->fresh ? WATCH_WAIT_MS : 0,
+		.wait_ms = wait ? WATCH_WAIT_MS : 0,
 		.incarnation = *w->opt.incarnation,
 	};
+	double timeout = args.wait_ms / 1000.0 + LEADER_ATTEMPT;
 	struct buf bytes = {0};
 
-	w->sent_us = clock_us();
+	w->sent_us = now;
 	w->call.ops = &watch_ops;
 	if (codec_encode((xdrproc_t)xdr_peer_watch_args, &args, &bytes) ||
 	    leader_call_start(w->opt.leader, &w->call, PEER_WATCH, buf_str(&bytes),
-			      WATCH_TIMEOUT, WATCH_ATTEMPT)) {
+			      timeout, timeout)) {
 		ev_timer_set(&w->retry, RETRY_DELAY, 0);
 		ev_timer_start(w->opt.loop, &w->retry);
 	}
--- a/carawayfrontd/leader_client.c
+++ b/carawayfrontd/leader_client.c
@@ -58,15 +58,38 @@
 		 (struct str){NULL, 0});
 }
 
-static void retry_later(struct leader_call *call, size_t target, double delay)
+/* The first process from target on that is not avoided; the last one if all are. */
+static size_t choose_target(const struct leader_client *c, size_t target)
 {
-	struct leader_client *c = call->client;
+	size_t chosen = target;
 
 	for (size_t i = 0; i < c->n; i++) {
-		call->target = (target + i) % c->n;
-		if (c->avoid_until[call->target] <= ev_now(c->loop))
+		chosen = (target + i) % c->n;
+		if (c->avoid_until[chosen] <= ev_now(c->loop))
 			break;
 	}
+	return chosen;
+}
+
+/*
+ * Avoids a process that did not answer an attempt, unless it may only be slow: it has
+ * answered another call since then, or the call ended before the time of an attempt.
+ */
+static void avoid(const struct leader_call *call, int err)
+{
+	struct leader_client *c = call->client;
+
+	if (err == CF_ETIMEOUT &&
+	    (!call->full_attempt || c->heard_at[call->target] >= call->sent_at))
+		return;
+	c->avoid_until[call->target] = ev_now(c->loop) + AVOID_TIME;
+}
+
+static void retry_later(struct leader_call *call, size_t target, double delay)
+{
+	struct leader_client *c = call->client;
+
+	call->target = choose_target(c, target);
 	if (ev_now(c->loop) + delay >= call->deadline) {
 		fail_call(call);
 		return;
@@ -80,10 +103,14 @@
 	struct leader_client *c = call->client;
 	double left = call->deadline - ev_now(c->loop);
 	double timeout = left < call->attempt_timeout ? left : call->attempt_timeout;
+	int err;
 
-	if (rpc_client_call(c->clients[call->target], call->proc, buf_str(&call->args),
-			    timeout, &call->waiter)) {
-		c->avoid_until[call->target] = ev_now(c->loop) + AVOID_TIME;
+	call->sent_at = ev_now(c->loop);
+	call->full_attempt = call->sent_at + call->attempt_timeout <= call->deadline;
+	err = rpc_client_call(c->clients[call->target], call->proc, buf_str(&call->args),
+			      timeout, &call->waiter);
+	if (err) {
+		avoid(call, err);
 		retry_later(call, call->target + 1, RETRY_DELAY);
 	}
 }
@@ -127,10 +154,12 @@
 	struct str leader;
 	int result_err;
 
-	if (!err)
+	if (!err) {
+		c->heard_at[call->target] = ev_now(c->loop);
 		err = read_head(results, &result_err, &leader);
+	}
 	if (err) {
-		c->avoid_until[call->target] = ev_now(c->loop) + AVOID_TIME;
+		avoid(call, err);
 		call->maybe_run = true;
 		retry_later(call, call->target + 1, RETRY_DELAY);
 		return;
@@ -173,7 +202,7 @@
 	call->maybe_run = false;
 	call->attempt_timeout = attempt_timeout;
 	call->deadline = ev_now(c->loop) + timeout;
-	call->target = c->guess;
+	call->target = choose_target(c, c->guess);
 	ev_timer_init(&call->retry, on_retry, 0, 0);
 	call->retry.data = call;
 	attempt(call);
--- a/carawayfrontd/leader_client.h
+++ b/carawayfrontd/leader_client.h
@@ -17,7 +17,8 @@
 	 * still name it as the leader before they notice its loss.
 	 */
 	double avoid_until[LEADER_MAX_MEMBERS];
-	size_t guess; /* index of the process that led last */
+	double heard_at[LEADER_MAX_MEMBERS]; /* loop time of the last answer */
+	size_t guess;			     /* index of the process that led last */
 	uint64_t redirects;
 	uint64_t failures;
 };
@@ -45,6 +46,8 @@
 	uint32_t proc;
 	double deadline; /* loop time */
 	double attempt_timeout;
+	double sent_at;	   /* loop time of the present attempt */
+	bool full_attempt; /* its process has all of attempt_timeout */
 	size_t target;
 	bool maybe_run;
 };
--- /dev/null
+++ b/regress/test_leader_client.c
@@ -0,0 +1,189 @@
+#include <check.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#include <ev.h>
+
+#include "base/err.h"
+#include "carawayfrontd/leader_client.h"
+#include "io/rpc_server.h"
+#include "proto/codec.h"
+#include "proto/peer.h"
+
+#define MEMBERS 3
+#define FIRST_PORT 20121
+
+/* A state process that answers, names another leader, or is silent. */
+struct member {
+	struct rpc_server_host host; /* first member */
+	struct rpc_server *server;
+	const char *leader;  /* NULL: this one leads */
+	unsigned int silent; /* calls left without an answer */
+	unsigned int calls;
+};
+
+struct caller {
+	struct leader_call call; /* first member */
+	bool ended;
+	int err;
+};
+
+static struct ev_loop *loop;
+static struct member member[MEMBERS];
+static struct settings_member item[MEMBERS];
+static struct settings settings;
+static struct leader_client client;
+
+static void serve(struct rpc_server_host *host, struct rpc_call *call)
+{
+	struct member *m = (struct member *)host;
+	struct peer_propose_res res = {.err = m->leader ? CF_ENOTLEADER : 0};
+	struct buf bytes = {0};
+
+	m->calls++;
+	if (m->silent) {
+		m->silent--;
+		rpc_call_drop(call);
+		return;
+	}
+	XDR_SET(res, leader, str_from(m->leader ? m->leader : ""));
+	ck_assert_int_eq(codec_encode((xdrproc_t)xdr_peer_propose_res, &res, &bytes), 0);
+	rpc_call_reply(call, 0, buf_str(&bytes));
+	buf_free(&bytes);
+}
+
+static const struct rpc_server_ops server_ops = {.call = serve};
+
+static void on_done(struct leader_call *call, int err, struct str results)
+{
+	struct caller *c = (struct caller *)call;
+
+	c->ended = true;
+	c->err = err;
+}
+
+static const struct leader_call_ops call_ops = {.done = on_done};
+
+static void setup(void)
+{
+	static const char *const names[MEMBERS] = {"s0", "s1", "s2"};
+
+	loop = ev_loop_new(0);
+	for (int i = 0; i < MEMBERS; i++) {
+		struct rpc_server_options opt = {.loop = loop, .key = STR("secret")};
+		char text[32];
+
+		snprintf(text, sizeof(text), "127.0.0.1:%d", FIRST_PORT + i);
+		item[i].name = str_from(names[i]);
+		ck_assert_int_eq(addr_parse(str_from(text), &item[i].address), 0);
+		member[i] = (struct member){.host = {.ops = &server_ops},
+					    .leader = i ? "s0" : NULL};
+		opt.host = &member[i].host;
+		opt.address = item[i].address;
+		ck_assert_int_eq(rpc_server_new(&opt, &member[i].server), 0);
+	}
+	settings = (struct settings){.name = STR("e1"), .cluster_key = STR("secret")};
+	settings.state.items = item;
+	settings.state.n = MEMBERS;
+	ck_assert_int_eq(leader_client_init(&client, loop, &settings), 0);
+}
+
+static void teardown(void)
+{
+	leader_client_destroy(&client);
+	for (int i = 0; i < MEMBERS; i++)
+		rpc_server_free(member[i].server);
+	ev_loop_destroy(loop);
+}
+
+static void start(struct caller *c, double timeout, double attempt)
+{
+	*c = (struct caller){.call = {.ops = &call_ops}};
+	ev_now_update(loop);
+	ck_assert_int_eq(leader_call_start(&client, &c->call, PEER_PROPOSE, STR("x"),
+					   timeout, attempt),
+			 0);
+}
+
+/* Runs the loop until the call has ended; the bound only ends a broken test. */
+static void run_until(const struct caller *c)
+{
+	for (int i = 0; i < 100000 && !c->ended; i++)
+		ev_run(loop, EVRUN_ONCE);
+	ck_assert(c->ended);
+}
+
+/* Guards against a leader that is taken for lost because one of its answers is late. */
+START_TEST(slow_leader_is_asked_again)
+{
+	struct caller late;
+	struct caller other;
+
+	start(&other, 5, 5);
+	run_until(&other);
+	member[0].silent = 1;
+	start(&late, 1.4, 0.5);
+	start(&other, 5, 5);
+	run_until(&other);
+	run_until(&late);
+	ck_assert_int_eq(late.err, 0);
+}
+END_TEST
+
+/* Guards against a leader that is taken for lost because a call had little time. */
+START_TEST(short_call_blames_no_process)
+{
+	struct caller late;
+	struct caller next;
+
+	member[0].silent = 1;
+	start(&late, 0.2, 1);
+	run_until(&late);
+	ck_assert_int_eq(late.err, CF_EUNKNOWN);
+	start(&next, 0.8, 0.8);
+	run_until(&next);
+	ck_assert_int_eq(next.err, 0);
+	ck_assert_uint_eq(member[1].calls + member[2].calls, 0);
+}
+END_TEST
+
+/* Guards against calls that start again and again at a process that is lost. */
+START_TEST(lost_leader_is_not_asked_first)
+{
+	struct caller late;
+	struct caller next;
+
+	start(&next, 5, 5);
+	run_until(&next);
+	member[0].silent = 1000;
+	member[1].leader = NULL;
+	member[2].leader = "s1";
+	start(&late, 0.3, 0.3);
+	run_until(&late);
+	ck_assert_int_eq(late.err, CF_EUNKNOWN);
+	start(&next, 0.8, 0.8);
+	run_until(&next);
+	ck_assert_int_eq(next.err, 0);
+	ck_assert_uint_eq(member[0].calls, 2);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *s = suite_create("leader_client");
+	TCase *tc = tcase_create("calls");
+	SRunner *sr;
+	int failed;
+
+	tcase_add_checked_fixture(tc, setup, teardown);
+	tcase_set_timeout(tc, 60);
+	tcase_add_test(tc, slow_leader_is_asked_again);
+	tcase_add_test(tc, short_call_blames_no_process);
+	tcase_add_test(tc, lost_leader_is_not_asked_first);
+	suite_add_tcase(s, tc);
+	sr = srunner_create(s);
+	srunner_run_all(sr, CK_NORMAL);
+	failed = srunner_ntests_failed(sr);
+	srunner_free(sr);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
