dag: crashes are told from exits and cuts by when the worker was last heard

Found by a review of the count of crashes, each case played in virtual time first:

* A deadly serving task whose worker came back under its old id was started six times: the loss of contact was forgotten before the crash was judged, so that the task seemed to have run for long, and its count was set back.
The same after a change of leader, since the age of a recorded run was not known.
* Long batch work on workers behind cuts of 15 s, with a change of leader in each, was given up; so was work on a worker that announced its exit and came back under its old id, three times.
A start that was never sent counted when its worker's lease ended.
* A worker that had announced its exit and came back under its old id took no more work.

Change: the age of a run at a crash is counted to the newest reply of its worker; each process notes when it applied the record of a start, so that a new leader knows the age. The count of a serving task is set back only by an end that says so (SURVIVED), or by a failure that the worker lists. A new life ends the announced exit of the one before, which counts as none. A serving task has survived its start after 2 s instead of 3. A record of lost contact that a leader proposed before it built its scheduler again binds it too.

--- a/core/dag_crash.c
+++ b/core/dag_crash.c
@@ -8,7 +8,9 @@
 #include "proto/codec.h"
 
 /* A worker crashes soon after it has started a deadly task. */
-#define CRASH_DELAY_MAX_US (3 * USEC_PER_SEC)
+#define CRASH_DELAY_MAX_US (2 * USEC_PER_SEC)
+/* From the last reply to the record of a lost contact: two polls that time out. */
+#define LOSS_RECORD_DELAY_US (4 * USEC_PER_SEC)
 /* A worker that survives a suspect for this long takes other tasks again. */
 #define TRIAL_US (1500 * USEC_PER_MS)
 /* A worker that joined so recently may be one that crashes by itself. */
@@ -24,26 +26,33 @@
 				 r->task.index);
 }
 
-/* When the worker was last known to work. */
-static int64_t contact_us(const struct dag_sched *s, const struct ds_worker *w)
+/*
+ * When the worker was last known to work. Before this leader has polled it, that follows
+ * from the record of the loss, which came some time later.
+ */
+static int64_t contact_us(const struct ds_worker *w)
+{
+	if (!w->polled && w->rec->lost)
+		return w->rec->lost_us - LOSS_RECORD_DELAY_US;
+	return w->polled_us;
+}
+
+/* Whether a start request of the run may have reached its worker. */
+static bool was_sent(const struct ds_run *r)
 {
-	return w->unanswered_us ? w->unanswered_us : s->now_us;
+	return r->start_requests || r->phase == DS_RECOVERED || r->phase == DS_ACCEPTED;
 }
 
 /* Whether a run may have been on a life of its worker before the one of born_ms. */
 static bool was_there(const struct ds_run *r, int64_t born_ms)
 {
-	bool sent =
-		r->start_requests || r->phase == DS_RECOVERED || r->phase == DS_ACCEPTED;
-
-	return sent && !r->end_proposed && !r->listed && r->born_ms < born_ms;
+	return was_sent(r) && !r->end_proposed && !r->listed && r->born_ms < born_ms;
 }
 
-/* A serving task that has run for a while is not the cause of a crash. */
-static bool is_proven(const struct dag_sched *s, const struct ds_run *r)
+/* Whether contact with its worker was lost just after the run began. */
+static bool began_before_loss(const struct ds_run *r)
 {
-	return r->step->long_running &&
-	       contact_us(s, r->worker) - r->start_sent_us > CRASH_DELAY_MAX_US;
+	return contact_us(r->worker) - r->start_sent_us < CRASH_DELAY_MAX_US;
 }
 
 /* The one run that explains a crash: a suspect on trial that started last. NULL: none. */
@@ -66,16 +75,20 @@
 	return sole;
 }
 
+static enum dag_end_how crash_end(const struct ds_run *r, bool alone)
+{
+	/* A serving task that has run for a while is not the cause. */
+	if (r->step->long_running && !began_before_loss(r))
+		return DAG_END_SURVIVED;
+	return alone ? DAG_END_CRASHED_ALONE : DAG_END_CRASHED;
+}
+
 static void count_crash(struct dag_sched *s, struct ds_run *r, bool alone,
 			const char *reason)
 {
 	struct str none = {NULL, 0};
 
-	if (is_proven(s, r))
-		ds_run_propose_lost(s, r, reason);
-	else
-		ds_run_propose_end(s, r, alone ? DAG_END_CRASHED_ALONE : DAG_END_CRASHED,
-				   none, reason);
+	ds_run_propose_end(s, r, crash_end(r, alone), none, reason);
 }
 
 /* Ends the runs of a worker whose process has crashed and is replaced by another. */
@@ -102,10 +115,14 @@
 	TAILQ_FOREACH (r, &w->runs, worker_entry) {
 		if (!was_there(r, born_ms))
 			continue;
-		if (r->phase == DS_ACCEPTED && r->accepted_us < w->poll_sent_us) {
+		if (w->earlier_left && r->phase == DS_ACCEPTED &&
+		    r->accepted_us < w->poll_sent_us) {
+			ds_run_propose_lost(s, r, "left and came back");
+		} else if (r->phase == DS_ACCEPTED && r->accepted_us < w->poll_sent_us) {
 			count_crash(s, r, r == sole, "the worker has started again");
 		} else if (r->phase != DS_ACCEPTED && !r->stop_requested) {
-			r->crashed = true;
+			if (!w->earlier_left)
+				r->stopped_how = crash_end(r, false);
 			ds_run_request_stop(s, r, "the worker has started again");
 		}
 	}
@@ -114,26 +131,12 @@
 /* The run is certainly not on its worker; it was stopped after a crash, or as asked. */
 void ds_end_stopped_run(struct dag_sched *s, struct ds_run *r)
 {
-	if (r->crashed)
-		count_crash(s, r, false, "the worker has started again");
-	else
-		ds_run_propose_lost(s, r, "stopped");
-}
-
-/*
- * Whether contact with its worker was lost just after the run began. A run that an
- * earlier leader started has no known age; a serving task among these has most likely run
- * for long.
- */
-static bool began_before_loss(const struct ds_run *r)
-{
-	const struct ds_worker *w = r->worker;
+	struct str none = {NULL, 0};
 
-	if (!w->unanswered_us && !w->contact_lost)
-		return false;
-	if (!r->start_sent_us)
-		return !r->step->long_running;
-	return w->unanswered_us - r->start_sent_us < CRASH_DELAY_MAX_US;
+	ds_run_propose_end(s, r, r->stopped_how, none,
+			   r->stopped_how == DAG_END_LAPSED
+				   ? "stopped"
+				   : "the worker has started again");
 }
 
 /*
@@ -148,8 +151,10 @@
 	TAILQ_FOREACH (r, &w->runs, worker_entry) {
 		if (r->phase == DS_PROPOSED)
 			continue;
-		if (began_before_loss(r))
+		if (was_sent(r) && began_before_loss(r))
 			ds_run_propose_end(s, r, DAG_END_CRASHED, none, "lease ended");
+		else if (was_sent(r) && r->step->long_running)
+			ds_run_propose_end(s, r, DAG_END_SURVIVED, none, "lease ended");
 		else
 			ds_run_propose_lost(s, r, "lease ended");
 	}
--- a/core/dag_run.c
+++ b/core/dag_run.c
@@ -26,6 +26,7 @@
 	r->step = step;
 	r->run = run;
 	r->created_us = s->now_us;
+	r->stopped_how = DAG_END_LAPSED;
 	r->speed_percent = 100;
 	r->progress_percent = -1;
 	TAILQ_INSERT_TAIL(&j->runs, r, job_entry);
--- a/core/dag_sched.c
+++ b/core/dag_sched.c
@@ -218,6 +218,14 @@
 	.zones_changed = on_zones_changed,
 };
 
+/* When this process applied the record of a start; 0: not known. */
+static int64_t recorded_start_us(const struct dag_sched *s, uint32_t started_ms)
+{
+	uint32_t age_ms = (uint32_t)(s->now_us / USEC_PER_MS) - started_ms;
+
+	return started_ms ? s->now_us - (int64_t)age_ms * USEC_PER_MS : 0;
+}
+
 /* Adds a job's recorded runs; the worker may or may not have started them. */
 static void recover_runs(struct dag_sched *s, struct ds_job *j)
 {
@@ -245,6 +253,7 @@
 			if (!r)
 				continue;
 			r->phase = DS_RECOVERED;
+			r->start_sent_us = recorded_start_us(s, t->started_ms[c]);
 			if (t->life[c] == w->lives)
 				r->born_ms = w->w.born_ms;
 		}
--- a/core/dag_sched_impl.h
+++ b/core/dag_sched_impl.h
@@ -41,7 +41,8 @@
 	int64_t accepted_us;	 /* when the worker confirmed it */
 	int64_t born_ms;	 /* life of the worker that was told of it, 0: none yet */
 	bool suspect; /* a worker has crashed under an earlier run of the task */
-	bool crashed; /* stopped since its worker started again */
+	enum dag_end_how
+		stopped_how; /* end to record once it is stopped and not listed */
 	bool stop_requested;
 	bool stop_in_flight;
 	int64_t stop_acked_us; /* 0: not acknowledged */
@@ -146,7 +147,9 @@
 	int64_t polled_us;     /* newest reply to a poll */
 	bool contact_lost;     /* recorded or proposed; no lease is granted */
 	bool contact_proposed; /* that it is regained */
-	int64_t unanswered_us; /* first poll without a reply since then, 0: none */
+	bool polled;	       /* by this leader */
+	bool draining;	       /* or gone */
+	bool earlier_left;     /* its earlier life had announced its end */
 	int64_t next_poll_us;
 	unsigned int poll_failures;
 	uint64_t acked_end;	   /* ends up to this number are acknowledged */
--- a/core/dag_state.c
+++ b/core/dag_state.c
@@ -445,6 +445,7 @@
 	    t->n_live == DAG_MAX_COPIES)
 		return;
 	t->life[t->n_live] = w->lives;
+	t->started_ms[t->n_live] = (uint32_t)(s->clock_us / 1000);
 	t->live[t->n_live++] = (struct dag_run){st->run, st->worker};
 	t->last_run = st->run;
 	w->n_runs++;
@@ -525,12 +526,14 @@
 		count_crash(s, j, t, e->how == DAG_END_CRASHED_ALONE);
 		return;
 	}
-	if (st->long_running) {
-		/* Its worker has survived the start. */
+	/* A worker that lists the run as failed has survived it as well. */
+	if (e->how == DAG_END_SURVIVED ||
+	    (st->long_running && e->how == DAG_END_FAILED)) {
 		t->crashes = 0;
 		t->crashes_alone = 0;
-		return;
 	}
+	if (st->long_running)
+		return;
 	if (e->how == DAG_END_DONE) {
 		if (st->gang)
 			complete_gang(j, &e->task);
@@ -566,6 +569,7 @@
 	worker = t->live[i].worker;
 	t->live[i] = t->live[--t->n_live];
 	t->life[i] = t->life[t->n_live];
+	t->started_ms[i] = t->started_ms[t->n_live];
 	record_end(s, j, e, t);
 	w = dag_state_find_worker(s, worker);
 	if (w)
--- a/core/dag_state.h
+++ b/core/dag_state.h
@@ -41,8 +41,10 @@
 	bool done;
 	uint8_t n_live;
 	struct dag_run live[DAG_MAX_COPIES];
-	uint32_t life[DAG_MAX_COPIES]; /* dag_worker_rec.lives at their start */
-	struct buf checkpoint;	       /* of the newest end that had one */
+	/* Not in snapshots: dag_worker_rec.lives and clock_us in ms at their start. */
+	uint32_t life[DAG_MAX_COPIES];
+	uint32_t started_ms[DAG_MAX_COPIES]; /* 0: not known */
+	struct buf checkpoint;		     /* of the newest end that had one */
 };
 
 struct dag_occurrence {
--- a/core/dag_worker.c
+++ b/core/dag_worker.c
@@ -129,6 +129,7 @@
 
 	w->guarded = dag_state_service_guarded(s->state, XDR_STR(w->rec->w, service));
 	w->capacity = ds_capacity_min(&recorded, &w->reported);
+	w->draining = w->rec->w.state != DAG_WORKER_READY;
 	w->in_service = w->rec->w.state == DAG_WORKER_READY &&
 			!dag_state_zone_closed(s->state, XDR_STR(w->rec->w, zone));
 	s->placement_needed = true;
@@ -208,8 +209,6 @@
 				int64_t now_us)
 {
 	w->last_heard_us = now_us;
-	w->polled_us = now_us;
-	w->unanswered_us = 0;
 	if (poll->clock_ms <= 0)
 		return;
 	w->clock_known = true;
@@ -574,8 +573,10 @@
 /* The loss or return of contact is recorded. */
 void ds_worker_contact_changed(struct dag_sched *s, struct ds_worker *w)
 {
-	if (w->rec->lost)
+	if (w->rec->lost) {
+		w->contact_lost = true;
 		return;
+	}
 	w->contact_lost = false;
 	w->contact_proposed = false;
 	w->next_poll_us = s->now_us;
@@ -591,6 +592,8 @@
 	if (born_ms <= w->process_born_ms)
 		return;
 	w->process_born_ms = born_ms;
+	w->earlier_left = w->leaving_since_us || w->draining;
+	w->leaving_since_us = 0;
 	w->clock_known = false;
 	w->acked_end = 0;
 	w->last_listed_end = 0;
@@ -694,8 +697,6 @@
 		return;
 	}
 	if (!poll) {
-		if (!w->poll_failures)
-			w->unanswered_us = now_us;
 		if (!w->poll_failures++)
 			s->host->ops->log_event(s->host, "worker-lost", NULL, 0,
 						XDR_STR(w->rec->w, id),
@@ -723,6 +724,8 @@
 	if (!is_from_older_process(w, poll))
 		record_poll_contact(w, poll, now_us);
 	process_poll_reply(s, w, poll);
+	w->polled = true;
+	w->polled_us = now_us;
 	/*
 	 * The worker replies at once while an end is unacknowledged; wait, so that polls
 	 * do not follow each other without a pause.
--- a/proto/dag.h
+++ b/proto/dag.h
@@ -191,6 +191,7 @@
 	DAG_END_ALONE = 5,
 	DAG_END_CRASHED = 6,
 	DAG_END_CRASHED_ALONE = 7,
+	DAG_END_SURVIVED = 8,
 };
 
 struct dag_end {
--- a/proto/dag.x
+++ b/proto/dag.x
@@ -113,7 +113,8 @@
 
 /*
  * CRASHED and CRASHED_ALONE are found by the leader, not listed by a worker: the worker
- * crashed under the run; ALONE: only this run can have caused it.
+ * crashed under the run; ALONE: only this run can have caused it; SURVIVED: it crashed
+ * long after the start of the run, which is not the cause.
  */
 enum dag_end_how {
 	DAG_END_DONE = 0,
@@ -123,7 +124,8 @@
 	DAG_END_BROKEN = 4,
 	DAG_END_ALONE = 5,
 	DAG_END_CRASHED = 6,
-	DAG_END_CRASHED_ALONE = 7
+	DAG_END_CRASHED_ALONE = 7,
+	DAG_END_SURVIVED = 8
 };
 
 struct dag_end {
--- a/regress/test_dag_crash.c
+++ b/regress/test_dag_crash.c
@@ -66,12 +66,23 @@
 /* Guards against a deadly serving task, which has no limit of attempts. */
 START_TEST(deadly_serving_task_is_given_up)
 {
+	uint32_t change_after = (uint32_t)_i / 4;
+
+	w.crash_new_id = _i & 1;
+	if (_i & 2)
+		w.crash_return_us = 12 * SECOND; /* longer than a lease */
 	w.deadly_job = DEADLY;
 	w.deadly_jobs = 1;
 	add_workers(N_WORKERS);
 	dw_submit_lasting(&w, 1, 8);
 	dw_submit_lasting(&w, DEADLY, 4);
-	dw_run_for(&w, 60 * SECOND);
+	while (change_after && w.crashes < change_after)
+		dw_run_for(&w, SECOND / 10);
+	if (change_after) {
+		dw_run_for(&w, SECOND);
+		dw_change_leader(&w);
+	}
+	dw_run_for(&w, 90 * SECOND);
 	assert_sound();
 	ck_assert_int_eq(dw_state(&w, DEADLY), DAG_JOB_FAILED);
 	ck_assert_uint_eq(dw_alive(&w, 1), 8);
@@ -149,6 +160,48 @@
 }
 END_TEST
 
+/* Guards against long work that is given up since it was on workers that were cut off. */
+START_TEST(cuts_and_new_leaders_give_nothing_up)
+{
+	w.work_us = 25 * SECOND;
+	add_workers(4);
+	dw_submit_chain(&w, 1, 1, 4);
+	dw_submit_lasting(&w, 2, 4);
+	for (int i = 0; i < 4; i++) {
+		dw_run_for(&w, 6 * SECOND);
+		for (uint32_t k = 0; k < 4; k++)
+			w.workers[k].cut = true;
+		dw_run_for(&w, 5 * SECOND);
+		dw_change_leader(&w);
+		dw_run_for(&w, 10 * SECOND);
+		for (uint32_t k = 0; k < 4; k++)
+			w.workers[k].cut = false;
+	}
+	dw_run_for(&w, 40 * SECOND);
+	assert_sound();
+	assert_completed(1, 1);
+	ck_assert_uint_eq(dw_alive(&w, 2), 4);
+}
+END_TEST
+
+/* Guards against exits that were announced and count as crashes, or end a worker's use. */
+START_TEST(announced_exits_give_nothing_up)
+{
+	w.work_us = 20 * SECOND;
+	add_workers(1);
+	dw_run_for(&w, SECOND);
+	dw_submit_chain(&w, 1, 1, 4);
+	for (int i = 0; i < 5; i++) {
+		dw_run_for(&w, 2 * SECOND);
+		dag_sched_worker_leaving(w.sched, 1, w.now_us);
+		dw_crash_for(&w, 0, SECOND / 2, false);
+	}
+	dw_run_for(&w, 30 * SECOND);
+	assert_sound();
+	assert_completed(1, 1);
+}
+END_TEST
+
 /* Guards against a count that a change of leader, lost or late orders set back. */
 START_TEST(count_of_crashes_survives_faults)
 {
@@ -214,7 +267,9 @@
 	tcase_set_timeout(tc, 120);
 	tcase_add_checked_fixture(tc, open_world, close_world);
 	tcase_add_loop_test(tc, deadly_task_is_given_up, 0, 4);
-	tcase_add_test(tc, deadly_serving_task_is_given_up);
+	tcase_add_loop_test(tc, deadly_serving_task_is_given_up, 0, 16);
+	tcase_add_test(tc, announced_exits_give_nothing_up);
+	tcase_add_test(tc, cuts_and_new_leaders_give_nothing_up);
 	tcase_add_test(tc, deadly_gang_is_given_up);
 	tcase_add_test(tc, snapshot_keeps_the_crashes);
 	tcase_add_loop_test(tc, neighbours_of_deadly_tasks_complete, 0, 12);
