--- a/regress/test_dag_crash.c
+++ b/regress/test_dag_crash.c
@@ -184,7 +184,8 @@
 }
 END_TEST
 
-/* Guards against exits that were announced and count as crashes, or end a worker's use. */
+/* Guards against exits that were announced and count as crashes, or end a worker's use.
+ */
 START_TEST(announced_exits_give_nothing_up)
 {
 	w.work_us = 20 * SECOND;
