regress: test_site_stop waits for the first file by time, not by turns of a loop

The wait for the first file ended after 5,000 turns, before the loader and the sanitizers were done, so that the signal came before main(). It now lasts up to 10 s and fails by itself if no file comes; the signal is sent as before, as soon as the file is seen.

--- a/regress/test_site_stop.sh
+++ b/regress/test_site_stop.sh
@@ -59,7 +59,13 @@
 	settings controller controller | sed "s|^data:.*|data: \"$D/early$1\"|" >"$D/early$1.yaml"
 	"$BUILD/bin/carawayfrontd" -c "$D/early$1.yaml" >"$D/early$1.log" 2>&1 &
 	echo $! >"$D/early$1.pid"
-	for _ in $(seq 5000); do set -- "$1" "$D/early$1"/*; [ -e "$2" ] && break; done
+	limit=$(($(date +%s) + 10))
+	set -- "$1" "$D/early$1"/*
+	while [ ! -e "$2" ]; do
+		[ "$(date +%s)" -lt "$limit" ] || break
+		for _ in $(seq 2000); do set -- "$1" "$D/early$1"/*; [ -e "$2" ] && break; done
+	done
+	[ -e "$2" ] || fail "made no file within 10 s"
 	kill -TERM "$(cat "$D/early$1.pid")"
 	wait "$(cat "$D/early$1.pid")" || fail "stopped at its start with status $?"
 }
