--- a/regress/lib_dag_world.c
+++ b/regress/lib_dag_world.c
@@ -1127,3 +1127,14 @@
 			n += w->tasks[i].alive;
 	return n;
 }
+
+void dw_add_workers(struct dag_world *w, size_t n)
+{
+	for (size_t i = 0; i < n; i++)
+		dw_add_worker(w, 8000, 8000);
+}
+
+void dw_assert_sound(const struct dag_world *w)
+{
+	ck_assert_msg(!w->violation[0], "%s", w->violation);
+}
--- a/regress/lib_dag_world.h
+++ b/regress/lib_dag_world.h
@@ -178,6 +178,10 @@
 void dw_open(struct dag_world *w, uint64_t seed);
 void dw_close(struct dag_world *w);
 uint32_t dw_add_worker(struct dag_world *w, uint32_t cpu, uint32_t mem);
+/* Workers of 8 cores and 8,000 MB. */
+void dw_add_workers(struct dag_world *w, size_t n);
+/* Fails the test with the first violation. */
+void dw_assert_sound(const struct dag_world *w);
 /* Whether the workers' service is recorded as one whose workers guard their room. */
 void dw_set_guarded(struct dag_world *w, bool guarded);
 /* A worker tells of its new room with its next report. */
--- a/regress/test_dag.c
+++ b/regress/test_dag.c
@@ -23,24 +23,13 @@
 	dw_close(&w);
 }
 
-static void add_workers(size_t n)
-{
-	for (size_t i = 0; i < n; i++)
-		dw_add_worker(&w, 8000, 8000);
-}
-
-static void assert_sound(void)
-{
-	ck_assert_msg(!w.violation[0], "%s", w.violation);
-}
-
 /* Guards the path from submission to the end: steps in order, each task once. */
 START_TEST(chain_completes)
 {
-	add_workers(2);
+	dw_add_workers(&w, 2);
 	dw_submit_chain(&w, 1, 3, 4);
 	dw_run_for(&w, 5 * SECOND);
-	assert_sound();
+	dw_assert_sound(&w);
 	ck_assert_int_eq(dw_state(&w, 1), DAG_JOB_COMPLETED);
 	ck_assert_uint_eq(w.starts, 12);
 }
@@ -59,9 +48,9 @@
 	dw_run_for(&w, 2 * SECOND);
 	ck_assert_uint_eq(dw_alive(&w, 1), 4);
 	dw_crash_worker(&w, dead, false);
-	add_workers(1);
+	dw_add_workers(&w, 1);
 	dw_run_for(&w, 13 * SECOND);
-	assert_sound();
+	dw_assert_sound(&w);
 	ck_assert_uint_eq(dw_alive(&w, 1), 4);
 }
 END_TEST
@@ -73,7 +62,7 @@
 
 	dw_submit_lasting(&w, 1, 4);
 	dw_run_for(&w, 2 * SECOND);
-	add_workers(1);
+	dw_add_workers(&w, 1);
 	if (_i % 2)
 		dw_crash_worker(&w, lost, false);
 	else
@@ -87,10 +76,10 @@
 	}
 	dw_change_leader(&w);
 	dw_run_for(&w, 7 * SECOND);
-	assert_sound();
+	dw_assert_sound(&w);
 	ck_assert_uint_eq(w.starts, _i / 2 ? 4 : 8);
 	dw_run_for(&w, 4 * SECOND);
-	assert_sound();
+	dw_assert_sound(&w);
 	ck_assert_uint_eq(w.starts, 8);
 }
 END_TEST
@@ -103,13 +92,13 @@
 	w.work_us = 30 * SECOND;
 	dw_submit_chain(&w, 1, 1, 4);
 	dw_run_for(&w, 2 * SECOND);
-	add_workers(1);
+	dw_add_workers(&w, 1);
 	w.workers[cut].cut = true;
 	dw_run_for(&w, 9 * SECOND);
-	assert_sound();
+	dw_assert_sound(&w);
 	ck_assert_uint_eq(w.starts, 4);
 	dw_run_for(&w, 4 * SECOND);
-	assert_sound();
+	dw_assert_sound(&w);
 	ck_assert_uint_eq(w.starts, 8);
 }
 END_TEST
@@ -129,25 +118,25 @@
 	dw_run_for(&w, 2 * SECOND);
 	w.workers[cut].cut = true;
 	dw_run_for(&w, 6 * SECOND);
-	add_workers(1);
+	dw_add_workers(&w, 1);
 	dw_run_for(&w, 8 * SECOND);
 	ck_assert_uint_eq(w.starts, 8);
 	w.workers[cut].cut = false;
 	dw_run_for(&w, 2 * SECOND);
-	assert_sound();
+	dw_assert_sound(&w);
 	/* Other ends of the worker are still taken, at a bounded number of looks. */
 	w.work_us = SECOND;
 	looks = w.workers[cut].looks;
 	dw_submit_chain(&w, 2, 2, 12);
 	dw_run_for(&w, 6 * SECOND);
-	assert_sound();
+	dw_assert_sound(&w);
 	ck_assert_int_eq(dw_state(&w, 1), DAG_JOB_COMPLETED);
 	ck_assert_int_eq(dw_state(&w, 2), DAG_JOB_COMPLETED);
 	ck_assert_uint_le(w.workers[cut].looks - looks, 6 * 50);
 	/* A new leader has only the state and the lists, and holds it too. */
 	dw_change_leader(&w);
 	dw_run_for(&w, 3 * SECOND);
-	assert_sound();
+	dw_assert_sound(&w);
 }
 END_TEST
 
@@ -169,7 +158,7 @@
 	w.prng.state = (uint64_t)_i / 16;
 	dw_change_leader(&w);
 	dw_run_for(&w, 3 * SECOND);
-	assert_sound();
+	dw_assert_sound(&w);
 	ck_assert_uint_eq(w.workers[worker].n_ends, 0);
 }
 END_TEST
@@ -187,10 +176,10 @@
 	w.work_us = 2 * SECOND;
 	dw_submit_step(&w, 1, &st);
 	dw_run_for(&w, 1 * SECOND);
-	add_workers(1);
+	dw_add_workers(&w, 1);
 	w.workers[cut].cut = true;
 	dw_run_for(&w, 6 * SECOND);
-	assert_sound();
+	dw_assert_sound(&w);
 	ck_assert_uint_eq(w.starts, 8);
 	ck_assert_int_eq(dw_state(&w, 1), DAG_JOB_COMPLETED);
 }
@@ -232,12 +221,12 @@
 {
 	uint32_t empty = 0;
 
-	add_workers(4);
+	dw_add_workers(&w, 4);
 	dw_run_for(&w, SECOND);
 	submit_serving(1, "red", 4);
 	submit_serving(2, "blue", 4);
 	dw_run_for(&w, 2 * SECOND);
-	assert_sound();
+	dw_assert_sound(&w);
 	for (uint32_t i = 0; i < 4; i++) {
 		bool mixed;
 
@@ -257,13 +246,13 @@
 			      .estimate_ms = 500,
 			      .gang = true};
 
-	add_workers(1);
+	dw_add_workers(&w, 1);
 	dw_submit_step(&w, 1, &st);
 	dw_run_for(&w, 2 * SECOND);
 	ck_assert_uint_eq(w.starts, 0);
-	add_workers(1);
+	dw_add_workers(&w, 1);
 	dw_run_for(&w, 3 * SECOND);
-	assert_sound();
+	dw_assert_sound(&w);
 	ck_assert_uint_eq(w.starts, 6);
 	ck_assert_int_eq(dw_state(&w, 1), DAG_JOB_COMPLETED);
 }
@@ -278,7 +267,7 @@
 
 	job.steps.steps_len = 1;
 	job.steps.steps_val = &st;
-	add_workers(2);
+	dw_add_workers(&w, 2);
 	job.start_ms = dw_wall_ms(&w) + 1000;
 	dw_submit(&w, &job);
 	dw_run_for(&w, 9 * SECOND / 10);
@@ -288,7 +277,7 @@
 	dw_run_for(&w, 2 * SECOND);
 	ck_assert_uint_eq(w.starts, 4);
 	dw_run_for(&w, 3 * SECOND);
-	assert_sound();
+	dw_assert_sound(&w);
 	ck_assert_int_eq(dw_state(&w, 1), DAG_JOB_COMPLETED);
 }
 END_TEST
@@ -305,7 +294,7 @@
 			      .estimate_ms = 500,
 			      .filler = true};
 
-	add_workers(1);
+	dw_add_workers(&w, 1);
 	dw_submit_lasting(&w, 1, 2);
 	w.work_us = 60 * SECOND;
 	dw_run_for(&w, 1 * SECOND);
@@ -321,7 +310,7 @@
 			ck_assert_uint_lt(w.workers[0].runs[i].pace, 20);
 	w.workers[0].tail_ms = 15;
 	dw_run_for(&w, 6 * SECOND);
-	assert_sound();
+	dw_assert_sound(&w);
 	for (size_t i = 0; i < DW_RUNS; i++)
 		if (w.workers[0].runs[i].used && w.workers[0].runs[i].filler)
 			ck_assert_uint_gt(w.workers[0].runs[i].pace, 50);
@@ -338,7 +327,7 @@
 			      .estimate_ms = 500,
 			      .filler = true};
 
-	add_workers(1);
+	dw_add_workers(&w, 1);
 	dw_submit_lasting(&w, 1, 2);
 	w.workers[0].tail_ms = 200;
 	dw_run_for(&w, 2 * SECOND);
@@ -347,7 +336,7 @@
 	ck_assert_uint_eq(w.starts, 2); /* the serving tasks */
 	w.workers[0].tail_ms = 10;
 	dw_run_for(&w, 4 * SECOND);
-	assert_sound();
+	dw_assert_sound(&w);
 	ck_assert_int_eq(dw_state(&w, 2), DAG_JOB_COMPLETED);
 }
 END_TEST
@@ -414,7 +403,7 @@
 		dw_run_for(&w, SECOND / 3);
 	}
 	dw_run_for(&w, 5 * SECOND);
-	assert_sound();
+	dw_assert_sound(&w);
 	for (uint64_t id = 1000; id < 1090; id++)
 		completed += dw_state(&w, id) == DAG_JOB_COMPLETED;
 	ck_assert_uint_ge(completed, 88);
@@ -455,7 +444,7 @@
 		dw_run_for(&w, 5 * SECOND);
 	}
 	dw_run_for(&w, 150 * SECOND);
-	assert_sound();
+	dw_assert_sound(&w);
 	for (uint64_t id = 100; id < 104; id++)
 		ck_assert_int_ne(dw_state(&w, id), DAG_JOB_QUEUED);
 }
@@ -475,7 +464,7 @@
 		dw_run_for(&w, SECOND / 10);
 		dw_change_leader(&w);
 		play_two_kinds(20, 5);
-		assert_sound();
+		dw_assert_sound(&w);
 		hash[full] = w.starts_hash;
 		starts[full] = w.starts;
 	}
@@ -522,7 +511,7 @@
 	dw_run_for(&w, 2 * SECOND);
 	dw_crash_worker(&w, n, true);
 	dw_run_for(&w, 3 * SECOND);
-	assert_sound();
+	dw_assert_sound(&w);
 	ck_assert_uint_eq(dw_alive(&w, 1), 4);
 }
 END_TEST
@@ -530,14 +519,14 @@
 /* Guards against tasks that go on after their job was cancelled. */
 START_TEST(cancelled_job_stops)
 {
-	add_workers(2);
+	dw_add_workers(&w, 2);
 	w.work_us = 60 * SECOND;
 	dw_submit_chain(&w, 1, 2, 8);
 	dw_run_for(&w, 1 * SECOND);
 	ck_assert_uint_eq(dw_alive(&w, 1), 8);
 	dw_cancel(&w, 1);
 	dw_run_for(&w, 2 * SECOND);
-	assert_sound();
+	dw_assert_sound(&w);
 	ck_assert_uint_eq(dw_alive(&w, 1), 0);
 	ck_assert_int_eq(dw_state(&w, 1), DAG_JOB_CANCELLED);
 }
@@ -546,7 +535,7 @@
 /* Guards against starts in an availability zone that is closed. */
 START_TEST(closed_zone_gets_nothing_new)
 {
-	add_workers(2);
+	dw_add_workers(&w, 2);
 	dw_run_for(&w, 1 * SECOND);
 	dw_close_zone(&w, true);
 	dw_run_for(&w, SECOND / 10);
@@ -555,7 +544,7 @@
 	ck_assert_uint_eq(w.starts, 0);
 	dw_close_zone(&w, false);
 	dw_run_for(&w, 2 * SECOND);
-	assert_sound();
+	dw_assert_sound(&w);
 	ck_assert_int_eq(dw_state(&w, 1), DAG_JOB_COMPLETED);
 }
 END_TEST
@@ -565,14 +554,14 @@
 {
 	uint32_t bad = dw_add_worker(&w, 64000, 64000);
 
-	add_workers(4);
+	dw_add_workers(&w, 4);
 	w.workers[bad].fails = true;
 	for (uint64_t id = 1; id <= 10; id++) {
 		dw_submit_chain(&w, id, 1, 2);
 		dw_run_for(&w, SECOND / 5);
 	}
 	dw_run_for(&w, 5 * SECOND);
-	assert_sound();
+	dw_assert_sound(&w);
 	for (uint64_t id = 1; id <= 10; id++)
 		ck_assert_int_eq(dw_state(&w, id), DAG_JOB_COMPLETED);
 }
@@ -598,7 +587,7 @@
 	w.starts = 0;
 	dw_submit_step(&w, 2, &st);
 	dw_run_for(&w, 3 * SECOND);
-	assert_sound();
+	dw_assert_sound(&w);
 	/* One that goes on failing is not tried without a pause. */
 	ck_assert_uint_eq(dw_alive(&w, 2), _i ? 0 : 1);
 	ck_assert_uint_ge(w.starts, _i ? 3 : 1);
@@ -626,7 +615,7 @@
 	/* One commit of 8 ms, two hops of 2 ms and the steps of the world; not two
 	 * commits. */
 	dw_run_for(&w, 18000);
-	assert_sound();
+	dw_assert_sound(&w);
 	ck_assert_uint_eq(dw_alive(&w, 2), 1);
 }
 END_TEST
@@ -639,9 +628,9 @@
 	w.workers[bad].stands = true;
 	dw_submit_chain(&w, 1, 1, 4);
 	dw_run_for(&w, 1 * SECOND);
-	add_workers(1);
+	dw_add_workers(&w, 1);
 	dw_run_for(&w, 8 * SECOND);
-	assert_sound();
+	dw_assert_sound(&w);
 	ck_assert_int_eq(dw_state(&w, 1), DAG_JOB_COMPLETED);
 }
 END_TEST
@@ -657,10 +646,10 @@
 	w.work_us = 9 * SECOND;
 	dw_submit_chain(&w, 1, 1, 4);
 	dw_run_for(&w, 2 * SECOND);
-	add_workers(1);
+	dw_add_workers(&w, 1);
 	w.workers[quiet].quiet_until_us = w.now_us + 4 * SECOND;
 	dw_run_for(&w, 10 * SECOND);
-	assert_sound();
+	dw_assert_sound(&w);
 	ck_assert_uint_eq(w.starts, 4);
 	ck_assert_int_eq(dw_state(&w, 1), DAG_JOB_COMPLETED);
 }
@@ -674,7 +663,7 @@
 {
 	struct dag_step st = {.count = 4, .cpu_milli = 1000, .mem_mb = 100};
 
-	add_workers(2);
+	dw_add_workers(&w, 2);
 	w.work_us = 400 * SECOND;
 	st.estimate_ms = 300000;
 	dw_submit_step(&w, 1, &st);
@@ -688,7 +677,7 @@
 	ck_assert_uint_le(w.starts, 4 + 4 * 4);
 	w.starts = 0;
 	dw_run_for(&w, 60 * SECOND);
-	assert_sound();
+	dw_assert_sound(&w);
 	ck_assert_uint_eq(w.starts, 0);
 }
 END_TEST
@@ -812,7 +801,7 @@
 	ck_assert_int_eq(rec->w.state, DAG_WORKER_GONE);
 	dw_submit_chain(&w, 1, 1, 4);
 	dw_run_for(&w, 3 * SECOND);
-	assert_sound();
+	dw_assert_sound(&w);
 	ck_assert_int_eq(dw_state(&w, 1), DAG_JOB_COMPLETED);
 }
 END_TEST
@@ -840,7 +829,7 @@
 		dw_run_for(&w, SECOND / 500);
 	}
 	dw_run_for(&w, 10 * SECOND);
-	assert_sound();
+	dw_assert_sound(&w);
 	for (uint64_t id = 2; id < 22; id++)
 		ck_assert_int_eq(dw_state(&w, id), DAG_JOB_COMPLETED);
 	ck_assert_uint_eq(w.starts - starts, 20);
@@ -865,7 +854,7 @@
 	w.workers[number].cut = true;
 	dw_add_worker(&w, 8000, 8000);
 	dw_run_for(&w, 20 * SECOND);
-	assert_sound();
+	dw_assert_sound(&w);
 	ck_assert_uint_eq(dw_alive(&w, 1), 1);
 }
 END_TEST
@@ -890,14 +879,14 @@
 	dw_run_for(&w, SECOND / 10);
 	w.lost_permille = 0;
 	if (!zone)
-		add_workers(1);
+		dw_add_workers(&w, 1);
 	dw_run_for(&w, 5 * SECOND);
 	ck_assert_uint_eq(w.starts, zone ? 0 : 2);
 	ck_assert_uint_eq(w.workers[leaving].next_end, 1);
 	if (zone)
 		dw_close_zone(&w, false);
 	dw_run_for(&w, 5 * SECOND);
-	assert_sound();
+	dw_assert_sound(&w);
 	ck_assert_int_eq(dw_state(&w, 1), DAG_JOB_COMPLETED);
 }
 END_TEST
@@ -929,7 +918,7 @@
 		w.workers[dw_add_worker(&w, 8000, 8000)].fails = true;
 	dw_submit_chain(&w, 1, 1, 1);
 	dw_run_for(&w, 30 * SECOND);
-	assert_sound();
+	dw_assert_sound(&w);
 	ck_assert_int_eq(dw_state(&w, 1), DAG_JOB_FAILED);
 	ck_assert_uint_eq(w.starts, 2);
 }
@@ -938,13 +927,13 @@
 /* Guards a new leader against starting again what an earlier one started. */
 START_TEST(leader_change_keeps_runs)
 {
-	add_workers(2);
+	dw_add_workers(&w, 2);
 	w.work_us = 6 * SECOND;
 	dw_submit_chain(&w, 1, 1, 8);
 	dw_run_for(&w, 1 * SECOND);
 	dw_change_leader(&w);
 	dw_run_for(&w, 8 * SECOND);
-	assert_sound();
+	dw_assert_sound(&w);
 	ck_assert_int_eq(dw_state(&w, 1), DAG_JOB_COMPLETED);
 	ck_assert_uint_eq(w.starts, 8);
 }
@@ -985,7 +974,7 @@
 	p.state = (uint64_t)_i;
 	w.lost_permille = 40;
 	w.late_permille = 40;
-	add_workers(8);
+	dw_add_workers(&w, 8);
 	dw_submit_lasting(&w, 1000, 6);
 	for (uint64_t id = 1; id <= 20; id++) {
 		dw_submit_chain(&w, id, 1 + (uint32_t)prng_below(&p, 3),
@@ -998,7 +987,7 @@
 		w.workers[i].stands = false;
 	}
 	dw_run_for(&w, 40 * SECOND);
-	assert_sound();
+	dw_assert_sound(&w);
 	for (uint64_t id = 1; id <= 20; id++)
 		ck_assert_msg(dw_state(&w, id) >= DAG_JOB_COMPLETED, "job %llu waits",
 			      (unsigned long long)id);
@@ -1013,7 +1002,7 @@
 	struct buf a = {0};
 	struct buf b = {0};
 
-	add_workers(2);
+	dw_add_workers(&w, 2);
 	w.work_us = 2 * SECOND;
 	dw_submit_chain(&w, 1, 2, 4);
 	dw_submit_lasting(&w, 2, 3);
--- a/regress/test_dag_crash.c
+++ b/regress/test_dag_crash.c
@@ -24,17 +24,6 @@
 	dw_close(&w);
 }
 
-static void add_workers(size_t n)
-{
-	for (size_t i = 0; i < n; i++)
-		dw_add_worker(&w, 8000, 8000);
-}
-
-static void assert_sound(void)
-{
-	ck_assert_msg(!w.violation[0], "%s", w.violation);
-}
-
 static void assert_completed(uint64_t first, uint64_t n)
 {
 	for (uint64_t id = first; id < first + n; id++)
@@ -51,12 +40,12 @@
 		w.crash_return_us = 12 * SECOND; /* longer than a lease */
 	w.deadly_job = DEADLY;
 	w.deadly_jobs = 1;
-	add_workers(N_WORKERS);
+	dw_add_workers(&w, N_WORKERS);
 	for (uint64_t id = 1; id <= 12; id++)
 		dw_submit_chain(&w, id, 2, 4);
 	dw_submit_chain(&w, DEADLY, 1, 4);
 	dw_run_for(&w, 90 * SECOND);
-	assert_sound();
+	dw_assert_sound(&w);
 	ck_assert_int_eq(dw_state(&w, DEADLY), DAG_JOB_FAILED);
 	ck_assert_uint_le(w.crashes, 5);
 	assert_completed(1, 12);
@@ -73,7 +62,7 @@
 		w.crash_return_us = 12 * SECOND; /* longer than a lease */
 	w.deadly_job = DEADLY;
 	w.deadly_jobs = 1;
-	add_workers(N_WORKERS);
+	dw_add_workers(&w, N_WORKERS);
 	dw_submit_lasting(&w, 1, 8);
 	dw_submit_lasting(&w, DEADLY, 4);
 	while (change_after && w.crashes < change_after)
@@ -83,7 +72,7 @@
 		dw_change_leader(&w);
 	}
 	dw_run_for(&w, 90 * SECOND);
-	assert_sound();
+	dw_assert_sound(&w);
 	ck_assert_int_eq(dw_state(&w, DEADLY), DAG_JOB_FAILED);
 	ck_assert_uint_eq(dw_alive(&w, 1), 8);
 }
@@ -102,10 +91,10 @@
 	w.deadly_job = DEADLY;
 	w.deadly_jobs = 1;
 	w.work_us = 2 * SECOND;
-	add_workers(N_WORKERS);
+	dw_add_workers(&w, N_WORKERS);
 	dw_submit_step(&w, DEADLY, &st);
 	dw_run_for(&w, 60 * SECOND);
-	assert_sound();
+	dw_assert_sound(&w);
 	ck_assert_int_eq(dw_state(&w, DEADLY), DAG_JOB_FAILED);
 }
 END_TEST
@@ -119,7 +108,7 @@
 	w.crash_delay_us = _i % 3 * SECOND / 5;
 	w.deadly_job = DEADLY;
 	w.deadly_jobs = 4;
-	add_workers(N_WORKERS);
+	dw_add_workers(&w, N_WORKERS);
 	for (uint64_t id = 1; id <= 40; id++) {
 		dw_submit_chain(&w, id, 2, 8);
 		if (id % 10 == 0)
@@ -127,7 +116,7 @@
 		dw_run_for(&w, SECOND / 4);
 	}
 	dw_run_for(&w, 80 * SECOND);
-	assert_sound();
+	dw_assert_sound(&w);
 	assert_completed(1, 40);
 	for (uint64_t id = DEADLY; id < DEADLY + 4; id++)
 		ck_assert_int_eq(dw_state(&w, id), DAG_JOB_FAILED);
@@ -139,7 +128,7 @@
 START_TEST(crashes_of_other_cause_give_nothing_up)
 {
 	w.prng.state = (uint64_t)_i + 1;
-	add_workers(N_WORKERS);
+	dw_add_workers(&w, N_WORKERS);
 	dw_submit_lasting(&w, 500, 12);
 	for (uint64_t id = 1; id <= 60; id++) {
 		dw_submit_chain(&w, id, 2, 8);
@@ -154,7 +143,7 @@
 		dw_run_for(&w, SECOND / 2);
 	}
 	dw_run_for(&w, 60 * SECOND);
-	assert_sound();
+	dw_assert_sound(&w);
 	assert_completed(1, 60);
 	ck_assert_uint_eq(dw_alive(&w, 500), 12);
 }
@@ -164,7 +153,7 @@
 START_TEST(cuts_and_new_leaders_give_nothing_up)
 {
 	w.work_us = 25 * SECOND;
-	add_workers(4);
+	dw_add_workers(&w, 4);
 	dw_submit_chain(&w, 1, 1, 4);
 	dw_submit_lasting(&w, 2, 4);
 	for (int i = 0; i < 4; i++) {
@@ -178,7 +167,7 @@
 			w.workers[k].cut = false;
 	}
 	dw_run_for(&w, 40 * SECOND);
-	assert_sound();
+	dw_assert_sound(&w);
 	assert_completed(1, 1);
 	ck_assert_uint_eq(dw_alive(&w, 2), 4);
 }
@@ -189,7 +178,7 @@
 START_TEST(announced_exits_give_nothing_up)
 {
 	w.work_us = 20 * SECOND;
-	add_workers(1);
+	dw_add_workers(&w, 1);
 	dw_run_for(&w, SECOND);
 	dw_submit_chain(&w, 1, 1, 4);
 	for (int i = 0; i <= 4 * _i; i++) {
@@ -198,7 +187,7 @@
 		dw_crash_for(&w, 0, SECOND / 2, false);
 	}
 	dw_run_for(&w, 30 * SECOND);
-	assert_sound();
+	dw_assert_sound(&w);
 	assert_completed(1, 1);
 }
 END_TEST
@@ -213,7 +202,7 @@
 	w.late_permille = _i % 2 * 30;
 	w.deadly_job = DEADLY;
 	w.deadly_jobs = 3;
-	add_workers(N_WORKERS);
+	dw_add_workers(&w, N_WORKERS);
 	for (uint64_t id = 1; id <= 30; id++) {
 		dw_submit_chain(&w, id, 2, 4);
 		if (id % 10 == 0)
@@ -227,7 +216,7 @@
 		dw_run_for(&w, 6 * SECOND + (int64_t)prng_below(&w.prng, 7 * SECOND));
 	}
 	dw_run_for(&w, 60 * SECOND);
-	assert_sound();
+	dw_assert_sound(&w);
 	assert_completed(1, 30);
 	for (uint64_t id = DEADLY; id < DEADLY + 3; id++)
 		ck_assert_int_eq(dw_state(&w, id), DAG_JOB_FAILED);
@@ -243,7 +232,7 @@
 
 	w.deadly_job = DEADLY;
 	w.deadly_jobs = 1;
-	add_workers(N_WORKERS);
+	dw_add_workers(&w, N_WORKERS);
 	dw_submit_chain(&w, DEADLY, 1, 2);
 	while (w.crashes < 3)
 		dw_run_for(&w, SECOND / 10);
--- a/regress/test_dag_room.c
+++ b/regress/test_dag_room.c
@@ -35,14 +35,9 @@
 	dw_set_room(&w, number, &(struct dw_room){.cpu = cpu, .mem = mem});
 }
 
-static void assert_sound(void)
-{
-	ck_assert_msg(!w.violation[0], "%s", w.violation);
-}
-
 static void assert_completed(uint64_t id)
 {
-	assert_sound();
+	dw_assert_sound(&w);
 	ck_assert_msg(dw_state(&w, id) == DAG_JOB_COMPLETED, "job %llu is in state %d",
 		      (unsigned long long)id, dw_state(&w, id));
 }
@@ -150,11 +145,11 @@
 	dw_run_for(&w, SECOND + SECOND / 10);
 	submit_batch(1, 8, 1000, 100);
 	dw_run_for(&w, 14 * SECOND);
-	assert_sound();
+	dw_assert_sound(&w);
 	ck_assert_uint_le(dw_alive(&w, 1), 2);
 	set_room(small, 4000, 8000);
 	dw_run_for(&w, SECOND + SECOND / 10);
-	assert_sound();
+	dw_assert_sound(&w);
 	ck_assert_uint_eq(dw_alive(&w, 1), 4);
 }
 END_TEST
@@ -171,7 +166,7 @@
 	dw_run_for(&w, SECOND / 100);
 	set_room(small, 3000, 8000);
 	dw_run_for(&w, 7 * SECOND);
-	assert_sound();
+	dw_assert_sound(&w);
 	w.commit_us = SECOND / 100;
 	dw_run_for(&w, 12 * SECOND);
 	assert_completed(1);
@@ -241,7 +236,7 @@
 	dw_run_for(&w, 6 * SECOND);
 	submit_filler(2, "fill-b");
 	dw_run_for(&w, 3 * SECOND);
-	assert_sound();
+	dw_assert_sound(&w);
 	ck_assert_int_eq(dw_state(&w, 2), DAG_JOB_QUEUED);
 	ck_assert_uint_eq(dw_alive(&w, 1), 4);
 	set_room(small, 8000, 8000);
@@ -319,7 +314,7 @@
 	dw_run_for(&w, 7 * SECOND + _i * SECOND / 20);
 	w.workers[slow].cut = false;
 	dw_run_for(&w, 6 * SECOND);
-	assert_sound();
+	dw_assert_sound(&w);
 	ck_assert_uint_eq(dw_alive(&w, 2), 4);
 }
 END_TEST
@@ -340,7 +335,7 @@
 		dw_change_leader(&w);
 	dw_submit_chain(&w, 1, 1, 8);
 	dw_run_for(&w, 5 * SECOND);
-	assert_sound();
+	dw_assert_sound(&w);
 	w.workers[small].mute = false;
 	dw_run_for(&w, 5 * SECOND);
 	assert_completed(1);
@@ -441,7 +436,7 @@
 		set_room(i, 8000, 2000);
 	}
 	dw_run_for(&w, 60 * SECOND);
-	assert_sound();
+	dw_assert_sound(&w);
 	/* A submission that was not recorded when its leader was lost is not known. */
 	for (uint64_t id = 1; id <= 30; id++)
 		ck_assert_msg(!dag_state_find_job(w.state, id) ||
