A call to a worker is not sent after the leader's lease or its own timeout

Cause: test_site_dag saw polls of a paused leader reach executors on its ended epoch ("fenced /api/hold 2"). The lease is checked before a call is handed to the transport, but libcurl sends it in a later turn of the loop: after the sync of that round, or when a connection is free. A process that is stopped in between sends it when it wakes up, and libcurl counts the call's timeout only from then. The class: a process that was paused acts on a permission that ran out meanwhile.

Change: calls carry the time after which they may not be sent (the end of the lease, or the call's timeout if that is earlier). The HTTP client checks it when the connection is ready, before the request goes out; such a call ends with CF_ESTALE and as not sent. Calls through gateways expire with the lease as well, on the gateway's clock, and the gateway's HTTP client has the same limit, so that what waits in RPC buffers on the way is covered.

A request that the socket took only in part is finished after the time.

--- a/carawayfrontd/agent.c
+++ b/carawayfrontd/agent.c
@@ -176,6 +176,7 @@
 		.address = XDR_STR(*c, address),
 		.epoch = c->epoch,
 		.lease_ms = c->lease_ms,
+		.send_until_us = c->expires_us,
 	};
 	struct dag_worker_command command = {
 		.call = to,
--- a/carawayfrontd/controller_sched.c
+++ b/carawayfrontd/controller_sched.c
@@ -22,44 +22,61 @@
 	return controller_propose(CONTROLLER_OF(h, sched_host), cmd);
 }
 
+/* A call may be held up below, also by a pause of this process, until another one leads.
+ */
+static void limit_sending(const struct controller *c, struct dag_worker_call *call)
+{
+	int64_t end_us = replica_lease_end_us(c->replica);
+
+	call->send_until_us = end_us > 0 ? end_us : 1; /* 0 would be no limit */
+}
+
 static void host_start(struct dag_host *h, const struct dag_worker_command *o)
 {
 	struct controller *c = CONTROLLER_OF(h, sched_host);
+	struct dag_worker_command cmd = *o;
 	struct dag_transport *t;
 
 	++*metric_counter(c->metrics, "carawayfront_start_orders_total", "");
+	limit_sending(c, &cmd.call);
 	t = controller_transport(c);
-	t->ops->start(t, o);
+	t->ops->start(t, &cmd);
 }
 
 static void host_stop(struct dag_host *h, const struct dag_worker_command *o)
 {
 	struct controller *c = CONTROLLER_OF(h, sched_host);
+	struct dag_worker_command cmd = *o;
 	struct dag_transport *t;
 
 	++*metric_counter(c->metrics, "carawayfront_stop_orders_total", "");
+	limit_sending(c, &cmd.call);
 	t = controller_transport(c);
-	t->ops->stop(t, o);
+	t->ops->stop(t, &cmd);
 }
 
 static void host_throttle(struct dag_host *h, const struct dag_worker_command *o)
 {
 	struct controller *c = CONTROLLER_OF(h, sched_host);
+	struct dag_worker_command cmd = *o;
 	struct dag_transport *t;
 
 	++*metric_counter(c->metrics, "carawayfront_pace_orders_total", "");
+	limit_sending(c, &cmd.call);
 	t = controller_transport(c);
-	t->ops->throttle(t, o);
+	t->ops->throttle(t, &cmd);
 }
 
 static void host_poll(struct dag_host *h, const struct dag_poll_command *o)
 {
 	struct controller *c = CONTROLLER_OF(h, sched_host);
+	struct dag_poll_command cmd = *o;
 	struct dag_transport *t;
 
 	++*metric_counter(c->metrics, "carawayfront_looks_total", "");
+	limit_sending(c, &cmd.call);
 	t = controller_transport(c);
-	t->ops->poll(t, o);
+	t->ops->poll(t, &cmd);
 }
 
 /* From acceptance to the end, for each queue and final state. */
--- a/carawayfrontd/relay.c
+++ b/carawayfrontd/relay.c
@@ -209,12 +209,15 @@
  * arrive, so that the call may expire earlier, never later.
  */
 static int64_t expiry_us(const struct relay_agent *a, enum dag_call_kind kind,
-			 double timeout)
+			 int64_t send_until_us, double timeout)
 {
 	bool command = kind == DAG_CALL_START || kind == DAG_CALL_PACE;
 	double valid = command ? COMMAND_VALID_S : timeout;
+	int64_t end_us = clock_us() + (int64_t)(valid * 1e6);
 
-	return clock_us() + a->clock_offset_us + (int64_t)(valid * 1e6);
+	if (send_until_us && send_until_us < end_us)
+		end_us = send_until_us;
+	return end_us + a->clock_offset_us;
 }
 
 /*
@@ -222,12 +225,12 @@
  * which has no answer.
  */
 static bool add_call(struct relay *r, struct relay_agent *a, struct dag_call *c,
-		     double timeout)
+		     int64_t send_until_us, double timeout)
 {
 	struct relay_call *call;
 
 	c->id = ++r->next_id;
-	c->expires_us = expiry_us(a, c->kind, timeout);
+	c->expires_us = expiry_us(a, c->kind, send_until_us, timeout);
 	if (codec_encode((xdrproc_t)xdr_dag_call, c, &a->batch))
 		return false;
 	a->n_batch++;
@@ -270,7 +273,7 @@
 	XDR_SET(c, spec, o->spec);
 	XDR_SET(c, checkpoint, o->checkpoint);
 	c.percent = o->speed_percent;
-	return add_call(r, a, &c, ANSWER_S);
+	return add_call(r, a, &c, o->call.send_until_us, ANSWER_S);
 }
 
 static struct dag_transport *direct_transport(struct dag_transport *t)
@@ -304,7 +307,8 @@
 		.kind = DAG_CALL_LOOK, .seen = o->acked_end, .wait_ms = o->wait_ms};
 
 	fill_call(&c, &o->call);
-	if (!a || !add_call(r, a, &c, o->wait_ms / 1000.0 + ANSWER_S))
+	if (!a ||
+	    !add_call(r, a, &c, o->call.send_until_us, o->wait_ms / 1000.0 + ANSWER_S))
 		direct_transport(t)->ops->poll(direct_transport(t), o);
 }
 
--- a/core/dag_sched.h
+++ b/core/dag_sched.h
@@ -31,6 +31,8 @@
 	struct str address;
 	uint64_t epoch;
 	int64_t lease_ms; /* end of the lease on the worker's clock, 0: none */
+	/* Set by the host: when its right to send ends, on its clock. 0: no limit */
+	int64_t send_until_us;
 };
 
 /* Starts, stops or throttles one run on a worker. */
--- a/core/replica.h
+++ b/core/replica.h
@@ -217,6 +217,7 @@
 void replica_sync_failed(struct replica *r, int err);
 int replica_transfer_leadership(struct replica *r, int64_t now_us);
 
+int64_t replica_lease_end_us(const struct replica *r);
 bool replica_lease_valid(const struct replica *r, int64_t now_us);
 bool replica_ready(const struct replica *r);
 enum replica_role replica_role(const struct replica *r);
--- a/core/replica_lease.c
+++ b/core/replica_lease.c
@@ -65,14 +65,20 @@
 }
 
 /*
- * Whether this replica leads, knows every committed entry, and no other voter can
- * lead before the lease ends.
+ * Until when this replica may act as the leader: no other voter can lead before.
+ * INT64_MIN: it does not lead, or does not know every committed entry. INT64_MAX: it is
+ * its own quorum.
  */
-bool replica_lease_valid(const struct replica *r, int64_t now_us)
+int64_t replica_lease_end_us(const struct replica *r)
 {
 	if (r->role != REPLICA_LEADER || !r->ready)
-		return false;
+		return INT64_MIN;
 	if (replica_quorum(r) == 1 && replica_is_voter(r))
-		return true;
-	return now_us < r->lease_expires_us;
+		return INT64_MAX;
+	return r->lease_expires_us;
+}
+
+bool replica_lease_valid(const struct replica *r, int64_t now_us)
+{
+	return now_us < replica_lease_end_us(r);
 }
--- a/io/http_client.c
+++ b/io/http_client.c
@@ -7,6 +7,7 @@
 #include <curl/curl.h>
 
 #include "base/err.h"
+#include "io/clock.h"
 
 /* Upstreams keep idle connections at least this long. */
 #define REUSE_MAX_IDLE_S 2L
@@ -33,8 +34,10 @@
 	struct buf upload; /* request body of a call that is not idempotent */
 	size_t uploaded;
 	size_t max_body;
+	int64_t send_until_us;
 	bool head; /* the answer has no body */
 	bool too_big;
+	bool too_late; /* not sent: its time had passed */
 };
 
 /* Watcher of one socket that libcurl uses. */
@@ -94,6 +97,8 @@
 {
 	if (x->too_big)
 		return CF_ETOOBIG;
+	if (x->too_late)
+		return CF_ESTALE;
 	switch (code) {
 	case CURLE_OK:
 		return is_delimited(x, status) ? 0 : CF_EMALFORMED;
@@ -226,6 +231,22 @@
 	return take;
 }
 
+/*
+ * Called when the connection is ready and before the request goes out: the call may have
+ * waited for its connection, and the process may have been paused since it was started.
+ */
+static int check_send_time(void *user, char *peer_ip, char *own_ip, int peer_port,
+			   int own_port)
+{
+	struct http_exchange *x = user;
+
+	if (x->send_until_us && clock_us() > x->send_until_us) {
+		x->too_late = true;
+		return CURL_PREREQFUNC_ABORT;
+	}
+	return CURL_PREREQFUNC_OK;
+}
+
 /*
  * libcurl sends a request a second time when a reused connection ends before the
  * first byte of the answer, and the upstream may have run it. For a request that is
@@ -350,6 +371,7 @@
 	x->client = c;
 	x->call = call;
 	x->max_body = opt->max_body;
+	x->send_until_us = opt->send_until_us;
 	x->easy = handle_get(c);
 	if (!x->easy)
 		goto fail;
@@ -361,6 +383,8 @@
 	curl_easy_setopt(x->easy, CURLOPT_TCP_NODELAY, 1L);
 	curl_easy_setopt(x->easy, CURLOPT_WRITEFUNCTION, take_body);
 	curl_easy_setopt(x->easy, CURLOPT_WRITEDATA, x);
+	curl_easy_setopt(x->easy, CURLOPT_PREREQFUNCTION, check_send_time);
+	curl_easy_setopt(x->easy, CURLOPT_PREREQDATA, x);
 	curl_easy_setopt(x->easy, CURLOPT_TIMEOUT_MS, (long)(opt->timeout * 1000));
 	curl_easy_setopt(x->easy, CURLOPT_CONNECTTIMEOUT_MS,
 			 (long)(c->opt.connect_timeout * 1000));
--- a/io/http_client.h
+++ b/io/http_client.h
@@ -12,7 +12,8 @@
 
 /* The end of a call. Everything in it is valid only while done() runs. */
 struct http_result {
-	int err;	 /* 0, CF_ECONN, CF_ETIMEOUT, CF_ETOOBIG, CF_EMALFORMED */
+	/* 0, CF_ECONN, CF_ETIMEOUT, CF_ETOOBIG, CF_EMALFORMED, CF_ESTALE */
+	int err;
 	bool maybe_sent; /* a byte of the request may have reached the upstream */
 	unsigned int status;
 	struct str body;
@@ -37,7 +38,9 @@
 	size_t n_headers;
 	struct str body;
 	bool idempotent;
-	double timeout;	 /* seconds for the whole call */
+	double timeout; /* seconds for the whole call */
+	/* On clock_us(); later it is not sent and ends with CF_ESTALE. 0: no limit. */
+	int64_t send_until_us;
 	size_t max_body; /* bytes of the answer */
 };
 
--- /dev/null
+++ b/regress/test_executors.c
@@ -0,0 +1,152 @@
+#include <check.h>
+#include <stdlib.h>
+#include <unistd.h>
+
+#include <ev.h>
+
+#include "io/clock.h"
+#include "platform/executors.h"
+#include "regress/lib_fakehttp.h"
+
+#define PORT 20464
+#define ADDRESS "127.0.0.1:20464"
+#define MS_US 1000
+#define REPLY "{\"born\":1,\"clock_ms\":1,\"running\":[],\"ended\":[]}"
+
+struct user {
+	struct dag_transport_user base; /* first member */
+	unsigned int polls;
+	unsigned int usable;
+	unsigned int commands;
+	enum dag_call_result result; /* of the newest call */
+};
+
+static struct ev_loop *loop;
+static struct dag_transport *transport;
+static struct user user;
+static struct fake worker;
+
+static void on_command(struct dag_transport_user *u, uint32_t number,
+		       const struct dag_task_ref *t, uint32_t run,
+		       enum dag_call_result result)
+{
+	((struct user *)u)->commands++;
+	((struct user *)u)->result = result;
+}
+
+static void on_poll(struct dag_transport_user *u, uint32_t number,
+		    enum dag_call_result result, const struct dag_poll_reply *poll)
+{
+	((struct user *)u)->polls++;
+	((struct user *)u)->usable += poll != NULL;
+	((struct user *)u)->result = result;
+}
+
+static const struct dag_transport_user_ops user_ops = {
+	.start_replied = on_command,
+	.stop_replied = on_command,
+	.poll_replied = on_poll,
+};
+
+static void setup(void)
+{
+	struct executors_options opt = {.user = &user.base, .max_idle = 4};
+
+	loop = ev_loop_new(0);
+	opt.loop = loop;
+	user = (struct user){.base = {.ops = &user_ops}};
+	fake_open(&worker, PORT);
+	fake_say(&worker, "POST", "/api/hold", 200, REPLY, NULL, 0);
+	fake_say(&worker, "POST", "/api/run-start", 200, "{\"clock_ms\":1}", NULL, 0);
+	ck_assert_int_eq(executors_new(&opt, &transport), 0);
+}
+
+static void teardown(void)
+{
+	transport->ops->free(transport);
+	fake_close(&worker);
+	ev_loop_destroy(loop);
+}
+
+static struct dag_worker_call call_until(int64_t send_until_us)
+{
+	return (struct dag_worker_call){.worker = 1,
+					.id = STR("i-1"),
+					.address = STR(ADDRESS),
+					.epoch = 1,
+					.send_until_us = send_until_us};
+}
+
+static void poll_until(int64_t send_until_us)
+{
+	struct dag_poll_command o = {.call = call_until(send_until_us)};
+
+	transport->ops->poll(transport, &o);
+}
+
+static void start_until(int64_t send_until_us)
+{
+	struct dag_worker_command o = {.call = call_until(send_until_us),
+				       .spec = STR("work")};
+
+	transport->ops->start(transport, &o);
+}
+
+static void play(double seconds)
+{
+	double end = ev_time() + seconds;
+
+	while (ev_time() < end) {
+		ev_run(loop, EVRUN_NOWAIT);
+		usleep(MS_US);
+	}
+}
+
+/* Guards against a paused leader whose calls go out on its ended epoch. */
+START_TEST(call_of_an_ended_lease_is_not_sent)
+{
+	int64_t lease_end_us = clock_us() + 100 * MS_US;
+
+	poll_until(lease_end_us);
+	start_until(lease_end_us);
+	usleep(150 * MS_US);
+	play(0.3);
+	ck_assert_uint_eq(user.polls, 1);
+	ck_assert_uint_eq(user.commands, 1);
+	ck_assert_int_eq(user.result, DAG_RESULT_UNKNOWN);
+	ck_assert_uint_eq(fake_count(&worker, "POST"), 0);
+	poll_until(clock_us() + 5000 * MS_US);
+	play(0.3);
+	ck_assert_uint_eq(user.usable, 1);
+}
+END_TEST
+
+/* Guards against a call that is sent after its own time by a process that was paused. */
+START_TEST(call_is_not_sent_after_its_timeout)
+{
+	poll_until(0);
+	usleep(500 * MS_US);
+	play(0.3);
+	ck_assert_uint_eq(user.polls, 1);
+	ck_assert_uint_eq(fake_count(&worker, "POST"), 0);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *s = suite_create("executors");
+	TCase *t = tcase_create("calls");
+	SRunner *r;
+	int failed;
+
+	tcase_add_checked_fixture(t, setup, teardown);
+	tcase_set_timeout(t, 60);
+	tcase_add_test(t, call_of_an_ended_lease_is_not_sent);
+	tcase_add_test(t, call_is_not_sent_after_its_timeout);
+	suite_add_tcase(s, t);
+	r = srunner_create(s);
+	srunner_run_all(r, CK_ENV);
+	failed = srunner_ntests_failed(r);
+	srunner_free(r);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
--- a/regress/test_relay.c
+++ b/regress/test_relay.c
@@ -1,6 +1,7 @@
 #include <check.h>
 #include <errno.h>
 #include <stdlib.h>
+#include <string.h>
 #include <unistd.h>
 
 #include <arpa/inet.h>
@@ -22,6 +23,7 @@
 #define WORKER_ADDRESS "127.0.0.1:20463"
 #define KEY "secret"
 #define MAX_CALLS 64U
+#define CONNECTIONS_A_WORKER 4 /* that a gateway opens at most */
 /* Longer than a call may stay without an answer and its gateway be avoided. */
 #define PATIENCE_S 4.0
 
@@ -272,46 +274,167 @@
 	}
 }
 
-static void order_start(uint32_t run)
+static void order_start_until(uint32_t run, int64_t send_until_us)
 {
 	struct dag_worker_command o = {.run = run};
 
 	o.call = (struct dag_worker_call){.worker = 1,
 					  .id = STR("i-1"),
 					  .address = STR(WORKER_ADDRESS),
-					  .lease_ms = 1000};
+					  .lease_ms = 1000,
+					  .send_until_us = send_until_us};
 	transport()->ops->start(transport(), &o);
 }
 
+static void order_start(uint32_t run)
+{
+	order_start_until(run, 0);
+}
+
+static void order_poll_until(uint32_t wait_ms, int64_t send_until_us)
+{
+	struct dag_poll_command o = {.wait_ms = wait_ms};
+
+	o.call = (struct dag_worker_call){.worker = 1,
+					  .id = STR("i-1"),
+					  .address = STR(WORKER_ADDRESS),
+					  .send_until_us = send_until_us};
+	transport()->ops->poll(transport(), &o);
+}
+
+/* A real gateway with an event loop of its own, and the report that it makes. */
+struct far {
+	struct ev_loop *loop;
+	struct settings settings;
+	struct agent *agent;
+	struct dag_agent report;
+};
+
+static void far_open(struct far *f)
+{
+	struct agent_options opt = {.settings = &f->settings};
+
+	*f = (struct far){.settings = {.name = STR("gateway"), .cluster_key = STR(KEY)}};
+	f->loop = ev_loop_new(0);
+	opt.loop = f->loop;
+	XDR_SET(f->report, zone, STR("a"));
+	ck_assert_int_eq(addr_parse(STR(AGENT_ADDRESS), &f->settings.listen.rpc), 0);
+	f->report.id = node_id(&f->settings.listen.rpc);
+	ck_assert_int_eq(agent_new(&opt, &f->agent), 0);
+}
+
+static void far_close(struct far *f)
+{
+	agent_free(f->agent);
+	ev_loop_destroy(f->loop);
+}
+
 /* Guards against start requests that reach a gateway late and still start a run. */
 START_TEST(old_start_is_not_carried_out)
 {
-	struct ev_loop *far = ev_loop_new(0);
-	struct settings own = {.name = STR("gateway"), .cluster_key = STR(KEY)};
-	struct agent_options opt = {.loop = far, .settings = &own};
-	struct dag_agent a = {0};
 	struct fake worker;
-	struct agent *agent;
+	struct far f;
 
-	XDR_SET(a, zone, STR("a"));
-	ck_assert_int_eq(addr_parse(STR(AGENT_ADDRESS), &own.listen.rpc), 0);
-	a.id = node_id(&own.listen.rpc);
+	far_open(&f);
 	fake_open(&worker, WORKER_PORT);
 	fake_say(&worker, "POST", "/api/run-start", 200, "{\"clock_ms\":1}", NULL, 0);
-	ck_assert_int_eq(agent_new(&opt, &agent), 0);
-	play_leader(&a, 0.2);
+	play_leader(&f.report, 0.2);
 	order_start(1);
-	play_leader(&a, 1.5);
-	play_gateway(far, 0.5);
+	play_leader(&f.report, 1.5);
+	play_gateway(f.loop, 0.5);
 	ck_assert_uint_eq(fake_count(&worker, "run-start"), 0);
 	order_start(2);
-	play_leader(&a, 0.2);
-	play_gateway(far, 0.5);
+	play_leader(&f.report, 0.2);
+	play_gateway(f.loop, 0.5);
 	ck_assert_uint_eq(fake_count(&worker, "run-start"), 1);
 	ck_assert_uint_eq(direct.calls, 0);
-	agent_free(agent);
+	far_close(&f);
 	fake_close(&worker);
-	ev_loop_destroy(far);
+}
+END_TEST
+
+/* Guards against a gateway that makes calls of a leader whose lease has ended. */
+START_TEST(call_of_an_ended_lease_is_not_carried_out)
+{
+	struct fake worker;
+	struct far f;
+
+	far_open(&f);
+	fake_open(&worker, WORKER_PORT);
+	play_leader(&f.report, 0.2);
+	order_poll_until(0, clock_us() + 300000);
+	order_start_until(1, clock_us() + 300000);
+	play_leader(&f.report, 0.4);
+	play_gateway(f.loop, 0.5);
+	ck_assert_uint_eq(fake_count(&worker, "POST"), 0);
+	order_poll_until(0, clock_us() + 5000000);
+	play_leader(&f.report, 0.2);
+	play_gateway(f.loop, 0.5);
+	ck_assert_uint_eq(fake_count(&worker, "POST"), 1);
+	ck_assert_uint_eq(direct.calls, 0);
+	far_close(&f);
+	fake_close(&worker);
+}
+END_TEST
+
+/* Listens on an address without accepting. */
+static int listen_on(const char *text)
+{
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+	struct addr address;
+	int one = 1;
+
+	ck_assert_int_eq(addr_parse(str_from(text), &address), 0);
+	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
+	ck_assert_int_eq(bind(fd, (struct sockaddr *)&address.sa, address.len), 0);
+	ck_assert_int_eq(listen(fd, 16), 0);
+	return fd;
+}
+
+/* Reads all that comes on the connections that wait and counts a path in it. */
+static unsigned int count_requests(int listener, const char *path)
+{
+	char bytes[65536];
+	unsigned int found = 0;
+	ssize_t n;
+	int fd;
+
+	while ((fd = accept4(listener, NULL, NULL, SOCK_NONBLOCK)) >= 0) {
+		while ((n = recv(fd, bytes, sizeof(bytes), 0)) > 0)
+			found += memmem(bytes, (size_t)n, path, strlen(path)) != NULL;
+		close(fd);
+	}
+	return found;
+}
+
+/*
+ * Guards against a gateway that sends a call late: it waits there for a connection,
+ * since polls without an answer hold all that one executor may have.
+ */
+START_TEST(queued_call_of_an_ended_lease_is_not_sent)
+{
+	int worker = listen_on(WORKER_ADDRESS);
+	int64_t lease_end_us;
+	struct far f;
+
+	far_open(&f);
+	play_leader(&f.report, 0.2);
+	for (int i = 0; i < CONNECTIONS_A_WORKER; i++)
+		order_poll_until(100, 0);
+	play_leader(&f.report, 0.1);
+	play_gateway(f.loop, 0.1);
+	lease_end_us = clock_us() + 200000;
+	order_start_until(1, lease_end_us);
+	play_leader(&f.report, 0.05);
+	play_gateway(f.loop, 0.6);
+	ck_assert_int_gt(clock_us(), lease_end_us);
+	ck_assert_uint_eq(count_requests(worker, "run-start"), 0);
+	order_start_until(2, clock_us() + 5000000);
+	play_leader(&f.report, 0.1);
+	play_gateway(f.loop, 0.3);
+	ck_assert_uint_eq(count_requests(worker, "run-start"), 1);
+	far_close(&f);
+	close(worker);
 }
 END_TEST
 
@@ -328,19 +451,15 @@
 START_TEST(connection_without_answers_is_reset)
 {
 	struct dag_agent a = {0};
+	int listener = listen_on(AGENT_ADDRESS);
 	struct addr address;
 	char bytes[4096];
-	int listener = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
-	int one = 1;
 	ssize_t n;
 	int fd;
 
 	XDR_SET(a, zone, STR("a"));
 	ck_assert_int_eq(addr_parse(STR(AGENT_ADDRESS), &address), 0);
 	a.id = node_id(&address);
-	setsockopt(listener, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
-	ck_assert_int_eq(bind(listener, (struct sockaddr *)&address.sa, address.len), 0);
-	ck_assert_int_eq(listen(listener, 8), 0);
 	play_leader(&a, 0.2);
 	order_start(1);
 	play_leader(&a, 0.2);
@@ -375,6 +494,8 @@
 	tcase_add_test(t, pace_is_not_waited_for);
 	tcase_add_test(t, silent_gateway_is_avoided);
 	tcase_add_test(t, old_start_is_not_carried_out);
+	tcase_add_test(t, call_of_an_ended_lease_is_not_carried_out);
+	tcase_add_test(t, queued_call_of_an_ended_lease_is_not_sent);
 	tcase_add_test(t, connection_without_answers_is_reset);
 	suite_add_tcase(s, t);
 	r = srunner_create(s);
--- a/regress/test_replica.c
+++ b/regress/test_replica.c
@@ -615,8 +615,11 @@
 	lone_ack(&l, 3, now);
 	ck_assert(replica_lease_valid(l.r, sent + election_us * 99 / 100));
 	ck_assert(!replica_lease_valid(l.r, sent + election_us * 999 / 1001));
+	ck_assert_int_ge(replica_lease_end_us(l.r), sent + election_us * 99 / 100);
+	ck_assert_int_le(replica_lease_end_us(l.r), sent + election_us * 999 / 1001);
 	replica_tick(l.r, sent + election_us * 999 / 1001);
 	ck_assert_int_ne(replica_role(l.r), REPLICA_LEADER);
+	ck_assert_int_eq(replica_lease_end_us(l.r), INT64_MIN);
 	replica_free(l.r);
 }
 END_TEST
