http_client: a call that is given up sends nothing more

Cause: when a call timed out or was cancelled, libcurl closed its connection and the kernel went on to deliver what the peer had not received, after a partition for seconds.

Change: a socket with bytes that the peer has not received is reset. What has arrived at the peer's host stays readable there; leases and epochs cover that.

Before: test_http_client call_given_up_sends_nothing_more read all of it to the end (0 in place of ECONNRESET).

--- a/io/http_client.c
+++ b/io/http_client.c
@@ -3,6 +3,11 @@
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
+#include <sys/ioctl.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <linux/sockios.h>
 
 #include <curl/curl.h>
 
@@ -247,6 +252,20 @@
 	return CURL_PREREQFUNC_OK;
 }
 
+/*
+ * Closes a socket and drops what the peer has not received, so that the rest of a call
+ * that was given up doesn't arrive later.
+ */
+static int close_socket(void *user, curl_socket_t fd)
+{
+	struct linger drop = {.l_onoff = 1, .l_linger = 0};
+	int unsent = 0;
+
+	if (ioctl(fd, SIOCOUTQ, &unsent) == 0 && unsent > 0)
+		setsockopt(fd, SOL_SOCKET, SO_LINGER, &drop, sizeof(drop));
+	return close(fd);
+}
+
 /*
  * libcurl sends a request a second time when a reused connection ends before the
  * first byte of the answer, and the upstream may have run it. For a request that is
@@ -385,6 +404,7 @@
 	curl_easy_setopt(x->easy, CURLOPT_WRITEDATA, x);
 	curl_easy_setopt(x->easy, CURLOPT_PREREQFUNCTION, check_send_time);
 	curl_easy_setopt(x->easy, CURLOPT_PREREQDATA, x);
+	curl_easy_setopt(x->easy, CURLOPT_CLOSESOCKETFUNCTION, close_socket);
 	curl_easy_setopt(x->easy, CURLOPT_TIMEOUT_MS, (long)(opt->timeout * 1000));
 	curl_easy_setopt(x->easy, CURLOPT_CONNECTTIMEOUT_MS,
 			 (long)(c->opt.connect_timeout * 1000));
--- a/regress/test_http_client.c
+++ b/regress/test_http_client.c
@@ -15,6 +15,8 @@
 #define ADDRESS "127.0.0.1:20106"
 #define URL "http://" ADDRESS
 #define MS_US 1000
+#define BIG_BODY (4U << 20) /* more than the sockets of both sides take */
+#define SMALL_BUFFER 4096
 
 /* A call of the test and its end. */
 struct call {
@@ -45,6 +47,7 @@
 		.max_connections_per_host = 1, .max_idle = 4, .connect_timeout = 5};
 	struct addr address;
 	int one = 1;
+	int size = SMALL_BUFFER;
 
 	loop = ev_loop_new(0);
 	opt.loop = loop;
@@ -52,6 +55,7 @@
 	ck_assert_int_eq(addr_parse(STR(ADDRESS), &address), 0);
 	listener = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
 	setsockopt(listener, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
+	setsockopt(listener, SOL_SOCKET, SO_RCVBUF, &size, sizeof(size));
 	ck_assert_int_eq(bind(listener, (struct sockaddr *)&address.sa, address.len), 0);
 	ck_assert_int_eq(listen(listener, 8), 0);
 }
@@ -160,6 +164,43 @@
 }
 END_TEST
 
+/* How the connection that waits ends: the errno, 0: with all that was written to it. */
+static int read_to_end(void)
+{
+	char bytes[65536];
+	ssize_t n;
+	int err = 0;
+	int fd = accept(listener, NULL, NULL);
+
+	ck_assert_int_ge(fd, 0);
+	while ((n = recv(fd, bytes, sizeof(bytes), 0)) > 0)
+		usleep(MS_US);
+	if (n < 0)
+		err = errno;
+	close(fd);
+	return err;
+}
+
+/* Guards against bytes of a call that arrive after the call was given up. */
+START_TEST(call_given_up_sends_nothing_more)
+{
+	char *body = calloc(1, BIG_BODY);
+	struct call timed_out;
+	struct call cancelled;
+
+	ck_assert_ptr_nonnull(body);
+	start(&timed_out, "/", (struct str){body, BIG_BODY}, 0.2, 0);
+	play_until_ended(&timed_out);
+	ck_assert_int_eq(timed_out.err, CF_ETIMEOUT);
+	ck_assert_int_eq(read_to_end(), ECONNRESET);
+	start(&cancelled, "/", (struct str){body, BIG_BODY}, 5, 0);
+	play(0.2);
+	http_call_cancel(&cancelled.http);
+	ck_assert_int_eq(read_to_end(), ECONNRESET);
+	free(body);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("http_client");
@@ -171,6 +212,7 @@
 	tcase_set_timeout(t, 60);
 	tcase_add_test(t, call_is_not_sent_after_a_pause);
 	tcase_add_test(t, queued_call_is_not_sent_after_its_time);
+	tcase_add_test(t, call_given_up_sends_nothing_more);
 	suite_add_tcase(s, t);
 	r = srunner_create(s);
 	srunner_run_all(r, CK_ENV);
