relay: an answer to an earlier life's call does not count for a call of this one

Cause: a restarted leader numbered its calls to gateways from 1 again. Gateways send answers to the leader's address; polls are held for up to a second, so that answers to calls of the earlier life reach the new one, which may have calls under the same numbers by then. The lists of one worker were then taken for those of another: its runs count as not listed, and ends are acknowledged to a worker that has not reported them.

Change: the numbers of a life begin at a random place of 64 bits.

Before: answer_of_an_earlier_life_is_ignored failed (user.looked == 1). After: 8 of 8 of test_relay pass. The same for a new term of the same life held already and has a test now.

--- a/carawayfrontd/relay.c
+++ b/carawayfrontd/relay.c
@@ -2,6 +2,7 @@
 
 #include <stdlib.h>
 #include <string.h>
+#include <sys/random.h>
 
 #include <uthash.h>
 
@@ -449,12 +450,20 @@
 	return &r->transport;
 }
 
+/*
+ * Numbers of calls begin at a random place: a gateway may still send answers to calls
+ * that an earlier life of this process made under the same address.
+ */
 int relay_new(const struct relay_options *opt, struct relay **out)
 {
 	struct relay *r = calloc(1, sizeof(*r));
 
 	if (!r)
 		return CF_ENOMEM;
+	if (getrandom(&r->next_id, sizeof(r->next_id), 0) != sizeof(r->next_id)) {
+		free(r);
+		return CF_EIO;
+	}
 	r->transport.ops = &transport_ops;
 	r->opt = *opt;
 	ev_timer_init(&r->sweep, on_sweep, SWEEP_S, SWEEP_S);
--- a/regress/test_relay.c
+++ b/regress/test_relay.c
@@ -112,25 +112,33 @@
 	.poll_replied = on_looked,
 };
 
-static void setup(void)
+/* A new life of the leader's process has a relay of its own. */
+static void new_relay(void)
 {
-	struct rpc_server_options rpc = {.key = STR(KEY), .host = &gateway.host};
-	struct dag_worker w = {.cpu_milli = 1000};
-	struct dag_worker_rec *rec;
 	struct relay_options opt = {
+		.loop = loop,
 		.settings = &settings,
 		.direct = &direct.transport,
 		.user = &user.base,
+		.state = state,
 		.self = 1,
 	};
 
+	ck_assert_int_eq(relay_new(&opt, &relay), 0);
+}
+
+static void setup(void)
+{
+	struct rpc_server_options rpc = {.key = STR(KEY), .host = &gateway.host};
+	struct dag_worker w = {.cpu_milli = 1000};
+	struct dag_worker_rec *rec;
+
 	loop = ev_loop_new(0);
 	gateway = (struct gateway){.host = {.ops = &gateway_ops}};
 	direct = (struct direct){.transport = {.ops = &direct_ops}};
 	user = (struct user){.base = {.ops = &user_ops}};
 	settings = (struct settings){.name = STR("leader"), .cluster_key = STR(KEY)};
 	rpc.loop = loop;
-	opt.loop = loop;
 	ck_assert_int_eq(addr_parse(STR(ADDRESS), &rpc.address), 0);
 	ck_assert_int_eq(rpc_server_new(&rpc, &gateway.server), 0);
 	gateway_id = node_id(&rpc.address);
@@ -139,8 +147,7 @@
 	XDR_SET(w, address, STR("10.0.0.1:80"));
 	XDR_SET(w, zone, STR("a"));
 	ck_assert_int_eq(dag_state_put_worker(state, 1, &w, &rec), 0);
-	opt.state = state;
-	ck_assert_int_eq(relay_new(&opt, &relay), 0);
+	new_relay();
 }
 
 static void teardown(void)
@@ -250,6 +257,47 @@
 }
 END_TEST
 
+/*
+ * Guards against an answer to a call of the leader's earlier life that counts for a call
+ * of this life, of another worker: both began their numbers at the same one.
+ */
+START_TEST(answer_of_an_earlier_life_is_ignored)
+{
+	report();
+	order_look();
+	play(0.3);
+	ck_assert_uint_eq(gateway.n, 1);
+	relay_free(relay);
+	new_relay();
+	report();
+	order_look();
+	answer_looks(); /* of the earlier life */
+	ck_assert_uint_eq(user.looked, 0);
+	play(0.3);
+	answer_looks();
+	ck_assert_uint_eq(user.looked, 1);
+}
+END_TEST
+
+/* Guards against an answer to a call of an ended term that counts for one of a new term.
+ */
+START_TEST(answer_of_an_earlier_term_is_ignored)
+{
+	report();
+	order_look();
+	play(0.3);
+	ck_assert_uint_eq(gateway.n, 1);
+	relay_clear(relay);
+	report();
+	order_look();
+	answer_looks();
+	ck_assert_uint_eq(user.looked, 0);
+	play(0.3);
+	answer_looks();
+	ck_assert_uint_eq(user.looked, 1);
+}
+END_TEST
+
 /* Plays the leader's loop for some seconds; reports of a real gateway arrive. */
 static void play_leader(const struct dag_agent *report, double seconds)
 {
@@ -493,6 +541,8 @@
 	tcase_set_timeout(t, 60);
 	tcase_add_test(t, pace_is_not_waited_for);
 	tcase_add_test(t, silent_gateway_is_avoided);
+	tcase_add_test(t, answer_of_an_earlier_life_is_ignored);
+	tcase_add_test(t, answer_of_an_earlier_term_is_ignored);
 	tcase_add_test(t, old_start_is_not_carried_out);
 	tcase_add_test(t, call_of_an_ended_lease_is_not_carried_out);
 	tcase_add_test(t, queued_call_of_an_ended_lease_is_not_sent);
