controller: replies to direct calls of an ended term do not reach the next one

Cause: when a controller's term ends, its scheduler is freed, but the calls that it had made itself went on. If it led again within a second or so, or its scheduler was rebuilt in the same term, a reply to an old poll was taken for that of the newest poll, which had been sent later, and each reply after it as well: a run that was accepted in between is missing from such a list and counts as lost. A refusal of the old epoch made the new term count as fenced.

Change: the transport forgets its calls with the term, as the relay did.

--- a/carawayfrontd/controller_sched.c
+++ b/carawayfrontd/controller_sched.c
@@ -189,6 +189,7 @@
 	dag_sched_free(c->sched);
 	c->sched = NULL;
 	relay_clear(c->relay);
+	c->transport->ops->clear(c->transport);
 	command_batch_clear(&c->batch);
 	log_info("leading-ended", "epoch=%llu",
 		 (unsigned long long)replica_epoch(c->replica));
--- a/core/dag_interface.h
+++ b/core/dag_interface.h
@@ -18,6 +18,8 @@
 	void (*stop)(struct dag_transport *t, const struct dag_worker_command *cmd);
 	void (*throttle)(struct dag_transport *t, const struct dag_worker_command *cmd);
 	void (*poll)(struct dag_transport *t, const struct dag_poll_command *cmd);
+	/* Forgets outstanding calls: none is sent any more, and no result is reported. */
+	void (*clear)(struct dag_transport *t);
 	void (*free)(struct dag_transport *t);
 };
 
--- a/regress/test_executors.c
+++ b/regress/test_executors.c
@@ -132,6 +132,24 @@
 }
 END_TEST
 
+/*
+ * Guards against a reply to a poll of an ended term that counts for a later poll of the
+ * new term: runs that began in between are missing from its list.
+ */
+START_TEST(reply_of_an_earlier_term_is_ignored)
+{
+	poll_until(0);
+	play(0.001);
+	transport->ops->clear(transport);
+	play(0.3);
+	ck_assert_uint_eq(user.polls, 0);
+	poll_until(0);
+	play(0.3);
+	ck_assert_uint_eq(user.polls, 1);
+	ck_assert_uint_eq(user.usable, 1);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("executors");
@@ -143,6 +161,7 @@
 	tcase_set_timeout(t, 60);
 	tcase_add_test(t, call_of_an_ended_lease_is_not_sent);
 	tcase_add_test(t, call_is_not_sent_after_its_timeout);
+	tcase_add_test(t, reply_of_an_earlier_term_is_ignored);
 	suite_add_tcase(s, t);
 	r = srunner_create(s);
 	srunner_run_all(r, CK_ENV);
