--- a/proto/codec.c
+++ b/proto/codec.c
@@ -1,9 +1,19 @@
 #include "proto/codec.h"
 
+#include <stdlib.h>
 #include <string.h>
 
 #include "base/err.h"
 
+/* Smallest encoding of an array's item. */
+#define ITEM_MIN_BYTES 4U
+
+/* What a stream that decodes has in x_public. */
+struct decode_limits {
+	size_t n; /* bytes of the message */
+	bool no_memory;
+};
+
 /*
  * Appends the XDR form of an object. CF_EINVAL when a bound of the definition is
  * exceeded.
@@ -29,18 +39,55 @@
 	return err;
 }
 
+/*
+ * Allocates what a length or count in front of the stream asks for. False if the rest of
+ * the message cannot hold so many items of min_bytes, or without memory: a short message
+ * must not allocate what its numbers say.
+ */
+static bool_t allocate(XDR *xdrs, char **out, u_int max, u_int size, u_int min_bytes)
+{
+	struct decode_limits *l = (void *)xdrs->x_public;
+	u_int at = xdr_getpos(xdrs);
+	u_int n;
+
+	if (!xdr_u_int(xdrs, &n) || n > max || n > (l->n - xdr_getpos(xdrs)) / min_bytes)
+		return FALSE;
+	if (n && !*out && !(*out = calloc(n, size))) {
+		l->no_memory = true;
+		return FALSE;
+	}
+	return xdr_setpos(xdrs, at);
+}
+
+bool_t codec_bytes(XDR *xdrs, char **bytes, u_int *n, u_int max)
+{
+	if (xdrs->x_op == XDR_DECODE && !allocate(xdrs, bytes, max, 1, 1))
+		return FALSE;
+	return xdr_bytes(xdrs, bytes, n, max);
+}
+
+bool_t codec_array(XDR *xdrs, char **items, u_int *n, u_int max, u_int size,
+		   xdrproc_t proc)
+{
+	if (xdrs->x_op == XDR_DECODE && !allocate(xdrs, items, max, size, ITEM_MIN_BYTES))
+		return FALSE;
+	return xdr_array(xdrs, items, n, max, size, proc);
+}
+
 /*
  * Decodes into a zeroed object that codec_free() releases, also after a failure.
- * CF_EMALFORMED when the bytes do not decode or some are left over.
+ * CF_EMALFORMED when the bytes do not decode or some are left over; CF_ENOMEM.
  */
 int codec_decode(xdrproc_t proc, void *object, struct str bytes)
 {
+	struct decode_limits limits = {.n = bytes.n};
 	XDR xdrs;
 	int err = 0;
 
 	xdrmem_create(&xdrs, (char *)(uintptr_t)bytes.p, (u_int)bytes.n, XDR_DECODE);
+	xdrs.x_public = (void *)&limits;
 	if (!proc(&xdrs, object) || xdr_getpos(&xdrs) != bytes.n)
-		err = CF_EMALFORMED;
+		err = limits.no_memory ? CF_ENOMEM : CF_EMALFORMED;
 	xdr_destroy(&xdrs);
 	return err;
 }
--- a/proto/codec.h
+++ b/proto/codec.h
@@ -9,6 +9,10 @@
 int codec_encode(xdrproc_t proc, const void *object, struct buf *out);
 int codec_decode(xdrproc_t proc, void *object, struct str bytes);
 void codec_free(xdrproc_t proc, void *object);
+/* For the generated code, in place of xdr_bytes() and xdr_array(). */
+bool_t codec_bytes(XDR *xdrs, char **bytes, u_int *n, u_int max);
+bool_t codec_array(XDR *xdrs, char **items, u_int *n, u_int max, u_int size,
+		   xdrproc_t proc);
 /* Writes an XDR unsigned int, for heads of lists whose items are encoded already. */
 void codec_put_u32(void *p, uint32_t v);
 
--- a/proto/command_xdr.c
+++ b/proto/command_xdr.c
@@ -4,6 +4,7 @@
  */
 
 #include "proto/command.h"
+#include "proto/codec.h"
 
 bool_t
 xdr_command_kind (XDR *xdrs, enum command_kind *objp)
@@ -20,9 +21,9 @@
 {
 	register int32_t *buf;
 
-	 if (!xdr_bytes (xdrs, (char **)&objp->name.name_val, (u_int *) &objp->name.name_len, CMD_MAX_PATH))
+	 if (!codec_bytes (xdrs, (char **)&objp->name.name_val, (u_int *) &objp->name.name_len, CMD_MAX_PATH))
 		 return FALSE;
-	 if (!xdr_bytes (xdrs, (char **)&objp->value.value_val, (u_int *) &objp->value.value_len, CMD_MAX_VALUE))
+	 if (!codec_bytes (xdrs, (char **)&objp->value.value_val, (u_int *) &objp->value.value_len, CMD_MAX_VALUE))
 		 return FALSE;
 	return TRUE;
 }
@@ -32,7 +33,7 @@
 {
 	register int32_t *buf;
 
-	 if (!xdr_array (xdrs, (char **)&objp->list.list_val, (u_int *) &objp->list.list_len, CMD_MAX_FIELDS,
+	 if (!codec_array (xdrs, (char **)&objp->list.list_val, (u_int *) &objp->list.list_len, CMD_MAX_FIELDS,
 		sizeof (struct command_field), (xdrproc_t) xdr_command_field))
 		 return FALSE;
 	return TRUE;
@@ -43,13 +44,13 @@
 {
 	register int32_t *buf;
 
-	 if (!xdr_bytes (xdrs, (char **)&objp->path.path_val, (u_int *) &objp->path.path_len, CMD_MAX_PATH))
+	 if (!codec_bytes (xdrs, (char **)&objp->path.path_val, (u_int *) &objp->path.path_len, CMD_MAX_PATH))
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->expected_revision))
 		 return FALSE;
-	 if (!xdr_bytes (xdrs, (char **)&objp->request_id.request_id_val, (u_int *) &objp->request_id.request_id_len, CMD_MAX_NAME))
+	 if (!codec_bytes (xdrs, (char **)&objp->request_id.request_id_val, (u_int *) &objp->request_id.request_id_len, CMD_MAX_NAME))
 		 return FALSE;
-	 if (!xdr_bytes (xdrs, (char **)&objp->text.text_val, (u_int *) &objp->text.text_len, CMD_MAX_TEXT))
+	 if (!codec_bytes (xdrs, (char **)&objp->text.text_val, (u_int *) &objp->text.text_len, CMD_MAX_TEXT))
 		 return FALSE;
 	 if (!xdr_command_fields (xdrs, &objp->fields))
 		 return FALSE;
@@ -61,11 +62,11 @@
 {
 	register int32_t *buf;
 
-	 if (!xdr_bytes (xdrs, (char **)&objp->path.path_val, (u_int *) &objp->path.path_len, CMD_MAX_PATH))
+	 if (!codec_bytes (xdrs, (char **)&objp->path.path_val, (u_int *) &objp->path.path_len, CMD_MAX_PATH))
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->expected_revision))
 		 return FALSE;
-	 if (!xdr_bytes (xdrs, (char **)&objp->request_id.request_id_val, (u_int *) &objp->request_id.request_id_len, CMD_MAX_NAME))
+	 if (!codec_bytes (xdrs, (char **)&objp->request_id.request_id_val, (u_int *) &objp->request_id.request_id_len, CMD_MAX_NAME))
 		 return FALSE;
 	return TRUE;
 }
@@ -75,11 +76,11 @@
 {
 	register int32_t *buf;
 
-	 if (!xdr_bytes (xdrs, (char **)&objp->team.team_val, (u_int *) &objp->team.team_len, CMD_MAX_NAME))
+	 if (!codec_bytes (xdrs, (char **)&objp->team.team_val, (u_int *) &objp->team.team_len, CMD_MAX_NAME))
 		 return FALSE;
-	 if (!xdr_bytes (xdrs, (char **)&objp->name.name_val, (u_int *) &objp->name.name_len, CMD_MAX_NAME))
+	 if (!codec_bytes (xdrs, (char **)&objp->name.name_val, (u_int *) &objp->name.name_len, CMD_MAX_NAME))
 		 return FALSE;
-	 if (!xdr_bytes (xdrs, (char **)&objp->request_id.request_id_val, (u_int *) &objp->request_id.request_id_len, CMD_MAX_NAME))
+	 if (!codec_bytes (xdrs, (char **)&objp->request_id.request_id_val, (u_int *) &objp->request_id.request_id_len, CMD_MAX_NAME))
 		 return FALSE;
 	 if (!xdr_command_fields (xdrs, &objp->fields))
 		 return FALSE;
@@ -91,11 +92,11 @@
 {
 	register int32_t *buf;
 
-	 if (!xdr_bytes (xdrs, (char **)&objp->team.team_val, (u_int *) &objp->team.team_len, CMD_MAX_NAME))
+	 if (!codec_bytes (xdrs, (char **)&objp->team.team_val, (u_int *) &objp->team.team_len, CMD_MAX_NAME))
 		 return FALSE;
-	 if (!xdr_bytes (xdrs, (char **)&objp->job.job_val, (u_int *) &objp->job.job_len, CMD_MAX_NAME))
+	 if (!codec_bytes (xdrs, (char **)&objp->job.job_val, (u_int *) &objp->job.job_len, CMD_MAX_NAME))
 		 return FALSE;
-	 if (!xdr_bytes (xdrs, (char **)&objp->request_id.request_id_val, (u_int *) &objp->request_id.request_id_len, CMD_MAX_NAME))
+	 if (!codec_bytes (xdrs, (char **)&objp->request_id.request_id_val, (u_int *) &objp->request_id.request_id_len, CMD_MAX_NAME))
 		 return FALSE;
 	return TRUE;
 }
@@ -105,11 +106,11 @@
 {
 	register int32_t *buf;
 
-	 if (!xdr_bytes (xdrs, (char **)&objp->team.team_val, (u_int *) &objp->team.team_len, CMD_MAX_NAME))
+	 if (!codec_bytes (xdrs, (char **)&objp->team.team_val, (u_int *) &objp->team.team_len, CMD_MAX_NAME))
 		 return FALSE;
-	 if (!xdr_bytes (xdrs, (char **)&objp->job.job_val, (u_int *) &objp->job.job_len, CMD_MAX_NAME))
+	 if (!codec_bytes (xdrs, (char **)&objp->job.job_val, (u_int *) &objp->job.job_len, CMD_MAX_NAME))
 		 return FALSE;
-	 if (!xdr_bytes (xdrs, (char **)&objp->reason.reason_val, (u_int *) &objp->reason.reason_len, CMD_MAX_PATH))
+	 if (!codec_bytes (xdrs, (char **)&objp->reason.reason_val, (u_int *) &objp->reason.reason_len, CMD_MAX_PATH))
 		 return FALSE;
 	return TRUE;
 }
@@ -139,9 +140,9 @@
 {
 	register int32_t *buf;
 
-	 if (!xdr_bytes (xdrs, (char **)&objp->team.team_val, (u_int *) &objp->team.team_len, CMD_MAX_NAME))
+	 if (!codec_bytes (xdrs, (char **)&objp->team.team_val, (u_int *) &objp->team.team_len, CMD_MAX_NAME))
 		 return FALSE;
-	 if (!xdr_bytes (xdrs, (char **)&objp->job.job_val, (u_int *) &objp->job.job_len, CMD_MAX_NAME))
+	 if (!codec_bytes (xdrs, (char **)&objp->job.job_val, (u_int *) &objp->job.job_len, CMD_MAX_NAME))
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->service))
 		 return FALSE;
@@ -153,7 +154,7 @@
 		 return FALSE;
 	 if (!xdr_task_state (xdrs, &objp->state))
 		 return FALSE;
-	 if (!xdr_bytes (xdrs, (char **)&objp->worker.worker_val, (u_int *) &objp->worker.worker_len, CMD_MAX_NAME))
+	 if (!codec_bytes (xdrs, (char **)&objp->worker.worker_val, (u_int *) &objp->worker.worker_len, CMD_MAX_NAME))
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->session))
 		 return FALSE;
@@ -187,7 +188,7 @@
 {
 	register int32_t *buf;
 
-	 if (!xdr_bytes (xdrs, (char **)&objp->entry.entry_val, (u_int *) &objp->entry.entry_len, CMD_MAX_NAME))
+	 if (!codec_bytes (xdrs, (char **)&objp->entry.entry_val, (u_int *) &objp->entry.entry_len, CMD_MAX_NAME))
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
 		 return FALSE;
@@ -201,11 +202,11 @@
 {
 	register int32_t *buf;
 
-	 if (!xdr_bytes (xdrs, (char **)&objp->team.team_val, (u_int *) &objp->team.team_len, CMD_MAX_NAME))
+	 if (!codec_bytes (xdrs, (char **)&objp->team.team_val, (u_int *) &objp->team.team_len, CMD_MAX_NAME))
 		 return FALSE;
-	 if (!xdr_bytes (xdrs, (char **)&objp->service.service_val, (u_int *) &objp->service.service_len, CMD_MAX_NAME))
+	 if (!codec_bytes (xdrs, (char **)&objp->service.service_val, (u_int *) &objp->service.service_len, CMD_MAX_NAME))
 		 return FALSE;
-	 if (!xdr_bytes (xdrs, (char **)&objp->key.key_val, (u_int *) &objp->key.key_len, CMD_MAX_KEY))
+	 if (!codec_bytes (xdrs, (char **)&objp->key.key_val, (u_int *) &objp->key.key_len, CMD_MAX_KEY))
 		 return FALSE;
 	return TRUE;
 }
@@ -232,9 +233,9 @@
 
 	 if (!xdr_u_int (xdrs, &objp->status))
 		 return FALSE;
-	 if (!xdr_bytes (xdrs, (char **)&objp->content_type.content_type_val, (u_int *) &objp->content_type.content_type_len, CMD_MAX_PATH))
+	 if (!codec_bytes (xdrs, (char **)&objp->content_type.content_type_val, (u_int *) &objp->content_type.content_type_len, CMD_MAX_PATH))
 		 return FALSE;
-	 if (!xdr_bytes (xdrs, (char **)&objp->body.body_val, (u_int *) &objp->body.body_len, CMD_MAX_OUTCOME))
+	 if (!codec_bytes (xdrs, (char **)&objp->body.body_val, (u_int *) &objp->body.body_len, CMD_MAX_OUTCOME))
 		 return FALSE;
 	return TRUE;
 }
@@ -271,11 +272,11 @@
 	register int32_t *buf;
 
 	int i;
-	 if (!xdr_bytes (xdrs, (char **)&objp->name.name_val, (u_int *) &objp->name.name_len, CMD_MAX_NAME))
+	 if (!codec_bytes (xdrs, (char **)&objp->name.name_val, (u_int *) &objp->name.name_len, CMD_MAX_NAME))
 		 return FALSE;
 	 if (!xdr_opaque (xdrs, objp->identity, CMD_HASH))
 		 return FALSE;
-	 if (!xdr_bytes (xdrs, (char **)&objp->address.address_val, (u_int *) &objp->address.address_len, CMD_MAX_NAME))
+	 if (!codec_bytes (xdrs, (char **)&objp->address.address_val, (u_int *) &objp->address.address_len, CMD_MAX_NAME))
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->voter))
 		 return FALSE;
@@ -287,11 +288,11 @@
 {
 	register int32_t *buf;
 
-	 if (!xdr_bytes (xdrs, (char **)&objp->name.name_val, (u_int *) &objp->name.name_len, CMD_MAX_NAME))
+	 if (!codec_bytes (xdrs, (char **)&objp->name.name_val, (u_int *) &objp->name.name_len, CMD_MAX_NAME))
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
 		 return FALSE;
-	 if (!xdr_bytes (xdrs, (char **)&objp->address.address_val, (u_int *) &objp->address.address_len, CMD_MAX_NAME))
+	 if (!codec_bytes (xdrs, (char **)&objp->address.address_val, (u_int *) &objp->address.address_len, CMD_MAX_NAME))
 		 return FALSE;
 	return TRUE;
 }
@@ -301,7 +302,7 @@
 {
 	register int32_t *buf;
 
-	 if (!xdr_bytes (xdrs, (char **)&objp->name.name_val, (u_int *) &objp->name.name_len, CMD_MAX_NAME))
+	 if (!codec_bytes (xdrs, (char **)&objp->name.name_val, (u_int *) &objp->name.name_len, CMD_MAX_NAME))
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
 		 return FALSE;
@@ -315,7 +316,7 @@
 
 	 if (!xdr_u_quad_t (xdrs, &objp->epoch))
 		 return FALSE;
-	 if (!xdr_array (xdrs, (char **)&objp->entries.entries_val, (u_int *) &objp->entries.entries_len, CMD_MAX_MEMBERS,
+	 if (!codec_array (xdrs, (char **)&objp->entries.entries_val, (u_int *) &objp->entries.entries_len, CMD_MAX_MEMBERS,
 		sizeof (struct command_member_id), (xdrproc_t) xdr_command_member_id))
 		 return FALSE;
 	return TRUE;
@@ -430,7 +431,7 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->revision))
 		 return FALSE;
-	 if (!xdr_bytes (xdrs, (char **)&objp->detail.detail_val, (u_int *) &objp->detail.detail_len, CMD_MAX_TEXT))
+	 if (!codec_bytes (xdrs, (char **)&objp->detail.detail_val, (u_int *) &objp->detail.detail_len, CMD_MAX_TEXT))
 		 return FALSE;
 	 if (!xdr_pointer (xdrs, (char **)&objp->outcome, sizeof (struct command_outcome), (xdrproc_t) xdr_command_outcome))
 		 return FALSE;
@@ -480,13 +481,13 @@
 {
 	register int32_t *buf;
 
-	 if (!xdr_bytes (xdrs, (char **)&objp->path.path_val, (u_int *) &objp->path.path_len, CMD_MAX_PATH))
+	 if (!codec_bytes (xdrs, (char **)&objp->path.path_val, (u_int *) &objp->path.path_len, CMD_MAX_PATH))
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->revision))
 		 return FALSE;
-	 if (!xdr_bytes (xdrs, (char **)&objp->text.text_val, (u_int *) &objp->text.text_len, CMD_MAX_TEXT))
+	 if (!codec_bytes (xdrs, (char **)&objp->text.text_val, (u_int *) &objp->text.text_len, CMD_MAX_TEXT))
 		 return FALSE;
-	 if (!xdr_bytes (xdrs, (char **)&objp->fields.fields_val, (u_int *) &objp->fields.fields_len, CMD_MAX_PACKED))
+	 if (!codec_bytes (xdrs, (char **)&objp->fields.fields_val, (u_int *) &objp->fields.fields_len, CMD_MAX_PACKED))
 		 return FALSE;
 	return TRUE;
 }
@@ -506,7 +507,7 @@
 {
 	register int32_t *buf;
 
-	 if (!xdr_bytes (xdrs, (char **)&objp->path.path_val, (u_int *) &objp->path.path_len, CMD_MAX_PATH))
+	 if (!codec_bytes (xdrs, (char **)&objp->path.path_val, (u_int *) &objp->path.path_len, CMD_MAX_PATH))
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->revision))
 		 return FALSE;
@@ -514,9 +515,9 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->present))
 		 return FALSE;
-	 if (!xdr_bytes (xdrs, (char **)&objp->text.text_val, (u_int *) &objp->text.text_len, CMD_MAX_TEXT))
+	 if (!codec_bytes (xdrs, (char **)&objp->text.text_val, (u_int *) &objp->text.text_len, CMD_MAX_TEXT))
 		 return FALSE;
-	 if (!xdr_bytes (xdrs, (char **)&objp->fields.fields_val, (u_int *) &objp->fields.fields_len, CMD_MAX_PACKED))
+	 if (!codec_bytes (xdrs, (char **)&objp->fields.fields_val, (u_int *) &objp->fields.fields_len, CMD_MAX_PACKED))
 		 return FALSE;
 	return TRUE;
 }
@@ -527,9 +528,9 @@
 	register int32_t *buf;
 
 	int i;
-	 if (!xdr_bytes (xdrs, (char **)&objp->team.team_val, (u_int *) &objp->team.team_len, CMD_MAX_NAME))
+	 if (!codec_bytes (xdrs, (char **)&objp->team.team_val, (u_int *) &objp->team.team_len, CMD_MAX_NAME))
 		 return FALSE;
-	 if (!xdr_bytes (xdrs, (char **)&objp->request_id.request_id_val, (u_int *) &objp->request_id.request_id_len, CMD_MAX_NAME))
+	 if (!codec_bytes (xdrs, (char **)&objp->request_id.request_id_val, (u_int *) &objp->request_id.request_id_len, CMD_MAX_NAME))
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->index))
 		 return FALSE;
@@ -537,7 +538,7 @@
 		 return FALSE;
 	 if (!xdr_opaque (xdrs, objp->hash, CMD_HASH))
 		 return FALSE;
-	 if (!xdr_bytes (xdrs, (char **)&objp->result.result_val, (u_int *) &objp->result.result_len, CMD_MAX_RESULT))
+	 if (!codec_bytes (xdrs, (char **)&objp->result.result_val, (u_int *) &objp->result.result_len, CMD_MAX_RESULT))
 		 return FALSE;
 	return TRUE;
 }
@@ -548,7 +549,7 @@
 	register int32_t *buf;
 
 	int i;
-	 if (!xdr_bytes (xdrs, (char **)&objp->team.team_val, (u_int *) &objp->team.team_len, CMD_MAX_NAME))
+	 if (!codec_bytes (xdrs, (char **)&objp->team.team_val, (u_int *) &objp->team.team_len, CMD_MAX_NAME))
 		 return FALSE;
 	 if (!xdr_opaque (xdrs, objp->id, CMD_HASH))
 		 return FALSE;
@@ -570,11 +571,11 @@
 {
 	register int32_t *buf;
 
-	 if (!xdr_bytes (xdrs, (char **)&objp->team.team_val, (u_int *) &objp->team.team_len, CMD_MAX_NAME))
+	 if (!codec_bytes (xdrs, (char **)&objp->team.team_val, (u_int *) &objp->team.team_len, CMD_MAX_NAME))
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->period))
 		 return FALSE;
-	 if (!xdr_array (xdrs, (char **)&objp->keys.keys_val, (u_int *) &objp->keys.keys_len, SNAP_MAX_KEYS,
+	 if (!codec_array (xdrs, (char **)&objp->keys.keys_val, (u_int *) &objp->keys.keys_len, SNAP_MAX_KEYS,
 		sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
 		 return FALSE;
 	return TRUE;
@@ -606,7 +607,7 @@
 		IXDR_PUT_U_LONG(buf, objp->failures);
 		IXDR_PUT_U_LONG(buf, objp->evictions);
 		}
-		 if (!xdr_bytes (xdrs, (char **)&objp->worker.worker_val, (u_int *) &objp->worker.worker_len, CMD_MAX_NAME))
+		 if (!codec_bytes (xdrs, (char **)&objp->worker.worker_val, (u_int *) &objp->worker.worker_len, CMD_MAX_NAME))
 			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->session))
 			 return FALSE;
@@ -643,7 +644,7 @@
 		objp->failures = IXDR_GET_U_LONG(buf);
 		objp->evictions = IXDR_GET_U_LONG(buf);
 		}
-		 if (!xdr_bytes (xdrs, (char **)&objp->worker.worker_val, (u_int *) &objp->worker.worker_len, CMD_MAX_NAME))
+		 if (!codec_bytes (xdrs, (char **)&objp->worker.worker_val, (u_int *) &objp->worker.worker_len, CMD_MAX_NAME))
 			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->session))
 			 return FALSE;
@@ -672,7 +673,7 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->evictions))
 		 return FALSE;
-	 if (!xdr_bytes (xdrs, (char **)&objp->worker.worker_val, (u_int *) &objp->worker.worker_len, CMD_MAX_NAME))
+	 if (!codec_bytes (xdrs, (char **)&objp->worker.worker_val, (u_int *) &objp->worker.worker_len, CMD_MAX_NAME))
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->session))
 		 return FALSE;
@@ -728,9 +729,9 @@
 			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->deadline_us))
 			 return FALSE;
-		 if (!xdr_bytes (xdrs, (char **)&objp->command.command_val, (u_int *) &objp->command.command_len, CMD_MAX_VALUE))
+		 if (!codec_bytes (xdrs, (char **)&objp->command.command_val, (u_int *) &objp->command.command_len, CMD_MAX_VALUE))
 			 return FALSE;
-		 if (!xdr_bytes (xdrs, (char **)&objp->batch_kind.batch_kind_val, (u_int *) &objp->batch_kind.batch_kind_len, CMD_MAX_NAME))
+		 if (!codec_bytes (xdrs, (char **)&objp->batch_kind.batch_kind_val, (u_int *) &objp->batch_kind.batch_kind_len, CMD_MAX_NAME))
 			 return FALSE;
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
@@ -764,9 +765,9 @@
 			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->deadline_us))
 			 return FALSE;
-		 if (!xdr_bytes (xdrs, (char **)&objp->command.command_val, (u_int *) &objp->command.command_len, CMD_MAX_VALUE))
+		 if (!codec_bytes (xdrs, (char **)&objp->command.command_val, (u_int *) &objp->command.command_len, CMD_MAX_VALUE))
 			 return FALSE;
-		 if (!xdr_bytes (xdrs, (char **)&objp->batch_kind.batch_kind_val, (u_int *) &objp->batch_kind.batch_kind_len, CMD_MAX_NAME))
+		 if (!codec_bytes (xdrs, (char **)&objp->batch_kind.batch_kind_val, (u_int *) &objp->batch_kind.batch_kind_len, CMD_MAX_NAME))
 			 return FALSE;
 	 return TRUE;
 	}
@@ -789,9 +790,9 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->deadline_us))
 		 return FALSE;
-	 if (!xdr_bytes (xdrs, (char **)&objp->command.command_val, (u_int *) &objp->command.command_len, CMD_MAX_VALUE))
+	 if (!codec_bytes (xdrs, (char **)&objp->command.command_val, (u_int *) &objp->command.command_len, CMD_MAX_VALUE))
 		 return FALSE;
-	 if (!xdr_bytes (xdrs, (char **)&objp->batch_kind.batch_kind_val, (u_int *) &objp->batch_kind.batch_kind_len, CMD_MAX_NAME))
+	 if (!codec_bytes (xdrs, (char **)&objp->batch_kind.batch_kind_val, (u_int *) &objp->batch_kind.batch_kind_len, CMD_MAX_NAME))
 		 return FALSE;
 	return TRUE;
 }
@@ -801,9 +802,9 @@
 {
 	register int32_t *buf;
 
-	 if (!xdr_bytes (xdrs, (char **)&objp->team.team_val, (u_int *) &objp->team.team_len, CMD_MAX_NAME))
+	 if (!codec_bytes (xdrs, (char **)&objp->team.team_val, (u_int *) &objp->team.team_len, CMD_MAX_NAME))
 		 return FALSE;
-	 if (!xdr_bytes (xdrs, (char **)&objp->name.name_val, (u_int *) &objp->name.name_len, CMD_MAX_NAME))
+	 if (!codec_bytes (xdrs, (char **)&objp->name.name_val, (u_int *) &objp->name.name_len, CMD_MAX_NAME))
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->service))
 		 return FALSE;
@@ -819,11 +820,11 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->state))
 		 return FALSE;
-	 if (!xdr_bytes (xdrs, (char **)&objp->reason.reason_val, (u_int *) &objp->reason.reason_len, CMD_MAX_PATH))
+	 if (!codec_bytes (xdrs, (char **)&objp->reason.reason_val, (u_int *) &objp->reason.reason_len, CMD_MAX_PATH))
 		 return FALSE;
 	 if (!xdr_snap_spec (xdrs, &objp->spec))
 		 return FALSE;
-	 if (!xdr_array (xdrs, (char **)&objp->tasks.tasks_val, (u_int *) &objp->tasks.tasks_len, CMD_MAX_TASKS,
+	 if (!codec_array (xdrs, (char **)&objp->tasks.tasks_val, (u_int *) &objp->tasks.tasks_len, CMD_MAX_TASKS,
 		sizeof (struct snap_task), (xdrproc_t) xdr_snap_task))
 		 return FALSE;
 	return TRUE;
@@ -848,13 +849,13 @@
 {
 	register int32_t *buf;
 
-	 if (!xdr_bytes (xdrs, (char **)&objp->team.team_val, (u_int *) &objp->team.team_len, CMD_MAX_NAME))
+	 if (!codec_bytes (xdrs, (char **)&objp->team.team_val, (u_int *) &objp->team.team_len, CMD_MAX_NAME))
 		 return FALSE;
-	 if (!xdr_bytes (xdrs, (char **)&objp->job.job_val, (u_int *) &objp->job.job_len, CMD_MAX_NAME))
+	 if (!codec_bytes (xdrs, (char **)&objp->job.job_val, (u_int *) &objp->job.job_len, CMD_MAX_NAME))
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->service))
 		 return FALSE;
-	 if (!xdr_array (xdrs, (char **)&objp->tasks.tasks_val, (u_int *) &objp->tasks.tasks_len, CMD_MAX_TASKS,
+	 if (!codec_array (xdrs, (char **)&objp->tasks.tasks_val, (u_int *) &objp->tasks.tasks_len, CMD_MAX_TASKS,
 		sizeof (struct snap_task_losses), (xdrproc_t) xdr_snap_task_losses))
 		 return FALSE;
 	return TRUE;
@@ -866,7 +867,7 @@
 	register int32_t *buf;
 
 	int i;
-	 if (!xdr_bytes (xdrs, (char **)&objp->name.name_val, (u_int *) &objp->name.name_len, CMD_MAX_NAME))
+	 if (!codec_bytes (xdrs, (char **)&objp->name.name_val, (u_int *) &objp->name.name_len, CMD_MAX_NAME))
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->entry))
 		 return FALSE;
@@ -882,7 +883,7 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->seen_us))
 		 return FALSE;
-	 if (!xdr_bytes (xdrs, (char **)&objp->address.address_val, (u_int *) &objp->address.address_len, CMD_MAX_NAME))
+	 if (!codec_bytes (xdrs, (char **)&objp->address.address_val, (u_int *) &objp->address.address_len, CMD_MAX_NAME))
 		 return FALSE;
 	return TRUE;
 }
--- a/proto/dag_xdr.c
+++ b/proto/dag_xdr.c
@@ -4,13 +4,14 @@
  */
 
 #include "proto/dag.h"
+#include "proto/codec.h"
 
 bool_t
 xdr_dag_name (XDR *xdrs, struct dag_name *objp)
 {
 	register int32_t *buf;
 
-	 if (!xdr_bytes (xdrs, (char **)&objp->text.text_val, (u_int *) &objp->text.text_len, DAG_MAX_NAME))
+	 if (!codec_bytes (xdrs, (char **)&objp->text.text_val, (u_int *) &objp->text.text_len, DAG_MAX_NAME))
 		 return FALSE;
 	return TRUE;
 }
@@ -42,7 +43,7 @@
 		IXDR_PUT_U_LONG(buf, objp->gpus);
 		IXDR_PUT_U_LONG(buf, objp->estimate_ms);
 		}
-		 if (!xdr_array (xdrs, (char **)&objp->depends_on.depends_on_val, (u_int *) &objp->depends_on.depends_on_len, DAG_MAX_STEPS,
+		 if (!codec_array (xdrs, (char **)&objp->depends_on.depends_on_val, (u_int *) &objp->depends_on.depends_on_len, DAG_MAX_STEPS,
 			sizeof (u_int), (xdrproc_t) xdr_u_int))
 			 return FALSE;
 		buf = XDR_INLINE (xdrs, 6 * BYTES_PER_XDR_UNIT);
@@ -68,11 +69,11 @@
 		IXDR_PUT_BOOL(buf, objp->long_running);
 		IXDR_PUT_BOOL(buf, objp->filler);
 		}
-		 if (!xdr_bytes (xdrs, (char **)&objp->label.label_val, (u_int *) &objp->label.label_len, DAG_MAX_NAME))
+		 if (!codec_bytes (xdrs, (char **)&objp->label.label_val, (u_int *) &objp->label.label_len, DAG_MAX_NAME))
 			 return FALSE;
-		 if (!xdr_bytes (xdrs, (char **)&objp->data_rack.data_rack_val, (u_int *) &objp->data_rack.data_rack_len, DAG_MAX_NAME))
+		 if (!codec_bytes (xdrs, (char **)&objp->data_rack.data_rack_val, (u_int *) &objp->data_rack.data_rack_len, DAG_MAX_NAME))
 			 return FALSE;
-		 if (!xdr_bytes (xdrs, (char **)&objp->image.image_val, (u_int *) &objp->image.image_len, DAG_MAX_NAME))
+		 if (!codec_bytes (xdrs, (char **)&objp->image.image_val, (u_int *) &objp->image.image_len, DAG_MAX_NAME))
 			 return FALSE;
 		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
@@ -109,7 +110,7 @@
 		objp->gpus = IXDR_GET_U_LONG(buf);
 		objp->estimate_ms = IXDR_GET_U_LONG(buf);
 		}
-		 if (!xdr_array (xdrs, (char **)&objp->depends_on.depends_on_val, (u_int *) &objp->depends_on.depends_on_len, DAG_MAX_STEPS,
+		 if (!codec_array (xdrs, (char **)&objp->depends_on.depends_on_val, (u_int *) &objp->depends_on.depends_on_len, DAG_MAX_STEPS,
 			sizeof (u_int), (xdrproc_t) xdr_u_int))
 			 return FALSE;
 		buf = XDR_INLINE (xdrs, 6 * BYTES_PER_XDR_UNIT);
@@ -135,11 +136,11 @@
 		objp->long_running = IXDR_GET_BOOL(buf);
 		objp->filler = IXDR_GET_BOOL(buf);
 		}
-		 if (!xdr_bytes (xdrs, (char **)&objp->label.label_val, (u_int *) &objp->label.label_len, DAG_MAX_NAME))
+		 if (!codec_bytes (xdrs, (char **)&objp->label.label_val, (u_int *) &objp->label.label_len, DAG_MAX_NAME))
 			 return FALSE;
-		 if (!xdr_bytes (xdrs, (char **)&objp->data_rack.data_rack_val, (u_int *) &objp->data_rack.data_rack_len, DAG_MAX_NAME))
+		 if (!codec_bytes (xdrs, (char **)&objp->data_rack.data_rack_val, (u_int *) &objp->data_rack.data_rack_len, DAG_MAX_NAME))
 			 return FALSE;
-		 if (!xdr_bytes (xdrs, (char **)&objp->image.image_val, (u_int *) &objp->image.image_len, DAG_MAX_NAME))
+		 if (!codec_bytes (xdrs, (char **)&objp->image.image_val, (u_int *) &objp->image.image_len, DAG_MAX_NAME))
 			 return FALSE;
 		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
@@ -167,7 +168,7 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->estimate_ms))
 		 return FALSE;
-	 if (!xdr_array (xdrs, (char **)&objp->depends_on.depends_on_val, (u_int *) &objp->depends_on.depends_on_len, DAG_MAX_STEPS,
+	 if (!codec_array (xdrs, (char **)&objp->depends_on.depends_on_val, (u_int *) &objp->depends_on.depends_on_len, DAG_MAX_STEPS,
 		sizeof (u_int), (xdrproc_t) xdr_u_int))
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->checkpointable))
@@ -182,11 +183,11 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->filler))
 		 return FALSE;
-	 if (!xdr_bytes (xdrs, (char **)&objp->label.label_val, (u_int *) &objp->label.label_len, DAG_MAX_NAME))
+	 if (!codec_bytes (xdrs, (char **)&objp->label.label_val, (u_int *) &objp->label.label_len, DAG_MAX_NAME))
 		 return FALSE;
-	 if (!xdr_bytes (xdrs, (char **)&objp->data_rack.data_rack_val, (u_int *) &objp->data_rack.data_rack_len, DAG_MAX_NAME))
+	 if (!codec_bytes (xdrs, (char **)&objp->data_rack.data_rack_val, (u_int *) &objp->data_rack.data_rack_len, DAG_MAX_NAME))
 		 return FALSE;
-	 if (!xdr_bytes (xdrs, (char **)&objp->image.image_val, (u_int *) &objp->image.image_len, DAG_MAX_NAME))
+	 if (!codec_bytes (xdrs, (char **)&objp->image.image_val, (u_int *) &objp->image.image_len, DAG_MAX_NAME))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->max_per_worker))
 		 return FALSE;
@@ -204,11 +205,11 @@
 
 	 if (!xdr_u_quad_t (xdrs, &objp->id))
 		 return FALSE;
-	 if (!xdr_bytes (xdrs, (char **)&objp->queue.queue_val, (u_int *) &objp->queue.queue_len, DAG_MAX_NAME))
+	 if (!codec_bytes (xdrs, (char **)&objp->queue.queue_val, (u_int *) &objp->queue.queue_len, DAG_MAX_NAME))
 		 return FALSE;
-	 if (!xdr_bytes (xdrs, (char **)&objp->spec.spec_val, (u_int *) &objp->spec.spec_len, DAG_MAX_SPEC))
+	 if (!codec_bytes (xdrs, (char **)&objp->spec.spec_val, (u_int *) &objp->spec.spec_len, DAG_MAX_SPEC))
 		 return FALSE;
-	 if (!xdr_array (xdrs, (char **)&objp->steps.steps_val, (u_int *) &objp->steps.steps_len, DAG_MAX_STEPS,
+	 if (!codec_array (xdrs, (char **)&objp->steps.steps_val, (u_int *) &objp->steps.steps_len, DAG_MAX_STEPS,
 		sizeof (struct dag_step), (xdrproc_t) xdr_dag_step))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->occurrences))
@@ -229,13 +230,13 @@
 
 
 	if (xdrs->x_op == XDR_ENCODE) {
-		 if (!xdr_bytes (xdrs, (char **)&objp->name.name_val, (u_int *) &objp->name.name_len, DAG_MAX_NAME))
+		 if (!codec_bytes (xdrs, (char **)&objp->name.name_val, (u_int *) &objp->name.name_len, DAG_MAX_NAME))
 			 return FALSE;
-		 if (!xdr_bytes (xdrs, (char **)&objp->host.host_val, (u_int *) &objp->host.host_len, DAG_MAX_NAME))
+		 if (!codec_bytes (xdrs, (char **)&objp->host.host_val, (u_int *) &objp->host.host_len, DAG_MAX_NAME))
 			 return FALSE;
-		 if (!xdr_bytes (xdrs, (char **)&objp->prefix.prefix_val, (u_int *) &objp->prefix.prefix_len, DAG_MAX_NAME))
+		 if (!codec_bytes (xdrs, (char **)&objp->prefix.prefix_val, (u_int *) &objp->prefix.prefix_len, DAG_MAX_NAME))
 			 return FALSE;
-		 if (!xdr_bytes (xdrs, (char **)&objp->service.service_val, (u_int *) &objp->service.service_len, DAG_MAX_NAME))
+		 if (!codec_bytes (xdrs, (char **)&objp->service.service_val, (u_int *) &objp->service.service_len, DAG_MAX_NAME))
 			 return FALSE;
 		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
@@ -258,13 +259,13 @@
 		}
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
-		 if (!xdr_bytes (xdrs, (char **)&objp->name.name_val, (u_int *) &objp->name.name_len, DAG_MAX_NAME))
+		 if (!codec_bytes (xdrs, (char **)&objp->name.name_val, (u_int *) &objp->name.name_len, DAG_MAX_NAME))
 			 return FALSE;
-		 if (!xdr_bytes (xdrs, (char **)&objp->host.host_val, (u_int *) &objp->host.host_len, DAG_MAX_NAME))
+		 if (!codec_bytes (xdrs, (char **)&objp->host.host_val, (u_int *) &objp->host.host_len, DAG_MAX_NAME))
 			 return FALSE;
-		 if (!xdr_bytes (xdrs, (char **)&objp->prefix.prefix_val, (u_int *) &objp->prefix.prefix_len, DAG_MAX_NAME))
+		 if (!codec_bytes (xdrs, (char **)&objp->prefix.prefix_val, (u_int *) &objp->prefix.prefix_len, DAG_MAX_NAME))
 			 return FALSE;
-		 if (!xdr_bytes (xdrs, (char **)&objp->service.service_val, (u_int *) &objp->service.service_len, DAG_MAX_NAME))
+		 if (!codec_bytes (xdrs, (char **)&objp->service.service_val, (u_int *) &objp->service.service_len, DAG_MAX_NAME))
 			 return FALSE;
 		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
@@ -288,13 +289,13 @@
 	 return TRUE;
 	}
 
-	 if (!xdr_bytes (xdrs, (char **)&objp->name.name_val, (u_int *) &objp->name.name_len, DAG_MAX_NAME))
+	 if (!codec_bytes (xdrs, (char **)&objp->name.name_val, (u_int *) &objp->name.name_len, DAG_MAX_NAME))
 		 return FALSE;
-	 if (!xdr_bytes (xdrs, (char **)&objp->host.host_val, (u_int *) &objp->host.host_len, DAG_MAX_NAME))
+	 if (!codec_bytes (xdrs, (char **)&objp->host.host_val, (u_int *) &objp->host.host_len, DAG_MAX_NAME))
 		 return FALSE;
-	 if (!xdr_bytes (xdrs, (char **)&objp->prefix.prefix_val, (u_int *) &objp->prefix.prefix_len, DAG_MAX_NAME))
+	 if (!codec_bytes (xdrs, (char **)&objp->prefix.prefix_val, (u_int *) &objp->prefix.prefix_len, DAG_MAX_NAME))
 		 return FALSE;
-	 if (!xdr_bytes (xdrs, (char **)&objp->service.service_val, (u_int *) &objp->service.service_len, DAG_MAX_NAME))
+	 if (!codec_bytes (xdrs, (char **)&objp->service.service_val, (u_int *) &objp->service.service_len, DAG_MAX_NAME))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->timeout_ms))
 		 return FALSE;
@@ -314,7 +315,7 @@
 {
 	register int32_t *buf;
 
-	 if (!xdr_bytes (xdrs, (char **)&objp->name.name_val, (u_int *) &objp->name.name_len, DAG_MAX_NAME))
+	 if (!codec_bytes (xdrs, (char **)&objp->name.name_val, (u_int *) &objp->name.name_len, DAG_MAX_NAME))
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->guarded))
 		 return FALSE;
@@ -328,12 +329,12 @@
 
 	 if (!xdr_u_quad_t (xdrs, &objp->revision))
 		 return FALSE;
-	 if (!xdr_bytes (xdrs, (char **)&objp->source.source_val, (u_int *) &objp->source.source_len, DAG_MAX_BYTES))
+	 if (!codec_bytes (xdrs, (char **)&objp->source.source_val, (u_int *) &objp->source.source_len, DAG_MAX_BYTES))
 		 return FALSE;
-	 if (!xdr_array (xdrs, (char **)&objp->queues.queues_val, (u_int *) &objp->queues.queues_len, ~0,
+	 if (!codec_array (xdrs, (char **)&objp->queues.queues_val, (u_int *) &objp->queues.queues_len, ~0,
 		sizeof (struct dag_queue), (xdrproc_t) xdr_dag_queue))
 		 return FALSE;
-	 if (!xdr_array (xdrs, (char **)&objp->services.services_val, (u_int *) &objp->services.services_len, ~0,
+	 if (!codec_array (xdrs, (char **)&objp->services.services_val, (u_int *) &objp->services.services_len, ~0,
 		sizeof (struct dag_service), (xdrproc_t) xdr_dag_service))
 		 return FALSE;
 	return TRUE;
@@ -356,15 +357,15 @@
 
 
 	if (xdrs->x_op == XDR_ENCODE) {
-		 if (!xdr_bytes (xdrs, (char **)&objp->id.id_val, (u_int *) &objp->id.id_len, DAG_MAX_NAME))
+		 if (!codec_bytes (xdrs, (char **)&objp->id.id_val, (u_int *) &objp->id.id_len, DAG_MAX_NAME))
 			 return FALSE;
 		 if (!xdr_quad_t (xdrs, &objp->born_ms))
 			 return FALSE;
-		 if (!xdr_bytes (xdrs, (char **)&objp->address.address_val, (u_int *) &objp->address.address_len, DAG_MAX_NAME))
+		 if (!codec_bytes (xdrs, (char **)&objp->address.address_val, (u_int *) &objp->address.address_len, DAG_MAX_NAME))
 			 return FALSE;
-		 if (!xdr_bytes (xdrs, (char **)&objp->service.service_val, (u_int *) &objp->service.service_len, DAG_MAX_NAME))
+		 if (!codec_bytes (xdrs, (char **)&objp->service.service_val, (u_int *) &objp->service.service_len, DAG_MAX_NAME))
 			 return FALSE;
-		 if (!xdr_bytes (xdrs, (char **)&objp->zone.zone_val, (u_int *) &objp->zone.zone_len, DAG_MAX_NAME))
+		 if (!codec_bytes (xdrs, (char **)&objp->zone.zone_val, (u_int *) &objp->zone.zone_len, DAG_MAX_NAME))
 			 return FALSE;
 		 if (!xdr_dag_worker_state (xdrs, &objp->state))
 			 return FALSE;
@@ -382,20 +383,20 @@
 		IXDR_PUT_U_LONG(buf, objp->mem_mb);
 		IXDR_PUT_U_LONG(buf, objp->gpus);
 		}
-		 if (!xdr_array (xdrs, (char **)&objp->labels.labels_val, (u_int *) &objp->labels.labels_len, 16,
+		 if (!codec_array (xdrs, (char **)&objp->labels.labels_val, (u_int *) &objp->labels.labels_len, 16,
 			sizeof (struct dag_name), (xdrproc_t) xdr_dag_name))
 			 return FALSE;
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
-		 if (!xdr_bytes (xdrs, (char **)&objp->id.id_val, (u_int *) &objp->id.id_len, DAG_MAX_NAME))
+		 if (!codec_bytes (xdrs, (char **)&objp->id.id_val, (u_int *) &objp->id.id_len, DAG_MAX_NAME))
 			 return FALSE;
 		 if (!xdr_quad_t (xdrs, &objp->born_ms))
 			 return FALSE;
-		 if (!xdr_bytes (xdrs, (char **)&objp->address.address_val, (u_int *) &objp->address.address_len, DAG_MAX_NAME))
+		 if (!codec_bytes (xdrs, (char **)&objp->address.address_val, (u_int *) &objp->address.address_len, DAG_MAX_NAME))
 			 return FALSE;
-		 if (!xdr_bytes (xdrs, (char **)&objp->service.service_val, (u_int *) &objp->service.service_len, DAG_MAX_NAME))
+		 if (!codec_bytes (xdrs, (char **)&objp->service.service_val, (u_int *) &objp->service.service_len, DAG_MAX_NAME))
 			 return FALSE;
-		 if (!xdr_bytes (xdrs, (char **)&objp->zone.zone_val, (u_int *) &objp->zone.zone_len, DAG_MAX_NAME))
+		 if (!codec_bytes (xdrs, (char **)&objp->zone.zone_val, (u_int *) &objp->zone.zone_len, DAG_MAX_NAME))
 			 return FALSE;
 		 if (!xdr_dag_worker_state (xdrs, &objp->state))
 			 return FALSE;
@@ -413,21 +414,21 @@
 		objp->mem_mb = IXDR_GET_U_LONG(buf);
 		objp->gpus = IXDR_GET_U_LONG(buf);
 		}
-		 if (!xdr_array (xdrs, (char **)&objp->labels.labels_val, (u_int *) &objp->labels.labels_len, 16,
+		 if (!codec_array (xdrs, (char **)&objp->labels.labels_val, (u_int *) &objp->labels.labels_len, 16,
 			sizeof (struct dag_name), (xdrproc_t) xdr_dag_name))
 			 return FALSE;
 	 return TRUE;
 	}
 
-	 if (!xdr_bytes (xdrs, (char **)&objp->id.id_val, (u_int *) &objp->id.id_len, DAG_MAX_NAME))
+	 if (!codec_bytes (xdrs, (char **)&objp->id.id_val, (u_int *) &objp->id.id_len, DAG_MAX_NAME))
 		 return FALSE;
 	 if (!xdr_quad_t (xdrs, &objp->born_ms))
 		 return FALSE;
-	 if (!xdr_bytes (xdrs, (char **)&objp->address.address_val, (u_int *) &objp->address.address_len, DAG_MAX_NAME))
+	 if (!codec_bytes (xdrs, (char **)&objp->address.address_val, (u_int *) &objp->address.address_len, DAG_MAX_NAME))
 		 return FALSE;
-	 if (!xdr_bytes (xdrs, (char **)&objp->service.service_val, (u_int *) &objp->service.service_len, DAG_MAX_NAME))
+	 if (!codec_bytes (xdrs, (char **)&objp->service.service_val, (u_int *) &objp->service.service_len, DAG_MAX_NAME))
 		 return FALSE;
-	 if (!xdr_bytes (xdrs, (char **)&objp->zone.zone_val, (u_int *) &objp->zone.zone_len, DAG_MAX_NAME))
+	 if (!codec_bytes (xdrs, (char **)&objp->zone.zone_val, (u_int *) &objp->zone.zone_len, DAG_MAX_NAME))
 		 return FALSE;
 	 if (!xdr_dag_worker_state (xdrs, &objp->state))
 		 return FALSE;
@@ -437,7 +438,7 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->gpus))
 		 return FALSE;
-	 if (!xdr_array (xdrs, (char **)&objp->labels.labels_val, (u_int *) &objp->labels.labels_len, 16,
+	 if (!codec_array (xdrs, (char **)&objp->labels.labels_val, (u_int *) &objp->labels.labels_len, 16,
 		sizeof (struct dag_name), (xdrproc_t) xdr_dag_name))
 		 return FALSE;
 	return TRUE;
@@ -448,7 +449,7 @@
 {
 	register int32_t *buf;
 
-	 if (!xdr_bytes (xdrs, (char **)&objp->name.name_val, (u_int *) &objp->name.name_len, DAG_MAX_NAME))
+	 if (!codec_bytes (xdrs, (char **)&objp->name.name_val, (u_int *) &objp->name.name_len, DAG_MAX_NAME))
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->closed))
 		 return FALSE;
@@ -506,7 +507,7 @@
 		 return FALSE;
 	 if (!xdr_dag_end_how (xdrs, &objp->how))
 		 return FALSE;
-	 if (!xdr_bytes (xdrs, (char **)&objp->checkpoint.checkpoint_val, (u_int *) &objp->checkpoint.checkpoint_len, DAG_MAX_NAME))
+	 if (!codec_bytes (xdrs, (char **)&objp->checkpoint.checkpoint_val, (u_int *) &objp->checkpoint.checkpoint_len, DAG_MAX_NAME))
 		 return FALSE;
 	return TRUE;
 }
@@ -516,7 +517,7 @@
 {
 	register int32_t *buf;
 
-	 if (!xdr_bytes (xdrs, (char **)&objp->name.name_val, (u_int *) &objp->name.name_len, DAG_MAX_NAME))
+	 if (!codec_bytes (xdrs, (char **)&objp->name.name_val, (u_int *) &objp->name.name_len, DAG_MAX_NAME))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->base_us))
 		 return FALSE;
@@ -528,10 +529,10 @@
 {
 	register int32_t *buf;
 
-	 if (!xdr_array (xdrs, (char **)&objp->images.images_val, (u_int *) &objp->images.images_len, 64,
+	 if (!codec_array (xdrs, (char **)&objp->images.images_val, (u_int *) &objp->images.images_len, 64,
 		sizeof (struct dag_model_image), (xdrproc_t) xdr_dag_model_image))
 		 return FALSE;
-	 if (!xdr_array (xdrs, (char **)&objp->slope_milli.slope_milli_val, (u_int *) &objp->slope_milli.slope_milli_len, 4096,
+	 if (!codec_array (xdrs, (char **)&objp->slope_milli.slope_milli_val, (u_int *) &objp->slope_milli.slope_milli_len, 4096,
 		sizeof (u_int), (xdrproc_t) xdr_u_int))
 		 return FALSE;
 	return TRUE;
@@ -620,7 +621,7 @@
 
 	 if (!xdr_quad_t (xdrs, &objp->time_ms))
 		 return FALSE;
-	 if (!xdr_array (xdrs, (char **)&objp->commands.commands_val, (u_int *) &objp->commands.commands_len, ~0,
+	 if (!codec_array (xdrs, (char **)&objp->commands.commands_val, (u_int *) &objp->commands.commands_len, ~0,
 		sizeof (struct dag_command), (xdrproc_t) xdr_dag_command))
 		 return FALSE;
 	return TRUE;
@@ -659,10 +660,10 @@
 		IXDR_PUT_U_LONG(buf, objp->failures);
 		IXDR_PUT_BOOL(buf, objp->done);
 		}
-		 if (!xdr_array (xdrs, (char **)&objp->live.live_val, (u_int *) &objp->live.live_len, 4,
+		 if (!codec_array (xdrs, (char **)&objp->live.live_val, (u_int *) &objp->live.live_len, 4,
 			sizeof (struct dag_image_run), (xdrproc_t) xdr_dag_image_run))
 			 return FALSE;
-		 if (!xdr_bytes (xdrs, (char **)&objp->checkpoint.checkpoint_val, (u_int *) &objp->checkpoint.checkpoint_len, DAG_MAX_NAME))
+		 if (!codec_bytes (xdrs, (char **)&objp->checkpoint.checkpoint_val, (u_int *) &objp->checkpoint.checkpoint_len, DAG_MAX_NAME))
 			 return FALSE;
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
@@ -680,10 +681,10 @@
 		objp->failures = IXDR_GET_U_LONG(buf);
 		objp->done = IXDR_GET_BOOL(buf);
 		}
-		 if (!xdr_array (xdrs, (char **)&objp->live.live_val, (u_int *) &objp->live.live_len, 4,
+		 if (!codec_array (xdrs, (char **)&objp->live.live_val, (u_int *) &objp->live.live_len, 4,
 			sizeof (struct dag_image_run), (xdrproc_t) xdr_dag_image_run))
 			 return FALSE;
-		 if (!xdr_bytes (xdrs, (char **)&objp->checkpoint.checkpoint_val, (u_int *) &objp->checkpoint.checkpoint_len, DAG_MAX_NAME))
+		 if (!codec_bytes (xdrs, (char **)&objp->checkpoint.checkpoint_val, (u_int *) &objp->checkpoint.checkpoint_len, DAG_MAX_NAME))
 			 return FALSE;
 	 return TRUE;
 	}
@@ -694,10 +695,10 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->done))
 		 return FALSE;
-	 if (!xdr_array (xdrs, (char **)&objp->live.live_val, (u_int *) &objp->live.live_len, 4,
+	 if (!codec_array (xdrs, (char **)&objp->live.live_val, (u_int *) &objp->live.live_len, 4,
 		sizeof (struct dag_image_run), (xdrproc_t) xdr_dag_image_run))
 		 return FALSE;
-	 if (!xdr_bytes (xdrs, (char **)&objp->checkpoint.checkpoint_val, (u_int *) &objp->checkpoint.checkpoint_len, DAG_MAX_NAME))
+	 if (!codec_bytes (xdrs, (char **)&objp->checkpoint.checkpoint_val, (u_int *) &objp->checkpoint.checkpoint_len, DAG_MAX_NAME))
 		 return FALSE;
 	return TRUE;
 }
@@ -727,7 +728,7 @@
 		}
 		 if (!xdr_quad_t (xdrs, &objp->ended_ms))
 			 return FALSE;
-		 if (!xdr_array (xdrs, (char **)&objp->tasks.tasks_val, (u_int *) &objp->tasks.tasks_len, ~0,
+		 if (!codec_array (xdrs, (char **)&objp->tasks.tasks_val, (u_int *) &objp->tasks.tasks_len, ~0,
 			sizeof (struct dag_image_task), (xdrproc_t) xdr_dag_image_task))
 			 return FALSE;
 		return TRUE;
@@ -750,7 +751,7 @@
 		}
 		 if (!xdr_quad_t (xdrs, &objp->ended_ms))
 			 return FALSE;
-		 if (!xdr_array (xdrs, (char **)&objp->tasks.tasks_val, (u_int *) &objp->tasks.tasks_len, ~0,
+		 if (!codec_array (xdrs, (char **)&objp->tasks.tasks_val, (u_int *) &objp->tasks.tasks_len, ~0,
 			sizeof (struct dag_image_task), (xdrproc_t) xdr_dag_image_task))
 			 return FALSE;
 	 return TRUE;
@@ -766,7 +767,7 @@
 		 return FALSE;
 	 if (!xdr_quad_t (xdrs, &objp->ended_ms))
 		 return FALSE;
-	 if (!xdr_array (xdrs, (char **)&objp->tasks.tasks_val, (u_int *) &objp->tasks.tasks_len, ~0,
+	 if (!codec_array (xdrs, (char **)&objp->tasks.tasks_val, (u_int *) &objp->tasks.tasks_len, ~0,
 		sizeof (struct dag_image_task), (xdrproc_t) xdr_dag_image_task))
 		 return FALSE;
 	return TRUE;
@@ -795,13 +796,13 @@
 		 return FALSE;
 	 if (!xdr_dag_conf (xdrs, &objp->conf))
 		 return FALSE;
-	 if (!xdr_array (xdrs, (char **)&objp->closed_zones.closed_zones_val, (u_int *) &objp->closed_zones.closed_zones_len, ~0,
+	 if (!codec_array (xdrs, (char **)&objp->closed_zones.closed_zones_val, (u_int *) &objp->closed_zones.closed_zones_len, ~0,
 		sizeof (struct dag_name), (xdrproc_t) xdr_dag_name))
 		 return FALSE;
-	 if (!xdr_array (xdrs, (char **)&objp->workers.workers_val, (u_int *) &objp->workers.workers_len, ~0,
+	 if (!codec_array (xdrs, (char **)&objp->workers.workers_val, (u_int *) &objp->workers.workers_len, ~0,
 		sizeof (struct dag_image_worker), (xdrproc_t) xdr_dag_image_worker))
 		 return FALSE;
-	 if (!xdr_array (xdrs, (char **)&objp->jobs.jobs_val, (u_int *) &objp->jobs.jobs_len, ~0,
+	 if (!codec_array (xdrs, (char **)&objp->jobs.jobs_val, (u_int *) &objp->jobs.jobs_len, ~0,
 		sizeof (struct dag_image_job), (xdrproc_t) xdr_dag_image_job))
 		 return FALSE;
 	 if (!xdr_dag_model (xdrs, &objp->model))
@@ -830,9 +831,9 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->worker))
 		 return FALSE;
-	 if (!xdr_bytes (xdrs, (char **)&objp->worker_id.worker_id_val, (u_int *) &objp->worker_id.worker_id_len, DAG_MAX_NAME))
+	 if (!codec_bytes (xdrs, (char **)&objp->worker_id.worker_id_val, (u_int *) &objp->worker_id.worker_id_len, DAG_MAX_NAME))
 		 return FALSE;
-	 if (!xdr_bytes (xdrs, (char **)&objp->address.address_val, (u_int *) &objp->address.address_len, DAG_MAX_NAME))
+	 if (!codec_bytes (xdrs, (char **)&objp->address.address_val, (u_int *) &objp->address.address_len, DAG_MAX_NAME))
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->epoch))
 		 return FALSE;
@@ -842,9 +843,9 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->run))
 		 return FALSE;
-	 if (!xdr_bytes (xdrs, (char **)&objp->spec.spec_val, (u_int *) &objp->spec.spec_len, DAG_MAX_SPEC))
+	 if (!codec_bytes (xdrs, (char **)&objp->spec.spec_val, (u_int *) &objp->spec.spec_len, DAG_MAX_SPEC))
 		 return FALSE;
-	 if (!xdr_bytes (xdrs, (char **)&objp->checkpoint.checkpoint_val, (u_int *) &objp->checkpoint.checkpoint_len, DAG_MAX_NAME))
+	 if (!codec_bytes (xdrs, (char **)&objp->checkpoint.checkpoint_val, (u_int *) &objp->checkpoint.checkpoint_len, DAG_MAX_NAME))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->percent))
 		 return FALSE;
@@ -864,7 +865,7 @@
 
 	 if (!xdr_u_quad_t (xdrs, &objp->leader))
 		 return FALSE;
-	 if (!xdr_array (xdrs, (char **)&objp->calls.calls_val, (u_int *) &objp->calls.calls_len, ~0,
+	 if (!codec_array (xdrs, (char **)&objp->calls.calls_val, (u_int *) &objp->calls.calls_len, ~0,
 		sizeof (struct dag_call), (xdrproc_t) xdr_dag_call))
 		 return FALSE;
 	return TRUE;
@@ -879,7 +880,7 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->run))
 		 return FALSE;
-	 if (!xdr_bytes (xdrs, (char **)&objp->checkpoint.checkpoint_val, (u_int *) &objp->checkpoint.checkpoint_len, DAG_MAX_NAME))
+	 if (!codec_bytes (xdrs, (char **)&objp->checkpoint.checkpoint_val, (u_int *) &objp->checkpoint.checkpoint_len, DAG_MAX_NAME))
 		 return FALSE;
 	 if (!xdr_int (xdrs, &objp->percent))
 		 return FALSE;
@@ -915,10 +916,10 @@
 		 return FALSE;
 	 if (!xdr_quad_t (xdrs, &objp->clock_ms))
 		 return FALSE;
-	 if (!xdr_array (xdrs, (char **)&objp->running.running_val, (u_int *) &objp->running.running_len, ~0,
+	 if (!codec_array (xdrs, (char **)&objp->running.running_val, (u_int *) &objp->running.running_len, ~0,
 		sizeof (struct dag_call_run), (xdrproc_t) xdr_dag_call_run))
 		 return FALSE;
-	 if (!xdr_array (xdrs, (char **)&objp->ended.ended_val, (u_int *) &objp->ended.ended_len, ~0,
+	 if (!codec_array (xdrs, (char **)&objp->ended.ended_val, (u_int *) &objp->ended.ended_len, ~0,
 		sizeof (struct dag_call_end), (xdrproc_t) xdr_dag_call_end))
 		 return FALSE;
 	return TRUE;
@@ -929,7 +930,7 @@
 {
 	register int32_t *buf;
 
-	 if (!xdr_array (xdrs, (char **)&objp->answers.answers_val, (u_int *) &objp->answers.answers_len, ~0,
+	 if (!codec_array (xdrs, (char **)&objp->answers.answers_val, (u_int *) &objp->answers.answers_len, ~0,
 		sizeof (struct dag_call_answer), (xdrproc_t) xdr_dag_call_answer))
 		 return FALSE;
 	return TRUE;
@@ -942,7 +943,7 @@
 
 	 if (!xdr_u_quad_t (xdrs, &objp->id))
 		 return FALSE;
-	 if (!xdr_bytes (xdrs, (char **)&objp->zone.zone_val, (u_int *) &objp->zone.zone_len, DAG_MAX_NAME))
+	 if (!codec_bytes (xdrs, (char **)&objp->zone.zone_val, (u_int *) &objp->zone.zone_len, DAG_MAX_NAME))
 		 return FALSE;
 	 if (!xdr_quad_t (xdrs, &objp->clock_us))
 		 return FALSE;
@@ -964,9 +965,9 @@
 {
 	register int32_t *buf;
 
-	 if (!xdr_bytes (xdrs, (char **)&objp->host.host_val, (u_int *) &objp->host.host_len, DAG_MAX_NAME))
+	 if (!codec_bytes (xdrs, (char **)&objp->host.host_val, (u_int *) &objp->host.host_len, DAG_MAX_NAME))
 		 return FALSE;
-	 if (!xdr_bytes (xdrs, (char **)&objp->path.path_val, (u_int *) &objp->path.path_len, 4096))
+	 if (!codec_bytes (xdrs, (char **)&objp->path.path_val, (u_int *) &objp->path.path_len, 4096))
 		 return FALSE;
 	return TRUE;
 }
@@ -1070,7 +1071,7 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->leader))
 		 return FALSE;
-	 if (!xdr_array (xdrs, (char **)&objp->members.members_val, (u_int *) &objp->members.members_len, DAG_MAX_MEMBERS,
+	 if (!codec_array (xdrs, (char **)&objp->members.members_val, (u_int *) &objp->members.members_len, DAG_MAX_MEMBERS,
 		sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->retry_after_ms))
@@ -1081,7 +1082,7 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->waiting))
 		 return FALSE;
-	 if (!xdr_bytes (xdrs, (char **)&objp->text.text_val, (u_int *) &objp->text.text_len, DAG_MAX_BYTES))
+	 if (!codec_bytes (xdrs, (char **)&objp->text.text_val, (u_int *) &objp->text.text_len, DAG_MAX_BYTES))
 		 return FALSE;
 	return TRUE;
 }
--- a/proto/generate.sh
+++ b/proto/generate.sh
@@ -19,6 +19,9 @@
 	rpcgen -C -c -o "${b}_xdr.c" "$x"
 	# rpcgen writes the include relative to its own folder.
 	sed -i "s|#include \"$b.h\"|#include \"proto/$b.h\"|" "${b}_xdr.c"
+	# A count must fit into the rest of the message before memory is allocated for it.
+	sed -i -e 's/xdr_bytes (/codec_bytes (/; s/xdr_array (/codec_array (/' \
+		-e "s|#include \"proto/$b.h\"|&\n#include \"proto/codec.h\"|" "${b}_xdr.c"
 	remove_typedefs struct "$b.h" "${b}_xdr.c"
 	remove_typedefs enum "$b.h" "${b}_xdr.c"
 done
--- a/proto/peer_xdr.c
+++ b/proto/peer_xdr.c
@@ -4,6 +4,7 @@
  */
 
 #include "proto/peer.h"
+#include "proto/codec.h"
 
 bool_t
 xdr_peer_proc (XDR *xdrs, enum peer_proc *objp)
@@ -20,9 +21,9 @@
 {
 	register int32_t *buf;
 
-	 if (!xdr_bytes (xdrs, (char **)&objp->member.member_val, (u_int *) &objp->member.member_len, PEER_MAX_NAME))
+	 if (!codec_bytes (xdrs, (char **)&objp->member.member_val, (u_int *) &objp->member.member_len, PEER_MAX_NAME))
 		 return FALSE;
-	 if (!xdr_bytes (xdrs, (char **)&objp->key.key_val, (u_int *) &objp->key.key_len, PEER_MAX_KEY))
+	 if (!codec_bytes (xdrs, (char **)&objp->key.key_val, (u_int *) &objp->key.key_len, PEER_MAX_KEY))
 		 return FALSE;
 	return TRUE;
 }
@@ -32,7 +33,7 @@
 {
 	register int32_t *buf;
 
-	 if (!xdr_bytes (xdrs, (char **)&objp->command.command_val, (u_int *) &objp->command.command_len, PEER_MAX_BYTES))
+	 if (!codec_bytes (xdrs, (char **)&objp->command.command_val, (u_int *) &objp->command.command_len, PEER_MAX_BYTES))
 		 return FALSE;
 	return TRUE;
 }
@@ -44,11 +45,11 @@
 
 	 if (!xdr_int (xdrs, &objp->err))
 		 return FALSE;
-	 if (!xdr_bytes (xdrs, (char **)&objp->leader.leader_val, (u_int *) &objp->leader.leader_len, PEER_MAX_NAME))
+	 if (!codec_bytes (xdrs, (char **)&objp->leader.leader_val, (u_int *) &objp->leader.leader_len, PEER_MAX_NAME))
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->index))
 		 return FALSE;
-	 if (!xdr_bytes (xdrs, (char **)&objp->result.result_val, (u_int *) &objp->result.result_len, PEER_MAX_BYTES))
+	 if (!codec_bytes (xdrs, (char **)&objp->result.result_val, (u_int *) &objp->result.result_len, PEER_MAX_BYTES))
 		 return FALSE;
 	return TRUE;
 }
@@ -72,15 +73,15 @@
 {
 	register int32_t *buf;
 
-	 if (!xdr_bytes (xdrs, (char **)&objp->path.path_val, (u_int *) &objp->path.path_len, ~0))
+	 if (!codec_bytes (xdrs, (char **)&objp->path.path_val, (u_int *) &objp->path.path_len, ~0))
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->revision))
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->deleted))
 		 return FALSE;
-	 if (!xdr_bytes (xdrs, (char **)&objp->text.text_val, (u_int *) &objp->text.text_len, PEER_MAX_BYTES))
+	 if (!codec_bytes (xdrs, (char **)&objp->text.text_val, (u_int *) &objp->text.text_len, PEER_MAX_BYTES))
 		 return FALSE;
-	 if (!xdr_bytes (xdrs, (char **)&objp->fields.fields_val, (u_int *) &objp->fields.fields_len, PEER_MAX_BYTES))
+	 if (!codec_bytes (xdrs, (char **)&objp->fields.fields_val, (u_int *) &objp->fields.fields_len, PEER_MAX_BYTES))
 		 return FALSE;
 	return TRUE;
 }
@@ -92,7 +93,7 @@
 
 	 if (!xdr_int (xdrs, &objp->err))
 		 return FALSE;
-	 if (!xdr_bytes (xdrs, (char **)&objp->leader.leader_val, (u_int *) &objp->leader.leader_len, PEER_MAX_NAME))
+	 if (!codec_bytes (xdrs, (char **)&objp->leader.leader_val, (u_int *) &objp->leader.leader_len, PEER_MAX_NAME))
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->index))
 		 return FALSE;
@@ -100,7 +101,7 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->fresh))
 		 return FALSE;
-	 if (!xdr_array (xdrs, (char **)&objp->changes.changes_val, (u_int *) &objp->changes.changes_len, ~0,
+	 if (!codec_array (xdrs, (char **)&objp->changes.changes_val, (u_int *) &objp->changes.changes_len, ~0,
 		sizeof (struct peer_change), (xdrproc_t) xdr_peer_change))
 		 return FALSE;
 	return TRUE;
@@ -111,7 +112,7 @@
 {
 	register int32_t *buf;
 
-	 if (!xdr_bytes (xdrs, (char **)&objp->name.name_val, (u_int *) &objp->name.name_len, PEER_MAX_NAME))
+	 if (!codec_bytes (xdrs, (char **)&objp->name.name_val, (u_int *) &objp->name.name_len, PEER_MAX_NAME))
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->hash))
 		 return FALSE;
@@ -121,7 +122,7 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->full))
 		 return FALSE;
-	 if (!xdr_bytes (xdrs, (char **)&objp->body.body_val, (u_int *) &objp->body.body_len, PEER_MAX_BYTES))
+	 if (!codec_bytes (xdrs, (char **)&objp->body.body_val, (u_int *) &objp->body.body_len, PEER_MAX_BYTES))
 		 return FALSE;
 	return TRUE;
 }
@@ -133,9 +134,9 @@
 
 	 if (!xdr_int (xdrs, &objp->err))
 		 return FALSE;
-	 if (!xdr_bytes (xdrs, (char **)&objp->leader.leader_val, (u_int *) &objp->leader.leader_len, PEER_MAX_NAME))
+	 if (!codec_bytes (xdrs, (char **)&objp->leader.leader_val, (u_int *) &objp->leader.leader_len, PEER_MAX_NAME))
 		 return FALSE;
-	 if (!xdr_bytes (xdrs, (char **)&objp->body.body_val, (u_int *) &objp->body.body_len, PEER_MAX_BYTES))
+	 if (!codec_bytes (xdrs, (char **)&objp->body.body_val, (u_int *) &objp->body.body_len, PEER_MAX_BYTES))
 		 return FALSE;
 	return TRUE;
 }
@@ -157,9 +158,9 @@
 
 	 if (!xdr_peer_read_kind (xdrs, &objp->kind))
 		 return FALSE;
-	 if (!xdr_bytes (xdrs, (char **)&objp->team.team_val, (u_int *) &objp->team.team_len, PEER_MAX_NAME))
+	 if (!codec_bytes (xdrs, (char **)&objp->team.team_val, (u_int *) &objp->team.team_len, PEER_MAX_NAME))
 		 return FALSE;
-	 if (!xdr_bytes (xdrs, (char **)&objp->name.name_val, (u_int *) &objp->name.name_len, PEER_MAX_PATH))
+	 if (!codec_bytes (xdrs, (char **)&objp->name.name_val, (u_int *) &objp->name.name_len, PEER_MAX_PATH))
 		 return FALSE;
 	return TRUE;
 }
@@ -171,9 +172,9 @@
 
 	 if (!xdr_int (xdrs, &objp->err))
 		 return FALSE;
-	 if (!xdr_bytes (xdrs, (char **)&objp->leader.leader_val, (u_int *) &objp->leader.leader_len, PEER_MAX_NAME))
+	 if (!codec_bytes (xdrs, (char **)&objp->leader.leader_val, (u_int *) &objp->leader.leader_len, PEER_MAX_NAME))
 		 return FALSE;
-	 if (!xdr_bytes (xdrs, (char **)&objp->body.body_val, (u_int *) &objp->body.body_len, PEER_MAX_BYTES))
+	 if (!codec_bytes (xdrs, (char **)&objp->body.body_val, (u_int *) &objp->body.body_len, PEER_MAX_BYTES))
 		 return FALSE;
 	return TRUE;
 }
--- a/proto/replica_xdr.c
+++ b/proto/replica_xdr.c
@@ -4,6 +4,7 @@
  */
 
 #include "proto/replica.h"
+#include "proto/codec.h"
 
 bool_t
 xdr_replica_wire_entry (XDR *xdrs, struct replica_wire_entry *objp)
@@ -16,7 +17,7 @@
 		 return FALSE;
 	 if (!xdr_int (xdrs, &objp->kind))
 		 return FALSE;
-	 if (!xdr_bytes (xdrs, (char **)&objp->data.data_val, (u_int *) &objp->data.data_len, REPLICA_WIRE_MAX_BYTES))
+	 if (!codec_bytes (xdrs, (char **)&objp->data.data_val, (u_int *) &objp->data.data_len, REPLICA_WIRE_MAX_BYTES))
 		 return FALSE;
 	return TRUE;
 }
@@ -88,10 +89,10 @@
 		 return FALSE;
 	 if (!xdr_quad_t (xdrs, &objp->sent_us))
 		 return FALSE;
-	 if (!xdr_array (xdrs, (char **)&objp->entries.entries_val, (u_int *) &objp->entries.entries_len, REPLICA_WIRE_MAX_ENTRIES,
+	 if (!codec_array (xdrs, (char **)&objp->entries.entries_val, (u_int *) &objp->entries.entries_len, REPLICA_WIRE_MAX_ENTRIES,
 		sizeof (struct replica_wire_entry), (xdrproc_t) xdr_replica_wire_entry))
 		 return FALSE;
-	 if (!xdr_array (xdrs, (char **)&objp->witness.witness_val, (u_int *) &objp->witness.witness_len, REPLICA_WIRE_MAX_MEMBERS,
+	 if (!codec_array (xdrs, (char **)&objp->witness.witness_val, (u_int *) &objp->witness.witness_len, REPLICA_WIRE_MAX_MEMBERS,
 		sizeof (struct replica_wire_witness), (xdrproc_t) xdr_replica_wire_witness))
 		 return FALSE;
 	return TRUE;
@@ -132,7 +133,7 @@
 		 return FALSE;
 	 if (!xdr_quad_t (xdrs, &objp->sent_us))
 		 return FALSE;
-	 if (!xdr_bytes (xdrs, (char **)&objp->chunk.chunk_val, (u_int *) &objp->chunk.chunk_len, REPLICA_WIRE_MAX_BYTES))
+	 if (!codec_bytes (xdrs, (char **)&objp->chunk.chunk_val, (u_int *) &objp->chunk.chunk_len, REPLICA_WIRE_MAX_BYTES))
 		 return FALSE;
 	return TRUE;
 }
@@ -251,7 +252,7 @@
 {
 	register int32_t *buf;
 
-	 if (!xdr_array (xdrs, (char **)&objp->list.list_val, (u_int *) &objp->list.list_len, REPLICA_WIRE_MAX_MEMBERS,
+	 if (!codec_array (xdrs, (char **)&objp->list.list_val, (u_int *) &objp->list.list_len, REPLICA_WIRE_MAX_MEMBERS,
 		sizeof (struct replica_wire_member), (xdrproc_t) xdr_replica_wire_member))
 		 return FALSE;
 	return TRUE;
@@ -264,7 +265,7 @@
 
 	 if (!xdr_replica_wire_members (xdrs, &objp->members))
 		 return FALSE;
-	 if (!xdr_bytes (xdrs, (char **)&objp->state.state_val, (u_int *) &objp->state.state_len, ~0))
+	 if (!codec_bytes (xdrs, (char **)&objp->state.state_val, (u_int *) &objp->state.state_len, ~0))
 		 return FALSE;
 	return TRUE;
 }
--- /dev/null
+++ b/regress/test_malformed.c
@@ -0,0 +1,71 @@
+/* Messages that once ended a process or damaged its state, most found by test_fuzz_*. */
+#include <check.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "base/err.h"
+#include "core/dag_sched.h"
+#include "proto/codec.h"
+
+#define WALL_MS 1700000000000LL
+#define MESSAGE_MAX_KB (64L << 10) /* memory that a short message may cost */
+
+static struct dag_state *state;
+
+static void open_state(void)
+{
+	ck_assert_int_eq(dag_state_new(&state), 0);
+}
+
+static void close_state(void)
+{
+	dag_state_free(state);
+}
+
+/* Largest address space of the process so far: memory may be allocated and not touched.
+ */
+static long max_kb(void)
+{
+	FILE *f = fopen("/proc/self/status", "r");
+	char line[256];
+	long kb = 0;
+
+	ck_assert_ptr_nonnull(f);
+	while (!kb && fgets(line, sizeof(line), f))
+		sscanf(line, "VmPeak: %ld kB", &kb);
+	fclose(f);
+	ck_assert_int_gt(kb, 0);
+	return kb;
+}
+
+/* Guards against a count in a message of 12 bytes that allocates gigabytes. */
+START_TEST(count_beyond_the_message_allocates_nothing)
+{
+	struct dag_batch b = {0};
+	char bytes[12] = {0};
+	long before = max_kb();
+
+	codec_put_u32(bytes + 8, 4000000);
+	ck_assert_int_eq(codec_decode((xdrproc_t)xdr_dag_batch, &b,
+				      (struct str){bytes, sizeof(bytes)}),
+			 CF_EMALFORMED);
+	codec_free((xdrproc_t)xdr_dag_batch, &b);
+	ck_assert_int_lt(max_kb() - before, MESSAGE_MAX_KB);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *s = suite_create("malformed");
+	TCase *tc = tcase_create("dag_state");
+	SRunner *sr = srunner_create(s);
+	int failed;
+
+	tcase_add_checked_fixture(tc, open_state, close_state);
+	tcase_add_test(tc, count_beyond_the_message_allocates_nothing);
+	suite_add_tcase(s, tc);
+	srunner_run_all(sr, CK_ENV);
+	failed = srunner_ntests_failed(sr);
+	srunner_free(sr);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
