core/dag: times out of range are limited

An entry with the time INT64_MAX set the replicated clock for good (test failed: time_ms). Jobs' times are limited when the job is added, the time of an entry is used only within the limits, a clock outside them counts as not known.

--- a/core/dag_ready.c
+++ b/core/dag_ready.c
@@ -60,6 +60,17 @@
 	return work / 1000;
 }
 
+/* Time in which a job should complete, in milliseconds. */
+static int64_t objective_ms(const struct dag_job *spec, const struct dag_queue *q)
+{
+	uint64_t path_ms = critical_path_ms(spec);
+	uint64_t stretch = q ? q->stretch_milli : 1000;
+
+	if (path_ms > UINT32_MAX)
+		path_ms = UINT32_MAX;
+	return (int64_t)((q ? q->slo_ms : 0) + path_ms * stretch / 1000);
+}
+
 /*
  * Sort key: priority of the queue, then rank, then remaining work. Jobs with serving
  * tasks rank first, since they have value from their start on. Next are jobs that can
@@ -70,9 +81,7 @@
 {
 	const struct dag_job *spec = &j->rec->spec;
 	const struct dag_queue *q = j->queue;
-	uint64_t stretch = q ? q->stretch_milli : 1000;
-	int64_t objective =
-		(int64_t)((q ? q->slo_ms : 0) + critical_path_ms(spec) * stretch / 1000);
+	int64_t objective = objective_ms(spec, q);
 	int64_t age = s->wall_ms - spec->accepted_ms;
 	uint64_t key = remaining_work(j);
 	uint64_t rank = 1;
--- a/core/dag_report.c
+++ b/core/dag_report.c
@@ -58,7 +58,8 @@
 	int64_t passed_ms =
 		(s->now_us - w->clock_us) * SLOW_CLOCK_PERCENT / 100 / USEC_PER_MS;
 
-	if (!w->clock_known || w->clock_born_ms != born_ms)
+	if (!w->clock_known || w->clock_born_ms != born_ms ||
+	    !dag_time_valid(report_clock_ms))
 		return INT64_MAX;
 	return w->clock_ms + passed_ms - report_clock_ms;
 }
--- a/core/dag_state.c
+++ b/core/dag_state.c
@@ -158,6 +158,25 @@
 	return tasks * (j->occurrences ? j->occurrences : 1);
 }
 
+bool dag_time_valid(int64_t ms)
+{
+	return ms >= 0 && ms <= DAG_MAX_TIME_MS;
+}
+
+static int64_t limit_time(int64_t ms)
+{
+	return ms < 0 ? 0 : ms > DAG_MAX_TIME_MS ? DAG_MAX_TIME_MS : ms;
+}
+
+/* A time before 1970 or in thousands of years means at once or never. */
+static void limit_times(struct dag_job *j)
+{
+	j->start_ms = limit_time(j->start_ms);
+	j->accepted_ms = limit_time(j->accepted_ms);
+	if (j->interval_ms > DAG_MAX_INTERVAL_MS)
+		j->interval_ms = DAG_MAX_INTERVAL_MS;
+}
+
 /* Whether a job is within the limits and its steps depend on earlier steps only. */
 bool dag_job_valid(const struct dag_job *j)
 {
@@ -230,6 +249,7 @@
 	j->id = spec->id;
 	j->attempts = attempts;
 	err = copy_xdr((xdrproc_t)xdr_dag_job, spec, &j->spec, sizeof(j->spec));
+	limit_times(&j->spec);
 	if (!err)
 		err = alloc_tasks(j);
 	if (err) {
@@ -632,7 +652,7 @@
 	struct dag_batch b = {0};
 	int err = codec_decode((xdrproc_t)xdr_dag_batch, &b, bytes);
 
-	if (!err && b.time_ms > s->time_ms)
+	if (!err && b.time_ms > s->time_ms && dag_time_valid(b.time_ms))
 		s->time_ms = b.time_ms;
 	for (u_int i = 0; !err && i < b.commands.commands_len; i++)
 		err = apply_command(s, &b.commands.commands_val[i]);
--- a/core/dag_state.h
+++ b/core/dag_state.h
@@ -24,6 +24,9 @@
 #define DAG_MAX_TASKS 100000U	  /* of one occurrence of a job */
 #define DAG_MAX_OCCURRENCES 4096U /* of one job */
 #define DAG_MAX_JOB_TASKS 131072U /* of all occurrences of a job */
+/* Sums of times within these limits do not overflow, also as microseconds. */
+#define DAG_MAX_TIME_MS (1LL << 46)	 /* since 1970, and of a worker's clock */
+#define DAG_MAX_INTERVAL_MS (1ULL << 40) /* between occurrences */
 /* Of all jobs together. A task takes about 100 bytes here and in the scheduler. */
 #define DAG_MAX_TASKS_TOTAL 1000000U
 
@@ -147,6 +150,7 @@
 bool dag_job_step_ready(const struct dag_job_rec *j, uint32_t occurrence, uint32_t step);
 uint64_t dag_job_count_tasks(const struct dag_job *j);
 bool dag_job_valid(const struct dag_job *j);
+bool dag_time_valid(int64_t ms);
 
 /* Private to core/dag_state*.c. */
 int dag_state_add_job(struct dag_state *s, const struct dag_job *spec, uint32_t attempts,
--- a/core/dag_worker.c
+++ b/core/dag_worker.c
@@ -209,7 +209,7 @@
 				int64_t now_us)
 {
 	w->last_heard_us = now_us;
-	if (poll->clock_ms <= 0)
+	if (poll->clock_ms <= 0 || !dag_time_valid(poll->clock_ms))
 		return;
 	w->clock_known = true;
 	w->clock_born_ms = poll->born_ms;
--- a/regress/test_malformed.c
+++ b/regress/test_malformed.c
@@ -22,6 +22,34 @@
 	dag_state_free(state);
 }
 
+static void apply_at(const struct dag_command *c, int64_t time_ms)
+{
+	struct dag_batch b = {.time_ms = time_ms};
+	struct buf bytes = {0};
+
+	b.commands.commands_len = 1;
+	b.commands.commands_val = (struct dag_command *)(uintptr_t)c;
+	ck_assert_int_eq(codec_encode((xdrproc_t)xdr_dag_batch, &b, &bytes), 0);
+	ck_assert_int_eq(dag_state_apply(state, buf_str(&bytes)), 0);
+	buf_free(&bytes);
+}
+
+static void apply(const struct dag_command *c)
+{
+	apply_at(c, WALL_MS);
+}
+
+static void add_job(uint64_t id, int64_t accepted_ms)
+{
+	struct dag_command c = {.kind = DAG_CMD_SUBMIT};
+	struct dag_step step = {.count = 1};
+
+	c.dag_command_u.job = (struct dag_job){.id = id, .accepted_ms = accepted_ms};
+	c.dag_command_u.job.steps.steps_len = 1;
+	c.dag_command_u.job.steps.steps_val = &step;
+	apply(&c);
+}
+
 /* Largest address space of the process so far: memory may be allocated and not touched.
  */
 static long max_kb(void)
@@ -54,6 +82,20 @@
 }
 END_TEST
 
+/* Guards against times whose sums overflow, and a clock that one entry sets for good. */
+START_TEST(times_out_of_range_are_limited)
+{
+	struct dag_command c = {.kind = DAG_CMD_CANCEL};
+
+	apply_at(&c, INT64_MAX);
+	ck_assert_int_eq(state->time_ms, 0);
+	add_job(1, INT64_MIN);
+	add_job(2, INT64_MAX);
+	ck_assert_int_eq(dag_state_find_job(state, 1)->spec.accepted_ms, 0);
+	ck_assert_int_eq(dag_state_find_job(state, 2)->spec.accepted_ms, DAG_MAX_TIME_MS);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("malformed");
@@ -63,6 +105,7 @@
 
 	tcase_add_checked_fixture(tc, open_state, close_state);
 	tcase_add_test(tc, count_beyond_the_message_allocates_nothing);
+	tcase_add_test(tc, times_out_of_range_are_limited);
 	suite_add_tcase(s, tc);
 	srunner_run_all(sr, CK_ENV);
 	failed = srunner_ntests_failed(sr);
