core/dag: a log entry that does not decode is ignored by every replica

It ended the process of each member that applied it (dag_state_apply() gave CF_EMALFORMED, as the test failed), and again at each start, since the entry stands in the log: one bad entry was the end of the cluster. All replicas see the same bytes, so all ignore it, as core/store.c does. Without memory the process still ends.

--- a/core/dag_state.c
+++ b/core/dag_state.c
@@ -642,20 +642,26 @@
 }
 
 /*
- * Applies one log entry, an encoded batch. A command that is not valid in the current
- * state is ignored by every replica and is no error. An error, such as CF_ENOMEM, may
- * occur on this replica only and leaves the rest of the batch unapplied. The state may
- * then differ from that of the other replicas, so the caller must not go on with it.
+ * Applies one log entry, an encoded batch. An entry that does not decode, or a command
+ * that is not valid in the current state, is ignored by every replica and is no error. An
+ * error, such as CF_ENOMEM, may occur on this replica only and leaves the rest of the
+ * batch unapplied. The state may then differ from that of the other replicas, so the
+ * caller must not go on with it.
  */
 int dag_state_apply(struct dag_state *s, struct str bytes)
 {
 	struct dag_batch b = {0};
 	int err = codec_decode((xdrproc_t)xdr_dag_batch, &b, bytes);
 
+	if (err == CF_EMALFORMED) {
+		err = 0;
+		goto out;
+	}
 	if (!err && b.time_ms > s->time_ms && dag_time_valid(b.time_ms))
 		s->time_ms = b.time_ms;
 	for (u_int i = 0; !err && i < b.commands.commands_len; i++)
 		err = apply_command(s, &b.commands.commands_val[i]);
+out:
 	codec_free((xdrproc_t)xdr_dag_batch, &b);
 	return err;
 }
--- a/regress/test_malformed.c
+++ b/regress/test_malformed.c
@@ -39,6 +39,15 @@
 	apply_at(c, WALL_MS);
 }
 
+static void add_worker(struct str id)
+{
+	struct dag_command c = {.kind = DAG_CMD_WORKER};
+
+	XDR_SET(c.dag_command_u.worker, id, id);
+	XDR_SET(c.dag_command_u.worker, address, id);
+	apply(&c);
+}
+
 static void add_job(uint64_t id, int64_t accepted_ms)
 {
 	struct dag_command c = {.kind = DAG_CMD_SUBMIT};
@@ -82,6 +91,20 @@
 }
 END_TEST
 
+/* Guards against one log entry that ends every replica, at each start again. */
+START_TEST(entry_that_does_not_decode_is_ignored)
+{
+	char bytes[16] = {0};
+
+	add_worker(STR("w"));
+	codec_put_u32(bytes + 8, 1);
+	codec_put_u32(bytes + 12, 99);
+	ck_assert_int_eq(dag_state_apply(state, (struct str){bytes, sizeof(bytes)}), 0);
+	ck_assert_int_eq(dag_state_apply(state, STR("text")), 0);
+	ck_assert_uint_eq(HASH_COUNT(state->workers), 1);
+}
+END_TEST
+
 /* Guards against times whose sums overflow, and a clock that one entry sets for good. */
 START_TEST(times_out_of_range_are_limited)
 {
@@ -105,6 +128,7 @@
 
 	tcase_add_checked_fixture(tc, open_state, close_state);
 	tcase_add_test(tc, count_beyond_the_message_allocates_nothing);
+	tcase_add_test(tc, entry_that_does_not_decode_is_ignored);
 	tcase_add_test(tc, times_out_of_range_are_limited);
 	suite_add_tcase(s, tc);
 	srunner_run_all(sr, CK_ENV);
