--- a/core/dag_state.c
+++ b/core/dag_state.c
@@ -598,11 +598,21 @@
 		s->observer->ops->run_ended(s->observer, j, e, worker);
 }
 
+static bool has_live_runs(const struct dag_job_rec *j)
+{
+	for (uint32_t k = 0; k < j->n_occ; k++)
+		for (uint32_t i = 0; i < j->n_tasks; i++)
+			if (j->occ[k].task[i].n_live)
+				return true;
+	return false;
+}
+
+/* Workers count the runs of a job, so it stays until these have ended. */
 static void apply_forget(struct dag_state *s, uint64_t id)
 {
 	struct dag_job_rec *j = dag_state_find_job(s, id);
 
-	if (!j || !dag_job_ended(j))
+	if (!j || !dag_job_ended(j) || has_live_runs(j))
 		return;
 	if (s->observer)
 		s->observer->ops->job_forgotten(s->observer, j);
--- a/regress/test_malformed.c
+++ b/regress/test_malformed.c
@@ -119,6 +119,32 @@
 }
 END_TEST
 
+/* Guards against a worker that counts a run for ever, as its job was forgotten. */
+START_TEST(job_with_live_runs_is_not_forgotten)
+{
+	struct dag_command c = {.kind = DAG_CMD_START};
+
+	add_worker(STR("w"));
+	add_job(1, 0);
+	c.dag_command_u.start =
+		(struct dag_start){.task = {.job = 1}, .run = 1, .worker = 1};
+	apply(&c);
+	c = (struct dag_command){.kind = DAG_CMD_CANCEL, .dag_command_u.cancel = 1};
+	apply(&c);
+	c = (struct dag_command){.kind = DAG_CMD_FORGET, .dag_command_u.forget = 1};
+	apply(&c);
+	ck_assert_ptr_nonnull(dag_state_find_job(state, 1));
+	c = (struct dag_command){.kind = DAG_CMD_END};
+	c.dag_command_u.end =
+		(struct dag_end){.task = {.job = 1}, .run = 1, .how = DAG_END_STOPPED};
+	apply(&c);
+	ck_assert_uint_eq(dag_state_find_worker(state, 1)->n_runs, 0);
+	c = (struct dag_command){.kind = DAG_CMD_FORGET, .dag_command_u.forget = 1};
+	apply(&c);
+	ck_assert_ptr_null(dag_state_find_job(state, 1));
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("malformed");
@@ -130,6 +156,7 @@
 	tcase_add_test(tc, count_beyond_the_message_allocates_nothing);
 	tcase_add_test(tc, entry_that_does_not_decode_is_ignored);
 	tcase_add_test(tc, times_out_of_range_are_limited);
+	tcase_add_test(tc, job_with_live_runs_is_not_forgotten);
 	suite_add_tcase(s, tc);
 	srunner_run_all(sr, CK_ENV);
 	failed = srunner_ntests_failed(sr);
