--- a/core/dag_state.c
+++ b/core/dag_state.c
@@ -301,7 +301,7 @@
 {
 	struct dag_zone_rec *z;
 
-	if (dag_state_zone_closed(s, zone))
+	if (!zone.n || dag_state_zone_closed(s, zone))
 		return 0;
 	z = calloc(1, sizeof(*z) + zone.n + 1);
 	if (!z)
@@ -380,6 +380,8 @@
 	bool restarted;
 	int err = 0;
 
+	if (!w->id.id_len)
+		return 0;
 	if (rec && rec->w.state == DAG_WORKER_GONE && rec->n_runs == 0) {
 		remove_worker(s, rec);
 		rec = NULL;
--- a/core/dag_state.h
+++ b/core/dag_state.h
@@ -108,7 +108,7 @@
 
 struct dag_zone_rec {
 	UT_hash_handle hh;
-	char name[]; /* NUL-terminated */
+	char name[]; /* NUL-terminated, its length is that of the key */
 };
 
 struct dag_state {
--- a/core/dag_state_snapshot.c
+++ b/core/dag_state_snapshot.c
@@ -71,7 +71,7 @@
 			&im->closed_zones
 				 .closed_zones_val[im->closed_zones.closed_zones_len++];
 
-		XDR_SET(*n, text, str_from(z->name));
+		XDR_SET(*n, text, ((struct str){z->name, z->hh.keylen}));
 	}
 	for (w = s->workers; w; w = w->hh.next)
 		im->workers.workers_val[im->workers.workers_len++] =
--- a/regress/test_malformed.c
+++ b/regress/test_malformed.c
@@ -145,6 +145,27 @@
 }
 END_TEST
 
+/* Guards against replicas that differ after a snapshot, and against empty keys. */
+START_TEST(names_of_any_bytes_survive_a_snapshot)
+{
+	struct dag_command c = {.kind = DAG_CMD_ZONE};
+	struct str zone = STR("z\0001");
+	struct buf image = {0};
+
+	c.dag_command_u.zone.closed = true;
+	apply(&c);
+	XDR_SET(c.dag_command_u.zone, name, zone);
+	apply(&c);
+	add_worker((struct str){NULL, 0});
+	ck_assert_uint_eq(HASH_COUNT(state->workers), 0);
+	ck_assert_int_eq(dag_state_snapshot(state, &image), 0);
+	ck_assert_int_eq(dag_state_restore(state, buf_str(&image)), 0);
+	ck_assert(dag_state_zone_closed(state, zone));
+	ck_assert_uint_eq(HASH_COUNT(state->closed_zones), 1);
+	buf_free(&image);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("malformed");
@@ -157,6 +178,7 @@
 	tcase_add_test(tc, entry_that_does_not_decode_is_ignored);
 	tcase_add_test(tc, times_out_of_range_are_limited);
 	tcase_add_test(tc, job_with_live_runs_is_not_forgotten);
+	tcase_add_test(tc, names_of_any_bytes_survive_a_snapshot);
 	suite_add_tcase(s, tc);
 	srunner_run_all(sr, CK_ENV);
 	failed = srunner_ntests_failed(sr);
