--- a/core/dag_state_snapshot.c
+++ b/core/dag_state_snapshot.c
@@ -98,11 +98,18 @@
 	return err;
 }
 
+/* Each worker once, with a number that no later one gets. */
 static int restore_worker(struct dag_state *s, const struct dag_image_worker *iw)
 {
+	uint32_t number = iw->number & ~WORKER_LOST;
 	struct dag_worker_rec *w;
-	int err = dag_state_put_worker(s, iw->number & ~WORKER_LOST, &iw->worker, &w);
+	int err;
 
+	if (!number || !iw->worker.id.id_len || number >= s->next_worker_number ||
+	    dag_state_find_worker(s, number) ||
+	    dag_state_find_worker_by_id(s, XDR_STR(iw->worker, id)))
+		return CF_EMALFORMED;
+	err = dag_state_put_worker(s, number, &iw->worker, &w);
 	if (err)
 		return err;
 	w->lost = (iw->number & WORKER_LOST) != 0;
@@ -120,14 +127,15 @@
 	t->done = it->done;
 	if (it->live.live_len > DAG_MAX_COPIES)
 		return CF_EMALFORMED;
-	t->n_live = (uint8_t)it->live.live_len;
-	for (uint8_t i = 0; i < t->n_live; i++) {
+	for (u_int i = 0; i < it->live.live_len; i++) {
 		const struct dag_image_run *r = &it->live.live_val[i];
 		struct dag_worker_rec *w = dag_state_find_worker(s, r->worker);
 
+		if (!w || r->run > t->last_run || (i && r->run == t->live[0].run))
+			return CF_EMALFORMED;
 		t->live[i] = (struct dag_run){r->run, r->worker};
-		if (w)
-			w->n_runs++;
+		t->n_live++;
+		w->n_runs++;
 	}
 	return it->checkpoint.checkpoint_len
 		       ? buf_set(&t->checkpoint, XDR_STR(*it, checkpoint))
@@ -155,11 +163,15 @@
 static int restore_job(struct dag_state *s, const struct dag_image_job *ij)
 {
 	struct dag_job_rec *j;
-	int err = dag_state_add_job(s, &ij->spec, ij->attempts, &j);
+	int err;
 
+	if (dag_state_find_job(s, ij->spec.id))
+		return CF_EMALFORMED;
+	err = dag_state_add_job(s, &ij->spec, ij->attempts, &j);
 	if (err)
-		return err;
-	if (ij->tasks.tasks_len != j->n_occ * j->n_tasks)
+		return err == CF_EINVAL ? CF_EMALFORMED : err;
+	if (ij->tasks.tasks_len != j->n_occ * j->n_tasks ||
+	    ij->state > DAG_JOB_CANCELLED || !dag_time_valid(ij->ended_ms))
 		return CF_EMALFORMED;
 	j->state = (enum dag_job_state)ij->state;
 	j->started = ij->started;
@@ -171,28 +183,46 @@
 	return err;
 }
 
-/* Replaces the state by a snapshot. CF_EMALFORMED: it is damaged; CF_ENOMEM. */
+/* Fills an empty state. CF_EMALFORMED: parts of the image contradict one another. */
+static int load_image(struct dag_state *s, const struct dag_image *im)
+{
+	int err;
+
+	if (!dag_time_valid(im->time_ms) || im->next_worker > WORKER_LOST)
+		return CF_EMALFORMED;
+	s->time_ms = im->time_ms;
+	s->next_worker_number = im->next_worker;
+	err = dag_state_set_conf(s, &im->conf);
+	if (!err)
+		err = dag_state_set_model(s, &im->model);
+	for (u_int i = 0; !err && i < im->closed_zones.closed_zones_len; i++)
+		err = dag_state_close_zone(
+			s, XDR_STR(im->closed_zones.closed_zones_val[i], text));
+	for (u_int i = 0; !err && i < im->workers.workers_len; i++)
+		err = restore_worker(s, &im->workers.workers_val[i]);
+	for (u_int i = 0; !err && i < im->jobs.jobs_len; i++)
+		err = restore_job(s, &im->jobs.jobs_val[i]);
+	return err;
+}
+
+/*
+ * Replaces the state by a snapshot. CF_EMALFORMED: it is damaged; CF_ENOMEM. After an
+ * error the state is as before.
+ */
 int dag_state_restore(struct dag_state *s, struct str snapshot)
 {
+	struct dag_state fresh = {.clock_us = s->clock_us, .observer = s->observer};
 	struct dag_image im = {0};
 	int err = codec_decode((xdrproc_t)xdr_dag_image, &im, snapshot);
 
-	if (err)
-		goto out;
-	dag_state_clear(s);
-	s->time_ms = im.time_ms;
-	err = dag_state_set_conf(s, &im.conf);
 	if (!err)
-		err = dag_state_set_model(s, &im.model);
-	for (u_int i = 0; !err && i < im.closed_zones.closed_zones_len; i++)
-		err = dag_state_close_zone(
-			s, XDR_STR(im.closed_zones.closed_zones_val[i], text));
-	for (u_int i = 0; !err && i < im.workers.workers_len; i++)
-		err = restore_worker(s, &im.workers.workers_val[i]);
-	s->next_worker_number = im.next_worker;
-	for (u_int i = 0; !err && i < im.jobs.jobs_len; i++)
-		err = restore_job(s, &im.jobs.jobs_val[i]);
-out:
+		err = load_image(&fresh, &im);
+	if (err) {
+		dag_state_clear(&fresh);
+	} else {
+		dag_state_clear(s);
+		*s = fresh;
+	}
 	codec_free((xdrproc_t)xdr_dag_image, &im);
 	return err;
 }
--- a/regress/test_malformed.c
+++ b/regress/test_malformed.c
@@ -166,6 +166,77 @@
 }
 END_TEST
 
+/* A state with one worker and one job with a run on it, changed before it is encoded. */
+static int restore_changed(int change)
+{
+	struct dag_image im = {.next_worker = 3, .time_ms = WALL_MS};
+	struct dag_image_worker workers[2] = {{.number = 1}, {.number = 2}};
+	struct dag_image_run live[2] = {{1, 1}, {2, 2}};
+	struct dag_image_task task = {.last_run = 2, .live = {2, live}};
+	struct dag_image_job jobs[2] = {{.spec.id = 1}, {.spec.id = 2}};
+	struct dag_step step = {.count = 1};
+	struct buf bytes = {0};
+	int err;
+
+	XDR_SET(workers[0].worker, id, STR("a"));
+	XDR_SET(workers[1].worker, id, STR("b"));
+	for (int i = 0; i < 2; i++) {
+		jobs[i].spec.steps.steps_len = 1;
+		jobs[i].spec.steps.steps_val = &step;
+		jobs[i].tasks.tasks_len = 1;
+		jobs[i].tasks.tasks_val = &task;
+	}
+	im.workers.workers_len = 2;
+	im.workers.workers_val = workers;
+	im.jobs.jobs_len = 2;
+	im.jobs.jobs_val = jobs;
+	switch (change) {
+	case 1:
+		workers[1].number = 1;
+		break;
+	case 2:
+		XDR_SET(workers[1].worker, id, STR("a"));
+		break;
+	case 3:
+		im.next_worker = 2;
+		break;
+	case 4:
+		jobs[1].spec.id = 1;
+		break;
+	case 5:
+		jobs[1].state = 5;
+		break;
+	case 6:
+		live[1].worker = 7;
+		break;
+	case 7:
+		task.last_run = 1;
+		break;
+	case 8:
+		im.time_ms = INT64_MAX;
+		break;
+	}
+	ck_assert_int_eq(codec_encode((xdrproc_t)xdr_dag_image, &im, &bytes), 0);
+	err = dag_state_restore(state, buf_str(&bytes));
+	buf_free(&bytes);
+	return err;
+}
+
+/* Guards against a snapshot whose parts contradict one another and is taken. */
+START_TEST(contradictory_snapshot_is_refused)
+{
+	add_worker(STR("w"));
+	if (_i == 0) {
+		ck_assert_int_eq(restore_changed(0), 0);
+		ck_assert_uint_eq(HASH_COUNT(state->workers), 2);
+		return;
+	}
+	ck_assert_int_eq(restore_changed(_i), CF_EMALFORMED);
+	ck_assert_uint_eq(HASH_COUNT(state->workers), 1);
+	ck_assert_ptr_nonnull(dag_state_find_worker_by_id(state, STR("w")));
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("malformed");
@@ -179,6 +250,7 @@
 	tcase_add_test(tc, times_out_of_range_are_limited);
 	tcase_add_test(tc, job_with_live_runs_is_not_forgotten);
 	tcase_add_test(tc, names_of_any_bytes_survive_a_snapshot);
+	tcase_add_loop_test(tc, contradictory_snapshot_is_refused, 0, 9);
 	suite_add_tcase(s, tc);
 	srunner_run_all(sr, CK_ENV);
 	failed = srunner_ntests_failed(sr);
