--- a/core/dag_state.c
+++ b/core/dag_state.c
@@ -158,6 +158,25 @@
 	return tasks * (j->occurrences ? j->occurrences : 1);
 }
 
+bool dag_time_valid(int64_t ms)
+{
+	return ms >= 0 && ms <= DAG_MAX_TIME_MS;
+}
+
+static int64_t limit_time(int64_t ms)
+{
+	return ms < 0 ? 0 : ms > DAG_MAX_TIME_MS ? DAG_MAX_TIME_MS : ms;
+}
+
+/* A time before 1970 or in thousands of years means at once or never. */
+static void limit_times(struct dag_job *j)
+{
+	j->start_ms = limit_time(j->start_ms);
+	j->accepted_ms = limit_time(j->accepted_ms);
+	if (j->interval_ms > DAG_MAX_INTERVAL_MS)
+		j->interval_ms = DAG_MAX_INTERVAL_MS;
+}
+
 /* Whether a job is within the limits and its steps depend on earlier steps only. */
 bool dag_job_valid(const struct dag_job *j)
 {
@@ -230,6 +249,7 @@
 	j->id = spec->id;
 	j->attempts = attempts;
 	err = copy_xdr((xdrproc_t)xdr_dag_job, spec, &j->spec, sizeof(j->spec));
+	limit_times(&j->spec);
 	if (!err)
 		err = alloc_tasks(j);
 	if (err) {
@@ -281,7 +301,7 @@
 {
 	struct dag_zone_rec *z;
 
-	if (dag_state_zone_closed(s, zone))
+	if (!zone.n || dag_state_zone_closed(s, zone))
 		return 0;
 	z = calloc(1, sizeof(*z) + zone.n + 1);
 	if (!z)
@@ -360,6 +380,8 @@
 	bool restarted;
 	int err = 0;
 
+	if (!w->id.id_len)
+		return 0;
 	if (rec && rec->w.state == DAG_WORKER_GONE && rec->n_runs == 0) {
 		remove_worker(s, rec);
 		rec = NULL;
@@ -578,11 +600,21 @@
 		s->observer->ops->run_ended(s->observer, j, e, worker);
 }
 
+static bool has_live_runs(const struct dag_job_rec *j)
+{
+	for (uint32_t k = 0; k < j->n_occ; k++)
+		for (uint32_t i = 0; i < j->n_tasks; i++)
+			if (j->occ[k].task[i].n_live)
+				return true;
+	return false;
+}
+
+/* Workers count the runs of a job, so it stays until these have ended. */
 static void apply_forget(struct dag_state *s, uint64_t id)
 {
 	struct dag_job_rec *j = dag_state_find_job(s, id);
 
-	if (!j || !dag_job_ended(j))
+	if (!j || !dag_job_ended(j) || has_live_runs(j))
 		return;
 	if (s->observer)
 		s->observer->ops->job_forgotten(s->observer, j);
@@ -622,20 +654,26 @@
 }
 
 /*
- * Applies one log entry, an encoded batch. A command that is not valid in the current
- * state is ignored by every replica and is no error. An error, such as CF_ENOMEM, may
- * occur on this replica only and leaves the rest of the batch unapplied. The state may
- * then differ from that of the other replicas, so the caller must not go on with it.
+ * Applies one log entry, an encoded batch. An entry that does not decode, or a command
+ * that is not valid in the current state, is ignored by every replica and is no error. An
+ * error, such as CF_ENOMEM, may occur on this replica only and leaves the rest of the
+ * batch unapplied. The state may then differ from that of the other replicas, so the
+ * caller must not go on with it.
  */
 int dag_state_apply(struct dag_state *s, struct str bytes)
 {
 	struct dag_batch b = {0};
 	int err = codec_decode((xdrproc_t)xdr_dag_batch, &b, bytes);
 
-	if (!err && b.time_ms > s->time_ms)
+	if (err == CF_EMALFORMED) {
+		err = 0;
+		goto out;
+	}
+	if (!err && b.time_ms > s->time_ms && dag_time_valid(b.time_ms))
 		s->time_ms = b.time_ms;
 	for (u_int i = 0; !err && i < b.commands.commands_len; i++)
 		err = apply_command(s, &b.commands.commands_val[i]);
+out:
 	codec_free((xdrproc_t)xdr_dag_batch, &b);
 	return err;
 }
