core/replica: a leader whose sync hangs hands over

A leader kept its lease while its sync hung without failing.

After 300 ms, half of the election timeout, the leader now drops what it has not sent and hands over, if the others have committed what it syncs. Otherwise their disks are no better or they are no quorum, and a change of the leader would cost an election for nothing: it stays, and accepts again when the disks do. A voter with such a sync does not stand for election.

The emulated disk has a stall now: syncs that begin within it end after it, and a promise blocks the process.

--- a/core/replica.c
+++ b/core/replica.c
@@ -7,6 +7,7 @@
 #include "core/replica_priv.h"
 
 #define MEMBER_TIMEOUT_US 4000000
+#define SYNC_TIMEOUT_US 300000
 #define HEARTBEAT_US 100000
 #define ELECTION_US 600000
 #define BATCH_BYTES (256U << 10)
@@ -102,6 +103,7 @@
 	DEFAULT(keep_bytes, KEEP_BYTES);
 	DEFAULT(max_snapshot, MAX_SNAPSHOT);
 	DEFAULT(member_timeout_us, MEMBER_TIMEOUT_US);
+	DEFAULT(sync_timeout_us, SYNC_TIMEOUT_US);
 }
 
 /* Saves the initial membership as a snapshot at index 0. */
--- a/core/replica.h
+++ b/core/replica.h
@@ -193,6 +193,11 @@
 	 * learner that has caught up. Default 4 s.
 	 */
 	int64_t member_timeout_us;
+	/*
+	 * A leader whose sync takes longer hands over if the others commit without its
+	 * disk. Default 300 ms, half of the election timeout.
+	 */
+	int64_t sync_timeout_us;
 	/* For benchmarks only. */
 	bool no_group_commit;
 	bool propose_before_barrier;
--- a/core/replica_disk.c
+++ b/core/replica_disk.c
@@ -45,6 +45,7 @@
 	r->written += n;
 	r->sync_index = r->written;
 	r->sync_token++;
+	r->sync_started_us = r->now_us;
 	r->syncing = true;
 	if (r->role == REPLICA_LEADER)
 		replica_lead_broadcast(r);
@@ -52,18 +53,13 @@
 }
 
 /*
- * Stops writing until a retry succeeds. A leader drops the entries that it has neither
- * written nor sent, so that a refused proposal cannot commit later, and lets another
- * voter lead. A follower keeps such entries in memory, at most a window of its leader.
+ * Ends leadership because of the disk. The entries that were neither written nor sent are
+ * dropped, so that a refused proposal cannot commit later.
  */
-void replica_disk_set_full(struct replica *r)
+static void disk_hand_over(struct replica *r)
 {
 	int err;
 
-	r->disk_full = true;
-	r->disk_retry_at_us = r->now_us + DISK_RETRY_US;
-	if (r->role != REPLICA_LEADER)
-		return;
 	replica_log_truncate(&r->log, r->written + 1);
 	err = replica_members_reload(r);
 	if (err) {
@@ -74,6 +70,36 @@
 		replica_step_down(r, 0);
 }
 
+/*
+ * Stops writing until a retry succeeds. A leader lets another voter lead. A follower
+ * keeps unwritten entries in memory, at most a window of its leader.
+ */
+void replica_disk_set_full(struct replica *r)
+{
+	r->disk_full = true;
+	r->disk_retry_at_us = r->now_us + DISK_RETRY_US;
+	if (r->role == REPLICA_LEADER)
+		disk_hand_over(r);
+}
+
+/* Whether the outstanding sync takes longer than it may. */
+bool replica_disk_is_stalled(const struct replica *r)
+{
+	return r->syncing && r->now_us >= r->sync_started_us + r->opt.sync_timeout_us;
+}
+
+/*
+ * Makes a leader with a stalled disk hand over. Nothing new commits under it, since a
+ * batch waits for the sync of the one before. It stays as long as the others have not
+ * committed what it syncs: then their disks are no better, or they are no quorum.
+ */
+void replica_disk_check_sync(struct replica *r)
+{
+	if (r->role == REPLICA_LEADER && replica_disk_is_stalled(r) &&
+	    r->commit >= r->sync_index)
+		disk_hand_over(r);
+}
+
 /* Writes the promise once more, as a test whether the disk takes writes again. */
 void replica_disk_retry(struct replica *r)
 {
--- a/core/replica_elect.c
+++ b/core/replica_elect.c
@@ -95,7 +95,8 @@
  */
 void replica_elect_start(struct replica *r)
 {
-	if (!r->verified || !replica_may_campaign(r) || r->disk_full)
+	if (!r->verified || !replica_may_campaign(r) || r->disk_full ||
+	    replica_disk_is_stalled(r))
 		return;
 	replica_elect_reset(r);
 	replica_set_role(r, REPLICA_PRECANDIDATE, 0);
--- a/core/replica_lead.c
+++ b/core/replica_lead.c
@@ -275,10 +275,13 @@
 {
 	if (!replica_lease_check(r))
 		return;
-	if (r->now_us >= r->heartbeat_at_us) {
-		lead_send_heartbeats(r);
-		replica_admit_tick(r);
-	}
+	if (r->now_us < r->heartbeat_at_us)
+		return;
+	replica_disk_check_sync(r);
+	if (r->role != REPLICA_LEADER)
+		return;
+	lead_send_heartbeats(r);
+	replica_admit_tick(r);
 }
 
 /*
--- a/core/replica_priv.h
+++ b/core/replica_priv.h
@@ -85,6 +85,7 @@
 	uint64_t durable;
 	uint64_t sync_token;
 	uint64_t sync_index; /* covered by the outstanding sync */
+	int64_t sync_started_us;
 	bool syncing;
 	bool disk_full; /* a write was refused; only retries write until one succeeds */
 	int64_t disk_retry_at_us;
@@ -143,6 +144,8 @@
 /* replica_disk.c */
 void replica_disk_flush(struct replica *r);
 void replica_disk_set_full(struct replica *r);
+bool replica_disk_is_stalled(const struct replica *r);
+void replica_disk_check_sync(struct replica *r);
 void replica_disk_retry(struct replica *r);
 void replica_disk_truncate(struct replica *r, uint64_t from_index);
 
--- a/regress/lib_cluster.c
+++ b/regress/lib_cluster.c
@@ -237,6 +237,9 @@
 			continue;
 		}
 		e.at = c->now + between(c, c->latency_min, c->latency_max);
+		/* It waits for its disk and sends what follows after that. */
+		if (n->frozen_until > c->now)
+			e.at += n->frozen_until - c->now;
 		if (c->bytes_per_ms) {
 			if (c->link_free[to] < c->now)
 				c->link_free[to] = c->now;
@@ -285,6 +288,8 @@
 
 	if (n->disk_full)
 		return CF_ENOSPACE;
+	if (n->stalled_until > n->c->now && n->frozen_until < n->stalled_until)
+		n->frozen_until = n->stalled_until;
 	if (p->epoch < n->disk.promise.epoch)
 		cluster_fail(n->c, "node %d lowers its promise", (int)n->id);
 	if (p->epoch == n->disk.promise.epoch && n->disk.promise.vote &&
@@ -298,16 +303,17 @@
 static void host_sync(struct replica_host *h, uint64_t token)
 {
 	struct node *n = node_of(h);
+	int64_t start = n->stalled_until > n->c->now ? n->stalled_until : n->c->now;
 
 	n->truncated = UINT64_MAX;
-	event_push(n->c, (struct event){
-				 .at = n->c->now +
-				       between(n->c, n->c->sync_min, n->c->sync_max),
-				 .node = n->id,
-				 .generation = n->generation,
-				 .token = token,
-				 .covers = n->disk.base + n->disk.n,
-			 });
+	event_push(n->c,
+		   (struct event){
+			   .at = start + between(n->c, n->c->sync_min, n->c->sync_max),
+			   .node = n->id,
+			   .generation = n->generation,
+			   .token = token,
+			   .covers = n->disk.base + n->disk.n,
+		   });
 }
 
 static uint64_t chain_next(uint64_t chain, const struct replica_entry *e, uint64_t *hash)
@@ -570,6 +576,16 @@
 	n->frozen_until = n->c->now + span_us;
 }
 
+/*
+ * Syncs that begin within the span end after it. The process goes on, but a promise
+ * blocks it.
+ */
+void node_stall(struct node *n, int64_t span_us)
+{
+	TRACE(n->c, "disk of node %d stalls for %d\n", (int)n->id, (int)span_us);
+	n->stalled_until = n->c->now + span_us;
+}
+
 /* --- cluster --- */
 
 /* Starts voters 1..voters and learners behind them, which ask for admission. */
@@ -783,6 +799,7 @@
 	c->drop = c->duplicate = c->slow = 0;
 	for (size_t i = 1; i <= c->n; i++) {
 		c->node[i].frozen_until = 0;
+		c->node[i].stalled_until = 0;
 		c->node[i].disk_full = false;
 		if (!c->node[i].r)
 			node_boot(&c->node[i]);
--- a/regress/lib_cluster.h
+++ b/regress/lib_cluster.h
@@ -35,6 +35,7 @@
 	struct disk disk;
 	uint64_t generation; /* of the process */
 	int64_t frozen_until;
+	int64_t stalled_until; /* no sync of its disk ends before */
 	int64_t clock_offset;
 	int64_t clock_drift; /* millionths, within 1,000 */
 	uint64_t applied;
@@ -110,6 +111,7 @@
 void node_boot(struct node *n);
 void node_wipe(struct node *n);
 void node_freeze(struct node *n, int64_t span_us);
+void node_stall(struct node *n, int64_t span_us);
 
 void disk_copy(struct disk *to, const struct disk *from);
 void disk_free(struct disk *d);
--- a/regress/test_replica.c
+++ b/regress/test_replica.c
@@ -158,10 +158,24 @@
 		c->node[i].disk_full = false;
 }
 
+/* The syncs of one disk, or of all of them, take up to 4 s. */
+static void random_stall(struct cluster *c)
+{
+	int64_t span = (int64_t)prng_below(&c->prng, 4 * SECOND);
+
+	if (prng_below(&c->prng, 3)) {
+		node_stall(random_node(c), span);
+		return;
+	}
+	for (size_t i = 1; i <= c->n; i++)
+		node_stall(&c->node[i], span);
+}
+
 /* Faults beside the usual ones; chances in thousandths of each 20 ms. */
 struct more_faults {
 	unsigned int handovers;
 	unsigned int full_disks;
+	unsigned int stalls;
 };
 
 /* One random run. Returns whether all rules held; the failure stays in *c. */
@@ -188,6 +202,8 @@
 			random_handover(c);
 		if (more.full_disks && prng_below(&c->prng, 1000) < more.full_disks)
 			random_full_disk(c);
+		if (more.stalls && prng_below(&c->prng, 1000) < more.stalls)
+			random_stall(c);
 		if (c->now >= next_fault) {
 			random_fault(c);
 			next_fault =
@@ -242,6 +258,18 @@
 }
 END_TEST
 
+/* Guards against a break of the rules when syncs take seconds. */
+START_TEST(random_stalls)
+{
+	static struct cluster c;
+	uint64_t seed = (uint64_t)_i + 1;
+
+	if (!random_run(&c, seed, (struct more_faults){.stalls = 10}))
+		ck_abort_msg("seed %d: %s", (int)seed, c.failure);
+	cluster_stop(&c);
+}
+END_TEST
+
 /*
  * These did not settle once. 2000580, 2001953: a restarted voter waited for answers of
  * voters that had been replaced. 40001617: the same with a lost voter, a learner was
@@ -971,6 +999,85 @@
 }
 END_TEST
 
+/*
+ * Proposes every 10 ms where there is a leader. Returns the time until three entries have
+ * committed: a leader with a stalled disk commits one with the others, and the next
+ * leader begins with a barrier.
+ */
+static int64_t time_to_commit(struct cluster *c, int64_t span_us)
+{
+	int64_t start = c->now;
+	uint64_t before = c->n_ref;
+	uint64_t index;
+
+	while (c->now < start + span_us && !c->failure[0]) {
+		struct node *leader = cluster_leader(c);
+
+		if (leader && c->now >= leader->frozen_until)
+			cluster_propose(leader, 32, &index);
+		cluster_run(c, 10000);
+		if (c->n_ref > before + 2)
+			break;
+	}
+	return c->now - start;
+}
+
+/*
+ * Guards against a leader that keeps its lease while its sync hangs, so that nothing is
+ * accepted until the sync ends: the others must take over within the time in which they
+ * would replace a leader that is lost.
+ */
+START_TEST(stalled_sync_ends_leadership)
+{
+	static struct cluster c;
+	struct node *a;
+
+	small_limits(&c.opt);
+	cluster_start(&c, (uint64_t)_i + 1, _i % 2 ? 3 : 5, 0);
+	ck_run(&c, cluster_run_to_leader(&c, 10 * SECOND));
+	commit_entries(&c, 10);
+	cluster_run(&c, SECOND / 10);
+	a = cluster_leader(&c);
+	node_stall(a, 4 * SECOND);
+	ck_assert_int_le(time_to_commit(&c, 4 * SECOND), election_us);
+	ck_cluster(&c);
+	ck_assert_ptr_ne(cluster_leader(&c), NULL);
+	ck_assert_ptr_ne(cluster_leader(&c), a);
+	commit_entries(&c, 100);
+	cluster_run(&c, 5 * SECOND);
+	ck_run(&c, cluster_settle(&c, SECOND));
+	ck_assert_uint_eq(a->applied, c.n_ref);
+	cluster_stop(&c);
+}
+END_TEST
+
+/*
+ * Guards against leaders that hand over to each other while the syncs of all voters hang,
+ * and an election after that: the leader stays and accepts again at once.
+ */
+START_TEST(stall_of_all_disks_keeps_the_leader)
+{
+	static struct cluster c;
+	struct node *a;
+	uint64_t elections;
+
+	cluster_start(&c, (uint64_t)_i + 1, _i % 2 ? 3 : 5, 0);
+	ck_run(&c, cluster_run_to_leader(&c, 10 * SECOND));
+	commit_entries(&c, 10);
+	cluster_run(&c, SECOND / 10);
+	a = cluster_leader(&c);
+	elections = c.elections;
+	for (size_t i = 1; i <= c.n; i++)
+		node_stall(&c.node[i], 4 * SECOND);
+	ck_assert_int_ge(time_to_commit(&c, 4 * SECOND - 20000), 4 * SECOND - 20000);
+	ck_assert_int_le(time_to_commit(&c, SECOND), SECOND / 10);
+	ck_cluster(&c);
+	ck_assert_ptr_eq(cluster_leader(&c), a);
+	ck_assert_uint_eq(c.elections, elections);
+	cluster_stop(&c);
+}
+END_TEST
+
 /* Guards against a planned stop that leaves the cluster without a leader for seconds. */
 START_TEST(handover_is_quick)
 {
@@ -1226,6 +1333,9 @@
 	tcase_add_loop_test(tc, random_faults, 0, CHECK_SEEDS);
 	tcase_add_loop_test(tc, random_handovers, 0, CHECK_SEEDS);
 	tcase_add_loop_test(tc, random_full_disks, 0, CHECK_SEEDS);
+	tcase_add_loop_test(tc, random_stalls, 0, CHECK_SEEDS);
+	tcase_add_loop_test(tc, stalled_sync_ends_leadership, 0, 20);
+	tcase_add_loop_test(tc, stall_of_all_disks_keeps_the_leader, 0, 20);
 	suite_add_tcase(s, tc);
 	sr = srunner_create(s);
 	srunner_run_all(sr, CK_NORMAL);
