--- /dev/null
+++ b/core/dag_life.c
@@ -0,0 +1,133 @@
+/* The lives of a worker: its process, clock and lease, and the contact with it. */
+#include "core/dag_sched_impl.h"
+#include "proto/codec.h"
+
+/* Polls in a row without a reply after which the loss of contact is recorded. */
+#define LOST_POLL_FAILURES 2U
+/* A worker's clock may be 2 % slow; 103 % of a lease on it has certainly expired. */
+#define SLOW_CLOCK_PERCENT 103
+#define LEASE_EXPIRY_MARGIN_US (150 * USEC_PER_MS)
+
+/* When a lease of a worker, counted from from_us, has certainly expired. */
+int64_t ds_lease_expiry_us(int64_t from_us, int64_t lease_us)
+{
+	return from_us + lease_us * SLOW_CLOCK_PERCENT / 100 + LEASE_EXPIRY_MARGIN_US;
+}
+
+void ds_worker_fill_call(const struct dag_sched *s, const struct ds_worker *w,
+			 struct dag_worker_call *call)
+{
+	*call = (struct dag_worker_call){
+		.worker = w->rec->number,
+		.id = XDR_STR(w->rec->w, id),
+		.address = XDR_STR(w->rec->w, address),
+		.epoch = s->opt.epoch,
+	};
+}
+
+/*
+ * Extends the worker's lease to a full period from now. Returns its end in milliseconds
+ * on the worker's clock, or 0 if that clock is unknown.
+ */
+int64_t ds_worker_extend_lease(struct dag_sched *s, struct ds_worker *w)
+{
+	int64_t end_ms;
+	int64_t expires_us;
+
+	if (!w->clock_known)
+		return 0;
+	end_ms = w->clock_ms + (s->now_us - w->clock_us + s->opt.lease_us) / USEC_PER_MS;
+	expires_us =
+		ds_lease_expiry_us(w->clock_us, (end_ms - w->clock_ms) * USEC_PER_MS);
+	if (expires_us > w->lease_expires_us)
+		w->lease_expires_us = expires_us;
+	return end_ms;
+}
+
+void ds_worker_record_contact(struct ds_worker *w, const struct dag_poll_reply *poll,
+			      int64_t now_us)
+{
+	w->last_heard_us = now_us;
+	if (poll->clock_ms <= 0 || !dag_time_valid(poll->clock_ms))
+		return;
+	w->clock_known = true;
+	w->clock_born_ms = poll->born_ms;
+	w->clock_ms = poll->clock_ms;
+	w->clock_us = now_us;
+}
+
+static void propose_contact(struct dag_sched *s, const struct ds_worker *w, bool lost)
+{
+	struct dag_command c = {.kind = DAG_CMD_CONTACT};
+
+	c.dag_command_u.contact = (struct dag_contact){w->rec->number, lost};
+	ds_propose(s, &c);
+}
+
+/*
+ * Records that a worker has not replied for a while, so that the next leader need not
+ * wait for a lease from its own start on. Until the contrary is recorded as well, the
+ * worker gets no lease, also when it replies again.
+ */
+void ds_worker_lose_contact(struct dag_sched *s, struct ds_worker *w)
+{
+	if (w->contact_lost || !w->n_runs || w->poll_failures < LOST_POLL_FAILURES)
+		return;
+	w->contact_lost = true;
+	propose_contact(s, w, true);
+}
+
+void ds_worker_regain_contact(struct dag_sched *s, struct ds_worker *w)
+{
+	if (!w->contact_lost || w->contact_proposed)
+		return;
+	w->contact_proposed = true;
+	propose_contact(s, w, false);
+}
+
+/* The loss or return of contact is recorded. */
+void ds_worker_contact_changed(struct dag_sched *s, struct ds_worker *w)
+{
+	if (w->rec->lost) {
+		w->contact_lost = true;
+		return;
+	}
+	w->contact_lost = false;
+	w->contact_proposed = false;
+	w->next_poll_us = s->now_us;
+	s->placement_needed = true;
+}
+
+/*
+ * A newer process of a worker has a clock of its own and numbers its ends from the start
+ * again. Its start is learned from its reports or its lists, whichever come first.
+ */
+void ds_worker_follow_start(struct ds_worker *w, int64_t born_ms)
+{
+	if (born_ms <= w->process_born_ms)
+		return;
+	w->process_born_ms = born_ms;
+	w->earlier_left = w->leaving_since_us || w->draining;
+	w->leaving_since_us = 0;
+	w->clock_known = false;
+	w->acked_end = 0;
+	w->last_listed_end = 0;
+	w->held_end = 0;
+}
+
+bool ds_worker_reply_is_old(const struct ds_worker *w, const struct dag_poll_reply *poll)
+{
+	return poll->born_ms && poll->born_ms < w->process_born_ms;
+}
+
+/* Records that a newer process answers under the worker's id. */
+void ds_worker_propose_start(struct dag_sched *s, struct ds_worker *w, int64_t born_ms)
+{
+	struct dag_command c = {.kind = DAG_CMD_WORKER};
+
+	if (born_ms <= w->rec->w.born_ms)
+		return;
+	c.dag_command_u.worker = w->rec->w;
+	c.dag_command_u.worker.born_ms = born_ms;
+	ds_propose(s, &c);
+}
--- a/core/dag_sched_impl.h
+++ b/core/dag_sched_impl.h
@@ -250,18 +250,27 @@
 void ds_spread_first_polls(struct dag_sched *s);
 void ds_handle_replaced_workers(struct dag_sched *s, const struct dag_worker_rec *rec);
 void ds_worker_refresh(struct dag_sched *s, struct ds_worker *w);
-void ds_worker_contact_changed(struct dag_sched *s, struct ds_worker *w);
 bool ds_worker_usable(const struct dag_sched *s, const struct ds_worker *w);
 bool ds_worker_avoided(const struct dag_sched *s, const struct ds_worker *w);
 void ds_worker_tick(struct dag_sched *s, struct ds_worker *w, bool check_all);
 void ds_worker_count_result(struct dag_sched *s, struct ds_worker *w,
 			    enum dag_end_how how);
+void ds_worker_ack_ends(struct ds_worker *w);
+bool ds_worker_has_label(const struct ds_worker *w, struct str label);
+
+/* dag_life.c */
+int64_t ds_lease_expiry_us(int64_t from_us, int64_t lease_us);
 int64_t ds_worker_extend_lease(struct dag_sched *s, struct ds_worker *w);
 void ds_worker_fill_call(const struct dag_sched *s, const struct ds_worker *w,
 			 struct dag_worker_call *call);
-void ds_worker_ack_ends(struct ds_worker *w);
+void ds_worker_record_contact(struct ds_worker *w, const struct dag_poll_reply *poll,
+			      int64_t now_us);
+void ds_worker_lose_contact(struct dag_sched *s, struct ds_worker *w);
+void ds_worker_regain_contact(struct dag_sched *s, struct ds_worker *w);
+void ds_worker_contact_changed(struct dag_sched *s, struct ds_worker *w);
 void ds_worker_follow_start(struct ds_worker *w, int64_t born_ms);
-bool ds_worker_has_label(const struct ds_worker *w, struct str label);
+bool ds_worker_reply_is_old(const struct ds_worker *w, const struct dag_poll_reply *poll);
+void ds_worker_propose_start(struct dag_sched *s, struct ds_worker *w, int64_t born_ms);
 
 /* dag_crash.c */
 /* Crashes of workers from which on a task is tried alone on a worker. */
--- a/core/dag_worker.c
+++ b/core/dag_worker.c
@@ -1,4 +1,4 @@
-/* Polling of workers, their leases, and quarantine of workers that fail. */
+/* Polling of workers, and quarantine of workers that fail. */
 #include <stdlib.h>
 
 #include "base/err.h"
@@ -21,11 +21,6 @@
 #define GONE_RETENTION_US (60LL * USEC_PER_SEC)
 /* A worker without a report for this many report intervals gets no new runs. */
 #define SILENT_HALF_REPORTS 5 /* in half intervals */
-/* A worker's clock may be 2 % slow; 103 % of a lease on it has certainly expired. */
-#define SLOW_CLOCK_PERCENT 103
-#define LEASE_EXPIRY_MARGIN_US (150 * USEC_PER_MS)
-/* Polls in a row without a reply after which the loss of contact is recorded. */
-#define LOST_POLL_FAILURES 2U
 /* Consecutive failures that quarantine a worker, and for how long. */
 #define FAIL_STREAK_MAX 2U
 #define QUARANTINE_US (5 * USEC_PER_SEC)
@@ -77,9 +72,8 @@
 	 * An earlier leader may have granted a full lease just now, but none since it
 	 * recorded the loss of contact.
 	 */
-	w->lease_expires_us = (rec->lost ? rec->lost_us : s->now_us) +
-			      s->opt.lease_us * SLOW_CLOCK_PERCENT / 100 +
-			      LEASE_EXPIRY_MARGIN_US;
+	w->lease_expires_us =
+		ds_lease_expiry_us(rec->lost ? rec->lost_us : s->now_us, s->opt.lease_us);
 	w->next_poll_us = s->now_us;
 	w->polled_us = s->now_us;
 	s->workers[s->n_workers++] = w;
@@ -166,37 +160,6 @@
 		       s->opt.report_interval_us * SILENT_HALF_REPORTS / 2;
 }
 
-void ds_worker_fill_call(const struct dag_sched *s, const struct ds_worker *w,
-			 struct dag_worker_call *call)
-{
-	*call = (struct dag_worker_call){
-		.worker = w->rec->number,
-		.id = XDR_STR(w->rec->w, id),
-		.address = XDR_STR(w->rec->w, address),
-		.epoch = s->opt.epoch,
-	};
-}
-
-/*
- * Extends the worker's lease to a full period from now. Returns its end in milliseconds
- * on the worker's clock, or 0 if that clock is unknown.
- */
-int64_t ds_worker_extend_lease(struct dag_sched *s, struct ds_worker *w)
-{
-	int64_t end_ms;
-	int64_t expires_us;
-
-	if (!w->clock_known)
-		return 0;
-	end_ms = w->clock_ms + (s->now_us - w->clock_us + s->opt.lease_us) / USEC_PER_MS;
-	expires_us = w->clock_us +
-		     (end_ms - w->clock_ms) * USEC_PER_MS * SLOW_CLOCK_PERCENT / 100 +
-		     LEASE_EXPIRY_MARGIN_US;
-	if (expires_us > w->lease_expires_us)
-		w->lease_expires_us = expires_us;
-	return end_ms;
-}
-
 /* The leader's data of a recorded worker; NULL: none. */
 static struct ds_worker *find_worker(const struct dag_sched *s, uint32_t number)
 {
@@ -205,18 +168,6 @@
 	return rec ? rec->sched : NULL;
 }
 
-static void record_poll_contact(struct ds_worker *w, const struct dag_poll_reply *poll,
-				int64_t now_us)
-{
-	w->last_heard_us = now_us;
-	if (poll->clock_ms <= 0 || !dag_time_valid(poll->clock_ms))
-		return;
-	w->clock_known = true;
-	w->clock_born_ms = poll->born_ms;
-	w->clock_ms = poll->clock_ms;
-	w->clock_us = now_us;
-}
-
 /* Called for each report of a worker, received directly or through a controller. */
 void dag_sched_worker_reported(struct dag_sched *s, uint32_t worker, int64_t now_us)
 {
@@ -541,93 +492,15 @@
 	}
 }
 
-static void propose_contact(struct dag_sched *s, const struct ds_worker *w, bool lost)
-{
-	struct dag_command c = {.kind = DAG_CMD_CONTACT};
-
-	c.dag_command_u.contact = (struct dag_contact){w->rec->number, lost};
-	ds_propose(s, &c);
-}
-
-/*
- * Records that a worker has not replied for a while, so that the next leader need not
- * wait for a lease from its own start on. Until the contrary is recorded as well, the
- * worker gets no lease, also when it replies again.
- */
-static void record_lost_contact(struct dag_sched *s, struct ds_worker *w)
-{
-	if (w->contact_lost || !w->n_runs || w->poll_failures < LOST_POLL_FAILURES)
-		return;
-	w->contact_lost = true;
-	propose_contact(s, w, true);
-}
-
-static void record_regained_contact(struct dag_sched *s, struct ds_worker *w)
-{
-	if (!w->contact_lost || w->contact_proposed)
-		return;
-	w->contact_proposed = true;
-	propose_contact(s, w, false);
-}
-
-/* The loss or return of contact is recorded. */
-void ds_worker_contact_changed(struct dag_sched *s, struct ds_worker *w)
-{
-	if (w->rec->lost) {
-		w->contact_lost = true;
-		return;
-	}
-	w->contact_lost = false;
-	w->contact_proposed = false;
-	w->next_poll_us = s->now_us;
-	s->placement_needed = true;
-}
-
-/*
- * A newer process of a worker has a clock of its own and numbers its ends from the start
- * again. Its start is learned from its reports or its lists, whichever come first.
- */
-void ds_worker_follow_start(struct ds_worker *w, int64_t born_ms)
-{
-	if (born_ms <= w->process_born_ms)
-		return;
-	w->process_born_ms = born_ms;
-	w->earlier_left = w->leaving_since_us || w->draining;
-	w->leaving_since_us = 0;
-	w->clock_known = false;
-	w->acked_end = 0;
-	w->last_listed_end = 0;
-	w->held_end = 0;
-}
-
-static bool is_from_older_process(const struct ds_worker *w,
-				  const struct dag_poll_reply *poll)
-{
-	return poll->born_ms && poll->born_ms < w->process_born_ms;
-}
-
-/* Records that a newer process answers under the worker's id. */
-static void propose_new_start_time(struct dag_sched *s, struct ds_worker *w,
-				   int64_t born_ms)
-{
-	struct dag_command c = {.kind = DAG_CMD_WORKER};
-
-	if (born_ms <= w->rec->w.born_ms)
-		return;
-	c.dag_command_u.worker = w->rec->w;
-	c.dag_command_u.worker.born_ms = born_ms;
-	ds_propose(s, &c);
-}
-
 /* Compares a worker's lists with the recorded runs. Ignores lists of an older process. */
 static void process_poll_reply(struct dag_sched *s, struct ds_worker *w,
 			       const struct dag_poll_reply *poll)
 {
 	bool had_strays;
 
-	if (is_from_older_process(w, poll))
+	if (ds_worker_reply_is_old(w, poll))
 		return;
-	propose_new_start_time(s, w, poll->born_ms);
+	ds_worker_propose_start(s, w, poll->born_ms);
 	clear_listed(w);
 	w->has_new_ends = false;
 	had_strays = w->has_strays;
@@ -701,7 +574,7 @@
 			s->host->ops->log_event(s->host, "worker-lost", NULL, 0,
 						XDR_STR(w->rec->w, id),
 						"no reply to the poll", result);
-		record_lost_contact(s, w);
+		ds_worker_lose_contact(s, w);
 		request_copies(s, w);
 		if (w->leaving_since_us &&
 		    now_us - w->leaving_since_us > LEAVE_TIMEOUT_US &&
@@ -720,9 +593,9 @@
 	if (!w->clock_known)
 		s->placement_needed = true;
 	w->poll_failures = 0;
-	record_regained_contact(s, w);
-	if (!is_from_older_process(w, poll))
-		record_poll_contact(w, poll, now_us);
+	ds_worker_regain_contact(s, w);
+	if (!ds_worker_reply_is_old(w, poll))
+		ds_worker_record_contact(w, poll, now_us);
 	process_poll_reply(s, w, poll);
 	w->polled = true;
 	w->polled_us = now_us;
