A call to a worker carries a fencing token, not an epoch

Until now both are the same number. The name says what the worker compares, so that the token may tell more than the leader's epoch. The XDR layout stays.

--- a/carawayfrontd/agent.c
+++ b/carawayfrontd/agent.c
@@ -174,7 +174,7 @@
 		.worker = ++a->next_number,
 		.id = XDR_STR(*c, worker_id),
 		.address = XDR_STR(*c, address),
-		.epoch = c->epoch,
+		.token = c->token,
 		.lease_ms = c->lease_ms,
 		.send_until_us = c->expires_us,
 	};
--- a/carawayfrontd/relay.c
+++ b/carawayfrontd/relay.c
@@ -256,7 +256,7 @@
 	c->worker = to->worker;
 	XDR_SET(*c, worker_id, to->id);
 	XDR_SET(*c, address, to->address);
-	c->epoch = to->epoch;
+	c->token = to->token;
 	c->lease_ms = to->lease_ms;
 }
 
--- a/core/dag_life.c
+++ b/core/dag_life.c
@@ -21,7 +21,7 @@
 		.worker = w->rec->number,
 		.id = XDR_STR(w->rec->w, id),
 		.address = XDR_STR(w->rec->w, address),
-		.epoch = s->opt.epoch,
+		.token = s->opt.epoch,
 	};
 }
 
--- a/core/dag_sched.h
+++ b/core/dag_sched.h
@@ -14,7 +14,7 @@
 /* How a worker answered a command or a poll. */
 enum dag_call_result {
 	DAG_RESULT_OK,
-	DAG_RESULT_FENCED,	  /* the worker has seen a newer epoch */
+	DAG_RESULT_FENCED,	  /* the worker has seen a higher fencing token */
 	DAG_RESULT_RUN_ENDED,	  /* the run has already ended or was stopped there */
 	DAG_RESULT_LEASE_EXPIRED, /* the lease in the command is over */
 	DAG_RESULT_NO_CAPACITY,	  /* the task does not fit */
@@ -29,7 +29,7 @@
 	uint32_t worker;
 	struct str id;
 	struct str address;
-	uint64_t epoch;
+	uint64_t token;	  /* fencing token: the worker refuses a lower one */
 	int64_t lease_ms; /* end of the lease on the worker's clock, 0: none */
 	/* Set by the host: when its right to send ends, on its clock. 0: no limit */
 	int64_t send_until_us;
--- a/proto/dag.h
+++ b/proto/dag.h
@@ -339,7 +339,7 @@
 		u_int address_len;
 		char *address_val;
 	} address;
-	u_quad_t epoch;
+	u_quad_t token;
 	quad_t lease_ms;
 	struct dag_task_ref task;
 	u_int run;
--- a/proto/dag.x
+++ b/proto/dag.x
@@ -255,7 +255,7 @@
 	unsigned int worker;
 	opaque worker_id<DAG_MAX_NAME>;
 	opaque address<DAG_MAX_NAME>;
-	unsigned hyper epoch;
+	unsigned hyper token;
 	hyper lease_ms;
 	dag_task_ref task;
 	unsigned int run;
--- a/proto/dag_xdr.c
+++ b/proto/dag_xdr.c
@@ -835,7 +835,7 @@
 		 return FALSE;
 	 if (!codec_bytes (xdrs, (char **)&objp->address.address_val, (u_int *) &objp->address.address_len, DAG_MAX_NAME))
 		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->epoch))
+	 if (!xdr_u_quad_t (xdrs, &objp->token))
 		 return FALSE;
 	 if (!xdr_quad_t (xdrs, &objp->lease_ms))
 		 return FALSE;
--- a/regress/lib_dag_world.c
+++ b/regress/lib_dag_world.c
@@ -119,7 +119,7 @@
 	struct dw_event *e = add_event(w, kind, w->now_us + HOP_US);
 
 	e->worker = call->worker;
-	e->epoch = call->epoch;
+	e->epoch = call->token;
 	e->lease_ms = call->lease_ms;
 	if (kind == DW_LOOK)
 		return e;
@@ -414,7 +414,7 @@
 		e->answers = DW_LOOK;
 		e->worker = dw->look.call.worker;
 		e->answer = DAG_RESULT_UNKNOWN;
-		e->leader = dw->look.call.epoch;
+		e->leader = dw->look.call.token;
 	}
 
 	kill_runs(w, dw);
@@ -746,7 +746,7 @@
 	dw->n_ends = n;
 	dw->looks++;
 	dw->look.call.worker = e.worker;
-	dw->look.call.epoch = e.leader;
+	dw->look.call.token = e.leader;
 	dw->look_at_us = w->now_us + (n ? 0 : (int64_t)e.wait_ms * MS);
 	if (!dw->look_at_us)
 		dw->look_at_us = w->now_us;
@@ -759,7 +759,7 @@
 	struct dag_poll_reply look = {.running = runs, .ended = ends};
 
 	dw->look_at_us = 0;
-	if (dw->look.call.epoch != w->life)
+	if (dw->look.call.token != w->life)
 		return;
 	if (dw->cut) {
 		struct dw_event e = {.kind = DW_LOOK, .worker = dw->look.call.worker};
--- a/regress/test_executors.c
+++ b/regress/test_executors.c
@@ -73,7 +73,7 @@
 	return (struct dag_worker_call){.worker = 1,
 					.id = STR("i-1"),
 					.address = STR(ADDRESS),
-					.epoch = 1,
+					.token = 1,
 					.send_until_us = send_until_us};
 }
 
