--- a/regress/lib_dag_world.c
+++ b/regress/lib_dag_world.c
@@ -116,20 +116,24 @@
 				   const struct dag_worker_call *call)
 {
 	uint32_t draw = (uint32_t)prng_below(&w->prng, 1000);
+	uint32_t lost = kind == DW_LOOK ? 0 : w->lost_permille;
+	uint32_t late = kind == DW_LOOK ? w->late_look_permille : w->late_permille;
 	struct dw_event *e = add_event(w, kind, w->now_us + HOP_US);
 
 	e->worker = call->worker;
-	e->epoch = call->token;
+	e->token = call->token;
 	e->lease_ms = call->lease_ms;
-	if (kind == DW_LOOK)
-		return e;
-	if (draw < w->lost_permille) {
+	if (w->hold_us) {
+		e->silent = true;
+		e->at_us += w->hold_us;
+	} else if (draw < lost) {
 		e->answer = DAG_RESULT_UNKNOWN;
-	} else if (draw < w->lost_permille + w->late_permille) {
+	} else if (draw < lost + late) {
 		e->silent = true;
 		e->at_us += LATE_MIN_US + (int64_t)prng_below(&w->prng, LATE_SPAN_US);
 		/* It waits inside the worker's process. */
-		e->born_ms = worker_of(w, call->worker)->born_ms;
+		if (!w->late_outlive)
+			e->born_ms = worker_of(w, call->worker)->born_ms;
 	}
 	return e;
 }
@@ -180,6 +184,8 @@
 
 	e->seen = o->acked_end;
 	e->wait_ms = o->wait_ms;
+	if (e->silent)
+		add_timeout(w, e);
 }
 
 /* DAG_TRACE in the environment prints the scheduler's notes. */
@@ -409,12 +415,13 @@
 	struct dw_worker *dw = &w->workers[number];
 
 	if (dw->look_at_us) {
-		struct dw_event *e = add_event(w, DW_ANSWER, w->now_us + HOP_US);
+		int64_t after_us = dw->reset_us ? dw->reset_us : HOP_US;
+		struct dw_event *e = add_event(w, DW_ANSWER, w->now_us + after_us);
 
 		e->answers = DW_LOOK;
 		e->worker = dw->look.call.worker;
 		e->answer = DAG_RESULT_UNKNOWN;
-		e->leader = dw->look.call.token;
+		e->leader = dw->look_leader;
 	}
 
 	kill_runs(w, dw);
@@ -426,10 +433,17 @@
 	dw->look_at_us = 0;
 	dw->up = restart;
 	dw->born_ms = dw_wall_ms(w);
-	if (restart)
+	if (restart && !dw->mute)
 		report(w, dw);
 }
 
+void dw_restart_silently(struct dag_world *w, uint32_t number)
+{
+	w->workers[number].mute = true;
+	w->workers[number].reset_us = CALL_TIMEOUT_US;
+	dw_crash_worker(w, number, true);
+}
+
 void dw_crash_for(struct dag_world *w, uint32_t number, int64_t us, bool new_id)
 {
 	dw_crash_worker(w, number, false);
@@ -460,7 +474,8 @@
 		if (dw->new_id)
 			snprintf(dw->id, sizeof(dw->id), "%s-%u", dw->address,
 				 ++dw->lives);
-		report(w, dw);
+		if (!dw->mute)
+			report(w, dw);
 	}
 }
 
@@ -551,6 +566,9 @@
 	    w->now_us - k->done_us > 1000 * MS && !st->long_running)
 		violate(w, "job %llx step %u task %u starts after it was done",
 			(unsigned long long)t->job, t->step, t->index);
+	if (k->noted && !st->speculative)
+		violate(w, "job %llx step %u task %u starts after a known end",
+			(unsigned long long)t->job, t->step, t->index);
 	if (k->failed >= j->attempts && !st->long_running)
 		violate(w, "job %llx step %u task %u starts after all attempts",
 			(unsigned long long)t->job, t->step, t->index);
@@ -684,12 +702,12 @@
 		w->events[w->n_events - 1].leader = e.leader;
 		return;
 	}
-	if (e.silent && e.born_ms != dw->born_ms)
+	if (e.silent && e.born_ms && e.born_ms != dw->born_ms)
 		return;
-	if (e.epoch < dw->fence)
+	if (e.token < dw->fence)
 		a = DAG_RESULT_FENCED;
 	else
-		dw->fence = e.epoch;
+		dw->fence = e.token;
 	if (a == DAG_RESULT_OK && e.kind == DW_START)
 		a = do_start(w, dw, &e);
 	else if (a == DAG_RESULT_OK && e.kind == DW_STOP)
@@ -705,22 +723,59 @@
 		       const struct dw_end *end)
 {
 	const struct dag_job_rec *j = dag_state_find_job(w->state, end->task.job);
-	const struct dw_task *k = task_of(w, &end->task);
+	struct dw_task *k = task_of(w, &end->task);
 
-	if (end->how == DAG_END_DONE && j && k->start_us > end->at_us &&
-	    dw->lapsed_us <= end->at_us &&
+	if (end->how != DAG_END_DONE || dw->lapsed_us > end->at_us)
+		return;
+	k->noted = true;
+	if (j && k->start_us > end->at_us &&
 	    !j->spec.steps.steps_val[end->task.step].speculative)
 		violate(w, "job %llx step %u task %u started again after a known end",
 			(unsigned long long)end->task.job, end->task.step,
 			end->task.index);
 }
 
-/* A look takes the lease and the seen ends at once; its answer may wait for an end. */
+/* A look takes the lease and the seen ends at once. Returns the number of other ends. */
+static size_t take_look(struct dag_world *w, struct dw_worker *dw,
+			const struct dw_event *e)
+{
+	size_t n = 0;
+
+	dw->fence = e->token;
+	dw->seen = e->seen;
+	if (e->lease_ms > dw->lease_ms)
+		dw->lease_ms = e->lease_ms;
+	for (size_t i = 0; i < dw->n_ends; i++) {
+		if (dw->ends[i].number > e->seen)
+			dw->ends[n++] = dw->ends[i];
+		else
+			check_seen(w, dw, &dw->ends[i]);
+	}
+	dw->n_ends = n;
+	return n;
+}
+
+/* A look that came late has effect, and nobody waits for its answer. */
+static void late_look(struct dag_world *w, const struct dw_event *e)
+{
+	struct dw_worker *dw = worker_of(w, e->worker);
+
+	if (!dw || !dw->up || dw->cut || e->token < dw->fence)
+		return;
+	if (!e->born_ms || e->born_ms == dw->born_ms)
+		take_look(w, dw, e);
+}
+
+/* The answer to a look may wait for an end. */
 static void begin_look(struct dag_world *w, struct dw_event e)
 {
 	struct dw_worker *dw = worker_of(w, e.worker);
-	size_t n = 0;
+	size_t n;
 
+	if (e.silent) {
+		late_look(w, &e);
+		return;
+	}
 	if (!dw && is_replaced(w, e.worker)) {
 		answer(w, &e, DAG_RESULT_RESTARTED);
 		return;
@@ -730,23 +785,14 @@
 		w->events[w->n_events - 1].leader = e.leader;
 		return;
 	}
-	if (e.epoch < dw->fence) {
+	if (e.token < dw->fence) {
 		answer(w, &e, DAG_RESULT_FENCED);
 		return;
 	}
-	dw->fence = e.epoch;
-	if (e.lease_ms > dw->lease_ms)
-		dw->lease_ms = e.lease_ms;
-	for (size_t i = 0; i < dw->n_ends; i++) {
-		if (dw->ends[i].number > e.seen)
-			dw->ends[n++] = dw->ends[i];
-		else
-			check_seen(w, dw, &dw->ends[i]);
-	}
-	dw->n_ends = n;
+	n = take_look(w, dw, &e);
 	dw->looks++;
 	dw->look.call.worker = e.worker;
-	dw->look.call.token = e.leader;
+	dw->look_leader = e.leader;
 	dw->look_at_us = w->now_us + (n ? 0 : (int64_t)e.wait_ms * MS);
 	if (!dw->look_at_us)
 		dw->look_at_us = w->now_us;
@@ -759,7 +805,7 @@
 	struct dag_poll_reply look = {.running = runs, .ended = ends};
 
 	dw->look_at_us = 0;
-	if (dw->look.call.token != w->life)
+	if (dw->look_leader != w->life)
 		return;
 	if (dw->cut) {
 		struct dw_event e = {.kind = DW_LOOK, .worker = dw->look.call.worker};
--- a/regress/lib_dag_world.h
+++ b/regress/lib_dag_world.h
@@ -70,9 +70,11 @@
 	int64_t born_ms;
 	int64_t lease_ms; /* on its clock */
 	uint64_t fence;
-	bool unguarded;	 /* starts what does not fit */
-	bool slow_clock; /* by 2 % */
-	bool mute;	 /* its reports are lost */
+	bool unguarded;	  /* starts what does not fit */
+	bool slow_clock;  /* by 2 % */
+	bool mute;	  /* its reports are lost */
+	int64_t reset_us; /* from a crash until a look that waited is known as lost, 0:
+			     soon */
 	struct dw_room room;
 	struct dw_past_room past[DW_ROOMS]; /* a ring */
 	size_t n_past;
@@ -84,8 +86,10 @@
 	size_t n_stopped;
 	int64_t look_at_us; /* a look that waits: answered then, 0: none */
 	struct dag_poll_command look;
-	int64_t lapsed_us; /* newest run that ended with the lease */
+	uint64_t look_leader; /* life of the scheduler that waits for its answer */
+	int64_t lapsed_us;    /* newest run that ended with the lease */
 	uint32_t looks;
+	uint64_t seen;	 /* ends that the newest look acknowledged */
 	int32_t tail_ms; /* of serving tasks */
 };
 
@@ -97,7 +101,7 @@
 	uint64_t seq;
 	enum dw_kind kind;
 	uint32_t worker;
-	uint64_t epoch;
+	uint64_t token;
 	struct dag_task_ref task;
 	uint32_t run;
 	uint32_t percent;
@@ -106,8 +110,9 @@
 	uint32_t wait_ms;
 	enum dag_call_result answer;
 	enum dw_kind answers;
-	bool silent;	     /* carried out, but no answer is sent */
-	int64_t born_ms;     /* silent: life of the worker that has the order */
+	bool silent; /* carried out, but no answer is sent */
+	/* Silent: life of the worker that has the order, 0: any; report: its sender. */
+	int64_t born_ms;
 	struct dw_room room; /* of a report */
 	int64_t clock_ms;
 	uint64_t leader; /* life of the scheduler that waits for the answer */
@@ -123,6 +128,7 @@
 	uint32_t failed;
 	uint32_t crashes;	  /* of workers, under a run of the task */
 	uint32_t starts_at_third; /* starts when the third of them crashed */
+	bool noted;		  /* an end as done is acknowledged and stands */
 	int64_t done_us;
 	int64_t start_us; /* newest */
 };
@@ -149,6 +155,11 @@
 	uint32_t lost_permille;
 	uint32_t late_permille;
 	uint32_t late_report_permille; /* of the reports */
+	uint32_t late_look_permille;   /* of the looks */
+	bool late_outlive; /* late orders wait in the network, for any life of the worker
+			    */
+	int64_t hold_us; /* each order takes this much longer and gets no answer, 0: none
+			  */
 	int64_t commit_us;
 	int64_t work_us; /* of a batch task */
 	/* Tasks with this index in these jobs crash each worker that starts them. */
@@ -196,6 +207,8 @@
 void dw_cancel(struct dag_world *w, uint64_t id);
 void dw_close_zone(struct dag_world *w, bool closed);
 void dw_crash_worker(struct dag_world *w, uint32_t number, bool restart);
+/* Starts again at once; neither a report nor a broken connection tells of it. */
+void dw_restart_silently(struct dag_world *w, uint32_t number);
 /* Crashes; starts again after a time, under its old or another id. */
 void dw_crash_for(struct dag_world *w, uint32_t number, int64_t us, bool new_id);
 void dw_change_leader(struct dag_world *w);
--- /dev/null
+++ b/regress/test_dag_life.c
@@ -0,0 +1,259 @@
+/* Workers that start again under their id: what belongs to one life ends with it. */
+#include <check.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "regress/lib_dag_world.h"
+
+#define SECOND 1000000LL
+#define MS 1000LL
+
+static struct dag_world w;
+
+static void open_world(void)
+{
+	dw_open(&w, 1);
+}
+
+static void close_world(void)
+{
+	dw_close(&w);
+}
+
+static void assert_completed(uint64_t first, uint64_t n)
+{
+	for (uint64_t id = first; id < first + n; id++)
+		ck_assert_msg(dw_state(&w, id) == DAG_JOB_COMPLETED, "job %llu: %d",
+			      (unsigned long long)id, dw_state(&w, id));
+}
+
+/* Runs tasks on a worker, so that it has listed many ends and each is acknowledged. */
+static uint32_t add_used_worker(void)
+{
+	uint32_t number = dw_add_worker(&w, 32000, 32000);
+
+	dw_run_for(&w, SECOND);
+	dw_submit_chain(&w, 1, 4, 12);
+	dw_run_for(&w, 4 * SECOND);
+	assert_completed(1, 1);
+	ck_assert_uint_eq(w.workers[number].n_ends, 0);
+	return number;
+}
+
+/* The look that goes out next is held up on its way for a time. */
+static void hold_next_look(uint32_t number, int64_t us)
+{
+	uint32_t looks;
+
+	while (!w.workers[number].look_at_us)
+		dw_run_for(&w, 5 * MS);
+	looks = w.workers[number].looks;
+	while (w.workers[number].look_at_us)
+		dw_run_for(&w, 5 * MS);
+	w.hold_us = us;
+	dw_run_for(&w, 40 * MS);
+	w.hold_us = 0;
+	ck_assert_uint_eq(w.workers[number].looks, looks);
+}
+
+/* Guards against a poll of a worker's earlier life that makes the next one forget ends.
+ */
+START_TEST(late_poll_of_an_earlier_life_forgets_nothing)
+{
+	uint32_t number = add_used_worker();
+	uint32_t starts;
+
+	hold_next_look(number, 2 * SECOND + _i * 40 * MS);
+	dw_crash_worker(&w, number, true);
+	dw_run_for(&w, SECOND);
+	starts = w.starts;
+	/* Ends that follow one wait until its record is committed. */
+	w.commit_us = 300 * MS;
+	for (uint64_t id = 2; id < 42; id++) {
+		dw_submit_chain(&w, id, 1, 1);
+		dw_run_for(&w, 30 * MS);
+	}
+	dw_run_for(&w, 10 * SECOND);
+	dw_assert_sound(&w);
+	assert_completed(2, 40);
+	ck_assert_uint_eq(w.starts - starts, 40);
+}
+END_TEST
+
+/*
+ * Guards against a start request of a worker's earlier life that is carried out in the
+ * next one, beside the run that replaces it. _i: when it comes, in steps of 5 ms around
+ * the moment at which the restart is found, by a report or by a list.
+ */
+START_TEST(late_start_of_an_earlier_life_is_refused)
+{
+	bool silent = _i % 2;
+	uint32_t number = dw_add_worker(&w, 8000, 8000);
+
+	w.work_us = 20 * SECOND;
+	dw_run_for(&w, SECOND);
+	dw_submit_chain(&w, 1, 1, 2);
+	w.hold_us = (silent ? 2300 * MS : 2020 * MS) + _i / 2 * 5 * MS;
+	dw_run_for(&w, 60 * MS);
+	w.hold_us = 0;
+	dw_run_for(&w, 1900 * MS);
+	ck_assert_uint_eq(w.starts, 2);
+	dw_add_worker(&w, 16000, 16000);
+	dw_run_for(&w, 100 * MS);
+	if (silent)
+		dw_restart_silently(&w, number);
+	else
+		dw_crash_worker(&w, number, true);
+	dw_run_for(&w, 2 * SECOND);
+	w.workers[number].mute = false;
+	dw_run_for(&w, 40 * SECOND);
+	dw_assert_sound(&w);
+	assert_completed(1, 1);
+}
+END_TEST
+
+/*
+ * Guards a leader against ending because a worker's newer life refuses a call that was
+ * sent to the earlier one; a refusal of a call to the present life does end it.
+ */
+START_TEST(refusal_for_an_earlier_life_ends_no_leader)
+{
+	bool restarted = _i % 2;
+	uint32_t number = dw_add_worker(&w, 8000, 8000);
+	struct dag_task_ref t = {.job = 1};
+
+	w.work_us = 20 * SECOND;
+	dw_run_for(&w, SECOND);
+	w.hold_us = 100 * SECOND;
+	if (_i / 2 == 1)
+		w.hold_us = 0;
+	dw_submit_chain(&w, 1, 1, 1);
+	dw_run_for(&w, 100 * MS);
+	w.hold_us = 100 * SECOND;
+	if (_i / 2 == 1)
+		dw_cancel(&w, 1);
+	dw_run_for(&w, 100 * MS);
+	w.workers[number].reset_us = SECOND;
+	if (restarted)
+		dw_crash_worker(&w, number, true);
+	dw_run_for(&w, 30 * MS);
+	ck_assert(!dag_sched_fenced(w.sched));
+	if (_i / 2 == 0)
+		dag_sched_start_replied(w.sched, 1, &t, 1, DAG_RESULT_FENCED, w.now_us);
+	else if (_i / 2 == 1)
+		dag_sched_stop_replied(w.sched, 1, &t, 1, DAG_RESULT_FENCED, w.now_us);
+	else
+		dag_sched_poll_replied(w.sched, 1, DAG_RESULT_FENCED, NULL, w.now_us);
+	ck_assert(dag_sched_fenced(w.sched) == !restarted);
+}
+END_TEST
+
+/*
+ * Guards against an acknowledgement that reaches a newer life, whose ends nobody has
+ * read: a worker starts again and nothing tells of it, while the record of an end is
+ * delayed.
+ */
+START_TEST(acknowledgement_waits_for_a_new_list_after_a_delay)
+{
+	uint32_t number = add_used_worker();
+	uint32_t starts = w.starts;
+
+	w.commit_us = 600 * MS;
+	w.work_us = 200 * MS;
+	dw_submit_chain(&w, 2, 1, 1);
+	dw_run_for(&w, 300 * MS + _i * 20 * MS);
+	dw_submit_chain(&w, 3, 1, 2);
+	while (w.workers[number].n_ends == 0)
+		dw_run_for(&w, 5 * MS);
+	/* The end of job 2 is listed and not yet recorded. */
+	dw_run_for(&w, 20 * MS);
+	dw_restart_silently(&w, number);
+	dw_run_for(&w, 2 * SECOND);
+	w.workers[number].mute = false;
+	dw_run_for(&w, 10 * SECOND);
+	dw_assert_sound(&w);
+	assert_completed(2, 2);
+	ck_assert_uint_eq(w.starts - starts, 3);
+}
+END_TEST
+
+/* Guards against polls that repeat an acknowledgement for as long as nothing ends. */
+START_TEST(acknowledgement_is_not_repeated)
+{
+	uint32_t number = add_used_worker();
+
+	dw_run_for(&w, 2 * SECOND);
+	ck_assert_uint_eq(w.workers[number].n_ends, 0);
+	ck_assert_uint_gt(w.workers[number].next_end, 48);
+	ck_assert_uint_eq(w.workers[number].seen, 0);
+}
+END_TEST
+
+/* The same acknowledgement, while a poll waits that gets no answer. */
+START_TEST(acknowledgement_waits_for_a_new_list_after_a_lost_poll)
+{
+	uint32_t number = add_used_worker();
+	uint32_t starts = w.starts;
+
+	w.work_us = 200 * MS;
+	while (!w.workers[number].look_at_us)
+		dw_run_for(&w, 5 * MS);
+	dw_restart_silently(&w, number);
+	dw_submit_chain(&w, 2, 1, 2);
+	dw_run_for(&w, 2 * SECOND);
+	w.workers[number].mute = false;
+	dw_run_for(&w, 10 * SECOND);
+	dw_assert_sound(&w);
+	assert_completed(2, 1);
+	ck_assert_uint_eq(w.starts - starts, 2);
+}
+END_TEST
+
+/* The same acknowledgement, where the loss is known soon and the list is new. */
+START_TEST(acknowledgement_waits_for_a_new_list_after_a_broken_poll)
+{
+	uint32_t number = add_used_worker();
+	uint32_t starts = w.starts;
+
+	w.work_us = 200 * MS;
+	dw_submit_chain(&w, 2, 1, 1);
+	dw_run_for(&w, 190 * MS + _i / 10 * 5 * MS);
+	w.work_us = 5 * MS;
+	dw_submit_chain(&w, 3, 1, 1);
+	dw_run_for(&w, 10 * MS + _i % 10 * 5 * MS);
+	w.workers[number].mute = true;
+	w.workers[number].reset_us = 40 * MS;
+	dw_crash_for(&w, number, 15 * MS, false);
+	dw_run_for(&w, 2 * SECOND);
+	w.workers[number].mute = false;
+	dw_run_for(&w, 10 * SECOND);
+	dw_assert_sound(&w);
+	assert_completed(2, 2);
+	ck_assert_uint_le(w.starts - starts, 4);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *s = suite_create("dag_life");
+	TCase *tc = tcase_create("dag_life");
+	SRunner *sr = srunner_create(s);
+	int failed;
+
+	tcase_set_timeout(tc, 120);
+	tcase_add_checked_fixture(tc, open_world, close_world);
+	tcase_add_loop_test(tc, late_poll_of_an_earlier_life_forgets_nothing, 0, 8);
+	tcase_add_loop_test(tc, late_start_of_an_earlier_life_is_refused, 0, 400);
+	tcase_add_loop_test(tc, refusal_for_an_earlier_life_ends_no_leader, 0, 6);
+	tcase_add_loop_test(tc, acknowledgement_waits_for_a_new_list_after_a_delay, 0,
+			    20);
+	tcase_add_test(tc, acknowledgement_waits_for_a_new_list_after_a_lost_poll);
+	tcase_add_test(tc, acknowledgement_is_not_repeated);
+	tcase_add_loop_test(tc, acknowledgement_waits_for_a_new_list_after_a_broken_poll,
+			    0, 200);
+	suite_add_tcase(s, tc);
+	srunner_run_all(sr, CK_NORMAL);
+	failed = srunner_ntests_failed(sr);
+	srunner_free(sr);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
