core/dag: calls for an earlier life of a worker are fenced in the next

The poll's acknowledgement made it forget ends that nobody had read; the runs were missing from its next list, were recorded as lost and started again. A start request for the earlier life acted in the same way beside the run that replaced it.

Cause: the fencing token was the leader's epoch, which stays when a worker restarts. The class: a number that belongs to one life of a process is used in the next.

The token now has the number of the worker's life, as the leader counts it, below the epoch. The first call to the new life raises the worker's fence, and calls for the earlier one are refused. A list that was asked for in an earlier life is not used, since late calls may still change what it shows; and a refusal of a call for an earlier life does not end the leader.

--- a/core/dag_life.c
+++ b/core/dag_life.c
@@ -8,12 +8,26 @@
 #define SLOW_CLOCK_PERCENT 103
 #define LEASE_EXPIRY_MARGIN_US (150 * USEC_PER_MS)
 
+/* JSON numbers are exact up to 53 bits, which leaves 33 to the epoch. */
+#define LIFE_BITS 20
+#define LIFE_MAX ((1U << LIFE_BITS) - 1)
+
 /* When a lease of a worker, counted from from_us, has certainly expired. */
 int64_t ds_lease_expiry_us(int64_t from_us, int64_t lease_us)
 {
 	return from_us + lease_us * SLOW_CLOCK_PERCENT / 100 + LEASE_EXPIRY_MARGIN_US;
 }
 
+/*
+ * Fencing token of a call to a worker. The epoch fences calls of earlier leaders; the
+ * number of the life, in the lower bits, those of this leader for the worker's earlier
+ * lives, which may be carried out late by a newer process.
+ */
+static uint64_t worker_token(const struct dag_sched *s, const struct ds_worker *w)
+{
+	return s->opt.epoch << LIFE_BITS | (w->life < LIFE_MAX ? w->life : LIFE_MAX);
+}
+
 void ds_worker_fill_call(const struct dag_sched *s, const struct ds_worker *w,
 			 struct dag_worker_call *call)
 {
@@ -21,7 +35,7 @@
 		.worker = w->rec->number,
 		.id = XDR_STR(w->rec->w, id),
 		.address = XDR_STR(w->rec->w, address),
-		.token = s->opt.epoch,
+		.token = worker_token(s, w),
 	};
 }
 
@@ -102,11 +116,12 @@
  * A newer process of a worker has a clock of its own and numbers its ends from the start
  * again. Its start is learned from its reports or its lists, whichever come first.
  */
-void ds_worker_follow_start(struct ds_worker *w, int64_t born_ms)
+void ds_worker_follow_start(struct dag_sched *s, struct ds_worker *w, int64_t born_ms)
 {
 	if (born_ms <= w->process_born_ms)
 		return;
 	w->process_born_ms = born_ms;
+	w->life = ++s->n_lives;
 	w->earlier_left = w->leaving_since_us || w->draining;
 	w->leaving_since_us = 0;
 	w->clock_known = false;
--- a/core/dag_worker.c
+++ b/core/dag_worker.c
@@ -65,6 +65,7 @@
 	TAILQ_INIT(&w->runs);
 	w->rec = rec;
 	w->process_born_ms = rec->w.born_ms;
+	w->life = ++s->n_lives;
 	rec->sched = w;
 	w->reported = ds_capacity_of(&rec->w);
 	w->contact_lost = rec->lost;
@@ -233,6 +234,7 @@
 				    ? POLL_WAIT_MIXED_MS
 				    : POLL_WAIT_MS;
 	w->poll_in_flight = true;
+	w->poll_life = w->life;
 	w->poll_sent_us = s->now_us;
 	s->host->ops->poll(s->host, &o);
 }
@@ -500,7 +502,6 @@
 
 	if (ds_worker_reply_is_old(w, poll))
 		return;
-	ds_worker_propose_start(s, w, poll->born_ms);
 	clear_listed(w);
 	w->has_new_ends = false;
 	had_strays = w->has_strays;
@@ -552,11 +553,15 @@
 	struct ds_worker *w = find_worker(s, worker);
 
 	s->now_us = now_us;
-	if (result == DAG_RESULT_FENCED)
-		s->fenced = true;
 	if (!w || !w->poll_in_flight)
 		return;
 	w->poll_in_flight = false;
+	if (result == DAG_RESULT_FENCED) {
+		/* A call to a newer life of the worker may have overtaken this one. */
+		s->fenced = s->fenced || w->poll_life == w->life;
+		w->next_poll_us = now_us;
+		return;
+	}
 	if (w->contradicted) {
 		w->contradicted = false;
 		if (poll && poll->born_ms == w->rec->w.born_ms &&
@@ -589,13 +594,19 @@
 					w->poll_failures);
 		s->placement_needed = true;
 	}
-	ds_worker_follow_start(w, poll->born_ms);
+	ds_worker_follow_start(s, w, poll->born_ms);
 	if (!w->clock_known)
 		s->placement_needed = true;
 	w->poll_failures = 0;
 	ds_worker_regain_contact(s, w);
 	if (!ds_worker_reply_is_old(w, poll))
 		ds_worker_record_contact(w, poll, now_us);
+	ds_worker_propose_start(s, w, poll->born_ms);
+	/* Calls for an earlier life may still come after this list. */
+	if (w->poll_life != w->life) {
+		w->next_poll_us = now_us;
+		return;
+	}
 	process_poll_reply(s, w, poll);
 	w->polled = true;
 	w->polled_us = now_us;
