core/dag: an end is acknowledged soon after a list that has it, or listed again

The next poll acknowledged the ends of the earlier life, whose numbers the new life uses again; ends that nobody had read were forgotten, and their runs were recorded as lost.

A poll now acknowledges ends only if the newest list has them, is at most 100 ms old and no poll has failed since. An acknowledgement is not repeated either.

--- a/core/dag_life.c
+++ b/core/dag_life.c
@@ -126,6 +126,7 @@
 	w->leaving_since_us = 0;
 	w->clock_known = false;
 	w->acked_end = 0;
+	w->first_listed_end = 0;
 	w->last_listed_end = 0;
 	w->held_end = 0;
 }
--- a/core/dag_sched_impl.h
+++ b/core/dag_sched_impl.h
@@ -157,7 +157,8 @@
 	int64_t next_poll_us;
 	unsigned int poll_failures;
 	uint64_t acked_end;	   /* ends up to this number are acknowledged */
-	uint64_t last_listed_end;  /* highest number in its newest list */
+	uint64_t first_listed_end; /* lowest number in its newest list, 0: no end */
+	uint64_t last_listed_end;  /* highest number in its lists */
 	uint32_t ends_uncommitted; /* listed ends whose records are not committed */
 	uint64_t held_end;	   /* lowest end that is not acknowledged, 0: none */
 	bool has_new_ends; /* the newest list has ends that are new to the leader */
--- a/core/dag_worker.c
+++ b/core/dag_worker.c
@@ -24,6 +24,11 @@
 /* Consecutive failures that quarantine a worker, and for how long. */
 #define FAIL_STREAK_MAX 2U
 #define QUARANTINE_US (5 * USEC_PER_SEC)
+/*
+ * Ends are acknowledged this soon after a list that has them, or not at all: in less time
+ * no worker starts again, runs a task and has its end to list.
+ */
+#define ACK_LIST_AGE_MAX_US (100 * USEC_PER_MS)
 /*
  * A worker lists at most 500 ends, so an end that stays unacknowledged would hide later
  * ones. It is acknowledged once this many ends follow it.
@@ -220,10 +225,28 @@
 	return serving && filler;
 }
 
+/* Whether the newest list has ends that are to be acknowledged. */
+static bool has_ends_to_ack(const struct ds_worker *w)
+{
+	return w->first_listed_end && w->first_listed_end <= w->acked_end;
+}
+
+/*
+ * The number up to which a poll acknowledges ends. 0, which acknowledges none, if a newer
+ * process may have taken the worker's place unnoticed: its ends have the same numbers.
+ */
+static uint64_t end_to_ack(const struct dag_sched *s, const struct ds_worker *w)
+{
+	if (!has_ends_to_ack(w) || w->poll_failures ||
+	    s->now_us - w->polled_us > ACK_LIST_AGE_MAX_US)
+		return 0;
+	return w->acked_end;
+}
+
 /* Sends a poll, which also renews the lease if the worker has runs. */
 static void poll_worker(struct dag_sched *s, struct ds_worker *w)
 {
-	struct dag_poll_command o = {.acked_end = w->acked_end};
+	struct dag_poll_command o = {.acked_end = end_to_ack(s, w)};
 
 	ds_worker_fill_call(s, w, &o.call);
 	/* A worker that fails polls gets no new lease, so that its runs end. */
@@ -448,6 +471,8 @@
 
 	if (r && r->worker != w)
 		r = NULL;
+	if (!w->first_listed_end || l->number < w->first_listed_end)
+		w->first_listed_end = l->number;
 	if (l->number > w->last_listed_end) {
 		w->last_listed_end = l->number;
 		w->has_new_ends = true;
@@ -504,6 +529,7 @@
 		return;
 	clear_listed(w);
 	w->has_new_ends = false;
+	w->first_listed_end = 0;
 	had_strays = w->has_strays;
 	w->has_strays = false;
 	for (size_t i = 0; i < poll->n_running; i++)
@@ -614,7 +640,10 @@
 	 * The worker replies at once while an end is unacknowledged; wait, so that polls
 	 * do not follow each other without a pause.
 	 */
-	w->next_poll_us = now_us + (w->has_new_ends ? 0
-				    : w->held_end   ? POLL_RETRY_US
-						    : POLL_INTERVAL_US);
+	if (w->has_new_ends)
+		w->next_poll_us = now_us;
+	else if (w->held_end && !has_ends_to_ack(w))
+		w->next_poll_us = now_us + POLL_RETRY_US;
+	else
+		w->next_poll_us = now_us + POLL_INTERVAL_US;
 }
