core/dag: the leader logs when it learns of a worker's restart

The log had reports of new executors only. worker-restarted tells when the leader learned of a newer process under a known id, also from a list, and which ends it had acknowledged until then; with run-ended "missing from the worker's list" this tells an acknowledgement that reached the wrong process from an end that was never listed. test_log_schema, test_dag_life (636 of 636 cases) pass.

--- a/core/dag_life.c
+++ b/core/dag_life.c
@@ -120,6 +120,10 @@
 {
 	if (born_ms <= w->process_born_ms)
 		return;
+	s->host->ops->log_event(s->host, "worker-restarted", NULL, 0,
+				XDR_STR(w->rec->w, id),
+				"value: newest end that its earlier process may forget",
+				(int64_t)w->acked_end);
 	w->process_born_ms = born_ms;
 	w->life = ++s->n_lives;
 	w->earlier_left = w->leaving_since_us || w->draining;
