regress: the soak takes the numbers of its processes

CONTROLLERS, GATEWAYS and EXECUTOR_PROCESSES come from the environment beside SEED and SECONDS, so that runs by hand may use as many processes as the machine allows.

--- a/regress/soak_site.sh
+++ b/regress/soak_site.sh
@@ -3,7 +3,8 @@
 # several disturbances run at a time.
 
 MAX_RSS_KB=${MAX_RSS_KB:-131072}
-MAX_DESCRIPTORS=160
+# A connection in each direction with each other daemon, and some more.
+MAX_DESCRIPTORS=$((160 + 2 * (N_CONTROLLERS + N_GATEWAYS + 2 * N_EXECUTORS - 13)))
 DISK_STALL_S=60 # a process in a sync ends only after it, also when it is killed
 
 soak_fail() {
@@ -82,11 +83,14 @@
 soak_run() { # NAME
 	case $1 in
 	x*)
+		controls=
+		for i in $(seq "$N_CONTROLLERS"); do
+			controls="$controls --control 127.0.6.$i:$CONTROL"
+		done
 		soak_spawn "$1" "$BUILD/bin/executor" \
-			--listen 127.0.3.1:$((PORT + 10 * ${1#x})) --count 2 --zone z"${1#x}" \
-			--announce 127.0.4.1 --service svc --control 127.0.6.1:$CONTROL \
-			--control 127.0.6.2:$CONTROL --control 127.0.6.3:$CONTROL \
-			--control 127.0.6.4:$CONTROL --control 127.0.6.5:$CONTROL \
+			--listen 127.0.3.1:$((PORT + 10 * ${1#x})) --count 2 \
+			--zone z$(((${1#x} - 1) % 3 + 1)) \
+			--announce 127.0.4.1 --service svc $controls \
 			--work-ms 300 --ledger "$D/ledger"
 		;;
 	*)
@@ -98,13 +102,13 @@
 soak_start() {
 	: >"$D/ledger" && : >"$D/callers" && : >"$D/zones" && : >"$D/conf" && : >"$D/events"
 	pairs=
-	for i in 1 2 3 4 5; do
+	for i in $(seq "$N_CONTROLLERS"); do
 		pairs="$pairs --pair c$i=127.0.6.$i:$CONTROL=127.0.1.$i:$CONTROL"
 	done
-	for i in 1 2; do
+	for i in $(seq "$N_GATEWAYS"); do
 		pairs="$pairs --pair g$i=127.0.5.$i:$CALLERS=127.0.2.$i:$CALLERS"
 	done
-	for i in 1 2 3; do
+	for i in $(seq "$N_EXECUTORS"); do
 		for n in 0 1; do
 			p=$((PORT + 10 * i + n))
 			pairs="$pairs --pair x$i-$n=127.0.4.1:$p=127.0.3.1:$p"
@@ -213,7 +217,7 @@
 # a voter again.
 soak_lose_data() { # NAME
 	lost=0
-	for c in 1 2 3 4 5; do
+	for c in $(seq "$N_CONTROLLERS"); do
 		[ -e "$D/lost.c$c" ] || continue
 		if tail -n +"$(cat "$D/lost.c$c")" "$D/c$c.log" |
 			grep -q 'event=role-changed role=[1-4]'; then
@@ -261,12 +265,14 @@
 # The plan has lines "WAIT KIND NAME PAUSE": series of events that follow each other within
 # a second and last for up to 5 s, with 1 to 4 s between the series.
 soak_plan() {
-	awk -v seed="$SEED" -v seconds="$SECONDS" '
+	# Controllers are drawn twice as often as others.
+	awk -v seed="$SEED" -v seconds="$SECONDS" \
+		-v all="$(names c "$N_CONTROLLERS")$DAEMONS$EXECUTORS" '
 	function draw(n) { return int(rand() * n) }
 	BEGIN {
 		srand(seed)
 		n_kinds = split("term term kill kill lose stop stop hup cut", kinds, " ")
-		n_names = split("c1 c2 c3 c4 c5 c1 c2 c3 c4 c5 g1 g2 x1 x2 x3", names, " ")
+		n_names = split(all, names, " ")
 		for (t = 0; t < seconds;) {
 			wait = 1 + rand() * 3
 			for (n = 1 + draw(5); n > 0; n--) {
--- a/regress/test_site_soak.sh
+++ b/regress/test_site_soak.sh
@@ -2,7 +2,8 @@
 # Guards against faults that need several disturbances at once: 5 controllers, 2 gateways,
 # executors, callers and operators, while processes are stopped, killed and paused, data
 # directories are lost and connections are cut, in series drawn from SEED for SECONDS.
-# SEED and SECONDS come from the environment; a failed run is repeated with its seed.
+# SEED and SECONDS come from the environment, and so may the numbers of processes; a failed
+# run is repeated with the same.
 set -u
 cd "$(dirname "$0")/.."
 BUILD=${BUILD:-build}
@@ -13,8 +14,14 @@
 D=$(mktemp -d)
 RPC=$PORT CONTROL=$((PORT + 1)) CALLERS=$((PORT + 2)) HEALTH=$((PORT + 3))
 PROXY=127.0.9.1:$((PORT + 4))
-DAEMONS="c1 c2 c3 c4 c5 g1 g2"
-EXECUTORS="x1 x2 x3"
+names() { # PREFIX COUNT
+	seq -f "$1%g" "$2" | tr '\n' ' '
+}
+N_CONTROLLERS=${CONTROLLERS:-5}
+N_GATEWAYS=${GATEWAYS:-2}
+N_EXECUTORS=${EXECUTOR_PROCESSES:-3}
+DAEMONS="$(names c "$N_CONTROLLERS")$(names g "$N_GATEWAYS")"
+EXECUTORS=$(names x "$N_EXECUTORS")
 . regress/site_checks.sh
 . regress/soak_site.sh
 trap soak_end EXIT
@@ -27,7 +34,7 @@
 operators="$operators $!"
 for k in 1 2; do
 	soak_spawn r$k "$BUILD/bin/jobcaller" --gateway 127.0.5.1:$CALLERS \
-		--gateway 127.0.5.2:$CALLERS --number $k --seed "$SEED" \
+		--gateway "127.0.5.$N_GATEWAYS:$CALLERS" --number $k --seed "$SEED" \
 		--seconds "$SECONDS" --settle 25 --ledger "$D/callers"
 done
 soak_disturb
