standins/jobcaller: what lasts is read until it runs

The job was accepted at 453.008 s, read as queued at 453.173 s and its tasks started at 453.178 s (ledger); the caller then read it no more, so that the check judged a state of 165 ms after acceptance. It is read until it is running, or the time to settle is over: the check now asks of each lasting job what it meant to ask.

--- a/standins/jobcaller.c
+++ b/standins/jobcaller.c
@@ -37,7 +37,7 @@
 	bool cancelling;
 	bool cancelled; /* the cancellation is acknowledged */
 	bool ended;
-	bool known; /* its state was read at the end */
+	bool running; /* as its newest state says */
 };
 
 struct answer {
@@ -195,7 +195,7 @@
 	state = json_string_value(json_object_get(root, "state"));
 	if (a.status == 200 && state) {
 		record(event, j, state);
-		j->known = true;
+		j->running = strcmp(state, "running") == 0;
 		j->ended = strcmp(state, "queued") != 0 && strcmp(state, "running") != 0;
 	} else {
 		record_status(event, j, a.status);
@@ -236,7 +236,7 @@
 
 /*
  * Reads what was accepted until all has ended, and sends cancellations again that had no
- * clear answer; what lasts must be known at least.
+ * clear answer; what lasts must be running.
  */
 static void settle(double seconds)
 {
@@ -244,19 +244,19 @@
 	size_t open = 1;
 
 	for (size_t i = 0; i < n_jobs; i++)
-		jobs[i].known = false;
+		jobs[i].running = false;
 	while (open && mono_us() < end_us) {
 		open = 0;
 		for (size_t i = 0; i < n_jobs; i++) {
 			struct job *j = &jobs[i];
 
 			if (!j->accepted || j->ended ||
-			    (j->lasts && !j->cancelling && j->known))
+			    (j->lasts && !j->cancelling && j->running))
 				continue;
 			if (j->cancelling && !j->cancelled)
 				cancel(j);
 			read_state(j, "state");
-			open += !j->ended && !(j->lasts && !j->cancelling && j->known);
+			open += !j->ended && !(j->lasts && !j->cancelling && j->running);
 		}
 		pause_ms(BACKOFF_MS);
 	}
