standins/executor: keeps ends as the platform's executors do

The leader held back the acknowledgement of an end of a run that was recorded as lost (end-held, number 130), which it does for up to 300 ends; the stand-in kept 256. Executors keep all and list 500 at a time, so the stand-in does as well, and ends itself only above 4,096.

--- a/standins/executor.c
+++ b/standins/executor.c
@@ -28,6 +28,8 @@
 
 #define MAX_EXECUTORS 32
 #define MAX_RUNS 256
+#define MAX_ENDS 4096
+#define MAX_LISTED_ENDS 500
 #define MAX_CONTROLS 8
 #define REPORT_S 0.5
 #define TICK_S 0.01
@@ -64,7 +66,7 @@
 	char id[32];
 	char announced[64];
 	struct run runs[MAX_RUNS];
-	struct end ends[MAX_RUNS];
+	struct end ends[MAX_ENDS];
 	size_t n_ends;
 	struct last_run *last_runs;
 	int64_t next_end;
@@ -166,7 +168,7 @@
 {
 	struct end *x;
 
-	if (e->n_ends == MAX_RUNS)
+	if (e->n_ends == MAX_ENDS)
 		errx(1, "too many ends wait to be seen");
 	x = &e->ends[e->n_ends++];
 	x->number = e->next_end++;
@@ -190,7 +192,7 @@
 					      json_pack("[sIsii]", e->runs[i].task,
 							(json_int_t)e->runs[i].run, "",
 							50, 1000));
-	for (size_t i = 0; i < e->n_ends; i++)
+	for (size_t i = 0; i < e->n_ends && i < MAX_LISTED_ENDS; i++)
 		json_array_append_new(
 			ended, json_pack("[IsIss]", (json_int_t)e->ends[i].number,
 					 e->ends[i].task, (json_int_t)e->ends[i].run,
