--- a/regress/soak_site.sh
+++ b/regress/soak_site.sh
@@ -49,7 +49,8 @@
 		"$@" >>"$D/$spawned.log" 2>&1 &
 		echo $! >"$D/$spawned.pid"
 		wait $! 2>/dev/null
-		echo $? >"$D/$spawned.status"
+		echo $? >"$D/$spawned.status.new"
+		mv "$D/$spawned.status.new" "$D/$spawned.status"
 	) 2>/dev/null &
 	soak_until 5 [ -s "$D/$spawned.pid" ]
 }
