regress: the soak allows that a job is given up after three crashes under its task

Trace of: six executor processes were killed or ended under runs of its tasks in 33 s, three of them (30.5, 35.1 and 35.4 s) within 2 s of the run's start, so that the leader counted them and gave the task up after the third, on trial alone.

--- a/regress/site_checks.sh
+++ b/regress/site_checks.sh
@@ -100,7 +100,8 @@
 # check_graph_jobs EXECUTOR-LEDGER CALLER-LEDGER: a task runs at one place at a time and
 # not again after an end "done" was seen within the lease; a step starts after the one
 # before; a refused job never starts, a cancelled one starts nothing 3 s after; accepted
-# jobs are known and complete; "completed" is said when all tasks are done and stays.
+# jobs are known and complete; "completed" is said when all tasks are done and stays;
+# a job fails only if three executors were killed under runs of one of its tasks.
 # The ledgers are those of the stand-ins executor and jobcaller.
 check_graph_jobs() {
 	# Only an end with the lease is written late, at the time of the lease.
@@ -130,7 +131,7 @@
 			fault("accepted job is not known: " $0)
 		if ($3 ~ /^[0-9]/) next
 		if (completed[$2] && $3 != "completed") fault("completed, then " $0)
-		if ($3 == "failed") fault("job without a failed task failed: " $0)
+		if ($3 == "failed") failed[$2] = $0
 		if ($3 == "cancelled" && !cancelling[$2]) fault("not cancelled: " $0)
 		if ($3 == "completed" && !completed[$2]) completed[$2] = $4
 		final[$2] = $3
@@ -138,7 +139,10 @@
 	}
 	$1 == "fenced" { next }
 	$1 == "killed" {
-		for (t in on) if (index(on[t], $4 "-") == 1) delete on[t]
+		for (t in on) if (index(on[t], $4 "-") == 1) {
+			delete on[t]
+			if (++crashes[t] == 3) may_fail[job_of(t)] = 1
+		}
 		# An end that was not seen until now is lost with its process.
 		for (t in done) {
 			split(done[t], part, " ")
@@ -175,6 +179,8 @@
 		for (j in shape) {
 			jobs++
 			if (accepted[j]) taken++
+			if (failed[j] && may_fail[j]) continue
+			if (failed[j]) fault("job without a failed task failed: " failed[j])
 			n = split(shape[j], step, ",")
 			if (shape[j] ~ /^L/) {
 				if (accepted[j] && !cancelling[j] && final[j] != "running")
