relay, agent: calls name the life of the gateway that is to make them

A gateway makes a call until a time on its own clock, which the leader computes from the gateway's last report. Where the VM of a gateway started again, its clock began anew, and calls that the leader sent before the first report of the new process, or after a late report of the old one, were valid for as long as the former VM had been up. A start request that was held up, or that a leader sent whose lease had ended, was carried out seconds later. Calls that the old process had taken ended only after 2.5 s, and the new gateway was then avoided for 2 s for them.

Cause: the offset between two clocks belongs to one life of the gateway's process and was used for the next one at its address. A process now draws a number at its start, reports it, and refuses calls for another number. At the first report with a new number the leader ends the calls of the former life as unanswered and connects anew.

test_relay, before: call_for_an_earlier_life_of_a_gateway_is_not_carried_out (one start carried out) and calls_of_an_earlier_life_of_a_gateway_end_with_it failed, 8 of 10 passed; now 10 of 10. test_log_schema passes.

--- a/carawayfrontd/agent.c
+++ b/carawayfrontd/agent.c
@@ -2,6 +2,7 @@
 
 #include <stddef.h>
 #include <stdlib.h>
+#include <sys/random.h>
 
 #include <uthash.h>
 
@@ -36,6 +37,7 @@
 	struct agent_options opt;
 	struct rpc_server *rpc;
 	struct dag_transport *transport;
+	uint64_t life;
 	uint64_t leader; /* whose calls are served */
 	struct rpc_client *client;
 	struct agent_call *calls; /* by number */
@@ -213,10 +215,11 @@
 }
 
 /*
- * Refuses a call that arrived too late: a partition or a busy process held it up, and the
- * leader may have decided otherwise since then.
+ * Refuses a call that arrived too late, or that an earlier life of this process was to
+ * make: a partition or a busy process held it up, and the leader may have decided
+ * otherwise since then.
  */
-static void refuse_expired(struct agent *a, const struct dag_call *c)
+static void refuse_call(struct agent *a, const struct dag_call *c)
 {
 	struct dag_call_answer answer = {.id = c->id, .answer = DAG_RESULT_UNKNOWN};
 
@@ -226,22 +229,25 @@
 
 static void serve_calls(struct agent *a, const struct dag_calls *list)
 {
+	/* The times of other calls are of another clock. */
+	bool current = list->life == a->life;
 	int64_t now_us = clock_us();
-	unsigned int expired = 0;
+	unsigned int refused = 0;
 
 	for (u_int i = 0; i < list->calls.calls_len; i++) {
 		const struct dag_call *c = &list->calls.calls_val[i];
 
-		if (now_us <= c->expires_us) {
+		if (current && now_us <= c->expires_us) {
 			serve_call(a, c);
 			continue;
 		}
-		refuse_expired(a, c);
-		expired++;
+		refuse_call(a, c);
+		refused++;
 	}
-	if (expired)
-		log_info("calls-expired", "calls=%u leader=%llx", expired,
-			 (unsigned long long)list->leader);
+	if (refused)
+		log_info("calls-refused", "calls=%u leader=%llx reason=\"%s\"", refused,
+			 (unsigned long long)list->leader,
+			 current ? "expired" : "for an earlier life");
 }
 
 static void connect_to_leader(struct agent *a, uint64_t leader)
@@ -282,6 +288,14 @@
 
 static const struct rpc_server_ops rpc_ops = {.call = on_rpc};
 
+static int draw_life(struct agent *a)
+{
+	if (getrandom(&a->life, sizeof(a->life), 0) != sizeof(a->life))
+		return CF_EIO;
+	a->life |= 1; /* not 0 */
+	return 0;
+}
+
 int agent_new(const struct agent_options *opt, struct agent **out)
 {
 	struct agent *a = calloc(1, sizeof(*a));
@@ -302,7 +316,9 @@
 	executors.user = &a->user;
 	ev_prepare_init(&a->prepare, on_prepare);
 	a->prepare.data = a;
-	err = executors_new(&executors, &a->transport);
+	err = draw_life(a);
+	if (!err)
+		err = executors_new(&executors, &a->transport);
 	if (!err)
 		err = rpc_server_new(&rpc, &a->rpc);
 	if (err) {
@@ -335,3 +351,8 @@
 	buf_free(&a->batch);
 	free(a);
 }
+
+uint64_t agent_life(const struct agent *a)
+{
+	return a->life;
+}
--- a/carawayfrontd/agent.h
+++ b/carawayfrontd/agent.h
@@ -19,5 +19,7 @@
 
 int agent_new(const struct agent_options *opt, struct agent **out);
 void agent_free(struct agent *a);
+/* Random number of this process, for its reports to the leader; never 0. */
+uint64_t agent_life(const struct agent *a);
 
 #endif
--- a/carawayfrontd/gateway.c
+++ b/carawayfrontd/gateway.c
@@ -179,6 +179,7 @@
 	g->checking = true;
 	g->checked = ev_now(g->loop);
 	req.dag_request_u.agent.id = node_id(&g->settings->listen.rpc);
+	req.dag_request_u.agent.life = agent_life(g->agent);
 	XDR_SET(req.dag_request_u.agent, zone, g->settings->zone);
 	req.dag_request_u.agent.clock_us = clock_us();
 	dag_client_request(g->client, &req, CHECK_TIMEOUT_S, &g->check);
--- a/carawayfrontd/relay.c
+++ b/carawayfrontd/relay.c
@@ -30,6 +30,7 @@
 /* A gateway. */
 struct relay_agent {
 	uint64_t id;
+	uint64_t life; /* of its process */
 	char zone[ZONE_MAX];
 	struct rpc_client *client;
 	int64_t clock_offset_us; /* its clock is ahead of ours by this or more */
@@ -77,18 +78,27 @@
 	return NULL;
 }
 
-/* A gateway that was not heard for long makes room for a new one. */
-static struct relay_agent *new_agent(struct relay *r, uint64_t id)
+/* Makes a new connection to a gateway; what the old one still holds is dropped. */
+static int connect_agent(struct relay *r, struct relay_agent *a)
 {
 	struct rpc_client_options opt = {
 		.loop = r->opt.loop,
 		.member = r->opt.settings->name,
 		.key = r->opt.settings->cluster_key,
 	};
+
+	rpc_client_free(a->client);
+	a->client = NULL;
+	if (node_addr(a->id, &opt.address))
+		return CF_EINVAL;
+	return rpc_client_new(&opt, &a->client);
+}
+
+/* A gateway that was not heard for long makes room for a new one. */
+static struct relay_agent *new_agent(struct relay *r, uint64_t id)
+{
 	struct relay_agent *a = NULL;
 
-	if (node_addr(id, &opt.address))
-		return NULL;
 	for (size_t i = 0; i < r->n_agents && !a; i++)
 		if (ev_now(r->opt.loop) - r->agents[i].heard > 10 * ALIVE_S)
 			a = &r->agents[i];
@@ -101,29 +111,13 @@
 		return NULL;
 	}
 	*a = (struct relay_agent){.id = id};
-	if (rpc_client_new(&opt, &a->client)) {
+	if (connect_agent(r, a)) {
 		a->id = 0;
 		return NULL;
 	}
 	return a;
 }
 
-/* A gateway said that it can make calls. */
-void relay_agent(struct relay *r, const struct dag_agent *agent)
-{
-	struct relay_agent *a = find_agent(r, agent->id);
-	struct str zone = XDR_STR(*agent, zone);
-
-	if (!a)
-		a = new_agent(r, agent->id);
-	if (!a || zone.n >= ZONE_MAX)
-		return;
-	memcpy(a->zone, zone.p, zone.n);
-	a->zone[zone.n] = '\0';
-	a->heard = ev_now(r->opt.loop);
-	a->clock_offset_us = agent->clock_us - clock_us();
-}
-
 static bool is_usable(const struct relay *r, const struct relay_agent *a)
 {
 	double now = ev_now(r->opt.loop);
@@ -320,15 +314,18 @@
 	.poll = send_poll,
 };
 
-/* An encoded dag_calls: the leader, the number of calls, the calls. */
+/* An encoded dag_calls: the leader, the gateway's life, the number of calls, the calls.
+ */
 static void send_batch(struct relay *r, struct relay_agent *a)
 {
-	unsigned char head[12];
+	unsigned char head[20];
 	struct buf bytes = {0};
 
 	codec_put_u32(head, (uint32_t)(r->opt.self >> 32));
 	codec_put_u32(head + 4, (uint32_t)r->opt.self);
-	codec_put_u32(head + 8, a->n_batch);
+	codec_put_u32(head + 8, (uint32_t)(a->life >> 32));
+	codec_put_u32(head + 12, (uint32_t)a->life);
+	codec_put_u32(head + 16, a->n_batch);
 	if (buf_add(&bytes, head, sizeof(head)) ||
 	    buf_add(&bytes, a->batch.p, a->batch.n) ||
 	    rpc_client_post(a->client, RELAY_PROC_CALLS, buf_str(&bytes)))
@@ -363,6 +360,45 @@
 	free(call);
 }
 
+/* Ends the calls of an earlier life of a gateway, which nobody answers, and forgets it.
+ */
+static void restart_agent(struct relay *r, struct relay_agent *a)
+{
+	struct relay_call *call, *next;
+	uint64_t id = a->id;
+
+	log_info("gateway-restarted", "gateway=%llx", (unsigned long long)id);
+	a->avoid_until = 0;
+	a->batch.n = 0;
+	a->n_batch = 0;
+	if (connect_agent(r, a))
+		a->id = 0;
+	for (call = r->calls; call; call = next) {
+		next = call->hh.next;
+		if (call->agent == id)
+			end_call(r, call, DAG_RESULT_UNKNOWN, NULL);
+	}
+}
+
+/* A gateway said that it can make calls. */
+void relay_agent(struct relay *r, const struct dag_agent *agent)
+{
+	struct relay_agent *a = find_agent(r, agent->id);
+	struct str zone = XDR_STR(*agent, zone);
+
+	if (!a)
+		a = new_agent(r, agent->id);
+	if (!a || zone.n >= ZONE_MAX)
+		return;
+	if (a->life && a->life != agent->life)
+		restart_agent(r, a);
+	a->life = agent->life;
+	memcpy(a->zone, zone.p, zone.n);
+	a->zone[zone.n] = '\0';
+	a->heard = ev_now(r->opt.loop);
+	a->clock_offset_us = agent->clock_us - clock_us();
+}
+
 static void on_sweep(struct ev_loop *loop, struct ev_timer *t, int events)
 {
 	struct relay *r = t->data;
--- a/proto/dag.h
+++ b/proto/dag.h
@@ -359,6 +359,7 @@
 
 struct dag_calls {
 	u_quad_t leader;
+	u_quad_t life;
 	struct {
 		u_int calls_len;
 		struct dag_call *calls_val;
@@ -406,6 +407,7 @@
 
 struct dag_agent {
 	u_quad_t id;
+	u_quad_t life;
 	struct {
 		u_int zone_len;
 		char *zone_val;
--- a/proto/dag.x
+++ b/proto/dag.x
@@ -267,9 +267,13 @@
 	hyper expires_us; /* on the gateway's clock; it is not made after that */
 };
 
-/* leader: where the answers go. */
+/*
+ * leader: where the answers go. life: of the gateway's process, whose clock the calls
+ * expire by; another process at its address makes none of them.
+ */
 struct dag_calls {
 	unsigned hyper leader;
+	unsigned hyper life;
 	dag_call calls<>;
 };
 
@@ -301,9 +305,13 @@
 	dag_call_answer answers<>;
 };
 
-/* A gateway that can make calls; id is that of its RPC listener. */
+/*
+ * A gateway that can make calls; id is that of its RPC listener, life a random number of
+ * its process.
+ */
 struct dag_agent {
 	unsigned hyper id;
+	unsigned hyper life;
 	opaque zone<DAG_MAX_NAME>;
 	hyper clock_us; /* its clock when it reported */
 };
--- a/proto/dag_xdr.c
+++ b/proto/dag_xdr.c
@@ -865,6 +865,8 @@
 
 	 if (!xdr_u_quad_t (xdrs, &objp->leader))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->life))
+		 return FALSE;
 	 if (!codec_array (xdrs, (char **)&objp->calls.calls_val, (u_int *) &objp->calls.calls_len, ~0,
 		sizeof (struct dag_call), (xdrproc_t) xdr_dag_call))
 		 return FALSE;
@@ -943,6 +945,8 @@
 
 	 if (!xdr_u_quad_t (xdrs, &objp->id))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->life))
+		 return FALSE;
 	 if (!codec_bytes (xdrs, (char **)&objp->zone.zone_val, (u_int *) &objp->zone.zone_len, DAG_MAX_NAME))
 		 return FALSE;
 	 if (!xdr_quad_t (xdrs, &objp->clock_us))
--- a/regress/test_relay.c
+++ b/regress/test_relay.c
@@ -26,6 +26,7 @@
 #define CONNECTIONS_A_WORKER 4 /* that a gateway opens at most */
 /* Longer than a call may stay without an answer and its gateway be avoided. */
 #define PATIENCE_S 4.0
+#define HOUR_US 3600000000LL
 
 struct gateway {
 	struct rpc_server_host host;
@@ -55,6 +56,7 @@
 static struct settings settings;
 static struct relay *relay;
 static uint64_t gateway_id;
+static uint64_t life_of_gateway;
 
 static void on_call(struct rpc_server_host *host, struct rpc_call *call)
 {
@@ -162,6 +164,8 @@
 {
 	struct dag_agent a = {.id = gateway_id, .clock_us = clock_us()};
 
+	a.life = 1 + life_of_gateway;
+
 	XDR_SET(a, zone, STR("a"));
 	relay_agent(relay, &a);
 }
@@ -358,6 +362,13 @@
 	struct dag_agent report;
 };
 
+/* Fills in what the gateway's process says of itself. */
+static void far_report(struct far *f)
+{
+	f->report.life = agent_life(f->agent);
+	f->report.clock_us = clock_us();
+}
+
 static void far_open(struct far *f)
 {
 	struct agent_options opt = {.settings = &f->settings};
@@ -369,6 +380,7 @@
 	ck_assert_int_eq(addr_parse(STR(AGENT_ADDRESS), &f->settings.listen.rpc), 0);
 	f->report.id = node_id(&f->settings.listen.rpc);
 	ck_assert_int_eq(agent_new(&opt, &f->agent), 0);
+	far_report(f);
 }
 
 static void far_close(struct far *f)
@@ -530,6 +542,83 @@
 }
 END_TEST
 
+/* Replaces the process of a gateway by a new one at the same address. */
+static void far_restart(struct far *f)
+{
+	struct agent_options opt = {.loop = f->loop, .settings = &f->settings};
+
+	agent_free(f->agent);
+	ck_assert_int_eq(agent_new(&opt, &f->agent), 0);
+}
+
+/* Runs the leader's loop without a report of a gateway. */
+static void play_leader_alone(double seconds)
+{
+	double end = ev_time() + seconds;
+
+	while (ev_time() < end) {
+		relay_flush(relay);
+		ev_run(loop, EVRUN_NOWAIT);
+		ev_sleep(0.002);
+	}
+}
+
+/* Guards against calls that a restarted gateway makes by its earlier life's clock. */
+START_TEST(call_for_an_earlier_life_of_a_gateway_is_not_carried_out)
+{
+	struct dag_agent earlier;
+	struct fake worker;
+	struct far f;
+
+	far_open(&f);
+	fake_open(&worker, WORKER_PORT);
+	fake_say(&worker, "POST", "/api/run-start", 200, "{\"clock_ms\":1}", NULL, 0);
+	earlier = f.report;
+	earlier.clock_us = clock_us() + HOUR_US;
+	relay_agent(relay, &earlier);
+	far_restart(&f);
+	order_start(1);
+	play_leader_alone(1.2);
+	play_gateway(f.loop, 0.3);
+	ck_assert_uint_eq(fake_count(&worker, "run-start"), 0);
+	far_report(&f);
+	relay_agent(relay, &f.report);
+	relay_agent(relay, &earlier); /* it was on its way for longer */
+	order_start(2);
+	play_leader_alone(1.2);
+	play_gateway(f.loop, 0.3);
+	ck_assert_uint_eq(fake_count(&worker, "run-start"), 0);
+	play_leader(&f.report, 0.1);
+	order_start(3);
+	play_leader(&f.report, 0.2);
+	play_gateway(f.loop, 0.5);
+	ck_assert_uint_eq(fake_count(&worker, "run-start"), 1);
+	far_close(&f);
+	fake_close(&worker);
+}
+END_TEST
+
+/* Guards against waiting for the answers of a gateway that has restarted. */
+START_TEST(calls_of_an_earlier_life_of_a_gateway_end_with_it)
+{
+	report();
+	order_look();
+	play(0.3);
+	ck_assert_uint_eq(gateway.n, 1);
+	life_of_gateway++;
+	report();
+	ck_assert_uint_eq(user.unanswered, 1);
+	answer_looks(); /* of the earlier life */
+	ck_assert_uint_eq(user.looked, 0);
+	order_look();
+	play(0.3);
+	ck_assert_uint_eq(gateway.n, 1);
+	answer_looks();
+	ck_assert_uint_eq(user.looked, 1);
+	ck_assert_uint_eq(direct.calls, 0);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("relay");
@@ -547,6 +636,8 @@
 	tcase_add_test(t, call_of_an_ended_lease_is_not_carried_out);
 	tcase_add_test(t, queued_call_of_an_ended_lease_is_not_sent);
 	tcase_add_test(t, connection_without_answers_is_reset);
+	tcase_add_test(t, call_for_an_earlier_life_of_a_gateway_is_not_carried_out);
+	tcase_add_test(t, calls_of_an_earlier_life_of_a_gateway_end_with_it);
 	suite_add_tcase(s, t);
 	r = srunner_create(s);
 	srunner_run_all(r, CK_ENV);
