core/replica: a reply to HELLO counts only for the life that asked

A voter that restarts from an older copy of its directory asks the others for the newest acknowledgement that they have of it and stays passive until then. A reply to its former life, held up on its way, was taken for an answer: it told of fewer acknowledgements than that life sent afterwards. The voter took part with the older directory, so that entries that it had acknowledged counted on a disk that no longer held them.

Cause: HELLO and its reply name the identity of the directory, which is the same in all lives. Each process now draws a number that the reply repeats. An acknowledgement that a late reply names still excludes the directory.

The replies that other tests make by hand now repeat the number of the HELLO before them.

--- a/core/replica.c
+++ b/core/replica.c
@@ -179,6 +179,14 @@
 	return err;
 }
 
+/* Draws from a generator of its own: the seed also sets the election timeouts. */
+static uint64_t replica_life(uint64_t seed)
+{
+	struct prng p = {.state = ~seed};
+
+	return prng_next(&p) | 1;
+}
+
 /*
  * Creates a replica from its stored state. CF_EINVAL: option out of range.
  * CF_ECORRUPT: stored state does not decode or has a gap. CF_EEXIST: bootstrap of a
@@ -202,6 +210,7 @@
 	r->identity = opt->promise.identity;
 	r->promise = opt->promise;
 	r->prng.state = opt->seed;
+	r->life = replica_life(opt->seed);
 	r->now_us = now_us;
 	r->role = REPLICA_LEARNER;
 	r->lease_expires_us = REPLICA_NEVER;
--- a/core/replica.h
+++ b/core/replica.h
@@ -83,6 +83,7 @@
 	bool ok;
 	uint64_t from_identity;
 	uint64_t to_identity; /* 0 in JOIN only */
+	uint64_t life;	      /* of the process that sent HELLO, echoed in the reply */
 	uint64_t epoch;
 	uint64_t index;
 	uint64_t index_epoch;
--- a/core/replica_codec.c
+++ b/core/replica_codec.c
@@ -123,6 +123,7 @@
 	case REPLICA_MSG_HELLO:
 	case REPLICA_MSG_HELLO_REPLY:
 		w.body.replica_wire_body_u.hello = (struct replica_wire_hello){
+			.life = m->life,
 			.epoch = m->epoch,
 			.index = m->index,
 		};
@@ -234,6 +235,7 @@
 		break;
 	case REPLICA_MSG_HELLO:
 	case REPLICA_MSG_HELLO_REPLY:
+		m->life = w->replica_wire_body_u.hello.life;
 		m->epoch = w->replica_wire_body_u.hello.epoch;
 		m->index = w->replica_wire_body_u.hello.index;
 		break;
--- a/core/replica_priv.h
+++ b/core/replica_priv.h
@@ -55,6 +55,7 @@
 	struct replica_options opt; /* pointers in it are not used after replica_new() */
 	uint64_t id;
 	uint64_t identity;
+	uint64_t life; /* random number of this process; never 0 */
 	struct prng prng;
 	uint64_t peers[REPLICA_MAX_MEMBERS];
 	size_t n_peers;
--- a/core/replica_verify.c
+++ b/core/replica_verify.c
@@ -70,6 +70,7 @@
 	for (size_t i = 0; i < r->n_peer; i++) {
 		struct replica_msg m = {
 			.kind = REPLICA_MSG_HELLO,
+			.life = r->life,
 			.epoch = r->promise.epoch,
 			.index = r->durable,
 		};
@@ -88,6 +89,7 @@
 {
 	struct replica_msg hello = {
 		.kind = REPLICA_MSG_HELLO,
+		.life = r->life,
 		.epoch = r->promise.epoch,
 		.index = r->durable,
 	};
@@ -104,7 +106,10 @@
 /* Replies to a restarted member with its highest known acknowledgement. */
 void replica_hello_receive(struct replica *r, uint64_t from, const struct replica_msg *m)
 {
-	struct replica_msg reply = {.kind = REPLICA_MSG_HELLO_REPLY};
+	struct replica_msg reply = {
+		.kind = REPLICA_MSG_HELLO_REPLY,
+		.life = m->life,
+	};
 
 	for (size_t i = 0; i < r->n_acks; i++) {
 		if (r->acks[i].id == from && r->acks[i].identity == m->from_identity) {
@@ -117,7 +122,8 @@
 
 /*
  * Handles HELLO_REPLY. A leader's reply alone suffices: it knows the acknowledgements
- * of its own epoch, and its log holds all entries acknowledged before.
+ * of its own epoch, and its log holds all entries acknowledged before. A reply to an
+ * earlier life may not know of an acknowledgement that was sent after it.
  */
 void replica_hello_reply(struct replica *r, uint64_t from, const struct replica_msg *m)
 {
@@ -128,6 +134,8 @@
 
 	if ((!p && !leader) || !replica_ack_check(r, m->epoch, m->index) || r->verified)
 		return;
+	if (m->life != r->life)
+		return;
 	if (p)
 		p->hello_replied = true;
 	for (size_t i = 0; i < r->n_peer; i++)
--- a/proto/replica.h
+++ b/proto/replica.h
@@ -108,6 +108,7 @@
 };
 
 struct replica_wire_hello {
+	u_quad_t life;
 	u_quad_t epoch;
 	u_quad_t index;
 };
--- a/proto/replica.x
+++ b/proto/replica.x
@@ -100,10 +100,12 @@
 };
 
 /*
- * HELLO: the sender restarted with this promise epoch and durable log end.
- * HELLO_REPLY: the highest acknowledgement of it that is known.
+ * HELLO: the sender restarted with this promise epoch and durable log end; life is a
+ * random number of its process. HELLO_REPLY: the highest acknowledgement of it that is
+ * known, and the life that asked.
  */
 struct replica_wire_hello {
+	unsigned hyper life;
 	unsigned hyper epoch;
 	unsigned hyper index;
 };
--- a/proto/replica_xdr.c
+++ b/proto/replica_xdr.c
@@ -163,6 +163,8 @@
 {
 	register int32_t *buf;
 
+	 if (!xdr_u_quad_t (xdrs, &objp->life))
+		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->epoch))
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->index))
--- a/regress/test_replica.c
+++ b/regress/test_replica.c
@@ -429,13 +429,25 @@
 	.compact = lone_compact,
 };
 
-/* Takes the lone replica, id 1, through a restart and an election to leader. */
+/* Lets the lone replica, id 1, ask about its directory and answers. */
+static void lone_hello(struct lone *l, int64_t now)
+{
+	struct replica_msg m = {.kind = REPLICA_MSG_HELLO_REPLY,
+				.from_identity = 102,
+				.to_identity = 101};
+
+	replica_tick(l->r, now);
+	ck_assert_int_eq(l->last.kind, REPLICA_MSG_HELLO);
+	m.life = l->last.life;
+	ck_assert_int_eq(replica_receive(l->r, 2, &m, now), 0);
+}
+
+/* Takes the lone replica through a restart and an election to leader. */
 static void lone_elect(struct lone *l, int64_t *now)
 {
 	struct replica_msg m = {.from_identity = 102, .to_identity = 101, .ok = true};
 
-	m.kind = REPLICA_MSG_HELLO_REPLY;
-	ck_assert_int_eq(replica_receive(l->r, 2, &m, *now), 0);
+	lone_hello(l, *now);
 	*now += 5 * SECOND;
 	replica_tick(l->r, *now);
 	ck_assert_int_eq(replica_role(l->r), REPLICA_PRECANDIDATE);
@@ -615,15 +627,6 @@
 	return l->last.kind == kind + 1 && l->last.ok;
 }
 
-static void lone_hello(struct lone *l, int64_t now)
-{
-	struct replica_msg m = {.kind = REPLICA_MSG_HELLO_REPLY,
-				.from_identity = 102,
-				.to_identity = 101};
-
-	ck_assert_int_eq(replica_receive(l->r, 2, &m, now), 0);
-}
-
 static const int64_t election_us = 600000;
 
 /*
@@ -881,6 +884,56 @@
 }
 END_TEST
 
+/* A HELLO_REPLY to b's earlier life, which knows of no acknowledgement. */
+static void reply_to_earlier_life(struct node *b, const struct node *from)
+{
+	struct replica_msg m = {
+		.kind = REPLICA_MSG_HELLO_REPLY,
+		.from_identity = from->disk.promise.identity,
+		.to_identity = b->disk.promise.identity,
+	};
+
+	replica_receive(b->r, from->id, &m, cluster_clock(b));
+}
+
+/* Guards against replies to an earlier life that admit an older copy of a directory. */
+START_TEST(reply_to_an_earlier_life_admits_no_older_directory)
+{
+	static struct cluster c;
+	struct disk copy;
+	struct node *b;
+
+	c.expect_excluded = true;
+	cluster_start(&c, 15, 3, 0);
+	ck_run(&c, cluster_run_to_leader(&c, 10 * SECOND));
+	b = cluster_leader(&c) == &c.node[1] ? &c.node[2] : &c.node[1];
+	commit_entries(&c, 5);
+	cluster_run(&c, SECOND);
+	disk_copy(&copy, &b->disk);
+	commit_entries(&c, 50);
+	cluster_run(&c, 2 * SECOND);
+	node_crash(b);
+	disk_free(&b->disk);
+	b->disk = copy;
+	b->disk.durable = copy.base + copy.n;
+	cluster_isolate(&c, b->id, true);
+	node_boot(b);
+	cluster_run(&c, SECOND / 10);
+	for (size_t i = 1; i <= c.n; i++)
+		if (&c.node[i] != b)
+			reply_to_earlier_life(b, &c.node[i]);
+	for (int i = 0; i < 50; i++) {
+		cluster_run(&c, SECOND / 10);
+		ck_assert_int_eq(replica_role(b->r), REPLICA_FOLLOWER);
+	}
+	cluster_heal(&c);
+	cluster_run(&c, 2 * SECOND);
+	ck_cluster(&c);
+	ck_assert_int_eq(replica_role(b->r), REPLICA_EXCLUDED);
+	cluster_stop(&c);
+}
+END_TEST
+
 /* Guards against a voter that goes on after its disk failed to sync. */
 START_TEST(failed_sync_ends_the_voter)
 {
@@ -1318,6 +1371,7 @@
 	tcase_add_test(tc, snapshot_newer_than_log_start);
 	tcase_add_test(tc, empty_directory_does_not_vote);
 	tcase_add_test(tc, older_directory_is_excluded);
+	tcase_add_test(tc, reply_to_an_earlier_life_admits_no_older_directory);
 	tcase_add_test(tc, failed_sync_ends_the_voter);
 	tcase_add_test(tc, full_disk_ends_leadership_only);
 	tcase_add_test(tc, refused_proposal_does_not_commit);
