core/announce: sessions of a restarted peer are not those of its earlier life

An entry process that had restarted renewed an upstream that was lost: its peer, which had not noticed the restart, read the numbers in a renewal as those of the former life. The lost upstream was called for up to 2 s longer. A batch of the former life that arrived on the new connection had the same effect.

Cause: numbers of upstreams belong to a session, and sessions were counted from 1 in each life, so that the first of a new life equalled the first of the former one. They now start at a random number of 32 bits.

--- a/carawayfrontd/spread.c
+++ b/carawayfrontd/spread.c
@@ -1,6 +1,7 @@
 #include "carawayfrontd/spread.h"
 
 #include <stdlib.h>
+#include <sys/random.h>
 
 #include "base/err.h"
 #include "carawayfrontd/member_id.h"
@@ -144,6 +145,17 @@
 	return err;
 }
 
+/* 32 random bits, since each batch carries the number and small ones are short. */
+static int draw_session(struct announce_options *o)
+{
+	uint32_t session;
+
+	if (getrandom(&session, sizeof(session), 0) != sizeof(session))
+		return CF_EIO;
+	o->first_session = session;
+	return 0;
+}
+
 /* Connects to every other entry process of the settings. */
 int spread_new(const struct spread_options *opt, struct spread **out)
 {
@@ -165,7 +177,9 @@
 	s->prepare.data = s;
 	announce_options_init(&announce);
 	announce.host = &s->host;
-	err = announce_new(&announce, &s->announce);
+	err = draw_session(&announce);
+	if (!err)
+		err = announce_new(&announce, &s->announce);
 	if (!err) {
 		s->peers = calloc(settings->entries.n + 1, sizeof(*s->peers));
 		err = s->peers ? 0 : CF_ENOMEM;
--- a/core/announce.c
+++ b/core/announce.c
@@ -33,6 +33,7 @@
 		return CF_ENOMEM;
 	a->host = o->host;
 	a->opt = *o;
+	a->sessions = o->first_session;
 	a->by_number = (struct announce_record **)calloc(
 		o->max_upstreams, sizeof(struct announce_record *));
 	a->unused = calloc(o->max_upstreams, sizeof(*a->unused));
--- a/core/announce.h
+++ b/core/announce.h
@@ -44,6 +44,7 @@
 	int64_t relay_us;      /* renewal interval with more upstreams */
 	int64_t expiry_us;     /* age from which it is not exchanged */
 	unsigned int exchange_bytes; /* per second and peer */
+	uint64_t first_session;	     /* random: peers may still hear an earlier life */
 };
 
 struct announce_stats {
--- a/core/announce_impl.h
+++ b/core/announce_impl.h
@@ -80,7 +80,7 @@
 	int64_t batch_at;
 	int64_t change_at; /* earliest time of the next batch of changes */
 	int64_t exchange_at;
-	uint64_t sessions;
+	uint64_t sessions; /* number of the newest one */
 	struct announce_stats stats;
 };
 
--- a/core/announce_receive.c
+++ b/core/announce_receive.c
@@ -202,7 +202,7 @@
 		w.p = NULL;
 	session = wire_get(&w);
 	if (wire_ok(&w) && session != p->session_in) {
-		/* The peer may have reassigned the numbers of an earlier session. */
+		/* The peer, or its earlier life, may have used the numbers otherwise. */
 		memset(p->map, 0, a->opt.max_upstreams * sizeof(*p->map));
 		p->session_in = session;
 	}
--- a/regress/test_announce.c
+++ b/regress/test_announce.c
@@ -377,6 +377,124 @@
 {
 }
 
+#define LONE_BATCHES 8
+
+/* An entry process that keeps the batches it sends and counts renewals. */
+struct lone {
+	struct announce_host host; /* first member */
+	struct announce *a;
+	struct buf sent[LONE_BATCHES];
+	size_t n;
+	unsigned int renewed;
+};
+
+static int lone_send(struct announce_host *h, uint64_t peer, struct str batch)
+{
+	struct lone *l = (struct lone *)(void *)h;
+
+	ck_assert_uint_lt(l->n, LONE_BATCHES);
+	return buf_set(&l->sent[l->n++], batch);
+}
+
+static void lone_renew(struct announce_host *h, uint64_t id, uint64_t sequence, int load,
+		       int64_t age_us)
+{
+	((struct lone *)(void *)h)->renewed++;
+}
+
+static const struct announce_ops lone_ops = {lone_send, ignore_upstream, lone_renew};
+
+static void lone_start(struct lone *l, uint64_t first_session)
+{
+	struct announce_options o;
+
+	*l = (struct lone){.host = {&lone_ops}};
+	announce_options_init(&o);
+	o.host = &l->host;
+	o.first_session = first_session;
+	o.max_upstreams = 10;
+	ck_assert_int_eq(announce_new(&o, &l->a), 0);
+}
+
+static void lone_stop(struct lone *l)
+{
+	announce_free(l->a);
+	for (size_t i = 0; i < LONE_BATCHES; i++)
+		buf_free(&l->sent[i]);
+}
+
+static void lone_hear(struct lone *l, const char *name, uint64_t sequence,
+		      unsigned int slots, int64_t now)
+{
+	struct router_upstream u = {
+		.team = STR("t"),
+		.service = STR("s"),
+		.name = str_from(name),
+		.address = STR("10.0.0.1:80"),
+		.zone = STR("a"),
+		.slots = slots,
+		.incarnation = 1,
+		.sequence = sequence,
+	};
+
+	ck_assert_int_eq(announce_receive_local(l->a, &u, now), 0);
+}
+
+/* Delivers what was sent, in its order, as peer 1. */
+static void lone_pass(struct lone *from, struct lone *to, int64_t now)
+{
+	ck_assert_uint_gt(from->n, 0);
+	for (size_t i = 0; i < from->n; i++)
+		ck_assert_int_eq(announce_receive(to->a, 1, buf_str(&from->sent[i]), now),
+				 0);
+	from->n = 0;
+}
+
+/* Guards against renewals whose numbers are those of a peer's earlier life. */
+START_TEST(numbers_of_an_earlier_life_renew_nothing)
+{
+	struct lone first, second, listener;
+	struct announce_stats st;
+	int64_t now = SEC;
+
+	lone_start(&listener, 1000);
+	ck_assert_int_eq(announce_peer_up(listener.a, 1, now), 0);
+	lone_start(&first, 2000);
+	ck_assert_int_eq(announce_peer_up(first.a, 2, now), 0);
+	lone_hear(&first, "lost", 1, 1, now);
+	lone_pass(&first, &listener, now);
+
+	/* The listener has not noticed yet that its connection ended. */
+	lone_start(&second, 3000);
+	lone_hear(&second, "other", 1, 1, now);
+	announce_tick(second.a, now);
+	now += SEC;
+	lone_hear(&second, "other", 2, 1, now);
+	ck_assert_int_eq(announce_peer_up(second.a, 2, now), 0);
+	announce_tick(second.a, now);
+	lone_pass(&second, &listener, now);
+	announce_stats(listener.a, &st);
+	ck_assert_uint_eq(st.renewals_received, 1);
+	ck_assert_uint_eq(listener.renewed, 0);
+
+	/* A batch of the earlier life arrives on the connection after that. */
+	announce_peer_down(listener.a, 1, now);
+	ck_assert_int_eq(announce_peer_up(listener.a, 1, now), 0);
+	lone_hear(&first, "lost", 2, 2, now);
+	lone_pass(&first, &listener, now);
+	now += SEC;
+	lone_hear(&second, "other", 3, 1, now);
+	announce_tick(second.a, now);
+	lone_pass(&second, &listener, now);
+	announce_stats(listener.a, &st);
+	ck_assert_uint_eq(st.renewals_received, 2);
+	ck_assert_uint_eq(listener.renewed, 0);
+	lone_stop(&first);
+	lone_stop(&second);
+	lone_stop(&listener);
+}
+END_TEST
+
 /* Guards against reading beyond a batch, and against a table above its bound. */
 START_TEST(hostile_batches)
 {
@@ -427,6 +545,7 @@
 		seed_count = strtoull(argv[2], NULL, 10);
 	tcase_set_timeout(tc, 0);
 	tcase_add_test(tc, views_follow_the_truth);
+	tcase_add_test(tc, numbers_of_an_earlier_life_renew_nothing);
 	tcase_add_test(tc, hostile_batches);
 	suite_add_tcase(suite, tc);
 	sr = srunner_create(suite);
