entry: a process joins again also after its clock was set back

An entry process that restarted with a clock behind that of its former life was not healthy, and served nobody, until the clock had caught up. Meanwhile it registered without pause, each time with an entry of the replicated log.

Cause: the incarnation of a process is the wall clock at its start, and the records keep the one of its former life. After a refusal the process tried the wall clock again, or one more than before. The step between tries now doubles, so that 32 tries pass a clock that was an hour ahead.

test_member_join (new), before: process_joins_after_its_clock_was_set_back failed (not registered after 64 tries, the bound of the test), 1 of 2 passed; now 2 of 2. test_leader_client: 3 of 3.

--- a/Makefile
+++ b/Makefile
@@ -62,6 +62,9 @@
 
 $(BUILD)/bin/test_leader_client: $(BUILD)/carawayfrontd/leader_client.o
 
+$(BUILD)/bin/test_member_join: $(BUILD)/carawayfrontd/member_join.o \
+	$(BUILD)/carawayfrontd/leader_client.o $(BUILD)/carawayfrontd/leader_propose.o
+
 $(BUILD)/bin/bench_%: $(BUILD)/bench/bench_%.o $(BENCH_LIB) $(LIB)
 	@mkdir -p $(@D)
 	@echo '  LINK $@'; $(CC) $(LDFLAGS) -o $@ $(filter %.o,$^) $(LIB) $(LDLIBS)
--- a/carawayfrontd/entry.c
+++ b/carawayfrontd/entry.c
@@ -187,7 +187,7 @@
 	e->settings = settings;
 	e->metrics = metrics;
 	e->started_us = clock_us();
-	/* A restarted process has a larger incarnation than before. */
+	/* A restarted process has a larger one than before, or member_join raises it. */
 	e->incarnation = (uint64_t)clock_wall_us();
 	ev_timer_init(&e->drain_timer, on_drain_timer, 0, 0);
 	e->drain_timer.data = e;
--- a/carawayfrontd/member_join.c
+++ b/carawayfrontd/member_join.c
@@ -18,6 +18,7 @@
 	struct member_join_options opt;
 	struct buf address;
 	struct ev_timer retry;
+	uint64_t step; /* between incarnations that are tried */
 	bool done;
 };
 
@@ -53,6 +54,7 @@
 	if (err)
 		return;
 	m->done = true;
+	m->step = 1;
 	log_info("member-joined", "incarnation=%llu",
 		 (unsigned long long)*m->opt.incarnation);
 }
@@ -86,6 +88,7 @@
 	if (!m)
 		return CF_ENOMEM;
 	m->opt = *opt;
+	m->step = 1;
 	ev_timer_init(&m->retry, on_retry, 0, 0);
 	m->retry.data = m;
 	err = addr_format(&opt->settings->listen.rpc, &m->address);
@@ -103,15 +106,20 @@
 	return m->done;
 }
 
-/* Registers under a new incarnation, after the present one was declared gone. */
+/*
+ * Registers under a new incarnation, after the present one was declared gone or is below
+ * that of an earlier life. The step doubles, so that a few tries pass any incarnation
+ * that a clock ahead of this one has given.
+ */
 void member_join_again(struct member_join *m)
 {
 	uint64_t fresh = (uint64_t)clock_wall_us();
 
 	if (m->call.client || ev_is_active(&m->retry))
 		return;
-	if (fresh <= *m->opt.incarnation)
-		fresh = *m->opt.incarnation + 1;
+	if (fresh < *m->opt.incarnation + m->step)
+		fresh = *m->opt.incarnation + m->step;
+	m->step *= 2;
 	*m->opt.incarnation = fresh;
 	m->done = false;
 	log_warn("member-gone", "new-incarnation=%llu", (unsigned long long)fresh);
