--- a/regress/test_replica.c
+++ b/regress/test_replica.c
@@ -442,25 +442,31 @@
 	ck_assert_int_eq(replica_receive(l->r, 2, &m, now), 0);
 }
 
-/* Takes the lone replica through a restart and an election to leader. */
-static void lone_elect(struct lone *l, int64_t *now)
+/* Takes the lone replica through an election to leader; its timeout has passed. */
+static void lone_stand(struct lone *l, int64_t now)
 {
 	struct replica_msg m = {.from_identity = 102, .to_identity = 101, .ok = true};
 
-	lone_hello(l, *now);
-	*now += 5 * SECOND;
-	replica_tick(l->r, *now);
+	replica_tick(l->r, now);
 	ck_assert_int_eq(replica_role(l->r), REPLICA_PRECANDIDATE);
 	m.kind = REPLICA_MSG_PREVOTE_REPLY;
 	m.epoch = l->epoch_asked;
-	replica_receive(l->r, 2, &m, *now);
+	replica_receive(l->r, 2, &m, now);
 	ck_assert_int_eq(replica_role(l->r), REPLICA_CANDIDATE);
 	m.kind = REPLICA_MSG_VOTE_REPLY;
 	m.epoch = l->epoch_asked;
-	replica_receive(l->r, 2, &m, *now);
+	replica_receive(l->r, 2, &m, now);
 	ck_assert_int_eq(replica_role(l->r), REPLICA_LEADER);
 }
 
+/* Takes the lone replica through a restart and an election to leader. */
+static void lone_elect(struct lone *l, int64_t *now)
+{
+	lone_hello(l, *now);
+	*now += 5 * SECOND;
+	lone_stand(l, *now);
+}
+
 static void lone_ack(struct lone *l, uint64_t index, int64_t now)
 {
 	struct replica_msg m = {
@@ -610,6 +616,41 @@
 }
 END_TEST
 
+/* Guards against an acknowledgement that counts in a later term of the same leader. */
+START_TEST(reply_of_an_earlier_term_counts_for_nothing)
+{
+	struct lone l = {0};
+	int64_t now = SECOND;
+	struct replica_msg late = {
+		.kind = REPLICA_MSG_APPEND_REPLY,
+		.from_identity = 102,
+		.to_identity = 101,
+		.ok = true,
+		.index = 3,
+	};
+
+	lone_start(&l, now);
+	lone_elect(&l, &now);
+	replica_synced(l.r, l.token, now);
+	late.epoch = replica_epoch(l.r);
+	now += 5 * SECOND;
+	replica_tick(l.r, now); /* its lease has ended */
+	ck_assert_int_ne(replica_role(l.r), REPLICA_LEADER);
+	now += 5 * SECOND;
+	lone_stand(&l, now);
+	replica_synced(l.r, l.token, now);
+	ck_assert_uint_gt(replica_epoch(l.r), late.epoch);
+	late.sent_us = now;
+	ck_assert_int_eq(replica_receive(l.r, 2, &late, now), 0);
+	ck_assert(!replica_lease_valid(l.r, now));
+	ck_assert_uint_eq(replica_committed(l.r), 0);
+	lone_ack(&l, 4, now);
+	ck_assert(replica_lease_valid(l.r, now));
+	ck_assert_uint_eq(replica_committed(l.r), 4);
+	replica_free(l.r);
+}
+END_TEST
+
 /* Asks the lone replica for its vote and returns whether it grants it. */
 static bool lone_grants(struct lone *l, enum replica_msg_kind kind, int64_t now)
 {
@@ -1368,6 +1409,7 @@
 	tcase_add_test(tc, earlier_epoch_needs_barrier);
 	tcase_add_test(tc, membership_changes_do_not_overlap);
 	tcase_add_test(tc, other_identity_is_refused);
+	tcase_add_test(tc, reply_of_an_earlier_term_counts_for_nothing);
 	tcase_add_test(tc, snapshot_newer_than_log_start);
 	tcase_add_test(tc, empty_directory_does_not_vote);
 	tcase_add_test(tc, older_directory_is_excluded);
--- a/regress/test_rpc.c
+++ b/regress/test_rpc.c
@@ -66,16 +66,20 @@
 	return c;
 }
 
-static void setup(void)
+static void open_server(void)
 {
-	struct rpc_server_options opt = {.key = STR("secret")};
+	struct rpc_server_options opt = {.loop = loop, .key = STR("secret")};
 
-	loop = ev_loop_new(0);
-	host = (struct server_host){.host = {.ops = &server_ops}};
-	opt.loop = loop;
 	opt.host = &host.host;
 	ck_assert_int_eq(addr_parse(STR(ADDRESS), &opt.address), 0);
 	ck_assert_int_eq(rpc_server_new(&opt, &server), 0);
+}
+
+static void setup(void)
+{
+	loop = ev_loop_new(0);
+	host = (struct server_host){.host = {.ops = &server_ops}};
+	open_server();
 	client = connect_with(STR("secret"));
 }
 
@@ -218,6 +222,42 @@
 }
 END_TEST
 
+/* Guards against calls to a restarted peer that the earlier life's connection ends. */
+START_TEST(restarted_peer_is_called_anew)
+{
+	struct waiter w = {.base = {.ops = &waiter_ops}};
+	struct waiter w2 = {.base = {.ops = &waiter_ops}};
+	struct rpc_call *held;
+	uint32_t xid;
+
+	ck_assert_int_eq(rpc_client_call(client, PROC_HOLD, STR("x"), 30, &w.base), 0);
+	while (!host.held)
+		ev_run(loop, EVRUN_ONCE);
+	held = host.held;
+	xid = held->xid;
+	rpc_server_free(server);
+	open_server();
+	run_until(&w);
+	ck_assert_int_eq(w.err, CF_ECONN);
+	rpc_call_reply(held, 0, STR("earlier life"));
+	while (rpc_client_call(client, PROC_HOLD, STR("y"), 30, &w2.base)) {
+		usleep(1000);
+		ev_now_update(loop);
+	}
+	host.held = NULL;
+	while (!host.held)
+		ev_run(loop, EVRUN_ONCE);
+	ck_assert_uint_ne(host.held->xid, xid);
+	ck_assert(str_eq(host.held->member, STR("t"))); /* shown again */
+	rpc_call_reply(host.held, 0, STR("this life"));
+	run_until(&w2);
+	ck_assert_int_eq(w2.err, 0);
+	ck_assert_str_eq(w2.results.p, "this life");
+	buf_free(&w.results);
+	buf_free(&w2.results);
+}
+END_TEST
+
 /* Guards against a connection that never showed a credential being served. */
 START_TEST(first_call_needs_a_credential)
 {
@@ -353,6 +393,7 @@
 	tcase_add_test(tc, first_call_needs_a_credential);
 	tcase_add_test(tc, call_times_out_and_late_reply_is_dropped);
 	tcase_add_test(tc, reply_after_disconnect);
+	tcase_add_test(tc, restarted_peer_is_called_anew);
 	tcase_add_test(tc, waiting_connections_are_accepted_together);
 	tcase_add_test(tc, malformed_record_closes_connection);
 	tcase_add_test(tc, random_bytes_are_handled);
--- a/regress/test_sched.c
+++ b/regress/test_sched.c
@@ -735,6 +735,66 @@
 }
 END_TEST
 
+/* A poll of one life of worker "w" that lists its tasks; returns the lease. */
+static int64_t session_poll(struct sched *s, uint64_t session, uint64_t seq,
+			    const struct sched_task_report *tasks, size_t n,
+			    int64_t now_us)
+{
+	struct sched_worker_report r = {
+		.worker = STR("w"),
+		.zone = STR("z"),
+		.rack = STR("r"),
+		.session = session,
+		.seq = seq,
+		.epoch = 1,
+		.capacity = vm,
+		.tasks = tasks,
+		.ntasks = n,
+	};
+	struct sched_reply reply;
+
+	ck_assert_int_eq(sched_poll(s, &r, now_us, &reply), 0);
+	ck_assert_uint_eq(reply.ncommands, 0);
+	sched_tick(s, now_us + SECOND / 10);
+	return reply.lease_us;
+}
+
+/*
+ * Guards against polls of an earlier life of a worker, which a new leader hears first or
+ * after those of the present life: they list nothing, so its task would start again.
+ */
+START_TEST(late_poll_of_an_earlier_life_loses_no_task)
+{
+	static const struct sched_task_report task = {
+		.team = STR("t"), .job = STR("k"), .attempt = 1};
+	struct sched_record record = {.team = STR("t"),
+				      .job = STR("k"),
+				      .attempt = 1,
+				      .state = SCHED_RUNNING,
+				      .worker = STR("w"),
+				      .session = 2};
+	struct refusing_host h = {.host = {&refusing_ops}};
+	struct sched_options opt = {.host = &h.host, .epoch = 2};
+	struct sched_job job = urgent(1, 1000);
+	struct sched *s;
+
+	job.team = STR("t");
+	job.name = STR("k");
+	ck_assert_int_eq(sched_new(&opt, &s), 0);
+	ck_assert_int_eq(sched_add_job(s, &job, 0), 0);
+	ck_assert_int_eq(sched_load_task(s, &record, 0), 0);
+	sched_finish_load(s, 0);
+	ck_assert_int_eq(session_poll(s, 1, 900, NULL, 0, SECOND / 10), 0);
+	ck_assert_int_gt(session_poll(s, 2, 1, &task, 1, SECOND / 5), 0);
+	ck_assert_int_eq(session_poll(s, 1, 901, NULL, 0, SECOND / 2), 0);
+	ck_assert_uint_eq(h.proposals, 0);
+	/* A later life has ended the task, and numbers its polls from 1 again. */
+	ck_assert_int_gt(session_poll(s, 3, 1, NULL, 0, SECOND), 0);
+	ck_assert_uint_gt(h.proposals, 0);
+	sched_free(s);
+}
+END_TEST
+
 /* Guards against jobs that wait for ever, and against rejecting possible ones. */
 START_TEST(impossible_jobs_are_rejected)
 {
@@ -1230,6 +1290,8 @@
 		       max_attempts_bounds_failures);
 	tcase_add_test(add_case(s, "refused_intents_are_made_again"),
 		       refused_intents_are_made_again);
+	tcase_add_test(add_case(s, "late_poll_of_an_earlier_life_loses_no_task"),
+		       late_poll_of_an_earlier_life_loses_no_task);
 	tcase_add_test(add_case(s, "impossible_jobs_are_rejected"),
 		       impossible_jobs_are_rejected);
 	tcase_add_test(add_case(s, "late_measurements_cause_no_oscillation"),
