--- a/regress/test_replica.c
+++ b/regress/test_replica.c
@@ -429,26 +429,44 @@
 	.compact = lone_compact,
 };
 
-/* Takes the lone replica, id 1, through a restart and an election to leader. */
-static void lone_elect(struct lone *l, int64_t *now)
+/* Lets the lone replica, id 1, ask about its directory and answers. */
+static void lone_hello(struct lone *l, int64_t now)
+{
+	struct replica_msg m = {.kind = REPLICA_MSG_HELLO_REPLY,
+				.from_identity = 102,
+				.to_identity = 101};
+
+	replica_tick(l->r, now);
+	ck_assert_int_eq(l->last.kind, REPLICA_MSG_HELLO);
+	m.life = l->last.life;
+	ck_assert_int_eq(replica_receive(l->r, 2, &m, now), 0);
+}
+
+/* Takes the lone replica through an election to leader; its timeout has passed. */
+static void lone_stand(struct lone *l, int64_t now)
 {
 	struct replica_msg m = {.from_identity = 102, .to_identity = 101, .ok = true};
 
-	m.kind = REPLICA_MSG_HELLO_REPLY;
-	ck_assert_int_eq(replica_receive(l->r, 2, &m, *now), 0);
-	*now += 5 * SECOND;
-	replica_tick(l->r, *now);
+	replica_tick(l->r, now);
 	ck_assert_int_eq(replica_role(l->r), REPLICA_PRECANDIDATE);
 	m.kind = REPLICA_MSG_PREVOTE_REPLY;
 	m.epoch = l->epoch_asked;
-	replica_receive(l->r, 2, &m, *now);
+	replica_receive(l->r, 2, &m, now);
 	ck_assert_int_eq(replica_role(l->r), REPLICA_CANDIDATE);
 	m.kind = REPLICA_MSG_VOTE_REPLY;
 	m.epoch = l->epoch_asked;
-	replica_receive(l->r, 2, &m, *now);
+	replica_receive(l->r, 2, &m, now);
 	ck_assert_int_eq(replica_role(l->r), REPLICA_LEADER);
 }
 
+/* Takes the lone replica through a restart and an election to leader. */
+static void lone_elect(struct lone *l, int64_t *now)
+{
+	lone_hello(l, *now);
+	*now += 5 * SECOND;
+	lone_stand(l, *now);
+}
+
 static void lone_ack(struct lone *l, uint64_t index, int64_t now)
 {
 	struct replica_msg m = {
@@ -598,6 +616,67 @@
 }
 END_TEST
 
+/* Another leader replaces what the lone replica has after entry 3 by one entry. */
+static void lone_replace_tail(struct lone *l, int64_t now)
+{
+	const struct replica_entry e = {
+		.index = 4, .epoch = replica_epoch(l->r) + 1, .kind = REPLICA_BARRIER};
+	struct replica_msg m = {
+		.kind = REPLICA_MSG_APPEND,
+		.from_identity = 103,
+		.to_identity = 101,
+		.epoch = e.epoch,
+		.index = 3,
+		.index_epoch = replica_epoch(l->r),
+		.commit = 3,
+		.sent_us = now,
+		.entries = &e,
+		.n_entries = 1,
+	};
+
+	ck_assert_int_eq(replica_receive(l->r, 3, &m, now), 0);
+	replica_synced(l->r, l->token, now);
+	ck_assert_uint_eq(replica_last_index(l->r), 4);
+}
+
+/* Guards against an acknowledgement that counts in a later term of the same leader. */
+START_TEST(reply_of_an_earlier_term_commits_nothing)
+{
+	struct lone l = {0};
+	int64_t now = SECOND;
+	struct replica_msg late = {
+		.kind = REPLICA_MSG_APPEND_REPLY,
+		.from_identity = 102,
+		.to_identity = 101,
+		.ok = true,
+		.index = 5,
+	};
+	uint64_t index;
+
+	lone_start(&l, now);
+	lone_elect(&l, &now);
+	replica_synced(l.r, l.token, now);
+	lone_ack(&l, 3, now);
+	late.epoch = replica_epoch(l.r);
+	late.sent_us = now;
+	for (int i = 0; i < 2; i++) {
+		ck_assert_int_eq(replica_propose(l.r, STR("x"), now, &index), 0);
+		replica_synced(l.r, l.token, now);
+	}
+	ck_assert_uint_eq(index, late.index);
+	lone_replace_tail(&l, now);
+	now += 5 * SECOND;
+	lone_stand(&l, now);
+	replica_synced(l.r, l.token, now);
+	ck_assert_uint_eq(replica_last_index(l.r), late.index);
+	ck_assert_int_eq(replica_receive(l.r, 2, &late, now), 0);
+	ck_assert_uint_eq(replica_committed(l.r), 3);
+	lone_ack(&l, 5, now);
+	ck_assert_uint_eq(replica_committed(l.r), 5);
+	replica_free(l.r);
+}
+END_TEST
+
 /* Asks the lone replica for its vote and returns whether it grants it. */
 static bool lone_grants(struct lone *l, enum replica_msg_kind kind, int64_t now)
 {
@@ -615,15 +694,6 @@
 	return l->last.kind == kind + 1 && l->last.ok;
 }
 
-static void lone_hello(struct lone *l, int64_t now)
-{
-	struct replica_msg m = {.kind = REPLICA_MSG_HELLO_REPLY,
-				.from_identity = 102,
-				.to_identity = 101};
-
-	ck_assert_int_eq(replica_receive(l->r, 2, &m, now), 0);
-}
-
 static const int64_t election_us = 600000;
 
 /*
@@ -881,6 +951,56 @@
 }
 END_TEST
 
+/* A HELLO_REPLY to b's earlier life, which knows of no acknowledgement. */
+static void reply_to_earlier_life(struct node *b, const struct node *from)
+{
+	struct replica_msg m = {
+		.kind = REPLICA_MSG_HELLO_REPLY,
+		.from_identity = from->disk.promise.identity,
+		.to_identity = b->disk.promise.identity,
+	};
+
+	replica_receive(b->r, from->id, &m, cluster_clock(b));
+}
+
+/* Guards against replies to an earlier life that admit an older copy of a directory. */
+START_TEST(reply_to_an_earlier_life_admits_no_older_directory)
+{
+	static struct cluster c;
+	struct disk copy;
+	struct node *b;
+
+	c.expect_excluded = true;
+	cluster_start(&c, 15, 3, 0);
+	ck_run(&c, cluster_run_to_leader(&c, 10 * SECOND));
+	b = cluster_leader(&c) == &c.node[1] ? &c.node[2] : &c.node[1];
+	commit_entries(&c, 5);
+	cluster_run(&c, SECOND);
+	disk_copy(&copy, &b->disk);
+	commit_entries(&c, 50);
+	cluster_run(&c, 2 * SECOND);
+	node_crash(b);
+	disk_free(&b->disk);
+	b->disk = copy;
+	b->disk.durable = copy.base + copy.n;
+	cluster_isolate(&c, b->id, true);
+	node_boot(b);
+	cluster_run(&c, SECOND / 10);
+	for (size_t i = 1; i <= c.n; i++)
+		if (&c.node[i] != b)
+			reply_to_earlier_life(b, &c.node[i]);
+	for (int i = 0; i < 50; i++) {
+		cluster_run(&c, SECOND / 10);
+		ck_assert_int_eq(replica_role(b->r), REPLICA_FOLLOWER);
+	}
+	cluster_heal(&c);
+	cluster_run(&c, 2 * SECOND);
+	ck_cluster(&c);
+	ck_assert_int_eq(replica_role(b->r), REPLICA_EXCLUDED);
+	cluster_stop(&c);
+}
+END_TEST
+
 /* Guards against a voter that goes on after its disk failed to sync. */
 START_TEST(failed_sync_ends_the_voter)
 {
@@ -1315,9 +1435,11 @@
 	tcase_add_test(tc, earlier_epoch_needs_barrier);
 	tcase_add_test(tc, membership_changes_do_not_overlap);
 	tcase_add_test(tc, other_identity_is_refused);
+	tcase_add_test(tc, reply_of_an_earlier_term_commits_nothing);
 	tcase_add_test(tc, snapshot_newer_than_log_start);
 	tcase_add_test(tc, empty_directory_does_not_vote);
 	tcase_add_test(tc, older_directory_is_excluded);
+	tcase_add_test(tc, reply_to_an_earlier_life_admits_no_older_directory);
 	tcase_add_test(tc, failed_sync_ends_the_voter);
 	tcase_add_test(tc, full_disk_ends_leadership_only);
 	tcase_add_test(tc, refused_proposal_does_not_commit);
