regress: fuzz programs for XDR messages and the state of the controllers

As tests the programs run a fixed number of inputs with seed 1; "make fuzz" runs them for FUZZ_SECONDS a kind under the address and undefined-behaviour sanitizers.

--- a/Makefile
+++ b/Makefile
@@ -31,7 +31,7 @@
 BENCH_LIB = $(patsubst %.c,$(BUILD)/%.o,$(sort $(wildcard bench/lib_*.c regress/lib_sched_*.c)))
 LIB = $(BUILD)/libcaraway.a
 
-.PHONY: all mutants tests check demo bench format format-check lint xdr man-lint clean install
+.PHONY: all mutants tests check fuzz fuzzers demo bench format format-check lint xdr man-lint clean install
 .SECONDARY:
 
 all: $(PROGS) $(STANDINS)
@@ -78,6 +78,18 @@
 check: all tests
 	BUILD=$(BUILD) sh regress/run.sh
 
+# Longer runs of the fuzz programs, FUZZ_SECONDS for each kind of message.
+FUZZ_SECONDS ?= 60
+FUZZ_SEED ?= 1
+FUZZERS = $(filter $(BUILD)/bin/test_fuzz_%,$(TESTS))
+
+fuzzers: $(FUZZERS)
+
+fuzz:
+	$(MAKE) BUILD=build-san OPT='-O1 -g' \
+	  SAN='-fsanitize=address,undefined -fno-omit-frame-pointer' fuzzers
+	BUILD=build-san FUZZ_SECONDS=$(FUZZ_SECONDS) FUZZ_SEED=$(FUZZ_SEED) sh regress/fuzz.sh
+
 # Each guarded mechanism is taken out in a copy; its test must fail.
 mutants: all tests
 	sh regress/mutants.sh
