--- a/core/dag_state.c
+++ b/core/dag_state.c
@@ -372,7 +372,8 @@
 
 /*
  * Adds or updates a worker. One that is gone is kept, so that a late report of it is
- * known as such; it is removed when it is reported gone once more, or by a new life.
+ * known as such; it is removed when it is reported gone once more, or by a new life. A
+ * new one is ignored when no number is left.
  */
 static int apply_worker(struct dag_state *s, const struct dag_worker *w)
 {
@@ -386,7 +387,8 @@
 		remove_worker(s, rec);
 		rec = NULL;
 	}
-	if (!rec && w->state == DAG_WORKER_GONE)
+	if (!rec &&
+	    (w->state == DAG_WORKER_GONE || s->next_worker_number == DAG_WORKER_NUMBERS))
 		return 0;
 	restarted = rec && w->born_ms > rec->w.born_ms;
 	err = dag_state_put_worker(s, 0, w, &rec);
--- a/core/dag_state_snapshot.c
+++ b/core/dag_state_snapshot.c
@@ -6,8 +6,8 @@
 #include "core/dag_state.h"
 #include "proto/codec.h"
 
-/* Flag in dag_image_worker.number; numbers stay far below it. */
-#define WORKER_LOST 0x80000000U
+/* Flag in dag_image_worker.number. */
+#define WORKER_LOST DAG_WORKER_NUMBERS
 /* Fields of dag_image_task.failures. */
 #define FAILURES_MASK 0xffffU
 #define CRASHES_SHIFT 16
@@ -188,7 +188,8 @@
 {
 	int err;
 
-	if (!dag_time_valid(im->time_ms) || im->next_worker > WORKER_LOST)
+	if (!dag_time_valid(im->time_ms) || im->next_worker == 0 ||
+	    im->next_worker > DAG_WORKER_NUMBERS)
 		return CF_EMALFORMED;
 	s->time_ms = im->time_ms;
 	s->next_worker_number = im->next_worker;
--- a/regress/test_malformed.c
+++ b/regress/test_malformed.c
@@ -215,6 +215,14 @@
 	case 8:
 		im.time_ms = INT64_MAX;
 		break;
+	case 9:
+		im.next_worker = 0;
+		im.workers.workers_len = 0;
+		im.jobs.jobs_len = 0;
+		break;
+	case 10:
+		im.next_worker = DAG_WORKER_NUMBERS + 1;
+		break;
 	}
 	ck_assert_int_eq(codec_encode((xdrproc_t)xdr_dag_image, &im, &bytes), 0);
 	err = dag_state_restore(state, buf_str(&bytes));
@@ -237,6 +245,22 @@
 }
 END_TEST
 
+/* Guards against a snapshot that no replica can restore, as its numbers are used up. */
+START_TEST(last_worker_number_survives_a_snapshot)
+{
+	struct buf image = {0};
+
+	state->next_worker_number = DAG_WORKER_NUMBERS - 1;
+	add_worker(STR("last"));
+	add_worker(STR("none left"));
+	ck_assert_uint_eq(HASH_COUNT(state->workers), 1);
+	ck_assert_int_eq(dag_state_snapshot(state, &image), 0);
+	ck_assert_int_eq(dag_state_restore(state, buf_str(&image)), 0);
+	ck_assert_ptr_nonnull(dag_state_find_worker_by_id(state, STR("last")));
+	buf_free(&image);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("malformed");
@@ -250,7 +274,8 @@
 	tcase_add_test(tc, times_out_of_range_are_limited);
 	tcase_add_test(tc, job_with_live_runs_is_not_forgotten);
 	tcase_add_test(tc, names_of_any_bytes_survive_a_snapshot);
-	tcase_add_loop_test(tc, contradictory_snapshot_is_refused, 0, 9);
+	tcase_add_test(tc, last_worker_number_survives_a_snapshot);
+	tcase_add_loop_test(tc, contradictory_snapshot_is_refused, 0, 11);
 	suite_add_tcase(s, tc);
 	srunner_run_all(sr, CK_ENV);
 	failed = srunner_ntests_failed(sr);
