--- a/regress/test_fuzz_platform.c
+++ b/regress/test_fuzz_platform.c
@@ -108,6 +108,18 @@
 	FUZZ_CHECK(&fuzz, sent >= 0 && (uint64_t)sent == value);
 }
 
+/* What a gateway could not pass on is not taken either. */
+static void check_passed_on(const struct dag_task_ref *task, uint32_t run,
+			    struct str checkpoint)
+{
+	struct dag_end e = {.task = *task, .run = run};
+	struct buf bytes = {0};
+
+	XDR_SET(e, checkpoint, checkpoint);
+	FUZZ_CHECK(&fuzz, codec_encode((xdrproc_t)xdr_dag_end, &e, &bytes) == 0);
+	buf_free(&bytes);
+}
+
 static void check_lists(const struct dag_poll_reply *poll)
 {
 	json_t *body = json_parse(answer_body);
@@ -121,6 +133,7 @@
 
 		check_name(json_array_get(running, i), 0, &l->task);
 		check_row(json_array_get(running, i), 1, l->run);
+		check_passed_on(&l->task, l->run, l->checkpoint);
 	}
 	for (size_t i = 0; i < poll->n_ended; i++) {
 		const struct dag_listed_end *l = &poll->ended[i];
@@ -128,6 +141,7 @@
 		check_name(json_array_get(ended, i), 1, &l->task);
 		check_row(json_array_get(ended, i), 0, l->number);
 		check_row(json_array_get(ended, i), 2, l->run);
+		check_passed_on(&l->task, l->run, l->checkpoint);
 	}
 	json_decref(body);
 }
@@ -157,6 +171,8 @@
 
 static void add_answers(void)
 {
+	struct buf text = {0};
+
 	fuzz_add(&fuzz, STR("{\"born\":1700000000000,\"clock_ms\":480000,\"running\":["
 			    "[\"5c0e7a21d94b36f8.0.1.17\",2,\"00000bb87a21d94b\",40,900],"
 			    "[\"5c0e7a21d94b36f8.0.1.18\",1,\"\",0,0]],\"ended\":["
@@ -165,6 +181,14 @@
 			    "\"00000bb87a21d94b\"]]}"));
 	fuzz_add(&fuzz, STR("{\"reason\":\"old\"}"));
 	fuzz_add(&fuzz, STR("{\"reason\":\"fence\"}"));
+	/* Case: a checkpoint that no log entry can hold. */
+	buf_adds(&text, "{\"born\":1,\"clock_ms\":1,\"running\":[],\"ended\":"
+			"[[1,\"5c0e7a21d94b36f8.0.1.16\",1,\"stopped\",\"");
+	for (size_t i = 0; i <= DAG_MAX_NAME; i++)
+		buf_adds(&text, "c");
+	buf_adds(&text, "\"]]}");
+	fuzz_add(&fuzz, buf_str(&text));
+	buf_free(&text);
 	/* Case: numbers of runs and ends that are equal to others in 32 bits. */
 	fuzz_add(&fuzz, STR("{\"born\":1,\"clock_ms\":1,\"running\":"
 			    "[[\"5c0e7a21d94b36f8.0.1.17\",4294967298,\"\",0,0]],"
