agent: a list that is too long for a message is answered without it

Cause: a gateway sends the answers of a round as one message of at most 4 MiB. When one executor's lists were larger, or one answer could not be encoded, nothing was sent: the answers of other executors in that round were lost as well, and the leader, which got none, avoided the gateway and reset its connection.

Change: an answer above half of a message goes without its lists, which the leader takes as no usable reply of that executor; a batch is sent before it grows too large.

--- a/carawayfrontd/agent.c
+++ b/carawayfrontd/agent.c
@@ -11,6 +11,7 @@
 #include "io/clock.h"
 #include "io/log.h"
 #include "io/rpc_client.h"
+#include "io/rpc_wire.h"
 #include "platform/executors.h"
 #include "proto/codec.h"
 
@@ -19,6 +20,8 @@
  * about 15 executors; those of the others must not stay connected to it.
  */
 #define MAX_IDLE 128U
+/* Bytes of one answer, and of a batch before it is sent: two of these fit a message. */
+#define MAX_ANSWER (RPC_MAX_RECORD / 2 - 4096)
 
 /*
  * A call under way. The transport is given its own number in place of the worker's, so
@@ -60,9 +63,47 @@
 	return id;
 }
 
+/* Sends the answers of this round; lost ones time out at the leader. */
+static void send_batch(struct agent *a)
+{
+	unsigned char count[4];
+	struct buf bytes = {0};
+
+	if (!a->n_batch)
+		return;
+	codec_put_u32(count, a->n_batch);
+	if (a->client && !buf_add(&bytes, count, sizeof(count)) &&
+	    !buf_add(&bytes, a->batch.p, a->batch.n))
+		rpc_client_post(a->client, RELAY_PROC_ANSWERS, buf_str(&bytes));
+	buf_free(&bytes);
+	a->batch.n = 0;
+	a->n_batch = 0;
+}
+
+/* Appends an answer to the batch. CF_ETOOBIG, CF_EINVAL, CF_ENOMEM: it is as before. */
+static int encode_answer(struct agent *a, const struct dag_call_answer *answer)
+{
+	size_t before = a->batch.n;
+	int err = codec_encode((xdrproc_t)xdr_dag_call_answer, answer, &a->batch);
+
+	if (!err && a->batch.n - before > MAX_ANSWER)
+		err = CF_ETOOBIG;
+	if (err)
+		a->batch.n = before;
+	return err;
+}
+
+/*
+ * Lists that cannot be sent count as no usable reply. Without any answer the leader would
+ * avoid this gateway, which answers for other workers as well.
+ */
 static void add_answer(struct agent *a, const struct dag_call_answer *answer)
 {
-	if (!codec_encode((xdrproc_t)xdr_dag_call_answer, answer, &a->batch))
+	struct dag_call_answer bare = {.id = answer->id, .answer = answer->answer};
+
+	if (a->batch.n > MAX_ANSWER)
+		send_batch(a);
+	if (!encode_answer(a, answer) || !encode_answer(a, &bare))
 		a->n_batch++;
 }
 
@@ -149,22 +190,9 @@
 	.poll_replied = user_poll_replied,
 };
 
-/* Sends the answers of this round; lost ones time out at the leader. */
 static void on_prepare(struct ev_loop *loop, struct ev_prepare *w, int events)
 {
-	struct agent *a = w->data;
-	unsigned char count[4];
-	struct buf bytes = {0};
-
-	if (!a->n_batch)
-		return;
-	codec_put_u32(count, a->n_batch);
-	if (a->client && !buf_add(&bytes, count, sizeof(count)) &&
-	    !buf_add(&bytes, a->batch.p, a->batch.n))
-		rpc_client_post(a->client, RELAY_PROC_ANSWERS, buf_str(&bytes));
-	buf_free(&bytes);
-	a->batch.n = 0;
-	a->n_batch = 0;
+	send_batch(w->data);
 }
 
 static void serve_call(struct agent *a, const struct dag_call *c)
--- a/regress/test_relay.c
+++ b/regress/test_relay.c
@@ -21,8 +21,10 @@
 #define AGENT_ADDRESS "127.0.0.1:20462"
 #define WORKER_PORT 20463
 #define WORKER_ADDRESS "127.0.0.1:20463"
+#define LEADER_ADDRESS "127.0.0.1:20468"
 #define KEY "secret"
 #define MAX_CALLS 64U
+#define LONG_LIST 120000
 #define CONNECTIONS_A_WORKER 4 /* that a gateway opens at most */
 /* Longer than a call may stay without an answer and its gateway be avoided. */
 #define PATIENCE_S 4.0
@@ -55,6 +57,7 @@
 static struct settings settings;
 static struct relay *relay;
 static uint64_t gateway_id;
+static uint64_t self; /* id of the leader */
 
 static void on_call(struct rpc_server_host *host, struct rpc_call *call)
 {
@@ -121,7 +124,7 @@
 		.direct = &direct.transport,
 		.user = &user.base,
 		.state = state,
-		.self = 1,
+		.self = self,
 	};
 
 	ck_assert_int_eq(relay_new(&opt, &relay), 0);
@@ -133,6 +136,7 @@
 	struct dag_worker w = {.cpu_milli = 1000};
 	struct dag_worker_rec *rec;
 
+	self = 1;
 	loop = ev_loop_new(0);
 	gateway = (struct gateway){.host = {.ops = &gateway_ops}};
 	direct = (struct direct){.transport = {.ops = &direct_ops}};
@@ -530,6 +534,85 @@
 }
 END_TEST
 
+/* Counts the answers that reach a leader. */
+struct leader {
+	struct rpc_server_host host; /* first member */
+	struct rpc_server *server;
+	unsigned int answers;
+	unsigned int lists;
+};
+
+static void on_answers(struct rpc_server_host *host, struct rpc_call *call)
+{
+	struct leader *l = (struct leader *)host;
+	struct dag_call_answers list = {0};
+
+	ck_assert_int_eq(codec_decode((xdrproc_t)xdr_dag_call_answers, &list, call->args),
+			 0);
+	for (u_int i = 0; i < list.answers.answers_len; i++) {
+		l->answers++;
+		l->lists += list.answers.answers_val[i].has_look != 0;
+	}
+	codec_free((xdrproc_t)xdr_dag_call_answers, &list);
+	rpc_call_drop(call);
+}
+
+static const struct rpc_server_ops leader_ops = {.call = on_answers};
+
+static void leader_open(struct leader *l)
+{
+	struct rpc_server_options rpc = {.loop = loop, .key = STR(KEY)};
+
+	*l = (struct leader){.host = {.ops = &leader_ops}};
+	rpc.host = &l->host;
+	ck_assert_int_eq(addr_parse(STR(LEADER_ADDRESS), &rpc.address), 0);
+	ck_assert_int_eq(rpc_server_new(&rpc, &l->server), 0);
+	self = node_id(&rpc.address);
+	relay_free(relay);
+	new_relay();
+}
+
+/* An executor's reply with so many runs that the message to the leader is too large. */
+static void make_long_list(struct buf *out)
+{
+	buf_adds(out, "{\"born\":1,\"clock_ms\":1,\"ended\":[],\"running\":[");
+	for (int i = 0; i < LONG_LIST; i++)
+		buf_adds(out, i ? ",[\"0000000000000001.0.0.0\",1]"
+				: "[\"0000000000000001.0.0.0\",1]");
+	ck_assert_int_eq(buf_adds(out, "]}"), 0);
+}
+
+/* Guards against one executor's list that leaves the leader without answers. */
+START_TEST(list_that_is_too_long_is_answered)
+{
+	struct buf body = {0};
+	struct fake worker;
+	struct leader l;
+	struct far f;
+
+	far_open(&f);
+	leader_open(&l);
+	make_long_list(&body);
+	fake_open(&worker, WORKER_PORT);
+	fake_say(&worker, "POST", "/api/hold", 200, body.p, NULL, 1);
+	fake_say(&worker, "POST", "/api/hold", 200,
+		 "{\"born\":1,\"clock_ms\":1,\"running\":[],\"ended\":[]}", NULL, 0);
+	play_leader(&f.report, 0.2);
+	order_poll_until(2000, 0);
+	order_poll_until(2000, 0);
+	for (int i = 0; i < 20 && l.answers < 2; i++) {
+		play_leader(&f.report, 0.05);
+		play_gateway(f.loop, 0.1);
+	}
+	ck_assert_uint_eq(l.answers, 2);
+	ck_assert_uint_eq(l.lists, 1);
+	rpc_server_free(l.server);
+	far_close(&f);
+	fake_close(&worker);
+	buf_free(&body);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("relay");
@@ -547,6 +630,7 @@
 	tcase_add_test(t, call_of_an_ended_lease_is_not_carried_out);
 	tcase_add_test(t, queued_call_of_an_ended_lease_is_not_sent);
 	tcase_add_test(t, connection_without_answers_is_reset);
+	tcase_add_test(t, list_that_is_too_long_is_answered);
 	suite_add_tcase(s, t);
 	r = srunner_create(s);
 	srunner_run_all(r, CK_ENV);
