relay: starts that together exceed a message are sent in several

Cause: the calls of a round to one gateway were one message of at most 4 MiB; 64 starts with the longest spec exceed it. None was sent, and the gateway was avoided.

Change: a batch is sent once it holds half of a message.

--- a/carawayfrontd/relay.c
+++ b/carawayfrontd/relay.c
@@ -11,6 +11,7 @@
 #include "io/clock.h"
 #include "io/log.h"
 #include "io/rpc_client.h"
+#include "io/rpc_wire.h"
 #include "proto/codec.h"
 
 #define MAX_AGENTS 128U
@@ -26,6 +27,8 @@
 /* Failed calls before another gateway calls a worker: connections are few. */
 #define FAILURES_A_TURN 3U
 #define ZONE_MAX 64U
+/* Bytes of calls after which they are sent; a message holds these and one more. */
+#define MAX_BATCH (RPC_MAX_RECORD / 2)
 
 /* A gateway. */
 struct relay_agent {
@@ -221,6 +224,24 @@
 	return end_us + a->clock_offset_us;
 }
 
+/* An encoded dag_calls: the leader, the number of calls, the calls. */
+static void send_batch(struct relay *r, struct relay_agent *a)
+{
+	unsigned char head[12];
+	struct buf bytes = {0};
+
+	codec_put_u32(head, (uint32_t)(r->opt.self >> 32));
+	codec_put_u32(head + 4, (uint32_t)r->opt.self);
+	codec_put_u32(head + 8, a->n_batch);
+	if (buf_add(&bytes, head, sizeof(head)) ||
+	    buf_add(&bytes, a->batch.p, a->batch.n) ||
+	    rpc_client_post(a->client, RELAY_PROC_CALLS, buf_str(&bytes)))
+		avoid_agent(r, a, "calls not sent");
+	buf_free(&bytes);
+	a->batch.n = 0;
+	a->n_batch = 0;
+}
+
 /*
  * Adds a call to the batch of a gateway; its end is reported later, but for a throttle,
  * which has no answer.
@@ -230,6 +251,8 @@
 {
 	struct relay_call *call;
 
+	if (a->batch.n > MAX_BATCH)
+		send_batch(r, a);
 	c->id = ++r->next_id;
 	c->expires_us = expiry_us(a, c->kind, send_until_us, timeout);
 	if (codec_encode((xdrproc_t)xdr_dag_call, c, &a->batch))
@@ -320,24 +343,6 @@
 	.poll = send_poll,
 };
 
-/* An encoded dag_calls: the leader, the number of calls, the calls. */
-static void send_batch(struct relay *r, struct relay_agent *a)
-{
-	unsigned char head[12];
-	struct buf bytes = {0};
-
-	codec_put_u32(head, (uint32_t)(r->opt.self >> 32));
-	codec_put_u32(head + 4, (uint32_t)r->opt.self);
-	codec_put_u32(head + 8, a->n_batch);
-	if (buf_add(&bytes, head, sizeof(head)) ||
-	    buf_add(&bytes, a->batch.p, a->batch.n) ||
-	    rpc_client_post(a->client, RELAY_PROC_CALLS, buf_str(&bytes)))
-		avoid_agent(r, a, "calls not sent");
-	buf_free(&bytes);
-	a->batch.n = 0;
-	a->n_batch = 0;
-}
-
 void relay_flush(struct relay *r)
 {
 	for (size_t i = 0; i < r->n_agents; i++)
--- a/regress/test_relay.c
+++ b/regress/test_relay.c
@@ -534,6 +534,25 @@
 }
 END_TEST
 
+/* Guards against a round with so many large starts that none of them is sent. */
+START_TEST(starts_that_fill_messages_are_all_sent)
+{
+	struct dag_worker_command o = {.call = {.worker = 1}, .run = 1};
+	struct buf spec = {0};
+
+	while (spec.n < DAG_MAX_SPEC)
+		ck_assert_int_eq(buf_adds(&spec, "12345678"), 0);
+	o.spec = buf_str(&spec);
+	play(0.2);
+	for (unsigned int i = 0; i < MAX_CALLS; i++)
+		transport()->ops->start(transport(), &o);
+	play(0.5);
+	ck_assert_uint_eq(gateway.n, MAX_CALLS);
+	ck_assert_uint_eq(direct.calls, 0);
+	buf_free(&spec);
+}
+END_TEST
+
 /* Counts the answers that reach a leader. */
 struct leader {
 	struct rpc_server_host host; /* first member */
@@ -630,6 +649,7 @@
 	tcase_add_test(t, call_of_an_ended_lease_is_not_carried_out);
 	tcase_add_test(t, queued_call_of_an_ended_lease_is_not_sent);
 	tcase_add_test(t, connection_without_answers_is_reset);
+	tcase_add_test(t, starts_that_fill_messages_are_all_sent);
 	tcase_add_test(t, list_that_is_too_long_is_answered);
 	suite_add_tcase(s, t);
 	r = srunner_create(s);
