dag_client: a request beyond a bound of the protocol is invalid

Cause: a request that cannot be encoded, such as one with a Host header of 300 bytes, was answered as rejected: gateways told the caller to send it again after 500 ms (503), while the leader says 400. The buffer of each such request was lost, 87 bytes.

Change: it is answered as invalid, and the buffer is freed.

--- a/Makefile
+++ b/Makefile
@@ -58,6 +58,9 @@
 $(BUILD)/bin/test_relay: $(BUILD)/carawayfrontd/relay.o $(BUILD)/carawayfrontd/agent.o \
 	$(BUILD)/carawayfrontd/node_id.o
 
+$(BUILD)/bin/test_dag_client: $(BUILD)/carawayfrontd/dag_client.o \
+	$(BUILD)/carawayfrontd/node_id.o
+
 $(BUILD)/bin/test_command_batch: $(BUILD)/carawayfrontd/command_batch.o
 
 $(BUILD)/bin/test_leader_client: $(BUILD)/carawayfrontd/leader_client.o
--- a/carawayfrontd/dag_client.c
+++ b/carawayfrontd/dag_client.c
@@ -225,6 +225,17 @@
 	       kind != DAG_REQ_MEMBERS;
 }
 
+/* A request that exceeds a bound of the protocol stays invalid; others may come again. */
+static void refuse(struct dag_pending_request *t, int err)
+{
+	struct dag_reply reply = {.outcome = DAG_REJECTED,
+				  .retry_after_ms = RETRY_AFTER_MS};
+
+	if (err == CF_EINVAL)
+		reply.outcome = DAG_INVALID;
+	t->ops->done(t, &reply);
+}
+
 /*
  * Sends a request; timeout in seconds. Without an answer it ends as rejected if it cannot
  * have changed anything, else as unknown.
@@ -232,13 +243,15 @@
 void dag_client_request(struct dag_client *c, const struct dag_request *req,
 			double timeout, struct dag_pending_request *t)
 {
-	struct dag_reply rejected = {.outcome = DAG_REJECTED,
-				     .retry_after_ms = RETRY_AFTER_MS};
 	struct client_call *call = calloc(1, sizeof(*call));
+	int err = call ? codec_encode((xdrproc_t)xdr_dag_request, req, &call->args)
+		       : CF_ENOMEM;
 
-	if (!call || codec_encode((xdrproc_t)xdr_dag_request, req, &call->args)) {
+	if (err) {
+		if (call)
+			buf_free(&call->args);
 		free(call);
-		t->ops->done(t, &rejected);
+		refuse(t, err);
 		return;
 	}
 	call->waiter.ops = &waiter_ops;
