io/doc: many %TAG directives are refused

Cause: libyaml compares each %TAG directive of a document with all others. 50,000 of them (790 KB) kept an entry process busy for 6.1 s.

Change: a text with more than 16 is refused; texts are read as UTF-8, as the other encodings would hide them.

Result: many_tag_directives_are_refused of test_doc failed before (870 ms of processor time with 19,990 of them, limit 200) and passes; 7 checks passed.

--- a/io/doc.c
+++ b/io/doc.c
@@ -129,6 +129,22 @@
 	}
 }
 
+/* Directives that libyaml compares each with each. Lines may end in several ways. */
+static unsigned int count_directives(struct str text)
+{
+	static const char directive[] = "%TAG";
+	const size_t n = sizeof(directive) - 1;
+	unsigned int count = 0;
+	const char *at;
+
+	while (text.n && (at = memmem(text.p, text.n, directive, n))) {
+		text.n -= (size_t)(at - text.p) + n;
+		text.p = at + n;
+		count++;
+	}
+	return count;
+}
+
 /*
  * Parses one document of at most DOC_MAX_BYTES. On an error, *error tells the line
  * and *out is NULL.
@@ -143,8 +159,11 @@
 	*error = (struct doc_error){.err = CF_ENOMEM, .reason = "out of memory"};
 	if (text.n > DOC_MAX_BYTES)
 		return refuse(&r, CF_ETOOBIG, 0, "document too large");
+	if (count_directives(text) > DOC_MAX_DIRECTIVES)
+		return refuse(&r, CF_ETOOBIG, 0, "too many %TAG directives");
 	if (!yaml_parser_initialize(&r.parser))
 		return CF_ENOMEM;
+	yaml_parser_set_encoding(&r.parser, YAML_UTF8_ENCODING);
 	yaml_parser_set_input_string(
 		&r.parser, (const unsigned char *)(text.n ? text.p : ""), text.n);
 	for (;;) {
--- a/io/doc.h
+++ b/io/doc.h
@@ -24,6 +24,7 @@
 
 #define DOC_MAX_DEPTH 16U
 #define DOC_MAX_NODES 20000U
+#define DOC_MAX_DIRECTIVES 16U
 #define DOC_MAX_BYTES (1U << 20)
 
 int doc_parse(struct str text, struct doc_node **out, struct doc_error *error);
--- a/regress/test_doc.c
+++ b/regress/test_doc.c
@@ -132,6 +132,22 @@
 }
 END_TEST
 
+/* Guards against directives that libyaml compares each with each, for seconds. */
+START_TEST(many_tag_directives_are_refused)
+{
+	struct buf text = {0};
+
+	for (int i = 0; i < MANY_KEYS; i++)
+		buf_addf(&text, "%%TAG !t%d! tag:x,2026:%c", i, i % 2 ? '\n' : '\r');
+	buf_adds(&text, "---\na: 1\n");
+	ck_assert_int_lt(parse_ms(buf_str(&text), CF_ETOOBIG), MAX_MS);
+	text.n = 0;
+	buf_adds(&text, "%TAG ! tag:x,2026:\n---\na: 1\n");
+	parse_ms(buf_str(&text), 0);
+	buf_free(&text);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("doc");
@@ -145,6 +161,7 @@
 	tcase_add_test(tc, expansion_is_refused);
 	tcase_add_test(tc, every_prefix_is_handled);
 	tcase_add_test(tc, map_of_many_keys_is_read_in_time);
+	tcase_add_test(tc, many_tag_directives_are_refused);
 	suite_add_tcase(s, tc);
 	sr = srunner_create(s);
 	srunner_run_all(sr, CK_NORMAL);
