--- a/core/conf.c
+++ b/core/conf.c
@@ -286,6 +286,12 @@
 	return c->base_revision;
 }
 
+/* The newest change, or the revision after which the log begins. */
+static uint64_t last_revision(const struct conf *c)
+{
+	return c->end > c->first ? c->log[c->end - 1]->revision : c->base_revision;
+}
+
 /* Adds a current document from a snapshot. Returns CF_ECORRUPT if it is invalid. */
 int conf_load_doc(struct conf *c, const struct conf_change *change)
 {
@@ -316,10 +322,7 @@
 	struct conf_doc *doc;
 	int err;
 
-	uint64_t last =
-		c->end > c->first ? c->log[c->end - 1]->revision : c->base_revision;
-
-	if (change->revision <= last)
+	if (change->revision <= last_revision(c))
 		return CF_ECORRUPT;
 	if (present) {
 		const struct conf_doc *stored = conf_view_get(c->view, change->path);
@@ -349,18 +352,24 @@
 	return 0;
 }
 
-/* Completes loading. Returns CF_ECORRUPT if a document violates its schema. */
-int conf_load_end(struct conf *c)
+/*
+ * Completes loading. Returns CF_ECORRUPT if a document violates its schema or a revision
+ * is above index: changes that follow have higher ones.
+ */
+int conf_load_end(struct conf *c, uint64_t index)
 {
 	struct vocab_error e;
 
+	if (last_revision(c) > index)
+		return CF_ECORRUPT;
 	for (size_t i = 0; i < conf_view_teams(c->view); i++) {
 		const struct conf_doc *const *docs;
 		size_t n;
 
 		docs = conf_view_team(c->view, conf_view_team_name(c->view, i), &n);
 		for (size_t k = 0; k < n; k++) {
-			if (conf_view_check(c->view, docs[k], &e))
+			if (docs[k]->revision > index ||
+			    conf_view_check(c->view, docs[k], &e))
 				return CF_ECORRUPT;
 		}
 	}
--- a/core/conf.h
+++ b/core/conf.h
@@ -41,6 +41,6 @@
 int conf_load_doc(struct conf *c, const struct conf_change *change);
 int conf_load_change(struct conf *c, const struct conf_change *change, bool present);
 int conf_load_log_base(struct conf *c, uint64_t base);
-int conf_load_end(struct conf *c);
+int conf_load_end(struct conf *c, uint64_t index);
 
 #endif
--- a/core/store_snap.c
+++ b/core/store_snap.c
@@ -322,7 +322,7 @@
 		return err;
 	if (n != records)
 		return CF_ECORRUPT;
-	return conf_load_end(s->conf);
+	return conf_load_end(s->conf, s->index);
 }
 
 /*
