carawayfrontd: numbers of a worker's poll that are out of range are refused

Change: such a poll is refused with CF_EINVAL. The reader has a file of its own, worker_report.c, so that a test can reach it.

--- a/Makefile
+++ b/Makefile
@@ -61,6 +61,9 @@
 $(BUILD)/bin/test_dag_client: $(BUILD)/carawayfrontd/dag_client.o \
 	$(BUILD)/carawayfrontd/node_id.o
 
+$(BUILD)/bin/test_fuzz_worker: $(BUILD)/carawayfrontd/worker_report.o \
+	$(BUILD)/carawayfrontd/poll_digest.o
+
 $(BUILD)/bin/test_fuzz_yaml: $(BUILD)/carawayfrontd/settings.o
 
 $(BUILD)/bin/test_command_batch: $(BUILD)/carawayfrontd/command_batch.o
--- a/carawayfrontd/state_worker.c
+++ b/carawayfrontd/state_worker.c
@@ -6,11 +6,10 @@
 #include "base/err.h"
 #include "carawayfrontd/ctl_reply.h"
 #include "carawayfrontd/state_leading.h"
+#include "carawayfrontd/worker_report.h"
 #include "io/clock.h"
 #include "proto/codec.h"
 
-#define MAX_TASKS 4096U /* in one poll */
-
 static void reply(struct rpc_call *call, int err, struct str leader, struct str body)
 {
 	struct peer_worker_res res = {.err = err};
@@ -25,96 +24,6 @@
 	buf_free(&bytes);
 }
 
-static struct str get_str(const json_t *j, const char *key)
-{
-	const json_t *v = json_object_get(j, key);
-
-	return (struct str){json_string_value(v), json_string_length(v)};
-}
-
-static uint64_t get_u64(const json_t *j, const char *key)
-{
-	json_int_t v = json_integer_value(json_object_get(j, key));
-
-	return v > 0 ? (uint64_t)v : 0;
-}
-
-static int read_status(struct str s, enum sched_status *out)
-{
-	static const char *const names[] = {"running", "done", "failed", "stopped",
-					    "checkpointed"};
-
-	for (int i = 0; i < 5; i++) {
-		if (str_eq(s, str_from(names[i]))) {
-			*out = (enum sched_status)i;
-			return 0;
-		}
-	}
-	return CF_EINVAL;
-}
-
-/* Splits TEAM/JOB/NUMBER. */
-static int read_task_name(struct str name, struct sched_task_report *t)
-{
-	uint64_t number;
-
-	if (!str_split(name, '/', &t->team, &name) ||
-	    !str_split(name, '/', &t->job, &name) || str_to_u64(name, &number) ||
-	    number > UINT32_MAX)
-		return CF_EINVAL;
-	t->task = (uint32_t)number;
-	return 0;
-}
-
-static int read_task(const json_t *j, struct sched_task_report *t)
-{
-	int err = read_task_name(get_str(j, "task"), t);
-
-	if (!err)
-		err = read_status(get_str(j, "state"), &t->status);
-	t->attempt = (uint32_t)get_u64(j, "attempt");
-	t->exit_code = (int32_t)json_integer_value(json_object_get(j, "exit"));
-	t->checkpoint = get_u64(j, "checkpoint");
-	t->cpu_milli = (uint32_t)get_u64(j, "cpu_milli");
-	t->memory_mb = (uint32_t)get_u64(j, "memory_mb");
-	t->latency_us = (int64_t)get_u64(j, "latency_us");
-	return err;
-}
-
-/* Fills a report whose tasks the caller frees; the strings point into the JSON. */
-static int read_report(const json_t *j, struct str worker, struct sched_worker_report *r)
-{
-	const json_t *tasks = json_object_get(j, "tasks");
-	size_t n = json_array_size(tasks);
-	struct sched_task_report *list;
-	int err = 0;
-
-	if (n > MAX_TASKS)
-		return CF_ETOOBIG;
-	list = calloc(n ? n : 1, sizeof(*list));
-	if (!list)
-		return CF_ENOMEM;
-	*r = (struct sched_worker_report){
-		.worker = worker,
-		.zone = get_str(j, "zone"),
-		.rack = get_str(j, "rack"),
-		.session = get_u64(j, "session"),
-		.seq = get_u64(j, "seq"),
-		.epoch = get_u64(j, "epoch"),
-		.capacity = {.cpu_milli = (uint32_t)get_u64(j, "cpus") * 1000,
-			     .memory_mb = (uint32_t)get_u64(j, "memory_mb"),
-			     .accelerators = (uint32_t)get_u64(j, "accelerators")},
-		.lag_us = (int64_t)get_u64(j, "lag_ms") * 1000,
-		.tasks = list,
-		.ntasks = n,
-	};
-	for (size_t i = 0; i < n && !err; i++)
-		err = read_task(json_array_get(tasks, i), &list[i]);
-	if (!err && (r->zone.n == 0 || r->session == 0 || r->seq == 0))
-		err = CF_EINVAL;
-	return err;
-}
-
 static const char *op_name(enum sched_op op)
 {
 	static const char *const names[] = {"start", "stop", "checkpoint", "throttle",
@@ -193,7 +102,7 @@
 	int err = CF_EMALFORMED;
 
 	if (j)
-		err = read_report(j, worker, &report);
+		err = worker_report_read(j, worker, &report);
 	if (!err && !args->full)
 		apply_renewal(&report, args);
 	if (!err)
@@ -205,7 +114,7 @@
 		err = text ? buf_adds(out, text) : CF_ENOMEM;
 	}
 	free(text);
-	free((struct sched_task_report *)(uintptr_t)report.tasks);
+	worker_report_free(&report);
 	json_decref(j);
 	return err;
 }
