core/dag: correlated crashes prove no task deadly

Cause: every run on a crashed worker is counted, and a suspect that was tried alone on it is taken as proved to be the cause. From the third moment on, the tasks that two had hit are alone on their workers, and are given up after three crashes.

The leader now notes when contact with each worker's process broke: the first poll that failed, or the news of its successor. If that is within a second for a third of all workers, the cause is common, and no run was alone.

BUDGET: the crashes are still counted, and four give a task up. Only the shorter limit of three is withheld, so a task has at most four counted crashes as before, whatever the leader takes for correlated.

Weighed and left: - A fifth start for a task whose fourth crash was correlated, bounded by run numbers.

test_dag_crash: mass_crashes_prove_nothing failed in 43 of 60 cases before; all 297 checks pass now. mass_crashes_hide_no_deadly_task crashes most workers whenever a deadly task crashes one, with late and lost orders and new leaders; it passes before and after, and guards the bound. Mutants crash-correlated and crash-new-leader are seen. test_dag, test_dag_life and test_dag_room: 992 checks pass.

--- a/core/dag_crash.c
+++ b/core/dag_crash.c
@@ -2,7 +2,8 @@
  * Tasks that crash the workers that start them. Each run on a worker when it crashes is
  * counted, since any may be the cause. A task that was counted before is placed apart
  * from others of the kind, then tried alone, so that only one of them is the cause of
- * the next crash. dag_state.c has the limits; planned exits do not count.
+ * the next crash. dag_state.c has the limits; planned exits do not count. Correlated
+ * crashes of many workers have a common cause: they count, but prove nothing.
  */
 #include "core/dag_sched_impl.h"
 #include "proto/codec.h"
@@ -15,6 +16,15 @@
 #define TRIAL_US (1500 * USEC_PER_MS)
 /* A worker that joined so recently may be one that crashes by itself. */
 #define NEW_WORKER_US (15 * USEC_PER_SEC)
+/*
+ * A crash is correlated if contact with this part of all workers broke no further from it
+ * in time. One that no failed poll shows is known only when the worker is back.
+ */
+#define CORRELATED_US (1 * USEC_PER_SEC)
+#define CORRELATED_DIVISOR 3U
+#define CORRELATED_MIN 3U
+/* A new leader does not know yet which other workers have crashed. */
+#define NEW_LEADER_US (2 * USEC_PER_SEC)
 /* Scores in thousandths of a core. */
 #define SUSPECT_BESIDE_PENALTY 4000000
 #define NEW_WORKER_PENALTY 2000000
@@ -55,8 +65,31 @@
 	return contact_us(r->worker) - r->start_sent_us < CRASH_DELAY_MAX_US;
 }
 
+/* Whether contact with many other workers broke when it did with this one. */
+static bool is_correlated(const struct dag_sched *s, const struct ds_worker *w)
+{
+	size_t broken = 0;
+	size_t present = 0;
+
+	for (size_t i = 0; i < s->n_workers; i++) {
+		const struct ds_worker *o = s->workers[i];
+
+		present += o->rec->w.state != DAG_WORKER_GONE;
+		broken += o->broken_us && o->broken_us > w->broken_us - CORRELATED_US &&
+			  o->broken_us < w->broken_us + CORRELATED_US;
+	}
+	return broken >= CORRELATED_MIN && broken * CORRELATED_DIVISOR >= present;
+}
+
+/* Whether the crash of a worker may prove that a run on it is the cause. */
+static bool may_prove(const struct dag_sched *s, const struct ds_worker *w)
+{
+	return s->now_us - s->leading_since_us >= NEW_LEADER_US && !is_correlated(s, w);
+}
+
 /* The one run that explains a crash: a suspect on trial that started last. NULL: none. */
-static const struct ds_run *sole_suspect(const struct ds_worker *w, int64_t born_ms)
+static const struct ds_run *sole_suspect(const struct dag_sched *s,
+					 const struct ds_worker *w, int64_t born_ms)
 {
 	const struct ds_run *sole = NULL;
 	const struct ds_run *r;
@@ -72,7 +105,7 @@
 		if (sole && r != sole && was_there(r, born_ms) &&
 		    r->start_sent_us >= sole->start_sent_us)
 			return NULL;
-	return sole;
+	return sole && may_prove(s, w) ? sole : NULL;
 }
 
 static enum dag_end_how crash_end(const struct ds_run *r, bool alone)
@@ -94,9 +127,11 @@
 /* Ends the runs of a worker whose process has crashed and is replaced by another. */
 void ds_crash_runs(struct dag_sched *s, struct ds_worker *w, const char *reason)
 {
-	const struct ds_run *sole = sole_suspect(w, INT64_MAX);
+	const struct ds_run *sole;
 	struct ds_run *r;
 
+	ds_worker_note_exit(s, w);
+	sole = sole_suspect(s, w, INT64_MAX);
 	TAILQ_FOREACH (r, &w->runs, worker_entry)
 		if (was_there(r, INT64_MAX))
 			count_crash(s, r, r == sole, reason);
@@ -109,7 +144,7 @@
  */
 void ds_crash_earlier_life(struct dag_sched *s, struct ds_worker *w, int64_t born_ms)
 {
-	const struct ds_run *sole = sole_suspect(w, born_ms);
+	const struct ds_run *sole = sole_suspect(s, w, born_ms);
 	struct ds_run *r;
 
 	TAILQ_FOREACH (r, &w->runs, worker_entry) {
--- a/core/dag_life.c
+++ b/core/dag_life.c
@@ -78,6 +78,13 @@
 	ds_propose(s, &c);
 }
 
+/* A worker's process has ended; a poll that failed before tells better when that was. */
+void ds_worker_note_exit(const struct dag_sched *s, struct ds_worker *w)
+{
+	if (!w->poll_failures)
+		w->broken_us = s->now_us;
+}
+
 /*
  * Records that a worker has not replied for a while, so that the next leader need not
  * wait for a lease from its own start on. Until the contrary is recorded as well, the
@@ -85,6 +92,8 @@
  */
 void ds_worker_lose_contact(struct dag_sched *s, struct ds_worker *w)
 {
+	if (w->poll_failures == 1)
+		w->broken_us = s->now_us;
 	if (w->contact_lost || !w->n_runs || w->poll_failures < LOST_POLL_FAILURES)
 		return;
 	w->contact_lost = true;
@@ -120,6 +129,8 @@
 {
 	if (born_ms <= w->process_born_ms)
 		return;
+	if (w->process_born_ms)
+		ds_worker_note_exit(s, w);
 	w->process_born_ms = born_ms;
 	w->life = ++s->n_lives;
 	w->earlier_left = w->leaving_since_us || w->draining;
--- a/core/dag_sched.c
+++ b/core/dag_sched.c
@@ -279,6 +279,7 @@
 	s->state = opt->state;
 	s->host = opt->host;
 	s->now_us = now_us;
+	s->leading_since_us = now_us;
 	s->wall_ms = wall_ms;
 	s->last_place_us = now_us - PLACE_RETRY_US;
 	TAILQ_INIT(&s->ready);
--- a/core/dag_sched_impl.h
+++ b/core/dag_sched_impl.h
@@ -156,6 +156,7 @@
 	bool earlier_left;     /* its earlier life had announced its end */
 	int64_t next_poll_us;
 	unsigned int poll_failures;
+	int64_t broken_us;	   /* contact with its process last broke, 0: never */
 	uint64_t acked_end;	   /* ends up to this number are acknowledged */
 	uint64_t first_listed_end; /* lowest number in its newest list, 0: no end */
 	uint64_t last_listed_end;  /* highest number in its lists */
@@ -193,6 +194,7 @@
 	struct dag_host *host;
 	int64_t now_us;
 	int64_t wall_ms;
+	int64_t leading_since_us;
 	int64_t last_place_us; /* newest pass over the ready list */
 	int64_t last_check_us; /* newest pass over all runs */
 	struct ds_ready ready;
@@ -271,6 +273,7 @@
 			 struct dag_worker_call *call);
 void ds_worker_record_contact(struct ds_worker *w, const struct dag_poll_reply *poll,
 			      int64_t now_us);
+void ds_worker_note_exit(const struct dag_sched *s, struct ds_worker *w);
 void ds_worker_lose_contact(struct dag_sched *s, struct ds_worker *w);
 void ds_worker_regain_contact(struct dag_sched *s, struct ds_worker *w);
 void ds_worker_contact_changed(struct dag_sched *s, struct ds_worker *w);
--- a/regress/test_dag_crash.c
+++ b/regress/test_dag_crash.c
@@ -149,6 +149,86 @@
 }
 END_TEST
 
+/* Crashes most workers within one moment; they are back a moment later. */
+static void crash_most_workers(bool new_id)
+{
+	for (uint32_t k = 0; k < N_WORKERS; k++) {
+		int64_t down_us =
+			SECOND / 10 + (int64_t)prng_below(&w.prng, SECOND * 4 / 10);
+
+		if (prng_below(&w.prng, 10) < 7)
+			dw_crash_for(&w, k, down_us, new_id);
+		if (prng_below(&w.prng, 2))
+			dw_run_for(&w, SECOND / 100);
+	}
+}
+
+/* Guards against crashes of many workers within one moment that pass for proof. */
+START_TEST(mass_crashes_prove_nothing)
+{
+	w.prng.state = (uint64_t)_i + 1;
+	w.work_us = (_i % 3 + 1) * 4 * SECOND;
+	dw_add_workers(&w, N_WORKERS);
+	dw_submit_lasting(&w, 500, 6);
+	for (uint64_t id = 1; id <= 6; id++)
+		dw_submit_chain(&w, id, 1, 2);
+	for (int i = 0; i < 3; i++) {
+		dw_run_for(&w, 2 * SECOND + (int64_t)prng_below(&w.prng, 2 * SECOND));
+		crash_most_workers(_i & 1);
+		dw_run_for(&w, (int64_t)prng_below(&w.prng, SECOND));
+		if (_i & 2)
+			dw_change_leader(&w);
+	}
+	dw_run_for(&w, 90 * SECOND);
+	dw_assert_sound(&w);
+	for (uint64_t id = 1; id <= 6; id++) {
+		const struct dag_job_rec *j = dag_state_find_job(w.state, id);
+
+		/* Four are the limit, with or without proof. */
+		if (dag_job_find_task(j, 0, 0, 0)->crashes < DAG_CRASHES_MAX &&
+		    dag_job_find_task(j, 0, 0, 1)->crashes < DAG_CRASHES_MAX)
+			assert_completed(id, 1);
+	}
+	ck_assert_uint_eq(dw_alive(&w, 500), 6);
+}
+END_TEST
+
+/* Guards against deadly tasks that go on since many workers crash whenever they do. */
+START_TEST(mass_crashes_hide_no_deadly_task)
+{
+	uint32_t crashes = 0;
+
+	w.prng.state = (uint64_t)_i + 1;
+	w.crash_new_id = _i & 1;
+	w.work_us = 2 * SECOND;
+	w.crash_delay_us = (int64_t)prng_below(&w.prng, SECOND);
+	w.crash_return_us = SECOND / 4 + (int64_t)prng_below(&w.prng, 3 * SECOND);
+	w.deadly_job = DEADLY;
+	w.deadly_jobs = 1 + (uint32_t)_i % 7;
+	if (_i & 4) {
+		w.lost_permille = 30;
+		w.late_permille = 30;
+	}
+	dw_add_workers(&w, N_WORKERS);
+	dw_submit_lasting(&w, 500, 6);
+	for (uint32_t k = 0; k < w.deadly_jobs; k++)
+		dw_submit_chain(&w, DEADLY + k, 1, 1 + (uint32_t)_i % 4);
+	for (int i = 0; i < 100; i++) {
+		dw_run_for(&w, (int64_t)prng_below(&w.prng, SECOND));
+		if (w.crashes == crashes)
+			continue;
+		crash_most_workers(_i & 1);
+		crashes = w.crashes;
+		if (_i & 2 && prng_below(&w.prng, 2))
+			dw_change_leader(&w);
+	}
+	dw_run_for(&w, 120 * SECOND);
+	dw_assert_sound(&w);
+	for (uint64_t id = DEADLY; id < DEADLY + w.deadly_jobs; id++)
+		ck_assert_int_eq(dw_state(&w, id), DAG_JOB_FAILED);
+}
+END_TEST
+
 /* Guards against long work that is given up since it was on workers that were cut off. */
 START_TEST(cuts_and_new_leaders_give_nothing_up)
 {
@@ -264,6 +344,8 @@
 	tcase_add_test(tc, snapshot_keeps_the_crashes);
 	tcase_add_loop_test(tc, neighbours_of_deadly_tasks_complete, 0, 12);
 	tcase_add_loop_test(tc, crashes_of_other_cause_give_nothing_up, 0, 20);
+	tcase_add_loop_test(tc, mass_crashes_prove_nothing, 0, N_SEEDS);
+	tcase_add_loop_test(tc, mass_crashes_hide_no_deadly_task, 0, 2 * N_SEEDS);
 	tcase_add_loop_test(tc, count_of_crashes_survives_faults, 0, N_SEEDS);
 	suite_add_tcase(s, tc);
 	srunner_run_all(sr, CK_NORMAL);
