core/dag: a start fences acknowledgements that were sent before it

A poll that acknowledges ends is held up; its worker starts again unnoticed and gets a start request with the same fencing token; the run is done, and then the poll is carried out by the new process. The end is forgotten unread, and the task runs again (TWICE). With libcurl this takes no fault beyond the restart: it repeats a poll on a new connection when a reused one breaks.

The number in the token is now a fence of its own. It rises with a new life, with a start request while a poll that acknowledges ends has no answer yet, and when such a poll gets none. So no poll can make a process forget the end of a run that was started after it. The fence is counted for each worker and has 28 bits, 25 are left to the epoch; a worker that is forgotten and comes back goes on above all earlier fences.

--- a/core/dag_life.c
+++ b/core/dag_life.c
@@ -8,9 +8,9 @@
 #define SLOW_CLOCK_PERCENT 103
 #define LEASE_EXPIRY_MARGIN_US (150 * USEC_PER_MS)
 
-/* JSON numbers are exact up to 53 bits, which leaves 33 to the epoch. */
-#define LIFE_BITS 20
-#define LIFE_MAX ((1U << LIFE_BITS) - 1)
+/* JSON numbers are exact up to 53 bits, which leaves 25 to the epoch. */
+#define FENCE_BITS 28
+#define FENCE_MAX ((1U << FENCE_BITS) - 1)
 
 /* When a lease of a worker, counted from from_us, has certainly expired. */
 int64_t ds_lease_expiry_us(int64_t from_us, int64_t lease_us)
@@ -20,12 +20,13 @@
 
 /*
  * Fencing token of a call to a worker. The epoch fences calls of earlier leaders; the
- * number of the life, in the lower bits, those of this leader for the worker's earlier
- * lives, which may be carried out late by a newer process.
+ * worker's fence, in the lower bits, earlier calls of this leader, which may be carried
+ * out late by a newer process: those for earlier lives, and polls that acknowledge ends
+ * when a run was started after them.
  */
 static uint64_t worker_token(const struct dag_sched *s, const struct ds_worker *w)
 {
-	return s->opt.epoch << LIFE_BITS | (w->life < LIFE_MAX ? w->life : LIFE_MAX);
+	return s->opt.epoch << FENCE_BITS | (w->fence < FENCE_MAX ? w->fence : FENCE_MAX);
 }
 
 void ds_worker_fill_call(const struct dag_sched *s, const struct ds_worker *w,
@@ -112,16 +113,31 @@
 	s->placement_needed = true;
 }
 
+void ds_worker_begin_life(struct ds_worker *w)
+{
+	w->life = ++w->fence;
+}
+
+/*
+ * Calls from now on fence a poll that acknowledges ends and has no answer yet: carried
+ * out late by a newer process, it would make that forget the ends of its own runs.
+ */
+void ds_worker_fence_poll(struct ds_worker *w)
+{
+	if (w->poll_acks && w->poll_fence == w->fence)
+		w->fence++;
+}
+
 /*
  * A newer process of a worker has a clock of its own and numbers its ends from the start
  * again. Its start is learned from its reports or its lists, whichever come first.
  */
-void ds_worker_follow_start(struct dag_sched *s, struct ds_worker *w, int64_t born_ms)
+void ds_worker_follow_start(struct ds_worker *w, int64_t born_ms)
 {
 	if (born_ms <= w->process_born_ms)
 		return;
 	w->process_born_ms = born_ms;
-	w->life = ++s->n_lives;
+	ds_worker_begin_life(w);
 	w->earlier_left = w->leaving_since_us || w->draining;
 	w->leaving_since_us = 0;
 	w->clock_known = false;
--- a/core/dag_run.c
+++ b/core/dag_run.c
@@ -149,12 +149,14 @@
 		r->phase = DS_UNCONFIRMED;
 		return;
 	}
+	if (r->worker->poll_in_flight)
+		ds_worker_fence_poll(r->worker);
 	fill_command(s, r, &o);
 	o.call.lease_ms = ds_worker_extend_lease(s, r->worker);
 	r->phase = DS_STARTING;
 	r->start_sent_us = s->now_us;
 	r->born_ms = r->worker->rec->w.born_ms;
-	r->start_life = r->worker->life;
+	r->start_fence = r->worker->fence;
 	r->start_requests++;
 	s->host->ops->start(s->host, &o);
 }
@@ -173,7 +175,7 @@
 		return;
 	fill_command(s, r, &o);
 	r->stop_in_flight = true;
-	r->stop_life = r->worker->life;
+	r->stop_fence = r->worker->fence;
 	s->host->ops->stop(s->host, &o);
 }
 
@@ -256,7 +258,7 @@
 	s->now_us = now_us;
 	if (!r || r->worker->rec->number != worker || r->end_proposed)
 		return;
-	if (result == DAG_RESULT_FENCED && r->start_life == r->worker->life) {
+	if (result == DAG_RESULT_FENCED && r->start_fence == r->worker->fence) {
 		s->fenced = true;
 	} else if (result == DAG_RESULT_OK || result == DAG_RESULT_RUN_ENDED) {
 		r->phase = DS_ACCEPTED;
@@ -283,7 +285,7 @@
 	s->now_us = now_us;
 	if (!r || r->worker->rec->number != worker)
 		return;
-	if (result == DAG_RESULT_FENCED && r->stop_life == r->worker->life)
+	if (result == DAG_RESULT_FENCED && r->stop_fence == r->worker->fence)
 		s->fenced = true;
 	r->stop_in_flight = false;
 	r->stop_retry_us = now_us + STOP_RETRY_US;
--- a/core/dag_sched_impl.h
+++ b/core/dag_sched_impl.h
@@ -40,8 +40,8 @@
 	int64_t start_retry_us;	 /* when an unconfirmed start is sent again */
 	int64_t accepted_us;	 /* when the worker confirmed it */
 	int64_t born_ms;	 /* life of the worker that was told of it, 0: none yet */
-	uint32_t start_life;	 /* ds_worker.life at the newest start request */
-	uint32_t stop_life;	 /* and stop request */
+	uint32_t start_fence;	 /* ds_worker.fence at the newest start request */
+	uint32_t stop_fence;	 /* and stop request */
 	bool suspect; /* a worker has crashed under an earlier run of the task */
 	enum dag_end_how
 		stopped_how; /* end to record once it is stopped and not listed */
@@ -138,7 +138,8 @@
 	bool in_service; /* the worker is ready and its availability zone is open */
 	/* Contact. */
 	int64_t process_born_ms; /* start of the process whose clock and ends these are */
-	uint32_t life; /* number of that process, increases; see ds_worker_token() */
+	uint32_t life;		 /* number of that process, increases */
+	uint32_t fence; /* in the token of calls, increases; see ds_worker_token() */
 	int64_t last_heard_us;
 	bool clock_known;
 	int64_t clock_born_ms; /* life whose clock it is */
@@ -146,7 +147,9 @@
 	int64_t clock_us;
 	int64_t lease_expires_us; /* by then all of its runs have certainly ended */
 	bool poll_in_flight;
-	uint32_t poll_life; /* life when it was sent */
+	bool poll_acks;	    /* it acknowledges ends */
+	uint32_t poll_life; /* life and fence when it was sent */
+	uint32_t poll_fence;
 	int64_t poll_sent_us;
 	int64_t polled_us;     /* newest reply to a poll */
 	bool contact_lost;     /* recorded or proposed; no lease is granted */
@@ -202,8 +205,8 @@
 	struct ds_worker **workers;
 	size_t n_workers;
 	size_t cap_workers;
-	uint32_t n_lives; /* lives of all workers that this leader has seen */
-	int64_t *scores;  /* of the workers, for the step that is placed */
+	uint32_t fence_floor; /* highest fence of the workers that were removed */
+	int64_t *scores;      /* of the workers, for the step that is placed */
 	bool placement_needed;
 	bool fenced;
 	int err;
@@ -274,7 +277,9 @@
 void ds_worker_lose_contact(struct dag_sched *s, struct ds_worker *w);
 void ds_worker_regain_contact(struct dag_sched *s, struct ds_worker *w);
 void ds_worker_contact_changed(struct dag_sched *s, struct ds_worker *w);
-void ds_worker_follow_start(struct dag_sched *s, struct ds_worker *w, int64_t born_ms);
+void ds_worker_begin_life(struct ds_worker *w);
+void ds_worker_follow_start(struct ds_worker *w, int64_t born_ms);
+void ds_worker_fence_poll(struct ds_worker *w);
 bool ds_worker_reply_is_old(const struct ds_worker *w, const struct dag_poll_reply *poll);
 void ds_worker_propose_start(struct dag_sched *s, struct ds_worker *w, int64_t born_ms);
 
--- a/core/dag_worker.c
+++ b/core/dag_worker.c
@@ -70,7 +70,8 @@
 	TAILQ_INIT(&w->runs);
 	w->rec = rec;
 	w->process_born_ms = rec->w.born_ms;
-	w->life = ++s->n_lives;
+	w->fence = s->fence_floor;
+	ds_worker_begin_life(w);
 	rec->sched = w;
 	w->reported = ds_capacity_of(&rec->w);
 	w->contact_lost = rec->lost;
@@ -115,6 +116,8 @@
 		if (s->workers[i] == w)
 			s->workers[i] = s->workers[--s->n_workers];
 	w->rec->sched = NULL;
+	if (w->fence > s->fence_floor)
+		s->fence_floor = w->fence;
 	free(w);
 }
 
@@ -257,7 +260,9 @@
 				    ? POLL_WAIT_MIXED_MS
 				    : POLL_WAIT_MS;
 	w->poll_in_flight = true;
+	w->poll_acks = o.acked_end > 0;
 	w->poll_life = w->life;
+	w->poll_fence = w->fence;
 	w->poll_sent_us = s->now_us;
 	s->host->ops->poll(s->host, &o);
 }
@@ -583,11 +588,13 @@
 		return;
 	w->poll_in_flight = false;
 	if (result == DAG_RESULT_FENCED) {
-		/* A call to a newer life of the worker may have overtaken this one. */
-		s->fenced = s->fenced || w->poll_life == w->life;
+		/* A newer call to the worker may have overtaken this one. */
+		s->fenced = s->fenced || w->poll_fence == w->fence;
 		w->next_poll_us = now_us;
 		return;
 	}
+	if (!poll)
+		ds_worker_fence_poll(w);
 	if (w->contradicted) {
 		w->contradicted = false;
 		if (poll && poll->born_ms == w->rec->w.born_ms &&
@@ -620,7 +627,7 @@
 					w->poll_failures);
 		s->placement_needed = true;
 	}
-	ds_worker_follow_start(s, w, poll->born_ms);
+	ds_worker_follow_start(w, poll->born_ms);
 	if (!w->clock_known)
 		s->placement_needed = true;
 	w->poll_failures = 0;
--- a/regress/test_dag_life.c
+++ b/regress/test_dag_life.c
@@ -233,6 +233,88 @@
 }
 END_TEST
 
+/*
+ * Guards against an acknowledgement that is held up until the worker's next life has run
+ * a task whose start followed it, before anything tells of the restart.
+ */
+START_TEST(acknowledgement_held_up_into_the_next_life_is_refused)
+{
+	uint32_t number = add_used_worker();
+	uint32_t starts = w.starts;
+
+	w.work_us = 100 * MS;
+	dw_submit_chain(&w, 2, 1, 1);
+	while (w.workers[number].n_ends == 0)
+		dw_run_for(&w, 5 * MS);
+	/* The next poll acknowledges the end. */
+	w.hold_us = 150 * MS + _i * 10 * MS;
+	dw_run_for(&w, 20 * MS);
+	w.hold_us = 0;
+	dw_restart_silently(&w, number);
+	dw_submit_chain(&w, 3, 1, 1);
+	dw_run_for(&w, 2 * SECOND);
+	w.workers[number].mute = false;
+	dw_run_for(&w, 10 * SECOND);
+	dw_assert_sound(&w);
+	assert_completed(2, 2);
+	ck_assert_uint_eq(w.starts - starts, 2);
+}
+END_TEST
+
+/* The same acknowledgement, after its poll has timed out and while the next one waits. */
+START_TEST(acknowledgement_without_an_answer_is_refused_later)
+{
+	uint32_t number = add_used_worker();
+	uint32_t starts = w.starts;
+
+	w.work_us = 100 * MS;
+	dw_submit_chain(&w, 2, 1, 1);
+	while (w.workers[number].n_ends == 0)
+		dw_run_for(&w, 5 * MS);
+	w.hold_us = 1200 * MS;
+	dw_run_for(&w, 20 * MS);
+	dw_submit_chain(&w, 3, 1, 1);
+	dw_run_for(&w, 5 * MS);
+	/* The start is recorded once the poll has timed out. */
+	w.commit_us = 700 * MS + _i * 10 * MS;
+	dw_run_for(&w, 10 * MS);
+	dw_restart_silently(&w, number);
+	dw_run_for(&w, 680 * MS);
+	w.hold_us = 0;
+	w.commit_us = 8 * MS;
+	dw_run_for(&w, 2 * SECOND);
+	w.workers[number].mute = false;
+	dw_run_for(&w, 10 * SECOND);
+	dw_assert_sound(&w);
+	assert_completed(2, 2);
+	ck_assert_uint_eq(w.starts - starts, 2);
+}
+END_TEST
+
+/*
+ * Guards a leader against ending because a start request has overtaken a poll that
+ * acknowledges ends; a refusal of the next poll does end it.
+ */
+START_TEST(overtaken_poll_ends_no_leader)
+{
+	uint32_t number = add_used_worker();
+
+	w.work_us = 100 * MS;
+	dw_submit_chain(&w, 2, 1, 1);
+	while (w.workers[number].n_ends == 0)
+		dw_run_for(&w, 5 * MS);
+	w.hold_us = 100 * SECOND;
+	dw_run_for(&w, 20 * MS);
+	dw_submit_chain(&w, 3, 1, 1);
+	dw_run_for(&w, 40 * MS);
+	dag_sched_poll_replied(w.sched, 1, DAG_RESULT_FENCED, NULL, w.now_us);
+	ck_assert(!dag_sched_fenced(w.sched));
+	dw_run_for(&w, 20 * MS);
+	dag_sched_poll_replied(w.sched, 1, DAG_RESULT_FENCED, NULL, w.now_us);
+	ck_assert(dag_sched_fenced(w.sched));
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("dag_life");
@@ -251,6 +333,11 @@
 	tcase_add_test(tc, acknowledgement_is_not_repeated);
 	tcase_add_loop_test(tc, acknowledgement_waits_for_a_new_list_after_a_broken_poll,
 			    0, 200);
+	tcase_add_loop_test(tc, acknowledgement_held_up_into_the_next_life_is_refused, 0,
+			    60);
+	tcase_add_loop_test(tc, acknowledgement_without_an_answer_is_refused_later, 0,
+			    20);
+	tcase_add_test(tc, overtaken_poll_ends_no_leader);
 	suite_add_tcase(s, tc);
 	srunner_run_all(sr, CK_NORMAL);
 	failed = srunner_ntests_failed(sr);
