core/dag: calls after a start request without an answer fence it

A start request got no answer and was sent again; the run went to its end, which was recorded. Then the worker started again unnoticed, took a call with the same token, and carried out the first request: the task was started after it was done.

Cause, of the same class: the token of a request that the leader has given up was still valid for the worker's next life. The fence now rises when a start request gets no answer, whether its run still exists or not. What remains is a request that reaches a new life before any other call does: nothing can fence it there (docs/guarantees.md).

lib_dag_world: late_fenced drops late orders that reach a life before any other call, so that the random test shows other causes; its restarts take 100 ms or more, since the age of a list for an acknowledgement (100 ms) supposes that.

--- a/core/dag_life.c
+++ b/core/dag_life.c
@@ -21,8 +21,8 @@
 /*
  * Fencing token of a call to a worker. The epoch fences calls of earlier leaders; the
  * worker's fence, in the lower bits, earlier calls of this leader, which may be carried
- * out late by a newer process: those for earlier lives, and polls that acknowledge ends
- * when a run was started after them.
+ * out late by a newer process: those for earlier lives, start requests without an answer,
+ * and polls that acknowledge ends when a run was started after them.
  */
 static uint64_t worker_token(const struct dag_sched *s, const struct ds_worker *w)
 {
@@ -128,6 +128,19 @@
 		w->fence++;
 }
 
+/*
+ * A start request got no answer. Calls from now on fence it: carried out late by a newer
+ * process, it would start a run that may have ended by then.
+ */
+void ds_worker_fence_starts(struct dag_sched *s, uint32_t worker)
+{
+	const struct dag_worker_rec *rec = dag_state_find_worker(s->state, worker);
+	struct ds_worker *w = rec ? rec->sched : NULL;
+
+	if (w)
+		w->fence++;
+}
+
 /*
  * A newer process of a worker has a clock of its own and numbers its ends from the start
  * again. Its start is learned from its reports or its lists, whichever come first.
--- a/core/dag_run.c
+++ b/core/dag_run.c
@@ -256,6 +256,8 @@
 	struct ds_run *r = ds_find_run(s, t, run);
 
 	s->now_us = now_us;
+	if (result == DAG_RESULT_UNKNOWN)
+		ds_worker_fence_starts(s, worker);
 	if (!r || r->worker->rec->number != worker || r->end_proposed)
 		return;
 	if (result == DAG_RESULT_FENCED && r->start_fence == r->worker->fence) {
--- a/regress/lib_dag_world.c
+++ b/regress/lib_dag_world.c
@@ -429,6 +429,7 @@
 	dw->n_stopped = 0;
 	dw->next_end = 1;
 	dw->fence = 0;
+	dw->called = false;
 	dw->lease_ms = 0;
 	dw->look_at_us = 0;
 	dw->up = restart;
@@ -704,6 +705,9 @@
 	}
 	if (e.silent && e.born_ms && e.born_ms != dw->born_ms)
 		return;
+	if (e.silent && w->late_fenced && !dw->called)
+		return;
+	dw->called = dw->called || !e.silent;
 	if (e.token < dw->fence)
 		a = DAG_RESULT_FENCED;
 	else
@@ -790,6 +794,7 @@
 		return;
 	}
 	n = take_look(w, dw, &e);
+	dw->called = true;
 	dw->looks++;
 	dw->look.call.worker = e.worker;
 	dw->look_leader = e.leader;
--- a/regress/lib_dag_world.h
+++ b/regress/lib_dag_world.h
@@ -70,6 +70,7 @@
 	int64_t born_ms;
 	int64_t lease_ms; /* on its clock */
 	uint64_t fence;
+	bool called;	  /* a call that was not late has reached this life */
 	bool unguarded;	  /* starts what does not fit */
 	bool slow_clock;  /* by 2 % */
 	bool mute;	  /* its reports are lost */
@@ -158,6 +159,8 @@
 	uint32_t late_look_permille;   /* of the looks */
 	bool late_outlive; /* late orders wait in the network, for any life of the worker
 			    */
+	bool late_fenced;  /* but for one that no other call has reached, where nothing
+			      fences them */
 	int64_t hold_us; /* each order takes this much longer and gets no answer, 0: none
 			  */
 	int64_t commit_us;
--- a/regress/test_dag_life.c
+++ b/regress/test_dag_life.c
@@ -27,6 +27,18 @@
 			      (unsigned long long)id, dw_state(&w, id));
 }
 
+/* Jobs that were accepted have ended; one whose tasks saw many crashes may have failed.
+ */
+static void assert_ended(uint64_t n)
+{
+	for (uint64_t id = 1; id <= n; id++) {
+		const struct dag_job_rec *j = dag_state_find_job(w.state, id);
+
+		ck_assert_msg(!j || dag_job_ended(j), "job %llu: %d",
+			      (unsigned long long)id, j ? (int)j->state : 0);
+	}
+}
+
 /* Runs tasks on a worker, so that it has listed many ends and each is acknowledged. */
 static uint32_t add_used_worker(void)
 {
@@ -315,6 +327,132 @@
 }
 END_TEST
 
+/*
+ * Guards against a start request without an answer that is carried out by the next life,
+ * after its repetition has run to its end: the restart is not known yet.
+ */
+START_TEST(late_start_that_was_repeated_is_refused)
+{
+	uint32_t number = add_used_worker();
+	uint32_t starts;
+
+	dw_submit_chain(&w, 2, 1, 1);
+	w.hold_us = 3 * SECOND + _i * 20 * MS;
+	dw_run_for(&w, 40 * MS);
+	w.hold_us = 0;
+	dw_run_for(&w, 2900 * MS);
+	assert_completed(2, 1);
+	starts = w.starts;
+	dw_restart_silently(&w, number);
+	dw_submit_chain(&w, 3, 1, 1);
+	dw_run_for(&w, 2 * SECOND);
+	w.workers[number].mute = false;
+	dw_run_for(&w, 10 * SECOND);
+	dw_assert_sound(&w);
+	assert_completed(2, 2);
+	ck_assert_uint_le(w.starts - starts, 2);
+}
+END_TEST
+
+/*
+ * Guards against a run that is recorded as ended, as a list of the next life shows, and
+ * started there after that by a request of the earlier life.
+ */
+START_TEST(late_start_after_a_stop_is_refused)
+{
+	uint32_t number = add_used_worker();
+	const struct dag_job_rec *j;
+
+	dw_submit_chain(&w, 2, 1, 1);
+	w.hold_us = 60 * MS + _i * 5 * MS;
+	dw_run_for(&w, 40 * MS);
+	w.hold_us = 0;
+	dw_cancel(&w, 2);
+	dw_run_for(&w, 40 * MS);
+	w.workers[number].mute = true;
+	w.workers[number].reset_us = 20 * MS;
+	dw_crash_worker(&w, number, true);
+	j = dag_state_find_job(w.state, 2);
+	for (int i = 0; i < 60; i++) {
+		dw_run_for(&w, 5 * MS);
+		ck_assert(!dw_alive(&w, 2) || dag_job_find_task(j, 0, 0, 0)->n_live > 0);
+	}
+}
+END_TEST
+
+/* One draw of a fault: restarts under the old id, with or without news of it, and more.
+ */
+static void draw_fault(void)
+{
+	uint32_t number = (uint32_t)prng_below(&w.prng, w.n_workers);
+	struct dw_worker *dw = &w.workers[number];
+	int64_t down_us = (100 + (int64_t)prng_below(&w.prng, 500)) * MS;
+
+	switch (prng_below(&w.prng, 8)) {
+	case 0:
+	case 1:
+	case 2:
+		dw->mute = prng_below(&w.prng, 2);
+		dw->reset_us = (int64_t)prng_below(&w.prng, 700) * MS;
+		dw_crash_for(&w, number, down_us, false);
+		break;
+	case 3:
+		dw->cut = !dw->cut;
+		break;
+	case 4:
+		dw->mute = !dw->mute;
+		break;
+	case 5:
+		w.commit_us = (8 + (int64_t)prng_below(&w.prng, 300)) * MS;
+		break;
+	case 6:
+		w.commit_us = 8 * MS;
+		break;
+	default:
+		if (prng_below(&w.prng, 4) == 0)
+			dw_change_leader(&w);
+		break;
+	}
+}
+
+/* Guards against what only several restarts, delays and leaders together bring about. */
+START_TEST(random_restarts_under_one_id)
+{
+	uint64_t id = 0;
+
+	w.prng.state = 1000 + (uint64_t)_i;
+	w.late_outlive = true;
+	w.late_fenced = true;
+	w.late_look_permille = 30;
+	w.late_permille = 20;
+	w.late_report_permille = 100;
+	w.lost_permille = 20;
+	for (int i = 0; i < 4; i++)
+		dw_add_worker(&w, 8000, 8000);
+	dw_run_for(&w, SECOND);
+	for (int i = 0; i < 300; i++) {
+		w.work_us = (20 + (int64_t)prng_below(&w.prng, 800)) * MS;
+		if (prng_below(&w.prng, 2))
+			dw_submit_chain(&w, ++id, 2, 3);
+		if (prng_below(&w.prng, 4) == 0)
+			draw_fault();
+		dw_run_for(&w, (int64_t)prng_below(&w.prng, 200) * MS);
+		dw_assert_sound(&w);
+	}
+	w.late_look_permille = 0;
+	w.late_permille = 0;
+	w.lost_permille = 0;
+	w.commit_us = 8 * MS;
+	for (uint32_t i = 0; i < w.n_workers; i++) {
+		w.workers[i].cut = false;
+		w.workers[i].mute = false;
+	}
+	dw_run_for(&w, 60 * SECOND);
+	dw_assert_sound(&w);
+	assert_ended(id);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("dag_life");
@@ -338,6 +476,9 @@
 	tcase_add_loop_test(tc, acknowledgement_without_an_answer_is_refused_later, 0,
 			    20);
 	tcase_add_test(tc, overtaken_poll_ends_no_leader);
+	tcase_add_loop_test(tc, late_start_that_was_repeated_is_refused, 0, 40);
+	tcase_add_loop_test(tc, late_start_after_a_stop_is_refused, 0, 30);
+	tcase_add_loop_test(tc, random_restarts_under_one_id, 0, 200);
 	suite_add_tcase(s, tc);
 	srunner_run_all(sr, CK_NORMAL);
 	failed = srunner_ntests_failed(sr);
