core/dag: ends of earlier lists are acknowledged beside new ones

Each list was more than 100 ms old when its ends were recorded, and the next list had new ends, whose records held back the poll that would have acknowledged the earlier ones.

A list with ends that are recorded is now acknowledged at once, also if it has new ends beside them.

--- a/core/dag_worker.c
+++ b/core/dag_worker.c
@@ -387,7 +387,10 @@
 		ds_lapse_runs(s, w);
 	if (check_all)
 		check_runs(s, w);
-	if (!w->poll_in_flight && !w->ends_uncommitted && s->now_us >= w->next_poll_us)
+	/* Ends of earlier lists are acknowledged beside new ones that are not recorded.
+	 */
+	if (!w->poll_in_flight && (!w->ends_uncommitted || has_ends_to_ack(w)) &&
+	    s->now_us >= w->next_poll_us)
 		poll_worker(s, w);
 }
 
--- a/regress/test_dag_life.c
+++ b/regress/test_dag_life.c
@@ -380,6 +380,27 @@
 }
 END_TEST
 
+/*
+ * Guards against ends that stay unacknowledged for as long as new ones are listed and
+ * commits are slow.
+ */
+START_TEST(acknowledgements_go_on_beside_slow_commits)
+{
+	uint32_t number = add_used_worker();
+	size_t most = 0;
+
+	w.commit_us = 150 * MS;
+	w.work_us = 50 * MS;
+	for (uint64_t id = 2; id < 202; id++) {
+		dw_submit_chain(&w, id, 1, 1);
+		dw_run_for(&w, 50 * MS);
+		if (w.workers[number].n_ends > most)
+			most = w.workers[number].n_ends;
+	}
+	ck_assert_msg(most < 200 / 5, "%zu ends unacknowledged", most);
+}
+END_TEST
+
 /* One draw of a fault: restarts under the old id, with or without news of it, and more.
  */
 static void draw_fault(void)
@@ -478,6 +499,7 @@
 	tcase_add_test(tc, overtaken_poll_ends_no_leader);
 	tcase_add_loop_test(tc, late_start_that_was_repeated_is_refused, 0, 40);
 	tcase_add_loop_test(tc, late_start_after_a_stop_is_refused, 0, 30);
+	tcase_add_test(tc, acknowledgements_go_on_beside_slow_commits);
 	tcase_add_loop_test(tc, random_restarts_under_one_id, 0, 200);
 	suite_add_tcase(s, tc);
 	srunner_run_all(sr, CK_NORMAL);
