--- a/core/dag_life.c
+++ b/core/dag_life.c
@@ -154,7 +154,7 @@
  * A newer process of a worker has a clock of its own and numbers its ends from the start
  * again. Its start is learned from its reports or its lists, whichever come first.
  */
-void ds_worker_follow_start(struct ds_worker *w, int64_t born_ms)
+void ds_worker_follow_start(struct dag_sched *s, struct ds_worker *w, int64_t born_ms)
 {
 	if (born_ms <= w->process_born_ms)
 		return;
--- a/core/dag_sched.c
+++ b/core/dag_sched.c
@@ -168,7 +168,7 @@
 		}
 		return;
 	}
-	ds_worker_follow_start(w, rec->w.born_ms);
+	ds_worker_follow_start(s, w, rec->w.born_ms);
 	ds_worker_refresh(s, w);
 	w->next_poll_us = s->now_us;
 }
--- a/core/dag_worker.c
+++ b/core/dag_worker.c
@@ -630,7 +630,7 @@
 					w->poll_failures);
 		s->placement_needed = true;
 	}
-	ds_worker_follow_start(w, poll->born_ms);
+	ds_worker_follow_start(s, w, poll->born_ms);
 	if (!w->clock_known)
 		s->placement_needed = true;
 	w->poll_failures = 0;
