agent: a late call of a replaced leader takes no answers of the present one

A gateway that got a late batch of calls from a leader that had been replaced sent the answers to the calls of the present leader to the former one, until the present one called again, and dropped what its connection still held. The present leader waited 2.5 s for each such answer and then avoided the gateway for 2 s.

Cause: the last batch that arrived decided who leads, also when all its calls had expired. Calls expire with the lease of their leader, so only a batch with a call that is still valid now names a new one; a leader that is not served gets no refusals.

test_relay, before: late_call_of_a_deposed_leader_takes_no_answers failed (0 batches of answers at the leader, not 1), 10 of 11 passed; now 11 of 11, four runs. Mutants deposed-answers and gateway-life (its expression follows the change): seen. The first of two runs of the latter ended without the line of a test, which was not traced.

--- a/carawayfrontd/agent.c
+++ b/carawayfrontd/agent.c
@@ -227,27 +227,32 @@
 		add_answer(a, &answer);
 }
 
-static void serve_calls(struct agent *a, const struct dag_calls *list)
+/* The times of calls for another life are of another clock. */
+static bool is_current(const struct agent *a, const struct dag_calls *list,
+		       const struct dag_call *c, int64_t now_us)
+{
+	return list->life == a->life && now_us <= c->expires_us;
+}
+
+static void serve_calls(struct agent *a, const struct dag_calls *list, int64_t now_us)
 {
-	/* The times of other calls are of another clock. */
-	bool current = list->life == a->life;
-	int64_t now_us = clock_us();
 	unsigned int refused = 0;
 
 	for (u_int i = 0; i < list->calls.calls_len; i++) {
 		const struct dag_call *c = &list->calls.calls_val[i];
 
-		if (current && now_us <= c->expires_us) {
+		if (is_current(a, list, c, now_us)) {
 			serve_call(a, c);
 			continue;
 		}
-		refuse_call(a, c);
+		if (list->leader == a->leader)
+			refuse_call(a, c);
 		refused++;
 	}
 	if (refused)
 		log_info("calls-refused", "calls=%u leader=%llx reason=\"%s\"", refused,
 			 (unsigned long long)list->leader,
-			 current ? "expired" : "for an earlier life");
+			 list->life == a->life ? "expired" : "for an earlier life");
 }
 
 static void connect_to_leader(struct agent *a, uint64_t leader)
@@ -269,18 +274,30 @@
 		log_warn("agent-no-leader", "leader=%llx", (unsigned long long)leader);
 }
 
+/* Calls of a leader that was replaced have expired; the answers are not for it. */
+static bool is_of_leader(const struct agent *a, const struct dag_calls *list,
+			 int64_t now_us)
+{
+	for (u_int i = 0; i < list->calls.calls_len; i++)
+		if (is_current(a, list, &list->calls.calls_val[i], now_us))
+			return true;
+	return !a->client;
+}
+
 static void on_rpc(struct rpc_server_host *host, struct rpc_call *call)
 {
 	struct agent *a = (struct agent *)host;
 	struct dag_calls list = {0};
+	int64_t now_us = clock_us();
 
 	if (call->proc != RELAY_PROC_CALLS) {
 		rpc_call_reply(call, CF_EINVAL, (struct str){NULL, 0});
 		return;
 	}
 	if (!codec_decode((xdrproc_t)xdr_dag_calls, &list, call->args)) {
-		connect_to_leader(a, list.leader);
-		serve_calls(a, &list);
+		if (is_of_leader(a, &list, now_us))
+			connect_to_leader(a, list.leader);
+		serve_calls(a, &list, now_us);
 	}
 	codec_free((xdrproc_t)xdr_dag_calls, &list);
 	rpc_call_drop(call);
--- a/regress/test_relay.c
+++ b/regress/test_relay.c
@@ -12,6 +12,7 @@
 #include "carawayfrontd/node_id.h"
 #include "carawayfrontd/relay.h"
 #include "io/clock.h"
+#include "io/rpc_client.h"
 #include "io/rpc_server.h"
 #include "proto/codec.h"
 #include "regress/lib_fakehttp.h"
@@ -19,6 +20,8 @@
 /* A gateway that takes calls and answers only when the test says so. */
 #define ADDRESS "127.0.0.1:20461"
 #define AGENT_ADDRESS "127.0.0.1:20462"
+#define LEADER_ADDRESS "127.0.0.1:20464"
+#define DEPOSED_LEADER_ID 1U /* nothing listens there */
 #define WORKER_PORT 20463
 #define WORKER_ADDRESS "127.0.0.1:20463"
 #define KEY "secret"
@@ -56,6 +59,7 @@
 static struct settings settings;
 static struct relay *relay;
 static uint64_t gateway_id;
+static uint64_t leader_id = 1;
 static uint64_t life_of_gateway;
 
 static void on_call(struct rpc_server_host *host, struct rpc_call *call)
@@ -123,7 +127,7 @@
 		.direct = &direct.transport,
 		.user = &user.base,
 		.state = state,
-		.self = 1,
+		.self = leader_id,
 	};
 
 	ck_assert_int_eq(relay_new(&opt, &relay), 0);
@@ -598,6 +602,98 @@
 }
 END_TEST
 
+/* The listener of a leader, which takes the answers of gateways. */
+struct home {
+	struct rpc_server_host host; /* first member */
+	struct rpc_server *server;
+	unsigned int batches;
+};
+
+static void on_answers(struct rpc_server_host *host, struct rpc_call *call)
+{
+	((struct home *)host)->batches++;
+	ck_assert_uint_eq(call->proc, RELAY_PROC_ANSWERS);
+	rpc_call_drop(call);
+}
+
+static const struct rpc_server_ops home_ops = {.call = on_answers};
+
+static void home_open(struct home *h)
+{
+	struct rpc_server_options opt = {.loop = loop, .key = STR(KEY)};
+
+	*h = (struct home){.host = {.ops = &home_ops}};
+	opt.host = &h->host;
+	ck_assert_int_eq(addr_parse(STR(LEADER_ADDRESS), &opt.address), 0);
+	ck_assert_int_eq(rpc_server_new(&opt, &h->server), 0);
+	relay_free(relay);
+	leader_id = node_id(&opt.address);
+	new_relay();
+}
+
+/* Sends one expired call as a leader that another one has replaced. */
+static void send_deposed(const struct far *f, struct rpc_client *client)
+{
+	struct dag_call c = {.id = 1, .kind = DAG_CALL_LOOK};
+	struct dag_calls list = {.leader = DEPOSED_LEADER_ID, .life = f->report.life};
+	struct buf bytes = {0};
+
+	c.expires_us = clock_us() - 1;
+	list.calls.calls_len = 1;
+	list.calls.calls_val = &c;
+	ck_assert_int_eq(codec_encode((xdrproc_t)xdr_dag_calls, &list, &bytes), 0);
+	ck_assert_int_eq(rpc_client_post(client, RELAY_PROC_CALLS, buf_str(&bytes)), 0);
+	buf_free(&bytes);
+}
+
+/* Reads the one request that waits and answers it. */
+static void answer_request(int listener)
+{
+	static const char answer[] = "HTTP/1.1 200 OK\r\nContent-Length: 14\r\n"
+				     "Content-Type: application/json\r\n\r\n"
+				     "{\"clock_ms\":1}";
+	char bytes[65536];
+	int fd = accept4(listener, NULL, NULL, SOCK_NONBLOCK);
+
+	ck_assert_int_ge(fd, 0);
+	ck_assert_int_gt(recv(fd, bytes, sizeof(bytes), 0), 0);
+	ck_assert_int_eq(write(fd, answer, strlen(answer)), (ssize_t)strlen(answer));
+	close(fd);
+}
+
+/* Guards against answers to the leader that go to one whose late call came after its. */
+START_TEST(late_call_of_a_deposed_leader_takes_no_answers)
+{
+	struct rpc_client_options opt = {
+		.loop = loop, .member = STR("deposed"), .key = STR(KEY)};
+	int worker = listen_on(WORKER_ADDRESS);
+	struct rpc_client *deposed;
+	struct home home;
+	struct far f;
+
+	home_open(&home);
+	far_open(&f);
+	ck_assert_int_eq(addr_parse(STR(AGENT_ADDRESS), &opt.address), 0);
+	ck_assert_int_eq(rpc_client_new(&opt, &deposed), 0);
+	play_leader(&f.report, 0.1);
+	order_start(1);
+	play_leader(&f.report, 0.1);
+	play_gateway(f.loop, 0.1);
+	send_deposed(&f, deposed);
+	play_leader(&f.report, 0.1);
+	play_gateway(f.loop, 0.1);
+	answer_request(worker);
+	play_gateway(f.loop, 0.2);
+	play_leader(&f.report, 0.2);
+	ck_assert_uint_eq(home.batches, 1);
+	ck_assert_uint_eq(direct.calls, 0);
+	rpc_client_free(deposed);
+	far_close(&f);
+	close(worker);
+	rpc_server_free(home.server);
+}
+END_TEST
+
 /* Guards against waiting for the answers of a gateway that has restarted. */
 START_TEST(calls_of_an_earlier_life_of_a_gateway_end_with_it)
 {
@@ -638,6 +734,7 @@
 	tcase_add_test(t, connection_without_answers_is_reset);
 	tcase_add_test(t, call_for_an_earlier_life_of_a_gateway_is_not_carried_out);
 	tcase_add_test(t, calls_of_an_earlier_life_of_a_gateway_end_with_it);
+	tcase_add_test(t, late_call_of_a_deposed_leader_takes_no_answers);
 	suite_add_tcase(s, t);
 	r = srunner_create(s);
 	srunner_run_all(r, CK_ENV);
