--- a/regress/test_replica.c
+++ b/regress/test_replica.c
@@ -640,7 +640,7 @@
 }
 
 /* Guards against an acknowledgement that counts in a later term of the same leader. */
-START_TEST(reply_of_an_earlier_term_commits_nothing)
+START_TEST(reply_of_an_earlier_term_counts_for_nothing)
 {
 	struct lone l = {0};
 	int64_t now = SECOND;
@@ -651,6 +651,7 @@
 		.ok = true,
 		.index = 5,
 	};
+	int64_t lease_end_us;
 	uint64_t index;
 
 	lone_start(&l, now);
@@ -673,6 +674,13 @@
 	ck_assert_uint_eq(replica_committed(l.r), 3);
 	lone_ack(&l, 5, now);
 	ck_assert_uint_eq(replica_committed(l.r), 5);
+	lease_end_us = replica_lease_end_us(l.r);
+	now += SECOND / 4;
+	late.sent_us = now;
+	ck_assert_int_eq(replica_receive(l.r, 2, &late, now), 0);
+	ck_assert_int_eq(replica_lease_end_us(l.r), lease_end_us);
+	lone_ack(&l, 5, now);
+	ck_assert_int_gt(replica_lease_end_us(l.r), lease_end_us);
 	replica_free(l.r);
 }
 END_TEST
@@ -1435,7 +1443,7 @@
 	tcase_add_test(tc, earlier_epoch_needs_barrier);
 	tcase_add_test(tc, membership_changes_do_not_overlap);
 	tcase_add_test(tc, other_identity_is_refused);
-	tcase_add_test(tc, reply_of_an_earlier_term_commits_nothing);
+	tcase_add_test(tc, reply_of_an_earlier_term_counts_for_nothing);
 	tcase_add_test(tc, snapshot_newer_than_log_start);
 	tcase_add_test(tc, empty_directory_does_not_vote);
 	tcase_add_test(tc, older_directory_is_excluded);
