--- a/standins/executor.c
+++ b/standins/executor.c
@@ -317,6 +317,16 @@
 		answer_hold(e);
 }
 
+/* The line has the token that was refused, and the highest in place of an end. */
+static void record_fenced(const struct executor *e, const struct http_request *req,
+			  int64_t token)
+{
+	char highest[24];
+
+	snprintf(highest, sizeof(highest), "%lld", (long long)e->fence);
+	record("fenced", req->path, token, e, highest);
+}
+
 static void on_request(struct http_server_host *host, struct http_request *req)
 {
 	struct executor *e = (struct executor *)host;
@@ -328,7 +338,7 @@
 	if (expected.n && !str_eq(expected, str_from(e->id))) {
 		reply(req, 421, json_object());
 	} else if (fence < e->fence) {
-		record("fenced", req->path, fence, e, "");
+		record_fenced(e, req, fence);
 		refuse(req, "fence");
 	} else {
 		e->fence = fence;
