A disk that stalls does not hold up the event loop of a state process or controller

When the disks of a site stalled for seconds, every voter stood still, the leases ended, and entry processes refused requests that write nothing once their configuration was 3 s old. The class: what waits for a disk holds up what does not.

Change: the kernel carries out the sync (Linux AIO, an eventfd tells the loop), so there is still one loop on one thread. The log takes no other operation until a sync has ended; truncation and compaction wait for it. Where the kernel refuses it, syncs block as before.

New: test_site_stalled_disk, with a daemon whose syncs hang on request.

--- a/Makefile
+++ b/Makefile
@@ -73,7 +73,13 @@
 	@mkdir -p $(@D)
 	@echo '  LINK $@'; $(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
 
-tests: $(TESTS)
+# The daemon with a disk that stalls on request.
+STALLD = $(BUILD)/bin/carawayfrontd-stall
+$(STALLD): $(BUILD)/regress/stall_disk.o $(call objs,carawayfrontd) $(LIB)
+	@mkdir -p $(@D)
+	@echo '  LINK $@'; $(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
+
+tests: $(TESTS) $(STALLD)
 
 check: all tests
 	BUILD=$(BUILD) sh regress/run.sh
--- a/carawayfrontd/controller.c
+++ b/carawayfrontd/controller.c
@@ -197,7 +197,7 @@
 	return deadline;
 }
 
-/* Runs before the loop sleeps: one log entry and one sync cover the whole round. */
+/* Runs before the loop sleeps: one log entry covers the whole round. */
 static void on_prepare(struct ev_loop *loop, struct ev_prepare *w, int events)
 {
 	struct controller *c = w->data;
@@ -209,9 +209,7 @@
 		if (controller_leads(c))
 			dag_sched_place(c->sched, clock_us());
 		controller_flush(c);
-		if (c->disk.sync_asked && !c->failure)
-			c->failure = disk_host_flush(&c->disk, c->replica, c->metrics);
-	} while ((c->batch.n_parts || c->disk.sync_asked) && !c->failure);
+	} while (c->batch.n_parts);
 	follow_leadership(c);
 	hand_over(c);
 	relay_flush(c->relay);
--- a/carawayfrontd/state.c
+++ b/carawayfrontd/state.c
@@ -166,23 +166,13 @@
 	return deadline;
 }
 
-/*
- * Runs before the loop sleeps: one sync covers all entries that arrived in this
- * round (group commit).
- */
+/* Runs before the loop sleeps. */
 static void on_prepare(struct ev_loop *loop, struct ev_prepare *w, int events)
 {
 	struct state *s = w->data;
 	int64_t deadline;
 	int64_t now;
 
-	while (s->disk.sync_asked && !s->failure) {
-		s->failure = disk_host_flush(&s->disk, s->replica, s->metrics);
-		if (s->failure) {
-			ev_break(loop, EVBREAK_ALL);
-			return;
-		}
-	}
 	follow_leadership(s);
 	if (s->conf_changed) {
 		s->conf_changed = false;
@@ -245,6 +235,9 @@
 			  STR_ARG(s->settings->data), cf_strerror(err));
 		return err;
 	}
+	err = disk_host_start(&s->disk, s->loop, s->metrics);
+	if (err)
+		goto out;
 	for (size_t i = 0; i < s->n_peers; i++)
 		peers[i] = s->peers[i].id;
 	if (bootstrap) {
@@ -267,6 +260,7 @@
 	opt.entries = loaded.entries;
 	opt.n_entries = loaded.n_entries;
 	err = replica_new(&opt, &s->replica, clock_us());
+	s->disk.replica = s->replica;
 out:
 	state_disk_loaded_free(&loaded);
 	return err;
@@ -367,7 +361,7 @@
 	for (size_t i = 0; i < s->n_peers; i++)
 		rpc_client_free(s->peers[i].client);
 	replica_free(s->replica);
-	state_disk_close(s->disk.disk);
+	disk_host_close(&s->disk);
 	store_free(s->store);
 	free(s);
 }
--- a/examples/site.sh
+++ b/examples/site.sh
@@ -76,7 +76,7 @@
 site_run() {
 	name=$1
 	shift
-	"$BUILD/bin/carawayfrontd" -c "$SITE_DIR/$name.yaml" "$@" >>"$SITE_DIR/$name.log" 2>&1 &
+	"${SITE_DAEMON:-$BUILD/bin/carawayfrontd}" -c "$SITE_DIR/$name.yaml" "$@" >>"$SITE_DIR/$name.log" 2>&1 &
 	echo $! >"$SITE_DIR/$name.pid"
 }
 
