--- a/regress/test_site_dag.sh
+++ b/regress/test_site_dag.sh
@@ -16,6 +16,7 @@
 }
 end() {
 	for p in "$D"/*.pid; do kill -9 "$(cat "$p")" 2>/dev/null; done
+	wait 2>/dev/null # they hold their ports until they have ended
 	[ "$bad" -ne 0 ] && tail -n 15 "$D"/*.log
 	rm -rf "$D"
 	exit $bad
