regress: concurrent bookings of test_site_claims keep their answers apart

Cause: a booking in the background and the next one wrote the same files, and the first to end emptied the headers. Sanitized run, load average 37, 2026-12-05 10:24: "resend while it runs: got ' '". A trial with 1.2 s between the answer and its reading, so that the first booking ends in between, fails with the same text.

Change: files for each entry process. The checks are the same.

--- a/regress/test_site_claims.sh
+++ b/regress/test_site_claims.sh
@@ -42,16 +42,17 @@
 announce &
 echo $! >"$SITE_DIR/announce.pid"
 site_serves guild/gigdesk
-# book ENTRY KEY [BODY]: prints "STATUS RUN REASON"; the answer's body is in $SITE_DIR/body.
+# book ENTRY KEY [BODY]: prints "STATUS RUN REASON"; the answer's body is in
+# $SITE_DIR/body-ENTRY. Two may run at a time at different entry processes.
 book() {
-	curl -s -m 8 -D "$SITE_DIR/head" -o "$SITE_DIR/body" -H "Idempotency-Key: $2" \
+	curl -s -m 8 -D "$SITE_DIR/head-$1" -o "$SITE_DIR/body-$1" -H "Idempotency-Key: $2" \
 		-H 'Carawayfront-Deadline-Ms: 3000' --data "${3:-hall=3}" \
 		"http://127.0.0.1:$(site_port callers "$1")/guild/gigdesk/book/$2" || true
-	tr -d '\r' <"$SITE_DIR/head" | awk '
+	tr -d '\r' <"$SITE_DIR/head-$1" | awk '
 		/^HTTP/ { s = $2 } tolower($1) == "carawayfront-run:" { r = $2 }
 		tolower($1) == "carawayfront-reason:" { w = $2 }
 		tolower($1) == "idempotent-replayed:" { w = "replayed" } END { print s, r, w }'
-	: >"$SITE_DIR/head"
+	: >"$SITE_DIR/head-$1"
 }
 runs() {
 	grep -c "/book/$1 .* start$" "$ledger"
@@ -73,9 +74,9 @@
 }
 
 expect "first booking" "$(book e1 plain)" '^200 done'
-cp "$SITE_DIR/body" "$SITE_DIR/body1"
+cp "$SITE_DIR/body-e1" "$SITE_DIR/body1"
 expect "resend elsewhere" "$(book e2 plain)" '^200 done replayed'
-cmp "$SITE_DIR/body" "$SITE_DIR/body1" || site_fail "the replayed answer differs"
+cmp "$SITE_DIR/body-e2" "$SITE_DIR/body1" || site_fail "the replayed answer differs"
 expect "key with another body" "$(book e2 plain hall=4)" '^422 not-run'
 expect "runs" "$(runs plain)" '^1$'
 
