regress: test_site_tasks ends its look at the closed zone with the request to open it

Cause: the time was taken after the answer to "zone in", so that a start between its effect and the answer counted as one in a closed zone. Sanitized run beside a busy process, load average 27, 2026-12-05 10:27: the configuration was applied at 14.504 s, the task "guild/three/235" started at 14.524 s, and the script took the time after that.

Change: the time is taken before the request, as test_site_services does. The check is the same up to then; what comes later is allowed.

--- a/regress/test_site_tasks.sh
+++ b/regress/test_site_tasks.sh
@@ -71,8 +71,8 @@
 zone_revision=$(echo "$r" | sed -n 's/.*"revision":\([0-9]*\).*/\1/p')
 submit three 300 0.5
 sleep 5
-r=$(zone in "$zone_revision")
 in_us=$(date +%s%6N)
+r=$(zone in "$zone_revision")
 case $r in *error* | "") site_fail "zone is not taken in: $r" ;; esac
 for j in one two long three; do
 	site_until 60 job_is_done $j || site_fail "job $j is not done: $(job $j | cut -c1-400)"
