io/http_client: an answer with a folded first header ends no process

Cause: easy handles were reused after curl_easy_reset(), which keeps libcurl's pointer to the last header of the earlier answer; that header is freed when the next call starts. libcurl 7.88.1 appends a first header line that begins with a blank to it: a use after free. One such answer of an executor or upstream ended a controller, gateway or entry process (signal 11, also without sanitizers).

Change: each call has a handle of its own; connections are kept as before.

--- a/io/http_client.c
+++ b/io/http_client.c
@@ -17,15 +17,12 @@
 /* Upstreams keep idle connections at least this long. */
 #define REUSE_MAX_IDLE_S 2L
 #define UPLOAD_BUFFER 16384L /* bytes; libcurl's default is 64 KiB for each call */
-#define MAX_SPARE 64U	     /* handles kept for later calls */
 
 struct http_client {
 	struct http_client_options opt;
 	CURLM *multi;
 	struct ev_timer timer;
 	struct http_exchange *exchanges;
-	CURL *spare[MAX_SPARE];
-	unsigned int n_spare;
 };
 
 /* State of one outstanding call. */
@@ -51,29 +48,13 @@
 	struct http_client *client;
 };
 
-/* Setting up a handle costs more than a small call. */
-static CURL *handle_get(struct http_client *c)
-{
-	return c->n_spare ? c->spare[--c->n_spare] : curl_easy_init();
-}
-
-static void handle_put(struct http_client *c, CURL *easy)
-{
-	if (c->n_spare == MAX_SPARE) {
-		curl_easy_cleanup(easy);
-		return;
-	}
-	curl_easy_reset(easy);
-	c->spare[c->n_spare++] = easy;
-}
-
 static void exchange_free(struct http_exchange *x)
 {
 	*x->prev = x->next;
 	if (x->next)
 		x->next->prev = x->prev;
 	curl_multi_remove_handle(x->client->multi, x->easy);
-	handle_put(x->client, x->easy);
+	curl_easy_cleanup(x->easy);
 	curl_slist_free_all(x->headers);
 	buf_free(&x->body);
 	buf_free(&x->upload);
@@ -376,7 +357,8 @@
 
 /*
  * Starts a call; its end is always reported through call->ops, from the loop. On
- * an error nothing was sent and done() is not called.
+ * an error nothing was sent and done() is not called. No handle serves two calls: one
+ * that is reused appends a folded first header to a freed one (libcurl 7.88.1).
  */
 int http_client_start(struct http_client *c, const struct http_call_options *opt,
 		      struct http_call *call)
@@ -391,7 +373,7 @@
 	x->call = call;
 	x->max_body = opt->max_body;
 	x->send_until_us = opt->send_until_us;
-	x->easy = handle_get(c);
+	x->easy = curl_easy_init();
 	if (!x->easy)
 		goto fail;
 	curl_easy_setopt(x->easy, CURLOPT_URL, url);
@@ -482,8 +464,6 @@
 		x->call->exchange = NULL;
 		exchange_free(x);
 	}
-	while (c->n_spare)
-		curl_easy_cleanup(c->spare[--c->n_spare]);
 	curl_multi_cleanup(c->multi);
 	ev_timer_stop(c->opt.loop, &c->timer);
 	free(c);
