io/http_client: an answer whose status is below 200 is malformed

Cause: libcurl takes "HTTP/1.1 055" for an answer with status 55. It was passed on as complete, and libmicrohttpd refuses to send a status below 100: the caller's connection was closed without an answer.

Change: such an answer ends the call with CF_EMALFORMED.

--- a/io/http_client.c
+++ b/io/http_client.c
@@ -87,7 +87,8 @@
 		return CF_ESTALE;
 	switch (code) {
 	case CURLE_OK:
-		return is_delimited(x, status) ? 0 : CF_EMALFORMED;
+		/* A status below 200 ends no exchange and cannot be passed on. */
+		return status >= 200 && is_delimited(x, status) ? 0 : CF_EMALFORMED;
 	case CURLE_OPERATION_TIMEDOUT:
 		return CF_ETIMEOUT;
 	case CURLE_PARTIAL_FILE:
