io/http_server: a path that holds a NUL or is empty is answered with 400

Cause: paths are C strings, so that GET /read%00/write was served as /read, while the upstream got the whole target: what was checked, such as the prefixes that may be retried, was not what ran. A raw NUL gave an empty path.

Change: such a request is refused before a handler sees it. A NUL in the query is passed on as before.

--- a/io/http_server.c
+++ b/io/http_server.c
@@ -114,6 +114,15 @@
 	return req;
 }
 
+/* A path is a C string here, so a NUL would hide the rest of it from the handlers. */
+static bool is_whole_path(const struct http_request *req)
+{
+	const char *nul = strstr(req->target, "%00");
+	const char *query = strchr(req->target, '?');
+
+	return req->path[0] && req->target[0] && (!nul || (query && query < nul));
+}
+
 /*
  * Called by libmicrohttpd: once for the headers, for each part of the body, and
  * again at its end and after each resume.
@@ -147,6 +156,10 @@
 		set_response(req, MHD_HTTP_CONTENT_TOO_LARGE, NULL, 0,
 			     STR("body too large\n"));
 	}
+	if (!req->handled && !is_whole_path(req)) {
+		req->handled = true;
+		set_response(req, MHD_HTTP_BAD_REQUEST, NULL, 0, STR("bad path\n"));
+	}
 	if (s->closing && !req->handled) {
 		req->handled = true;
 		set_response(req, MHD_HTTP_SERVICE_UNAVAILABLE, NULL, 0,
--- a/regress/test_fuzz_http.c
+++ b/regress/test_fuzz_http.c
@@ -78,6 +78,8 @@
 
 	h->requests++;
 	FUZZ_CHECK(h->f, req->body.n <= MAX_BODY);
+	FUZZ_CHECK(h->f, req->path[0] && req->target[0]);
+	FUZZ_CHECK(h->f, !strstr(req->target, "%00") || strchr(req->target, '?'));
 	http_request_each_header(req, &walk.base);
 	http_request_header(req, "Carawayfront-Deadline-Ms");
 	http_request_query(req, "after");
@@ -183,6 +185,9 @@
 	fuzz_add(&f,
 		 STR("POST /t/web/a%20b?after=7&x= HTTP/1.1\r\nHost: h\r\n"
 		     "Carawayfront-Deadline-Ms: 250\r\nContent-Length: 4\r\n\r\nbody"));
+	/* Cases: a path that ends before its end, and one that is empty. */
+	fuzz_add(&f, STR("GET /read%00/write HTTP/1.1\r\nHost: h\r\n\r\n"));
+	fuzz_add(&f, STR("PUT \0 HTTP/1.1\r\nHost: h\r\n\r\n"));
 	fuzz_add(&f, STR("GET /x HTTP/1.1\r\nHost: h\r\n\r\nGET /y HTTP/1.0\r\n\r\n"));
 	fuzz_add(&f,
 		 STR("PUT /v1/x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
