--- a/bench/bench_replica.c
+++ b/bench/bench_replica.c
@@ -202,6 +202,11 @@
 	return snapfile_save(files_of(h)->dir, NULL, index, epoch, bytes);
 }
 
+static int files_check(struct replica_host *h, struct str state)
+{
+	return 0;
+}
+
 static int files_compact(struct replica_host *h, uint64_t index)
 {
 	return wal_compact(files_of(h)->wal, index);
@@ -215,6 +220,7 @@
 	.sync = files_sync,
 	.apply = files_apply,
 	.take_snapshot = files_take,
+	.check_snapshot = files_check,
 	.load_snapshot = files_load,
 	.save_snapshot = files_save,
 	.compact = files_compact,
--- a/carawayfrontd/state.c
+++ b/carawayfrontd/state.c
@@ -50,6 +50,16 @@
 	return store_snapshot(((struct state *)host)->store, out);
 }
 
+static int op_check_snapshot(struct replica_host *host, struct str bytes)
+{
+	int err = store_check_snapshot(((struct state *)host)->store, bytes);
+
+	if (err)
+		log_error("snapshot-refused", "bytes=%zu error=\"%s\"", bytes.n,
+			  cf_strerror(err));
+	return err;
+}
+
 static int op_load_snapshot(struct replica_host *host, uint64_t index, uint64_t epoch,
 			    struct str bytes)
 {
@@ -105,6 +115,7 @@
 	.sync = disk_host_sync,
 	.apply = state_apply,
 	.take_snapshot = op_take_snapshot,
+	.check_snapshot = op_check_snapshot,
 	.load_snapshot = op_load_snapshot,
 	.role_changed = op_role_changed,
 	.save_snapshot = disk_host_save_snapshot,
--- a/core/dag_state.h
+++ b/core/dag_state.h
@@ -132,6 +132,7 @@
 int dag_state_apply(struct dag_state *s, struct str batch);
 int dag_state_snapshot(const struct dag_state *s, struct buf *out);
 int dag_state_restore(struct dag_state *s, struct str snapshot);
+int dag_state_check_snapshot(struct str snapshot);
 
 bool dag_state_zone_closed(const struct dag_state *s, struct str zone);
 struct dag_job_rec *dag_state_find_job(const struct dag_state *s, uint64_t id);
--- a/core/dag_state_snapshot.c
+++ b/core/dag_state_snapshot.c
@@ -206,6 +206,18 @@
 	return err;
 }
 
+/* Decodes a snapshot into an empty state, which the caller clears after an error too. */
+static int read_image(struct dag_state *s, struct str snapshot)
+{
+	struct dag_image im = {0};
+	int err = codec_decode((xdrproc_t)xdr_dag_image, &im, snapshot);
+
+	if (!err)
+		err = load_image(s, &im);
+	codec_free((xdrproc_t)xdr_dag_image, &im);
+	return err;
+}
+
 /*
  * Replaces the state by a snapshot. CF_EMALFORMED: it is damaged; CF_ENOMEM. After an
  * error the state is as before.
@@ -213,17 +225,23 @@
 int dag_state_restore(struct dag_state *s, struct str snapshot)
 {
 	struct dag_state fresh = {.clock_us = s->clock_us, .observer = s->observer};
-	struct dag_image im = {0};
-	int err = codec_decode((xdrproc_t)xdr_dag_image, &im, snapshot);
+	int err = read_image(&fresh, snapshot);
 
-	if (!err)
-		err = load_image(&fresh, &im);
 	if (err) {
 		dag_state_clear(&fresh);
 	} else {
 		dag_state_clear(s);
 		*s = fresh;
 	}
-	codec_free((xdrproc_t)xdr_dag_image, &im);
+	return err;
+}
+
+/* Whether a state can be replaced by a snapshot. Errors as for dag_state_restore(). */
+int dag_state_check_snapshot(struct str snapshot)
+{
+	struct dag_state fresh = {0};
+	int err = read_image(&fresh, snapshot);
+
+	dag_state_clear(&fresh);
 	return err;
 }
--- a/core/replica.h
+++ b/core/replica.h
@@ -126,6 +126,11 @@
 	void (*apply)(struct replica_host *h, const struct replica_entry *e);
 	/* Appends the state as of the last applied entry to out. */
 	int (*take_snapshot)(struct replica_host *h, struct buf *out);
+	/*
+	 * Whether load_snapshot() can load these bytes; changes nothing. CF_EMALFORMED,
+	 * CF_ECORRUPT.
+	 */
+	int (*check_snapshot)(struct replica_host *h, struct str state);
 	/* Replaces the state with one that take_snapshot() produced. */
 	int (*load_snapshot)(struct replica_host *h, uint64_t index, uint64_t epoch,
 			     struct str state);
--- a/core/replica_snap.c
+++ b/core/replica_snap.c
@@ -164,7 +164,10 @@
 		replica_lead_send(r, p);
 }
 
-/* Replaces the log and the state with the received snapshot. */
+/*
+ * Replaces the log and the state with the received snapshot. CF_EMALFORMED: it cannot be
+ * loaded, and nothing has changed.
+ */
 static int snap_install(struct replica *r)
 {
 	struct replica_members members = {0};
@@ -176,8 +179,14 @@
 	int err;
 
 	err = replica_image_decode(buf_str(&r->receiving), &members, &state);
-	if (err)
+	if (!err)
+		err = r->host->ops->check_snapshot(r->host, buf_str(&state));
+	if (err) {
+		/* What this member has on its disk is still good. */
+		if (err == CF_ECORRUPT)
+			err = CF_EMALFORMED;
 		goto out;
+	}
 	err = CF_ENOMEM;
 	s = replica_snap_new(index, epoch, buf_str(&r->receiving));
 	if (!s)
--- a/core/store.h
+++ b/core/store.h
@@ -32,6 +32,7 @@
 int store_snapshot_write(const struct store *s, int (*sink)(void *arg, struct str bytes),
 			 void *arg);
 int store_restore(struct store *s, struct str snapshot);
+int store_check_snapshot(const struct store *s, struct str snapshot);
 
 /* Sets the time of an encoded command; the leader calls it before proposing. */
 int store_set_command_time(struct buf *bytes, uint64_t time_us);
--- a/core/store_snap.c
+++ b/core/store_snap.c
@@ -325,6 +325,23 @@
 	return conf_load_end(s->conf, s->index);
 }
 
+/* Makes a store of the same options from a snapshot. */
+static int make_store(const struct store *like, struct str snapshot, struct store **out)
+{
+	struct store *fresh;
+	int err = store_new(&like->options, &fresh);
+
+	if (err)
+		return err;
+	err = load_snapshot(fresh, snapshot);
+	if (!err) {
+		*out = fresh;
+		return 0;
+	}
+	store_free(fresh);
+	return err == CF_ENOMEM || err == CF_EMALFORMED ? err : CF_ECORRUPT;
+}
+
 /*
  * Replaces the state by a snapshot. Returns CF_EMALFORMED if the snapshot cannot be
  * decoded, CF_ECORRUPT if its checksum or content is invalid. After an error the store is
@@ -334,18 +351,24 @@
 {
 	struct store *fresh;
 	struct store old;
-	int err = store_new(&s->options, &fresh);
+	int err = make_store(s, snapshot, &fresh);
 
 	if (err)
 		return err;
-	err = load_snapshot(fresh, snapshot);
-	if (!err) {
-		old = *s;
-		*s = *fresh;
-		*fresh = old;
-	} else if (err != CF_ENOMEM && err != CF_EMALFORMED) {
-		err = CF_ECORRUPT;
-	}
+	old = *s;
+	*s = *fresh;
+	*fresh = old;
 	store_free(fresh);
+	return 0;
+}
+
+/* Whether the state can be replaced by a snapshot. Errors as for store_restore(). */
+int store_check_snapshot(const struct store *s, struct str snapshot)
+{
+	struct store *fresh;
+	int err = make_store(s, snapshot, &fresh);
+
+	if (!err)
+		store_free(fresh);
 	return err;
 }
--- a/regress/lib_cluster.c
+++ b/regress/lib_cluster.c
@@ -433,6 +433,11 @@
 	return err;
 }
 
+static int host_check_snapshot(struct replica_host *h, struct str state)
+{
+	return state.n < sizeof(node_of(h)->chain) ? CF_EMALFORMED : 0;
+}
+
 static int host_load_snapshot(struct replica_host *h, uint64_t index, uint64_t epoch,
 			      struct str state)
 {
@@ -503,6 +508,7 @@
 	.sync = host_sync,
 	.apply = host_apply,
 	.take_snapshot = host_take_snapshot,
+	.check_snapshot = host_check_snapshot,
 	.load_snapshot = host_load_snapshot,
 	.role_changed = host_role_changed,
 	.save_snapshot = host_save_snapshot,
--- a/regress/test_replica.c
+++ b/regress/test_replica.c
@@ -346,6 +346,7 @@
 	char order[16];	 /* initials of disk operations */
 	size_t n_order;
 	size_t window_bytes;
+	int refuse; /* result of loading a snapshot */
 };
 
 static int lone_note(struct replica_host *h, char op)
@@ -403,10 +404,19 @@
 	return buf_adds(out, "state");
 }
 
+static int lone_check(struct replica_host *h, struct str state)
+{
+	return ((struct lone *)h)->refuse;
+}
+
 static int lone_load(struct replica_host *h, uint64_t index, uint64_t epoch,
 		     struct str state)
 {
-	((struct lone *)h)->applied = index;
+	struct lone *l = (struct lone *)h;
+
+	if (l->refuse)
+		return l->refuse;
+	l->applied = index;
 	return lone_note(h, 'L');
 }
 
@@ -424,6 +434,7 @@
 	.sync = lone_sync,
 	.apply = lone_apply,
 	.take_snapshot = lone_take,
+	.check_snapshot = lone_check,
 	.load_snapshot = lone_load,
 	.save_snapshot = lone_save,
 	.compact = lone_compact,
@@ -751,6 +762,41 @@
 }
 END_TEST
 
+/* Guards against a damaged snapshot of a leader that replaces the log and a good one. */
+START_TEST(snapshot_that_does_not_load_changes_nothing)
+{
+	static const int errors[] = {CF_EMALFORMED, CF_ECORRUPT};
+	struct lone l = {.refuse = errors[_i]};
+	int64_t now = SECOND;
+	struct buf image = {0};
+	struct replica_msg m = {
+		.kind = REPLICA_MSG_SNAPSHOT,
+		.from_identity = 102,
+		.to_identity = 101,
+		.epoch = 4,
+		.index = 2,
+		.index_epoch = 3,
+	};
+
+	lone_start(&l, now);
+	lone_hello(&l, now);
+	lone_image(&image);
+	m.total = image.n;
+	m.chunk = buf_str(&image);
+	l.n_order = 0;
+	memset(l.order, 0, sizeof(l.order));
+	ck_assert_int_eq(replica_receive(l.r, 2, &m, now), 0);
+	ck_assert_str_eq(l.order, "");
+	ck_assert_int_eq(replica_failure(l.r), 0);
+	ck_assert_uint_lt(replica_committed(l.r), 2);
+	l.refuse = 0;
+	ck_assert_int_eq(replica_receive(l.r, 2, &m, now), 0);
+	ck_assert_str_eq(l.order, "TSLC");
+	buf_free(&image);
+	replica_free(l.r);
+}
+END_TEST
+
 /* --- disks --- */
 
 /* Proposes until that many entries committed. */
@@ -1329,6 +1375,7 @@
 	tcase_add_test(tc, lease_allows_for_drift);
 	tcase_add_test(tc, no_vote_during_lease);
 	tcase_add_test(tc, snapshot_install_order);
+	tcase_add_loop_test(tc, snapshot_that_does_not_load_changes_nothing, 0, 2);
 	tcase_add_test(tc, window_is_bounded);
 	tcase_add_test(tc, cluster_grows_from_one);
 	tcase_add_test(tc, removed_leader_still_stands);
