state: an entry that does not decode ends no process

Cause: a committed entry that does not decode, such as a command of a later version, is refused by every store in the same way; state_apply() took it for an error that ends the process, on every member and at each start again.

Change: such an entry is passed over.

--- a/carawayfrontd/state_propose.c
+++ b/carawayfrontd/state_propose.c
@@ -227,6 +227,9 @@
 	}
 	answer_proposal(s, entry, buf_str(&bytes));
 	err = codec_decode((xdrproc_t)xdr_command, &cmd, entry->data);
+	/* Every store refuses it, and no scheduler proposed it. */
+	if (err == CF_EMALFORMED)
+		goto out;
 	if (!err)
 		err = codec_decode((xdrproc_t)xdr_command_result, &result,
 				   buf_str(&bytes));
