state, controller: the failure of an entry is not lost during a sync

Cause: entries are applied while the round's sync is finished. Its result, mostly 0, replaced the failure that applying had set, so that a process that could not apply an entry (no memory) went on with a state that differs from the others'.

Change: the first failure stays.

--- a/carawayfrontd/controller.c
+++ b/carawayfrontd/controller.c
@@ -197,6 +197,15 @@
 	return deadline;
 }
 
+/* An entry that is applied meanwhile may fail. */
+static void flush_disk(struct controller *c)
+{
+	int err = disk_host_flush(&c->disk, c->replica, c->metrics);
+
+	if (!c->failure)
+		c->failure = err;
+}
+
 /* Runs before the loop sleeps: one log entry and one sync cover the whole round. */
 static void on_prepare(struct ev_loop *loop, struct ev_prepare *w, int events)
 {
@@ -210,7 +219,7 @@
 			dag_sched_place(c->sched, clock_us());
 		controller_flush(c);
 		if (c->disk.sync_asked && !c->failure)
-			c->failure = disk_host_flush(&c->disk, c->replica, c->metrics);
+			flush_disk(c);
 	} while ((c->batch.n_parts || c->disk.sync_asked) && !c->failure);
 	follow_leadership(c);
 	hand_over(c);
--- a/carawayfrontd/state.c
+++ b/carawayfrontd/state.c
@@ -188,7 +188,11 @@
 	int64_t now;
 
 	while (s->disk.sync_asked && !s->failure) {
-		s->failure = disk_host_flush(&s->disk, s->replica, s->metrics);
+		int err = disk_host_flush(&s->disk, s->replica, s->metrics);
+
+		/* An entry that was applied meanwhile may have failed. */
+		if (!s->failure)
+			s->failure = err;
 		if (s->failure) {
 			ev_break(loop, EVBREAK_ALL);
 			return;
