core/replica: an append with a membership that does not decode is refused

Cause: a follower stored the entry and then ended with CF_EMALFORMED, at each start again, as the entry was in its log.

Change: the message is malformed as a whole.

Result: test_fuzz_replica, new, sends changed messages of two members to one replica, which stays up, applies entries in order and never cuts what it has applied.

--- a/core/replica_codec.c
+++ b/core/replica_codec.c
@@ -141,6 +141,15 @@
 	return err;
 }
 
+/* A member that stored a membership that does not decode could not go on or start. */
+static bool is_usable(const struct replica_wire_entry *w)
+{
+	struct replica_members members;
+
+	return w->kind != REPLICA_MEMBERS ||
+	       !replica_members_decode(XDR_STR(*w, data), &members);
+}
+
 static int entries_from_wire(struct replica_msg_box *b)
 {
 	const struct replica_wire_append *a = &b->wire.body.replica_wire_body_u.append;
@@ -155,7 +164,7 @@
 		const struct replica_wire_entry *w = &a->entries.entries_val[i];
 
 		if (w->kind < REPLICA_DATA || w->kind > REPLICA_MEMBERS ||
-		    w->index != a->index + 1 + i || w->epoch > a->epoch)
+		    w->index != a->index + 1 + i || w->epoch > a->epoch || !is_usable(w))
 			return CF_EMALFORMED;
 		b->entries[i] = (struct replica_entry){
 			.index = w->index,
