io/log: a name from outside stays on its line

Cause: names of workers, zones and queues reach log lines as they came. One with a line feed, such as an instance id in the path of a report, wrote lines of its own, which a reader of the log takes for the program's.

Change: control characters of a line are replaced by "?".

Result: value_stays_on_its_line of test_log, new, failed before and passes.

--- a/io/log.c
+++ b/io/log.c
@@ -1,5 +1,6 @@
 #include "io/log.h"
 
+#include <ctype.h>
 #include <poll.h>
 #include <stdarg.h>
 #include <stdio.h>
@@ -120,6 +121,10 @@
 	if (!category || !log4c_category_is_priority_enabled(category, priority))
 		return;
 	vsnprintf(text, sizeof(text), fmt, ap);
+	/* A name that came from outside must not begin a line of its own. */
+	for (char *p = text; *p; p++)
+		if (iscntrl((unsigned char)*p))
+			*p = '?';
 	log4c_category_log(category, priority, "event=%s %s", event, text);
 }
 
