controller: a queue's name cannot make the page of metrics unreadable

Cause: the name went into a label as it was, in 128 bytes together with the state: a quote, a line feed or more than about 100 bytes left a line that Prometheus refuses, and with it the whole page (from reading).

Change: metric_add_label() escapes the value and does not cut it.

--- a/base/metric.c
+++ b/base/metric.c
@@ -151,6 +151,27 @@
 	return c ? c : strcmp(a->labels, b->labels);
 }
 
+/*
+ * Appends a label whose value may hold any bytes: quotes, backslashes and line feeds are
+ * escaped, as one of them would make the whole page unreadable. CF_ENOMEM.
+ */
+int metric_add_label(struct buf *labels, const char *name, struct str value)
+{
+	int err = buf_addf(labels, "%s%s=\"", labels->n ? "," : "", name);
+
+	for (size_t i = 0; !err && i < value.n; i++) {
+		char c = value.p[i];
+
+		if (c == '\n')
+			err = buf_adds(labels, "\\n");
+		else if (c == '"' || c == '\\')
+			err = buf_addf(labels, "\\%c", c);
+		else if (c)
+			err = buf_add(labels, &c, 1);
+	}
+	return err ? err : buf_adds(labels, "\"");
+}
+
 /* Appends the set in the Prometheus text format, sorted by name and labels. */
 int metric_print(const struct metric_set *set, struct buf *out)
 {
--- a/base/metric.h
+++ b/base/metric.h
@@ -18,6 +18,7 @@
 uint64_t *metric_counter(struct metric_set *set, const char *name, const char *labels);
 uint64_t *metric_gauge(struct metric_set *set, const char *name, const char *labels);
 struct hist *metric_hist(struct metric_set *set, const char *name, const char *labels);
+int metric_add_label(struct buf *labels, const char *name, struct str value);
 int metric_print(const struct metric_set *set, struct buf *out);
 
 #endif
--- a/carawayfrontd/controller_sched.c
+++ b/carawayfrontd/controller_sched.c
@@ -1,5 +1,4 @@
 /* Connects the scheduler to the replicated log and to the transport. */
-#include <stdio.h>
 
 #include "base/err.h"
 #include "carawayfrontd/controller_impl.h"
@@ -83,12 +82,14 @@
 static void record_job_latency(struct controller *c, struct str queue, const char *state,
 			       int64_t ms)
 {
-	char labels[128];
-
-	snprintf(labels, sizeof(labels), "queue=\"%.*s\",state=\"%s\"", STR_ARG(queue),
-		 state);
-	hist_add(metric_hist(c->metrics, "carawayfront_job_duration_us", labels),
-		 ms > 0 ? (uint64_t)ms * 1000 : 0);
+	struct buf labels = {0};
+
+	if (!metric_add_label(&labels, "queue", queue) &&
+	    !metric_add_label(&labels, "state", str_from(state)))
+		hist_add(
+			metric_hist(c->metrics, "carawayfront_job_duration_us", labels.p),
+			ms > 0 ? (uint64_t)ms * 1000 : 0);
+	buf_free(&labels);
 }
 
 static void host_log_event(struct dag_host *h, const char *event,
--- a/regress/test_base.c
+++ b/regress/test_base.c
@@ -3,6 +3,7 @@
 
 #include "base/err.h"
 #include "base/hist.h"
+#include "base/metric.h"
 #include "base/prng.h"
 #include "base/str.h"
 
@@ -69,6 +70,18 @@
 }
 END_TEST
 
+/* Guards against a queue whose name makes the page of metrics unreadable. */
+START_TEST(label_of_any_bytes_is_escaped)
+{
+	struct buf labels = {0};
+
+	ck_assert_int_eq(metric_add_label(&labels, "queue", STR("a\"b\\c\nd\0e")), 0);
+	ck_assert_int_eq(metric_add_label(&labels, "state", STR("done")), 0);
+	ck_assert_str_eq(labels.p, "queue=\"a\\\"b\\\\c\\nde\",state=\"done\"");
+	buf_free(&labels);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("base");
@@ -80,6 +93,7 @@
 	tcase_add_test(tc, hist_merge_keeps_all);
 	tcase_add_test(tc, numbers_are_checked);
 	tcase_add_test(tc, split_in_place);
+	tcase_add_test(tc, label_of_any_bytes_is_escaped);
 	suite_add_tcase(s, tc);
 	sr = srunner_create(s);
 	srunner_run_all(sr, CK_NORMAL);
