--- a/regress/lib_fuzz.c
+++ b/regress/lib_fuzz.c
@@ -30,6 +30,7 @@
 #endif
 
 static const struct fuzz *current;
+static char heading[256]; /* of the present input */
 
 static size_t allocated_bytes(void)
 {
@@ -50,20 +51,28 @@
 	return (int64_t)t.tv_sec * 1000000 + t.tv_nsec / 1000;
 }
 
+static void write_all(const char *p, size_t n)
+{
+	ssize_t written = write(STDERR_FILENO, p, n);
+
+	(void)written;
+}
+
+/* Called by signal handlers: nothing of stdio. */
 static void print_input(void)
 {
-	char line[2 * PRINT_MAX + 1];
-	size_t n = 0;
+	static const char digits[] = "0123456789abcdef";
 
 	if (!current)
 		return;
-	dprintf(STDERR_FILENO, "%s: seed %llu, input %llu, %zu bytes:\n", current->name,
-		(unsigned long long)current->seed, (unsigned long long)current->inputs,
-		current->input_n);
-	for (size_t i = 0; i < current->input_n && i < PRINT_MAX; i++)
-		n += (size_t)snprintf(line + n, sizeof(line) - n, "%02x",
-				      (unsigned char)current->input[i]);
-	dprintf(STDERR_FILENO, "%.*s\n", (int)n, line);
+	write_all(heading, strlen(heading));
+	for (size_t i = 0; i < current->input_n && i < PRINT_MAX; i++) {
+		unsigned char c = (unsigned char)current->input[i];
+
+		write_all(&digits[c >> 4], 1);
+		write_all(&digits[c & 15], 1);
+	}
+	write_all("\n", 1);
 	current = NULL;
 }
 
@@ -300,6 +309,9 @@
 		return false;
 	make_input(f);
 	f->inputs++;
+	snprintf(heading, sizeof(heading), "%s: seed %llu, input %llu, %zu bytes:\n",
+		 f->name, (unsigned long long)f->seed, (unsigned long long)f->inputs,
+		 f->input_n);
 	*input = (struct str){f->input, f->input_n};
 	f->allocated = allocated_bytes();
 	f->cpu_us = cpu_us();
