io/http_client: an answer whose status is above 999 is malformed

Cause: libcurl takes "HTTP/" for an answer of HTTP/2 with status 1474836, which was passed on as complete and cannot be sent to the caller.

Change: it ends the call with CF_EMALFORMED, as one below 200.

--- a/io/http_client.c
+++ b/io/http_client.c
@@ -79,6 +79,12 @@
 	       CURLHE_OK;
 }
 
+/* Others end no exchange or cannot be passed on; libcurl takes any number. */
+static bool is_final(unsigned int status)
+{
+	return status >= 200 && status <= 999;
+}
+
 static int result_error(const struct http_exchange *x, CURLcode code, unsigned int status)
 {
 	if (x->too_big)
@@ -87,8 +93,7 @@
 		return CF_ESTALE;
 	switch (code) {
 	case CURLE_OK:
-		/* A status below 200 ends no exchange and cannot be passed on. */
-		return status >= 200 && is_delimited(x, status) ? 0 : CF_EMALFORMED;
+		return is_final(status) && is_delimited(x, status) ? 0 : CF_EMALFORMED;
 	case CURLE_OPERATION_TIMEDOUT:
 		return CF_ETIMEOUT;
 	case CURLE_PARTIAL_FILE:
--- a/regress/test_fuzz_http.c
+++ b/regress/test_fuzz_http.c
@@ -259,7 +259,8 @@
 	fuzz_add(&f, STR("HTTP/1.1 503 Busy\r\nRetry-After: 2\r\nTransfer-Encoding: "
 			 "chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n"));
 	fuzz_add(&f, STR("HTTP/1.0 200 OK\r\nSet-Cookie: a=b\r\n\r\nuntil the end"));
-	/* Case: a status that cannot be passed on. */
+	/* Cases: statuses that cannot be passed on. */
+	fuzz_add(&f, STR("HTTP/21474836\r\nContent-Length: 4\r\n\r\nbody"));
 	fuzz_add(&f, STR("HTTP/1.1 055 OK\r\nContent-Length: 4\r\n\r\nbody"));
 	while (fuzz_next(&f, &input))
 		answer(&f, client, listener, input);
