core/announce: an age out of range is refused before it is multiplied

Cause: the age of an announcement was turned into microseconds also when it was found too large, which overflows a signed integer; the result was not used.

Change: the reader stops first.

--- a/core/announce_wire.c
+++ b/core/announce_wire.c
@@ -141,8 +141,10 @@
 	u->incarnation = wire_get(w);
 	u->sequence = wire_get(w);
 	age = wire_get(w);
-	if (slots > UINT32_MAX || load > INT32_MAX || age > UINT32_MAX)
+	if (slots > UINT32_MAX || load > INT32_MAX || age > UINT32_MAX) {
 		w->p = NULL;
+		return;
+	}
 	u->slots = (unsigned int)slots;
 	u->load = (int)load - 1;
 	u->age_us = (int64_t)age * AGE_UNIT_US;
