core/dag: another process at the address of an earlier life takes no worker out

A poll of a worker's earlier life is still without an answer when the worker reports its next one; the answer then says that another process is at the address. The new life was recorded as gone and got no runs until its next report.

It is ignored now, and the worker is polled at once.

--- a/core/dag_worker.c
+++ b/core/dag_worker.c
@@ -605,6 +605,10 @@
 			return_worker(s, w);
 		return;
 	}
+	if (result == DAG_RESULT_RESTARTED && w->poll_life != w->life) {
+		w->next_poll_us = now_us;
+		return;
+	}
 	if (result == DAG_RESULT_RESTARTED) {
 		handle_worker_exit(s, w, "another process answers at the address");
 		w->next_poll_us = now_us + POLL_RETRY_US;
--- a/regress/test_dag_life.c
+++ b/regress/test_dag_life.c
@@ -401,6 +401,27 @@
 }
 END_TEST
 
+/*
+ * Guards a worker against being taken for gone because another process answered at its
+ * address, for a poll of its earlier life; the answer to a poll of this one counts.
+ */
+START_TEST(foreign_answer_for_an_earlier_life_is_ignored)
+{
+	uint32_t number = add_used_worker();
+
+	while (!w.workers[number].look_at_us)
+		dw_run_for(&w, 5 * MS);
+	w.workers[number].reset_us = SECOND;
+	if (_i)
+		dw_crash_worker(&w, number, true);
+	dw_run_for(&w, 30 * MS);
+	dag_sched_poll_replied(w.sched, 1, DAG_RESULT_RESTARTED, NULL, w.now_us);
+	dw_run_for(&w, 100 * MS);
+	ck_assert_int_eq(dag_state_find_worker(w.state, 1)->w.state,
+			 _i ? DAG_WORKER_READY : DAG_WORKER_GONE);
+}
+END_TEST
+
 /* One draw of a fault: restarts under the old id, with or without news of it, and more.
  */
 static void draw_fault(void)
@@ -500,6 +521,7 @@
 	tcase_add_loop_test(tc, late_start_that_was_repeated_is_refused, 0, 40);
 	tcase_add_loop_test(tc, late_start_after_a_stop_is_refused, 0, 30);
 	tcase_add_test(tc, acknowledgements_go_on_beside_slow_commits);
+	tcase_add_loop_test(tc, foreign_answer_for_an_earlier_life_is_ignored, 0, 2);
 	tcase_add_loop_test(tc, random_restarts_under_one_id, 0, 200);
 	suite_add_tcase(s, tc);
 	srunner_run_all(sr, CK_NORMAL);
