regress: long fuzz runs do not wait for the check library

A test with many kinds would also have passed its time limit with FUZZ_SECONDS=60.

Change: FUZZ_MUST() in what runs for each input; the limit grows with FUZZ_SECONDS.

--- a/regress/lib_fuzz.c
+++ b/regress/lib_fuzz.c
@@ -20,6 +20,7 @@
 #define MEMORY_FACTOR 64
 #define MEMORY_BASE (16U << 10)
 #define PRINT_MAX 4096U
+#define MAX_KINDS 60 /* of messages in one test, each for FUZZ_SECONDS */
 
 #if defined(__SANITIZE_ADDRESS__)
 #define SANITIZED 1
@@ -122,9 +123,9 @@
 void fuzz_add(struct fuzz *f, struct str message)
 {
 	f->seeds = realloc(f->seeds, (f->n_seeds + 1) * sizeof(*f->seeds));
-	ck_assert_ptr_nonnull(f->seeds);
+	FUZZ_MUST(f->seeds);
 	f->seeds[f->n_seeds] = (struct buf){0};
-	ck_assert_int_eq(buf_set(&f->seeds[f->n_seeds++], message), 0);
+	FUZZ_MUST((buf_set(&f->seeds[f->n_seeds++], message)) == 0);
 }
 
 /* Replaces n bytes at a place by others. */
@@ -132,9 +133,9 @@
 {
 	struct buf out = {0};
 
-	ck_assert_int_eq(buf_add(&out, b->p, at), 0);
-	ck_assert_int_eq(buf_add(&out, p, by), 0);
-	ck_assert_int_eq(buf_add(&out, b->p + at + n, b->n - at - n), 0);
+	FUZZ_MUST((buf_add(&out, b->p, at)) == 0);
+	FUZZ_MUST((buf_add(&out, p, by)) == 0);
+	FUZZ_MUST((buf_add(&out, b->p + at + n, b->n - at - n)) == 0);
 	buf_free(b);
 	*b = out;
 }
@@ -232,7 +233,7 @@
 		n &= ~(size_t)3;
 		to &= ~(size_t)3;
 	}
-	ck_assert_int_eq(buf_add(&part, from->p + at, n), 0);
+	FUZZ_MUST((buf_add(&part, from->p + at, n)) == 0);
 	replace(b, to, over ? (n < b->n - to ? n : b->n - to) : 0, part.p, part.n);
 	buf_free(&part);
 }
@@ -285,14 +286,14 @@
 	const struct buf *from = &f->seeds[prng_below(&f->prng, f->n_seeds)];
 	struct buf b = {0};
 
-	ck_assert_int_eq(buf_add(&b, from->p, from->n), 0);
+	FUZZ_MUST((buf_add(&b, from->p, from->n)) == 0);
 	if (prng_below(&f->prng, 64))
 		for (uint64_t k = 1 + prng_below(&f->prng, MAX_CHANGES); k > 0; k--)
 			change(f, &b);
 	f->input_n = b.n < MAX_INPUT ? b.n : MAX_INPUT;
 	free(f->input);
 	f->input = malloc(f->input_n ? f->input_n : 1);
-	ck_assert_ptr_nonnull(f->input);
+	FUZZ_MUST(f->input);
 	if (f->input_n)
 		memcpy(f->input, b.p, f->input_n);
 	buf_free(&b);
@@ -352,7 +353,7 @@
 	int failed;
 
 	/* A limit only ends a broken test; longer runs end by FUZZ_SECONDS. */
-	tcase_set_timeout(tc, 300 + 2 * (double)environment("FUZZ_SECONDS", 0));
+	tcase_set_timeout(tc, 300 + MAX_KINDS * (double)environment("FUZZ_SECONDS", 0));
 	for (size_t i = 0; i < n; i++)
 		tcase_add_test(tc, tests[i]);
 	suite_add_tcase(s, tc);
--- a/regress/lib_fuzz.h
+++ b/regress/lib_fuzz.h
@@ -44,6 +44,13 @@
 			fuzz_fail(f, __FILE__, __LINE__, #condition); \
 	} while (0)
 
+/* As ck_assert(), which writes to a pipe each time that it holds. */
+#define FUZZ_MUST(condition)                                   \
+	do {                                                   \
+		if (!(condition))                              \
+			ck_abort_msg("%s failed", #condition); \
+	} while (0)
+
 /* Runs the suite of a fuzz program; the exit status of main(). */
 int fuzz_main(const char *name, const TTest *const *tests, size_t n);
 
--- a/regress/test_fuzz_announce.c
+++ b/regress/test_fuzz_announce.c
@@ -50,8 +50,8 @@
 	opt.host = &m->host;
 	opt.max_upstreams = MAX_UPSTREAMS;
 	announce_free(m->a);
-	ck_assert_int_eq(announce_new(&opt, &m->a), 0);
-	ck_assert_int_eq(announce_peer_up(m->a, PEER, now_us), 0);
+	FUZZ_MUST((announce_new(&opt, &m->a)) == 0);
+	FUZZ_MUST((announce_peer_up(m->a, PEER, now_us)) == 0);
 }
 
 static void announce_all(struct member *m, uint64_t sequence, int64_t now_us)
@@ -70,7 +70,7 @@
 
 		snprintf(name, sizeof(name), "u%u", i);
 		u.name = str_from(name);
-		ck_assert_int_eq(announce_receive_local(m->a, &u, now_us), 0);
+		FUZZ_MUST((announce_receive_local(m->a, &u, now_us)) == 0);
 	}
 }
 
--- a/regress/test_fuzz_dag.c
+++ b/regress/test_fuzz_dag.c
@@ -22,7 +22,7 @@
 
 	b.commands.commands_len = n;
 	b.commands.commands_val = commands;
-	ck_assert_int_eq(codec_encode((xdrproc_t)xdr_dag_batch, &b, &bytes), 0);
+	FUZZ_MUST((codec_encode((xdrproc_t)xdr_dag_batch, &b, &bytes)) == 0);
 	fuzz_add(f, buf_str(&bytes));
 	buf_free(&bytes);
 }
@@ -157,7 +157,7 @@
 
 static void open_state(void)
 {
-	ck_assert_int_eq(dag_state_new(&state), 0);
+	FUZZ_MUST((dag_state_new(&state)) == 0);
 }
 
 static void take(struct fuzz *f, const struct dag_state *s, struct buf *out)
@@ -172,7 +172,7 @@
 	struct dag_state *other;
 
 	take(f, state, &before);
-	ck_assert_int_eq(dag_state_new(&other), 0);
+	FUZZ_MUST((dag_state_new(&other)) == 0);
 	FUZZ_CHECK(f, dag_state_restore(other, buf_str(&before)) == 0);
 	take(f, other, &after);
 	FUZZ_CHECK(f, str_eq(buf_str(&before), buf_str(&after)));
@@ -194,7 +194,7 @@
 	dag_state_free(state);
 	open_state();
 	for (size_t i = 0; i < n; i++)
-		ck_assert_int_eq(dag_state_apply(state, buf_str(&f->seeds[i])), 0);
+		FUZZ_MUST((dag_state_apply(state, buf_str(&f->seeds[i]))) == 0);
 }
 
 /*
@@ -234,7 +234,7 @@
 {
 	open_state();
 	for (size_t i = 0; i < entries->n_seeds; i++) {
-		ck_assert_int_eq(dag_state_apply(state, buf_str(&entries->seeds[i])), 0);
+		FUZZ_MUST((dag_state_apply(state, buf_str(&entries->seeds[i]))) == 0);
 		take(f, state, &before);
 		fuzz_add(f, buf_str(&before));
 	}
@@ -267,7 +267,7 @@
 	while (fuzz_next(&f, &input)) {
 		struct dag_state *fresh;
 
-		ck_assert_int_eq(dag_state_new(&fresh), 0);
+		FUZZ_MUST((dag_state_new(&fresh)) == 0);
 		if (dag_state_restore(fresh, input) == 0) {
 			f.accepted++;
 			fuzz_check_memory(&f, input.n);
--- a/regress/test_fuzz_disk.c
+++ b/regress/test_fuzz_disk.c
@@ -76,7 +76,7 @@
 static void open_dir(const char *name)
 {
 	snprintf(dir, sizeof(dir), "/tmp/test_fuzz_disk.XXXXXX");
-	ck_assert_ptr_nonnull(mkdtemp(dir));
+	FUZZ_MUST(mkdtemp(dir));
 	snprintf(dir_entry, sizeof(dir_entry), "%s/%s", dir, name);
 	close(open(dir_entry, O_CREAT | O_WRONLY, 0600));
 	file = memfd_create("file", 0);
@@ -92,7 +92,7 @@
 
 static void set_file(struct str bytes)
 {
-	ck_assert_int_eq(ftruncate(file, 0), 0);
+	FUZZ_MUST((ftruncate(file, 0)) == 0);
 	ck_assert_int_eq((int)pwrite(file, bytes.p, bytes.n, 0), (int)bytes.n);
 }
 
@@ -104,7 +104,7 @@
 		struct wal_record rec = {.index = i, .epoch = 1 + i / 4, .kind = i % 3};
 
 		rec.data = i % 2 ? STR("some data of a record") : STR("");
-		ck_assert_int_eq(wal_record_add(&bytes, &rec, i / 2), 0);
+		FUZZ_MUST((wal_record_add(&bytes, &rec, i / 2)) == 0);
 		if (i % 4 == 0)
 			fuzz_add(f, buf_str(&bytes));
 	}
@@ -188,7 +188,7 @@
 		int err;
 
 		changed.n = 0;
-		ck_assert_int_eq(buf_add(&changed, input.p, input.n), 0);
+		FUZZ_MUST((buf_add(&changed, input.p, input.n)) == 0);
 		if (f.inputs % 2)
 			mend_records(&changed);
 		set_file(buf_str(&changed));
@@ -213,7 +213,7 @@
 
 	ck_assert_int_gt((int)n, 0);
 	fuzz_add(f, (struct str){bytes, (size_t)n});
-	ck_assert_int_eq(ftruncate(file, 0), 0);
+	FUZZ_MUST((ftruncate(file, 0)) == 0);
 }
 
 static void mend_whole(struct buf *b)
@@ -239,9 +239,9 @@
 
 	open_dir("snapshot");
 	fuzz_open(&f, "whole_files", N_FILES);
-	ck_assert_int_eq(promise_save(dir, &files, &p), 0);
+	FUZZ_MUST((promise_save(dir, &files, &p)) == 0);
 	add_file(&f);
-	ck_assert_int_eq(snapfile_save(dir, &files, 5, 2, STR("bytes of a snapshot")), 0);
+	FUZZ_MUST((snapfile_save(dir, &files, 5, 2, STR("bytes of a snapshot"))) == 0);
 	add_file(&f);
 	while (fuzz_next(&f, &input)) {
 		uint64_t index, epoch;
@@ -249,7 +249,7 @@
 		int err;
 
 		changed.n = 0;
-		ck_assert_int_eq(buf_add(&changed, input.p, input.n), 0);
+		FUZZ_MUST((buf_add(&changed, input.p, input.n)) == 0);
 		if (f.inputs % 2)
 			mend_whole(&changed);
 		set_file(buf_str(&changed));
--- a/regress/test_fuzz_http.c
+++ b/regress/test_fuzz_http.c
@@ -123,7 +123,7 @@
 					.max_body = MAX_BODY};
 
 	*call = (struct call){.base = {.ops = &call_ops}};
-	ck_assert_int_eq(http_client_start(client, &opt, &call->base), 0);
+	FUZZ_MUST((http_client_start(client, &opt, &call->base)) == 0);
 }
 
 static struct http_client *new_client(void)
@@ -134,7 +134,7 @@
 					  .connect_timeout = 1};
 	struct http_client *c;
 
-	ck_assert_int_eq(http_client_new(&opt, &c), 0);
+	FUZZ_MUST((http_client_new(&opt, &c)) == 0);
 	return c;
 }
 
@@ -143,7 +143,7 @@
 	int fd = socket(AF_INET, SOCK_STREAM, 0);
 
 	ck_assert_int_ge(fd, 0);
-	ck_assert_int_eq(connect(fd, (const struct sockaddr *)&to->sa, to->len), 0);
+	FUZZ_MUST((connect(fd, (const struct sockaddr *)&to->sa, to->len)) == 0);
 	send(fd, bytes.p, bytes.n, MSG_NOSIGNAL);
 	for (int i = 0; i < ROUNDS; i++)
 		ev_run(loop, EVRUN_NOWAIT);
@@ -176,8 +176,8 @@
 
 	loop = ev_loop_new(0);
 	opt.loop = loop;
-	ck_assert_int_eq(addr_parse(STR(SERVER_ADDRESS), &opt.address), 0);
-	ck_assert_int_eq(http_server_new(&opt, &server), 0);
+	FUZZ_MUST((addr_parse(STR(SERVER_ADDRESS), &opt.address)) == 0);
+	FUZZ_MUST((http_server_new(&opt, &server)) == 0);
 	client = new_client();
 	fuzz_open(&f, "http_requests", N_REQUESTS);
 	f.words = words;
@@ -249,8 +249,8 @@
 	int listener;
 
 	loop = ev_loop_new(0);
-	ck_assert_int_eq(addr_parse(STR(UPSTREAM_ADDRESS), &address), 0);
-	ck_assert_int_eq(listener_open(&address, &listener), 0);
+	FUZZ_MUST((addr_parse(STR(UPSTREAM_ADDRESS), &address)) == 0);
+	FUZZ_MUST((listener_open(&address, &listener)) == 0);
 	client = new_client();
 	fuzz_open(&f, "http_answers", N_ANSWERS);
 	f.words = words;
@@ -280,8 +280,8 @@
 	int listener;
 
 	loop = ev_loop_new(0);
-	ck_assert_int_eq(addr_parse(STR(UPSTREAM_ADDRESS), &address), 0);
-	ck_assert_int_eq(listener_open(&address, &listener), 0);
+	FUZZ_MUST((addr_parse(STR(UPSTREAM_ADDRESS), &address)) == 0);
+	FUZZ_MUST((listener_open(&address, &listener)) == 0);
 	client = new_client();
 	for (int i = 0; i < 20; i++) {
 		answer(&f, client, listener,
--- a/regress/test_fuzz_platform.c
+++ b/regress/test_fuzz_platform.c
@@ -213,7 +213,7 @@
 	struct dag_poll_command poll = {.call = {.worker = 1, .id = STR("i-1")}};
 	struct dag_transport *t;
 
-	ck_assert_int_eq(executors_new(&opt, &t), 0);
+	FUZZ_MUST((executors_new(&opt, &t)) == 0);
 	fuzz_open(&fuzz, "executors", N_INPUTS);
 	fuzz.words = words;
 	add_answers();
@@ -293,7 +293,7 @@
 		return;
 	req.method = str_dup(method);
 	req.path = str_dup(path);
-	ck_assert_int_eq(buf_add(&req.body, body.p, body.n), 0);
+	FUZZ_MUST((buf_add(&req.body, body.p, body.n)) == 0);
 	header = value;
 	replies = 0;
 	waiting = NULL;
@@ -314,7 +314,7 @@
 	struct callers *c;
 	struct str input;
 
-	ck_assert_int_eq(callers_new(&opt, &c), 0);
+	FUZZ_MUST((callers_new(&opt, &c)) == 0);
 	fuzz_open(&fuzz, "callers", N_INPUTS);
 	fuzz.words = words;
 	fuzz_add(&fuzz,
@@ -342,7 +342,7 @@
 	struct operators *o;
 	struct str input;
 
-	ck_assert_int_eq(operators_new(&opt, &o), 0);
+	FUZZ_MUST((operators_new(&opt, &o)) == 0);
 	fuzz_open(&fuzz, "operators", N_INPUTS);
 	fuzz.words = words;
 	fuzz_add(&fuzz,
--- a/regress/test_fuzz_replica.c
+++ b/regress/test_fuzz_replica.c
@@ -120,7 +120,7 @@
 	replica_free(m->r);
 	m->token = 0;
 	m->applied = 0;
-	ck_assert_int_eq(replica_new(&opt, &m->r, now_us), 0);
+	FUZZ_MUST((replica_new(&opt, &m->r, now_us)) == 0);
 }
 
 static void add_message(struct fuzz *f, struct replica_msg m)
@@ -129,7 +129,7 @@
 
 	m.from_identity = 102;
 	m.to_identity = 101;
-	ck_assert_int_eq(replica_msg_encode(&m, &bytes), 0);
+	FUZZ_MUST((replica_msg_encode(&m, &bytes)) == 0);
 	fuzz_add(f, buf_str(&bytes));
 	buf_free(&bytes);
 }
@@ -139,7 +139,7 @@
 	struct replica_entry e[3] = {{.kind = REPLICA_BARRIER}, {.data = STR("entry")}};
 	struct buf members = {0};
 
-	ck_assert_int_eq(replica_members_encode(&three, &members), 0);
+	FUZZ_MUST((replica_members_encode(&three, &members)) == 0);
 	e[2].kind = REPLICA_MEMBERS;
 	e[2].data = buf_str(&members);
 	for (uint64_t at = 0; at < 9; at += 3) {
@@ -175,7 +175,7 @@
 	add_message(f, m);
 	for (m.kind = REPLICA_MSG_HELLO; m.kind <= REPLICA_MSG_HANDOVER_VOTE; m.kind++)
 		add_message(f, m);
-	ck_assert_int_eq(replica_image_encode(&three, STR("state"), &image), 0);
+	FUZZ_MUST((replica_image_encode(&three, STR("state"), &image)) == 0);
 	m = (struct replica_msg){.kind = REPLICA_MSG_SNAPSHOT,
 				 .epoch = 2,
 				 .index = 12,
--- a/regress/test_fuzz_rpc.c
+++ b/regress/test_fuzz_rpc.c
@@ -25,11 +25,11 @@
 		.xid = 7, .proc = proc, .member = member, .key = STR(KEY)};
 	struct buf bytes = {0};
 
-	ck_assert_int_eq(rpc_wire_add_call(&bytes, &head, args), 0);
+	FUZZ_MUST((rpc_wire_add_call(&bytes, &head, args)) == 0);
 	fuzz_add(f, buf_str(&bytes));
 	/* Two records in one write. */
 	head.member.n = 0;
-	ck_assert_int_eq(rpc_wire_add_call(&bytes, &head, args), 0);
+	FUZZ_MUST((rpc_wire_add_call(&bytes, &head, args)) == 0);
 	fuzz_add(f, buf_str(&bytes));
 	buf_free(&bytes);
 }
@@ -39,7 +39,7 @@
 	struct rpc_reply_head head = {.xid = 7, .err = err};
 	struct buf bytes = {0};
 
-	ck_assert_int_eq(rpc_wire_add_reply(&bytes, &head, STR("result")), 0);
+	FUZZ_MUST((rpc_wire_add_reply(&bytes, &head, STR("result"))) == 0);
 	fuzz_add(f, buf_str(&bytes));
 	buf_free(&bytes);
 }
@@ -146,7 +146,7 @@
 {
 	struct waiter w = {.base = {.ops = &waiter_ops}};
 
-	ck_assert_int_eq(rpc_client_call(client, 1, STR("echo"), 10, &w.base), 0);
+	FUZZ_MUST((rpc_client_call(client, 1, STR("echo"), 10, &w.base)) == 0);
 	for (int i = 0; i < 100000 && !w.ended; i++)
 		ev_run(loop, EVRUN_ONCE);
 	FUZZ_CHECK(f, w.ended && w.err == 0);
@@ -158,7 +158,7 @@
 	struct linger drop = {.l_onoff = 1, .l_linger = 0};
 
 	ck_assert_int_ge(fd, 0);
-	ck_assert_int_eq(connect(fd, (const struct sockaddr *)&to->sa, to->len), 0);
+	FUZZ_MUST((connect(fd, (const struct sockaddr *)&to->sa, to->len)) == 0);
 	send(fd, bytes.p, bytes.n, MSG_NOSIGNAL);
 	for (int i = 0; i < ROUNDS; i++)
 		ev_run(loop, EVRUN_NOWAIT);
@@ -181,10 +181,10 @@
 
 	opt.loop = loop;
 	client_opt.loop = loop;
-	ck_assert_int_eq(addr_parse(STR(ADDRESS), &opt.address), 0);
+	FUZZ_MUST((addr_parse(STR(ADDRESS), &opt.address)) == 0);
 	client_opt.address = opt.address;
-	ck_assert_int_eq(rpc_server_new(&opt, &server), 0);
-	ck_assert_int_eq(rpc_client_new(&client_opt, &client), 0);
+	FUZZ_MUST((rpc_server_new(&opt, &server)) == 0);
+	FUZZ_MUST((rpc_client_new(&client_opt, &client)) == 0);
 	fuzz_open(&f, "rpc_connections", N_CONNECTIONS);
 	add_records(&f);
 	while (fuzz_next(&f, &input)) {
--- a/regress/test_fuzz_store.c
+++ b/regress/test_fuzz_store.c
@@ -45,12 +45,10 @@
 
 static void add_documents(struct fuzz *f, struct rig *r)
 {
-	ck_assert_int_eq(rig_put(r, "/t/vocabulary", 0, "v1", "text", "kinds.chore=job"),
-			 0);
+	FUZZ_MUST((rig_put(r, "/t/vocabulary", 0, "v1", "text", "kinds.chore=job")) == 0);
 	keep(f, r);
-	ck_assert_int_eq(rig_put(r, "/t/service/web", 0, "p1", "executors: 2",
-				 "slots=1 executors=2"),
-			 0);
+	FUZZ_MUST((rig_put(r, "/t/service/web", 0, "p1", "executors: 2",
+			   "slots=1 executors=2")) == 0);
 	keep(f, r);
 	rig_put(r, "/t/service/web", 1, "p2", "executors: 3", "slots=1 executors=3");
 	keep(f, r);
@@ -66,7 +64,7 @@
 		.team = "t", .job = "j", .attempt = 1, .worker = "w", .session = 9};
 	struct command_job_reject reject = {0};
 
-	ck_assert_int_eq(rig_submit(r, "t", "j", "s1", "command=run tasks=2"), 0);
+	FUZZ_MUST((rig_submit(r, "t", "j", "s1", "command=run tasks=2")) == 0);
 	keep(f, r);
 	rig_task(r, &task, TASK_PLACED);
 	keep(f, r);
@@ -147,7 +145,7 @@
 	struct store *other;
 
 	take(f, r->s, &before);
-	ck_assert_int_eq(store_new(&r->options, &other), 0);
+	FUZZ_MUST((store_new(&r->options, &other)) == 0);
 	FUZZ_CHECK(f, store_restore(other, buf_str(&before)) == 0);
 	take(f, other, &after);
 	FUZZ_CHECK(f, str_eq(buf_str(&before), buf_str(&after)));
@@ -253,7 +251,7 @@
 	}
 	while (fuzz_next(&f, &input)) {
 		changed.n = 0;
-		ck_assert_int_eq(buf_add(&changed, input.p, input.n), 0);
+		FUZZ_MUST((buf_add(&changed, input.p, input.n)) == 0);
 		if (changed.n >= END_BYTES)
 			mend_checksum(&changed);
 		take(&f, r.s, &before);
--- a/regress/test_fuzz_xdr.c
+++ b/regress/test_fuzz_xdr.c
@@ -57,7 +57,7 @@
 	void *object = calloc(1, t->size);
 	char bytes[4 * SEED_WORDS];
 
-	ck_assert_ptr_nonnull(object);
+	FUZZ_MUST(object);
 	for (size_t i = 0; i < SEED_WORDS; i++)
 		codec_put_u32(bytes + 4 * i, (uint32_t)prng_below(prng, 7));
 	codec_decode(t->proc, object, (struct str){bytes, sizeof(bytes)});
@@ -69,7 +69,7 @@
 	if (!out->n)
 		return;
 	object = calloc(1, t->size);
-	ck_assert_ptr_nonnull(object);
+	FUZZ_MUST(object);
 	if (codec_decode(t->proc, object, buf_str(out)))
 		out->n = 0;
 	codec_free(t->proc, object);
@@ -95,7 +95,7 @@
 	void *again = calloc(1, t->size);
 	struct buf first = {0}, second = {0};
 
-	ck_assert_ptr_nonnull(again);
+	FUZZ_MUST(again);
 	FUZZ_CHECK(f, codec_encode(t->proc, object, &first) == 0);
 	FUZZ_CHECK(f, codec_decode(t->proc, again, buf_str(&first)) == 0);
 	FUZZ_CHECK(f, codec_encode(t->proc, again, &second) == 0);
@@ -120,7 +120,7 @@
 			void *object = calloc(1, t->size);
 			int err;
 
-			ck_assert_ptr_nonnull(object);
+			FUZZ_MUST(object);
 			err = codec_decode(t->proc, object, input);
 			fuzz_check_memory(&f, input.n);
 			FUZZ_CHECK(&f, err == 0 || err == CF_EMALFORMED);
--- a/regress/test_fuzz_yaml.c
+++ b/regress/test_fuzz_yaml.c
@@ -111,9 +111,9 @@
 		struct command_fields fields;
 		struct buf problem = {0}, packed = {0};
 
-		ck_assert_int_eq(
-			doc_fields_read(buf_str(&docs.seeds[i]), &fields, &problem), 0);
-		ck_assert_int_eq(fields_pack(&fields, &packed), 0);
+		FUZZ_MUST((doc_fields_read(buf_str(&docs.seeds[i]), &fields, &problem)) ==
+			  0);
+		FUZZ_MUST((fields_pack(&fields, &packed)) == 0);
 		fuzz_add(&f, buf_str(&packed));
 		doc_fields_free(&fields);
 		buf_free(&problem);
@@ -168,7 +168,7 @@
 		struct settings s;
 		struct schema_error e = {0};
 
-		ck_assert_int_eq(ftruncate(fd, 0), 0);
+		FUZZ_MUST((ftruncate(fd, 0)) == 0);
 		ck_assert_int_eq((int)pwrite(fd, input.p, input.n, 0), (int)input.n);
 		if (settings_load(path, &s, &e)) {
 			FUZZ_CHECK(&f, e.expected != NULL);
