--- a/core/replica.c
+++ b/core/replica.c
@@ -9,6 +9,8 @@
 #define MEMBER_TIMEOUT_US 4000000
 #define SYNC_TIMEOUT_US 300000
 #define HEARTBEAT_US 100000
+/* Of epochs and indexes; no cluster lives for so many. */
+#define NUMBER_MAX (1ULL << 62)
 #define ELECTION_US 600000
 #define BATCH_BYTES (256U << 10)
 #define WINDOW_BYTES (1U << 20)
@@ -306,10 +308,19 @@
 	}
 }
 
+/* Whether the numbers of a message can be counted on without a wrap. */
+static bool is_in_range(const struct replica_msg *m)
+{
+	return m->epoch <= NUMBER_MAX && m->index <= NUMBER_MAX &&
+	       m->index_epoch <= NUMBER_MAX && m->commit <= NUMBER_MAX &&
+	       m->hint <= NUMBER_MAX;
+}
+
 /*
- * Handles a message from another process. CF_EFOREIGN: it is addressed to another
- * identity, or answers under an identity that is not a member's. CF_EUNAVAIL: this
- * replica has failed or is excluded.
+ * Handles a message from another process. CF_EINVAL: it is of no known kind, or its
+ * numbers are out of range. CF_EFOREIGN: it is addressed to another identity, or answers
+ * under an identity that is not a member's. CF_EUNAVAIL: this replica has failed or is
+ * excluded.
  */
 int replica_receive(struct replica *r, uint64_t from, const struct replica_msg *m,
 		    int64_t now_us)
@@ -318,6 +329,8 @@
 
 	if (replica_is_halted(r))
 		return CF_EUNAVAIL;
+	if (!is_in_range(m))
+		return CF_EINVAL;
 	r->now_us = now_us;
 	replica_lease_check(r);
 	if (m->kind == REPLICA_MSG_JOIN) {
--- a/regress/test_replica.c
+++ b/regress/test_replica.c
@@ -840,6 +840,39 @@
 }
 END_TEST
 
+/* Guards against indexes and epochs at the end of their type, which wrap. */
+START_TEST(number_at_the_end_of_its_type_is_refused)
+{
+	static const struct replica_msg messages[] = {
+		{.epoch = 4, .index = UINT64_MAX, .index_epoch = 3},
+		{.epoch = UINT64_MAX, .index = 2, .index_epoch = 3},
+		{.epoch = 4, .index = 2, .index_epoch = UINT64_MAX},
+		{.epoch = 4, .index = 2, .index_epoch = 3, .commit = UINT64_MAX},
+		{.epoch = 4, .index = 2, .index_epoch = 3, .hint = UINT64_MAX},
+	};
+	struct replica_msg m = messages[_i];
+	struct lone l = {0};
+	int64_t now = SECOND;
+	struct buf image = {0};
+	uint64_t epoch;
+
+	lone_start(&l, now);
+	lone_hello(&l, now);
+	lone_image(&image);
+	epoch = replica_epoch(l.r);
+	m.kind = REPLICA_MSG_SNAPSHOT;
+	m.from_identity = 102;
+	m.to_identity = 101;
+	m.total = image.n;
+	m.chunk = buf_str(&image);
+	ck_assert_int_eq(replica_receive(l.r, 2, &m, now), CF_EINVAL);
+	ck_assert_uint_eq(replica_epoch(l.r), epoch);
+	ck_assert_uint_lt(replica_committed(l.r), 2);
+	buf_free(&image);
+	replica_free(l.r);
+}
+END_TEST
+
 /* Guards against a damaged snapshot of a leader that replaces the log and a good one. */
 START_TEST(snapshot_that_does_not_load_changes_nothing)
 {
@@ -1505,6 +1538,7 @@
 	tcase_add_test(tc, lease_allows_for_drift);
 	tcase_add_test(tc, no_vote_during_lease);
 	tcase_add_test(tc, snapshot_install_order);
+	tcase_add_loop_test(tc, number_at_the_end_of_its_type_is_refused, 0, 5);
 	tcase_add_loop_test(tc, snapshot_that_does_not_load_changes_nothing, 0, 2);
 	tcase_add_test(tc, window_is_bounded);
 	tcase_add_test(tc, cluster_grows_from_one);
