--- a/carawayfrontd/state_disk.c
+++ b/carawayfrontd/state_disk.c
@@ -9,15 +9,11 @@
 #include <unistd.h>
 
 #include "base/err.h"
-#include "io/clock.h"
 #include "io/fileops.h"
 #include "io/promise.h"
 #include "io/snapfile.h"
 #include "io/wal.h"
 
-#define LOCK_WAIT_US 2000000
-#define LOCK_RETRY_US 20000
-
 struct state_disk {
 	char *dir;
 	uint64_t member;
@@ -25,26 +21,15 @@
 	struct wal *wal;
 };
 
-/*
- * Two processes on one data directory would both vote. Blocks for up to 2 s while it is
- * in use, as one that was killed holds it until its disk I/O has ended. CF_EBUSY: it
- * still is.
- */
+/* Two processes on one data directory would both vote. CF_EBUSY when it is in use. */
 static int lock_dir(struct state_disk *d)
 {
-	int64_t end_us = clock_us() + LOCK_WAIT_US;
-
 	if (mkdir(d->dir, 0700) && errno != EEXIST)
 		return CF_EIO;
 	d->lock_fd = open(d->dir, O_RDONLY | O_DIRECTORY | O_CLOEXEC);
 	if (d->lock_fd < 0)
 		return CF_EIO;
-	while (flock(d->lock_fd, LOCK_EX | LOCK_NB)) {
-		if (clock_us() >= end_us)
-			return CF_EBUSY;
-		usleep(LOCK_RETRY_US);
-	}
-	return 0;
+	return flock(d->lock_fd, LOCK_EX | LOCK_NB) ? CF_EBUSY : 0;
 }
 
 static int load_promise(struct state_disk *d, uint64_t identity,
--- a/io/listener.c
+++ b/io/listener.c
@@ -4,14 +4,11 @@
 #include <unistd.h>
 
 #include "base/err.h"
-#include "io/clock.h"
 
 #define BACKLOG 1024
-/* A process that was killed holds its ports until its outstanding disk I/O has ended. */
-#define TAKEN_WAIT_US 2000000
-#define TAKEN_RETRY_US 20000
 
-static int open_now(const struct addr *address, int *fd)
+/* Opens a non-blocking listening socket. CF_EEXIST when the port is taken. */
+int listener_open(const struct addr *address, int *fd)
 {
 	int one = 1;
 	int s = socket(address->sa.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC,
@@ -30,17 +27,3 @@
 	*fd = s;
 	return 0;
 }
-
-/*
- * Opens a non-blocking listening socket; blocks for up to 2 s while the port is taken.
- * CF_EEXIST: it still is.
- */
-int listener_open(const struct addr *address, int *fd)
-{
-	int64_t end_us = clock_us() + TAKEN_WAIT_US;
-	int err;
-
-	while ((err = open_now(address, fd)) == CF_EEXIST && clock_us() < end_us)
-		usleep(TAKEN_RETRY_US);
-	return err;
-}
