--- a/carawayfrontd/controller.c
+++ b/carawayfrontd/controller.c
@@ -197,7 +197,16 @@
 	return deadline;
 }
 
-/* Runs before the loop sleeps: one log entry covers the whole round. */
+/* An entry that is applied meanwhile may fail. */
+static void flush_disk(struct controller *c)
+{
+	int err = disk_host_flush(&c->disk, c->replica, c->metrics);
+
+	if (!c->failure)
+		c->failure = err;
+}
+
+/* Runs before the loop sleeps: one log entry and one sync cover the whole round. */
 static void on_prepare(struct ev_loop *loop, struct ev_prepare *w, int events)
 {
 	struct controller *c = w->data;
@@ -209,7 +218,9 @@
 		if (controller_leads(c))
 			dag_sched_place(c->sched, clock_us());
 		controller_flush(c);
-	} while (c->batch.n_parts);
+		if (c->disk.sync_asked && !c->failure)
+			flush_disk(c);
+	} while ((c->batch.n_parts || c->disk.sync_asked) && !c->failure);
 	follow_leadership(c);
 	hand_over(c);
 	relay_flush(c->relay);
--- a/carawayfrontd/controller_replica.c
+++ b/carawayfrontd/controller_replica.c
@@ -226,9 +226,6 @@
 			  STR_ARG(c->settings->data), cf_strerror(err));
 		return err;
 	}
-	err = disk_host_start(&c->disk, c->loop, c->metrics);
-	if (err)
-		goto out;
 	opt.n_peers = dag_client_nodes(c->client, peers, REPLICA_MAX_MEMBERS);
 	if (loaded.promise.identity == founder_identity(c->id) && !loaded.snapshot.n &&
 	    !loaded.n_entries)
@@ -241,10 +238,8 @@
 	opt.entries = loaded.entries;
 	opt.n_entries = loaded.n_entries;
 	err = replica_new(&opt, &c->replica, clock_us());
-	c->disk.replica = c->replica;
 	log_info("replica-opened", "fresh=%d founder=%d entries=%zu error=\"%s\"",
 		 loaded.fresh, opt.bootstrap != NULL, loaded.n_entries, cf_strerror(err));
-out:
 	state_disk_loaded_free(&loaded);
 	return err;
 }
@@ -255,7 +250,7 @@
 		rpc_client_free(c->peers[i].client);
 	c->n_peers = 0;
 	replica_free(c->replica);
-	disk_host_close(&c->disk);
+	state_disk_close(c->disk.disk);
 }
 
 /* Writes the members' ids, at most DAG_MAX_MEMBERS, and returns the leader's, or 0. */
--- a/carawayfrontd/disk_host.c
+++ b/carawayfrontd/disk_host.c
@@ -1,7 +1,5 @@
 #include "carawayfrontd/disk_host.h"
 
-#include <stddef.h>
-
 #include "base/err.h"
 #include "io/clock.h"
 #include "io/log.h"
@@ -18,7 +16,6 @@
 
 int disk_host_truncate(struct replica_host *h, uint64_t from_index)
 {
-	disk_sync_wait(((struct disk_host *)h)->sync);
 	return state_disk_truncate(disk_of(h), from_index);
 }
 
@@ -27,12 +24,13 @@
 	return state_disk_save_promise(disk_of(h), p);
 }
 
+/* The sync itself runs before the loop sleeps, so that it covers what else arrives. */
 void disk_host_sync(struct replica_host *h, uint64_t token)
 {
 	struct disk_host *d = (struct disk_host *)h;
 
 	d->sync_token = token;
-	disk_sync_start(d->sync);
+	d->sync_asked = true;
 }
 
 int disk_host_save_snapshot(struct replica_host *h, uint64_t index, uint64_t epoch,
@@ -43,7 +41,6 @@
 
 int disk_host_compact(struct replica_host *h, uint64_t index)
 {
-	disk_sync_wait(((struct disk_host *)h)->sync);
 	return state_disk_compact(disk_of(h), index);
 }
 
@@ -63,44 +60,18 @@
 			 (unsigned long long)replica_last_index(r));
 }
 
-/* After a failed sync the replica has failed as well, and the process must end. */
-static void on_synced(struct disk_sync_user *user, int err, int64_t duration_us)
-{
-	struct disk_host *d =
-		(struct disk_host *)(void *)((char *)user -
-					     offsetof(struct disk_host, sync_user));
-
-	hist_add(metric_hist(d->metrics, "carawayfront_sync_duration_us", ""),
-		 (uint64_t)duration_us);
-	if (!err) {
-		replica_synced(d->replica, d->sync_token, clock_us());
-		return;
-	}
-	log_error("sync-failed", "error=\"%s\"", cf_strerror(err));
-	replica_sync_failed(d->replica, err);
-}
-
-static const struct disk_sync_ops sync_ops = {.done = on_synced};
-
-/*
- * Takes syncs of the open disk from here on. The replica must be set before the loop
- * runs.
- */
-int disk_host_start(struct disk_host *d, struct ev_loop *loop, struct metric_set *metrics)
-{
-	struct disk_sync_options opt = {
-		.loop = loop, .disk = d->disk, .user = &d->sync_user};
-
-	d->sync_user.ops = &sync_ops;
-	d->metrics = metrics;
-	return disk_sync_new(&opt, &d->sync);
-}
-
-/* The replica must be freed before. */
-void disk_host_close(struct disk_host *d)
+/* Syncs and tells the replica. An error means that the process must end. */
+int disk_host_flush(struct disk_host *d, struct replica *r, struct metric_set *metrics)
 {
-	disk_sync_free(d->sync);
-	state_disk_close(d->disk);
-	d->sync = NULL;
-	d->disk = NULL;
+	int64_t start = clock_us();
+	int err = state_disk_sync(d->disk);
+
+	d->sync_asked = false;
+	hist_add(metric_hist(metrics, "carawayfront_sync_duration_us", ""),
+		 (uint64_t)(clock_us() - start));
+	if (err)
+		log_error("sync-failed", "error=\"%s\"", cf_strerror(err));
+	else
+		replica_synced(r, d->sync_token, clock_us());
+	return err;
 }
--- a/carawayfrontd/disk_host.h
+++ b/carawayfrontd/disk_host.h
@@ -2,25 +2,17 @@
 #define CARAWAYFRONTD_DISK_HOST_H
 
 #include "base/metric.h"
-#include "carawayfrontd/disk_sync.h"
 #include "carawayfrontd/state_disk.h"
 
 /* A replica's host that keeps its entries in a data directory; embedded first. */
 struct disk_host {
 	struct replica_host host; /* first member */
-	struct disk_sync_user sync_user;
 	struct state_disk *disk;
-	struct disk_sync *sync;
-	struct replica *replica; /* NULL until it is open */
-	struct metric_set *metrics;
 	uint64_t sync_token;
+	bool sync_asked;
 	bool full; /* as logged last */
 };
 
-int disk_host_start(struct disk_host *d, struct ev_loop *loop,
-		    struct metric_set *metrics);
-void disk_host_close(struct disk_host *d);
-
 /* The operations of struct replica_ops on the directory. */
 int disk_host_append(struct replica_host *h, const struct replica_entry *e, size_t n);
 int disk_host_truncate(struct replica_host *h, uint64_t from_index);
@@ -31,4 +23,6 @@
 int disk_host_compact(struct replica_host *h, uint64_t index);
 
 void disk_host_log_full(struct disk_host *d, const struct replica *r);
+int disk_host_flush(struct disk_host *d, struct replica *r, struct metric_set *metrics);
+
 #endif
--- a/carawayfrontd/state.c
+++ b/carawayfrontd/state.c
@@ -50,6 +50,16 @@
 	return store_snapshot(((struct state *)host)->store, out);
 }
 
+static int op_check_snapshot(struct replica_host *host, struct str bytes)
+{
+	int err = store_check_snapshot(((struct state *)host)->store, bytes);
+
+	if (err)
+		log_error("snapshot-refused", "bytes=%zu error=\"%s\"", bytes.n,
+			  cf_strerror(err));
+	return err;
+}
+
 static int op_load_snapshot(struct replica_host *host, uint64_t index, uint64_t epoch,
 			    struct str bytes)
 {
@@ -105,6 +115,7 @@
 	.sync = disk_host_sync,
 	.apply = state_apply,
 	.take_snapshot = op_take_snapshot,
+	.check_snapshot = op_check_snapshot,
 	.load_snapshot = op_load_snapshot,
 	.role_changed = op_role_changed,
 	.save_snapshot = disk_host_save_snapshot,
@@ -166,13 +177,27 @@
 	return deadline;
 }
 
-/* Runs before the loop sleeps. */
+/*
+ * Runs before the loop sleeps: one sync covers all entries that arrived in this
+ * round (group commit).
+ */
 static void on_prepare(struct ev_loop *loop, struct ev_prepare *w, int events)
 {
 	struct state *s = w->data;
 	int64_t deadline;
 	int64_t now;
 
+	while (s->disk.sync_asked && !s->failure) {
+		int err = disk_host_flush(&s->disk, s->replica, s->metrics);
+
+		/* An entry that was applied meanwhile may have failed. */
+		if (!s->failure)
+			s->failure = err;
+		if (s->failure) {
+			ev_break(loop, EVBREAK_ALL);
+			return;
+		}
+	}
 	follow_leadership(s);
 	if (s->conf_changed) {
 		s->conf_changed = false;
@@ -235,9 +260,6 @@
 			  STR_ARG(s->settings->data), cf_strerror(err));
 		return err;
 	}
-	err = disk_host_start(&s->disk, s->loop, s->metrics);
-	if (err)
-		goto out;
 	for (size_t i = 0; i < s->n_peers; i++)
 		peers[i] = s->peers[i].id;
 	if (bootstrap) {
@@ -260,7 +282,6 @@
 	opt.entries = loaded.entries;
 	opt.n_entries = loaded.n_entries;
 	err = replica_new(&opt, &s->replica, clock_us());
-	s->disk.replica = s->replica;
 out:
 	state_disk_loaded_free(&loaded);
 	return err;
@@ -361,7 +382,7 @@
 	for (size_t i = 0; i < s->n_peers; i++)
 		rpc_client_free(s->peers[i].client);
 	replica_free(s->replica);
-	disk_host_close(&s->disk);
+	state_disk_close(s->disk.disk);
 	store_free(s->store);
 	free(s);
 }
--- a/carawayfrontd/state_disk.c
+++ b/carawayfrontd/state_disk.c
@@ -177,19 +177,10 @@
 	return wal_compact(d->wal, index);
 }
 
-/*
- * Everything appended is durable once *fd is synced (-1: already). Until
- * state_disk_sync_end() the log is not to be appended to, truncated or compacted.
- */
-int state_disk_sync_begin(struct state_disk *d, int *fd)
-{
-	return wal_sync_begin(d->wal, fd);
-}
-
-/* Takes the result of that sync, and returns it. */
-int state_disk_sync_end(struct state_disk *d, int err)
+/* Blocks until everything appended is durable. */
+int state_disk_sync(struct state_disk *d)
 {
-	return wal_sync_end(d->wal, err);
+	return wal_sync(d->wal);
 }
 
 void state_disk_close(struct state_disk *d)
--- a/carawayfrontd/state_disk.h
+++ b/carawayfrontd/state_disk.h
@@ -33,8 +33,7 @@
 int state_disk_save_snapshot(struct state_disk *d, uint64_t index, uint64_t epoch,
 			     struct str bytes);
 int state_disk_compact(struct state_disk *d, uint64_t index);
-int state_disk_sync_begin(struct state_disk *d, int *fd);
-int state_disk_sync_end(struct state_disk *d, int err);
+int state_disk_sync(struct state_disk *d);
 void state_disk_close(struct state_disk *d);
 
 #endif
--- a/io/wal.h
+++ b/io/wal.h
@@ -34,8 +34,6 @@
 	     struct wal **out);
 int wal_append(struct wal *w, const struct wal_record *rec, size_t n);
 int wal_sync(struct wal *w);
-int wal_sync_begin(struct wal *w, int *fd);
-int wal_sync_end(struct wal *w, int err);
 int wal_truncate(struct wal *w, uint64_t from_index);
 int wal_compact(struct wal *w, uint64_t index);
 uint64_t wal_last(const struct wal *w);
