core/replica: a voter that ends as planned gives its vote to its successor

Cause: a controller that drains kept its vote, and the leader removed it only after 4 s of silence, though a learner that had caught up was there.

Change: LEAVE asks the leader for the swap; the learner is promoted before the member is removed, so no fewer voters may be lost in between. A draining leader promotes, hands over and is removed by its successor. Without a learner the vote stays. A voter that dies without a signal gives way after 2.5 s instead of 4 s.

--- a/carawayfrontd/controller.c
+++ b/carawayfrontd/controller.c
@@ -15,6 +15,8 @@
 #define MEMBERS_PERIOD_US (SECOND_US / 2)
 #define MEMBERS_TIMEOUT_S 0.5
 #define DRAIN_US (SECOND_US * 3 / 10)
+/* While it drains, it waits so long at most for another to take over its vote. */
+#define LEAVE_US (2 * SECOND_US)
 /* A restart finds the same disk, so a process that cannot write stays for a while. */
 #define FAILURE_US (3 * SECOND_US)
 /* Connections to executors without a call; below relay-from each has four at most. */
@@ -123,7 +125,8 @@
 	if (controller_leads(c))
 		dag_sched_tick(c->sched, now, clock_wall_us() / 1000);
 	ask_members(c, now);
-	if (c->drain_us && now >= c->drain_us)
+	if (c->drain_us && now >= c->drain_us &&
+	    (replica_may_leave(c->replica) || now >= c->leave_us))
 		ev_break(loop, EVBREAK_ALL);
 }
 
@@ -181,7 +184,7 @@
 	if (!c->failure || c->drain_us)
 		return;
 	log_error("replica-failed", "error=\"%s\"", cf_strerror(c->failure));
-	c->drain_us = clock_us() + FAILURE_US;
+	c->drain_us = c->leave_us = clock_us() + FAILURE_US;
 }
 
 static int64_t next_deadline(const struct controller *c)
@@ -193,7 +196,7 @@
 	if (!c->members_asked && !is_member(c) && c->members_at_us < deadline)
 		deadline = c->members_at_us;
 	if (c->drain_us && c->drain_us < deadline)
-		deadline = c->drain_us;
+		deadline = replica_may_leave(c->replica) ? c->drain_us : c->leave_us;
 	return deadline;
 }
 
@@ -315,7 +318,13 @@
 /* Answers what waits and ends soon; what was accepted is on a quorum's disks. */
 void controller_drain(struct controller *c)
 {
-	c->drain_us = clock_us() + DRAIN_US;
+	int64_t now = clock_us();
+
+	if (c->drain_us)
+		return;
+	c->drain_us = now + DRAIN_US;
+	c->leave_us = now + LEAVE_US;
+	replica_leave(c->replica, now);
 }
 
 int controller_failure(const struct controller *c)
--- a/carawayfrontd/controller_impl.h
+++ b/carawayfrontd/controller_impl.h
@@ -62,6 +62,7 @@
 	char report_text[64];
 	size_t next_reporter;
 	int64_t drain_us; /* 0: not draining */
+	int64_t leave_us; /* while draining: its end without a successor */
 	bool handed_over;
 	int failure;
 };
--- a/core/replica.c
+++ b/core/replica.c
@@ -6,7 +6,7 @@
 #include "base/err.h"
 #include "core/replica_priv.h"
 
-#define MEMBER_TIMEOUT_US 4000000
+#define MEMBER_TIMEOUT_US 2500000
 #define SYNC_TIMEOUT_US 300000
 #define HEARTBEAT_US 100000
 /* Of epochs and indexes; no cluster lives for so many. */
@@ -258,7 +258,9 @@
 	}
 	if (!r->verified && now_us >= r->hello_at_us)
 		replica_hello_send(r);
-	if (r->n_peers && now_us >= r->join_at_us)
+	if (r->leaving && now_us >= r->leave_at_us)
+		replica_leave_send(r);
+	if (!r->leaving && r->n_peers && now_us >= r->join_at_us)
 		replica_join_send(r);
 	if (now_us >= r->election_at_us) {
 		replica_elect_reset(r);
@@ -284,7 +286,9 @@
 		at = min_i64(at, r->disk_retry_at_us);
 	if (!r->verified)
 		at = min_i64(at, r->hello_at_us);
-	if (r->n_peers)
+	if (r->leaving)
+		at = min_i64(at, r->leave_at_us);
+	else if (r->n_peers)
 		at = min_i64(at, r->join_at_us);
 	return at;
 }
@@ -369,6 +373,12 @@
 	case REPLICA_MSG_HELLO_REPLY:
 		replica_hello_reply(r, from, m);
 		return 0;
+	case REPLICA_MSG_LEAVE:
+		replica_leave_receive(r, from, m);
+		return 0;
+	case REPLICA_MSG_LEAVE_REPLY:
+		replica_leave_reply(r, from, m);
+		return 0;
 	default:
 		return CF_EINVAL;
 	}
--- a/core/replica.h
+++ b/core/replica.h
@@ -75,6 +75,8 @@
 	REPLICA_MSG_JOIN = 11,
 	REPLICA_MSG_HANDOVER = 12,
 	REPLICA_MSG_HANDOVER_VOTE = 13,
+	REPLICA_MSG_LEAVE = 14,
+	REPLICA_MSG_LEAVE_REPLY = 15,
 };
 
 /* proto/replica.x lists the fields of each kind. Pointers are borrowed. */
@@ -196,7 +198,7 @@
 	size_t max_voters;
 	/*
 	 * With max_voters: a voter that was not heard for this long gives its place to a
-	 * learner that has caught up. Default 4 s.
+	 * learner that has caught up. Default 2.5 s.
 	 */
 	int64_t member_timeout_us;
 	/*
@@ -227,6 +229,8 @@
 void replica_synced(struct replica *r, uint64_t token, int64_t now_us);
 void replica_sync_failed(struct replica *r, int err);
 int replica_transfer_leadership(struct replica *r, int64_t now_us);
+void replica_leave(struct replica *r, int64_t now_us);
+bool replica_may_leave(const struct replica *r);
 
 int64_t replica_lease_end_us(const struct replica *r);
 bool replica_lease_valid(const struct replica *r, int64_t now_us);
--- a/core/replica_codec.c
+++ b/core/replica_codec.c
@@ -129,6 +129,8 @@
 		};
 		break;
 	case REPLICA_MSG_JOIN:
+	case REPLICA_MSG_LEAVE:
+	case REPLICA_MSG_LEAVE_REPLY:
 		break;
 	default:
 		err = CF_EINVAL;
@@ -249,6 +251,8 @@
 		m->index = w->replica_wire_body_u.hello.index;
 		break;
 	case REPLICA_MSG_JOIN:
+	case REPLICA_MSG_LEAVE:
+	case REPLICA_MSG_LEAVE_REPLY:
 		break;
 	}
 	return 0;
--- a/core/replica_elect.c
+++ b/core/replica_elect.c
@@ -105,7 +105,9 @@
 		elect_candidate(r, REPLICA_MSG_VOTE);
 }
 
-/* Voter with the longest log; among equals the latest to answer. NULL for none. */
+/*
+ * Voter with the longest log; among equals the latest to answer. NULL: none that stays.
+ */
 static const struct replica_peer *elect_successor(const struct replica *r)
 {
 	const struct replica_peer *best = NULL;
@@ -113,7 +115,8 @@
 	for (size_t i = 0; i < r->n_peer; i++) {
 		const struct replica_peer *p = &r->peer[i];
 
-		if (!p->voter || p->acked_send_us == REPLICA_NEVER)
+		if (!p->voter || p->acked_send_us == REPLICA_NEVER ||
+		    replica_peer_leaves(r, p))
 			continue;
 		if (!best || p->match > best->match ||
 		    (p->match == best->match && p->acked_send_us > best->acked_send_us))
--- a/core/replica_member.c
+++ b/core/replica_member.c
@@ -89,6 +89,7 @@
 				.identity = m->list[i].identity,
 				.next = replica_log_last(&r->log) + 1,
 				.acked_send_us = REPLICA_NEVER,
+				.leave_until_us = REPLICA_NEVER,
 			};
 		}
 		peer[n++].voter = m->list[i].voter;
@@ -355,7 +356,8 @@
 	}
 }
 
-static size_t voter_count(const struct replica *r)
+/* Number of voters of the membership in force. */
+size_t replica_voter_count(const struct replica *r)
 {
 	size_t n = 0;
 
@@ -370,7 +372,7 @@
  */
 void replica_admit_tick(struct replica *r)
 {
-	bool spare = false;
+	const struct replica_peer *spare = NULL;
 
 	if (!r->opt.auto_admit || !r->ready || r->members_index > r->commit)
 		return;
@@ -378,20 +380,22 @@
 		const struct replica_peer *p = &r->peer[i];
 		const struct replica_member *old;
 
-		if (p->voter || !member_caught_up(r, p))
+		if (p->voter || !member_caught_up(r, p) || replica_peer_leaves(r, p))
 			continue;
 		old = member_find_other(&r->members, p->id, p->identity, true);
 		if (old) {
 			replica_remove(r, old->id, old->identity, r->now_us);
 			return;
 		}
-		if (!r->opt.max_voters || voter_count(r) < r->opt.max_voters) {
+		if (!r->opt.max_voters || replica_voter_count(r) < r->opt.max_voters) {
 			replica_promote(r, p->id, p->identity, r->now_us);
 			return;
 		}
-		spare = true;
+		spare = p;
 	}
-	if (spare)
+	if (replica_leave_step(r, spare))
+		return;
+	if (spare || (r->opt.max_voters && replica_voter_count(r) > r->opt.max_voters))
 		remove_dead_member(r, true);
 	else if (r->members.n == REPLICA_MAX_MEMBERS)
 		remove_dead_member(r, false);
--- a/core/replica_priv.h
+++ b/core/replica_priv.h
@@ -40,11 +40,12 @@
 	enum replica_peer_mode mode;
 	bool voter;
 	bool probe_sent;
-	bool granted;	       /* granted its vote or pre-vote in this election */
-	bool hello_replied;    /* answered HELLO */
-	uint64_t next;	       /* next entry to send */
-	uint64_t match;	       /* durable on the peer and matching */
-	int64_t acked_send_us; /* local send time of the newest message it answered */
+	bool granted;		/* granted its vote or pre-vote in this election */
+	bool hello_replied;	/* answered HELLO */
+	uint64_t next;		/* next entry to send */
+	uint64_t match;		/* durable on the peer and matching */
+	int64_t acked_send_us;	/* local send time of the newest message it answered */
+	int64_t leave_until_us; /* it has announced that it ends; else in the past */
 	struct replica_snapshot *snap;
 	uint64_t snap_offset;
 	int64_t snap_sent_us;
@@ -73,6 +74,9 @@
 	int64_t election_at_us;
 	int64_t hello_at_us;
 	int64_t join_at_us;
+	bool leaving; /* this process ends soon; set once */
+	bool left;    /* while leaving: no member any more */
+	int64_t leave_at_us;
 
 	struct replica_log log;
 	uint64_t commit;
@@ -210,6 +214,14 @@
 void replica_join_request(struct replica *r, uint64_t from, const struct replica_msg *m);
 void replica_join_send(struct replica *r);
 void replica_admit_tick(struct replica *r);
+size_t replica_voter_count(const struct replica *r);
+
+/* replica_leave.c */
+void replica_leave_send(struct replica *r);
+void replica_leave_receive(struct replica *r, uint64_t from, const struct replica_msg *m);
+void replica_leave_reply(struct replica *r, uint64_t from, const struct replica_msg *m);
+bool replica_peer_leaves(const struct replica *r, const struct replica_peer *p);
+bool replica_leave_step(struct replica *r, const struct replica_peer *spare);
 
 /* replica_verify.c */
 void replica_ack_record(struct replica *r, uint64_t id, uint64_t identity, uint64_t epoch,
--- a/proto/replica.h
+++ b/proto/replica.h
@@ -48,6 +48,8 @@
 	REPLICA_WIRE_JOIN = 11,
 	REPLICA_WIRE_HANDOVER = 12,
 	REPLICA_WIRE_HANDOVER_VOTE = 13,
+	REPLICA_WIRE_LEAVE = 14,
+	REPLICA_WIRE_LEAVE_REPLY = 15,
 };
 
 struct replica_wire_ask {
--- a/proto/replica.x
+++ b/proto/replica.x
@@ -32,7 +32,9 @@
 	REPLICA_WIRE_HELLO_REPLY = 10,
 	REPLICA_WIRE_JOIN = 11,
 	REPLICA_WIRE_HANDOVER = 12,
-	REPLICA_WIRE_HANDOVER_VOTE = 13
+	REPLICA_WIRE_HANDOVER_VOTE = 13,
+	REPLICA_WIRE_LEAVE = 14,
+	REPLICA_WIRE_LEAVE_REPLY = 15
 };
 
 /*
@@ -110,6 +112,10 @@
 	unsigned hyper index;
 };
 
+/*
+ * JOIN: the sender asks for admission. LEAVE: the sender ends soon and gives its place to
+ * a learner. LEAVE_REPLY: the sender of LEAVE is no member any more.
+ */
 union replica_wire_body switch (replica_wire_kind kind) {
 case REPLICA_WIRE_PREVOTE:
 case REPLICA_WIRE_VOTE:
@@ -131,6 +137,8 @@
 case REPLICA_WIRE_HELLO_REPLY:
 	struct replica_wire_hello hello;
 case REPLICA_WIRE_JOIN:
+case REPLICA_WIRE_LEAVE:
+case REPLICA_WIRE_LEAVE_REPLY:
 	void;
 };
 
--- a/proto/replica_xdr.c
+++ b/proto/replica_xdr.c
@@ -214,6 +214,8 @@
 			 return FALSE;
 		break;
 	case REPLICA_WIRE_JOIN:
+	case REPLICA_WIRE_LEAVE:
+	case REPLICA_WIRE_LEAVE_REPLY:
 		break;
 	default:
 		return FALSE;
--- a/regress/test_replica.c
+++ b/regress/test_replica.c
@@ -171,11 +171,26 @@
 		node_stall(&c->node[i], span);
 }
 
+/* A replica announces that it ends; one that did so before may start again. */
+static void random_leave(struct cluster *c)
+{
+	struct node *n = random_node(c);
+
+	if (!n->r || c->now < n->frozen_until)
+		return;
+	replica_leave(n->r, cluster_clock(n));
+	if (prng_below(&c->prng, 3) == 0) {
+		node_crash(n);
+		node_boot(n);
+	}
+}
+
 /* Faults beside the usual ones; chances in thousandths of each 20 ms. */
 struct more_faults {
 	unsigned int handovers;
 	unsigned int full_disks;
 	unsigned int stalls;
+	unsigned int leaves;
 };
 
 /* One random run. Returns whether all rules held; the failure stays in *c. */
@@ -190,6 +205,10 @@
 	small_limits(&c->opt);
 	c->opt.no_group_commit = seed % 7 == 0;
 	c->opt.propose_before_barrier = seed % 5 == 0;
+	if (more.leaves) {
+		c->opt.admit_any = true;
+		c->opt.max_voters = seed % 2 ? 3 : 5;
+	}
 	cluster_start(c, seed, seed % 2 ? 3 : 5, 1);
 	end = c->now + FAULT_SPAN;
 	next_fault = SECOND;
@@ -204,6 +223,8 @@
 			random_full_disk(c);
 		if (more.stalls && prng_below(&c->prng, 1000) < more.stalls)
 			random_stall(c);
+		if (more.leaves && prng_below(&c->prng, 1000) < more.leaves)
+			random_leave(c);
 		if (c->now >= next_fault) {
 			random_fault(c);
 			next_fault =
@@ -213,6 +234,11 @@
 		}
 	}
 	cluster_heal(c);
+	/* A process that has announced its end does not ask for admission again. */
+	for (size_t i = 1; more.leaves && i <= c->n; i++) {
+		node_crash(&c->node[i]);
+		node_boot(&c->node[i]);
+	}
 	if (!c->failure[0] && !cluster_settle(c, 60 * SECOND) && !c->failure[0])
 		cluster_fail(c, "does not settle after the faults ended");
 	return c->failure[0] == '\0';
@@ -270,6 +296,19 @@
 }
 END_TEST
 
+/* Guards against a break of the rules, or a lost quorum, when voters give up their place.
+ */
+START_TEST(random_leaves)
+{
+	static struct cluster c;
+	uint64_t seed = (uint64_t)_i + 1;
+
+	if (!random_run(&c, seed, (struct more_faults){.handovers = 20, .leaves = 10}))
+		ck_abort_msg("seed %d: %s", (int)seed, c.failure);
+	cluster_stop(&c);
+}
+END_TEST
+
 /*
  * These did not settle once. 2000580, 2001953: a restarted voter waited for answers of
  * voters that had been replaced. 40001617: the same with a lost voter, a learner was
@@ -1367,6 +1406,77 @@
 }
 END_TEST
 
+/*
+ * Guards against a site that loses its quorum for good: a voter ends as planned while its
+ * successor is there, and two other disks are lost soon after.
+ */
+START_TEST(voter_that_ends_gives_its_vote_to_its_successor)
+{
+	static struct cluster c;
+	struct node *gone;
+	unsigned int wiped = 0;
+
+	c.opt.auto_admit = true;
+	c.opt.admit_any = true;
+	c.opt.max_voters = 5;
+	cluster_start(&c, (uint64_t)_i + 300, 5, 1);
+	ck_run(&c, cluster_run_to_leader(&c, 10 * SECOND));
+	cluster_run(&c, 2 * SECOND);
+	ck_assert_uint_eq(count_voters(&c), 5);
+	gone = cluster_leader(&c);
+	if (_i % 2)
+		gone = gone == &c.node[1] ? &c.node[2] : &c.node[1];
+	replica_leave(gone->r, cluster_clock(gone));
+	if (replica_role(gone->r) == REPLICA_LEADER) {
+		cluster_run(&c, SECOND / 20);
+		ck_assert_int_eq(
+			replica_transfer_leadership(gone->r, cluster_clock(gone)), 0);
+	}
+	cluster_run(&c, 3 * SECOND / 10);
+	ck_assert(replica_may_leave(gone->r));
+	node_crash(gone);
+	for (uint64_t i = 1; i <= 5 && wiped < 2; i++) {
+		if (&c.node[i] == gone)
+			continue;
+		node_crash(&c.node[i]);
+		node_wipe(&c.node[i]);
+		node_boot(&c.node[i]);
+		wiped++;
+	}
+	ck_run(&c, cluster_run_to_leader(&c, 10 * SECOND));
+	cluster_run(&c, 10 * SECOND);
+	ck_cluster(&c);
+	ck_assert(!is_voter(&c, gone->id));
+	ck_assert_uint_eq(count_voters(&c), 5);
+	cluster_stop(&c);
+}
+END_TEST
+
+/* Guards against a restart that costs a vote which no other member takes over. */
+START_TEST(voter_without_successor_keeps_its_vote)
+{
+	static struct cluster c;
+	struct node *gone;
+
+	c.opt.auto_admit = true;
+	c.opt.admit_any = true;
+	c.opt.max_voters = 3;
+	cluster_start(&c, (uint64_t)_i + 330, 3, 0);
+	ck_run(&c, cluster_run_to_leader(&c, 10 * SECOND));
+	gone = cluster_leader(&c) == &c.node[1] ? &c.node[2] : &c.node[1];
+	replica_leave(gone->r, cluster_clock(gone));
+	ck_assert(replica_may_leave(gone->r));
+	cluster_run(&c, SECOND);
+	ck_assert(is_voter(&c, gone->id));
+	node_crash(gone);
+	node_boot(gone);
+	ck_run(&c, cluster_settle(&c, 10 * SECOND));
+	ck_assert(is_voter(&c, gone->id));
+	ck_cluster(&c);
+	cluster_stop(&c);
+}
+END_TEST
+
 /* Guards against a returning partitioned voter that ends a healthy leader's epoch. */
 START_TEST(returning_voter_does_not_disturb)
 {
@@ -1534,6 +1644,8 @@
 	tcase_add_test(tc, returning_voter_does_not_disturb);
 	tcase_add_loop_test(tc, handover_is_quick, 0, HANDOVER_SEEDS);
 	tcase_add_loop_test(tc, learner_takes_the_place_of_a_dead_voter, 0, 10);
+	tcase_add_loop_test(tc, voter_that_ends_gives_its_vote_to_its_successor, 0, 10);
+	tcase_add_loop_test(tc, voter_without_successor_keeps_its_vote, 0, 10);
 	tcase_add_test(tc, memory_is_bounded);
 	tcase_add_test(tc, lease_allows_for_drift);
 	tcase_add_test(tc, no_vote_during_lease);
@@ -1548,6 +1660,7 @@
 	tcase_add_loop_test(tc, random_handovers, 0, CHECK_SEEDS);
 	tcase_add_loop_test(tc, random_full_disks, 0, CHECK_SEEDS);
 	tcase_add_loop_test(tc, random_stalls, 0, CHECK_SEEDS);
+	tcase_add_loop_test(tc, random_leaves, 0, CHECK_SEEDS);
 	tcase_add_loop_test(tc, stalled_sync_ends_leadership, 0, 20);
 	tcase_add_loop_test(tc, stall_of_all_disks_keeps_the_leader, 0, 20);
 	suite_add_tcase(s, tc);
