core/dag: a run whose end a full list left out is not lost

Cause: an executor lists 500 ends at a time; the leader took what is in neither list as gone, also when the list of ends was full.

Change: a list of 500 ends is marked as one that may lack some, through gateways too, and what it lacks counts only when it is whole.

--- a/core/dag_worker.c
+++ b/core/dag_worker.c
@@ -547,7 +547,9 @@
 	for (size_t i = 0; i < poll->n_ended; i++)
 		process_listed_end(s, w, &poll->ended[i]);
 	ds_crash_earlier_life(s, w, poll->born_ms);
-	check_unlisted_runs(s, w);
+	/* The end of an unlisted run may be among those that were cut off. */
+	if (!poll->ended_cut)
+		check_unlisted_runs(s, w);
 	if (!w->ends_uncommitted)
 		ds_worker_ack_ends(w);
 	ds_throttle_fillers(s, w);
--- a/proto/dag.h
+++ b/proto/dag.h
@@ -396,6 +396,7 @@
 		u_int ended_len;
 		struct dag_call_end *ended_val;
 	} ended;
+	bool_t ended_cut;
 };
 
 struct dag_call_answers {
--- a/regress/lib_dag_world.h
+++ b/regress/lib_dag_world.h
@@ -164,6 +164,7 @@
 	int64_t hold_us; /* each order takes this much longer and gets no answer, 0: none
 			  */
 	int64_t commit_us;
+	size_t list_max; /* a worker lists so many ends at a time, 0: all */
 	int64_t work_us; /* of a batch task */
 	/* Tasks with this index in these jobs crash each worker that starts them. */
 	uint64_t deadly_job; /* first of them, 0: none */
--- a/regress/test_executors.c
+++ b/regress/test_executors.c
@@ -17,6 +17,7 @@
 	struct dag_transport_user base; /* first member */
 	unsigned int polls;
 	unsigned int usable;
+	unsigned int cut; /* lists of ends that may lack some */
 	unsigned int commands;
 	enum dag_call_result result; /* of the newest call */
 };
@@ -39,6 +40,7 @@
 {
 	((struct user *)u)->polls++;
 	((struct user *)u)->usable += poll != NULL;
+	((struct user *)u)->cut += poll && poll->ended_cut;
 	((struct user *)u)->result = result;
 }
 
@@ -150,6 +152,40 @@
 }
 END_TEST
 
+/* Has a poll answered with a list of n ends. */
+static void poll_ends(unsigned int n)
+{
+	struct buf body = {0};
+
+	ck_assert_int_eq(buf_adds(&body, "{\"born\":1,\"clock_ms\":1,\"running\":[],"
+					 "\"ended\":["),
+			 0);
+	for (unsigned int i = 0; i < n; i++)
+		ck_assert_int_eq(
+			buf_addf(&body,
+				 "%s[%u,\"0000000000000001.0.0.%u\",1,\"done\",\"\"]",
+				 i ? "," : "", i + 1, i),
+			0);
+	ck_assert_int_eq(buf_adds(&body, "]}"), 0);
+	fake_clear(&worker);
+	fake_say(&worker, "POST", "/api/hold", 200, body.p, NULL, 0);
+	poll_until(0);
+	play(0.3);
+	buf_free(&body);
+}
+
+/* Guards against a full list of ends that is taken for a list of all ends. */
+START_TEST(full_list_of_ends_may_lack_some)
+{
+	poll_ends(499);
+	ck_assert_uint_eq(user.usable, 1);
+	ck_assert_uint_eq(user.cut, 0);
+	poll_ends(500);
+	ck_assert_uint_eq(user.usable, 2);
+	ck_assert_uint_eq(user.cut, 1);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("executors");
@@ -162,6 +198,7 @@
 	tcase_add_test(t, call_of_an_ended_lease_is_not_sent);
 	tcase_add_test(t, call_is_not_sent_after_its_timeout);
 	tcase_add_test(t, reply_of_an_earlier_term_is_ignored);
+	tcase_add_test(t, full_list_of_ends_may_lack_some);
 	suite_add_tcase(s, t);
 	r = srunner_create(s);
 	srunner_run_all(r, CK_ENV);
--- a/regress/test_relay.c
+++ b/regress/test_relay.c
@@ -26,6 +26,7 @@
 #define LEADER_ADDRESS "127.0.0.1:20468"
 #define KEY "secret"
 #define MAX_CALLS 64U
+#define LISTED_ENDS 500 /* of one list */
 #define LONG_LIST 120000
 #define CONNECTIONS_A_WORKER 4 /* that a gateway opens at most */
 /* Longer than a call may stay without an answer and its gateway be avoided. */
@@ -50,6 +51,7 @@
 	struct dag_transport_user base;
 	unsigned int looked;
 	unsigned int unanswered;
+	unsigned int cut; /* lists of ends that may lack some */
 };
 
 static struct ev_loop *loop;
@@ -111,6 +113,7 @@
 		((struct user *)u)->unanswered++;
 	else
 		((struct user *)u)->looked++;
+	((struct user *)u)->cut += look && look->ended_cut;
 }
 
 static const struct dag_transport_user_ops user_ops = {
@@ -208,11 +211,13 @@
 	transport()->ops->poll(transport(), &o);
 }
 
-static void answer_looks(void)
+static void answer_looks(bool cut)
 {
 	for (size_t i = 0; i < gateway.n; i++) {
 		struct dag_call_answer one = {.id = gateway.call[i],
-					      .answer = DAG_RESULT_OK};
+					      .answer = DAG_RESULT_OK,
+					      .has_look = cut,
+					      .ended_cut = cut};
 		struct dag_call_answers list = {0};
 		struct buf bytes = {0};
 
@@ -244,7 +249,7 @@
 	play(0.3);
 	ck_assert_uint_eq(gateway.n, 1);
 	ck_assert_uint_eq(direct.calls, 0);
-	answer_looks();
+	answer_looks(false);
 	ck_assert_uint_eq(user.looked, 1);
 	ck_assert_uint_eq(user.unanswered, 0);
 }
@@ -259,7 +264,7 @@
 	ck_assert_uint_eq(user.unanswered, 1);
 	order_look();
 	ck_assert_uint_eq(direct.calls, 1);
-	answer_looks(); /* too late to count */
+	answer_looks(false); /* too late to count */
 	ck_assert_uint_eq(user.looked, 0);
 	play(PATIENCE_S - 1);
 	order_look();
@@ -281,10 +286,10 @@
 	new_relay();
 	report();
 	order_look();
-	answer_looks(); /* of the earlier life */
+	answer_looks(false); /* of the earlier life */
 	ck_assert_uint_eq(user.looked, 0);
 	play(0.3);
-	answer_looks();
+	answer_looks(false);
 	ck_assert_uint_eq(user.looked, 1);
 }
 END_TEST
@@ -300,10 +305,10 @@
 	relay_clear(relay);
 	report();
 	order_look();
-	answer_looks();
+	answer_looks(false);
 	ck_assert_uint_eq(user.looked, 0);
 	play(0.3);
-	answer_looks();
+	answer_looks(false);
 	ck_assert_uint_eq(user.looked, 1);
 }
 END_TEST
@@ -611,6 +616,7 @@
 	unsigned int batches;
 	unsigned int answers;
 	unsigned int lists;
+	unsigned int cut; /* part of them whose ends may lack some */
 };
 
 static void on_answers(struct rpc_server_host *host, struct rpc_call *call)
@@ -625,6 +631,7 @@
 	for (u_int i = 0; i < list.answers.answers_len; i++) {
 		l->answers++;
 		l->lists += list.answers.answers_val[i].has_look != 0;
+		l->cut += list.answers.answers_val[i].ended_cut != 0;
 	}
 	codec_free((xdrproc_t)xdr_dag_call_answers, &list);
 	rpc_call_drop(call);
@@ -718,12 +725,12 @@
 	life_of_gateway++;
 	report();
 	ck_assert_uint_eq(user.unanswered, 1);
-	answer_looks(); /* of the earlier life */
+	answer_looks(false); /* of the earlier life */
 	ck_assert_uint_eq(user.looked, 0);
 	order_look();
 	play(0.3);
 	ck_assert_uint_eq(gateway.n, 1);
-	answer_looks();
+	answer_looks(false);
 	ck_assert_uint_eq(user.looked, 1);
 	ck_assert_uint_eq(direct.calls, 0);
 }
@@ -789,6 +796,43 @@
 }
 END_TEST
 
+/* Guards against a relayed list of ends that is taken for a list of all ends. */
+START_TEST(relayed_list_may_lack_ends)
+{
+	struct buf body = {0};
+	struct fake worker;
+	struct leader l;
+	struct far f;
+
+	play(0.2);
+	order_look();
+	play(0.2);
+	answer_looks(true);
+	ck_assert_uint_eq(user.cut, 1);
+	far_open(&f);
+	leader_open(&l);
+	buf_adds(&body, "{\"born\":1,\"clock_ms\":1,\"running\":[],\"ended\":[");
+	for (unsigned int i = 0; i < LISTED_ENDS; i++)
+		buf_addf(&body, "%s[%u,\"0000000000000001.0.0.%u\",1,\"done\",\"\"]",
+			 i ? "," : "", i + 1, i);
+	ck_assert_int_eq(buf_adds(&body, "]}"), 0);
+	fake_open(&worker, WORKER_PORT);
+	fake_say(&worker, "POST", "/api/hold", 200, body.p, NULL, 0);
+	play_leader(&f.report, 0.2);
+	order_poll_until(2000, 0);
+	for (int i = 0; i < 20 && l.answers < 1; i++) {
+		play_leader(&f.report, 0.05);
+		play_gateway(f.loop, 0.1);
+	}
+	ck_assert_uint_eq(l.lists, 1);
+	ck_assert_uint_eq(l.cut, 1);
+	rpc_server_free(l.server);
+	far_close(&f);
+	fake_close(&worker);
+	buf_free(&body);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("relay");
@@ -810,6 +854,7 @@
 	tcase_add_test(t, calls_of_an_earlier_life_of_a_gateway_end_with_it);
 	tcase_add_test(t, starts_that_fill_messages_are_all_sent);
 	tcase_add_test(t, list_that_is_too_long_is_answered);
+	tcase_add_test(t, relayed_list_may_lack_ends);
 	tcase_add_test(t, late_call_of_a_deposed_leader_takes_no_answers);
 	suite_add_tcase(s, t);
 	r = srunner_create(s);
