--- a/core/dag_run.c
+++ b/core/dag_run.c
@@ -204,6 +204,18 @@
 	release_resources(s, r);
 }
 
+/* Its worker has begun the run. Records once for each job that a task has begun. */
+void ds_run_note_begun(struct dag_sched *s, const struct ds_run *r)
+{
+	struct dag_command c = {.kind = DAG_CMD_BEGUN};
+
+	if (r->job->begun || r->job->rec->started)
+		return;
+	r->job->begun = true;
+	c.dag_command_u.begun = r->job->rec->id;
+	ds_propose(s, &c);
+}
+
 /* The run is certainly not on its worker and will not start there later. */
 void ds_run_propose_lost(struct dag_sched *s, struct ds_run *r, const char *reason)
 {
@@ -263,6 +275,8 @@
 	if (result == DAG_RESULT_FENCED && r->start_fence == r->worker->fence) {
 		s->fenced = true;
 	} else if (result == DAG_RESULT_OK || result == DAG_RESULT_RUN_ENDED) {
+		if (result == DAG_RESULT_OK)
+			ds_run_note_begun(s, r);
 		r->phase = DS_ACCEPTED;
 		r->accepted_us = now_us;
 		r->progress_clock_ms = 0;
--- a/core/dag_sched_impl.h
+++ b/core/dag_sched_impl.h
@@ -100,6 +100,7 @@
 	struct ds_task *tasks; /* index: occurrence * rec->n_tasks + task */
 	uint32_t n_steps;
 	uint32_t next_occurrence;  /* all occurrences before it are due */
+	bool begun;		   /* recorded or proposed */
 	uint64_t sort_key;	   /* smaller is placed first */
 	double objective_fraction; /* age divided by the objective */
 };
@@ -253,6 +254,7 @@
 void ds_run_tick(struct dag_sched *s, struct ds_run *r);
 void ds_run_propose_end(struct dag_sched *s, struct ds_run *r, enum dag_end_how how,
 			struct str checkpoint, const char *reason);
+void ds_run_note_begun(struct dag_sched *s, const struct ds_run *r);
 void ds_run_propose_lost(struct dag_sched *s, struct ds_run *r, const char *reason);
 
 /* dag_worker.c */
--- a/core/dag_state.c
+++ b/core/dag_state.c
@@ -111,7 +111,7 @@
 	free(s);
 }
 
-/* Returns the number of queued jobs of a queue that have not started any task. */
+/* Returns the number of jobs of a queue of which no worker has begun a task. */
 uint32_t dag_state_count_waiting(const struct dag_state *s, struct str queue)
 {
 	const struct dag_job_rec *j;
@@ -453,6 +453,25 @@
 		    : NULL;
 }
 
+/*
+ * A worker has begun a task of the job. The record of a start does not show that: the
+ * worker may refuse the request, or it may be lost.
+ */
+static void begin_job(struct dag_job_rec *j)
+{
+	j->started = true;
+	if (j->state == DAG_JOB_QUEUED)
+		j->state = DAG_JOB_RUNNING;
+}
+
+static void apply_begun(struct dag_state *s, uint64_t id)
+{
+	struct dag_job_rec *j = dag_state_find_job(s, id);
+
+	if (j)
+		begin_job(j);
+}
+
 /*
  * Records the start of a run. A start is ignored if it is no longer valid at its place in
  * the log, for example because an earlier entry ended the job or completed the task. The
@@ -473,9 +492,6 @@
 	t->live[t->n_live++] = (struct dag_run){st->run, st->worker};
 	t->last_run = st->run;
 	w->n_runs++;
-	j->started = true;
-	if (j->state == DAG_JOB_QUEUED)
-		j->state = DAG_JOB_RUNNING;
 	if (s->observer)
 		s->observer->ops->run_started(s->observer, j, st);
 }
@@ -651,6 +667,9 @@
 	case DAG_CMD_CONTACT:
 		apply_contact(s, &c->dag_command_u.contact);
 		return 0;
+	case DAG_CMD_BEGUN:
+		apply_begun(s, c->dag_command_u.begun);
+		return 0;
 	}
 	return CF_EINVAL;
 }
--- a/core/dag_state.h
+++ b/core/dag_state.h
@@ -64,7 +64,7 @@
 	struct dag_job spec;
 	enum dag_job_state state;
 	uint32_t attempts;
-	bool started;
+	bool started; /* a worker has begun a task */
 	bool has_long_running; /* has a long-running step */
 	int64_t ended_ms;
 	uint32_t *first_task; /* index of each step's first task */
--- a/core/dag_worker.c
+++ b/core/dag_worker.c
@@ -418,6 +418,7 @@
 		return;
 	}
 	r->listed = true;
+	ds_run_note_begun(s, r);
 	r->born_ms = w->rec->w.born_ms;
 	if (r->phase != DS_PROPOSED && r->phase != DS_ACCEPTED) {
 		r->phase = DS_ACCEPTED;
@@ -500,6 +501,7 @@
 		return;
 	}
 	r->end_listed = true;
+	ds_run_note_begun(s, r);
 	w->ends_uncommitted++;
 	if (!r->step->long_running)
 		ds_worker_count_result(s, w, l->how);
--- a/proto/dag.h
+++ b/proto/dag.h
@@ -239,6 +239,7 @@
 	DAG_CMD_FORGET = 8,
 	DAG_CMD_MODEL = 9,
 	DAG_CMD_CONTACT = 10,
+	DAG_CMD_BEGUN = 11,
 };
 
 struct dag_command {
@@ -254,6 +255,7 @@
 		u_quad_t forget;
 		struct dag_model model;
 		struct dag_contact contact;
+		u_quad_t begun;
 	} dag_command_u;
 };
 
--- a/proto/dag.x
+++ b/proto/dag.x
@@ -166,7 +166,8 @@
 	DAG_CMD_END = 7,
 	DAG_CMD_FORGET = 8,
 	DAG_CMD_MODEL = 9,
-	DAG_CMD_CONTACT = 10
+	DAG_CMD_CONTACT = 10,
+	DAG_CMD_BEGUN = 11 /* a worker has begun a task of the job */
 };
 
 union dag_command switch (dag_command_kind kind) {
@@ -190,6 +191,8 @@
 	dag_model model;
 case DAG_CMD_CONTACT:
 	dag_contact contact;
+case DAG_CMD_BEGUN:
+	unsigned hyper begun;
 };
 
 /* One log entry. time_ms: clock of the leader when it proposed the entry. */
--- a/proto/dag_xdr.c
+++ b/proto/dag_xdr.c
@@ -608,6 +608,10 @@
 		 if (!xdr_dag_contact (xdrs, &objp->dag_command_u.contact))
 			 return FALSE;
 		break;
+	case DAG_CMD_BEGUN:
+		 if (!xdr_u_quad_t (xdrs, &objp->dag_command_u.begun))
+			 return FALSE;
+		break;
 	default:
 		return FALSE;
 	}
--- a/regress/lib_dag_world.c
+++ b/regress/lib_dag_world.c
@@ -712,7 +712,9 @@
 		a = DAG_RESULT_FENCED;
 	else
 		dw->fence = e.token;
-	if (a == DAG_RESULT_OK && e.kind == DW_START)
+	if (a == DAG_RESULT_OK && e.kind == DW_START && dw->refuses)
+		a = DAG_RESULT_UNHEALTHY;
+	else if (a == DAG_RESULT_OK && e.kind == DW_START)
 		a = do_start(w, dw, &e);
 	else if (a == DAG_RESULT_OK && e.kind == DW_STOP)
 		a = do_stop(w, dw, &e);
--- a/regress/lib_dag_world.h
+++ b/regress/lib_dag_world.h
@@ -65,6 +65,7 @@
 	uint32_t lives;
 	bool cut;		/* no call reaches it and no answer comes back */
 	bool fails;		/* every run fails */
+	bool refuses;		/* starts, as it is unhealthy */
 	bool stands;		/* runs make no progress */
 	int64_t quiet_until_us; /* polls are taken and answered only then */
 	int64_t born_ms;
