--- a/carawayfrontd/controller.c
+++ b/carawayfrontd/controller.c
@@ -216,6 +216,7 @@
 	int64_t deadline;
 	int64_t now;
 
+	controller_note_pause(c);
 	follow_leadership(c);
 	do {
 		if (controller_leads(c))
--- a/carawayfrontd/controller_impl.h
+++ b/carawayfrontd/controller_impl.h
@@ -26,6 +26,8 @@
 	struct controller_wait *next;
 	struct dag_pending_request *ticket;
 	uint64_t index; /* 0: the batch is not proposed yet */
+	uint64_t zone;	/* hash of the name, of an order for a zone; else 0 */
+	bool zone_closed;
 };
 
 struct operators; /* platform/operators.h */
@@ -57,6 +59,8 @@
 	struct controller_wait *waits;
 	struct controller_wait **waits_end;
 	struct dag_pending_request members_ticket;
+	int64_t prepared_us;	 /* the loop went to sleep last */
+	int64_t paused_until_us; /* what was read until then may have waited long */
 	bool members_asked;
 	int64_t members_at_us;
 	char report_text[64];
@@ -80,6 +84,7 @@
 /* controller_request.c */
 void controller_request(struct controller *c, const struct dag_request *req,
 			double timeout, struct dag_pending_request *t);
+void controller_note_pause(struct controller *c);
 void controller_on_rpc(struct rpc_server_host *host, struct rpc_call *call);
 int controller_propose(struct controller *c, const struct dag_command *cmd);
 void controller_flush(struct controller *c);
--- a/carawayfrontd/controller_replica.c
+++ b/carawayfrontd/controller_replica.c
@@ -89,6 +89,7 @@
 	int err;
 
 	c->state->clock_us = clock_us();
+	c->state->index = e->index;
 	err = e->kind == REPLICA_DATA ? dag_state_apply(c->state, e->data) : 0;
 
 	if (err) {
@@ -125,6 +126,7 @@
 	if (c->sched)
 		controller_sched_stop(c);
 	c->state->clock_us = clock_us();
+	c->state->index = index;
 	err = dag_state_restore(c->state, bytes);
 	log_info("snapshot-loaded", "index=%llu epoch=%llu bytes=%zu error=\"%s\"",
 		 (unsigned long long)index, (unsigned long long)epoch, bytes.n,
--- a/carawayfrontd/controller_request.c
+++ b/carawayfrontd/controller_request.c
@@ -2,6 +2,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include <xxhash.h>
+
 #include "base/err.h"
 #include "carawayfrontd/controller_impl.h"
 #include "io/clock.h"
@@ -13,6 +15,12 @@
 #define NO_LEADER_RETRY_MS 500U
 /* A replica that heard the leader so recently has what was committed before. */
 #define KNOWN_REPORT_US 1000000
+/*
+ * A loop that sleeps for longer was paused: heartbeats wake it several times a second.
+ * The requests that are read for a while after that may have waited as long.
+ */
+#define PAUSE_MIN_US 500000
+#define PAUSE_READ_US 100000
 
 /* Whether this process may answer for the whole system now. */
 bool controller_leads(const struct controller *c)
@@ -108,6 +116,11 @@
 	c->waits_end = &c->waits;
 }
 
+static uint64_t zone_hash(const struct dag_zone *zone)
+{
+	return XXH3_64bits(zone->name.name_val, zone->name.name_len);
+}
+
 /* Proposes a command and answers once it is applied. */
 static void propose_and_wait(struct controller *c, const struct dag_command *cmd,
 			     struct dag_pending_request *t)
@@ -122,6 +135,10 @@
 		return;
 	}
 	w->ticket = t;
+	if (cmd->kind == DAG_CMD_ZONE) {
+		w->zone = zone_hash(&cmd->dag_command_u.zone);
+		w->zone_closed = cmd->dag_command_u.zone.closed != 0;
+	}
 	*c->waits_end = w;
 	c->waits_end = &w->next;
 }
@@ -314,14 +331,42 @@
 	t->ops->done(t, &reply);
 }
 
-static void serve_zone(struct controller *c, const struct dag_zone *zone,
+/* Whether the contrary order for the zone is not recorded yet, so that it may be newer.
+ */
+static bool has_contrary_order(const struct controller *c, const struct dag_zone *zone)
+{
+	const struct controller_wait *w = c->waits;
+
+	while (w && (w->zone != zone_hash(zone) || w->zone_closed == (zone->closed != 0)))
+		w = w->next;
+	return w != NULL;
+}
+
+/*
+ * An order that was under way while a newer one for its zone was carried out is not
+ * carried out after it: its sender gave it up, or sends it again. Orders of the other
+ * kind that are not recorded yet may be newer as well.
+ */
+static void serve_zone(struct controller *c, const struct dag_zone_order *order,
 		       struct dag_pending_request *t)
 {
 	struct dag_command cmd = {.kind = DAG_CMD_ZONE};
-
-	log_info("zone", "zone=%.*s closed=%d", STR_ARG(XDR_STR(*zone, name)),
-		 zone->closed);
-	cmd.dag_command_u.zone = *zone;
+	struct str name = XDR_STR(order->zone, name);
+	bool in_force =
+		dag_state_zone_closed(c->state, name) == (order->zone.closed != 0);
+	bool old = order->seen < dag_state_zone_order(c->state, name);
+
+	log_info("zone", "zone=%.*s closed=%d old=%d", STR_ARG(name), order->zone.closed,
+		 old);
+	if (has_contrary_order(c, &order->zone) || (old && !in_force)) {
+		reply_outcome(t, DAG_REJECTED);
+		return;
+	}
+	if (old) {
+		reply_outcome(t, DAG_OK);
+		return;
+	}
+	cmd.dag_command_u.zone = order->zone;
 	propose_and_wait(c, &cmd, t);
 }
 
@@ -383,10 +428,42 @@
 	       dag_state_service_guarded(c->state, XDR_STR(*w, service));
 }
 
+/* Notes how long the loop has slept. */
+void controller_note_pause(struct controller *c)
+{
+	int64_t now = clock_us();
+
+	if (c->prepared_us && now - c->prepared_us > PAUSE_MIN_US)
+		c->paused_until_us = now + PAUSE_READ_US;
+	c->prepared_us = now;
+}
+
+/*
+ * Whether a request may be an order that its sender has given up: it was read just after
+ * this process was paused, and nothing in the order itself tells how old it is.
+ */
+static bool may_be_given_up(struct controller *c, const struct dag_request *req)
+{
+	if (req->kind != DAG_REQ_ZONE && req->kind != DAG_REQ_LEAVE)
+		return false;
+	controller_note_pause(c);
+	return clock_us() < c->paused_until_us;
+}
+
 /* Serves a request of this process's own ports, here or at the leader. */
 void controller_request(struct controller *c, const struct dag_request *req,
 			double timeout, struct dag_pending_request *t)
 {
+	struct dag_request stamped = *req;
+
+	if (may_be_given_up(c, req)) {
+		reply_outcome(t, DAG_REJECTED);
+		return;
+	}
+	if (req->kind == DAG_REQ_ZONE) {
+		stamped.dag_request_u.zone.seen = c->state->index;
+		req = &stamped;
+	}
 	if (controller_leads(c))
 		serve(c, req, t);
 	else if (is_known_report(c, req))
--- a/core/dag_state.c
+++ b/core/dag_state.c
@@ -6,6 +6,9 @@
 #include "base/err.h"
 #include "proto/codec.h"
 
+/* Zones of which the newest order is remembered. */
+#define ZONE_ORDERS_MAX 1024U
+
 /* Deep-copies an XDR object by encoding and decoding it; zeroes the target first. */
 static int copy_xdr(xdrproc_t proc, const void *from, void *to, size_t size)
 {
@@ -72,6 +75,18 @@
 	free(z);
 }
 
+static void clear_zone_orders(struct dag_state *s)
+{
+	struct dag_zone_order_rec *o = s->zone_orders;
+	struct dag_zone_order_rec *next;
+
+	HASH_CLEAR(hh, s->zone_orders);
+	for (; o; o = next) {
+		next = o->hh.next;
+		free(o);
+	}
+}
+
 /* Removes everything without notifying the observer. */
 void dag_state_clear(struct dag_state *s)
 {
@@ -81,6 +96,7 @@
 	void *next;
 
 	s->n_tasks = 0;
+	clear_zone_orders(s);
 	HASH_CLEAR(hh, s->jobs);
 	HASH_CLEAR(hh_id, s->workers_by_id);
 	HASH_CLEAR(hh, s->workers);
@@ -352,12 +368,32 @@
 	return err;
 }
 
+/* Without room for the zone all others count as ordered now. */
+static void note_zone_order(struct dag_state *s, struct str zone)
+{
+	struct dag_zone_order_rec *o;
+
+	HASH_FIND(hh, s->zone_orders, zone.p, zone.n, o);
+	if (!o && HASH_COUNT(s->zone_orders) < ZONE_ORDERS_MAX) {
+		o = calloc(1, sizeof(*o) + zone.n + 1);
+		if (o) {
+			memcpy(o->name, zone.p, zone.n);
+			HASH_ADD_KEYPTR(hh, s->zone_orders, o->name, zone.n, o);
+		}
+	}
+	if (o)
+		o->index = s->index;
+	else
+		s->zone_orders_floor = s->index;
+}
+
 static int apply_zone(struct dag_state *s, const struct dag_zone *zone)
 {
 	struct str name = XDR_STR(*zone, name);
 	struct dag_zone_rec *z;
 	int err = 0;
 
+	note_zone_order(s, name);
 	if (zone->closed) {
 		err = dag_state_close_zone(s, name);
 	} else {
--- a/core/dag_state.h
+++ b/core/dag_state.h
@@ -64,7 +64,7 @@
 	struct dag_job spec;
 	enum dag_job_state state;
 	uint32_t attempts;
-	bool started; /* a worker has begun a task */
+	bool started;	       /* a worker has begun a task */
 	bool has_long_running; /* has a long-running step */
 	int64_t ended_ms;
 	uint32_t *first_task; /* index of each step's first task */
@@ -113,16 +113,26 @@
 	char name[]; /* NUL-terminated, its length is that of the key */
 };
 
+/* The newest order for an availability zone; not in snapshots. */
+struct dag_zone_order_rec {
+	UT_hash_handle hh;
+	uint64_t index; /* of its log entry */
+	char name[];
+};
+
 struct dag_state {
 	uint64_t n_tasks;     /* of all jobs and occurrences */
 	struct dag_conf conf; /* revision 0: none yet */
 	struct dag_zone_rec *closed_zones;
+	struct dag_zone_order_rec *zone_orders;
+	uint64_t zone_orders_floor;	/* orders of other zones are not newer */
 	struct dag_worker_rec *workers; /* by number */
 	struct dag_worker_rec *workers_by_id;
 	struct dag_job_rec *jobs;
 	uint32_t next_worker_number;
 	int64_t time_ms;  /* of the newest batch */
 	int64_t clock_us; /* monotonic time of this process, set by its owner */
+	uint64_t index;	  /* of the newest log entry applied, set by its owner before */
 	struct dag_model model;
 	struct dag_observer *observer;
 };
@@ -135,6 +145,7 @@
 int dag_state_check_snapshot(struct str snapshot);
 
 bool dag_state_zone_closed(const struct dag_state *s, struct str zone);
+uint64_t dag_state_zone_order(const struct dag_state *s, struct str zone);
 struct dag_job_rec *dag_state_find_job(const struct dag_state *s, uint64_t id);
 struct dag_worker_rec *dag_state_find_worker(const struct dag_state *s, uint32_t number);
 struct dag_worker_rec *dag_state_find_worker_by_id(const struct dag_state *s,
--- a/core/dag_state_lookup.c
+++ b/core/dag_state_lookup.c
@@ -9,6 +9,15 @@
 	return z != NULL;
 }
 
+/* Log entry that the newest order for a zone has at most; 0: there was none. */
+uint64_t dag_state_zone_order(const struct dag_state *s, struct str zone)
+{
+	struct dag_zone_order_rec *o;
+
+	HASH_FIND(hh, s->zone_orders, zone.p, zone.n, o);
+	return o ? o->index : s->zone_orders_floor;
+}
+
 struct dag_job_rec *dag_state_find_job(const struct dag_state *s, uint64_t id)
 {
 	struct dag_job_rec *j;
--- a/core/dag_state_snapshot.c
+++ b/core/dag_state_snapshot.c
@@ -224,7 +224,10 @@
  */
 int dag_state_restore(struct dag_state *s, struct str snapshot)
 {
-	struct dag_state fresh = {.clock_us = s->clock_us, .observer = s->observer};
+	struct dag_state fresh = {.clock_us = s->clock_us,
+				  .observer = s->observer,
+				  .index = s->index,
+				  .zone_orders_floor = s->index};
 	int err = read_image(&fresh, snapshot);
 
 	if (err) {
--- a/io/http_server.c
+++ b/io/http_server.c
@@ -1,7 +1,9 @@
 #include "io/http_server.h"
 
+#include <errno.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include <microhttpd.h>
@@ -268,6 +270,26 @@
 		MHD_lookup_connection_value(req->connection, MHD_HEADER_KIND, name));
 }
 
+/*
+ * Whether the sender has closed its connection, so that nobody waits for the answer. The
+ * request may then have waited for any time before it was read.
+ */
+bool http_request_is_abandoned(const struct http_request *req)
+{
+	const union MHD_ConnectionInfo *info =
+		req->connection
+			? MHD_get_connection_info(req->connection,
+						  MHD_CONNECTION_INFO_CONNECTION_FD)
+			: NULL;
+	char next;
+	ssize_t n;
+
+	if (!info)
+		return !req->connection;
+	n = recv(info->connect_fd, &next, sizeof(next), MSG_PEEK | MSG_DONTWAIT);
+	return n == 0 || (n < 0 && errno == ECONNRESET);
+}
+
 static enum MHD_Result visit_header(void *cls, enum MHD_ValueKind kind, const char *key,
 				    const char *value)
 {
--- a/io/http_server.h
+++ b/io/http_server.h
@@ -70,6 +70,7 @@
 struct str http_request_header(const struct http_request *req, const char *name);
 bool http_request_each_header(const struct http_request *req,
 			      struct http_header_visitor *v);
+bool http_request_is_abandoned(const struct http_request *req);
 struct str http_request_query(const struct http_request *req, const char *name);
 void http_request_reply(struct http_request *req, unsigned int status,
 			const struct http_header *headers, size_t n_headers,
--- a/proto/dag.h
+++ b/proto/dag.h
@@ -169,6 +169,11 @@
 	bool_t closed;
 };
 
+struct dag_zone_order {
+	struct dag_zone zone;
+	u_quad_t seen;
+};
+
 struct dag_task_ref {
 	u_quad_t job;
 	u_int occurrence;
@@ -460,7 +465,7 @@
 		struct dag_report report;
 		struct dag_name leave;
 		struct dag_conf conf;
-		struct dag_zone zone;
+		struct dag_zone_order zone;
 		struct dag_agent agent;
 	} dag_request_u;
 };
@@ -513,6 +518,7 @@
 extern  bool_t xdr_dag_worker_state (XDR *, enum dag_worker_state *);
 extern  bool_t xdr_dag_worker (XDR *, struct dag_worker *);
 extern  bool_t xdr_dag_zone (XDR *, struct dag_zone *);
+extern  bool_t xdr_dag_zone_order (XDR *, struct dag_zone_order *);
 extern  bool_t xdr_dag_task_ref (XDR *, struct dag_task_ref *);
 extern  bool_t xdr_dag_start (XDR *, struct dag_start *);
 extern  bool_t xdr_dag_end_how (XDR *, enum dag_end_how *);
@@ -555,6 +561,7 @@
 extern bool_t xdr_dag_worker_state ();
 extern bool_t xdr_dag_worker ();
 extern bool_t xdr_dag_zone ();
+extern bool_t xdr_dag_zone_order ();
 extern bool_t xdr_dag_task_ref ();
 extern bool_t xdr_dag_start ();
 extern bool_t xdr_dag_end_how ();
--- a/proto/dag.x
+++ b/proto/dag.x
@@ -98,6 +98,15 @@
 	bool closed;
 };
 
+/*
+ * An operator's order. seen: the newest log entry that the controller knew to which the
+ * order came; orders of later entries are newer.
+ */
+struct dag_zone_order {
+	dag_zone zone;
+	unsigned hyper seen;
+};
+
 struct dag_task_ref {
 	unsigned hyper job;
 	unsigned int occurrence;
@@ -364,7 +373,7 @@
 case DAG_REQ_CONF_PUT:
 	dag_conf conf;
 case DAG_REQ_ZONE:
-	dag_zone zone;
+	dag_zone_order zone;
 case DAG_REQ_AGENT:
 	dag_agent agent;
 case DAG_REQ_CONF_GET:
--- a/proto/dag_xdr.c
+++ b/proto/dag_xdr.c
@@ -456,6 +456,18 @@
 	return TRUE;
 }
 
+bool_t
+xdr_dag_zone_order (XDR *xdrs, struct dag_zone_order *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_dag_zone (xdrs, &objp->zone))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->seen))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_dag_task_ref (XDR *xdrs, struct dag_task_ref *objp)
 {
@@ -1036,7 +1048,7 @@
 			 return FALSE;
 		break;
 	case DAG_REQ_ZONE:
-		 if (!xdr_dag_zone (xdrs, &objp->dag_request_u.zone))
+		 if (!xdr_dag_zone_order (xdrs, &objp->dag_request_u.zone))
 			 return FALSE;
 		break;
 	case DAG_REQ_AGENT:
--- a/regress/test_dag.c
+++ b/regress/test_dag.c
@@ -682,21 +682,27 @@
 }
 END_TEST
 
+static void apply_one(struct dag_state *s, struct dag_command *c)
+{
+	struct dag_batch batch = {.commands = {1, c}};
+	struct buf bytes = {0};
+
+	ck_assert_int_eq(codec_encode((xdrproc_t)xdr_dag_batch, &batch, &bytes), 0);
+	ck_assert_int_eq(dag_state_apply(s, buf_str(&bytes)), 0);
+	buf_free(&bytes);
+}
+
 static void apply_worker_state(struct dag_state *s, int64_t born_ms,
 			       enum dag_worker_state state)
 {
 	struct dag_command c = {.kind = DAG_CMD_WORKER};
-	struct dag_batch batch = {.commands = {1, &c}};
 	struct dag_worker *x = &c.dag_command_u.worker;
-	struct buf bytes = {0};
 
 	XDR_SET(*x, id, STR("i-1"));
 	XDR_SET(*x, address, STR("a-1"));
 	x->born_ms = born_ms;
 	x->state = state;
-	ck_assert_int_eq(codec_encode((xdrproc_t)xdr_dag_batch, &batch, &bytes), 0);
-	ck_assert_int_eq(dag_state_apply(s, buf_str(&bytes)), 0);
-	buf_free(&bytes);
+	apply_one(s, &c);
 }
 
 static bool is_old_report(const struct dag_state *s, int64_t born_ms,
@@ -709,6 +715,62 @@
 	return dag_state_is_old_report(s, &x);
 }
 
+static void apply_zone_order(struct dag_state *s, uint64_t index, const char *zone,
+			     bool closed)
+{
+	struct dag_command c = {.kind = DAG_CMD_ZONE};
+
+	XDR_SET(c.dag_command_u.zone, name, str_from(zone));
+	c.dag_command_u.zone.closed = closed;
+	s->index = index;
+	apply_one(s, &c);
+}
+
+/* Guards against an order for a zone that counts as newer than it is, also from a
+ * snapshot. */
+START_TEST(newest_order_for_a_zone_is_known)
+{
+	struct buf image = {0};
+	struct dag_state *s;
+
+	ck_assert_int_eq(dag_state_new(&s), 0);
+	ck_assert_uint_eq(dag_state_zone_order(s, STR("a")), 0);
+	apply_zone_order(s, 5, "a", true);
+	apply_zone_order(s, 7, "b", true);
+	apply_zone_order(s, 9, "a", false);
+	apply_zone_order(s, 11, "b", true);
+	ck_assert_uint_eq(dag_state_zone_order(s, STR("a")), 9);
+	ck_assert_uint_eq(dag_state_zone_order(s, STR("b")), 11);
+	ck_assert_uint_eq(dag_state_zone_order(s, STR("c")), 0);
+	ck_assert_int_eq(dag_state_snapshot(s, &image), 0);
+	s->index = 12;
+	ck_assert_int_eq(dag_state_restore(s, buf_str(&image)), 0);
+	ck_assert_uint_eq(dag_state_zone_order(s, STR("a")), 12);
+	ck_assert(dag_state_zone_closed(s, STR("b")));
+	buf_free(&image);
+	dag_state_free(s);
+}
+END_TEST
+
+/* Guards against memory that grows with the names in orders; all count as ordered then.
+ */
+START_TEST(orders_for_many_zones_are_bounded)
+{
+	struct dag_state *s;
+	char name[32];
+
+	ck_assert_int_eq(dag_state_new(&s), 0);
+	for (uint64_t i = 1; i <= 5000; i++) {
+		snprintf(name, sizeof(name), "zone-%llu", (unsigned long long)i);
+		apply_zone_order(s, i, name, false);
+	}
+	ck_assert_uint_le(HASH_COUNT(s->zone_orders), 1024);
+	ck_assert_uint_eq(dag_state_zone_order(s, STR("zone-1")), 1);
+	ck_assert_uint_eq(dag_state_zone_order(s, STR("zone-4999")), 5000);
+	dag_state_free(s);
+}
+END_TEST
+
 /*
  * Guards against a worker that has left and is used again when a report arrives that was
  * held up by a partition, also after all controllers have restarted from a snapshot.
@@ -1161,6 +1223,8 @@
 	tcase_add_test(tc, room_of_an_ended_run_is_taken_in_the_same_log_entry);
 	tcase_add_test(tc, stalled_runs_move);
 	tcase_add_test(tc, silence_is_no_stall);
+	tcase_add_test(tc, newest_order_for_a_zone_is_known);
+	tcase_add_test(tc, orders_for_many_zones_are_bounded);
 	tcase_add_test(tc, late_report_does_not_bring_a_worker_back);
 	tcase_add_test(tc, departed_workers_are_forgotten);
 	tcase_add_test(tc, live_worker_recorded_as_gone_returns);
--- a/regress/test_fuzz_platform.c
+++ b/regress/test_fuzz_platform.c
@@ -69,6 +69,11 @@
 	replies++;
 }
 
+bool http_request_is_abandoned(const struct http_request *req)
+{
+	return false;
+}
+
 const struct http_server_stats *http_server_stats(const struct http_server *s)
 {
 	return NULL;
--- a/regress/test_http_server.c
+++ b/regress/test_http_server.c
@@ -22,6 +22,7 @@
 	size_t n_held;
 	size_t n_calls;
 	bool answers_at_once;
+	size_t n_abandoned;
 };
 
 static void on_request(struct http_server_host *host, struct http_request *req)
@@ -29,6 +30,7 @@
 	struct test_host *h = (struct test_host *)host;
 
 	h->n_calls++;
+	h->n_abandoned += http_request_is_abandoned(req);
 	if (h->answers_at_once)
 		http_request_reply(req, 200, NULL, 0, STR("ok"));
 	else
@@ -199,6 +201,23 @@
 }
 END_TEST
 
+/* Guards against an order that is carried out after its sender has given it up. */
+START_TEST(abandoned_request_is_told)
+{
+	int kept, closed;
+
+	open_server();
+	kept = open_client(GET);
+	closed = open_client(GET);
+	close(closed);
+	host.answers_at_once = true;
+	run_until_calls(2);
+	ck_assert_uint_eq(host.n_abandoned, 1);
+	close(kept);
+	http_server_free(server);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("http-server");
@@ -211,6 +230,7 @@
 	tcase_add_test(tc, stop_right_after_answer);
 	tcase_add_test(tc, stop_with_open_connections);
 	tcase_add_test(tc, request_during_stop_is_refused);
+	tcase_add_test(tc, abandoned_request_is_told);
 	suite_add_tcase(s, tc);
 	sr = srunner_create(s);
 	srunner_run_all(sr, CK_NORMAL);
