platform: an entry with an address of no host names no executor

Operators saw: an executor with address 10.0.0.9:99999, without a port or with a name was answered 200, kept and polled until it counted as lost.

Cause: the text of the address was never read before a call was made.

Change: reports with such an address are refused on the control port and by the leader; no call is made to one that is recorded, and it is given up at once; announcements of upstreams are checked alike, with the types of their numbers.

--- a/carawayfrontd/controller_request.c
+++ b/carawayfrontd/controller_request.c
@@ -8,6 +8,7 @@
 #include "carawayfrontd/controller_impl.h"
 #include "io/clock.h"
 #include "io/log.h"
+#include "platform/executors.h"
 #include "proto/codec.h"
 #include "proto/peer.h"
 
@@ -276,6 +277,10 @@
 {
 	struct dag_command cmd = {.kind = DAG_CMD_WORKER};
 
+	if (!executors_can_call(XDR_STR(r->worker, address))) {
+		reply_outcome(t, DAG_INVALID);
+		return;
+	}
 	if (!dag_sched_report(c->sched, r, clock_us(), &cmd.dag_command_u.worker)) {
 		reply_outcome(t, DAG_OK);
 		return;
--- a/carawayfrontd/entry_upstream_api.c
+++ b/carawayfrontd/entry_upstream_api.c
@@ -13,6 +13,14 @@
 	return (struct str){json_string_value(v), json_string_length(v)};
 }
 
+/* Whether a field is absent or a whole number from 0 on. */
+static bool is_count(const json_t *j, const char *key)
+{
+	const json_t *v = json_object_get(j, key);
+
+	return !v || (json_is_integer(v) && json_integer_value(v) >= 0);
+}
+
 static int read_announcement(const json_t *j, struct str name, struct router_upstream *u)
 {
 	json_int_t slots = json_integer_value(json_object_get(j, "slots"));
@@ -38,10 +46,14 @@
 	};
 	if (!u->leaving && !str_eq(state, STR("ready")))
 		return CF_EINVAL;
+	if (!is_count(j, "incarnation") || !is_count(j, "sequence"))
+		return CF_EINVAL;
 	if (u->team.n == 0 || u->service.n == 0 || u->zone.n == 0 || slots < 1 ||
 	    slots > 100000 || load > 100000)
 		return CF_EINVAL;
-	return addr_parse(u->address, &address);
+	if (addr_parse(u->address, &address) || !addr_is_host(&address))
+		return CF_EINVAL;
+	return 0;
 }
 
 static void announce(struct entry *e, struct http_request *req, struct str name)
--- a/io/addr.c
+++ b/io/addr.c
@@ -45,6 +45,22 @@
 	return inet_pton(AF_INET, host, &sin->sin_addr) == 1 ? 0 : CF_EINVAL;
 }
 
+/* Whether it names a port of one host: neither port 0 nor an address of none or many. */
+bool addr_is_host(const struct addr *a)
+{
+	const struct sockaddr_in6 *sin6 = (const struct sockaddr_in6 *)&a->sa;
+	const struct sockaddr_in *sin = (const struct sockaddr_in *)&a->sa;
+	uint32_t ip;
+
+	if (!addr_port(a))
+		return false;
+	if (a->sa.ss_family == AF_INET6)
+		return !IN6_IS_ADDR_UNSPECIFIED(&sin6->sin6_addr) &&
+		       !IN6_IS_ADDR_MULTICAST(&sin6->sin6_addr);
+	ip = ntohl(sin->sin_addr.s_addr);
+	return ip != INADDR_ANY && ip != INADDR_BROADCAST && !IN_MULTICAST(ip);
+}
+
 uint16_t addr_port(const struct addr *a)
 {
 	if (a->sa.ss_family == AF_INET6)
--- a/regress/test_executors.c
+++ b/regress/test_executors.c
@@ -186,6 +186,26 @@
 }
 END_TEST
 
+/* Guards against an executor that is kept though nothing can be at its address. */
+START_TEST(address_of_no_host_is_no_executor)
+{
+	static const char *const addresses[] = {"127.0.0.1:99999",
+						"127.0.0.1:65536",
+						"127.0.0.1:0",
+						"127.0.0.1",
+						"localhost:80",
+						"0.0.0.0:80",
+						"",
+						"127.0.0.1:80/x"};
+	struct dag_poll_command o = {.call = call_until(0)};
+
+	o.call.address = str_from(addresses[_i]);
+	transport->ops->poll(transport, &o);
+	ck_assert_uint_eq(user.polls, 1);
+	ck_assert_int_eq(user.result, DAG_RESULT_RESTARTED);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("executors");
@@ -199,6 +219,7 @@
 	tcase_add_test(t, call_is_not_sent_after_its_timeout);
 	tcase_add_test(t, reply_of_an_earlier_term_is_ignored);
 	tcase_add_test(t, full_list_of_ends_may_lack_some);
+	tcase_add_loop_test(t, address_of_no_host_is_no_executor, 0, 8);
 	suite_add_tcase(s, t);
 	r = srunner_create(s);
 	srunner_run_all(r, CK_ENV);
--- a/regress/test_fuzz_platform.c
+++ b/regress/test_fuzz_platform.c
@@ -214,8 +214,10 @@
 	static const unsigned int statuses[] = {200, 409, 421, 500};
 	struct dag_transport_user user = {.ops = &user_ops};
 	struct executors_options opt = {.user = &user};
-	struct dag_worker_command command = {.call = {.worker = 1, .id = STR("i-1")}};
-	struct dag_poll_command poll = {.call = {.worker = 1, .id = STR("i-1")}};
+	struct dag_worker_call call = {
+		.worker = 1, .id = STR("i-1"), .address = STR("10.0.0.1:1")};
+	struct dag_worker_command command = {.call = call};
+	struct dag_poll_command poll = {.call = call};
 	struct dag_transport *t;
 
 	FUZZ_MUST((executors_new(&opt, &t)) == 0);
