core/dag: a report with times of no clock is refused

What could be seen: after one entry with a born in the far future all later reports under its id were old, so that executor was followed no more; a clock_ms beyond any clock made the room of an executor without a guard unknown for good.

Cause: times of reports were compared without a look at their range.

Measured: report_with_times_of_no_clock_is_refused fails without the change (born answered 200) and passes with it.

--- a/carawayfrontd/controller_request.c
+++ b/carawayfrontd/controller_request.c
@@ -277,7 +277,8 @@
 {
 	struct dag_command cmd = {.kind = DAG_CMD_WORKER};
 
-	if (!executors_can_call(XDR_STR(r->worker, address))) {
+	if (!dag_report_valid(r, clock_wall_us() / 1000) ||
+	    !executors_can_call(XDR_STR(r->worker, address))) {
 		reply_outcome(t, DAG_INVALID);
 		return;
 	}
--- a/core/dag_report.c
+++ b/core/dag_report.c
@@ -12,6 +12,9 @@
 /* A worker's clock may be 2 % slow. */
 #define SLOW_CLOCK_PERCENT 98
 
+/* Clocks of hosts may differ, and jump by seconds. */
+#define BORN_AHEAD_MAX_MS (24LL * 3600 * 1000)
+
 static bool same_labels(const struct dag_worker *a, const struct dag_worker *b)
 {
 	if (a->labels.labels_len != b->labels.labels_len)
@@ -125,6 +128,16 @@
 	ds_worker_refresh(s, w);
 }
 
+/*
+ * Whether the times of a report can be those of a worker. One that has a start in the
+ * future would make all later reports under its id old.
+ */
+bool dag_report_valid(const struct dag_report *r, int64_t wall_ms)
+{
+	return dag_time_valid(r->clock_ms) && r->worker.born_ms >= 0 &&
+	       r->worker.born_ms <= wall_ms + BORN_AHEAD_MAX_MS;
+}
+
 /*
  * Takes a report that came to any controller. Returns whether it says something that is
  * to be recorded; news then describes the worker, with strings of the report.
--- a/core/dag_sched.h
+++ b/core/dag_sched.h
@@ -122,6 +122,7 @@
 
 void dag_sched_worker_reported(struct dag_sched *s, uint32_t worker, int64_t now_us);
 void dag_sched_worker_contradicted(struct dag_sched *s, const struct dag_report *r);
+bool dag_report_valid(const struct dag_report *r, int64_t wall_ms);
 bool dag_sched_report(struct dag_sched *s, const struct dag_report *r, int64_t now_us,
 		      struct dag_worker *news);
 bool dag_worker_equal(const struct dag_worker *a, const struct dag_worker *b);
--- a/regress/test_operators.c
+++ b/regress/test_operators.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "io/clock.h"
 #include "io/http_server.h"
 #include "platform/operators.h"
 
@@ -130,6 +131,25 @@
 }
 END_TEST
 
+/* Guards against one report that makes all later ones under its id old. */
+START_TEST(report_with_times_of_no_clock_is_refused)
+{
+	char born[32];
+
+	assert_refused("born", "9007199254740992");
+	assert_refused("born", "-1");
+	assert_refused("born", "1e300");
+	snprintf(born, sizeof(born), "%lld",
+		 (long long)(clock_wall_us() / 1000 + 2 * 24 * 3600 * 1000LL));
+	assert_refused("born", born);
+	assert_refused("clock_ms", "9007199254740992");
+	assert_refused("clock_ms", "-1");
+	snprintf(born, sizeof(born), "%lld", (long long)(clock_wall_us() / 1000 + 10000));
+	report("born", born);
+	ck_assert_uint_eq(status, 200);
+}
+END_TEST
+
 /* Guards against an odd entry that ends the process or is kept. */
 START_TEST(odd_report_is_refused)
 {
@@ -157,6 +177,7 @@
 
 	tcase_add_checked_fixture(tc, setup, teardown);
 	tcase_add_test(tc, report_with_an_address_of_no_host_is_refused);
+	tcase_add_test(tc, report_with_times_of_no_clock_is_refused);
 	tcase_add_test(tc, odd_report_is_refused);
 	suite_add_tcase(s, tc);
 	sr = srunner_create(s);
