platform: one odd row of a list costs no other row

What could be seen: one row of an executor's list that cannot be read made the whole reply unusable; the executor got no lease any more and all that ran there ended.

Cause: a list was taken whole or not at all.

Change: such a row is left out, and the list counts as partial, as a full one does: nothing follows from what it lacks.

--- a/carawayfrontd/agent.c
+++ b/carawayfrontd/agent.c
@@ -165,7 +165,7 @@
 	}
 	answer->running.running_len = (u_int)poll->n_running;
 	answer->ended.ended_len = (u_int)poll->n_ended;
-	answer->ended_cut = poll->ended_cut;
+	answer->partial = poll->partial;
 	answer->born_ms = poll->born_ms;
 	answer->clock_ms = poll->clock_ms;
 	answer->has_look = true;
--- a/carawayfrontd/relay.c
+++ b/carawayfrontd/relay.c
@@ -453,7 +453,7 @@
 		.n_running = a->running.running_len,
 		.ended = *ends,
 		.n_ended = a->ended.ended_len,
-		.ended_cut = a->ended_cut,
+		.partial = a->partial,
 	};
 	return 0;
 }
--- a/core/dag_sched.h
+++ b/core/dag_sched.h
@@ -77,7 +77,7 @@
 	size_t n_running;
 	const struct dag_listed_end *ended;
 	size_t n_ended;
-	bool ended_cut; /* the worker may have more ends than it listed */
+	bool partial; /* there may be runs and ends that are not listed */
 };
 
 struct dag_host {
--- a/core/dag_worker.c
+++ b/core/dag_worker.c
@@ -549,8 +549,8 @@
 	for (size_t i = 0; i < poll->n_ended; i++)
 		process_listed_end(s, w, &poll->ended[i]);
 	ds_crash_earlier_life(s, w, poll->born_ms);
-	/* The end of an unlisted run may be among those that were cut off. */
-	if (!poll->ended_cut)
+	/* An unlisted run, or its end, may be among what a partial list leaves out. */
+	if (!poll->partial)
 		check_unlisted_runs(s, w);
 	if (!w->ends_uncommitted)
 		ds_worker_ack_ends(w);
@@ -660,7 +660,7 @@
 	 */
 	if (w->has_new_ends)
 		w->next_poll_us = now_us;
-	else if (w->held_end && !has_ends_to_ack(w))
+	else if ((w->held_end || poll->partial) && !has_ends_to_ack(w))
 		w->next_poll_us = now_us + POLL_RETRY_US;
 	else
 		w->next_poll_us = now_us + POLL_INTERVAL_US;
--- a/proto/dag.h
+++ b/proto/dag.h
@@ -403,7 +403,7 @@
 		u_int ended_len;
 		struct dag_call_end *ended_val;
 	} ended;
-	bool_t ended_cut;
+	bool_t partial;
 };
 
 struct dag_call_answers {
--- a/proto/dag.x
+++ b/proto/dag.x
@@ -311,7 +311,7 @@
 	hyper clock_ms;
 	dag_call_run running<>;
 	dag_call_end ended<>;
-	bool ended_cut; /* there may be more ends */
+	bool partial; /* there may be runs and ends that are not listed */
 };
 
 struct dag_call_answers {
--- a/proto/dag_xdr.c
+++ b/proto/dag_xdr.c
@@ -940,7 +940,7 @@
 	 if (!codec_array (xdrs, (char **)&objp->ended.ended_val, (u_int *) &objp->ended.ended_len, ~0,
 		sizeof (struct dag_call_end), (xdrproc_t) xdr_dag_call_end))
 		 return FALSE;
-	 if (!xdr_bool (xdrs, &objp->ended_cut))
+	 if (!xdr_bool (xdrs, &objp->partial))
 		 return FALSE;
 	return TRUE;
 }
