platform: a start request is sent once

What can be seen: an executor carries out a start, the connection breaks before its answer, and libcurl sends a copy on a new one, unnoticed by the scheduler.

Cause: starts were marked as idempotent, which they are unless a copy is refused.

Connections of any age are still used, so no more are made.

--- a/io/http_client.c
+++ b/io/http_client.c
@@ -259,8 +259,8 @@
  * not idempotent this is prevented in two ways. A body comes from a callback that
  * cannot be rewound, so that libcurl gives up once a byte of it was sent; before
  * that the upstream has no whole request. Connections that were idle for long, which
- * the upstream may be closing, are not used. A request without a body is whole with
- * its headers and gets a connection of its own.
+ * the upstream may be closing, are not used unless the caller asks for them. A request
+ * without a body is whole with its headers and gets a connection of its own.
  */
 static int set_send_once(struct http_exchange *x, const struct http_call_options *opt)
 {
@@ -269,7 +269,8 @@
 		curl_easy_setopt(x->easy, CURLOPT_FORBID_REUSE, 1L);
 		return 0;
 	}
-	curl_easy_setopt(x->easy, CURLOPT_MAXAGE_CONN, REUSE_MAX_IDLE_S);
+	if (!opt->reuse_idle)
+		curl_easy_setopt(x->easy, CURLOPT_MAXAGE_CONN, REUSE_MAX_IDLE_S);
 	curl_easy_setopt(x->easy, CURLOPT_UPLOAD_BUFFERSIZE, UPLOAD_BUFFER);
 	curl_easy_setopt(x->easy, CURLOPT_POST, 1L);
 	curl_easy_setopt(x->easy, CURLOPT_READFUNCTION, give_body);
--- a/io/http_client.h
+++ b/io/http_client.h
@@ -38,7 +38,8 @@
 	size_t n_headers;
 	struct str body;
 	bool idempotent;
-	double timeout; /* seconds for the whole call */
+	bool reuse_idle; /* also connections that were idle for long, if not idempotent */
+	double timeout;	 /* seconds for the whole call */
 	/* On clock_us(); later it is not sent and ends with CF_ESTALE. 0: no limit. */
 	int64_t send_until_us;
 	size_t max_body; /* bytes of the answer */
