core/dag: a worker that leaves behind a cut keeps its runs until its lease ends

What can be seen: an executor that the leader cannot reach deregisters at another controller; it ends some seconds later, but a second after the message its tasks start elsewhere, while they go on where they are (TWICE).

Cause: failed polls after the announcement of an exit counted as the exit, also when they had failed before it.

Change: the lease is not waited for only if contact broke after the announcement.

Measured: runs_of_a_worker_that_leaves_behind_a_cut_keep_their_lease fails without the change (4 starts instead of 2) and passes with it; one that exits after its announcement is still replaced within 4 s.

--- a/core/dag_worker.c
+++ b/core/dag_worker.c
@@ -13,7 +13,8 @@
 /* A new leader of a large fleet spreads its first polls over this time. */
 #define FIRST_POLLS_US (600 * USEC_PER_MS)
 #define POLL_RETRY_US (400 * USEC_PER_MS)
-/* A worker that announced its exit and fails polls after this time has exited. */
+/* A worker that announced its exit and fails polls from then on for this time has exited.
+ */
 #define LEAVE_TIMEOUT_US (1 * USEC_PER_SEC)
 /* Pause between polls, so that one poll reads ends that arrive together. */
 #define POLL_INTERVAL_US (20 * USEC_PER_MS)
@@ -583,6 +584,17 @@
 	propose_state(s, w, DAG_WORKER_READY);
 }
 
+/*
+ * Whether a worker that fails polls has exited as it announced. One that failed them
+ * before may be cut off, and it ends some seconds after its announcement only: its runs
+ * go on until its lease ends.
+ */
+static bool has_left(const struct dag_sched *s, const struct ds_worker *w)
+{
+	return w->leaving_since_us && w->broken_us >= w->leaving_since_us &&
+	       s->now_us - w->leaving_since_us > LEAVE_TIMEOUT_US && w->poll_failures > 1;
+}
+
 /* Handles the result of a poll. poll NULL: no usable reply came. */
 void dag_sched_poll_replied(struct dag_sched *s, uint32_t worker,
 			    enum dag_call_result result,
@@ -625,9 +637,7 @@
 						"no reply to the poll", result);
 		ds_worker_lose_contact(s, w);
 		request_copies(s, w);
-		if (w->leaving_since_us &&
-		    now_us - w->leaving_since_us > LEAVE_TIMEOUT_US &&
-		    w->poll_failures > 1)
+		if (has_left(s, w))
 			handle_worker_exit(s, w, "left");
 		w->next_poll_us = now_us + (w->poll_failures > 1 ? POLL_RETRY_US : 0);
 		return;
--- a/regress/test_dag_life.c
+++ b/regress/test_dag_life.c
@@ -422,6 +422,39 @@
 }
 END_TEST
 
+/*
+ * Guards against runs that start elsewhere while they go on where they are: a worker that
+ * is cut off announces its exit through another controller. _i 1: contact was not lost
+ * before, so it has exited, and its runs start elsewhere before its lease has ended.
+ */
+START_TEST(runs_of_a_worker_that_leaves_behind_a_cut_keep_their_lease)
+{
+	uint32_t number = dw_add_worker(&w, 8000, 8000);
+
+	w.work_us = 60 * SECOND;
+	dw_run_for(&w, SECOND);
+	dw_submit_chain(&w, 1, 1, 2);
+	dw_run_for(&w, SECOND);
+	ck_assert_uint_eq(w.starts, 2);
+	dw_add_worker(&w, 16000, 16000);
+	dw_run_for(&w, SECOND);
+	if (_i == 0) {
+		w.workers[number].cut = true;
+		dw_run_for(&w, 2 * SECOND);
+		dag_sched_worker_leaving(w.sched, 1, w.now_us);
+	} else {
+		dag_sched_worker_leaving(w.sched, 1, w.now_us);
+		dw_run_for(&w, 100 * MS);
+		dw_crash_worker(&w, number, false);
+	}
+	dw_run_for(&w, 4 * SECOND);
+	ck_assert_uint_eq(w.starts, _i == 0 ? 2 : 4);
+	dw_run_for(&w, 20 * SECOND);
+	dw_assert_sound(&w);
+	ck_assert_uint_eq(w.starts, 4);
+}
+END_TEST
+
 /* One draw of a fault: restarts under the old id, with or without news of it, and more.
  */
 static void draw_fault(void)
@@ -522,6 +555,8 @@
 	tcase_add_loop_test(tc, late_start_after_a_stop_is_refused, 0, 30);
 	tcase_add_test(tc, acknowledgements_go_on_beside_slow_commits);
 	tcase_add_loop_test(tc, foreign_answer_for_an_earlier_life_is_ignored, 0, 2);
+	tcase_add_loop_test(
+		tc, runs_of_a_worker_that_leaves_behind_a_cut_keep_their_lease, 0, 2);
 	tcase_add_loop_test(tc, random_restarts_under_one_id, 0, 200);
 	suite_add_tcase(s, tc);
 	srunner_run_all(sr, CK_NORMAL);
