core/dag: a worker whose time of day was set back is followed

Cause: which of two lives is newer was taken from born, a time of day. Lists with a lower one were ignored as old, while their polls extended the lease.

Change: the reply to a poll that was sent when a process was known tells of the process that is there now, whatever its born; an executor recorded as gone is polled on any report under its id; a record that is gone makes no reports at its address old.

Not shown to be what our users saw.

--- a/core/dag_life.c
+++ b/core/dag_life.c
@@ -152,12 +152,10 @@
 
 /*
  * A newer process of a worker has a clock of its own and numbers its ends from the start
- * again. Its start is learned from its reports or its lists, whichever come first.
+ * again.
  */
-void ds_worker_follow_start(struct dag_sched *s, struct ds_worker *w, int64_t born_ms)
+static void begin_process(struct dag_sched *s, struct ds_worker *w, int64_t born_ms)
 {
-	if (born_ms <= w->process_born_ms)
-		return;
 	s->host->ops->log_event(s->host, "worker-restarted", NULL, 0,
 				XDR_STR(w->rec->w, id),
 				"value: newest end that its earlier process may forget",
@@ -165,6 +163,8 @@
 	if (w->process_born_ms)
 		ds_worker_note_exit(s, w);
 	w->process_born_ms = born_ms;
+	w->report_born_ms = 0;
+	w->report_clock_ms = 0;
 	ds_worker_begin_life(w);
 	w->earlier_left = w->leaving_since_us || w->draining;
 	w->leaving_since_us = 0;
@@ -175,6 +175,28 @@
 	w->held_end = 0;
 }
 
+/* Its start is learned from its reports or its lists, whichever come first. */
+void ds_worker_follow_start(struct dag_sched *s, struct ds_worker *w, int64_t born_ms)
+{
+	if (born_ms > w->process_born_ms)
+		begin_process(s, w, born_ms);
+}
+
+/*
+ * A reply to a poll that was sent when the process was known is the word of the one that
+ * is at the address now. Its start may be earlier on the time of day, which may have been
+ * set back, and what a report said may be wrong.
+ */
+void ds_worker_follow_reply(struct dag_sched *s, struct ds_worker *w,
+			    const struct dag_poll_reply *poll)
+{
+	bool known = w->poll_life == w->life && w->process_born_ms;
+
+	if (poll->born_ms > w->process_born_ms ||
+	    (poll->born_ms && poll->born_ms < w->process_born_ms && known))
+		begin_process(s, w, poll->born_ms);
+}
+
 bool ds_worker_reply_is_old(const struct ds_worker *w, const struct dag_poll_reply *poll)
 {
 	return poll->born_ms && poll->born_ms < w->process_born_ms;
@@ -185,7 +207,7 @@
 {
 	struct dag_command c = {.kind = DAG_CMD_WORKER};
 
-	if (born_ms <= w->rec->w.born_ms)
+	if (!born_ms || born_ms == w->rec->w.born_ms || born_ms != w->process_born_ms)
 		return;
 	c.dag_command_u.worker = w->rec->w;
 	c.dag_command_u.worker.born_ms = born_ms;
--- a/core/dag_report.c
+++ b/core/dag_report.c
@@ -167,8 +167,8 @@
 
 /*
  * A report came that is older than what is recorded. If a worker that is recorded as gone
- * reports itself ready in the same life, its leaving may have been meant for an earlier
- * life under the same id, so it is polled.
+ * reports itself ready, its leaving may have been meant for an earlier life under the
+ * same id, or its time of day has been set back since, so it is polled.
  */
 void dag_sched_worker_contradicted(struct dag_sched *s, const struct dag_report *r)
 {
@@ -177,9 +177,10 @@
 	struct ds_worker *w = rec ? rec->sched : NULL;
 
 	if (!w || w->n_runs || rec->w.state != DAG_WORKER_GONE ||
-	    r->worker.state != DAG_WORKER_READY || r->worker.born_ms != rec->w.born_ms)
+	    r->worker.state != DAG_WORKER_READY)
 		return;
-	take_capacity(s, w, r);
+	if (r->worker.born_ms == rec->w.born_ms)
+		take_capacity(s, w, r);
 	if (w->poll_in_flight)
 		return;
 	w->contradicted = true;
--- a/core/dag_sched_impl.h
+++ b/core/dag_sched_impl.h
@@ -283,6 +283,8 @@
 void ds_worker_regain_contact(struct dag_sched *s, struct ds_worker *w);
 void ds_worker_contact_changed(struct dag_sched *s, struct ds_worker *w);
 void ds_worker_begin_life(struct ds_worker *w);
+void ds_worker_follow_reply(struct dag_sched *s, struct ds_worker *w,
+			    const struct dag_poll_reply *poll);
 void ds_worker_follow_start(struct dag_sched *s, struct ds_worker *w, int64_t born_ms);
 void ds_worker_fence_poll(struct ds_worker *w);
 void ds_worker_fence_starts(struct dag_sched *s, uint32_t worker);
--- a/core/dag_state.c
+++ b/core/dag_state.c
@@ -426,7 +426,7 @@
 	if (!rec &&
 	    (w->state == DAG_WORKER_GONE || s->next_worker_number == DAG_WORKER_NUMBERS))
 		return 0;
-	restarted = rec && w->born_ms > rec->w.born_ms;
+	restarted = rec && w->born_ms != rec->w.born_ms;
 	err = dag_state_put_worker(s, 0, w, &rec);
 	if (err)
 		return err;
--- a/core/dag_state_lookup.c
+++ b/core/dag_state_lookup.c
@@ -58,7 +58,7 @@
 /*
  * Whether a report tells of a life of a worker that has ended, or undoes a leaving:
  * reports may arrive after their sender has gone and another process has its id or its
- * address.
+ * address. Starts are compared by the time of day, which may be set back between two.
  */
 bool dag_state_is_old_report(const struct dag_state *s, const struct dag_worker *w)
 {
@@ -70,7 +70,7 @@
 		return w->born_ms < rec->w.born_ms ||
 		       (w->born_ms == rec->w.born_ms && w->state < rec->w.state);
 	for (other = s->workers; other; other = other->hh.next)
-		if (other->w.born_ms > w->born_ms &&
+		if (other->w.born_ms > w->born_ms && other->w.state != DAG_WORKER_GONE &&
 		    str_eq(XDR_STR(other->w, address), XDR_STR(*w, address)))
 			return true;
 	return false;
--- a/core/dag_worker.c
+++ b/core/dag_worker.c
@@ -287,12 +287,13 @@
 }
 
 static void propose_state(struct dag_sched *s, const struct ds_worker *w,
-			  enum dag_worker_state state)
+			  enum dag_worker_state state, int64_t born_ms)
 {
 	struct dag_command c = {.kind = DAG_CMD_WORKER};
 
 	c.dag_command_u.worker = w->rec->w;
 	c.dag_command_u.worker.state = state;
+	c.dag_command_u.worker.born_ms = born_ms;
 	c.dag_command_u.worker.cpu_milli = w->reported.cpu_milli;
 	c.dag_command_u.worker.mem_mb = w->reported.mem_mb;
 	c.dag_command_u.worker.gpus = w->reported.gpus;
@@ -308,7 +309,7 @@
 		ds_crash_runs(s, w, reason);
 	propose_all_lost(s, w, reason);
 	if (w->rec->w.state != DAG_WORKER_GONE)
-		propose_state(s, w, DAG_WORKER_GONE);
+		propose_state(s, w, DAG_WORKER_GONE, w->rec->w.born_ms);
 }
 
 /* Two workers cannot share an address: the one that started earlier has exited. */
@@ -371,7 +372,7 @@
 	if (w->forget_proposed || s->now_us - w->gone_since_us < GONE_RETENTION_US)
 		return;
 	w->forget_proposed = true;
-	propose_state(s, w, DAG_WORKER_GONE);
+	propose_state(s, w, DAG_WORKER_GONE, w->rec->w.born_ms);
 }
 
 /* Runs timers: lease expiry, the next poll and, with check_all, those of the runs. */
@@ -573,15 +574,19 @@
 	}
 }
 
-/* A worker that was recorded as gone answers. */
-static void return_worker(struct dag_sched *s, struct ds_worker *w)
+/* A worker that was recorded as gone answers, perhaps in another life. */
+static void return_worker(struct dag_sched *s, struct ds_worker *w,
+			  const struct dag_poll_reply *poll)
 {
+	ds_worker_follow_reply(s, w, poll);
+	if (ds_worker_reply_is_old(w, poll))
+		return;
 	w->leaving_since_us = 0;
 	w->gone_since_us = 0;
 	w->poll_failures = 0;
 	s->host->ops->log_event(s->host, "worker-back", NULL, 0, XDR_STR(w->rec->w, id),
 				"was recorded as gone and answers", 0);
-	propose_state(s, w, DAG_WORKER_READY);
+	propose_state(s, w, DAG_WORKER_READY, poll->born_ms);
 }
 
 /*
@@ -616,9 +621,8 @@
 		ds_worker_fence_poll(w);
 	if (w->contradicted) {
 		w->contradicted = false;
-		if (poll && poll->born_ms == w->rec->w.born_ms &&
-		    w->rec->w.state == DAG_WORKER_GONE)
-			return_worker(s, w);
+		if (poll && poll->born_ms && w->rec->w.state == DAG_WORKER_GONE)
+			return_worker(s, w, poll);
 		return;
 	}
 	if (result == DAG_RESULT_RESTARTED && w->poll_life != w->life) {
@@ -648,7 +652,7 @@
 					w->poll_failures);
 		s->placement_needed = true;
 	}
-	ds_worker_follow_start(s, w, poll->born_ms);
+	ds_worker_follow_reply(s, w, poll);
 	if (!w->clock_known)
 		s->placement_needed = true;
 	w->poll_failures = 0;
--- a/regress/lib_dag_world.c
+++ b/regress/lib_dag_world.c
@@ -321,7 +321,7 @@
 	ck_assert(w->n_workers < DW_WORKERS);
 	*dw = (struct dw_worker){
 		.up = true, .room = {.cpu = cpu, .mem = mem}, .next_end = 1};
-	dw->born_ms = dw_wall_ms(w);
+	dw->born_ms = dw_wall_ms(w) - w->born_back_ms;
 	snprintf(dw->id, sizeof(dw->id), "w%zu", w->n_workers);
 	snprintf(dw->address, sizeof(dw->address), "w%zu", w->n_workers);
 	report(w, dw);
@@ -343,6 +343,17 @@
 	return 1 + (dw->slow_clock ? ms * 98 / 100 : ms);
 }
 
+void dw_report(struct dag_world *w, uint32_t number)
+{
+	const struct dw_worker *dw = &w->workers[number];
+	struct dw_event e = {.worker = number,
+			     .born_ms = dw->born_ms,
+			     .room = dw->room,
+			     .clock_ms = clock_ms(w, dw)};
+
+	take_report(w, &e);
+}
+
 static void add_stopped(struct dw_worker *dw, const struct dag_task_ref *t, uint32_t run)
 {
 	if (dw->n_stopped < DW_ENDS)
@@ -433,7 +444,7 @@
 	dw->lease_ms = 0;
 	dw->look_at_us = 0;
 	dw->up = restart;
-	dw->born_ms = dw_wall_ms(w);
+	dw->born_ms = dw_wall_ms(w) - w->born_back_ms;
 	if (restart && !dw->mute)
 		report(w, dw);
 }
@@ -471,7 +482,7 @@
 			continue;
 		dw->return_us = 0;
 		dw->up = true;
-		dw->born_ms = dw_wall_ms(w);
+		dw->born_ms = dw_wall_ms(w) - w->born_back_ms;
 		if (dw->new_id)
 			snprintf(dw->id, sizeof(dw->id), "%s-%u", dw->address,
 				 ++dw->lives);
--- a/regress/lib_dag_world.h
+++ b/regress/lib_dag_world.h
@@ -164,6 +164,7 @@
 			      fences them */
 	int64_t hold_us; /* each order takes this much longer and gets no answer, 0: none
 			  */
+	int64_t born_back_ms; /* the time of day of workers was set back by this */
 	int64_t commit_us;
 	size_t list_max; /* a worker lists so many ends at a time, 0: all */
 	int64_t work_us; /* of a batch task */
@@ -202,6 +203,8 @@
 void dw_set_guarded(struct dag_world *w, bool guarded);
 /* A worker tells of its new room with its next report. */
 void dw_set_room(struct dag_world *w, uint32_t number, const struct dw_room *room);
+/* A report of a worker comes to the leader, which may ignore it. */
+void dw_report(struct dag_world *w, uint32_t number);
 void dw_run_for(struct dag_world *w, int64_t us);
 void dw_submit(struct dag_world *w, const struct dag_job *job);
 /* A job of one step. */
--- a/regress/test_dag_life.c
+++ b/regress/test_dag_life.c
@@ -455,6 +455,69 @@
 }
 END_TEST
 
+/*
+ * Guards against a worker whose lists count as old for good, since it started again after
+ * its time of day was set back: its tasks are neither seen nor started elsewhere. _i % 2:
+ * its reports are lost.
+ */
+START_TEST(worker_whose_time_was_set_back_is_followed)
+{
+	uint32_t number = add_used_worker();
+	uint32_t starts;
+
+	dw_submit_lasting(&w, 2, 3);
+	dw_run_for(&w, 2 * SECOND);
+	ck_assert_uint_eq(dw_alive(&w, 2), 3);
+	w.born_back_ms = 20000;
+	w.workers[number].mute = _i % 2;
+	dw_crash_for(&w, number, 300 * MS, false);
+	dw_run_for(&w, 5 * SECOND);
+	ck_assert_uint_eq(dw_alive(&w, 2), 3);
+	starts = w.starts;
+	for (uint64_t id = 3; id < 23; id++) {
+		dw_submit_chain(&w, id, 1, 1);
+		dw_run_for(&w, 100 * MS);
+	}
+	w.workers[number].mute = false;
+	if (_i / 2)
+		dw_change_leader(&w);
+	dw_run_for(&w, 5 * SECOND);
+	dw_assert_sound(&w);
+	assert_completed(3, 20);
+	ck_assert_uint_eq(w.starts - starts, 20);
+	ck_assert_uint_eq(dw_alive(&w, 2), 3);
+}
+END_TEST
+
+/*
+ * Guards against the same where the earlier life has left (_i 0), and where it had
+ * another id at the same address (1).
+ */
+START_TEST(worker_whose_time_was_set_back_comes_back)
+{
+	uint32_t number = add_used_worker();
+
+	if (_i == 0) {
+		dag_sched_worker_leaving(w.sched, 1, w.now_us);
+		dw_crash_worker(&w, number, false);
+		dw_run_for(&w, 5 * SECOND);
+		ck_assert_int_eq(dag_state_find_worker(w.state, 1)->w.state,
+				 DAG_WORKER_GONE);
+	}
+	w.born_back_ms = 20000;
+	w.workers[number].mute = true;
+	dw_crash_for(&w, number, 300 * MS, _i == 1);
+	for (int i = 0; i < 5; i++) {
+		dw_run_for(&w, SECOND);
+		dw_report(&w, number);
+	}
+	dw_submit_chain(&w, 2, 2, 4);
+	dw_run_for(&w, 5 * SECOND);
+	dw_assert_sound(&w);
+	assert_completed(2, 1);
+}
+END_TEST
+
 /* One draw of a fault: restarts under the old id, with or without news of it, and more.
  */
 static void draw_fault(void)
@@ -557,6 +620,8 @@
 	tcase_add_loop_test(tc, foreign_answer_for_an_earlier_life_is_ignored, 0, 2);
 	tcase_add_loop_test(
 		tc, runs_of_a_worker_that_leaves_behind_a_cut_keep_their_lease, 0, 2);
+	tcase_add_loop_test(tc, worker_whose_time_was_set_back_is_followed, 0, 4);
+	tcase_add_loop_test(tc, worker_whose_time_was_set_back_comes_back, 0, 2);
 	tcase_add_loop_test(tc, random_restarts_under_one_id, 0, 200);
 	suite_add_tcase(s, tc);
 	srunner_run_all(sr, CK_NORMAL);
