carawayfrontd: members take the place of controllers that left

Change: when it is full, a new member takes the place of a controller that is no member and is not being called.

--- a/carawayfrontd/dag_client.c
+++ b/carawayfrontd/dag_client.c
@@ -51,8 +51,48 @@
 	return NULL;
 }
 
-/* Adds a controller that is not known yet; when the list is full it stays as it is. */
-static void add_node(struct dag_client *c, uint64_t id)
+static bool is_listed(const uint64_t *ids, size_t n, uint64_t id)
+{
+	for (size_t i = 0; i < n; i++)
+		if (ids[i] == id)
+			return true;
+	return false;
+}
+
+static bool has_calls(const struct dag_client *c, const struct dag_node *node)
+{
+	for (const struct client_call *call = c->calls; call; call = call->next)
+		if (call->node == node)
+			return true;
+	return false;
+}
+
+/*
+ * The place of a controller that is not among the members and is not called now; of these
+ * the one that was longest known not to answer. NULL: none.
+ */
+static struct dag_node *find_departed(struct dag_client *c, const uint64_t *members,
+				      size_t n)
+{
+	struct dag_node *found = NULL;
+
+	for (size_t i = 0; i < c->n; i++) {
+		struct dag_node *node = &c->nodes[i];
+
+		if (is_listed(members, n, node->id) || node->id == c->leader ||
+		    has_calls(c, node))
+			continue;
+		if (!found || node->avoid_until < found->avoid_until)
+			found = node;
+	}
+	return found;
+}
+
+/*
+ * Adds a controller that is not known yet. When the list is full it takes the place of
+ * one that is not among the members, if that is possible now.
+ */
+static void add_node(struct dag_client *c, uint64_t id, const uint64_t *members, size_t n)
 {
 	struct rpc_client_options opt = {
 		.loop = c->opt.loop,
@@ -60,13 +100,19 @@
 		.key = c->opt.settings->cluster_key,
 	};
 	struct dag_node *node = &c->nodes[c->n];
+	struct rpc_client *client;
 
-	if (id == c->opt.self || find_node(c, id) || c->n == DAG_CLIENT_NODES ||
-	    node_addr(id, &opt.address))
+	if (id == c->opt.self || find_node(c, id) || node_addr(id, &opt.address))
 		return;
-	*node = (struct dag_node){.id = id};
-	if (!rpc_client_new(&opt, &node->client))
+	if (c->n == DAG_CLIENT_NODES)
+		node = find_departed(c, members, n);
+	if (!node || rpc_client_new(&opt, &client))
+		return;
+	if (node == &c->nodes[c->n])
 		c->n++;
+	else
+		rpc_client_free(node->client);
+	*node = (struct dag_node){.id = id, .client = client};
 }
 
 int dag_client_new(const struct dag_client_options *opt, struct dag_client **out)
@@ -78,8 +124,10 @@
 		return CF_ENOMEM;
 	c->opt = *opt;
 	for (size_t i = 0; i < opt->settings->seeds.n; i++)
-		add_node(c, node_id_with_port(&seeds[i].address,
-					      addr_port(&opt->settings->listen.rpc)));
+		add_node(c,
+			 node_id_with_port(&seeds[i].address,
+					   addr_port(&opt->settings->listen.rpc)),
+			 NULL, 0);
 	*out = c;
 	return 0;
 }
@@ -145,9 +193,9 @@
 		      size_t n)
 {
 	for (size_t i = 0; i < n; i++)
-		add_node(c, members[i]);
+		add_node(c, members[i], members, n);
 	if (leader)
-		add_node(c, leader);
+		add_node(c, leader, members, n);
 	c->leader = leader;
 }
 
--- a/regress/test_dag_client.c
+++ b/regress/test_dag_client.c
@@ -5,6 +5,7 @@
 #include <ev.h>
 
 #include "carawayfrontd/dag_client.h"
+#include "carawayfrontd/node_id.h"
 #include "proto/codec.h"
 
 #define N_REQUESTS 200
@@ -62,6 +63,45 @@
 }
 END_TEST
 
+/* A controller's id holds an address and a port. */
+static uint64_t controller_id(unsigned int i)
+{
+	struct addr a;
+	struct buf text = {0};
+	uint64_t id;
+
+	ck_assert_int_eq(buf_addf(&text, "127.7.%u.%u:7000", i / 200, i % 200 + 1), 0);
+	ck_assert_int_eq(addr_parse(buf_str(&text), &a), 0);
+	id = node_id(&a);
+	buf_free(&text);
+	return id;
+}
+
+/* Guards against a process that knows only controllers that have been replaced. */
+START_TEST(members_take_the_place_of_those_that_left)
+{
+	uint64_t known[DAG_CLIENT_NODES];
+	uint64_t members[5];
+
+	for (unsigned int round = 0; round < 40; round++) {
+		size_t n;
+
+		/* Two of five are replaced each time. */
+		for (unsigned int i = 0; i < 5; i++)
+			members[i] = controller_id(2 * round + i);
+		dag_client_learn(client, members[round % 5], members, 5);
+		n = dag_client_nodes(client, known, DAG_CLIENT_NODES);
+		for (unsigned int i = 0; i < 5; i++) {
+			bool found = false;
+
+			for (size_t k = 0; k < n; k++)
+				found = found || known[k] == members[i];
+			ck_assert_msg(found, "round %u: member %u", round, i);
+		}
+	}
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("dag_client");
@@ -71,6 +111,7 @@
 
 	tcase_add_checked_fixture(t, setup, teardown);
 	tcase_add_test(t, request_beyond_a_bound_is_invalid);
+	tcase_add_test(t, members_take_the_place_of_those_that_left);
 	suite_add_tcase(s, t);
 	r = srunner_create(s);
 	srunner_run_all(r, CK_ENV);
