--- a/regress/test_operators.c
+++ b/regress/test_operators.c
@@ -144,7 +144,7 @@
 	assert_refused("born", born);
 	assert_refused("clock_ms", "9007199254740992");
 	assert_refused("clock_ms", "-1");
-	snprintf(born, sizeof(born), "%lld", (long long)(clock_wall_us() / 1000 + 10000));
+	snprintf(born, sizeof(born), "%lld", (long long)clock_wall_us() / 1000 + 10000LL);
 	report("born", born);
 	ck_assert_uint_eq(status, 200);
 }
