--- a/core/dag_worker.c
+++ b/core/dag_worker.c
@@ -621,7 +621,9 @@
 		ds_worker_fence_poll(w);
 	if (w->contradicted) {
 		w->contradicted = false;
-		if (poll && poll->born_ms && w->rec->w.state == DAG_WORKER_GONE)
+		/* Workers that give no start have one life under an id. */
+		if (poll && (poll->born_ms || !w->rec->w.born_ms) &&
+		    w->rec->w.state == DAG_WORKER_GONE)
 			return_worker(s, w, poll);
 		return;
 	}
