core/dag: a new life keeps the room of its first report

Reading the diff: the newest report was forgotten at each restart, so that a worker without a guard got no starts until its second report; only a start time that goes back needs that.

--- a/core/dag_life.c
+++ b/core/dag_life.c
@@ -163,8 +163,6 @@
 	if (w->process_born_ms)
 		ds_worker_note_exit(s, w);
 	w->process_born_ms = born_ms;
-	w->report_born_ms = 0;
-	w->report_clock_ms = 0;
 	ds_worker_begin_life(w);
 	w->earlier_left = w->leaving_since_us || w->draining;
 	w->leaving_since_us = 0;
@@ -190,10 +188,14 @@
 void ds_worker_follow_reply(struct dag_sched *s, struct ds_worker *w,
 			    const struct dag_poll_reply *poll)
 {
-	bool known = w->poll_life == w->life && w->process_born_ms;
+	bool set_back = poll->born_ms && poll->born_ms < w->process_born_ms &&
+			w->poll_life == w->life;
 
-	if (poll->born_ms > w->process_born_ms ||
-	    (poll->born_ms && poll->born_ms < w->process_born_ms && known))
+	if (set_back) {
+		w->report_born_ms = 0;
+		w->report_clock_ms = 0;
+	}
+	if (set_back || poll->born_ms > w->process_born_ms)
 		begin_process(s, w, poll->born_ms);
 }
 
