core/dag: a worker that announces its exit as its polls fail has exited

Change: contact may break up to 1.5 s before the announcement, which other controllers pass on within a second.

--- a/core/dag_worker.c
+++ b/core/dag_worker.c
@@ -16,6 +16,8 @@
 /* A worker that announced its exit and fails polls from then on for this time has exited.
  */
 #define LEAVE_TIMEOUT_US (1 * USEC_PER_SEC)
+/* An announcement that other controllers pass on comes so late at most. */
+#define LEAVE_DELAY_US (1500 * USEC_PER_MS)
 /* Pause between polls, so that one poll reads ends that arrive together. */
 #define POLL_INTERVAL_US (20 * USEC_PER_MS)
 /* How long a worker that has left is remembered, for reports that arrive late. */
@@ -590,13 +592,14 @@
 }
 
 /*
- * Whether a worker that fails polls has exited as it announced. One that failed them
+ * Whether a worker that fails polls has exited as it announced. One that failed them long
  * before may be cut off, and it ends some seconds after its announcement only: its runs
  * go on until its lease ends.
  */
 static bool has_left(const struct dag_sched *s, const struct ds_worker *w)
 {
-	return w->leaving_since_us && w->broken_us >= w->leaving_since_us &&
+	return w->leaving_since_us &&
+	       w->broken_us >= w->leaving_since_us - LEAVE_DELAY_US &&
 	       s->now_us - w->leaving_since_us > LEAVE_TIMEOUT_US && w->poll_failures > 1;
 }
 
