--- a/core/dag_state.c
+++ b/core/dag_state.c
@@ -373,6 +373,8 @@
 {
 	struct dag_zone_order_rec *o;
 
+	if (!zone.n)
+		return;
 	HASH_FIND(hh, s->zone_orders, zone.p, zone.n, o);
 	if (!o && HASH_COUNT(s->zone_orders) < ZONE_ORDERS_MAX) {
 		o = calloc(1, sizeof(*o) + zone.n + 1);
