core/dag, platform: what the change wrote beside what was there is one again

Zones had two tables, of those that are closed and of orders: one record has both. Each request of a controller was copied to stamp orders for zones: only those are. Tests of voters that end share their start. No behaviour changes but that memory that is missing for a zone is an error. test_dag, test_malformed, test_fuzz_dag, test_executors, test_fuzz_platform, test_replica and test_dag_life hold.

--- a/carawayfrontd/controller_request.c
+++ b/carawayfrontd/controller_request.c
@@ -337,21 +337,20 @@
 	t->ops->done(t, &reply);
 }
 
-/* Whether the contrary order for the zone is not recorded yet, so that it may be newer.
- */
+/* Whether the contrary order for the zone is not recorded yet: it may be newer. */
 static bool has_contrary_order(const struct controller *c, const struct dag_zone *zone)
 {
-	const struct controller_wait *w = c->waits;
+	uint64_t hash = zone_hash(zone);
 
-	while (w && (w->zone != zone_hash(zone) || w->zone_closed == (zone->closed != 0)))
-		w = w->next;
-	return w != NULL;
+	for (const struct controller_wait *w = c->waits; w; w = w->next)
+		if (w->zone == hash && w->zone_closed != (zone->closed != 0))
+			return true;
+	return false;
 }
 
 /*
  * An order that was under way while a newer one for its zone was carried out is not
- * carried out after it: its sender gave it up, or sends it again. Orders of the other
- * kind that are not recorded yet may be newer as well.
+ * carried out after it: its sender gave it up, or sends it again.
  */
 static void serve_zone(struct controller *c, const struct dag_zone_order *order,
 		       struct dag_pending_request *t)
@@ -460,13 +459,14 @@
 void controller_request(struct controller *c, const struct dag_request *req,
 			double timeout, struct dag_pending_request *t)
 {
-	struct dag_request stamped = *req;
+	struct dag_request stamped;
 
 	if (may_be_given_up(c, req)) {
 		reply_outcome(t, DAG_REJECTED);
 		return;
 	}
 	if (req->kind == DAG_REQ_ZONE) {
+		stamped = *req;
 		stamped.dag_request_u.zone.seen = c->state->index;
 		req = &stamped;
 	}
--- a/core/dag_state.c
+++ b/core/dag_state.c
@@ -6,8 +6,8 @@
 #include "base/err.h"
 #include "proto/codec.h"
 
-/* Zones of which the newest order is remembered. */
-#define ZONE_ORDERS_MAX 1024U
+/* Zones of which the newest order is remembered; more only if they are closed. */
+#define ZONES_MAX 1024U
 
 /* Deep-copies an XDR object by encoding and decoding it; zeroes the target first. */
 static int copy_xdr(xdrproc_t proc, const void *from, void *to, size_t size)
@@ -69,38 +69,19 @@
 	free_job(j);
 }
 
-static void remove_zone(struct dag_state *s, struct dag_zone_rec *z)
-{
-	HASH_DEL(s->closed_zones, z);
-	free(z);
-}
-
-static void clear_zone_orders(struct dag_state *s)
-{
-	struct dag_zone_order_rec *o = s->zone_orders;
-	struct dag_zone_order_rec *next;
-
-	HASH_CLEAR(hh, s->zone_orders);
-	for (; o; o = next) {
-		next = o->hh.next;
-		free(o);
-	}
-}
-
 /* Removes everything without notifying the observer. */
 void dag_state_clear(struct dag_state *s)
 {
 	struct dag_worker_rec *w = s->workers;
-	struct dag_zone_rec *z = s->closed_zones;
+	struct dag_zone_rec *z = s->zones;
 	struct dag_job_rec *j = s->jobs;
 	void *next;
 
 	s->n_tasks = 0;
-	clear_zone_orders(s);
 	HASH_CLEAR(hh, s->jobs);
 	HASH_CLEAR(hh_id, s->workers_by_id);
 	HASH_CLEAR(hh, s->workers);
-	HASH_CLEAR(hh, s->closed_zones);
+	HASH_CLEAR(hh, s->zones);
 	for (; j; j = next) {
 		next = j->hh.next;
 		free_job(j);
@@ -313,17 +294,32 @@
 	return err;
 }
 
+/* Adds an open zone unless it is there. NULL: no memory. */
+static struct dag_zone_rec *get_zone(struct dag_state *s, struct str zone)
+{
+	struct dag_zone_rec *z = dag_state_find_zone(s, zone);
+
+	if (z)
+		return z;
+	z = calloc(1, sizeof(*z) + zone.n + 1);
+	if (!z)
+		return NULL;
+	memcpy(z->name, zone.p, zone.n);
+	z->order = s->zone_orders_floor;
+	HASH_ADD_KEYPTR(hh, s->zones, z->name, zone.n, z);
+	return z;
+}
+
 int dag_state_close_zone(struct dag_state *s, struct str zone)
 {
 	struct dag_zone_rec *z;
 
-	if (!zone.n || dag_state_zone_closed(s, zone))
+	if (!zone.n)
 		return 0;
-	z = calloc(1, sizeof(*z) + zone.n + 1);
+	z = get_zone(s, zone);
 	if (!z)
 		return CF_ENOMEM;
-	memcpy(z->name, zone.p, zone.n);
-	HASH_ADD_KEYPTR(hh, s->closed_zones, z->name, zone.n, z);
+	z->closed = true;
 	return 0;
 }
 
@@ -368,41 +364,35 @@
 	return err;
 }
 
-/* Without room for the zone all others count as ordered now. */
-static void note_zone_order(struct dag_state *s, struct str zone)
+/* Opens a zone. One too many is forgotten: all others then count as ordered now. */
+static int open_zone(struct dag_state *s, struct str zone)
 {
-	struct dag_zone_order_rec *o;
+	struct dag_zone_rec *z = get_zone(s, zone);
 
-	if (!zone.n)
-		return;
-	HASH_FIND(hh, s->zone_orders, zone.p, zone.n, o);
-	if (!o && HASH_COUNT(s->zone_orders) < ZONE_ORDERS_MAX) {
-		o = calloc(1, sizeof(*o) + zone.n + 1);
-		if (o) {
-			memcpy(o->name, zone.p, zone.n);
-			HASH_ADD_KEYPTR(hh, s->zone_orders, o->name, zone.n, o);
-		}
-	}
-	if (o)
-		o->index = s->index;
-	else
+	if (!z)
+		return CF_ENOMEM;
+	z->closed = false;
+	if (HASH_COUNT(s->zones) > ZONES_MAX) {
+		HASH_DEL(s->zones, z);
+		free(z);
 		s->zone_orders_floor = s->index;
+	}
+	return 0;
 }
 
+/* An order for a zone without a name changes nothing. */
 static int apply_zone(struct dag_state *s, const struct dag_zone *zone)
 {
 	struct str name = XDR_STR(*zone, name);
 	struct dag_zone_rec *z;
-	int err = 0;
+	int err;
 
-	note_zone_order(s, name);
-	if (zone->closed) {
-		err = dag_state_close_zone(s, name);
-	} else {
-		HASH_FIND(hh, s->closed_zones, name.p, name.n, z);
-		if (z)
-			remove_zone(s, z);
-	}
+	if (!name.n)
+		return 0;
+	err = zone->closed ? dag_state_close_zone(s, name) : open_zone(s, name);
+	z = err ? NULL : dag_state_find_zone(s, name);
+	if (z)
+		z->order = s->index;
 	if (!err && s->observer)
 		s->observer->ops->zones_changed(s->observer);
 	return err;
--- a/core/dag_state.h
+++ b/core/dag_state.h
@@ -110,22 +110,17 @@
 
 struct dag_zone_rec {
 	UT_hash_handle hh;
-	char name[]; /* NUL-terminated, its length is that of the key */
-};
-
-/* The newest order for an availability zone; not in snapshots. */
-struct dag_zone_order_rec {
-	UT_hash_handle hh;
-	uint64_t index; /* of its log entry */
-	char name[];
+	bool closed;
+	uint64_t
+		order; /* log entry that its newest order has at most; not in snapshots */
+	char name[];   /* NUL-terminated, its length is that of the key */
 };
 
 struct dag_state {
-	uint64_t n_tasks;     /* of all jobs and occurrences */
-	struct dag_conf conf; /* revision 0: none yet */
-	struct dag_zone_rec *closed_zones;
-	struct dag_zone_order_rec *zone_orders;
-	uint64_t zone_orders_floor;	/* orders of other zones are not newer */
+	uint64_t n_tasks;	    /* of all jobs and occurrences */
+	struct dag_conf conf;	    /* revision 0: none yet */
+	struct dag_zone_rec *zones; /* all that are closed, and others with an order */
+	uint64_t zone_orders_floor; /* orders of other zones are not newer */
 	struct dag_worker_rec *workers; /* by number */
 	struct dag_worker_rec *workers_by_id;
 	struct dag_job_rec *jobs;
@@ -144,6 +139,7 @@
 int dag_state_restore(struct dag_state *s, struct str snapshot);
 int dag_state_check_snapshot(struct str snapshot);
 
+struct dag_zone_rec *dag_state_find_zone(const struct dag_state *s, struct str zone);
 bool dag_state_zone_closed(const struct dag_state *s, struct str zone);
 uint64_t dag_state_zone_order(const struct dag_state *s, struct str zone);
 struct dag_job_rec *dag_state_find_job(const struct dag_state *s, uint64_t id);
--- a/core/dag_state_lookup.c
+++ b/core/dag_state_lookup.c
@@ -1,21 +1,27 @@
 #include "core/dag_state.h"
 #include "proto/codec.h"
 
-bool dag_state_zone_closed(const struct dag_state *s, struct str zone)
+struct dag_zone_rec *dag_state_find_zone(const struct dag_state *s, struct str zone)
 {
 	struct dag_zone_rec *z;
 
-	HASH_FIND(hh, s->closed_zones, zone.p, zone.n, z);
-	return z != NULL;
+	HASH_FIND(hh, s->zones, zone.p, zone.n, z);
+	return z;
+}
+
+bool dag_state_zone_closed(const struct dag_state *s, struct str zone)
+{
+	const struct dag_zone_rec *z = dag_state_find_zone(s, zone);
+
+	return z && z->closed;
 }
 
 /* Log entry that the newest order for a zone has at most; 0: there was none. */
 uint64_t dag_state_zone_order(const struct dag_state *s, struct str zone)
 {
-	struct dag_zone_order_rec *o;
+	const struct dag_zone_rec *z = dag_state_find_zone(s, zone);
 
-	HASH_FIND(hh, s->zone_orders, zone.p, zone.n, o);
-	return o ? o->index : s->zone_orders_floor;
+	return z ? z->order : s->zone_orders_floor;
 }
 
 struct dag_job_rec *dag_state_find_job(const struct dag_state *s, uint64_t id)
--- a/core/dag_state_snapshot.c
+++ b/core/dag_state_snapshot.c
@@ -59,18 +59,21 @@
 	im->conf = s->conf;
 	im->model = s->model;
 	im->closed_zones.closed_zones_val =
-		calloc(HASH_COUNT(s->closed_zones) + 1, sizeof(struct dag_name));
+		calloc(HASH_COUNT(s->zones) + 1, sizeof(struct dag_name));
 	im->workers.workers_val =
 		calloc(HASH_COUNT(s->workers) + 1, sizeof(struct dag_image_worker));
 	im->jobs.jobs_val = calloc(HASH_COUNT(s->jobs) + 1, sizeof(struct dag_image_job));
 	if (!im->closed_zones.closed_zones_val || !im->workers.workers_val ||
 	    !im->jobs.jobs_val)
 		return CF_ENOMEM;
-	for (z = s->closed_zones; z; z = z->hh.next) {
+	for (z = s->zones; z; z = z->hh.next) {
 		struct dag_name *n =
 			&im->closed_zones
-				 .closed_zones_val[im->closed_zones.closed_zones_len++];
+				 .closed_zones_val[im->closed_zones.closed_zones_len];
 
+		if (!z->closed)
+			continue;
+		im->closed_zones.closed_zones_len++;
 		XDR_SET(*n, text, ((struct str){z->name, z->hh.keylen}));
 	}
 	for (w = s->workers; w; w = w->hh.next)
--- a/regress/test_dag.c
+++ b/regress/test_dag.c
@@ -764,7 +764,7 @@
 		snprintf(name, sizeof(name), "zone-%llu", (unsigned long long)i);
 		apply_zone_order(s, i, name, false);
 	}
-	ck_assert_uint_le(HASH_COUNT(s->zone_orders), 1024);
+	ck_assert_uint_le(HASH_COUNT(s->zones), 1024);
 	ck_assert_uint_eq(dag_state_zone_order(s, STR("zone-1")), 1);
 	ck_assert_uint_eq(dag_state_zone_order(s, STR("zone-4999")), 5000);
 	dag_state_free(s);
--- a/regress/test_malformed.c
+++ b/regress/test_malformed.c
@@ -161,7 +161,7 @@
 	ck_assert_int_eq(dag_state_snapshot(state, &image), 0);
 	ck_assert_int_eq(dag_state_restore(state, buf_str(&image)), 0);
 	ck_assert(dag_state_zone_closed(state, zone));
-	ck_assert_uint_eq(HASH_COUNT(state->closed_zones), 1);
+	ck_assert_uint_eq(HASH_COUNT(state->zones), 1);
 	buf_free(&image);
 }
 END_TEST
--- a/regress/test_replica.c
+++ b/regress/test_replica.c
@@ -1368,6 +1368,22 @@
 	return false;
 }
 
+/* A cluster that takes in any process and has so many voters at most; with a leader. */
+static void start_open_membership(struct cluster *c, uint64_t seed, size_t voters,
+				  size_t learners)
+{
+	c->opt.auto_admit = true;
+	c->opt.admit_any = true;
+	c->opt.max_voters = voters;
+	cluster_start(c, seed, voters, learners);
+	ck_run(c, cluster_run_to_leader(c, 10 * SECOND));
+}
+
+static struct node *follower(struct cluster *c)
+{
+	return cluster_leader(c) == &c->node[1] ? &c->node[2] : &c->node[1];
+}
+
 /*
  * Guards against a dead voter that keeps its place while a learner could have it, and
  * against more voters than the bound once it is back, with its disk or without.
@@ -1377,15 +1393,11 @@
 	static struct cluster c;
 	struct node *dead;
 
-	c.opt.auto_admit = true;
-	c.opt.admit_any = true;
-	c.opt.max_voters = 3;
-	cluster_start(&c, (uint64_t)_i + 30, 3, 1);
-	ck_run(&c, cluster_run_to_leader(&c, 10 * SECOND));
+	start_open_membership(&c, (uint64_t)_i + 30, 3, 1);
 	cluster_run(&c, 2 * SECOND);
 	ck_assert_uint_eq(count_voters(&c), 3);
 	ck_assert(!is_voter(&c, 4));
-	dead = cluster_leader(&c) == &c.node[1] ? &c.node[2] : &c.node[1];
+	dead = follower(&c);
 	node_crash(dead);
 	cluster_run(&c, 2 * SECOND);
 	ck_assert(!is_voter(&c, 4)); /* it may be back at any moment */
@@ -1416,16 +1428,10 @@
 	struct node *gone;
 	unsigned int wiped = 0;
 
-	c.opt.auto_admit = true;
-	c.opt.admit_any = true;
-	c.opt.max_voters = 5;
-	cluster_start(&c, (uint64_t)_i + 300, 5, 1);
-	ck_run(&c, cluster_run_to_leader(&c, 10 * SECOND));
+	start_open_membership(&c, (uint64_t)_i + 300, 5, 1);
 	cluster_run(&c, 2 * SECOND);
 	ck_assert_uint_eq(count_voters(&c), 5);
-	gone = cluster_leader(&c);
-	if (_i % 2)
-		gone = gone == &c.node[1] ? &c.node[2] : &c.node[1];
+	gone = _i % 2 ? follower(&c) : cluster_leader(&c);
 	replica_leave(gone->r, cluster_clock(gone));
 	if (replica_role(gone->r) == REPLICA_LEADER) {
 		cluster_run(&c, SECOND / 20);
@@ -1458,12 +1464,8 @@
 	static struct cluster c;
 	struct node *gone;
 
-	c.opt.auto_admit = true;
-	c.opt.admit_any = true;
-	c.opt.max_voters = 3;
-	cluster_start(&c, (uint64_t)_i + 330, 3, 0);
-	ck_run(&c, cluster_run_to_leader(&c, 10 * SECOND));
-	gone = cluster_leader(&c) == &c.node[1] ? &c.node[2] : &c.node[1];
+	start_open_membership(&c, (uint64_t)_i + 330, 3, 0);
+	gone = follower(&c);
 	replica_leave(gone->r, cluster_clock(gone));
 	ck_assert(replica_may_leave(gone->r));
 	cluster_run(&c, SECOND);
--- a/regress/test_site_orders.sh
+++ b/regress/test_site_orders.sh
@@ -43,12 +43,9 @@
 soak_zone() { # CONTROLLER VERB
 	[ "$(soak_control "$1" POST "/api/evacuate/z1/$2" "$D/zone")" = 200 ]
 }
-leader() {
-	grep -h 'event=role-changed role=4' "$D"/c*.log >/dev/null &&
-		for i in $(seq $N_CONTROLLERS); do
-			grep -h 'event=role-changed\|event=leading-' "$D/c$i.log" | tail -n 1 |
-				grep -q 'event=leading-started\|role=4' && echo "c$i" && return
-		done
+leader() { # the controller that began to lead last
+	grep -h 'event=leading-started' "$D"/c*.log | sort | tail -n 1 |
+		sed 's/.*process=\(c[0-9]*\).*/\1/'
 }
 
 soak_start || exit 1
