regress: odd announcements of upstreams and deeply nested lists

A list of an executor that nests 200,000 deep is no reply and ends no process, as before the change.

--- a/regress/test_executors.c
+++ b/regress/test_executors.c
@@ -224,6 +224,26 @@
 }
 END_TEST
 
+/* Guards against a deeply nested list that ends the process, or is taken for one. */
+START_TEST(deeply_nested_list_is_no_reply)
+{
+	struct buf body = {0};
+
+	ck_assert_int_eq(buf_adds(&body, "{\"born\":1,\"clock_ms\":1,\"ended\":[],"
+					 "\"running\":["),
+			 0);
+	for (int i = 0; i < 200000; i++)
+		ck_assert_int_eq(buf_adds(&body, "["), 0);
+	fake_clear(&worker);
+	fake_say(&worker, "POST", "/api/hold", 200, body.p, NULL, 0);
+	poll_until(0);
+	play(0.5);
+	ck_assert_uint_eq(user.polls, 1);
+	ck_assert_uint_eq(user.usable, 0);
+	buf_free(&body);
+}
+END_TEST
+
 /* Guards against an executor that is kept though nothing can be at its address. */
 START_TEST(address_of_no_host_is_no_executor)
 {
@@ -340,6 +360,7 @@
 	tcase_add_test(t, full_list_of_ends_may_lack_some);
 	tcase_add_loop_test(t, call_whose_copy_has_another_effect_is_sent_once, 0, 2);
 	tcase_add_loop_test(t, odd_row_costs_no_other_row, 0, N_ODD_ROWS);
+	tcase_add_test(t, deeply_nested_list_is_no_reply);
 	tcase_add_loop_test(t, address_of_no_host_is_no_executor, 0, 8);
 	suite_add_tcase(s, t);
 	r = srunner_create(s);
--- a/regress/test_site_claims.sh
+++ b/regress/test_site_claims.sh
@@ -42,6 +42,21 @@
 announce &
 echo $! >"$SITE_DIR/announce.pid"
 site_serves guild/gigdesk
+# An entry of another writer that names no upstream is refused, and harms nothing.
+odd() { # ADDRESS INCARNATION: prints the status
+	curl -s -m 1 -o /dev/null -w '%{http_code}' -X PUT --data "{\"team\":\"guild\",
+		\"service\":\"gigdesk\",\"address\":\"$1\",\"zone\":\"joburg-a\",\"slots\":8,
+		\"state\":\"ready\",\"load\":0,\"incarnation\":$2,\"sequence\":1}" \
+		"http://127.0.0.1:$(site_port control e1)/v1/upstreams/odd"
+}
+for address in 127.0.0.1:99999 127.0.0.1:65536 127.0.0.1:0 127.0.0.1 host.example:80; do
+	[ "$(odd $address 1)" = 400 ] || site_fail "an upstream at $address is taken"
+done
+for incarnation in -1 99999999999999999999 '"1"' \
+	"$(head -c 5000 /dev/zero | tr '\0' '[')"; do
+	[ "$(odd 127.0.0.1:$via "$incarnation")" = 400 ] ||
+		site_fail "an incarnation of another type is taken"
+done
 # book ENTRY KEY [BODY]: prints "STATUS RUN REASON"; the answer's body is in
 # $SITE_DIR/body-ENTRY. Two may run at a time at different entry processes.
 book() {
