--- a/regress/test_executors.c
+++ b/regress/test_executors.c
@@ -259,6 +259,8 @@
 
 	o.call.address = str_from(addresses[_i]);
 	transport->ops->poll(transport, &o);
+	ck_assert_uint_eq(user.polls, 0); /* the scheduler is not called back at once */
+	play(0.01);
 	ck_assert_uint_eq(user.polls, 1);
 	ck_assert_int_eq(user.result, DAG_RESULT_RESTARTED);
 }
