core/dag: a cancel that comes before the submission holds

Callers saw a job run although its cancel had been answered: with 410, as no such job was known, and the submission, held up on its way, came after it. A cancel of an unknown job left no trace.

Class: an answer that is true when given, about a request that may still be under way. The leader now records the cancel (DAG_CMD_WITHDRAW) before it answers 410, and a submission that comes later makes a job that is cancelled from the start: it is accepted, shown as cancelled, and never runs.

--- a/carawayfrontd/controller_impl.h
+++ b/carawayfrontd/controller_impl.h
@@ -28,6 +28,8 @@
 	uint64_t index; /* 0: the batch is not proposed yet */
 	uint64_t zone;	/* hash of the name, of an order for a zone; else 0 */
 	bool zone_closed;
+	bool is_withdrawal;
+	uint64_t job; /* of a withdrawal */
 };
 
 struct operators; /* platform/operators.h */
--- a/carawayfrontd/controller_request.c
+++ b/carawayfrontd/controller_request.c
@@ -90,6 +90,14 @@
 			w->index = index;
 }
 
+/* A withdrawal finds the job if its submission was recorded just before. */
+static enum dag_outcome applied_outcome(const struct controller *c,
+					const struct controller_wait *w)
+{
+	return w->is_withdrawal && !dag_state_find_job(c->state, w->job) ? DAG_NO_JOB
+									 : DAG_OK;
+}
+
 /* Answers the requests whose commands are applied. */
 void controller_applied(struct controller *c, uint64_t index)
 {
@@ -99,7 +107,7 @@
 		c->waits = w->next;
 		if (!c->waits)
 			c->waits_end = &c->waits;
-		reply_outcome(w->ticket, DAG_OK);
+		reply_outcome(w->ticket, applied_outcome(c, w));
 		free(w);
 	}
 }
@@ -140,6 +148,10 @@
 		w->zone = zone_hash(&cmd->dag_command_u.zone);
 		w->zone_closed = cmd->dag_command_u.zone.closed != 0;
 	}
+	if (cmd->kind == DAG_CMD_WITHDRAW) {
+		w->is_withdrawal = true;
+		w->job = cmd->dag_command_u.withdrawal.job;
+	}
 	*c->waits_end = w;
 	c->waits_end = &w->next;
 }
@@ -248,6 +260,23 @@
 	t->ops->done(t, &reply);
 }
 
+/* The submission of a job that is not known may be under way, or come after this. */
+static void withdraw(struct controller *c, uint64_t id, struct str queue,
+		     struct dag_pending_request *t)
+{
+	struct dag_command cmd = {.kind = DAG_CMD_WITHDRAW};
+
+	if (dag_state_find_job(c->state, id) ||
+	    dag_state_is_withdrawn(c->state, id, queue)) {
+		reply_outcome(t, DAG_NO_JOB);
+		return;
+	}
+	cmd.dag_command_u.withdrawal.job = id;
+	XDR_SET(cmd.dag_command_u.withdrawal, queue, queue);
+	log_info("job-withdrawn", "job=%016llx", (unsigned long long)id);
+	propose_and_wait(c, &cmd, t);
+}
+
 static void serve_cancel(struct controller *c, const struct dag_target *target,
 			 struct dag_pending_request *t)
 {
@@ -258,13 +287,17 @@
 	uint64_t id;
 	enum dag_outcome outcome = resolve(c, target, &q, &id, &is_queue);
 
-	if (outcome != DAG_OK) {
-		reply_outcome(t, outcome);
+	if (outcome != DAG_OK || is_queue) {
+		reply_outcome(t, outcome == DAG_OK ? DAG_NO_JOB : outcome);
 		return;
 	}
 	j = find_job(c, q, id);
-	if (!j || dag_job_ended(j)) {
-		reply_outcome(t, j ? DAG_OK : DAG_NO_JOB);
+	if (!j) {
+		withdraw(c, id, XDR_STR(*q, name), t);
+		return;
+	}
+	if (dag_job_ended(j)) {
+		reply_outcome(t, DAG_OK);
 		return;
 	}
 	cmd.dag_command_u.cancel = id;
--- a/core/dag_state.c
+++ b/core/dag_state.c
@@ -82,6 +82,7 @@
 	HASH_CLEAR(hh_id, s->workers_by_id);
 	HASH_CLEAR(hh, s->workers);
 	HASH_CLEAR(hh, s->zones);
+	dag_state_clear_withdrawn(s);
 	for (; j; j = next) {
 		next = j->hh.next;
 		free_job(j);
@@ -441,7 +442,18 @@
 		s->observer->ops->contact_changed(s->observer, w);
 }
 
-/* Adds a job. Ignores one with a known id, so that submissions can be retried. */
+static void end_job(struct dag_state *s, struct dag_job_rec *j, enum dag_job_state state)
+{
+	j->state = state;
+	j->ended_ms = s->time_ms;
+	if (s->observer)
+		s->observer->ops->job_ended(s->observer, j);
+}
+
+/*
+ * Adds a job. Ignores one with a known id, so that submissions can be retried. One that
+ * was withdrawn before is cancelled from the start.
+ */
 static int apply_submit(struct dag_state *s, const struct dag_job *spec)
 {
 	const struct dag_queue *q = dag_state_find_queue(s, XDR_STR(*spec, queue));
@@ -453,18 +465,12 @@
 	err = dag_state_add_job(s, spec, q ? q->attempts : 1, &j);
 	if (!err && s->observer)
 		s->observer->ops->job_added(s->observer, j);
+	if (!err && dag_state_take_withdrawn(s, j->id, XDR_STR(j->spec, queue)))
+		end_job(s, j, DAG_JOB_CANCELLED);
 	/* Every replica ignores an invalid job, so that is no error. */
 	return err == CF_EINVAL ? 0 : err;
 }
 
-static void end_job(struct dag_state *s, struct dag_job_rec *j, enum dag_job_state state)
-{
-	j->state = state;
-	j->ended_ms = s->time_ms;
-	if (s->observer)
-		s->observer->ops->job_ended(s->observer, j);
-}
-
 static void apply_cancel(struct dag_state *s, uint64_t id)
 {
 	struct dag_job_rec *j = dag_state_find_job(s, id);
@@ -473,6 +479,18 @@
 		end_job(s, j, DAG_JOB_CANCELLED);
 }
 
+/* The submission may have been recorded since the leader looked for the job. */
+static int apply_withdraw(struct dag_state *s, const struct dag_withdrawal *w)
+{
+	struct dag_job_rec *j = dag_state_find_job(s, w->job);
+
+	if (!j)
+		return dag_state_withdraw(s, w->job, XDR_STR(*w, queue), s->time_ms);
+	if (str_eq(XDR_STR(j->spec, queue), XDR_STR(*w, queue)))
+		apply_cancel(s, w->job);
+	return 0;
+}
+
 static struct dag_task *find_task(struct dag_state *s, const struct dag_task_ref *ref,
 				  struct dag_job_rec **job)
 {
@@ -698,6 +716,8 @@
 	case DAG_CMD_BEGUN:
 		apply_begun(s, c->dag_command_u.begun);
 		return 0;
+	case DAG_CMD_WITHDRAW:
+		return apply_withdraw(s, &c->dag_command_u.withdrawal);
 	}
 	return CF_EINVAL;
 }
--- a/core/dag_state.h
+++ b/core/dag_state.h
@@ -116,6 +116,8 @@
 	char name[];   /* NUL-terminated, its length is that of the key */
 };
 
+struct dag_withdrawn;
+
 struct dag_state {
 	uint64_t n_tasks;	    /* of all jobs and occurrences */
 	struct dag_conf conf;	    /* revision 0: none yet */
@@ -124,6 +126,7 @@
 	struct dag_worker_rec *workers; /* by number */
 	struct dag_worker_rec *workers_by_id;
 	struct dag_job_rec *jobs;
+	struct dag_withdrawn *withdrawn; /* oldest first */
 	uint32_t next_worker_number;
 	int64_t time_ms;  /* of the newest batch */
 	int64_t clock_us; /* monotonic time of this process, set by its owner */
@@ -151,6 +154,7 @@
 const struct dag_queue *dag_state_find_queue(const struct dag_state *s, struct str name);
 const struct dag_queue *dag_state_match_queue(const struct dag_state *s, struct str host,
 					      struct str path, struct str *rest);
+bool dag_state_is_withdrawn(const struct dag_state *s, uint64_t id, struct str queue);
 uint32_t dag_state_count_waiting(const struct dag_state *s, struct str queue);
 
 struct dag_task *dag_job_find_task(const struct dag_job_rec *j, uint32_t occurrence,
@@ -171,5 +175,10 @@
 int dag_state_set_conf(struct dag_state *s, const struct dag_conf *conf);
 int dag_state_set_model(struct dag_state *s, const struct dag_model *model);
 void dag_state_clear(struct dag_state *s);
+int dag_state_withdraw(struct dag_state *s, uint64_t id, struct str queue, int64_t at_ms);
+bool dag_state_take_withdrawn(struct dag_state *s, uint64_t id, struct str queue);
+void dag_state_clear_withdrawn(struct dag_state *s);
+u_int dag_state_count_withdrawn(const struct dag_state *s);
+void dag_state_list_withdrawn(const struct dag_state *s, struct dag_image_job *out);
 
 #endif
--- a/core/dag_state_snapshot.c
+++ b/core/dag_state_snapshot.c
@@ -62,7 +62,8 @@
 		calloc(HASH_COUNT(s->zones) + 1, sizeof(struct dag_name));
 	im->workers.workers_val =
 		calloc(HASH_COUNT(s->workers) + 1, sizeof(struct dag_image_worker));
-	im->jobs.jobs_val = calloc(HASH_COUNT(s->jobs) + 1, sizeof(struct dag_image_job));
+	im->jobs.jobs_val = calloc(HASH_COUNT(s->jobs) + dag_state_count_withdrawn(s) + 1,
+				   sizeof(struct dag_image_job));
 	if (!im->closed_zones.closed_zones_val || !im->workers.workers_val ||
 	    !im->jobs.jobs_val)
 		return CF_ENOMEM;
@@ -82,7 +83,11 @@
 						  w->w};
 	for (j = s->jobs; j && !err; j = j->hh.next)
 		err = fill_job(j, &im->jobs.jobs_val[im->jobs.jobs_len++]);
-	return err;
+	if (err)
+		return err;
+	dag_state_list_withdrawn(s, &im->jobs.jobs_val[im->jobs.jobs_len]);
+	im->jobs.jobs_len += dag_state_count_withdrawn(s);
+	return 0;
 }
 
 /* Appends a snapshot of the whole state to out. CF_ENOMEM or an encoding error. */
@@ -168,13 +173,15 @@
 	struct dag_job_rec *j;
 	int err;
 
-	if (dag_state_find_job(s, ij->spec.id))
+	if (dag_state_find_job(s, ij->spec.id) || !dag_time_valid(ij->ended_ms))
 		return CF_EMALFORMED;
+	if (!ij->spec.steps.steps_len)
+		return dag_state_withdraw(s, ij->spec.id, XDR_STR(ij->spec, queue),
+					  ij->ended_ms);
 	err = dag_state_add_job(s, &ij->spec, ij->attempts, &j);
 	if (err)
 		return err == CF_EINVAL ? CF_EMALFORMED : err;
-	if (ij->tasks.tasks_len != j->n_occ * j->n_tasks ||
-	    ij->state > DAG_JOB_CANCELLED || !dag_time_valid(ij->ended_ms))
+	if (ij->tasks.tasks_len != j->n_occ * j->n_tasks || ij->state > DAG_JOB_CANCELLED)
 		return CF_EMALFORMED;
 	j->state = (enum dag_job_state)ij->state;
 	j->started = ij->started;
--- a/proto/dag.h
+++ b/proto/dag.h
@@ -228,6 +228,14 @@
 	} slope_milli;
 };
 
+struct dag_withdrawal {
+	u_quad_t job;
+	struct {
+		u_int queue_len;
+		char *queue_val;
+	} queue;
+};
+
 struct dag_contact {
 	u_int worker;
 	bool_t lost;
@@ -245,6 +253,7 @@
 	DAG_CMD_MODEL = 9,
 	DAG_CMD_CONTACT = 10,
 	DAG_CMD_BEGUN = 11,
+	DAG_CMD_WITHDRAW = 12,
 };
 
 struct dag_command {
@@ -261,6 +270,7 @@
 		struct dag_model model;
 		struct dag_contact contact;
 		u_quad_t begun;
+		struct dag_withdrawal withdrawal;
 	} dag_command_u;
 };
 
@@ -525,6 +535,7 @@
 extern  bool_t xdr_dag_end (XDR *, struct dag_end *);
 extern  bool_t xdr_dag_model_image (XDR *, struct dag_model_image *);
 extern  bool_t xdr_dag_model (XDR *, struct dag_model *);
+extern  bool_t xdr_dag_withdrawal (XDR *, struct dag_withdrawal *);
 extern  bool_t xdr_dag_contact (XDR *, struct dag_contact *);
 extern  bool_t xdr_dag_command_kind (XDR *, enum dag_command_kind *);
 extern  bool_t xdr_dag_command (XDR *, struct dag_command *);
@@ -568,6 +579,7 @@
 extern bool_t xdr_dag_end ();
 extern bool_t xdr_dag_model_image ();
 extern bool_t xdr_dag_model ();
+extern bool_t xdr_dag_withdrawal ();
 extern bool_t xdr_dag_contact ();
 extern bool_t xdr_dag_command_kind ();
 extern bool_t xdr_dag_command ();
--- a/proto/dag.x
+++ b/proto/dag.x
@@ -159,6 +159,12 @@
 	unsigned int slope_milli<4096>;
 };
 
+/* A cancel of a job that is not known: its submission may come later. */
+struct dag_withdrawal {
+	unsigned hyper job;
+	opaque queue<DAG_MAX_NAME>;
+};
+
 /* lost: until a record says otherwise, the leader grants the worker no lease. */
 struct dag_contact {
 	unsigned int worker;
@@ -176,7 +182,8 @@
 	DAG_CMD_FORGET = 8,
 	DAG_CMD_MODEL = 9,
 	DAG_CMD_CONTACT = 10,
-	DAG_CMD_BEGUN = 11 /* a worker has begun a task of the job */
+	DAG_CMD_BEGUN = 11, /* a worker has begun a task of the job */
+	DAG_CMD_WITHDRAW = 12
 };
 
 union dag_command switch (dag_command_kind kind) {
@@ -202,6 +209,8 @@
 	dag_contact contact;
 case DAG_CMD_BEGUN:
 	unsigned hyper begun;
+case DAG_CMD_WITHDRAW:
+	dag_withdrawal withdrawal;
 };
 
 /* One log entry. time_ms: clock of the leader when it proposed the entry. */
@@ -228,6 +237,7 @@
 	opaque checkpoint<DAG_MAX_NAME>;
 };
 
+/* Without steps: a withdrawal of the job, which is not known. */
 struct dag_image_job {
 	dag_job spec;
 	unsigned int state;
--- a/proto/dag_xdr.c
+++ b/proto/dag_xdr.c
@@ -550,6 +550,18 @@
 	return TRUE;
 }
 
+bool_t
+xdr_dag_withdrawal (XDR *xdrs, struct dag_withdrawal *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->job))
+		 return FALSE;
+	 if (!codec_bytes (xdrs, (char **)&objp->queue.queue_val, (u_int *) &objp->queue.queue_len, DAG_MAX_NAME))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_dag_contact (XDR *xdrs, struct dag_contact *objp)
 {
@@ -624,6 +636,10 @@
 		 if (!xdr_u_quad_t (xdrs, &objp->dag_command_u.begun))
 			 return FALSE;
 		break;
+	case DAG_CMD_WITHDRAW:
+		 if (!xdr_dag_withdrawal (xdrs, &objp->dag_command_u.withdrawal))
+			 return FALSE;
+		break;
 	default:
 		return FALSE;
 	}
--- a/regress/lib_dag_world.c
+++ b/regress/lib_dag_world.c
@@ -1128,6 +1128,15 @@
 	propose(w, &c);
 }
 
+void dw_withdraw(struct dag_world *w, uint64_t id, struct str queue)
+{
+	struct dag_command c = {.kind = DAG_CMD_WITHDRAW};
+
+	c.dag_command_u.withdrawal.job = id;
+	XDR_SET(c.dag_command_u.withdrawal, queue, queue);
+	propose(w, &c);
+}
+
 void dw_close_zone(struct dag_world *w, bool closed)
 {
 	struct dag_command c = {.kind = DAG_CMD_ZONE};
--- a/regress/lib_dag_world.h
+++ b/regress/lib_dag_world.h
@@ -213,6 +213,8 @@
 void dw_submit_chain(struct dag_world *w, uint64_t id, uint32_t steps, uint32_t count);
 void dw_submit_lasting(struct dag_world *w, uint64_t id, uint32_t count);
 void dw_cancel(struct dag_world *w, uint64_t id);
+/* Cancels a job that the leader does not know. */
+void dw_withdraw(struct dag_world *w, uint64_t id, struct str queue);
 void dw_close_zone(struct dag_world *w, bool closed);
 void dw_crash_worker(struct dag_world *w, uint32_t number, bool restart);
 /* Starts again at once; neither a report nor a broken connection tells of it. */
--- a/regress/test_fuzz_dag.c
+++ b/regress/test_fuzz_dag.c
@@ -132,6 +132,19 @@
 	add_seed(f, c, 2);
 }
 
+static void add_withdrawals(struct fuzz *f)
+{
+	struct dag_command c[3] = {{.kind = DAG_CMD_WITHDRAW},
+				   {.kind = DAG_CMD_WITHDRAW},
+				   {.kind = DAG_CMD_WITHDRAW}};
+
+	for (u_int i = 0; i < 3; i++) {
+		c[i].dag_command_u.withdrawal.job = 1 + i;
+		XDR_SET(c[i].dag_command_u.withdrawal, queue, STR("q"));
+	}
+	add_seed(f, c, 3);
+}
+
 static void add_model(struct fuzz *f)
 {
 	struct dag_command c = {.kind = DAG_CMD_MODEL};
@@ -153,6 +166,7 @@
 	add_jobs(f);
 	add_runs(f);
 	add_model(f);
+	add_withdrawals(f);
 }
 
 static void open_state(void)
