io/rpc_client, carawayfrontd: a silent connection between controllers is replaced

Callers saw no service for seconds after the machines were back: 4.2 to 12.1 s from power to the next leader, where a cut had gone before; the platform allows 12 s. For as long cancelled tasks run on and tasks that last are not started again.

Cause: messages of the replicas are posts without a reply, on connections without any time-out. A connection that has gone silent is used for ever, and what a cut held up waits for TCP's next retransmission, whose pause has doubled all the while; an opening packet that was lost waits alike. Class: a peer's silence that no time-out of our own covers.

Change: a client with the option "probe" calls the peer's null procedure every 0.4 s while something that was sent may not have arrived. A connection that is silent for three periods, or not open after two, is reset and made again. Periods are counted, not time, so that a pause of the process itself ends nothing. Any reply sets back the pause before the next connection, which posts alone never did.

--- a/carawayfrontd/controller_request.c
+++ b/carawayfrontd/controller_request.c
@@ -573,6 +573,9 @@
 	struct controller *c = CONTROLLER_OF(host, rpc_host);
 
 	switch (call->proc) {
+	case PEER_NULL:
+		rpc_call_reply(call, 0, (struct str){NULL, 0});
+		return;
 	case PEER_REPLICA:
 		controller_on_replica(c, call->member, call->args);
 		rpc_call_drop(call);
--- a/io/rpc_client.c
+++ b/io/rpc_client.c
@@ -14,11 +14,18 @@
 #define RECONNECT_MAX 1.0
 #define SWEEP_PERIOD 0.05 /* seconds between checks for expired calls */
 #define WAITER_BUCKETS 256U
+#define PROC_NULL 0U	   /* RFC 5531: does nothing, in every program */
+#define PROBE_PERIOD 0.4   /* seconds */
+#define SILENT_PERIODS 3U  /* without a reply: the connection is dead */
+#define CONNECT_PERIODS 2U /* the opening packet was lost */
 
 struct rpc_client {
 	struct stream stream;
 	struct rpc_client_options opt;
 	struct ev_timer sweep;
+	struct ev_timer probe;
+	unsigned int silent; /* probe periods since the last record */
+	bool unheard;	     /* something was sent since the last record */
 	struct rpc_waiter *waiters[WAITER_BUCKETS];
 	unsigned int outstanding;
 	bool up;
@@ -83,6 +90,8 @@
 
 	if (err)
 		return err;
+	c->unheard = false;
+	c->silent = 0;
 	c->backoff = RECONNECT_MIN;
 	w = c->waiters[head.xid % WAITER_BUCKETS];
 	while (w && w->xid != head.xid)
@@ -175,10 +184,13 @@
 		return CF_ECONN;
 	}
 	c->shown = false;
+	c->silent = 0;
 	stream_open(&c->stream, c->opt.loop, fd, true);
 	return 0;
 }
 
+static void on_probe(struct ev_loop *loop, struct ev_timer *t, int events);
+
 int rpc_client_new(const struct rpc_client_options *opt, struct rpc_client **out)
 {
 	struct rpc_client *c = calloc(1, sizeof(*c));
@@ -192,6 +204,8 @@
 	c->next_xid = (uint32_t)ev_now(opt->loop);
 	ev_timer_init(&c->sweep, on_sweep, SWEEP_PERIOD, SWEEP_PERIOD);
 	c->sweep.data = c;
+	ev_timer_init(&c->probe, on_probe, PROBE_PERIOD, PROBE_PERIOD);
+	c->probe.data = c;
 	*out = c;
 	return 0;
 }
@@ -217,9 +231,13 @@
 		head.key = c->opt.key;
 	}
 	err = rpc_wire_add_call(&c->stream.out, &head, args);
-	if (!err)
-		c->shown = true;
-	return err;
+	if (err)
+		return err;
+	c->shown = true;
+	c->unheard = true;
+	if (c->opt.probe && !ev_is_active(&c->probe))
+		ev_timer_again(c->opt.loop, &c->probe);
+	return 0;
 }
 
 /* Writes; a broken connection is reported from the reader, never from here. */
@@ -279,6 +297,27 @@
 	on_closed(&c->stream, CF_ECONN);
 }
 
+/*
+ * Probes the connection, or ends it after some periods of silence. Periods are counted,
+ * not time, so that a pause of this process does not end it.
+ */
+static void on_probe(struct ev_loop *loop, struct ev_timer *t, int events)
+{
+	struct rpc_client *c = t->data;
+
+	if (c->stream.fd < 0 || !c->unheard) {
+		c->silent = 0;
+		ev_timer_stop(loop, t);
+		return;
+	}
+	if (++c->silent >= (c->up ? SILENT_PERIODS : CONNECT_PERIODS)) {
+		rpc_client_reset(c);
+		return;
+	}
+	if (c->up && !send_call(c, PROC_NULL, (struct str){NULL, 0}, ++c->next_xid))
+		flush(c);
+}
+
 /* Forgets an outstanding call; done() will not be called. */
 void rpc_waiter_cancel(struct rpc_waiter *w)
 {
@@ -295,6 +334,7 @@
 		for (struct rpc_waiter *w = c->waiters[i]; w; w = w->next)
 			w->client = NULL;
 	ev_timer_stop(c->opt.loop, &c->sweep);
+	ev_timer_stop(c->opt.loop, &c->probe);
 	stream_close(&c->stream);
 	free(c);
 }
--- a/io/rpc_client.h
+++ b/io/rpc_client.h
@@ -42,6 +42,13 @@
 	struct str member; /* own name and key; the caller keeps the bytes */
 	struct str key;
 	struct rpc_client_host *host; /* may be NULL */
+	/*
+	 * Calls the peer's null procedure while something that was sent may not have
+	 * arrived, and replaces a connection on which nothing is heard. For posts, which
+	 * have no reply: a connection may have gone silent, and after a partition TCP
+	 * repeats what was lost only after seconds.
+	 */
+	bool probe;
 };
 
 int rpc_client_new(const struct rpc_client_options *opt, struct rpc_client **out);
--- a/regress/test_rpc.c
+++ b/regress/test_rpc.c
@@ -14,7 +14,7 @@
 
 #define ADDRESS "127.0.0.1:20101"
 
-enum proc { PROC_ECHO = 1, PROC_HOLD = 2 };
+enum proc { PROC_NULL = 0, PROC_ECHO = 1, PROC_HOLD = 2 };
 
 struct server_host {
 	struct rpc_server_host host;
@@ -25,7 +25,7 @@
 {
 	struct server_host *h = (struct server_host *)host;
 
-	if (call->proc == PROC_ECHO)
+	if (call->proc == PROC_ECHO || call->proc == PROC_NULL)
 		rpc_call_reply(call, 0, call->args);
 	else
 		h->held = call;
@@ -172,6 +172,78 @@
 }
 END_TEST
 
+#define POST_PERIOD 0.05 /* seconds */
+#define REPLACED_MAX 3.0 /* seconds, in which a machine has to be in touch again */
+
+static void on_post(struct ev_loop *l, struct ev_timer *t, int events)
+{
+	rpc_client_post(t->data, PROC_HOLD, STR("entry"));
+}
+
+/* Posts to a listener that answers nothing; returns how many connections it gets. */
+static int count_connections(struct rpc_client *c, int listener, double seconds)
+{
+	struct ev_timer t;
+	double end;
+	int fds[64];
+	int n = 0;
+
+	ev_now_update(loop);
+	end = ev_now(loop) + seconds;
+	ev_timer_init(&t, on_post, 0, POST_PERIOD);
+	t.data = c;
+	ev_timer_start(loop, &t);
+	while (ev_now(loop) < end) {
+		ev_run(loop, EVRUN_ONCE);
+		if (n < 64 && (fds[n] = accept(listener, NULL, NULL)) >= 0)
+			n++;
+	}
+	ev_timer_stop(loop, &t);
+	for (int i = 0; i < n; i++)
+		close(fds[i]);
+	return n;
+}
+
+/* Guards against posts for ever on a connection that has gone silent. */
+START_TEST(silent_connection_is_replaced)
+{
+	struct rpc_client_options opt = {
+		.loop = loop, .member = STR("t"), .key = STR("secret"), .probe = true};
+	struct rpc_client *c = NULL;
+	int listener = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+
+	ck_assert_int_eq(addr_parse(STR("127.0.0.1:20103"), &opt.address), 0);
+	setsockopt(listener, SOL_SOCKET, SO_REUSEADDR, &(int){1}, sizeof(int));
+	ck_assert_int_eq(
+		bind(listener, (struct sockaddr *)&opt.address.sa, opt.address.len), 0);
+	ck_assert_int_eq(listen(listener, 16), 0);
+	ck_assert_int_eq(rpc_client_new(&opt, &c), 0);
+	ck_assert_int_ge(count_connections(c, listener, REPLACED_MAX), 2);
+	rpc_client_free(c);
+	close(listener);
+}
+END_TEST
+
+/* Guards against a connection that is ended although the peer answers. */
+START_TEST(answering_connection_stays)
+{
+	struct rpc_client_options opt = {
+		.loop = loop, .member = STR("t"), .key = STR("secret"), .probe = true};
+	struct rpc_client *c = NULL;
+	int never = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+	struct waiter w = {.base = {.ops = &waiter_ops}};
+
+	ck_assert_int_eq(addr_parse(STR(ADDRESS), &opt.address), 0);
+	ck_assert_int_eq(rpc_client_new(&opt, &c), 0);
+	/* Held for longer than a silent connection lasts. */
+	ck_assert_int_eq(rpc_client_call(c, PROC_HOLD, STR("x"), 30, &w.base), 0);
+	count_connections(c, never, REPLACED_MAX);
+	ck_assert(!w.ended);
+	rpc_client_free(c);
+	close(never);
+}
+END_TEST
+
 /* Guards against a peer without the cluster key being served. */
 START_TEST(wrong_key_is_refused)
 {
@@ -390,6 +462,8 @@
 	tcase_set_timeout(tc, 120);
 	tcase_add_test(tc, many_outstanding_calls);
 	tcase_add_test(tc, call_without_a_connection_is_not_sent);
+	tcase_add_test(tc, silent_connection_is_replaced);
+	tcase_add_test(tc, answering_connection_stays);
 	tcase_add_test(tc, wrong_key_is_refused);
 	tcase_add_test(tc, first_call_needs_a_credential);
 	tcase_add_test(tc, call_times_out_and_late_reply_is_dropped);
