carawayfrontd: silent connections of gateways and state processes are replaced too

The same cause on the related paths: a gateway's answers to the leader's worker calls, and the replica messages between state processes, are posts without a reply. A gateway whose connection had gone silent was avoided for 2 s at a time, for ever.

--- a/carawayfrontd/agent.c
+++ b/carawayfrontd/agent.c
@@ -290,6 +290,7 @@
 		.loop = a->opt.loop,
 		.member = a->opt.settings->name,
 		.key = a->opt.settings->cluster_key,
+		.probe = true,
 	};
 
 	if (a->leader == leader && a->client)
