io/rpc_client: a slow connection is not taken for a silent one

A probe's reply comes behind what was posted before it. What waits for the socket and moves is now a sign of the peer, and a small send buffer lets a slow peer show it in each period.

test_rpc slow_connection_stays: before, the message never arrived (time-out of the test), now it does, on one connection.

--- a/io/rpc_client.c
+++ b/io/rpc_client.c
@@ -18,13 +18,16 @@
 #define PROBE_PERIOD 0.4   /* seconds */
 #define SILENT_PERIODS 3U  /* without a reply: the connection is dead */
 #define CONNECT_PERIODS 2U /* the opening packet was lost */
+/* So little waits in the kernel that a slow peer is seen to take bytes in each period. */
+#define PROBED_SEND_BUFFER 32768
 
 struct rpc_client {
 	struct stream stream;
 	struct rpc_client_options opt;
 	struct ev_timer sweep;
 	struct ev_timer probe;
-	unsigned int silent; /* probe periods since the last record */
+	unsigned int silent; /* probe periods without a sign of the peer */
+	uint64_t taken;	     /* bytes that the socket had taken at the last probe */
 	bool unheard;	     /* something was sent since the last record */
 	struct rpc_waiter *waiters[WAITER_BUCKETS];
 	unsigned int outstanding;
@@ -167,6 +170,7 @@
 /* Starts a connection attempt. CF_ECONN also while the backoff runs. */
 static int connect_peer(struct rpc_client *c)
 {
+	int send_buffer = PROBED_SEND_BUFFER;
 	int one = 1;
 	int fd;
 
@@ -177,6 +181,8 @@
 	if (fd < 0)
 		return CF_EIO;
 	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
+	if (c->opt.probe)
+		setsockopt(fd, SOL_SOCKET, SO_SNDBUF, &send_buffer, sizeof(send_buffer));
 	if (connect(fd, (struct sockaddr *)&c->opt.address.sa, c->opt.address.len) &&
 	    errno != EINPROGRESS) {
 		close(fd);
@@ -310,6 +316,10 @@
 		ev_timer_stop(loop, t);
 		return;
 	}
+	/* What waits for the socket moves: the reply is behind it. */
+	if (stream_pending(&c->stream) && c->stream.taken != c->taken)
+		c->silent = 0;
+	c->taken = c->stream.taken;
 	if (++c->silent >= (c->up ? SILENT_PERIODS : CONNECT_PERIODS)) {
 		rpc_client_reset(c);
 		return;
--- a/io/stream.c
+++ b/io/stream.c
@@ -130,6 +130,7 @@
 		if (n < 0)
 			return CF_ECONN;
 		s->out_sent += (size_t)n;
+		s->taken += (size_t)n;
 	}
 	if (stream_pending(s) == 0) {
 		s->out.n = 0;
--- a/io/stream.h
+++ b/io/stream.h
@@ -29,6 +29,7 @@
 	struct buf in;
 	struct buf out;
 	size_t out_sent;
+	uint64_t taken; /* bytes that the socket took */
 };
 
 void stream_open(struct stream *s, struct ev_loop *loop, int fd, bool connecting);
--- a/regress/test_rpc.c
+++ b/regress/test_rpc.c
@@ -224,6 +224,70 @@
 }
 END_TEST
 
+#define LARGE_POST (1U << 20)
+#define SLOW_READ 8192	   /* bytes */
+#define SLOW_PERIOD 0.03   /* seconds between two reads */
+#define SMALL_BUFFER 16384 /* of the slow reader */
+
+struct slow_reader {
+	struct ev_timer timer;
+	int listener;
+	int fd;
+	int connections;
+	size_t n; /* bytes read */
+};
+
+static void on_slow_read(struct ev_loop *l, struct ev_timer *t, int events)
+{
+	struct slow_reader *r = t->data;
+	char bytes[SLOW_READ];
+	int fd = accept(r->listener, NULL, NULL);
+	ssize_t n;
+
+	if (fd >= 0) {
+		r->fd = fd;
+		r->connections++;
+	}
+	n = r->fd >= 0 ? recv(r->fd, bytes, sizeof(bytes), MSG_DONTWAIT) : 0;
+	if (n > 0)
+		r->n += (size_t)n;
+}
+
+/* Guards against a large message that never arrives over a slow link. */
+START_TEST(slow_connection_stays)
+{
+	struct rpc_client_options opt = {
+		.loop = loop, .member = STR("t"), .key = STR("secret"), .probe = true};
+	struct slow_reader r = {.fd = -1};
+	struct rpc_client *c = NULL;
+	struct buf large = {0};
+
+	ck_assert_int_eq(addr_parse(STR("127.0.0.1:20103"), &opt.address), 0);
+	r.listener = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+	setsockopt(r.listener, SOL_SOCKET, SO_REUSEADDR, &(int){1}, sizeof(int));
+	setsockopt(r.listener, SOL_SOCKET, SO_RCVBUF, &(int){SMALL_BUFFER}, sizeof(int));
+	ck_assert_int_eq(
+		bind(r.listener, (struct sockaddr *)&opt.address.sa, opt.address.len), 0);
+	ck_assert_int_eq(listen(r.listener, 16), 0);
+	ck_assert_int_eq(rpc_client_new(&opt, &c), 0);
+	ck_assert_int_eq(buf_reserve(&large, LARGE_POST), 0);
+	memset(large.p, 'x', LARGE_POST);
+	large.n = LARGE_POST;
+	ev_timer_init(&r.timer, on_slow_read, 0, SLOW_PERIOD);
+	r.timer.data = &r;
+	ev_timer_start(loop, &r.timer);
+	ck_assert_int_eq(rpc_client_post(c, PROC_HOLD, buf_str(&large)), 0);
+	while (r.n < LARGE_POST && r.connections < 2)
+		ev_run(loop, EVRUN_ONCE);
+	ck_assert_int_eq(r.connections, 1);
+	ev_timer_stop(loop, &r.timer);
+	rpc_client_free(c);
+	buf_free(&large);
+	close(r.fd);
+	close(r.listener);
+}
+END_TEST
+
 /* Guards against a connection that is ended although the peer answers. */
 START_TEST(answering_connection_stays)
 {
@@ -463,6 +527,7 @@
 	tcase_add_test(tc, many_outstanding_calls);
 	tcase_add_test(tc, call_without_a_connection_is_not_sent);
 	tcase_add_test(tc, silent_connection_is_replaced);
+	tcase_add_test(tc, slow_connection_stays);
 	tcase_add_test(tc, answering_connection_stays);
 	tcase_add_test(tc, wrong_key_is_refused);
 	tcase_add_test(tc, first_call_needs_a_credential);
