--- a/carawayfrontd/agent.c
+++ b/carawayfrontd/agent.c
@@ -21,6 +21,7 @@
  * about 15 executors; those of the others must not stay connected to it.
  */
 #define MAX_IDLE 128U
+#define PROBE_PERIOD_S 1.0 /* the leader answers the probes of all gateways */
 /* Bytes of one answer, and of a batch before it is sent: two of these fit a message. */
 #define MAX_ANSWER (RPC_MAX_RECORD / 2 - 4096)
 
@@ -290,7 +291,7 @@
 		.loop = a->opt.loop,
 		.member = a->opt.settings->name,
 		.key = a->opt.settings->cluster_key,
-		.probe = true,
+		.probe_period = PROBE_PERIOD_S,
 	};
 
 	if (a->leader == leader && a->client)
--- a/carawayfrontd/controller_replica.c
+++ b/carawayfrontd/controller_replica.c
@@ -29,7 +29,7 @@
 		.loop = c->loop,
 		.member = c->settings->name,
 		.key = c->settings->cluster_key,
-		.probe = true,
+		.probe_period = REPLICA_PROBE_S,
 	};
 	struct controller_peer *p = find_peer(c, id);
 
--- a/io/rpc_client.c
+++ b/io/rpc_client.c
@@ -15,7 +15,6 @@
 #define SWEEP_PERIOD 0.05 /* seconds between checks for expired calls */
 #define WAITER_BUCKETS 256U
 #define PROC_NULL 0U	   /* RFC 5531: does nothing, in every program */
-#define PROBE_PERIOD 0.4   /* seconds */
 #define SILENT_PERIODS 3U  /* without a reply: the connection is dead */
 #define CONNECT_PERIODS 2U /* the opening packet was lost */
 /* So little waits in the kernel that a slow peer is seen to take bytes in each period. */
@@ -181,7 +180,7 @@
 	if (fd < 0)
 		return CF_EIO;
 	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
-	if (c->opt.probe)
+	if (c->opt.probe_period > 0)
 		setsockopt(fd, SOL_SOCKET, SO_SNDBUF, &send_buffer, sizeof(send_buffer));
 	if (connect(fd, (struct sockaddr *)&c->opt.address.sa, c->opt.address.len) &&
 	    errno != EINPROGRESS) {
@@ -210,7 +209,7 @@
 	c->next_xid = (uint32_t)ev_now(opt->loop);
 	ev_timer_init(&c->sweep, on_sweep, SWEEP_PERIOD, SWEEP_PERIOD);
 	c->sweep.data = c;
-	ev_timer_init(&c->probe, on_probe, PROBE_PERIOD, PROBE_PERIOD);
+	ev_timer_init(&c->probe, on_probe, opt->probe_period, opt->probe_period);
 	c->probe.data = c;
 	*out = c;
 	return 0;
@@ -241,7 +240,7 @@
 		return err;
 	c->shown = true;
 	c->unheard = true;
-	if (c->opt.probe && !ev_is_active(&c->probe))
+	if (c->opt.probe_period > 0 && !ev_is_active(&c->probe))
 		ev_timer_again(c->opt.loop, &c->probe);
 	return 0;
 }
--- a/io/rpc_client.h
+++ b/io/rpc_client.h
@@ -5,6 +5,9 @@
 
 #include "io/addr.h"
 
+/* Probe period between replicas: silence is noticed after two election time-outs. */
+#define REPLICA_PROBE_S 0.4
+
 struct rpc_client;
 struct rpc_waiter;
 
@@ -43,12 +46,13 @@
 	struct str key;
 	struct rpc_client_host *host; /* may be NULL */
 	/*
-	 * Calls the peer's null procedure while something that was sent may not have
-	 * arrived, and replaces a connection on which nothing is heard. For posts, which
-	 * have no reply: a connection may have gone silent, and after a partition TCP
-	 * repeats what was lost only after seconds.
+	 * Seconds; 0: none. Calls the peer's null procedure at this period while
+	 * something that was sent may not have arrived, and replaces a connection on
+	 * which nothing is heard for some periods. For posts, which have no reply: a
+	 * connection may have gone silent, and after a partition TCP repeats what was
+	 * lost only after seconds.
 	 */
-	bool probe;
+	double probe_period;
 };
 
 int rpc_client_new(const struct rpc_client_options *opt, struct rpc_client **out);
--- a/regress/test_rpc.c
+++ b/regress/test_rpc.c
@@ -173,6 +173,7 @@
 END_TEST
 
 #define POST_PERIOD 0.05 /* seconds */
+#define PROBE_PERIOD 0.4 /* seconds */
 #define REPLACED_MAX 3.0 /* seconds, in which a machine has to be in touch again */
 
 static void on_post(struct ev_loop *l, struct ev_timer *t, int events)
@@ -207,8 +208,10 @@
 /* Guards against posts for ever on a connection that has gone silent. */
 START_TEST(silent_connection_is_replaced)
 {
-	struct rpc_client_options opt = {
-		.loop = loop, .member = STR("t"), .key = STR("secret"), .probe = true};
+	struct rpc_client_options opt = {.loop = loop,
+					 .member = STR("t"),
+					 .key = STR("secret"),
+					 .probe_period = PROBE_PERIOD};
 	struct rpc_client *c = NULL;
 	int listener = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
 
@@ -256,8 +259,10 @@
 /* Guards against a large message that never arrives over a slow link. */
 START_TEST(slow_connection_stays)
 {
-	struct rpc_client_options opt = {
-		.loop = loop, .member = STR("t"), .key = STR("secret"), .probe = true};
+	struct rpc_client_options opt = {.loop = loop,
+					 .member = STR("t"),
+					 .key = STR("secret"),
+					 .probe_period = PROBE_PERIOD};
 	struct slow_reader r = {.fd = -1};
 	struct rpc_client *c = NULL;
 	struct buf large = {0};
@@ -291,8 +296,10 @@
 /* Guards against a connection that is ended although the peer answers. */
 START_TEST(answering_connection_stays)
 {
-	struct rpc_client_options opt = {
-		.loop = loop, .member = STR("t"), .key = STR("secret"), .probe = true};
+	struct rpc_client_options opt = {.loop = loop,
+					 .member = STR("t"),
+					 .key = STR("secret"),
+					 .probe_period = PROBE_PERIOD};
 	struct rpc_client *c = NULL;
 	int never = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
 	struct waiter w = {.base = {.ops = &waiter_ops}};
