core/dag: withdrawals are kept in a list

The analyser of the linter cannot follow a loop that removes the head of a hash table, and a list of mostly none needs no table. No change of behaviour; test_dag_withdrawn, test_fuzz_dag, test_malformed and test_site_cancel as before.

--- a/core/dag_state.h
+++ b/core/dag_state.h
@@ -127,6 +127,7 @@
 	struct dag_worker_rec *workers_by_id;
 	struct dag_job_rec *jobs;
 	struct dag_withdrawn *withdrawn; /* oldest first */
+	u_int n_withdrawn;
 	uint32_t next_worker_number;
 	int64_t time_ms;  /* of the newest batch */
 	int64_t clock_us; /* monotonic time of this process, set by its owner */
@@ -178,7 +179,6 @@
 int dag_state_withdraw(struct dag_state *s, uint64_t id, struct str queue, int64_t at_ms);
 bool dag_state_take_withdrawn(struct dag_state *s, uint64_t id, struct str queue);
 void dag_state_clear_withdrawn(struct dag_state *s);
-u_int dag_state_count_withdrawn(const struct dag_state *s);
 void dag_state_list_withdrawn(const struct dag_state *s, struct dag_image_job *out);
 
 #endif
--- a/core/dag_state_snapshot.c
+++ b/core/dag_state_snapshot.c
@@ -62,7 +62,7 @@
 		calloc(HASH_COUNT(s->zones) + 1, sizeof(struct dag_name));
 	im->workers.workers_val =
 		calloc(HASH_COUNT(s->workers) + 1, sizeof(struct dag_image_worker));
-	im->jobs.jobs_val = calloc(HASH_COUNT(s->jobs) + dag_state_count_withdrawn(s) + 1,
+	im->jobs.jobs_val = calloc(HASH_COUNT(s->jobs) + s->n_withdrawn + 1,
 				   sizeof(struct dag_image_job));
 	if (!im->closed_zones.closed_zones_val || !im->workers.workers_val ||
 	    !im->jobs.jobs_val)
@@ -86,7 +86,7 @@
 	if (err)
 		return err;
 	dag_state_list_withdrawn(s, &im->jobs.jobs_val[im->jobs.jobs_len]);
-	im->jobs.jobs_len += dag_state_count_withdrawn(s);
+	im->jobs.jobs_len += s->n_withdrawn;
 	return 0;
 }
 
--- a/core/dag_withdrawn.c
+++ b/core/dag_withdrawn.c
@@ -13,30 +13,38 @@
 #define WITHDRAWN_AGE_MS 120000 /* a submission is not under way for so long */
 
 struct dag_withdrawn {
-	UT_hash_handle hh;
 	uint64_t id;
 	int64_t at_ms;
-	size_t queue_len;
-	char queue[];
+	struct buf queue;
 };
 
 static struct dag_withdrawn *find(const struct dag_state *s, uint64_t id)
 {
-	struct dag_withdrawn *w;
-
-	HASH_FIND(hh, s->withdrawn, &id, sizeof(id), w);
-	return w;
+	for (u_int i = 0; i < s->n_withdrawn; i++)
+		if (s->withdrawn[i].id == id)
+			return &s->withdrawn[i];
+	return NULL;
 }
 
 static bool is_of_queue(const struct dag_withdrawn *w, struct str queue)
 {
-	return w && str_eq((struct str){w->queue, w->queue_len}, queue);
+	return w && str_eq(buf_str(&w->queue), queue);
 }
 
 static void forget(struct dag_state *s, struct dag_withdrawn *w)
 {
-	HASH_DEL(s->withdrawn, w);
-	free(w);
+	size_t after = (size_t)(&s->withdrawn[--s->n_withdrawn] - w);
+
+	buf_free(&w->queue);
+	memmove(w, w + 1, after * sizeof(*w));
+}
+
+/* Makes room for one more, and drops those that are too old. */
+static void forget_old(struct dag_state *s, int64_t now_ms)
+{
+	while (s->n_withdrawn && (s->n_withdrawn == WITHDRAWN_MAX ||
+				  s->withdrawn[0].at_ms < now_ms - WITHDRAWN_AGE_MS))
+		forget(s, &s->withdrawn[0]);
 }
 
 /*
@@ -46,22 +54,21 @@
 int dag_state_withdraw(struct dag_state *s, uint64_t id, struct str queue, int64_t at_ms)
 {
 	struct dag_withdrawn *w = find(s, id);
+	int err;
 
 	if (w)
 		forget(s, w);
-	while (s->withdrawn && (HASH_COUNT(s->withdrawn) >= WITHDRAWN_MAX ||
-				s->withdrawn->at_ms < at_ms - WITHDRAWN_AGE_MS))
-		forget(s, s->withdrawn);
-	w = calloc(1, sizeof(*w) + queue.n + 1);
+	forget_old(s, at_ms);
+	w = realloc(s->withdrawn, (s->n_withdrawn + 1) * sizeof(*w));
 	if (!w)
 		return CF_ENOMEM;
-	w->id = id;
-	w->at_ms = at_ms;
-	w->queue_len = queue.n;
-	if (queue.n)
-		memcpy(w->queue, queue.p, queue.n);
-	HASH_ADD(hh, s->withdrawn, id, sizeof(w->id), w);
-	return 0;
+	s->withdrawn = w;
+	w += s->n_withdrawn;
+	*w = (struct dag_withdrawn){.id = id, .at_ms = at_ms};
+	err = buf_set(&w->queue, queue);
+	if (!err)
+		s->n_withdrawn++;
+	return err;
 }
 
 bool dag_state_is_withdrawn(const struct dag_state *s, uint64_t id, struct str queue)
@@ -82,25 +89,21 @@
 
 void dag_state_clear_withdrawn(struct dag_state *s)
 {
-	while (s->withdrawn)
-		forget(s, s->withdrawn);
-}
-
-u_int dag_state_count_withdrawn(const struct dag_state *s)
-{
-	return HASH_COUNT(s->withdrawn);
+	for (u_int i = 0; i < s->n_withdrawn; i++)
+		buf_free(&s->withdrawn[i].queue);
+	free(s->withdrawn);
+	s->withdrawn = NULL;
+	s->n_withdrawn = 0;
 }
 
 /* Writes all of them, oldest first, as jobs without steps; borrows the names of queues.
  */
 void dag_state_list_withdrawn(const struct dag_state *s, struct dag_image_job *out)
 {
-	const struct dag_withdrawn *w;
-
-	for (w = s->withdrawn; w; w = w->hh.next, out++) {
-		out->spec.id = w->id;
-		XDR_SET(out->spec, queue, ((struct str){w->queue, w->queue_len}));
+	for (u_int i = 0; i < s->n_withdrawn; i++, out++) {
+		out->spec.id = s->withdrawn[i].id;
+		XDR_SET(out->spec, queue, buf_str(&s->withdrawn[i].queue));
 		out->state = DAG_JOB_CANCELLED;
-		out->ended_ms = w->at_ms;
+		out->ended_ms = s->withdrawn[i].at_ms;
 	}
 }
--- a/regress/test_dag_withdrawn.c
+++ b/regress/test_dag_withdrawn.c
@@ -37,7 +37,7 @@
 	ck_assert_int_eq(dw_state(&w, 1), DAG_JOB_CANCELLED);
 	ck_assert_int_eq(dw_state(&w, 2), DAG_JOB_COMPLETED);
 	ck_assert_uint_eq(w.starts, 1);
-	ck_assert_uint_eq(dag_state_count_withdrawn(w.state), 0);
+	ck_assert_uint_eq(w.state->n_withdrawn, 0);
 }
 END_TEST
 
@@ -114,7 +114,7 @@
 	dw_run_for(&w, 300 * SECOND);
 	dw_withdraw(&w, MANY + 1, STR("q"));
 	dw_run_for(&w, SECOND);
-	ck_assert_uint_eq(dag_state_count_withdrawn(w.state), 1);
+	ck_assert_uint_eq(w.state->n_withdrawn, 1);
 }
 END_TEST
 
