core/dag_report: a late report does not undo a draining that is not recorded yet

Callers would see tasks started on a worker that drains, after the draining was acknowledged: a report of "ready" that was sent before and is read while the record of the draining is proposed but not committed was compared with the record in force, and recorded behind it when the room had changed in between.

Cause: an answer checked against the recorded state while a newer order is under way. Change: the scheduler remembers which life reported that it drains, until it is recorded as back.

--- a/core/dag_report.c
+++ b/core/dag_report.c
@@ -138,6 +138,21 @@
 	       r->worker.born_ms <= wall_ms + BORN_AHEAD_MAX_MS;
 }
 
+/*
+ * Whether a report was sent before one of the same life that told of its draining. The
+ * record of that may not be committed yet.
+ */
+static bool undoes_draining(struct ds_worker *w, const struct dag_worker *reported)
+{
+	bool same_life = w->drain_reported && w->drain_born_ms == reported->born_ms;
+
+	if (reported->state != DAG_WORKER_DRAINING)
+		return same_life;
+	w->drain_reported = true;
+	w->drain_born_ms = reported->born_ms;
+	return false;
+}
+
 /*
  * Takes a report that came to any controller. Returns whether it says something that is
  * to be recorded; news then describes the worker, with strings of the report.
@@ -159,6 +174,8 @@
 		return true;
 	dag_sched_worker_reported(s, rec->number, now_us);
 	take_capacity(s, w, r);
+	if (undoes_draining(w, &r->worker))
+		return false;
 	news->cpu_milli = w->reported.cpu_milli;
 	news->mem_mb = w->reported.mem_mb;
 	news->gpus = w->reported.gpus;
--- a/core/dag_sched_impl.h
+++ b/core/dag_sched_impl.h
@@ -131,9 +131,11 @@
 	int64_t cpu_fillers; /* thousandths of a core, as far as they are not throttled */
 	int64_t mem_reserved;
 	int64_t gpus_reserved;
-	bool guarded;		     /* it refuses what does not fit */
-	int64_t report_born_ms;	     /* life that sent the newest report, 0: none came */
-	int64_t report_clock_ms;     /* when that life sent it, on its clock */
+	bool guarded;		 /* it refuses what does not fit */
+	int64_t report_born_ms;	 /* life that sent the newest report, 0: none came */
+	int64_t report_clock_ms; /* when that life sent it, on its clock */
+	bool drain_reported;	 /* by the life that follows; recorded soon */
+	int64_t drain_born_ms;
 	struct ds_capacity reported; /* of the newest report */
 	struct ds_capacity capacity; /* the lower of the reported and the recorded */
 	bool in_service; /* the worker is ready and its availability zone is open */
--- a/core/dag_worker.c
+++ b/core/dag_worker.c
@@ -585,6 +585,7 @@
 		return;
 	w->leaving_since_us = 0;
 	w->gone_since_us = 0;
+	w->drain_reported = false;
 	w->poll_failures = 0;
 	s->host->ops->log_event(s->host, "worker-back", NULL, 0, XDR_STR(w->rec->w, id),
 				"was recorded as gone and answers", 0);
--- a/regress/test_dag_room.c
+++ b/regress/test_dag_room.c
@@ -197,6 +197,37 @@
 }
 END_TEST
 
+static void take_report(const struct dag_report *r)
+{
+	struct dag_command c = {.kind = DAG_CMD_WORKER};
+
+	if (dag_sched_report(w.sched, r, w.now_us, &c.dag_command_u.worker))
+		w.host.ops->propose(&w.host, &c);
+}
+
+/* Guards against a late report that undoes a draining that is not recorded yet. */
+START_TEST(late_report_does_not_undo_draining)
+{
+	uint32_t number = add_unguarded();
+	struct dag_report late = {0};
+	struct dag_report draining;
+
+	dw_run_for(&w, 2 * SECOND);
+	w.workers[number].mute = true;
+	late.worker = recorded(number);
+	late.clock_ms = dw_wall_ms(&w) - late.worker.born_ms;
+	draining = late;
+	draining.clock_ms++;
+	draining.worker.state = DAG_WORKER_DRAINING;
+	draining.worker.cpu_milli = 2000;
+	w.commit_us = SECOND / 5;
+	take_report(&draining);
+	take_report(&late);
+	dw_run_for(&w, SECOND);
+	ck_assert_int_eq(recorded(number).state, DAG_WORKER_DRAINING);
+}
+END_TEST
+
 static void submit_serving(uint64_t id, uint32_t count, const char *image)
 {
 	struct dag_step st = {.count = count,
@@ -461,6 +492,7 @@
 	tcase_add_test(tc, late_report_does_not_restore_a_room);
 	tcase_add_test(tc, start_recorded_late_looks_at_the_room);
 	tcase_add_test(tc, returned_worker_has_its_new_room);
+	tcase_add_test(tc, late_report_does_not_undo_draining);
 	tcase_add_test(tc, no_filler_starts_on_a_worker_over_its_room);
 	tcase_add_test(tc, fillers_outlast_a_room_without_cpu);
 	tcase_add_test(tc, refusals_in_a_smaller_room_are_few_and_short);
