carawayfrontd: signals are caught before the settings are read

What callers see: a process that is told to stop right after its start ends with status 143 and no log line, so a supervisor counts a failure. Cause: the handlers were set after the settings, the log and libcurl. Change: main() sets them first. A signal that comes before the loop runs is handled in its first round, and a role that was told to stop is not started. Before main() SIGTERM still ends the process by the signal. Test: test_site_stop holds the settings in a pipe and sends SIGTERM; the former program ended with status 143, this one with 0.

--- a/carawayfrontd/main.c
+++ b/carawayfrontd/main.c
@@ -23,6 +23,9 @@
 /* The process: its settings and the object of its role. */
 struct daemon {
 	struct ev_loop *loop;
+	struct ev_signal term;
+	struct ev_signal intr;
+	struct ev_signal hup;
 	const char *path;
 	struct settings settings;
 	struct metric_set *metrics;
@@ -118,17 +121,22 @@
 }
 
 /*
- * Starts the role; while the disk of its data directory is full, tries again until a
- * planned stop.
+ * Starts the role unless a planned stop was asked for; while the disk of its data
+ * directory is full, tries again.
  */
 static int start_with_space(struct daemon *d)
 {
-	int err;
+	int err = 0;
 
-	while ((err = start_role(d)) == CF_ENOSPACE && !d->stopping) {
+	for (;;) {
+		ev_run(d->loop, EVRUN_NOWAIT);
+		if (d->stopping)
+			return err;
+		err = start_role(d);
+		if (err != CF_ENOSPACE)
+			break;
 		log_warn("start-waits", "error=\"%s\"", cf_strerror(err));
 		ev_sleep(START_RETRY_S);
-		ev_run(d->loop, EVRUN_NOWAIT);
 	}
 	d->started = !err;
 	return err;
@@ -141,23 +149,27 @@
 	return d->controller ? controller_failure(d->controller) : 0;
 }
 
+/* Catches the signals; what comes before the loop runs is handled by its first round. */
+static void watch_signals(struct daemon *d)
+{
+	ev_signal_init(&d->term, on_terminate, SIGTERM);
+	ev_signal_init(&d->intr, on_terminate, SIGINT);
+	ev_signal_init(&d->hup, on_reload, SIGHUP);
+	d->term.data = d;
+	d->intr.data = d;
+	d->hup.data = d;
+	ev_signal_start(d->loop, &d->term);
+	ev_signal_start(d->loop, &d->intr);
+	ev_signal_start(d->loop, &d->hup);
+}
+
 static int run(struct daemon *d)
 {
 	static const char *const names[] = {"entry", "state", "gateway", "controller"};
-	struct ev_signal term, intr, hup;
 	int err;
 
-	ev_signal_init(&term, on_terminate, SIGTERM);
-	ev_signal_init(&intr, on_terminate, SIGINT);
-	ev_signal_init(&hup, on_reload, SIGHUP);
-	term.data = d;
-	intr.data = d;
-	hup.data = d;
-	ev_signal_start(d->loop, &term);
-	ev_signal_start(d->loop, &intr);
-	ev_signal_start(d->loop, &hup);
 	err = start_with_space(d);
-	if (err && d->stopping) {
+	if (!d->started && d->stopping) {
 		log_info("stopped", "error=\"%s\"", cf_strerror(err));
 		return 0;
 	}
@@ -214,6 +226,10 @@
 	}
 	if (optind != argc)
 		usage();
+	d.loop = ev_default_loop(0);
+	if (!d.loop)
+		errx(1, "initialisation failed");
+	watch_signals(&d);
 	if (settings_load(d.path, &d.settings, &error)) {
 		print_refusal(d.path, &error);
 		goto out;
@@ -224,8 +240,7 @@
 		goto out;
 	}
 	name = str_dup(d.settings.name);
-	d.loop = ev_default_loop(0);
-	if (!name || !d.loop || log_open(name, debug) || metric_set_new(&d.metrics) ||
+	if (!name || log_open(name, debug) || metric_set_new(&d.metrics) ||
 	    curl_global_init(CURL_GLOBAL_DEFAULT))
 		errx(1, "initialisation failed");
 	signal(SIGPIPE, SIG_IGN);
--- a/regress/test_site_stop.sh
+++ b/regress/test_site_stop.sh
@@ -69,6 +69,19 @@
 	kill -TERM "$(cat "$D/early$1.pid")"
 	wait "$(cat "$D/early$1.pid")" || fail "stopped at its start with status $?"
 }
+check_stop_before_settings() { # stops a gateway while it reads its settings, held by a pipe
+	mkfifo "$D/early.yaml"
+	"$BUILD/bin/carawayfrontd" -c "$D/early.yaml" >"$D/early.log" 2>&1 &
+	echo $! >"$D/early.pid"
+	exec 3>"$D/early.yaml" # the daemon has opened it
+	kill -TERM "$(cat "$D/early.pid")"
+	sleep 0.2
+	(settings gateway gateway >&3) # ended by SIGPIPE if the daemon has gone
+	exec 3>&-
+	wait "$(cat "$D/early.pid")" || fail "stopped while it read its settings, with status $?"
+	grep -q event=started "$D/early.log" && fail "started its role after it was told to stop"
+}
+check_stop_before_settings
 for n in 1 2 3 4 5; do check_stop_at_start $n; done
 mkdir "$D/data"
 for n in controller gateway; do
