carawayfrontd/dag_client: a request that was given up does not arrive later

Callers and operators were told that the outcome of a submission, a cancel, a zone order or a configuration is unknown, and moved on; seconds later the request arrived at the leader and was carried out.

Cause: a call that timed out ended its connection by shutdown(), and dag_client_free() and the end of the process by close(). The kernel then still delivers what it holds, after a network cut too.

Change: connections of dag_client have the new option drop_unsent (SO_LINGER 0), so that each end of them, by a kill of the process too, is a reset after which nothing more is sent. A call that timed out resets its connection before its end is reported; dag_client_free() ends the connections before it reports the outstanding requests.

Measured: test_dag_client, a request longer than the receive buffer of a controller that reads nothing until the sender has given up. Bytes that are in the receiver's queue already are not taken back by this.

--- a/carawayfrontd/dag_client.c
+++ b/carawayfrontd/dag_client.c
@@ -98,6 +98,7 @@
 		.loop = c->opt.loop,
 		.member = c->opt.settings->name,
 		.key = c->opt.settings->cluster_key,
+		.drop_unsent = true,
 	};
 	struct dag_node *node = &c->nodes[c->n];
 	struct rpc_client *client;
@@ -234,8 +235,9 @@
 		call->node->avoid_until = ev_now(c->opt.loop) + AVOID_S;
 		if (c->leader == call->node->id)
 			c->leader = 0;
+		/* The request must not arrive after its end was reported. */
 		if (err == CF_ETIMEOUT)
-			rpc_client_disconnect(call->node->client);
+			rpc_client_reset(call->node->client);
 		retry_in(call, 0);
 	}
 	codec_free((xdrproc_t)xdr_dag_reply, &reply);
@@ -337,20 +339,23 @@
 	return n;
 }
 
-/* Ends outstanding requests; those that may have changed something as unknown. */
+/*
+ * Ends outstanding requests; those that may have changed something as unknown. The
+ * connections end first, so that no request arrives after its end was reported.
+ */
 void dag_client_free(struct dag_client *c)
 {
 	struct client_call *next;
 
 	if (!c)
 		return;
+	for (size_t i = 0; i < c->n; i++)
+		rpc_client_free(c->nodes[i].client);
+	c->n = 0;
 	for (struct client_call *call = c->calls; call; call = next) {
 		next = call->next;
-		rpc_waiter_cancel(&call->waiter);
 		call->maybe_run = call->has_effect;
 		fail_call(call);
 	}
-	for (size_t i = 0; i < c->n; i++)
-		rpc_client_free(c->nodes[i].client);
 	free(c);
 }
--- a/io/rpc_client.c
+++ b/io/rpc_client.c
@@ -166,6 +166,14 @@
 	end_calls(c, ev_now(loop), CF_ETIMEOUT);
 }
 
+/* Makes the end of a socket a reset, after which what it still holds is not sent. */
+static void reset_at_close(int fd)
+{
+	struct linger drop = {.l_onoff = 1, .l_linger = 0};
+
+	setsockopt(fd, SOL_SOCKET, SO_LINGER, &drop, sizeof(drop));
+}
+
 /* Starts a connection attempt. CF_ECONN also while the backoff runs. */
 static int connect_peer(struct rpc_client *c)
 {
@@ -182,6 +190,8 @@
 	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
 	if (c->opt.probe_period > 0)
 		setsockopt(fd, SOL_SOCKET, SO_SNDBUF, &send_buffer, sizeof(send_buffer));
+	if (c->opt.drop_unsent)
+		reset_at_close(fd);
 	if (connect(fd, (struct sockaddr *)&c->opt.address.sa, c->opt.address.len) &&
 	    errno != EINPROGRESS) {
 		close(fd);
@@ -289,15 +299,13 @@
 
 /*
  * Ends the connection at once and drops what it still holds, so that no call arrives
- * later. Outstanding calls end with CF_ECONN before this returns.
+ * later. Outstanding calls end with CF_ECONN before this returns; done() may call this.
  */
 void rpc_client_reset(struct rpc_client *c)
 {
-	struct linger drop = {.l_onoff = 1, .l_linger = 0};
-
 	if (c->stream.fd < 0)
 		return;
-	setsockopt(c->stream.fd, SOL_SOCKET, SO_LINGER, &drop, sizeof(drop));
+	reset_at_close(c->stream.fd);
 	stream_close(&c->stream);
 	on_closed(&c->stream, CF_ECONN);
 }
--- a/io/rpc_client.h
+++ b/io/rpc_client.h
@@ -53,6 +53,11 @@
 	 * lost only after seconds.
 	 */
 	double probe_period;
+	/*
+	 * However the connection ends, by a kill of this process too, what the peer has
+	 * not received is dropped. For calls that must not run once they are given up.
+	 */
+	bool drop_unsent;
 };
 
 int rpc_client_new(const struct rpc_client_options *opt, struct rpc_client **out);
--- a/regress/test_dag_client.c
+++ b/regress/test_dag_client.c
@@ -1,7 +1,12 @@
 #include <check.h>
+#include <errno.h>
 #include <malloc.h>
+#include <signal.h>
 #include <stdlib.h>
+#include <sys/wait.h>
+#include <unistd.h>
 
+#include <arpa/inet.h>
 #include <ev.h>
 
 #include "carawayfrontd/dag_client.h"
@@ -10,6 +15,9 @@
 
 #define N_REQUESTS 200
 #define KEPT_BYTES 4096 /* that the allocator may keep after all requests */
+#define CONTROLLER_ADDRESS "127.0.0.1:20481"
+#define RECEIVE_BYTES 4096 /* buffer of the controller's sockets */
+#define SPEC_BYTES 60000   /* the controller's kernel takes a part of such a request */
 
 static struct ev_loop *loop;
 static struct settings settings;
@@ -102,6 +110,132 @@
 }
 END_TEST
 
+/* A controller that accepts connections and reads nothing. */
+static int open_controller(void)
+{
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+	struct addr address;
+	uint64_t id;
+
+	ck_assert_int_eq(addr_parse(STR(CONTROLLER_ADDRESS), &address), 0);
+	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &(int){1}, sizeof(int));
+	setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &(int){RECEIVE_BYTES}, sizeof(int));
+	ck_assert_int_eq(bind(fd, (struct sockaddr *)&address.sa, address.len), 0);
+	ck_assert_int_eq(listen(fd, 16), 0);
+	id = node_id(&address);
+	dag_client_learn(client, id, &id, 1);
+	return fd;
+}
+
+/* Submits a job whose request is longer than the controller's kernel takes. */
+static void submit_large(struct dag_pending_request *pending, double timeout)
+{
+	struct dag_request req = {.kind = DAG_REQ_SUBMIT};
+	struct buf spec = {0};
+
+	while (spec.n < SPEC_BYTES)
+		ck_assert_int_eq(buf_adds(&spec, "12345678"), 0);
+	XDR_SET(req.dag_request_u.submit.job, spec, buf_str(&spec));
+	ev_now_update(loop);
+	dag_client_request(client, &req, timeout, pending);
+	buf_free(&spec);
+}
+
+static void run_until_replies(unsigned int n)
+{
+	for (int i = 0; i < 100000 && replies < n; i++)
+		ev_run(loop, EVRUN_ONCE);
+	ck_assert_uint_eq(replies, n);
+}
+
+/* Reads all that a given-up request leaves: a part of it, and a reset. */
+static void check_dropped(int listener)
+{
+	int fd = accept(listener, NULL, NULL);
+	char bytes[4096];
+	size_t total = 0;
+	ssize_t n;
+
+	ck_assert_int_ge(fd, 0);
+	while ((n = recv(fd, bytes, sizeof(bytes), 0)) > 0)
+		total += (size_t)n;
+	ck_assert_uint_lt(total, SPEC_BYTES);
+	ck_assert_int_eq(n, -1);
+	ck_assert_int_eq(errno, ECONNRESET);
+	close(fd);
+}
+
+/* Guards against a request that arrives after its sender timed out. */
+START_TEST(request_that_timed_out_is_dropped)
+{
+	struct dag_pending_request pending = {.ops = &ops};
+	int listener = open_controller();
+
+	submit_large(&pending, 0.3);
+	run_until_replies(1);
+	ck_assert_int_eq(outcome, DAG_UNKNOWN);
+	check_dropped(listener);
+	close(listener);
+}
+END_TEST
+
+/* Guards against a request that arrives after its sender has ended. */
+START_TEST(request_of_an_ended_client_is_dropped)
+{
+	struct dag_pending_request pending = {.ops = &ops};
+	int listener = open_controller();
+
+	submit_large(&pending, 5);
+	for (int i = 0; i < 3; i++)
+		ev_run(loop, EVRUN_ONCE);
+	dag_client_free(client);
+	client = NULL;
+	ck_assert_uint_eq(replies, 1);
+	ck_assert_int_eq(outcome, DAG_UNKNOWN);
+	check_dropped(listener);
+	close(listener);
+}
+END_TEST
+
+/* Guards against a request that arrives after the process of its sender was killed. */
+START_TEST(request_of_a_killed_process_is_dropped)
+{
+	struct dag_pending_request pending = {.ops = &ops};
+	int listener = open_controller();
+	pid_t pid = fork();
+	int status;
+
+	ck_assert_int_ge(pid, 0);
+	if (pid == 0) {
+		ev_loop_fork(loop);
+		submit_large(&pending, 5);
+		for (int i = 0; i < 3; i++)
+			ev_run(loop, EVRUN_ONCE);
+		raise(SIGKILL);
+	}
+	ck_assert_int_eq(waitpid(pid, &status, 0), pid);
+	check_dropped(listener);
+	close(listener);
+}
+END_TEST
+
+/* Guards against other requests of a connection that the end of one loses or frees. */
+START_TEST(other_requests_outlive_one_that_timed_out)
+{
+	struct dag_pending_request pending[8];
+	int listener = open_controller();
+
+	for (int i = 0; i < 8; i++) {
+		pending[i] = (struct dag_pending_request){.ops = &ops};
+		submit_large(&pending[i], i % 2 ? 0.9 : 0.3);
+	}
+	run_until_replies(4);
+	run_until_replies(8);
+	ck_assert_int_eq(outcome, DAG_UNKNOWN);
+	close(listener);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("dag_client");
@@ -112,6 +246,10 @@
 	tcase_add_checked_fixture(t, setup, teardown);
 	tcase_add_test(t, request_beyond_a_bound_is_invalid);
 	tcase_add_test(t, members_take_the_place_of_those_that_left);
+	tcase_add_test(t, request_that_timed_out_is_dropped);
+	tcase_add_test(t, request_of_an_ended_client_is_dropped);
+	tcase_add_test(t, request_of_a_killed_process_is_dropped);
+	tcase_add_test(t, other_requests_outlive_one_that_timed_out);
 	suite_add_tcase(s, t);
 	r = srunner_create(s);
 	srunner_run_all(r, CK_ENV);
