carawayfrontd/relay: calls for an earlier life of a gateway are dropped

What callers could see: none was seen. A gateway refuses such calls as for an earlier life, but they arrive, take its time and are answered.

Cause: connect_agent() says that what the old connection holds is dropped, but it ended the connection by close(), after which the kernel still delivers what it holds. The same fault as that of dag_client.

Change: connections to gateways have the option drop_unsent as well.

Measured: test_relay calls_for_an_earlier_life_of_a_gateway_are_dropped, red in 3 of 3 runs before (all 65720 bytes of the call arrive), green in 5 of 5 after. In the same runs list_that_is_too_long_is_answered was red in 3 of 3 before and 3 of 5 after ("call->proc == 0"): its stand-in for the leader does not expect the null calls by which a gateway probes the connection since; it is not changed here. queued_call_of_an_ended_lease_is_not_sent was red in 1 of 3 before and 0 of 5 after; not traced.

--- a/carawayfrontd/relay.c
+++ b/carawayfrontd/relay.c
@@ -88,6 +88,7 @@
 		.loop = r->opt.loop,
 		.member = r->opt.settings->name,
 		.key = r->opt.settings->cluster_key,
+		.drop_unsent = true,
 	};
 
 	rpc_client_free(a->client);
--- a/regress/test_relay.c
+++ b/regress/test_relay.c
@@ -1,5 +1,6 @@
 #include <check.h>
 #include <errno.h>
+#include <fcntl.h>
 #include <stdlib.h>
 #include <string.h>
 #include <unistd.h>
@@ -553,6 +554,54 @@
 }
 END_TEST
 
+/* Hands the relay a start with the longest specification that there is. */
+static void order_large_start(void)
+{
+	struct dag_worker_command o = {.call = {.worker = 1}, .run = 1};
+	struct buf spec = {0};
+
+	while (spec.n < DAG_MAX_SPEC)
+		ck_assert_int_eq(buf_adds(&spec, "12345678"), 0);
+	o.spec = buf_str(&spec);
+	transport()->ops->start(transport(), &o);
+	buf_free(&spec);
+}
+
+/* Guards against calls for an earlier life of a gateway that arrive with later ones. */
+START_TEST(calls_for_an_earlier_life_of_a_gateway_are_dropped)
+{
+	struct dag_agent a = {.life = 1};
+	int listener = listen_on(AGENT_ADDRESS);
+	struct addr address;
+	char bytes[4096];
+	size_t total = 0;
+	ssize_t n;
+	int fd;
+
+	/* The gateway's kernel takes a part of the call. */
+	setsockopt(listener, SOL_SOCKET, SO_RCVBUF, &(int){sizeof(bytes)}, sizeof(int));
+	XDR_SET(a, zone, STR("a"));
+	ck_assert_int_eq(addr_parse(STR(AGENT_ADDRESS), &address), 0);
+	a.id = node_id(&address);
+	play_leader(&a, 0.2);
+	order_large_start();
+	play_leader(&a, 0.2);
+	fd = accept_relay(listener);
+	fcntl(fd, F_SETFL, 0);
+	a.life++;
+	relay_agent(relay, &a);
+	do {
+		n = recv(fd, bytes, sizeof(bytes), 0);
+		total += n > 0 ? (size_t)n : 0;
+	} while (n > 0);
+	ck_assert_uint_lt(total, DAG_MAX_SPEC);
+	ck_assert_int_eq(n, -1);
+	ck_assert_int_eq(errno, ECONNRESET);
+	close(fd);
+	close(listener);
+}
+END_TEST
+
 /* Replaces the process of a gateway by a new one at the same address. */
 static void far_restart(struct far *f)
 {
@@ -850,6 +899,7 @@
 	tcase_add_test(t, call_of_an_ended_lease_is_not_carried_out);
 	tcase_add_test(t, queued_call_of_an_ended_lease_is_not_sent);
 	tcase_add_test(t, connection_without_answers_is_reset);
+	tcase_add_test(t, calls_for_an_earlier_life_of_a_gateway_are_dropped);
 	tcase_add_test(t, call_for_an_earlier_life_of_a_gateway_is_not_carried_out);
 	tcase_add_test(t, calls_of_an_earlier_life_of_a_gateway_end_with_it);
 	tcase_add_test(t, starts_that_fill_messages_are_all_sent);
