--- a/regress/test_leader_client.c
+++ b/regress/test_leader_client.c
@@ -1,6 +1,7 @@
 #include <check.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <unistd.h>
 
 #include <ev.h>
 
@@ -168,6 +169,64 @@
 }
 END_TEST
 
+#define SILENT_ADDRESS "127.0.0.1:20124"
+#define IN_TOUCH_S 3.0 /* after which a silent channel may not count any more */
+
+static void run_for(double seconds)
+{
+	double end = ev_time() + seconds;
+
+	while (ev_time() < end) {
+		ev_run(loop, EVRUN_NOWAIT);
+		ev_sleep(0.002);
+	}
+}
+
+/* Guards against a process that is out of reach for good as its connection is silent. */
+START_TEST(silent_connection_is_replaced)
+{
+	struct rpc_server_options opt = {.loop = loop, .key = STR("secret")};
+	struct settings_member one = {.name = STR("s0")};
+	struct settings far = settings;
+	struct leader_client reached;
+	struct rpc_server *server;
+	struct caller late = {.call = {.ops = &call_ops}};
+	struct caller next = late;
+	int listener = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+	int silent;
+
+	ck_assert_int_eq(addr_parse(STR(SILENT_ADDRESS), &one.address), 0);
+	setsockopt(listener, SOL_SOCKET, SO_REUSEADDR, &(int){1}, sizeof(int));
+	ck_assert_int_eq(
+		bind(listener, (struct sockaddr *)&one.address.sa, one.address.len), 0);
+	ck_assert_int_eq(listen(listener, 1), 0);
+	far.state.items = &one;
+	far.state.n = 1;
+	ck_assert_int_eq(leader_client_init(&reached, loop, &far), 0);
+	ev_now_update(loop);
+	ck_assert_int_eq(
+		leader_call_start(&reached, &late.call, PEER_PROPOSE, STR("x"), 0.5, 0.5),
+		0);
+	run_until(&late);
+	ck_assert_int_eq(late.err, CF_EUNKNOWN);
+	silent = accept(listener, NULL, NULL);
+	ck_assert_int_ge(silent, 0);
+	close(listener);
+	opt.host = &member[0].host;
+	opt.address = one.address;
+	ck_assert_int_eq(rpc_server_new(&opt, &server), 0);
+	run_for(IN_TOUCH_S);
+	ck_assert_int_eq(
+		leader_call_start(&reached, &next.call, PEER_PROPOSE, STR("x"), 1, 0.5),
+		0);
+	run_until(&next);
+	ck_assert_int_eq(next.err, 0);
+	leader_client_destroy(&reached);
+	rpc_server_free(server);
+	close(silent);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("leader_client");
@@ -180,6 +239,7 @@
 	tcase_add_test(tc, slow_leader_is_asked_again);
 	tcase_add_test(tc, short_call_blames_no_process);
 	tcase_add_test(tc, lost_leader_is_not_asked_first);
+	tcase_add_test(tc, silent_connection_is_replaced);
 	suite_add_tcase(s, tc);
 	sr = srunner_create(s);
 	srunner_run_all(sr, CK_NORMAL);
