core, io, carawayfrontd: the wait of a restarted replica and silent peers are logged

Operators could not tell from the log why a core that had its power back elected nobody: a restarted replica waits without a word until members that complete a quorum have replied, and a connection between controllers that has gone silent is replaced without a word.

Change: the replica reports the wait to its host, when it starts (replies needed) and when it ends (after how long, whose replies, or that the leader's alone sufficed); controllers log replica-waits and replica-verified, two lines a life at most. rpc_client tells its host of the first silent connection since a reply and of the next reply: peer-silent and peer-heard, and the counter carawayfront_silent_peers_total. A controller's peers keep their places, as the hosts are in them. State processes and gateways (state.c, agent.c) log neither yet.

--- a/carawayfrontd/controller_impl.h
+++ b/carawayfrontd/controller_impl.h
@@ -17,6 +17,8 @@
 #define CONTROLLER_MAX_PEERS 24U
 
 struct controller_peer {
+	struct rpc_client_host host; /* first member */
+	struct controller *controller;
 	uint64_t id;
 	struct rpc_client *client;
 };
@@ -46,6 +48,7 @@
 	uint64_t id;
 	struct controller_peer peers[CONTROLLER_MAX_PEERS];
 	size_t n_peers;
+	size_t oldest_peer; /* once all places are taken */
 	struct replica *replica;
 	struct dag_state *state;
 	struct dag_sched *sched;	 /* NULL unless this process leads */
--- a/carawayfrontd/controller_replica.c
+++ b/carawayfrontd/controller_replica.c
@@ -1,4 +1,5 @@
 /* Connects the replica to the data directory and to the other controllers. */
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -23,6 +24,25 @@
 	return NULL;
 }
 
+/* Once until the peer is heard again, however many connections are replaced. */
+static void on_silent(struct rpc_client_host *host)
+{
+	struct controller_peer *p = (struct controller_peer *)host;
+
+	log_warn("peer-silent", "peer=%llx", (unsigned long long)p->id);
+	++*metric_counter(p->controller->metrics, "carawayfront_silent_peers_total", "");
+}
+
+static void on_heard(struct rpc_client_host *host, unsigned int replaced)
+{
+	struct controller_peer *p = (struct controller_peer *)host;
+
+	log_info("peer-heard", "peer=%llx connections=%u", (unsigned long long)p->id,
+		 replaced);
+}
+
+static const struct rpc_client_ops peer_ops = {.silent = on_silent, .heard = on_heard};
+
 static struct controller_peer *make_peer(struct controller *c, uint64_t id)
 {
 	struct rpc_client_options opt = {
@@ -32,23 +52,29 @@
 		.probe_period = REPLICA_PROBE_S,
 	};
 	struct controller_peer *p = find_peer(c, id);
+	struct rpc_client *client;
 
 	if (p)
 		return p;
 	if (node_addr(id, &opt.address))
 		return NULL;
-	if (c->n_peers == CONTROLLER_MAX_PEERS) {
-		/* The oldest makes room; it is made again when it is needed. */
-		rpc_client_free(c->peers[0].client);
-		memmove(&c->peers[0], &c->peers[1],
-			(c->n_peers - 1) * sizeof(c->peers[0]));
-		c->n_peers--;
-	}
-	p = &c->peers[c->n_peers];
-	p->id = id;
-	if (rpc_client_new(&opt, &p->client))
+	/* The oldest makes room; it is made again when it is needed. */
+	p = &c->peers[c->n_peers < CONTROLLER_MAX_PEERS ? c->n_peers : c->oldest_peer];
+	opt.host = &p->host;
+	if (rpc_client_new(&opt, &client))
 		return NULL;
-	c->n_peers++;
+	if (c->n_peers < CONTROLLER_MAX_PEERS) {
+		c->n_peers++;
+	} else {
+		rpc_client_free(p->client);
+		c->oldest_peer = (c->oldest_peer + 1) % CONTROLLER_MAX_PEERS;
+	}
+	*p = (struct controller_peer){
+		.host = {.ops = &peer_ops},
+		.controller = c,
+		.id = id,
+		.client = client,
+	};
 	return p;
 }
 
@@ -153,6 +179,24 @@
 	}
 }
 
+/* One line when the wait starts and one when it ends. */
+static void op_hello_wait(struct replica_host *host, const struct replica_hello *w)
+{
+	char members[REPLICA_MAX_MEMBERS * 17 + 1] = "";
+	size_t n = 0;
+
+	if (!w->ended) {
+		log_info("replica-waits", "needed=%zu", w->needed);
+		return;
+	}
+	for (size_t i = 0; i < w->n_replied; i++)
+		n += (size_t)snprintf(members + n, sizeof(members) - n, "%s%llx",
+				      i ? "," : "", (unsigned long long)w->replied[i]);
+	log_info("replica-verified", "ms=%lld needed=%zu replies=%s leader=%llx",
+		 (long long)(w->waited_us / 1000), w->needed, n ? members : "none",
+		 (unsigned long long)w->leader);
+}
+
 static const struct replica_ops replica_ops = {
 	.send = op_send,
 	.append = disk_host_append,
@@ -166,6 +210,7 @@
 	.role_changed = op_role_changed,
 	.save_snapshot = disk_host_save_snapshot,
 	.compact = disk_host_compact,
+	.hello_wait = op_hello_wait,
 };
 
 /*
--- a/core/replica.h
+++ b/core/replica.h
@@ -101,6 +101,19 @@
 	size_t n_acks;
 };
 
+/*
+ * How far a restarted replica is with the check of its data directory, for which it stays
+ * passive.
+ */
+struct replica_hello {
+	bool ended;
+	size_t needed; /* replies of members */
+	size_t n_replied;
+	uint64_t replied[REPLICA_MAX_MEMBERS]; /* ids of members */
+	uint64_t leader;		       /* its reply alone sufficed; 0: no */
+	int64_t waited_us;
+};
+
 struct replica_host {
 	const struct replica_ops *ops;
 };
@@ -156,6 +169,12 @@
 	 * identity. May be NULL. Not called when replica_options.auto_admit is set.
 	 */
 	void (*join_requested)(struct replica_host *h, uint64_t id, uint64_t identity);
+	/*
+	 * The replica waits for replies of members before it votes, stands or follows,
+	 * or this wait has ended. May be NULL. Called at most twice: within
+	 * replica_new(), and at the end unless role_changed() reports the exclusion.
+	 */
+	void (*hello_wait)(struct replica_host *h, const struct replica_hello *w);
 };
 
 /* Zero in a numeric field selects the default. All strings are copied. */
--- a/core/replica_priv.h
+++ b/core/replica_priv.h
@@ -73,6 +73,7 @@
 	int64_t leader_last_heard_us;
 	int64_t election_at_us;
 	int64_t hello_at_us;
+	int64_t hello_started_us;
 	int64_t join_at_us;
 	bool leaving; /* this process ends soon; set once */
 	bool left;    /* while leaving: no member any more */
--- a/core/replica_verify.c
+++ b/core/replica_verify.c
@@ -52,6 +52,24 @@
 	return replica_quorum(r) - (replica_is_voter(r) ? 1 : 0);
 }
 
+/* Reports the wait to the host. leader: its reply alone ended it; 0: no. */
+static void hello_note(const struct replica *r, uint64_t leader)
+{
+	struct replica_hello w = {
+		.ended = r->verified,
+		.needed = hello_replies_needed(r),
+		.leader = leader,
+		.waited_us = r->now_us - r->hello_started_us,
+	};
+
+	if (!r->host->ops->hello_wait)
+		return;
+	for (size_t i = 0; i < r->n_peer; i++)
+		if (r->peer[i].hello_replied)
+			w.replied[w.n_replied++] = r->peer[i].id;
+	r->host->ops->hello_wait(r->host, &w);
+}
+
 /*
  * After a restart the replica stays passive until enough members to complete a quorum
  * have replied that they know of no newer acknowledgement. Learners count too, since
@@ -62,6 +80,9 @@
 {
 	r->verified = fresh || r->members.n == 0 || hello_replies_needed(r) == 0;
 	r->hello_at_us = r->now_us;
+	r->hello_started_us = r->now_us;
+	if (!r->verified)
+		hello_note(r, 0);
 }
 
 void replica_hello_send(struct replica *r)
@@ -143,5 +164,6 @@
 	if (n < hello_replies_needed(r) && !leader)
 		return;
 	r->verified = true;
+	hello_note(r, n < hello_replies_needed(r) ? from : 0);
 	replica_elect_reset(r);
 }
--- a/io/rpc_client.c
+++ b/io/rpc_client.c
@@ -25,9 +25,10 @@
 	struct rpc_client_options opt;
 	struct ev_timer sweep;
 	struct ev_timer probe;
-	unsigned int silent; /* probe periods without a sign of the peer */
-	uint64_t taken;	     /* bytes that the socket had taken at the last probe */
-	bool unheard;	     /* something was sent since the last record */
+	unsigned int silent;   /* probe periods without a sign of the peer */
+	uint64_t taken;	       /* bytes that the socket had taken at the last probe */
+	bool unheard;	       /* something was sent since the last record */
+	unsigned int replaced; /* silent connections since the last record */
 	struct rpc_waiter *waiters[WAITER_BUCKETS];
 	unsigned int outstanding;
 	bool up;
@@ -82,6 +83,23 @@
 	}
 }
 
+/* Reports the first silent connection since the last record. */
+static void note_silent(struct rpc_client *c)
+{
+	if (c->replaced++ == 0 && c->opt.host && c->opt.host->ops->silent)
+		c->opt.host->ops->silent(c->opt.host);
+}
+
+/* Reports a record after silent connections. */
+static void note_heard(struct rpc_client *c)
+{
+	unsigned int replaced = c->replaced;
+
+	c->replaced = 0;
+	if (replaced && c->opt.host && c->opt.host->ops->heard)
+		c->opt.host->ops->heard(c->opt.host, replaced);
+}
+
 static int on_record(struct stream *s, struct str record)
 {
 	struct rpc_client *c = (struct rpc_client *)s;
@@ -95,6 +113,7 @@
 	c->unheard = false;
 	c->silent = 0;
 	c->backoff = RECONNECT_MIN;
+	note_heard(c);
 	w = c->waiters[head.xid % WAITER_BUCKETS];
 	while (w && w->xid != head.xid)
 		w = w->next;
@@ -110,7 +129,7 @@
 	struct rpc_client *c = (struct rpc_client *)s;
 
 	c->up = true;
-	if (c->opt.host)
+	if (c->opt.host && c->opt.host->ops->up)
 		c->opt.host->ops->up(c->opt.host);
 }
 
@@ -129,7 +148,7 @@
 			w->deadline = -1;
 	/* Nothing is written before the connection is up. */
 	end_calls(c, 0, was_up ? CF_ECONN : CF_EUNAVAIL);
-	if (was_up && c->opt.host)
+	if (was_up && c->opt.host && c->opt.host->ops->down)
 		c->opt.host->ops->down(c->opt.host);
 }
 
@@ -328,6 +347,7 @@
 		c->silent = 0;
 	c->taken = c->stream.taken;
 	if (++c->silent >= (c->up ? SILENT_PERIODS : CONNECT_PERIODS)) {
+		note_silent(c);
 		rpc_client_reset(c);
 		return;
 	}
--- a/regress/test_replica.c
+++ b/regress/test_replica.c
@@ -385,7 +385,9 @@
 	char order[16];	 /* initials of disk operations */
 	size_t n_order;
 	size_t window_bytes;
-	int refuse; /* result of loading a snapshot */
+	int refuse;		       /* result of loading a snapshot */
+	struct replica_hello hello[3]; /* what it told of its wait */
+	size_t n_hello;
 };
 
 static int lone_note(struct replica_host *h, char op)
@@ -465,6 +467,14 @@
 	return lone_note(h, 'S');
 }
 
+static void lone_hello_wait(struct replica_host *h, const struct replica_hello *w)
+{
+	struct lone *l = (struct lone *)h;
+
+	ck_assert_uint_lt(l->n_hello, 3);
+	l->hello[l->n_hello++] = *w;
+}
+
 static const struct replica_ops lone_ops = {
 	.send = lone_send,
 	.append = lone_append,
@@ -477,19 +487,29 @@
 	.load_snapshot = lone_load,
 	.save_snapshot = lone_save,
 	.compact = lone_compact,
+	.hello_wait = lone_hello_wait,
 };
 
-/* Lets the lone replica, id 1, ask about its directory and answers. */
-static void lone_hello(struct lone *l, int64_t now)
+/* Replies for a member to the newest HELLO of the lone replica, id 1. */
+static void lone_hello_reply(struct lone *l, uint64_t from, uint64_t identity,
+			     int64_t now)
 {
-	struct replica_msg m = {.kind = REPLICA_MSG_HELLO_REPLY,
-				.from_identity = 102,
-				.to_identity = 101};
+	struct replica_msg m = {
+		.kind = REPLICA_MSG_HELLO_REPLY,
+		.from_identity = identity,
+		.to_identity = 101,
+		.life = l->last.life,
+	};
+
+	ck_assert_int_eq(replica_receive(l->r, from, &m, now), 0);
+}
 
+/* Lets the lone replica ask about its directory and answers. */
+static void lone_hello(struct lone *l, int64_t now)
+{
 	replica_tick(l->r, now);
 	ck_assert_int_eq(l->last.kind, REPLICA_MSG_HELLO);
-	m.life = l->last.life;
-	ck_assert_int_eq(replica_receive(l->r, 2, &m, now), 0);
+	lone_hello_reply(l, 2, 102, now);
 }
 
 /* Takes the lone replica through an election to leader; its timeout has passed. */
@@ -574,6 +594,57 @@
 	buf_free(&image);
 }
 
+/* Guards against a restarted voter whose wait operators cannot see, or see wrongly. */
+START_TEST(wait_for_replies_is_told)
+{
+	struct lone l = {0};
+
+	lone_start(&l, SECOND);
+	ck_assert_uint_eq(l.n_hello, 1);
+	ck_assert(!l.hello[0].ended);
+	ck_assert_uint_eq(l.hello[0].needed, 1);
+	ck_assert_uint_eq(l.hello[0].n_replied, 0);
+	lone_hello(&l, SECOND + 250000);
+	ck_assert_uint_eq(l.n_hello, 2);
+	ck_assert(l.hello[1].ended);
+	ck_assert_uint_eq(l.hello[1].needed, 1);
+	ck_assert_uint_eq(l.hello[1].n_replied, 1);
+	ck_assert_uint_eq(l.hello[1].replied[0], 2);
+	ck_assert_uint_eq(l.hello[1].leader, 0);
+	ck_assert_int_eq(l.hello[1].waited_us, 250000);
+	/* Later replies tell nothing more. */
+	lone_hello_reply(&l, 3, 103, SECOND + 300000);
+	ck_assert_uint_eq(l.n_hello, 2);
+	replica_free(l.r);
+}
+END_TEST
+
+/* Guards against a leader's reply that ends the wait alone and is told as a quorum. */
+START_TEST(wait_that_the_leader_ended_is_told)
+{
+	struct lone l = {0};
+	struct replica_msg append = {
+		.kind = REPLICA_MSG_APPEND,
+		.from_identity = 109,
+		.to_identity = 101,
+		.epoch = 4,
+	};
+
+	lone_start(&l, SECOND);
+	/* Member 9 is not in the stored log: all voters have been replaced since. */
+	replica_receive(l.r, 9, &append, SECOND + 40000);
+	ck_assert_int_eq(l.last.kind, REPLICA_MSG_HELLO);
+	ck_assert_uint_eq(l.n_hello, 1);
+	lone_hello_reply(&l, 9, 109, SECOND + 80000);
+	ck_assert_uint_eq(l.n_hello, 2);
+	ck_assert(l.hello[1].ended);
+	ck_assert_uint_eq(l.hello[1].n_replied, 0);
+	ck_assert_uint_eq(l.hello[1].leader, 9);
+	ck_assert_int_eq(l.hello[1].waited_us, 80000);
+	replica_free(l.r);
+}
+END_TEST
+
 /* Guards against an entry of an earlier epoch that commits by its replicas alone. */
 START_TEST(earlier_epoch_needs_barrier)
 {
@@ -1631,6 +1702,8 @@
 	tcase_set_timeout(tc, 300);
 	tcase_add_test(tc, promise_is_durable_before_answer);
 	tcase_add_test(tc, frozen_leader_does_not_act);
+	tcase_add_test(tc, wait_for_replies_is_told);
+	tcase_add_test(tc, wait_that_the_leader_ended_is_told);
 	tcase_add_test(tc, earlier_epoch_needs_barrier);
 	tcase_add_test(tc, membership_changes_do_not_overlap);
 	tcase_add_test(tc, other_identity_is_refused);
--- a/regress/test_rpc.c
+++ b/regress/test_rpc.c
@@ -205,6 +205,64 @@
 	return n;
 }
 
+static unsigned int times_silent;
+static unsigned int times_heard;
+static unsigned int times_replaced;
+
+static void on_silent(struct rpc_client_host *h)
+{
+	times_silent++;
+}
+
+static void on_heard(struct rpc_client_host *h, unsigned int replaced)
+{
+	times_heard++;
+	times_replaced = replaced;
+}
+
+static const struct rpc_client_ops silence_ops = {.silent = on_silent, .heard = on_heard};
+
+/* Guards against a lost peer that is told never, or again with each connection. */
+START_TEST(silent_peer_is_told_once)
+{
+	struct rpc_client_host silence = {.ops = &silence_ops};
+	struct rpc_client_options opt = {.loop = loop,
+					 .member = STR("t"),
+					 .key = STR("secret"),
+					 .host = &silence,
+					 .probe_period = PROBE_PERIOD};
+	struct rpc_client *c = NULL;
+	int listener = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+	int never = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+	struct rpc_server_options server_opt = {
+		.host = &host.host, .loop = loop, .key = STR("secret")};
+	struct rpc_server *again = NULL;
+	int n;
+
+	ck_assert_int_eq(addr_parse(STR("127.0.0.1:20104"), &opt.address), 0);
+	setsockopt(listener, SOL_SOCKET, SO_REUSEADDR, &(int){1}, sizeof(int));
+	ck_assert_int_eq(
+		bind(listener, (struct sockaddr *)&opt.address.sa, opt.address.len), 0);
+	ck_assert_int_eq(listen(listener, 16), 0);
+	ck_assert_int_eq(rpc_client_new(&opt, &c), 0);
+	times_silent = times_heard = 0;
+	n = count_connections(c, listener, 2 * REPLACED_MAX);
+	ck_assert_int_ge(n, 3);
+	ck_assert_uint_eq(times_silent, 1);
+	ck_assert_uint_eq(times_heard, 0);
+	close(listener);
+	server_opt.address = opt.address;
+	ck_assert_int_eq(rpc_server_new(&server_opt, &again), 0);
+	count_connections(c, never, REPLACED_MAX);
+	ck_assert_uint_eq(times_silent, 1);
+	ck_assert_uint_eq(times_heard, 1);
+	ck_assert_uint_ge(times_replaced, 2);
+	rpc_client_free(c);
+	rpc_server_free(again);
+	close(never);
+}
+END_TEST
+
 /* Guards against posts for ever on a connection that has gone silent. */
 START_TEST(silent_connection_is_replaced)
 {
@@ -535,6 +593,7 @@
 	tcase_add_test(tc, call_without_a_connection_is_not_sent);
 	tcase_add_test(tc, silent_connection_is_replaced);
 	tcase_add_test(tc, slow_connection_stays);
+	tcase_add_test(tc, silent_peer_is_told_once);
 	tcase_add_test(tc, answering_connection_stays);
 	tcase_add_test(tc, wrong_key_is_refused);
 	tcase_add_test(tc, first_call_needs_a_credential);
