--- a/io/http_client.c
+++ b/io/http_client.c
@@ -400,6 +400,8 @@
 	err = set_method(x, opt);
 	if (!err && !opt->idempotent)
 		err = set_send_once(x, opt);
+	if (opt->drop_idle)
+		curl_easy_setopt(x->easy, CURLOPT_MAXAGE_CONN, 0L);
 	if (!err)
 		err = set_headers(x, opt);
 	if (err)
--- a/io/http_client.h
+++ b/io/http_client.h
@@ -39,6 +39,7 @@
 	struct str body;
 	bool idempotent;
 	bool reuse_idle; /* also connections that were idle for long, if not idempotent */
+	bool drop_idle;	 /* connections that were idle for a second are not used again */
 	double timeout;	 /* seconds for the whole call */
 	/* On clock_us(); later it is not sent and ends with CF_ESTALE. 0: no limit. */
 	int64_t send_until_us;
--- a/regress/test_executors.c
+++ b/regress/test_executors.c
@@ -347,6 +347,78 @@
 }
 END_TEST
 
+#define IDLE 4	       /* connections to one executor, all idle */
+#define IN_TOUCH_S 3.0 /* after which a silent channel may not count any more */
+#define RETRY_S 0.4    /* between polls without a reply, as the leader sends them */
+#define LONG_WAIT_MS 1000U
+
+/* Answers what comes on new connections; returns whether one came. */
+static void serve_new(int listener, int *fds, size_t *n)
+{
+	static const char ok[] = "HTTP/1.1 200 OK\r\nContent-Length: 47\r\n\r\n" REPLY;
+	char bytes[4096];
+
+	while (*n < 64 && (fds[*n] = accept(listener, NULL, NULL)) >= 0)
+		(*n)++;
+	for (size_t i = 0; i < *n; i++)
+		if (recv(fds[i], bytes, sizeof(bytes), MSG_DONTWAIT) > 0)
+			ck_assert_int_eq(write(fds[i], ok, sizeof(ok) - 1),
+					 sizeof(ok) - 1);
+}
+
+static void poll_elsewhere(uint32_t wait_ms)
+{
+	struct dag_poll_command look = {.call = call_until(0), .wait_ms = wait_ms};
+
+	look.call.address = STR(OTHER_ADDRESS);
+	transport->ops->poll(transport, &look);
+}
+
+/* Guards against silent connections to an executor that are used one after the other. */
+START_TEST(silent_idle_connections_are_given_up)
+{
+	int listener = listen_elsewhere();
+	int silent[64];
+	int fresh[64];
+	size_t n_silent = 0;
+	size_t n_fresh = 0;
+	double start;
+	double next;
+
+	ck_assert_int_eq((int)strlen(REPLY), 47);
+	ck_assert_int_eq(fcntl(listener, F_SETFL, O_NONBLOCK), 0);
+	for (int i = 0; i < IDLE; i++)
+		poll_elsewhere(LONG_WAIT_MS);
+	play(0.2);
+	for (int i = 0; i < 20; i++) {
+		serve_new(listener, silent, &n_silent);
+		play(0.01);
+	}
+	ck_assert_uint_eq(user.usable, IDLE);
+	ck_assert_uint_eq(n_silent, IDLE);
+	user.polls = user.usable = 0;
+	start = next = ev_time();
+	poll_elsewhere(LONG_WAIT_MS);
+	for (unsigned int sent = 1; !user.usable && ev_time() - start < 10;) {
+		play(0.01);
+		serve_new(listener, fresh, &n_fresh);
+		if (user.polls < sent)
+			next = ev_time() + (sent > 1 ? RETRY_S : 0);
+		else if (ev_time() >= next && !user.usable) {
+			poll_elsewhere(0);
+			sent++;
+		}
+	}
+	ck_assert_uint_eq(user.usable, 1);
+	ck_assert(ev_time() - start < IN_TOUCH_S);
+	while (n_silent)
+		close(silent[--n_silent]);
+	while (n_fresh)
+		close(fresh[--n_fresh]);
+	close(listener);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("executors");
@@ -362,6 +434,7 @@
 	tcase_add_test(t, full_list_of_ends_may_lack_some);
 	tcase_add_loop_test(t, call_whose_copy_has_another_effect_is_sent_once, 0, 2);
 	tcase_add_loop_test(t, odd_row_costs_no_other_row, 0, N_ODD_ROWS);
+	tcase_add_test(t, silent_idle_connections_are_given_up);
 	tcase_add_test(t, deeply_nested_list_is_no_reply);
 	tcase_add_loop_test(t, address_of_no_host_is_no_executor, 0, 8);
 	suite_add_tcase(s, t);
