--- a/regress/test_relay.c
+++ b/regress/test_relay.c
@@ -16,6 +16,7 @@
 #include "io/rpc_client.h"
 #include "io/rpc_server.h"
 #include "proto/codec.h"
+#include "proto/peer.h"
 #include "regress/lib_fakehttp.h"
 
 /* A gateway that takes calls and answers only when the test says so. */
--- a/regress/test_rpc.c
+++ b/regress/test_rpc.c
@@ -351,6 +351,109 @@
 }
 END_TEST
 
+#define CALLERS 14
+#define CUT_S 7.0      /* by then the pauses between attempts are at their longest */
+#define STAGGER_S 0.13 /* between callers, so that the cut heals in any phase */
+/* A machine is in touch after 3 s, and the controllers' election takes up to 1.2 s. */
+#define REACHED_MAX 1.5
+
+/* A listener whose queue is full drops opening packets. */
+static int listen_full(const struct addr *address, int fill[2])
+{
+	int listener = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+
+	setsockopt(listener, SOL_SOCKET, SO_REUSEADDR, &(int){1}, sizeof(int));
+	ck_assert_int_eq(
+		bind(listener, (const struct sockaddr *)&address->sa, address->len), 0);
+	ck_assert_int_eq(listen(listener, 0), 0);
+	for (int i = 0; i < 2; i++) {
+		fill[i] = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+		(void)connect(fill[i], (const struct sockaddr *)&address->sa,
+			      address->len);
+	}
+	return listener;
+}
+
+static void run_loop_for(double seconds)
+{
+	double end = ev_time() + seconds;
+
+	while (ev_time() < end) {
+		ev_run(loop, EVRUN_NOWAIT);
+		usleep(1000);
+	}
+}
+
+/* Posts all the time, and notes that it has had a connection. */
+struct caller {
+	struct rpc_client_host host; /* first member */
+	struct rpc_client *client;
+	struct ev_timer timer;
+	bool reached;
+};
+
+static void on_caller_up(struct rpc_client_host *h)
+{
+	((struct caller *)h)->reached = true;
+}
+
+static void on_caller_down(struct rpc_client_host *h)
+{
+}
+
+static const struct rpc_client_ops caller_ops = {
+	.up = on_caller_up,
+	.down = on_caller_down,
+};
+
+static void start_caller(struct caller *c, const struct addr *address)
+{
+	struct rpc_client_options opt = {.loop = loop,
+					 .address = *address,
+					 .member = STR("t"),
+					 .key = STR("secret"),
+					 .host = &c->host,
+					 .probe_period = PROBE_PERIOD};
+
+	*c = (struct caller){.host = {.ops = &caller_ops}};
+	ck_assert_int_eq(rpc_client_new(&opt, &c->client), 0);
+	ev_timer_init(&c->timer, on_post, 0, POST_PERIOD);
+	c->timer.data = c->client;
+	ev_timer_start(loop, &c->timer);
+}
+
+/* Guards against a pause after a cut that is longer the longer the cut was. */
+START_TEST(peer_is_reached_soon_after_a_cut)
+{
+	struct caller c[CALLERS];
+	struct addr address;
+	unsigned int reached = 0;
+	int fill[2];
+	int listener;
+
+	ck_assert_int_eq(addr_parse(STR("127.0.0.1:20105"), &address), 0);
+	listener = listen_full(&address, fill);
+	for (int i = 0; i < CALLERS; i++) {
+		start_caller(&c[i], &address);
+		run_loop_for(STAGGER_S);
+	}
+	run_loop_for(CUT_S);
+	for (int i = 0; i < CALLERS; i++)
+		ck_assert(!c[i].reached);
+	ck_assert_int_eq(listen(listener, 64), 0);
+	run_loop_for(REACHED_MAX);
+	for (int i = 0; i < CALLERS; i++) {
+		reached += c[i].reached;
+		ev_timer_stop(loop, &c[i].timer);
+		rpc_client_free(c[i].client);
+	}
+	ck_assert_uint_eq(reached, CALLERS);
+	close(fill[0]);
+	close(fill[1]);
+	close(listener);
+}
+END_TEST
+
 /* Guards against a connection that is ended although the peer answers. */
 START_TEST(answering_connection_stays)
 {
@@ -594,6 +697,7 @@
 	tcase_add_test(tc, silent_connection_is_replaced);
 	tcase_add_test(tc, slow_connection_stays);
 	tcase_add_test(tc, silent_peer_is_told_once);
+	tcase_add_test(tc, peer_is_reached_soon_after_a_cut);
 	tcase_add_test(tc, answering_connection_stays);
 	tcase_add_test(tc, wrong_key_is_refused);
 	tcase_add_test(tc, first_call_needs_a_credential);
