carawayfrontd/controller: a request whose sender has gone is not carried out

Callers and operators were told that the outcome of a request is unknown, and moved on; a leader that had been paused or busy carried the request out when it read it later.

Cause: the kernel hands out what is in the receive queue of a connection that its peer has closed or reset, and nothing asked whether the peer is still there.

Change: rpc_call_is_abandoned() peeks, which costs one system call for a request that changes something; if more bytes follow, poll() tells whether the connection ends after them. The leader drops such a request without an answer, logs request-abandoned and counts it in rpc_server_stats. Reads, replica messages and answers of gateways are not checked.

Measured: test_rpc call_of_a_closed_connection_is_abandoned, a server that reads two calls after the peer has closed or reset the connection, with one call or 100 kB behind the first. No test plays it with whole controllers.

--- a/carawayfrontd/controller_request.c
+++ b/carawayfrontd/controller_request.c
@@ -546,6 +546,19 @@
 
 static const struct dag_pending_request_ops rpc_ticket_ops = {.done = rpc_done};
 
+/*
+ * Whether the sender of a request that changes something has given it up. It was told
+ * that the outcome is unknown, and may have asked for the contrary since then.
+ */
+static bool is_given_up(const struct dag_request *req, const struct rpc_call *call)
+{
+	if (!dag_request_has_effect(req->kind) || !rpc_call_is_abandoned(call))
+		return false;
+	log_info("request-abandoned", "kind=%d sender=%.*s", req->kind,
+		 STR_ARG(call->member));
+	return true;
+}
+
 static void on_request(struct controller *c, struct rpc_call *call)
 {
 	struct dag_reply not_leader = {.outcome = DAG_NOT_LEADER};
@@ -560,6 +573,9 @@
 	if (!rt || codec_decode((xdrproc_t)xdr_dag_request, &req, call->args)) {
 		free(rt);
 		rpc_call_reply(call, CF_EINVAL, (struct str){NULL, 0});
+	} else if (is_given_up(&req, call)) {
+		free(rt);
+		rpc_call_drop(call);
 	} else {
 		*rt = (struct rpc_ticket){{&rpc_ticket_ops}, c, call};
 		serve(c, &req, &rt->ticket);
--- a/carawayfrontd/dag_client.c
+++ b/carawayfrontd/dag_client.c
@@ -269,7 +269,8 @@
 	}
 }
 
-static bool has_effect(enum dag_request_kind kind)
+/* Whether a request can change something. */
+bool dag_request_has_effect(enum dag_request_kind kind)
 {
 	return kind != DAG_REQ_READ && kind != DAG_REQ_CONF_GET &&
 	       kind != DAG_REQ_MEMBERS;
@@ -307,7 +308,7 @@
 	call->waiter.ops = &waiter_ops;
 	call->client = c;
 	call->ticket = t;
-	call->has_effect = has_effect(req->kind);
+	call->has_effect = dag_request_has_effect(req->kind);
 	call->deadline = ev_now(c->opt.loop) + timeout;
 	ev_timer_init(&call->retry, on_retry, 0, 0);
 	call->retry.data = call;
--- a/carawayfrontd/dag_client.h
+++ b/carawayfrontd/dag_client.h
@@ -26,6 +26,7 @@
 			double timeout, struct dag_pending_request *t);
 void dag_client_learn(struct dag_client *c, uint64_t leader, const uint64_t *members,
 		      size_t n);
+bool dag_request_has_effect(enum dag_request_kind kind);
 uint64_t dag_client_leader(const struct dag_client *c);
 /* Seconds of the loop at which the leader answered last; 0: never. */
 double dag_client_heard(const struct dag_client *c);
--- a/io/rpc_server.c
+++ b/io/rpc_server.c
@@ -1,8 +1,10 @@
 #include "io/rpc_server.h"
 
+#include <errno.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <openssl/crypto.h>
+#include <poll.h>
 #include <stdlib.h>
 #include <unistd.h>
 
@@ -180,6 +182,36 @@
 	return 0;
 }
 
+/*
+ * Whether the peer has ended a connection from which bytes may still be read. A peek
+ * tells it unless more bytes follow, in which case poll() does.
+ */
+static bool has_ended(int fd)
+{
+	struct pollfd p = {.fd = fd, .events = POLLRDHUP};
+	char next;
+	ssize_t n = recv(fd, &next, sizeof(next), MSG_PEEK | MSG_DONTWAIT);
+
+	if (n < 0)
+		return errno != EAGAIN && errno != EINTR;
+	if (n == 0)
+		return true;
+	return poll(&p, 1, 0) > 0 && (p.revents & (POLLRDHUP | POLLHUP | POLLERR));
+}
+
+/*
+ * Whether the caller has given a call up: a process that was paused or busy still reads
+ * the calls of connections that were closed or reset meanwhile. Such a call is counted.
+ */
+bool rpc_call_is_abandoned(const struct rpc_call *call)
+{
+	if (call->conn && !has_ended(call->conn->stream.fd))
+		return false;
+	if (call->conn)
+		call->conn->server->stats.abandoned++;
+	return true;
+}
+
 /* Ends a call without an answer, as one-way procedures do. */
 void rpc_call_drop(struct rpc_call *call)
 {
--- a/io/rpc_server.h
+++ b/io/rpc_server.h
@@ -42,6 +42,7 @@
 	uint64_t calls;
 	uint64_t refused;   /* wrong credential */
 	uint64_t malformed; /* connections closed for a bad record */
+	uint64_t abandoned; /* calls whose caller had gone, as handlers found */
 	uint64_t bytes_in;
 	uint64_t bytes_out;
 };
@@ -49,6 +50,7 @@
 int rpc_server_new(const struct rpc_server_options *opt, struct rpc_server **out);
 void rpc_call_reply(struct rpc_call *call, int err, struct str results);
 void rpc_call_drop(struct rpc_call *call);
+bool rpc_call_is_abandoned(const struct rpc_call *call);
 const struct rpc_server_stats *rpc_server_stats(const struct rpc_server *s);
 void rpc_server_free(struct rpc_server *s);
 
--- a/regress/test_rpc.c
+++ b/regress/test_rpc.c
@@ -14,21 +14,26 @@
 
 #define ADDRESS "127.0.0.1:20101"
 
-enum proc { PROC_NULL = 0, PROC_ECHO = 1, PROC_HOLD = 2 };
+enum proc { PROC_NULL = 0, PROC_ECHO = 1, PROC_HOLD = 2, PROC_ORDER = 3 };
 
 struct server_host {
 	struct rpc_server_host host;
 	struct rpc_call *held;
+	unsigned int orders; /* that were carried out */
 };
 
 static void serve(struct rpc_server_host *host, struct rpc_call *call)
 {
 	struct server_host *h = (struct server_host *)host;
 
-	if (call->proc == PROC_ECHO || call->proc == PROC_NULL)
+	if (call->proc == PROC_ECHO || call->proc == PROC_NULL) {
 		rpc_call_reply(call, 0, call->args);
-	else
+	} else if (call->proc == PROC_ORDER) {
+		h->orders += !rpc_call_is_abandoned(call);
+		rpc_call_drop(call);
+	} else {
 		h->held = call;
+	}
 }
 
 static const struct rpc_server_ops server_ops = {.call = serve};
@@ -511,6 +516,71 @@
 }
 END_TEST
 
+#define LARGE_BYTES 100000 /* more than the server reads at once */
+
+/* Sends two calls, of which the second has a large argument, while the server waits. */
+static int send_orders(size_t large)
+{
+	const struct rpc_call_head head = {
+		.proc = PROC_ORDER, .member = STR("t"), .key = STR("secret")};
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+	char *args = calloc(1, large + 1);
+	struct buf calls = {0};
+	struct addr address;
+
+	ck_assert_ptr_nonnull(args);
+	ck_assert_int_eq(addr_parse(STR(ADDRESS), &address), 0);
+	ck_assert_int_eq(connect(fd, (struct sockaddr *)&address.sa, address.len), 0);
+	ck_assert_int_eq(rpc_wire_add_call(&calls, &head, STR("abcd")), 0);
+	ck_assert_int_eq(rpc_wire_add_call(&calls, &head, (struct str){args, large}), 0);
+	ck_assert_int_eq(write(fd, calls.p, calls.n), (ssize_t)calls.n);
+	buf_free(&calls);
+	free(args);
+	return fd;
+}
+
+/* Lets the server read what waits. */
+static void run_rounds(void)
+{
+	for (int i = 0; i < 20; i++)
+		ev_run(loop, EVRUN_NOWAIT);
+}
+
+/* Guards against orders that are carried out although their caller has gone. */
+START_TEST(call_of_a_closed_connection_is_abandoned)
+{
+	for (int reset = 0; reset < 2; reset++) {
+		for (int large = 0; large < 2; large++) {
+			struct linger drop = {.l_onoff = reset};
+			int fd = send_orders(large ? LARGE_BYTES : 4);
+
+			setsockopt(fd, SOL_SOCKET, SO_LINGER, &drop, sizeof(drop));
+			close(fd);
+			run_rounds();
+			ck_assert_msg(host.orders == 0, "reset %d, large %d: %u orders",
+				      reset, large, host.orders);
+		}
+	}
+	ck_assert_uint_gt(rpc_server_stats(server)->abandoned, 0);
+	ck_assert_uint_eq(rpc_server_stats(server)->abandoned,
+			  rpc_server_stats(server)->calls);
+}
+END_TEST
+
+/* Guards against orders that are refused although their caller waits. */
+START_TEST(call_of_an_open_connection_is_not_abandoned)
+{
+	for (unsigned int large = 0; large < 2; large++) {
+		int fd = send_orders(large ? LARGE_BYTES : 4);
+
+		run_rounds();
+		ck_assert_uint_eq(host.orders, 2 * (large + 1));
+		close(fd);
+	}
+	ck_assert_uint_eq(rpc_server_stats(server)->abandoned, 0);
+}
+END_TEST
+
 /* Guards against a call that is answered after its connection ended. */
 START_TEST(reply_after_disconnect)
 {
@@ -702,6 +772,8 @@
 	tcase_add_test(tc, wrong_key_is_refused);
 	tcase_add_test(tc, first_call_needs_a_credential);
 	tcase_add_test(tc, call_times_out_and_late_reply_is_dropped);
+	tcase_add_test(tc, call_of_a_closed_connection_is_abandoned);
+	tcase_add_test(tc, call_of_an_open_connection_is_not_abandoned);
 	tcase_add_test(tc, reply_after_disconnect);
 	tcase_add_test(tc, restarted_peer_is_called_anew);
 	tcase_add_test(tc, waiting_connections_are_accepted_together);
