carawayfrontd: gateways refuse requests at once while no leader comes

Callers saw each request held for up to 1.5 s while no controller led, though the gateway had known for seconds that none did; requests ended at their deadline, and of those held to the end the users charge the whole payoff.

Cause: each request looks for a leader by itself until its own time-out. Class: an outage that lasts is met as if each request were the first to find it.

Change: a gateway's client notes when it lost its leader (no reply, or the reply that it does not lead). For 2.0 s it searches as before: an election takes up to 1.5 s after a crash. Then requests of callers, held and new ones, end at once, with Retry-After 1: 503 if they were never sent to a controller that may have run them, else 504 as before. Meanwhile the client itself asks three controllers at a time for the leader. The decision is leader_wait.c.

Tried and left out: requests sent to a confirmed leader only, held meanwhile, for 1.2 s or 2.0 s before they are refused.

test_dag_client long_loss_of_the_leader_refuses_at_once and usual_election_refuses_no_request play a loss in virtual time: red with a search of 100 s and of 0.5 s. With the former dag_client.c long_search_refuses_the_next_request_at_once is red. No test covers the gateway's own requests around a real election; test_site_dag.sh and test_site_relay.sh pass.

--- a/Makefile
+++ b/Makefile
@@ -59,7 +59,7 @@
 	$(BUILD)/carawayfrontd/node_id.o
 
 $(BUILD)/bin/test_dag_client: $(BUILD)/carawayfrontd/dag_client.o \
-	$(BUILD)/carawayfrontd/node_id.o
+	$(BUILD)/carawayfrontd/leader_wait.o $(BUILD)/carawayfrontd/node_id.o
 
 $(BUILD)/bin/test_fuzz_worker: $(BUILD)/carawayfrontd/worker_report.o \
 	$(BUILD)/carawayfrontd/poll_digest.o
--- a/carawayfrontd/dag_client.c
+++ b/carawayfrontd/dag_client.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 
 #include "base/err.h"
+#include "carawayfrontd/leader_wait.h"
 #include "carawayfrontd/node_id.h"
 #include "proto/codec.h"
 
@@ -10,6 +11,9 @@
 #define RETRY_S 0.04	   /* before a controller is asked again for the leader */
 #define AVOID_S 1.0	   /* after a controller did not answer */
 #define RETRY_AFTER_MS 500 /* told to callers while there is no leader */
+#define FINDERS 3U	   /* controllers that are asked for the leader at a time */
+#define FINDER_S 0.5
+#define FINDER_ATTEMPT_S 0.3
 
 struct dag_node {
 	uint64_t id;
@@ -17,8 +21,17 @@
 	double avoid_until;
 };
 
+/* Asks for the leader while requests of callers are refused. */
+struct finder {
+	struct dag_pending_request ticket; /* first member */
+	bool running;
+};
+
 struct dag_client {
 	struct dag_client_options opt;
+	struct leader_wait wait;
+	struct finder finders[FINDERS];
+	uint64_t confirmed; /* answered as the leader last; 0: lost since */
 	struct dag_node nodes[DAG_CLIENT_NODES];
 	size_t n;
 	size_t next;
@@ -37,6 +50,8 @@
 	struct buf args;
 	struct dag_node *node;
 	double deadline;
+	double attempt_s;
+	bool of_caller;	 /* not of an executor, an operator or this process */
 	bool has_effect; /* it is not just a read */
 	bool maybe_run;
 };
@@ -116,6 +131,26 @@
 	*node = (struct dag_node){.id = id, .client = client};
 }
 
+static void on_found(struct dag_pending_request *t, const struct dag_reply *reply)
+{
+	((struct finder *)t)->running = false;
+}
+
+static const struct dag_pending_request_ops finder_ops = {.done = on_found};
+
+/* Looks for a leader also when nothing but refused requests would ask for it. */
+static void start_finders(struct dag_client *c)
+{
+	struct dag_request req = {.kind = DAG_REQ_MEMBERS};
+
+	for (size_t i = 0; i < FINDERS; i++) {
+		if (c->finders[i].running)
+			continue;
+		c->finders[i].running = true;
+		dag_client_request(c, &req, FINDER_S, &c->finders[i].ticket);
+	}
+}
+
 int dag_client_new(const struct dag_client_options *opt, struct dag_client **out)
 {
 	struct dag_client *c = calloc(1, sizeof(*c));
@@ -124,6 +159,9 @@
 	if (!c)
 		return CF_ENOMEM;
 	c->opt = *opt;
+	c->wait.lost_at = ev_now(opt->loop);
+	for (size_t i = 0; i < FINDERS; i++)
+		c->finders[i].ticket.ops = &finder_ops;
 	for (size_t i = 0; i < opt->settings->seeds.n; i++)
 		add_node(c,
 			 node_id_with_port(&seeds[i].address,
@@ -200,6 +238,14 @@
 	c->leader = leader;
 }
 
+/* A leader counts as known from its answer until a call to it fails. */
+static void update_wait(struct dag_client *c)
+{
+	bool known = c->confirmed && c->leader == c->confirmed;
+
+	leader_wait_update(&c->wait, known, ev_now(c->opt.loop));
+}
+
 static void take_reply(struct client_call *call, const struct dag_reply *reply)
 {
 	struct dag_client *c = call->client;
@@ -209,10 +255,15 @@
 			 reply->members.members_len);
 	if (reply->outcome != DAG_NOT_LEADER) {
 		c->leader = asked;
+		c->confirmed = asked;
 		c->heard = ev_now(c->opt.loop);
+		update_wait(c);
 		end_call(call, reply);
 		return;
 	}
+	if (c->confirmed == asked)
+		c->confirmed = 0;
+	update_wait(c);
 	if (reply->leader && reply->leader != asked)
 		retry_in(call, 0);
 	else
@@ -235,6 +286,9 @@
 		call->node->avoid_until = ev_now(c->opt.loop) + AVOID_S;
 		if (c->leader == call->node->id)
 			c->leader = 0;
+		if (c->confirmed == call->node->id)
+			c->confirmed = 0;
+		update_wait(c);
 		/* The request must not arrive after its end was reported. */
 		if (err == CF_ETIMEOUT)
 			rpc_client_reset(call->node->client);
@@ -245,26 +299,47 @@
 
 static const struct rpc_waiter_ops waiter_ops = {.done = on_answer};
 
+/*
+ * Whether the call goes on. No request of a caller is held while no leader is known for
+ * longer than an election takes; the call is then ended and must not be used.
+ */
+static bool may_go_on(struct client_call *call)
+{
+	struct dag_client *c = call->client;
+
+	if (!call->of_caller ||
+	    leader_wait_decide(&c->wait, ev_now(c->opt.loop)) != LEADER_WAIT_REFUSE)
+		return true;
+	start_finders(c);
+	fail_call(call);
+	return false;
+}
+
 static void attempt(struct client_call *call)
 {
 	struct dag_client *c = call->client;
 	double left = call->deadline - ev_now(c->opt.loop);
-	struct dag_node *node = choose(c);
+	struct dag_node *node;
 
 	if (left <= 0) {
 		fail_call(call);
 		return;
 	}
+	if (!may_go_on(call))
+		return;
+	node = choose(c);
 	if (!node) {
 		retry_in(call, RETRY_S);
 		return;
 	}
 	call->node = node;
 	if (rpc_client_call(node->client, DAG_PROC_REQUEST, buf_str(&call->args),
-			    left < ATTEMPT_S ? left : ATTEMPT_S, &call->waiter)) {
+			    left < call->attempt_s ? left : call->attempt_s,
+			    &call->waiter)) {
 		node->avoid_until = ev_now(c->opt.loop) + RETRY_S;
 		if (c->leader == node->id)
 			c->leader = 0;
+		update_wait(c);
 		retry_in(call, RETRY_S / 4);
 	}
 }
@@ -309,6 +384,9 @@
 	call->client = c;
 	call->ticket = t;
 	call->has_effect = dag_request_has_effect(req->kind);
+	call->of_caller = req->kind == DAG_REQ_SUBMIT || req->kind == DAG_REQ_READ ||
+			  req->kind == DAG_REQ_CANCEL;
+	call->attempt_s = req->kind == DAG_REQ_MEMBERS ? FINDER_ATTEMPT_S : ATTEMPT_S;
 	call->deadline = ev_now(c->opt.loop) + timeout;
 	ev_timer_init(&call->retry, on_retry, 0, 0);
 	call->retry.data = call;
