regress: ports of test_rpc and test_dag_client of their own

Both and test_http_server had 20103 to 20106 in part and failed when they ran at a time; what the merge of the tests of dag_client left out is back.

--- a/regress/test_dag_client.c
+++ b/regress/test_dag_client.c
@@ -233,149 +233,150 @@
 	run_until_replies(4);
 	run_until_replies(8);
 	ck_assert_int_eq(outcome, DAG_UNKNOWN);
-	/* --- the loss of a leader, in virtual time --- */
-
-	struct loss {
-		double seen;	/* the leader is known to be lost */
-		double elected; /* the next one is known */
-	};
-
-	struct outcome_of {
-		double arrived;
-		double ended;
-		bool sent;
-	};
-
-	/* A request that is asked about every 10 ms until it is sent, refused or too old.
-	 */
-	static struct outcome_of play_request(const struct loss *l, double arrived,
-					      double patience)
-	{
-		struct leader_wait w = {.known = true};
-		struct outcome_of o = {.arrived = arrived};
-
-		for (int tick = 0; tick * 0.01 < arrived + patience; tick++) {
-			double now = tick * 0.01;
-			enum leader_wait_step step;
-
-			leader_wait_update(&w, now < l->seen || now >= l->elected, now);
-			step = leader_wait_decide(&w, now);
-			o.ended = now;
-			o.sent = step == LEADER_WAIT_SEND;
-			if (now >= arrived && step != LEADER_WAIT_SEARCH)
-				return o;
-		}
-		return o;
+	close(listener);
+}
+END_TEST
+
+/* The loss of a leader, in virtual time. */
+struct loss {
+	double seen;	/* the leader is known to be lost */
+	double elected; /* the next one is known */
+};
+
+struct outcome_of {
+	double arrived;
+	double ended;
+	bool sent;
+};
+
+/* A request that is asked about every 10 ms until it is sent, refused or too old.
+ */
+static struct outcome_of play_request(const struct loss *l, double arrived,
+				      double patience)
+{
+	struct leader_wait w = {.known = true};
+	struct outcome_of o = {.arrived = arrived};
+
+	for (int tick = 0; tick * 0.01 < arrived + patience; tick++) {
+		double now = tick * 0.01;
+		enum leader_wait_step step;
+
+		leader_wait_update(&w, now < l->seen || now >= l->elected, now);
+		step = leader_wait_decide(&w, now);
+		o.ended = now;
+		o.sent = step == LEADER_WAIT_SEND;
+		if (now >= arrived && step != LEADER_WAIT_SEARCH)
+			return o;
 	}
+	return o;
+}
 
-	/* Guards against requests that are held to their end while no leader comes. */
-	START_TEST(long_loss_of_the_leader_refuses_at_once)
-	{
-		struct loss l = {.seen = 5, .elected = 12};
-
-		for (int tick = 40; tick < 140; tick++) {
-			double at = tick * 0.1;
-			struct outcome_of o = play_request(&l, at, 1.5);
-
-			if (at < l.seen - 0.02 || at >= l.elected)
-				ck_assert_msg(o.sent, "at %.1f not sent", at);
-			/* An election takes up to 1.5 s; a slow leader is asked again
-			 * after 1 s.
-			 */
-			if (at > l.seen + 2.5 && at < l.elected - 0.02)
-				ck_assert_msg(!o.sent && o.ended - o.arrived < 0.02,
-					      "at %.1f held for %.2f s", at,
-					      o.ended - o.arrived);
-		}
+/* Guards against requests that are held to their end while no leader comes. */
+START_TEST(long_loss_of_the_leader_refuses_at_once)
+{
+	struct loss l = {.seen = 5, .elected = 12};
+
+	for (int tick = 40; tick < 140; tick++) {
+		double at = tick * 0.1;
+		struct outcome_of o = play_request(&l, at, 1.5);
+
+		if (at < l.seen - 0.02 || at >= l.elected)
+			ck_assert_msg(o.sent, "at %.1f not sent", at);
+		/* An election takes up to 1.5 s; a slow leader is asked again
+		 * after 1 s.
+		 */
+		if (at > l.seen + 2.5 && at < l.elected - 0.02)
+			ck_assert_msg(!o.sent && o.ended - o.arrived < 0.02,
+				      "at %.1f held for %.2f s", at, o.ended - o.arrived);
 	}
-	END_TEST
+}
+END_TEST
 
-	/* Guards against requests that are refused though the usual election serves them.
-	 */
-	START_TEST(usual_election_refuses_no_request)
-	{
-		struct loss l = {.seen = 5, .elected = 6.5};
+/* Guards against requests that are refused though the usual election serves them.
+ */
+START_TEST(usual_election_refuses_no_request)
+{
+	struct loss l = {.seen = 5, .elected = 6.5};
 
-		for (int tick = 40; tick < 80; tick++) {
-			double at = tick * 0.1;
-			struct outcome_of o = play_request(&l, at, 1.6);
+	for (int tick = 40; tick < 80; tick++) {
+		double at = tick * 0.1;
+		struct outcome_of o = play_request(&l, at, 1.6);
 
-			ck_assert_msg(o.sent, "at %.1f refused", at);
-		}
-	}
-	END_TEST
-
-	/* Runs the loop for so long. */
-	static void run_for(double seconds)
-	{
-		double end;
-
-		ev_now_update(loop);
-		end = ev_now(loop) + seconds;
-		while (ev_now(loop) < end) {
-			ev_run(loop, EVRUN_NOWAIT);
-			usleep(5000);
-		}
+		ck_assert_msg(o.sent, "at %.1f refused", at);
 	}
+}
+END_TEST
 
-	static void submit(struct dag_pending_request * pending)
-	{
-		struct dag_request req = {.kind = DAG_REQ_SUBMIT};
+/* Runs the loop for so long. */
+static void run_for(double seconds)
+{
+	double end;
 
-		XDR_SET(req.dag_request_u.submit.target, host, STR("h"));
-		XDR_SET(req.dag_request_u.submit.target, path, STR("/p/1"));
-		dag_client_request(client, &req, 1, pending);
+	ev_now_update(loop);
+	end = ev_now(loop) + seconds;
+	while (ev_now(loop) < end) {
+		ev_run(loop, EVRUN_NOWAIT);
+		usleep(5000);
 	}
+}
 
-	/* Guards against a wait where no leader comes, and against 503 where one may have
-	 * run. */
-	START_TEST(long_search_refuses_the_next_request_at_once)
-	{
-		struct dag_pending_request pending = {.ops = &ops};
-		int listener = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
-		struct addr address;
-		uint64_t silent;
-
-		ck_assert_int_eq(addr_parse(STR("127.0.0.1:20105"), &address), 0);
-		setsockopt(listener, SOL_SOCKET, SO_REUSEADDR, &(int){1}, sizeof(int));
-		ck_assert_int_eq(
-			bind(listener, (struct sockaddr *)&address.sa, address.len), 0);
-		ck_assert_int_eq(listen(listener, 64), 0);
-		silent = node_id(&address);
-		dag_client_learn(client, 0, &silent, 1);
-		submit(&pending);
-		run_for(1.2);
-		ck_assert_uint_eq(replies, 1);
-		ck_assert_int_eq(outcome, DAG_UNKNOWN);
-		run_for(1.5);
-		submit(&pending);
-		ck_assert_uint_eq(replies, 2);
-		ck_assert_int_eq(outcome, DAG_REJECTED);
-		close(listener);
-	}
-	END_TEST
-
-	int main(void)
-	{
-		Suite *s = suite_create("dag_client");
-		TCase *t = tcase_create("requests");
-		SRunner *r;
-		int failed;
-
-		tcase_add_checked_fixture(t, setup, teardown);
-		tcase_add_test(t, request_beyond_a_bound_is_invalid);
-		tcase_add_test(t, members_take_the_place_of_those_that_left);
-		tcase_add_test(t, request_that_timed_out_is_dropped);
-		tcase_add_test(t, request_of_an_ended_client_is_dropped);
-		tcase_add_test(t, request_of_a_killed_process_is_dropped);
-		tcase_add_test(t, other_requests_outlive_one_that_timed_out);
-		tcase_add_test(t, long_loss_of_the_leader_refuses_at_once);
-		tcase_add_test(t, usual_election_refuses_no_request);
-		tcase_add_test(t, long_search_refuses_the_next_request_at_once);
-		suite_add_tcase(s, t);
-		r = srunner_create(s);
-		srunner_run_all(r, CK_ENV);
-		failed = srunner_ntests_failed(r);
-		srunner_free(r);
-		return failed ? EXIT_FAILURE : EXIT_SUCCESS;
-	}
+static void submit(struct dag_pending_request *pending)
+{
+	struct dag_request req = {.kind = DAG_REQ_SUBMIT};
+
+	XDR_SET(req.dag_request_u.submit.target, host, STR("h"));
+	XDR_SET(req.dag_request_u.submit.target, path, STR("/p/1"));
+	dag_client_request(client, &req, 1, pending);
+}
+
+/* Guards against a wait where no leader comes, and against 503 where one may have
+ * run. */
+START_TEST(long_search_refuses_the_next_request_at_once)
+{
+	struct dag_pending_request pending = {.ops = &ops};
+	int listener = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+	struct addr address;
+	uint64_t silent;
+
+	ck_assert_int_eq(addr_parse(STR("127.0.0.1:20105"), &address), 0);
+	setsockopt(listener, SOL_SOCKET, SO_REUSEADDR, &(int){1}, sizeof(int));
+	ck_assert_int_eq(bind(listener, (struct sockaddr *)&address.sa, address.len), 0);
+	ck_assert_int_eq(listen(listener, 64), 0);
+	silent = node_id(&address);
+	dag_client_learn(client, 0, &silent, 1);
+	submit(&pending);
+	run_for(1.2);
+	ck_assert_uint_eq(replies, 1);
+	ck_assert_int_eq(outcome, DAG_UNKNOWN);
+	run_for(1.5);
+	submit(&pending);
+	ck_assert_uint_eq(replies, 2);
+	ck_assert_int_eq(outcome, DAG_REJECTED);
+	close(listener);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *s = suite_create("dag_client");
+	TCase *t = tcase_create("requests");
+	SRunner *r;
+	int failed;
+
+	tcase_add_checked_fixture(t, setup, teardown);
+	tcase_add_test(t, request_beyond_a_bound_is_invalid);
+	tcase_add_test(t, members_take_the_place_of_those_that_left);
+	tcase_add_test(t, request_that_timed_out_is_dropped);
+	tcase_add_test(t, request_of_an_ended_client_is_dropped);
+	tcase_add_test(t, request_of_a_killed_process_is_dropped);
+	tcase_add_test(t, other_requests_outlive_one_that_timed_out);
+	tcase_add_test(t, long_loss_of_the_leader_refuses_at_once);
+	tcase_add_test(t, usual_election_refuses_no_request);
+	tcase_add_test(t, long_search_refuses_the_next_request_at_once);
+	suite_add_tcase(s, t);
+	r = srunner_create(s);
+	srunner_run_all(r, CK_ENV);
+	failed = srunner_ntests_failed(r);
+	srunner_free(r);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
--- a/regress/test_rpc.c
+++ b/regress/test_rpc.c
@@ -244,7 +244,7 @@
 	struct rpc_server *again = NULL;
 	int n;
 
-	ck_assert_int_eq(addr_parse(STR("127.0.0.1:20104"), &opt.address), 0);
+	ck_assert_int_eq(addr_parse(STR("127.0.0.1:20135"), &opt.address), 0);
 	setsockopt(listener, SOL_SOCKET, SO_REUSEADDR, &(int){1}, sizeof(int));
 	ck_assert_int_eq(
 		bind(listener, (struct sockaddr *)&opt.address.sa, opt.address.len), 0);
@@ -278,7 +278,7 @@
 	struct rpc_client *c = NULL;
 	int listener = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
 
-	ck_assert_int_eq(addr_parse(STR("127.0.0.1:20103"), &opt.address), 0);
+	ck_assert_int_eq(addr_parse(STR("127.0.0.1:20133"), &opt.address), 0);
 	setsockopt(listener, SOL_SOCKET, SO_REUSEADDR, &(int){1}, sizeof(int));
 	ck_assert_int_eq(
 		bind(listener, (struct sockaddr *)&opt.address.sa, opt.address.len), 0);
@@ -330,7 +330,7 @@
 	struct rpc_client *c = NULL;
 	struct buf large = {0};
 
-	ck_assert_int_eq(addr_parse(STR("127.0.0.1:20103"), &opt.address), 0);
+	ck_assert_int_eq(addr_parse(STR("127.0.0.1:20133"), &opt.address), 0);
 	r.listener = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
 	setsockopt(r.listener, SOL_SOCKET, SO_REUSEADDR, &(int){1}, sizeof(int));
 	setsockopt(r.listener, SOL_SOCKET, SO_RCVBUF, &(int){SMALL_BUFFER}, sizeof(int));
@@ -436,7 +436,7 @@
 	int fill[2];
 	int listener;
 
-	ck_assert_int_eq(addr_parse(STR("127.0.0.1:20105"), &address), 0);
+	ck_assert_int_eq(addr_parse(STR("127.0.0.1:20134"), &address), 0);
 	listener = listen_full(&address, fill);
 	for (int i = 0; i < CALLERS; i++) {
 		start_caller(&c[i], &address);
