gateway: callers that keep their connections do not hold up a planned stop

What callers see: a gateway that is told to stop together with all controllers ends after 5.0 s, its limit, when a caller sends one request after the other on a connection that it keeps. Cause: each of these requests waits up to 1.5 s for a leader, so that one is always in flight. Change: once the port is closed and without a leader for 3 s, a request is refused at once. What already waits still gets its time.

--- a/carawayfrontd/gateway.c
+++ b/carawayfrontd/gateway.c
@@ -107,6 +107,23 @@
 
 static const struct dag_pending_request_ops request_ops = {.done = request_done};
 
+static bool has_leader(const struct gateway *g)
+{
+	double heard = dag_client_heard(g->client);
+
+	return heard > 0 && ev_now(g->loop) - heard < LOST_LEADER_S;
+}
+
+/*
+ * Whether this process ends now and knows nobody who could answer. Callers that send one
+ * request after the other on a connection that they keep would hold it up.
+ */
+static bool ends_without_leader(const struct gateway *g)
+{
+	return g->drain_at && ev_now(g->loop) - g->drain_at > DRAIN_ACCEPT_S &&
+	       !has_leader(g);
+}
+
 static void port_request(struct dag_request_handler *p, const struct dag_request *req,
 			 double timeout, struct dag_pending_request *t)
 {
@@ -114,7 +131,7 @@
 	const struct dag_target *target = req->kind == DAG_REQ_SUBMIT
 						  ? &req->dag_request_u.submit.target
 						  : &req->dag_request_u.target;
-	struct gateway_request *r = calloc(1, sizeof(*r));
+	struct gateway_request *r = ends_without_leader(g) ? NULL : calloc(1, sizeof(*r));
 	struct dag_reply rejected = {.outcome = DAG_REJECTED, .retry_after_ms = 1000};
 
 	if (!r) {
@@ -130,13 +147,6 @@
 	dag_client_request(g->client, req, timeout, &r->ticket);
 }
 
-static bool has_leader(const struct gateway *g)
-{
-	double heard = dag_client_heard(g->client);
-
-	return heard > 0 && ev_now(g->loop) - heard < LOST_LEADER_S;
-}
-
 static bool port_ready(struct dag_request_handler *p)
 {
 	struct gateway *g = (struct gateway *)p;
--- a/regress/test_site_stop.sh
+++ b/regress/test_site_stop.sh
@@ -91,4 +91,27 @@
 done
 check_stop controller 127.0.1.1:$CONTROL /api/config/get 0
 check_stop gateway 127.0.2.1:$CALLERS /q/0000000000000001 1
+log_ms() { # EVENT: its time in the day
+	sed -n "s/^time=[^T]*T\([0-9:]*\)\.\([0-9]*\)Z.* event=$1 .*/\1:\2/p" "$D/kept.log" |
+		awk -F: '{ print (($1 * 60 + $2) * 60 + $3) * 1000 + $4 }'
+}
+# Readers that keep their connections do not hold up the stop until its limit of 5 s.
+check_stop_with_readers() {
+	"$BUILD/bin/carawayfrontd" -c "$D/gateway.yaml" >"$D/kept.log" 2>&1 &
+	echo $! >"$D/kept.pid"
+	answered 10 127.0.2.1:$CALLERS || fail "the gateway does not listen"
+	set -- --address 127.0.2.1:$CALLERS
+	"$BUILD/bin/keepopen" "$@" "$@" "$@" --path /q/0000000000000001 --expect 503 \
+		>"$D/keepopen.log" 2>&1 &
+	echo $! >"$D/keepopen.pid"
+	sleep 1
+	kill -TERM "$(cat "$D/kept.pid")"
+	wait "$(cat "$D/kept.pid")" || fail "the gateway with readers ended with an error"
+	took=$(($(log_ms stopped) - $(log_ms shutdown-started)))
+	[ $(((took + 86400000) % 86400000)) -lt 5000 ] ||
+		fail "the gateway with readers stopped after $took ms"
+	kill -TERM "$(cat "$D/keepopen.pid")"
+	wait "$(cat "$D/keepopen.pid")" || fail "a reader got an unexpected answer"
+}
+check_stop_with_readers
 [ "$bad" -eq 0 ] && echo "site stop: ok"
