--- a/io/rpc_client.c
+++ b/io/rpc_client.c
@@ -13,7 +13,7 @@
 #define RECONNECT_MIN 0.05 /* seconds between connection attempts */
 #define RECONNECT_MAX 1.0
 #define PROBED_RECONNECT_MAX 0.2 /* the peer may be back at any time */
-#define SWEEP_PERIOD 0.05 /* seconds between checks for expired calls */
+#define SWEEP_PERIOD 0.05	 /* seconds between checks for expired calls */
 #define WAITER_BUCKETS 256U
 #define PROC_NULL 0U	   /* RFC 5531: does nothing, in every program */
 #define SILENT_PERIODS 3U  /* without a reply: the connection is dead */
--- a/io/rpc_client.h
+++ b/io/rpc_client.h
@@ -35,12 +35,12 @@
 };
 
 struct rpc_client_ops {
-	/* Either may be NULL. */
+	/* Any may be NULL. */
 	void (*up)(struct rpc_client_host *host);
 	void (*down)(struct rpc_client_host *host);
 	/*
-	 * With the option probe; may be NULL. A silent connection is replaced, the first
-	 * since a reply was heard; and a reply is heard again, after so many were.
+	 * With a probe_period: a silent connection is replaced, the first since a reply
+	 * was heard; and a reply is heard again, after so many were.
 	 */
 	void (*silent)(struct rpc_client_host *host);
 	void (*heard)(struct rpc_client_host *host, unsigned int replaced);
