carawayfrontd: connections to state processes are probed less often

Callers of entry processes may see requests refused at once (503, not run) on a busy machine: a state process that is kept waiting for 0.8 to 1.2 s counts as silent, its connections are reset, and calls that would have been answered late end.

--- a/carawayfrontd/leader_client.c
+++ b/carawayfrontd/leader_client.c
@@ -22,7 +22,7 @@
 			.address = m[i].address,
 			.member = settings->name,
 			.key = settings->cluster_key,
-			.probe_period = REPLICA_PROBE_S,
+			.probe_period = STATE_PROBE_S,
 		};
 		int err = rpc_client_new(&opt, &c->clients[i]);
 
--- a/carawayfrontd/state.c
+++ b/carawayfrontd/state.c
@@ -223,7 +223,7 @@
 			.address = m[i].address,
 			.member = s->settings->name,
 			.key = s->settings->cluster_key,
-			.probe_period = REPLICA_PROBE_S,
+			.probe_period = STATE_PROBE_S,
 		};
 		struct state_peer *p = &s->peers[s->n_peers];
 		int err;
--- a/io/rpc_client.h
+++ b/io/rpc_client.h
@@ -7,6 +7,9 @@
 
 /* Probe period between replicas: silence is noticed after two election time-outs. */
 #define REPLICA_PROBE_S 0.4
+/* Of calls and posts to state processes, which a busy machine may keep waiting for
+ * longer. */
+#define STATE_PROBE_S 0.9
 
 struct rpc_client;
 struct rpc_waiter;
