core/dag_worker, relay, agent: the log tells which ends were acknowledged or not read

The log could not tell whether an end was acknowledged that the leader had not recorded, an answer of a gateway came after its call was given up, or a gateway gave up a list. New lines: worker-acked and worker-listed when a lease ends, every held end and not only the lowest of a worker, answers-late, polls-unanswered; worker-lost says whether the poll acknowledged ends.

test_relay, test_dag, test_dag_life, test_dag_room and test_dag_crash pass.

--- a/carawayfrontd/agent.c
+++ b/carawayfrontd/agent.c
@@ -22,6 +22,7 @@
  */
 #define MAX_IDLE 128U
 #define PROBE_PERIOD_S 1.0 /* the leader answers the probes of all gateways */
+#define LOG_PERIOD_S 1.0   /* between lines on polls without an answer */
 /* Bytes of one answer, and of a batch before it is sent: two of these fit a message. */
 #define MAX_ANSWER (RPC_MAX_RECORD / 2 - 4096)
 
@@ -48,6 +49,9 @@
 	uint32_t next_number;
 	struct buf batch; /* encoded answers of this round */
 	uint32_t n_batch;
+	unsigned int polls; /* that ended, and those of them without a list, */
+	unsigned int unanswered;
+	double polls_logged; /* since then */
 	struct ev_prepare prepare;
 };
 
@@ -180,6 +184,8 @@
 	struct agent *a = of_user(u);
 	struct dag_call_answer answer = {.id = take_call(a, worker), .answer = result};
 
+	a->polls++;
+	a->unanswered += result == DAG_RESULT_UNKNOWN;
 	if (!answer.id)
 		return;
 	if (!poll || !fill_lists(poll, &answer))
@@ -194,9 +200,24 @@
 	.poll_replied = user_poll_replied,
 };
 
+/* A worker that is given up by its gateway alone may have listed ends that are not read.
+ */
+static void log_polls(struct agent *a)
+{
+	double now = ev_now(a->opt.loop);
+
+	if (!a->unanswered || now - a->polls_logged < LOG_PERIOD_S)
+		return;
+	log_info("polls-unanswered", "polls=%u of=%u", a->unanswered, a->polls);
+	a->unanswered = 0;
+	a->polls = 0;
+	a->polls_logged = now;
+}
+
 static void on_prepare(struct ev_loop *loop, struct ev_prepare *w, int events)
 {
 	send_batch(w->data);
+	log_polls(w->data);
 }
 
 static void serve_call(struct agent *a, const struct dag_call *c)
--- a/carawayfrontd/relay.c
+++ b/carawayfrontd/relay.c
@@ -24,6 +24,7 @@
  */
 #define COMMAND_VALID_S 1.0
 #define SWEEP_S 0.1
+#define LOG_PERIOD_S 1.0 /* between lines on late answers */
 /* Failed calls before another gateway calls a worker: connections are few. */
 #define FAILURES_A_TURN 3U
 #define ZONE_MAX 64U
@@ -70,6 +71,8 @@
 	struct relay_call *calls;
 	struct relay_path *paths;
 	uint64_t next_id;
+	unsigned int late; /* answers to calls that were given up, not logged yet */
+	double late_logged;
 	struct ev_timer sweep;
 };
 
@@ -405,11 +408,22 @@
 	a->clock_offset_us = agent->clock_us - clock_us();
 }
 
+/* Answers that come late were on their way; those of a silent connection never come. */
+static void log_late(struct relay *r)
+{
+	if (!r->late || ev_now(r->opt.loop) - r->late_logged < LOG_PERIOD_S)
+		return;
+	log_info("answers-late", "answers=%u reason=\"the call was given up\"", r->late);
+	r->late = 0;
+	r->late_logged = ev_now(r->opt.loop);
+}
+
 static void on_sweep(struct ev_loop *loop, struct ev_timer *t, int events)
 {
 	struct relay *r = t->data;
 	struct relay_call *call, *next;
 
+	log_late(r);
 	for (call = r->calls; call; call = next) {
 		struct relay_agent *a = find_agent(r, call->agent);
 
@@ -469,8 +483,10 @@
 	bool usable;
 
 	HASH_FIND(hh, r->calls, &id, sizeof(id), call);
-	if (!call) /* it has timed out */
+	if (!call) { /* it has timed out */
+		r->late++;
 		return;
+	}
 	usable = a->has_look && !read_lists(a, &runs, &ends, &poll);
 	end_call(r, call, (enum dag_call_result)a->answer, usable ? &poll : NULL);
 	free(runs);
--- a/core/dag_crash.c
+++ b/core/dag_crash.c
@@ -177,15 +177,18 @@
 /*
  * Ends the runs of a worker whose lease has ended. It may be cut off or may have crashed;
  * runs that began just before the contact was lost are counted as if it had crashed.
+ * Returns how many runs that were without an end have one now.
  */
-void ds_lapse_runs(struct dag_sched *s, struct ds_worker *w)
+uint32_t ds_lapse_runs(struct dag_sched *s, struct ds_worker *w)
 {
 	struct str none = {NULL, 0};
 	struct ds_run *r;
+	uint32_t n = 0;
 
 	TAILQ_FOREACH (r, &w->runs, worker_entry) {
-		if (r->phase == DS_PROPOSED)
+		if (r->phase == DS_PROPOSED || r->end_proposed)
 			continue;
+		n++;
 		if (was_sent(r) && began_before_loss(r))
 			ds_run_propose_end(s, r, DAG_END_CRASHED, none, "lease ended");
 		else if (was_sent(r) && r->step->long_running)
@@ -193,6 +196,7 @@
 		else
 			ds_run_propose_lost(s, r, "lease ended");
 	}
+	return n;
 }
 
 /* A task under which workers have crashed starts; others keep off its worker. */
--- a/core/dag_life.c
+++ b/core/dag_life.c
@@ -133,7 +133,7 @@
  */
 void ds_worker_fence_poll(struct ds_worker *w)
 {
-	if (w->poll_acks && w->poll_fence == w->fence)
+	if (w->poll_acked && w->poll_fence == w->fence)
 		w->fence++;
 }
 
@@ -171,6 +171,7 @@
 	w->first_listed_end = 0;
 	w->last_listed_end = 0;
 	w->held_end = 0;
+	w->held_logged = 0;
 }
 
 /* Its start is learned from its reports or its lists, whichever come first. */
--- a/core/dag_sched_impl.h
+++ b/core/dag_sched_impl.h
@@ -150,8 +150,8 @@
 	int64_t clock_us;
 	int64_t lease_expires_us; /* by then all of its runs have certainly ended */
 	bool poll_in_flight;
-	bool poll_acks;	    /* it acknowledges ends */
-	uint32_t poll_life; /* life and fence when it was sent */
+	uint64_t poll_acked; /* ends up to this number it acknowledges, 0: none */
+	uint32_t poll_life;  /* life and fence when it was sent */
 	uint32_t poll_fence;
 	int64_t poll_sent_us;
 	int64_t polled_us;     /* newest reply to a poll */
@@ -168,6 +168,7 @@
 	uint64_t last_listed_end;  /* highest number in its lists */
 	uint32_t ends_uncommitted; /* listed ends whose records are not committed */
 	uint64_t held_end;	   /* lowest end that is not acknowledged, 0: none */
+	uint64_t held_logged;	   /* highest held end that is in the log */
 	bool has_new_ends; /* the newest list has ends that are new to the leader */
 	bool has_strays;   /* the newest list has runs that are not recorded here */
 	int64_t leaving_since_us; /* it announced its exit, 0: it did not */
@@ -299,7 +300,7 @@
 void ds_crash_runs(struct dag_sched *s, struct ds_worker *w, const char *reason);
 void ds_crash_earlier_life(struct dag_sched *s, struct ds_worker *w, int64_t born_ms);
 void ds_end_stopped_run(struct dag_sched *s, struct ds_run *r);
-void ds_lapse_runs(struct dag_sched *s, struct ds_worker *w);
+uint32_t ds_lapse_runs(struct dag_sched *s, struct ds_worker *w);
 void ds_begin_trial(struct dag_sched *s, struct ds_run *r);
 void ds_end_trial(struct ds_run *r);
 int64_t ds_suspect_penalty(const struct dag_sched *s, const struct ds_worker *w,
--- a/core/dag_worker.c
+++ b/core/dag_worker.c
@@ -268,7 +268,7 @@
 				    ? POLL_WAIT_MIXED_MS
 				    : POLL_WAIT_MS;
 	w->poll_in_flight = true;
-	w->poll_acks = o.acked_end > 0;
+	w->poll_acked = o.acked_end;
 	w->poll_life = w->life;
 	w->poll_fence = w->fence;
 	w->poll_sent_us = s->now_us;
@@ -285,6 +285,17 @@
 			ds_run_propose_lost(s, r, reason);
 }
 
+/* Tells which ends a worker may have forgotten, and which of them its lists named. */
+static void log_ends(struct dag_sched *s, const struct ds_worker *w)
+{
+	s->host->ops->log_event(s->host, "worker-acked", NULL, 0, XDR_STR(w->rec->w, id),
+				"value: newest end that a poll acknowledged",
+				(int64_t)w->acked_end);
+	s->host->ops->log_event(s->host, "worker-listed", NULL, 0, XDR_STR(w->rec->w, id),
+				"value: newest end in its lists",
+				(int64_t)w->last_listed_end);
+}
+
 static void clear_listed(struct ds_worker *w)
 {
 	struct ds_run *r;
@@ -392,8 +403,8 @@
 		if (!w->contradicted)
 			return;
 	}
-	if (w->n_runs && s->now_us >= w->lease_expires_us)
-		ds_lapse_runs(s, w);
+	if (w->n_runs && s->now_us >= w->lease_expires_us && ds_lapse_runs(s, w))
+		log_ends(s, w);
 	if (check_all)
 		check_runs(s, w);
 	/* Ends of earlier lists are acknowledged beside new ones that are not recorded.
@@ -481,6 +492,20 @@
 	return !dag_job_ended(j) && (r || !t->done);
 }
 
+/* Keeps an end and all later ones of its worker unacknowledged. Each is logged once. */
+static void hold_end(struct dag_sched *s, struct ds_worker *w,
+		     const struct dag_listed_end *l)
+{
+	if (!w->held_end || l->number < w->held_end)
+		w->held_end = l->number;
+	if (l->number <= w->held_logged)
+		return;
+	w->held_logged = l->number;
+	s->host->ops->log_event(
+		s->host, "end-held", &l->task, l->run, XDR_STR(w->rec->w, id),
+		"run was recorded as lost; end not acknowledged", (int64_t)l->number);
+}
+
 /* Proposes a listed end, or decides whether it must stay unacknowledged. */
 static void process_listed_end(struct dag_sched *s, struct ds_worker *w,
 			       const struct dag_listed_end *l)
@@ -498,15 +523,8 @@
 	if (r)
 		r->listed = true;
 	if (!r || r->end_proposed) {
-		if ((!r || !r->end_listed) && was_declared_lost(s, l, r) &&
-		    (!w->held_end || l->number < w->held_end)) {
-			w->held_end = l->number;
-			s->host->ops->log_event(
-				s->host, "end-held", &l->task, l->run,
-				XDR_STR(w->rec->w, id),
-				"run was recorded as lost; end not acknowledged",
-				(int64_t)l->number);
-		}
+		if ((!r || !r->end_listed) && was_declared_lost(s, l, r))
+			hold_end(s, w, l);
 		return;
 	}
 	r->end_listed = true;
@@ -647,9 +665,12 @@
 	}
 	if (!poll) {
 		if (!w->poll_failures++)
-			s->host->ops->log_event(s->host, "worker-lost", NULL, 0,
-						XDR_STR(w->rec->w, id),
-						"no reply to the poll", result);
+			s->host->ops->log_event(
+				s->host, "worker-lost", NULL, 0, XDR_STR(w->rec->w, id),
+				w->poll_acked
+					? "no reply to the poll, which acknowledged ends"
+					: "no reply to the poll",
+				result);
 		ds_worker_lose_contact(s, w);
 		request_copies(s, w);
 		if (has_left(s, w))
