agent: answers that a silent connection lost are sent again

A gateway's answers to the leader are posts. Those on a connection that went silent were lost, with the ends of runs in them; the leader gave the calls up 2.5 s after their time.

A gateway keeps answers until the leader has confirmed that it read them, 2 MiB at most, and sends them again on the next connection. The leader's number of a call makes a second answer harmless. The connection is probed every 0.4 s instead of 1.0 s, so that the answers come within the time that the leader waits for them.

test_relay answers_on_a_silent_connection_are_sent_again: fails on (no list comes), passes now.

--- a/carawayfrontd/agent.c
+++ b/carawayfrontd/agent.c
@@ -2,6 +2,7 @@
 
 #include <stddef.h>
 #include <stdlib.h>
+#include <sys/queue.h>
 #include <sys/random.h>
 
 #include <uthash.h>
@@ -21,8 +22,11 @@
  * about 15 executors; those of the others must not stay connected to it.
  */
 #define MAX_IDLE 128U
-#define PROBE_PERIOD_S 1.0 /* the leader answers the probes of all gateways */
-#define LOG_PERIOD_S 1.0   /* between lines on polls without an answer */
+#define PROBE_PERIOD_S 0.4 /* a connection is silent after three of them */
+#define RESEND_PERIOD_S 0.05
+/* Bytes of answers that are kept until the leader has certainly read them. */
+#define MAX_UNCONFIRMED (2U << 20)
+#define LOG_PERIOD_S 1.0 /* between lines on polls without an answer */
 /* Bytes of one answer, and of a batch before it is sent: two of these fit a message. */
 #define MAX_ANSWER (RPC_MAX_RECORD / 2 - 4096)
 
@@ -36,8 +40,19 @@
 	uint64_t id; /* the leader's */
 };
 
+/* A batch of answers that the leader may not have read. */
+struct agent_batch {
+	STAILQ_ENTRY(agent_batch) entry;
+	uint32_t number; /* of its newest post */
+	bool posted;	 /* on the present connection */
+	struct buf bytes;
+};
+
+STAILQ_HEAD(agent_batches, agent_batch);
+
 struct agent {
 	struct rpc_server_host rpc_host; /* first member */
+	struct rpc_client_host client_host;
 	struct dag_transport_user user;
 	struct agent_options opt;
 	struct rpc_server *rpc;
@@ -49,7 +64,10 @@
 	uint32_t next_number;
 	struct buf batch; /* encoded answers of this round */
 	uint32_t n_batch;
-	unsigned int polls; /* that ended, and those of them without a list, */
+	struct agent_batches unconfirmed; /* oldest first; those not posted at the end */
+	size_t unconfirmed_bytes;
+	struct ev_timer resend; /* while some are not posted */
+	unsigned int polls;	/* that ended, and those of them without a list, */
 	unsigned int unanswered;
 	double polls_logged; /* since then */
 	struct ev_prepare prepare;
@@ -70,19 +88,97 @@
 	return id;
 }
 
-/* Sends the answers of this round; lost ones time out at the leader. */
+static void free_oldest(struct agent *a)
+{
+	struct agent_batch *b = STAILQ_FIRST(&a->unconfirmed);
+
+	STAILQ_REMOVE_HEAD(&a->unconfirmed, entry);
+	a->unconfirmed_bytes -= b->bytes.n;
+	buf_free(&b->bytes);
+	free(b);
+}
+
+static void free_unconfirmed(struct agent *a)
+{
+	while (!STAILQ_EMPTY(&a->unconfirmed))
+		free_oldest(a);
+}
+
+/* Frees batches that the leader has read, and the oldest of too many. */
+static void drop_confirmed(struct agent *a)
+{
+	struct agent_batch *b;
+
+	while ((b = STAILQ_FIRST(&a->unconfirmed)) &&
+	       ((b->posted && rpc_client_has_confirmed(a->client, b->number)) ||
+		a->unconfirmed_bytes > MAX_UNCONFIRMED))
+		free_oldest(a);
+}
+
+/* Posts what is not posted yet, in order; the rest soon, when the connection waits. */
+static void post_batches(struct agent *a)
+{
+	struct agent_batch *b;
+
+	STAILQ_FOREACH (b, &a->unconfirmed, entry) {
+		if (b->posted)
+			continue;
+		if (rpc_client_post(a->client, RELAY_PROC_ANSWERS, buf_str(&b->bytes))) {
+			ev_timer_again(a->opt.loop, &a->resend);
+			return;
+		}
+		b->number = rpc_client_sent(a->client);
+		b->posted = true;
+	}
+	ev_timer_stop(a->opt.loop, &a->resend);
+}
+
+static void on_resend(struct ev_loop *loop, struct ev_timer *t, int events)
+{
+	struct agent *a = t->data;
+
+	if (a->client)
+		post_batches(a);
+	else
+		ev_timer_stop(loop, t);
+}
+
+/* The connection has ended: what the leader may not have read is sent again. */
+static void on_lost(struct rpc_client_host *h)
+{
+	struct agent *a =
+		(struct agent *)(void *)((char *)h - offsetof(struct agent, client_host));
+	struct agent_batch *b;
+
+	drop_confirmed(a);
+	STAILQ_FOREACH (b, &a->unconfirmed, entry)
+		b->posted = false;
+	if (!STAILQ_EMPTY(&a->unconfirmed))
+		ev_timer_again(a->opt.loop, &a->resend);
+}
+
+static const struct rpc_client_ops client_ops = {.lost = on_lost};
+
+/* Sends the answers of this round. Those that are lost are sent again. */
 static void send_batch(struct agent *a)
 {
+	struct agent_batch *b;
 	unsigned char count[4];
-	struct buf bytes = {0};
 
 	if (!a->n_batch)
 		return;
+	b = a->client ? calloc(1, sizeof(*b)) : NULL;
 	codec_put_u32(count, a->n_batch);
-	if (a->client && !buf_add(&bytes, count, sizeof(count)) &&
-	    !buf_add(&bytes, a->batch.p, a->batch.n))
-		rpc_client_post(a->client, RELAY_PROC_ANSWERS, buf_str(&bytes));
-	buf_free(&bytes);
+	if (b && !buf_add(&b->bytes, count, sizeof(count)) &&
+	    !buf_add(&b->bytes, a->batch.p, a->batch.n)) {
+		STAILQ_INSERT_TAIL(&a->unconfirmed, b, entry);
+		a->unconfirmed_bytes += b->bytes.n;
+		drop_confirmed(a);
+		post_batches(a);
+	} else if (b) {
+		buf_free(&b->bytes);
+		free(b);
+	}
 	a->batch.n = 0;
 	a->n_batch = 0;
 }
@@ -312,6 +408,7 @@
 		.loop = a->opt.loop,
 		.member = a->opt.settings->name,
 		.key = a->opt.settings->cluster_key,
+		.host = &a->client_host,
 		.probe_period = PROBE_PERIOD_S,
 	};
 
@@ -320,6 +417,7 @@
 	rpc_client_free(a->client);
 	a->client = NULL;
 	a->leader = leader;
+	free_unconfirmed(a);
 	a->batch.n = 0;
 	a->n_batch = 0;
 	if (node_addr(leader, &opt.address) || rpc_client_new(&opt, &a->client))
@@ -379,6 +477,10 @@
 	if (!a)
 		return CF_ENOMEM;
 	a->rpc_host.ops = &rpc_ops;
+	a->client_host.ops = &client_ops;
+	STAILQ_INIT(&a->unconfirmed);
+	ev_timer_init(&a->resend, on_resend, RESEND_PERIOD_S, RESEND_PERIOD_S);
+	a->resend.data = a;
 	a->user.ops = &user_ops;
 	a->opt = *opt;
 	rpc.host = &a->rpc_host;
@@ -411,6 +513,8 @@
 	if (a->transport)
 		a->transport->ops->free(a->transport);
 	rpc_client_free(a->client);
+	free_unconfirmed(a);
+	ev_timer_stop(a->opt.loop, &a->resend);
 	c = a->calls;
 	HASH_CLEAR(hh, a->calls);
 	for (; c; c = next) {
--- a/regress/test_relay.c
+++ b/regress/test_relay.c
@@ -945,6 +945,41 @@
 }
 END_TEST
 
+/* Guards against ends that are lost as a gateway's connection to the leader is silent. */
+START_TEST(answers_on_a_silent_connection_are_sent_again)
+{
+	struct fake worker;
+	struct leader l;
+	struct far f;
+	int listener;
+	int silent;
+
+	far_open(&f);
+	leader_open(&l);
+	rpc_server_free(l.server);
+	listener = listen_on(LEADER_ADDRESS);
+	fake_open(&worker, WORKER_PORT);
+	fake_say(&worker, "POST", "/api/hold", 200,
+		 "{\"born\":1,\"clock_ms\":1,\"running\":[],\"ended\":[]}", NULL, 0);
+	play_leader(&f.report, 0.2);
+	order_poll_until(0, 0);
+	play_leader(&f.report, 0.1);
+	play_gateway(f.loop, 0.3);
+	silent = accept_relay(listener);
+	close(listener);
+	leader_listen(&l);
+	for (double played = 0; played < IN_TOUCH_S && !l.lists; played += 0.1) {
+		play_gateway(f.loop, 0.1);
+		play_leader_alone(0.02);
+	}
+	ck_assert_uint_eq(l.lists, 1);
+	close(silent);
+	rpc_server_free(l.server);
+	far_close(&f);
+	fake_close(&worker);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("relay");
@@ -969,6 +1004,7 @@
 	tcase_add_test(t, list_that_is_too_long_is_answered);
 	tcase_add_test(t, relayed_list_may_lack_ends);
 	tcase_add_test(t, silent_connection_to_a_gateway_is_noticed);
+	tcase_add_test(t, answers_on_a_silent_connection_are_sent_again);
 	tcase_add_test(t, late_call_of_a_deposed_leader_takes_no_answers);
 	suite_add_tcase(s, t);
 	r = srunner_create(s);
