relay: gateways are not avoided while most would be

With 35 of 38 gateways avoided after connections between our machines went silent, the three others made the calls of all 490 workers over links of 2 Mbit/s: more than half of the lists that they asked for came too late, so that workers that were well were given up.

From four gateways on, none is avoided while that would leave less than half of those that report: the cause is then hardly theirs.

test_relay most_gateways_are_never_avoided: fails on (16 calls by the leader itself), passes now.

--- a/carawayfrontd/relay.c
+++ b/carawayfrontd/relay.c
@@ -28,6 +28,8 @@
 #define LOG_PERIOD_S 1.0   /* between lines on late answers */
 /* Failed calls before another gateway calls a worker: connections are few. */
 #define FAILURES_A_TURN 3U
+/* With fewer gateways the leader itself can make the calls of those that it avoids. */
+#define PANIC_MIN 4U
 #define ZONE_MAX 64U
 /* Bytes of calls after which they are sent; a message holds these and one more. */
 #define MAX_BATCH (RPC_MAX_RECORD / 2)
@@ -187,7 +189,23 @@
 	return ev_now(r->opt.loop) < a->avoid_until;
 }
 
-/* Sends no calls through a gateway for a while. */
+/*
+ * Whether no gateway is avoided, as most of them would be. The cause is then hardly
+ * theirs, and the calls of all workers would be too many for the others.
+ */
+static bool is_panic(const struct relay *r)
+{
+	size_t heard = 0;
+	size_t avoided = 0;
+
+	for (size_t i = 0; i < r->n_agents; i++) {
+		heard += is_heard(r, &r->agents[i]);
+		avoided += is_heard(r, &r->agents[i]) && is_avoided(r, &r->agents[i]);
+	}
+	return heard >= PANIC_MIN && 2 * avoided > heard;
+}
+
+/* Sends no calls through a gateway for a while, unless most are avoided. */
 static void avoid_agent(struct relay *r, struct relay_agent *a, const char *reason)
 {
 	double now = ev_now(r->opt.loop);
@@ -241,6 +259,7 @@
 	struct relay_agent *best = NULL;
 	uint64_t best_weight = 0;
 	bool best_near = false;
+	bool panic = is_panic(r);
 
 	for (size_t i = 0; rec && i < r->n_agents; i++) {
 		struct relay_agent *a = &r->agents[i];
@@ -250,7 +269,7 @@
 		/* Every other path leads through any zone: a zone may be cut off. */
 		if (turns % 2)
 			near = false;
-		if (!is_heard(r, a) || is_avoided(r, a))
+		if (!is_heard(r, a) || (is_avoided(r, a) && !panic))
 			continue;
 		if (best && best_near && !near)
 			continue;
--- a/regress/test_relay.c
+++ b/regress/test_relay.c
@@ -34,6 +34,10 @@
 /* Longer than a call may stay without an answer and its gateway be avoided. */
 #define PATIENCE_S 4.0
 #define HOUR_US 3600000000LL
+/* Gateways that take calls and answer none. */
+#define CROWD 5
+#define CROWD_PORT 20490
+#define CROWD_PERIOD_S 0.02 /* between calls */
 
 struct gateway {
 	struct rpc_server_host host;
@@ -980,6 +984,42 @@
 }
 END_TEST
 
+/* Guards against a few gateways that get the calls of all, as one cause stops most. */
+START_TEST(most_gateways_are_never_avoided)
+{
+	struct rpc_server_options rpc = {.loop = loop, .key = STR(KEY)};
+	struct gateway crowd[CROWD] = {0};
+	struct dag_agent a = {.life = 1};
+	char text[32];
+
+	XDR_SET(a, zone, STR("a"));
+	for (int i = 0; i < CROWD; i++) {
+		crowd[i].host.ops = &gateway_ops;
+		rpc.host = &crowd[i].host;
+		snprintf(text, sizeof(text), "127.0.0.1:%d", CROWD_PORT + i);
+		ck_assert_int_eq(addr_parse(str_from(text), &rpc.address), 0);
+		ck_assert_int_eq(rpc_server_new(&rpc, &crowd[i].server), 0);
+	}
+	for (double end = ev_time() + 2 * PATIENCE_S; ev_time() < end;) {
+		for (int i = 0; i < CROWD; i++) {
+			snprintf(text, sizeof(text), "127.0.0.1:%d", CROWD_PORT + i);
+			ck_assert_int_eq(addr_parse(str_from(text), &rpc.address), 0);
+			a.id = node_id(&rpc.address);
+			a.clock_us = clock_us();
+			relay_agent(relay, &a);
+		}
+		order_look();
+		relay_flush(relay);
+		ev_run(loop, EVRUN_ONCE);
+		ev_sleep(CROWD_PERIOD_S);
+	}
+	ck_assert_uint_gt(user.unanswered, 0);
+	ck_assert_uint_eq(direct.calls, 0);
+	for (int i = 0; i < CROWD; i++)
+		rpc_server_free(crowd[i].server);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("relay");
@@ -1005,6 +1045,7 @@
 	tcase_add_test(t, relayed_list_may_lack_ends);
 	tcase_add_test(t, silent_connection_to_a_gateway_is_noticed);
 	tcase_add_test(t, answers_on_a_silent_connection_are_sent_again);
+	tcase_add_test(t, most_gateways_are_never_avoided);
 	tcase_add_test(t, late_call_of_a_deposed_leader_takes_no_answers);
 	suite_add_tcase(s, t);
 	r = srunner_create(s);
