core/dag: an end that is listed late counts while no other run has begun

A worker's list said that a run was done 0.2 s after its lease had ended for the leader.

A task remembers that its newest run was recorded as lost without a list. What the worker lists of it later, done or failed, is recorded and counts, as long as no other run of the task has begun. Held ends are taken from each list anew; before, one stayed held for the life of its worker.

--- a/core/dag_state.c
+++ b/core/dag_state.c
@@ -537,6 +537,7 @@
 	t->started_ms[t->n_live] = (uint32_t)(s->clock_us / 1000);
 	t->live[t->n_live++] = (struct dag_run){st->run, st->worker};
 	t->last_run = st->run;
+	t->unlisted = false;
 	w->n_runs++;
 	if (s->observer)
 		s->observer->ops->run_started(s->observer, j, st);
@@ -637,7 +638,38 @@
 		end_job(s, j, DAG_JOB_FAILED);
 }
 
-/* Ends a live run. Ignores a run that is not live, so repeating it has no effect. */
+/* Whether an end is the leader's conclusion, without a list of the worker that has it. */
+static bool is_unlisted(enum dag_end_how how)
+{
+	return how == DAG_END_LAPSED || how == DAG_END_CRASHED ||
+	       how == DAG_END_CRASHED_ALONE || how == DAG_END_SURVIVED;
+}
+
+/*
+ * Whether the end that a worker lists of a run counts although the run was recorded as
+ * lost: no other run of the task has begun since.
+ */
+bool dag_task_takes_late_end(const struct dag_task *t, uint32_t run, enum dag_end_how how)
+{
+	return t->unlisted && t->last_run == run && !t->n_live && !t->done &&
+	       (how == DAG_END_DONE || how == DAG_END_FAILED);
+}
+
+static void apply_late_end(struct dag_state *s, struct dag_job_rec *j, struct dag_task *t,
+			   const struct dag_end *e)
+{
+	if (!dag_task_takes_late_end(t, e->run, e->how))
+		return;
+	t->unlisted = false;
+	record_end(s, j, e, t);
+	if (s->observer)
+		s->observer->ops->run_ended(s->observer, j, e, 0);
+}
+
+/*
+ * Ends a live run. One that was recorded as lost may still have a late end; any other is
+ * ignored, so repeating an end has no effect.
+ */
 static void apply_end(struct dag_state *s, const struct dag_end *e)
 {
 	struct dag_worker_rec *w;
@@ -650,12 +682,15 @@
 		return;
 	while (i < t->n_live && t->live[i].run != e->run)
 		i++;
-	if (i == t->n_live)
+	if (i == t->n_live) {
+		apply_late_end(s, j, t, e);
 		return;
+	}
 	worker = t->live[i].worker;
 	t->live[i] = t->live[--t->n_live];
 	t->life[i] = t->life[t->n_live];
 	t->started_ms[i] = t->started_ms[t->n_live];
+	t->unlisted = e->run == t->last_run && is_unlisted(e->how);
 	record_end(s, j, e, t);
 	w = dag_state_find_worker(s, worker);
 	if (w)
--- a/core/dag_state.h
+++ b/core/dag_state.h
@@ -44,6 +44,7 @@
 	uint8_t crashes;       /* workers that crashed under it */
 	uint8_t crashes_alone; /* part of them in which no other task was suspect */
 	bool done;
+	bool unlisted; /* the newest run has ended, and its worker has not listed how */
 	uint8_t n_live;
 	struct dag_run live[DAG_MAX_COPIES];
 	/* Not in snapshots: dag_worker_rec.lives and clock_us in ms at their start. */
@@ -99,6 +100,7 @@
 	void (*job_forgotten)(struct dag_observer *o, struct dag_job_rec *j);
 	void (*run_started)(struct dag_observer *o, struct dag_job_rec *j,
 			    const struct dag_start *s);
+	/* worker 0: the run was live no more, and what its worker listed counts late. */
 	void (*run_ended)(struct dag_observer *o, struct dag_job_rec *j,
 			  const struct dag_end *e, uint32_t worker);
 	void (*worker_changed)(struct dag_observer *o, struct dag_worker_rec *w);
@@ -161,6 +163,8 @@
 struct dag_task *dag_job_find_task(const struct dag_job_rec *j, uint32_t occurrence,
 				   uint32_t step, uint32_t index);
 bool dag_job_ended(const struct dag_job_rec *j);
+bool dag_task_takes_late_end(const struct dag_task *t, uint32_t run,
+			     enum dag_end_how how);
 bool dag_task_is_deadly(const struct dag_task *t);
 bool dag_job_step_ready(const struct dag_job_rec *j, uint32_t occurrence, uint32_t step);
 uint64_t dag_job_count_tasks(const struct dag_job *j);
--- a/core/dag_state_snapshot.c
+++ b/core/dag_state_snapshot.c
@@ -12,14 +12,16 @@
 #define FAILURES_MASK 0xffffU
 #define CRASHES_SHIFT 16
 #define CRASHES_ALONE_SHIFT 24
-#define CRASHES_MASK 0xffU
+#define CRASHES_MASK 0x7fU
+#define UNLISTED (1U << 31)
 
 /* The snapshot borrows strings from the state and owns only its arrays. */
 static void fill_task(const struct dag_task *t, struct dag_image_task *it)
 {
 	it->last_run = t->last_run;
 	it->failures = t->failures | (u_int)t->crashes << CRASHES_SHIFT |
-		       (u_int)t->crashes_alone << CRASHES_ALONE_SHIFT;
+		       (u_int)t->crashes_alone << CRASHES_ALONE_SHIFT |
+		       (t->unlisted ? UNLISTED : 0);
 	it->done = t->done;
 	it->live.live_len = t->n_live;
 	/* The cast is valid because both structs hold the same two numbers. */
@@ -132,6 +134,7 @@
 	t->failures = it->failures & FAILURES_MASK;
 	t->crashes = it->failures >> CRASHES_SHIFT & CRASHES_MASK;
 	t->crashes_alone = it->failures >> CRASHES_ALONE_SHIFT & CRASHES_MASK;
+	t->unlisted = (it->failures & UNLISTED) != 0;
 	t->done = it->done;
 	if (it->live.live_len > DAG_MAX_COPIES)
 		return CF_EMALFORMED;
--- a/core/dag_worker.c
+++ b/core/dag_worker.c
@@ -494,16 +494,47 @@
 
 /* Keeps an end and all later ones of its worker unacknowledged. Each is logged once. */
 static void hold_end(struct dag_sched *s, struct ds_worker *w,
-		     const struct dag_listed_end *l)
+		     const struct dag_listed_end *l, const char *reason)
 {
 	if (!w->held_end || l->number < w->held_end)
 		w->held_end = l->number;
 	if (l->number <= w->held_logged)
 		return;
 	w->held_logged = l->number;
-	s->host->ops->log_event(
-		s->host, "end-held", &l->task, l->run, XDR_STR(w->rec->w, id),
-		"run was recorded as lost; end not acknowledged", (int64_t)l->number);
+	s->host->ops->log_event(s->host, "end-held", &l->task, l->run,
+				XDR_STR(w->rec->w, id), reason, (int64_t)l->number);
+}
+
+/* The record of a loss is not committed; what the worker lists may count after it. */
+static bool is_loss_pending(const struct dag_listed_end *l, const struct ds_run *r)
+{
+	return r && r->end_proposed && !r->end_listed && !r->step->long_running &&
+	       (l->how == DAG_END_DONE || l->how == DAG_END_FAILED);
+}
+
+/* Whether an end counts whose run was recorded as lost before its worker listed it. */
+static bool is_late_end(const struct dag_sched *s, const struct dag_listed_end *l)
+{
+	const struct dag_job_rec *j = dag_state_find_job(s->state, l->task.job);
+	const struct dag_task *t;
+
+	if (!j || dag_job_ended(j))
+		return false;
+	t = dag_job_find_task(j, l->task.occurrence, l->task.step, l->task.index);
+	return t && !j->spec.steps.steps_val[l->task.step].long_running &&
+	       dag_task_takes_late_end(t, l->run, l->how);
+}
+
+static void propose_late_end(struct dag_sched *s, const struct dag_listed_end *l)
+{
+	struct dag_command c = {.kind = DAG_CMD_END};
+	struct dag_end *e = &c.dag_command_u.end;
+
+	e->task = l->task;
+	e->run = l->run;
+	e->how = l->how;
+	XDR_SET(*e, checkpoint, l->checkpoint);
+	ds_propose(s, &c);
 }
 
 /* Proposes a listed end, or decides whether it must stay unacknowledged. */
@@ -522,9 +553,16 @@
 	}
 	if (r)
 		r->listed = true;
+	if (!r && is_late_end(s, l)) {
+		hold_end(s, w, l, "run was recorded as lost; its end counts late");
+		propose_late_end(s, l);
+		return;
+	}
 	if (!r || r->end_proposed) {
-		if ((!r || !r->end_listed) && was_declared_lost(s, l, r))
-			hold_end(s, w, l);
+		if (is_loss_pending(l, r) ||
+		    ((!r || !r->end_listed) && was_declared_lost(s, l, r)))
+			hold_end(s, w, l,
+				 "run was recorded as lost; end not acknowledged");
 		return;
 	}
 	r->end_listed = true;
@@ -567,6 +605,9 @@
 	clear_listed(w);
 	w->has_new_ends = false;
 	w->first_listed_end = 0;
+	/* An end that is still held is listed again, unless the list leaves it out. */
+	if (!poll->partial)
+		w->held_end = 0;
 	had_strays = w->has_strays;
 	w->has_strays = false;
 	for (size_t i = 0; i < poll->n_running; i++)
--- a/regress/test_dag.c
+++ b/regress/test_dag.c
@@ -140,6 +140,51 @@
 }
 END_TEST
 
+/* Guards against a second run of a task whose worker lists in time that it is done. */
+START_TEST(late_end_without_a_successor_counts)
+{
+	uint32_t cut = dw_add_worker(&w, 8000, 8000);
+
+	w.work_us = 5 * SECOND;
+	dw_submit_chain(&w, 1, 1, 4);
+	dw_run_for(&w, 2 * SECOND);
+	w.workers[cut].cut = true;
+	dw_run_for(&w, 12 * SECOND);
+	ck_assert_uint_eq(w.starts, 4);
+	if (_i)
+		dw_change_leader(&w);
+	w.workers[cut].cut = false;
+	dw_run_for(&w, 2 * SECOND);
+	dw_assert_sound(&w);
+	ck_assert_int_eq(dw_state(&w, 1), DAG_JOB_COMPLETED);
+	ck_assert_uint_eq(w.starts, 4);
+	ck_assert_uint_eq(w.workers[cut].n_ends, 0);
+}
+END_TEST
+
+/* Guards against attempts beyond their limit: failures that were listed late count too.
+ */
+START_TEST(late_failures_count_as_attempts)
+{
+	uint32_t cut = dw_add_worker(&w, 8000, 8000);
+
+	w.work_us = 30 * SECOND;
+	dw_submit_chain(&w, 1, 1, 1);
+	for (int i = 0; i < 2; i++) {
+		dw_run_for(&w, 2 * SECOND);
+		w.workers[cut].cut = true;
+		w.workers[cut].fails = true;
+		dw_run_for(&w, 12 * SECOND);
+		w.workers[cut].cut = false;
+		w.workers[cut].fails = false;
+	}
+	dw_run_for(&w, 10 * SECOND);
+	dw_assert_sound(&w);
+	ck_assert_int_eq(dw_state(&w, 1), DAG_JOB_FAILED);
+	ck_assert_uint_eq(w.starts, 2);
+}
+END_TEST
+
 /*
  * Guards against ends that are held though nothing was given up: the job was cancelled
  * when its last runs were done, and another leader reads their ends again.
@@ -705,6 +750,43 @@
 	apply_one(s, &c);
 }
 
+static void apply_end_of(struct dag_state *s, uint64_t job, uint32_t run,
+			 enum dag_end_how how)
+{
+	struct dag_command c = {.kind = DAG_CMD_END};
+
+	c.dag_command_u.end =
+		(struct dag_end){.task = {.job = job}, .run = run, .how = how};
+	apply_one(s, &c);
+}
+
+/* Guards against a late end that is forgotten, or counts twice, after a restart. */
+START_TEST(late_end_counts_once_after_a_restart)
+{
+	struct dag_state *restarted;
+	struct buf image = {0};
+	struct dag_task *t;
+
+	dw_add_worker(&w, 8000, 8000);
+	w.work_us = 60 * SECOND;
+	dw_submit_chain(&w, 1, 1, 1);
+	dw_run_for(&w, 2 * SECOND);
+	w.workers[0].cut = true;
+	dw_run_for(&w, 12 * SECOND);
+	ck_assert_int_eq(dag_state_new(&restarted), 0);
+	ck_assert_int_eq(dag_state_snapshot(w.state, &image), 0);
+	ck_assert_int_eq(dag_state_restore(restarted, buf_str(&image)), 0);
+	t = dag_job_find_task(dag_state_find_job(restarted, 1), 0, 0, 0);
+	ck_assert(dag_task_takes_late_end(t, 1, DAG_END_FAILED));
+	apply_end_of(restarted, 1, 1, DAG_END_FAILED);
+	apply_end_of(restarted, 1, 1, DAG_END_FAILED);
+	ck_assert_uint_eq(t->failures, 1);
+	ck_assert(!dag_task_takes_late_end(t, 1, DAG_END_DONE));
+	buf_free(&image);
+	dag_state_free(restarted);
+}
+END_TEST
+
 static bool is_old_report(const struct dag_state *s, int64_t born_ms,
 			  enum dag_worker_state state)
 {
@@ -1204,6 +1286,9 @@
 			    3);
 	tcase_add_test(tc, runs_behind_a_cut_do_not_run_twice);
 	tcase_add_test(tc, end_of_a_run_given_up_is_held);
+	tcase_add_loop_test(tc, late_end_without_a_successor_counts, 0, 2);
+	tcase_add_test(tc, late_failures_count_as_attempts);
+	tcase_add_test(tc, late_end_counts_once_after_a_restart);
 	tcase_add_loop_test(tc, ends_of_a_cancelled_job_are_not_held, 0, 64);
 	tcase_add_test(tc, speculative_tasks_get_a_copy);
 	tcase_add_test(tc, serving_tasks_stay_with_their_like);
