dag_client: a leader whose connection broke is asked again on a new one

A gateway avoided its leader for 1 s after a request had no answer within 0.6 s, also when only the connection had gone silent or was reset and the leader was well. 0.6 s and 1 s are more than the 1.5 s that callers are held for at most, so that requests in this time ended as unknown (504) or were refused, though a new connection would have worked at once.

Now a controller that was heard on a connection is asked once more, on a new connection, with 0.3 s for its answer. It is avoided as before if that fails too, if nobody listens, or if it answered others within the 0.25 s before the time-out, as it is then slow. Calls that ended with an earlier connection don't count against the next one.

--- a/carawayfrontd/dag_client.c
+++ b/carawayfrontd/dag_client.c
@@ -10,6 +10,8 @@
 #define ATTEMPT_S 0.6	   /* one controller may take so long to answer */
 #define RETRY_S 0.04	   /* before a controller is asked again for the leader */
 #define AVOID_S 1.0	   /* after a controller did not answer */
+#define QUIET_S 0.25	   /* without an answer: silent and not only slow */
+#define RENEWED_S 0.3	   /* for the first answer on a connection that replaced one */
 #define RETRY_AFTER_MS 500 /* told to callers while there is no leader */
 #define FINDERS 3U	   /* controllers that are asked for the leader at a time */
 #define FINDER_S 0.5
@@ -19,6 +21,9 @@
 	uint64_t id;
 	struct rpc_client *client;
 	double avoid_until;
+	double heard;
+	unsigned int connection; /* number of the one in use */
+	bool renewed; /* it is in place of a broken one, and nothing was heard on it */
 };
 
 /* Asks for the leader while requests of callers are refused. */
@@ -49,6 +54,7 @@
 	struct ev_timer retry;
 	struct buf args;
 	struct dag_node *node;
+	unsigned int connection; /* of the node, on which it was sent */
 	double deadline;
 	double attempt_s;
 	bool of_caller;	 /* not of an executor, an operator or this process */
@@ -251,6 +257,8 @@
 	struct dag_client *c = call->client;
 	uint64_t asked = call->node->id;
 
+	call->node->heard = ev_now(c->opt.loop);
+	call->node->renewed = false;
 	dag_client_learn(c, reply->leader, reply->members.members_val,
 			 reply->members.members_len);
 	if (reply->outcome != DAG_NOT_LEADER) {
@@ -270,10 +278,50 @@
 		retry_in(call, RETRY_S);
 }
 
+/*
+ * Whether only the connection may have failed: it was reset, or has gone silent. A new
+ * one is then tried at once. A controller that answered others just before is slow, and
+ * one that does not answer on a new connection either is out of reach.
+ */
+static bool may_be_connection(const struct client_call *call, int err)
+{
+	const struct dag_node *node = call->node;
+
+	if (node->renewed)
+		return false;
+	if (err == CF_ETIMEOUT)
+		return ev_now(call->client->opt.loop) - node->heard > QUIET_S;
+	return err == CF_ECONN;
+}
+
+/* Calls of an earlier connection say nothing about the one in use. */
+static void attempt_failed(struct client_call *call, int err)
+{
+	struct dag_client *c = call->client;
+	struct dag_node *node = call->node;
+
+	if (call->connection != node->connection)
+		return;
+	if (err == CF_ETIMEOUT || err == CF_ECONN || err == CF_EUNAVAIL)
+		node->connection++;
+	if (may_be_connection(call, err)) {
+		node->renewed = true;
+	} else {
+		node->avoid_until = ev_now(c->opt.loop) + AVOID_S;
+		if (c->leader == node->id)
+			c->leader = 0;
+		if (c->confirmed == node->id)
+			c->confirmed = 0;
+		update_wait(c);
+	}
+	/* The request must not arrive after its end was reported. */
+	if (err == CF_ETIMEOUT)
+		rpc_client_reset(node->client);
+}
+
 static void on_answer(struct rpc_waiter *w, int err, struct str results)
 {
 	struct client_call *call = (struct client_call *)w;
-	struct dag_client *c = call->client;
 	struct dag_reply reply = {0};
 
 	if (!err)
@@ -283,15 +331,7 @@
 	} else {
 		call->maybe_run =
 			call->maybe_run || (call->has_effect && err != CF_EUNAVAIL);
-		call->node->avoid_until = ev_now(c->opt.loop) + AVOID_S;
-		if (c->leader == call->node->id)
-			c->leader = 0;
-		if (c->confirmed == call->node->id)
-			c->confirmed = 0;
-		update_wait(c);
-		/* The request must not arrive after its end was reported. */
-		if (err == CF_ETIMEOUT)
-			rpc_client_reset(call->node->client);
+		attempt_failed(call, err);
 		retry_in(call, 0);
 	}
 	codec_free((xdrproc_t)xdr_dag_reply, &reply);
@@ -319,6 +359,7 @@
 {
 	struct dag_client *c = call->client;
 	double left = call->deadline - ev_now(c->opt.loop);
+	double timeout;
 	struct dag_node *node;
 
 	if (left <= 0) {
@@ -333,9 +374,11 @@
 		return;
 	}
 	call->node = node;
+	call->connection = node->connection;
+	timeout = node->renewed && call->attempt_s > RENEWED_S ? RENEWED_S
+							       : call->attempt_s;
 	if (rpc_client_call(node->client, DAG_PROC_REQUEST, buf_str(&call->args),
-			    left < call->attempt_s ? left : call->attempt_s,
-			    &call->waiter)) {
+			    left < timeout ? left : timeout, &call->waiter)) {
 		node->avoid_until = ev_now(c->opt.loop) + RETRY_S;
 		if (c->leader == node->id)
 			c->leader = 0;
--- a/regress/test_dag_client.c
+++ b/regress/test_dag_client.c
@@ -12,7 +12,9 @@
 #include "carawayfrontd/dag_client.h"
 #include "carawayfrontd/leader_wait.h"
 #include "carawayfrontd/node_id.h"
+#include "io/rpc_server.h"
 #include "proto/codec.h"
+#include "proto/peer.h"
 
 #define N_REQUESTS 200
 #define KEPT_BYTES 4096 /* that the allocator may keep after all requests */
@@ -21,7 +23,7 @@
 #define SPEC_BYTES 60000   /* the controller's kernel takes a part of such a request */
 
 static struct ev_loop *loop;
-static struct settings settings;
+static struct settings settings = {.name = {"t", 1}, .cluster_key = {"secret", 6}};
 static struct dag_client *client;
 static enum dag_outcome outcome;
 static unsigned int replies;
@@ -356,6 +358,132 @@
 }
 END_TEST
 
+#define LEADER_ADDRESS "127.0.0.1:20482"
+#define FOLLOWER_ADDRESS "127.0.0.1:20483"
+#define BUDGET_S 1.5 /* the longest that a gateway lets a caller wait */
+
+/* A controller in this process. Calls on its first connection can be left unanswered. */
+struct stand_in {
+	struct rpc_server_host host; /* first member */
+	struct rpc_server *server;
+	struct rpc_conn *first;
+	uint64_t leader; /* named in replies */
+	bool leads;
+	bool silent; /* the first connection */
+	unsigned int answered;
+};
+
+static void serve_stand_in(struct rpc_server_host *h, struct rpc_call *call)
+{
+	struct stand_in *c = (struct stand_in *)h;
+	struct dag_reply reply = {.outcome = c->leads ? DAG_OK : DAG_NOT_LEADER,
+				  .leader = c->leader};
+	struct buf bytes = {0};
+
+	if (!c->first)
+		c->first = call->conn;
+	if (c->silent && call->conn == c->first) {
+		rpc_call_drop(call);
+		return;
+	}
+	c->answered++;
+	ck_assert_int_eq(codec_encode((xdrproc_t)xdr_dag_reply, &reply, &bytes), 0);
+	rpc_call_reply(call, 0, buf_str(&bytes));
+	buf_free(&bytes);
+}
+
+static const struct rpc_server_ops stand_in_ops = {.call = serve_stand_in};
+
+/* Returns the id of the controller. */
+static uint64_t open_stand_in(struct stand_in *c, struct str address)
+{
+	struct rpc_server_options opt = {
+		.loop = loop, .host = &c->host, .key = settings.cluster_key};
+
+	c->host.ops = &stand_in_ops;
+	ck_assert_int_eq(addr_parse(address, &opt.address), 0);
+	ck_assert_int_eq(rpc_server_new(&opt, &c->server), 0);
+	return node_id(&opt.address);
+}
+
+/* A leader, and a controller that names it; the client has asked the leader once. */
+static void open_controllers(struct stand_in *leader, struct stand_in *follower)
+{
+	struct dag_pending_request pending = {.ops = &ops};
+	uint64_t members[2];
+
+	leader->leads = true;
+	members[0] = open_stand_in(leader, STR(LEADER_ADDRESS));
+	members[1] = open_stand_in(follower, STR(FOLLOWER_ADDRESS));
+	leader->leader = members[0];
+	follower->leader = members[0];
+	dag_client_learn(client, members[0], members, 2);
+	submit(&pending);
+	run_for(0.1);
+	ck_assert_uint_eq(replies, 1);
+	ck_assert_int_eq(outcome, DAG_OK);
+}
+
+static void submit_within(struct dag_pending_request *pending, double seconds)
+{
+	struct dag_request req = {.kind = DAG_REQ_SUBMIT};
+
+	XDR_SET(req.dag_request_u.submit.target, host, STR("h"));
+	XDR_SET(req.dag_request_u.submit.target, path, STR("/p/1"));
+	ev_now_update(loop);
+	dag_client_request(client, &req, seconds, pending);
+}
+
+/* Guards against a well leader that is avoided as its connection has gone silent. */
+START_TEST(request_on_a_silent_connection_is_served)
+{
+	struct dag_pending_request pending[8];
+	struct stand_in leader = {0};
+	struct stand_in follower = {0};
+
+	open_controllers(&leader, &follower);
+	leader.silent = true;
+	for (int i = 0; i < 8; i++) {
+		pending[i] = (struct dag_pending_request){.ops = &ops};
+		submit_within(&pending[i], BUDGET_S);
+		run_for(0.05);
+	}
+	run_for(BUDGET_S + 0.1);
+	ck_assert_uint_eq(replies, 9);
+	ck_assert_int_eq(outcome, DAG_OK);
+	ck_assert_uint_eq(leader.answered, 9);
+	/* The follower is not asked in a tight loop. */
+	ck_assert_uint_lt(follower.answered, 100);
+	rpc_server_free(leader.server);
+	rpc_server_free(follower.server);
+}
+END_TEST
+
+/* Guards against a well leader that is avoided as its connections were reset. */
+START_TEST(request_on_a_reset_connection_is_served)
+{
+	struct dag_pending_request pending = {.ops = &ops};
+	struct stand_in leader = {0};
+	struct stand_in follower = {0};
+	double start;
+
+	open_controllers(&leader, &follower);
+	leader.silent = true;
+	submit_within(&pending, BUDGET_S);
+	run_for(0.1);
+	rpc_server_free(leader.server);
+	open_stand_in(&leader, STR(LEADER_ADDRESS));
+	leader.silent = false;
+	start = ev_time();
+	while (replies < 2 && ev_time() < start + BUDGET_S)
+		run_for(0.01);
+	ck_assert_int_eq(outcome, DAG_OK);
+	ck_assert(ev_time() - start < 0.5);
+	rpc_server_free(leader.server);
+	rpc_server_free(follower.server);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("dag_client");
@@ -373,6 +501,8 @@
 	tcase_add_test(t, long_loss_of_the_leader_refuses_at_once);
 	tcase_add_test(t, usual_election_refuses_no_request);
 	tcase_add_test(t, long_search_refuses_the_next_request_at_once);
+	tcase_add_test(t, request_on_a_silent_connection_is_served);
+	tcase_add_test(t, request_on_a_reset_connection_is_served);
 	suite_add_tcase(s, t);
 	r = srunner_create(s);
 	srunner_run_all(r, CK_ENV);
