rpc_server: end connections on which nothing moves any more

A peer whose connection to this process goes silent for good makes a new one, and never ends the old one. The server kept it, with its descriptor and the calls whose replies it waits for, until the process ended: 400 peers with three silences use up the 3,900 descriptors of a machine in less than four such rounds.

A server now ends a connection on which no byte came and the socket took none for 10 s (rpc_server_options.idle_timeout). Nobody waits so long for a reply: attempts of callers last 0.6 to 1.5 s. Checks are counted, not time, and bytes that arrived but were not read count, so that a process that was paused ends no connection in use. A caller whose connection was only idle connects again for its next call; a call that is sent in the moment of the end gets CF_ECONN, as with any connection that breaks.

test_rpc silent_connections_are_ended and call_after_an_idle_time_is_answered fail without the check (not ended; 0 of 2 ended) and pass with it; call_that_waits_to_be_read_is_served guards the pause. test_relay, test_leader_client, test_member_join, test_dag_client and test_fuzz_rpc pass.

--- a/io/rpc_server.c
+++ b/io/rpc_server.c
@@ -14,6 +14,7 @@
 #include "io/stream.h"
 
 #define ACCEPTS_A_ROUND 256U
+#define IDLE_PERIODS 5U /* between checks of a connection until it is ended */
 
 struct rpc_conn {
 	struct stream stream;
@@ -21,11 +22,14 @@
 	struct rpc_conn *next, **prev;
 	struct rpc_call *calls;
 	struct buf member; /* shown by the first call; empty: none yet */
+	uint64_t moved;	   /* bytes in both directions at the last check */
+	unsigned int idle; /* checks since then that found no more */
 };
 
 struct rpc_server {
 	struct rpc_server_options opt;
 	struct ev_io acceptor;
+	struct ev_timer idle_timer;
 	int fd;
 	struct rpc_conn *conns;
 	struct rpc_server_stats stats;
@@ -161,10 +165,48 @@
 	}
 }
 
+/*
+ * Whether nothing moves on a connection any more. What arrived and was not read yet
+ * counts. Checks are counted, not time, so that a pause of this process ends no
+ * connection.
+ */
+static bool is_idle(struct rpc_conn *c)
+{
+	uint64_t moved = c->stream.received + c->stream.taken;
+	char next;
+
+	if (moved != c->moved ||
+	    recv(c->stream.fd, &next, sizeof(next), MSG_PEEK | MSG_DONTWAIT) > 0) {
+		c->moved = moved;
+		c->idle = 0;
+		return false;
+	}
+	return ++c->idle >= IDLE_PERIODS;
+}
+
+/*
+ * Ends connections that have gone silent, of which nothing else tells. The caller of one
+ * that was only not in use connects again for its next call.
+ */
+static void on_idle_timer(struct ev_loop *loop, struct ev_timer *t, int events)
+{
+	struct rpc_server *s = t->data;
+	struct rpc_conn *next;
+
+	for (struct rpc_conn *c = s->conns; c; c = next) {
+		next = c->next;
+		if (!is_idle(c))
+			continue;
+		s->stats.idle++;
+		conn_free(c);
+	}
+}
+
 /* Listens at once. CF_EEXIST when the port is taken. */
 int rpc_server_new(const struct rpc_server_options *opt, struct rpc_server **out)
 {
 	struct rpc_server *s = calloc(1, sizeof(*s));
+	double idle = opt->idle_timeout > 0 ? opt->idle_timeout : RPC_IDLE_S;
 	int err;
 
 	if (!s)
@@ -178,6 +220,10 @@
 	ev_io_init(&s->acceptor, on_accept, s->fd, EV_READ);
 	s->acceptor.data = s;
 	ev_io_start(opt->loop, &s->acceptor);
+	ev_timer_init(&s->idle_timer, on_idle_timer, idle / IDLE_PERIODS,
+		      idle / IDLE_PERIODS);
+	s->idle_timer.data = s;
+	ev_timer_start(opt->loop, &s->idle_timer);
 	*out = s;
 	return 0;
 }
@@ -247,6 +293,7 @@
 		conn_free(c);
 	}
 	ev_io_stop(s->opt.loop, &s->acceptor);
+	ev_timer_stop(s->opt.loop, &s->idle_timer);
 	close(s->fd);
 	free(s);
 }
--- a/io/rpc_server.h
+++ b/io/rpc_server.h
@@ -5,6 +5,12 @@
 
 #include "io/addr.h"
 
+/*
+ * A peer whose connection went silent makes a new one and never ends the old one. 400
+ * peers that do so three times in 5 s leave 2,400 of the 3,900 descriptors in use.
+ */
+#define RPC_IDLE_S 10.0
+
 struct rpc_server;
 struct rpc_conn;
 
@@ -36,6 +42,12 @@
 	struct rpc_server_host *host;
 	struct addr address;
 	struct str key; /* cluster key that callers must show */
+	/*
+	 * Seconds without a byte in either direction after which a connection is ended,
+	 * and with it the calls that wait for their replies; 0: RPC_IDLE_S. Longer than
+	 * a caller waits for a reply.
+	 */
+	double idle_timeout;
 };
 
 struct rpc_server_stats {
@@ -43,6 +55,7 @@
 	uint64_t refused;   /* wrong credential */
 	uint64_t malformed; /* connections closed for a bad record */
 	uint64_t abandoned; /* calls whose caller had gone, as handlers found */
+	uint64_t idle;	    /* connections that were ended as nothing moved on them */
 	uint64_t bytes_in;
 	uint64_t bytes_out;
 };
--- a/io/stream.c
+++ b/io/stream.c
@@ -63,6 +63,7 @@
 		return;
 	}
 	s->in.n += (size_t)n;
+	s->received += (size_t)n;
 	err = deliver(s);
 	if (err)
 		fail(s, err);
--- a/io/stream.h
+++ b/io/stream.h
@@ -29,7 +29,8 @@
 	struct buf in;
 	struct buf out;
 	size_t out_sent;
-	uint64_t taken; /* bytes that the socket took */
+	uint64_t taken;	   /* bytes that the socket took */
+	uint64_t received; /* bytes that were read */
 };
 
 void stream_open(struct stream *s, struct ev_loop *loop, int fd, bool connecting);
--- a/regress/test_rpc.c
+++ b/regress/test_rpc.c
@@ -753,6 +753,157 @@
 }
 END_TEST
 
+#define IDLE_S 0.5	       /* of the server */
+#define ENDED_MAX (2 * IDLE_S) /* until a silent connection is ended */
+#define USE_PERIOD_S 0.2       /* of the connection in use */
+
+static struct rpc_server *open_idle_server(struct addr *address)
+{
+	struct rpc_server_options opt = {.loop = loop,
+					 .host = &host.host,
+					 .key = STR("secret"),
+					 .idle_timeout = IDLE_S};
+	struct rpc_server *s = NULL;
+
+	ck_assert_int_eq(addr_parse(STR("127.0.0.1:20136"), &opt.address), 0);
+	ck_assert_int_eq(rpc_server_new(&opt, &s), 0);
+	*address = opt.address;
+	return s;
+}
+
+/* A connection that carries one call, if any, and nothing more. */
+static int connect_silent(const struct addr *address, const struct rpc_call_head *call)
+{
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+	struct buf bytes = {0};
+
+	ck_assert_int_eq(connect(fd, (const struct sockaddr *)&address->sa, address->len),
+			 0);
+	if (call) {
+		ck_assert_int_eq(rpc_wire_add_call(&bytes, call, STR("")), 0);
+		ck_assert_int_eq(write(fd, bytes.p, bytes.n), (ssize_t)bytes.n);
+	}
+	buf_free(&bytes);
+	return fd;
+}
+
+static bool is_ended(int fd)
+{
+	char byte;
+
+	return recv(fd, &byte, 1, MSG_DONTWAIT) == 0;
+}
+
+static struct rpc_client *connect_to(const struct addr *address,
+				     struct rpc_client_host *client_host)
+{
+	struct rpc_client_options opt = {.loop = loop,
+					 .address = *address,
+					 .member = STR("t"),
+					 .key = STR("secret"),
+					 .host = client_host};
+	struct rpc_client *c = NULL;
+
+	ck_assert_int_eq(rpc_client_new(&opt, &c), 0);
+	return c;
+}
+
+static unsigned int times_down;
+
+static void on_down(struct rpc_client_host *h)
+{
+	times_down++;
+}
+
+static const struct rpc_client_ops down_ops = {.down = on_down};
+
+/* Guards against descriptors that silent connections keep for good. */
+START_TEST(silent_connections_are_ended)
+{
+	struct rpc_call_head hold = {
+		.xid = 1, .proc = PROC_HOLD, .member = STR("t"), .key = STR("secret")};
+	struct rpc_client_host down = {.ops = &down_ops};
+	struct rpc_client *used;
+	struct rpc_server *s;
+	struct addr address;
+	int fds[2];
+
+	s = open_idle_server(&address);
+	used = connect_to(&address, &down);
+	times_down = 0;
+	fds[0] = connect_silent(&address, NULL);
+	fds[1] = connect_silent(&address, &hold);
+	for (int i = 0; i < ENDED_MAX / USE_PERIOD_S; i++) {
+		ck_assert_int_eq(rpc_client_post(used, PROC_ORDER, STR("")), 0);
+		run_loop_for(USE_PERIOD_S);
+	}
+	ck_assert_ptr_nonnull(host.held);
+	ck_assert(is_ended(fds[0]));
+	ck_assert(is_ended(fds[1]));
+	ck_assert_uint_eq(times_down, 0);
+	/* The call outlives its connection. */
+	rpc_call_reply(host.held, 0, STR(""));
+	rpc_client_free(used);
+	rpc_server_free(s);
+	close(fds[0]);
+	close(fds[1]);
+}
+END_TEST
+
+/* Guards against a call that is lost as its connection was not in use for long. */
+START_TEST(call_after_an_idle_time_is_answered)
+{
+	struct rpc_client_host down = {.ops = &down_ops};
+	struct rpc_client *c;
+	struct rpc_server *s;
+	struct addr address;
+
+	s = open_idle_server(&address);
+	c = connect_to(&address, &down);
+	times_down = 0;
+	for (int i = 0; i < 2; i++) {
+		struct waiter w = {.base = {.ops = &waiter_ops}};
+
+		ck_assert_int_eq(rpc_client_call(c, PROC_ECHO, STR("x"), 1, &w.base), 0);
+		run_until(&w);
+		ck_assert_int_eq(w.err, 0);
+		buf_free(&w.results);
+		run_loop_for(ENDED_MAX);
+	}
+	ck_assert_uint_eq(times_down, 2);
+	rpc_client_free(c);
+	rpc_server_free(s);
+}
+END_TEST
+
+/* Guards against an idle connection that is ended with a call that was not read yet. */
+START_TEST(call_that_waits_to_be_read_is_served)
+{
+	struct rpc_client *c;
+	struct rpc_server *s;
+	struct addr address;
+	struct waiter w = {.base = {.ops = &waiter_ops}};
+
+	s = open_idle_server(&address);
+	c = connect_to(&address, NULL);
+	ck_assert_int_eq(rpc_client_call(c, PROC_ECHO, STR("x"), 1, &w.base), 0);
+	run_until(&w);
+	buf_free(&w.results);
+	/* This process is paused, time and again, while a call arrives. */
+	for (int i = 0; i < 8; i++) {
+		ev_now_update(loop);
+		w = (struct waiter){.base = {.ops = &waiter_ops}};
+		ck_assert_int_eq(rpc_client_call(c, PROC_ECHO, STR("x"), 5, &w.base), 0);
+		usleep((useconds_t)(IDLE_S * 1e6));
+		run_until(&w);
+		ck_assert_int_eq(w.err, 0);
+		buf_free(&w.results);
+	}
+	rpc_client_free(c);
+	rpc_server_free(s);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("rpc");
@@ -779,6 +930,9 @@
 	tcase_add_test(tc, waiting_connections_are_accepted_together);
 	tcase_add_test(tc, malformed_record_closes_connection);
 	tcase_add_test(tc, random_bytes_are_handled);
+	tcase_add_test(tc, silent_connections_are_ended);
+	tcase_add_test(tc, call_after_an_idle_time_is_answered);
+	tcase_add_test(tc, call_that_waits_to_be_read_is_served);
 	suite_add_tcase(s, tc);
 	sr = srunner_create(s);
 	srunner_run_all(sr, CK_NORMAL);
