rpc_server: wait for a free descriptor instead of polling for one

With no descriptor left, accept4() fails and the connection that waits keeps the listening socket readable, so that the loop never slept: a process whose descriptors silent connections had used up took all of its processor. The acceptor now pauses for 0.1 s.

--- a/io/rpc_server.c
+++ b/io/rpc_server.c
@@ -14,7 +14,8 @@
 #include "io/stream.h"
 
 #define ACCEPTS_A_ROUND 256U
-#define IDLE_PERIODS 5U /* between checks of a connection until it is ended */
+#define ACCEPT_PAUSE_S 0.1 /* while there is no descriptor or memory for a connection */
+#define IDLE_PERIODS 5U	   /* between checks of a connection until it is ended */
 
 struct rpc_conn {
 	struct stream stream;
@@ -29,6 +30,7 @@
 struct rpc_server {
 	struct rpc_server_options opt;
 	struct ev_io acceptor;
+	struct ev_timer accept_timer; /* ends a pause of the acceptor */
 	struct ev_timer idle_timer;
 	int fd;
 	struct rpc_conn *conns;
@@ -148,6 +150,29 @@
 	stream_open(&c->stream, s->opt.loop, fd, false);
 }
 
+static bool is_exhausted(int error)
+{
+	return error == EMFILE || error == ENFILE || error == ENOBUFS || error == ENOMEM;
+}
+
+/*
+ * Stops the acceptor for a while. The connections that wait make its socket readable all
+ * the time, and the loop would not sleep.
+ */
+static void pause_accepting(struct rpc_server *s)
+{
+	ev_io_stop(s->opt.loop, &s->acceptor);
+	ev_timer_set(&s->accept_timer, ACCEPT_PAUSE_S, 0);
+	ev_timer_start(s->opt.loop, &s->accept_timer);
+}
+
+static void on_accept_timer(struct ev_loop *loop, struct ev_timer *t, int events)
+{
+	struct rpc_server *s = t->data;
+
+	ev_io_start(loop, &s->acceptor);
+}
+
 /*
  * Accepts what waits. One connection a round would not do while rounds are long: peers
  * that time out connect again, and the queue never ends.
@@ -159,8 +184,11 @@
 	for (unsigned int i = 0; i < ACCEPTS_A_ROUND; i++) {
 		int fd = accept4(s->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
 
-		if (fd < 0)
+		if (fd < 0) {
+			if (is_exhausted(errno))
+				pause_accepting(s);
 			return;
+		}
 		add_conn(s, fd);
 	}
 }
@@ -220,6 +248,8 @@
 	ev_io_init(&s->acceptor, on_accept, s->fd, EV_READ);
 	s->acceptor.data = s;
 	ev_io_start(opt->loop, &s->acceptor);
+	ev_timer_init(&s->accept_timer, on_accept_timer, 0, 0);
+	s->accept_timer.data = s;
 	ev_timer_init(&s->idle_timer, on_idle_timer, idle / IDLE_PERIODS,
 		      idle / IDLE_PERIODS);
 	s->idle_timer.data = s;
@@ -293,6 +323,7 @@
 		conn_free(c);
 	}
 	ev_io_stop(s->opt.loop, &s->acceptor);
+	ev_timer_stop(s->opt.loop, &s->accept_timer);
 	ev_timer_stop(s->opt.loop, &s->idle_timer);
 	close(s->fd);
 	free(s);
--- a/regress/test_rpc.c
+++ b/regress/test_rpc.c
@@ -1,6 +1,7 @@
 #include <check.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/resource.h>
 #include <unistd.h>
 
 #include <arpa/inet.h>
@@ -904,6 +905,45 @@
 }
 END_TEST
 
+#define FULL_S 1.0	       /* without a free descriptor */
+#define FULL_MAX_ROUNDS 50U    /* of the loop in this time */
+#define ACCEPTED_AGAIN_MAX 0.5 /* seconds after one is free */
+
+/* Guards against a busy loop while no descriptor is free, and an acceptor that stops. */
+START_TEST(full_descriptor_table_is_waited_for)
+{
+	struct rlimit old;
+	struct rlimit full;
+	struct addr address;
+	unsigned int rounds = 0;
+	double end;
+	int fd;
+
+	ck_assert_int_eq(addr_parse(STR(ADDRESS), &address), 0);
+	ck_assert_int_eq(getrlimit(RLIMIT_NOFILE, &old), 0);
+	fd = connect_silent(&address, NULL);
+	full = old;
+	full.rlim_cur = (rlim_t)fd + 1;
+	ck_assert_int_eq(setrlimit(RLIMIT_NOFILE, &full), 0);
+	end = ev_time() + FULL_S;
+	while (ev_time() < end) {
+		ev_run(loop, EVRUN_ONCE);
+		rounds++;
+	}
+	ck_assert_int_eq(setrlimit(RLIMIT_NOFILE, &old), 0);
+	ck_assert_uint_lt(rounds, FULL_MAX_ROUNDS);
+	close(fd);
+	fd = connect_silent(&address, &(struct rpc_call_head){.xid = 1,
+							      .proc = PROC_HOLD,
+							      .member = STR("t"),
+							      .key = STR("secret")});
+	run_loop_for(ACCEPTED_AGAIN_MAX);
+	ck_assert_ptr_nonnull(host.held);
+	rpc_call_drop(host.held);
+	close(fd);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("rpc");
@@ -933,6 +973,7 @@
 	tcase_add_test(tc, silent_connections_are_ended);
 	tcase_add_test(tc, call_after_an_idle_time_is_answered);
 	tcase_add_test(tc, call_that_waits_to_be_read_is_served);
+	tcase_add_test(tc, full_descriptor_table_is_waited_for);
 	suite_add_tcase(s, tc);
 	sr = srunner_create(s);
 	srunner_run_all(sr, CK_NORMAL);
