io/http_client, core/router: "not run" counts for the last of several sends only

Cause: libcurl sends an idempotent request a second time by itself when a reused connection ends before the first byte of the answer. The upstream may have run the first one. When the second was answered with "Carawayfront-Run: not-run", the router took this for the whole request, and its caller was told "not-run" of a request that ran. Keyed requests and others that are not idempotent are not sent again and were right.

Change: the HTTP client notes, before each send, whether a byte of the request went out before, and reports it (http_result.resent). The router counts such a request as one that may have run, whatever the last send was answered with.

--- a/carawayfrontd/front_send.c
+++ b/carawayfrontd/front_send.c
@@ -271,6 +271,7 @@
 			.not_run = str_eq(run, STR("not-run")),
 			.status = (int)result->status,
 			.load = str_to_u64(load, &n) || n > INT32_MAX ? -1 : (int)n,
+			.resent = result->resent,
 		};
 
 		router_answered(router, r->id, &answer, now);
--- a/core/router.c
+++ b/core/router.c
@@ -457,6 +457,8 @@
 	/* The reported load does not include this request. */
 	upstream_load(u, a->load, u->inflight - 1, now_us);
 	if (a->not_run) {
+		/* The upstream speaks of the last send only. */
+		q->may_have_run |= a->resent;
 		r->stats.upstream_refused++;
 		limit_refused(r, u, now_us);
 		if (send_ended(r, q, now_us))
--- a/core/router.h
+++ b/core/router.h
@@ -137,6 +137,7 @@
 	bool not_run; /* the upstream said that it did not run the request */
 	int status;   /* HTTP status; 500 and above counts against the upstream */
 	int load;     /* in flight at the upstream as it reports; negative: unknown */
+	bool resent;  /* sent before, on a connection that ended without an answer */
 };
 
 /* One announcement of an upstream. */
--- a/io/http_client.c
+++ b/io/http_client.c
@@ -37,7 +37,8 @@
 	size_t uploaded;
 	size_t max_body;
 	int64_t send_until_us;
-	bool head; /* the answer has no body */
+	bool head;   /* the answer has no body */
+	bool resent; /* libcurl sends it again after a connection ended */
 	bool too_big;
 	bool too_late; /* not sent: its time had passed */
 };
@@ -116,6 +117,7 @@
 	curl_easy_getinfo(x->easy, CURLINFO_REQUEST_SIZE, &sent);
 	result.status = (unsigned int)status;
 	result.maybe_sent = sent > 0;
+	result.resent = x->resent;
 	result.body = buf_str(&x->body);
 	result.err = result_error(x, code, result.status);
 	call->exchange = NULL;
@@ -224,14 +226,19 @@
 }
 
 /*
- * Called when the connection is ready and before the request goes out: the call may have
+ * Called when a connection is ready and before the request goes out: the call may have
  * waited for its connection, and the process may have been paused since it was started.
+ * libcurl may have sent the request on another connection before, see set_send_once().
  */
-static int check_send_time(void *user, char *peer_ip, char *own_ip, int peer_port,
-			   int own_port)
+static int check_send(void *user, char *peer_ip, char *own_ip, int peer_port,
+		      int own_port)
 {
 	struct http_exchange *x = user;
+	long sent = 0;
 
+	curl_easy_getinfo(x->easy, CURLINFO_REQUEST_SIZE, &sent);
+	if (sent > 0)
+		x->resent = true;
 	if (x->send_until_us && clock_us() > x->send_until_us) {
 		x->too_late = true;
 		return CURL_PREREQFUNC_ABORT;
@@ -391,7 +398,7 @@
 	curl_easy_setopt(x->easy, CURLOPT_TCP_NODELAY, 1L);
 	curl_easy_setopt(x->easy, CURLOPT_WRITEFUNCTION, take_body);
 	curl_easy_setopt(x->easy, CURLOPT_WRITEDATA, x);
-	curl_easy_setopt(x->easy, CURLOPT_PREREQFUNCTION, check_send_time);
+	curl_easy_setopt(x->easy, CURLOPT_PREREQFUNCTION, check_send);
 	curl_easy_setopt(x->easy, CURLOPT_PREREQDATA, x);
 	curl_easy_setopt(x->easy, CURLOPT_CLOSESOCKETFUNCTION, close_socket);
 	curl_easy_setopt(x->easy, CURLOPT_TIMEOUT_MS, (long)(opt->timeout * 1000));
--- a/io/http_client.h
+++ b/io/http_client.h
@@ -15,6 +15,8 @@
 	/* 0, CF_ECONN, CF_ETIMEOUT, CF_ETOOBIG, CF_EMALFORMED, CF_ESTALE */
 	int err;
 	bool maybe_sent; /* a byte of the request may have reached the upstream */
+	/* Also on an earlier connection, which ended without an answer. */
+	bool resent;
 	unsigned int status;
 	struct str body;
 	const struct http_exchange *exchange;
--- a/regress/test_http_client.c
+++ b/regress/test_http_client.c
@@ -24,6 +24,7 @@
 	unsigned int ended;
 	int err;
 	bool maybe_sent;
+	bool resent;
 };
 
 static struct ev_loop *loop;
@@ -37,6 +38,7 @@
 	c->ended++;
 	c->err = r->err;
 	c->maybe_sent = r->maybe_sent;
+	c->resent = r->resent;
 }
 
 static const struct http_call_ops call_ops = {.done = on_done};
@@ -201,6 +203,68 @@
 }
 END_TEST
 
+/* Accepts the connection that comes within a second. */
+static int accept_one(void)
+{
+	int fd = -1;
+
+	for (int i = 0; i < 1000 && fd < 0; i++) {
+		play(0.001);
+		fd = accept4(listener, NULL, NULL, SOCK_NONBLOCK);
+	}
+	ck_assert_int_ge(fd, 0);
+	return fd;
+}
+
+/* Waits for the rest of a request with the body "x". */
+static void read_request(int fd)
+{
+	char bytes[4096];
+	size_t n = 0;
+
+	for (int i = 0; i < 1000 && (!n || bytes[n - 1] != 'x'); i++) {
+		ssize_t more = recv(fd, bytes + n, sizeof(bytes) - n, 0);
+
+		n += more > 0 ? (size_t)more : 0;
+		play(0.001);
+	}
+	ck_assert_uint_gt(n, 0);
+}
+
+static void answer(int fd, const char *text)
+{
+	ck_assert_int_eq(send(fd, text, strlen(text), 0), (ssize_t)strlen(text));
+}
+
+/* Guards against an answer to the second send that is taken for one to the first. */
+START_TEST(answer_after_a_second_send_is_told)
+{
+	static const char refused[] =
+		"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n";
+	struct call once;
+	struct call twice;
+	int fd;
+
+	start(&once, "/once", STR("x"), 5, 0);
+	fd = accept_one();
+	read_request(fd);
+	answer(fd, refused);
+	play_until_ended(&once);
+	ck_assert_int_eq(once.err, 0);
+	ck_assert(once.maybe_sent && !once.resent);
+	start(&twice, "/twice", STR("x"), 5, 0);
+	read_request(fd);
+	close(fd);
+	fd = accept_one();
+	read_request(fd);
+	answer(fd, refused);
+	play_until_ended(&twice);
+	ck_assert_int_eq(twice.err, 0);
+	ck_assert(twice.maybe_sent && twice.resent);
+	close(fd);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("http_client");
@@ -213,6 +277,7 @@
 	tcase_add_test(t, call_is_not_sent_after_a_pause);
 	tcase_add_test(t, queued_call_is_not_sent_after_its_time);
 	tcase_add_test(t, call_given_up_sends_nothing_more);
+	tcase_add_test(t, answer_after_a_second_send_is_told);
 	suite_add_tcase(s, t);
 	r = srunner_create(s);
 	srunner_run_all(r, CK_ENV);
--- a/regress/test_router.c
+++ b/regress/test_router.c
@@ -436,6 +436,9 @@
 			ck_assert(q->finished && q->out.run == ROUTER_DONE);
 	} else if (fate == F_NOT_RUN && prng_below(&s->rng, 2)) {
 		a.not_run = true;
+		/* Only idempotent requests are sent again below the router. */
+		a.resent = q->idempotent && prng_below(&s->rng, 4) == 0;
+		q->maybe_run |= a.resent;
 		q->refused = true;
 		q->refusals++;
 		router_answered(s->r, id, &a, s->now);
