core/dag_life: the first call to a new life does not wait for polls of the earlier one

The leader knew of the restart, but its next call was the next poll, which waits for the end of the poll that the earlier life got, up to 1.3 s, and for ends to be recorded. A new life refuses earlier calls only from the first call on that it has.

A poll whose reply is not reported now goes out when the record of the restart is applied. It only carries the present fencing token. The transports tell its reply from that of the poll that still waits; gateways need no change.

--- a/carawayfrontd/relay.c
+++ b/carawayfrontd/relay.c
@@ -54,6 +54,7 @@
 	uint32_t run;
 	uint64_t agent;
 	double deadline;
+	bool no_reply; /* its result is not reported */
 };
 
 /* How often the path to a worker was changed. */
@@ -248,7 +249,7 @@
  * which has no answer.
  */
 static bool add_call(struct relay *r, struct relay_agent *a, struct dag_call *c,
-		     int64_t send_until_us, double timeout)
+		     int64_t send_until_us, double timeout, bool no_reply)
 {
 	struct relay_call *call;
 
@@ -270,6 +271,7 @@
 	call->task = c->task;
 	call->run = c->run;
 	call->agent = a->id;
+	call->no_reply = no_reply;
 	call->deadline = ev_now(r->opt.loop) + timeout;
 	HASH_ADD(hh, r->calls, id, sizeof(call->id), call);
 	return true;
@@ -298,7 +300,7 @@
 	XDR_SET(c, spec, o->spec);
 	XDR_SET(c, checkpoint, o->checkpoint);
 	c.percent = o->speed_percent;
-	return add_call(r, a, &c, o->call.send_until_us, ANSWER_S);
+	return add_call(r, a, &c, o->call.send_until_us, ANSWER_S, false);
 }
 
 static struct dag_transport *direct_transport(struct dag_transport *t)
@@ -330,10 +332,10 @@
 	struct relay_agent *a = choose_agent(r, o->call.worker);
 	struct dag_call c = {
 		.kind = DAG_CALL_LOOK, .seen = o->acked_end, .wait_ms = o->wait_ms};
+	double timeout = o->wait_ms / 1000.0 + ANSWER_S;
 
 	fill_call(&c, &o->call);
-	if (!a ||
-	    !add_call(r, a, &c, o->call.send_until_us, o->wait_ms / 1000.0 + ANSWER_S))
+	if (!a || !add_call(r, a, &c, o->call.send_until_us, timeout, o->no_reply))
 		direct_transport(t)->ops->poll(direct_transport(t), o);
 }
 
@@ -360,12 +362,15 @@
 	HASH_DEL(r->calls, call);
 	if (answer == DAG_RESULT_UNKNOWN)
 		change_path(r, call->worker);
+	if (call->no_reply)
+		goto out;
 	if (call->kind == DAG_CALL_LOOK)
 		u->ops->poll_replied(u, call->worker, answer, poll);
 	else if (call->kind == DAG_CALL_START)
 		u->ops->start_replied(u, call->worker, &call->task, call->run, answer);
 	else if (call->kind == DAG_CALL_STOP)
 		u->ops->stop_replied(u, call->worker, &call->task, call->run, answer);
+out:
 	free(call);
 }
 
--- a/core/dag_life.c
+++ b/core/dag_life.c
@@ -150,6 +150,21 @@
 		w->fence++;
 }
 
+/*
+ * Gives a new process the present fence, so that it refuses the calls for earlier ones
+ * that are still on their way. The next poll does so too, but it waits for the end of the
+ * one that an earlier process got, and for ends to be recorded.
+ */
+static void fence_earlier_calls(struct dag_sched *s, const struct ds_worker *w)
+{
+	struct dag_poll_command o = {.no_reply = true};
+
+	if (s->fenced || (!w->poll_in_flight && !w->ends_uncommitted))
+		return;
+	ds_worker_fill_call(s, w, &o.call);
+	s->host->ops->poll(s->host, &o);
+}
+
 /*
  * A newer process of a worker has a clock of its own and numbers its ends from the start
  * again.
@@ -172,6 +187,7 @@
 	w->last_listed_end = 0;
 	w->held_end = 0;
 	w->held_logged = 0;
+	fence_earlier_calls(s, w);
 }
 
 /* Its start is learned from its reports or its lists, whichever come first. */
--- a/core/dag_sched.h
+++ b/core/dag_sched.h
@@ -50,6 +50,7 @@
 	struct dag_worker_call call;
 	uint64_t acked_end; /* the worker may drop ends up to this number */
 	uint32_t wait_ms;   /* the worker may hold the reply this long; 0: none */
+	bool no_reply;	    /* the host reports neither a reply nor a failure */
 };
 
 /* Entry of a worker's list of running tasks. */
--- a/regress/lib_dag_world.h
+++ b/regress/lib_dag_world.h
@@ -112,7 +112,8 @@
 	uint32_t wait_ms;
 	enum dag_call_result answer;
 	enum dw_kind answers;
-	bool silent; /* carried out, but no answer is sent */
+	bool silent;   /* carried out, but no answer is sent */
+	bool no_reply; /* a look whose result is not reported */
 	/* Silent: life of the worker that has the order, 0: any; report: its sender. */
 	int64_t born_ms;
 	struct dw_room room; /* of a report */
--- a/regress/test_dag_life.c
+++ b/regress/test_dag_life.c
@@ -354,6 +354,28 @@
 }
 END_TEST
 
+/*
+ * Guards against the same after the restart is known, while a poll that the earlier life
+ * got is still without an answer. _i: when it starts again, in steps of 5 ms.
+ */
+START_TEST(late_start_after_a_known_restart_is_refused)
+{
+	uint32_t number = dw_add_worker(&w, 8000, 8000);
+
+	dw_run_for(&w, SECOND);
+	dw_submit_chain(&w, 1, 1, 1);
+	w.hold_us = 3 * SECOND;
+	dw_run_for(&w, 40 * MS);
+	w.hold_us = 0;
+	dw_run_for(&w, 2800 * MS);
+	ck_assert_int_eq(dw_state(&w, 1), DAG_JOB_COMPLETED);
+	w.workers[number].quiet_until_us = w.now_us + SECOND;
+	dw_crash_for(&w, number, 20 * MS + _i * 5 * MS, false);
+	dw_run_for(&w, 10 * SECOND);
+	dw_assert_sound(&w);
+}
+END_TEST
+
 /*
  * Guards against a run that is recorded as ended, as a list of the next life shows, and
  * started there after that by a request of the earlier life.
@@ -661,6 +683,7 @@
 			    20);
 	tcase_add_test(tc, overtaken_poll_ends_no_leader);
 	tcase_add_loop_test(tc, late_start_that_was_repeated_is_refused, 0, 40);
+	tcase_add_loop_test(tc, late_start_after_a_known_restart_is_refused, 0, 31);
 	tcase_add_loop_test(tc, late_start_after_a_stop_is_refused, 0, 30);
 	tcase_add_test(tc, acknowledgements_go_on_beside_slow_commits);
 	tcase_add_loop_test(tc, foreign_answer_for_an_earlier_life_is_ignored, 0, 2);
--- a/regress/test_executors.c
+++ b/regress/test_executors.c
@@ -159,6 +159,22 @@
 }
 END_TEST
 
+/* Guards against a call that only fences and whose reply counts for a waiting poll. */
+START_TEST(poll_that_asks_for_no_reply_reports_none)
+{
+	struct dag_poll_command o = {.call = call_until(0), .no_reply = true};
+
+	transport->ops->poll(transport, &o);
+	play(0.3);
+	ck_assert_uint_eq(fake_count(&worker, "POST"), 1);
+	ck_assert_uint_eq(user.polls, 0);
+	o.call.address = STR("127.0.0.1:0");
+	transport->ops->poll(transport, &o);
+	play(0.01);
+	ck_assert_uint_eq(user.polls, 0);
+}
+END_TEST
+
 /* Has a poll answered with a list of n ends. */
 static void poll_ends(unsigned int n)
 {
@@ -431,6 +447,7 @@
 	tcase_add_test(t, call_of_an_ended_lease_is_not_sent);
 	tcase_add_test(t, call_is_not_sent_after_its_timeout);
 	tcase_add_test(t, reply_of_an_earlier_term_is_ignored);
+	tcase_add_test(t, poll_that_asks_for_no_reply_reports_none);
 	tcase_add_test(t, full_list_of_ends_may_lack_some);
 	tcase_add_loop_test(t, call_whose_copy_has_another_effect_is_sent_once, 0, 2);
 	tcase_add_loop_test(t, odd_row_costs_no_other_row, 0, N_ODD_ROWS);
--- a/regress/test_relay.c
+++ b/regress/test_relay.c
@@ -257,6 +257,24 @@
 }
 END_TEST
 
+/* Guards against a call that only fences and whose reply counts for a waiting poll. */
+START_TEST(look_that_asks_for_no_reply_reports_none)
+{
+	struct dag_poll_command o = {.call = {.worker = 1}, .no_reply = true};
+
+	report();
+	transport()->ops->poll(transport(), &o);
+	order_look();
+	play(0.3);
+	ck_assert_uint_eq(gateway.n, 2);
+	answer_looks(false);
+	ck_assert_uint_eq(user.looked, 1);
+	transport()->ops->poll(transport(), &o);
+	play(PATIENCE_S);
+	ck_assert_uint_eq(user.unanswered, 0);
+}
+END_TEST
+
 /* Guards against a look that never ends, and a silent gateway that stays in use. */
 START_TEST(silent_gateway_is_avoided)
 {
@@ -897,6 +915,7 @@
 	tcase_add_checked_fixture(t, setup, teardown);
 	tcase_set_timeout(t, 60);
 	tcase_add_test(t, pace_is_not_waited_for);
+	tcase_add_test(t, look_that_asks_for_no_reply_reports_none);
 	tcase_add_test(t, silent_gateway_is_avoided);
 	tcase_add_test(t, answer_of_an_earlier_life_is_ignored);
 	tcase_add_test(t, answer_of_an_earlier_term_is_ignored);
