carawayfrontd: a leader carries out no request of an entry process that has ended

Cause: a leader that was paused reads the proposals of connections that were closed meanwhile. libev calls the handlers of one round in the reverse order, so that a later request on another connection is often read first: a job was submitted through e1, e1 was killed, its cancel through e2 was answered with "no such job" (404), and then the job was accepted. Also, the kernel of an entry process that was killed went on to send what a cut held back.

Change: the leader does not propose a change of the configuration, a job, a cancel or a claim that it reads from a connection that has ended, and logs request-abandoned. Ends of claims and registrations are still taken. Connections to state processes end with a reset, so that what the peer has not received is dropped. Both are as for the calls of gateways to controllers.

--- a/carawayfrontd/leader_client.c
+++ b/carawayfrontd/leader_client.c
@@ -23,6 +23,7 @@
 			.member = settings->name,
 			.key = settings->cluster_key,
 			.probe_period = STATE_PROBE_S,
+			.drop_unsent = true,
 		};
 		int err = rpc_client_new(&opt, &c->clients[i]);
 
--- a/carawayfrontd/state_propose.c
+++ b/carawayfrontd/state_propose.c
@@ -3,6 +3,7 @@
 #include "base/err.h"
 #include "carawayfrontd/state_impl.h"
 #include "io/clock.h"
+#include "io/log.h"
 #include "proto/codec.h"
 
 static void reply_propose(struct rpc_call *call, int err, struct str leader,
@@ -68,18 +69,47 @@
 	}
 }
 
-/* Checks that the bytes are a command that a peer may propose, and its time. */
-static int check_command(struct str bytes)
+/* Checks that the bytes are a command that a peer may propose. */
+static int check_command(struct str bytes, enum command_kind *kind)
 {
 	struct command cmd = {0};
 	int err = codec_decode((xdrproc_t)xdr_command, &cmd, bytes);
 
+	*kind = cmd.body.kind;
 	if (!err && is_internal(cmd.body.kind))
 		err = CF_EPERM;
 	codec_free((xdrproc_t)xdr_command, &cmd);
 	return err;
 }
 
+/* Commands whose sender waits for the result, and may ask for the contrary after it. */
+static bool is_request(enum command_kind kind)
+{
+	switch (kind) {
+	case CMD_CONF_PUT:
+	case CMD_CONF_DELETE:
+	case CMD_JOB_SUBMIT:
+	case CMD_JOB_CANCEL:
+	case CMD_CLAIM:
+		return true;
+	default:
+		return false;
+	}
+}
+
+/*
+ * Whether the sender of a request has given it up. It counts as unknown there, and a
+ * later request, on a connection that is read first, may have been answered already.
+ */
+static bool is_given_up(enum command_kind kind, const struct rpc_call *call)
+{
+	if (!is_request(kind) || !rpc_call_is_abandoned(call))
+		return false;
+	log_info("request-abandoned", "kind=%d sender=%.*s", (int)kind,
+		 STR_ARG(call->member));
+	return true;
+}
+
 static int add_proposal(struct state *s, struct rpc_call *call, uint64_t index)
 {
 	struct state_proposal *p = calloc(1, sizeof(*p));
@@ -110,6 +140,7 @@
 {
 	struct peer_propose_args args = {0};
 	struct str none = {NULL, 0};
+	enum command_kind kind = CMD_NOP;
 	uint64_t index = 0;
 	int err;
 
@@ -119,7 +150,11 @@
 	}
 	err = codec_decode((xdrproc_t)xdr_peer_propose_args, &args, call->args);
 	if (!err)
-		err = check_command(XDR_STR(args, command));
+		err = check_command(XDR_STR(args, command), &kind);
+	if (!err && is_given_up(kind, call)) {
+		rpc_call_drop(call);
+		goto out;
+	}
 	if (!err)
 		err = propose_bytes(s, XDR_STR(args, command), &index);
 	if (!err) {
@@ -129,6 +164,7 @@
 	}
 	if (err)
 		reply_propose(call, err, none, 0, none);
+out:
 	codec_free((xdrproc_t)xdr_peer_propose_args, &args);
 }
 
--- a/regress/test_leader_client.c
+++ b/regress/test_leader_client.c
@@ -1,6 +1,9 @@
 #include <check.h>
+#include <errno.h>
+#include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <sys/wait.h>
 #include <unistd.h>
 
 #include <ev.h>
@@ -227,6 +230,86 @@
 }
 END_TEST
 
+#define COMMAND_BYTES (1U << 20) /* more than the sockets of both sides take */
+#define RECEIVE_BYTES 4096
+
+/* A state process that accepts connections and reads nothing, and a client for it. */
+static int open_unread(struct settings *far, struct settings_member *one,
+		       struct leader_client *c)
+{
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+
+	*one = (struct settings_member){.name = STR("s0")};
+	ck_assert_int_eq(addr_parse(STR(SILENT_ADDRESS), &one->address), 0);
+	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &(int){1}, sizeof(int));
+	setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &(int){RECEIVE_BYTES}, sizeof(int));
+	ck_assert_int_eq(bind(fd, (struct sockaddr *)&one->address.sa, one->address.len),
+			 0);
+	ck_assert_int_eq(listen(fd, 4), 0);
+	*far = settings;
+	far->state.items = one;
+	far->state.n = 1;
+	ck_assert_int_eq(leader_client_init(c, loop, far), 0);
+	return fd;
+}
+
+static void propose_large(struct leader_client *c, struct caller *call, double timeout)
+{
+	char *bytes = calloc(1, COMMAND_BYTES);
+
+	ck_assert_ptr_nonnull(bytes);
+	*call = (struct caller){.call = {.ops = &call_ops}};
+	ev_now_update(loop);
+	ck_assert_int_eq(leader_call_start(c, &call->call, PEER_PROPOSE,
+					   (struct str){bytes, COMMAND_BYTES}, timeout,
+					   timeout),
+			 0);
+	free(bytes);
+}
+
+/* Reads all that a given-up call leaves: a part of it, and a reset. */
+static void check_dropped(int listener)
+{
+	int fd = accept(listener, NULL, NULL);
+	char bytes[4096];
+	size_t total = 0;
+	ssize_t n;
+
+	ck_assert_int_ge(fd, 0);
+	while ((n = recv(fd, bytes, sizeof(bytes), 0)) > 0)
+		total += (size_t)n;
+	ck_assert_uint_lt(total, COMMAND_BYTES);
+	ck_assert_int_eq(n, -1);
+	ck_assert_int_eq(errno, ECONNRESET);
+	close(fd);
+}
+
+/* Guards against a proposal that arrives after its process was killed. */
+START_TEST(proposal_of_a_killed_process_is_dropped)
+{
+	struct settings_member one;
+	struct settings far;
+	struct leader_client c;
+	struct caller call;
+	int listener = open_unread(&far, &one, &c);
+	pid_t pid = fork();
+	int status;
+
+	ck_assert_int_ge(pid, 0);
+	if (pid == 0) {
+		ev_loop_fork(loop);
+		propose_large(&c, &call, 5);
+		for (int i = 0; i < 3; i++)
+			ev_run(loop, EVRUN_ONCE);
+		raise(SIGKILL);
+	}
+	ck_assert_int_eq(waitpid(pid, &status, 0), pid);
+	check_dropped(listener);
+	leader_client_destroy(&c);
+	close(listener);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("leader_client");
@@ -240,6 +323,7 @@
 	tcase_add_test(tc, short_call_blames_no_process);
 	tcase_add_test(tc, lost_leader_is_not_asked_first);
 	tcase_add_test(tc, silent_connection_is_replaced);
+	tcase_add_test(tc, proposal_of_a_killed_process_is_dropped);
 	suite_add_tcase(s, tc);
 	sr = srunner_create(s);
 	srunner_run_all(sr, CK_NORMAL);
