--- a/regress/test_executors.c
+++ b/regress/test_executors.c
@@ -419,6 +419,55 @@
 }
 END_TEST
 
+static void start_elsewhere(void)
+{
+	struct dag_worker_command o = {.call = call_until(0), .spec = STR("work")};
+
+	o.call.address = STR(OTHER_ADDRESS);
+	transport->ops->start(transport, &o);
+}
+
+/* Guards against starts that are lost on one silent connection after the other. */
+START_TEST(start_gets_past_silent_idle_connections)
+{
+	int listener = listen_elsewhere();
+	int silent[64];
+	int fresh[64];
+	size_t n_silent = 0;
+	size_t n_fresh = 0;
+	double start;
+
+	ck_assert_int_eq(fcntl(listener, F_SETFL, O_NONBLOCK), 0);
+	for (int i = 0; i < IDLE; i++)
+		poll_elsewhere(LONG_WAIT_MS);
+	play(0.2);
+	for (int i = 0; i < 20; i++) {
+		serve_new(listener, silent, &n_silent);
+		play(0.01);
+	}
+	ck_assert_uint_eq(user.usable, IDLE);
+	start = ev_time();
+	user.result = DAG_RESULT_UNKNOWN;
+	for (unsigned int sent = 0;
+	     user.result != DAG_RESULT_OK && ev_time() - start < 10;) {
+		if (user.commands == sent) {
+			start_elsewhere();
+			sent++;
+		}
+		play(0.01);
+		serve_new(listener, fresh, &n_fresh);
+	}
+	ck_assert(ev_time() - start < IN_TOUCH_S);
+	/* The first is lost, and one on a connection that had hardly been idle. */
+	ck_assert_uint_le(user.commands, 3);
+	while (n_silent)
+		close(silent[--n_silent]);
+	while (n_fresh)
+		close(fresh[--n_fresh]);
+	close(listener);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("executors");
@@ -435,6 +484,7 @@
 	tcase_add_loop_test(t, call_whose_copy_has_another_effect_is_sent_once, 0, 2);
 	tcase_add_loop_test(t, odd_row_costs_no_other_row, 0, N_ODD_ROWS);
 	tcase_add_test(t, silent_idle_connections_are_given_up);
+	tcase_add_test(t, start_gets_past_silent_idle_connections);
 	tcase_add_test(t, deeply_nested_list_is_no_reply);
 	tcase_add_loop_test(t, address_of_no_host_is_no_executor, 0, 8);
 	suite_add_tcase(s, t);
