--- a/core/dag_sched_impl.h
+++ b/core/dag_sched_impl.h
@@ -260,6 +260,14 @@
 void ds_run_note_begun(struct dag_sched *s, const struct ds_run *r);
 void ds_run_propose_lost(struct dag_sched *s, struct ds_run *r, const char *reason);
 
+/* dag_ends.c */
+bool ds_worker_has_ends_to_ack(const struct ds_worker *w);
+uint64_t ds_worker_end_to_ack(const struct dag_sched *s, const struct ds_worker *w);
+void ds_worker_ack_ends(struct ds_worker *w);
+void ds_worker_log_ends(struct dag_sched *s, const struct ds_worker *w);
+void ds_worker_take_end(struct dag_sched *s, struct ds_worker *w,
+			const struct dag_listed_end *l);
+
 /* dag_worker.c */
 struct ds_worker *ds_worker_new(struct dag_sched *s, struct dag_worker_rec *rec);
 void ds_worker_free(struct dag_sched *s, struct ds_worker *w);
@@ -271,7 +279,6 @@
 void ds_worker_tick(struct dag_sched *s, struct ds_worker *w, bool check_all);
 void ds_worker_count_result(struct dag_sched *s, struct ds_worker *w,
 			    enum dag_end_how how);
-void ds_worker_ack_ends(struct ds_worker *w);
 bool ds_worker_has_label(const struct ds_worker *w, struct str label);
 
 /* dag_life.c */
--- a/core/dag_worker.c
+++ b/core/dag_worker.c
@@ -29,16 +29,6 @@
 /* Consecutive failures that quarantine a worker, and for how long. */
 #define FAIL_STREAK_MAX 2U
 #define QUARANTINE_US (5 * USEC_PER_SEC)
-/*
- * Ends are acknowledged this soon after a list that has them, or not at all: in less time
- * no worker starts again, runs a task and has its end to list.
- */
-#define ACK_LIST_AGE_MAX_US (100 * USEC_PER_MS)
-/*
- * A worker lists at most 500 ends, so an end that stays unacknowledged would hide later
- * ones. It is acknowledged once this many ends follow it.
- */
-#define HELD_ENDS_MAX 300U
 /*
  * A batch task at full speed without progress for this long, and for this part of its
  * declared run time, is stopped and moved. The time doubles with each such stop, since
@@ -236,28 +226,10 @@
 	return serving && filler;
 }
 
-/* Whether the newest list has ends that are to be acknowledged. */
-static bool has_ends_to_ack(const struct ds_worker *w)
-{
-	return w->first_listed_end && w->first_listed_end <= w->acked_end;
-}
-
-/*
- * The number up to which a poll acknowledges ends. 0, which acknowledges none, if a newer
- * process may have taken the worker's place unnoticed: its ends have the same numbers.
- */
-static uint64_t end_to_ack(const struct dag_sched *s, const struct ds_worker *w)
-{
-	if (!has_ends_to_ack(w) || w->poll_failures ||
-	    s->now_us - w->polled_us > ACK_LIST_AGE_MAX_US)
-		return 0;
-	return w->acked_end;
-}
-
 /* Sends a poll, which also renews the lease if the worker has runs. */
 static void poll_worker(struct dag_sched *s, struct ds_worker *w)
 {
-	struct dag_poll_command o = {.acked_end = end_to_ack(s, w)};
+	struct dag_poll_command o = {.acked_end = ds_worker_end_to_ack(s, w)};
 
 	ds_worker_fill_call(s, w, &o.call);
 	/* A worker that fails polls gets no new lease, so that its runs end. */
@@ -285,17 +257,6 @@
 			ds_run_propose_lost(s, r, reason);
 }
 
-/* Tells which ends a worker may have forgotten, and which of them its lists named. */
-static void log_ends(struct dag_sched *s, const struct ds_worker *w)
-{
-	s->host->ops->log_event(s->host, "worker-acked", NULL, 0, XDR_STR(w->rec->w, id),
-				"value: newest end that a poll acknowledged",
-				(int64_t)w->acked_end);
-	s->host->ops->log_event(s->host, "worker-listed", NULL, 0, XDR_STR(w->rec->w, id),
-				"value: newest end in its lists",
-				(int64_t)w->last_listed_end);
-}
-
 static void clear_listed(struct ds_worker *w)
 {
 	struct ds_run *r;
@@ -404,12 +365,13 @@
 			return;
 	}
 	if (w->n_runs && s->now_us >= w->lease_expires_us && ds_lapse_runs(s, w))
-		log_ends(s, w);
+		ds_worker_log_ends(s, w);
 	if (check_all)
 		check_runs(s, w);
 	/* Ends of earlier lists are acknowledged beside new ones that are not recorded.
 	 */
-	if (!w->poll_in_flight && (!w->ends_uncommitted || has_ends_to_ack(w)) &&
+	if (!w->poll_in_flight &&
+	    (!w->ends_uncommitted || ds_worker_has_ends_to_ack(w)) &&
 	    s->now_us >= w->next_poll_us)
 		poll_worker(s, w);
 }
@@ -455,126 +417,6 @@
 		ds_run_request_stop(s, r, "job ended");
 }
 
-/* Acknowledges ends to the worker, up to the first that must stay unacknowledged. */
-void ds_worker_ack_ends(struct ds_worker *w)
-{
-	uint64_t to = w->last_listed_end;
-
-	if (w->held_end && to - w->held_end < HELD_ENDS_MAX)
-		to = w->held_end - 1;
-	if (to > w->acked_end)
-		w->acked_end = to;
-}
-
-/*
- * Whether a run that is listed as done was recorded as lost before, because its lease had
- * expired for the leader. The task may run again by then. If this end were acknowledged,
- * a run of the task would go on after the task was reported done.
- */
-static bool was_declared_lost(const struct dag_sched *s, const struct dag_listed_end *l,
-			      const struct ds_run *r)
-{
-	const struct dag_job_rec *j = dag_state_find_job(s->state, l->task.job);
-	const struct dag_step *st;
-	const struct dag_task *t;
-
-	if (l->how != DAG_END_DONE || !j)
-		return false;
-	t = dag_job_find_task(j, l->task.occurrence, l->task.step, l->task.index);
-	if (!t)
-		return false;
-	st = &j->spec.steps.steps_val[l->task.step];
-	if (st->speculative || st->long_running)
-		return false;
-	if (t->last_run != l->run)
-		return true;
-	/* After its job has ended, the end of a run no longer changes the task. */
-	return !dag_job_ended(j) && (r || !t->done);
-}
-
-/* Keeps an end and all later ones of its worker unacknowledged. Each is logged once. */
-static void hold_end(struct dag_sched *s, struct ds_worker *w,
-		     const struct dag_listed_end *l, const char *reason)
-{
-	if (!w->held_end || l->number < w->held_end)
-		w->held_end = l->number;
-	if (l->number <= w->held_logged)
-		return;
-	w->held_logged = l->number;
-	s->host->ops->log_event(s->host, "end-held", &l->task, l->run,
-				XDR_STR(w->rec->w, id), reason, (int64_t)l->number);
-}
-
-/* The record of a loss is not committed; what the worker lists may count after it. */
-static bool is_loss_pending(const struct dag_listed_end *l, const struct ds_run *r)
-{
-	return r && r->end_proposed && !r->end_listed && !r->step->long_running &&
-	       (l->how == DAG_END_DONE || l->how == DAG_END_FAILED);
-}
-
-/* Whether an end counts whose run was recorded as lost before its worker listed it. */
-static bool is_late_end(const struct dag_sched *s, const struct dag_listed_end *l)
-{
-	const struct dag_job_rec *j = dag_state_find_job(s->state, l->task.job);
-	const struct dag_task *t;
-
-	if (!j || dag_job_ended(j))
-		return false;
-	t = dag_job_find_task(j, l->task.occurrence, l->task.step, l->task.index);
-	return t && !j->spec.steps.steps_val[l->task.step].long_running &&
-	       dag_task_takes_late_end(t, l->run, l->how);
-}
-
-static void propose_late_end(struct dag_sched *s, const struct dag_listed_end *l)
-{
-	struct dag_command c = {.kind = DAG_CMD_END};
-	struct dag_end *e = &c.dag_command_u.end;
-
-	e->task = l->task;
-	e->run = l->run;
-	e->how = l->how;
-	XDR_SET(*e, checkpoint, l->checkpoint);
-	ds_propose(s, &c);
-}
-
-/* Proposes a listed end, or decides whether it must stay unacknowledged. */
-static void process_listed_end(struct dag_sched *s, struct ds_worker *w,
-			       const struct dag_listed_end *l)
-{
-	struct ds_run *r = ds_find_run(s, &l->task, l->run);
-
-	if (r && r->worker != w)
-		r = NULL;
-	if (!w->first_listed_end || l->number < w->first_listed_end)
-		w->first_listed_end = l->number;
-	if (l->number > w->last_listed_end) {
-		w->last_listed_end = l->number;
-		w->has_new_ends = true;
-	}
-	if (r)
-		r->listed = true;
-	if (!r && is_late_end(s, l)) {
-		hold_end(s, w, l, "run was recorded as lost; its end counts late");
-		propose_late_end(s, l);
-		return;
-	}
-	if (!r || r->end_proposed) {
-		if (is_loss_pending(l, r) ||
-		    ((!r || !r->end_listed) && was_declared_lost(s, l, r)))
-			hold_end(s, w, l,
-				 "run was recorded as lost; end not acknowledged");
-		return;
-	}
-	r->end_listed = true;
-	ds_run_note_begun(s, r);
-	w->ends_uncommitted++;
-	if (!r->step->long_running)
-		ds_worker_count_result(s, w, l->how);
-	if (l->how == DAG_END_FAILED)
-		ds_job_find_task(r->job, &r->task)->avoid_worker = w->rec->number;
-	ds_run_propose_end(s, r, l->how, l->checkpoint, "listed");
-}
-
 /* Handles runs that are missing from a list that should hold them. */
 static void check_unlisted_runs(struct dag_sched *s, struct ds_worker *w)
 {
@@ -615,7 +457,7 @@
 	if (had_strays && !w->has_strays)
 		s->placement_needed = true;
 	for (size_t i = 0; i < poll->n_ended; i++)
-		process_listed_end(s, w, &poll->ended[i]);
+		ds_worker_take_end(s, w, &poll->ended[i]);
 	ds_crash_earlier_life(s, w, poll->born_ms);
 	/* An unlisted run, or its end, may be among what a partial list leaves out. */
 	if (!poll->partial)
@@ -747,7 +589,7 @@
 	 */
 	if (w->has_new_ends)
 		w->next_poll_us = now_us;
-	else if ((w->held_end || poll->partial) && !has_ends_to_ack(w))
+	else if ((w->held_end || poll->partial) && !ds_worker_has_ends_to_ack(w))
 		w->next_poll_us = now_us + POLL_RETRY_US;
 	else
 		w->next_poll_us = now_us + POLL_INTERVAL_US;
