--- a/Makefile
+++ b/Makefile
@@ -55,8 +55,8 @@
 	@echo '  LINK $@'; $(CC) $(LDFLAGS) -o $@ $(filter %.o,$^) $(LIB) $(CHECK_LIBS) $(LDLIBS)
 
 # It calls a gateway, so it needs a part of the daemon.
-$(BUILD)/bin/test_relay: $(BUILD)/carawayfrontd/relay.o $(BUILD)/carawayfrontd/agent.o \
-	$(BUILD)/carawayfrontd/node_id.o
+$(BUILD)/bin/test_relay: $(BUILD)/carawayfrontd/relay.o $(BUILD)/carawayfrontd/relay_agent.o \
+	$(BUILD)/carawayfrontd/agent.o $(BUILD)/carawayfrontd/node_id.o
 
 $(BUILD)/bin/test_dag_client: $(BUILD)/carawayfrontd/dag_client.o \
 	$(BUILD)/carawayfrontd/leader_wait.o $(BUILD)/carawayfrontd/node_id.o
--- a/carawayfrontd/relay.c
+++ b/carawayfrontd/relay.c
@@ -1,22 +1,14 @@
-#include "carawayfrontd/relay.h"
-
 #include <stdlib.h>
 #include <string.h>
 #include <sys/random.h>
 
-#include <uthash.h>
-
 #include "base/err.h"
-#include "carawayfrontd/node_id.h"
+#include "carawayfrontd/relay_impl.h"
 #include "io/clock.h"
 #include "io/log.h"
-#include "io/rpc_client.h"
 #include "io/rpc_wire.h"
 #include "proto/codec.h"
 
-#define MAX_AGENTS 128U
-#define ALIVE_S 1.6  /* a gateway reports every 0.5 s */
-#define AVOID_S 2.0  /* after a gateway did not answer a call */
 #define ANSWER_S 2.5 /* beyond the wait that a poll asks for */
 /*
  * A start or throttle request that reaches a gateway later may be out of date: the run
@@ -24,265 +16,10 @@
  */
 #define COMMAND_VALID_S 1.0
 #define SWEEP_S 0.1
-#define PROBE_PERIOD_S 0.4 /* a gateway's connection is silent after three of them */
-#define LOG_PERIOD_S 1.0   /* between lines on late answers */
-/* Failed calls before another gateway calls a worker: connections are few. */
-#define FAILURES_A_TURN 3U
-/* With fewer gateways the leader itself can make the calls of those that it avoids. */
-#define PANIC_MIN 4U
-#define ZONE_MAX 64U
+#define LOG_PERIOD_S 1.0 /* between lines on late answers */
 /* Bytes of calls after which they are sent; a message holds these and one more. */
 #define MAX_BATCH (RPC_MAX_RECORD / 2)
 
-/* A gateway. */
-struct relay_agent {
-	struct rpc_client_host host; /* first member */
-	struct relay *relay;
-	uint64_t id;
-	uint64_t life; /* of its process */
-	char zone[ZONE_MAX];
-	struct rpc_client *client;
-	int64_t clock_offset_us; /* its clock is ahead of ours by this or more */
-	double heard;
-	double avoid_until;
-	bool down;	  /* its connection has ended and no new one has opened */
-	struct buf batch; /* encoded calls of this round */
-	uint32_t n_batch;
-};
-
-/* A call whose answer has not come. */
-struct relay_call {
-	UT_hash_handle hh;
-	uint64_t id;
-	enum dag_call_kind kind;
-	uint32_t worker;
-	struct dag_task_ref task;
-	uint32_t run;
-	uint64_t agent;
-	uint32_t sent; /* number of a post that is not after its own */
-	bool lost;     /* it may not have reached the gateway */
-	double deadline;
-	bool no_reply; /* its result is not reported */
-};
-
-/* How often the path to a worker was changed. */
-struct relay_path {
-	UT_hash_handle hh;
-	uint32_t worker;
-	uint32_t turns;
-};
-
-struct relay {
-	struct dag_transport transport; /* first member */
-	struct relay_options opt;
-	struct relay_agent agents[MAX_AGENTS];
-	size_t n_agents;
-	struct relay_call *calls;
-	struct relay_path *paths;
-	uint64_t next_id;
-	unsigned int late; /* answers to calls that were given up, not logged yet */
-	double late_logged;
-	struct ev_timer sweep;
-};
-
-static struct relay_agent *find_agent(struct relay *r, uint64_t id)
-{
-	for (size_t i = 0; i < r->n_agents; i++)
-		if (r->agents[i].id == id)
-			return &r->agents[i];
-	return NULL;
-}
-
-/* Ends the calls of a gateway that it may not have read, at the next sweep. */
-static void lose_calls(struct relay *r, const struct relay_agent *a)
-{
-	for (struct relay_call *c = r->calls; c; c = c->hh.next)
-		if (c->agent == a->id && !rpc_client_has_confirmed(a->client, c->sent))
-			c->lost = true;
-}
-
-/* The same for those that could not be handed to its connection. */
-static void lose_unsent_calls(struct relay *r, const struct relay_agent *a)
-{
-	uint32_t next = rpc_client_sent(a->client) + 1;
-
-	for (struct relay_call *c = r->calls; c; c = c->hh.next)
-		if (c->agent == a->id && c->sent == next)
-			c->lost = true;
-}
-
-static void on_agent_lost(struct rpc_client_host *h)
-{
-	struct relay_agent *a = (struct relay_agent *)h;
-
-	a->down = true;
-	lose_calls(a->relay, a);
-}
-
-static void on_agent_up(struct rpc_client_host *h)
-{
-	((struct relay_agent *)h)->down = false;
-}
-
-static void on_agent_silent(struct rpc_client_host *h)
-{
-	log_info("gateway-silent", "gateway=%llx reason=\"connection replaced\"",
-		 (unsigned long long)((struct relay_agent *)h)->id);
-}
-
-static const struct rpc_client_ops agent_ops = {
-	.up = on_agent_up,
-	.lost = on_agent_lost,
-	.silent = on_agent_silent,
-};
-
-/* Makes a new connection to a gateway; what the old one still holds is dropped. */
-static int connect_agent(struct relay *r, struct relay_agent *a)
-{
-	struct rpc_client_options opt = {
-		.host = &a->host,
-		.probe_period = PROBE_PERIOD_S,
-		.loop = r->opt.loop,
-		.member = r->opt.settings->name,
-		.key = r->opt.settings->cluster_key,
-		.drop_unsent = true,
-	};
-
-	rpc_client_free(a->client);
-	a->client = NULL;
-	a->down = false;
-	if (node_addr(a->id, &opt.address))
-		return CF_EINVAL;
-	return rpc_client_new(&opt, &a->client);
-}
-
-/* A gateway that was not heard for long makes room for a new one. */
-static struct relay_agent *new_agent(struct relay *r, uint64_t id)
-{
-	struct relay_agent *a = NULL;
-
-	for (size_t i = 0; i < r->n_agents && !a; i++)
-		if (ev_now(r->opt.loop) - r->agents[i].heard > 10 * ALIVE_S)
-			a = &r->agents[i];
-	if (a) {
-		rpc_client_free(a->client);
-		buf_free(&a->batch);
-	} else if (r->n_agents < MAX_AGENTS) {
-		a = &r->agents[r->n_agents++];
-	} else {
-		return NULL;
-	}
-	*a = (struct relay_agent){.host = {.ops = &agent_ops}, .relay = r, .id = id};
-	if (connect_agent(r, a)) {
-		a->id = 0;
-		return NULL;
-	}
-	return a;
-}
-
-static bool is_heard(const struct relay *r, const struct relay_agent *a)
-{
-	return a->id && !a->down && ev_now(r->opt.loop) - a->heard < ALIVE_S;
-}
-
-static bool is_avoided(const struct relay *r, const struct relay_agent *a)
-{
-	return ev_now(r->opt.loop) < a->avoid_until;
-}
-
-/*
- * Whether no gateway is avoided, as most of them would be. The cause is then hardly
- * theirs, and the calls of all workers would be too many for the others.
- */
-static bool is_panic(const struct relay *r)
-{
-	size_t heard = 0;
-	size_t avoided = 0;
-
-	for (size_t i = 0; i < r->n_agents; i++) {
-		heard += is_heard(r, &r->agents[i]);
-		avoided += is_heard(r, &r->agents[i]) && is_avoided(r, &r->agents[i]);
-	}
-	return heard >= PANIC_MIN && 2 * avoided > heard;
-}
-
-/* Sends no calls through a gateway for a while, unless most are avoided. */
-static void avoid_agent(struct relay *r, struct relay_agent *a, const char *reason)
-{
-	double now = ev_now(r->opt.loop);
-
-	if (now >= a->avoid_until)
-		log_info("gateway-avoided", "gateway=%llx reason=\"%s\" heard_ms=%d",
-			 (unsigned long long)a->id, reason,
-			 (int)((now - a->heard) * 1000));
-	a->avoid_until = now + AVOID_S;
-}
-
-static uint32_t path_changes(struct relay *r, uint32_t worker)
-{
-	struct relay_path *p;
-
-	HASH_FIND(hh, r->paths, &worker, sizeof(worker), p);
-	return p ? p->turns : 0;
-}
-
-/* The next call to a worker goes through another gateway. */
-static void change_path(struct relay *r, uint32_t worker)
-{
-	struct relay_path *p;
-
-	HASH_FIND(hh, r->paths, &worker, sizeof(worker), p);
-	if (!p) {
-		p = calloc(1, sizeof(*p));
-		if (!p)
-			return;
-		p->worker = worker;
-		HASH_ADD(hh, r->paths, worker, sizeof(p->worker), p);
-	}
-	p->turns++;
-}
-
-/* Splits the workers of a zone evenly and stably over its gateways. */
-static uint64_t rendezvous_weight(uint32_t worker, uint32_t turns, uint64_t agent)
-{
-	uint64_t x = agent ^ ((uint64_t)worker << 32 | turns) * 0x9e3779b97f4a7c15ULL;
-
-	x = (x ^ x >> 30) * 0xbf58476d1ce4e5b9ULL;
-	x = (x ^ x >> 27) * 0x94d049bb133111ebULL;
-	return x ^ x >> 31;
-}
-
-/* A gateway of the worker's zone, else any; NULL: none is there. */
-static struct relay_agent *choose_agent(struct relay *r, uint32_t worker)
-{
-	const struct dag_worker_rec *rec = dag_state_find_worker(r->opt.state, worker);
-	uint32_t turns = path_changes(r, worker) / FAILURES_A_TURN;
-	struct relay_agent *best = NULL;
-	uint64_t best_weight = 0;
-	bool best_near = false;
-	bool panic = is_panic(r);
-
-	for (size_t i = 0; rec && i < r->n_agents; i++) {
-		struct relay_agent *a = &r->agents[i];
-		uint64_t points = rendezvous_weight(worker, turns, a->id);
-		bool near = str_eq(str_from(a->zone), XDR_STR(rec->w, zone));
-
-		/* Every other path leads through any zone: a zone may be cut off. */
-		if (turns % 2)
-			near = false;
-		if (!is_heard(r, a) || (is_avoided(r, a) && !panic))
-			continue;
-		if (best && best_near && !near)
-			continue;
-		if (best && best_near == near && points < best_weight)
-			continue;
-		best = a;
-		best_near = near;
-		best_weight = points;
-	}
-	return best;
-}
-
 /*
  * When a gateway no longer makes a call, on its clock. Its report took some time to
  * arrive, so that the call may expire earlier, never later.
@@ -318,11 +55,11 @@
 	if (!err)
 		err = rpc_client_post(a->client, RELAY_PROC_CALLS, buf_str(&bytes));
 	if (err && a->n_batch)
-		lose_unsent_calls(r, a);
+		relay_lose_unsent_calls(r, a);
 	if (err == CF_ECONN)
 		a->down = true;
 	else if (err)
-		avoid_agent(r, a, "calls not sent");
+		relay_avoid_agent(r, a, "calls not sent");
 	buf_free(&bytes);
 	a->batch.n = 0;
 	a->n_batch = 0;
@@ -376,7 +113,7 @@
 			  const struct dag_worker_command *o)
 {
 	struct relay *r = (struct relay *)t;
-	struct relay_agent *a = choose_agent(r, o->call.worker);
+	struct relay_agent *a = relay_choose_agent(r, o->call.worker);
 	struct dag_call c = {.kind = kind, .task = o->task, .run = o->run};
 
 	if (!a)
@@ -414,7 +151,7 @@
 static void send_poll(struct dag_transport *t, const struct dag_poll_command *o)
 {
 	struct relay *r = (struct relay *)t;
-	struct relay_agent *a = choose_agent(r, o->call.worker);
+	struct relay_agent *a = relay_choose_agent(r, o->call.worker);
 	struct dag_call c = {
 		.kind = DAG_CALL_LOOK, .seen = o->acked_end, .wait_ms = o->wait_ms};
 	double timeout = o->wait_ms / 1000.0 + ANSWER_S;
@@ -458,7 +195,7 @@
 
 	HASH_DEL(r->calls, call);
 	if (answer == DAG_RESULT_UNKNOWN)
-		change_path(r, call->worker);
+		relay_change_path(r, call->worker);
 	if (call->no_reply)
 		goto out;
 	if (call->kind == DAG_CALL_LOOK)
@@ -482,7 +219,7 @@
 	a->avoid_until = 0;
 	a->batch.n = 0;
 	a->n_batch = 0;
-	if (connect_agent(r, a))
+	if (relay_connect_agent(r, a))
 		a->id = 0;
 	for (call = r->calls; call; call = next) {
 		next = call->hh.next;
@@ -494,11 +231,11 @@
 /* A gateway said that it can make calls. */
 void relay_agent(struct relay *r, const struct dag_agent *agent)
 {
-	struct relay_agent *a = find_agent(r, agent->id);
+	struct relay_agent *a = relay_find_agent(r, agent->id);
 	struct str zone = XDR_STR(*agent, zone);
 
 	if (!a)
-		a = new_agent(r, agent->id);
+		a = relay_new_agent(r, agent->id);
 	if (!a || zone.n >= ZONE_MAX)
 		return;
 	if (a->life && a->life != agent->life)
@@ -526,11 +263,11 @@
  */
 static void give_up_call(struct relay *r, const struct relay_call *call)
 {
-	struct relay_agent *a = find_agent(r, call->agent);
+	struct relay_agent *a = relay_find_agent(r, call->agent);
 
 	if (!a)
 		return;
-	avoid_agent(r, a, "no answer to a call");
+	relay_avoid_agent(r, a, "no answer to a call");
 	if (!rpc_client_has_confirmed(a->client, call->sent))
 		rpc_client_reset(a->client);
 }
