carawayfrontd/gateway: a further SIGTERM does not put off the end of a stop

A gateway that gets SIGTERM more often than every 3 s never ended: a supervisor that repeats the signal, or two operators, kept it alive without a ready port.

Cause: gateway_drain() set the begin of the drain again at each call. controller_drain() and entry_drain() return when a stop has begun; state_drain() ends its loop at once.

Change: gateway_drain() returns too.

Measured: test_site_stop.sh sends SIGTERM every 0.7 s, 20 times at most.

--- a/carawayfrontd/gateway.c
+++ b/carawayfrontd/gateway.c
@@ -250,9 +250,14 @@
 	return 0;
 }
 
-/* Readiness fails at once; what is in flight is answered before the loop ends. */
+/*
+ * Readiness fails at once; what is in flight is answered before the loop ends. A further
+ * call does not put off the end.
+ */
 void gateway_drain(struct gateway *g)
 {
+	if (g->drain_at)
+		return;
 	g->drain_at = ev_now(g->loop);
 }
 
--- a/regress/test_site_stop.sh
+++ b/regress/test_site_stop.sh
@@ -114,4 +114,23 @@
 	wait "$(cat "$D/keepopen.pid")" || fail "a reader got an unexpected answer"
 }
 check_stop_with_readers
+# A supervisor that repeats SIGTERM does not put off the end of a stop.
+check_stop_told_again() { # NAME ADDRESS
+	"$BUILD/bin/carawayfrontd" -c "$D/$1.yaml" >"$D/again.log" 2>&1 &
+	echo $! >"$D/again.pid"
+	answered 10 "$2" || fail "$1 does not listen"
+	told=0
+	while kill -TERM "$(cat "$D/again.pid")" 2>/dev/null; do
+		told=$((told + 1))
+		[ $told -lt 20 ] || break
+		sleep 0.7
+	done
+	if [ $told -eq 20 ]; then
+		fail "$1 did not stop, told $told times"
+		kill -KILL "$(cat "$D/again.pid")"
+	fi
+	wait "$(cat "$D/again.pid")" || fail "$1 ended with status $?, told $told times"
+}
+check_stop_told_again controller 127.0.1.1:$CONTROL
+check_stop_told_again gateway 127.0.2.1:$CALLERS
 [ "$bad" -eq 0 ] && echo "site stop: ok"
