site soak: a stop is disturbed by more signals

The soak sent one SIGTERM and at most one SIGHUP to a process, so that a stop which a second SIGTERM begins anew, or one that is killed or paused half-way, was not played.

Change: each stop of the plan has a style: again (SIGTERM and other settings with SIGHUP every 0.7 s until the process is gone), kill (SIGKILL after 0.7 s), pause (SIGSTOP for 1 s) or plain, which has the SIGHUP before and after the signal as before. Every second process of the stop at the end gets again. Operators ask all controllers, not the first five.

--- a/regress/soak_site.sh
+++ b/regress/soak_site.sh
@@ -5,6 +5,7 @@
 MAX_RSS_KB=${MAX_RSS_KB:-131072}
 # A connection in each direction with each other daemon, and some more.
 MAX_DESCRIPTORS=$((160 + 2 * (N_CONTROLLERS + N_GATEWAYS + 2 * N_EXECUTORS - 13)))
+STOP_PAUSE_S=1  # of a process that is paused while it stops
 DISK_STALL_S=60 # a process in a sync ends only after it, also when it is killed
 
 soak_fail() {
@@ -163,7 +164,7 @@
 }
 soak_order() { # OPERATOR PATH [BODY]: sends an order until it is clear; prints the status
 	for try in 1 2 3 4 5 6 7 8 9 10; do
-		code=$(soak_control $((($1 + try) % 5 + 1)) POST "$2" "$D/op$1" ${3:+"$3"})
+		code=$(soak_control $((($1 + try) % N_CONTROLLERS + 1)) POST "$2" "$D/op$1" ${3:+"$3"})
 		case $code in 200 | 4??) break ;; esac
 		sleep 0.2
 	done
@@ -186,7 +187,7 @@
 			soak_replace "$1" $version
 			at=$(soak_ms)
 			: >"$D/get$1"
-			code=$(soak_control $((draw % 5 + 1)) GET /api/config/get "$D/get$1")
+			code=$(soak_control $((draw % N_CONTROLLERS + 1)) GET /api/config/get "$D/get$1")
 			echo "read $(sed -n 's/^{"version":\([0-9]*\),.*/\1/p' "$D/get$1") $code $at" >>"$D/conf"
 		else
 			[ "$(soak_order "$1" /api/evacuate/z"$1"/start)" = 200 ] &&
@@ -237,12 +238,17 @@
 	soak_fail "$1 ended by itself with status $(cat "$D/$1.status")"
 	return 1
 }
-soak_term() { # NAME
+soak_term() { # NAME [STYLE]: STYLE is what else happens meanwhile, see soak_harass
 	soak_handles "$1" 15 && allowed=0 || allowed='0 143'
+	grace=$GRACE_S
+	case ${2:-} in
+	kill) allowed="$allowed 137" ;;
+	pause) grace=$((GRACE_S + STOP_PAUSE_S)) ;;
+	esac
 	kill -TERM "$(soak_pid "$1")"
-	soak_reload "$1" &
-	soak_until $GRACE_S soak_has_ended "$1" || {
-		soak_fail "$1 did not stop within $GRACE_S s: $(soak_state "$1")"
+	soak_harass "$1" "${2:-}" &
+	soak_until $grace soak_has_ended "$1" || {
+		soak_fail "$1 did not stop within $grace s${2:+ ($2)}: $(soak_state "$1")"
 		kill -9 "$(soak_pid "$1")"
 		allowed="0 137"
 	}
@@ -254,6 +260,32 @@
 	esac
 	soak_note_killed "$1"
 }
+soak_signal() { # NAME SIGNAL: unless it has ended
+	soak_has_ended "$1" || kill -"$2" "$(soak_pid "$1")" 2>/dev/null
+}
+# Other signals and settings for a process that is stopping.
+soak_harass() { # NAME STYLE
+	soak_reload "$1"
+	case $2 in
+	again) # a stop that each SIGTERM begins anew would not end
+		while ! soak_has_ended "$1"; do
+			sleep 0.7
+			soak_signal "$1" TERM
+			soak_reload "$1"
+		done
+		;;
+	kill)
+		sleep 0.7
+		soak_signal "$1" KILL
+		;;
+	pause)
+		sleep 0.2
+		soak_signal "$1" STOP
+		sleep $STOP_PAUSE_S
+		soak_signal "$1" CONT
+		;;
+	esac
+}
 soak_state() { # NAME: what its process waits for
 	for f in status wchan; do sed -n 's/^State:[^A-Z]*//p;/^[a-z_0]*$/p' "/proc/$(soak_pid "$1")/$f"; done 2>&1 |
 		tr '\n' ' '
@@ -303,13 +335,13 @@
 	esac
 	for pair in $pairs; do curl -s -m 2 -o /dev/null "http://$PROXY/$1/$pair"; done
 }
-soak_event() { # KIND NAME PAUSE
+soak_event() { # KIND NAME PAUSE STYLE: of a stop
 	[ "$1" = hup ] && soak_reload "$2" # also while another event holds the lock
 	mkdir "$D/lock.$2" 2>/dev/null || return
-	echo "$(soak_ms) $1 $2 $3" >>"$D/events"
+	echo "$(soak_ms) $1 $2 $3 $4" >>"$D/events"
 	if soak_is_alive "$2"; then
 		case $1 in
-		term) soak_reload "$2" && soak_term "$2" && sleep "$3" && soak_run "$2" ;;
+		term) soak_reload "$2" && soak_term "$2" "$4" && sleep "$3" && soak_run "$2" ;;
 		kill) soak_kill "$2" && sleep "$3" && soak_run "$2" ;;
 		lose) soak_kill "$2" && soak_lose_data "$2" && sleep "$3" && soak_run "$2" ;;
 		stop)
@@ -329,7 +361,7 @@
 	[ -e "$D/$2.status" ] && ! [ -e "$D/over" ] && soak_run "$2"
 	rmdir "$D/lock.$2"
 }
-# The plan has lines "WAIT KIND NAME PAUSE": series of events that follow each other within
+# The plan has lines "WAIT KIND NAME PAUSE STYLE": series of events that follow each other within
 # a second and last for up to 5 s, with 1 to 4 s between the series.
 soak_plan() {
 	# Controllers are drawn twice as often as others.
@@ -340,6 +372,7 @@
 		srand(seed)
 		n_kinds = split("term term kill kill lose stop stop hup cut", kinds, " ")
 		n_names = split(all, names, " ")
+		n_styles = split("plain again kill pause again", styles, " ")
 		for (t = 0; t < seconds;) {
 			wait = 1 + rand() * 3
 			for (n = 1 + draw(5); n > 0; n--) {
@@ -348,7 +381,9 @@
 				if (kind == "lose" && name !~ /^c/) kind = "kill"
 				if (kind == "hup" && name ~ /^x/) kind = "stop"
 				pause = rand() * (kind == "stop" || kind == "cut" ? 5 : 1.5)
-				printf "%.2f %s %s %.2f\n", wait, kind, name, pause
+				# Not drawn: earlier seeds keep their plans.
+				style = styles[1 + (seed + 3 * n_events++) % n_styles]
+				printf "%.2f %s %s %.2f %s\n", wait, kind, name, pause, style
 				t += wait
 				wait = rand()
 			}
@@ -358,9 +393,9 @@
 soak_disturb() {
 	events=
 	soak_plan >"$D/plan"
-	while read -r wait kind name pause; do
+	while read -r wait kind name pause style; do
 		sleep "$wait"
-		soak_event "$kind" "$name" "$pause" &
+		soak_event "$kind" "$name" "$pause" "$style" &
 		events="$events $!"
 		soak_measure
 	done <"$D/plan"
@@ -378,7 +413,7 @@
 	grep -q "^[as][a-z]* $version " "$D/conf" || soak_fail "version $version was not sent"
 }
 soak_read_once() {
-	reader=$((${reader:-0} % 5 + 1))
+	reader=$((${reader:-0} % N_CONTROLLERS + 1))
 	[ "$(soak_control $reader GET /api/config/get "$D/back")" = 200 ]
 }
 soak_stop_all() {
@@ -386,8 +421,10 @@
 	for n in $DAEMONS; do soak_is_alive "$n"; done
 	touch "$D/over"
 	stops=
+	style=plain
 	for n in $DAEMONS; do
-		soak_term "$n" &
+		[ $style = plain ] && style=again || style=plain
+		soak_term "$n" $style &
 		stops="$stops $!"
 	done
 	for s in $stops; do wait "$s"; done
