standins/loadgen: reasons of refusals, and how late the generator itself was

A red test_site_drain named the refused requests but neither why they were refused nor whether the load generator, which stands for the load balancer too, had the processor time to notice that an entry process leaves.

Change: the result counts the reasons of answers that are not 2xx and has the longest delay of a health check; test_site_drain prints it when requests were refused. The check is the same.

--- a/regress/test_site_drain.sh
+++ b/regress/test_site_drain.sh
@@ -47,7 +47,7 @@
 wait $load
 check_requests "$SITE_DIR/caller.ledger" "$SITE_DIR/upstream.ledger" ||
 	site_fail "ledgers disagree"
-grep -vq ' done 200 ' "$SITE_DIR/caller.ledger" &&
+grep -vq ' done 200 ' "$SITE_DIR/caller.ledger" && cat "$SITE_DIR/load.json" &&
 	site_fail "not done: $(grep -v ' done 200 ' "$SITE_DIR/caller.ledger" | head -n 5)"
 grep -q drain-timeout "$SITE_DIR"/e?.log && site_fail "a drain ran into its bound"
 echo "site drain: ok"
--- a/standins/loadgen.c
+++ b/standins/loadgen.c
@@ -89,6 +89,9 @@
 static uint64_t counts[OUT_N];
 static uint64_t statuses[600];
 static struct hist latency[OUT_N];
+static json_t *reasons; /* of answers that are not 2xx, with their counts */
+static int64_t checked_us;
+static int64_t longest_pause_us; /* of this process: how late a health check began */
 
 static void caller_send(struct caller *k);
 static void send_more(void);
@@ -155,6 +158,20 @@
 	return OUT_REFUSED;
 }
 
+/* Counts the reason that the answer of an entry process gives. */
+static void count_reason(const struct client_call *c)
+{
+	json_t *body = json_loadb(c->answer.p, c->answer.n, 0, NULL);
+	const char *reason = json_string_value(json_object_get(body, "reason"));
+	json_int_t n;
+
+	if (reason) {
+		n = json_integer_value(json_object_get(reasons, reason));
+		json_object_set_new(reasons, reason, json_integer(n + 1));
+	}
+	json_decref(body);
+}
+
 static void answered(struct client_call *c)
 {
 	struct caller *k = c->arg;
@@ -167,6 +184,8 @@
 		    (long long)us, k->entry->callers);
 	if (c->status > 0 && c->status < 600)
 		statuses[c->status]++;
+	if (c->result == CURLE_OK && c->status / 100 != 2)
+		count_reason(c);
 	if (o == OUT_UNKNOWN)
 		k->maybe_run = true;
 	if (o == OUT_UNKNOWN && k->tries < opt.resend && (k->keyed || !k->post)) {
@@ -323,6 +342,11 @@
 
 static void health_cb(struct ev_loop *l, struct ev_timer *w, int revents)
 {
+	int64_t late = mono_us() - checked_us - opt.health_ms * 1000L;
+
+	if (checked_us && late > longest_pause_us)
+		longest_pause_us = late;
+	checked_us = mono_us();
 	for (size_t i = 0; i < opt.n_entries; i++) {
 		struct entry *e = &opt.entries[i];
 		char url[128];
@@ -372,14 +396,15 @@
 		json_object_set_new(ent, opt.entries[i].callers,
 				    json_integer((json_int_t)opt.entries[i].sent));
 	j = json_pack(
-		"{s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:f,s:o,s:o,s:o}", "sent",
-		(json_int_t)sent, "done", (json_int_t)counts[OUT_DONE], "not_run",
+		"{s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:f,s:f,s:o,s:o,s:O,s:o}",
+		"sent", (json_int_t)sent, "done", (json_int_t)counts[OUT_DONE], "not_run",
 		(json_int_t)counts[OUT_NOT_RUN], "unknown",
 		(json_int_t)counts[OUT_UNKNOWN], "wrong", (json_int_t)counts[OUT_WRONG],
 		"refused", (json_int_t)counts[OUT_REFUSED], "unanswered",
 		(json_int_t)in_flight, "resends", (json_int_t)resends, "connect_failed",
 		(json_int_t)connect_failed, "no_entry", (json_int_t)no_entry, "seconds",
-		s, "latency", lat, "status", st, "entries", ent);
+		s, "longest_pause_ms", (double)longest_pause_us / 1000.0, "latency", lat,
+		"status", st, "reasons", reasons, "entries", ent);
 	json_dumpf(j, stdout, JSON_INDENT(2) | JSON_REAL_PRECISION(6));
 	putchar('\n');
 	json_decref(j);
@@ -533,6 +558,7 @@
 	}
 	signal(SIGPIPE, SIG_IGN);
 	loop = ev_default_loop(0);
+	reasons = json_object();
 	prng.state = opt.seed;
 	ledger = ledger_open(opt.ledger);
 	client_open(&client, loop);
@@ -547,5 +573,6 @@
 	ev_timer_start(loop, &stopper);
 	ev_run(loop, 0);
 	print_result();
+	json_decref(reasons);
 	return counts[OUT_WRONG] || in_flight ? 1 : 0;
 }
