leader_client: a process whose connection went silent is asked again

An entry whose connection to the leading state process had gone silent got no answer for 3 s: the first attempt took 1.0 s, the process was avoided for 1.0 s, the next attempt used the same connection, and the probe replaced it after 2.7 s.

A full attempt on which nothing was heard now replaces the connection, once. The process is avoided as before; but if another one names it as the leader, it is asked again at once, with 0.3 s for its answer. Calls that ended with the earlier connection don't count against the next one.

test_leader_client leader_is_in_touch_after_a_silence: calls each 20 ms, those of the first 2.5 s have to be answered 3.0 s after the silence.

--- a/carawayfrontd/leader_client.c
+++ b/carawayfrontd/leader_client.c
@@ -8,6 +8,9 @@
 
 #define RETRY_DELAY 0.03 /* seconds before another process is asked */
 #define AVOID_TIME 1.0	 /* seconds without calls to a process that did not answer */
+/* Seconds for the first answer on a connection that replaced one. */
+#define RENEWED_ATTEMPT 0.3
+#define RECONNECT_TIME 0.25 /* seconds until the attempt to connect has begun */
 
 /* Connects lazily to every state process of the settings, which must stay valid. */
 int leader_client_init(struct leader_client *c, struct ev_loop *loop,
@@ -86,6 +89,51 @@
 	c->avoid_until[call->target] = ev_now(c->loop) + AVOID_TIME;
 }
 
+/* Whether only the connection may have broken: it was reset, or has gone silent. */
+static bool may_be_connection(const struct leader_call *call, int err)
+{
+	const struct leader_client *c = call->client;
+
+	if (c->renewed_at[call->target] > 0)
+		return false;
+	if (err == CF_ETIMEOUT)
+		return call->full_attempt && c->heard_at[call->target] < call->sent_at;
+	return err == CF_ECONN;
+}
+
+/*
+ * Avoids the process of an attempt that failed, and replaces a connection that may have
+ * gone silent. Calls of an earlier connection say nothing about the one in use.
+ */
+static void attempt_failed(const struct leader_call *call, int err)
+{
+	struct leader_client *c = call->client;
+	size_t target = call->target;
+	bool renew = may_be_connection(call, err);
+
+	if (call->connection != c->connection[target])
+		return;
+	avoid(call, err);
+	if (renew)
+		c->renewed_at[target] = ev_now(c->loop);
+	if (renew || err == CF_ECONN || err == CF_EUNAVAIL)
+		c->connection[target]++;
+	if (renew && err == CF_ETIMEOUT)
+		rpc_client_reset(c->clients[target]);
+}
+
+/*
+ * Another process names this one as the leader. If its connection was replaced, it may be
+ * well: it is asked once more, although it is avoided.
+ */
+static void ask_again(struct leader_client *c, size_t target)
+{
+	if (c->renewed_at[target] <= 0 || c->asked_again[target])
+		return;
+	c->asked_again[target] = true;
+	c->avoid_until[target] = 0;
+}
+
 static void retry_later(struct leader_call *call, size_t target, double delay)
 {
 	struct leader_client *c = call->client;
@@ -103,17 +151,27 @@
 {
 	struct leader_client *c = call->client;
 	double left = call->deadline - ev_now(c->loop);
-	double timeout = left < call->attempt_timeout ? left : call->attempt_timeout;
+	double timeout = call->attempt_timeout;
+	double renewed_at = c->renewed_at[call->target];
 	int err;
 
+	if (renewed_at > 0 && timeout >= LEADER_ATTEMPT)
+		timeout -= LEADER_ATTEMPT - RENEWED_ATTEMPT;
 	call->sent_at = ev_now(c->loop);
-	call->full_attempt = call->sent_at + call->attempt_timeout <= call->deadline;
+	call->full_attempt = call->sent_at + timeout <= call->deadline;
+	call->connection = c->connection[call->target];
+	if (timeout > left)
+		timeout = left;
 	err = rpc_client_call(c->clients[call->target], call->proc, buf_str(&call->args),
 			      timeout, &call->waiter);
-	if (err) {
-		avoid(call, err);
-		retry_later(call, call->target + 1, RETRY_DELAY);
+	if (!err)
+		return;
+	if (err == CF_ECONN && ev_now(c->loop) < renewed_at + RECONNECT_TIME) {
+		retry_later(call, call->target, RETRY_DELAY);
+		return;
 	}
+	avoid(call, err);
+	retry_later(call, call->target + 1, RETRY_DELAY);
 }
 
 static void on_retry(struct ev_loop *loop, struct ev_timer *t, int events)
@@ -157,17 +215,22 @@
 
 	if (!err) {
 		c->heard_at[call->target] = ev_now(c->loop);
+		c->renewed_at[call->target] = 0;
+		c->asked_again[call->target] = false;
 		err = read_head(results, &result_err, &leader);
 	}
 	if (err) {
-		avoid(call, err);
 		call->maybe_run = true;
+		attempt_failed(call, err);
 		retry_later(call, call->target + 1, RETRY_DELAY);
 		return;
 	}
 	if (result_err == CF_ENOTLEADER) {
+		size_t next = index_of(c, leader, call->target + 1) % c->n;
+
 		c->redirects++;
-		retry_later(call, index_of(c, leader, call->target + 1), RETRY_DELAY);
+		ask_again(c, next);
+		retry_later(call, next, RETRY_DELAY);
 		return;
 	}
 	if (result_err == CF_EUNKNOWN) {
--- a/carawayfrontd/leader_client.h
+++ b/carawayfrontd/leader_client.h
@@ -17,8 +17,15 @@
 	 * still name it as the leader before they notice its loss.
 	 */
 	double avoid_until[LEADER_MAX_MEMBERS];
-	double heard_at[LEADER_MAX_MEMBERS]; /* loop time of the last answer */
-	size_t guess;			     /* index of the process that led last */
+	double heard_at[LEADER_MAX_MEMBERS];	     /* loop time of the last answer */
+	unsigned int connection[LEADER_MAX_MEMBERS]; /* number of the one in use */
+	/*
+	 * Loop time when a connection took the place of a broken one, on which nothing
+	 * was heard since; 0: none.
+	 */
+	double renewed_at[LEADER_MAX_MEMBERS];
+	bool asked_again[LEADER_MAX_MEMBERS]; /* since then, named as the leader */
+	size_t guess;			      /* index of the process that led last */
 	uint64_t redirects;
 	uint64_t failures;
 };
@@ -49,6 +56,7 @@
 	double sent_at;	   /* loop time of the present attempt */
 	bool full_attempt; /* its process has all of attempt_timeout */
 	size_t target;
+	unsigned int connection; /* of the target, on which the attempt was sent */
 	bool maybe_run;
 };
 
--- a/regress/test_leader_client.c
+++ b/regress/test_leader_client.c
@@ -21,6 +21,8 @@
 	const char *leader;  /* NULL: this one leads */
 	unsigned int silent; /* calls left without an answer */
 	unsigned int calls;
+	struct rpc_conn *first; /* the first connection */
+	bool first_silent;
 };
 
 struct caller {
@@ -42,6 +44,12 @@
 	struct buf bytes = {0};
 
 	m->calls++;
+	if (!m->first)
+		m->first = call->conn;
+	if (m->first_silent && call->conn == m->first) {
+		rpc_call_drop(call);
+		return;
+	}
 	if (m->silent) {
 		m->silent--;
 		rpc_call_drop(call);
@@ -227,6 +235,35 @@
 }
 END_TEST
 
+#define LOAD_CALLS 200
+#define LOAD_PERIOD_S 0.02
+#define LOAD_S 2.5 /* from the silence on; later calls have no time for their answers */
+
+/* Guards against a leader that is avoided, although it is well, after a silence. */
+START_TEST(leader_is_in_touch_after_a_silence)
+{
+	static struct caller load[LOAD_CALLS];
+	struct caller before;
+	double begun;
+	int n = 0;
+
+	start(&before, 1, LEADER_ATTEMPT);
+	run_until(&before);
+	ck_assert_int_eq(before.err, 0);
+	member[0].first_silent = true;
+	begun = ev_time();
+	while (n < LOAD_CALLS && ev_time() < begun + LOAD_S) {
+		start(&load[n++], 8, LEADER_ATTEMPT);
+		run_for(LOAD_PERIOD_S);
+	}
+	run_for(begun + IN_TOUCH_S - ev_time());
+	for (int i = 0; i < n; i++) {
+		ck_assert_msg(load[i].ended, "call %d of %d", i, n);
+		ck_assert_int_eq(load[i].err, 0);
+	}
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("leader_client");
@@ -240,6 +277,7 @@
 	tcase_add_test(tc, short_call_blames_no_process);
 	tcase_add_test(tc, lost_leader_is_not_asked_first);
 	tcase_add_test(tc, silent_connection_is_replaced);
+	tcase_add_test(tc, leader_is_in_touch_after_a_silence);
 	suite_add_tcase(s, tc);
 	sr = srunner_create(s);
 	srunner_run_all(sr, CK_NORMAL);
