test_http_server: callers that fall silent are ended

No fault: a connection that is silent before, within or after a request is ended by the idle time-out. The test guards that for the table of silent connections; it passes on the code before.

--- a/regress/test_http_server.c
+++ b/regress/test_http_server.c
@@ -242,6 +242,48 @@
 }
 END_TEST
 
+#define IDLE_TIMEOUT_S 1
+#define ENDED_S 3.0 /* the server looks at its connections about once a second */
+
+/* Guards against callers that fall silent and keep their connections for good. */
+START_TEST(silent_callers_are_ended)
+{
+	static const char *const sent[] = {
+		"", "GET /a HTTP/1.1\r\nHo",
+		"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\n123",
+		"GET /a HTTP/1.1\r\nHost: h\r\n\r\n"};
+	struct http_server_options opt = {.loop = loop,
+					  .host = &host.host,
+					  .max_body = 65536,
+					  .max_connections = 64,
+					  .idle_timeout = IDLE_TIMEOUT_S};
+	int fds[4];
+	double end;
+
+	ck_assert_int_eq(addr_parse(STR(ADDRESS), &opt.address), 0);
+	ck_assert_int_eq(http_server_new(&opt, &server), 0);
+	for (int i = 0; i < 4; i++)
+		fds[i] = open_client(sent[i]);
+	run_until_calls(1);
+	http_request_reply(host.held[0], 200, NULL, 0, STR("x"));
+	end = ev_time() + ENDED_S;
+	while (ev_time() < end) {
+		ev_run(loop, EVRUN_NOWAIT);
+		usleep(1000);
+	}
+	for (int i = 0; i < 4; i++) {
+		char bytes[4096];
+		ssize_t n;
+
+		while ((n = recv(fds[i], bytes, sizeof(bytes), MSG_DONTWAIT)) > 0)
+			;
+		ck_assert_msg(n == 0, "connection %d is open", i);
+		close(fds[i]);
+	}
+	http_server_free(server);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("http-server");
@@ -256,6 +298,7 @@
 	tcase_add_test(tc, request_during_stop_is_refused);
 	tcase_add_test(tc, half_head_is_not_in_flight);
 	tcase_add_test(tc, abandoned_request_is_told);
+	tcase_add_test(tc, silent_callers_are_ended);
 	suite_add_tcase(s, tc);
 	sr = srunner_create(s);
 	srunner_run_all(sr, CK_NORMAL);
