carawayfrontd/leader_client: a change that was given up is not carried out later

Cause: an operator's change or job that got no answer for 8 s is told as unknown (502), while its last attempt waits on an open connection to a leader that is paused. The leader reads it when it goes on, and may by then have answered a later request of the contrary on another connection.

Change: a call with drop_late that ends without an answer resets the connections on which it may still wait; the leader then doesn't propose it. Other calls on them are sent again. Claims don't use it: their deadlines are as short as those of callers, and the abort of a claim that got no answer follows on the same connection.

The script is now named test_site_given_up_job.sh, as it covers both cases.

--- a/carawayfrontd/ctl_call.c
+++ b/carawayfrontd/ctl_call.c
@@ -54,6 +54,7 @@
 	if (!c)
 		return CF_ENOMEM;
 	c->base.ops = &leader_ops;
+	c->base.drop_late = true;
 	c->req = req;
 	c->ops = ops;
 	err = leader_propose(leader, &c->base, body, PROPOSE_TIMEOUT);
--- a/carawayfrontd/leader_client.c
+++ b/carawayfrontd/leader_client.c
@@ -53,9 +53,21 @@
 	buf_free(&args);
 }
 
+/* Resets the connections on which a call that is given up may wait for its process. */
+static void drop_late(const struct leader_call *call)
+{
+	struct leader_client *c = call->client;
+
+	for (size_t i = 0; i < c->n; i++)
+		if (call->unread & 1U << i)
+			rpc_client_reset(c->clients[i]);
+}
+
 static void fail_call(struct leader_call *call)
 {
 	call->client->failures++;
+	if (call->drop_late)
+		drop_late(call);
 	end_call(call, call->maybe_run ? CF_EUNKNOWN : CF_EUNAVAIL,
 		 (struct str){NULL, 0});
 }
@@ -114,7 +126,9 @@
 	if (err) {
 		avoid(call, err);
 		retry_later(call, call->target + 1, RETRY_DELAY);
+		return;
 	}
+	call->unread |= 1U << call->target;
 }
 
 static void on_retry(struct ev_loop *loop, struct ev_timer *t, int events)
@@ -156,6 +170,8 @@
 	struct str leader;
 	int result_err;
 
+	if (err != CF_ETIMEOUT)
+		call->unread &= ~(1U << call->target);
 	if (!err) {
 		c->heard_at[call->target] = ev_now(c->loop);
 		err = read_head(results, &result_err, &leader);
@@ -202,6 +218,7 @@
 	call->waiter.client = NULL;
 	call->proc = proc;
 	call->maybe_run = false;
+	call->unread = 0;
 	call->attempt_timeout = attempt_timeout;
 	call->deadline = ev_now(c->loop) + timeout;
 	call->target = choose_target(c, c->guess);
--- a/carawayfrontd/leader_client.h
+++ b/carawayfrontd/leader_client.h
@@ -39,6 +39,12 @@
 /* One call; embedded in its user. */
 struct leader_call {
 	const struct leader_call_ops *ops;
+	/*
+	 * Set by the caller: a call that ends without an answer must not run later. The
+	 * connections on which it may wait are reset, and other calls on them are sent
+	 * again.
+	 */
+	bool drop_late;
 	struct leader_client *client; /* NULL when not outstanding */
 	struct rpc_waiter waiter;
 	struct ev_timer retry;
@@ -49,6 +55,7 @@
 	double sent_at;	   /* loop time of the present attempt */
 	bool full_attempt; /* its process has all of attempt_timeout */
 	size_t target;
+	unsigned int unread; /* a bit for each process that may not have read it */
 	bool maybe_run;
 };
 
--- a/regress/test_leader_client.c
+++ b/regress/test_leader_client.c
@@ -258,7 +258,7 @@
 	char *bytes = calloc(1, COMMAND_BYTES);
 
 	ck_assert_ptr_nonnull(bytes);
-	*call = (struct caller){.call = {.ops = &call_ops}};
+	*call = (struct caller){.call = {.ops = &call_ops, .drop_late = true}};
 	ev_now_update(loop);
 	ck_assert_int_eq(leader_call_start(c, &call->call, PEER_PROPOSE,
 					   (struct str){bytes, COMMAND_BYTES}, timeout,
@@ -271,11 +271,13 @@
 static void check_dropped(int listener)
 {
 	int fd = accept(listener, NULL, NULL);
+	struct timeval bound = {.tv_sec = 2}; /* ends a broken test */
 	char bytes[4096];
 	size_t total = 0;
 	ssize_t n;
 
 	ck_assert_int_ge(fd, 0);
+	setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &bound, sizeof(bound));
 	while ((n = recv(fd, bytes, sizeof(bytes), 0)) > 0)
 		total += (size_t)n;
 	ck_assert_uint_lt(total, COMMAND_BYTES);
@@ -310,6 +312,44 @@
 }
 END_TEST
 
+/* Guards against a change that is carried out after its sender was told "unknown". */
+START_TEST(proposal_that_was_given_up_is_dropped)
+{
+	struct settings_member one;
+	struct settings far;
+	struct leader_client c;
+	struct caller call;
+	int listener = open_unread(&far, &one, &c);
+
+	propose_large(&c, &call, 0.3);
+	run_until(&call);
+	ck_assert_int_eq(call.err, CF_EUNKNOWN);
+	check_dropped(listener);
+	leader_client_destroy(&c);
+	close(listener);
+}
+END_TEST
+
+/* Guards against calls that end with another one whose connection is reset. */
+START_TEST(other_calls_outlive_one_that_was_given_up)
+{
+	struct caller late = {.call = {.ops = &call_ops, .drop_late = true}};
+	struct caller other;
+
+	start(&other, 5, 5);
+	run_until(&other);
+	member[0].silent = 2;
+	ck_assert_int_eq(
+		leader_call_start(&client, &late.call, PEER_PROPOSE, STR("x"), 0.3, 0.3),
+		0);
+	start(&other, 4, 4);
+	run_until(&late);
+	ck_assert_int_eq(late.err, CF_EUNKNOWN);
+	run_until(&other);
+	ck_assert_int_eq(other.err, 0);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("leader_client");
@@ -324,6 +364,8 @@
 	tcase_add_test(tc, lost_leader_is_not_asked_first);
 	tcase_add_test(tc, silent_connection_is_replaced);
 	tcase_add_test(tc, proposal_of_a_killed_process_is_dropped);
+	tcase_add_test(tc, proposal_that_was_given_up_is_dropped);
+	tcase_add_test(tc, other_calls_outlive_one_that_was_given_up);
 	suite_add_tcase(s, tc);
 	sr = srunner_create(s);
 	srunner_run_all(sr, CK_NORMAL);
--- a/regress/test_site_left_entry.sh
+++ b/regress/test_site_given_up_job.sh
@@ -1,6 +1,6 @@
 #!/bin/sh
-# Guards against a job that a paused leader accepts from an entry process that was killed,
-# after the cancel of that job was answered with "no such job".
+# Guards against a job that a paused leader accepts after its cancel was answered with "no
+# such job", or after its sender was told that the outcome is unknown.
 set -u
 cd "$(dirname "$0")/.."
 BUILD=${BUILD:-build}
@@ -50,4 +50,15 @@
 	site_run e1
 done
 [ "$(abandoned)" -ge 1 ] || site_fail "no request was given up"
-echo "site left entry: ok"
+
+# The entry process gives the job up and lives on.
+site_until 10 site_healthy e1 || site_fail "e1 does not serve"
+for id in late-1 late-2 late-3; do
+	site_signal s1 STOP
+	status=$(job e1 POST $id)
+	site_signal s1 CONT
+	[ "$status" = 502 ] || site_fail "job $id was answered with $status"
+	sleep 1
+	[ "$(known $id)" = 404 ] || site_fail "job $id was given up, and is known"
+done
+echo "site given up job: ok"
