core/router: the caller of an expired key is told unknown, not "not run"

Cause: the claim store refuses a key whose outcome it no longer keeps (CF_ESTALE). The router took this for a claim store that did not answer: 503, claim-failed, "not-run" and Retry-After, and an abort of a claim that was not granted. The earlier request with the key may have run; a caller that believes "not-run" books again with a new key. A key whose outcome is unknown was already told so.

Change: CF_ESTALE ends like CF_EUNKNOWN: unknown, key-unknown, 502. The cost: a new key whose fingerprint is that of an expired one (n / 2^64) is told unknown too.

Measured: random_histories of test_router draws CF_ESTALE now. Before: red ("claim ended twice or not granted"; in a trial that allows this abort, "key used before, and not run"). After: test_router and test_site_claims.sh pass; mutant expired-key is seen.

--- a/core/router.c
+++ b/core/router.c
@@ -329,6 +329,7 @@
 		request_finish(r, q, ROUTER_UNKNOWN, ROUTER_R_IN_PROGRESS, err, now_us);
 		break;
 	case CF_EUNKNOWN:
+	case CF_ESTALE:
 		request_finish(r, q, ROUTER_UNKNOWN, ROUTER_R_KEY_UNKNOWN, err, now_us);
 		break;
 	case CF_EREUSED:
@@ -346,13 +347,14 @@
 static bool claim_certain(int err)
 {
 	return err == CF_EEXIST || err == CF_EINPROGRESS || err == CF_EUNKNOWN ||
-	       err == CF_EREUSED;
+	       err == CF_ESTALE || err == CF_EREUSED;
 }
 
 /*
  * Handles the result of claim(). err: 0 granted, CF_EEXIST outcome stored,
- * CF_EINPROGRESS, CF_EUNKNOWN, CF_EREUSED; anything else means that the claim store did
- * not answer. In that case, or if the caller has its answer, the claim is aborted.
+ * CF_EINPROGRESS, CF_EUNKNOWN, CF_ESTALE (an expired key), CF_EREUSED; anything else
+ * means that the claim store did not answer. In that case, or if the caller has its
+ * answer, the claim is aborted.
  */
 void router_claimed(struct router *r, uint64_t request, int err, int64_t now_us)
 {
--- a/regress/test_router.c
+++ b/regress/test_router.c
@@ -397,10 +397,11 @@
 
 static void end_claim(struct sim *s, uint64_t id)
 {
-	static const int errs[] = {CF_EEXIST, CF_EINPROGRESS, CF_EUNKNOWN, CF_EREUSED,
-				   CF_EUNAVAIL};
+	static const int errs[] = {CF_EEXIST,  CF_EINPROGRESS, CF_EUNKNOWN,
+				   CF_EREUSED, CF_ESTALE,      CF_EUNAVAIL};
 	struct naive_req *q = &s->req[id];
-	int err = prng_below(&s->rng, 3) ? 0 : errs[prng_below(&s->rng, 5)];
+	int err = prng_below(&s->rng, 3) ? 0 : errs[prng_below(&s->rng, 6)];
+	bool late = q->finished;
 
 	q->claiming = false;
 	/* A claim store that did not answer may have granted it. */
@@ -408,6 +409,10 @@
 	router_claimed(s->r, id, err, s->now);
 	if (err)
 		ck_assert(q->finished && q->sends == 0);
+	/* An earlier request with the key may have run. */
+	if (err == CF_EUNKNOWN || err == CF_ESTALE)
+		must(late || q->out.run == ROUTER_UNKNOWN,
+		     "key used before, and not run");
 	ck_assert(!q->granted || !q->finished || q->claim_ended);
 }
 
