rpc_client, dag_client, leader_client: time-outs do not step with the clock

Time-outs, pauses between attempts to connect and the times for which a process is avoided were kept in ev_now(), which is the time of day. Set back by 5 s, it lengthens all of them by 5 s, so that a connection that goes silent beside such a step is noticed too late for the 3 s after which a machine has to be in touch again. Set forward, it ends all calls at once. They are now kept in clock_s(), which does not step; so are the gateway's.

A trial with a call of 0.6 s to a silent peer, and the clock set back by 5 s after 0.1 s: ended after 5.60 s before, 0.60 s after. test_dag_client step_of_the_clock_keeps_no_leader_away fails before (rejected) and passes after; it needs the change of rpc_client too. test_leader_client, test_rpc pass; test_site_given_up, test_site_slow_leader and test_site_claims passed with all of it but the change of rpc_client.

--- a/carawayfrontd/dag_client.c
+++ b/carawayfrontd/dag_client.c
@@ -5,6 +5,7 @@
 #include "base/err.h"
 #include "carawayfrontd/leader_wait.h"
 #include "carawayfrontd/node_id.h"
+#include "io/clock.h"
 #include "proto/codec.h"
 
 #define ATTEMPT_S 0.6	   /* one controller may take so long to answer */
@@ -165,7 +166,7 @@
 	if (!c)
 		return CF_ENOMEM;
 	c->opt = *opt;
-	c->wait.lost_at = ev_now(opt->loop);
+	c->wait.lost_at = clock_s();
 	for (size_t i = 0; i < FINDERS; i++)
 		c->finders[i].ticket.ops = &finder_ops;
 	for (size_t i = 0; i < opt->settings->seeds.n; i++)
@@ -209,7 +210,7 @@
 {
 	struct ev_loop *loop = call->client->opt.loop;
 
-	if (ev_now(loop) + delay >= call->deadline) {
+	if (clock_s() + delay >= call->deadline) {
 		fail_call(call);
 		return;
 	}
@@ -221,7 +222,7 @@
 static struct dag_node *choose(struct dag_client *c)
 {
 	struct dag_node *node = c->leader ? find_node(c, c->leader) : NULL;
-	double now = ev_now(c->opt.loop);
+	double now = clock_s();
 
 	if (node && node->avoid_until <= now)
 		return node;
@@ -249,7 +250,7 @@
 {
 	bool known = c->confirmed && c->leader == c->confirmed;
 
-	leader_wait_update(&c->wait, known, ev_now(c->opt.loop));
+	leader_wait_update(&c->wait, known, clock_s());
 }
 
 /* Whether a controller other than the one that was asked leads and can be asked now. */
@@ -257,7 +258,7 @@
 {
 	const struct dag_node *node = leader ? find_node(c, leader) : NULL;
 
-	return node && leader != asked && node->avoid_until <= ev_now(c->opt.loop);
+	return node && leader != asked && node->avoid_until <= clock_s();
 }
 
 static void take_reply(struct client_call *call, const struct dag_reply *reply)
@@ -265,14 +266,14 @@
 	struct dag_client *c = call->client;
 	uint64_t asked = call->node->id;
 
-	call->node->heard = ev_now(c->opt.loop);
+	call->node->heard = clock_s();
 	call->node->renewed = false;
 	dag_client_learn(c, reply->leader, reply->members.members_val,
 			 reply->members.members_len);
 	if (reply->outcome != DAG_NOT_LEADER) {
 		c->leader = asked;
 		c->confirmed = asked;
-		c->heard = ev_now(c->opt.loop);
+		c->heard = clock_s();
 		update_wait(c);
 		end_call(call, reply);
 		return;
@@ -295,7 +296,7 @@
 	if (node->renewed)
 		return false;
 	if (err == CF_ETIMEOUT)
-		return ev_now(call->client->opt.loop) - node->heard > QUIET_S;
+		return clock_s() - node->heard > QUIET_S;
 	return err == CF_ECONN;
 }
 
@@ -312,7 +313,7 @@
 	if (may_be_connection(call, err)) {
 		node->renewed = true;
 	} else {
-		node->avoid_until = ev_now(c->opt.loop) + AVOID_S;
+		node->avoid_until = clock_s() + AVOID_S;
 		if (c->leader == node->id)
 			c->leader = 0;
 		if (c->confirmed == node->id)
@@ -353,7 +354,7 @@
 	struct dag_client *c = call->client;
 
 	if (!call->of_caller ||
-	    leader_wait_decide(&c->wait, ev_now(c->opt.loop)) != LEADER_WAIT_REFUSE)
+	    leader_wait_decide(&c->wait, clock_s()) != LEADER_WAIT_REFUSE)
 		return true;
 	start_finders(c);
 	fail_call(call);
@@ -363,7 +364,7 @@
 static void attempt(struct client_call *call)
 {
 	struct dag_client *c = call->client;
-	double left = call->deadline - ev_now(c->opt.loop);
+	double left = call->deadline - clock_s();
 	double timeout;
 	struct dag_node *node;
 
@@ -384,7 +385,7 @@
 							       : call->attempt_s;
 	if (rpc_client_call(node->client, DAG_PROC_REQUEST, buf_str(&call->args),
 			    left < timeout ? left : timeout, &call->waiter)) {
-		node->avoid_until = ev_now(c->opt.loop) + RETRY_S;
+		node->avoid_until = clock_s() + RETRY_S;
 		if (c->leader == node->id)
 			c->leader = 0;
 		update_wait(c);
@@ -435,7 +436,7 @@
 	call->of_caller = req->kind == DAG_REQ_SUBMIT || req->kind == DAG_REQ_READ ||
 			  req->kind == DAG_REQ_CANCEL;
 	call->attempt_s = req->kind == DAG_REQ_MEMBERS ? FINDER_ATTEMPT_S : ATTEMPT_S;
-	call->deadline = ev_now(c->opt.loop) + timeout;
+	call->deadline = clock_s() + timeout;
 	ev_timer_init(&call->retry, on_retry, 0, 0);
 	call->retry.data = call;
 	call->next = c->calls;
--- a/carawayfrontd/gateway.c
+++ b/carawayfrontd/gateway.c
@@ -77,7 +77,7 @@
 static void note_request(struct gateway_request *r, const struct dag_reply *reply)
 {
 	struct gateway *g = r->gateway;
-	double ms = (ev_now(g->loop) - r->start) * 1000;
+	double ms = (clock_s() - r->start) * 1000;
 	char labels[64];
 
 	snprintf(labels, sizeof(labels), "kind=\"%s\",outcome=\"%s\"", kind_name(r->kind),
@@ -91,7 +91,7 @@
 		 kind_name(r->kind), r->path, outcome_name(reply->outcome), ms,
 		 (unsigned long long)dag_client_leader(g->client),
 		 dag_client_heard(g->client) > 0
-			 ? (ev_now(g->loop) - dag_client_heard(g->client)) * 1000
+			 ? (clock_s() - dag_client_heard(g->client)) * 1000
 			 : -1.0);
 }
 
@@ -111,7 +111,7 @@
 {
 	double heard = dag_client_heard(g->client);
 
-	return heard > 0 && ev_now(g->loop) - heard < LOST_LEADER_S;
+	return heard > 0 && clock_s() - heard < LOST_LEADER_S;
 }
 
 /*
@@ -120,8 +120,7 @@
  */
 static bool ends_without_leader(const struct gateway *g)
 {
-	return g->drain_at && ev_now(g->loop) - g->drain_at > DRAIN_ACCEPT_S &&
-	       !has_leader(g);
+	return g->drain_at && clock_s() - g->drain_at > DRAIN_ACCEPT_S && !has_leader(g);
 }
 
 static void port_request(struct dag_request_handler *p, const struct dag_request *req,
@@ -142,7 +141,7 @@
 	r->gateway = g;
 	r->caller = t;
 	r->kind = req->kind;
-	r->start = ev_now(g->loop);
+	r->start = clock_s();
 	snprintf(r->path, sizeof(r->path), "%.*s", STR_ARG(XDR_STR(*target, path)));
 	dag_client_request(g->client, req, timeout, &r->ticket);
 }
@@ -184,10 +183,10 @@
 		log_info(has ? "leader-found" : "leader-lost", "leader=%llx",
 			 (unsigned long long)dag_client_leader(g->client));
 	g->had_leader = has;
-	if (g->checking || ev_now(g->loop) - g->checked < CHECK_S || g->drain_at)
+	if (g->checking || clock_s() - g->checked < CHECK_S || g->drain_at)
 		return;
 	g->checking = true;
-	g->checked = ev_now(g->loop);
+	g->checked = clock_s();
 	req.dag_request_u.agent.id = node_id(&g->settings->listen.rpc);
 	req.dag_request_u.agent.life = agent_life(g->agent);
 	XDR_SET(req.dag_request_u.agent, zone, g->settings->zone);
@@ -198,7 +197,7 @@
 static void on_timer(struct ev_loop *loop, struct ev_timer *t, int events)
 {
 	struct gateway *g = t->data;
-	double drained = g->drain_at ? ev_now(loop) - g->drain_at : 0;
+	double drained = g->drain_at ? clock_s() - g->drain_at : 0;
 
 	check_leader(g);
 	if (drained > DRAIN_ACCEPT_S)
@@ -253,7 +252,7 @@
 /* Readiness fails at once; what is in flight is answered before the loop ends. */
 void gateway_drain(struct gateway *g)
 {
-	g->drain_at = ev_now(g->loop);
+	g->drain_at = clock_s();
 }
 
 void gateway_free(struct gateway *g)
--- a/carawayfrontd/leader_client.c
+++ b/carawayfrontd/leader_client.c
@@ -3,6 +3,7 @@
 #include <stddef.h>
 
 #include "base/err.h"
+#include "io/clock.h"
 #include "proto/codec.h"
 #include "proto/peer.h"
 
@@ -69,7 +70,7 @@
 
 	for (size_t i = 0; i < c->n; i++) {
 		chosen = (target + i) % c->n;
-		if (c->avoid_until[chosen] <= ev_now(c->loop))
+		if (c->avoid_until[chosen] <= clock_s())
 			break;
 	}
 	return chosen;
@@ -86,7 +87,7 @@
 	if (err == CF_ETIMEOUT &&
 	    (!call->full_attempt || c->heard_at[call->target] >= call->sent_at))
 		return;
-	c->avoid_until[call->target] = ev_now(c->loop) + AVOID_TIME;
+	c->avoid_until[call->target] = clock_s() + AVOID_TIME;
 }
 
 /* Whether only the connection may have broken: it was reset, or has gone silent. */
@@ -115,7 +116,7 @@
 		return;
 	avoid(call, err);
 	if (renew)
-		c->renewed_at[target] = ev_now(c->loop);
+		c->renewed_at[target] = clock_s();
 	if (renew || err == CF_ECONN || err == CF_EUNAVAIL)
 		c->connection[target]++;
 	if (renew && err == CF_ETIMEOUT)
@@ -139,7 +140,7 @@
 	struct leader_client *c = call->client;
 
 	call->target = choose_target(c, target);
-	if (ev_now(c->loop) + delay >= call->deadline) {
+	if (clock_s() + delay >= call->deadline) {
 		fail_call(call);
 		return;
 	}
@@ -147,17 +148,17 @@
 	ev_timer_start(c->loop, &call->retry);
 }
 
-static void attempt(struct leader_call *call)
+static void attempt(struct leader_call *call, double now)
 {
 	struct leader_client *c = call->client;
-	double left = call->deadline - ev_now(c->loop);
+	double left = call->deadline - now;
 	double timeout = call->attempt_timeout;
 	double renewed_at = c->renewed_at[call->target];
 	int err;
 
 	if (renewed_at > 0 && timeout >= LEADER_ATTEMPT)
 		timeout -= LEADER_ATTEMPT - RENEWED_ATTEMPT;
-	call->sent_at = ev_now(c->loop);
+	call->sent_at = now;
 	call->full_attempt = call->sent_at + timeout <= call->deadline;
 	call->connection = c->connection[call->target];
 	if (timeout > left)
@@ -166,7 +167,7 @@
 			      timeout, &call->waiter);
 	if (!err)
 		return;
-	if (err == CF_ECONN && ev_now(c->loop) < renewed_at + RECONNECT_TIME) {
+	if (err == CF_ECONN && now < renewed_at + RECONNECT_TIME) {
 		retry_later(call, call->target, RETRY_DELAY);
 		return;
 	}
@@ -176,7 +177,7 @@
 
 static void on_retry(struct ev_loop *loop, struct ev_timer *t, int events)
 {
-	attempt(t->data);
+	attempt(t->data, clock_s());
 }
 
 /* Every result that goes through the leader begins with err and leader. */
@@ -214,7 +215,7 @@
 	int result_err;
 
 	if (!err) {
-		c->heard_at[call->target] = ev_now(c->loop);
+		c->heard_at[call->target] = clock_s();
 		c->renewed_at[call->target] = 0;
 		c->asked_again[call->target] = false;
 		err = read_head(results, &result_err, &leader);
@@ -253,6 +254,7 @@
 int leader_call_start(struct leader_client *c, struct leader_call *call, uint32_t proc,
 		      struct str args, double timeout, double attempt_timeout)
 {
+	double now = clock_s();
 	int err;
 
 	call->args = (struct buf){0};
@@ -265,11 +267,11 @@
 	call->proc = proc;
 	call->maybe_run = false;
 	call->attempt_timeout = attempt_timeout;
-	call->deadline = ev_now(c->loop) + timeout;
+	call->deadline = now + timeout;
 	call->target = choose_target(c, c->guess);
 	ev_timer_init(&call->retry, on_retry, 0, 0);
 	call->retry.data = call;
-	attempt(call);
+	attempt(call, now);
 	return 0;
 }
 
--- a/carawayfrontd/leader_client.h
+++ b/carawayfrontd/leader_client.h
@@ -13,14 +13,14 @@
 	struct str names[LEADER_MAX_MEMBERS];
 	struct rpc_client *clients[LEADER_MAX_MEMBERS];
 	/*
-	 * Loop time until which a process that did not answer is avoided: others may
+	 * Time until which a process that did not answer is avoided: others may
 	 * still name it as the leader before they notice its loss.
 	 */
 	double avoid_until[LEADER_MAX_MEMBERS];
-	double heard_at[LEADER_MAX_MEMBERS];	     /* loop time of the last answer */
+	double heard_at[LEADER_MAX_MEMBERS];	     /* time of the last answer */
 	unsigned int connection[LEADER_MAX_MEMBERS]; /* number of the one in use */
 	/*
-	 * Loop time when a connection took the place of a broken one, on which nothing
+	 * Time when a connection took the place of a broken one, on which nothing
 	 * was heard since; 0: none.
 	 */
 	double renewed_at[LEADER_MAX_MEMBERS];
@@ -51,9 +51,9 @@
 	struct ev_timer retry;
 	struct buf args;
 	uint32_t proc;
-	double deadline; /* loop time */
+	double deadline; /* on clock_s() */
 	double attempt_timeout;
-	double sent_at;	   /* loop time of the present attempt */
+	double sent_at;	   /* time of the present attempt */
 	bool full_attempt; /* its process has all of attempt_timeout */
 	size_t target;
 	unsigned int connection; /* of the target, on which the attempt was sent */
--- a/io/clock.c
+++ b/io/clock.c
@@ -19,6 +19,12 @@
 	return read_clock(CLOCK_BOOTTIME);
 }
 
+/* clock_us() in seconds, for time-outs: ev_now() steps with the time of day. */
+double clock_s(void)
+{
+	return (double)clock_us() / 1e6;
+}
+
 /* Microseconds since 1970. May step; used only for times shown to operators. */
 int64_t clock_wall_us(void)
 {
--- a/io/clock.h
+++ b/io/clock.h
@@ -4,6 +4,7 @@
 #include <stdint.h>
 
 int64_t clock_us(void);
+double clock_s(void);
 int64_t clock_wall_us(void);
 
 #endif
--- a/io/rpc_client.c
+++ b/io/rpc_client.c
@@ -7,6 +7,7 @@
 #include <unistd.h>
 
 #include "base/err.h"
+#include "io/clock.h"
 #include "io/rpc_wire.h"
 #include "io/stream.h"
 
@@ -137,7 +138,7 @@
 static void on_closed(struct stream *s, int err)
 {
 	struct rpc_client *c = (struct rpc_client *)s;
-	double now = ev_now(c->opt.loop);
+	double now = clock_s();
 	double max = c->opt.probe_period > 0 ? PROBED_RECONNECT_MAX : RECONNECT_MAX;
 	bool was_up = c->up;
 
@@ -162,7 +163,7 @@
 
 static bool has_expired_call(const struct rpc_client *c)
 {
-	double now = ev_now(c->opt.loop);
+	double now = clock_s();
 
 	for (unsigned int i = 0; i < WAITER_BUCKETS; i++)
 		for (const struct rpc_waiter *w = c->waiters[i]; w; w = w->next)
@@ -184,7 +185,7 @@
 		on_closed(&c->stream, CF_ETIMEOUT);
 		return;
 	}
-	end_calls(c, ev_now(loop), CF_ETIMEOUT);
+	end_calls(c, clock_s(), CF_ETIMEOUT);
 }
 
 /* Makes the end of a socket a reset, after which what it still holds is not sent. */
@@ -202,7 +203,7 @@
 	int one = 1;
 	int fd;
 
-	if (ev_now(c->opt.loop) < c->not_before)
+	if (clock_s() < c->not_before)
 		return CF_ECONN;
 	fd = socket(c->opt.address.sa.ss_family,
 		    SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
@@ -216,7 +217,7 @@
 	if (connect(fd, (struct sockaddr *)&c->opt.address.sa, c->opt.address.len) &&
 	    errno != EINPROGRESS) {
 		close(fd);
-		c->not_before = ev_now(c->opt.loop) + c->backoff;
+		c->not_before = clock_s() + c->backoff;
 		return CF_ECONN;
 	}
 	c->shown = false;
@@ -295,7 +296,7 @@
 	if (err)
 		return err;
 	w->xid = c->next_xid;
-	w->deadline = ev_now(c->opt.loop) + timeout;
+	w->deadline = clock_s() + timeout;
 	waiter_link(c, w);
 	flush(c);
 	return 0;
--- a/regress/test_dag_client.c
+++ b/regress/test_dag_client.c
@@ -3,7 +3,10 @@
 #include <malloc.h>
 #include <signal.h>
 #include <stdlib.h>
+#include <sys/syscall.h>
+#include <sys/time.h>
 #include <sys/wait.h>
+#include <time.h>
 #include <unistd.h>
 
 #include <arpa/inet.h>
@@ -28,6 +31,28 @@
 static enum dag_outcome outcome;
 static unsigned int replies;
 
+static time_t clock_step; /* seconds by which the time of day is off */
+
+/* In place of the C library's, also for libev. */
+__attribute__((visibility("default"))) int clock_gettime(clockid_t id,
+							 struct timespec *ts)
+{
+	int ret = (int)syscall(SYS_clock_gettime, id, ts);
+
+	if (id == CLOCK_REALTIME)
+		ts->tv_sec += clock_step;
+	return ret;
+}
+
+__attribute__((visibility("default"))) int gettimeofday(struct timeval *restrict tv,
+							void *restrict zone)
+{
+	int ret = (int)syscall(SYS_gettimeofday, tv, zone);
+
+	tv->tv_sec += clock_step;
+	return ret;
+}
+
 static void on_done(struct dag_pending_request *t, const struct dag_reply *reply)
 {
 	outcome = reply->outcome;
@@ -503,6 +528,40 @@
 }
 END_TEST
 
+#define STEP_S 5 /* seconds */
+
+/* Guards against a leader that is avoided for as long as the time of day was set back. */
+START_TEST(step_of_the_clock_keeps_no_leader_away)
+{
+	struct dag_pending_request pending = {.ops = &ops};
+	struct stand_in leader = {.leads = true};
+	struct addr address;
+	uint64_t id;
+
+	ck_assert_int_eq(addr_parse(STR(LEADER_ADDRESS), &address), 0);
+	id = node_id(&address);
+	dag_client_learn(client, id, &id, 1);
+	/* Nobody listens. */
+	submit_within(&pending, 0.1);
+	run_for(0.2);
+	ck_assert_int_eq(outcome, DAG_REJECTED);
+	clock_step = -STEP_S;
+	leader.leader = open_stand_in(&leader, STR(LEADER_ADDRESS));
+	for (int i = 0; i < 600; i++) {
+		ev_run(loop, EVRUN_NOWAIT);
+		usleep(1000);
+	}
+	submit_within(&pending, BUDGET_S);
+	for (int i = 0; i < 2000 && replies < 2; i++) {
+		ev_run(loop, EVRUN_NOWAIT);
+		usleep(1000);
+	}
+	ck_assert_uint_eq(replies, 2);
+	ck_assert_int_eq(outcome, DAG_OK);
+	rpc_server_free(leader.server);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("dag_client");
@@ -523,6 +582,7 @@
 	tcase_add_test(t, request_on_a_silent_connection_is_served);
 	tcase_add_test(t, request_on_a_reset_connection_is_served);
 	tcase_add_test(t, lost_leader_is_not_asked_for_in_a_loop);
+	tcase_add_test(t, step_of_the_clock_keeps_no_leader_away);
 	suite_add_tcase(s, t);
 	r = srunner_create(s);
 	srunner_run_all(r, CK_ENV);
