--- a/carawayfrontd/agent.c
+++ b/carawayfrontd/agent.c
@@ -300,7 +300,7 @@
  */
 static void log_polls(struct agent *a)
 {
-	double now = ev_now(a->opt.loop);
+	double now = clock_s();
 
 	if (!a->unanswered || now - a->polls_logged < LOG_PERIOD_S)
 		return;
--- a/carawayfrontd/relay.c
+++ b/carawayfrontd/relay.c
@@ -94,7 +94,7 @@
 	call->agent = a->id;
 	call->sent = rpc_client_sent(a->client) + 1;
 	call->no_reply = no_reply;
-	call->deadline = ev_now(r->opt.loop) + timeout;
+	call->deadline = clock_s() + timeout;
 	HASH_ADD(hh, r->calls, id, sizeof(call->id), call);
 	return true;
 }
@@ -171,10 +171,12 @@
 /* An empty batch opens a new connection, or fails while that has to wait. */
 static void reconnect_agents(struct relay *r)
 {
+	double now = clock_s();
+
 	for (size_t i = 0; i < r->n_agents; i++) {
 		struct relay_agent *a = &r->agents[i];
 
-		if (a->id && a->down && ev_now(r->opt.loop) - a->heard < ALIVE_S)
+		if (a->id && a->down && now - a->heard < ALIVE_S)
 			send_batch(r, a);
 	}
 }
@@ -243,18 +245,18 @@
 	a->life = agent->life;
 	memcpy(a->zone, zone.p, zone.n);
 	a->zone[zone.n] = '\0';
-	a->heard = ev_now(r->opt.loop);
+	a->heard = clock_s();
 	a->clock_offset_us = agent->clock_us - clock_us();
 }
 
 /* Answers that come late were on their way; those of a silent connection never come. */
 static void log_late(struct relay *r)
 {
-	if (!r->late || ev_now(r->opt.loop) - r->late_logged < LOG_PERIOD_S)
+	if (!r->late || clock_s() - r->late_logged < LOG_PERIOD_S)
 		return;
 	log_info("answers-late", "answers=%u reason=\"the call was given up\"", r->late);
 	r->late = 0;
-	r->late_logged = ev_now(r->opt.loop);
+	r->late_logged = clock_s();
 }
 
 /*
@@ -276,11 +278,12 @@
 {
 	struct relay *r = t->data;
 	struct relay_call *call, *next;
+	double now = clock_s();
 
 	log_late(r);
 	for (call = r->calls; call; call = next) {
 		next = call->hh.next;
-		if (!call->lost && call->deadline > ev_now(loop))
+		if (!call->lost && call->deadline > now)
 			continue;
 		if (!call->lost)
 			give_up_call(r, call);
--- a/carawayfrontd/relay_agent.c
+++ b/carawayfrontd/relay_agent.c
@@ -4,6 +4,7 @@
 #include "base/err.h"
 #include "carawayfrontd/node_id.h"
 #include "carawayfrontd/relay_impl.h"
+#include "io/clock.h"
 #include "io/log.h"
 #include "proto/codec.h"
 
@@ -91,7 +92,7 @@
 	struct relay_agent *a = NULL;
 
 	for (size_t i = 0; i < r->n_agents && !a; i++)
-		if (ev_now(r->opt.loop) - r->agents[i].heard > 10 * ALIVE_S)
+		if (clock_s() - r->agents[i].heard > 10 * ALIVE_S)
 			a = &r->agents[i];
 	if (a) {
 		rpc_client_free(a->client);
@@ -109,28 +110,28 @@
 	return a;
 }
 
-static bool is_heard(const struct relay *r, const struct relay_agent *a)
+static bool is_heard(const struct relay_agent *a, double now)
 {
-	return a->id && !a->down && ev_now(r->opt.loop) - a->heard < ALIVE_S;
+	return a->id && !a->down && now - a->heard < ALIVE_S;
 }
 
-static bool is_avoided(const struct relay *r, const struct relay_agent *a)
+static bool is_avoided(const struct relay_agent *a, double now)
 {
-	return ev_now(r->opt.loop) < a->avoid_until;
+	return now < a->avoid_until;
 }
 
 /*
  * Whether no gateway is avoided, as most of them would be. The cause is then hardly
  * theirs, and the calls of all workers would be too many for the others.
  */
-static bool is_panic(const struct relay *r)
+static bool is_panic(const struct relay *r, double now)
 {
 	size_t heard = 0;
 	size_t avoided = 0;
 
 	for (size_t i = 0; i < r->n_agents; i++) {
-		heard += is_heard(r, &r->agents[i]);
-		avoided += is_heard(r, &r->agents[i]) && is_avoided(r, &r->agents[i]);
+		heard += is_heard(&r->agents[i], now);
+		avoided += is_heard(&r->agents[i], now) && is_avoided(&r->agents[i], now);
 	}
 	return heard >= PANIC_MIN && 2 * avoided > heard;
 }
@@ -138,7 +139,7 @@
 /* Sends no calls through a gateway for a while, unless most are avoided. */
 void relay_avoid_agent(struct relay *r, struct relay_agent *a, const char *reason)
 {
-	double now = ev_now(r->opt.loop);
+	double now = clock_s();
 
 	if (now >= a->avoid_until)
 		log_info("gateway-avoided", "gateway=%llx reason=\"%s\" heard_ms=%d",
@@ -189,7 +190,8 @@
 	struct relay_agent *best = NULL;
 	uint64_t best_weight = 0;
 	bool best_near = false;
-	bool panic = is_panic(r);
+	double now = clock_s();
+	bool panic = is_panic(r, now);
 
 	for (size_t i = 0; rec && i < r->n_agents; i++) {
 		struct relay_agent *a = &r->agents[i];
@@ -199,7 +201,7 @@
 		/* Every other path leads through any zone: a zone may be cut off. */
 		if (turns % 2)
 			near = false;
-		if (!is_heard(r, a) || (is_avoided(r, a) && !panic))
+		if (!is_heard(a, now) || (is_avoided(a, now) && !panic))
 			continue;
 		if (best && best_near && !near)
 			continue;
