relay, core: a lost way to a gateway is not held against the worker

A gateway that hangs was used again as soon as its kernel took the next connection, and never avoided; and two polls that were lost on silent connections, 1.2 s each by now, ended the runs of a worker that had announced its exit and went on for some seconds.

After a silent connection a gateway is used once it has answered on a new one. A poll that may not have reached its gateway ends as DAG_RESULT_PATH_LOST: twice in a row it is repeated at once and says nothing of the worker. A reply that comes more than 0.5 s after its wait may be an answer that was sent again, so that its list is as old as the poll when ends are acknowledged. A new connection is begun once, not in each round of the loop.

Two tests changed as a silent gateway has to answer first: connection_without_answers_is_reset reaches a gateway that answers again, and counts the call there; old_start_is_not_carried_out lets the leader hear the gateway.

--- a/carawayfrontd/relay.c
+++ b/carawayfrontd/relay.c
@@ -8,6 +8,7 @@
 #include "io/log.h"
 #include "io/rpc_wire.h"
 #include "proto/codec.h"
+#include "proto/peer.h"
 
 #define ANSWER_S 2.5 /* beyond the wait that a poll asks for */
 /*
@@ -168,7 +169,18 @@
 	.poll = send_poll,
 };
 
-/* An empty batch opens a new connection, or fails while that has to wait. */
+/*
+ * Opens a new connection to a gateway that is without one, and asks for a sign of it. The
+ * batch, which may be empty, is probed for like any other.
+ */
+static void reconnect_agent(struct relay *r, struct relay_agent *a)
+{
+	if (a->connecting)
+		return;
+	send_batch(r, a);
+	a->connecting = !rpc_client_post(a->client, PEER_NULL, (struct str){NULL, 0});
+}
+
 static void reconnect_agents(struct relay *r)
 {
 	double now = clock_s();
@@ -176,8 +188,8 @@
 	for (size_t i = 0; i < r->n_agents; i++) {
 		struct relay_agent *a = &r->agents[i];
 
-		if (a->id && a->down && now - a->heard < ALIVE_S)
-			send_batch(r, a);
+		if (a->id && (a->down || a->silent) && now - a->heard < ALIVE_S)
+			reconnect_agent(r, a);
 	}
 }
 
@@ -287,7 +299,10 @@
 			continue;
 		if (!call->lost)
 			give_up_call(r, call);
-		end_call(r, call, DAG_RESULT_UNKNOWN, NULL);
+		end_call(r, call,
+			 call->lost && call->kind == DAG_CALL_LOOK ? DAG_RESULT_PATH_LOST
+								   : DAG_RESULT_UNKNOWN,
+			 NULL);
 	}
 }
 
--- a/carawayfrontd/relay_agent.c
+++ b/carawayfrontd/relay_agent.c
@@ -46,6 +46,7 @@
 	struct relay_agent *a = (struct relay_agent *)h;
 
 	a->down = true;
+	a->connecting = false;
 	lose_calls(a->relay, a);
 }
 
@@ -54,16 +55,26 @@
 	((struct relay_agent *)h)->down = false;
 }
 
+/* A process that hangs takes connections as well, so that only its answer counts. */
 static void on_agent_silent(struct rpc_client_host *h)
 {
+	((struct relay_agent *)h)->silent = true;
 	log_info("gateway-silent", "gateway=%llx reason=\"connection replaced\"",
 		 (unsigned long long)((struct relay_agent *)h)->id);
 }
 
+static void on_agent_heard(struct rpc_client_host *h, unsigned int replaced)
+{
+	((struct relay_agent *)h)->silent = false;
+	log_info("gateway-heard", "gateway=%llx connections=%u",
+		 (unsigned long long)((struct relay_agent *)h)->id, replaced);
+}
+
 static const struct rpc_client_ops agent_ops = {
 	.up = on_agent_up,
 	.lost = on_agent_lost,
 	.silent = on_agent_silent,
+	.heard = on_agent_heard,
 };
 
 /* Makes a new connection to a gateway; what the old one still holds is dropped. */
@@ -81,6 +92,8 @@
 	rpc_client_free(a->client);
 	a->client = NULL;
 	a->down = false;
+	a->silent = false;
+	a->connecting = false;
 	if (node_addr(a->id, &opt.address))
 		return CF_EINVAL;
 	return rpc_client_new(&opt, &a->client);
@@ -112,7 +125,7 @@
 
 static bool is_heard(const struct relay_agent *a, double now)
 {
-	return a->id && !a->down && now - a->heard < ALIVE_S;
+	return a->id && !a->down && !a->silent && now - a->heard < ALIVE_S;
 }
 
 static bool is_avoided(const struct relay_agent *a, double now)
--- a/carawayfrontd/relay_impl.h
+++ b/carawayfrontd/relay_impl.h
@@ -24,6 +24,8 @@
 	double heard;
 	double avoid_until;
 	bool down;	  /* its connection has ended and no new one has opened */
+	bool silent;	  /* a connection was silent, nothing was heard since */
+	bool connecting;  /* a new one was begun */
 	struct buf batch; /* encoded calls of this round */
 	uint32_t n_batch;
 };
--- a/core/dag_sched.h
+++ b/core/dag_sched.h
@@ -22,6 +22,8 @@
 	DAG_RESULT_INVALID,	  /* refused as malformed */
 	DAG_RESULT_RESTARTED,	  /* another process answers at the worker's address */
 	DAG_RESULT_UNKNOWN,	  /* no reply: it took effect, still may, or never will */
+	/* Of a poll: the same, and the cause is the way to those who make the call. */
+	DAG_RESULT_PATH_LOST,
 };
 
 /* Destination of a call to one worker; strings are valid only during the call. */
--- a/core/dag_sched_impl.h
+++ b/core/dag_sched_impl.h
@@ -162,8 +162,10 @@
 	bool earlier_left;     /* its earlier life had announced its end */
 	int64_t next_poll_us;
 	unsigned int poll_failures;
-	int64_t broken_us;	   /* contact with its process last broke, 0: never */
-	uint64_t acked_end;	   /* ends up to this number are acknowledged */
+	unsigned int lost_paths; /* polls in a row that may not have come to the worker */
+	uint32_t poll_wait_ms;	 /* that the newest poll asked for */
+	int64_t broken_us;	 /* contact with its process last broke, 0: never */
+	uint64_t acked_end;	 /* ends up to this number are acknowledged */
 	uint64_t first_listed_end; /* lowest number in its newest list, 0: no end */
 	uint64_t last_listed_end;  /* highest number in its lists */
 	uint32_t ends_uncommitted; /* listed ends whose records are not committed */
--- a/core/dag_worker.c
+++ b/core/dag_worker.c
@@ -20,6 +20,11 @@
 #define LEAVE_DELAY_US (1500 * USEC_PER_MS)
 /* An exit that an earlier leader recorded: its worker ends within seconds of that. */
 #define RECORDED_LEAVE_MARGIN_US (1 * USEC_PER_SEC)
+/* Polls in a row whose loss says nothing of the worker, but of the way to it. */
+#define LOST_PATHS_MAX 2U
+/* A reply that comes later after its wait may have been read from the worker long before.
+ */
+#define REPLY_DELAY_US (500 * USEC_PER_MS)
 /* Pause between polls, so that one poll reads ends that arrive together. */
 #define POLL_INTERVAL_US (20 * USEC_PER_MS)
 /* How long a worker that has left is remembered, for reports that arrive late. */
@@ -244,6 +249,7 @@
 	w->poll_life = w->life;
 	w->poll_fence = w->fence;
 	w->poll_sent_us = s->now_us;
+	w->poll_wait_ms = o.wait_ms;
 	s->host->ops->poll(s->host, &o);
 }
 
@@ -510,6 +516,15 @@
 	       s->now_us - w->leaving_since_us > LEAVE_TIMEOUT_US && w->poll_failures > 1;
 }
 
+/* When the worker made the list of a reply that has just come, at the earliest. */
+static int64_t list_time_us(const struct ds_worker *w, int64_t now_us)
+{
+	bool late = now_us - w->poll_sent_us >
+		    (int64_t)w->poll_wait_ms * USEC_PER_MS + REPLY_DELAY_US;
+
+	return late ? w->poll_sent_us : now_us;
+}
+
 /* Handles the result of a poll. poll NULL: no usable reply came. */
 void dag_sched_poll_replied(struct dag_sched *s, uint32_t worker,
 			    enum dag_call_result result,
@@ -537,6 +552,12 @@
 			return_worker(s, w, poll);
 		return;
 	}
+	if (result == DAG_RESULT_PATH_LOST && w->lost_paths < LOST_PATHS_MAX) {
+		w->lost_paths++;
+		w->next_poll_us = now_us;
+		return;
+	}
+	w->lost_paths = 0;
 	if (result == DAG_RESULT_RESTARTED && w->poll_life != w->life) {
 		w->next_poll_us = now_us;
 		return;
@@ -582,7 +603,7 @@
 	}
 	process_poll_reply(s, w, poll);
 	w->polled = true;
-	w->polled_us = now_us;
+	w->polled_us = list_time_us(w, now_us);
 	/*
 	 * The worker replies at once while an end is unacknowledged; wait, so that polls
 	 * do not follow each other without a pause.
--- a/regress/test_dag.c
+++ b/regress/test_dag.c
@@ -162,6 +162,29 @@
 }
 END_TEST
 
+/* Guards against a leaving worker whose runs count as over as the ways to it were lost.
+ */
+START_TEST(lost_path_is_not_held_against_a_worker)
+{
+	uint32_t number = dw_add_worker(&w, 8000, 8000);
+
+	w.work_us = 30 * SECOND;
+	dw_submit_chain(&w, 1, 1, 4);
+	dw_run_for(&w, 2 * SECOND);
+	dw_add_workers(&w, 1);
+	dw_run_for(&w, SECOND);
+	w.workers[number].quiet_until_us = w.now_us + 5 * SECOND;
+	dag_sched_worker_leaving(w.sched, 1, w.now_us);
+	for (int i = 0; i < 2; i++) {
+		dw_run_for(&w, 600000);
+		dag_sched_poll_replied(w.sched, 1, DAG_RESULT_PATH_LOST, NULL, w.now_us);
+		dw_run_for(&w, 600000);
+	}
+	dw_assert_sound(&w);
+	ck_assert_uint_eq(w.starts, 4);
+}
+END_TEST
+
 /* Guards against attempts beyond their limit: failures that were listed late count too.
  */
 START_TEST(late_failures_count_as_attempts)
@@ -1288,6 +1311,7 @@
 	tcase_add_test(tc, end_of_a_run_given_up_is_held);
 	tcase_add_loop_test(tc, late_end_without_a_successor_counts, 0, 2);
 	tcase_add_test(tc, late_failures_count_as_attempts);
+	tcase_add_test(tc, lost_path_is_not_held_against_a_worker);
 	tcase_add_test(tc, late_end_counts_once_after_a_restart);
 	tcase_add_loop_test(tc, ends_of_a_cancelled_job_are_not_held, 0, 64);
 	tcase_add_test(tc, speculative_tasks_get_a_copy);
--- a/regress/test_relay.c
+++ b/regress/test_relay.c
@@ -57,7 +57,8 @@
 	struct dag_transport_user base;
 	unsigned int looked;
 	unsigned int unanswered;
-	unsigned int cut; /* lists of ends that may lack some */
+	unsigned int lost; /* part of them that may not have come to the gateway */
+	unsigned int cut;  /* lists of ends that may lack some */
 };
 
 static struct ev_loop *loop;
@@ -120,7 +121,8 @@
 static void on_looked(struct dag_transport_user *u, uint32_t worker,
 		      enum dag_call_result answer, const struct dag_poll_reply *look)
 {
-	if (answer == DAG_RESULT_UNKNOWN)
+	((struct user *)u)->lost += answer == DAG_RESULT_PATH_LOST;
+	if (answer == DAG_RESULT_UNKNOWN || answer == DAG_RESULT_PATH_LOST)
 		((struct user *)u)->unanswered++;
 	else
 		((struct user *)u)->looked++;
@@ -443,6 +445,7 @@
 	play_leader(&f.report, 1.5);
 	play_gateway(f.loop, 0.5);
 	ck_assert_uint_eq(fake_count(&worker, "run-start"), 0);
+	play_leader(&f.report, 0.2); /* it hears the gateway again */
 	order_start(2);
 	play_leader(&f.report, 0.2);
 	play_gateway(f.loop, 0.5);
@@ -547,28 +550,16 @@
 	return fd;
 }
 
-/* Whether a text has come on the newest connection; earlier ones were reset as well. */
-static bool newest_connection_has(int listener, const char *text)
-{
-	char bytes[4096];
-	ssize_t n = 0;
-	int fd;
-
-	while ((fd = accept4(listener, NULL, NULL, SOCK_NONBLOCK)) >= 0) {
-		n = recv(fd, bytes, sizeof(bytes), 0);
-		close(fd);
-	}
-	return n > 0 && memmem(bytes, (size_t)n, text, strlen(text));
-}
-
 /* Guards against a gateway that stays out of reach for seconds after a partition. */
 START_TEST(connection_without_answers_is_reset)
 {
+	struct rpc_server_options rpc = {
+		.loop = loop, .key = STR(KEY), .host = &gateway.host};
+	struct rpc_server *reached;
 	struct dag_agent a = {0};
 	int listener = listen_on(AGENT_ADDRESS);
 	struct addr address;
 	char bytes[4096];
-	bool came = false;
 	ssize_t n;
 	int fd;
 
@@ -586,15 +577,15 @@
 	ck_assert_int_eq(n, -1);
 	ck_assert_int_eq(errno, ECONNRESET);
 	close(fd);
+	close(listener);
+	rpc.address = address;
+	ck_assert_int_eq(rpc_server_new(&rpc, &reached), 0);
 	play_leader(&a, PATIENCE_S / 2);
-	for (int i = 0; i < 3 && !came; i++) {
-		order_start(2);
-		play_leader(&a, 0.2);
-		came = newest_connection_has(listener, WORKER_ADDRESS);
-	}
-	ck_assert(came);
+	order_start(2);
+	play_leader(&a, 0.2);
+	ck_assert_uint_eq(gateway.n, 1);
 	ck_assert_uint_eq(direct.calls, 0);
-	close(listener);
+	rpc_server_free(reached);
 }
 END_TEST
 
@@ -957,6 +948,7 @@
 	ck_assert_int_eq(rpc_server_new(&rpc, &gateway.server), 0);
 	play(IN_TOUCH_S);
 	ck_assert_uint_eq(user.unanswered, 1);
+	ck_assert_uint_eq(user.lost, 1);
 	order_look();
 	play(0.3);
 	ck_assert_uint_eq(direct.calls, 0);
@@ -1038,6 +1030,31 @@
 }
 END_TEST
 
+/* Guards against a gateway that hangs and is used again as its kernel takes connections.
+ */
+START_TEST(hung_gateway_is_avoided)
+{
+	struct dag_agent a = {0};
+	int listener = listen_on(AGENT_ADDRESS);
+	struct addr address;
+
+	XDR_SET(a, zone, STR("a"));
+	ck_assert_int_eq(addr_parse(STR(AGENT_ADDRESS), &address), 0);
+	a.id = node_id(&address);
+	play_leader(&a, 0.2);
+	order_look();
+	for (double end = ev_time() + IN_TOUCH_S; ev_time() < end && !user.unanswered;)
+		play_leader(&a, 0.02);
+	ck_assert_uint_eq(user.unanswered, 1);
+	for (int i = 0; i < 5; i++) {
+		play_leader(&a, 0.4);
+		order_look();
+	}
+	ck_assert_uint_eq(direct.calls, 5);
+	close(listener);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("relay");
@@ -1065,6 +1082,7 @@
 	tcase_add_test(t, silent_connection_to_a_gateway_is_noticed);
 	tcase_add_test(t, answers_on_a_silent_connection_are_sent_again);
 	tcase_add_test(t, most_gateways_are_never_avoided);
+	tcase_add_test(t, hung_gateway_is_avoided);
 	tcase_add_test(t, late_call_of_a_deposed_leader_takes_no_answers);
 	suite_add_tcase(s, t);
 	r = srunner_create(s);
