agent: answers that nobody waits for are dropped

Answers that were kept for a silent connection had no age: they went out, oldest first, also when the leader had given up their calls, and 2 MiB of them hold a link of 2 Mbit/s for 8 s.

They are kept for 3.5 s, as long as the leader waits for a poll, and 256 KiB at most. test_relay stale_answers_are_dropped fails before and passes now.

--- a/carawayfrontd/agent.c
+++ b/carawayfrontd/agent.c
@@ -24,8 +24,12 @@
 #define MAX_IDLE 128U
 #define PROBE_PERIOD_S 0.4 /* a connection is silent after three of them */
 #define RESEND_PERIOD_S 0.05
-/* Bytes of answers that are kept until the leader has certainly read them. */
-#define MAX_UNCONFIRMED (2U << 20)
+/*
+ * Answers are kept until the leader has certainly read them: so many bytes, which a slow
+ * link carries in a second, and for as long as the leader waits for a poll.
+ */
+#define MAX_UNCONFIRMED (256U << 10)
+#define ANSWER_VALID_S 3.5
 #define LOG_PERIOD_S 1.0 /* between lines on polls without an answer */
 /* Bytes of one answer, and of a batch before it is sent: two of these fit a message. */
 #define MAX_ANSWER (RPC_MAX_RECORD / 2 - 4096)
@@ -45,6 +49,7 @@
 	STAILQ_ENTRY(agent_batch) entry;
 	uint32_t number; /* of its newest post */
 	bool posted;	 /* on the present connection */
+	double made;
 	struct buf bytes;
 };
 
@@ -104,14 +109,16 @@
 		free_oldest(a);
 }
 
-/* Frees batches that the leader has read, and the oldest of too many. */
-static void drop_confirmed(struct agent *a)
+/* Frees batches that the leader has read or waits for no more, and the oldest of many. */
+static void drop_old(struct agent *a)
 {
+	double now = clock_s();
 	struct agent_batch *b;
 
 	while ((b = STAILQ_FIRST(&a->unconfirmed)) &&
 	       ((b->posted && rpc_client_has_confirmed(a->client, b->number)) ||
-		a->unconfirmed_bytes > MAX_UNCONFIRMED))
+		now - b->made > ANSWER_VALID_S ||
+		(a->unconfirmed_bytes > MAX_UNCONFIRMED && STAILQ_NEXT(b, entry))))
 		free_oldest(a);
 }
 
@@ -120,6 +127,7 @@
 {
 	struct agent_batch *b;
 
+	drop_old(a);
 	STAILQ_FOREACH (b, &a->unconfirmed, entry) {
 		if (b->posted)
 			continue;
@@ -150,7 +158,7 @@
 		(struct agent *)(void *)((char *)h - offsetof(struct agent, client_host));
 	struct agent_batch *b;
 
-	drop_confirmed(a);
+	drop_old(a);
 	STAILQ_FOREACH (b, &a->unconfirmed, entry)
 		b->posted = false;
 	if (!STAILQ_EMPTY(&a->unconfirmed))
@@ -173,7 +181,7 @@
 	    !buf_add(&b->bytes, a->batch.p, a->batch.n)) {
 		STAILQ_INSERT_TAIL(&a->unconfirmed, b, entry);
 		a->unconfirmed_bytes += b->bytes.n;
-		drop_confirmed(a);
+		b->made = clock_s();
 		post_batches(a);
 	} else if (b) {
 		buf_free(&b->bytes);
--- a/regress/test_relay.c
+++ b/regress/test_relay.c
@@ -1055,6 +1055,38 @@
 }
 END_TEST
 
+/* Guards against answers to calls that were given up and hold up newer ones. */
+START_TEST(stale_answers_are_dropped)
+{
+	struct fake worker;
+	struct leader l;
+	struct far f;
+	int listener;
+
+	far_open(&f);
+	leader_open(&l);
+	rpc_server_free(l.server);
+	listener = listen_on(LEADER_ADDRESS);
+	fake_open(&worker, WORKER_PORT);
+	fake_say(&worker, "POST", "/api/hold", 200,
+		 "{\"born\":1,\"clock_ms\":1,\"running\":[],\"ended\":[]}", NULL, 0);
+	play_leader(&f.report, 0.2);
+	order_poll_until(0, 0);
+	play_leader(&f.report, 0.1);
+	play_gateway(f.loop, 2 * IN_TOUCH_S);
+	close(listener);
+	leader_listen(&l);
+	for (double played = 0; played < IN_TOUCH_S; played += 0.1) {
+		play_gateway(f.loop, 0.1);
+		play_leader_alone(0.02);
+	}
+	ck_assert_uint_eq(l.lists, 0);
+	rpc_server_free(l.server);
+	far_close(&f);
+	fake_close(&worker);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("relay");
@@ -1083,6 +1115,7 @@
 	tcase_add_test(t, answers_on_a_silent_connection_are_sent_again);
 	tcase_add_test(t, most_gateways_are_never_avoided);
 	tcase_add_test(t, hung_gateway_is_avoided);
+	tcase_add_test(t, stale_answers_are_dropped);
 	tcase_add_test(t, late_call_of_a_deposed_leader_takes_no_answers);
 	suite_add_tcase(s, t);
 	r = srunner_create(s);
