carawayfrontd/front: a request that its deadline ends does not hold up a stop

A planned stop of an entry process took its whole bound of 60 s, with "drain-timeout requests=1", though every caller had its answer; the memory of such requests was never freed.

Cause: a request without a claim or an exchange that the router ends by itself (its deadline passes in the queue, or the configuration becomes stale) was answered, but only a later event of the same request would have released it, and there is none.

Change: front_finish() lists the request, and it is released before the loop sleeps.

--- a/carawayfrontd/front.c
+++ b/carawayfrontd/front.c
@@ -45,6 +45,18 @@
 	}
 }
 
+/* Releases the requests that the router has answered, by their deadline for example. */
+static void release_answered(struct front *f)
+{
+	while (f->answered) {
+		struct front_request *r = f->answered;
+
+		f->answered = r->next_answered;
+		r->is_answered = false;
+		front_release(r);
+	}
+}
+
 /* Sets the timer to the router's next deadline before the loop sleeps. */
 static void on_prepare(struct ev_loop *loop, struct ev_prepare *w, int events)
 {
@@ -53,6 +65,7 @@
 	int64_t now;
 
 	report_failed(f);
+	release_answered(f);
 	deadline = router_deadline(f->router);
 	now = clock_us();
 	ev_timer_stop(loop, &f->timer);
@@ -194,7 +207,7 @@
 void front_release(struct front_request *r)
 {
 	if (r->http || r->call.exchange || r->claim_call.client || r->end_call.client ||
-	    r->result || r->failed_step != FRONT_NONE)
+	    r->result || r->failed_step != FRONT_NONE || r->is_answered)
 		return;
 	HASH_DEL(r->front->requests, r);
 	request_free(r);
--- a/carawayfrontd/front_answer.c
+++ b/carawayfrontd/front_answer.c
@@ -143,4 +143,9 @@
 	else
 		reply_refused(r, outcome);
 	r->http = NULL;
+	/* The router may still use it, and its timers end requests that nothing else
+	 * frees. */
+	r->is_answered = true;
+	r->next_answered = f->answered;
+	f->answered = r;
 }
--- a/carawayfrontd/front_request.h
+++ b/carawayfrontd/front_request.h
@@ -46,6 +46,8 @@
 	enum front_step failed_step; /* reported from the loop, see front_defer() */
 	int failed_err;
 	struct front_request *next_failed;
+	struct front_request *next_answered;
+	bool is_answered; /* in the list of answered requests */
 };
 
 struct front {
@@ -60,6 +62,7 @@
 	struct ev_prepare prepare;
 	struct front_request *requests; /* by id */
 	struct front_request *failed;
+	struct front_request *answered; /* to be released before the loop sleeps */
 	uint64_t next_id;
 	bool draining;
 };
