test_site_drain: state processes stop under load, in the documented order

The load lasted 12 s, so that on a busy machine state processes were stopped after its end, and the next one was stopped 0.5 s after the start of the former, which operating.md rules out: the former may not be back, and two of three leave no quorum.

Shown in a trial with a load of 25 s in which s1 is paused for 5 s at its start: no leader for 1.5 s and one POST refused (503, reason refused). In a run at load 48, s1 followed 0.2 s before s2 was stopped.

Change: the load lasts until the last stop (loadgen ends at SIGTERM), and the test waits until a state process has found the leader. operating.md names the line with a leader; the one without comes at the start at once.

--- a/regress/test_site_drain.sh
+++ b/regress/test_site_drain.sh
@@ -23,7 +23,7 @@
 start_upstream 2
 site_serves pinecrest/counter-desk
 "$BUILD/bin/loadgen" $entries --team pinecrest --service counter-desk --rate 100 \
-	--duration 12 --post 0.5 --body 200 --answer 1000 --deadline-ms 8000 \
+	--duration 60 --post 0.5 --body 200 --answer 1000 --deadline-ms 8000 \
 	--timeout-ms 12000 --health-ms 100 --prefix load --seed 3 \
 	--ledger "$SITE_DIR/caller.ledger" >"$SITE_DIR/load.json" &
 load=$!
@@ -38,12 +38,22 @@
 site_signal u1 TERM
 site_wait u1 || site_fail "upstream ended with an error"
 start_upstream 1
+follows() { # NAME LINES: it has found the leader, or leads, since so many lines of its log
+	tail -n +$(($2 + 1)) "$SITE_DIR/$1.log" |
+		grep -Eq 'role-changed role=(follower|leader) epoch=[0-9]+ leader=s'
+}
 for s in $SITE_STATE; do
 	sleep 0.5
 	site_signal $s TERM
 	site_wait $s || site_fail "$s ended with an error"
+	logged=$(wc -l <"$SITE_DIR/$s.log")
 	site_run $s
+	# Two of three that are away at a time leave no quorum.
+	site_until 20 follows $s "$logged" || site_fail "$s does not come back"
 done
+kill -0 $load || site_fail "the load ended before the last stop"
+sleep 0.5
+kill -TERM $load
 wait $load
 check_requests "$SITE_DIR/caller.ledger" "$SITE_DIR/upstream.ledger" ||
 	site_fail "ledgers disagree"
--- a/standins/loadgen.c
+++ b/standins/loadgen.c
@@ -332,6 +332,12 @@
 		stop_sending();
 }
 
+/* Ends the load early, as at the end of its duration. */
+static void terminate_cb(struct ev_loop *l, struct ev_signal *w, int revents)
+{
+	stop_sending();
+}
+
 static void health_answered(struct client_call *c)
 {
 	struct entry *e = c->arg;
@@ -550,6 +556,7 @@
 {
 	char prefix[32];
 	struct ev_timer health;
+	struct ev_signal terminate;
 
 	options_read(argc, argv);
 	if (!opt.prefix) {
@@ -571,6 +578,8 @@
 	ev_timer_start(loop, &sender);
 	ev_timer_init(&stopper, stopper_cb, opt.duration_s, 0);
 	ev_timer_start(loop, &stopper);
+	ev_signal_init(&terminate, terminate_cb, SIGTERM);
+	ev_signal_start(loop, &terminate);
 	ev_run(loop, 0);
 	print_result();
 	json_decref(reasons);
