--- a/regress/test_relay.c
+++ b/regress/test_relay.c
@@ -982,7 +982,7 @@
 	silent = accept_relay(listener);
 	close(listener);
 	leader_listen(&l);
-	for (double played = 0; played < IN_TOUCH_S && !l.lists; played += 0.1) {
+	for (int i = 0; i < IN_TOUCH_S / 0.1 && !l.lists; i++) {
 		play_gateway(f.loop, 0.1);
 		play_leader_alone(0.02);
 	}
@@ -1076,7 +1076,7 @@
 	play_gateway(f.loop, 2 * IN_TOUCH_S);
 	close(listener);
 	leader_listen(&l);
-	for (double played = 0; played < IN_TOUCH_S; played += 0.1) {
+	for (int i = 0; i < IN_TOUCH_S / 0.1; i++) {
 		play_gateway(f.loop, 0.1);
 		play_leader_alone(0.02);
 	}
