--- a/regress/test_dag_client.c
+++ b/regress/test_dag_client.c
@@ -570,6 +570,7 @@
 	int failed;
 
 	tcase_add_checked_fixture(t, setup, teardown);
+	tcase_set_timeout(t, 60);
 	tcase_add_test(t, request_beyond_a_bound_is_invalid);
 	tcase_add_test(t, members_take_the_place_of_those_that_left);
 	tcase_add_test(t, request_that_timed_out_is_dropped);
