core: a worker that announced its exit has ended when nobody listens

If the answer to the announcement is lost, the worker goes on for some seconds; behind a cut that begins just then, its tasks ran twice (test_dag_life_open, red).

The cause is that silence was taken for the exit. The machine of a process that has ended refuses connections at once; a cut is silent. So polls tell that they were refused (DAG_RESULT_REFUSED), and only such a worker has left, at once instead of 1 s to 1.9 s later. One that is only silent keeps its lease. What an earlier leader recorded counts as before.

A loss of contact recorded before the announcement also hid the exit from a successor; now the runs end with the announcement.

test_dag_life exit_announced_in_a_cut_ends_no_runs ("runs twice") and polls_that_fail_after_an_exit_hide_it_from_no_leader _i 2 failed with the former core/dag_worker.c, pass now; the first leaves test_dag_life_open. test_executors refused_poll_tells_that_nobody_listens is new. The world of the tests has machines that refuse polls, where a test asks for them.

--- a/carawayfrontd/agent.c
+++ b/carawayfrontd/agent.c
@@ -289,7 +289,7 @@
 	struct dag_call_answer answer = {.id = take_call(a, worker), .answer = result};
 
 	a->polls++;
-	a->unanswered += result == DAG_RESULT_UNKNOWN;
+	a->unanswered += result == DAG_RESULT_UNKNOWN || result == DAG_RESULT_REFUSED;
 	if (!answer.id)
 		return;
 	if (!poll || !fill_lists(poll, &answer))
--- a/carawayfrontd/relay.c
+++ b/carawayfrontd/relay.c
@@ -208,7 +208,7 @@
 	struct dag_transport_user *u = r->opt.user;
 
 	HASH_DEL(r->calls, call);
-	if (answer == DAG_RESULT_UNKNOWN)
+	if (answer == DAG_RESULT_UNKNOWN || answer == DAG_RESULT_REFUSED)
 		relay_change_path(r, call->worker);
 	if (call->no_reply)
 		goto out;
--- a/core/dag_life.c
+++ b/core/dag_life.c
@@ -187,6 +187,7 @@
 	ds_worker_begin_life(w);
 	w->earlier_left = w->leaving_since_us || w->draining;
 	w->leaving_since_us = 0;
+	w->poll_refused = false;
 	w->clock_known = false;
 	w->acked_end = 0;
 	w->first_listed_end = 0;
--- a/core/dag_sched.h
+++ b/core/dag_sched.h
@@ -24,6 +24,7 @@
 	DAG_RESULT_UNKNOWN,	  /* no reply: it took effect, still may, or never will */
 	/* Of a poll: the same, and the cause is the way to those who make the call. */
 	DAG_RESULT_PATH_LOST,
+	DAG_RESULT_REFUSED, /* of a poll: no process listens at the worker's address */
 };
 
 /* Destination of a call to one worker; strings are valid only during the call. */
--- a/core/dag_sched_impl.h
+++ b/core/dag_sched_impl.h
@@ -162,6 +162,7 @@
 	bool earlier_left;     /* its earlier life had announced its end */
 	int64_t next_poll_us;
 	unsigned int poll_failures;
+	bool poll_refused;	 /* one of these, as no process listened */
 	unsigned int lost_paths; /* polls in a row that may not have come to the worker */
 	uint32_t poll_wait_ms;	 /* that the newest poll asked for */
 	int64_t broken_us;	 /* contact with its process last broke, 0: never */
@@ -174,6 +175,7 @@
 	bool has_new_ends; /* the newest list has ends that are new to the leader */
 	bool has_strays;   /* the newest list has runs that are not recorded here */
 	int64_t leaving_since_us; /* it announced its exit, 0: it did not */
+	bool exit_recorded;	  /* by an earlier leader, without a loss of contact */
 	int64_t gone_since_us;	  /* recorded as gone and without runs, 0: not */
 	bool contradicted; /* recorded as gone, but a report of the same life came */
 	bool forget_proposed;
--- a/core/dag_worker.c
+++ b/core/dag_worker.c
@@ -13,9 +13,8 @@
 /* A new leader of a large fleet spreads its first polls over this time. */
 #define FIRST_POLLS_US (600 * USEC_PER_MS)
 #define POLL_RETRY_US (400 * USEC_PER_MS)
-/* A worker that announced its exit and fails polls from then on for this time has exited.
- */
-#define LEAVE_TIMEOUT_US (1 * USEC_PER_SEC)
+/* A worker whose exit an earlier leader recorded has exited if it fails polls so long. */
+#define RECORDED_LEAVE_TIMEOUT_US (1 * USEC_PER_SEC)
 /* An announcement that other controllers pass on comes so late at most. */
 #define LEAVE_DELAY_US (1500 * USEC_PER_MS)
 /* An exit that an earlier leader recorded: its worker ends within seconds of that. */
@@ -82,8 +81,10 @@
 	w->lease_expires_us =
 		ds_lease_expiry_us(rec->lost ? rec->lost_us : s->now_us, s->opt.lease_us);
 	/* Contact was not lost before the exit was recorded, so it was no cut. */
-	if (rec->w.state == DAG_WORKER_GONE && !rec->lost)
+	if (rec->w.state == DAG_WORKER_GONE && !rec->lost) {
 		w->leaving_since_us = s->now_us + RECORDED_LEAVE_MARGIN_US;
+		w->exit_recorded = true;
+	}
 	w->next_poll_us = s->now_us;
 	w->polled_us = s->now_us;
 	s->workers[s->n_workers++] = w;
@@ -194,16 +195,6 @@
 	w->last_heard_us = now_us;
 }
 
-/* The worker announced its exit; it gets no new runs. */
-void dag_sched_worker_leaving(struct dag_sched *s, uint32_t worker, int64_t now_us)
-{
-	struct ds_worker *w = find_worker(s, worker);
-
-	s->now_us = now_us;
-	if (w && !w->leaving_since_us)
-		w->leaving_since_us = now_us;
-}
-
 /* Counts consecutive failures of runs and quarantines the worker at the limit. */
 void ds_worker_count_result(struct dag_sched *s, struct ds_worker *w,
 			    enum dag_end_how how)
@@ -499,6 +490,7 @@
 	w->gone_since_us = 0;
 	w->drain_reported = false;
 	w->poll_failures = 0;
+	w->poll_refused = false;
 	s->host->ops->log_event(s->host, "worker-back", NULL, 0, XDR_STR(w->rec->w, id),
 				"was recorded as gone and answers", 0);
 	propose_state(s, w, DAG_WORKER_READY, poll->born_ms);
@@ -506,14 +498,30 @@
 
 /*
  * Whether a worker that fails polls has exited as it announced. One that failed them long
- * before may be cut off, and it ends some seconds after its announcement only: its runs
- * go on until its lease ends.
+ * before may be cut off, and so may one that is only silent: if the answer to its
+ * announcement is lost, it ends some seconds later, or with its lease. Nobody listens at
+ * the address of a process that has ended.
  */
 static bool has_left(const struct dag_sched *s, const struct ds_worker *w)
 {
-	return w->leaving_since_us &&
-	       w->broken_us >= w->leaving_since_us - LEAVE_DELAY_US &&
-	       s->now_us - w->leaving_since_us > LEAVE_TIMEOUT_US && w->poll_failures > 1;
+	if (!w->leaving_since_us || w->poll_failures < 2 ||
+	    w->broken_us < w->leaving_since_us - LEAVE_DELAY_US)
+		return false;
+	return w->poll_refused || (w->exit_recorded && s->now_us - w->leaving_since_us >
+							       RECORDED_LEAVE_TIMEOUT_US);
+}
+
+/* The worker announced its exit; it gets no new runs. */
+void dag_sched_worker_leaving(struct dag_sched *s, uint32_t worker, int64_t now_us)
+{
+	struct ds_worker *w = find_worker(s, worker);
+
+	s->now_us = now_us;
+	if (!w || w->leaving_since_us)
+		return;
+	w->leaving_since_us = now_us;
+	if (has_left(s, w))
+		propose_all_lost(s, w, "left");
 }
 
 /* When the worker made the list of a reply that has just come, at the earliest. */
@@ -568,6 +576,7 @@
 		return;
 	}
 	if (!poll) {
+		w->poll_refused = w->poll_refused || result == DAG_RESULT_REFUSED;
 		if (!w->poll_failures++)
 			s->host->ops->log_event(
 				s->host, "worker-lost", NULL, 0, XDR_STR(w->rec->w, id),
@@ -592,6 +601,7 @@
 	if (!w->clock_known)
 		s->placement_needed = true;
 	w->poll_failures = 0;
+	w->poll_refused = false;
 	ds_worker_regain_contact(s, w);
 	if (!ds_worker_reply_is_old(w, poll))
 		ds_worker_record_contact(w, poll, now_us);
--- a/io/http_client.c
+++ b/io/http_client.c
@@ -1,5 +1,6 @@
 #include "io/http_client.h"
 
+#include <errno.h>
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
@@ -106,6 +107,14 @@
 	}
 }
 
+static bool is_refused(const struct http_exchange *x, CURLcode code)
+{
+	long number = 0;
+
+	curl_easy_getinfo(x->easy, CURLINFO_OS_ERRNO, &number);
+	return code == CURLE_COULDNT_CONNECT && number == ECONNREFUSED;
+}
+
 static void finish(struct http_exchange *x, CURLcode code)
 {
 	struct http_result result = {.exchange = x};
@@ -117,6 +126,7 @@
 	curl_easy_getinfo(x->easy, CURLINFO_REQUEST_SIZE, &sent);
 	result.status = (unsigned int)status;
 	result.maybe_sent = sent > 0;
+	result.refused = is_refused(x, code);
 	result.resent = x->resent;
 	result.body = buf_str(&x->body);
 	result.err = result_error(x, code, result.status);
--- a/io/http_client.h
+++ b/io/http_client.h
@@ -15,6 +15,7 @@
 	/* 0, CF_ECONN, CF_ETIMEOUT, CF_ETOOBIG, CF_EMALFORMED, CF_ESTALE */
 	int err;
 	bool maybe_sent; /* a byte of the request may have reached the upstream */
+	bool refused;	 /* with CF_ECONN: no process listened at the address */
 	/* Also on an earlier connection, which ended without an answer. */
 	bool resent;
 	unsigned int status;
--- a/regress/lib_dag_world.c
+++ b/regress/lib_dag_world.c
@@ -445,6 +445,7 @@
 	dw->lease_ms = 0;
 	dw->look_at_us = 0;
 	dw->up = restart;
+	dw->refuses_until_us = dw->reset_us ? 0 : w->now_us + w->refuse_us;
 	dw->born_ms = dw_wall_ms(w) - w->born_back_ms;
 	if (restart && !dw->mute)
 		report(w, dw);
@@ -800,6 +801,10 @@
 		answer(w, &e, DAG_RESULT_RESTARTED);
 		return;
 	}
+	if (dw && !dw->up && !dw->cut && w->now_us < dw->refuses_until_us) {
+		answer(w, &e, DAG_RESULT_REFUSED);
+		return;
+	}
 	if (!dw || !dw->up || dw->cut) {
 		add_timeout(w, &e);
 		w->events[w->n_events - 1].leader = e.leader;
--- a/regress/lib_dag_world.h
+++ b/regress/lib_dag_world.h
@@ -77,6 +77,7 @@
 	bool mute;	  /* its reports are lost */
 	int64_t reset_us; /* from a crash until a look that waited is known as lost, 0:
 			     soon */
+	int64_t refuses_until_us; /* it is down, and its machine is not */
 	struct dw_room room;
 	struct dw_past_room past[DW_ROOMS]; /* a ring */
 	size_t n_past;
@@ -167,8 +168,9 @@
 			  */
 	int64_t born_back_ms; /* the time of day of workers was set back by this */
 	int64_t commit_us;
-	size_t list_max; /* a worker lists so many ends at a time, 0: all */
-	int64_t work_us; /* of a batch task */
+	int64_t refuse_us; /* so long the machine of a worker that ended refuses polls */
+	size_t list_max;   /* a worker lists so many ends at a time, 0: all */
+	int64_t work_us;   /* of a batch task */
 	/* Tasks with this index in these jobs crash each worker that starts them. */
 	uint64_t deadly_job; /* first of them, 0: none */
 	uint32_t deadly_jobs;
--- a/regress/test_dag_life.c
+++ b/regress/test_dag_life.c
@@ -13,6 +13,7 @@
 static void open_world(void)
 {
 	dw_open(&w, 1);
+	w.refuse_us = 100 * MS;
 }
 
 static void close_world(void)
@@ -525,7 +526,7 @@
 
 /*
  * Guards against the same when polls have failed between the exit and the new leader. _i
- * 1: before the exit was recorded.
+ * 1: before the exit was recorded; 2: before it was announced.
  */
 START_TEST(polls_that_fail_after_an_exit_hide_it_from_no_leader)
 {
@@ -536,19 +537,29 @@
 	dw_run_for(&w, SECOND);
 	dw_add_worker(&w, 16000, 16000);
 	dw_run_for(&w, SECOND);
+	/* Its machine ends with it, so that nothing refuses the polls. */
+	if (_i < 2)
+		w.refuse_us = 0;
 	if (_i == 0) {
 		record_exit(1);
 		dw_run_for(&w, 20 * MS);
 		dw_crash_worker(&w, number, false);
 		dw_run_for(&w, 900 * MS);
-	} else {
+	} else if (_i == 1) {
 		dw_crash_worker(&w, number, false);
 		dw_run_for(&w, 100 * MS);
 		w.commit_us = 800 * MS;
 		record_exit(1);
 		dw_run_for(&w, 1600 * MS);
+	} else {
+		dw_crash_worker(&w, number, false);
+		while (!dag_state_find_worker(w.state, 1)->lost)
+			dw_run_for(&w, MS);
+		record_exit(1);
+		dw_run_for(&w, 60 * MS);
 	}
-	ck_assert_uint_eq(w.starts, 2);
+	if (_i < 2)
+		ck_assert_uint_eq(w.starts, 2);
 	w.commit_us = 8 * MS;
 	dw_change_leader(&w);
 	dw_run_for(&w, 4 * SECOND);
@@ -557,6 +568,28 @@
 }
 END_TEST
 
+/* Guards against runs that count as over as their worker announced its exit in a cut. */
+START_TEST(exit_announced_in_a_cut_ends_no_runs)
+{
+	uint32_t number = dw_add_worker(&w, 8000, 8000);
+
+	w.work_us = 30 * SECOND;
+	dw_submit_chain(&w, 1, 1, 4);
+	dw_run_for(&w, 2 * SECOND);
+	dw_add_worker(&w, 8000, 8000);
+	dw_run_for(&w, SECOND);
+	w.workers[number].cut = true;
+	record_exit(1);
+	dw_run_for(&w, 2400 * MS);
+	w.workers[number].cut = false;
+	/* Its acknowledgement was lost, so that it goes on for some seconds. */
+	dw_run_for(&w, 1600 * MS);
+	dw_crash_worker(&w, number, false);
+	dw_run_for(&w, 20 * SECOND);
+	dw_assert_sound(&w);
+}
+END_TEST
+
 /*
  * Guards against a worker whose lists count as old for good, since it started again after
  * its time of day was set back: its tasks are neither seen nor started elsewhere. _i % 2:
@@ -725,7 +758,8 @@
 		tc, runs_of_a_worker_that_leaves_behind_a_cut_keep_their_lease, 0, 3);
 	tcase_add_loop_test(tc, new_leader_knows_that_a_worker_has_left, 0, 2);
 	tcase_add_loop_test(tc, polls_that_fail_after_an_exit_hide_it_from_no_leader, 0,
-			    2);
+			    3);
+	tcase_add_test(tc, exit_announced_in_a_cut_ends_no_runs);
 	tcase_add_loop_test(tc, worker_whose_time_was_set_back_is_followed, 0, 4);
 	tcase_add_loop_test(tc, worker_whose_time_was_set_back_comes_back, 0, 2);
 	tcase_add_loop_test(tc, random_restarts_under_one_id, 0, 200);
--- a/regress/test_dag_life_open.c
+++ b/regress/test_dag_life_open.c
@@ -69,32 +69,6 @@
 }
 END_TEST
 
-/* Guards against runs that count as over as their worker announced its exit in a cut. */
-START_TEST(exit_announced_in_a_cut_ends_no_runs)
-{
-	struct dag_command c = {.kind = DAG_CMD_WORKER};
-	uint32_t number = dw_add_worker(&w, 8000, 8000);
-
-	w.work_us = 30 * SECOND;
-	dw_submit_chain(&w, 1, 1, 4);
-	dw_run_for(&w, 2 * SECOND);
-	dw_add_worker(&w, 8000, 8000);
-	dw_run_for(&w, SECOND);
-	w.workers[number].cut = true;
-	dag_sched_worker_leaving(w.sched, 1, w.now_us);
-	c.dag_command_u.worker = dag_state_find_worker(w.state, 1)->w;
-	c.dag_command_u.worker.state = DAG_WORKER_GONE;
-	ck_assert_int_eq(w.host.ops->propose(&w.host, &c), 0);
-	dw_run_for(&w, 2400 * MS);
-	w.workers[number].cut = false;
-	/* Its acknowledgement was lost, so that it goes on for some seconds. */
-	dw_run_for(&w, 1600 * MS);
-	dw_crash_worker(&w, number, false);
-	dw_run_for(&w, 20 * SECOND);
-	dw_assert_sound(&w);
-}
-END_TEST
-
 /* Guards against a failure that is listed after the next run has begun, and not counted.
  */
 START_TEST(late_failure_beside_a_successor_counts)
@@ -129,7 +103,6 @@
 	tcase_add_checked_fixture(tc, open_world, close_world);
 	tcase_add_loop_test(tc, late_start_before_any_other_call_is_refused, 0, 3);
 	tcase_add_test(tc, acknowledgement_after_a_quick_restart_is_refused);
-	tcase_add_test(tc, exit_announced_in_a_cut_ends_no_runs);
 	tcase_add_test(tc, late_failure_beside_a_successor_counts);
 	suite_add_tcase(s, tc);
 	srunner_run_all(sr, CK_NORMAL);
--- a/regress/test_executors.c
+++ b/regress/test_executors.c
@@ -363,6 +363,30 @@
 }
 END_TEST
 
+/*
+ * Guards against workers that are cut off and count as ended: only a machine that refuses
+ * a poll says so (_i 0), not a start (1) and not a connection that breaks (2).
+ */
+START_TEST(refused_poll_tells_that_nobody_listens)
+{
+	struct linger drop = {.l_onoff = 1};
+	int listener = _i < 2 ? -1 : listen_elsewhere();
+	int fd;
+
+	send_elsewhere(_i != 1);
+	if (_i == 2) {
+		play(0.05);
+		fd = accept(listener, NULL, NULL);
+		setsockopt(fd, SOL_SOCKET, SO_LINGER, &drop, sizeof(drop));
+		close(fd);
+	}
+	play(0.2);
+	ck_assert_uint_eq(user.commands + user.polls, 1);
+	ck_assert_int_eq(user.result, _i ? DAG_RESULT_UNKNOWN : DAG_RESULT_REFUSED);
+	close(listener);
+}
+END_TEST
+
 #define IDLE 4	       /* connections to one executor, all idle */
 #define IN_TOUCH_S 3.0 /* after which a silent channel may not count any more */
 #define RETRY_S 0.4    /* between polls without a reply, as the leader sends them */
@@ -520,6 +544,7 @@
 	tcase_add_test(t, poll_that_asks_for_no_reply_reports_none);
 	tcase_add_test(t, full_list_of_ends_may_lack_some);
 	tcase_add_loop_test(t, call_whose_copy_has_another_effect_is_sent_once, 0, 2);
+	tcase_add_loop_test(t, refused_poll_tells_that_nobody_listens, 0, 3);
 	tcase_add_loop_test(t, odd_row_costs_no_other_row, 0, N_ODD_ROWS);
 	tcase_add_test(t, silent_idle_connections_are_given_up);
 	tcase_add_test(t, slow_reply_after_a_lost_poll_is_read);
