--- a/regress/lib_dag_world.c
+++ b/regress/lib_dag_world.c
@@ -801,7 +801,8 @@
 		answer(w, &e, DAG_RESULT_RESTARTED);
 		return;
 	}
-	if (dw && !dw->up && !dw->cut && w->now_us < dw->refuses_until_us) {
+	if (dw && ((!dw->up && !dw->cut && w->now_us < dw->refuses_until_us) ||
+		   (dw->cut && w->cut_refuses))) {
 		answer(w, &e, DAG_RESULT_REFUSED);
 		return;
 	}
@@ -872,7 +873,8 @@
 static void take_answer(struct dag_world *w, const struct dw_event *e)
 {
 	struct dw_worker *dw = worker_of(w, e->worker);
-	enum dag_call_result a = dw && dw->cut ? DAG_RESULT_UNKNOWN : e->answer;
+	bool lost = dw && dw->cut && e->answer != DAG_RESULT_REFUSED;
+	enum dag_call_result a = lost ? DAG_RESULT_UNKNOWN : e->answer;
 
 	if (e->leader != w->life)
 		return;
--- a/regress/lib_dag_world.h
+++ b/regress/lib_dag_world.h
@@ -169,6 +169,7 @@
 	int64_t born_back_ms; /* the time of day of workers was set back by this */
 	int64_t commit_us;
 	int64_t refuse_us; /* so long the machine of a worker that ended refuses polls */
+	bool cut_refuses;  /* cuts refuse polls, as srv_cut "reset" of the bench does */
 	size_t list_max;   /* a worker lists so many ends at a time, 0: all */
 	int64_t work_us;   /* of a batch task */
 	/* Tasks with this index in these jobs crash each worker that starts them. */
