bench_router: build again

Cause: gave struct router_answer a member, and the bench initialised it by position, so that -Werror=missing-field-initializers ends its build.

Change: members are initialised by name.

--- a/bench/bench_router.c
+++ b/bench/bench_router.c
@@ -339,7 +339,8 @@
 		served(s, e->a, e->b);
 		break;
 	case E_RESPONSE:
-		a = (struct router_answer){e->not_run, 200, e->load};
+		a = (struct router_answer){
+			.not_run = e->not_run, .status = 200, .load = e->load};
 		router_answered(s->entry[e->a].r, e->b, &a, s->now);
 		break;
 	case E_ANNOUNCE:
