router: a refused request does not hold up the others

What callers saw: test_site_drain, part with upstreams stopped, and a service near its slots: requests refused as "hopeless" within 1 ms, with 8 s left, although slots were free.

Cause: retries are served before first sends, and only the first retry of the queue was tried. A retry avoids the upstreams that refused it last. When the only other one seemed full, by a report of up to some hundred ms ago, nothing was sent at all, also no other request to an upstream with free slots, until the next report or until nothing of this process was in flight. The queue grew meanwhile, requests in flight went down, and the estimated wait (queue / in flight) with them went over the deadline.

Evidence, sanitized build, 3 entry processes, 4 executors of 8 slots, 100 requests/s of 250 ms, load 16 to 18: from the ledgers an entry process went from 7 in service to 1 in 0.6 s, its queue from 6 to 21, while 15 to 29 of 32 slots were in use; 5 of 6000 were refused. Longest time without a send with 3 or more waiting and 6 or more of 32 slots free: 328 to 495 ms.

Change: when no upstream is free for the first retry, the first request of the classes is tried.

Measured: refused_request_holds_up_no_others, 11 requests queued instead of 1 before, passes now.

--- a/core/router_queue.c
+++ b/core/router_queue.c
@@ -50,16 +50,17 @@
 	r->queued--;
 }
 
-/*
- * Returns the next request: a retry while the budget lasts, else by weighted round
- * robin over the classes. NULL if there is none.
- */
-static struct request *queue_next(struct pool *p)
+/* Returns the next retry; NULL if there is none or the budget is used up. */
+static struct request *next_retry(struct pool *p)
+{
+	return p->team->retry_tokens >= 1.0 ? TAILQ_FIRST(&p->retry_queue) : NULL;
+}
+
+/* Returns the next request by weighted round robin over the classes, or NULL. */
+static struct request *next_first(struct pool *p)
 {
 	unsigned int c;
 
-	if (!TAILQ_EMPTY(&p->retry_queue) && p->team->retry_tokens >= 1.0)
-		return TAILQ_FIRST(&p->retry_queue);
 	for (unsigned int turn = 0; turn < 2; turn++) {
 		for (c = 0; c < ROUTER_CLASSES; c++)
 			if (p->credit[c] && !TAILQ_EMPTY(&p->queue[c]))
@@ -98,12 +99,13 @@
 	}
 }
 
-/* Sends one request of the pool. False if none is queued or no upstream is free. */
-static bool serve(struct router *r, struct pool *p, int64_t now_us)
+/* Sends the next request. False if there is none or no upstream is free for it. */
+static bool serve_next(struct router *r, struct pool *p,
+		       struct request *(*next)(struct pool *), int64_t now_us)
 {
 	struct request *q;
 
-	while ((q = queue_next(p))) {
+	while ((q = next(p))) {
 		struct upstream *u;
 
 		if (limit_hopeless(p, 0, q->deadline_us, now_us)) {
@@ -123,6 +125,16 @@
 	return false;
 }
 
+/*
+ * Sends one request of the pool, first a retry. A retry that has been to all upstreams
+ * that are free does not hold up the others.
+ */
+static bool serve(struct router *r, struct pool *p, int64_t now_us)
+{
+	return serve_next(r, p, next_retry, now_us) ||
+	       serve_next(r, p, next_first, now_us);
+}
+
 /*
  * Returns the next team in round robin order. A team that holds its equal share of
  * max_inflight or more is skipped, because round robin alone would favour the team
--- a/regress/test_router.c
+++ b/regress/test_router.c
@@ -712,6 +712,106 @@
 }
 END_TEST
 
+/* Four upstreams whose slots others hold for a while. */
+#define FULL_UPSTREAMS 4
+#define FULL_SERVICE (250 * MS)
+
+struct full {
+	struct router_host host;
+	unsigned int sends;
+	unsigned int finished;
+	int64_t now;
+};
+
+static void full_finish(struct router_host *h, uint64_t request,
+			const struct router_outcome *o)
+{
+	((struct full *)(void *)h)->finished++;
+}
+
+static void many_send(struct router_host *h, uint64_t request, uint64_t upstream)
+{
+	((struct full *)(void *)h)->sends++;
+}
+
+static const struct router_ops many_ops = {many_send,  full_finish, fair_claim,
+					   fair_claim, fair_claim,  fair_claim};
+
+static void full_announce(struct router *r, unsigned int i, int load, int64_t now)
+{
+	char name = (char)('a' + i);
+	struct router_upstream u = {.team = STR("guild"),
+				    .service = STR("desk"),
+				    .name = {&name, 1},
+				    .address = STR("127.0.0.1:80"),
+				    .zone = STR("a"),
+				    .slots = 8,
+				    .load = load,
+				    .incarnation = 1,
+				    .sequence = 1};
+
+	ck_assert_int_eq(router_upstream(r, &u, now), 0);
+}
+
+static void full_submit(struct full *f, struct router *r, uint64_t id)
+{
+	struct router_request q = {.id = id,
+				   .team = STR("guild"),
+				   .service = STR("desk"),
+				   .deadline_us = f->now + 8 * SEC};
+
+	ck_assert_int_eq(router_submit(r, &q, f->now), 0);
+}
+
+/* Guards against a refused request that keeps others from upstreams with free slots. */
+START_TEST(refused_request_holds_up_no_others)
+{
+	static struct full f;
+	struct router_answer refused = {.not_run = true, .status = 503, .load = -1};
+	struct router_answer done = {.status = 200, .load = -1};
+	struct router_options o;
+	struct router_stats st;
+	struct router *r;
+
+	memset(&f, 0, sizeof(f));
+	f.host.ops = &many_ops;
+	router_options_init(&o);
+	o.host = &f.host;
+	o.zone = STR("a");
+	ck_assert_int_eq(router_new(&o, &r), 0);
+	f.now = SEC;
+	router_fresh(r, true, f.now);
+	for (unsigned int i = 0; i < FULL_UPSTREAMS; i++)
+		full_announce(r, i, i == 0 ? 8 : 0, f.now);
+	/* The reported load counts once a service time is known. */
+	full_submit(&f, r, 0);
+	f.now += FULL_SERVICE;
+	router_answered(r, 0, &done, f.now);
+	ck_assert_uint_eq(f.finished, 1);
+	f.finished = 0;
+	f.sends = 0;
+	/* One is in service, so that the router does not send just to learn more. */
+	full_submit(&f, r, 1);
+	full_submit(&f, r, 2);
+	ck_assert_uint_eq(f.sends, 2);
+	/* The upstreams that are not full refuse the second one for the moment. */
+	for (unsigned int i = 1; i < FULL_UPSTREAMS; i++)
+		router_answered(r, 2, &refused, f.now);
+	ck_assert_uint_eq(f.sends, FULL_UPSTREAMS);
+	f.now += 100 * MS;
+	router_tick(r, f.now);
+	for (uint64_t id = 3; id < 13; id++) {
+		f.now += MS;
+		full_submit(&f, r, id);
+	}
+	router_stats(r, &st);
+	ck_assert_uint_eq(f.finished, 0);
+	ck_assert_uint_eq(st.queued, 1);
+	ck_assert_uint_eq(f.sends, FULL_UPSTREAMS + 10);
+	router_free(r);
+}
+END_TEST
+
 /* Ten upstreams of one pool; some answer badly. */
 #define EJECT_UPSTREAMS 10
 
@@ -1062,6 +1162,7 @@
 	tcase_add_test(tc, random_histories);
 	tcase_add_test(tc, teams_share_the_process);
 	tcase_add_test(tc, tables_are_bounded);
+	tcase_add_test(tc, refused_request_holds_up_no_others);
 	tcase_add_test(tc, ejection);
 	tcase_add_test(tc, deadly_request_takes_two_upstreams);
 	tcase_add_test(tc, resends_of_a_deadly_request_are_refused);
