router: a request outlasts a pool that is full for a moment

Cause: a request may be refused 12 times, so that one that all upstreams refuse comes to an end. A refused upstream is asked again after the mean service time divided by its slots, 31 ms here, by the same request. With 4 upstreams the 13 sends are used up within 65 to 95 ms of a full pool. When an upstream process stops, the other one has 32 slots for about 25 requests at a time, so the pool is full for such a time now and then.

By the upstreams' ledger 28 to 32 of 32 slots were in use while the request was asked for; u1 had left 1 s before.

Change: from the fourth refusal on, a request pauses before it is sent again, first as long as the upstream, then twice as long each time, at most half of the time that it has left. After a pause it may go to the upstreams that refused it before. The bound of 12 refusals stays.

Measured: request_outlasts_a_full_pool (full for 0, 70, 500, 3000 ms) failed at 500 ms with "refused after 13 sends" and passes.

--- a/core/router.c
+++ b/core/router.c
@@ -405,19 +405,26 @@
 /*
  * Retries a send that ended without a complete response, or answers the caller. When
  * the retry budget is used up, a refused request waits for it, because it has cost
- * the upstream nothing; a failed one is not retried.
+ * the upstream nothing; a failed one is not retried. refused_us: time until the upstream
+ * that refused it is expected to have a free slot; 0: the send failed.
  */
-static void retry_or_finish(struct router *r, struct request *q, bool refused, int err,
-			    int64_t now_us)
+static void retry_or_finish(struct router *r, struct request *q, int64_t refused_us,
+			    int err, int64_t now_us)
 {
 	struct pool *p = q->pool;
 	enum router_reason why = failure_reason(q);
 	bool retry = (!q->may_have_run || q->idempotent) && r->fresh;
+	bool refused = refused_us > 0;
+	int64_t pause;
 
 	q->refused = refused;
 	q->refusals += refused;
+	pause = retry_pause_us(q, refused_us, now_us);
 	retry = retry && sends_left(r, q) && (refused || retry_allowed(r, p->team));
-	queue_push(r, q);
+	if (retry && pause > 0)
+		queue_pause(r, q, now_us + pause);
+	else
+		queue_push(r, q);
 	if (!retry)
 		request_finish(r, q, ROUTER_NOT_RUN, why, err, now_us);
 	queue_dispatch(r, p, now_us);
@@ -459,12 +466,14 @@
 	/* The reported load does not include this request. */
 	upstream_load(u, a->load, u->inflight - 1, now_us);
 	if (a->not_run) {
+		int64_t refused_us = limit_refused_us(u);
+
 		/* The upstream speaks of the last send only. */
 		q->may_have_run |= a->resent;
 		r->stats.upstream_refused++;
 		limit_refused(r, u, now_us);
 		if (send_ended(r, q, now_us))
-			retry_or_finish(r, q, true, CF_EBUSY, now_us);
+			retry_or_finish(r, q, refused_us, CF_EBUSY, now_us);
 		return;
 	}
 	limit_sample(r, u, took, now_us);
@@ -496,7 +505,7 @@
 	if (!send_ended(r, q, now_us))
 		return;
 	q->may_have_run |= maybe_run;
-	retry_or_finish(r, q, false, err, now_us);
+	retry_or_finish(r, q, 0, err, now_us);
 }
 
 /* Handles a disconnected caller. The slot is in use until the send has ended. */
@@ -525,6 +534,19 @@
 	request_finish(r, q, ROUTER_NOT_RUN, ROUTER_R_DEADLINE, CF_ETIMEOUT, now_us);
 }
 
+/* Handles the timer of a request: its deadline, or the end of its pause. */
+static void request_due(struct router *r, struct request *q, int64_t now_us)
+{
+	struct pool *p = q->pool;
+
+	if (now_us >= q->deadline_us) {
+		request_expired(r, q, now_us);
+		return;
+	}
+	queue_resume(r, q);
+	queue_dispatch(r, p, now_us);
+}
+
 /*
  * Sets whether the configuration is known to be fresh. If not, nothing new is sent,
  * because an upstream or availability zone may have been taken out of service
@@ -560,7 +582,7 @@
 		timers_remove(&r->timers, x);
 		switch ((enum timer_kind)x->kind) {
 		case TIMER_REQUEST:
-			request_expired(r, CONTAINER(x, struct request, timer), now_us);
+			request_due(r, CONTAINER(x, struct request, timer), now_us);
 			break;
 		case TIMER_EXPIRY:
 			upstream_expiry(r, CONTAINER(x, struct upstream, expiry), now_us);
--- a/core/router_impl.h
+++ b/core/router_impl.h
@@ -28,7 +28,7 @@
 	((type *)(void *)((char *)(ptr)-offsetof(type, member)))
 
 enum timer_kind {
-	TIMER_REQUEST = 0, /* deadline of a request */
+	TIMER_REQUEST = 0, /* deadline of a request, or the end of its pause */
 	TIMER_EXPIRY = 1,  /* announcement expires, later the record is removed */
 	TIMER_REOPEN = 2,  /* a refusal or an ejection ends */
 };
@@ -63,6 +63,7 @@
 	bool keyed;
 	bool claimed;	   /* a granted claim is still open */
 	bool refused;	   /* the last send was refused by the upstream */
+	bool pausing;	   /* refused often: waits for its timer before the next send */
 	bool may_have_run; /* an earlier send may have run */
 };
 
@@ -131,6 +132,7 @@
 	struct upstream_set set[ROUTER_MAX_ZONES][2]; /* [zone][home] */
 	struct request_queue queue[ROUTER_CLASSES];
 	struct request_queue retry_queue; /* sent before; subject to the retry budget */
+	struct request_queue pause_queue; /* refused often; see retry_pause_us() */
 	unsigned int waiting[ROUTER_CLASSES]; /* queued or claiming */
 	unsigned int credit[ROUTER_CLASSES];
 	unsigned int queued;
@@ -217,6 +219,8 @@
 /* router_queue.c */
 void queue_push(struct router *r, struct request *q);
 void queue_remove(struct router *r, struct request *q);
+void queue_pause(struct router *r, struct request *q, int64_t until_us);
+void queue_resume(struct router *r, struct request *q);
 void queue_dispatch(struct router *r, struct pool *p, int64_t now_us);
 void queue_wait_begin(struct request *q);
 void queue_wait_end(struct request *q);
@@ -231,6 +235,7 @@
 unsigned int limit_own(const struct router *r, const struct upstream *u);
 unsigned int limit_connections(const struct router *r);
 void limit_sample(struct router *r, struct upstream *u, int64_t took_us, int64_t now_us);
+int64_t limit_refused_us(const struct upstream *u);
 void limit_refused(struct router *r, struct upstream *u, int64_t now_us);
 
 /* router_retry.c */
@@ -239,6 +244,7 @@
 bool retry_allowed(struct router *r, const struct team *t);
 void retry_spend(struct team *t, bool refused);
 bool retry_tried(const struct request *q, uint64_t upstream);
+int64_t retry_pause_us(const struct request *q, int64_t refused_us, int64_t now_us);
 
 /* router_suspect.c */
 unsigned int suspect_losses(struct router *r, uint64_t identity, int64_t now_us);
--- a/core/router_limit.c
+++ b/core/router_limit.c
@@ -141,19 +141,20 @@
 		u->limit = (float)u->slots;
 }
 
-/*
- * Handles a refusal at the slot limit: pauses sends to the upstream until one of its
- * slots is expected to be free.
- */
-void limit_refused(struct router *r, struct upstream *u, int64_t now_us)
+/* Time until a full upstream is expected to have a free slot. */
+int64_t limit_refused_us(const struct upstream *u)
 {
 	int64_t wait = (int64_t)(u->pool->mean_us / u->slots);
 
 	if (wait < REFUSED_MIN_US)
-		wait = REFUSED_MIN_US;
-	if (wait > REFUSED_MAX_US)
-		wait = REFUSED_MAX_US;
-	u->closed_until_us = now_us + wait;
+		return REFUSED_MIN_US;
+	return wait > REFUSED_MAX_US ? REFUSED_MAX_US : wait;
+}
+
+/* Handles a refusal at the slot limit: pauses sends to the upstream. */
+void limit_refused(struct router *r, struct upstream *u, int64_t now_us)
+{
+	u->closed_until_us = now_us + limit_refused_us(u);
 	/* An earlier timer, for the end of an ejection, is then set to this time. */
 	if (!u->reopen.slot || u->reopen.at_us > u->closed_until_us)
 		timers_set(&r->timers, &u->reopen, u->closed_until_us);
--- a/core/router_pool.c
+++ b/core/router_pool.c
@@ -90,6 +90,7 @@
 	for (unsigned int c = 0; c < ROUTER_CLASSES; c++)
 		TAILQ_INIT(&p->queue[c]);
 	TAILQ_INIT(&p->retry_queue);
+	TAILQ_INIT(&p->pause_queue);
 	TAILQ_INIT(&p->members);
 	p->home_us = INT64_MIN / 2;
 	HASH_ADD_KEYPTR(hh, r->pools, p->key, p->key_len, p);
--- a/core/router_queue.c
+++ b/core/router_queue.c
@@ -1,3 +1,5 @@
+#include <string.h>
+
 #include "base/err.h"
 #include "core/router_impl.h"
 
@@ -25,6 +27,8 @@
 
 static struct request_queue *queue_of(struct request *q)
 {
+	if (q->pausing)
+		return &q->pool->pause_queue;
 	return q->sends ? &q->pool->retry_queue : &q->pool->queue[q->class];
 }
 
@@ -50,6 +54,25 @@
 	r->queued--;
 }
 
+/* Queues a request that is not sent before until_us. */
+void queue_pause(struct router *r, struct request *q, int64_t until_us)
+{
+	q->pausing = true;
+	queue_push(r, q);
+	timers_set(&r->timers, &q->timer, until_us);
+}
+
+/* Ends a pause; the timer is that of the deadline again. */
+void queue_resume(struct router *r, struct request *q)
+{
+	queue_remove(r, q);
+	q->pausing = false;
+	/* Where it was refused before the pause a slot may be free now. */
+	memset(q->tried, 0, sizeof(q->tried));
+	queue_push(r, q);
+	timers_set(&r->timers, &q->timer, q->deadline_us);
+}
+
 /* Returns the next retry; NULL if there is none or the budget is used up. */
 static struct request *next_retry(struct pool *p)
 {
--- a/core/router_retry.c
+++ b/core/router_retry.c
@@ -42,3 +42,20 @@
 			return true;
 	return false;
 }
+
+/*
+ * Pause before a refused request is sent again, 0: none. When several upstreams refused
+ * it within milliseconds the pool is full: the pauses double, so that the refusals that
+ * are left are spread over the time that the request has, and leave half of this time.
+ */
+int64_t retry_pause_us(const struct request *q, int64_t refused_us, int64_t now_us)
+{
+	int64_t most = (q->deadline_us - now_us) / 2;
+	int64_t pause = refused_us;
+
+	if (q->refusals <= ROUTER_TRIED)
+		return 0;
+	for (unsigned int n = ROUTER_TRIED + 1; n < q->refusals && pause < most; n++)
+		pause *= 2;
+	return pause < most ? pause : most;
+}
--- a/regress/test_router.c
+++ b/regress/test_router.c
@@ -715,20 +715,39 @@
 /* Four upstreams whose slots others hold for a while. */
 #define FULL_UPSTREAMS 4
 #define FULL_SERVICE (250 * MS)
+#define FULL_ROUND_TRIP MS
 
 struct full {
 	struct router_host host;
+	int64_t answer_at; /* of the send in flight, 0: none */
 	unsigned int sends;
 	unsigned int finished;
+	struct router_outcome out;
 	int64_t now;
 };
 
+static void full_send(struct router_host *h, uint64_t request, uint64_t upstream)
+{
+	struct full *f = (struct full *)(void *)h;
+
+	ck_assert_int_eq(f->answer_at, 0);
+	f->answer_at = f->now + FULL_ROUND_TRIP;
+	f->sends++;
+}
+
 static void full_finish(struct router_host *h, uint64_t request,
 			const struct router_outcome *o)
 {
-	((struct full *)(void *)h)->finished++;
+	struct full *f = (struct full *)(void *)h;
+
+	f->out = *o;
+	f->finished++;
 }
 
+static const struct router_ops full_ops = {full_send,  full_finish, fair_claim,
+					   fair_claim, fair_claim,  fair_claim};
+
+/* Several sends may be in flight. */
 static void many_send(struct router_host *h, uint64_t request, uint64_t upstream)
 {
 	((struct full *)(void *)h)->sends++;
@@ -763,6 +782,68 @@
 	ck_assert_int_eq(router_submit(r, &q, f->now), 0);
 }
 
+/* Plays one request; sends are refused before the time `until`. */
+static void full_play(struct full *f, struct router *r, uint64_t id, int64_t until)
+{
+	f->sends = 0;
+	f->finished = 0;
+	full_submit(f, r, id);
+	while (!f->finished) {
+		int64_t next = router_deadline(r);
+		struct router_answer a = {.status = 200, .load = -1};
+
+		if (!f->answer_at || next < f->answer_at) {
+			f->now = next;
+			router_tick(r, f->now);
+			continue;
+		}
+		f->now = f->answer_at;
+		f->answer_at = 0;
+		a.not_run = f->now < until;
+		if (!a.not_run)
+			f->now += FULL_SERVICE;
+		router_answered(r, id, &a, f->now);
+	}
+	ck_assert_uint_eq(f->finished, 1);
+}
+
+/*
+ * Guards against a request that is refused, long before its deadline, because it came
+ * while others held every slot for a moment. It must not ask without end either.
+ */
+START_TEST(request_outlasts_a_full_pool)
+{
+	static const int64_t full_for[] = {0, 70 * MS, 500 * MS, 3 * SEC};
+	struct router_options o;
+	struct router *r;
+
+	for (unsigned int k = 0; k < sizeof(full_for) / sizeof(full_for[0]); k++) {
+		static struct full f;
+
+		memset(&f, 0, sizeof(f));
+		f.host.ops = &full_ops;
+		router_options_init(&o);
+		o.host = &f.host;
+		o.zone = STR("a");
+		/* Announcements are not what is tested. */
+		o.expiry_us = 100 * SEC;
+		ck_assert_int_eq(router_new(&o, &r), 0);
+		f.now = SEC;
+		router_fresh(r, true, f.now);
+		for (unsigned int i = 0; i < FULL_UPSTREAMS; i++)
+			full_announce(r, i, -1, f.now);
+		/* From the first one the router learns how long requests take. */
+		full_play(&f, r, 1, 0);
+		full_play(&f, r, 2, f.now + full_for[k]);
+		must(f.out.run == ROUTER_DONE, "full for %lld ms: %s after %u sends",
+		     (long long)(full_for[k] / MS), router_reason_str(f.out.reason),
+		     f.sends);
+		ck_assert_uint_le(f.sends, o.max_refusals + 1);
+		router_free(r);
+	}
+}
+END_TEST
+
 /* Guards against a refused request that keeps others from upstreams with free slots. */
 START_TEST(refused_request_holds_up_no_others)
 {
@@ -1162,6 +1243,7 @@
 	tcase_add_test(tc, random_histories);
 	tcase_add_test(tc, teams_share_the_process);
 	tcase_add_test(tc, tables_are_bounded);
+	tcase_add_test(tc, request_outlasts_a_full_pool);
 	tcase_add_test(tc, refused_request_holds_up_no_others);
 	tcase_add_test(tc, ejection);
 	tcase_add_test(tc, deadly_request_takes_two_upstreams);
