--- a/regress/test_dag_room.c
+++ b/regress/test_dag_room.c
@@ -101,7 +101,7 @@
 	c.dag_command_u.worker = recorded(number);
 	c.dag_command_u.worker.state = DAG_WORKER_GONE;
 	ck_assert_int_eq(w.host.ops->propose(&w.host, &c), 0);
-	dw_run_for(&w, 3 * SECOND);
+	dw_run_for(&w, 6 * SECOND);
 	ck_assert_int_eq(recorded(number).state, DAG_WORKER_GONE);
 }
 
