--- a/regress/test_dag_life.c
+++ b/regress/test_dag_life.c
@@ -2,8 +2,8 @@
 #include <check.h>
 #include <stdio.h>
 #include <stdlib.h>
-#include <string.h>
 
+#include "proto/codec.h"
 #include "regress/lib_dag_world.h"
 
 #define SECOND 1000000LL
@@ -687,8 +687,9 @@
 	dw_add_worker(&w, 16000, 16000);
 	dw_run_for(&w, SECOND);
 	r.worker = dag_state_find_worker(w.state, 1)->w;
-	r.worker.id.id_val = strdup(w.workers[number].id);
-	r.worker.address.address_val = strdup(r.worker.address.address_val);
+	/* These texts outlive the record. */
+	XDR_SET(r.worker, id, str_from(w.workers[number].id));
+	XDR_SET(r.worker, address, str_from(w.workers[number].address));
 	r.clock_ms = 1000;
 	w.commit_us = (_i == 2 ? 1500 : 30) * MS;
 	record_exit(1);
