Read-through: one place for exits, shared steps of tests, panic once a round

No behaviour that a test or a page states has changed.

- dag_ends.c looked a listed end's task up twice, in two ways: one function.
- The relay counted all gateways again for each call to find out whether it may avoid any: once a round of the loop.
Bounds and assertions are unchanged.

--- a/carawayfrontd/front_answer.c
+++ b/carawayfrontd/front_answer.c
@@ -143,8 +143,7 @@
 	else
 		reply_refused(r, outcome);
 	r->http = NULL;
-	/* The router may still use it, and its timers end requests that nothing else
-	 * frees. */
+	/* The router may still use it, so that it is released from the loop. */
 	r->is_answered = true;
 	r->next_answered = f->answered;
 	f->answered = r;
--- a/carawayfrontd/gateway.c
+++ b/carawayfrontd/gateway.c
@@ -255,9 +255,8 @@
  */
 void gateway_drain(struct gateway *g)
 {
-	if (g->drain_at)
-		return;
-	g->drain_at = clock_s();
+	if (!g->drain_at)
+		g->drain_at = clock_s();
 }
 
 void gateway_free(struct gateway *g)
--- a/carawayfrontd/relay.c
+++ b/carawayfrontd/relay.c
@@ -196,6 +196,7 @@
 void relay_flush(struct relay *r)
 {
 	reconnect_agents(r);
+	relay_check_panic(r);
 	for (size_t i = 0; i < r->n_agents; i++)
 		if (r->agents[i].n_batch)
 			send_batch(r, &r->agents[i]);
--- a/carawayfrontd/relay_agent.c
+++ b/carawayfrontd/relay_agent.c
@@ -134,19 +134,22 @@
 }
 
 /*
- * Whether no gateway is avoided, as most of them would be. The cause is then hardly
- * theirs, and the calls of all workers would be too many for the others.
+ * Finds out whether no gateway is avoided, as most of them would be. The cause is then
+ * hardly theirs, and the calls of all workers would be too many for the others.
  */
-static bool is_panic(const struct relay *r, double now)
+void relay_check_panic(struct relay *r)
 {
+	double now = clock_s();
 	size_t heard = 0;
 	size_t avoided = 0;
 
 	for (size_t i = 0; i < r->n_agents; i++) {
-		heard += is_heard(&r->agents[i], now);
-		avoided += is_heard(&r->agents[i], now) && is_avoided(&r->agents[i], now);
+		if (!is_heard(&r->agents[i], now))
+			continue;
+		heard++;
+		avoided += is_avoided(&r->agents[i], now);
 	}
-	return heard >= PANIC_MIN && 2 * avoided > heard;
+	r->panic = heard >= PANIC_MIN && 2 * avoided > heard;
 }
 
 /* Sends no calls through a gateway for a while, unless most are avoided. */
@@ -204,7 +207,6 @@
 	uint64_t best_weight = 0;
 	bool best_near = false;
 	double now = clock_s();
-	bool panic = is_panic(r, now);
 
 	for (size_t i = 0; rec && i < r->n_agents; i++) {
 		struct relay_agent *a = &r->agents[i];
@@ -214,7 +216,7 @@
 		/* Every other path leads through any zone: a zone may be cut off. */
 		if (turns % 2)
 			near = false;
-		if (!is_heard(a, now) || (is_avoided(a, now) && !panic))
+		if (!is_heard(a, now) || (is_avoided(a, now) && !r->panic))
 			continue;
 		if (best && best_near && !near)
 			continue;
--- a/carawayfrontd/relay_impl.h
+++ b/carawayfrontd/relay_impl.h
@@ -60,6 +60,7 @@
 	struct relay_call *calls;
 	struct relay_path *paths;
 	uint64_t next_id;
+	bool panic;	   /* as of the last round of the loop: no gateway is avoided */
 	unsigned int late; /* answers to calls that were given up, not logged yet */
 	double late_logged;
 	struct ev_timer sweep;
@@ -69,6 +70,7 @@
 struct relay_agent *relay_find_agent(struct relay *r, uint64_t id);
 struct relay_agent *relay_new_agent(struct relay *r, uint64_t id);
 int relay_connect_agent(struct relay *r, struct relay_agent *a);
+void relay_check_panic(struct relay *r);
 void relay_avoid_agent(struct relay *r, struct relay_agent *a, const char *reason);
 struct relay_agent *relay_choose_agent(struct relay *r, uint32_t worker);
 void relay_change_path(struct relay *r, uint32_t worker);
--- a/core/dag_ends.c
+++ b/core/dag_ends.c
@@ -53,6 +53,20 @@
 		w->acked_end = to;
 }
 
+/* The step of a listed end; its job and task go to job and task. NULL: not known. */
+static const struct dag_step *find_listed(const struct dag_sched *s,
+					  const struct dag_listed_end *l,
+					  const struct dag_job_rec **job,
+					  const struct dag_task **task)
+{
+	const struct dag_job_rec *j = dag_state_find_job(s->state, l->task.job);
+
+	*job = j;
+	*task = j ? dag_job_find_task(j, l->task.occurrence, l->task.step, l->task.index)
+		  : NULL;
+	return *task ? &j->spec.steps.steps_val[l->task.step] : NULL;
+}
+
 /*
  * Whether a run that is listed as done was recorded as lost before, because its lease had
  * expired for the leader. The task may run again by then. If this end were acknowledged,
@@ -61,17 +75,11 @@
 static bool was_declared_lost(const struct dag_sched *s, const struct dag_listed_end *l,
 			      const struct ds_run *r)
 {
-	const struct dag_job_rec *j = dag_state_find_job(s->state, l->task.job);
-	const struct dag_step *st;
+	const struct dag_job_rec *j;
 	const struct dag_task *t;
+	const struct dag_step *st = find_listed(s, l, &j, &t);
 
-	if (l->how != DAG_END_DONE || !j)
-		return false;
-	t = dag_job_find_task(j, l->task.occurrence, l->task.step, l->task.index);
-	if (!t)
-		return false;
-	st = &j->spec.steps.steps_val[l->task.step];
-	if (st->speculative || st->long_running)
+	if (l->how != DAG_END_DONE || !st || st->speculative || st->long_running)
 		return false;
 	if (t->last_run != l->run)
 		return true;
@@ -102,13 +110,11 @@
 /* Whether an end counts whose run was recorded as lost before its worker listed it. */
 static bool is_late_end(const struct dag_sched *s, const struct dag_listed_end *l)
 {
-	const struct dag_job_rec *j = dag_state_find_job(s->state, l->task.job);
+	const struct dag_job_rec *j;
 	const struct dag_task *t;
+	const struct dag_step *st = find_listed(s, l, &j, &t);
 
-	if (!j || dag_job_ended(j))
-		return false;
-	t = dag_job_find_task(j, l->task.occurrence, l->task.step, l->task.index);
-	return t && !j->spec.steps.steps_val[l->task.step].long_running &&
+	return st && !dag_job_ended(j) && !st->long_running &&
 	       dag_task_takes_late_end(t, l->run, l->how);
 }
 
--- a/core/dag_life.c
+++ b/core/dag_life.c
@@ -146,8 +146,7 @@
  */
 void ds_worker_fence_starts(struct dag_sched *s, uint32_t worker)
 {
-	const struct dag_worker_rec *rec = dag_state_find_worker(s->state, worker);
-	struct ds_worker *w = rec ? rec->sched : NULL;
+	struct ds_worker *w = ds_worker_find(s, worker);
 
 	if (w)
 		w->fence++;
@@ -183,10 +182,7 @@
 	w->process_born_ms = born_ms;
 	ds_worker_begin_life(w);
 	w->earlier_left = w->leaving_since_us || w->draining;
-	w->leaving_since_us = 0;
-	w->exit_recorded = false;
-	w->exit_proposed = false;
-	w->poll_refused = false;
+	ds_worker_forget_exit(w);
 	w->clock_known = false;
 	w->acked_end = 0;
 	w->first_listed_end = 0;
--- a/core/dag_sched_impl.h
+++ b/core/dag_sched_impl.h
@@ -273,6 +273,11 @@
 void ds_worker_take_end(struct dag_sched *s, struct ds_worker *w,
 			const struct dag_listed_end *l);
 
+/* dag_leave.c */
+void ds_worker_recall_exit(const struct dag_sched *s, struct ds_worker *w);
+void ds_worker_forget_exit(struct ds_worker *w);
+void ds_worker_check_exit(struct dag_sched *s, struct ds_worker *w);
+
 /* dag_worker.c */
 struct ds_worker *ds_worker_new(struct dag_sched *s, struct dag_worker_rec *rec);
 void ds_worker_free(struct dag_sched *s, struct ds_worker *w);
@@ -284,6 +289,10 @@
 void ds_worker_tick(struct dag_sched *s, struct ds_worker *w, bool check_all);
 void ds_worker_count_result(struct dag_sched *s, struct ds_worker *w,
 			    enum dag_end_how how);
+struct ds_worker *ds_worker_find(const struct dag_sched *s, uint32_t number);
+void ds_worker_propose_lost(struct dag_sched *s, struct ds_worker *w, const char *reason);
+void ds_worker_propose_state(struct dag_sched *s, const struct ds_worker *w,
+			     enum dag_worker_state state, int64_t born_ms);
 bool ds_worker_has_label(const struct ds_worker *w, struct str label);
 
 /* dag_life.c */
--- a/core/dag_worker.c
+++ b/core/dag_worker.c
@@ -13,20 +13,6 @@
 /* A new leader of a large fleet spreads its first polls over this time. */
 #define FIRST_POLLS_US (600 * USEC_PER_MS)
 #define POLL_RETRY_US (400 * USEC_PER_MS)
-/* A worker that announced its exit and fails polls from then on for this time has exited.
- */
-#define LEAVE_TIMEOUT_US (1 * USEC_PER_SEC)
-/*
- * The same for one that is only silent: it ends some seconds after an announcement that
- * was not answered, and its lasting tasks are to run again within six.
- */
-#define SILENT_LEAVE_TIMEOUT_US (5 * USEC_PER_SEC)
-/* The exit is recorded by then, or its announcement was lost. */
-#define EXIT_RECORD_TIMEOUT_US (2 * USEC_PER_SEC)
-/* An announcement that other controllers pass on comes so late at most. */
-#define LEAVE_DELAY_US (1500 * USEC_PER_MS)
-/* An exit that an earlier leader recorded: its worker ends within seconds of that. */
-#define RECORDED_LEAVE_MARGIN_US (1 * USEC_PER_SEC)
 /* Polls in a row whose loss says nothing of the worker, but of the way to it. */
 #define LOST_PATHS_MAX 2U
 /* A reply that comes later after its wait may have been read from the worker long before.
@@ -88,11 +74,7 @@
 	 */
 	w->lease_expires_us =
 		ds_lease_expiry_us(rec->lost ? rec->lost_us : s->now_us, s->opt.lease_us);
-	/* Contact was not lost before the exit was recorded, so it was no cut. */
-	if (rec->w.state == DAG_WORKER_GONE && !rec->lost) {
-		w->leaving_since_us = s->now_us + RECORDED_LEAVE_MARGIN_US;
-		w->exit_recorded = true;
-	}
+	ds_worker_recall_exit(s, w);
 	w->next_poll_us = s->now_us;
 	w->polled_us = s->now_us;
 	s->workers[s->n_workers++] = w;
@@ -182,7 +164,7 @@
 }
 
 /* The leader's data of a recorded worker; NULL: none. */
-static struct ds_worker *find_worker(const struct dag_sched *s, uint32_t number)
+struct ds_worker *ds_worker_find(const struct dag_sched *s, uint32_t number)
 {
 	const struct dag_worker_rec *rec = dag_state_find_worker(s->state, number);
 
@@ -192,7 +174,7 @@
 /* Called for each report of a worker, received directly or through a controller. */
 void dag_sched_worker_reported(struct dag_sched *s, uint32_t worker, int64_t now_us)
 {
-	struct ds_worker *w = find_worker(s, worker);
+	struct ds_worker *w = ds_worker_find(s, worker);
 
 	s->now_us = now_us;
 	if (!w)
@@ -203,20 +185,6 @@
 	w->last_heard_us = now_us;
 }
 
-/* The worker announced its exit; it gets no new runs. */
-void dag_sched_worker_leaving(struct dag_sched *s, uint32_t worker, int64_t now_us)
-{
-	struct ds_worker *w = find_worker(s, worker);
-
-	s->now_us = now_us;
-	if (!w || w->leaving_since_us)
-		return;
-	w->leaving_since_us = now_us;
-	/* Its exit says why; with a loss recorded beside it, it would look like a cut. */
-	if (w->broken_us >= now_us - LEAVE_DELAY_US)
-		ds_worker_regain_contact(s, w);
-}
-
 /* Counts consecutive failures of runs and quarantines the worker at the limit. */
 void ds_worker_count_result(struct dag_sched *s, struct ds_worker *w,
 			    enum dag_end_how how)
@@ -267,7 +235,7 @@
 }
 
 /* All runs on a worker have ended; records those as lost that have no end yet. */
-static void propose_all_lost(struct dag_sched *s, struct ds_worker *w, const char *reason)
+void ds_worker_propose_lost(struct dag_sched *s, struct ds_worker *w, const char *reason)
 {
 	struct ds_run *r;
 
@@ -284,8 +252,8 @@
 		r->listed = false;
 }
 
-static void propose_state(struct dag_sched *s, const struct ds_worker *w,
-			  enum dag_worker_state state, int64_t born_ms)
+void ds_worker_propose_state(struct dag_sched *s, const struct ds_worker *w,
+			     enum dag_worker_state state, int64_t born_ms)
 {
 	struct dag_command c = {.kind = DAG_CMD_WORKER};
 
@@ -305,9 +273,9 @@
 	clear_listed(w);
 	if (w->rec->w.state == DAG_WORKER_READY && !w->leaving_since_us)
 		ds_crash_runs(s, w, reason);
-	propose_all_lost(s, w, reason);
+	ds_worker_propose_lost(s, w, reason);
 	if (w->rec->w.state != DAG_WORKER_GONE)
-		propose_state(s, w, DAG_WORKER_GONE, w->rec->w.born_ms);
+		ds_worker_propose_state(s, w, DAG_WORKER_GONE, w->rec->w.born_ms);
 }
 
 /* Two workers cannot share an address: the one that started earlier has exited. */
@@ -362,37 +330,6 @@
 	}
 }
 
-/*
- * Whether a worker that fails polls has exited as it announced. One that failed them long
- * before may be cut off: its runs go on until its lease ends. Nobody listens at the
- * address of a process that has ended; silence may be a cut as well, in which the answer
- * to the announcement was lost.
- */
-static bool has_left(const struct dag_sched *s, const struct ds_worker *w)
-{
-	int64_t since_us = s->now_us - w->leaving_since_us;
-
-	if (!w->leaving_since_us || w->poll_failures < 2 ||
-	    w->broken_us < w->leaving_since_us - LEAVE_DELAY_US)
-		return false;
-	return since_us > SILENT_LEAVE_TIMEOUT_US ||
-	       (since_us > LEAVE_TIMEOUT_US && (w->poll_refused || w->exit_recorded));
-}
-
-/*
- * A worker has exited as it announced. That it is gone is proposed with the announcement;
- * a second record would remove the first, so it waits until that has failed.
- */
-static void handle_left(struct dag_sched *s, struct ds_worker *w)
-{
-	propose_all_lost(s, w, "left");
-	if (w->rec->w.state == DAG_WORKER_GONE || w->exit_proposed ||
-	    s->now_us - w->leaving_since_us < EXIT_RECORD_TIMEOUT_US)
-		return;
-	w->exit_proposed = true;
-	propose_state(s, w, DAG_WORKER_GONE, w->rec->w.born_ms);
-}
-
 /* Removes the record of a worker that left long ago. */
 static void forget_worker(struct dag_sched *s, struct ds_worker *w)
 {
@@ -401,7 +338,7 @@
 	if (w->forget_proposed || s->now_us - w->gone_since_us < GONE_RETENTION_US)
 		return;
 	w->forget_proposed = true;
-	propose_state(s, w, DAG_WORKER_GONE, w->rec->w.born_ms);
+	ds_worker_propose_state(s, w, DAG_WORKER_GONE, w->rec->w.born_ms);
 }
 
 /* Runs timers: lease expiry, the next poll and, with check_all, those of the runs. */
@@ -416,8 +353,7 @@
 	}
 	if (w->n_runs && s->now_us >= w->lease_expires_us && ds_lapse_runs(s, w))
 		ds_worker_log_ends(s, w);
-	if (has_left(s, w))
-		handle_left(s, w);
+	ds_worker_check_exit(s, w);
 	if (check_all)
 		check_runs(s, w);
 	/* Ends of earlier lists are acknowledged beside new ones that are not recorded.
@@ -541,16 +477,13 @@
 	ds_worker_follow_reply(s, w, poll);
 	if (ds_worker_reply_is_old(w, poll))
 		return;
-	w->leaving_since_us = 0;
-	w->exit_recorded = false;
-	w->exit_proposed = false;
+	ds_worker_forget_exit(w);
 	w->gone_since_us = 0;
 	w->drain_reported = false;
 	w->poll_failures = 0;
-	w->poll_refused = false;
 	s->host->ops->log_event(s->host, "worker-back", NULL, 0, XDR_STR(w->rec->w, id),
 				"was recorded as gone and answers", 0);
-	propose_state(s, w, DAG_WORKER_READY, poll->born_ms);
+	ds_worker_propose_state(s, w, DAG_WORKER_READY, poll->born_ms);
 }
 
 /* When the worker made the list of a reply that has just come, at the earliest. */
@@ -567,7 +500,7 @@
 			    enum dag_call_result result,
 			    const struct dag_poll_reply *poll, int64_t now_us)
 {
-	struct ds_worker *w = find_worker(s, worker);
+	struct ds_worker *w = ds_worker_find(s, worker);
 
 	s->now_us = now_us;
 	if (!w || !w->poll_in_flight)
--- a/regress/lib_dag_world.c
+++ b/regress/lib_dag_world.c
@@ -465,6 +465,39 @@
 	w->workers[number].new_id = new_id;
 }
 
+void dw_record_exit(struct dag_world *w, uint32_t record)
+{
+	struct dag_command c = {.kind = DAG_CMD_WORKER};
+
+	dag_sched_worker_leaving(w->sched, record, w->now_us);
+	c.dag_command_u.worker = dag_state_find_worker(w->state, record)->w;
+	c.dag_command_u.worker.state = DAG_WORKER_GONE;
+	ck_assert_int_eq(w->host.ops->propose(&w->host, &c), 0);
+}
+
+void dw_leave_in_a_cut(struct dag_world *w, uint32_t number, uint32_t record)
+{
+	w->workers[number].cut = true;
+	dw_record_exit(w, record);
+	dw_run_for(w, 2400 * MS);
+	w->workers[number].cut = false;
+	dw_run_for(w, 1600 * MS);
+	dw_crash_worker(w, number, false);
+}
+
+void dw_restart_before_a_late_start(struct dag_world *w, uint32_t number, int64_t us)
+{
+	dw_run_for(w, 1000 * MS);
+	dw_submit_chain(w, 1, 1, 1);
+	w->hold_us = 3000 * MS;
+	dw_run_for(w, 40 * MS);
+	w->hold_us = 0;
+	dw_run_for(w, 2800 * MS);
+	ck_assert_int_eq(dw_state(w, 1), DAG_JOB_COMPLETED);
+	w->workers[number].quiet_until_us = w->now_us + 1000 * MS;
+	dw_crash_for(w, number, us, false);
+}
+
 static void crash_and_return(struct dag_world *w)
 {
 	for (size_t i = 0; i < w->n_workers; i++) {
--- a/regress/lib_dag_world.h
+++ b/regress/lib_dag_world.h
@@ -222,6 +222,18 @@
 void dw_close_zone(struct dag_world *w, bool closed);
 void dw_crash_worker(struct dag_world *w, uint32_t number, bool restart);
 /* Starts again at once; neither a report nor a broken connection tells of it. */
+/* As the leader does when a worker announces its exit. */
+void dw_record_exit(struct dag_world *w, uint32_t record);
+/*
+ * A worker announces its exit in a cut and gets no answer, so that it goes on for some
+ * seconds after the cut, which is over 2.4 s later, and ends.
+ */
+void dw_leave_in_a_cut(struct dag_world *w, uint32_t number, uint32_t record);
+/*
+ * Job 1 has a start request that is held up and gets no answer; its repetition is done.
+ * Then the worker starts again after so long.
+ */
+void dw_restart_before_a_late_start(struct dag_world *w, uint32_t number, int64_t us);
 void dw_restart_silently(struct dag_world *w, uint32_t number);
 /* Crashes; starts again after a time, under its old or another id. */
 void dw_crash_for(struct dag_world *w, uint32_t number, int64_t us, bool new_id);
--- a/regress/test_dag_life.c
+++ b/regress/test_dag_life.c
@@ -364,15 +364,7 @@
 {
 	uint32_t number = dw_add_worker(&w, 8000, 8000);
 
-	dw_run_for(&w, SECOND);
-	dw_submit_chain(&w, 1, 1, 1);
-	w.hold_us = 3 * SECOND;
-	dw_run_for(&w, 40 * MS);
-	w.hold_us = 0;
-	dw_run_for(&w, 2800 * MS);
-	ck_assert_int_eq(dw_state(&w, 1), DAG_JOB_COMPLETED);
-	w.workers[number].quiet_until_us = w.now_us + SECOND;
-	dw_crash_for(&w, number, 20 * MS + _i * 5 * MS, false);
+	dw_restart_before_a_late_start(&w, number, 20 * MS + _i * 5 * MS);
 	dw_run_for(&w, 10 * SECOND);
 	dw_assert_sound(&w);
 }
@@ -483,17 +475,6 @@
 }
 END_TEST
 
-/* As the leader records an announced exit. */
-static void record_exit(uint32_t record)
-{
-	struct dag_command c = {.kind = DAG_CMD_WORKER};
-
-	dag_sched_worker_leaving(w.sched, record, w.now_us);
-	c.dag_command_u.worker = dag_state_find_worker(w.state, record)->w;
-	c.dag_command_u.worker.state = DAG_WORKER_GONE;
-	ck_assert_int_eq(w.host.ops->propose(&w.host, &c), 0);
-}
-
 /*
  * Guards against lasting tasks that a new leader starts only after the lease of a worker
  * that has left. _i 1: contact was lost before, so the worker may be cut off and run on.
@@ -512,7 +493,7 @@
 		w.workers[number].cut = true;
 		dw_run_for(&w, 4 * SECOND);
 	}
-	record_exit(1);
+	dw_record_exit(&w, 1);
 	dw_run_for(&w, 100 * MS);
 	if (_i == 0)
 		dw_crash_worker(&w, number, false);
@@ -542,7 +523,7 @@
 	if (_i < 2)
 		w.refuse_us = 0;
 	if (_i == 0) {
-		record_exit(1);
+		dw_record_exit(&w, 1);
 		dw_run_for(&w, 20 * MS);
 		dw_crash_worker(&w, number, false);
 		dw_run_for(&w, 900 * MS);
@@ -550,13 +531,13 @@
 		dw_crash_worker(&w, number, false);
 		dw_run_for(&w, 100 * MS);
 		w.commit_us = 800 * MS;
-		record_exit(1);
+		dw_record_exit(&w, 1);
 		dw_run_for(&w, 1600 * MS);
 	} else {
 		dw_crash_worker(&w, number, false);
 		while (!dag_state_find_worker(w.state, 1)->lost)
 			dw_run_for(&w, MS);
-		record_exit(1);
+		dw_record_exit(&w, 1);
 		dw_run_for(&w, 60 * MS);
 	}
 	if (_i < 2)
@@ -579,13 +560,7 @@
 	dw_run_for(&w, 2 * SECOND);
 	dw_add_worker(&w, 8000, 8000);
 	dw_run_for(&w, SECOND);
-	w.workers[number].cut = true;
-	record_exit(1);
-	dw_run_for(&w, 2400 * MS);
-	w.workers[number].cut = false;
-	/* Its acknowledgement was lost, so that it goes on for some seconds. */
-	dw_run_for(&w, 1600 * MS);
-	dw_crash_worker(&w, number, false);
+	dw_leave_in_a_cut(&w, number, 1);
 	dw_run_for(&w, 20 * SECOND);
 	dw_assert_sound(&w);
 }
@@ -605,7 +580,7 @@
 	ck_assert_uint_eq(w.starts, 2);
 	if (_i == 1) {
 		w.refuse_us = 0;
-		record_exit(1);
+		dw_record_exit(&w, 1);
 		dw_run_for(&w, 50 * MS);
 		dw_crash_for(&w, number, 600 * MS, false);
 		dw_change_leader(&w);
@@ -615,12 +590,7 @@
 	}
 	dw_add_worker(&w, 8000, 8000);
 	dw_run_for(&w, 2 * SECOND);
-	w.workers[number].cut = true;
-	record_exit(1);
-	dw_run_for(&w, 2400 * MS);
-	w.workers[number].cut = false;
-	dw_run_for(&w, 1600 * MS);
-	dw_crash_worker(&w, number, false);
+	dw_leave_in_a_cut(&w, number, 1);
 	dw_run_for(&w, 20 * SECOND);
 	dw_assert_sound(&w);
 }
@@ -651,7 +621,7 @@
 			dw_run_for(&w, MS);
 		dw_run_for(&w, 30 * MS);
 	}
-	record_exit(1);
+	dw_record_exit(&w, 1);
 	dw_run_for(&w, 20 * MS);
 	if (_i == 1) {
 		/* The answer to the poll in flight is lost, and so is the next one. */
@@ -692,7 +662,7 @@
 	XDR_SET(r.worker, address, str_from(w.workers[number].address));
 	r.clock_ms = 1000;
 	w.commit_us = (_i == 2 ? 1500 : 30) * MS;
-	record_exit(1);
+	dw_record_exit(&w, 1);
 	dw_run_for(&w, _i ? MS : 40 * MS);
 	dw_crash_worker(&w, number, false);
 	dw_run_for(&w, _i == 2 ? 4 * SECOND : SECOND);
--- a/regress/test_dag_life_open.c
+++ b/regress/test_dag_life_open.c
@@ -28,15 +28,7 @@
 {
 	uint32_t number = dw_add_worker(&w, 8000, 8000);
 
-	dw_run_for(&w, SECOND);
-	dw_submit_chain(&w, 1, 1, 1);
-	w.hold_us = 3 * SECOND;
-	dw_run_for(&w, 40 * MS);
-	w.hold_us = 0;
-	dw_run_for(&w, 2800 * MS);
-	ck_assert_int_eq(dw_state(&w, 1), DAG_JOB_COMPLETED);
-	w.workers[number].quiet_until_us = w.now_us + SECOND;
-	dw_crash_for(&w, number, 175 * MS + _i * 5 * MS, false);
+	dw_restart_before_a_late_start(&w, number, 175 * MS + _i * 5 * MS);
 	dw_run_for(&w, 10 * SECOND);
 	dw_assert_sound(&w);
 }
@@ -92,17 +84,6 @@
 }
 END_TEST
 
-/* As the leader records an announced exit. */
-static void record_exit(uint32_t record)
-{
-	struct dag_command c = {.kind = DAG_CMD_WORKER};
-
-	dag_sched_worker_leaving(w.sched, record, w.now_us);
-	c.dag_command_u.worker = dag_state_find_worker(w.state, record)->w;
-	c.dag_command_u.worker.state = DAG_WORKER_GONE;
-	ck_assert_int_eq(w.host.ops->propose(&w.host, &c), 0);
-}
-
 /* Guards against runs that count as over when a worker announces its exit in a cut that
  * refuses connections.
  */
@@ -117,12 +98,7 @@
 	w.cut_refuses = true;
 	dw_add_worker(&w, 8000, 8000);
 	dw_run_for(&w, 2 * SECOND);
-	w.workers[number].cut = true;
-	record_exit(1);
-	dw_run_for(&w, 2400 * MS);
-	w.workers[number].cut = false;
-	dw_run_for(&w, 1600 * MS);
-	dw_crash_worker(&w, number, false);
+	dw_leave_in_a_cut(&w, number, 1);
 	dw_run_for(&w, 20 * SECOND);
 	dw_assert_sound(&w);
 }
--- a/regress/test_dag_room.c
+++ b/regress/test_dag_room.c
@@ -94,13 +94,8 @@
  */
 static void lose_worker(uint32_t number)
 {
-	struct dag_command c = {.kind = DAG_CMD_WORKER};
-
 	w.workers[number].cut = true;
-	dag_sched_worker_leaving(w.sched, number + 1, w.now_us);
-	c.dag_command_u.worker = recorded(number);
-	c.dag_command_u.worker.state = DAG_WORKER_GONE;
-	ck_assert_int_eq(w.host.ops->propose(&w.host, &c), 0);
+	dw_record_exit(&w, number + 1);
 	dw_run_for(&w, 6 * SECOND);
 	ck_assert_int_eq(recorded(number).state, DAG_WORKER_GONE);
 }
--- a/regress/test_executors.c
+++ b/regress/test_executors.c
@@ -414,27 +414,42 @@
 	transport->ops->poll(transport, &look);
 }
 
+/* Opens idle connections, on which nothing is answered from then on. Returns how many. */
+static size_t open_idle(int listener, int *fds)
+{
+	size_t n = 0;
+
+	ck_assert_int_eq(fcntl(listener, F_SETFL, O_NONBLOCK), 0);
+	for (int i = 0; i < IDLE; i++)
+		poll_elsewhere(LONG_WAIT_MS);
+	play(0.2);
+	for (int i = 0; i < 20; i++) {
+		serve_new(listener, fds, &n);
+		play(0.01);
+	}
+	ck_assert_uint_eq(user.usable, IDLE);
+	return n;
+}
+
+static void close_all(const int *fds, size_t n)
+{
+	while (n)
+		close(fds[--n]);
+}
+
 /* Guards against silent connections to an executor that are used one after the other. */
 START_TEST(silent_idle_connections_are_given_up)
 {
 	int listener = listen_elsewhere();
 	int silent[64];
 	int fresh[64];
-	size_t n_silent = 0;
+	size_t n_silent;
 	size_t n_fresh = 0;
 	double start;
 	double next;
 
 	ck_assert_int_eq((int)strlen(REPLY), 47);
-	ck_assert_int_eq(fcntl(listener, F_SETFL, O_NONBLOCK), 0);
-	for (int i = 0; i < IDLE; i++)
-		poll_elsewhere(LONG_WAIT_MS);
-	play(0.2);
-	for (int i = 0; i < 20; i++) {
-		serve_new(listener, silent, &n_silent);
-		play(0.01);
-	}
-	ck_assert_uint_eq(user.usable, IDLE);
+	n_silent = open_idle(listener, silent);
 	ck_assert_uint_eq(n_silent, IDLE);
 	user.polls = user.usable = 0;
 	start = next = ev_time();
@@ -451,10 +466,8 @@
 	}
 	ck_assert_uint_eq(user.usable, 1);
 	ck_assert(ev_time() - start < IN_TOUCH_S);
-	while (n_silent)
-		close(silent[--n_silent]);
-	while (n_fresh)
-		close(fresh[--n_fresh]);
+	close_all(silent, n_silent);
+	close_all(fresh, n_fresh);
 	close(listener);
 }
 END_TEST
@@ -474,8 +487,7 @@
 	serve_new(listener, fds, &n);
 	play(0.1);
 	ck_assert_uint_eq(user.usable, 1);
-	while (n)
-		close(fds[--n]);
+	close_all(fds, n);
 	close(listener);
 }
 END_TEST
@@ -494,19 +506,11 @@
 	int listener = listen_elsewhere();
 	int silent[64];
 	int fresh[64];
-	size_t n_silent = 0;
+	size_t n_silent;
 	size_t n_fresh = 0;
 	double start;
 
-	ck_assert_int_eq(fcntl(listener, F_SETFL, O_NONBLOCK), 0);
-	for (int i = 0; i < IDLE; i++)
-		poll_elsewhere(LONG_WAIT_MS);
-	play(0.2);
-	for (int i = 0; i < 20; i++) {
-		serve_new(listener, silent, &n_silent);
-		play(0.01);
-	}
-	ck_assert_uint_eq(user.usable, IDLE);
+	n_silent = open_idle(listener, silent);
 	start = ev_time();
 	user.result = DAG_RESULT_UNKNOWN;
 	for (unsigned int sent = 0;
@@ -521,10 +525,8 @@
 	ck_assert(ev_time() - start < IN_TOUCH_S);
 	/* The first is lost, and one on a connection that had hardly been idle. */
 	ck_assert_uint_le(user.commands, 3);
-	while (n_silent)
-		close(silent[--n_silent]);
-	while (n_fresh)
-		close(fresh[--n_fresh]);
+	close_all(silent, n_silent);
+	close_all(fresh, n_fresh);
 	close(listener);
 }
 END_TEST
--- a/regress/test_relay.c
+++ b/regress/test_relay.c
@@ -959,6 +959,27 @@
 }
 END_TEST
 
+/*
+ * A gateway has the answer to a poll for a leader that takes its connection and reads
+ * nothing. Returns the leader's socket.
+ */
+static int open_silent_leader(struct leader *l, struct far *f, struct fake *worker)
+{
+	int listener;
+
+	far_open(f);
+	leader_open(l);
+	rpc_server_free(l->server);
+	listener = listen_on(LEADER_ADDRESS);
+	fake_open(worker, WORKER_PORT);
+	fake_say(worker, "POST", "/api/hold", 200,
+		 "{\"born\":1,\"clock_ms\":1,\"running\":[],\"ended\":[]}", NULL, 0);
+	play_leader(&f->report, 0.2);
+	order_poll_until(0, 0);
+	play_leader(&f->report, 0.1);
+	return listener;
+}
+
 /* Guards against ends that are lost as a gateway's connection to the leader is silent. */
 START_TEST(answers_on_a_silent_connection_are_sent_again)
 {
@@ -968,16 +989,7 @@
 	int listener;
 	int silent;
 
-	far_open(&f);
-	leader_open(&l);
-	rpc_server_free(l.server);
-	listener = listen_on(LEADER_ADDRESS);
-	fake_open(&worker, WORKER_PORT);
-	fake_say(&worker, "POST", "/api/hold", 200,
-		 "{\"born\":1,\"clock_ms\":1,\"running\":[],\"ended\":[]}", NULL, 0);
-	play_leader(&f.report, 0.2);
-	order_poll_until(0, 0);
-	play_leader(&f.report, 0.1);
+	listener = open_silent_leader(&l, &f, &worker);
 	play_gateway(f.loop, 0.3);
 	silent = accept_relay(listener);
 	close(listener);
@@ -1063,16 +1075,7 @@
 	struct far f;
 	int listener;
 
-	far_open(&f);
-	leader_open(&l);
-	rpc_server_free(l.server);
-	listener = listen_on(LEADER_ADDRESS);
-	fake_open(&worker, WORKER_PORT);
-	fake_say(&worker, "POST", "/api/hold", 200,
-		 "{\"born\":1,\"clock_ms\":1,\"running\":[],\"ended\":[]}", NULL, 0);
-	play_leader(&f.report, 0.2);
-	order_poll_until(0, 0);
-	play_leader(&f.report, 0.1);
+	listener = open_silent_leader(&l, &f, &worker);
 	play_gateway(f.loop, 2 * IN_TOUCH_S);
 	close(listener);
 	leader_listen(&l);
