core/dag: a lease that ends proves no crash

Cause: a run that began less than 2 s before its worker was last heard was recorded as the cause of a crash when the lease ended.

Such a run is now suspected (DAG_END_SUSPECTED). It becomes a crash when another life of the worker is recorded or another process answers at its address, and is dropped when the same life answers or announces its exit. It steers placement as a crash does. A task with four crashes and suspicions together waits, since all may turn out to be crashes (BUDGET); after 30 s without news one suspicion is dropped. Nothing of this ends a job.

--- a/core/dag_crash.c
+++ b/core/dag_crash.c
@@ -3,7 +3,8 @@
  * counted, since any may be the cause. A task that was counted before is placed apart
  * from others of the kind, then tried alone, so that only one of them is the cause of
  * the next crash. dag_state.c has the limits; planned exits do not count. Correlated
- * crashes of many workers have a common cause: they count, but prove nothing.
+ * crashes of many workers have a common cause: they count, but prove nothing. A worker
+ * that falls silent may be cut off: until more is known, its runs are only suspected.
  */
 #include "core/dag_sched_impl.h"
 #include "proto/codec.h"
@@ -95,7 +96,8 @@
 	const struct ds_run *r;
 
 	TAILQ_FOREACH (r, &w->runs, worker_entry) {
-		if (!was_there(r, born_ms) || task_of(r)->crashes < DS_TRIAL_CRASHES)
+		if (!was_there(r, born_ms) ||
+		    ds_task_suspect_crashes(task_of(r)) < DS_TRIAL_CRASHES)
 			continue;
 		if (sole)
 			return NULL;
@@ -174,10 +176,26 @@
 				   : "the worker has started again");
 }
 
+/* How a run has ended whose worker's lease has ended without a word of it. */
+static enum dag_end_how lapse_end(const struct ds_run *r)
+{
+	const struct ds_worker *w = r->worker;
+	bool planned = w->leaving_since_us || w->draining;
+
+	if (!was_sent(r))
+		return DAG_END_LAPSED;
+	/* Its worker has started again since. */
+	if (r->born_ms < w->rec->w.born_ms && !planned)
+		return crash_end(r, false);
+	if (!began_before_loss(r))
+		return r->step->long_running ? DAG_END_SURVIVED : DAG_END_LAPSED;
+	return planned ? DAG_END_LAPSED : DAG_END_SUSPECTED;
+}
+
 /*
  * Ends the runs of a worker whose lease has ended. It may be cut off or may have crashed;
- * runs that began just before the contact was lost are counted as if it had crashed.
- * Returns how many runs that were without an end have one now.
+ * which of them is learned when it is back. Returns how many runs that were without an
+ * end have one now.
  */
 uint32_t ds_lapse_runs(struct dag_sched *s, struct ds_worker *w)
 {
@@ -189,12 +207,7 @@
 		if (r->phase == DS_PROPOSED || r->end_proposed)
 			continue;
 		n++;
-		if (was_sent(r) && began_before_loss(r))
-			ds_run_propose_end(s, r, DAG_END_CRASHED, none, "lease ended");
-		else if (was_sent(r) && r->step->long_running)
-			ds_run_propose_end(s, r, DAG_END_SURVIVED, none, "lease ended");
-		else
-			ds_run_propose_lost(s, r, "lease ended");
+		ds_run_propose_end(s, r, lapse_end(r), none, "lease ended");
 	}
 	return n;
 }
@@ -202,9 +215,11 @@
 /* A task under which workers have crashed starts; others keep off its worker. */
 void ds_begin_trial(struct dag_sched *s, struct ds_run *r)
 {
-	r->suspect = task_of(r)->crashes > 0;
+	uint32_t crashes = ds_task_suspect_crashes(task_of(r));
+
+	r->suspect = crashes > 0;
 	r->worker->n_suspects += r->suspect;
-	if (task_of(r)->crashes >= DS_TRIAL_CRASHES)
+	if (crashes >= DS_TRIAL_CRASHES)
 		r->worker->trial_until_us = s->now_us + TRIAL_US;
 }
 
--- a/core/dag_leave.c
+++ b/core/dag_leave.c
@@ -25,6 +25,7 @@
 	if (!w || w->leaving_since_us)
 		return;
 	w->leaving_since_us = now_us;
+	ds_resolve_suspicions(s, w, DAG_END_LAPSED, now_us, "its worker leaves");
 	/* Its exit says why; with a loss recorded beside it, it would look like a cut. */
 	if (w->broken_us >= now_us - LEAVE_DELAY_US)
 		ds_worker_regain_contact(s, w);
--- a/core/dag_place.c
+++ b/core/dag_place.c
@@ -282,12 +282,13 @@
 	const struct dag_task *t =
 		dag_job_find_task(st->job->rec, st->occurrence, st->number, index);
 	uint32_t avoid = ds_job_find_task(st->job, &ref)->avoid_worker;
+	uint32_t crashes = ds_task_suspect_crashes(t);
 	struct ds_worker *w;
 
-	if (scored && !avoid && !t->crashes)
+	if (scored && !avoid && !crashes)
 		w = best_scored_worker(s);
 	else
-		w = choose_worker(s, st, avoid, t->crashes, (struct str){NULL, 0});
+		w = choose_worker(s, st, avoid, crashes, (struct str){NULL, 0});
 	if (!w || !propose_start(s, st, w, index, t->last_run + 1))
 		return false;
 	if (scored)
@@ -334,7 +335,8 @@
 					   placed};
 		const struct dag_task *t = dag_job_find_task(st->job->rec, st->occurrence,
 							     st->number, placed);
-		struct ds_worker *w = choose_worker(s, st, 0, t->crashes, rack);
+		struct ds_worker *w =
+			choose_worker(s, st, 0, ds_task_suspect_crashes(t), rack);
 
 		if (!w || !ds_run_new(s, st->job, w, &ref, run))
 			break;
--- a/core/dag_ready.c
+++ b/core/dag_ready.c
@@ -122,8 +122,10 @@
 {
 	struct dag_task_ref ref = {st->job->rec->id, st->occurrence, st->number, index};
 	const struct ds_task *t = ds_job_find_task(st->job, &ref);
+	const struct dag_task *task =
+		dag_job_find_task(st->job->rec, st->occurrence, st->number, index);
 
-	if (dag_job_find_task(st->job->rec, st->occurrence, st->number, index)->done)
+	if (task->done || dag_task_is_held(task))
 		return false;
 	return !t->n_runs || (t->needs_copy && t->n_runs == 1);
 }
--- a/core/dag_sched.c
+++ b/core/dag_sched.c
@@ -122,6 +122,27 @@
 	}
 }
 
+/* Tells what an end changes in what is known of crashes under its task. r NULL: late. */
+static void log_crashes(struct dag_sched *s, const struct ds_run *r,
+			const struct dag_end *e, const struct dag_task *t)
+{
+	struct str worker = r ? XDR_STR(r->worker->rec->w, id) : (struct str){NULL, 0};
+	bool crashed = e->how == DAG_END_CRASHED || e->how == DAG_END_CRASHED_ALONE;
+
+	if (e->how == DAG_END_SUSPECTED && dag_task_is_held(t))
+		s->host->ops->log_event(
+			s->host, "task-held", &e->task, e->run, worker,
+			"until more is known of the workers of its lost runs",
+			ds_task_suspect_crashes(t));
+	if (!r && crashed)
+		s->host->ops->log_event(s->host, "crash-known", &e->task, e->run, worker,
+					"its worker did not survive it; value: crashes",
+					t->crashes);
+	if (crashed && dag_task_is_deadly(t))
+		s->host->ops->log_event(s->host, "task-given-up", &e->task, e->run,
+					worker, "workers crashed under it", t->crashes);
+}
+
 static void on_run_ended(struct dag_observer *o, struct dag_job_rec *rec,
 			 const struct dag_end *e, uint32_t worker)
 {
@@ -133,11 +154,8 @@
 	struct dag_worker_rec *w = dag_state_find_worker(s->state, worker);
 	struct ds_worker *dw = w ? w->sched : NULL;
 	bool listed = r && r->end_listed;
-	bool crashed = e->how == DAG_END_CRASHED || e->how == DAG_END_CRASHED_ALONE;
 
-	if (r && crashed && dag_task_is_deadly(t))
-		ds_log_run_event(s, "task-given-up", r, "workers crashed under it",
-				 t->crashes);
+	log_crashes(s, r, e, t);
 	if (r)
 		ds_run_free(s, r);
 	if (dw && listed && --dw->ends_uncommitted == 0) {
@@ -234,14 +252,9 @@
 	for (uint32_t i = 0; i < rec->n_occ * rec->n_tasks; i++) {
 		const struct dag_task *t =
 			&rec->occ[i / rec->n_tasks].task[i % rec->n_tasks];
-		struct dag_task_ref ref = {.job = rec->id,
-					   .occurrence = i / rec->n_tasks};
-		uint32_t task_index = i % rec->n_tasks;
-
-		while (ref.step + 1 < j->n_steps &&
-		       rec->first_task[ref.step + 1] <= task_index)
-			ref.step++;
-		ref.index = task_index - rec->first_task[ref.step];
+		struct dag_task_ref ref =
+			dag_job_task_ref(rec, i / rec->n_tasks, i % rec->n_tasks);
+
 		for (uint8_t c = 0; c < t->n_live; c++) {
 			struct dag_worker_rec *w =
 				dag_state_find_worker(s->state, t->live[c].worker);
@@ -388,8 +401,10 @@
 		s->last_check_us = now_us;
 	for (size_t i = 0; i < s->n_workers; i++)
 		ds_worker_tick(s, s->workers[i], check);
-	if (check)
+	if (check) {
 		ds_watch_serving(s);
+		ds_expire_suspicions(s);
+	}
 	if (now_us >= s->next_sort_us) {
 		s->next_sort_us = now_us + SORT_PERIOD_US;
 		ds_sort_ready(s);
--- a/core/dag_sched_impl.h
+++ b/core/dag_sched_impl.h
@@ -316,7 +316,7 @@
 void ds_worker_propose_start(struct dag_sched *s, struct ds_worker *w, int64_t born_ms);
 
 /* dag_crash.c */
-/* Crashes of workers from which on a task is tried alone on a worker. */
+/* Crashes, known or suspected, from which on a task is tried alone on a worker. */
 #define DS_TRIAL_CRASHES 2U
 void ds_crash_runs(struct dag_sched *s, struct ds_worker *w, const char *reason);
 void ds_crash_earlier_life(struct dag_sched *s, struct ds_worker *w, int64_t born_ms);
@@ -327,6 +327,12 @@
 int64_t ds_suspect_penalty(const struct dag_sched *s, const struct ds_worker *w,
 			   uint32_t crashes);
 
+/* dag_suspect.c */
+void ds_resolve_suspicions(struct dag_sched *s, const struct ds_worker *w,
+			   enum dag_end_how how, int64_t before_us, const char *reason);
+void ds_expire_suspicions(struct dag_sched *s);
+uint32_t ds_task_suspect_crashes(const struct dag_task *t);
+
 /* dag_watch.c */
 void ds_watch_serving(struct dag_sched *s);
 
--- a/core/dag_state.c
+++ b/core/dag_state.c
@@ -53,8 +53,12 @@
 	free(w);
 }
 
+static void resolve_suspicions(struct dag_state *s, uint32_t worker,
+			       enum dag_end_how how);
+
 static void remove_worker(struct dag_state *s, struct dag_worker_rec *w)
 {
+	resolve_suspicions(s, w->number, DAG_END_LAPSED);
 	HASH_DELETE(hh, s->workers, w);
 	HASH_DELETE(hh_id, s->workers_by_id, w);
 	if (s->observer)
@@ -64,6 +68,7 @@
 
 static void remove_job(struct dag_state *s, struct dag_job_rec *j)
 {
+	dag_suspicions_forget_job(s, j->id);
 	HASH_DEL(s->jobs, j);
 	s->n_tasks -= (uint64_t)j->n_occ * j->n_tasks;
 	free_job(j);
@@ -83,6 +88,7 @@
 	HASH_CLEAR(hh, s->workers);
 	HASH_CLEAR(hh, s->zones);
 	dag_state_clear_withdrawn(s);
+	dag_suspicions_clear(s);
 	for (; j; j = next) {
 		next = j->hh.next;
 		free_job(j);
@@ -130,6 +136,19 @@
 	return &j->occ[occurrence].task[j->first_task[step] + index];
 }
 
+/* Names a task by its index among all tasks of an occurrence. */
+struct dag_task_ref dag_job_task_ref(const struct dag_job_rec *j, uint32_t occurrence,
+				     uint32_t task)
+{
+	struct dag_task_ref ref = {.job = j->id, .occurrence = occurrence};
+
+	while (ref.step + 1 < j->spec.steps.steps_len &&
+	       j->first_task[ref.step + 1] <= task)
+		ref.step++;
+	ref.index = task - j->first_task[ref.step];
+	return ref;
+}
+
 bool dag_job_ended(const struct dag_job_rec *j)
 {
 	return j->state >= DAG_JOB_COMPLETED;
@@ -407,6 +426,7 @@
 static int apply_worker(struct dag_state *s, const struct dag_worker *w)
 {
 	struct dag_worker_rec *rec = dag_state_find_worker_by_id(s, XDR_STR(*w, id));
+	bool was_ready = rec && rec->w.state == DAG_WORKER_READY;
 	bool restarted;
 	int err = 0;
 
@@ -420,6 +440,10 @@
 	    (w->state == DAG_WORKER_GONE || s->next_worker_number == DAG_WORKER_NUMBERS))
 		return 0;
 	restarted = rec && w->born_ms != rec->w.born_ms;
+	/* A worker that gave no start before has one life, of which more is known now. */
+	if (restarted && rec->w.born_ms)
+		resolve_suspicions(s, rec->number,
+				   was_ready ? DAG_END_CRASHED : DAG_END_LAPSED);
 	err = dag_state_put_worker(s, 0, w, &rec);
 	if (err)
 		return err;
@@ -583,6 +607,15 @@
 	       (t->crashes >= DAG_CRASHES_PROVEN && t->crashes_alone);
 }
 
+/*
+ * Whether a task may not start until more is known of its earlier runs: if all of them
+ * have crashed their workers, it is given up.
+ */
+bool dag_task_is_held(const struct dag_task *t)
+{
+	return t->n_suspected && t->crashes + t->n_suspected >= DAG_CRASHES_MAX;
+}
+
 static void count_crash(struct dag_state *s, struct dag_job_rec *j, struct dag_task *t,
 			bool alone)
 {
@@ -618,6 +651,7 @@
 	    (st->long_running && e->how == DAG_END_FAILED)) {
 		t->crashes = 0;
 		t->crashes_alone = 0;
+		dag_suspicions_forget_task(s, &e->task);
 	}
 	if (st->long_running)
 		return;
@@ -642,7 +676,8 @@
 static bool is_unlisted(enum dag_end_how how)
 {
 	return how == DAG_END_LAPSED || how == DAG_END_CRASHED ||
-	       how == DAG_END_CRASHED_ALONE || how == DAG_END_SURVIVED;
+	       how == DAG_END_CRASHED_ALONE || how == DAG_END_SURVIVED ||
+	       how == DAG_END_SUSPECTED;
 }
 
 /*
@@ -666,26 +701,69 @@
 		s->observer->ops->run_ended(s->observer, j, e, 0);
 }
 
-/*
- * Ends a live run. One that was recorded as lost may still have a late end; any other is
- * ignored, so repeating an end has no effect.
- */
-static void apply_end(struct dag_state *s, const struct dag_end *e)
+/* It is known of a run whether it crashed its worker. */
+static void resolve_suspicion(struct dag_state *s, const struct dag_suspicion *u,
+			      enum dag_end_how how)
+{
+	struct dag_end e = {u->task, u->run, how, {0, NULL}};
+	struct dag_job_rec *j;
+	struct dag_task *t = find_task(s, &e.task, &j);
+
+	dag_suspicion_forget(s, &e.task, e.run);
+	if (!t)
+		return;
+	if (how != DAG_END_LAPSED && !dag_job_ended(j) && !t->done)
+		count_crash(s, j, t, how == DAG_END_CRASHED_ALONE);
+	if (s->observer)
+		s->observer->ops->run_ended(s->observer, j, &e, 0);
+}
+
+static void resolve_suspicions(struct dag_state *s, uint32_t worker, enum dag_end_how how)
+{
+	const struct dag_suspicion *u, *next;
+
+	for (u = s->suspicions; u; u = next) {
+		next = u->next;
+		if (u->worker == worker)
+			resolve_suspicion(s, u, how);
+	}
+}
+
+/* The end of a run that is live no more. One that changes nothing is ignored. */
+static void apply_second_end(struct dag_state *s, struct dag_job_rec *j,
+			     struct dag_task *t, const struct dag_end *e)
+{
+	const struct dag_suspicion *u = dag_suspicion_find(s, &e->task, e->run);
+
+	if (u && (e->how == DAG_END_LAPSED || e->how == DAG_END_CRASHED ||
+		  e->how == DAG_END_CRASHED_ALONE))
+		resolve_suspicion(s, u, e->how);
+	else
+		apply_late_end(s, j, t, e);
+}
+
+/* Ends a live run. Repeating an end has no effect. CF_ENOMEM. */
+static int apply_end(struct dag_state *s, const struct dag_end *e)
 {
 	struct dag_worker_rec *w;
 	struct dag_job_rec *j;
 	struct dag_task *t = find_task(s, &e->task, &j);
 	uint32_t worker;
 	uint8_t i = 0;
+	int err = 0;
 
 	if (!t)
-		return;
+		return 0;
 	while (i < t->n_live && t->live[i].run != e->run)
 		i++;
 	if (i == t->n_live) {
-		apply_late_end(s, j, t, e);
-		return;
+		apply_second_end(s, j, t, e);
+		return 0;
 	}
+	if (e->how == DAG_END_SUSPECTED && !dag_job_ended(j) && !t->done)
+		err = dag_suspicion_add(s, &e->task, e->run, t->live[i].worker);
+	if (err)
+		return err;
 	worker = t->live[i].worker;
 	t->live[i] = t->live[--t->n_live];
 	t->life[i] = t->life[t->n_live];
@@ -697,6 +775,7 @@
 		w->n_runs--;
 	if (s->observer)
 		s->observer->ops->run_ended(s->observer, j, e, worker);
+	return 0;
 }
 
 static bool has_live_runs(const struct dag_job_rec *j)
@@ -738,8 +817,7 @@
 		apply_start(s, &c->dag_command_u.start);
 		return 0;
 	case DAG_CMD_END:
-		apply_end(s, &c->dag_command_u.end);
-		return 0;
+		return apply_end(s, &c->dag_command_u.end);
 	case DAG_CMD_FORGET:
 		apply_forget(s, c->dag_command_u.forget);
 		return 0;
--- a/core/dag_state.h
+++ b/core/dag_state.h
@@ -21,6 +21,11 @@
  */
 #define DAG_CRASHES_PROVEN 3U
 #define DAG_CRASHES_MAX 4U
+/*
+ * Runs of a task that may have crashed their workers. With as many as DAG_CRASHES_MAX,
+ * together with the crashes that are known, the task waits until more is known of them.
+ */
+#define DAG_SUSPICIONS_MAX 8U
 #define DAG_MAX_TASKS 100000U	  /* of one occurrence of a job */
 #define DAG_MAX_OCCURRENCES 4096U /* of one job */
 #define DAG_MAX_JOB_TASKS 131072U /* of all occurrences of a job */
@@ -43,6 +48,7 @@
 	uint16_t failures;
 	uint8_t crashes;       /* workers that crashed under it */
 	uint8_t crashes_alone; /* part of them in which no other task was suspect */
+	uint8_t n_suspected;   /* runs that may have crashed their workers */
 	bool done;
 	bool unlisted; /* the newest run has ended, and its worker has not listed how */
 	uint8_t n_live;
@@ -88,6 +94,16 @@
 	void *sched; /* struct ds_worker of the leader, NULL elsewhere */
 };
 
+/* A run that may have crashed its worker. */
+struct dag_suspicion {
+	struct dag_suspicion *next;
+	struct dag_task_ref task;
+	uint32_t run;
+	uint32_t worker;     /* number of the worker, in the life that is recorded */
+	int64_t since_us;    /* not replicated: time of dag_state.clock_us by then */
+	uint64_t dropped_by; /* not replicated: epoch of a leader that proposed its end */
+};
+
 struct dag_observer {
 	const struct dag_observer_ops *ops;
 };
@@ -100,7 +116,10 @@
 	void (*job_forgotten)(struct dag_observer *o, struct dag_job_rec *j);
 	void (*run_started)(struct dag_observer *o, struct dag_job_rec *j,
 			    const struct dag_start *s);
-	/* worker 0: the run was live no more, and what its worker listed counts late. */
+	/*
+	 * worker 0: the run was live no more; what its worker listed counts late, or it
+	 * is known whether the run crashed it.
+	 */
 	void (*run_ended)(struct dag_observer *o, struct dag_job_rec *j,
 			  const struct dag_end *e, uint32_t worker);
 	void (*worker_changed)(struct dag_observer *o, struct dag_worker_rec *w);
@@ -128,7 +147,8 @@
 	struct dag_worker_rec *workers; /* by number */
 	struct dag_worker_rec *workers_by_id;
 	struct dag_job_rec *jobs;
-	struct dag_withdrawn *withdrawn; /* oldest first */
+	struct dag_suspicion *suspicions; /* oldest first */
+	struct dag_withdrawn *withdrawn;  /* oldest first */
 	u_int n_withdrawn;
 	uint32_t next_worker_number;
 	int64_t time_ms;  /* of the newest batch */
@@ -166,12 +186,25 @@
 bool dag_task_takes_late_end(const struct dag_task *t, uint32_t run,
 			     enum dag_end_how how);
 bool dag_task_is_deadly(const struct dag_task *t);
+bool dag_task_is_held(const struct dag_task *t);
+struct dag_task_ref dag_job_task_ref(const struct dag_job_rec *j, uint32_t occurrence,
+				     uint32_t task);
+bool dag_suspicion_is_of(const struct dag_suspicion *u, const struct dag_task_ref *t);
+struct dag_suspicion *dag_suspicion_find(const struct dag_state *s,
+					 const struct dag_task_ref *t, uint32_t run);
 bool dag_job_step_ready(const struct dag_job_rec *j, uint32_t occurrence, uint32_t step);
 uint64_t dag_job_count_tasks(const struct dag_job *j);
 bool dag_job_valid(const struct dag_job *j);
 bool dag_time_valid(int64_t ms);
 
 /* Private to core/dag_state*.c. */
+int dag_suspicion_add(struct dag_state *s, const struct dag_task_ref *t, uint32_t run,
+		      uint32_t worker);
+void dag_suspicion_forget(struct dag_state *s, const struct dag_task_ref *t,
+			  uint32_t run);
+void dag_suspicions_forget_task(struct dag_state *s, const struct dag_task_ref *t);
+void dag_suspicions_forget_job(struct dag_state *s, uint64_t job);
+void dag_suspicions_clear(struct dag_state *s);
 int dag_state_add_job(struct dag_state *s, const struct dag_job *spec, uint32_t attempts,
 		      struct dag_job_rec **out);
 int dag_state_put_worker(struct dag_state *s, uint32_t number, const struct dag_worker *w,
--- a/core/dag_state_snapshot.c
+++ b/core/dag_state_snapshot.c
@@ -8,6 +8,8 @@
 
 /* Flag in dag_image_worker.number. */
 #define WORKER_LOST DAG_WORKER_NUMBERS
+/* Flag in dag_image_run.worker. */
+#define RUN_SUSPECTED DAG_WORKER_NUMBERS
 /* Fields of dag_image_task.failures. */
 #define FAILURES_MASK 0xffffU
 #define CRASHES_SHIFT 16
@@ -15,6 +17,25 @@
 #define CRASHES_MASK 0x7fU
 #define UNLISTED (1U << 31)
 
+/* Adds the runs of a task that may have crashed their workers to its live runs. */
+static int fill_suspicions(const struct dag_state *s, const struct dag_task_ref *ref,
+			   const struct dag_task *t, struct dag_image_task *it)
+{
+	size_t n = (size_t)t->n_live + t->n_suspected;
+	struct dag_image_run *runs = calloc(n, sizeof(*runs));
+	const struct dag_suspicion *u;
+
+	if (!runs)
+		return CF_ENOMEM;
+	memcpy(runs, t->live, t->n_live * sizeof(*runs));
+	it->live.live_val = runs;
+	for (u = s->suspicions; u; u = u->next)
+		if (dag_suspicion_is_of(u, ref))
+			runs[it->live.live_len++] =
+				(struct dag_image_run){u->run, u->worker | RUN_SUSPECTED};
+	return 0;
+}
+
 /* The snapshot borrows strings from the state and owns only its arrays. */
 static void fill_task(const struct dag_task *t, struct dag_image_task *it)
 {
@@ -30,9 +51,27 @@
 	XDR_SET(*it, checkpoint, buf_str(&t->checkpoint));
 }
 
-static int fill_job(const struct dag_job_rec *j, struct dag_image_job *ij)
+/* Frees the lists of runs that a job's image owns. */
+static void free_job_image(struct dag_image_job *ij)
+{
+	for (u_int i = 0; i < ij->tasks.tasks_len; i++) {
+		struct dag_image_task *it = &ij->tasks.tasks_val[i];
+
+		for (u_int k = 0; k < it->live.live_len; k++) {
+			if (!(it->live.live_val[k].worker & RUN_SUSPECTED))
+				continue;
+			free(it->live.live_val);
+			break;
+		}
+	}
+	free(ij->tasks.tasks_val);
+}
+
+static int fill_job(const struct dag_state *s, const struct dag_job_rec *j,
+		    struct dag_image_job *ij)
 {
 	u_int n = j->n_occ * j->n_tasks;
+	int err = 0;
 
 	ij->tasks.tasks_val = calloc(n, sizeof(*ij->tasks.tasks_val));
 	if (!ij->tasks.tasks_val)
@@ -43,10 +82,16 @@
 	ij->attempts = j->attempts;
 	ij->started = j->started;
 	ij->ended_ms = j->ended_ms;
-	for (u_int i = 0; i < n; i++)
-		fill_task(&j->occ[i / j->n_tasks].task[i % j->n_tasks],
-			  &ij->tasks.tasks_val[i]);
-	return 0;
+	for (u_int i = 0; i < n && !err; i++) {
+		const struct dag_task *t = &j->occ[i / j->n_tasks].task[i % j->n_tasks];
+		struct dag_task_ref ref =
+			dag_job_task_ref(j, i / j->n_tasks, i % j->n_tasks);
+
+		fill_task(t, &ij->tasks.tasks_val[i]);
+		if (t->n_suspected)
+			err = fill_suspicions(s, &ref, t, &ij->tasks.tasks_val[i]);
+	}
+	return err;
 }
 
 static int fill_image(const struct dag_state *s, struct dag_image *im)
@@ -84,7 +129,7 @@
 			(struct dag_image_worker){w->number | (w->lost ? WORKER_LOST : 0),
 						  w->w};
 	for (j = s->jobs; j && !err; j = j->hh.next)
-		err = fill_job(j, &im->jobs.jobs_val[im->jobs.jobs_len++]);
+		err = fill_job(s, j, &im->jobs.jobs_val[im->jobs.jobs_len++]);
 	if (err)
 		return err;
 	dag_state_list_withdrawn(s, &im->jobs.jobs_val[im->jobs.jobs_len]);
@@ -101,7 +146,7 @@
 	if (!err)
 		err = codec_encode((xdrproc_t)xdr_dag_image, &im, out);
 	for (u_int i = 0; i < im.jobs.jobs_len; i++)
-		free(im.jobs.jobs_val[i].tasks.tasks_val);
+		free_job_image(&im.jobs.jobs_val[i]);
 	free(im.closed_zones.closed_zones_val);
 	free(im.workers.workers_val);
 	free(im.jobs.jobs_val);
@@ -127,27 +172,38 @@
 	return 0;
 }
 
-static int restore_task(struct dag_state *s, struct dag_task *t,
-			const struct dag_image_task *it)
+static int restore_run(struct dag_state *s, const struct dag_task_ref *ref,
+		       struct dag_task *t, const struct dag_image_run *r)
+{
+	uint32_t number = r->worker & ~RUN_SUSPECTED;
+	struct dag_worker_rec *w = dag_state_find_worker(s, number);
+
+	if (!w || r->run > t->last_run)
+		return CF_EMALFORMED;
+	if (r->worker & RUN_SUSPECTED)
+		return dag_suspicion_add(s, ref, r->run, number);
+	if (t->n_live == DAG_MAX_COPIES || (t->n_live && r->run == t->live[0].run))
+		return CF_EMALFORMED;
+	t->live[t->n_live++] = (struct dag_run){r->run, number};
+	w->n_runs++;
+	return 0;
+}
+
+static int restore_task(struct dag_state *s, const struct dag_task_ref *ref,
+			struct dag_task *t, const struct dag_image_task *it)
 {
+	int err = 0;
+
 	t->last_run = it->last_run;
 	t->failures = it->failures & FAILURES_MASK;
 	t->crashes = it->failures >> CRASHES_SHIFT & CRASHES_MASK;
 	t->crashes_alone = it->failures >> CRASHES_ALONE_SHIFT & CRASHES_MASK;
 	t->unlisted = (it->failures & UNLISTED) != 0;
 	t->done = it->done;
-	if (it->live.live_len > DAG_MAX_COPIES)
-		return CF_EMALFORMED;
-	for (u_int i = 0; i < it->live.live_len; i++) {
-		const struct dag_image_run *r = &it->live.live_val[i];
-		struct dag_worker_rec *w = dag_state_find_worker(s, r->worker);
-
-		if (!w || r->run > t->last_run || (i && r->run == t->live[0].run))
-			return CF_EMALFORMED;
-		t->live[i] = (struct dag_run){r->run, r->worker};
-		t->n_live++;
-		w->n_runs++;
-	}
+	for (u_int i = 0; i < it->live.live_len && !err; i++)
+		err = restore_run(s, ref, t, &it->live.live_val[i]);
+	if (err)
+		return err;
 	return it->checkpoint.checkpoint_len
 		       ? buf_set(&t->checkpoint, XDR_STR(*it, checkpoint))
 		       : 0;
@@ -189,9 +245,13 @@
 	j->state = (enum dag_job_state)ij->state;
 	j->started = ij->started;
 	j->ended_ms = ij->ended_ms;
-	for (u_int i = 0; !err && i < ij->tasks.tasks_len; i++)
-		err = restore_task(s, &j->occ[i / j->n_tasks].task[i % j->n_tasks],
+	for (u_int i = 0; !err && i < ij->tasks.tasks_len; i++) {
+		struct dag_task_ref ref =
+			dag_job_task_ref(j, i / j->n_tasks, i % j->n_tasks);
+
+		err = restore_task(s, &ref, &j->occ[i / j->n_tasks].task[i % j->n_tasks],
 				   &ij->tasks.tasks_val[i]);
+	}
 	count_left(j);
 	return err;
 }
--- a/core/dag_worker.c
+++ b/core/dag_worker.c
@@ -270,9 +270,13 @@
 static void handle_worker_exit(struct dag_sched *s, struct ds_worker *w,
 			       const char *reason)
 {
+	bool planned = w->rec->w.state != DAG_WORKER_READY || w->leaving_since_us;
+
 	clear_listed(w);
-	if (w->rec->w.state == DAG_WORKER_READY && !w->leaving_since_us)
+	if (!planned)
 		ds_crash_runs(s, w, reason);
+	ds_resolve_suspicions(s, w, planned ? DAG_END_LAPSED : DAG_END_CRASHED, s->now_us,
+			      reason);
 	ds_worker_propose_lost(s, w, reason);
 	if (w->rec->w.state != DAG_WORKER_GONE)
 		ds_worker_propose_state(s, w, DAG_WORKER_GONE, w->rec->w.born_ms);
@@ -447,6 +451,9 @@
 	for (size_t i = 0; i < poll->n_ended; i++)
 		ds_worker_take_end(s, w, &poll->ended[i]);
 	ds_crash_earlier_life(s, w, poll->born_ms);
+	if (poll->born_ms == w->rec->w.born_ms)
+		ds_resolve_suspicions(s, w, DAG_END_LAPSED, w->poll_sent_us,
+				      "the same life of its worker answers");
 	/* An unlisted run, or its end, may be among what a partial list leaves out. */
 	if (!poll->partial)
 		check_unlisted_runs(s, w);
--- a/proto/dag.h
+++ b/proto/dag.h
@@ -197,6 +197,7 @@
 	DAG_END_CRASHED = 6,
 	DAG_END_CRASHED_ALONE = 7,
 	DAG_END_SURVIVED = 8,
+	DAG_END_SUSPECTED = 9,
 };
 
 struct dag_end {
--- a/proto/dag.x
+++ b/proto/dag.x
@@ -134,7 +134,8 @@
 	DAG_END_ALONE = 5,
 	DAG_END_CRASHED = 6,
 	DAG_END_CRASHED_ALONE = 7,
-	DAG_END_SURVIVED = 8
+	DAG_END_SURVIVED = 8,
+	DAG_END_SUSPECTED = 9 /* lost soon after its start; not known to have crashed */
 };
 
 struct dag_end {
@@ -219,7 +220,10 @@
 	dag_command commands<>;
 };
 
-/* Snapshot. */
+/*
+ * Snapshot. In the lists of live runs, bit 31 of worker marks one that has ended and is
+ * suspected to have crashed its worker; older snapshots have none.
+ */
 struct dag_image_run {
 	unsigned int run;
 	unsigned int worker;
@@ -233,7 +237,7 @@
 	unsigned int last_run;
 	unsigned int failures;
 	bool done;
-	dag_image_run live<4>;
+	dag_image_run live<16>;
 	opaque checkpoint<DAG_MAX_NAME>;
 };
 
--- a/proto/dag_xdr.c
+++ b/proto/dag_xdr.c
@@ -692,7 +692,7 @@
 		IXDR_PUT_U_LONG(buf, objp->failures);
 		IXDR_PUT_BOOL(buf, objp->done);
 		}
-		 if (!codec_array (xdrs, (char **)&objp->live.live_val, (u_int *) &objp->live.live_len, 4,
+		 if (!codec_array (xdrs, (char **)&objp->live.live_val, (u_int *) &objp->live.live_len, 16,
 			sizeof (struct dag_image_run), (xdrproc_t) xdr_dag_image_run))
 			 return FALSE;
 		 if (!codec_bytes (xdrs, (char **)&objp->checkpoint.checkpoint_val, (u_int *) &objp->checkpoint.checkpoint_len, DAG_MAX_NAME))
@@ -713,7 +713,7 @@
 		objp->failures = IXDR_GET_U_LONG(buf);
 		objp->done = IXDR_GET_BOOL(buf);
 		}
-		 if (!codec_array (xdrs, (char **)&objp->live.live_val, (u_int *) &objp->live.live_len, 4,
+		 if (!codec_array (xdrs, (char **)&objp->live.live_val, (u_int *) &objp->live.live_len, 16,
 			sizeof (struct dag_image_run), (xdrproc_t) xdr_dag_image_run))
 			 return FALSE;
 		 if (!codec_bytes (xdrs, (char **)&objp->checkpoint.checkpoint_val, (u_int *) &objp->checkpoint.checkpoint_len, DAG_MAX_NAME))
@@ -727,7 +727,7 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->done))
 		 return FALSE;
-	 if (!codec_array (xdrs, (char **)&objp->live.live_val, (u_int *) &objp->live.live_len, 4,
+	 if (!codec_array (xdrs, (char **)&objp->live.live_val, (u_int *) &objp->live.live_len, 16,
 		sizeof (struct dag_image_run), (xdrproc_t) xdr_dag_image_run))
 		 return FALSE;
 	 if (!codec_bytes (xdrs, (char **)&objp->checkpoint.checkpoint_val, (u_int *) &objp->checkpoint.checkpoint_len, DAG_MAX_NAME))
--- a/regress/test_dag_beats.c
+++ b/regress/test_dag_beats.c
@@ -123,6 +123,80 @@
 }
 END_TEST
 
+/* Cuts off the worker of the only run, soon after its start, and waits for its lease. */
+static void lose_run(uint32_t starts)
+{
+	while (w.starts < starts)
+		dw_run_for(&w, SECOND / 20);
+	for (uint32_t k = 0; k < N_WORKERS; k++)
+		for (uint32_t i = 0; i < DW_RUNS; i++)
+			if (w.workers[k].runs[i].used)
+				w.workers[k].cut = true;
+	dw_run_for(&w, 11 * SECOND);
+}
+
+/* A job of one task, of which four runs were lost soon after they began. */
+static void submit_and_lose_four_runs(void)
+{
+	w.work_us = 2 * SECOND;
+	dw_add_workers(&w, N_WORKERS);
+	dw_submit_chain(&w, 1, 1, 1);
+	for (uint32_t i = 1; i <= DAG_CRASHES_MAX; i++)
+		lose_run(i);
+}
+
+static const struct dag_task *only_task(const struct dag_state *s)
+{
+	return dag_job_find_task(dag_state_find_job(s, 1), 0, 0, 0);
+}
+
+/* Guards against a start too many of a task that may have crashed four workers. */
+START_TEST(doubted_task_waits_for_its_workers)
+{
+	submit_and_lose_four_runs();
+	if (_i & 1)
+		dw_change_leader(&w);
+	dw_run_for(&w, 5 * SECOND);
+	ck_assert_uint_eq(only_task(w.state)->n_suspected, DAG_CRASHES_MAX);
+	ck_assert_uint_eq(w.starts, DAG_CRASHES_MAX);
+	cut_workers(0, false);
+	dw_run_for(&w, 5 * SECOND);
+	dw_assert_sound(&w);
+	assert_no_job_failed(1, 1);
+}
+END_TEST
+
+/* Guards against a task that waits for good, as the workers of its runs never return. */
+START_TEST(doubted_task_waits_for_a_limited_time)
+{
+	submit_and_lose_four_runs();
+	dw_run_for(&w, 40 * SECOND);
+	dw_assert_sound(&w);
+	assert_no_job_failed(1, 1);
+}
+END_TEST
+
+/* Guards against a snapshot that forgets which runs may have crashed their workers. */
+START_TEST(snapshot_keeps_the_doubts)
+{
+	struct dag_state *copy;
+	struct buf image = {0};
+	struct buf again = {0};
+
+	submit_and_lose_four_runs();
+	ck_assert_int_eq(dag_state_snapshot(w.state, &image), 0);
+	ck_assert_int_eq(dag_state_new(&copy), 0);
+	ck_assert_int_eq(dag_state_restore(copy, buf_str(&image)), 0);
+	ck_assert_uint_eq(only_task(copy)->n_suspected, DAG_CRASHES_MAX);
+	ck_assert(dag_task_is_held(only_task(copy)));
+	ck_assert_int_eq(dag_state_snapshot(copy, &again), 0);
+	ck_assert(str_eq(buf_str(&image), buf_str(&again)));
+	buf_free(&image);
+	buf_free(&again);
+	dag_state_free(copy);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("dag_beats");
@@ -134,6 +208,9 @@
 	tcase_add_checked_fixture(tc, open_world, close_world);
 	tcase_add_loop_test(tc, cuts_soon_after_starts_give_nothing_up, 0, N_SEEDS);
 	tcase_add_loop_test(tc, cuts_hide_no_deadly_task, 0, N_SEEDS);
+	tcase_add_loop_test(tc, doubted_task_waits_for_its_workers, 0, 2);
+	tcase_add_test(tc, doubted_task_waits_for_a_limited_time);
+	tcase_add_test(tc, snapshot_keeps_the_doubts);
 	suite_add_tcase(s, tc);
 	srunner_run_all(sr, CK_NORMAL);
 	failed = srunner_ntests_failed(sr);
