core/dag: crashes under a run of an earlier life of its worker count

Cause: how old a run was when its worker crashed was told from the newest poll reply, also when that came from a later life of the worker, or from the time when a new leader began. Deadly serving tasks passed for survivors, which sets their count back. And a run that was to be stopped, since its worker had come back in another life, was recorded as merely lost when the next cut kept the stop from arriving.

Each process now notes when the restart of a worker was recorded and when contact with the earlier life was lost. The end of a run that is known stays known when its stop is lost.

--- a/core/dag_crash.c
+++ b/core/dag_crash.c
@@ -48,6 +48,22 @@
 	return w->polled_us;
 }
 
+/*
+ * A recovered run was on an earlier life of its worker, which has started again so often
+ * since. When the first of several starts was is not known.
+ */
+void ds_recall_life(struct ds_run *r, uint32_t restarts)
+{
+	const struct dag_worker_rec *w = r->worker->rec;
+
+	if (restarts > 1)
+		r->life_heard_us = r->start_sent_us;
+	else if (w->life_lost_us)
+		r->life_heard_us = w->life_lost_us - LOSS_RECORD_DELAY_US;
+	else
+		r->life_heard_us = w->restarted_us;
+}
+
 /* Whether a start request of the run may have reached its worker. */
 static bool was_sent(const struct ds_run *r)
 {
@@ -60,10 +76,30 @@
 	return was_sent(r) && !r->end_proposed && !r->listed && r->born_ms < born_ms;
 }
 
+/* From the start of the run until its worker was last known to work, at the longest. */
+static int64_t known_age_us(const struct ds_run *r)
+{
+	int64_t heard_us = r->life_heard_us ? r->life_heard_us : contact_us(r->worker);
+
+	return heard_us - r->start_sent_us;
+}
+
 /* Whether contact with its worker was lost just after the run began. */
 static bool began_before_loss(const struct ds_run *r)
 {
-	return contact_us(r->worker) - r->start_sent_us < CRASH_DELAY_MAX_US;
+	return known_age_us(r) < CRASH_DELAY_MAX_US;
+}
+
+/*
+ * Whether the run went on for so long that it is not the cause of the loss. A leader that
+ * has not polled the worker does not know how long before its time that was lost.
+ */
+static bool has_survived(const struct ds_run *r)
+{
+	int64_t unknown_us =
+		r->life_heard_us || !r->worker->polled ? LOSS_RECORD_DELAY_US : 0;
+
+	return known_age_us(r) - unknown_us >= CRASH_DELAY_MAX_US;
 }
 
 /* Whether contact with many other workers broke when it did with this one. */
@@ -113,8 +149,10 @@
 static enum dag_end_how crash_end(const struct ds_run *r, bool alone)
 {
 	/* A serving task that has run for a while is not the cause. */
-	if (r->step->long_running && !began_before_loss(r))
+	if (r->step->long_running && has_survived(r))
 		return DAG_END_SURVIVED;
+	if (r->step->long_running && !began_before_loss(r))
+		return DAG_END_LAPSED;
 	return alone ? DAG_END_CRASHED_ALONE : DAG_END_CRASHED;
 }
 
@@ -184,10 +222,14 @@
 
 	if (!was_sent(r))
 		return DAG_END_LAPSED;
+	/* It is known to have crashed its worker; the stop that was to follow was lost.
+	 */
+	if (r->stopped_how != DAG_END_LAPSED)
+		return r->stopped_how;
 	/* Its worker has started again since. */
 	if (r->born_ms < w->rec->w.born_ms && !planned)
 		return crash_end(r, false);
-	if (!began_before_loss(r))
+	if (has_survived(r))
 		return r->step->long_running ? DAG_END_SURVIVED : DAG_END_LAPSED;
 	return planned ? DAG_END_LAPSED : DAG_END_SUSPECTED;
 }
--- a/core/dag_sched.c
+++ b/core/dag_sched.c
@@ -269,6 +269,8 @@
 			r->start_sent_us = recorded_start_us(s, t->started_ms[c]);
 			if (t->life[c] == w->lives)
 				r->born_ms = w->w.born_ms;
+			else
+				ds_recall_life(r, w->lives - t->life[c]);
 		}
 	}
 }
--- a/core/dag_sched_impl.h
+++ b/core/dag_sched_impl.h
@@ -40,9 +40,11 @@
 	int64_t start_retry_us;	 /* when an unconfirmed start is sent again */
 	int64_t accepted_us;	 /* when the worker confirmed it */
 	int64_t born_ms;	 /* life of the worker that was told of it, 0: none yet */
-	uint32_t start_fence;	 /* ds_worker.fence at the newest start request */
-	uint32_t stop_fence;	 /* and stop request */
-	bool suspect; /* a worker has crashed under an earlier run of the task */
+	/* Recovered: that life was last heard about then; 0: as the worker. */
+	int64_t life_heard_us;
+	uint32_t start_fence; /* ds_worker.fence at the newest start request */
+	uint32_t stop_fence;  /* and stop request */
+	bool suspect;	      /* a worker has crashed under an earlier run of the task */
 	enum dag_end_how
 		stopped_how; /* end to record once it is stopped and not listed */
 	bool stop_requested;
@@ -320,6 +322,7 @@
 #define DS_TRIAL_CRASHES 2U
 void ds_crash_runs(struct dag_sched *s, struct ds_worker *w, const char *reason);
 void ds_crash_earlier_life(struct dag_sched *s, struct ds_worker *w, int64_t born_ms);
+void ds_recall_life(struct ds_run *r, uint32_t restarts);
 void ds_end_stopped_run(struct dag_sched *s, struct ds_run *r);
 uint32_t ds_lapse_runs(struct dag_sched *s, struct ds_worker *w);
 void ds_begin_trial(struct dag_sched *s, struct ds_run *r);
--- a/core/dag_state.c
+++ b/core/dag_state.c
@@ -448,6 +448,10 @@
 	if (err)
 		return err;
 	rec->lives += restarted;
+	if (restarted) {
+		rec->restarted_us = s->clock_us;
+		rec->life_lost_us = rec->lost ? rec->lost_us : 0;
+	}
 	if (s->observer)
 		s->observer->ops->worker_changed(s->observer, rec);
 	return 0;
--- a/core/dag_state.h
+++ b/core/dag_state.h
@@ -87,9 +87,12 @@
 	UT_hash_handle hh_id; /* by id */
 	uint32_t number;
 	uint32_t n_runs;
-	uint32_t lives;	 /* restarts seen by this process; not in snapshots */
-	bool lost;	 /* no lease was granted since that was recorded */
-	int64_t lost_us; /* not replicated: time of dag_state.clock_us by then */
+	uint32_t lives; /* restarts seen by this process; not in snapshots */
+	bool lost;	/* no lease was granted since that was recorded */
+	/* Not replicated: times of dag_state.clock_us by then. */
+	int64_t lost_us;
+	int64_t restarted_us;
+	int64_t life_lost_us; /* loss of its earlier life, 0: it was not recorded */
 	struct dag_worker w;
 	void *sched; /* struct ds_worker of the leader, NULL elsewhere */
 };
--- a/core/dag_worker.c
+++ b/core/dag_worker.c
@@ -569,10 +569,11 @@
 		s->placement_needed = true;
 	w->poll_failures = 0;
 	w->poll_refused = false;
-	ds_worker_regain_contact(s, w);
 	if (!ds_worker_reply_is_old(w, poll))
 		ds_worker_record_contact(w, poll, now_us);
+	/* Its loss, which tells when its earlier life ended, is recorded until then. */
 	ds_worker_propose_start(s, w, poll->born_ms);
+	ds_worker_regain_contact(s, w);
 	/* Calls for an earlier life may still come after this list. */
 	if (w->poll_life != w->life) {
 		w->next_poll_us = now_us;
