--- a/regress/lib_dag_world.c
+++ b/regress/lib_dag_world.c
@@ -22,6 +22,7 @@
 #define LATE_SPAN_US (10000 * MS)
 #define CALL_TIMEOUT_US (700 * MS)
 #define WALL_MS 1700000000000LL
+#define NO_LIFE 1
 /* Serving tasks with an image. */
 #define OWN_LOAD 0.48
 #define OWN_SWING 0.22
@@ -111,6 +112,14 @@
 	return codec_encode((xdrproc_t)xdr_dag_command, c, &w->batch);
 }
 
+/* Start of a worker's process; that of no process if it has gone under its id. */
+static int64_t life_of(struct dag_world *w, uint32_t number)
+{
+	const struct dw_worker *dw = worker_of(w, number);
+
+	return dw ? dw->born_ms : NO_LIFE;
+}
+
 /* Sends an order on its way, or loses it, or delays it without an answer. */
 static struct dw_event *send_order(struct dag_world *w, enum dw_kind kind,
 				   const struct dag_worker_call *call)
@@ -133,7 +142,7 @@
 		e->at_us += LATE_MIN_US + (int64_t)prng_below(&w->prng, LATE_SPAN_US);
 		/* It waits inside the worker's process. */
 		if (!w->late_outlive)
-			e->born_ms = worker_of(w, call->worker)->born_ms;
+			e->born_ms = life_of(w, call->worker);
 	}
 	return e;
 }
