core/dag: suspicions are found by their run

After a cut of a large site some thousand runs are suspected at once; finding each in a list, when it is added and when it is resolved, would take time that grows with the square of their number. They are in a hash table now.

--- a/core/dag_state.c
+++ b/core/dag_state.c
@@ -706,14 +706,14 @@
 }
 
 /* It is known of a run whether it crashed its worker. */
-static void resolve_suspicion(struct dag_state *s, const struct dag_suspicion *u,
+static void resolve_suspicion(struct dag_state *s, struct dag_suspicion *u,
 			      enum dag_end_how how)
 {
-	struct dag_end e = {u->task, u->run, how, {0, NULL}};
+	struct dag_end e = {u->key.task, u->key.run, how, {0, NULL}};
 	struct dag_job_rec *j;
 	struct dag_task *t = find_task(s, &e.task, &j);
 
-	dag_suspicion_forget(s, &e.task, e.run);
+	dag_suspicion_remove(s, u);
 	if (!t)
 		return;
 	if (how != DAG_END_LAPSED && !dag_job_ended(j) && !t->done)
@@ -724,10 +724,10 @@
 
 static void resolve_suspicions(struct dag_state *s, uint32_t worker, enum dag_end_how how)
 {
-	const struct dag_suspicion *u, *next;
+	struct dag_suspicion *u, *next;
 
 	for (u = s->suspicions; u; u = next) {
-		next = u->next;
+		next = u->hh.next;
 		if (u->worker == worker)
 			resolve_suspicion(s, u, how);
 	}
@@ -737,7 +737,7 @@
 static void apply_second_end(struct dag_state *s, struct dag_job_rec *j,
 			     struct dag_task *t, const struct dag_end *e)
 {
-	const struct dag_suspicion *u = dag_suspicion_find(s, &e->task, e->run);
+	struct dag_suspicion *u = dag_suspicion_find(s, &e->task, e->run);
 
 	if (u && (e->how == DAG_END_LAPSED || e->how == DAG_END_CRASHED ||
 		  e->how == DAG_END_CRASHED_ALONE))
--- a/core/dag_state.h
+++ b/core/dag_state.h
@@ -97,11 +97,15 @@
 	void *sched; /* struct ds_worker of the leader, NULL elsewhere */
 };
 
-/* A run that may have crashed its worker. */
-struct dag_suspicion {
-	struct dag_suspicion *next;
+struct dag_suspicion_key {
 	struct dag_task_ref task;
 	uint32_t run;
+};
+
+/* A run that may have crashed its worker. */
+struct dag_suspicion {
+	UT_hash_handle hh;
+	struct dag_suspicion_key key;
 	uint32_t worker;     /* number of the worker, in the life that is recorded */
 	int64_t since_us;    /* not replicated: time of dag_state.clock_us by then */
 	uint64_t dropped_by; /* not replicated: epoch of a leader that proposed its end */
@@ -150,7 +154,7 @@
 	struct dag_worker_rec *workers; /* by number */
 	struct dag_worker_rec *workers_by_id;
 	struct dag_job_rec *jobs;
-	struct dag_suspicion *suspicions; /* oldest first */
+	struct dag_suspicion *suspicions; /* in the order in which they were added */
 	struct dag_withdrawn *withdrawn;  /* oldest first */
 	u_int n_withdrawn;
 	uint32_t next_worker_number;
@@ -203,8 +207,7 @@
 /* Private to core/dag_state*.c. */
 int dag_suspicion_add(struct dag_state *s, const struct dag_task_ref *t, uint32_t run,
 		      uint32_t worker);
-void dag_suspicion_forget(struct dag_state *s, const struct dag_task_ref *t,
-			  uint32_t run);
+void dag_suspicion_remove(struct dag_state *s, struct dag_suspicion *u);
 void dag_suspicions_forget_task(struct dag_state *s, const struct dag_task_ref *t);
 void dag_suspicions_forget_job(struct dag_state *s, uint64_t job);
 void dag_suspicions_clear(struct dag_state *s);
--- a/core/dag_state_snapshot.c
+++ b/core/dag_state_snapshot.c
@@ -29,10 +29,10 @@
 		return CF_ENOMEM;
 	memcpy(runs, t->live, t->n_live * sizeof(*runs));
 	it->live.live_val = runs;
-	for (u = s->suspicions; u; u = u->next)
+	for (u = s->suspicions; u; u = u->hh.next)
 		if (dag_suspicion_is_of(u, ref))
-			runs[it->live.live_len++] =
-				(struct dag_image_run){u->run, u->worker | RUN_SUSPECTED};
+			runs[it->live.live_len++] = (struct dag_image_run){
+				u->key.run, u->worker | RUN_SUSPECTED};
 	return 0;
 }
 
--- a/core/dag_suspect.c
+++ b/core/dag_suspect.c
@@ -22,8 +22,8 @@
 	if (u->dropped_by == s->opt.epoch)
 		return;
 	u->dropped_by = s->opt.epoch;
-	e->task = u->task;
-	e->run = u->run;
+	e->task = u->key.task;
+	e->run = u->key.run;
 	e->how = how;
 	if (how == DAG_END_LAPSED)
 		s->host->ops->log_event(s->host, "suspicion-dropped", &e->task, e->run,
@@ -42,7 +42,7 @@
 	struct dag_suspicion *u, *next;
 
 	for (u = s->state->suspicions; u; u = next) {
-		next = u->next;
+		next = u->hh.next;
 		if (u->worker == w->rec->number && u->since_us <= before_us)
 			propose_resolution(s, u, how, reason);
 	}
@@ -57,7 +57,7 @@
 	if (!j || !dag_task_is_held(
 			  dag_job_find_task(j, ref->occurrence, ref->step, ref->index)))
 		return false;
-	for (u = s->state->suspicions; u; u = u->next)
+	for (u = s->state->suspicions; u; u = u->hh.next)
 		if (dag_suspicion_is_of(u, ref) &&
 		    (s->now_us - u->since_us < HELD_MAX_US ||
 		     u->dropped_by == s->opt.epoch))
@@ -71,9 +71,9 @@
 	struct dag_suspicion *u, *next;
 
 	for (u = s->state->suspicions; u; u = next) {
-		struct dag_task_ref ref = u->task;
+		struct dag_task_ref ref = u->key.task;
 
-		next = u->next;
+		next = u->hh.next;
 		if (s->now_us - u->since_us >= HELD_MAX_US && has_waited(s, &ref))
 			propose_resolution(s, u, DAG_END_LAPSED,
 					   "its worker has not been seen since");
--- a/core/dag_suspicion.c
+++ b/core/dag_suspicion.c
@@ -3,6 +3,7 @@
  * its worker, which is known once another life of the worker answers, or the same one.
  */
 #include <stdlib.h>
+#include <string.h>
 
 #include "base/err.h"
 #include "core/dag_state.h"
@@ -14,22 +15,34 @@
 	return j ? dag_job_find_task(j, t->occurrence, t->step, t->index) : NULL;
 }
 
+/* Keys are compared as bytes, so that they have no padding that is not set. */
+static struct dag_suspicion_key key_of(const struct dag_task_ref *t, uint32_t run)
+{
+	struct dag_suspicion_key key;
+
+	memset(&key, 0, sizeof(key));
+	key.task = *t;
+	key.run = run;
+	return key;
+}
+
 /* Whether it is of a run of the task. */
 bool dag_suspicion_is_of(const struct dag_suspicion *u, const struct dag_task_ref *t)
 {
-	return u->task.job == t->job && u->task.occurrence == t->occurrence &&
-	       u->task.step == t->step && u->task.index == t->index;
+	const struct dag_task_ref *k = &u->key.task;
+
+	return k->job == t->job && k->occurrence == t->occurrence && k->step == t->step &&
+	       k->index == t->index;
 }
 
 /* NULL: there is none of this run. */
 struct dag_suspicion *dag_suspicion_find(const struct dag_state *s,
 					 const struct dag_task_ref *t, uint32_t run)
 {
-	const struct dag_task *task = task_of(s, t);
-	struct dag_suspicion *u = task && task->n_suspected ? s->suspicions : NULL;
+	struct dag_suspicion_key key = key_of(t, run);
+	struct dag_suspicion *u;
 
-	while (u && !(u->run == run && dag_suspicion_is_of(u, t)))
-		u = u->next;
+	HASH_FIND(hh, s->suspicions, &key, sizeof(key), u);
 	return u;
 }
 
@@ -40,80 +53,41 @@
 int dag_suspicion_add(struct dag_state *s, const struct dag_task_ref *t, uint32_t run,
 		      uint32_t worker)
 {
-	struct dag_suspicion **end = &s->suspicions;
 	struct dag_task *task = task_of(s, t);
+	struct dag_suspicion *u;
 
 	if (!task || task->n_suspected == DAG_SUSPICIONS_MAX ||
 	    dag_suspicion_find(s, t, run))
 		return 0;
-	while (*end)
-		end = &(*end)->next;
-	*end = calloc(1, sizeof(**end));
-	if (!*end)
+	u = calloc(1, sizeof(*u));
+	if (!u)
 		return CF_ENOMEM;
-	(*end)->task = *t;
-	(*end)->run = run;
-	(*end)->worker = worker;
-	(*end)->since_us = s->clock_us;
+	u->key = key_of(t, run);
+	u->worker = worker;
+	u->since_us = s->clock_us;
+	HASH_ADD(hh, s->suspicions, key, sizeof(u->key), u);
 	task->n_suspected++;
 	return 0;
 }
 
-/* Takes one out of the list and frees it. */
-static void remove_at(struct dag_state *s, struct dag_suspicion **at)
+void dag_suspicion_remove(struct dag_state *s, struct dag_suspicion *u)
 {
-	struct dag_suspicion *u = *at;
-	struct dag_task *task = task_of(s, &u->task);
+	struct dag_task *task = task_of(s, &u->key.task);
 
 	if (task)
 		task->n_suspected--;
-	*at = u->next;
+	HASH_DEL(s->suspicions, u);
 	free(u);
 }
 
-/* Forgets the suspicion of a run, if there is one. */
-void dag_suspicion_forget(struct dag_state *s, const struct dag_task_ref *t, uint32_t run)
-{
-	struct dag_suspicion **at = &s->suspicions;
-
-	while (*at && !((*at)->run == run && dag_suspicion_is_of(*at, t)))
-		at = &(*at)->next;
-	if (*at)
-		remove_at(s, at);
-}
-
-/* Forgets those of a task's runs. */
-void dag_suspicions_forget_task(struct dag_state *s, const struct dag_task_ref *t)
-{
-	struct dag_suspicion **at = &s->suspicions;
-
-	while (*at)
-		if (dag_suspicion_is_of(*at, t))
-			remove_at(s, at);
-		else
-			at = &(*at)->next;
-}
-
-/* Forgets those of a job's runs. */
-void dag_suspicions_forget_job(struct dag_state *s, uint64_t job)
-{
-	struct dag_suspicion **at = &s->suspicions;
-
-	while (*at)
-		if ((*at)->task.job == job)
-			remove_at(s, at);
-		else
-			at = &(*at)->next;
-}
-
 void dag_suspicions_clear(struct dag_state *s)
 {
 	struct dag_suspicion *u = s->suspicions;
 	struct dag_suspicion *next;
 
-	s->suspicions = NULL;
+	HASH_CLEAR(hh, s->suspicions);
 	for (; u; u = next) {
-		next = u->next;
+		next = u->hh.next;
 		free(u);
 	}
 }
