core/dag_watch: the log tells what keeps a waiting task from the nearest worker

task-waiting said "no worker has room for it" for any cause. Each task-waiting is followed by task-obstacle now: the worker that is nearest to taking the task, why it does not, and what it misses. The volume of these lines doubles; they come every 3 s for each step that waits. ds_worker_usable() asks the same function, so both agree.

--- a/core/dag_place.c
+++ b/core/dag_place.c
@@ -230,6 +230,53 @@
 	return best;
 }
 
+static struct ds_obstacle find_obstacle(const struct dag_sched *s, struct ds_worker *w,
+					const struct ds_step *st)
+{
+	const struct dag_step *step = st->step;
+	int64_t mem = step->mem_mb - ((int64_t)w->capacity.mem_mb - w->mem_reserved);
+	int64_t cpu = step->cpu_milli - free_cpu(w);
+	const char *reason = ds_worker_obstacle(s, w);
+
+	if (!w->in_service || w->leaving_since_us || !worker_serves_queue(w, st->job) ||
+	    (step->label.label_len && !ds_worker_has_label(w, XDR_STR(*step, label))) ||
+	    (int64_t)w->capacity.gpus - w->gpus_reserved < step->gpus)
+		return (struct ds_obstacle){DS_OBSTACLE_SERVICE, w,
+					    "no worker of its kind", 0};
+	if (cpu > w->cpu_reserved - w->cpu_serving)
+		return (struct ds_obstacle){DS_OBSTACLE_CPU, w,
+					    "lasting tasks have its cores", cpu};
+	if (cpu > 0)
+		return (struct ds_obstacle){DS_OBSTACLE_BATCH, w,
+					    "batch tasks have its cores", cpu};
+	if (mem > 0)
+		return (struct ds_obstacle){DS_OBSTACLE_MEMORY, w,
+					    "its memory is reserved", mem};
+	if (step->max_per_worker && count_step_runs(w, st) >= step->max_per_worker)
+		return (struct ds_obstacle){DS_OBSTACLE_LIMIT, w,
+					    "has as many tasks of the step as it may", 0};
+	if (!reason && !worker_takes_step(s, w, st))
+		reason = "is avoided";
+	if (reason)
+		return (struct ds_obstacle){DS_OBSTACLE_WORKER, w, reason, 0};
+	return (struct ds_obstacle){DS_OBSTACLE_NONE, w, "has room", 0};
+}
+
+struct ds_obstacle ds_nearest_obstacle(const struct dag_sched *s,
+				       const struct ds_step *st)
+{
+	struct ds_obstacle nearest = {DS_OBSTACLE_SERVICE, NULL, "no worker", 0};
+
+	for (size_t i = 0; i < s->n_workers; i++) {
+		struct ds_obstacle o = find_obstacle(s, s->workers[i], st);
+
+		if (!nearest.worker || o.kind < nearest.kind ||
+		    (o.kind == nearest.kind && o.missing < nearest.missing))
+			nearest = o;
+	}
+	return nearest;
+}
+
 bool ds_has_better_worker(struct dag_sched *s, const struct ds_run *r,
 			  double max_interference)
 {
--- a/core/dag_sched_impl.h
+++ b/core/dag_sched_impl.h
@@ -245,8 +245,29 @@
 void ds_sort_ready(struct dag_sched *s);
 int64_t ds_job_next_due_us(const struct dag_sched *s, const struct ds_job *j);
 
+/* What keeps a worker from taking a task; a lower kind is nearer to taking it. */
+enum ds_obstacle_kind {
+	DS_OBSTACLE_NONE,
+	DS_OBSTACLE_WORKER,
+	DS_OBSTACLE_LIMIT,
+	DS_OBSTACLE_MEMORY,
+	DS_OBSTACLE_BATCH, /* the CPU that batch tasks have reserved would do */
+	DS_OBSTACLE_CPU,
+	DS_OBSTACLE_SERVICE,
+};
+
+struct ds_obstacle {
+	enum ds_obstacle_kind kind;
+	const struct ds_worker *worker;
+	const char *reason;
+	int64_t missing; /* thousandths of a core, or MB of memory */
+};
+
 /* dag_place.c */
 void ds_place_all(struct dag_sched *s);
+/* What keeps the worker that is nearest to taking a task of a step from doing so. */
+struct ds_obstacle ds_nearest_obstacle(const struct dag_sched *s,
+				       const struct ds_step *st);
 /* Whether another worker has capacity for a run and predicts no more interference. */
 bool ds_has_better_worker(struct dag_sched *s, const struct ds_run *r,
 			  double max_interference);
@@ -284,6 +305,7 @@
 void ds_spread_first_polls(struct dag_sched *s);
 void ds_handle_replaced_workers(struct dag_sched *s, const struct dag_worker_rec *rec);
 void ds_worker_refresh(struct dag_sched *s, struct ds_worker *w);
+const char *ds_worker_obstacle(const struct dag_sched *s, const struct ds_worker *w);
 bool ds_worker_usable(const struct dag_sched *s, const struct ds_worker *w);
 bool ds_worker_avoided(const struct dag_sched *s, const struct ds_worker *w);
 void ds_worker_tick(struct dag_sched *s, struct ds_worker *w, bool check_all);
--- a/core/dag_watch.c
+++ b/core/dag_watch.c
@@ -1,5 +1,6 @@
 /* Reports serving tasks that should run and do not, with what they wait for. */
 #include "core/dag_sched_impl.h"
+#include "proto/codec.h"
 
 #define WATCH_PERIOD_US (3 * USEC_PER_SEC)
 /* A serving task may be away this long before it is reported. */
@@ -35,6 +36,21 @@
 			 (w->lease_expires_us - s->now_us) / USEC_PER_MS);
 }
 
+/*
+ * Logs why the worker that is nearest to taking a task does not take it. The value is
+ * what it misses, in thousandths of a core or in MB.
+ */
+static void watch_room(struct dag_sched *s, const struct ds_step *st,
+		       const struct dag_task_ref *t)
+{
+	struct ds_obstacle o = ds_nearest_obstacle(s, st);
+	struct str id = {NULL, 0};
+
+	if (o.worker)
+		id = XDR_STR(o.worker->rec->w, id);
+	s->host->ops->log_event(s->host, "task-obstacle", t, 1, id, o.reason, o.missing);
+}
+
 /* The value is the time that the step has waited, in milliseconds. */
 static void watch_step(struct dag_sched *s, const struct ds_step *st)
 {
@@ -49,6 +65,8 @@
 				st->job->queue ? "no worker has room for it"
 					       : "its queue is not configured",
 				waited_us / USEC_PER_MS);
+	if (st->job->queue)
+		watch_room(s, st, &t);
 }
 
 /* Logs serving tasks that have been away for long; called with each pass over all runs.
--- a/core/dag_worker.c
+++ b/core/dag_worker.c
@@ -150,17 +150,35 @@
 }
 
 /*
- * Whether a worker may get new runs: in service, in contact, not quarantined, with a
- * known capacity, and without stray runs, which use capacity until they have stopped.
+ * Why a worker gets no new runs; NULL: it may. Stray runs use capacity until they have
+ * stopped.
  */
+const char *ds_worker_obstacle(const struct dag_sched *s, const struct ds_worker *w)
+{
+	if (!w->in_service || w->leaving_since_us)
+		return "leaves, or its zone is closed";
+	if (!w->clock_known)
+		return "has not been polled";
+	if (w->has_strays)
+		return "has stray runs";
+	if (w->poll_failures || w->contact_lost)
+		return "does not reply to polls";
+	if (!ds_worker_capacity_known(s, w))
+		return "has not reported its capacity of late";
+	if (s->now_us < w->quarantined_until_us)
+		return "is quarantined";
+	if (s->now_us < w->trial_until_us)
+		return "has a task on trial";
+	if (s->now_us - w->last_heard_us >=
+	    s->opt.report_interval_us * SILENT_HALF_REPORTS / 2)
+		return "has not been heard of late";
+	return NULL;
+}
+
+/* Whether a worker may get new runs. */
 bool ds_worker_usable(const struct dag_sched *s, const struct ds_worker *w)
 {
-	return w->in_service && w->clock_known && !w->leaving_since_us &&
-	       !w->has_strays && !w->poll_failures && !w->contact_lost &&
-	       ds_worker_capacity_known(s, w) && s->now_us >= w->quarantined_until_us &&
-	       s->now_us >= w->trial_until_us &&
-	       s->now_us - w->last_heard_us <
-		       s->opt.report_interval_us * SILENT_HALF_REPORTS / 2;
+	return !ds_worker_obstacle(s, w);
 }
 
 /* The leader's data of a recorded worker; NULL: none. */
