core/dag: fillers that an earlier leader paused are not taken for stalled

Cause: the speed that a leader sets for a filler is known to that leader only. The next one took every recovered run for one at full speed. Fillers that its predecessor had paused made no progress in its lists, so that after 2 s it stopped them as stalled and quarantined their workers for 5 s, in which nothing may start there. Nor did it ever give them their speed back, since it took that for full.

Now the speed of a recovered filler counts as unknown: it is no stall, and it gets its planned speed once the loads of the tasks beside it have been measured for a second.

--- a/core/dag_run.c
+++ b/core/dag_run.c
@@ -28,6 +28,7 @@
 	r->created_us = s->now_us;
 	r->stopped_how = DAG_END_LAPSED;
 	r->speed_percent = 100;
+	r->speed_known = true;
 	r->progress_percent = -1;
 	TAILQ_INSERT_TAIL(&j->runs, r, job_entry);
 	TAILQ_INSERT_TAIL(&w->runs, r, worker_entry);
--- a/core/dag_sched.c
+++ b/core/dag_sched.c
@@ -253,6 +253,7 @@
 			if (!r)
 				continue;
 			r->phase = DS_RECOVERED;
+			r->speed_known = !r->step->filler;
 			r->start_sent_us = recorded_start_us(s, t->started_ms[c]);
 			if (t->life[c] == w->lives)
 				r->born_ms = w->w.born_ms;
--- a/core/dag_sched_impl.h
+++ b/core/dag_sched_impl.h
@@ -59,6 +59,7 @@
 	int64_t listed_clock_ms;   /* newest list with the run */
 	int32_t level;		   /* see struct dag_listed_run */
 	uint32_t speed_percent;	   /* newest throttle request, 100: full speed */
+	bool speed_known;	   /* no earlier leader may have set another */
 	int64_t slow_since_us;	   /* 0: not slow */
 	/* Serving tasks. */
 	int32_t model_level;	      /* level of the newest model update */
--- a/core/dag_throttle.c
+++ b/core/dag_throttle.c
@@ -311,6 +311,7 @@
 		r->slow_since_us = s->now_us;
 	r->worker->cpu_fillers -= ds_filler_cpu(r);
 	r->speed_percent = percent;
+	r->speed_known = true;
 	r->worker->cpu_fillers += ds_filler_cpu(r);
 	r->progress_clock_ms = 0;
 	r->worker->last_throttle_us = s->now_us;
@@ -326,6 +327,21 @@
 	       (change && (planned == FULL_SPEED || planned == 0));
 }
 
+/*
+ * Whether the planned speed of a filler is to be sent. One that an earlier leader may
+ * have throttled gets it once the loads of the serving tasks beside it have been
+ * measured.
+ */
+static bool is_throttle_due(const struct dag_sched *s, const struct throttle_plan *p,
+			    uint32_t planned)
+{
+	const struct ds_run *r = p->run;
+
+	if (is_significant_change(r->speed_percent, planned))
+		return true;
+	return !r->speed_known && s->now_us - r->accepted_us >= SETTLE_US;
+}
+
 /* Stops one slow filler that has a checkpoint, so that it continues elsewhere. */
 static void stop_one_slow_filler(struct dag_sched *s, const struct throttle_plan *plan,
 				 size_t n)
@@ -369,8 +385,7 @@
 	for (size_t i = 0; i < n; i++) {
 		uint32_t planned = (uint32_t)(plan[i].speed * FULL_SPEED + 0.5);
 
-		if (is_significant_change(plan[i].run->speed_percent, planned) &&
-		    !s->fenced)
+		if (is_throttle_due(s, &plan[i], planned) && !s->fenced)
 			send_throttle(s, plan[i].run, planned);
 	}
 	stop_one_slow_filler(s, plan, n);
--- a/core/dag_worker.c
+++ b/core/dag_worker.c
@@ -318,7 +318,7 @@
 	int64_t limit_ms = r->step->estimate_ms / STALL_ESTIMATE_DIVISOR;
 
 	if (r->phase != DS_ACCEPTED || r->stop_requested || r->step->long_running ||
-	    r->speed_percent != 100 || !r->progress_clock_ms)
+	    r->speed_percent != 100 || !r->speed_known || !r->progress_clock_ms)
 		return false;
 	if (limit_ms < STALL_MS)
 		limit_ms = STALL_MS;
