core/dag: a throttle request that may be lost is repeated before a filler counts as stalled

What callers saw: work that was thrown away, and a worker that took nothing for 5 s, because a filler seemed to stand still there.

Cause: throttle requests have no answer. If the one that ends a pause is lost, with a connection or with a gateway, the filler stays paused, and the leader, which takes it for one at full speed, stops it as stalled and quarantines its worker.

Now the newest throttle request of a filler is sent once more before that; only a filler that makes no progress after it is stalled.

The test lost_end_of_a_pause_is_no_stall failed before: 0 of 2 fillers ran 6 s after the connection was back, both were stopped for lack of progress.

--- a/core/dag_sched_impl.h
+++ b/core/dag_sched_impl.h
@@ -60,6 +60,8 @@
 	int32_t level;		   /* see struct dag_listed_run */
 	uint32_t speed_percent;	   /* newest throttle request, 100: full speed */
 	bool speed_known;	   /* no earlier leader may have set another */
+	bool throttled;		   /* a throttle request was sent */
+	bool speed_repeated;	   /* the newest throttle request was sent twice */
 	int64_t slow_since_us;	   /* 0: not slow */
 	/* Serving tasks. */
 	int32_t model_level;	      /* level of the newest model update */
@@ -365,6 +367,7 @@
 /* dag_throttle.c */
 int64_t ds_filler_cpu(const struct ds_run *r);
 void ds_throttle_fillers(struct dag_sched *s, struct ds_worker *w);
+bool ds_repeat_throttle(struct dag_sched *s, struct ds_run *r);
 /* What one more filler does to the serving tasks of a worker, summed over them. */
 struct ds_interference {
 	double added;  /* load that it adds */
--- a/core/dag_throttle.c
+++ b/core/dag_throttle.c
@@ -299,12 +299,33 @@
 	return (int64_t)r->step->cpu_milli * r->speed_percent / FULL_SPEED;
 }
 
-/* Sets the speed of a filler and remembers since when it is slow. */
-static void send_throttle(struct dag_sched *s, struct ds_run *r, uint32_t percent)
+static void send_speed(struct dag_sched *s, struct ds_run *r)
 {
 	struct dag_worker_command o = {
-		.task = r->task, .run = r->run, .speed_percent = percent};
+		.task = r->task, .run = r->run, .speed_percent = r->speed_percent};
+
+	r->progress_clock_ms = 0;
+	r->worker->last_throttle_us = s->now_us;
+	ds_worker_fill_call(s, r->worker, &o.call);
+	s->host->ops->throttle(s->host, &o);
+}
+
+/*
+ * Repeats the newest throttle request of a filler, which has no answer and may be lost.
+ * false: there is none, or it was repeated before.
+ */
+bool ds_repeat_throttle(struct dag_sched *s, struct ds_run *r)
+{
+	if (!r->throttled || r->speed_repeated || s->fenced)
+		return false;
+	r->speed_repeated = true;
+	send_speed(s, r);
+	return true;
+}
 
+/* Sets the speed of a filler and remembers since when it is slow. */
+static void send_throttle(struct dag_sched *s, struct ds_run *r, uint32_t percent)
+{
 	if (percent > MOVE_SPEED_MAX)
 		r->slow_since_us = 0;
 	else if (!r->slow_since_us)
@@ -313,10 +334,9 @@
 	r->speed_percent = percent;
 	r->speed_known = true;
 	r->worker->cpu_fillers += ds_filler_cpu(r);
-	r->progress_clock_ms = 0;
-	r->worker->last_throttle_us = s->now_us;
-	ds_worker_fill_call(s, r->worker, &o.call);
-	s->host->ops->throttle(s->host, &o);
+	r->throttled = true;
+	r->speed_repeated = false;
+	send_speed(s, r);
 }
 
 static bool is_significant_change(uint32_t now, uint32_t planned)
--- a/core/dag_worker.c
+++ b/core/dag_worker.c
@@ -343,7 +343,7 @@
 
 	TAILQ_FOREACH (r, &w->runs, worker_entry) {
 		ds_run_tick(s, r);
-		if (!w->poll_failures && is_stalled(r))
+		if (!w->poll_failures && is_stalled(r) && !ds_repeat_throttle(s, r))
 			move_stalled_run(s, r);
 	}
 }
--- a/regress/test_dag_pace.c
+++ b/regress/test_dag_pace.c
@@ -1,4 +1,6 @@
-/* Fillers whose speed was set by commands that this leader did not send. */
+/* Fillers whose speed was set by commands that this leader did not send, or that were
+ * lost.
+ */
 #include <check.h>
 #include <stdlib.h>
 
@@ -68,6 +70,24 @@
 }
 END_TEST
 
+/* Guards against a filler that is taken for stalled as the command that ends its pause
+ * was lost.
+ */
+START_TEST(lost_end_of_a_pause_is_no_stall)
+{
+	uint32_t starts;
+
+	pause_two_fillers();
+	starts = w.starts;
+	w.lost_permille = 1000;
+	w.workers[0].tail_ms = 15;
+	dw_run_for(&w, 2 * SECOND);
+	w.lost_permille = 0;
+	dw_run_for(&w, 6 * SECOND);
+	assert_resumed(starts);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("dag_pace");
@@ -78,6 +98,7 @@
 	tcase_set_timeout(tc, 60);
 	tcase_add_checked_fixture(tc, open_world, close_world);
 	tcase_add_test(tc, paused_filler_is_no_stall_for_a_new_leader);
+	tcase_add_test(tc, lost_end_of_a_pause_is_no_stall);
 	suite_add_tcase(s, tc);
 	srunner_run_all(sr, CK_NORMAL);
 	failed = srunner_ntests_failed(sr);
