core/dag_throttle: a throttle request is repeated while its filler uses more CPU than it may

Cause: throttle requests have no answer. If the one that pauses a filler was lost, the leader took it for paused, and the plan, which stayed the same, sent nothing more.

Workers list the CPU that a filler uses. While that is more than its speed allows by 30 % of the declared CPU, 1 s or more after the newest request, the request is sent again.

--- a/core/dag_sched_impl.h
+++ b/core/dag_sched_impl.h
@@ -60,7 +60,7 @@
 	int32_t level;		   /* see struct dag_listed_run */
 	uint32_t speed_percent;	   /* newest throttle request, 100: full speed */
 	bool speed_known;	   /* no earlier leader may have set another */
-	bool throttled;		   /* a throttle request was sent */
+	int64_t throttled_us;	   /* newest throttle request, 0: none */
 	bool speed_repeated;	   /* the newest throttle request was sent twice */
 	int64_t slow_since_us;	   /* 0: not slow */
 	/* Serving tasks. */
--- a/core/dag_throttle.c
+++ b/core/dag_throttle.c
@@ -24,6 +24,8 @@
 #define THROTTLE_INTERVAL_US (400 * USEC_PER_MS)
 #define MIN_SPEED_CHANGE 15 /* percent; smaller changes are not sent */
 #define FULL_SPEED 100
+/* The CPU that a filler lists is a rough figure; this much above its speed is none. */
+#define SPEED_TOLERANCE 30 /* percent */
 /* All fillers are paused when a serving task stays above its target for this long. */
 #define OVER_TARGET_MAX_US (1200 * USEC_PER_MS)
 #define MOVE_SPEED_MAX 40U /* a filler this slow for MOVE_AFTER_US is moved */
@@ -305,6 +307,7 @@
 		.task = r->task, .run = r->run, .speed_percent = r->speed_percent};
 
 	r->progress_clock_ms = 0;
+	r->throttled_us = s->now_us;
 	r->worker->last_throttle_us = s->now_us;
 	ds_worker_fill_call(s, r->worker, &o.call);
 	s->host->ops->throttle(s->host, &o);
@@ -316,7 +319,7 @@
  */
 bool ds_repeat_throttle(struct dag_sched *s, struct ds_run *r)
 {
-	if (!r->throttled || r->speed_repeated || s->fenced)
+	if (!r->throttled_us || r->speed_repeated || s->fenced)
 		return false;
 	r->speed_repeated = true;
 	send_speed(s, r);
@@ -334,7 +337,6 @@
 	r->speed_percent = percent;
 	r->speed_known = true;
 	r->worker->cpu_fillers += ds_filler_cpu(r);
-	r->throttled = true;
 	r->speed_repeated = false;
 	send_speed(s, r);
 }
@@ -362,6 +364,16 @@
 	return !r->speed_known && s->now_us - r->accepted_us >= SETTLE_US;
 }
 
+/* Whether a filler uses more CPU than its speed allows: the throttle request was lost. */
+static bool exceeds_speed(const struct dag_sched *s, const struct ds_run *r)
+{
+	int64_t allowed = (int64_t)r->step->cpu_milli *
+			  (r->speed_percent + SPEED_TOLERANCE) / FULL_SPEED;
+
+	return r->throttled_us && s->now_us - r->throttled_us >= SETTLE_US &&
+	       r->level > allowed;
+}
+
 /* Stops one slow filler that has a checkpoint, so that it continues elsewhere. */
 static void stop_one_slow_filler(struct dag_sched *s, const struct throttle_plan *plan,
 				 size_t n)
@@ -405,8 +417,12 @@
 	for (size_t i = 0; i < n; i++) {
 		uint32_t planned = (uint32_t)(plan[i].speed * FULL_SPEED + 0.5);
 
-		if (is_throttle_due(s, &plan[i], planned) && !s->fenced)
+		if (s->fenced)
+			break;
+		if (is_throttle_due(s, &plan[i], planned))
 			send_throttle(s, plan[i].run, planned);
+		else if (exceeds_speed(s, plan[i].run))
+			send_speed(s, plan[i].run);
 	}
 	stop_one_slow_filler(s, plan, n);
 }
--- a/regress/test_dag_pace.c
+++ b/regress/test_dag_pace.c
@@ -21,8 +21,8 @@
 	dw_close(&w);
 }
 
-/* Two serving tasks, and two fillers beside them that are paused. */
-static void pause_two_fillers(void)
+/* Two serving tasks, and two fillers beside them. */
+static void start_two_fillers(void)
 {
 	struct dag_step st = {.count = 2,
 			      .cpu_milli = 2000,
@@ -37,6 +37,12 @@
 	w.workers[0].tail_ms = 20;
 	dw_submit_step(&w, 2, &st);
 	dw_run_for(&w, 8 * SECOND);
+	ck_assert_uint_eq(dw_alive(&w, 2), 2);
+}
+
+static void pause_two_fillers(void)
+{
+	start_two_fillers();
 	w.workers[0].tail_ms = 200;
 	dw_run_for(&w, 4 * SECOND);
 	ck_assert_uint_eq(dw_alive(&w, 2), 2);
@@ -88,6 +94,27 @@
 }
 END_TEST
 
+/* Guards against a filler that works on beside a task above its target, as the command
+ * that pauses it was lost.
+ */
+START_TEST(lost_pause_is_repeated)
+{
+	const struct dw_run *runs = w.workers[0].runs;
+
+	start_two_fillers();
+	w.lost_permille = 1000;
+	w.workers[0].tail_ms = 200;
+	dw_run_for(&w, 3 * SECOND);
+	w.lost_permille = 0;
+	dw_run_for(&w, 2 * SECOND);
+	dw_assert_sound(&w);
+	ck_assert_uint_eq(dw_alive(&w, 2), 2);
+	for (size_t i = 0; i < DW_RUNS; i++)
+		if (runs[i].used && runs[i].filler)
+			ck_assert_uint_lt(runs[i].pace, 20);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("dag_pace");
@@ -99,6 +126,7 @@
 	tcase_add_checked_fixture(tc, open_world, close_world);
 	tcase_add_test(tc, paused_filler_is_no_stall_for_a_new_leader);
 	tcase_add_test(tc, lost_end_of_a_pause_is_no_stall);
+	tcase_add_test(tc, lost_pause_is_repeated);
 	suite_add_tcase(s, tc);
 	srunner_run_all(sr, CK_NORMAL);
 	failed = srunner_ntests_failed(sr);
