core/dag_place: smaller batch tasks do not take the room that a serving task waits for

Cause: serving tasks come first in the order, but each part of a room that comes free and is too small for them goes to a batch task at once, so that the parts are never free together. Fillers take memory in the same way, also where the cores would do.

Now, in each pass, a step of serving tasks that finds no worker holds the one that lacks least of those whose serving tasks leave it room, 16 at most, and batch tasks that come later in the order keep off it. Those of more urgent queues come before and are not kept off.

The test serving_task_is_not_overtaken_by_batch_tasks failed before, for batch tasks and for fillers: the serving task did not run 6 s after it was submitted.

--- a/core/dag_place.c
+++ b/core/dag_place.c
@@ -22,6 +22,10 @@
 #define AVOIDED_PENALTY 8000000
 #define AVOIDED_RETRY_US (1 * USEC_PER_SEC)
 #define SCORE_UNACCEPTABLE INT64_MIN
+/* Workers that are held for serving tasks in one pass. */
+#define MAX_HELD_WORKERS 16U
+/* In the shortage of a worker, so much memory counts as one thousandth of a core. */
+#define MEM_MB_PER_MILLI 2
 
 /* A request that fits no worker in this pass; equal or larger ones are not tried. */
 struct placement_failure {
@@ -71,19 +75,40 @@
 	return free_cpu(w) >= 0 && idle_cpu(w) >= step->cpu_milli;
 }
 
-static bool worker_fits_step(const struct ds_worker *w, const struct ds_step *st)
+static int64_t free_mem(const struct ds_worker *w)
+{
+	return (int64_t)w->capacity.mem_mb - w->mem_reserved;
+}
+
+static bool worker_fits_gpus(const struct ds_worker *w, const struct dag_step *step)
+{
+	return (int64_t)w->capacity.gpus - w->gpus_reserved >= step->gpus;
+}
+
+/* Whether a worker has the label of a step, and no more of its runs than it may. */
+static bool worker_suits_step(const struct ds_worker *w, const struct ds_step *st)
 {
 	const struct dag_step *step = st->step;
 
-	if ((int64_t)w->capacity.mem_mb - w->mem_reserved < step->mem_mb ||
-	    (int64_t)w->capacity.gpus - w->gpus_reserved < step->gpus ||
-	    !worker_fits_cpu(w, step))
-		return false;
 	if (step->label.label_len && !ds_worker_has_label(w, XDR_STR(*step, label)))
 		return false;
 	return !step->max_per_worker || count_step_runs(w, st) < step->max_per_worker;
 }
 
+static bool worker_fits_step(const struct ds_worker *w, const struct ds_step *st)
+{
+	return free_mem(w) >= st->step->mem_mb && worker_fits_gpus(w, st->step) &&
+	       worker_fits_cpu(w, st->step) && worker_suits_step(w, st);
+}
+
+/* Whether a serving task would fit a worker on which only serving tasks run. */
+static bool worker_fits_beside_serving(const struct ds_worker *w,
+				       const struct dag_step *step)
+{
+	return (int64_t)w->capacity.cpu_milli - w->cpu_serving >= step->cpu_milli &&
+	       (int64_t)w->capacity.mem_mb - w->mem_serving >= step->mem_mb;
+}
+
 static bool worker_serves_queue(const struct ds_worker *w, const struct ds_job *j)
 {
 	return j->queue &&
@@ -159,7 +184,7 @@
 static bool worker_takes_step(const struct dag_sched *s, const struct ds_worker *w,
 			      const struct ds_step *st)
 {
-	if (!ds_worker_usable(s, w))
+	if (!ds_worker_usable(s, w) || (w->held && !st->step->long_running))
 		return false;
 	return !ds_worker_avoided(s, w) ||
 	       (st->step->long_running && s->now_us >= w->next_serving_us);
@@ -422,6 +447,61 @@
 	return place_gang_in_rack(s, st, (struct str){NULL, 0});
 }
 
+/* What a worker lacks for a task, in thousandths of a core. */
+static int64_t shortage(const struct ds_worker *w, const struct dag_step *step)
+{
+	int64_t cpu = step->cpu_milli - free_cpu(w);
+	int64_t mem = step->mem_mb - free_mem(w);
+
+	return (cpu > 0 ? cpu : 0) + (mem > 0 ? mem / MEM_MB_PER_MILLI : 0);
+}
+
+/* The worker that lacks least of those on which batch tasks take a serving task's room.
+ */
+static struct ds_worker *find_room_of_batch(const struct dag_sched *s,
+					    const struct ds_step *st)
+{
+	struct ds_worker *best = NULL;
+	int64_t least = INT64_MAX;
+
+	for (size_t i = 0; i < s->n_workers; i++) {
+		struct ds_worker *w = s->workers[i];
+
+		if (w->held || !worker_fits_beside_serving(w, st->step) ||
+		    shortage(w, st->step) >= least || !worker_takes_step(s, w, st) ||
+		    !worker_serves_queue(w, st->job) || !worker_fits_gpus(w, st->step) ||
+		    !worker_suits_step(w, st))
+			continue;
+		least = shortage(w, st->step);
+		best = w;
+	}
+	return best;
+}
+
+/*
+ * Keeps batch tasks that come later in the order off a worker for a serving task that
+ * waits. Otherwise they would take each part of its room as soon as it is free, and a
+ * large task would wait for as long as there are smaller ones.
+ */
+static void hold_worker(struct dag_sched *s, const struct ds_step *st, unsigned int *n)
+{
+	struct ds_worker *w;
+
+	if (!st->step->long_running || st->step->gang || *n == MAX_HELD_WORKERS)
+		return;
+	w = find_room_of_batch(s, st);
+	if (!w)
+		return;
+	w->held = true;
+	++*n;
+}
+
+static void release_held_workers(struct dag_sched *s)
+{
+	for (size_t i = 0; i < s->n_workers; i++)
+		s->workers[i]->held = false;
+}
+
 static bool is_unconstrained(const struct dag_step *step)
 {
 	return !step->label.label_len && !step->max_per_worker && !step->gang;
@@ -478,10 +558,12 @@
 {
 	struct placement_failure failures[MAX_PLACEMENT_FAILURES] = {0};
 	struct ds_step *st, *next;
+	unsigned int n_held = 0;
 
 	s->placement_needed = false;
 	if (s->fenced)
 		return;
+	release_held_workers(s);
 	for (st = TAILQ_FIRST(&s->ready); st && !s->err; st = next) {
 		bool all;
 
@@ -489,8 +571,10 @@
 		if (is_known_unplaceable(failures, st))
 			continue;
 		all = st->step->gang ? place_gang(s, st) : place_tasks(s, st);
-		if (!all)
+		if (!all) {
 			record_placement_failure(failures, st);
+			hold_worker(s, st, &n_held);
+		}
 		ds_step_refresh(s, st);
 	}
 	s->placement_needed = false;
--- a/core/dag_run.c
+++ b/core/dag_run.c
@@ -39,8 +39,10 @@
 		w->cpu_fillers += step->cpu_milli;
 	else
 		w->cpu_reserved += step->cpu_milli;
-	if (step->long_running)
+	if (step->long_running) {
 		w->cpu_serving += step->cpu_milli;
+		w->mem_serving += step->mem_mb;
+	}
 	w->mem_reserved += step->mem_mb;
 	w->gpus_reserved += step->gpus;
 	ds_job_find_task(j, t)->n_runs++;
@@ -61,8 +63,10 @@
 		w->cpu_fillers -= ds_filler_cpu(r);
 	else
 		w->cpu_reserved -= r->step->cpu_milli;
-	if (r->step->long_running)
+	if (r->step->long_running) {
 		w->cpu_serving -= r->step->cpu_milli;
+		w->mem_serving -= r->step->mem_mb;
+	}
 	w->mem_reserved -= r->step->mem_mb;
 	w->gpus_reserved -= r->step->gpus;
 	s->placement_needed = true;
--- a/core/dag_sched_impl.h
+++ b/core/dag_sched_impl.h
@@ -133,8 +133,10 @@
 	int64_t cpu_serving;  /* part of cpu_reserved: long-running tasks */
 	int64_t cpu_fillers; /* thousandths of a core, as far as they are not throttled */
 	int64_t mem_reserved;
+	int64_t mem_serving; /* part of it: long-running tasks */
 	int64_t gpus_reserved;
-	bool guarded;		 /* it refuses what does not fit */
+	bool held;    /* in this placement pass, for a serving task that waits */
+	bool guarded; /* it refuses what does not fit */
 	int64_t report_born_ms;	 /* life that sent the newest report, 0: none came */
 	int64_t report_clock_ms; /* when that life sent it, on its clock */
 	bool drain_reported;	 /* by the life that follows; recorded soon */
--- a/regress/test_dag_room.c
+++ b/regress/test_dag_room.c
@@ -1,4 +1,6 @@
-/* The room of workers that start whatever they are told to start: it shrinks and grows.
+/*
+ * The room of workers that start whatever they are told to start, which shrinks and
+ * grows, and who gets it.
  */
 #include <check.h>
 #include <stdlib.h>
@@ -472,6 +474,42 @@
 }
 END_TEST
 
+/* A stream of batch tasks of which two always run; each ends 1 s after its start. */
+static void submit_stream_for(int64_t us, const struct dag_step *step, uint64_t *id)
+{
+	for (int64_t t = 0; t < us; t += SECOND / 2) {
+		dw_submit_step(&w, (*id)++, step);
+		dw_run_for(&w, SECOND / 2);
+	}
+}
+
+/*
+ * Guards against a serving task that waits for ever as smaller batch tasks take each part
+ * of its room when it is free. _i: tasks with cores of their own, fillers that take
+ * memory.
+ */
+START_TEST(serving_task_is_not_overtaken_by_batch_tasks)
+{
+	struct dag_step batch = {.count = 1,
+				 .cpu_milli = 2000,
+				 .mem_mb = 2000,
+				 .estimate_ms = 1000,
+				 .filler = _i};
+	struct dag_step large = {
+		.count = 1, .cpu_milli = 5000, .mem_mb = 7000, .long_running = true};
+	uint64_t id = 10;
+
+	dw_add_worker(&w, 8000, 8000);
+	w.work_us = SECOND + SECOND / 10;
+	dw_submit_lasting(&w, 1, 2);
+	submit_stream_for(4 * SECOND, &batch, &id);
+	dw_submit_step(&w, 2, &large);
+	submit_stream_for(6 * SECOND, &batch, &id);
+	dw_assert_sound(&w);
+	ck_assert_uint_eq(dw_alive(&w, 2), 1);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("dag_room");
@@ -494,6 +532,7 @@
 	tcase_add_loop_test(tc, runs_count_until_a_slow_clock_ends_their_lease, 0, 80);
 	tcase_add_loop_test(tc, room_without_reports_is_not_filled, 0, 2);
 	tcase_add_loop_test(tc, random_rooms, 0, N_SEEDS);
+	tcase_add_loop_test(tc, serving_task_is_not_overtaken_by_batch_tasks, 0, 2);
 	suite_add_tcase(s, tc);
 	srunner_run_all(sr, CK_NORMAL);
 	failed = srunner_ntests_failed(sr);
