core/dag_place: the log tells whether batch or serving tasks have a room

task-obstacle said that memory is reserved, not by whom. The reason and the search for a room that batch tasks take use the same functions now, and what a worker lacks is one figure.

--- a/core/dag_place.c
+++ b/core/dag_place.c
@@ -255,31 +255,49 @@
 	return best;
 }
 
+/* What a worker lacks for a task, in thousandths of a core. */
+static int64_t shortage(const struct ds_worker *w, const struct dag_step *step)
+{
+	int64_t cpu = step->cpu_milli - free_cpu(w);
+	int64_t mem = step->mem_mb - free_mem(w);
+
+	return (cpu > 0 ? cpu : 0) +
+	       (mem > 0 ? (mem + MEM_MB_PER_MILLI - 1) / MEM_MB_PER_MILLI : 0);
+}
+
+/* Which of the two that a worker lacks for a task is short, and who has it. */
+static const char *shortage_reason(const struct ds_worker *w, const struct dag_step *step,
+				   bool serving)
+{
+	bool cores = free_cpu(w) < step->cpu_milli;
+
+	if (serving)
+		return cores ? "serving tasks have its cores"
+			     : "serving tasks have its memory";
+	return cores ? "batch tasks have its cores" : "batch tasks have its memory";
+}
+
 static struct ds_obstacle find_obstacle(const struct dag_sched *s, struct ds_worker *w,
 					const struct ds_step *st)
 {
 	const struct dag_step *step = st->step;
-	int64_t mem = step->mem_mb - ((int64_t)w->capacity.mem_mb - w->mem_reserved);
-	int64_t cpu = step->cpu_milli - free_cpu(w);
-	const char *reason = ds_worker_obstacle(s, w);
+	int64_t missing = shortage(w, step);
+	bool serving = !worker_fits_beside_serving(w, step);
+	const char *reason;
 
 	if (!w->in_service || w->leaving_since_us || !worker_serves_queue(w, st->job) ||
-	    (step->label.label_len && !ds_worker_has_label(w, XDR_STR(*step, label))) ||
-	    (int64_t)w->capacity.gpus - w->gpus_reserved < step->gpus)
+	    !worker_fits_gpus(w, step))
 		return (struct ds_obstacle){DS_OBSTACLE_SERVICE, w,
 					    "no worker of its kind", 0};
-	if (cpu > w->cpu_reserved - w->cpu_serving)
-		return (struct ds_obstacle){DS_OBSTACLE_CPU, w,
-					    "lasting tasks have its cores", cpu};
-	if (cpu > 0)
-		return (struct ds_obstacle){DS_OBSTACLE_BATCH, w,
-					    "batch tasks have its cores", cpu};
-	if (mem > 0)
-		return (struct ds_obstacle){DS_OBSTACLE_MEMORY, w,
-					    "its memory is reserved", mem};
-	if (step->max_per_worker && count_step_runs(w, st) >= step->max_per_worker)
-		return (struct ds_obstacle){DS_OBSTACLE_LIMIT, w,
-					    "has as many tasks of the step as it may", 0};
+	if (missing)
+		return (struct ds_obstacle){
+			serving ? DS_OBSTACLE_SERVING : DS_OBSTACLE_BATCH, w,
+			shortage_reason(w, step, serving), missing};
+	if (!worker_suits_step(w, st))
+		return (struct ds_obstacle){
+			DS_OBSTACLE_LIMIT, w,
+			"has another label, or as many tasks of the step as it may", 0};
+	reason = ds_worker_obstacle(s, w);
 	if (!reason && !worker_takes_step(s, w, st))
 		reason = "is avoided";
 	if (reason)
@@ -447,15 +465,6 @@
 	return place_gang_in_rack(s, st, (struct str){NULL, 0});
 }
 
-/* What a worker lacks for a task, in thousandths of a core. */
-static int64_t shortage(const struct ds_worker *w, const struct dag_step *step)
-{
-	int64_t cpu = step->cpu_milli - free_cpu(w);
-	int64_t mem = step->mem_mb - free_mem(w);
-
-	return (cpu > 0 ? cpu : 0) + (mem > 0 ? mem / MEM_MB_PER_MILLI : 0);
-}
-
 /* The worker that lacks least of those on which batch tasks take a serving task's room.
  */
 static struct ds_worker *find_room_of_batch(const struct dag_sched *s,
--- a/core/dag_sched_impl.h
+++ b/core/dag_sched_impl.h
@@ -255,9 +255,8 @@
 	DS_OBSTACLE_NONE,
 	DS_OBSTACLE_WORKER,
 	DS_OBSTACLE_LIMIT,
-	DS_OBSTACLE_MEMORY,
-	DS_OBSTACLE_BATCH, /* the CPU that batch tasks have reserved would do */
-	DS_OBSTACLE_CPU,
+	DS_OBSTACLE_BATCH, /* what batch tasks have reserved would do */
+	DS_OBSTACLE_SERVING,
 	DS_OBSTACLE_SERVICE,
 };
 
@@ -265,7 +264,7 @@
 	enum ds_obstacle_kind kind;
 	const struct ds_worker *worker;
 	const char *reason;
-	int64_t missing; /* thousandths of a core, or MB of memory */
+	int64_t missing; /* thousandths of a core, with memory as a part of them */
 };
 
 /* dag_place.c */
--- a/core/dag_watch.c
+++ b/core/dag_watch.c
@@ -38,7 +38,7 @@
 
 /*
  * Logs why the worker that is nearest to taking a task does not take it. The value is
- * what it misses, in thousandths of a core or in MB.
+ * what it lacks, in thousandths of a core, with memory as a part of them.
  */
 static void watch_room(struct dag_sched *s, const struct ds_step *st,
 		       const struct dag_task_ref *t)
