--- a/core/dag_sched_impl.h
+++ b/core/dag_sched_impl.h
@@ -61,6 +61,9 @@
 	int64_t listed_clock_ms;   /* newest list with the run */
 	int32_t level;		   /* see struct dag_listed_run */
 	uint32_t speed_percent;	   /* newest throttle request, 100: full speed */
+	bool speed_known;	   /* no earlier leader may have set another */
+	int64_t throttled_us;	   /* newest throttle request, 0: none */
+	bool speed_repeated;	   /* the newest throttle request was sent twice */
 	int64_t slow_since_us;	   /* 0: not slow */
 	/* Serving tasks. */
 	int32_t model_level;	      /* level of the newest model update */
@@ -132,8 +135,10 @@
 	int64_t cpu_serving;  /* part of cpu_reserved: long-running tasks */
 	int64_t cpu_fillers; /* thousandths of a core, as far as they are not throttled */
 	int64_t mem_reserved;
+	int64_t mem_serving; /* part of it: long-running tasks */
 	int64_t gpus_reserved;
-	bool guarded;		 /* it refuses what does not fit */
+	bool held;    /* in this placement pass, for a serving task that waits */
+	bool guarded; /* it refuses what does not fit */
 	int64_t report_born_ms;	 /* life that sent the newest report, 0: none came */
 	int64_t report_clock_ms; /* when that life sent it, on its clock */
 	bool drain_reported;	 /* by the life that follows; recorded soon */
@@ -247,8 +252,28 @@
 void ds_sort_ready(struct dag_sched *s);
 int64_t ds_job_next_due_us(const struct dag_sched *s, const struct ds_job *j);
 
+/* What keeps a worker from taking a task; a lower kind is nearer to taking it. */
+enum ds_obstacle_kind {
+	DS_OBSTACLE_NONE,
+	DS_OBSTACLE_WORKER,
+	DS_OBSTACLE_LIMIT,
+	DS_OBSTACLE_BATCH, /* what batch tasks have reserved would do */
+	DS_OBSTACLE_SERVING,
+	DS_OBSTACLE_SERVICE,
+};
+
+struct ds_obstacle {
+	enum ds_obstacle_kind kind;
+	const struct ds_worker *worker;
+	const char *reason;
+	int64_t missing; /* thousandths of a core, with memory as a part of them */
+};
+
 /* dag_place.c */
 void ds_place_all(struct dag_sched *s);
+/* What keeps the worker that is nearest to taking a task of a step from doing so. */
+struct ds_obstacle ds_nearest_obstacle(const struct dag_sched *s,
+				       const struct ds_step *st);
 /* Whether another worker has capacity for a run and predicts no more interference. */
 bool ds_has_better_worker(struct dag_sched *s, const struct ds_run *r,
 			  double max_interference);
@@ -286,6 +311,7 @@
 void ds_spread_first_polls(struct dag_sched *s);
 void ds_handle_replaced_workers(struct dag_sched *s, const struct dag_worker_rec *rec);
 void ds_worker_refresh(struct dag_sched *s, struct ds_worker *w);
+const char *ds_worker_obstacle(const struct dag_sched *s, const struct ds_worker *w);
 bool ds_worker_usable(const struct dag_sched *s, const struct ds_worker *w);
 bool ds_worker_avoided(const struct dag_sched *s, const struct ds_worker *w);
 void ds_worker_tick(struct dag_sched *s, struct ds_worker *w, bool check_all);
@@ -351,6 +377,7 @@
 /* dag_throttle.c */
 int64_t ds_filler_cpu(const struct ds_run *r);
 void ds_throttle_fillers(struct dag_sched *s, struct ds_worker *w);
+bool ds_repeat_throttle(struct dag_sched *s, struct ds_run *r);
 /* What one more filler does to the serving tasks of a worker, summed over them. */
 struct ds_interference {
 	double added;  /* load that it adds */
