sched: the silence of workers fails no task

Callers saw a job as `failed` ("3 workers were lost soon after task 0 had started on them") whose workers were only cut off.

Cause: suspect_count_loss() counted the end of a lease as the loss of the worker, and three losses gave the task up after 30 s. The loss was taken back only if the worker came back to the same leader, in the same session, before the task was lost anywhere else, and was not leased at that moment: with cuts that overlap, or behind a change of the leader, it stayed. The class: something is given up on evidence that is only silence.

Only a later session of the worker now proves that its process ended.

A poll of that worker explains it, to any leader: the same session removes it, a later one makes it a loss, also when the worker returns after its lease has ended. Losses and silences make a suspect, which is tried alone. At three of them together the next start waits for the worker, 30 s at most, doubled for each further silence up to 240 s; then the task starts again. The wait ends at once when the worker returns. Losses by restarts still give a task up after three.

--- a/carawayfrontd/state_feed.c
+++ b/carawayfrontd/state_feed.c
@@ -48,6 +48,17 @@
 	return state == TASK_DONE || state == TASK_FAILED || state == TASK_CANCELLED;
 }
 
+static void add_silences(const struct task_silences *in, struct sched_record *out)
+{
+	if (!in)
+		return;
+	out->silent = in->count;
+	out->nsilences = in->n;
+	for (uint8_t i = 0; i < in->n; i++)
+		out->silence[i] = (struct sched_silence){
+			job_worker_name(in->list[i].worker), in->list[i].session};
+}
+
 static int add_task(struct state_leading *l, const struct job *job, struct str name,
 		    uint32_t number)
 {
@@ -67,11 +78,12 @@
 		.placed_us = to_sched_clock(l, t->placed_us),
 	};
 
+	add_silences(t->silences, &r);
 	/* A free number of a service keeps its attempt. */
 	if (is_over((enum task_state)t->state) && !job->service)
 		return 0;
 	/* Where a waiting task is loaded, its last worker matters only after a loss. */
-	if ((r.state != SCHED_WAITING || t->losses) &&
+	if ((r.state != SCHED_WAITING || t->losses || t->silences) &&
 	    !is_over((enum task_state)t->state))
 		r.worker = job_worker_name(t->worker);
 	return sched_load_task(l->sched, &r, clock_us());
--- a/carawayfrontd/state_leading.c
+++ b/carawayfrontd/state_leading.c
@@ -78,6 +78,52 @@
 	return r->losses == task->losses && r->pardons == task->pardons;
 }
 
+/* Whether the store has the silent workers of the record. */
+static bool has_silences(const struct job *job, const struct sched_record *r)
+{
+	const struct task_silences *s =
+		r->task < job->ntasks ? job->tasks[r->task].silences : NULL;
+
+	if (!s)
+		return r->silent == 0;
+	if (s->count != r->silent || s->n != r->nsilences)
+		return false;
+	for (uint8_t i = 0; i < s->n; i++)
+		if (s->list[i].session != r->silence[i].session ||
+		    !str_eq(job_worker_name(s->list[i].worker), r->silence[i].worker))
+			return false;
+	return true;
+}
+
+/*
+ * Adds the lost and silent workers of the record to the command if the store lacks them.
+ * list has room for SCHED_MAX_SILENCES entries.
+ */
+static void add_losses(struct command_body *body, const struct job *job,
+		       const struct sched_record *r, struct command_silence *list)
+{
+	struct command_task_silences all = {
+		.losses = {body->command_body_u.task, r->losses, r->pardons},
+		.silent = r->silent,
+		.list = {r->nsilences, list},
+	};
+
+	for (uint32_t i = 0; i < r->nsilences; i++) {
+		XDR_SET(list[i], worker, r->silence[i].worker);
+		list[i].session = r->silence[i].session;
+	}
+	if (r->silent) {
+		if (has_losses(job, r) && has_silences(job, r))
+			return;
+		body->kind = CMD_TASK_SILENCES;
+		body->command_body_u.task_silences = all;
+	} else if (!has_losses(job, r) || !has_silences(job, r)) {
+		/* A command without silences clears them. */
+		body->kind = CMD_TASK_LOSSES;
+		body->command_body_u.task_losses = all.losses;
+	}
+}
+
 /*
  * Scheduler operation: makes a record durable. CF_ENOENT: the job is gone or finished,
  * so that no record of it can be accepted any more.
@@ -87,6 +133,7 @@
 	struct state_leading *l = (struct state_leading *)host;
 	struct command cmd = {.body = {.kind = CMD_TASK}};
 	struct command_task *t = &cmd.body.command_body_u.task;
+	struct command_silence silences[SCHED_MAX_SILENCES];
 	const struct job *job;
 	struct str name;
 	uint64_t index;
@@ -111,12 +158,7 @@
 	t->checkpoint = r->checkpoint;
 	t->failures = r->failures;
 	t->reason = stored_reason(r->reason);
-	if (!has_losses(job, r)) {
-		struct command_task_losses losses = {*t, r->losses, r->pardons};
-
-		cmd.body.kind = CMD_TASK_LOSSES;
-		cmd.body.command_body_u.task_losses = losses;
-	}
+	add_losses(&cmd.body, job, r, silences);
 	return state_propose(l->state, &cmd, &index);
 }
 
@@ -320,16 +362,19 @@
 	buf_free(&job);
 }
 
-/* Logs that a worker was lost soon after the start of a task. */
-static void log_loss(const struct command_task_losses *in)
+/*
+ * Logs that a worker was lost soon after the start of a task. losses: workers that
+ * restarted; silent: workers that may only have been cut off.
+ */
+static void log_loss(const struct command_task_losses *in, unsigned int silent)
 {
 	const struct command_task *t = &in->task;
 
-	if (t->state == TASK_WAITING && in->losses)
+	if (t->state == TASK_WAITING && (in->losses || silent))
 		log_warn("worker-lost-under-task",
-			 "team=%.*s job=%.*s task=%u worker=%.*s losses=%u",
+			 "team=%.*s job=%.*s task=%u worker=%.*s losses=%u silent=%u",
 			 STR_ARG(XDR_STR(*t, team)), STR_ARG(XDR_STR(*t, job)), t->task,
-			 STR_ARG(XDR_STR(*t, worker)), in->losses);
+			 STR_ARG(XDR_STR(*t, worker)), in->losses, silent);
 }
 
 static void log_given_up(const struct command_task *t)
@@ -347,6 +392,7 @@
 	const struct command_body *b = &cmd->body;
 	const struct command_job_submit *submit = &b->command_body_u.job_submit;
 	const struct command_job_cancel *cancel = &b->command_body_u.job_cancel;
+	const struct command_task_silences *silences = &b->command_body_u.task_silences;
 	const struct job *job;
 
 	switch (b->kind) {
@@ -357,9 +403,14 @@
 		break;
 	case CMD_TASK_LOSSES:
 		if (!result->err)
-			log_loss(&b->command_body_u.task_losses);
+			log_loss(&b->command_body_u.task_losses, 0);
 		task_applied(l, &b->command_body_u.task_losses.task, result->err);
 		break;
+	case CMD_TASK_SILENCES:
+		if (!result->err)
+			log_loss(&silences->losses, silences->silent);
+		task_applied(l, &silences->losses.task, result->err);
+		break;
 	case CMD_CONF_PUT:
 		if (!result->err)
 			leading_feed_change(l, XDR_STR(b->command_body_u.conf_put, path));
--- a/carawayfrontd/state_propose.c
+++ b/carawayfrontd/state_propose.c
@@ -59,6 +59,7 @@
 	switch (kind) {
 	case CMD_TASK:
 	case CMD_TASK_LOSSES:
+	case CMD_TASK_SILENCES:
 	case CMD_JOB_REJECT:
 	case CMD_MEMBER_SEEN:
 	case CMD_MEMBER_GONE:
--- a/core/job.c
+++ b/core/job.c
@@ -217,8 +217,10 @@
 		share_release(&j->jobs, &t->used_jobs, 1);
 		share_release(&j->tasks, &t->used_tasks, job->ntasks);
 	}
-	for (uint32_t i = 0; i < job->ntasks; i++)
+	for (uint32_t i = 0; i < job->ntasks; i++) {
 		job_worker_put(j, job->tasks[i].worker);
+		job_silences_free(j, job->tasks[i].silences);
+	}
 	free(job->tasks);
 	free(job->strings);
 	free(job->reason);
--- a/core/job.h
+++ b/core/job.h
@@ -73,8 +73,19 @@
 struct job_worker;
 struct str job_worker_name(const struct job_worker *w); /* empty for NULL */
 
+/* Workers that fell silent soon after a task had started on them. */
+struct task_silences {
+	uint8_t count;
+	uint8_t n; /* entries of list, the latest ones; oldest first */
+	struct task_silence {
+		const struct job_worker *worker;
+		uint64_t session;
+	} list[CMD_MAX_SILENCES];
+};
+
 struct task {
 	const struct job_worker *worker; /* of the last attempt */
+	struct task_silences *silences;	 /* NULL: none */
 	uint64_t session;
 	uint64_t checkpoint; /* newest checkpoint, 0: none */
 	uint64_t waiting_us; /* start of the current wait */
@@ -130,6 +141,8 @@
 int jobs_apply_task(struct jobs *j, const struct command_task *in, uint64_t time_us);
 int jobs_apply_task_losses(struct jobs *j, const struct command_task_losses *in,
 			   uint64_t time_us);
+int jobs_apply_task_silences(struct jobs *j, const struct command_task_silences *in,
+			     uint64_t time_us);
 
 /* Services are set from their documents; the caller checks the limits first. */
 bool jobs_services_fit(const struct jobs *j, struct str team, uint64_t services,
@@ -161,5 +174,6 @@
 	      void *arg);
 int jobs_load(struct jobs *j, const struct snap_job *in);
 int jobs_load_losses(struct jobs *j, const struct snap_losses *in);
+int jobs_load_silences(struct jobs *j, const struct snap_silences *in);
 
 #endif
--- a/core/job_impl.h
+++ b/core/job_impl.h
@@ -40,6 +40,12 @@
 int job_worker_get(struct jobs *j, struct str name, const struct job_worker **out);
 void job_worker_put(struct jobs *j, const struct job_worker *w);
 
+int job_silences_new(struct jobs *j, uint32_t count, const struct command_silence *list,
+		     uint32_t n, struct task_silences **out);
+void job_silences_free(struct jobs *j, struct task_silences *silences);
+int job_visit_silences(const struct job *job, int (*visit)(void *, struct snap_record *),
+		       void *arg);
+
 int job_add(struct jobs *j, struct str team, bool service, struct str name,
 	    const struct job_spec *spec, uint32_t ntasks, struct job **out);
 int job_set_spec(struct job *job, struct str name, const struct job_spec *spec);
--- a/core/job_snap.c
+++ b/core/job_snap.c
@@ -97,7 +97,9 @@
 	out->tasks.tasks_len = job->ntasks;
 	err = visit(arg, &record);
 	free(tasks);
-	return err ? err : visit_losses(job, visit, arg);
+	if (!err)
+		err = visit_losses(job, visit, arg);
+	return err ? err : job_visit_silences(job, visit, arg);
 }
 
 /*
--- a/core/job_task.c
+++ b/core/job_task.c
@@ -93,6 +93,8 @@
 		task->checkpoint = 0;
 		task->losses = 0;
 		task->pardons = 0;
+		job_silences_free(j, task->silences);
+		task->silences = NULL;
 		task->cancel = false;
 	}
 	task->worker = worker;
@@ -239,9 +241,22 @@
 	return n < UINT8_MAX ? (uint8_t)n : UINT8_MAX;
 }
 
-/* Applies a task command; losses is NULL to leave the lost workers as they are. */
+static void swap_silences(struct task *task, struct task_silences **other)
+{
+	struct task_silences *former = task->silences;
+
+	task->silences = *other;
+	*other = former;
+}
+
+/*
+ * Applies a task command; losses is NULL to leave the lost workers as they are.
+ * Otherwise the silences of the task become *silences, which then has the former ones;
+ * on an error neither changes.
+ */
 static int apply_task(struct jobs *j, const struct command_task *in,
-		      const struct command_task_losses *losses, uint64_t time_us)
+		      const struct command_task_losses *losses,
+		      struct task_silences **silences, uint64_t time_us)
 {
 	struct job *job = job_find(j, XDR_STR(*in, team), in->service, XDR_STR(*in, job));
 	struct task *task;
@@ -271,6 +286,7 @@
 	if (losses) {
 		task->losses = to_count(losses->losses);
 		task->pardons = to_count(losses->pardons);
+		swap_silences(task, silences);
 	}
 	if (in->state == TASK_PLACED) {
 		err = place_attempt(j, job, task, in, time_us);
@@ -298,6 +314,8 @@
 	}
 	task->losses = losses_before;
 	task->pardons = pardons_before;
+	if (losses)
+		swap_silences(task, silences);
 	return err;
 }
 
@@ -308,7 +326,7 @@
  */
 int jobs_apply_task(struct jobs *j, const struct command_task *in, uint64_t time_us)
 {
-	return apply_task(j, in, NULL, time_us);
+	return apply_task(j, in, NULL, NULL, time_us);
 }
 
 /*
@@ -318,7 +336,26 @@
 int jobs_apply_task_losses(struct jobs *j, const struct command_task_losses *in,
 			   uint64_t time_us)
 {
-	return apply_task(j, &in->task, in, time_us);
+	struct task_silences *silences = NULL;
+	int err = apply_task(j, &in->task, in, &silences, time_us);
+
+	job_silences_free(j, silences);
+	return err;
+}
+
+/* As jobs_apply_task_losses(), and sets which workers fell silent under the task. */
+int jobs_apply_task_silences(struct jobs *j, const struct command_task_silences *in,
+			     uint64_t time_us)
+{
+	struct task_silences *silences;
+	int err = job_silences_new(j, in->silent, in->list.list_val, in->list.list_len,
+				   &silences);
+
+	if (err)
+		return err;
+	err = apply_task(j, &in->losses.task, &in->losses, &silences, time_us);
+	job_silences_free(j, silences);
+	return err;
 }
 
 const char *job_state_name(enum job_state state)
--- a/core/sched.c
+++ b/core/sched.c
@@ -146,19 +146,17 @@
 		return CF_ENOSPACE;
 	t->attempt = r->attempt;
 	t->failures = r->failures;
-	t->losses = (uint8_t)r->losses;
-	t->pardons = (uint8_t)r->pardons;
 	t->checkpoint = r->checkpoint;
-	if (r->worker.n) {
+	if (r->worker.n)
 		w = worker_get(s, r->worker);
-		if (!w) {
-			task_free(s, t);
-			return CF_ENOMEM;
-		}
+	if ((r->worker.n && !w) || suspect_load(s, t, r, now_us)) {
+		task_free(s, t);
+		return CF_ENOMEM;
 	}
 	if (r->state == SCHED_WAITING) {
 		note_session(w, r->session);
-		task_set_waiting(s, t, suspect_load(s, t, w, r->session, now_us), now_us);
+		task_set_waiting(s, t, suspect_load_wait(s, t, w, r, now_us), now_us);
+		t->retry_us = 0;
 		return 0;
 	}
 	if (!w) {
--- a/core/sched.h
+++ b/core/sched.h
@@ -72,6 +72,14 @@
 	uint32_t accelerators;
 };
 
+#define SCHED_MAX_SILENCES 4
+
+/* A worker that fell silent, and the session in which it ran the task. */
+struct sched_silence {
+	struct str worker;
+	uint64_t session;
+};
+
 /* Durable state of one task. (attempt, state) never goes back in the store. */
 struct sched_record {
 	struct str team;
@@ -86,7 +94,10 @@
 	uint32_t failures;   /* attempts that failed by themselves */
 	uint32_t losses;     /* workers lost soon after the task started */
 	uint32_t pardons;    /* losses that do not count */
-	int64_t placed_us;   /* initial load: time of the placement, 0: unknown */
+	uint32_t silent;     /* workers that fell silent soon after the task started */
+	uint32_t nsilences;  /* entries of silence, the latest ones; oldest first */
+	struct sched_silence silence[SCHED_MAX_SILENCES];
+	int64_t placed_us; /* initial load: time of the placement, 0: unknown */
 	enum sched_reason reason;
 };
 
--- a/core/sched_fit.c
+++ b/core/sched_fit.c
@@ -186,7 +186,7 @@
 	struct worker *w;
 
 	w = spread ? find_spread(s, t, true, now_us) : find_any(s, t, true, now_us);
-	if (!w && (t->nfailed_on || t->nlost_on))
+	if (!w && (t->nfailed_on || t->nloss))
 		w = spread ? find_spread(s, t, false, now_us)
 			   : find_any(s, t, false, now_us);
 	return w;
--- a/core/sched_impl.h
+++ b/core/sched_impl.h
@@ -18,7 +18,7 @@
 
 #define MAX_ZONES 64	 /* bits of the mask of zones that are out */
 #define FREE_BUCKETS 129 /* by whole free CPUs; the last bucket takes the rest */
-#define MAX_FAILED_ON 4	 /* latest workers that failed a task or were lost under it */
+#define MAX_FAILED_ON 4	 /* latest workers that failed a task */
 #define BURST_WORKERS 3	 /* workers lost at once that have a common cause */
 
 #define ENDED_TASKS 16	   /* kept per worker, for late measurements */
@@ -166,6 +166,19 @@
 	P_ENDING,   /* ended; the record of the end is not committed */
 };
 
+enum loss_state {
+	LOSS_SILENT,   /* its lease ended, which a cut explains too; in task.silent */
+	LOSS_PROVEN,   /* a later session was seen; in task.losses */
+	LOSS_PARDONED, /* many were lost at once; in task.losses and task.pardons */
+};
+
+/* The loss of a worker soon after the start of a task. */
+struct loss {
+	struct worker *worker;
+	uint64_t session; /* that ran the task */
+	enum loss_state state;
+};
+
 struct task_key {
 	struct job *job;
 	uint64_t number;
@@ -187,6 +200,9 @@
 	uint8_t throttle_polls; /* responses left that repeat it */
 	uint8_t losses;		/* workers lost soon after it started */
 	uint8_t pardons;	/* losses that do not count */
+	uint8_t silent;		/* workers that fell silent under it, unexplained */
+	uint8_t nloss;		/* entries of loss; queued in sched.suspects if any */
+	bool held;		/* waits for the explanation of a loss */
 	bool trial;		/* bound as a suspect; counted in worker.trials */
 	bool recorded_running;
 	bool was_running;     /* loaded as running */
@@ -219,12 +235,11 @@
 	int64_t saved_us;	    /* time of the start or the last checkpoint */
 	uint64_t session;
 	struct worker *failed_on[MAX_FAILED_ON];
-	struct worker *lost_on[MAX_FAILED_ON]; /* ring of nlost_on entries */
-	uint32_t nlost_on;
-	uint64_t lost_session; /* of the last one */
-	int64_t issued_us;     /* last start command; 0: none */
-	int64_t waiting_us;    /* since when it is in job.waiting */
-	int64_t loss_us;       /* last loss counted, 0: none; queued in sched.suspects */
+	struct loss loss[SCHED_MAX_SILENCES]; /* latest ones, oldest first */
+	uint32_t loss_attempt;		      /* that the last one ended, 0: removed */
+	int64_t issued_us;		      /* last start command; 0: none */
+	int64_t waiting_us;		      /* since when it is in job.waiting */
+	int64_t loss_us;		      /* when the last loss was counted */
 	struct task *replaced_by;
 	struct sched_node delay; /* retry time */
 	TAILQ_ENTRY(task) job_entry;
@@ -387,6 +402,7 @@
 void task_bind(struct sched *s, struct task *t, struct worker *w);
 void task_set_live(struct task *t, bool live);
 void task_set_waiting(struct sched *s, struct task *t, int64_t at_us, int64_t now_us);
+void task_move_start(struct sched *s, struct task *t, int64_t now_us);
 void task_end_attempt(struct sched *s, struct task *t, enum sched_state end,
 		      enum sched_reason reason, int64_t now_us);
 void task_stop(struct sched *s, struct task *t, enum sched_reason reason, int64_t now_us);
@@ -465,9 +481,12 @@
 void suspect_running(struct sched *s, struct task *t, int64_t now_us);
 void suspect_count_loss(struct sched *s, struct task *t, bool restarted, int64_t now_us);
 void suspects_worker_lost(struct sched *s, int64_t now_us);
-void suspects_worker_back(struct sched *s, const struct worker *w);
-int64_t suspect_load(struct sched *s, struct task *t, struct worker *w, uint64_t session,
-		     int64_t now_us);
+void suspects_worker_back(struct sched *s, const struct worker *w, int64_t now_us);
+void suspect_fill_record(const struct task *t, struct sched_record *r);
+int suspect_load(struct sched *s, struct task *t, const struct sched_record *r,
+		 int64_t now_us);
+int64_t suspect_load_wait(struct sched *s, struct task *t, struct worker *w,
+			  const struct sched_record *r, int64_t now_us);
 bool suspect_given_up(const struct task *t);
 
 /* sched_interfere.c */
--- a/core/sched_poll.c
+++ b/core/sched_poll.c
@@ -323,6 +323,7 @@
 	       struct sched_reply *reply)
 {
 	struct worker *w;
+	bool back;
 	int err;
 
 	*reply = (struct sched_reply){.epoch = s->opt.epoch, .poll_us = s->opt.poll_us};
@@ -338,10 +339,11 @@
 		return 0;
 	}
 	s->ncommands = 0;
+	back = !w->leased || !w->seen || r->session != w->session;
 	if (r->session != w->session)
 		start_session(s, w, r, now_us);
-	else if (!w->leased)
-		suspects_worker_back(s, w);
+	if (back)
+		suspects_worker_back(s, w, now_us);
 	err = worker_update_location(s, w, r);
 	if (err)
 		return err;
--- a/core/sched_task.c
+++ b/core/sched_task.c
@@ -285,6 +285,7 @@
 		task_end_attempt(s, t, SCHED_FAILED, SCHED_R_LOSES_WORKERS, now_us);
 		return;
 	}
+	t->held = false;
 	t->waiting_us = now_us;
 	insert_waiting(j, t);
 	t->queued = true;
@@ -292,6 +293,14 @@
 	job_enqueue(s, j, now_us);
 }
 
+/* Makes a waiting task eligible at retry_us in place of its present time. */
+void task_move_start(struct sched *s, struct task *t, int64_t now_us)
+{
+	leave_waiting(s, t);
+	task_set_waiting(s, t, t->retry_us, now_us);
+	t->retry_us = 0;
+}
+
 /* Queues tasks whose retry time has come. */
 void tasks_requeue_delayed(struct sched *s, int64_t now_us)
 {
@@ -440,12 +449,14 @@
 		.failures = t->failures,
 		.losses = t->losses,
 		.pardons = t->pardons,
+		.silent = t->silent,
 		.reason = t->phase == P_ENDING ? t->reason : SCHED_R_NONE,
 	};
 	int err;
 
 	if (t->worker)
 		r.worker = worker_name(t->worker);
+	suspect_fill_record(t, &r);
 	err = s->opt.host->ops->propose(s->opt.host, &r);
 	if (err)
 		return err;
--- a/core/store.c
+++ b/core/store.c
@@ -150,6 +150,9 @@
 	case CMD_TASK_LOSSES:
 		return jobs_apply_task_losses(s->jobs, &body->command_body_u.task_losses,
 					      s->time_us);
+	case CMD_TASK_SILENCES:
+		return jobs_apply_task_silences(
+			s->jobs, &body->command_body_u.task_silences, s->time_us);
 	case CMD_JOB_REJECT:
 		return jobs_reject(
 			s->jobs, XDR_STR(body->command_body_u.job_reject, team),
--- a/core/store_snap.c
+++ b/core/store_snap.c
@@ -226,6 +226,8 @@
 		return jobs_load(s->jobs, &record->snap_record_u.job);
 	case SNAP_LOSSES:
 		return jobs_load_losses(s->jobs, &record->snap_record_u.losses);
+	case SNAP_SILENCES:
+		return jobs_load_silences(s->jobs, &record->snap_record_u.silences);
 	case SNAP_MEMBER:
 		return members_load(s->members, &record->snap_record_u.member);
 	case SNAP_EPOCH:
--- a/proto/command.h
+++ b/proto/command.h
@@ -24,6 +24,7 @@
 #define CMD_HASH 16
 #define CMD_MAX_PACKED 4194304
 #define CMD_MAX_TASKS 65536
+#define CMD_MAX_SILENCES 4
 #define CMD_MAX_RESULT 2097152
 
 enum command_kind {
@@ -43,6 +44,7 @@
 	CMD_MEMBER_SEEN = 13,
 	CMD_MEMBER_GONE = 14,
 	CMD_TASK_LOSSES = 15,
+	CMD_TASK_SILENCES = 16,
 };
 
 struct command_field {
@@ -188,6 +190,23 @@
 	u_int pardons;
 };
 
+struct command_silence {
+	struct {
+		u_int worker_len;
+		char *worker_val;
+	} worker;
+	u_quad_t session;
+};
+
+struct command_task_silences {
+	struct command_task_losses losses;
+	u_int silent;
+	struct {
+		u_int list_len;
+		struct command_silence *list_val;
+	} list;
+};
+
 struct command_owner {
 	struct {
 		u_int entry_len;
@@ -305,6 +324,7 @@
 		struct command_member_seen member_seen;
 		struct command_member_gone member_gone;
 		struct command_task_losses task_losses;
+		struct command_task_silences task_silences;
 	} command_body_u;
 };
 
@@ -338,6 +358,7 @@
 	SNAP_EXPIRED = 9,
 	SNAP_EPOCH = 10,
 	SNAP_LOSSES = 11,
+	SNAP_SILENCES = 12,
 };
 
 struct snap_head {
@@ -522,6 +543,31 @@
 	} tasks;
 };
 
+struct snap_task_silences {
+	u_int task;
+	u_int silent;
+	struct {
+		u_int list_len;
+		struct command_silence *list_val;
+	} list;
+};
+
+struct snap_silences {
+	struct {
+		u_int team_len;
+		char *team_val;
+	} team;
+	struct {
+		u_int job_len;
+		char *job_val;
+	} job;
+	bool_t service;
+	struct {
+		u_int tasks_len;
+		struct snap_task_silences *tasks_val;
+	} tasks;
+};
+
 struct snap_member {
 	struct {
 		u_int name_len;
@@ -560,6 +606,7 @@
 		struct snap_expired expired;
 		struct snap_epoch epoch;
 		struct snap_losses losses;
+		struct snap_silences silences;
 	} snap_record_u;
 };
 
@@ -578,6 +625,8 @@
 extern  bool_t xdr_task_reason (XDR *, enum task_reason *);
 extern  bool_t xdr_command_task (XDR *, struct command_task *);
 extern  bool_t xdr_command_task_losses (XDR *, struct command_task_losses *);
+extern  bool_t xdr_command_silence (XDR *, struct command_silence *);
+extern  bool_t xdr_command_task_silences (XDR *, struct command_task_silences *);
 extern  bool_t xdr_command_owner (XDR *, struct command_owner *);
 extern  bool_t xdr_command_key (XDR *, struct command_key *);
 extern  bool_t xdr_command_claim (XDR *, struct command_claim *);
@@ -606,6 +655,8 @@
 extern  bool_t xdr_snap_job (XDR *, struct snap_job *);
 extern  bool_t xdr_snap_task_losses (XDR *, struct snap_task_losses *);
 extern  bool_t xdr_snap_losses (XDR *, struct snap_losses *);
+extern  bool_t xdr_snap_task_silences (XDR *, struct snap_task_silences *);
+extern  bool_t xdr_snap_silences (XDR *, struct snap_silences *);
 extern  bool_t xdr_snap_member (XDR *, struct snap_member *);
 extern  bool_t xdr_snap_epoch (XDR *, struct snap_epoch *);
 extern  bool_t xdr_snap_record (XDR *, struct snap_record *);
@@ -623,6 +674,8 @@
 extern bool_t xdr_task_reason ();
 extern bool_t xdr_command_task ();
 extern bool_t xdr_command_task_losses ();
+extern bool_t xdr_command_silence ();
+extern bool_t xdr_command_task_silences ();
 extern bool_t xdr_command_owner ();
 extern bool_t xdr_command_key ();
 extern bool_t xdr_command_claim ();
@@ -651,6 +704,8 @@
 extern bool_t xdr_snap_job ();
 extern bool_t xdr_snap_task_losses ();
 extern bool_t xdr_snap_losses ();
+extern bool_t xdr_snap_task_silences ();
+extern bool_t xdr_snap_silences ();
 extern bool_t xdr_snap_member ();
 extern bool_t xdr_snap_epoch ();
 extern bool_t xdr_snap_record ();
--- a/proto/command.x
+++ b/proto/command.x
@@ -11,6 +11,7 @@
 const CMD_HASH = 16;
 const CMD_MAX_PACKED = 4194304;
 const CMD_MAX_TASKS = 65536;
+const CMD_MAX_SILENCES = 4;
 const CMD_MAX_RESULT = 2097152;
 
 enum command_kind {
@@ -29,7 +30,8 @@
 	CMD_MEMBER_ENTRY = 12,
 	CMD_MEMBER_SEEN = 13,
 	CMD_MEMBER_GONE = 14,
-	CMD_TASK_LOSSES = 15
+	CMD_TASK_LOSSES = 15,
+	CMD_TASK_SILENCES = 16
 };
 
 /* One scalar of a document; nested keys are joined with dots. */
@@ -130,6 +132,22 @@
 	unsigned int pardons;
 };
 
+/* A worker that fell silent soon after the start of a task, and its session then. */
+struct command_silence {
+	opaque worker<CMD_MAX_NAME>;
+	unsigned hyper session;
+};
+
+/*
+ * As command_task_losses, with the workers that fell silent under the task and may only
+ * have been cut off. They are no losses yet; list has the latest of them, oldest first.
+ */
+struct command_task_silences {
+	struct command_task_losses losses;
+	unsigned int silent;
+	struct command_silence list<CMD_MAX_SILENCES>;
+};
+
 /*
  * The entry process that owns a claim. sequence is unique for each request of one
  * incarnation, so that a delayed copy of a command never reaches a later claim.
@@ -234,6 +252,8 @@
 	struct command_member_gone member_gone;
 case CMD_TASK_LOSSES:
 	struct command_task_losses task_losses;
+case CMD_TASK_SILENCES:
+	struct command_task_silences task_silences;
 };
 
 /* The leader sets time_us, which comes first so that it can be set in place. */
@@ -273,7 +293,8 @@
 	SNAP_CONF = 8,
 	SNAP_EXPIRED = 9,
 	SNAP_EPOCH = 10,
-	SNAP_LOSSES = 11
+	SNAP_LOSSES = 11,
+	SNAP_SILENCES = 12
 };
 
 struct snap_head {
@@ -398,6 +419,20 @@
 	struct snap_task_losses tasks<CMD_MAX_TASKS>;
 };
 
+struct snap_task_silences {
+	unsigned int task;
+	unsigned int silent;
+	struct command_silence list<CMD_MAX_SILENCES>;
+};
+
+/* Workers that fell silent under the tasks of an earlier record; absent if none did. */
+struct snap_silences {
+	opaque team<CMD_MAX_NAME>;
+	opaque job<CMD_MAX_NAME>;
+	bool service;
+	struct snap_task_silences tasks<CMD_MAX_TASKS>;
+};
+
 struct snap_member {
 	opaque name<CMD_MAX_NAME>;
 	bool entry;
@@ -441,4 +476,6 @@
 	struct snap_epoch epoch;
 case SNAP_LOSSES:
 	struct snap_losses losses;
+case SNAP_SILENCES:
+	struct snap_silences silences;
 };
--- a/proto/command_xdr.c
+++ b/proto/command_xdr.c
@@ -183,6 +183,33 @@
 	return TRUE;
 }
 
+bool_t
+xdr_command_silence (XDR *xdrs, struct command_silence *objp)
+{
+	register int32_t *buf;
+
+	 if (!codec_bytes (xdrs, (char **)&objp->worker.worker_val, (u_int *) &objp->worker.worker_len, CMD_MAX_NAME))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->session))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_command_task_silences (XDR *xdrs, struct command_task_silences *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_command_task_losses (xdrs, &objp->losses))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->silent))
+		 return FALSE;
+	 if (!codec_array (xdrs, (char **)&objp->list.list_val, (u_int *) &objp->list.list_len, CMD_MAX_SILENCES,
+		sizeof (struct command_silence), (xdrproc_t) xdr_command_silence))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_command_owner (XDR *xdrs, struct command_owner *objp)
 {
@@ -404,6 +431,10 @@
 		 if (!xdr_command_task_losses (xdrs, &objp->command_body_u.task_losses))
 			 return FALSE;
 		break;
+	case CMD_TASK_SILENCES:
+		 if (!xdr_command_task_silences (xdrs, &objp->command_body_u.task_silences))
+			 return FALSE;
+		break;
 	default:
 		return FALSE;
 	}
@@ -861,6 +892,38 @@
 	return TRUE;
 }
 
+bool_t
+xdr_snap_task_silences (XDR *xdrs, struct snap_task_silences *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->task))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->silent))
+		 return FALSE;
+	 if (!codec_array (xdrs, (char **)&objp->list.list_val, (u_int *) &objp->list.list_len, CMD_MAX_SILENCES,
+		sizeof (struct command_silence), (xdrproc_t) xdr_command_silence))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_snap_silences (XDR *xdrs, struct snap_silences *objp)
+{
+	register int32_t *buf;
+
+	 if (!codec_bytes (xdrs, (char **)&objp->team.team_val, (u_int *) &objp->team.team_len, CMD_MAX_NAME))
+		 return FALSE;
+	 if (!codec_bytes (xdrs, (char **)&objp->job.job_val, (u_int *) &objp->job.job_len, CMD_MAX_NAME))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->service))
+		 return FALSE;
+	 if (!codec_array (xdrs, (char **)&objp->tasks.tasks_val, (u_int *) &objp->tasks.tasks_len, CMD_MAX_TASKS,
+		sizeof (struct snap_task_silences), (xdrproc_t) xdr_snap_task_silences))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_snap_member (XDR *xdrs, struct snap_member *objp)
 {
@@ -956,6 +1019,10 @@
 		 if (!xdr_snap_losses (xdrs, &objp->snap_record_u.losses))
 			 return FALSE;
 		break;
+	case SNAP_SILENCES:
+		 if (!xdr_snap_silences (xdrs, &objp->snap_record_u.silences))
+			 return FALSE;
+		break;
 	default:
 		return FALSE;
 	}
--- a/regress/lib_sched_world.c
+++ b/regress/lib_sched_world.c
@@ -30,6 +30,7 @@
 	struct sched_record record;
 	struct sim_job *job;
 	struct sim_worker *target;
+	struct sim_silence silence[SCHED_MAX_SILENCES]; /* of record */
 };
 
 static const char *const team_names[] = {"guild", "pinecrest", "third", "fourth"};
@@ -507,6 +508,9 @@
 	e->record = *r;
 	e->job = job_by_name(w, r->job);
 	e->target = worker_by_name(w, r->worker);
+	for (uint32_t i = 0; i < r->nsilences; i++)
+		e->silence[i] = (struct sim_silence){
+			worker_by_name(w, r->silence[i].worker), r->silence[i].session};
 	return 0;
 }
 
@@ -555,6 +559,9 @@
 	t->failures = r->failures;
 	t->losses = r->losses;
 	t->pardons = r->pardons;
+	t->silent = r->silent;
+	t->nsilences = r->nsilences;
+	memcpy(t->silence, e->silence, sizeof(t->silence));
 	if (r->state == SCHED_PLACED)
 		t->placed_us = w->now_us;
 	t->reason = r->reason;
@@ -620,6 +627,8 @@
 			.failures = t->failures,
 			.losses = t->losses,
 			.pardons = t->pardons,
+			.silent = t->silent,
+			.nsilences = t->nsilences,
 			.placed_us = t->placed_us + leader_clock(w) - w->now_us,
 		};
 
@@ -628,6 +637,10 @@
 			continue;
 		if (t->worker)
 			r.worker = str_from(t->worker->name);
+		for (uint32_t k = 0; k < t->nsilences; k++)
+			r.silence[k] = (struct sched_silence){
+				str_from(t->silence[k].worker->name),
+				t->silence[k].session};
 		if (sched_load_task(w->sched, &r, leader_clock(w)))
 			sim_fail(w, "feed refused", j, i);
 	}
--- a/regress/lib_sched_world.h
+++ b/regress/lib_sched_world.h
@@ -37,6 +37,11 @@
 	struct sim_run *next;
 };
 
+struct sim_silence {
+	struct sim_worker *worker;
+	uint64_t session;
+};
+
 /* What the store and the checker know of one task. */
 struct sim_task {
 	uint32_t attempt;
@@ -48,6 +53,9 @@
 	uint32_t failures;
 	uint32_t losses;
 	uint32_t pardons;
+	uint32_t silent;
+	uint32_t nsilences;
+	struct sim_silence silence[SCHED_MAX_SILENCES];
 	int64_t placed_us;
 	enum sched_reason reason;
 	uint32_t started;     /* newest attempt that a worker began */
--- a/regress/lib_store.c
+++ b/regress/lib_store.c
@@ -73,6 +73,9 @@
 	case CMD_TASK_LOSSES:
 		size = sizeof(struct command_task_losses);
 		break;
+	case CMD_TASK_SILENCES:
+		size = sizeof(struct command_task_silences);
+		break;
 	case CMD_CLAIM:
 		size = sizeof(struct command_claim);
 		break;
@@ -281,6 +284,14 @@
 	SET(c, team, t->team);
 	SET(c, job, t->job);
 	SET(c, worker, t->worker);
+	if (t->silent || t->nsilences) {
+		struct command_silence list[CMD_MAX_SILENCES];
+		struct command_task_silences l = {
+			{c, t->losses, t->pardons}, t->silent, {t->nsilences, list}};
+
+		memcpy(list, t->silence, sizeof(list));
+		return rig_run(r, CMD_TASK_SILENCES, &l);
+	}
 	if (t->losses) {
 		struct command_task_losses l = {c, t->losses, t->pardons};
 
--- a/regress/lib_store.h
+++ b/regress/lib_store.h
@@ -66,6 +66,9 @@
 	enum task_reason reason;
 	uint32_t losses; /* 0: a command without them */
 	uint32_t pardons;
+	uint32_t silent; /* 0: a command without silences */
+	uint32_t nsilences;
+	struct command_silence silence[CMD_MAX_SILENCES];
 };
 
 int rig_task(struct rig *r, const struct lib_task *t, enum task_state state);
--- a/regress/test_fuzz_store.c
+++ b/regress/test_fuzz_store.c
@@ -74,6 +74,12 @@
 	task.pardons = 1;
 	rig_task(r, &task, TASK_EVICTED);
 	keep(f, r);
+	task.attempt = 2;
+	task.silent = 2;
+	task.nsilences = 1;
+	XDR_SET(task.silence[0], worker, STR("w"));
+	rig_task(r, &task, TASK_PLACED);
+	keep(f, r);
 	task = (struct lib_task){.team = "t",
 				 .job = "web",
 				 .service = true,
--- a/regress/test_job.c
+++ b/regress/test_job.c
@@ -194,6 +194,64 @@
 }
 END_TEST
 
+static void add_silence(struct lib_task *t, const char *worker, uint64_t session)
+{
+	struct command_silence *out = &t->silence[t->nsilences++];
+
+	XDR_SET(*out, worker, str_from(worker));
+	out->session = session;
+	t->silent++;
+}
+
+/* Guards against a silent worker that is forgotten in a snapshot or kept too long. */
+START_TEST(silences_are_kept_until_they_are_explained)
+{
+	struct lib_task t = first(1);
+	const struct task_silences *s;
+
+	reach(TASK_RUNNING);
+	ck_assert_uint_eq(count_records(SNAP_SILENCES), 0);
+	add_silence(&t, "w1", 5);
+	add_silence(&t, "w2", 6);
+	ck_assert_int_eq(rig_task(&rig, &t, TASK_WAITING), 0);
+	ck_assert_int_eq(rig_task(&rig, &t, TASK_WAITING), CF_ESTALE);
+	rig_restore(&rig);
+	ck_assert_uint_eq(count_records(SNAP_SILENCES), 1);
+	s = first_task()->silences;
+	ck_assert_uint_eq(s->count, 2);
+	ck_assert_uint_eq(s->n, 2);
+	ck_assert(str_eq(job_worker_name(s->list[1].worker), STR("w2")));
+	ck_assert_uint_eq(s->list[1].session, 6);
+	/* Commands of an earlier version say nothing of silences, or clear them. */
+	t = first(2);
+	ck_assert_int_eq(rig_task(&rig, &t, TASK_PLACED), 0);
+	ck_assert_uint_eq(first_task()->silences->count, 2);
+	t.losses = 1;
+	ck_assert_int_eq(rig_task(&rig, &t, TASK_WAITING), 0);
+	ck_assert_ptr_null(first_task()->silences);
+	ck_assert_uint_eq(count_records(SNAP_SILENCES), 0);
+}
+END_TEST
+
+/* Guards against a list of silent workers that no leader makes. */
+START_TEST(invalid_silences_are_refused)
+{
+	struct lib_task t = first(1);
+
+	reach(TASK_RUNNING);
+	add_silence(&t, "w1", 5);
+	t.silent = 0;
+	ck_assert_int_eq(rig_task(&rig, &t, TASK_WAITING), CF_EINVAL);
+	t.silent = 256;
+	ck_assert_int_eq(rig_task(&rig, &t, TASK_WAITING), CF_EINVAL);
+	t.silent = 2;
+	add_silence(&t, "", 5);
+	ck_assert_int_eq(rig_task(&rig, &t, TASK_WAITING), CF_EINVAL);
+	ck_assert_uint_eq(first_task()->state, TASK_RUNNING);
+	ck_assert_ptr_null(first_task()->silences);
+}
+END_TEST
+
 /* Guards against a record for an earlier job that had the same name. */
 START_TEST(record_of_an_earlier_job_is_stale)
 {
@@ -464,6 +522,8 @@
 	tcase_add_test(tc, evicted_work_resumes_once);
 	tcase_add_test(tc, losses_are_counted_once);
 	tcase_add_test(tc, snapshot_without_losses_is_as_before);
+	tcase_add_test(tc, silences_are_kept_until_they_are_explained);
+	tcase_add_test(tc, invalid_silences_are_refused);
 	tcase_add_test(tc, record_of_an_earlier_job_is_stale);
 	tcase_add_test(tc, job_state_follows_tasks);
 	tcase_add_test(tc, service_tasks_follow_the_document);
--- a/regress/test_store.c
+++ b/regress/test_store.c
@@ -632,6 +632,9 @@
 	ck_assert_int_eq(rig_submit(r, "t", "j", "e", "command=x"), 0);
 	ck_assert_int_eq(rig_task(r, &t, TASK_PLACED), 0);
 	t.losses = 1;
+	t.silent = 1;
+	t.nsilences = 1;
+	XDR_SET(t.silence[0], worker, STR("w0"));
 	ck_assert_int_eq(rig_task(r, &t, TASK_RUNNING), 0);
 	ck_assert_int_eq(rig_entry(r, "e1", 1), 0);
 	ck_assert_int_eq(rig_claim(r, &c), 0);
