sched: a job for which only silent workers are large enough waits

Callers saw an accepted job as `failed` ("task 0 is larger than every worker") because the large workers were cut off when a leader began.

Cause: a new leader knew only the capacities of the workers that had polled it, and took those that were silent for more than a lease and 2 s for absent. Also a job whose tasks had run before was failed. The class: a job is ended on evidence that is only silence.

The capacities of workers, without those that another one covers, are now replicated (CMD_CAPACITY, SNAP_CAPACITY; 64 at most) and given to the next leader. As under one leader before, a capacity that was seen once counts from then on; a job that only removed workers could run waits until it is cancelled. For logs of earlier versions, the size of a task that was placed once counts as a capacity too. A job larger than all of them is rejected at once as before (impossible_jobs_are_rejected).

--- a/carawayfrontd/state_feed.c
+++ b/carawayfrontd/state_feed.c
@@ -1,5 +1,6 @@
 #include "base/err.h"
 #include "carawayfrontd/state_leading.h"
+#include "core/capacity.h"
 #include "core/vocab.h"
 #include "io/clock.h"
 
@@ -189,8 +190,11 @@
 {
 	const struct conf_view *view = conf_current_docs(store_conf(l->state->store));
 	const struct jobs *jobs = store_jobs(l->state->store);
+	const struct capacity_list *c = store_capacities(l->state->store);
 	int err = 0;
 
+	for (unsigned int i = 0; i < c->n; i++)
+		sched_load_capacity(l->sched, c->size[i]);
 	for (size_t i = 0; i < conf_view_teams(view) && !err; i++)
 		err = feed_team(l, conf_view_team_name(view, i));
 	for (const struct job *j = jobs_next_unfinished(jobs, NULL); j && !err;
--- a/carawayfrontd/state_leading.c
+++ b/carawayfrontd/state_leading.c
@@ -162,7 +162,22 @@
 	return state_propose(l->state, &cmd, &index);
 }
 
-static const struct sched_ops sched_ops = {.propose = op_propose};
+/* Scheduler operation: makes the capacity of a worker durable. */
+static int op_record_capacity(struct sched_host *host, struct sched_size capacity)
+{
+	struct state_leading *l = (struct state_leading *)host;
+	struct command cmd = {.body = {.kind = CMD_CAPACITY}};
+	uint64_t index;
+
+	cmd.body.command_body_u.capacity = (struct command_capacity){
+		capacity.cpu_milli, capacity.memory_mb, capacity.accelerators};
+	return state_propose(l->state, &cmd, &index);
+}
+
+static const struct sched_ops sched_ops = {
+	.propose = op_propose,
+	.record_capacity = op_record_capacity,
+};
 
 /* Starts the scheduler of a new epoch from the store. */
 int state_leading_start(struct state *s)
--- a/carawayfrontd/state_propose.c
+++ b/carawayfrontd/state_propose.c
@@ -60,6 +60,7 @@
 	case CMD_TASK:
 	case CMD_TASK_LOSSES:
 	case CMD_TASK_SILENCES:
+	case CMD_CAPACITY:
 	case CMD_JOB_REJECT:
 	case CMD_MEMBER_SEEN:
 	case CMD_MEMBER_GONE:
--- a/core/sched.c
+++ b/core/sched.c
@@ -145,6 +145,9 @@
 	if (!t)
 		return CF_ENOSPACE;
 	t->attempt = r->attempt;
+	/* A worker that fits had room for it, though it may be silent now. */
+	if (r->attempt)
+		fit_add_capacity(s, j->opt.size);
 	t->failures = r->failures;
 	t->checkpoint = r->checkpoint;
 	if (r->worker.n)
@@ -357,6 +360,7 @@
 	tasks_requeue_delayed(s, now_us);
 	place_step(s, now_us);
 	tasks_propose(s, now_us);
+	fit_propose_capacities(s);
 	s->next_us = next_timer(s);
 	if (s->next_us < now_us + STEP_US)
 		s->next_us = now_us + STEP_US;
--- a/core/sched.h
+++ b/core/sched.h
@@ -208,6 +208,11 @@
 	 * sched_refused(). Must not call back into the instance.
 	 */
 	int (*propose)(struct sched_host *, const struct sched_record *);
+	/*
+	 * Starts to record the capacity of a worker, for sched_load_capacity() of later
+	 * leaders. Not answered. An error: it is repeated later. May be NULL.
+	 */
+	int (*record_capacity)(struct sched_host *, struct sched_size);
 };
 
 struct sched_options {
@@ -269,6 +274,7 @@
  * task.
  */
 int sched_load_task(struct sched *s, const struct sched_record *record, int64_t now_us);
+void sched_load_capacity(struct sched *s, struct sched_size capacity);
 /* Ends the initial load. Leases granted by earlier leaders are counted from now_us. */
 void sched_finish_load(struct sched *s, int64_t now_us);
 int sched_cancel_job(struct sched *s, struct str team, struct str job, int64_t now_us);
--- a/core/sched_fit.c
+++ b/core/sched_fit.c
@@ -41,30 +41,42 @@
 	return size_fits(t->key.job->opt.size, used, w->capacity);
 }
 
-/* Whether any worker seen so far could hold a task of the job when empty. */
+/* Whether the job fits on a worker that is known, be it silent now. */
 bool fit_possible(const struct sched *s, const struct job *j)
 {
-	for (unsigned int i = 0; i < s->ncapacities; i++)
-		if (size_covers(s->capacities[i], j->opt.size))
-			return true;
-	return s->ncapacities == MAX_CAPACITIES;
+	return capacity_may_fit(&s->capacities, j->opt.size);
 }
 
-/* Records a worker's capacity; jobs larger than all of them are rejected. */
+/* Notes a worker's capacity; jobs larger than all of them are rejected. */
 void fit_add_capacity(struct sched *s, struct sched_size capacity)
 {
-	unsigned int n = 0;
+	if (capacity_add(&s->capacities, capacity))
+		s->capacities_changed = true;
+}
 
-	for (unsigned int i = 0; i < s->ncapacities; i++)
-		if (size_covers(s->capacities[i], capacity))
+/*
+ * Initial load: notes a capacity that an earlier leader recorded, so that a job for
+ * which a silent worker is large enough is not rejected.
+ */
+void sched_load_capacity(struct sched *s, struct sched_size capacity)
+{
+	capacity_add(&s->capacities, capacity);
+}
+
+/* Records the capacities after a change; what could not be proposed is tried again. */
+void fit_propose_capacities(struct sched *s)
+{
+	const struct sched_ops *ops = s->opt.host->ops;
+
+	if (!s->capacities_changed || !ops->record_capacity)
+		return;
+	for (unsigned int i = 0; i < s->capacities.n; i++) {
+		if (ops->record_capacity(s->opt.host, s->capacities.size[i])) {
+			s->work_left = true;
 			return;
-	for (unsigned int i = 0; i < s->ncapacities; i++)
-		if (!size_covers(capacity, s->capacities[i]))
-			s->capacities[n++] = s->capacities[i];
-	/* A full list no longer rules out any size; see fit_possible(). */
-	if (n < MAX_CAPACITIES)
-		s->capacities[n++] = capacity;
-	s->ncapacities = n;
+		}
+	}
+	s->capacities_changed = false;
 }
 
 /* Returns the cost of placing the task on the worker; smaller is better. */
--- a/core/sched_impl.h
+++ b/core/sched_impl.h
@@ -6,6 +6,7 @@
 #include <sys/queue.h>
 #include <uthash.h>
 
+#include "core/capacity.h"
 #include "core/sched.h"
 #include "core/sched_heap.h"
 
@@ -26,9 +27,8 @@
 #define THROTTLE_REPEATS 3 /* responses that carry a new throttle, against loss */
 /* A worker that missed about five polls is probably disconnected. */
 #define SILENT_POLLS 5
-#define MAX_CAPACITIES 64 /* distinct worker capacities */
-#define MAX_COMMANDS 256  /* in one response */
-#define STEP_US 10000	  /* delay between two bounded steps while work remains */
+#define MAX_COMMANDS 256 /* in one response */
+#define STEP_US 10000	 /* delay between two bounded steps while work remains */
 #define STEP_LOST_WORKERS 64
 #define STEP_TASKS 512 /* tasks of cancelled jobs and drained zones in one step */
 #define STEP_PROPOSALS 512
@@ -351,9 +351,8 @@
 	struct drain_queue drains;
 	struct sched_heap delayed;
 	struct sched_size total; /* capacity of leased workers */
-	struct sched_size
-		capacities[MAX_CAPACITIES]; /* capacities not covered by another one */
-	unsigned int ncapacities;
+	struct capacity_list capacities;
+	bool capacities_changed; /* not recorded yet */
 	bool ready;
 	bool all_workers_polled; /* every live worker has polled */
 	bool work_left;		 /* another step is needed */
@@ -387,7 +386,6 @@
 void size_sub(struct sched_size *a, struct sched_size b);
 bool size_fits(struct sched_size need, struct sched_size used,
 	       struct sched_size capacity);
-bool size_covers(struct sched_size a, struct sched_size b);
 bool size_under_quota(struct sched_size need, struct sched_size used,
 		      struct sched_size quota);
 double size_share(struct sched_size used, struct sched_size total);
@@ -454,6 +452,7 @@
 bool fit_in_zone(struct sched *s, struct task *t, struct zone *z, int64_t now_us);
 bool fit_possible(const struct sched *s, const struct job *j);
 void fit_add_capacity(struct sched *s, struct sched_size capacity);
+void fit_propose_capacities(struct sched *s);
 struct worker *fit_find_worker(struct sched *s, struct task *t, int64_t now_us);
 
 /* sched_estimate.c */
--- a/core/sched_size.c
+++ b/core/sched_size.c
@@ -22,13 +22,6 @@
 	       (uint64_t)used.accelerators + need.accelerators <= capacity.accelerators;
 }
 
-/* Whether a is at least b in every dimension. */
-bool size_covers(struct sched_size a, struct sched_size b)
-{
-	return a.cpu_milli >= b.cpu_milli && a.memory_mb >= b.memory_mb &&
-	       a.accelerators >= b.accelerators;
-}
-
 static bool under(uint32_t need, uint32_t used, uint32_t limit)
 {
 	return limit == 0 || (uint64_t)used + need <= limit;
--- a/core/store.c
+++ b/core/store.c
@@ -69,6 +69,13 @@
 	free(s);
 }
 
+/* Notes the capacity of a worker, from a command or a snapshot. */
+void store_add_capacity(struct store *s, const struct command_capacity *in)
+{
+	capacity_add(&s->capacities,
+		     (struct sched_size){in->cpu_milli, in->memory_mb, in->accelerators});
+}
+
 /* Advances the time of commands and removes expired entries once per SWEEP_US. */
 static int advance_time(struct store *s, uint64_t time_us)
 {
@@ -153,6 +160,9 @@
 	case CMD_TASK_SILENCES:
 		return jobs_apply_task_silences(
 			s->jobs, &body->command_body_u.task_silences, s->time_us);
+	case CMD_CAPACITY:
+		store_add_capacity(s, &body->command_body_u.capacity);
+		return 0;
 	case CMD_JOB_REJECT:
 		return jobs_reject(
 			s->jobs, XDR_STR(body->command_body_u.job_reject, team),
@@ -349,6 +359,12 @@
 	return s->claims;
 }
 
+/* Returns the largest capacities that workers had so far. */
+const struct capacity_list *store_capacities(const struct store *s)
+{
+	return &s->capacities;
+}
+
 const struct jobs *store_jobs(const struct store *s)
 {
 	return s->jobs;
--- a/core/store.h
+++ b/core/store.h
@@ -43,6 +43,8 @@
 const struct conf *store_conf(const struct store *s);
 const struct claims *store_claims(const struct store *s);
 const struct jobs *store_jobs(const struct store *s);
+struct capacity_list;
+const struct capacity_list *store_capacities(const struct store *s);
 const struct members *store_members(const struct store *s);
 const struct dedup *store_dedup(const struct store *s);
 
--- a/core/store_impl.h
+++ b/core/store_impl.h
@@ -3,6 +3,7 @@
 
 /* Internal declarations, shared by core/store*.c only. */
 
+#include "core/capacity.h"
 #include "core/store.h"
 
 struct store {
@@ -15,9 +16,11 @@
 	struct jobs *jobs;
 	struct members *members;
 	struct dedup *dedup;
+	struct capacity_list capacities; /* of all workers so far */
 	bool failed; /* a command failed halfway; the state may be inconsistent */
 };
 
+void store_add_capacity(struct store *s, const struct command_capacity *in);
 int store_conf_put(struct store *s, const struct command_conf_put *in,
 		   struct reply *reply);
 int store_conf_delete(struct store *s, const struct command_conf_delete *in,
--- a/core/store_snap.c
+++ b/core/store_snap.c
@@ -120,6 +120,21 @@
 	return err;
 }
 
+static int write_capacities(struct writer *w, const struct capacity_list *l)
+{
+	int err = 0;
+
+	for (unsigned int i = 0; i < l->n && !err; i++) {
+		struct snap_record record = {.kind = SNAP_CAPACITY};
+
+		record.snap_record_u.capacity = (struct command_capacity){
+			l->size[i].cpu_milli, l->size[i].memory_mb,
+			l->size[i].accelerators};
+		err = write_record(w, &record);
+	}
+	return err;
+}
+
 static int write_end(struct writer *w)
 {
 	struct snap_record record = {.kind = SNAP_END};
@@ -160,6 +175,8 @@
 		err = jobs_walk(s->jobs, write_record, &w);
 	if (!err)
 		err = members_walk(s->members, write_record, &w);
+	if (!err)
+		err = write_capacities(&w, &s->capacities);
 	if (!err)
 		err = write_end(&w);
 	buf_free(&w.chunk);
@@ -228,6 +245,9 @@
 		return jobs_load_losses(s->jobs, &record->snap_record_u.losses);
 	case SNAP_SILENCES:
 		return jobs_load_silences(s->jobs, &record->snap_record_u.silences);
+	case SNAP_CAPACITY:
+		store_add_capacity(s, &record->snap_record_u.capacity);
+		return 0;
 	case SNAP_MEMBER:
 		return members_load(s->members, &record->snap_record_u.member);
 	case SNAP_EPOCH:
--- a/proto/command.h
+++ b/proto/command.h
@@ -45,6 +45,7 @@
 	CMD_MEMBER_GONE = 14,
 	CMD_TASK_LOSSES = 15,
 	CMD_TASK_SILENCES = 16,
+	CMD_CAPACITY = 17,
 };
 
 struct command_field {
@@ -190,6 +191,12 @@
 	u_int pardons;
 };
 
+struct command_capacity {
+	u_int cpu_milli;
+	u_int memory_mb;
+	u_int accelerators;
+};
+
 struct command_silence {
 	struct {
 		u_int worker_len;
@@ -325,6 +332,7 @@
 		struct command_member_gone member_gone;
 		struct command_task_losses task_losses;
 		struct command_task_silences task_silences;
+		struct command_capacity capacity;
 	} command_body_u;
 };
 
@@ -359,6 +367,7 @@
 	SNAP_EPOCH = 10,
 	SNAP_LOSSES = 11,
 	SNAP_SILENCES = 12,
+	SNAP_CAPACITY = 13,
 };
 
 struct snap_head {
@@ -607,6 +616,7 @@
 		struct snap_epoch epoch;
 		struct snap_losses losses;
 		struct snap_silences silences;
+		struct command_capacity capacity;
 	} snap_record_u;
 };
 
@@ -625,6 +635,7 @@
 extern  bool_t xdr_task_reason (XDR *, enum task_reason *);
 extern  bool_t xdr_command_task (XDR *, struct command_task *);
 extern  bool_t xdr_command_task_losses (XDR *, struct command_task_losses *);
+extern  bool_t xdr_command_capacity (XDR *, struct command_capacity *);
 extern  bool_t xdr_command_silence (XDR *, struct command_silence *);
 extern  bool_t xdr_command_task_silences (XDR *, struct command_task_silences *);
 extern  bool_t xdr_command_owner (XDR *, struct command_owner *);
@@ -674,6 +685,7 @@
 extern bool_t xdr_task_reason ();
 extern bool_t xdr_command_task ();
 extern bool_t xdr_command_task_losses ();
+extern bool_t xdr_command_capacity ();
 extern bool_t xdr_command_silence ();
 extern bool_t xdr_command_task_silences ();
 extern bool_t xdr_command_owner ();
--- a/proto/command.x
+++ b/proto/command.x
@@ -31,7 +31,8 @@
 	CMD_MEMBER_SEEN = 13,
 	CMD_MEMBER_GONE = 14,
 	CMD_TASK_LOSSES = 15,
-	CMD_TASK_SILENCES = 16
+	CMD_TASK_SILENCES = 16,
+	CMD_CAPACITY = 17
 };
 
 /* One scalar of a document; nested keys are joined with dots. */
@@ -132,6 +133,13 @@
 	unsigned int pardons;
 };
 
+/* The capacity of a worker. It is kept, so that a silent worker is not forgotten. */
+struct command_capacity {
+	unsigned int cpu_milli;
+	unsigned int memory_mb;
+	unsigned int accelerators;
+};
+
 /* A worker that fell silent soon after the start of a task, and its session then. */
 struct command_silence {
 	opaque worker<CMD_MAX_NAME>;
@@ -254,6 +262,8 @@
 	struct command_task_losses task_losses;
 case CMD_TASK_SILENCES:
 	struct command_task_silences task_silences;
+case CMD_CAPACITY:
+	struct command_capacity capacity;
 };
 
 /* The leader sets time_us, which comes first so that it can be set in place. */
@@ -294,7 +304,8 @@
 	SNAP_EXPIRED = 9,
 	SNAP_EPOCH = 10,
 	SNAP_LOSSES = 11,
-	SNAP_SILENCES = 12
+	SNAP_SILENCES = 12,
+	SNAP_CAPACITY = 13
 };
 
 struct snap_head {
@@ -478,4 +489,6 @@
 	struct snap_losses losses;
 case SNAP_SILENCES:
 	struct snap_silences silences;
+case SNAP_CAPACITY:
+	struct command_capacity capacity;
 };
--- a/proto/command_xdr.c
+++ b/proto/command_xdr.c
@@ -183,6 +183,20 @@
 	return TRUE;
 }
 
+bool_t
+xdr_command_capacity (XDR *xdrs, struct command_capacity *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->cpu_milli))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->memory_mb))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->accelerators))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_command_silence (XDR *xdrs, struct command_silence *objp)
 {
@@ -435,6 +449,10 @@
 		 if (!xdr_command_task_silences (xdrs, &objp->command_body_u.task_silences))
 			 return FALSE;
 		break;
+	case CMD_CAPACITY:
+		 if (!xdr_command_capacity (xdrs, &objp->command_body_u.capacity))
+			 return FALSE;
+		break;
 	default:
 		return FALSE;
 	}
@@ -1023,6 +1041,10 @@
 		 if (!xdr_snap_silences (xdrs, &objp->snap_record_u.silences))
 			 return FALSE;
 		break;
+	case SNAP_CAPACITY:
+		 if (!xdr_command_capacity (xdrs, &objp->snap_record_u.capacity))
+			 return FALSE;
+		break;
 	default:
 		return FALSE;
 	}
--- a/regress/lib_sched_world.c
+++ b/regress/lib_sched_world.c
@@ -514,7 +514,21 @@
 	return 0;
 }
 
-static const struct sched_ops sim_ops = {.propose = sim_propose};
+/* It commits at once; the order of records does not matter to it. */
+static int sim_record_capacity(struct sched_host *host, struct sched_size capacity)
+{
+	struct sim *w = (struct sim *)host;
+
+	if (w->busy_store && prng_below(&w->rng, 50) == 0)
+		return CF_EBUSY;
+	capacity_add(&w->capacities, capacity);
+	return 0;
+}
+
+static const struct sched_ops sim_ops = {
+	.propose = sim_propose,
+	.record_capacity = sim_record_capacity,
+};
 
 static void apply(struct sim *w, struct sim_event *e)
 {
@@ -658,6 +672,8 @@
 	w->leading = true;
 	if (!w->sched)
 		return;
+	for (unsigned int i = 0; i < w->capacities.n; i++)
+		sched_load_capacity(w->sched, w->capacities.size[i]);
 	for (unsigned int t = 0; t < w->opt.teams; t++)
 		for (unsigned int z = 0; z < w->opt.zones; z++)
 			if (w->out_us[t][z])
--- a/regress/lib_sched_world.h
+++ b/regress/lib_sched_world.h
@@ -2,6 +2,7 @@
 #define REGRESS_LIB_SCHED_WORLD_H
 
 #include "base/prng.h"
+#include "core/capacity.h"
 #include "core/sched.h"
 #include "core/sched_heap.h"
 
@@ -176,6 +177,7 @@
 	uint64_t calls;
 	int64_t deadly_gap_us; /* until a worker that a task ended is back */
 	bool busy_store;       /* some proposals cannot be made, some are refused */
+	struct capacity_list capacities; /* recorded */
 	void (*latency)(struct sim *, const struct sim_job *, int64_t latency_us);
 };
 
--- a/regress/lib_store.c
+++ b/regress/lib_store.c
@@ -76,6 +76,9 @@
 	case CMD_TASK_SILENCES:
 		size = sizeof(struct command_task_silences);
 		break;
+	case CMD_CAPACITY:
+		size = sizeof(struct command_capacity);
+		break;
 	case CMD_CLAIM:
 		size = sizeof(struct command_claim);
 		break;
--- a/regress/test_fuzz_store.c
+++ b/regress/test_fuzz_store.c
@@ -63,6 +63,7 @@
 	struct lib_task task = {
 		.team = "t", .job = "j", .attempt = 1, .worker = "w", .session = 9};
 	struct command_job_reject reject = {0};
+	struct command_capacity capacity = {4000, 8000, 1};
 
 	FUZZ_MUST((rig_submit(r, "t", "j", "s1", "command=run tasks=2")) == 0);
 	keep(f, r);
@@ -80,6 +81,8 @@
 	XDR_SET(task.silence[0], worker, STR("w"));
 	rig_task(r, &task, TASK_PLACED);
 	keep(f, r);
+	rig_run(r, CMD_CAPACITY, &capacity);
+	keep(f, r);
 	task = (struct lib_task){.team = "t",
 				 .job = "web",
 				 .service = true,
--- a/regress/test_sched.c
+++ b/regress/test_sched.c
@@ -672,7 +672,7 @@
 	return h->err && r->job.p[0] == 'g' ? h->err : 0;
 }
 
-static const struct sched_ops refusing_ops = {refusing_propose};
+static const struct sched_ops refusing_ops = {.propose = refusing_propose};
 
 static void refusing_step(struct sched *s, uint64_t seq, int64_t now_us)
 {
--- a/regress/test_sched_silence.c
+++ b/regress/test_sched_silence.c
@@ -265,6 +265,33 @@
 }
 END_TEST
 
+/* Guards against a job that fails as too large since the large workers are silent. */
+START_TEST(large_job_waits_for_workers_that_are_cut_off)
+{
+	for (uint64_t seed = first_seed; seed < first_seed + seeds; seed++) {
+		struct sim_policy *p = sim_scheduler();
+		struct sim *w = new_world(seed, p);
+		struct sched_job large = batch(2);
+		struct sim_job *j;
+
+		for (unsigned int i = 2; i < w->opt.workers; i++)
+			w->worker[i].capacity.cpu_milli = 8000;
+		large.size.cpu_milli = 16000;
+		sim_crash_leader(w, SECOND);
+		sim_run(w, w->now_us + 10 * SECOND);
+		j = sim_submit(w, 0, 1, large, 30 * SECOND);
+		if (_i == 0)
+			sim_run(w, w->now_us + 5 * SECOND);
+		sim_cut(w, 0, true);
+		sim_cut(w, 1, true);
+		sim_crash_leader(w, SECOND);
+		sim_run(w, w->now_us + 30 * SECOND);
+		ck_assert_int_ne(j->task[0].state, SCHED_FAILED);
+		finish_innocents(w, p);
+	}
+}
+END_TEST
+
 /* Runs the test in each of its variants, the first of which has one leader only. */
 static void add_case(Suite *s, const char *name, const TTest *test, int variants)
 {
@@ -289,6 +316,7 @@
 	add_case(s, "overlap", overlapping_cuts_give_up_nothing, 2);
 	add_case(s, "late", deadly_task_is_given_up_though_its_workers_return_late, 4);
 	add_case(s, "return", return_of_the_workers_ends_the_wait, 2);
+	add_case(s, "large", large_job_waits_for_workers_that_are_cut_off, 2);
 	add_case(s, "silent", starts_are_rare_while_workers_stay_silent, 2);
 	sr = srunner_create(s);
 	srunner_run_all(sr, CK_NORMAL);
--- a/regress/test_store.c
+++ b/regress/test_store.c
@@ -6,6 +6,7 @@
 
 #include "base/err.h"
 #include "base/prng.h"
+#include "core/capacity.h"
 #include "regress/lib_model.h"
 #include "regress/lib_store.h"
 
@@ -623,6 +624,7 @@
 	struct lib_task t = {
 		.team = "t", .job = "j", .attempt = 1, .worker = "w1", .session = 5};
 	struct command_member_state m = {.voter = true};
+	struct command_capacity large = {8000, 16000, 0};
 
 	ck_assert_int_eq(rig_put(r, "/t/vocabulary", 0, "a", "v", "kinds.x=zone"), 0);
 	ck_assert_int_eq(rig_put(r, "/t/x/z", 0, "b", "z", "state=in"), 0);
@@ -644,8 +646,32 @@
 	ck_assert_int_eq(rig_claim(r, &c), 0);
 	XDR_SET(m, name, STR("s1"));
 	ck_assert_int_eq(rig_run(r, CMD_MEMBER_STATE, &m), 0);
+	ck_assert_int_eq(rig_run(r, CMD_CAPACITY, &large), 0);
 }
 
+/* Guards against a silent worker whose capacity a new leader does not know. */
+START_TEST(capacities_are_kept)
+{
+	struct command_capacity small = {1000, 2000, 0};
+	struct command_capacity large = {8000, 16000, 0};
+	struct command_capacity special = {4000, 8000, 1};
+	const struct capacity_list *l;
+	struct rig r;
+
+	rig_open(&r);
+	ck_assert_int_eq(rig_run(&r, CMD_CAPACITY, &small), 0);
+	ck_assert_int_eq(rig_run(&r, CMD_CAPACITY, &large), 0);
+	ck_assert_int_eq(rig_run(&r, CMD_CAPACITY, &special), 0);
+	ck_assert_int_eq(rig_run(&r, CMD_CAPACITY, &small), 0);
+	rig_restore(&r);
+	l = store_capacities(r.s);
+	ck_assert_uint_eq(l->n, 2);
+	ck_assert_uint_eq(l->size[0].memory_mb, 16000);
+	ck_assert_uint_eq(l->size[1].accelerators, 1);
+	rig_close(&r);
+}
+END_TEST
+
 /*
  * Guards against a snapshot that is damaged in any byte, cut off or refused halfway
  * and changes the store, and against a crash on the way.
@@ -810,6 +836,7 @@
 	tcase_set_timeout(tc, 600);
 	tcase_add_loop_test(tc, histories_match_the_model, 0, n);
 	tcase_add_loop_test(tc, replicas_agree_at_their_bounds, 0, n);
+	tcase_add_test(tc, capacities_are_kept);
 	tcase_add_test(tc, damaged_snapshot_changes_nothing);
 	tcase_add_test(tc, wrong_content_is_survived);
 	tcase_add_test(tc, error_of_the_sink_is_returned);
