--- a/carawayfrontd/state_feed.c
+++ b/carawayfrontd/state_feed.c
@@ -1,5 +1,6 @@
 #include "base/err.h"
 #include "carawayfrontd/state_leading.h"
+#include "core/capacity.h"
 #include "core/vocab.h"
 #include "io/clock.h"
 
@@ -48,6 +49,17 @@
 	return state == TASK_DONE || state == TASK_FAILED || state == TASK_CANCELLED;
 }
 
+static void add_silences(const struct task_silences *in, struct sched_record *out)
+{
+	if (!in)
+		return;
+	out->silent = in->count;
+	out->nsilences = in->n;
+	for (uint8_t i = 0; i < in->n; i++)
+		out->silence[i] = (struct sched_silence){
+			job_worker_name(in->list[i].worker), in->list[i].session};
+}
+
 static int add_task(struct state_leading *l, const struct job *job, struct str name,
 		    uint32_t number)
 {
@@ -67,11 +79,12 @@
 		.placed_us = to_sched_clock(l, t->placed_us),
 	};
 
+	add_silences(t->silences, &r);
 	/* A free number of a service keeps its attempt. */
 	if (is_over((enum task_state)t->state) && !job->service)
 		return 0;
 	/* Where a waiting task is loaded, its last worker matters only after a loss. */
-	if ((r.state != SCHED_WAITING || t->losses) &&
+	if ((r.state != SCHED_WAITING || t->losses || t->silences) &&
 	    !is_over((enum task_state)t->state))
 		r.worker = job_worker_name(t->worker);
 	return sched_load_task(l->sched, &r, clock_us());
@@ -177,8 +190,11 @@
 {
 	const struct conf_view *view = conf_current_docs(store_conf(l->state->store));
 	const struct jobs *jobs = store_jobs(l->state->store);
+	const struct capacity_list *c = store_capacities(l->state->store);
 	int err = 0;
 
+	for (unsigned int i = 0; i < c->n; i++)
+		sched_load_capacity(l->sched, c->size[i]);
 	for (size_t i = 0; i < conf_view_teams(view) && !err; i++)
 		err = feed_team(l, conf_view_team_name(view, i));
 	for (const struct job *j = jobs_next_unfinished(jobs, NULL); j && !err;
--- a/core/sched.h
+++ b/core/sched.h
@@ -72,6 +72,14 @@
 	uint32_t accelerators;
 };
 
+#define SCHED_MAX_SILENCES 4
+
+/* A worker that fell silent, and the session in which it ran the task. */
+struct sched_silence {
+	struct str worker;
+	uint64_t session;
+};
+
 /* Durable state of one task. (attempt, state) never goes back in the store. */
 struct sched_record {
 	struct str team;
@@ -86,7 +94,10 @@
 	uint32_t failures;   /* attempts that failed by themselves */
 	uint32_t losses;     /* workers lost soon after the task started */
 	uint32_t pardons;    /* losses that do not count */
-	int64_t placed_us;   /* initial load: time of the placement, 0: unknown */
+	uint32_t silent;     /* workers that fell silent soon after the task started */
+	uint32_t nsilences;  /* entries of silence, the latest ones; oldest first */
+	struct sched_silence silence[SCHED_MAX_SILENCES];
+	int64_t placed_us; /* initial load: time of the placement, 0: unknown */
 	enum sched_reason reason;
 };
 
@@ -197,6 +208,11 @@
 	 * sched_refused(). Must not call back into the instance.
 	 */
 	int (*propose)(struct sched_host *, const struct sched_record *);
+	/*
+	 * Starts to record the capacity of a worker, for sched_load_capacity() of later
+	 * leaders. Not answered. An error: it is repeated later. May be NULL.
+	 */
+	int (*record_capacity)(struct sched_host *, struct sched_size);
 };
 
 struct sched_options {
@@ -258,6 +274,7 @@
  * task.
  */
 int sched_load_task(struct sched *s, const struct sched_record *record, int64_t now_us);
+void sched_load_capacity(struct sched *s, struct sched_size capacity);
 /* Ends the initial load. Leases granted by earlier leaders are counted from now_us. */
 void sched_finish_load(struct sched *s, int64_t now_us);
 int sched_cancel_job(struct sched *s, struct str team, struct str job, int64_t now_us);
--- a/core/sched_impl.h
+++ b/core/sched_impl.h
@@ -6,6 +6,7 @@
 #include <sys/queue.h>
 #include <uthash.h>
 
+#include "core/capacity.h"
 #include "core/sched.h"
 #include "core/sched_heap.h"
 
@@ -18,7 +19,7 @@
 
 #define MAX_ZONES 64	 /* bits of the mask of zones that are out */
 #define FREE_BUCKETS 129 /* by whole free CPUs; the last bucket takes the rest */
-#define MAX_FAILED_ON 4	 /* latest workers that failed a task or were lost under it */
+#define MAX_FAILED_ON 4	 /* latest workers that failed a task */
 #define BURST_WORKERS 3	 /* workers lost at once that have a common cause */
 
 #define ENDED_TASKS 16	   /* kept per worker, for late measurements */
@@ -26,9 +27,8 @@
 #define THROTTLE_REPEATS 3 /* responses that carry a new throttle, against loss */
 /* A worker that missed about five polls is probably disconnected. */
 #define SILENT_POLLS 5
-#define MAX_CAPACITIES 64 /* distinct worker capacities */
-#define MAX_COMMANDS 256  /* in one response */
-#define STEP_US 10000	  /* delay between two bounded steps while work remains */
+#define MAX_COMMANDS 256 /* in one response */
+#define STEP_US 10000	 /* delay between two bounded steps while work remains */
 #define STEP_LOST_WORKERS 64
 #define STEP_TASKS 512 /* tasks of cancelled jobs and drained zones in one step */
 #define STEP_PROPOSALS 512
@@ -166,6 +166,19 @@
 	P_ENDING,   /* ended; the record of the end is not committed */
 };
 
+enum loss_state {
+	LOSS_SILENT,   /* its lease ended, which a cut explains too; in task.silent */
+	LOSS_PROVEN,   /* a later session was seen; in task.losses */
+	LOSS_PARDONED, /* many were lost at once; in task.losses and task.pardons */
+};
+
+/* The loss of a worker soon after the start of a task. */
+struct loss {
+	struct worker *worker;
+	uint64_t session; /* that ran the task */
+	enum loss_state state;
+};
+
 struct task_key {
 	struct job *job;
 	uint64_t number;
@@ -187,6 +200,9 @@
 	uint8_t throttle_polls; /* responses left that repeat it */
 	uint8_t losses;		/* workers lost soon after it started */
 	uint8_t pardons;	/* losses that do not count */
+	uint8_t silent;		/* workers that fell silent under it, unexplained */
+	uint8_t nloss;		/* entries of loss; queued in sched.suspects if any */
+	bool held;		/* waits for the explanation of a loss */
 	bool trial;		/* bound as a suspect; counted in worker.trials */
 	bool recorded_running;
 	bool was_running;     /* loaded as running */
@@ -219,12 +235,11 @@
 	int64_t saved_us;	    /* time of the start or the last checkpoint */
 	uint64_t session;
 	struct worker *failed_on[MAX_FAILED_ON];
-	struct worker *lost_on[MAX_FAILED_ON]; /* ring of nlost_on entries */
-	uint32_t nlost_on;
-	uint64_t lost_session; /* of the last one */
-	int64_t issued_us;     /* last start command; 0: none */
-	int64_t waiting_us;    /* since when it is in job.waiting */
-	int64_t loss_us;       /* last loss counted, 0: none; queued in sched.suspects */
+	struct loss loss[SCHED_MAX_SILENCES]; /* latest ones, oldest first */
+	uint32_t loss_attempt;		      /* that the last one ended, 0: removed */
+	int64_t issued_us;		      /* last start command; 0: none */
+	int64_t waiting_us;		      /* since when it is in job.waiting */
+	int64_t loss_us;		      /* when the last loss was counted */
 	struct task *replaced_by;
 	struct sched_node delay; /* retry time */
 	TAILQ_ENTRY(task) job_entry;
@@ -336,9 +351,8 @@
 	struct drain_queue drains;
 	struct sched_heap delayed;
 	struct sched_size total; /* capacity of leased workers */
-	struct sched_size
-		capacities[MAX_CAPACITIES]; /* capacities not covered by another one */
-	unsigned int ncapacities;
+	struct capacity_list capacities;
+	bool capacities_changed; /* not recorded yet */
 	bool ready;
 	bool all_workers_polled; /* every live worker has polled */
 	bool work_left;		 /* another step is needed */
@@ -372,7 +386,6 @@
 void size_sub(struct sched_size *a, struct sched_size b);
 bool size_fits(struct sched_size need, struct sched_size used,
 	       struct sched_size capacity);
-bool size_covers(struct sched_size a, struct sched_size b);
 bool size_under_quota(struct sched_size need, struct sched_size used,
 		      struct sched_size quota);
 double size_share(struct sched_size used, struct sched_size total);
@@ -387,6 +400,7 @@
 void task_bind(struct sched *s, struct task *t, struct worker *w);
 void task_set_live(struct task *t, bool live);
 void task_set_waiting(struct sched *s, struct task *t, int64_t at_us, int64_t now_us);
+void task_move_start(struct sched *s, struct task *t, int64_t now_us);
 void task_end_attempt(struct sched *s, struct task *t, enum sched_state end,
 		      enum sched_reason reason, int64_t now_us);
 void task_stop(struct sched *s, struct task *t, enum sched_reason reason, int64_t now_us);
@@ -438,6 +452,7 @@
 bool fit_in_zone(struct sched *s, struct task *t, struct zone *z, int64_t now_us);
 bool fit_possible(const struct sched *s, const struct job *j);
 void fit_add_capacity(struct sched *s, struct sched_size capacity);
+void fit_propose_capacities(struct sched *s);
 struct worker *fit_find_worker(struct sched *s, struct task *t, int64_t now_us);
 
 /* sched_estimate.c */
@@ -465,9 +480,12 @@
 void suspect_running(struct sched *s, struct task *t, int64_t now_us);
 void suspect_count_loss(struct sched *s, struct task *t, bool restarted, int64_t now_us);
 void suspects_worker_lost(struct sched *s, int64_t now_us);
-void suspects_worker_back(struct sched *s, const struct worker *w);
-int64_t suspect_load(struct sched *s, struct task *t, struct worker *w, uint64_t session,
-		     int64_t now_us);
+void suspects_worker_back(struct sched *s, const struct worker *w, int64_t now_us);
+void suspect_fill_record(const struct task *t, struct sched_record *r);
+int suspect_load(struct sched *s, struct task *t, const struct sched_record *r,
+		 int64_t now_us);
+int64_t suspect_load_wait(struct sched *s, struct task *t, struct worker *w,
+			  const struct sched_record *r, int64_t now_us);
 bool suspect_given_up(const struct task *t);
 
 /* sched_interfere.c */
--- a/proto/command.h
+++ b/proto/command.h
@@ -24,6 +24,7 @@
 #define CMD_HASH 16
 #define CMD_MAX_PACKED 4194304
 #define CMD_MAX_TASKS 65536
+#define CMD_MAX_SILENCES 4
 #define CMD_MAX_RESULT 2097152
 
 enum command_kind {
@@ -43,6 +44,8 @@
 	CMD_MEMBER_SEEN = 13,
 	CMD_MEMBER_GONE = 14,
 	CMD_TASK_LOSSES = 15,
+	CMD_TASK_SILENCES = 16,
+	CMD_CAPACITY = 17,
 };
 
 struct command_field {
@@ -188,6 +191,29 @@
 	u_int pardons;
 };
 
+struct command_capacity {
+	u_int cpu_milli;
+	u_int memory_mb;
+	u_int accelerators;
+};
+
+struct command_silence {
+	struct {
+		u_int worker_len;
+		char *worker_val;
+	} worker;
+	u_quad_t session;
+};
+
+struct command_task_silences {
+	struct command_task_losses losses;
+	u_int silent;
+	struct {
+		u_int list_len;
+		struct command_silence *list_val;
+	} list;
+};
+
 struct command_owner {
 	struct {
 		u_int entry_len;
@@ -305,6 +331,8 @@
 		struct command_member_seen member_seen;
 		struct command_member_gone member_gone;
 		struct command_task_losses task_losses;
+		struct command_task_silences task_silences;
+		struct command_capacity capacity;
 	} command_body_u;
 };
 
@@ -338,6 +366,8 @@
 	SNAP_EXPIRED = 9,
 	SNAP_EPOCH = 10,
 	SNAP_LOSSES = 11,
+	SNAP_SILENCES = 12,
+	SNAP_CAPACITY = 13,
 };
 
 struct snap_head {
@@ -522,6 +552,31 @@
 	} tasks;
 };
 
+struct snap_task_silences {
+	u_int task;
+	u_int silent;
+	struct {
+		u_int list_len;
+		struct command_silence *list_val;
+	} list;
+};
+
+struct snap_silences {
+	struct {
+		u_int team_len;
+		char *team_val;
+	} team;
+	struct {
+		u_int job_len;
+		char *job_val;
+	} job;
+	bool_t service;
+	struct {
+		u_int tasks_len;
+		struct snap_task_silences *tasks_val;
+	} tasks;
+};
+
 struct snap_member {
 	struct {
 		u_int name_len;
@@ -560,6 +615,8 @@
 		struct snap_expired expired;
 		struct snap_epoch epoch;
 		struct snap_losses losses;
+		struct snap_silences silences;
+		struct command_capacity capacity;
 	} snap_record_u;
 };
 
@@ -578,6 +635,9 @@
 extern  bool_t xdr_task_reason (XDR *, enum task_reason *);
 extern  bool_t xdr_command_task (XDR *, struct command_task *);
 extern  bool_t xdr_command_task_losses (XDR *, struct command_task_losses *);
+extern  bool_t xdr_command_capacity (XDR *, struct command_capacity *);
+extern  bool_t xdr_command_silence (XDR *, struct command_silence *);
+extern  bool_t xdr_command_task_silences (XDR *, struct command_task_silences *);
 extern  bool_t xdr_command_owner (XDR *, struct command_owner *);
 extern  bool_t xdr_command_key (XDR *, struct command_key *);
 extern  bool_t xdr_command_claim (XDR *, struct command_claim *);
@@ -606,6 +666,8 @@
 extern  bool_t xdr_snap_job (XDR *, struct snap_job *);
 extern  bool_t xdr_snap_task_losses (XDR *, struct snap_task_losses *);
 extern  bool_t xdr_snap_losses (XDR *, struct snap_losses *);
+extern  bool_t xdr_snap_task_silences (XDR *, struct snap_task_silences *);
+extern  bool_t xdr_snap_silences (XDR *, struct snap_silences *);
 extern  bool_t xdr_snap_member (XDR *, struct snap_member *);
 extern  bool_t xdr_snap_epoch (XDR *, struct snap_epoch *);
 extern  bool_t xdr_snap_record (XDR *, struct snap_record *);
@@ -623,6 +685,9 @@
 extern bool_t xdr_task_reason ();
 extern bool_t xdr_command_task ();
 extern bool_t xdr_command_task_losses ();
+extern bool_t xdr_command_capacity ();
+extern bool_t xdr_command_silence ();
+extern bool_t xdr_command_task_silences ();
 extern bool_t xdr_command_owner ();
 extern bool_t xdr_command_key ();
 extern bool_t xdr_command_claim ();
@@ -651,6 +716,8 @@
 extern bool_t xdr_snap_job ();
 extern bool_t xdr_snap_task_losses ();
 extern bool_t xdr_snap_losses ();
+extern bool_t xdr_snap_task_silences ();
+extern bool_t xdr_snap_silences ();
 extern bool_t xdr_snap_member ();
 extern bool_t xdr_snap_epoch ();
 extern bool_t xdr_snap_record ();
--- a/regress/lib_sched_world.h
+++ b/regress/lib_sched_world.h
@@ -2,6 +2,7 @@
 #define REGRESS_LIB_SCHED_WORLD_H
 
 #include "base/prng.h"
+#include "core/capacity.h"
 #include "core/sched.h"
 #include "core/sched_heap.h"
 
@@ -37,6 +38,11 @@
 	struct sim_run *next;
 };
 
+struct sim_silence {
+	struct sim_worker *worker;
+	uint64_t session;
+};
+
 /* What the store and the checker know of one task. */
 struct sim_task {
 	uint32_t attempt;
@@ -48,6 +54,9 @@
 	uint32_t failures;
 	uint32_t losses;
 	uint32_t pardons;
+	uint32_t silent;
+	uint32_t nsilences;
+	struct sim_silence silence[SCHED_MAX_SILENCES];
 	int64_t placed_us;
 	enum sched_reason reason;
 	uint32_t started;     /* newest attempt that a worker began */
@@ -168,6 +177,7 @@
 	uint64_t calls;
 	int64_t deadly_gap_us; /* until a worker that a task ended is back */
 	bool busy_store;       /* some proposals cannot be made, some are refused */
+	struct capacity_list capacities; /* recorded */
 	void (*latency)(struct sim *, const struct sim_job *, int64_t latency_us);
 };
 
