router: a closed connection is no proof that an upstream ended

What callers saw: after two resets or cuts under one idempotent request it was answered `unknown`, `upstreams-lost`, and each resend with its Idempotency-Key was refused unsent for 60 s, although both upstreams lived on and announced themselves.

Cause: router_failed() counted each send that ended with CF_ECONN, after some of it was sent, as an upstream that the request had ended. A reset, a cut or a proxy ends it just so.

Now a loss names the upstream's incarnation and is a suspicion. A later incarnation without a `leaving` before it, or a refused connection, proves that the process has ended; an announcement of the same incarnation that arrives over a second after the loss takes it back, also after a refused connection. A request under which two upstreams may have ended pauses, and its resends with it; it is answered at once when two have ended, and when its deadline excludes a proof to the contrary. Several losses at one incarnation are one. So nothing is refused without a proof, and a request that has ended two upstreams is kept from a third as before.

router_failed() takes a struct now, since it needs to know of refused connections.

--- a/carawayfrontd/front.c
+++ b/carawayfrontd/front.c
@@ -34,11 +34,12 @@
 	while (f->failed) {
 		struct front_request *r = f->failed;
 		enum front_step step = r->failed_step;
+		const struct router_failure failure = {.err = r->failed_err};
 
 		f->failed = r->next_failed;
 		r->failed_step = FRONT_NONE;
 		if (step == FRONT_SEND)
-			router_failed(f->router, r->id, r->failed_err, false, clock_us());
+			router_failed(f->router, r->id, &failure, clock_us());
 		else
 			router_claimed(f->router, r->id, r->failed_err, clock_us());
 		front_release(r);
--- a/carawayfrontd/front_send.c
+++ b/carawayfrontd/front_send.c
@@ -262,7 +262,13 @@
 
 	r->result = result;
 	if (result->err) {
-		router_failed(router, r->id, result->err, result->maybe_sent, now);
+		const struct router_failure failure = {
+			.err = result->err,
+			.maybe_run = result->maybe_sent,
+			.refused = result->refused,
+		};
+
+		router_failed(router, r->id, &failure, now);
 	} else {
 		struct str run = http_result_header(result, "Carawayfront-Run");
 		struct str load = http_result_header(result, "Carawayfront-Load");
--- a/core/router.c
+++ b/core/router.c
@@ -11,11 +11,8 @@
 #define STATUS_UPSTREAM_ERROR 500
 /* A timeout counts as a failure from this multiple of the mean service time. */
 #define TIMEOUT_FACTOR 3
-/*
- * A request whose upstream closes the connection may have ended its process. After this
- * many such sends it is not sent again.
- */
-#define MAX_LOSSES 2
+/* Interval of the checks of a request that may have ended upstreams. */
+#define HOLD_US 100000LL
 
 /* Sets the defaults; the caller sets host, name and zone. */
 void router_options_init(struct router_options *o)
@@ -67,6 +64,7 @@
 	r->opt.name.p = r->name;
 	r->self = XXH3_64bits(r->name, o->name.n);
 	TAILQ_INIT(&r->ring);
+	TAILQ_INIT(&r->suspected);
 	*out = r;
 	return 0;
 }
@@ -101,6 +99,7 @@
 static void request_remove(struct router *r, struct request *q)
 {
 	timers_remove(&r->timers, &q->timer);
+	suspect_unlink(r, q);
 	if (--q->pool->team->requests == 0)
 		r->busy_teams--;
 	HASH_DELETE(hh, r->requests, q);
@@ -229,13 +228,42 @@
 	return ROUTER_R_ANSWERED;
 }
 
+/* Returns when a request that may have ended upstreams is checked again. */
+static int64_t hold_until(const struct request *q, int64_t now_us)
+{
+	return now_us + HOLD_US < q->deadline_us ? now_us + HOLD_US : q->deadline_us;
+}
+
+/*
+ * Queues a request that may have ended upstreams until more is known of them; refuses it
+ * if its deadline is earlier, or if the queue is full.
+ */
+static void hold_back(struct router *r, struct request *q, int64_t hold_us,
+		      int64_t now_us)
+{
+	enum router_reason why = limit_queue(r, q->pool, q->class);
+	bool late = now_us + hold_us >= q->deadline_us;
+
+	queue_pause(r, q, hold_until(q, now_us));
+	if (late)
+		request_finish(r, q, ROUTER_NOT_RUN, ROUTER_R_HOPELESS, CF_ETIMEOUT,
+			       now_us);
+	else if (why)
+		request_finish(r, q, ROUTER_NOT_RUN, why, CF_EBUSY, now_us);
+}
+
 /* Sends the request if possible, else queues it; refuses it if the queue is full. */
 static void enqueue(struct router *r, struct request *q, int64_t now_us)
 {
 	struct pool *p = q->pool;
 	struct upstream *u;
 	enum router_reason why;
+	int64_t hold = suspect_hold_us(r, q, now_us);
 
+	if (hold > 0) {
+		hold_back(r, q, hold, now_us);
+		return;
+	}
 	if (!p->queued && r->inflight < r->opt.max_inflight && TAILQ_EMPTY(&r->ring)) {
 		u = pick_upstream(r, p, q, now_us);
 		if (u) {
@@ -263,7 +291,6 @@
 	enum router_reason why;
 	struct request *q;
 	struct pool *p;
-	unsigned int losses = suspect_losses(r, a->identity, now_us);
 	int err = 0;
 
 	if (a->class >= ROUTER_CLASSES)
@@ -279,7 +306,7 @@
 		report(r, a->id, &o);
 		return 0;
 	}
-	if (losses >= MAX_LOSSES) {
+	if (suspect_proven_resend(r, a->identity, now_us)) {
 		const struct router_outcome o = {
 			ROUTER_UNKNOWN, ROUTER_R_LOST, CF_ECONN, 0, 0, 0};
 
@@ -302,7 +329,6 @@
 	q->class = (uint8_t)a->class;
 	q->idempotent = a->idempotent;
 	q->identity = a->identity;
-	q->losses = losses;
 	q->keyed = a->keyed;
 	q->timer.kind = TIMER_REQUEST;
 	HASH_ADD(hh, r->requests, id, sizeof(q->id), q);
@@ -391,13 +417,13 @@
 /* Whether the limits of one request allow one more send. */
 static bool sends_left(const struct router *r, const struct request *q)
 {
-	return q->refusals <= r->opt.max_refusals && q->losses < MAX_LOSSES &&
+	return q->refusals <= r->opt.max_refusals &&
 	       q->sends - q->refusals < r->opt.max_attempts;
 }
 
-static enum router_reason failure_reason(const struct request *q)
+static enum router_reason failure_reason(const struct request *q, bool proven)
 {
-	if (q->losses >= MAX_LOSSES)
+	if (proven)
 		return ROUTER_R_LOST;
 	return q->may_have_run ? ROUTER_R_FAILED : ROUTER_R_REFUSED;
 }
@@ -406,21 +432,27 @@
  * Retries a send that ended without a complete response, or answers the caller. When
  * the retry budget is used up, a refused request waits for it, because it has cost
  * the upstream nothing; a failed one is not retried. refused_us: time until the upstream
- * that refused it is expected to have a free slot; 0: the send failed.
+ * that refused it is expected to have a free slot; 0: the send failed. A request that may
+ * have ended upstreams pauses until more is known of them, if its deadline allows that.
  */
 static void retry_or_finish(struct router *r, struct request *q, int64_t refused_us,
 			    int err, int64_t now_us)
 {
 	struct pool *p = q->pool;
-	enum router_reason why = failure_reason(q);
-	bool retry = (!q->may_have_run || q->idempotent) && r->fresh;
+	bool proven = suspect_proven(r, q, now_us);
+	enum router_reason why = failure_reason(q, proven);
+	bool retry = (!q->may_have_run || q->idempotent) && r->fresh && !proven;
 	bool refused = refused_us > 0;
+	int64_t hold = suspect_hold_us(r, q, now_us);
 	int64_t pause;
 
 	q->refused = refused;
 	q->refusals += refused;
 	pause = retry_pause_us(q, refused_us, now_us);
-	retry = retry && sends_left(r, q) && (refused || retry_allowed(r, p->team));
+	if (hold > 0)
+		pause = hold_until(q, now_us) - now_us;
+	retry = retry && now_us + hold < q->deadline_us && sends_left(r, q) &&
+		(refused || retry_allowed(r, p->team));
 	if (retry && pause > 0)
 		queue_pause(r, q, now_us + pause);
 	else
@@ -486,11 +518,8 @@
 	queue_dispatch(r, p, now_us);
 }
 
-/*
- * Handles a failed send, whose connection is closed. err is a CF_ error. maybe_run: some
- * byte may have reached the upstream.
- */
-void router_failed(struct router *r, uint64_t request, int err, bool maybe_run,
+/* Handles a failed send. */
+void router_failed(struct router *r, uint64_t request, const struct router_failure *f,
 		   int64_t now_us)
 {
 	struct request *q = request_find(r, request);
@@ -498,14 +527,14 @@
 	if (!q || !q->up)
 		return;
 	eject_result(r, q->up, true, now_us - q->sent_us, now_us);
-	if (maybe_run && err == CF_ECONN) {
-		q->losses++;
-		suspect_add(r, q->identity, now_us);
-	}
+	if (f->maybe_run && f->err == CF_ECONN)
+		suspect_add(r, q, q->up, now_us);
+	if (f->refused)
+		suspect_ended(r, q->up);
 	if (!send_ended(r, q, now_us))
 		return;
-	q->may_have_run |= maybe_run;
-	retry_or_finish(r, q, 0, err, now_us);
+	q->may_have_run |= f->maybe_run;
+	retry_or_finish(r, q, 0, f->err, now_us);
 }
 
 /* Handles a disconnected caller. The slot is in use until the send has ended. */
@@ -538,11 +567,20 @@
 static void request_due(struct router *r, struct request *q, int64_t now_us)
 {
 	struct pool *p = q->pool;
+	int64_t hold = suspect_hold_us(r, q, now_us);
 
 	if (now_us >= q->deadline_us) {
 		request_expired(r, q, now_us);
 		return;
 	}
+	if (suspect_proven(r, q, now_us)) {
+		request_finish(r, q, ROUTER_UNKNOWN, ROUTER_R_LOST, CF_ECONN, now_us);
+		return;
+	}
+	if (hold > 0) {
+		timers_set(&r->timers, &q->timer, hold_until(q, now_us));
+		return;
+	}
 	queue_resume(r, q);
 	queue_dispatch(r, p, now_us);
 }
--- a/core/router.h
+++ b/core/router.h
@@ -140,6 +140,13 @@
 	bool resent;  /* sent before, on a connection that ended without an answer */
 };
 
+/* A send that ended without a complete response; its connection is closed. */
+struct router_failure {
+	int err;	/* enum cf_err */
+	bool maybe_run; /* some byte may have reached the upstream */
+	bool refused;	/* no process listens at the address of the upstream */
+};
+
 /* One announcement of an upstream. */
 struct router_upstream {
 	struct str team;
@@ -198,7 +205,7 @@
 void router_claimed(struct router *r, uint64_t request, int err, int64_t now_us);
 void router_answered(struct router *r, uint64_t request, const struct router_answer *a,
 		     int64_t now_us);
-void router_failed(struct router *r, uint64_t request, int err, bool maybe_run,
+void router_failed(struct router *r, uint64_t request, const struct router_failure *f,
 		   int64_t now_us);
 void router_cancel(struct router *r, uint64_t request, int64_t now_us);
 
--- a/core/router_impl.h
+++ b/core/router_impl.h
@@ -18,8 +18,10 @@
 #define ROUTER_MAX_ZONES 16
 /* Most recent upstreams stored per request, to avoid them in retries. */
 #define ROUTER_TRIED 3
-/* Requests remembered because upstreams were lost under them. */
+/* Requests remembered because upstreams closed connections under them. */
 #define ROUTER_SUSPECTS 256
+/* Upstreams remembered for one of them; more than two by resends at the same time. */
+#define ROUTER_LOSSES 4
 /* Maximum slots of an upstream. */
 #define ROUTER_MAX_SLOTS 65535U
 
@@ -41,9 +43,24 @@
 	REQUEST_LATE_CLAIM, /* caller has its answer; the claim has not ended */
 };
 
+/* A send whose upstream closed the connection after some of it was sent. */
+struct loss {
+	uint64_t upstream; /* id, of this life */
+	int64_t at_us;
+	bool ended; /* the process is known to have ended without leaving */
+};
+
+/* Losses of one request, or of its resends; one for each upstream at most. */
+struct losses {
+	struct loss v[ROUTER_LOSSES];
+	unsigned int n;
+};
+
 struct request {
 	UT_hash_handle hh;
-	TAILQ_ENTRY(request) link; /* in the queue of its pool and class */
+	TAILQ_ENTRY(request) link;    /* in the queue of its pool and class */
+	TAILQ_ENTRY(request) suspect; /* in suspected, while it has losses */
+	struct losses losses;
 	struct timer timer;
 	uint64_t id;
 	struct pool *pool;
@@ -56,15 +73,15 @@
 	int64_t deadline_us;
 	unsigned int sends;
 	unsigned int refusals; /* sends that the upstream refused */
-	unsigned int losses;   /* sends whose upstream closed the connection */
 	uint8_t state;
 	uint8_t class;
 	bool idempotent;
 	bool keyed;
 	bool claimed;	   /* a granted claim is still open */
 	bool refused;	   /* the last send was refused by the upstream */
-	bool pausing;	   /* refused often: waits for its timer before the next send */
+	bool pausing;	   /* waits for its timer before the next send */
 	bool may_have_run; /* an earlier send may have run */
+	bool suspected;	   /* in suspected of the router */
 };
 
 TAILQ_HEAD(request_queue, request);
@@ -166,7 +183,7 @@
 struct suspect {
 	uint64_t identity;
 	int64_t until_us;
-	unsigned int losses;
+	struct losses losses;
 };
 
 struct router {
@@ -190,6 +207,7 @@
 	unsigned int inflight;
 	bool fresh;
 	bool draining;
+	TAILQ_HEAD(, request) suspected; /* requests that have losses */
 	struct suspect suspects[ROUTER_SUSPECTS];
 	unsigned int next_suspect;
 	struct router_stats stats;
@@ -247,8 +265,13 @@
 int64_t retry_pause_us(const struct request *q, int64_t refused_us, int64_t now_us);
 
 /* router_suspect.c */
-unsigned int suspect_losses(struct router *r, uint64_t identity, int64_t now_us);
-void suspect_add(struct router *r, uint64_t identity, int64_t now_us);
+void suspect_add(struct router *r, struct request *q, const struct upstream *u,
+		 int64_t now_us);
+void suspect_unlink(struct router *r, struct request *q);
+void suspect_ended(struct router *r, const struct upstream *u);
+bool suspect_proven(struct router *r, struct request *q, int64_t now_us);
+bool suspect_proven_resend(struct router *r, uint64_t identity, int64_t now_us);
+int64_t suspect_hold_us(struct router *r, struct request *q, int64_t now_us);
 
 /* router_eject.c */
 void eject_result(struct router *r, struct upstream *u, bool failed, int64_t took_us,
--- a/core/router_upstream.c
+++ b/core/router_upstream.c
@@ -317,6 +317,7 @@
 		/* Its process has ended; its requests fail with their connections. */
 		HASH_DELETE(hh_name, r->names, old);
 		old->current = false;
+		suspect_ended(r, old);
 		upstream_update(r, old, now_us);
 		if (!old->inflight)
 			upstream_remove(r, old);
