router: ejections end when the rest of the pool is gone

What callers would see: with one upstream ejected and the others silent or gone, requests wait in the queue until the ejection ends, up to 40 s, or until their deadline, though an upstream that may serve announces itself all the while. Nothing is refused with `no-upstream`, since an ejected one counts as usable.

Cause: an upstream is ejected for failing more often than the rest of its pool, with a floor that is checked at that moment only. Once the rest has gone, the comparison that ejected it says nothing.

Now the ejections of a pool end when no other upstream is left; each gets one request at a time until one succeeds, as after any ejection. An expired announcement also dispatches the queue, as an announced exit did before.

Test: ejection_ends_with_the_rest_of_the_pool, once with silent upstreams and once with announced exits.

--- a/core/router_eject.c
+++ b/core/router_eject.c
@@ -61,6 +61,22 @@
 	timers_set(&r->timers, &u->reopen, u->ejected_until_us);
 }
 
+/*
+ * Ends the ejections of a pool that has no other upstream left: they were judged by
+ * those that are gone. Each still gets one request at a time until one succeeds.
+ */
+void eject_end_all(struct router *r, struct pool *p, int64_t now_us)
+{
+	struct upstream *u;
+
+	TAILQ_FOREACH (u, &p->members, member) {
+		if (!u->counted_ejected)
+			continue;
+		u->ejected_until_us = now_us;
+		upstream_update(r, u, now_us);
+	}
+}
+
 static void set_fail(struct upstream *u, float fail)
 {
 	if (u->counted)
--- a/core/router_impl.h
+++ b/core/router_impl.h
@@ -277,6 +277,7 @@
 void eject_result(struct router *r, struct upstream *u, bool failed, int64_t took_us,
 		  int64_t now_us);
 bool eject_active(const struct upstream *u, int64_t now_us);
+void eject_end_all(struct router *r, struct pool *p, int64_t now_us);
 
 /* router.c */
 void request_send(struct router *r, struct request *q, struct upstream *u,
--- a/core/router_upstream.c
+++ b/core/router_upstream.c
@@ -135,6 +135,10 @@
 		u->counted_ejected = ejected;
 		p->ejected += ejected ? 1 : -1U;
 	}
+	if (p->usable && p->usable == p->ejected) {
+		eject_end_all(r, p, now_us);
+		ejected = eject_active(u, now_us);
+	}
 	if (usable && !ejected)
 		want = &p->set[u->zone][u->home];
 	if (want != u->set) {
@@ -193,6 +197,7 @@
 		return;
 	}
 	upstream_update(r, u, now_us);
+	queue_dispatch(r, u->pool, now_us);
 	if (now_us < u->expires_us + FORGET_US)
 		timers_set(&r->timers, &u->expiry, u->expires_us + FORGET_US);
 	else if (u->inflight)
--- a/regress/test_router.c
+++ b/regress/test_router.c
@@ -873,6 +873,81 @@
 }
 END_TEST
 
+/* Announces an upstream of ejection, as leaving or not. */
+static void eject_announce(struct eject *e, struct router *r, unsigned int i,
+			   bool leaving, int64_t now)
+{
+	char name = (char)('a' + i);
+	struct router_upstream u = {.team = STR("guild"),
+				    .service = STR("desk"),
+				    .name = {&name, 1},
+				    .address = STR("127.0.0.1:80"),
+				    .zone = STR("a"),
+				    .slots = 8,
+				    .leaving = leaving,
+				    .incarnation = 1,
+				    .sequence = (uint64_t)now};
+
+	ck_assert_int_eq(router_upstream(r, &u, now), 0);
+	e->id[i] = router_upstream_id(&u);
+}
+
+/*
+ * Guards against requests that wait for the end of an ejection, up to 40 s, when the
+ * upstreams that did better are silent or have left.
+ */
+START_TEST(ejection_ends_with_the_rest_of_the_pool)
+{
+	for (unsigned int leave = 0; leave < 2; leave++) {
+		static struct eject e;
+		struct router_upstream_info info;
+		struct router_options o;
+		struct router_stats st;
+		struct router *r;
+		uint64_t request = 0;
+		int64_t now = SEC;
+		struct router_request q = {.team = STR("guild"), .service = STR("desk")};
+
+		memset(&e, 0, sizeof(e));
+		e.host.ops = &eject_ops;
+		router_options_init(&o);
+		o.host = &e.host;
+		o.name = STR("e1");
+		o.zone = STR("a");
+		ck_assert_int_eq(router_new(&o, &r), 0);
+		router_fresh(r, true, now);
+		for (unsigned int i = 0; i < EJECT_UPSTREAMS; i++)
+			eject_announce(&e, r, i, false, now);
+		eject_round(&e, r, &request, &now, 400, 0, 200);
+		/* The fourth ejection lasts 8 s or more. */
+		for (router_stats(r, &st); st.ejected < 4; router_stats(r, &st))
+			eject_round(&e, r, &request, &now, 20, 1, 500);
+		ck_assert_int_eq(router_upstream_info(r, e.id[0], &info, now), 0);
+		ck_assert(info.ejected);
+		/* More than the others take at once: some wait. */
+		q.deadline_us = now + 60 * SEC;
+		memset(e.sent, 0, sizeof(e.sent));
+		for (unsigned int k = 0; k < 8 * EJECT_UPSTREAMS; k++, request++) {
+			q.id = request;
+			ck_assert_int_eq(router_submit(r, &q, now), 0);
+		}
+		router_stats(r, &st);
+		ck_assert_uint_gt(st.queued, 0);
+		ck_assert_uint_eq(e.sent[0], 0);
+		for (unsigned int i = 1; leave && i < EJECT_UPSTREAMS; i++)
+			eject_announce(&e, r, i, true, now);
+		for (unsigned int k = 0; !leave && k < 2; k++) {
+			now += SEC;
+			router_renew(r, e.id[0], 0, 0, 0, now);
+			router_tick(r, now);
+		}
+		/* One request at a time until one succeeds. */
+		ck_assert_uint_eq(e.sent[0], 1);
+		router_free(r);
+	}
+}
+END_TEST
+
 /* Upstreams that end and restart, with a new incarnation, under a deadly request. */
 #define DEADLY_UPSTREAMS 10
 #define DEADLY_REQUESTS 2000U
@@ -1389,6 +1464,7 @@
 	tcase_add_test(tc, teams_share_the_process);
 	tcase_add_test(tc, tables_are_bounded);
 	tcase_add_test(tc, ejection);
+	tcase_add_test(tc, ejection_ends_with_the_rest_of_the_pool);
 	tcase_add_test(tc, deadly_request_takes_two_upstreams);
 	tcase_add_test(tc, resends_of_a_deadly_request_are_refused);
 	tcase_add_test(tc, resets_and_cuts_give_no_request_up);
