router: requests that wait for a proof count for no queue

What callers would see: while requests wait until it is known whether their upstreams ended, new ones of the same service are refused as hopeless or for a full queue with upstreams free, as the wait is estimated from all that are queued.

Held requests wait for no slot, so they are no longer counted as waiting or queued in their pool; the table's limits still bound them.

Test: held_requests_refuse_no_others fails before ("d.at[k]", the second new request of three). test_router and test_router_full pass.

--- a/core/router.c
+++ b/core/router.c
@@ -244,7 +244,7 @@
 	enum router_reason why = limit_queue(r, q->pool, q->class);
 	bool late = now_us + hold_us >= q->deadline_us;
 
-	queue_pause(r, q, hold_until(q, now_us));
+	queue_hold(r, q, hold_until(q, now_us));
 	if (late)
 		request_finish(r, q, ROUTER_NOT_RUN, ROUTER_R_HOPELESS, CF_ETIMEOUT,
 			       now_us);
@@ -449,11 +449,11 @@
 	q->refused = refused;
 	q->refusals += refused;
 	pause = retry_pause_us(q, refused_us, now_us);
-	if (hold > 0)
-		pause = hold_until(q, now_us) - now_us;
 	retry = retry && now_us + hold < q->deadline_us && sends_left(r, q) &&
 		(refused || retry_allowed(r, p->team));
-	if (retry && pause > 0)
+	if (retry && hold > 0)
+		queue_hold(r, q, hold_until(q, now_us));
+	else if (retry && pause > 0)
 		queue_pause(r, q, now_us + pause);
 	else
 		queue_push(r, q);
--- a/core/router_impl.h
+++ b/core/router_impl.h
@@ -80,6 +80,7 @@
 	bool claimed;	   /* a granted claim is still open */
 	bool refused;	   /* the last send was refused by the upstream */
 	bool pausing;	   /* waits for its timer before the next send */
+	bool held;	   /* pausing until more is known of its upstreams */
 	bool may_have_run; /* an earlier send may have run */
 	bool suspected;	   /* in suspected of the router */
 };
@@ -238,6 +239,7 @@
 void queue_push(struct router *r, struct request *q);
 void queue_remove(struct router *r, struct request *q);
 void queue_pause(struct router *r, struct request *q, int64_t until_us);
+void queue_hold(struct router *r, struct request *q, int64_t until_us);
 void queue_resume(struct router *r, struct request *q);
 void queue_dispatch(struct router *r, struct pool *p, int64_t now_us);
 void queue_wait_begin(struct request *q);
--- a/core/router_queue.c
+++ b/core/router_queue.c
@@ -39,9 +39,11 @@
 
 	TAILQ_INSERT_TAIL(queue_of(q), q, link);
 	q->state = REQUEST_QUEUED;
+	r->queued++;
+	if (q->held)
+		return;
 	queue_wait_begin(q);
 	p->queued++;
-	r->queued++;
 }
 
 void queue_remove(struct router *r, struct request *q)
@@ -49,9 +51,11 @@
 	struct pool *p = q->pool;
 
 	TAILQ_REMOVE(queue_of(q), q, link);
+	r->queued--;
+	if (q->held)
+		return;
 	queue_wait_end(q);
 	p->queued--;
-	r->queued--;
 }
 
 /* Queues a request that is not sent before until_us. */
@@ -62,11 +66,19 @@
 	timers_set(&r->timers, &q->timer, until_us);
 }
 
+/* As a pause, but the request waits for no slot and counts for no estimate. */
+void queue_hold(struct router *r, struct request *q, int64_t until_us)
+{
+	q->held = true;
+	queue_pause(r, q, until_us);
+}
+
 /* Ends a pause; the timer is that of the deadline again. */
 void queue_resume(struct router *r, struct request *q)
 {
 	queue_remove(r, q);
 	q->pausing = false;
+	q->held = false;
 	/* Where it was refused before the pause a slot may be free now. */
 	memset(q->tried, 0, sizeof(q->tried));
 	queue_push(r, q);
--- a/regress/test_router.c
+++ b/regress/test_router.c
@@ -1448,6 +1448,47 @@
 }
 END_TEST
 
+#define HELD 15U
+
+/* Guards against others refused for requests that wait for a proof, not for a slot. */
+START_TEST(held_requests_refuse_no_others)
+{
+	struct router_answer ok = {.status = 200, .load = -1};
+	struct router_request q = {
+		.team = STR("guild"), .service = STR("desk"), .idempotent = true};
+	static struct deadly d;
+	struct router_stats st;
+	unsigned int lost[2];
+
+	resets_start(&d);
+	for (uint64_t k = HELD; k < 2UL * HELD; k++) {
+		resets_submit(&d, k, 0);
+		d.now += STEP;
+		d.at[k] = 0;
+		router_answered(d.r, k, &ok, d.now);
+	}
+	resets_pass(&d, STEP);
+	for (uint64_t k = 0; k < HELD; k++) {
+		resets_submit(&d, k, 0);
+		resets_close_two(&d, k, 0, lost);
+	}
+	router_stats(d.r, &st);
+	ck_assert_uint_eq(st.queued, HELD);
+	for (uint64_t k = 2UL * HELD; k < 2UL * HELD + 3; k++) {
+		q.id = k;
+		q.deadline_us = d.now + SEC;
+		ck_assert_int_eq(router_submit(d.r, &q, d.now), 0);
+		ck_assert(d.at[k]);
+	}
+	resets_pass(&d, 2 * SEC);
+	for (uint64_t k = 0; k < HELD; k++)
+		ck_assert(d.at[k]);
+	router_stats(d.r, &st);
+	ck_assert_uint_eq(st.queued, 0);
+	router_free(d.r);
+}
+END_TEST
+
 int main(int argc, char **argv)
 {
 	Suite *suite = suite_create("router");
@@ -1472,6 +1513,7 @@
 	tcase_add_test(tc, refused_connections_prove_that_upstreams_ended);
 	tcase_add_test(tc, exits_give_no_request_up);
 	tcase_add_test(tc, no_wait_for_a_proof_after_the_deadline);
+	tcase_add_test(tc, held_requests_refuse_no_others);
 	suite_add_tcase(suite, tc);
 	sr = srunner_create(suite);
 	srunner_run_all(sr, CK_NORMAL);
