--- a/core/router_suspect.c
+++ b/core/router_suspect.c
@@ -42,7 +42,7 @@
 	l->v[i] = l->v[--l->n];
 }
 
-/* Drops the losses that were none, and those too old for a proof. */
+/* Drops the losses that their upstream survived, and those too old for a proof. */
 static void drop_settled(const struct router *r, struct losses *l, int64_t now_us)
 {
 	unsigned int i = 0;
@@ -112,7 +112,7 @@
 	s->until_us = now_us + REMEMBER_US;
 }
 
-/* Removes a request that ends from those that are followed. */
+/* Removes a request from those with losses, before it is freed. */
 void suspect_unlink(struct router *r, struct request *q)
 {
 	if (q->suspected)
@@ -120,6 +120,7 @@
 	q->suspected = false;
 }
 
+/* Marks the loss at an upstream that has ended, or drops it: it left or survived. */
 static void settle(const struct router *r, struct losses *l, const struct upstream *u)
 {
 	unsigned int i = 0;
@@ -168,6 +169,7 @@
 	       suspect_proven_resend(r, q->identity, now_us);
 }
 
+/* Time until an announcement may take one of the losses back; 0: too few to wait. */
 static int64_t hold_us(const struct router *r, struct losses *l, int64_t now_us)
 {
 	int64_t first = INT64_MAX;
