io/log: lines that end accepted work are never dropped

log_final() and log_final_warn() write lines that are not limited. While standard output has no room they wait in 256 KiB and are written, one a write(2) and in order, before any later line: by the next line or by the timers of controller and state. Work ends once, so the volume stays bounded. Nothing blocks. The schedulers use them for job-ended and task-given-up, through the host operation log_final of the newer one.

job-ended of a job that ended in the millisecond of its acceptance told the number of its tasks as its age; it tells 0 now.

--- a/carawayfrontd/controller.c
+++ b/carawayfrontd/controller.c
@@ -121,6 +121,7 @@
 	struct controller *c = t->data;
 	int64_t now = clock_us();
 
+	log_flush();
 	replica_tick(c->replica, now);
 	if (controller_leads(c))
 		dag_sched_tick(c->sched, now, clock_wall_us() / 1000);
--- a/carawayfrontd/controller_sched.c
+++ b/carawayfrontd/controller_sched.c
@@ -96,8 +96,6 @@
 			   const struct dag_task_ref *t, uint32_t run, struct str worker,
 			   const char *reason, int64_t value)
 {
-	if (t && str_eq(str_from(event), STR("job-ended")))
-		record_job_latency(CONTROLLER_OF(h, sched_host), worker, reason, value);
 	if (!t)
 		log_info(event, "worker=%.*s reason=\"%s\" value=%lld", STR_ARG(worker),
 			 reason, (long long)value);
@@ -113,6 +111,24 @@
 			 run, STR_ARG(worker), reason, (long long)value);
 }
 
+static void host_log_final(struct dag_host *h, const char *event,
+			   const struct dag_task_ref *t, uint32_t run, struct str worker,
+			   const char *reason, int64_t value)
+{
+	if (!run) {
+		record_job_latency(CONTROLLER_OF(h, sched_host), worker, reason, value);
+		log_final(event, "job=%016llx queue=%.*s state=%s value=%lld",
+			  (unsigned long long)t->job, STR_ARG(worker), reason,
+			  (long long)value);
+		return;
+	}
+	log_final_warn(event,
+		       "job=%016llx task=%u.%u.%u run=%u worker=%.*s reason=\"%s\" "
+		       "value=%lld",
+		       (unsigned long long)t->job, t->occurrence, t->step, t->index, run,
+		       STR_ARG(worker), reason, (long long)value);
+}
+
 static const struct dag_host_ops host_ops = {
 	.propose = host_propose,
 	.start = host_start,
@@ -120,6 +136,7 @@
 	.throttle = host_throttle,
 	.poll = host_poll,
 	.log_event = host_log_event,
+	.log_final = host_log_final,
 };
 
 static void user_start_replied(struct dag_transport_user *u, uint32_t worker,
--- a/carawayfrontd/state.c
+++ b/carawayfrontd/state.c
@@ -129,6 +129,7 @@
 {
 	struct state *s = t->data;
 
+	log_flush();
 	replica_tick(s->replica, clock_us());
 	state_leading_tick(s);
 	state_serve_watchers(s, false);
--- a/carawayfrontd/state_leading.c
+++ b/carawayfrontd/state_leading.c
@@ -335,8 +335,9 @@
 static void log_given_up(const struct command_task *t)
 {
 	if (t->state == TASK_FAILED && t->reason == TASK_R_LOSES_WORKERS)
-		log_warn("task-given-up", "team=%.*s job=%.*s task=%u",
-			 STR_ARG(XDR_STR(*t, team)), STR_ARG(XDR_STR(*t, job)), t->task);
+		log_final_warn("task-given-up", "team=%.*s job=%.*s task=%u",
+			       STR_ARG(XDR_STR(*t, team)), STR_ARG(XDR_STR(*t, job)),
+			       t->task);
 }
 
 /* Passes a command that was applied to the scheduler. */
--- a/core/dag_sched.c
+++ b/core/dag_sched.c
@@ -30,16 +30,28 @@
 		s->err = err;
 }
 
-/* Logs a job. The value is age_ms, or the number of tasks when age_ms is 0. */
-static void log_job_event(struct dag_sched *s, const char *event, const struct ds_job *j,
-			  int64_t age_ms)
+static const char *state_name(enum dag_job_state state)
 {
-	struct dag_task_ref t = {.job = j->rec->id};
-	static const char *const states[] = {"queued", "running", "completed", "failed",
-					     "cancelled"};
+	static const char *const names[] = {"queued", "running", "completed", "failed",
+					    "cancelled"};
 
-	s->host->ops->log_event(s->host, event, &t, 0, XDR_STR(j->rec->spec, queue),
-				states[j->rec->state], age_ms ? age_ms : j->rec->n_tasks);
+	return names[state];
+}
+
+static void log_accepted(struct dag_sched *s, const struct dag_job_rec *j)
+{
+	struct dag_task_ref t = {.job = j->id};
+
+	s->host->ops->log_event(s->host, "job-accepted", &t, 0, XDR_STR(j->spec, queue),
+				state_name(j->state), j->n_tasks);
+}
+
+static void log_ended(struct dag_sched *s, const struct dag_job_rec *j)
+{
+	struct dag_task_ref t = {.job = j->id};
+
+	s->host->ops->log_final(s->host, "job-ended", &t, 0, XDR_STR(j->spec, queue),
+				state_name(j->state), j->ended_ms - j->spec.accepted_ms);
 }
 
 static void on_job_added(struct dag_observer *o, struct dag_job_rec *rec)
@@ -54,7 +66,7 @@
 	}
 	if (!rec->spec.occurrences)
 		j->next_occurrence = 1;
-	log_job_event(s, "job-accepted", j, 0);
+	log_accepted(s, rec);
 	ds_job_refresh(s, j);
 }
 
@@ -78,7 +90,7 @@
 
 	if (!j)
 		return;
-	log_job_event(s, "job-ended", j, rec->ended_ms - rec->spec.accepted_ms);
+	log_ended(s, rec);
 	free_proposed_runs(s, j);
 	TAILQ_FOREACH (r, &j->runs, job_entry)
 		ds_run_request_stop(s, r, "job ended");
@@ -139,7 +151,7 @@
 					"its worker did not survive it; value: crashes",
 					t->crashes);
 	if (crashed && dag_task_is_deadly(t))
-		s->host->ops->log_event(s->host, "task-given-up", &e->task, e->run,
+		s->host->ops->log_final(s->host, "task-given-up", &e->task, e->run,
 					worker, "workers crashed under it", t->crashes);
 }
 
--- a/core/dag_sched.h
+++ b/core/dag_sched.h
@@ -100,6 +100,10 @@
 	void (*log_event)(struct dag_host *h, const char *event,
 			  const struct dag_task_ref *t, uint32_t run, struct str worker,
 			  const char *reason, int64_t value);
+	/* The same, of what ends accepted work: this event must not be dropped. */
+	void (*log_final)(struct dag_host *h, const char *event,
+			  const struct dag_task_ref *t, uint32_t run, struct str worker,
+			  const char *reason, int64_t value);
 };
 
 struct dag_sched_options {
--- a/regress/lib_dag_world.c
+++ b/regress/lib_dag_world.c
@@ -209,6 +209,7 @@
 	.throttle = host_pace,
 	.poll = host_look,
 	.log_event = host_note,
+	.log_final = host_note,
 };
 
 static void new_leader(struct dag_world *w)
--- a/regress/test_dag.c
+++ b/regress/test_dag.c
@@ -1217,6 +1217,7 @@
 	.throttle = no_order,
 	.poll = count_look,
 	.log_event = no_note,
+	.log_final = no_note,
 };
 
 /*
--- a/regress/test_log_schema.sh
+++ b/regress/test_log_schema.sh
@@ -12,10 +12,10 @@
 		carawayfrontd/metrics_port.c carawayfrontd/state_disk.c \
 		carawayfrontd/disk_host.c io/log.c |
 		tr '\n' ' ' |
-		grep -oE 'log_(info|warn|error)\(([a-z]+ \? "[a-z-]+" : )?[[:space:]]*"[a-z-]+"' |
+		grep -oE 'log_(info|warn|error|final|final_warn)\(([a-z]+ \? "[a-z-]+" : )?[[:space:]]*"[a-z-]+"' |
 		grep -oE '"[a-z-]+"'
 	cat core/dag_*.c | tr '\n' ' ' |
-		grep -oE '(ds_log_run_event\(s,|log_job_event\(s,|ops->log_event\([[:space:]]*s->host,)[[:space:]]*"[a-z-]+"' |
+		grep -oE '(ds_log_run_event\(s,|ops->log_(event|final)\([[:space:]]*s->host,)[[:space:]]*"[a-z-]+"' |
 		grep -oE '"[a-z-]+"'
 	grep -oE 'event=[a-z]+(-[a-z]+)*' io/log.c | sed 's/event=\(.*\)/"\1"/'
 } | tr -d '"' | sort -u >"$work/logged"
