core/dag: the line that gives a task up names its runs

Which runs were counted, and on what evidence, had to be guessed.

Each process notes beside the replicated task which ends count, with the worker and how the end is known: as a failure that was listed, a crash that a later life of the worker proves, or one that another process at its address proves. The leader that concludes it adds what it saw. A failure that is listed after the loss of its run was recorded has its worker too.

test_dag_counted plays deadly tasks and failing workers in virtual time with one leader and with a second process that takes over after each crash, and compares the line with what the leaders ended.

--- a/core/dag_crash.c
+++ b/core/dag_crash.c
@@ -161,6 +161,7 @@
 {
 	struct str none = {NULL, 0};
 
+	r->crash_known = reason;
 	ds_run_propose_end(s, r, crash_end(r, alone), none, reason);
 }
 
--- a/core/dag_sched.c
+++ b/core/dag_sched.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 
 #include "base/err.h"
+#include "core/dag_counted.h"
 #include "core/dag_sched_impl.h"
 #include "proto/codec.h"
 
@@ -91,6 +92,7 @@
 	if (!j)
 		return;
 	log_ended(s, rec);
+	j->given_up = rec->state == DAG_JOB_FAILED;
 	free_proposed_runs(s, j);
 	TAILQ_FOREACH (r, &j->runs, job_entry)
 		ds_run_request_stop(s, r, "job ended");
@@ -150,9 +152,21 @@
 		s->host->ops->log_event(s->host, "crash-known", &e->task, e->run, worker,
 					"its worker did not survive it; value: crashes",
 					t->crashes);
-	if (crashed && dag_task_is_deadly(t))
-		s->host->ops->log_final(s->host, "task-given-up", &e->task, e->run,
-					worker, "workers crashed under it", t->crashes);
+}
+
+/* Tells which ends of runs a failed job was given up for. r NULL: the newest is late. */
+static void log_given_up(struct dag_sched *s, struct ds_job *j, const struct ds_run *r,
+			 const struct dag_end *e)
+{
+	struct str worker = r ? XDR_STR(r->worker->rec->w, id) : (struct str){NULL, 0};
+	struct buf text = {0};
+	uint32_t total = 0;
+	int err = dag_counted_describe(j->rec, e, &text, &total);
+
+	j->given_up = false;
+	s->host->ops->log_final(s->host, "task-given-up", &e->task, e->run, worker,
+				err ? "no memory to tell its runs" : text.p, total);
+	buf_free(&text);
 }
 
 static void on_run_ended(struct dag_observer *o, struct dag_job_rec *rec,
@@ -161,13 +175,17 @@
 	struct dag_sched *s = (struct dag_sched *)o;
 	struct ds_job *j = rec->sched;
 	struct ds_run *r = ds_find_run(s, &e->task, e->run);
-	const struct dag_task *t =
+	struct dag_task *t =
 		dag_job_find_task(rec, e->task.occurrence, e->task.step, e->task.index);
 	struct dag_worker_rec *w = dag_state_find_worker(s->state, worker);
 	struct ds_worker *dw = w ? w->sched : NULL;
 	bool listed = r && r->end_listed;
 
 	log_crashes(s, r, e, t);
+	if (r && r->crash_known)
+		dag_counted_explain(t->counted, e->run, r->crash_known);
+	if (j && j->given_up)
+		log_given_up(s, j, r, e);
 	if (r)
 		ds_run_free(s, r);
 	if (dw && listed && --dw->ends_uncommitted == 0) {
--- a/core/dag_sched_impl.h
+++ b/core/dag_sched_impl.h
@@ -46,7 +46,8 @@
 	uint32_t stop_fence;  /* and stop request */
 	bool suspect;	      /* a worker has crashed under an earlier run of the task */
 	enum dag_end_how
-		stopped_how; /* end to record once it is stopped and not listed */
+		stopped_how;	 /* end to record once it is stopped and not listed */
+	const char *crash_known; /* how, of its worker's crash; NULL: it is not known */
 	bool stop_requested;
 	bool stop_in_flight;
 	int64_t stop_acked_us; /* 0: not acknowledged */
@@ -105,6 +106,7 @@
 	bool begun;		   /* recorded or proposed */
 	uint64_t sort_key;	   /* smaller is placed first */
 	double objective_fraction; /* age divided by the objective */
+	bool given_up;		   /* by the end of a run that is being recorded */
 };
 
 /* A serving task on a worker, with the load that further fillers may add to it. */
--- a/core/dag_state.c
+++ b/core/dag_state.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "base/err.h"
+#include "core/dag_counted.h"
 #include "proto/codec.h"
 
 /* Zones of which the newest order is remembered; more only if they are closed. */
@@ -36,8 +37,10 @@
 static void free_job(struct dag_job_rec *j)
 {
 	for (uint32_t k = 0; j->occ && k < j->n_occ; k++) {
-		for (uint32_t i = 0; j->occ[k].task && i < j->n_tasks; i++)
+		for (uint32_t i = 0; j->occ[k].task && i < j->n_tasks; i++) {
 			buf_free(&j->occ[k].task[i].checkpoint);
+			dag_counted_free(&j->occ[k].task[i].counted);
+		}
 		free(j->occ[k].task);
 		free(j->occ[k].left);
 	}
@@ -579,6 +582,7 @@
 	if (t->done)
 		return;
 	t->done = true;
+	dag_counted_free(&t->counted);
 	o->left[ref->step]--;
 	if (--o->tasks_left == 0)
 		j->occ_left--;
@@ -620,6 +624,17 @@
 	return t->n_suspected && t->crashes + t->n_suspected >= DAG_CRASHES_MAX;
 }
 
+/* Notes for the log how the end of a run is known that counts. w NULL: not known. */
+static void note_counted(struct dag_task *t, uint32_t run, const struct dag_worker_rec *w,
+			 bool crashed, const char *known)
+{
+	struct dag_counted_end e = {.run = run, .crashed = crashed, .known = known};
+
+	if (w)
+		e.worker = XDR_STR(w->w, id);
+	dag_counted_add(&t->counted, &e);
+}
+
 static void count_crash(struct dag_state *s, struct dag_job_rec *j, struct dag_task *t,
 			bool alone)
 {
@@ -634,10 +649,12 @@
  * as done or counts a failure or a crash. Completes the job when its last task is done;
  * fails the job when the number of failures reaches j->attempts or a task is deadly. The
  * tasks of a long-running step have no limit of failures. For a done task or an ended
- * job, only the checkpoint is stored.
+ * job, only the checkpoint is stored. w: the worker of the run, NULL if it is not known;
+ * later_life: it has started again since it had the run.
  */
 static void record_end(struct dag_state *s, struct dag_job_rec *j,
-		       const struct dag_end *e, struct dag_task *t)
+		       const struct dag_end *e, struct dag_task *t,
+		       const struct dag_worker_rec *w, bool later_life)
 {
 	const struct dag_step *st = &j->spec.steps.steps_val[e->task.step];
 	uint32_t failures;
@@ -647,6 +664,10 @@
 	if (dag_job_ended(j) || t->done)
 		return;
 	if (e->how == DAG_END_CRASHED || e->how == DAG_END_CRASHED_ALONE) {
+		note_counted(t, e->run, w, true,
+			     later_life ? "its worker came back in another life"
+					: "another life or process is in its worker's "
+					  "place");
 		count_crash(s, j, t, e->how == DAG_END_CRASHED_ALONE);
 		return;
 	}
@@ -655,6 +676,7 @@
 	    (st->long_running && e->how == DAG_END_FAILED)) {
 		t->crashes = 0;
 		t->crashes_alone = 0;
+		dag_counted_forget_crashes(&t->counted);
 		dag_suspicions_forget_task(s, &e->task);
 	}
 	if (st->long_running)
@@ -671,6 +693,7 @@
 	if (e->how != DAG_END_FAILED)
 		return;
 	t->failures++;
+	note_counted(t, e->run, w, false, "listed as failed");
 	failures = st->gang ? gang_failures(j, &e->task) : t->failures;
 	if (failures >= j->attempts)
 		end_job(s, j, DAG_JOB_FAILED);
@@ -700,24 +723,27 @@
 	if (!dag_task_takes_late_end(t, e->run, e->how))
 		return;
 	t->unlisted = false;
-	record_end(s, j, e, t);
+	record_end(s, j, e, t, dag_state_find_worker(s, t->unlisted_worker), false);
 	if (s->observer)
 		s->observer->ops->run_ended(s->observer, j, e, 0);
 }
 
-/* It is known of a run whether it crashed its worker. */
+/* It is known of a run whether it crashed its worker. known: how, if it did. */
 static void resolve_suspicion(struct dag_state *s, const struct dag_suspicion *u,
-			      enum dag_end_how how)
+			      enum dag_end_how how, const char *known)
 {
 	struct dag_end e = {u->task, u->run, how, {0, NULL}};
+	const struct dag_worker_rec *w = dag_state_find_worker(s, u->worker);
 	struct dag_job_rec *j;
 	struct dag_task *t = find_task(s, &e.task, &j);
 
 	dag_suspicion_forget(s, &e.task, e.run);
 	if (!t)
 		return;
-	if (how != DAG_END_LAPSED && !dag_job_ended(j) && !t->done)
+	if (how != DAG_END_LAPSED && !dag_job_ended(j) && !t->done) {
+		note_counted(t, e.run, w, true, known);
 		count_crash(s, j, t, how == DAG_END_CRASHED_ALONE);
+	}
 	if (s->observer)
 		s->observer->ops->run_ended(s->observer, j, &e, 0);
 }
@@ -729,7 +755,8 @@
 	for (u = s->suspicions; u; u = next) {
 		next = u->next;
 		if (u->worker == worker)
-			resolve_suspicion(s, u, how);
+			resolve_suspicion(s, u, how,
+					  "its worker came back in another life");
 	}
 }
 
@@ -741,7 +768,7 @@
 
 	if (u && (e->how == DAG_END_LAPSED || e->how == DAG_END_CRASHED ||
 		  e->how == DAG_END_CRASHED_ALONE))
-		resolve_suspicion(s, u, e->how);
+		resolve_suspicion(s, u, e->how, "another process answers at its address");
 	else
 		apply_late_end(s, j, t, e);
 }
@@ -753,6 +780,7 @@
 	struct dag_job_rec *j;
 	struct dag_task *t = find_task(s, &e->task, &j);
 	uint32_t worker;
+	bool later_life;
 	uint8_t i = 0;
 	int err = 0;
 
@@ -769,12 +797,14 @@
 	if (err)
 		return err;
 	worker = t->live[i].worker;
+	w = dag_state_find_worker(s, worker);
+	later_life = w && w->lives != t->life[i];
 	t->live[i] = t->live[--t->n_live];
 	t->life[i] = t->life[t->n_live];
 	t->started_ms[i] = t->started_ms[t->n_live];
 	t->unlisted = e->run == t->last_run && is_unlisted(e->how);
-	record_end(s, j, e, t);
-	w = dag_state_find_worker(s, worker);
+	t->unlisted_worker = worker;
+	record_end(s, j, e, t, w, later_life);
 	if (w)
 		w->n_runs--;
 	if (s->observer)
--- a/core/dag_state.h
+++ b/core/dag_state.h
@@ -43,6 +43,8 @@
 	uint32_t worker; /* number of the worker */
 };
 
+struct dag_counted;
+
 struct dag_task {
 	uint32_t last_run;
 	uint16_t failures;
@@ -56,6 +58,8 @@
 	/* Not in snapshots: dag_worker_rec.lives and clock_us in ms at their start. */
 	uint32_t life[DAG_MAX_COPIES];
 	uint32_t started_ms[DAG_MAX_COPIES]; /* 0: not known */
+	uint32_t unlisted_worker;	     /* number, if unlisted; 0: not known */
+	struct dag_counted *counted;	     /* oldest first */
 	struct buf checkpoint;		     /* of the newest end that had one */
 };
 
--- a/regress/lib_dag_world.c
+++ b/regress/lib_dag_world.c
@@ -189,12 +189,25 @@
 		add_timeout(w, e);
 }
 
+static void note_end(struct dag_world *w, const struct dag_task_ref *t, uint32_t run,
+		     struct str worker, int64_t how)
+{
+	struct dw_noted_end *e = &w->noted[w->n_noted++ % DW_NOTED_ENDS];
+
+	e->task = *t;
+	e->run = run;
+	e->how = how;
+	snprintf(e->worker, sizeof(e->worker), "%.*s", STR_ARG(worker));
+}
+
 /* DAG_TRACE in the environment prints the scheduler's notes. */
 static void host_note(struct dag_host *h, const char *event, const struct dag_task_ref *t,
 		      uint32_t run, struct str worker, const char *reason, int64_t value)
 {
-	const struct dag_world *w = (const struct dag_world *)h;
+	struct dag_world *w = (struct dag_world *)h;
 
+	if (str_eq(str_from(event), STR("run-ended")))
+		note_end(w, t, run, worker, value);
 	if (getenv("DAG_TRACE"))
 		printf("%9.3f %s %llx.%u.%u run %u on %.*s: %s %lld\n",
 		       (double)w->now_us / 1e6, event, t ? (unsigned long long)t->job : 0,
@@ -202,6 +215,21 @@
 		       (long long)value);
 }
 
+static void host_note_final(struct dag_host *h, const char *event,
+			    const struct dag_task_ref *t, uint32_t run, struct str worker,
+			    const char *reason, int64_t value)
+{
+	struct dag_world *w = (struct dag_world *)h;
+
+	host_note(h, event, t, run, worker, reason, value);
+	if (!str_eq(str_from(event), STR("task-given-up")))
+		return;
+	w->given_up.lines++;
+	w->given_up.task = *t;
+	w->given_up.value = value;
+	snprintf(w->given_up.text, sizeof(w->given_up.text), "%s", reason);
+}
+
 static const struct dag_host_ops host_ops = {
 	.propose = host_propose,
 	.start = host_start,
@@ -209,7 +237,7 @@
 	.throttle = host_pace,
 	.poll = host_look,
 	.log_event = host_note,
-	.log_final = host_note,
+	.log_final = host_note_final,
 };
 
 static void new_leader(struct dag_world *w)
@@ -271,11 +299,17 @@
 {
 	dag_sched_free(w->sched);
 	dag_state_free(w->state);
+	dag_state_free(w->follower);
 	buf_free(&w->batch);
 	for (size_t i = 0; i < w->n_events; i++)
 		buf_free(&w->events[i].bytes);
 }
 
+void dw_add_follower(struct dag_world *w)
+{
+	ck_assert_int_eq(dag_state_new(&w->follower), 0);
+}
+
 /* The strings are those of dw. */
 static struct dag_worker describe(const struct dw_worker *dw, int64_t born_ms,
 				  const struct dw_room *room)
@@ -924,6 +958,10 @@
 
 static void commit(struct dag_world *w, struct str bytes)
 {
+	if (w->follower) {
+		w->follower->clock_us = w->now_us;
+		ck_assert_int_eq(dag_state_apply(w->follower, bytes), 0);
+	}
 	w->state->clock_us = w->now_us;
 	ck_assert_int_eq(dag_state_apply(w->state, bytes), 0);
 }
@@ -1207,11 +1245,16 @@
  */
 void dw_change_leader(struct dag_world *w)
 {
+	struct dag_state *next = w->follower;
 	bool lost = false;
 	struct dw_event *c;
 
 	dag_sched_free(w->sched);
 	w->sched = NULL;
+	if (next) {
+		w->follower = w->state;
+		w->state = next;
+	}
 	w->batch.n = 0;
 	w->n_batch = 0;
 	while ((c = first_commit(w))) {
--- a/regress/lib_dag_world.h
+++ b/regress/lib_dag_world.h
@@ -16,6 +16,7 @@
 #define DW_TASKS 4096
 #define DW_TARGET_MS 150 /* of serving tasks with an image */
 #define DW_ROOMS 16
+#define DW_NOTED_ENDS 4096
 
 /* What the tasks of a worker may use at most. */
 struct dw_room {
@@ -137,9 +138,29 @@
 	int64_t start_us; /* newest */
 };
 
+/* An end of a run as a leader proposed it. */
+struct dw_noted_end {
+	struct dag_task_ref task;
+	uint32_t run;
+	char worker[24];
+	int64_t how;
+};
+
+/* The newest line that tells why a task was given up. */
+struct dw_given_up {
+	uint32_t lines;
+	struct dag_task_ref task;
+	char text[2048];
+	int64_t value;
+};
+
 struct dag_world {
-	struct dag_host host; /* first member */
+	struct dag_host host;			  /* first member */
+	struct dw_noted_end noted[DW_NOTED_ENDS]; /* of runs that are not done; a ring */
+	size_t n_noted;
+	struct dw_given_up given_up;
 	struct dag_state *state;
+	struct dag_state *follower; /* leads after the next change, NULL: none */
 	struct dag_sched *sched;
 	struct prng prng;
 	int64_t now_us;
@@ -198,6 +219,11 @@
 
 void dw_open(struct dag_world *w, uint64_t seed);
 void dw_close(struct dag_world *w);
+/*
+ * Another process has the same log; it and the leader take turns. Called before the
+ * world runs.
+ */
+void dw_add_follower(struct dag_world *w);
 uint32_t dw_add_worker(struct dag_world *w, uint32_t cpu, uint32_t mem);
 /* Workers of 8 cores and 8,000 MB. */
 void dw_add_workers(struct dag_world *w, size_t n);
