core: a voter that is back counts for a handover although its earlier life was leaving

Callers saw: after a quick restart of one controller, a planned stop of the leader left the site without a leader for the time of an election (0.8 to 1.1 s in two runs of test_site_room.sh, its rolling restarts), where a handover takes some ms.

Cause: a member that has announced its end counts as leaving for 10 heartbeats (1 s). Its next life, heard on within that time, was still passed over as a successor: handed-over error="no quorum or peer available".

Change: HELLO, which only a new life sends, ends what the earlier one said of leaving.

--- a/core/replica_verify.c
+++ b/core/replica_verify.c
@@ -124,14 +124,20 @@
 	replica_send(r, from, m->from_identity, &hello);
 }
 
-/* Replies to a restarted member with its highest known acknowledgement. */
+/*
+ * Replies to a restarted member with its highest known acknowledgement. Its earlier life
+ * has ended, and with it what that life said of leaving.
+ */
 void replica_hello_receive(struct replica *r, uint64_t from, const struct replica_msg *m)
 {
+	struct replica_peer *p = replica_peer_find(r, from, m->from_identity);
 	struct replica_msg reply = {
 		.kind = REPLICA_MSG_HELLO_REPLY,
 		.life = m->life,
 	};
 
+	if (p)
+		p->leave_until_us = REPLICA_NEVER;
 	for (size_t i = 0; i < r->n_acks; i++) {
 		if (r->acks[i].id == from && r->acks[i].identity == m->from_identity) {
 			reply.epoch = r->acks[i].epoch;
--- a/regress/test_replica.c
+++ b/regress/test_replica.c
@@ -1550,6 +1550,41 @@
 }
 END_TEST
 
+/* Guards against a handover that passes over a voter whose earlier life was leaving. */
+START_TEST(restarted_voter_takes_over)
+{
+	static struct cluster c;
+	struct node *back, *old;
+	int64_t start;
+
+	start_open_membership(&c, (uint64_t)_i + 360, 3, 0);
+	cluster_run(&c, SECOND);
+	old = cluster_leader(&c);
+	back = follower(&c);
+	replica_leave(back->r, cluster_clock(back));
+	cluster_run(&c, SECOND / 20);
+	node_crash(back);
+	node_boot(back);
+	cluster_run(&c, SECOND / 4);
+	for (uint64_t i = 1; i <= 3; i++) {
+		struct node *other = &c.node[i];
+
+		if (other == back || other == old)
+			continue;
+		replica_leave(other->r, cluster_clock(other));
+		cluster_run(&c, SECOND / 20);
+		node_crash(other);
+	}
+	ck_assert_ptr_eq(cluster_leader(&c), old);
+	ck_assert_int_eq(replica_transfer_leadership(old->r, cluster_clock(old)), 0);
+	start = c.now;
+	ck_run(&c, cluster_run_to_leader(&c, SECOND));
+	ck_assert_ptr_eq(cluster_leader(&c), back);
+	ck_assert_int_le(c.now - start, election_us / 4);
+	cluster_stop(&c);
+}
+END_TEST
+
 /* Guards against a returning partitioned voter that ends a healthy leader's epoch. */
 START_TEST(returning_voter_does_not_disturb)
 {
@@ -1721,6 +1756,7 @@
 	tcase_add_loop_test(tc, learner_takes_the_place_of_a_dead_voter, 0, 10);
 	tcase_add_loop_test(tc, voter_that_ends_gives_its_vote_to_its_successor, 0, 10);
 	tcase_add_loop_test(tc, voter_without_successor_keeps_its_vote, 0, 10);
+	tcase_add_loop_test(tc, restarted_voter_takes_over, 0, 10);
 	tcase_add_test(tc, memory_is_bounded);
 	tcase_add_test(tc, lease_allows_for_drift);
 	tcase_add_test(tc, no_vote_during_lease);
