regress: the soak stops and kills paused processes and holds connections at all daemons' ports

The soak paused processes and let them go on, or paused them during a stop; a SIGTERM or SIGKILL never came while a process was paused. Clients that keep connections were at the control and callers' ports only; now also at the gateways' health port and at the ports between the daemons.

--- a/regress/soak_site.sh
+++ b/regress/soak_site.sh
@@ -230,6 +230,11 @@
 	# Nobody submits this job.
 	soak_spawn k2 "$BUILD/bin/keepopen" $(addresses 127.0.2 "$N_GATEWAYS" $CALLERS) \
 		--path /q/ffffffffffffffff --expect 410,503,504
+	soak_spawn k3 "$BUILD/bin/keepopen" $(addresses 127.0.2 "$N_GATEWAYS" $HEALTH) \
+		--path /api/ready --expect 200,503
+	# The daemons' own protocol refuses what these say.
+	soak_spawn k4 "$BUILD/bin/keepopen" $(addresses 127.0.1 "$N_CONTROLLERS" $RPC)
+	soak_spawn k5 "$BUILD/bin/keepopen" $(addresses 127.0.2 "$N_GATEWAYS" $RPC)
 }
 
 # Disturbances. Each holds the lock of its process, so that one is done at a time to it.
@@ -310,6 +315,27 @@
 	soak_until $DISK_STALL_S [ -e "$D/$1.status" ] || soak_fail "$1 survives SIGKILL"
 	soak_note_killed "$1"
 }
+# Pauses a process, which gets other settings meanwhile. A SIGTERM of style again and a SIGKILL
+# come while it is paused.
+soak_pause() { # NAME SECONDS STYLE
+	kill -STOP "$(soak_pid "$1")"
+	soak_reload "$1"
+	sleep "$2"
+	case $3 in
+	again)
+		soak_wake "$1" &
+		waker=$!
+		soak_term "$1"
+		wait $waker
+		;;
+	kill) soak_kill "$1" ;;
+	*) kill -CONT "$(soak_pid "$1")" ;;
+	esac
+}
+soak_wake() { # NAME
+	sleep 0.3
+	soak_signal "$1" CONT
+}
 # At most two data directories are lost at a time; a lost one counts until its process is
 # a voter again.
 soak_lose_data() { # NAME
@@ -335,7 +361,7 @@
 	esac
 	for pair in $pairs; do curl -s -m 2 -o /dev/null "http://$PROXY/$1/$pair"; done
 }
-soak_event() { # KIND NAME PAUSE STYLE: of a stop
+soak_event() { # KIND NAME PAUSE STYLE: of a stop or pause
 	[ "$1" = hup ] && soak_reload "$2" # also while another event holds the lock
 	mkdir "$D/lock.$2" 2>/dev/null || return
 	echo "$(soak_ms) $1 $2 $3 $4" >>"$D/events"
@@ -344,12 +370,7 @@
 		term) soak_reload "$2" && soak_term "$2" "$4" && sleep "$3" && soak_run "$2" ;;
 		kill) soak_kill "$2" && sleep "$3" && soak_run "$2" ;;
 		lose) soak_kill "$2" && soak_lose_data "$2" && sleep "$3" && soak_run "$2" ;;
-		stop)
-			kill -STOP "$(soak_pid "$2")"
-			soak_reload "$2"
-			sleep "$3"
-			kill -CONT "$(soak_pid "$2")"
-			;;
+		stop) soak_pause "$2" "$3" "$4" ;;
 		hup) soak_reload "$2" many && sleep 0.2 && soak_reload "$2" ;;
 		cut)
 			soak_cut cut "$2"
--- a/regress/test_site_soak.sh
+++ b/regress/test_site_soak.sh
@@ -49,7 +49,7 @@
 for o in $operators; do wait "$o"; done
 soak_read_back
 soak_stop_all
-for k in k1 k2; do soak_is_alive $k && soak_term $k && tail -n 1 "$D/$k.log"; done
+for k in k1 k2 k3 k4 k5; do soak_is_alive $k && soak_term $k && tail -n 1 "$D/$k.log"; done
 check_graph_jobs "$D/ledger" "$D/callers" || soak_fail "ledgers of jobs"
 check_closed_zones "$D/ledger" "$D/zones" || soak_fail "starts in a closed zone"
 check_conf "$D/conf" || soak_fail "configuration"
