--- a/carawayfrontd/controller_request.c
+++ b/carawayfrontd/controller_request.c
@@ -485,7 +485,10 @@
 	if (req->kind != DAG_REQ_ZONE && req->kind != DAG_REQ_LEAVE)
 		return false;
 	controller_note_pause(c);
-	return clock_us() < c->paused_until_us;
+	if (clock_us() >= c->paused_until_us)
+		return false;
+	log_info("order-refused", "kind=%d reason=\"read after a pause\"", req->kind);
+	return true;
 }
 
 /* Serves a request of this process's own ports, here or at the leader. */
--- a/regress/soak_site.sh
+++ b/regress/soak_site.sh
@@ -321,7 +321,10 @@
 	kill -STOP "$(soak_pid "$1")"
 	soak_reload "$1"
 	sleep "$2"
-	case $3 in
+	style=$3
+	# An executor that does not wake cannot write that its lease has ended.
+	case $1$3 in x*kill) style=plain ;; esac
+	case $style in
 	again)
 		soak_wake "$1" &
 		waker=$!
