--- a/core/dag_crash.c
+++ b/core/dag_crash.c
@@ -3,7 +3,8 @@
  * counted, since any may be the cause. A task that was counted before is placed apart
  * from others of the kind, then tried alone, so that only one of them is the cause of
  * the next crash. dag_state.c has the limits; planned exits do not count. Correlated
- * crashes of many workers have a common cause: they count, but prove nothing.
+ * crashes of many workers have a common cause: they count, but prove nothing. A worker
+ * that falls silent may be cut off: until more is known, its runs are only suspected.
  */
 #include "core/dag_sched_impl.h"
 #include "proto/codec.h"
@@ -47,6 +48,22 @@
 	return w->polled_us;
 }
 
+/*
+ * A recovered run was on an earlier life of its worker, which has started again so often
+ * since. When the first of several starts was is not known.
+ */
+void ds_recall_life(struct ds_run *r, uint32_t restarts)
+{
+	const struct dag_worker_rec *w = r->worker->rec;
+
+	if (restarts > 1)
+		r->life_heard_us = r->start_sent_us;
+	else if (w->life_lost_us)
+		r->life_heard_us = w->life_lost_us - LOSS_RECORD_DELAY_US;
+	else
+		r->life_heard_us = w->restarted_us;
+}
+
 /* Whether a start request of the run may have reached its worker. */
 static bool was_sent(const struct ds_run *r)
 {
@@ -59,10 +76,30 @@
 	return was_sent(r) && !r->end_proposed && !r->listed && r->born_ms < born_ms;
 }
 
+/* From the start of the run until its worker was last known to work, at the longest. */
+static int64_t known_age_us(const struct ds_run *r)
+{
+	int64_t heard_us = r->life_heard_us ? r->life_heard_us : contact_us(r->worker);
+
+	return heard_us - r->start_sent_us;
+}
+
 /* Whether contact with its worker was lost just after the run began. */
 static bool began_before_loss(const struct ds_run *r)
 {
-	return contact_us(r->worker) - r->start_sent_us < CRASH_DELAY_MAX_US;
+	return known_age_us(r) < CRASH_DELAY_MAX_US;
+}
+
+/*
+ * Whether the run went on for so long that it is not the cause of the loss. A leader that
+ * has not polled the worker does not know how long before its time that was lost.
+ */
+static bool has_survived(const struct ds_run *r)
+{
+	int64_t unknown_us =
+		r->life_heard_us || !r->worker->polled ? LOSS_RECORD_DELAY_US : 0;
+
+	return known_age_us(r) - unknown_us >= CRASH_DELAY_MAX_US;
 }
 
 /* Whether contact with many other workers broke when it did with this one. */
@@ -95,7 +132,8 @@
 	const struct ds_run *r;
 
 	TAILQ_FOREACH (r, &w->runs, worker_entry) {
-		if (!was_there(r, born_ms) || task_of(r)->crashes < DS_TRIAL_CRASHES)
+		if (!was_there(r, born_ms) ||
+		    ds_task_suspect_crashes(task_of(r)) < DS_TRIAL_CRASHES)
 			continue;
 		if (sole)
 			return NULL;
@@ -111,8 +149,10 @@
 static enum dag_end_how crash_end(const struct ds_run *r, bool alone)
 {
 	/* A serving task that has run for a while is not the cause. */
-	if (r->step->long_running && !began_before_loss(r))
+	if (r->step->long_running && has_survived(r))
 		return DAG_END_SURVIVED;
+	if (r->step->long_running && !began_before_loss(r))
+		return DAG_END_LAPSED;
 	return alone ? DAG_END_CRASHED_ALONE : DAG_END_CRASHED;
 }
 
@@ -174,10 +214,30 @@
 				   : "the worker has started again");
 }
 
+/* How a run has ended whose worker's lease has ended without a word of it. */
+static enum dag_end_how lapse_end(const struct ds_run *r)
+{
+	const struct ds_worker *w = r->worker;
+	bool planned = w->leaving_since_us || w->draining;
+
+	if (!was_sent(r))
+		return DAG_END_LAPSED;
+	/* It is known to have crashed its worker; the stop that was to follow was lost.
+	 */
+	if (r->stopped_how != DAG_END_LAPSED)
+		return r->stopped_how;
+	/* Its worker has started again since. */
+	if (r->born_ms < w->rec->w.born_ms && !planned)
+		return crash_end(r, false);
+	if (has_survived(r))
+		return r->step->long_running ? DAG_END_SURVIVED : DAG_END_LAPSED;
+	return planned ? DAG_END_LAPSED : DAG_END_SUSPECTED;
+}
+
 /*
  * Ends the runs of a worker whose lease has ended. It may be cut off or may have crashed;
- * runs that began just before the contact was lost are counted as if it had crashed.
- * Returns how many runs that were without an end have one now.
+ * which of them is learned when it is back. Returns how many runs that were without an
+ * end have one now.
  */
 uint32_t ds_lapse_runs(struct dag_sched *s, struct ds_worker *w)
 {
@@ -189,12 +249,7 @@
 		if (r->phase == DS_PROPOSED || r->end_proposed)
 			continue;
 		n++;
-		if (was_sent(r) && began_before_loss(r))
-			ds_run_propose_end(s, r, DAG_END_CRASHED, none, "lease ended");
-		else if (was_sent(r) && r->step->long_running)
-			ds_run_propose_end(s, r, DAG_END_SURVIVED, none, "lease ended");
-		else
-			ds_run_propose_lost(s, r, "lease ended");
+		ds_run_propose_end(s, r, lapse_end(r), none, "lease ended");
 	}
 	return n;
 }
@@ -202,9 +257,11 @@
 /* A task under which workers have crashed starts; others keep off its worker. */
 void ds_begin_trial(struct dag_sched *s, struct ds_run *r)
 {
-	r->suspect = task_of(r)->crashes > 0;
+	uint32_t crashes = ds_task_suspect_crashes(task_of(r));
+
+	r->suspect = crashes > 0;
 	r->worker->n_suspects += r->suspect;
-	if (task_of(r)->crashes >= DS_TRIAL_CRASHES)
+	if (crashes >= DS_TRIAL_CRASHES)
 		r->worker->trial_until_us = s->now_us + TRIAL_US;
 }
 
--- a/core/dag_sched_impl.h
+++ b/core/dag_sched_impl.h
@@ -40,9 +40,11 @@
 	int64_t start_retry_us;	 /* when an unconfirmed start is sent again */
 	int64_t accepted_us;	 /* when the worker confirmed it */
 	int64_t born_ms;	 /* life of the worker that was told of it, 0: none yet */
-	uint32_t start_fence;	 /* ds_worker.fence at the newest start request */
-	uint32_t stop_fence;	 /* and stop request */
-	bool suspect; /* a worker has crashed under an earlier run of the task */
+	/* Recovered: that life was last heard about then; 0: as the worker. */
+	int64_t life_heard_us;
+	uint32_t start_fence; /* ds_worker.fence at the newest start request */
+	uint32_t stop_fence;  /* and stop request */
+	bool suspect;	      /* a worker has crashed under an earlier run of the task */
 	enum dag_end_how
 		stopped_how; /* end to record once it is stopped and not listed */
 	bool stop_requested;
@@ -316,10 +318,11 @@
 void ds_worker_propose_start(struct dag_sched *s, struct ds_worker *w, int64_t born_ms);
 
 /* dag_crash.c */
-/* Crashes of workers from which on a task is tried alone on a worker. */
+/* Crashes, known or suspected, from which on a task is tried alone on a worker. */
 #define DS_TRIAL_CRASHES 2U
 void ds_crash_runs(struct dag_sched *s, struct ds_worker *w, const char *reason);
 void ds_crash_earlier_life(struct dag_sched *s, struct ds_worker *w, int64_t born_ms);
+void ds_recall_life(struct ds_run *r, uint32_t restarts);
 void ds_end_stopped_run(struct dag_sched *s, struct ds_run *r);
 uint32_t ds_lapse_runs(struct dag_sched *s, struct ds_worker *w);
 void ds_begin_trial(struct dag_sched *s, struct ds_run *r);
@@ -327,6 +330,12 @@
 int64_t ds_suspect_penalty(const struct dag_sched *s, const struct ds_worker *w,
 			   uint32_t crashes);
 
+/* dag_suspect.c */
+void ds_resolve_suspicions(struct dag_sched *s, const struct ds_worker *w,
+			   enum dag_end_how how, int64_t before_us, const char *reason);
+void ds_expire_suspicions(struct dag_sched *s);
+uint32_t ds_task_suspect_crashes(const struct dag_task *t);
+
 /* dag_watch.c */
 void ds_watch_serving(struct dag_sched *s);
 
