--- a/regress/soak_site.sh
+++ b/regress/soak_site.sh
@@ -117,6 +117,15 @@
 		;;
 	esac
 }
+# Only five voters survive the loss of two data directories, see soak_lose_data.
+soak_has_voters() {
+	voters=0
+	for c in $(seq "$N_CONTROLLERS"); do
+		grep 'event=role-changed' "$D/c$c.log" | tail -n 1 | grep -q 'role=[1-4]' &&
+			voters=$((voters + 1))
+	done
+	[ $voters -ge $((N_CONTROLLERS < 5 ? N_CONTROLLERS : 5)) ]
+}
 soak_start() {
 	: >"$D/ledger" && : >"$D/callers" && : >"$D/zones" && : >"$D/conf" && : >"$D/events"
 	pairs=
@@ -140,6 +149,7 @@
 	for n in $EXECUTORS; do soak_run "$n"; done
 	soak_until 15 curl -sf -m 1 -o /dev/null "http://127.0.2.1:$HEALTH/api/ready" ||
 		{ soak_fail "the site does not start" && return 1; }
+	soak_until 30 soak_has_voters || { soak_fail "too few voters" && return 1; }
 	for n in $DAEMONS; do soak_settings "$n" false; done
 	soak_until 10 soak_put 1 "$(soak_conf 1)" || { soak_fail "no configuration" && return 1; }
 	echo "acked 1 $(soak_ms)" >>"$D/conf"
