core/dag: a start that a later leader repeated is no long run

A serving task that crashes its workers was started three times more after three of them (BUDGET). Its start request was lost in a cut, a later leader repeated it seconds after the recorded start, and the worker crashed at once. The next leader told the age of the run from the recorded start, took it for one that had survived (DAG_END_SURVIVED), and set the count of crashes back.

Only a run that is old by that time has survived; a younger one is suspected.

late_start_is_no_long_run fails before, with a second change of leader.

--- a/core/dag_crash.c
+++ b/core/dag_crash.c
@@ -76,30 +76,30 @@
 	return was_sent(r) && !r->end_proposed && !r->listed && r->born_ms < born_ms;
 }
 
-/* From the start of the run until its worker was last known to work, at the longest. */
-static int64_t known_age_us(const struct ds_run *r)
+/* When the life of the worker on which the run was is last known to have worked. */
+static int64_t life_contact_us(const struct ds_run *r)
 {
-	int64_t heard_us = r->life_heard_us ? r->life_heard_us : contact_us(r->worker);
-
-	return heard_us - r->start_sent_us;
+	return r->life_heard_us ? r->life_heard_us : contact_us(r->worker);
 }
 
 /* Whether contact with its worker was lost just after the run began. */
 static bool began_before_loss(const struct ds_run *r)
 {
-	return known_age_us(r) < CRASH_DELAY_MAX_US;
+	return life_contact_us(r) - r->start_sent_us < CRASH_DELAY_MAX_US;
 }
 
 /*
  * Whether the run went on for so long that it is not the cause of the loss. A leader that
- * has not polled the worker does not know how long before its time that was lost.
+ * has not polled the worker does not know how long before its time that was lost. The
+ * recorded start does not tell when the run began: an earlier leader may have repeated
+ * the request much later.
  */
 static bool has_survived(const struct ds_run *r)
 {
 	int64_t unknown_us =
 		r->life_heard_us || !r->worker->polled ? LOSS_RECORD_DELAY_US : 0;
 
-	return known_age_us(r) - unknown_us >= CRASH_DELAY_MAX_US;
+	return life_contact_us(r) - unknown_us - r->begun_by_us >= CRASH_DELAY_MAX_US;
 }
 
 /* Whether contact with many other workers broke when it did with this one. */
--- a/core/dag_run.c
+++ b/core/dag_run.c
@@ -160,6 +160,7 @@
 	o.call.lease_ms = ds_worker_extend_lease(s, r->worker);
 	r->phase = DS_STARTING;
 	r->start_sent_us = s->now_us;
+	r->begun_by_us = s->now_us;
 	r->born_ms = r->worker->rec->w.born_ms;
 	r->start_fence = r->worker->fence;
 	r->start_requests++;
--- a/core/dag_sched_impl.h
+++ b/core/dag_sched_impl.h
@@ -37,6 +37,7 @@
 	int64_t created_us;
 	uint32_t start_requests; /* number sent */
 	int64_t start_sent_us;	 /* newest start request */
+	int64_t begun_by_us;	 /* it began by then at the latest */
 	int64_t start_retry_us;	 /* when an unconfirmed start is sent again */
 	int64_t accepted_us;	 /* when the worker confirmed it */
 	int64_t born_ms;	 /* life of the worker that was told of it, 0: none yet */
--- a/core/dag_worker.c
+++ b/core/dag_worker.c
@@ -410,6 +410,8 @@
 		return;
 	}
 	r->listed = true;
+	if (r->begun_by_us > s->now_us)
+		r->begun_by_us = s->now_us;
 	ds_run_note_begun(s, r);
 	r->born_ms = w->rec->w.born_ms;
 	if (r->phase != DS_PROPOSED && r->phase != DS_ACCEPTED) {
--- a/regress/test_dag_beats.c
+++ b/regress/test_dag_beats.c
@@ -166,6 +166,37 @@
 }
 END_TEST
 
+/* Guards against a deadly task that counts as sound for the time until it was begun. */
+START_TEST(late_start_is_no_long_run)
+{
+	w.crash_return_us = 20 * SECOND;
+	w.deadly_job = 1;
+	w.deadly_jobs = 1;
+	dw_add_workers(&w, N_WORKERS);
+	dw_submit_lasting(&w, 1, 1);
+	dw_run_for(&w, SECOND);
+	while (only_task(w.state)->last_run < 3)
+		dw_run_for(&w, 5 * MS);
+	ck_assert_uint_eq(w.starts, 2);
+	/* The start request is lost; a later leader repeats it after the cut. */
+	for (uint32_t k = 0; k < N_WORKERS; k++)
+		w.workers[k].cut = true;
+	dw_run_for(&w, 4 * SECOND);
+	dw_change_leader(&w);
+	dw_run_for(&w, 6 * SECOND);
+	cut_workers(0, false);
+	while (w.starts < 3)
+		dw_run_for(&w, 5 * MS);
+	dw_run_for(&w, 5 * SECOND);
+	if (_i & 1)
+		dw_change_leader(&w);
+	while (only_task(w.state)->n_live)
+		dw_run_for(&w, 5 * MS);
+	ck_assert_uint_eq(only_task(w.state)->crashes + only_task(w.state)->n_suspected,
+			  3);
+}
+END_TEST
+
 /* Guards against a task that waits for good, as the workers of its runs never return. */
 START_TEST(doubted_task_waits_for_a_limited_time)
 {
@@ -209,6 +240,7 @@
 	tcase_add_loop_test(tc, cuts_soon_after_starts_give_nothing_up, 0, N_SEEDS);
 	tcase_add_loop_test(tc, cuts_hide_no_deadly_task, 0, N_SEEDS);
 	tcase_add_loop_test(tc, doubted_task_waits_for_its_workers, 0, 2);
+	tcase_add_loop_test(tc, late_start_is_no_long_run, 0, 2);
 	tcase_add_test(tc, doubted_task_waits_for_a_limited_time);
 	tcase_add_test(tc, snapshot_keeps_the_doubts);
 	suite_add_tcase(s, tc);
