core/dag: a run whose start is not known is no long run

It took each for a run of many years that had survived, so the count of crashes under a deadly serving task was set back (DAG_END_SURVIVED) when the lease of its worker ended, and the task was started again and again (BUDGET). Such a run now counts as begun when the leader began, as does one whose start may have been repeated until then.

unknown_start_is_no_long_run fails before, 2 of 2.

--- a/core/dag_sched.c
+++ b/core/dag_sched.c
@@ -270,6 +270,8 @@
 			r->start_sent_us = recorded_start_us(s, t->started_ms[c]);
 			/* Its start may have been repeated until its lease ended. */
 			r->begun_by_us = r->start_sent_us + s->opt.lease_us;
+			if (!r->start_sent_us || r->begun_by_us > s->now_us)
+				r->begun_by_us = s->now_us;
 			if (t->life[c] == w->lives)
 				r->born_ms = w->w.born_ms;
 			else
--- a/regress/test_dag_beats.c
+++ b/regress/test_dag_beats.c
@@ -197,6 +197,42 @@
 }
 END_TEST
 
+/* A replica that has its state from a snapshot becomes the leader. */
+static void lead_from_snapshot(void)
+{
+	struct dag_state *old = w.state;
+	struct buf image = {0};
+
+	ck_assert_int_eq(dag_state_snapshot(old, &image), 0);
+	ck_assert_int_eq(dag_state_new(&w.state), 0);
+	w.state->clock_us = w.now_us;
+	ck_assert_int_eq(dag_state_restore(w.state, buf_str(&image)), 0);
+	buf_free(&image);
+	dag_sched_free(w.sched);
+	w.sched = NULL;
+	dag_state_free(old);
+	dw_change_leader(&w);
+}
+
+/* Guards against a deadly task that counts as sound as its start is not known. */
+START_TEST(unknown_start_is_no_long_run)
+{
+	w.crash_return_us = 20 * SECOND;
+	w.deadly_job = 1;
+	w.deadly_jobs = 1;
+	dw_add_workers(&w, N_WORKERS);
+	dw_submit_lasting(&w, 1, 1);
+	while (w.starts < 3)
+		dw_run_for(&w, 5 * MS);
+	dw_run_for(&w, (_i & 1 ? 5 : 0) * SECOND + 100 * MS);
+	lead_from_snapshot();
+	while (only_task(w.state)->n_live)
+		dw_run_for(&w, 5 * MS);
+	ck_assert_uint_eq(only_task(w.state)->crashes + only_task(w.state)->n_suspected,
+			  3);
+}
+END_TEST
+
 /* Guards against a task that waits for good, as the workers of its runs never return. */
 START_TEST(doubted_task_waits_for_a_limited_time)
 {
@@ -241,6 +277,7 @@
 	tcase_add_loop_test(tc, cuts_hide_no_deadly_task, 0, N_SEEDS);
 	tcase_add_loop_test(tc, doubted_task_waits_for_its_workers, 0, 2);
 	tcase_add_loop_test(tc, late_start_is_no_long_run, 0, 2);
+	tcase_add_loop_test(tc, unknown_start_is_no_long_run, 0, 2);
 	tcase_add_test(tc, doubted_task_waits_for_a_limited_time);
 	tcase_add_test(tc, snapshot_keeps_the_doubts);
 	suite_add_tcase(s, tc);
