core/dag: poll replies look for suspicions only where a worker has some

Each poll reply went through all suspected runs. After a cut or a loss of many workers on a large site that is some thousand entries for each of some thousand replies a second. Workers now count theirs, and a serving task that has survived looks for its own only if it has any.

--- a/core/dag_state.c
+++ b/core/dag_state.c
@@ -56,12 +56,12 @@
 	free(w);
 }
 
-static void resolve_suspicions(struct dag_state *s, uint32_t worker,
+static void resolve_suspicions(struct dag_state *s, const struct dag_worker_rec *w,
 			       enum dag_end_how how);
 
 static void remove_worker(struct dag_state *s, struct dag_worker_rec *w)
 {
-	resolve_suspicions(s, w->number, DAG_END_LAPSED);
+	resolve_suspicions(s, w, DAG_END_LAPSED);
 	HASH_DELETE(hh, s->workers, w);
 	HASH_DELETE(hh_id, s->workers_by_id, w);
 	if (s->observer)
@@ -445,8 +445,7 @@
 	restarted = rec && w->born_ms != rec->w.born_ms;
 	/* A worker that gave no start before has one life, of which more is known now. */
 	if (restarted && rec->w.born_ms)
-		resolve_suspicions(s, rec->number,
-				   was_ready ? DAG_END_CRASHED : DAG_END_LAPSED);
+		resolve_suspicions(s, rec, was_ready ? DAG_END_CRASHED : DAG_END_LAPSED);
 	err = dag_state_put_worker(s, 0, w, &rec);
 	if (err)
 		return err;
@@ -677,7 +676,8 @@
 		t->crashes = 0;
 		t->crashes_alone = 0;
 		dag_counted_forget_crashes(&t->counted);
-		dag_suspicions_forget_task(s, &e->task);
+		if (t->n_suspected)
+			dag_suspicions_forget_task(s, &e->task);
 	}
 	if (st->long_running)
 		return;
@@ -748,13 +748,16 @@
 		s->observer->ops->run_ended(s->observer, j, &e, 0);
 }
 
-static void resolve_suspicions(struct dag_state *s, uint32_t worker, enum dag_end_how how)
+static void resolve_suspicions(struct dag_state *s, const struct dag_worker_rec *w,
+			       enum dag_end_how how)
 {
 	struct dag_suspicion *u, *next;
 
+	if (!w->n_suspected)
+		return;
 	for (u = s->suspicions; u; u = next) {
 		next = u->hh.next;
-		if (u->worker == worker)
+		if (u->worker == w->number)
 			resolve_suspicion(s, u, how,
 					  "its worker came back in another life");
 	}
--- a/core/dag_state.h
+++ b/core/dag_state.h
@@ -91,8 +91,9 @@
 	UT_hash_handle hh_id; /* by id */
 	uint32_t number;
 	uint32_t n_runs;
-	uint32_t lives; /* restarts seen by this process; not in snapshots */
-	bool lost;	/* no lease was granted since that was recorded */
+	uint32_t n_suspected; /* runs that may have crashed it */
+	uint32_t lives;	      /* restarts seen by this process; not in snapshots */
+	bool lost;	      /* no lease was granted since that was recorded */
 	/* Not replicated: times of dag_state.clock_us by then. */
 	int64_t lost_us;
 	int64_t restarted_us;
--- a/core/dag_suspect.c
+++ b/core/dag_suspect.c
@@ -41,6 +41,9 @@
 {
 	struct dag_suspicion *u, *next;
 
+	/* Called for each poll reply, while few workers have any. */
+	if (!w->rec->n_suspected)
+		return;
 	for (u = s->state->suspicions; u; u = next) {
 		next = u->hh.next;
 		if (u->worker == w->rec->number && u->since_us <= before_us)
--- a/core/dag_suspicion.c
+++ b/core/dag_suspicion.c
@@ -53,10 +53,11 @@
 int dag_suspicion_add(struct dag_state *s, const struct dag_task_ref *t, uint32_t run,
 		      uint32_t worker)
 {
+	struct dag_worker_rec *w = dag_state_find_worker(s, worker);
 	struct dag_task *task = task_of(s, t);
 	struct dag_suspicion *u;
 
-	if (!task || task->n_suspected == DAG_SUSPICIONS_MAX ||
+	if (!w || !task || task->n_suspected == DAG_SUSPICIONS_MAX ||
 	    dag_suspicion_find(s, t, run))
 		return 0;
 	u = calloc(1, sizeof(*u));
@@ -67,15 +68,19 @@
 	u->since_us = s->clock_us;
 	HASH_ADD(hh, s->suspicions, key, sizeof(u->key), u);
 	task->n_suspected++;
+	w->n_suspected++;
 	return 0;
 }
 
 void dag_suspicion_remove(struct dag_state *s, struct dag_suspicion *u)
 {
+	struct dag_worker_rec *w = dag_state_find_worker(s, u->worker);
 	struct dag_task *task = task_of(s, &u->key.task);
 
 	if (task)
 		task->n_suspected--;
+	if (w)
+		w->n_suspected--;
 	HASH_DEL(s->suspicions, u);
 	free(u);
 }
