core: the crashes in the replicated state have a file of their own

Counting a crash and noting it for the log, which stood in two places, is one function. No change of behaviour: test_dag, test_dag_crash, test_dag_beats, test_dag_counted, test_dag_life and test_fuzz_dag ok.

--- a/core/dag_crash.c
+++ b/core/dag_crash.c
@@ -2,9 +2,10 @@
  * Tasks that crash the workers that start them. Each run on a worker when it crashes is
  * counted, since any may be the cause. A task that was counted before is placed apart
  * from others of the kind, then tried alone, so that only one of them is the cause of
- * the next crash. dag_state.c has the limits; planned exits do not count. Correlated
- * crashes of many workers have a common cause: they count, but prove nothing. A worker
- * that falls silent may be cut off: until more is known, its runs are only suspected.
+ * the next crash. dag_state_crash.c has the limits; planned exits do not count.
+ * Correlated crashes of many workers have a common cause: they count, but prove nothing.
+ * A worker that falls silent may be cut off: until more is known, its runs are only
+ * suspected.
  */
 #include "core/dag_sched_impl.h"
 #include "proto/codec.h"
--- a/core/dag_state.c
+++ b/core/dag_state.c
@@ -56,12 +56,9 @@
 	free(w);
 }
 
-static void resolve_suspicions(struct dag_state *s, const struct dag_worker_rec *w,
-			       enum dag_end_how how);
-
 static void remove_worker(struct dag_state *s, struct dag_worker_rec *w)
 {
-	resolve_suspicions(s, w, DAG_END_LAPSED);
+	dag_state_resolve_suspicions(s, w, DAG_END_LAPSED);
 	HASH_DELETE(hh, s->workers, w);
 	HASH_DELETE(hh_id, s->workers_by_id, w);
 	if (s->observer)
@@ -71,7 +68,7 @@
 
 static void remove_job(struct dag_state *s, struct dag_job_rec *j)
 {
-	dag_suspicions_forget_job(s, j->id);
+	dag_state_forget_job_suspicions(s, j->id);
 	HASH_DEL(s->jobs, j);
 	s->n_tasks -= (uint64_t)j->n_occ * j->n_tasks;
 	free_job(j);
@@ -445,7 +442,8 @@
 	restarted = rec && w->born_ms != rec->w.born_ms;
 	/* A worker that gave no start before has one life, of which more is known now. */
 	if (restarted && rec->w.born_ms)
-		resolve_suspicions(s, rec, was_ready ? DAG_END_CRASHED : DAG_END_LAPSED);
+		dag_state_resolve_suspicions(
+			s, rec, was_ready ? DAG_END_CRASHED : DAG_END_LAPSED);
 	err = dag_state_put_worker(s, 0, w, &rec);
 	if (err)
 		return err;
@@ -472,7 +470,8 @@
 		s->observer->ops->contact_changed(s->observer, w);
 }
 
-static void end_job(struct dag_state *s, struct dag_job_rec *j, enum dag_job_state state)
+void dag_state_end_job(struct dag_state *s, struct dag_job_rec *j,
+		       enum dag_job_state state)
 {
 	j->state = state;
 	j->ended_ms = s->time_ms;
@@ -496,7 +495,7 @@
 	if (!err && s->observer)
 		s->observer->ops->job_added(s->observer, j);
 	if (!err && dag_state_take_withdrawn(s, j->id, XDR_STR(j->spec, queue)))
-		end_job(s, j, DAG_JOB_CANCELLED);
+		dag_state_end_job(s, j, DAG_JOB_CANCELLED);
 	/* Every replica ignores an invalid job, so that is no error. */
 	return err == CF_EINVAL ? 0 : err;
 }
@@ -506,7 +505,7 @@
 	struct dag_job_rec *j = dag_state_find_job(s, id);
 
 	if (j && !dag_job_ended(j))
-		end_job(s, j, DAG_JOB_CANCELLED);
+		dag_state_end_job(s, j, DAG_JOB_CANCELLED);
 }
 
 /* The submission may have been recorded since the leader looked for the job. */
@@ -607,42 +606,6 @@
 	return n;
 }
 
-/* Whether so many workers have crashed under a task that it is given up. */
-bool dag_task_is_deadly(const struct dag_task *t)
-{
-	return t->crashes >= DAG_CRASHES_MAX ||
-	       (t->crashes >= DAG_CRASHES_PROVEN && t->crashes_alone);
-}
-
-/*
- * Whether a task may not start until more is known of its earlier runs: if all of them
- * have crashed their workers, it is given up.
- */
-bool dag_task_is_held(const struct dag_task *t)
-{
-	return t->n_suspected && t->crashes + t->n_suspected >= DAG_CRASHES_MAX;
-}
-
-/* Notes for the log how the end of a run is known that counts. w NULL: not known. */
-static void note_counted(struct dag_task *t, uint32_t run, const struct dag_worker_rec *w,
-			 bool crashed, const char *known)
-{
-	struct dag_counted_end e = {.run = run, .crashed = crashed, .known = known};
-
-	if (w)
-		e.worker = XDR_STR(w->w, id);
-	dag_counted_add(&t->counted, &e);
-}
-
-static void count_crash(struct dag_state *s, struct dag_job_rec *j, struct dag_task *t,
-			bool alone)
-{
-	t->crashes++;
-	t->crashes_alone += alone;
-	if (dag_task_is_deadly(t))
-		end_job(s, j, DAG_JOB_FAILED);
-}
-
 /*
  * Records the outcome of a run that has ended: stores its checkpoint, then marks the task
  * as done or counts a failure or a crash. Completes the job when its last task is done;
@@ -663,11 +626,10 @@
 	if (dag_job_ended(j) || t->done)
 		return;
 	if (e->how == DAG_END_CRASHED || e->how == DAG_END_CRASHED_ALONE) {
-		note_counted(t, e->run, w, true,
-			     later_life ? "its worker came back in another life"
-					: "another life or process is in its worker's "
-					  "place");
-		count_crash(s, j, t, e->how == DAG_END_CRASHED_ALONE);
+		dag_state_count_crash(
+			s, j, t, e, w,
+			later_life ? "its worker came back in another life"
+				   : "another life or process is in its worker's place");
 		return;
 	}
 	/* A worker that lists the run as failed has survived it as well. */
@@ -677,7 +639,7 @@
 		t->crashes_alone = 0;
 		dag_counted_forget_crashes(&t->counted);
 		if (t->n_suspected)
-			dag_suspicions_forget_task(s, &e->task);
+			dag_state_forget_suspicions(s, &e->task);
 	}
 	if (st->long_running)
 		return;
@@ -687,16 +649,16 @@
 		else
 			complete_task(j, &e->task, t);
 		if (j->occ_left == 0)
-			end_job(s, j, DAG_JOB_COMPLETED);
+			dag_state_end_job(s, j, DAG_JOB_COMPLETED);
 		return;
 	}
 	if (e->how != DAG_END_FAILED)
 		return;
 	t->failures++;
-	note_counted(t, e->run, w, false, "listed as failed");
+	dag_state_note_counted(t, e, w, "listed as failed");
 	failures = st->gang ? gang_failures(j, &e->task) : t->failures;
 	if (failures >= j->attempts)
-		end_job(s, j, DAG_JOB_FAILED);
+		dag_state_end_job(s, j, DAG_JOB_FAILED);
 }
 
 /* Whether an end is the leader's conclusion, without a list of the worker that has it. */
@@ -728,41 +690,6 @@
 		s->observer->ops->run_ended(s->observer, j, e, 0);
 }
 
-/* It is known of a run whether it crashed its worker. known: how, if it did. */
-static void resolve_suspicion(struct dag_state *s, struct dag_suspicion *u,
-			      enum dag_end_how how, const char *known)
-{
-	struct dag_end e = {u->key.task, u->key.run, how, {0, NULL}};
-	const struct dag_worker_rec *w = dag_state_find_worker(s, u->worker);
-	struct dag_job_rec *j;
-	struct dag_task *t = find_task(s, &e.task, &j);
-
-	dag_suspicion_remove(s, u);
-	if (!t)
-		return;
-	if (how != DAG_END_LAPSED && !dag_job_ended(j) && !t->done) {
-		note_counted(t, e.run, w, true, known);
-		count_crash(s, j, t, how == DAG_END_CRASHED_ALONE);
-	}
-	if (s->observer)
-		s->observer->ops->run_ended(s->observer, j, &e, 0);
-}
-
-static void resolve_suspicions(struct dag_state *s, const struct dag_worker_rec *w,
-			       enum dag_end_how how)
-{
-	struct dag_suspicion *u, *next;
-
-	if (!w->n_suspected)
-		return;
-	for (u = s->suspicions; u; u = next) {
-		next = u->hh.next;
-		if (u->worker == w->number)
-			resolve_suspicion(s, u, how,
-					  "its worker came back in another life");
-	}
-}
-
 /* The end of a run that is live no more. One that changes nothing is ignored. */
 static void apply_second_end(struct dag_state *s, struct dag_job_rec *j,
 			     struct dag_task *t, const struct dag_end *e)
@@ -771,7 +698,8 @@
 
 	if (u && (e->how == DAG_END_LAPSED || e->how == DAG_END_CRASHED ||
 		  e->how == DAG_END_CRASHED_ALONE))
-		resolve_suspicion(s, u, e->how, "another process answers at its address");
+		dag_state_resolve_suspicion(s, u, e->how,
+					    "another process answers at its address");
 	else
 		apply_late_end(s, j, t, e);
 }
--- a/core/dag_state.h
+++ b/core/dag_state.h
@@ -210,11 +210,22 @@
 bool dag_time_valid(int64_t ms);
 
 /* Private to core/dag_state*.c. */
+void dag_state_end_job(struct dag_state *s, struct dag_job_rec *j,
+		       enum dag_job_state state);
+void dag_state_note_counted(struct dag_task *t, const struct dag_end *e,
+			    const struct dag_worker_rec *w, const char *known);
+void dag_state_count_crash(struct dag_state *s, struct dag_job_rec *j, struct dag_task *t,
+			   const struct dag_end *e, const struct dag_worker_rec *w,
+			   const char *known);
+void dag_state_resolve_suspicion(struct dag_state *s, struct dag_suspicion *u,
+				 enum dag_end_how how, const char *known);
+void dag_state_resolve_suspicions(struct dag_state *s, const struct dag_worker_rec *w,
+				  enum dag_end_how how);
+void dag_state_forget_suspicions(struct dag_state *s, const struct dag_task_ref *t);
+void dag_state_forget_job_suspicions(struct dag_state *s, uint64_t job);
 int dag_suspicion_add(struct dag_state *s, const struct dag_task_ref *t, uint32_t run,
 		      uint32_t worker);
 void dag_suspicion_remove(struct dag_state *s, struct dag_suspicion *u);
-void dag_suspicions_forget_task(struct dag_state *s, const struct dag_task_ref *t);
-void dag_suspicions_forget_job(struct dag_state *s, uint64_t job);
 void dag_suspicions_clear(struct dag_state *s);
 int dag_state_add_job(struct dag_state *s, const struct dag_job *spec, uint32_t attempts,
 		      struct dag_job_rec **out);
--- a/core/dag_suspect.c
+++ b/core/dag_suspect.c
@@ -1,7 +1,7 @@
 /*
  * What a leader learns of runs that may have crashed their workers. The same life of the
  * worker answers again: it has not crashed. Another process answers at its address: it
- * has. Another life of it answers: the record of that tells, see dag_state.c.
+ * has. Another life of it answers: the record of that tells, see dag_state_crash.c.
  */
 #include "core/dag_sched_impl.h"
 #include "proto/codec.h"
