core/dag_place: workers are reserved for serving tasks, tasks are held

"held" stood for two things: a task that waits for word of its lost runs, and a worker that batch tasks keep off. The latter is reserved_for_serving now.

--- a/core/dag_place.c
+++ b/core/dag_place.c
@@ -22,8 +22,8 @@
 #define AVOIDED_PENALTY 8000000
 #define AVOIDED_RETRY_US (1 * USEC_PER_SEC)
 #define SCORE_UNACCEPTABLE INT64_MIN
-/* Workers that are held for serving tasks in one pass. */
-#define MAX_HELD_WORKERS 16U
+/* Workers that are reserved for serving tasks in one pass. */
+#define MAX_RESERVED_WORKERS 16U
 /* In the shortage of a worker, so much memory counts as one thousandth of a core. */
 #define MEM_MB_PER_MILLI 2
 
@@ -184,7 +184,8 @@
 static bool worker_takes_step(const struct dag_sched *s, const struct ds_worker *w,
 			      const struct ds_step *st)
 {
-	if (!ds_worker_usable(s, w) || (w->held && !st->step->long_running))
+	if (!ds_worker_usable(s, w) ||
+	    (w->reserved_for_serving && !st->step->long_running))
 		return false;
 	return !ds_worker_avoided(s, w) ||
 	       (st->step->long_running && s->now_us >= w->next_serving_us);
@@ -477,13 +478,14 @@
 
 	for (size_t i = 0; i < s->n_workers; i++) {
 		struct ds_worker *w = s->workers[i];
+		int64_t missing = shortage(w, st->step);
 
-		if (w->held || !worker_fits_beside_serving(w, st->step) ||
-		    shortage(w, st->step) >= least || !worker_takes_step(s, w, st) ||
-		    !worker_serves_queue(w, st->job) || !worker_fits_gpus(w, st->step) ||
-		    !worker_suits_step(w, st))
+		if (w->reserved_for_serving || missing >= least ||
+		    !worker_fits_beside_serving(w, st->step) ||
+		    !worker_takes_step(s, w, st) || !worker_serves_queue(w, st->job) ||
+		    !worker_fits_gpus(w, st->step) || !worker_suits_step(w, st))
 			continue;
-		least = shortage(w, st->step);
+		least = missing;
 		best = w;
 	}
 	return best;
@@ -494,23 +496,23 @@
  * waits. Otherwise they would take each part of its room as soon as it is free, and a
  * large task would wait for as long as there are smaller ones.
  */
-static void hold_worker(struct dag_sched *s, const struct ds_step *st, unsigned int *n)
+static void reserve_worker(struct dag_sched *s, const struct ds_step *st, unsigned int *n)
 {
 	struct ds_worker *w;
 
-	if (!st->step->long_running || st->step->gang || *n == MAX_HELD_WORKERS)
+	if (!st->step->long_running || st->step->gang || *n == MAX_RESERVED_WORKERS)
 		return;
 	w = find_room_of_batch(s, st);
 	if (!w)
 		return;
-	w->held = true;
+	w->reserved_for_serving = true;
 	++*n;
 }
 
-static void release_held_workers(struct dag_sched *s)
+static void release_reserved_workers(struct dag_sched *s)
 {
 	for (size_t i = 0; i < s->n_workers; i++)
-		s->workers[i]->held = false;
+		s->workers[i]->reserved_for_serving = false;
 }
 
 static bool is_unconstrained(const struct dag_step *step)
@@ -569,12 +571,12 @@
 {
 	struct placement_failure failures[MAX_PLACEMENT_FAILURES] = {0};
 	struct ds_step *st, *next;
-	unsigned int n_held = 0;
+	unsigned int n_reserved = 0;
 
 	s->placement_needed = false;
 	if (s->fenced)
 		return;
-	release_held_workers(s);
+	release_reserved_workers(s);
 	for (st = TAILQ_FIRST(&s->ready); st && !s->err; st = next) {
 		bool all;
 
@@ -584,7 +586,7 @@
 		all = st->step->gang ? place_gang(s, st) : place_tasks(s, st);
 		if (!all) {
 			record_placement_failure(failures, st);
-			hold_worker(s, st, &n_held);
+			reserve_worker(s, st, &n_reserved);
 		}
 		ds_step_refresh(s, st);
 	}
--- a/core/dag_sched_impl.h
+++ b/core/dag_sched_impl.h
@@ -140,11 +140,11 @@
 	int64_t mem_reserved;
 	int64_t mem_serving; /* part of it: long-running tasks */
 	int64_t gpus_reserved;
-	bool held;    /* in this placement pass, for a serving task that waits */
-	bool guarded; /* it refuses what does not fit */
-	int64_t report_born_ms;	 /* life that sent the newest report, 0: none came */
-	int64_t report_clock_ms; /* when that life sent it, on its clock */
-	bool drain_reported;	 /* by the life that follows; recorded soon */
+	bool reserved_for_serving; /* in this placement pass, for a task that waits */
+	bool guarded;		   /* it refuses what does not fit */
+	int64_t report_born_ms;	   /* life that sent the newest report, 0: none came */
+	int64_t report_clock_ms;   /* when that life sent it, on its clock */
+	bool drain_reported;	   /* by the life that follows; recorded soon */
 	int64_t drain_born_ms;
 	struct ds_capacity reported; /* of the newest report */
 	struct ds_capacity capacity; /* the lower of the reported and the recorded */
