--- a/review/lib-2.sh
+++ b/review/lib-2.sh
@@ -75,8 +75,9 @@
 	mkdir -p "$D/$1.data"
 	start "$1" $BIN/carawayfrontd -c "$D/$1.yaml"
 }
-conf() {
-	printf '{"version":1,"routes":[{"name":"r-1","host":"h.example","path_prefix":"/q/","type":"unsafe","timeout_ms":3000,"slo_ms":1000,"priority":0,"service":"svc","attempts":%s,"stretch":2.0}],"services":[{"name":"svc","health_path":"/health","max_conns":64,"protocol":"h1","tls":false,"cold_start_s":0.0,"cold_per_s":0.0,"admission_control":true,"spare":false}],"limits":{"max_header_bytes":16384,"max_body_bytes":262144,"header_timeout_ms":3000,"idle_timeout_ms":15000}}' $ATTEMPTS
+conf() { # [VERSION [ROUTE]]
+	printf '{"version":%s,"routes":[{"name":"%s","host":"h.example","path_prefix":"/q/","type":"unsafe","timeout_ms":3000,"slo_ms":1000,"priority":0,"service":"svc","attempts":%s,"stretch":2.0}],"services":[{"name":"svc","health_path":"/health","max_conns":64,"protocol":"h1","tls":false,"cold_start_s":0.0,"cold_per_s":0.0,"admission_control":true,"spare":false}],"limits":{"max_header_bytes":16384,"max_body_bytes":262144,"header_timeout_ms":3000,"idle_timeout_ms":15000}}' \
+		"${1:-1}" "${2:-r-1}" $ATTEMPTS
 }
 control() { # METHOD PATH [BODY]: at each controller in turn until one answers 200
 	for c in 1 2 3 4 5; do
