--- a/review/lib-2.sh
+++ b/review/lib-2.sh
@@ -2,10 +2,9 @@
 # addresses with the commands of the deploy file and settings like those of its templates.
 # Five controllers and two gateways; the executors are those of standins-2.
 #
-# A script sets CASE (its folder) and may set the figures below before start_site.
+# A script sets CASE_NUMBER and may set the figures below before start_site.
 
 cd "$(dirname "$0")/../.." || exit 2
-CASE=$(cd "$(dirname "$0")" 2>/dev/null && pwd || echo "review/$CASE_NUMBER")
 TROUBLE=${TROUBLE:-1}
 BIN=target/bin
 RECORD=review/$CASE_NUMBER/record.txt
