--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -4,7 +4,7 @@
 . "$(dirname "$0")/../lib-2.sh"
 ID=5c0e7a21d94b3901
 LASTS=5c0e7a21d94b3902
-VISIBLE_MS=3000 APPLY_MS=2000 CANCEL_MS=3000 STOP_MS=900
+VISIBLE_MS=3000 APPLY_MS=2000 CANCEL_MS=3000 STOP_MS=200
 
 start_site
 submit $ID '{"spec":"work=3000 cpu=1000","steps":[{"count":4,"cpu":1000,"mem_mb":100,"estimate_ms":3000},{"count":4,"cpu":1000,"mem_mb":100,"estimate_ms":3000,"depends_on":[0]}]}' ||
