--- a/carawayfrontd/controller.c
+++ b/carawayfrontd/controller.c
@@ -73,10 +73,19 @@
 	return str_from(c->report_text);
 }
 
+static int64_t port_worker_born_ms(struct dag_request_handler *p, struct str id)
+{
+	const struct dag_worker_rec *w =
+		dag_state_find_worker_by_id(CONTROLLER_OF(p, port)->state, id);
+
+	return w ? w->w.born_ms : 0;
+}
+
 static const struct dag_request_handler_ops port_ops = {
 	.request = port_request,
 	.ready = port_ready,
 	.report_address = port_report_address,
+	.worker_born_ms = port_worker_born_ms,
 };
 
 static const struct rpc_server_ops rpc_ops = {.call = controller_on_rpc};
@@ -123,8 +132,10 @@
 
 	log_flush();
 	replica_tick(c->replica, now);
-	if (controller_leads(c))
+	if (controller_leads(c)) {
 		dag_sched_tick(c->sched, now, clock_wall_us() / 1000);
+		controller_answer_leaves(c);
+	}
 	ask_members(c, now);
 	if (c->drain_us && now >= c->drain_us &&
 	    (replica_may_leave(c->replica) || now >= c->leave_us))
--- a/carawayfrontd/controller_impl.h
+++ b/carawayfrontd/controller_impl.h
@@ -34,6 +34,13 @@
 	uint64_t job; /* of a withdrawal */
 };
 
+/* An executor that announced its exit ends when it has the reply. */
+struct controller_leave {
+	struct controller_leave *next;
+	struct dag_pending_request *ticket;
+	uint32_t worker; /* number */
+};
+
 struct operators; /* platform/operators.h */
 
 struct controller {
@@ -63,6 +70,7 @@
 	struct command_batch batch; /* of this round */
 	struct controller_wait *waits;
 	struct controller_wait **waits_end;
+	struct controller_leave *leaves;
 	struct dag_pending_request members_ticket;
 	int64_t prepared_us;	 /* the loop went to sleep last */
 	int64_t paused_until_us; /* what was read until then may have waited long */
@@ -94,6 +102,8 @@
 int controller_propose(struct controller *c, const struct dag_command *cmd);
 void controller_flush(struct controller *c);
 void controller_applied(struct controller *c, uint64_t index);
+void controller_answer_leaves(struct controller *c);
+void controller_reject_leaves(struct controller *c);
 void controller_end_waits(struct controller *c, enum dag_outcome outcome);
 bool controller_leads(const struct controller *c);
 
--- a/carawayfrontd/controller_request.c
+++ b/carawayfrontd/controller_request.c
@@ -125,6 +125,36 @@
 	c->waits_end = &c->waits;
 }
 
+/* Sends executors that announced their exit to the next leader. */
+void controller_reject_leaves(struct controller *c)
+{
+	while (c->leaves) {
+		struct controller_leave *l = c->leaves;
+
+		c->leaves = l->next;
+		reply_outcome(l->ticket, DAG_REJECTED);
+		free(l);
+	}
+}
+
+/* Answers the announcements of executors whose exit is recorded. */
+void controller_answer_leaves(struct controller *c)
+{
+	struct controller_leave **p = &c->leaves;
+
+	while (*p) {
+		struct controller_leave *l = *p;
+
+		if (!dag_sched_worker_left(c->sched, l->worker)) {
+			p = &l->next;
+			continue;
+		}
+		*p = l->next;
+		reply_outcome(l->ticket, DAG_OK);
+		free(l);
+	}
+}
+
 static uint64_t zone_hash(const struct dag_zone *zone)
 {
 	return XXH3_64bits(zone->name.name_val, zone->name.name_len);
@@ -329,19 +359,41 @@
 static void serve_leave(struct controller *c, const struct dag_name *id,
 			struct dag_pending_request *t)
 {
-	struct dag_command cmd = {.kind = DAG_CMD_WORKER};
 	struct dag_worker_rec *rec =
 		dag_state_find_worker_by_id(c->state, XDR_STR(*id, text));
+	struct controller_leave *l;
 
-	if (!rec || rec->w.state == DAG_WORKER_GONE) {
+	if (!rec) {
 		reply_outcome(t, DAG_OK);
 		return;
 	}
-	log_info("worker-leave", "worker=%.*s", STR_ARG(XDR_STR(*id, text)));
+	log_info("worker-leave", "worker=%.*s state=%d", STR_ARG(XDR_STR(*id, text)),
+		 rec->w.state);
 	dag_sched_worker_leaving(c->sched, rec->number, clock_us());
-	cmd.dag_command_u.worker = rec->w;
-	cmd.dag_command_u.worker.state = DAG_WORKER_GONE;
-	propose_and_wait(c, &cmd, t);
+	l = calloc(1, sizeof(*l));
+	if (!l) {
+		reply_outcome(t, DAG_REJECTED);
+		return;
+	}
+	*l = (struct controller_leave){c->leaves, t, rec->number};
+	c->leaves = l;
+	controller_answer_leaves(c);
+}
+
+/* The announcement was answered once the exit of that life was recorded. */
+static void serve_left(struct controller *c, const struct dag_left *left,
+		       struct dag_pending_request *t)
+{
+	struct dag_worker_rec *rec =
+		dag_state_find_worker_by_id(c->state, XDR_STR(left->id, text));
+	bool known =
+		rec && rec->w.state == DAG_WORKER_GONE && rec->w.born_ms == left->born_ms;
+
+	log_info("worker-left", "worker=%.*s known=%d", STR_ARG(XDR_STR(left->id, text)),
+		 known);
+	if (known)
+		dag_sched_worker_ended(c->sched, rec->number, clock_us());
+	reply_outcome(t, DAG_OK);
 }
 
 static void serve_conf_put(struct controller *c, const struct dag_conf *conf,
@@ -428,6 +480,9 @@
 	case DAG_REQ_LEAVE:
 		serve_leave(c, &req->dag_request_u.leave, t);
 		return;
+	case DAG_REQ_LEFT:
+		serve_left(c, &req->dag_request_u.left, t);
+		return;
 	case DAG_REQ_CONF_PUT:
 		serve_conf_put(c, &req->dag_request_u.conf, t);
 		return;
--- a/carawayfrontd/controller_sched.c
+++ b/carawayfrontd/controller_sched.c
@@ -189,6 +189,7 @@
 		.state = c->state,
 		.epoch = replica_epoch(c->replica),
 		.lease_us = (int64_t)c->settings->workers.lease_ms * MS_US,
+		.stop_us = (int64_t)c->settings->workers.stop_ms * MS_US,
 		.report_interval_us = (int64_t)c->settings->workers.report_ms * MS_US,
 		.status_retention_us =
 			(int64_t)c->settings->workers.status_s * 2 * SECOND_US,
@@ -206,6 +207,7 @@
 {
 	dag_sched_free(c->sched);
 	c->sched = NULL;
+	controller_reject_leaves(c);
 	relay_clear(c->relay);
 	c->transport->ops->clear(c->transport);
 	command_batch_clear(&c->batch);
--- a/carawayfrontd/settings.c
+++ b/carawayfrontd/settings.c
@@ -65,6 +65,7 @@
 static const struct schema_row worker_rows[] = {
 	WORKERS("lease-ms", lease_ms, 500, 600000),
 	WORKERS("report-ms", report_ms, 100, 60000),
+	WORKERS("stop-ms", stop_ms, 0, 60000),
 	WORKERS("status-s", status_s, 1, 86400),
 	WORKERS("relay-from", relay_from, 0, 1000000),
 	{0},
@@ -109,6 +110,7 @@
 static const struct settings_workers default_workers = {
 	.lease_ms = 10000,
 	.report_ms = 1000,
+	.stop_ms = 1000,
 	.status_s = 120,
 	.relay_from = 150,
 };
--- a/core/dag_leave.c
+++ b/core/dag_leave.c
@@ -1,20 +1,43 @@
-/* Exits that workers announce: when they count, and what is known of them. */
+/*
+ * Exits that workers announce. The announcement proves that a process means to end, and a
+ * refused or silent poll that nothing answers; a cut may do both while the process runs
+ * on. Its runs are over once the worker said so, by its list or by the answer to a stop
+ * request, once it has received the answer to its announcement and closed the connection
+ * after it, once another process is in its place, or when its lease ends. The runs are
+ * stopped before the announcement is answered, as the process ends only then.
+ */
 #include "core/dag_sched_impl.h"
+#include "proto/codec.h"
+
+/* The answer to an announcement waits so long for the ends of the runs. */
+#define EXIT_ANSWER_US (700 * USEC_PER_MS)
+/* The exit is recorded by then, or its record was lost. */
+#define EXIT_RECORD_TIMEOUT_US (2 * USEC_PER_SEC)
+/* A worker's clock may be 2 % slow. */
+#define SLOW_CLOCK_PERCENT 103
+#define STOP_MARGIN_US (50 * USEC_PER_MS)
+
+/* Whether the worker has promised that the run is over by now. */
+static bool is_stopped_by_now(const struct dag_sched *s, const struct ds_run *r)
+{
+	int64_t stop_us = s->opt.stop_us * SLOW_CLOCK_PERCENT / 100 + STOP_MARGIN_US;
+
+	return r->stop_acked_us && s->now_us - r->stop_acked_us >= stop_us;
+}
 
-/* A worker that announced its exit and fails polls from then on for this time has exited.
- */
-#define LEAVE_TIMEOUT_US (1 * USEC_PER_SEC)
 /*
- * The same for one that is only silent: it ends some seconds after an announcement that
- * was not answered, and its lasting tasks are to run again within six.
+ * Stops what runs on a worker that is about to end. An announcement names no life, and
+ * may have been meant for an earlier one of a worker that does not drain.
  */
-#define SILENT_LEAVE_TIMEOUT_US (5 * USEC_PER_SEC)
-/* The exit is recorded by then, or its announcement was lost. */
-#define EXIT_RECORD_TIMEOUT_US (2 * USEC_PER_SEC)
-/* An announcement that other controllers pass on comes so late at most. */
-#define LEAVE_DELAY_US (1500 * USEC_PER_MS)
-/* An exit that an earlier leader recorded: its worker ends within seconds of that. */
-#define RECORDED_LEAVE_MARGIN_US (1 * USEC_PER_SEC)
+static void stop_runs(struct dag_sched *s, struct ds_worker *w)
+{
+	struct ds_run *r;
+
+	if (!w->draining)
+		return;
+	TAILQ_FOREACH (r, &w->runs, worker_entry)
+		ds_run_request_stop(s, r, "its worker leaves");
+}
 
 /* The worker announced its exit; it gets no new runs. */
 void dag_sched_worker_leaving(struct dag_sched *s, uint32_t worker, int64_t now_us)
@@ -25,61 +48,94 @@
 	if (!w || w->leaving_since_us)
 		return;
 	w->leaving_since_us = now_us;
+	s->host->ops->log_event(s->host, "worker-leaving", NULL, 0,
+				XDR_STR(w->rec->w, id), "value: its runs", w->n_runs);
 	ds_resolve_suspicions(s, w, DAG_END_LAPSED, now_us, "its worker leaves");
-	/* Its exit says why; with a loss recorded beside it, it would look like a cut. */
-	if (w->broken_us >= now_us - LEAVE_DELAY_US)
-		ds_worker_regain_contact(s, w);
+	stop_runs(s, w);
+	ds_worker_check_exit(s, w);
 }
 
-/* What an earlier leader recorded of the exit of a worker that is new to this one. */
-void ds_worker_recall_exit(const struct dag_sched *s, struct ds_worker *w)
+/*
+ * The worker has received the answer to its announcement and closed the connection, so
+ * that its process has ended.
+ */
+void dag_sched_worker_ended(struct dag_sched *s, uint32_t worker, int64_t now_us)
 {
-	/* Contact was not lost before the exit was recorded, so it was no cut. */
-	if (w->rec->w.state != DAG_WORKER_GONE || w->rec->lost)
-		return;
-	w->leaving_since_us = s->now_us + RECORDED_LEAVE_MARGIN_US;
-	w->exit_recorded = true;
+	struct ds_worker *w = ds_worker_find(s, worker);
+
+	s->now_us = now_us;
+	if (w)
+		ds_worker_propose_lost(s, w, "left");
 }
 
 /* The worker is there, or another process is in its place. */
 void ds_worker_forget_exit(struct ds_worker *w)
 {
 	w->leaving_since_us = 0;
-	w->exit_recorded = false;
-	w->exit_proposed = false;
-	w->poll_refused = false;
+	w->exit_proposed_us = 0;
+}
+
+/* Runs whose end is not known. */
+static uint32_t count_open_runs(const struct ds_worker *w)
+{
+	const struct ds_run *r;
+	uint32_t n = 0;
+
+	TAILQ_FOREACH (r, &w->runs, worker_entry)
+		n += !r->end_proposed;
+	return n;
+}
+
+/* Whether the worker may still tell of the end of a run, which it was asked to stop. */
+static bool awaits_end(const struct ds_run *r)
+{
+	return !r->end_proposed &&
+	       (r->phase == DS_PROPOSED || r->stop_in_flight || r->stop_acked_us);
+}
+
+/* Whether the announcement waits no longer for the ends of the runs. */
+static bool has_settled(const struct dag_sched *s, const struct ds_worker *w)
+{
+	const struct ds_run *r;
+
+	if (s->now_us - w->leaving_since_us >= EXIT_ANSWER_US)
+		return true;
+	TAILQ_FOREACH (r, &w->runs, worker_entry)
+		if (awaits_end(r))
+			return false;
+	return true;
 }
 
 /*
- * Whether a worker that fails polls has exited as it announced. One that failed them long
- * before may be cut off: its runs go on until its lease ends. Nobody listens at the
- * address of a process that has ended; silence may be a cut as well, in which the answer
- * to the announcement was lost.
+ * Whether an announced exit is recorded and may be answered, so that the process ends.
+ * Also of a worker that is not known.
  */
-static bool has_left(const struct dag_sched *s, const struct ds_worker *w)
+bool dag_sched_worker_left(const struct dag_sched *s, uint32_t worker)
 {
-	int64_t since_us = s->now_us - w->leaving_since_us;
+	const struct ds_worker *w = ds_worker_find(s, worker);
 
-	if (!w->leaving_since_us || w->poll_failures < 2 ||
-	    w->broken_us < w->leaving_since_us - LEAVE_DELAY_US)
-		return false;
-	return since_us > SILENT_LEAVE_TIMEOUT_US ||
-	       (since_us > LEAVE_TIMEOUT_US && (w->poll_refused || w->exit_recorded));
+	return !w || (w->rec->w.state == DAG_WORKER_GONE && has_settled(s, w));
 }
 
 /*
- * Ends the runs of a worker that has exited as it announced. That it is gone is proposed
- * with the announcement; a second record would remove the first, so it waits until that
- * has failed.
+ * Records the exit of a worker that announced it, which answers the announcement. A
+ * second record would remove the first, so it waits until that has failed.
  */
 void ds_worker_check_exit(struct dag_sched *s, struct ds_worker *w)
 {
-	if (!has_left(s, w))
+	struct ds_run *r;
+
+	if (!w->leaving_since_us)
 		return;
-	ds_worker_propose_lost(s, w, "left");
-	if (w->rec->w.state == DAG_WORKER_GONE || w->exit_proposed ||
-	    s->now_us - w->leaving_since_us < EXIT_RECORD_TIMEOUT_US)
+	TAILQ_FOREACH (r, &w->runs, worker_entry)
+		if (is_stopped_by_now(s, r))
+			ds_end_stopped_run(s, r);
+	if (w->rec->w.state == DAG_WORKER_GONE || !has_settled(s, w) ||
+	    (w->exit_proposed_us &&
+	     s->now_us - w->exit_proposed_us < EXIT_RECORD_TIMEOUT_US))
 		return;
-	w->exit_proposed = true;
+	w->exit_proposed_us = s->now_us;
+	s->host->ops->log_event(s->host, "worker-exit", NULL, 0, XDR_STR(w->rec->w, id),
+				"value: runs whose end is not known", count_open_runs(w));
 	ds_worker_propose_state(s, w, DAG_WORKER_GONE, w->rec->w.born_ms);
 }
--- a/core/dag_life.c
+++ b/core/dag_life.c
@@ -7,6 +7,8 @@
 /* A worker's clock may be 2 % slow; 103 % of a lease on it has certainly expired. */
 #define SLOW_CLOCK_PERCENT 103
 #define LEASE_EXPIRY_MARGIN_US (150 * USEC_PER_MS)
+/* Longer than most cuts, so that a worker that drains behind one goes on. */
+#define DRAINING_LEASE_MAX_US (7 * USEC_PER_SEC)
 
 /* JSON numbers are exact up to 53 bits, which leaves 25 to the epoch. */
 #define FENCE_BITS 28
@@ -40,6 +42,17 @@
 	};
 }
 
+/*
+ * The lease of a worker that drains is shorter: if it ends without a word, its serving
+ * tasks are to run elsewhere within seconds.
+ */
+static int64_t lease_us(const struct dag_sched *s, const struct ds_worker *w)
+{
+	if (w->draining && s->opt.lease_us > DRAINING_LEASE_MAX_US)
+		return DRAINING_LEASE_MAX_US;
+	return s->opt.lease_us;
+}
+
 /*
  * Extends the worker's lease to a full period from now. Returns its end in milliseconds
  * on the worker's clock, or 0 if that clock is unknown.
@@ -51,7 +64,7 @@
 
 	if (!w->clock_known)
 		return 0;
-	end_ms = w->clock_ms + (s->now_us - w->clock_us + s->opt.lease_us) / USEC_PER_MS;
+	end_ms = w->clock_ms + (s->now_us - w->clock_us + lease_us(s, w)) / USEC_PER_MS;
 	expires_us =
 		ds_lease_expiry_us(w->clock_us, (end_ms - w->clock_ms) * USEC_PER_MS);
 	if (expires_us > w->lease_expires_us)
@@ -97,9 +110,6 @@
 		w->broken_us = s->now_us;
 	if (w->contact_lost || !w->n_runs || w->poll_failures < LOST_POLL_FAILURES)
 		return;
-	/* As in dag_sched_worker_leaving(). */
-	if (w->rec->w.state == DAG_WORKER_GONE || w->leaving_since_us)
-		return;
 	w->contact_lost = true;
 	propose_contact(s, w, true);
 }
--- a/core/dag_sched.h
+++ b/core/dag_sched.h
@@ -24,7 +24,7 @@
 	DAG_RESULT_UNKNOWN,	  /* no reply: it took effect, still may, or never will */
 	/* Of a poll: the same, and the cause is the way to those who make the call. */
 	DAG_RESULT_PATH_LOST,
-	DAG_RESULT_REFUSED, /* of a poll: no process listens at the worker's address */
+	DAG_RESULT_REFUSED, /* of a poll: the connection was refused, perhaps by a cut */
 };
 
 /* Destination of a call to one worker; strings are valid only during the call. */
@@ -111,6 +111,7 @@
 	struct dag_state *state;
 	uint64_t epoch;
 	int64_t lease_us;	     /* longest lease that a worker grants */
+	int64_t stop_us;	     /* a worker stops a run within it */
 	int64_t report_interval_us;  /* between a worker's reports */
 	int64_t status_retention_us; /* how long ended jobs can be queried */
 	bool full_scan; /* score all workers for each task; tests compare with it */
@@ -135,6 +136,8 @@
 		      struct dag_worker *news);
 bool dag_worker_equal(const struct dag_worker *a, const struct dag_worker *b);
 void dag_sched_worker_leaving(struct dag_sched *s, uint32_t worker, int64_t now_us);
+bool dag_sched_worker_left(const struct dag_sched *s, uint32_t worker);
+void dag_sched_worker_ended(struct dag_sched *s, uint32_t worker, int64_t now_us);
 void dag_sched_start_replied(struct dag_sched *s, uint32_t worker,
 			     const struct dag_task_ref *t, uint32_t run,
 			     enum dag_call_result result, int64_t now_us);
--- a/core/dag_sched_impl.h
+++ b/core/dag_sched_impl.h
@@ -172,7 +172,6 @@
 	bool earlier_left;     /* its earlier life had announced its end */
 	int64_t next_poll_us;
 	unsigned int poll_failures;
-	bool poll_refused;	 /* one of these, as no process listened */
 	unsigned int lost_paths; /* polls in a row that may not have come to the worker */
 	uint32_t poll_wait_ms;	 /* that the newest poll asked for */
 	int64_t broken_us;	 /* contact with its process last broke, 0: never */
@@ -185,8 +184,7 @@
 	bool has_new_ends; /* the newest list has ends that are new to the leader */
 	bool has_strays;   /* the newest list has runs that are not recorded here */
 	int64_t leaving_since_us; /* it announced its exit, 0: it did not */
-	bool exit_recorded;	  /* by an earlier leader, without a loss of contact */
-	bool exit_proposed;	  /* again, as it was not recorded in time */
+	int64_t exit_proposed_us; /* newest record of that, 0: none */
 	int64_t gone_since_us;	  /* recorded as gone and without runs, 0: not */
 	bool contradicted; /* recorded as gone, but a report of the same life came */
 	bool forget_proposed;
@@ -304,7 +302,6 @@
 			const struct dag_listed_end *l);
 
 /* dag_leave.c */
-void ds_worker_recall_exit(const struct dag_sched *s, struct ds_worker *w);
 void ds_worker_forget_exit(struct ds_worker *w);
 void ds_worker_check_exit(struct dag_sched *s, struct ds_worker *w);
 
--- a/core/dag_worker.c
+++ b/core/dag_worker.c
@@ -74,7 +74,6 @@
 	 */
 	w->lease_expires_us =
 		ds_lease_expiry_us(rec->lost ? rec->lost_us : s->now_us, s->opt.lease_us);
-	ds_worker_recall_exit(s, w);
 	w->next_poll_us = s->now_us;
 	w->polled_us = s->now_us;
 	s->workers[s->n_workers++] = w;
@@ -565,7 +564,6 @@
 		return;
 	}
 	if (!poll) {
-		w->poll_refused = w->poll_refused || result == DAG_RESULT_REFUSED;
 		if (!w->poll_failures++)
 			s->host->ops->log_event(
 				s->host, "worker-lost", NULL, 0, XDR_STR(w->rec->w, id),
@@ -588,7 +586,6 @@
 	if (!w->clock_known)
 		s->placement_needed = true;
 	w->poll_failures = 0;
-	w->poll_refused = false;
 	if (!ds_worker_reply_is_old(w, poll))
 		ds_worker_record_contact(w, poll, now_us);
 	/* Its loss, which tells when its earlier life ended, is recorded until then. */
--- a/io/http_server.c
+++ b/io/http_server.c
@@ -1,8 +1,12 @@
 #include "io/http_server.h"
 
 #include <errno.h>
+#include <linux/sockios.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -16,6 +20,13 @@
 #define LAST_ANSWERS_US 100000	 /* for the answers that are not sent when it ends */
 #define LAST_ANSWERS_POLL_MS 10
 
+struct http_connection {
+	LIST_ENTRY(http_connection) entry;
+	int fd;
+	struct buf receipt; /* of the answer that was sent last; in the list if it has one
+			     */
+};
+
 struct http_server {
 	struct http_server_options opt;
 	struct MHD_Daemon *daemon;
@@ -28,13 +39,51 @@
 	bool closing;  /* inside http_server_free(); the host may be gone */
 	size_t unsent; /* answers that are not sent completely */
 	LIST_HEAD(, http_request) waiting;
+	LIST_HEAD(, http_connection) receipts;
 	struct http_server_stats stats;
 };
 
+/*
+ * Whether the peer has received all that was sent to it and closed its connection after
+ * that. One that closed it before resets it when more comes, and its last acknowledgement
+ * lacks that.
+ */
+static bool is_closed_after_answer(int fd)
+{
+	struct tcp_info tcp = {0};
+	socklen_t size = sizeof(tcp);
+	int unsent = 0;
+
+	return getsockopt(fd, IPPROTO_TCP, TCP_INFO, &tcp, &size) == 0 &&
+	       tcp.tcpi_state == TCP_CLOSE_WAIT && ioctl(fd, SIOCOUTQ, &unsent) == 0 &&
+	       unsent == 0;
+}
+
+/*
+ * Tells the host of answers that were received. libmicrohttpd, which runs next, closes
+ * the connections.
+ */
+static void check_receipts(struct http_server *s)
+{
+	struct http_connection *c = LIST_FIRST(&s->receipts);
+
+	while (c) {
+		struct http_connection *next = LIST_NEXT(c, entry);
+
+		if (is_closed_after_answer(c->fd)) {
+			LIST_REMOVE(c, entry);
+			s->opt.host->ops->received(s->opt.host, buf_str(&c->receipt));
+			buf_free(&c->receipt);
+		}
+		c = next;
+	}
+}
+
 static void run(struct http_server *s)
 {
 	MHD_UNSIGNED_LONG_LONG ms;
 
+	check_receipts(s);
 	s->running = true;
 	do {
 		s->again = false;
@@ -96,12 +145,48 @@
 	return MHD_queue_response(req->connection, req->status, r);
 }
 
+/* The server's own data of a connection; NULL: there was no memory for it. */
+static struct http_connection *own_data(struct MHD_Connection *connection)
+{
+	const union MHD_ConnectionInfo *info =
+		MHD_get_connection_info(connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
+
+	return info ? info->socket_context : NULL;
+}
+
+static void drop_receipt(struct http_connection *own)
+{
+	if (own->receipt.n)
+		LIST_REMOVE(own, entry);
+	buf_free(&own->receipt);
+}
+
+/* Called by libmicrohttpd when a connection begins and before it is closed. */
+static void on_connection(void *cls, struct MHD_Connection *connection, void **context,
+			  enum MHD_ConnectionNotificationCode code)
+{
+	struct http_connection *own = *context;
+
+	if (code == MHD_CONNECTION_NOTIFY_STARTED) {
+		*context = calloc(1, sizeof(*own));
+		return;
+	}
+	*context = NULL;
+	if (own)
+		drop_receipt(own);
+	free(own);
+}
+
 /* Called by libmicrohttpd first, with the request target as it came. */
 static void *on_target(void *cls, const char *target, struct MHD_Connection *connection)
 {
 	struct http_server *s = cls;
+	struct http_connection *own = own_data(connection);
 	struct http_request *req = calloc(1, sizeof(*req));
 
+	/* The sender goes on after the earlier answer. */
+	if (own)
+		drop_receipt(own);
 	if (!req)
 		return NULL;
 	req->target = strdup(target);
@@ -183,6 +268,7 @@
 static void request_free(struct http_request *req)
 {
 	buf_free(&req->body);
+	buf_free(&req->receipt);
 	free(req->target);
 	free(req);
 }
@@ -197,11 +283,28 @@
 	req->path = "";
 }
 
+/* Takes the receipt of a request whose answer is sent. */
+static void await_receipt(struct http_server *s, struct MHD_Connection *connection,
+			  struct http_request *req)
+{
+	const union MHD_ConnectionInfo *info =
+		MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+	struct http_connection *own = own_data(connection);
+
+	if (!info)
+		return;
+	own->fd = info->connect_fd;
+	own->receipt = req->receipt;
+	req->receipt = (struct buf){0};
+	LIST_INSERT_HEAD(&s->receipts, own, entry);
+}
+
 static void on_completed(void *cls, struct MHD_Connection *connection, void **con_cls,
 			 enum MHD_RequestTerminationCode toe)
 {
 	struct http_server *s = cls;
 	struct http_request *req = *con_cls;
+	struct http_connection *own = own_data(connection);
 
 	if (!req)
 		return;
@@ -216,6 +319,8 @@
 		s->unsent--;
 		MHD_destroy_response(req->response);
 	}
+	if (own && req->receipt.n && toe == MHD_REQUEST_TERMINATED_COMPLETED_OK)
+		await_receipt(s, connection, req);
 	request_free(req);
 }
 
@@ -236,9 +341,9 @@
 	s->daemon = MHD_start_daemon(
 		MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, NULL, NULL, on_access, s,
 		MHD_OPTION_LISTEN_SOCKET, s->listen_fd, MHD_OPTION_NOTIFY_COMPLETED,
-		on_completed, s, MHD_OPTION_URI_LOG_CALLBACK, on_target, s,
-		MHD_OPTION_CONNECTION_LIMIT, opt->max_connections,
-		MHD_OPTION_CONNECTION_TIMEOUT, opt->idle_timeout,
+		on_completed, s, MHD_OPTION_NOTIFY_CONNECTION, on_connection, s,
+		MHD_OPTION_URI_LOG_CALLBACK, on_target, s, MHD_OPTION_CONNECTION_LIMIT,
+		opt->max_connections, MHD_OPTION_CONNECTION_TIMEOUT, opt->idle_timeout,
 		MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)CONNECTION_MEMORY,
 		MHD_OPTION_END);
 	err = CF_EIO;
--- a/io/http_server.h
+++ b/io/http_server.h
@@ -31,6 +31,11 @@
 	char *target;	  /* as it came: encoded, with the query */
 	struct buf body;
 	void *user; /* free for the handler */
+	/*
+	 * Set by the handler before it answers: the host is told of it once the sender
+	 * has received the answer and closed the connection. Empty: it is not.
+	 */
+	struct buf receipt;
 
 	/* Private to the server. */
 	LIST_ENTRY(http_request) waiting; /* while suspended */
@@ -45,6 +50,8 @@
 
 struct http_server_ops {
 	void (*request)(struct http_server_host *host, struct http_request *req);
+	/* Called for requests with a receipt. */
+	void (*received)(struct http_server_host *host, struct str receipt);
 };
 
 struct http_server_host {
--- a/proto/dag.h
+++ b/proto/dag.h
@@ -445,6 +445,7 @@
 	DAG_REQ_ZONE = 8,
 	DAG_REQ_MEMBERS = 9,
 	DAG_REQ_AGENT = 10,
+	DAG_REQ_LEFT = 11,
 };
 
 struct dag_target {
@@ -468,6 +469,11 @@
 	quad_t clock_ms;
 };
 
+struct dag_left {
+	struct dag_name id;
+	quad_t born_ms;
+};
+
 struct dag_request {
 	enum dag_request_kind kind;
 	union {
@@ -475,6 +481,7 @@
 		struct dag_target target;
 		struct dag_report report;
 		struct dag_name leave;
+		struct dag_left left;
 		struct dag_conf conf;
 		struct dag_zone_order zone;
 		struct dag_agent agent;
@@ -558,6 +565,7 @@
 extern  bool_t xdr_dag_target (XDR *, struct dag_target *);
 extern  bool_t xdr_dag_submit (XDR *, struct dag_submit *);
 extern  bool_t xdr_dag_report (XDR *, struct dag_report *);
+extern  bool_t xdr_dag_left (XDR *, struct dag_left *);
 extern  bool_t xdr_dag_request (XDR *, struct dag_request *);
 extern  bool_t xdr_dag_outcome (XDR *, enum dag_outcome *);
 extern  bool_t xdr_dag_job_state (XDR *, enum dag_job_state *);
@@ -602,6 +610,7 @@
 extern bool_t xdr_dag_target ();
 extern bool_t xdr_dag_submit ();
 extern bool_t xdr_dag_report ();
+extern bool_t xdr_dag_left ();
 extern bool_t xdr_dag_request ();
 extern bool_t xdr_dag_outcome ();
 extern bool_t xdr_dag_job_state ();
--- a/proto/dag.x
+++ b/proto/dag.x
@@ -354,7 +354,8 @@
 	DAG_REQ_CONF_GET = 7,
 	DAG_REQ_ZONE = 8,
 	DAG_REQ_MEMBERS = 9,
-	DAG_REQ_AGENT = 10  /* a gateway is there and can make calls */
+	DAG_REQ_AGENT = 10, /* a gateway is there and can make calls */
+	DAG_REQ_LEFT = 11   /* an executor has the answer to LEAVE and has ended */
 };
 
 /* Host and path as the caller sent them. */
@@ -374,6 +375,12 @@
 	hyper clock_ms;
 };
 
+/* born_ms: life of the executor that left. */
+struct dag_left {
+	dag_name id;
+	hyper born_ms;
+};
+
 union dag_request switch (dag_request_kind kind) {
 case DAG_REQ_SUBMIT:
 	dag_submit submit;
@@ -384,6 +391,8 @@
 	dag_report report;
 case DAG_REQ_LEAVE:
 	dag_name leave;
+case DAG_REQ_LEFT:
+	dag_left left;
 case DAG_REQ_CONF_PUT:
 	dag_conf conf;
 case DAG_REQ_ZONE:
--- a/proto/dag_xdr.c
+++ b/proto/dag_xdr.c
@@ -1034,6 +1034,18 @@
 	return TRUE;
 }
 
+bool_t
+xdr_dag_left (XDR *xdrs, struct dag_left *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_dag_name (xdrs, &objp->id))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->born_ms))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_dag_request (XDR *xdrs, struct dag_request *objp)
 {
@@ -1059,6 +1071,10 @@
 		 if (!xdr_dag_name (xdrs, &objp->dag_request_u.leave))
 			 return FALSE;
 		break;
+	case DAG_REQ_LEFT:
+		 if (!xdr_dag_left (xdrs, &objp->dag_request_u.left))
+			 return FALSE;
+		break;
 	case DAG_REQ_CONF_PUT:
 		 if (!xdr_dag_conf (xdrs, &objp->dag_request_u.conf))
 			 return FALSE;
--- a/regress/lib_dag_world.c
+++ b/regress/lib_dag_world.c
@@ -14,6 +14,10 @@
 #define COMMIT_US (8 * MS)
 #define HOP_US (2 * MS)
 #define STOP_US (200 * MS)
+/* A worker drains so long before it announces its exit, and waits so long for the answer.
+ */
+#define DRAIN_US (2000 * MS)
+#define ANNOUNCEMENT_TIMEOUT_US (1000 * MS)
 #define LEASE_US (10000 * MS)
 #define REPORT_US (1000 * MS)
 /* A room that has shrunk counts this much later: contact_ms and one report. */
@@ -256,6 +260,7 @@
 		.state = w->state,
 		.epoch = ++w->epoch,
 		.lease_us = LEASE_US,
+		.stop_us = STOP_US,
 		.report_interval_us = REPORT_US,
 		.status_retention_us = 3600 * 1000 * MS,
 		.full_scan = w->full_scan,
@@ -509,23 +514,47 @@
 	w->workers[number].new_id = new_id;
 }
 
-void dw_record_exit(struct dag_world *w, uint32_t record)
+void dw_drain(struct dag_world *w, uint32_t record)
 {
 	struct dag_command c = {.kind = DAG_CMD_WORKER};
 
-	dag_sched_worker_leaving(w->sched, record, w->now_us);
 	c.dag_command_u.worker = dag_state_find_worker(w->state, record)->w;
-	c.dag_command_u.worker.state = DAG_WORKER_GONE;
+	c.dag_command_u.worker.state = DAG_WORKER_DRAINING;
 	ck_assert_int_eq(w->host.ops->propose(&w->host, &c), 0);
+	dw_run_for(w, DRAIN_US);
+}
+
+void dw_announce_exit(struct dag_world *w, uint32_t record)
+{
+	int64_t since_us = w->now_us;
+
+	dag_sched_worker_leaving(w->sched, record, w->now_us);
+	while (!dag_sched_worker_left(w->sched, record) &&
+	       w->now_us - since_us < ANNOUNCEMENT_TIMEOUT_US)
+		dw_run_for(w, MS);
 }
 
-void dw_leave_in_a_cut(struct dag_world *w, uint32_t number, uint32_t record)
+void dw_leave(struct dag_world *w, uint32_t number, uint32_t record)
 {
+	dw_drain(w, record);
+	dw_announce_exit(w, record);
+	dw_crash_worker(w, number, false);
+}
+
+void dw_leave_in_a_cut(struct dag_world *w, uint32_t number, uint32_t record,
+		       int64_t cut_us, int64_t ends_us)
+{
+	int64_t cut_at_us;
+
+	dw_drain(w, record);
 	w->workers[number].cut = true;
-	dw_record_exit(w, record);
-	dw_run_for(w, 2400 * MS);
-	w->workers[number].cut = false;
-	dw_run_for(w, 1600 * MS);
+	cut_at_us = w->now_us;
+	dw_announce_exit(w, record);
+	if (cut_us < ends_us) {
+		dw_run_for(w, cut_at_us + cut_us - w->now_us);
+		w->workers[number].cut = false;
+	}
+	dw_run_for(w, cut_at_us + ends_us - w->now_us);
 	dw_crash_worker(w, number, false);
 }
 
--- a/regress/lib_dag_world.h
+++ b/regress/lib_dag_world.h
@@ -248,13 +248,18 @@
 void dw_close_zone(struct dag_world *w, bool closed);
 void dw_crash_worker(struct dag_world *w, uint32_t number, bool restart);
 /* Starts again at once; neither a report nor a broken connection tells of it. */
-/* As the leader does when a worker announces its exit. */
-void dw_record_exit(struct dag_world *w, uint32_t record);
+/* A worker reports that it drains; it goes on for drain_ms. */
+void dw_drain(struct dag_world *w, uint32_t record);
+/* An announcement of a worker's exit comes; returns once it is answered or given up. */
+void dw_announce_exit(struct dag_world *w, uint32_t record);
+/* A worker drains, announces its exit and ends when that is answered. */
+void dw_leave(struct dag_world *w, uint32_t number, uint32_t record);
 /*
- * A worker announces its exit in a cut and gets no answer, so that it goes on for some
- * seconds after the cut, which is over 2.4 s later, and ends.
+ * The same in a cut, which takes the answer: the worker goes on and ends some seconds
+ * later. The times are counted from the announcement.
  */
-void dw_leave_in_a_cut(struct dag_world *w, uint32_t number, uint32_t record);
+void dw_leave_in_a_cut(struct dag_world *w, uint32_t number, uint32_t record,
+		       int64_t cut_us, int64_t ends_us);
 /*
  * Job 1 has a start request that is held up and gets no answer; its repetition is done.
  * Then the worker starts again after so long.
--- a/regress/test_dag_life.c
+++ b/regress/test_dag_life.c
@@ -440,12 +440,14 @@
 
 /*
  * Guards against runs that start elsewhere while they go on where they are: a worker that
- * is cut off announces its exit through another controller. _i 1: contact was not lost
- * before, so it has exited, and its runs start elsewhere before its lease has ended.
+ * is cut off announces its exit through another controller. _i 1: it is not cut off, and
+ * its runs start elsewhere as it ends; 2: the announcement comes after its end, and its
+ * runs start elsewhere within the 9 s that a lasting task may be away.
  */
 START_TEST(runs_of_a_worker_that_leaves_behind_a_cut_keep_their_lease)
 {
 	uint32_t number = dw_add_worker(&w, 8000, 8000);
+	int64_t away_us = 3 * SECOND;
 
 	w.work_us = 60 * SECOND;
 	dw_run_for(&w, SECOND);
@@ -459,15 +461,15 @@
 		dw_run_for(&w, 4 * SECOND);
 		dag_sched_worker_leaving(w.sched, 1, w.now_us);
 	} else if (_i == 1) {
-		dag_sched_worker_leaving(w.sched, 1, w.now_us);
-		dw_run_for(&w, 100 * MS);
-		dw_crash_worker(&w, number, false);
+		dw_leave(&w, number, 1);
 	} else {
+		dw_drain(&w, 1);
 		dw_crash_worker(&w, number, false);
 		dw_run_for(&w, SECOND);
 		dag_sched_worker_leaving(w.sched, 1, w.now_us);
+		away_us = 8 * SECOND;
 	}
-	dw_run_for(&w, 3 * SECOND);
+	dw_run_for(&w, away_us);
 	ck_assert_uint_eq(w.starts, _i == 0 ? 2 : 4);
 	dw_run_for(&w, 20 * SECOND);
 	dw_assert_sound(&w);
@@ -492,11 +494,11 @@
 	if (_i == 1) {
 		w.workers[number].cut = true;
 		dw_run_for(&w, 4 * SECOND);
+		dw_announce_exit(&w, 1);
+	} else {
+		dw_leave(&w, number, 1);
 	}
-	dw_record_exit(&w, 1);
 	dw_run_for(&w, 100 * MS);
-	if (_i == 0)
-		dw_crash_worker(&w, number, false);
 	dw_change_leader(&w);
 	dw_run_for(&w, 4 * SECOND);
 	ck_assert_uint_eq(w.starts, _i == 0 ? 4 : 2);
@@ -508,11 +510,13 @@
 
 /*
  * Guards against the same when polls have failed between the exit and the new leader. _i
- * 1: before the exit was recorded; 2: before it was announced.
+ * 1: the exit is announced and recorded after the worker's end; 2: after its loss. Then
+ * only the lease tells, which the new leader counts from the loss or its own start.
  */
 START_TEST(polls_that_fail_after_an_exit_hide_it_from_no_leader)
 {
 	uint32_t number = dw_add_worker(&w, 8000, 8000);
+	int64_t away_us = _i ? 11 * SECOND : 4 * SECOND;
 
 	dw_run_for(&w, SECOND);
 	dw_submit_lasting(&w, 1, 2);
@@ -523,46 +527,113 @@
 	if (_i < 2)
 		w.refuse_us = 0;
 	if (_i == 0) {
-		dw_record_exit(&w, 1);
-		dw_run_for(&w, 20 * MS);
-		dw_crash_worker(&w, number, false);
+		dw_leave(&w, number, 1);
 		dw_run_for(&w, 900 * MS);
 	} else if (_i == 1) {
 		dw_crash_worker(&w, number, false);
 		dw_run_for(&w, 100 * MS);
 		w.commit_us = 800 * MS;
-		dw_record_exit(&w, 1);
+		dw_announce_exit(&w, 1);
 		dw_run_for(&w, 1600 * MS);
 	} else {
 		dw_crash_worker(&w, number, false);
 		while (!dag_state_find_worker(w.state, 1)->lost)
 			dw_run_for(&w, MS);
-		dw_record_exit(&w, 1);
+		dw_announce_exit(&w, 1);
 		dw_run_for(&w, 60 * MS);
 	}
-	if (_i < 2)
+	if (_i)
 		ck_assert_uint_eq(w.starts, 2);
 	w.commit_us = 8 * MS;
 	dw_change_leader(&w);
-	dw_run_for(&w, 4 * SECOND);
+	dw_run_for(&w, away_us);
 	dw_assert_sound(&w);
 	ck_assert_uint_eq(w.starts, 4);
 }
 END_TEST
 
-/* Guards against runs that count as over as their worker announced its exit in a cut. */
+/*
+ * Guards against runs that count as over as their worker announced its exit in a cut. _i:
+ * the cut lasts 2.4 s, 5.5 s or until the worker ends, 4, 5 or 8 s later; from 9 on it
+ * refuses polls.
+ */
 START_TEST(exit_announced_in_a_cut_ends_no_runs)
 {
+	static const int64_t cuts_us[] = {2400 * MS, 5500 * MS, 60 * SECOND};
+	static const int64_t ends_us[] = {4 * SECOND, 5 * SECOND, 8 * SECOND};
 	uint32_t number = dw_add_worker(&w, 8000, 8000);
 
+	w.cut_refuses = _i >= 9;
 	w.work_us = 30 * SECOND;
 	dw_submit_chain(&w, 1, 1, 4);
 	dw_run_for(&w, 2 * SECOND);
 	dw_add_worker(&w, 8000, 8000);
 	dw_run_for(&w, SECOND);
-	dw_leave_in_a_cut(&w, number, 1);
+	dw_leave_in_a_cut(&w, number, 1, cuts_us[_i % 3], ends_us[_i / 3 % 3]);
 	dw_run_for(&w, 20 * SECOND);
 	dw_assert_sound(&w);
+	ck_assert_uint_eq(w.starts, 8);
+}
+END_TEST
+
+/*
+ * Guards against lasting tasks of a worker that wait for its lease although it received
+ * the answer to its announcement and has ended; it listens no more from then on. _i 1: a
+ * new leader is told.
+ */
+START_TEST(tasks_of_a_worker_that_has_its_answer_start_at_once)
+{
+	uint32_t number = dw_add_worker(&w, 8000, 8000);
+
+	dw_run_for(&w, SECOND);
+	dw_submit_lasting(&w, 1, 2);
+	dw_run_for(&w, SECOND);
+	dw_add_worker(&w, 16000, 16000);
+	dw_drain(&w, 1);
+	w.cut_refuses = true;
+	w.workers[number].cut = true;
+	dw_announce_exit(&w, 1);
+	dw_crash_worker(&w, number, false);
+	ck_assert_uint_eq(w.starts, 2);
+	if (_i == 1)
+		dw_change_leader(&w);
+	dag_sched_worker_ended(w.sched, 1, w.now_us);
+	dw_run_for(&w, SECOND / 2);
+	ck_assert_uint_eq(w.starts, 4);
+	dw_run_for(&w, 20 * SECOND);
+	dw_assert_sound(&w);
+	ck_assert_uint_eq(w.starts, 4);
+}
+END_TEST
+
+/* Guards against runs that count as over when a worker announces its exit in a cut that
+ * refuses connections. _i 1: the leader changes in the cut.
+ */
+START_TEST(exit_in_a_cut_that_refuses_ends_no_runs)
+{
+	uint32_t number = dw_add_worker(&w, 8000, 8000);
+
+	w.work_us = 60 * SECOND;
+	dw_submit_chain(&w, 1, 1, 2);
+	dw_run_for(&w, 2 * SECOND);
+	ck_assert_uint_eq(w.starts, 2);
+	w.cut_refuses = true;
+	dw_add_worker(&w, 8000, 8000);
+	dw_run_for(&w, 2 * SECOND);
+	if (_i == 0) {
+		dw_leave_in_a_cut(&w, number, 1, 2400 * MS, 4000 * MS);
+	} else {
+		dw_drain(&w, 1);
+		w.workers[number].cut = true;
+		dw_announce_exit(&w, 1);
+		dw_run_for(&w, 500 * MS);
+		dw_change_leader(&w);
+		dw_run_for(&w, 4 * SECOND);
+		dw_crash_worker(&w, number, false);
+	}
+	dw_run_for(&w, 20 * SECOND);
+	dw_assert_sound(&w);
+	ck_assert_uint_eq(w.starts, 4);
 }
 END_TEST
 
@@ -580,7 +651,7 @@
 	ck_assert_uint_eq(w.starts, 2);
 	if (_i == 1) {
 		w.refuse_us = 0;
-		dw_record_exit(&w, 1);
+		dw_announce_exit(&w, 1);
 		dw_run_for(&w, 50 * MS);
 		dw_crash_for(&w, number, 600 * MS, false);
 		dw_change_leader(&w);
@@ -590,7 +661,7 @@
 	}
 	dw_add_worker(&w, 8000, 8000);
 	dw_run_for(&w, 2 * SECOND);
-	dw_leave_in_a_cut(&w, number, 1);
+	dw_leave_in_a_cut(&w, number, 1, 2400 * MS, 4000 * MS);
 	dw_run_for(&w, 20 * SECOND);
 	dw_assert_sound(&w);
 }
@@ -621,13 +692,11 @@
 			dw_run_for(&w, MS);
 		dw_run_for(&w, 30 * MS);
 	}
-	dw_record_exit(&w, 1);
-	dw_run_for(&w, 20 * MS);
 	if (_i == 1) {
 		/* The answer to the poll in flight is lost, and so is the next one. */
 		w.workers[number].reset_us = 1200 * MS;
 	}
-	dw_crash_worker(&w, number, false);
+	dw_leave(&w, number, 1);
 	w.workers[number].refuses_until_us = w.now_us + w.refuse_us;
 	dw_run_for(&w, 1500 * MS);
 	w.commit_us = 8 * MS;
@@ -662,7 +731,7 @@
 	XDR_SET(r.worker, address, str_from(w.workers[number].address));
 	r.clock_ms = 1000;
 	w.commit_us = (_i == 2 ? 1500 : 30) * MS;
-	dw_record_exit(&w, 1);
+	dw_announce_exit(&w, 1);
 	dw_run_for(&w, _i ? MS : 40 * MS);
 	dw_crash_worker(&w, number, false);
 	dw_run_for(&w, _i == 2 ? 4 * SECOND : SECOND);
@@ -843,7 +912,10 @@
 	tcase_add_loop_test(tc, new_leader_knows_that_a_worker_has_left, 0, 2);
 	tcase_add_loop_test(tc, polls_that_fail_after_an_exit_hide_it_from_no_leader, 0,
 			    3);
-	tcase_add_test(tc, exit_announced_in_a_cut_ends_no_runs);
+	tcase_add_loop_test(tc, exit_announced_in_a_cut_ends_no_runs, 0, 18);
+	tcase_add_loop_test(tc, exit_in_a_cut_that_refuses_ends_no_runs, 0, 2);
+	tcase_add_loop_test(tc, tasks_of_a_worker_that_has_its_answer_start_at_once, 0,
+			    2);
 	tcase_add_loop_test(tc, exit_in_a_cut_after_an_earlier_exit_ends_no_runs, 0, 2);
 	tcase_add_loop_test(tc, tasks_of_a_worker_that_left_do_not_wait_for_its_lease, 0,
 			    3);
--- a/regress/test_dag_life_open.c
+++ b/regress/test_dag_life_open.c
@@ -84,26 +84,6 @@
 }
 END_TEST
 
-/* Guards against runs that count as over when a worker announces its exit in a cut that
- * refuses connections.
- */
-START_TEST(exit_in_a_cut_that_refuses_ends_no_runs)
-{
-	uint32_t number = dw_add_worker(&w, 8000, 8000);
-
-	w.work_us = 60 * SECOND;
-	dw_submit_chain(&w, 1, 1, 2);
-	dw_run_for(&w, 2 * SECOND);
-	ck_assert_uint_eq(w.starts, 2);
-	w.cut_refuses = true;
-	dw_add_worker(&w, 8000, 8000);
-	dw_run_for(&w, 2 * SECOND);
-	dw_leave_in_a_cut(&w, number, 1);
-	dw_run_for(&w, 20 * SECOND);
-	dw_assert_sound(&w);
-}
-END_TEST
-
 int main(void)
 {
 	Suite *s = suite_create("dag_life_open");
@@ -116,7 +96,6 @@
 	tcase_add_loop_test(tc, late_start_before_any_other_call_is_refused, 0, 3);
 	tcase_add_test(tc, acknowledgement_after_a_quick_restart_is_refused);
 	tcase_add_test(tc, late_failure_beside_a_successor_counts);
-	tcase_add_test(tc, exit_in_a_cut_that_refuses_ends_no_runs);
 	suite_add_tcase(s, tc);
 	srunner_run_all(sr, CK_NORMAL);
 	failed = srunner_ntests_failed(sr);
--- a/regress/test_dag_room.c
+++ b/regress/test_dag_room.c
@@ -97,7 +97,7 @@
 static void lose_worker(uint32_t number)
 {
 	w.workers[number].cut = true;
-	dw_record_exit(&w, number + 1);
+	dw_announce_exit(&w, number + 1);
 	dw_run_for(&w, 6 * SECOND);
 	ck_assert_int_eq(recorded(number).state, DAG_WORKER_GONE);
 }
--- a/regress/test_http_server.c
+++ b/regress/test_http_server.c
@@ -23,6 +23,8 @@
 	size_t n_calls;
 	bool answers_at_once;
 	size_t n_abandoned;
+	bool gives_receipt;
+	size_t n_received;
 };
 
 static void on_request(struct http_server_host *host, struct http_request *req)
@@ -31,13 +33,22 @@
 
 	h->n_calls++;
 	h->n_abandoned += http_request_is_abandoned(req);
+	if (h->gives_receipt)
+		ck_assert_int_eq(buf_set(&req->receipt, STR("receipt")), 0);
 	if (h->answers_at_once)
 		http_request_reply(req, 200, NULL, 0, STR("ok"));
 	else
 		h->held[h->n_held++] = req;
 }
 
-static const struct http_server_ops server_ops = {.request = on_request};
+static void on_received(struct http_server_host *h, struct str receipt)
+{
+	ck_assert(str_eq(receipt, STR("receipt")));
+	((struct test_host *)h)->n_received++;
+}
+
+static const struct http_server_ops server_ops = {.request = on_request,
+						  .received = on_received};
 
 static struct ev_loop *loop;
 static struct test_host host;
@@ -284,6 +295,69 @@
 }
 END_TEST
 
+static void stop_loop(struct ev_loop *l, struct ev_timer *t, int events)
+{
+	ev_break(l, EVBREAK_ALL);
+}
+
+static void run_for(double seconds)
+{
+	struct ev_timer t;
+
+	ev_timer_init(&t, stop_loop, seconds, 0);
+	ev_timer_start(loop, &t);
+	ev_run(loop, 0);
+}
+
+static void reset_connection(int fd)
+{
+	struct linger at_once = {.l_onoff = 1};
+
+	ck_assert_int_eq(setsockopt(fd, SOL_SOCKET, SO_LINGER, &at_once, sizeof(at_once)),
+			 0);
+	close(fd);
+}
+
+/*
+ * Guards against an answer that counts as received though its sender had gone. _i 0: it
+ * reads the answer and closes; 1: it closes before; 2: it resets the connection; 3: it
+ * closes with the answer unread; 4: it sends another request, and closes before that is
+ * answered.
+ */
+START_TEST(answer_is_received_by_one_that_reads_it)
+{
+	char text[1024];
+	int fd;
+
+	open_server();
+	host.gives_receipt = true;
+	fd = open_client(GET);
+	run_until_calls(1);
+	if (_i == 1)
+		close(fd);
+	http_request_reply(host.held[0], 200, NULL, 0, STR("ok"));
+	run_for(0.05);
+	ck_assert_uint_eq(host.n_received, 0);
+	if (_i == 0 || _i == 2 || _i == 4)
+		ck_assert_int_gt(read(fd, text, sizeof(text)), 0);
+	if (_i == 4) {
+		ck_assert_int_eq(write(fd, GET, strlen(GET)), (ssize_t)strlen(GET));
+		run_until_calls(2);
+	}
+	if (_i == 2)
+		reset_connection(fd);
+	else if (_i != 1)
+		close(fd);
+	run_for(0.05);
+	if (_i == 4) {
+		http_request_reply(host.held[1], 200, NULL, 0, STR("ok"));
+		run_for(0.05);
+	}
+	ck_assert_uint_eq(host.n_received, _i == 0);
+	http_server_free(server);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("http-server");
@@ -299,6 +373,7 @@
 	tcase_add_test(tc, half_head_is_not_in_flight);
 	tcase_add_test(tc, abandoned_request_is_told);
 	tcase_add_test(tc, silent_callers_are_ended);
+	tcase_add_loop_test(tc, answer_is_received_by_one_that_reads_it, 0, 5);
 	suite_add_tcase(s, tc);
 	sr = srunner_create(s);
 	srunner_run_all(sr, CK_NORMAL);
--- a/regress/test_operators.c
+++ b/regress/test_operators.c
@@ -6,12 +6,16 @@
 #include "io/clock.h"
 #include "io/http_server.h"
 #include "platform/operators.h"
+#include "proto/codec.h"
 
 #define PATH "/api/instances/i-1/heartbeat"
 
 static struct http_server_host *server;
 static unsigned int status;
 static unsigned int forwarded;
+static struct buf receipt;
+static int64_t left_born_ms;
+static enum dag_outcome outcome;
 
 int http_server_new(const struct http_server_options *opt, struct http_server **out)
 {
@@ -25,6 +29,7 @@
 			struct str body)
 {
 	status = code;
+	ck_assert_int_eq(buf_set(&receipt, buf_str(&req->receipt)), 0);
 }
 
 bool http_request_is_abandoned(const struct http_request *req)
@@ -39,9 +44,12 @@
 static void on_request(struct dag_request_handler *p, const struct dag_request *req,
 		       double timeout, struct dag_pending_request *t)
 {
-	static const struct dag_reply reply = {.outcome = DAG_OK};
+	const struct dag_reply reply = {.outcome = outcome};
 
 	forwarded++;
+	if (req->kind == DAG_REQ_LEFT &&
+	    str_eq(XDR_STR(req->dag_request_u.left.id, text), STR("i-1")))
+		left_born_ms = req->dag_request_u.left.born_ms;
 	t->ops->done(t, &reply);
 }
 
@@ -50,8 +58,16 @@
 	return STR("10.0.0.1:7000");
 }
 
+static int64_t worker_born_ms(struct dag_request_handler *p, struct str id)
+{
+	return str_eq(id, STR("i-1")) ? 1700000000000 : 0;
+}
+
 static const struct dag_request_handler_ops handler_ops = {
-	.request = on_request, .report_address = report_address};
+	.request = on_request,
+	.report_address = report_address,
+	.worker_born_ms = worker_born_ms,
+};
 static struct dag_request_handler handler = {.ops = &handler_ops};
 static struct operators *operators;
 
@@ -60,22 +76,31 @@
 	struct operators_options opt = {.handler = &handler};
 
 	forwarded = 0;
+	outcome = DAG_OK;
+	left_born_ms = 0;
 	ck_assert_int_eq(operators_new(&opt, &operators), 0);
 }
 
 static void teardown(void)
 {
 	operators_free(operators);
+	buf_free(&receipt);
 }
 
-static void post(struct str body)
+static void post_to(const char *path, struct str body)
 {
-	struct http_request req = {.method = "POST", .path = PATH};
+	struct http_request req = {.method = "POST", .path = path};
 
 	status = 0;
 	ck_assert_int_eq(buf_add(&req.body, body.p, body.n), 0);
 	server->ops->request(server, &req);
 	buf_free(&req.body);
+	buf_free(&req.receipt);
+}
+
+static void post(struct str body)
+{
+	post_to(PATH, body);
 }
 
 /* A report; other replaces its field of that name. */
@@ -131,6 +156,25 @@
 }
 END_TEST
 
+/* Guards against an executor whose end is told though it has no answer to its notice, or
+ * of another life. _i 1: the notice is refused.
+ */
+START_TEST(executor_that_received_its_answer_has_left)
+{
+	outcome = _i ? DAG_REJECTED : DAG_OK;
+	post_to("/api/instances/i-1/deregister", STR(""));
+	ck_assert_uint_eq(status, _i ? 503 : 200);
+	ck_assert_int_eq(left_born_ms, 0);
+	ck_assert_int_eq(receipt.n > 0, _i == 0);
+	if (_i)
+		return;
+	server->ops->received(server, buf_str(&receipt));
+	ck_assert_int_eq(left_born_ms, 1700000000000);
+	report("", "");
+	ck_assert_uint_eq(receipt.n, 0);
+}
+END_TEST
+
 /* Guards against one report that makes all later ones under its id old. */
 START_TEST(report_with_times_of_no_clock_is_refused)
 {
@@ -178,6 +222,7 @@
 	tcase_add_checked_fixture(tc, setup, teardown);
 	tcase_add_test(tc, report_with_an_address_of_no_host_is_refused);
 	tcase_add_test(tc, report_with_times_of_no_clock_is_refused);
+	tcase_add_loop_test(tc, executor_that_received_its_answer_has_left, 0, 2);
 	tcase_add_test(tc, odd_report_is_refused);
 	suite_add_tcase(s, tc);
 	sr = srunner_create(s);
