--- a/carawayfrontd/controller_impl.h
+++ b/carawayfrontd/controller_impl.h
@@ -31,6 +31,7 @@
 	uint64_t zone;	/* hash of the name, of an order for a zone; else 0 */
 	bool zone_closed;
 	bool is_withdrawal;
+	bool is_conf;
 	uint64_t job; /* of a withdrawal */
 };
 
--- a/carawayfrontd/controller_request.c
+++ b/carawayfrontd/controller_request.c
@@ -178,6 +178,7 @@
 		w->zone = zone_hash(&cmd->dag_command_u.zone);
 		w->zone_closed = cmd->dag_command_u.zone.closed != 0;
 	}
+	w->is_conf = cmd->kind == DAG_CMD_CONF;
 	if (cmd->kind == DAG_CMD_WITHDRAW) {
 		w->is_withdrawal = true;
 		w->job = cmd->dag_command_u.withdrawal.job;
@@ -229,11 +230,32 @@
 	return DAG_OK;
 }
 
+/*
+ * Whether a configuration is proposed and not applied yet. The names of queues may mean
+ * others behind it in the log.
+ */
+static bool has_conf_in_flight(const struct controller *c)
+{
+	for (const struct controller_wait *w = c->waits; w; w = w->next)
+		if (w->is_conf)
+			return true;
+	return false;
+}
+
+/* The gateway asks again soon. */
+static void reply_again(struct dag_pending_request *t)
+{
+	reply_outcome(t, DAG_NOT_LEADER);
+}
+
 static void serve_submit(struct controller *c, const struct dag_submit *s,
 			 struct dag_pending_request *t)
 {
 	struct dag_command cmd = {.kind = DAG_CMD_SUBMIT};
 	struct dag_job *job = &cmd.dag_command_u.job;
+	unsigned char ref_bytes[DAG_QUEUE_REF_BYTES];
+	struct dag_queue_key key;
+	struct str ref;
 	const struct dag_queue *q;
 	bool is_queue;
 	uint64_t id;
@@ -253,10 +275,15 @@
 		reply_outcome(t, DAG_REJECTED);
 		return;
 	}
+	if (has_conf_in_flight(c)) {
+		reply_again(t);
+		return;
+	}
+	key = dag_queue_key(q);
+	ref = dag_state_refer_queue(c->state, &key, ref_bytes);
 	*job = s->job;
 	job->id = id;
-	job->queue.queue_val = q->name.name_val;
-	job->queue.queue_len = q->name.name_len;
+	XDR_SET(*job, queue, ref);
 	job->accepted_ms = clock_wall_us() / 1000;
 	propose_and_wait(c, &cmd, t);
 }
@@ -265,8 +292,9 @@
 				    uint64_t id)
 {
 	struct dag_job_rec *j = dag_state_find_job(c->state, id);
+	struct dag_queue_key key = dag_queue_key(q);
 
-	return j && str_eq(XDR_STR(j->spec, queue), XDR_STR(*q, name)) ? j : NULL;
+	return j && dag_queue_key_equal(&j->queue, &key) ? j : NULL;
 }
 
 static void serve_read(struct controller *c, const struct dag_target *target,
@@ -275,13 +303,15 @@
 	struct dag_reply reply = {0};
 	const struct dag_queue *q;
 	const struct dag_job_rec *j;
+	struct dag_queue_key key;
 	bool is_queue;
 	uint64_t id;
 
 	reply.outcome = resolve(c, target, &q, &id, &is_queue);
 	if (reply.outcome == DAG_OK && is_queue) {
 		reply.is_queue = true;
-		reply.waiting = dag_state_count_waiting(c->state, XDR_STR(*q, name));
+		key = dag_queue_key(q);
+		reply.waiting = dag_state_count_waiting(c->state, &key);
 	} else if (reply.outcome == DAG_OK) {
 		j = find_job(c, q, id);
 		reply.outcome = j ? DAG_OK : DAG_NO_JOB;
@@ -291,18 +321,25 @@
 }
 
 /* The submission of a job that is not known may be under way, or come after this. */
-static void withdraw(struct controller *c, uint64_t id, struct str queue,
+static void withdraw(struct controller *c, uint64_t id, const struct dag_queue *q,
 		     struct dag_pending_request *t)
 {
 	struct dag_command cmd = {.kind = DAG_CMD_WITHDRAW};
+	struct dag_queue_key key = dag_queue_key(q);
+	unsigned char ref_bytes[DAG_QUEUE_REF_BYTES];
+	struct str ref = dag_state_refer_queue(c->state, &key, ref_bytes);
 
 	if (dag_state_find_job(c->state, id) ||
-	    dag_state_is_withdrawn(c->state, id, queue)) {
+	    dag_state_is_withdrawn(c->state, id, &key)) {
 		reply_outcome(t, DAG_NO_JOB);
 		return;
 	}
+	if (has_conf_in_flight(c)) {
+		reply_again(t);
+		return;
+	}
 	cmd.dag_command_u.withdrawal.job = id;
-	XDR_SET(cmd.dag_command_u.withdrawal, queue, queue);
+	XDR_SET(cmd.dag_command_u.withdrawal, queue, ref);
 	log_info("job-withdrawn", "job=%016llx", (unsigned long long)id);
 	propose_and_wait(c, &cmd, t);
 }
@@ -323,7 +360,7 @@
 	}
 	j = find_job(c, q, id);
 	if (!j) {
-		withdraw(c, id, XDR_STR(*q, name), t);
+		withdraw(c, id, q, t);
 		return;
 	}
 	if (dag_job_ended(j)) {
--- a/core/dag_ready.c
+++ b/core/dag_ready.c
@@ -225,7 +225,7 @@
 	TAILQ_INIT(&j->runs);
 	j->rec = rec;
 	j->n_steps = n;
-	j->queue = dag_state_find_queue(s->state, XDR_STR(rec->spec, queue));
+	j->queue = dag_state_find_queue(s->state, &rec->queue);
 	j->steps = calloc((size_t)rec->n_occ * n, sizeof(*j->steps));
 	j->tasks = calloc((size_t)rec->n_occ * rec->n_tasks, sizeof(*j->tasks));
 	if (!j->steps || !j->tasks) {
--- a/core/dag_sched.c
+++ b/core/dag_sched.c
@@ -43,16 +43,18 @@
 {
 	struct dag_task_ref t = {.job = j->id};
 
-	s->host->ops->log_event(s->host, "job-accepted", &t, 0, XDR_STR(j->spec, queue),
-				state_name(j->state), j->n_tasks);
+	s->host->ops->log_event(s->host, "job-accepted", &t, 0,
+				dag_state_queue_name(s->state, j), state_name(j->state),
+				j->n_tasks);
 }
 
 static void log_ended(struct dag_sched *s, const struct dag_job_rec *j)
 {
 	struct dag_task_ref t = {.job = j->id};
 
-	s->host->ops->log_final(s->host, "job-ended", &t, 0, XDR_STR(j->spec, queue),
-				state_name(j->state), j->ended_ms - j->spec.accepted_ms);
+	s->host->ops->log_final(s->host, "job-ended", &t, 0,
+				dag_state_queue_name(s->state, j), state_name(j->state),
+				j->ended_ms - j->spec.accepted_ms);
 }
 
 static void on_job_added(struct dag_observer *o, struct dag_job_rec *rec)
@@ -239,7 +241,7 @@
 	struct ds_job *j;
 
 	TAILQ_FOREACH (j, &s->jobs, entry)
-		j->queue = dag_state_find_queue(s->state, XDR_STR(j->rec->spec, queue));
+		j->queue = dag_state_find_queue(s->state, &j->rec->queue);
 	for (size_t i = 0; i < s->n_workers; i++)
 		ds_worker_refresh(s, s->workers[i]);
 	s->placement_needed = true;
--- a/core/dag_state.c
+++ b/core/dag_state.c
@@ -103,6 +103,8 @@
 	}
 	codec_free((xdrproc_t)xdr_dag_conf, &s->conf);
 	memset(&s->conf, 0, sizeof(s->conf));
+	free(s->queue_keys);
+	s->queue_keys = NULL;
 	codec_free((xdrproc_t)xdr_dag_model, &s->model);
 	memset(&s->model, 0, sizeof(s->model));
 }
@@ -116,14 +118,15 @@
 }
 
 /* Returns the number of jobs of a queue of which no worker has begun a task. */
-uint32_t dag_state_count_waiting(const struct dag_state *s, struct str queue)
+uint32_t dag_state_count_waiting(const struct dag_state *s,
+				 const struct dag_queue_key *queue)
 {
 	const struct dag_job_rec *j;
 	uint32_t n = 0;
 
 	for (j = s->jobs; j; j = j->hh.next)
 		n += j->state == DAG_JOB_QUEUED && !j->started &&
-		     str_eq(XDR_STR(j->spec, queue), queue);
+		     dag_queue_key_equal(&j->queue, queue);
 	return n;
 }
 
@@ -267,6 +270,7 @@
 	j->attempts = attempts;
 	err = copy_xdr((xdrproc_t)xdr_dag_job, spec, &j->spec, sizeof(j->spec));
 	limit_times(&j->spec);
+	j->queue_known = dag_state_resolve_queue(s, XDR_STR(*spec, queue), &j->queue);
 	if (!err)
 		err = alloc_tasks(j);
 	if (err) {
@@ -354,7 +358,7 @@
 	}
 	codec_free((xdrproc_t)xdr_dag_conf, &s->conf);
 	s->conf = copy;
-	return 0;
+	return dag_state_index_queues(s);
 }
 
 int dag_state_set_model(struct dag_state *s, const struct dag_model *model)
@@ -371,6 +375,18 @@
 	return 0;
 }
 
+/* Finds the queues of jobs whose names were in no configuration before. */
+static void name_queues(struct dag_state *s)
+{
+	struct dag_job_rec *j;
+
+	for (j = s->jobs; j; j = j->hh.next)
+		if (!j->queue_known)
+			j->queue_known = dag_state_resolve_queue(
+				s, XDR_STR(j->spec, queue), &j->queue);
+	dag_state_name_withdrawn(s);
+}
+
 /* Ignores a configuration unless its revision is higher than the current one. */
 static int apply_conf(struct dag_state *s, const struct dag_conf *conf)
 {
@@ -379,6 +395,8 @@
 	if (conf->revision <= s->conf.revision)
 		return 0;
 	err = dag_state_set_conf(s, conf);
+	if (!err)
+		name_queues(s);
 	if (!err && s->observer)
 		s->observer->ops->conf_changed(s->observer);
 	return err;
@@ -485,16 +503,19 @@
  */
 static int apply_submit(struct dag_state *s, const struct dag_job *spec)
 {
-	const struct dag_queue *q = dag_state_find_queue(s, XDR_STR(*spec, queue));
+	const struct dag_queue *q;
+	struct dag_queue_key key;
 	struct dag_job_rec *j;
 	int err;
 
 	if (dag_state_find_job(s, spec->id))
 		return 0;
+	dag_state_resolve_queue(s, XDR_STR(*spec, queue), &key);
+	q = dag_state_find_queue(s, &key);
 	err = dag_state_add_job(s, spec, q ? q->attempts : 1, &j);
 	if (!err && s->observer)
 		s->observer->ops->job_added(s->observer, j);
-	if (!err && dag_state_take_withdrawn(s, j->id, XDR_STR(j->spec, queue)))
+	if (!err && dag_state_take_withdrawn(s, j->id, &j->queue))
 		dag_state_end_job(s, j, DAG_JOB_CANCELLED);
 	/* Every replica ignores an invalid job, so that is no error. */
 	return err == CF_EINVAL ? 0 : err;
@@ -512,10 +533,12 @@
 static int apply_withdraw(struct dag_state *s, const struct dag_withdrawal *w)
 {
 	struct dag_job_rec *j = dag_state_find_job(s, w->job);
+	struct dag_queue_key key;
 
 	if (!j)
 		return dag_state_withdraw(s, w->job, XDR_STR(*w, queue), s->time_ms);
-	if (str_eq(XDR_STR(j->spec, queue), XDR_STR(*w, queue)))
+	dag_state_resolve_queue(s, XDR_STR(*w, queue), &key);
+	if (dag_queue_key_equal(&j->queue, &key))
 		apply_cancel(s, w->job);
 	return 0;
 }
--- a/core/dag_state.h
+++ b/core/dag_state.h
@@ -69,10 +69,20 @@
 	uint32_t tasks_left;
 };
 
+/* Identity of a queue, see core/dag_queue.c. */
+struct dag_queue_key {
+	uint64_t high;
+	uint64_t low;
+};
+
+#define DAG_QUEUE_REF_BYTES 17U
+
 struct dag_job_rec {
 	UT_hash_handle hh;
 	uint64_t id;
-	struct dag_job spec;
+	struct dag_job spec; /* its queue is a reference as it came */
+	struct dag_queue_key queue;
+	bool queue_known; /* false: its name was in no configuration yet */
 	enum dag_job_state state;
 	uint32_t attempts;
 	bool started;	       /* a worker has begun a task */
@@ -152,8 +162,9 @@
 struct dag_withdrawn;
 
 struct dag_state {
-	uint64_t n_tasks;	    /* of all jobs and occurrences */
-	struct dag_conf conf;	    /* revision 0: none yet */
+	uint64_t n_tasks;		  /* of all jobs and occurrences */
+	struct dag_conf conf;		  /* revision 0: none yet */
+	struct dag_queue_key *queue_keys; /* of the queues of conf */
 	struct dag_zone_rec *zones; /* all that are closed, and others with an order */
 	uint64_t zone_orders_floor; /* orders of other zones are not newer */
 	struct dag_worker_rec *workers; /* by number */
@@ -186,11 +197,19 @@
 						   struct str id);
 bool dag_state_service_guarded(const struct dag_state *s, struct str service);
 bool dag_state_is_old_report(const struct dag_state *s, const struct dag_worker *w);
-const struct dag_queue *dag_state_find_queue(const struct dag_state *s, struct str name);
 const struct dag_queue *dag_state_match_queue(const struct dag_state *s, struct str host,
 					      struct str path, struct str *rest);
-bool dag_state_is_withdrawn(const struct dag_state *s, uint64_t id, struct str queue);
-uint32_t dag_state_count_waiting(const struct dag_state *s, struct str queue);
+bool dag_state_is_withdrawn(const struct dag_state *s, uint64_t id,
+			    const struct dag_queue_key *queue);
+uint32_t dag_state_count_waiting(const struct dag_state *s,
+				 const struct dag_queue_key *queue);
+struct dag_queue_key dag_queue_key(const struct dag_queue *q);
+bool dag_queue_key_equal(const struct dag_queue_key *a, const struct dag_queue_key *b);
+const struct dag_queue *dag_state_find_queue(const struct dag_state *s,
+					     const struct dag_queue_key *key);
+struct str dag_state_refer_queue(const struct dag_state *s,
+				 const struct dag_queue_key *key, unsigned char *bytes);
+struct str dag_state_queue_name(const struct dag_state *s, const struct dag_job_rec *j);
 
 struct dag_task *dag_job_find_task(const struct dag_job_rec *j, uint32_t occurrence,
 				   uint32_t step, uint32_t index);
@@ -235,9 +254,15 @@
 int dag_state_set_conf(struct dag_state *s, const struct dag_conf *conf);
 int dag_state_set_model(struct dag_state *s, const struct dag_model *model);
 void dag_state_clear(struct dag_state *s);
+int dag_state_index_queues(struct dag_state *s);
+bool dag_state_resolve_queue(const struct dag_state *s, struct str ref,
+			     struct dag_queue_key *key);
 int dag_state_withdraw(struct dag_state *s, uint64_t id, struct str queue, int64_t at_ms);
-bool dag_state_take_withdrawn(struct dag_state *s, uint64_t id, struct str queue);
+bool dag_state_take_withdrawn(struct dag_state *s, uint64_t id,
+			      const struct dag_queue_key *queue);
+void dag_state_name_withdrawn(struct dag_state *s);
 void dag_state_clear_withdrawn(struct dag_state *s);
-void dag_state_list_withdrawn(const struct dag_state *s, struct dag_image_job *out);
+void dag_state_list_withdrawn(const struct dag_state *s, unsigned char *refs,
+			      struct dag_image_job *out);
 
 #endif
--- a/core/dag_state_lookup.c
+++ b/core/dag_state_lookup.c
@@ -82,14 +82,6 @@
 	return false;
 }
 
-const struct dag_queue *dag_state_find_queue(const struct dag_state *s, struct str name)
-{
-	for (u_int i = 0; i < s->conf.queues.queues_len; i++)
-		if (str_eq(XDR_STR(s->conf.queues.queues_val[i], name), name))
-			return &s->conf.queues.queues_val[i];
-	return NULL;
-}
-
 /*
  * Finds the queue of host whose prefix is the longest that matches path. rest: what
  * follows the prefix. NULL: no queue matches.
--- a/core/dag_state_snapshot.c
+++ b/core/dag_state_snapshot.c
@@ -67,10 +67,12 @@
 	free(ij->tasks.tasks_val);
 }
 
+/* queue_ref: memory for the reference to its queue. */
 static int fill_job(const struct dag_state *s, const struct dag_job_rec *j,
-		    struct dag_image_job *ij)
+		    unsigned char *queue_ref, struct dag_image_job *ij)
 {
 	u_int n = j->n_occ * j->n_tasks;
+	struct str queue;
 	int err = 0;
 
 	ij->tasks.tasks_val = calloc(n, sizeof(*ij->tasks.tasks_val));
@@ -78,6 +80,10 @@
 		return CF_ENOMEM;
 	ij->tasks.tasks_len = n;
 	ij->spec = j->spec;
+	if (j->queue_known) {
+		queue = dag_state_refer_queue(s, &j->queue, queue_ref);
+		XDR_SET(ij->spec, queue, queue);
+	}
 	ij->state = j->state;
 	ij->attempts = j->attempts;
 	ij->started = j->started;
@@ -94,7 +100,9 @@
 	return err;
 }
 
-static int fill_image(const struct dag_state *s, struct dag_image *im)
+/* refs: DAG_QUEUE_REF_BYTES for each job and withdrawal. */
+static int fill_image(const struct dag_state *s, unsigned char *refs,
+		      struct dag_image *im)
 {
 	const struct dag_worker_rec *w;
 	const struct dag_zone_rec *z;
@@ -128,11 +136,11 @@
 		im->workers.workers_val[im->workers.workers_len++] =
 			(struct dag_image_worker){w->number | (w->lost ? WORKER_LOST : 0),
 						  w->w};
-	for (j = s->jobs; j && !err; j = j->hh.next)
-		err = fill_job(s, j, &im->jobs.jobs_val[im->jobs.jobs_len++]);
+	for (j = s->jobs; j && !err; j = j->hh.next, refs += DAG_QUEUE_REF_BYTES)
+		err = fill_job(s, j, refs, &im->jobs.jobs_val[im->jobs.jobs_len++]);
 	if (err)
 		return err;
-	dag_state_list_withdrawn(s, &im->jobs.jobs_val[im->jobs.jobs_len]);
+	dag_state_list_withdrawn(s, refs, &im->jobs.jobs_val[im->jobs.jobs_len]);
 	im->jobs.jobs_len += s->n_withdrawn;
 	return 0;
 }
@@ -141,7 +149,9 @@
 int dag_state_snapshot(const struct dag_state *s, struct buf *out)
 {
 	struct dag_image im = {0};
-	int err = fill_image(s, &im);
+	unsigned char *refs = calloc(HASH_COUNT(s->jobs) + (size_t)s->n_withdrawn + 1,
+				     DAG_QUEUE_REF_BYTES);
+	int err = refs ? fill_image(s, refs, &im) : CF_ENOMEM;
 
 	if (!err)
 		err = codec_encode((xdrproc_t)xdr_dag_image, &im, out);
@@ -150,6 +160,7 @@
 	free(im.closed_zones.closed_zones_val);
 	free(im.workers.workers_val);
 	free(im.jobs.jobs_val);
+	free(refs);
 	return err;
 }
 
--- a/core/dag_withdrawn.c
+++ b/core/dag_withdrawn.c
@@ -15,7 +15,9 @@
 struct dag_withdrawn {
 	uint64_t id;
 	int64_t at_ms;
-	struct buf queue;
+	struct buf ref; /* to the queue, as it came */
+	struct dag_queue_key queue;
+	bool queue_known;
 };
 
 static struct dag_withdrawn *find(const struct dag_state *s, uint64_t id)
@@ -26,16 +28,16 @@
 	return NULL;
 }
 
-static bool is_of_queue(const struct dag_withdrawn *w, struct str queue)
+static bool is_of_queue(const struct dag_withdrawn *w, const struct dag_queue_key *queue)
 {
-	return w && str_eq(buf_str(&w->queue), queue);
+	return w && dag_queue_key_equal(&w->queue, queue);
 }
 
 static void forget(struct dag_state *s, struct dag_withdrawn *w)
 {
 	size_t after = (size_t)(&s->withdrawn[--s->n_withdrawn] - w);
 
-	buf_free(&w->queue);
+	buf_free(&w->ref);
 	memmove(w, w + 1, after * sizeof(*w));
 }
 
@@ -65,19 +67,22 @@
 	s->withdrawn = w;
 	w += s->n_withdrawn;
 	*w = (struct dag_withdrawn){.id = id, .at_ms = at_ms};
-	err = buf_set(&w->queue, queue);
+	w->queue_known = dag_state_resolve_queue(s, queue, &w->queue);
+	err = buf_set(&w->ref, queue);
 	if (!err)
 		s->n_withdrawn++;
 	return err;
 }
 
-bool dag_state_is_withdrawn(const struct dag_state *s, uint64_t id, struct str queue)
+bool dag_state_is_withdrawn(const struct dag_state *s, uint64_t id,
+			    const struct dag_queue_key *queue)
 {
 	return is_of_queue(find(s, id), queue);
 }
 
 /* Forgets the withdrawal of a job that is known now. Returns whether there was one. */
-bool dag_state_take_withdrawn(struct dag_state *s, uint64_t id, struct str queue)
+bool dag_state_take_withdrawn(struct dag_state *s, uint64_t id,
+			      const struct dag_queue_key *queue)
 {
 	struct dag_withdrawn *w = find(s, id);
 	bool found = is_of_queue(w, queue);
@@ -90,20 +95,41 @@
 void dag_state_clear_withdrawn(struct dag_state *s)
 {
 	for (u_int i = 0; i < s->n_withdrawn; i++)
-		buf_free(&s->withdrawn[i].queue);
+		buf_free(&s->withdrawn[i].ref);
 	free(s->withdrawn);
 	s->withdrawn = NULL;
 	s->n_withdrawn = 0;
 }
 
-/* Writes all of them, oldest first, as jobs without steps; borrows the names of queues.
+/* Finds the queues whose names were in no configuration before. */
+void dag_state_name_withdrawn(struct dag_state *s)
+{
+	for (u_int i = 0; i < s->n_withdrawn; i++) {
+		struct dag_withdrawn *w = &s->withdrawn[i];
+
+		if (!w->queue_known)
+			w->queue_known =
+				dag_state_resolve_queue(s, buf_str(&w->ref), &w->queue);
+	}
+}
+
+/*
+ * Writes all of them, oldest first, as jobs without steps; borrows the names of queues.
+ * refs: DAG_QUEUE_REF_BYTES for each of them.
  */
-void dag_state_list_withdrawn(const struct dag_state *s, struct dag_image_job *out)
+void dag_state_list_withdrawn(const struct dag_state *s, unsigned char *refs,
+			      struct dag_image_job *out)
 {
 	for (u_int i = 0; i < s->n_withdrawn; i++, out++) {
-		out->spec.id = s->withdrawn[i].id;
-		XDR_SET(out->spec, queue, buf_str(&s->withdrawn[i].queue));
+		const struct dag_withdrawn *w = &s->withdrawn[i];
+		unsigned char *bytes = refs + (size_t)i * DAG_QUEUE_REF_BYTES;
+		struct str ref = w->queue_known
+					 ? dag_state_refer_queue(s, &w->queue, bytes)
+					 : buf_str(&w->ref);
+
+		out->spec.id = w->id;
+		XDR_SET(out->spec, queue, ref);
 		out->state = DAG_JOB_CANCELLED;
-		out->ended_ms = s->withdrawn[i].at_ms;
+		out->ended_ms = w->at_ms;
 	}
 }
--- a/regress/lib_dag_world.c
+++ b/regress/lib_dag_world.c
@@ -276,32 +276,52 @@
 	ck_assert_int_eq(host_propose(&w->host, c), 0);
 }
 
-void dw_set_guarded(struct dag_world *w, bool guarded)
+static void set_conf(struct dag_world *w, const struct dw_queue *queues, u_int n,
+		     bool guarded)
 {
 	struct dag_command c = {.kind = DAG_CMD_CONF};
-	struct dag_queue q = {
-		.timeout_ms = 1000, .slo_ms = 1000, .attempts = 2, .stretch_milli = 2000};
+	struct dag_queue list[DW_QUEUES];
 	struct dag_service s = {.guarded = guarded};
 
-	XDR_SET(q, name, STR("q"));
-	XDR_SET(q, host, STR("h"));
-	XDR_SET(q, prefix, STR("/q/"));
-	XDR_SET(q, service, STR("svc"));
+	ck_assert_uint_le(n, DW_QUEUES);
+	for (u_int i = 0; i < n; i++) {
+		list[i] = (struct dag_queue){.timeout_ms = 1000,
+					     .slo_ms = 1000,
+					     .attempts = 2,
+					     .stretch_milli = 2000};
+		XDR_SET(list[i], name, str_from(queues[i].name));
+		XDR_SET(list[i], host, STR("h"));
+		XDR_SET(list[i], prefix, str_from(queues[i].prefix));
+		XDR_SET(list[i], service, str_from(queues[i].service));
+	}
 	XDR_SET(s, name, STR("svc"));
 	c.dag_command_u.conf = (struct dag_conf){.revision = ++w->conf_revision};
-	c.dag_command_u.conf.queues.queues_len = 1;
-	c.dag_command_u.conf.queues.queues_val = &q;
+	c.dag_command_u.conf.queues.queues_len = n;
+	c.dag_command_u.conf.queues.queues_val = list;
 	c.dag_command_u.conf.services.services_len = 1;
 	c.dag_command_u.conf.services.services_val = &s;
 	propose(w, &c);
 }
 
+void dw_set_queues(struct dag_world *w, const struct dw_queue *queues, u_int n)
+{
+	set_conf(w, queues, n, true);
+}
+
+void dw_set_guarded(struct dag_world *w, bool guarded)
+{
+	static const struct dw_queue queue = {"q", "/q/", "svc"};
+
+	set_conf(w, &queue, 1, guarded);
+}
+
 void dw_open(struct dag_world *w, uint64_t seed)
 {
 	memset(w, 0, sizeof(*w));
 	w->host.ops = &host_ops;
 	w->now_us = 1000 * MS;
 	w->work_us = 500 * MS;
+	w->queue = "q";
 	w->commit_us = COMMIT_US;
 	w->prng.state = seed;
 	ck_assert_int_eq(dag_state_new(&w->state), 0);
@@ -1192,7 +1212,7 @@
 
 	c.dag_command_u.job = *job;
 	c.dag_command_u.job.accepted_ms = dw_wall_ms(w);
-	XDR_SET(c.dag_command_u.job, queue, STR("q"));
+	XDR_SET(c.dag_command_u.job, queue, str_from(w->queue));
 	propose(w, &c);
 }
 
@@ -1257,6 +1277,22 @@
 	propose(w, &c);
 }
 
+bool dw_is_withdrawn(const struct dag_state *s, uint64_t id, struct str queue)
+{
+	struct dag_queue_key key;
+
+	dag_state_resolve_queue(s, queue, &key);
+	return dag_state_is_withdrawn(s, id, &key);
+}
+
+uint32_t dw_count_waiting(const struct dag_state *s, struct str queue)
+{
+	struct dag_queue_key key;
+
+	dag_state_resolve_queue(s, queue, &key);
+	return dag_state_count_waiting(s, &key);
+}
+
 void dw_close_zone(struct dag_world *w, bool closed)
 {
 	struct dag_command c = {.kind = DAG_CMD_ZONE};
@@ -1281,6 +1317,11 @@
  * The leader is lost. Of what it proposed and did not commit, the next leader has a
  * part from the start.
  */
+void dw_lead(struct dag_world *w)
+{
+	new_leader(w);
+}
+
 void dw_change_leader(struct dag_world *w)
 {
 	struct dag_state *next = w->follower;
--- a/regress/lib_dag_world.h
+++ b/regress/lib_dag_world.h
@@ -167,6 +167,7 @@
 	uint64_t epoch;
 	uint64_t life;
 	uint64_t conf_revision;
+	const char *queue; /* name of the one that gets jobs */
 	struct dw_worker workers[DW_WORKERS];
 	size_t n_workers;
 	struct dw_event events[DW_EVENTS];
@@ -245,6 +246,15 @@
 void dw_cancel(struct dag_world *w, uint64_t id);
 /* Cancels a job that the leader does not know. */
 void dw_withdraw(struct dag_world *w, uint64_t id, struct str queue);
+/* The same as the scheduler's, of a queue by its present name. */
+bool dw_is_withdrawn(const struct dag_state *s, uint64_t id, struct str queue);
+uint32_t dw_count_waiting(const struct dag_state *s, struct str queue);
+/* Puts a configuration in force. The world's own has the queue q of svc at h and /q/. */
+#define DW_QUEUES 4U
+struct dw_queue {
+	const char *name, *prefix, *service;
+};
+void dw_set_queues(struct dag_world *w, const struct dw_queue *queues, u_int n);
 void dw_close_zone(struct dag_world *w, bool closed);
 void dw_crash_worker(struct dag_world *w, uint32_t number, bool restart);
 /* Starts again at once; neither a report nor a broken connection tells of it. */
@@ -269,6 +279,8 @@
 /* Crashes; starts again after a time, under its old or another id. */
 void dw_crash_for(struct dag_world *w, uint32_t number, int64_t us, bool new_id);
 void dw_change_leader(struct dag_world *w);
+/* A scheduler for the state as it is; the earlier one must have been freed. */
+void dw_lead(struct dag_world *w);
 enum dag_job_state dw_state(struct dag_world *w, uint64_t id);
 int64_t dw_wall_ms(const struct dag_world *w);
 uint32_t dw_alive(struct dag_world *w, uint64_t id);
--- a/regress/soak_site.sh
+++ b/regress/soak_site.sh
@@ -158,11 +158,12 @@
 # Operators. Lines of the file conf: "sent VERSION", "acked VERSION", "read VERSION STATUS",
 # "refused VERSION", each with the milliseconds; of zones: "closed ZONE" after the answer and
 # "opening ZONE" before the request.
-soak_conf() { # VERSION: the later ones have queues of their own
+soak_conf() { # VERSION: the later ones have queues of their own; names change places
 	printf '{"version":%s,"routes":[' "$1"
-	printf '{"name":"q","host":"h.example","path_prefix":"/q/","type":"unsafe","timeout_ms":%s,"slo_ms":1000,"priority":0,"service":"svc","attempts":2,"stretch":2.0}' \
-		$((3000 + $1 % 7))
-	[ $(($1 % 2)) = 1 ] && printf ',{"name":"e%s","host":"e.example","path_prefix":"/e%s/","type":"unsafe","timeout_ms":3000,"slo_ms":1000,"priority":1,"service":"svc","attempts":2,"stretch":2.0}' "$1" "$1"
+	printf '{"name":"q%s","host":"h.example","path_prefix":"/q/","type":"unsafe","timeout_ms":%s,"slo_ms":1000,"priority":0,"service":"svc","attempts":2,"stretch":2.0}' \
+		$(($1 / 3 % 3)) $((3000 + $1 % 7))
+	[ $(($1 % 2)) = 1 ] && printf ',{"name":"q%s","host":"e.example","path_prefix":"/e%s/","type":"unsafe","timeout_ms":3000,"slo_ms":1000,"priority":1,"service":"svc","attempts":2,"stretch":2.0}' \
+		$((($1 / 3 + 1) % 3)) "$1"
 	printf '],"services":[{"name":"svc","admission_control":true}],"limits":{}}'
 }
 soak_control() { # CONTROLLER METHOD PATH FILE [BODY]: prints the status
--- a/regress/test_dag_waiting.c
+++ b/regress/test_dag_waiting.c
@@ -22,7 +22,7 @@
 
 static uint32_t waiting(void)
 {
-	return dag_state_count_waiting(w.state, STR("q"));
+	return dw_count_waiting(w.state, STR("q"));
 }
 
 /* State of a job, and whether it waits, after a snapshot was taken and restored. */
@@ -34,7 +34,7 @@
 	ck_assert_int_eq(dag_state_new(&copy), 0);
 	ck_assert_int_eq(dag_state_snapshot(w.state, &image), 0);
 	ck_assert_int_eq(dag_state_restore(copy, buf_str(&image)), 0);
-	ck_assert_uint_eq(dag_state_count_waiting(copy, STR("q")), n);
+	ck_assert_uint_eq(dw_count_waiting(copy, STR("q")), n);
 	buf_free(&image);
 	dag_state_free(copy);
 }
--- a/regress/test_dag_withdrawn.c
+++ b/regress/test_dag_withdrawn.c
@@ -83,8 +83,8 @@
 	ck_assert_int_eq(dag_state_restore(copy, buf_str(&a)), 0);
 	ck_assert_int_eq(dag_state_snapshot(copy, &b), 0);
 	ck_assert(str_eq(buf_str(&a), buf_str(&b)));
-	ck_assert(dag_state_is_withdrawn(copy, 2, STR("q")));
-	ck_assert(!dag_state_is_withdrawn(copy, 2, STR("other")));
+	ck_assert(dw_is_withdrawn(copy, 2, STR("q")));
+	ck_assert(!dw_is_withdrawn(copy, 2, STR("other")));
 	dag_state_free(copy);
 	buf_free(&a);
 	buf_free(&b);
@@ -106,8 +106,8 @@
 		if (id % 100 == 0)
 			dw_run_for(&w, SECOND / 10);
 	}
-	ck_assert(dag_state_is_withdrawn(w.state, MANY, STR("q")));
-	ck_assert(!dag_state_is_withdrawn(w.state, 1, STR("q")));
+	ck_assert(dw_is_withdrawn(w.state, MANY, STR("q")));
+	ck_assert(!dw_is_withdrawn(w.state, 1, STR("q")));
 	ck_assert_int_eq(dag_state_snapshot(w.state, &snapshot), 0);
 	ck_assert_uint_lt(snapshot.n, MANY_BYTES);
 	buf_free(&snapshot);
