--- a/carawayfrontd/controller.c
+++ b/carawayfrontd/controller.c
@@ -73,19 +73,10 @@
 	return str_from(c->report_text);
 }
 
-static int64_t port_worker_born_ms(struct dag_request_handler *p, struct str id)
-{
-	const struct dag_worker_rec *w =
-		dag_state_find_worker_by_id(CONTROLLER_OF(p, port)->state, id);
-
-	return w ? w->w.born_ms : 0;
-}
-
 static const struct dag_request_handler_ops port_ops = {
 	.request = port_request,
 	.ready = port_ready,
 	.report_address = port_report_address,
-	.worker_born_ms = port_worker_born_ms,
 };
 
 static const struct rpc_server_ops rpc_ops = {.call = controller_on_rpc};
--- a/carawayfrontd/controller_request.c
+++ b/carawayfrontd/controller_request.c
@@ -1,4 +1,5 @@
 /* Requests of callers, executors and operators, answered by the leader. */
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -137,6 +138,20 @@
 	}
 }
 
+/* The reply names the life of the executor, for DAG_REQ_LEFT. */
+static void reply_leave(const struct controller *c, const struct controller_leave *l)
+{
+	const struct dag_worker_rec *rec = dag_state_find_worker(c->state, l->worker);
+	struct dag_reply reply = {.outcome = DAG_OK};
+	char born[24];
+
+	if (rec) {
+		snprintf(born, sizeof(born), "%lld", (long long)rec->w.born_ms);
+		XDR_SET(reply, text, str_from(born));
+	}
+	l->ticket->ops->done(l->ticket, &reply);
+}
+
 /* Answers the announcements of executors whose exit is recorded. */
 void controller_answer_leaves(struct controller *c)
 {
@@ -150,7 +165,7 @@
 			continue;
 		}
 		*p = l->next;
-		reply_outcome(l->ticket, DAG_OK);
+		reply_leave(c, l);
 		free(l);
 	}
 }
--- a/core/dag_interface.h
+++ b/core/dag_interface.h
@@ -64,8 +64,6 @@
 	bool (*ready)(struct dag_request_handler *p);
 	/* IP address and port where the leader accepts worker reports; empty: unknown. */
 	struct str (*report_address)(struct dag_request_handler *p);
-	/* Start of the life of a worker that is recorded here; 0: unknown. */
-	int64_t (*worker_born_ms)(struct dag_request_handler *p, struct str id);
 };
 
 #endif
--- a/proto/dag.x
+++ b/proto/dag.x
@@ -375,7 +375,7 @@
 	hyper clock_ms;
 };
 
-/* born_ms: life of the executor that left. */
+/* born_ms: life of the executor that left, as the reply to LEAVE has it in its text. */
 struct dag_left {
 	dag_name id;
 	hyper born_ms;
--- a/regress/test_fuzz_platform.c
+++ b/regress/test_fuzz_platform.c
@@ -291,16 +291,10 @@
 	return STR("10.0.0.1:7000");
 }
 
-static int64_t worker_born_ms(struct dag_request_handler *p, struct str id)
-{
-	return 1;
-}
-
 static const struct dag_request_handler_ops handler_ops = {
 	.request = on_request,
 	.ready = is_ready,
 	.report_address = report_address,
-	.worker_born_ms = worker_born_ms,
 };
 
 static struct dag_request_handler handler = {.ops = &handler_ops};
--- a/regress/test_operators.c
+++ b/regress/test_operators.c
@@ -16,6 +16,7 @@
 static struct buf receipt;
 static int64_t left_born_ms;
 static enum dag_outcome outcome;
+static const char *born_text;
 
 int http_server_new(const struct http_server_options *opt, struct http_server **out)
 {
@@ -44,12 +45,14 @@
 static void on_request(struct dag_request_handler *p, const struct dag_request *req,
 		       double timeout, struct dag_pending_request *t)
 {
-	const struct dag_reply reply = {.outcome = outcome};
+	struct dag_reply reply = {.outcome = outcome};
 
 	forwarded++;
 	if (req->kind == DAG_REQ_LEFT &&
 	    str_eq(XDR_STR(req->dag_request_u.left.id, text), STR("i-1")))
 		left_born_ms = req->dag_request_u.left.born_ms;
+	if (req->kind == DAG_REQ_LEAVE)
+		XDR_SET(reply, text, str_from(born_text));
 	t->ops->done(t, &reply);
 }
 
@@ -58,15 +61,9 @@
 	return STR("10.0.0.1:7000");
 }
 
-static int64_t worker_born_ms(struct dag_request_handler *p, struct str id)
-{
-	return str_eq(id, STR("i-1")) ? 1700000000000 : 0;
-}
-
 static const struct dag_request_handler_ops handler_ops = {
 	.request = on_request,
 	.report_address = report_address,
-	.worker_born_ms = worker_born_ms,
 };
 static struct dag_request_handler handler = {.ops = &handler_ops};
 static struct operators *operators;
@@ -77,6 +74,7 @@
 
 	forwarded = 0;
 	outcome = DAG_OK;
+	born_text = "1700000000000";
 	left_born_ms = 0;
 	ck_assert_int_eq(operators_new(&opt, &operators), 0);
 }
@@ -157,13 +155,14 @@
 END_TEST
 
 /* Guards against an executor whose end is told though it has no answer to its notice, or
- * of another life. _i 1: the notice is refused.
+ * of another life. _i 1: the notice is refused; 2: no life is told.
  */
 START_TEST(executor_that_received_its_answer_has_left)
 {
-	outcome = _i ? DAG_REJECTED : DAG_OK;
+	outcome = _i == 1 ? DAG_REJECTED : DAG_OK;
+	born_text = _i == 2 ? "" : born_text;
 	post_to("/api/instances/i-1/deregister", STR(""));
-	ck_assert_uint_eq(status, _i ? 503 : 200);
+	ck_assert_uint_eq(status, _i == 1 ? 503 : 200);
 	ck_assert_int_eq(left_born_ms, 0);
 	ck_assert_int_eq(receipt.n > 0, _i == 0);
 	if (_i)
@@ -222,7 +221,7 @@
 	tcase_add_checked_fixture(tc, setup, teardown);
 	tcase_add_test(tc, report_with_an_address_of_no_host_is_refused);
 	tcase_add_test(tc, report_with_times_of_no_clock_is_refused);
-	tcase_add_loop_test(tc, executor_that_received_its_answer_has_left, 0, 2);
+	tcase_add_loop_test(tc, executor_that_received_its_answer_has_left, 0, 3);
 	tcase_add_test(tc, odd_report_is_refused);
 	suite_add_tcase(s, tc);
 	sr = srunner_create(s);
