--- a/core/dag_state.c
+++ b/core/dag_state.c
@@ -590,6 +590,7 @@
 	t->live[t->n_live++] = (struct dag_run){st->run, st->worker};
 	t->last_run = st->run;
 	t->unlisted = false;
+	t->newest_failed = false;
 	w->n_runs++;
 	if (s->observer)
 		s->observer->ops->run_started(s->observer, j, st);
@@ -619,6 +620,23 @@
 			      dag_job_find_task(j, ref->occurrence, ref->step, i));
 }
 
+/* Whether a member of a gang has failed in a run. */
+static bool gang_has_failed(const struct dag_job_rec *j, const struct dag_task_ref *ref,
+			    uint32_t run)
+{
+	const struct dag_step *st = &j->spec.steps.steps_val[ref->step];
+
+	for (uint32_t i = 0; i < st->count; i++) {
+		const struct dag_task *t =
+			dag_job_find_task(j, ref->occurrence, ref->step, i);
+
+		if (t->newest_failed && t->last_run == run)
+			return true;
+	}
+	return false;
+}
+
+/* Failed runs of a gang: one counts once, however many of its members have failed. */
 static uint32_t gang_failures(const struct dag_job_rec *j, const struct dag_task_ref *ref)
 {
 	const struct dag_step *st = &j->spec.steps.steps_val[ref->step];
@@ -629,6 +647,14 @@
 	return n;
 }
 
+/* Whether an end is the leader's conclusion, without a list of the worker that has it. */
+static bool is_unlisted(enum dag_end_how how)
+{
+	return how == DAG_END_LAPSED || how == DAG_END_CRASHED ||
+	       how == DAG_END_CRASHED_ALONE || how == DAG_END_SURVIVED ||
+	       how == DAG_END_SUSPECTED;
+}
+
 /*
  * Records the outcome of a run that has ended: stores its checkpoint, then marks the task
  * as done or counts a failure or a crash. Completes the job when its last task is done;
@@ -677,6 +703,9 @@
 	}
 	if (e->how != DAG_END_FAILED)
 		return;
+	if (st->gang && gang_has_failed(j, &e->task, e->run))
+		return;
+	t->newest_failed = e->run == t->last_run;
 	t->failures++;
 	dag_state_note_counted(t, e, w, "listed as failed");
 	failures = st->gang ? gang_failures(j, &e->task) : t->failures;
@@ -684,14 +713,6 @@
 		dag_state_end_job(s, j, DAG_JOB_FAILED);
 }
 
-/* Whether an end is the leader's conclusion, without a list of the worker that has it. */
-static bool is_unlisted(enum dag_end_how how)
-{
-	return how == DAG_END_LAPSED || how == DAG_END_CRASHED ||
-	       how == DAG_END_CRASHED_ALONE || how == DAG_END_SURVIVED ||
-	       how == DAG_END_SUSPECTED;
-}
-
 /*
  * Whether the end that a worker lists of a run counts although the run was recorded as
  * lost: no other run of the task has begun since.
--- a/core/dag_state.h
+++ b/core/dag_state.h
@@ -53,6 +53,7 @@
 	uint8_t n_suspected;   /* runs that may have crashed their workers */
 	bool done;
 	bool unlisted; /* the newest run has ended, and its worker has not listed how */
+	bool newest_failed; /* the newest run has ended as failed */
 	uint8_t n_live;
 	struct dag_run live[DAG_MAX_COPIES];
 	/* Not in snapshots: dag_worker_rec.lives and clock_us in ms at their start. */
--- a/core/dag_state_snapshot.c
+++ b/core/dag_state_snapshot.c
@@ -15,6 +15,7 @@
 #define CRASHES_SHIFT 16
 #define CRASHES_ALONE_SHIFT 24
 #define CRASHES_MASK 0x7fU
+#define NEWEST_FAILED (1U << 23)
 #define UNLISTED (1U << 31)
 
 /* Adds the runs of a task that may have crashed their workers to its live runs. */
@@ -42,6 +43,7 @@
 	it->last_run = t->last_run;
 	it->failures = t->failures | (u_int)t->crashes << CRASHES_SHIFT |
 		       (u_int)t->crashes_alone << CRASHES_ALONE_SHIFT |
+		       (t->newest_failed ? NEWEST_FAILED : 0) |
 		       (t->unlisted ? UNLISTED : 0);
 	it->done = t->done;
 	it->live.live_len = t->n_live;
@@ -210,6 +212,7 @@
 	t->crashes = it->failures >> CRASHES_SHIFT & CRASHES_MASK;
 	t->crashes_alone = it->failures >> CRASHES_ALONE_SHIFT & CRASHES_MASK;
 	t->unlisted = (it->failures & UNLISTED) != 0;
+	t->newest_failed = (it->failures & NEWEST_FAILED) != 0;
 	t->done = it->done;
 	for (u_int i = 0; i < it->live.live_len && !err; i++)
 		err = restore_run(s, ref, t, &it->live.live_val[i]);
--- a/proto/dag.x
+++ b/proto/dag.x
@@ -231,7 +231,8 @@
 
 /*
  * failures: failed runs in the low 16 bits, then workers that crashed under the task in
- * 8 bits and those that crashed under it alone in 8; zero in older snapshots.
+ * 7 bits, whether its newest run failed, those that crashed under it alone in 7 bits, and
+ * whether the end of its newest run is unlisted; these are zero in older snapshots.
  */
 struct dag_image_task {
 	unsigned int last_run;
