--- a/core/dag_run.c
+++ b/core/dag_run.c
@@ -106,13 +106,10 @@
 static void fill_command(struct dag_sched *s, struct ds_run *r,
 			 struct dag_worker_command *o)
 {
-	const struct dag_task *t = dag_job_find_task(r->job->rec, r->task.occurrence,
-						     r->task.step, r->task.index);
-
 	*o = (struct dag_worker_command){.task = r->task, .run = r->run};
 	ds_worker_fill_call(s, r->worker, &o->call);
 	o->spec = XDR_STR(r->job->rec->spec, spec);
-	o->checkpoint = buf_str(&t->checkpoint);
+	o->checkpoint = dag_job_checkpoint(r->job->rec, &r->task);
 }
 
 /* Why a run may not start on its worker any more; NULL: it may. */
--- a/core/dag_state.c
+++ b/core/dag_state.c
@@ -655,6 +655,45 @@
 	       how == DAG_END_SUSPECTED;
 }
 
+/*
+ * Stores the checkpoint of an end. That of any member of a gang is valid for all, and
+ * they must start with the same; what a leader knew of a member that was lost may be
+ * older than what another member said as it ended.
+ */
+static void store_checkpoint(struct dag_job_rec *j, const struct dag_end *e,
+			     struct dag_task *t)
+{
+	const struct dag_step *st = &j->spec.steps.steps_val[e->task.step];
+	uint32_t first = st->gang ? 0 : e->task.index;
+	uint32_t n = st->gang ? st->count : 1;
+
+	if (!e->checkpoint.checkpoint_len ||
+	    (is_unlisted(e->how) && t->checkpoint_run == e->run))
+		return;
+	for (uint32_t i = first; i < first + n; i++) {
+		t = dag_job_find_task(j, e->task.occurrence, e->task.step, i);
+		buf_set(&t->checkpoint, XDR_STR(*e, checkpoint));
+		if (!is_unlisted(e->how))
+			t->checkpoint_run = e->run;
+	}
+}
+
+/* The checkpoint with which a task starts; empty: none. */
+struct str dag_job_checkpoint(const struct dag_job_rec *j, const struct dag_task_ref *ref)
+{
+	const struct dag_step *st = &j->spec.steps.steps_val[ref->step];
+	const struct dag_task *t =
+		dag_job_find_task(j, ref->occurrence, ref->step, ref->index);
+
+	/* Earlier versions stored one for each member. */
+	for (uint32_t i = 0; st->gang && i < st->count; i++) {
+		t = dag_job_find_task(j, ref->occurrence, ref->step, i);
+		if (t->checkpoint.n)
+			break;
+	}
+	return buf_str(&t->checkpoint);
+}
+
 /*
  * Records the outcome of a run that has ended: stores its checkpoint, then marks the task
  * as done or counts a failure or a crash. Completes the job when its last task is done;
@@ -670,8 +709,7 @@
 	const struct dag_step *st = &j->spec.steps.steps_val[e->task.step];
 	uint32_t failures;
 
-	if (e->checkpoint.checkpoint_len)
-		buf_set(&t->checkpoint, XDR_STR(*e, checkpoint));
+	store_checkpoint(j, e, t);
 	if (dag_job_ended(j) || t->done)
 		return;
 	if (e->how == DAG_END_CRASHED || e->how == DAG_END_CRASHED_ALONE) {
--- a/core/dag_state.h
+++ b/core/dag_state.h
@@ -61,7 +61,9 @@
 	uint32_t started_ms[DAG_MAX_COPIES]; /* 0: not known */
 	uint32_t unlisted_worker;	     /* number, if unlisted; 0: not known */
 	struct dag_counted *counted;	     /* oldest first */
-	struct buf checkpoint;		     /* of the newest end that had one */
+	/* Of the newest end that had one; the members of a gang have the same. */
+	struct buf checkpoint;
+	uint32_t checkpoint_run; /* of a listed end of this run; not in snapshots */
 };
 
 struct dag_occurrence {
@@ -219,6 +221,8 @@
 			     enum dag_end_how how);
 bool dag_task_is_deadly(const struct dag_task *t);
 bool dag_task_is_held(const struct dag_task *t);
+struct str dag_job_checkpoint(const struct dag_job_rec *j,
+			      const struct dag_task_ref *ref);
 struct dag_task_ref dag_job_task_ref(const struct dag_job_rec *j, uint32_t occurrence,
 				     uint32_t task);
 bool dag_suspicion_is_of(const struct dag_suspicion *u, const struct dag_task_ref *t);
--- a/regress/test_dag_gang.c
+++ b/regress/test_dag_gang.c
@@ -77,6 +77,17 @@
 	return dag_state_find_job(state, 1)->state;
 }
 
+static void assert_checkpoint(const char *text)
+{
+	const struct dag_job_rec *j = dag_state_find_job(state, 1);
+
+	for (uint32_t i = 0; i < MEMBERS; i++) {
+		struct dag_task_ref t = {1, 0, 0, i};
+
+		ck_assert(str_eq(dag_job_checkpoint(j, &t), str_from(text)));
+	}
+}
+
 /*
  * Guards against a gang that is given up after one run of which two members failed. _i 1:
  * a snapshot is restored between the two.
@@ -110,6 +121,41 @@
 }
 END_TEST
 
+/*
+ * Guards against members that start with two values after the worker of one crashed, of
+ * which an older one was known. _i 0: its end is known first; 1: last; 2: with a restart
+ * before the gang starts.
+ */
+START_TEST(members_start_with_one_checkpoint)
+{
+	start_all(1);
+	if (_i != 1)
+		end(0, 1, DAG_END_CRASHED, STR("2000"));
+	end(1, 1, DAG_END_BROKEN, STR("4000"));
+	end(2, 1, DAG_END_BROKEN, STR("4000"));
+	if (_i == 1)
+		end(0, 1, DAG_END_CRASHED, STR("2000"));
+	if (_i == 2)
+		restart();
+	assert_checkpoint("4000");
+	start_all(2);
+	end(1, 2, DAG_END_LAPSED, STR("6000"));
+	assert_checkpoint("6000");
+}
+END_TEST
+
+/* Guards against state of an earlier version, in which members have two values. */
+START_TEST(stored_checkpoints_of_members_become_one)
+{
+	const struct dag_job_rec *j = dag_state_find_job(state, 1);
+
+	buf_set(&dag_job_find_task(j, 0, 0, 1)->checkpoint, STR("4000"));
+	buf_set(&dag_job_find_task(j, 0, 0, 2)->checkpoint, STR("2000"));
+	restart();
+	assert_checkpoint("4000");
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("dag_gang");
@@ -120,6 +166,8 @@
 	tcase_add_checked_fixture(tc, setup, teardown);
 	tcase_add_loop_test(tc, run_with_two_failures_counts_once, 0, 2);
 	tcase_add_test(tc, failures_of_members_in_turn_are_counted);
+	tcase_add_loop_test(tc, members_start_with_one_checkpoint, 0, 3);
+	tcase_add_test(tc, stored_checkpoints_of_members_become_one);
 	suite_add_tcase(s, tc);
 	srunner_run_all(sr, CK_NORMAL);
 	failed = srunner_ntests_failed(sr);
