--- a/carawayfrontd/controller_replica.c
+++ b/carawayfrontd/controller_replica.c
@@ -117,6 +117,7 @@
 
 	c->state->clock_us = clock_us();
 	c->state->index = e->index;
+	dag_state_enter_epoch(c->state, e->epoch);
 	err = e->kind == REPLICA_DATA ? dag_state_apply(c->state, e->data) : 0;
 
 	if (err) {
--- a/core/dag_life.c
+++ b/core/dag_life.c
@@ -53,6 +53,52 @@
 	return s->opt.lease_us;
 }
 
+static void propose_contact(struct dag_sched *s, const struct ds_worker *w, bool lost)
+{
+	struct dag_command c = {.kind = DAG_CMD_CONTACT};
+
+	c.dag_command_u.contact = (struct dag_contact){w->rec->number, lost};
+	ds_propose(s, &c);
+}
+
+/*
+ * When a lease that an earlier leader granted has certainly expired. It may have granted
+ * one just now, but none since it recorded the loss of contact.
+ */
+int64_t ds_worker_first_expiry_us(const struct dag_sched *s,
+				  const struct dag_worker_rec *rec)
+{
+	bool is_short = rec->short_leases && rec->short_leases == s->state->earlier_epoch;
+	int64_t longest_us = s->opt.lease_us;
+
+	if (is_short && longest_us > DRAINING_LEASE_MAX_US)
+		longest_us = DRAINING_LEASE_MAX_US;
+	return ds_lease_expiry_us(rec->lost ? rec->lost_us : s->now_us, longest_us);
+}
+
+/*
+ * Records, for the next leader, that a worker that drains has no longer lease left than
+ * this leader grants it now.
+ */
+void ds_worker_record_short_leases(struct dag_sched *s, struct ds_worker *w)
+{
+	int64_t wait_us = ds_lease_expiry_us(0, s->opt.lease_us) - DRAINING_LEASE_MAX_US;
+
+	if (!w->draining) {
+		w->short_since_us = 0;
+		return;
+	}
+	if (!w->short_since_us)
+		w->short_since_us = s->now_us;
+	if (!w->n_runs || w->contact_lost || w->poll_failures ||
+	    w->rec->short_leases == s->opt.epoch ||
+	    s->now_us - w->short_since_us < wait_us)
+		return;
+	/* Not again before this one is applied. */
+	w->short_since_us = s->now_us;
+	propose_contact(s, w, false);
+}
+
 /*
  * Extends the worker's lease to a full period from now. Returns its end in milliseconds
  * on the worker's clock, or 0 if that clock is unknown.
@@ -84,14 +130,6 @@
 	w->clock_us = now_us;
 }
 
-static void propose_contact(struct dag_sched *s, const struct ds_worker *w, bool lost)
-{
-	struct dag_command c = {.kind = DAG_CMD_CONTACT};
-
-	c.dag_command_u.contact = (struct dag_contact){w->rec->number, lost};
-	ds_propose(s, &c);
-}
-
 /* A worker's process has ended; a poll that failed before tells better when that was. */
 void ds_worker_note_exit(const struct dag_sched *s, struct ds_worker *w)
 {
--- a/core/dag_sched_impl.h
+++ b/core/dag_sched_impl.h
@@ -164,12 +164,13 @@
 	uint32_t poll_life;  /* life and fence when it was sent */
 	uint32_t poll_fence;
 	int64_t poll_sent_us;
-	int64_t polled_us;     /* newest reply to a poll */
-	bool contact_lost;     /* recorded or proposed; no lease is granted */
-	bool contact_proposed; /* that it is regained */
-	bool polled;	       /* by this leader */
-	bool draining;	       /* or gone */
-	bool earlier_left;     /* its earlier life had announced its end */
+	int64_t polled_us;	/* newest reply to a poll */
+	bool contact_lost;	/* recorded or proposed; no lease is granted */
+	bool contact_proposed;	/* that it is regained */
+	int64_t short_since_us; /* its leases are short from then on, 0: they are not */
+	bool polled;		/* by this leader */
+	bool draining;		/* or gone */
+	bool earlier_left;	/* its earlier life had announced its end */
 	int64_t next_poll_us;
 	unsigned int poll_failures;
 	unsigned int lost_paths; /* polls in a row that may not have come to the worker */
@@ -325,6 +326,9 @@
 
 /* dag_life.c */
 int64_t ds_lease_expiry_us(int64_t from_us, int64_t lease_us);
+int64_t ds_worker_first_expiry_us(const struct dag_sched *s,
+				  const struct dag_worker_rec *rec);
+void ds_worker_record_short_leases(struct dag_sched *s, struct ds_worker *w);
 int64_t ds_worker_extend_lease(struct dag_sched *s, struct ds_worker *w);
 void ds_worker_fill_call(const struct dag_sched *s, const struct ds_worker *w,
 			 struct dag_worker_call *call);
--- a/core/dag_state.c
+++ b/core/dag_state.c
@@ -466,6 +466,8 @@
 	if (err)
 		return err;
 	rec->lives += restarted;
+	if (restarted || w->state == DAG_WORKER_READY)
+		rec->short_leases = 0;
 	if (restarted) {
 		rec->restarted_us = s->clock_us;
 		rec->life_lost_us = rec->lost ? rec->lost_us : 0;
@@ -475,6 +477,22 @@
 	return 0;
 }
 
+/*
+ * The next entry is of this epoch. Called for each entry, also one without commands, so
+ * that each leader that has led is known by the time that the next one leads.
+ */
+void dag_state_enter_epoch(struct dag_state *s, uint64_t epoch)
+{
+	if (epoch == s->epoch)
+		return;
+	s->earlier_epoch = s->epoch;
+	s->epoch = epoch;
+}
+
+/*
+ * Contact with a worker is lost or regained. That it is there is recorded of a worker
+ * that leaves once all of its leases are short; earlier versions do not record it.
+ */
 static void apply_contact(struct dag_state *s, const struct dag_contact *c)
 {
 	struct dag_worker_rec *w = dag_state_find_worker(s, c->worker);
@@ -483,6 +501,8 @@
 		return;
 	if (c->lost && !w->lost)
 		w->lost_us = s->clock_us;
+	if (!c->lost && !w->lost && w->w.state != DAG_WORKER_READY)
+		w->short_leases = s->epoch;
 	w->lost = c->lost;
 	if (s->observer)
 		s->observer->ops->contact_changed(s->observer, w);
--- a/core/dag_state.h
+++ b/core/dag_state.h
@@ -107,6 +107,8 @@
 	uint32_t n_suspected; /* runs that may have crashed it */
 	uint32_t lives;	      /* restarts seen by this process; not in snapshots */
 	bool lost;	      /* no lease was granted since that was recorded */
+	/* Epoch of the leader whose leases were all short from a record on, 0: none. */
+	uint64_t short_leases; /* not in snapshots */
 	/* Not replicated: times of dag_state.clock_us by then. */
 	int64_t lost_us;
 	int64_t restarted_us;
@@ -180,6 +182,8 @@
 	int64_t time_ms;  /* of the newest batch */
 	int64_t clock_us; /* monotonic time of this process, set by its owner */
 	uint64_t index;	  /* of the newest log entry applied, set by its owner before */
+	uint64_t epoch;	  /* of that entry, see dag_state_enter_epoch() */
+	uint64_t earlier_epoch; /* the one before; 0: not known */
 	struct dag_model model;
 	struct dag_observer *observer;
 };
@@ -187,6 +191,7 @@
 int dag_state_new(struct dag_state **out);
 void dag_state_free(struct dag_state *s);
 int dag_state_apply(struct dag_state *s, struct str batch);
+void dag_state_enter_epoch(struct dag_state *s, uint64_t epoch);
 int dag_state_snapshot(const struct dag_state *s, struct buf *out);
 int dag_state_restore(struct dag_state *s, struct str snapshot);
 int dag_state_check_snapshot(struct str snapshot);
--- a/core/dag_state_snapshot.c
+++ b/core/dag_state_snapshot.c
@@ -314,6 +314,8 @@
 	struct dag_state fresh = {.clock_us = s->clock_us,
 				  .observer = s->observer,
 				  .index = s->index,
+				  .epoch = s->epoch,
+				  .earlier_epoch = s->earlier_epoch,
 				  .zone_orders_floor = s->index};
 	int err = read_image(&fresh, snapshot);
 
--- a/core/dag_worker.c
+++ b/core/dag_worker.c
@@ -68,12 +68,7 @@
 	rec->sched = w;
 	w->reported = ds_capacity_of(&rec->w);
 	w->contact_lost = rec->lost;
-	/*
-	 * An earlier leader may have granted a full lease just now, but none since it
-	 * recorded the loss of contact.
-	 */
-	w->lease_expires_us =
-		ds_lease_expiry_us(rec->lost ? rec->lost_us : s->now_us, s->opt.lease_us);
+	w->lease_expires_us = ds_worker_first_expiry_us(s, rec);
 	w->next_poll_us = s->now_us;
 	w->polled_us = s->now_us;
 	s->workers[s->n_workers++] = w;
@@ -375,8 +370,10 @@
 	if (w->n_runs && s->now_us >= w->lease_expires_us && ds_lapse_runs(s, w))
 		ds_worker_log_ends(s, w);
 	ds_worker_check_exit(s, w);
-	if (check_all)
+	if (check_all) {
 		check_runs(s, w);
+		ds_worker_record_short_leases(s, w);
+	}
 	/* Ends of earlier lists are acknowledged beside new ones that are not recorded.
 	 */
 	if (!w->poll_in_flight &&
--- a/regress/lib_dag_world.c
+++ b/regress/lib_dag_world.c
@@ -267,6 +267,7 @@
 	};
 
 	w->life++;
+	dag_state_enter_epoch(w->state, w->epoch);
 	ck_assert_int_eq(dag_sched_new(&opt, w->now_us, dw_wall_ms(w), &w->sched), 0);
 }
 
@@ -1018,9 +1019,11 @@
 {
 	if (w->follower) {
 		w->follower->clock_us = w->now_us;
+		dag_state_enter_epoch(w->follower, w->epoch);
 		ck_assert_int_eq(dag_state_apply(w->follower, bytes), 0);
 	}
 	w->state->clock_us = w->now_us;
+	dag_state_enter_epoch(w->state, w->epoch);
 	ck_assert_int_eq(dag_state_apply(w->state, bytes), 0);
 }
 
--- a/regress/test_dag_life.c
+++ b/regress/test_dag_life.c
@@ -606,6 +606,42 @@
 }
 END_TEST
 
+/*
+ * Guards against lasting tasks of a worker that drained and ended unseen, whose full
+ * lease the next leader waits for, and against leases that are longer than it takes them
+ * for. _i 0: it ended; 1: it is cut off, with a slow clock; 2: it has drained too briefly
+ * for its leases to be short; 3: another leader led between.
+ */
+START_TEST(next_leader_knows_of_short_leases)
+{
+	uint32_t number = dw_add_worker(&w, 8000, 8000);
+
+	w.workers[number].slow_clock = _i == 1;
+	dw_run_for(&w, SECOND);
+	dw_submit_lasting(&w, 1, 2);
+	dw_run_for(&w, SECOND);
+	dw_add_worker(&w, 16000, 16000);
+	dw_drain(&w, 1);
+	if (_i != 2)
+		dw_run_for(&w, 4 * SECOND);
+	w.refuse_us = 0;
+	if (_i == 1)
+		w.workers[number].cut = true;
+	else
+		dw_crash_worker(&w, number, false);
+	if (_i == 3) {
+		dw_change_leader(&w);
+		dw_run_for(&w, 100 * MS);
+	}
+	dw_change_leader(&w);
+	dw_run_for(&w, 8 * SECOND);
+	ck_assert_uint_eq(w.starts, _i < 2 ? 4 : 2);
+	dw_run_for(&w, 10 * SECOND);
+	dw_assert_sound(&w);
+	ck_assert_uint_eq(w.starts, 4);
+}
+END_TEST
+
 /* Guards against runs that count as over when a worker announces its exit in a cut that
  * refuses connections. _i 1: the leader changes in the cut.
  */
@@ -914,6 +950,7 @@
 			    3);
 	tcase_add_loop_test(tc, exit_announced_in_a_cut_ends_no_runs, 0, 18);
 	tcase_add_loop_test(tc, exit_in_a_cut_that_refuses_ends_no_runs, 0, 2);
+	tcase_add_loop_test(tc, next_leader_knows_of_short_leases, 0, 4);
 	tcase_add_loop_test(tc, tasks_of_a_worker_that_has_its_answer_start_at_once, 0,
 			    2);
 	tcase_add_loop_test(tc, exit_in_a_cut_after_an_earlier_exit_ends_no_runs, 0, 2);
