--- a/core/dag_leave.c
+++ b/core/dag_leave.c
@@ -2,9 +2,10 @@
  * Exits that workers announce. The announcement proves that a process means to end, and a
  * refused or silent poll that nothing answers; a cut may do both while the process runs
  * on. Its runs are over once the worker said so, by its list or by the answer to a stop
- * request, once it has received the answer to its announcement and closed the connection
- * after it, once another process is in its place, or when its lease ends. The runs are
- * stopped before the announcement is answered, as the process ends only then.
+ * request, once it has received the answer to its announcement, closed the connection
+ * after it and answers no more, once another process is in its place, or when its lease
+ * ends. The runs are stopped before the announcement is answered, as the process ends
+ * only then.
  */
 #include "core/dag_sched_impl.h"
 #include "proto/codec.h"
@@ -13,6 +14,8 @@
 #define EXIT_ANSWER_US (700 * USEC_PER_MS)
 /* The exit is recorded by then, or its record was lost. */
 #define EXIT_RECORD_TIMEOUT_US (2 * USEC_PER_SEC)
+/* A worker that has its answer takes no longer to end. */
+#define END_US (1 * USEC_PER_SEC)
 /* A worker's clock may be 2 % slow. */
 #define SLOW_CLOCK_PERCENT 103
 #define STOP_MARGIN_US (50 * USEC_PER_MS)
@@ -57,15 +60,18 @@
 
 /*
  * The worker has received the answer to its announcement and closed the connection, so
- * that its process has ended.
+ * that its process ends. A failed poll tells that it has.
  */
 void dag_sched_worker_ended(struct dag_sched *s, uint32_t worker, int64_t now_us)
 {
 	struct ds_worker *w = ds_worker_find(s, worker);
 
 	s->now_us = now_us;
-	if (w)
-		ds_worker_propose_lost(s, w, "left");
+	if (!w || w->left_us)
+		return;
+	w->left_us = now_us;
+	w->next_poll_us = now_us;
+	ds_worker_check_exit(s, w);
 }
 
 /* The worker is there, or another process is in its place. */
@@ -73,6 +79,7 @@
 {
 	w->leaving_since_us = 0;
 	w->exit_proposed_us = 0;
+	w->left_us = 0;
 }
 
 /* Runs whose end is not known. */
@@ -118,13 +125,16 @@
 }
 
 /*
- * Records the exit of a worker that announced it, which answers the announcement. A
- * second record would remove the first, so it waits until that has failed.
+ * Ends the runs of a worker that are over as it exits, and records the exit of one that
+ * announced it, which answers the announcement. A second record would remove the first,
+ * so it waits until that has failed.
  */
 void ds_worker_check_exit(struct dag_sched *s, struct ds_worker *w)
 {
 	struct ds_run *r;
 
+	if (w->left_us && (w->poll_failures || s->now_us - w->left_us >= END_US))
+		ds_worker_propose_lost(s, w, "left");
 	if (!w->leaving_since_us)
 		return;
 	TAILQ_FOREACH (r, &w->runs, worker_entry)
--- a/core/dag_sched_impl.h
+++ b/core/dag_sched_impl.h
@@ -186,6 +186,7 @@
 	bool has_strays;   /* the newest list has runs that are not recorded here */
 	int64_t leaving_since_us; /* it announced its exit, 0: it did not */
 	int64_t exit_proposed_us; /* newest record of that, 0: none */
+	int64_t left_us;	  /* it received the answer to that, 0: not known */
 	int64_t gone_since_us;	  /* recorded as gone and without runs, 0: not */
 	bool contradicted; /* recorded as gone, but a report of the same life came */
 	bool forget_proposed;
--- a/regress/test_dag_life.c
+++ b/regress/test_dag_life.c
@@ -579,7 +579,7 @@
 /*
  * Guards against lasting tasks of a worker that wait for its lease although it received
  * the answer to its announcement and has ended; it listens no more from then on. _i 1: a
- * new leader is told.
+ * new leader is told; 2: it listens until it ends, 0.3 s after the answer.
  */
 START_TEST(tasks_of_a_worker_that_has_its_answer_start_at_once)
 {
@@ -591,13 +591,22 @@
 	dw_add_worker(&w, 16000, 16000);
 	dw_drain(&w, 1);
 	w.cut_refuses = true;
-	w.workers[number].cut = true;
+	w.workers[number].cut = _i < 2;
+	/* Its stops are lost. */
+	w.lost_permille = 1000;
 	dw_announce_exit(&w, 1);
-	dw_crash_worker(&w, number, false);
+	w.lost_permille = 0;
+	if (_i < 2)
+		dw_crash_worker(&w, number, false);
 	ck_assert_uint_eq(w.starts, 2);
 	if (_i == 1)
 		dw_change_leader(&w);
 	dag_sched_worker_ended(w.sched, 1, w.now_us);
+	if (_i == 2) {
+		dw_run_for(&w, 300 * MS);
+		ck_assert_uint_eq(w.starts, 2);
+		dw_crash_worker(&w, number, false);
+	}
 	dw_run_for(&w, SECOND / 2);
 	ck_assert_uint_eq(w.starts, 4);
 	dw_run_for(&w, 20 * SECOND);
@@ -952,7 +961,7 @@
 	tcase_add_loop_test(tc, exit_in_a_cut_that_refuses_ends_no_runs, 0, 2);
 	tcase_add_loop_test(tc, next_leader_knows_of_short_leases, 0, 4);
 	tcase_add_loop_test(tc, tasks_of_a_worker_that_has_its_answer_start_at_once, 0,
-			    2);
+			    3);
 	tcase_add_loop_test(tc, exit_in_a_cut_after_an_earlier_exit_ends_no_runs, 0, 2);
 	tcase_add_loop_test(tc, tasks_of_a_worker_that_left_do_not_wait_for_its_lease, 0,
 			    3);
