core/dag_queue: empty texts are not copied

Cause: memcpy() got the null pointer of an empty name, which the undefined- behaviour sanitizer refuses. Seen with sanitizers in test_fuzz_dag, test_dag_gang and test_malformed, which failed before this change.

--- a/core/dag_queue.c
+++ b/core/dag_queue.c
@@ -22,9 +22,12 @@
 	unsigned char text[KEY_TEXT_MAX];
 	XXH128_hash_t hash;
 
-	memcpy(text, host.p, host.n);
+	/* Empty texts may have no address. */
+	if (host.n)
+		memcpy(text, host.p, host.n);
 	text[host.n] = '\0';
-	memcpy(text + host.n + 1, prefix.p, prefix.n);
+	if (prefix.n)
+		memcpy(text + host.n + 1, prefix.p, prefix.n);
 	hash = XXH3_128bits(text, host.n + 1 + prefix.n);
 	return (struct dag_queue_key){hash.high64, hash.low64};
 }
