--- a/core/dag_state.h
+++ b/core/dag_state.h
@@ -6,6 +6,7 @@
 #include <uthash.h>
 
 #include "base/str.h"
+#include "core/dag_org.h"
 #include "proto/dag.h"
 
 /*
@@ -85,7 +86,8 @@
 	uint64_t id;
 	struct dag_job spec; /* its queue is a reference as it came */
 	struct dag_queue_key queue;
-	bool queue_known; /* false: its name was in no configuration yet */
+	bool queue_known;    /* false: its name was in no configuration yet */
+	struct dag_org *org; /* that submitted it, NULL: none */
 	enum dag_job_state state;
 	uint32_t attempts;
 	bool started;	       /* a worker has begun a task */
@@ -170,6 +172,7 @@
 	uint64_t n_tasks;		  /* of all jobs and occurrences */
 	struct dag_conf conf;		  /* revision 0: none yet */
 	struct dag_queue_key *queue_keys; /* of the queues of conf */
+	struct dag_org *orgs;
 	struct dag_zone_rec *zones; /* all that are closed, and others with an order */
 	uint64_t zone_orders_floor; /* orders of other zones are not newer */
 	struct dag_worker_rec *workers; /* by number */
