core/dag_admit: jobs with serving tasks leave room for urgent batch work

Ruled out: preemption by priority, as fillers reserve no CPU; better packing, as the free pieces are 2.5 cores a worker, 3 % of the CPU; holding back serving tasks that were accepted, as they must be placed whenever they fit.

Change: a job with serving tasks is refused before it is recorded, with Retry-After, while its tasks do not fit beside the batch work of the last 8 s and the serving tasks that have to be placed again.

--- a/carawayfrontd/controller_request.c
+++ b/carawayfrontd/controller_request.c
@@ -263,6 +263,29 @@
 	reply_outcome(t, DAG_NOT_LEADER);
 }
 
+/* Refuses a job for which there is no room; it is not recorded. */
+static bool refuse_job(struct controller *c, const struct dag_queue *q, uint64_t id,
+		       const struct dag_job *job, struct dag_pending_request *t)
+{
+	struct dag_reply reply = {.outcome = DAG_REJECTED};
+	struct buf labels = {0};
+
+	reply.retry_after_ms = dag_sched_admit(c->sched, q, job);
+	if (!reply.retry_after_ms)
+		return false;
+	log_info("job-refused",
+		 "job=%016llx queue=%.*s reason=\"no room for its serving "
+		 "tasks beside batch work\" retry_ms=%u",
+		 (unsigned long long)id, STR_ARG(XDR_STR(*q, name)),
+		 reply.retry_after_ms);
+	if (!metric_add_label(&labels, "queue", XDR_STR(*q, name)))
+		++*metric_counter(c->metrics, "carawayfront_jobs_refused_total",
+				  labels.p);
+	buf_free(&labels);
+	t->ops->done(t, &reply);
+	return true;
+}
+
 static void serve_submit(struct controller *c, const struct dag_submit *s,
 			 struct dag_pending_request *t)
 {
@@ -294,6 +317,8 @@
 		reply_again(t);
 		return;
 	}
+	if (refuse_job(c, q, id, &s->job, t))
+		return;
 	key = dag_queue_key(q);
 	ref = dag_state_refer_queue(c->state, &key, ref_bytes);
 	*job = s->job;
--- a/carawayfrontd/controller_sched.c
+++ b/carawayfrontd/controller_sched.c
@@ -191,6 +191,7 @@
 		.lease_us = (int64_t)c->settings->workers.lease_ms * MS_US,
 		.stop_us = (int64_t)c->settings->workers.stop_ms * MS_US,
 		.report_interval_us = (int64_t)c->settings->workers.report_ms * MS_US,
+		.admit_serving = c->settings->workers.admit_serving,
 		.status_retention_us =
 			(int64_t)c->settings->workers.status_s * 2 * SECOND_US,
 	};
--- a/carawayfrontd/settings.c
+++ b/carawayfrontd/settings.c
@@ -68,6 +68,9 @@
 	WORKERS("stop-ms", stop_ms, 0, 60000),
 	WORKERS("status-s", status_s, 1, 86400),
 	WORKERS("relay-from", relay_from, 0, 1000000),
+	{.key = "admit-serving",
+	 .offset = offsetof(struct settings_workers, admit_serving),
+	 .type = SCHEMA_BOOL},
 	{0},
 };
 
--- a/carawayfrontd/settings.h
+++ b/carawayfrontd/settings.h
@@ -46,6 +46,7 @@
 	uint64_t report_ms;  /* period of their reports */
 	uint64_t stop_ms;    /* longest time in which they stop a task */
 	uint64_t status_s;   /* ended jobs are kept this long */
+	bool admit_serving;  /* refuse serving tasks in the room of batch work */
 	uint64_t relay_from; /* workers from which on gateways make the calls */
 };
 
--- a/core/dag_sched.c
+++ b/core/dag_sched.c
@@ -94,6 +94,7 @@
 	if (!j)
 		return;
 	log_ended(s, rec);
+	ds_demand_job_ended(s, j);
 	j->given_up = rec->state == DAG_JOB_FAILED;
 	free_proposed_runs(s, j);
 	TAILQ_FOREACH (r, &j->runs, job_entry)
@@ -337,7 +338,10 @@
 	TAILQ_INIT(&s->ready);
 	TAILQ_INIT(&s->jobs);
 	s->err = dag_interfere_new(&s->interfere);
+	if (!s->err && opt->admit_serving)
+		s->err = ds_demand_new(&s->demand);
 	if (s->err) {
+		dag_interfere_free(s->interfere);
 		free(s);
 		return CF_ENOMEM;
 	}
@@ -375,6 +379,7 @@
 	free(s->workers);
 	free(s->scores);
 	dag_interfere_free(s->interfere);
+	ds_demand_free(s->demand);
 	free(s);
 }
 
@@ -448,6 +453,7 @@
 		s->next_sort_us = now_us + SORT_PERIOD_US;
 		ds_sort_ready(s);
 	}
+	ds_demand_sample(s);
 	forget_jobs(s);
 	save_model(s);
 }
--- a/core/dag_sched.h
+++ b/core/dag_sched.h
@@ -114,7 +114,8 @@
 	int64_t stop_us;	     /* a worker stops a run within it */
 	int64_t report_interval_us;  /* between a worker's reports */
 	int64_t status_retention_us; /* how long ended jobs can be queried */
-	bool full_scan; /* score all workers for each task; tests compare with it */
+	bool admit_serving; /* refuse serving tasks in the room of urgent batch work */
+	bool full_scan;	    /* score all workers for each task; tests compare with it */
 };
 
 struct dag_sched;
@@ -126,6 +127,8 @@
 int64_t dag_sched_next_tick_us(const struct dag_sched *s);
 /* Places waiting tasks. Called once after each batch of events. */
 void dag_sched_place(struct dag_sched *s, int64_t now_us);
+uint32_t dag_sched_admit(struct dag_sched *s, const struct dag_queue *q,
+			 const struct dag_job *job);
 /* First error: no memory or a failed proposal. The leader must step down. 0: none. */
 int dag_sched_error(const struct dag_sched *s);
 
--- a/core/dag_sched_impl.h
+++ b/core/dag_sched_impl.h
@@ -223,6 +223,7 @@
 	struct ds_jobs jobs;
 	size_t n_waiting;
 	struct dag_interfere *interfere;
+	struct ds_demand *demand; /* NULL: serving tasks are always admitted */
 	struct ds_worker **workers;
 	size_t n_workers;
 	size_t cap_workers;
@@ -367,6 +368,12 @@
 void ds_expire_suspicions(struct dag_sched *s);
 uint32_t ds_task_suspect_crashes(const struct dag_task *t);
 
+/* dag_demand.c */
+int ds_demand_new(struct ds_demand **out);
+void ds_demand_free(struct ds_demand *d);
+void ds_demand_sample(struct dag_sched *s);
+void ds_demand_job_ended(struct dag_sched *s, const struct ds_job *j);
+
 /* dag_watch.c */
 void ds_watch_serving(struct dag_sched *s);
 
--- a/regress/lib_dag_world.c
+++ b/regress/lib_dag_world.c
@@ -264,6 +264,7 @@
 		.report_interval_us = REPORT_US,
 		.status_retention_us = 3600 * 1000 * MS,
 		.full_scan = w->full_scan,
+		.admit_serving = w->admit_serving,
 	};
 
 	w->life++;
--- a/regress/lib_dag_world.h
+++ b/regress/lib_dag_world.h
@@ -207,7 +207,8 @@
 	uint64_t starts_hash; /* of all starts, in their order */
 	uint32_t paces;
 	uint32_t refusals; /* starts that did not fit */
-	bool full_scan;	   /* option of the next leaders */
+	bool full_scan;	   /* options of the next leaders */
+	bool admit_serving;
 	/*
 	 * Serving tasks with an image have a load of their own that swings, and fillers
 	 * whose image ends with the same character add to it; others hardly do.
