core/dag_worker: mixed workers of a large fleet are polled up to five times a second

Throttling acts on listed levels, and a fleet of 200 workers or more lists them once a second; a filler disturbs for that long.

Change: workers with serving tasks and fillers are polled so that all of them together make at most 2,500 polls a second; at 490 workers each 200 ms. Small fleets as before. Admission keeps what batch work uses in all but a quarter of the samples, not its highest peak, and its log line has the inputs.

--- a/carawayfrontd/controller_request.c
+++ b/carawayfrontd/controller_request.c
@@ -270,14 +270,19 @@
 	struct dag_reply reply = {.outcome = DAG_REJECTED};
 	struct buf labels = {0};
 
-	reply.retry_after_ms = dag_sched_admit(c->sched, q, job);
-	if (!reply.retry_after_ms)
+	struct dag_admission a = dag_sched_admit(c->sched, q, job);
+
+	if (!a.retry_ms)
 		return false;
+	reply.retry_after_ms = a.retry_ms;
 	log_info("job-refused",
-		 "job=%016llx queue=%.*s reason=\"no room for its serving "
-		 "tasks beside batch work\" retry_ms=%u",
-		 (unsigned long long)id, STR_ARG(XDR_STR(*q, name)),
-		 reply.retry_after_ms);
+		 "job=%016llx queue=%.*s reason=\"no room for its serving tasks beside "
+		 "batch work\" retry_ms=%u need=%lld free=%lld scraps=%lld batch=%lld "
+		 "batch_usual=%lld pending=%lld",
+		 (unsigned long long)id, STR_ARG(XDR_STR(*q, name)), a.retry_ms,
+		 (long long)a.need, (long long)a.room.free, (long long)a.room.scraps,
+		 (long long)a.room.batch, (long long)a.room.batch_usual,
+		 (long long)a.room.pending);
 	if (!metric_add_label(&labels, "queue", XDR_STR(*q, name)))
 		++*metric_counter(c->metrics, "carawayfront_jobs_refused_total",
 				  labels.p);
--- a/core/dag_admit.c
+++ b/core/dag_admit.c
@@ -10,10 +10,10 @@
  */
 int64_t dag_admit_missing(const struct dag_admit_room *room, int64_t need)
 {
-	int64_t kept = room->batch_peak - room->batch;
+	int64_t kept = room->batch_usual - room->batch;
 	int64_t missing = need - room->scraps;
 
-	if (room->batch_peak <= 0)
+	if (room->batch_usual <= 0)
 		return 0;
 	if (missing < 0)
 		missing = 0;
--- a/core/dag_admit.h
+++ b/core/dag_admit.h
@@ -15,11 +15,11 @@
 
 /* Capacity of one service, in thousandths of a core. */
 struct dag_admit_room {
-	int64_t free;	    /* in pieces that fit a batch task of the usual size */
-	int64_t scraps;	    /* in smaller pieces that fit a serving task of the job */
-	int64_t batch;	    /* reserved by batch tasks */
-	int64_t batch_peak; /* most that they reserved or waited for of late */
-	int64_t pending;    /* of serving tasks that wait, or whose worker leaves */
+	int64_t free;	     /* in pieces that fit a batch task of the usual size */
+	int64_t scraps;	     /* in smaller pieces that fit a serving task of the job */
+	int64_t batch;	     /* reserved by batch tasks */
+	int64_t batch_usual; /* what they reserve or wait for, but for short peaks */
+	int64_t pending;     /* of serving tasks that wait, or whose worker leaves */
 };
 
 /* How long a refused caller should wait. */
@@ -29,6 +29,13 @@
 	int64_t per_second; /* room that serving tasks have released of late */
 };
 
+/* Why a job was admitted or refused. */
+struct dag_admission {
+	uint32_t retry_ms; /* 0: it is admitted */
+	int64_t need;	   /* of its serving tasks */
+	struct dag_admit_room room;
+};
+
 int64_t dag_admit_missing(const struct dag_admit_room *room, int64_t need);
 uint32_t dag_admit_retry_ms(const struct dag_admit_return *r);
 
--- a/core/dag_demand.c
+++ b/core/dag_demand.c
@@ -209,15 +209,26 @@
 		sd->samples[s->demand->next].released += cpu;
 }
 
-/* Most that batch tasks of the queues up to a priority reserved or waited for. */
-static int64_t peak(const struct ds_service_demand *sd, unsigned int level)
+static int compare_demand(const void *a, const void *b)
 {
-	int64_t most = 0;
+	int64_t x = *(const int64_t *)a;
+	int64_t y = *(const int64_t *)b;
+
+	return (x > y) - (x < y);
+}
+
+/*
+ * What batch tasks of the queues up to a priority reserved or waited for in all but a
+ * quarter of the samples.
+ */
+static int64_t usual_demand(const struct ds_service_demand *sd, unsigned int level)
+{
+	int64_t demand[WINDOW_SAMPLES];
 
 	for (size_t i = 0; i < WINDOW_SAMPLES; i++)
-		if (sd->samples[i].batch[level] > most)
-			most = sd->samples[i].batch[level];
-	return most;
+		demand[i] = sd->samples[i].batch[level];
+	qsort(demand, WINDOW_SAMPLES, sizeof(*demand), compare_demand);
+	return demand[WINDOW_SAMPLES - 1 - WINDOW_SAMPLES / 4];
 }
 
 /* Serving tasks that are placed as soon as they can, and were admitted before. */
@@ -268,39 +279,41 @@
 }
 
 /*
- * Whether a job that is not recorded yet may be accepted. Returns 0, or the milliseconds
- * after which its caller should try again.
+ * Decides whether a job that is not recorded yet is accepted, and when the caller of a
+ * refused one should try again.
  */
-uint32_t dag_sched_admit(struct dag_sched *s, const struct dag_queue *q,
-			 const struct dag_job *job)
+struct dag_admission dag_sched_admit(struct dag_sched *s, const struct dag_queue *q,
+				     const struct dag_job *job)
 {
+	struct dag_admission a = {0};
 	struct str service = XDR_STR(*q, service);
 	unsigned int level = priority_level(q);
 	struct dag_admit_return back = {0};
-	struct dag_admit_room room = {0};
 	struct ds_service_demand *sd;
 	int64_t task_cpu;
-	int64_t need = serving_need(job, &task_cpu);
 
-	sd = s->demand && need ? find_service(s->demand, service) : NULL;
+	a.need = serving_need(job, &task_cpu);
+	sd = s->demand && a.need ? find_service(s->demand, service) : NULL;
 	if (!sd)
-		return 0;
-	room.batch = sd->reserved[level];
-	room.batch_peak = peak(sd, level);
-	room.pending = pending_serving(s, service);
+		return a;
+	a.room.batch = sd->reserved[level];
+	a.room.batch_usual = usual_demand(sd, level);
+	a.room.pending = pending_serving(s, service);
 	for (size_t i = 0; i < s->n_workers; i++) {
 		const struct ds_worker *w = s->workers[i];
 
 		if (ds_worker_usable(s, w) &&
 		    str_eq(XDR_STR(w->rec->w, service), service))
-			add_free(&room, (int64_t)w->capacity.cpu_milli - w->cpu_reserved,
+			add_free(&a.room,
+				 (int64_t)w->capacity.cpu_milli - w->cpu_reserved,
 				 (int64_t)sd->task_cpu, task_cpu);
 	}
-	back.missing = dag_admit_missing(&room, need);
+	back.missing = dag_admit_missing(&a.room, a.need);
 	if (!back.missing)
-		return 0;
+		return a;
 	back.queued = sd->queued;
 	back.per_second = release_rate(sd);
-	sd->queued += need;
-	return dag_admit_retry_ms(&back);
+	sd->queued += a.need;
+	a.retry_ms = dag_admit_retry_ms(&back);
+	return a;
 }
--- a/core/dag_sched.h
+++ b/core/dag_sched.h
@@ -1,6 +1,7 @@
 #ifndef CORE_DAG_SCHED_H
 #define CORE_DAG_SCHED_H
 
+#include "core/dag_admit.h"
 #include "core/dag_state.h"
 
 /*
@@ -127,8 +128,8 @@
 int64_t dag_sched_next_tick_us(const struct dag_sched *s);
 /* Places waiting tasks. Called once after each batch of events. */
 void dag_sched_place(struct dag_sched *s, int64_t now_us);
-uint32_t dag_sched_admit(struct dag_sched *s, const struct dag_queue *q,
-			 const struct dag_job *job);
+struct dag_admission dag_sched_admit(struct dag_sched *s, const struct dag_queue *q,
+				     const struct dag_job *job);
 /* First error: no memory or a failed proposal. The leader must step down. 0: none. */
 int dag_sched_error(const struct dag_sched *s);
 
--- a/core/dag_worker.c
+++ b/core/dag_worker.c
@@ -8,8 +8,13 @@
 /* How long a worker may hold a poll; less while it runs serving tasks and fillers. */
 #define POLL_WAIT_MS 1000U
 #define POLL_WAIT_MIXED_MS 400U
-/* From this number of workers on, lists are read less often: polls use the long wait. */
+/*
+ * From this number of workers on gateways make most calls, and all workers with serving
+ * tasks and fillers together are polled at most so often.
+ */
 #define LARGE_FLEET 200U
+#define MIXED_POLLS_PER_S 2500U
+#define POLL_WAIT_MIN_MS 200U
 /* A new leader of a large fleet spreads its first polls over this time. */
 #define FIRST_POLLS_US (600 * USEC_PER_MS)
 #define POLL_RETRY_US (400 * USEC_PER_MS)
@@ -224,6 +229,18 @@
 	return serving && filler;
 }
 
+/* How long a worker with serving tasks and fillers may hold a poll. */
+static uint32_t mixed_wait_ms(const struct dag_sched *s)
+{
+	uint32_t ms = (uint32_t)(s->n_workers * 1000 / MIXED_POLLS_PER_S);
+
+	if (s->n_workers < LARGE_FLEET)
+		return POLL_WAIT_MIXED_MS;
+	if (ms < POLL_WAIT_MIN_MS)
+		return POLL_WAIT_MIN_MS;
+	return ms > POLL_WAIT_MS ? POLL_WAIT_MS : ms;
+}
+
 /* Sends a poll, which also renews the lease if the worker has runs. */
 static void poll_worker(struct dag_sched *s, struct ds_worker *w)
 {
@@ -234,9 +251,7 @@
 	if (w->n_runs && !w->poll_failures && !w->contact_lost)
 		o.call.lease_ms = ds_worker_extend_lease(s, w);
 	if (!w->poll_failures && w->clock_known)
-		o.wait_ms = has_serving_and_fillers(w) && s->n_workers < LARGE_FLEET
-				    ? POLL_WAIT_MIXED_MS
-				    : POLL_WAIT_MS;
+		o.wait_ms = has_serving_and_fillers(w) ? mixed_wait_ms(s) : POLL_WAIT_MS;
 	w->poll_in_flight = true;
 	w->poll_acked = o.acked_end;
 	w->poll_life = w->life;
--- a/regress/test_dag_admit.c
+++ b/regress/test_dag_admit.c
@@ -46,7 +46,8 @@
 
 	job.steps.steps_len = 1;
 	job.steps.steps_val = &copy;
-	return dag_sched_admit(w.sched, &w.state->conf.queues.queues_val[0], &job);
+	return dag_sched_admit(w.sched, &w.state->conf.queues.queues_val[0], &job)
+		.retry_ms;
 }
 
 /* Batch jobs, and serving jobs as far as they are admitted. Returns those refused. */
@@ -157,13 +158,13 @@
 START_TEST(room_of_batch_work_is_kept)
 {
 	struct dag_admit_room room = {
-		.free = 10000, .batch = 4000, .batch_peak = 9000, .pending = 2000};
+		.free = 10000, .batch = 4000, .batch_usual = 9000, .pending = 2000};
 
 	ck_assert_int_eq(dag_admit_missing(&room, 3000), 0);
 	ck_assert_int_eq(dag_admit_missing(&room, 4000), 1000);
 	room.scraps = 1000;
 	ck_assert_int_eq(dag_admit_missing(&room, 4000), 0);
-	room.batch_peak = 0;
+	room.batch_usual = 0;
 	ck_assert_int_eq(dag_admit_missing(&room, 1000000), 0);
 }
 END_TEST
