--- a/carawayfrontd/controller_impl.h
+++ b/carawayfrontd/controller_impl.h
@@ -31,8 +31,10 @@
 	uint64_t zone;	/* hash of the name, of an order for a zone; else 0 */
 	bool zone_closed;
 	bool is_withdrawal;
+	bool is_submission;
 	bool is_conf;
-	uint64_t job; /* of a withdrawal */
+	uint64_t job; /* of a withdrawal or submission */
+	uint64_t org; /* hash of the sender's organisation's name, 0: none */
 };
 
 /* An executor that announced its exit ends when it has the reply. */
@@ -83,6 +85,8 @@
 	int64_t leave_us; /* while draining: its end without a successor */
 	bool handed_over;
 	int failure;
+	int64_t refusal_logged_us;  /* newest line of a failed authorisation */
+	uint64_t refusals_unlogged; /* since then */
 };
 
 #define CONTROLLER_OF(pointer, member)                                               \
@@ -108,6 +112,23 @@
 void controller_end_waits(struct controller *c, enum dag_outcome outcome);
 bool controller_leads(const struct controller *c);
 
+void controller_reply(struct dag_pending_request *t, enum dag_outcome outcome);
+void controller_propose_and_wait(struct controller *c, const struct dag_command *cmd,
+				 const struct controller_wait *about,
+				 struct dag_pending_request *t);
+
+/* controller_caller.c */
+void controller_serve_caller(struct controller *c, const struct dag_request *req,
+			     struct dag_pending_request *t);
+enum dag_outcome controller_applied_outcome(const struct controller *c,
+					    const struct controller_wait *w);
+
+/* controller_org.c */
+uint64_t controller_org_hash(const struct dag_org *org);
+bool controller_authorize(struct controller *c, const struct dag_queue *q,
+			  const struct dag_credential *credential,
+			  struct dag_org **owner);
+
 /* controller_sched.c */
 struct dag_transport *controller_transport(const struct controller *c);
 int controller_sched_start(struct controller *c);
--- a/carawayfrontd/controller_request.c
+++ b/carawayfrontd/controller_request.c
@@ -1,4 +1,4 @@
-/* Requests of callers, executors and operators, answered by the leader. */
+/* Requests of executors and operators, and the paths of all requests to the leader. */
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -13,7 +13,6 @@
 #include "proto/codec.h"
 #include "proto/peer.h"
 
-#define ID_DIGITS 16U
 #define NO_LEADER_RETRY_MS 500U
 /* A replica that heard the leader so recently has what was committed before. */
 #define KNOWN_REPORT_US 1000000
@@ -31,7 +30,7 @@
 	       replica_lease_valid(c->replica, clock_us());
 }
 
-static void reply_outcome(struct dag_pending_request *t, enum dag_outcome outcome)
+void controller_reply(struct dag_pending_request *t, enum dag_outcome outcome)
 {
 	struct dag_reply reply = {.outcome = outcome};
 
@@ -91,14 +90,6 @@
 			w->index = index;
 }
 
-/* A withdrawal finds the job if its submission was recorded just before. */
-static enum dag_outcome applied_outcome(const struct controller *c,
-					const struct controller_wait *w)
-{
-	return w->is_withdrawal && !dag_state_find_job(c->state, w->job) ? DAG_NO_JOB
-									 : DAG_OK;
-}
-
 /* Answers the requests whose commands are applied. */
 void controller_applied(struct controller *c, uint64_t index)
 {
@@ -108,7 +99,7 @@
 		c->waits = w->next;
 		if (!c->waits)
 			c->waits_end = &c->waits;
-		reply_outcome(w->ticket, applied_outcome(c, w));
+		controller_reply(w->ticket, controller_applied_outcome(c, w));
 		free(w);
 	}
 }
@@ -120,7 +111,7 @@
 		struct controller_wait *w = c->waits;
 
 		c->waits = w->next;
-		reply_outcome(w->ticket, outcome);
+		controller_reply(w->ticket, outcome);
 		free(w);
 	}
 	c->waits_end = &c->waits;
@@ -133,7 +124,7 @@
 		struct controller_leave *l = c->leaves;
 
 		c->leaves = l->next;
-		reply_outcome(l->ticket, DAG_REJECTED);
+		controller_reply(l->ticket, DAG_REJECTED);
 		free(l);
 	}
 }
@@ -175,237 +166,46 @@
 	return XXH3_64bits(zone->name.name_val, zone->name.name_len);
 }
 
-/* Proposes a command and answers once it is applied. */
-static void propose_and_wait(struct controller *c, const struct dag_command *cmd,
-			     struct dag_pending_request *t)
+/* Proposes a command and answers once it is applied. about: what is known of it. */
+void controller_propose_and_wait(struct controller *c, const struct dag_command *cmd,
+				 const struct controller_wait *about,
+				 struct dag_pending_request *t)
 {
 	struct controller_wait *w = calloc(1, sizeof(*w));
 	int err = w ? controller_propose(c, cmd) : CF_ENOMEM;
 
 	if (err) {
 		free(w);
-		reply_outcome(t, err == CF_ETOOBIG || err == CF_EINVAL ? DAG_INVALID
-								       : DAG_REJECTED);
+		controller_reply(t, err == CF_ETOOBIG || err == CF_EINVAL ? DAG_INVALID
+									  : DAG_REJECTED);
 		return;
 	}
+	*w = *about;
 	w->ticket = t;
-	if (cmd->kind == DAG_CMD_ZONE) {
-		w->zone = zone_hash(&cmd->dag_command_u.zone);
-		w->zone_closed = cmd->dag_command_u.zone.closed != 0;
-	}
-	w->is_conf = cmd->kind == DAG_CMD_CONF;
-	if (cmd->kind == DAG_CMD_WITHDRAW) {
-		w->is_withdrawal = true;
-		w->job = cmd->dag_command_u.withdrawal.job;
-	}
 	*c->waits_end = w;
 	c->waits_end = &w->next;
 }
 
-static int parse_id(struct str text, uint64_t *out)
-{
-	uint64_t id = 0;
-
-	if (text.n != ID_DIGITS)
-		return CF_EINVAL;
-	for (size_t i = 0; i < text.n; i++) {
-		char ch = text.p[i];
-
-		if (ch >= '0' && ch <= '9')
-			id = id << 4 | (uint64_t)(ch - '0');
-		else if (ch >= 'a' && ch <= 'f')
-			id = id << 4 | (uint64_t)(ch - 'a' + 10);
-		else if (ch >= 'A' && ch <= 'F')
-			id = id << 4 | (uint64_t)(ch - 'A' + 10);
-		else
-			return CF_EINVAL;
-	}
-	*out = id;
-	return 0;
-}
-
-/* Finds queue and job of a target. DAG_OK also when the path names no job (*id 0). */
-static enum dag_outcome resolve(struct controller *c, const struct dag_target *target,
-				const struct dag_queue **queue, uint64_t *id,
-				bool *is_queue)
-{
-	struct str rest;
-
-	*id = 0;
-	*is_queue = false;
-	if (!c->state->conf.revision)
-		return DAG_NO_CONF;
-	*queue = dag_state_match_queue(c->state, XDR_STR(*target, host),
-				       XDR_STR(*target, path), &rest);
-	if (!*queue)
-		return DAG_NO_QUEUE;
-	*is_queue = rest.n == 0;
-	if (!*is_queue && parse_id(rest, id))
-		return DAG_NO_JOB;
-	return DAG_OK;
-}
-
-/*
- * Whether a configuration is proposed and not applied yet. The names of queues may mean
- * others behind it in the log.
- */
-static bool has_conf_in_flight(const struct controller *c)
-{
-	for (const struct controller_wait *w = c->waits; w; w = w->next)
-		if (w->is_conf)
-			return true;
-	return false;
-}
-
-/* The gateway asks again soon. */
-static void reply_again(struct dag_pending_request *t)
-{
-	reply_outcome(t, DAG_NOT_LEADER);
-}
-
-static void serve_submit(struct controller *c, const struct dag_submit *s,
-			 struct dag_pending_request *t)
-{
-	struct dag_command cmd = {.kind = DAG_CMD_SUBMIT};
-	struct dag_job *job = &cmd.dag_command_u.job;
-	unsigned char ref_bytes[DAG_QUEUE_REF_BYTES];
-	struct dag_queue_key key;
-	struct str ref;
-	const struct dag_queue *q;
-	bool is_queue;
-	uint64_t id;
-	enum dag_outcome outcome = resolve(c, &s->target, &q, &id, &is_queue);
-
-	if (outcome == DAG_NO_JOB || (outcome == DAG_OK && is_queue))
-		outcome = DAG_INVALID;
-	if (outcome == DAG_OK && !dag_job_valid(&s->job))
-		outcome = DAG_INVALID;
-	if (outcome != DAG_OK || dag_state_find_job(c->state, id)) {
-		reply_outcome(t, outcome);
-		return;
-	}
-	if (c->state->n_tasks + dag_job_count_tasks(&s->job) > DAG_MAX_TASKS_TOTAL) {
-		log_warn("submit-refused", "job=%016llx tasks=%llu",
-			 (unsigned long long)id, (unsigned long long)c->state->n_tasks);
-		reply_outcome(t, DAG_REJECTED);
-		return;
-	}
-	if (has_conf_in_flight(c)) {
-		reply_again(t);
-		return;
-	}
-	key = dag_queue_key(q);
-	ref = dag_state_refer_queue(c->state, &key, ref_bytes);
-	*job = s->job;
-	job->id = id;
-	XDR_SET(*job, queue, ref);
-	job->accepted_ms = clock_wall_us() / 1000;
-	propose_and_wait(c, &cmd, t);
-}
-
-static struct dag_job_rec *find_job(struct controller *c, const struct dag_queue *q,
-				    uint64_t id)
-{
-	struct dag_job_rec *j = dag_state_find_job(c->state, id);
-	struct dag_queue_key key = dag_queue_key(q);
-
-	return j && dag_queue_key_equal(&j->queue, &key) ? j : NULL;
-}
-
-static void serve_read(struct controller *c, const struct dag_target *target,
-		       struct dag_pending_request *t)
-{
-	struct dag_reply reply = {0};
-	const struct dag_queue *q;
-	const struct dag_job_rec *j;
-	struct dag_queue_key key;
-	bool is_queue;
-	uint64_t id;
-
-	reply.outcome = resolve(c, target, &q, &id, &is_queue);
-	if (reply.outcome == DAG_OK && is_queue) {
-		reply.is_queue = true;
-		key = dag_queue_key(q);
-		reply.waiting = dag_state_count_waiting(c->state, &key);
-	} else if (reply.outcome == DAG_OK) {
-		j = find_job(c, q, id);
-		reply.outcome = j ? DAG_OK : DAG_NO_JOB;
-		reply.state = j ? j->state : DAG_JOB_QUEUED;
-	}
-	t->ops->done(t, &reply);
-}
-
-/* The submission of a job that is not known may be under way, or come after this. */
-static void withdraw(struct controller *c, uint64_t id, const struct dag_queue *q,
-		     struct dag_pending_request *t)
-{
-	struct dag_command cmd = {.kind = DAG_CMD_WITHDRAW};
-	struct dag_queue_key key = dag_queue_key(q);
-	unsigned char ref_bytes[DAG_QUEUE_REF_BYTES];
-	struct str ref = dag_state_refer_queue(c->state, &key, ref_bytes);
-
-	if (dag_state_find_job(c->state, id) ||
-	    dag_state_is_withdrawn(c->state, id, &key)) {
-		reply_outcome(t, DAG_NO_JOB);
-		return;
-	}
-	if (has_conf_in_flight(c)) {
-		reply_again(t);
-		return;
-	}
-	cmd.dag_command_u.withdrawal.job = id;
-	XDR_SET(cmd.dag_command_u.withdrawal, queue, ref);
-	log_info("job-withdrawn", "job=%016llx", (unsigned long long)id);
-	propose_and_wait(c, &cmd, t);
-}
-
-static void serve_cancel(struct controller *c, const struct dag_target *target,
-			 struct dag_pending_request *t)
-{
-	struct dag_command cmd = {.kind = DAG_CMD_CANCEL};
-	const struct dag_queue *q;
-	struct dag_job_rec *j;
-	bool is_queue;
-	uint64_t id;
-	enum dag_outcome outcome = resolve(c, target, &q, &id, &is_queue);
-
-	if (outcome != DAG_OK || is_queue) {
-		reply_outcome(t, outcome == DAG_OK ? DAG_NO_JOB : outcome);
-		return;
-	}
-	j = find_job(c, q, id);
-	if (!j) {
-		withdraw(c, id, q, t);
-		return;
-	}
-	if (dag_job_ended(j)) {
-		reply_outcome(t, DAG_OK);
-		return;
-	}
-	cmd.dag_command_u.cancel = id;
-	log_info("job-cancel", "job=%016llx state=%d", (unsigned long long)id, j->state);
-	propose_and_wait(c, &cmd, t);
-}
-
 static void serve_report(struct controller *c, const struct dag_report *r,
 			 struct dag_pending_request *t)
 {
 	struct dag_command cmd = {.kind = DAG_CMD_WORKER};
+	const struct controller_wait about = {0};
 
 	if (!dag_report_valid(r, clock_wall_us() / 1000) ||
 	    !executors_can_call(XDR_STR(r->worker, address))) {
-		reply_outcome(t, DAG_INVALID);
+		controller_reply(t, DAG_INVALID);
 		return;
 	}
 	if (!dag_sched_report(c->sched, r, clock_us(), &cmd.dag_command_u.worker)) {
-		reply_outcome(t, DAG_OK);
+		controller_reply(t, DAG_OK);
 		return;
 	}
 	log_info("worker-report", "worker=%.*s address=%.*s zone=%.*s state=%d born=%lld",
 		 STR_ARG(XDR_STR(r->worker, id)), STR_ARG(XDR_STR(r->worker, address)),
 		 STR_ARG(XDR_STR(r->worker, zone)), r->worker.state,
 		 (long long)r->worker.born_ms);
-	propose_and_wait(c, &cmd, t);
+	controller_propose_and_wait(c, &cmd, &about, t);
 }
 
 static void serve_leave(struct controller *c, const struct dag_name *id,
@@ -416,7 +216,7 @@
 	struct controller_leave *l;
 
 	if (!rec) {
-		reply_outcome(t, DAG_OK);
+		controller_reply(t, DAG_OK);
 		return;
 	}
 	log_info("worker-leave", "worker=%.*s state=%d", STR_ARG(XDR_STR(*id, text)),
@@ -424,7 +224,7 @@
 	dag_sched_worker_leaving(c->sched, rec->number, clock_us());
 	l = calloc(1, sizeof(*l));
 	if (!l) {
-		reply_outcome(t, DAG_REJECTED);
+		controller_reply(t, DAG_REJECTED);
 		return;
 	}
 	*l = (struct controller_leave){c->leaves, t, rec->number};
@@ -445,23 +245,38 @@
 		 known);
 	if (known)
 		dag_sched_worker_ended(c->sched, rec->number, clock_us());
-	reply_outcome(t, DAG_OK);
+	controller_reply(t, DAG_OK);
 }
 
+/* orgs: the same configuration with its organisations, NULL: it has none. */
 static void serve_conf_put(struct controller *c, const struct dag_conf *conf,
-			   struct dag_pending_request *t)
+			   const struct dag_org_conf *orgs, struct dag_pending_request *t)
 {
 	struct dag_command cmd = {.kind = DAG_CMD_CONF};
+	const struct controller_wait about = {.is_conf = true};
+	int err;
 
-	log_info("conf-put", "revision=%llu in_force=%llu",
+	log_info("conf-put", "revision=%llu in_force=%llu orgs=%u",
 		 (unsigned long long)conf->revision,
-		 (unsigned long long)c->state->conf.revision);
+		 (unsigned long long)c->state->conf.revision,
+		 orgs ? orgs->orgs.orgs_len : 0);
 	if (conf->revision <= c->state->conf.revision) {
-		reply_outcome(t, DAG_OK);
+		controller_reply(t, DAG_OK);
 		return;
 	}
-	cmd.dag_command_u.conf = *conf;
-	propose_and_wait(c, &cmd, t);
+	if (orgs) {
+		err = dag_state_check_orgs(orgs);
+		if (err) {
+			controller_reply(t,
+					 err == CF_EINVAL ? DAG_INVALID : DAG_REJECTED);
+			return;
+		}
+		cmd.kind = DAG_CMD_ORG_CONF;
+		cmd.dag_command_u.org_conf = *orgs;
+	} else {
+		cmd.dag_command_u.conf = *conf;
+	}
+	controller_propose_and_wait(c, &cmd, &about, t);
 }
 
 static void serve_conf_get(struct controller *c, struct dag_pending_request *t)
@@ -493,6 +308,8 @@
 		       struct dag_pending_request *t)
 {
 	struct dag_command cmd = {.kind = DAG_CMD_ZONE};
+	const struct controller_wait about = {.zone = zone_hash(&order->zone),
+					      .zone_closed = order->zone.closed != 0};
 	struct str name = XDR_STR(order->zone, name);
 	bool in_force =
 		dag_state_zone_closed(c->state, name) == (order->zone.closed != 0);
@@ -501,15 +318,27 @@
 	log_info("zone", "zone=%.*s closed=%d old=%d", STR_ARG(name), order->zone.closed,
 		 old);
 	if (has_contrary_order(c, &order->zone) || (old && !in_force)) {
-		reply_outcome(t, DAG_REJECTED);
+		controller_reply(t, DAG_REJECTED);
 		return;
 	}
 	if (old) {
-		reply_outcome(t, DAG_OK);
+		controller_reply(t, DAG_OK);
 		return;
 	}
 	cmd.dag_command_u.zone = order->zone;
-	propose_and_wait(c, &cmd, t);
+	controller_propose_and_wait(c, &cmd, &about, t);
+}
+
+/* The reply has a text if the configuration has organisations. */
+static void serve_agent(struct controller *c, const struct dag_agent *agent,
+			struct dag_pending_request *t)
+{
+	struct dag_reply reply = {.outcome = DAG_OK};
+
+	relay_agent(c->relay, agent);
+	if (dag_state_has_orgs(c->state))
+		XDR_SET(reply, text, STR("organisations"));
+	t->ops->done(t, &reply);
 }
 
 /* Serves a request as the leader. */
@@ -518,13 +347,12 @@
 {
 	switch (req->kind) {
 	case DAG_REQ_SUBMIT:
-		serve_submit(c, &req->dag_request_u.submit, t);
-		return;
 	case DAG_REQ_READ:
-		serve_read(c, &req->dag_request_u.target, t);
-		return;
 	case DAG_REQ_CANCEL:
-		serve_cancel(c, &req->dag_request_u.target, t);
+	case DAG_REQ_ORG_SUBMIT:
+	case DAG_REQ_ORG_READ:
+	case DAG_REQ_ORG_CANCEL:
+		controller_serve_caller(c, req, t);
 		return;
 	case DAG_REQ_REPORT:
 		serve_report(c, &req->dag_request_u.report, t);
@@ -536,7 +364,11 @@
 		serve_left(c, &req->dag_request_u.left, t);
 		return;
 	case DAG_REQ_CONF_PUT:
-		serve_conf_put(c, &req->dag_request_u.conf, t);
+		serve_conf_put(c, &req->dag_request_u.conf, NULL, t);
+		return;
+	case DAG_REQ_ORG_CONF_PUT:
+		serve_conf_put(c, &req->dag_request_u.org_conf.conf,
+			       &req->dag_request_u.org_conf, t);
 		return;
 	case DAG_REQ_CONF_GET:
 		serve_conf_get(c, t);
@@ -545,14 +377,13 @@
 		serve_zone(c, &req->dag_request_u.zone, t);
 		return;
 	case DAG_REQ_MEMBERS:
-		reply_outcome(t, DAG_OK);
+		controller_reply(t, DAG_OK);
 		return;
 	case DAG_REQ_AGENT:
-		relay_agent(c->relay, &req->dag_request_u.agent);
-		reply_outcome(t, DAG_OK);
+		serve_agent(c, &req->dag_request_u.agent, t);
 		return;
 	}
-	reply_outcome(t, DAG_INVALID);
+	controller_reply(t, DAG_INVALID);
 }
 
 /*
@@ -605,7 +436,7 @@
 	struct dag_request stamped;
 
 	if (may_be_given_up(c, req)) {
-		reply_outcome(t, DAG_REJECTED);
+		controller_reply(t, DAG_REJECTED);
 		return;
 	}
 	if (req->kind == DAG_REQ_ZONE) {
@@ -616,7 +447,7 @@
 	if (controller_leads(c))
 		serve(c, req, t);
 	else if (is_known_report(c, req))
-		reply_outcome(t, DAG_OK);
+		controller_reply(t, DAG_OK);
 	else
 		dag_client_request(c->client, req, timeout, t);
 }
--- a/carawayfrontd/dag_client.c
+++ b/carawayfrontd/dag_client.c
@@ -334,6 +334,14 @@
 		err = codec_decode((xdrproc_t)xdr_dag_reply, &reply, results);
 	if (!err) {
 		take_reply(call, &reply);
+	} else if (err == CF_EINVAL) {
+		/*
+		 * The controller has not decoded the request, so it has not run: its
+		 * program does not know the kind. It serves other requests.
+		 */
+		call->node->heard = clock_s();
+		call->node->renewed = false;
+		fail_call(call);
 	} else {
 		call->maybe_run =
 			call->maybe_run || (call->has_effect && err != CF_EUNAVAIL);
@@ -396,8 +404,23 @@
 /* Whether a request can change something. */
 bool dag_request_has_effect(enum dag_request_kind kind)
 {
-	return kind != DAG_REQ_READ && kind != DAG_REQ_CONF_GET &&
-	       kind != DAG_REQ_MEMBERS;
+	return kind != DAG_REQ_READ && kind != DAG_REQ_ORG_READ &&
+	       kind != DAG_REQ_CONF_GET && kind != DAG_REQ_MEMBERS;
+}
+
+static bool is_of_caller(enum dag_request_kind kind)
+{
+	switch (kind) {
+	case DAG_REQ_SUBMIT:
+	case DAG_REQ_READ:
+	case DAG_REQ_CANCEL:
+	case DAG_REQ_ORG_SUBMIT:
+	case DAG_REQ_ORG_READ:
+	case DAG_REQ_ORG_CANCEL:
+		return true;
+	default:
+		return false;
+	}
 }
 
 /* A request that exceeds a bound of the protocol stays invalid; others may come again. */
@@ -433,8 +456,7 @@
 	call->client = c;
 	call->ticket = t;
 	call->has_effect = dag_request_has_effect(req->kind);
-	call->of_caller = req->kind == DAG_REQ_SUBMIT || req->kind == DAG_REQ_READ ||
-			  req->kind == DAG_REQ_CANCEL;
+	call->of_caller = is_of_caller(req->kind);
 	call->attempt_s = req->kind == DAG_REQ_MEMBERS ? FINDER_ATTEMPT_S : ATTEMPT_S;
 	call->deadline = clock_s() + timeout;
 	ev_timer_init(&call->retry, on_retry, 0, 0);
--- a/carawayfrontd/gateway.c
+++ b/carawayfrontd/gateway.c
@@ -37,6 +37,7 @@
 	struct metrics_port *metrics_port;
 	struct ev_timer timer;
 	bool checking;
+	bool has_orgs;	/* the leader said so, or has said nothing yet */
 	double checked; /* newest check */
 	bool had_leader;
 	double drain_at; /* 0: not draining */
@@ -56,8 +57,10 @@
 {
 	switch (kind) {
 	case DAG_REQ_SUBMIT:
+	case DAG_REQ_ORG_SUBMIT:
 		return "submit";
 	case DAG_REQ_CANCEL:
+	case DAG_REQ_ORG_CANCEL:
 		return "cancel";
 	default:
 		return "read";
@@ -66,11 +69,11 @@
 
 static const char *outcome_name(enum dag_outcome outcome)
 {
-	static const char *const names[] = {"ok",	  "no-queue", "no-job",
-					    "no-conf",	  "rejected", "invalid",
-					    "not-leader", "unknown"};
+	static const char *const names[] = {
+		"ok",	   "no-queue",	 "no-job",  "no-conf",	    "rejected",
+		"invalid", "not-leader", "unknown", "unauthorized", "conflict"};
 
-	return outcome <= DAG_UNKNOWN ? names[outcome] : "other";
+	return outcome <= DAG_CONFLICT ? names[outcome] : "other";
 }
 
 /* One line for each request but reads that were answered. */
@@ -84,7 +87,8 @@
 		 outcome_name(reply->outcome));
 	hist_add(metric_hist(g->metrics, "carawayfront_request_duration_us", labels),
 		 (uint64_t)(ms * 1000));
-	if (r->kind == DAG_REQ_READ && reply->outcome == DAG_OK)
+	if ((r->kind == DAG_REQ_READ || r->kind == DAG_REQ_ORG_READ) &&
+	    reply->outcome == DAG_OK)
 		return;
 	log_info("request",
 		 "kind=%s path=%s outcome=%s ms=%.0f leader=%llx leader_age_ms=%.0f",
@@ -101,6 +105,8 @@
 	struct dag_pending_request *caller = r->caller;
 
 	note_request(r, reply);
+	if (reply->outcome == DAG_UNAUTHORIZED)
+		r->gateway->has_orgs = true;
 	free(r);
 	caller->ops->done(caller, reply);
 }
@@ -123,13 +129,27 @@
 	return g->drain_at && clock_s() - g->drain_at > DRAIN_ACCEPT_S && !has_leader(g);
 }
 
+/* The target of a caller's request. */
+static const struct dag_target *find_target(const struct dag_request *req)
+{
+	switch (req->kind) {
+	case DAG_REQ_SUBMIT:
+		return &req->dag_request_u.submit.target;
+	case DAG_REQ_ORG_SUBMIT:
+		return &req->dag_request_u.org_submit.submit.target;
+	case DAG_REQ_ORG_READ:
+	case DAG_REQ_ORG_CANCEL:
+		return &req->dag_request_u.org_target.target;
+	default:
+		return &req->dag_request_u.target;
+	}
+}
+
 static void port_request(struct dag_request_handler *p, const struct dag_request *req,
 			 double timeout, struct dag_pending_request *t)
 {
 	struct gateway *g = (struct gateway *)p;
-	const struct dag_target *target = req->kind == DAG_REQ_SUBMIT
-						  ? &req->dag_request_u.submit.target
-						  : &req->dag_request_u.target;
+	const struct dag_target *target = find_target(req);
 	struct gateway_request *r = ends_without_leader(g) ? NULL : calloc(1, sizeof(*r));
 	struct dag_reply rejected = {.outcome = DAG_REJECTED, .retry_after_ms = 1000};
 
@@ -153,6 +173,11 @@
 	return !g->drain_at && has_leader(g);
 }
 
+static bool port_may_authorize(struct dag_request_handler *p)
+{
+	return ((struct gateway *)p)->has_orgs;
+}
+
 static struct str port_report_address(struct dag_request_handler *p)
 {
 	return (struct str){NULL, 0};
@@ -161,6 +186,7 @@
 static const struct dag_request_handler_ops port_ops = {
 	.request = port_request,
 	.ready = port_ready,
+	.may_authorize = port_may_authorize,
 	.report_address = port_report_address,
 };
 
@@ -170,6 +196,8 @@
 		(struct gateway *)(void *)((char *)t - offsetof(struct gateway, check));
 
 	g->checking = false;
+	if (reply->outcome == DAG_OK)
+		g->has_orgs = reply->text.text_len > 0;
 }
 
 static const struct dag_pending_request_ops check_ops = {.done = on_check};
@@ -229,6 +257,7 @@
 	g->loop = loop;
 	g->metrics = metrics;
 	g->settings = settings;
+	g->has_orgs = true;
 	callers.handler = &g->port;
 	ev_timer_init(&g->timer, on_timer, CHECK_S / 5, CHECK_S / 5);
 	g->timer.data = g;
--- a/core/dag_org.h
+++ b/core/dag_org.h
@@ -4,6 +4,7 @@
 #include <uthash.h>
 
 #include "base/str.h"
+#include "proto/dag.h"
 
 /*
  * Organisations of the replicated state: who may submit jobs, and how much of the
@@ -28,9 +29,27 @@
 	char *name;	   /* NUL-terminated, its length is that of the key */
 	uint32_t weight;   /* share under shortage, relative to others; 0 counts as 1 */
 	struct dag_org_limits limits;
-	bool configured; /* the configuration in force names it */
-	uint32_t n_jobs; /* jobs that it owns */
-	void *sched;	 /* struct ds_org of the leader, NULL elsewhere */
+	bool configured;	      /* the configuration in force names it */
+	uint32_t n_jobs;	      /* jobs that it owns */
+	void *sched;		      /* struct ds_org of the leader, NULL elsewhere */
+	struct dag_org *next_removed; /* private to core/dag_org.c */
 };
 
+/* A credential of an organisation, known by its digest only. */
+struct dag_org_key {
+	unsigned char digest[DAG_DIGEST_BYTES];
+	struct dag_org *org;
+};
+
+/* What the configuration in force says of access. Without organisations all is empty. */
+struct dag_org_access {
+	struct dag_org_key *keys; /* each digest once, in ascending order */
+	size_t n_keys;
+	bool *public_queues; /* for each queue of the configuration; NULL: no organisation
+				is configured */
+};
+
+int dag_org_digest(struct str credential, unsigned char digest[DAG_DIGEST_BYTES]);
+struct str dag_org_name(const struct dag_org *org);
+
 #endif
--- a/core/dag_state.c
+++ b/core/dag_state.c
@@ -71,6 +71,7 @@
 	dag_state_forget_job_suspicions(s, j->id);
 	HASH_DEL(s->jobs, j);
 	s->n_tasks -= (uint64_t)j->n_occ * j->n_tasks;
+	dag_state_clear_owner(s, j);
 	free_job(j);
 }
 
@@ -101,6 +102,7 @@
 		next = z->hh.next;
 		free(z);
 	}
+	dag_state_clear_orgs(s);
 	codec_free((xdrproc_t)xdr_dag_conf, &s->conf);
 	memset(&s->conf, 0, sizeof(s->conf));
 	free(s->queue_keys);
@@ -387,14 +389,23 @@
 	dag_state_name_withdrawn(s);
 }
 
-/* Ignores a configuration unless its revision is higher than the current one. */
-static int apply_conf(struct dag_state *s, const struct dag_conf *conf)
+/*
+ * Ignores a configuration unless its revision is higher than the current one. orgs: the
+ * same configuration with its organisations, NULL: it has none.
+ */
+static int apply_conf(struct dag_state *s, const struct dag_conf *conf,
+		      const struct dag_org_conf *orgs)
 {
 	int err;
 
 	if (conf->revision <= s->conf.revision)
 		return 0;
+	err = orgs ? dag_state_check_orgs(orgs) : 0;
+	if (err) /* every replica ignores an invalid one */
+		return err == CF_EINVAL ? 0 : err;
 	err = dag_state_set_conf(s, conf);
+	if (!err)
+		err = dag_state_set_orgs(s, orgs);
 	if (!err)
 		name_queues(s);
 	if (!err && s->observer)
@@ -519,9 +530,9 @@
 
 /*
  * Adds a job. Ignores one with a known id, so that submissions can be retried. One that
- * was withdrawn before is cancelled from the start.
+ * was withdrawn before is cancelled from the start. org: its owner, empty: none.
  */
-static int apply_submit(struct dag_state *s, const struct dag_job *spec)
+static int apply_submit(struct dag_state *s, const struct dag_job *spec, struct str org)
 {
 	const struct dag_queue *q;
 	struct dag_queue_key key;
@@ -533,9 +544,11 @@
 	dag_state_resolve_queue(s, XDR_STR(*spec, queue), &key);
 	q = dag_state_find_queue(s, &key);
 	err = dag_state_add_job(s, spec, q ? q->attempts : 1, &j);
+	if (!err && org.n)
+		err = dag_state_set_owner(s, j, org);
 	if (!err && s->observer)
 		s->observer->ops->job_added(s->observer, j);
-	if (!err && dag_state_take_withdrawn(s, j->id, &j->queue))
+	if (!err && dag_state_take_withdrawn(s, j))
 		dag_state_end_job(s, j, DAG_JOB_CANCELLED);
 	/* Every replica ignores an invalid job, so that is no error. */
 	return err == CF_EINVAL ? 0 : err;
@@ -549,15 +562,21 @@
 		dag_state_end_job(s, j, DAG_JOB_CANCELLED);
 }
 
-/* The submission may have been recorded since the leader looked for the job. */
-static int apply_withdraw(struct dag_state *s, const struct dag_withdrawal *w)
+/*
+ * The submission may have been recorded since the leader looked for the job. org: of the
+ * sender, empty: none; NULL: recorded without organisations in the configuration.
+ */
+static int apply_withdraw(struct dag_state *s, const struct dag_withdrawal *w,
+			  const struct str *org)
 {
 	struct dag_job_rec *j = dag_state_find_job(s, w->job);
 	struct dag_queue_key key;
 
 	if (!j)
-		return dag_state_withdraw(s, w->job, XDR_STR(*w, queue), s->time_ms);
+		return dag_state_withdraw(s, w->job, XDR_STR(*w, queue), s->time_ms, org);
 	dag_state_resolve_queue(s, XDR_STR(*w, queue), &key);
+	if (org && j->org && !str_eq(dag_org_name(j->org), *org))
+		return 0;
 	if (dag_queue_key_equal(&j->queue, &key))
 		apply_cancel(s, w->job);
 	return 0;
@@ -868,15 +887,17 @@
 
 static int apply_command(struct dag_state *s, const struct dag_command *c)
 {
+	struct str org;
+
 	switch (c->kind) {
 	case DAG_CMD_CONF:
-		return apply_conf(s, &c->dag_command_u.conf);
+		return apply_conf(s, &c->dag_command_u.conf, NULL);
 	case DAG_CMD_ZONE:
 		return apply_zone(s, &c->dag_command_u.zone);
 	case DAG_CMD_WORKER:
 		return apply_worker(s, &c->dag_command_u.worker);
 	case DAG_CMD_SUBMIT:
-		return apply_submit(s, &c->dag_command_u.job);
+		return apply_submit(s, &c->dag_command_u.job, STR(""));
 	case DAG_CMD_CANCEL:
 		apply_cancel(s, c->dag_command_u.cancel);
 		return 0;
@@ -897,7 +918,17 @@
 		apply_begun(s, c->dag_command_u.begun);
 		return 0;
 	case DAG_CMD_WITHDRAW:
-		return apply_withdraw(s, &c->dag_command_u.withdrawal);
+		return apply_withdraw(s, &c->dag_command_u.withdrawal, NULL);
+	case DAG_CMD_ORG_CONF:
+		return apply_conf(s, &c->dag_command_u.org_conf.conf,
+				  &c->dag_command_u.org_conf);
+	case DAG_CMD_ORG_SUBMIT:
+		org = XDR_STR(c->dag_command_u.org_job.org, text);
+		return apply_submit(s, &c->dag_command_u.org_job.job, org);
+	case DAG_CMD_ORG_WITHDRAW:
+		org = XDR_STR(c->dag_command_u.org_withdrawal.org, text);
+		return apply_withdraw(s, &c->dag_command_u.org_withdrawal.withdrawal,
+				      &org);
 	}
 	return CF_EINVAL;
 }
--- a/core/dag_state.h
+++ b/core/dag_state.h
@@ -156,6 +156,8 @@
 	void (*contact_changed)(struct dag_observer *o, struct dag_worker_rec *w);
 	void (*conf_changed)(struct dag_observer *o);
 	void (*zones_changed)(struct dag_observer *o);
+	/* NULL: not called. The organisation is freed after that. */
+	void (*org_removed)(struct dag_observer *o, struct dag_org *org);
 };
 
 struct dag_zone_rec {
@@ -172,7 +174,8 @@
 	uint64_t n_tasks;		  /* of all jobs and occurrences */
 	struct dag_conf conf;		  /* revision 0: none yet */
 	struct dag_queue_key *queue_keys; /* of the queues of conf */
-	struct dag_org *orgs;
+	struct dag_org *orgs;		  /* in the order in which they were added */
+	struct dag_org_access access;
 	struct dag_zone_rec *zones; /* all that are closed, and others with an order */
 	uint64_t zone_orders_floor; /* orders of other zones are not newer */
 	struct dag_worker_rec *workers; /* by number */
@@ -211,7 +214,8 @@
 const struct dag_queue *dag_state_match_queue(const struct dag_state *s, struct str host,
 					      struct str path, struct str *rest);
 bool dag_state_is_withdrawn(const struct dag_state *s, uint64_t id,
-			    const struct dag_queue_key *queue);
+			    const struct dag_queue_key *queue,
+			    const struct dag_org *caller);
 uint32_t dag_state_count_waiting(const struct dag_state *s,
 				 const struct dag_queue_key *queue);
 struct dag_queue_key dag_queue_key(const struct dag_queue *q);
@@ -222,6 +226,13 @@
 				 const struct dag_queue_key *key, unsigned char *bytes);
 struct str dag_state_queue_name(const struct dag_state *s, const struct dag_job_rec *j);
 
+bool dag_state_has_orgs(const struct dag_state *s);
+struct dag_org *dag_state_find_org(const struct dag_state *s, struct str name);
+bool dag_state_authorize(const struct dag_state *s, const struct dag_queue *q,
+			 struct str credential, struct dag_org **owner);
+bool dag_state_may_access(const struct dag_state *s, const struct dag_job_rec *j,
+			  const struct dag_org *caller);
+
 struct dag_task *dag_job_find_task(const struct dag_job_rec *j, uint32_t occurrence,
 				   uint32_t step, uint32_t index);
 bool dag_job_ended(const struct dag_job_rec *j);
@@ -270,12 +281,25 @@
 int dag_state_index_queues(struct dag_state *s);
 bool dag_state_resolve_queue(const struct dag_state *s, struct str ref,
 			     struct dag_queue_key *key);
-int dag_state_withdraw(struct dag_state *s, uint64_t id, struct str queue, int64_t at_ms);
-bool dag_state_take_withdrawn(struct dag_state *s, uint64_t id,
-			      const struct dag_queue_key *queue);
+int dag_state_withdraw(struct dag_state *s, uint64_t id, struct str queue, int64_t at_ms,
+		       const struct str *org);
+bool dag_state_take_withdrawn(struct dag_state *s, const struct dag_job_rec *j);
 void dag_state_name_withdrawn(struct dag_state *s);
 void dag_state_clear_withdrawn(struct dag_state *s);
-void dag_state_list_withdrawn(const struct dag_state *s, unsigned char *refs,
-			      struct dag_image_job *out);
+u_int dag_state_list_withdrawn(const struct dag_state *s, unsigned char *refs,
+			       struct dag_image_job *out);
+u_int dag_state_list_org_withdrawn(const struct dag_state *s, unsigned char *refs,
+				   struct dag_image_withdrawn *out);
+int dag_state_restore_org_withdrawn(struct dag_state *s,
+				    const struct dag_image_withdrawn *iw);
+int dag_state_set_orgs(struct dag_state *s, const struct dag_org_conf *conf);
+int dag_state_check_orgs(const struct dag_org_conf *conf);
+int dag_state_add_org(struct dag_state *s, const struct dag_org_spec *spec);
+int dag_state_set_owner(struct dag_state *s, struct dag_job_rec *j, struct str org);
+void dag_state_clear_owner(struct dag_state *s, struct dag_job_rec *j);
+void dag_state_clear_orgs(struct dag_state *s);
+int dag_state_fill_orgs(const struct dag_state *s, struct dag_org_image *im);
+void dag_state_free_org_image(struct dag_org_image *im);
+int dag_state_load_orgs(struct dag_state *s, const struct dag_org_image *im);
 
 #endif
--- a/core/dag_state_snapshot.c
+++ b/core/dag_state_snapshot.c
@@ -142,11 +142,36 @@
 		err = fill_job(s, j, refs, &im->jobs.jobs_val[im->jobs.jobs_len++]);
 	if (err)
 		return err;
-	dag_state_list_withdrawn(s, refs, &im->jobs.jobs_val[im->jobs.jobs_len]);
-	im->jobs.jobs_len += s->n_withdrawn;
+	im->jobs.jobs_len +=
+		dag_state_list_withdrawn(s, refs, &im->jobs.jobs_val[im->jobs.jobs_len]);
 	return 0;
 }
 
+/* Appends the part of a snapshot that is there only with organisations. */
+static int add_orgs(const struct dag_state *s, struct buf *out)
+{
+	u_int n_withdrawn = dag_state_list_org_withdrawn(s, NULL, NULL);
+	struct dag_org_image im = {0};
+	unsigned char *refs;
+	int err;
+
+	if (!s->orgs && !n_withdrawn)
+		return 0;
+	refs = calloc((size_t)s->n_withdrawn + 1, DAG_QUEUE_REF_BYTES);
+	im.withdrawn.withdrawn_val =
+		calloc((size_t)n_withdrawn + 1, sizeof(struct dag_image_withdrawn));
+	err = refs && im.withdrawn.withdrawn_val ? dag_state_fill_orgs(s, &im)
+						 : CF_ENOMEM;
+	if (!err) {
+		im.withdrawn.withdrawn_len =
+			dag_state_list_org_withdrawn(s, refs, im.withdrawn.withdrawn_val);
+		err = codec_encode((xdrproc_t)xdr_dag_org_image, &im, out);
+	}
+	dag_state_free_org_image(&im);
+	free(refs);
+	return err;
+}
+
 /* Appends a snapshot of the whole state to out. CF_ENOMEM or an encoding error. */
 int dag_state_snapshot(const struct dag_state *s, struct buf *out)
 {
@@ -157,6 +182,8 @@
 
 	if (!err)
 		err = codec_encode((xdrproc_t)xdr_dag_image, &im, out);
+	if (!err)
+		err = add_orgs(s, out);
 	for (u_int i = 0; i < im.jobs.jobs_len; i++)
 		free_job_image(&im.jobs.jobs_val[i]);
 	free(im.closed_zones.closed_zones_val);
@@ -250,7 +277,7 @@
 		return CF_EMALFORMED;
 	if (!ij->spec.steps.steps_len)
 		return dag_state_withdraw(s, ij->spec.id, XDR_STR(ij->spec, queue),
-					  ij->ended_ms);
+					  ij->ended_ms, NULL);
 	err = dag_state_add_job(s, &ij->spec, ij->attempts, &j);
 	if (err)
 		return err == CF_EINVAL ? CF_EMALFORMED : err;
@@ -296,11 +323,20 @@
 /* Decodes a snapshot into an empty state, which the caller clears after an error too. */
 static int read_image(struct dag_state *s, struct str snapshot)
 {
+	struct dag_org_image orgs = {0};
 	struct dag_image im = {0};
-	int err = codec_decode((xdrproc_t)xdr_dag_image, &im, snapshot);
+	size_t used;
+	int err = codec_decode_first((xdrproc_t)xdr_dag_image, &im, snapshot, &used);
 
 	if (!err)
 		err = load_image(s, &im);
+	if (!err && used < snapshot.n) {
+		err = codec_decode((xdrproc_t)xdr_dag_org_image, &orgs,
+				   (struct str){snapshot.p + used, snapshot.n - used});
+		if (!err)
+			err = dag_state_load_orgs(s, &orgs);
+		codec_free((xdrproc_t)xdr_dag_org_image, &orgs);
+	}
 	codec_free((xdrproc_t)xdr_dag_image, &im);
 	return err;
 }
--- a/core/dag_withdrawn.c
+++ b/core/dag_withdrawn.c
@@ -18,19 +18,36 @@
 	struct buf ref; /* to the queue, as it came */
 	struct dag_queue_key queue;
 	bool queue_known;
+	/*
+	 * Recorded while organisations were configured: it concerns jobs of this
+	 * organisation (empty: none) and those without an owner.
+	 */
+	bool has_org;
+	struct buf org;
 };
 
-static struct dag_withdrawn *find(const struct dag_state *s, uint64_t id)
+/* org NULL: recorded while no organisation was configured. */
+static bool is_by(const struct dag_withdrawn *w, const struct str *org)
+{
+	return w->has_org == (org != NULL) && (!org || str_eq(buf_str(&w->org), *org));
+}
+
+static struct dag_withdrawn *find(const struct dag_state *s, uint64_t id,
+				  const struct str *org)
 {
 	for (u_int i = 0; i < s->n_withdrawn; i++)
-		if (s->withdrawn[i].id == id)
+		if (s->withdrawn[i].id == id && is_by(&s->withdrawn[i], org))
 			return &s->withdrawn[i];
 	return NULL;
 }
 
-static bool is_of_queue(const struct dag_withdrawn *w, const struct dag_queue_key *queue)
+/* Whether it concerns a job of a queue and an organisation, NULL: none. */
+static bool concerns(const struct dag_withdrawn *w, const struct dag_queue_key *queue,
+		     const struct dag_org *owner)
 {
-	return w && dag_queue_key_equal(&w->queue, queue);
+	if (!dag_queue_key_equal(&w->queue, queue))
+		return false;
+	return !w->has_org || !owner || str_eq(buf_str(&w->org), dag_org_name(owner));
 }
 
 static void forget(struct dag_state *s, struct dag_withdrawn *w)
@@ -38,6 +55,7 @@
 	size_t after = (size_t)(&s->withdrawn[--s->n_withdrawn] - w);
 
 	buf_free(&w->ref);
+	buf_free(&w->org);
 	memmove(w, w + 1, after * sizeof(*w));
 }
 
@@ -49,53 +67,89 @@
 		forget(s, &s->withdrawn[0]);
 }
 
+/* Inserts one at a position. */
+static int insert(struct dag_state *s, u_int position, uint64_t id, struct str queue,
+		  int64_t at_ms, const struct str *org)
+{
+	struct dag_withdrawn *w =
+		realloc(s->withdrawn, ((size_t)s->n_withdrawn + 1) * sizeof(*w));
+	struct dag_withdrawn added = {.id = id, .at_ms = at_ms, .has_org = org != NULL};
+	int err;
+
+	if (!w)
+		return CF_ENOMEM;
+	s->withdrawn = w;
+	w += position;
+	added.queue_known = dag_state_resolve_queue(s, queue, &added.queue);
+	err = buf_set(&added.ref, queue);
+	if (!err && org && org->n)
+		err = buf_set(&added.org, *org);
+	if (err) {
+		buf_free(&added.ref);
+		buf_free(&added.org);
+		return err;
+	}
+	memmove(w + 1, w, (s->n_withdrawn - position) * sizeof(*w));
+	*w = added;
+	s->n_withdrawn++;
+	return 0;
+}
+
 /*
- * Remembers that a job of a queue is not wanted. Forgets those that are too old, and the
+ * Remembers that a job of a queue is not wanted by its sender's organisation (empty:
+ * none; NULL: no organisation is configured). Forgets those that are too old, and the
  * oldest when there are too many. CF_ENOMEM.
  */
-int dag_state_withdraw(struct dag_state *s, uint64_t id, struct str queue, int64_t at_ms)
+int dag_state_withdraw(struct dag_state *s, uint64_t id, struct str queue, int64_t at_ms,
+		       const struct str *org)
 {
-	struct dag_withdrawn *w = find(s, id);
-	int err;
+	struct dag_withdrawn *w = find(s, id, org);
 
 	if (w)
 		forget(s, w);
 	forget_old(s, at_ms);
-	w = realloc(s->withdrawn, (s->n_withdrawn + 1) * sizeof(*w));
-	if (!w)
-		return CF_ENOMEM;
-	s->withdrawn = w;
-	w += s->n_withdrawn;
-	*w = (struct dag_withdrawn){.id = id, .at_ms = at_ms};
-	w->queue_known = dag_state_resolve_queue(s, queue, &w->queue);
-	err = buf_set(&w->ref, queue);
-	if (!err)
-		s->n_withdrawn++;
-	return err;
+	return insert(s, s->n_withdrawn, id, queue, at_ms, org);
 }
 
+/* Whether the cancel of an unknown job by a caller is recorded already. */
 bool dag_state_is_withdrawn(const struct dag_state *s, uint64_t id,
-			    const struct dag_queue_key *queue)
+			    const struct dag_queue_key *queue,
+			    const struct dag_org *caller)
 {
-	return is_of_queue(find(s, id), queue);
+	struct str org = caller ? dag_org_name(caller) : STR("");
+	const struct dag_withdrawn *w = find(s, id, dag_state_has_orgs(s) ? &org : NULL);
+
+	return w && dag_queue_key_equal(&w->queue, queue);
 }
 
-/* Forgets the withdrawal of a job that is known now. Returns whether there was one. */
-bool dag_state_take_withdrawn(struct dag_state *s, uint64_t id,
-			      const struct dag_queue_key *queue)
+/*
+ * Forgets the withdrawals of a job that is known now. Returns whether there was one that
+ * concerns it.
+ */
+bool dag_state_take_withdrawn(struct dag_state *s, const struct dag_job_rec *j)
 {
-	struct dag_withdrawn *w = find(s, id);
-	bool found = is_of_queue(w, queue);
+	bool found = false;
+	u_int i = 0;
 
-	if (w)
+	while (i < s->n_withdrawn) {
+		struct dag_withdrawn *w = &s->withdrawn[i];
+
+		if (w->id != j->id) {
+			i++;
+			continue;
+		}
+		found = found || concerns(w, &j->queue, j->org);
 		forget(s, w);
+	}
 	return found;
 }
 
 void dag_state_clear_withdrawn(struct dag_state *s)
 {
-	for (u_int i = 0; i < s->n_withdrawn; i++)
+	for (u_int i = 0; i < s->n_withdrawn; i++) {
 		buf_free(&s->withdrawn[i].ref);
+		buf_free(&s->withdrawn[i].org);
+	}
 	free(s->withdrawn);
 	s->withdrawn = NULL;
 	s->n_withdrawn = 0;
@@ -113,23 +167,72 @@
 	}
 }
 
+/* A reference to the queue of one; bytes: DAG_QUEUE_REF_BYTES for it. */
+static struct str refer_queue(const struct dag_state *s, const struct dag_withdrawn *w,
+			      unsigned char *bytes)
+{
+	return w->queue_known ? dag_state_refer_queue(s, &w->queue, bytes)
+			      : buf_str(&w->ref);
+}
+
 /*
- * Writes all of them, oldest first, as jobs without steps; borrows the names of queues.
- * refs: DAG_QUEUE_REF_BYTES for each of them.
+ * Writes those that were recorded without organisations, oldest first, as jobs without
+ * steps; borrows the names of queues. refs: DAG_QUEUE_REF_BYTES for each withdrawal.
+ * Returns how many were written.
  */
-void dag_state_list_withdrawn(const struct dag_state *s, unsigned char *refs,
-			      struct dag_image_job *out)
+u_int dag_state_list_withdrawn(const struct dag_state *s, unsigned char *refs,
+			       struct dag_image_job *out)
 {
-	for (u_int i = 0; i < s->n_withdrawn; i++, out++) {
+	u_int n = 0;
+
+	for (u_int i = 0; i < s->n_withdrawn; i++) {
 		const struct dag_withdrawn *w = &s->withdrawn[i];
 		unsigned char *bytes = refs + (size_t)i * DAG_QUEUE_REF_BYTES;
-		struct str ref = w->queue_known
-					 ? dag_state_refer_queue(s, &w->queue, bytes)
-					 : buf_str(&w->ref);
-
-		out->spec.id = w->id;
-		XDR_SET(out->spec, queue, ref);
-		out->state = DAG_JOB_CANCELLED;
-		out->ended_ms = w->at_ms;
+
+		if (w->has_org)
+			continue;
+		out[n].spec.id = w->id;
+		XDR_SET(out[n].spec, queue, refer_queue(s, w, bytes));
+		out[n].state = DAG_JOB_CANCELLED;
+		out[n++].ended_ms = w->at_ms;
 	}
+	return n;
+}
+
+/* Writes the others, as the one above. out NULL: only counts them. */
+u_int dag_state_list_org_withdrawn(const struct dag_state *s, unsigned char *refs,
+				   struct dag_image_withdrawn *out)
+{
+	u_int n = 0;
+
+	for (u_int i = 0; i < s->n_withdrawn; i++) {
+		const struct dag_withdrawn *w = &s->withdrawn[i];
+		unsigned char *bytes = refs + (size_t)i * DAG_QUEUE_REF_BYTES;
+
+		if (!w->has_org)
+			continue;
+		if (out) {
+			out[n].position = i;
+			out[n].at_ms = w->at_ms;
+			out[n].by.withdrawal.job = w->id;
+			XDR_SET(out[n].by.withdrawal, queue, refer_queue(s, w, bytes));
+			XDR_SET(out[n].by.org, text, buf_str(&w->org));
+		}
+		n++;
+	}
+	return n;
+}
+
+/* Puts one of a snapshot in its place; called in the order of the snapshot. */
+int dag_state_restore_org_withdrawn(struct dag_state *s,
+				    const struct dag_image_withdrawn *iw)
+{
+	struct str org = XDR_STR(iw->by.org, text);
+	uint64_t id = iw->by.withdrawal.job;
+
+	if (iw->position > s->n_withdrawn || s->n_withdrawn == WITHDRAWN_MAX ||
+	    !dag_time_valid(iw->at_ms) || find(s, id, &org))
+		return CF_EMALFORMED;
+	return insert(s, iw->position, id, XDR_STR(iw->by.withdrawal, queue), iw->at_ms,
+		      &org);
 }
--- a/proto/codec.c
+++ b/proto/codec.c
@@ -75,10 +75,11 @@
 }
 
 /*
- * Decodes into a zeroed object that codec_free() releases, also after a failure.
- * CF_EMALFORMED when the bytes do not decode or some are left over; CF_ENOMEM.
+ * Decodes the object with which the bytes begin into a zeroed one that codec_free()
+ * releases, also after a failure. used: bytes that it takes. CF_EMALFORMED when they do
+ * not decode; CF_ENOMEM.
  */
-int codec_decode(xdrproc_t proc, void *object, struct str bytes)
+int codec_decode_first(xdrproc_t proc, void *object, struct str bytes, size_t *used)
 {
 	struct decode_limits limits = {.n = bytes.n};
 	XDR xdrs;
@@ -86,12 +87,22 @@
 
 	xdrmem_create(&xdrs, (char *)(uintptr_t)bytes.p, (u_int)bytes.n, XDR_DECODE);
 	xdrs.x_public = (void *)&limits;
-	if (!proc(&xdrs, object) || xdr_getpos(&xdrs) != bytes.n)
+	if (!proc(&xdrs, object))
 		err = limits.no_memory ? CF_ENOMEM : CF_EMALFORMED;
+	*used = xdr_getpos(&xdrs);
 	xdr_destroy(&xdrs);
 	return err;
 }
 
+/* The same; CF_EMALFORMED also when some bytes are left over. */
+int codec_decode(xdrproc_t proc, void *object, struct str bytes)
+{
+	size_t used;
+	int err = codec_decode_first(proc, object, bytes, &used);
+
+	return !err && used != bytes.n ? CF_EMALFORMED : err;
+}
+
 void codec_free(xdrproc_t proc, void *object)
 {
 	xdr_free(proc, object);
--- a/proto/codec.h
+++ b/proto/codec.h
@@ -8,6 +8,7 @@
 
 int codec_encode(xdrproc_t proc, const void *object, struct buf *out);
 int codec_decode(xdrproc_t proc, void *object, struct str bytes);
+int codec_decode_first(xdrproc_t proc, void *object, struct str bytes, size_t *used);
 void codec_free(xdrproc_t proc, void *object);
 /* For the generated code, in place of xdr_bytes() and xdr_array(). */
 bool_t codec_bytes(XDR *xdrs, char **bytes, u_int *n, u_int max);
--- a/proto/dag.h
+++ b/proto/dag.h
@@ -18,6 +18,8 @@
 #define DAG_MAX_STEPS 256
 #define DAG_MAX_MEMBERS 16
 #define DAG_MAX_BYTES 4194304
+#define DAG_MAX_CREDENTIAL 256
+#define DAG_DIGEST_BYTES 32
 
 struct dag_name {
 	struct {
@@ -127,6 +129,37 @@
 	} services;
 };
 
+struct dag_digest {
+	char bytes[DAG_DIGEST_BYTES];
+};
+
+struct dag_org_spec {
+	struct {
+		u_int name_len;
+		char *name_val;
+	} name;
+	u_int weight;
+	u_quad_t cpu_milli;
+	u_quad_t mem_mb;
+	u_quad_t gpus;
+	struct {
+		u_int credentials_len;
+		struct dag_digest *credentials_val;
+	} credentials;
+};
+
+struct dag_org_conf {
+	struct dag_conf conf;
+	struct {
+		u_int orgs_len;
+		struct dag_org_spec *orgs_val;
+	} orgs;
+	struct {
+		u_int public_queues_len;
+		u_int *public_queues_val;
+	} public_queues;
+};
+
 enum dag_worker_state {
 	DAG_WORKER_READY = 0,
 	DAG_WORKER_DRAINING = 1,
@@ -237,6 +270,16 @@
 	} queue;
 };
 
+struct dag_org_job {
+	struct dag_job job;
+	struct dag_name org;
+};
+
+struct dag_org_withdrawal {
+	struct dag_withdrawal withdrawal;
+	struct dag_name org;
+};
+
 struct dag_contact {
 	u_int worker;
 	bool_t lost;
@@ -255,6 +298,9 @@
 	DAG_CMD_CONTACT = 10,
 	DAG_CMD_BEGUN = 11,
 	DAG_CMD_WITHDRAW = 12,
+	DAG_CMD_ORG_CONF = 13,
+	DAG_CMD_ORG_SUBMIT = 14,
+	DAG_CMD_ORG_WITHDRAW = 15,
 };
 
 struct dag_command {
@@ -272,6 +318,9 @@
 		struct dag_contact contact;
 		u_quad_t begun;
 		struct dag_withdrawal withdrawal;
+		struct dag_org_conf org_conf;
+		struct dag_org_job org_job;
+		struct dag_org_withdrawal org_withdrawal;
 	} dag_command_u;
 };
 
@@ -338,6 +387,41 @@
 	struct dag_model model;
 };
 
+struct dag_image_org {
+	struct dag_org_spec spec;
+	bool_t configured;
+};
+
+struct dag_image_owner {
+	u_quad_t job;
+	u_int org;
+};
+
+struct dag_image_withdrawn {
+	u_int position;
+	quad_t at_ms;
+	struct dag_org_withdrawal by;
+};
+
+struct dag_org_image {
+	struct {
+		u_int orgs_len;
+		struct dag_image_org *orgs_val;
+	} orgs;
+	struct {
+		u_int public_queues_len;
+		u_int *public_queues_val;
+	} public_queues;
+	struct {
+		u_int owners_len;
+		struct dag_image_owner *owners_val;
+	} owners;
+	struct {
+		u_int withdrawn_len;
+		struct dag_image_withdrawn *withdrawn_val;
+	} withdrawn;
+};
+
 enum dag_call_kind {
 	DAG_CALL_START = 0,
 	DAG_CALL_STOP = 1,
@@ -446,6 +530,10 @@
 	DAG_REQ_MEMBERS = 9,
 	DAG_REQ_AGENT = 10,
 	DAG_REQ_LEFT = 11,
+	DAG_REQ_ORG_SUBMIT = 12,
+	DAG_REQ_ORG_READ = 13,
+	DAG_REQ_ORG_CANCEL = 14,
+	DAG_REQ_ORG_CONF_PUT = 15,
 };
 
 struct dag_target {
@@ -464,6 +552,23 @@
 	struct dag_job job;
 };
 
+struct dag_credential {
+	struct {
+		u_int text_len;
+		char *text_val;
+	} text;
+};
+
+struct dag_org_submit {
+	struct dag_credential credential;
+	struct dag_submit submit;
+};
+
+struct dag_org_target {
+	struct dag_credential credential;
+	struct dag_target target;
+};
+
 struct dag_report {
 	struct dag_worker worker;
 	quad_t clock_ms;
@@ -485,6 +590,9 @@
 		struct dag_conf conf;
 		struct dag_zone_order zone;
 		struct dag_agent agent;
+		struct dag_org_submit org_submit;
+		struct dag_org_target org_target;
+		struct dag_org_conf org_conf;
 	} dag_request_u;
 };
 
@@ -497,6 +605,8 @@
 	DAG_INVALID = 5,
 	DAG_NOT_LEADER = 6,
 	DAG_UNKNOWN = 7,
+	DAG_UNAUTHORIZED = 8,
+	DAG_CONFLICT = 9,
 };
 
 enum dag_job_state {
@@ -533,6 +643,9 @@
 extern  bool_t xdr_dag_queue (XDR *, struct dag_queue *);
 extern  bool_t xdr_dag_service (XDR *, struct dag_service *);
 extern  bool_t xdr_dag_conf (XDR *, struct dag_conf *);
+extern  bool_t xdr_dag_digest (XDR *, struct dag_digest *);
+extern  bool_t xdr_dag_org_spec (XDR *, struct dag_org_spec *);
+extern  bool_t xdr_dag_org_conf (XDR *, struct dag_org_conf *);
 extern  bool_t xdr_dag_worker_state (XDR *, enum dag_worker_state *);
 extern  bool_t xdr_dag_worker (XDR *, struct dag_worker *);
 extern  bool_t xdr_dag_zone (XDR *, struct dag_zone *);
@@ -544,6 +657,8 @@
 extern  bool_t xdr_dag_model_image (XDR *, struct dag_model_image *);
 extern  bool_t xdr_dag_model (XDR *, struct dag_model *);
 extern  bool_t xdr_dag_withdrawal (XDR *, struct dag_withdrawal *);
+extern  bool_t xdr_dag_org_job (XDR *, struct dag_org_job *);
+extern  bool_t xdr_dag_org_withdrawal (XDR *, struct dag_org_withdrawal *);
 extern  bool_t xdr_dag_contact (XDR *, struct dag_contact *);
 extern  bool_t xdr_dag_command_kind (XDR *, enum dag_command_kind *);
 extern  bool_t xdr_dag_command (XDR *, struct dag_command *);
@@ -553,6 +668,10 @@
 extern  bool_t xdr_dag_image_job (XDR *, struct dag_image_job *);
 extern  bool_t xdr_dag_image_worker (XDR *, struct dag_image_worker *);
 extern  bool_t xdr_dag_image (XDR *, struct dag_image *);
+extern  bool_t xdr_dag_image_org (XDR *, struct dag_image_org *);
+extern  bool_t xdr_dag_image_owner (XDR *, struct dag_image_owner *);
+extern  bool_t xdr_dag_image_withdrawn (XDR *, struct dag_image_withdrawn *);
+extern  bool_t xdr_dag_org_image (XDR *, struct dag_org_image *);
 extern  bool_t xdr_dag_call_kind (XDR *, enum dag_call_kind *);
 extern  bool_t xdr_dag_call (XDR *, struct dag_call *);
 extern  bool_t xdr_dag_calls (XDR *, struct dag_calls *);
@@ -564,6 +683,9 @@
 extern  bool_t xdr_dag_request_kind (XDR *, enum dag_request_kind *);
 extern  bool_t xdr_dag_target (XDR *, struct dag_target *);
 extern  bool_t xdr_dag_submit (XDR *, struct dag_submit *);
+extern  bool_t xdr_dag_credential (XDR *, struct dag_credential *);
+extern  bool_t xdr_dag_org_submit (XDR *, struct dag_org_submit *);
+extern  bool_t xdr_dag_org_target (XDR *, struct dag_org_target *);
 extern  bool_t xdr_dag_report (XDR *, struct dag_report *);
 extern  bool_t xdr_dag_left (XDR *, struct dag_left *);
 extern  bool_t xdr_dag_request (XDR *, struct dag_request *);
@@ -578,6 +700,9 @@
 extern bool_t xdr_dag_queue ();
 extern bool_t xdr_dag_service ();
 extern bool_t xdr_dag_conf ();
+extern bool_t xdr_dag_digest ();
+extern bool_t xdr_dag_org_spec ();
+extern bool_t xdr_dag_org_conf ();
 extern bool_t xdr_dag_worker_state ();
 extern bool_t xdr_dag_worker ();
 extern bool_t xdr_dag_zone ();
@@ -589,6 +714,8 @@
 extern bool_t xdr_dag_model_image ();
 extern bool_t xdr_dag_model ();
 extern bool_t xdr_dag_withdrawal ();
+extern bool_t xdr_dag_org_job ();
+extern bool_t xdr_dag_org_withdrawal ();
 extern bool_t xdr_dag_contact ();
 extern bool_t xdr_dag_command_kind ();
 extern bool_t xdr_dag_command ();
@@ -598,6 +725,10 @@
 extern bool_t xdr_dag_image_job ();
 extern bool_t xdr_dag_image_worker ();
 extern bool_t xdr_dag_image ();
+extern bool_t xdr_dag_image_org ();
+extern bool_t xdr_dag_image_owner ();
+extern bool_t xdr_dag_image_withdrawn ();
+extern bool_t xdr_dag_org_image ();
 extern bool_t xdr_dag_call_kind ();
 extern bool_t xdr_dag_call ();
 extern bool_t xdr_dag_calls ();
@@ -609,6 +740,9 @@
 extern bool_t xdr_dag_request_kind ();
 extern bool_t xdr_dag_target ();
 extern bool_t xdr_dag_submit ();
+extern bool_t xdr_dag_credential ();
+extern bool_t xdr_dag_org_submit ();
+extern bool_t xdr_dag_org_target ();
 extern bool_t xdr_dag_report ();
 extern bool_t xdr_dag_left ();
 extern bool_t xdr_dag_request ();
--- a/proto/dag.x
+++ b/proto/dag.x
@@ -8,6 +8,8 @@
 const DAG_MAX_STEPS = 256;
 const DAG_MAX_MEMBERS = 16;
 const DAG_MAX_BYTES = 4194304;
+const DAG_MAX_CREDENTIAL = 256;
+const DAG_DIGEST_BYTES = 32;
 
 struct dag_name {
 	opaque text<DAG_MAX_NAME>;
@@ -73,6 +75,28 @@
 	dag_service services<>;
 };
 
+/* SHA-256 of a credential. */
+struct dag_digest {
+	opaque bytes[DAG_DIGEST_BYTES];
+};
+
+/* Limits of 0 are none. */
+struct dag_org_spec {
+	opaque name<DAG_MAX_NAME>;
+	unsigned int weight;
+	unsigned hyper cpu_milli;
+	unsigned hyper mem_mb;
+	unsigned hyper gpus;
+	dag_digest credentials<>;
+};
+
+/* public_queues: indices of those that need no credential. */
+struct dag_org_conf {
+	dag_conf conf;
+	dag_org_spec orgs<>;
+	unsigned int public_queues<>;
+};
+
 enum dag_worker_state {
 	DAG_WORKER_READY = 0,
 	DAG_WORKER_DRAINING = 1,
@@ -166,6 +190,17 @@
 	opaque queue<DAG_MAX_NAME>;
 };
 
+struct dag_org_job {
+	dag_job job;
+	dag_name org;
+};
+
+/* org: of its sender, empty: none. It concerns no job of another organisation. */
+struct dag_org_withdrawal {
+	dag_withdrawal withdrawal;
+	dag_name org;
+};
+
 /* lost: until a record says otherwise, the leader grants the worker no lease. */
 struct dag_contact {
 	unsigned int worker;
@@ -184,7 +219,11 @@
 	DAG_CMD_MODEL = 9,
 	DAG_CMD_CONTACT = 10,
 	DAG_CMD_BEGUN = 11, /* a worker has begun a task of the job */
-	DAG_CMD_WITHDRAW = 12
+	DAG_CMD_WITHDRAW = 12,
+	/* Only where organisations are configured. */
+	DAG_CMD_ORG_CONF = 13,
+	DAG_CMD_ORG_SUBMIT = 14,
+	DAG_CMD_ORG_WITHDRAW = 15
 };
 
 union dag_command switch (dag_command_kind kind) {
@@ -212,6 +251,12 @@
 	unsigned hyper begun;
 case DAG_CMD_WITHDRAW:
 	dag_withdrawal withdrawal;
+case DAG_CMD_ORG_CONF:
+	dag_org_conf org_conf;
+case DAG_CMD_ORG_SUBMIT:
+	dag_org_job org_job;
+case DAG_CMD_ORG_WITHDRAW:
+	dag_org_withdrawal org_withdrawal;
 };
 
 /* One log entry. time_ms: clock of the leader when it proposed the entry. */
@@ -268,6 +313,35 @@
 	dag_model model;
 };
 
+struct dag_image_org {
+	dag_org_spec spec;
+	bool configured;
+};
+
+/* org: its index in the image. */
+struct dag_image_owner {
+	unsigned hyper job;
+	unsigned int org;
+};
+
+/* position: among all withdrawals, oldest first. */
+struct dag_image_withdrawn {
+	unsigned int position;
+	hyper at_ms;
+	dag_org_withdrawal by;
+};
+
+/*
+ * Follows the dag_image in snapshots of a state with organisations, or with withdrawals
+ * that were recorded while some were configured.
+ */
+struct dag_org_image {
+	dag_image_org orgs<>;
+	unsigned int public_queues<>;
+	dag_image_owner owners<>;
+	dag_image_withdrawn withdrawn<>;
+};
+
 /* Calls to workers that gateways make for the leader, and their answers. */
 enum dag_call_kind {
 	DAG_CALL_START = 0,
@@ -356,7 +430,12 @@
 	DAG_REQ_ZONE = 8,
 	DAG_REQ_MEMBERS = 9,
 	DAG_REQ_AGENT = 10, /* a gateway is there and can make calls */
-	DAG_REQ_LEFT = 11   /* an executor has the answer to LEAVE and has ended */
+	DAG_REQ_LEFT = 11,  /* an executor has the answer to LEAVE and has ended */
+	/* The same of a caller that sent a credential. */
+	DAG_REQ_ORG_SUBMIT = 12,
+	DAG_REQ_ORG_READ = 13,
+	DAG_REQ_ORG_CANCEL = 14,
+	DAG_REQ_ORG_CONF_PUT = 15 /* a configuration with organisations */
 };
 
 /* Host and path as the caller sent them. */
@@ -370,6 +449,21 @@
 	dag_job job;
 };
 
+/* Empty: the caller sent a malformed one. */
+struct dag_credential {
+	opaque text<DAG_MAX_CREDENTIAL>;
+};
+
+struct dag_org_submit {
+	dag_credential credential;
+	dag_submit submit;
+};
+
+struct dag_org_target {
+	dag_credential credential;
+	dag_target target;
+};
+
 /* clock_ms: the worker's clock when it sent the report. */
 struct dag_report {
 	dag_worker worker;
@@ -400,6 +494,13 @@
 	dag_zone_order zone;
 case DAG_REQ_AGENT:
 	dag_agent agent;
+case DAG_REQ_ORG_SUBMIT:
+	dag_org_submit org_submit;
+case DAG_REQ_ORG_READ:
+case DAG_REQ_ORG_CANCEL:
+	dag_org_target org_target;
+case DAG_REQ_ORG_CONF_PUT:
+	dag_org_conf org_conf;
 case DAG_REQ_CONF_GET:
 case DAG_REQ_MEMBERS:
 	void;
@@ -413,7 +514,9 @@
 	DAG_REJECTED = 4,   /* not run; again after retry_after_ms */
 	DAG_INVALID = 5,
 	DAG_NOT_LEADER = 6, /* not run; leader names whom to ask, 0: not known */
-	DAG_UNKNOWN = 7     /* may have run */
+	DAG_UNKNOWN = 7,    /* may have run */
+	DAG_UNAUTHORIZED = 8, /* no valid credential */
+	DAG_CONFLICT = 9    /* the job is another organisation's */
 };
 
 enum dag_job_state {
--- a/proto/dag_xdr.c
+++ b/proto/dag_xdr.c
@@ -340,6 +340,54 @@
 	return TRUE;
 }
 
+bool_t
+xdr_dag_digest (XDR *xdrs, struct dag_digest *objp)
+{
+	register int32_t *buf;
+
+	int i;
+	 if (!xdr_opaque (xdrs, objp->bytes, DAG_DIGEST_BYTES))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_dag_org_spec (XDR *xdrs, struct dag_org_spec *objp)
+{
+	register int32_t *buf;
+
+	 if (!codec_bytes (xdrs, (char **)&objp->name.name_val, (u_int *) &objp->name.name_len, DAG_MAX_NAME))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->weight))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->cpu_milli))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->mem_mb))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->gpus))
+		 return FALSE;
+	 if (!codec_array (xdrs, (char **)&objp->credentials.credentials_val, (u_int *) &objp->credentials.credentials_len, ~0,
+		sizeof (struct dag_digest), (xdrproc_t) xdr_dag_digest))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_dag_org_conf (XDR *xdrs, struct dag_org_conf *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_dag_conf (xdrs, &objp->conf))
+		 return FALSE;
+	 if (!codec_array (xdrs, (char **)&objp->orgs.orgs_val, (u_int *) &objp->orgs.orgs_len, ~0,
+		sizeof (struct dag_org_spec), (xdrproc_t) xdr_dag_org_spec))
+		 return FALSE;
+	 if (!codec_array (xdrs, (char **)&objp->public_queues.public_queues_val, (u_int *) &objp->public_queues.public_queues_len, ~0,
+		sizeof (u_int), (xdrproc_t) xdr_u_int))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_dag_worker_state (XDR *xdrs, enum dag_worker_state *objp)
 {
@@ -562,6 +610,30 @@
 	return TRUE;
 }
 
+bool_t
+xdr_dag_org_job (XDR *xdrs, struct dag_org_job *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_dag_job (xdrs, &objp->job))
+		 return FALSE;
+	 if (!xdr_dag_name (xdrs, &objp->org))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_dag_org_withdrawal (XDR *xdrs, struct dag_org_withdrawal *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_dag_withdrawal (xdrs, &objp->withdrawal))
+		 return FALSE;
+	 if (!xdr_dag_name (xdrs, &objp->org))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_dag_contact (XDR *xdrs, struct dag_contact *objp)
 {
@@ -640,6 +712,18 @@
 		 if (!xdr_dag_withdrawal (xdrs, &objp->dag_command_u.withdrawal))
 			 return FALSE;
 		break;
+	case DAG_CMD_ORG_CONF:
+		 if (!xdr_dag_org_conf (xdrs, &objp->dag_command_u.org_conf))
+			 return FALSE;
+		break;
+	case DAG_CMD_ORG_SUBMIT:
+		 if (!xdr_dag_org_job (xdrs, &objp->dag_command_u.org_job))
+			 return FALSE;
+		break;
+	case DAG_CMD_ORG_WITHDRAW:
+		 if (!xdr_dag_org_withdrawal (xdrs, &objp->dag_command_u.org_withdrawal))
+			 return FALSE;
+		break;
 	default:
 		return FALSE;
 	}
@@ -842,6 +926,64 @@
 	return TRUE;
 }
 
+bool_t
+xdr_dag_image_org (XDR *xdrs, struct dag_image_org *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_dag_org_spec (xdrs, &objp->spec))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->configured))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_dag_image_owner (XDR *xdrs, struct dag_image_owner *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->job))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->org))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_dag_image_withdrawn (XDR *xdrs, struct dag_image_withdrawn *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->position))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->at_ms))
+		 return FALSE;
+	 if (!xdr_dag_org_withdrawal (xdrs, &objp->by))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_dag_org_image (XDR *xdrs, struct dag_org_image *objp)
+{
+	register int32_t *buf;
+
+	 if (!codec_array (xdrs, (char **)&objp->orgs.orgs_val, (u_int *) &objp->orgs.orgs_len, ~0,
+		sizeof (struct dag_image_org), (xdrproc_t) xdr_dag_image_org))
+		 return FALSE;
+	 if (!codec_array (xdrs, (char **)&objp->public_queues.public_queues_val, (u_int *) &objp->public_queues.public_queues_len, ~0,
+		sizeof (u_int), (xdrproc_t) xdr_u_int))
+		 return FALSE;
+	 if (!codec_array (xdrs, (char **)&objp->owners.owners_val, (u_int *) &objp->owners.owners_len, ~0,
+		sizeof (struct dag_image_owner), (xdrproc_t) xdr_dag_image_owner))
+		 return FALSE;
+	 if (!codec_array (xdrs, (char **)&objp->withdrawn.withdrawn_val, (u_int *) &objp->withdrawn.withdrawn_len, ~0,
+		sizeof (struct dag_image_withdrawn), (xdrproc_t) xdr_dag_image_withdrawn))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_dag_call_kind (XDR *xdrs, enum dag_call_kind *objp)
 {
@@ -1022,6 +1164,40 @@
 	return TRUE;
 }
 
+bool_t
+xdr_dag_credential (XDR *xdrs, struct dag_credential *objp)
+{
+	register int32_t *buf;
+
+	 if (!codec_bytes (xdrs, (char **)&objp->text.text_val, (u_int *) &objp->text.text_len, DAG_MAX_CREDENTIAL))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_dag_org_submit (XDR *xdrs, struct dag_org_submit *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_dag_credential (xdrs, &objp->credential))
+		 return FALSE;
+	 if (!xdr_dag_submit (xdrs, &objp->submit))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_dag_org_target (XDR *xdrs, struct dag_org_target *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_dag_credential (xdrs, &objp->credential))
+		 return FALSE;
+	 if (!xdr_dag_target (xdrs, &objp->target))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_dag_report (XDR *xdrs, struct dag_report *objp)
 {
@@ -1087,6 +1263,19 @@
 		 if (!xdr_dag_agent (xdrs, &objp->dag_request_u.agent))
 			 return FALSE;
 		break;
+	case DAG_REQ_ORG_SUBMIT:
+		 if (!xdr_dag_org_submit (xdrs, &objp->dag_request_u.org_submit))
+			 return FALSE;
+		break;
+	case DAG_REQ_ORG_READ:
+	case DAG_REQ_ORG_CANCEL:
+		 if (!xdr_dag_org_target (xdrs, &objp->dag_request_u.org_target))
+			 return FALSE;
+		break;
+	case DAG_REQ_ORG_CONF_PUT:
+		 if (!xdr_dag_org_conf (xdrs, &objp->dag_request_u.org_conf))
+			 return FALSE;
+		break;
 	case DAG_REQ_CONF_GET:
 	case DAG_REQ_MEMBERS:
 		break;
--- a/regress/lib_dag_world.c
+++ b/regress/lib_dag_world.c
@@ -1285,7 +1285,7 @@
 	struct dag_queue_key key;
 
 	dag_state_resolve_queue(s, queue, &key);
-	return dag_state_is_withdrawn(s, id, &key);
+	return dag_state_is_withdrawn(s, id, &key, NULL);
 }
 
 uint32_t dw_count_waiting(const struct dag_state *s, struct str queue)
--- a/regress/test_fuzz_dag.c
+++ b/regress/test_fuzz_dag.c
@@ -159,6 +159,66 @@
 	add_seed(f, &c, 1);
 }
 
+/* A configuration with two organisations, a job of each, and withdrawals. */
+static void add_orgs(struct fuzz *f)
+{
+	static const char *const names[] = {"a", "b", ""};
+	struct dag_digest digests[3] = {{"1"}, {"2"}, {"3"}};
+	struct dag_org_spec specs[2] = {{.weight = 19, .cpu_milli = 1897323},
+					{.weight = 1}};
+	struct dag_step step = {.count = 1};
+	struct dag_command c[3] = {{.kind = DAG_CMD_ORG_CONF}};
+	struct dag_org_conf *conf = &c[0].dag_command_u.org_conf;
+	struct dag_queue queues[2] = {{.timeout_ms = 3000}, {.timeout_ms = 3000}};
+	u_int public_queue = 1;
+
+	for (int i = 0; i < 2; i++) {
+		XDR_SET(specs[i], name, str_from(names[i]));
+		specs[i].credentials.credentials_len = i ? 1 : 2;
+		specs[i].credentials.credentials_val = i ? &digests[2] : digests;
+		XDR_SET(queues[i], name, i ? STR("open") : STR("q"));
+		XDR_SET(queues[i], host, STR("h.example"));
+		XDR_SET(queues[i], prefix, i ? STR("/open/") : STR("/p/"));
+	}
+	conf->conf.revision = 2;
+	conf->conf.queues.queues_len = 2;
+	conf->conf.queues.queues_val = queues;
+	conf->orgs.orgs_len = 2;
+	conf->orgs.orgs_val = specs;
+	conf->public_queues.public_queues_len = 1;
+	conf->public_queues.public_queues_val = &public_queue;
+	add_seed(f, c, 1);
+	for (u_int i = 0; i < 3; i++) {
+		struct dag_org_job *j = &c[i].dag_command_u.org_job;
+
+		c[i] = (struct dag_command){.kind = DAG_CMD_ORG_SUBMIT};
+		j->job.id = 30 + i;
+		XDR_SET(j->job, queue, STR("q"));
+		j->job.steps.steps_len = 1;
+		j->job.steps.steps_val = &step;
+		XDR_SET(j->org, text, str_from(names[i]));
+	}
+	add_seed(f, c, 3);
+	for (u_int i = 0; i < 3; i++) {
+		struct dag_org_withdrawal *w = &c[i].dag_command_u.org_withdrawal;
+
+		c[i] = (struct dag_command){.kind = DAG_CMD_ORG_WITHDRAW};
+		w->withdrawal.job = 31 + i;
+		XDR_SET(w->withdrawal, queue, STR("q"));
+		XDR_SET(w->org, text, str_from(names[i]));
+	}
+	add_seed(f, c, 3);
+	/* The first is dropped; its job keeps it. */
+	c[0] = (struct dag_command){.kind = DAG_CMD_ORG_CONF};
+	conf->conf.revision = 3;
+	conf->orgs.orgs_len = 1;
+	conf->orgs.orgs_val = &specs[1];
+	add_seed(f, c, 1);
+	c[0] = (struct dag_command){.kind = DAG_CMD_CANCEL, .dag_command_u.cancel = 30};
+	c[1] = (struct dag_command){.kind = DAG_CMD_FORGET, .dag_command_u.forget = 30};
+	add_seed(f, c, 2);
+}
+
 static void add_entries(struct fuzz *f)
 {
 	add_conf(f);
@@ -167,6 +227,7 @@
 	add_runs(f);
 	add_model(f);
 	add_withdrawals(f);
+	add_orgs(f);
 }
 
 static void open_state(void)
--- a/regress/test_fuzz_platform.c
+++ b/regress/test_fuzz_platform.c
@@ -48,6 +48,7 @@
 /* In place of io/http_server.c: the test makes the requests. */
 static struct http_server_host *server;
 static struct str header;
+static bool credential_sent;
 static unsigned int replies;
 
 int http_server_new(const struct http_server_options *opt, struct http_server **out)
@@ -62,6 +63,20 @@
 	return header;
 }
 
+/* The credential is sent twice, once cut at a vertical bar. */
+bool http_request_each_header(const struct http_request *req,
+			      struct http_header_visitor *v)
+{
+	struct http_header first = {"x-carawayfront-credential", header};
+	struct http_header second = first;
+	struct str rest;
+
+	if (!credential_sent)
+		return true;
+	str_split(header, '|', &first.value, &rest);
+	return v->header(v, &first) && (!rest.n || v->header(v, &second));
+}
+
 void http_request_reply(struct http_request *req, unsigned int status,
 			const struct http_header *headers, size_t n_headers,
 			struct str body)
@@ -314,6 +329,7 @@
 	req.path = str_dup(path);
 	FUZZ_MUST((buf_add(&req.body, body.p, body.n)) == 0);
 	header = value;
+	credential_sent = value.n % 2;
 	replies = 0;
 	waiting = NULL;
 	server->ops->request(server, &req);
@@ -345,6 +361,8 @@
 		     "\"start_at_ms\":1700000000000,\"interval_ms\":500}"));
 	fuzz_add(&fuzz, STR("GET\n/p/5c0e7a21d94b36f8\n18446744073709551615\n"));
 	fuzz_add(&fuzz, STR("DELETE\n/p/5c0e7a21d94b36f8\n250\n"));
+	fuzz_add(&fuzz, STR("DELETE\n/p/5c0e7a21d94b36f8\ngkcuyj8pjbvk9m68k7b\n"));
+	fuzz_add(&fuzz, STR("GET\n/p/5c0e7a21d94b36f8\ngkcu|gkcuq\n"));
 	while (fuzz_next(&fuzz, &input)) {
 		make_request(input);
 		fuzz_check_memory(&fuzz, input.n);
@@ -358,10 +376,13 @@
 START_TEST(operator_requests)
 {
 	struct operators_options opt = {.handler = &handler};
+	unsigned char digest[DAG_DIGEST_BYTES];
 	struct operators *o;
 	struct str input;
 
 	FUZZ_MUST((operators_new(&opt, &o)) == 0);
+	/* What libcrypto allocates once is not of a message. */
+	FUZZ_MUST((dag_org_digest(STR("k"), digest)) == 0);
 	fuzz_open(&fuzz, "operators", N_INPUTS);
 	fuzz.words = words;
 	fuzz_add(&fuzz,
@@ -382,6 +403,17 @@
 		    "\"stretch\":2.2},{\"name\":\"r2\",\"host\":\"h.example\","
 		    "\"path_prefix\":\"/p/q/\",\"timeout_ms\":1,\"service\":\"s\"}],"
 		    "\"services\":[{\"name\":\"s\",\"admission_control\":true}]}"));
+	fuzz_add(
+		&fuzz,
+		STR("POST\n/api/config/replace\n\n{\"version\":7,\"routes\":[{\"name\":"
+		    "\"r\",\"host\":\"h.example\",\"path_prefix\":\"/p/\",\"timeout_ms\":"
+		    "3000,\"service\":\"s\",\"public\":true}],\"services\":[{\"name\":"
+		    "\"s\"}],\"tenants\":[{\"name\":\"kaje80\",\"api_keys\":["
+		    "\"gkcuyj8p\","
+		    "\"ex5w\"],\"priority\":1,\"weight\":19,\"max_count\":{\"cpu\":"
+		    "1897323,"
+		    "\"mem_mb\":3406163,\"gpu\":0}},{\"name\":\"b\",\"api_keys\":[\"b\"]}"
+		    "]}"));
 	while (fuzz_next(&fuzz, &input)) {
 		make_request(input);
 		fuzz_check_memory(&fuzz, input.n);
--- a/regress/test_platform.c
+++ b/regress/test_platform.c
@@ -7,6 +7,7 @@
 #include "core/dag_state.h"
 #include "platform/conf_json.h"
 #include "platform/job_json.h"
+#include "proto/codec.h"
 #include "regress/lib_growth.h"
 
 /* Bodies whose bytes are changed at random. */
@@ -41,7 +42,7 @@
 static int read_conf(const char *text, size_t n)
 {
 	json_t *root = json_parse((struct str){text, n});
-	struct dag_conf conf = {0};
+	struct dag_org_conf conf = {0};
 	int err =
 		root ? conf_json_read(root, (struct str){text, n}, &conf) : CF_EMALFORMED;
 
@@ -145,6 +146,91 @@
 }
 END_TEST
 
+static const char org_text[] =
+	"{\"version\":7,\"routes\":[{\"name\":\"r\",\"host\":\"h.example\","
+	"\"path_prefix\":\"/p/\",\"timeout_ms\":3000,\"service\":\"s\"},"
+	"{\"name\":\"r2\",\"host\":\"h.example\",\"path_prefix\":\"/p/q/\","
+	"\"timeout_ms\":1,\"service\":\"s\",\"public\":true}],"
+	"\"services\":[{\"name\":\"s\"}],"
+	"\"tenants\":[{\"name\":\"kaje80\",\"api_keys\":[\"gkcu\",\"ex5w\"],"
+	"\"priority\":1,\"weight\":19,\"max_count\":{\"cpu\":1897323,"
+	"\"mem_mb\":3406163,\"gpu\":0}},{\"name\":\"b\",\"api_keys\":[\"b1\"]}]}";
+
+#define KEY_64 "0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcdef"
+#define KEY_256 KEY_64 KEY_64 KEY_64 KEY_64
+
+static const struct {
+	const char *part, *by;
+	int err;
+} org_confs[] = {
+	{"\"ex5w\"", "\"gkcu\"", 0}, /* the same key twice in one organisation */
+	{"\"ex5w\"", "\"b1\"", CF_EINVAL},
+	{"\"ex5w\"", "\"\"", CF_EINVAL},
+	{"\"ex5w\"", "\"" KEY_256 "\"", 0},
+	{"\"ex5w\"", "\"" KEY_256 "x\"", CF_EINVAL},
+	{"\"ex5w\"", "5", CF_EMALFORMED},
+	{"[\"b1\"]", "[]", 0},
+	{"[\"b1\"]", "\"b1\"", CF_EMALFORMED},
+	{"\"name\":\"b\"", "\"name\":\"kaje80\"", CF_EINVAL},
+	{"\"name\":\"b\"", "\"name\":\"\"", CF_EINVAL},
+	{"\"name\":\"b\"", "\"label\":\"b\"", CF_EINVAL},
+	{"\"name\":\"b\"", "\"name\":7", CF_EMALFORMED},
+	{"\"weight\":19", "\"weight\":0", 0},
+	{"\"weight\":19", "\"weight\":9223372036854775807", 0},
+	{"\"weight\":19", "\"weight\":-1", CF_EMALFORMED},
+	{"\"weight\":19", "\"weight\":1.5", CF_EMALFORMED},
+	{"\"weight\":19", "\"weight\":99999999999999999999", CF_EMALFORMED},
+	{"\"priority\":1", "\"priority\":-1", CF_EMALFORMED},
+	{"\"priority\":1", "\"later\":[{}]", 0},
+	{"\"cpu\":1897323", "\"cpu\":-5", CF_EMALFORMED},
+	{"\"mem_mb\":3406163", "\"mem_mb\":0.5", CF_EMALFORMED},
+	{"\"gpu\":0", "\"gpu\":\"0\"", CF_EMALFORMED},
+	{"\"max_count\":{", "\"max_count\":[], \"x\":{", CF_EMALFORMED},
+	{"\"public\":true", "\"public\":1", CF_EMALFORMED},
+	{"\"tenants\":[", "\"tenants\":[5,", CF_EMALFORMED},
+	{"\"tenants\":[", "\"tenants\":7, \"x\":[", CF_EMALFORMED},
+	{"\"tenants\":[", "\"tenants\":null, \"x\":[", 0},
+	{"\"tenants\":[", "\"tenants\":[], \"x\":[", 0},
+};
+
+/* Guards against two organisations that cannot be told apart, and a limit misread. */
+START_TEST(orgs_are_checked)
+{
+	const char *text = with(org_text, org_confs[_i].part, org_confs[_i].by);
+	int err = read_conf(text, strlen(text));
+
+	ck_assert_msg(err == org_confs[_i].err, "%s: %d", org_confs[_i].by, err);
+}
+END_TEST
+
+/* Guards against a field of an organisation that is not taken over. */
+START_TEST(orgs_are_read)
+{
+	json_t *root = json_parse(str_from(org_text));
+	unsigned char digest[DAG_DIGEST_BYTES];
+	const struct dag_org_spec *org;
+	struct dag_org_conf conf;
+
+	ck_assert_int_eq(conf_json_read(root, str_from(org_text), &conf), 0);
+	ck_assert_uint_eq(conf.orgs.orgs_len, 2);
+	org = &conf.orgs.orgs_val[0];
+	ck_assert(str_eq(XDR_STR(*org, name), STR("kaje80")));
+	ck_assert_uint_eq(org->weight, 19);
+	ck_assert_uint_eq(org->cpu_milli, 1897323);
+	ck_assert_uint_eq(org->mem_mb, 3406163);
+	ck_assert_uint_eq(org->gpus, 0);
+	ck_assert_uint_eq(org->credentials.credentials_len, 2);
+	ck_assert_int_eq(dag_org_digest(STR("ex5w"), digest), 0);
+	ck_assert_mem_eq(org->credentials.credentials_val[1].bytes, digest,
+			 sizeof(digest));
+	ck_assert_uint_eq(conf.public_queues.public_queues_len, 1);
+	ck_assert_uint_eq(conf.public_queues.public_queues_val[0], 1);
+	ck_assert(str_eq(XDR_STR(conf.conf, source), str_from(org_text)));
+	conf_json_free(&conf);
+	json_decref(root);
+}
+END_TEST
+
 /* Guards against a body that is cut off and taken for whole. */
 START_TEST(cut_bodies_are_refused)
 {
@@ -156,6 +242,8 @@
 	}
 	for (size_t n = 0; n < strlen(conf_text); n++)
 		ck_assert_int_lt(read_conf(conf_text, n), 0);
+	for (size_t n = 0; n < strlen(org_text); n++)
+		ck_assert_int_lt(read_conf(org_text, n), 0);
 }
 END_TEST
 
@@ -163,10 +251,10 @@
 START_TEST(random_bytes_do_no_harm)
 {
 	struct prng prng = {.state = 1};
-	char text[sizeof(job_text) + sizeof(conf_text)];
+	char text[sizeof(job_text) + sizeof(conf_text) + sizeof(org_text)];
 
 	for (int i = 0; i < N_MUTATIONS; i++) {
-		const char *from = i % 2 ? job_text : conf_text;
+		const char *from = i % 2 ? job_text : i % 4 ? conf_text : org_text;
 		size_t n = strlen(from);
 		struct dag_job job = {0};
 
@@ -223,6 +311,8 @@
 	tcase_add_test(t, job_is_read);
 	tcase_add_loop_test(t, bad_job_is_refused, 0, N_OF(bad_jobs));
 	tcase_add_loop_test(t, conf_is_checked, 0, N_OF(confs));
+	tcase_add_loop_test(t, orgs_are_checked, 0, N_OF(org_confs));
+	tcase_add_test(t, orgs_are_read);
 	tcase_add_test(t, time_for_a_conf_grows_with_its_routes);
 	tcase_add_test(t, cut_bodies_are_refused);
 	tcase_add_test(t, random_bytes_do_no_harm);
