dag_sched: quotas and weighted fair shares of organisations

During a shortage one organisation that submits more than its part takes all capacity, since the scheduler knows no organisations. Runs are now counted by organisation from the proposal of the start until the end is recorded, no start exceeds the quota, and among steps of one priority and rank the organisation with the smallest weighted dominant share is next (dominant resource fairness, Ghodsi et al., NSDI 2011). Without organisations in the state the order is that of the ready list as before. The observer has an operation org_removed.

--- a/carawayfrontd/controller_sched.c
+++ b/carawayfrontd/controller_sched.c
@@ -129,6 +129,14 @@
 		       STR_ARG(worker), reason, (long long)value);
 }
 
+static void host_log_org(struct dag_host *h, const char *event, struct str org,
+			 const struct dag_task_ref *t, const char *reason, int64_t value)
+{
+	log_info(event, "org=%.*s job=%016llx task=%u.%u.%u reason=\"%s\" value=%lld",
+		 STR_ARG(org), (unsigned long long)t->job, t->occurrence, t->step,
+		 t->index, reason, (long long)value);
+}
+
 static const struct dag_host_ops host_ops = {
 	.propose = host_propose,
 	.start = host_start,
@@ -137,6 +145,7 @@
 	.poll = host_poll,
 	.log_event = host_log_event,
 	.log_final = host_log_final,
+	.log_org = host_log_org,
 };
 
 static void user_start_replied(struct dag_transport_user *u, uint32_t worker,
--- a/core/dag_place.c
+++ b/core/dag_place.c
@@ -310,7 +310,10 @@
 				       const struct ds_step *st)
 {
 	struct ds_obstacle nearest = {DS_OBSTACLE_SERVICE, NULL, "no worker", 0};
+	const char *quota = ds_quota_obstacle(st);
 
+	if (quota)
+		return (struct ds_obstacle){DS_OBSTACLE_QUOTA, NULL, quota, 0};
 	for (size_t i = 0; i < s->n_workers; i++) {
 		struct ds_obstacle o = find_obstacle(s, s->workers[i], st);
 
@@ -387,14 +390,27 @@
 	return true;
 }
 
-/* Places a step's tasks one by one. false: no worker fits one of them. */
+/*
+ * Places a step's tasks one by one, as far as its organisation's quota and turn permit.
+ * false: no worker fits one of them.
+ */
 static bool place_tasks(struct dag_sched *s, struct ds_step *st)
 {
-	bool scored = !s->opt.full_scan && score_all_workers(s, st);
+	bool scored;
 
-	for (uint32_t i = 0; i < st->step->count && !s->err; i++)
-		if (ds_task_is_waiting(st, i) && !place_task(s, st, i, scored))
+	if (ds_quota_blocks(st))
+		return true;
+	scored = !s->opt.full_scan && score_all_workers(s, st);
+	for (uint32_t i = ds_share_first_task(s); i < st->step->count && !s->err; i++) {
+		if (!ds_task_is_waiting(st, i))
+			continue;
+		if (ds_quota_blocks(st))
+			return true;
+		if (!place_task(s, st, i, scored))
 			return false;
+		if (ds_share_yields(s, i + 1))
+			return true;
+	}
 	return true;
 }
 
@@ -454,7 +470,7 @@
 /* A gang starts only when all members wait and all fit. false: they do not fit. */
 static bool place_gang(struct dag_sched *s, struct ds_step *st)
 {
-	if (st->n_waiting < st->step->count)
+	if (st->n_waiting < st->step->count || ds_quota_blocks(st))
 		return true;
 	for (size_t i = 0; st->step->same_rack && i < s->n_workers; i++) {
 		const struct dag_worker *w = &s->workers[i]->rec->w;
@@ -566,21 +582,21 @@
 	}
 }
 
-/* Starts all waiting tasks that fit a worker, in the order of the ready list. */
+/* Starts all waiting tasks that fit a worker, in the order of core/dag_share.c. */
 void ds_place_all(struct dag_sched *s)
 {
 	struct placement_failure failures[MAX_PLACEMENT_FAILURES] = {0};
-	struct ds_step *st, *next;
 	unsigned int n_reserved = 0;
+	struct ds_step *st;
 
 	s->placement_needed = false;
 	if (s->fenced)
 		return;
 	release_reserved_workers(s);
-	for (st = TAILQ_FIRST(&s->ready); st && !s->err; st = next) {
+	ds_share_begin(s);
+	while (!s->err && (st = ds_share_next(s))) {
 		bool all;
 
-		next = TAILQ_NEXT(st, entry);
 		if (is_known_unplaceable(failures, st))
 			continue;
 		all = st->step->gang ? place_gang(s, st) : place_tasks(s, st);
@@ -588,7 +604,8 @@
 			record_placement_failure(failures, st);
 			reserve_worker(s, st, &n_reserved);
 		}
-		ds_step_refresh(s, st);
+		if (!s->share.yielded)
+			ds_step_refresh(s, st);
 	}
 	s->placement_needed = false;
 }
--- a/core/dag_ready.c
+++ b/core/dag_ready.c
@@ -101,6 +101,12 @@
 	       key;
 }
 
+/* Steps of one class have the same priority of their queue and the same rank. */
+uint64_t ds_step_class(const struct ds_step *st)
+{
+	return st->job->sort_key >> RANK_SHIFT;
+}
+
 static void ready_insert(struct dag_sched *s, struct ds_step *st)
 {
 	struct ds_step *other;
@@ -142,6 +148,8 @@
 		waiting += ds_task_is_waiting(st, i);
 	s->n_waiting += waiting;
 	s->n_waiting -= st->n_waiting;
+	j->org->n_waiting += waiting;
+	j->org->n_waiting -= st->n_waiting;
 	if (waiting && !st->n_waiting)
 		st->waiting_since_us = s->now_us;
 	st->n_waiting = waiting;
@@ -224,11 +232,12 @@
 		return CF_ENOMEM;
 	TAILQ_INIT(&j->runs);
 	j->rec = rec;
+	j->org = ds_org_get(s, rec->org);
 	j->n_steps = n;
 	j->queue = dag_state_find_queue(s->state, &rec->queue);
 	j->steps = calloc((size_t)rec->n_occ * n, sizeof(*j->steps));
 	j->tasks = calloc((size_t)rec->n_occ * rec->n_tasks, sizeof(*j->tasks));
-	if (!j->steps || !j->tasks) {
+	if (!j->org || !j->steps || !j->tasks) {
 		free(j->steps);
 		free(j->tasks);
 		free(j);
@@ -258,6 +267,7 @@
 		ds_run_free(s, r);
 	for (uint32_t i = 0; i < j->rec->n_occ * j->n_steps; i++) {
 		s->n_waiting -= j->steps[i].n_waiting;
+		j->org->n_waiting -= j->steps[i].n_waiting;
 		if (j->steps[i].queued)
 			TAILQ_REMOVE(&s->ready, &j->steps[i], entry);
 	}
--- a/core/dag_run.c
+++ b/core/dag_run.c
@@ -46,6 +46,7 @@
 	w->mem_reserved += step->mem_mb;
 	w->gpus_reserved += step->gpus;
 	ds_job_find_task(j, t)->n_runs++;
+	ds_quota_charge(r);
 	ds_begin_trial(s, r);
 	return r;
 }
@@ -77,6 +78,7 @@
 	struct ds_worker *w = r->worker;
 
 	release_resources(s, r);
+	ds_quota_release(r);
 	ds_end_trial(r);
 	TAILQ_REMOVE(&r->job->runs, r, job_entry);
 	TAILQ_REMOVE(&w->runs, r, worker_entry);
--- a/core/dag_sched.c
+++ b/core/dag_sched.c
@@ -255,6 +255,12 @@
 		ds_worker_refresh(s, s->workers[i]);
 }
 
+static void on_org_removed(struct dag_observer *o, struct dag_org *org)
+{
+	if (org->sched)
+		ds_org_free((struct dag_sched *)o, org->sched);
+}
+
 static const struct dag_observer_ops observer_ops = {
 	.job_added = on_job_added,
 	.job_ended = on_job_ended,
@@ -266,6 +272,7 @@
 	.contact_changed = on_contact_changed,
 	.conf_changed = on_conf_changed,
 	.zones_changed = on_zones_changed,
+	.org_removed = on_org_removed,
 };
 
 /* When this process applied the record of a start; 0: not known. */
@@ -336,6 +343,8 @@
 	s->last_place_us = now_us - PLACE_RETRY_US;
 	TAILQ_INIT(&s->ready);
 	TAILQ_INIT(&s->jobs);
+	TAILQ_INIT(&s->orgs);
+	ds_org_init(&s->no_org, NULL);
 	s->err = dag_interfere_new(&s->interfere);
 	if (s->err) {
 		free(s);
@@ -364,12 +373,15 @@
 void dag_sched_free(struct dag_sched *s)
 {
 	struct ds_job *j;
+	struct ds_org *o;
 
 	if (!s)
 		return;
 	s->state->observer = NULL;
 	while ((j = TAILQ_FIRST(&s->jobs)))
 		ds_job_free(s, j);
+	while ((o = TAILQ_FIRST(&s->orgs)))
+		ds_org_free(s, o);
 	while (s->n_workers)
 		ds_worker_free(s, s->workers[0]);
 	free(s->workers);
--- a/core/dag_sched.h
+++ b/core/dag_sched.h
@@ -104,6 +104,9 @@
 	void (*log_final)(struct dag_host *h, const char *event,
 			  const struct dag_task_ref *t, uint32_t run, struct str worker,
 			  const char *reason, int64_t value);
+	/* An event of an organisation; t is a task that it concerns. */
+	void (*log_org)(struct dag_host *h, const char *event, struct str org,
+			const struct dag_task_ref *t, const char *reason, int64_t value);
 };
 
 struct dag_sched_options {
@@ -148,6 +151,21 @@
 void dag_sched_poll_replied(struct dag_sched *s, uint32_t worker,
 			    enum dag_call_result result,
 			    const struct dag_poll_reply *poll, int64_t now_us);
+/* What the runs of an organisation reserve, and what waits. */
+struct dag_org_stats {
+	const struct dag_org *org;
+	uint64_t cpu_milli; /* with that of fillers */
+	uint64_t mem_mb;
+	uint64_t gpus;
+	uint32_t n_runs;
+	size_t n_waiting; /* tasks */
+	/* Sum over the tasks that its quota held back, since the previous call. */
+	int64_t quota_wait_us;
+};
+
+void dag_sched_each_org(struct dag_sched *s,
+			void (*each)(void *arg, const struct dag_org_stats *st),
+			void *arg);
 /* Whether a worker reported a newer epoch, that is, another process leads. */
 bool dag_sched_fenced(const struct dag_sched *s);
 
--- a/core/dag_sched_impl.h
+++ b/core/dag_sched_impl.h
@@ -6,6 +6,7 @@
 #include "core/dag_interfere.h"
 #include "core/dag_load.h"
 #include "core/dag_sched.h"
+#include "core/dag_share.h"
 
 /*
  * Private to the scheduler's sources. Structs named ds_* are the leader's own data,
@@ -86,7 +87,9 @@
 	int image;
 	uint32_t n_waiting;
 	int64_t waiting_since_us;
-	bool queued;		  /* in the ready list */
+	bool queued;			/* in the ready list */
+	TAILQ_ENTRY(ds_step) org_entry; /* see struct ds_org.steps */
+	bool quota_blocked;	  /* in the newest pass, by its organisation's quota */
 	struct dag_load own_load; /* of a serving task without fillers, all tasks alike */
 };
 
@@ -102,6 +105,7 @@
 	TAILQ_ENTRY(ds_job) entry;
 	struct dag_job_rec *rec;
 	const struct dag_queue *queue; /* NULL: the configuration has no such queue now */
+	struct ds_org *org;
 	struct ds_runs runs;
 	struct ds_step *steps; /* index: occurrence * n_steps + step */
 	struct ds_task *tasks; /* index: occurrence * rec->n_tasks + task */
@@ -222,6 +226,12 @@
 	struct ds_ready ready;
 	struct ds_jobs jobs;
 	size_t n_waiting;
+	struct ds_org no_org; /* of the jobs without an organisation */
+	struct ds_orgs orgs;  /* of the other jobs */
+	struct ds_share share;
+	int64_t quota_pass_us; /* newest pass with organisations */
+	int64_t quota_log_us;  /* n_quota_logs counts from zero then */
+	unsigned int n_quota_logs;
 	struct dag_interfere *interfere;
 	struct ds_worker **workers;
 	size_t n_workers;
@@ -254,6 +264,25 @@
 bool ds_task_is_waiting(const struct ds_step *st, uint32_t index);
 void ds_sort_ready(struct dag_sched *s);
 int64_t ds_job_next_due_us(const struct dag_sched *s, const struct ds_job *j);
+uint64_t ds_step_class(const struct ds_step *st);
+
+/* dag_quota.c */
+void ds_org_init(struct ds_org *o, struct dag_org *rec);
+struct ds_org *ds_org_get(struct dag_sched *s, struct dag_org *rec);
+void ds_org_free(struct dag_sched *s, struct ds_org *o);
+void ds_quota_charge(const struct ds_run *r);
+void ds_quota_release(const struct ds_run *r);
+bool ds_quota_blocks(struct ds_step *st);
+const char *ds_quota_obstacle(const struct ds_step *st);
+void ds_quota_begin_pass(struct dag_sched *s);
+void ds_quota_end_pass(struct dag_sched *s);
+
+/* dag_share.c */
+double ds_org_weight(const struct ds_org *o);
+void ds_share_begin(struct dag_sched *s);
+struct ds_step *ds_share_next(struct dag_sched *s);
+uint32_t ds_share_first_task(const struct dag_sched *s);
+bool ds_share_yields(struct dag_sched *s, uint32_t next_task);
 
 /* What keeps a worker from taking a task; a lower kind is nearer to taking it. */
 enum ds_obstacle_kind {
@@ -263,11 +292,12 @@
 	DS_OBSTACLE_BATCH, /* what batch tasks have reserved would do */
 	DS_OBSTACLE_SERVING,
 	DS_OBSTACLE_SERVICE,
+	DS_OBSTACLE_QUOTA, /* of its organisation; no worker is the cause */
 };
 
 struct ds_obstacle {
 	enum ds_obstacle_kind kind;
-	const struct ds_worker *worker;
+	const struct ds_worker *worker; /* NULL: there is none, or the quota */
 	const char *reason;
 	int64_t missing; /* thousandths of a core, with memory as a part of them */
 };
--- a/core/dag_state.h
+++ b/core/dag_state.h
@@ -156,6 +156,8 @@
 	void (*contact_changed)(struct dag_observer *o, struct dag_worker_rec *w);
 	void (*conf_changed)(struct dag_observer *o);
 	void (*zones_changed)(struct dag_observer *o);
+	/* It owns no job and is not configured; called before it is freed. */
+	void (*org_removed)(struct dag_observer *o, struct dag_org *org);
 };
 
 struct dag_zone_rec {
--- a/core/dag_watch.c
+++ b/core/dag_watch.c
@@ -55,6 +55,7 @@
 static void watch_step(struct dag_sched *s, const struct ds_step *st)
 {
 	struct dag_task_ref t = {st->job->rec->id, st->occurrence, st->number, 0};
+	const char *quota = ds_quota_obstacle(st);
 	int64_t waited_us = s->now_us - st->waiting_since_us;
 
 	if (!st->n_waiting || !st->step->long_running || waited_us < AWAY_MAX_US)
@@ -62,8 +63,9 @@
 	while (t.index + 1 < st->step->count && !ds_task_is_waiting(st, t.index))
 		t.index++;
 	s->host->ops->log_event(s->host, "task-waiting", &t, 1, (struct str){NULL, 0},
-				st->job->queue ? "no worker has room for it"
-					       : "its queue is not configured",
+				!st->job->queue ? "its queue is not configured"
+				: quota		? quota
+						: "no worker has room for it",
 				waited_us / USEC_PER_MS);
 	if (st->job->queue)
 		watch_room(s, st, &t);
--- a/regress/lib_dag_world.c
+++ b/regress/lib_dag_world.c
@@ -243,6 +243,15 @@
 	snprintf(w->given_up.text, sizeof(w->given_up.text), "%s", reason);
 }
 
+static void host_note_org(struct dag_host *h, const char *event, struct str org,
+			  const struct dag_task_ref *t, const char *reason, int64_t value)
+{
+	struct dag_world *w = (struct dag_world *)h;
+
+	w->org_notes++;
+	host_note(h, event, t, 1, org, reason, value);
+}
+
 static const struct dag_host_ops host_ops = {
 	.propose = host_propose,
 	.start = host_start,
@@ -251,6 +260,7 @@
 	.poll = host_look,
 	.log_event = host_note,
 	.log_final = host_note_final,
+	.log_org = host_note_org,
 };
 
 static void new_leader(struct dag_world *w)
@@ -268,7 +278,11 @@
 
 	w->life++;
 	dag_state_enter_epoch(w->state, w->epoch);
+	if (w->before_lead)
+		w->before_lead(w);
 	ck_assert_int_eq(dag_sched_new(&opt, w->now_us, dw_wall_ms(w), &w->sched), 0);
+	if (w->after_lead)
+		w->after_lead(w);
 }
 
 /* Appends a command to the log entry of this step. */
--- a/regress/lib_dag_world.h
+++ b/regress/lib_dag_world.h
@@ -206,8 +206,12 @@
 	uint32_t starts;
 	uint64_t starts_hash; /* of all starts, in their order */
 	uint32_t paces;
-	uint32_t refusals; /* starts that did not fit */
-	bool full_scan;	   /* option of the next leaders */
+	uint32_t org_notes; /* events of organisations */
+	uint32_t refusals;  /* starts that did not fit */
+	bool full_scan;	    /* option of the next leaders */
+	/* Called for each new leader, before and after it is built from the state. */
+	void (*before_lead)(struct dag_world *w);
+	void (*after_lead)(struct dag_world *w);
 	/*
 	 * Serving tasks with an image have a load of their own that swings, and fillers
 	 * whose image ends with the same character add to it; others hardly do.
--- a/regress/test_log_schema.sh
+++ b/regress/test_log_schema.sh
@@ -15,7 +15,7 @@
 		grep -oE 'log_(info|warn|error|final|final_warn)\(([a-z]+ \? "[a-z-]+" : )?[[:space:]]*"[a-z-]+"' |
 		grep -oE '"[a-z-]+"'
 	cat core/dag_*.c | tr '\n' ' ' |
-		grep -oE '(ds_log_run_event\(s,|ops->log_(event|final)\([[:space:]]*s->host,)[[:space:]]*"[a-z-]+"' |
+		grep -oE '(ds_log_run_event\(s,|ops->log_(event|final|org)\([[:space:]]*s->host,)[[:space:]]*"[a-z-]+"' |
 		grep -oE '"[a-z-]+"'
 	grep -oE 'event=[a-z]+(-[a-z]+)*' io/log.c | sed 's/event=\(.*\)/"\1"/'
 } | tr -d '"' | sort -u >"$work/logged"
