--- a/core/dag_state.h
+++ b/core/dag_state.h
@@ -156,7 +156,7 @@
 	void (*contact_changed)(struct dag_observer *o, struct dag_worker_rec *w);
 	void (*conf_changed)(struct dag_observer *o);
 	void (*zones_changed)(struct dag_observer *o);
-	/* NULL: not called. The organisation is freed after that. */
+	/* NULL: not called. It owns no job and is not configured; freed after that. */
 	void (*org_removed)(struct dag_observer *o, struct dag_org *org);
 };
 
