--- a/carawayfrontd/gateway.c
+++ b/carawayfrontd/gateway.c
@@ -24,6 +24,8 @@
 #define DRAIN_ACCEPT_S 3.0
 #define DRAIN_MAX_S 5.0
 #define REQUEST_PATH_MAX 128 /* of a path in the log */
+/* Callers without access can send at any rate, and must not crowd out other lines. */
+#define UNAUTHORIZED_LINES_PER_S 10U
 
 struct gateway {
 	struct dag_request_handler port; /* first member */
@@ -40,7 +42,9 @@
 	bool has_orgs;	/* the leader said so, or has said nothing yet */
 	double checked; /* newest check */
 	bool had_leader;
-	double drain_at; /* 0: not draining */
+	double drain_at;	/* 0: not draining */
+	double unauthorized_at; /* begin of the second that is counted */
+	unsigned int unauthorized_lines;
 };
 
 /* A caller's request on its way to the leader. */
@@ -76,7 +80,23 @@
 	return outcome <= DAG_CONFLICT ? names[outcome] : "other";
 }
 
-/* One line for each request but reads that were answered. */
+/* Whether a request has a line in the log: not reads that were answered. */
+static bool has_line(struct gateway_request *r, enum dag_outcome outcome)
+{
+	struct gateway *g = r->gateway;
+
+	if (outcome == DAG_OK)
+		return r->kind != DAG_REQ_READ && r->kind != DAG_REQ_ORG_READ;
+	if (outcome != DAG_UNAUTHORIZED)
+		return true;
+	if (clock_s() - g->unauthorized_at >= 1) {
+		g->unauthorized_at = clock_s();
+		g->unauthorized_lines = 0;
+	}
+	return g->unauthorized_lines++ < UNAUTHORIZED_LINES_PER_S;
+}
+
+/* Counts each request and logs those that have a line. */
 static void note_request(struct gateway_request *r, const struct dag_reply *reply)
 {
 	struct gateway *g = r->gateway;
@@ -87,8 +107,7 @@
 		 outcome_name(reply->outcome));
 	hist_add(metric_hist(g->metrics, "carawayfront_request_duration_us", labels),
 		 (uint64_t)(ms * 1000));
-	if ((r->kind == DAG_REQ_READ || r->kind == DAG_REQ_ORG_READ) &&
-	    reply->outcome == DAG_OK)
+	if (!has_line(r, reply->outcome))
 		return;
 	log_info("request",
 		 "kind=%s path=%s outcome=%s ms=%.0f leader=%llx leader_age_ms=%.0f",
--- a/regress/test_dag_client.c
+++ b/regress/test_dag_client.c
@@ -12,6 +12,7 @@
 #include <arpa/inet.h>
 #include <ev.h>
 
+#include "base/err.h"
 #include "carawayfrontd/dag_client.h"
 #include "carawayfrontd/leader_wait.h"
 #include "carawayfrontd/node_id.h"
@@ -396,7 +397,9 @@
 	bool leads;
 	bool silent; /* the first connection */
 	bool lost;   /* no connection is answered on */
+	bool old;    /* its program does not know the requests of organisations */
 	unsigned int answered;
+	unsigned int refused;
 };
 
 static void serve_stand_in(struct rpc_server_host *h, struct rpc_call *call)
@@ -404,10 +407,18 @@
 	struct stand_in *c = (struct stand_in *)h;
 	struct dag_reply reply = {.outcome = c->leads ? DAG_OK : DAG_NOT_LEADER,
 				  .leader = c->leader};
+	struct dag_request req = {0};
 	struct buf bytes = {0};
 
 	if (!c->first)
 		c->first = call->conn;
+	ck_assert_int_eq(codec_decode((xdrproc_t)xdr_dag_request, &req, call->args), 0);
+	codec_free((xdrproc_t)xdr_dag_request, &req);
+	if (c->old && req.kind >= DAG_REQ_ORG_SUBMIT) {
+		c->refused++;
+		rpc_call_reply(call, CF_EINVAL, (struct str){NULL, 0});
+		return;
+	}
 	if (c->lost || (c->silent && call->conn == c->first)) {
 		rpc_call_drop(call);
 		return;
@@ -509,6 +520,36 @@
 }
 END_TEST
 
+/*
+ * Guards against a leader of the earlier program that is avoided, and a caller that is
+ * told that its submission may have run, because it sent a credential.
+ */
+START_TEST(request_that_is_not_known_is_refused)
+{
+	struct dag_pending_request pending = {.ops = &ops};
+	struct dag_request req = {.kind = DAG_REQ_ORG_SUBMIT};
+	struct stand_in leader = {.old = true};
+	struct stand_in follower = {.old = true};
+
+	open_controllers(&leader, &follower);
+	XDR_SET(req.dag_request_u.org_submit.credential, text, STR("key"));
+	ev_now_update(loop);
+	dag_client_request(client, &req, BUDGET_S, &pending);
+	run_for(0.1);
+	ck_assert_uint_eq(replies, 2);
+	ck_assert_int_eq(outcome, DAG_REJECTED);
+	ck_assert_uint_eq(leader.refused, 1);
+	submit(&pending);
+	run_for(0.1);
+	ck_assert_uint_eq(replies, 3);
+	ck_assert_int_eq(outcome, DAG_OK);
+	ck_assert_uint_eq(leader.answered, 2);
+	ck_assert_uint_eq(follower.answered, 0);
+	rpc_server_free(leader.server);
+	rpc_server_free(follower.server);
+}
+END_TEST
+
 #define ASKED_MAX 60U /* times in BUDGET_S, by one request */
 
 /* Guards against controllers that are asked in a tight loop for a leader that is lost. */
@@ -581,6 +622,7 @@
 	tcase_add_test(t, long_loss_of_the_leader_refuses_at_once);
 	tcase_add_test(t, usual_election_refuses_no_request);
 	tcase_add_test(t, long_search_refuses_the_next_request_at_once);
+	tcase_add_test(t, request_that_is_not_known_is_refused);
 	tcase_add_test(t, request_on_a_silent_connection_is_served);
 	tcase_add_test(t, request_on_a_reset_connection_is_served);
 	tcase_add_test(t, lost_leader_is_not_asked_for_in_a_loop);
--- a/regress/test_site_org.sh
+++ b/regress/test_site_org.sh
@@ -91,7 +91,7 @@
 leader() { # name of the controller that leads now
 	for i in 1 2 3; do
 		kill -0 "$(cat "$D/c$i.pid")" 2>/dev/null || continue
-		grep -E 'event=leading-(started|ended)' "$D/c$i.log" | tail -n 1 |
+		grep -E 'event=leading-(started|ended)' "$D/c$i.log" 2>/dev/null | tail -n 1 |
 			grep -q leading-started && echo "c$i" && return
 	done
 }
@@ -100,6 +100,7 @@
 a='{"name":"alpha","api_keys":["secret-alpha-1","secret-alpha-2"],"priority":1,"weight":19,"max_count":{"cpu":1897323,"mem_mb":3406163,"gpu":0}}'
 fewer='{"name":"alpha","api_keys":["secret-alpha-2"],"weight":19}'
 b='{"name":"beta","api_keys":["secret-beta-1"]}'
+b_new='{"name":"beta","api_keys":["secret-beta-2"]}'
 
 for i in 1 2 3; do settings c$i controller 127.0.1.$i true >"$D/c$i.yaml"; done
 settings g1 gateway 127.0.2.1 false >"$D/g1.yaml"
@@ -182,17 +183,51 @@
 gets 200 secret-alpha-2 GET "$(id 2)"
 grep -q queued "$D/body" || fail "job 2: $(cat "$D/body")"
 
+# Two organisations submit one id at the same time: one has it, the other is told so.
+for i in 41 42 43 44 45 46 47 48; do
+	for key in secret-alpha-2 secret-beta-1; do
+		curl -s -m 3 -o /dev/null -w '%{http_code}\n' -X POST -d "$job" \
+			-H 'Host: h.example' -H "X-Carawayfront-Credential: $key" \
+			"http://127.0.2.1:$CALLERS$(id $i)" >"$D/$key.code" &
+		echo $! >"$D/$key.curl"
+	done
+	wait "$(cat "$D/secret-alpha-2.curl")" "$(cat "$D/secret-beta-1.curl")"
+	got=$(cat "$D"/secret-*.code | sort | tr '\n' ' ')
+	[ "$got" = "200 409 " ] || fail "job $i of two organisations: $got"
+done
+
+# A leader that wakes after its lease refuses nobody by its old configuration.
+frozen=$(leader)
+kill -STOP "$(cat "$D/$frozen.pid")"
+code=0
+for i in 1 2 3 4 5 6 7 8 9 10 11 12; do
+	[ "c$((i % 3 + 1))" = "$frozen" ] && continue
+	code=$(status -X POST -d "$(conf 4 "$fewer,$b_new")" \
+		"http://127.0.1.$((i % 3 + 1)):$CONTROL/api/config/replace")
+	[ "$code" = 200 ] && break
+	sleep 0.5
+done
+[ "$code" = 200 ] || fail "version 4 not taken beside a paused leader"
+stop g1 KILL # the next one knows no leader yet
+kill -CONT "$(cat "$D/$frozen.pid")"
+run g1
+until_ok 5 status "http://127.0.2.1:$HEALTH/api/ready" >/dev/null
+for i in 1 2 3 4 5 6 7 8 9 10; do
+	gets 401 secret-beta-1 GET /q/
+	gets 200 secret-beta-2 GET /q/
+done
+
 # An organisation that is dropped has no access, and gets its jobs back with its return.
-put 4 "$b"
+put 5 "$b"
 gets 401 secret-alpha-2 GET "$(id 2)"
 gets 410 secret-beta-1 GET "$(id 2)"
-put 5 "$a,$b"
+put 6 "$a,$b"
 gets 200 secret-alpha-1 DELETE "$(id 2)"
 gets 200 secret-alpha-2 GET "$(id 2)"
 grep -q cancelled "$D/body" || fail "job 2 not cancelled: $(cat "$D/body")"
 control GET /api/config/get >/dev/null
-[ "$(cat "$D/body")" = "$(conf 5 "$a,$b")" ] || fail "read back: $(cat "$D/body")"
-put 6 ""
+[ "$(cat "$D/body")" = "$(conf 6 "$a,$b")" ] || fail "read back: $(cat "$D/body")"
+put 7 ""
 gets 200 "" GET "$(id 3)"
 
 grep -q 'event=authorization-failed reason=' "$D"/c?.log || fail "refusals not logged"
