regress/lib_dag_orgs: organisations are those of the replicated state

The fixture put its own structs into the state, which frees organisations itself since the credentials were merged (double free in test_dag_quota and test_dag_share). They are added through the state's functions now.

--- a/regress/lib_dag_orgs.c
+++ b/regress/lib_dag_orgs.c
@@ -3,6 +3,8 @@
 #include <check.h>
 #include <string.h>
 
+#include "proto/codec.h"
+
 #define MAX_PENDING 4096U
 
 /* A start that is proposed and may not be recorded yet. */
@@ -13,9 +15,6 @@
 
 static struct {
 	struct dag_world *w;
-	/* Of the world's two states. */
-	const struct dag_state *state[2];
-	struct dag_org orgs[2][DO_ORGS];
 	char names[DO_ORGS][16];
 	uint32_t n;
 	uint32_t owner_of_all;
@@ -36,20 +35,19 @@
 	return owner <= f.n ? owner : 0;
 }
 
-/* The place of a state in the fixture's arrays. */
-static size_t place_of(const struct dag_state *s)
+/* NULL: the state does not have it. */
+static struct dag_org *find_org(const struct dag_state *s, uint32_t org)
 {
-	return f.state[0] == s ? 0 : 1;
+	return dag_state_find_org(s, str_from(f.names[org - 1]));
 }
 
-static void own_job(const struct dag_state *s, struct dag_job_rec *j)
+static void own_job(struct dag_state *s, struct dag_job_rec *j)
 {
 	uint32_t owner = owner_of(j->id);
 
-	if (j->org || !owner)
-		return;
-	j->org = &f.orgs[place_of(s)][owner - 1];
-	j->org->n_jobs++;
+	if (!j->org && owner)
+		ck_assert_int_eq(dag_state_set_owner(s, j, str_from(f.names[owner - 1])),
+				 0);
 }
 
 static void on_job_added(struct dag_observer *o, struct dag_job_rec *j)
@@ -58,13 +56,6 @@
 	f.observer->job_added(o, j);
 }
 
-static void on_job_forgotten(struct dag_observer *o, struct dag_job_rec *j)
-{
-	f.observer->job_forgotten(o, j);
-	if (j->org)
-		j->org->n_jobs--;
-}
-
 static void before_lead(struct dag_world *w)
 {
 	struct dag_job_rec *j;
@@ -79,7 +70,6 @@
 	f.observer = w->state->observer->ops;
 	f.observer_tap = *f.observer;
 	f.observer_tap.job_added = on_job_added;
-	f.observer_tap.job_forgotten = on_job_forgotten;
 	w->state->observer->ops = &f.observer_tap;
 }
 
@@ -145,7 +135,7 @@
 {
 	const struct dag_job_rec *j = dag_state_find_job(f.w->state, st->task.job);
 	uint32_t owner = owner_of(j->id);
-	const struct dag_org_limits *l = &f.orgs[place_of(f.w->state)][owner - 1].limits;
+	const struct dag_org_limits *l = &find_org(f.w->state, owner)->limits;
 	struct do_usage u = do_recount(owner);
 
 	if (!u.runs)
@@ -176,8 +166,6 @@
 {
 	memset(&f, 0, sizeof(f));
 	f.w = w;
-	f.state[0] = w->state;
-	f.state[1] = w->follower;
 	f.host = w->host.ops;
 	f.host_tap = *f.host;
 	f.host_tap.propose = host_propose;
@@ -187,40 +175,27 @@
 	after_lead(w);
 }
 
-static void detach(struct dag_state *s)
-{
-	struct dag_job_rec *j;
-
-	if (!s)
-		return;
-	for (j = s->jobs; j; j = j->hh.next)
-		j->org = NULL;
-	HASH_CLEAR(hh, s->orgs);
-}
-
 void do_close(void)
 {
 	dag_sched_free(f.w->sched);
 	f.w->sched = NULL;
-	for (uint32_t i = 0; i < f.n; i++)
-		ck_assert_ptr_null(f.orgs[place_of(f.w->state)][i].sched);
-	detach(f.w->state);
-	detach(f.w->follower);
+	for (uint32_t i = 1; i <= f.n; i++)
+		ck_assert(!do_is_known(i));
 }
 
-static void put_org(struct dag_state *s, uint32_t i, uint32_t weight,
+/* It counts as the owner of one job, as the world's configuration does not name it. */
+static void put_org(struct dag_state *s, uint32_t org, uint32_t weight,
 		    struct dag_org_limits limits)
 {
-	struct dag_org *o;
+	struct dag_org_spec spec = {.weight = weight};
 
 	if (!s)
 		return;
-	o = &f.orgs[place_of(s)][i];
-	*o = (struct dag_org){.name = f.names[i],
-			      .weight = weight,
-			      .limits = limits,
-			      .configured = true};
-	HASH_ADD_KEYPTR(hh, s->orgs, o->name, strlen(o->name), o);
+	XDR_SET(spec, name, str_from(f.names[org - 1]));
+	ck_assert_int_eq(dag_state_add_org(s, &spec), 0);
+	find_org(s, org)->weight = weight;
+	find_org(s, org)->limits = limits;
+	find_org(s, org)->n_jobs = 1;
 }
 
 uint32_t do_add(const char *name, uint32_t weight, struct dag_org_limits limits)
@@ -229,8 +204,8 @@
 
 	ck_assert_uint_lt(i, DO_ORGS);
 	strncpy(f.names[i], name, sizeof(f.names[i]) - 1);
-	put_org(f.w->state, i, weight, limits);
-	put_org(f.w->follower, i, weight, limits);
+	put_org(f.w->state, i + 1, weight, limits);
+	put_org(f.w->follower, i + 1, weight, limits);
 	return i + 1;
 }
 
@@ -241,22 +216,25 @@
 
 void do_set_limits(uint32_t org, struct dag_org_limits limits)
 {
-	f.orgs[0][org - 1].limits = limits;
-	f.orgs[1][org - 1].limits = limits;
+	find_org(f.w->state, org)->limits = limits;
+	if (f.w->follower)
+		find_org(f.w->follower, org)->limits = limits;
 }
 
 struct collect {
-	const struct dag_org *org;
+	uint32_t org;
 	struct do_stats stats;
 };
 
 static void collect(void *arg, const struct dag_org_stats *st)
 {
-	size_t i = (size_t)(st->org - f.orgs[place_of(f.w->state)]);
 	struct collect *c = arg;
+	uint32_t i = 0;
 
+	while (i + 1 < f.n && strcmp(f.names[i], st->org->name) != 0)
+		i++;
 	f.quota_wait_us[i] += st->quota_wait_us;
-	if (st->org != c->org)
+	if (i + 1 != c->org)
 		return;
 	c->stats.used =
 		(struct do_usage){st->cpu_milli, st->mem_mb, st->gpus, st->n_runs};
@@ -266,7 +244,7 @@
 
 struct do_stats do_stats(uint32_t org)
 {
-	struct collect c = {.org = &f.orgs[place_of(f.w->state)][org - 1]};
+	struct collect c = {.org = org};
 
 	dag_sched_each_org(f.w->sched, collect, &c);
 	return c.stats;
@@ -309,14 +287,15 @@
 
 void do_remove(uint32_t org)
 {
-	struct dag_org *o = &f.orgs[place_of(f.w->state)][org - 1];
-
-	ck_assert_uint_eq(o->n_jobs, 0);
-	f.w->state->observer->ops->org_removed(f.w->state->observer, o);
-	HASH_DEL(f.w->state->orgs, o);
+	ck_assert_uint_eq(find_org(f.w->state, org)->n_jobs, 1);
+	find_org(f.w->state, org)->n_jobs = 0;
+	ck_assert_int_eq(dag_state_set_orgs(f.w->state, NULL), 0);
+	ck_assert_ptr_null(find_org(f.w->state, org));
 }
 
 bool do_is_known(uint32_t org)
 {
-	return f.orgs[place_of(f.w->state)][org - 1].sched != NULL;
+	const struct dag_org *o = find_org(f.w->state, org);
+
+	return o && o->sched;
 }
--- a/regress/lib_dag_orgs.h
+++ b/regress/lib_dag_orgs.h
@@ -40,7 +40,7 @@
 struct do_stats do_stats(uint32_t org);
 /* Largest fraction of the workers' CPU, memory and GPUs. */
 double do_dominant_share(uint32_t org);
-/* Removes an organisation that owns no job, as the state does. */
+/* No organisation is configured any more; this one owns no job, so it is removed. */
 void do_remove(uint32_t org);
 /* Whether the leader has data of it. */
 bool do_is_known(uint32_t org);
