Organisations: removal is notified, gateways start without the flag

A gateway that had not heard the leader yet asked it about bodies that are no job, which it did not do before. It now does so once the leader has told of organisations. The scheduler's observer is told of organisations that are removed (org_removed), so that what it has at dag_org.sched can be freed.

--- a/carawayfrontd/gateway.c
+++ b/carawayfrontd/gateway.c
@@ -39,7 +39,7 @@
 	struct metrics_port *metrics_port;
 	struct ev_timer timer;
 	bool checking;
-	bool has_orgs;	/* the leader said so, or has said nothing yet */
+	bool has_orgs;	/* of the configuration, as the leader said last */
 	double checked; /* newest check */
 	bool had_leader;
 	double drain_at;	/* 0: not draining */
@@ -276,7 +276,6 @@
 	g->loop = loop;
 	g->metrics = metrics;
 	g->settings = settings;
-	g->has_orgs = true;
 	callers.handler = &g->port;
 	ev_timer_init(&g->timer, on_timer, CHECK_S / 5, CHECK_S / 5);
 	g->timer.data = g;
--- a/regress/test_dag_org.c
+++ b/regress/test_dag_org.c
@@ -341,6 +341,56 @@
 }
 END_TEST
 
+static unsigned int n_removed;
+static char last_removed[8];
+
+static void on_job(struct dag_observer *o, struct dag_job_rec *j)
+{
+}
+
+static void on_conf_changed(struct dag_observer *o)
+{
+}
+
+static void on_org_removed(struct dag_observer *o, struct dag_org *org)
+{
+	n_removed++;
+	snprintf(last_removed, sizeof(last_removed), "%s", org->name);
+	ck_assert_ptr_null(dag_state_find_org(state, dag_org_name(org)));
+}
+
+/* Guards against a scheduler that keeps what it knows of an organisation for ever. */
+START_TEST(removal_is_notified)
+{
+	static const struct dag_observer_ops ops = {.job_added = on_job,
+						    .job_ended = on_job,
+						    .job_forgotten = on_job,
+						    .conf_changed = on_conf_changed,
+						    .org_removed = on_org_removed};
+	struct dag_observer observer = {&ops};
+	struct dag_org *a;
+
+	n_removed = 0;
+	state->observer = &observer;
+	set_orgs(&ORG_A, &ORG_B);
+	submit(state, 1, "a");
+	a = dag_state_find_org(state, STR("a"));
+	set_orgs(&ORG_A, NULL);
+	ck_assert_uint_eq(n_removed, 1);
+	ck_assert_str_eq(last_removed, "b");
+	set_orgs(&ORG_B, NULL);
+	ck_assert_uint_eq(n_removed, 1);
+	/* The same record for the same name. */
+	set_orgs(&ORG_A, NULL);
+	ck_assert_ptr_eq(dag_state_find_org(state, STR("a")), a);
+	set_orgs(NULL, NULL);
+	end_and_forget(1);
+	ck_assert_uint_eq(n_removed, 3);
+	ck_assert_str_eq(last_removed, "a");
+	state->observer = NULL;
+}
+END_TEST
+
 /* Guards against a second part that earlier versions would refuse without need. */
 START_TEST(snapshot_has_a_second_part_only_when_needed)
 {
@@ -465,6 +515,7 @@
 	tcase_add_test(t, each_of_many_keys_is_found);
 	tcase_add_test(t, jobs_belong_to_their_organisation);
 	tcase_add_test(t, dropped_organisation_stays_while_it_owns_jobs);
+	tcase_add_test(t, removal_is_notified);
 	tcase_add_test(t, snapshot_has_a_second_part_only_when_needed);
 	tcase_add_test(t, withdrawals_concern_the_own_jobs);
 	tcase_add_test(t, order_of_withdrawals_is_kept);
--- a/regress/test_platform.c
+++ b/regress/test_platform.c
@@ -291,6 +291,20 @@
 	buf_free(&text);
 }
 
+/* The first n bytes' worth of organisations with two keys each. */
+static void check_orgs_of(void *arg, size_t n)
+{
+	struct buf text = {0};
+
+	buf_adds(&text, "{\"version\":1,\"services\":[],\"routes\":[],\"tenants\":[");
+	for (int i = 0; text.n < n; i++)
+		buf_addf(&text, "%s{\"name\":\"o%d\",\"api_keys\":[\"a%d\",\"b%d\"]}",
+			 i ? "," : "", i, i, i);
+	ck_assert_int_eq(buf_adds(&text, "]}"), 0);
+	ck_assert_int_eq(read_conf(text.p, text.n), 0);
+	buf_free(&text);
+}
+
 /* Guards against a configuration that stops its controller for seconds. */
 START_TEST(time_for_a_conf_grows_with_its_routes)
 {
@@ -298,6 +312,13 @@
 }
 END_TEST
 
+/* The same. */
+START_TEST(time_for_a_conf_grows_with_its_orgs)
+{
+	ck_assert_double_lt(growth_of(check_orgs_of, NULL, MAX_BODY / 4), GROWTH_MAX);
+}
+END_TEST
+
 #define N_OF(list) ((int)(sizeof(list) / sizeof((list)[0])))
 
 int main(void)
@@ -314,6 +335,7 @@
 	tcase_add_loop_test(t, orgs_are_checked, 0, N_OF(org_confs));
 	tcase_add_test(t, orgs_are_read);
 	tcase_add_test(t, time_for_a_conf_grows_with_its_routes);
+	tcase_add_test(t, time_for_a_conf_grows_with_its_orgs);
 	tcase_add_test(t, cut_bodies_are_refused);
 	tcase_add_test(t, random_bytes_do_no_harm);
 	suite_add_tcase(s, t);
