--- a/Makefile
+++ b/Makefile
@@ -68,6 +68,8 @@
 
 $(BUILD)/bin/test_command_batch: $(BUILD)/carawayfrontd/command_batch.o
 
+$(BUILD)/bin/test_org_metrics: $(BUILD)/carawayfrontd/org_metrics.o
+
 $(BUILD)/bin/test_leader_client: $(BUILD)/carawayfrontd/leader_client.o
 
 $(BUILD)/bin/test_member_join: $(BUILD)/carawayfrontd/member_join.o \
--- a/carawayfrontd/controller.c
+++ b/carawayfrontd/controller.c
@@ -125,6 +125,7 @@
 	replica_tick(c->replica, now);
 	if (controller_leads(c)) {
 		dag_sched_tick(c->sched, now, clock_wall_us() / 1000);
+		org_metrics_update(&c->org_metrics, c->metrics, c->sched, now);
 		controller_answer_leaves(c);
 	}
 	ask_members(c, now);
@@ -355,5 +356,6 @@
 	controller_close_replica(c);
 	dag_state_free(c->state);
 	command_batch_free(&c->batch);
+	org_metrics_free(&c->org_metrics);
 	free(c);
 }
--- a/carawayfrontd/controller_impl.h
+++ b/carawayfrontd/controller_impl.h
@@ -8,6 +8,7 @@
 #include "carawayfrontd/dag_client.h"
 #include "carawayfrontd/disk_host.h"
 #include "carawayfrontd/metrics_port.h"
+#include "carawayfrontd/org_metrics.h"
 #include "carawayfrontd/relay.h"
 #include "core/dag_interface.h"
 #include "core/replica.h"
@@ -66,6 +67,7 @@
 	struct rpc_server *rpc;
 	struct operators *operators;
 	struct metrics_port *metrics_port;
+	struct org_metrics org_metrics;
 	struct ev_timer timer;
 	struct ev_prepare prepare;
 	struct command_batch batch; /* of this round */
--- a/carawayfrontd/controller_sched.c
+++ b/carawayfrontd/controller_sched.c
@@ -216,6 +216,7 @@
 {
 	dag_sched_free(c->sched);
 	c->sched = NULL;
+	org_metrics_clear(&c->org_metrics, c->metrics);
 	controller_reject_leaves(c);
 	relay_clear(c->relay);
 	c->transport->ops->clear(c->transport);
--- a/regress/lib_dag_orgs.c
+++ b/regress/lib_dag_orgs.c
@@ -22,6 +22,7 @@
 	struct pending pending[MAX_PENDING];
 	size_t n_pending;
 	int64_t quota_wait_us[DO_ORGS];
+	char obstacle[96];
 	const struct dag_host_ops *host;
 	struct dag_host_ops host_tap;
 	const struct dag_observer_ops *observer;
@@ -172,6 +173,20 @@
 	return f.host->propose(h, c);
 }
 
+static void host_log_event(struct dag_host *h, const char *event,
+			   const struct dag_task_ref *t, uint32_t run, struct str worker,
+			   const char *reason, int64_t value)
+{
+	if (strcmp(event, "task-obstacle") == 0)
+		strncpy(f.obstacle, reason, sizeof(f.obstacle) - 1);
+	f.host->log_event(h, event, t, run, worker, reason, value);
+}
+
+const char *do_obstacle(void)
+{
+	return f.obstacle;
+}
+
 void do_open(struct dag_world *w)
 {
 	memset(&f, 0, sizeof(f));
@@ -181,6 +196,7 @@
 	f.host = w->host.ops;
 	f.host_tap = *f.host;
 	f.host_tap.propose = host_propose;
+	f.host_tap.log_event = host_log_event;
 	w->host.ops = &f.host_tap;
 	w->before_lead = before_lead;
 	w->after_lead = after_lead;
--- a/regress/lib_dag_orgs.h
+++ b/regress/lib_dag_orgs.h
@@ -44,6 +44,8 @@
 void do_remove(uint32_t org);
 /* Whether the leader has data of it. */
 bool do_is_known(uint32_t org);
+/* Why the newest task that was reported as waiting does not start. */
+const char *do_obstacle(void);
 /* Fails the test if the scheduler's usage differs from the recount. */
 void do_assert_counted(void);
 
