core: tasks wait for their rack while that completes their job sooner

Cause: a task with a data rack started in another rack at once when its own was full, and a gang with same_rack was spread over racks, though a place would have been free a moment later. The run then takes cross_rack_factor times as long.

Change: core/dag_locality.c weighs the expected wait and its uncertainty against the longer run and the job's slack; core/dag_forecast.c expects when places in a rack become free, from run times that core/dag_runtime.c learns on each replica; core/dag_wait.c keeps the waits of the steps and hooks into core/dag_place.c.

--- a/carawayfrontd/controller_sched.c
+++ b/carawayfrontd/controller_sched.c
@@ -129,6 +129,22 @@
 		       STR_ARG(worker), reason, (long long)value);
 }
 
+static void host_rack_wait(struct dag_host *h, enum dag_wait_event event, int64_t us)
+{
+	static const char *const labels[] = {
+		[DAG_WAIT_STARTED] = "result=\"started\"",
+		[DAG_WAIT_SUCCESSFUL] = "result=\"successful\"",
+		[DAG_WAIT_UNSUCCESSFUL] = "result=\"unsuccessful\"",
+	};
+	struct controller *c = CONTROLLER_OF(h, sched_host);
+
+	++*metric_counter(c->metrics, "carawayfront_rack_waits_total", labels[event]);
+	if (event != DAG_WAIT_STARTED)
+		hist_add(metric_hist(c->metrics, "carawayfront_rack_wait_us",
+				     labels[event]),
+			 us > 0 ? (uint64_t)us : 0);
+}
+
 static const struct dag_host_ops host_ops = {
 	.propose = host_propose,
 	.start = host_start,
@@ -137,6 +153,7 @@
 	.poll = host_poll,
 	.log_event = host_log_event,
 	.log_final = host_log_final,
+	.rack_wait = host_rack_wait,
 };
 
 static void user_start_replied(struct dag_transport_user *u, uint32_t worker,
@@ -193,6 +210,7 @@
 		.report_interval_us = (int64_t)c->settings->workers.report_ms * MS_US,
 		.status_retention_us =
 			(int64_t)c->settings->workers.status_s * 2 * SECOND_US,
+		.cross_rack_milli = c->settings->workers.cross_rack_milli,
 	};
 	int err = dag_sched_new(&opt, clock_us(), clock_wall_us() / MS_US, &c->sched);
 
--- a/carawayfrontd/settings.c
+++ b/carawayfrontd/settings.c
@@ -6,6 +6,7 @@
 #include "io/file.h"
 
 #define SETTINGS_MAX_BYTES (1U << 20)
+#define CROSS_RACK_MAX 100U /* larger factors are taken for thousandths by mistake */
 #define ROW(s, m) .key = #m, .offset = offsetof(s, m)
 
 static const char *const roles[] = {"entry", "state", "gateway", "controller", NULL};
@@ -68,6 +69,9 @@
 	WORKERS("stop-ms", stop_ms, 0, 60000),
 	WORKERS("status-s", status_s, 1, 86400),
 	WORKERS("relay-from", relay_from, 0, 1000000),
+	{.key = "cross-rack-factor",
+	 .offset = offsetof(struct settings_workers, cross_rack_factor),
+	 .type = SCHEMA_STR},
 	{0},
 };
 
@@ -156,11 +160,44 @@
 	return true;
 }
 
+/*
+ * Reads a decimal number with at most three places, such as 2 or 1.5, in thousandths.
+ * Nothing and 0 are 0; other values are within 1 and CROSS_RACK_MAX. CF_EINVAL.
+ */
+static int read_factor(struct str s, uint32_t *milli)
+{
+	uint32_t value = 0, places = 0;
+	bool point = false;
+
+	for (size_t i = 0; i < s.n; i++) {
+		if (s.p[i] == '.' && !point && i > 0 && i + 1 < s.n) {
+			point = true;
+			continue;
+		}
+		if (s.p[i] < '0' || s.p[i] > '9' || (point && places == 3) ||
+		    value > CROSS_RACK_MAX * 1000)
+			return CF_EINVAL;
+		value = value * 10 + (uint32_t)(s.p[i] - '0');
+		places += point;
+	}
+	if (value > CROSS_RACK_MAX * 1000)
+		return CF_EINVAL;
+	for (; places < 3; places++)
+		value *= 10;
+	if (value && (value < 1000 || value > CROSS_RACK_MAX * 1000))
+		return CF_EINVAL;
+	*milli = value;
+	return 0;
+}
+
 /* Checks the roles that find one another through seeds. */
-static int check_seeded(const struct settings *s, struct schema_error *error)
+static int check_seeded(struct settings *s, struct schema_error *error)
 {
 	if (s->seeds.n == 0)
 		return refuse(error, "seeds", "an address of a controller");
+	if (read_factor(s->workers.cross_rack_factor, &s->workers.cross_rack_milli))
+		return refuse(error, "workers.cross-rack-factor",
+			      "0, or a number from 1 to 100 with at most 3 decimals");
 	if (s->role == ROLE_CONTROLLER && s->data.n == 0)
 		return refuse(error, "data", "a data directory for the controller role");
 	if (s->role == ROLE_CONTROLLER && s->listen.control.len == 0)
@@ -172,7 +209,7 @@
 }
 
 /* Checks what ties several keys together. */
-static int check(const struct settings *s, struct schema_error *error)
+static int check(struct settings *s, struct schema_error *error)
 {
 	const struct settings_team *team = s->teams.items;
 	const struct settings_member *self;
--- a/carawayfrontd/settings.h
+++ b/carawayfrontd/settings.h
@@ -47,6 +47,10 @@
 	uint64_t stop_ms;    /* longest time in which they stop a task */
 	uint64_t status_s;   /* ended jobs are kept this long */
 	uint64_t relay_from; /* workers from which on gateways make the calls */
+	/* A decimal number, and the same in thousandths; 0: no task waits for its rack.
+	 */
+	struct str cross_rack_factor;
+	uint32_t cross_rack_milli;
 };
 
 /* Content of the settings file. */
--- a/core/dag_place.c
+++ b/core/dag_place.c
@@ -191,6 +191,21 @@
 	       (st->step->long_running && s->now_us >= w->next_serving_us);
 }
 
+struct ds_room ds_worker_room(const struct ds_worker *w, const struct dag_step *step)
+{
+	return (struct ds_room){step->filler ? idle_cpu(w) : free_cpu(w), free_mem(w),
+				(int64_t)w->capacity.gpus - w->gpus_reserved};
+}
+
+bool ds_worker_may_take(const struct dag_sched *s, const struct ds_worker *w,
+			const struct ds_step *st)
+{
+	const struct dag_step *step = st->step;
+
+	return worker_takes_step(s, w, st) && worker_serves_queue(w, st->job) &&
+	       (!step->label.label_len || ds_worker_has_label(w, XDR_STR(*step, label)));
+}
+
 /* Score of a worker for a task of a step; SCORE_UNACCEPTABLE if it cannot take it. */
 static int64_t score_if_fits(const struct dag_sched *s, struct ds_worker *w,
 			     const struct ds_step *st, uint32_t avoid)
@@ -380,8 +395,12 @@
 		w = best_scored_worker(s);
 	else
 		w = choose_worker(s, st, avoid, crashes, (struct str){NULL, 0});
+	if (w && !avoid && !crashes && ds_wait_holds_task(s, st, w))
+		return true;
 	if (!w || !propose_start(s, st, w, index, t->last_run + 1))
 		return false;
+	if (st->wait && ds_worker_has_label(w, XDR_STR(*st->step, data_rack)))
+		ds_wait_placed(s, st, 1);
 	if (scored)
 		update_score(s, st, w);
 	return true;
@@ -461,10 +480,14 @@
 		u_int n = w->labels.labels_len;
 
 		/* The last label names the rack. */
-		if (n &&
-		    place_gang_in_rack(s, st, XDR_STR(w->labels.labels_val[n - 1], text)))
+		if (n && place_gang_in_rack(s, st,
+					    XDR_STR(w->labels.labels_val[n - 1], text))) {
+			ds_wait_placed(s, st, st->step->count);
 			return true;
+		}
 	}
+	if (ds_wait_holds_gang(s, st))
+		return true;
 	return place_gang_in_rack(s, st, (struct str){NULL, 0});
 }
 
@@ -577,6 +600,7 @@
 	if (s->fenced)
 		return;
 	release_reserved_workers(s);
+	ds_wait_begin_pass(s);
 	for (st = TAILQ_FIRST(&s->ready); st && !s->err; st = next) {
 		bool all;
 
--- a/core/dag_ready.c
+++ b/core/dag_ready.c
@@ -71,6 +71,11 @@
 	return (int64_t)((q ? q->slo_ms : 0) + path_ms * stretch / 1000);
 }
 
+int64_t ds_job_objective_ms(const struct ds_job *j)
+{
+	return objective_ms(&j->rec->spec, j->queue);
+}
+
 /*
  * Sort key: priority of the queue, then rank, then remaining work. Jobs with serving
  * tasks rank first, since they have value from their start on. Next are jobs that can
@@ -260,6 +265,7 @@
 		s->n_waiting -= j->steps[i].n_waiting;
 		if (j->steps[i].queued)
 			TAILQ_REMOVE(&s->ready, &j->steps[i], entry);
+		free(j->steps[i].wait);
 	}
 	TAILQ_REMOVE(&s->jobs, j, entry);
 	j->rec->sched = NULL;
--- a/core/dag_sched.h
+++ b/core/dag_sched.h
@@ -84,6 +84,13 @@
 	bool partial; /* there may be runs and ends that are not listed */
 };
 
+/* Of one task's wait for a place in the rack where it runs faster. */
+enum dag_wait_event {
+	DAG_WAIT_STARTED,
+	DAG_WAIT_SUCCESSFUL,
+	DAG_WAIT_UNSUCCESSFUL,
+};
+
 struct dag_host {
 	const struct dag_host_ops *ops;
 };
@@ -104,6 +111,8 @@
 	void (*log_final)(struct dag_host *h, const char *event,
 			  const struct dag_task_ref *t, uint32_t run, struct str worker,
 			  const char *reason, int64_t value);
+	/* NULL: not counted. us: how long it took, of one that ended. */
+	void (*rack_wait)(struct dag_host *h, enum dag_wait_event event, int64_t us);
 };
 
 struct dag_sched_options {
@@ -114,6 +123,9 @@
 	int64_t stop_us;	     /* a worker stops a run within it */
 	int64_t report_interval_us;  /* between a worker's reports */
 	int64_t status_retention_us; /* how long ended jobs can be queried */
+	/* Thousandths of its run time that a task takes outside its rack, 0: no waits. */
+	uint32_t cross_rack_milli;
+	int64_t fixed_wait_us; /* tests compare with this wait; 0: it is decided */
 	bool full_scan; /* score all workers for each task; tests compare with it */
 };
 
--- a/core/dag_sched_impl.h
+++ b/core/dag_sched_impl.h
@@ -5,6 +5,8 @@
 
 #include "core/dag_interfere.h"
 #include "core/dag_load.h"
+#include "core/dag_locality.h"
+#include "core/dag_runtime.h"
 #include "core/dag_sched.h"
 
 /*
@@ -76,6 +78,39 @@
 
 TAILQ_HEAD(ds_runs, ds_run);
 
+/* Wait of a step's tasks for places in the rack where they run faster. */
+struct ds_wait {
+	int64_t ready_us; /* ds_step.waiting_since_us for which this holds */
+	int64_t begun_us; /* 0: no task has waited */
+	int64_t until_us; /* it ends then at the latest */
+	int64_t next_us;  /* when it is decided again */
+	uint32_t hold;	  /* tasks that wait */
+	uint32_t passed;  /* part of them that was passed over in this placement pass */
+	uint64_t pass;
+	bool over; /* it has ended, and no other begins */
+};
+
+#define DS_FORECAST_MAX 64U
+/* Ends of runs that free places for a step in a rack, the earliest first. */
+struct ds_forecast {
+	size_t n;
+	struct dag_time_estimate place[DS_FORECAST_MAX];
+};
+
+#define DS_WAIT_BUCKETS 64U
+
+/* What is decided for a step that runs faster in one rack, and from which values. */
+struct ds_wait_plan {
+	uint32_t hold; /* tasks that wait */
+	uint32_t n_forecasts;
+	struct dag_locality_choice choice; /* for the first place */
+	struct dag_time_estimate free;	   /* when that is expected to be free */
+	struct str rack;
+	int64_t extra_us;
+	int64_t slack_us;
+	int64_t waited_us;
+};
+
 /* One step of one occurrence of a job, with its tasks that wait for a worker. */
 struct ds_step {
 	TAILQ_ENTRY(ds_step) entry;
@@ -86,6 +121,7 @@
 	int image;
 	uint32_t n_waiting;
 	int64_t waiting_since_us;
+	struct ds_wait *wait;	  /* for its rack, NULL: never considered */
 	bool queued;		  /* in the ready list */
 	struct dag_load own_load; /* of a serving task without fillers, all tasks alike */
 };
@@ -226,8 +262,11 @@
 	struct ds_worker **workers;
 	size_t n_workers;
 	size_t cap_workers;
-	uint32_t fence_floor; /* highest fence of the workers that were removed */
-	int64_t *scores;      /* of the workers, for the step that is placed */
+	uint32_t fence_floor;	/* highest fence of the workers that were removed */
+	int64_t *scores;	/* of the workers, for the step that is placed */
+	uint64_t wait_pass;	/* number of the placement pass */
+	int32_t forecasts_left; /* in this pass */
+	uint32_t held_tasks[DS_WAIT_BUCKETS]; /* in this pass, by hash of the rack */
 	bool placement_needed;
 	bool fenced;
 	int err;
@@ -253,6 +292,7 @@
 void ds_step_refresh(struct dag_sched *s, struct ds_step *st);
 bool ds_task_is_waiting(const struct ds_step *st, uint32_t index);
 void ds_sort_ready(struct dag_sched *s);
+int64_t ds_job_objective_ms(const struct ds_job *j);
 int64_t ds_job_next_due_us(const struct dag_sched *s, const struct ds_job *j);
 
 /* What keeps a worker from taking a task; a lower kind is nearer to taking it. */
@@ -272,8 +312,19 @@
 	int64_t missing; /* thousandths of a core, with memory as a part of them */
 };
 
+/* What a worker has free for a step; fillers use idle CPU. */
+struct ds_room {
+	int64_t cpu;
+	int64_t mem;
+	int64_t gpus;
+};
+
 /* dag_place.c */
 void ds_place_all(struct dag_sched *s);
+struct ds_room ds_worker_room(const struct ds_worker *w, const struct dag_step *step);
+/* Whether a worker may take tasks of a step, apart from its free capacity. */
+bool ds_worker_may_take(const struct dag_sched *s, const struct ds_worker *w,
+			const struct ds_step *st);
 /* What keeps the worker that is nearest to taking a task of a step from doing so. */
 struct ds_obstacle ds_nearest_obstacle(const struct dag_sched *s,
 				       const struct ds_step *st);
@@ -281,6 +332,24 @@
 bool ds_has_better_worker(struct dag_sched *s, const struct ds_run *r,
 			  double max_interference);
 
+/* dag_forecast.c */
+struct dag_time_estimate ds_step_run_time(const struct dag_sched *s,
+					  const struct ds_job *j,
+					  const struct dag_step *step);
+void ds_forecast_open(const struct dag_sched *s, const struct ds_step *st,
+		      struct str rack, struct ds_forecast *out);
+bool ds_forecast_nth(const struct ds_forecast *f, size_t k,
+		     struct dag_time_estimate *out);
+
+/* dag_wait.c */
+void ds_wait_begin_pass(struct dag_sched *s);
+void ds_wait_plan(const struct dag_sched *s, const struct ds_step *st,
+		  struct ds_wait_plan *p);
+bool ds_wait_holds_task(struct dag_sched *s, struct ds_step *st,
+			const struct ds_worker *chosen);
+bool ds_wait_holds_gang(struct dag_sched *s, struct ds_step *st);
+void ds_wait_placed(struct dag_sched *s, struct ds_step *st, uint32_t n);
+
 /* dag_run.c */
 struct ds_run *ds_run_new(struct dag_sched *s, struct ds_job *j, struct ds_worker *w,
 			  const struct dag_task_ref *t, uint32_t run);
--- a/core/dag_state.c
+++ b/core/dag_state.c
@@ -607,6 +607,7 @@
 		return;
 	t->life[t->n_live] = w->lives;
 	t->started_ms[t->n_live] = (uint32_t)(s->clock_us / 1000);
+	t->begun_ms[t->n_live] = (uint32_t)s->time_ms;
 	t->live[t->n_live++] = (struct dag_run){st->run, st->worker};
 	t->last_run = st->run;
 	t->unlisted = false;
@@ -807,6 +808,27 @@
 }
 
 /* Ends a live run. Repeating an end has no effect. CF_ENOMEM. */
+/*
+ * Counts the run time of a run that is done. Runs that began with a checkpoint, were
+ * throttled or were outside the rack of their data took another time than the step takes.
+ */
+static void learn_runtime(struct dag_state *s, const struct dag_job_rec *j,
+			  const struct dag_task *t, const struct dag_end *e, uint8_t i,
+			  const struct dag_worker_rec *w)
+{
+	const struct dag_step *st = &j->spec.steps.steps_val[e->task.step];
+	bool in_rack = !st->data_rack.data_rack_len;
+
+	for (u_int k = 0; w && k < w->w.labels.labels_len; k++)
+		in_rack = in_rack || str_eq(XDR_STR(w->w.labels.labels_val[k], text),
+					    XDR_STR(*st, data_rack));
+	if (e->how != DAG_END_DONE || st->long_running || st->filler || !in_rack ||
+	    t->checkpoint.n || !t->begun_ms[i])
+		return;
+	dag_runtime_learn(&s->runtime, j->queue.high, j->queue.low, st->estimate_ms,
+			  (int32_t)((uint32_t)s->time_ms - t->begun_ms[i]));
+}
+
 static int apply_end(struct dag_state *s, const struct dag_end *e)
 {
 	struct dag_worker_rec *w;
@@ -832,8 +854,10 @@
 	worker = t->live[i].worker;
 	w = dag_state_find_worker(s, worker);
 	later_life = w && w->lives != t->life[i];
+	learn_runtime(s, j, t, e, i, w);
 	t->live[i] = t->live[--t->n_live];
 	t->life[i] = t->life[t->n_live];
+	t->begun_ms[i] = t->begun_ms[t->n_live];
 	t->started_ms[i] = t->started_ms[t->n_live];
 	t->unlisted = e->run == t->last_run && is_unlisted(e->how);
 	t->unlisted_worker = worker;
--- a/core/dag_state.h
+++ b/core/dag_state.h
@@ -7,6 +7,7 @@
 
 #include "base/str.h"
 #include "core/dag_org.h"
+#include "core/dag_runtime.h"
 #include "proto/dag.h"
 
 /*
@@ -60,8 +61,11 @@
 	/* Not in snapshots: dag_worker_rec.lives and clock_us in ms at their start. */
 	uint32_t life[DAG_MAX_COPIES];
 	uint32_t started_ms[DAG_MAX_COPIES]; /* 0: not known */
-	uint32_t unlisted_worker;	     /* number, if unlisted; 0: not known */
-	struct dag_counted *counted;	     /* oldest first */
+	/* Not in snapshots: low bits of dag_state.time_ms at their start, 0: not known.
+	 */
+	uint32_t begun_ms[DAG_MAX_COPIES];
+	uint32_t unlisted_worker;    /* number, if unlisted; 0: not known */
+	struct dag_counted *counted; /* oldest first */
 	/* Of the newest end that had one; the members of a gang have the same. */
 	struct buf checkpoint;
 	uint32_t checkpoint_run; /* of a listed end of this run; not in snapshots */
@@ -188,6 +192,7 @@
 	uint64_t epoch;	  /* of that entry, see dag_state_enter_epoch() */
 	uint64_t earlier_epoch; /* the one before; 0: not known */
 	struct dag_model model;
+	struct dag_runtime runtime; /* not in snapshots */
 	struct dag_observer *observer;
 };
 
--- a/regress/lib_dag_world.c
+++ b/regress/lib_dag_world.c
@@ -27,6 +27,7 @@
 #define CALL_TIMEOUT_US (700 * MS)
 #define WALL_MS 1700000000000LL
 #define NO_LIFE 1
+#define LONG_RUN 7
 /* Serving tasks with an image. */
 #define OWN_LOAD 0.48
 #define OWN_SWING 0.22
@@ -243,6 +244,12 @@
 	snprintf(w->given_up.text, sizeof(w->given_up.text), "%s", reason);
 }
 
+static void host_rack_wait(struct dag_host *h, enum dag_wait_event event, int64_t us)
+{
+	(void)us;
+	((struct dag_world *)h)->waits[event]++;
+}
+
 static const struct dag_host_ops host_ops = {
 	.propose = host_propose,
 	.start = host_start,
@@ -251,6 +258,7 @@
 	.poll = host_look,
 	.log_event = host_note,
 	.log_final = host_note_final,
+	.rack_wait = host_rack_wait,
 };
 
 static void new_leader(struct dag_world *w)
@@ -264,6 +272,8 @@
 		.report_interval_us = REPORT_US,
 		.status_retention_us = 3600 * 1000 * MS,
 		.full_scan = w->full_scan,
+		.cross_rack_milli = w->told_milli,
+		.fixed_wait_us = w->fixed_wait_us,
 	};
 
 	w->life++;
@@ -325,6 +335,7 @@
 	w->queue = "q";
 	w->commit_us = COMMIT_US;
 	w->prng.state = seed;
+	w->work_seed = seed;
 	ck_assert_int_eq(dag_state_new(&w->state), 0);
 	new_leader(w);
 	dw_set_guarded(w, true);
@@ -360,6 +371,10 @@
 	XDR_SET(x, address, str_from(dw->address));
 	XDR_SET(x, service, STR("svc"));
 	XDR_SET(x, zone, STR("z"));
+	if (dw->rack) {
+		x.labels.labels_len = 1;
+		x.labels.labels_val = (struct dag_name *)(uintptr_t)&dw->label;
+	}
 	return x;
 }
 
@@ -760,6 +775,25 @@
 	w->disturbing_starts += disturbs;
 }
 
+/* Run time of a batch task, the same whenever and wherever it starts in its rack. */
+static int64_t work_of(const struct dag_world *w, const struct dw_worker *dw,
+		       const struct dag_task_ref *t, const struct dag_step *st)
+{
+	struct prng p = {.state = w->work_seed ^
+				  (t->job << 20 | t->step << 10 | t->index)};
+	int64_t us = w->work_us;
+
+	if (!w->cross_rack_milli)
+		return us;
+	us = (int64_t)st->estimate_ms * (700 + (int64_t)prng_below(&p, 600));
+	if (prng_below(&p, 1000) < w->long_permille)
+		us *= LONG_RUN;
+	if (st->data_rack.data_rack_len &&
+	    !(dw->rack && str_eq(str_from(dw->rack), XDR_STR(*st, data_rack))))
+		us = us * w->cross_rack_milli / 1000;
+	return us;
+}
+
 static enum dag_call_result do_start(struct dag_world *w, struct dw_worker *dw,
 				     const struct dw_event *e)
 {
@@ -792,10 +826,10 @@
 		.lasting = st->long_running,
 		.gang = st->gang,
 		.start_us = w->now_us,
-		.work_us = w->work_us,
-		.left_us = w->work_us,
+		.work_us = work_of(w, dw, &e->task, st),
 		.pace = 100,
 	};
+	r->left_us = r->work_us;
 	if (st->image.image_len)
 		r->image = st->image.image_val[st->image.image_len - 1];
 	count_filler_start(w, dw, r);
@@ -1371,6 +1405,17 @@
 	return n;
 }
 
+void dw_add_rack(struct dag_world *w, const char *rack, size_t n)
+{
+	for (size_t i = 0; i < n; i++) {
+		struct dw_worker *dw = &w->workers[dw_add_worker(w, 8000, 8000)];
+
+		dw->rack = rack;
+		XDR_SET(dw->label, text, str_from(rack));
+		report(w, dw);
+	}
+}
+
 void dw_add_workers(struct dag_world *w, size_t n)
 {
 	for (size_t i = 0; i < n; i++)
--- a/regress/lib_dag_world.h
+++ b/regress/lib_dag_world.h
@@ -71,6 +71,8 @@
 	int64_t quiet_until_us; /* polls are taken and answered only then */
 	int64_t born_ms;
 	int64_t lease_ms; /* on its clock */
+	const char *rack; /* its label, NULL: none */
+	struct dag_name label;
 	uint64_t fence;
 	bool called;	  /* a call that was not late has reached this life */
 	bool unguarded;	  /* starts what does not fit */
@@ -194,6 +196,16 @@
 	bool cut_refuses;  /* cuts refuse polls, as srv_cut "reset" of the bench does */
 	size_t list_max;   /* a worker lists so many ends at a time, 0: all */
 	int64_t work_us;   /* of a batch task */
+	/*
+	 * Others than 0: batch tasks take their estimate times a factor that the seed and
+	 * the task decide, and so many thousandths of that outside their rack.
+	 */
+	uint32_t cross_rack_milli;
+	uint64_t work_seed;
+	uint32_t long_permille; /* of these tasks take LONG_RUN times as long */
+	uint32_t told_milli;	/* option of the next leaders: what they know of it */
+	int64_t fixed_wait_us;	/* the same */
+	uint32_t waits[3];	/* enum dag_wait_event */
 	/* Tasks with this index in these jobs crash each worker that starts them. */
 	uint64_t deadly_job; /* first of them, 0: none */
 	uint32_t deadly_jobs;
@@ -228,6 +240,8 @@
 uint32_t dw_add_worker(struct dag_world *w, uint32_t cpu, uint32_t mem);
 /* Workers of 8 cores and 8,000 MB. */
 void dw_add_workers(struct dag_world *w, size_t n);
+/* The same number in a rack. */
+void dw_add_rack(struct dag_world *w, const char *rack, size_t n);
 /* Fails the test with the first violation. */
 void dw_assert_sound(const struct dag_world *w);
 /* Whether the workers' service is recorded as one whose workers guard their room. */
