carawayctl place: where a job would start now, without submitting it

Cause: why a job waits, or on which worker it would start, could only be concluded from the log after the fact.

Change: core/dag_preview.c runs the leader's own decisions (choice of a worker, gangs, the wait for a rack) for a job that waits or for a submission, releases what it reserved and proposes nothing. The metrics port of controllers answers GET and POST /v1/placement; one that does not lead names the leader. carawayctl place QUEUE FILE and place -t ID print it as text or JSON: order, tasks with their workers, the wait and its end, at most 64 candidates with the reason against each, the age of the leader's view. The events rack-wait and rack-wait-ended are found by test_log_schema.sh. The pure cases of test_dag_locality moved to test_locality.

--- a/carawayctl/ctl.h
+++ b/carawayctl/ctl.h
@@ -52,6 +52,7 @@
 int ctl_stats(struct ctl *ctl, int argc, char **argv);
 int ctl_health(struct ctl *ctl, int argc, char **argv);
 int ctl_member(struct ctl *ctl, int argc, char **argv);
+int ctl_place(struct ctl *ctl, int argc, char **argv);
 int ctl_explain(struct ctl *ctl, int argc, char **argv);
 
 int ctl_require_team(const struct ctl *ctl);
--- a/carawayctl/main.c
+++ b/carawayctl/main.c
@@ -15,16 +15,10 @@
 #define MAX_TIMEOUT_S 3600
 
 static const struct ctl_command commands[] = {
-	{"conf", ctl_conf},
-	{"vocabulary", ctl_vocabulary},
-	{"job", ctl_job},
-	{"zone", ctl_zone},
-	{"upstreams", ctl_upstreams},
-	{"workers", ctl_workers},
-	{"stats", ctl_stats},
-	{"health", ctl_health},
-	{"member", ctl_member},
-	{"explain", ctl_explain},
+	{"conf", ctl_conf},   {"vocabulary", ctl_vocabulary}, {"job", ctl_job},
+	{"zone", ctl_zone},   {"upstreams", ctl_upstreams},   {"workers", ctl_workers},
+	{"stats", ctl_stats}, {"health", ctl_health},	      {"member", ctl_member},
+	{"place", ctl_place}, {"explain", ctl_explain},
 };
 
 static void usage(FILE *f)
@@ -42,6 +36,7 @@
 		   "  zone out name | in name\n"
 		   "  upstreams | workers | stats | health\n"
 		   "  member list\n"
+		   "  place queue file | place -t id\n"
 		   "  explain id logfile ...\n");
 }
 
--- a/carawayfrontd/controller.c
+++ b/carawayfrontd/controller.c
@@ -280,6 +280,8 @@
 	if (!err)
 		err = metrics_port_new(c->loop, &c->settings->listen.metrics, c->metrics,
 				       &c->metrics_port);
+	if (!err)
+		controller_placement_init(c);
 	return err;
 }
 
--- a/carawayfrontd/controller_impl.h
+++ b/carawayfrontd/controller_impl.h
@@ -66,6 +66,8 @@
 	struct rpc_server *rpc;
 	struct operators *operators;
 	struct metrics_port *metrics_port;
+	struct metrics_port_handler placement; /* of placement previews */
+	int64_t preview_us;		       /* newest one */
 	struct ev_timer timer;
 	struct ev_prepare prepare;
 	struct command_batch batch; /* of this round */
@@ -108,6 +110,9 @@
 void controller_end_waits(struct controller *c, enum dag_outcome outcome);
 bool controller_leads(const struct controller *c);
 
+/* controller_placement.c */
+void controller_placement_init(struct controller *c);
+
 /* controller_sched.c */
 struct dag_transport *controller_transport(const struct controller *c);
 int controller_sched_start(struct controller *c);
--- a/carawayfrontd/metrics_port.c
+++ b/carawayfrontd/metrics_port.c
@@ -5,13 +5,14 @@
 #include "base/err.h"
 #include "io/http_server.h"
 
-#define MAX_BODY 1024U
+#define MAX_BODY 262144U /* of a job that is previewed */
 #define MAX_CONNECTIONS 16U
 #define IDLE_S 30U
 
 struct metrics_port {
 	struct http_server_host host; /* first member */
 	const struct metric_set *metrics;
+	struct metrics_port_handler *handler; /* NULL: none */
 	struct http_server *server;
 };
 
@@ -20,8 +21,11 @@
 	struct metrics_port *p = (struct metrics_port *)host;
 	struct http_header h = {"Content-Type", STR("text/plain; version=0.0.4")};
 	struct buf text = {0};
-	int err = metric_print(p->metrics, &text);
+	int err;
 
+	if (p->handler && p->handler->request(p->handler, req))
+		return;
+	err = metric_print(p->metrics, &text);
 	http_request_reply(req, err ? 500 : 200, &h, 1, buf_str(&text));
 	buf_free(&text);
 }
@@ -59,6 +63,12 @@
 	return 0;
 }
 
+void metrics_port_set_handler(struct metrics_port *p, struct metrics_port_handler *h)
+{
+	if (p)
+		p->handler = h;
+}
+
 void metrics_port_free(struct metrics_port *p)
 {
 	if (!p)
--- a/core/dag_interfere.c
+++ b/core/dag_interfere.c
@@ -65,6 +65,16 @@
 	return m->n++;
 }
 
+int dag_interfere_count(const struct dag_interfere *m)
+{
+	return m->n;
+}
+
+void dag_interfere_remove_from(struct dag_interfere *m, int n)
+{
+	m->n = n;
+}
+
 static double clamp(double v, double low, double high)
 {
 	return v < low ? low : v > high ? high : v;
--- a/core/dag_interfere.h
+++ b/core/dag_interfere.h
@@ -50,4 +50,9 @@
 void dag_interfere_save_free(struct dag_model *saved);
 void dag_interfere_restore(struct dag_interfere *m, const struct dag_model *saved);
 
+/* Number of images, and removal of those that were added since it was so; no model of
+ * them may have been learned. */
+int dag_interfere_count(const struct dag_interfere *m);
+void dag_interfere_remove_from(struct dag_interfere *m, int n);
+
 #endif
--- a/core/dag_place.c
+++ b/core/dag_place.c
@@ -293,8 +293,8 @@
 	return cores ? "batch tasks have its cores" : "batch tasks have its memory";
 }
 
-static struct ds_obstacle find_obstacle(const struct dag_sched *s, struct ds_worker *w,
-					const struct ds_step *st)
+struct ds_obstacle ds_find_obstacle(const struct dag_sched *s, struct ds_worker *w,
+				    const struct ds_step *st)
 {
 	const struct dag_step *step = st->step;
 	int64_t missing = shortage(w, step);
@@ -327,7 +327,7 @@
 	struct ds_obstacle nearest = {DS_OBSTACLE_SERVICE, NULL, "no worker", 0};
 
 	for (size_t i = 0; i < s->n_workers; i++) {
-		struct ds_obstacle o = find_obstacle(s, s->workers[i], st);
+		struct ds_obstacle o = ds_find_obstacle(s, s->workers[i], st);
 
 		if (!nearest.worker || o.kind < nearest.kind ||
 		    (o.kind == nearest.kind && o.missing < nearest.missing))
@@ -380,22 +380,38 @@
 			s->scores[i] = score_if_fits(s, s->workers[i], st, 0);
 }
 
-/* Places one task; scored: the workers are scored for its step. false: none fits. */
-static bool place_task(struct dag_sched *s, struct ds_step *st, uint32_t index,
-		       bool scored)
+/* The worker on which a task would start now, and whether it may wait for its rack. */
+static struct ds_worker *choose(struct dag_sched *s, const struct ds_step *st,
+				uint32_t index, bool scored, bool *may_wait)
 {
 	struct dag_task_ref ref = {st->job->rec->id, st->occurrence, st->number, index};
 	const struct dag_task *t =
 		dag_job_find_task(st->job->rec, st->occurrence, st->number, index);
 	uint32_t avoid = ds_job_find_task(st->job, &ref)->avoid_worker;
 	uint32_t crashes = ds_task_suspect_crashes(t);
-	struct ds_worker *w;
 
+	*may_wait = !avoid && !crashes;
 	if (scored && !avoid && !crashes)
-		w = best_scored_worker(s);
-	else
-		w = choose_worker(s, st, avoid, crashes, (struct str){NULL, 0});
-	if (w && !avoid && !crashes && ds_wait_holds_task(s, st, w))
+		return best_scored_worker(s);
+	return choose_worker(s, st, avoid, crashes, (struct str){NULL, 0});
+}
+
+struct ds_worker *ds_choose_worker(struct dag_sched *s, const struct ds_step *st,
+				   uint32_t index, bool *may_wait)
+{
+	return choose(s, st, index, false, may_wait);
+}
+
+/* Places one task; scored: the workers are scored for its step. false: none fits. */
+static bool place_task(struct dag_sched *s, struct ds_step *st, uint32_t index,
+		       bool scored)
+{
+	const struct dag_task *t =
+		dag_job_find_task(st->job->rec, st->occurrence, st->number, index);
+	bool may_wait;
+	struct ds_worker *w = choose(s, st, index, scored, &may_wait);
+
+	if (w && may_wait && ds_wait_holds_task(s, st, w))
 		return true;
 	if (!w || !propose_start(s, st, w, index, t->last_run + 1))
 		return false;
@@ -432,14 +448,15 @@
 	return run + 1;
 }
 
-/* Places all members of a gang on workers of one rack, of any racks if rack is empty. */
-static bool place_gang_in_rack(struct dag_sched *s, struct ds_step *st, struct str rack)
+/*
+ * Reserves workers of one rack, of any racks if rack is empty, for the members of a gang
+ * until one does not fit. Returns the number of members with a run.
+ */
+uint32_t ds_reserve_gang(struct dag_sched *s, struct ds_step *st, struct str rack,
+			 uint32_t run)
 {
-	uint32_t run = gang_next_run(st);
-	struct ds_run *r, *next;
 	uint32_t placed = 0;
 
-	/* Runs reserve resources first; starts are proposed only when all fit. */
 	while (placed < st->step->count) {
 		struct dag_task_ref ref = {st->job->rec->id, st->occurrence, st->number,
 					   placed};
@@ -452,6 +469,17 @@
 			break;
 		placed++;
 	}
+	return placed;
+}
+
+/* Places all members of a gang on workers of one rack, of any racks if rack is empty. */
+static bool place_gang_in_rack(struct dag_sched *s, struct ds_step *st, struct str rack)
+{
+	uint32_t run = gang_next_run(st);
+	/* Runs reserve resources first; starts are proposed only when all fit. */
+	uint32_t placed = ds_reserve_gang(s, st, rack, run);
+	struct ds_run *r, *next;
+
 	for (r = TAILQ_FIRST(&st->job->runs); r; r = next) {
 		struct dag_command c = {.kind = DAG_CMD_START};
 
--- a/core/dag_wait.c
+++ b/core/dag_wait.c
@@ -124,6 +124,16 @@
 	return ds_job_objective_ms(st->job) * USEC_PER_MS - age_us - path_us(s, st);
 }
 
+/* Tasks of other steps that wait for the same rack, as far as this pass has come. */
+static uint32_t held_before(const struct dag_sched *s, const struct ds_step *st,
+			    struct str rack)
+{
+	uint32_t held = s->held_tasks[rack_bucket(rack)];
+	uint32_t own = st->wait && st->wait->pass == s->wait_pass ? st->wait->passed : 0;
+
+	return held > own ? held - own : 0;
+}
+
 /* Chooses for each of the places that come after those of the steps before. */
 static void plan_tasks(const struct dag_sched *s, const struct ds_step *st,
 		       struct dag_locality_input *in, struct ds_wait_plan *p)
@@ -135,7 +145,7 @@
 	p->rack = XDR_STR(*st->step, data_rack);
 	p->n_forecasts = 1;
 	p->choice.reason = "no place in its rack is expected to become free";
-	ahead = s->held_tasks[rack_bucket(p->rack)];
+	ahead = held_before(s, st, p->rack);
 	ds_forecast_open(s, st, p->rack, &f);
 	while (p->hold < st->n_waiting && ds_forecast_nth(&f, ahead + p->hold, &place)) {
 		struct dag_locality_choice c;
@@ -182,7 +192,7 @@
 	for (size_t i = 0; i < s->n_workers; i++)
 		add_rack(racks, &n_racks, s->workers[i]);
 	for (uint32_t i = 0; i < n_racks; i++) {
-		size_t ahead = s->held_tasks[rack_bucket(racks[i])];
+		size_t ahead = held_before(s, st, racks[i]);
 
 		ds_forecast_open(s, st, racks[i], &f);
 		if (!ds_forecast_nth(&f, ahead + st->step->count - 1, &place) ||
@@ -224,6 +234,10 @@
 	p->choice.reason = "no rack is preferred, or waits are off";
 	if (!names_rack(s, st))
 		return;
+	if (st->wait && st->wait->ready_us == st->waiting_since_us && st->wait->over) {
+		p->choice.reason = "it has waited, and the wait has ended";
+		return;
+	}
 	run = ds_step_run_time(s, st->job, st->step);
 	in.run_sd_us = run.sd_us;
 	in.elsewhere_sd_us = run.sd_us * s->opt.cross_rack_milli / 1000;
@@ -250,16 +264,25 @@
 }
 
 /* The value is a time in milliseconds. */
-static void log_wait(struct dag_sched *s, const struct ds_step *st, const char *event,
-		     const char *reason, int64_t us)
+static void log_begin(struct dag_sched *s, const struct ds_step *st, const char *reason,
+		      int64_t us)
 {
 	struct dag_task_ref t = {st->job->rec->id, st->occurrence, st->number, 0};
 
-	s->host->ops->log_event(s->host, event, &t, 0,
+	s->host->ops->log_event(s->host, "rack-wait", &t, 0,
 				dag_state_queue_name(s->state, st->job->rec), reason,
 				us / USEC_PER_MS);
 }
 
+static void log_end(struct dag_sched *s, const struct ds_step *st, const char *reason)
+{
+	struct dag_task_ref t = {st->job->rec->id, st->occurrence, st->number, 0};
+
+	s->host->ops->log_event(s->host, "rack-wait-ended", &t, 0,
+				dag_state_queue_name(s->state, st->job->rec), reason,
+				(s->now_us - st->wait->begun_us) / USEC_PER_MS);
+}
+
 /* So many tasks wait now; those that do no longer wait in vain. */
 static void set_hold(struct dag_sched *s, struct ds_wait *w, uint32_t hold)
 {
@@ -276,7 +299,7 @@
 
 	w->over = true;
 	if (w->hold)
-		log_wait(s, st, "rack-wait-ended", reason, s->now_us - w->begun_us);
+		log_end(s, st, reason);
 	set_hold(s, w, 0);
 }
 
@@ -300,7 +323,7 @@
 	if (!w->begun_us) {
 		w->begun_us = s->now_us;
 		w->until_us = until_us;
-		log_wait(s, st, "rack-wait", p.choice.reason, p.choice.until_us);
+		log_begin(s, st, p.choice.reason, p.choice.until_us);
 	}
 	if (until_us < w->until_us)
 		w->until_us = until_us;
@@ -365,6 +388,5 @@
 	report(s, DAG_WAIT_SUCCESSFUL, n, s->now_us - w->begun_us);
 	w->hold -= n;
 	if (!w->hold)
-		log_wait(s, st, "rack-wait-ended", "its rack has room",
-			 s->now_us - w->begun_us);
+		log_end(s, st, "its rack has room");
 }
--- a/regress/test_dag_locality.c
+++ b/regress/test_dag_locality.c
@@ -5,124 +5,18 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "core/dag_locality.h"
-#include "core/dag_runtime.h"
+#include "base/err.h"
+#include "core/dag_preview.h"
 #include "proto/codec.h"
 #include "regress/lib_dag_world.h"
 
 #define MS 1000LL
 #define SEC (1000 * MS)
 #define FACTOR_MILLI 3000
-#define HUGE_SLACK (1000 * SEC)
 #define SEED 7
 
 static struct dag_world *world;
 
-static bool waits(int64_t free_us, int64_t sd_us, int64_t extra_us, int64_t slack_us,
-		  int64_t waited_us)
-{
-	struct dag_locality_input in = {
-		.free_us = free_us,
-		.free_sd_us = sd_us,
-		.extra_us = extra_us,
-		.slack_us = slack_us,
-		.waited_us = waited_us,
-	};
-
-	return dag_locality_choose(&in).wait;
-}
-
-/* Guards against waits that cost more than they save. */
-START_TEST(a_wait_must_be_shorter_than_what_it_saves)
-{
-	ck_assert(waits(1 * SEC, 0, 2 * SEC, HUGE_SLACK, 0));
-	ck_assert(!waits(2 * SEC, 0, 2 * SEC, HUGE_SLACK, 0));
-	ck_assert(!waits(3 * SEC, 0, 2 * SEC, HUGE_SLACK, 0));
-	ck_assert(!waits(1 * SEC, 0, 0, HUGE_SLACK, 0));
-	ck_assert(!waits(0, 0, -1, HUGE_SLACK, 0));
-}
-END_TEST
-
-/* Guards against a wait for a place whose time is not known well enough. */
-START_TEST(uncertainty_counts_against_a_wait)
-{
-	ck_assert(waits(1 * SEC, SEC / 2, 2 * SEC, HUGE_SLACK, 0));
-	ck_assert(!waits(1 * SEC, 1 * SEC, 2 * SEC, HUGE_SLACK, 0));
-}
-END_TEST
-
-/* Guards against a job that waits although it meets its objective only elsewhere now. */
-START_TEST(a_wait_does_not_endanger_the_objective)
-{
-	ck_assert(waits(1 * SEC, 0, 2 * SEC, 3 * SEC + 1, 0));
-	ck_assert(!waits(1 * SEC, 0, 2 * SEC, 3 * SEC - 1, 0));
-	/* Elsewhere it is late. */
-	ck_assert(waits(1 * SEC, 0, 2 * SEC, 2 * SEC - 1, 0));
-	ck_assert(waits(1 * SEC, 0, 2 * SEC, -5 * SEC, 0));
-}
-END_TEST
-
-/* Guards against waits that are prolonged without end by ever new forecasts. */
-START_TEST(a_wait_ends)
-{
-	struct dag_locality_input in = {
-		.free_us = SEC / 2, .extra_us = 2 * SEC, .slack_us = HUGE_SLACK};
-
-	ck_assert_int_eq(dag_locality_choose(&in).until_us, 2 * SEC);
-	in.waited_us = SEC;
-	ck_assert_int_eq(dag_locality_choose(&in).until_us, SEC);
-	in.waited_us = 0;
-	in.slack_us = 3 * SEC + SEC / 2;
-	ck_assert_int_eq(dag_locality_choose(&in).until_us, SEC + SEC / 2);
-	ck_assert(!waits(SEC / 2, 0, 2 * SEC, HUGE_SLACK, 2 * SEC));
-	ck_assert(!waits(SEC / 2, 0, 2 * SEC, HUGE_SLACK, 2 * SEC - SEC / 4));
-	ck_assert(!waits(0, 0, 2 * SEC, HUGE_SLACK, INT64_MAX / 2));
-}
-END_TEST
-
-/* Guards against run times that are not learned, and memory that grows with queues. */
-START_TEST(run_times_are_learned_by_queue)
-{
-	struct dag_runtime *rt = calloc(1, sizeof(*rt));
-	struct dag_time_estimate e;
-
-	e = dag_runtime_of(rt, 1, 0, 1000);
-	ck_assert_int_eq(e.mean_us, SEC);
-	ck_assert_int_eq(e.sd_us, SEC / 2);
-	for (int i = 0; i < 400; i++)
-		dag_runtime_learn(rt, 1, 0, 1000, i % 2 ? 2900 : 3100);
-	e = dag_runtime_of(rt, 1, 0, 2000);
-	ck_assert_int_ge(e.mean_us, 5700 * MS);
-	ck_assert_int_le(e.mean_us, 6000 * MS);
-	ck_assert_int_le(e.sd_us, 400 * MS);
-	for (uint64_t q = 2; q < 2 + DAG_RUNTIME_QUEUES; q++)
-		dag_runtime_learn(rt, q, 0, 1000, 500);
-	ck_assert_int_eq(dag_runtime_of(rt, 1, 0, 1000).mean_us, SEC);
-	ck_assert_int_lt(dag_runtime_of(rt, 9, 0, 1000).mean_us, SEC);
-	dag_runtime_learn(rt, 9, 0, 0, 500);
-	dag_runtime_learn(rt, 9, 0, 1000, -500);
-	free(rt);
-}
-END_TEST
-
-/* Guards against forecasts of long runs that say "soon" for ever. */
-START_TEST(rest_of_a_run)
-{
-	struct dag_time_estimate total = {10 * SEC, 1 * SEC};
-	struct dag_run_age age = {.age_us = 4 * SEC, .progress_percent = -1};
-
-	ck_assert_int_eq(dag_runtime_left(&total, &age).mean_us, 6 * SEC);
-	age.age_us = 40 * SEC;
-	ck_assert_int_ge(dag_runtime_left(&total, &age).mean_us, 15 * SEC);
-	ck_assert_int_ge(dag_runtime_left(&total, &age).sd_us, 15 * SEC);
-	age.progress_percent = 80;
-	age.progress_age_us = 40 * SEC;
-	ck_assert_int_eq(dag_runtime_left(&total, &age).mean_us, 10 * SEC);
-	age.age_us = 45 * SEC;
-	ck_assert_int_eq(dag_runtime_left(&total, &age).mean_us, 5 * SEC);
-}
-END_TEST
-
 static struct dag_step rack_step(const char *rack, uint32_t cores, uint32_t estimate_ms)
 {
 	struct dag_step st = {.count = 1,
@@ -340,6 +234,171 @@
 }
 END_TEST
 
+static struct dag_preview *preview(uint64_t id, const struct dag_step *st)
+{
+	struct dag_preview *p = calloc(1, sizeof(*p));
+	struct dag_step copy;
+	struct dag_job job = {.id = id};
+
+	ck_assert_ptr_nonnull(p);
+	if (!st) {
+		ck_assert_int_eq(dag_preview_job(world->sched, id, world->now_us, p), 0);
+		return p;
+	}
+	copy = *st;
+	job.steps.steps_len = 1;
+	job.steps.steps_val = &copy;
+	XDR_SET(job, queue, STR("q"));
+	ck_assert_int_eq(dag_preview_submission(world->sched, &job, world->now_us, p), 0);
+	return p;
+}
+
+/* The tasks of a job run exactly where the preview said. */
+static void assert_placed(uint64_t id, const struct dag_preview *p)
+{
+	const struct dag_preview_step *st = &p->step[0];
+	uint32_t placed = 0;
+
+	for (size_t i = 0; i < st->n_tasks; i++) {
+		const struct dag_preview_task *t = &st->task[i];
+		bool found = false;
+
+		for (size_t w = 0; w < world->n_workers; w++)
+			for (size_t k = 0; k < DW_RUNS; k++) {
+				const struct dw_run *r = &world->workers[w].runs[k];
+
+				if (!r->used || r->task.job != id ||
+				    r->task.index != t->index)
+					continue;
+				found = true;
+				ck_assert(str_eq(str_from(world->workers[w].id),
+						 t->worker));
+			}
+		ck_assert_int_eq(found, t->worker.n > 0);
+		placed += found;
+	}
+	ck_assert_uint_eq(dw_alive(world, id), placed);
+}
+
+/* Jobs that take capacity, and none of which ends while a preview is compared. */
+#define BLOCKERS 5U
+#define LASTING_MS 1000000U
+
+/*
+ * Guards against a preview that differs from the next start: random steps are previewed,
+ * submitted and compared, some with more tasks than fit, for their rack or as gangs.
+ */
+START_TEST(preview_equals_the_next_start)
+{
+	struct prng p = {.state = (uint64_t)_i + 1};
+	uint32_t starts = 0;
+
+	open_racks((uint64_t)_i + 1, FACTOR_MILLI, 3);
+	for (uint64_t id = 1; id <= 40; id++) {
+		uint32_t kind = (uint32_t)prng_below(&p, 4);
+		struct dag_step st = rack_step(kind == 1   ? "a"
+					       : kind == 2 ? "b"
+							   : NULL,
+					       1 + (uint32_t)prng_below(&p, 6),
+					       1000 + (uint32_t)prng_below(&p, 8000));
+		struct dag_preview *before, *waiting;
+
+		st.count = 1 + (uint32_t)prng_below(&p, 5);
+		st.gang = kind == 3;
+		st.same_rack = kind == 3 && prng_below(&p, 2);
+		before = preview(id, &st);
+		ck_assert_uint_eq(before->n_steps, 1);
+		ck_assert_uint_eq(before->n_workers, 6);
+		ck_assert_uint_le(before->step[0].n_candidates, DAG_PREVIEW_CANDIDATES);
+		ck_assert_uint_eq(before->step[0].n_candidates, 6);
+		dw_submit_step(world, id, &st);
+		dw_run_for(world, 60 * MS);
+		assert_placed(id, before);
+		waiting = preview(id, NULL);
+		ck_assert_uint_eq(waiting->n_steps, dw_alive(world, id) < st.count);
+		starts += dw_alive(world, id);
+		free(before);
+		free(waiting);
+		/* No activity of others during the next preview and start. */
+		dw_cancel(world, id);
+		submit(1000 + id, prng_below(&p, 2) ? "a" : NULL, 4, LASTING_MS);
+		if (id > BLOCKERS)
+			dw_cancel(world, 1000 + id - BLOCKERS);
+		dw_run_for(world, 1 * SEC);
+		for (uint64_t k = 1; k <= id; k++)
+			ck_assert_uint_eq(dw_alive(world, k), 0);
+	}
+	ck_assert_uint_gt(starts, 40);
+	close_racks();
+}
+END_TEST
+
+/* Guards against previews that change what happens after them. */
+START_TEST(previews_change_nothing)
+{
+	uint64_t hash[2];
+
+	for (int with = 0; with < 2; with++) {
+		struct dag_step st = rack_step("a", 3, 2000);
+		struct prng p = {.state = 11};
+
+		XDR_SET(st, image, STR("unknown"));
+		st.count = 3;
+		open_racks(SEED, FACTOR_MILLI, 3);
+		for (uint64_t id = 1; id <= 60; id++) {
+			submit(id, prng_below(&p, 3) ? "a" : NULL,
+			       1 + (uint32_t)prng_below(&p, 8),
+			       500 + (uint32_t)prng_below(&p, 4000));
+			dw_run_for(world, 100 * MS);
+			if (with) {
+				free(preview(5000, &st));
+				free(preview(id, NULL));
+			}
+			dw_run_for(world, 100 * MS);
+		}
+		dw_run_for(world, 30 * SEC);
+		hash[with] = world->starts_hash;
+		close_racks();
+	}
+	ck_assert_uint_eq(hash[0], hash[1]);
+}
+END_TEST
+
+/* Guards against a preview that hides the wait of a job, its end, or what is unknown. */
+START_TEST(preview_tells_of_waits_and_errors)
+{
+	struct dag_step st = rack_step("a", 8, 20000);
+	struct dag_job job = {.id = 9, .steps = {1, &st}};
+	struct dag_preview *p;
+
+	open_racks(SEED, FACTOR_MILLI, 1);
+	fill_rack_a(2000);
+	p = preview(2, &st);
+	ck_assert_uint_eq(p->step[0].hold, 1);
+	ck_assert(p->step[0].task[0].waits);
+	ck_assert(str_eq(p->step[0].wait_rack, STR("a")));
+	ck_assert_int_gt(p->step[0].until_ms, 0);
+	ck_assert_int_gt(p->step[0].free_ms, 0);
+	ck_assert_int_ge(p->view_age_ms, 0);
+	free(p);
+	submit(2, "a", 8, 20000);
+	dw_run_for(world, 200 * MS);
+	p = preview(2, NULL);
+	ck_assert(p->step[0].task[0].waits);
+	ck_assert_int_gt(p->step[0].until_ms, 0);
+	ck_assert_int_eq(dag_preview_job(world->sched, 77, world->now_us, p), CF_ENOENT);
+	XDR_SET(job, queue, STR("no such queue"));
+	ck_assert_int_eq(dag_preview_submission(world->sched, &job, world->now_us, p),
+			 CF_ENOENT);
+	st.count = 0;
+	XDR_SET(job, queue, STR("q"));
+	ck_assert_int_eq(dag_preview_submission(world->sched, &job, world->now_us, p),
+			 CF_EINVAL);
+	free(p);
+	close_racks();
+}
+END_TEST
+
 /*
  * A load of tasks with a rack on 2 racks of 8 workers: each seed has the same jobs and
  * run times in each mode.
@@ -461,18 +520,10 @@
 int main(void)
 {
 	Suite *suite = suite_create("dag_locality");
-	TCase *tc = tcase_create("decision");
+	TCase *tc = tcase_create("placement");
 	SRunner *r;
 	int failed;
 
-	tcase_add_test(tc, a_wait_must_be_shorter_than_what_it_saves);
-	tcase_add_test(tc, uncertainty_counts_against_a_wait);
-	tcase_add_test(tc, a_wait_does_not_endanger_the_objective);
-	tcase_add_test(tc, a_wait_ends);
-	tcase_add_test(tc, run_times_are_learned_by_queue);
-	tcase_add_test(tc, rest_of_a_run);
-	suite_add_tcase(suite, tc);
-	tc = tcase_create("placement");
 	tcase_set_timeout(tc, 60);
 	tcase_add_test(tc, a_task_waits_for_its_rack);
 	tcase_add_test(tc, a_task_does_not_wait_for_long_runs);
@@ -483,6 +534,12 @@
 	tcase_add_test(tc, a_dependent_step_does_not_wait_for_a_new_leader);
 	tcase_add_loop_test(tc, a_gang_waits_for_one_rack, 0, 2);
 	suite_add_tcase(suite, tc);
+	tc = tcase_create("preview");
+	tcase_set_timeout(tc, 60);
+	tcase_add_loop_test(tc, preview_equals_the_next_start, 0, 12);
+	tcase_add_test(tc, previews_change_nothing);
+	tcase_add_test(tc, preview_tells_of_waits_and_errors);
+	suite_add_tcase(suite, tc);
 	tc = tcase_create("load");
 	tcase_set_timeout(tc, 300);
 	tcase_add_test(tc, jobs_complete_sooner_than_without_or_with_fixed_waits);
