--- a/carawayfrontd/controller_impl.h
+++ b/carawayfrontd/controller_impl.h
@@ -70,6 +70,8 @@
 	struct operators *operators;
 	struct metrics_port *metrics_port;
 	struct org_metrics org_metrics;
+	struct metrics_port_handler placement; /* of placement previews */
+	int64_t preview_us;		       /* newest one */
 	struct ev_timer timer;
 	struct ev_prepare prepare;
 	struct command_batch batch; /* of this round */
@@ -130,6 +132,8 @@
 bool controller_authorize(struct controller *c, const struct dag_queue *q,
 			  const struct dag_credential *credential,
 			  struct dag_org **owner);
+/* controller_placement.c */
+void controller_placement_init(struct controller *c);
 
 /* controller_sched.c */
 struct dag_transport *controller_transport(const struct controller *c);
--- a/carawayfrontd/settings.h
+++ b/carawayfrontd/settings.h
@@ -48,6 +48,10 @@
 	uint64_t status_s;   /* ended jobs are kept this long */
 	bool admit_serving;  /* refuse serving tasks in the room of batch work */
 	uint64_t relay_from; /* workers from which on gateways make the calls */
+	/* A decimal number, and the same in thousandths; 0: no task waits for its rack.
+	 */
+	struct str cross_rack_factor;
+	uint32_t cross_rack_milli;
 };
 
 /* Content of the settings file. */
--- a/core/dag_place.c
+++ b/core/dag_place.c
@@ -191,6 +191,21 @@
 	       (st->step->long_running && s->now_us >= w->next_serving_us);
 }
 
+struct ds_room ds_worker_room(const struct ds_worker *w, const struct dag_step *step)
+{
+	return (struct ds_room){step->filler ? idle_cpu(w) : free_cpu(w), free_mem(w),
+				(int64_t)w->capacity.gpus - w->gpus_reserved};
+}
+
+bool ds_worker_may_take(const struct dag_sched *s, const struct ds_worker *w,
+			const struct ds_step *st)
+{
+	const struct dag_step *step = st->step;
+
+	return worker_takes_step(s, w, st) && worker_serves_queue(w, st->job) &&
+	       (!step->label.label_len || ds_worker_has_label(w, XDR_STR(*step, label)));
+}
+
 /* Score of a worker for a task of a step; SCORE_UNACCEPTABLE if it cannot take it. */
 static int64_t score_if_fits(const struct dag_sched *s, struct ds_worker *w,
 			     const struct ds_step *st, uint32_t avoid)
@@ -278,8 +293,8 @@
 	return cores ? "batch tasks have its cores" : "batch tasks have its memory";
 }
 
-static struct ds_obstacle find_obstacle(const struct dag_sched *s, struct ds_worker *w,
-					const struct ds_step *st)
+struct ds_obstacle ds_find_obstacle(const struct dag_sched *s, struct ds_worker *w,
+				    const struct ds_step *st)
 {
 	const struct dag_step *step = st->step;
 	int64_t missing = shortage(w, step);
@@ -315,7 +330,7 @@
 	if (quota)
 		return (struct ds_obstacle){DS_OBSTACLE_QUOTA, NULL, quota, 0};
 	for (size_t i = 0; i < s->n_workers; i++) {
-		struct ds_obstacle o = find_obstacle(s, s->workers[i], st);
+		struct ds_obstacle o = ds_find_obstacle(s, s->workers[i], st);
 
 		if (!nearest.worker || o.kind < nearest.kind ||
 		    (o.kind == nearest.kind && o.missing < nearest.missing))
@@ -368,23 +383,43 @@
 			s->scores[i] = score_if_fits(s, s->workers[i], st, 0);
 }
 
-/* Places one task; scored: the workers are scored for its step. false: none fits. */
-static bool place_task(struct dag_sched *s, struct ds_step *st, uint32_t index,
-		       bool scored)
+/* The worker on which a task would start now, and whether it may wait for its rack. */
+static struct ds_worker *choose(struct dag_sched *s, const struct ds_step *st,
+				uint32_t index, bool scored, bool *may_wait)
 {
 	struct dag_task_ref ref = {st->job->rec->id, st->occurrence, st->number, index};
 	const struct dag_task *t =
 		dag_job_find_task(st->job->rec, st->occurrence, st->number, index);
 	uint32_t avoid = ds_job_find_task(st->job, &ref)->avoid_worker;
 	uint32_t crashes = ds_task_suspect_crashes(t);
-	struct ds_worker *w;
 
+	*may_wait = !avoid && !crashes;
 	if (scored && !avoid && !crashes)
-		w = best_scored_worker(s);
-	else
-		w = choose_worker(s, st, avoid, crashes, (struct str){NULL, 0});
+		return best_scored_worker(s);
+	return choose_worker(s, st, avoid, crashes, (struct str){NULL, 0});
+}
+
+struct ds_worker *ds_choose_worker(struct dag_sched *s, const struct ds_step *st,
+				   uint32_t index, bool *may_wait)
+{
+	return choose(s, st, index, false, may_wait);
+}
+
+/* Places one task; scored: the workers are scored for its step. false: none fits. */
+static bool place_task(struct dag_sched *s, struct ds_step *st, uint32_t index,
+		       bool scored)
+{
+	const struct dag_task *t =
+		dag_job_find_task(st->job->rec, st->occurrence, st->number, index);
+	bool may_wait;
+	struct ds_worker *w = choose(s, st, index, scored, &may_wait);
+
+	if (w && may_wait && ds_wait_holds_task(s, st, w))
+		return true;
 	if (!w || !propose_start(s, st, w, index, t->last_run + 1))
 		return false;
+	if (st->wait && ds_worker_has_label(w, XDR_STR(*st->step, data_rack)))
+		ds_wait_placed(s, st, 1);
 	if (scored)
 		update_score(s, st, w);
 	return true;
@@ -429,14 +464,15 @@
 	return run + 1;
 }
 
-/* Places all members of a gang on workers of one rack, of any racks if rack is empty. */
-static bool place_gang_in_rack(struct dag_sched *s, struct ds_step *st, struct str rack)
+/*
+ * Reserves workers of one rack, of any racks if rack is empty, for the members of a gang
+ * until one does not fit. Returns the number of members with a run.
+ */
+uint32_t ds_reserve_gang(struct dag_sched *s, struct ds_step *st, struct str rack,
+			 uint32_t run)
 {
-	uint32_t run = gang_next_run(st);
-	struct ds_run *r, *next;
 	uint32_t placed = 0;
 
-	/* Runs reserve resources first; starts are proposed only when all fit. */
 	while (placed < st->step->count) {
 		struct dag_task_ref ref = {st->job->rec->id, st->occurrence, st->number,
 					   placed};
@@ -449,6 +485,17 @@
 			break;
 		placed++;
 	}
+	return placed;
+}
+
+/* Places all members of a gang on workers of one rack, of any racks if rack is empty. */
+static bool place_gang_in_rack(struct dag_sched *s, struct ds_step *st, struct str rack)
+{
+	uint32_t run = gang_next_run(st);
+	/* Runs reserve resources first; starts are proposed only when all fit. */
+	uint32_t placed = ds_reserve_gang(s, st, rack, run);
+	struct ds_run *r, *next;
+
 	for (r = TAILQ_FIRST(&st->job->runs); r; r = next) {
 		struct dag_command c = {.kind = DAG_CMD_START};
 
@@ -477,10 +524,14 @@
 		u_int n = w->labels.labels_len;
 
 		/* The last label names the rack. */
-		if (n &&
-		    place_gang_in_rack(s, st, XDR_STR(w->labels.labels_val[n - 1], text)))
+		if (n && place_gang_in_rack(s, st,
+					    XDR_STR(w->labels.labels_val[n - 1], text))) {
+			ds_wait_placed(s, st, st->step->count);
 			return true;
+		}
 	}
+	if (ds_wait_holds_gang(s, st))
+		return true;
 	return place_gang_in_rack(s, st, (struct str){NULL, 0});
 }
 
@@ -593,6 +644,7 @@
 	if (s->fenced)
 		return;
 	release_reserved_workers(s);
+	ds_wait_begin_pass(s);
 	ds_share_begin(s);
 	while (!s->err && (st = ds_share_next(s))) {
 		bool all;
