--- a/core/dag_run.c
+++ b/core/dag_run.c
@@ -6,6 +6,8 @@
 #include "proto/codec.h"
 
 #define START_RETRY_US (250 * USEC_PER_MS)
+/* A single request may just have been lost; more may be a worker that is overloaded. */
+#define FIRST_START_RETRY_US (20 * USEC_PER_MS)
 #define STOP_RETRY_US (500 * USEC_PER_MS)
 
 /* Adds a run to its job and worker and reserves its resources. NULL: no memory. */
@@ -291,7 +293,9 @@
 		handle_start_refused(s, r, result);
 	} else {
 		r->phase = DS_UNCONFIRMED;
-		r->start_retry_us = now_us + START_RETRY_US;
+		r->start_retry_us =
+			now_us +
+			(r->start_requests == 1 ? FIRST_START_RETRY_US : START_RETRY_US);
 		r->worker->next_poll_us = now_us;
 	}
 }
--- a/regress/test_dag.c
+++ b/regress/test_dag.c
@@ -1295,6 +1295,24 @@
 }
 END_TEST
 
+/*
+ * Guards against a task that waits after its start request got no answer: it is repeated
+ * as soon as that is known, 700 ms after it was sent in this world.
+ */
+START_TEST(unanswered_start_is_repeated_at_once)
+{
+	dw_add_workers(&w, 1);
+	dw_run_for(&w, SECOND);
+	w.lost_permille = 1000;
+	dw_submit_chain(&w, 1, 1, 1);
+	dw_run_for(&w, SECOND / 10);
+	w.lost_permille = 0;
+	dw_run_for(&w, 7 * SECOND / 10);
+	dw_assert_sound(&w);
+	ck_assert_uint_eq(dw_alive(&w, 1), 1);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("dag");
@@ -1304,6 +1322,7 @@
 
 	tcase_set_timeout(tc, 120);
 	tcase_add_checked_fixture(tc, open_world, close_world);
+	tcase_add_test(tc, unanswered_start_is_repeated_at_once);
 	tcase_add_test(tc, chain_completes);
 	tcase_add_test(tc, runs_of_a_dead_worker_move_after_the_lease);
 	tcase_add_loop_test(tc, lease_of_a_lost_worker_ends_on_time_with_a_new_leader, 0,
