core/dag_share: below its fair share the ready list decides, above it the share

Change: organisations below their fair share come first, in the order of the ready list; the others by share as before.

--- a/core/dag_share.c
+++ b/core/dag_share.c
@@ -1,8 +1,9 @@
 /*
  * Order of placement among organisations when not all waiting tasks fit: dominant
  * resource fairness (A. Ghodsi et al., Dominant Resource Fairness: Fair Allocation of
- * Multiple Resource Types, NSDI 2011) with weights. Steps of a lower priority or rank are
- * tried after all others, and the order within an organisation is that of the ready list.
+ * Multiple Resource Types, NSDI 2011) with weights, for what organisations use above
+ * their fair share. Steps of a lower priority or rank are tried after all others, and the
+ * order within an organisation is that of the ready list.
  */
 #include <math.h>
 
@@ -35,23 +36,29 @@
 	return o->rec && o->rec->weight ? o->rec->weight : 1;
 }
 
-/* Of two with the same share, the one whose first step is earlier in the ready list. */
+/*
+ * Whether an organisation comes before another one. Those below their fair share come
+ * first, in the order of the ready list, which completes more jobs than equal progress of
+ * all; the others by their share.
+ */
 static bool is_before(const struct ds_org *a, double share_a, const struct ds_org *b,
-		      double share_b)
+		      double share_b, double fair)
 {
-	if (share_a != share_b)
+	if ((share_a < fair) != (share_b < fair))
+		return share_a < fair;
+	if (share_a >= fair && share_a != share_b)
 		return share_a < share_b;
 	return TAILQ_FIRST(&a->steps)->job->sort_key <
 	       TAILQ_FIRST(&b->steps)->job->sort_key;
 }
 
 /*
- * The organisation with the smallest weighted share, of a list that is not empty. Its
- * turn lasts until its share is above turn_end: that of the next one, or a little more
- * than its own.
+ * The organisation whose turn it is, of a list that is not empty. Its turn lasts until
+ * its weighted share is above turn_end: the fair one, or that of the next organisation,
+ * and a little more than its own at least.
  */
 struct ds_org *ds_choose_org(const struct ds_orgs *active, const struct ds_usage *cluster,
-			     double *turn_end)
+			     double fair, double *turn_end)
 {
 	struct ds_org *best = TAILQ_FIRST(active);
 	double least = ds_weighted_share(best, cluster);
@@ -61,7 +68,7 @@
 	while ((o = TAILQ_NEXT(o, active_entry))) {
 		double share = ds_weighted_share(o, cluster);
 
-		if (is_before(o, share, best, least)) {
+		if (is_before(o, share, best, least, fair)) {
 			second = least;
 			least = share;
 			best = o;
@@ -69,10 +76,25 @@
 			second = share;
 		}
 	}
-	*turn_end = fmax(second, least + TURN_SHARE / ds_org_weight(best));
+	*turn_end = fmax(least < fair ? fair : second,
+			 least + TURN_SHARE / ds_org_weight(best));
 	return best;
 }
 
+/* Weighted share of each organisation with jobs if all had their parts. */
+static double fair_share(const struct dag_sched *s)
+{
+	const struct ds_org *o;
+	double weights = 0;
+
+	TAILQ_FOREACH (o, &s->orgs, entry)
+		if (o->n_runs || o->n_waiting)
+			weights += ds_org_weight(o);
+	if (s->no_org.n_runs || s->no_org.n_waiting)
+		weights += ds_org_weight(&s->no_org);
+	return weights > 0 ? 1 / weights : 0;
+}
+
 static struct ds_usage cluster_capacity(const struct dag_sched *s)
 {
 	struct ds_usage sum = {0};
@@ -100,6 +122,7 @@
 	if (!sh->by_org)
 		return;
 	sh->cluster = cluster_capacity(s);
+	sh->fair = fair_share(s);
 	ds_quota_begin_pass(s);
 }
 
@@ -130,10 +153,11 @@
 	o->next_task = 0;
 	if (st->quota_blocked)
 		o->n_blocked += st->n_waiting;
-	if (!TAILQ_EMPTY(&o->steps))
-		return;
-	TAILQ_REMOVE(&sh->active, o, active_entry);
-	sh->current = NULL;
+	if (TAILQ_EMPTY(&o->steps))
+		TAILQ_REMOVE(&sh->active, o, active_entry);
+	/* Below their fair share, organisations take turns by step. */
+	if (TAILQ_EMPTY(&o->steps) || sh->turn_end <= sh->fair)
+		sh->current = NULL;
 }
 
 /* The next step to place tasks of; NULL: all have been tried. */
@@ -157,7 +181,8 @@
 		return NULL;
 	}
 	if (!sh->current || ds_weighted_share(sh->current, &sh->cluster) > sh->turn_end)
-		sh->current = ds_choose_org(&sh->active, &sh->cluster, &sh->turn_end);
+		sh->current =
+			ds_choose_org(&sh->active, &sh->cluster, sh->fair, &sh->turn_end);
 	st = TAILQ_FIRST(&sh->current->steps);
 	st->quota_blocked = false;
 	return st;
--- a/core/dag_share.h
+++ b/core/dag_share.h
@@ -50,16 +50,17 @@
 	bool by_org;		 /* false: the order of the ready list */
 	struct ds_step *next;	 /* in the ready list: the first that is not taken yet */
 	struct ds_usage cluster; /* capacity of all workers in service */
-	struct ds_orgs active;	 /* organisations with steps that are not tried yet */
-	struct ds_org *current;	 /* the newest step is of this organisation */
-	double turn_end;	 /* weighted share above which its turn is over */
-	bool yielded;		 /* its turn is over, and its step has further tasks */
+	double fair; /* weighted share up to which an organisation comes first */
+	struct ds_orgs active;	/* organisations with steps that are not tried yet */
+	struct ds_org *current; /* the newest step is of this organisation */
+	double turn_end;	/* weighted share above which its turn is over */
+	bool yielded;		/* its turn is over, and its step has further tasks */
 };
 
 const char *ds_quota_exceeded(const struct ds_org *o, const struct ds_usage *task,
 			      uint32_t n_tasks);
 double ds_weighted_share(const struct ds_org *o, const struct ds_usage *cluster);
 struct ds_org *ds_choose_org(const struct ds_orgs *active, const struct ds_usage *cluster,
-			     double *turn_end);
+			     double fair, double *turn_end);
 
 #endif
