io: budgets, timeouts and connection limits of HTTP servers

A body was limited by itself only, a refused one was read to its end, and the timeout of libmicrohttpd restarts with each byte. All servers of a process now share struct server_limits: a budget for bodies that are being received, one for replies and waiting requests (a quarter of each reserved for small ones), a time for the head, a minimum rate for bodies and replies, a limit of connections for each address, and 200 descriptors that connections leave free. A body is refused by its announced length (413, 503 with Retry-After) or while it arrives, and the connection is closed. Above max_connections the connection that was idle longest gives way; when a body has no room, the one that takes longest, after 3 s. A reply without room becomes 503 only for a GET; after any other method, which has been carried out, the connection is closed.

Connections have 24 KiB instead of 16 KiB, so that 16,384 bytes of headers are admitted: before, 40 headers of together 15,000 bytes got 431.

--- a/io/http_server.c
+++ b/io/http_server.c
@@ -14,35 +14,18 @@
 
 #include "base/err.h"
 #include "io/clock.h"
+#include "io/http_server_impl.h"
 #include "io/listener.h"
 
-#define CONNECTION_MEMORY 16384U /* bytes for headers and buffers of a connection */
-#define LAST_ANSWERS_US 100000	 /* for the answers that are not sent when it ends */
+#define SWEEP_PERIOD_S 1.0
+/* Bytes of the system's buffers of a connection, which would grow to megabytes. */
+#define SOCKET_BUFFER 131072
+/* New connections are accepted so far above the limit that idle ones give way to them. */
+#define CONNECTIONS_ABOVE_MAX 8U
+#define MAX_ROUNDS 16U	       /* of libmicrohttpd before the loop serves others */
+#define LAST_ANSWERS_US 100000 /* for the answers that are not sent when it ends */
 #define LAST_ANSWERS_POLL_MS 10
 
-struct http_connection {
-	LIST_ENTRY(http_connection) entry;
-	int fd;
-	struct buf receipt; /* of the answer that was sent last; in the list if it has one
-			     */
-};
-
-struct http_server {
-	struct http_server_options opt;
-	struct MHD_Daemon *daemon;
-	struct ev_io watcher;
-	struct ev_timer timer;
-	int listen_fd;
-	int epoll_fd;
-	bool running;  /* inside MHD_run() */
-	bool again;    /* a connection was resumed and needs MHD_run() */
-	bool closing;  /* inside http_server_free(); the host may be gone */
-	size_t unsent; /* answers that are not sent completely */
-	LIST_HEAD(, http_request) waiting;
-	LIST_HEAD(, http_connection) receipts;
-	struct http_server_stats stats;
-};
-
 /*
  * Whether the peer has received all that was sent to it and closed its connection after
  * that. One that closed it before resets it when more comes, and its last acknowledgement
@@ -65,13 +48,13 @@
  */
 static void check_receipts(struct http_server *s)
 {
-	struct http_connection *c = LIST_FIRST(&s->receipts);
+	struct http_conn *c = LIST_FIRST(&s->receipts);
 
 	while (c) {
-		struct http_connection *next = LIST_NEXT(c, entry);
+		struct http_conn *next = LIST_NEXT(c, receipts);
 
 		if (is_closed_after_answer(c->fd)) {
-			LIST_REMOVE(c, entry);
+			LIST_REMOVE(c, receipts);
 			s->opt.host->ops->received(s->opt.host, buf_str(&c->receipt));
 			buf_free(&c->receipt);
 		}
@@ -82,16 +65,21 @@
 static void run(struct http_server *s)
 {
 	MHD_UNSIGNED_LONG_LONG ms;
+	unsigned int rounds = MAX_ROUNDS;
 
 	check_receipts(s);
 	s->running = true;
 	do {
 		s->again = false;
 		MHD_run(s->daemon);
-	} while (s->again);
+	} while (s->again && --rounds);
 	s->running = false;
+	if (s->opt.limits)
+		server_limits_trim(s->opt.limits);
 	ev_timer_stop(s->opt.loop, &s->timer);
-	if (MHD_get_timeout(s->daemon, &ms) == MHD_YES) {
+	if (s->again)
+		ev_feed_event(s->opt.loop, &s->timer, EV_TIMER);
+	else if (MHD_get_timeout(s->daemon, &ms) == MHD_YES) {
 		ev_timer_set(&s->timer, (double)ms / 1000, 0);
 		ev_timer_start(s->opt.loop, &s->timer);
 	}
@@ -107,33 +95,21 @@
 	run(w->data);
 }
 
-static struct MHD_Response *make_response(const struct http_header *headers,
-					  size_t n_headers, struct str body)
+static void on_sweep(struct ev_loop *loop, struct ev_timer *t, int events)
 {
-	struct MHD_Response *r = MHD_create_response_from_buffer(
-		body.n, (void *)(uintptr_t)body.p, MHD_RESPMEM_MUST_COPY);
-
-	if (!r)
-		return NULL;
-	for (size_t i = 0; i < n_headers; i++) {
-		char *value = str_dup(headers[i].value);
+	struct http_server *s = t->data;
+	struct http_conn *c;
 
-		if (value)
-			MHD_add_response_header(r, headers[i].name, value);
-		free(value);
-	}
-	return r;
+	http_conns_sweep(&s->conns, clock_us());
+	TAILQ_FOREACH (c, &s->conns.lists[HTTP_CLOSING], entry)
+		http_drop_body(s, c);
+	run(s);
 }
 
-/* Without memory for the response the connection is closed. */
-static void set_response(struct http_request *req, unsigned int status,
-			 const struct http_header *headers, size_t n_headers,
-			 struct str body)
+static void enter(struct http_server *s, struct http_conn *c, enum http_phase phase)
 {
-	req->status = status;
-	req->response = make_response(headers, n_headers, body);
-	if (req->response)
-		req->server->unsent++;
+	if (c)
+		http_conns_enter(&s->conns, c, phase, clock_us());
 }
 
 static enum MHD_Result queue_response(struct http_request *req)
@@ -142,46 +118,70 @@
 
 	if (!r)
 		return MHD_NO;
+	enter(req->server, http_own_data(req->connection), HTTP_REPLY);
 	return MHD_queue_response(req->connection, req->status, r);
 }
 
-/* The server's own data of a connection; NULL: there was no memory for it. */
-static struct http_connection *own_data(struct MHD_Connection *connection)
+static void drop_receipt(struct http_conn *own)
 {
-	const union MHD_ConnectionInfo *info =
-		MHD_get_connection_info(connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
-
-	return info ? info->socket_context : NULL;
+	if (own->receipt.n)
+		LIST_REMOVE(own, receipts);
+	buf_free(&own->receipt);
 }
 
-static void drop_receipt(struct http_connection *own)
+static struct http_conn *new_connection(struct http_server *s,
+					struct MHD_Connection *connection)
 {
-	if (own->receipt.n)
-		LIST_REMOVE(own, entry);
-	buf_free(&own->receipt);
+	const union MHD_ConnectionInfo *from =
+		MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CLIENT_ADDRESS);
+	const union MHD_ConnectionInfo *socket =
+		MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+	struct http_conn *own = socket ? calloc(1, sizeof(*own)) : NULL;
+
+	if (own)
+		http_conns_add(&s->conns, own, socket->connect_fd,
+			       from ? from->client_addr : NULL, clock_us());
+	return own;
 }
 
 /* Called by libmicrohttpd when a connection begins and before it is closed. */
 static void on_connection(void *cls, struct MHD_Connection *connection, void **context,
 			  enum MHD_ConnectionNotificationCode code)
 {
-	struct http_connection *own = *context;
+	struct http_server *s = cls;
+	struct http_conn *own = *context;
 
 	if (code == MHD_CONNECTION_NOTIFY_STARTED) {
-		*context = calloc(1, sizeof(*own));
+		*context = new_connection(s, connection);
 		return;
 	}
 	*context = NULL;
-	if (own)
-		drop_receipt(own);
+	if (!own)
+		return;
+	drop_receipt(own);
+	/* libmicrohttpd looks only at its next run whether it may accept again. */
+	if (s->conns.n >= s->opt.max_connections)
+		s->again = true;
+	http_conns_remove(&s->conns, own);
 	free(own);
 }
 
+/* Called by libmicrohttpd before it adds a connection, which it closes otherwise. */
+static enum MHD_Result on_accept(void *cls, const struct sockaddr *from, socklen_t size)
+{
+	struct http_server *s = cls;
+
+	if (http_conns_admits(&s->conns))
+		return MHD_YES;
+	server_limits_note(s->opt.limits, LIMIT_DESCRIPTORS);
+	return MHD_NO;
+}
+
 /* Called by libmicrohttpd first, with the request target as it came. */
 static void *on_target(void *cls, const char *target, struct MHD_Connection *connection)
 {
 	struct http_server *s = cls;
-	struct http_connection *own = own_data(connection);
+	struct http_conn *own = http_own_data(connection);
 	struct http_request *req = calloc(1, sizeof(*req));
 
 	/* The sender goes on after the earlier answer. */
@@ -196,6 +196,7 @@
 	}
 	req->server = s;
 	req->connection = connection;
+	req->limits = s->opt.limits;
 	s->stats.requests++;
 	return req;
 }
@@ -209,6 +210,60 @@
 	return req->path[0] && req->target[0] && (!nul || (query && query < nul));
 }
 
+/* A request whose head has arrived. It is refused now if the head suffices for that. */
+static enum MHD_Result begin(struct http_request *req)
+{
+	struct http_server *s = req->server;
+	struct http_conn *own = http_own_data(req->connection);
+	const char *length = MHD_lookup_connection_value(req->connection, MHD_HEADER_KIND,
+							 MHD_HTTP_HEADER_CONTENT_LENGTH);
+	int err;
+
+	req->started = true;
+	s->stats.in_flight++;
+	enter(s, own, HTTP_BODY);
+	do {
+		err = http_body_begin(&s->body_limits, &req->receiving, length);
+	} while (err == CF_EBUSY && http_end_slowest_body(s, own));
+	if (err) {
+		http_refuse(req, err, LIMIT_BODY_BUDGET);
+		return queue_response(req);
+	}
+	if (own)
+		own->body_of = req;
+	return MHD_YES;
+}
+
+/* Takes room for what is kept of a request until it is answered. */
+static bool charge_waiting(struct http_request *req)
+{
+	size_t n = req->body.n + HTTP_WAITING_BYTES;
+
+	if (!req->limits)
+		return true;
+	if (!budget_take(&req->limits->replies, 0, n))
+		return false;
+	req->waiting_bytes = n;
+	return true;
+}
+
+/* A request that has arrived completely. */
+static void handle(struct http_request *req)
+{
+	struct http_server *s = req->server;
+
+	req->handled = true;
+	if (!is_whole_path(req))
+		http_set_response(req, MHD_HTTP_BAD_REQUEST, NULL, 0, STR("bad path\n"));
+	else if (s->closing)
+		http_set_response(req, MHD_HTTP_SERVICE_UNAVAILABLE, NULL, 0,
+				  STR("shutting down\n"));
+	else if (!charge_waiting(req))
+		http_refuse(req, CF_EBUSY, LIMIT_REPLY_BUDGET);
+	else
+		s->opt.host->ops->request(s->opt.host, req);
+}
+
 /*
  * Called by libmicrohttpd: once for the headers, for each part of the body, and
  * again at its end and after each resume.
@@ -219,43 +274,28 @@
 {
 	struct http_server *s = cls;
 	struct http_request *req = *con_cls;
+	struct http_conn *own = http_own_data(connection);
+	size_t n = *data_size;
 
 	if (!req)
 		return MHD_NO;
 	if (!req->started) {
-		req->started = true;
-		s->stats.in_flight++;
 		req->method = method;
 		req->path = url;
-		return MHD_YES;
+		return begin(req);
 	}
-	if (*data_size) {
-		if (req->body.n + *data_size > s->opt.max_body)
-			req->too_big = true;
-		else if (buf_add(&req->body, data, *data_size))
-			return MHD_NO;
+	if (n) {
 		*data_size = 0;
-		return MHD_YES;
-	}
-	if (req->too_big && !req->response) {
-		s->stats.refused_body++;
-		req->handled = true;
-		set_response(req, MHD_HTTP_CONTENT_TOO_LARGE, NULL, 0,
-			     STR("body too large\n"));
-	}
-	if (!req->handled && !is_whole_path(req)) {
-		req->handled = true;
-		set_response(req, MHD_HTTP_BAD_REQUEST, NULL, 0, STR("bad path\n"));
-	}
-	if (s->closing && !req->handled) {
-		req->handled = true;
-		set_response(req, MHD_HTTP_SERVICE_UNAVAILABLE, NULL, 0,
-			     STR("shutting down\n"));
+		return http_receive(req, data, n);
 	}
+	if (req->refused)
+		return MHD_NO;
+	if (own)
+		own->body_of = NULL;
 	if (!req->handled) {
-		req->handled = true;
-		s->opt.host->ops->request(s->opt.host, req);
-		if (!req->response) {
+		enter(s, own, HTTP_WAITING);
+		handle(req);
+		if (!req->response && !req->refused) {
 			req->suspended = true;
 			LIST_INSERT_HEAD(&s->waiting, req, waiting);
 			MHD_suspend_connection(connection);
@@ -267,7 +307,11 @@
 
 static void request_free(struct http_request *req)
 {
-	buf_free(&req->body);
+	const struct http_body_limits l = {.limits = req->limits};
+
+	if (req->limits)
+		budget_give(&req->limits->replies, req->waiting_bytes + req->reply_bytes);
+	http_body_free(&l, &req->receiving, &req->body);
 	buf_free(&req->receipt);
 	free(req->target);
 	free(req);
@@ -284,19 +328,12 @@
 }
 
 /* Takes the receipt of a request whose answer is sent. */
-static void await_receipt(struct http_server *s, struct MHD_Connection *connection,
+static void await_receipt(struct http_server *s, struct http_conn *own,
 			  struct http_request *req)
 {
-	const union MHD_ConnectionInfo *info =
-		MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
-	struct http_connection *own = own_data(connection);
-
-	if (!info)
-		return;
-	own->fd = info->connect_fd;
 	own->receipt = req->receipt;
 	req->receipt = (struct buf){0};
-	LIST_INSERT_HEAD(&s->receipts, own, entry);
+	LIST_INSERT_HEAD(&s->receipts, own, receipts);
 }
 
 static void on_completed(void *cls, struct MHD_Connection *connection, void **con_cls,
@@ -304,11 +341,13 @@
 {
 	struct http_server *s = cls;
 	struct http_request *req = *con_cls;
-	struct http_connection *own = own_data(connection);
+	struct http_conn *own = http_own_data(connection);
 
 	if (!req)
 		return;
 	*con_cls = NULL;
+	if (own)
+		own->body_of = NULL;
 	if (req->started)
 		s->stats.in_flight--;
 	if (req->suspended) {
@@ -319,11 +358,28 @@
 		s->unsent--;
 		MHD_destroy_response(req->response);
 	}
+	enter(s, own, HTTP_KEPT);
 	if (own && req->receipt.n && toe == MHD_REQUEST_TERMINATED_COMPLETED_OK)
-		await_receipt(s, connection, req);
+		await_receipt(s, own, req);
 	request_free(req);
 }
 
+static int highest_fd(const struct http_server_options *opt)
+{
+	if (!opt->limits)
+		return INT32_MAX;
+	return opt->is_monitor ? opt->limits->max_rpc_fd : opt->limits->max_http_fd;
+}
+
+/* Connections inherit the sizes from the listening socket. */
+static void bound_socket_buffers(int fd)
+{
+	int size = SOCKET_BUFFER;
+
+	setsockopt(fd, SOL_SOCKET, SO_SNDBUF, &size, sizeof(size));
+	setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &size, sizeof(size));
+}
+
 /* Listens at once. CF_EEXIST when the port is taken, CF_EIO otherwise. */
 int http_server_new(const struct http_server_options *opt, struct http_server **out)
 {
@@ -335,16 +391,21 @@
 		return CF_ENOMEM;
 	s->opt = *opt;
 	s->listen_fd = -1;
+	s->body_limits = (struct http_body_limits){opt->limits, opt->max_body};
+	http_conns_init(&s->conns, opt->limits, opt->max_connections, highest_fd(opt));
 	err = listener_open(&opt->address, &s->listen_fd);
 	if (err)
 		goto fail;
+	if (opt->limits)
+		bound_socket_buffers(s->listen_fd);
 	s->daemon = MHD_start_daemon(
-		MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, NULL, NULL, on_access, s,
+		MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, on_accept, s, on_access, s,
 		MHD_OPTION_LISTEN_SOCKET, s->listen_fd, MHD_OPTION_NOTIFY_COMPLETED,
 		on_completed, s, MHD_OPTION_NOTIFY_CONNECTION, on_connection, s,
 		MHD_OPTION_URI_LOG_CALLBACK, on_target, s, MHD_OPTION_CONNECTION_LIMIT,
-		opt->max_connections, MHD_OPTION_CONNECTION_TIMEOUT, opt->idle_timeout,
-		MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)CONNECTION_MEMORY,
+		opt->max_connections + (opt->limits ? CONNECTIONS_ABOVE_MAX : 0),
+		MHD_OPTION_CONNECTION_TIMEOUT, opt->idle_timeout,
+		MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)HTTP_CONNECTION_MEMORY,
 		MHD_OPTION_END);
 	err = CF_EIO;
 	if (!s->daemon)
@@ -358,6 +419,10 @@
 	s->watcher.data = s;
 	s->timer.data = s;
 	ev_io_start(opt->loop, &s->watcher);
+	ev_timer_init(&s->sweeper, on_sweep, SWEEP_PERIOD_S, SWEEP_PERIOD_S);
+	s->sweeper.data = s;
+	if (opt->limits)
+		ev_timer_start(opt->loop, &s->sweeper);
 	*out = s;
 	return 0;
 fail:
@@ -436,7 +501,7 @@
 		request_free(req);
 		return;
 	}
-	set_response(req, status, headers, n_headers, body);
+	http_set_reply(req, status, headers, n_headers, body);
 	if (!req->suspended)
 		return;
 	req->suspended = false;
@@ -490,6 +555,7 @@
 	s->closing = true;
 	ev_io_stop(s->opt.loop, &s->watcher);
 	ev_timer_stop(s->opt.loop, &s->timer);
+	ev_timer_stop(s->opt.loop, &s->sweeper);
 	http_server_stop_accepting(s);
 	send_last_answers(s);
 	/* libmicrohttpd aborts the process when it is stopped with suspended connections.
--- a/io/http_server.h
+++ b/io/http_server.h
@@ -5,6 +5,12 @@
 #include <sys/queue.h>
 
 #include "io/addr.h"
+#include "io/http_body.h"
+
+/* Bytes for the headers and buffers of a connection: room for 16,384 of headers. */
+#define HTTP_CONNECTION_MEMORY 24576U
+
+#define HTTP_WAITING_BYTES 1024U /* of a request that waits, besides its body */
 
 struct http_server;
 struct http_server_host;
@@ -45,7 +51,12 @@
 	bool started;
 	bool suspended;
 	bool handled;
-	bool too_big;
+	bool refused; /* before its body had arrived; the connection is closed */
+	struct http_body receiving;
+	/* Bytes of the budget for replies that it holds. */
+	size_t waiting_bytes;
+	size_t reply_bytes;
+	struct server_limits *limits; /* of these bytes; NULL: none */
 };
 
 struct http_server_ops {
@@ -65,11 +76,17 @@
 	size_t max_body;
 	unsigned int max_connections;
 	unsigned int idle_timeout; /* seconds */
+	/* Shared by the servers of a process, and valid until the last is freed. */
+	struct server_limits *limits; /* NULL: there are only the limits above */
+	/* For health checks or metrics: served also when other ports have few
+	 * descriptors. */
+	bool is_monitor;
 };
 
 struct http_server_stats {
 	uint64_t requests;
 	uint64_t refused_body; /* above max_body */
+	uint64_t refused_busy; /* no room in the budgets of the process */
 	uint64_t in_flight;    /* whose head has arrived */
 };
 
--- a/regress/test_fuzz_http.c
+++ b/regress/test_fuzz_http.c
@@ -10,6 +10,7 @@
 #include "io/http_client.h"
 #include "io/http_server.h"
 #include "io/listener.h"
+#include "io/server_limits.h"
 #include "regress/lib_fuzz.h"
 
 #define SERVER_ADDRESS "127.0.0.1:20471"
@@ -165,17 +166,28 @@
 START_TEST(requests)
 {
 	struct host host = {.base = {.ops = &server_ops}};
+	struct server_limits_options limits_opt = {.body_budget = 4 * MAX_BODY,
+						   .reply_budget = 4 * MAX_BODY,
+						   .head_timeout_s = 1,
+						   .body_timeout_s = 1,
+						   .min_rate = 1000,
+						   .max_per_source = 64};
 	struct http_server_options opt = {.host = &host.base,
 					  .max_body = MAX_BODY,
 					  .max_connections = 64,
 					  .idle_timeout = 60};
 	struct http_client *client;
+	struct server_limits *limits;
 	struct http_server *server;
+	struct buf large = {0};
 	struct str input;
 	struct fuzz f;
 
 	loop = ev_loop_new(0);
 	opt.loop = loop;
+	limits_opt.loop = loop;
+	FUZZ_MUST((server_limits_new(&limits_opt, &limits)) == 0);
+	opt.limits = limits;
 	FUZZ_MUST((addr_parse(STR(SERVER_ADDRESS), &opt.address)) == 0);
 	FUZZ_MUST((http_server_new(&opt, &server)) == 0);
 	client = new_client();
@@ -192,6 +204,18 @@
 	fuzz_add(&f,
 		 STR("PUT /v1/x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
 		     "4\r\nbody\r\n0\r\n\r\n"));
+	/* Refusals: by the announced size, while a body arrives, with a request behind.
+	 */
+	fuzz_add(&f, STR("POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 4097\r\n\r\n"
+			 "GET /y HTTP/1.1\r\nHost: h\r\n\r\n"));
+	fuzz_add(&f, STR("POST /x HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\n"
+			 "Content-Length: 18446744073709551615\r\n\r\n"));
+	FUZZ_MUST(buf_adds(&large, "POST /x HTTP/1.1\r\nHost: h\r\n"
+				   "Transfer-Encoding: chunked\r\n\r\n1800\r\n") == 0);
+	while (large.n < MAX_BODY + 1024)
+		FUZZ_MUST(buf_adds(&large, "0123456789abcdef") == 0);
+	fuzz_add(&f, buf_str(&large));
+	buf_free(&large);
 	while (fuzz_next(&f, &input)) {
 		send_bytes(&opt.address, input);
 		if (f.inputs % GET_EVERY == 0)
@@ -201,6 +225,9 @@
 	fuzz_close(&f);
 	http_client_free(client);
 	http_server_free(server);
+	ck_assert_uint_eq(limits->bodies.used, 0);
+	ck_assert_uint_eq(limits->replies.used, 0);
+	server_limits_free(limits);
 	ev_loop_destroy(loop);
 }
 END_TEST
