io/rpc_server: bound connections that have not shown the cluster key

300 connections that each sent 900 KB of a record without the key raised a process to 282 MB, their number was not limited, and the leader lost its role. Such a connection now keeps 4096 bytes in each direction; a larger first call is authenticated by its header before the rest is read. It is ended after three checks (6 s), and the oldest one when there are 256, rather one on which nothing waits to be read.

--- a/io/rpc_server.c
+++ b/io/rpc_server.c
@@ -6,6 +6,7 @@
 #include <openssl/crypto.h>
 #include <poll.h>
 #include <stdlib.h>
+#include <sys/queue.h>
 #include <unistd.h>
 
 #include "base/err.h"
@@ -16,6 +17,11 @@
 #define ACCEPTS_A_ROUND 256U
 #define ACCEPT_PAUSE_S 0.1 /* while there is no descriptor or memory for a connection */
 #define IDLE_PERIODS 5U	   /* between checks of a connection until it is ended */
+/* The same for one that has not shown the cluster key. */
+#define UNAUTHENTICATED_PERIODS 3U
+/* Bytes of such a connection that are kept, in each direction; a call's header fits. */
+#define UNAUTHENTICATED_BYTES 4096U
+#define EVICT_TRIES 16U /* connections that are looked at for one without data */
 
 struct rpc_conn {
 	struct stream stream;
@@ -23,6 +29,8 @@
 	struct rpc_conn *next, **prev;
 	struct rpc_call *calls;
 	struct buf member; /* shown by the first call; empty: none yet */
+	TAILQ_ENTRY(rpc_conn) unauthenticated; /* while member is empty */
+	unsigned int checks;		       /* in this time */
 	uint64_t moved;	   /* bytes in both directions at the last check */
 	unsigned int idle; /* checks since then that found no more */
 };
@@ -34,11 +42,22 @@
 	struct ev_timer idle_timer;
 	int fd;
 	struct rpc_conn *conns;
+	TAILQ_HEAD(, rpc_conn) unauthenticated; /* oldest first */
+	uint64_t n_unauthenticated;
 	struct rpc_server_stats stats;
 };
 
+static void leave_unauthenticated(struct rpc_conn *c)
+{
+	if (c->member.n)
+		return;
+	TAILQ_REMOVE(&c->server->unauthenticated, c, unauthenticated);
+	c->server->n_unauthenticated--;
+}
+
 static void conn_free(struct rpc_conn *c)
 {
+	leave_unauthenticated(c);
 	for (struct rpc_call *call = c->calls; call; call = call->next)
 		call->conn = NULL;
 	*c->prev = c->next;
@@ -57,10 +76,41 @@
 /* Checks the credential of a call, or that an earlier call of the connection had one. */
 static bool authenticate(struct rpc_conn *c, const struct rpc_call_head *head)
 {
+	struct buf member = {0};
+
 	if (head->member.n == 0)
 		return c->member.n > 0;
-	return key_matches(head->key, c->server->opt.key) &&
-	       buf_set(&c->member, head->member) == 0;
+	if (!key_matches(head->key, c->server->opt.key) || buf_set(&member, head->member))
+		return false;
+	leave_unauthenticated(c);
+	buf_free(&c->member);
+	c->member = member;
+	c->stream.read_limit = 0;
+	return true;
+}
+
+/*
+ * A first call that is larger than what is kept without the cluster key: its header has
+ * arrived and tells whether the rest is read.
+ */
+static int on_full(struct stream *s, struct str part)
+{
+	struct rpc_conn *c = (struct rpc_conn *)s;
+	struct rpc_cred_space space;
+	struct rpc_call_head head;
+	struct str args;
+	int err;
+
+	part.p += RPC_MARK_BYTES;
+	part.n -= RPC_MARK_BYTES;
+	err = rpc_wire_parse_call(part, &space, &head, &args);
+	if (err == CF_EMALFORMED)
+		c->server->stats.malformed++;
+	if (!err && !authenticate(c, &head)) {
+		c->server->stats.refused++;
+		err = CF_EAUTH;
+	}
+	return err;
 }
 
 static void write_reply(struct rpc_conn *c, uint32_t xid, int err, struct str results)
@@ -69,7 +119,8 @@
 	size_t before = c->stream.out.n;
 
 	if (rpc_wire_add_reply(&c->stream.out, &head, results) ||
-	    stream_flush(&c->stream)) {
+	    stream_flush(&c->stream) ||
+	    (!c->member.n && stream_pending(&c->stream) > UNAUTHENTICATED_BYTES)) {
 		/* The reader sees the end of the connection and frees it. */
 		shutdown(c->stream.fd, SHUT_RDWR);
 		return;
@@ -127,9 +178,54 @@
 
 static const struct stream_ops server_stream_ops = {
 	.record = on_record,
+	.full = on_full,
 	.closed = on_closed,
 };
 
+static void end_unauthenticated(struct rpc_conn *c)
+{
+	struct rpc_server *s = c->server;
+
+	s->stats.strangers++;
+	if (s->opt.limits)
+		server_limits_note(s->opt.limits, LIMIT_UNAUTHENTICATED);
+	conn_free(c);
+}
+
+static bool has_unread(const struct rpc_conn *c)
+{
+	char next;
+
+	return recv(c->stream.fd, &next, sizeof(next), MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
+/*
+ * Ends the oldest connection without the cluster key, rather one on which nothing waits
+ * to be read: a member shows its key at once.
+ */
+static void end_oldest_unauthenticated(struct rpc_server *s)
+{
+	struct rpc_conn *c = TAILQ_FIRST(&s->unauthenticated);
+
+	for (unsigned int i = 0; c && i < EVICT_TRIES && has_unread(c); i++)
+		c = TAILQ_NEXT(c, unauthenticated);
+	if (!c)
+		c = TAILQ_FIRST(&s->unauthenticated);
+	if (c)
+		end_unauthenticated(c);
+}
+
+/* Keeps the number of connections without the cluster key and of descriptors bounded. */
+static void make_room(struct rpc_server *s, int fd)
+{
+	uint64_t max = s->opt.limits ? s->opt.limits->opt.max_unauthenticated
+				     : RPC_MAX_UNAUTHENTICATED;
+
+	if (s->n_unauthenticated >= max ||
+	    (s->opt.limits && fd > s->opt.limits->max_rpc_fd))
+		end_oldest_unauthenticated(s);
+}
+
 static void add_conn(struct rpc_server *s, int fd)
 {
 	struct rpc_conn *c = calloc(1, sizeof(*c));
@@ -139,14 +235,18 @@
 		close(fd);
 		return;
 	}
+	make_room(s, fd);
 	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
 	c->server = s;
+	TAILQ_INSERT_TAIL(&s->unauthenticated, c, unauthenticated);
+	s->n_unauthenticated++;
 	c->next = s->conns;
 	c->prev = &s->conns;
 	if (s->conns)
 		s->conns->prev = &c->next;
 	s->conns = c;
 	c->stream.ops = &server_stream_ops;
+	c->stream.read_limit = UNAUTHENTICATED_BYTES;
 	stream_open(&c->stream, s->opt.loop, fd, false);
 }
 
@@ -223,6 +323,10 @@
 
 	for (struct rpc_conn *c = s->conns; c; c = next) {
 		next = c->next;
+		if (!c->member.n && ++c->checks > UNAUTHENTICATED_PERIODS) {
+			end_unauthenticated(c);
+			continue;
+		}
 		if (!is_idle(c))
 			continue;
 		s->stats.idle++;
@@ -240,6 +344,7 @@
 	if (!s)
 		return CF_ENOMEM;
 	s->opt = *opt;
+	TAILQ_INIT(&s->unauthenticated);
 	err = listener_open(&opt->address, &s->fd);
 	if (err) {
 		free(s);
--- a/io/rpc_server.h
+++ b/io/rpc_server.h
@@ -4,6 +4,7 @@
 #include <ev.h>
 
 #include "io/addr.h"
+#include "io/server_limits.h"
 
 /*
  * A peer whose connection went silent makes a new one and never ends the old one. 400
@@ -11,6 +12,9 @@
  */
 #define RPC_IDLE_S 10.0
 
+/* Connections that have not shown the cluster key, without a setting. */
+#define RPC_MAX_UNAUTHENTICATED 256U
+
 struct rpc_server;
 struct rpc_conn;
 
@@ -48,6 +52,7 @@
 	 * a caller waits for a reply.
 	 */
 	double idle_timeout;
+	struct server_limits *limits; /* of the process; NULL: the defaults here */
 };
 
 struct rpc_server_stats {
@@ -55,6 +60,7 @@
 	uint64_t refused;   /* wrong credential */
 	uint64_t malformed; /* connections closed for a bad record */
 	uint64_t abandoned; /* calls whose caller had gone, as handlers found */
+	uint64_t strangers; /* connections that were ended without the cluster key */
 	uint64_t idle;	    /* connections that were ended as nothing moved on them */
 	uint64_t bytes_in;
 	uint64_t bytes_out;
--- a/io/rpc_wire.c
+++ b/io/rpc_wire.c
@@ -9,7 +9,6 @@
 #include "proto/peer.h"
 
 #define LAST_FRAGMENT 0x80000000U
-#define MARK_BYTES 4U
 #define HEAD_MAX 1024U /* bytes of a message header with the largest credential */
 
 static bool_t no_results(XDR *xdrs, ...)
@@ -26,10 +25,10 @@
 	if (head.n + body.n > RPC_MAX_RECORD)
 		return CF_ETOOBIG;
 	mark = htonl(LAST_FRAGMENT | (uint32_t)(head.n + body.n));
-	err = buf_reserve(out, MARK_BYTES + head.n + body.n);
+	err = buf_reserve(out, RPC_MARK_BYTES + head.n + body.n);
 	if (err)
 		return err;
-	buf_add(out, &mark, MARK_BYTES);
+	buf_add(out, &mark, RPC_MARK_BYTES);
 	buf_add(out, head.p, head.n);
 	return buf_add(out, body.p, body.n);
 }
@@ -118,19 +117,19 @@
 	uint32_t n;
 
 	*used = 0;
-	if (input.n < MARK_BYTES)
+	if (input.n < RPC_MARK_BYTES)
 		return 0;
-	memcpy(&mark, input.p, MARK_BYTES);
+	memcpy(&mark, input.p, RPC_MARK_BYTES);
 	mark = ntohl(mark);
 	if (!(mark & LAST_FRAGMENT))
 		return CF_EMALFORMED;
 	n = mark & ~LAST_FRAGMENT;
 	if (n > RPC_MAX_RECORD)
 		return CF_ETOOBIG;
-	if (input.n - MARK_BYTES < n)
+	if (input.n - RPC_MARK_BYTES < n)
 		return 0;
-	*record = (struct str){input.p + MARK_BYTES, n};
-	*used = MARK_BYTES + n;
+	*record = (struct str){input.p + RPC_MARK_BYTES, n};
+	*used = RPC_MARK_BYTES + n;
 	return 0;
 }
 
--- a/io/rpc_wire.h
+++ b/io/rpc_wire.h
@@ -9,6 +9,7 @@
 #define RPC_VERSION 1U
 #define RPC_CRED_FLAVOR 0x20ca4a77U
 #define RPC_MAX_RECORD (4U << 20) /* bytes of one message, either way */
+#define RPC_MARK_BYTES 4U	  /* before each record */
 
 struct rpc_call_head {
 	uint32_t xid;
--- a/io/stream.c
+++ b/io/stream.c
@@ -45,17 +45,29 @@
 	return 0;
 }
 
+/* Bytes that may be read now. */
+static size_t next_chunk(const struct stream *s)
+{
+	size_t room;
+
+	if (!s->read_limit)
+		return READ_CHUNK;
+	room = s->read_limit > s->in.n ? s->read_limit - s->in.n : 0;
+	return room < READ_CHUNK ? room : READ_CHUNK;
+}
+
 static void on_readable(struct ev_loop *loop, struct ev_io *w, int events)
 {
 	struct stream *s = w->data;
+	size_t chunk = next_chunk(s);
 	ssize_t n;
-	int err = buf_reserve(&s->in, READ_CHUNK);
+	int err = buf_reserve(&s->in, chunk);
 
 	if (err) {
 		fail(s, err);
 		return;
 	}
-	n = read(s->fd, s->in.p + s->in.n, READ_CHUNK);
+	n = read(s->fd, s->in.p + s->in.n, chunk);
 	if (n < 0 && (errno == EAGAIN || errno == EINTR))
 		return;
 	if (n <= 0) {
@@ -65,6 +77,8 @@
 	s->in.n += (size_t)n;
 	s->received += (size_t)n;
 	err = deliver(s);
+	if (!err && s->fd >= 0 && s->read_limit && s->in.n >= s->read_limit)
+		err = s->ops->full(s, buf_str(&s->in));
 	if (err)
 		fail(s, err);
 }
--- a/io/stream.h
+++ b/io/stream.h
@@ -12,6 +12,11 @@
 struct stream_ops {
 	/* One whole record has arrived. A negative result closes the stream. */
 	int (*record)(struct stream *s, struct str record);
+	/*
+	 * read_limit bytes of a record have arrived and more follow. It raises the limit
+	 * or returns a negative result. Needed with a limit only.
+	 */
+	int (*full)(struct stream *s, struct str part);
 	/* The connection attempt succeeded; may be NULL. */
 	void (*opened)(struct stream *s);
 	/* The connection ended; called once, from the loop. */
@@ -29,6 +34,7 @@
 	struct buf in;
 	struct buf out;
 	size_t out_sent;
+	size_t read_limit; /* bytes of a record that are kept at most; 0: no limit */
 	uint64_t taken;	   /* bytes that the socket took */
 	uint64_t received; /* bytes that were read */
 };
--- a/regress/test_rpc.c
+++ b/regress/test_rpc.c
@@ -1,4 +1,5 @@
 #include <check.h>
+#include <errno.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/resource.h>
@@ -754,6 +755,92 @@
 }
 END_TEST
 
+#define MANY (RPC_MAX_UNAUTHENTICATED + 44)
+
+/*
+ * Guards against connections without the cluster key that take all descriptors, and
+ * against one of a member that is ended for them.
+ */
+START_TEST(connections_without_key_are_few)
+{
+	struct waiter w = {.base = {.ops = &waiter_ops}};
+	struct waiter w2 = {.base = {.ops = &waiter_ops}};
+	struct addr address;
+	size_t open = 0;
+	char byte;
+	int fds[MANY];
+
+	ck_assert_int_eq(rpc_client_call(client, PROC_ECHO, STR("x"), 5, &w.base), 0);
+	run_until(&w);
+	ck_assert_int_eq(addr_parse(STR(ADDRESS), &address), 0);
+	for (size_t i = 0; i < MANY; i++) {
+		fds[i] = socket(AF_INET, SOCK_STREAM, 0);
+		ck_assert_int_eq(
+			connect(fds[i], (struct sockaddr *)&address.sa, address.len), 0);
+		ev_run(loop, EVRUN_NOWAIT);
+	}
+	for (int i = 0; i < 20; i++)
+		ev_run(loop, EVRUN_NOWAIT);
+	ck_assert_uint_eq(rpc_server_stats(server)->strangers,
+			  MANY - RPC_MAX_UNAUTHENTICATED);
+	for (size_t i = 0; i < MANY; i++) {
+		open += recv(fds[i], &byte, 1, MSG_DONTWAIT) < 0 && errno == EAGAIN;
+		close(fds[i]);
+	}
+	ck_assert_uint_eq(open, RPC_MAX_UNAUTHENTICATED);
+	ck_assert_int_eq(rpc_client_call(client, PROC_ECHO, STR("x"), 5, &w2.base), 0);
+	run_until(&w2);
+	ck_assert_int_eq(w2.err, 0);
+	buf_free(&w.results);
+	buf_free(&w2.results);
+}
+END_TEST
+
+#define LARGE (1U << 20) /* bytes of a first call */
+
+/*
+ * Guards against the memory of records that are announced without the cluster key (_i 0:
+ * with none, 1: with a wrong one, 2: no call at all), and against a member's large first
+ * call that is refused (3).
+ */
+START_TEST(large_first_record_needs_the_key)
+{
+	struct rpc_call_head head = {.xid = 5, .proc = PROC_ECHO, .member = STR("m")};
+	struct buf call = {0};
+	struct addr address;
+	char *args = calloc(1, LARGE);
+	size_t sent = 0;
+	ssize_t n = 0;
+	char byte;
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	ck_assert_ptr_nonnull(args);
+	head.key = _i == 3 ? STR("secret") : STR("other");
+	if (_i == 0)
+		head.member.n = 0;
+	ck_assert_int_eq(rpc_wire_add_call(&call, &head, (struct str){args, LARGE}), 0);
+	if (_i == 2)
+		memset(call.p + RPC_MARK_BYTES, 'x', call.n - RPC_MARK_BYTES);
+	ck_assert_int_eq(addr_parse(STR(ADDRESS), &address), 0);
+	ck_assert_int_eq(connect(fd, (struct sockaddr *)&address.sa, address.len), 0);
+	while (rpc_server_stats(server)->calls == 0) {
+		n = send(fd, call.p + sent, call.n - sent, MSG_DONTWAIT | MSG_NOSIGNAL);
+		if (n > 0)
+			sent += (size_t)n;
+		ev_run(loop, EVRUN_NOWAIT);
+		n = recv(fd, &byte, 1, MSG_DONTWAIT);
+		if (n == 0 || (n < 0 && errno != EAGAIN))
+			break;
+	}
+	ck_assert_uint_eq(rpc_server_stats(server)->calls, _i == 3);
+	ck_assert_uint_eq(rpc_server_stats(server)->refused, _i < 2);
+	ck_assert_uint_eq(rpc_server_stats(server)->malformed, _i == 2);
+	buf_free(&call);
+	free(args);
+	close(fd);
+}
+END_TEST
+
 #define IDLE_S 0.5	       /* of the server */
 #define ENDED_MAX (2 * IDLE_S) /* until a silent connection is ended */
 #define USE_PERIOD_S 0.2       /* of the connection in use */
@@ -969,6 +1056,8 @@
 	tcase_add_test(tc, restarted_peer_is_called_anew);
 	tcase_add_test(tc, waiting_connections_are_accepted_together);
 	tcase_add_test(tc, malformed_record_closes_connection);
+	tcase_add_test(tc, connections_without_key_are_few);
+	tcase_add_loop_test(tc, large_first_record_needs_the_key, 0, 4);
 	tcase_add_test(tc, random_bytes_are_handled);
 	tcase_add_test(tc, silent_connections_are_ended);
 	tcase_add_test(tc, call_after_an_idle_time_is_answered);
