carawayfrontd: settings of the limits on clients, with metrics and log lines

Settings body-budget, reply-budget, head-timeout-s, body-timeout-s, min-rate, max-per-source and max-unauthenticated. The defaults hold four bodies of max-body and fit a machine of 160 MB; a process does not start if both budgets are more than half of MemTotal, and logs limits-exceed-memory if they and the memory of max-connections connections exceed it. All ports of the four roles use them; health and metrics ports may use 100 descriptors more. Blocks above 256 KiB are mapped one by one: the C library raised that size, and a second crowd needed 41 MB after 35 MB.

--- a/Makefile
+++ b/Makefile
@@ -66,6 +66,8 @@
 
 $(BUILD)/bin/test_fuzz_yaml: $(BUILD)/carawayfrontd/settings.o
 
+$(BUILD)/bin/test_settings: $(BUILD)/carawayfrontd/settings.o
+
 $(BUILD)/bin/test_command_batch: $(BUILD)/carawayfrontd/command_batch.o
 
 $(BUILD)/bin/test_leader_client: $(BUILD)/carawayfrontd/leader_client.o
--- a/carawayfrontd/agent.c
+++ b/carawayfrontd/agent.c
@@ -478,6 +478,7 @@
 		.loop = opt->loop,
 		.address = opt->settings->listen.rpc,
 		.key = opt->settings->cluster_key,
+		.limits = opt->limits,
 	};
 	struct executors_options executors = {.loop = opt->loop, .max_idle = MAX_IDLE};
 	int err;
--- a/carawayfrontd/agent.h
+++ b/carawayfrontd/agent.h
@@ -15,6 +15,7 @@
 struct agent_options {
 	struct ev_loop *loop;
 	const struct settings *settings; /* stays valid */
+	struct server_limits *limits;	 /* of the process; may be NULL */
 };
 
 int agent_new(const struct agent_options *opt, struct agent **out);
--- a/carawayfrontd/controller.c
+++ b/carawayfrontd/controller.c
@@ -248,6 +248,7 @@
 		.host = &c->rpc_host,
 		.address = c->settings->listen.rpc,
 		.key = c->settings->cluster_key,
+		.limits = c->limits,
 	};
 	struct operators_options control = {
 		.loop = c->loop,
@@ -255,6 +256,7 @@
 		.address = c->settings->listen.control,
 		.max_body = c->settings->limits.max_body,
 		.max_connections = (unsigned int)c->settings->limits.max_connections,
+		.limits = c->limits,
 	};
 	struct executors_options executors = {
 		.loop = c->loop, .user = &c->user, .max_idle = MAX_IDLE};
@@ -279,12 +281,13 @@
 		err = operators_new(&control, &c->operators);
 	if (!err)
 		err = metrics_port_new(c->loop, &c->settings->listen.metrics, c->metrics,
-				       &c->metrics_port);
+				       c->limits, &c->metrics_port);
 	return err;
 }
 
 int controller_new(struct ev_loop *loop, struct settings *settings,
-		   struct metric_set *metrics, struct controller **out)
+		   struct metric_set *metrics, struct server_limits *limits,
+		   struct controller **out)
 {
 	struct dag_client_options client = {.loop = loop, .settings = settings};
 	struct controller *c = calloc(1, sizeof(*c));
@@ -295,6 +298,7 @@
 	c->loop = loop;
 	c->settings = settings;
 	c->metrics = metrics;
+	c->limits = limits;
 	c->id = node_id(&settings->listen.rpc);
 	c->waits_end = &c->waits;
 	client.self = c->id;
--- a/carawayfrontd/controller.h
+++ b/carawayfrontd/controller.h
@@ -5,6 +5,7 @@
 
 #include "base/metric.h"
 #include "carawayfrontd/settings.h"
+#include "io/server_limits.h"
 
 struct controller;
 
@@ -13,7 +14,8 @@
  * the scheduler and calls the executors.
  */
 int controller_new(struct ev_loop *loop, struct settings *settings,
-		   struct metric_set *metrics, struct controller **out);
+		   struct metric_set *metrics, struct server_limits *limits,
+		   struct controller **out);
 void controller_drain(struct controller *c);
 int controller_failure(const struct controller *c);
 void controller_free(struct controller *c);
--- a/carawayfrontd/controller_impl.h
+++ b/carawayfrontd/controller_impl.h
@@ -53,6 +53,7 @@
 	struct ev_loop *loop;
 	struct settings *settings;
 	struct metric_set *metrics;
+	struct server_limits *limits;
 	uint64_t id;
 	struct controller_peer peers[CONTROLLER_MAX_PEERS];
 	size_t n_peers;
--- a/carawayfrontd/entry.c
+++ b/carawayfrontd/entry.c
@@ -103,12 +103,14 @@
 		.max_body = CONTROL_MAX_BODY,
 		.max_connections = CONTROL_MAX_CONNECTIONS,
 		.idle_timeout = CONTROL_IDLE_S,
+		.limits = e->limits,
 	};
 	struct rpc_server_options rpc = {
 		.loop = e->loop,
 		.host = &e->rpc_host,
 		.address = e->settings->listen.rpc,
 		.key = e->settings->cluster_key,
+		.limits = e->limits,
 	};
 	int err;
 
@@ -126,6 +128,7 @@
 		.metrics = e->metrics,
 		.leader = &e->leader,
 		.incarnation = &e->incarnation,
+		.limits = e->limits,
 	};
 	struct entry_watch_options watch = {
 		.loop = e->loop,
@@ -176,7 +179,7 @@
 
 /* Starts the entry role. The settings must stay valid. */
 int entry_new(struct ev_loop *loop, struct settings *settings, struct metric_set *metrics,
-	      struct entry **out)
+	      struct server_limits *limits, struct entry **out)
 {
 	struct entry *e = calloc(1, sizeof(*e));
 	int err;
@@ -186,6 +189,7 @@
 	e->loop = loop;
 	e->settings = settings;
 	e->metrics = metrics;
+	e->limits = limits;
 	e->started_us = clock_us();
 	/* A restarted process has a larger one than before, or member_join raises it. */
 	e->incarnation = (uint64_t)clock_wall_us();
--- a/carawayfrontd/entry_impl.h
+++ b/carawayfrontd/entry_impl.h
@@ -14,6 +14,7 @@
 	struct ev_loop *loop;
 	struct settings *settings;
 	struct metric_set *metrics;
+	struct server_limits *limits;
 	uint64_t incarnation;
 	uint64_t request_ids; /* made for operators who sent none */
 	struct leader_client leader;
--- a/carawayfrontd/front.c
+++ b/carawayfrontd/front.c
@@ -106,6 +106,7 @@
 		.max_body = s->limits.max_body,
 		.max_connections = (unsigned int)s->limits.max_connections,
 		.idle_timeout = IDLE_TIMEOUT_S,
+		.limits = opt->limits,
 	};
 	struct front *f = calloc(1, sizeof(*f));
 	int err;
--- a/carawayfrontd/front.h
+++ b/carawayfrontd/front.h
@@ -16,6 +16,7 @@
 	struct ev_loop *loop;
 	const struct settings *settings;
 	struct metric_set *metrics;
+	struct server_limits *limits; /* of the process */
 	struct leader_client *leader;
 	const uint64_t *incarnation; /* of this entry process, in its claims */
 };
--- a/carawayfrontd/gateway.c
+++ b/carawayfrontd/gateway.c
@@ -208,10 +208,12 @@
 }
 
 int gateway_new(struct ev_loop *loop, struct settings *settings,
-		struct metric_set *metrics, struct gateway **out)
+		struct metric_set *metrics, struct server_limits *limits,
+		struct gateway **out)
 {
 	struct dag_client_options client = {.loop = loop, .settings = settings};
-	struct agent_options agent = {.loop = loop, .settings = settings};
+	struct agent_options agent = {
+		.loop = loop, .settings = settings, .limits = limits};
 	struct gateway *g = calloc(1, sizeof(*g));
 	struct callers_options callers = {
 		.loop = loop,
@@ -219,6 +221,7 @@
 		.health = settings->listen.health,
 		.max_body = settings->limits.max_body,
 		.max_connections = (unsigned int)settings->limits.max_connections,
+		.limits = limits,
 	};
 	int err;
 
@@ -238,7 +241,7 @@
 	if (!err)
 		err = agent_new(&agent, &g->agent);
 	if (!err)
-		err = metrics_port_new(loop, &settings->listen.metrics, metrics,
+		err = metrics_port_new(loop, &settings->listen.metrics, metrics, limits,
 				       &g->metrics_port);
 	if (err) {
 		gateway_free(g);
--- a/carawayfrontd/main.c
+++ b/carawayfrontd/main.c
@@ -1,5 +1,6 @@
 #include <err.h>
 #include <getopt.h>
+#include <malloc.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -15,10 +16,18 @@
 #include "carawayfrontd/settings.h"
 #include "carawayfrontd/state.h"
 #include "io/log.h"
+#include "io/meminfo.h"
+#include "io/server_limits.h"
 
 #define VERSION "0.1"
 #define DEFAULT_SETTINGS "/etc/carawayfront.yaml"
 #define START_RETRY_S 0.5
+/*
+ * Larger blocks are mapped one by one and returned when they are freed. The C library
+ * raises this size as such blocks are freed, and later ones then fragment its heap.
+ */
+#define MAPPED_BYTES (256 << 10)
+#define MEMINFO "/proc/meminfo"
 
 /* The process: its settings and the object of its role. */
 struct daemon {
@@ -29,6 +38,7 @@
 	const char *path;
 	struct settings settings;
 	struct metric_set *metrics;
+	struct server_limits *limits;
 	struct entry *entry;
 	struct state *state;
 	struct gateway *gateway;
@@ -105,18 +115,60 @@
 	settings_free(&fresh);
 }
 
+/* Refuses budgets that the machine cannot hold; without its size they are not checked. */
+static int check_memory(const struct daemon *d, struct schema_error *error)
+{
+	uint64_t memory;
+
+	if (meminfo_read(MEMINFO, &memory))
+		return 0;
+	return settings_check_memory(&d->settings, memory, error);
+}
+
+static int make_limits(struct daemon *d)
+{
+	const struct settings_limits *l = &d->settings.limits;
+	struct server_limits_options opt = {
+		.loop = d->loop,
+		.metrics = d->metrics,
+		.body_budget = l->body_budget,
+		.reply_budget = l->reply_budget,
+		.head_timeout_s = l->head_timeout_s,
+		.body_timeout_s = l->body_timeout_s,
+		.min_rate = l->min_rate,
+		.max_per_source = l->max_per_source,
+		.max_unauthenticated = l->max_unauthenticated,
+	};
+
+	return server_limits_new(&opt, &d->limits);
+}
+
+/* Tells of limits on connections and budgets that together exceed the machine. */
+static void note_memory(const struct daemon *d)
+{
+	uint64_t memory;
+
+	if (meminfo_read(MEMINFO, &memory) || settings_memory(&d->settings) <= memory)
+		return;
+	log_warn("limits-exceed-memory", "limits_bytes=%llu memory_bytes=%llu",
+		 (unsigned long long)settings_memory(&d->settings),
+		 (unsigned long long)memory);
+}
+
 static int start_role(struct daemon *d)
 {
 	switch (d->settings.role) {
 	case ROLE_ENTRY:
-		return entry_new(d->loop, &d->settings, d->metrics, &d->entry);
+		return entry_new(d->loop, &d->settings, d->metrics, d->limits, &d->entry);
 	case ROLE_STATE:
-		return state_new(d->loop, &d->settings, d->metrics, d->bootstrap,
-				 &d->state);
+		return state_new(d->loop, &d->settings, d->metrics, d->limits,
+				 d->bootstrap, &d->state);
 	case ROLE_GATEWAY:
-		return gateway_new(d->loop, &d->settings, d->metrics, &d->gateway);
+		return gateway_new(d->loop, &d->settings, d->metrics, d->limits,
+				   &d->gateway);
 	default:
-		return controller_new(d->loop, &d->settings, d->metrics, &d->controller);
+		return controller_new(d->loop, &d->settings, d->metrics, d->limits,
+				      &d->controller);
 	}
 }
 
@@ -229,8 +281,9 @@
 	d.loop = ev_default_loop(0);
 	if (!d.loop)
 		errx(1, "initialisation failed");
+	mallopt(M_MMAP_THRESHOLD, MAPPED_BYTES);
 	watch_signals(&d);
-	if (settings_load(d.path, &d.settings, &error)) {
+	if (settings_load(d.path, &d.settings, &error) || check_memory(&d, &error)) {
 		print_refusal(d.path, &error);
 		goto out;
 	}
@@ -241,9 +294,10 @@
 	}
 	name = str_dup(d.settings.name);
 	if (!name || log_open(name, debug) || metric_set_new(&d.metrics) ||
-	    curl_global_init(CURL_GLOBAL_DEFAULT))
+	    make_limits(&d) || curl_global_init(CURL_GLOBAL_DEFAULT))
 		errx(1, "initialisation failed");
 	signal(SIGPIPE, SIG_IGN);
+	note_memory(&d);
 	status = run(&d) ? 1 : 0;
 	entry_free(d.entry);
 	state_free(d.state);
@@ -252,6 +306,7 @@
 	curl_global_cleanup();
 	log_close();
 out:
+	server_limits_free(d.limits);
 	metric_set_free(d.metrics);
 	settings_free(&d.settings);
 	free(name);
--- a/carawayfrontd/metrics_port.c
+++ b/carawayfrontd/metrics_port.c
@@ -29,7 +29,8 @@
 static const struct http_server_ops ops = {.request = on_request};
 
 int metrics_port_new(struct ev_loop *loop, const struct addr *address,
-		     const struct metric_set *metrics, struct metrics_port **out)
+		     const struct metric_set *metrics, struct server_limits *limits,
+		     struct metrics_port **out)
 {
 	struct http_server_options http = {
 		.loop = loop,
@@ -37,6 +38,8 @@
 		.max_body = MAX_BODY,
 		.max_connections = MAX_CONNECTIONS,
 		.idle_timeout = IDLE_S,
+		.limits = limits,
+		.is_monitor = true,
 	};
 	struct metrics_port *p;
 	int err;
--- a/carawayfrontd/metrics_port.h
+++ b/carawayfrontd/metrics_port.h
@@ -5,13 +5,15 @@
 
 #include "base/metric.h"
 #include "io/addr.h"
+#include "io/server_limits.h"
 
 /* Serves all metrics of a process as text, at any path. */
 struct metrics_port;
 
 /* address without a length: nothing is served and *out is NULL. */
 int metrics_port_new(struct ev_loop *loop, const struct addr *address,
-		     const struct metric_set *metrics, struct metrics_port **out);
+		     const struct metric_set *metrics, struct server_limits *limits,
+		     struct metrics_port **out);
 void metrics_port_free(struct metrics_port *p);
 
 #endif
--- a/carawayfrontd/settings.c
+++ b/carawayfrontd/settings.c
@@ -4,8 +4,14 @@
 
 #include "base/err.h"
 #include "io/file.h"
+#include "io/http_server.h"
 
 #define SETTINGS_MAX_BYTES (1U << 20)
+/* Budgets without a setting, unless requests and answers may be large. */
+#define BODY_BUDGET (24U << 20)
+#define REPLY_BUDGET (12U << 20)
+#define BUDGET_BODIES 4U  /* the largest bodies that they hold at least */
+#define BUDGET_ANSWERS 8U /* the same of upstreams' answers in the entry role */
 #define ROW(s, m) .key = #m, .offset = offsetof(s, m)
 
 static const char *const roles[] = {"entry", "state", "gateway", "controller", NULL};
@@ -53,6 +59,13 @@
 	LIMIT("deadline-ms", deadline_ms, 1, 600000),
 	LIMIT("stale-ms", stale_ms, 500, 4000),
 	LIMIT("snapshot-entries", snapshot_entries, 16, 10000000),
+	LIMIT("body-budget", body_budget, 65536, 1ULL << 40),
+	LIMIT("reply-budget", reply_budget, 65536, 1ULL << 40),
+	LIMIT("head-timeout-s", head_timeout_s, 3, 600),
+	LIMIT("body-timeout-s", body_timeout_s, 3, 600),
+	LIMIT("min-rate", min_rate, 1, 1U << 30),
+	LIMIT("max-per-source", max_per_source, 0, 100000),
+	LIMIT("max-unauthenticated", max_unauthenticated, 16, 100000),
 	{0},
 };
 
@@ -105,6 +118,10 @@
 	.deadline_ms = 10000,
 	.stale_ms = 3000,
 	.snapshot_entries = 20000,
+	.head_timeout_s = 10,
+	.body_timeout_s = 20,
+	.min_rate = 8192,
+	.max_unauthenticated = 256,
 };
 
 static const struct settings_workers default_workers = {
@@ -171,12 +188,68 @@
 	return 0;
 }
 
+static uint64_t larger(uint64_t a, uint64_t b)
+{
+	return a > b ? a : b;
+}
+
+static void set_budgets(struct settings *s)
+{
+	struct settings_limits *l = &s->limits;
+	uint64_t bodies = BUDGET_BODIES * l->max_body;
+
+	if (!l->body_budget)
+		l->body_budget = larger(BODY_BUDGET, bodies);
+	if (!l->reply_budget)
+		l->reply_budget =
+			larger(REPLY_BUDGET,
+			       larger(bodies, s->role == ROLE_ENTRY
+						      ? BUDGET_ANSWERS * l->max_answer
+						      : 0));
+}
+
+/* A quarter of each budget is reserved for small bodies and replies. */
+static int check_budgets(const struct settings *s, struct schema_error *error)
+{
+	const struct settings_limits *l = &s->limits;
+
+	if (l->body_budget / 4 * 3 < l->max_body)
+		return refuse(error, "limits.body-budget",
+			      "at least four thirds of max-body");
+	if (l->reply_budget / 4 * 3 < l->max_body + HTTP_WAITING_BYTES)
+		return refuse(error, "limits.reply-budget",
+			      "at least four thirds of max-body, and 2 KiB");
+	return 0;
+}
+
+/* Bytes that clients can make this process use, in all of its budgets. */
+uint64_t settings_memory(const struct settings *s)
+{
+	return s->limits.body_budget + s->limits.reply_budget +
+	       s->limits.max_connections * HTTP_CONNECTION_MEMORY;
+}
+
+/* Refuses budgets of which the machine's memory (bytes) is no more than the double. */
+int settings_check_memory(const struct settings *s, uint64_t memory,
+			  struct schema_error *error)
+{
+	uint64_t budgets = s->limits.body_budget + s->limits.reply_budget;
+
+	error->err = 0;
+	if (budgets <= memory / 2)
+		return 0;
+	return refuse(error, "limits.body-budget",
+		      "together with reply-budget half of the machine's memory at most");
+}
+
 /* Checks what ties several keys together. */
 static int check(const struct settings *s, struct schema_error *error)
 {
 	const struct settings_team *team = s->teams.items;
 	const struct settings_member *self;
 
+	if (check_budgets(s, error))
+		return CF_EINVAL;
 	if (s->role == ROLE_GATEWAY || s->role == ROLE_CONTROLLER)
 		return check_seeded(s, error);
 	if (s->state.n == 0 || s->state.n > 9)
@@ -232,8 +305,10 @@
 		goto out;
 	}
 	err = schema_read(settings_rows, root, out, error);
-	if (!err)
+	if (!err) {
+		set_budgets(out);
 		err = check(out, error);
+	}
 out:
 	doc_free(root);
 	buf_free(&text);
@@ -264,6 +339,15 @@
 	return true;
 }
 
+static bool same_budgets(const struct settings_limits *a, const struct settings_limits *b)
+{
+	return a->body_budget == b->body_budget && a->reply_budget == b->reply_budget &&
+	       a->head_timeout_s == b->head_timeout_s &&
+	       a->body_timeout_s == b->body_timeout_s && a->min_rate == b->min_rate &&
+	       a->max_per_source == b->max_per_source &&
+	       a->max_unauthenticated == b->max_unauthenticated;
+}
+
 /* Tells whether everything that a running process cannot change is equal. */
 bool settings_same_process(const struct settings *a, const struct settings *b)
 {
@@ -275,7 +359,8 @@
 	       same_address(&a->listen.callers, &b->listen.callers) &&
 	       same_address(&a->listen.control, &b->listen.control) &&
 	       a->limits.max_body == b->limits.max_body &&
-	       a->limits.max_connections == b->limits.max_connections;
+	       a->limits.max_connections == b->limits.max_connections &&
+	       same_budgets(&a->limits, &b->limits);
 }
 
 /* Exchanges teams and limits; the former values are then in fresh. */
--- a/carawayfrontd/settings.h
+++ b/carawayfrontd/settings.h
@@ -38,6 +38,13 @@
 	uint64_t deadline_ms;	  /* of a request that names none */
 	uint64_t stale_ms;	  /* configuration age at which an entry stops serving */
 	uint64_t snapshot_entries;
+	uint64_t body_budget;  /* bytes of bodies of all requests together */
+	uint64_t reply_budget; /* bytes of replies and waiting requests together */
+	uint64_t head_timeout_s;
+	uint64_t body_timeout_s;
+	uint64_t min_rate;	      /* bytes a second of bodies and replies */
+	uint64_t max_per_source;      /* connections of an address; 0: no limit */
+	uint64_t max_unauthenticated; /* RPC connections without the cluster key */
 };
 
 /* Controller role. */
@@ -67,6 +74,9 @@
 };
 
 int settings_load(const char *path, struct settings *out, struct schema_error *error);
+int settings_check_memory(const struct settings *s, uint64_t memory,
+			  struct schema_error *error);
+uint64_t settings_memory(const struct settings *s);
 void settings_free(struct settings *s);
 bool settings_same_process(const struct settings *a, const struct settings *b);
 void settings_swap_reloadable(struct settings *active, struct settings *fresh);
--- a/carawayfrontd/state.c
+++ b/carawayfrontd/state.c
@@ -296,6 +296,7 @@
 		.host = &s->rpc_host,
 		.address = s->settings->listen.rpc,
 		.key = s->settings->cluster_key,
+		.limits = s->limits,
 	};
 	struct http_server_options control = {
 		.loop = s->loop,
@@ -304,6 +305,7 @@
 		.max_body = CONTROL_MAX_BODY,
 		.max_connections = CONTROL_MAX_CONNECTIONS,
 		.idle_timeout = CONTROL_IDLE_S,
+		.limits = s->limits,
 	};
 	int err;
 
@@ -320,7 +322,7 @@
  * cluster; its data directory must be empty (CF_EEXIST).
  */
 int state_new(struct ev_loop *loop, struct settings *settings, struct metric_set *metrics,
-	      bool bootstrap, struct state **out)
+	      struct server_limits *limits, bool bootstrap, struct state **out)
 {
 	struct state *s = calloc(1, sizeof(*s));
 	int err;
@@ -331,6 +333,7 @@
 	s->loop = loop;
 	s->settings = settings;
 	s->metrics = metrics;
+	s->limits = limits;
 	s->id = member_id(settings->name);
 	ev_timer_init(&s->timer, on_timer, 0, 0);
 	ev_prepare_init(&s->prepare, on_prepare);
--- a/carawayfrontd/state_impl.h
+++ b/carawayfrontd/state_impl.h
@@ -48,6 +48,7 @@
 	struct ev_loop *loop;
 	struct settings *settings;
 	struct metric_set *metrics;
+	struct server_limits *limits;
 	uint64_t id;
 	struct state_peer peers[STATE_MAX_PEERS];
 	size_t n_peers;
--- a/regress/test_log_schema.sh
+++ b/regress/test_log_schema.sh
@@ -10,7 +10,7 @@
 	cat carawayfrontd/agent.c carawayfrontd/relay*.c carawayfrontd/gateway.c \
 		carawayfrontd/controller*.c carawayfrontd/dag_client.c carawayfrontd/main.c \
 		carawayfrontd/metrics_port.c carawayfrontd/state_disk.c \
-		carawayfrontd/disk_host.c io/log.c |
+		carawayfrontd/disk_host.c io/server_limits.c io/log.c |
 		tr '\n' ' ' |
 		grep -oE 'log_(info|warn|error|final|final_warn)\(([a-z]+ \? "[a-z-]+" : )?[[:space:]]*"[a-z-]+"' |
 		grep -oE '"[a-z-]+"'
