--- a/carawayctl/place.c
+++ b/carawayctl/place.c
@@ -140,8 +140,11 @@
 		status = CTL_USAGE;
 		goto out;
 	}
-	if (make_path(known ? "job" : "queue", known ? ctl->token : argv[0], &path))
+	err = make_path(known ? "job" : "queue", known ? ctl->token : argv[0], &path);
+	if (err) {
+		warnx("place: %s", cf_strerror(err));
 		goto out;
+	}
 	req.path = path.p;
 	req.body = buf_str(&body);
 	status = ask(ctl, &req, &reply);
--- a/carawayfrontd/controller_caller.c
+++ b/carawayfrontd/controller_caller.c
@@ -5,8 +5,6 @@
 #include "io/log.h"
 #include "proto/codec.h"
 
-#define ID_DIGITS 16U
-
 /* A request of a caller and what is known of its target. */
 struct caller_context {
 	const struct dag_target *target;
@@ -17,28 +15,6 @@
 	bool is_queue;	     /* the path ends with the queue's prefix */
 };
 
-static int parse_id(struct str text, uint64_t *out)
-{
-	uint64_t id = 0;
-
-	if (text.n != ID_DIGITS)
-		return CF_EINVAL;
-	for (size_t i = 0; i < text.n; i++) {
-		char ch = text.p[i];
-
-		if (ch >= '0' && ch <= '9')
-			id = id << 4 | (uint64_t)(ch - '0');
-		else if (ch >= 'a' && ch <= 'f')
-			id = id << 4 | (uint64_t)(ch - 'a' + 10);
-		else if (ch >= 'A' && ch <= 'F')
-			id = id << 4 | (uint64_t)(ch - 'A' + 10);
-		else
-			return CF_EINVAL;
-	}
-	*out = id;
-	return 0;
-}
-
 /*
  * Finds the queue of a target, authorises the caller and finds the job. DAG_OK also when
  * the path names no job.
@@ -56,7 +32,7 @@
 	if (!controller_authorize(c, x->queue, x->credential, &x->org))
 		return DAG_UNAUTHORIZED;
 	x->is_queue = rest.n == 0;
-	if (!x->is_queue && parse_id(rest, &x->id))
+	if (!x->is_queue && dag_job_id_parse(rest, &x->id))
 		return DAG_NO_JOB;
 	return DAG_OK;
 }
@@ -124,7 +100,10 @@
 	controller_propose_and_wait(c, &cmd, &about, t);
 }
 
-/* Refuses a job for which there is no room; it is not recorded. */
+/*
+ * Refuses a job for which there is no room, without recording it; false: there is room,
+ * and nothing was answered.
+ */
 static bool refuse_job(struct controller *c, const struct dag_queue *q, uint64_t id,
 		       const struct dag_job *job, struct dag_pending_request *t)
 {
--- a/carawayfrontd/gateway.c
+++ b/carawayfrontd/gateway.c
@@ -39,7 +39,7 @@
 	struct metrics_port *metrics_port;
 	struct ev_timer timer;
 	bool checking;
-	bool has_orgs;	/* of the configuration, as the leader said last */
+	bool has_orgs;	/* the configuration has organisations, as the leader said last */
 	double checked; /* newest check */
 	bool had_leader;
 	double drain_at;	/* 0: not draining */
@@ -192,7 +192,7 @@
 	return !g->drain_at && has_leader(g);
 }
 
-static bool port_may_authorize(struct dag_request_handler *p)
+static bool port_may_have_orgs(struct dag_request_handler *p)
 {
 	return ((struct gateway *)p)->has_orgs;
 }
@@ -205,7 +205,7 @@
 static const struct dag_request_handler_ops port_ops = {
 	.request = port_request,
 	.ready = port_ready,
-	.may_authorize = port_may_authorize,
+	.may_have_orgs = port_may_have_orgs,
 	.report_address = port_report_address,
 };
 
--- a/carawayfrontd/settings.c
+++ b/carawayfrontd/settings.c
@@ -7,7 +7,8 @@
 #include "io/http_server.h"
 
 #define SETTINGS_MAX_BYTES (1U << 20)
-#define CROSS_RACK_MAX 100U /* larger factors are taken for thousandths by mistake */
+/* A larger number is probably meant in thousandths, so it is refused. */
+#define CROSS_RACK_MAX 100U
 /* Budgets without a setting, unless requests and answers may be large. */
 #define BODY_BUDGET (24U << 20)
 #define REPLY_BUDGET (12U << 20)
@@ -269,7 +270,7 @@
 	       s->limits.max_connections * HTTP_CONNECTION_MEMORY;
 }
 
-/* Refuses budgets of which the machine's memory (bytes) is no more than the double. */
+/* Refuses budgets that together exceed half of the machine's memory (bytes). */
 int settings_check_memory(const struct settings *s, uint64_t memory,
 			  struct schema_error *error)
 {
@@ -279,7 +280,7 @@
 	if (budgets <= memory / 2)
 		return 0;
 	return refuse(error, "limits.body-budget",
-		      "together with reply-budget half of the machine's memory at most");
+		      "with reply-budget at most half of the machine's memory");
 }
 
 /* Checks what ties several keys together. */
--- a/core/dag_demand.c
+++ b/core/dag_demand.c
@@ -24,6 +24,7 @@
 	/* Of batch tasks of the queues up to a priority, thousandths of a core. */
 	int64_t batch[PRIORITY_LEVELS];
 	int64_t released; /* by serving tasks of jobs that ended */
+	int64_t refused;  /* need of jobs that were refused */
 };
 
 struct ds_service_demand {
@@ -31,13 +32,13 @@
 	struct demand_sample samples[WINDOW_SAMPLES]; /* a ring; [next] is being filled */
 	int64_t reserved[PRIORITY_LEVELS];	      /* part of the newest sample */
 	double task_cpu; /* usual request of a batch task, 0: not known */
-	int64_t queued;	 /* need of refused jobs that will be back */
 };
 
 struct ds_demand {
 	struct ds_service_demand services[MAX_SERVICES];
 	size_t n_services;
-	size_t next; /* sample */
+	size_t next;	  /* sample */
+	size_t n_samples; /* taken so far, WINDOW_SAMPLES at most */
 	int64_t next_sample_us;
 };
 
@@ -155,17 +156,23 @@
 	return released * USEC_PER_SEC / (WINDOW_SAMPLES * SAMPLE_PERIOD_US);
 }
 
+/* Of the window: callers of jobs that were refused earlier are back or have given up. */
+static int64_t refused_need(const struct ds_service_demand *sd)
+{
+	int64_t need = 0;
+
+	for (size_t i = 0; i < WINDOW_SAMPLES; i++)
+		need += sd->samples[i].refused;
+	return need;
+}
+
 static void begin_sample(struct ds_demand *d)
 {
 	d->next = (d->next + 1) % WINDOW_SAMPLES;
-	for (size_t i = 0; i < d->n_services; i++) {
-		struct ds_service_demand *sd = &d->services[i];
-
-		sd->queued -= release_rate(sd) * SAMPLE_PERIOD_US / USEC_PER_SEC;
-		if (sd->queued < 0)
-			sd->queued = 0;
-		sd->samples[d->next] = (struct demand_sample){{0}, 0};
-	}
+	if (d->n_samples < WINDOW_SAMPLES)
+		d->n_samples++;
+	for (size_t i = 0; i < d->n_services; i++)
+		d->services[i].samples[d->next] = (struct demand_sample){{0}, 0, 0};
 }
 
 /* Takes a sample of all services; bounded by the number of jobs, their steps and runs. */
@@ -221,14 +228,19 @@
  * What batch tasks of the queues up to a priority reserved or waited for in all but a
  * quarter of the samples.
  */
-static int64_t usual_demand(const struct ds_service_demand *sd, unsigned int level)
+static int64_t usual_demand(const struct ds_demand *d, const struct ds_service_demand *sd,
+			    unsigned int level)
 {
 	int64_t demand[WINDOW_SAMPLES];
-
-	for (size_t i = 0; i < WINDOW_SAMPLES; i++)
-		demand[i] = sd->samples[i].batch[level];
-	qsort(demand, WINDOW_SAMPLES, sizeof(*demand), compare_demand);
-	return demand[WINDOW_SAMPLES - 1 - WINDOW_SAMPLES / 4];
+	size_t n = d->n_samples;
+
+	if (!n)
+		return 0;
+	for (size_t i = 0; i < n; i++)
+		demand[i] = sd->samples[(d->next + WINDOW_SAMPLES - i) % WINDOW_SAMPLES]
+				    .batch[level];
+	qsort(demand, n, sizeof(*demand), compare_demand);
+	return demand[n - 1 - n / 4];
 }
 
 /* Serving tasks that are placed as soon as they can, and were admitted before. */
@@ -297,7 +309,7 @@
 	if (!sd)
 		return a;
 	a.room.batch = sd->reserved[level];
-	a.room.batch_usual = usual_demand(sd, level);
+	a.room.batch_usual = usual_demand(s->demand, sd, level);
 	a.room.pending = pending_serving(s, service);
 	for (size_t i = 0; i < s->n_workers; i++) {
 		const struct ds_worker *w = s->workers[i];
@@ -311,9 +323,9 @@
 	back.missing = dag_admit_missing(&a.room, a.need);
 	if (!back.missing)
 		return a;
-	back.queued = sd->queued;
+	back.queued = refused_need(sd);
 	back.per_second = release_rate(sd);
-	sd->queued += a.need;
+	sd->samples[s->demand->next].refused += a.need;
 	a.retry_ms = dag_admit_retry_ms(&back);
 	return a;
 }
--- a/core/dag_forecast.c
+++ b/core/dag_forecast.c
@@ -13,6 +13,7 @@
 	int64_t cpu;
 	int64_t mem;
 	int64_t gpus;
+	int64_t step_runs; /* of the step that is forecast */
 	size_t places;
 };
 
@@ -22,6 +23,7 @@
 	int64_t cpu;
 	int64_t mem;
 	int64_t gpus;
+	int64_t step_runs;
 };
 
 struct forecast {
@@ -80,27 +82,28 @@
 		n = room->mem / step->mem_mb;
 	if (step->gpus && room->gpus / step->gpus < n)
 		n = room->gpus / step->gpus;
-	if (step->max_per_worker && step->max_per_worker < n)
-		n = step->max_per_worker;
+	if (step->max_per_worker && (int64_t)step->max_per_worker - room->step_runs < n)
+		n = (int64_t)step->max_per_worker - room->step_runs;
 	return room->cpu < 0 || room->mem < 0 || room->gpus < 0 || n < 0 ? 0 : (size_t)n;
 }
 
-static bool add_run(const struct dag_sched *s, struct forecast *f, const struct ds_run *r)
+/* Adds the release of a run whose end can be foreseen. */
+static void add_run(const struct dag_sched *s, struct forecast *f, const struct ds_run *r)
 {
 	const struct dag_step *step = r->step;
 	struct release *rel = &f->releases[f->n_releases];
 
 	if (step->long_running || r->released || !step->estimate_ms)
-		return false;
+		return;
 	*rel = (struct release){.room = f->n_rooms, .mem = step->mem_mb};
 	rel->gpus = step->gpus;
+	rel->step_runs = ds_is_run_of_step(r, f->st);
 	if (!step->filler)
 		rel->cpu = step->cpu_milli;
 	else if (f->st->step->filler)
 		rel->cpu = ds_filler_cpu(r);
 	rel->at = run_left(s, r);
 	f->n_releases++;
-	return true;
 }
 
 static void add_worker(const struct dag_sched *s, struct forecast *f, struct ds_worker *w)
@@ -108,7 +111,8 @@
 	struct ds_room free = ds_worker_room(w, f->st->step);
 	struct ds_run *r;
 
-	f->rooms[f->n_rooms] = (struct room){free.cpu, free.mem, free.gpus, 0};
+	f->rooms[f->n_rooms] = (struct room){free.cpu, free.mem, free.gpus,
+					     ds_count_step_runs(w, f->st), 0};
 	TAILQ_FOREACH (r, &w->runs, worker_entry)
 		add_run(s, f, r);
 	f->n_rooms++;
@@ -179,6 +183,7 @@
 
 		room->cpu += rel->cpu;
 		room->mem += rel->mem;
+		room->step_runs -= rel->step_runs;
 		room->gpus += rel->gpus;
 		places = fits_in(room, st->step);
 		for (; room->places < places && n < DS_FORECAST_MAX; room->places++)
--- a/core/dag_interface.h
+++ b/core/dag_interface.h
@@ -63,7 +63,7 @@
 	/* Whether this process can serve new callers; reported by the health check. */
 	bool (*ready)(struct dag_request_handler *p);
 	/* Whether the configuration may have organisations. NULL: it is not known. */
-	bool (*may_authorize)(struct dag_request_handler *p);
+	bool (*may_have_orgs)(struct dag_request_handler *p);
 	/* IP address and port where the leader accepts worker reports; empty: unknown. */
 	struct str (*report_address)(struct dag_request_handler *p);
 };
--- a/core/dag_place.c
+++ b/core/dag_place.c
@@ -42,14 +42,19 @@
 
 #define MAX_PLACEMENT_FAILURES 32U
 
-static uint32_t count_step_runs(const struct ds_worker *w, const struct ds_step *st)
+bool ds_is_run_of_step(const struct ds_run *r, const struct ds_step *st)
+{
+	return r->job == st->job && r->task.step == st->number &&
+	       r->task.occurrence == st->occurrence;
+}
+
+uint32_t ds_count_step_runs(const struct ds_worker *w, const struct ds_step *st)
 {
 	const struct ds_run *r;
 	uint32_t n = 0;
 
 	TAILQ_FOREACH (r, &w->runs, worker_entry)
-		n += r->job == st->job && r->task.step == st->number &&
-		     r->task.occurrence == st->occurrence;
+		n += ds_is_run_of_step(r, st);
 	return n;
 }
 
@@ -92,7 +97,7 @@
 
 	if (step->label.label_len && !ds_worker_has_label(w, XDR_STR(*step, label)))
 		return false;
-	return !step->max_per_worker || count_step_runs(w, st) < step->max_per_worker;
+	return !step->max_per_worker || ds_count_step_runs(w, st) < step->max_per_worker;
 }
 
 static bool worker_fits_step(const struct ds_worker *w, const struct ds_step *st)
--- a/core/dag_preview.c
+++ b/core/dag_preview.c
@@ -83,16 +83,38 @@
 	}
 }
 
-/* Tasks that are suspected of crashes would put their worker on trial. */
+static bool is_preview_of(const struct ds_run *r, const struct ds_step *st)
+{
+	return r->run == PREVIEW_RUN && ds_is_run_of_step(r, st);
+}
+
+static void drop_step_runs(struct dag_sched *s, struct ds_step *st)
+{
+	struct ds_run *r, *next;
+
+	for (r = TAILQ_FIRST(&st->job->runs); r; r = next) {
+		next = TAILQ_NEXT(r, job_entry);
+		if (is_preview_of(r, st))
+			ds_run_free(s, r);
+	}
+}
+
+static bool is_suspect(const struct ds_step *st, uint32_t index)
+{
+	return ds_task_suspect_crashes(
+		dag_job_find_task(st->job->rec, st->occurrence, st->number, index));
+}
+
+/*
+ * Reserves nothing for a task that is suspected of crashes, as its run would put the
+ * worker on trial. false: no memory.
+ */
 static bool reserve(struct dag_sched *s, struct ds_step *st, struct ds_worker *w,
 		    uint32_t index)
 {
 	struct dag_task_ref ref = {st->job->rec->id, st->occurrence, st->number, index};
-	const struct dag_task *t =
-		dag_job_find_task(st->job->rec, st->occurrence, st->number, index);
 
-	return !ds_task_suspect_crashes(t) &&
-	       ds_run_new(s, st->job, w, &ref, PREVIEW_RUN);
+	return is_suspect(st, index) || ds_run_new(s, st->job, w, &ref, PREVIEW_RUN);
 }
 
 static void preview_tasks(struct dag_sched *s, struct ds_step *st,
@@ -107,7 +129,8 @@
 
 		if (!ds_task_is_waiting(st, i))
 			continue;
-		w = ds_choose_worker(s, st, i, &may_wait);
+		/* What is reserved for earlier tasks counts for the quota too. */
+		w = ds_quota_obstacle(st) ? NULL : ds_choose_worker(s, st, i, &may_wait);
 		waits = w && may_wait && held < out->hold &&
 			!ds_worker_has_label(w, XDR_STR(*st->step, data_rack));
 		held += waits;
@@ -117,7 +140,25 @@
 	}
 }
 
-/* A gang starts in one rack, waits, or starts in any racks. */
+static void list_unplaced(const struct ds_step *st, bool waits,
+			  struct dag_preview_step *out)
+{
+	for (uint32_t i = 0; i < st->step->count && i < DAG_PREVIEW_TASKS; i++)
+		add_task(out, i, NULL, waits);
+}
+
+static bool has_suspect(const struct ds_step *st)
+{
+	for (uint32_t i = 0; i < st->step->count; i++)
+		if (is_suspect(st, i))
+			return true;
+	return false;
+}
+
+/*
+ * A gang starts in one rack, waits, or starts in any racks. Where one with a suspect
+ * member starts is not foreseen, as its runs would put workers on trial.
+ */
 static void preview_gang(struct dag_sched *s, struct ds_step *st,
 			 struct dag_preview_step *out)
 {
@@ -127,6 +168,10 @@
 
 	if (st->n_waiting < st->step->count)
 		return;
+	if (ds_quota_obstacle(st) || has_suspect(st)) {
+		list_unplaced(st, false, out);
+		return;
+	}
 	for (size_t i = 0; st->step->same_rack && i < s->n_workers && !placed; i++) {
 		struct str rack = rack_of(s->workers[i]);
 
@@ -134,7 +179,7 @@
 			continue;
 		placed = ds_reserve_gang(s, st, rack, PREVIEW_RUN);
 		if (placed < st->step->count) {
-			drop_runs(s, st->job);
+			drop_step_runs(s, st);
 			placed = 0;
 		}
 	}
@@ -142,13 +187,12 @@
 	if (!placed && !waits)
 		placed = ds_reserve_gang(s, st, (struct str){NULL, 0}, PREVIEW_RUN);
 	if (placed < st->step->count) {
-		for (uint32_t i = 0; i < st->step->count && i < DAG_PREVIEW_TASKS; i++)
-			add_task(out, i, NULL, waits);
+		drop_step_runs(s, st);
+		list_unplaced(st, waits, out);
 		return;
 	}
 	TAILQ_FOREACH (r, &st->job->runs, job_entry)
-		if (r->run == PREVIEW_RUN && r->task.step == st->number &&
-		    out->n_tasks < DAG_PREVIEW_TASKS)
+		if (is_preview_of(r, st) && out->n_tasks < DAG_PREVIEW_TASKS)
 			add_task(out, r->task.index, r->worker, false);
 }
 
@@ -185,10 +229,7 @@
 	return n;
 }
 
-/*
- * The place for what other parts have to say of a step: a quota that it has reached, a
- * worker that is reserved for it, the runs that would be stopped for it.
- */
+/* Notes the quota, or what keeps the nearest worker from taking a task of the step. */
 static void add_notes(const struct dag_sched *s, const struct ds_step *st,
 		      struct dag_preview *p)
 {
--- a/core/dag_preview.h
+++ b/core/dag_preview.h
@@ -48,7 +48,7 @@
 	size_t n_candidates;
 };
 
-/* What another part of the scheduler adds, such as a quota or a preemption. */
+/* What keeps tasks of a step waiting, such as a quota. */
 struct dag_preview_note {
 	const char *part;
 	const char *text;
--- a/core/dag_sched_impl.h
+++ b/core/dag_sched_impl.h
@@ -353,7 +353,9 @@
 /* dag_place.c */
 void ds_place_all(struct dag_sched *s);
 struct ds_room ds_worker_room(const struct ds_worker *w, const struct dag_step *step);
-/* Whether a worker may take tasks of a step, apart from its free capacity. */
+bool ds_is_run_of_step(const struct ds_run *r, const struct ds_step *st);
+uint32_t ds_count_step_runs(const struct ds_worker *w, const struct ds_step *st);
+/* Whether a worker may take tasks of a step, but for capacity and max_per_worker. */
 bool ds_worker_may_take(const struct dag_sched *s, const struct ds_worker *w,
 			const struct ds_step *st);
 /* What keeps the worker that is nearest to taking a task of a step from doing so. */
--- a/core/dag_state.c
+++ b/core/dag_state.c
@@ -826,10 +826,10 @@
 		apply_late_end(s, j, t, e);
 }
 
-/* Ends a live run. Repeating an end has no effect. CF_ENOMEM. */
 /*
- * Counts the run time of a run that is done. Runs that began with a checkpoint, were
- * throttled or were outside the rack of their data took another time than the step takes.
+ * Counts the run time of a run that is done. Not counted: fillers, which are throttled,
+ * runs that began with a checkpoint, and runs outside the rack of their data. Gangs count
+ * wherever they ran.
  */
 static void learn_runtime(struct dag_state *s, const struct dag_job_rec *j,
 			  const struct dag_task *t, const struct dag_end *e, uint8_t i,
@@ -848,6 +848,7 @@
 			  (int32_t)((uint32_t)s->time_ms - t->begun_ms[i]));
 }
 
+/* Ends a live run. Repeating an end has no effect. CF_ENOMEM. */
 static int apply_end(struct dag_state *s, const struct dag_end *e)
 {
 	struct dag_worker_rec *w;
--- a/core/dag_state.h
+++ b/core/dag_state.h
@@ -254,6 +254,7 @@
 					 const struct dag_task_ref *t, uint32_t run);
 bool dag_job_step_ready(const struct dag_job_rec *j, uint32_t occurrence, uint32_t step);
 uint64_t dag_job_count_tasks(const struct dag_job *j);
+int dag_job_id_parse(struct str text, uint64_t *out);
 bool dag_job_valid(const struct dag_job *j);
 bool dag_time_valid(int64_t ms);
 
--- a/core/dag_state_lookup.c
+++ b/core/dag_state_lookup.c
@@ -1,6 +1,9 @@
+#include "base/err.h"
 #include "core/dag_state.h"
 #include "proto/codec.h"
 
+#define ID_DIGITS 16U
+
 struct dag_zone_rec *dag_state_find_zone(const struct dag_state *s, struct str zone)
 {
 	struct dag_zone_rec *z;
@@ -107,3 +110,26 @@
 		*rest = (struct str){path.p + longest, path.n - longest};
 	return best;
 }
+
+/* Reads the 16 hexadecimal digits of a job's id. CF_EINVAL: it has another form. */
+int dag_job_id_parse(struct str text, uint64_t *out)
+{
+	uint64_t id = 0;
+
+	if (text.n != ID_DIGITS)
+		return CF_EINVAL;
+	for (size_t i = 0; i < text.n; i++) {
+		char ch = text.p[i];
+
+		if (ch >= '0' && ch <= '9')
+			id = id << 4 | (uint64_t)(ch - '0');
+		else if (ch >= 'a' && ch <= 'f')
+			id = id << 4 | (uint64_t)(ch - 'a' + 10);
+		else if (ch >= 'A' && ch <= 'F')
+			id = id << 4 | (uint64_t)(ch - 'A' + 10);
+		else
+			return CF_EINVAL;
+	}
+	*out = id;
+	return 0;
+}
--- a/core/dag_wait.c
+++ b/core/dag_wait.c
@@ -317,7 +317,7 @@
 		if (w->begun_us)
 			end_wait(s, st, p.choice.reason);
 		else
-			w->next_us = 0;
+			w->next_us = s->now_us + 1; /* once in a pass */
 		return;
 	}
 	if (!w->begun_us) {
--- a/io/http_conns.c
+++ b/io/http_conns.c
@@ -167,7 +167,7 @@
 		http_conns_close(c, conn, LIMIT_SOURCE);
 	else if (c->short_of_fds && !free_descriptors(c, conn))
 		http_conns_close(c, conn, LIMIT_DESCRIPTORS);
-	else if (c->n > c->max)
+	else if (c->n - c->n_closing > c->max)
 		close_idle(c, conn, LIMIT_CONNECTIONS);
 }
 
@@ -188,14 +188,17 @@
 	TAILQ_INSERT_TAIL(&c->lists[phase], conn, entry);
 }
 
-/* The body that has been received for longest, if that is long; NULL: none. */
+/*
+ * The body that has been received for longest, if that is long; NULL: none. One of which
+ * nothing has arrived holds no room.
+ */
 struct http_conn *http_conns_slowest_body(struct http_conns *c,
 					  const struct http_conn *not_this,
 					  int64_t now_us)
 {
 	struct http_conn *conn = TAILQ_FIRST(&c->lists[HTTP_BODY]);
 
-	if (conn && conn == not_this)
+	while (conn && (conn == not_this || !conn->received))
 		conn = TAILQ_NEXT(conn, entry);
 	return conn && now_us - conn->since_us > BODY_GIVES_WAY_US ? conn : NULL;
 }
--- a/io/http_conns.h
+++ b/io/http_conns.h
@@ -14,11 +14,11 @@
  * the socket then finds the connection ended.
  */
 enum http_phase {
-	HTTP_FRESH, /* its first request has not arrived */
-	HTTP_KEPT,  /* answered, its next request has not arrived */
-	HTTP_BODY,  /* the head of a request has arrived */
-	HTTP_WAITING,
-	HTTP_REPLY,
+	HTTP_FRESH,   /* its first request has not arrived */
+	HTTP_KEPT,    /* answered, its next request has not arrived */
+	HTTP_BODY,    /* the head of a request has arrived */
+	HTTP_WAITING, /* a complete request that is not answered yet */
+	HTTP_REPLY,   /* the reply is being sent */
 	HTTP_CLOSING, /* shut down */
 	HTTP_N_PHASES
 };
--- a/io/http_reply.c
+++ b/io/http_reply.c
@@ -62,7 +62,7 @@
 {
 	struct server_limits *l = req->limits;
 
-	if (!l)
+	if (!l || req->is_monitor)
 		return true;
 	/* It does not wait any more. */
 	budget_give(&l->replies, req->waiting_bytes);
@@ -86,11 +86,11 @@
 		http_set_response(req, status, headers, n_headers, body);
 		return;
 	}
+	buf_free(&req->receipt);
 	if (strcmp(req->method, MHD_HTTP_METHOD_GET) == 0) {
 		http_refuse(req, CF_EBUSY, LIMIT_REPLY_BUDGET);
 		return;
 	}
 	server_limits_note(req->limits, LIMIT_REPLY_BUDGET);
-	buf_free(&req->receipt);
 	req->refused = true;
 }
--- a/io/http_server.c
+++ b/io/http_server.c
@@ -239,7 +239,7 @@
 {
 	size_t n = req->body.n + HTTP_WAITING_BYTES;
 
-	if (!req->limits)
+	if (!req->limits || req->is_monitor)
 		return true;
 	if (!budget_take(&req->limits->replies, 0, n))
 		return false;
--- a/io/http_server.h
+++ b/io/http_server.h
@@ -51,7 +51,8 @@
 	bool started;
 	bool suspended;
 	bool handled;
-	bool refused; /* before its body had arrived; the connection is closed */
+	bool refused;	 /* no response follows: the connection is closed */
+	bool is_monitor; /* of a port for health checks or metrics */
 	struct http_body receiving;
 	/* Bytes of the budget for replies that it holds. */
 	size_t waiting_bytes;
@@ -76,10 +77,15 @@
 	size_t max_body;
 	unsigned int max_connections;
 	unsigned int idle_timeout; /* seconds */
-	/* Shared by the servers of a process, and valid until the last is freed. */
+	/*
+	 * Shared by the servers of a process; valid until the last one is freed and all
+	 * of their requests are answered.
+	 */
 	struct server_limits *limits; /* NULL: there are only the limits above */
-	/* For health checks or metrics: served also when other ports have few
-	 * descriptors. */
+	/*
+	 * For health checks or metrics: served also when other ports have few
+	 * descriptors or have used up the budget for replies.
+	 */
 	bool is_monitor;
 };
 
--- a/io/rpc_server.c
+++ b/io/rpc_server.c
@@ -17,7 +17,7 @@
 #define ACCEPTS_A_ROUND 256U
 #define ACCEPT_PAUSE_S 0.1 /* while there is no descriptor or memory for a connection */
 #define IDLE_PERIODS 5U	   /* between checks of a connection until it is ended */
-/* The same for one that has not shown the cluster key. */
+/* Checks after which a connection without the cluster key is ended, idle or not. */
 #define UNAUTHENTICATED_PERIODS 3U
 /* Bytes of such a connection that are kept, in each direction; a call's header fits. */
 #define UNAUTHENTICATED_BYTES 4096U
@@ -206,10 +206,13 @@
 static void end_oldest_unauthenticated(struct rpc_server *s)
 {
 	struct rpc_conn *c = TAILQ_FIRST(&s->unauthenticated);
+	unsigned int tries = EVICT_TRIES;
 
-	for (unsigned int i = 0; c && i < EVICT_TRIES && has_unread(c); i++)
+	while (c && tries && has_unread(c)) {
 		c = TAILQ_NEXT(c, unauthenticated);
-	if (!c)
+		tries--;
+	}
+	if (!c || !tries)
 		c = TAILQ_FIRST(&s->unauthenticated);
 	if (c)
 		end_unauthenticated(c);
--- a/proto/dag.x
+++ b/proto/dag.x
@@ -431,7 +431,7 @@
 	DAG_REQ_MEMBERS = 9,
 	DAG_REQ_AGENT = 10, /* a gateway is there and can make calls */
 	DAG_REQ_LEFT = 11,  /* an executor has the answer to LEAVE and has ended */
-	/* The same of a caller that sent a credential. */
+	/* SUBMIT, READ and CANCEL of a caller that sent a credential. */
 	DAG_REQ_ORG_SUBMIT = 12,
 	DAG_REQ_ORG_READ = 13,
 	DAG_REQ_ORG_CANCEL = 14,
--- a/regress/site_crowd.sh
+++ b/regress/site_crowd.sh
@@ -157,7 +157,7 @@
 	[ "${open:-0}" -le $most ] || fail "$1 had $open descriptors open, bound $most"
 	until_ok 20 serves "$1" || fail "$1 does not answer an ordinary request"
 }
-# Waits until the connections of the crowd are gone, and forgets the peak.
+# Waits until the connections of the crowd are gone.
 crowd_gone() { # NAME
 	few() { [ "$(descriptors "$1")" -le $(($(cat "$D/$1.fds") + 20)) ]; }
 	until_ok 20 few "$1" || fail "$1 keeps $(descriptors "$1") descriptors"
--- a/regress/test_callers.c
+++ b/regress/test_callers.c
@@ -99,7 +99,7 @@
 	return true;
 }
 
-static bool may_authorize(struct dag_request_handler *p)
+static bool may_have_orgs(struct dag_request_handler *p)
 {
 	return with_orgs;
 }
@@ -107,7 +107,7 @@
 static const struct dag_request_handler_ops handler_ops = {
 	.request = on_request,
 	.ready = is_ready,
-	.may_authorize = may_authorize,
+	.may_have_orgs = may_have_orgs,
 };
 
 static struct dag_request_handler handler = {.ops = &handler_ops};
