regress/site_crowd: memory is measured without AddressSanitizer's quarantine

AddressSanitizer keeps freed memory in a quarantine of 256 MB, which counts in the peak. Crowds and bounds are as they were.

--- a/regress/site_crowd.sh
+++ b/regress/site_crowd.sh
@@ -3,6 +3,9 @@
 # send a crowd and check what does not depend on the machine's speed.
 
 BUILD=${BUILD:-build}
+# AddressSanitizer keeps up to 256 MB of freed memory, which is not the process's use.
+ASAN_OPTIONS=${ASAN_OPTIONS:+$ASAN_OPTIONS:}quarantine_size_mb=0:thread_local_quarantine_size_kb=0
+export ASAN_OPTIONS
 D=$(mktemp -d)
 PORT=${SITE_PORT:-30500}
 RPC=$PORT CONTROL=$((PORT + 1)) CALLERS=$((PORT + 2)) HEALTH=$((PORT + 3)) METRICS=$((PORT + 4))
