Review case 12: starts that never arrived count as crashes

Cause: when an executor starts again, each run with a start request counts as a crash of it under the task, also if no executor began the run; three of these fail the submission.

Change: the case.

--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -5,7 +5,7 @@
 TROUBLE=${TROUBLE:-1}
 . "$HERE/../standins-3/site.sh"
 
-ID=13c0ffee00000013
+ID=12c0ffee00000012
 start_site 3
 for i in 1 2 3 4; do executor "e$i" $((10 + i)) --label a --label "r$i"; done
 for i in 1 2 3 4; do until_ok 10 is_acked "e$i" || cannot "e$i is not acknowledged"; done
