--- a/review/standins-3/call.c
+++ b/review/standins-3/call.c
@@ -53,8 +53,9 @@
 	for (int i = 3; i + 1 < argc; i += 2) {
 		if (strcmp(argv[i], "-d") == 0)
 			curl_easy_setopt(curl, CURLOPT_POSTFIELDS,
-					 argv[i + 1][0] == '@' ? read_file(argv[i + 1] + 1)
-							       : argv[i + 1]);
+					 argv[i + 1][0] == '@'
+						 ? read_file(argv[i + 1] + 1)
+						 : argv[i + 1]);
 		else if (strcmp(argv[i], "-H") == 0)
 			headers = curl_slist_append(headers, argv[i + 1]);
 		else if (strcmp(argv[i], "-m") == 0)
--- a/review/standins-3/exec.c
+++ b/review/standins-3/exec.c
@@ -1,7 +1,8 @@
 /*
- * One executor of the platform in one process: takes start, stop, pace and hold calls, runs
- * tasks under a lease, and reports to the controllers. Written from PROTOCOL.md. A crash
- * is a SIGKILL of the process; the next process with the same --id is another life.
+ * One executor of the platform in one process: takes start, stop, pace and hold calls,
+ * runs tasks under a lease, and reports to the controllers. Written from PROTOCOL.md. A
+ * crash is a SIGKILL of the process (SIGUSR2: by itself, when the next list is asked
+ * for); the next process with the same --id is another life.
  *
  *   exec --listen IP:PORT --id ID --control IP:PORT... --service NAME --zone NAME
  *        --ledger FILE [--label TEXT]... [--cpu N] [--mem N] [--report-ms MS]
@@ -128,8 +129,7 @@
 static struct run *find_run(const char *task, int64_t run)
 {
 	for (int i = 0; i < MAX_RUNS; i++)
-		if (runs[i].used && runs[i].run == run &&
-		    strcmp(runs[i].task, task) == 0)
+		if (runs[i].used && runs[i].run == run && strcmp(runs[i].task, task) == 0)
 			return &runs[i];
 	return NULL;
 }
@@ -191,10 +191,10 @@
 
 	for (int i = 0; i < MAX_RUNS; i++)
 		if (runs[i].used)
-			json_array_append_new(
-				running, json_pack("[sIsii]", runs[i].task,
-						   (json_int_t)runs[i].run, "",
-						   percent_of(&runs[i]), 0));
+			json_array_append_new(running,
+					      json_pack("[sIsii]", runs[i].task,
+							(json_int_t)runs[i].run, "",
+							percent_of(&runs[i]), 0));
 	for (size_t i = 0; i < n_ends && i < MAX_LISTED_ENDS; i++)
 		json_array_append_new(ended,
 				      json_pack("[IsIss]", (json_int_t)ends[i].number,
@@ -307,10 +307,14 @@
 	reply(req, 200, json_object());
 }
 
+static bool crashes_on_hold; /* set by SIGUSR2 */
+
 static void on_hold(struct http_request *req, const json_t *body)
 {
 	answer_hold();
 	extend_lease(body);
+	if (crashes_on_hold)
+		raise(SIGKILL);
 	forget_ends(number(body, "seen_upto"));
 	waiting = req;
 	wait_until_us = mono_us() + number(body, "wait_ms") * US_PER_MS;
@@ -370,8 +374,8 @@
 
 static void take_home(const struct http_result *result)
 {
-	json_t *body = json_loadb(result->body.p ? result->body.p : "", result->body.n, 0,
-				  NULL);
+	json_t *body =
+		json_loadb(result->body.p ? result->body.p : "", result->body.n, 0, NULL);
 	const char *url = json_string_value(json_object_get(body, "heartbeat_url"));
 
 	if (url && *url)
@@ -390,7 +394,8 @@
 		return;
 	}
 	if (acked != state)
-		ledger_line(ledger_fd, "%lld acked %s %s\n", (long long)now_ms(), id, state);
+		ledger_line(ledger_fd, "%lld acked %s %s\n", (long long)now_ms(), id,
+			    state);
 	acked = state;
 	take_home(result);
 }
@@ -419,10 +424,9 @@
 		json_array_append_new(list, json_string(labels[i]));
 	body = json_pack("{sssssssssisssisIsIsIs{sisisi}so}", "service", service,
 			 "address", address, "zone", zone, "version", "v1", "slots", 8,
-			 "state", state, "cold_ms", 0, "clock_ms",
-			 (json_int_t)clock_ms(), "born", (json_int_t)born_ms, "seq",
-			 (json_int_t)++seq, "room", "cpu", cpu, "mem_mb", mem, "gpu", 0,
-			 "labels", list);
+			 "state", state, "cold_ms", 0, "clock_ms", (json_int_t)clock_ms(),
+			 "born", (json_int_t)born_ms, "seq", (json_int_t)++seq, "room",
+			 "cpu", cpu, "mem_mb", mem, "gpu", 0, "labels", list);
 	text = json_dumps(body, JSON_COMPACT);
 	opt.body = str_from(text);
 	snprintf(url, sizeof(url), "http://%s/api/instances/%s/heartbeat",
@@ -449,6 +453,12 @@
 	ev_break(loop, EVBREAK_ALL);
 }
 
+/* It crashes once the next list of runs has been asked for. */
+static void on_crash_order(struct ev_loop *loop, struct ev_signal *w, int events)
+{
+	crashes_on_hold = true;
+}
+
 /* From here on its reports say that it drains. */
 static void on_drain(struct ev_loop *loop, struct ev_signal *w, int events)
 {
@@ -489,7 +499,7 @@
 	};
 	struct ev_loop *loop = ev_default_loop(0);
 	struct ev_timer report_timer, tick_timer;
-	struct ev_signal term, drain;
+	struct ev_signal term, drain, crash_order;
 	int c;
 
 	while ((c = getopt_long(argc, argv, "", options, NULL)) != -1) {
@@ -556,11 +566,13 @@
 	ev_timer_init(&report_timer, on_report_timer, 0, report_s);
 	ev_timer_init(&tick_timer, on_tick, TICK_S, TICK_S);
 	ev_signal_init(&term, on_end, SIGTERM);
+	ev_signal_init(&crash_order, on_crash_order, SIGUSR2);
 	ev_signal_init(&drain, on_drain, SIGUSR1);
 	ev_timer_start(loop, &report_timer);
 	ev_timer_start(loop, &tick_timer);
 	ev_signal_start(loop, &term);
 	ev_signal_start(loop, &drain);
+	ev_signal_start(loop, &crash_order);
 	ev_run(loop, 0);
 	return 0;
 }
