--- a/carawayfrontd/controller_replica.c
+++ b/carawayfrontd/controller_replica.c
@@ -198,6 +198,23 @@
 		 (unsigned long long)w->leader);
 }
 
+static void op_member_step(struct replica_host *host, enum replica_member_step step,
+			   const struct replica_member *m, int64_t silent_us)
+{
+	static const char *const names[] = {
+		[REPLICA_MEMBER_ASKS] = "asks",
+		[REPLICA_MEMBER_ADMITTED] = "admitted",
+		[REPLICA_MEMBER_PROMOTED] = "promoted",
+		[REPLICA_MEMBER_REPLACED] = "replaced",
+		[REPLICA_MEMBER_GIVEN_UP] = "given-up",
+		[REPLICA_MEMBER_LEFT] = "left",
+	};
+
+	log_info("member-step", "step=%s member=%llx identity=%llx silent-ms=%lld",
+		 names[step], (unsigned long long)m->id, (unsigned long long)m->identity,
+		 (long long)(silent_us / 1000));
+}
+
 static const struct replica_ops replica_ops = {
 	.send = op_send,
 	.append = disk_host_append,
@@ -212,6 +229,7 @@
 	.save_snapshot = disk_host_save_snapshot,
 	.compact = disk_host_compact,
 	.hello_wait = op_hello_wait,
+	.member_step = op_member_step,
 };
 
 /*
--- a/core/replica_leave.c
+++ b/core/replica_leave.c
@@ -103,8 +103,10 @@
 	if ((!p && !r->leaving) || !r->opt.max_voters)
 		return false;
 	if (p && !p->voter)
-		return replica_remove(r, p->id, p->identity, r->now_us) == 0;
+		return replica_member_remove(r, REPLICA_MEMBER_LEFT, p->id,
+					     p->identity) == 0;
 	if (replica_voter_count(r) > r->opt.max_voters)
-		return p && replica_remove(r, p->id, p->identity, r->now_us) == 0;
-	return spare && replica_promote(r, spare->id, spare->identity, r->now_us) == 0;
+		return p && replica_member_remove(r, REPLICA_MEMBER_LEFT, p->id,
+						  p->identity) == 0;
+	return spare && replica_member_promote(r, spare->id, spare->identity) == 0;
 }
--- a/core/replica_member.c
+++ b/core/replica_member.c
@@ -268,6 +268,16 @@
 	memcpy(r->peers, ids, r->n_peers * sizeof(r->peers[0]));
 }
 
+/* Tells the host of a step; silent_us is 0 where it means nothing. */
+void replica_member_note(struct replica *r, enum replica_member_step step, uint64_t id,
+			 uint64_t identity, int64_t silent_us)
+{
+	struct replica_member m = {.id = id, .identity = identity};
+
+	if (r->host->ops->member_step)
+		r->host->ops->member_step(r->host, step, &m, silent_us);
+}
+
 /* Sends JOIN while no leader counts this data directory as a member. */
 void replica_join_send(struct replica *r)
 {
@@ -281,6 +291,9 @@
 	    r->now_us <
 		    r->leader_last_heard_us + JOIN_ELECTION_TIMEOUTS * r->opt.election_us)
 		return;
+	if (!r->asks)
+		replica_member_note(r, REPLICA_MEMBER_ASKS, r->id, r->identity, 0);
+	r->asks = true;
 	for (size_t i = 0; i < r->n_peers; i++) {
 		if (r->peers[i] != r->id)
 			replica_send(r, r->peers[i], 0, &m);
@@ -318,26 +331,57 @@
 		};
 }
 
+static int64_t member_silence_us(const struct replica *r, const struct replica_peer *p)
+{
+	return r->now_us -
+	       (p->acked_send_us > r->elected_us ? p->acked_send_us : r->elected_us);
+}
+
+/* Removes a member, and tells the host why. Errors as of replica_remove(). */
+int replica_member_remove(struct replica *r, enum replica_member_step step, uint64_t id,
+			  uint64_t identity)
+{
+	const struct replica_peer *p = replica_peer_find(r, id, identity);
+	int64_t silent_us = p ? member_silence_us(r, p) : 0;
+	int err = replica_remove(r, id, identity, r->now_us);
+
+	if (!err)
+		replica_member_note(r, step, id, identity, silent_us);
+	return err;
+}
+
+/* Makes a learner a voter, and tells the host. Errors as of replica_promote(). */
+int replica_member_promote(struct replica *r, uint64_t id, uint64_t identity)
+{
+	int err = replica_promote(r, id, identity, r->now_us);
+
+	if (!err)
+		replica_member_note(r, REPLICA_MEMBER_PROMOTED, id, identity, 0);
+	return err;
+}
+
 /* Adds the newest requester, after removing an older learner with its id. */
 static void admit_next_requester(struct replica *r)
 {
 	const struct replica_member *j = &r->join_requests[r->n_join_requests - 1];
 	const struct replica_member *old =
 		member_find_other(&r->members, j->id, j->identity, false);
+	int err;
 
-	if (old)
-		replica_remove(r, old->id, old->identity, r->now_us);
-	else if (replica_add_learner(r, j->id, j->identity, r->now_us) != CF_EBUSY &&
-		 r->n_join_requests)
+	if (old) {
+		replica_member_remove(r, REPLICA_MEMBER_REPLACED, old->id, old->identity);
+		return;
+	}
+	err = replica_add_learner(r, j->id, j->identity, r->now_us);
+	if (!err)
+		replica_member_note(r, REPLICA_MEMBER_ADMITTED, j->id, j->identity, 0);
+	if (err != CF_EBUSY && r->n_join_requests)
 		r->n_join_requests--;
 }
 
 static bool member_is_dead(const struct replica *r, const struct replica_peer *p)
 {
-	int64_t last_heard_us =
-		p->acked_send_us > r->elected_us ? p->acked_send_us : r->elected_us;
-
-	return last_heard_us + r->opt.member_timeout_us < r->now_us;
+	return member_silence_us(r, p) > r->opt.member_timeout_us;
 }
 
 /*
@@ -351,7 +395,7 @@
 
 		if (p->voter != voter || !member_is_dead(r, p))
 			continue;
-		replica_remove(r, p->id, p->identity, r->now_us);
+		replica_member_remove(r, REPLICA_MEMBER_GIVEN_UP, p->id, p->identity);
 		return;
 	}
 }
@@ -384,11 +428,12 @@
 			continue;
 		old = member_find_other(&r->members, p->id, p->identity, true);
 		if (old) {
-			replica_remove(r, old->id, old->identity, r->now_us);
+			replica_member_remove(r, REPLICA_MEMBER_REPLACED, old->id,
+					      old->identity);
 			return;
 		}
 		if (!r->opt.max_voters || replica_voter_count(r) < r->opt.max_voters) {
-			replica_promote(r, p->id, p->identity, r->now_us);
+			replica_member_promote(r, p->id, p->identity);
 			return;
 		}
 		spare = p;
--- a/core/replica_priv.h
+++ b/core/replica_priv.h
@@ -75,6 +75,7 @@
 	int64_t hello_at_us;
 	int64_t hello_started_us;
 	int64_t join_at_us;
+	bool asks; /* for admission, since a leader was heard last */
 	bool leaving; /* this process ends soon; set once */
 	bool left;    /* while leaving: no member any more */
 	int64_t leave_at_us;
@@ -214,6 +215,11 @@
 void replica_role_update(struct replica *r);
 void replica_join_request(struct replica *r, uint64_t from, const struct replica_msg *m);
 void replica_join_send(struct replica *r);
+void replica_member_note(struct replica *r, enum replica_member_step step, uint64_t id,
+			 uint64_t identity, int64_t silent_us);
+int replica_member_remove(struct replica *r, enum replica_member_step step, uint64_t id,
+			  uint64_t identity);
+int replica_member_promote(struct replica *r, uint64_t id, uint64_t identity);
 void replica_admit_tick(struct replica *r);
 size_t replica_voter_count(const struct replica *r);
 
