core/replica: a voter that was given up asks for its place at once

Cause: the newcomer gets the place of whichever voter has been silent for longest; a voter that is only dark may be that one, and nobody can tell it from one that is gone. It was back 1 s later, took itself for a voter, and counted its own start as word of a leader, so that it sent JOIN 6 s later only. Till then one of the five votes belonged to a machine that was gone for good; two losses more left two of five. Ruled out: that it is not admitted, that it stays passive. Change: a start is no word of a leader, so JOIN goes out at once; a process that ran on sends it after two election timeouts without one, in place of ten, also to the members in its log. A leader that counts the sender as a member ignores it, as before. Whichever of two silent voters is given up, the other goes as soon as the first is back.

--- a/core/replica.c
+++ b/core/replica.c
@@ -220,6 +220,7 @@
 	if (opt->n_peers)
 		memcpy(r->peers, opt->peers, opt->n_peers * sizeof(r->peers[0]));
 	r->join_at_us = now_us;
+	r->heard_us = REPLICA_NEVER;
 	replica_elect_reset(r);
 	err = replica_restore(r, opt);
 	if (err) {
--- a/core/replica.h
+++ b/core/replica.h
@@ -117,7 +117,8 @@
 /* Steps of admission, told by the replica that takes them. */
 enum replica_member_step {
 	REPLICA_MEMBER_ASKS,	 /* this replica, of a leader that it does not hear */
-	REPLICA_MEMBER_ADMITTED, /* as a learner; by the leader, like the following ones */
+	REPLICA_MEMBER_ADMITTED, /* as a learner; by the leader, like the following ones
+				  */
 	REPLICA_MEMBER_PROMOTED,
 	REPLICA_MEMBER_REPLACED, /* removed for a learner with its id */
 	REPLICA_MEMBER_GIVEN_UP, /* removed since it did not answer */
@@ -186,8 +187,8 @@
 	 */
 	void (*hello_wait)(struct replica_host *h, const struct replica_hello *w);
 	/*
-	 * A step for this member was taken. silent_us: time since it last answered, at most
-	 * since this replica leads. May be NULL.
+	 * A step for this member was taken. silent_us: time since it last answered, at
+	 * most since this replica leads. May be NULL.
 	 */
 	void (*member_step)(struct replica_host *h, enum replica_member_step step,
 			    const struct replica_member *m, int64_t silent_us);
--- a/core/replica_follow.c
+++ b/core/replica_follow.c
@@ -99,6 +99,7 @@
 		replica_step_down(r, from);
 	r->leader_identity = m->from_identity;
 	r->leader_last_heard_us = r->now_us;
+	r->heard_us = r->now_us;
 	r->asks = false;
 	r->leader_sent_us = m->sent_us;
 	replica_elect_reset(r);
--- a/core/replica_member.c
+++ b/core/replica_member.c
@@ -3,8 +3,11 @@
 #include "base/err.h"
 #include "core/replica_priv.h"
 
-/* A member without a leader for this many election timeouts sends JOIN. */
-#define JOIN_ELECTION_TIMEOUTS 10
+/*
+ * A member that has heard no leader for this many election timeouts sends JOIN: nobody
+ * tells a voter that was given up while it was away.
+ */
+#define JOIN_ELECTION_TIMEOUTS 2
 
 const struct replica_member *replica_member_find(const struct replica_members *m,
 						 uint64_t id, uint64_t identity)
@@ -278,25 +281,40 @@
 		r->host->ops->member_step(r->host, step, &m, silent_us);
 }
 
-/* Sends JOIN while no leader counts this data directory as a member. */
-void replica_join_send(struct replica *r)
+static void join_send_to(struct replica *r, uint64_t id)
 {
 	struct replica_msg m = {.kind = REPLICA_MSG_JOIN};
+
+	if (id != r->id)
+		replica_send(r, id, 0, &m);
+}
+
+/*
+ * Sends JOIN while no leader may count this data directory as a member: to the known
+ * processes, and to the members in its log, which may have been replaced since.
+ */
+void replica_join_send(struct replica *r)
+{
 	bool member = replica_member_find(&r->members, r->id, r->identity) != NULL;
 
 	r->join_at_us = r->now_us + r->opt.election_us;
 	if (r->role == REPLICA_LEADER)
 		return;
-	if (member && r->leader_last_heard_us != REPLICA_NEVER &&
-	    r->now_us <
-		    r->leader_last_heard_us + JOIN_ELECTION_TIMEOUTS * r->opt.election_us)
+	if (member && r->heard_us != REPLICA_NEVER &&
+	    r->now_us < r->heard_us + JOIN_ELECTION_TIMEOUTS * r->opt.election_us)
 		return;
 	if (!r->asks)
 		replica_member_note(r, REPLICA_MEMBER_ASKS, r->id, r->identity, 0);
 	r->asks = true;
-	for (size_t i = 0; i < r->n_peers; i++) {
-		if (r->peers[i] != r->id)
-			replica_send(r, r->peers[i], 0, &m);
+	for (size_t i = 0; i < r->n_peers; i++)
+		join_send_to(r, r->peers[i]);
+	for (size_t i = 0; i < r->n_peer; i++) {
+		bool sent = false;
+
+		for (size_t k = 0; k < r->n_peers; k++)
+			sent = sent || r->peers[k] == r->peer[i].id;
+		if (!sent)
+			join_send_to(r, r->peer[i].id);
 	}
 }
 
--- a/core/replica_priv.h
+++ b/core/replica_priv.h
@@ -70,12 +70,14 @@
 	bool verified;	       /* the data directory is new or passed the check */
 	bool counted_as_voter; /* in the log of a candidate with a shorter log */
 	struct replica_member hello_leader; /* leader that got HELLO; id 0: none */
-	int64_t leader_last_heard_us;
+	int64_t leader_last_heard_us; /* a start counts, as a reply may have left before
+				       */
+	int64_t heard_us;	      /* a leader in this life */
 	int64_t election_at_us;
 	int64_t hello_at_us;
 	int64_t hello_started_us;
 	int64_t join_at_us;
-	bool asks; /* for admission, since a leader was heard last */
+	bool asks;    /* for admission, since a leader was heard last */
 	bool leaving; /* this process ends soon; set once */
 	bool left;    /* while leaving: no member any more */
 	int64_t leave_at_us;
--- a/regress/lib_cluster.c
+++ b/regress/lib_cluster.c
@@ -372,14 +372,20 @@
 	size_t voters = 0;
 	size_t holds = 0;
 
+	n->c->committed_by.epoch = replica_epoch(n->r);
+	n->c->committed_by.n = 0;
 	for (size_t i = 0; i < m->n; i++) {
 		const struct node *k = &n->c->node[m->list[i].id];
 
+		bool held = k->disk.durable >= index ||
+			    k->disk.promise.identity != m->list[i].identity;
+
 		voters += m->list[i].voter;
 		/* A disk that was lost after its answer counts. */
-		holds += m->list[i].voter &&
-			 (k->disk.durable >= index ||
-			  k->disk.promise.identity != m->list[i].identity);
+		holds += m->list[i].voter && held;
+		if (m->list[i].voter && held)
+			n->c->committed_by.identity[n->c->committed_by.n++] =
+				m->list[i].identity;
 	}
 	if (holds < voters / 2 + 1)
 		cluster_fail(n->c, "leader %d commits entry %d held by %d of %d voters",
@@ -455,6 +461,42 @@
 	return 0;
 }
 
+/*
+ * A quorum of the leader's voters must have voted for it, and one of them at least must
+ * belong to the quorum that held the newest committed entry of an earlier epoch.
+ */
+static void check_election(struct node *n, uint64_t epoch)
+{
+	const struct replica_members *m = replica_members(n->r);
+	struct cluster *c = n->c;
+	size_t voters = 0;
+	size_t votes = 0;
+	bool meets = c->committed_by.n == 0 || c->committed_by.epoch >= epoch;
+
+	for (size_t i = 0; i < m->n; i++) {
+		const struct replica_promise *p = &c->node[m->list[i].id].disk.promise;
+		/* A vote for a later candidate has replaced the one for this epoch. */
+		bool vote = p->identity != m->list[i].identity || p->epoch > epoch ||
+			    (p->epoch == epoch && p->vote == n->disk.promise.identity);
+
+		if (!m->list[i].voter)
+			continue;
+		voters++;
+		if (!vote)
+			continue;
+		votes++;
+		for (size_t k = 0; k < c->committed_by.n; k++)
+			meets = meets ||
+				c->committed_by.identity[k] == m->list[i].identity;
+	}
+	if (votes < voters / 2 + 1)
+		cluster_fail(c, "node %d leads with %d votes of %d", (int)n->id,
+			     (int)votes, (int)voters);
+	if (!meets)
+		cluster_fail(c, "the quorum that elects node %d misses the last commit",
+			     (int)n->id);
+}
+
 static void host_role_changed(struct replica_host *h, enum replica_role role,
 			      uint64_t epoch, uint64_t leader)
 {
@@ -471,6 +513,7 @@
 	if (role != REPLICA_LEADER)
 		return;
 	c->elections++;
+	check_election(n, epoch);
 	for (size_t i = 0; i < c->n_leaders; i++) {
 		if (c->leader_of[i].epoch == epoch)
 			cluster_fail(c, "nodes %d and %d lead epoch %d",
@@ -541,17 +584,17 @@
 void node_boot(struct node *n)
 {
 	struct replica_options opt = n->c->opt;
-	uint64_t peers[CLUSTER_MAX];
+	uint64_t peers[REPLICA_MAX_MEMBERS];
 	bool first = n->disk.promise.epoch == 0 && n->disk.snapshot.n == 0;
 	int err;
 
-	for (size_t i = 0; i < n->c->n; i++)
-		peers[i] = i + 1;
+	opt.n_peers = n->c->n < REPLICA_MAX_MEMBERS ? n->c->n : REPLICA_MAX_MEMBERS;
+	for (size_t i = 0; i < opt.n_peers; i++)
+		peers[i] = n->c->n - i; /* the newest */
 	opt.host = &n->host;
 	opt.id = n->id;
 	opt.seed = prng_next(&n->c->prng);
 	opt.peers = peers;
-	opt.n_peers = n->c->n;
 	opt.promise = n->disk.promise;
 	opt.snapshot = buf_str(&n->disk.snapshot);
 	opt.snapshot_index = n->disk.snapshot_index;
@@ -594,11 +637,27 @@
 
 /* --- cluster --- */
 
+/* Makes a node with a new id and an empty disk, which node_boot() starts. */
+struct node *cluster_add(struct cluster *c)
+{
+	struct node *n = &c->node[++c->n];
+
+	*n = (struct node){
+		.host.ops = &host_ops,
+		.c = c,
+		.id = c->n,
+		.generation = 1,
+		.clock_offset = between(c, 0, 1000000000),
+		.clock_drift = between(c, -1000, 1000),
+	};
+	n->disk.promise.identity = prng_next(&c->prng) | 1;
+	return n;
+}
+
 /* Starts voters 1..voters and learners behind them, which ask for admission. */
 void cluster_start(struct cluster *c, uint64_t seed, size_t voters, size_t learners)
 {
 	c->prng.state = seed;
-	c->n = voters + learners;
 	if (c->latency_max == 0) {
 		c->latency_min = 1000;
 		c->latency_max = 3000;
@@ -607,21 +666,12 @@
 		c->sync_min = 500;
 		c->sync_max = 4000;
 	}
-	for (size_t i = 1; i <= c->n; i++) {
-		struct node *n = &c->node[i];
+	while (c->n < voters + learners) {
+		struct node *n = cluster_add(c);
 
-		*n = (struct node){
-			.host.ops = &host_ops,
-			.c = c,
-			.id = i,
-			.generation = 1,
-			.clock_offset = between(c, 0, 1000000000),
-			.clock_drift = between(c, -1000, 1000),
-		};
-		n->disk.promise.identity = prng_next(&c->prng) | 1;
-		if (i <= voters)
+		if (n->id <= voters)
 			c->bootstrap.list[c->bootstrap.n++] = (struct replica_member){
-				.id = i,
+				.id = n->id,
 				.identity = n->disk.promise.identity,
 				.voter = true,
 			};
--- a/regress/lib_cluster.h
+++ b/regress/lib_cluster.h
@@ -8,7 +8,7 @@
  * Replicas in virtual time with fake disks, a faulty network and drifting clocks.
  * Everything that is applied is compared with one committed history.
  */
-#define CLUSTER_MAX 10
+#define CLUSTER_MAX 24
 
 struct disk_entry {
 	struct replica_entry e; /* data owned */
@@ -80,6 +80,12 @@
 	struct ref_entry *ref;
 	size_t n_ref, cap_ref;
 	struct replica_members ref_members;
+	/* Identities of the directories that held the newest entry as it committed. */
+	struct {
+		uint64_t epoch;
+		size_t n;
+		uint64_t identity[REPLICA_MAX_MEMBERS];
+	} committed_by;
 	struct {
 		uint64_t epoch;
 		uint64_t node;
@@ -94,6 +100,7 @@
 };
 
 void cluster_start(struct cluster *c, uint64_t seed, size_t voters, size_t learners);
+struct node *cluster_add(struct cluster *c);
 void cluster_stop(struct cluster *c);
 bool cluster_step(struct cluster *c, int64_t until);
 void cluster_run(struct cluster *c, int64_t span_us);
--- a/regress/test_replica.c
+++ b/regress/test_replica.c
@@ -28,6 +28,23 @@
 	return &c->node[1 + prng_below(&c->prng, c->n)];
 }
 
+/* Whether a replica's membership in force is the committed one, member for member. */
+static bool knows_membership(const struct cluster *c, const struct replica *r)
+{
+	const struct replica_members *m = replica_members(r);
+
+	if (m->n != c->ref_members.n)
+		return false;
+	for (size_t i = 0; i < m->n; i++) {
+		const struct replica_member *a = &m->list[i];
+		const struct replica_member *b = &c->ref_members.list[i];
+
+		if (a->id != b->id || a->identity != b->identity || a->voter != b->voter)
+			return false;
+	}
+	return true;
+}
+
 /* Whether every voter is up to date about the membership and has its disk. */
 static bool disks_intact(struct cluster *c)
 {
@@ -45,7 +62,7 @@
 	for (size_t i = 1; i <= c->n; i++) {
 		const struct replica *r = c->node[i].r;
 
-		if (!r || replica_members(r)->n != c->ref_members.n)
+		if (!r || !knows_membership(c, r))
 			return false;
 	}
 	return voters >= 3;
@@ -1489,6 +1506,69 @@
 }
 END_TEST
 
+/* Writes the four followers of a cluster of five. */
+static void list_followers(struct cluster *c, struct node **f)
+{
+	for (uint64_t i = 1, n = 0; i <= 5; i++)
+		if (&c->node[i] != cluster_leader(c))
+			f[n++] = &c->node[i];
+}
+
+static struct node *start_successor(struct cluster *c)
+{
+	struct node *n = cluster_add(c);
+
+	node_boot(n);
+	return n;
+}
+
+/*
+ * Guards against a voter that was without contact for seconds, lost its place to the
+ * successor of another one and does not ask for it in time: the next two losses then
+ * leave no quorum, for good.
+ */
+START_TEST(voter_that_was_given_up_is_back_before_the_next_losses)
+{
+	static struct cluster c;
+	struct node *f[4];
+	struct node *successor;
+
+	start_open_membership(&c, (uint64_t)_i + 400, 5, 0);
+	cluster_run(&c, 2 * SECOND);
+	list_followers(&c, f);
+	if (_i % 3 == 0)
+		node_crash(f[0]);
+	else if (_i % 3 == 1)
+		node_freeze(f[0], 7 * SECOND / 2);
+	else
+		cluster_isolate(&c, f[0]->id, true);
+	cluster_run(&c, SECOND / 5);
+	node_crash(f[1]);
+	cluster_run(&c, SECOND);
+	successor = start_successor(&c);
+	cluster_run(&c, 23 * SECOND / 10);
+	ck_assert(!is_voter(&c, f[0]->id)); /* silent for longest */
+	ck_assert(is_voter(&c, successor->id));
+	if (_i % 3 == 0)
+		node_boot(f[0]);
+	cluster_isolate(&c, f[0]->id, false);
+	cluster_run(&c, 4 * SECOND);
+	ck_cluster(&c);
+	ck_assert(is_voter(&c, f[0]->id));
+	node_crash(f[2]);
+	cluster_run(&c, SECOND / 3);
+	node_crash(f[3]);
+	cluster_run(&c, SECOND);
+	start_successor(&c);
+	start_successor(&c);
+	ck_run(&c, cluster_settle(&c, 10 * SECOND));
+	cluster_run(&c, 4 * SECOND);
+	ck_cluster(&c);
+	ck_assert_uint_eq(count_voters(&c), 5);
+	cluster_stop(&c);
+}
+END_TEST
+
 /*
  * Guards against a site that loses its quorum for good: a voter ends as planned while its
  * successor is there, and two other disks are lost soon after.
@@ -1754,6 +1834,8 @@
 	tcase_add_test(tc, returning_voter_does_not_disturb);
 	tcase_add_loop_test(tc, handover_is_quick, 0, HANDOVER_SEEDS);
 	tcase_add_loop_test(tc, learner_takes_the_place_of_a_dead_voter, 0, 10);
+	tcase_add_loop_test(tc, voter_that_was_given_up_is_back_before_the_next_losses, 0,
+			    12);
 	tcase_add_loop_test(tc, voter_that_ends_gives_its_vote_to_its_successor, 0, 10);
 	tcase_add_loop_test(tc, voter_without_successor_keeps_its_vote, 0, 10);
 	tcase_add_loop_test(tc, restarted_voter_takes_over, 0, 10);
