core/replica: a leader tells the others who is silent, and the next one goes on counting

Cause: a new leader counted the silence of a voter from its own election on. A voter that was gone for good kept its place for 2.5 s more with each change of leader, so its successor had no vote when the next two machines were lost. The voter that was silent for longest is given up, the learner that has waited for longest is taken, and a learner counts as caught up with what was committed a heartbeat ago.

--- a/core/replica.c
+++ b/core/replica.c
@@ -221,6 +221,7 @@
 		memcpy(r->peers, opt->peers, opt->n_peers * sizeof(r->peers[0]));
 	r->join_at_us = now_us;
 	r->heard_us = REPLICA_NEVER;
+	r->told_us = REPLICA_NEVER;
 	replica_elect_reset(r);
 	err = replica_restore(r, opt);
 	if (err) {
@@ -380,6 +381,9 @@
 	case REPLICA_MSG_LEAVE_REPLY:
 		replica_leave_reply(r, from, m);
 		return 0;
+	case REPLICA_MSG_SILENCE:
+		replica_silence_receive(r, from, m);
+		return 0;
 	default:
 		return CF_EINVAL;
 	}
--- a/core/replica.h
+++ b/core/replica.h
@@ -61,6 +61,13 @@
 	uint64_t index;
 };
 
+/* How long a member has not answered the leader. */
+struct replica_silence {
+	uint64_t id;
+	uint64_t identity;
+	int64_t silent_us;
+};
+
 enum replica_msg_kind {
 	REPLICA_MSG_PREVOTE = 1,
 	REPLICA_MSG_PREVOTE_REPLY = 2,
@@ -77,6 +84,7 @@
 	REPLICA_MSG_HANDOVER_VOTE = 13,
 	REPLICA_MSG_LEAVE = 14,
 	REPLICA_MSG_LEAVE_REPLY = 15,
+	REPLICA_MSG_SILENCE = 16, /* ignored by versions that do not know it */
 };
 
 /* proto/replica.x lists the fields of each kind. Pointers are borrowed. */
@@ -99,6 +107,8 @@
 	size_t n_entries;
 	const struct replica_ack *acks;
 	size_t n_acks;
+	const struct replica_silence *silences;
+	size_t n_silences;
 };
 
 /*
@@ -187,8 +197,8 @@
 	 */
 	void (*hello_wait)(struct replica_host *h, const struct replica_hello *w);
 	/*
-	 * A step for this member was taken. silent_us: time since it last answered, at
-	 * most since this replica leads. May be NULL.
+	 * A step for this member was taken. silent_us: time since it last answered a
+	 * leader, as far as this one knows. May be NULL.
 	 */
 	void (*member_step)(struct replica_host *h, enum replica_member_step step,
 			    const struct replica_member *m, int64_t silent_us);
--- a/core/replica_codec.c
+++ b/core/replica_codec.c
@@ -14,6 +14,7 @@
 	struct replica_wire wire;
 	struct replica_entry *entries;
 	struct replica_ack *acks;
+	struct replica_silence silences[REPLICA_MAX_MEMBERS];
 };
 
 /* Fills an append message; the caller frees its two lists, also after an error. */
@@ -57,6 +58,23 @@
 	return 0;
 }
 
+/* list holds the members and must stay valid as long as *w. */
+static int silence_to_wire(const struct replica_msg *m, struct replica_wire_silent *list,
+			   struct replica_wire_silence *w)
+{
+	if (m->n_silences > REPLICA_MAX_MEMBERS)
+		return CF_EINVAL;
+	for (size_t i = 0; i < m->n_silences; i++)
+		list[i] = (struct replica_wire_silent){
+			.id = m->silences[i].id,
+			.identity = m->silences[i].identity,
+			.silent_us = m->silences[i].silent_us,
+		};
+	w->list.list_len = (u_int)m->n_silences;
+	w->list.list_val = list;
+	return 0;
+}
+
 /* Appends the XDR form of a message. CF_EINVAL for an unknown kind. */
 int replica_msg_encode(const struct replica_msg *m, struct buf *out)
 {
@@ -65,6 +83,7 @@
 		.to_identity = m->to_identity,
 		.body.kind = (enum replica_wire_kind)m->kind,
 	};
+	struct replica_wire_silent silent[REPLICA_MAX_MEMBERS];
 	int err = 0;
 
 	switch (m->kind) {
@@ -128,6 +147,9 @@
 			.index = m->index,
 		};
 		break;
+	case REPLICA_MSG_SILENCE:
+		err = silence_to_wire(m, silent, &w.body.replica_wire_body_u.silence);
+		break;
 	case REPLICA_MSG_JOIN:
 	case REPLICA_MSG_LEAVE:
 	case REPLICA_MSG_LEAVE_REPLY:
@@ -191,6 +213,20 @@
 	return 0;
 }
 
+static void silence_from_wire(struct replica_msg_box *b)
+{
+	const struct replica_wire_silence *w = &b->wire.body.replica_wire_body_u.silence;
+
+	for (size_t i = 0; i < w->list.list_len; i++)
+		b->silences[i] = (struct replica_silence){
+			.id = w->list.list_val[i].id,
+			.identity = w->list.list_val[i].identity,
+			.silent_us = w->list.list_val[i].silent_us,
+		};
+	b->msg.silences = b->silences;
+	b->msg.n_silences = w->list.list_len;
+}
+
 static int msg_from_wire(struct replica_msg_box *b)
 {
 	const struct replica_wire_body *w = &b->wire.body;
@@ -250,6 +286,9 @@
 		m->epoch = w->replica_wire_body_u.hello.epoch;
 		m->index = w->replica_wire_body_u.hello.index;
 		break;
+	case REPLICA_MSG_SILENCE:
+		silence_from_wire(b);
+		break;
 	case REPLICA_MSG_JOIN:
 	case REPLICA_MSG_LEAVE:
 	case REPLICA_MSG_LEAVE_REPLY:
--- a/core/replica_lead.c
+++ b/core/replica_lead.c
@@ -115,6 +115,7 @@
 		r->acks_changed || r->heartbeat_count % ACKS_HEARTBEAT_INTERVAL == 0;
 
 	r->heartbeat_count++;
+	r->heartbeat_commit = r->commit;
 	r->acks_changed = false;
 	r->heartbeat_at_us = r->now_us + r->opt.heartbeat_us;
 	for (size_t i = 0; i < r->n_peer; i++) {
@@ -142,6 +143,7 @@
 	r->elected_us = r->now_us;
 	r->lease_expires_us = REPLICA_NEVER;
 	r->heartbeat_count = 0;
+	replica_silence_elected(r);
 	for (size_t i = 0; i < r->n_peer; i++) {
 		struct replica_peer *p = &r->peer[i];
 
@@ -281,6 +283,7 @@
 	if (r->role != REPLICA_LEADER)
 		return;
 	lead_send_heartbeats(r);
+	replica_silence_send(r);
 	replica_admit_tick(r);
 }
 
--- a/core/replica_member.c
+++ b/core/replica_member.c
@@ -92,6 +92,7 @@
 				.identity = m->list[i].identity,
 				.next = replica_log_last(&r->log) + 1,
 				.acked_send_us = REPLICA_NEVER,
+				.answered_us = REPLICA_NEVER,
 				.leave_until_us = REPLICA_NEVER,
 			};
 		}
@@ -185,16 +186,17 @@
 	return member_propose(r, &m);
 }
 
+/* Whether it has synced what was committed at the last heartbeat. */
 static bool member_caught_up(const struct replica *r, const struct replica_peer *p)
 {
-	return p->mode == REPLICA_PEER_STREAM && p->match >= r->commit &&
+	return p->mode == REPLICA_PEER_STREAM && p->match >= r->heartbeat_commit &&
 	       p->acked_send_us != REPLICA_NEVER &&
 	       p->acked_send_us + r->opt.election_us > r->now_us;
 }
 
 /*
  * Makes a learner a voter. CF_EEXIST: a voter with that id must be removed first.
- * CF_EUNAVAIL: the learner has not synced everything that is committed.
+ * CF_EUNAVAIL: the learner has not synced what was committed a heartbeat ago.
  */
 int replica_promote(struct replica *r, uint64_t id, uint64_t identity, int64_t now_us)
 {
@@ -349,18 +351,12 @@
 		};
 }
 
-static int64_t member_silence_us(const struct replica *r, const struct replica_peer *p)
-{
-	return r->now_us -
-	       (p->acked_send_us > r->elected_us ? p->acked_send_us : r->elected_us);
-}
-
 /* Removes a member, and tells the host why. Errors as of replica_remove(). */
 int replica_member_remove(struct replica *r, enum replica_member_step step, uint64_t id,
 			  uint64_t identity)
 {
 	const struct replica_peer *p = replica_peer_find(r, id, identity);
-	int64_t silent_us = p ? member_silence_us(r, p) : 0;
+	int64_t silent_us = p ? replica_silence_us(r, p) : 0;
 	int err = replica_remove(r, id, identity, r->now_us);
 
 	if (!err)
@@ -397,25 +393,28 @@
 		r->n_join_requests--;
 }
 
-static bool member_is_dead(const struct replica *r, const struct replica_peer *p)
-{
-	return member_silence_us(r, p) > r->opt.member_timeout_us;
-}
-
 /*
- * Removes one member of the given kind that exceeded member_timeout_us: a voter that a
- * learner can replace, or a learner that takes up a place.
+ * Removes the member of the given kind that has been silent for longest, and for longer
+ * than member_timeout_us: a voter that a learner can replace, or a learner that takes up
+ * a place. A machine without power is as silent as one that is gone for good, so the
+ * voter may be back at any moment; it asks for admission then.
  */
 static void remove_dead_member(struct replica *r, bool voter)
 {
+	const struct replica_peer *dead = NULL;
+	int64_t longest_us = r->opt.member_timeout_us;
+
 	for (size_t i = 0; i < r->n_peer; i++) {
 		const struct replica_peer *p = &r->peer[i];
 
-		if (p->voter != voter || !member_is_dead(r, p))
+		if (p->voter != voter || replica_silence_us(r, p) <= longest_us)
 			continue;
-		replica_member_remove(r, REPLICA_MEMBER_GIVEN_UP, p->id, p->identity);
-		return;
+		longest_us = replica_silence_us(r, p);
+		dead = p;
 	}
+	if (dead)
+		replica_member_remove(r, REPLICA_MEMBER_GIVEN_UP, dead->id,
+				      dead->identity);
 }
 
 /* Number of voters of the membership in force. */
@@ -454,7 +453,9 @@
 			replica_member_promote(r, p->id, p->identity);
 			return;
 		}
-		spare = p;
+		/* The one that has waited for longest. */
+		if (!spare)
+			spare = p;
 	}
 	if (replica_leave_step(r, spare))
 		return;
--- a/core/replica_priv.h
+++ b/core/replica_priv.h
@@ -45,6 +45,7 @@
 	uint64_t next;		/* next entry to send */
 	uint64_t match;		/* durable on the peer and matching */
 	int64_t acked_send_us;	/* local send time of the newest message it answered */
+	int64_t answered_us;	/* an earlier leader; REPLICA_NEVER: not known */
 	int64_t leave_until_us; /* it has announced that it ends; else in the past */
 	struct replica_snapshot *snap;
 	uint64_t snap_offset;
@@ -73,6 +74,7 @@
 	int64_t leader_last_heard_us; /* a start counts, as a reply may have left before
 				       */
 	int64_t heard_us;	      /* a leader in this life */
+	int64_t told_us;	      /* by a leader, who is silent */
 	int64_t election_at_us;
 	int64_t hello_at_us;
 	int64_t hello_started_us;
@@ -115,6 +117,7 @@
 	int64_t lease_expires_us;
 	int64_t heartbeat_at_us;
 	unsigned int heartbeat_count;
+	uint64_t heartbeat_commit; /* commit at the last heartbeat */
 	bool acks_changed;
 	struct replica_member join_requests[REPLICA_MAX_MEMBERS];
 	size_t n_join_requests;
@@ -225,6 +228,13 @@
 void replica_admit_tick(struct replica *r);
 size_t replica_voter_count(const struct replica *r);
 
+/* replica_silence.c */
+int64_t replica_silence_us(const struct replica *r, const struct replica_peer *p);
+void replica_silence_elected(struct replica *r);
+void replica_silence_send(struct replica *r);
+void replica_silence_receive(struct replica *r, uint64_t from,
+			     const struct replica_msg *m);
+
 /* replica_leave.c */
 void replica_leave_send(struct replica *r);
 void replica_leave_receive(struct replica *r, uint64_t from, const struct replica_msg *m);
--- a/proto/replica.h
+++ b/proto/replica.h
@@ -50,6 +50,7 @@
 	REPLICA_WIRE_HANDOVER_VOTE = 13,
 	REPLICA_WIRE_LEAVE = 14,
 	REPLICA_WIRE_LEAVE_REPLY = 15,
+	REPLICA_WIRE_SILENCE = 16,
 };
 
 struct replica_wire_ask {
@@ -115,6 +116,19 @@
 	u_quad_t index;
 };
 
+struct replica_wire_silent {
+	u_quad_t id;
+	u_quad_t identity;
+	quad_t silent_us;
+};
+
+struct replica_wire_silence {
+	struct {
+		u_int list_len;
+		struct replica_wire_silent *list_val;
+	} list;
+};
+
 struct replica_wire_body {
 	enum replica_wire_kind kind;
 	union {
@@ -125,6 +139,7 @@
 		struct replica_wire_snapshot snapshot;
 		struct replica_wire_snapshot_reply snapshot_reply;
 		struct replica_wire_hello hello;
+		struct replica_wire_silence silence;
 	} replica_wire_body_u;
 };
 
@@ -168,6 +183,8 @@
 extern  bool_t xdr_replica_wire_snapshot (XDR *, struct replica_wire_snapshot *);
 extern  bool_t xdr_replica_wire_snapshot_reply (XDR *, struct replica_wire_snapshot_reply *);
 extern  bool_t xdr_replica_wire_hello (XDR *, struct replica_wire_hello *);
+extern  bool_t xdr_replica_wire_silent (XDR *, struct replica_wire_silent *);
+extern  bool_t xdr_replica_wire_silence (XDR *, struct replica_wire_silence *);
 extern  bool_t xdr_replica_wire_body (XDR *, struct replica_wire_body *);
 extern  bool_t xdr_replica_wire (XDR *, struct replica_wire *);
 extern  bool_t xdr_replica_wire_member (XDR *, struct replica_wire_member *);
@@ -185,6 +202,8 @@
 extern bool_t xdr_replica_wire_snapshot ();
 extern bool_t xdr_replica_wire_snapshot_reply ();
 extern bool_t xdr_replica_wire_hello ();
+extern bool_t xdr_replica_wire_silent ();
+extern bool_t xdr_replica_wire_silence ();
 extern bool_t xdr_replica_wire_body ();
 extern bool_t xdr_replica_wire ();
 extern bool_t xdr_replica_wire_member ();
--- a/proto/replica.x
+++ b/proto/replica.x
@@ -34,7 +34,8 @@
 	REPLICA_WIRE_HANDOVER = 12,
 	REPLICA_WIRE_HANDOVER_VOTE = 13,
 	REPLICA_WIRE_LEAVE = 14,
-	REPLICA_WIRE_LEAVE_REPLY = 15
+	REPLICA_WIRE_LEAVE_REPLY = 15,
+	REPLICA_WIRE_SILENCE = 16
 };
 
 /*
@@ -112,6 +113,17 @@
 	unsigned hyper index;
 };
 
+/* SILENCE: members that have not answered the leader for that long. */
+struct replica_wire_silent {
+	unsigned hyper id;
+	unsigned hyper identity;
+	hyper silent_us;
+};
+
+struct replica_wire_silence {
+	struct replica_wire_silent list<REPLICA_WIRE_MAX_MEMBERS>;
+};
+
 /*
  * JOIN: the sender asks for admission. LEAVE: the sender ends soon and gives its place to
  * a learner. LEAVE_REPLY: the sender of LEAVE is no member any more.
@@ -136,6 +148,8 @@
 case REPLICA_WIRE_HELLO:
 case REPLICA_WIRE_HELLO_REPLY:
 	struct replica_wire_hello hello;
+case REPLICA_WIRE_SILENCE:
+	struct replica_wire_silence silence;
 case REPLICA_WIRE_JOIN:
 case REPLICA_WIRE_LEAVE:
 case REPLICA_WIRE_LEAVE_REPLY:
--- a/proto/replica_xdr.c
+++ b/proto/replica_xdr.c
@@ -172,6 +172,31 @@
 	return TRUE;
 }
 
+bool_t
+xdr_replica_wire_silent (XDR *xdrs, struct replica_wire_silent *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->id))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->identity))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->silent_us))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_replica_wire_silence (XDR *xdrs, struct replica_wire_silence *objp)
+{
+	register int32_t *buf;
+
+	 if (!codec_array (xdrs, (char **)&objp->list.list_val, (u_int *) &objp->list.list_len, REPLICA_WIRE_MAX_MEMBERS,
+		sizeof (struct replica_wire_silent), (xdrproc_t) xdr_replica_wire_silent))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_replica_wire_body (XDR *xdrs, struct replica_wire_body *objp)
 {
@@ -213,6 +238,10 @@
 		 if (!xdr_replica_wire_hello (xdrs, &objp->replica_wire_body_u.hello))
 			 return FALSE;
 		break;
+	case REPLICA_WIRE_SILENCE:
+		 if (!xdr_replica_wire_silence (xdrs, &objp->replica_wire_body_u.silence))
+			 return FALSE;
+		break;
 	case REPLICA_WIRE_JOIN:
 	case REPLICA_WIRE_LEAVE:
 	case REPLICA_WIRE_LEAVE_REPLY:
--- a/regress/lib_cluster.c
+++ b/regress/lib_cluster.c
@@ -543,6 +543,13 @@
 	return 0;
 }
 
+static void host_member_step(struct replica_host *h, enum replica_member_step step,
+			     const struct replica_member *m, int64_t silent_us)
+{
+	TRACE(node_of(h)->c, "node %d step %d for %d, silent for %d ms\n",
+	      (int)node_of(h)->id, (int)step, (int)m->id, (int)(silent_us / 1000));
+}
+
 static const struct replica_ops host_ops = {
 	.send = host_send,
 	.append = host_append,
@@ -556,6 +563,7 @@
 	.role_changed = host_role_changed,
 	.save_snapshot = host_save_snapshot,
 	.compact = host_compact,
+	.member_step = host_member_step,
 };
 
 /* --- nodes --- */
