core/dag: only a worker's own replies, or those at its address, end its runs

Cause: the record of a report with a later start declared the workers at the same address as exited, without a call to it. A report under the id of a worker at work with another address replaced its record, and its polls went there. Ruled out: a poll of or a start on the foreign worker, loss of contact with the executor. Change: reports for services that are not named are not recorded; executors repeat theirs, so one that is named later is used then. A worker ends its predecessor at the address when it has answered its first poll, which carries its id. Reports under the id of a worker at work that name another place are ignored and logged.

--- a/core/dag_report.c
+++ b/core/dag_report.c
@@ -153,6 +153,42 @@
 	return false;
 }
 
+static bool is_same_place(const struct dag_worker *a, const struct dag_worker *b)
+{
+	return str_eq(XDR_STR(*a, address), XDR_STR(*b, address)) &&
+	       str_eq(XDR_STR(*a, service), XDR_STR(*b, service));
+}
+
+/*
+ * Whether a report under the id of a worker at work names another address or service,
+ * which a life keeps. Its sender is another process; the worker's own replies tell when
+ * it has ended.
+ */
+static bool is_of_another(const struct ds_worker *w, const struct dag_worker *reported)
+{
+	bool at_work =
+		w->n_runs || (w->rec->w.state != DAG_WORKER_GONE && !w->poll_failures);
+
+	return at_work && !is_same_place(&w->rec->w, reported);
+}
+
+/*
+ * Whether nothing but a report that may have been another's tells of the recorded worker:
+ * it has never replied, and this report names another place.
+ */
+static bool is_unproved(const struct ds_worker *w, const struct dag_worker *reported)
+{
+	return !w->n_runs && !w->clock_known && !is_same_place(&w->rec->w, reported) &&
+	       (w->poll_failures || w->rec->w.state == DAG_WORKER_GONE);
+}
+
+static void log_ignored(struct dag_sched *s, const struct dag_worker *reported,
+			const char *reason)
+{
+	s->host->ops->log_event(s->host, "report-ignored", NULL, 0,
+				XDR_STR(*reported, id), reason, reported->born_ms);
+}
+
 /*
  * Takes a report that came to any controller. Returns whether it says something that is
  * to be recorded; news then describes the worker, with strings of the report.
@@ -166,6 +202,16 @@
 
 	s->now_us = now_us;
 	*news = r->worker;
+	if (!w && !dag_state_service_named(s->state, XDR_STR(r->worker, service)))
+		return false;
+	if (w && is_of_another(w, &r->worker)) {
+		log_ignored(s, &r->worker, "another address or service");
+		if (!w->poll_in_flight)
+			w->next_poll_us = now_us;
+		return false;
+	}
+	if (w && is_unproved(w, &r->worker))
+		return true;
 	if (dag_state_is_old_report(s->state, &r->worker)) {
 		dag_sched_worker_contradicted(s, r);
 		return false;
--- a/core/dag_sched.c
+++ b/core/dag_sched.c
@@ -211,7 +211,6 @@
 	struct ds_worker *w = rec->sched;
 
 	if (!w) {
-		ds_handle_replaced_workers(s, rec);
 		w = ds_worker_new(s, rec);
 		if (w) {
 			w->last_heard_us = s->now_us;
--- a/core/dag_sched_impl.h
+++ b/core/dag_sched_impl.h
@@ -424,7 +424,6 @@
 struct ds_worker *ds_worker_new(struct dag_sched *s, struct dag_worker_rec *rec);
 void ds_worker_free(struct dag_sched *s, struct ds_worker *w);
 void ds_spread_first_polls(struct dag_sched *s);
-void ds_handle_replaced_workers(struct dag_sched *s, const struct dag_worker_rec *rec);
 void ds_worker_refresh(struct dag_sched *s, struct ds_worker *w);
 const char *ds_worker_obstacle(const struct dag_sched *s, const struct ds_worker *w);
 bool ds_worker_usable(const struct dag_sched *s, const struct ds_worker *w);
--- a/core/dag_state.h
+++ b/core/dag_state.h
@@ -214,6 +214,7 @@
 struct dag_worker_rec *dag_state_find_worker(const struct dag_state *s, uint32_t number);
 struct dag_worker_rec *dag_state_find_worker_by_id(const struct dag_state *s,
 						   struct str id);
+bool dag_state_service_named(const struct dag_state *s, struct str service);
 bool dag_state_service_guarded(const struct dag_state *s, struct str service);
 bool dag_state_is_old_report(const struct dag_state *s, const struct dag_worker *w);
 const struct dag_queue *dag_state_match_queue(const struct dag_state *s, struct str host,
--- a/core/dag_state_lookup.c
+++ b/core/dag_state_lookup.c
@@ -52,16 +52,29 @@
 	return w;
 }
 
-/* Whether the workers of a service refuse what does not fit. An unknown one does not. */
-bool dag_state_service_guarded(const struct dag_state *s, struct str service)
+static const struct dag_service *find_service(const struct dag_state *s, struct str name)
 {
 	for (u_int i = 0; i < s->conf.services.services_len; i++) {
 		const struct dag_service *x = &s->conf.services.services_val[i];
 
-		if (str_eq(XDR_STR(*x, name), service))
-			return x->guarded;
+		if (str_eq(XDR_STR(*x, name), name))
+			return x;
 	}
-	return false;
+	return NULL;
+}
+
+/* Whether the configuration in force names a service. */
+bool dag_state_service_named(const struct dag_state *s, struct str service)
+{
+	return find_service(s, service) != NULL;
+}
+
+/* Whether the workers of a service refuse what does not fit. An unknown one does not. */
+bool dag_state_service_guarded(const struct dag_state *s, struct str service)
+{
+	const struct dag_service *x = find_service(s, service);
+
+	return x && x->guarded;
 }
 
 /*
--- a/core/dag_worker.c
+++ b/core/dag_worker.c
@@ -309,16 +309,20 @@
 		ds_worker_propose_state(s, w, DAG_WORKER_GONE, w->rec->w.born_ms);
 }
 
-/* Two workers cannot share an address: the one that started earlier has exited. */
-void ds_handle_replaced_workers(struct dag_sched *s, const struct dag_worker_rec *rec)
+/*
+ * Two workers cannot share an address: when one replies, those that started earlier have
+ * exited. A report alone does not tell this: anyone may send one.
+ */
+static void handle_replaced_workers(struct dag_sched *s, const struct dag_worker_rec *rec)
 {
 	for (size_t i = 0; i < s->n_workers; i++) {
 		struct ds_worker *w = s->workers[i];
 
 		if (w->rec != rec && w->rec->w.born_ms <= rec->w.born_ms &&
+		    (w->rec->w.state != DAG_WORKER_GONE || w->n_runs) &&
 		    str_eq(XDR_STR(w->rec->w, address), XDR_STR(rec->w, address)))
-			handle_worker_exit(
-				s, w, "a newer worker registered with the same address");
+			handle_worker_exit(s, w,
+					   "a newer worker replies at the same address");
 	}
 }
 
@@ -539,6 +543,7 @@
 			    const struct dag_poll_reply *poll, int64_t now_us)
 {
 	struct ds_worker *w = ds_worker_find(s, worker);
+	bool is_first;
 
 	s->now_us = now_us;
 	if (!w || !w->poll_in_flight)
@@ -595,11 +600,14 @@
 		s->placement_needed = true;
 	}
 	ds_worker_follow_reply(s, w, poll);
-	if (!w->clock_known)
+	is_first = !w->clock_known;
+	if (is_first)
 		s->placement_needed = true;
 	w->poll_failures = 0;
 	if (!ds_worker_reply_is_old(w, poll))
 		ds_worker_record_contact(w, poll, now_us);
+	if (is_first && w->clock_known)
+		handle_replaced_workers(s, w->rec);
 	/* Its loss, which tells when its earlier life ended, is recorded until then. */
 	ds_worker_propose_start(s, w, poll->born_ms);
 	ds_worker_regain_contact(s, w);
--- a/regress/lib_dag_world.h
+++ b/regress/lib_dag_world.h
@@ -251,6 +251,8 @@
 void dw_assert_sound(const struct dag_world *w);
 /* Whether the workers' service is recorded as one whose workers guard their room. */
 void dw_set_guarded(struct dag_world *w, bool guarded);
+/* A configuration without queues, with this service alone. */
+void dw_name_service(struct dag_world *w, const char *service);
 /* A worker tells of its new room with its next report. */
 void dw_set_room(struct dag_world *w, uint32_t number, const struct dw_room *room);
 /* A report of a worker comes to the leader, which may ignore it. */
