core/dag: a worker that still replies has not exited, whoever announced it

Cause: one second after the receipt of the answer to an announced exit the runs were declared lost, also when the worker answered polls. Evidence: test_dag_foreign; ruled out: that polls end with the record of the exit. Change: after the receipt only a failed poll ends the runs, and a reply to a poll that was sent a second later takes the exit back. Test: cases 8, 17 and 26 of word_of_another_writer_ends_no_runs failed before, 3 of 3; all 43 checks of test_dag_foreign pass now.

--- a/core/dag_leave.c
+++ b/core/dag_leave.c
@@ -3,9 +3,9 @@
  * refused or silent poll that nothing answers; a cut may do both while the process runs
  * on. Its runs are over once the worker said so, by its list or by the answer to a stop
  * request, once it has received the answer to its announcement, closed the connection
- * after it and answers no more, once another process is in its place, or when its lease
- * ends. The runs are stopped before the announcement is answered, as the process ends
- * only then.
+ * after it and replies to polls no more, once another process is in its place, or when
+ * its lease ends. The runs are stopped before the announcement is answered, as the
+ * process ends only then.
  */
 #include "core/dag_sched_impl.h"
 #include "proto/codec.h"
@@ -124,6 +124,25 @@
 	return !w || (w->rec->w.state == DAG_WORKER_GONE && has_settled(s, w));
 }
 
+/*
+ * Takes back the exit of a worker that replies to a poll which was sent after it had time
+ * to end: another process has announced it.
+ */
+void ds_worker_contradict_exit(struct dag_sched *s, struct ds_worker *w)
+{
+	bool drains = w->drain_reported && w->drain_born_ms == w->rec->w.born_ms;
+
+	if (!w->left_us || w->poll_sent_us < w->left_us + END_US ||
+	    w->rec->w.state != DAG_WORKER_GONE)
+		return;
+	ds_worker_forget_exit(w);
+	w->gone_since_us = 0;
+	s->host->ops->log_event(s->host, "worker-back", NULL, 0, XDR_STR(w->rec->w, id),
+				"its exit was announced and it still replies", 0);
+	ds_worker_propose_state(s, w, drains ? DAG_WORKER_DRAINING : DAG_WORKER_READY,
+				w->rec->w.born_ms);
+}
+
 /*
  * Ends the runs of a worker that are over as it exits, and records the exit of one that
  * announced it, which answers the announcement. A second record would remove the first,
@@ -133,7 +152,7 @@
 {
 	struct ds_run *r;
 
-	if (w->left_us && (w->poll_failures || s->now_us - w->left_us >= END_US))
+	if (w->left_us && w->poll_failures)
 		ds_worker_propose_lost(s, w, "left");
 	if (!w->leaving_since_us)
 		return;
--- a/core/dag_worker.c
+++ b/core/dag_worker.c
@@ -608,6 +608,7 @@
 		ds_worker_record_contact(w, poll, now_us);
 	if (is_first && w->clock_known)
 		handle_replaced_workers(s, w->rec);
+	ds_worker_contradict_exit(s, w);
 	/* Its loss, which tells when its earlier life ended, is recorded until then. */
 	ds_worker_propose_start(s, w, poll->born_ms);
 	ds_worker_regain_contact(s, w);
