--- a/core/dag_report.c
+++ b/core/dag_report.c
@@ -202,7 +202,8 @@
 
 	s->now_us = now_us;
 	*news = r->worker;
-	if (!w && !dag_state_service_named(s->state, XDR_STR(r->worker, service)))
+	if ((!w || !is_same_place(&w->rec->w, &r->worker)) &&
+	    !dag_state_service_named(s->state, XDR_STR(r->worker, service)))
 		return false;
 	if (w && is_of_another(w, &r->worker)) {
 		log_ignored(s, &r->worker, "another address or service");
--- a/core/replica_silence.c
+++ b/core/replica_silence.c
@@ -4,7 +4,7 @@
 
 /* One heartbeat in this many tells which members are silent. */
 #define TOLD_HEARTBEATS 5
-/* What was told counts for a leader that is elected within as many election timeouts. */
+/* What is known counts for a leader that is elected within as many election timeouts. */
 #define TOLD_ELECTION_TIMEOUTS 10
 
 /*
@@ -21,19 +21,24 @@
 	return r->now_us - p->answered_us;
 }
 
-/* At the election: forgets what is too old to count, and adds the leader before. */
+/*
+ * At the election: takes over what is known of each member from what a leader told of
+ * late, from the leader before and from this replica's own time as the leader.
+ */
 void replica_silence_elected(struct replica *r)
 {
-	bool old = r->told_us == REPLICA_NEVER ||
-		   r->told_us + TOLD_ELECTION_TIMEOUTS * r->opt.election_us < r->now_us;
+	int64_t oldest_us = r->now_us - TOLD_ELECTION_TIMEOUTS * r->opt.election_us;
 
 	for (size_t i = 0; i < r->n_peer; i++) {
 		struct replica_peer *p = &r->peer[i];
+		int64_t us = r->told_us >= oldest_us ? p->answered_us : REPLICA_NEVER;
 
-		if (p->identity == r->leader_identity)
-			p->answered_us = r->heard_us;
-		else if (old)
-			p->answered_us = REPLICA_NEVER;
+		if (p->identity == r->leader_identity && r->heard_us >= oldest_us &&
+		    r->heard_us > us)
+			us = r->heard_us;
+		if (p->acked_send_us >= oldest_us && p->acked_send_us > us)
+			us = p->acked_send_us;
+		p->answered_us = us;
 	}
 	r->told_us = REPLICA_NEVER;
 }
--- a/regress/test_dag_foreign.c
+++ b/regress/test_dag_foreign.c
@@ -166,6 +166,30 @@
 }
 END_TEST
 
+/*
+ * Guards against a worker that is lost for good for such a word while it is down. _i: the
+ * kind.
+ */
+START_TEST(word_of_another_writer_while_the_worker_is_down)
+{
+	uint32_t number = dw_add_worker(&w, 8000, 8000);
+
+	dw_run_for(&w, SECOND);
+	dw_crash_for(&w, number, 4 * SECOND, false);
+	dw_run_for(&w, 3 * SECOND);
+	send_foreign((enum foreign)_i, number);
+	dw_run_for(&w, 2 * SECOND);
+	for (int i = 0; i < 5; i++) {
+		dw_report(&w, number);
+		dw_run_for(&w, SECOND);
+	}
+	dw_submit_chain(&w, 1, 2, 4);
+	dw_run_for(&w, 10 * SECOND);
+	dw_assert_sound(&w);
+	ck_assert_int_eq(dw_state(&w, 1), DAG_JOB_COMPLETED);
+}
+END_TEST
+
 /* Guards against a worker that is not used when a configuration names its service later.
  */
 START_TEST(worker_of_a_service_that_is_named_later_is_used)
@@ -229,6 +253,8 @@
 			    3 * FOREIGN_KINDS);
 	tcase_add_loop_test(tc, word_of_another_writer_costs_no_worker, 0, FOREIGN_KINDS);
 	tcase_add_loop_test(tc, word_of_another_writer_comes_first, 0, 4);
+	tcase_add_loop_test(tc, word_of_another_writer_while_the_worker_is_down, 0,
+			    FOREIGN_KINDS);
 	tcase_add_test(tc, worker_of_a_service_that_is_named_later_is_used);
 	tcase_add_loop_test(tc, successor_at_an_address_frees_the_tasks_at_once, 0, 2);
 	suite_add_tcase(s, tc);
