regress/test_dag_life: the late report's service and zone outlive the record

Cause: late_report_of_a_worker_that_left_adds_none keeps a report whose service and zone point into a record that is freed meanwhile; it had replaced id and address only. Change: both texts are constants now; what the test demands is the same.

--- a/regress/test_dag_life.c
+++ b/regress/test_dag_life.c
@@ -774,6 +774,8 @@
 	/* These texts outlive the record. */
 	XDR_SET(r.worker, id, str_from(w.workers[number].id));
 	XDR_SET(r.worker, address, str_from(w.workers[number].address));
+	XDR_SET(r.worker, service, STR("svc"));
+	XDR_SET(r.worker, zone, STR("z"));
 	r.clock_ms = 1000;
 	w.commit_us = (_i == 2 ? 1500 : 30) * MS;
 	dw_announce_exit(&w, 1);
