core/dag: one way to bring a worker back, one comparison of places, no scan at an election

A worker that is recorded as gone and replies was brought back by two functions that said the same; ds_worker_bring_back() serves both. dag_worker_equal() uses the comparison of address and service that reports need. The search for predecessors at an address ran at the first reply of each worker to each leader, that is over all pairs of 1,800 workers at an election; it runs for workers that join, as before this issue. A new leader's own first poll of a predecessor tells it the same.

--- a/core/dag_leave.c
+++ b/core/dag_leave.c
@@ -135,12 +135,9 @@
 	if (!w->left_us || w->poll_sent_us < w->left_us + END_US ||
 	    w->rec->w.state != DAG_WORKER_GONE)
 		return;
-	ds_worker_forget_exit(w);
-	w->gone_since_us = 0;
-	s->host->ops->log_event(s->host, "worker-back", NULL, 0, XDR_STR(w->rec->w, id),
-				"its exit was announced and it still replies", 0);
-	ds_worker_propose_state(s, w, drains ? DAG_WORKER_DRAINING : DAG_WORKER_READY,
-				w->rec->w.born_ms);
+	ds_worker_bring_back(s, w, drains ? DAG_WORKER_DRAINING : DAG_WORKER_READY,
+			     w->rec->w.born_ms,
+			     "its exit was announced and it still replies");
 }
 
 /*
--- a/core/dag_report.c
+++ b/core/dag_report.c
@@ -26,13 +26,18 @@
 	return true;
 }
 
+static bool is_same_place(const struct dag_worker *a, const struct dag_worker *b)
+{
+	return str_eq(XDR_STR(*a, address), XDR_STR(*b, address)) &&
+	       str_eq(XDR_STR(*a, service), XDR_STR(*b, service));
+}
+
 /* Whether two descriptions of one worker say the same. */
 bool dag_worker_equal(const struct dag_worker *a, const struct dag_worker *b)
 {
 	return a->born_ms == b->born_ms && a->state == b->state &&
 	       a->cpu_milli == b->cpu_milli && a->mem_mb == b->mem_mb &&
-	       a->gpus == b->gpus && str_eq(XDR_STR(*a, address), XDR_STR(*b, address)) &&
-	       str_eq(XDR_STR(*a, service), XDR_STR(*b, service)) &&
+	       a->gpus == b->gpus && is_same_place(a, b) &&
 	       str_eq(XDR_STR(*a, zone), XDR_STR(*b, zone)) && same_labels(a, b);
 }
 
@@ -153,12 +158,6 @@
 	return false;
 }
 
-static bool is_same_place(const struct dag_worker *a, const struct dag_worker *b)
-{
-	return str_eq(XDR_STR(*a, address), XDR_STR(*b, address)) &&
-	       str_eq(XDR_STR(*a, service), XDR_STR(*b, service));
-}
-
 /*
  * Whether a report under the id of a worker at work names another address or service,
  * which a life keeps. Its sender is another process; the worker's own replies tell when
@@ -182,13 +181,6 @@
 	       (w->poll_failures || w->rec->w.state == DAG_WORKER_GONE);
 }
 
-static void log_ignored(struct dag_sched *s, const struct dag_worker *reported,
-			const char *reason)
-{
-	s->host->ops->log_event(s->host, "report-ignored", NULL, 0,
-				XDR_STR(*reported, id), reason, reported->born_ms);
-}
-
 /*
  * Takes a report that came to any controller. Returns whether it says something that is
  * to be recorded; news then describes the worker, with strings of the report.
@@ -206,7 +198,9 @@
 	    !dag_state_service_named(s->state, XDR_STR(r->worker, service)))
 		return false;
 	if (w && is_of_another(w, &r->worker)) {
-		log_ignored(s, &r->worker, "another address or service");
+		s->host->ops->log_event(s->host, "report-ignored", NULL, 0,
+					XDR_STR(r->worker, id),
+					"another address or service", r->worker.born_ms);
 		if (!w->poll_in_flight)
 			w->next_poll_us = now_us;
 		return false;
--- a/core/dag_sched_impl.h
+++ b/core/dag_sched_impl.h
@@ -418,6 +418,9 @@
 
 /* dag_leave.c */
 void ds_worker_forget_exit(struct ds_worker *w);
+void ds_worker_bring_back(struct dag_sched *s, struct ds_worker *w,
+			  enum dag_worker_state state, int64_t born_ms,
+			  const char *reason);
 void ds_worker_contradict_exit(struct dag_sched *s, struct ds_worker *w);
 void ds_worker_check_exit(struct dag_sched *s, struct ds_worker *w);
 
--- a/core/dag_worker.c
+++ b/core/dag_worker.c
@@ -310,8 +310,9 @@
 }
 
 /*
- * Two workers cannot share an address: when one replies, those that started earlier have
- * exited. A report alone does not tell this: anyone may send one.
+ * Two workers cannot share an address: when one that has joined replies, those that
+ * started earlier have exited. A report alone does not tell this: anyone may send one. A
+ * new leader learns it from its own first poll of each.
  */
 static void handle_replaced_workers(struct dag_sched *s, const struct dag_worker_rec *rec)
 {
@@ -512,6 +513,18 @@
 	}
 }
 
+/* Takes back the exit of a worker that is recorded as gone and replies. */
+void ds_worker_bring_back(struct dag_sched *s, struct ds_worker *w,
+			  enum dag_worker_state state, int64_t born_ms,
+			  const char *reason)
+{
+	ds_worker_forget_exit(w);
+	w->gone_since_us = 0;
+	s->host->ops->log_event(s->host, "worker-back", NULL, 0, XDR_STR(w->rec->w, id),
+				reason, 0);
+	ds_worker_propose_state(s, w, state, born_ms);
+}
+
 /* A worker that was recorded as gone answers, perhaps in another life. */
 static void return_worker(struct dag_sched *s, struct ds_worker *w,
 			  const struct dag_poll_reply *poll)
@@ -519,13 +532,10 @@
 	ds_worker_follow_reply(s, w, poll);
 	if (ds_worker_reply_is_old(w, poll))
 		return;
-	ds_worker_forget_exit(w);
-	w->gone_since_us = 0;
 	w->drain_reported = false;
 	w->poll_failures = 0;
-	s->host->ops->log_event(s->host, "worker-back", NULL, 0, XDR_STR(w->rec->w, id),
-				"was recorded as gone and answers", 0);
-	ds_worker_propose_state(s, w, DAG_WORKER_READY, poll->born_ms);
+	ds_worker_bring_back(s, w, DAG_WORKER_READY, poll->born_ms,
+			     "was recorded as gone and answers");
 }
 
 /* When the worker made the list of a reply that has just come, at the earliest. */
@@ -606,7 +616,7 @@
 	w->poll_failures = 0;
 	if (!ds_worker_reply_is_old(w, poll))
 		ds_worker_record_contact(w, poll, now_us);
-	if (is_first && w->clock_known)
+	if (is_first && w->clock_known && w->joined_us)
 		handle_replaced_workers(s, w->rec);
 	ds_worker_contradict_exit(s, w);
 	/* Its loss, which tells when its earlier life ended, is recorded until then. */
