--- a/regress/lib_cluster.h
+++ b/regress/lib_cluster.h
@@ -1,6 +1,8 @@
 #ifndef REGRESS_LIB_CLUSTER_H
 #define REGRESS_LIB_CLUSTER_H
 
+#include <check.h>
+
 #include "base/prng.h"
 #include "core/replica.h"
 
@@ -10,6 +12,15 @@
  */
 #define CLUSTER_MAX 24
 
+#define ck_cluster(c) ck_assert_msg((c)->failure[0] == '\0', "%s", (c)->failure)
+/* A violated rule is reported before the condition that fails because of it. */
+#define ck_run(c, condition)             \
+	do {                             \
+		bool held = (condition); \
+		ck_cluster(c);           \
+		ck_assert(held);         \
+	} while (0)
+
 struct disk_entry {
 	struct replica_entry e; /* data owned */
 };
--- a/regress/test_dag_foreign.c
+++ b/regress/test_dag_foreign.c
@@ -86,6 +86,19 @@
 	dag_sched_worker_ended(w.sched, 1, w.now_us);
 }
 
+/* The worker goes on reporting, and a job is done there. */
+static void assert_is_used(uint32_t number)
+{
+	for (int i = 0; i < 5; i++) {
+		dw_report(&w, number);
+		dw_run_for(&w, SECOND);
+	}
+	dw_submit_chain(&w, 1, 2, 4);
+	dw_run_for(&w, 10 * SECOND);
+	dw_assert_sound(&w);
+	ck_assert_int_eq(dw_state(&w, 1), DAG_JOB_COMPLETED);
+}
+
 /*
  * Guards against runs that are ended, and start elsewhere, for the word of another writer
  * while their worker works on. _i / FOREIGN_KINDS: it comes several times, and a leader
@@ -125,14 +138,7 @@
 	dw_run_for(&w, SECOND);
 	send_foreign((enum foreign)(_i % FOREIGN_KINDS), number);
 	dw_run_for(&w, SECOND);
-	for (int i = 0; i < 5; i++) {
-		dw_report(&w, number);
-		dw_run_for(&w, SECOND);
-	}
-	dw_submit_chain(&w, 1, 2, 4);
-	dw_run_for(&w, 10 * SECOND);
-	dw_assert_sound(&w);
-	ck_assert_int_eq(dw_state(&w, 1), DAG_JOB_COMPLETED);
+	assert_is_used(number);
 }
 END_TEST
 
@@ -155,14 +161,7 @@
 		dag_state_find_worker_by_id(w.state, str_from(w.workers[number].id)));
 	send_foreign(kinds[_i], number);
 	dw_run_for(&w, 3 * SECOND);
-	for (int i = 0; i < 5; i++) {
-		dw_report(&w, number);
-		dw_run_for(&w, SECOND);
-	}
-	dw_submit_chain(&w, 1, 2, 4);
-	dw_run_for(&w, 10 * SECOND);
-	dw_assert_sound(&w);
-	ck_assert_int_eq(dw_state(&w, 1), DAG_JOB_COMPLETED);
+	assert_is_used(number);
 }
 END_TEST
 
@@ -179,14 +178,7 @@
 	dw_run_for(&w, 3 * SECOND);
 	send_foreign((enum foreign)_i, number);
 	dw_run_for(&w, 2 * SECOND);
-	for (int i = 0; i < 5; i++) {
-		dw_report(&w, number);
-		dw_run_for(&w, SECOND);
-	}
-	dw_submit_chain(&w, 1, 2, 4);
-	dw_run_for(&w, 10 * SECOND);
-	dw_assert_sound(&w);
-	ck_assert_int_eq(dw_state(&w, 1), DAG_JOB_COMPLETED);
+	assert_is_used(number);
 }
 END_TEST
 
