--- a/regress/lib_dag_world.c
+++ b/regress/lib_dag_world.c
@@ -110,10 +110,31 @@
 	return false;
 }
 
+/*
+ * Counts an end that holds a crash against a task for a run that no worker began, while
+ * fewer than two are known to have crashed under it.
+ */
+static void check_crash(struct dag_world *w, const struct dag_end *e)
+{
+	const struct dag_job_rec *j = dag_state_find_job(w->state, e->task.job);
+	const struct dag_task *t =
+		j ? dag_job_find_task(j, e->task.occurrence, e->task.step, e->task.index)
+		  : NULL;
+
+	if (e->how != DAG_END_CRASHED && e->how != DAG_END_CRASHED_ALONE &&
+	    e->how != DAG_END_SUSPECTED)
+		return;
+	if (t && t->crashes < 2 && e->run < 64 &&
+	    !(task_of(w, &e->task)->begun >> e->run & 1))
+		w->crashes_at_large++;
+}
+
 static int host_propose(struct dag_host *h, const struct dag_command *c)
 {
 	struct dag_world *w = (struct dag_world *)h;
 
+	if (c->kind == DAG_CMD_END)
+		check_crash(w, &c->dag_command_u.end);
 	w->n_batch++;
 	return codec_encode((xdrproc_t)xdr_dag_command, c, &w->batch);
 }
@@ -141,6 +162,8 @@
 	if (w->hold_us) {
 		e->silent = true;
 		e->at_us += w->hold_us;
+	} else if (w->mute_starts && kind == DW_START) {
+		e->silent = true;
 	} else if (draw < lost) {
 		e->answer = DAG_RESULT_UNKNOWN;
 	} else if (draw < lost + late) {
@@ -770,6 +793,8 @@
 			(double)w->now_us / 1e6, (unsigned long long)t->job, t->step,
 			t->index);
 	k->start_us = w->now_us;
+	if (e->run < 64)
+		k->begun |= 1ULL << e->run;
 	w->starts++;
 }
 
--- a/regress/lib_dag_world.h
+++ b/regress/lib_dag_world.h
@@ -135,6 +135,7 @@
 	uint32_t failed;
 	uint32_t crashes;	  /* of workers, under a run of the task */
 	uint32_t starts_at_third; /* starts when the third of them crashed */
+	uint64_t begun;		  /* a bit for each run that a worker began, up to 63 */
 	bool noted;		  /* an end as done is acknowledged and stands */
 	int64_t done_us;
 	int64_t start_us; /* newest */
@@ -188,6 +189,7 @@
 			    */
 	bool late_fenced;  /* but for one that no other call has reached, where nothing
 			      fences them */
+	bool mute_starts;  /* start requests are carried out and get no answer */
 	int64_t hold_us; /* each order takes this much longer and gets no answer, 0: none
 			  */
 	int64_t born_back_ms; /* the time of day of workers was set back by this */
@@ -213,7 +215,8 @@
 	int64_t crash_delay_us; /* from start to crash */
 	int64_t crash_return_us;
 	bool crash_new_id;
-	uint32_t crashes; /* of workers, under deadly tasks */
+	uint32_t crashes;	   /* of workers, under deadly tasks */
+	uint32_t crashes_at_large; /* counted, or suspected, for a run that never began */
 	char violation[256];
 	uint32_t starts;
 	uint64_t starts_hash; /* of all starts, in their order */
