core/dag: a start that had no answer is counted apart from crashes

Cause: was_sent() takes a start request without an answer for a run that was on the worker, and a worker that crashes before it can answer looks the same as one that is cut off and started again.

Such a start now has an end of its own, DAG_END_UNANSWERED: it proves nothing, placement takes it for a crash, and a job has failed with five crashes and such starts together, as many as BUDGET allows a deadly task that answers nothing. The limits for crashes are as before. The same for runs whose lease ended before an answer.

--- a/core/dag_crash.c
+++ b/core/dag_crash.c
@@ -141,11 +141,23 @@
 	return sole && may_prove(s, w) ? sole : NULL;
 }
 
+/*
+ * Whether a start request may never have arrived. A worker that crashed before it could
+ * answer and one that was cut off and started again behind the cut look alike, so such a
+ * start counts, but less than a crash.
+ */
+static bool is_unanswered(const struct ds_run *r)
+{
+	return r->phase != DS_ACCEPTED && !r->recovered;
+}
+
 static enum dag_end_how crash_end(const struct ds_run *r, bool alone)
 {
 	/* A serving task that has run for a while is not the cause. */
 	if (r->step->long_running && has_survived(r))
 		return DAG_END_SURVIVED;
+	if (is_unanswered(r))
+		return DAG_END_UNANSWERED;
 	return alone ? DAG_END_CRASHED_ALONE : DAG_END_CRASHED;
 }
 
@@ -225,7 +237,9 @@
 		return crash_end(r, false);
 	if (has_survived(r))
 		return r->step->long_running ? DAG_END_SURVIVED : DAG_END_LAPSED;
-	return planned ? DAG_END_LAPSED : DAG_END_SUSPECTED;
+	if (planned)
+		return DAG_END_LAPSED;
+	return is_unanswered(r) ? DAG_END_UNANSWERED_SUSPECTED : DAG_END_SUSPECTED;
 }
 
 /*
--- a/core/dag_sched.c
+++ b/core/dag_sched.c
@@ -143,17 +143,18 @@
 			const struct dag_end *e, const struct dag_task *t)
 {
 	struct str worker = r ? XDR_STR(r->worker->rec->w, id) : (struct str){NULL, 0};
-	bool crashed = e->how == DAG_END_CRASHED || e->how == DAG_END_CRASHED_ALONE;
+	bool suspected =
+		e->how == DAG_END_SUSPECTED || e->how == DAG_END_UNANSWERED_SUSPECTED;
 
-	if (e->how == DAG_END_SUSPECTED && dag_task_is_held(t))
+	if (suspected && dag_task_is_held(t))
 		s->host->ops->log_event(
 			s->host, "task-held", &e->task, e->run, worker,
 			"until more is known of the workers of its lost runs",
 			ds_task_suspect_crashes(t));
-	if (!r && crashed)
+	if (!r && dag_end_is_crash(e->how))
 		s->host->ops->log_event(s->host, "crash-known", &e->task, e->run, worker,
 					"its worker did not survive it; value: crashes",
-					t->crashes);
+					(uint32_t)t->crashes + t->unanswered);
 }
 
 /* Tells which ends of runs a failed job was given up for. r NULL: the newest is late. */
@@ -304,6 +305,7 @@
 			if (!r)
 				continue;
 			r->phase = DS_RECOVERED;
+			r->recovered = true;
 			r->speed_known = !r->step->filler;
 			r->start_sent_us = recorded_start_us(s, t->started_ms[c]);
 			/* Its start may have been repeated until its lease ended. */
--- a/core/dag_sched_impl.h
+++ b/core/dag_sched_impl.h
@@ -57,6 +57,7 @@
 	int64_t stop_acked_us; /* 0: not acknowledged */
 	int64_t stop_retry_us;
 	bool end_proposed;
+	bool recovered;	 /* by this leader; an earlier one may have an answer */
 	bool released;	 /* its resources are free for other runs */
 	bool end_listed; /* the proposed end came from the worker's list */
 	bool listed;	 /* in the poll reply that is being processed */
--- a/core/dag_state.c
+++ b/core/dag_state.c
@@ -687,12 +687,17 @@
 	return n;
 }
 
+/* Whether the run may have crashed its worker. */
+static bool is_suspicion(enum dag_end_how how)
+{
+	return how == DAG_END_SUSPECTED || how == DAG_END_UNANSWERED_SUSPECTED;
+}
+
 /* Whether an end is the leader's conclusion, without a list of the worker that has it. */
 static bool is_unlisted(enum dag_end_how how)
 {
-	return how == DAG_END_LAPSED || how == DAG_END_CRASHED ||
-	       how == DAG_END_CRASHED_ALONE || how == DAG_END_SURVIVED ||
-	       how == DAG_END_SUSPECTED;
+	return how == DAG_END_LAPSED || how == DAG_END_SURVIVED ||
+	       dag_end_is_crash(how) || is_suspicion(how);
 }
 
 /*
@@ -752,7 +757,7 @@
 	store_checkpoint(j, e, t);
 	if (dag_job_ended(j) || t->done)
 		return;
-	if (e->how == DAG_END_CRASHED || e->how == DAG_END_CRASHED_ALONE) {
+	if (dag_end_is_crash(e->how)) {
 		dag_state_count_crash(
 			s, j, t, e, w,
 			later_life ? "its worker came back in another life"
@@ -764,6 +769,7 @@
 	    (st->long_running && e->how == DAG_END_FAILED)) {
 		t->crashes = 0;
 		t->crashes_alone = 0;
+		t->unanswered = 0;
 		dag_counted_forget_crashes(&t->counted);
 		if (t->n_suspected)
 			dag_state_forget_suspicions(s, &e->task);
@@ -818,8 +824,7 @@
 {
 	struct dag_suspicion *u = dag_suspicion_find(s, &e->task, e->run);
 
-	if (u && (e->how == DAG_END_LAPSED || e->how == DAG_END_CRASHED ||
-		  e->how == DAG_END_CRASHED_ALONE))
+	if (u && (e->how == DAG_END_LAPSED || dag_end_is_crash(e->how)))
 		dag_state_resolve_suspicion(s, u, e->how,
 					    "another process answers at its address");
 	else
@@ -867,8 +872,9 @@
 		apply_second_end(s, j, t, e);
 		return 0;
 	}
-	if (e->how == DAG_END_SUSPECTED && !dag_job_ended(j) && !t->done)
-		err = dag_suspicion_add(s, &e->task, e->run, t->live[i].worker);
+	if (is_suspicion(e->how) && !dag_job_ended(j) && !t->done)
+		err = dag_suspicion_add(s, &e->task, e->run, t->live[i].worker,
+					e->how == DAG_END_UNANSWERED_SUSPECTED);
 	if (err)
 		return err;
 	worker = t->live[i].worker;
--- a/core/dag_state.h
+++ b/core/dag_state.h
@@ -23,9 +23,15 @@
  */
 #define DAG_CRASHES_PROVEN 3U
 #define DAG_CRASHES_MAX 4U
+/*
+ * The same for crashes and starts that were lost with their workers before an answer,
+ * together. A deadly task may answer no start, so it is no higher than BUDGET allows.
+ */
+#define DAG_LOSSES_MAX 5U
 /*
  * Runs of a task that may have crashed their workers. With as many as DAG_CRASHES_MAX,
- * together with the crashes that are known, the task waits until more is known of them.
+ * together with the crashes that are known, or as DAG_LOSSES_MAX, the task waits until
+ * more is known of them.
  */
 #define DAG_SUSPICIONS_MAX 8U
 #define DAG_MAX_TASKS 100000U	  /* of one occurrence of a job */
@@ -34,8 +40,8 @@
 /* Sums of times within these limits do not overflow, also as microseconds. */
 #define DAG_MAX_TIME_MS (1LL << 46)	 /* since 1970, and of a worker's clock */
 #define DAG_MAX_INTERVAL_MS (1ULL << 40) /* between occurrences */
-/* Numbers of workers are below; the next bit has a meaning in snapshots. */
-#define DAG_WORKER_NUMBERS (1U << 31)
+/* Numbers of workers are below; the two bits above have a meaning in snapshots. */
+#define DAG_WORKER_NUMBERS (1U << 30)
 /* Of all jobs together. A task takes about 100 bytes here and in the scheduler. */
 #define DAG_MAX_TASKS_TOTAL 1000000U
 
@@ -52,6 +58,7 @@
 	uint16_t failures;
 	uint8_t crashes;       /* workers that crashed under it */
 	uint8_t crashes_alone; /* part of them in which no other task was suspect */
+	uint8_t unanswered;    /* starts lost with their workers before an answer */
 	uint8_t n_suspected;   /* runs that may have crashed their workers */
 	bool done;
 	bool unlisted; /* the newest run has ended, and its worker has not listed how */
@@ -133,6 +140,7 @@
 	UT_hash_handle hh;
 	struct dag_suspicion_key key;
 	uint32_t worker;     /* number of the worker, in the life that is recorded */
+	bool unanswered;     /* its start had no answer */
 	int64_t since_us;    /* not replicated: time of dag_state.clock_us by then */
 	uint64_t dropped_by; /* not replicated: epoch of a leader that proposed its end */
 };
@@ -245,6 +253,7 @@
 bool dag_task_takes_late_end(const struct dag_task *t, uint32_t run,
 			     enum dag_end_how how);
 bool dag_task_is_deadly(const struct dag_task *t);
+bool dag_end_is_crash(enum dag_end_how how);
 bool dag_task_is_held(const struct dag_task *t);
 struct str dag_job_checkpoint(const struct dag_job_rec *j,
 			      const struct dag_task_ref *ref);
@@ -274,7 +283,7 @@
 void dag_state_forget_suspicions(struct dag_state *s, const struct dag_task_ref *t);
 void dag_state_forget_job_suspicions(struct dag_state *s, uint64_t job);
 int dag_suspicion_add(struct dag_state *s, const struct dag_task_ref *t, uint32_t run,
-		      uint32_t worker);
+		      uint32_t worker, bool unanswered);
 void dag_suspicion_remove(struct dag_state *s, struct dag_suspicion *u);
 void dag_suspicions_clear(struct dag_state *s);
 int dag_state_add_job(struct dag_state *s, const struct dag_job *spec, uint32_t attempts,
--- a/core/dag_state_crash.c
+++ b/core/dag_state_crash.c
@@ -10,6 +10,7 @@
 bool dag_task_is_deadly(const struct dag_task *t)
 {
 	return t->crashes >= DAG_CRASHES_MAX ||
+	       (uint32_t)t->crashes + t->unanswered >= DAG_LOSSES_MAX ||
 	       (t->crashes >= DAG_CRASHES_PROVEN && t->crashes_alone);
 }
 
@@ -19,12 +20,17 @@
  */
 bool dag_task_is_held(const struct dag_task *t)
 {
-	return t->n_suspected && t->crashes + t->n_suspected >= DAG_CRASHES_MAX;
+	uint32_t n = (uint32_t)t->crashes + t->n_suspected;
+
+	return t->n_suspected &&
+	       (n >= DAG_CRASHES_MAX || n + t->unanswered >= DAG_LOSSES_MAX);
 }
 
-static bool is_crash(enum dag_end_how how)
+/* Whether a worker crashed, for all that is known, when its run ended. */
+bool dag_end_is_crash(enum dag_end_how how)
 {
-	return how == DAG_END_CRASHED || how == DAG_END_CRASHED_ALONE;
+	return how == DAG_END_CRASHED || how == DAG_END_CRASHED_ALONE ||
+	       how == DAG_END_UNANSWERED;
 }
 
 /*
@@ -35,7 +41,7 @@
 			    const struct dag_worker_rec *w, const char *known)
 {
 	struct dag_counted_end c = {
-		.run = e->run, .crashed = is_crash(e->how), .known = known};
+		.run = e->run, .crashed = dag_end_is_crash(e->how), .known = known};
 
 	if (w)
 		c.worker = XDR_STR(w->w, id);
@@ -48,7 +54,10 @@
 			   const char *known)
 {
 	dag_state_note_counted(t, e, w, known);
-	t->crashes++;
+	if (e->how == DAG_END_UNANSWERED)
+		t->unanswered++;
+	else
+		t->crashes++;
 	t->crashes_alone += e->how == DAG_END_CRASHED_ALONE;
 	if (dag_task_is_deadly(t))
 		dag_state_end_job(s, j, DAG_JOB_FAILED);
@@ -58,7 +67,11 @@
 void dag_state_resolve_suspicion(struct dag_state *s, struct dag_suspicion *u,
 				 enum dag_end_how how, const char *known)
 {
-	struct dag_end e = {u->key.task, u->key.run, how, {0, NULL}};
+	bool crashed = dag_end_is_crash(how);
+	struct dag_end e = {u->key.task,
+			    u->key.run,
+			    crashed && u->unanswered ? DAG_END_UNANSWERED : how,
+			    {0, NULL}};
 	const struct dag_worker_rec *w = dag_state_find_worker(s, u->worker);
 	struct dag_job_rec *j = dag_state_find_job(s, e.task.job);
 	struct dag_task *t =
@@ -68,7 +81,7 @@
 	dag_suspicion_remove(s, u);
 	if (!t)
 		return;
-	if (is_crash(how) && !dag_job_ended(j) && !t->done)
+	if (crashed && !dag_job_ended(j) && !t->done)
 		dag_state_count_crash(s, j, t, &e, w, known);
 	if (s->observer)
 		s->observer->ops->run_ended(s->observer, j, &e, 0);
--- a/core/dag_state_snapshot.c
+++ b/core/dag_state_snapshot.c
@@ -7,14 +7,18 @@
 #include "proto/codec.h"
 
 /* Flag in dag_image_worker.number. */
-#define WORKER_LOST DAG_WORKER_NUMBERS
-/* Flag in dag_image_run.worker. */
-#define RUN_SUSPECTED DAG_WORKER_NUMBERS
+#define WORKER_LOST (DAG_WORKER_NUMBERS << 1)
+/* Flags in dag_image_run.worker. */
+#define RUN_SUSPECTED (DAG_WORKER_NUMBERS << 1)
+#define RUN_UNANSWERED DAG_WORKER_NUMBERS /* of one that is suspected */
 /* Fields of dag_image_task.failures. */
 #define FAILURES_MASK 0xffffU
 #define CRASHES_SHIFT 16
+#define CRASHES_MASK 0xfU
+#define UNANSWERED_SHIFT 20
+#define UNANSWERED_MASK 0x7U
 #define CRASHES_ALONE_SHIFT 24
-#define CRASHES_MASK 0x7fU
+#define CRASHES_ALONE_MASK 0x7fU
 #define NEWEST_FAILED (1U << 23)
 #define UNLISTED (1U << 31)
 
@@ -33,7 +37,8 @@
 	for (u = s->suspicions; u; u = u->hh.next)
 		if (dag_suspicion_is_of(u, ref))
 			runs[it->live.live_len++] = (struct dag_image_run){
-				u->key.run, u->worker | RUN_SUSPECTED};
+				u->key.run, u->worker | RUN_SUSPECTED |
+						    (u->unanswered ? RUN_UNANSWERED : 0)};
 	return 0;
 }
 
@@ -42,6 +47,7 @@
 {
 	it->last_run = t->last_run;
 	it->failures = t->failures | (u_int)t->crashes << CRASHES_SHIFT |
+		       (u_int)t->unanswered << UNANSWERED_SHIFT |
 		       (u_int)t->crashes_alone << CRASHES_ALONE_SHIFT |
 		       (t->newest_failed ? NEWEST_FAILED : 0) |
 		       (t->unlisted ? UNLISTED : 0);
@@ -215,13 +221,16 @@
 static int restore_run(struct dag_state *s, const struct dag_task_ref *ref,
 		       struct dag_task *t, const struct dag_image_run *r)
 {
-	uint32_t number = r->worker & ~RUN_SUSPECTED;
+	bool suspected = (r->worker & RUN_SUSPECTED) != 0;
+	uint32_t flags = suspected ? RUN_SUSPECTED | RUN_UNANSWERED : 0;
+	uint32_t number = r->worker & ~flags;
 	struct dag_worker_rec *w = dag_state_find_worker(s, number);
 
 	if (!w || r->run > t->last_run)
 		return CF_EMALFORMED;
-	if (r->worker & RUN_SUSPECTED)
-		return dag_suspicion_add(s, ref, r->run, number);
+	if (suspected)
+		return dag_suspicion_add(s, ref, r->run, number,
+					 (r->worker & RUN_UNANSWERED) != 0);
 	if (t->n_live == DAG_MAX_COPIES || (t->n_live && r->run == t->live[0].run))
 		return CF_EMALFORMED;
 	t->live[t->n_live++] = (struct dag_run){r->run, number};
@@ -237,7 +246,8 @@
 	t->last_run = it->last_run;
 	t->failures = it->failures & FAILURES_MASK;
 	t->crashes = it->failures >> CRASHES_SHIFT & CRASHES_MASK;
-	t->crashes_alone = it->failures >> CRASHES_ALONE_SHIFT & CRASHES_MASK;
+	t->crashes_alone = it->failures >> CRASHES_ALONE_SHIFT & CRASHES_ALONE_MASK;
+	t->unanswered = it->failures >> UNANSWERED_SHIFT & UNANSWERED_MASK;
 	t->unlisted = (it->failures & UNLISTED) != 0;
 	t->newest_failed = (it->failures & NEWEST_FAILED) != 0;
 	t->done = it->done;
--- a/core/dag_suspicion.c
+++ b/core/dag_suspicion.c
@@ -47,11 +47,12 @@
 }
 
 /*
- * Notes that a run may have crashed its worker. One more than DAG_SUSPICIONS_MAX of a
- * task, and a second of a run, are ignored. CF_ENOMEM.
+ * Notes that a run may have crashed its worker. unanswered: so may its start, which had
+ * no answer. One more than DAG_SUSPICIONS_MAX of a task, and a second of a run, are
+ * ignored. CF_ENOMEM.
  */
 int dag_suspicion_add(struct dag_state *s, const struct dag_task_ref *t, uint32_t run,
-		      uint32_t worker)
+		      uint32_t worker, bool unanswered)
 {
 	struct dag_worker_rec *w = dag_state_find_worker(s, worker);
 	struct dag_task *task = task_of(s, t);
@@ -65,6 +66,7 @@
 		return CF_ENOMEM;
 	u->key = key_of(t, run);
 	u->worker = worker;
+	u->unanswered = unanswered;
 	u->since_us = s->clock_us;
 	HASH_ADD(hh, s->suspicions, key, sizeof(u->key), u);
 	task->n_suspected++;
--- a/proto/dag.x
+++ b/proto/dag.x
@@ -147,7 +147,8 @@
 /*
  * CRASHED and CRASHED_ALONE are found by the leader, not listed by a worker: the worker
  * crashed under the run; ALONE: only this run can have caused it; SURVIVED: it crashed
- * long after the start of the run, which is not the cause.
+ * long after the start of the run, which is not the cause. UNANSWERED: it was lost before
+ * it had answered the start, which may never have arrived.
  */
 enum dag_end_how {
 	DAG_END_DONE = 0,
@@ -159,7 +160,9 @@
 	DAG_END_CRASHED = 6,
 	DAG_END_CRASHED_ALONE = 7,
 	DAG_END_SURVIVED = 8,
-	DAG_END_SUSPECTED = 9 /* lost soon after its start; not known to have crashed */
+	DAG_END_SUSPECTED = 9, /* lost soon after its start; not known to have crashed */
+	DAG_END_UNANSWERED = 10,
+	DAG_END_UNANSWERED_SUSPECTED = 11 /* the same; not known to have crashed */
 };
 
 struct dag_end {
