--- a/core/dag_state.h
+++ b/core/dag_state.h
@@ -40,8 +40,8 @@
 /* Sums of times within these limits do not overflow, also as microseconds. */
 #define DAG_MAX_TIME_MS (1LL << 46)	 /* since 1970, and of a worker's clock */
 #define DAG_MAX_INTERVAL_MS (1ULL << 40) /* between occurrences */
-/* Numbers of workers are below; the two bits above have a meaning in snapshots. */
-#define DAG_WORKER_NUMBERS (1U << 30)
+/* Numbers of workers are below; the next bit has a meaning in snapshots. */
+#define DAG_WORKER_NUMBERS (1U << 31)
 /* Of all jobs together. A task takes about 100 bytes here and in the scheduler. */
 #define DAG_MAX_TASKS_TOTAL 1000000U
 
--- a/core/dag_state_snapshot.c
+++ b/core/dag_state_snapshot.c
@@ -7,18 +7,24 @@
 #include "proto/codec.h"
 
 /* Flag in dag_image_worker.number. */
-#define WORKER_LOST (DAG_WORKER_NUMBERS << 1)
-/* Flags in dag_image_run.worker. */
-#define RUN_SUSPECTED (DAG_WORKER_NUMBERS << 1)
-#define RUN_UNANSWERED DAG_WORKER_NUMBERS /* of one that is suspected */
-/* Fields of dag_image_task.failures. */
+#define WORKER_LOST DAG_WORKER_NUMBERS
+/*
+ * Flag in dag_image_run.worker. A suspected run whose start had no answer stands there
+ * twice, which programs of before 2026-12-07 read as once.
+ */
+#define RUN_SUSPECTED DAG_WORKER_NUMBERS
+#define IMAGE_RUNS_MAX 16U
+/*
+ * Fields of dag_image_task.failures. Those programs read starts without an answer as
+ * crashes under the task alone, which count for nothing until there are three crashes.
+ */
 #define FAILURES_MASK 0xffffU
 #define CRASHES_SHIFT 16
-#define CRASHES_MASK 0xfU
-#define UNANSWERED_SHIFT 20
-#define UNANSWERED_MASK 0x7U
+#define CRASHES_MASK 0x7fU
 #define CRASHES_ALONE_SHIFT 24
-#define CRASHES_ALONE_MASK 0x7fU
+#define CRASHES_ALONE_MASK 0xfU
+#define UNANSWERED_SHIFT 28
+#define UNANSWERED_MASK 0x7U
 #define NEWEST_FAILED (1U << 23)
 #define UNLISTED (1U << 31)
 
@@ -26,7 +32,7 @@
 static int fill_suspicions(const struct dag_state *s, const struct dag_task_ref *ref,
 			   const struct dag_task *t, struct dag_image_task *it)
 {
-	size_t n = (size_t)t->n_live + t->n_suspected;
+	size_t n = (size_t)t->n_live + 2 * (size_t)t->n_suspected;
 	struct dag_image_run *runs = calloc(n, sizeof(*runs));
 	const struct dag_suspicion *u;
 
@@ -37,8 +43,12 @@
 	for (u = s->suspicions; u; u = u->hh.next)
 		if (dag_suspicion_is_of(u, ref))
 			runs[it->live.live_len++] = (struct dag_image_run){
-				u->key.run, u->worker | RUN_SUSPECTED |
-						    (u->unanswered ? RUN_UNANSWERED : 0)};
+				u->key.run, u->worker | RUN_SUSPECTED};
+	for (u = s->suspicions; u; u = u->hh.next)
+		if (u->unanswered && dag_suspicion_is_of(u, ref) &&
+		    it->live.live_len < IMAGE_RUNS_MAX)
+			runs[it->live.live_len++] = (struct dag_image_run){
+				u->key.run, u->worker | RUN_SUSPECTED};
 	return 0;
 }
 
@@ -221,16 +231,19 @@
 static int restore_run(struct dag_state *s, const struct dag_task_ref *ref,
 		       struct dag_task *t, const struct dag_image_run *r)
 {
-	bool suspected = (r->worker & RUN_SUSPECTED) != 0;
-	uint32_t flags = suspected ? RUN_SUSPECTED | RUN_UNANSWERED : 0;
-	uint32_t number = r->worker & ~flags;
+	uint32_t number = r->worker & ~RUN_SUSPECTED;
 	struct dag_worker_rec *w = dag_state_find_worker(s, number);
+	struct dag_suspicion *u;
 
 	if (!w || r->run > t->last_run)
 		return CF_EMALFORMED;
-	if (suspected)
-		return dag_suspicion_add(s, ref, r->run, number,
-					 (r->worker & RUN_UNANSWERED) != 0);
+	if (r->worker & RUN_SUSPECTED) {
+		u = dag_suspicion_find(s, ref, r->run);
+		if (!u)
+			return dag_suspicion_add(s, ref, r->run, number, false);
+		u->unanswered = true;
+		return 0;
+	}
 	if (t->n_live == DAG_MAX_COPIES || (t->n_live && r->run == t->live[0].run))
 		return CF_EMALFORMED;
 	t->live[t->n_live++] = (struct dag_run){r->run, number};
--- a/core/dag_suspicion.c
+++ b/core/dag_suspicion.c
@@ -15,13 +15,16 @@
 	return j ? dag_job_find_task(j, t->occurrence, t->step, t->index) : NULL;
 }
 
-/* Keys are compared as bytes, so that they have no padding that is not set. */
+/* Keys are compared as bytes, so that they have no padding of their source. */
 static struct dag_suspicion_key key_of(const struct dag_task_ref *t, uint32_t run)
 {
 	struct dag_suspicion_key key;
 
 	memset(&key, 0, sizeof(key));
-	key.task = *t;
+	key.task.job = t->job;
+	key.task.occurrence = t->occurrence;
+	key.task.step = t->step;
+	key.task.index = t->index;
 	key.run = run;
 	return key;
 }
--- a/proto/dag.x
+++ b/proto/dag.x
@@ -279,8 +279,10 @@
 
 /*
  * failures: failed runs in the low 16 bits, then workers that crashed under the task in
- * 7 bits, whether its newest run failed, those that crashed under it alone in 7 bits, and
- * whether the end of its newest run is unlisted; these are zero in older snapshots.
+ * 7 bits, whether its newest run failed, those that crashed under it alone in 4 bits,
+ * starts without an answer in 3 bits, and whether the end of its newest run is unlisted;
+ * these are zero in older snapshots. live: also the runs that are suspected, see
+ * core/dag_state_snapshot.c.
  */
 struct dag_image_task {
 	unsigned int last_run;
