core/dag: losses of a task and its suspicions are told in one place

Read as a newcomer: the sum of crashes and starts without an answer stood five times, what a suspicion is twice, why a run is needless was asked twice for each listed run (once now), and ds_worker_bring_back() was declared under another file.

No change of behaviour.

--- a/core/dag_counted.c
+++ b/core/dag_counted.c
@@ -113,7 +113,7 @@
 	struct buf run = {0};
 	int err = 0;
 
-	d->total += d->crashed ? (uint32_t)t->crashes + t->unanswered : t->failures;
+	d->total += d->crashed ? dag_task_losses(t) : t->failures;
 	for (const struct dag_counted *c = t->counted; c && !err; c = c->next) {
 		if (c->crashed != d->crashed)
 			continue;
--- a/core/dag_sched.c
+++ b/core/dag_sched.c
@@ -143,10 +143,8 @@
 			const struct dag_end *e, const struct dag_task *t)
 {
 	struct str worker = r ? XDR_STR(r->worker->rec->w, id) : (struct str){NULL, 0};
-	bool suspected =
-		e->how == DAG_END_SUSPECTED || e->how == DAG_END_UNANSWERED_SUSPECTED;
 
-	if (suspected && dag_task_is_held(t))
+	if (dag_end_is_suspicion(e->how) && dag_task_is_held(t))
 		s->host->ops->log_event(
 			s->host, "task-held", &e->task, e->run, worker,
 			"until more is known of the workers of its lost runs",
@@ -154,7 +152,7 @@
 	if (!r && dag_end_is_crash(e->how))
 		s->host->ops->log_event(s->host, "crash-known", &e->task, e->run, worker,
 					"its worker did not survive it; value: crashes",
-					(uint32_t)t->crashes + t->unanswered);
+					dag_task_losses(t));
 }
 
 /* Tells which ends of runs a failed job was given up for. r NULL: the newest is late. */
--- a/core/dag_sched_impl.h
+++ b/core/dag_sched_impl.h
@@ -421,15 +421,15 @@
 
 /* dag_leave.c */
 void ds_worker_forget_exit(struct ds_worker *w);
-void ds_worker_bring_back(struct dag_sched *s, struct ds_worker *w,
-			  enum dag_worker_state state, int64_t born_ms,
-			  const char *reason);
 void ds_worker_contradict_exit(struct dag_sched *s, struct ds_worker *w);
 void ds_worker_check_exit(struct dag_sched *s, struct ds_worker *w);
 
 /* dag_worker.c */
 struct ds_worker *ds_worker_new(struct dag_sched *s, struct dag_worker_rec *rec);
 void ds_worker_free(struct dag_sched *s, struct ds_worker *w);
+void ds_worker_bring_back(struct dag_sched *s, struct ds_worker *w,
+			  enum dag_worker_state state, int64_t born_ms,
+			  const char *reason);
 void ds_spread_first_polls(struct dag_sched *s);
 void ds_worker_refresh(struct dag_sched *s, struct ds_worker *w);
 const char *ds_worker_obstacle(const struct dag_sched *s, const struct ds_worker *w);
--- a/core/dag_state.c
+++ b/core/dag_state.c
@@ -687,17 +687,11 @@
 	return n;
 }
 
-/* Whether the run may have crashed its worker. */
-static bool is_suspicion(enum dag_end_how how)
-{
-	return how == DAG_END_SUSPECTED || how == DAG_END_UNANSWERED_SUSPECTED;
-}
-
 /* Whether an end is the leader's conclusion, without a list of the worker that has it. */
 static bool is_unlisted(enum dag_end_how how)
 {
 	return how == DAG_END_LAPSED || how == DAG_END_SURVIVED ||
-	       dag_end_is_crash(how) || is_suspicion(how);
+	       dag_end_is_crash(how) || dag_end_is_suspicion(how);
 }
 
 /*
@@ -872,7 +866,7 @@
 		apply_second_end(s, j, t, e);
 		return 0;
 	}
-	if (is_suspicion(e->how) && !dag_job_ended(j) && !t->done)
+	if (dag_end_is_suspicion(e->how) && !dag_job_ended(j) && !t->done)
 		err = dag_suspicion_add(s, &e->task, e->run, t->live[i].worker,
 					e->how == DAG_END_UNANSWERED_SUSPECTED);
 	if (err)
--- a/core/dag_state.h
+++ b/core/dag_state.h
@@ -253,7 +253,9 @@
 bool dag_task_takes_late_end(const struct dag_task *t, uint32_t run,
 			     enum dag_end_how how);
 bool dag_task_is_deadly(const struct dag_task *t);
+uint32_t dag_task_losses(const struct dag_task *t);
 bool dag_end_is_crash(enum dag_end_how how);
+bool dag_end_is_suspicion(enum dag_end_how how);
 bool dag_task_is_held(const struct dag_task *t);
 struct str dag_job_checkpoint(const struct dag_job_rec *j,
 			      const struct dag_task_ref *ref);
--- a/core/dag_state_crash.c
+++ b/core/dag_state_crash.c
@@ -6,11 +6,16 @@
 #include "core/dag_state.h"
 #include "proto/codec.h"
 
+/* Workers that crashed under a task, or were lost before they answered its start. */
+uint32_t dag_task_losses(const struct dag_task *t)
+{
+	return (uint32_t)t->crashes + t->unanswered;
+}
+
 /* Whether so many workers have crashed under a task that it is given up. */
 bool dag_task_is_deadly(const struct dag_task *t)
 {
-	return t->crashes >= DAG_CRASHES_MAX ||
-	       (uint32_t)t->crashes + t->unanswered >= DAG_LOSSES_MAX ||
+	return t->crashes >= DAG_CRASHES_MAX || dag_task_losses(t) >= DAG_LOSSES_MAX ||
 	       (t->crashes >= DAG_CRASHES_PROVEN && t->crashes_alone);
 }
 
@@ -20,10 +25,10 @@
  */
 bool dag_task_is_held(const struct dag_task *t)
 {
-	uint32_t n = (uint32_t)t->crashes + t->n_suspected;
+	uint32_t n = t->n_suspected;
 
-	return t->n_suspected &&
-	       (n >= DAG_CRASHES_MAX || n + t->unanswered >= DAG_LOSSES_MAX);
+	return n && (t->crashes + n >= DAG_CRASHES_MAX ||
+		     dag_task_losses(t) + n >= DAG_LOSSES_MAX);
 }
 
 /* Whether a worker crashed, for all that is known, when its run ended. */
@@ -33,6 +38,12 @@
 	       how == DAG_END_UNANSWERED;
 }
 
+/* Whether a worker may have crashed when its run ended. */
+bool dag_end_is_suspicion(enum dag_end_how how)
+{
+	return how == DAG_END_SUSPECTED || how == DAG_END_UNANSWERED_SUSPECTED;
+}
+
 /*
  * Notes for the log how the end of a run is known that counts. w NULL: its worker is not
  * known.
--- a/core/dag_suspect.c
+++ b/core/dag_suspect.c
@@ -86,5 +86,5 @@
 /* Workers that crashed under a task for all that is known, or may have. */
 uint32_t ds_task_suspect_crashes(const struct dag_task *t)
 {
-	return (uint32_t)t->crashes + t->unanswered + t->n_suspected;
+	return dag_task_losses(t) + t->n_suspected;
 }
--- a/core/dag_worker.c
+++ b/core/dag_worker.c
@@ -436,6 +436,7 @@
 			       const struct dag_listed_run *l)
 {
 	struct ds_run *r = ds_find_run(s, &l->task, l->run);
+	const char *reason;
 
 	if (!r || r->worker != w) {
 		stop_unknown_run(s, w, l);
@@ -457,8 +458,20 @@
 	r->level = l->level;
 	if (l->checkpoint.n)
 		buf_set(&r->checkpoint, l->checkpoint);
-	if (needless(r))
-		ds_run_request_stop(s, r, needless(r));
+	reason = needless(r);
+	if (reason)
+		ds_run_request_stop(s, r, reason);
+}
+
+/* An earlier leader recorded a run that its worker does not list. */
+static void resume_run(struct dag_sched *s, struct ds_run *r)
+{
+	const char *reason = needless(r);
+
+	if (reason)
+		ds_run_request_stop(s, r, reason);
+	else
+		ds_run_send_start(s, r);
 }
 
 /* Handles runs that are missing from a list that should hold them. */
@@ -473,10 +486,8 @@
 			ds_end_stopped_run(s, r);
 		else if (r->phase == DS_ACCEPTED && r->accepted_us < w->poll_sent_us)
 			ds_run_propose_lost(s, r, "missing from the worker's list");
-		else if (r->phase == DS_RECOVERED && needless(r))
-			ds_run_request_stop(s, r, needless(r));
 		else if (r->phase == DS_RECOVERED)
-			ds_run_send_start(s, r);
+			resume_run(s, r);
 	}
 }
 
--- a/regress/lib_dag_world.c
+++ b/regress/lib_dag_world.c
@@ -1432,6 +1432,22 @@
 	new_leader(w);
 }
 
+struct dag_state *dw_copy_of_state(const struct dag_world *w)
+{
+	struct dag_state *copy;
+	struct buf image = {0};
+	struct buf again = {0};
+
+	ck_assert_int_eq(dag_state_snapshot(w->state, &image), 0);
+	ck_assert_int_eq(dag_state_new(&copy), 0);
+	ck_assert_int_eq(dag_state_restore(copy, buf_str(&image)), 0);
+	ck_assert_int_eq(dag_state_snapshot(copy, &again), 0);
+	ck_assert(str_eq(buf_str(&image), buf_str(&again)));
+	buf_free(&image);
+	buf_free(&again);
+	return copy;
+}
+
 enum dag_job_state dw_state(struct dag_world *w, uint64_t id)
 {
 	const struct dag_job_rec *j = dag_state_find_job(w->state, id);
--- a/regress/lib_dag_world.h
+++ b/regress/lib_dag_world.h
@@ -305,6 +305,8 @@
 void dw_change_leader(struct dag_world *w);
 /* A scheduler for the state as it is; the earlier one must have been freed. */
 void dw_lead(struct dag_world *w);
+/* A state restored from a snapshot; fails unless its own snapshot is the same. */
+struct dag_state *dw_copy_of_state(const struct dag_world *w);
 enum dag_job_state dw_state(struct dag_world *w, uint64_t id);
 int64_t dw_wall_ms(const struct dag_world *w);
 uint32_t dw_alive(struct dag_world *w, uint64_t id);
--- a/regress/test_dag_beats.c
+++ b/regress/test_dag_beats.c
@@ -247,19 +247,11 @@
 START_TEST(snapshot_keeps_the_doubts)
 {
 	struct dag_state *copy;
-	struct buf image = {0};
-	struct buf again = {0};
 
 	submit_and_lose_four_runs();
-	ck_assert_int_eq(dag_state_snapshot(w.state, &image), 0);
-	ck_assert_int_eq(dag_state_new(&copy), 0);
-	ck_assert_int_eq(dag_state_restore(copy, buf_str(&image)), 0);
+	copy = dw_copy_of_state(&w);
 	ck_assert_uint_eq(only_task(copy)->n_suspected, DAG_CRASHES_MAX);
 	ck_assert(dag_task_is_held(only_task(copy)));
-	ck_assert_int_eq(dag_state_snapshot(copy, &again), 0);
-	ck_assert(str_eq(buf_str(&image), buf_str(&again)));
-	buf_free(&image);
-	buf_free(&again);
 	dag_state_free(copy);
 }
 END_TEST
--- a/regress/test_dag_crash.c
+++ b/regress/test_dag_crash.c
@@ -307,7 +307,6 @@
 START_TEST(snapshot_keeps_the_crashes)
 {
 	struct dag_state *copy;
-	struct buf image = {0};
 	const struct dag_task *t;
 
 	w.deadly_job = DEADLY;
@@ -316,13 +315,10 @@
 	dw_submit_chain(&w, DEADLY, 1, 2);
 	while (w.crashes < 3)
 		dw_run_for(&w, SECOND / 10);
-	ck_assert_int_eq(dag_state_snapshot(w.state, &image), 0);
-	ck_assert_int_eq(dag_state_new(&copy), 0);
-	ck_assert_int_eq(dag_state_restore(copy, buf_str(&image)), 0);
+	copy = dw_copy_of_state(&w);
 	t = dag_job_find_task(dag_state_find_job(copy, DEADLY), 0, 0, 0);
 	ck_assert_uint_eq(t->crashes, 2);
 	ck_assert_uint_eq(t->failures, 0);
-	buf_free(&image);
 	dag_state_free(copy);
 }
 END_TEST
--- a/regress/test_dag_unanswered.c
+++ b/regress/test_dag_unanswered.c
@@ -121,23 +121,6 @@
 	dw_run_for(&w, (lapsed ? 15 : 1) * SECOND);
 }
 
-/* Checks that a snapshot restores to a state with the same snapshot. */
-static struct dag_state *copy_of_state(void)
-{
-	struct dag_state *copy;
-	struct buf image = {0};
-	struct buf again = {0};
-
-	ck_assert_int_eq(dag_state_snapshot(w.state, &image), 0);
-	ck_assert_int_eq(dag_state_new(&copy), 0);
-	ck_assert_int_eq(dag_state_restore(copy, buf_str(&image)), 0);
-	ck_assert_int_eq(dag_state_snapshot(copy, &again), 0);
-	ck_assert(str_eq(buf_str(&image), buf_str(&again)));
-	buf_free(&image);
-	buf_free(&again);
-	return copy;
-}
-
 /* Guards against a lost start that counts as a crash, or is forgotten in a snapshot. */
 START_TEST(lost_start_counts_apart)
 {
@@ -146,7 +129,7 @@
 	lose_a_start(_i & 1);
 	if (_i & 1) {
 		ck_assert_uint_eq(only_task(w.state)->n_suspected, 1);
-		copy = copy_of_state();
+		copy = dw_copy_of_state(&w);
 		ck_assert(copy->suspicions->unanswered);
 		dag_state_free(copy);
 	}
@@ -157,7 +140,7 @@
 		dw_run_for(&w, 10 * MS);
 	ck_assert_uint_eq(only_task(w.state)->crashes, 0);
 	ck_assert_uint_eq(only_task(w.state)->n_suspected, 0);
-	copy = copy_of_state();
+	copy = dw_copy_of_state(&w);
 	ck_assert_uint_eq(only_task(copy)->unanswered, 1);
 	ck_assert_uint_eq(only_task(copy)->crashes, 0);
 	ck_assert_uint_eq(only_task(copy)->failures, 0);
